--- /dev/null
+++ b/src/config.c
@@ -0,0 +1,376 @@
+#include "config.h"
+
+#include "kv.h"
+
+#include <assert.h>
+#include <sodium.h>
+#include <string.h>
+
+static gboolean
+key_hash_equal (gconstpointer left, gconstpointer right)
+{
+  return sodium_memcmp (left, right, DECLARATION_KEY_HASH_MAX) == 0;
+}
+
+static gint
+document_compare (gconstpointer left, gconstpointer right)
+{
+  const struct confdoc *a = *(struct confdoc *const *)left;
+  const struct confdoc *b = *(struct confdoc *const *)right;
+  bool a_shared = strcmp (a->name, CONFDOC_SHARED) == 0;
+  bool b_shared = strcmp (b->name, CONFDOC_SHARED) == 0;
+
+  if (a_shared != b_shared)
+    return a_shared ? -1 : 1;
+  return strcmp (a->name, b->name);
+}
+
+/* The digest binds the revision and every document to one another. */
+static void
+digest_compute (const struct config *config, char out[CONFDOC_DIGEST_MAX])
+{
+  GString *text = g_string_new (NULL);
+  GPtrArray *documents = config_documents (config);
+
+  g_string_append_printf (text, "%" G_GUINT64_FORMAT, config->revision);
+  for (guint i = 0; i < documents->len; i++)
+    {
+      const struct confdoc *document = documents->pdata[i];
+
+      g_string_append_printf (text, ",%s=%s", document->name,
+                              document->digest);
+    }
+  confdoc_digest (text->str, text->len, out);
+  g_ptr_array_unref (documents);
+  g_string_free (text, TRUE);
+}
+
+static void
+first_violation (void *data, const struct violation *violation)
+{
+  struct error *error = data;
+  char id[DECLARATION_ID_MAX];
+
+  if (error == NULL || error->status != STATUS_OK)
+    return;
+  declaration_id (violation->row, id);
+  error_set (error, STATUS_INVALID, "%s: %.100s", id,
+             violation->error.message);
+}
+
+/* Fill the look-up tables from the documents and check the rules. */
+static enum status
+config_index (struct config *config, struct error *error)
+{
+  GHashTableIter iter;
+  gpointer data;
+
+  g_hash_table_iter_init (&iter, config->documents);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    {
+      const struct confdoc *document = data;
+
+      for (size_t i = 0; i < document->row_count; i++)
+        {
+          struct declaration *row = &document->rows[i];
+
+          if (!g_hash_table_add (config->rows, row))
+            return error_set (error, STATUS_INVALID,
+                              "document %s declares an object twice",
+                              document->name);
+          if (row->type == DECLARATION_KEY)
+            g_hash_table_insert (config->keys, row->key_hash, row);
+        }
+    }
+  if (error != NULL)
+    error_clear (error);
+  if (consistency_check (config->rows, first_violation, error) > 0)
+    return STATUS_INVALID;
+  return STATUS_OK;
+}
+
+static const struct declaration *
+row_get (const struct config *config, enum declaration_type type,
+         const char *organisation, const char *name, const char *model,
+         const char *version, const char *service)
+{
+  struct declaration key = { .type = type };
+
+  if (strlen (organisation) >= DECLARATION_NAME_MAX
+      || strlen (name) >= DECLARATION_NAME_MAX
+      || strlen (model) >= DECLARATION_NAME_MAX
+      || strlen (version) >= DECLARATION_NAME_MAX
+      || strlen (service) >= DECLARATION_NAME_MAX)
+    return NULL;
+  strcpy (key.organisation, organisation);
+  strcpy (key.name, name);
+  strcpy (key.model, model);
+  strcpy (key.version, version);
+  strcpy (key.service, service);
+  return rowset_find (config->rows, &key);
+}
+
+struct config *
+config_new (void)
+{
+  struct config *config = g_new0 (struct config, 1);
+
+  config->references = 1;
+  config->documents = g_hash_table_new (g_str_hash, g_str_equal);
+  config->rows = rowset_new ();
+  config->keys = g_hash_table_new (g_str_hash, key_hash_equal);
+  return config;
+}
+
+void
+config_put (struct config *config, struct confdoc *document)
+{
+  struct confdoc *old
+      = g_hash_table_lookup (config->documents, document->name);
+
+  g_hash_table_replace (config->documents, document->name, document);
+  if (old != NULL)
+    confdoc_unref (old);
+}
+
+void
+config_share (struct config *config, const struct config *previous)
+{
+  GHashTableIter iter;
+  gpointer document;
+
+  if (previous == NULL)
+    return;
+  g_hash_table_iter_init (&iter, previous->documents);
+  while (g_hash_table_iter_next (&iter, NULL, &document))
+    config_put (config, confdoc_ref (document));
+}
+
+void
+config_remember_sheet (struct config *config, const char *digest,
+                       uint64_t revision)
+{
+  struct config_sheet *sheet;
+
+  if (config->sheet_count == CONFIG_SHEET_LIMIT)
+    memmove (&config->sheets[0], &config->sheets[1],
+             (--config->sheet_count) * sizeof config->sheets[0]);
+  sheet = &config->sheets[config->sheet_count++];
+  g_strlcpy (sheet->digest, digest, sizeof sheet->digest);
+  sheet->revision = revision;
+}
+
+enum status
+config_seal (struct config **out, struct config *config, enum status status,
+             struct error *error)
+{
+  char digest[CONFDOC_DIGEST_MAX];
+
+  if (status == STATUS_OK)
+    {
+      digest_compute (config, digest);
+      if (strcmp (digest, config->digest) != 0)
+        status = error_set (error, STATUS_NOT_FOUND,
+                            "the documents are not of one revision");
+    }
+  if (status == STATUS_OK)
+    status = config_index (config, error);
+  if (status != STATUS_OK)
+    {
+      config_unref (config);
+      return status;
+    }
+  *out = config;
+  return STATUS_OK;
+}
+
+struct config *
+config_empty (void)
+{
+  struct config *config = config_new ();
+
+  digest_compute (config, config->digest);
+  return config;
+}
+
+enum status
+config_change (struct config **config, const struct config *base,
+               const struct row_change *changes, size_t count,
+               const char *sheet_digest, struct error *error)
+{
+  struct config *changed = config_new ();
+  char name[CONFDOC_NAME_MAX];
+
+  config_share (changed, base);
+  changed->revision = base->revision + 1;
+  memcpy (changed->sheets, base->sheets, sizeof base->sheets);
+  changed->sheet_count = base->sheet_count;
+  config_remember_sheet (changed, sheet_digest, changed->revision);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct confdoc *document;
+
+      confdoc_name_of (&changes[i].row, name);
+      document = g_hash_table_lookup (changed->documents, name);
+      if (document != NULL && document->revision == changed->revision)
+        continue;
+      document
+          = confdoc_change (document, name, changes, count, changed->revision);
+      config_put (changed, document);
+      if (strlen (document->text) > KV_VALUE_MAX)
+        {
+          error_set (error, STATUS_TOO_LARGE, "%s", name);
+          config_unref (changed);
+          return STATUS_TOO_LARGE;
+        }
+    }
+  digest_compute (changed, changed->digest);
+  return config_seal (config, changed, STATUS_OK, error);
+}
+
+struct config *
+config_ref (struct config *config)
+{
+  config->references++;
+  return config;
+}
+
+void
+config_unref (struct config *config)
+{
+  GHashTableIter iter;
+  gpointer document;
+
+  if (config == NULL)
+    return;
+  assert (config->references > 0);
+  if (--config->references > 0)
+    return;
+  g_hash_table_destroy (config->rows);
+  g_hash_table_destroy (config->keys);
+  g_hash_table_iter_init (&iter, config->documents);
+  while (g_hash_table_iter_next (&iter, NULL, &document))
+    {
+      g_hash_table_iter_steal (&iter);
+      confdoc_unref (document);
+    }
+  g_hash_table_destroy (config->documents);
+  g_free (config);
+}
+
+uint64_t
+config_sheet_revision (const struct config *config, const char *digest)
+{
+  for (size_t i = 0; i < config->sheet_count; i++)
+    if (strcmp (config->sheets[i].digest, digest) == 0)
+      return config->sheets[i].revision;
+  return 0;
+}
+
+const struct confdoc *
+config_document_of (const struct config *config, const struct declaration *row)
+{
+  char name[CONFDOC_NAME_MAX];
+
+  confdoc_name_of (row, name);
+  return g_hash_table_lookup (config->documents, name);
+}
+
+GPtrArray *
+config_documents (const struct config *config)
+{
+  GPtrArray *documents = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer document;
+
+  g_hash_table_iter_init (&iter, config->documents);
+  while (g_hash_table_iter_next (&iter, NULL, &document))
+    g_ptr_array_add (documents, document);
+  g_ptr_array_sort (documents, document_compare);
+  return documents;
+}
+
+void
+config_key_hash (const char *key, size_t size,
+                 char out[DECLARATION_KEY_HASH_MAX])
+{
+  unsigned char hash[DECLARATION_KEY_HASH_SIZE];
+
+  crypto_generichash (hash, sizeof hash, (const unsigned char *)key, size,
+                      NULL, 0);
+  sodium_bin2hex (out, DECLARATION_KEY_HASH_MAX, hash, sizeof hash);
+}
+
+const struct declaration *
+config_by_key (const struct config *config, const char *key, size_t size)
+{
+  char hash[DECLARATION_KEY_HASH_MAX];
+  const struct declaration *row;
+
+  config_key_hash (key, size, hash);
+  row = g_hash_table_lookup (config->keys, hash);
+  return row == NULL ? NULL : config_organisation (config, row->organisation);
+}
+
+const struct declaration *
+config_organisation (const struct config *config, const char *organisation)
+{
+  return row_get (config, DECLARATION_ORGANISATION, organisation, "", "", "",
+                  "");
+}
+
+const struct declaration *
+config_kind (const struct config *config, const char *organisation,
+             const char *name)
+{
+  return row_get (config, DECLARATION_KIND, organisation, name, "", "", "");
+}
+
+const struct declaration *
+config_service (const struct config *config, const char *service)
+{
+  return row_get (config, DECLARATION_SERVICE, "", "", "", "", service);
+}
+
+const struct declaration *
+config_model (const struct config *config, const char *model)
+{
+  return row_get (config, DECLARATION_MODEL, "", "", model, "", "");
+}
+
+const struct declaration *
+config_version (const struct config *config, const char *model,
+                const char *version)
+{
+  return row_get (config, DECLARATION_VERSION, "", "", model, version, "");
+}
+
+bool
+config_adapter_permitted (const struct config *config,
+                          const char *organisation, const char *model,
+                          const char *adapter)
+{
+  const struct declaration *row
+      = row_get (config, DECLARATION_ADAPTER, "", adapter, model, "", "");
+
+  return row != NULL && strcmp (row->organisation, organisation) == 0;
+}
+
+const struct declaration *
+config_backend_server (const struct config *config, const char *name,
+                       const char *service)
+{
+  const struct declaration *row
+      = row_get (config, DECLARATION_BACKEND_SERVER, "", name, "", "", "");
+
+  if (row != NULL)
+    return row;
+  return row_get (config, DECLARATION_BACKEND_SERVER, "", service, "", "", "");
+}
+
+bool
+config_drained (const struct config *config, const char *backend_server)
+{
+  return row_get (config, DECLARATION_DRAIN, "", backend_server, "", "", "")
+         != NULL;
+}
--- /dev/null
+++ b/src/conftext.c
@@ -0,0 +1,281 @@
+#include "conftext.h"
+
+#include <json-c/json.h>
+#include <string.h>
+
+static struct json_object *
+sheets_write (const struct config *config)
+{
+  struct json_object *array = json_object_new_array ();
+
+  for (size_t i = 0; i < config->sheet_count; i++)
+    {
+      const struct config_sheet *sheet = &config->sheets[i];
+      struct json_object *object = json_object_new_object ();
+
+      json_object_object_add (object, "digest",
+                              json_object_new_string (sheet->digest));
+      json_object_object_add (
+          object, "revision",
+          json_object_new_int64 ((int64_t)sheet->revision));
+      json_object_array_add (array, object);
+    }
+  return array;
+}
+
+static const char *
+member_text (struct json_object *object, const char *name)
+{
+  const char *text
+      = json_object_get_string (json_object_object_get (object, name));
+
+  return text == NULL ? "" : text;
+}
+
+static uint64_t
+member_number (struct json_object *object, const char *name)
+{
+  return (uint64_t)json_object_get_int64 (
+      json_object_object_get (object, name));
+}
+
+/* What root and delta have in common. */
+static void
+head_parse (struct config *config, struct json_object *root)
+{
+  struct json_object *sheets = json_object_object_get (root, "sheets");
+  size_t count = json_object_is_type (sheets, json_type_array)
+                     ? json_object_array_length (sheets)
+                     : 0;
+
+  config->revision = member_number (root, "revision");
+  g_strlcpy (config->digest, member_text (root, "digest"),
+             sizeof config->digest);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct json_object *object = json_object_array_get_idx (sheets, i);
+
+      config_remember_sheet (config, member_text (object, "digest"),
+                             member_number (object, "revision"));
+    }
+}
+
+static struct json_object *
+head_write (const struct config *config)
+{
+  struct json_object *root = json_object_new_object ();
+
+  json_object_object_add (root, "format", json_object_new_int (1));
+  json_object_object_add (root, "revision",
+                          json_object_new_int64 ((int64_t)config->revision));
+  json_object_object_add (root, "digest",
+                          json_object_new_string (config->digest));
+  json_object_object_add (root, "sheets", sheets_write (config));
+  return root;
+}
+
+static enum status
+document_take (struct config *config, const struct config *previous,
+               struct json_object *entry, GHashTable *texts,
+               struct error *error)
+{
+  const char *name = member_text (entry, "name");
+  const char *digest = member_text (entry, "digest");
+  const char *text = g_hash_table_lookup (texts, name);
+  struct confdoc *document = NULL;
+  char actual[CONFDOC_DIGEST_MAX];
+
+  if (previous != NULL)
+    document = g_hash_table_lookup (previous->documents, name);
+  if (document != NULL && strcmp (document->digest, digest) == 0)
+    {
+      config_put (config, confdoc_ref (document));
+      return STATUS_OK;
+    }
+  if (text == NULL)
+    return error_set (error, STATUS_NOT_FOUND, "document %.60s is missing",
+                      name);
+  confdoc_digest (text, strlen (text), actual);
+  if (strcmp (actual, digest) != 0)
+    return error_set (error, STATUS_NOT_FOUND,
+                      "document %.60s is not of the root's revision", name);
+  if (confdoc_parse (&document, name, text, error) != STATUS_OK)
+    return STATUS_CORRUPT;
+  config_put (config, document);
+  return STATUS_OK;
+}
+
+static GHashTable *
+texts_index (const struct conftext *texts, size_t count)
+{
+  GHashTable *index = g_hash_table_new (g_str_hash, g_str_equal);
+  size_t prefix = strlen (CONFTEXT_DOCUMENT_PREFIX);
+
+  for (size_t i = 0; i < count; i++)
+    if (strncmp (texts[i].key, CONFTEXT_DOCUMENT_PREFIX, prefix) == 0)
+      g_hash_table_insert (index, (gpointer)(texts[i].key + prefix),
+                           (gpointer)texts[i].value);
+  return index;
+}
+
+static enum status
+documents_take (struct config *config, const struct config *previous,
+                struct json_object *root, const struct conftext *texts,
+                size_t count, struct error *error)
+{
+  struct json_object *entries = json_object_object_get (root, "documents");
+  size_t entry_count = json_object_is_type (entries, json_type_array)
+                           ? json_object_array_length (entries)
+                           : 0;
+  GHashTable *index = texts_index (texts, count);
+  enum status status = STATUS_OK;
+
+  for (size_t i = 0; i < entry_count && status == STATUS_OK; i++)
+    status
+        = document_take (config, previous,
+                         json_object_array_get_idx (entries, i), index, error);
+  g_hash_table_destroy (index);
+  return status;
+}
+
+static enum status
+delta_documents (struct config *config, struct json_object *root,
+                 struct error *error)
+{
+  struct json_object *entries = json_object_object_get (root, "documents");
+  size_t count = json_object_is_type (entries, json_type_array)
+                     ? json_object_array_length (entries)
+                     : 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct json_object *entry = json_object_array_get_idx (entries, i);
+      struct confdoc *document;
+
+      if (confdoc_parse (&document, member_text (entry, "name"),
+                         member_text (entry, "text"), error)
+          != STATUS_OK)
+        return STATUS_CORRUPT;
+      config_put (config, document);
+    }
+  return STATUS_OK;
+}
+
+enum status
+conftext_load (struct config **config, const struct config *previous,
+               const struct conftext *texts, size_t count, struct error *error)
+{
+  struct json_object *root = NULL;
+  struct config *loaded;
+  enum status status;
+
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (texts[i].key, CONFTEXT_ROOT_KEY) == 0)
+      {
+        root = json_tokener_parse (texts[i].value);
+        if (!json_object_is_type (root, json_type_object))
+          {
+            json_object_put (root);
+            return error_set (error, STATUS_CORRUPT, "the root is not JSON");
+          }
+        break;
+      }
+  if (root == NULL)
+    return error_set (error, STATUS_NOT_FOUND, "there is no root document");
+  loaded = config_new ();
+  head_parse (loaded, root);
+  status = documents_take (loaded, previous, root, texts, count, error);
+  json_object_put (root);
+  return config_seal (config, loaded, status, error);
+}
+
+char *
+conftext_root (const struct config *config)
+{
+  struct json_object *root = head_write (config);
+  struct json_object *entries = json_object_new_array ();
+  GPtrArray *documents = config_documents (config);
+  char *text;
+
+  for (guint i = 0; i < documents->len; i++)
+    {
+      const struct confdoc *document = documents->pdata[i];
+      struct json_object *entry = json_object_new_object ();
+
+      json_object_object_add (entry, "name",
+                              json_object_new_string (document->name));
+      json_object_object_add (
+          entry, "revision",
+          json_object_new_int64 ((int64_t)document->revision));
+      json_object_object_add (entry, "digest",
+                              json_object_new_string (document->digest));
+      json_object_array_add (entries, entry);
+    }
+  g_ptr_array_unref (documents);
+  json_object_object_add (root, "documents", entries);
+  text = g_strdup (
+      json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
+  json_object_put (root);
+  return text;
+}
+
+char *
+conftext_delta (const struct config *config, uint64_t since)
+{
+  struct json_object *root = head_write (config);
+  struct json_object *entries = json_object_new_array ();
+  GPtrArray *documents = config_documents (config);
+  char *text;
+
+  json_object_object_add (root, "since",
+                          json_object_new_int64 ((int64_t)since));
+  for (guint i = 0; i < documents->len; i++)
+    {
+      const struct confdoc *document = documents->pdata[i];
+      struct json_object *entry;
+
+      if (document->revision <= since)
+        continue;
+      entry = json_object_new_object ();
+      json_object_object_add (entry, "name",
+                              json_object_new_string (document->name));
+      json_object_object_add (entry, "text",
+                              json_object_new_string (document->text));
+      json_object_array_add (entries, entry);
+    }
+  g_ptr_array_unref (documents);
+  json_object_object_add (root, "documents", entries);
+  text = g_strdup (
+      json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
+  json_object_put (root);
+  return text;
+}
+
+enum status
+conftext_load_delta (struct config **config, const struct config *previous,
+                     const char *text, struct error *error)
+{
+  struct json_object *root = json_tokener_parse (text);
+  struct config *loaded;
+  enum status status;
+
+  if (!json_object_is_type (root, json_type_object))
+    {
+      json_object_put (root);
+      return error_set (error, STATUS_CORRUPT, "the delta is not JSON");
+    }
+  if (previous != NULL
+      && member_number (root, "revision") <= previous->revision)
+    {
+      json_object_put (root);
+      return error_set (error, STATUS_STALE, "not newer than revision %lu",
+                        (unsigned long)previous->revision);
+    }
+  loaded = config_new ();
+  head_parse (loaded, root);
+  if (member_number (root, "since") > 0)
+    config_share (loaded, previous);
+  status = delta_documents (loaded, root, error);
+  json_object_put (root);
+  return config_seal (config, loaded, status, error);
+}
--- /dev/null
+++ b/src/consistency.c
@@ -0,0 +1,106 @@
+#include "consistency.h"
+
+#include <string.h>
+
+struct check
+{
+  GHashTable *rows;
+  GHashTable *keys; /* key hash to row */
+  consistency_report report;
+  void *data;
+  size_t count;
+};
+
+static void
+check_found (struct check *check, struct violation *violation)
+{
+  check->count++;
+  if (check->report != NULL)
+    check->report (check->data, violation);
+}
+
+static void
+reference_check (struct check *check, const struct declaration *row,
+                 enum declaration_type target)
+{
+  struct violation violation = { .row = row };
+  struct declaration key = *row;
+
+  if (!declaration_reference (row, target, violation.target))
+    return;
+  key.type = target;
+  if (rowset_find (check->rows, &key) != NULL)
+    return;
+  violation.column = declaration_reference_column (target);
+  error_set (&violation.error, STATUS_NOT_FOUND,
+             "refers to %s, which is not declared; declare it or correct "
+             "the %s",
+             violation.target, column_name (violation.column));
+  check_found (check, &violation);
+}
+
+/* One bearer key must lead to one organisation. */
+static void
+key_check (struct check *check, const struct declaration *row)
+{
+  struct violation violation = { .row = row, .column = COLUMN_KEY_HASH };
+  gpointer other = g_hash_table_lookup (check->keys, row->key_hash);
+
+  if (other == NULL)
+    {
+      g_hash_table_insert (check->keys, (gpointer)row->key_hash,
+                           (gpointer)row);
+      return;
+    }
+  violation.other = other;
+  declaration_id (other, violation.target);
+  error_set (&violation.error, STATUS_CONFLICT,
+             "the same bearer key as %s; make a key of its own with "
+             "'trefoilspar key new'",
+             violation.target);
+  check_found (check, &violation);
+}
+
+/* Engines of a model must not be reached as a plain service too. */
+static void
+engines_check (struct check *check, const struct declaration *row)
+{
+  struct violation violation = { .row = row, .column = COLUMN_SERVICE };
+  struct declaration key;
+
+  declaration_init (&key, DECLARATION_SERVICE);
+  strcpy (key.service, row->service);
+  violation.other = rowset_find (check->rows, &key);
+  if (violation.other == NULL)
+    return;
+  declaration_id (violation.other, violation.target);
+  error_set (&violation.error, STATUS_CONFLICT,
+             "%s is a plain service; name the service of the model's "
+             "engines",
+             row->service);
+  check_found (check, &violation);
+}
+
+size_t
+consistency_check (GHashTable *rows, consistency_report report, void *data)
+{
+  struct check check = { .rows = rows, .report = report, .data = data };
+  GHashTableIter iter;
+  gpointer key;
+
+  check.keys = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_iter_init (&iter, rows);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const struct declaration *row = key;
+
+      for (int type = 0; type < DECLARATION_TYPE_COUNT; type++)
+        reference_check (&check, row, (enum declaration_type)type);
+      if (row->type == DECLARATION_KEY)
+        key_check (&check, row);
+      if (row->type == DECLARATION_MODEL)
+        engines_check (&check, row);
+    }
+  g_hash_table_destroy (check.keys);
+  return check.count;
+}
--- /dev/null
+++ b/src/rowset.c
@@ -0,0 +1,37 @@
+#include "rowset.h"
+
+static guint
+row_hash (gconstpointer data)
+{
+  const struct declaration *row = data;
+  guint hash = (guint)row->type;
+
+  for (int i = 0; i < COLUMN_COUNT; i++)
+    if (declaration_use (row->type, (enum column)i) == COLUMN_KEY)
+      hash = hash * 31 + g_str_hash (declaration_text (row, (enum column)i));
+  return hash;
+}
+
+static gboolean
+row_same (gconstpointer left, gconstpointer right)
+{
+  return declaration_id_compare (left, right) == 0;
+}
+
+GHashTable *
+rowset_new (void)
+{
+  return g_hash_table_new (row_hash, row_same);
+}
+
+GHashTable *
+rowset_new_owning (void)
+{
+  return g_hash_table_new_full (row_hash, row_same, g_free, NULL);
+}
+
+const struct declaration *
+rowset_find (GHashTable *rows, const struct declaration *key)
+{
+  return g_hash_table_lookup (rows, key);
+}
--- /dev/null
+++ b/test/test-config.c
@@ -0,0 +1,254 @@
+#include "conftext.h"
+#include "fake-config.h"
+#include "unit.h"
+
+#include <string.h>
+
+static void
+test_lookups (void)
+{
+  struct config *config = fake_config ();
+  const struct declaration *kind = config_kind (config, "milo", "briefing");
+
+  CU_ASSERT_STRING_EQUAL (config_by_key (config, "milo-key", 8)->organisation,
+                          "milo");
+  CU_ASSERT_PTR_NULL (config_by_key (config, "milo-kez", 8));
+  CU_ASSERT_PTR_NULL (config_by_key (config, "", 0));
+  CU_ASSERT_EQUAL (config_organisation (config, "milo")->weight, 3);
+  CU_ASSERT_PTR_NULL (config_organisation (config, "nobody"));
+  CU_ASSERT_STRING_EQUAL (kind->model, "oracolo-l");
+  CU_ASSERT_TRUE (kind->retained && kind->idempotent);
+  CU_ASSERT_EQUAL (kind->priority, 5);
+  CU_ASSERT_PTR_NULL (config_kind (config, "salemi", "briefing"));
+  CU_ASSERT_EQUAL (config_service (config, "centrale")->timeout_ms, 2000);
+  CU_ASSERT_STRING_EQUAL (config_model (config, "oracolo-l")->version, "v1");
+  CU_ASSERT_PTR_NOT_NULL (config_version (config, "oracolo-l", "v2"));
+  CU_ASSERT_TRUE (
+      config_adapter_permitted (config, "milo", "oracolo-l", "sicily"));
+  CU_ASSERT_FALSE (
+      config_adapter_permitted (config, "salemi", "oracolo-l", "sicily"));
+  CU_ASSERT_FALSE (
+      config_backend_server (config, "oracolo-7", "oracolo")->fencing);
+  CU_ASSERT_TRUE (
+      config_backend_server (config, "oracolo-8", "oracolo")->fencing);
+  CU_ASSERT_PTR_NULL (config_backend_server (config, "x", "y"));
+  CU_ASSERT_TRUE (config_drained (config, "oracolo-9"));
+  CU_ASSERT_FALSE (config_drained (config, "oracolo-7"));
+  config_unref (config);
+}
+
+/* Each rule refuses a change as a whole. */
+static void
+test_rules (void)
+{
+  static const char *const refused[] = {
+    "kind organisation=nobody name=k service=centrale",
+    "kind organisation=milo name=k model=none",
+    "kind organisation=milo name=k service=none",
+    "model model=oracolo-l version=v9 service=oracolo",
+    "model model=oracolo-l version=v1 service=centrale",
+    "version model=none version=v1",
+    "adapter model=none name=a organisation=milo",
+    "adapter model=oracolo-l name=a organisation=nobody",
+    "adapter model=oracolo-l name=sicily organisation=salemi",
+    "-version model=oracolo-l version=v1",
+    "-organisation organisation=milo",
+    "-service service=centrale",
+  };
+  struct config *base = fake_config ();
+  struct error error;
+
+  for (size_t i = 0; i < sizeof refused / sizeof *refused; i++)
+    {
+      struct config *config = fake_config_change (
+          base, (const char *[]){ refused[i], NULL }, &error);
+
+      CU_ASSERT_PTR_NULL (config);
+      CU_ASSERT_EQUAL (error.status, STATUS_INVALID);
+      config_unref (config);
+    }
+  CU_ASSERT_EQUAL (base->revision, 1);
+  config_unref (base);
+}
+
+static void
+texts_of (const struct config *config, GArray *texts, uint64_t since)
+{
+  GPtrArray *documents = config_documents (config);
+  struct conftext text
+      = { g_strdup (CONFTEXT_ROOT_KEY), conftext_root (config) };
+
+  g_array_append_val (texts, text);
+  for (guint i = 0; i < documents->len; i++)
+    {
+      struct confdoc *document = documents->pdata[i];
+
+      if (document->revision <= since)
+        continue;
+      text.key = g_strconcat (CONFTEXT_DOCUMENT_PREFIX, document->name, NULL);
+      text.value = g_strdup (document->text);
+      g_array_append_val (texts, text);
+    }
+  g_ptr_array_unref (documents);
+}
+
+static enum status
+load (struct config **config, const struct config *previous, GArray *texts)
+{
+  struct error error;
+
+  return conftext_load (config, previous,
+                        (struct conftext *)(void *)texts->data, texts->len,
+                        &error);
+}
+
+static void
+text_clear (void *data)
+{
+  struct conftext *text = data;
+
+  g_free ((gpointer)text->key);
+  g_free ((gpointer)text->value);
+}
+
+static GArray *
+texts_new (void)
+{
+  GArray *texts = g_array_new (FALSE, TRUE, sizeof (struct conftext));
+
+  g_array_set_clear_func (texts, text_clear);
+  return texts;
+}
+
+static void
+text_replace (GArray *texts, guint index, const char *value)
+{
+  struct conftext *text = &g_array_index (texts, struct conftext, index);
+
+  g_free ((gpointer)text->value);
+  text->value = g_strdup (value);
+}
+
+static void
+test_stored_form (void)
+{
+  static const char *const change[]
+      = { "-drain name=oracolo-9",
+          "model model=oracolo-l version=v2 service=oracolo", NULL };
+  struct config *first = fake_config (), *second, *read = NULL;
+  GArray *whole = texts_new (), *newer = texts_new ();
+  struct error error;
+
+  second = fake_config_change (first, change, &error);
+  texts_of (second, whole, 0);
+  texts_of (second, newer, 1);
+  CU_ASSERT_EQUAL (whole->len, 4);
+  CU_ASSERT_EQUAL (newer->len, 2);
+  CU_ASSERT_EQUAL (load (&read, NULL, whole), STATUS_OK);
+  CU_ASSERT_STRING_EQUAL (read->digest, second->digest);
+  CU_ASSERT_EQUAL (config_sheet_revision (read, "test"), 1);
+  config_unref (read);
+  CU_ASSERT_EQUAL (load (&read, first, newer), STATUS_OK);
+  CU_ASSERT_STRING_EQUAL (config_model (read, "oracolo-l")->version, "v2");
+  config_unref (read);
+  CU_ASSERT_EQUAL (load (&read, NULL, newer), STATUS_NOT_FOUND);
+  text_replace (newer, 1, "{}");
+  CU_ASSERT_EQUAL (load (&read, first, newer), STATUS_NOT_FOUND);
+  text_replace (newer, 0, "[");
+  CU_ASSERT_EQUAL (load (&read, first, newer), STATUS_CORRUPT);
+  config_unref (first);
+  config_unref (second);
+  g_array_free (whole, TRUE);
+  g_array_free (newer, TRUE);
+}
+
+static void
+test_delta (void)
+{
+  static const char *const change[] = { "drain name=x", "drain name=y", NULL };
+  struct config *first = fake_config (), *second, *read = NULL;
+  struct config *empty = config_empty ();
+  char *whole, *newer;
+  struct error error;
+
+  second = fake_config_change (first, change, &error);
+  whole = conftext_delta (second, 0);
+  newer = conftext_delta (second, 1);
+  CU_ASSERT_TRUE (strlen (newer) < strlen (whole));
+  CU_ASSERT_EQUAL (conftext_load_delta (&read, empty, whole, &error),
+                   STATUS_OK);
+  CU_ASSERT_EQUAL (read->revision, 2);
+  CU_ASSERT_EQUAL (conftext_load_delta (&empty, read, whole, &error),
+                   STATUS_STALE);
+  config_unref (read);
+  CU_ASSERT_EQUAL (conftext_load_delta (&read, first, newer, &error),
+                   STATUS_OK);
+  CU_ASSERT_TRUE (config_drained (read, "y"));
+  config_unref (read);
+  CU_ASSERT_EQUAL (conftext_load_delta (&read, empty, newer, &error),
+                   STATUS_NOT_FOUND);
+  newer[strlen (newer) - 4] = 'x';
+  CU_ASSERT_NOT_EQUAL (conftext_load_delta (&read, first, newer, &error),
+                       STATUS_OK);
+  g_free (whole);
+  g_free (newer);
+  config_unref (first);
+  config_unref (second);
+  config_unref (empty);
+}
+
+static void
+test_removed_is_remembered (void)
+{
+  static const char *const remove[] = { "-drain name=oracolo-9", NULL };
+  struct config *first = fake_config (), *second;
+  struct row_change drain = fake_change (remove[0]);
+  struct error error;
+
+  second = fake_config_change (first, remove, &error);
+  CU_ASSERT_EQUAL (confdoc_removed_at (config_document_of (first, &drain.row),
+                                       "drain:oracolo-9"),
+                   0);
+  CU_ASSERT_EQUAL (confdoc_removed_at (config_document_of (second, &drain.row),
+                                       "drain:oracolo-9"),
+                   2);
+  config_unref (first);
+  config_unref (second);
+}
+
+static void
+test_document_over_a_megabyte (void)
+{
+  struct config *base = fake_config ();
+  GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
+  struct error error;
+
+  for (int i = 0; i < 8000; i++)
+    g_ptr_array_add (
+        texts, g_strdup_printf ("kind organisation=milo name=k%d "
+                                "service=centrale priority=1 deadline_ms=1 "
+                                "idempotent=no retained=no",
+                                i));
+  g_ptr_array_add (texts, NULL);
+  CU_ASSERT_PTR_NULL (
+      fake_config_change (base, (const char *const *)texts->pdata, &error));
+  CU_ASSERT_EQUAL (error.status, STATUS_TOO_LARGE);
+  CU_ASSERT_STRING_EQUAL (error.message, "org/milo");
+  g_ptr_array_unref (texts);
+  config_unref (base);
+}
+
+static const struct unit_case cases[] = {
+  { "lookups", test_lookups },
+  { "rules", test_rules },
+  { "stored-form", test_stored_form },
+  { "delta", test_delta },
+  { "removed-is-remembered", test_removed_is_remembered },
+  { "document-over-a-megabyte", test_document_over_a_megabyte },
+};
+
+int
+main (void)
+{
+  return unit_run ("config", cases, sizeof cases / sizeof *cases);
+}
