Sheet and plan: CSV with a base, three-way merge by row

Cause: planners send a sheet each morning, sometimes old, twice, cut off or half edited; what is inconsistent is refused with row, column, reason and remedy, the rest is put in force.

The base of a row is its digest in the column was, together with the revision that last changed the row: the digest tells whether the planner edited it, the revision whether anyone else did. Tombstones do the same for removed rows, so that an old sheet adds nothing again. Ruled out: base values from history documents, since they end with their retention and cost a read per merge; the digest alone, since it does not see a value that was changed and changed back.

--- a/src/declaration.c
+++ b/src/declaration.c
@@ -236,8 +236,8 @@
   if (!isdigit ((unsigned char)text[0]) || *end != '\0' || errno != 0
       || value < info->min || value > info->max)
     return error_set (error, STATUS_INVALID,
-                      "not a whole number from %d to %d", info->min,
-                      info->max);
+                      "not a whole number from %d to %d; correct it",
+                      info->min, info->max);
   *column_number (row, column) = (int32_t)value;
   return STATUS_OK;
 }
@@ -254,7 +254,8 @@
         *column_number (row, column) = i;
         return STATUS_OK;
       }
-  return error_set (error, STATUS_INVALID, "write '%s' or '%s'",
+  return error_set (error, STATUS_INVALID,
+                    "not a word for this column; write '%s' or '%s'",
                     info->choices[0], info->choices[1]);
 }
 
--- a/src/declaration.h
+++ b/src/declaration.h
@@ -108,7 +108,7 @@
 void declaration_init (struct declaration *row, enum declaration_type type);
 
 /** Set COLUMN from TEXT; an empty TEXT empties it.
- * @return STATUS_INVALID with the reason and how to mend it. */
+ * @return STATUS_INVALID; the message is "REASON; REMEDY". */
 enum status declaration_set (struct declaration *row, enum column column,
                              const char *text, struct error *error);
 
--- /dev/null
+++ b/src/refusal.h
@@ -0,0 +1,40 @@
+#ifndef REFUSAL_H
+#define REFUSAL_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/** @file
+ * Why a row of a sheet is not put in force, and how to mend it.
+ */
+
+enum
+{
+  REFUSAL_TEXT_MAX = 256 /**< bytes, with the final NUL */
+};
+
+struct json_object;
+
+struct refusal
+{
+  uint32_t row;       /**< line of the sheet, from 1; 0: the whole sheet */
+  const char *column; /**< static text; empty: the whole row */
+  char reason[REFUSAL_TEXT_MAX];
+  char remedy[REFUSAL_TEXT_MAX];
+};
+
+/** An empty list; the caller frees it with g_array_unref. */
+GArray *refusals_new (void);
+
+/** Append a refusal whose formatted text is "REASON; REMEDY". */
+void refusals_add (GArray *refusals, uint32_t row, const char *column,
+                   const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
+
+/** Order REFUSALS by row. */
+void refusals_sort (GArray *refusals);
+
+/** An array of {"row","column","reason","remedy"}. */
+struct json_object *refusals_json (const GArray *refusals);
+
+#endif
--- /dev/null
+++ b/test/test-sheet.c
@@ -0,0 +1,289 @@
+#include "fake-config.h"
+#include "plan.h"
+#include "unit.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* One mistake: an edit of the exported sheet of fake_config, and the first
+   refusal that it must give. */
+struct mistake
+{
+  const char *find;
+  const char *replace;
+  uint32_t row; /* of the first refusal; 0: none is expected */
+  const char *column;
+  const char *reason; /* a part of it */
+  unsigned changes;   /* rows that are put in force all the same */
+};
+
+/* A harmless change that must be put in force beside the mistake. */
+static const char harmless_find[] = ",milo,,,,,3,50,100,";
+static const char harmless_replace[] = ",milo,,,,,4,50,100,";
+
+static const struct mistake mistakes[] = {
+  /* Refused as a whole. */
+  { "\nend,14\n", "\n", 16, "", "cut off", 0 },
+  { "\nend,14\n", "\nend\n", 17, "", "no count", 0 },
+  { "\nend,14\n", "\nend,15\n", 17, "", "there are 14", 0 },
+  { "\nend,14\n", "\nend,14\ndrain,,,x\n", 18, "", "after the end", 0 },
+  { "\nbase,1\n", "\n", 2, "", "no row 'base", 0 },
+  { "\nbase,1\n", "\nbase,x\n", 2, "", "not one row 'base", 0 },
+  { "\nbase,1\n", "\nbase,1\nbase,1\n", 3, "", "not one row 'base", 0 },
+  { "\nbase,1\n", "\nbase,9\n", 0, "", "exported from revision 9", 0 },
+  { "object,action,", "object,", 1, "action", "lacks the column", 0 },
+  { "object,action,", "object,acton,", 1, "", "unknown column 'acton'", 0 },
+  { "object,action,", "object,object,", 1, "object", "twice", 0 },
+  { "object,action,", "object;action;", 1, "", "divided by commas", 0 },
+  { ",briefing,", ",caf\xe9,", 13, "", "not UTF-8", 0 },
+  { ",briefing,", ",\"briefing,", 17, "", "quote", 0 },
+  /* Refused row by row. */
+  { "drain,,", "drian,,", 9, "object", "unknown object 'drian'", 1 },
+  { "drain,,", "drain,delete,", 9, "action", "unknown action", 1 },
+  { ",briefing,", ",long briefing,", 13, "name", "not a name", 1 },
+  { ",5,60000,", ",ten,60000,", 13, "priority", "not a whole number", 1 },
+  { ",5,60000,", ",10,60000,", 13, "priority", "from 0 to 9", 1 },
+  { ",5,60000,", ",5,,", 13, "deadline_ms", "empty", 1 },
+  { ",yes,yes,", ",maybe,yes,", 13, "idempotent", "not a word", 1 },
+  { "drain,,,", "drain,,milo,", 9, "organisation", "has no org", 1 },
+  { "end,14", "drain,,,oracolo-9\nend,15", 9, "", "row 17 too", 1 },
+  { "end,14", "drain,,,x,,,,,,,,,,,,,,,,y\nend,15", 17, "", "more cells", 1 },
+  { "a56dc0b9", "z56dc0b9", 9, "was", "not a digest", 1 },
+  { ",no,no,", ",no,yes,", 0, "", NULL, 2 },
+  { "drain,,", "\ndrain,,", 0, "", NULL, 1 },
+  { "drain,,", "\"drain\",,", 0, "", NULL, 1 },
+  { "end,14", "drain,,,x-1\nend,15", 0, "", NULL, 2 },
+  /* References. */
+  { "end,14", "kind,,milo,k,none,,,,,,1,5,,yes,no\nend,15", 17, "model",
+    "refers to model:none, which is not declared", 1 },
+  { "end,14", "kind,,gela,k,oracolo-l,,,,,,1,5,,yes,no\nend,15", 17,
+    "organisation", "organisation:gela, which is not declared", 1 },
+  { "end,14",
+    "kind,,gela,k,oracolo-l,,,,,,1,5,,yes,no\n"
+    "organisation,,gela,,,,,0,1,1\nend,16",
+    17, "organisation", "refused in row 18", 1 },
+  { "service,,", "service,remove,", 3, "action",
+    "kind:salemi/order still refers to it", 1 },
+  { ",v1,oracolo,", ",v3,oracolo,", 4, "version", "not declared", 1 },
+  /* What would mix organisations or models. */
+  { "end,14", "key,,milo,b,,,,,,,,,,,,@SALEMI@\nend,15", 17, "key_hash",
+    "the same bearer key as key:salemi/a", 1 },
+  { "adapter,,milo,", "adapter,,salemi,", 12, "organisation", "mix", 1 },
+  { "briefing,oracolo-l,,,", "briefing,,,centrale,", 13, "model", "mix", 1 },
+  { ",v1,oracolo,", ",v1,centrale,", 4, "service", "plain service", 1 },
+  /* Digests and removals. */
+  { "d349dec77f46f7d5", "", 10, "was", "declared already", 0 },
+  { "d349dec77f46f7d5", "0b507cd37592ef5c", 10, "was", "another row", 0 },
+  { "drain,,", "drain,remove,", 0, "", NULL, 2 },
+  { ",a56dc0b990d55722", ",0b507cd37592ef5c", 0, "", NULL, 1 },
+  { "drain,,,oracolo-9", "drain,remove,,oracolo-8", 0, "", NULL, 1 },
+  { "drain,,,oracolo-9", "drain,,,oracolo-8", 9, "was", "any more", 1 },
+};
+
+static char *
+replaced (const char *text, const char *find, const char *replace)
+{
+  char **parts = g_strsplit (text, find, 2);
+  char *joined = g_strjoinv (replace, parts);
+
+  g_strfreev (parts);
+  return joined;
+}
+
+/* TEXT with another part; frees TEXT. */
+static char *
+edit (char *text, const char *find, const char *replace)
+{
+  char *edited = replaced (text, find, replace);
+
+  CU_ASSERT_STRING_NOT_EQUAL (text, edited);
+  g_free (text);
+  return edited;
+}
+
+static void
+merge (struct plan *plan, const struct config *config, const char *text)
+{
+  struct sheet sheet;
+
+  sheet_init (&sheet, text, strlen (text));
+  plan_init (plan, &sheet, config);
+  sheet_finish (&sheet);
+}
+
+static const struct refusal *
+first_refusal (const struct plan *plan)
+{
+  static const struct refusal none = { .column = "" };
+
+  return plan->refusals->len == 0
+             ? &none
+             : &g_array_index (plan->refusals, struct refusal, 0);
+}
+
+static void
+mistake_run (const struct mistake *mistake, const struct config *config)
+{
+  const struct refusal *refusal;
+  char salemi[DECLARATION_KEY_HASH_MAX];
+  char *text = sheet_export (config);
+  struct plan plan;
+
+  config_key_hash ("salemi-key", 10, salemi);
+  text = edit (text, mistake->find, mistake->replace);
+  text = edit (text, harmless_find, harmless_replace);
+  if (strstr (text, "@SALEMI@") != NULL)
+    text = edit (text, "@SALEMI@", salemi);
+  merge (&plan, config, text);
+  refusal = first_refusal (&plan);
+  if (refusal->row != mistake->row
+      || strcmp (refusal->column, mistake->column) != 0
+      || plan.entries->len != mistake->changes
+      || (mistake->reason != NULL
+          && (strstr (refusal->reason, mistake->reason) == NULL
+              || refusal->remedy[0] == '\0')))
+    {
+      fprintf (stderr, "%s -> %s: row %u, column %s: %s; %s (%u changes)\n",
+               mistake->find, mistake->replace, refusal->row, refusal->column,
+               refusal->reason, refusal->remedy, plan.entries->len);
+      CU_FAIL ("another refusal than expected");
+    }
+  if (mistake->reason == NULL)
+    CU_ASSERT_EQUAL (plan.refusals->len, 0);
+  CU_ASSERT_EQUAL (plan.result != NULL, mistake->changes > 0);
+  plan_finish (&plan);
+  g_free (text);
+}
+
+static void
+test_mistakes (void)
+{
+  struct config *config = fake_config ();
+
+  for (size_t i = 0; i < sizeof mistakes / sizeof *mistakes; i++)
+    mistake_run (&mistakes[i], config);
+  config_unref (config);
+}
+
+/* Byte order mark, CRLF and the cells that a spreadsheet adds. */
+static void
+test_spreadsheet_habits (void)
+{
+  struct config *config = fake_config ();
+  char *text = sheet_export (config);
+  char **lines = g_strsplit (text, "\n", -1);
+  char *windows = g_strjoinv ("\r\n", lines);
+  char *marked = g_strconcat ("\xef\xbb\xbf", windows, NULL);
+  struct plan plan;
+
+  marked = edit (marked, "end,14", "end,14,,,,,,,,,,,,,,,,,");
+  merge (&plan, config, marked);
+  CU_ASSERT_EQUAL (plan.refusals->len, 0);
+  CU_ASSERT_EQUAL (plan.unchanged, 14);
+  CU_ASSERT_PTR_NULL (plan.result);
+  plan_finish (&plan);
+  g_free (marked);
+  g_free (windows);
+  g_strfreev (lines);
+  g_free (text);
+  config_unref (config);
+}
+
+/* Sent twice, and again after others changed what it had set. */
+static void
+test_sheet_twice (void)
+{
+  static const char *const back[]
+      = { "organisation organisation=milo weight=3 requests_per_s=50 "
+          "in_flight=100",
+          "-drain name=x-1", NULL };
+  struct config *first = fake_config (), *third;
+  char *text = sheet_export (first);
+  struct plan once, twice, late;
+  struct error error;
+
+  text = edit (text, harmless_find, harmless_replace);
+  text = edit (text, "end,14", "drain,,,x-1\nend,15");
+  merge (&once, first, text);
+  CU_ASSERT_EQUAL (once.entries->len, 2);
+  merge (&twice, once.result, text);
+  CU_ASSERT_EQUAL (twice.already, 2);
+  CU_ASSERT_EQUAL (twice.unchanged, 15);
+  CU_ASSERT_PTR_NULL (twice.result);
+  third = fake_config_change (once.result, back, &error);
+  merge (&late, third, text);
+  CU_ASSERT_PTR_NULL (late.result);
+  CU_ASSERT_EQUAL (late.refusals->len, 2);
+  CU_ASSERT_EQUAL (late.unchanged, 13);
+  plan_finish (&once);
+  plan_finish (&twice);
+  plan_finish (&late);
+  config_unref (first);
+  config_unref (third);
+  g_free (text);
+}
+
+static void
+test_document_over_a_megabyte (void)
+{
+  struct config *config = fake_config ();
+  char *text = sheet_export (config);
+  GString *kinds = g_string_new (NULL);
+  struct plan plan;
+
+  for (int i = 0; i < 8000; i++)
+    g_string_append_printf (kinds,
+                            "kind,,milo,k%d,oracolo-l,,,,,,1,5,,no,no\n", i);
+  g_string_append (kinds, "end,8014");
+  text = edit (text, "end,14", kinds->str);
+  text = edit (text, "drain,,", "drain,remove,");
+  merge (&plan, config, text);
+  CU_ASSERT_EQUAL (plan.refusals->len, 8000);
+  CU_ASSERT_EQUAL (plan.entries->len, 1);
+  CU_ASSERT_PTR_NOT_NULL (strstr (first_refusal (&plan)->reason, "megabyte"));
+  CU_ASSERT_FALSE (config_drained (plan.result, "oracolo-9"));
+  plan_finish (&plan);
+  g_string_free (kinds, TRUE);
+  g_free (text);
+  config_unref (config);
+}
+
+/* A cell of more than a megabyte, and a sheet over its limit. */
+static void
+test_sizes (void)
+{
+  struct config *config = fake_config ();
+  char *text = sheet_export (config);
+  char *cell = g_strnfill (2 * 1024 * 1024, 'x');
+  char *sheet = g_strnfill (SHEET_SIZE_MAX + 1, ',');
+  struct plan plan;
+
+  text = edit (text, "oracolo-9", cell);
+  merge (&plan, config, text);
+  CU_ASSERT_EQUAL (first_refusal (&plan)->row, 9);
+  CU_ASSERT_STRING_EQUAL (first_refusal (&plan)->column, "name");
+  CU_ASSERT_EQUAL (plan.unchanged, 13);
+  plan_finish (&plan);
+  merge (&plan, config, sheet);
+  CU_ASSERT_EQUAL (plan.refusals->len, 1);
+  CU_ASSERT_EQUAL (plan.unchanged, 0);
+  plan_finish (&plan);
+  g_free (text);
+  g_free (cell);
+  g_free (sheet);
+  config_unref (config);
+}
+
+static const struct unit_case cases[] = {
+  { "mistakes", test_mistakes },
+  { "spreadsheet-habits", test_spreadsheet_habits },
+  { "sheet-twice", test_sheet_twice },
+  { "document-over-a-megabyte", test_document_over_a_megabyte },
+  { "sizes", test_sizes },
+};
+
+int
+main (void)
+{
+  return unit_run ("sheet", cases, sizeof cases / sizeof *cases);
+}
