--- a/src/plan.c
+++ b/src/merge.c
@@ -1,4 +1,4 @@
-#include "plan.h"
+#include "merge.h"
 
 #include "rowset.h"
 
@@ -6,27 +6,27 @@
 #include <json-c/json.h>
 #include <string.h>
 
-/* The merge while it is under way. */
-struct merge
+/* A merge under way. */
+struct merger
 {
-  struct plan *plan;
+  struct merge *merge;
   const struct sheet *sheet;
   const struct config *config;
-  GHashTable *entries; /* row to its struct plan_entry, by identity */
+  GHashTable *entries; /* row to its struct merge_entry, by identity */
   GHashTable *refused; /* row to its line of the sheet */
   GHashTable *blamed;  /* set of entries, in this round */
 };
 
 static const char *const action_names[] = {
-  [PLAN_ADD] = "add",
-  [PLAN_CHANGE] = "change",
-  [PLAN_REMOVE] = "remove",
+  [MERGE_ADD] = "add",
+  [MERGE_CHANGE] = "change",
+  [MERGE_REMOVE] = "remove",
 };
 
 static const struct declaration *
-entry_row (const struct plan_entry *entry)
+entry_row (const struct merge_entry *entry)
 {
-  return entry->action == PLAN_REMOVE ? &entry->before : &entry->after;
+  return entry->action == MERGE_REMOVE ? &entry->before : &entry->after;
 }
 
 /* The name of the first column that differs. */
@@ -46,79 +46,79 @@
 }
 
 static void
-row_refused (struct merge *merge, const struct sheet_row *row)
+row_refused (struct merger *merger, const struct sheet_row *row)
 {
-  g_hash_table_insert (merge->refused, (gpointer)&row->row,
+  g_hash_table_insert (merger->refused, (gpointer)&row->row,
                        GUINT_TO_POINTER (row->number));
 }
 
-#define REFUSE_ROW(merge, row, column, ...)                                   \
+#define REFUSE_ROW(merger, row, column, ...)                                  \
   do                                                                          \
     {                                                                         \
-      refusals_add ((merge)->plan->refusals, (row)->number, column,           \
-                    __VA_ARGS__);                                             \
-      row_refused (merge, row);                                               \
+      rejections_add ((merger)->merge->refusals, (row)->number, column,       \
+                      __VA_ARGS__);                                           \
+      row_refused (merger, row);                                              \
     }                                                                         \
   while (0)
 
 static void
-entry_add (struct merge *merge, const struct sheet_row *row,
-           enum plan_action action, const struct declaration *current)
+entry_add (struct merger *merger, const struct sheet_row *row,
+           enum merge_action action, const struct declaration *current)
 {
-  struct plan_entry entry = { .number = row->number, .action = action };
+  struct merge_entry entry = { .number = row->number, .action = action };
 
   if (current != NULL)
     entry.before = *current;
-  if (action != PLAN_REMOVE)
+  if (action != MERGE_REMOVE)
     entry.after = row->row;
-  g_array_append_val (merge->plan->entries, entry);
+  g_array_append_val (merger->merge->entries, entry);
 }
 
 static void
-remove_merge (struct merge *merge, const struct sheet_row *row,
+remove_merge (struct merger *merger, const struct sheet_row *row,
               const struct declaration *current)
 {
   if (current == NULL)
-    merge->plan->unchanged++;
+    merger->merge->unchanged++;
   else if (row->was == 0)
-    REFUSE_ROW (merge, row, "was",
+    REFUSE_ROW (merger, row, "was",
                 "a removal without its digest; copy the row from a fresh "
                 "export, then write 'remove'");
-  else if (current->revision > merge->sheet->base)
-    REFUSE_ROW (merge, row, "action",
+  else if (current->revision > merger->sheet->base)
+    REFUSE_ROW (merger, row, "action",
                 "changed in revision %" PRIu64 " after the export of %" PRIu64
                 "; export again and remove it there",
-                current->revision, merge->sheet->base);
+                current->revision, merger->sheet->base);
   else if (row->was != declaration_digest (current))
-    REFUSE_ROW (merge, row, "was",
+    REFUSE_ROW (merger, row, "was",
                 "the digest belongs to another row; copy the row from a "
                 "fresh export, then write 'remove'");
   else
-    entry_add (merge, row, PLAN_REMOVE, current);
+    entry_add (merger, row, MERGE_REMOVE, current);
 }
 
 static void
-new_merge (struct merge *merge, const struct sheet_row *row)
+new_merge (struct merger *merger, const struct sheet_row *row)
 {
   char id[DECLARATION_ID_MAX];
   uint64_t removed;
 
   declaration_id (&row->row, id);
-  removed
-      = confdoc_removed_at (config_document_of (merge->config, &row->row), id);
+  removed = confdoc_removed_at (config_document_of (merger->config, &row->row),
+                                id);
   if (row->was != 0)
-    REFUSE_ROW (merge, row, "was",
+    REFUSE_ROW (merger, row, "was",
                 "%s is not declared any more; empty the cell to declare it "
                 "anew, or delete the row",
                 id);
-  else if (removed > merge->sheet->base)
-    REFUSE_ROW (merge, row, "",
+  else if (removed > merger->sheet->base)
+    REFUSE_ROW (merger, row, "",
                 "%s may have been removed in revision %" PRIu64
                 " after the export of %" PRIu64
                 "; export again and add it there",
-                id, removed, merge->sheet->base);
+                id, removed, merger->sheet->base);
   else
-    entry_add (merge, row, PLAN_ADD, NULL);
+    entry_add (merger, row, MERGE_ADD, NULL);
 }
 
 /* The column that must not change under the same key, or -1. */
@@ -142,74 +142,82 @@
 }
 
 static void
-changed_merge (struct merge *merge, const struct sheet_row *row,
+changed_merge (struct merger *merger, const struct sheet_row *row,
                const struct declaration *current)
 {
   int fixed = column_fixed (&row->row, current);
 
   if (row->was == 0)
-    REFUSE_ROW (merge, row, "was",
+    REFUSE_ROW (merger, row, "was",
                 "declared already, and the row has no digest; export again "
                 "and change it there");
-  else if (current->revision > merge->sheet->base)
-    REFUSE_ROW (merge, row, column_differing (&row->row, current),
+  else if (current->revision > merger->sheet->base)
+    REFUSE_ROW (merger, row, column_differing (&row->row, current),
                 "changed here and in revision %" PRIu64
                 " after the export of %" PRIu64
                 "; export again and change it there",
-                current->revision, merge->sheet->base);
+                current->revision, merger->sheet->base);
   else if (row->was != declaration_digest (current))
-    REFUSE_ROW (merge, row, "was",
+    REFUSE_ROW (merger, row, "was",
                 "the digest belongs to another row; copy the row from a "
                 "fresh export and change it there");
   else if (fixed >= 0)
-    REFUSE_ROW (merge, row, column_name ((enum column)fixed),
+    REFUSE_ROW (merger, row, column_name ((enum column)fixed),
                 "never changes under the same name, since it would mix "
                 "organisations or models; declare a new name, move to it, "
                 "then remove this one");
   else
-    entry_add (merge, row, PLAN_CHANGE, current);
+    entry_add (merger, row, MERGE_CHANGE, current);
+}
+
+/* Against what is in force, or against the sheet's base. */
+static bool
+row_unchanged (const struct sheet_row *row, const struct declaration *current)
+{
+  if (current != NULL && declaration_equal (&row->row, current))
+    return true;
+  return row->was != 0 && row->was == declaration_digest (&row->row);
 }
 
 static void
-row_merge (struct merge *merge, const struct sheet_row *row)
+row_merge (struct merger *merger, const struct sheet_row *row)
 {
   const struct declaration *current
-      = rowset_find (merge->config->rows, &row->row);
+      = rowset_find (merger->config->rows, &row->row);
 
   if (row->remove)
-    remove_merge (merge, row, current);
-  else if (current != NULL && declaration_equal (&row->row, current))
-    merge->plan->unchanged++;
-  else if (row->was != 0 && row->was == declaration_digest (&row->row))
-    merge->plan->unchanged++;
+    remove_merge (merger, row, current);
+  else if (row_unchanged (row, current))
+    merger->merge->unchanged++;
   else if (current == NULL)
-    new_merge (merge, row);
+    new_merge (merger, row);
   else
-    changed_merge (merge, row, current);
+    changed_merge (merger, row, current);
 }
 
-static struct plan_entry *
-entry_of (struct merge *merge, const struct declaration *row)
+static struct merge_entry *
+entry_of (struct merger *merger, const struct declaration *row)
 {
-  return row == NULL ? NULL : g_hash_table_lookup (merge->entries, row);
+  return row == NULL ? NULL : g_hash_table_lookup (merger->entries, row);
 }
 
 static void
-entry_blame (struct merge *merge, struct plan_entry *entry, const char *column,
-             const char *message)
+entry_blame (struct merger *merger, struct merge_entry *entry,
+             const char *column, const char *message)
 {
-  if (!g_hash_table_add (merge->blamed, entry))
+  if (!g_hash_table_add (merger->blamed, entry))
     return;
-  refusals_add (merge->plan->refusals, entry->number, column, "%s", message);
+  rejections_add (merger->merge->refusals, entry->number, column, "%s",
+                  message);
 }
 
 /* A changed row refers to what is not there. */
 static void
-reference_blame (struct merge *merge, struct plan_entry *entry,
+reference_blame (struct merger *merger, struct merge_entry *entry,
                  const struct violation *violation)
 {
   struct declaration key = *violation->row;
-  char message[REFUSAL_TEXT_MAX];
+  char message[REJECTION_TEXT_MAX];
   guint line = 0;
 
   for (int type = 0; type < DECLARATION_TYPE_COUNT; type++)
@@ -221,88 +229,89 @@
           || strcmp (id, violation->target) != 0)
         continue;
       key.type = (enum declaration_type)type;
-      line = GPOINTER_TO_UINT (g_hash_table_lookup (merge->refused, &key));
+      line = GPOINTER_TO_UINT (g_hash_table_lookup (merger->refused, &key));
     }
   g_snprintf (message, sizeof message, "%s", violation->error.message);
   if (line > 0)
     g_snprintf (message, sizeof message,
                 "refers to %s, which is refused in row %u; mend that row",
                 violation->target, line);
-  entry_blame (merge, entry, column_name (violation->column), message);
+  entry_blame (merger, entry, column_name (violation->column), message);
 }
 
 /* A row that the sheet leaves alone refers to what the sheet removes. */
 static void
-removal_blame (struct merge *merge, const struct violation *violation)
+removal_blame (struct merger *merger, const struct violation *violation)
 {
   struct declaration key = *violation->row;
-  char id[DECLARATION_ID_MAX], message[REFUSAL_TEXT_MAX];
+  char id[DECLARATION_ID_MAX], message[REJECTION_TEXT_MAX];
 
   for (int type = 0; type < DECLARATION_TYPE_COUNT; type++)
     {
-      struct plan_entry *entry;
+      struct merge_entry *entry;
 
       if (!declaration_reference (violation->row, (enum declaration_type)type,
                                   id)
           || strcmp (id, violation->target) != 0)
         continue;
       key.type = (enum declaration_type)type;
-      entry = entry_of (merge, &key);
+      entry = entry_of (merger, &key);
       declaration_id (violation->row, id);
       g_snprintf (message, sizeof message,
                   "%s still refers to it; change or remove that first", id);
       if (entry != NULL)
-        entry_blame (merge, entry, "action", message);
+        entry_blame (merger, entry, "action", message);
     }
 }
 
 static void
 on_violation (void *data, const struct violation *violation)
 {
-  struct merge *merge = data;
-  struct plan_entry *entry = entry_of (merge, violation->row);
-  struct plan_entry *other = entry_of (merge, violation->other);
+  struct merger *merger = data;
+  struct merge_entry *entry = entry_of (merger, violation->row);
+  struct merge_entry *other = entry_of (merger, violation->other);
   const char *column = column_name (violation->column);
-  char id[DECLARATION_ID_MAX], message[REFUSAL_TEXT_MAX];
+  char id[DECLARATION_ID_MAX], message[REJECTION_TEXT_MAX];
 
   if (violation->other == NULL)
     {
       if (entry != NULL)
-        reference_blame (merge, entry, violation);
+        reference_blame (merger, entry, violation);
       else
-        removal_blame (merge, violation);
+        removal_blame (merger, violation);
       return;
     }
   if (entry != NULL)
-    entry_blame (merge, entry, column, violation->error.message);
+    entry_blame (merger, entry, column, violation->error.message);
   if (other == NULL || (entry != NULL && violation->column != COLUMN_KEY_HASH))
     return;
   declaration_id (violation->row, id);
   g_snprintf (message, sizeof message,
               "clashes with %s; correct the %s of one of them", id, column);
-  entry_blame (merge, other, column, message);
+  entry_blame (merger, other, column, message);
 }
 
 /* The rows as they would be; the set owns none. */
 static GHashTable *
-result_rows (struct merge *merge)
+result_rows (struct merger *merger)
 {
-  GArray *entries = merge->plan->entries;
+  GArray *entries = merger->merge->entries;
   GHashTable *rows = rowset_new ();
   GHashTableIter iter;
   gpointer row;
 
-  g_hash_table_iter_init (&iter, merge->config->rows);
+  g_hash_table_iter_init (&iter, merger->config->rows);
   while (g_hash_table_iter_next (&iter, &row, NULL))
     g_hash_table_add (rows, row);
-  g_hash_table_remove_all (merge->entries);
+  g_hash_table_remove_all (merger->entries);
   for (guint i = 0; i < entries->len; i++)
     {
-      struct plan_entry *entry
-          = &g_array_index (entries, struct plan_entry, i);
+      struct merge_entry *entry
+          = &g_array_index (entries, struct merge_entry, i);
 
-      g_hash_table_insert (merge->entries, (gpointer)entry_row (entry), entry);
-      if (entry->action == PLAN_REMOVE)
+      g_hash_table_insert (merger->entries, (gpointer)entry_row (entry),
+                           entry);
+      if (entry->action == MERGE_REMOVE)
         g_hash_table_remove (rows, &entry->before);
       else
         g_hash_table_add (rows, &entry->after);
@@ -312,18 +321,18 @@
 
 /* Take the blamed entries out. */
 static void
-blamed_drop (struct merge *merge)
+blamed_drop (struct merger *merger)
 {
-  GArray *entries = merge->plan->entries;
-  GArray *kept = g_array_new (FALSE, TRUE, sizeof (struct plan_entry));
-  const GArray *rows = merge->sheet->rows;
+  GArray *entries = merger->merge->entries;
+  GArray *kept = g_array_new (FALSE, TRUE, sizeof (struct merge_entry));
+  const GArray *rows = merger->sheet->rows;
 
   for (guint i = 0; i < entries->len; i++)
     {
-      struct plan_entry *entry
-          = &g_array_index (entries, struct plan_entry, i);
+      struct merge_entry *entry
+          = &g_array_index (entries, struct merge_entry, i);
 
-      if (!g_hash_table_contains (merge->blamed, entry))
+      if (!g_hash_table_contains (merger->blamed, entry))
         {
           g_array_append_vals (kept, entry, 1);
           continue;
@@ -334,99 +343,99 @@
               = &g_array_index (rows, struct sheet_row, j);
 
           if (row->number == entry->number)
-            row_refused (merge, row);
+            row_refused (merger, row);
         }
     }
-  g_hash_table_remove_all (merge->blamed);
-  g_hash_table_remove_all (merge->entries);
+  g_hash_table_remove_all (merger->blamed);
+  g_hash_table_remove_all (merger->entries);
   g_array_unref (entries);
-  merge->plan->entries = kept;
+  merger->merge->entries = kept;
 }
 
 /* Each round takes out at least one entry; without any, the rules hold. */
 static void
-inconsistent_refuse (struct merge *merge)
+inconsistent_refuse (struct merger *merger)
 {
   size_t violations;
 
   do
     {
-      GHashTable *rows = result_rows (merge);
+      GHashTable *rows = result_rows (merger);
 
-      violations = consistency_check (rows, on_violation, merge);
+      violations = consistency_check (rows, on_violation, merger);
       g_hash_table_destroy (rows);
-      blamed_drop (merge);
+      blamed_drop (merger);
     }
-  while (violations > 0 && merge->plan->entries->len > 0);
+  while (violations > 0 && merger->merge->entries->len > 0);
 }
 
 static void
-large_refuse (struct merge *merge, const char *document)
+large_refuse (struct merger *merger, const char *document)
 {
-  GArray *entries = merge->plan->entries;
+  GArray *entries = merger->merge->entries;
   char name[CONFDOC_NAME_MAX];
 
   for (guint i = 0; i < entries->len; i++)
     {
-      struct plan_entry *entry
-          = &g_array_index (entries, struct plan_entry, i);
+      struct merge_entry *entry
+          = &g_array_index (entries, struct merge_entry, i);
 
       confdoc_name_of (entry_row (entry), name);
-      if (strcmp (name, document) == 0 && entry->action != PLAN_REMOVE)
-        entry_blame (merge, entry, "",
+      if (strcmp (name, document) == 0 && entry->action != MERGE_REMOVE)
+        entry_blame (merger, entry, "",
                      "the organisation's declarations would be over a "
                      "megabyte; remove some, or split the organisation");
     }
-  blamed_drop (merge);
+  blamed_drop (merger);
 }
 
 static enum status
-result_make (struct merge *merge, struct error *error)
+result_make (struct merger *merger, struct error *error)
 {
-  struct plan *plan = merge->plan;
+  struct merge *merge = merger->merge;
   GArray *changes = g_array_new (FALSE, TRUE, sizeof (struct row_change));
   enum status status;
 
-  for (guint i = 0; i < plan->entries->len; i++)
+  for (guint i = 0; i < merge->entries->len; i++)
     {
-      const struct plan_entry *entry
-          = &g_array_index (plan->entries, struct plan_entry, i);
+      const struct merge_entry *entry
+          = &g_array_index (merge->entries, struct merge_entry, i);
       struct row_change change = { .row = *entry_row (entry),
-                                   .remove = entry->action == PLAN_REMOVE };
+                                   .remove = entry->action == MERGE_REMOVE };
 
       g_array_append_val (changes, change);
     }
-  status = config_change (&plan->result, merge->config,
+  status = config_change (&merge->result, merger->config,
                           (struct row_change *)(void *)changes->data,
-                          changes->len, merge->sheet->digest, error);
+                          changes->len, merger->sheet->digest, error);
   g_array_unref (changes);
   return status;
 }
 
 static void
-sheet_merge (struct merge *merge)
+sheet_merge (struct merger *merger)
 {
-  const struct sheet *sheet = merge->sheet;
+  const struct sheet *sheet = merger->sheet;
   struct error error;
   enum status status = STATUS_TOO_LARGE;
 
   for (guint i = 0; i < sheet->unread->len; i++)
-    row_refused (merge, &g_array_index (sheet->unread, struct sheet_row, i));
+    row_refused (merger, &g_array_index (sheet->unread, struct sheet_row, i));
   for (guint i = 0; i < sheet->rows->len; i++)
-    row_merge (merge, &g_array_index (sheet->rows, struct sheet_row, i));
+    row_merge (merger, &g_array_index (sheet->rows, struct sheet_row, i));
   while (status == STATUS_TOO_LARGE)
     {
-      inconsistent_refuse (merge);
-      if (merge->plan->entries->len == 0)
+      inconsistent_refuse (merger);
+      if (merger->merge->entries->len == 0)
         return;
-      status = result_make (merge, &error);
+      status = result_make (merger, &error);
       if (status == STATUS_TOO_LARGE)
-        large_refuse (merge, error.message);
+        large_refuse (merger, error.message);
     }
 }
 
 static struct json_object *
-columns_json (const struct plan_entry *entry)
+columns_json (const struct merge_entry *entry)
 {
   struct json_object *array = json_object_new_array ();
   char from[DECLARATION_CELL_MAX] = "", to[DECLARATION_CELL_MAX] = "";
@@ -435,9 +444,9 @@
     {
       struct json_object *object;
 
-      if (entry->action != PLAN_ADD)
+      if (entry->action != MERGE_ADD)
         declaration_cell (&entry->before, (enum column)i, from);
-      if (entry->action != PLAN_REMOVE)
+      if (entry->action != MERGE_REMOVE)
         declaration_cell (&entry->after, (enum column)i, to);
       if (strcmp (from, to) == 0)
         continue;
@@ -453,7 +462,7 @@
 }
 
 static struct json_object *
-entry_json (const struct plan_entry *entry)
+entry_json (const struct merge_entry *entry)
 {
   struct json_object *object = json_object_new_object ();
   char id[DECLARATION_ID_MAX];
@@ -469,65 +478,68 @@
 }
 
 void
-plan_init (struct plan *plan, const struct sheet *sheet,
-           const struct config *config)
+merge_init (struct merge *merge, const struct sheet *sheet,
+            const struct config *config)
 {
-  struct merge merge = { .plan = plan, .sheet = sheet, .config = config };
-
-  memset (plan, 0, sizeof *plan);
-  plan->base = sheet->base;
-  plan->against = config->revision;
-  plan->entries = g_array_new (FALSE, TRUE, sizeof (struct plan_entry));
-  plan->refusals = refusals_new ();
-  g_array_append_vals (plan->refusals, sheet->refusals->data,
+  struct merger merger = { .merge = merge, .sheet = sheet, .config = config };
+
+  memset (merge, 0, sizeof *merge);
+  merge->base = sheet->base;
+  merge->against = config->revision;
+  merge->entries = g_array_new (FALSE, TRUE, sizeof (struct merge_entry));
+  merge->refusals = rejections_new ();
+  g_array_append_vals (merge->refusals, sheet->refusals->data,
                        sheet->refusals->len);
-  plan->already = config_sheet_revision (config, sheet->digest);
+  merge->already = config_sheet_revision (config, sheet->digest);
   if (!sheet->whole)
     return;
   if (sheet->base > config->revision)
     {
-      refusals_add (plan->refusals, 0, "",
-                    "exported from revision %" PRIu64 ", but revision %" PRIu64
-                    " is in force; check that the sheet is for this fleet",
-                    sheet->base, config->revision);
+      rejections_add (merge->refusals, 0, "",
+                      "exported from revision %" PRIu64
+                      ", but revision %" PRIu64
+                      " is in force; check that the sheet is for this fleet",
+                      sheet->base, config->revision);
       return;
     }
-  merge.entries = rowset_new ();
-  merge.refused = rowset_new ();
-  merge.blamed = g_hash_table_new (g_direct_hash, g_direct_equal);
-  sheet_merge (&merge);
-  g_hash_table_destroy (merge.entries);
-  g_hash_table_destroy (merge.refused);
-  g_hash_table_destroy (merge.blamed);
-  refusals_sort (plan->refusals);
+  merger.entries = rowset_new ();
+  merger.refused = rowset_new ();
+  merger.blamed = g_hash_table_new (g_direct_hash, g_direct_equal);
+  sheet_merge (&merger);
+  g_hash_table_destroy (merger.entries);
+  g_hash_table_destroy (merger.refused);
+  g_hash_table_destroy (merger.blamed);
+  rejections_sort (merge->refusals);
 }
 
 void
-plan_finish (struct plan *plan)
+merge_finish (struct merge *merge)
 {
-  g_array_unref (plan->entries);
-  g_array_unref (plan->refusals);
-  config_unref (plan->result);
+  g_array_unref (merge->entries);
+  g_array_unref (merge->refusals);
+  config_unref (merge->result);
 }
 
 struct json_object *
-plan_json (const struct plan *plan)
+merge_json (const struct merge *merge)
 {
   struct json_object *object = json_object_new_object ();
   struct json_object *changes = json_object_new_array ();
 
-  for (guint i = 0; i < plan->entries->len; i++)
-    json_object_array_add (changes, entry_json (&g_array_index (
-                                        plan->entries, struct plan_entry, i)));
+  for (guint i = 0; i < merge->entries->len; i++)
+    json_object_array_add (
+        changes,
+        entry_json (&g_array_index (merge->entries, struct merge_entry, i)));
   json_object_object_add (object, "base",
-                          json_object_new_int64 ((int64_t)plan->base));
+                          json_object_new_int64 ((int64_t)merge->base));
   json_object_object_add (object, "against",
-                          json_object_new_int64 ((int64_t)plan->against));
+                          json_object_new_int64 ((int64_t)merge->against));
   json_object_object_add (object, "already",
-                          json_object_new_int64 ((int64_t)plan->already));
+                          json_object_new_int64 ((int64_t)merge->already));
   json_object_object_add (object, "unchanged",
-                          json_object_new_int64 ((int64_t)plan->unchanged));
+                          json_object_new_int64 ((int64_t)merge->unchanged));
   json_object_object_add (object, "changes", changes);
-  json_object_object_add (object, "refusals", refusals_json (plan->refusals));
+  json_object_object_add (object, "refusals",
+                          rejections_json (merge->refusals));
   return object;
 }
--- a/src/plan.h
+++ b/src/merge.h
@@ -1,5 +1,5 @@
-#ifndef PLAN_H
-#define PLAN_H
+#ifndef MERGE_H
+#define MERGE_H
 
 #include "sheet.h"
 
@@ -13,40 +13,40 @@
  * refused one are refused with it; the rest is put in force.
  */
 
-enum plan_action
+enum merge_action
 {
-  PLAN_ADD,
-  PLAN_CHANGE,
-  PLAN_REMOVE
+  MERGE_ADD,
+  MERGE_CHANGE,
+  MERGE_REMOVE
 };
 
-struct plan_entry
+struct merge_entry
 {
   uint32_t number; /**< line of the sheet */
-  enum plan_action action;
-  struct declaration before; /**< PLAN_CHANGE, PLAN_REMOVE */
-  struct declaration after;  /**< PLAN_ADD, PLAN_CHANGE */
+  enum merge_action action;
+  struct declaration before; /**< MERGE_CHANGE, MERGE_REMOVE */
+  struct declaration after;  /**< MERGE_ADD, MERGE_CHANGE */
 };
 
-struct plan
+struct merge
 {
   uint64_t base;         /**< the sheet's base revision */
   uint64_t against;      /**< the configuration's revision */
   uint64_t already;      /**< The same sheet made this revision; 0: none. */
   size_t unchanged;      /**< rows that do nothing */
-  GArray *entries;       /**< of struct plan_entry, in the sheet's order */
-  GArray *refusals;      /**< of struct refusal */
+  GArray *entries;       /**< of struct merge_entry, in the sheet's order */
+  GArray *refusals;      /**< of struct rejection */
   struct config *result; /**< the next configuration, or NULL: no change */
 };
 
 /** Merge SHEET into CONFIG. */
-void plan_init (struct plan *plan, const struct sheet *sheet,
-                const struct config *config);
-void plan_finish (struct plan *plan);
+void merge_init (struct merge *merge, const struct sheet *sheet,
+                 const struct config *config);
+void merge_finish (struct merge *merge);
 
 /** {"base","against","already","unchanged","changes":[{"row","action",
  * "object","columns":[{"column","from","to"}]}],"refusals":[...]}; the caller
  * frees it. */
-struct json_object *plan_json (const struct plan *plan);
+struct json_object *merge_json (const struct merge *merge);
 
 #endif
--- a/src/refusal.c
+++ b/src/rejection.c
@@ -1,13 +1,13 @@
-#include "refusal.h"
+#include "rejection.h"
 
 #include <json-c/json.h>
 #include <stdarg.h>
 #include <string.h>
 
 static gint
-refusal_compare (gconstpointer left, gconstpointer right)
+rejection_compare (gconstpointer left, gconstpointer right)
 {
-  const struct refusal *a = left, *b = right;
+  const struct rejection *a = left, *b = right;
 
   if (a->row != b->row)
     return a->row < b->row ? -1 : 1;
@@ -15,17 +15,17 @@
 }
 
 GArray *
-refusals_new (void)
+rejections_new (void)
 {
-  return g_array_new (FALSE, TRUE, sizeof (struct refusal));
+  return g_array_new (FALSE, TRUE, sizeof (struct rejection));
 }
 
 void
-refusals_add (GArray *refusals, uint32_t row, const char *column,
-              const char *format, ...)
+rejections_add (GArray *refusals, uint32_t row, const char *column,
+                const char *format, ...)
 {
-  struct refusal refusal = { .row = row, .column = column };
-  char text[2 * REFUSAL_TEXT_MAX];
+  struct rejection refusal = { .row = row, .column = column };
+  char text[2 * REJECTION_TEXT_MAX];
   char *divider;
   va_list arguments;
 
@@ -43,20 +43,20 @@
 }
 
 void
-refusals_sort (GArray *refusals)
+rejections_sort (GArray *refusals)
 {
-  g_array_sort (refusals, refusal_compare);
+  g_array_sort (refusals, rejection_compare);
 }
 
 struct json_object *
-refusals_json (const GArray *refusals)
+rejections_json (const GArray *refusals)
 {
   struct json_object *array = json_object_new_array ();
 
   for (guint i = 0; i < refusals->len; i++)
     {
-      const struct refusal *refusal
-          = &g_array_index (refusals, struct refusal, i);
+      const struct rejection *refusal
+          = &g_array_index (refusals, struct rejection, i);
       struct json_object *object = json_object_new_object ();
 
       json_object_object_add (object, "row",
--- a/src/sheet.c
+++ b/src/sheet.c
@@ -65,7 +65,7 @@
 #define REFUSE_WHOLE(reader, row, column, ...)                                \
   do                                                                          \
     {                                                                         \
-      refusals_add ((reader)->sheet->refusals, row, column, __VA_ARGS__);     \
+      rejections_add ((reader)->sheet->refusals, row, column, __VA_ARGS__);   \
       (reader)->stopped = true;                                               \
     }                                                                         \
   while (0)
@@ -134,12 +134,12 @@
   if (cell < 0 || size >= CELL_TEXT_MAX)
     {
       if (!reader->cell_lost)
-        refusals_add (reader->sheet->refusals, reader->line,
-                      cell < 0 ? "" : cell_name (cell),
-                      cell < 0 ? "more cells than the header has columns; "
-                                 "check for a comma too many"
-                               : "%zu bytes long; shorten it",
-                      size);
+        rejections_add (reader->sheet->refusals, reader->line,
+                        cell < 0 ? "" : cell_name (cell),
+                        cell < 0 ? "more cells than the header has columns; "
+                                   "check for a comma too many"
+                                 : "%zu bytes long; shorten it",
+                        size);
       reader->cell_lost = true;
       return;
     }
@@ -215,9 +215,10 @@
     row->was = strtoull (text, NULL, 16);
   if (row->was != 0)
     return true;
-  refusals_add (reader->sheet->refusals, row->number, "was",
-                "not a digest; leave the cell as exported, or empty it for a "
-                "new row");
+  rejections_add (
+      reader->sheet->refusals, row->number, "was",
+      "not a digest; leave the cell as exported, or empty it for a "
+      "new row");
   return false;
 }
 
@@ -229,9 +230,9 @@
   row->remove = strcmp (text, "remove") == 0;
   if (row->remove || text[0] == '\0')
     return true;
-  refusals_add (reader->sheet->refusals, row->number, "action",
-                "unknown action '%.40s'; leave it empty or write 'remove'",
-                text);
+  rejections_add (reader->sheet->refusals, row->number, "action",
+                  "unknown action '%.40s'; leave it empty or write 'remove'",
+                  text);
   return false;
 }
 
@@ -246,14 +247,14 @@
     if (declaration_set (&row->row, (enum column)i, reader->cells[i], &error)
         != STATUS_OK)
       {
-        refusals_add (reader->sheet->refusals, row->number, cell_name (i),
-                      "%s", error.message);
+        rejections_add (reader->sheet->refusals, row->number, cell_name (i),
+                        "%s", error.message);
         good = false;
       }
   if (good && declaration_check (&row->row, &column, &error) != STATUS_OK)
     {
-      refusals_add (reader->sheet->refusals, row->number, cell_name (column),
-                    "%s", error.message);
+      rejections_add (reader->sheet->refusals, row->number, cell_name (column),
+                      "%s", error.message);
       good = false;
     }
   return good;
@@ -269,11 +270,12 @@
   reader->row_count++;
   if (!declaration_type_find (reader->cells[CELL_OBJECT], &type))
     {
-      refusals_add (reader->sheet->refusals, row.number, "object",
-                    "unknown object '%.40s'; write one of organisation, key, "
-                    "service, model, version, adapter, kind, backend_server, "
-                    "drain",
-                    reader->cells[CELL_OBJECT]);
+      rejections_add (
+          reader->sheet->refusals, row.number, "object",
+          "unknown object '%.40s'; write one of organisation, key, "
+          "service, model, version, adapter, kind, backend_server, "
+          "drain",
+          reader->cells[CELL_OBJECT]);
       return;
     }
   declaration_init (&row.row, type);
@@ -404,9 +406,9 @@
   char id[DECLARATION_ID_MAX];
 
   declaration_id (&row->row, id);
-  refusals_add (sheet->refusals, row->number, "",
-                "%s stands in row %" PRIu32 " too; keep one of them", id,
-                other->number);
+  rejections_add (sheet->refusals, row->number, "",
+                  "%s stands in row %" PRIu32 " too; keep one of them", id,
+                  other->number);
 }
 
 /* Which of two rows for one object is meant cannot be known. */
@@ -481,7 +483,7 @@
   memset (sheet, 0, sizeof *sheet);
   sheet->rows = g_array_new (FALSE, TRUE, sizeof (struct sheet_row));
   sheet->unread = g_array_new (FALSE, TRUE, sizeof (struct sheet_row));
-  sheet->refusals = refusals_new ();
+  sheet->refusals = rejections_new ();
   confdoc_digest (text, size, sheet->digest);
   reader->sheet = sheet;
   reader->row_empty = true;
@@ -491,7 +493,7 @@
     duplicates_refuse (sheet);
   else
     g_array_set_size (sheet->rows, 0);
-  refusals_sort (sheet->refusals);
+  rejections_sort (sheet->refusals);
   g_free (reader);
 }
 
--- a/src/sheet.h
+++ b/src/sheet.h
@@ -2,7 +2,7 @@
 #define SHEET_H
 
 #include "config.h"
-#include "refusal.h"
+#include "rejection.h"
 
 /** @file
  * The sheet: declarations as CSV, one a row. A header row names the columns;
@@ -32,7 +32,7 @@
   bool whole;       /**< False: refused as a whole. */
   GArray *rows;     /**< of struct sheet_row: those that can be read */
   GArray *unread;   /**< of struct sheet_row: refused, with a known identity */
-  GArray *refusals; /**< of struct refusal */
+  GArray *refusals; /**< of struct rejection */
 };
 
 /** Read SIZE bytes of TEXT. What cannot be read stands in the refusals. */
--- a/test/test-sheet.c
+++ b/test/test-sheet.c
@@ -1,5 +1,6 @@
 #include "fake-config.h"
-#include "plan.h"
+#include "kv.h"
+#include "merge.h"
 #include "unit.h"
 
 #include <stdio.h>
@@ -102,56 +103,56 @@
 }
 
 static void
-merge (struct plan *plan, const struct config *config, const char *text)
+merge_text (struct merge *merge, const struct config *config, const char *text)
 {
   struct sheet sheet;
 
   sheet_init (&sheet, text, strlen (text));
-  plan_init (plan, &sheet, config);
+  merge_init (merge, &sheet, config);
   sheet_finish (&sheet);
 }
 
-static const struct refusal *
-first_refusal (const struct plan *plan)
+static const struct rejection *
+first_refusal (const struct merge *merge)
 {
-  static const struct refusal none = { .column = "" };
+  static const struct rejection none = { .column = "" };
 
-  return plan->refusals->len == 0
+  return merge->refusals->len == 0
              ? &none
-             : &g_array_index (plan->refusals, struct refusal, 0);
+             : &g_array_index (merge->refusals, struct rejection, 0);
 }
 
 static void
 mistake_run (const struct mistake *mistake, const struct config *config)
 {
-  const struct refusal *refusal;
+  const struct rejection *refusal;
   char salemi[DECLARATION_KEY_HASH_MAX];
   char *text = sheet_export (config);
-  struct plan plan;
+  struct merge merge;
 
   config_key_hash ("salemi-key", 10, salemi);
   text = edit (text, mistake->find, mistake->replace);
   text = edit (text, harmless_find, harmless_replace);
   if (strstr (text, "@SALEMI@") != NULL)
     text = edit (text, "@SALEMI@", salemi);
-  merge (&plan, config, text);
-  refusal = first_refusal (&plan);
+  merge_text (&merge, config, text);
+  refusal = first_refusal (&merge);
   if (refusal->row != mistake->row
       || strcmp (refusal->column, mistake->column) != 0
-      || plan.entries->len != mistake->changes
+      || merge.entries->len != mistake->changes
       || (mistake->reason != NULL
           && (strstr (refusal->reason, mistake->reason) == NULL
               || refusal->remedy[0] == '\0')))
     {
       fprintf (stderr, "%s -> %s: row %u, column %s: %s; %s (%u changes)\n",
                mistake->find, mistake->replace, refusal->row, refusal->column,
-               refusal->reason, refusal->remedy, plan.entries->len);
+               refusal->reason, refusal->remedy, merge.entries->len);
       CU_FAIL ("another refusal than expected");
     }
   if (mistake->reason == NULL)
-    CU_ASSERT_EQUAL (plan.refusals->len, 0);
-  CU_ASSERT_EQUAL (plan.result != NULL, mistake->changes > 0);
-  plan_finish (&plan);
+    CU_ASSERT_EQUAL (merge.refusals->len, 0);
+  CU_ASSERT_EQUAL (merge.result != NULL, mistake->changes > 0);
+  merge_finish (&merge);
   g_free (text);
 }
 
@@ -174,14 +175,14 @@
   char **lines = g_strsplit (text, "\n", -1);
   char *windows = g_strjoinv ("\r\n", lines);
   char *marked = g_strconcat ("\xef\xbb\xbf", windows, NULL);
-  struct plan plan;
+  struct merge merge;
 
   marked = edit (marked, "end,14", "end,14,,,,,,,,,,,,,,,,,");
-  merge (&plan, config, marked);
-  CU_ASSERT_EQUAL (plan.refusals->len, 0);
-  CU_ASSERT_EQUAL (plan.unchanged, 14);
-  CU_ASSERT_PTR_NULL (plan.result);
-  plan_finish (&plan);
+  merge_text (&merge, config, marked);
+  CU_ASSERT_EQUAL (merge.refusals->len, 0);
+  CU_ASSERT_EQUAL (merge.unchanged, 14);
+  CU_ASSERT_PTR_NULL (merge.result);
+  merge_finish (&merge);
   g_free (marked);
   g_free (windows);
   g_strfreev (lines);
@@ -199,25 +200,25 @@
           "-drain name=x-1", NULL };
   struct config *first = fake_config (), *third;
   char *text = sheet_export (first);
-  struct plan once, twice, late;
+  struct merge once, twice, late;
   struct error error;
 
   text = edit (text, harmless_find, harmless_replace);
   text = edit (text, "end,14", "drain,,,x-1\nend,15");
-  merge (&once, first, text);
+  merge_text (&once, first, text);
   CU_ASSERT_EQUAL (once.entries->len, 2);
-  merge (&twice, once.result, text);
+  merge_text (&twice, once.result, text);
   CU_ASSERT_EQUAL (twice.already, 2);
   CU_ASSERT_EQUAL (twice.unchanged, 15);
   CU_ASSERT_PTR_NULL (twice.result);
   third = fake_config_change (once.result, back, &error);
-  merge (&late, third, text);
+  merge_text (&late, third, text);
   CU_ASSERT_PTR_NULL (late.result);
   CU_ASSERT_EQUAL (late.refusals->len, 2);
   CU_ASSERT_EQUAL (late.unchanged, 13);
-  plan_finish (&once);
-  plan_finish (&twice);
-  plan_finish (&late);
+  merge_finish (&once);
+  merge_finish (&twice);
+  merge_finish (&late);
   config_unref (first);
   config_unref (third);
   g_free (text);
@@ -229,7 +230,7 @@
   struct config *config = fake_config ();
   char *text = sheet_export (config);
   GString *kinds = g_string_new (NULL);
-  struct plan plan;
+  struct merge merge;
 
   for (int i = 0; i < 8000; i++)
     g_string_append_printf (kinds,
@@ -237,12 +238,12 @@
   g_string_append (kinds, "end,8014");
   text = edit (text, "end,14", kinds->str);
   text = edit (text, "drain,,", "drain,remove,");
-  merge (&plan, config, text);
-  CU_ASSERT_EQUAL (plan.refusals->len, 8000);
-  CU_ASSERT_EQUAL (plan.entries->len, 1);
-  CU_ASSERT_PTR_NOT_NULL (strstr (first_refusal (&plan)->reason, "megabyte"));
-  CU_ASSERT_FALSE (config_drained (plan.result, "oracolo-9"));
-  plan_finish (&plan);
+  merge_text (&merge, config, text);
+  CU_ASSERT_EQUAL (merge.refusals->len, 8000);
+  CU_ASSERT_EQUAL (merge.entries->len, 1);
+  CU_ASSERT_PTR_NOT_NULL (strstr (first_refusal (&merge)->reason, "megabyte"));
+  CU_ASSERT_FALSE (config_drained (merge.result, "oracolo-9"));
+  merge_finish (&merge);
   g_string_free (kinds, TRUE);
   g_free (text);
   config_unref (config);
@@ -254,20 +255,20 @@
 {
   struct config *config = fake_config ();
   char *text = sheet_export (config);
-  char *cell = g_strnfill (2 * 1024 * 1024, 'x');
+  char *cell = g_strnfill ((gsize)2 * KV_VALUE_MAX, 'x');
   char *sheet = g_strnfill (SHEET_SIZE_MAX + 1, ',');
-  struct plan plan;
+  struct merge merge;
 
   text = edit (text, "oracolo-9", cell);
-  merge (&plan, config, text);
-  CU_ASSERT_EQUAL (first_refusal (&plan)->row, 9);
-  CU_ASSERT_STRING_EQUAL (first_refusal (&plan)->column, "name");
-  CU_ASSERT_EQUAL (plan.unchanged, 13);
-  plan_finish (&plan);
-  merge (&plan, config, sheet);
-  CU_ASSERT_EQUAL (plan.refusals->len, 1);
-  CU_ASSERT_EQUAL (plan.unchanged, 0);
-  plan_finish (&plan);
+  merge_text (&merge, config, text);
+  CU_ASSERT_EQUAL (first_refusal (&merge)->row, 9);
+  CU_ASSERT_STRING_EQUAL (first_refusal (&merge)->column, "name");
+  CU_ASSERT_EQUAL (merge.unchanged, 13);
+  merge_finish (&merge);
+  merge_text (&merge, config, sheet);
+  CU_ASSERT_EQUAL (merge.refusals->len, 1);
+  CU_ASSERT_EQUAL (merge.unchanged, 0);
+  merge_finish (&merge);
   g_free (text);
   g_free (cell);
   g_free (sheet);
