Edges: HTTP server and client, peer connections, KV service over HTTP

Cause: the path needs its seams before the decisions are plugged in. Ruled out: reading a waiting caller's socket through h2o (HTTP/1 stops reading while a request is answered), so waiting sockets are peeked at.

--- a/src/event.c
+++ b/src/event.c
@@ -36,6 +36,10 @@
   /* Membership and peers: 700 */
   { EVENT_MEMBER_STATE, EVENT_INFO, "member_state",
     "A process is seen in another state: alive, suspect, dead, left." },
+  { EVENT_PEER_SILENT, EVENT_WARN, "peer_silent",
+    "A connection between our processes stayed silent and was closed." },
+  { EVENT_PEER_GARBLED, EVENT_WARN, "peer_garbled",
+    "A frame between our processes could not be read; it was closed." },
 
   /* Orders to engines: 800 */
   { EVENT_ORDER_SENT, EVENT_INFO, "order_sent",
--- a/src/event.h
+++ b/src/event.h
@@ -40,6 +40,8 @@
 
   /* Membership and peers: 700 */
   EVENT_MEMBER_STATE = 700,
+  EVENT_PEER_SILENT = 701,
+  EVENT_PEER_GARBLED = 702,
 
   /* Orders to engines: 800 */
   EVENT_ORDER_SENT = 800,
--- /dev/null
+++ b/src/httpclient.c
@@ -0,0 +1,325 @@
+#include "httpclient.h"
+#include "address.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  POOL_CAPACITY = 256, /* kept connections to one address */
+  POOL_IDLE_MS = 4000
+};
+
+struct httpclient_call
+{
+  struct list node;
+  struct httpclient *client;
+  h2o_http1client_t *connection;
+  const struct httpclient_ops *ops;
+  void *data;
+  char *bytes; /* head and body as they go out */
+  size_t size;
+  h2o_iovec_t vector;
+  uv_timer_t *refusal; /* to answer a malformed call later */
+  bool is_head;
+  bool handed_over;
+};
+
+static void
+call_free (struct httpclient_call *call)
+{
+  list_remove (&call->node);
+  g_free (call->bytes);
+  g_free (call);
+}
+
+static void
+call_end (struct httpclient_call *call, enum status status,
+          const char *message)
+{
+  struct httpclient_end end = { status, message };
+  const struct httpclient_ops *ops = call->ops;
+  void *data = call->data;
+
+  call_free (call);
+  ops->end (data, &end);
+}
+
+static int
+on_body (h2o_http1client_t *connection, const char *errstr)
+{
+  struct httpclient_call *call = connection->data;
+  h2o_buffer_t **input = &connection->sock->input;
+
+  if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
+    {
+      call_end (call, STATUS_UNKNOWN, errstr);
+      return -1;
+    }
+  if ((*input)->size > 0)
+    {
+      /* The callback may cancel the call; the connection must stay until
+       * this function returns, so a cancel only marks the call. */
+      call->connection = NULL;
+      call->ops->body (call->data, (*input)->bytes, (*input)->size);
+      h2o_buffer_consume (input, (*input)->size);
+      if (call->ops == NULL)
+        {
+          call_free (call);
+          return -1;
+        }
+      call->connection = connection;
+    }
+  if (errstr == h2o_http1client_error_is_eos)
+    call_end (call, STATUS_OK, NULL);
+  return 0;
+}
+
+static void
+report_head (struct httpclient_call *call, int status, h2o_header_t *headers,
+             size_t count)
+{
+  struct httpclient_header copies[HTTPCLIENT_HEADERS_MAX];
+  struct httpclient_head head = { status, copies, 0 };
+
+  for (size_t i = 0; i < count && i < HTTPCLIENT_HEADERS_MAX; i++)
+    {
+      copies[i].name = headers[i].name->base;
+      copies[i].name_size = headers[i].name->len;
+      copies[i].value = headers[i].value.base;
+      copies[i].value_size = headers[i].value.len;
+      head.header_count++;
+    }
+  call->ops->head (call->data, &head);
+}
+
+static h2o_http1client_body_cb
+on_head (h2o_http1client_t *connection, const char *errstr, int minor_version,
+         int status, h2o_iovec_t msg, h2o_header_t *headers,
+         size_t header_count, int rlen)
+{
+  struct httpclient_call *call = connection->data;
+
+  if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
+    {
+      call_end (call, STATUS_UNKNOWN, errstr);
+      return NULL;
+    }
+  call->connection = NULL;
+  report_head (call, status, headers, header_count);
+  if (call->ops == NULL)
+    {
+      call_free (call);
+      return NULL;
+    }
+  call->connection = connection;
+  if (errstr == h2o_http1client_error_is_eos)
+    {
+      call_end (call, STATUS_OK, NULL);
+      return NULL;
+    }
+  return on_body;
+}
+
+static h2o_http1client_head_cb
+on_connect (h2o_http1client_t *connection, const char *errstr,
+            h2o_iovec_t **vectors, size_t *vector_count, int *method_is_head)
+{
+  struct httpclient_call *call = connection->data;
+  int on = 1;
+
+  if (errstr != NULL)
+    {
+      call_end (call, STATUS_UNAVAILABLE, errstr);
+      return NULL;
+    }
+  setsockopt (h2o_socket_get_fd (connection->sock), IPPROTO_TCP, TCP_NODELAY,
+              &on, sizeof on);
+  call->handed_over = true;
+  call->vector = h2o_iovec_init (call->bytes, call->size);
+  *vectors = &call->vector;
+  *vector_count = 1;
+  *method_is_head = call->is_head;
+  return on_head;
+}
+
+static void
+pool_free (void *data)
+{
+  h2o_socketpool_t *pool = data;
+
+  h2o_socketpool_dispose (pool);
+  g_free (pool);
+}
+
+static h2o_socketpool_t *
+pool_get (struct httpclient *client, const char *text,
+          const struct sockaddr_in *address)
+{
+  h2o_socketpool_t *pool = g_hash_table_lookup (client->pools, text);
+  struct sockaddr_in copy = *address;
+
+  if (pool != NULL)
+    return pool;
+  pool = g_malloc0 (sizeof *pool);
+  h2o_socketpool_init_by_address (pool, (struct sockaddr *)&copy, sizeof copy,
+                                  0, POOL_CAPACITY);
+  h2o_socketpool_set_timeout (pool, client->loop, POOL_IDLE_MS);
+  g_hash_table_insert (client->pools, g_strdup (text), pool);
+  return pool;
+}
+
+static void
+call_write (struct httpclient_call *call,
+            const struct httpclient_request *request)
+{
+  const char *lines
+      = request->header_lines != NULL ? request->header_lines : "";
+  char *head = g_strdup_printf ("%s %s HTTP/1.1\r\nhost: %s\r\n"
+                                "connection: keep-alive\r\n%s"
+                                "content-length: %zu\r\n\r\n",
+                                request->method, request->path,
+                                request->address, lines, request->body_size);
+  size_t head_size = strlen (head);
+
+  call->size = head_size + request->body_size;
+  call->bytes = g_realloc (head, call->size + 1);
+  if (request->body_size > 0)
+    memcpy (call->bytes + head_size, request->body, request->body_size);
+}
+
+static void
+refusal_closed (uv_handle_t *handle)
+{
+  g_free (handle);
+}
+
+static void
+refusal_fired (uv_timer_t *timer)
+{
+  struct httpclient_call *call = timer->data;
+
+  uv_close ((uv_handle_t *)timer, refusal_closed);
+  call_end (call, STATUS_UNAVAILABLE, "not a numeric address");
+}
+
+static void
+refuse_later (struct httpclient_call *call)
+{
+  call->refusal = g_malloc0 (sizeof *call->refusal);
+  uv_timer_init (call->client->loop, call->refusal);
+  call->refusal->data = call;
+  uv_timer_start (call->refusal, refusal_fired, 0, 0);
+}
+
+static void
+ignore_messages (h2o_multithread_receiver_t *receiver,
+                 h2o_linklist_t *messages)
+{
+}
+
+void
+httpclient_init (struct httpclient *client, uv_loop_t *loop,
+                 uint64_t io_timeout_ms)
+{
+  memset (client, 0, sizeof *client);
+  client->loop = loop;
+  client->queue = h2o_multithread_create_queue (loop);
+  h2o_multithread_register_receiver (client->queue, &client->receiver,
+                                     ignore_messages);
+  h2o_timeout_init (loop, &client->io_timeout, io_timeout_ms);
+  client->context.loop = loop;
+  client->context.getaddr_receiver = &client->receiver;
+  client->context.io_timeout = &client->io_timeout;
+  client->pools
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
+  list_init (&client->calls);
+}
+
+void
+httpclient_finish (struct httpclient *client)
+{
+  while (!list_empty (&client->calls))
+    httpclient_cancel (
+        LIST_ENTRY (client->calls.next, struct httpclient_call, node));
+  g_hash_table_destroy (client->pools);
+  h2o_timeout_dispose (client->loop, &client->io_timeout);
+  h2o_multithread_unregister_receiver (client->queue, &client->receiver);
+  h2o_multithread_destroy_queue (client->queue);
+}
+
+struct httpclient_call *
+httpclient_call (struct httpclient *client,
+                 const struct httpclient_request *request,
+                 const struct httpclient_ops *ops, void *data)
+{
+  struct httpclient_call *call = g_malloc0 (sizeof *call);
+  struct sockaddr_in address;
+  const char *colon = strrchr (request->address, ':');
+
+  call->client = client;
+  call->ops = ops;
+  call->data = data;
+  call->is_head = strcmp (request->method, "HEAD") == 0;
+  list_init (&call->node);
+  list_append (&client->calls, &call->node);
+  call_write (call, request);
+  if (address_parse (request->address, &address) != STATUS_OK)
+    refuse_later (call);
+  else if (request->fresh)
+    h2o_http1client_connect (
+        &call->connection, call, &client->context,
+        h2o_iovec_init (request->address, colon - request->address),
+        ntohs (address.sin_port), 0, on_connect);
+  else
+    h2o_http1client_connect_with_pool (
+        &call->connection, call, &client->context,
+        pool_get (client, request->address, &address), on_connect);
+  return call;
+}
+
+void
+httpclient_cancel (struct httpclient_call *call)
+{
+  if (call->refusal != NULL)
+    {
+      uv_close ((uv_handle_t *)call->refusal, refusal_closed);
+      call_free (call);
+      return;
+    }
+  if (call->connection == NULL)
+    {
+      call->ops = NULL; /* inside a callback, which frees it */
+      return;
+    }
+  h2o_http1client_cancel (call->connection);
+  call_free (call);
+}
+
+bool
+httpclient_handed_over (const struct httpclient_call *call)
+{
+  return call->handed_over;
+}
+
+const char *
+httpclient_header_value (const struct httpclient_head *head, const char *name,
+                         char *buffer, size_t size)
+{
+  size_t length = strlen (name);
+
+  for (size_t i = 0; i < head->header_count; i++)
+    {
+      const struct httpclient_header *header = &head->headers[i];
+
+      if (header->name_size != length
+          || g_ascii_strncasecmp (header->name, name, length) != 0)
+        continue;
+      snprintf (buffer, size, "%.*s", (int)header->value_size, header->value);
+      return buffer;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/src/httpserver.c
@@ -0,0 +1,469 @@
+#include "httpserver.h"
+#include "address.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum
+{
+  LISTEN_BACKLOG = 1024,
+  GONE_POLL_MS = 100, /* how often waiting callers are looked at */
+  RESPONSE_HEADERS_MAX = 16
+};
+
+struct httpserver_request
+{
+  h2o_generator_t generator; /* first: h2o hands it back */
+  struct httpserver *server;
+  h2o_req_t *req;
+  struct httpserver_request *next;
+  struct httpserver_request *prev;
+  void (*gone) (void *data);
+  void *gone_data;
+  h2o_buffer_t *sending; /* handed to h2o, until it proceeds */
+  h2o_buffer_t *waiting; /* written meanwhile */
+  const char *path;
+  const char *query;
+  bool in_flight;
+  bool started;
+  bool ended;
+  bool complete;
+};
+
+struct connection
+{
+  uv_tcp_t tcp; /* first: its close callback gets the handle */
+  struct httpserver *server;
+};
+
+struct server_handler
+{
+  h2o_handler_t super;
+  struct httpserver *server;
+};
+
+static void
+request_unlink (struct httpserver_request *request)
+{
+  struct httpserver *server = request->server;
+
+  if (server == NULL)
+    return;
+  if (request->prev != NULL)
+    request->prev->next = request->next;
+  else
+    server->open = request->next;
+  if (request->next != NULL)
+    request->next->prev = request->prev;
+  request->server = NULL;
+}
+
+static void
+request_report_gone (struct httpserver_request *request)
+{
+  void (*gone) (void *) = request->gone;
+
+  request->gone = NULL;
+  if (gone != NULL)
+    gone (request->gone_data);
+}
+
+/* Called by h2o when it clears the request's memory pool, in whatever way
+ * the request came to its end. */
+static void
+request_dispose (void *data)
+{
+  struct httpserver_request *request = *(struct httpserver_request **)data;
+
+  request_unlink (request);
+  request->req = NULL;
+  request_report_gone (request);
+  h2o_buffer_dispose (&request->sending);
+  h2o_buffer_dispose (&request->waiting);
+  free (request);
+}
+
+static void
+stream_send (struct httpserver_request *request)
+{
+  h2o_buffer_t *buffer = request->waiting;
+  h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
+  h2o_iovec_t piece;
+
+  if (request->in_flight || request->req == NULL)
+    return;
+  if (buffer->size == 0 && !request->ended)
+    return;
+  request->waiting = request->sending;
+  request->sending = buffer;
+  if (request->ended)
+    state = request->complete ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_ERROR;
+  piece = h2o_iovec_init (buffer->bytes, buffer->size);
+  request->in_flight = true;
+  h2o_send (request->req, &piece, piece.len > 0 ? 1 : 0, state);
+}
+
+static void
+stream_proceed (h2o_generator_t *generator, h2o_req_t *req)
+{
+  struct httpserver_request *request = (struct httpserver_request *)generator;
+
+  h2o_buffer_consume (&request->sending, request->sending->size);
+  request->in_flight = false;
+  stream_send (request);
+}
+
+static void
+stream_stop (h2o_generator_t *generator, h2o_req_t *req)
+{
+  struct httpserver_request *request = (struct httpserver_request *)generator;
+
+  request_unlink (request);
+  request->req = NULL;
+  request_report_gone (request);
+}
+
+static void
+split_path (struct httpserver_request *request)
+{
+  h2o_req_t *req = request->req;
+  size_t end = req->query_at != SIZE_MAX ? req->query_at : req->path.len;
+
+  request->path = h2o_strdup (&req->pool, req->path.base, end).base;
+  request->query = "";
+  if (end < req->path.len)
+    request->query = h2o_strdup (&req->pool, req->path.base + end + 1,
+                                 req->path.len - end - 1)
+                         .base;
+}
+
+static int
+on_request (h2o_handler_t *self, h2o_req_t *req)
+{
+  struct httpserver *server = ((struct server_handler *)self)->server;
+  struct httpserver_request *request = calloc (1, sizeof *request);
+  struct httpserver_request **holder;
+
+  holder = h2o_mem_alloc_shared (
+      &req->pool, sizeof (struct httpserver_request *), request_dispose);
+  *holder = request;
+  request->generator.proceed = stream_proceed;
+  request->generator.stop = stream_stop;
+  request->server = server;
+  request->req = req;
+  h2o_buffer_init (&request->sending, &h2o_socket_buffer_prototype);
+  h2o_buffer_init (&request->waiting, &h2o_socket_buffer_prototype);
+  split_path (request);
+  request->next = server->open;
+  if (server->open != NULL)
+    server->open->prev = request;
+  server->open = request;
+  server->handler (server->handler_data, request);
+  return 0;
+}
+
+/* h2o does not read from a connection whose request waits for an answer, so
+ * the sockets of waiting requests are looked at from time to time. */
+static bool
+caller_is_gone (const struct httpserver_request *request)
+{
+  h2o_conn_t *conn = request->req->conn;
+  h2o_socket_t *socket = conn->callbacks->get_socket (conn);
+  char byte;
+  ssize_t got
+      = recv (h2o_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  if (got < 0)
+    return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+  return got == 0;
+}
+
+static void
+gone_timer_fired (uv_timer_t *timer)
+{
+  struct httpserver *server = timer->data;
+  struct httpserver_request *request = server->open;
+
+  while (request != NULL)
+    {
+      struct httpserver_request *next = request->next;
+
+      if (request->gone != NULL && caller_is_gone (request))
+        {
+          request->req->http1_is_persistent = 0;
+          request_report_gone (request);
+          if (request->started)
+            httpserver_stream_end (request, false);
+          else
+            httpserver_respond (request, 499, "text/plain", NULL, 0, "", 0);
+          /* The callback may have ended other requests: begin anew. */
+          next = server->open;
+        }
+      request = next;
+    }
+}
+
+static void
+connection_closed (uv_handle_t *handle)
+{
+  struct connection *connection = (struct connection *)handle;
+
+  connection->server->connection_count--;
+  free (connection);
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct httpserver *server = listener->data;
+  struct connection *connection;
+  uv_tcp_t *tcp;
+  h2o_socket_t *socket;
+
+  if (status != 0)
+    return;
+  connection = calloc (1, sizeof *connection);
+  connection->server = server;
+  tcp = &connection->tcp;
+  uv_tcp_init (server->loop, tcp);
+  server->connection_count++;
+  if (uv_accept (listener, (uv_stream_t *)tcp) != 0)
+    {
+      uv_close ((uv_handle_t *)tcp, connection_closed);
+      return;
+    }
+  uv_tcp_nodelay (tcp, 1);
+  socket = h2o_uv_socket_create ((uv_stream_t *)tcp, connection_closed);
+  h2o_accept (&server->accept_context, socket);
+}
+
+static void
+setup_h2o (struct httpserver *server, const struct httpserver_limits *limits)
+{
+  h2o_hostconf_t *host;
+  h2o_pathconf_t *path;
+  struct server_handler *handler;
+
+  h2o_config_init (&server->config);
+  server->config.max_request_entity_size = limits->body_bytes;
+  server->config.http1.req_timeout = limits->request_ms;
+  server->config.server_name = h2o_iovec_init (H2O_STRLIT ("trefoilspar"));
+  host = h2o_config_register_host (
+      &server->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+  path = h2o_config_register_path (host, "/", 0);
+  handler
+      = (struct server_handler *)h2o_create_handler (path, sizeof *handler);
+  handler->super.on_req = on_request;
+  handler->server = server;
+  h2o_context_init (&server->context, server->loop, &server->config);
+  server->accept_context.ctx = &server->context;
+  server->accept_context.hosts = server->config.hosts;
+}
+
+enum status
+httpserver_init (struct httpserver *server, uv_loop_t *loop,
+                 const char *address, const struct httpserver_limits *limits,
+                 httpserver_handler handler, void *data, struct error *error)
+{
+  struct sockaddr_in bind_address;
+  int rc;
+
+  memset (server, 0, sizeof *server);
+  server->loop = loop;
+  server->handler = handler;
+  server->handler_data = data;
+  if (address_parse (address, &bind_address) != STATUS_OK)
+    return error_set (error, STATUS_INVALID, "not an address: %s", address);
+  uv_tcp_init (loop, &server->listener);
+  server->listener.data = server;
+  rc = uv_tcp_bind (&server->listener, (struct sockaddr *)&bind_address, 0);
+  if (rc == 0)
+    rc = uv_listen ((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
+                    on_connection);
+  if (rc != 0)
+    {
+      uv_close ((uv_handle_t *)&server->listener, NULL);
+      return error_set (error, STATUS_UNAVAILABLE, "cannot listen at %s: %s",
+                        address, uv_strerror (rc));
+    }
+  server->listening = true;
+  setup_h2o (server, limits);
+  uv_timer_init (loop, &server->gone_timer);
+  server->gone_timer.data = server;
+  uv_timer_start (&server->gone_timer, gone_timer_fired, GONE_POLL_MS,
+                  GONE_POLL_MS);
+  return STATUS_OK;
+}
+
+void
+httpserver_stop_listening (struct httpserver *server)
+{
+  if (!server->listening)
+    return;
+  server->listening = false;
+  uv_close ((uv_handle_t *)&server->listener, NULL);
+}
+
+void
+httpserver_finish (struct httpserver *server)
+{
+  httpserver_stop_listening (server);
+  uv_close ((uv_handle_t *)&server->gone_timer, NULL);
+  h2o_context_request_shutdown (&server->context);
+}
+
+unsigned
+httpserver_port (const struct httpserver *server)
+{
+  struct sockaddr_in name = { 0 };
+  int size = sizeof name;
+
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&name, &size);
+  return ntohs (name.sin_port);
+}
+
+const char *
+httpserver_request_method (struct httpserver_request *request)
+{
+  h2o_req_t *req = request->req;
+
+  return h2o_strdup (&req->pool, req->method.base, req->method.len).base;
+}
+
+const char *
+httpserver_request_path (struct httpserver_request *request)
+{
+  return request->path;
+}
+
+const char *
+httpserver_request_query (struct httpserver_request *request)
+{
+  return request->query;
+}
+
+const char *
+httpserver_request_header (struct httpserver_request *request,
+                           const char *name)
+{
+  h2o_req_t *req = request->req;
+  size_t length = strlen (name);
+
+  for (size_t i = 0; i < req->headers.size; i++)
+    {
+      const h2o_header_t *header = &req->headers.entries[i];
+
+      if (h2o_lcstris (header->name->base, header->name->len, name, length))
+        return h2o_strdup (&req->pool, header->value.base, header->value.len)
+            .base;
+    }
+  return NULL;
+}
+
+const char *
+httpserver_request_body (struct httpserver_request *request, size_t *size)
+{
+  *size = request->req->entity.len;
+  return request->req->entity.base != NULL ? request->req->entity.base : "";
+}
+
+void
+httpserver_request_on_gone (struct httpserver_request *request,
+                            void (*gone) (void *data), void *data)
+{
+  request->gone = gone;
+  request->gone_data = data;
+}
+
+static void
+set_head (struct httpserver_request *request, int status,
+          const char *content_type, const struct httpserver_header *headers,
+          size_t header_count)
+{
+  h2o_req_t *req = request->req;
+
+  req->res.status = status;
+  req->res.reason = "-";
+  if (status == 200)
+    req->res.reason = "OK";
+  h2o_add_header_by_str (&req->pool, &req->res.headers,
+                         H2O_STRLIT ("content-type"), 1, NULL, content_type,
+                         strlen (content_type));
+  for (size_t i = 0; i < header_count; i++)
+    {
+      h2o_iovec_t name = h2o_strdup (&req->pool, headers[i].name, SIZE_MAX);
+      h2o_iovec_t value = h2o_strdup (&req->pool, headers[i].value, SIZE_MAX);
+
+      h2o_add_header_by_str (&req->pool, &req->res.headers, name.base,
+                             name.len, 1, NULL, value.base, value.len);
+    }
+}
+
+void
+httpserver_respond (struct httpserver_request *request, int status,
+                    const char *content_type,
+                    const struct httpserver_header *headers,
+                    size_t header_count, const char *body, size_t size)
+{
+  h2o_req_t *req = request->req;
+  h2o_iovec_t text;
+
+  assert (!request->started);
+  request->gone = NULL;
+  if (req == NULL)
+    return;
+  request_unlink (request);
+  request->started = true;
+  set_head (request, status, content_type, headers, header_count);
+  req->res.content_length = size;
+  text = h2o_strdup (&req->pool, body, size);
+  h2o_start_response (req, &request->generator);
+  request->ended = true;
+  request->complete = true;
+  request->in_flight = true;
+  h2o_send (req, &text, size > 0 ? 1 : 0, H2O_SEND_STATE_FINAL);
+}
+
+void
+httpserver_stream_begin (struct httpserver_request *request, int status,
+                         const char *content_type,
+                         const struct httpserver_header *headers,
+                         size_t header_count)
+{
+  assert (!request->started);
+  request->started = true;
+  set_head (request, status, content_type, headers, header_count);
+  h2o_start_response (request->req, &request->generator);
+}
+
+void
+httpserver_stream_write (struct httpserver_request *request, const char *bytes,
+                         size_t size)
+{
+  h2o_iovec_t space;
+
+  assert (request->started && !request->ended);
+  space = h2o_buffer_reserve (&request->waiting, size);
+  memcpy (space.base, bytes, size);
+  request->waiting->size += size;
+  stream_send (request);
+}
+
+size_t
+httpserver_stream_backlog (const struct httpserver_request *request)
+{
+  return request->waiting->size;
+}
+
+void
+httpserver_stream_end (struct httpserver_request *request, bool complete)
+{
+  assert (request->started && !request->ended);
+  request->gone = NULL;
+  request_unlink (request);
+  request->ended = true;
+  request->complete = complete;
+  stream_send (request);
+}
