Settings: one table of keys reads, checks and documents them

Cause: every process needs its settings checked before it starts. Ruled out: json-c's own line numbers (it keeps none per key, so a small scan of the accepted text finds them); strict JSON (comments are wanted). Change: a table of keys drives reading, defaults, help and refusals; a key that stands twice is refused, since json-c keeps the last silently. Error messages may be 512 bytes, so that they can name expected values.

--- /dev/null
+++ b/src/priority.h
@@ -0,0 +1,17 @@
+#ifndef PRIORITY_H
+#define PRIORITY_H
+
+/** @file
+ * The priority classes of requests, the most urgent first. The number is
+ * also what engines are told as a request's priority.
+ */
+
+enum priority
+{
+  PRIORITY_URGENT,
+  PRIORITY_STANDARD,
+  PRIORITY_BULK,
+  PRIORITY_COUNT
+};
+
+#endif
--- /dev/null
+++ b/src/settings-keys.c
@@ -0,0 +1,308 @@
+#include "settings-keys.h"
+#include "settings.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  EDIT_MAX = 128 /**< longest text compared by edit distance */
+};
+
+#define AT(member) offsetof (struct settings, member)
+
+static const char *const role_names[] = { "gateway", "shard", NULL };
+static const char *const policy_names[]
+    = { "cost", "round_robin", "least_loaded", "prefix_affinity", NULL };
+static const char *const level_names[]
+    = { "debug", "info", "warn", "error", NULL };
+
+const struct settings_key settings_keys[] = {
+  { "process.name", SETTINGS_TEXT, AT (process.name), SETTINGS_BOTH,
+    SETTINGS_BOTH, 1, 63, NULL, NULL, NULL,
+    "Name of this process, unique in the fleet" },
+  { "process.role", SETTINGS_CHOICE, AT (process.role), SETTINGS_BOTH,
+    SETTINGS_BOTH, 0, 0, role_names, NULL, NULL, "What this process does" },
+  { "process.data_centre", SETTINGS_TEXT, AT (process.data_centre),
+    SETTINGS_BOTH, SETTINGS_BOTH, 1, 63, NULL, NULL, NULL,
+    "Data centre of the host" },
+  { "listen.http", SETTINGS_ADDRESS, AT (listen.http), SETTINGS_BOTH,
+    SETTINGS_BOTH, 0, 0, NULL, NULL, NULL,
+    "Gateway: callers and operators; shard: health and metrics" },
+  { "listen.peer", SETTINGS_ADDRESS, AT (listen.peer), SETTINGS_BOTH,
+    SETTINGS_BOTH, 0, 0, NULL, NULL, NULL,
+    "Other processes: TCP, and UDP on the same port for gossip" },
+  { "advertise.http", SETTINGS_ADDRESS, AT (advertise.http), SETTINGS_BOTH, 0,
+    0, 0, NULL, NULL, NULL, "Address told to callers, if not listen.http" },
+  { "advertise.peer", SETTINGS_ADDRESS, AT (advertise.peer), SETTINGS_BOTH, 0,
+    0, 0, NULL, NULL, NULL,
+    "Address told to other processes, if not listen.peer" },
+  { "seeds", SETTINGS_ADDRESSES, AT (seeds), SETTINGS_BOTH, 0, 0, 32, NULL,
+    "[]", NULL, "Peer addresses to join by" },
+  { "kv.address", SETTINGS_ADDRESSES, AT (kv.address), SETTINGS_BOTH,
+    SETTINGS_BOTH, 1, 32, NULL, NULL, NULL, "The KV service" },
+  { "kv.timeout_ms", SETTINGS_MS, AT (kv.timeout_ns), SETTINGS_BOTH, 0, 10,
+    60000, NULL, "2000", "ms",
+    "A call without an answer is given up after this" },
+  { "kv.lease_ttl_ms", SETTINGS_MS, AT (kv.lease_ttl_ns), SETTINGS_BOTH, 0,
+    1000, 600000, NULL, "10000", "ms",
+    "Lifetime of a lease between renewals" },
+  { "kv.calls_per_s", SETTINGS_NUMBER, AT (kv.calls_per_s), SETTINGS_BOTH, 0,
+    0.1, 10000, NULL, "20", "calls/s", "Most calls of this process" },
+  { "host_list.address", SETTINGS_ADDRESS, AT (host_list.address),
+    SETTINGS_BOTH, SETTINGS_BOTH, 0, 0, NULL, NULL, NULL,
+    "The list of live and leaving hosts" },
+  { "host_list.poll_ms", SETTINGS_MS, AT (host_list.poll_ns), SETTINGS_BOTH, 0,
+    100, 600000, NULL, "1000", "ms", "Time between two reads of the list" },
+  { "placement.policy", SETTINGS_CHOICE, AT (placement.policy),
+    SETTINGS_GATEWAY, 0, 0, 0, policy_names, "\"cost\"", NULL,
+    "How a backend server is chosen" },
+  { "placement.price_per_recomputed_token_s", SETTINGS_NUMBER,
+    AT (placement.price_per_recomputed_token_s), SETTINGS_GATEWAY, 0, 0, 1,
+    NULL, "0.00002", "s/token",
+    "Cost of one recomputed token beside the time to first token" },
+  { "placement.price_per_link_byte_s", SETTINGS_NUMBER,
+    AT (placement.price_per_link_byte_s), SETTINGS_GATEWAY, 0, 0, 1, NULL,
+    "1e-10", "s/byte",
+    "Cost of one byte over a link beside the time to first token" },
+  { "placement.piece_tokens", SETTINGS_INTEGER, AT (placement.piece_tokens),
+    SETTINGS_BOTH, 0, 1, 1000000, NULL, "2000", "tokens",
+    "Size of a piece of a prompt; the same in the whole fleet" },
+  { "placement.piece_bytes_per_token", SETTINGS_INTEGER,
+    AT (placement.piece_bytes_per_token), SETTINGS_BOTH, 0, 1, 10000000, NULL,
+    "16", "bytes/token", "KV cache bytes of one token" },
+  { "placement.subset_size", SETTINGS_INTEGER, AT (placement.subset_size),
+    SETTINGS_GATEWAY, 0, 2, 1000, NULL, "16", "servers",
+    "Backend servers per model that this gateway knows" },
+  { "admission.concurrency", SETTINGS_INTEGER, AT (admission.concurrency),
+    SETTINGS_GATEWAY, 0, 1, 100000, NULL, "256", "requests",
+    "Requests running at once" },
+  { "admission.queue_limit", SETTINGS_INTEGER, AT (admission.queue_limit),
+    SETTINGS_GATEWAY, 0, 1, 1000000, NULL, "2048", "requests",
+    "Requests waiting, all classes together" },
+  { "admission.organisation_queue_limit", SETTINGS_INTEGER,
+    AT (admission.organisation_queue_limit), SETTINGS_GATEWAY, 0, 1, 1000000,
+    NULL, "512", "requests", "Requests of one organisation waiting" },
+  { "admission.organisation_share", SETTINGS_NUMBER,
+    AT (admission.organisation_share), SETTINGS_GATEWAY, 0, 0.01, 1, NULL,
+    "1.0", NULL, "Most of the concurrency that one organisation may take" },
+  { "admission.adapt", SETTINGS_BOOLEAN, AT (admission.adapt),
+    SETTINGS_GATEWAY, 0, 0, 0, NULL, "false", NULL,
+    "Lower and raise the concurrency by the service times seen" },
+  { "admission.urgent.weight", SETTINGS_NUMBER,
+    AT (admission.classes[PRIORITY_URGENT].weight), SETTINGS_GATEWAY, 0, 0.001,
+    1000, NULL, "8", NULL, "Share of the capacity against the other classes" },
+  { "admission.urgent.queue_limit", SETTINGS_INTEGER,
+    AT (admission.classes[PRIORITY_URGENT].queue_limit), SETTINGS_GATEWAY, 0,
+    1, 1000000, NULL, "256", "requests", "Requests of the class waiting" },
+  { "admission.urgent.deadline_ms", SETTINGS_MS,
+    AT (admission.classes[PRIORITY_URGENT].deadline_ns), SETTINGS_GATEWAY, 0,
+    1, 86400000, NULL, "2000", "ms", "Deadline of a request that names none" },
+  { "admission.standard.weight", SETTINGS_NUMBER,
+    AT (admission.classes[PRIORITY_STANDARD].weight), SETTINGS_GATEWAY, 0,
+    0.001, 1000, NULL, "4", NULL,
+    "Share of the capacity against the other classes" },
+  { "admission.standard.queue_limit", SETTINGS_INTEGER,
+    AT (admission.classes[PRIORITY_STANDARD].queue_limit), SETTINGS_GATEWAY, 0,
+    1, 1000000, NULL, "1024", "requests", "Requests of the class waiting" },
+  { "admission.standard.deadline_ms", SETTINGS_MS,
+    AT (admission.classes[PRIORITY_STANDARD].deadline_ns), SETTINGS_GATEWAY, 0,
+    1, 86400000, NULL, "60000", "ms",
+    "Deadline of a request that names none" },
+  { "admission.bulk.weight", SETTINGS_NUMBER,
+    AT (admission.classes[PRIORITY_BULK].weight), SETTINGS_GATEWAY, 0, 0.001,
+    1000, NULL, "1", NULL, "Share of the capacity against the other classes" },
+  { "admission.bulk.queue_limit", SETTINGS_INTEGER,
+    AT (admission.classes[PRIORITY_BULK].queue_limit), SETTINGS_GATEWAY, 0, 1,
+    1000000, NULL, "1024", "requests", "Requests of the class waiting" },
+  { "admission.bulk.deadline_ms", SETTINGS_MS,
+    AT (admission.classes[PRIORITY_BULK].deadline_ns), SETTINGS_GATEWAY, 0, 1,
+    86400000, NULL, "600000", "ms", "Deadline of a request that names none" },
+  { "retry.budget_share", SETTINGS_NUMBER, AT (retry.budget_share),
+    SETTINGS_GATEWAY, 0, 0, 1, NULL, "0.1", NULL,
+    "Retries allowed per success" },
+  { "retry.backends_max", SETTINGS_INTEGER, AT (retry.backends_max),
+    SETTINGS_GATEWAY, 0, 1, 2, NULL, "2", "servers",
+    "Backend servers tried per request" },
+  { "retry.backoff_base_ms", SETTINGS_MS, AT (retry.backoff_base_ns),
+    SETTINGS_GATEWAY, 0, 1, 60000, NULL, "50", "ms",
+    "Longest wait before the first retry; doubles each time" },
+  { "retry.backoff_max_ms", SETTINGS_MS, AT (retry.backoff_max_ns),
+    SETTINGS_GATEWAY, 0, 1, 600000, NULL, "2000", "ms",
+    "Longest wait before any retry" },
+  { "suspect.crashes", SETTINGS_INTEGER, AT (suspect.crashes), SETTINGS_BOTH,
+    0, 1, 2, NULL, "2", "crashes",
+    "Lost backend servers after which a request is refused" },
+  { "suspect.hold_s", SETTINGS_S, AT (suspect.hold_ns), SETTINGS_BOTH, 0, 1,
+    604800, NULL, "3600", "s", "Time for which it is refused" },
+  { "suspect.run_alone", SETTINGS_BOOLEAN, AT (suspect.run_alone),
+    SETTINGS_BOTH, 0, 0, 0, NULL, "true", NULL,
+    "A request under suspicion may run once more, alone on a server" },
+  { "timeouts.connect_ms", SETTINGS_MS, AT (timeouts.connect_ns),
+    SETTINGS_BOTH, 0, 10, 60000, NULL, "500", "ms", "Opening a connection" },
+  { "timeouts.first_byte_ms", SETTINGS_MS, AT (timeouts.first_byte_ns),
+    SETTINGS_GATEWAY, 0, 10, 3600000, NULL, "30000", "ms",
+    "From sending a request to the first byte of its answer" },
+  { "timeouts.progress_ms", SETTINGS_MS, AT (timeouts.progress_ns),
+    SETTINGS_GATEWAY, 0, 10, 600000, NULL, "5000", "ms",
+    "Between two pieces of an answer" },
+  { "timeouts.header_ms", SETTINGS_MS, AT (timeouts.header_ns), SETTINGS_BOTH,
+    0, 10, 60000, NULL, "5000", "ms", "A caller's whole request header" },
+  { "timeouts.heartbeat_ms", SETTINGS_MS, AT (timeouts.heartbeat_ns),
+    SETTINGS_BOTH, 0, 100, 2000, NULL, "500", "ms",
+    "Between two heartbeats of a peer connection" },
+  { "timeouts.stop_s", SETTINGS_S, AT (timeouts.stop_ns), SETTINGS_BOTH, 0, 1,
+    86400, NULL, "120", "s", "A planned stop ends after this in any case" },
+  { "entries.lifetime_ms", SETTINGS_MS, AT (entries.lifetime_ns),
+    SETTINGS_GATEWAY, 0, 100, 3600000, NULL, "10000", "ms",
+    "How long a caller may use an answer of /v1/entries" },
+  { "limits.body_bytes", SETTINGS_INTEGER, AT (limits.body_bytes),
+    SETTINGS_GATEWAY, 0, 1024, 1 << 30, NULL, "8388608", "bytes",
+    "A caller's request body" },
+  { "limits.header_bytes", SETTINGS_INTEGER, AT (limits.header_bytes),
+    SETTINGS_BOTH, 0, 256, 1 << 20, NULL, "16384", "bytes",
+    "A caller's request header" },
+  { "log.level", SETTINGS_CHOICE, AT (log.level), SETTINGS_BOTH, 0, 0, 0,
+    level_names, "\"info\"", NULL, "Events below it are dropped" },
+  { "export.enabled", SETTINGS_BOOLEAN, AT (export.enabled), SETTINGS_GATEWAY,
+    0, 0, 0, NULL, "true", NULL, "Export KV cache to the stores" },
+  { "export.min_return", SETTINGS_NUMBER, AT (export.min_return),
+    SETTINGS_GATEWAY, 0, 0, 1, NULL, "0.2", NULL,
+    "Least expected chance of a return for an export" },
+  { "export.horizon_s", SETTINGS_S, AT (export.horizon_ns), SETTINGS_GATEWAY,
+    0, 1, 30 * 86400.0, NULL, "86400", "s",
+    "Returns after this are not counted" },
+  { "export.link_share", SETTINGS_NUMBER, AT (export.link_share),
+    SETTINGS_GATEWAY, 0, 0, 1, NULL, "0.5", NULL,
+    "Most of a link that exports may take" },
+  { "blocks.hash_key", SETTINGS_HASH_KEY, AT (blocks.hash_key), SETTINGS_BOTH,
+    SETTINGS_BOTH, 64, 64, NULL, NULL, "hex",
+    "Secret key of block ids and fingerprints; the same in the whole fleet" },
+  { "stores.names", SETTINGS_TEXTS, AT (stores.names), SETTINGS_BOTH, 0, 0, 32,
+    NULL, "[]", NULL, "Services of the host list that keep KV cache" },
+  { "stores.link_bytes_per_s", SETTINGS_INTEGER, AT (stores.link_bytes_per_s),
+    SETTINGS_BOTH, 0, 1000, 1LL << 40, NULL, "125000000", "bytes/s",
+    "Rate of the link to one store host" },
+  { "stores.read_lease_ms", SETTINGS_MS, AT (stores.read_lease_ns),
+    SETTINGS_BOTH, 0, 10, 600000, NULL, "5000", "ms",
+    "How long a block that was handed out may be read" },
+  { "stores.free_delay_ms", SETTINGS_MS, AT (stores.free_delay_ns),
+    SETTINGS_BOTH, 0, 10, 600000, NULL, "10000", "ms",
+    "Wait between condemning a block and freeing it" },
+  { "stores.listing_ms", SETTINGS_MS, AT (stores.listing_ns), SETTINGS_SHARD,
+    0, 100, 86400000, NULL, "60000", "ms", "Between two listings of a store" },
+};
+
+const unsigned settings_key_count
+    = sizeof settings_keys / sizeof *settings_keys;
+
+const struct settings_order settings_orders[] = {
+  { "kv.timeout_ms", "kv.lease_ttl_ms" },
+  { "stores.read_lease_ms", "stores.free_delay_ms" },
+  { "retry.backoff_base_ms", "retry.backoff_max_ms" },
+};
+
+const unsigned settings_order_count
+    = sizeof settings_orders / sizeof *settings_orders;
+
+static const char *const type_names[] = {
+  [SETTINGS_TEXT] = "text",
+  [SETTINGS_CHOICE] = "one of",
+  [SETTINGS_BOOLEAN] = "true or false",
+  [SETTINGS_INTEGER] = "whole number",
+  [SETTINGS_NUMBER] = "number",
+  [SETTINGS_MS] = "whole number",
+  [SETTINGS_S] = "whole number",
+  [SETTINGS_ADDRESS] = "\"IP:PORT\"",
+  [SETTINGS_ADDRESSES] = "array of \"IP:PORT\"",
+  [SETTINGS_TEXTS] = "array of text",
+  [SETTINGS_HASH_KEY] = "hexadecimal digits",
+};
+
+static unsigned
+edit_distance (const char *a, const char *b)
+{
+  unsigned row[EDIT_MAX + 1];
+  size_t width = MIN (strlen (b), (size_t)EDIT_MAX);
+
+  for (unsigned j = 0; j <= width; j++)
+    row[j] = j;
+  for (unsigned i = 1; a[i - 1] != '\0'; i++)
+    {
+      unsigned corner = row[0];
+
+      row[0] = i;
+      for (unsigned j = 1; j <= width; j++)
+        {
+          unsigned kept = corner + (a[i - 1] != b[j - 1]);
+
+          corner = row[j];
+          row[j] = MIN (kept, MIN (row[j], row[j - 1]) + 1);
+        }
+    }
+  return row[width];
+}
+
+void
+settings_key_expected (const struct settings_key *key,
+                       char text[SETTINGS_EXPECTED_MAX])
+{
+  GString *words = g_string_new (type_names[key->type]);
+
+  if (key->choices != NULL)
+    for (unsigned i = 0; key->choices[i] != NULL; i++)
+      g_string_append_printf (words, "%s \"%s\"", i > 0 ? "," : "",
+                              key->choices[i]);
+  if (key->type == SETTINGS_TEXT)
+    g_string_append_printf (words, ", %g to %g bytes", key->min, key->max);
+  else if (key->type == SETTINGS_HASH_KEY)
+    g_string_append_printf (words, ", %g of them", key->max);
+  else if (key->type == SETTINGS_ADDRESSES || key->type == SETTINGS_TEXTS)
+    g_string_append_printf (words, ", %g to %g of them", key->min, key->max);
+  else if (key->max > 0)
+    g_string_append_printf (words, ", %.15g to %.15g", key->min, key->max);
+  if (key->unit != NULL && key->type != SETTINGS_HASH_KEY)
+    g_string_append_printf (words, " %s", key->unit);
+  g_strlcpy (text, words->str, SETTINGS_EXPECTED_MAX);
+  g_string_free (words, TRUE);
+}
+
+const struct settings_key *
+settings_key_nearest (const char *path, unsigned role)
+{
+  const struct settings_key *best = NULL;
+  unsigned least = 0;
+
+  for (unsigned i = 0; i < settings_key_count; i++)
+    {
+      const struct settings_key *key = &settings_keys[i];
+      unsigned distance = edit_distance (path, key->path);
+
+      if ((key->roles & role) == 0 || (best != NULL && distance >= least))
+        continue;
+      best = key;
+      least = distance;
+    }
+  return best;
+}
+
+const struct settings_key *
+settings_key_find (const char *path)
+{
+  for (unsigned i = 0; i < settings_key_count; i++)
+    if (strcmp (settings_keys[i].path, path) == 0)
+      return &settings_keys[i];
+  return NULL;
+}
+
+bool
+settings_key_is_section (const char *path)
+{
+  size_t length = strlen (path);
+
+  for (unsigned i = 0; i < settings_key_count; i++)
+    if (strncmp (settings_keys[i].path, path, length) == 0
+        && settings_keys[i].path[length] == '.')
+      return true;
+  return false;
+}
--- a/src/status.h
+++ b/src/status.h
@@ -26,7 +26,7 @@
 
 enum
 {
-  ERROR_MESSAGE_MAX = 256 /**< Bytes, with the final NUL. */
+  ERROR_MESSAGE_MAX = 512 /**< Bytes, with the final NUL. */
 };
 
 /** A status and the message that explains it. */
--- /dev/null
+++ b/test/test-settings.c
@@ -0,0 +1,172 @@
+#include "settings.h"
+#include "clock.h"
+#include "unit.h"
+
+#include <glib.h>
+#include <string.h>
+
+static const char *const samples[]
+    = { "etc/gateway.json", "etc/shard.json", "etc/trapani.json",
+        "etc/pawtrace.json" };
+
+/* A line of etc/gateway.json with OLD replaced by NEW must be refused with
+ * its line number and both words in the message. */
+struct mistake
+{
+  const char *old;
+  const char *new;
+  int line;
+  const char *word;
+  const char *word2;
+};
+
+static const struct mistake mistakes[] = {
+  { "\"queue_limit\": 2048", "\"queue_limt\": 2048", 50,
+    "\"admission.queue_limt\"", "\"admission.queue_limit\": whole number" },
+  { "\"kv\": {", "\"kw\": {", 22, "\"kw\"", "nearest" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": \"1s\"", 32, "host_list.poll_ms",
+    "whole number, 100 to 600000 ms" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": 99", 32, "host_list.poll_ms", "99" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": 99999999999999999999", 32,
+    "host_list.poll_ms", "100 to 600000" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": 1000.5", 32, "host_list.poll_ms",
+    "1000.5" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": null", 32, "host_list.poll_ms",
+    "null" },
+  { "\"budget_share\": 0.1", "\"budget_share\": NaN", 61, "retry.budget_share",
+    "0 to 1" },
+  { "\"policy\": \"cost\"", "\"policy\": \"costs\"", 38, "placement.policy",
+    "\"round_robin\"" },
+  { "127.0.0.1:8200", "localhost:8200", 19, "seeds[1]", "IP:PORT" },
+  { "127.0.0.1:8200", "127.0.0.1:82000", 19, "seeds[1]", "IP:PORT" },
+  { "127.0.0.1:8200", "127.0.0.1:", 19, "seeds[1]", "IP:PORT" },
+  { "127.0.0.1:8200", "[::1:8200", 19, "seeds[1]", "IP:PORT" },
+  { "[\"127.0.0.1:7000\"]", "[]", 23, "kv.address", "1 to 32" },
+  { "[\"127.0.0.1:7000\"]", "\"127.0.0.1:7000\"", 23, "kv.address", "array" },
+  { "\"adapt\": false", "\"adapt\": 0", 53, "admission.adapt",
+    "true or false" },
+  { "\"log\": { \"level\": \"info\" }", "\"log\": \"info\"", 91, "\"log\"",
+    "object" },
+  { "000102", "00010", 104, "blocks.hash_key", "64" },
+  { "000102", "00010x", 104, "blocks.hash_key", "hexadecimal" },
+  { "\"role\": \"gateway\"", "\"role\": \"gate\"", 5, "process.role",
+    "\"shard\"" },
+  { "\"role\": \"gateway\"", "\"role\": \"shard\"", 38, "placement.policy",
+    "other role" },
+  { "\"name\": \"gateway-1\",", "", 3, "process.name", "missing" },
+  { "\"name\": \"gateway-1\"", "\"name\": \"\"", 4, "process.name",
+    "1 to 63" },
+  { "\"timeout_ms\": 2000", "\"timeout_ms\": 20000", 24, "kv.timeout_ms",
+    "kv.lease_ttl_ms" },
+  { "\"free_delay_ms\": 10000", "\"free_delay_ms\": 5000", 112,
+    "stores.read_lease_ms", "(line 113)" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": 1000, \"poll_ms\": 1", 32,
+    "host_list.poll_ms", "twice" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": }", 32, "not JSON", "" },
+  { "\"free_delay_ms\": 10000\n  }\n}", "\"free_delay_ms\": 10000\n  }\n} x",
+    115, "after the end", "x" },
+  { "\"free_delay_ms\": 10000\n  }\n}", "\"free_delay_ms\": 10000\n  }", 115,
+    "not JSON", "" },
+};
+
+static void
+test_samples_pass (void)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (samples); i++)
+    {
+      struct settings settings;
+      struct error error = { 0 };
+
+      if (settings_check_file (samples[i], &settings, &error) != STATUS_OK)
+        CU_FAIL (error.message);
+      if (error.status != STATUS_OK)
+        printf ("  %s\n", error.message);
+    }
+}
+
+static void
+test_values (void)
+{
+  struct settings settings;
+  struct error error;
+
+  CU_ASSERT_EQUAL (settings_check_file (samples[0], &settings, &error), 0);
+  CU_ASSERT_EQUAL (settings.process.role, ROLE_GATEWAY);
+  CU_ASSERT_EQUAL (settings.kv.lease_ttl_ns, 10 * NS_PER_S);
+  CU_ASSERT_EQUAL (settings.seeds.count, 2);
+  CU_ASSERT_EQUAL (settings.seeds.items[1].port, 8200);
+  CU_ASSERT_STRING_EQUAL (settings.seeds.items[1].ip, "127.0.0.1");
+  CU_ASSERT_STRING_EQUAL (settings.advertise.peer.text, "127.0.0.1:8100");
+  CU_ASSERT_EQUAL (settings.admission.classes[PRIORITY_URGENT].weight, 8);
+  CU_ASSERT_EQUAL (settings.blocks.hash_key[31], 0x1f);
+  CU_ASSERT_EQUAL (settings.stores.names.count, 2);
+}
+
+static void
+check_mistake (const char *text, const struct mistake *mistake)
+{
+  const char *at = strstr (text, mistake->old);
+  struct settings settings;
+  struct error error = { 0 };
+  GString *changed;
+  char place[32];
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (at);
+  changed = g_string_new_len (text, at - text);
+  g_string_append (changed, mistake->new);
+  g_string_append (changed, at + strlen (mistake->old));
+  g_snprintf (place, sizeof place, "file:%d: ", mistake->line);
+  settings_read (&settings, changed->str, "file", &error);
+  CU_ASSERT_EQUAL (error.status, STATUS_INVALID);
+  if (!g_str_has_prefix (error.message, place)
+      || strstr (error.message, mistake->word) == NULL
+      || strstr (error.message, mistake->word2) == NULL)
+    {
+      printf ("  line %d, %s: %s\n", mistake->line, mistake->new,
+              error.message);
+      CU_FAIL ("another message expected");
+    }
+  g_string_free (changed, TRUE);
+}
+
+static void
+test_mistakes (void)
+{
+  char *text = NULL;
+
+  CU_ASSERT_TRUE_FATAL (g_file_get_contents (samples[0], &text, NULL, NULL));
+  for (unsigned i = 0; i < G_N_ELEMENTS (mistakes); i++)
+    check_mistake (text, &mistakes[i]);
+  g_free (text);
+}
+
+/* docs/SETTINGS.md holds exactly the table that the program prints. */
+static void
+test_help_is_current (void)
+{
+  char *page = NULL;
+  char *table = NULL;
+  size_t size;
+  FILE *out = open_memstream (&table, &size);
+
+  settings_print_help (out);
+  fclose (out);
+  CU_ASSERT_TRUE_FATAL (
+      g_file_get_contents ("docs/SETTINGS.md", &page, NULL, NULL));
+  CU_ASSERT_PTR_NOT_NULL (strstr (page, table));
+  g_free (page);
+  free (table);
+}
+
+static const struct unit_case cases[] = {
+  { "samples-pass", test_samples_pass },
+  { "values", test_values },
+  { "mistakes", test_mistakes },
+  { "help-is-current", test_help_is_current },
+};
+
+int
+main (void)
+{
+  return unit_run ("settings", cases, G_N_ELEMENTS (cases));
+}
