--- /dev/null
+++ b/src/hostlist.c
@@ -0,0 +1,123 @@
+#include "hostlist.h"
+#include "address.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define HOSTLIST_TIMEOUT_NS (2 * NS_PER_S)
+
+static enum hostlist_kind
+read_kind (const char *text)
+{
+  if (strcmp (text, "engine") == 0)
+    return HOSTLIST_ENGINE;
+  if (strcmp (text, "service") == 0)
+    return HOSTLIST_SERVICE;
+  if (strcmp (text, "store") == 0)
+    return HOSTLIST_STORE;
+  return HOSTLIST_OTHER;
+}
+
+static bool
+read_text (struct json_object *object, const char *key, char *field)
+{
+  const char *text = json_field_text (object, key);
+
+  return g_strlcpy (field, text, HOSTLIST_NAME_MAX) < HOSTLIST_NAME_MAX;
+}
+
+static bool
+read_entry (struct json_object *object, struct hostlist_entry *entry)
+{
+  struct sockaddr_in address;
+
+  if (!read_text (object, "name", entry->name)
+      || !read_text (object, "address", entry->address)
+      || !read_text (object, "data_centre", entry->data_centre)
+      || !read_text (object, "service", entry->service))
+    return false;
+  entry->kind = read_kind (json_field_text (object, "kind"));
+  entry->leaving = strcmp (json_field_text (object, "state"), "leaving") == 0;
+  return entry->name[0] != '\0'
+         && address_parse (entry->address, &address) == STATUS_OK;
+}
+
+static void
+answered (void *data, const struct httpjson_reply *reply)
+{
+  struct hostlist_http *http = data;
+  struct hostlist *hostlist = &http->hostlist;
+
+  http->asking = false;
+  if (reply->status != STATUS_OK || reply->body == NULL
+      || hostlist_read (hostlist, reply->body) != STATUS_OK)
+    return;
+  if (hostlist->changed != NULL)
+    hostlist->changed (hostlist->data);
+}
+
+static void
+http_poll (struct hostlist *hostlist)
+{
+  struct hostlist_http *http = (struct hostlist_http *)hostlist;
+  struct httpjson_request request = {
+    .address = http->address,
+    .method = "GET",
+    .path = "/v1/hosts",
+    .timeout_ns = HOSTLIST_TIMEOUT_NS,
+  };
+
+  if (http->asking)
+    return;
+  http->asking = true;
+  httpjson_call (http->httpjson, &request, answered, http);
+}
+
+static const struct hostlist_ops http_ops = { http_poll };
+
+void
+hostlist_http_init (struct hostlist_http *http, struct httpjson *httpjson,
+                    const char *address)
+{
+  memset (http, 0, sizeof *http);
+  http->hostlist.ops = &http_ops;
+  http->httpjson = httpjson;
+  http->address = address;
+}
+
+void
+hostlist_finish (struct hostlist *hostlist)
+{
+  g_free (hostlist->entries);
+  hostlist->entries = NULL;
+  hostlist->count = 0;
+}
+
+const struct hostlist_entry *
+hostlist_find (const struct hostlist *hostlist, const char *name)
+{
+  for (size_t i = 0; i < hostlist->count; i++)
+    if (strcmp (hostlist->entries[i].name, name) == 0)
+      return &hostlist->entries[i];
+  return NULL;
+}
+
+enum status
+hostlist_read (struct hostlist *hostlist, struct json_object *object)
+{
+  size_t count;
+  struct json_object *hosts = json_field_array (object, "hosts", &count);
+  struct hostlist_entry *entries;
+  size_t kept = 0;
+
+  if (hosts == NULL)
+    return STATUS_CORRUPT;
+  entries = g_new0 (struct hostlist_entry, count + 1);
+  for (size_t i = 0; i < count; i++)
+    if (read_entry (json_object_array_get_idx (hosts, i), &entries[kept]))
+      kept++;
+  g_free (hostlist->entries);
+  hostlist->entries = entries;
+  hostlist->count = kept;
+  return STATUS_OK;
+}
--- a/src/kvhttp.c
+++ b/src/kvhttp.c
@@ -17,43 +17,11 @@
 
 struct kvcall
 {
-  struct list node;
   struct kvhttp *kvhttp;
-  struct httpclient_call *call;
-  uv_timer_t timer;
-  GString *body;
   kv_done done;
   void *data;
-  int http_status;
 };
 
-static void
-timer_closed (uv_handle_t *handle)
-{
-  struct kvcall *kvcall = handle->data;
-
-  g_string_free (kvcall->body, TRUE);
-  g_free (kvcall);
-}
-
-static void
-kvcall_end (struct kvcall *kvcall, const struct kv_reply *reply)
-{
-  list_remove (&kvcall->node);
-  kvcall->done (kvcall->data, reply);
-  uv_close ((uv_handle_t *)&kvcall->timer, timer_closed);
-}
-
-static void
-kvcall_fail (struct kvcall *kvcall, enum status status)
-{
-  struct kvhttp *kvhttp = kvcall->kvhttp;
-  struct kv_reply reply = { .status = status };
-
-  kvhttp->current = (kvhttp->current + 1) % kvhttp->address_count;
-  kvcall_end (kvcall, &reply);
-}
-
 static enum status
 status_from_http (int http_status)
 {
@@ -76,108 +44,49 @@
     }
 }
 
-static uint64_t
-json_number (struct json_object *object, const char *key)
-{
-  struct json_object *value;
-
-  if (!json_object_object_get_ex (object, key, &value))
-    return 0;
-  return json_object_get_uint64 (value);
-}
-
-static const char *
-json_text (struct json_object *object, const char *key)
-{
-  struct json_object *value;
-
-  if (!json_object_object_get_ex (object, key, &value))
-    return NULL;
-  return json_object_get_string (value);
-}
-
 static struct kv_item *
 read_items (struct json_object *object, size_t *count)
 {
-  struct json_object *items;
-  struct kv_item *result;
+  struct json_object *items = json_field_array (object, "items", count);
+  struct kv_item *result = g_new0 (struct kv_item, *count + 1);
 
-  *count = 0;
-  if (!json_object_object_get_ex (object, "items", &items)
-      || !json_object_is_type (items, json_type_array))
-    return NULL;
-  *count = json_object_array_length (items);
-  result = g_new0 (struct kv_item, *count + 1);
   for (size_t i = 0; i < *count; i++)
     {
       struct json_object *item = json_object_array_get_idx (items, i);
 
-      result[i].key = json_text (item, "key");
-      result[i].value = json_text (item, "value");
-      result[i].revision = json_number (item, "revision");
+      result[i].key = json_field_text (item, "key");
+      result[i].value = json_field_text (item, "value");
+      result[i].revision = json_field_uint (item, "revision");
     }
   return result;
 }
 
 static void
-on_head (void *data, const struct httpclient_head *head)
-{
-  struct kvcall *kvcall = data;
-
-  kvcall->http_status = head->status;
-}
-
-static void
-on_body (void *data, const char *bytes, size_t size)
-{
-  struct kvcall *kvcall = data;
-
-  g_string_append_len (kvcall->body, bytes, size);
-}
-
-static void
-on_end (void *data, const struct httpclient_end *end)
+answered (void *data, const struct httpjson_reply *answer)
 {
   struct kvcall *kvcall = data;
-  struct kv_reply reply = { 0 };
-  struct json_object *object;
+  struct kvhttp *kvhttp = kvcall->kvhttp;
+  struct kv_reply reply = { .status = answer->status };
   struct kv_item *items = NULL;
 
-  kvcall->call = NULL;
-  if (end->status != STATUS_OK)
-    {
-      kvcall_fail (kvcall, end->status);
-      return;
-    }
-  reply.status = status_from_http (kvcall->http_status);
-  object = json_tokener_parse (kvcall->body->str);
-  if (reply.status == STATUS_OK && object == NULL)
+  if (answer->status == STATUS_OK)
+    reply.status = status_from_http (answer->http_status);
+  else
+    kvhttp->current = (kvhttp->current + 1) % kvhttp->address_count;
+  if (reply.status == STATUS_OK && answer->body == NULL)
     reply.status = STATUS_UNKNOWN;
-  if (object != NULL)
+  if (answer->body != NULL)
     {
-      reply.revision = json_number (object, "revision");
-      reply.lease = json_number (object, "lease");
-      items = read_items (object, &reply.item_count);
+      reply.revision = json_field_uint (answer->body, "revision");
+      reply.lease = json_field_uint (answer->body, "lease");
+      items = read_items (answer->body, &reply.item_count);
       reply.items = items;
     }
-  kvcall_end (kvcall, &reply);
+  kvcall->done (kvcall->data, &reply);
   g_free (items);
-  json_object_put (object);
-}
-
-static void
-on_timeout (uv_timer_t *timer)
-{
-  struct kvcall *kvcall = timer->data;
-  bool handed_over = httpclient_handed_over (kvcall->call);
-
-  httpclient_cancel (kvcall->call);
-  kvcall->call = NULL;
-  kvcall_fail (kvcall, handed_over ? STATUS_UNKNOWN : STATUS_UNAVAILABLE);
+  g_free (kvcall);
 }
 
-static const struct httpclient_ops call_ops = { on_head, on_body, on_end };
-
 /* Takes BODY over. */
 static void
 kvhttp_call (struct kv *kv, const char *path, struct json_object *body,
@@ -185,30 +94,19 @@
 {
   struct kvhttp *kvhttp = (struct kvhttp *)kv;
   struct kvcall *kvcall = g_malloc0 (sizeof *kvcall);
-  const char *text
-      = json_object_to_json_string_ext (body, JSON_C_TO_STRING_PLAIN);
-  struct httpclient_request request = {
+  struct httpjson_request request = {
     .address = kvhttp->addresses[kvhttp->current],
     .method = "POST",
     .path = path,
-    .header_lines = "content-type: application/json\r\n",
-    .body = text,
-    .body_size = strlen (text),
+    .body = body,
+    .timeout_ns = kvhttp->timeout_ns + extra_ns,
   };
 
   kvcall->kvhttp = kvhttp;
-  kvcall->body = g_string_new (NULL);
   kvcall->done = done;
   kvcall->data = data;
-  list_init (&kvcall->node);
-  list_append (&kvhttp->calls, &kvcall->node);
-  uv_timer_init (kvhttp->client->loop, &kvcall->timer);
-  kvcall->timer.data = kvcall;
-  uv_timer_start (&kvcall->timer, on_timeout,
-                  (kvhttp->timeout_ns + extra_ns) / NS_PER_MS, 0);
   kvhttp->call_count++;
-  kvcall->call = httpclient_call (kvhttp->client, &request, &call_ops, kvcall);
-  json_object_put (body);
+  httpjson_call (kvhttp->httpjson, &request, answered, kvcall);
 }
 
 static struct json_object *
@@ -326,33 +224,15 @@
 };
 
 void
-kvhttp_init (struct kvhttp *kvhttp, struct httpclient *client,
+kvhttp_init (struct kvhttp *kvhttp, struct httpjson *httpjson,
              const char *const *addresses, size_t address_count,
              int64_t timeout_ns)
 {
   assert (address_count > 0);
   memset (kvhttp, 0, sizeof *kvhttp);
   kvhttp->kv.ops = &kvhttp_ops;
-  kvhttp->client = client;
+  kvhttp->httpjson = httpjson;
   kvhttp->addresses = addresses;
   kvhttp->address_count = address_count;
   kvhttp->timeout_ns = timeout_ns;
-  list_init (&kvhttp->calls);
-}
-
-void
-kvhttp_finish (struct kvhttp *kvhttp)
-{
-  struct kv_reply reply = { .status = STATUS_CANCELLED };
-
-  while (!list_empty (&kvhttp->calls))
-    {
-      struct kvcall *kvcall
-          = LIST_ENTRY (kvhttp->calls.next, struct kvcall, node);
-
-      if (kvcall->call != NULL)
-        httpclient_cancel (kvcall->call);
-      kvcall->call = NULL;
-      kvcall_end (kvcall, &reply);
-    }
 }
--- a/src/kvhttp.h
+++ b/src/kvhttp.h
@@ -1,11 +1,9 @@
 #ifndef KVHTTP_H
 #define KVHTTP_H
 
-#include "httpclient.h"
+#include "httpjson.h"
 #include "kv.h"
 
-#include <json-c/json.h>
-
 /** @file
  * The KV service's table of function pointers over HTTP and JSON, as
  * docs/INTERFACES.md maps it. Several addresses are tried in turn: one that
@@ -20,20 +18,17 @@
 struct kvhttp
 {
   struct kv kv;
-  struct httpclient *client;
+  struct httpjson *httpjson;
   const char *const *addresses; /**< "IP:PORT", owned by the caller */
   size_t address_count;
   size_t current;
   int64_t timeout_ns; /**< of a call; a watch adds its wait */
-  struct list calls;
   uint64_t call_count;
 };
 
-void kvhttp_init (struct kvhttp *kvhttp, struct httpclient *client,
+/** Open calls answer STATUS_CANCELLED when HTTPJSON is finished. */
+void kvhttp_init (struct kvhttp *kvhttp, struct httpjson *httpjson,
                   const char *const *addresses, size_t address_count,
                   int64_t timeout_ns);
 
-/** Open calls answer STATUS_CANCELLED. */
-void kvhttp_finish (struct kvhttp *kvhttp);
-
 #endif
