Stand-ins for the outside systems, one program

The gateway and shard processes need something to speak to over real sockets. test/standin answers docs/INTERFACES.md on h2o over libuv for the roles kv, engine, store, weights, hosts and service, with faults behind POST /control/faults.

--- /dev/null
+++ b/test/standin-http.c
@@ -0,0 +1,612 @@
+#include "standin-http.h"
+
+#include <string.h>
+#include <sys/resource.h>
+
+enum
+{
+  REQUEST_MAX = 256 * 1024 * 1024,    /* bytes */
+  KEEPALIVE_MS = 24 * 60 * 60 * 1000, /* idle connections stay open */
+  BACKLOG = 1024                      /* connections */
+};
+
+static const char *const common_faults[]
+    = { "outage", "refuse", "slow_ms", "silent", NULL };
+
+static struct
+{
+  const struct role *role;
+  uv_loop_t *loop;
+  uv_tcp_t listener;
+  h2o_globalconf_t config;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  GHashTable *faults;   /* name to value */
+  uint64_t silent_upto; /* connections with ids up to this are silent */
+} server;
+
+/* Timers */
+
+struct timer
+{
+  uv_timer_t timer;
+  server_callback callback;
+  void *data;
+};
+
+static void
+timer_closed (uv_handle_t *handle)
+{
+  g_free (handle->data);
+}
+
+static void
+timer_fired (uv_timer_t *handle)
+{
+  struct timer *timer = handle->data;
+  server_callback callback = timer->callback;
+  void *data = timer->data;
+
+  if (uv_timer_get_repeat (handle) == 0)
+    uv_close ((uv_handle_t *)handle, timer_closed);
+  callback (data);
+}
+
+static void
+timer_start (uint64_t ms, uint64_t repeat_ms, server_callback callback,
+             void *data)
+{
+  struct timer *timer = g_new0 (struct timer, 1);
+
+  timer->callback = callback;
+  timer->data = data;
+  uv_timer_init (server.loop, &timer->timer);
+  timer->timer.data = timer;
+  uv_timer_start (&timer->timer, timer_fired, ms, repeat_ms);
+}
+
+/* Faults */
+
+static bool
+name_in (const char *name, const char *const *names)
+{
+  for (; names && *names; names++)
+    if (strcmp (name, *names) == 0)
+      return true;
+  return false;
+}
+
+static void
+fault_set (const char *name, int64_t value)
+{
+  if (strcmp (name, "silent") == 0 && value)
+    server.silent_upto = h2o_connection_id;
+  g_hash_table_insert (server.faults, g_strdup (name),
+                       g_memdup2 (&value, sizeof value));
+}
+
+static void
+faults_switch (const struct call *call)
+{
+  json_object_object_foreach (call->body, name, ignored)
+  {
+    (void)ignored;
+    if (!name_in (name, common_faults) && !name_in (name, server.role->faults))
+      {
+        http_code (call->req, 400, "unknown_fault");
+        return;
+      }
+  }
+  json_object_object_foreach (call->body, key, value)
+  {
+    fault_set (key, json_object_get_int64 (value));
+  }
+  http_json (call->req, 200, json_object_new_object ());
+}
+
+static bool
+connection_silent (const h2o_req_t *req)
+{
+  return req->conn->id <= server.silent_upto;
+}
+
+/* Requests */
+
+static const char *
+pool_string (h2o_req_t *req, const char *base, size_t size)
+{
+  char *copy = h2o_mem_alloc_pool (&req->pool, size + 1);
+
+  memcpy (copy, base, size);
+  copy[size] = '\0';
+  return copy;
+}
+
+/* Frees a parsed body along with its request's memory. */
+struct body
+{
+  struct json_object *object;
+};
+
+static void
+body_dispose (void *data)
+{
+  json_object_put (((struct body *)data)->object);
+}
+
+/* The body as a JSON object that is freed with the request. */
+static struct json_object *
+body_parse (h2o_req_t *req)
+{
+  struct json_tokener *tokener;
+  struct json_object *object;
+  struct body *holder;
+
+  if (req->entity.len == 0
+      || !h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("POST")))
+    return NULL;
+  tokener = json_tokener_new ();
+  object = json_tokener_parse_ex (tokener, req->entity.base,
+                                  (int)req->entity.len);
+  json_tokener_free (tokener);
+  if (!object)
+    return NULL;
+  holder = h2o_mem_alloc_shared (&req->pool, sizeof *holder, body_dispose);
+  holder->object = object;
+  return json_object_is_type (object, json_type_object) ? object : NULL;
+}
+
+static void
+call_init (struct call *call, h2o_req_t *req)
+{
+  size_t path_size = req->path.len;
+
+  call->req = req;
+  call->method = pool_string (req, req->method.base, req->method.len);
+  call->query = "";
+  if (req->query_at != SIZE_MAX)
+    {
+      path_size = req->query_at;
+      call->query = pool_string (req, req->path.base + path_size + 1,
+                                 req->path.len - path_size - 1);
+    }
+  call->path = pool_string (req, req->path.base, path_size);
+  call->body = body_parse (req);
+}
+
+static void
+stats_reply (const struct call *call)
+{
+  struct json_object *object = json_object_new_object ();
+
+  if (server.role->stats)
+    server.role->stats (object);
+  http_json (call->req, 200, object);
+}
+
+static void
+call_run (void *data)
+{
+  struct call call;
+
+  call_init (&call, data);
+  if (!server.role->handle (&call))
+    http_code (call.req, 404, "not_found");
+}
+
+static bool
+control_run (h2o_req_t *req)
+{
+  struct call call;
+
+  call_init (&call, req);
+  if (call_is (&call, "POST", "/control/faults") && call.body)
+    faults_switch (&call);
+  else if (call_is (&call, "GET", "/control/stats"))
+    stats_reply (&call);
+  else
+    return false;
+  return true;
+}
+
+static int
+on_request (h2o_handler_t *handler, h2o_req_t *req)
+{
+  static const char control[] = "/control/";
+  size_t size = sizeof control - 1;
+  int64_t slow_ms = fault_value ("slow_ms");
+
+  if (req->path.len >= size && memcmp (req->path.base, control, size) == 0)
+    {
+      if (!control_run (req))
+        call_run (req);
+    }
+  else if (connection_silent (req))
+    ; /* h2o reads no further until an answer, which never comes. */
+  else if (fault_value ("refuse"))
+    http_drop (req);
+  else if (fault_value ("outage"))
+    http_code (req, 503, "unavailable");
+  else if (slow_ms > 0)
+    server_after ((uint64_t)slow_ms, call_run, req);
+  else
+    call_run (req);
+  return 0;
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  uv_tcp_t *connection;
+
+  if (status != 0)
+    return;
+  connection = g_new0 (uv_tcp_t, 1);
+  uv_tcp_init (server.loop, connection);
+  if (uv_accept (listener, (uv_stream_t *)connection) != 0
+      || fault_value ("refuse"))
+    {
+      uv_close ((uv_handle_t *)connection, (uv_close_cb)g_free);
+      return;
+    }
+  uv_tcp_nodelay (connection, 1);
+  h2o_accept (&server.accept, h2o_uv_socket_create ((uv_stream_t *)connection,
+                                                    (uv_close_cb)g_free));
+}
+
+static void
+server_configure (void)
+{
+  h2o_hostconf_t *host;
+  h2o_handler_t *handler;
+
+  h2o_config_init (&server.config);
+  server.config.server_name = h2o_iovec_init (H2O_STRLIT ("standin"));
+  server.config.max_request_entity_size = REQUEST_MAX;
+  server.config.http1.req_timeout = KEEPALIVE_MS;
+  server.config.http1.upgrade_to_http2 = 0;
+  host = h2o_config_register_host (
+      &server.config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+  handler = h2o_create_handler (h2o_config_register_path (host, "/", 0),
+                                sizeof *handler);
+  handler->on_req = on_request;
+  h2o_context_init (&server.context, server.loop, &server.config);
+  server.accept.ctx = &server.context;
+  server.accept.hosts = server.config.hosts;
+}
+
+/* @return the port that was taken, or -1. */
+static int
+server_listen (const char *address, int port)
+{
+  struct sockaddr_in name;
+  int size = sizeof name;
+
+  if (uv_ip4_addr (address, port, &name) != 0)
+    return -1;
+  uv_tcp_init (server.loop, &server.listener);
+  if (uv_tcp_bind (&server.listener, (struct sockaddr *)&name, 0) != 0
+      || uv_listen ((uv_stream_t *)&server.listener, BACKLOG, on_connection)
+             != 0)
+    return -1;
+  uv_tcp_getsockname (&server.listener, (struct sockaddr *)&name, &size);
+  return ntohs (name.sin_port);
+}
+
+int
+server_run (const struct role *role, const char *address, int port)
+{
+  struct rlimit no_core = { 0, 0 };
+
+  signal (SIGPIPE, SIG_IGN);
+  setrlimit (RLIMIT_CORE, &no_core);
+  server.role = role;
+  server.loop = uv_default_loop ();
+  server.faults
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  server_configure ();
+  port = server_listen (address, port);
+  if (port < 0)
+    {
+      fprintf (stderr, "standin: cannot listen on %s\n", address);
+      return 1;
+    }
+  if (role->start)
+    role->start ();
+  printf ("listening %d\n", port);
+  fflush (stdout);
+  return uv_run (server.loop, UV_RUN_DEFAULT);
+}
+
+int64_t
+server_now (void)
+{
+  return (int64_t)uv_hrtime ();
+}
+
+void
+server_after (uint64_t ms, server_callback callback, void *data)
+{
+  timer_start (ms, 0, callback, data);
+}
+
+void
+server_every (uint64_t ms, server_callback callback, void *data)
+{
+  timer_start (ms, ms, callback, data);
+}
+
+int64_t
+fault_value (const char *name)
+{
+  const int64_t *value = g_hash_table_lookup (server.faults, name);
+
+  return value ? *value : 0;
+}
+
+bool
+fault_take (const char *name)
+{
+  int64_t *value = g_hash_table_lookup (server.faults, name);
+
+  if (!value || *value <= 0)
+    return false;
+  (*value)--;
+  return true;
+}
+
+/* JSON */
+
+const char *
+json_string (struct json_object *object, const char *key,
+             const char *otherwise)
+{
+  struct json_object *value;
+
+  if (!json_object_object_get_ex (object, key, &value)
+      || !json_object_is_type (value, json_type_string))
+    return otherwise;
+  return json_object_get_string (value);
+}
+
+int64_t
+json_int (struct json_object *object, const char *key, int64_t otherwise)
+{
+  struct json_object *value;
+
+  if (!json_object_object_get_ex (object, key, &value) || !value)
+    return otherwise;
+  return json_object_get_int64 (value);
+}
+
+struct json_object *
+json_array (struct json_object *object, const char *key)
+{
+  struct json_object *value;
+
+  if (!json_object_object_get_ex (object, key, &value)
+      || !json_object_is_type (value, json_type_array))
+    return NULL;
+  return value;
+}
+
+void
+json_put_string (struct json_object *object, const char *key,
+                 const char *value)
+{
+  json_object_object_add (object, key,
+                          value ? json_object_new_string (value) : NULL);
+}
+
+void
+json_put_int (struct json_object *object, const char *key, int64_t value)
+{
+  json_object_object_add (object, key, json_object_new_int64 (value));
+}
+
+/* Calls and answers */
+
+bool
+call_is (const struct call *call, const char *method, const char *path)
+{
+  return strcmp (call->method, method) == 0 && strcmp (call->path, path) == 0;
+}
+
+int64_t
+call_query_int (const struct call *call, const char *key, int64_t otherwise)
+{
+  size_t size = strlen (key);
+  const char *part = call->query;
+
+  while (part)
+    {
+      if (strncmp (part, key, size) == 0 && part[size] == '=')
+        return g_ascii_strtoll (part + size + 1, NULL, 10);
+      part = strchr (part, '&');
+      part = part ? part + 1 : NULL;
+    }
+  return otherwise;
+}
+
+const char *
+call_header (const struct call *call, const char *name)
+{
+  h2o_req_t *req = call->req;
+  const h2o_token_t *token = h2o_lookup_token (name, strlen (name));
+  ssize_t i = token ? h2o_find_header (&req->headers, token, -1)
+                    : h2o_find_header_by_str (&req->headers, name,
+                                              strlen (name), -1);
+
+  if (i < 0)
+    return NULL;
+  return pool_string (req, req->headers.entries[i].value.base,
+                      req->headers.entries[i].value.len);
+}
+
+void
+http_header (h2o_req_t *req, const char *name, const char *value)
+{
+  const char *copy = pool_string (req, value, strlen (value));
+  const char *copy_name = pool_string (req, name, strlen (name));
+
+  h2o_add_header_by_str (&req->pool, &req->res.headers, copy_name,
+                         strlen (name), 1, NULL, copy, strlen (value));
+}
+
+static const char *
+status_reason (int status)
+{
+  return status < 300 ? "OK" : "Refused";
+}
+
+void
+http_reply (h2o_req_t *req, int status, const char *type, const void *body,
+            size_t size)
+{
+  static h2o_generator_t generator = { NULL, NULL };
+  h2o_iovec_t part;
+
+  if (connection_silent (req))
+    return;
+  req->res.status = status;
+  req->res.reason = status_reason (status);
+  req->res.content_length = size;
+  http_header (req, "content-type", type);
+  part.base = h2o_mem_alloc_pool (&req->pool, size + 1);
+  part.len = size;
+  if (size)
+    memcpy (part.base, body, size);
+  h2o_start_response (req, &generator);
+  h2o_send (req, &part, 1, H2O_SEND_STATE_FINAL);
+}
+
+void
+http_json (h2o_req_t *req, int status, struct json_object *object)
+{
+  size_t size;
+  const char *text = json_object_to_json_string_length (
+      object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, &size);
+
+  http_reply (req, status, "application/json", text, size);
+  json_object_put (object);
+}
+
+void
+http_code (h2o_req_t *req, int status, const char *code)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_put_string (object, "code", code);
+  http_json (req, status, object);
+}
+
+void
+http_drop (h2o_req_t *req)
+{
+  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
+
+  /* The write of the answer then fails, and h2o frees the connection. */
+  shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
+  http_reply (req, 500, "text/plain", "", 0);
+}
+
+/* Streams */
+
+static void
+stream_lost (struct stream *stream)
+{
+  void (*gone) (struct stream *) = stream->gone;
+
+  stream->gone = NULL;
+  stream->req = NULL;
+  if (gone)
+    gone (stream);
+}
+
+static void
+stream_dispose (void *data)
+{
+  struct stream *stream = data;
+
+  stream_lost (stream);
+  g_string_free (stream->pending, TRUE);
+  g_string_free (stream->flying, TRUE);
+}
+
+static void
+stream_stop (h2o_generator_t *generator, h2o_req_t *req)
+{
+  stream_lost ((struct stream *)generator);
+}
+
+static void
+stream_proceed (h2o_generator_t *generator, h2o_req_t *req)
+{
+  struct stream *stream = (struct stream *)generator;
+
+  stream->busy = false;
+  if (stream->pending->len == 0 && !stream->ended && stream->ready)
+    stream->ready (stream);
+  if (stream->req && (stream->pending->len > 0 || stream->ended))
+    stream_flush (stream);
+}
+
+struct stream *
+stream_start (h2o_req_t *req, const char *type,
+              void (*ready) (struct stream *), void (*gone) (struct stream *),
+              void *data)
+{
+  struct stream *stream
+      = h2o_mem_alloc_shared (&req->pool, sizeof *stream, stream_dispose);
+
+  memset (stream, 0, sizeof *stream);
+  stream->generator.proceed = stream_proceed;
+  stream->generator.stop = stream_stop;
+  stream->req = req;
+  stream->pending = g_string_new (NULL);
+  stream->flying = g_string_new (NULL);
+  stream->ready = ready;
+  stream->gone = gone;
+  stream->data = data;
+  req->res.status = 200;
+  req->res.reason = status_reason (200);
+  http_header (req, "content-type", type);
+  h2o_start_response (req, &stream->generator);
+  return stream;
+}
+
+void
+stream_flush (struct stream *stream)
+{
+  GString *free_buffer = stream->flying;
+  h2o_iovec_t part;
+
+  if (stream->busy || !stream->req || connection_silent (stream->req))
+    return;
+  stream->flying = stream->pending;
+  stream->pending = free_buffer;
+  g_string_truncate (free_buffer, 0);
+  part = h2o_iovec_init (stream->flying->str, stream->flying->len);
+  stream->busy = true;
+  h2o_send (stream->req, &part, part.len ? 1 : 0,
+            stream->ended ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void
+stream_end (struct stream *stream)
+{
+  stream->ended = true;
+  stream_flush (stream);
+}
+
+void
+stream_cut (struct stream *stream)
+{
+  h2o_req_t *req = stream->req;
+  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
+
+  stream->ready = NULL;
+  shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
+  g_string_assign (stream->pending, "\n");
+  stream_end (stream);
+}
--- /dev/null
+++ b/test/standin-service.c
@@ -0,0 +1,122 @@
+#include "standin-http.h"
+#include "clock.h"
+
+#include <string.h>
+
+/** @file
+ * Role "service": a plain service that counts its runs. Any path answers 200
+ * {"run", "path"} after --delay-ms; a run counts when its request arrives.
+ * GET /control/counts answers {"keys": {IDEMPOTENCY_KEY: RUNS}, "total"}.
+ * A request with the header X-Crash or with CRASH_SERVICE in its body ends
+ * the process once it is counted.
+ *
+ * Faults besides the common ones:
+ *   drop_after_effect  the next N runs close the connection unanswered
+ */
+
+static int delay_ms;
+static struct json_object *keys; /* key to count of runs */
+static int64_t total;
+
+static const GOptionEntry options[] = {
+  { "delay-ms", 0, 0, G_OPTION_ARG_INT, &delay_ms, "Time of a run", "MS" },
+  { 0 },
+};
+
+static const char *const faults[] = { "drop_after_effect", NULL };
+
+/* A run whose answer is due later. */
+struct run
+{
+  h2o_req_t *req;
+  char *path;
+  int64_t number;
+};
+
+static void
+start (void)
+{
+  keys = json_object_new_object ();
+}
+
+static bool
+is_crash (const struct call *call)
+{
+  static const char mark[] = "CRASH_SERVICE";
+
+  return call_header (call, "x-crash")
+         || (call->req->entity.len > 0
+             && memmem (call->req->entity.base, call->req->entity.len, mark,
+                        sizeof mark - 1));
+}
+
+static void
+run_answer (void *data)
+{
+  struct run *run = data;
+  struct json_object *reply = json_object_new_object ();
+
+  json_put_int (reply, "run", run->number);
+  json_put_string (reply, "path", run->path);
+  if (fault_take ("drop_after_effect"))
+    {
+      json_object_put (reply);
+      http_drop (run->req);
+    }
+  else
+    http_json (run->req, 200, reply);
+  g_free (run->path);
+  g_free (run);
+}
+
+static void
+counts_reply (const struct call *call)
+{
+  struct json_object *reply = json_object_new_object ();
+
+  json_object_object_add (reply, "keys", json_object_get (keys));
+  json_put_int (reply, "total", total);
+  http_json (call->req, 200, reply);
+}
+
+static bool
+handle (const struct call *call)
+{
+  const char *key = call_header (call, "idempotency-key");
+  struct run *run;
+
+  if (call_is (call, "GET", "/control/counts"))
+    {
+      counts_reply (call);
+      return true;
+    }
+  if (g_str_has_prefix (call->path, "/control/"))
+    return false;
+  total++;
+  if (key)
+    json_put_int (keys, key, json_int (keys, key, 0) + 1);
+  if (is_crash (call))
+    abort ();
+  run = g_new0 (struct run, 1);
+  run->req = call->req;
+  run->path = g_strdup (call->path);
+  run->number = total;
+  if (delay_ms > 0)
+    server_after ((uint64_t)delay_ms, run_answer, run);
+  else
+    run_answer (run);
+  return true;
+}
+
+static void
+stats (struct json_object *object)
+{
+  json_put_int (object, "total", total);
+}
+
+const struct role role_service = { .name = "service",
+                                   .faults = faults,
+                                   .options = options,
+                                   .start = start,
+                                   .handle = handle,
+                                   .stats = stats };
