--- /dev/null
+++ b/src/enginehttp.c
@@ -0,0 +1,410 @@
+#include "enginehttp.h"
+#include "clock.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOAD_TIMEOUT_NS (NS_PER_S)
+#define EVENTS_TIMEOUT_NS (2 * NS_PER_S)
+#define EXPORT_TIMEOUT_NS (30 * NS_PER_S)
+#define ORDER_TIMEOUT_NS (2 * NS_PER_S)
+
+enum
+{
+  HTTP_OK = 200,
+  HTTP_ACCEPTED = 202,
+  HTTP_NOT_FOUND = 404,
+  HTTP_CONFLICT = 409,
+  HEADER_TEXT_MAX = 128 /* bytes of a header value that is looked at */
+};
+
+/* One asked question. */
+struct question
+{
+  union
+  {
+    engine_load_done load;
+    engine_events_done events;
+    engine_listing_done listing;
+    engine_exported_done exported;
+    engine_order_done order;
+  } done;
+  void *data;
+};
+
+struct engine_stream
+{
+  struct httpclient_call *call;
+  const struct engine_stream_ops *ops;
+  void *data;
+};
+
+static struct question *
+question_new (void *data)
+{
+  struct question *question = g_malloc0 (sizeof *question);
+
+  question->data = data;
+  return question;
+}
+
+static void
+ask (struct engineclient *client, const char *address, const char *method,
+     const char *path, struct json_object *body, int64_t timeout_ns,
+     httpjson_done done, struct question *question)
+{
+  struct enginehttp *enginehttp = (struct enginehttp *)client;
+  struct httpjson_request request = {
+    .address = address,
+    .method = method,
+    .path = path,
+    .body = body,
+    .timeout_ns = timeout_ns,
+  };
+
+  httpjson_call (enginehttp->httpjson, &request, done, question);
+}
+
+static enum status
+reply_status (const struct httpjson_reply *reply)
+{
+  if (reply->status != STATUS_OK)
+    return reply->status;
+  if (reply->http_status == HTTP_NOT_FOUND)
+    return STATUS_NOT_FOUND;
+  if (reply->http_status == HTTP_CONFLICT)
+    return STATUS_STALE;
+  if (reply->http_status != HTTP_OK && reply->http_status != HTTP_ACCEPTED)
+    return STATUS_UNAVAILABLE;
+  return reply->body != NULL ? STATUS_OK : STATUS_CORRUPT;
+}
+
+static void
+load_answered (void *data, const struct httpjson_reply *reply)
+{
+  struct question *question = data;
+  struct engine_load load = { 0 };
+  struct engine_version *versions;
+  struct json_object *list;
+  enum status status = reply_status (reply);
+
+  if (status != STATUS_OK)
+    {
+      question->done.load (question->data, status, NULL);
+      g_free (question);
+      return;
+    }
+  list = json_field_array (reply->body, "versions", &load.version_count);
+  versions = g_new0 (struct engine_version, load.version_count + 1);
+  for (size_t i = 0; i < load.version_count; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (list, i);
+
+      versions[i].model = json_field_text (item, "model");
+      versions[i].version = json_field_text (item, "version");
+      versions[i].adapter = json_field_text (item, "adapter");
+    }
+  load.versions = versions;
+  load.incarnation = json_field_uint (reply->body, "incarnation");
+  load.sequence = json_field_uint (reply->body, "sequence");
+  load.leaving
+      = strcmp (json_field_text (reply->body, "state"), "leaving") == 0;
+  load.running = (uint32_t)json_field_uint (reply->body, "running");
+  load.queued = (uint32_t)json_field_uint (reply->body, "queued");
+  load.queued_tokens = (int64_t)json_field_uint (reply->body, "queued_tokens");
+  load.prefill_tokens_per_s
+      = json_field_double (reply->body, "prefill_tokens_per_s");
+  load.role = json_field_text (reply->body, "role");
+  question->done.load (question->data, STATUS_OK, &load);
+  g_free (versions);
+  g_free (question);
+}
+
+static void
+http_load (struct engineclient *client, const char *address,
+           engine_load_done done, void *data)
+{
+  struct question *question = question_new (data);
+
+  question->done.load = done;
+  ask (client, address, "GET", "/v1/load", NULL, LOAD_TIMEOUT_NS,
+       load_answered, question);
+}
+
+static void
+events_answered (void *data, const struct httpjson_reply *reply)
+{
+  struct question *question = data;
+  struct engine_events events = { 0 };
+  struct engine_event *items;
+  struct json_object *list;
+  enum status status = reply_status (reply);
+
+  if (status != STATUS_OK)
+    {
+      question->done.events (question->data, status, NULL);
+      g_free (question);
+      return;
+    }
+  list = json_field_array (reply->body, "events", &events.count);
+  items = g_new0 (struct engine_event, events.count + 1);
+  for (size_t i = 0; i < events.count; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (list, i);
+
+      items[i].sequence = json_field_uint (item, "sequence");
+      items[i].stored = strcmp (json_field_text (item, "kind"), "stored") == 0;
+      items[i].block = json_field_text (item, "block");
+    }
+  events.first = json_field_uint (reply->body, "first");
+  events.next = json_field_uint (reply->body, "next");
+  events.events = items;
+  question->done.events (question->data, STATUS_OK, &events);
+  g_free (items);
+  g_free (question);
+}
+
+static void
+http_events (struct engineclient *client, const char *address, uint64_t after,
+             engine_events_done done, void *data)
+{
+  struct question *question = question_new (data);
+  char path[64];
+
+  question->done.events = done;
+  g_snprintf (path, sizeof path, "/v1/cache/events?after=%" G_GUINT64_FORMAT,
+              after);
+  ask (client, address, "GET", path, NULL, EVENTS_TIMEOUT_NS, events_answered,
+       question);
+}
+
+static void
+listing_answered (void *data, const struct httpjson_reply *reply)
+{
+  struct question *question = data;
+  struct engine_listing listing = { 0 };
+  const char **blocks;
+  struct json_object *list;
+  enum status status = reply_status (reply);
+
+  if (status != STATUS_OK)
+    {
+      question->done.listing (question->data, status, NULL);
+      g_free (question);
+      return;
+    }
+  list = json_field_array (reply->body, "blocks", &listing.count);
+  blocks = g_new0 (const char *, listing.count + 1);
+  for (size_t i = 0; i < listing.count; i++)
+    blocks[i] = json_object_get_string (json_object_array_get_idx (list, i));
+  listing.next = json_field_uint (reply->body, "next");
+  listing.blocks = blocks;
+  question->done.listing (question->data, STATUS_OK, &listing);
+  g_free (blocks);
+  g_free (question);
+}
+
+static void
+http_listing (struct engineclient *client, const char *address,
+              engine_listing_done done, void *data)
+{
+  struct question *question = question_new (data);
+
+  question->done.listing = done;
+  ask (client, address, "GET", "/v1/cache/blocks", NULL, EVENTS_TIMEOUT_NS,
+       listing_answered, question);
+}
+
+static void
+export_answered (void *data, const struct httpjson_reply *reply)
+{
+  struct question *question = data;
+  struct engine_exported exported = { 0 };
+  enum status status = reply_status (reply);
+
+  if (status == STATUS_OK)
+    {
+      exported.length = json_field_uint (reply->body, "length");
+      exported.checksum = json_field_text (reply->body, "checksum");
+    }
+  question->done.exported (question->data, status,
+                           status == STATUS_OK ? &exported : NULL);
+  g_free (question);
+}
+
+static void
+http_export (struct engineclient *client, const char *address,
+             const struct engine_export *order, engine_exported_done done,
+             void *data)
+{
+  struct question *question = question_new (data);
+  struct json_object *body = json_object_new_object ();
+
+  question->done.exported = done;
+  json_add_text (body, "block", order->block);
+  json_add_text (body, "url", order->url);
+  json_add_uint (body, "generation", order->generation);
+  ask (client, address, "POST", "/v1/kv/export", body, EXPORT_TIMEOUT_NS,
+       export_answered, question);
+}
+
+static void
+order_answered (void *data, const struct httpjson_reply *reply)
+{
+  struct question *question = data;
+  enum status status = reply_status (reply);
+  uint64_t highest = 0;
+
+  if (reply->body != NULL)
+    highest = json_field_uint (reply->body, "fencing");
+  if (status == STATUS_CORRUPT)
+    status = STATUS_OK; /* accepted without a body */
+  question->done.order (question->data, status, highest);
+  g_free (question);
+}
+
+static void
+http_order (struct engineclient *client, const char *address,
+            const struct engine_order *order, engine_order_done done,
+            void *data)
+{
+  struct question *question = question_new (data);
+  struct json_object *body = json_object_new_object ();
+
+  question->done.order = done;
+  json_add_text (body, "order", order->id);
+  json_add_uint (body, "fencing", order->fencing);
+  json_add_text (body, "kind", order->kind);
+  json_add_text (body, "model", order->model);
+  json_add_text (body, "version", order->version);
+  json_add_text (body, "adapter", order->adapter);
+  json_add_text (body, "role", order->role);
+  ask (client, address, "POST", "/v1/orders", body, ORDER_TIMEOUT_NS,
+       order_answered, question);
+}
+
+static void
+ignore_answer (void *data, const struct httpjson_reply *reply)
+{
+}
+
+static void
+http_cancel (struct engineclient *client, const char *address,
+             const char *request)
+{
+  struct json_object *body = json_object_new_object ();
+
+  json_add_text (body, "request", request);
+  ask (client, address, "POST", "/v1/cancel", body, LOAD_TIMEOUT_NS,
+       ignore_answer, NULL);
+}
+
+static int64_t
+header_number (const struct httpclient_head *head, const char *name)
+{
+  char text[HEADER_TEXT_MAX];
+
+  if (httpclient_header_value (head, name, text, sizeof text) == NULL)
+    return 0;
+  return strtoll (text, NULL, 10);
+}
+
+static void
+stream_head (void *data, const struct httpclient_head *head)
+{
+  struct engine_stream *stream = data;
+  char version[HEADER_TEXT_MAX] = "";
+  char type[HEADER_TEXT_MAX] = "";
+  struct engine_head engine_head = { .http_status = head->status };
+
+  httpclient_header_value (head, "x-weight-version", version, sizeof version);
+  httpclient_header_value (head, "content-type", type, sizeof type);
+  engine_head.not_run = header_number (head, "x-not-run") == 1;
+  engine_head.streamed = strncmp (type, "text/event-stream", 17) == 0;
+  engine_head.cached_tokens = header_number (head, "x-cached-tokens");
+  engine_head.imported_tokens = header_number (head, "x-imported-tokens");
+  engine_head.computed_tokens = header_number (head, "x-computed-tokens");
+  engine_head.version = version;
+  engine_head.content_type = type;
+  stream->ops->head (stream->data, &engine_head);
+}
+
+static void
+stream_bytes (void *data, const char *bytes, size_t size)
+{
+  struct engine_stream *stream = data;
+
+  stream->ops->bytes (stream->data, bytes, size);
+}
+
+static void
+stream_end (void *data, const struct httpclient_end *end)
+{
+  struct engine_stream *stream = data;
+  const struct engine_stream_ops *ops = stream->ops;
+  void *owner = stream->data;
+
+  g_free (stream);
+  ops->end (owner, end->status, end->message);
+}
+
+static const struct httpclient_ops stream_ops
+    = { stream_head, stream_bytes, stream_end };
+
+static struct engine_stream *
+http_call (struct engineclient *client, const struct engine_call *call,
+           const struct engine_stream_ops *ops, void *data)
+{
+  struct enginehttp *enginehttp = (struct enginehttp *)client;
+  struct engine_stream *stream = g_malloc0 (sizeof *stream);
+  struct httpclient_request request = {
+    .address = call->address,
+    .method = call->method,
+    .path = call->path,
+    .header_lines = call->header_lines,
+    .body = call->body,
+    .body_size = call->body_size,
+    .fresh = call->fresh,
+  };
+
+  stream->ops = ops;
+  stream->data = data;
+  stream->call = httpclient_call (enginehttp->httpclient, &request,
+                                  &stream_ops, stream);
+  return stream;
+}
+
+static void
+http_stream_close (struct engine_stream *stream)
+{
+  httpclient_cancel (stream->call);
+  g_free (stream);
+}
+
+static bool
+http_stream_handed_over (const struct engine_stream *stream)
+{
+  return httpclient_handed_over (stream->call);
+}
+
+static const struct engine_ops enginehttp_ops = {
+  .load = http_load,
+  .events = http_events,
+  .listing = http_listing,
+  .export_block = http_export,
+  .order = http_order,
+  .cancel = http_cancel,
+  .call = http_call,
+  .stream_close = http_stream_close,
+  .stream_handed_over = http_stream_handed_over,
+};
+
+void
+enginehttp_init (struct enginehttp *enginehttp, struct httpclient *httpclient,
+                 struct httpjson *httpjson)
+{
+  enginehttp->client.ops = &enginehttp_ops;
+  enginehttp->httpclient = httpclient;
+  enginehttp->httpjson = httpjson;
+}
