--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -232,7 +232,187 @@
   assert(message->base.descriptor == &peer__refused__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[8] =
+void   peer__load_query__init
+                     (Peer__LoadQuery         *message)
+{
+  static const Peer__LoadQuery init_value = PEER__LOAD_QUERY__INIT;
+  *message = init_value;
+}
+size_t peer__load_query__get_packed_size
+                     (const Peer__LoadQuery *message)
+{
+  assert(message->base.descriptor == &peer__load_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__load_query__pack
+                     (const Peer__LoadQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__load_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__load_query__pack_to_buffer
+                     (const Peer__LoadQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__load_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LoadQuery *
+       peer__load_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LoadQuery *)
+     protobuf_c_message_unpack (&peer__load_query__descriptor,
+                                allocator, len, data);
+}
+void   peer__load_query__free_unpacked
+                     (Peer__LoadQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__load_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__engine_version__init
+                     (Peer__EngineVersion         *message)
+{
+  static const Peer__EngineVersion init_value = PEER__ENGINE_VERSION__INIT;
+  *message = init_value;
+}
+size_t peer__engine_version__get_packed_size
+                     (const Peer__EngineVersion *message)
+{
+  assert(message->base.descriptor == &peer__engine_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__engine_version__pack
+                     (const Peer__EngineVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__engine_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__engine_version__pack_to_buffer
+                     (const Peer__EngineVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__engine_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__EngineVersion *
+       peer__engine_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__EngineVersion *)
+     protobuf_c_message_unpack (&peer__engine_version__descriptor,
+                                allocator, len, data);
+}
+void   peer__engine_version__free_unpacked
+                     (Peer__EngineVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__engine_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__engine_load__init
+                     (Peer__EngineLoad         *message)
+{
+  static const Peer__EngineLoad init_value = PEER__ENGINE_LOAD__INIT;
+  *message = init_value;
+}
+size_t peer__engine_load__get_packed_size
+                     (const Peer__EngineLoad *message)
+{
+  assert(message->base.descriptor == &peer__engine_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__engine_load__pack
+                     (const Peer__EngineLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__engine_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__engine_load__pack_to_buffer
+                     (const Peer__EngineLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__engine_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__EngineLoad *
+       peer__engine_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__EngineLoad *)
+     protobuf_c_message_unpack (&peer__engine_load__descriptor,
+                                allocator, len, data);
+}
+void   peer__engine_load__free_unpacked
+                     (Peer__EngineLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__engine_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__load_reply__init
+                     (Peer__LoadReply         *message)
+{
+  static const Peer__LoadReply init_value = PEER__LOAD_REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__load_reply__get_packed_size
+                     (const Peer__LoadReply *message)
+{
+  assert(message->base.descriptor == &peer__load_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__load_reply__pack
+                     (const Peer__LoadReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__load_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__load_reply__pack_to_buffer
+                     (const Peer__LoadReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__load_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LoadReply *
+       peer__load_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LoadReply *)
+     protobuf_c_message_unpack (&peer__load_reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__load_reply__free_unpacked
+                     (Peer__LoadReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__load_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[10] =
 {
   {
     "protocol",
@@ -330,11 +510,37 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load_query",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, load_query),
+    &peer__load_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_reply",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, load_reply),
+    &peer__load_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = config_revision */
   4,   /* field[4] = hello */
   1,   /* field[1] = incarnation */
+  8,   /* field[8] = load_query */
+  9,   /* field[9] = load_reply */
   5,   /* field[5] = ping */
   6,   /* field[6] = pong */
   0,   /* field[0] = protocol */
@@ -345,7 +551,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor peer__envelope__descriptor =
 {
@@ -355,14 +561,14 @@
   "Peer__Envelope",
   "peer",
   sizeof(Peer__Envelope),
-  8,
+  10,
   peer__envelope__field_descriptors,
   peer__envelope__field_indices_by_name,
   2,  peer__envelope__number_ranges,
   (ProtobufCMessageInit) peer__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__hello__field_descriptors[6] =
 {
   {
     "process",
@@ -400,16 +606,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "peer_address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Hello, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "http_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Hello, http_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Hello, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__hello__field_indices_by_name[] = {
   2,   /* field[2] = data_centre */
+  4,   /* field[4] = http_address */
+  5,   /* field[5] = leaving */
+  3,   /* field[3] = peer_address */
   0,   /* field[0] = process */
   1,   /* field[1] = role */
 };
 static const ProtobufCIntRange peer__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__hello__descriptor =
 {
@@ -419,7 +664,7 @@
   "Peer__Hello",
   "peer",
   sizeof(Peer__Hello),
-  3,
+  6,
   peer__hello__field_descriptors,
   peer__hello__field_indices_by_name,
   1,  peer__hello__number_ranges,
@@ -566,3 +811,285 @@
   (ProtobufCMessageInit) peer__refused__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__load_query__field_descriptors[1] =
+{
+  {
+    "engines",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__LoadQuery, n_engines),
+    offsetof(Peer__LoadQuery, engines),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__load_query__field_indices_by_name[] = {
+  0,   /* field[0] = engines */
+};
+static const ProtobufCIntRange peer__load_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__load_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LoadQuery",
+  "LoadQuery",
+  "Peer__LoadQuery",
+  "peer",
+  sizeof(Peer__LoadQuery),
+  1,
+  peer__load_query__field_descriptors,
+  peer__load_query__field_indices_by_name,
+  1,  peer__load_query__number_ranges,
+  (ProtobufCMessageInit) peer__load_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__engine_version__field_descriptors[3] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineVersion, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineVersion, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapter",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineVersion, adapter),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__engine_version__field_indices_by_name[] = {
+  2,   /* field[2] = adapter */
+  0,   /* field[0] = model */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange peer__engine_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__engine_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.EngineVersion",
+  "EngineVersion",
+  "Peer__EngineVersion",
+  "peer",
+  sizeof(Peer__EngineVersion),
+  3,
+  peer__engine_version__field_descriptors,
+  peer__engine_version__field_indices_by_name,
+  1,  peer__engine_version__number_ranges,
+  (ProtobufCMessageInit) peer__engine_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__engine_load__field_descriptors[9] =
+{
+  {
+    "engine",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineLoad, engine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineLoad, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineLoad, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineLoad, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineLoad, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineLoad, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued_tokens",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineLoad, queued_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill_tokens_per_s",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EngineLoad, prefill_tokens_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__EngineLoad, n_versions),
+    offsetof(Peer__EngineLoad, versions),
+    &peer__engine_version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__engine_load__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  0,   /* field[0] = engine */
+  1,   /* field[1] = incarnation */
+  4,   /* field[4] = leaving */
+  7,   /* field[7] = prefill_tokens_per_s */
+  6,   /* field[6] = queued_tokens */
+  5,   /* field[5] = running */
+  2,   /* field[2] = sequence */
+  8,   /* field[8] = versions */
+};
+static const ProtobufCIntRange peer__engine_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor peer__engine_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.EngineLoad",
+  "EngineLoad",
+  "Peer__EngineLoad",
+  "peer",
+  sizeof(Peer__EngineLoad),
+  9,
+  peer__engine_load__field_descriptors,
+  peer__engine_load__field_indices_by_name,
+  1,  peer__engine_load__number_ranges,
+  (ProtobufCMessageInit) peer__engine_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__load_reply__field_descriptors[1] =
+{
+  {
+    "engines",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LoadReply, n_engines),
+    offsetof(Peer__LoadReply, engines),
+    &peer__engine_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__load_reply__field_indices_by_name[] = {
+  0,   /* field[0] = engines */
+};
+static const ProtobufCIntRange peer__load_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__load_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LoadReply",
+  "LoadReply",
+  "Peer__LoadReply",
+  "peer",
+  sizeof(Peer__LoadReply),
+  1,
+  peer__load_reply__field_descriptors,
+  peer__load_reply__field_indices_by_name,
+  1,  peer__load_reply__number_ranges,
+  (ProtobufCMessageInit) peer__load_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -20,6 +20,10 @@
 typedef struct Peer__Ping Peer__Ping;
 typedef struct Peer__Pong Peer__Pong;
 typedef struct Peer__Refused Peer__Refused;
+typedef struct Peer__LoadQuery Peer__LoadQuery;
+typedef struct Peer__EngineVersion Peer__EngineVersion;
+typedef struct Peer__EngineLoad Peer__EngineLoad;
+typedef struct Peer__LoadReply Peer__LoadReply;
 
 
 /* --- enums --- */
@@ -32,7 +36,9 @@
   PEER__ENVELOPE__BODY_HELLO = 10,
   PEER__ENVELOPE__BODY_PING = 11,
   PEER__ENVELOPE__BODY_PONG = 12,
-  PEER__ENVELOPE__BODY_REFUSED = 13
+  PEER__ENVELOPE__BODY_REFUSED = 13,
+  PEER__ENVELOPE__BODY_LOAD_QUERY = 14,
+  PEER__ENVELOPE__BODY_LOAD_REPLY = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__ENVELOPE__BODY__CASE)
 } Peer__Envelope__BodyCase;
 
@@ -58,6 +64,8 @@
     Peer__Ping *ping;
     Peer__Pong *pong;
     Peer__Refused *refused;
+    Peer__LoadQuery *load_query;
+    Peer__LoadReply *load_reply;
   };
 };
 #define PEER__ENVELOPE__INIT \
@@ -71,10 +79,13 @@
   char *process;
   char *role;
   char *data_centre;
+  char *peer_address;
+  char *http_address;
+  protobuf_c_boolean leaving;
 };
 #define PEER__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Peer__Ping
@@ -112,6 +123,68 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Asks a shard for the load of engines that it watches.
+ */
+struct  Peer__LoadQuery
+{
+  ProtobufCMessage base;
+  size_t n_engines;
+  char **engines;
+};
+#define PEER__LOAD_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__load_query__descriptor) \
+    , 0,NULL }
+
+
+struct  Peer__EngineVersion
+{
+  ProtobufCMessage base;
+  char *model;
+  char *version;
+  char *adapter;
+};
+#define PEER__ENGINE_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__engine_version__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Peer__EngineLoad
+{
+  ProtobufCMessage base;
+  char *engine;
+  uint64_t incarnation;
+  uint64_t sequence;
+  /*
+   * Since the shard asked the engine.
+   */
+  uint32_t age_ms;
+  protobuf_c_boolean leaving;
+  uint32_t running;
+  uint64_t queued_tokens;
+  double prefill_tokens_per_s;
+  size_t n_versions;
+  Peer__EngineVersion **versions;
+};
+#define PEER__ENGINE_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__engine_load__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Engines that the shard does not know are left out.
+ */
+struct  Peer__LoadReply
+{
+  ProtobufCMessage base;
+  size_t n_engines;
+  Peer__EngineLoad **engines;
+};
+#define PEER__LOAD_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__load_reply__descriptor) \
+    , 0,NULL }
+
+
 /* Peer__Envelope methods */
 void   peer__envelope__init
                      (Peer__Envelope         *message);
@@ -207,6 +280,82 @@
 void   peer__refused__free_unpacked
                      (Peer__Refused *message,
                       ProtobufCAllocator *allocator);
+/* Peer__LoadQuery methods */
+void   peer__load_query__init
+                     (Peer__LoadQuery         *message);
+size_t peer__load_query__get_packed_size
+                     (const Peer__LoadQuery   *message);
+size_t peer__load_query__pack
+                     (const Peer__LoadQuery   *message,
+                      uint8_t             *out);
+size_t peer__load_query__pack_to_buffer
+                     (const Peer__LoadQuery   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LoadQuery *
+       peer__load_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__load_query__free_unpacked
+                     (Peer__LoadQuery *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__EngineVersion methods */
+void   peer__engine_version__init
+                     (Peer__EngineVersion         *message);
+size_t peer__engine_version__get_packed_size
+                     (const Peer__EngineVersion   *message);
+size_t peer__engine_version__pack
+                     (const Peer__EngineVersion   *message,
+                      uint8_t             *out);
+size_t peer__engine_version__pack_to_buffer
+                     (const Peer__EngineVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__EngineVersion *
+       peer__engine_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__engine_version__free_unpacked
+                     (Peer__EngineVersion *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__EngineLoad methods */
+void   peer__engine_load__init
+                     (Peer__EngineLoad         *message);
+size_t peer__engine_load__get_packed_size
+                     (const Peer__EngineLoad   *message);
+size_t peer__engine_load__pack
+                     (const Peer__EngineLoad   *message,
+                      uint8_t             *out);
+size_t peer__engine_load__pack_to_buffer
+                     (const Peer__EngineLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__EngineLoad *
+       peer__engine_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__engine_load__free_unpacked
+                     (Peer__EngineLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__LoadReply methods */
+void   peer__load_reply__init
+                     (Peer__LoadReply         *message);
+size_t peer__load_reply__get_packed_size
+                     (const Peer__LoadReply   *message);
+size_t peer__load_reply__pack
+                     (const Peer__LoadReply   *message,
+                      uint8_t             *out);
+size_t peer__load_reply__pack_to_buffer
+                     (const Peer__LoadReply   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LoadReply *
+       peer__load_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__load_reply__free_unpacked
+                     (Peer__LoadReply *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Peer__Envelope_Closure)
@@ -224,6 +373,18 @@
 typedef void (*Peer__Refused_Closure)
                  (const Peer__Refused *message,
                   void *closure_data);
+typedef void (*Peer__LoadQuery_Closure)
+                 (const Peer__LoadQuery *message,
+                  void *closure_data);
+typedef void (*Peer__EngineVersion_Closure)
+                 (const Peer__EngineVersion *message,
+                  void *closure_data);
+typedef void (*Peer__EngineLoad_Closure)
+                 (const Peer__EngineLoad *message,
+                  void *closure_data);
+typedef void (*Peer__LoadReply_Closure)
+                 (const Peer__LoadReply *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -235,6 +396,10 @@
 extern const ProtobufCMessageDescriptor peer__ping__descriptor;
 extern const ProtobufCMessageDescriptor peer__pong__descriptor;
 extern const ProtobufCMessageDescriptor peer__refused__descriptor;
+extern const ProtobufCMessageDescriptor peer__load_query__descriptor;
+extern const ProtobufCMessageDescriptor peer__engine_version__descriptor;
+extern const ProtobufCMessageDescriptor peer__engine_load__descriptor;
+extern const ProtobufCMessageDescriptor peer__load_reply__descriptor;
 
 PROTOBUF_C__END_DECLS
 
