Block identity and link budgets

Cause: context reuse needs ids that never match across organisations or weight versions, and store links need a budget that urgent imports share with exports without waiting for them. Ruled out: one bucket with a reserve for urgent imports; a reserve bounds the delay but does not remove it. An id without a route part; its blocks spread over all shards and a lookup would ask all of them. Change: keyed BLAKE2b chain rooted in the scope, with two route bytes from the first piece; a cascade of token buckets, where a lower priority gets only what a higher one can't hold. First try failed (link/wait): with a higher priority in debt, a full export bucket still let an export start; exports now wait until that is paid.

--- /dev/null
+++ b/src/block.c
@@ -0,0 +1,154 @@
+#include "block.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  DIGEST_SIZE = 32,
+  ROUTE_SIZE = 2,
+  CHECKSUM_SIZE = 8
+};
+
+struct digest
+{
+  uint8_t bytes[DIGEST_SIZE];
+};
+
+static enum status
+name_copy (char to[BLOCK_NAME_MAX], const char *from)
+{
+  size_t size = strlen (from);
+
+  if (size >= BLOCK_NAME_MAX)
+    return STATUS_INVALID;
+  memset (to, 0, BLOCK_NAME_MAX);
+  memcpy (to, from, size);
+  return STATUS_OK;
+}
+
+/* The fields have a fixed size, so that no two scopes read the same. */
+static void
+digest_scope (struct digest *digest, const struct block_scope *scope,
+              const struct block_key *key)
+{
+  crypto_generichash (digest->bytes, DIGEST_SIZE, (const uint8_t *)scope,
+                      sizeof *scope, key->bytes, sizeof key->bytes);
+}
+
+static void
+digest_extend (struct digest *digest, const struct block_key *key,
+               const uint8_t *piece, size_t size)
+{
+  crypto_generichash_state state;
+
+  crypto_generichash_init (&state, key->bytes, sizeof key->bytes, DIGEST_SIZE);
+  crypto_generichash_update (&state, digest->bytes, DIGEST_SIZE);
+  crypto_generichash_update (&state, piece, size);
+  crypto_generichash_final (&state, digest->bytes, DIGEST_SIZE);
+}
+
+enum status
+block_scope_init (struct block_scope *scope, const char *organisation,
+                  const char *model, const char *version, const char *adapter)
+{
+  if (*organisation == '\0' || *model == '\0' || *version == '\0')
+    return STATUS_INVALID;
+  if (name_copy (scope->organisation, organisation) != STATUS_OK
+      || name_copy (scope->model, model) != STATUS_OK
+      || name_copy (scope->version, version) != STATUS_OK)
+    return STATUS_INVALID;
+  return name_copy (scope->adapter, adapter != NULL ? adapter : "");
+}
+
+bool
+block_scope_equal (const struct block_scope *a, const struct block_scope *b)
+{
+  return strcmp (a->organisation, b->organisation) == 0
+         && strcmp (a->model, b->model) == 0
+         && strcmp (a->version, b->version) == 0
+         && strcmp (a->adapter, b->adapter) == 0;
+}
+
+unsigned
+block_scope_hash (const void *scope)
+{
+  return (unsigned)XXH3_64bits (scope, sizeof (struct block_scope));
+}
+
+size_t
+block_chain (const struct block_scope *scope, const struct block_key *key,
+             const void *prompt, size_t size, size_t piece_bytes,
+             struct block_id *ids, size_t max)
+{
+  const uint8_t *bytes = prompt;
+  size_t count = size / piece_bytes < max ? size / piece_bytes : max;
+  struct digest digest;
+
+  digest_scope (&digest, scope, key);
+  for (size_t i = 0; i < count; i++)
+    {
+      digest_extend (&digest, key, bytes + i * piece_bytes, piece_bytes);
+      memcpy (ids[i].bytes, digest.bytes, BLOCK_ID_SIZE);
+      memcpy (ids[i].bytes, ids[0].bytes, ROUTE_SIZE);
+    }
+  return count;
+}
+
+unsigned
+block_id_hash (const void *id)
+{
+  unsigned hash;
+
+  /* The tail of an id is uniform; the route is not within one shard. */
+  memcpy (&hash, (const uint8_t *)id + BLOCK_ID_SIZE - sizeof hash,
+          sizeof hash);
+  return hash;
+}
+
+void
+block_to_hex (const struct block_id *id, char hex[BLOCK_HEX_SIZE])
+{
+  sodium_bin2hex (hex, BLOCK_HEX_SIZE, id->bytes, BLOCK_ID_SIZE);
+}
+
+enum status
+block_from_hex (struct block_id *id, const char *hex)
+{
+  size_t size;
+
+  if (strlen (hex) != BLOCK_HEX_SIZE - 1)
+    return STATUS_INVALID;
+  if (sodium_hex2bin (id->bytes, BLOCK_ID_SIZE, hex, BLOCK_HEX_SIZE - 1, NULL,
+                      &size, NULL)
+      != 0)
+    return STATUS_INVALID;
+  return size == BLOCK_ID_SIZE ? STATUS_OK : STATUS_INVALID;
+}
+
+void
+block_checksum_to_hex (uint64_t checksum, char hex[BLOCK_CHECKSUM_HEX])
+{
+  snprintf (hex, BLOCK_CHECKSUM_HEX, "%016llx", (unsigned long long)checksum);
+}
+
+enum status
+block_checksum_from_hex (uint64_t *checksum, const char *hex)
+{
+  uint8_t bytes[CHECKSUM_SIZE];
+  size_t size;
+
+  if (strlen (hex) != BLOCK_CHECKSUM_HEX - 1)
+    return STATUS_INVALID;
+  if (sodium_hex2bin (bytes, sizeof bytes, hex, BLOCK_CHECKSUM_HEX - 1, NULL,
+                      &size, NULL)
+          != 0
+      || size != sizeof bytes)
+    return STATUS_INVALID;
+  *checksum = 0;
+  for (size_t i = 0; i < sizeof bytes; i++)
+    *checksum = *checksum << 8 | bytes[i];
+  return STATUS_OK;
+}
--- /dev/null
+++ b/src/link.h
@@ -0,0 +1,76 @@
+#ifndef LINK_H
+#define LINK_H
+
+#include "clock.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** @file
+ * The budget of one store link: a cascade of token buckets, one for each
+ * priority. What a full bucket can't hold flows to the next lower priority,
+ * so nothing lower ever delays what is higher.
+ */
+
+/** The largest rate, in bytes per second. */
+#define LINK_RATE_MAX INT64_C (16000000000)
+
+enum link_priority
+{
+  LINK_URGENT, /**< Imports for requests of urgent kinds. */
+  LINK_IMPORT, /**< Other imports. */
+  LINK_EXPORT,
+  LINK_PRIORITIES
+};
+
+struct link
+{
+  const struct clock *clock;
+  int64_t configured;             /**< bytes per second */
+  int64_t rate;                   /**< in force; lower when seen slow */
+  int64_t burst;                  /**< bytes that a bucket holds at most */
+  int64_t level[LINK_PRIORITIES]; /**< bytes; negative: backlog */
+  int64_t fraction;               /**< of a byte, in billionths */
+  int64_t refreshed_ns;
+  double speed; /**< seen over configured rate, in (0, 1] */
+};
+
+/** What a transfer would cost now: BACKLOG_NS + bytes * NS_PER_BYTE. */
+struct link_quote
+{
+  double backlog_ns;
+  double ns_per_byte;
+};
+
+/** RATE is in [1, LINK_RATE_MAX] bytes per second, BURST in bytes; all
+ * buckets start full. */
+void link_init (struct link *link, const struct clock *clock, int64_t rate,
+                int64_t burst);
+
+/** Change the configured rate, as when the number of processes that share
+ * the link changes. */
+void link_set_rate (struct link *link, int64_t rate);
+
+struct link_quote link_quote (struct link *link, enum link_priority priority);
+
+/** Time until a transfer of BYTES that is taken now would be over, in ns. */
+int64_t link_wait (struct link *link, enum link_priority priority,
+                   int64_t bytes);
+
+/** Take BYTES at once; the bucket may go below zero.
+ * @return link_wait as it was before. */
+int64_t link_take (struct link *link, enum link_priority priority,
+                   int64_t bytes);
+
+/** Take BYTES only if the bucket covers them or is full. For exports. */
+bool link_try (struct link *link, enum link_priority priority, int64_t bytes);
+
+/** Give back BYTES that were taken and not transferred. */
+void link_return (struct link *link, enum link_priority priority,
+                  int64_t bytes);
+
+/** A transfer was foreseen to take EXPECTED_NS and took ACTUAL_NS: a slow
+ * link lowers the rate, which recovers by itself in tens of seconds. */
+void link_observe (struct link *link, int64_t expected_ns, int64_t actual_ns);
+
+#endif
--- /dev/null
+++ b/test/test-link.c
@@ -0,0 +1,194 @@
+#include "block.h"
+#include "link.h"
+#include "rng.h"
+#include "unit.h"
+
+#include <string.h>
+
+enum
+{
+  STEPS = 20000,
+  RATE = 1000003, /* bytes per second; prime, so that fractions matter */
+  BURST = 50000   /* bytes */
+};
+
+/* Exact model: bytes times billionths in 128 bits, nothing ever rounded. */
+struct exact
+{
+  __int128 level[LINK_PRIORITIES];
+  int64_t at_ns;
+};
+
+static void
+exact_refresh (struct exact *exact, int64_t now)
+{
+  __int128 inflow = (__int128)RATE * (now - exact->at_ns);
+
+  exact->at_ns = now;
+  for (int p = 0; p < LINK_PRIORITIES; p++)
+    {
+      __int128 room = (__int128)BURST * NS_PER_S - exact->level[p];
+      __int128 part = inflow < room ? inflow : room;
+
+      exact->level[p] += part;
+      inflow -= part;
+    }
+}
+
+/* Levels are whole bytes and the fraction is carried, so each bucket is never
+ * more than a byte off, and the total below the caps never more than one. */
+static void
+test_against_exact_arithmetic (void)
+{
+  struct clock_fake fake;
+  struct exact exact = { .at_ns = 0 };
+  struct link link;
+  struct rng rng;
+  __int128 worst = 0;
+
+  rng_init (&rng, 41);
+  clock_fake_init (&fake, 0);
+  link_init (&link, &fake.clock, RATE, BURST);
+  for (int p = 0; p < LINK_PRIORITIES; p++)
+    exact.level[p] = (__int128)BURST * NS_PER_S;
+  for (int step = 0; step < STEPS; step++)
+    {
+      enum link_priority priority = rng_below (&rng, LINK_PRIORITIES);
+      int64_t bytes = (int64_t)rng_below (&rng, 30000);
+
+      clock_fake_advance (&fake, (int64_t)rng_below (&rng, 30 * NS_PER_MS));
+      exact_refresh (&exact, fake.now);
+      link_take (&link, priority, bytes);
+      exact.level[priority] -= (__int128)bytes * NS_PER_S;
+      for (int p = 0; p < LINK_PRIORITIES; p++)
+        {
+          __int128 off = exact.level[p] - (__int128)link.level[p] * NS_PER_S;
+
+          off = off < 0 ? -off : off;
+          worst = off > worst ? off : worst;
+        }
+    }
+  CU_ASSERT_TRUE (worst <= (__int128)NS_PER_S);
+}
+
+/* The same urgent imports with and without exports and other imports wait
+ * exactly as long. */
+static void
+test_lower_never_delays_urgent (void)
+{
+  struct clock_fake fake;
+  struct link mixed, alone;
+  struct rng rng;
+  int exports = 0;
+
+  rng_init (&rng, 42);
+  clock_fake_init (&fake, 0);
+  link_init (&mixed, &fake.clock, RATE, BURST);
+  link_init (&alone, &fake.clock, RATE, BURST);
+  for (int step = 0; step < STEPS; step++)
+    {
+      int64_t bytes = (int64_t)rng_below (&rng, 20000);
+
+      clock_fake_advance (&fake, (int64_t)rng_below (&rng, 30 * NS_PER_MS));
+      if (rng_below (&rng, 3) == 0)
+        CU_ASSERT_EQUAL (link_take (&mixed, LINK_URGENT, bytes),
+                         link_take (&alone, LINK_URGENT, bytes));
+      if (rng_below (&rng, 4) == 0)
+        link_take (&mixed, LINK_IMPORT, bytes);
+      exports += link_try (&mixed, LINK_EXPORT, bytes);
+    }
+  CU_ASSERT_TRUE (exports > 0);
+}
+
+static void
+test_wait_is_backlog_and_transfer (void)
+{
+  struct clock_fake fake;
+  struct link link;
+
+  clock_fake_init (&fake, 0);
+  link_init (&link, &fake.clock, 1000, 0);
+  CU_ASSERT_EQUAL (link_take (&link, LINK_URGENT, 500), NS_PER_S / 2);
+  CU_ASSERT_EQUAL (link_wait (&link, LINK_URGENT, 500), NS_PER_S);
+  CU_ASSERT_EQUAL (link_wait (&link, LINK_IMPORT, 500), NS_PER_S);
+  CU_ASSERT_FALSE (link_try (&link, LINK_EXPORT, 1));
+  clock_fake_advance (&fake, NS_PER_S / 2);
+  CU_ASSERT_EQUAL (link_wait (&link, LINK_IMPORT, 500), NS_PER_S / 2);
+}
+
+static void
+test_slow_link_is_seen_and_recovers (void)
+{
+  struct clock_fake fake;
+  struct link link;
+
+  clock_fake_init (&fake, 0);
+  link_init (&link, &fake.clock, RATE, BURST);
+  for (int i = 0; i < 20; i++)
+    {
+      int64_t expected_ns = link_wait (&link, LINK_IMPORT, 100000);
+
+      link_observe (&link, expected_ns, NS_PER_S); /* a tenth of the rate */
+    }
+  CU_ASSERT_TRUE (link.rate < RATE / 7 && link.rate > RATE / 15);
+  clock_fake_advance (&fake, 120 * NS_PER_S);
+  link_wait (&link, LINK_IMPORT, 1);
+  CU_ASSERT_EQUAL (link.rate, RATE);
+}
+
+static void
+test_block_chain (void)
+{
+  static const char *const other[][4] = { { "sar", "m", "1", "" },
+                                          { "arp", "n", "1", "" },
+                                          { "arp", "m", "2", "" },
+                                          { "arp", "m", "1", "a" } };
+  struct block_key key = { { 7 } };
+  struct block_scope scope, different;
+  struct block_id a[4], b[4], back;
+  char prompt[40], hex[BLOCK_HEX_SIZE];
+  uint64_t checksum;
+
+  memset (prompt, 'x', sizeof prompt);
+  CU_ASSERT_EQUAL (block_scope_init (&scope, "arp", "m", "1", NULL), 0);
+  CU_ASSERT_EQUAL (block_scope_init (&scope, "", "m", "1", NULL),
+                   STATUS_INVALID);
+  CU_ASSERT_EQUAL (block_chain (&scope, &key, prompt, 39, 10, a, 4), 3);
+  CU_ASSERT_EQUAL (block_route (&a[0]), block_route (&a[2]));
+  CU_ASSERT_FALSE (block_id_equal (&a[0], &a[1]));
+  /* A change in the second piece keeps the first id and no later one. */
+  prompt[15] = 'y';
+  CU_ASSERT_EQUAL (block_chain (&scope, &key, prompt, 40, 10, b, 3), 3);
+  CU_ASSERT_TRUE (block_id_equal (&a[0], &b[0]));
+  CU_ASSERT_FALSE (block_id_equal (&a[1], &b[1]));
+  CU_ASSERT_FALSE (block_id_equal (&a[2], &b[2]));
+  for (int i = 0; i < 4; i++)
+    {
+      block_scope_init (&different, other[i][0], other[i][1], other[i][2],
+                        other[i][3]);
+      block_chain (&different, &key, prompt, 40, 10, a, 4);
+      CU_ASSERT_FALSE (block_id_equal (&a[0], &b[0]));
+    }
+  block_to_hex (&b[1], hex);
+  CU_ASSERT_EQUAL (block_from_hex (&back, hex), STATUS_OK);
+  CU_ASSERT_TRUE (block_id_equal (&back, &b[1]));
+  hex[3] = 'g';
+  CU_ASSERT_EQUAL (block_from_hex (&back, hex), STATUS_INVALID);
+  CU_ASSERT_EQUAL (block_checksum_from_hex (&checksum, "00000000000001ff"),
+                   STATUS_OK);
+  CU_ASSERT_EQUAL (checksum, 511);
+}
+
+static const struct unit_case cases[] = {
+  { "exact-arithmetic", test_against_exact_arithmetic },
+  { "lower-never-delays-urgent", test_lower_never_delays_urgent },
+  { "wait", test_wait_is_backlog_and_transfer },
+  { "slow-link", test_slow_link_is_seen_and_recovers },
+  { "block-chain", test_block_chain },
+};
+
+int
+main (void)
+{
+  return unit_run ("link", cases, sizeof cases / sizeof *cases);
+}
