Load view of engines

Cause: placement needs each engine's queue, and reports lag. Ruled out: trusting the report alone (it lacks what was sent since) and adding everything sent (it counts twice what the report holds). Change: last report drained at its prefill rate, plus what was sent after it held, never less than what this process has outstanding; groups of engines that have confirmed a version, which silent and leaving engines leave.

--- /dev/null
+++ b/src/load.c
@@ -0,0 +1,379 @@
+#include "load.h"
+
+#include <assert.h>
+#include <string.h>
+#include <xxhash.h>
+
+const struct load_settings load_settings_default = {
+  .silent_ns = 3 * NS_PER_S,
+  .default_rate = 10000,
+  .running_s_per_run = 0,
+};
+
+static guint
+group_hash (gconstpointer key)
+{
+  return (guint)XXH3_64bits (key, sizeof (struct load_group_key));
+}
+
+static gboolean
+group_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, sizeof (struct load_group_key)) == 0;
+}
+
+static void
+group_free (gpointer data)
+{
+  struct load_group *group = data;
+
+  g_array_free (group->members, TRUE);
+  g_free (group);
+}
+
+static enum status
+field_copy (char to[BLOCK_NAME_MAX], const char *from)
+{
+  size_t size = strlen (from);
+
+  memset (to, 0, BLOCK_NAME_MAX);
+  if (size >= BLOCK_NAME_MAX)
+    return STATUS_INVALID;
+  memcpy (to, from, size);
+  return STATUS_OK;
+}
+
+static struct load_engine *
+engine_at (const struct load *load, uint32_t index)
+{
+  return g_ptr_array_index (load->engines, index);
+}
+
+static struct load_engine *
+engine_find (const struct load *load, uint64_t id)
+{
+  return g_hash_table_lookup (load->by_id, &id);
+}
+
+static uint32_t
+index_free (const struct load *load)
+{
+  for (uint32_t i = 0; i < load->engines->len; i++)
+    if (!engine_at (load, i)->used)
+      return i;
+  return load->engines->len;
+}
+
+static struct load_engine *
+engine_add (struct load *load, uint64_t id)
+{
+  uint32_t index = load->engines->len;
+  struct load_engine *engine;
+
+  /* Indexes are used again only when some are free, so no scan else. */
+  if (g_hash_table_size (load->by_id) < load->engines->len)
+    index = index_free (load);
+  if (index == load->engines->len)
+    g_ptr_array_add (load->engines, g_new (struct load_engine, 1));
+  engine = engine_at (load, index);
+  memset (engine, 0, sizeof *engine);
+  engine->id = id;
+  engine->index = index;
+  engine->used = true;
+  list_init (&engine->pending);
+  list_init (&engine->node);
+  g_hash_table_insert (load->by_id, &engine->id, engine);
+  return engine;
+}
+
+static struct load_group *
+group_make (struct load *load, const struct load_group_key *key)
+{
+  struct load_group *group = g_hash_table_lookup (load->groups, key);
+
+  if (group != NULL)
+    return group;
+  group = g_new (struct load_group, 1);
+  group->key = *key;
+  group->members = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  g_hash_table_insert (load->groups, &group->key, group);
+  return group;
+}
+
+static void
+group_join (struct load_group *group, struct load_engine *engine)
+{
+  struct load_member *member;
+
+  for (unsigned i = 0; i < engine->member_count; i++)
+    if (engine->members[i].group == group)
+      return;
+  if (engine->member_count == LOAD_VERSIONS_MAX)
+    return;
+  member = &engine->members[engine->member_count++];
+  member->group = group;
+  member->position = group->members->len;
+  g_array_append_val (group->members, engine->index);
+}
+
+/* The last member moves to the place that gets free. */
+static void
+group_leave (struct load *load, const struct load_member *member)
+{
+  struct load_group *group = member->group;
+  uint32_t last
+      = g_array_index (group->members, uint32_t, group->members->len - 1);
+  struct load_engine *moved = engine_at (load, last);
+
+  for (unsigned i = 0; i < moved->member_count; i++)
+    if (moved->members[i].group == group)
+      moved->members[i].position = member->position;
+  g_array_remove_index_fast (group->members, member->position);
+  if (group->members->len == 0)
+    g_hash_table_remove (load->groups, &group->key);
+}
+
+static void
+engine_leave_groups (struct load *load, struct load_engine *engine)
+{
+  while (engine->member_count > 0)
+    {
+      struct load_member member = engine->members[engine->member_count - 1];
+
+      group_leave (load, &member);
+      engine->member_count--;
+    }
+  list_remove (&engine->node);
+}
+
+static void
+engine_join_groups (struct load *load, struct load_engine *engine,
+                    const struct load_report *report)
+{
+  struct load_group_key key;
+
+  for (size_t i = 0; i < report->version_count; i++)
+    {
+      const struct load_version *version = &report->versions[i];
+
+      if (load_group_key_init (&key, report->service, version->model,
+                               version->version, version->adapter)
+          == STATUS_OK)
+        group_join (group_make (load, &key), engine);
+    }
+}
+
+/* What was sent after the report held is not in it. */
+static void
+engine_count_since (struct load_engine *engine)
+{
+  const struct list *node;
+
+  engine->since_tokens = 0;
+  for (node = engine->pending.prev; node != &engine->pending;
+       node = node->prev)
+    {
+      const struct load_request *request
+          = LIST_ENTRY (node, struct load_request, node);
+
+      if (request->sent_ns <= engine->taken_ns)
+        return;
+      engine->since_tokens += request->tokens;
+    }
+}
+
+static bool
+report_stale (const struct load_engine *engine,
+              const struct load_report *report)
+{
+  if (report->incarnation != engine->incarnation)
+    return report->incarnation < engine->incarnation;
+  return engine->received_ns != 0 && report->sequence <= engine->sequence;
+}
+
+void
+load_init (struct load *load, const struct clock *clock,
+           const struct load_settings *settings)
+{
+  load->clock = clock;
+  load->settings = *settings;
+  load->engines = g_ptr_array_new_with_free_func (g_free);
+  load->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
+  load->groups
+      = g_hash_table_new_full (group_hash, group_equal, NULL, group_free);
+  list_init (&load->reported);
+}
+
+void
+load_finish (struct load *load)
+{
+  g_hash_table_destroy (load->groups);
+  g_hash_table_destroy (load->by_id);
+  g_ptr_array_free (load->engines, TRUE);
+}
+
+enum status
+load_take_report (struct load *load, const struct load_report *report,
+                  int64_t taken_ns)
+{
+  struct load_engine *engine = engine_find (load, report->engine);
+
+  if (engine == NULL)
+    engine = engine_add (load, report->engine);
+  if (report_stale (engine, report))
+    return STATUS_STALE;
+  if (report->incarnation > engine->incarnation)
+    engine->leaving = false;
+  engine->incarnation = report->incarnation;
+  engine->sequence = report->sequence;
+  engine->taken_ns = taken_ns;
+  engine->received_ns = clock_now (load->clock);
+  engine->queued_tokens = report->queued_tokens;
+  engine->running = report->running;
+  engine->rate = report->rate > 0 ? report->rate : load->settings.default_rate;
+  engine_count_since (engine);
+  engine_leave_groups (load, engine);
+  if (report->leaving)
+    engine->leaving = true;
+  if (engine->leaving)
+    return STATUS_OK;
+  engine_join_groups (load, engine, report);
+  list_append (&load->reported, &engine->node);
+  return STATUS_OK;
+}
+
+void
+load_set_leaving (struct load *load, uint64_t id, bool leaving)
+{
+  struct load_engine *engine = engine_find (load, id);
+
+  if (engine == NULL)
+    return;
+  engine->leaving = leaving;
+  /* It joins its groups again with its next report. */
+  if (leaving)
+    engine_leave_groups (load, engine);
+}
+
+void
+load_remove (struct load *load, uint64_t id)
+{
+  struct load_engine *engine = engine_find (load, id);
+
+  if (engine == NULL)
+    return;
+  engine_leave_groups (load, engine);
+  while (!list_empty (&engine->pending))
+    load_started (
+        LIST_ENTRY (engine->pending.next, struct load_request, node));
+  g_hash_table_remove (load->by_id, &id);
+  engine->used = false;
+}
+
+void
+load_sent (struct load *load, struct load_request *request, uint32_t index,
+           int64_t tokens)
+{
+  struct load_engine *engine = engine_at (load, index);
+
+  assert (engine->used);
+  request->engine = engine;
+  request->sent_ns = clock_now (load->clock);
+  request->tokens = tokens;
+  list_append (&engine->pending, &request->node);
+  engine->pending_tokens += tokens;
+  if (request->sent_ns > engine->taken_ns)
+    engine->since_tokens += tokens;
+}
+
+void
+load_started (struct load_request *request)
+{
+  struct load_engine *engine = request->engine;
+
+  if (engine == NULL)
+    return;
+  list_remove (&request->node);
+  request->engine = NULL;
+  engine->pending_tokens -= request->tokens;
+  if (request->sent_ns > engine->taken_ns)
+    engine->since_tokens -= request->tokens;
+}
+
+enum status
+load_group_key_init (struct load_group_key *key, const char *service,
+                     const char *model, const char *version,
+                     const char *adapter)
+{
+  if (field_copy (key->service, service) != STATUS_OK
+      || field_copy (key->model, model) != STATUS_OK
+      || field_copy (key->version, version) != STATUS_OK)
+    return STATUS_INVALID;
+  return field_copy (key->adapter, adapter != NULL ? adapter : "");
+}
+
+const struct load_group *
+load_group (const struct load *load, const struct load_group_key *key)
+{
+  return g_hash_table_lookup (load->groups, key);
+}
+
+bool
+load_in_group (const struct load *load, uint32_t index,
+               const struct load_group *group)
+{
+  const struct load_engine *engine = engine_at (load, index);
+
+  for (unsigned i = 0; i < engine->member_count; i++)
+    if (engine->members[i].group == group)
+      return true;
+  return false;
+}
+
+bool
+load_find (const struct load *load, uint64_t id, uint32_t *index)
+{
+  const struct load_engine *engine = engine_find (load, id);
+
+  if (engine == NULL)
+    return false;
+  *index = engine->index;
+  return true;
+}
+
+double
+load_wait_s (const struct load *load, uint32_t index, int64_t now)
+{
+  const struct load_engine *engine = engine_at (load, index);
+  double age_s = (double)(now - engine->taken_ns) / (double)NS_PER_S;
+  double tokens = (double)engine->queued_tokens - engine->rate * age_s;
+
+  if (tokens < 0)
+    tokens = 0;
+  tokens += (double)engine->since_tokens;
+  /* What we sent and have not seen begin is certainly still there. */
+  if (tokens < (double)engine->pending_tokens)
+    tokens = (double)engine->pending_tokens;
+  return tokens / engine->rate
+         + engine->running * load->settings.running_s_per_run;
+}
+
+void
+load_tick (struct load *load)
+{
+  int64_t now = clock_now (load->clock);
+
+  while (load_next (load) <= now)
+    engine_leave_groups (
+        load, LIST_ENTRY (load->reported.next, struct load_engine, node));
+}
+
+int64_t
+load_next (const struct load *load)
+{
+  if (list_empty (&load->reported))
+    return CLOCK_NEVER;
+  return LIST_ENTRY (load->reported.next, struct load_engine, node)
+             ->received_ns
+         + load->settings.silent_ns;
+}
