Block index: entries, engine hints, store copies, lookup

Cause: a lookup must never hand out a freed, partly written or foreign block, while cache events come late and with gaps and stores die or fill. Ruled out: a count of leases on each copy (the condemned queue with a wait longer than any lease gives the same with no state per reader); walking all of a dead store's copies at once (its epoch voids them, ticks drop them in bounded parts); taking a missing hint as absence once hints were dropped (a first piece shared by many engines would hide the one that holds the rest).

--- a/src/block.c
+++ b/src/block.c
@@ -25,7 +25,7 @@
   if (size >= BLOCK_NAME_MAX)
     return STATUS_INVALID;
   memset (to, 0, BLOCK_NAME_MAX);
-  memcpy (to, from, size);
+  memcpy (to, from, size + 1);
   return STATUS_OK;
 }
 
--- /dev/null
+++ b/src/blockentry.c
@@ -0,0 +1,148 @@
+#include "blockentry.h"
+
+#include <string.h>
+
+static guint
+id_hash (gconstpointer id)
+{
+  return block_id_hash (id);
+}
+
+static gboolean
+id_equal (gconstpointer a, gconstpointer b)
+{
+  return block_id_equal (a, b);
+}
+
+static guint
+scope_hash (gconstpointer scope)
+{
+  return block_scope_hash (scope);
+}
+
+static gboolean
+scope_equal (gconstpointer a, gconstpointer b)
+{
+  return block_scope_equal (a, b);
+}
+
+static struct blockentry_scope *
+scope_ref (struct blockentry_table *table, const struct block_scope *scope)
+{
+  struct blockentry_scope *shared = g_hash_table_lookup (table->scopes, scope);
+
+  if (shared == NULL)
+    {
+      shared = g_new0 (struct blockentry_scope, 1);
+      shared->scope = *scope;
+      g_hash_table_insert (table->scopes, &shared->scope, shared);
+    }
+  shared->entries++;
+  return shared;
+}
+
+static void
+scope_unref (struct blockentry_table *table, struct blockentry_scope *shared)
+{
+  shared->entries--;
+  if (shared->entries == 0)
+    g_hash_table_remove (table->scopes, &shared->scope);
+}
+
+static void
+entry_drop (struct blockentry_table *table, struct blockentry *entry)
+{
+  list_remove (&entry->node);
+  scope_unref (table, entry->scope);
+  g_hash_table_remove (table->entries, &entry->id);
+}
+
+static bool
+make_room (struct blockentry_table *table)
+{
+  if (blockentry_count (table) < table->max)
+    return true;
+  if (list_empty (&table->unstored))
+    {
+      table->rejected++;
+      return false;
+    }
+  entry_drop (table,
+              LIST_ENTRY (table->unstored.next, struct blockentry, node));
+  return true;
+}
+
+void
+blockentry_table_init (struct blockentry_table *table, size_t max)
+{
+  memset (table, 0, sizeof *table);
+  table->entries = g_hash_table_new_full (id_hash, id_equal, NULL, g_free);
+  table->scopes
+      = g_hash_table_new_full (scope_hash, scope_equal, NULL, g_free);
+  list_init (&table->unstored);
+  list_init (&table->stored);
+  table->max = max;
+}
+
+void
+blockentry_table_finish (struct blockentry_table *table)
+{
+  g_hash_table_destroy (table->entries);
+  g_hash_table_destroy (table->scopes);
+}
+
+struct blockentry *
+blockentry_find_id (const struct blockentry_table *table,
+                    const struct block_id *id)
+{
+  return g_hash_table_lookup (table->entries, id);
+}
+
+struct blockentry *
+blockentry_find (struct blockentry_table *table,
+                 const struct block_scope *scope, const struct block_id *id)
+{
+  struct blockentry *entry = blockentry_find_id (table, id);
+
+  if (entry == NULL)
+    return NULL;
+  if (!block_scope_equal (&entry->scope->scope, scope))
+    {
+      table->collisions++;
+      return NULL;
+    }
+  return entry;
+}
+
+struct blockentry *
+blockentry_make (struct blockentry_table *table,
+                 const struct block_scope *scope, const struct block_id *id)
+{
+  struct blockentry *entry = blockentry_find_id (table, id);
+
+  if (entry != NULL)
+    return blockentry_find (table, scope, id);
+  if (!make_room (table))
+    return NULL;
+  entry = g_new0 (struct blockentry, 1);
+  entry->id = *id;
+  entry->scope = scope_ref (table, scope);
+  list_init (&entry->copies);
+  list_append (&table->unstored, &entry->node);
+  g_hash_table_insert (table->entries, &entry->id, entry);
+  return entry;
+}
+
+void
+blockentry_touch (struct blockentry_table *table, struct blockentry *entry)
+{
+  list_remove (&entry->node);
+  list_append (list_empty (&entry->copies) ? &table->unstored : &table->stored,
+               &entry->node);
+}
+
+size_t
+blockentry_count (const struct blockentry_table *table)
+{
+  return g_hash_table_size (table->entries);
+}
--- /dev/null
+++ b/src/hint.c
@@ -0,0 +1,300 @@
+#include "hint.h"
+
+#include <math.h>
+
+const struct hint_settings hint_settings_default = {
+  .half_ns = 300 * NS_PER_S,
+  .expected_half_ns = 10 * NS_PER_S,
+  .relist_ns = 5 * NS_PER_S,
+  .doubt = 0.5,
+  .confidence_min = 0.05,
+};
+
+static struct hint_engine *
+engine_make (struct hint_table *table, uint64_t id)
+{
+  struct hint_engine *engine = g_hash_table_lookup (table->engines, &id);
+
+  if (engine != NULL)
+    return engine;
+  engine = g_new0 (struct hint_engine, 1);
+  engine->id = id;
+  engine->next = 1;
+  list_init (&engine->node);
+  g_hash_table_insert (table->engines, &engine->id, engine);
+  return engine;
+}
+
+static struct blockentry_hint *
+hint_find (struct blockentry *entry, const struct hint_engine *engine)
+{
+  for (unsigned i = 0; i < entry->hint_count; i++)
+    if (entry->hints[i].engine == engine)
+      return &entry->hints[i];
+  return NULL;
+}
+
+static bool
+hint_void (const struct blockentry_hint *hint)
+{
+  return hint->epoch != hint->engine->epoch;
+}
+
+/* A free place, else that of a void hint, else that of the oldest one. */
+static struct blockentry_hint *
+hint_place (struct blockentry *entry)
+{
+  struct blockentry_hint *place = &entry->hints[0];
+
+  if (entry->hint_count < BLOCKENTRY_HINTS_MAX)
+    return &entry->hints[entry->hint_count++];
+  for (unsigned i = 0; i < entry->hint_count; i++)
+    {
+      if (hint_void (&entry->hints[i]))
+        return &entry->hints[i];
+      if (entry->hints[i].seen_ns < place->seen_ns)
+        place = &entry->hints[i];
+    }
+  entry->hints_overflow = true;
+  return place;
+}
+
+static void
+hint_set (struct blockentry *entry, struct hint_engine *engine, int64_t now,
+          bool expected)
+{
+  struct blockentry_hint *hint = hint_find (entry, engine);
+
+  /* What an event told is not made weaker by what we merely expect. */
+  if (hint != NULL && expected && !hint->expected && !hint_void (hint))
+    return;
+  if (hint == NULL)
+    hint = hint_place (entry);
+  hint->engine = engine;
+  hint->epoch = engine->epoch;
+  hint->seen_ns = now;
+  hint->expected = expected;
+}
+
+static void
+hint_clear (struct blockentry *entry, const struct hint_engine *engine)
+{
+  struct blockentry_hint *hint = hint_find (entry, engine);
+
+  if (hint == NULL)
+    return;
+  entry->hint_count--;
+  *hint = entry->hints[entry->hint_count];
+}
+
+static void
+engine_ask (struct hint_table *table, struct hint_engine *engine)
+{
+  engine->asked_ns = clock_now (table->clock);
+  list_remove (&engine->node);
+  list_append (&table->asked, &engine->node);
+  table->ops->list_engine (table->data, engine->id);
+}
+
+static void
+engine_doubt (struct hint_table *table, struct hint_engine *engine)
+{
+  table->gaps++;
+  engine->doubted_ns = clock_now (table->clock);
+  if (engine->doubtful)
+    return;
+  engine->doubtful = true;
+  engine_ask (table, engine);
+}
+
+static void
+hint_set_all (struct hint_table *table, const struct block_scope *scope,
+              const struct block_id *ids, size_t count, uint64_t id,
+              bool expected)
+{
+  struct hint_engine *engine = engine_make (table, id);
+  int64_t now = clock_now (table->clock);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct blockentry *entry
+          = blockentry_make (table->entries, scope, &ids[i]);
+
+      /* What follows an unknown piece can't be reached by a prefix. */
+      if (entry == NULL)
+        return;
+      entry->position = (uint16_t)i;
+      entry->used_ns = now;
+      hint_set (entry, engine, now, expected);
+      blockentry_touch (table->entries, entry);
+    }
+}
+
+void
+hint_table_init (struct hint_table *table, struct blockentry_table *entries,
+                 const struct clock *clock,
+                 const struct hint_settings *settings,
+                 const struct hint_ops *ops, void *data)
+{
+  table->entries = entries;
+  table->clock = clock;
+  table->settings = *settings;
+  table->ops = ops;
+  table->data = data;
+  table->engines
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  list_init (&table->asked);
+  table->late = 0;
+  table->gaps = 0;
+  table->unknown = 0;
+}
+
+void
+hint_table_finish (struct hint_table *table)
+{
+  g_hash_table_destroy (table->engines);
+}
+
+void
+hint_expect (struct hint_table *table, const struct block_scope *scope,
+             const struct block_id *ids, size_t count, uint64_t id)
+{
+  hint_set_all (table, scope, ids, count, id, true);
+}
+
+void
+hint_confirm (struct hint_table *table, const struct block_scope *scope,
+              const struct block_id *ids, size_t count, uint64_t id)
+{
+  hint_set_all (table, scope, ids, count, id, false);
+}
+
+void
+hint_deny (struct hint_table *table, const struct block_scope *scope,
+           const struct block_id *ids, size_t count, uint64_t id)
+{
+  const struct hint_engine *engine = engine_make (table, id);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct blockentry *entry
+          = blockentry_find (table->entries, scope, &ids[i]);
+
+      if (entry != NULL)
+        hint_clear (entry, engine);
+    }
+}
+
+enum status
+hint_event (struct hint_table *table, uint64_t id, uint64_t sequence,
+            bool stored, const struct block_id *block)
+{
+  struct hint_engine *engine = engine_make (table, id);
+  struct blockentry *entry;
+
+  if (sequence < engine->next)
+    {
+      table->late++;
+      return STATUS_STALE;
+    }
+  if (sequence > engine->next)
+    engine_doubt (table, engine);
+  engine->next = sequence + 1;
+  entry = blockentry_find_id (table->entries, block);
+  if (entry == NULL)
+    {
+      table->unknown++;
+      return STATUS_NOT_FOUND;
+    }
+  if (!stored)
+    hint_clear (entry, engine);
+  else
+    hint_set (entry, engine, clock_now (table->clock), false);
+  return STATUS_OK;
+}
+
+void
+hint_gap (struct hint_table *table, uint64_t id, uint64_t next)
+{
+  struct hint_engine *engine = engine_make (table, id);
+
+  if (next <= engine->next)
+    return;
+  engine->next = next;
+  engine_doubt (table, engine);
+}
+
+void
+hint_listing (struct hint_table *table, uint64_t id, uint64_t next,
+              const struct block_id *ids, size_t count)
+{
+  struct hint_engine *engine = engine_make (table, id);
+  int64_t now = clock_now (table->clock);
+
+  /* An old listing would undo events that came after it. */
+  if (next < engine->next)
+    {
+      table->late++;
+      return;
+    }
+  engine->epoch++;
+  engine->next = next;
+  engine->doubtful = false;
+  list_remove (&engine->node);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct blockentry *entry = blockentry_find_id (table->entries, &ids[i]);
+
+      if (entry == NULL)
+        table->unknown++;
+      else
+        hint_set (entry, engine, now, false);
+    }
+}
+
+void
+hint_engine_gone (struct hint_table *table, uint64_t id)
+{
+  struct hint_engine *engine = engine_make (table, id);
+
+  engine->epoch++;
+  engine->next = 1;
+  engine->doubtful = false;
+  list_remove (&engine->node);
+}
+
+double
+hint_confidence (const struct hint_table *table,
+                 const struct blockentry_hint *hint, int64_t now)
+{
+  const struct hint_settings *settings = &table->settings;
+  int64_t half_ns
+      = hint->expected ? settings->expected_half_ns : settings->half_ns;
+  double confidence;
+
+  if (hint_void (hint))
+    return 0;
+  confidence = exp2 (-(double)(now - hint->seen_ns) / (double)half_ns);
+  if (hint->engine->doubtful && hint->seen_ns <= hint->engine->doubted_ns)
+    confidence *= settings->doubt;
+  return confidence >= settings->confidence_min ? confidence : 0;
+}
+
+void
+hint_tick (struct hint_table *table)
+{
+  int64_t now = clock_now (table->clock);
+
+  while (hint_next (table) <= now)
+    engine_ask (table,
+                LIST_ENTRY (table->asked.next, struct hint_engine, node));
+}
+
+int64_t
+hint_next (const struct hint_table *table)
+{
+  if (list_empty (&table->asked))
+    return CLOCK_NEVER;
+  return LIST_ENTRY (table->asked.next, struct hint_engine, node)->asked_ns
+         + table->settings.relist_ns;
+}
--- a/src/list.h
+++ b/src/list.h
@@ -63,4 +63,16 @@
   list_init (node);
 }
 
+/** Take the first node off HEAD, which is not empty. */
+static inline struct list *
+list_pop (struct list *head)
+{
+  struct list *node = head->next;
+
+  head->next = node->next;
+  node->next->prev = head;
+  list_init (node);
+  return node;
+}
+
 #endif
--- a/src/load.c
+++ b/src/load.c
@@ -39,7 +39,7 @@
   memset (to, 0, BLOCK_NAME_MAX);
   if (size >= BLOCK_NAME_MAX)
     return STATUS_INVALID;
-  memcpy (to, from, size);
+  memcpy (to, from, size + 1);
   return STATUS_OK;
 }
 
