Check of the stand-ins over real sockets

The script caught two faults: refuse closed control connections too, so it could not be switched off; a cut lost the pieces written just before it.

--- a/test/standin-http.c
+++ b/test/standin-http.c
@@ -243,8 +243,7 @@
     return;
   connection = g_new0 (uv_tcp_t, 1);
   uv_tcp_init (server.loop, connection);
-  if (uv_accept (listener, (uv_stream_t *)connection) != 0
-      || fault_value ("refuse"))
+  if (uv_accept (listener, (uv_stream_t *)connection) != 0)
     {
       uv_close ((uv_handle_t *)connection, (uv_close_cb)g_free);
       return;
--- a/test/standin-http.h
+++ b/test/standin-http.h
@@ -16,7 +16,7 @@
  *   GET /control/stats
  * and has these faults:
  *   outage   1: every call is answered 503
- *   refuse   1: connections are closed without an answer
+ *   refuse   1: connections are closed at their next request, unanswered
  *   slow_ms  calls wait this long before they take effect
  *   silent   1: connections open at this moment are neither read nor written
  *            any more, for good; 0 changes nothing for them
--- a/test/standin-run.c
+++ b/test/standin-run.c
@@ -136,6 +136,16 @@
   stream_end (run->stream);
 }
 
+/* Close the connection once the pieces before have been written. */
+static void
+run_cut (struct stream *stream)
+{
+  if (stream->pending->len > 0)
+    stream_flush (stream);
+  else
+    stream_cut (stream);
+}
+
 /* Write what has been produced, as far as the connection takes it. */
 static void
 run_pump (struct run *run)
@@ -148,7 +158,7 @@
     {
       if (run->cut_at && run->sent >= run->cut_at)
         {
-          stream_cut (stream);
+          run_cut (stream);
           return;
         }
       append_faulty (stream->pending, run);
