In-process fake of the KV service with seeded faults

Cause: the modules over the KV service need outages, lost replies, lapsing leases and rate limits at any step, without sockets or sleeping. Change: test/fake-kv, one client per process of a test; effect and reply are two events, so that a write can land after its caller gave up. A transaction that ties a key to a lapsed lease answers conflict.

--- /dev/null
+++ b/test/fake-kv.c
@@ -0,0 +1,535 @@
+#include "fake-kv-store.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* What a call does to the service and how it is answered. */
+enum fate
+{
+  FATE_PLAIN,
+  FATE_LOST_BEFORE,
+  FATE_LOST_AFTER,
+  FATE_LIMITED,
+  FATE_DOWN
+};
+
+struct call
+{
+  struct list node;
+  uint64_t number;
+  enum fake_kv_kind kind;
+  enum fate fate;
+  struct fake_kv_client *client; /* NULL: its process died */
+  kv_done done;
+  void *data;
+  char *key;         /* or prefix */
+  uint64_t argument; /* lease, or the revision after which to watch */
+  int64_t span_ns;   /* lease's or watch's */
+  GArray *compares;
+  GArray *writes;
+  bool effective; /* the effect is past */
+  int64_t effect_ns;
+  int64_t reply_ns;
+  struct kv_reply reply;
+  GArray *found; /* struct kv_item with own strings */
+};
+
+static void
+found_clear (void *data)
+{
+  struct kv_item *item = data;
+
+  g_free ((char *)item->key);
+  g_free ((char *)item->value);
+}
+
+static void
+call_free (struct call *call)
+{
+  list_remove (&call->node);
+  for (guint i = 0; call->compares != NULL && i < call->compares->len; i++)
+    g_free ((char *)g_array_index (call->compares, struct kv_compare, i).key);
+  for (guint i = 0; call->writes != NULL && i < call->writes->len; i++)
+    {
+      g_free ((char *)g_array_index (call->writes, struct kv_write, i).key);
+      g_free ((char *)g_array_index (call->writes, struct kv_write, i).value);
+    }
+  if (call->compares != NULL)
+    g_array_unref (call->compares);
+  if (call->writes != NULL)
+    g_array_unref (call->writes);
+  g_array_unref (call->found);
+  g_free (call->key);
+  g_free (call);
+}
+
+/* Collect the items under the call's key or prefix over its revision. */
+static void
+call_find (struct fake_kv *fake, struct call *call)
+{
+  bool exact = call->kind == FAKE_KV_GET;
+  GTreeNode *at = g_tree_lower_bound (fake->items, call->key);
+
+  for (; at != NULL; at = g_tree_node_next (at))
+    {
+      const char *key = g_tree_node_key (at);
+      const struct fake_kv_item *item = g_tree_node_value (at);
+      struct kv_item found;
+
+      if (exact ? strcmp (key, call->key) != 0
+                : !g_str_has_prefix (key, call->key))
+        break;
+      if (item->revision <= call->argument)
+        continue;
+      found.key = g_strdup (key);
+      found.value = g_strdup (item->value);
+      found.revision = item->revision;
+      g_array_append_val (call->found, found);
+    }
+}
+
+static enum status
+txn_check (struct fake_kv *fake, const struct call *call)
+{
+  for (guint i = 0; i < call->writes->len; i++)
+    {
+      const struct kv_write *write
+          = &g_array_index (call->writes, struct kv_write, i);
+
+      if (write->value != NULL
+          && strlen (write->value) > fake->faults.value_max)
+        return STATUS_TOO_LARGE;
+      if (write->lease != 0 && fake_kv_lease_get (fake, write->lease) == NULL)
+        return STATUS_CONFLICT;
+    }
+  for (guint i = 0; i < call->compares->len; i++)
+    {
+      const struct kv_compare *compare
+          = &g_array_index (call->compares, struct kv_compare, i);
+
+      if (fake_kv_revision (fake, compare->key) != compare->revision)
+        return STATUS_CONFLICT;
+    }
+  return STATUS_OK;
+}
+
+static enum status
+txn_apply (struct fake_kv *fake, const struct call *call)
+{
+  enum status status = txn_check (fake, call);
+
+  if (status != STATUS_OK)
+    return status;
+  fake->revision++;
+  for (guint i = 0; i < call->writes->len; i++)
+    {
+      const struct kv_write *write
+          = &g_array_index (call->writes, struct kv_write, i);
+
+      fake_kv_store_write (fake, write->key, write->value, write->lease);
+    }
+  return STATUS_OK;
+}
+
+static enum status
+lease_apply (struct fake_kv *fake, struct call *call)
+{
+  struct fake_kv_lease *lease;
+
+  if (call->kind == FAKE_KV_LEASE_GRANT)
+    {
+      lease = g_new0 (struct fake_kv_lease, 1);
+      lease->number = ++fake->last_lease;
+      lease->ttl_ns = call->span_ns;
+      lease->end_ns = call->effect_ns + call->span_ns;
+      list_append (&fake->leases, &lease->node);
+      call->reply.lease = lease->number;
+      return STATUS_OK;
+    }
+  lease = fake_kv_lease_get (fake, call->argument);
+  if (lease == NULL)
+    return STATUS_NOT_FOUND;
+  if (call->kind == FAKE_KV_LEASE_REVOKE)
+    fake_kv_lease_end (fake, lease);
+  else
+    lease->end_ns = call->effect_ns + lease->ttl_ns;
+  return STATUS_OK;
+}
+
+static enum status
+call_apply (struct fake_kv *fake, struct call *call)
+{
+  switch (call->kind)
+    {
+    case FAKE_KV_TXN:
+      return txn_apply (fake, call);
+    case FAKE_KV_GET:
+      call_find (fake, call);
+      return call->found->len > 0 ? STATUS_OK : STATUS_NOT_FOUND;
+    case FAKE_KV_RANGE:
+    case FAKE_KV_WATCH:
+      call_find (fake, call);
+      return STATUS_OK;
+    default:
+      return lease_apply (fake, call);
+    }
+}
+
+static void
+call_effect (struct fake_kv *fake, struct call *call)
+{
+  call->effective = true;
+  switch (call->fate)
+    {
+    case FATE_DOWN:
+      call->reply.status = STATUS_UNAVAILABLE;
+      break;
+    case FATE_LIMITED:
+      call->reply.status = STATUS_LIMITED;
+      break;
+    case FATE_LOST_BEFORE:
+      call->reply.status = STATUS_UNKNOWN;
+      break;
+    case FATE_LOST_AFTER:
+      call_apply (fake, call);
+      call->reply.status = STATUS_UNKNOWN;
+      call->reply.lease = 0;
+      g_array_set_size (call->found, 0);
+      break;
+    default:
+      call->reply.status = call_apply (fake, call);
+    }
+  call->reply.revision = fake->revision;
+}
+
+static void
+call_answer (struct call *call)
+{
+  struct kv_reply reply = call->reply;
+
+  list_remove (&call->node);
+  if (call->kind == FAKE_KV_WATCH && call->client != NULL)
+    call->client->service->waiting--;
+  reply.items = (const struct kv_item *)(void *)call->found->data;
+  reply.item_count = call->found->len;
+  if (call->client != NULL)
+    call->done (call->data, &reply);
+  call_free (call);
+}
+
+/* When the call next does something. A watch looks again at each write. */
+static int64_t
+call_due (const struct fake_kv *fake, const struct call *call)
+{
+  if (!call->effective)
+    return call->effect_ns;
+  if (call->client != NULL && call->client->paused)
+    return CLOCK_NEVER;
+  if (call->kind == FAKE_KV_WATCH && call->reply.status == STATUS_OK
+      && (call->found->len > 0 || fake->revision > call->reply.revision))
+    return call->effect_ns;
+  return call->reply_ns;
+}
+
+static struct call *
+call_first (const struct fake_kv *fake, int64_t *due)
+{
+  struct call *first = NULL;
+
+  *due = CLOCK_NEVER;
+  for (struct list *at = fake->calls_open.next; at != &fake->calls_open;
+       at = at->next)
+    {
+      struct call *call = LIST_ENTRY (at, struct call, node);
+      int64_t call_at = call_due (fake, call);
+
+      if (call_at < *due)
+        {
+          first = call;
+          *due = call_at;
+        }
+    }
+  return first;
+}
+
+/* @return whether a reply was given. */
+static bool
+call_advance (struct fake_kv *fake, struct call *call)
+{
+  if (!call->effective)
+    {
+      call_effect (fake, call);
+      return false;
+    }
+  if (call->kind == FAKE_KV_WATCH && call->reply.status == STATUS_OK
+      && call->found->len == 0 && fake->revision > call->reply.revision)
+    {
+      call_effect (fake, call);
+      return false;
+    }
+  call_answer (call);
+  return true;
+}
+
+static bool
+rate_allows (struct fake_kv *fake)
+{
+  int64_t now = clock_now (fake->clock);
+  double rate = fake->faults.rate;
+
+  if (rate <= 0)
+    return true;
+  fake->tokens += rate * (double)(now - fake->tokens_at) / (double)NS_PER_S;
+  fake->tokens_at = now;
+  /* A tenth of a second's worth may come at once. */
+  fake->tokens = MIN (fake->tokens, MAX (1.0, rate / 10));
+  if (fake->tokens < 1)
+    return false;
+  fake->tokens -= 1;
+  return true;
+}
+
+static enum fate
+fate_draw (struct fake_kv_client *client, enum fake_kv_kind kind)
+{
+  struct fake_kv *fake = client->service;
+  struct fake_kv_faults *faults = &fake->faults;
+
+  if (faults->down || client->down)
+    return FATE_DOWN;
+  if (!rate_allows (fake) || rng_unit (&fake->rng) < faults->limited)
+    {
+      fake->refused++;
+      return FATE_LIMITED;
+    }
+  if (kind == FAKE_KV_TXN && faults->lose_before > 0)
+    {
+      faults->lose_before--;
+      return FATE_LOST_BEFORE;
+    }
+  if (kind == FAKE_KV_TXN && faults->lose_after > 0)
+    {
+      faults->lose_after--;
+      return FATE_LOST_AFTER;
+    }
+  if (rng_unit (&fake->rng) < faults->lost_before)
+    return FATE_LOST_BEFORE;
+  return rng_unit (&fake->rng) < faults->lost_after ? FATE_LOST_AFTER
+                                                    : FATE_PLAIN;
+}
+
+static struct call *
+call_new (struct kv *kv, enum fake_kv_kind kind, const char *key, kv_done done,
+          void *data)
+{
+  struct fake_kv_client *client = LIST_ENTRY (kv, struct fake_kv_client, kv);
+  struct fake_kv *fake = client->service;
+  struct call *call = g_new0 (struct call, 1);
+  int64_t latency = fake->faults.latency_ns;
+
+  if (fake->faults.jitter_ns > 0)
+    latency
+        += (int64_t)rng_below (&fake->rng, (uint64_t)fake->faults.jitter_ns);
+  fake->calls[kind]++;
+  call->number = ++fake->last_call;
+  call->kind = kind;
+  call->client = client;
+  call->done = done;
+  call->data = data;
+  call->key = g_strdup (key);
+  call->found = g_array_new (FALSE, FALSE, sizeof (struct kv_item));
+  g_array_set_clear_func (call->found, found_clear);
+  call->fate = fate_draw (client, kind);
+  call->effect_ns = clock_now (fake->clock) + latency / 2;
+  call->reply_ns = clock_now (fake->clock) + latency;
+  list_append (&fake->calls_open, &call->node);
+  return call;
+}
+
+static void
+op_get (struct kv *kv, const char *key, kv_done done, void *data)
+{
+  call_new (kv, FAKE_KV_GET, key, done, data);
+}
+
+static void
+op_range (struct kv *kv, const char *prefix, kv_done done, void *data)
+{
+  call_new (kv, FAKE_KV_RANGE, prefix, done, data);
+}
+
+static void
+op_txn (struct kv *kv, const struct kv_txn *txn, kv_done done, void *data)
+{
+  struct call *call = call_new (kv, FAKE_KV_TXN, NULL, done, data);
+
+  call->compares = g_array_new (FALSE, FALSE, sizeof (struct kv_compare));
+  call->writes = g_array_new (FALSE, FALSE, sizeof (struct kv_write));
+  for (size_t i = 0; i < txn->compare_count; i++)
+    {
+      struct kv_compare compare = txn->compares[i];
+
+      compare.key = g_strdup (compare.key);
+      g_array_append_val (call->compares, compare);
+    }
+  for (size_t i = 0; i < txn->write_count; i++)
+    {
+      struct kv_write write = txn->writes[i];
+
+      write.key = g_strdup (write.key);
+      write.value = g_strdup (write.value);
+      g_array_append_val (call->writes, write);
+    }
+}
+
+static void
+op_lease_grant (struct kv *kv, int64_t ttl_ns, kv_done done, void *data)
+{
+  call_new (kv, FAKE_KV_LEASE_GRANT, NULL, done, data)->span_ns = ttl_ns;
+}
+
+static void
+op_lease_keepalive (struct kv *kv, uint64_t lease, kv_done done, void *data)
+{
+  call_new (kv, FAKE_KV_LEASE_KEEPALIVE, NULL, done, data)->argument = lease;
+}
+
+static void
+op_lease_revoke (struct kv *kv, uint64_t lease, kv_done done, void *data)
+{
+  call_new (kv, FAKE_KV_LEASE_REVOKE, NULL, done, data)->argument = lease;
+}
+
+static void
+op_watch (struct kv *kv, const char *prefix, uint64_t after, int64_t wait_ns,
+          kv_done done, void *data)
+{
+  struct call *call = call_new (kv, FAKE_KV_WATCH, prefix, done, data);
+
+  call->argument = after;
+  if (call->fate == FATE_PLAIN)
+    call->reply_ns += wait_ns;
+  call->client->service->waiting++;
+}
+
+static const struct kv_ops fake_ops = {
+  .get = op_get,
+  .range = op_range,
+  .txn = op_txn,
+  .lease_grant = op_lease_grant,
+  .lease_keepalive = op_lease_keepalive,
+  .lease_revoke = op_lease_revoke,
+  .watch = op_watch,
+};
+
+void
+fake_kv_init (struct fake_kv *fake, const struct clock *clock, uint64_t seed)
+{
+  memset (fake, 0, sizeof *fake);
+  fake->faults.latency_ns = 2 * NS_PER_MS;
+  fake->faults.value_max = KV_VALUE_MAX;
+  fake->clock = clock;
+  rng_init (&fake->rng, seed);
+  fake_kv_store_init (fake);
+  list_init (&fake->calls_open);
+}
+
+void
+fake_kv_finish (struct fake_kv *fake)
+{
+  while (!list_empty (&fake->calls_open))
+    call_free (LIST_ENTRY (fake->calls_open.next, struct call, node));
+  fake_kv_store_finish (fake);
+}
+
+void
+fake_kv_client_init (struct fake_kv_client *client, struct fake_kv *fake)
+{
+  client->kv.ops = &fake_ops;
+  client->service = fake;
+  client->down = false;
+  client->paused = false;
+}
+
+void
+fake_kv_client_kill (struct fake_kv_client *client)
+{
+  struct fake_kv *fake = client->service;
+
+  for (struct list *at = fake->calls_open.next; at != &fake->calls_open;
+       at = at->next)
+    {
+      struct call *call = LIST_ENTRY (at, struct call, node);
+
+      if (call->client != client)
+        continue;
+      call->client = NULL;
+      if (call->kind == FAKE_KV_WATCH)
+        {
+          fake->waiting--;
+          call->reply_ns = 0;
+        }
+    }
+}
+
+void
+fake_kv_client_finish (struct fake_kv_client *client)
+{
+  struct fake_kv *fake = client->service;
+  struct kv_reply reply = { .status = STATUS_CANCELLED };
+  GArray *open = g_array_new (FALSE, FALSE, sizeof (struct call));
+
+  for (struct list *at = fake->calls_open.next; at != &fake->calls_open;
+       at = at->next)
+    if (LIST_ENTRY (at, struct call, node)->client == client)
+      g_array_append_val (open, *LIST_ENTRY (at, struct call, node));
+  fake_kv_client_kill (client);
+  for (guint i = 0; i < open->len; i++)
+    {
+      const struct call *call = &g_array_index (open, struct call, i);
+
+      call->done (call->data, &reply);
+    }
+  g_array_unref (open);
+}
+
+size_t
+fake_kv_step (struct fake_kv *fake)
+{
+  int64_t now = clock_now (fake->clock);
+  size_t answered = 0;
+
+  while (true)
+    {
+      int64_t call_at, lease_at;
+      struct call *call = call_first (fake, &call_at);
+      struct fake_kv_lease *lease = fake_kv_lease_first (fake, &lease_at);
+
+      if (MIN (call_at, lease_at) > now)
+        return answered;
+      if (lease != NULL && lease_at <= call_at)
+        fake_kv_lease_end (fake, lease);
+      else if (call != NULL && call_advance (fake, call))
+        answered++;
+    }
+}
+
+int64_t
+fake_kv_next (const struct fake_kv *fake)
+{
+  int64_t call_at, lease_at;
+
+  call_first (fake, &call_at);
+  fake_kv_lease_first (fake, &lease_at);
+  return MIN (call_at, lease_at);
+}
+
+uint64_t
+fake_kv_total (const struct fake_kv *fake)
+{
+  uint64_t total = 0;
+
+  for (int i = 0; i < FAKE_KV_KIND_COUNT; i++)
+    total += fake->calls[i];
+  return total;
+}
--- /dev/null
+++ b/test/test-fake-kv.c
@@ -0,0 +1,177 @@
+#include "fake-kv.h"
+#include "unit.h"
+
+#include <string.h>
+
+static struct clock_fake fake_clock;
+static struct fake_kv fake;
+static struct fake_kv_client client;
+
+struct seen
+{
+  unsigned count;
+  enum status status;
+  uint64_t revision;
+  uint64_t lease;
+  size_t items;
+};
+
+static void
+setup (void)
+{
+  clock_fake_init (&fake_clock, NS_PER_S);
+  fake_kv_init (&fake, &fake_clock.clock, 1);
+  fake_kv_client_init (&client, &fake);
+}
+
+static void
+take (void *data, const struct kv_reply *reply)
+{
+  struct seen *seen = data;
+
+  seen->count++;
+  seen->status = reply->status;
+  seen->revision = reply->revision;
+  seen->lease = reply->lease;
+  seen->items = reply->item_count;
+}
+
+static void
+pass (int64_t ns)
+{
+  clock_fake_advance (&fake_clock, ns);
+  fake_kv_step (&fake);
+}
+
+static enum status
+put_if (const char *key, uint64_t revision, const char *value, uint64_t lease)
+{
+  struct kv_compare compare = { key, revision };
+  struct kv_write write = { key, value, lease };
+  struct kv_txn txn = { &compare, 1, &write, 1 };
+  struct seen seen = { 0 };
+
+  client.kv.ops->txn (&client.kv, &txn, take, &seen);
+  CU_ASSERT_EQUAL (seen.count, 0);
+  pass (2 * NS_PER_MS);
+  CU_ASSERT_EQUAL (seen.count, 1);
+  return seen.status;
+}
+
+static void
+test_compare_and_swap (void)
+{
+  setup ();
+  CU_ASSERT_EQUAL (put_if ("a", 0, "1", 0), STATUS_OK);
+  CU_ASSERT_EQUAL (put_if ("a", 0, "2", 0), STATUS_CONFLICT);
+  CU_ASSERT_EQUAL (put_if ("a", fake_kv_revision (&fake, "a"), "2", 0),
+                   STATUS_OK);
+  CU_ASSERT_STRING_EQUAL (fake_kv_value (&fake, "a"), "2");
+  fake.faults.value_max = 3;
+  CU_ASSERT_EQUAL (put_if ("b", 0, "long", 0), STATUS_TOO_LARGE);
+  CU_ASSERT_EQUAL (put_if ("b", 0, "x", 99), STATUS_CONFLICT);
+  fake_kv_finish (&fake);
+}
+
+static void
+test_lost_replies_and_outage (void)
+{
+  setup ();
+  fake.faults.lose_after = 1;
+  CU_ASSERT_EQUAL (put_if ("a", 0, "1", 0), STATUS_UNKNOWN);
+  CU_ASSERT_PTR_NOT_NULL (fake_kv_value (&fake, "a"));
+  fake.faults.lose_before = 1;
+  CU_ASSERT_EQUAL (put_if ("b", 0, "1", 0), STATUS_UNKNOWN);
+  CU_ASSERT_PTR_NULL (fake_kv_value (&fake, "b"));
+  fake.faults.down = true;
+  CU_ASSERT_EQUAL (put_if ("b", 0, "1", 0), STATUS_UNAVAILABLE);
+  fake.faults.down = false;
+  fake.faults.rate = 10;
+  CU_ASSERT_EQUAL (put_if ("b", 0, "1", 0), STATUS_OK);
+  CU_ASSERT_EQUAL (put_if ("c", 0, "1", 0), STATUS_LIMITED);
+  CU_ASSERT_EQUAL (fake.calls[FAKE_KV_TXN], 5);
+  fake_kv_finish (&fake);
+}
+
+static void
+test_lease_takes_its_keys (void)
+{
+  struct seen seen = { 0 };
+  uint64_t lease;
+
+  setup ();
+  client.kv.ops->lease_grant (&client.kv, NS_PER_S, take, &seen);
+  pass (2 * NS_PER_MS);
+  lease = seen.lease;
+  CU_ASSERT_EQUAL (put_if ("a", 0, "1", lease), STATUS_OK);
+  pass (900 * NS_PER_MS);
+  client.kv.ops->lease_keepalive (&client.kv, lease, take, &seen);
+  pass (900 * NS_PER_MS);
+  CU_ASSERT_PTR_NOT_NULL (fake_kv_value (&fake, "a"));
+  pass (200 * NS_PER_MS);
+  CU_ASSERT_PTR_NULL (fake_kv_value (&fake, "a"));
+  client.kv.ops->lease_keepalive (&client.kv, lease, take, &seen);
+  pass (2 * NS_PER_MS);
+  CU_ASSERT_EQUAL (seen.status, STATUS_NOT_FOUND);
+  fake_kv_finish (&fake);
+}
+
+static void
+test_watch (void)
+{
+  struct seen seen = { 0 };
+
+  setup ();
+  client.kv.ops->watch (&client.kv, "w/", 0, NS_PER_S, take, &seen);
+  CU_ASSERT_EQUAL (put_if ("v", 0, "1", 0), STATUS_OK);
+  CU_ASSERT_EQUAL (seen.count, 0);
+  CU_ASSERT_EQUAL (fake.waiting, 1);
+  CU_ASSERT_EQUAL (put_if ("w/a", 0, "1", 0), STATUS_OK);
+  CU_ASSERT_EQUAL (seen.count, 1);
+  CU_ASSERT_EQUAL (seen.items, 1);
+  client.kv.ops->watch (&client.kv, "w/", seen.revision, NS_PER_S, take,
+                        &seen);
+  pass (NS_PER_S);
+  pass (2 * NS_PER_MS);
+  CU_ASSERT_EQUAL (seen.count, 2);
+  CU_ASSERT_EQUAL (seen.items, 0);
+  CU_ASSERT_EQUAL (fake.waiting, 0);
+  fake_kv_finish (&fake);
+}
+
+static void
+test_paused_and_killed (void)
+{
+  struct seen seen = { 0 };
+
+  setup ();
+  client.paused = true;
+  client.kv.ops->get (&client.kv, "a", take, &seen);
+  pass (NS_PER_S);
+  CU_ASSERT_EQUAL (seen.count, 0);
+  client.paused = false;
+  pass (0);
+  CU_ASSERT_EQUAL (seen.count, 1);
+  client.kv.ops->get (&client.kv, "a", take, &seen);
+  fake_kv_client_kill (&client);
+  pass (NS_PER_S);
+  CU_ASSERT_EQUAL (seen.count, 1);
+  client.kv.ops->range (&client.kv, "a", take, &seen);
+  fake_kv_client_finish (&client);
+  CU_ASSERT_EQUAL (seen.status, STATUS_CANCELLED);
+  fake_kv_finish (&fake);
+}
+
+static const struct unit_case cases[] = {
+  { "compare-and-swap", test_compare_and_swap },
+  { "lost-replies-and-outage", test_lost_replies_and_outage },
+  { "lease-takes-its-keys", test_lease_takes_its_keys },
+  { "watch", test_watch },
+  { "paused-and-killed", test_paused_and_killed },
+};
+
+int
+main (void)
+{
+  return unit_run ("fake-kv", cases, sizeof cases / sizeof *cases);
+}
