Ownership of key space partitions under one lease a process

Cause: at-most-once records, the block index and orders need one owner a partition, with a number that only rises. Change: owner: rendezvous over the live processes says who ought to own, the record in the KV service decides; claims of all partitions in one transaction, all tied to one lease; the record's revision is the fencing number. A reply is never trusted for ownership: each claim is followed by a look at the records, so a lost reply needs no case of its own. Ruled out: a counter of its own as fencing number; the service's revision rises already, also when a record was deleted in between.

--- /dev/null
+++ b/src/owner.c
@@ -0,0 +1,466 @@
+#include "owner.h"
+
+#include "rendezvous.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define OWNER_PREFIX "owner/"
+
+enum
+{
+  VALUE_MAX = 40, /* bytes */
+  BACKOFF_SHIFT_MAX = 4
+};
+
+#define BACKOFF_MIN_NS (100 * NS_PER_MS)
+
+/* A span that grows with the failures in a row, with jitter. */
+static int64_t
+owner_backoff (struct owner *owner)
+{
+  int64_t span = BACKOFF_MIN_NS << MIN (owner->failures, BACKOFF_SHIFT_MAX);
+
+  owner->failures++;
+  return span / 2 + (int64_t)((double)span * rng_unit (owner->rng));
+}
+
+static int64_t
+owner_jitter (struct owner *owner, int64_t span)
+{
+  return (int64_t)((double)span * (0.75 + 0.25 * rng_unit (owner->rng)));
+}
+
+static bool
+record_is_ours (const struct owner *owner, const struct owner_record *record)
+{
+  return record->revision != 0 && record->node == owner->node
+         && record->lease == owner->lease && owner->lease != 0;
+}
+
+static bool
+owner_wants (const struct owner *owner, unsigned partition)
+{
+  int index = owner_pick (owner->live, owner->live_count, partition);
+
+  return index >= 0 && owner->live[index] == owner->node;
+}
+
+static void
+record_drop (struct owner *owner, unsigned partition)
+{
+  struct owner_record *record = &owner->records[partition];
+
+  if (!record->held)
+    return;
+  record->held = false;
+  owner->ops->lost (owner, partition);
+}
+
+static void
+owner_drop_all (struct owner *owner)
+{
+  for (unsigned i = 0; i < owner->settings.partitions; i++)
+    record_drop (owner, i);
+}
+
+static void
+lease_lost (struct owner *owner)
+{
+  owner->lease = 0;
+  owner->lease_until = 0;
+  owner_drop_all (owner);
+}
+
+static void
+lease_extend (struct owner *owner)
+{
+  owner->failures = 0;
+  owner->lease_until = owner->lease_sent + owner->settings.lease_ns;
+  owner->lease_at = owner->lease_sent + owner->settings.keepalive_ns;
+}
+
+static void
+lease_replied (void *data, const struct kv_reply *reply)
+{
+  struct owner *owner = data;
+  int64_t now = clock_now (owner->clock);
+
+  owner->lease_open = false;
+  if (reply->status == STATUS_OK)
+    {
+      if (owner->lease == 0)
+        {
+          owner->lease = reply->lease;
+          owner->range_at = now;
+        }
+      lease_extend (owner);
+    }
+  else if (reply->status == STATUS_NOT_FOUND)
+    {
+      lease_lost (owner);
+      owner->lease_at = now;
+    }
+  else
+    owner->lease_at = now + owner_backoff (owner);
+}
+
+static void
+revoke_replied (void *data, const struct kv_reply *reply)
+{
+  struct owner *owner = data;
+
+  owner->lease_open = false;
+  if (reply->status == STATUS_OK || reply->status == STATUS_NOT_FOUND)
+    owner->stopped = true;
+  else
+    owner->lease_at = clock_now (owner->clock) + owner_backoff (owner);
+}
+
+static void
+lease_call (struct owner *owner)
+{
+  const struct kv_ops *ops = owner->kv->ops;
+
+  owner->lease_open = true;
+  owner->lease_sent = clock_now (owner->clock);
+  if (owner->stopping)
+    ops->lease_revoke (owner->kv, owner->lease, revoke_replied, owner);
+  else if (owner->lease != 0)
+    ops->lease_keepalive (owner->kv, owner->lease, lease_replied, owner);
+  else
+    ops->lease_grant (owner->kv, owner->settings.lease_ns, lease_replied,
+                      owner);
+}
+
+static void
+txn_replied (void *data, const struct kv_reply *reply)
+{
+  struct owner *owner = data;
+  int64_t now = clock_now (owner->clock);
+
+  owner->txn_open = false;
+  if (reply->status == STATUS_CONFLICT)
+    owner->claim_limit = MAX (owner->claim_limit / 2, 1);
+  else if (reply->status == STATUS_OK)
+    owner->claim_limit = owner->settings.partitions;
+  /* Whatever the reply, only the records themselves tell who owns what. */
+  if (reply->status == STATUS_OK || reply->status == STATUS_CONFLICT)
+    owner->range_at = now;
+  else
+    owner->range_at = now + owner_backoff (owner);
+}
+
+/* Collects one transaction over owner records. */
+struct record_batch
+{
+  struct kv_compare *compares;
+  struct kv_write *writes;
+  char (*keys)[OWNER_KEY_MAX];
+  size_t count;
+};
+
+static void
+batch_init (struct record_batch *batch, size_t limit)
+{
+  batch->compares = g_new0 (struct kv_compare, limit);
+  batch->writes = g_new0 (struct kv_write, limit);
+  batch->keys = g_malloc0 (limit * sizeof *batch->keys);
+  batch->count = 0;
+}
+
+static void
+batch_add (struct record_batch *batch, unsigned partition, uint64_t revision,
+           const char *value, uint64_t lease)
+{
+  size_t at = batch->count++;
+
+  owner_key (partition, batch->keys[at]);
+  batch->compares[at] = (struct kv_compare){ batch->keys[at], revision };
+  batch->writes[at] = (struct kv_write){ batch->keys[at], value, lease };
+}
+
+static void
+batch_send (struct owner *owner, struct record_batch *batch)
+{
+  struct kv_txn txn
+      = { batch->compares, batch->count, batch->writes, batch->count };
+
+  if (batch->count > 0)
+    {
+      owner->txn_open = true;
+      owner->kv->ops->txn (owner->kv, &txn, txn_replied, owner);
+    }
+  g_free (batch->compares);
+  g_free (batch->writes);
+  g_free (batch->keys);
+}
+
+/* Claim what is free and ought to be ours; begin at random, so that two
+ * processes that see the fleet differently do not collide for long. */
+static void
+owner_claim (struct owner *owner)
+{
+  unsigned partitions = owner->settings.partitions;
+  unsigned start = (unsigned)rng_below (owner->rng, partitions);
+  struct record_batch batch;
+  char value[VALUE_MAX];
+
+  snprintf (value, sizeof value, "%016" PRIx64 " %" PRIx64, owner->node,
+            owner->lease);
+  batch_init (&batch, partitions);
+  for (unsigned i = 0; i < partitions && batch.count < owner->claim_limit; i++)
+    {
+      unsigned partition = (start + i) % partitions;
+
+      if (owner->records[partition].revision == 0
+          && owner_wants (owner, partition))
+        batch_add (&batch, partition, 0, value, owner->lease);
+    }
+  batch_send (owner, &batch);
+}
+
+/* Give away what ought to be another's, once the fleet has settled. */
+static void
+owner_release (struct owner *owner)
+{
+  struct record_batch batch;
+
+  if (clock_now (owner->clock)
+      < owner->live_since + owner->settings.rebalance_ns)
+    return;
+  batch_init (&batch, owner->settings.partitions);
+  for (unsigned i = 0; i < owner->settings.partitions; i++)
+    if (record_is_ours (owner, &owner->records[i]) && !owner_wants (owner, i))
+      {
+        record_drop (owner, i);
+        batch_add (&batch, i, owner->records[i].revision, NULL, 0);
+      }
+  batch_send (owner, &batch);
+}
+
+/* Whether a partition that ought to be ours is not, or the other way. */
+static bool
+owner_unsettled (const struct owner *owner)
+{
+  for (unsigned i = 0; i < owner->settings.partitions; i++)
+    if (record_is_ours (owner, &owner->records[i]) != owner_wants (owner, i))
+      return true;
+  return false;
+}
+
+static void
+record_parse (struct owner *owner, const struct kv_item *item)
+{
+  unsigned long partition
+      = strtoul (item->key + strlen (OWNER_PREFIX), NULL, 16);
+  struct owner_record *record;
+  char *end;
+
+  if (partition >= owner->settings.partitions)
+    return;
+  record = &owner->records[partition];
+  record->revision = item->revision;
+  record->node = strtoull (item->value, &end, 16);
+  record->lease = strtoull (end, NULL, 16);
+}
+
+/* Take over what the service shows, and tell what changed for us. A record
+ * that was ours under another revision was lost in between. */
+static void
+records_apply (struct owner *owner, const struct kv_reply *reply)
+{
+  unsigned partitions = owner->settings.partitions;
+  struct owner_record *before
+      = g_memdup2 (owner->records, partitions * sizeof *before);
+
+  for (unsigned i = 0; i < partitions; i++)
+    owner->records[i]
+        = (struct owner_record){ .held = owner->records[i].held };
+  for (size_t i = 0; i < reply->item_count; i++)
+    record_parse (owner, &reply->items[i]);
+  for (unsigned i = 0; i < partitions; i++)
+    {
+      struct owner_record *record = &owner->records[i];
+      bool ours = record_is_ours (owner, record);
+
+      if (!ours || record->revision != before[i].revision)
+        record_drop (owner, i);
+      if (!ours || record->held || !owner_wants (owner, i))
+        continue;
+      record->held = true;
+      owner->ops->gained (owner, i);
+    }
+  g_free (before);
+}
+
+static void
+range_replied (void *data, const struct kv_reply *reply)
+{
+  struct owner *owner = data;
+  int64_t now = clock_now (owner->clock);
+
+  owner->range_open = false;
+  if (reply->status != STATUS_OK)
+    {
+      owner->range_at = now + owner_backoff (owner);
+      return;
+    }
+  if (owner->stopping || owner->lease == 0)
+    return;
+  records_apply (owner, reply);
+  owner->range_at = now
+                    + owner_jitter (owner, owner_unsettled (owner)
+                                               ? owner->settings.claim_poll_ns
+                                               : owner->settings.poll_ns);
+  owner_claim (owner);
+  if (!owner->txn_open)
+    owner_release (owner);
+}
+
+static bool
+range_due (const struct owner *owner)
+{
+  return owner->lease != 0 && !owner->stopping && !owner->range_open
+         && !owner->txn_open;
+}
+
+void
+owner_init (struct owner *owner, const struct owner_settings *settings,
+            const struct owner_ops *ops, uint64_t node, struct kv *kv,
+            const struct clock *clock, struct rng *rng)
+{
+  assert (settings->partitions > 0
+          && settings->partitions <= OWNER_PARTITIONS_MAX);
+  assert (settings->margin_ns < settings->lease_ns);
+  assert (node != 0);
+  *owner = (struct owner){
+    .settings = *settings,
+    .ops = ops,
+    .kv = kv,
+    .clock = clock,
+    .rng = rng,
+    .node = node,
+    .lease_at = clock_now (clock),
+    .range_at = clock_now (clock),
+    .claim_limit = settings->partitions,
+    .live_since = clock_now (clock),
+    .records = g_new0 (struct owner_record, settings->partitions),
+  };
+}
+
+void
+owner_finish (struct owner *owner)
+{
+  assert (!owner->lease_open && !owner->range_open && !owner->txn_open);
+  g_free (owner->records);
+  g_free (owner->live);
+}
+
+void
+owner_tick (struct owner *owner)
+{
+  int64_t now = clock_now (owner->clock);
+
+  if (owner->stopped)
+    return;
+  if (!owner->lease_open && now >= owner->lease_at)
+    lease_call (owner);
+  if (range_due (owner) && now >= owner->range_at)
+    {
+      owner->range_open = true;
+      owner->kv->ops->range (owner->kv, OWNER_PREFIX, range_replied, owner);
+    }
+}
+
+int64_t
+owner_next (const struct owner *owner)
+{
+  int64_t next = CLOCK_NEVER;
+
+  if (owner->stopped)
+    return next;
+  if (!owner->lease_open)
+    next = owner->lease_at;
+  if (range_due (owner))
+    next = MIN (next, owner->range_at);
+  return next;
+}
+
+void
+owner_live (struct owner *owner, const uint64_t *nodes, size_t count)
+{
+  if (count == owner->live_count
+      && (count == 0
+          || memcmp (nodes, owner->live, count * sizeof *nodes) == 0))
+    return;
+  g_free (owner->live);
+  owner->live = g_memdup2 (nodes, count * sizeof *nodes);
+  owner->live_count = count;
+  owner->live_since = clock_now (owner->clock);
+  owner_refresh (owner);
+}
+
+void
+owner_refresh (struct owner *owner)
+{
+  owner->range_at = MIN (owner->range_at, clock_now (owner->clock));
+}
+
+void
+owner_stop (struct owner *owner)
+{
+  owner->stopping = true;
+  owner_drop_all (owner);
+  owner->lease_at = clock_now (owner->clock);
+  owner->stopped = owner->lease == 0 && !owner->lease_open;
+}
+
+bool
+owner_stopped (const struct owner *owner)
+{
+  return owner->stopped
+         || (owner->stopping
+             && clock_now (owner->clock) >= owner->lease_until);
+}
+
+bool
+owner_holds (const struct owner *owner, unsigned partition, uint64_t *fencing)
+{
+  const struct owner_record *record = &owner->records[partition];
+
+  assert (partition < owner->settings.partitions);
+  if (fencing != NULL)
+    *fencing = record->revision;
+  return record->held
+         && clock_now (owner->clock)
+                < owner->lease_until - owner->settings.margin_ns;
+}
+
+void
+owner_key (unsigned partition, char key[OWNER_KEY_MAX])
+{
+  snprintf (key, OWNER_KEY_MAX, OWNER_PREFIX "%04x", partition);
+}
+
+unsigned
+owner_partition (const char *organisation, const char *key,
+                 unsigned partitions)
+{
+  char *text
+      = g_strdup_printf ("%zu:%s%s", strlen (organisation), organisation, key);
+  uint64_t weight = rendezvous_weight (0, text, strlen (text));
+
+  g_free (text);
+  return (unsigned)(weight % partitions);
+}
+
+int
+owner_pick (const uint64_t *nodes, size_t count, unsigned partition)
+{
+  return rendezvous_pick (nodes, count, &partition, sizeof partition);
+}
--- /dev/null
+++ b/test/test-owner.c
@@ -0,0 +1,345 @@
+#include "fake-kv.h"
+#include "owner.h"
+#include "unit.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  SHARDS = 5,
+  PARTITIONS = 64
+};
+
+struct shard
+{
+  struct owner owner; /* first, so that the operations find the shard */
+  struct fake_kv_client client;
+  bool alive;
+  bool paused;
+  bool held[PARTITIONS];
+};
+
+static struct clock_fake fake_clock;
+static struct fake_kv fake;
+static struct rng rng;
+static struct shard shards[SHARDS];
+static uint64_t nodes[SHARDS];
+static uint64_t fencing_seen[PARTITIONS];
+static uint64_t fencing_node[PARTITIONS];
+static uint64_t incarnation;
+static unsigned broken; /* invariants */
+
+static struct owner_settings settings = {
+  .partitions = PARTITIONS,
+  .lease_ns = 4 * NS_PER_S,
+  .margin_ns = 500 * NS_PER_MS,
+  .keepalive_ns = NS_PER_S,
+  .poll_ns = 5 * NS_PER_S,
+  .claim_poll_ns = 300 * NS_PER_MS,
+  .rebalance_ns = 2 * NS_PER_S,
+};
+
+static void
+on_gained (struct owner *owner, unsigned partition)
+{
+  struct shard *shard = (struct shard *)(void *)owner;
+
+  broken += shard->held[partition];
+  shard->held[partition] = true;
+}
+
+static void
+on_lost (struct owner *owner, unsigned partition)
+{
+  struct shard *shard = (struct shard *)(void *)owner;
+
+  broken += !shard->held[partition];
+  shard->held[partition] = false;
+}
+
+static const struct owner_ops ops = { on_gained, on_lost };
+
+static void
+live_tell (void)
+{
+  uint64_t live[SHARDS];
+  size_t count = 0;
+
+  for (int i = 0; i < SHARDS; i++)
+    if (shards[i].alive)
+      live[count++] = nodes[i];
+  for (int i = 0; i < SHARDS; i++)
+    if (shards[i].alive)
+      owner_live (&shards[i].owner, live, count);
+}
+
+static void
+shard_start (int index)
+{
+  struct shard *shard = &shards[index];
+
+  memset (shard, 0, sizeof *shard);
+  nodes[index] = 1000 + ++incarnation;
+  shard->alive = true;
+  fake_kv_client_init (&shard->client, &fake);
+  owner_init (&shard->owner, &settings, &ops, nodes[index], &shard->client.kv,
+              &fake_clock.clock, &rng);
+}
+
+static void
+shard_kill (int index)
+{
+  struct shard *shard = &shards[index];
+
+  fake_kv_client_kill (&shard->client);
+  shard->owner.lease_open = false;
+  shard->owner.range_open = false;
+  shard->owner.txn_open = false;
+  owner_finish (&shard->owner);
+  shard->alive = false;
+}
+
+/* Never two holders, and each new holder has a higher number. */
+static void
+check_exclusive (void)
+{
+  for (unsigned p = 0; p < PARTITIONS; p++)
+    {
+      int holders = 0;
+
+      for (int i = 0; i < SHARDS; i++)
+        {
+          uint64_t fencing;
+
+          if (!shards[i].alive || shards[i].paused
+              || !owner_holds (&shards[i].owner, p, &fencing))
+            continue;
+          holders++;
+          broken += fencing < fencing_seen[p];
+          broken += fencing == fencing_seen[p] && fencing_node[p] != nodes[i];
+          fencing_seen[p] = fencing;
+          fencing_node[p] = nodes[i];
+        }
+      broken += holders > 1;
+    }
+}
+
+static void
+run (int64_t ns)
+{
+  int64_t end = fake_clock.now + ns;
+
+  while (fake_clock.now < end)
+    {
+      clock_fake_advance (&fake_clock, 10 * NS_PER_MS);
+      fake_kv_step (&fake);
+      for (int i = 0; i < SHARDS; i++)
+        if (shards[i].alive && !shards[i].paused)
+          owner_tick (&shards[i].owner);
+      check_exclusive ();
+    }
+}
+
+static unsigned
+held_count (void)
+{
+  unsigned count = 0;
+
+  for (unsigned p = 0; p < PARTITIONS; p++)
+    for (int i = 0; i < SHARDS; i++)
+      count += shards[i].alive && owner_holds (&shards[i].owner, p, NULL);
+  return count;
+}
+
+static void
+setup (uint64_t seed, int count)
+{
+  clock_fake_init (&fake_clock, NS_PER_S);
+  fake_kv_init (&fake, &fake_clock.clock, seed);
+  rng_init (&rng, seed);
+  memset (fencing_seen, 0, sizeof fencing_seen);
+  broken = 0;
+  for (int i = 0; i < SHARDS; i++)
+    shards[i].alive = false;
+  for (int i = 0; i < count; i++)
+    shard_start (i);
+  live_tell ();
+}
+
+static void
+finish (void)
+{
+  CU_ASSERT_EQUAL (broken, 0);
+  broken = 0;
+  for (int i = 0; i < SHARDS; i++)
+    if (shards[i].alive)
+      shard_kill (i);
+  fake_kv_finish (&fake);
+}
+
+static void
+test_all_claimed_with_one_lease_each (void)
+{
+  setup (1, 4);
+  run (NS_PER_S);
+  CU_ASSERT_EQUAL (held_count (), PARTITIONS);
+  CU_ASSERT_EQUAL (fake.calls[FAKE_KV_LEASE_GRANT], 4);
+  CU_ASSERT_TRUE (fake.calls[FAKE_KV_TXN] <= 8);
+  for (int i = 0; i < 4; i++)
+    CU_ASSERT_TRUE (shards[i].held[0] + shards[i].held[1] <= 2);
+  finish ();
+}
+
+static void
+test_takeover_within_lease_and_a_second (void)
+{
+  int64_t died;
+
+  setup (2, 4);
+  run (10 * NS_PER_S);
+  shard_kill (1);
+  died = fake_clock.now;
+  run (2 * NS_PER_S);
+  live_tell ();
+  while (held_count () < PARTITIONS)
+    run (10 * NS_PER_MS);
+  printf ("# take-over after %.2f s, lease %.0f s\n",
+          (double)(fake_clock.now - died) / (double)NS_PER_S,
+          (double)settings.lease_ns / (double)NS_PER_S);
+  CU_ASSERT_TRUE (fake_clock.now - died <= settings.lease_ns + NS_PER_S);
+  finish ();
+}
+
+static void
+test_planned_stop_hands_over_at_once (void)
+{
+  setup (3, 4);
+  run (10 * NS_PER_S);
+  owner_stop (&shards[0].owner);
+  run (100 * NS_PER_MS);
+  CU_ASSERT_TRUE (owner_stopped (&shards[0].owner));
+  shard_kill (0);
+  live_tell ();
+  run (500 * NS_PER_MS);
+  CU_ASSERT_EQUAL (held_count (), PARTITIONS);
+  finish ();
+}
+
+static void
+test_joining_shard_gets_its_part (void)
+{
+  setup (4, 3);
+  run (5 * NS_PER_S);
+  shard_start (3);
+  live_tell ();
+  run (settings.rebalance_ns + settings.poll_ns + NS_PER_S);
+  CU_ASSERT_EQUAL (held_count (), PARTITIONS);
+  CU_ASSERT_TRUE (memchr (shards[3].held, true, sizeof shards[3].held)
+                  != NULL);
+  finish ();
+}
+
+/* The service is out for longer than the lease: nobody holds anything at the
+ * end, and all is held again soon after. */
+static void
+test_outage_longer_than_the_lease (void)
+{
+  setup (5, 4);
+  run (5 * NS_PER_S);
+  fake.faults.down = true;
+  run (3 * NS_PER_S);
+  run (57 * NS_PER_S);
+  CU_ASSERT_EQUAL (held_count (), 0);
+  fake.faults.down = false;
+  run (6 * NS_PER_S);
+  CU_ASSERT_EQUAL (held_count (), PARTITIONS);
+  finish ();
+}
+
+static void
+shard_upset (int index)
+{
+  struct shard *shard = &shards[index];
+
+  switch (rng_below (&rng, 5))
+    {
+    case 0:
+      if (shard->alive)
+        shard_kill (index);
+      else
+        shard_start (index);
+      shard->paused = false;
+      break;
+    case 1:
+      if (shard->alive)
+        shard->paused = shard->client.paused = !shard->paused;
+      break;
+    case 2:
+      fake.faults.down = !fake.faults.down;
+      break;
+    case 3:
+      fake.faults.lost_after = 0.3 * (double)rng_below (&rng, 2);
+      fake.faults.lost_before = 0.3 * (double)rng_below (&rng, 2);
+      break;
+    default:
+      fake.faults.latency_ns
+          = (int64_t)(1 + rng_below (&rng, 3000)) * NS_PER_MS;
+    }
+}
+
+/* Leases lapse by time alone; a service that ends them early breaks what it
+ * promises, and only the compare of the record's revision helps then. */
+static void
+random_run (uint64_t seed)
+{
+  setup (seed, SHARDS);
+  for (int step = 0; step < 200; step++)
+    {
+      int index = (int)rng_below (&rng, SHARDS);
+
+      if (rng_below (&rng, 3) == 0)
+        shard_upset (index);
+      live_tell ();
+      run ((int64_t)rng_below (&rng, 1500) * NS_PER_MS);
+    }
+}
+
+static void
+test_random_faults (void)
+{
+  for (uint64_t seed = 100; seed < 110; seed++)
+    {
+      random_run (seed);
+      finish ();
+    }
+}
+
+/* The checker sees ownership that outlasts the lease. */
+static void
+test_missing_margin_is_caught (void)
+{
+  settings.margin_ns = -60 * NS_PER_S;
+  random_run (100);
+  settings.margin_ns = 500 * NS_PER_MS;
+  CU_ASSERT_TRUE (broken > 0);
+  broken = 0;
+  finish ();
+}
+
+static const struct unit_case cases[] = {
+  { "all-claimed-with-one-lease-each", test_all_claimed_with_one_lease_each },
+  { "takeover-within-lease-and-a-second",
+    test_takeover_within_lease_and_a_second },
+  { "planned-stop-hands-over-at-once", test_planned_stop_hands_over_at_once },
+  { "joining-shard-gets-its-part", test_joining_shard_gets_its_part },
+  { "outage-longer-than-the-lease", test_outage_longer_than_the_lease },
+  { "random-faults", test_random_faults },
+  { "missing-margin-is-caught", test_missing_margin_is_caught },
+};
+
+int
+main (void)
+{
+  return unit_run ("owner", cases, sizeof cases / sizeof *cases);
+}
