Owner test: membership leaves out paused shards

The random run told membership that a paused shard lives, so nobody took over from it. Change: membership in the test leaves paused shards out, which makes the run harder. The check itself is as it was.

--- a/test/test-owner.c
+++ b/test/test-owner.c
@@ -67,10 +67,10 @@
   size_t count = 0;
 
   for (int i = 0; i < SHARDS; i++)
-    if (shards[i].alive)
+    if (shards[i].alive && !shards[i].paused)
       live[count++] = nodes[i];
   for (int i = 0; i < SHARDS; i++)
-    if (shards[i].alive)
+    if (shards[i].alive && !shards[i].paused)
       owner_live (&shards[i].owner, live, count);
 }
 
