--- /dev/null
+++ b/src/fairqueue.c
@@ -0,0 +1,222 @@
+#include "fairqueue.h"
+
+#include <assert.h>
+#include <math.h>
+
+static struct fairqueue_item *
+flow_first (const struct fairqueue_flow *flow)
+{
+  return LIST_ENTRY (flow->items.next, struct fairqueue_item, node);
+}
+
+/* The flow of CLASS whose next item starts first; the one that has been
+ * waiting longest among equals. */
+static struct fairqueue_flow *
+class_next (const struct fairqueue_class *class)
+{
+  struct fairqueue_flow *best = NULL;
+
+  for (struct list *at = class->flows.next; at != &class->flows; at = at->next)
+    {
+      struct fairqueue_flow *flow
+          = LIST_ENTRY (at, struct fairqueue_flow, node);
+
+      if (flow->blocked)
+        continue;
+      if (best == NULL || flow->start < best->start)
+        best = flow;
+    }
+  return best;
+}
+
+static void
+queue_drop (struct fairqueue *queue, struct fairqueue_item *item)
+{
+  struct fairqueue_flow *flow = item->flow;
+  struct fairqueue_class *class = &queue->classes[flow->priority];
+
+  list_remove (&item->node);
+  item->flow = NULL;
+  flow->count--;
+  class->count--;
+  queue->count--;
+  /* An empty sum is set to zero, so that rounding does not pile up. */
+  flow->backlog = flow->count > 0 ? flow->backlog - item->cost : 0;
+  class->backlog = class->count > 0 ? class->backlog - item->cost : 0;
+  if (flow->count == 0)
+    list_remove (&flow->node);
+}
+
+static void
+queue_charge (struct fairqueue *queue, struct fairqueue_flow *flow,
+              double cost)
+{
+  struct fairqueue_class *class = &queue->classes[flow->priority];
+
+  queue->clock = fmax (queue->clock, class->start);
+  class->start += cost / class->weight;
+  class->clock = fmax (class->clock, flow->start);
+  flow->start += cost / flow->weight;
+}
+
+void
+fairqueue_init (struct fairqueue *queue, const double *weights,
+                const unsigned *limits, unsigned limit)
+{
+  *queue = (struct fairqueue){ .limit = limit };
+  for (int i = 0; i < PRIORITY_COUNT; i++)
+    {
+      assert (weights[i] > 0);
+      list_init (&queue->classes[i].flows);
+      queue->classes[i].weight = weights[i];
+      queue->classes[i].limit = limits[i];
+    }
+}
+
+void
+fairqueue_flow_init (struct fairqueue_flow *flow, enum priority priority,
+                     double weight)
+{
+  assert (weight > 0);
+  *flow = (struct fairqueue_flow){ .priority = priority, .weight = weight };
+  list_init (&flow->node);
+  list_init (&flow->items);
+}
+
+enum status
+fairqueue_push (struct fairqueue *queue, struct fairqueue_flow *flow,
+                struct fairqueue_item *item)
+{
+  struct fairqueue_class *class = &queue->classes[flow->priority];
+  struct list *at = flow->items.prev;
+
+  assert (item->cost > 0);
+  if (class->count >= class->limit || queue->count >= queue->limit)
+    return STATUS_LIMITED;
+  if (class->count == 0)
+    class->start = fmax (class->start, queue->clock);
+  if (flow->count == 0)
+    {
+      flow->start = fmax (flow->start, class->clock);
+      list_append (&class->flows, &flow->node);
+    }
+  while (at != &flow->items
+         && LIST_ENTRY (at, struct fairqueue_item, node)->deadline_ns
+                > item->deadline_ns)
+    at = at->prev;
+  list_insert (at->next, &item->node);
+  item->flow = flow;
+  flow->count++;
+  flow->backlog += item->cost;
+  class->count++;
+  class->backlog += item->cost;
+  queue->count++;
+  return STATUS_OK;
+}
+
+struct fairqueue_item *
+fairqueue_pop (struct fairqueue *queue, unsigned class_mask)
+{
+  struct fairqueue_flow *flow = NULL;
+  struct fairqueue_item *item;
+  double least = INFINITY;
+
+  for (int i = 0; i < PRIORITY_COUNT; i++)
+    {
+      struct fairqueue_class *class = &queue->classes[i];
+      struct fairqueue_flow *next = class_next (class);
+
+      /* A class that may not be served gains no credit meanwhile. */
+      if (next == NULL || (class_mask & 1U << i) == 0)
+        class->start = fmax (class->start, queue->clock);
+      else if (class->start < least)
+        {
+          least = class->start;
+          flow = next;
+        }
+    }
+  if (flow == NULL)
+    return NULL;
+  item = flow_first (flow);
+  queue_charge (queue, flow, item->cost);
+  queue_drop (queue, item);
+  return item;
+}
+
+void
+fairqueue_remove (struct fairqueue *queue, struct fairqueue_item *item)
+{
+  if (item->flow != NULL)
+    queue_drop (queue, item);
+}
+
+struct fairqueue_item *
+fairqueue_earliest (const struct fairqueue *queue)
+{
+  struct fairqueue_item *best = NULL;
+
+  for (int i = 0; i < PRIORITY_COUNT; i++)
+    {
+      const struct list *flows = &queue->classes[i].flows;
+
+      for (struct list *at = flows->next; at != flows; at = at->next)
+        {
+          struct fairqueue_item *item
+              = flow_first (LIST_ENTRY (at, struct fairqueue_flow, node));
+
+          if (best == NULL || item->deadline_ns < best->deadline_ns)
+            best = item;
+        }
+    }
+  return best;
+}
+
+void
+fairqueue_block (struct fairqueue *queue, struct fairqueue_flow *flow,
+                 bool blocked)
+{
+  if (flow->blocked && !blocked)
+    flow->start = fmax (flow->start, queue->classes[flow->priority].clock);
+  flow->blocked = blocked;
+}
+
+void
+fairqueue_ahead (const struct fairqueue *queue,
+                 const struct fairqueue_flow *flow, int64_t deadline_ns,
+                 double ahead[PRIORITY_COUNT])
+{
+  const struct fairqueue_class *class = &queue->classes[flow->priority];
+  const struct list *items = &flow->items;
+  double own = 0;
+  double sum = 0;
+
+  for (struct list *at = items->next; at != items; at = at->next)
+    {
+      struct fairqueue_item *item
+          = LIST_ENTRY (at, struct fairqueue_item, node);
+
+      if (item->deadline_ns > deadline_ns)
+        break;
+      own += item->cost;
+    }
+  for (struct list *at = class->flows.next; at != &class->flows; at = at->next)
+    {
+      struct fairqueue_flow *other
+          = LIST_ENTRY (at, struct fairqueue_flow, node);
+      /* By then the others have got what their weights give them, counted
+       * from where each stands now. */
+      double lag = flow->count > 0 ? flow->start - other->start
+                                   : class->clock - other->start;
+      double share = (own / flow->weight + lag) * other->weight;
+
+      sum += other == flow ? own : fmin (other->backlog, fmax (share, 0));
+    }
+  for (int i = 0; i < PRIORITY_COUNT; i++)
+    {
+      const struct fairqueue_class *other = &queue->classes[i];
+      double lag = fmax (class->start, queue->clock) - other->start;
+      double share = (sum / class->weight + lag) * other->weight;
+
+      ahead[i] = other == class ? sum : fmin (other->backlog, fmax (share, 0));
+    }
+}
