--- /dev/null
+++ b/src/answer.c
@@ -0,0 +1,109 @@
+#include "answer.h"
+
+#include "httpjson.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  HEADER_COUNT_MAX = 4
+};
+
+static struct json_object *
+error_object (const struct refusal *refusal, const char *outcome,
+              const char *id)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *error = json_object_new_object ();
+
+  json_add_text (error, "code", refusal->code);
+  json_add_text (error, "message", refusal->message);
+  json_add_text (error, "outcome", outcome);
+  if (id != NULL)
+    json_add_text (error, "request", id);
+  if (refusal->retry_after_ns > 0)
+    json_add_uint (error, "retry_after_ms",
+                   (uint64_t)(refusal->retry_after_ns / NS_PER_MS));
+  json_object_object_add (object, "error", error);
+  return object;
+}
+
+static void
+respond (struct httpserver_request *http, const struct refusal *refusal,
+         const char *outcome, struct json_object *object)
+{
+  struct httpserver_header headers[HEADER_COUNT_MAX];
+  size_t count = 0;
+  char seconds[32];
+  const char *text
+      = json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN);
+
+  headers[count].name = "x-outcome";
+  headers[count++].value = outcome;
+  if (refusal->retry_after_ns > 0)
+    {
+      int64_t ns = refusal->retry_after_ns;
+
+      g_snprintf (seconds, sizeof seconds, "%" G_GINT64_FORMAT,
+                  (ns + NS_PER_S - 1) / NS_PER_S);
+      headers[count].name = "retry-after";
+      headers[count++].value = seconds;
+    }
+  httpserver_respond (http, refusal->http_status, "application/json", headers,
+                      count, text, strlen (text));
+}
+
+/* After the first byte of a stream the error goes into the stream, which
+ * then has no end mark. */
+static void
+end_stream (struct httpserver_request *http, struct json_object *object)
+{
+  char *event = g_strdup_printf (
+      "event: error\ndata: %s\n\n",
+      json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
+
+  httpserver_stream_write (http, event, strlen (event));
+  httpserver_stream_end (http, false);
+  g_free (event);
+}
+
+void
+answer_refuse (struct request *request, enum outcome outcome,
+               const struct refusal *refusal)
+{
+  const char *name = outcome_name (outcome);
+  struct json_object *object;
+
+  if (request->http == NULL)
+    return;
+  object = error_object (refusal, name, request->id);
+  if (request->answer_started)
+    end_stream (request->http, object);
+  else
+    respond (request->http, refusal, name, object);
+  request->http = NULL;
+  json_object_put (object);
+}
+
+void
+answer_error (struct httpserver_request *http, const struct refusal *refusal)
+{
+  const char *name = outcome_name (OUTCOME_REFUSED_NOT_RUN);
+  struct json_object *object = error_object (refusal, name, NULL);
+
+  respond (http, refusal, name, object);
+  json_object_put (object);
+}
+
+void
+answer_json (struct httpserver_request *http, int status,
+             struct json_object *object)
+{
+  const char *text
+      = json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN);
+
+  httpserver_respond (http, status, "application/json", NULL, 0, text,
+                      strlen (text));
+  json_object_put (object);
+}
--- /dev/null
+++ b/src/auth.c
@@ -0,0 +1,43 @@
+#include "filters.h"
+#include "gateway.h"
+
+#include <string.h>
+#include <strings.h>
+
+static const struct refusal no_config
+    = { 503, "not_ready", "no configuration is in force here yet",
+        NS_PER_S };
+static const struct refusal no_key
+    = { 401, "missing_key", "send 'Authorization: Bearer KEY'", 0 };
+static const struct refusal wrong_key
+    = { 401, "wrong_key", "the bearer key belongs to no organisation", 0 };
+
+enum verdict
+auth_filter (struct request *request)
+{
+  static const char scheme[] = "Bearer ";
+  const char *header
+      = httpserver_request_header (request->http, "authorization");
+  const char *key;
+
+  if (request->gateway->config == NULL)
+    {
+      request_refuse (request, OUTCOME_REFUSED_NOT_RUN, &no_config);
+      return VERDICT_FINISH;
+    }
+  request->config = config_ref (request->gateway->config);
+  if (header == NULL || strncasecmp (header, scheme, sizeof scheme - 1) != 0)
+    {
+      request_refuse (request, OUTCOME_REFUSED_NOT_RUN, &no_key);
+      return VERDICT_FINISH;
+    }
+  key = header + sizeof scheme - 1;
+  request->organisation
+      = config_by_key (request->config, key, strlen (key));
+  if (request->organisation == NULL)
+    {
+      request_refuse (request, OUTCOME_REFUSED_NOT_RUN, &wrong_key);
+      return VERDICT_FINISH;
+    }
+  return VERDICT_PASS;
+}
--- /dev/null
+++ b/src/filters.h
@@ -0,0 +1,32 @@
+#ifndef FILTERS_H
+#define FILTERS_H
+
+#include "request.h"
+
+/** @file
+ * The filters of a request, in the order in which they run.
+ */
+
+/** Who calls: the organisation of the bearer key, and of nothing else. */
+enum verdict auth_filter (struct request *request);
+
+/** What is asked for: kind, model or service, deadline, prompt. */
+enum verdict classify_filter (struct request *request);
+
+/** Who has earlier context: asks the shard that owns the prompt's chain. */
+enum verdict lookup_filter (struct request *request);
+
+/** Place on a backend server, send, pass the answer on. */
+enum verdict dispatch_filter (struct request *request);
+
+/** Let go of what dispatch holds: cancel at the backend server if the
+ * request has not come to its end. */
+void dispatch_close (struct request *request);
+
+/** Look at the timers of a request that is dispatched. */
+void dispatch_tick (struct request *request, int64_t now);
+
+/** The request ended on ENGINE: tell the shard that owns its chain. */
+void lookup_report_used (struct request *request);
+
+#endif
--- /dev/null
+++ b/src/gateway.h
@@ -0,0 +1,35 @@
+#ifndef GATEWAY_H
+#define GATEWAY_H
+
+#include "backends.h"
+#include "block.h"
+#include "config.h"
+#include "place.h"
+#include "process.h"
+#include "request.h"
+
+/** @file
+ * The role that faces callers and operators: answers which address to use,
+ * admits, places, dispatches and relays.
+ */
+
+struct gateway
+{
+  struct process process;
+  const struct settings *settings;
+  struct config *config; /**< in force; NULL before the first */
+  struct backends backends;
+  struct place place;
+  struct block_key block_key;
+  struct list requests;
+  size_t request_count;
+  uint64_t next_request;
+};
+
+enum status gateway_init (struct gateway *gateway,
+                          const struct settings *settings,
+                          struct error *error);
+void gateway_run (struct gateway *gateway);
+void gateway_finish (struct gateway *gateway);
+
+#endif
--- /dev/null
+++ b/src/lookup.c
@@ -0,0 +1,174 @@
+#include "filters.h"
+#include "gateway.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* A shard that does not answer in time costs reuse, never the request. */
+#define LOOKUP_TIMEOUT_NS (50 * NS_PER_MS)
+#define USED_TIMEOUT_NS (NS_PER_S)
+
+/* A lookup that is open; the request may end before its answer. */
+struct lookup
+{
+  struct list node;
+  struct request *request; /* NULL: it ended */
+};
+
+static void
+fill_scope (Peer__Scope *message, struct block_scope *scope)
+{
+  message->organisation = scope->organisation;
+  message->model = scope->model;
+  message->version = scope->version;
+  message->adapter = scope->adapter;
+}
+
+static void
+fill_blocks (ProtobufCBinaryData *blocks, struct request *request)
+{
+  for (size_t i = 0; i < request->block_count; i++)
+    {
+      blocks[i].data = request->blocks[i].bytes;
+      blocks[i].len = BLOCK_ID_SIZE;
+    }
+}
+
+static uint32_t
+kind_number (const struct request *request)
+{
+  return g_str_hash (request->kind->name);
+}
+
+static const struct roster_entry *
+owner_of (const struct request *request)
+{
+  uint16_t route = block_route (&request->blocks[0]);
+
+  return roster_shard (&request->gateway->process.roster, &route,
+                       sizeof route);
+}
+
+static void
+take_copy (struct blockindex_piece *piece, const Peer__Copy *message)
+{
+  struct blockindex_copy *copy = &piece->copies[piece->copy_count];
+
+  if (piece->copy_count == BLOCKINDEX_COPIES_MAX
+      || message->tier >= COPY_TIERS)
+    return;
+  copy->store = message->store;
+  copy->slot = message->slot;
+  copy->generation = message->generation;
+  copy->checksum = message->checksum;
+  copy->length = (int64_t)message->length;
+  copy->tier = (enum copy_tier)message->tier;
+  piece->copy_count++;
+}
+
+static void
+take_reply (struct blockindex_match *match, const Peer__LookupReply *reply)
+{
+  for (size_t i = 0; i < reply->n_holders && i < BLOCKINDEX_HOLDERS_MAX; i++)
+    {
+      match->holders[i].engine = reply->holders[i]->engine;
+      match->holders[i].pieces = reply->holders[i]->pieces;
+      match->holders[i].confidence = reply->holders[i]->confidence;
+      match->holder_count++;
+    }
+  for (size_t i = 0; i < reply->n_pieces && i < BLOCKINDEX_PIECES_MAX; i++)
+    {
+      for (size_t j = 0; j < reply->pieces[i]->n_copies; j++)
+        take_copy (&match->pieces[i], reply->pieces[i]->copies[j]);
+      match->piece_count++;
+    }
+  match->idle_ns = reply->idle_ms * NS_PER_MS;
+  match->read_lease_ns = reply->read_lease_ms * NS_PER_MS;
+}
+
+static void
+lookup_answered (void *data, enum status status, const Peer__Envelope *reply)
+{
+  struct request *request = request_find (data);
+
+  g_free (data);
+  if (request == NULL)
+    return;
+  if (status == STATUS_OK
+      && reply->body_case == PEER__ENVELOPE__BODY_LOOKUP_REPLY)
+    take_reply (&request->match, reply->lookup_reply);
+  else
+    metrics_add (&request->gateway->process.metrics, "lookups_failed", "", 1);
+  request_resume (request);
+}
+
+enum verdict
+lookup_filter (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  const struct settings *settings = gateway->settings;
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__Lookup lookup = PEER__LOOKUP__INIT;
+  Peer__Scope scope = PEER__SCOPE__INIT;
+  ProtobufCBinaryData blocks[BLOCKINDEX_PIECES_MAX];
+  const struct roster_entry *owner;
+
+  request->match.idle_ns = -1;
+  request->block_count = block_chain (
+      &request->scope, &gateway->block_key, request->prompt,
+      request->prompt_size, gateway->piece_bytes, request->blocks,
+      BLOCKINDEX_PIECES_MAX);
+  if (request->block_count == 0)
+    return VERDICT_PASS;
+  owner = owner_of (request);
+  if (owner == NULL)
+    return VERDICT_PASS;
+  fill_scope (&scope, &request->scope);
+  fill_blocks (blocks, request);
+  lookup.scope = &scope;
+  lookup.blocks = blocks;
+  lookup.n_blocks = request->block_count;
+  lookup.kind = kind_number (request);
+  envelope.body_case = PEER__ENVELOPE__BODY_LOOKUP;
+  envelope.lookup = &lookup;
+  peerhub_request (&gateway->process.peers, owner->peer_address, &envelope,
+                   LOOKUP_TIMEOUT_NS, lookup_answered, request_handle (request));
+  return VERDICT_WAIT;
+}
+
+static void
+used_answered (void *data, enum status status, const Peer__Envelope *reply)
+{
+}
+
+void
+lookup_report_used (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__Used used = PEER__USED__INIT;
+  Peer__Scope scope = PEER__SCOPE__INIT;
+  ProtobufCBinaryData blocks[BLOCKINDEX_PIECES_MAX];
+  const struct roster_entry *owner;
+
+  if (request->block_count == 0)
+    return;
+  owner = owner_of (request);
+  if (owner == NULL)
+    return;
+  fill_scope (&scope, &request->scope);
+  fill_blocks (blocks, request);
+  used.scope = &scope;
+  used.blocks = blocks;
+  used.n_blocks = request->block_count;
+  used.engine = request->attempt.backend;
+  used.cached = (uint32_t)(request->cached_tokens
+                           / gateway->settings->placement.piece_tokens);
+  used.missed = request->cached_tokens < request->planned_cached;
+  used.kind = kind_number (request);
+  used.retained = request->kind->retained == 1;
+  envelope.body_case = PEER__ENVELOPE__BODY_USED;
+  envelope.used = &used;
+  peerhub_request (&gateway->process.peers, owner->peer_address, &envelope,
+                   USED_TIMEOUT_NS, used_answered, NULL);
+}
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -412,7 +412,367 @@
   assert(message->base.descriptor == &peer__load_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[10] =
+void   peer__scope__init
+                     (Peer__Scope         *message)
+{
+  static const Peer__Scope init_value = PEER__SCOPE__INIT;
+  *message = init_value;
+}
+size_t peer__scope__get_packed_size
+                     (const Peer__Scope *message)
+{
+  assert(message->base.descriptor == &peer__scope__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__scope__pack
+                     (const Peer__Scope *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__scope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__scope__pack_to_buffer
+                     (const Peer__Scope *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__scope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Scope *
+       peer__scope__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Scope *)
+     protobuf_c_message_unpack (&peer__scope__descriptor,
+                                allocator, len, data);
+}
+void   peer__scope__free_unpacked
+                     (Peer__Scope *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__scope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__lookup__init
+                     (Peer__Lookup         *message)
+{
+  static const Peer__Lookup init_value = PEER__LOOKUP__INIT;
+  *message = init_value;
+}
+size_t peer__lookup__get_packed_size
+                     (const Peer__Lookup *message)
+{
+  assert(message->base.descriptor == &peer__lookup__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__lookup__pack
+                     (const Peer__Lookup *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__lookup__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__lookup__pack_to_buffer
+                     (const Peer__Lookup *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__lookup__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Lookup *
+       peer__lookup__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Lookup *)
+     protobuf_c_message_unpack (&peer__lookup__descriptor,
+                                allocator, len, data);
+}
+void   peer__lookup__free_unpacked
+                     (Peer__Lookup *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__lookup__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__holder__init
+                     (Peer__Holder         *message)
+{
+  static const Peer__Holder init_value = PEER__HOLDER__INIT;
+  *message = init_value;
+}
+size_t peer__holder__get_packed_size
+                     (const Peer__Holder *message)
+{
+  assert(message->base.descriptor == &peer__holder__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__holder__pack
+                     (const Peer__Holder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__holder__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__holder__pack_to_buffer
+                     (const Peer__Holder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__holder__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Holder *
+       peer__holder__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Holder *)
+     protobuf_c_message_unpack (&peer__holder__descriptor,
+                                allocator, len, data);
+}
+void   peer__holder__free_unpacked
+                     (Peer__Holder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__holder__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__copy__init
+                     (Peer__Copy         *message)
+{
+  static const Peer__Copy init_value = PEER__COPY__INIT;
+  *message = init_value;
+}
+size_t peer__copy__get_packed_size
+                     (const Peer__Copy *message)
+{
+  assert(message->base.descriptor == &peer__copy__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__copy__pack
+                     (const Peer__Copy *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__copy__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__copy__pack_to_buffer
+                     (const Peer__Copy *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__copy__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Copy *
+       peer__copy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Copy *)
+     protobuf_c_message_unpack (&peer__copy__descriptor,
+                                allocator, len, data);
+}
+void   peer__copy__free_unpacked
+                     (Peer__Copy *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__copy__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__piece__init
+                     (Peer__Piece         *message)
+{
+  static const Peer__Piece init_value = PEER__PIECE__INIT;
+  *message = init_value;
+}
+size_t peer__piece__get_packed_size
+                     (const Peer__Piece *message)
+{
+  assert(message->base.descriptor == &peer__piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__piece__pack
+                     (const Peer__Piece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__piece__pack_to_buffer
+                     (const Peer__Piece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Piece *
+       peer__piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Piece *)
+     protobuf_c_message_unpack (&peer__piece__descriptor,
+                                allocator, len, data);
+}
+void   peer__piece__free_unpacked
+                     (Peer__Piece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__lookup_reply__init
+                     (Peer__LookupReply         *message)
+{
+  static const Peer__LookupReply init_value = PEER__LOOKUP_REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__lookup_reply__get_packed_size
+                     (const Peer__LookupReply *message)
+{
+  assert(message->base.descriptor == &peer__lookup_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__lookup_reply__pack
+                     (const Peer__LookupReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__lookup_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__lookup_reply__pack_to_buffer
+                     (const Peer__LookupReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__lookup_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LookupReply *
+       peer__lookup_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LookupReply *)
+     protobuf_c_message_unpack (&peer__lookup_reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__lookup_reply__free_unpacked
+                     (Peer__LookupReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__lookup_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__used__init
+                     (Peer__Used         *message)
+{
+  static const Peer__Used init_value = PEER__USED__INIT;
+  *message = init_value;
+}
+size_t peer__used__get_packed_size
+                     (const Peer__Used *message)
+{
+  assert(message->base.descriptor == &peer__used__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__used__pack
+                     (const Peer__Used *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__used__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__used__pack_to_buffer
+                     (const Peer__Used *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__used__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Used *
+       peer__used__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Used *)
+     protobuf_c_message_unpack (&peer__used__descriptor,
+                                allocator, len, data);
+}
+void   peer__used__free_unpacked
+                     (Peer__Used *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__used__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__done__init
+                     (Peer__Done         *message)
+{
+  static const Peer__Done init_value = PEER__DONE__INIT;
+  *message = init_value;
+}
+size_t peer__done__get_packed_size
+                     (const Peer__Done *message)
+{
+  assert(message->base.descriptor == &peer__done__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__done__pack
+                     (const Peer__Done *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__done__pack_to_buffer
+                     (const Peer__Done *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Done *
+       peer__done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Done *)
+     protobuf_c_message_unpack (&peer__done__descriptor,
+                                allocator, len, data);
+}
+void   peer__done__free_unpacked
+                     (Peer__Done *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[14] =
 {
   {
     "protocol",
@@ -534,24 +894,76 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lookup",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, lookup),
+    &peer__lookup__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lookup_reply",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, lookup_reply),
+    &peer__lookup_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, used),
+    &peer__used__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, done),
+    &peer__done__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = config_revision */
+  13,   /* field[13] = done */
   4,   /* field[4] = hello */
   1,   /* field[1] = incarnation */
   8,   /* field[8] = load_query */
   9,   /* field[9] = load_reply */
+  10,   /* field[10] = lookup */
+  11,   /* field[11] = lookup_reply */
   5,   /* field[5] = ping */
   6,   /* field[6] = pong */
   0,   /* field[0] = protocol */
   7,   /* field[7] = refused */
   2,   /* field[2] = request_id */
+  12,   /* field[12] = used */
 };
 static const ProtobufCIntRange peer__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 10 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor peer__envelope__descriptor =
 {
@@ -561,7 +973,7 @@
   "Peer__Envelope",
   "peer",
   sizeof(Peer__Envelope),
-  10,
+  14,
   peer__envelope__field_descriptors,
   peer__envelope__field_indices_by_name,
   2,  peer__envelope__number_ranges,
@@ -1093,3 +1505,560 @@
   (ProtobufCMessageInit) peer__load_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__scope__field_descriptors[4] =
+{
+  {
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Scope, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Scope, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Scope, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapter",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Scope, adapter),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__scope__field_indices_by_name[] = {
+  3,   /* field[3] = adapter */
+  1,   /* field[1] = model */
+  0,   /* field[0] = organisation */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange peer__scope__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__scope__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Scope",
+  "Scope",
+  "Peer__Scope",
+  "peer",
+  sizeof(Peer__Scope),
+  4,
+  peer__scope__field_descriptors,
+  peer__scope__field_indices_by_name,
+  1,  peer__scope__number_ranges,
+  (ProtobufCMessageInit) peer__scope__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__lookup__field_descriptors[3] =
+{
+  {
+    "scope",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Lookup, scope),
+    &peer__scope__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blocks",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Peer__Lookup, n_blocks),
+    offsetof(Peer__Lookup, blocks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Lookup, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__lookup__field_indices_by_name[] = {
+  1,   /* field[1] = blocks */
+  2,   /* field[2] = kind */
+  0,   /* field[0] = scope */
+};
+static const ProtobufCIntRange peer__lookup__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__lookup__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Lookup",
+  "Lookup",
+  "Peer__Lookup",
+  "peer",
+  sizeof(Peer__Lookup),
+  3,
+  peer__lookup__field_descriptors,
+  peer__lookup__field_indices_by_name,
+  1,  peer__lookup__number_ranges,
+  (ProtobufCMessageInit) peer__lookup__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__holder__field_descriptors[3] =
+{
+  {
+    "engine",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Holder, engine),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Holder, pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confidence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Holder, confidence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__holder__field_indices_by_name[] = {
+  2,   /* field[2] = confidence */
+  0,   /* field[0] = engine */
+  1,   /* field[1] = pieces */
+};
+static const ProtobufCIntRange peer__holder__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__holder__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Holder",
+  "Holder",
+  "Peer__Holder",
+  "peer",
+  sizeof(Peer__Holder),
+  3,
+  peer__holder__field_descriptors,
+  peer__holder__field_indices_by_name,
+  1,  peer__holder__number_ranges,
+  (ProtobufCMessageInit) peer__holder__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__copy__field_descriptors[6] =
+{
+  {
+    "store",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Copy, store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Copy, slot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Copy, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checksum",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Copy, checksum),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Copy, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tier",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Copy, tier),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__copy__field_indices_by_name[] = {
+  3,   /* field[3] = checksum */
+  2,   /* field[2] = generation */
+  4,   /* field[4] = length */
+  1,   /* field[1] = slot */
+  0,   /* field[0] = store */
+  5,   /* field[5] = tier */
+};
+static const ProtobufCIntRange peer__copy__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer__copy__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Copy",
+  "Copy",
+  "Peer__Copy",
+  "peer",
+  sizeof(Peer__Copy),
+  6,
+  peer__copy__field_descriptors,
+  peer__copy__field_indices_by_name,
+  1,  peer__copy__number_ranges,
+  (ProtobufCMessageInit) peer__copy__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__piece__field_descriptors[1] =
+{
+  {
+    "copies",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Piece, n_copies),
+    offsetof(Peer__Piece, copies),
+    &peer__copy__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__piece__field_indices_by_name[] = {
+  0,   /* field[0] = copies */
+};
+static const ProtobufCIntRange peer__piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Piece",
+  "Piece",
+  "Peer__Piece",
+  "peer",
+  sizeof(Peer__Piece),
+  1,
+  peer__piece__field_descriptors,
+  peer__piece__field_indices_by_name,
+  1,  peer__piece__number_ranges,
+  (ProtobufCMessageInit) peer__piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__lookup_reply__field_descriptors[4] =
+{
+  {
+    "holders",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LookupReply, n_holders),
+    offsetof(Peer__LookupReply, holders),
+    &peer__holder__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LookupReply, n_pieces),
+    offsetof(Peer__LookupReply, pieces),
+    &peer__piece__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LookupReply, idle_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_lease_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LookupReply, read_lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__lookup_reply__field_indices_by_name[] = {
+  0,   /* field[0] = holders */
+  2,   /* field[2] = idle_ms */
+  1,   /* field[1] = pieces */
+  3,   /* field[3] = read_lease_ms */
+};
+static const ProtobufCIntRange peer__lookup_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__lookup_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LookupReply",
+  "LookupReply",
+  "Peer__LookupReply",
+  "peer",
+  sizeof(Peer__LookupReply),
+  4,
+  peer__lookup_reply__field_descriptors,
+  peer__lookup_reply__field_indices_by_name,
+  1,  peer__lookup_reply__number_ranges,
+  (ProtobufCMessageInit) peer__lookup_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__used__field_descriptors[7] =
+{
+  {
+    "scope",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Used, scope),
+    &peer__scope__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blocks",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Peer__Used, n_blocks),
+    offsetof(Peer__Used, blocks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engine",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Used, engine),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cached",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Used, cached),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Used, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retained",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Used, retained),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "missed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Used, missed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__used__field_indices_by_name[] = {
+  1,   /* field[1] = blocks */
+  3,   /* field[3] = cached */
+  2,   /* field[2] = engine */
+  4,   /* field[4] = kind */
+  6,   /* field[6] = missed */
+  5,   /* field[5] = retained */
+  0,   /* field[0] = scope */
+};
+static const ProtobufCIntRange peer__used__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor peer__used__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Used",
+  "Used",
+  "Peer__Used",
+  "peer",
+  sizeof(Peer__Used),
+  7,
+  peer__used__field_descriptors,
+  peer__used__field_indices_by_name,
+  1,  peer__used__number_ranges,
+  (ProtobufCMessageInit) peer__used__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define peer__done__field_descriptors NULL
+#define peer__done__field_indices_by_name NULL
+#define peer__done__number_ranges NULL
+const ProtobufCMessageDescriptor peer__done__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Done",
+  "Done",
+  "Peer__Done",
+  "peer",
+  sizeof(Peer__Done),
+  0,
+  peer__done__field_descriptors,
+  peer__done__field_indices_by_name,
+  0,  peer__done__number_ranges,
+  (ProtobufCMessageInit) peer__done__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -24,6 +24,14 @@
 typedef struct Peer__EngineVersion Peer__EngineVersion;
 typedef struct Peer__EngineLoad Peer__EngineLoad;
 typedef struct Peer__LoadReply Peer__LoadReply;
+typedef struct Peer__Scope Peer__Scope;
+typedef struct Peer__Lookup Peer__Lookup;
+typedef struct Peer__Holder Peer__Holder;
+typedef struct Peer__Copy Peer__Copy;
+typedef struct Peer__Piece Peer__Piece;
+typedef struct Peer__LookupReply Peer__LookupReply;
+typedef struct Peer__Used Peer__Used;
+typedef struct Peer__Done Peer__Done;
 
 
 /* --- enums --- */
@@ -38,7 +46,11 @@
   PEER__ENVELOPE__BODY_PONG = 12,
   PEER__ENVELOPE__BODY_REFUSED = 13,
   PEER__ENVELOPE__BODY_LOAD_QUERY = 14,
-  PEER__ENVELOPE__BODY_LOAD_REPLY = 15
+  PEER__ENVELOPE__BODY_LOAD_REPLY = 15,
+  PEER__ENVELOPE__BODY_LOOKUP = 16,
+  PEER__ENVELOPE__BODY_LOOKUP_REPLY = 17,
+  PEER__ENVELOPE__BODY_USED = 18,
+  PEER__ENVELOPE__BODY_DONE = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__ENVELOPE__BODY__CASE)
 } Peer__Envelope__BodyCase;
 
@@ -66,6 +78,10 @@
     Peer__Refused *refused;
     Peer__LoadQuery *load_query;
     Peer__LoadReply *load_reply;
+    Peer__Lookup *lookup;
+    Peer__LookupReply *lookup_reply;
+    Peer__Used *used;
+    Peer__Done *done;
   };
 };
 #define PEER__ENVELOPE__INIT \
@@ -185,6 +201,141 @@
     , 0,NULL }
 
 
+/*
+ * Whose blocks; compared as plain fields at each use.
+ */
+struct  Peer__Scope
+{
+  ProtobufCMessage base;
+  char *organisation;
+  char *model;
+  char *version;
+  char *adapter;
+};
+#define PEER__SCOPE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__scope__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Asks the shard that owns the chain of BLOCKS who has them.
+ */
+struct  Peer__Lookup
+{
+  ProtobufCMessage base;
+  Peer__Scope *scope;
+  size_t n_blocks;
+  ProtobufCBinaryData *blocks;
+  uint32_t kind;
+};
+#define PEER__LOOKUP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__lookup__descriptor) \
+    , NULL, 0,NULL, 0 }
+
+
+struct  Peer__Holder
+{
+  ProtobufCMessage base;
+  uint64_t engine;
+  uint32_t pieces;
+  float confidence;
+};
+#define PEER__HOLDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__holder__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * A sealed copy on a store, with all that a reader must check.
+ */
+struct  Peer__Copy
+{
+  ProtobufCMessage base;
+  uint64_t store;
+  uint64_t slot;
+  uint64_t generation;
+  uint64_t checksum;
+  uint64_t length;
+  uint32_t tier;
+};
+#define PEER__COPY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__copy__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+struct  Peer__Piece
+{
+  ProtobufCMessage base;
+  size_t n_copies;
+  Peer__Copy **copies;
+};
+#define PEER__PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__piece__descriptor) \
+    , 0,NULL }
+
+
+struct  Peer__LookupReply
+{
+  ProtobufCMessage base;
+  size_t n_holders;
+  Peer__Holder **holders;
+  size_t n_pieces;
+  Peer__Piece **pieces;
+  /*
+   * Since the last request for the deepest known piece; -1: none is known.
+   */
+  int64_t idle_ms;
+  /*
+   * From the lookup on; imports end before.
+   */
+  uint32_t read_lease_ms;
+};
+#define PEER__LOOKUP_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__lookup_reply__descriptor) \
+    , 0,NULL, 0,NULL, 0, 0 }
+
+
+/*
+ * An engine has run a request with these blocks and now has them.
+ */
+struct  Peer__Used
+{
+  ProtobufCMessage base;
+  Peer__Scope *scope;
+  size_t n_blocks;
+  ProtobufCBinaryData *blocks;
+  uint64_t engine;
+  /*
+   * Blocks from the front that the engine had cached before.
+   */
+  uint32_t cached;
+  uint32_t kind;
+  /*
+   * The kind's context is declared as kept.
+   */
+  protobuf_c_boolean retained;
+  /*
+   * The engine cached fewer blocks than the index had said.
+   */
+  protobuf_c_boolean missed;
+};
+#define PEER__USED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__used__descriptor) \
+    , NULL, 0,NULL, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Carried out; nothing more to say.
+ */
+struct  Peer__Done
+{
+  ProtobufCMessage base;
+};
+#define PEER__DONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__done__descriptor) \
+     }
+
+
 /* Peer__Envelope methods */
 void   peer__envelope__init
                      (Peer__Envelope         *message);
@@ -356,6 +507,158 @@
 void   peer__load_reply__free_unpacked
                      (Peer__LoadReply *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Scope methods */
+void   peer__scope__init
+                     (Peer__Scope         *message);
+size_t peer__scope__get_packed_size
+                     (const Peer__Scope   *message);
+size_t peer__scope__pack
+                     (const Peer__Scope   *message,
+                      uint8_t             *out);
+size_t peer__scope__pack_to_buffer
+                     (const Peer__Scope   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Scope *
+       peer__scope__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__scope__free_unpacked
+                     (Peer__Scope *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Lookup methods */
+void   peer__lookup__init
+                     (Peer__Lookup         *message);
+size_t peer__lookup__get_packed_size
+                     (const Peer__Lookup   *message);
+size_t peer__lookup__pack
+                     (const Peer__Lookup   *message,
+                      uint8_t             *out);
+size_t peer__lookup__pack_to_buffer
+                     (const Peer__Lookup   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Lookup *
+       peer__lookup__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__lookup__free_unpacked
+                     (Peer__Lookup *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Holder methods */
+void   peer__holder__init
+                     (Peer__Holder         *message);
+size_t peer__holder__get_packed_size
+                     (const Peer__Holder   *message);
+size_t peer__holder__pack
+                     (const Peer__Holder   *message,
+                      uint8_t             *out);
+size_t peer__holder__pack_to_buffer
+                     (const Peer__Holder   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Holder *
+       peer__holder__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__holder__free_unpacked
+                     (Peer__Holder *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Copy methods */
+void   peer__copy__init
+                     (Peer__Copy         *message);
+size_t peer__copy__get_packed_size
+                     (const Peer__Copy   *message);
+size_t peer__copy__pack
+                     (const Peer__Copy   *message,
+                      uint8_t             *out);
+size_t peer__copy__pack_to_buffer
+                     (const Peer__Copy   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Copy *
+       peer__copy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__copy__free_unpacked
+                     (Peer__Copy *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Piece methods */
+void   peer__piece__init
+                     (Peer__Piece         *message);
+size_t peer__piece__get_packed_size
+                     (const Peer__Piece   *message);
+size_t peer__piece__pack
+                     (const Peer__Piece   *message,
+                      uint8_t             *out);
+size_t peer__piece__pack_to_buffer
+                     (const Peer__Piece   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Piece *
+       peer__piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__piece__free_unpacked
+                     (Peer__Piece *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__LookupReply methods */
+void   peer__lookup_reply__init
+                     (Peer__LookupReply         *message);
+size_t peer__lookup_reply__get_packed_size
+                     (const Peer__LookupReply   *message);
+size_t peer__lookup_reply__pack
+                     (const Peer__LookupReply   *message,
+                      uint8_t             *out);
+size_t peer__lookup_reply__pack_to_buffer
+                     (const Peer__LookupReply   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LookupReply *
+       peer__lookup_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__lookup_reply__free_unpacked
+                     (Peer__LookupReply *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Used methods */
+void   peer__used__init
+                     (Peer__Used         *message);
+size_t peer__used__get_packed_size
+                     (const Peer__Used   *message);
+size_t peer__used__pack
+                     (const Peer__Used   *message,
+                      uint8_t             *out);
+size_t peer__used__pack_to_buffer
+                     (const Peer__Used   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Used *
+       peer__used__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__used__free_unpacked
+                     (Peer__Used *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Done methods */
+void   peer__done__init
+                     (Peer__Done         *message);
+size_t peer__done__get_packed_size
+                     (const Peer__Done   *message);
+size_t peer__done__pack
+                     (const Peer__Done   *message,
+                      uint8_t             *out);
+size_t peer__done__pack_to_buffer
+                     (const Peer__Done   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Done *
+       peer__done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__done__free_unpacked
+                     (Peer__Done *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Peer__Envelope_Closure)
@@ -385,6 +688,30 @@
 typedef void (*Peer__LoadReply_Closure)
                  (const Peer__LoadReply *message,
                   void *closure_data);
+typedef void (*Peer__Scope_Closure)
+                 (const Peer__Scope *message,
+                  void *closure_data);
+typedef void (*Peer__Lookup_Closure)
+                 (const Peer__Lookup *message,
+                  void *closure_data);
+typedef void (*Peer__Holder_Closure)
+                 (const Peer__Holder *message,
+                  void *closure_data);
+typedef void (*Peer__Copy_Closure)
+                 (const Peer__Copy *message,
+                  void *closure_data);
+typedef void (*Peer__Piece_Closure)
+                 (const Peer__Piece *message,
+                  void *closure_data);
+typedef void (*Peer__LookupReply_Closure)
+                 (const Peer__LookupReply *message,
+                  void *closure_data);
+typedef void (*Peer__Used_Closure)
+                 (const Peer__Used *message,
+                  void *closure_data);
+typedef void (*Peer__Done_Closure)
+                 (const Peer__Done *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -400,6 +727,14 @@
 extern const ProtobufCMessageDescriptor peer__engine_version__descriptor;
 extern const ProtobufCMessageDescriptor peer__engine_load__descriptor;
 extern const ProtobufCMessageDescriptor peer__load_reply__descriptor;
+extern const ProtobufCMessageDescriptor peer__scope__descriptor;
+extern const ProtobufCMessageDescriptor peer__lookup__descriptor;
+extern const ProtobufCMessageDescriptor peer__holder__descriptor;
+extern const ProtobufCMessageDescriptor peer__copy__descriptor;
+extern const ProtobufCMessageDescriptor peer__piece__descriptor;
+extern const ProtobufCMessageDescriptor peer__lookup_reply__descriptor;
+extern const ProtobufCMessageDescriptor peer__used__descriptor;
+extern const ProtobufCMessageDescriptor peer__done__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/src/request.c
@@ -0,0 +1,164 @@
+#include "request.h"
+#include "answer.h"
+#include "filters.h"
+#include "gateway.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+
+static const request_filter completion_filters[]
+    = { auth_filter, classify_filter, lookup_filter, dispatch_filter, NULL };
+static const request_filter service_filters[]
+    = { auth_filter, classify_filter, dispatch_filter, NULL };
+
+static const char *const outcome_names[OUTCOME_COUNT] = {
+  [OUTCOME_COMPLETE] = "complete",
+  [OUTCOME_REFUSED_NOT_RUN] = "refused_not_run",
+  [OUTCOME_FAILED_MAY_HAVE_RUN] = "failed_may_have_run",
+  [OUTCOME_IN_PROGRESS] = "in_progress",
+  [OUTCOME_REPLAYED] = "replayed",
+};
+
+static void
+request_free (struct request *request)
+{
+  load_started (&request->load);
+  list_remove (&request->node);
+  request->gateway->request_count--;
+  config_unref (request->config);
+  json_object_put (request->json);
+  g_free (request->method);
+  g_free (request->path);
+  g_free (request->key);
+  g_free (request->body);
+  g_free (request->prompt);
+  g_free (request);
+}
+
+/* A request that ends inside its filters is freed when they return. */
+static void
+request_end (struct request *request)
+{
+  request->finished = true;
+  dispatch_close (request);
+  if (!request->in_filters)
+    request_free (request);
+}
+
+static void
+run_filters (struct request *request)
+{
+  request->in_filters = true;
+  while (!request->finished && *request->filter != NULL)
+    {
+      enum verdict verdict = (*request->filter) (request);
+
+      if (verdict != VERDICT_PASS)
+        break;
+      request->filter++;
+    }
+  request->in_filters = false;
+  if (request->finished)
+    request_free (request);
+}
+
+static void
+on_caller_gone (void *data)
+{
+  struct request *request = data;
+
+  request->http = NULL;
+  request_abandon (request);
+}
+
+static void
+count_end (struct request *request, enum outcome outcome, const char *code)
+{
+  struct metrics *metrics = &request->gateway->process.metrics;
+  int64_t now = clock_now (&request->gateway->process.clock);
+  const char *organisation = request->organisation != NULL
+                                 ? request->organisation->organisation
+                                 : "";
+  const char *kind = request->kind != NULL ? request->kind->name : "";
+  char labels[256];
+
+  g_snprintf (labels, sizeof labels,
+              "organisation=\"%s\",kind=\"%s\",outcome=\"%s\",code=\"%s\"",
+              organisation, kind, outcome_name (outcome), code);
+  metrics_add (metrics, "requests", labels, 1);
+  log_event (&request->gateway->process.log, EVENT_REQUEST_END,
+             "request=%s organisation=%s kind=%s outcome=%s code=%s "
+             "total_ms=%.3f cached_tokens=%" G_GINT64_FORMAT
+             " imported_tokens=%" G_GINT64_FORMAT
+             " computed_tokens=%" G_GINT64_FORMAT,
+             request->id, organisation, kind, outcome_name (outcome), code,
+             (double)(now - request->received_ns) / NS_PER_MS,
+             request->cached_tokens, request->imported_tokens,
+             request->computed_tokens);
+}
+
+void
+request_begin (struct gateway *gateway, struct httpserver_request *http,
+               enum request_type type, const char *path)
+{
+  struct request *request = g_new0 (struct request, 1);
+
+  request->gateway = gateway;
+  request->http = http;
+  request->type = type;
+  request->path = g_strdup (path);
+  request->received_ns = clock_now (&gateway->process.clock);
+  request->filter = type == REQUEST_COMPLETION ? completion_filters
+                                               : service_filters;
+  list_init (&request->load.node);
+  list_init (&request->node);
+  list_append (&gateway->requests, &request->node);
+  gateway->request_count++;
+  g_snprintf (request->id, sizeof request->id,
+              "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+              gateway->process.id ^ gateway->process.incarnation,
+              ++gateway->next_request);
+  httpserver_request_on_gone (http, on_caller_gone, request);
+  run_filters (request);
+}
+
+void
+request_resume (struct request *request)
+{
+  assert (!request->in_filters && *request->filter != NULL);
+  request->filter++;
+  run_filters (request);
+}
+
+void
+request_refuse (struct request *request, enum outcome outcome,
+                const struct refusal *refusal)
+{
+  assert (outcome != OUTCOME_REFUSED_NOT_RUN || !request->handed_over
+          || request->attempt.not_run);
+  answer_refuse (request, outcome, refusal);
+  count_end (request, outcome, refusal->code);
+  request_end (request);
+}
+
+void
+request_complete (struct request *request)
+{
+  count_end (request, OUTCOME_COMPLETE, "");
+  request_end (request);
+}
+
+void
+request_abandon (struct request *request)
+{
+  count_end (request, OUTCOME_FAILED_MAY_HAVE_RUN, "caller_gone");
+  request_end (request);
+}
+
+const char *
+outcome_name (enum outcome outcome)
+{
+  assert ((unsigned)outcome < OUTCOME_COUNT);
+  return outcome_names[outcome];
+}
--- /dev/null
+++ b/src/request.h
@@ -0,0 +1,155 @@
+#ifndef REQUEST_H
+#define REQUEST_H
+
+#include "block.h"
+#include "blockindex.h"
+#include "clock.h"
+#include "config.h"
+#include "engine.h"
+#include "httpserver.h"
+#include "list.h"
+#include "load.h"
+
+#include <stdbool.h>
+
+/** @file
+ * One request of a caller: the typed value that the gateway's filters pass
+ * down. Each filter answers pass, wait or finish; a filter that waits calls
+ * request_resume later.
+ */
+
+struct gateway;
+struct request;
+
+enum
+{
+  REQUEST_ID_MAX = 33,
+  REQUEST_TRIED_MAX = 2 /**< backend servers of one request at most */
+};
+
+enum request_type
+{
+  REQUEST_COMPLETION,
+  REQUEST_SERVICE
+};
+
+/** What a caller is told at the end. */
+enum outcome
+{
+  OUTCOME_COMPLETE,
+  OUTCOME_REFUSED_NOT_RUN,
+  OUTCOME_FAILED_MAY_HAVE_RUN,
+  OUTCOME_IN_PROGRESS,
+  OUTCOME_REPLAYED,
+  OUTCOME_COUNT
+};
+
+enum verdict
+{
+  VERDICT_PASS,
+  VERDICT_WAIT,
+  VERDICT_FINISH
+};
+
+typedef enum verdict (*request_filter) (struct request *request);
+
+/** A final answer other than the backend server's own. */
+struct refusal
+{
+  int http_status;
+  const char *code; /**< stable */
+  const char *message;
+  int64_t retry_after_ns; /**< 0: asking again does not help */
+};
+
+/** One try at a backend server. */
+struct attempt
+{
+  struct engine_stream *stream; /**< NULL: none is open */
+  uint64_t backend;
+  int64_t started_ns;
+  int64_t heard_ns; /**< last byte from the backend server */
+  bool head_seen;
+  bool not_run; /**< the backend server says that it did not start */
+  int http_status;
+};
+
+struct request
+{
+  struct list node; /**< on the gateway's list */
+  struct gateway *gateway;
+  struct httpserver_request *http; /**< NULL: answered, or the caller left */
+  const request_filter *filter;    /**< the one that runs or waits */
+  char id[REQUEST_ID_MAX];
+  int64_t received_ns;
+  int64_t deadline_ns;
+
+  /* auth */
+  struct config *config;
+  const struct declaration *organisation;
+
+  /* classify */
+  enum request_type type;
+  const struct declaration *kind;
+  const struct declaration *model;
+  const struct declaration *service;
+  const char *adapter;
+  int priority;
+  bool stream;
+  bool idempotent;
+  bool status_lookup;
+  char *method;
+  char *path; /**< at the backend server */
+  char *key;  /**< of idempotency; NULL: none */
+  char *body; /**< as received */
+  size_t body_size;
+  struct json_object *json;
+  char *prompt;
+  size_t prompt_size;
+  int64_t prompt_tokens;
+  int64_t max_tokens;
+
+  /* lookup */
+  struct block_scope scope;
+  struct block_id blocks[BLOCKINDEX_PIECES_MAX];
+  size_t block_count;
+  struct blockindex_match match;
+
+  /* dispatch */
+  struct attempt attempt;
+  struct load_request load;
+  uint64_t tried[REQUEST_TRIED_MAX];
+  unsigned tried_count;
+  bool handed_over; /**< a byte went to some backend server */
+  bool answer_started;
+  int64_t first_piece_ns;
+  int64_t cached_tokens;
+  int64_t imported_tokens;
+  int64_t computed_tokens;
+  int64_t planned_cached; /**< pieces that placement counted on */
+  bool waiting;
+  bool in_filters;
+  bool finished;
+};
+
+/** Take up a request of a caller at GATEWAY and run its filters. */
+void request_begin (struct gateway *gateway, struct httpserver_request *http,
+                    enum request_type type, const char *path);
+
+/** The filter that waited passes: run the next ones. */
+void request_resume (struct request *request);
+
+/** End with an answer of our own. OUTCOME_REFUSED_NOT_RUN asserts that no
+ * byte was handed to a backend server that may have run it. */
+void request_refuse (struct request *request, enum outcome outcome,
+                     const struct refusal *refusal);
+
+/** End after the backend server's answer was passed on whole. */
+void request_complete (struct request *request);
+
+/** Drop everything; the caller went away. */
+void request_abandon (struct request *request);
+
+const char *outcome_name (enum outcome outcome);
+
+#endif
