Placement by cost, and the baselines

Cause: time to first token is queue, import and prefill together, and the split between reused, imported and computed pieces differs by engine. Ruled out: a scan of all engines (cost grows with the fleet); always importing what is there (a loaded link can be slower than prefill), which the baselines do. Change: plan (split for one engine), place (candidates, policies as a const table, log line); an engine's report no longer reshuffles its groups, which had broken the turn of round_robin (seen in place/baselines).

--- a/src/load.c
+++ b/src/load.c
@@ -100,20 +100,20 @@
   return group;
 }
 
-static void
+/* The place of GROUP among ENGINE's members, which it joins if it must. */
+static unsigned
 group_join (struct load_group *group, struct load_engine *engine)
 {
   struct load_member *member;
 
   for (unsigned i = 0; i < engine->member_count; i++)
     if (engine->members[i].group == group)
-      return;
-  if (engine->member_count == LOAD_VERSIONS_MAX)
-    return;
-  member = &engine->members[engine->member_count++];
+      return i;
+  member = &engine->members[engine->member_count];
   member->group = group;
   member->position = group->members->len;
   g_array_append_val (group->members, engine->index);
+  return engine->member_count++;
 }
 
 /* The last member moves to the place that gets free. */
@@ -133,34 +133,48 @@
     g_hash_table_remove (load->groups, &group->key);
 }
 
+static void
+engine_leave_group (struct load *load, struct load_engine *engine, unsigned at)
+{
+  struct load_member member = engine->members[at];
+
+  group_leave (load, &member);
+  engine->member_count--;
+  engine->members[at] = engine->members[engine->member_count];
+}
+
 static void
 engine_leave_groups (struct load *load, struct load_engine *engine)
 {
   while (engine->member_count > 0)
-    {
-      struct load_member member = engine->members[engine->member_count - 1];
-
-      group_leave (load, &member);
-      engine->member_count--;
-    }
+    engine_leave_group (load, engine, engine->member_count - 1);
   list_remove (&engine->node);
 }
 
+/* Join what is reported, then leave what is not. The order of a group's
+ * members stays as it is when nothing changes. */
 static void
-engine_join_groups (struct load *load, struct load_engine *engine,
-                    const struct load_report *report)
+engine_set_groups (struct load *load, struct load_engine *engine,
+                   const struct load_report *report)
 {
+  bool reported[LOAD_VERSIONS_MAX * 2] = { false };
   struct load_group_key key;
+  size_t count = report->version_count < LOAD_VERSIONS_MAX
+                     ? report->version_count
+                     : LOAD_VERSIONS_MAX;
 
-  for (size_t i = 0; i < report->version_count; i++)
+  for (size_t i = 0; i < count; i++)
     {
       const struct load_version *version = &report->versions[i];
 
       if (load_group_key_init (&key, report->service, version->model,
                                version->version, version->adapter)
           == STATUS_OK)
-        group_join (group_make (load, &key), engine);
+        reported[group_join (group_make (load, &key), engine)] = true;
     }
+  for (unsigned i = engine->member_count; i-- > 0;)
+    if (!reported[i])
+      engine_leave_group (load, engine, i);
 }
 
 /* What was sent after the report held is not in it. */
@@ -224,6 +238,8 @@
     return STATUS_STALE;
   if (report->incarnation > engine->incarnation)
     engine->leaving = false;
+  if (report->name != NULL)
+    g_strlcpy (engine->name, report->name, sizeof engine->name);
   engine->incarnation = report->incarnation;
   engine->sequence = report->sequence;
   engine->taken_ns = taken_ns;
@@ -232,12 +248,15 @@
   engine->running = report->running;
   engine->rate = report->rate > 0 ? report->rate : load->settings.default_rate;
   engine_count_since (engine);
-  engine_leave_groups (load, engine);
   if (report->leaving)
     engine->leaving = true;
   if (engine->leaving)
-    return STATUS_OK;
-  engine_join_groups (load, engine, report);
+    {
+      engine_leave_groups (load, engine);
+      return STATUS_OK;
+    }
+  engine_set_groups (load, engine, report);
+  list_remove (&engine->node);
   list_append (&load->reported, &engine->node);
   return STATUS_OK;
 }
--- a/src/load.h
+++ b/src/load.h
@@ -55,6 +55,7 @@
 
 struct load_engine
 {
+  char name[BLOCK_NAME_MAX];
   uint64_t id; /**< of the name; the same in every process */
   uint64_t incarnation;
   uint64_t sequence;
@@ -70,7 +71,8 @@
   bool leaving;
   struct list pending; /**< of load_request, oldest first */
   struct list node;    /**< on load.reported, oldest first, if grouped */
-  struct load_member members[LOAD_VERSIONS_MAX];
+  /** Twice the room: new ones join before old ones leave. */
+  struct load_member members[LOAD_VERSIONS_MAX * 2];
   unsigned member_count;
 };
 
@@ -103,6 +105,7 @@
 struct load_report
 {
   uint64_t engine;
+  const char *name; /**< for logs; may be NULL */
   uint64_t incarnation;
   uint64_t sequence;
   bool leaving;
--- /dev/null
+++ b/src/place.c
@@ -0,0 +1,465 @@
+#include "place.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  SAMPLE_TRIES = 4 /* draws for each random candidate */
+};
+
+const struct place_settings place_settings_default = {
+  .plan = { .token_price_s = 2e-5, .byte_price_s = 0, .import_max = 32 },
+  .holders = 4,
+  .random = 2,
+  .urgent_wait_share = 0.25,
+  .affinity_wait_s = 2,
+};
+
+/* What one decision works on. */
+struct choice
+{
+  struct place *place;
+  const struct place_request *request;
+  const struct load_group *group;
+  struct place_result *result;
+  struct plan_input input;
+  int64_t now;
+};
+
+static unsigned
+input_link (struct plan_input *input, struct place *place, uint64_t store,
+            enum link_priority priority)
+{
+  struct link *link;
+
+  for (unsigned i = 0; i < input->link_count; i++)
+    if (input->links[i].store == store)
+      return i;
+  link = place_link (place, store);
+  if (link == NULL || input->link_count == PLAN_LINKS_MAX)
+    return PLAN_NO_LINK;
+  input->links[input->link_count].store = store;
+  input->links[input->link_count].quote = link_quote (link, priority);
+  return input->link_count++;
+}
+
+static void
+input_init (struct choice *choice)
+{
+  struct plan_input *input = &choice->input;
+  const struct blockindex_match *match = choice->request->match;
+
+  input->settings = &choice->place->settings.plan;
+  input->match = match;
+  input->tokens = choice->request->tokens;
+  input->piece_tokens = choice->request->piece_tokens;
+  input->link_count = 0;
+  for (unsigned i = 0; i < match->piece_count; i++)
+    for (unsigned j = 0; j < match->pieces[i].copy_count; j++)
+      input->copy_links[i][j] = (uint8_t)input_link (
+          input, choice->place, match->pieces[i].copies[j].store,
+          choice->result->priority);
+}
+
+static bool
+excluded (const struct choice *choice, uint32_t index)
+{
+  uint64_t id = load_engine_at (choice->place->load, index)->id;
+
+  for (size_t i = 0; i < choice->request->excluded_count; i++)
+    if (choice->request->excluded[i] == id)
+      return true;
+  return false;
+}
+
+static bool
+considered (const struct place_result *result, uint32_t index)
+{
+  for (unsigned i = 0; i < result->candidate_count; i++)
+    if (result->candidates[i].index == index)
+      return true;
+  return false;
+}
+
+static struct plan_engine
+engine_view (const struct choice *choice, uint32_t index)
+{
+  const struct load *load = choice->place->load;
+  const struct load_engine *engine = load_engine_at (load, index);
+  const struct blockindex_match *match = choice->request->match;
+  struct plan_engine view = { .rate = engine->rate, .confidence = 1 };
+
+  view.wait_s = load_wait_s (load, index, choice->now);
+  if (choice->request->urgent)
+    view.wait_s *= choice->place->settings.urgent_wait_share;
+  for (unsigned i = 0; i < match->holder_count; i++)
+    if (match->holders[i].engine == engine->id)
+      {
+        view.held = match->holders[i].pieces;
+        view.confidence = match->holders[i].confidence;
+      }
+  return view;
+}
+
+static void
+consider (struct choice *choice, uint32_t index,
+          void (*price) (const struct plan_input *, const struct plan_engine *,
+                         struct plan *))
+{
+  struct place_result *result = choice->result;
+  struct plan_engine view = engine_view (choice, index);
+  struct place_candidate *candidate;
+
+  assert (result->candidate_count < PLACE_CANDIDATES_MAX);
+  candidate = &result->candidates[result->candidate_count++];
+  candidate->index = index;
+  price (&choice->input, &view, &candidate->plan);
+}
+
+static void
+consider_holders (struct choice *choice)
+{
+  const struct blockindex_match *match = choice->request->match;
+  unsigned left = choice->place->settings.holders;
+  uint32_t index;
+
+  for (unsigned i = 0; i < match->holder_count && left > 0; i++)
+    if (load_find (choice->place->load, match->holders[i].engine, &index)
+        && load_in_group (choice->place->load, index, choice->group)
+        && !excluded (choice, index))
+      {
+        consider (choice, index, plan_cheapest);
+        left--;
+      }
+}
+
+static void
+consider_group (struct choice *choice)
+{
+  const GArray *members = choice->group->members;
+
+  for (unsigned i = 0; i < members->len; i++)
+    {
+      uint32_t index = g_array_index (members, uint32_t, i);
+
+      if (!considered (choice->result, index) && !excluded (choice, index))
+        consider (choice, index, plan_cheapest);
+    }
+}
+
+static void
+consider_random (struct choice *choice)
+{
+  const GArray *members = choice->group->members;
+  unsigned left = choice->place->settings.random;
+  unsigned tries = left * SAMPLE_TRIES;
+
+  while (left > 0 && tries-- > 0)
+    {
+      uint64_t at = rng_below (choice->place->rng, members->len);
+      uint32_t index = g_array_index (members, uint32_t, at);
+
+      if (considered (choice->result, index) || excluded (choice, index))
+        continue;
+      consider (choice, index, plan_cheapest);
+      left--;
+    }
+}
+
+/* Every draw was excluded: take the first that is not, after a random one. */
+static void
+consider_any (struct choice *choice)
+{
+  const GArray *members = choice->group->members;
+  uint64_t at = rng_below (choice->place->rng, members->len);
+
+  for (unsigned i = 0; i < members->len; i++)
+    {
+      uint32_t index = g_array_index (members, uint32_t,
+                                      (guint)((at + i) % members->len));
+
+      if (excluded (choice, index))
+        continue;
+      consider (choice, index, plan_cheapest);
+      return;
+    }
+}
+
+static enum place_reason
+plan_reason (const struct plan *plan)
+{
+  if (plan->import > 0)
+    return PLACE_IMPORTED;
+  return plan->reuse > 0 ? PLACE_REUSED : PLACE_COMPUTED;
+}
+
+/* Settle on the cheapest candidate. */
+static enum status
+settle (struct choice *choice)
+{
+  struct place_result *result = choice->result;
+  const struct place_candidate *best = &result->candidates[0];
+
+  if (result->candidate_count == 0)
+    return STATUS_UNAVAILABLE;
+  for (unsigned i = 1; i < result->candidate_count; i++)
+    if (result->candidates[i].plan.cost_s < best->plan.cost_s)
+      best = &result->candidates[i];
+  result->index = best->index;
+  result->engine = load_engine_at (choice->place->load, best->index)->id;
+  result->plan = best->plan;
+  result->reason = plan_reason (&best->plan);
+  result->import_count
+      = plan_imports (&choice->input, &best->plan, result->imports);
+  return STATUS_OK;
+}
+
+static enum status
+choice_init (struct choice *choice, struct place *place,
+             const struct place_request *request, struct place_result *result)
+{
+  choice->place = place;
+  choice->request = request;
+  choice->result = result;
+  choice->now = clock_now (place->clock);
+  choice->group = load_group (place->load, request->need);
+  result->policy = place->policy->name;
+  result->priority = request->urgent ? LINK_URGENT : LINK_IMPORT;
+  result->candidate_count = 0;
+  result->import_count = 0;
+  if (choice->group == NULL)
+    return STATUS_UNAVAILABLE;
+  input_init (choice);
+  return STATUS_OK;
+}
+
+static enum status
+choose_cost (struct place *place, const struct place_request *request,
+             struct place_result *result)
+{
+  struct choice choice;
+
+  if (choice_init (&choice, place, request, result) != STATUS_OK)
+    return STATUS_UNAVAILABLE;
+  consider_holders (&choice);
+  if (choice.group->members->len <= PLACE_SMALL_GROUP)
+    consider_group (&choice);
+  else
+    consider_random (&choice);
+  if (result->candidate_count == 0)
+    consider_any (&choice);
+  return settle (&choice);
+}
+
+static enum status
+choose_round_robin (struct place *place, const struct place_request *request,
+                    struct place_result *result)
+{
+  struct choice choice;
+  const GArray *members;
+
+  if (choice_init (&choice, place, request, result) != STATUS_OK)
+    return STATUS_UNAVAILABLE;
+  members = choice.group->members;
+  for (unsigned i = 0; i < members->len; i++)
+    {
+      uint64_t at = place->turn++ % members->len;
+      uint32_t index = g_array_index (members, uint32_t, at);
+
+      if (excluded (&choice, index))
+        continue;
+      consider (&choice, index, plan_widest);
+      break;
+    }
+  return settle (&choice);
+}
+
+static bool
+find_least_loaded (const struct choice *choice, uint32_t *least)
+{
+  const GArray *members = choice->group->members;
+  double least_s = -1;
+
+  for (unsigned i = 0; i < members->len; i++)
+    {
+      uint32_t index = g_array_index (members, uint32_t, i);
+      double wait_s = load_wait_s (choice->place->load, index, choice->now);
+
+      if (excluded (choice, index) || (least_s >= 0 && wait_s >= least_s))
+        continue;
+      least_s = wait_s;
+      *least = index;
+    }
+  return least_s >= 0;
+}
+
+static enum status
+choose_least_loaded (struct place *place, const struct place_request *request,
+                     struct place_result *result)
+{
+  struct choice choice;
+  uint32_t index = 0;
+
+  if (choice_init (&choice, place, request, result) != STATUS_OK)
+    return STATUS_UNAVAILABLE;
+  if (find_least_loaded (&choice, &index))
+    consider (&choice, index, plan_widest);
+  return settle (&choice);
+}
+
+static bool
+find_affine (const struct choice *choice, uint32_t *affine)
+{
+  const struct place *place = choice->place;
+  const struct blockindex_match *match = choice->request->match;
+
+  for (unsigned i = 0; i < match->holder_count; i++)
+    if (load_find (place->load, match->holders[i].engine, affine)
+        && load_in_group (place->load, *affine, choice->group)
+        && !excluded (choice, *affine)
+        && load_wait_s (place->load, *affine, choice->now)
+               <= place->settings.affinity_wait_s)
+      return true;
+  return false;
+}
+
+static enum status
+choose_prefix_affinity (struct place *place,
+                        const struct place_request *request,
+                        struct place_result *result)
+{
+  struct choice choice;
+  uint32_t index = 0;
+
+  if (choice_init (&choice, place, request, result) != STATUS_OK)
+    return STATUS_UNAVAILABLE;
+  if (find_affine (&choice, &index) || find_least_loaded (&choice, &index))
+    consider (&choice, index, plan_widest);
+  return settle (&choice);
+}
+
+static const struct place_policy policies[] = {
+  { "cost", choose_cost },
+  { "round_robin", choose_round_robin },
+  { "least_loaded", choose_least_loaded },
+  { "prefix_affinity", choose_prefix_affinity },
+};
+
+static const char *const reason_names[] = {
+  [PLACE_REUSED] = "reused",
+  [PLACE_IMPORTED] = "imported",
+  [PLACE_COMPUTED] = "computed",
+};
+
+void
+place_init (struct place *place, const struct load *load,
+            const struct clock *clock, struct rng *rng,
+            const struct place_settings *settings,
+            const struct place_policy *policy)
+{
+  assert (settings->plan.import_max <= PLAN_IMPORTS_MAX);
+  assert (settings->random + PLACE_SMALL_GROUP + settings->holders
+          <= PLACE_CANDIDATES_MAX);
+  place->load = load;
+  place->clock = clock;
+  place->rng = rng;
+  place->settings = *settings;
+  place->policy = policy;
+  place->links
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  place->turn = 0;
+}
+
+void
+place_finish (struct place *place)
+{
+  g_hash_table_destroy (place->links);
+}
+
+const struct place_policy *
+place_policy_find (const char *name)
+{
+  for (size_t i = 0; i < sizeof policies / sizeof *policies; i++)
+    if (strcmp (policies[i].name, name) == 0)
+      return &policies[i];
+  return NULL;
+}
+
+void
+place_set_link (struct place *place, uint64_t store, int64_t rate,
+                int64_t burst)
+{
+  struct link *link = place_link (place, store);
+
+  if (link != NULL)
+    {
+      link_set_rate (link, rate);
+      return;
+    }
+  link = g_new (struct link, 1);
+  link_init (link, place->clock, rate, burst);
+  g_hash_table_insert (place->links, g_memdup2 (&store, sizeof store), link);
+}
+
+void
+place_drop_link (struct place *place, uint64_t store)
+{
+  g_hash_table_remove (place->links, &store);
+}
+
+struct link *
+place_link (struct place *place, uint64_t store)
+{
+  return g_hash_table_lookup (place->links, &store);
+}
+
+enum status
+place_choose (struct place *place, const struct place_request *request,
+              struct place_result *result)
+{
+  return place->policy->choose (place, request, result);
+}
+
+void
+place_commit (struct place *place, struct load *load,
+              const struct place_result *result, struct load_request *sent)
+{
+  for (unsigned i = 0; i < result->import_count; i++)
+    {
+      const struct blockindex_copy *copy = &result->imports[i].copy;
+      struct link *link = place_link (place, copy->store);
+
+      if (link != NULL)
+        link_take (link, result->priority, copy->length);
+    }
+  load_sent (load, sent, result->index, result->plan.recompute_tokens);
+}
+
+void
+place_describe (const struct place *place, const struct place_result *result,
+                char *buffer, size_t size)
+{
+  const struct plan *plan = &result->plan;
+  size_t used;
+
+  snprintf (buffer, size,
+            "policy=%s engine=%s reason=%s reuse=%u import=%u bytes=%lld"
+            " recompute=%lld wait_ms=%.1f import_ms=%.1f prefill_ms=%.1f"
+            " cost_ms=%.1f considered=",
+            result->policy, load_engine_at (place->load, result->index)->name,
+            reason_names[result->reason], plan->reuse, plan->import,
+            (long long)plan->import_bytes, (long long)plan->recompute_tokens,
+            plan->wait_s * 1e3, plan->import_s * 1e3, plan->prefill_s * 1e3,
+            plan->cost_s * 1e3);
+  for (unsigned i = 0; i < result->candidate_count; i++)
+    {
+      const struct place_candidate *candidate = &result->candidates[i];
+
+      used = strlen (buffer);
+      snprintf (buffer + used, size - used, "%s%s:%.1f", i > 0 ? "," : "",
+                load_engine_at (place->load, candidate->index)->name,
+                candidate->plan.cost_s * 1e3);
+    }
+}
--- /dev/null
+++ b/test/bench-place.c
@@ -0,0 +1,157 @@
+#include "fake-fleet.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Time for one placement decision as the number of known engines grows, and
+ * memory for one entry of the block index. Exit status 1 if a target is
+ * missed. */
+
+enum
+{
+  SEED = 81,
+  PIECES = 16,
+  MATCHES = 64,
+  DECISIONS = 200000,
+  ROUNDS = 5,
+  ENTRIES = 200000,
+  TARGET_NS = 5000 /* for one decision with TARGET_ENGINES */
+};
+
+/* Cost at 10,000 engines over that at 200 that still counts as flat: memory
+ * out of cache may cost, the number of engines may not. */
+static const double flat = 2.0;
+static const uint32_t sizes[] = { 200, 1000, 5000, 10000 };
+
+static int64_t
+monotonic_ns (void)
+{
+  struct clock clock;
+
+  clock_system_init (&clock);
+  return clock_now (&clock);
+}
+
+static double
+decisions_ns (struct fleet *fleet, const struct blockindex_match *matches)
+{
+  struct place_request request
+      = { .need = &fleet->need,
+          .tokens = (int64_t)PIECES * FLEET_PIECE_TOKENS,
+          .piece_tokens = FLEET_PIECE_TOKENS };
+  struct place_result result;
+  int64_t start = monotonic_ns ();
+
+  for (int i = 0; i < DECISIONS; i++)
+    {
+      request.match = &matches[i % MATCHES];
+      request.urgent = i % 2 == 0;
+      if (place_choose (&fleet->place, &request, &result) != STATUS_OK)
+        abort ();
+    }
+  return (double)(monotonic_ns () - start) / DECISIONS;
+}
+
+/* The median of ROUNDS, in ns per decision. */
+static double
+bench_size (uint32_t engines)
+{
+  static struct blockindex_match matches[MATCHES];
+  double rounds[ROUNDS];
+  struct fleet fleet;
+
+  fleet_init (&fleet, engines, SEED, &place_settings_default, "cost");
+  for (int i = 0; i < MATCHES; i++)
+    fleet_match (&fleet, PIECES, &matches[i]);
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      int at = i;
+      double ns = decisions_ns (&fleet, matches);
+
+      for (; at > 0 && rounds[at - 1] > ns; at--)
+        rounds[at] = rounds[at - 1];
+      rounds[at] = ns;
+    }
+  fleet_finish (&fleet);
+  return rounds[ROUNDS / 2];
+}
+
+/* Big blocks of memory are counted apart. */
+static size_t
+heap_used (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
+
+static void
+ignore_engine (void *data, uint64_t engine)
+{
+}
+
+static void
+ignore_slot (void *data, uint64_t store, uint64_t slot, uint64_t generation)
+{
+}
+
+/* Bytes of heap for each entry, with a store copy or with hints alone. */
+static double
+bench_entry (bool stored)
+{
+  static const struct blockindex_ops ops
+      = { { ignore_engine }, { ignore_slot } };
+  struct blockindex_settings settings
+      = { ENTRIES, hint_settings_default, copy_settings_default };
+  size_t before = heap_used ();
+  struct copy_item item = { .length = 1, .sealed = true };
+  struct clock_fake clock;
+  struct blockindex index;
+  double bytes;
+
+  clock_fake_init (&clock, 0);
+  blockindex_init (&index, &clock.clock, &settings, &ops, NULL);
+  block_scope_init (&item.scope, "o", "m", "1", NULL);
+  copy_listing_begin (&index.copies, 0);
+  for (uint64_t i = 0; i < ENTRIES; i++)
+    {
+      uint64_t spread = i * UINT64_C (0x9e3779b97f4a7c15);
+
+      __builtin_memcpy (&item.block.bytes[8], &spread, sizeof spread);
+      item.slot = i;
+      if (stored)
+        copy_listing_item (&index.copies, 0, &item);
+      else
+        hint_expect (&index.hints, &item.scope, &item.block, 1, 0);
+    }
+  bytes = (double)(heap_used () - before) / ENTRIES;
+  blockindex_finish (&index);
+  return bytes;
+}
+
+int
+main (void)
+{
+  double first = 0, ns = 0;
+  bool missed;
+
+  printf ("seed %d, %d decisions, median of %d rounds, %d pieces\n", SEED,
+          DECISIONS, ROUNDS, PIECES);
+  printf ("engines  ns per decision\n");
+  for (size_t i = 0; i < sizeof sizes / sizeof *sizes; i++)
+    {
+      ns = bench_size (sizes[i]);
+      printf ("%7u  %.0f\n", sizes[i], ns);
+      if (i == 0)
+        first = ns;
+    }
+  missed = first > TARGET_NS || ns > first * flat;
+  printf ("target: %d ns with %u engines, at most %.1f times that with %u: "
+          "%s\n",
+          TARGET_NS, sizes[0], flat, sizes[sizeof sizes / sizeof *sizes - 1],
+          missed ? "missed" : "met");
+  printf ("bytes per index entry: %.0f with hints, %.0f with a store copy\n",
+          bench_entry (false), bench_entry (true));
+  return missed;
+}
--- /dev/null
+++ b/test/fake-fleet.c
@@ -0,0 +1,85 @@
+#include "fake-fleet.h"
+
+#include <stdio.h>
+
+enum
+{
+  LINK_RATE = 200 * 1000 * 1000, /* bytes per second */
+  QUEUE_MAX = 100000,            /* tokens */
+  PREFILL_RATE = 20000           /* tokens per second */
+};
+
+void
+fleet_report (struct fleet *fleet, uint64_t engine, int64_t queued_tokens)
+{
+  static const struct load_version versions[2]
+      = { { "m", "1", "" }, { "m", "0", "" } };
+  char name[BLOCK_NAME_MAX];
+  struct load_report report = { .engine = engine,
+                                .name = name,
+                                .sequence = ++fleet->sequence,
+                                .queued_tokens = queued_tokens,
+                                .rate = PREFILL_RATE,
+                                .service = "s",
+                                .versions = versions,
+                                .version_count = 2 };
+
+  snprintf (name, sizeof name, "engine-%u", (unsigned)engine);
+  load_take_report (&fleet->load, &report, fleet->clock.now);
+}
+
+void
+fleet_init (struct fleet *fleet, uint32_t count, uint64_t seed,
+            const struct place_settings *settings, const char *policy)
+{
+  clock_fake_init (&fleet->clock, NS_PER_S);
+  rng_init (&fleet->rng, seed);
+  load_init (&fleet->load, &fleet->clock.clock, &load_settings_default);
+  place_init (&fleet->place, &fleet->load, &fleet->clock.clock, &fleet->rng,
+              settings, place_policy_find (policy));
+  load_group_key_init (&fleet->need, "s", "m", "1", NULL);
+  fleet->sequence = 0;
+  fleet->count = count;
+  for (uint64_t e = 0; e < count; e++)
+    fleet_report (fleet, e, (int64_t)rng_below (&fleet->rng, QUEUE_MAX));
+  for (uint64_t s = 0; s < FLEET_STORES; s++)
+    place_set_link (&fleet->place, s, LINK_RATE, LINK_RATE / 10);
+}
+
+void
+fleet_finish (struct fleet *fleet)
+{
+  place_finish (&fleet->place);
+  load_finish (&fleet->load);
+}
+
+void
+fleet_match (struct fleet *fleet, unsigned pieces,
+             struct blockindex_match *match)
+{
+  struct rng *rng = &fleet->rng;
+
+  match->holder_count = (unsigned)rng_below (rng, 4);
+  match->piece_count = (unsigned)rng_below (rng, pieces + 1);
+  match->idle_ns = -1;
+  for (unsigned i = 0; i < match->holder_count; i++)
+    match->holders[i] = (struct blockindex_holder){
+      /* Distinct: each has its own range of engines. */
+      rng_below (rng, fleet->count / 4) * 4 + i,
+      (uint32_t)rng_below (rng, pieces) + 1, 0.2 + 0.8 * rng_unit (rng)
+    };
+  for (unsigned i = 0; i < match->piece_count; i++)
+    {
+      struct blockindex_piece *piece = &match->pieces[i];
+      uint64_t store = rng_below (rng, FLEET_STORES);
+
+      piece->copy_count = 0;
+      if (rng_below (rng, 8) == 0)
+        continue;
+      piece->copy_count = 1 + (unsigned)rng_below (rng, 2);
+      for (unsigned j = 0; j < piece->copy_count; j++)
+        piece->copies[j] = (struct blockindex_copy){
+          (store + j) % FLEET_STORES, i, 1, 7, FLEET_PIECE_BYTES, COPY_MEMORY
+        };
+    }
+}
