--- a/src/gateway.h
+++ b/src/gateway.h
@@ -21,7 +21,9 @@
   struct backends backends;
   struct place place;
   struct block_key block_key;
+  size_t piece_bytes; /**< of prompt text in one piece */
   struct list requests;
+  GHashTable *by_serial;
   size_t request_count;
   uint64_t next_request;
 };
--- a/src/lookup.c
+++ b/src/lookup.c
@@ -8,13 +8,6 @@
 #define LOOKUP_TIMEOUT_NS (50 * NS_PER_MS)
 #define USED_TIMEOUT_NS (NS_PER_S)
 
-/* A lookup that is open; the request may end before its answer. */
-struct lookup
-{
-  struct list node;
-  struct request *request; /* NULL: it ended */
-};
-
 static void
 fill_scope (Peer__Scope *message, struct block_scope *scope)
 {
--- a/src/request.c
+++ b/src/request.c
@@ -25,7 +25,10 @@
 {
   load_started (&request->load);
   list_remove (&request->node);
+  g_hash_table_remove (request->gateway->by_serial, &request->serial);
   request->gateway->request_count--;
+  if (request->answer != NULL)
+    g_string_free (request->answer, TRUE);
   config_unref (request->config);
   json_object_put (request->json);
   g_free (request->method);
@@ -115,14 +118,41 @@
   list_init (&request->node);
   list_append (&gateway->requests, &request->node);
   gateway->request_count++;
+  request->serial = ++gateway->next_request;
+  g_hash_table_insert (gateway->by_serial, &request->serial, request);
   g_snprintf (request->id, sizeof request->id,
               "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
               gateway->process.id ^ gateway->process.incarnation,
-              ++gateway->next_request);
+              request->serial);
   httpserver_request_on_gone (http, on_caller_gone, request);
   run_filters (request);
 }
 
+/* What a handle points at. */
+struct handle
+{
+  struct gateway *gateway;
+  uint64_t serial;
+};
+
+void *
+request_handle (const struct request *request)
+{
+  struct handle *handle = g_new (struct handle, 1);
+
+  handle->gateway = request->gateway;
+  handle->serial = request->serial;
+  return handle;
+}
+
+struct request *
+request_find (const void *data)
+{
+  const struct handle *handle = data;
+
+  return g_hash_table_lookup (handle->gateway->by_serial, &handle->serial);
+}
+
 void
 request_resume (struct request *request)
 {
--- a/src/request.h
+++ b/src/request.h
@@ -10,6 +10,8 @@
 #include "list.h"
 #include "load.h"
 
+#include <glib.h>
+#include <json-c/json.h>
 #include <stdbool.h>
 
 /** @file
@@ -71,7 +73,10 @@
   int64_t heard_ns; /**< last byte from the backend server */
   bool head_seen;
   bool not_run; /**< the backend server says that it did not start */
+  bool streamed;
   int http_status;
+  char content_type[64];
+  char tail[16]; /**< last bytes of the stream */
 };
 
 struct request
@@ -80,6 +85,7 @@
   struct gateway *gateway;
   struct httpserver_request *http; /**< NULL: answered, or the caller left */
   const request_filter *filter;    /**< the one that runs or waits */
+  uint64_t serial; /**< in the gateway */
   char id[REQUEST_ID_MAX];
   int64_t received_ns;
   int64_t deadline_ns;
@@ -127,7 +133,7 @@
   int64_t imported_tokens;
   int64_t computed_tokens;
   int64_t planned_cached; /**< pieces that placement counted on */
-  bool waiting;
+  GString *answer; /**< one that is not streamed */
   bool in_filters;
   bool finished;
 };
@@ -136,6 +142,13 @@
 void request_begin (struct gateway *gateway, struct httpserver_request *http,
                     enum request_type type, const char *path);
 
+/** A weak handle for a callback that may come after the request's end; free
+ * it with g_free. */
+void *request_handle (const struct request *request);
+
+/** The request of HANDLE, or NULL if it has ended. */
+struct request *request_find (const void *handle);
+
 /** The filter that waited passes: run the next ones. */
 void request_resume (struct request *request);
 
