Gateway and shard roles over the edges

Change: gateway (entries, completions, services), shard (load reports, block index lookups), request filters, engine and store watches, daemon main.

--- a/src/auth.c
+++ b/src/auth.c
@@ -5,8 +5,7 @@
 #include <strings.h>
 
 static const struct refusal no_config
-    = { 503, "not_ready", "no configuration is in force here yet",
-        NS_PER_S };
+    = { 503, "not_ready", "no configuration is in force here yet", NS_PER_S };
 static const struct refusal no_key
     = { 401, "missing_key", "send 'Authorization: Bearer KEY'", 0 };
 static const struct refusal wrong_key
@@ -32,8 +31,7 @@
       return VERDICT_FINISH;
     }
   key = header + sizeof scheme - 1;
-  request->organisation
-      = config_by_key (request->config, key, strlen (key));
+  request->organisation = config_by_key (request->config, key, strlen (key));
   if (request->organisation == NULL)
     {
       request_refuse (request, OUTCOME_REFUSED_NOT_RUN, &wrong_key);
--- a/src/classify.c
+++ b/src/classify.c
@@ -10,10 +10,10 @@
 
 enum
 {
-  TOKEN_BYTES = 4,            /* of prompt text counted as one token */
+  TOKEN_BYTES = 4, /* of prompt text counted as one token */
   MAX_TOKENS_DEFAULT = 16,
   MAX_TOKENS_LIMIT = 1 << 20,
-  KEY_SIZE_MAX = 256          /* bytes of an idempotency key */
+  KEY_SIZE_MAX = 256 /* bytes of an idempotency key */
 };
 
 static const struct refusal bad_json
@@ -186,8 +186,8 @@
   request->adapter = json_field_text (request->json, "adapter");
   if (request->adapter[0] != '\0'
       && !config_adapter_permitted (request->config,
-                                    request->organisation->organisation,
-                                    model, request->adapter))
+                                    request->organisation->organisation, model,
+                                    request->adapter))
     return &adapter_denied;
   if (block_scope_init (&request->scope, request->organisation->organisation,
                         model, request->model->version, request->adapter)
@@ -201,9 +201,8 @@
 read_service (struct request *request)
 {
   const char *slash = strchr (request->path, '/');
-  size_t length
-      = slash != NULL ? (size_t)(slash - request->path)
-                      : strlen (request->path);
+  size_t length = slash != NULL ? (size_t)(slash - request->path)
+                                : strlen (request->path);
   char *name = g_strndup (request->path, length);
   const char *query = httpserver_request_query (request->http);
   char *rest;
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -71,8 +71,7 @@
 open_stream (struct request *request, struct backend *backend,
              const struct engine_call *call)
 {
-  struct engineclient *client
-      = &request->gateway->process.enginehttp.client;
+  struct engineclient *client = &request->gateway->process.enginehttp.client;
   struct attempt *attempt = &request->attempt;
 
   memset (attempt, 0, sizeof *attempt);
@@ -88,8 +87,7 @@
 static void
 close_attempt (struct request *request)
 {
-  struct engineclient *client
-      = &request->gateway->process.enginehttp.client;
+  struct engineclient *client = &request->gateway->process.enginehttp.client;
   struct backend *backend
       = backends_find (&request->gateway->backends, request->attempt.backend);
 
@@ -167,8 +165,7 @@
 static char *
 service_headers (const struct request *request)
 {
-  const char *type
-      = httpserver_request_header (request->http, "content-type");
+  const char *type = httpserver_request_header (request->http, "content-type");
   GString *lines = g_string_new (NULL);
 
   g_string_append_printf (lines, "x-request-id: %s\r\n", request->id);
@@ -242,15 +239,12 @@
   char imported[32];
   char computed[32];
   struct httpserver_header headers[] = {
-    { "x-request-id", request->id },
-    { "x-weight-version", head->version },
-    { "x-cached-tokens", cached },
-    { "x-imported-tokens", imported },
+    { "x-request-id", request->id },   { "x-weight-version", head->version },
+    { "x-cached-tokens", cached },     { "x-imported-tokens", imported },
     { "x-computed-tokens", computed },
   };
 
-  g_snprintf (cached, sizeof cached, "%" G_GINT64_FORMAT,
-              head->cached_tokens);
+  g_snprintf (cached, sizeof cached, "%" G_GINT64_FORMAT, head->cached_tokens);
   g_snprintf (imported, sizeof imported, "%" G_GINT64_FORMAT,
               head->imported_tokens);
   g_snprintf (computed, sizeof computed, "%" G_GINT64_FORMAT,
@@ -266,8 +260,7 @@
 {
   struct request *request = data;
 
-  request->attempt.heard_ns
-      = clock_now (&request->gateway->process.clock);
+  request->attempt.heard_ns = clock_now (&request->gateway->process.clock);
   request->attempt.head_seen = true;
   request->attempt.http_status = head->http_status;
   request->attempt.not_run = head->not_run;
@@ -305,13 +298,12 @@
   note_first_piece (request);
   if (request->answer_started)
     {
-      size_t kept = size < sizeof attempt->tail ? size
-                                                : sizeof attempt->tail;
+      size_t kept = size < sizeof attempt->tail ? size : sizeof attempt->tail;
 
       memmove (attempt->tail, attempt->tail + kept,
                sizeof attempt->tail - kept);
-      memcpy (attempt->tail + sizeof attempt->tail - kept,
-              bytes + size - kept, kept);
+      memcpy (attempt->tail + sizeof attempt->tail - kept, bytes + size - kept,
+              kept);
       httpserver_stream_write (request->http, bytes, size);
       return;
     }
@@ -460,10 +452,9 @@
   if (request->attempt.stream == NULL)
     return;
   if (now > request->deadline_ns && !request->answer_started)
-    request_refuse (request,
-                    ran ? OUTCOME_FAILED_MAY_HAVE_RUN
-                        : OUTCOME_REFUSED_NOT_RUN,
-                    ran ? &too_late : &too_late_not_run);
+    request_refuse (
+        request, ran ? OUTCOME_FAILED_MAY_HAVE_RUN : OUTCOME_REFUSED_NOT_RUN,
+        ran ? &too_late : &too_late_not_run);
   else if (quiet > limit)
     request_refuse (request, OUTCOME_FAILED_MAY_HAVE_RUN, &silent);
 }
--- a/src/enginebody.c
+++ b/src/enginebody.c
@@ -72,7 +72,7 @@
   json_object_object_add (object, "imports",
                           import_list (request, backends, result));
   json_object_object_add (request->json, "trefoilspar", object);
-  text = g_strdup (json_object_to_json_string_ext (request->json,
-                                                   JSON_C_TO_STRING_PLAIN));
+  text = g_strdup (
+      json_object_to_json_string_ext (request->json, JSON_C_TO_STRING_PLAIN));
   return text;
 }
--- /dev/null
+++ b/src/gateway.c
@@ -0,0 +1,230 @@
+#include "gateway.h"
+#include "answer.h"
+#include "filters.h"
+#include "operator.h"
+
+#include <string.h>
+
+enum
+{
+  TOKEN_BYTES = 4 /* of prompt text counted as one token */
+};
+
+static const struct refusal not_found
+    = { 404, "unknown_path", "there is nothing at this path", 0 };
+static const struct refusal wrong_method
+    = { 405, "wrong_method", "this path takes another method", 0 };
+static const struct refusal header_too_long
+    = { 431, "header_too_long", "the header is over the limit", 0 };
+
+static bool
+is_post (struct httpserver_request *http)
+{
+  return strcmp (httpserver_request_method (http), "POST") == 0;
+}
+
+static void
+add_entries (struct gateway *gateway, struct json_object *list,
+             const char *data_centre, bool near)
+{
+  const struct roster *roster = &gateway->process.roster;
+
+  for (size_t i = 0; i < roster->count; i++)
+    {
+      const struct roster_entry *entry = &roster->entries[i];
+      struct json_object *object;
+
+      if (entry->role != ROLE_GATEWAY || !entry->alive || entry->leaving
+          || (strcmp (entry->data_centre, data_centre) == 0) != near)
+        continue;
+      object = json_object_new_object ();
+      json_add_text (object, "address", entry->http_address);
+      json_add_text (object, "data_centre", entry->data_centre);
+      json_object_array_add (list, object);
+    }
+}
+
+/* Which addresses a caller may use, those of its data centre first. */
+static void
+serve_entries (struct gateway *gateway, struct httpserver_request *http)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *list = json_object_new_array ();
+  const char *query = httpserver_request_query (http);
+  const char *data_centre = gateway->settings->process.data_centre;
+
+  if (strncmp (query, "data_centre=", 12) == 0)
+    data_centre = query + 12;
+  add_entries (gateway, list, data_centre, true);
+  add_entries (gateway, list, data_centre, false);
+  json_object_object_add (object, "entries", list);
+  json_add_uint (
+      object, "lifetime_ms",
+      (uint64_t)(gateway->settings->entries.lifetime_ns / NS_PER_MS));
+  answer_json (http, 200, object);
+}
+
+static void
+serve_completion (struct gateway *gateway, struct httpserver_request *http,
+                  const char *path)
+{
+  if (!is_post (http))
+    answer_error (http, &wrong_method);
+  else
+    request_begin (gateway, http, REQUEST_COMPLETION, path);
+}
+
+static void
+serve (void *data, struct httpserver_request *http)
+{
+  static const char services[] = "/v1/services/";
+  struct gateway *gateway = data;
+  const char *path = httpserver_request_path (http);
+  size_t header_limit = (size_t)gateway->settings->limits.header_bytes;
+
+  if (httpserver_request_header_size (http) > header_limit)
+    answer_error (http, &header_too_long);
+  else if (process_serve_common (&gateway->process, http,
+                                 gateway->config != NULL))
+    return;
+  else if (strcmp (path, "/v1/entries") == 0)
+    serve_entries (gateway, http);
+  else if (strcmp (path, "/v1/completions") == 0
+           || strcmp (path, "/v1/chat/completions") == 0)
+    serve_completion (gateway, http, path);
+  else if (strncmp (path, services, sizeof services - 1) == 0)
+    request_begin (gateway, http, REQUEST_SERVICE, path + sizeof services - 1);
+  else if (!operator_serve (gateway, http, path))
+    answer_error (http, &not_found);
+}
+
+static void
+answer_peer (void *data, struct peerlink *link, const Peer__Envelope *request)
+{
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__Refused refused = PEER__REFUSED__INIT;
+
+  refused.code = "not_a_shard";
+  refused.message = "a gateway does not answer this";
+  reply.body_case = PEER__ENVELOPE__BODY_REFUSED;
+  reply.refused = &refused;
+  peerlink_reply (link, request->request_id, &reply);
+}
+
+static void
+tick (void *data)
+{
+  struct gateway *gateway = data;
+  int64_t now = clock_now (&gateway->process.clock);
+  struct list *at = gateway->requests.next;
+
+  backends_tick (&gateway->backends);
+  operator_tick (gateway);
+  while (at != &gateway->requests)
+    {
+      struct request *request = LIST_ENTRY (at, struct request, node);
+
+      at = at->next;
+      dispatch_tick (request, now);
+    }
+}
+
+static void
+sync_links (struct gateway *gateway)
+{
+  const struct settings *settings = gateway->settings;
+  const struct hostlist *hostlist = &gateway->process.hostlist.hostlist;
+
+  for (size_t i = 0; i < hostlist->count; i++)
+    {
+      const struct hostlist_entry *entry = &hostlist->entries[i];
+      uint64_t id = roster_id (entry->name);
+
+      if (entry->kind != HOSTLIST_STORE)
+        continue;
+      if (entry->leaving)
+        place_drop_link (&gateway->place, id);
+      else if (place_link (&gateway->place, id) == NULL)
+        place_set_link (&gateway->place, id, settings->stores.link_bytes_per_s,
+                        settings->stores.link_bytes_per_s / 4);
+    }
+}
+
+static void
+hosts_changed (void *data)
+{
+  struct gateway *gateway = data;
+
+  backends_sync (&gateway->backends);
+  sync_links (gateway);
+}
+
+static size_t
+busy (void *data)
+{
+  return ((struct gateway *)data)->request_count;
+}
+
+static const struct process_role gateway_role
+    = { serve, answer_peer, tick, hosts_changed, busy };
+
+static void
+init_place (struct gateway *gateway)
+{
+  static const char *const policies[] = {
+    [POLICY_COST] = "cost",
+    [POLICY_ROUND_ROBIN] = "round_robin",
+    [POLICY_LEAST_LOADED] = "least_loaded",
+    [POLICY_PREFIX_AFFINITY] = "prefix_affinity",
+  };
+  const struct settings *settings = gateway->settings;
+  struct place_settings place = place_settings_default;
+
+  place.plan.token_price_s = settings->placement.price_per_recomputed_token_s;
+  place.plan.byte_price_s = settings->placement.price_per_link_byte_s;
+  place_init (&gateway->place, &gateway->backends.load,
+              &gateway->process.clock, &gateway->process.rng, &place,
+              place_policy_find (policies[settings->placement.policy]));
+}
+
+enum status
+gateway_init (struct gateway *gateway, const struct settings *settings,
+              struct error *error)
+{
+  enum status status;
+
+  memset (gateway, 0, sizeof *gateway);
+  gateway->settings = settings;
+  list_init (&gateway->requests);
+  gateway->by_serial = g_hash_table_new (g_int64_hash, g_int64_equal);
+  memcpy (gateway->block_key.bytes, settings->blocks.hash_key,
+          sizeof gateway->block_key.bytes);
+  gateway->piece_bytes
+      = (size_t)settings->placement.piece_tokens * TOKEN_BYTES;
+  status = process_init (&gateway->process, settings, &gateway_role, gateway,
+                         error);
+  if (status != STATUS_OK)
+    return status;
+  backends_init (&gateway->backends, &gateway->process);
+  init_place (gateway);
+  return STATUS_OK;
+}
+
+void
+gateway_run (struct gateway *gateway)
+{
+  process_run (&gateway->process);
+}
+
+void
+gateway_finish (struct gateway *gateway)
+{
+  while (!list_empty (&gateway->requests))
+    request_abandon (
+        LIST_ENTRY (gateway->requests.next, struct request, node));
+  process_finish (&gateway->process);
+  place_finish (&gateway->place);
+  backends_finish (&gateway->backends);
+  config_unref (gateway->config);
+  g_hash_table_destroy (gateway->by_serial);
+}
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -362,6 +362,17 @@
   return NULL;
 }
 
+size_t
+httpserver_request_header_size (struct httpserver_request *request)
+{
+  const h2o_headers_t *headers = &request->req->headers;
+  size_t size = 0;
+
+  for (size_t i = 0; i < headers->size; i++)
+    size += headers->entries[i].name->len + headers->entries[i].value.len;
+  return size;
+}
+
 const char *
 httpserver_request_body (struct httpserver_request *request, size_t *size)
 {
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -74,6 +74,9 @@
 const char *httpserver_request_header (struct httpserver_request *request,
                                        const char *name);
 
+/** Bytes of all names and values of the request's header. */
+size_t httpserver_request_header_size (struct httpserver_request *request);
+
 const char *httpserver_request_body (struct httpserver_request *request,
                                      size_t *size);
 
--- a/src/lookup.c
+++ b/src/lookup.c
@@ -99,7 +99,6 @@
 lookup_filter (struct request *request)
 {
   struct gateway *gateway = request->gateway;
-  const struct settings *settings = gateway->settings;
   Peer__Envelope envelope = PEER__ENVELOPE__INIT;
   Peer__Lookup lookup = PEER__LOOKUP__INIT;
   Peer__Scope scope = PEER__SCOPE__INIT;
@@ -107,10 +106,10 @@
   const struct roster_entry *owner;
 
   request->match.idle_ns = -1;
-  request->block_count = block_chain (
-      &request->scope, &gateway->block_key, request->prompt,
-      request->prompt_size, gateway->piece_bytes, request->blocks,
-      BLOCKINDEX_PIECES_MAX);
+  request->block_count
+      = block_chain (&request->scope, &gateway->block_key, request->prompt,
+                     request->prompt_size, gateway->piece_bytes,
+                     request->blocks, BLOCKINDEX_PIECES_MAX);
   if (request->block_count == 0)
     return VERDICT_PASS;
   owner = owner_of (request);
@@ -125,7 +124,8 @@
   envelope.body_case = PEER__ENVELOPE__BODY_LOOKUP;
   envelope.lookup = &lookup;
   peerhub_request (&gateway->process.peers, owner->peer_address, &envelope,
-                   LOOKUP_TIMEOUT_NS, lookup_answered, request_handle (request));
+                   LOOKUP_TIMEOUT_NS, lookup_answered,
+                   request_handle (request));
   return VERDICT_WAIT;
 }
 
--- a/src/main-trefoilspard.c
+++ b/src/main-trefoilspard.c
@@ -1,8 +1,106 @@
+#include "gateway.h"
+#include "settings.h"
+#include "shard.h"
+
+#include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
+
+enum
+{
+  EXIT_USAGE = 2
+};
+
+static char *config_path;
+static gboolean check_config;
+static gboolean help_settings;
+
+static const GOptionEntry options[] = {
+  { "config", 'c', 0, G_OPTION_ARG_FILENAME, &config_path,
+    "Read the settings from FILE", "FILE" },
+  { "check-config", 0, 0, G_OPTION_ARG_NONE, &check_config,
+    "Check the settings and exit", NULL },
+  { "help-settings", 0, 0, G_OPTION_ARG_NONE, &help_settings,
+    "Print the table of settings and exit", NULL },
+  { 0 },
+};
+
+static int
+parse_options (int argc, char **argv)
+{
+  GOptionContext *context
+      = g_option_context_new ("- serve one role of trefoilspar");
+  GError *error = NULL;
+  gboolean parsed;
+
+  g_option_context_add_main_entries (context, options, NULL);
+  parsed = g_option_context_parse (context, &argc, &argv, &error);
+  g_option_context_free (context);
+  if (!parsed)
+    {
+      fprintf (stderr, "trefoilspard: %s\n", error->message);
+      g_error_free (error);
+      return EXIT_USAGE;
+    }
+  if (config_path == NULL && !help_settings)
+    {
+      fputs ("trefoilspard: --config FILE is needed\n", stderr);
+      return EXIT_USAGE;
+    }
+  return EXIT_SUCCESS;
+}
+
+static int
+fail (const struct error *error)
+{
+  fprintf (stderr, "trefoilspard: %s\n", error->message);
+  return EXIT_FAILURE;
+}
+
+static int
+run_gateway (const struct settings *settings)
+{
+  static struct gateway gateway;
+  struct error error;
+
+  if (gateway_init (&gateway, settings, &error) != STATUS_OK)
+    return fail (&error);
+  gateway_run (&gateway);
+  gateway_finish (&gateway);
+  return EXIT_SUCCESS;
+}
+
+static int
+run_shard (const struct settings *settings)
+{
+  static struct shard shard;
+  struct error error;
+
+  if (shard_init (&shard, settings, &error) != STATUS_OK)
+    return fail (&error);
+  shard_run (&shard);
+  shard_finish (&shard);
+  return EXIT_SUCCESS;
+}
 
 int
-main (void)
+main (int argc, char **argv)
 {
-  fputs ("no role\n", stderr);
-  return 1;
+  static struct settings settings;
+  struct error error;
+  int status = parse_options (argc, argv);
+
+  if (status != EXIT_SUCCESS)
+    return status;
+  if (help_settings)
+    {
+      settings_print_help (stdout);
+      return EXIT_SUCCESS;
+    }
+  if (settings_check_file (config_path, &settings, &error) != STATUS_OK)
+    return fail (&error);
+  if (check_config)
+    return EXIT_SUCCESS;
+  return settings.process.role == ROLE_GATEWAY ? run_gateway (&settings)
+                                               : run_shard (&settings);
 }
--- a/src/process.c
+++ b/src/process.c
@@ -34,14 +34,14 @@
 }
 
 static void
-take_hello (struct process *process, const Peer__Envelope *envelope)
+take_hello (struct process *process, const Peer__Hello *hello,
+            uint64_t incarnation, uint64_t revision)
 {
-  const Peer__Hello *hello = envelope->hello;
   struct roster_entry entry = { 0 };
 
   entry.id = roster_id (hello->process);
-  entry.incarnation = envelope->incarnation;
-  entry.config_revision = envelope->config_revision;
+  entry.incarnation = incarnation;
+  entry.config_revision = revision;
   entry.role
       = strcmp (hello->role, "gateway") == 0 ? ROLE_GATEWAY : ROLE_SHARD;
   entry.alive = true;
@@ -68,7 +68,8 @@
   struct roster *roster = &call->process->roster;
 
   if (status == STATUS_OK && reply->body_case == PEER__ENVELOPE__BODY_HELLO)
-    take_hello (call->process, reply);
+    take_hello (call->process, reply->hello, reply->incarnation,
+                reply->config_revision);
   else
     for (size_t i = 0; i < roster->count; i++)
       if (strcmp (roster->entries[i].peer_address, call->address) == 0)
@@ -96,7 +97,10 @@
 say_hellos (struct process *process)
 {
   const struct settings_addresses *seeds = &process->settings->seeds;
+  Peer__Hello self = PEER__HELLO__INIT;
 
+  fill_hello (process, &self);
+  take_hello (process, &self, process->incarnation, process->config_revision);
   for (unsigned i = 0; i < seeds->count; i++)
     say_hello (process, seeds->items[i].text);
 }
@@ -114,7 +118,8 @@
       process->role->answer (process->role_data, link, request);
       return;
     }
-  take_hello (process, request);
+  take_hello (process, request->hello, request->incarnation,
+              request->config_revision);
   fill_hello (process, &hello);
   reply.body_case = PEER__ENVELOPE__BODY_HELLO;
   reply.hello = &hello;
--- a/src/request.c
+++ b/src/request.c
@@ -112,8 +112,8 @@
   request->type = type;
   request->path = g_strdup (path);
   request->received_ns = clock_now (&gateway->process.clock);
-  request->filter = type == REQUEST_COMPLETION ? completion_filters
-                                               : service_filters;
+  request->filter
+      = type == REQUEST_COMPLETION ? completion_filters : service_filters;
   list_init (&request->load.node);
   list_init (&request->node);
   list_append (&gateway->requests, &request->node);
--- a/src/request.h
+++ b/src/request.h
@@ -85,7 +85,7 @@
   struct gateway *gateway;
   struct httpserver_request *http; /**< NULL: answered, or the caller left */
   const request_filter *filter;    /**< the one that runs or waits */
-  uint64_t serial; /**< in the gateway */
+  uint64_t serial;                 /**< in the gateway */
   char id[REQUEST_ID_MAX];
   int64_t received_ns;
   int64_t deadline_ns;
@@ -133,7 +133,7 @@
   int64_t imported_tokens;
   int64_t computed_tokens;
   int64_t planned_cached; /**< pieces that placement counted on */
-  GString *answer; /**< one that is not streamed */
+  GString *answer;        /**< one that is not streamed */
   bool in_filters;
   bool finished;
 };
--- /dev/null
+++ b/src/shard.c
@@ -0,0 +1,366 @@
+#include "shard.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  INDEX_ENTRIES_MAX = 100000
+};
+
+static bool
+read_scope (const Peer__Scope *message, struct block_scope *scope)
+{
+  return message != NULL
+         && block_scope_init (scope, message->organisation, message->model,
+                              message->version, message->adapter)
+                == STATUS_OK;
+}
+
+static size_t
+read_blocks (const ProtobufCBinaryData *blocks, size_t count,
+             struct block_id *ids)
+{
+  size_t taken = 0;
+
+  while (taken < count && taken < BLOCKINDEX_PIECES_MAX
+         && blocks[taken].len == BLOCK_ID_SIZE)
+    {
+      memcpy (ids[taken].bytes, blocks[taken].data, BLOCK_ID_SIZE);
+      taken++;
+    }
+  return taken;
+}
+
+static void
+reply_done (struct peerlink *link, uint64_t request_id)
+{
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__Done done = PEER__DONE__INIT;
+
+  reply.body_case = PEER__ENVELOPE__BODY_DONE;
+  reply.done = &done;
+  peerlink_reply (link, request_id, &reply);
+}
+
+static void
+reply_refused (struct peerlink *link, uint64_t request_id, const char *code)
+{
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__Refused refused = PEER__REFUSED__INIT;
+
+  refused.code = (char *)code;
+  refused.message = (char *)code;
+  reply.body_case = PEER__ENVELOPE__BODY_REFUSED;
+  reply.refused = &refused;
+  peerlink_reply (link, request_id, &reply);
+}
+
+static void
+answer_load (struct shard *shard, struct peerlink *link,
+             const Peer__Envelope *request)
+{
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__LoadReply loads = PEER__LOAD_REPLY__INIT;
+
+  enginewatch_answer (&shard->engines, request->load_query, &loads);
+  reply.body_case = PEER__ENVELOPE__BODY_LOAD_REPLY;
+  reply.load_reply = &loads;
+  peerlink_reply (link, request->request_id, &reply);
+  enginewatch_reply_clear (&loads);
+}
+
+/* The parts of a lookup's answer, on the stack of the one who sends it. */
+struct lookup_parts
+{
+  Peer__Holder holders[BLOCKINDEX_HOLDERS_MAX];
+  Peer__Holder *holder_list[BLOCKINDEX_HOLDERS_MAX];
+  Peer__Copy copies[BLOCKINDEX_PIECES_MAX][BLOCKINDEX_COPIES_MAX];
+  Peer__Copy *copy_lists[BLOCKINDEX_PIECES_MAX][BLOCKINDEX_COPIES_MAX];
+  Peer__Piece pieces[BLOCKINDEX_PIECES_MAX];
+  Peer__Piece *piece_list[BLOCKINDEX_PIECES_MAX];
+};
+
+static void
+fill_holders (struct lookup_parts *parts, Peer__LookupReply *reply,
+              const struct blockindex_match *match)
+{
+  for (unsigned i = 0; i < match->holder_count; i++)
+    {
+      peer__holder__init (&parts->holders[i]);
+      parts->holders[i].engine = match->holders[i].engine;
+      parts->holders[i].pieces = match->holders[i].pieces;
+      parts->holders[i].confidence = (float)match->holders[i].confidence;
+      parts->holder_list[i] = &parts->holders[i];
+    }
+  reply->holders = parts->holder_list;
+  reply->n_holders = match->holder_count;
+}
+
+static void
+fill_copy (Peer__Copy *message, const struct blockindex_copy *copy)
+{
+  peer__copy__init (message);
+  message->store = copy->store;
+  message->slot = copy->slot;
+  message->generation = copy->generation;
+  message->checksum = copy->checksum;
+  message->length = (uint64_t)copy->length;
+  message->tier = copy->tier;
+}
+
+static void
+fill_pieces (struct lookup_parts *parts, Peer__LookupReply *reply,
+             const struct blockindex_match *match)
+{
+  for (unsigned i = 0; i < match->piece_count; i++)
+    {
+      const struct blockindex_piece *piece = &match->pieces[i];
+
+      peer__piece__init (&parts->pieces[i]);
+      for (unsigned j = 0; j < piece->copy_count; j++)
+        {
+          fill_copy (&parts->copies[i][j], &piece->copies[j]);
+          parts->copy_lists[i][j] = &parts->copies[i][j];
+        }
+      parts->pieces[i].copies = parts->copy_lists[i];
+      parts->pieces[i].n_copies = piece->copy_count;
+      parts->piece_list[i] = &parts->pieces[i];
+    }
+  reply->pieces = parts->piece_list;
+  reply->n_pieces = match->piece_count;
+}
+
+static void
+answer_lookup (struct shard *shard, struct peerlink *link,
+               const Peer__Envelope *request)
+{
+  const Peer__Lookup *lookup = request->lookup;
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__LookupReply message = PEER__LOOKUP_REPLY__INIT;
+  struct block_scope scope;
+  struct block_id ids[BLOCKINDEX_PIECES_MAX];
+  struct blockindex_query query = { &scope, ids, 0, lookup->kind };
+  struct blockindex_match match;
+  struct lookup_parts parts;
+
+  if (!read_scope (lookup->scope, &scope))
+    {
+      reply_refused (link, request->request_id, "bad_scope");
+      return;
+    }
+  query.count = read_blocks (lookup->blocks, lookup->n_blocks, ids);
+  memset (&match, 0, sizeof match);
+  blockindex_lookup (&shard->index, &query, &match);
+  fill_holders (&parts, &message, &match);
+  fill_pieces (&parts, &message, &match);
+  message.idle_ms = match.idle_ns < 0 ? -1 : match.idle_ns / NS_PER_MS;
+  message.read_lease_ms = (uint32_t)(match.read_lease_ns / NS_PER_MS);
+  reply.body_case = PEER__ENVELOPE__BODY_LOOKUP_REPLY;
+  reply.lookup_reply = &message;
+  peerlink_reply (link, request->request_id, &reply);
+}
+
+static void
+take_used (struct shard *shard, struct peerlink *link,
+           const Peer__Envelope *request)
+{
+  const Peer__Used *used = request->used;
+  struct block_scope scope;
+  struct block_id ids[BLOCKINDEX_PIECES_MAX];
+  size_t count;
+
+  reply_done (link, request->request_id);
+  if (!read_scope (used->scope, &scope))
+    return;
+  count = read_blocks (used->blocks, used->n_blocks, ids);
+  hint_confirm (&shard->index.hints, &scope, ids, count, used->engine);
+}
+
+static void
+answer (void *data, struct peerlink *link, const Peer__Envelope *request)
+{
+  struct shard *shard = data;
+
+  switch (request->body_case)
+    {
+    case PEER__ENVELOPE__BODY_LOAD_QUERY:
+      answer_load (shard, link, request);
+      break;
+    case PEER__ENVELOPE__BODY_LOOKUP:
+      answer_lookup (shard, link, request);
+      break;
+    case PEER__ENVELOPE__BODY_USED:
+      take_used (shard, link, request);
+      break;
+    default:
+      reply_refused (link, request->request_id, "unknown_message");
+    }
+}
+
+static void
+serve (void *data, struct httpserver_request *http)
+{
+  struct shard *shard = data;
+
+  if (!process_serve_common (&shard->process, http, true))
+    httpserver_respond (http, 404, "text/plain", NULL, 0, "not found\n", 10);
+}
+
+static void
+on_events (void *data, uint64_t engine, const struct engine_events *events)
+{
+  struct shard *shard = data;
+  struct block_id id;
+
+  for (size_t i = 0; i < events->count; i++)
+    if (block_from_hex (&id, events->events[i].block) == STATUS_OK)
+      hint_event (&shard->index.hints, engine, events->events[i].sequence,
+                  events->events[i].stored, &id);
+}
+
+static void
+on_listing (void *data, uint64_t engine, const struct engine_listing *listing)
+{
+  struct shard *shard = data;
+  struct block_id *ids = g_new (struct block_id, listing->count + 1);
+  size_t count = 0;
+
+  for (size_t i = 0; i < listing->count; i++)
+    if (block_from_hex (&ids[count], listing->blocks[i]) == STATUS_OK)
+      count++;
+  hint_listing (&shard->index.hints, engine, listing->next, ids, count);
+  g_free (ids);
+}
+
+static void
+on_gone (void *data, uint64_t engine)
+{
+  struct shard *shard = data;
+
+  hint_engine_gone (&shard->index.hints, engine);
+}
+
+static void
+on_loaded (void *data, const char *name, const struct engine_load *load)
+{
+}
+
+static const struct enginewatch_ops engine_ops
+    = { on_events, on_listing, on_gone, on_loaded };
+
+static void
+list_engine (void *data, uint64_t engine)
+{
+  struct shard *shard = data;
+
+  enginewatch_list (&shard->engines, engine);
+}
+
+static void
+slot_freed (void *data, enum status status)
+{
+}
+
+static void
+free_slot (void *data, uint64_t store, uint64_t slot, uint64_t generation)
+{
+  struct shard *shard = data;
+  struct storeclient *client = &shard->process.storehttp.client;
+  const char *address = storewatch_address (&shard->stores, store);
+  struct store_slot at = { slot, generation };
+
+  if (address != NULL)
+    client->ops->release (client, address, &at, slot_freed, shard);
+}
+
+static const struct blockindex_ops index_ops
+    = { { list_engine }, { free_slot } };
+
+static void
+tick (void *data)
+{
+  struct shard *shard = data;
+
+  if (shard->roster_change != shard->process.roster.change)
+    {
+      shard->roster_change = shard->process.roster.change;
+      enginewatch_sync (&shard->engines);
+      storewatch_relist (&shard->stores);
+    }
+  enginewatch_tick (&shard->engines);
+  storewatch_tick (&shard->stores);
+  blockindex_tick (&shard->index);
+}
+
+static void
+hosts_changed (void *data)
+{
+  struct shard *shard = data;
+
+  enginewatch_sync (&shard->engines);
+  storewatch_sync (&shard->stores);
+}
+
+static size_t
+busy (void *data)
+{
+  return 0;
+}
+
+static const struct process_role shard_role
+    = { serve, answer, tick, hosts_changed, busy };
+
+static void
+init_index (struct shard *shard)
+{
+  const struct settings *settings = shard->settings;
+  struct blockindex_settings index = { 0 };
+
+  index.entries_max = INDEX_ENTRIES_MAX;
+  index.hint = hint_settings_default;
+  index.copy = copy_settings_default;
+  index.copy.read_lease_ns = settings->stores.read_lease_ns;
+  index.copy.free_wait_ns = settings->stores.free_delay_ns;
+  blockindex_init (&shard->index, &shard->process.clock, &index, &index_ops,
+                   shard);
+}
+
+enum status
+shard_init (struct shard *shard, const struct settings *settings,
+            struct error *error)
+{
+  struct process *process = &shard->process;
+  enum status status;
+
+  memset (shard, 0, sizeof *shard);
+  shard->settings = settings;
+  status = process_init (process, settings, &shard_role, shard, error);
+  if (status != STATUS_OK)
+    return status;
+  init_index (shard);
+  enginewatch_init (&shard->engines, &process->clock,
+                    &process->enginehttp.client, &process->roster,
+                    &process->hostlist.hostlist, process->id, &engine_ops,
+                    shard);
+  storewatch_init (&shard->stores, &process->clock, &process->storehttp.client,
+                   &process->roster, &process->hostlist.hostlist,
+                   &shard->index.copies, process->id,
+                   settings->stores.listing_ns);
+  return STATUS_OK;
+}
+
+void
+shard_run (struct shard *shard)
+{
+  process_run (&shard->process);
+}
+
+void
+shard_finish (struct shard *shard)
+{
+  process_finish (&shard->process);
+  enginewatch_finish (&shard->engines);
+  storewatch_finish (&shard->stores);
+  blockindex_finish (&shard->index);
+}
