--- /dev/null
+++ b/src/kvhttp.c
@@ -0,0 +1,238 @@
+#include "kvhttp.h"
+#include "clock.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  HTTP_OK = 200,
+  HTTP_NOT_FOUND = 404,
+  HTTP_CONFLICT = 409,
+  HTTP_TOO_LARGE = 413,
+  HTTP_LIMITED = 429,
+  HTTP_UNAVAILABLE = 503
+};
+
+struct kvcall
+{
+  struct kvhttp *kvhttp;
+  kv_done done;
+  void *data;
+};
+
+static enum status
+status_from_http (int http_status)
+{
+  switch (http_status)
+    {
+    case HTTP_OK:
+      return STATUS_OK;
+    case HTTP_NOT_FOUND:
+      return STATUS_NOT_FOUND;
+    case HTTP_CONFLICT:
+      return STATUS_CONFLICT;
+    case HTTP_TOO_LARGE:
+      return STATUS_TOO_LARGE;
+    case HTTP_LIMITED:
+      return STATUS_LIMITED;
+    case HTTP_UNAVAILABLE:
+      return STATUS_UNAVAILABLE;
+    default:
+      return STATUS_UNKNOWN;
+    }
+}
+
+static struct kv_item *
+read_items (struct json_object *object, size_t *count)
+{
+  struct json_object *items = json_field_array (object, "items", count);
+  struct kv_item *result = g_new0 (struct kv_item, *count + 1);
+
+  for (size_t i = 0; i < *count; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (items, i);
+
+      result[i].key = json_field_text (item, "key");
+      result[i].value = json_field_text (item, "value");
+      result[i].revision = json_field_uint (item, "revision");
+    }
+  return result;
+}
+
+static void
+answered (void *data, const struct httpjson_reply *answer)
+{
+  struct kvcall *kvcall = data;
+  struct kvhttp *kvhttp = kvcall->kvhttp;
+  struct kv_reply reply = { .status = answer->status };
+  struct kv_item *items = NULL;
+
+  if (answer->status == STATUS_OK)
+    reply.status = status_from_http (answer->http_status);
+  else
+    kvhttp->current = (kvhttp->current + 1) % kvhttp->address_count;
+  if (reply.status == STATUS_OK && answer->body == NULL)
+    reply.status = STATUS_UNKNOWN;
+  if (answer->body != NULL)
+    {
+      reply.revision = json_field_uint (answer->body, "revision");
+      reply.lease = json_field_uint (answer->body, "lease");
+      items = read_items (answer->body, &reply.item_count);
+      reply.items = items;
+    }
+  kvcall->done (kvcall->data, &reply);
+  g_free (items);
+  g_free (kvcall);
+}
+
+/* Takes BODY over. */
+static void
+kvhttp_call (struct kv *kv, const char *path, struct json_object *body,
+             int64_t extra_ns, kv_done done, void *data)
+{
+  struct kvhttp *kvhttp = (struct kvhttp *)kv;
+  struct kvcall *kvcall = g_malloc0 (sizeof *kvcall);
+  struct httpjson_request request = {
+    .address = kvhttp->addresses[kvhttp->current],
+    .method = "POST",
+    .path = path,
+    .body = body,
+    .timeout_ns = kvhttp->timeout_ns + extra_ns,
+  };
+
+  kvcall->kvhttp = kvhttp;
+  kvcall->done = done;
+  kvcall->data = data;
+  kvhttp->call_count++;
+  httpjson_call (kvhttp->httpjson, &request, answered, kvcall);
+}
+
+static struct json_object *
+object_with_text (const char *key, const char *text)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, key, json_object_new_string (text));
+  return object;
+}
+
+static struct json_object *
+object_with_number (const char *key, uint64_t number)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, key, json_object_new_uint64 (number));
+  return object;
+}
+
+static void
+kvhttp_get (struct kv *kv, const char *key, kv_done done, void *data)
+{
+  kvhttp_call (kv, "/v1/kv/get", object_with_text ("key", key), 0, done, data);
+}
+
+static void
+kvhttp_range (struct kv *kv, const char *prefix, kv_done done, void *data)
+{
+  kvhttp_call (kv, "/v1/kv/range", object_with_text ("prefix", prefix), 0,
+               done, data);
+}
+
+static struct json_object *
+write_object (const struct kv_write *write)
+{
+  struct json_object *object = object_with_text ("key", write->key);
+  struct json_object *value = NULL;
+
+  if (write->value != NULL)
+    value = json_object_new_string (write->value);
+  json_object_object_add (object, "value", value);
+  json_object_object_add (object, "lease",
+                          json_object_new_uint64 (write->lease));
+  return object;
+}
+
+static void
+kvhttp_txn (struct kv *kv, const struct kv_txn *txn, kv_done done, void *data)
+{
+  struct json_object *body = json_object_new_object ();
+  struct json_object *compares = json_object_new_array ();
+  struct json_object *writes = json_object_new_array ();
+
+  for (size_t i = 0; i < txn->compare_count; i++)
+    {
+      struct json_object *compare
+          = object_with_text ("key", txn->compares[i].key);
+
+      json_object_object_add (
+          compare, "revision",
+          json_object_new_uint64 (txn->compares[i].revision));
+      json_object_array_add (compares, compare);
+    }
+  for (size_t i = 0; i < txn->write_count; i++)
+    json_object_array_add (writes, write_object (&txn->writes[i]));
+  json_object_object_add (body, "compares", compares);
+  json_object_object_add (body, "writes", writes);
+  kvhttp_call (kv, "/v1/kv/txn", body, 0, done, data);
+}
+
+static void
+kvhttp_lease_grant (struct kv *kv, int64_t ttl_ns, kv_done done, void *data)
+{
+  kvhttp_call (kv, "/v1/kv/lease/grant",
+               object_with_number ("ttl_ms", ttl_ns / NS_PER_MS), 0, done,
+               data);
+}
+
+static void
+kvhttp_lease_keepalive (struct kv *kv, uint64_t lease, kv_done done,
+                        void *data)
+{
+  kvhttp_call (kv, "/v1/kv/lease/keepalive",
+               object_with_number ("lease", lease), 0, done, data);
+}
+
+static void
+kvhttp_lease_revoke (struct kv *kv, uint64_t lease, kv_done done, void *data)
+{
+  kvhttp_call (kv, "/v1/kv/lease/revoke", object_with_number ("lease", lease),
+               0, done, data);
+}
+
+static void
+kvhttp_watch (struct kv *kv, const char *prefix, uint64_t after,
+              int64_t wait_ns, kv_done done, void *data)
+{
+  struct json_object *body = object_with_text ("prefix", prefix);
+
+  json_object_object_add (body, "after", json_object_new_uint64 (after));
+  json_object_object_add (body, "wait_ms",
+                          json_object_new_int64 (wait_ns / NS_PER_MS));
+  kvhttp_call (kv, "/v1/kv/watch", body, wait_ns, done, data);
+}
+
+static const struct kv_ops kvhttp_ops = {
+  .get = kvhttp_get,
+  .range = kvhttp_range,
+  .txn = kvhttp_txn,
+  .lease_grant = kvhttp_lease_grant,
+  .lease_keepalive = kvhttp_lease_keepalive,
+  .lease_revoke = kvhttp_lease_revoke,
+  .watch = kvhttp_watch,
+};
+
+void
+kvhttp_init (struct kvhttp *kvhttp, struct httpjson *httpjson,
+             const char *const *addresses, size_t address_count,
+             int64_t timeout_ns)
+{
+  assert (address_count > 0);
+  memset (kvhttp, 0, sizeof *kvhttp);
+  kvhttp->kv.ops = &kvhttp_ops;
+  kvhttp->httpjson = httpjson;
+  kvhttp->addresses = addresses;
+  kvhttp->address_count = address_count;
+  kvhttp->timeout_ns = timeout_ns;
+}
