Export policy by expected return

Cause: stores and links are small beside what is computed, so only blocks that are likely to return, and soon enough for their tier, should be kept. Ruled out: keeping everything until full (the link's export budget goes to prompts that never return); least recently used alone for eviction (a class that returns after an hour loses to one that never does). Change: for each organisation and kind a fading histogram of return intervals, leaning on the total while little is known; value is the chance within the tier's horizon times the gain, less the transfer.

--- /dev/null
+++ b/src/export.c
@@ -0,0 +1,319 @@
+#include "export.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define NS_PER_HOUR (3600 * NS_PER_S)
+
+const struct export_settings export_settings_default = {
+  .half_ns = 24 * NS_PER_HOUR,
+  .horizon_ns
+  = { [COPY_MEMORY] = NS_PER_HOUR / 4, [COPY_DISK] = 72 * NS_PER_HOUR },
+  .tier_share = { [COPY_MEMORY] = 1, [COPY_DISK] = 0.8 },
+  .token_s = 1e-4,
+  .byte_price_s = 1e-9,
+  .evict_margin = 1.2,
+  .prior = 20,
+  .classes_max = 10000,
+};
+
+/* What a class knows before anything was seen: one return in two requests,
+ * so that exports begin and teach. */
+static const double initial_requests = 2;
+static const double initial_returns = 1;
+
+static guint
+key_hash (gconstpointer key)
+{
+  return (guint)XXH3_64bits (key, sizeof (struct export_class_key));
+}
+
+static gboolean
+key_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, sizeof (struct export_class_key)) == 0;
+}
+
+static struct export_class_key
+key_make (const char *organisation, uint32_t kind)
+{
+  struct export_class_key key;
+
+  memset (&key, 0, sizeof key);
+  g_strlcpy (key.organisation, organisation, sizeof key.organisation);
+  key.kind = kind;
+  return key;
+}
+
+static struct export_class *
+class_find (const struct export *policy, const char *organisation,
+            uint32_t kind)
+{
+  struct export_class_key key = key_make (organisation, kind);
+
+  return g_hash_table_lookup (policy->classes, &key);
+}
+
+static struct export_class *
+class_make (struct export *policy, const char *organisation, uint32_t kind)
+{
+  struct export_class *class = class_find (policy, organisation, kind);
+
+  if (class != NULL
+      || g_hash_table_size (policy->classes) >= policy->settings.classes_max)
+    return class;
+  class = g_new0 (struct export_class, 1);
+  class->key = key_make (organisation, kind);
+  class->faded_ns = clock_now (policy->clock);
+  g_hash_table_insert (policy->classes, &class->key, class);
+  return class;
+}
+
+static void
+class_fade (const struct export *policy, struct export_class *class)
+{
+  int64_t now = clock_now (policy->clock);
+  double factor = exp2 (-(double)(now - class->faded_ns)
+                        / (double)policy->settings.half_ns);
+
+  class->faded_ns = now;
+  class->requests *= factor;
+  for (int i = 0; i < EXPORT_BUCKETS; i++)
+    class->returns[i] *= factor;
+}
+
+static int
+bucket_of (int64_t idle_ns)
+{
+  double seconds = (double)idle_ns / (double)NS_PER_S;
+  int bucket = seconds < 1 ? 0 : (int)log2 (seconds);
+
+  return bucket < EXPORT_BUCKETS ? bucket : EXPORT_BUCKETS - 1;
+}
+
+static void
+class_add (const struct export *policy, struct export_class *class,
+           int64_t idle_ns)
+{
+  class_fade (policy, class);
+  class->requests += 1;
+  if (idle_ns >= 0)
+    class->returns[bucket_of (idle_ns)] += 1;
+}
+
+/* Weight of the returns that came within SECONDS; even inside a bucket. */
+static double
+class_returns (const struct export_class *class, double seconds)
+{
+  double sum = 0;
+
+  for (int i = 0; i < EXPORT_BUCKETS; i++)
+    {
+      double from = i == 0 ? 0 : exp2 (i);
+      double to = exp2 (i + 1);
+
+      if (seconds <= from)
+        return sum;
+      sum += class->returns[i] * fmin (1, (seconds - from) / (to - from));
+    }
+  return sum;
+}
+
+/* The share of requests whose prompt returned within SECONDS; a class with
+ * little of its own leans on the total. */
+static double
+returned_share (const struct export *policy, const struct export_class *class,
+                double seconds)
+{
+  double total = (class_returns (&policy->total, seconds) + initial_returns)
+                 / (policy->total.requests + initial_requests);
+  double prior = policy->settings.prior;
+
+  if (class == NULL)
+    return fmin (total, 1);
+  return fmin ((class_returns (class, seconds) + prior * total)
+                   / (class->requests + prior),
+               1);
+}
+
+static double
+transfer_cost (const struct export *policy, const struct export_block *block)
+{
+  return (double)block->length * policy->settings.byte_price_s;
+}
+
+/* Whether something cheap enough can make room for BLOCK in TARGET. */
+static bool
+target_room (struct export *policy, const struct export_block *block,
+             const struct export_target *target, double value,
+             const struct copy **victim)
+{
+  double displaced;
+
+  *victim = NULL;
+  if (target->free_bytes >= block->length)
+    return true;
+  *victim = export_victim (policy, target->oldest, target->oldest_count,
+                           block->tokens, &displaced);
+  return *victim != NULL
+         && value / (double)block->length
+                > displaced * policy->settings.evict_margin;
+}
+
+/* The best of the targets that are open and have room. */
+static void
+decide_target (struct export *policy, const struct export_block *block,
+               const struct export_target *targets, size_t count,
+               struct export_decision *decision)
+{
+  int64_t most_free = -1;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct export_target *target = &targets[i];
+      double value = export_value (policy, block, target->tier);
+      double gain = value - transfer_cost (policy, block);
+      const struct copy *victim;
+
+      if (gain <= 0 || gain < decision->value_s)
+        continue;
+      if (decision->reason == EXPORT_WORTHLESS)
+        decision->reason = EXPORT_FULL;
+      if (!target->open
+          || !target_room (policy, block, target, value, &victim))
+        continue;
+      if (gain <= decision->value_s && target->free_bytes <= most_free)
+        continue;
+      most_free = target->free_bytes;
+      *decision = (struct export_decision){ EXPORT_KEPT, i, victim, gain };
+    }
+}
+
+void
+export_init (struct export *policy, const struct clock *clock,
+             const struct export_settings *settings)
+{
+  policy->clock = clock;
+  policy->settings = *settings;
+  policy->classes = g_hash_table_new_full (key_hash, key_equal, NULL, g_free);
+  memset (&policy->total, 0, sizeof policy->total);
+  policy->total.faded_ns = clock_now (clock);
+}
+
+void
+export_finish (struct export *policy)
+{
+  g_hash_table_destroy (policy->classes);
+}
+
+void
+export_observe (struct export *policy, const char *organisation, uint32_t kind,
+                int64_t idle_ns)
+{
+  struct export_class *class = class_make (policy, organisation, kind);
+
+  if (class != NULL)
+    class_add (policy, class, idle_ns);
+  class_add (policy, &policy->total, idle_ns);
+}
+
+double
+export_chance (struct export *policy, const char *organisation, uint32_t kind,
+               int64_t idle_ns, int64_t horizon_ns)
+{
+  const struct export_class *class = class_find (policy, organisation, kind);
+  double idle_s = (double)idle_ns / (double)NS_PER_S;
+  double end_s = idle_s + (double)horizon_ns / (double)NS_PER_S;
+  double before = idle_ns > 0 ? returned_share (policy, class, idle_s) : 0;
+  double within = returned_share (policy, class, end_s) - before;
+
+  if (before >= 1 || within <= 0)
+    return 0;
+  return within / (1 - before);
+}
+
+double
+export_value (struct export *policy, const struct export_block *block,
+              enum copy_tier tier)
+{
+  const struct export_settings *settings = &policy->settings;
+  double chance = export_chance (policy, block->organisation, block->kind,
+                                 block->idle_ns, settings->horizon_ns[tier]);
+  double gain
+      = (double)block->tokens * settings->token_s * settings->tier_share[tier]
+        - transfer_cost (policy, block);
+
+  return gain > 0 ? chance * gain : 0;
+}
+
+struct export_block
+export_block_of (const struct copy *copy, int64_t tokens, int64_t now)
+{
+  const struct blockentry *entry = copy->entry;
+
+  return (struct export_block){
+    .organisation = entry->scope->scope.organisation,
+    .kind = entry->kind,
+    .position = entry->position,
+    .tokens = tokens,
+    .length = copy->length,
+    .idle_ns = entry->used_ns != 0 ? now - entry->used_ns : 0,
+  };
+}
+
+const struct copy *
+export_victim (struct export *policy, const struct copy **copies, size_t count,
+               int64_t tokens, double *value)
+{
+  const struct copy *victim = NULL;
+  uint16_t position = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct export_block block
+          = export_block_of (copies[i], tokens, clock_now (policy->clock));
+      double worth = export_value (policy, &block, copies[i]->tier)
+                     / (double)(block.length > 0 ? block.length : 1);
+
+      /* A prompt without its first pieces is worth nothing. */
+      if (victim != NULL
+          && (worth > *value
+              || (worth == *value && block.position <= position)))
+        continue;
+      victim = copies[i];
+      position = block.position;
+      *value = worth;
+    }
+  return victim;
+}
+
+void
+export_decide (struct export *policy, const struct export_block *block,
+               bool held, const struct export_target *targets, size_t count,
+               struct export_decision *decision)
+{
+  *decision = (struct export_decision){ .reason = EXPORT_WORTHLESS };
+  if (held)
+    {
+      decision->reason = EXPORT_HELD;
+      return;
+    }
+  decide_target (policy, block, targets, count, decision);
+  if (decision->reason == EXPORT_KEPT
+      && !link_try (targets[decision->target].link, LINK_EXPORT,
+                    block->length))
+    decision->reason = EXPORT_LINK_BUSY;
+}
+
+const char *
+export_reason_name (enum export_reason reason)
+{
+  static const char *const names[] = {
+    [EXPORT_KEPT] = "kept",           [EXPORT_HELD] = "held",
+    [EXPORT_WORTHLESS] = "worthless", [EXPORT_FULL] = "full",
+    [EXPORT_LINK_BUSY] = "link_busy",
+  };
+
+  return names[reason];
+}
--- /dev/null
+++ b/test/test-export.c
@@ -0,0 +1,225 @@
+#include "export.h"
+#include "rng.h"
+#include "unit.h"
+
+#include <math.h>
+#include <string.h>
+
+enum
+{
+  STEPS = 10000,
+  TOKENS = 2000,
+  LENGTH = 1000000,
+  KEPT = 64
+};
+
+struct scene
+{
+  struct clock_fake clock;
+  struct rng rng;
+  struct export policy;
+  struct link link;
+};
+
+static void
+scene_init (struct scene *s, uint64_t seed)
+{
+  clock_fake_init (&s->clock, NS_PER_S);
+  rng_init (&s->rng, seed);
+  export_init (&s->policy, &s->clock.clock, &export_settings_default);
+  link_init (&s->link, &s->clock.clock, LENGTH, 4 * LENGTH);
+}
+
+/* Against the plain definition: the share of the class's returns that fell
+ * between idle and idle plus horizon, of those that had not come before.
+ * All weights are equal, since no time passes; buckets are met at their ends,
+ * where nothing is interpolated. */
+static void
+test_chance_against_counts (void)
+{
+  const double prior = export_settings_default.prior;
+  unsigned seen[2][EXPORT_BUCKETS] = { { 0 } };
+  unsigned requests[2] = { 0 };
+  struct scene s;
+
+  scene_init (&s, 91);
+  for (int step = 0; step < STEPS; step++)
+    {
+      uint32_t kind = (uint32_t)rng_below (&s.rng, 2);
+      int bucket = (int)rng_below (&s.rng, kind == 0 ? 8 : EXPORT_BUCKETS);
+      bool returned = rng_below (&s.rng, 3) > 0;
+      int from = 1 + (int)rng_below (&s.rng, EXPORT_BUCKETS - 2);
+      int to
+          = from + (int)rng_below (&s.rng, (uint64_t)(EXPORT_BUCKETS - from));
+      double share[2], expected;
+
+      export_observe (&s.policy, "o", kind,
+                      returned ? (int64_t)exp2 (bucket) * NS_PER_S : -1);
+      requests[kind]++;
+      seen[kind][bucket] += returned;
+      for (int end = 0; end < 2; end++)
+        {
+          double own = 0, all = 1;
+
+          for (int i = 0; i < (end == 0 ? from : to); i++)
+            {
+              own += seen[kind][i];
+              all += seen[0][i] + seen[1][i];
+            }
+          all /= requests[0] + requests[1] + 2;
+          share[end] = (own + prior * all) / (requests[kind] + prior);
+        }
+      expected = (share[1] - share[0]) / (1 - share[0]);
+      CU_ASSERT_DOUBLE_EQUAL (
+          export_chance (&s.policy, "o", kind, (int64_t)exp2 (from) * NS_PER_S,
+                         (int64_t)(exp2 (to) - exp2 (from)) * NS_PER_S),
+          expected, 1e-9);
+    }
+  export_finish (&s.policy);
+}
+
+static void
+train (struct scene *s, const char *organisation, int64_t idle_ns)
+{
+  for (int i = 0; i < 500; i++)
+    export_observe (&s->policy, organisation, 0, idle_ns);
+}
+
+static void
+test_tier_follows_interval (void)
+{
+  struct scene s;
+  struct export_target targets[2]
+      = { { 0, COPY_MEMORY, true, 1 << 30 }, { 0, COPY_DISK, true, 1 << 30 } };
+  struct export_block block = { "quick", 0, 0, TOKENS, LENGTH, 0 };
+  struct export_decision decision;
+
+  scene_init (&s, 92);
+  targets[0].link = targets[1].link = &s.link;
+  train (&s, "quick", 30 * NS_PER_S);
+  train (&s, "late", 10000 * NS_PER_S);
+  train (&s, "never", -1);
+  export_decide (&s.policy, &block, false, targets, 2, &decision);
+  CU_ASSERT_EQUAL (decision.reason, EXPORT_KEPT);
+  CU_ASSERT_EQUAL (decision.target, 0);
+  block.organisation = "late";
+  export_decide (&s.policy, &block, false, targets, 2, &decision);
+  CU_ASSERT_EQUAL (decision.reason, EXPORT_KEPT);
+  CU_ASSERT_EQUAL (decision.target, 1);
+  block.organisation = "never";
+  s.policy.settings.byte_price_s = 2e-8;
+  export_decide (&s.policy, &block, false, targets, 2, &decision);
+  CU_ASSERT_EQUAL (decision.reason, EXPORT_WORTHLESS);
+  block.organisation = "quick";
+  export_decide (&s.policy, &block, true, targets, 2, &decision);
+  CU_ASSERT_EQUAL (decision.reason, EXPORT_HELD);
+  targets[0].open = targets[1].open = false;
+  export_decide (&s.policy, &block, false, targets, 2, &decision);
+  CU_ASSERT_EQUAL (decision.reason, EXPORT_FULL);
+  export_finish (&s.policy);
+}
+
+/* The link's export budget bounds what is kept, whatever it is worth. */
+static void
+test_link_budget (void)
+{
+  struct scene s;
+  struct export_target target
+      = { .tier = COPY_MEMORY, .open = true, .free_bytes = 1 << 30 };
+  struct export_block block = { "quick", 0, 0, TOKENS, LENGTH, 0 };
+  struct export_decision decision;
+  int kept = 0;
+
+  scene_init (&s, 93);
+  target.link = &s.link;
+  train (&s, "quick", 30 * NS_PER_S);
+  link_take (&s.link, LINK_URGENT, 4 * LENGTH);
+  for (int i = 0; i < 100; i++)
+    {
+      export_decide (&s.policy, &block, false, &target, 1, &decision);
+      kept += decision.reason == EXPORT_KEPT;
+      CU_ASSERT_TRUE (decision.reason == EXPORT_KEPT
+                      || decision.reason == EXPORT_LINK_BUSY);
+    }
+  CU_ASSERT_EQUAL (kept, 4);
+  export_finish (&s.policy);
+}
+
+/* A full tier: the victim is the least worth of a scan, the last piece first,
+ * and is displaced only by something worth more. */
+static void
+test_victim_against_scan (void)
+{
+  static struct blockentry entries[KEPT];
+  static struct copy kept[KEPT];
+  const struct copy *copies[KEPT];
+  struct blockentry_scope scopes[2] = { 0 };
+  struct scene s;
+
+  scene_init (&s, 94);
+  block_scope_init (&scopes[0].scope, "quick", "m", "1", NULL);
+  block_scope_init (&scopes[1].scope, "never", "m", "1", NULL);
+  train (&s, "quick", 30 * NS_PER_S);
+  train (&s, "never", -1);
+  for (int step = 0; step < STEPS / KEPT; step++)
+    {
+      struct export_target target
+          = { 0, COPY_MEMORY, true, 0, &s.link, copies, KEPT };
+      struct export_block fresh = { "quick", 0, 0, TOKENS, LENGTH, 0 };
+      struct export_decision decision;
+      double least = INFINITY, value;
+      int last = -1;
+
+      clock_fake_advance (&s.clock, 100 * NS_PER_S);
+      for (int i = 0; i < KEPT; i++)
+        {
+          entries[i].scope = &scopes[rng_below (&s.rng, 2)];
+          entries[i].used_ns
+              = s.clock.now - (int64_t)rng_below (&s.rng, 90) * NS_PER_S;
+          entries[i].position = (uint16_t)rng_below (&s.rng, 4);
+          kept[i] = (struct copy){ .entry = &entries[i],
+                                   .length = LENGTH,
+                                   .tier = COPY_MEMORY };
+          copies[i] = &kept[i];
+        }
+      for (int i = 0; i < KEPT; i++)
+        {
+          struct export_block block
+              = export_block_of (copies[i], TOKENS, s.clock.now);
+
+          value = export_value (&s.policy, &block, COPY_MEMORY) / LENGTH;
+          if (value > least || (value == least && block.position <= last))
+            continue;
+          least = value;
+          last = block.position;
+        }
+      export_decide (&s.policy, &fresh, false, &target, 1, &decision);
+      CU_ASSERT_EQUAL_FATAL (decision.reason, EXPORT_KEPT);
+      CU_ASSERT_EQUAL (decision.victim->entry->position, last);
+      export_victim (&s.policy, copies, KEPT, TOKENS, &value);
+      CU_ASSERT_EQUAL (value, least);
+      /* Nothing of the class that never returns displaces a returning one. */
+      for (int i = 0; i < KEPT; i++)
+        {
+          entries[i].scope = &scopes[0];
+          entries[i].used_ns = s.clock.now;
+        }
+      fresh.organisation = "never";
+      export_decide (&s.policy, &fresh, false, &target, 1, &decision);
+      CU_ASSERT_EQUAL (decision.reason, EXPORT_FULL);
+    }
+  export_finish (&s.policy);
+}
+
+static const struct unit_case cases[] = {
+  { "chance-against-counts", test_chance_against_counts },
+  { "tier-follows-interval", test_tier_follows_interval },
+  { "link-budget", test_link_budget },
+  { "victim-against-scan", test_victim_against_scan },
+};
+
+int
+main (void)
+{
+  return unit_run ("export", cases, sizeof cases / sizeof *cases);
+}
