--- a/test/test-export.c
+++ b/test/test-export.c
@@ -27,7 +27,7 @@
   clock_fake_init (&s->clock, NS_PER_S);
   rng_init (&s->rng, seed);
   export_init (&s->policy, &s->clock.clock, &export_settings_default);
-  link_init (&s->link, &s->clock.clock, LENGTH, 4 * LENGTH);
+  link_init (&s->link, &s->clock.clock, LENGTH, INT64_C (4) * LENGTH);
 }
 
 /* Against the plain definition: the share of the class's returns that fell
@@ -90,7 +90,8 @@
 {
   struct scene s;
   struct export_target targets[2]
-      = { { 0, COPY_MEMORY, true, 1 << 30 }, { 0, COPY_DISK, true, 1 << 30 } };
+      = { { .tier = COPY_MEMORY, .open = true, .free_bytes = 1 << 30 },
+          { .tier = COPY_DISK, .open = true, .free_bytes = 1 << 30 } };
   struct export_block block = { "quick", 0, 0, TOKENS, LENGTH, 0 };
   struct export_decision decision;
 
@@ -133,7 +134,7 @@
   scene_init (&s, 93);
   target.link = &s.link;
   train (&s, "quick", 30 * NS_PER_S);
-  link_take (&s.link, LINK_URGENT, 4 * LENGTH);
+  link_take (&s.link, LINK_URGENT, INT64_C (4) * LENGTH);
   for (int i = 0; i < 100; i++)
     {
       export_decide (&s.policy, &block, false, &target, 1, &decision);
