--- /dev/null
+++ b/test/test-retry.c
@@ -0,0 +1,154 @@
+#include "retry.h"
+#include "unit.h"
+
+static struct
+{
+  struct clock_fake clock;
+  struct rng rng;
+  struct retry retry;
+} world;
+
+static void
+world_init (void)
+{
+  const struct retry_settings settings = { .budget_share = 0.1,
+                                           .servers_max = 2,
+                                           .backoff_base_ns = 50 * NS_PER_MS,
+                                           .backoff_max_ns = 2 * NS_PER_S };
+
+  clock_fake_init (&world.clock, 1);
+  rng_init (&world.rng, 61);
+  retry_init (&world.retry, &settings, &world.clock.clock, &world.rng);
+}
+
+/* The action after the first attempt: by outcome, for a request that may not
+ * be repeated, one that may, and one that may be resumed. */
+static const enum retry_action first[RETRY_OUTCOME_COUNT][3] = {
+  [RETRY_NOT_SENT] = { RETRY_ANOTHER, RETRY_ANOTHER, RETRY_ANOTHER },
+  [RETRY_NOT_RUN] = { RETRY_ANOTHER, RETRY_ANOTHER, RETRY_ANOTHER },
+  [RETRY_LOST_UNANSWERED] = { RETRY_STOP, RETRY_ANOTHER, RETRY_RESUME },
+  [RETRY_LOST_MIDWAY] = { RETRY_STOP, RETRY_ANOTHER, RETRY_RESUME },
+  [RETRY_SILENT] = { RETRY_STOP, RETRY_ANOTHER, RETRY_RESUME },
+  [RETRY_FAILED] = { RETRY_STOP, RETRY_ANOTHER, RETRY_ANOTHER },
+  [RETRY_CRASHED] = { RETRY_STOP, RETRY_IF_CLEARED, RETRY_IF_CLEARED },
+};
+
+static void
+test_table (void)
+{
+  for (int outcome = 0; outcome < RETRY_OUTCOME_COUNT; outcome++)
+    for (int kind = 0; kind < 3; kind++)
+      {
+        struct retry_request request = { .idempotent = kind > 0,
+                                         .resumable = kind == 2,
+                                         .deadline_ns = CLOCK_NEVER };
+        struct retry_decision decision;
+
+        world_init ();
+        retry_begin (&world.retry, &request);
+        decision = retry_decide (&world.retry, &request,
+                                 (enum retry_outcome)outcome);
+        CU_ASSERT_EQUAL (decision.action, first[outcome][kind]);
+        CU_ASSERT_EQUAL (decision.not_run, outcome <= RETRY_NOT_RUN);
+        CU_ASSERT_TRUE (decision.delay_ns <= 50 * NS_PER_MS);
+        retry_finish (&world.retry);
+      }
+}
+
+/* Random lives: never more than two servers, never a second run of a request
+ * that may not be repeated, never "not run" after something may have run. */
+static void
+random_life (void)
+{
+  struct retry_request request
+      = { .idempotent = rng_below (&world.rng, 2),
+          .resumable = rng_below (&world.rng, 2),
+          .deadline_ns = world.clock.now + 5 * NS_PER_S };
+  struct retry_decision decision = { .action = RETRY_ANOTHER };
+  unsigned runs = 0;
+
+  while (decision.action != RETRY_STOP)
+    {
+      enum retry_outcome outcome
+          = (enum retry_outcome)rng_below (&world.rng, RETRY_OUTCOME_COUNT);
+
+      if (decision.action != RETRY_RESUME)
+        {
+          retry_begin (&world.retry, &request);
+          runs += outcome > RETRY_NOT_RUN;
+        }
+      else if (outcome <= RETRY_NOT_RUN)
+        outcome = RETRY_SILENT;
+      request.relayed |= outcome == RETRY_LOST_MIDWAY;
+      decision = retry_decide (&world.retry, &request, outcome);
+      CU_ASSERT_EQUAL (decision.not_run, runs == 0);
+      CU_ASSERT_TRUE (request.servers <= 2);
+      CU_ASSERT_TRUE (request.idempotent || runs <= 1);
+      CU_ASSERT_FALSE (request.relayed && decision.action >= RETRY_ANOTHER);
+      clock_fake_advance (&world.clock, decision.delay_ns);
+    }
+  CU_ASSERT_NOT_EQUAL (decision.reason, RETRY_REASON_NONE);
+  CU_ASSERT_EQUAL (decision.retry_after_ns == 0,
+                   runs > 0 && !request.idempotent);
+}
+
+static void
+test_random_lives (void)
+{
+  world_init ();
+  for (int i = 0; i < 20000; i++)
+    {
+      random_life ();
+      clock_fake_advance (&world.clock, NS_PER_S);
+    }
+  retry_finish (&world.retry);
+}
+
+/* Nine of ten attempts fail: retries stay within the share of successes, the
+ * first burst and the floor. */
+static void
+test_storm (void)
+{
+  const int requests = 20000;
+  unsigned retries = 0;
+  unsigned successes = 0;
+  unsigned to_one = 0;
+
+  world_init ();
+  for (int i = 0; i < requests; i++)
+    {
+      struct retry_request request
+          = { .idempotent = true, .deadline_ns = CLOCK_NEVER };
+      bool fails = rng_below (&world.rng, 10) > 0;
+
+      clock_fake_advance (&world.clock, 5 * NS_PER_MS);
+      retry_begin (&world.retry, &request);
+      successes += !fails;
+      if (!fails)
+        retry_success (&world.retry, "other");
+      else if (retry_decide (&world.retry, &request, RETRY_NOT_SENT).action
+               == RETRY_ANOTHER)
+        retries++;
+      if (retry_server_allows (&world.retry, "one"))
+        {
+          retry_server_charge (&world.retry, "one");
+          to_one++;
+        }
+    }
+  CU_ASSERT_TRUE (retries <= successes / 10 + 20 + 100 + 1);
+  CU_ASSERT_TRUE (retries >= successes / 10);
+  CU_ASSERT_TRUE (to_one <= 5 + 20 + 1);
+  retry_finish (&world.retry);
+}
+
+static const struct unit_case cases[] = {
+  { "table", test_table },
+  { "random-lives", test_random_lives },
+  { "storm", test_storm },
+};
+
+int
+main (void)
+{
+  return unit_run ("retry", cases, sizeof cases / sizeof *cases);
+}
