--- /dev/null
+++ b/src/admission.c
@@ -0,0 +1,202 @@
+#include "admission.h"
+#include "filters.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  URGENT_PRIORITY_MAX = 2,   /* priorities 0 to 2 are urgent */
+  STANDARD_PRIORITY_MAX = 6, /* 3 to 6 standard, the rest bulk */
+  RATE_MILLI = 1000
+};
+
+/* Share of the concurrency that only urgent requests use. */
+#define URGENT_SHARE 0.1
+
+static const char *const messages[ADMIT_CODE_COUNT] = {
+  [ADMIT_QUEUE_FULL] = "the queue is full",
+  [ADMIT_ORGANISATION_QUEUE_FULL]
+  = "this organisation's part of the queue is full",
+  [ADMIT_ORGANISATION_RATE] = "over this organisation's rate",
+  [ADMIT_DEADLINE_UNREACHABLE] = "it would be answered after its deadline",
+  [ADMIT_DEADLINE_PASSED] = "its deadline can no longer be met",
+};
+
+static enum priority
+class_of (int priority)
+{
+  if (priority <= URGENT_PRIORITY_MAX)
+    return PRIORITY_URGENT;
+  return priority <= STANDARD_PRIORITY_MAX ? PRIORITY_STANDARD : PRIORITY_BULK;
+}
+
+static struct admit *
+admit_of (const struct request *request)
+{
+  return &request->gateway->admit[request->type];
+}
+
+static void
+refuse (struct request *request, const struct admit_refusal *why)
+{
+  struct gateway *gateway = request->gateway;
+  struct refusal refusal = { 429, admit_code_name (why->code),
+                             messages[why->code], why->retry_after_ns };
+  char labels[192];
+
+  g_snprintf (labels, sizeof labels, "organisation=\"%s\",code=\"%s\"",
+              request->organisation->organisation, refusal.code);
+  metrics_add (&gateway->process.metrics, "refusals", labels, 1);
+  log_event (&gateway->process.log, EVENT_ADMIT_REFUSED,
+             "request=%s organisation=%s kind=%s code=%s "
+             "retry_after_ms=%" G_GINT64_FORMAT,
+             request->id, request->organisation->organisation,
+             request->kind != NULL ? request->kind->name : "", refusal.code,
+             why->retry_after_ns / NS_PER_MS);
+  request_refuse (request, &refusal);
+}
+
+/* A started request may end at once and so start the next one: a loop here
+ * keeps that from nesting. */
+static void
+run_starting (struct gateway *gateway)
+{
+  if (gateway->is_starting)
+    return;
+  gateway->is_starting = true;
+  while (!list_empty (&gateway->starting))
+    {
+      struct request *request
+          = LIST_ENTRY (gateway->starting.next, struct request, starting);
+
+      list_remove (&request->starting);
+      settle_admit (&request->settle);
+      request_resume (request);
+    }
+  gateway->is_starting = false;
+}
+
+static void
+on_start (void *data, struct admit_request *admit)
+{
+  struct request *request = LIST_ENTRY (admit, struct request, admit);
+  struct gateway *gateway = data;
+
+  list_append (&gateway->starting, &request->starting);
+  metrics_observe (
+      &gateway->process.metrics, "queue_wait_seconds", "",
+      (double)(clock_now (&gateway->process.clock) - request->received_ns)
+          / NS_PER_S);
+  run_starting (gateway);
+}
+
+static void
+on_refuse (void *data, struct admit_request *admit,
+           const struct admit_refusal *why)
+{
+  refuse (LIST_ENTRY (admit, struct request, admit), why);
+}
+
+static const struct admit_ops admission_ops = { on_start, on_refuse };
+
+void
+admission_init (struct gateway *gateway)
+{
+  const struct settings *settings = gateway->settings;
+  struct admit_settings admit = {
+    .concurrency = (unsigned)settings->admission.concurrency,
+    .queue_limit = (unsigned)settings->admission.queue_limit,
+    .organisation_queue_limit
+    = (unsigned)settings->admission.organisation_queue_limit,
+    .organisation_share = settings->admission.organisation_share,
+    .urgent_share = URGENT_SHARE,
+  };
+
+  for (int class = 0; class < PRIORITY_COUNT; class ++)
+    {
+      admit.weights[class] = settings->admission.classes[class].weight;
+      admit.limits[class]
+          = (unsigned)settings->admission.classes[class].queue_limit;
+    }
+  list_init (&gateway->starting);
+  for (int type = 0; type < REQUEST_TYPE_COUNT; type++)
+    admit_init (&gateway->admit[type], &admit, &gateway->process.clock,
+                &gateway->process.rng, &admission_ops, gateway);
+}
+
+void
+admission_finish (struct gateway *gateway)
+{
+  for (int type = 0; type < REQUEST_TYPE_COUNT; type++)
+    admit_finish (&gateway->admit[type]);
+}
+
+static void
+configure_row (struct gateway *gateway, const struct declaration *row)
+{
+  if (row->type != DECLARATION_ORGANISATION)
+    return;
+  for (int type = 0; type < REQUEST_TYPE_COUNT; type++)
+    admit_set_organisation (
+        &gateway->admit[type], row->organisation, row->weight,
+        (int64_t)row->requests_per_s * RATE_MILLI, row->requests_per_s);
+}
+
+void
+admission_configure (struct gateway *gateway)
+{
+  GPtrArray *documents = config_documents (gateway->config);
+
+  for (guint i = 0; i < documents->len; i++)
+    {
+      const struct confdoc *document = documents->pdata[i];
+
+      for (size_t row = 0; row < document->row_count; row++)
+        configure_row (gateway, &document->rows[row]);
+    }
+  g_ptr_array_unref (documents);
+}
+
+enum verdict
+admission_filter (struct request *request)
+{
+  struct admit_refusal why;
+
+  request->admit.organisation = request->organisation->organisation;
+  request->admit.priority = class_of (request->priority);
+  request->admit.cost = 1;
+  if (request->type == REQUEST_COMPLETION)
+    request->admit.cost
+        = (double)(request->prompt_tokens + request->max_tokens);
+  request->admit.deadline_ns = request->deadline_ns;
+  request->admit.status_lookup = request->status_lookup;
+  switch (admit_ask (admit_of (request), &request->admit, &why))
+    {
+    case ADMIT_PASS:
+      settle_admit (&request->settle);
+      return VERDICT_PASS;
+    case ADMIT_WAIT:
+      return VERDICT_WAIT;
+    default:
+      refuse (request, &why);
+      return VERDICT_FINISH;
+    }
+}
+
+void
+admission_answered (struct request *request)
+{
+  admit_answered (admit_of (request), &request->admit);
+}
+
+void
+admission_end (struct request *request)
+{
+  if (request->admit.state == ADMIT_IDLE)
+    return;
+  if (request->settle.outcome == SETTLE_COMPLETE)
+    admit_done (admit_of (request), &request->admit, true);
+  else
+    admit_cancel (admit_of (request), &request->admit);
+}
--- a/src/answer.c
+++ b/src/answer.c
@@ -7,7 +7,8 @@
 
 enum
 {
-  HEADER_COUNT_MAX = 4
+  HEADER_COUNT_MAX = 4,
+  HTTP_BAD_GATEWAY = 502
 };
 
 static struct json_object *
@@ -29,9 +30,17 @@
   return object;
 }
 
+static int
+http_status_of (const struct refusal *refusal, enum settle_outcome outcome)
+{
+  if (outcome == SETTLE_FAILED_MAY_HAVE_RUN)
+    return HTTP_BAD_GATEWAY;
+  return refusal->http_status;
+}
+
 static void
 respond (struct httpserver_request *http, const struct refusal *refusal,
-         const char *outcome, struct json_object *object)
+         enum settle_outcome outcome, struct json_object *object)
 {
   struct httpserver_header headers[HEADER_COUNT_MAX];
   size_t count = 0;
@@ -40,7 +49,7 @@
       = json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN);
 
   headers[count].name = "x-outcome";
-  headers[count++].value = outcome;
+  headers[count++].value = settle_outcome_name (outcome);
   if (refusal->retry_after_ns > 0)
     {
       int64_t ns = refusal->retry_after_ns;
@@ -50,8 +59,8 @@
       headers[count].name = "retry-after";
       headers[count++].value = seconds;
     }
-  httpserver_respond (http, refusal->http_status, "application/json", headers,
-                      count, text, strlen (text));
+  httpserver_respond (http, http_status_of (refusal, outcome),
+                      "application/json", headers, count, text, strlen (text));
 }
 
 /* After the first byte of a stream the error goes into the stream, which
@@ -69,10 +78,10 @@
 }
 
 void
-answer_refuse (struct request *request, enum outcome outcome,
+answer_refuse (struct request *request, enum settle_outcome outcome,
                const struct refusal *refusal)
 {
-  const char *name = outcome_name (outcome);
+  const char *name = settle_outcome_name (outcome);
   struct json_object *object;
 
   if (request->http == NULL)
@@ -81,7 +90,7 @@
   if (request->answer_started)
     end_stream (request->http, object);
   else
-    respond (request->http, refusal, name, object);
+    respond (request->http, refusal, outcome, object);
   request->http = NULL;
   json_object_put (object);
 }
@@ -89,10 +98,11 @@
 void
 answer_error (struct httpserver_request *http, const struct refusal *refusal)
 {
-  const char *name = outcome_name (OUTCOME_REFUSED_NOT_RUN);
-  struct json_object *object = error_object (refusal, name, NULL);
+  enum settle_outcome outcome = SETTLE_REFUSED_NOT_RUN;
+  struct json_object *object
+      = error_object (refusal, settle_outcome_name (outcome), NULL);
 
-  respond (http, refusal, name, object);
+  respond (http, refusal, outcome, object);
   json_object_put (object);
 }
 
--- a/src/answer.h
+++ b/src/answer.h
@@ -9,7 +9,7 @@
 
 /** Give the caller of REQUEST its final answer; an answer that has begun
  * ends with an error event and without the end mark. */
-void answer_refuse (struct request *request, enum outcome outcome,
+void answer_refuse (struct request *request, enum settle_outcome outcome,
                     const struct refusal *refusal);
 
 /** Answer HTTP with an error for which there is no request. */
--- a/src/auth.c
+++ b/src/auth.c
@@ -21,20 +21,20 @@
 
   if (request->gateway->config == NULL)
     {
-      request_refuse (request, OUTCOME_REFUSED_NOT_RUN, &no_config);
+      request_refuse (request, &no_config);
       return VERDICT_FINISH;
     }
   request->config = config_ref (request->gateway->config);
   if (header == NULL || strncasecmp (header, scheme, sizeof scheme - 1) != 0)
     {
-      request_refuse (request, OUTCOME_REFUSED_NOT_RUN, &no_key);
+      request_refuse (request, &no_key);
       return VERDICT_FINISH;
     }
   key = header + sizeof scheme - 1;
   request->organisation = config_by_key (request->config, key, strlen (key));
   if (request->organisation == NULL)
     {
-      request_refuse (request, OUTCOME_REFUSED_NOT_RUN, &wrong_key);
+      request_refuse (request, &wrong_key);
       return VERDICT_FINISH;
     }
   return VERDICT_PASS;
--- a/src/classify.c
+++ b/src/classify.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define DEADLINE_MAX_MS (24 * 3600 * INT64_C (1000))
+#define DEADLINE_MAX_MS (INT64_C (24) * 3600 * 1000)
 
 enum
 {
@@ -48,7 +48,7 @@
 static enum verdict
 refuse (struct request *request, const struct refusal *refusal)
 {
-  request_refuse (request, OUTCOME_REFUSED_NOT_RUN, refusal);
+  request_refuse (request, refusal);
   return VERDICT_FINISH;
 }
 
@@ -233,6 +233,8 @@
       = httpserver_request_body (request->http, &request->body_size);
 
   request->method = g_strdup (httpserver_request_method (request->http));
+  request->content_type
+      = g_strdup (httpserver_request_header (request->http, "content-type"));
   request->body = g_strndup (body, request->body_size);
   refusal = read_kind (request);
   if (refusal == NULL && request->type == REQUEST_COMPLETION)
@@ -245,5 +247,8 @@
     refusal = read_deadline (request);
   if (refusal == NULL)
     refusal = read_key (request);
-  return refusal != NULL ? refuse (request, refusal) : VERDICT_PASS;
+  if (refusal != NULL)
+    return refuse (request, refusal);
+  settle_init (&request->settle, request->idempotent, REQUEST_TRIED_MAX);
+  return VERDICT_PASS;
 }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -1,105 +1,65 @@
-#include "filters.h"
-#include "answer.h"
+#include "dispatch.h"
 #include "enginebody.h"
-#include "gateway.h"
+#include "filters.h"
+#include "outcome.h"
 
 #include <glib.h>
 #include <string.h>
 
-#define NO_BACKEND_RETRY_NS (NS_PER_S)
+static const char json_header[] = "content-type: application/json\r\n";
 
-enum
+static struct engineclient *
+client_of (const struct request *request)
 {
-  HTTP_OK = 200,
-  ANSWER_MAX = 64 * 1024 * 1024 /* bytes of an answer that is not streamed */
-};
-
-static const struct refusal no_backend
-    = { 503, "no_backend_server",
-        "no backend server that may run this is there now",
-        NO_BACKEND_RETRY_NS };
-static const struct refusal not_started
-    = { 503, "backend_busy", "the backend servers that were asked are full",
-        NO_BACKEND_RETRY_NS };
-static const struct refusal lost
-    = { 502, "backend_lost",
-        "the backend server was lost; the request may have run", 0 };
-static const struct refusal incomplete
-    = { 502, "answer_incomplete",
-        "the backend server's answer ended without its end mark", 0 };
-static const struct refusal too_late_not_run
-    = { 504, "deadline", "the deadline passed before the request was run",
-        NO_BACKEND_RETRY_NS };
-static const struct refusal too_late
-    = { 504, "deadline_running",
-        "the deadline passed; the request may have run", 0 };
-static const struct refusal silent
-    = { 504, "backend_silent",
-        "the backend server fell silent; the request may have run", 0 };
+  return &request->gateway->process.enginehttp.client;
+}
 
-static const struct engine_stream_ops stream_ops;
+static struct backend *
+backend_of (const struct request *request)
+{
+  return backends_find (&request->gateway->backends, request->attempt.backend);
+}
 
+/* The request id of one attempt: an answer to another attempt of the same
+ * request must not be taken for this one's. */
 static void
-observe (struct request *request, const char *name, int64_t ns)
+attempt_id (const struct request *request, char id[RELAY_ID_MAX])
 {
-  char labels[128];
-
-  g_snprintf (labels, sizeof labels, "organisation=\"%s\",kind=\"%s\"",
-              request->organisation->organisation,
-              request->kind != NULL ? request->kind->name : "");
-  metrics_observe (&request->gateway->process.metrics, name, labels,
-                   (double)ns / NS_PER_S);
+  g_snprintf (id, RELAY_ID_MAX, "%s.%u", request->id, request->attempt.number);
 }
 
 static void
-count_tokens (struct request *request)
+open_call (struct request *request, const struct backend *backend,
+           const struct engine_call *call)
 {
-  struct metrics *metrics = &request->gateway->process.metrics;
-  char labels[128];
+  struct attempt *attempt = &request->attempt;
 
-  g_snprintf (labels, sizeof labels, "organisation=\"%s\",kind=\"%s\"",
-              request->organisation->organisation, request->kind->name);
-  metrics_add (metrics, "tokens_reused", labels,
-               (double)request->cached_tokens);
-  metrics_add (metrics, "tokens_imported", labels,
-               (double)request->imported_tokens);
-  metrics_add (metrics, "tokens_recomputed", labels,
-               (double)request->computed_tokens);
+  attempt->backend = backend->id;
+  attempt->heard_ns = clock_now (&request->gateway->process.clock);
+  attempt->head_seen = false;
+  attempt->not_run = false;
+  attempt->stream = client_of (request)->ops->call (
+      client_of (request), call, &outcome_stream_ops, request);
 }
 
 static void
-open_stream (struct request *request, struct backend *backend,
-             const struct engine_call *call)
+begin_attempt (struct request *request, struct backend *backend)
 {
-  struct engineclient *client = &request->gateway->process.enginehttp.client;
   struct attempt *attempt = &request->attempt;
+  char id[RELAY_ID_MAX];
 
   memset (attempt, 0, sizeof *attempt);
+  attempt->number = settle_connect (&request->settle);
   attempt->backend = backend->id;
-  attempt->started_ns = clock_now (&request->gateway->process.clock);
-  attempt->heard_ns = attempt->started_ns;
+  retry_begin (&request->gateway->retry, &request->retry);
+  if (request->tried_count > 0)
+    retry_server_charge (&request->gateway->retry, backend->host.name);
   request->tried[request->tried_count++] = backend->id;
   backend->in_flight++;
   backend->sent++;
-  attempt->stream = client->ops->call (client, call, &stream_ops, request);
-}
-
-static void
-close_attempt (struct request *request)
-{
-  struct engineclient *client = &request->gateway->process.enginehttp.client;
-  struct backend *backend
-      = backends_find (&request->gateway->backends, request->attempt.backend);
-
-  if (request->attempt.backend != 0 && backend != NULL
-      && backend->in_flight > 0)
-    backend->in_flight--;
-  request->attempt.backend = 0;
-  load_started (&request->load);
-  if (request->attempt.stream == NULL)
-    return;
-  client->ops->stream_close (request->attempt.stream);
-  request->attempt.stream = NULL;
+  attempt_id (request, id);
+  relay_finish (&request->relay);
+  relay_init (&request->relay, &outcome_relay_ops, id);
 }
 
 static enum status
@@ -112,18 +72,16 @@
     .match = &request->match,
     .tokens = request->prompt_tokens,
     .piece_tokens = gateway->settings->placement.piece_tokens,
-    .urgent = request->priority == 0,
+    .urgent = request->admit.priority == PRIORITY_URGENT,
     .excluded = request->tried,
     .excluded_count = request->tried_count,
   };
-  enum status status;
   char text[1024];
 
   load_group_key_init (&need, request->model->service, request->scope.model,
                        request->scope.version, request->scope.adapter);
-  status = place_choose (&gateway->place, &question, result);
-  if (status != STATUS_OK)
-    return status;
+  if (place_choose (&gateway->place, &question, result) != STATUS_OK)
+    return STATUS_UNAVAILABLE;
   place_describe (&gateway->place, result, text, sizeof text);
   log_event (&gateway->process.log, EVENT_PLACE,
              "request=%s organisation=%s kind=%s %s", request->id,
@@ -138,6 +96,7 @@
   struct place_result result;
   struct backend *backend;
   struct engine_call call = { 0 };
+  char id[RELAY_ID_MAX];
   char *body;
 
   if (place_completion (request, &result) != STATUS_OK)
@@ -145,19 +104,21 @@
   backend = backends_find (&gateway->backends, result.engine);
   if (backend == NULL)
     return STATUS_UNAVAILABLE;
+  begin_attempt (request, backend);
   place_commit (&gateway->place, &gateway->backends.load, &result,
                 &request->load);
   request->planned_cached
       = result.plan.reuse * gateway->settings->placement.piece_tokens;
-  body = enginebody_write (request, &gateway->backends, &result);
+  attempt_id (request, id);
+  body = enginebody_write (request, id, &gateway->backends, &result);
   call.address = backend->host.address;
   call.method = "POST";
   call.path = request->path;
-  call.header_lines = "content-type: application/json\r\n";
+  call.header_lines = json_header;
   call.body = body;
   call.body_size = strlen (body);
   call.fresh = !request->idempotent;
-  open_stream (request, backend, &call);
+  open_call (request, backend, &call);
   g_free (body);
   return STATUS_OK;
 }
@@ -165,14 +126,14 @@
 static char *
 service_headers (const struct request *request)
 {
-  const char *type = httpserver_request_header (request->http, "content-type");
   GString *lines = g_string_new (NULL);
 
   g_string_append_printf (lines, "x-request-id: %s\r\n", request->id);
   if (request->key != NULL)
     g_string_append_printf (lines, "idempotency-key: %s\r\n", request->key);
-  if (type != NULL)
-    g_string_append_printf (lines, "content-type: %s\r\n", type);
+  if (request->content_type != NULL)
+    g_string_append_printf (lines, "content-type: %s\r\n",
+                            request->content_type);
   return g_string_free (lines, FALSE);
 }
 
@@ -197,6 +158,7 @@
              request->id, request->organisation->organisation,
              request->service->service, backend->host.name,
              backend->in_flight);
+  begin_attempt (request, backend);
   lines = service_headers (request);
   call.address = backend->host.address;
   call.method = request->method;
@@ -205,219 +167,85 @@
   call.body = request->body;
   call.body_size = request->body_size;
   call.fresh = !request->idempotent;
-  open_stream (request, backend, &call);
+  open_call (request, backend, &call);
   g_free (lines);
   return STATUS_OK;
 }
 
-static enum status
-send_attempt (struct request *request)
+enum status
+dispatch_send (struct request *request)
 {
-  if (request->tried_count == REQUEST_TRIED_MAX)
-    return STATUS_LIMITED;
+  if (!settle_may_connect (&request->settle)
+      || request->tried_count == REQUEST_TRIED_MAX)
+    return STATUS_UNAVAILABLE;
   return request->type == REQUEST_COMPLETION ? send_completion (request)
                                              : send_service (request);
 }
 
-/* The attempt surely did not run, or the request may be repeated. */
-static void
-try_again (struct request *request, const struct refusal *otherwise,
-           enum outcome outcome)
-{
-  if (send_attempt (request) == STATUS_OK)
-    {
-      metrics_add (&request->gateway->process.metrics, "retries", "", 1);
-      return;
-    }
-  request_refuse (request, outcome, otherwise);
-}
-
-static void
-begin_answer (struct request *request, const struct engine_head *head)
-{
-  char cached[32];
-  char imported[32];
-  char computed[32];
-  struct httpserver_header headers[] = {
-    { "x-request-id", request->id },   { "x-weight-version", head->version },
-    { "x-cached-tokens", cached },     { "x-imported-tokens", imported },
-    { "x-computed-tokens", computed },
-  };
-
-  g_snprintf (cached, sizeof cached, "%" G_GINT64_FORMAT, head->cached_tokens);
-  g_snprintf (imported, sizeof imported, "%" G_GINT64_FORMAT,
-              head->imported_tokens);
-  g_snprintf (computed, sizeof computed, "%" G_GINT64_FORMAT,
-              head->computed_tokens);
-  request->answer_started = true;
-  httpserver_stream_begin (request->http, head->http_status,
-                           head->content_type, headers,
-                           sizeof headers / sizeof *headers);
-}
-
-static void
-on_head (void *data, const struct engine_head *head)
+enum status
+dispatch_resume (struct request *request)
 {
-  struct request *request = data;
-
-  request->attempt.heard_ns = clock_now (&request->gateway->process.clock);
-  request->attempt.head_seen = true;
-  request->attempt.http_status = head->http_status;
-  request->attempt.not_run = head->not_run;
-  request->attempt.streamed = head->streamed;
-  g_strlcpy (request->attempt.content_type, head->content_type,
-             sizeof request->attempt.content_type);
-  if (request->type != REQUEST_COMPLETION || head->http_status != HTTP_OK)
-    return;
-  request->cached_tokens = head->cached_tokens;
-  request->imported_tokens = head->imported_tokens;
-  request->computed_tokens = head->computed_tokens;
-  count_tokens (request);
-  if (head->streamed && request->http != NULL)
-    begin_answer (request, head);
-}
+  const struct backend *backend = backend_of (request);
+  struct engine_call call = { 0 };
+  char id[RELAY_ID_MAX];
+  char body[128];
 
-static void
-note_first_piece (struct request *request)
-{
-  if (request->first_piece_ns != 0)
-    return;
-  request->first_piece_ns = clock_now (&request->gateway->process.clock);
-  load_started (&request->load);
-  observe (request, "time_to_first_token_seconds",
-           request->first_piece_ns - request->received_ns);
+  if (backend == NULL)
+    return STATUS_UNAVAILABLE;
+  attempt_id (request, id);
+  g_snprintf (body, sizeof body,
+              "{\"request\":\"%s\",\"from\":%" G_GUINT64_FORMAT "}", id,
+              relay_position (&request->relay));
+  call.address = backend->host.address;
+  call.method = "POST";
+  call.path = "/v1/resume";
+  call.header_lines = json_header;
+  call.body = body;
+  call.body_size = strlen (body);
+  call.fresh = true;
+  request->attempt.resumed = true;
+  open_call (request, backend, &call);
+  return STATUS_OK;
 }
 
-static void
-on_bytes (void *data, const char *bytes, size_t size)
+void
+dispatch_close_attempt (struct request *request)
 {
-  struct request *request = data;
   struct attempt *attempt = &request->attempt;
+  struct backend *backend = backend_of (request);
 
-  attempt->heard_ns = clock_now (&request->gateway->process.clock);
-  note_first_piece (request);
-  if (request->answer_started)
-    {
-      size_t kept = size < sizeof attempt->tail ? size : sizeof attempt->tail;
-
-      memmove (attempt->tail, attempt->tail + kept,
-               sizeof attempt->tail - kept);
-      memcpy (attempt->tail + sizeof attempt->tail - kept, bytes + size - kept,
-              kept);
-      httpserver_stream_write (request->http, bytes, size);
-      return;
-    }
-  if (request->answer == NULL)
-    request->answer = g_string_new (NULL);
-  if (request->answer->len + size <= ANSWER_MAX)
-    g_string_append_len (request->answer, bytes, size);
-}
-
-static void
-finish_buffered (struct request *request)
-{
-  const struct attempt *attempt = &request->attempt;
-  struct httpserver_header headers[] = {
-    { "x-request-id", request->id },
-    { "x-outcome", outcome_name (OUTCOME_COMPLETE) },
-  };
-  const char *bytes = request->answer != NULL ? request->answer->str : "";
-  size_t size = request->answer != NULL ? request->answer->len : 0;
-
-  httpserver_respond (request->http, attempt->http_status,
-                      attempt->content_type, headers, 2, bytes, size);
-  request->http = NULL;
-  request_complete (request);
-}
-
-static void
-finish_streamed (struct request *request)
-{
-  static const char mark[] = "data: [DONE]\n\n";
-  const struct attempt *attempt = &request->attempt;
-
-  if (memcmp (attempt->tail + sizeof attempt->tail - (sizeof mark - 1), mark,
-              sizeof mark - 1)
-      != 0)
-    {
-      request_refuse (request, OUTCOME_FAILED_MAY_HAVE_RUN, &incomplete);
-      return;
-    }
-  httpserver_stream_end (request->http, true);
-  request->http = NULL;
-  lookup_report_used (request);
-  request_complete (request);
-}
-
-static void
-on_lost (struct request *request, enum status status)
-{
-  if (status == STATUS_UNAVAILABLE)
-    {
-      struct backend *backend = backends_find (&request->gateway->backends,
-                                               request->attempt.backend);
-
-      if (backend != NULL)
-        backends_mark_out (&request->gateway->backends, backend);
-      close_attempt (request);
-      try_again (request, &no_backend, OUTCOME_REFUSED_NOT_RUN);
-      return;
-    }
-  close_attempt (request);
-  request->handed_over = true;
-  if (request->idempotent && !request->answer_started)
-    try_again (request, &lost, OUTCOME_FAILED_MAY_HAVE_RUN);
-  else
-    request_refuse (request, OUTCOME_FAILED_MAY_HAVE_RUN, &lost);
+  if (attempt->backend != 0 && backend != NULL && backend->in_flight > 0)
+    backend->in_flight--;
+  attempt->backend = 0;
+  load_started (&request->load);
+  if (attempt->stream == NULL)
+    return;
+  client_of (request)->ops->stream_close (attempt->stream);
+  attempt->stream = NULL;
 }
 
-static void
-on_end (void *data, enum status status, const char *message)
+void
+dispatch_note_handed_over (struct request *request)
 {
-  struct request *request = data;
   struct attempt *attempt = &request->attempt;
 
-  attempt->stream = NULL;
-  if (status != STATUS_OK)
-    {
-      on_lost (request, status);
-      return;
-    }
-  if (attempt->not_run)
-    {
-      close_attempt (request);
-      try_again (request, &not_started, OUTCOME_REFUSED_NOT_RUN);
-      return;
-    }
-  request->handed_over = true;
-  if (request->answer_started)
-    finish_streamed (request);
-  else
-    finish_buffered (request);
-}
-
-static const struct engine_stream_ops stream_ops
-    = { on_head, on_bytes, on_end };
-
-enum verdict
-dispatch_filter (struct request *request)
-{
-  if (send_attempt (request) == STATUS_OK)
-    return VERDICT_WAIT;
-  request_refuse (request, OUTCOME_REFUSED_NOT_RUN, &no_backend);
-  return VERDICT_FINISH;
+  if (attempt->stream != NULL && request->settle.state == SETTLE_CONNECTING
+      && client_of (request)->ops->stream_handed_over (attempt->stream))
+    settle_hand_over (&request->settle, attempt->number);
 }
 
+/* Tell the engine to stop, so that it does not compute for nobody. */
 static void
 cancel_at_engine (struct request *request)
 {
-  struct gateway *gateway = request->gateway;
-  struct engineclient *client = &gateway->process.enginehttp.client;
-  const struct backend *backend
-      = backends_find (&gateway->backends, request->attempt.backend);
+  const struct backend *backend = backend_of (request);
+  char id[RELAY_ID_MAX];
 
-  if (backend != NULL && backend->host.kind == HOSTLIST_ENGINE)
-    client->ops->cancel (client, backend->host.address, request->id);
+  if (backend == NULL || backend->host.kind != HOSTLIST_ENGINE)
+    return;
+  attempt_id (request, id);
+  client_of (request)->ops->cancel (client_of (request), backend->host.address,
+                                    id);
 }
 
 void
@@ -425,36 +253,5 @@
 {
   if (request->attempt.stream != NULL)
     cancel_at_engine (request);
-  close_attempt (request);
-}
-
-static bool
-may_have_run (const struct request *request)
-{
-  const struct engineclient *client
-      = &request->gateway->process.enginehttp.client;
-
-  return request->handed_over
-         || (request->attempt.stream != NULL
-             && client->ops->stream_handed_over (request->attempt.stream));
-}
-
-void
-dispatch_tick (struct request *request, int64_t now)
-{
-  const struct settings *settings = request->gateway->settings;
-  int64_t quiet = now - request->attempt.heard_ns;
-  int64_t limit = request->first_piece_ns != 0
-                      ? settings->timeouts.progress_ns
-                      : settings->timeouts.first_byte_ns;
-  bool ran = may_have_run (request);
-
-  if (request->attempt.stream == NULL)
-    return;
-  if (now > request->deadline_ns && !request->answer_started)
-    request_refuse (
-        request, ran ? OUTCOME_FAILED_MAY_HAVE_RUN : OUTCOME_REFUSED_NOT_RUN,
-        ran ? &too_late : &too_late_not_run);
-  else if (quiet > limit)
-    request_refuse (request, OUTCOME_FAILED_MAY_HAVE_RUN, &silent);
+  dispatch_close_attempt (request);
 }
--- a/src/enginebody.c
+++ b/src/enginebody.c
@@ -58,13 +58,13 @@
 }
 
 char *
-enginebody_write (struct request *request, struct backends *backends,
-                  const struct place_result *result)
+enginebody_write (struct request *request, const char *id,
+                  struct backends *backends, const struct place_result *result)
 {
   struct json_object *object = json_object_new_object ();
   char *text;
 
-  json_add_text (object, "request", request->id);
+  json_add_text (object, "request", id);
   json_add_uint (object, "priority", (uint64_t)request->priority);
   json_add_text (object, "weight_version", request->scope.version);
   json_add_text (object, "adapter", request->scope.adapter);
--- a/src/enginebody.h
+++ b/src/enginebody.h
@@ -10,8 +10,10 @@
  * object added.
  */
 
-/** @return the body, NUL-terminated; the caller frees it with g_free. */
-char *enginebody_write (struct request *request, struct backends *backends,
+/** ID is the request's at the engine.
+ * @return the body, NUL-terminated; the caller frees it with g_free. */
+char *enginebody_write (struct request *request, const char *id,
+                        struct backends *backends,
                         const struct place_result *result);
 
 #endif
--- a/src/event.c
+++ b/src/event.c
@@ -16,6 +16,8 @@
     "One routing decision: request, organisation, backend server, reason." },
   { EVENT_REQUEST_END, EVENT_INFO, "request_end",
     "A request got its final answer: outcome and code." },
+  { EVENT_ATTEMPT_FAILED, EVENT_INFO, "attempt_failed",
+    "An attempt at a backend server ended without a whole answer." },
 
   /* Placement, block index, stores: 300 */
   { EVENT_PLACE, EVENT_INFO, "place",
--- a/src/event.h
+++ b/src/event.h
@@ -25,6 +25,7 @@
   /* Gateway and request path: 200 */
   EVENT_ROUTE = 200,
   EVENT_REQUEST_END = 201,
+  EVENT_ATTEMPT_FAILED = 202,
 
   /* Placement, block index, stores: 300 */
   EVENT_PLACE = 300,
--- a/src/filters.h
+++ b/src/filters.h
@@ -13,6 +13,15 @@
 /** What is asked for: kind, model or service, deadline, prompt. */
 enum verdict classify_filter (struct request *request);
 
+/** Whether it runs now, waits, or is refused at once. */
+enum verdict admission_filter (struct request *request);
+
+/** The answer has begun: its time counts for later estimates. */
+void admission_answered (struct request *request);
+
+/** Give back the place of a request that ends. */
+void admission_end (struct request *request);
+
 /** Who has earlier context: asks the shard that owns the prompt's chain. */
 enum verdict lookup_filter (struct request *request);
 
@@ -23,6 +32,9 @@
  * request has not come to its end. */
 void dispatch_close (struct request *request);
 
+/** Let the request's state know if a byte has left meanwhile. */
+void dispatch_note_handed_over (struct request *request);
+
 /** Look at the timers of a request that is dispatched. */
 void dispatch_tick (struct request *request, int64_t now);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -1,4 +1,5 @@
 #include "gateway.h"
+#include "admission.h"
 #include "answer.h"
 #include "filters.h"
 #include "operator.h"
@@ -111,24 +112,39 @@
   peerlink_reply (link, request->request_id, &reply);
 }
 
+/* The end of one request may start or end others: go by serial. */
 static void
-tick (void *data)
+tick_requests (struct gateway *gateway)
 {
-  struct gateway *gateway = data;
   int64_t now = clock_now (&gateway->process.clock);
-  struct list *at = gateway->requests.next;
 
-  backends_tick (&gateway->backends);
-  operator_tick (gateway);
-  while (at != &gateway->requests)
+  g_array_set_size (gateway->serials, 0);
+  for (struct list *at = gateway->requests.next; at != &gateway->requests;
+       at = at->next)
+    g_array_append_val (gateway->serials,
+                        LIST_ENTRY (at, struct request, node)->serial);
+  for (guint i = 0; i < gateway->serials->len; i++)
     {
-      struct request *request = LIST_ENTRY (at, struct request, node);
+      struct request *request = g_hash_table_lookup (
+          gateway->by_serial, &g_array_index (gateway->serials, uint64_t, i));
 
-      at = at->next;
-      dispatch_tick (request, now);
+      if (request != NULL)
+        dispatch_tick (request, now);
     }
 }
 
+static void
+tick (void *data)
+{
+  struct gateway *gateway = data;
+
+  backends_tick (&gateway->backends);
+  operator_tick (gateway);
+  for (int type = 0; type < REQUEST_TYPE_COUNT; type++)
+    admit_tick (&gateway->admit[type]);
+  tick_requests (gateway);
+}
+
 static void
 sync_links (struct gateway *gateway)
 {
@@ -187,6 +203,21 @@
               place_policy_find (policies[settings->placement.policy]));
 }
 
+static void
+init_retry (struct gateway *gateway)
+{
+  const struct settings *settings = gateway->settings;
+  struct retry_settings retry = {
+    .budget_share = settings->retry.budget_share,
+    .servers_max = (unsigned)settings->retry.backends_max,
+    .backoff_base_ns = settings->retry.backoff_base_ns,
+    .backoff_max_ns = settings->retry.backoff_max_ns,
+  };
+
+  retry_init (&gateway->retry, &retry, &gateway->process.clock,
+              &gateway->process.rng);
+}
+
 enum status
 gateway_init (struct gateway *gateway, const struct settings *settings,
               struct error *error)
@@ -196,6 +227,7 @@
   memset (gateway, 0, sizeof *gateway);
   gateway->settings = settings;
   list_init (&gateway->requests);
+  gateway->serials = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   gateway->by_serial = g_hash_table_new (g_int64_hash, g_int64_equal);
   memcpy (gateway->block_key.bytes, settings->blocks.hash_key,
           sizeof gateway->block_key.bytes);
@@ -207,6 +239,8 @@
     return status;
   backends_init (&gateway->backends, &gateway->process);
   init_place (gateway);
+  init_retry (gateway);
+  admission_init (gateway);
   return STATUS_OK;
 }
 
@@ -223,6 +257,9 @@
     request_abandon (
         LIST_ENTRY (gateway->requests.next, struct request, node));
   process_finish (&gateway->process);
+  admission_finish (gateway);
+  retry_finish (&gateway->retry);
+  g_array_unref (gateway->serials);
   place_finish (&gateway->place);
   backends_finish (&gateway->backends);
   config_unref (gateway->config);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -20,6 +20,11 @@
   struct config *config; /**< in force; NULL before the first */
   struct backends backends;
   struct place place;
+  struct admit admit[REQUEST_TYPE_COUNT];
+  struct list starting; /**< requests that admission has just let start */
+  bool is_starting;
+  struct retry retry;
+  GArray *serials; /**< of uint64_t: scratch of the tick */
   struct block_key block_key;
   size_t piece_bytes; /**< of prompt text in one piece */
   struct list requests;
--- /dev/null
+++ b/src/outcome.c
@@ -0,0 +1,373 @@
+#include "outcome.h"
+#include "dispatch.h"
+#include "filters.h"
+#include "httpjson.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define NO_BACKEND_RETRY_NS (NS_PER_S)
+
+enum
+{
+  HTTP_OK = 200,
+  HTTP_NOT_FOUND = 404,
+  HTTP_CONFLICT = 409,
+  ANSWER_MAX = 64 * 1024 * 1024 /* bytes of an answer that is not streamed */
+};
+
+static const struct refusal no_backend
+    = { 503, "no_backend_server",
+        "no backend server that may run this is there now",
+        NO_BACKEND_RETRY_NS };
+static const struct refusal busy
+    = { 503, "backend_busy", "the backend servers that were asked are full",
+        NO_BACKEND_RETRY_NS };
+static const struct refusal lost
+    = { 503, "backend_lost", "the connection to the backend server was lost",
+        NO_BACKEND_RETRY_NS };
+static const struct refusal incomplete
+    = { 502, "answer_incomplete",
+        "the backend server's answer ended without its end mark", 0 };
+static const struct refusal too_late
+    = { 504, "deadline", "the deadline passed", NO_BACKEND_RETRY_NS };
+static const struct refusal silent
+    = { 504, "backend_silent", "the backend server fell silent", 0 };
+static const struct refusal crossed
+    = { 502, "answer_crossed",
+        "the backend server answered with another request's answer", 0 };
+
+static void
+label (const struct request *request, char *labels, size_t size)
+{
+  g_snprintf (labels, size, "organisation=\"%s\",kind=\"%s\"",
+              request->organisation->organisation,
+              request->kind != NULL ? request->kind->name : "");
+}
+
+static void
+count_tokens (struct request *request)
+{
+  struct metrics *metrics = &request->gateway->process.metrics;
+  char labels[160];
+
+  label (request, labels, sizeof labels);
+  metrics_add (metrics, "tokens_reused", labels,
+               (double)request->cached_tokens);
+  metrics_add (metrics, "tokens_imported", labels,
+               (double)request->imported_tokens);
+  metrics_add (metrics, "tokens_recomputed", labels,
+               (double)request->computed_tokens);
+}
+
+static void
+note_first_piece (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  char labels[160];
+
+  if (request->first_piece_ns != 0)
+    return;
+  request->first_piece_ns = clock_now (&gateway->process.clock);
+  load_started (&request->load);
+  admission_answered (request);
+  label (request, labels, sizeof labels);
+  metrics_observe (
+      &gateway->process.metrics, "time_to_first_token_seconds", labels,
+      (double)(request->first_piece_ns - request->received_ns) / NS_PER_S);
+}
+
+static void
+begin_answer (struct request *request, const struct engine_head *head)
+{
+  char cached[32];
+  char imported[32];
+  char computed[32];
+  struct httpserver_header headers[] = {
+    { "x-request-id", request->id },   { "x-weight-version", head->version },
+    { "x-cached-tokens", cached },     { "x-imported-tokens", imported },
+    { "x-computed-tokens", computed },
+  };
+
+  g_snprintf (cached, sizeof cached, "%" G_GINT64_FORMAT, head->cached_tokens);
+  g_snprintf (imported, sizeof imported, "%" G_GINT64_FORMAT,
+              head->imported_tokens);
+  g_snprintf (computed, sizeof computed, "%" G_GINT64_FORMAT,
+              head->computed_tokens);
+  request->answer_started = true;
+  httpserver_stream_begin (request->http, HTTP_OK, "text/event-stream",
+                           headers, sizeof headers / sizeof *headers);
+}
+
+static void
+on_head (void *data, const struct engine_head *head)
+{
+  struct request *request = data;
+  struct attempt *attempt = &request->attempt;
+
+  attempt->heard_ns = clock_now (&request->gateway->process.clock);
+  attempt->head_seen = true;
+  attempt->http_status = head->http_status;
+  attempt->streamed = head->streamed;
+  attempt->not_run
+      = head->not_run
+        || (request->type == REQUEST_COMPLETION && !attempt->resumed
+            && head->http_status == HTTP_CONFLICT);
+  g_strlcpy (attempt->content_type, head->content_type,
+             sizeof attempt->content_type);
+  dispatch_note_handed_over (request);
+  if (request->settle.state == SETTLE_CONNECTING)
+    settle_hand_over (&request->settle, attempt->number);
+  if (attempt->not_run || attempt->resumed)
+    return;
+  settle_answering (&request->settle, attempt->number);
+  if (request->type != REQUEST_COMPLETION || head->http_status != HTTP_OK)
+    return;
+  request->cached_tokens = head->cached_tokens;
+  request->imported_tokens = head->imported_tokens;
+  request->computed_tokens = head->computed_tokens;
+  count_tokens (request);
+  if (head->streamed)
+    begin_answer (request, head);
+}
+
+static void
+on_piece (struct relay *relay, const struct relay_piece *piece, int end)
+{
+  struct request *request = LIST_ENTRY (relay, struct request, relay);
+
+  request->retry.relayed = true;
+  httpserver_stream_write (request->http, piece->event, piece->event_size);
+}
+
+const struct relay_ops outcome_relay_ops = { on_piece };
+
+static void
+on_bytes (void *data, const char *bytes, size_t size)
+{
+  struct request *request = data;
+  struct attempt *attempt = &request->attempt;
+
+  attempt->heard_ns = clock_now (&request->gateway->process.clock);
+  if (attempt->not_run)
+    return;
+  note_first_piece (request);
+  if (attempt->streamed && request->answer_started)
+    {
+      relay_feed (&request->relay, bytes, size);
+      return;
+    }
+  if (request->answer == NULL)
+    request->answer = g_string_new (NULL);
+  if (request->answer->len + size <= ANSWER_MAX)
+    g_string_append_len (request->answer, bytes, size);
+}
+
+/* An attempt is over without a whole answer. */
+static void
+attempt_failed (struct request *request, enum retry_outcome outcome,
+                const struct refusal *refusal)
+{
+  struct gateway *gateway = request->gateway;
+  struct retry_decision decision;
+  unsigned number = request->attempt.number;
+  uint64_t backend = request->attempt.backend;
+
+  dispatch_note_handed_over (request);
+  if (outcome == RETRY_NOT_SENT)
+    settle_not_connected (&request->settle, number);
+  else if (outcome == RETRY_NOT_RUN)
+    settle_not_started (&request->settle, number);
+  decision = retry_decide (&gateway->retry, &request->retry, outcome);
+  if (decision.action != RETRY_RESUME && outcome != RETRY_NOT_SENT
+      && outcome != RETRY_NOT_RUN)
+    settle_cut (&request->settle, number);
+  dispatch_close_attempt (request);
+  relay_cut (&request->relay);
+  if (decision.action == RETRY_STOP)
+    {
+      log_event (&gateway->process.log, EVENT_ATTEMPT_FAILED,
+                 "request=%s attempt=%u outcome=%s action=stop reason=%s",
+                 request->id, number, retry_outcome_name (outcome),
+                 retry_reason_name (decision.reason));
+      request_refuse (request, refusal);
+      return;
+    }
+  log_event (&gateway->process.log, EVENT_ATTEMPT_FAILED,
+             "request=%s attempt=%u outcome=%s action=%s delay_ms=%.1f",
+             request->id, number, retry_outcome_name (outcome),
+             decision.action == RETRY_RESUME ? "resume" : "another",
+             (double)decision.delay_ns / NS_PER_MS);
+  metrics_add (&gateway->process.metrics, "retries", "", 1);
+  request->next = decision.action;
+  request->next_ns = clock_now (&gateway->process.clock) + decision.delay_ns;
+  if (decision.action == RETRY_RESUME)
+    request->attempt.backend = backend;
+}
+
+static void
+answer_whole (struct request *request)
+{
+  struct backend *backend
+      = backends_find (&request->gateway->backends, request->attempt.backend);
+
+  if (backend != NULL)
+    retry_success (&request->gateway->retry, backend->host.name);
+  if (request->type == REQUEST_COMPLETION)
+    lookup_report_used (request);
+  request_complete (request);
+}
+
+/* An answer that is not streamed names its request, too. */
+static bool
+answer_is_ours (const struct request *request)
+{
+  struct json_object *object;
+  bool ours;
+
+  if (request->type != REQUEST_COMPLETION
+      || request->attempt.http_status != HTTP_OK)
+    return true;
+  object = json_tokener_parse (request->answer != NULL ? request->answer->str
+                                                       : "");
+  ours = object != NULL
+         && strcmp (json_field_text (object, "id"), request->relay.id) == 0;
+  json_object_put (object);
+  return ours;
+}
+
+static void
+finish_buffered (struct request *request)
+{
+  const struct attempt *attempt = &request->attempt;
+  struct httpserver_header headers[] = {
+    { "x-request-id", request->id },
+    { "x-outcome", settle_outcome_name (SETTLE_COMPLETE) },
+  };
+  const char *bytes = request->answer != NULL ? request->answer->str : "";
+  size_t size = request->answer != NULL ? request->answer->len : 0;
+
+  if (!answer_is_ours (request))
+    {
+      attempt_failed (request, RETRY_FAILED, &crossed);
+      return;
+    }
+  httpserver_respond (request->http, attempt->http_status,
+                      attempt->content_type, headers, 2, bytes, size);
+  request->http = NULL;
+  answer_whole (request);
+}
+
+static void
+finish_streamed (struct request *request)
+{
+  if (request->relay.state != RELAY_ENDED)
+    {
+      attempt_failed (request, RETRY_LOST_MIDWAY, &incomplete);
+      return;
+    }
+  httpserver_stream_end (request->http, true);
+  request->http = NULL;
+  answer_whole (request);
+}
+
+static void
+mark_out (struct request *request)
+{
+  struct backends *backends = &request->gateway->backends;
+  struct backend *backend = backends_find (backends, request->attempt.backend);
+
+  if (backend != NULL)
+    backends_mark_out (backends, backend);
+}
+
+static void
+on_lost (struct request *request, enum status status)
+{
+  if (status == STATUS_UNAVAILABLE)
+    {
+      mark_out (request);
+      attempt_failed (request,
+                      request->attempt.resumed ? RETRY_LOST_MIDWAY
+                                               : RETRY_NOT_SENT,
+                      request->attempt.resumed ? &lost : &no_backend);
+      return;
+    }
+  if (request->settle.state == SETTLE_CONNECTING)
+    settle_hand_over (&request->settle, request->attempt.number);
+  attempt_failed (request,
+                  request->answer_started ? RETRY_LOST_MIDWAY
+                                          : RETRY_LOST_UNANSWERED,
+                  &lost);
+}
+
+static void
+on_end (void *data, enum status status, const char *message)
+{
+  struct request *request = data;
+  struct attempt *attempt = &request->attempt;
+
+  attempt->stream = NULL;
+  if (status != STATUS_OK)
+    on_lost (request, status);
+  else if (attempt->not_run)
+    attempt_failed (request, RETRY_NOT_RUN, &busy);
+  else if (attempt->resumed && attempt->http_status != HTTP_OK)
+    attempt_failed (request, RETRY_FAILED, &incomplete);
+  else if (request->answer_started)
+    finish_streamed (request);
+  else
+    finish_buffered (request);
+}
+
+const struct engine_stream_ops outcome_stream_ops
+    = { on_head, on_bytes, on_end };
+
+enum verdict
+dispatch_filter (struct request *request)
+{
+  request->retry.idempotent = request->idempotent;
+  request->retry.resumable
+      = request->type == REQUEST_COMPLETION && request->stream;
+  request->retry.deadline_ns = request->deadline_ns;
+  if (dispatch_send (request) == STATUS_OK)
+    return VERDICT_WAIT;
+  request_refuse (request, &no_backend);
+  return VERDICT_FINISH;
+}
+
+static void
+run_next (struct request *request)
+{
+  enum status status;
+
+  request->next_ns = CLOCK_NEVER;
+  if (request->next == RETRY_RESUME)
+    status = dispatch_resume (request);
+  else
+    status = dispatch_send (request);
+  if (status != STATUS_OK)
+    request_refuse (request, &no_backend);
+}
+
+void
+dispatch_tick (struct request *request, int64_t now)
+{
+  const struct settings *settings = request->gateway->settings;
+  int64_t quiet = now - request->attempt.heard_ns;
+  int64_t limit = request->first_piece_ns != 0
+                      ? settings->timeouts.progress_ns
+                      : settings->timeouts.first_byte_ns;
+
+  if (now >= request->next_ns)
+    run_next (request);
+  else if (request->attempt.stream == NULL)
+    return;
+  else if (now > request->deadline_ns && !request->answer_started)
+    request_refuse (request, &too_late);
+  else if (request->relay.state == RELAY_GAP
+           || request->relay.state == RELAY_BROKEN)
+    attempt_failed (request, RETRY_LOST_MIDWAY, &incomplete);
+  else if (quiet > limit)
+    attempt_failed (request, RETRY_SILENT, &silent);
+}
--- a/src/process.c
+++ b/src/process.c
@@ -7,8 +7,8 @@
 
 #define HELLO_EVERY_NS (500 * NS_PER_MS)
 #define HELLO_TIMEOUT_NS (1500 * NS_PER_MS)
-#define CLIENT_IO_TIMEOUT_MS (600 * 1000)
-#define SERVER_IDLE_MS (60 * 1000)
+#define CLIENT_IO_TIMEOUT_MS UINT64_C (600000)
+#define SERVER_IDLE_MS UINT64_C (60000)
 
 static const char *
 advertised (const struct settings_address *advertise,
--- a/src/request.c
+++ b/src/request.c
@@ -8,25 +8,21 @@
 #include <string.h>
 
 static const request_filter completion_filters[]
-    = { auth_filter, classify_filter, lookup_filter, dispatch_filter, NULL };
+    = { auth_filter,   classify_filter, admission_filter,
+        lookup_filter, dispatch_filter, NULL };
 static const request_filter service_filters[]
-    = { auth_filter, classify_filter, dispatch_filter, NULL };
-
-static const char *const outcome_names[OUTCOME_COUNT] = {
-  [OUTCOME_COMPLETE] = "complete",
-  [OUTCOME_REFUSED_NOT_RUN] = "refused_not_run",
-  [OUTCOME_FAILED_MAY_HAVE_RUN] = "failed_may_have_run",
-  [OUTCOME_IN_PROGRESS] = "in_progress",
-  [OUTCOME_REPLAYED] = "replayed",
-};
+    = { auth_filter, classify_filter, admission_filter, dispatch_filter,
+        NULL };
 
 static void
 request_free (struct request *request)
 {
   load_started (&request->load);
   list_remove (&request->node);
+  list_remove (&request->starting);
   g_hash_table_remove (request->gateway->by_serial, &request->serial);
   request->gateway->request_count--;
+  relay_finish (&request->relay);
   if (request->answer != NULL)
     g_string_free (request->answer, TRUE);
   config_unref (request->config);
@@ -35,6 +31,7 @@
   g_free (request->path);
   g_free (request->key);
   g_free (request->body);
+  g_free (request->content_type);
   g_free (request->prompt);
   g_free (request);
 }
@@ -45,6 +42,7 @@
 {
   request->finished = true;
   dispatch_close (request);
+  admission_end (request);
   if (!request->in_filters)
     request_free (request);
 }
@@ -76,7 +74,8 @@
 }
 
 static void
-count_end (struct request *request, enum outcome outcome, const char *code)
+count_end (struct request *request, enum settle_outcome outcome,
+           const char *code)
 {
   struct metrics *metrics = &request->gateway->process.metrics;
   int64_t now = clock_now (&request->gateway->process.clock);
@@ -88,15 +87,15 @@
 
   g_snprintf (labels, sizeof labels,
               "organisation=\"%s\",kind=\"%s\",outcome=\"%s\",code=\"%s\"",
-              organisation, kind, outcome_name (outcome), code);
+              organisation, kind, settle_outcome_name (outcome), code);
   metrics_add (metrics, "requests", labels, 1);
   log_event (&request->gateway->process.log, EVENT_REQUEST_END,
              "request=%s organisation=%s kind=%s outcome=%s code=%s "
              "total_ms=%.3f cached_tokens=%" G_GINT64_FORMAT
              " imported_tokens=%" G_GINT64_FORMAT
              " computed_tokens=%" G_GINT64_FORMAT,
-             request->id, organisation, kind, outcome_name (outcome), code,
-             (double)(now - request->received_ns) / NS_PER_MS,
+             request->id, organisation, kind, settle_outcome_name (outcome),
+             code, (double)(now - request->received_ns) / NS_PER_MS,
              request->cached_tokens, request->imported_tokens,
              request->computed_tokens);
 }
@@ -114,8 +113,11 @@
   request->received_ns = clock_now (&gateway->process.clock);
   request->filter
       = type == REQUEST_COMPLETION ? completion_filters : service_filters;
+  request->next_ns = CLOCK_NEVER;
+  settle_init (&request->settle, true, REQUEST_TRIED_MAX);
   list_init (&request->load.node);
   list_init (&request->node);
+  list_init (&request->starting);
   list_append (&gateway->requests, &request->node);
   gateway->request_count++;
   request->serial = ++gateway->next_request;
@@ -162,33 +164,38 @@
 }
 
 void
-request_refuse (struct request *request, enum outcome outcome,
+request_end_as (struct request *request, enum settle_outcome outcome,
                 const struct refusal *refusal)
 {
-  assert (outcome != OUTCOME_REFUSED_NOT_RUN || !request->handed_over
-          || request->attempt.not_run);
+  settle_finish (&request->settle, outcome);
   answer_refuse (request, outcome, refusal);
   count_end (request, outcome, refusal->code);
   request_end (request);
 }
 
 void
-request_complete (struct request *request)
+request_refuse (struct request *request, const struct refusal *refusal)
 {
-  count_end (request, OUTCOME_COMPLETE, "");
-  request_end (request);
+  dispatch_note_handed_over (request);
+  request_end_as (request, settle_give_up (&request->settle), refusal);
 }
 
 void
-request_abandon (struct request *request)
+request_complete (struct request *request)
 {
-  count_end (request, OUTCOME_FAILED_MAY_HAVE_RUN, "caller_gone");
+  settle_finish (&request->settle, SETTLE_COMPLETE);
+  count_end (request, SETTLE_COMPLETE, "");
   request_end (request);
 }
 
-const char *
-outcome_name (enum outcome outcome)
+void
+request_abandon (struct request *request)
 {
-  assert ((unsigned)outcome < OUTCOME_COUNT);
-  return outcome_names[outcome];
+  enum settle_outcome outcome;
+
+  dispatch_note_handed_over (request);
+  outcome = settle_give_up (&request->settle);
+  settle_finish (&request->settle, outcome);
+  count_end (request, outcome, "caller_gone");
+  request_end (request);
 }
--- a/src/request.h
+++ b/src/request.h
@@ -1,6 +1,7 @@
 #ifndef REQUEST_H
 #define REQUEST_H
 
+#include "admit.h"
 #include "block.h"
 #include "blockindex.h"
 #include "clock.h"
@@ -9,6 +10,9 @@
 #include "httpserver.h"
 #include "list.h"
 #include "load.h"
+#include "relay.h"
+#include "retry.h"
+#include "settle.h"
 
 #include <glib.h>
 #include <json-c/json.h>
@@ -32,18 +36,8 @@
 enum request_type
 {
   REQUEST_COMPLETION,
-  REQUEST_SERVICE
-};
-
-/** What a caller is told at the end. */
-enum outcome
-{
-  OUTCOME_COMPLETE,
-  OUTCOME_REFUSED_NOT_RUN,
-  OUTCOME_FAILED_MAY_HAVE_RUN,
-  OUTCOME_IN_PROGRESS,
-  OUTCOME_REPLAYED,
-  OUTCOME_COUNT
+  REQUEST_SERVICE,
+  REQUEST_TYPE_COUNT
 };
 
 enum verdict
@@ -55,7 +49,8 @@
 
 typedef enum verdict (*request_filter) (struct request *request);
 
-/** A final answer other than the backend server's own. */
+/** A final answer other than the backend server's own. Whether the request
+ * may have run is not part of it: its state tells. */
 struct refusal
 {
   int http_status;
@@ -69,19 +64,20 @@
 {
   struct engine_stream *stream; /**< NULL: none is open */
   uint64_t backend;
-  int64_t started_ns;
+  unsigned number;  /**< as settle counts */
   int64_t heard_ns; /**< last byte from the backend server */
   bool head_seen;
-  bool not_run; /**< the backend server says that it did not start */
   bool streamed;
+  bool resumed; /**< the stream goes on after a cut */
+  bool not_run; /**< the backend server says that it did not start */
   int http_status;
   char content_type[64];
-  char tail[16]; /**< last bytes of the stream */
 };
 
 struct request
 {
-  struct list node; /**< on the gateway's list */
+  struct list node;     /**< on the gateway's list */
+  struct list starting; /**< on the gateway's list of those to start */
   struct gateway *gateway;
   struct httpserver_request *http; /**< NULL: answered, or the caller left */
   const request_filter *filter;    /**< the one that runs or waits */
@@ -105,9 +101,10 @@
   bool idempotent;
   bool status_lookup;
   char *method;
-  char *path; /**< at the backend server */
-  char *key;  /**< of idempotency; NULL: none */
-  char *body; /**< as received */
+  char *path;         /**< at the backend server */
+  char *key;          /**< of idempotency; NULL: none */
+  char *content_type; /**< of the body; NULL: none was given */
+  char *body;         /**< as received */
   size_t body_size;
   struct json_object *json;
   char *prompt;
@@ -122,11 +119,16 @@
   struct blockindex_match match;
 
   /* dispatch */
+  struct settle settle;
+  struct admit_request admit;
+  struct retry_request retry;
+  struct relay relay;
   struct attempt attempt;
   struct load_request load;
   uint64_t tried[REQUEST_TRIED_MAX];
   unsigned tried_count;
-  bool handed_over; /**< a byte went to some backend server */
+  enum retry_action next; /**< what to do at NEXT_NS */
+  int64_t next_ns;        /**< CLOCK_NEVER: nothing */
   bool answer_started;
   int64_t first_piece_ns;
   int64_t cached_tokens;
@@ -152,9 +154,12 @@
 /** The filter that waited passes: run the next ones. */
 void request_resume (struct request *request);
 
-/** End with an answer of our own. OUTCOME_REFUSED_NOT_RUN asserts that no
- * byte was handed to a backend server that may have run it. */
-void request_refuse (struct request *request, enum outcome outcome,
+/** End with an answer of our own; the outcome is the true one of the
+ * request's state. */
+void request_refuse (struct request *request, const struct refusal *refusal);
+
+/** End with an answer of our own and this OUTCOME, which the state allows. */
+void request_end_as (struct request *request, enum settle_outcome outcome,
                      const struct refusal *refusal);
 
 /** End after the backend server's answer was passed on whole. */
@@ -163,6 +168,4 @@
 /** Drop everything; the caller went away. */
 void request_abandon (struct request *request);
 
-const char *outcome_name (enum outcome outcome);
-
 #endif
