The whole path runs: sheet, completions with reuse, service calls

Change: operator endpoints (plan, apply), a reader of the KV service's configuration, the operators' key in the settings, functions to run a fleet on loopback. Ruled out: log4c's stream appenders, which put their name before each line.

--- a/src/admission.c
+++ b/src/admission.c
@@ -11,9 +11,6 @@
   RATE_MILLI = 1000
 };
 
-/* Share of the concurrency that only urgent requests use. */
-#define URGENT_SHARE 0.1
-
 static const char *const messages[ADMIT_CODE_COUNT] = {
   [ADMIT_QUEUE_FULL] = "the queue is full",
   [ADMIT_ORGANISATION_QUEUE_FULL]
@@ -110,7 +107,7 @@
     .organisation_queue_limit
     = (unsigned)settings->admission.organisation_queue_limit,
     .organisation_share = settings->admission.organisation_share,
-    .urgent_share = URGENT_SHARE,
+    .urgent_share = settings->admission.urgent_share,
   };
 
   for (int class = 0; class < PRIORITY_COUNT; class ++)
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -241,6 +241,7 @@
   init_place (gateway);
   init_retry (gateway);
   admission_init (gateway);
+  operator_init (gateway);
   return STATUS_OK;
 }
 
@@ -262,6 +263,7 @@
   g_array_unref (gateway->serials);
   place_finish (&gateway->place);
   backends_finish (&gateway->backends);
+  operator_finish (gateway);
   config_unref (gateway->config);
   g_hash_table_destroy (gateway->by_serial);
 }
--- a/src/log.c
+++ b/src/log.c
@@ -40,6 +40,17 @@
 static const log4c_layout_type_t layout_type
     = { "trefoilspar", layout_format };
 
+/* log4c's own stream appenders put the appender's name before each line. */
+static int
+appender_append (log4c_appender_t *appender,
+                 const log4c_logging_event_t *event)
+{
+  return fputs (event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t appender_type
+    = { "trefoilspar", NULL, appender_append, NULL };
+
 static void
 log4c_write (struct log *log, const struct event_info *info, const char *text)
 {
@@ -72,7 +83,9 @@
   log4c_layout_type_set (&layout_type);
   layout = log4c_layout_get ("trefoilspar");
   log4c_layout_set_type (layout, &layout_type);
-  appender = log4c_appender_get ("stderr");
+  log4c_appender_type_set (&appender_type);
+  appender = log4c_appender_get ("trefoilspar");
+  log4c_appender_set_type (appender, &appender_type);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get ("trefoilspar");
   log4c_category_set_appender (category, appender);
--- a/src/settings-keys.c
+++ b/src/settings-keys.c
@@ -130,6 +130,10 @@
   { "retry.backoff_max_ms", SETTINGS_MS, AT (retry.backoff_max_ns),
     SETTINGS_GATEWAY, 0, 1, 600000, NULL, "2000", "ms",
     "Longest wait before any retry" },
+  { "operator.key_hash", SETTINGS_HASH_KEY, AT (operator_key.hash),
+    SETTINGS_GATEWAY, 0, 64, 64, NULL, NULL, "hex",
+    "BLAKE2b-256 of the operators' bearer key; without it operators are "
+    "refused" },
   { "suspect.crashes", SETTINGS_INTEGER, AT (suspect.crashes), SETTINGS_BOTH,
     0, 1, 2, NULL, "2", "crashes",
     "Lost backend servers after which a request is refused" },
--- a/src/settings.h
+++ b/src/settings.h
@@ -113,6 +113,10 @@
     int64_t backoff_max_ns;
   } retry;
   struct
+  {
+    uint8_t hash[SETTINGS_HASH_KEY_BYTES]; /**< all zero: no operators */
+  } operator_key;
+  struct
   {
     int64_t crashes;
     int64_t hold_ns;
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -56,14 +56,23 @@
   done
 }
 
-# Settings that every daemon of the fleet adds; a script may change them.
-fleet_settings='
-  "entries": { "lifetime_ms": 1000 },'
+# Settings that a script may change before it starts daemons:
+# piece_tokens, policy, kv_settings, placement_settings, gateway_settings,
+# shard_settings, store_settings.
 piece_tokens=100
+operator_key=fleet-operator-key
+operator_hash=$(printf %s "$operator_key" | b2sum -l 256 | cut -d' ' -f1)
 
 # daemon NAME ROLE DATA_CENTRE [MORE_SETTINGS]
 daemon () {
-  local name=$1
+  local name=$1 role_settings=
+  if [ "$2" = gateway ]; then
+    role_settings="\"policy\": \"${policy:-cost}\", ${placement_settings-}"
+    gateway_extra="\"operator\": { \"key_hash\": \"$operator_hash\" },
+      \"entries\": { \"lifetime_ms\": 1000 }, ${gateway_settings-}"
+  else
+    gateway_extra=${shard_settings-}
+  fi
   cat >"$fleet_dir/$name.json" <<EOF
 {
   // $name of a fleet on loopback
@@ -73,9 +82,8 @@
   "kv": { "address": ["${address_of[kv]}"], "timeout_ms": 1000,
           "lease_ttl_ms": 3000 ${kv_settings-} },
   "host_list": { "address": "${address_of[hosts]}", "poll_ms": 500 },
-  "placement": { "piece_tokens": $piece_tokens, "policy": "${policy:-cost}"
-                 ${placement_settings-} },
-  $fleet_settings
+  "placement": { $role_settings "piece_tokens": $piece_tokens },
+  $gateway_extra
   ${4-}
   "blocks": { "hash_key":
     "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f" },
@@ -108,3 +116,59 @@
     sleep 0.05
   done
 }
+
+# b2 TEXT: the hash under which a bearer key is declared
+b2 () { printf %s "$1" | b2sum -l 256 | cut -d' ' -f1; }
+
+sheet_rows=()
+# row OBJECT COLUMN=VALUE...: adds a declaration to the sheet
+row () {
+  local object=$1 cell column line
+  shift
+  declare -A cells=()
+  for cell in "$@"; do cells[${cell%%=*}]=${cell#*=}; done
+  line=$object,,
+  for column in $sheet_columns; do line+=",${cells[$column]-}"; done
+  sheet_rows+=("$line")
+}
+sheet_columns="organisation name model version service weight requests_per_s \
+in_flight priority deadline_ms timeout_ms idempotent retained key_hash \
+fencing load_limit"
+
+# sheet [BASE]: the sheet so far
+sheet () {
+  local header=object,action,was column
+  for column in $sheet_columns; do header+=,$column; done
+  printf '%s\nbase,%s\n' "$header" "${1:-0}"
+  printf '%s\n' "${sheet_rows[@]}"
+  printf 'end,%s\n' "${#sheet_rows[@]}"
+}
+
+# operator METHOD PATH GATEWAY [BODY_FILE]
+operator () {
+  curl -sS -m 10 -X "$1" -H "Authorization: Bearer $operator_key" \
+    ${4:+--data-binary @"$4"} "http://${address_of[$3]}$2"
+}
+
+# The declarations of a small fleet: organisations org-1 and org-2 with the
+# keys key-1 and key-2.
+small_sheet () {
+  local n
+  row service service=centrale timeout_ms=5000 idempotent=no
+  row version model=oracolo version=v1
+  row version model=oracolo version=v2
+  row model model=oracolo version=v1 service=oracolo
+  for n in 1 2; do
+    row organisation organisation=org-$n weight=1 requests_per_s=10000 \
+      in_flight=1000
+    row key organisation=org-$n name=main key_hash="$(b2 key-$n)"
+    row kind organisation=org-$n name=briefing model=oracolo priority=5 \
+      deadline_ms=60000 idempotent=yes retained=yes
+    row kind organisation=org-$n name=check model=oracolo priority=0 \
+      deadline_ms=10000 idempotent=yes retained=no
+    row kind organisation=org-$n name=order service=centrale priority=2 \
+      deadline_ms=10000 idempotent=no retained=no
+    row kind organisation=org-$n name=status service=centrale priority=0 \
+      deadline_ms=5000 idempotent=yes retained=no
+  done
+}
