--- a/src/backends.c
+++ b/src/backends.c
@@ -50,6 +50,7 @@
       report.version_count++;
     }
   report.engine = id;
+  report.name = backend->host.name;
   report.incarnation = message->incarnation;
   report.sequence = message->sequence;
   report.leaving = message->leaving;
