--- a/test/check-standin.sh
+++ b/test/check-standin.sh
@@ -103,7 +103,8 @@
 faults "$kv" '{"outage":1}'
 check kv-outage 503 "$(code "$kv/v1/kv/get" -d '{"key":"a"}')"
 faults "$kv" '{"outage":0,"refuse":1}'
-check kv-refuse 000 "$(code "$kv/v1/kv/get" -d '{"key":"a"}')"
+post "$kv/v1/kv/get" '{"key":"a"}' >/dev/null
+check kv-refuse 52 $?
 check unknown-fault 400 "$(code "$kv/control/faults" -d '{"nothing":1}')"
 start limited kv --rate 3
 for _ in 1 2 3; do post "$limited/v1/kv/get" '{"key":"a"}' >/dev/null; done
@@ -159,7 +160,8 @@
 post "$engine/v1/cancel" '{"request":"pslow"}' >/dev/null
 post "$engine/v1/cancel" '{"request":"long"}' >/dev/null
 wait $long
-check engine-cancel 0 "$(grep -c DONE "$dir/long")"
+check engine-cancel "1 0" "$(grep -c '^id: long/0$' "$dir/long") $(grep -c \
+  DONE "$dir/long")"
 sleep 0.3
 if [ "$dir/urgent" -ot "$dir/low" ]; then order=urgent; else order=low; fi
 check engine-priority urgent "$order"
@@ -244,7 +246,7 @@
 timed "$weights/v1/weights/M/2" >"$dir/load2"
 wait $first
 check weights-limit "0.1 0.2" \
-  "$(cut -c1-3 "$dir/load1") $(cut -c1-3 "$dir/load2")"
+  "$(awk '{ printf "%s%.1f", s, $1; s = " " }' "$dir/load1" "$dir/load2")"
 start hosts hosts --lag-ms 150
 post "$hosts/control/hosts" '{"hosts":[{"name":"a"}]}' >/dev/null
 early=$(get "$hosts/v1/hosts")
--- a/test/standin-cache.c
+++ b/test/standin-cache.c
@@ -31,7 +31,6 @@
   struct list used;
   GQueue events; /* struct cache_event, the oldest first */
   int64_t sequence;
-  int64_t wrong_versions;
 } self;
 
 static void
@@ -86,7 +85,7 @@
     return false;
   if (cached->version != version)
     {
-      self.wrong_versions++;
+      engine_stats.wrong_versions++;
       return false;
     }
   list_remove (&cached->node);
@@ -125,21 +124,12 @@
   return (int)g_hash_table_size (self.blocks);
 }
 
-int64_t
-cache_wrong_versions (void)
-{
-  return self.wrong_versions;
-}
-
 static struct json_object *
 event_describe (const struct cache_event *event)
 {
-  struct json_object *object = json_object_new_object ();
-
-  json_put_int (object, "sequence", event->sequence);
-  json_put_string (object, "kind", event->stored ? "stored" : "evicted");
-  json_put_string (object, "block", event->block);
-  return object;
+  return json_put (NULL, "sequence", 'i', event->sequence, "kind", 's',
+                   event->stored ? "stored" : "evicted", "block", 's',
+                   event->block, NULL);
 }
 
 /* Events are numbered from 1. The answer holds the first unbroken stretch
@@ -150,7 +140,6 @@
 {
   int64_t after = call_query_int (call, "after", 0);
   int64_t visible = server_now () - engine_settings.event_lag_ms * NS_PER_MS;
-  struct json_object *reply = json_object_new_object ();
   struct json_object *events = json_object_new_array ();
   int64_t first = 0, next = MIN (after, self.sequence) + 1;
 
@@ -168,16 +157,14 @@
       next = event->sequence + 1;
       json_object_array_add (events, event_describe (event));
     }
-  json_put_int (reply, "first", first ? first : next);
-  json_put_int (reply, "next", next);
-  json_object_object_add (reply, "events", events);
-  http_json (call->req, 200, reply);
+  http_json (call->req, 200,
+             json_put (NULL, "first", 'i', first ? first : next, "next", 'i',
+                       next, "events", 'o', events, NULL));
 }
 
 void
 cache_blocks_reply (const struct call *call)
 {
-  struct json_object *reply = json_object_new_object ();
   struct json_object *blocks = json_object_new_array ();
 
   for (struct list *node = self.used.next; node != &self.used;
@@ -185,9 +172,9 @@
     json_object_array_add (blocks,
                            json_object_new_string (
                                LIST_ENTRY (node, struct cached, node)->block));
-  json_put_int (reply, "next", self.sequence + 1);
-  json_object_object_add (reply, "blocks", blocks);
-  http_json (call->req, 200, reply);
+  http_json (call->req, 200,
+             json_put (NULL, "next", 'i', self.sequence + 1, "blocks", 'o',
+                       blocks, NULL));
 }
 
 uint8_t *
--- a/test/standin-engine.c
+++ b/test/standin-engine.c
@@ -46,6 +46,8 @@
                                            .event_ring = 1024,
                                            .priority = TRUE };
 
+struct engine_stats engine_stats;
+
 static char *name;
 static char **models;
 static char **versions;
@@ -63,8 +65,6 @@
   int64_t incarnation;
   int64_t sequence;
   char *snapshots[SNAPSHOTS + 1]; /* load reports, the oldest first */
-  int loading;
-  int64_t exports, fenced, ignored_fencing;
 } self;
 
 static const GOptionEntry options[] = {
@@ -154,7 +154,7 @@
 {
   struct loaded *loaded = data;
 
-  self.loading--;
+  engine_stats.loading--;
   if (reply->status == 200)
     loaded_add (loaded->model, loaded->version, loaded->adapter);
   g_free (loaded);
@@ -174,7 +174,7 @@
       loaded_add (model, version, adapter);
       return;
     }
-  self.loading++;
+  engine_stats.loading++;
   url = g_strdup_printf ("%s/v1/weights/%s/%s", weights_url, model, version);
   fetch ("GET", url, NULL, 0, on_weights, g_memdup2 (&loaded, sizeof loaded));
   g_free (url);
@@ -207,15 +207,13 @@
 
   if (fencing < self.fencing && check_fencing)
     {
-      struct json_object *reply = json_object_new_object ();
-
-      self.fenced++;
-      json_put_int (reply, "fencing", self.fencing);
-      http_json (call->req, 409, reply);
+      engine_stats.fenced++;
+      http_json (call->req, 409,
+                 json_put (NULL, "fencing", 'i', self.fencing, NULL));
       return;
     }
   if (fencing < self.fencing)
-    self.ignored_fencing++;
+    engine_stats.ignored_fencing++;
   self.fencing = MAX (self.fencing, fencing);
   if (g_hash_table_add (self.orders, g_strdup (order)))
     order_run (call->body);
@@ -233,12 +231,11 @@
     {
       const struct loaded *loaded
           = &g_array_index (self.loaded, struct loaded, i);
-      struct json_object *object = json_object_new_object ();
 
-      json_put_string (object, "model", loaded->model);
-      json_put_string (object, "version", loaded->version);
-      json_put_string (object, "adapter", loaded->adapter);
-      json_object_array_add (array, object);
+      json_object_array_add (array,
+                             json_put (NULL, "model", 's', loaded->model,
+                                       "version", 's', loaded->version,
+                                       "adapter", 's', loaded->adapter, NULL));
     }
   return array;
 }
@@ -246,24 +243,18 @@
 static char *
 load_report (void)
 {
-  struct json_object *report = json_object_new_object ();
-  struct run_load load = runs_load ();
-  char *text;
-
-  json_put_string (report, "engine", name);
-  json_put_int (report, "incarnation", self.incarnation);
-  json_put_int (report, "sequence", ++self.sequence);
-  json_put_string (report, "state",
-                   fault_value ("leaving") ? "leaving" : "ready");
-  json_put_string (report, "role", engine_role);
-  json_put_int (report, "running", load.running);
-  json_put_int (report, "queued", load.queued);
-  json_put_int (report, "queued_tokens", load.queued_tokens);
-  json_put_int (report, "prefill_tokens_per_s", engine_settings.prefill_rate);
-  json_put_int (report, "cache_blocks", cache_count ());
-  json_object_object_add (report, "versions", versions_describe ());
-  text = g_strdup (
+  const char *state = fault_value ("leaving") ? "leaving" : "ready";
+  struct json_object *report = json_put (
+      NULL, "engine", 's', name, "incarnation", 'i', self.incarnation,
+      "sequence", 'i', ++self.sequence, "state", 's', state, "role", 's',
+      engine_role, "running", 'i', engine_stats.running, "queued", 'i',
+      engine_stats.queued, "queued_tokens", 'i', runs_queued_tokens (),
+      "prefill_tokens_per_s", 'i', (int64_t)engine_settings.prefill_rate,
+      "cache_blocks", 'i', (int64_t)cache_count (), "versions", 'o',
+      versions_describe (), NULL);
+  char *text = g_strdup (
       json_object_to_json_string_ext (report, JSON_C_TO_STRING_PLAIN));
+
   json_object_put (report);
   return text;
 }
@@ -301,18 +292,14 @@
 on_exported (void *data, const struct fetch_reply *reply)
 {
   struct export *export = data;
-  struct json_object *object = json_object_new_object ();
-  int status = reply->status ? reply->status : 502;
 
-  if (status == 200)
-    {
-      self.exports++;
-      json_put_int (object, "length", (int64_t) export->size);
-      json_put_string (object, "checksum", export->checksum);
-    }
+  engine_stats.exports += reply->status == 200;
+  if (reply->status == 200)
+    http_json (export->req, 200,
+               json_put (NULL, "length", 'i', (int64_t) export->size,
+                         "checksum", 's', export->checksum, NULL));
   else
-    json_put_string (object, "code", "export");
-  http_json (export->req, status, object);
+    http_code (export->req, reply->status ? reply->status : 502, "export");
   g_free (export);
 }
 
@@ -394,13 +381,6 @@
                   NULL);
 }
 
-struct route
-{
-  const char *method;
-  const char *path;
-  void (*handle) (const struct call *call);
-};
-
 static const struct route routes[] = {
   { "POST", "/v1/completions", completion_handle },
   { "POST", "/v1/chat/completions", completion_handle },
@@ -411,37 +391,31 @@
   { "GET", "/v1/cache/blocks", cache_blocks_reply },
   { "POST", "/v1/kv/export", export_handle },
   { "POST", "/v1/orders", order_handle },
+  { 0 },
 };
 
-static bool
-handle (const struct call *call)
-{
-  for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
-    if (call_is (call, routes[i].method, routes[i].path))
-      {
-        if (!call->body && strcmp (call->method, "POST") == 0)
-          http_code (call->req, 400, "malformed");
-        else
-          routes[i].handle (call);
-        return true;
-      }
-  return false;
-}
-
-static void
-stats (struct json_object *object)
-{
-  runs_stats (object);
-  json_put_int (object, "wrong_versions", cache_wrong_versions ());
-  json_put_int (object, "loading", self.loading);
-  json_put_int (object, "exports", self.exports);
-  json_put_int (object, "fenced", self.fenced);
-  json_put_int (object, "ignored_fencing", self.ignored_fencing);
-}
+static const struct counter counters[]
+    = { { "running", &engine_stats.running },
+        { "queued", &engine_stats.queued },
+        { "started", &engine_stats.started },
+        { "completed", &engine_stats.completed },
+        { "cancelled", &engine_stats.cancelled },
+        { "resumed", &engine_stats.resumed },
+        { "repeated", &engine_stats.repeated },
+        { "cached_tokens", &engine_stats.cached_tokens },
+        { "imported_tokens", &engine_stats.imported_tokens },
+        { "computed_tokens", &engine_stats.computed_tokens },
+        { "wrong_bytes", &engine_stats.wrong_bytes },
+        { "wrong_versions", &engine_stats.wrong_versions },
+        { "exports", &engine_stats.exports },
+        { "loading", &engine_stats.loading },
+        { "fenced", &engine_stats.fenced },
+        { "ignored_fencing", &engine_stats.ignored_fencing },
+        { 0 } };
 
 const struct role role_engine = { .name = "engine",
                                   .faults = faults,
                                   .options = options,
-                                  .start = start,
-                                  .handle = handle,
-                                  .stats = stats };
+                                  .routes = routes,
+                                  .counters = counters,
+                                  .start = start };
--- a/test/standin-engine.h
+++ b/test/standin-engine.h
@@ -30,6 +30,23 @@
 
 extern struct engine_settings engine_settings;
 
+/** Counters since the start, and two gauges. */
+struct engine_stats
+{
+  int64_t running, queued; /**< now */
+  int64_t started, completed, cancelled, resumed;
+  int64_t repeated; /**< completions under an id that was there already */
+  int64_t cached_tokens, imported_tokens, computed_tokens;
+  int64_t wrong_bytes;    /**< imports whose bytes are of another block */
+  int64_t wrong_versions; /**< blocks asked for under another version */
+  int64_t exports;
+  int64_t loading; /**< now */
+  int64_t fenced;  /**< orders refused for an old fencing number */
+  int64_t ignored_fencing;
+};
+
+extern struct engine_stats engine_stats;
+
 /* Prefix cache */
 
 void cache_init (void);
@@ -40,8 +57,6 @@
 void cache_store (const char *block, const char *version);
 bool cache_has (const char *block);
 int cache_count (void);
-/** How often a block was asked for under another version than its own. */
-int64_t cache_wrong_versions (void);
 void cache_events_reply (const struct call *call);
 void cache_blocks_reply (const struct call *call);
 
@@ -50,13 +65,6 @@
 
 /* Runs */
 
-struct run_load
-{
-  int running;
-  int queued;
-  int64_t queued_tokens; /**< whose prefill is not done */
-};
-
 void runs_init (void);
 
 /** Start or queue the completion that CALL asks for, with loaded weights of
@@ -64,7 +72,7 @@
 void run_start (const struct call *call, const char *version);
 void run_resume (const struct call *call);
 void run_cancel (const struct call *call);
-struct run_load runs_load (void);
-void runs_stats (struct json_object *object);
+/** Prompt tokens whose prefill is not done. */
+int64_t runs_queued_tokens (void);
 
 #endif
--- a/test/standin-fetch.c
+++ b/test/standin-fetch.c
@@ -1,9 +1,10 @@
+#include "httpclient.h"
 #include "standin-http.h"
 
 #include <string.h>
 
 /** @file
- * The stand-ins' HTTP client, one connection for each call.
+ * The stand-ins' HTTP client.
  */
 
 enum
@@ -13,9 +14,6 @@
 
 struct fetch
 {
-  char *head;
-  uint8_t *body;
-  h2o_iovec_t parts[2];
   GByteArray *answer;
   struct fetch_reply reply;
   fetch_done done;
@@ -23,135 +21,58 @@
 };
 
 static void
-fetch_finish (struct fetch *task, bool complete)
+on_head (void *data, const struct httpclient_head *head)
 {
-  if (!complete)
-    task->reply.status = 0;
-  task->reply.body = task->answer->data;
-  task->reply.size = task->answer->len;
-  task->done (task->data, &task->reply);
-  g_byte_array_free (task->answer, TRUE);
-  g_free (task->head);
-  g_free (task->body);
-  g_free (task);
-}
+  struct fetch *task = data;
 
-static int
-on_body (h2o_http1client_t *client, const char *error)
-{
-  struct fetch *task = client->data;
-  h2o_buffer_t **input = &client->sock->input;
-
-  if (error && error != h2o_http1client_error_is_eos)
-    {
-      fetch_finish (task, false);
-      return -1;
-    }
-  g_byte_array_append (task->answer, (const guint8 *)(*input)->bytes,
-                       (guint)(*input)->size);
-  h2o_buffer_consume (input, (*input)->size);
-  if (error)
-    fetch_finish (task, true);
-  return 0;
+  task->reply.status = head->status;
+  httpclient_header_value (head, "x-checksum", task->reply.checksum,
+                           sizeof task->reply.checksum);
 }
 
 static void
-header_keep (struct fetch *task, const h2o_header_t *header)
-{
-  static const char name[] = "x-checksum";
-  size_t size = header->value.len;
-
-  if (!h2o_memis (header->name->base, header->name->len, name, sizeof name - 1)
-      || size >= sizeof task->reply.checksum)
-    return;
-  memcpy (task->reply.checksum, header->value.base, size);
-  task->reply.checksum[size] = '\0';
-}
-
-static h2o_http1client_body_cb
-on_head (h2o_http1client_t *client, const char *error, int minor_version,
-         int status, h2o_iovec_t message, h2o_header_t *headers, size_t count,
-         int size)
-{
-  struct fetch *task = client->data;
-
-  if (error && error != h2o_http1client_error_is_eos)
-    {
-      fetch_finish (task, false);
-      return NULL;
-    }
-  task->reply.status = status;
-  for (size_t i = 0; i < count; i++)
-    header_keep (task, &headers[i]);
-  if (error)
-    {
-      fetch_finish (task, true);
-      return NULL;
-    }
-  return on_body;
-}
-
-static h2o_http1client_head_cb
-on_connect (h2o_http1client_t *client, const char *error, h2o_iovec_t **parts,
-            size_t *part_count, int *method_is_head)
+on_body (void *data, const char *bytes, size_t size)
 {
-  struct fetch *task = client->data;
+  struct fetch *task = data;
 
-  if (error)
-    {
-      fetch_finish (task, false);
-      return NULL;
-    }
-  *parts = task->parts;
-  *part_count = task->parts[1].len ? 2 : 1;
-  *method_is_head = 0;
-  return on_head;
+  g_byte_array_append (task->answer, (const guint8 *)bytes, (guint)size);
 }
 
 static void
-fetch_refuse (void *data)
+on_end (void *data, const struct httpclient_end *end)
 {
-  fetch_finish (data, false);
-}
+  struct fetch *task = data;
 
-static h2o_http1client_ctx_t *
-client_context (void)
-{
-  static h2o_timeout_t timeout;
-  static h2o_http1client_ctx_t context;
-
-  if (!context.loop)
-    {
-      context.loop = uv_default_loop ();
-      h2o_timeout_init (context.loop, &timeout, FETCH_TIMEOUT_MS);
-      context.io_timeout = &timeout;
-    }
-  return &context;
+  if (end->status != STATUS_OK)
+    task->reply.status = 0;
+  task->reply.body = task->answer->data;
+  task->reply.size = task->answer->len;
+  task->done (task->data, &task->reply);
+  g_byte_array_free (task->answer, TRUE);
+  g_free (task);
 }
 
+static const struct httpclient_ops ops = { on_head, on_body, on_end };
+
 void
 fetch (const char *method, const char *url, const void *body, size_t size,
        fetch_done done, void *data)
 {
+  static struct httpclient client;
   struct fetch *task = g_new0 (struct fetch, 1);
-  h2o_url_t parsed;
-
+  const char *rest = g_str_has_prefix (url, "http://") ? url + 7 : url;
+  char *address = g_strndup (rest, strcspn (rest, "/"));
+  struct httpclient_request request = { .address = address,
+                                        .method = method,
+                                        .path = rest + strlen (address),
+                                        .body = body,
+                                        .body_size = size };
+
+  if (!client.loop)
+    httpclient_init (&client, uv_default_loop (), FETCH_TIMEOUT_MS);
   task->done = done;
   task->data = data;
   task->answer = g_byte_array_new ();
-  if (h2o_url_parse (url, strlen (url), &parsed) != 0)
-    {
-      server_after (0, fetch_refuse, task);
-      return;
-    }
-  task->body = g_memdup2 (body, size);
-  task->head = g_strdup_printf (
-      "%s %.*s HTTP/1.1\r\nhost: %.*s\r\nconnection: close\r\n"
-      "content-length: %zu\r\n\r\n",
-      method, (int)parsed.path.len, parsed.path.base,
-      (int)parsed.authority.len, parsed.authority.base, size);
-  task->parts[0] = h2o_iovec_init (task->head, strlen (task->head));
-  task->parts[1] = h2o_iovec_init (task->body, size);
-  h2o_http1client_connect (NULL, task, client_context (), parsed.host,
-                           h2o_url_get_port (&parsed), 0, on_connect);
+  httpclient_call (&client, &request, &ops, task);
+  g_free (address);
 }
--- a/test/standin-hosts.c
+++ b/test/standin-hosts.c
@@ -41,27 +41,20 @@
     server_after ((uint64_t)lag_ms, hosts_show, hosts);
   else
     hosts_show (hosts);
-  http_json (call->req, 200, json_object_new_object ());
+  http_ok (call->req);
 }
 
-static bool
-handle (const struct call *call)
+static void
+hosts_list (const struct call *call)
 {
-  struct json_object *reply;
-
-  if (call_is (call, "POST", "/control/hosts"))
-    {
-      hosts_set (call);
-      return true;
-    }
-  if (!call_is (call, "GET", "/v1/hosts"))
-    return false;
-  reply = json_object_new_object ();
-  json_object_object_add (reply, "hosts", json_object_get (visible));
-  http_json (call->req, 200, reply);
-  return true;
+  json_object_get (visible);
+  http_json (call->req, 200, json_put (NULL, "hosts", 'o', visible, NULL));
 }
 
+static const struct route routes[] = { { "POST", "/control/hosts", hosts_set },
+                                       { "GET", "/v1/hosts", hosts_list },
+                                       { 0 } };
+
 const struct role role_hosts = {
-  .name = "hosts", .options = options, .start = start, .handle = handle
+  .name = "hosts", .options = options, .routes = routes, .start = start
 };
--- a/test/standin-http.c
+++ b/test/standin-http.c
@@ -1,5 +1,6 @@
 #include "standin-http.h"
 
+#include <stdarg.h>
 #include <string.h>
 #include <sys/resource.h>
 
@@ -22,6 +23,7 @@
   h2o_context_t context;
   h2o_accept_ctx_t accept;
   GHashTable *faults;   /* name to value */
+  GHashTable *calls;    /* path of the route to count */
   uint64_t silent_upto; /* connections with ids up to this are silent */
 } server;
 
@@ -101,13 +103,22 @@
   {
     fault_set (key, json_object_get_int64 (value));
   }
-  http_json (call->req, 200, json_object_new_object ());
+  http_ok (call->req);
 }
 
 static bool
-connection_silent (const h2o_req_t *req)
+is_control (const h2o_req_t *req)
 {
-  return req->conn->id <= server.silent_upto;
+  static const char prefix[] = "/control/";
+  size_t size = sizeof prefix - 1;
+
+  return req->path.len >= size && memcmp (req->path.base, prefix, size) == 0;
+}
+
+static bool
+is_silent (const h2o_req_t *req)
+{
+  return req->conn->id <= server.silent_upto && !is_control (req);
 }
 
 /* Requests */
@@ -177,59 +188,96 @@
 static void
 stats_reply (const struct call *call)
 {
-  struct json_object *object = json_object_new_object ();
-
-  if (server.role->stats)
-    server.role->stats (object);
+  struct json_object *calls = json_object_new_object ();
+  struct json_object *object = json_put (NULL, "calls", 'o', calls, NULL);
+  const struct counter *counter = server.role->counters;
+  GHashTableIter iter;
+  void *path, *count;
+
+  g_hash_table_iter_init (&iter, server.calls);
+  while (g_hash_table_iter_next (&iter, &path, &count))
+    json_put (calls, (char *)path, 'i', (int64_t)(uintptr_t)count, NULL);
+  for (; counter && counter->name; counter++)
+    json_put (object, counter->name, 'i', *counter->value, NULL);
   http_json (call->req, 200, object);
 }
 
+static const struct route control_routes[]
+    = { { "POST", "/control/faults", faults_switch },
+        { "GET", "/control/stats", stats_reply },
+        { 0 } };
+
+static bool
+route_matches (const struct route *route, const struct call *call)
+{
+  bool is_prefix = g_str_has_suffix (route->path, "/");
+
+  if (route->method && strcmp (route->method, call->method) != 0)
+    return false;
+  if (is_prefix && !is_control (call->req))
+    return g_str_has_prefix (call->path, route->path);
+  return strcmp (route->path, call->path) == 0;
+}
+
 static void
-call_run (void *data)
+route_run (const struct route *route, const struct call *call)
 {
-  struct call call;
+  uintptr_t count = (uintptr_t)g_hash_table_lookup (server.calls, route->path);
 
-  call_init (&call, data);
-  if (!server.role->handle (&call))
-    http_code (call.req, 404, "not_found");
+  g_hash_table_insert (server.calls, (void *)route->path, (void *)(count + 1));
+  if (!call->body && route->method && strcmp (route->method, "POST") == 0)
+    http_code (call->req, 400, "malformed");
+  else if (!server.role->admit || is_control (call->req)
+           || server.role->admit (call))
+    route->handle (call);
 }
 
 static bool
-control_run (h2o_req_t *req)
+routes_run (const struct route *route, const struct call *call)
+{
+  for (; route->path; route++)
+    if (route_matches (route, call))
+      {
+        route_run (route, call);
+        return true;
+      }
+  return false;
+}
+
+static void
+call_run (void *data)
 {
   struct call call;
 
-  call_init (&call, req);
-  if (call_is (&call, "POST", "/control/faults") && call.body)
-    faults_switch (&call);
-  else if (call_is (&call, "GET", "/control/stats"))
-    stats_reply (&call);
-  else
-    return false;
-  return true;
+  call_init (&call, data);
+  if (!routes_run (control_routes, &call)
+      && !routes_run (server.role->routes, &call))
+    http_code (call.req, 404, "not_found");
 }
 
-static int
-on_request (h2o_handler_t *handler, h2o_req_t *req)
+/* @return whether a fault decided what becomes of REQ. */
+static bool
+fault_run (h2o_req_t *req)
 {
-  static const char control[] = "/control/";
-  size_t size = sizeof control - 1;
   int64_t slow_ms = fault_value ("slow_ms");
 
-  if (req->path.len >= size && memcmp (req->path.base, control, size) == 0)
-    {
-      if (!control_run (req))
-        call_run (req);
-    }
-  else if (connection_silent (req))
-    ; /* h2o reads no further until an answer, which never comes. */
-  else if (fault_value ("refuse"))
+  if (is_silent (req))
+    return true; /* h2o reads no further until an answer. */
+  if (fault_value ("refuse"))
     http_drop (req);
   else if (fault_value ("outage"))
     http_code (req, 503, "unavailable");
   else if (slow_ms > 0)
     server_after ((uint64_t)slow_ms, call_run, req);
   else
+    return false;
+  return true;
+}
+
+static int
+on_request (h2o_handler_t *handler, h2o_req_t *req)
+{
+  if (is_control (req) || !fault_run (req))
     call_run (req);
   return 0;
 }
@@ -303,6 +351,7 @@
   server.loop = uv_default_loop ();
   server.faults
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  server.calls = g_hash_table_new (g_str_hash, g_str_equal);
   server_configure ();
   port = server_listen (address, port);
   if (port < 0)
@@ -389,28 +438,43 @@
   return value;
 }
 
-void
-json_put_string (struct json_object *object, const char *key,
-                 const char *value)
+/* The next argument as a JSON value of TYPE. */
+static struct json_object *
+json_argument (char type, va_list *arguments)
 {
-  json_object_object_add (object, key,
-                          value ? json_object_new_string (value) : NULL);
+  switch (type)
+    {
+    case 's':
+      return json_object_new_string (va_arg (*arguments, const char *));
+    case 'i':
+      return json_object_new_int64 (va_arg (*arguments, int64_t));
+    case 'b':
+      return json_object_new_boolean (va_arg (*arguments, int));
+    default:
+      return va_arg (*arguments, struct json_object *);
+    }
 }
 
-void
-json_put_int (struct json_object *object, const char *key, int64_t value)
+struct json_object *
+json_put (struct json_object *object, ...)
 {
-  json_object_object_add (object, key, json_object_new_int64 (value));
-}
+  va_list arguments;
+  const char *key;
 
-/* Calls and answers */
+  object = object ? object : json_object_new_object ();
+  va_start (arguments, object);
+  while ((key = va_arg (arguments, const char *)) != NULL)
+    {
+      char type = (char)va_arg (arguments, int);
 
-bool
-call_is (const struct call *call, const char *method, const char *path)
-{
-  return strcmp (call->method, method) == 0 && strcmp (call->path, path) == 0;
+      json_object_object_add (object, key, json_argument (type, &arguments));
+    }
+  va_end (arguments);
+  return object;
 }
 
+/* Calls and answers */
+
 int64_t
 call_query_int (const struct call *call, const char *key, int64_t otherwise)
 {
@@ -465,7 +529,7 @@
   static h2o_generator_t generator = { NULL, NULL };
   h2o_iovec_t part;
 
-  if (connection_silent (req))
+  if (is_silent (req))
     return;
   req->res.status = status;
   req->res.reason = status_reason (status);
@@ -491,12 +555,15 @@
 }
 
 void
-http_code (h2o_req_t *req, int status, const char *code)
+http_ok (h2o_req_t *req)
 {
-  struct json_object *object = json_object_new_object ();
+  http_json (req, 200, json_object_new_object ());
+}
 
-  json_put_string (object, "code", code);
-  http_json (req, status, object);
+void
+http_code (h2o_req_t *req, int status, const char *code)
+{
+  http_json (req, status, json_put (NULL, "code", 's', code, NULL));
 }
 
 void
@@ -580,7 +647,7 @@
   GString *free_buffer = stream->flying;
   h2o_iovec_t part;
 
-  if (stream->busy || !stream->req || connection_silent (stream->req))
+  if (stream->busy || !stream->req || is_silent (stream->req))
     return;
   stream->flying = stream->pending;
   stream->pending = free_buffer;
--- a/test/standin-http.h
+++ b/test/standin-http.h
@@ -13,7 +13,7 @@
  *
  * Every role answers these besides its own paths:
  *   POST /control/faults {"NAME": NUMBER or true/false, ...}; 0 switches off
- *   GET /control/stats
+ *   GET /control/stats: the calls by path and the role's counters
  * and has these faults:
  *   outage   1: every call is answered 503
  *   refuse   1: connections are closed at their next request, unanswered
@@ -32,17 +32,33 @@
   struct json_object *body; /**< NULL if the body is no JSON object */
 };
 
+/** Which function answers what. */
+struct route
+{
+  const char *method; /**< NULL: any */
+  const char *path;   /**< a prefix if it ends with a slash */
+  void (*handle) (const struct call *call);
+};
+
+/** A number that GET /control/stats shows. */
+struct counter
+{
+  const char *name;
+  const int64_t *value;
+};
+
+/** Arrays end with an empty element; a role may leave out any but ROUTES. */
 struct role
 {
   const char *name;
-  const char *const *faults; /**< names, ends with NULL */
+  const char *const *faults; /**< names besides the common ones */
   const GOptionEntry *options;
-  /** Called once, before the first request; may be NULL. */
+  const struct counter *counters;
+  const struct route *routes; /**< A POST gets here with a JSON object. */
+  /** Called once, before the first request. */
   void (*start) (void);
-  /** @return false if the role has no such path. */
-  bool (*handle) (const struct call *call);
-  /** Add to OBJECT what GET /control/stats answers; may be NULL. */
-  void (*stats) (struct json_object *object);
+  /** Called before a route: false if it has refused the call itself. */
+  bool (*admit) (const struct call *call);
 };
 
 extern const struct role role_kv, role_engine, role_store, role_weights,
@@ -76,11 +92,11 @@
                   int64_t otherwise);
 /** The array KEY, or NULL. */
 struct json_object *json_array (struct json_object *object, const char *key);
-void json_put_string (struct json_object *object, const char *key,
-                      const char *value);
-void json_put_int (struct json_object *object, const char *key, int64_t value);
+/** Add to OBJECT, or to a new one if it is NULL, groups of three up to a NULL
+ * key: key, type, value. Types: 's' string, 'i' int64_t, 'b' int as boolean,
+ * 'o' JSON value, which is taken over. @return the object. */
+struct json_object *json_put (struct json_object *object, ...);
 
-bool call_is (const struct call *call, const char *method, const char *path);
 int64_t call_query_int (const struct call *call, const char *key,
                         int64_t otherwise);
 /** A request header, or NULL. */
@@ -92,6 +108,8 @@
                  const void *body, size_t size);
 /** Answer with OBJECT, which is used up. */
 void http_json (h2o_req_t *req, int status, struct json_object *object);
+/** Answer with an empty object. */
+void http_ok (h2o_req_t *req);
 /** Answer with {"code": CODE}. */
 void http_code (h2o_req_t *req, int status, const char *code);
 /** Close the connection without an answer. */
--- a/test/standin-kv.c
+++ b/test/standin-kv.c
@@ -17,14 +17,9 @@
 
 enum
 {
-  EXPIRY_MS = 5, /* how often leases are checked */
-  KIND_COUNT = 7
+  EXPIRY_MS = 5 /* how often leases are checked */
 };
 
-static const char *const kinds[KIND_COUNT]
-    = { "get",         "range",           "txn",         "watch",
-        "lease/grant", "lease/keepalive", "lease/revoke" };
-
 struct entry
 {
   char *value;
@@ -52,25 +47,20 @@
   GTree *entries;     /* key to struct entry */
   GHashTable *leases; /* id to struct lease */
   struct list watches;
-  int waiting;
+  int64_t waiting;
   uint64_t revision;
   uint64_t checked; /* the revision up to which watches were answered */
   uint64_t last_lease;
-  uint64_t calls[KIND_COUNT];
-  uint64_t limited;
+  int64_t limited;
   double allowance; /* calls */
-  double write_allowance;
   int64_t refilled; /* ns */
 } self;
 
 static int rate;
-static int write_rate;
 
 static const GOptionEntry options[] = {
   { "rate", 0, 0, G_OPTION_ARG_INT, &rate,
     "Calls a second, with a burst of one second; 0: unlimited", "N" },
-  { "write-rate", 0, 0, G_OPTION_ARG_INT, &write_rate,
-    "Transactions a second besides; 0: unlimited", "N" },
   { 0 },
 };
 
@@ -103,22 +93,16 @@
 static struct json_object *
 reply_new (void)
 {
-  struct json_object *object = json_object_new_object ();
-
-  json_put_int (object, "revision", (int64_t)self.revision);
-  return object;
+  return json_put (NULL, "revision", 'i', (int64_t)self.revision, NULL);
 }
 
 static void
 items_add (struct json_object *items, const char *key,
            const struct entry *entry)
 {
-  struct json_object *item = json_object_new_object ();
-
-  json_put_string (item, "key", key);
-  json_put_string (item, "value", entry->value);
-  json_put_int (item, "revision", (int64_t)entry->revision);
-  json_object_array_add (items, item);
+  json_object_array_add (items, json_put (NULL, "key", 's', key, "value", 's',
+                                          entry->value, "revision", 'i',
+                                          (int64_t)entry->revision, NULL));
 }
 
 /* The keys with PREFIX that were written after the revision AFTER. */
@@ -144,10 +128,7 @@
 static void
 items_reply (h2o_req_t *req, struct json_object *items)
 {
-  struct json_object *reply = reply_new ();
-
-  json_object_object_add (reply, "items", items);
-  http_json (req, 200, reply);
+  http_json (req, 200, json_put (reply_new (), "items", 'o', items, NULL));
 }
 
 /* Watches */
@@ -212,30 +193,23 @@
 
 /* Leases */
 
-static gboolean
-lease_key_collect (void *key, void *value, void *data)
-{
-  const struct entry *entry = value;
-  GPtrArray *keys = ((void **)data)[0];
-
-  if (entry->lease == *(uint64_t *)((void **)data)[1])
-    g_ptr_array_add (keys, g_strdup (key));
-  return FALSE;
-}
-
 static void
 lease_end (uint64_t id)
 {
-  GPtrArray *keys = g_ptr_array_new_with_free_func (g_free);
-  void *data[] = { keys, &id };
+  GTreeNode *node = g_tree_node_first (self.entries);
+  bool removed = false;
 
   g_hash_table_remove (self.leases, &id);
-  g_tree_foreach (self.entries, lease_key_collect, data);
-  if (keys->len > 0)
-    self.revision++;
-  for (guint i = 0; i < keys->len; i++)
-    g_tree_remove (self.entries, keys->pdata[i]);
-  g_ptr_array_free (keys, TRUE);
+  while (node)
+    {
+      const struct entry *entry = g_tree_node_value (node);
+      const char *key = g_tree_node_key (node);
+
+      node = g_tree_node_next (node);
+      if (entry->lease == id)
+        removed |= g_tree_remove (self.entries, key);
+    }
+  self.revision += removed;
 }
 
 static void
@@ -263,15 +237,14 @@
 static void
 lease_grant (const struct call *call)
 {
-  struct json_object *reply = reply_new ();
   struct lease *lease = g_new0 (struct lease, 1);
   uint64_t id = ++self.last_lease;
 
   lease->ttl_ns = json_int (call->body, "ttl_ms", 0) * NS_PER_MS;
   lease->until = server_now () + lease->ttl_ns;
   g_hash_table_insert (self.leases, g_memdup2 (&id, sizeof id), lease);
-  json_put_int (reply, "lease", (int64_t)id);
-  http_json (call->req, 200, reply);
+  http_json (call->req, 200,
+             json_put (reply_new (), "lease", 'i', (int64_t)id, NULL));
 }
 
 static void
@@ -408,34 +381,22 @@
                items_under (json_string (call->body, "prefix", ""), 0));
 }
 
-static void (*const handlers[KIND_COUNT]) (const struct call *)
-    = { get_handle,  range_handle,    txn_handle,  watch_handle,
-        lease_grant, lease_keepalive, lease_revoke };
-
-/* Rate */
-
-static double
-refill (double allowance, double per_s, double seconds)
-{
-  return MIN (MAX (per_s, 1), allowance + MAX (per_s, 0) * seconds);
-}
-
 static bool
-rate_take (bool is_txn)
+admit (const struct call *call)
 {
   int64_t now = server_now ();
   double seconds = (double)(now - self.refilled) / NS_PER_S;
+  double refill = (double)MAX (rate - self.waiting, 0) * seconds;
 
   self.refilled = now;
-  self.allowance = refill (self.allowance, rate - self.waiting, seconds);
-  self.write_allowance = refill (self.write_allowance, write_rate, seconds);
+  self.allowance = MIN (rate, self.allowance + refill);
   if (rate && self.allowance < 1)
-    return false;
-  if (is_txn && write_rate && self.write_allowance < 1)
-    return false;
+    {
+      self.limited++;
+      http_code (call->req, 429, "rate");
+      return false;
+    }
   self.allowance--;
-  if (is_txn)
-    self.write_allowance--;
   return true;
 }
 
@@ -456,54 +417,27 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   list_init (&self.watches);
   self.allowance = rate;
-  self.write_allowance = write_rate;
   self.refilled = server_now ();
   server_every (EXPIRY_MS, on_expiry, NULL);
 }
 
-static bool
-handle (const struct call *call)
-{
-  static const char prefix[] = "/v1/kv/";
-
-  if (!g_str_has_prefix (call->path, prefix))
-    return false;
-  for (size_t i = 0; i < KIND_COUNT; i++)
-    {
-      if (strcmp (call->path + sizeof prefix - 1, kinds[i]) != 0)
-        continue;
-      self.calls[i]++;
-      if (!call->body)
-        http_code (call->req, 400, "malformed");
-      else if (!rate_take (handlers[i] == txn_handle))
-        {
-          self.limited++;
-          http_code (call->req, 429, "rate");
-        }
-      else
-        handlers[i](call);
-      return true;
-    }
-  return false;
-}
+static const struct route routes[]
+    = { { "POST", "/v1/kv/get", get_handle },
+        { "POST", "/v1/kv/range", range_handle },
+        { "POST", "/v1/kv/txn", txn_handle },
+        { "POST", "/v1/kv/lease/grant", lease_grant },
+        { "POST", "/v1/kv/lease/keepalive", lease_keepalive },
+        { "POST", "/v1/kv/lease/revoke", lease_revoke },
+        { "POST", "/v1/kv/watch", watch_handle },
+        { 0 } };
 
-static void
-stats (struct json_object *object)
-{
-  struct json_object *calls = json_object_new_object ();
-
-  for (size_t i = 0; i < KIND_COUNT; i++)
-    json_put_int (calls, kinds[i], (int64_t)self.calls[i]);
-  json_object_object_add (object, "calls", calls);
-  json_put_int (object, "limited", (int64_t)self.limited);
-  json_put_int (object, "waiting", self.waiting);
-  json_put_int (object, "revision", (int64_t)self.revision);
-  json_put_int (object, "keys", g_tree_nnodes (self.entries));
-}
+static const struct counter counters[]
+    = { { "limited", &self.limited }, { "waiting", &self.waiting }, { 0 } };
 
 const struct role role_kv = { .name = "kv",
                               .faults = faults,
                               .options = options,
+                              .routes = routes,
+                              .counters = counters,
                               .start = start,
-                              .handle = handle,
-                              .stats = stats };
+                              .admit = admit };
--- a/test/standin-run.c
+++ b/test/standin-run.c
@@ -49,14 +49,10 @@
   struct list prefill;
   struct list decode;
   GQueue finished;
-  int running;
-  int queued_count;
   int64_t prefill_at; /* ns, up to which prefill is done */
   int64_t step_at;    /* ns of the next decode step */
   int64_t wake_at;    /* ns; CLOCK_NEVER if no wake is due */
   int64_t anonymous;
-  int64_t started, completed, cancelled, repeated, resumed, late_lost;
-  int64_t cached_tokens, imported_tokens, computed_tokens, wrong_bytes;
 } self;
 
 static void runs_advance (int64_t now);
@@ -231,9 +227,7 @@
 static void
 run_answer_whole (struct run *run)
 {
-  struct json_object *reply = json_object_new_object ();
   struct json_object *choices = json_object_new_array ();
-  struct json_object *choice = json_object_new_object ();
   GString *text = g_string_new (NULL);
 
   for (int64_t i = 0; i < run->total; i++)
@@ -242,14 +236,12 @@
       append_number (text, i);
       g_string_append_c (text, ' ');
     }
-  json_put_int (choice, "index", 0);
-  json_put_string (choice, "text", text->str);
-  json_put_string (choice, "finish_reason", "length");
-  json_object_array_add (choices, choice);
-  json_put_string (reply, "id", run->id);
-  json_object_object_add (reply, "choices", choices);
+  json_object_array_add (choices, json_put (NULL, "index", 'i', (int64_t)0,
+                                            "text", 's', text->str, NULL));
   run_headers (run, run->waiting);
-  http_json (run->waiting, 200, reply);
+  http_json (
+      run->waiting, 200,
+      json_put (NULL, "id", 's', run->id, "choices", 'o', choices, NULL));
   run->waiting = NULL;
   g_string_free (text, TRUE);
 }
@@ -292,9 +284,9 @@
 {
   list_remove (&run->node);
   if (run->cancelled)
-    self.cancelled++;
+    engine_stats.cancelled++;
   else
-    self.completed++;
+    engine_stats.completed++;
   if (run->waiting && run->cancelled)
     {
       http_code (run->waiting, 503, "cancelled");
@@ -310,7 +302,7 @@
 static void
 run_finish_running (struct run *run)
 {
-  self.running--;
+  engine_stats.running--;
   run_finish (run);
 }
 
@@ -374,9 +366,9 @@
   int64_t now = server_now ();
   int64_t piece = engine_settings.piece_tokens;
 
-  self.cached_tokens += run->cached * piece;
-  self.imported_tokens += run->imported * piece;
-  self.computed_tokens += computed_tokens (run);
+  engine_stats.cached_tokens += run->cached * piece;
+  engine_stats.imported_tokens += run->imported * piece;
+  engine_stats.computed_tokens += computed_tokens (run);
   run->prefill_left = (double)computed_tokens (run);
   list_remove (&run->node);
   if (list_empty (&self.prefill))
@@ -416,7 +408,7 @@
   uint8_t *bytes = block_bytes (block, &size);
 
   if (size != reply->size || memcmp (bytes, reply->body, size) != 0)
-    self.wrong_bytes++;
+    engine_stats.wrong_bytes++;
   g_free (bytes);
 }
 
@@ -488,8 +480,8 @@
 
   list_remove (&run->node);
   list_append (&self.starting, &run->node);
-  self.running++;
-  self.started++;
+  engine_stats.running++;
+  engine_stats.started++;
   while ((block = run_block (run, (size_t)run->cached)) != NULL
          && cache_touch (block, run->version))
     run->cached++;
@@ -591,9 +583,10 @@
 static void
 queue_advance (void)
 {
-  while (!list_empty (&self.queued) && self.running < engine_settings.slots)
+  while (!list_empty (&self.queued)
+         && engine_stats.running < engine_settings.slots)
     {
-      self.queued_count--;
+      engine_stats.queued--;
       run_begin (LIST_ENTRY (self.queued.next, struct run, node));
     }
 }
@@ -702,7 +695,7 @@
       return;
     }
   if (fault_value ("leaving") || fault_value ("full")
-      || self.queued_count >= engine_settings.queue)
+      || engine_stats.queued >= engine_settings.queue)
     {
       refuse_not_run (call);
       g_free (prompt);
@@ -719,10 +712,10 @@
       return;
     }
   if (g_hash_table_contains (self.by_id, run->id))
-    self.repeated++;
+    engine_stats.repeated++;
   g_hash_table_replace (self.by_id, run->id, run);
   list_by_priority (&self.queued, run);
-  self.queued_count++;
+  engine_stats.queued++;
   runs_advance (server_now ());
 }
 
@@ -743,7 +736,7 @@
       http_code (call->req, 404, "unknown_request");
       return;
     }
-  self.resumed++;
+  engine_stats.resumed++;
   run->cut_at = 0;
   run_headers (run, call->req);
   run_stream (run, call->req, json_int (call->body, "from", 0));
@@ -769,22 +762,21 @@
         run_finish_running (run);
       else
         {
-          self.queued_count--;
+          engine_stats.queued--;
           if (run->waiting)
             http_header (run->waiting, "x-not-run", "1");
           run_finish (run);
         }
       runs_advance (server_now ());
     }
-  http_json (call->req, 200, json_object_new_object ());
+  http_ok (call->req);
 }
 
-struct run_load
-runs_load (void)
+int64_t
+runs_queued_tokens (void)
 {
-  struct run_load load
-      = { .running = self.running, .queued = self.queued_count };
   const struct list *heads[] = { &self.queued, &self.starting, &self.prefill };
+  int64_t tokens = 0;
 
   for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
     for (struct list *node = heads[i]->next; node != heads[i];
@@ -792,25 +784,8 @@
       {
         const struct run *run = LIST_ENTRY (node, struct run, node);
 
-        load.queued_tokens += heads[i] == &self.prefill
-                                  ? (int64_t)run->prefill_left
-                                  : run->prompt_tokens;
+        tokens += heads[i] == &self.prefill ? (int64_t)run->prefill_left
+                                            : run->prompt_tokens;
       }
-  return load;
-}
-
-void
-runs_stats (struct json_object *object)
-{
-  json_put_int (object, "running", self.running);
-  json_put_int (object, "queued", self.queued_count);
-  json_put_int (object, "started", self.started);
-  json_put_int (object, "completed", self.completed);
-  json_put_int (object, "cancelled", self.cancelled);
-  json_put_int (object, "repeated", self.repeated);
-  json_put_int (object, "resumed", self.resumed);
-  json_put_int (object, "cached_tokens", self.cached_tokens);
-  json_put_int (object, "imported_tokens", self.imported_tokens);
-  json_put_int (object, "computed_tokens", self.computed_tokens);
-  json_put_int (object, "wrong_bytes", self.wrong_bytes);
+  return tokens;
 }
--- a/test/standin-service.c
+++ b/test/standin-service.c
@@ -1,5 +1,4 @@
 #include "standin-http.h"
-#include "clock.h"
 
 #include <string.h>
 
@@ -54,17 +53,12 @@
 run_answer (void *data)
 {
   struct run *run = data;
-  struct json_object *reply = json_object_new_object ();
-
-  json_put_int (reply, "run", run->number);
-  json_put_string (reply, "path", run->path);
   if (fault_take ("drop_after_effect"))
-    {
-      json_object_put (reply);
-      http_drop (run->req);
-    }
+    http_drop (run->req);
   else
-    http_json (run->req, 200, reply);
+    http_json (run->req, 200,
+               json_put (NULL, "run", 'i', run->number, "path", 's', run->path,
+                         NULL));
   g_free (run->path);
   g_free (run);
 }
@@ -72,29 +66,20 @@
 static void
 counts_reply (const struct call *call)
 {
-  struct json_object *reply = json_object_new_object ();
-
-  json_object_object_add (reply, "keys", json_object_get (keys));
-  json_put_int (reply, "total", total);
-  http_json (call->req, 200, reply);
+  json_object_get (keys);
+  http_json (call->req, 200,
+             json_put (NULL, "keys", 'o', keys, "total", 'i', total, NULL));
 }
 
-static bool
-handle (const struct call *call)
+static void
+run_handle (const struct call *call)
 {
   const char *key = call_header (call, "idempotency-key");
   struct run *run;
 
-  if (call_is (call, "GET", "/control/counts"))
-    {
-      counts_reply (call);
-      return true;
-    }
-  if (g_str_has_prefix (call->path, "/control/"))
-    return false;
   total++;
   if (key)
-    json_put_int (keys, key, json_int (keys, key, 0) + 1);
+    json_put (keys, key, 'i', json_int (keys, key, 0) + 1, NULL);
   if (is_crash (call))
     abort ();
   run = g_new0 (struct run, 1);
@@ -105,18 +90,14 @@
     server_after ((uint64_t)delay_ms, run_answer, run);
   else
     run_answer (run);
-  return true;
 }
 
-static void
-stats (struct json_object *object)
-{
-  json_put_int (object, "total", total);
-}
+static const struct route routes[] = {
+  { "GET", "/control/counts", counts_reply }, { NULL, "/", run_handle }, { 0 }
+};
 
 const struct role role_service = { .name = "service",
                                    .faults = faults,
                                    .options = options,
-                                   .start = start,
-                                   .handle = handle,
-                                   .stats = stats };
+                                   .routes = routes,
+                                   .start = start };
--- a/test/standin-store.c
+++ b/test/standin-store.c
@@ -110,7 +110,6 @@
 {
   int64_t length = json_int (call->body, "length", -1);
   bool disk = strcmp (json_string (call->body, "tier", ""), "disk") == 0;
-  struct json_object *reply;
   struct slot *slot;
 
   if (length < 0)
@@ -128,10 +127,9 @@
   slot->info = json_object_get (call->body);
   slot->length = length;
   slot->disk = disk;
-  reply = json_object_new_object ();
-  json_put_int (reply, "slot", slot->number);
-  json_put_int (reply, "generation", slot->generation);
-  http_json (call->req, 200, reply);
+  http_json (call->req, 200,
+             json_put (NULL, "slot", 'i', slot->number, "generation", 'i',
+                       slot->generation, NULL));
 }
 
 /* The slot that the path names, if its generation is still that one. */
@@ -197,15 +195,14 @@
 static void
 slot_seal (struct slot *slot, h2o_req_t *req)
 {
-  struct json_object *reply = json_object_new_object ();
-
+  g_byte_array_set_size (slot->bytes, 0);
   g_byte_array_append (slot->bytes, (guint8 *)req->entity.base,
                        (guint)req->entity.len);
   checksum_write (slot->checksum, slot->bytes->data, slot->bytes->len);
   slot->sealed = slot->bytes->len == slot->length;
-  json_put_int (reply, "length", slot->bytes->len);
-  json_put_string (reply, "checksum", slot->checksum);
-  http_json (req, 200, reply);
+  http_json (req, 200,
+             json_put (NULL, "length", 'i', (int64_t)slot->bytes->len,
+                       "checksum", 's', slot->checksum, NULL));
 }
 
 static void
@@ -229,10 +226,7 @@
       http_drop (req);
     }
   else
-    {
-      g_byte_array_set_size (slot->bytes, 0);
-      slot_seal (slot, req);
-    }
+    slot_seal (slot, req);
   transfer_free (transfer);
 }
 
@@ -287,46 +281,39 @@
       = { "block", "organisation", "model", "version", "adapter" };
   struct json_object *object = json_object_new_object ();
 
-  json_put_int (object, "slot", slot->number);
-  json_put_int (object, "generation", slot->generation);
   for (size_t i = 0; i < G_N_ELEMENTS (copied); i++)
-    json_put_string (object, copied[i],
-                     json_string (slot->info, copied[i], ""));
-  json_put_int (object, "index", json_int (slot->info, "index", 0));
-  json_put_int (object, "length", slot->length);
-  json_put_string (object, "checksum", slot->sealed ? slot->checksum : "");
-  json_put_string (object, "tier", slot->disk ? "disk" : "memory");
-  json_object_object_add (object, "sealed",
-                          json_object_new_boolean (slot->sealed));
-  return object;
+    json_put (object, copied[i], 's', json_string (slot->info, copied[i], ""),
+              NULL);
+  return json_put (
+      object, "slot", 'i', slot->number, "generation", 'i', slot->generation,
+      "index", 'i', json_int (slot->info, "index", 0), "length", 'i',
+      slot->length, "checksum", 's', slot->sealed ? slot->checksum : "",
+      "tier", 's', slot->disk ? "disk" : "memory", "sealed", 'b', slot->sealed,
+      NULL);
 }
 
 /* Slots are numbered from 1, so "after" is 0 or missing for the first page. */
 static void
 blocks_list (const struct call *call)
 {
-  struct json_object *reply = json_object_new_object ();
   struct json_object *blocks = json_object_new_array ();
   int64_t i = call_query_int (call, "after", 0);
 
   for (; i < slots->len && json_object_array_length (blocks) < PAGE; i++)
     if (((struct slot *)slots->pdata[i])->info)
       json_object_array_add (blocks, slot_describe (slots->pdata[i]));
-  json_object_object_add (reply, "blocks", blocks);
-  json_object_object_add (reply, "more",
-                          json_object_new_boolean (i < slots->len));
-  http_json (call->req, 200, reply);
+  http_json (call->req, 200,
+             json_put (NULL, "blocks", 'o', blocks, "more", 'b',
+                       i < slots->len, NULL));
 }
 
 static void
 status_reply (const struct call *call)
 {
-  struct json_object *reply = json_object_new_object ();
-
-  json_put_int (reply, "memory_free", memory_bytes);
-  json_put_int (reply, "disk_free", disk_bytes);
-  json_put_int (reply, "link_bytes_per_s", link_speed ());
-  http_json (call->req, 200, reply);
+  http_json (call->req, 200,
+             json_put (NULL, "memory_free", 'i', memory_bytes, "disk_free",
+                       'i', disk_bytes, "link_bytes_per_s", 'i', link_speed (),
+                       NULL));
 }
 
 static void
@@ -341,13 +328,6 @@
   link_carry (call->req->entity.len, on_written, transfer_new (call));
 }
 
-struct route
-{
-  const char *method;
-  const char *path; /* a prefix */
-  void (*handle) (const struct call *call);
-};
-
 static const struct route routes[] = {
   { "POST", "/v1/slots", slot_reserve },
   { "GET", "/v1/blocks", blocks_list },
@@ -355,33 +335,18 @@
   { "PUT", "/v1/slots/", slot_write },
   { "GET", "/v1/slots/", slot_read },
   { "DELETE", "/v1/slots/", slot_delete },
+  { 0 },
 };
 
-static bool
-handle (const struct call *call)
-{
-  for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
-    if (strcmp (call->method, routes[i].method) == 0
-        && g_str_has_prefix (call->path, routes[i].path))
-      {
-        routes[i].handle (call);
-        return true;
-      }
-  return false;
-}
-
-static void
-stats (struct json_object *object)
-{
-  json_put_int (object, "reads", reads);
-  json_put_int (object, "writes", writes);
-  json_put_int (object, "stale", stale);
-  json_put_int (object, "link_bytes", link_bytes);
-}
+static const struct counter counters[] = { { "reads", &reads },
+                                           { "writes", &writes },
+                                           { "stale", &stale },
+                                           { "link_bytes", &link_bytes },
+                                           { 0 } };
 
 const struct role role_store = { .name = "store",
                                  .faults = faults,
                                  .options = options,
-                                 .start = start,
-                                 .handle = handle,
-                                 .stats = stats };
+                                 .routes = routes,
+                                 .counters = counters,
+                                 .start = start };
--- a/test/standin-weights.c
+++ b/test/standin-weights.c
@@ -10,8 +10,8 @@
 
 static struct
 {
-  int active;
-  int max_active;
+  int64_t active;
+  int64_t max_active;
   int64_t total;
 } self;
 
@@ -25,31 +25,28 @@
 on_loaded (void *data)
 {
   self.active--;
-  http_json (data, 200, json_object_new_object ());
+  http_ok (data);
 }
 
-static bool
-handle (const struct call *call)
+static void
+weights_load (const struct call *call)
 {
-  if (!g_str_has_prefix (call->path, "/v1/weights/"))
-    return false;
+  int64_t shares = (self.active + limit) / MAX (limit, 1);
+
   self.active++;
   self.total++;
   self.max_active = MAX (self.max_active, self.active);
-  server_after ((uint64_t)load_ms
-                    * (uint64_t)((self.active + limit - 1) / MAX (limit, 1)),
-                on_loaded, call->req);
-  return true;
+  server_after ((uint64_t)(load_ms * shares), on_loaded, call->req);
 }
 
-static void
-stats (struct json_object *object)
-{
-  json_put_int (object, "active", self.active);
-  json_put_int (object, "max_active", self.max_active);
-  json_put_int (object, "total", self.total);
-}
+static const struct route routes[]
+    = { { "GET", "/v1/weights/", weights_load }, { 0 } };
+
+static const struct counter counters[] = { { "active", &self.active },
+                                           { "max_active", &self.max_active },
+                                           { "total", &self.total },
+                                           { 0 } };
 
 const struct role role_weights = {
-  .name = "weights", .options = options, .handle = handle, .stats = stats
+  .name = "weights", .options = options, .routes = routes, .counters = counters
 };
