Placement and export learn from what engines and callers show

A wrong hint cost a whole prefill. Prompts that never return were kept, since the shared first piece counted as a return and small classes leaned on all kinds. Change: exports get a share of what urgent imports leave; imports for reused pieces stand by as fallbacks while that is quicker than prefill; hints are weighed by how often engines confirm them; a return counts from half of the pieces on; classes lean on their kind; a bar on gain while the link is busy; a victim's worth is taken off the gain.

--- a/src/blockindex.c
+++ b/src/blockindex.c
@@ -140,20 +140,43 @@
 }
 
 static void
-match_entry (struct blockindex *index, const struct blockindex_query *query,
-             struct blockentry *entry, uint32_t position, int64_t now,
-             struct blockindex_match *match)
+match_entry (const struct blockindex_query *query, struct blockentry *entry,
+             uint32_t position, struct blockindex_match *match)
 {
   match_copies (entry, &match->pieces[position]);
-  if (match->pieces[position].copy_count > 0)
+  if (match->pieces[position].copy_count > 0 && match->piece_count <= position)
     match->piece_count = position + 1;
-  /* 0: known from a listing only, so the last use is not. */
-  if (entry->used_ns != 0)
-    match->idle_ns = now - entry->used_ns;
-  entry->used_ns = now;
   entry->kind = query->kind;
   entry->position = (uint16_t)position;
-  blockentry_touch (&index->entries, entry);
+}
+
+/* What many prompts share at the front says nothing about this one. */
+static int64_t
+match_idle_ns (const struct blockentry *deepest, uint32_t known, size_t count,
+               int64_t now)
+{
+  if (deepest == NULL || deepest->used_ns == 0 || known * 2 < count)
+    return -1;
+  return now - deepest->used_ns;
+}
+
+/* Later pieces first, so that the front of a prompt is the last to be
+ * evicted: without it the rest is of no use. */
+static void
+match_backwards (struct blockindex *index,
+                 const struct blockindex_query *query,
+                 struct blockentry *const *entries, size_t count, int64_t now,
+                 struct blockindex_match *match)
+{
+  for (size_t i = count; i-- > 0;)
+    {
+      match->pieces[i].copy_count = 0;
+      if (entries[i] == NULL)
+        continue;
+      match_entry (query, entries[i], (uint32_t)i, match);
+      entries[i]->used_ns = now;
+      blockentry_touch (&index->entries, entries[i]);
+    }
 }
 
 void
@@ -186,23 +209,26 @@
   int64_t now = clock_now (index->clock);
   size_t count = query->count < BLOCKINDEX_PIECES_MAX ? query->count
                                                       : BLOCKINDEX_PIECES_MAX;
+  struct blockentry *entries[BLOCKINDEX_PIECES_MAX];
+  const struct blockentry *deepest = NULL;
   struct walk walk = { .count = 0 };
+  uint32_t known = 0;
 
   match->holder_count = 0;
   match->piece_count = 0;
-  match->idle_ns = -1;
   match->read_lease_ns = index->settings.copy.read_lease_ns;
   for (size_t i = 0; i < count; i++)
     {
-      struct blockentry *entry
+      entries[i]
           = blockentry_find (&index->entries, query->scope, &query->ids[i]);
-
-      match->pieces[i].copy_count = 0;
-      if (entry == NULL)
+      if (entries[i] == NULL)
         continue;
-      walk_entry (index, &walk, entry, (uint32_t)i, now);
-      match_entry (index, query, entry, (uint32_t)i, now, match);
+      walk_entry (index, &walk, entries[i], (uint32_t)i, now);
+      deepest = entries[i];
+      known = (uint32_t)i + 1;
     }
+  match->idle_ns = match_idle_ns (deepest, known, count, now);
+  match_backwards (index, query, entries, count, now, match);
   match_holders (&walk, match);
 }
 
--- a/src/blockindex.h
+++ b/src/blockindex.h
@@ -72,8 +72,8 @@
   struct blockindex_holder holders[BLOCKINDEX_HOLDERS_MAX];
   unsigned piece_count; /**< up to the last piece with a store copy */
   struct blockindex_piece pieces[BLOCKINDEX_PIECES_MAX];
-  int64_t idle_ns;       /**< since the last request for the deepest known
-                              piece; -1: none is known */
+  int64_t idle_ns; /**< since this prompt was last seen; -1 if not known or
+                        if less than half of it is */
   int64_t read_lease_ns; /**< from the lookup on; imports end before */
 };
 
--- a/src/export.c
+++ b/src/export.c
@@ -23,6 +23,12 @@
 static const double initial_requests = 2;
 static const double initial_returns = 1;
 
+/* Weight of one block in the mean gain. */
+static const double gain_weight = 1.0 / 64;
+
+/* Stands for all organisations. */
+static const char *const any_organisation = "";
+
 static guint
 key_hash (gconstpointer key)
 {
@@ -102,6 +108,16 @@
     class->returns[bucket_of (idle_ns)] += 1;
 }
 
+static void
+observe_class (struct export *policy, const char *organisation, uint32_t kind,
+               int64_t idle_ns)
+{
+  struct export_class *class = class_make (policy, organisation, kind);
+
+  if (class != NULL)
+    class_add (policy, class, idle_ns);
+}
+
 /* Weight of the returns that came within SECONDS; even inside a bucket. */
 static double
 class_returns (const struct export_class *class, double seconds)
@@ -120,48 +136,64 @@
   return sum;
 }
 
-/* The share of requests whose prompt returned within SECONDS; a class with
- * little of its own leans on the total. */
+/* The share of CLASS whose prompt returned within SECONDS; a class with little
+ * of its own leans on PRIOR_SHARE. */
 static double
-returned_share (const struct export *policy, const struct export_class *class,
-                double seconds)
+class_share (const struct export *policy, const struct export_class *class,
+             double seconds, double prior_share)
 {
-  double total = (class_returns (&policy->total, seconds) + initial_returns)
-                 / (policy->total.requests + initial_requests);
   double prior = policy->settings.prior;
 
   if (class == NULL)
-    return fmin (total, 1);
-  return fmin ((class_returns (class, seconds) + prior * total)
+    return prior_share;
+  return fmin ((class_returns (class, seconds) + prior * prior_share)
                    / (class->requests + prior),
                1);
 }
 
+static double
+returned_share (const struct export *policy, const char *organisation,
+                uint32_t kind, double seconds)
+{
+  double share = (class_returns (&policy->total, seconds) + initial_returns)
+                 / (policy->total.requests + initial_requests);
+
+  share = class_share (policy, class_find (policy, any_organisation, kind),
+                       seconds, fmin (share, 1));
+  return class_share (policy, class_find (policy, organisation, kind), seconds,
+                      share);
+}
+
 static double
 transfer_cost (const struct export *policy, const struct export_block *block)
 {
   return (double)block->length * policy->settings.byte_price_s;
 }
 
-/* Whether something cheap enough can make room for BLOCK in TARGET. */
+/* Whether there is room for BLOCK in TARGET, or something cheap enough can
+ * make it: then LOST_S receives what is lost with the victim. */
 static bool
 target_room (struct export *policy, const struct export_block *block,
              const struct export_target *target, double value,
-             const struct copy **victim)
+             const struct copy **victim, double *lost_s)
 {
   double displaced;
 
   *victim = NULL;
+  *lost_s = 0;
   if (target->free_bytes >= block->length)
     return true;
   *victim = export_victim (policy, target->oldest, target->oldest_count,
                            block->tokens, &displaced);
-  return *victim != NULL
-         && value / (double)block->length
-                > displaced * policy->settings.evict_margin;
+  if (*victim == NULL)
+    return false;
+  *lost_s = displaced * (double)(*victim)->length;
+  return value / (double)block->length
+         > displaced * policy->settings.evict_margin;
 }
 
-/* The best of the targets that are open and have room. */
+/* The best of the targets that are open and have room; the emptiest of those
+ * that are equally good. */
 static void
 decide_target (struct export *policy, const struct export_block *block,
                const struct export_target *targets, size_t count,
@@ -175,21 +207,37 @@
       double value = export_value (policy, block, target->tier);
       double gain = value - transfer_cost (policy, block);
       const struct copy *victim;
+      double lost_s;
 
-      if (gain <= 0 || gain < decision->value_s)
+      if (gain <= 0)
         continue;
       if (decision->reason == EXPORT_WORTHLESS)
         decision->reason = EXPORT_FULL;
       if (!target->open
-          || !target_room (policy, block, target, value, &victim))
+          || !target_room (policy, block, target, value, &victim, &lost_s))
         continue;
-      if (gain <= decision->value_s && target->free_bytes <= most_free)
+      gain -= lost_s;
+      if (gain < decision->value_s
+          || (gain == decision->value_s && target->free_bytes <= most_free))
         continue;
       most_free = target->free_bytes;
       *decision = (struct export_decision){ EXPORT_KEPT, i, victim, gain };
     }
 }
 
+/* The emptier the export bucket, the more a byte must gain, up to the mean of
+ * what comes; with a full bucket any gain will do. */
+static bool
+take_link (struct export *policy, const struct export_block *block,
+           struct link *link, double gain)
+{
+  double gain_per_byte = gain / (double)block->length;
+  double bar = policy->mean_gain * (1 - link_filled (link, LINK_EXPORT));
+
+  policy->mean_gain += gain_weight * (gain_per_byte - policy->mean_gain);
+  return gain_per_byte >= bar && link_try (link, LINK_EXPORT, block->length);
+}
+
 void
 export_init (struct export *policy, const struct clock *clock,
              const struct export_settings *settings)
@@ -199,6 +247,7 @@
   policy->classes = g_hash_table_new_full (key_hash, key_equal, NULL, g_free);
   memset (&policy->total, 0, sizeof policy->total);
   policy->total.faded_ns = clock_now (clock);
+  policy->mean_gain = 0;
 }
 
 void
@@ -211,10 +260,8 @@
 export_observe (struct export *policy, const char *organisation, uint32_t kind,
                 int64_t idle_ns)
 {
-  struct export_class *class = class_make (policy, organisation, kind);
-
-  if (class != NULL)
-    class_add (policy, class, idle_ns);
+  observe_class (policy, organisation, kind, idle_ns);
+  observe_class (policy, any_organisation, kind, idle_ns);
   class_add (policy, &policy->total, idle_ns);
 }
 
@@ -222,11 +269,11 @@
 export_chance (struct export *policy, const char *organisation, uint32_t kind,
                int64_t idle_ns, int64_t horizon_ns)
 {
-  const struct export_class *class = class_find (policy, organisation, kind);
   double idle_s = (double)idle_ns / (double)NS_PER_S;
   double end_s = idle_s + (double)horizon_ns / (double)NS_PER_S;
-  double before = idle_ns > 0 ? returned_share (policy, class, idle_s) : 0;
-  double within = returned_share (policy, class, end_s) - before;
+  double before
+      = idle_ns > 0 ? returned_share (policy, organisation, kind, idle_s) : 0;
+  double within = returned_share (policy, organisation, kind, end_s) - before;
 
   if (before >= 1 || within <= 0)
     return 0;
@@ -301,8 +348,8 @@
     }
   decide_target (policy, block, targets, count, decision);
   if (decision->reason == EXPORT_KEPT
-      && !link_try (targets[decision->target].link, LINK_EXPORT,
-                    block->length))
+      && !take_link (policy, block, targets[decision->target].link,
+                     decision->value_s))
     decision->reason = EXPORT_LINK_BUSY;
 }
 
--- a/src/export.h
+++ b/src/export.h
@@ -30,9 +30,9 @@
   double byte_price_s;            /**< seconds that a link byte counts for */
   double evict_margin;            /**< A block must be worth this many times
                                        what it displaces; over 1. */
-  double prior;                   /**< Requests of its own that a class needs
-                                       to weigh as much as all together. */
-  size_t classes_max;             /**< Others use the total alone. */
+  double prior; /**< Requests of its own that a class needs to weigh as much
+                     as what is seen of its kind, and that of all. */
+  size_t classes_max; /**< Others use the total alone. */
 };
 
 extern const struct export_settings export_settings_default;
@@ -58,6 +58,7 @@
   struct export_settings settings;
   GHashTable *classes;
   struct export_class total;
+  double mean_gain; /**< seconds per byte, of what was worth keeping */
 };
 
 /** A block that is or may be kept. */
@@ -89,7 +90,7 @@
   EXPORT_HELD,      /**< A copy is there already. */
   EXPORT_WORTHLESS, /**< It would cost more than it gains. */
   EXPORT_FULL,      /**< All that could be displaced is worth more. */
-  EXPORT_LINK_BUSY, /**< No budget on the link now. */
+  EXPORT_LINK_BUSY, /**< Too little budget on the link for its gain. */
 };
 
 struct export_decision
--- a/src/link.c
+++ b/src/link.c
@@ -11,6 +11,11 @@
 #define SPEED_WHOLE 0.995
 #define TRANSFER_MIN_NS NS_PER_MS
 
+enum
+{
+  PERCENT = 100
+};
+
 static int64_t
 min_int64 (int64_t a, int64_t b)
 {
@@ -51,24 +56,44 @@
     link->rate = 1;
 }
 
+/* Pour BYTES into the bucket of PRIORITY. Return what it can't hold. */
+static int64_t
+link_pour (struct link *link, enum link_priority priority, int64_t bytes)
+{
+  int64_t part = min_int64 (bytes, link->burst - link->level[priority]);
+
+  link->level[priority] += part;
+  return bytes - part;
+}
+
+/* The exports' part of BYTES; the fraction is kept. */
+static int64_t
+link_export_part (struct link *link, int64_t bytes)
+{
+  int64_t whole = bytes / PERCENT * link->export_percent;
+  int64_t part
+      = bytes % PERCENT * link->export_percent + link->export_fraction;
+
+  link->export_fraction = part % PERCENT;
+  return whole + part / PERCENT;
+}
+
 static void
 link_refresh (struct link *link)
 {
   int64_t now = clock_now (link->clock);
   int64_t elapsed_ns = now - link->refreshed_ns;
   int64_t inflow;
+  int64_t exports;
 
   if (elapsed_ns <= 0)
     return;
-  inflow = link_inflow (link, elapsed_ns);
+  inflow = link_pour (link, LINK_URGENT, link_inflow (link, elapsed_ns));
   link->refreshed_ns = now;
-  for (int p = 0; p < LINK_PRIORITIES; p++)
-    {
-      int64_t part = min_int64 (inflow, link->burst - link->level[p]);
-
-      link->level[p] += part;
-      inflow -= part;
-    }
+  exports = link_export_part (link, inflow);
+  inflow = link_pour (link, LINK_IMPORT, inflow - exports);
+  exports = link_pour (link, LINK_EXPORT, exports + inflow);
+  link_pour (link, LINK_IMPORT, exports);
   if (link->speed < 1.0)
     {
       link_recover (link, elapsed_ns);
@@ -76,29 +101,40 @@
     }
 }
 
-/* Bytes that are taken at priorities above PRIORITY and not yet paid. */
+/* Bytes of urgent imports that are taken and not yet paid. */
 static int64_t
 link_debt_above (const struct link *link, enum link_priority priority)
 {
-  int64_t debt = 0;
+  int64_t debt = -link->level[LINK_URGENT];
+
+  return priority != LINK_URGENT && debt > 0 ? debt : 0;
+}
+
+/* The part of the inflow that a bucket in debt gets. */
+static double
+link_share (const struct link *link, enum link_priority priority)
+{
+  double exports = (double)link->export_percent / PERCENT;
 
-  for (int p = 0; p < (int)priority; p++)
-    if (link->level[p] < 0)
-      debt -= link->level[p];
-  return debt;
+  if (priority == LINK_IMPORT && link->level[LINK_EXPORT] < link->burst)
+    return 1 - exports;
+  if (priority == LINK_EXPORT && link->level[LINK_IMPORT] < link->burst)
+    return exports > 0 ? exports : 1;
+  return 1;
 }
 
 /* Bytes that must come in before a transfer at PRIORITY begins. */
-static int64_t
+static double
 link_backlog (const struct link *link, enum link_priority priority)
 {
-  int64_t backlog = -link->level[priority];
+  double own = -(double)link->level[priority];
 
-  if (backlog < 0)
-    return link_debt_above (link, priority);
-  for (int p = 0; p < (int)priority; p++)
-    backlog += link->burst - link->level[p];
-  return backlog;
+  if (own <= 0)
+    return (double)link_debt_above (link, priority);
+  if (priority == LINK_URGENT)
+    return own;
+  return own / link_share (link, priority)
+         + (double)(link->burst - link->level[LINK_URGENT]);
 }
 
 static bool
@@ -113,9 +149,10 @@
 
 void
 link_init (struct link *link, const struct clock *clock, int64_t rate,
-           int64_t burst)
+           int64_t burst, int64_t export_percent)
 {
   assert (rate >= 1 && rate <= LINK_RATE_MAX && burst >= 0);
+  assert (export_percent >= 0 && export_percent < PERCENT);
   link->clock = clock;
   link->configured = rate;
   link->rate = rate;
@@ -123,6 +160,8 @@
   for (int p = 0; p < LINK_PRIORITIES; p++)
     link->level[p] = burst;
   link->fraction = 0;
+  link->export_percent = export_percent;
+  link->export_fraction = 0;
   link->refreshed_ns = clock_now (clock);
   link->speed = 1.0;
 }
@@ -143,7 +182,7 @@
 
   link_refresh (link);
   quote.ns_per_byte = (double)NS_PER_S / (double)link->rate;
-  quote.backlog_ns = (double)link_backlog (link, priority) * quote.ns_per_byte;
+  quote.backlog_ns = link_backlog (link, priority) * quote.ns_per_byte;
   return quote;
 }
 
@@ -174,6 +213,15 @@
   return true;
 }
 
+double
+link_filled (struct link *link, enum link_priority priority)
+{
+  link_refresh (link);
+  if (link->level[priority] <= 0)
+    return 0;
+  return (double)link->level[priority] / (double)link->burst;
+}
+
 void
 link_return (struct link *link, enum link_priority priority, int64_t bytes)
 {
--- a/src/link.h
+++ b/src/link.h
@@ -7,9 +7,10 @@
 #include <stdint.h>
 
 /** @file
- * The budget of one store link: a cascade of token buckets, one for each
- * priority. What a full bucket can't hold flows to the next lower priority,
- * so nothing lower ever delays what is higher.
+ * The budget of one store link: token buckets for each priority. Urgent
+ * imports are served first, and nothing ever delays them; what their full
+ * bucket can't hold is shared between other imports and exports, so that new
+ * blocks are kept also while the link is busy.
  */
 
 /** The largest rate, in bytes per second. */
@@ -31,6 +32,8 @@
   int64_t burst;                  /**< bytes that a bucket holds at most */
   int64_t level[LINK_PRIORITIES]; /**< bytes; negative: backlog */
   int64_t fraction;               /**< of a byte, in billionths */
+  int64_t export_percent;         /**< of what urgent imports leave */
+  int64_t export_fraction;        /**< of a byte, in hundredths */
   int64_t refreshed_ns;
   double speed; /**< seen over configured rate, in (0, 1] */
 };
@@ -43,9 +46,11 @@
 };
 
 /** RATE is in [1, LINK_RATE_MAX] bytes per second, BURST in bytes; all
- * buckets start full. */
+ * buckets start full. EXPORT_PERCENT, in [0, 99], of what urgent imports leave
+ * goes to exports first, the rest to other imports; what one of them can't
+ * hold goes to the other. */
 void link_init (struct link *link, const struct clock *clock, int64_t rate,
-                int64_t burst);
+                int64_t burst, int64_t export_percent);
 
 /** Change the configured rate, as when the number of processes that share
  * the link changes. */
@@ -65,6 +70,9 @@
 /** Take BYTES only if the bucket covers them or is full. For exports. */
 bool link_try (struct link *link, enum link_priority priority, int64_t bytes);
 
+/** How full the bucket is, in [0, 1]. */
+double link_filled (struct link *link, enum link_priority priority);
+
 /** Give back BYTES that were taken and not transferred. */
 void link_return (struct link *link, enum link_priority priority,
                   int64_t bytes);
--- a/src/place.c
+++ b/src/place.c
@@ -9,11 +9,15 @@
   SAMPLE_TRIES = 4 /* draws for each random candidate */
 };
 
+/* Weight of one answer in the accuracy of hints. */
+static const double accuracy_weight = 1.0 / 64;
+
 const struct place_settings place_settings_default = {
   .plan = { .token_price_s = 2e-5, .byte_price_s = 0, .import_max = 32 },
   .holders = 4,
   .random = 2,
   .urgent_wait_share = 0.25,
+  .export_percent = 25,
   .affinity_wait_s = 2,
 };
 
@@ -98,7 +102,8 @@
     if (match->holders[i].engine == engine->id)
       {
         view.held = match->holders[i].pieces;
-        view.confidence = match->holders[i].confidence;
+        view.confidence
+            = match->holders[i].confidence * choice->place->accuracy;
       }
   return view;
 }
@@ -201,6 +206,7 @@
 {
   struct place_result *result = choice->result;
   const struct place_candidate *best = &result->candidates[0];
+  const struct load_engine *engine;
 
   if (result->candidate_count == 0)
     return STATUS_UNAVAILABLE;
@@ -208,11 +214,13 @@
     if (result->candidates[i].plan.cost_s < best->plan.cost_s)
       best = &result->candidates[i];
   result->index = best->index;
-  result->engine = load_engine_at (choice->place->load, best->index)->id;
+  engine = load_engine_at (choice->place->load, best->index);
+  result->engine = engine->id;
   result->plan = best->plan;
   result->reason = plan_reason (&best->plan);
-  result->import_count
-      = plan_imports (&choice->input, &best->plan, result->imports);
+  result->import_count = plan_imports (
+      &choice->input, &best->plan,
+      (double)choice->request->piece_tokens / engine->rate, result->imports);
   return STATUS_OK;
 }
 
@@ -353,6 +361,15 @@
   [PLACE_COMPUTED] = "computed",
 };
 
+/* A fallback is used as often as hints prove wrong. */
+static int64_t
+expected_bytes (const struct place *place, const struct plan_import *import)
+{
+  if (!import->fallback)
+    return import->copy.length;
+  return (int64_t)((double)import->copy.length * (1 - place->accuracy));
+}
+
 void
 place_init (struct place *place, const struct load *load,
             const struct clock *clock, struct rng *rng,
@@ -370,6 +387,7 @@
   place->links
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   place->turn = 0;
+  place->accuracy = 1;
 }
 
 void
@@ -399,7 +417,7 @@
       return;
     }
   link = g_new (struct link, 1);
-  link_init (link, place->clock, rate, burst);
+  link_init (link, place->clock, rate, burst, place->settings.export_percent);
   g_hash_table_insert (place->links, g_memdup2 (&store, sizeof store), link);
 }
 
@@ -432,11 +450,21 @@
       struct link *link = place_link (place, copy->store);
 
       if (link != NULL)
-        link_take (link, result->priority, copy->length);
+        link_take (link, result->priority,
+                   expected_bytes (place, &result->imports[i]));
     }
   load_sent (load, sent, result->index, result->plan.recompute_tokens);
 }
 
+void
+place_observe (struct place *place, uint32_t reuse, uint32_t cached)
+{
+  double share = cached < reuse ? (double)cached / reuse : 1;
+
+  if (reuse > 0)
+    place->accuracy += accuracy_weight * (share - place->accuracy);
+}
+
 void
 place_describe (const struct place *place, const struct place_result *result,
                 char *buffer, size_t size)
--- a/src/place.h
+++ b/src/place.h
@@ -39,6 +39,7 @@
   unsigned random;          /**< Random engines considered besides. */
   double urgent_wait_share; /**< Of an engine's queue that an urgent request
                                  waits for, in [0, 1]. */
+  int64_t export_percent;   /**< of what urgent imports leave of a link */
   double affinity_wait_s;   /**< prefix_affinity leaves a holder whose wait is
                                  longer. */
 };
@@ -54,6 +55,7 @@
   const struct place_policy *policy;
   GHashTable *links; /**< store to struct link */
   uint64_t turn;     /**< of round_robin */
+  double accuracy;   /**< share of believed reuse that engines confirm */
 };
 
 struct place_request
@@ -128,6 +130,10 @@
                    const struct place_result *result,
                    struct load_request *sent);
 
+/** The engine said that it had CACHED of the REUSE pieces that it should have.
+ * Hints count for less while they prove wrong. */
+void place_observe (struct place *place, uint32_t reuse, uint32_t cached);
+
 /** Write "key=value" pairs for the log line of the decision. */
 void place_describe (const struct place *place,
                      const struct place_result *result, char *buffer,
--- a/src/plan.c
+++ b/src/plan.c
@@ -106,6 +106,16 @@
     }
 }
 
+static struct plan_import
+import_make (const struct plan_input *input, uint32_t piece,
+             const struct pick *pick)
+{
+  return (struct plan_import){
+    .piece = piece,
+    .copy = input->match->pieces[piece].copies[pick->copy],
+  };
+}
+
 void
 plan_cheapest (const struct plan_input *input,
                const struct plan_engine *engine, struct plan *plan)
@@ -134,19 +144,30 @@
 
 unsigned
 plan_imports (const struct plan_input *input, const struct plan *plan,
-              struct plan_import imports[PLAN_IMPORTS_MAX])
+              double piece_s, struct plan_import imports[PLAN_IMPORTS_MAX])
 {
   struct transfer transfer = { .total = 0 };
+  double deadline_ns;
+  unsigned count = 0;
   struct pick pick;
 
-  for (unsigned i = 0; i < plan->import; i++)
+  while (count < plan->import
+         && transfer_add (input, &transfer, plan->reuse + count, &pick))
     {
-      uint32_t piece = plan->reuse + i;
-
-      if (!transfer_add (input, &transfer, piece, &pick))
-        return i;
-      imports[i].piece = piece;
-      imports[i].copy = input->match->pieces[piece].copies[pick.copy];
+      imports[count] = import_make (input, plan->reuse + count, &pick);
+      count++;
+    }
+  deadline_ns = transfer.last_ns;
+  for (uint32_t piece = plan->reuse;
+       piece-- > 0 && count < input->settings->import_max;)
+    {
+      deadline_ns += piece_s * (double)NS_PER_S;
+      if (!transfer_add (input, &transfer, piece, &pick)
+          || pick.done_ns > deadline_ns)
+        return count;
+      imports[count] = import_make (input, piece, &pick);
+      imports[count].fallback = true;
+      count++;
     }
-  return plan->import;
+  return count;
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -17,7 +17,7 @@
 enum
 {
   PLAN_LINKS_MAX = 8,    /**< Stores considered in one decision. */
-  PLAN_IMPORTS_MAX = 32, /**< Pieces imported by one request. */
+  PLAN_IMPORTS_MAX = 32, /**< Imports named to one engine. */
   PLAN_NO_LINK = 0xff
 };
 
@@ -72,6 +72,7 @@
 {
   uint32_t piece;
   struct blockindex_copy copy;
+  bool fallback; /**< Only if the engine lost a piece it should have. */
 };
 
 /** The split with the least cost: reuse all that is held or nothing, then
@@ -83,10 +84,13 @@
 void plan_widest (const struct plan_input *input,
                   const struct plan_engine *engine, struct plan *plan);
 
-/** Write the imports of PLAN; each piece comes from the link that would be
- * through with it first.
- * @return their number, plan->import. */
+/** Write the imports of PLAN, each from the link that would be through with it
+ * first; then, as room allows, fallbacks for the reused pieces while that is
+ * quicker than to compute them at PIECE_S seconds each, so that a hint that
+ * proves wrong costs an import and not a prefill.
+ * @return their number, at most import_max. */
 unsigned plan_imports (const struct plan_input *input, const struct plan *plan,
+                       double piece_s,
                        struct plan_import imports[PLAN_IMPORTS_MAX]);
 
 #endif
