Suspect requests: at most two backend servers lost to one request

Cause: a request that crashes each backend server that runs it is sent again, through any gateway and at once through several. Ruled out: registering a request only after a first crash; other gateways then start it freely between the crash and its spread, and a caller that sends it in parallel is not held back at all. Ruled out too: a durable record per request (a KV write each). Change: each fingerprint has two slots, kept by the owners of two partitions; a run takes one before it is handed over (one message and its answer), and a death uses it up durably. A new owner reads the record, then waits for a grace period in which gateways name what they run. What a lost gateway ran counts as used up until proved. After a first death the other slot runs it alone, with the record written in advance. A slot whose owner is on the gateway's own host is asked last, since both can go with the host. Conclusion: holds for one fault at a time; not for two at once, as an owner and, within its recovery, the gateway of a run on that slot.

--- a/src/event.c
+++ b/src/event.c
@@ -24,6 +24,19 @@
   /* Admission, retry, suspect: 400 */
   { EVENT_ADMIT_REFUSED, EVENT_INFO, "admit_refused",
     "Admission refused a request at once: organisation, kind, code." },
+  { EVENT_RETRY, EVENT_INFO, "retry",
+    "After a failed attempt: outcome, action, reason, delay." },
+  { EVENT_SUSPECT_REFUSED, EVENT_WARN, "suspect_refused",
+    "A request that crashed backend servers was not run; look at the request "
+    "with this fingerprint." },
+  { EVENT_SUSPECT_CRASH, EVENT_WARN, "suspect_crash",
+    "A backend server died while it ran the request with this fingerprint." },
+  { EVENT_CONNECTION_CONDEMNED, EVENT_INFO, "connection_condemned",
+    "A connection went silent and is not used again." },
+  { EVENT_BACKEND_OUT, EVENT_INFO, "backend_out",
+    "A backend server gets no new work: the sign is given." },
+  { EVENT_BACKEND_BACK, EVENT_INFO, "backend_back",
+    "A backend server answered a probe and gets work again." },
 
   /* At most once, ownership, KV service: 500 */
   { EVENT_KV_DOWN, EVENT_WARN, "kv_down",
--- a/src/event.h
+++ b/src/event.h
@@ -31,6 +31,12 @@
 
   /* Admission, retry, suspect: 400 */
   EVENT_ADMIT_REFUSED = 400,
+  EVENT_RETRY = 401,
+  EVENT_SUSPECT_REFUSED = 402,
+  EVENT_SUSPECT_CRASH = 403,
+  EVENT_CONNECTION_CONDEMNED = 404,
+  EVENT_BACKEND_OUT = 405,
+  EVENT_BACKEND_BACK = 406,
 
   /* At most once, ownership, KV service: 500 */
   EVENT_KV_DOWN = 500,
--- a/src/settings.h
+++ b/src/settings.h
@@ -117,6 +117,8 @@
     int64_t crashes;
     int64_t hold_ns;
     bool run_alone; /**< a suspect request may run alone once more */
+    bool unchecked; /**< run what no shard can say anything about */
+    int64_t grace_ns;
   } suspect;
   struct
   {
--- /dev/null
+++ b/test/test-suspect.c
@@ -0,0 +1,531 @@
+#include "rng.h"
+#include "suspect-gate.h"
+#include "suspect-owner.h"
+#include "unit.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Several gateways, two partitions whose owners die, a KV service that fails,
+ * and a caller that sends a request that kills its backend server through all
+ * gateways, over and over and at once. */
+enum
+{
+  GATEWAYS = 4,
+  PARTITIONS = 2,
+  RUNS = 6,   /**< at once in each gateway */
+  BODIES = 4, /**< the first kills */
+  WIRE = 2048,
+  STEP_MS = 5,
+  ROUND_MS = 20000,
+  EPOCH_MS = 500, /**< after it another request kills */
+  EPOCHS = ROUND_MS / EPOCH_MS,
+  KILL_MS = 3500, /**< the longest time that a killer runs */
+  RUN_MS = 200,
+  FAULT_EVERY_MS = 4000,
+  FAILOVER_MS = 800,
+  SYNC_MS = 300, /**< gateways see a new owner within it */
+  LOST_MS = 300, /**< owners see a lost gateway within it */
+  GRACE_MS = 1000,
+  SEEDS = 60,
+  MUTANT_SEEDS = 200
+};
+
+enum mutant
+{
+  MUTANT_NONE,
+  MUTANT_NO_GRACE,
+  MUTANT_NOT_DURABLE,
+  MUTANT_ORPHANS_FREED,
+  MUTANT_NO_SYNC,
+  MUTANT_COUNT
+};
+
+struct request
+{
+  struct suspect_run run;
+  int body;
+  int epoch; /**< of one that kills */
+  bool used;
+  int64_t end_ns; /**< when its backend server ends it; 0: not running */
+};
+
+struct gateway
+{
+  struct suspect_gate gate;
+  struct request requests[RUNS];
+};
+
+struct partition
+{
+  struct suspect_owner owner;
+  bool alive;
+  int64_t back_ns;
+  int64_t sync_ns[GATEWAYS];
+  uint64_t lost_gateway;
+  int64_t lost_ns;
+  char *record;  /**< what the KV service holds */
+  char *written; /**< the write under way */
+  int64_t write_ns;
+};
+
+struct letter
+{
+  struct suspect_message message;
+  int64_t due_ns; /**< 0: free */
+  int to;         /**< partition, or PARTITIONS + gateway */
+  uint64_t order;
+};
+
+static struct
+{
+  struct clock_fake clock;
+  struct rng rng;
+  enum mutant mutant;
+  struct gateway gateways[GATEWAYS];
+  struct partition partitions[PARTITIONS];
+  struct letter wire[WIRE];
+  uint64_t order;
+  int64_t last_due[PARTITIONS + GATEWAYS];
+  uint64_t last_gateway;
+  bool kv_down;
+  int died[EPOCHS];
+  int refused;
+  int well[BODIES];
+  struct request orphans[GATEWAYS * RUNS]; /**< nobody will report them */
+} world;
+
+static int64_t
+in_ms (uint64_t most)
+{
+  return world.clock.now
+         + (int64_t)(1 + rng_below (&world.rng, most)) * NS_PER_MS;
+}
+
+/* What goes to the same end arrives in order. */
+static void
+post (int to, const struct suspect_message *message)
+{
+  struct letter *letter = world.wire;
+
+  while (letter->due_ns != 0)
+    letter++;
+  CU_ASSERT_TRUE_FATAL (letter < world.wire + WIRE);
+  world.last_due[to] = MAX (world.last_due[to], in_ms (4));
+  *letter = (struct letter){ *message, world.last_due[to], to, ++world.order };
+}
+
+static void
+owner_send (void *data, uint64_t gateway,
+            const struct suspect_message *message)
+{
+  for (int i = 0; i < GATEWAYS; i++)
+    if (world.gateways[i].gate.gateway == gateway)
+      post (PARTITIONS + i, message);
+}
+
+static void
+owner_persist (void *data, const char *text)
+{
+  struct partition *partition = data;
+
+  partition->written = g_strdup (text);
+  partition->write_ns = in_ms (50);
+}
+
+static const struct suspect_owner_ops owner_ops
+    = { owner_send, owner_persist };
+
+static uint64_t
+gate_partition (void *data, unsigned slot,
+                const struct suspect_fingerprint *fingerprint)
+{
+  return slot + 1;
+}
+
+static bool
+gate_same_host (void *data, uint64_t partition)
+{
+  return data == &world.gateways[0] && partition == 1;
+}
+
+static void
+gate_send_to (void *data, uint64_t partition,
+              const struct suspect_message *message)
+{
+  if (world.partitions[partition - 1].alive)
+    post ((int)partition - 1, message);
+}
+
+static void
+gate_decided (void *data, struct suspect_run *run,
+              enum suspect_decision decision, int64_t retry_after_ns)
+{
+  struct request *request = LIST_ENTRY (run, struct request, run);
+
+  if (decision == SUSPECT_GO || decision == SUSPECT_GO_ALONE)
+    request->end_ns = in_ms (request->body == 0 ? KILL_MS : RUN_MS);
+  else
+    request->end_ns = -1;
+  world.refused += decision == SUSPECT_REFUSE && request->body > 0;
+}
+
+static const struct suspect_gate_ops gate_ops
+    = { gate_partition, gate_same_host, gate_send_to, gate_decided };
+
+static void
+owner_start (struct partition *partition)
+{
+  struct suspect_owner_settings settings = { .hold_ns = 3600 * NS_PER_S,
+                                             .grace_ns = GRACE_MS * NS_PER_MS,
+                                             .run_alone = true };
+
+  if (world.mutant == MUTANT_NO_GRACE)
+    settings.grace_ns = 0;
+  suspect_owner_init (&partition->owner, &settings, &world.clock.clock,
+                      &owner_ops, partition);
+  CU_ASSERT_EQUAL (
+      suspect_owner_load (&partition->owner, world.mutant == MUTANT_NOT_DURABLE
+                                                 ? NULL
+                                                 : partition->record),
+      STATUS_OK);
+  partition->alive = true;
+  for (int i = 0; i < GATEWAYS; i++)
+    partition->sync_ns[i]
+        = world.mutant == MUTANT_NO_SYNC ? CLOCK_NEVER : in_ms (SYNC_MS);
+}
+
+/* A write under way when its owner dies takes effect or not. */
+static void
+owner_kill (struct partition *partition)
+{
+  if (!partition->alive)
+    return;
+  if (partition->written != NULL && rng_below (&world.rng, 2) == 0)
+    {
+      g_free (partition->record);
+      partition->record = g_strdup (partition->written);
+    }
+  g_clear_pointer (&partition->written, g_free);
+  suspect_owner_finish (&partition->owner);
+  partition->alive = false;
+  partition->back_ns = world.clock.now + FAILOVER_MS * NS_PER_MS;
+  for (int i = 0; i < WIRE; i++)
+    if (world.wire[i].to == partition - world.partitions)
+      world.wire[i].due_ns = 0;
+}
+
+static void
+gateway_start (struct gateway *gateway)
+{
+  memset (gateway, 0, sizeof *gateway);
+  suspect_gate_init (&gateway->gate, ++world.last_gateway, SUSPECT_SLOTS,
+                     false, &world.clock.clock, &gate_ops, gateway);
+}
+
+static void
+gateway_kill (struct gateway *gateway)
+{
+  int first = (int)(gateway - world.gateways) * RUNS;
+
+  for (int i = 0; i < RUNS; i++)
+    if (gateway->requests[i].used && gateway->requests[i].end_ns > 0
+        && gateway->requests[i].body == 0)
+      world.orphans[first + i] = gateway->requests[i];
+  for (int p = 0; p < PARTITIONS; p++)
+    {
+      world.partitions[p].lost_gateway = gateway->gate.gateway;
+      world.partitions[p].lost_ns = in_ms (LOST_MS);
+    }
+  suspect_gate_finish (&gateway->gate);
+  gateway_start (gateway);
+}
+
+static void
+step_wire (void)
+{
+  for (;;)
+    {
+      struct letter *first = NULL;
+      struct letter letter;
+
+      for (int i = 0; i < WIRE; i++)
+        if (world.wire[i].due_ns != 0
+            && world.wire[i].due_ns <= world.clock.now
+            && (first == NULL || world.wire[i].order < first->order))
+          first = &world.wire[i];
+      if (first == NULL)
+        return;
+      letter = *first;
+      first->due_ns = 0;
+      if (letter.to >= PARTITIONS)
+        suspect_gate_receive (&world.gateways[letter.to - PARTITIONS].gate,
+                              &letter.message);
+      else if (world.partitions[letter.to].alive)
+        suspect_owner_receive (&world.partitions[letter.to].owner,
+                               &letter.message);
+    }
+}
+
+static void
+step_write (struct partition *partition)
+{
+  enum status status = STATUS_OK;
+
+  if (partition->written == NULL || partition->write_ns > world.clock.now)
+    return;
+  if (world.kv_down)
+    status = STATUS_UNAVAILABLE;
+  else if (rng_below (&world.rng, 4) == 0)
+    status = STATUS_UNKNOWN;
+  if (status != STATUS_UNAVAILABLE)
+    {
+      g_free (partition->record);
+      partition->record = g_strdup (partition->written);
+    }
+  g_clear_pointer (&partition->written, g_free);
+  suspect_owner_persisted (&partition->owner, status);
+}
+
+static void
+partition_lose_gateway (struct partition *partition)
+{
+  struct suspect_message message = { .gateway = partition->lost_gateway };
+
+  partition->lost_gateway = 0;
+  if (world.mutant != MUTANT_ORPHANS_FREED)
+    {
+      suspect_owner_gateway_lost (&partition->owner, message.gateway);
+      return;
+    }
+  message.kind = SUSPECT_SYNC_BEGIN;
+  suspect_owner_receive (&partition->owner, &message);
+  message.kind = SUSPECT_SYNC_END;
+  suspect_owner_receive (&partition->owner, &message);
+}
+
+static void
+step_partition (struct partition *partition)
+{
+  if (!partition->alive && partition->back_ns <= world.clock.now)
+    owner_start (partition);
+  if (!partition->alive)
+    return;
+  for (int i = 0; i < GATEWAYS; i++)
+    if (partition->sync_ns[i] <= world.clock.now)
+      {
+        partition->sync_ns[i] = CLOCK_NEVER;
+        suspect_gate_sync (&world.gateways[i].gate,
+                           (uint64_t)(partition - world.partitions) + 1);
+      }
+  if (partition->lost_gateway != 0 && partition->lost_ns <= world.clock.now)
+    partition_lose_gateway (partition);
+  step_write (partition);
+  suspect_owner_tick (&partition->owner);
+}
+
+static void
+request_begin (struct gateway *gateway, struct request *request)
+{
+  memset (request, 0, sizeof *request);
+  request->used = true;
+  request->body = (int)rng_below (&world.rng, BODIES);
+  request->run.deadline_ns = world.clock.now + 3 * NS_PER_S;
+  request->epoch = (int)(world.clock.now / NS_PER_MS / EPOCH_MS);
+  if (rng_below (&world.rng, 4) == 0)
+    request->epoch = (int)rng_below (&world.rng, (uint64_t)request->epoch + 1);
+  memset (&request->run.fingerprint,
+          request->body == 0 ? 100 + request->epoch : request->body,
+          sizeof request->run.fingerprint);
+  suspect_gate_begin (&gateway->gate, &request->run);
+}
+
+static void
+request_finish (struct gateway *gateway, struct request *request)
+{
+  enum suspect_end end = SUSPECT_END_NOTHING;
+
+  if (request->end_ns > 0)
+    {
+      end = request->body == 0 ? SUSPECT_END_DIED : SUSPECT_END_WELL;
+      if (request->body == 0)
+        world.died[request->epoch]++;
+      world.well[request->body]++;
+    }
+  suspect_gate_end (&gateway->gate, &request->run, end);
+  request->used = false;
+}
+
+static void
+step_gateway (struct gateway *gateway)
+{
+  suspect_gate_tick (&gateway->gate);
+  for (int i = 0; i < RUNS; i++)
+    {
+      struct request *request = &gateway->requests[i];
+
+      if (!request->used && rng_below (&world.rng, 20) == 0)
+        request_begin (gateway, request);
+      else if (request->used && request->end_ns != 0
+               && request->end_ns <= world.clock.now)
+        request_finish (gateway, request);
+    }
+}
+
+static void
+step_faults (int ms)
+{
+  uint64_t fault = rng_below (&world.rng, 5);
+
+  if (ms % FAULT_EVERY_MS != FAULT_EVERY_MS / 2)
+    return;
+  world.kv_down = fault == 0;
+  if (fault == 1 || fault == 2)
+    owner_kill (&world.partitions[fault - 1]);
+  if (fault == 3)
+    gateway_kill (&world.gateways[rng_below (&world.rng, GATEWAYS)]);
+  if (fault == 4)
+    {
+      /* The host of both. */
+      gateway_kill (&world.gateways[0]);
+      owner_kill (&world.partitions[0]);
+    }
+}
+
+static void
+round_stop (void)
+{
+  for (int i = 0; i < GATEWAYS; i++)
+    suspect_gate_finish (&world.gateways[i].gate);
+  for (int p = 0; p < PARTITIONS; p++)
+    {
+      struct partition *partition = &world.partitions[p];
+
+      if (partition->alive)
+        {
+          CU_ASSERT_TRUE (partition->owner.conflicts == 0
+                          || world.mutant != MUTANT_NONE);
+          suspect_owner_finish (&partition->owner);
+        }
+      g_free (partition->record);
+      g_free (partition->written);
+    }
+}
+
+static void
+round_run (uint64_t seed, enum mutant mutant)
+{
+  memset (&world, 0, sizeof world);
+  world.mutant = mutant;
+  clock_fake_init (&world.clock, 1);
+  rng_init (&world.rng, seed);
+  for (int i = 0; i < GATEWAYS; i++)
+    gateway_start (&world.gateways[i]);
+  for (int p = 0; p < PARTITIONS; p++)
+    owner_start (&world.partitions[p]);
+  for (int ms = 0; ms < ROUND_MS; ms += STEP_MS)
+    {
+      step_faults (ms);
+      step_wire ();
+      for (int p = 0; p < PARTITIONS; p++)
+        step_partition (&world.partitions[p]);
+      for (int i = 0; i < GATEWAYS; i++)
+        step_gateway (&world.gateways[i]);
+      for (int i = 0; i < GATEWAYS * RUNS; i++)
+        if (world.orphans[i].end_ns != 0
+            && world.orphans[i].end_ns <= world.clock.now)
+          {
+            world.orphans[i].end_ns = 0;
+            world.died[world.orphans[i].epoch]++;
+          }
+      clock_fake_advance (&world.clock, STEP_MS * NS_PER_MS);
+    }
+  round_stop ();
+}
+
+/* The most backend servers that one request has cost. */
+static int
+most_died (void)
+{
+  int most = 0;
+
+  for (int i = 0; i < EPOCHS; i++)
+    most = MAX (most, world.died[i]);
+  return most;
+}
+
+static void
+test_at_most_two (void)
+{
+  int died = 0;
+  int refused = 0;
+  int well = 0;
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      round_run (seed, MUTANT_NONE);
+      if (most_died () > 2)
+        printf ("  seed %d: %d lost\n", (int)seed, most_died ());
+      CU_ASSERT_TRUE (most_died () <= 2);
+      for (int i = 0; i < EPOCHS; i++)
+        died += world.died[i];
+      for (int body = 1; body < BODIES; body++)
+        {
+          CU_ASSERT_TRUE (world.well[body] > 0);
+          well += world.well[body];
+        }
+      refused += world.refused;
+    }
+  printf ("  %d requests that kill cost %d backend servers; others ended "
+          "well %d, refused %d\n",
+          SEEDS * EPOCHS, died, well, refused);
+}
+
+/* Each mechanism is needed: without it some round loses more. */
+static void
+test_mutants (void)
+{
+  for (int mutant = 1; mutant < MUTANT_COUNT; mutant++)
+    {
+      uint64_t seed = 0;
+      int most = 0;
+
+      while (most <= 2 && seed < MUTANT_SEEDS)
+        {
+          round_run (++seed, (enum mutant)mutant);
+          most = most_died ();
+        }
+      printf ("  mutant %d, seed %d: %d lost\n", mutant, (int)seed, most);
+      CU_ASSERT_TRUE (most > 2);
+    }
+}
+
+static void
+test_fingerprint (void)
+{
+  const uint8_t key[SUSPECT_KEY_BYTES] = { 1 };
+  const uint8_t other[SUSPECT_KEY_BYTES] = { 2 };
+  struct suspect_fingerprint made[6];
+
+  suspect_fingerprint_make (&made[0], key, "org", "model", "body", 4);
+  suspect_fingerprint_make (&made[1], key, "orgm", "odel", "body", 4);
+  suspect_fingerprint_make (&made[2], key, "org", "modelb", "ody", 3);
+  suspect_fingerprint_make (&made[3], key, "org2", "model", "body", 4);
+  suspect_fingerprint_make (&made[4], other, "org", "model", "body", 4);
+  suspect_fingerprint_make (&made[5], key, "org", "model", "body", 4);
+  for (int i = 1; i < 5; i++)
+    CU_ASSERT_NOT_EQUAL (memcmp (&made[0], &made[i], sizeof made[0]), 0);
+  CU_ASSERT_EQUAL (memcmp (&made[0], &made[5], sizeof made[0]), 0);
+}
+
+static const struct unit_case cases[] = {
+  { "at-most-two", test_at_most_two },
+  { "mutants", test_mutants },
+  { "fingerprint", test_fingerprint },
+};
+
+int
+main (void)
+{
+  return unit_run ("suspect", cases, sizeof cases / sizeof *cases);
+}
