--- a/src/event.c
+++ b/src/event.c
@@ -16,6 +16,8 @@
     "One routing decision: request, organisation, backend server, reason." },
   { EVENT_REQUEST_END, EVENT_INFO, "request_end",
     "A request got its final answer: outcome and code." },
+  { EVENT_ATTEMPT_FAILED, EVENT_INFO, "attempt_failed",
+    "An attempt at a backend server ended without a whole answer." },
 
   /* Placement, block index, stores: 300 */
   { EVENT_PLACE, EVENT_INFO, "place",
@@ -49,6 +51,10 @@
   /* Membership and peers: 700 */
   { EVENT_MEMBER_STATE, EVENT_INFO, "member_state",
     "A process is seen in another state: alive, suspect, dead, left." },
+  { EVENT_PEER_SILENT, EVENT_WARN, "peer_silent",
+    "A connection between our processes stayed silent and was closed." },
+  { EVENT_PEER_GARBLED, EVENT_WARN, "peer_garbled",
+    "A frame between our processes could not be read; it was closed." },
 
   /* Orders to engines: 800 */
   { EVENT_ORDER_SENT, EVENT_INFO, "order_sent",
--- a/src/event.h
+++ b/src/event.h
@@ -25,6 +25,7 @@
   /* Gateway and request path: 200 */
   EVENT_ROUTE = 200,
   EVENT_REQUEST_END = 201,
+  EVENT_ATTEMPT_FAILED = 202,
 
   /* Placement, block index, stores: 300 */
   EVENT_PLACE = 300,
@@ -46,6 +47,8 @@
 
   /* Membership and peers: 700 */
   EVENT_MEMBER_STATE = 700,
+  EVENT_PEER_SILENT = 701,
+  EVENT_PEER_GARBLED = 702,
 
   /* Orders to engines: 800 */
   EVENT_ORDER_SENT = 800,
--- /dev/null
+++ b/src/request.c
@@ -0,0 +1,201 @@
+#include "request.h"
+#include "answer.h"
+#include "filters.h"
+#include "gateway.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+
+static const request_filter completion_filters[]
+    = { auth_filter,   classify_filter, admission_filter,
+        lookup_filter, dispatch_filter, NULL };
+static const request_filter service_filters[]
+    = { auth_filter, classify_filter, admission_filter, dispatch_filter,
+        NULL };
+
+static void
+request_free (struct request *request)
+{
+  load_started (&request->load);
+  list_remove (&request->node);
+  list_remove (&request->starting);
+  g_hash_table_remove (request->gateway->by_serial, &request->serial);
+  request->gateway->request_count--;
+  relay_finish (&request->relay);
+  if (request->answer != NULL)
+    g_string_free (request->answer, TRUE);
+  config_unref (request->config);
+  json_object_put (request->json);
+  g_free (request->method);
+  g_free (request->path);
+  g_free (request->key);
+  g_free (request->body);
+  g_free (request->content_type);
+  g_free (request->prompt);
+  g_free (request);
+}
+
+/* A request that ends inside its filters is freed when they return. */
+static void
+request_end (struct request *request)
+{
+  request->finished = true;
+  dispatch_close (request);
+  admission_end (request);
+  if (!request->in_filters)
+    request_free (request);
+}
+
+static void
+run_filters (struct request *request)
+{
+  request->in_filters = true;
+  while (!request->finished && *request->filter != NULL)
+    {
+      enum verdict verdict = (*request->filter) (request);
+
+      if (verdict != VERDICT_PASS)
+        break;
+      request->filter++;
+    }
+  request->in_filters = false;
+  if (request->finished)
+    request_free (request);
+}
+
+static void
+on_caller_gone (void *data)
+{
+  struct request *request = data;
+
+  request->http = NULL;
+  request_abandon (request);
+}
+
+static void
+count_end (struct request *request, enum settle_outcome outcome,
+           const char *code)
+{
+  struct metrics *metrics = &request->gateway->process.metrics;
+  int64_t now = clock_now (&request->gateway->process.clock);
+  const char *organisation = request->organisation != NULL
+                                 ? request->organisation->organisation
+                                 : "";
+  const char *kind = request->kind != NULL ? request->kind->name : "";
+  char labels[256];
+
+  g_snprintf (labels, sizeof labels,
+              "organisation=\"%s\",kind=\"%s\",outcome=\"%s\",code=\"%s\"",
+              organisation, kind, settle_outcome_name (outcome), code);
+  metrics_add (metrics, "requests", labels, 1);
+  log_event (&request->gateway->process.log, EVENT_REQUEST_END,
+             "request=%s organisation=%s kind=%s outcome=%s code=%s "
+             "total_ms=%.3f cached_tokens=%" G_GINT64_FORMAT
+             " imported_tokens=%" G_GINT64_FORMAT
+             " computed_tokens=%" G_GINT64_FORMAT,
+             request->id, organisation, kind, settle_outcome_name (outcome),
+             code, (double)(now - request->received_ns) / NS_PER_MS,
+             request->cached_tokens, request->imported_tokens,
+             request->computed_tokens);
+}
+
+void
+request_begin (struct gateway *gateway, struct httpserver_request *http,
+               enum request_type type, const char *path)
+{
+  struct request *request = g_new0 (struct request, 1);
+
+  request->gateway = gateway;
+  request->http = http;
+  request->type = type;
+  request->path = g_strdup (path);
+  request->received_ns = clock_now (&gateway->process.clock);
+  request->filter
+      = type == REQUEST_COMPLETION ? completion_filters : service_filters;
+  request->next_ns = CLOCK_NEVER;
+  settle_init (&request->settle, true, REQUEST_TRIED_MAX);
+  list_init (&request->load.node);
+  list_init (&request->node);
+  list_init (&request->starting);
+  list_append (&gateway->requests, &request->node);
+  gateway->request_count++;
+  request->serial = ++gateway->next_request;
+  g_hash_table_insert (gateway->by_serial, &request->serial, request);
+  g_snprintf (request->id, sizeof request->id,
+              "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+              gateway->process.id ^ gateway->process.incarnation,
+              request->serial);
+  httpserver_request_on_gone (http, on_caller_gone, request);
+  run_filters (request);
+}
+
+/* What a handle points at. */
+struct handle
+{
+  struct gateway *gateway;
+  uint64_t serial;
+};
+
+void *
+request_handle (const struct request *request)
+{
+  struct handle *handle = g_new (struct handle, 1);
+
+  handle->gateway = request->gateway;
+  handle->serial = request->serial;
+  return handle;
+}
+
+struct request *
+request_find (const void *data)
+{
+  const struct handle *handle = data;
+
+  return g_hash_table_lookup (handle->gateway->by_serial, &handle->serial);
+}
+
+void
+request_resume (struct request *request)
+{
+  assert (!request->in_filters && *request->filter != NULL);
+  request->filter++;
+  run_filters (request);
+}
+
+void
+request_end_as (struct request *request, enum settle_outcome outcome,
+                const struct refusal *refusal)
+{
+  settle_finish (&request->settle, outcome);
+  answer_refuse (request, outcome, refusal);
+  count_end (request, outcome, refusal->code);
+  request_end (request);
+}
+
+void
+request_refuse (struct request *request, const struct refusal *refusal)
+{
+  dispatch_note_handed_over (request);
+  request_end_as (request, settle_give_up (&request->settle), refusal);
+}
+
+void
+request_complete (struct request *request)
+{
+  settle_finish (&request->settle, SETTLE_COMPLETE);
+  count_end (request, SETTLE_COMPLETE, "");
+  request_end (request);
+}
+
+void
+request_abandon (struct request *request)
+{
+  enum settle_outcome outcome;
+
+  dispatch_note_handed_over (request);
+  outcome = settle_give_up (&request->settle);
+  settle_finish (&request->settle, outcome);
+  count_end (request, outcome, "caller_gone");
+  request_end (request);
+}
