--- a/src/suspect-owner.c
+++ b/src/suspect-owner.c
@@ -1,4 +1,5 @@
 #include "suspect-owner.h"
+#include "suspect-entry.h"
 
 #include <assert.h>
 #include <glib.h>
@@ -13,194 +14,9 @@
 
 static const int64_t write_again_ns = 200 * NS_PER_MS;
 static const int64_t sweep_ns = 10 * NS_PER_S;
-/* A gateway asks again well within it. */
-static const int64_t reserved_for_ns = 2 * NS_PER_S;
-
-enum entry_state
-{
-  ENTRY_FREE,     /**< only there because it is tainted */
-  ENTRY_RESERVED, /**< for a run alone, until that is durable */
-  ENTRY_RUNNING,
-  ENTRY_USED_UP,
-  ENTRY_PROVED
-};
-
-struct entry
-{
-  struct suspect_fingerprint fingerprint;
-  struct list node; /**< on the list of proved ones */
-  enum entry_state state;
-  bool tainted;
-  bool alone;
-  bool orphan;      /**< used up by a gateway that is gone */
-  bool confirmed;   /**< named in the sync under way */
-  uint64_t gateway; /**< that runs it */
-  uint64_t run;
-  uint64_t change;     /**< the last one that has to be durable */
-  int64_t until_ns;    /**< end of ENTRY_USED_UP or of the taint */
-  int64_t reserved_ns; /**< end of ENTRY_RESERVED */
-};
-
-static guint
-fingerprint_hash (gconstpointer key)
-{
-  guint hash;
-
-  memcpy (&hash, key, sizeof hash);
-  return hash;
-}
-
-static gboolean
-fingerprint_equal (gconstpointer a, gconstpointer b)
-{
-  return memcmp (a, b, SUSPECT_FINGERPRINT_BYTES) == 0;
-}
-
-static struct entry *
-entry_find (const struct suspect_owner *owner,
-            const struct suspect_fingerprint *fingerprint)
-{
-  return g_hash_table_lookup (owner->entries, fingerprint);
-}
-
-static void
-entry_drop (struct suspect_owner *owner, struct entry *entry)
-{
-  if (entry->state == ENTRY_PROVED)
-    owner->proved_count--;
-  list_remove (&entry->node);
-  g_hash_table_remove (owner->entries, &entry->fingerprint);
-}
-
-static bool
-owner_full (const struct suspect_owner *owner)
-{
-  return g_hash_table_size (owner->entries) - owner->proved_count
-         >= SUSPECT_ENTRIES_MAX;
-}
-
-static struct entry *
-entry_make (struct suspect_owner *owner,
-            const struct suspect_fingerprint *fingerprint)
-{
-  struct entry *entry = entry_find (owner, fingerprint);
-
-  if (entry != NULL)
-    return entry;
-  entry = g_new0 (struct entry, 1);
-  entry->fingerprint = *fingerprint;
-  list_init (&entry->node);
-  g_hash_table_insert (owner->entries, &entry->fingerprint, entry);
-  return entry;
-}
-
-static void
-entry_leave (struct suspect_owner *owner, struct entry *entry)
-{
-  if (entry->alone)
-    {
-      owner->alone--;
-      owner->change++;
-    }
-  if (entry->state == ENTRY_PROVED)
-    {
-      owner->proved_count--;
-      list_remove (&entry->node);
-    }
-  entry->alone = false;
-  entry->orphan = false;
-  entry->state = ENTRY_FREE;
-}
-
-static void
-entry_run (struct suspect_owner *owner, struct entry *entry, uint64_t gateway,
-           uint64_t run)
-{
-  entry_leave (owner, entry);
-  entry->state = ENTRY_RUNNING;
-  entry->gateway = gateway;
-  entry->run = run;
-  entry->confirmed = true;
-  entry->alone = entry->tainted;
-  owner->alone += entry->alone;
-}
-
-/* Give the slot back; only a taint is worth keeping. */
-static void
-entry_release (struct suspect_owner *owner, struct entry *entry)
-{
-  entry_leave (owner, entry);
-  if (!entry->tainted)
-    entry_drop (owner, entry);
-}
-
-static void
-entry_prove (struct suspect_owner *owner, struct entry *entry)
-{
-  struct entry *oldest;
-
-  if (entry->tainted || entry->state == ENTRY_USED_UP)
-    owner->change++;
-  entry_leave (owner, entry);
-  entry->tainted = false;
-  entry->state = ENTRY_PROVED;
-  list_prepend (&owner->proved, &entry->node);
-  owner->proved_count++;
-  if (owner->proved_count <= SUSPECT_PROVED_MAX)
-    return;
-  oldest = LIST_ENTRY (owner->proved.prev, struct entry, node);
-  entry_drop (owner, oldest);
-}
-
-static void
-entry_use_up (struct suspect_owner *owner, struct entry *entry, bool orphan)
-{
-  entry_leave (owner, entry);
-  entry->orphan = orphan;
-  entry->state = ENTRY_USED_UP;
-  entry->until_ns = clock_now (owner->clock) + owner->settings.hold_ns;
-  entry->change = ++owner->change;
-}
-
-static void
-entry_taint (struct suspect_owner *owner, struct entry *entry)
-{
-  if (entry->state == ENTRY_PROVED)
-    entry_leave (owner, entry);
-  entry->tainted = true;
-  if (entry->state != ENTRY_USED_UP)
-    entry->until_ns = clock_now (owner->clock) + owner->settings.hold_ns;
-  entry->change = ++owner->change;
-}
-
-static void
-entry_reserve (struct suspect_owner *owner, struct entry *entry,
-               uint64_t gateway)
-{
-  entry->state = ENTRY_RESERVED;
-  entry->gateway = gateway;
-  entry->alone = true;
-  entry->reserved_ns = clock_now (owner->clock) + reserved_for_ns;
-  entry->change = ++owner->change;
-  owner->alone++;
-}
-
-/* The record counts a run alone as used up in advance. */
-static bool
-entry_written_used (const struct entry *entry)
-{
-  return entry->state == ENTRY_USED_UP || entry->alone;
-}
-
-static bool
-entry_holds (const struct entry *entry, const struct suspect_message *message)
-{
-  return entry != NULL && entry->gateway == message->gateway
-         && entry->run == message->run;
-}
 
 static void
-write_entry (const struct entry *entry, int64_t now, int64_t wall_s,
+write_entry (const struct suspect_entry *entry, int64_t now, int64_t wall_s,
              struct json_object *list)
 {
   struct json_object *object = json_object_new_object ();
@@ -212,7 +28,8 @@
   json_object_object_add (object, "f", json_object_new_string (hex));
   json_object_object_add (object, "until", json_object_new_int64 (until));
   json_object_object_add (
-      object, "used", json_object_new_boolean (entry_written_used (entry)));
+      object, "used",
+      json_object_new_boolean (suspect_entry_written_used (entry)));
   json_object_object_add (object, "orphan",
                           json_object_new_boolean (entry->orphan));
   json_object_array_add (list, object);
@@ -234,9 +51,9 @@
   g_hash_table_iter_init (&at, owner->entries);
   while (g_hash_table_iter_next (&at, NULL, &value))
     {
-      const struct entry *entry = value;
+      const struct suspect_entry *entry = value;
 
-      if (entry_written_used (entry) || entry->tainted)
+      if (suspect_entry_written_used (entry) || entry->tainted)
         write_entry (entry, now, clock_wall (owner->clock).tv_sec, list);
     }
   owner->writing = true;
@@ -259,21 +76,21 @@
 /* The first time an alone run is asked for, its slot is reserved; when that
  * is durable, asking again gets it. */
 static enum suspect_verdict
-ask_alone (struct suspect_owner *owner, struct entry *entry,
+ask_alone (struct suspect_owner *owner, struct suspect_entry *entry,
            const struct suspect_message *message)
 {
   if (!owner->settings.run_alone)
     return SUSPECT_USED_UP;
-  if (entry->state == ENTRY_FREE)
+  if (entry->state == SUSPECT_ENTRY_FREE)
     {
       if (owner->alone < SUSPECT_ALONE_MAX)
-        entry_reserve (owner, entry, message->gateway);
+        suspect_entry_reserve (owner, entry, message->gateway);
       owner_write (owner);
       return SUSPECT_BUSY;
     }
   if (entry->gateway != message->gateway || entry->change > owner->durable)
     return SUSPECT_BUSY;
-  entry->state = ENTRY_RUNNING;
+  entry->state = SUSPECT_ENTRY_RUNNING;
   entry->run = message->run;
   entry->confirmed = true;
   return SUSPECT_RUN_ALONE;
@@ -283,33 +100,35 @@
 ask_verdict (struct suspect_owner *owner,
              const struct suspect_message *message)
 {
-  struct entry *entry = entry_find (owner, &message->fingerprint);
+  struct suspect_entry *entry
+      = suspect_entry_find (owner, &message->fingerprint);
 
   if (!owner->loaded || clock_now (owner->clock) < owner->ready_ns)
     return SUSPECT_RECOVERING;
-  if (entry == NULL && owner_full (owner))
+  if (entry == NULL && suspect_entry_full (owner))
     return SUSPECT_BUSY;
   if (entry == NULL)
-    entry = entry_make (owner, &message->fingerprint);
-  if (message->tainted && !entry->tainted && entry->state != ENTRY_PROVED)
-    entry_taint (owner, entry);
+    entry = suspect_entry_make (owner, &message->fingerprint);
+  if (message->tainted && !entry->tainted
+      && entry->state != SUSPECT_ENTRY_PROVED)
+    suspect_entry_taint (owner, entry);
   switch (entry->state)
     {
-    case ENTRY_PROVED:
+    case SUSPECT_ENTRY_PROVED:
       list_remove (&entry->node);
       list_prepend (&owner->proved, &entry->node);
       return SUSPECT_RUN_FREE;
-    case ENTRY_USED_UP:
+    case SUSPECT_ENTRY_USED_UP:
       return SUSPECT_USED_UP;
-    case ENTRY_RUNNING:
+    case SUSPECT_ENTRY_RUNNING:
       return SUSPECT_BUSY;
-    case ENTRY_RESERVED:
-    case ENTRY_FREE:
+    case SUSPECT_ENTRY_RESERVED:
+    case SUSPECT_ENTRY_FREE:
       break;
     }
   if (entry->tainted)
     return ask_alone (owner, entry, message);
-  entry_run (owner, entry, message->gateway, message->run);
+  suspect_entry_run (owner, entry, message->gateway, message->run);
   return SUSPECT_RUN;
 }
 
@@ -318,11 +137,11 @@
              const struct suspect_message *message)
 {
   struct suspect_message answer = *message;
-  const struct entry *entry;
+  const struct suspect_entry *entry;
 
   answer.kind = SUSPECT_ANSWER;
   answer.verdict = ask_verdict (owner, message);
-  entry = entry_find (owner, &message->fingerprint);
+  entry = suspect_entry_find (owner, &message->fingerprint);
   if (answer.verdict == SUSPECT_USED_UP)
     {
       answer.hold_ns = entry->until_ns - clock_now (owner->clock);
@@ -335,24 +154,28 @@
 receive_done (struct suspect_owner *owner,
               const struct suspect_message *message)
 {
-  struct entry *entry = entry_find (owner, &message->fingerprint);
+  struct suspect_entry *entry
+      = suspect_entry_find (owner, &message->fingerprint);
 
-  if (entry_holds (entry, message) && entry->state == ENTRY_RUNNING)
-    entry_release (owner, entry);
+  if (suspect_entry_holds (entry, message)
+      && entry->state == SUSPECT_ENTRY_RUNNING)
+    suspect_entry_release (owner, entry);
 }
 
 static void
 receive_proved (struct suspect_owner *owner,
                 const struct suspect_message *message)
 {
-  struct entry *entry = entry_find (owner, &message->fingerprint);
+  struct suspect_entry *entry
+      = suspect_entry_find (owner, &message->fingerprint);
 
   /* While another run has the slot, that one still has to give it back. */
   if (entry == NULL
-      || (entry->state == ENTRY_RUNNING && !entry_holds (entry, message)))
+      || (entry->state == SUSPECT_ENTRY_RUNNING
+          && !suspect_entry_holds (entry, message)))
     return;
-  if (entry->state != ENTRY_PROVED)
-    entry_prove (owner, entry);
+  if (entry->state != SUSPECT_ENTRY_PROVED)
+    suspect_entry_prove (owner, entry);
   owner_write (owner);
 }
 
@@ -360,9 +183,10 @@
 receive_report (struct suspect_owner *owner,
                 const struct suspect_message *message)
 {
-  struct entry *entry = entry_make (owner, &message->fingerprint);
+  struct suspect_entry *entry
+      = suspect_entry_make (owner, &message->fingerprint);
   bool crashed = message->kind == SUSPECT_CRASHED;
-  bool used_up = entry->state == ENTRY_USED_UP && !entry->orphan;
+  bool used_up = entry->state == SUSPECT_ENTRY_USED_UP && !entry->orphan;
   bool known = crashed ? used_up : entry->tainted;
 
   if (known && entry->change <= owner->durable)
@@ -371,9 +195,9 @@
       return;
     }
   if (crashed && !known)
-    entry_use_up (owner, entry, false);
+    suspect_entry_use_up (owner, entry, false);
   if (!crashed && !known)
-    entry_taint (owner, entry);
+    suspect_entry_taint (owner, entry);
   owner_write (owner);
 }
 
@@ -381,13 +205,15 @@
 receive_held (struct suspect_owner *owner,
               const struct suspect_message *message)
 {
-  struct entry *entry = entry_make (owner, &message->fingerprint);
+  struct suspect_entry *entry
+      = suspect_entry_make (owner, &message->fingerprint);
 
-  if (entry->state != ENTRY_RUNNING && entry->state != ENTRY_USED_UP)
-    entry_run (owner, entry, message->gateway, message->run);
-  else if (entry_holds (entry, message))
+  if (entry->state != SUSPECT_ENTRY_RUNNING
+      && entry->state != SUSPECT_ENTRY_USED_UP)
+    suspect_entry_run (owner, entry, message->gateway, message->run);
+  else if (suspect_entry_holds (entry, message))
     entry->confirmed = true;
-  else if (entry->state == ENTRY_RUNNING)
+  else if (entry->state == SUSPECT_ENTRY_RUNNING)
     owner->conflicts++;
 }
 
@@ -399,11 +225,11 @@
 
   for (GList *at = entries; at != NULL; at = at->next)
     {
-      struct entry *entry = at->data;
+      struct suspect_entry *entry = at->data;
 
-      if (entry->state == ENTRY_RUNNING && entry->gateway == gateway
+      if (entry->state == SUSPECT_ENTRY_RUNNING && entry->gateway == gateway
           && !entry->confirmed)
-        entry_release (owner, entry);
+        suspect_entry_release (owner, entry);
     }
   g_list_free (entries);
 }
@@ -416,8 +242,8 @@
 
   g_hash_table_iter_init (&at, owner->entries);
   while (g_hash_table_iter_next (&at, NULL, &value))
-    if (((struct entry *)value)->gateway == gateway)
-      ((struct entry *)value)->confirmed = false;
+    if (((struct suspect_entry *)value)->gateway == gateway)
+      ((struct suspect_entry *)value)->confirmed = false;
 }
 
 static enum status
@@ -428,7 +254,7 @@
   struct json_object *until;
   struct json_object *used;
   struct json_object *orphan;
-  struct entry *entry;
+  struct suspect_entry *entry;
   int64_t left_s;
   size_t size = 0;
 
@@ -447,9 +273,10 @@
   left_s = json_object_get_int64 (until) - clock_wall (owner->clock).tv_sec;
   if (left_s <= 0)
     return STATUS_OK;
-  entry = entry_make (owner, &fingerprint);
-  entry->state = json_object_get_boolean (used) ? ENTRY_USED_UP : ENTRY_FREE;
-  entry->tainted = entry->state == ENTRY_FREE;
+  entry = suspect_entry_make (owner, &fingerprint);
+  entry->state = json_object_get_boolean (used) ? SUSPECT_ENTRY_USED_UP
+                                                : SUSPECT_ENTRY_FREE;
+  entry->tainted = entry->state == SUSPECT_ENTRY_FREE;
   entry->orphan = json_object_get_boolean (orphan);
   entry->until_ns = clock_now (owner->clock)
                     + MIN (left_s * NS_PER_S, owner->settings.hold_ns);
@@ -464,14 +291,15 @@
 
   for (GList *at = entries; at != NULL; at = at->next)
     {
-      struct entry *entry = at->data;
+      struct suspect_entry *entry = at->data;
 
-      if (entry->state == ENTRY_RESERVED && entry->reserved_ns <= now)
-        entry_leave (owner, entry);
-      if (entry->state == ENTRY_RUNNING || entry->state == ENTRY_RESERVED
-          || entry->state == ENTRY_PROVED || now < entry->until_ns)
+      if (entry->state == SUSPECT_ENTRY_RESERVED && entry->reserved_ns <= now)
+        suspect_entry_leave (owner, entry);
+      if (entry->state == SUSPECT_ENTRY_RUNNING
+          || entry->state == SUSPECT_ENTRY_RESERVED
+          || entry->state == SUSPECT_ENTRY_PROVED || now < entry->until_ns)
         continue;
-      entry_drop (owner, entry);
+      suspect_entry_drop (owner, entry);
       owner->change++;
     }
   g_list_free (entries);
@@ -487,8 +315,7 @@
     .clock = clock, .ops = ops, .data = data, .settings = *settings
   };
   list_init (&owner->proved);
-  owner->entries = g_hash_table_new_full (fingerprint_hash, fingerprint_equal,
-                                          NULL, g_free);
+  owner->entries = suspect_entry_table ();
 }
 
 void
@@ -565,14 +392,14 @@
   g_hash_table_iter_init (&at, owner->entries);
   while (g_hash_table_iter_next (&at, NULL, &value))
     {
-      struct entry *entry = value;
+      struct suspect_entry *entry = value;
 
       if (entry->gateway != gateway)
         continue;
-      if (entry->state == ENTRY_RUNNING)
-        entry_use_up (owner, entry, true);
-      else if (entry->state == ENTRY_RESERVED)
-        entry_leave (owner, entry);
+      if (entry->state == SUSPECT_ENTRY_RUNNING)
+        suspect_entry_use_up (owner, entry, true);
+      else if (entry->state == SUSPECT_ENTRY_RESERVED)
+        suspect_entry_leave (owner, entry);
     }
   owner_write (owner);
 }
