--- /dev/null
+++ b/src/oncerec.c
@@ -0,0 +1,246 @@
+#include "oncerec.h"
+
+#include <string.h>
+
+/* Line: STATE key fingerprint request gateway stamp [status digest [body]].
+ * Numbers and digests are hexadecimal, the body is base64. */
+
+enum
+{
+  DIGEST_DIGITS = 32,
+  NUMBER_DIGITS = 16,
+  STAMP_DIGITS = 8,
+  STATUS_DIGITS = 4,
+  /* State, then the five fields with a space before each. */
+  HEAD_SIZE
+  = 1 + 2 * (1 + DIGEST_DIGITS) + 2 * (1 + NUMBER_DIGITS) + 1 + STAMP_DIGITS,
+  OUTCOME_SIZE = 1 + STATUS_DIGITS + 1 + DIGEST_DIGITS
+};
+
+static char *
+put_bytes (char *at, const uint8_t *bytes, size_t size)
+{
+  static const char digits[] = "0123456789abcdef";
+
+  *at++ = ' ';
+  for (size_t i = 0; i < size; i++)
+    {
+      *at++ = digits[bytes[i] >> 4];
+      *at++ = digits[bytes[i] & 15];
+    }
+  return at;
+}
+
+static char *
+put_number (char *at, uint64_t number, unsigned digits)
+{
+  uint8_t bytes[sizeof number];
+
+  for (unsigned i = 0; i < digits / 2; i++)
+    bytes[i] = (uint8_t)(number >> (8 * (digits / 2 - 1 - i)));
+  return put_bytes (at, bytes, digits / 2);
+}
+
+/* Read the space and SIZE bytes after it; NULL AT stays NULL. */
+static const char *
+get_bytes (const char *at, uint8_t *bytes, size_t size)
+{
+  if (at == NULL || *at++ != ' ')
+    return NULL;
+  for (size_t i = 0; i < size; i++, at += 2)
+    {
+      int high = g_ascii_xdigit_value (at[0]);
+      int low = g_ascii_xdigit_value (at[1]);
+
+      if (high < 0 || low < 0)
+        return NULL;
+      bytes[i] = (uint8_t)(high << 4 | low);
+    }
+  return at;
+}
+
+static const char *
+get_number (const char *at, uint64_t *number, unsigned digits)
+{
+  uint8_t bytes[sizeof *number] = { 0 };
+
+  at = get_bytes (at, bytes, digits / 2);
+  *number = 0;
+  for (unsigned i = 0; i < digits / 2; i++)
+    *number = *number << 8 | bytes[i];
+  return at;
+}
+
+static bool
+state_parse (char letter, uint8_t *state)
+{
+  switch (letter)
+    {
+    case 'G':
+      *state = ONCEREC_GRANTED;
+      return true;
+    case 'F':
+      *state = ONCEREC_FINISHED;
+      return true;
+    case 'R':
+      *state = ONCEREC_RELEASED;
+      return true;
+    default:
+      return false;
+    }
+}
+
+static bool
+outcome_parse (struct oncerec *record, const char *at, const char *end)
+{
+  struct once_outcome outcome = { 0 };
+  uint64_t status;
+  uint8_t *body = NULL;
+
+  if (end - at < OUTCOME_SIZE)
+    return false;
+  at = get_number (at, &status, STATUS_DIGITS);
+  at = get_bytes (at, outcome.digest.bytes, sizeof outcome.digest);
+  if (at == NULL)
+    return false;
+  outcome.status = (unsigned)status;
+  if (at < end)
+    {
+      char *text = g_strndup (at + 1, (gsize)(end - at - 1));
+
+      body = g_base64_decode (text, &outcome.body_size);
+      outcome.body = body;
+      outcome.whole = true;
+      g_free (text);
+    }
+  if (outcome.body_size <= ONCE_BODY_MAX)
+    oncerec_set_outcome (record, &outcome);
+  g_free (body);
+  return record->outcome != NULL;
+}
+
+static bool
+head_parse (struct oncerec *record, const char *line)
+{
+  uint64_t stamp;
+  const char *at = line + 1;
+
+  if (!state_parse (line[0], &record->state))
+    return false;
+  at = get_bytes (at, record->key.bytes, sizeof record->key);
+  at = get_bytes (at, record->fingerprint.bytes, sizeof record->fingerprint);
+  at = get_number (at, &record->request, NUMBER_DIGITS);
+  at = get_number (at, &record->gateway, NUMBER_DIGITS);
+  at = get_number (at, &stamp, STAMP_DIGITS);
+  record->stamp_s = (uint32_t)stamp;
+  return at != NULL;
+}
+
+struct oncerec *
+oncerec_new (const struct once_digest *key)
+{
+  struct oncerec *record = g_new0 (struct oncerec, 1);
+
+  record->key = *key;
+  list_init (&record->node);
+  list_init (&record->dirty_node);
+  return record;
+}
+
+void
+oncerec_free (struct oncerec *record)
+{
+  list_remove (&record->node);
+  list_remove (&record->dirty_node);
+  if (record->wait != NULL)
+    list_remove (&record->wait->node);
+  g_free (record->wait);
+  g_free (record->outcome);
+  g_free (record);
+}
+
+void
+oncerec_set_outcome (struct oncerec *record,
+                     const struct once_outcome *outcome)
+{
+  bool whole = outcome->whole && outcome->body_size <= ONCE_BODY_MAX;
+  size_t size = whole ? outcome->body_size : 0;
+  struct oncerec_outcome *kept = g_malloc0 (sizeof *kept + size);
+
+  kept->status = (uint16_t)outcome->status;
+  kept->digest = outcome->digest;
+  kept->whole = whole;
+  kept->body_size = (uint32_t)size;
+  if (size > 0)
+    memcpy (kept->body, outcome->body, size);
+  g_free (record->outcome);
+  record->outcome = kept;
+}
+
+void
+oncerec_get_outcome (const struct oncerec *record,
+                     struct once_outcome *outcome)
+{
+  const struct oncerec_outcome *kept = record->outcome;
+
+  outcome->status = kept->status;
+  outcome->digest = kept->digest;
+  outcome->whole = kept->whole;
+  outcome->body = kept->body;
+  outcome->body_size = kept->body_size;
+}
+
+void
+oncerec_format (const struct oncerec *record, GString *text)
+{
+  static const char letters[] = {
+    [ONCEREC_PENDING] = 'G',
+    [ONCEREC_GRANTED] = 'G',
+    [ONCEREC_FINISHED] = 'F',
+    [ONCEREC_RELEASED] = 'R',
+  };
+  const struct oncerec_outcome *outcome = record->outcome;
+  char line[HEAD_SIZE + OUTCOME_SIZE];
+  char *at = line;
+
+  *at++ = letters[record->state];
+  at = put_bytes (at, record->key.bytes, sizeof record->key);
+  at = put_bytes (at, record->fingerprint.bytes, sizeof record->fingerprint);
+  at = put_number (at, record->request, NUMBER_DIGITS);
+  at = put_number (at, record->gateway, NUMBER_DIGITS);
+  at = put_number (at, record->stamp_s, STAMP_DIGITS);
+  if (record->state == ONCEREC_FINISHED)
+    {
+      at = put_number (at, outcome->status, STATUS_DIGITS);
+      at = put_bytes (at, outcome->digest.bytes, sizeof outcome->digest);
+    }
+  g_string_append_len (text, line, at - line);
+  if (record->state == ONCEREC_FINISHED && outcome->whole)
+    {
+      char *body = g_base64_encode (outcome->body, outcome->body_size);
+
+      g_string_append_c (text, ' ');
+      g_string_append (text, body);
+      g_free (body);
+    }
+  g_string_append_c (text, '\n');
+}
+
+struct oncerec *
+oncerec_parse (const char *line, size_t size)
+{
+  struct once_digest none = { { 0 } };
+  struct oncerec *record;
+  bool valid;
+
+  if (size < HEAD_SIZE)
+    return NULL;
+  record = oncerec_new (&none);
+  valid = head_parse (record, line);
+  if (valid && record->state == ONCEREC_FINISHED)
+    valid = outcome_parse (record, line + HEAD_SIZE, line + size);
+  if (valid)
+    return record;
+  oncerec_free (record);
+  return NULL;
+}
