--- a/test/fake-kv.c
+++ b/test/fake-kv.c
@@ -330,6 +330,9 @@
   if (fake->faults.jitter_ns > 0)
     latency
         += (int64_t)rng_below (&fake->rng, (uint64_t)fake->faults.jitter_ns);
+  if ((fake->faults.late_kinds == 0 || fake->faults.late_kinds & 1u << kind)
+      && rng_unit (&fake->rng) < fake->faults.late)
+    latency += fake->faults.late_ns;
   fake->calls[kind]++;
   call->number = ++fake->last_call;
   call->kind = kind;
--- a/test/fake-kv.h
+++ b/test/fake-kv.h
@@ -31,9 +31,12 @@
 /** May be changed at any time; holds for calls made from then on. */
 struct fake_kv_faults
 {
-  bool down;            /**< STATUS_UNAVAILABLE, without effect. */
-  int64_t latency_ns;   /**< From call to reply; 2 ms at first. */
-  int64_t jitter_ns;    /**< Up to this much more, at random. */
+  bool down;          /**< STATUS_UNAVAILABLE, without effect. */
+  int64_t latency_ns; /**< From call to reply; 2 ms at first. */
+  int64_t jitter_ns;  /**< Up to this much more, at random. */
+  double late;        /**< Share of calls with LATE_NS more latency. */
+  int64_t late_ns;
+  unsigned late_kinds;  /**< Bit set of enum fake_kv_kind; 0: all. */
   double lost_before;   /**< Share answered STATUS_UNKNOWN, without effect. */
   double lost_after;    /**< Share answered STATUS_UNKNOWN, with effect. */
   double limited;       /**< Share answered STATUS_LIMITED. */
--- a/test/test-once-matrix.c
+++ b/test/test-once-matrix.c
@@ -16,6 +16,7 @@
 };
 
 #define FAULT_NS (7 * NS_PER_S)
+#define LONG_WAIT_NS (20 * NS_PER_S)
 
 static struct fleet fleet;
 static uint64_t first; /* request */
@@ -236,6 +237,70 @@
   strike_all_owners (owner);
 }
 
+/* Single calls take effect long after their callers gave up on them. */
+static void
+strike_kv_late (unsigned owner)
+{
+  fleet.kv.faults.late = 0.3;
+  fleet.kv.faults.late_ns = 10 * NS_PER_S;
+}
+
+static void
+strike_kv_late_killed (unsigned owner)
+{
+  strike_kv_late (owner);
+  fleet_run (&fleet, 6 * NS_PER_S);
+  strike_all_killed (owner);
+}
+
+static void
+strike_kv_late_paused (unsigned owner)
+{
+  strike_kv_late (owner);
+  fleet_run (&fleet, 100 * NS_PER_MS);
+  strike_owner_paused (owner);
+}
+
+/* A write of the owner takes effect after another one has taken over, and
+ * its owner comes back and reads it before it hears that its lease is gone. */
+static void
+strike_stale_write (unsigned owner)
+{
+  fleet.kv.faults.latency_ns = 10 * NS_PER_S;
+  fleet_run (&fleet, 100 * NS_PER_MS);
+  fleet.kv.faults.latency_ns = 2 * NS_PER_MS;
+  fleet_shard_pause (&fleet, owner, true);
+  fleet_run (&fleet, 4500 * NS_PER_MS);
+  fleet_send (&fleet, 1, 0, 0);
+  fleet_run (&fleet, 1500 * NS_PER_MS);
+  fleet.kv.faults.late = 1;
+  fleet.kv.faults.late_ns = 5 * NS_PER_S;
+  fleet.kv.faults.late_kinds
+      = 1u << FAKE_KV_LEASE_KEEPALIVE | 1u << FAKE_KV_RANGE;
+  fleet_shard_pause (&fleet, owner, false);
+  fleet_run (&fleet, NS_PER_S);
+}
+
+/* A write of the owner takes effect after it was given up, sent again and
+ * followed by others; then the owner dies. */
+static void
+strike_own_write_late (unsigned owner)
+{
+  fleet.kv.faults.latency_ns = 10 * NS_PER_S;
+  fleet_run (&fleet, 100 * NS_PER_MS);
+  fleet.kv.faults.latency_ns = 2 * NS_PER_MS;
+  fleet_run (&fleet, 6 * NS_PER_S);
+  strike_owner_killed (owner);
+}
+
+static void
+strike_lost_before_killed (unsigned owner)
+{
+  strike_lost_before (owner);
+  fleet_run (&fleet, 300 * NS_PER_MS);
+  strike_owner_killed (owner);
+}
+
 static void
 strike_owner_gateway_killed (unsigned owner)
 {
@@ -247,37 +312,46 @@
 {
   const char *name;
   void (*strike) (unsigned owner);
+  bool long_waits; /* callers wait longer than the lease lasts */
 } faults[] = {
-  { "none", strike_none },
-  { "owner-killed", strike_owner_killed },
-  { "all-owners-killed", strike_all_killed },
-  { "owner-paused", strike_owner_paused },
-  { "kv-down", strike_kv_down },
-  { "kv-slow", strike_kv_slow },
-  { "reply-lost-after-effect", strike_lost_after },
-  { "reply-lost-before-effect", strike_lost_before },
-  { "kv-limited", strike_limited },
-  { "gateway-killed", strike_gateway_killed },
-  { "gateway-paused", strike_gateway_paused },
-  { "backend-server-cut", strike_cut },
-  { "backend-server-not-started", strike_not_started },
-  { "answers-lost", strike_answers_lost },
-  { "messages-late", strike_late },
-  { "messages-twice", strike_twice },
-  { "asked-of-all-shards", strike_all_owners },
-  { "crossed-ends", strike_crossed },
-  { "other-body", strike_other_body },
-  { "operators-stop-owners", strike_stops },
-  { "operator-deletes-records", strike_record_deleted },
-  { "owner-paused+kv-slow", strike_paused_kv_slow },
-  { "owner-paused+reply-lost+all", strike_paused_lost },
-  { "owner-killed+gateway-killed", strike_owner_gateway_killed },
+  { "none", strike_none, false },
+  { "owner-killed", strike_owner_killed, false },
+  { "all-owners-killed", strike_all_killed, false },
+  { "owner-paused", strike_owner_paused, false },
+  { "kv-down", strike_kv_down, false },
+  { "kv-slow", strike_kv_slow, false },
+  { "reply-lost-after-effect", strike_lost_after, false },
+  { "reply-lost-before-effect", strike_lost_before, false },
+  { "kv-limited", strike_limited, false },
+  { "gateway-killed", strike_gateway_killed, false },
+  { "gateway-paused", strike_gateway_paused, false },
+  { "backend-server-cut", strike_cut, false },
+  { "backend-server-not-started", strike_not_started, false },
+  { "answers-lost", strike_answers_lost, false },
+  { "messages-late", strike_late, false },
+  { "messages-twice", strike_twice, false },
+  { "asked-of-all-shards", strike_all_owners, false },
+  { "crossed-ends", strike_crossed, false },
+  { "other-body", strike_other_body, false },
+  { "operators-stop-owners", strike_stops, false },
+  { "operator-deletes-records", strike_record_deleted, false },
+  { "owner-paused+kv-slow", strike_paused_kv_slow, false },
+  { "owner-paused+reply-lost+all", strike_paused_lost, false },
+  { "owner-killed+gateway-killed", strike_owner_gateway_killed, false },
+  { "kv-calls-late", strike_kv_late, false },
+  { "kv-calls-late+all-owners-killed", strike_kv_late_killed, false },
+  { "kv-calls-late+owner-paused", strike_kv_late_paused, false },
+  { "reply-lost-before-effect+owner-killed", strike_lost_before_killed,
+    false },
+  { "owner-paused+write-late", strike_stale_write, true },
+  { "own-write-late+owner-killed", strike_own_write_late, true },
 };
 
 enum
 {
   TRIGGER_COUNT = sizeof triggers / sizeof *triggers,
-  FAULT_COUNT = sizeof faults / sizeof *faults
+  FAULT_COUNT = sizeof faults / sizeof *faults,
+  LONG_FAULTS = 3 /* at the end: they take their own time */
 };
 
 /* Repeats of both keys from the other gateways. */
@@ -298,6 +372,8 @@
   int64_t end;
 
   fleet_init (&fleet, mutant, SEED);
+  if (fault->long_waits)
+    fleet.request_timeout_ns = LONG_WAIT_NS;
   fleet_start (&fleet);
   if (!trigger->early)
     fleet_run (&fleet, NS_PER_S);
@@ -383,7 +459,7 @@
       fleet_gateway_pause (&fleet, gateway, !fleet.gateways[gateway].paused);
       break;
     default:
-      faults[rng_below (&fleet.rng, FAULT_COUNT)].strike (shard);
+      faults[rng_below (&fleet.rng, FAULT_COUNT - LONG_FAULTS)].strike (shard);
     }
 }
 
@@ -410,6 +486,9 @@
 {
   fleet_init (&fleet, mutant, seed);
   fleet_start (&fleet);
+  /* With long waits a grant can still be asked for after a take-over. */
+  if (seed % 2 == 0)
+    fleet.request_timeout_ns = LONG_WAIT_NS;
   fleet_run (&fleet, NS_PER_S);
   for (unsigned i = 0; i < steps && fleet_broken (&fleet) == 0; i++)
     {
