At-most-once records against a naive list; idle tails expire

Cause: the differential and retention tests of the records. Found: the last segment of an idle partition never ended, so its records outlived their retention for good; a tail past its window is closed now, and overdue ones are deleted whether closed or not.

--- a/src/oncepart.c
+++ b/src/oncepart.c
@@ -91,6 +91,8 @@
 
       number = MAX (number, last->number + 1);
     }
+  if (part->tail != NULL)
+    part->tail->closed = true;
   part->tail = segment_new (part, number);
   part->tail->opened_ns = limits->now_ns;
   return part->tail;
@@ -198,16 +200,14 @@
       oncerec_format (record, text);
     }
   tail->stamp_s = limits->now_s;
-  tail->closed = text->len >= limit
-                 || limits->now_ns - tail->opened_ns >= limits->window_ns;
+  tail->closed = text->len >= limit;
 }
 
 static bool
 segment_overdue (const struct oncepart_segment *segment,
                  const struct oncepart_limits *limits)
 {
-  return segment->closed
-         && segment->stamp_s + limits->retention_s < limits->now_s;
+  return segment->stamp_s + limits->retention_s < limits->now_s;
 }
 
 static void
@@ -472,7 +472,8 @@
   part->writing = true;
   g_string_append_c (text, '\n');
   prepare_owner (part, write);
-  if (part->tail == NULL || part->tail->closed)
+  if (part->tail == NULL || part->tail->closed
+      || limits->now_ns - part->tail->opened_ns >= limits->window_ns)
     segment_open (part, limits);
   prepare_tail (part, text, limits);
   key = segment_key (part, part->tail);
--- /dev/null
+++ b/test/test-once.c
@@ -0,0 +1,443 @@
+#include "fake-kv.h"
+#include "once.h"
+#include "oncepart.h"
+#include "unit.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  KEYS = 2100,
+  KEYS_AT_A_TIME = 100,
+  STEPS = 20000,
+  GATEWAYS = 3 /* the last one is dead */
+};
+
+static struct clock_fake fake_clock;
+static struct rng rng;
+static struct fake_kv fake;
+static struct fake_kv_client client;
+static struct owner owner;
+static struct once once;
+static uint64_t node;
+static struct once_answer answered;
+static uint64_t answered_outcome;
+static unsigned answer_count;
+static enum status recorded;
+static unsigned recorded_count;
+
+static const struct owner_settings owner_settings = {
+  .partitions = 4,
+  .lease_ns = 3 * NS_PER_S,
+  .margin_ns = 100 * NS_PER_MS,
+  .keepalive_ns = NS_PER_S,
+  .poll_ns = 10 * NS_PER_S,
+  .claim_poll_ns = 100 * NS_PER_MS,
+  .rebalance_ns = NS_PER_S,
+};
+
+static struct once_settings settings;
+
+static void
+on_gained (struct owner *from, unsigned partition)
+{
+  once_gained (&once, partition);
+}
+
+static void
+on_lost (struct owner *from, unsigned partition)
+{
+  once_lost (&once, partition);
+}
+
+static const struct owner_ops owner_ops = { on_gained, on_lost };
+
+static void
+on_answer (struct once *from, const struct once_answer *answer)
+{
+  answered = *answer;
+  if (answer->result == ONCE_REPLAYED)
+    memcpy (&answered_outcome, answer->outcome.body, sizeof answered_outcome);
+  answer_count++;
+}
+
+static void
+on_recorded (struct once *from, uint64_t gateway, uint64_t request,
+             enum status status)
+{
+  recorded = status;
+  recorded_count++;
+}
+
+static bool
+on_gateway_live (struct once *from, uint64_t gateway)
+{
+  return gateway != GATEWAYS;
+}
+
+static const struct once_ops once_ops
+    = { on_answer, on_recorded, on_gateway_live };
+
+static void
+run (int64_t ns, int64_t step)
+{
+  for (int64_t end = fake_clock.now + ns; fake_clock.now < end;)
+    {
+      clock_fake_advance (&fake_clock, step);
+      fake_kv_step (&fake);
+      owner_tick (&owner);
+      once_tick (&once);
+      CU_ASSERT_TRUE (once_next (&once) >= fake_clock.now);
+    }
+}
+
+static void
+shard_start (void)
+{
+  node++;
+  fake_kv_client_init (&client, &fake);
+  owner_init (&owner, &owner_settings, &owner_ops, node, &client.kv,
+              &fake_clock.clock, &rng);
+  once_init (&once, &settings, &once_ops, &owner, &client.kv,
+             &fake_clock.clock, &rng);
+  owner_live (&owner, &node, 1);
+}
+
+static void
+shard_end (void)
+{
+  fake_kv_client_finish (&client);
+  once_finish (&once);
+  owner_finish (&owner);
+}
+
+static void
+shard_restart (void)
+{
+  shard_end ();
+  fake_kv_lapse (&fake, 0);
+  shard_start ();
+  run (500 * NS_PER_MS, NS_PER_MS);
+}
+
+static void
+setup (uint64_t seed)
+{
+  settings = (struct once_settings){
+    .flush_ns = NS_PER_MS,
+    .finish_delay_ns = NS_PER_MS,
+    .retention_ns = 1000 * NS_PER_S,
+    .run_max_ns = 900 * NS_PER_S,
+    .window_ns = 5 * NS_PER_S,
+    .segment_bytes = 2048,
+    .record_max = 100000,
+    .load_max = 2,
+  };
+  clock_fake_init (&fake_clock, NS_PER_S);
+  fake_clock.wall.tv_sec = 1000000;
+  rng_init (&rng, seed);
+  fake_kv_init (&fake, &fake_clock.clock, seed);
+  shard_start ();
+  run (500 * NS_PER_MS, NS_PER_MS);
+}
+
+static void
+finish (void)
+{
+  shard_end ();
+  fake_kv_finish (&fake);
+}
+
+static char key_text[32];
+static char organisation_text[16];
+
+static struct once_request
+request_make (unsigned key, uint64_t id)
+{
+  snprintf (organisation_text, sizeof organisation_text, "o%u", key % 2);
+  snprintf (key_text, sizeof key_text, "k%u", key / 2);
+  return (struct once_request){ organisation_text, key_text, id,
+                                1 + id % GATEWAYS };
+}
+
+static enum once_result
+begin (unsigned key, uint64_t id, unsigned body)
+{
+  struct once_request request = request_make (key, id);
+  struct once_digest fingerprint = once_digest_of (&body, sizeof body);
+  unsigned before = answer_count;
+
+  once_begin (&once, &request, &fingerprint, fake_clock.now + 500 * NS_PER_MS);
+  for (int i = 0; i < 1000 && answer_count == before; i++)
+    run (NS_PER_MS, NS_PER_MS);
+  CU_ASSERT_EQUAL (answer_count, before + 1);
+  CU_ASSERT_EQUAL (answered.request, id);
+  return answered.result;
+}
+
+static enum status
+end (unsigned key, uint64_t id, bool known)
+{
+  struct once_request request = request_make (key, id);
+  struct once_outcome outcome = { .status = ONCE_STATUS_UNKNOWN };
+  unsigned before = recorded_count;
+
+  if (known)
+    outcome = (struct once_outcome){ 200, once_digest_of (&id, sizeof id),
+                                     true, (const uint8_t *)&id, sizeof id };
+  once_end (&once, &request, &outcome);
+  for (int i = 0; i < 1000 && recorded_count == before; i++)
+    run (NS_PER_MS, NS_PER_MS);
+  return recorded;
+}
+
+static enum status
+release (unsigned key, uint64_t id)
+{
+  struct once_request request = request_make (key, id);
+  unsigned before = recorded_count;
+
+  once_release (&once, &request);
+  for (int i = 0; i < 1000 && recorded_count == before; i++)
+    run (NS_PER_MS, NS_PER_MS);
+  return recorded;
+}
+
+/* The naive version: one entry a key. */
+struct naive
+{
+  enum
+  {
+    NAIVE_NONE,
+    NAIVE_GRANTED,
+    NAIVE_FINISHED,
+    NAIVE_RELEASED
+  } state;
+  uint64_t request;
+  unsigned body;
+  bool known;
+};
+
+static enum once_result
+naive_begin (struct naive *naive, uint64_t id, unsigned body)
+{
+  if (naive->state == NAIVE_NONE || naive->state == NAIVE_RELEASED)
+    {
+      *naive = (struct naive){ NAIVE_GRANTED, id, body, false };
+      return ONCE_GRANTED;
+    }
+  if (naive->body != body)
+    return ONCE_CONFLICT;
+  if (naive->state == NAIVE_FINISHED)
+    return naive->known ? ONCE_REPLAYED : ONCE_MAY_HAVE_RUN;
+  if (naive->request == id)
+    return ONCE_GRANTED;
+  return 1 + naive->request % GATEWAYS == GATEWAYS ? ONCE_MAY_HAVE_RUN
+                                                   : ONCE_IN_PROGRESS;
+}
+
+static enum status
+naive_end (struct naive *naive, uint64_t id, bool known)
+{
+  if (naive->request != id || naive->state == NAIVE_RELEASED
+      || naive->state == NAIVE_NONE)
+    return STATUS_STALE;
+  if (naive->state == NAIVE_GRANTED)
+    {
+      naive->state = NAIVE_FINISHED;
+      naive->known = known;
+    }
+  return STATUS_OK;
+}
+
+static enum status
+naive_release (struct naive *naive, uint64_t id)
+{
+  if (naive->request != id || naive->state == NAIVE_FINISHED
+      || naive->state == NAIVE_NONE)
+    return STATUS_STALE;
+  naive->state = NAIVE_RELEASED;
+  return STATUS_OK;
+}
+
+static unsigned
+segments_count (void)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < once.part_count; i++)
+    for (struct list *at = once.parts[i].segments.next;
+         at != &once.parts[i].segments; at = at->next)
+      count++;
+  return count;
+}
+
+/* One random call on both versions.
+ * @return whether they agree. */
+static bool
+differential_step (struct naive *naive, unsigned key, uint64_t *last_id)
+{
+  /* Often the holder of the grant, else somebody new or of another key. */
+  uint64_t id = rng_below (&rng, 2) == 0 ? naive->request : ++*last_id;
+  unsigned body = rng_below (&rng, 10) == 0;
+  bool known = rng_below (&rng, 4) != 0;
+  enum once_result result;
+
+  if (id == 0)
+    id = ++*last_id;
+  switch (rng_below (&rng, 4))
+    {
+    case 0:
+      return naive_end (naive, id, known) == end (key, id, known);
+    case 1:
+      return naive_release (naive, id) == release (key, id);
+    default:
+      result = naive_begin (naive, id, body);
+      return result == begin (key, id, body)
+             && (result != ONCE_REPLAYED
+                 || answered_outcome == naive->request);
+    }
+}
+
+static void
+test_same_as_a_naive_list (void)
+{
+  static struct naive naive[KEYS];
+  uint64_t last_id = 0;
+  unsigned wrong = 0, restarts = 0;
+
+  setup (31);
+  memset (naive, 0, sizeof naive);
+  for (int i = 0; i < STEPS && wrong == 0; i++)
+    {
+      unsigned key
+          = (unsigned)rng_below (&rng, KEYS_AT_A_TIME) + (unsigned)i / 10;
+
+      if (rng_below (&rng, 300) == 0)
+        {
+          shard_restart ();
+          restarts++;
+        }
+      wrong += !differential_step (&naive[key], key, &last_id);
+    }
+  printf ("# seed 31: %d steps, %u restarts, %u answers, %u confirmations, "
+          "%u writes, %u segments\n",
+          STEPS, restarts, answer_count, recorded_count,
+          (unsigned)fake.calls[FAKE_KV_TXN], segments_count ());
+  CU_ASSERT_EQUAL (wrong, 0);
+  CU_ASSERT_TRUE (restarts > 30);
+  /* 2,100 records of at most 160 bytes in segments of 2 KB, which are at
+   * least half full but for the last few. */
+  CU_ASSERT_TRUE (segments_count () < 2 * 164 + 4 * 8);
+  finish ();
+}
+
+static void
+test_retention (void)
+{
+  setup (32);
+  for (unsigned key = 0; key < 200; key++)
+    {
+      CU_ASSERT_EQUAL (begin (key, key + 1, 0), ONCE_GRANTED);
+      CU_ASSERT_EQUAL (end (key, key + 1, true), STATUS_OK);
+    }
+  run (900 * NS_PER_S, 500 * NS_PER_MS);
+  CU_ASSERT_EQUAL (once.record_count, 200);
+  CU_ASSERT_EQUAL (begin (7, 1000, 0), ONCE_REPLAYED);
+  run (200 * NS_PER_S, 500 * NS_PER_MS);
+  CU_ASSERT_EQUAL (once.record_count, 0);
+  CU_ASSERT_TRUE (segments_count () <= owner_settings.partitions);
+  CU_ASSERT_EQUAL (begin (7, 1001, 0), ONCE_GRANTED);
+  finish ();
+}
+
+/* Segments shrink to what the service takes; a record that does not fit at
+ * all, or is one too many, is refused, and that is true. */
+static void
+test_limits (void)
+{
+  setup (33);
+  fake.faults.value_max = 1500;
+  for (unsigned key = 0; key < 100; key++)
+    CU_ASSERT_EQUAL (begin (key, key + 1, 0), ONCE_GRANTED);
+  shard_restart ();
+  for (unsigned key = 0; key < 100; key++)
+    CU_ASSERT_NOT_EQUAL (begin (key, 200, 0), ONCE_GRANTED);
+  once.settings.record_max = 100;
+  CU_ASSERT_EQUAL (begin (100, 300, 0), ONCE_REFUSED);
+  CU_ASSERT_FALSE (answered.key_unknown);
+  once.settings.record_max = 1000;
+  fake.faults.value_max = 100;
+  CU_ASSERT_EQUAL (begin (100, 301, 0), ONCE_REFUSED);
+  CU_ASSERT_FALSE (answered.key_unknown);
+  fake.faults.value_max = KV_VALUE_MAX;
+  CU_ASSERT_EQUAL (begin (100, 302, 0), ONCE_GRANTED);
+  finish ();
+}
+
+/* A write that the service does not take back is found by its marker. */
+static void
+test_lost_reply_is_read_back (void)
+{
+  setup (35);
+  fake.faults.lose_after = 1;
+  CU_ASSERT_EQUAL (begin (1, 1, 0), ONCE_GRANTED);
+  CU_ASSERT_EQUAL (once.commit.recovered, 1);
+  fake.faults.lose_before = 1;
+  CU_ASSERT_EQUAL (begin (2, 2, 0), ONCE_GRANTED);
+  CU_ASSERT_EQUAL (once.commit.recovered, 1);
+  CU_ASSERT_EQUAL (once.commit.lost, 2);
+  finish ();
+}
+
+/* Any line that was cut or changed is refused or reads as some record, and
+ * an untouched one reads as the same. */
+static void
+test_lines (void)
+{
+  rng_init (&rng, 36);
+  for (int i = 0; i < 3000; i++)
+    {
+      struct once_digest key = once_digest_of (&i, sizeof i);
+      struct oncerec *record = oncerec_new (&key);
+      struct oncerec *read;
+      GString *line = g_string_new (NULL);
+      GString *again = g_string_new (NULL);
+      struct once_outcome outcome
+          = { 200 + (unsigned)i % 300, key, i % 2 == 0, key.bytes, 16 };
+
+      record->state = (uint8_t)(ONCEREC_GRANTED + i % 3);
+      record->request = rng_next (&rng);
+      record->stamp_s = (uint32_t)rng_next (&rng);
+      if (record->state == ONCEREC_FINISHED)
+        oncerec_set_outcome (record, &outcome);
+      oncerec_format (record, line);
+      read = oncerec_parse (line->str, line->len - 1);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (read);
+      oncerec_format (read, again);
+      CU_ASSERT_STRING_EQUAL (line->str, again->str);
+      oncerec_free (read);
+      line->str[rng_below (&rng, line->len)] = (char)rng_next (&rng);
+      read = oncerec_parse (line->str, rng_below (&rng, line->len));
+      if (read != NULL)
+        oncerec_free (read);
+      oncerec_free (record);
+      g_string_free (line, TRUE);
+      g_string_free (again, TRUE);
+    }
+}
+
+static const struct unit_case cases[] = {
+  { "same-as-a-naive-list", test_same_as_a_naive_list },
+  { "retention", test_retention },
+  { "limits", test_limits },
+  { "lost-reply-is-read-back", test_lost_reply_is_read_back },
+  { "lines", test_lines },
+};
+
+int
+main (void)
+{
+  return unit_run ("once", cases, sizeof cases / sizeof *cases);
+}
