--- a/src/confdoc.h
+++ b/src/confdoc.h
@@ -41,7 +41,7 @@
   size_t tombstone_count;
 };
 
-/** A row to put in force or to remove. */
+/** A row to put in force, or one in force to remove. */
 struct row_change
 {
   struct declaration row;
