--- a/src/config.c
+++ b/src/config.c
@@ -25,7 +25,7 @@
   return strcmp (a->name, b->name);
 }
 
-/* The digest binds the revision and every document to one another. */
+/* The digest binds revision, documents and sheets to one another. */
 static void
 digest_compute (const struct config *config, char out[CONFDOC_DIGEST_MAX])
 {
@@ -40,6 +40,10 @@
       g_string_append_printf (text, ",%s=%s", document->name,
                               document->digest);
     }
+  for (size_t i = 0; i < config->sheet_count; i++)
+    g_string_append_printf (text, ";%s=%" G_GUINT64_FORMAT,
+                            config->sheets[i].digest,
+                            config->sheets[i].revision);
   confdoc_digest (text->str, text->len, out);
   g_ptr_array_unref (documents);
   g_string_free (text, TRUE);
--- a/src/config.h
+++ b/src/config.h
@@ -25,7 +25,7 @@
 {
   int references;
   uint64_t revision;
-  char digest[CONFDOC_DIGEST_MAX]; /**< over all documents */
+  char digest[CONFDOC_DIGEST_MAX]; /**< over revision, documents, sheets */
   GHashTable *documents;           /**< name to struct confdoc */
   GHashTable *rows;                /**< set of struct declaration */
   GHashTable *keys;                /**< key hash to row */
--- a/src/event.c
+++ b/src/event.c
@@ -32,6 +32,12 @@
   /* Configuration and sheet: 600 */
   { EVENT_CONFIG_APPLIED, EVENT_INFO, "config_applied",
     "A newer configuration revision is in force in this process." },
+  { EVENT_CONFIG_KV_DOWN, EVENT_WARN, "config_kv_down",
+    "The configuration cannot be read; what is in force stays." },
+  { EVENT_CONFIG_CORRUPT, EVENT_ERROR, "config_corrupt",
+    "The stored configuration breaks a rule; what is in force stays." },
+  { EVENT_SHEET_APPLIED, EVENT_INFO, "sheet_applied",
+    "A sheet's apply has ended: status, revision, digest, operator, tries." },
 
   /* Membership and peers: 700 */
   { EVENT_MEMBER_STATE, EVENT_INFO, "member_state",
--- a/src/event.h
+++ b/src/event.h
@@ -37,6 +37,9 @@
 
   /* Configuration and sheet: 600 */
   EVENT_CONFIG_APPLIED = 600,
+  EVENT_CONFIG_KV_DOWN = 601,
+  EVENT_CONFIG_CORRUPT = 602,
+  EVENT_SHEET_APPLIED = 603,
 
   /* Membership and peers: 700 */
   EVENT_MEMBER_STATE = 700,
--- a/src/merge.c
+++ b/src/merge.c
@@ -521,15 +521,22 @@
 }
 
 struct json_object *
-merge_json (const struct merge *merge)
+merge_changes_json (const struct merge *merge)
 {
-  struct json_object *object = json_object_new_object ();
   struct json_object *changes = json_object_new_array ();
 
   for (guint i = 0; i < merge->entries->len; i++)
     json_object_array_add (
         changes,
         entry_json (&g_array_index (merge->entries, struct merge_entry, i)));
+  return changes;
+}
+
+struct json_object *
+merge_json (const struct merge *merge)
+{
+  struct json_object *object = json_object_new_object ();
+
   json_object_object_add (object, "base",
                           json_object_new_int64 ((int64_t)merge->base));
   json_object_object_add (object, "against",
@@ -538,7 +545,7 @@
                           json_object_new_int64 ((int64_t)merge->already));
   json_object_object_add (object, "unchanged",
                           json_object_new_int64 ((int64_t)merge->unchanged));
-  json_object_object_add (object, "changes", changes);
+  json_object_object_add (object, "changes", merge_changes_json (merge));
   json_object_object_add (object, "refusals",
                           rejections_json (merge->refusals));
   return object;
--- a/src/merge.h
+++ b/src/merge.h
@@ -44,6 +44,9 @@
                  const struct config *config);
 void merge_finish (struct merge *merge);
 
+/** The array "changes" of merge_json; the caller frees it. */
+struct json_object *merge_changes_json (const struct merge *merge);
+
 /** {"base","against","already","unchanged","changes":[{"row","action",
  * "object","columns":[{"column","from","to"}]}],"refusals":[...]}; the caller
  * frees it. */
--- a/src/sheet.c
+++ b/src/sheet.c
@@ -460,19 +460,36 @@
   g_string_append (text, cell);
 }
 
+static GString *
+export_begin (const struct config *config)
+{
+  GString *text = g_string_new ("object,action");
+
+  for (int i = 0; i < COLUMN_COUNT; i++)
+    cell_export (text, column_name ((enum column)i));
+  cell_export (text, "was");
+  g_string_append_printf (text, "\nbase,%" PRIu64 "\n", config->revision);
+  return text;
+}
+
+/* WAS is the digest at the export; 0: the row is new. */
 static void
-row_export (GString *text, const struct declaration *row)
+row_export (GString *text, const struct declaration *row, const char *action,
+            uint64_t was)
 {
   char cell[DECLARATION_CELL_MAX];
 
   g_string_append (text, declaration_type_name (row->type));
-  cell_export (text, "");
+  cell_export (text, action);
   for (int i = 0; i < COLUMN_COUNT; i++)
     {
       declaration_cell (row, (enum column)i, cell);
       cell_export (text, cell);
     }
-  g_string_append_printf (text, ",%016" PRIx64 "\n", declaration_digest (row));
+  if (was == 0)
+    g_string_append (text, ",\n");
+  else
+    g_string_append_printf (text, ",%016" PRIx64 "\n", was);
 }
 
 void
@@ -508,23 +525,38 @@
 char *
 sheet_export (const struct config *config)
 {
-  GString *text = g_string_new ("object,action");
+  GString *text = export_begin (config);
   GPtrArray *documents = config_documents (config);
   size_t count = 0;
 
-  for (int i = 0; i < COLUMN_COUNT; i++)
-    cell_export (text, column_name ((enum column)i));
-  cell_export (text, "was");
-  g_string_append_printf (text, "\nbase,%" PRIu64 "\n", config->revision);
   for (guint i = 0; i < documents->len; i++)
     {
       const struct confdoc *document = documents->pdata[i];
 
       for (size_t j = 0; j < document->row_count; j++)
-        row_export (text, &document->rows[j]);
+        row_export (text, &document->rows[j], "",
+                    declaration_digest (&document->rows[j]));
       count += document->row_count;
     }
   g_string_append_printf (text, "end,%zu\n", count);
   g_ptr_array_unref (documents);
   return g_string_free (text, FALSE);
 }
+
+char *
+sheet_drain (const struct config *config, const char *name, bool drain)
+{
+  GString *text = export_begin (config);
+  struct declaration row;
+
+  declaration_init (&row, DECLARATION_DRAIN);
+  if (declaration_set (&row, COLUMN_NAME, name, NULL) != STATUS_OK)
+    {
+      g_string_free (text, TRUE);
+      return NULL;
+    }
+  row_export (text, &row, drain ? "" : "remove",
+              drain ? 0 : declaration_digest (&row));
+  g_string_append (text, "end,1\n");
+  return g_string_free (text, FALSE);
+}
--- a/src/sheet.h
+++ b/src/sheet.h
@@ -42,4 +42,8 @@
 /** CONFIG as a sheet; the caller frees it with g_free. */
 char *sheet_export (const struct config *config);
 
+/** A sheet against CONFIG that drains the backend server NAME, or ends its
+ * drain; the caller frees it with g_free. NULL if NAME is not a name. */
+char *sheet_drain (const struct config *config, const char *name, bool drain);
+
 #endif
