--- a/test/bench-place.c
+++ b/test/bench-place.c
@@ -55,13 +55,13 @@
 
 /* The median of ROUNDS, in ns per decision. */
 static double
-bench_size (uint32_t engines)
+bench_size (uint32_t count)
 {
   static struct blockindex_match matches[MATCHES];
   double rounds[ROUNDS];
   struct engines engines;
 
-  engines_init (&engines, engines, SEED, &place_settings_default, "cost");
+  engines_init (&engines, count, SEED, &place_settings_default, "cost");
   for (int i = 0; i < MATCHES; i++)
     engines_match (&engines, PIECES, &matches[i]);
   for (int i = 0; i < ROUNDS; i++)
