--- a/src/block.c
+++ b/src/block.c
@@ -63,13 +63,16 @@
   return name_copy (scope->adapter, adapter != NULL ? adapter : "");
 }
 
-bool
-block_scope_equal (const struct block_scope *a, const struct block_scope *b)
+int
+block_scope_equal (const void *a, const void *b)
 {
-  return strcmp (a->organisation, b->organisation) == 0
-         && strcmp (a->model, b->model) == 0
-         && strcmp (a->version, b->version) == 0
-         && strcmp (a->adapter, b->adapter) == 0;
+  const struct block_scope *x = a;
+  const struct block_scope *y = b;
+
+  return strcmp (x->organisation, y->organisation) == 0
+         && strcmp (x->model, y->model) == 0
+         && strcmp (x->version, y->version) == 0
+         && strcmp (x->adapter, y->adapter) == 0;
 }
 
 unsigned
@@ -97,6 +100,12 @@
   return count;
 }
 
+int
+block_id_equal (const void *a, const void *b)
+{
+  return memcmp (a, b, sizeof (struct block_id)) == 0;
+}
+
 unsigned
 block_id_hash (const void *id)
 {
--- a/src/block.h
+++ b/src/block.h
@@ -3,7 +3,6 @@
 
 #include "status.h"
 
-#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -48,10 +47,9 @@
                               const char *organisation, const char *model,
                               const char *version, const char *adapter);
 
-bool block_scope_equal (const struct block_scope *a,
-                        const struct block_scope *b);
-
-/** Hash of SCOPE, for GHashTable. */
+/** Whether two scopes agree in every field, and the hash of one; as GLib's
+ * hash tables take them. */
+int block_scope_equal (const void *a, const void *b);
 unsigned block_scope_hash (const void *scope);
 
 /** Write the ids of the whole pieces of PROMPT to IDS, at most MAX.
@@ -62,11 +60,10 @@
                     size_t size, size_t piece_bytes, struct block_id *ids,
                     size_t max);
 
-static inline bool
-block_id_equal (const struct block_id *a, const struct block_id *b)
-{
-  return __builtin_memcmp (a, b, sizeof *a) == 0;
-}
+/** Whether two ids agree, and the hash of one; as GLib's hash tables take
+ * them. */
+int block_id_equal (const void *a, const void *b);
+unsigned block_id_hash (const void *id);
 
 /** The part of ID that names its owner shard; equal along a chain. */
 static inline uint16_t
@@ -75,9 +72,6 @@
   return (uint16_t)(id->bytes[0] << 8 | id->bytes[1]);
 }
 
-/** Hash of ID, for GHashTable. */
-unsigned block_id_hash (const void *id);
-
 /** Write ID as 32 lower-case hexadecimal digits. */
 void block_to_hex (const struct block_id *id, char hex[BLOCK_HEX_SIZE]);
 
--- a/src/blockentry.c
+++ b/src/blockentry.c
@@ -2,30 +2,6 @@
 
 #include <string.h>
 
-static guint
-id_hash (gconstpointer id)
-{
-  return block_id_hash (id);
-}
-
-static gboolean
-id_equal (gconstpointer a, gconstpointer b)
-{
-  return block_id_equal (a, b);
-}
-
-static guint
-scope_hash (gconstpointer scope)
-{
-  return block_scope_hash (scope);
-}
-
-static gboolean
-scope_equal (gconstpointer a, gconstpointer b)
-{
-  return block_scope_equal (a, b);
-}
-
 static struct blockentry_scope *
 scope_ref (struct blockentry_table *table, const struct block_scope *scope)
 {
@@ -76,9 +52,10 @@
 blockentry_table_init (struct blockentry_table *table, size_t max)
 {
   memset (table, 0, sizeof *table);
-  table->entries = g_hash_table_new_full (id_hash, id_equal, NULL, g_free);
-  table->scopes
-      = g_hash_table_new_full (scope_hash, scope_equal, NULL, g_free);
+  table->entries
+      = g_hash_table_new_full (block_id_hash, block_id_equal, NULL, g_free);
+  table->scopes = g_hash_table_new_full (block_scope_hash, block_scope_equal,
+                                         NULL, g_free);
   list_init (&table->unstored);
   list_init (&table->stored);
   table->max = max;
--- a/src/blockindex.c
+++ b/src/blockindex.c
@@ -155,7 +155,7 @@
 match_idle_ns (const struct blockentry *deepest, uint32_t known, size_t count,
                int64_t now)
 {
-  if (deepest == NULL || deepest->used_ns == 0 || known * 2 < count)
+  if (deepest == NULL || deepest->used_ns == 0 || known < count - known)
     return -1;
   return now - deepest->used_ns;
 }
--- a/src/export.c
+++ b/src/export.c
@@ -23,9 +23,6 @@
 static const double initial_requests = 2;
 static const double initial_returns = 1;
 
-/* Weight of one block in the mean gain. */
-static const double gain_weight = 1.0 / 64;
-
 /* Stands for all organisations. */
 static const char *const any_organisation = "";
 
@@ -225,19 +222,6 @@
     }
 }
 
-/* The emptier the export bucket, the more a byte must gain, up to the mean of
- * what comes; with a full bucket any gain will do. */
-static bool
-take_link (struct export *policy, const struct export_block *block,
-           struct link *link, double gain)
-{
-  double gain_per_byte = gain / (double)block->length;
-  double bar = policy->mean_gain * (1 - link_filled (link, LINK_EXPORT));
-
-  policy->mean_gain += gain_weight * (gain_per_byte - policy->mean_gain);
-  return gain_per_byte >= bar && link_try (link, LINK_EXPORT, block->length);
-}
-
 void
 export_init (struct export *policy, const struct clock *clock,
              const struct export_settings *settings)
@@ -247,7 +231,6 @@
   policy->classes = g_hash_table_new_full (key_hash, key_equal, NULL, g_free);
   memset (&policy->total, 0, sizeof policy->total);
   policy->total.faded_ns = clock_now (clock);
-  policy->mean_gain = 0;
 }
 
 void
@@ -348,8 +331,8 @@
     }
   decide_target (policy, block, targets, count, decision);
   if (decision->reason == EXPORT_KEPT
-      && !take_link (policy, block, targets[decision->target].link,
-                     decision->value_s))
+      && !link_try (targets[decision->target].link, LINK_EXPORT,
+                    block->length))
     decision->reason = EXPORT_LINK_BUSY;
 }
 
--- a/src/export.h
+++ b/src/export.h
@@ -58,7 +58,6 @@
   struct export_settings settings;
   GHashTable *classes;
   struct export_class total;
-  double mean_gain; /**< seconds per byte, of what was worth keeping */
 };
 
 /** A block that is or may be kept. */
@@ -90,7 +89,7 @@
   EXPORT_HELD,      /**< A copy is there already. */
   EXPORT_WORTHLESS, /**< It would cost more than it gains. */
   EXPORT_FULL,      /**< All that could be displaced is worth more. */
-  EXPORT_LINK_BUSY, /**< Too little budget on the link for its gain. */
+  EXPORT_LINK_BUSY, /**< No budget on the link now; ask again. */
 };
 
 struct export_decision
--- a/src/link.c
+++ b/src/link.c
@@ -213,15 +213,6 @@
   return true;
 }
 
-double
-link_filled (struct link *link, enum link_priority priority)
-{
-  link_refresh (link);
-  if (link->level[priority] <= 0)
-    return 0;
-  return (double)link->level[priority] / (double)link->burst;
-}
-
 void
 link_return (struct link *link, enum link_priority priority, int64_t bytes)
 {
--- a/src/link.h
+++ b/src/link.h
@@ -70,9 +70,6 @@
 /** Take BYTES only if the bucket covers them or is full. For exports. */
 bool link_try (struct link *link, enum link_priority priority, int64_t bytes);
 
-/** How full the bucket is, in [0, 1]. */
-double link_filled (struct link *link, enum link_priority priority);
-
 /** Give back BYTES that were taken and not transferred. */
 void link_return (struct link *link, enum link_priority priority,
                   int64_t bytes);
--- a/src/place.h
+++ b/src/place.h
@@ -90,6 +90,8 @@
   uint64_t engine;
   struct plan plan;
   enum link_priority priority;
+  int64_t hold_ns; /**< Not urgent: send so much later, when the links are
+                        through with what is before it. */
   unsigned import_count;
   struct plan_import imports[PLAN_IMPORTS_MAX];
   unsigned candidate_count;
