--- a/src/gateway.c
+++ b/src/gateway.c
@@ -139,7 +139,6 @@
   struct gateway *gateway = data;
 
   backends_tick (&gateway->backends);
-  operator_tick (gateway);
   for (int type = 0; type < REQUEST_TYPE_COUNT; type++)
     admit_tick (&gateway->admit[type]);
   tick_requests (gateway);
@@ -175,6 +174,16 @@
   sync_links (gateway);
 }
 
+static void
+configured (void *data)
+{
+  struct gateway *gateway = data;
+
+  config_unref (gateway->config);
+  gateway->config = config_ref (gateway->process.configstore.config);
+  admission_configure (gateway);
+}
+
 static size_t
 busy (void *data)
 {
@@ -182,7 +191,7 @@
 }
 
 static const struct process_role gateway_role
-    = { serve, answer_peer, tick, hosts_changed, busy };
+    = { serve, answer_peer, tick, hosts_changed, configured, busy };
 
 static void
 init_place (struct gateway *gateway)
@@ -241,7 +250,6 @@
   init_place (gateway);
   init_retry (gateway);
   admission_init (gateway);
-  operator_init (gateway);
   return STATUS_OK;
 }
 
@@ -263,7 +271,6 @@
   g_array_unref (gateway->serials);
   place_finish (&gateway->place);
   backends_finish (&gateway->backends);
-  operator_finish (gateway);
   config_unref (gateway->config);
   g_hash_table_destroy (gateway->by_serial);
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -3,7 +3,7 @@
 
 #include "backends.h"
 #include "block.h"
-#include "confpoll.h"
+#include "config.h"
 #include "place.h"
 #include "process.h"
 #include "request.h"
@@ -17,7 +17,6 @@
 {
   struct process process;
   const struct settings *settings;
-  struct confpoll confpoll;
   struct config *config; /**< in force; NULL before the first */
   struct backends backends;
   struct place place;
--- a/src/process.c
+++ b/src/process.c
@@ -10,6 +10,28 @@
 #define CLIENT_IO_TIMEOUT_MS UINT64_C (600000)
 #define SERVER_IDLE_MS UINT64_C (60000)
 
+enum
+{
+  KV_QUEUE_MAX = 256,
+  KV_WATCH_MAX = 2
+};
+
+#define KV_WATCH_WAIT_NS (10 * NS_PER_S)
+#define KV_BACKOFF_MIN_NS (100 * NS_PER_MS)
+#define KV_BACKOFF_MAX_NS (5 * NS_PER_S)
+
+static const struct configstore_settings configstore_settings = {
+  .watch_wait_ns = KV_WATCH_WAIT_NS,
+  .start_delay_ns = NS_PER_S,
+  .backoff_min_ns = KV_BACKOFF_MIN_NS,
+  .backoff_max_ns = KV_BACKOFF_MAX_NS,
+};
+
+static const struct confapply_settings confapply_settings = {
+  .timeout_ns = 10 * NS_PER_S,
+  .history_keep = 1000,
+};
+
 static const char *
 advertised (const struct settings_address *advertise,
             const struct settings_address *listen)
@@ -193,6 +215,9 @@
       process->next_hosts_ns = now + process->settings->host_list.poll_ns;
       hostlist_poll (&process->hostlist.hostlist);
     }
+  kvbudget_tick (&process->kvbudget);
+  configstore_tick (&process->configstore);
+  confapply_tick (&process->confapply);
   process->role->tick (process->role_data);
   step_stop (process, now);
 }
@@ -226,6 +251,42 @@
     }
 }
 
+static void
+on_config_in_force (void *owner, const struct config *config)
+{
+  struct process *process = owner;
+
+  process->config_revision = config->revision;
+  process->role->configured (process->role_data);
+}
+
+static const struct configstore_ops configstore_ops = { on_config_in_force };
+
+static void
+init_kv (struct process *process)
+{
+  const struct settings *settings = process->settings;
+  struct kvbudget_settings budget = {
+    .rate = settings->kv.calls_per_s,
+    .burst = settings->kv.calls_per_s,
+    .queue_max = KV_QUEUE_MAX,
+    .watch_max = KV_WATCH_MAX,
+    .queue_wait_ns = settings->kv.timeout_ns,
+    .call_timeout_ns = settings->kv.timeout_ns + KV_WATCH_WAIT_NS,
+    .backoff_min_ns = KV_BACKOFF_MIN_NS,
+    .backoff_max_ns = KV_BACKOFF_MAX_NS,
+  };
+
+  kvbudget_init (&process->kvbudget, &process->kvhttp.kv, &process->clock,
+                 &process->rng, &budget);
+  configstore_init (&process->configstore, &configstore_settings,
+                    &process->kvbudget.kv, &process->clock, &process->rng,
+                    &process->log, &configstore_ops, process);
+  confapply_init (&process->confapply, &confapply_settings,
+                  &process->configstore);
+  configstore_watch (&process->configstore, true);
+}
+
 static void
 init_clients (struct process *process)
 {
@@ -241,6 +302,7 @@
     }
   kvhttp_init (&process->kvhttp, &process->httpjson, process->kv_addresses,
                count, settings->kv.timeout_ns);
+  init_kv (process);
   enginehttp_init (&process->enginehttp, &process->httpclient,
                    &process->httpjson);
   storehttp_init (&process->storehttp, &process->httpjson);
@@ -310,7 +372,10 @@
 void
 process_finish (struct process *process)
 {
+  confapply_finish (&process->confapply);
+  kvbudget_finish (&process->kvbudget);
   httpjson_finish (&process->httpjson);
+  configstore_finish (&process->configstore);
   httpclient_finish (&process->httpclient);
   peerhub_finish (&process->peers);
   httpserver_finish (&process->server);
--- a/src/process.h
+++ b/src/process.h
@@ -2,10 +2,13 @@
 #define PROCESS_H
 
 #include "clock.h"
+#include "confapply.h"
+#include "configstore.h"
 #include "enginehttp.h"
 #include "hostlist.h"
 #include "httpjson.h"
 #include "httpserver.h"
+#include "kvbudget.h"
 #include "kvhttp.h"
 #include "log.h"
 #include "metrics.h"
@@ -33,6 +36,8 @@
   void (*tick) (void *data);
   /** The host list was read. */
   void (*hosts_changed) (void *data);
+  /** A newer configuration is in force: process.configstore.config. */
+  void (*configured) (void *data);
   /** Count of what must end before the process may exit. */
   size_t (*busy) (void *data);
 };
@@ -66,6 +71,9 @@
   struct httpclient httpclient;
   struct httpjson httpjson;
   struct kvhttp kvhttp;
+  struct kvbudget kvbudget;
+  struct configstore configstore;
+  struct confapply confapply;
   const char *kv_addresses[PROCESS_KV_ADDRESSES];
   struct enginehttp enginehttp;
   struct storehttp storehttp;
--- a/src/shard.c
+++ b/src/shard.c
@@ -302,6 +302,11 @@
   storewatch_sync (&shard->stores);
 }
 
+static void
+configured (void *data)
+{
+}
+
 static size_t
 busy (void *data)
 {
@@ -309,7 +314,7 @@
 }
 
 static const struct process_role shard_role
-    = { serve, answer, tick, hosts_changed, busy };
+    = { serve, answer, tick, hosts_changed, configured, busy };
 
 static void
 init_index (struct shard *shard)
