--- a/test/test-place.c
+++ b/test/test-place.c
@@ -1,4 +1,4 @@
-#include "fake-fleet.h"
+#include "fake-engines.h"
 #include "unit.h"
 
 #include <math.h>
@@ -17,12 +17,12 @@
 
 /* The naive cost of one split, added up from the parts. */
 static double
-naive_cost (struct fleet *f, const struct place_request *request,
+naive_cost (struct engines *f, const struct place_request *request,
             uint64_t engine, unsigned reuse, unsigned import)
 {
   const struct place_settings *settings = &f->place.settings;
   const struct blockindex_match *match = request->match;
-  double bytes[FLEET_STORES] = { 0 };
+  double bytes[ENGINES_STORES] = { 0 };
   double confidence = 1, last = 0, total = 0, computed, cost;
   uint32_t index = 0;
 
@@ -44,7 +44,7 @@
           double done
               = (double)link_wait (place_link (&f->place, s),
                                    request->urgent ? LINK_URGENT : LINK_IMPORT,
-                                   (int64_t)bytes[s] + FLEET_PIECE_BYTES);
+                                   (int64_t)bytes[s] + ENGINES_PIECE_BYTES);
 
           if (done < soonest)
             {
@@ -52,13 +52,13 @@
               store = s;
             }
         }
-      bytes[store] += FLEET_PIECE_BYTES;
-      total += FLEET_PIECE_BYTES;
+      bytes[store] += ENGINES_PIECE_BYTES;
+      total += ENGINES_PIECE_BYTES;
       last = fmax (last, soonest);
     }
   computed = (double)(request->tokens
-                      - (int64_t)(reuse + import) * FLEET_PIECE_TOKENS)
-             + (1 - confidence) * reuse * FLEET_PIECE_TOKENS;
+                      - (int64_t)(reuse + import) * ENGINES_PIECE_TOKENS)
+             + (1 - confidence) * reuse * ENGINES_PIECE_TOKENS;
   cost = load_wait_s (&f->load, index, f->clock.now)
          * (request->urgent ? settings->urgent_wait_share : 1);
   cost += last / 1e9 + computed / load_engine_at (&f->load, index)->rate;
@@ -67,7 +67,7 @@
 }
 
 static double
-naive_engine (struct fleet *f, const struct place_request *request,
+naive_engine (struct engines *f, const struct place_request *request,
               uint64_t engine)
 {
   const struct blockindex_match *match = request->match;
@@ -87,7 +87,8 @@
 }
 
 static void
-naive_all (struct fleet *f, const struct place_request *request, double *costs)
+naive_all (struct engines *f, const struct place_request *request,
+           double *costs)
 {
   for (uint64_t e = 0; e < f->count; e++)
     {
@@ -110,27 +111,27 @@
 
 /* A random request in a random moment: old reports, loaded links. */
 static struct place_request
-random_request (struct fleet *f, struct blockindex_match *match,
+random_request (struct engines *f, struct blockindex_match *match,
                 uint64_t *excluded)
 {
   struct rng *rng = &f->rng;
 
   clock_fake_advance (&f->clock, (int64_t)rng_below (rng, NS_PER_S / 10));
   for (int i = 0; i < 4; i++)
-    fleet_report (f, rng_below (rng, f->count),
-                  (int64_t)rng_below (rng, 100000));
-  link_take (place_link (&f->place, rng_below (rng, FLEET_STORES)),
+    engines_report (f, rng_below (rng, f->count),
+                    (int64_t)rng_below (rng, 100000));
+  link_take (place_link (&f->place, rng_below (rng, ENGINES_STORES)),
              rng_below (rng, 2), (int64_t)rng_below (rng, 20000000));
   f->place.settings.plan.token_price_s = 1e-4 * rng_unit (rng);
   f->place.settings.plan.byte_price_s = 1e-7 * rng_unit (rng);
-  fleet_match (f, PIECES, match);
+  engines_match (f, PIECES, match);
   *excluded = rng_below (rng, f->count);
   return (struct place_request){
     .need = &f->need,
     .match = match,
     .tokens
-    = (int64_t)PIECES * FLEET_PIECE_TOKENS + (int64_t)rng_below (rng, 1000),
-    .piece_tokens = FLEET_PIECE_TOKENS,
+    = (int64_t)PIECES * ENGINES_PIECE_TOKENS + (int64_t)rng_below (rng, 1000),
+    .piece_tokens = ENGINES_PIECE_TOKENS,
     .urgent = rng_below (rng, 2) == 0,
     .excluded = excluded,
     .excluded_count = rng_below (rng, 2),
@@ -139,7 +140,7 @@
 
 /* The cost that was told is that of the naive sum for the same split. */
 static void
-check_told (struct fleet *f, const struct place_request *request,
+check_told (struct engines *f, const struct place_request *request,
             const struct place_result *result)
 {
   int64_t bytes = 0;
@@ -149,8 +150,15 @@
   CU_ASSERT_TRUE (fabs (again - result->plan.cost_s) < tolerance);
   for (unsigned i = 0; i < result->import_count; i++)
     {
-      CU_ASSERT_EQUAL (result->imports[i].piece, result->plan.reuse + i);
-      bytes += result->imports[i].copy.length;
+      unsigned before = i - result->plan.import;
+
+      CU_ASSERT_EQUAL (result->imports[i].fallback, i >= result->plan.import);
+      CU_ASSERT_EQUAL (result->imports[i].piece,
+                       i < result->plan.import
+                           ? result->plan.reuse + i
+                           : result->plan.reuse - 1 - before);
+      if (!result->imports[i].fallback)
+        bytes += result->imports[i].copy.length;
     }
   CU_ASSERT_EQUAL (bytes, result->plan.import_bytes);
   CU_ASSERT_TRUE (result->import_count <= f->place.settings.plan.import_max);
@@ -163,12 +171,12 @@
   struct place_settings settings = place_settings_default;
   struct blockindex_match match;
   struct place_result result;
-  struct fleet f;
+  struct engines f;
   uint64_t excluded;
   double costs[ENGINES];
 
   settings.plan.import_max = 6;
-  fleet_init (&f, PLACE_SMALL_GROUP, 71, &settings, "cost");
+  engines_init (&f, PLACE_SMALL_GROUP, 71, &settings, "cost");
   f.load.settings.silent_ns = 1000 * NS_PER_S * STEPS;
   for (int step = 0; step < STEPS; step++)
     {
@@ -181,7 +189,7 @@
       CU_ASSERT_TRUE (fabs (result.plan.cost_s - costs[0]) < tolerance);
       check_told (&f, &request, &result);
     }
-  fleet_finish (&f);
+  engines_finish (&f);
 }
 
 /* With sampling the cost is never better than the scan's, never worse than the
@@ -195,13 +203,13 @@
   struct place_settings settings = place_settings_default;
   struct blockindex_match match;
   struct place_result result;
-  struct fleet f;
+  struct engines f;
   uint64_t excluded;
   double costs[ENGINES], sorted[ENGINES];
   unsigned misses = 0;
 
   settings.plan.import_max = 6;
-  fleet_init (&f, ENGINES, 72, &settings, "cost");
+  engines_init (&f, ENGINES, 72, &settings, "cost");
   f.load.settings.silent_ns = 1000 * NS_PER_S * STEPS;
   for (int step = 0; step < STEPS; step++)
     {
@@ -221,7 +229,7 @@
       misses += result.plan.cost_s > sorted[ENGINES / 2 - 1] + 1e-8;
     }
   CU_ASSERT_TRUE (misses <= bound * STEPS);
-  fleet_finish (&f);
+  engines_finish (&f);
 }
 
 static void
@@ -231,18 +239,18 @@
       = { .holder_count = 1, .holders = { { 3, 4, 1 } } };
   struct place_request request = { .match = &match,
                                    .tokens = 8000,
-                                   .piece_tokens = FLEET_PIECE_TOKENS };
+                                   .piece_tokens = ENGINES_PIECE_TOKENS };
   struct place_result result;
   struct load_group_key next;
-  struct fleet f;
+  struct engines f;
 
-  fleet_init (&f, 20, 73, &place_settings_default, "cost");
+  engines_init (&f, 20, 73, &place_settings_default, "cost");
   load_group_key_init (&next, "s", "m", "2", NULL);
   request.need = &next;
   CU_ASSERT_EQUAL (place_choose (&f.place, &request, &result),
                    STATUS_UNAVAILABLE);
   request.need = &f.need;
-  fleet_report (&f, 3, 0);
+  engines_report (&f, 3, 0);
   CU_ASSERT_EQUAL (place_choose (&f.place, &request, &result), STATUS_OK);
   CU_ASSERT_EQUAL (result.engine, 3);
   load_set_leaving (&f.load, 3, true);
@@ -255,7 +263,7 @@
   load_tick (&f.load);
   CU_ASSERT_EQUAL (place_choose (&f.place, &request, &result),
                    STATUS_UNAVAILABLE);
-  fleet_finish (&f);
+  engines_finish (&f);
 }
 
 /* What was committed is seen by the next decision of this process. */
@@ -266,16 +274,16 @@
   struct blockindex_match match = { 0 };
   struct place_request request = { .match = &match,
                                    .tokens = 2000,
-                                   .piece_tokens = FLEET_PIECE_TOKENS };
+                                   .piece_tokens = ENGINES_PIECE_TOKENS };
   struct place_result result;
   unsigned counts[8] = { 0 };
   char text[1024], cut[40];
-  struct fleet f;
+  struct engines f;
 
-  fleet_init (&f, 8, 74, &place_settings_default, "cost");
+  engines_init (&f, 8, 74, &place_settings_default, "cost");
   request.need = &f.need;
   for (uint64_t e = 0; e < 8; e++)
-    fleet_report (&f, e, 0);
+    engines_report (&f, e, 0);
   clock_fake_advance (&f.clock, 1);
   for (int i = 0; i < 64; i++)
     {
@@ -290,7 +298,7 @@
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "reason=computed"));
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "considered=engine-"));
   CU_ASSERT_EQUAL (strlen (cut), sizeof cut - 1);
-  fleet_finish (&f);
+  engines_finish (&f);
 }
 
 static void
@@ -300,15 +308,15 @@
       = { .holder_count = 1, .holders = { { 3, 4, 1 } } };
   struct place_request request = { .match = &match,
                                    .tokens = 8000,
-                                   .piece_tokens = FLEET_PIECE_TOKENS };
+                                   .piece_tokens = ENGINES_PIECE_TOKENS };
   struct place_result result;
   uint64_t last = 0;
-  struct fleet f;
+  struct engines f;
 
-  fleet_init (&f, 12, 75, &place_settings_default, "round_robin");
+  engines_init (&f, 12, 75, &place_settings_default, "round_robin");
   request.need = &f.need;
   for (uint64_t e = 0; e < 12; e++)
-    fleet_report (&f, e, (int64_t)(20 + e));
+    engines_report (&f, e, (int64_t)(20 + e));
   for (int i = 0; i < 24; i++)
     {
       CU_ASSERT_EQUAL (place_choose (&f.place, &request, &result), STATUS_OK);
@@ -322,11 +330,11 @@
   place_choose (&f.place, &request, &result);
   CU_ASSERT_EQUAL (result.engine, 3);
   CU_ASSERT_EQUAL (result.plan.reuse, 4);
-  fleet_report (&f, 3, 1000000);
+  engines_report (&f, 3, 1000000);
   place_choose (&f.place, &request, &result);
   CU_ASSERT_EQUAL (result.engine, 0);
   CU_ASSERT_PTR_NULL (place_policy_find ("none"));
-  fleet_finish (&f);
+  engines_finish (&f);
 }
 
 static const struct unit_case cases[] = {
