Admission: setting an organisation again fills no bucket

Cause: each configuration change sets all organisations again, and a full bucket after each would undo their rates. Change: the bucket is only made anew when its rate or burst differs. Checked: test-admit.

--- a/src/admit.c
+++ b/src/admit.c
@@ -350,12 +350,17 @@
                         double weight, int64_t rate_milli, int64_t burst)
 {
   struct admit_organisation *account = organisation_get (admit, organisation);
+  struct bucket bucket;
 
   assert (weight > 0);
   for (int i = 0; i < PRIORITY_COUNT; i++)
     account->flows[i].weight = weight;
   account->limited = rate_milli > 0;
-  bucket_init (&account->bucket, rate_milli, burst, clock_now (admit->clock));
+  bucket_init (&bucket, rate_milli, burst, clock_now (admit->clock));
+  /* Saying the same again fills no bucket. */
+  if (bucket.rate != account->bucket.rate
+      || bucket.burst != account->bucket.burst)
+    account->bucket = bucket;
 }
 
 enum admit_answer
--- a/test/test-admit.c
+++ b/test/test-admit.c
@@ -370,6 +370,7 @@
   steps_init (2);
   admit_set_organisation (&world.admit, "slow", 1, 500, 1);
   CU_ASSERT_EQUAL (step_ask (0, "slow", 1, CLOCK_NEVER), ADMIT_PASS);
+  admit_set_organisation (&world.admit, "slow", 1, 500, 1);
   CU_ASSERT_EQUAL (step_ask (1, "slow", 1, CLOCK_NEVER), ADMIT_REFUSED);
   CU_ASSERT_EQUAL (last_refusal.code, ADMIT_ORGANISATION_RATE);
   CU_ASSERT_TRUE (last_refusal.retry_after_ns >= 2 * NS_PER_S);
