--- a/src/event.c
+++ b/src/event.c
@@ -16,6 +16,8 @@
     "One routing decision: request, organisation, backend server, reason." },
   { EVENT_REQUEST_END, EVENT_INFO, "request_end",
     "A request got its final answer: outcome and code." },
+  { EVENT_ATTEMPT_FAILED, EVENT_INFO, "attempt_failed",
+    "An attempt at a backend server ended without a whole answer." },
 
   /* Placement, block index, stores: 300 */
   { EVENT_PLACE, EVENT_INFO, "place",
@@ -24,6 +26,19 @@
   /* Admission, retry, suspect: 400 */
   { EVENT_ADMIT_REFUSED, EVENT_INFO, "admit_refused",
     "Admission refused a request at once: organisation, kind, code." },
+  { EVENT_RETRY, EVENT_INFO, "retry",
+    "After a failed attempt: outcome, action, reason, delay." },
+  { EVENT_SUSPECT_REFUSED, EVENT_WARN, "suspect_refused",
+    "A request that crashed backend servers was not run; look at the request "
+    "with this fingerprint." },
+  { EVENT_SUSPECT_CRASH, EVENT_WARN, "suspect_crash",
+    "A backend server died while it ran the request with this fingerprint." },
+  { EVENT_CONNECTION_CONDEMNED, EVENT_INFO, "connection_condemned",
+    "A connection went silent and is not used again." },
+  { EVENT_BACKEND_OUT, EVENT_INFO, "backend_out",
+    "A backend server gets no new work: the sign is given." },
+  { EVENT_BACKEND_BACK, EVENT_INFO, "backend_back",
+    "A backend server answered a probe and gets work again." },
 
   /* At most once, ownership, KV service: 500 */
   { EVENT_KV_DOWN, EVENT_WARN, "kv_down",
@@ -32,10 +47,20 @@
   /* Configuration and sheet: 600 */
   { EVENT_CONFIG_APPLIED, EVENT_INFO, "config_applied",
     "A newer configuration revision is in force in this process." },
+  { EVENT_CONFIG_KV_DOWN, EVENT_WARN, "config_kv_down",
+    "The configuration cannot be read; what is in force stays." },
+  { EVENT_CONFIG_CORRUPT, EVENT_ERROR, "config_corrupt",
+    "The stored configuration breaks a rule; what is in force stays." },
+  { EVENT_SHEET_APPLIED, EVENT_INFO, "sheet_applied",
+    "A sheet's apply has ended: status, revision, digest, operator, tries." },
 
   /* Membership and peers: 700 */
   { EVENT_MEMBER_STATE, EVENT_INFO, "member_state",
     "A process is seen in another state: alive, suspect, dead, left." },
+  { EVENT_PEER_SILENT, EVENT_WARN, "peer_silent",
+    "A connection between our processes stayed silent and was closed." },
+  { EVENT_PEER_GARBLED, EVENT_WARN, "peer_garbled",
+    "A frame between our processes could not be read; it was closed." },
 
   /* Orders to engines: 800 */
   { EVENT_ORDER_SENT, EVENT_INFO, "order_sent",
