Command-line tool: sheet, config, status, drain, key

Cause: operators drive the system from a sheet, and must be told what was refused and when it is in force everywhere.

--- /dev/null
+++ b/src/cli-sheet.c
@@ -0,0 +1,288 @@
+#include "cli.h"
+
+#include "cliprint.h"
+#include "httpjson.h"
+#include "sheet.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+enum
+{
+  /* Applying is idempotent, so a lost answer is settled by asking again. */
+  APPLY_TRIES = 4,
+  APPLY_PAUSE_MS = 1000,
+  POLL_MS = 250,
+  MS_PER_S = 1000
+};
+
+static enum cli_exit
+file_read (struct cli *cli, char **text, gsize *size)
+{
+  const char *name = cli->arguments[0];
+  GError *error = NULL;
+  gboolean good;
+
+  if (strcmp (name, "-") == 0)
+    name = "/dev/stdin";
+  good = g_file_get_contents (name, text, size, &error);
+  if (!good)
+    {
+      fprintf (cli->err, "trefoilspar: %s\n", error->message);
+      g_error_free (error);
+      return CLI_USAGE;
+    }
+  return CLI_OK;
+}
+
+static void
+json_print (struct cli *cli, struct json_object *object)
+{
+  fprintf (cli->out, "%s\n", json_object_to_json_string (object));
+}
+
+/* Whether a plan refuses nothing, something or everything. */
+static enum cli_exit
+plan_exit (struct json_object *plan)
+{
+  size_t changes, refusals;
+
+  json_field_array (plan, "changes", &changes);
+  json_field_array (plan, "refusals", &refusals);
+  if (refusals == 0)
+    return CLI_OK;
+  if (changes == 0 && json_field_uint (plan, "unchanged") == 0)
+    return CLI_REFUSED;
+  return CLI_PARTLY;
+}
+
+static void
+check_print (struct cli *cli, const struct sheet *sheet)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *refusals = rejections_json (sheet->refusals);
+
+  json_add_uint (object, "rows", sheet->rows->len);
+  json_object_object_add (object, "refusals", refusals);
+  if (cli->json)
+    json_print (cli, object);
+  else
+    {
+      cliprint_refusals (cli->out, refusals);
+      fprintf (cli->out, "%u rows are good, %u refusals\n", sheet->rows->len,
+               sheet->refusals->len);
+    }
+  json_object_put (object);
+}
+
+/* Read the sheet to be sent; what a gateway would refuse as a whole is
+   refused here. */
+static enum cli_exit
+sheet_load (struct cli *cli, char **text)
+{
+  struct sheet sheet;
+  enum cli_exit status;
+  gsize size;
+
+  status = file_read (cli, text, &size);
+  if (status != CLI_OK)
+    return status;
+  sheet_init (&sheet, *text, size);
+  if (!sheet.whole)
+    {
+      check_print (cli, &sheet);
+      g_free (*text);
+      status = CLI_REFUSED;
+    }
+  sheet_finish (&sheet);
+  return status;
+}
+
+enum cli_exit
+cli_sheet_check (struct cli *cli)
+{
+  struct sheet sheet;
+  enum cli_exit status;
+  char *text;
+  gsize size;
+
+  status = file_read (cli, &text, &size);
+  if (status != CLI_OK)
+    return status;
+  sheet_init (&sheet, text, size);
+  check_print (cli, &sheet);
+  if (sheet.refusals->len > 0)
+    status = sheet.rows->len > 0 ? CLI_PARTLY : CLI_REFUSED;
+  sheet_finish (&sheet);
+  g_free (text);
+  return status;
+}
+
+enum cli_exit
+cli_sheet_plan (struct cli *cli)
+{
+  struct json_object *plan;
+  enum cli_exit status;
+  char *text;
+  gsize size;
+
+  status = file_read (cli, &text, &size);
+  if (status != CLI_OK)
+    return status;
+  status = cli_call_json (cli, "POST", "/v1/operator/sheet/plan", text, &plan);
+  g_free (text);
+  if (status != CLI_OK)
+    return status == CLI_UNKNOWN ? CLI_UNAVAILABLE : status;
+  if (cli->json)
+    json_print (cli, plan);
+  else
+    cliprint_plan (cli->out, plan);
+  status = plan_exit (plan);
+  json_object_put (plan);
+  return status;
+}
+
+/* Poll until REVISION is in force in every process. */
+static enum cli_exit
+wait_in_force (struct cli *cli, uint64_t revision)
+{
+  char *path
+      = g_strdup_printf ("/v1/operator/config?revision=%" PRIu64, revision);
+  enum cli_exit status = CLI_NOT_YET;
+  uint64_t shown = UINT64_MAX;
+
+  for (int ms = 0; ms <= cli->timeout_s * MS_PER_S; ms += POLL_MS)
+    {
+      struct json_object *object = NULL;
+      uint64_t in_force, processes;
+
+      if (cli_call_json (cli, "GET", path, NULL, &object) != CLI_OK)
+        object = NULL;
+      in_force = json_field_uint (object, "in_force");
+      processes = json_field_uint (object, "processes");
+      json_object_put (object);
+      if (in_force != shown)
+        fprintf (cli->err,
+                 "revision %" PRIu64 ": in force in %" PRIu64 " of %" PRIu64
+                 " processes\n",
+                 revision, in_force, processes);
+      shown = in_force;
+      if (processes > 0 && in_force >= processes)
+        {
+          status = CLI_OK;
+          break;
+        }
+      cli->ops->sleep (cli, POLL_MS);
+    }
+  g_free (path);
+  return status;
+}
+
+static void
+apply_print (struct cli *cli, struct json_object *result)
+{
+  if (cli->json)
+    {
+      json_print (cli, result);
+      return;
+    }
+  cliprint_plan (cli->out, json_object_object_get (result, "plan"));
+  fprintf (cli->out, "stored in revision %" PRIu64 "\n",
+           json_field_uint (result, "revision"));
+}
+
+/* Send BODY to PATH until its outcome is known, and wait if asked to. */
+static enum cli_exit
+apply (struct cli *cli, const char *path, const char *body)
+{
+  enum cli_exit status = CLI_UNKNOWN, waited = CLI_OK;
+  struct json_object *result = NULL;
+
+  for (int i = 0; i < APPLY_TRIES && status == CLI_UNKNOWN; i++)
+    {
+      if (i > 0)
+        cli->ops->sleep (cli, APPLY_PAUSE_MS);
+      status = cli_call_json (cli, "POST", path, body, &result);
+    }
+  if (status != CLI_OK)
+    return status;
+  apply_print (cli, result);
+  status = plan_exit (json_object_object_get (result, "plan"));
+  if (cli->wait && status != CLI_REFUSED)
+    waited = wait_in_force (cli, json_field_uint (result, "revision"));
+  json_object_put (result);
+  return waited == CLI_OK ? status : waited;
+}
+
+enum cli_exit
+cli_sheet_apply (struct cli *cli)
+{
+  enum cli_exit status;
+  char *text;
+
+  status = sheet_load (cli, &text);
+  if (status != CLI_OK)
+    return status;
+  status = apply (cli, "/v1/operator/sheet/apply", text);
+  g_free (text);
+  return status;
+}
+
+enum cli_exit
+cli_sheet_export (struct cli *cli)
+{
+  char *answer;
+  enum cli_exit status
+      = cli_call (cli, "GET", "/v1/operator/sheet/export", NULL, &answer);
+
+  if (status != CLI_OK)
+    return status;
+  fputs (answer, cli->out);
+  g_free (answer);
+  return CLI_OK;
+}
+
+enum cli_exit
+cli_sheet_status (struct cli *cli)
+{
+  struct json_object *object;
+  uint64_t revision;
+  enum cli_exit status
+      = cli_call_json (cli, "GET", "/v1/operator/config", NULL, &object);
+
+  if (status != CLI_OK)
+    return status;
+  if (cli->json)
+    json_print (cli, object);
+  else
+    cliprint_object (cli->out, object);
+  revision = json_field_uint (object, "revision");
+  json_object_put (object);
+  return cli->wait ? wait_in_force (cli, revision) : CLI_OK;
+}
+
+static enum cli_exit
+drain (struct cli *cli, bool begin)
+{
+  struct json_object *body = json_object_new_object ();
+  enum cli_exit status;
+
+  json_add_text (body, "backend_server", cli->arguments[0]);
+  json_object_object_add (body, "drain", json_object_new_boolean (begin));
+  status
+      = apply (cli, "/v1/operator/drain", json_object_to_json_string (body));
+  json_object_put (body);
+  return status;
+}
+
+enum cli_exit
+cli_drain (struct cli *cli)
+{
+  return drain (cli, true);
+}
+
+enum cli_exit
+cli_undrain (struct cli *cli)
+{
+  return drain (cli, false);
+}
--- /dev/null
+++ b/src/cli.c
@@ -0,0 +1,343 @@
+#include "cli.h"
+
+#include <json-c/json.h>
+#include <stdbool.h>
+#include <string.h>
+
+enum
+{
+  TIMEOUT_DEFAULT_S = 60,
+  HTTP_OK = 200,
+  HTTP_UNAUTHORIZED = 401,
+  HTTP_FORBIDDEN = 403,
+  HTTP_UNAVAILABLE = 503,
+  HTTP_GATEWAY_TIMEOUT = 504
+};
+
+/* Which options a command takes. */
+enum
+{
+  TAKES_GATEWAY = 1,
+  TAKES_WAIT = 2,
+  TAKES_RANGE = 4
+};
+
+struct command
+{
+  const char *group; /* NULL: a command by itself */
+  const char *name;
+  const char *arguments; /* names, for the help */
+  int argument_count;
+  unsigned takes;
+  const char *summary;
+  cli_command run;
+};
+
+static const struct command commands[] = {
+  { "sheet", "check", "FILE", 1, 0, "check a sheet without a gateway",
+    cli_sheet_check },
+  { "sheet", "plan", "FILE", 1, TAKES_GATEWAY,
+    "show what a sheet would change and what is refused", cli_sheet_plan },
+  { "sheet", "apply", "FILE", 1, TAKES_GATEWAY | TAKES_WAIT,
+    "put a sheet in force; safe to repeat", cli_sheet_apply },
+  { "sheet", "export", "", 0, TAKES_GATEWAY,
+    "print the configuration as a sheet", cli_sheet_export },
+  { "sheet", "status", "", 0, TAKES_GATEWAY | TAKES_WAIT,
+    "show how many processes have the newest revision in force",
+    cli_sheet_status },
+  { "config", "history", "", 0, TAKES_GATEWAY, "list the last revisions",
+    cli_config_history },
+  { "config", "diff", "", 0, TAKES_GATEWAY | TAKES_RANGE,
+    "show what changed between two revisions", cli_config_diff },
+  { NULL, "status", "", 0, TAKES_GATEWAY, "show the state of the system",
+    cli_status },
+  { NULL, "drain", "BACKEND_SERVER", 1, TAKES_GATEWAY | TAKES_WAIT,
+    "send a backend server no new requests", cli_drain },
+  { NULL, "undrain", "BACKEND_SERVER", 1, TAKES_GATEWAY | TAKES_WAIT,
+    "end a drain", cli_undrain },
+  { "key", "new", "", 0, 0, "make a bearer key and its hash", cli_key_new },
+};
+
+enum
+{
+  COMMAND_COUNT = sizeof commands / sizeof *commands
+};
+
+static const char exit_codes[]
+    = "Exit codes:\n"
+      "  0  done\n"
+      "  1  wrong command line or unreadable file\n"
+      "  2  refused as a whole, nothing changed\n"
+      "  3  some rows refused, the rest is good\n"
+      "  4  no answer, nothing changed; try later\n"
+      "  5  may have changed; run the same command again\n"
+      "  6  stored, but not in force everywhere in time\n"
+      "  7  the operator key is wrong\n";
+
+static void
+help_print (FILE *stream)
+{
+  fputs ("Usage: trefoilspar COMMAND [OPTION...]\n\nCommands:\n", stream);
+  for (int i = 0; i < COMMAND_COUNT; i++)
+    {
+      const struct command *command = &commands[i];
+      char *line
+          = g_strjoin (" ", command->group == NULL ? "" : command->group,
+                       command->name, command->arguments, NULL);
+
+      fprintf (stream, "  %-26s %s\n", g_strstrip (line), command->summary);
+      g_free (line);
+    }
+  fprintf (stream, "\n'trefoilspar COMMAND --help' lists its options.\n\n%s",
+           exit_codes);
+}
+
+/* @param used receives the number of words that name the command */
+static const struct command *
+command_find (int argc, char **argv, int *used)
+{
+  for (int i = 0; i < COMMAND_COUNT; i++)
+    {
+      const struct command *command = &commands[i];
+
+      *used = command->group == NULL ? 1 : 2;
+      if (argc <= *used || strcmp (argv[*used], command->name) != 0)
+        continue;
+      if (command->group == NULL || strcmp (argv[1], command->group) == 0)
+        return command;
+    }
+  return NULL;
+}
+
+static GOptionContext *
+options_new (struct cli *cli, const struct command *command)
+{
+  GOptionEntry common[] = {
+    { "json", 'j', 0, G_OPTION_ARG_NONE, &cli->json, "print JSON", NULL },
+    { G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &cli->arguments,
+      NULL, command->arguments },
+    { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+  };
+  GOptionEntry gateway[] = {
+    { "gateway", 'g', 0, G_OPTION_ARG_STRING_ARRAY, &cli->gateways,
+      "a gateway; several are tried in order (or TREFOILSPAR_GATEWAY)",
+      "IP:PORT" },
+    { "key-file", 'k', 0, G_OPTION_ARG_FILENAME, &cli->key_file,
+      "the operator key (or TREFOILSPAR_OPERATOR_KEY)", "FILE" },
+    { "operator", 'o', 0, G_OPTION_ARG_STRING, &cli->operator_name,
+      "your name, for the history (or USER)", "NAME" },
+    { "timeout", 't', 0, G_OPTION_ARG_INT, &cli->timeout_s,
+      "for a call, and for --wait", "SECONDS" },
+    { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+  };
+  GOptionEntry wait[] = {
+    { "wait", 'w', 0, G_OPTION_ARG_NONE, &cli->wait,
+      "wait until it is in force everywhere", NULL },
+    { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+  };
+  GOptionEntry range[] = {
+    { "from", 0, 0, G_OPTION_ARG_INT64, &cli->from, "the older revision",
+      "REVISION" },
+    { "to", 0, 0, G_OPTION_ARG_INT64, &cli->to, "the newer revision",
+      "REVISION" },
+    { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+  };
+  GOptionContext *context = g_option_context_new (NULL);
+
+  g_option_context_add_main_entries (context, common, NULL);
+  if (command->takes & TAKES_GATEWAY)
+    g_option_context_add_main_entries (context, gateway, NULL);
+  if (command->takes & TAKES_WAIT)
+    g_option_context_add_main_entries (context, wait, NULL);
+  if (command->takes & TAKES_RANGE)
+    g_option_context_add_main_entries (context, range, NULL);
+  g_option_context_set_summary (context, command->summary);
+  g_option_context_set_description (context, exit_codes);
+  g_option_context_set_help_enabled (context, FALSE);
+  return context;
+}
+
+static enum cli_exit
+usage (struct cli *cli, const char *message)
+{
+  fprintf (cli->err, "trefoilspar: %s\n", message);
+  return CLI_USAGE;
+}
+
+static enum cli_exit
+environment_read (struct cli *cli, const struct command *command)
+{
+  const char *gateway = g_getenv ("TREFOILSPAR_GATEWAY");
+  const char *user = g_getenv ("USER");
+
+  if (cli->gateways == NULL && gateway != NULL)
+    cli->gateways = g_strsplit (gateway, ",", -1);
+  if (cli->operator_name == NULL)
+    cli->operator_name = g_strdup (user == NULL ? "unknown" : user);
+  if (cli->key_file != NULL
+      && !g_file_get_contents (cli->key_file, &cli->key, NULL, NULL))
+    return usage (cli, "the key file cannot be read");
+  if (cli->key_file == NULL)
+    cli->key = g_strdup (g_getenv ("TREFOILSPAR_OPERATOR_KEY"));
+  if (cli->key != NULL)
+    g_strstrip (cli->key);
+  if ((command->takes & TAKES_GATEWAY) && cli->gateways == NULL)
+    return usage (cli, "name a gateway with --gateway IP:PORT");
+  return CLI_OK;
+}
+
+static enum cli_exit
+command_run (struct cli *cli, const struct command *command)
+{
+  int count = cli->arguments == NULL ? 0 : (int)g_strv_length (cli->arguments);
+  enum cli_exit status = environment_read (cli, command);
+
+  if (status != CLI_OK)
+    return status;
+  if (count != command->argument_count)
+    return usage (cli, command->argument_count == 0
+                           ? "the command takes no argument"
+                           : "the command takes one argument; see --help");
+  return command->run (cli);
+}
+
+/* ARGV begins with the last word of the command's name. */
+static enum cli_exit
+command_parse (struct cli *cli, const struct command *command, char **words)
+{
+  GOptionContext *context = options_new (cli, command);
+  char *name
+      = g_strjoin (" ", "trefoilspar",
+                   command->group == NULL ? command->name : command->group,
+                   command->group == NULL ? NULL : command->name, NULL);
+  GError *error = NULL;
+  enum cli_exit status;
+
+  g_set_prgname (name);
+  g_free (name);
+  if (g_strv_contains ((const char *const *)words, "--help")
+      || g_strv_contains ((const char *const *)words, "-h"))
+    {
+      char *help = g_option_context_get_help (context, TRUE, NULL);
+
+      fputs (help, cli->out);
+      g_free (help);
+      status = CLI_OK;
+    }
+  else if (!g_option_context_parse_strv (context, &words, &error))
+    {
+      status = usage (cli, error->message);
+      g_error_free (error);
+    }
+  else
+    status = command_run (cli, command);
+  g_option_context_free (context);
+  g_strfreev (words);
+  return status;
+}
+
+static void
+options_free (struct cli *cli)
+{
+  g_strfreev (cli->gateways);
+  g_strfreev (cli->arguments);
+  g_free (cli->key);
+  g_free (cli->key_file);
+  g_free (cli->operator_name);
+}
+
+/* What an answer without success means. */
+static enum cli_exit
+answer_refused (struct cli *cli, const struct cli_answer *answer)
+{
+  fprintf (cli->err, "trefoilspar: the gateway answered %d: %s\n",
+           answer->http_status, answer->body);
+  switch (answer->http_status)
+    {
+    case HTTP_UNAUTHORIZED:
+    case HTTP_FORBIDDEN:
+      return CLI_DENIED;
+    case HTTP_UNAVAILABLE:
+      return CLI_UNAVAILABLE;
+    case HTTP_GATEWAY_TIMEOUT:
+      return CLI_UNKNOWN;
+    default:
+      return CLI_REFUSED;
+    }
+}
+
+enum cli_exit
+cli_run (struct cli *cli, int argc, char **argv)
+{
+  const struct command *command;
+  enum cli_exit status;
+  int used;
+
+  if (argc > 1
+      && (strcmp (argv[1], "--help") == 0 || strcmp (argv[1], "-h") == 0))
+    {
+      help_print (cli->out);
+      return CLI_OK;
+    }
+  command = command_find (argc, argv, &used);
+  if (command == NULL)
+    {
+      help_print (cli->err);
+      return CLI_USAGE;
+    }
+  cli->timeout_s = TIMEOUT_DEFAULT_S;
+  cli->to = G_MAXINT64;
+  status = command_parse (cli, command, g_strdupv (argv + used));
+  options_free (cli);
+  return status;
+}
+
+enum cli_exit
+cli_call (struct cli *cli, const char *method, const char *path,
+          const char *body, char **answer)
+{
+  struct cli_answer reply = { .status = STATUS_UNAVAILABLE };
+  bool uncertain = false;
+
+  for (char **gateway = cli->gateways; *gateway != NULL; gateway++)
+    {
+      enum cli_exit status;
+
+      cli->ops->call (cli, *gateway, method, path, body, &reply);
+      if (reply.status == STATUS_OK && reply.http_status == HTTP_OK)
+        {
+          *answer = reply.body;
+          return CLI_OK;
+        }
+      if (reply.status == STATUS_OK)
+        {
+          status = answer_refused (cli, &reply);
+          g_free (reply.body);
+          return uncertain && status == CLI_UNAVAILABLE ? CLI_UNKNOWN : status;
+        }
+      g_free (reply.body);
+      /* Reading changes nothing, whatever became of it. */
+      if (reply.status == STATUS_UNKNOWN && strcmp (method, "GET") != 0)
+        uncertain = true;
+      fprintf (cli->err, "trefoilspar: no answer from %s\n", *gateway);
+    }
+  return uncertain ? CLI_UNKNOWN : CLI_UNAVAILABLE;
+}
+
+enum cli_exit
+cli_call_json (struct cli *cli, const char *method, const char *path,
+               const char *body, struct json_object **object)
+{
+  char *answer;
+  enum cli_exit status = cli_call (cli, method, path, body, &answer);
+
+  if (status != CLI_OK)
+    return status;
+  *object = json_tokener_parse (answer);
+  g_free (answer);
+  if (json_object_is_type (*object, json_type_object))
+    return CLI_OK;
+  fputs ("trefoilspar: the answer is not JSON\n", cli->err);
+  json_object_put (*object);
+  return strcmp (method, "GET") == 0 ? CLI_UNAVAILABLE : CLI_UNKNOWN;
+}
