--- a/src/settings.h
+++ b/src/settings.h
@@ -113,10 +113,16 @@
     int64_t backoff_max_ns;
   } retry;
   struct
+  {
+    uint8_t hash[SETTINGS_HASH_KEY_BYTES]; /**< all zero: no operators */
+  } operator_key;
+  struct
   {
     int64_t crashes;
     int64_t hold_ns;
     bool run_alone; /**< a suspect request may run alone once more */
+    bool unchecked; /**< run what no shard can say anything about */
+    int64_t grace_ns;
   } suspect;
   struct
   {
--- a/test/bench-place.c
+++ b/test/bench-place.c
@@ -1,4 +1,4 @@
-#include "fake-fleet.h"
+#include "fake-engines.h"
 
 #include <malloc.h>
 #include <stdio.h>
@@ -34,12 +34,12 @@
 }
 
 static double
-decisions_ns (struct fleet *fleet, const struct blockindex_match *matches)
+decisions_ns (struct engines *engines, const struct blockindex_match *matches)
 {
   struct place_request request
-      = { .need = &fleet->need,
-          .tokens = (int64_t)PIECES * FLEET_PIECE_TOKENS,
-          .piece_tokens = FLEET_PIECE_TOKENS };
+      = { .need = &engines->need,
+          .tokens = (int64_t)PIECES * ENGINES_PIECE_TOKENS,
+          .piece_tokens = ENGINES_PIECE_TOKENS };
   struct place_result result;
   int64_t start = monotonic_ns ();
 
@@ -47,7 +47,7 @@
     {
       request.match = &matches[i % MATCHES];
       request.urgent = i % 2 == 0;
-      if (place_choose (&fleet->place, &request, &result) != STATUS_OK)
+      if (place_choose (&engines->place, &request, &result) != STATUS_OK)
         abort ();
     }
   return (double)(monotonic_ns () - start) / DECISIONS;
@@ -59,21 +59,21 @@
 {
   static struct blockindex_match matches[MATCHES];
   double rounds[ROUNDS];
-  struct fleet fleet;
+  struct engines engines;
 
-  fleet_init (&fleet, engines, SEED, &place_settings_default, "cost");
+  engines_init (&engines, engines, SEED, &place_settings_default, "cost");
   for (int i = 0; i < MATCHES; i++)
-    fleet_match (&fleet, PIECES, &matches[i]);
+    engines_match (&engines, PIECES, &matches[i]);
   for (int i = 0; i < ROUNDS; i++)
     {
       int at = i;
-      double ns = decisions_ns (&fleet, matches);
+      double ns = decisions_ns (&engines, matches);
 
       for (; at > 0 && rounds[at - 1] > ns; at--)
         rounds[at] = rounds[at - 1];
       rounds[at] = ns;
     }
-  fleet_finish (&fleet);
+  engines_finish (&engines);
   return rounds[ROUNDS / 2];
 }
 
