At most once in the path: grants before dispatch, outcomes recorded after

Cause: requests that may run only once were dispatched without a record. Change: shards host owner and once, gateways ask for the grant, tell the outcome until it is durable, replay it; a caller that leaves does not cut a granted run.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -2,6 +2,7 @@
 #include "admission.h"
 #include "answer.h"
 #include "filters.h"
+#include "grant.h"
 #include "operator.h"
 
 #include <string.h>
@@ -142,6 +143,7 @@
   for (int type = 0; type < REQUEST_TYPE_COUNT; type++)
     admit_tick (&gateway->admit[type]);
   tick_requests (gateway);
+  grant_tick (gateway);
 }
 
 static void
@@ -187,7 +189,9 @@
 static size_t
 busy (void *data)
 {
-  return ((struct gateway *)data)->request_count;
+  struct gateway *gateway = data;
+
+  return gateway->request_count + grant_open (gateway);
 }
 
 static const struct process_role gateway_role
@@ -250,6 +254,7 @@
   init_place (gateway);
   init_retry (gateway);
   admission_init (gateway);
+  grant_init (gateway);
   return STATUS_OK;
 }
 
@@ -265,6 +270,7 @@
   while (!list_empty (&gateway->requests))
     request_abandon (
         LIST_ENTRY (gateway->requests.next, struct request, node));
+  grant_finish (gateway);
   process_finish (&gateway->process);
   admission_finish (gateway);
   retry_finish (&gateway->retry);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -24,7 +24,8 @@
   struct list starting; /**< requests that admission has just let start */
   bool is_starting;
   struct retry retry;
-  GArray *serials; /**< of uint64_t: scratch of the tick */
+  struct list records; /**< grant records that are not durable yet */
+  GArray *serials;     /**< of uint64_t: scratch of the tick */
   struct block_key block_key;
   size_t piece_bytes; /**< of prompt text in one piece */
   struct list requests;
--- a/src/outcome.c
+++ b/src/outcome.c
@@ -127,7 +127,7 @@
   request->imported_tokens = head->imported_tokens;
   request->computed_tokens = head->computed_tokens;
   count_tokens (request);
-  if (head->streamed)
+  if (head->streamed && request->http != NULL)
     begin_answer (request, head);
 }
 
@@ -137,11 +137,19 @@
   struct request *request = LIST_ENTRY (relay, struct request, relay);
 
   request->retry.relayed = true;
-  httpserver_stream_write (request->http, piece->event, piece->event_size);
+  if (request->http != NULL)
+    httpserver_stream_write (request->http, piece->event, piece->event_size);
 }
 
 const struct relay_ops outcome_relay_ops = { on_piece };
 
+static bool
+answer_is_relayed (const struct request *request)
+{
+  return request->type == REQUEST_COMPLETION && request->attempt.streamed
+         && request->attempt.http_status == HTTP_OK;
+}
+
 static void
 on_bytes (void *data, const char *bytes, size_t size)
 {
@@ -152,7 +160,7 @@
   if (attempt->not_run)
     return;
   note_first_piece (request);
-  if (attempt->streamed && request->answer_started)
+  if (answer_is_relayed (request))
     {
       relay_feed (&request->relay, bytes, size);
       return;
@@ -252,8 +260,9 @@
       attempt_failed (request, RETRY_FAILED, &crossed);
       return;
     }
-  httpserver_respond (request->http, attempt->http_status,
-                      attempt->content_type, headers, 2, bytes, size);
+  if (request->http != NULL)
+    httpserver_respond (request->http, attempt->http_status,
+                        attempt->content_type, headers, 2, bytes, size);
   request->http = NULL;
   answer_whole (request);
 }
@@ -266,7 +275,8 @@
       attempt_failed (request, RETRY_LOST_MIDWAY, &incomplete);
       return;
     }
-  httpserver_stream_end (request->http, true);
+  if (request->http != NULL)
+    httpserver_stream_end (request->http, true);
   request->http = NULL;
   answer_whole (request);
 }
@@ -314,7 +324,7 @@
     attempt_failed (request, RETRY_NOT_RUN, &busy);
   else if (attempt->resumed && attempt->http_status != HTTP_OK)
     attempt_failed (request, RETRY_FAILED, &incomplete);
-  else if (request->answer_started)
+  else if (answer_is_relayed (request))
     finish_streamed (request);
   else
     finish_buffered (request);
@@ -359,7 +369,9 @@
                       ? settings->timeouts.progress_ns
                       : settings->timeouts.first_byte_ns;
 
-  if (now >= request->next_ns)
+  if (request->settle.state == SETTLE_GRANT_WAIT)
+    grant_ask_again (request, now);
+  else if (now >= request->next_ns)
     run_next (request);
   else if (request->attempt.stream == NULL)
     return;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -772,7 +772,277 @@
   assert(message->base.descriptor == &peer__done__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[14] =
+void   peer__once_request__init
+                     (Peer__OnceRequest         *message)
+{
+  static const Peer__OnceRequest init_value = PEER__ONCE_REQUEST__INIT;
+  *message = init_value;
+}
+size_t peer__once_request__get_packed_size
+                     (const Peer__OnceRequest *message)
+{
+  assert(message->base.descriptor == &peer__once_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__once_request__pack
+                     (const Peer__OnceRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__once_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__once_request__pack_to_buffer
+                     (const Peer__OnceRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__once_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__OnceRequest *
+       peer__once_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__OnceRequest *)
+     protobuf_c_message_unpack (&peer__once_request__descriptor,
+                                allocator, len, data);
+}
+void   peer__once_request__free_unpacked
+                     (Peer__OnceRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__once_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__once_outcome__init
+                     (Peer__OnceOutcome         *message)
+{
+  static const Peer__OnceOutcome init_value = PEER__ONCE_OUTCOME__INIT;
+  *message = init_value;
+}
+size_t peer__once_outcome__get_packed_size
+                     (const Peer__OnceOutcome *message)
+{
+  assert(message->base.descriptor == &peer__once_outcome__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__once_outcome__pack
+                     (const Peer__OnceOutcome *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__once_outcome__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__once_outcome__pack_to_buffer
+                     (const Peer__OnceOutcome *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__once_outcome__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__OnceOutcome *
+       peer__once_outcome__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__OnceOutcome *)
+     protobuf_c_message_unpack (&peer__once_outcome__descriptor,
+                                allocator, len, data);
+}
+void   peer__once_outcome__free_unpacked
+                     (Peer__OnceOutcome *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__once_outcome__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__once_begin__init
+                     (Peer__OnceBegin         *message)
+{
+  static const Peer__OnceBegin init_value = PEER__ONCE_BEGIN__INIT;
+  *message = init_value;
+}
+size_t peer__once_begin__get_packed_size
+                     (const Peer__OnceBegin *message)
+{
+  assert(message->base.descriptor == &peer__once_begin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__once_begin__pack
+                     (const Peer__OnceBegin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__once_begin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__once_begin__pack_to_buffer
+                     (const Peer__OnceBegin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__once_begin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__OnceBegin *
+       peer__once_begin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__OnceBegin *)
+     protobuf_c_message_unpack (&peer__once_begin__descriptor,
+                                allocator, len, data);
+}
+void   peer__once_begin__free_unpacked
+                     (Peer__OnceBegin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__once_begin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__once_answer__init
+                     (Peer__OnceAnswer         *message)
+{
+  static const Peer__OnceAnswer init_value = PEER__ONCE_ANSWER__INIT;
+  *message = init_value;
+}
+size_t peer__once_answer__get_packed_size
+                     (const Peer__OnceAnswer *message)
+{
+  assert(message->base.descriptor == &peer__once_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__once_answer__pack
+                     (const Peer__OnceAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__once_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__once_answer__pack_to_buffer
+                     (const Peer__OnceAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__once_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__OnceAnswer *
+       peer__once_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__OnceAnswer *)
+     protobuf_c_message_unpack (&peer__once_answer__descriptor,
+                                allocator, len, data);
+}
+void   peer__once_answer__free_unpacked
+                     (Peer__OnceAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__once_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__once_end__init
+                     (Peer__OnceEnd         *message)
+{
+  static const Peer__OnceEnd init_value = PEER__ONCE_END__INIT;
+  *message = init_value;
+}
+size_t peer__once_end__get_packed_size
+                     (const Peer__OnceEnd *message)
+{
+  assert(message->base.descriptor == &peer__once_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__once_end__pack
+                     (const Peer__OnceEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__once_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__once_end__pack_to_buffer
+                     (const Peer__OnceEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__once_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__OnceEnd *
+       peer__once_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__OnceEnd *)
+     protobuf_c_message_unpack (&peer__once_end__descriptor,
+                                allocator, len, data);
+}
+void   peer__once_end__free_unpacked
+                     (Peer__OnceEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__once_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__once_recorded__init
+                     (Peer__OnceRecorded         *message)
+{
+  static const Peer__OnceRecorded init_value = PEER__ONCE_RECORDED__INIT;
+  *message = init_value;
+}
+size_t peer__once_recorded__get_packed_size
+                     (const Peer__OnceRecorded *message)
+{
+  assert(message->base.descriptor == &peer__once_recorded__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__once_recorded__pack
+                     (const Peer__OnceRecorded *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__once_recorded__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__once_recorded__pack_to_buffer
+                     (const Peer__OnceRecorded *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__once_recorded__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__OnceRecorded *
+       peer__once_recorded__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__OnceRecorded *)
+     protobuf_c_message_unpack (&peer__once_recorded__descriptor,
+                                allocator, len, data);
+}
+void   peer__once_recorded__free_unpacked
+                     (Peer__OnceRecorded *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__once_recorded__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[18] =
 {
   {
     "protocol",
@@ -942,6 +1212,54 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "once_begin",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, once_begin),
+    &peer__once_begin__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "once_answer",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, once_answer),
+    &peer__once_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "once_end",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, once_end),
+    &peer__once_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "once_recorded",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, once_recorded),
+    &peer__once_recorded__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = config_revision */
@@ -952,6 +1270,10 @@
   9,   /* field[9] = load_reply */
   10,   /* field[10] = lookup */
   11,   /* field[11] = lookup_reply */
+  15,   /* field[15] = once_answer */
+  14,   /* field[14] = once_begin */
+  16,   /* field[16] = once_end */
+  17,   /* field[17] = once_recorded */
   5,   /* field[5] = ping */
   6,   /* field[6] = pong */
   0,   /* field[0] = protocol */
@@ -963,7 +1285,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 14 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor peer__envelope__descriptor =
 {
@@ -973,7 +1295,7 @@
   "Peer__Envelope",
   "peer",
   sizeof(Peer__Envelope),
-  14,
+  18,
   peer__envelope__field_descriptors,
   peer__envelope__field_indices_by_name,
   2,  peer__envelope__number_ranges,
@@ -2062,3 +2384,387 @@
   (ProtobufCMessageInit) peer__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__once_request__field_descriptors[4] =
+{
+  {
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceRequest, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceRequest, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceRequest, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gateway",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceRequest, gateway),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__once_request__field_indices_by_name[] = {
+  3,   /* field[3] = gateway */
+  1,   /* field[1] = key */
+  0,   /* field[0] = organisation */
+  2,   /* field[2] = request */
+};
+static const ProtobufCIntRange peer__once_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__once_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.OnceRequest",
+  "OnceRequest",
+  "Peer__OnceRequest",
+  "peer",
+  sizeof(Peer__OnceRequest),
+  4,
+  peer__once_request__field_descriptors,
+  peer__once_request__field_indices_by_name,
+  1,  peer__once_request__number_ranges,
+  (ProtobufCMessageInit) peer__once_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__once_outcome__field_descriptors[4] =
+{
+  {
+    "status",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceOutcome, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceOutcome, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceOutcome, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceOutcome, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__once_outcome__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  1,   /* field[1] = digest */
+  0,   /* field[0] = status */
+  2,   /* field[2] = whole */
+};
+static const ProtobufCIntRange peer__once_outcome__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__once_outcome__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.OnceOutcome",
+  "OnceOutcome",
+  "Peer__OnceOutcome",
+  "peer",
+  sizeof(Peer__OnceOutcome),
+  4,
+  peer__once_outcome__field_descriptors,
+  peer__once_outcome__field_indices_by_name,
+  1,  peer__once_outcome__number_ranges,
+  (ProtobufCMessageInit) peer__once_outcome__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__once_begin__field_descriptors[3] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceBegin, request),
+    &peer__once_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fingerprint",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceBegin, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceBegin, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__once_begin__field_indices_by_name[] = {
+  1,   /* field[1] = fingerprint */
+  0,   /* field[0] = request */
+  2,   /* field[2] = wait_ms */
+};
+static const ProtobufCIntRange peer__once_begin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__once_begin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.OnceBegin",
+  "OnceBegin",
+  "Peer__OnceBegin",
+  "peer",
+  sizeof(Peer__OnceBegin),
+  3,
+  peer__once_begin__field_descriptors,
+  peer__once_begin__field_indices_by_name,
+  1,  peer__once_begin__number_ranges,
+  (ProtobufCMessageInit) peer__once_begin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__once_answer__field_descriptors[4] =
+{
+  {
+    "result",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceAnswer, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key_unknown",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceAnswer, key_unknown),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceAnswer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceAnswer, outcome),
+    &peer__once_outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__once_answer__field_indices_by_name[] = {
+  1,   /* field[1] = key_unknown */
+  3,   /* field[3] = outcome */
+  0,   /* field[0] = result */
+  2,   /* field[2] = retry_after_ms */
+};
+static const ProtobufCIntRange peer__once_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__once_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.OnceAnswer",
+  "OnceAnswer",
+  "Peer__OnceAnswer",
+  "peer",
+  sizeof(Peer__OnceAnswer),
+  4,
+  peer__once_answer__field_descriptors,
+  peer__once_answer__field_indices_by_name,
+  1,  peer__once_answer__number_ranges,
+  (ProtobufCMessageInit) peer__once_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__once_end__field_descriptors[2] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceEnd, request),
+    &peer__once_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceEnd, outcome),
+    &peer__once_outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__once_end__field_indices_by_name[] = {
+  1,   /* field[1] = outcome */
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange peer__once_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__once_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.OnceEnd",
+  "OnceEnd",
+  "Peer__OnceEnd",
+  "peer",
+  sizeof(Peer__OnceEnd),
+  2,
+  peer__once_end__field_descriptors,
+  peer__once_end__field_indices_by_name,
+  1,  peer__once_end__number_ranges,
+  (ProtobufCMessageInit) peer__once_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__once_recorded__field_descriptors[1] =
+{
+  {
+    "settled",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__OnceRecorded, settled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__once_recorded__field_indices_by_name[] = {
+  0,   /* field[0] = settled */
+};
+static const ProtobufCIntRange peer__once_recorded__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__once_recorded__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.OnceRecorded",
+  "OnceRecorded",
+  "Peer__OnceRecorded",
+  "peer",
+  sizeof(Peer__OnceRecorded),
+  1,
+  peer__once_recorded__field_descriptors,
+  peer__once_recorded__field_indices_by_name,
+  1,  peer__once_recorded__number_ranges,
+  (ProtobufCMessageInit) peer__once_recorded__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -32,6 +32,12 @@
 typedef struct Peer__LookupReply Peer__LookupReply;
 typedef struct Peer__Used Peer__Used;
 typedef struct Peer__Done Peer__Done;
+typedef struct Peer__OnceRequest Peer__OnceRequest;
+typedef struct Peer__OnceOutcome Peer__OnceOutcome;
+typedef struct Peer__OnceBegin Peer__OnceBegin;
+typedef struct Peer__OnceAnswer Peer__OnceAnswer;
+typedef struct Peer__OnceEnd Peer__OnceEnd;
+typedef struct Peer__OnceRecorded Peer__OnceRecorded;
 
 
 /* --- enums --- */
@@ -50,7 +56,11 @@
   PEER__ENVELOPE__BODY_LOOKUP = 16,
   PEER__ENVELOPE__BODY_LOOKUP_REPLY = 17,
   PEER__ENVELOPE__BODY_USED = 18,
-  PEER__ENVELOPE__BODY_DONE = 19
+  PEER__ENVELOPE__BODY_DONE = 19,
+  PEER__ENVELOPE__BODY_ONCE_BEGIN = 20,
+  PEER__ENVELOPE__BODY_ONCE_ANSWER = 21,
+  PEER__ENVELOPE__BODY_ONCE_END = 22,
+  PEER__ENVELOPE__BODY_ONCE_RECORDED = 23
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__ENVELOPE__BODY__CASE)
 } Peer__Envelope__BodyCase;
 
@@ -82,6 +92,10 @@
     Peer__LookupReply *lookup_reply;
     Peer__Used *used;
     Peer__Done *done;
+    Peer__OnceBegin *once_begin;
+    Peer__OnceAnswer *once_answer;
+    Peer__OnceEnd *once_end;
+    Peer__OnceRecorded *once_recorded;
   };
 };
 #define PEER__ENVELOPE__INIT \
@@ -336,6 +350,106 @@
      }
 
 
+/*
+ * Who runs a request that may run only once. A request id is used by its
+ * gateway for nothing else.
+ */
+struct  Peer__OnceRequest
+{
+  ProtobufCMessage base;
+  char *organisation;
+  char *key;
+  uint64_t request;
+  /*
+   * The gateway's incarnation.
+   */
+  uint64_t gateway;
+};
+#define PEER__ONCE_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__once_request__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Peer__OnceOutcome
+{
+  ProtobufCMessage base;
+  /*
+   * HTTP status; 0: unknown.
+   */
+  uint32_t status;
+  ProtobufCBinaryData digest;
+  /*
+   * The body is given, not only its digest.
+   */
+  protobuf_c_boolean whole;
+  ProtobufCBinaryData body;
+};
+#define PEER__ONCE_OUTCOME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__once_outcome__descriptor) \
+    , 0, {0,NULL}, 0, {0,NULL} }
+
+
+/*
+ * Asks the owner of the key for the grant.
+ */
+struct  Peer__OnceBegin
+{
+  ProtobufCMessage base;
+  Peer__OnceRequest *request;
+  ProtobufCBinaryData fingerprint;
+  uint32_t wait_ms;
+};
+#define PEER__ONCE_BEGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__once_begin__descriptor) \
+    , NULL, {0,NULL}, 0 }
+
+
+struct  Peer__OnceAnswer
+{
+  ProtobufCMessage base;
+  /*
+   * As enum once_result.
+   */
+  uint32_t result;
+  /*
+   * Whether an earlier request with the key ran is not known here.
+   */
+  protobuf_c_boolean key_unknown;
+  uint32_t retry_after_ms;
+  Peer__OnceOutcome *outcome;
+};
+#define PEER__ONCE_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__once_answer__descriptor) \
+    , 0, 0, 0, NULL }
+
+
+/*
+ * The granted request ended; without an outcome: the grant was not used.
+ */
+struct  Peer__OnceEnd
+{
+  ProtobufCMessage base;
+  Peer__OnceRequest *request;
+  Peer__OnceOutcome *outcome;
+};
+#define PEER__ONCE_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__once_end__descriptor) \
+    , NULL, NULL }
+
+
+struct  Peer__OnceRecorded
+{
+  ProtobufCMessage base;
+  /*
+   * Durable, or not the grant's; else send it again later.
+   */
+  protobuf_c_boolean settled;
+};
+#define PEER__ONCE_RECORDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__once_recorded__descriptor) \
+    , 0 }
+
+
 /* Peer__Envelope methods */
 void   peer__envelope__init
                      (Peer__Envelope         *message);
@@ -659,6 +773,120 @@
 void   peer__done__free_unpacked
                      (Peer__Done *message,
                       ProtobufCAllocator *allocator);
+/* Peer__OnceRequest methods */
+void   peer__once_request__init
+                     (Peer__OnceRequest         *message);
+size_t peer__once_request__get_packed_size
+                     (const Peer__OnceRequest   *message);
+size_t peer__once_request__pack
+                     (const Peer__OnceRequest   *message,
+                      uint8_t             *out);
+size_t peer__once_request__pack_to_buffer
+                     (const Peer__OnceRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__OnceRequest *
+       peer__once_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__once_request__free_unpacked
+                     (Peer__OnceRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__OnceOutcome methods */
+void   peer__once_outcome__init
+                     (Peer__OnceOutcome         *message);
+size_t peer__once_outcome__get_packed_size
+                     (const Peer__OnceOutcome   *message);
+size_t peer__once_outcome__pack
+                     (const Peer__OnceOutcome   *message,
+                      uint8_t             *out);
+size_t peer__once_outcome__pack_to_buffer
+                     (const Peer__OnceOutcome   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__OnceOutcome *
+       peer__once_outcome__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__once_outcome__free_unpacked
+                     (Peer__OnceOutcome *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__OnceBegin methods */
+void   peer__once_begin__init
+                     (Peer__OnceBegin         *message);
+size_t peer__once_begin__get_packed_size
+                     (const Peer__OnceBegin   *message);
+size_t peer__once_begin__pack
+                     (const Peer__OnceBegin   *message,
+                      uint8_t             *out);
+size_t peer__once_begin__pack_to_buffer
+                     (const Peer__OnceBegin   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__OnceBegin *
+       peer__once_begin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__once_begin__free_unpacked
+                     (Peer__OnceBegin *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__OnceAnswer methods */
+void   peer__once_answer__init
+                     (Peer__OnceAnswer         *message);
+size_t peer__once_answer__get_packed_size
+                     (const Peer__OnceAnswer   *message);
+size_t peer__once_answer__pack
+                     (const Peer__OnceAnswer   *message,
+                      uint8_t             *out);
+size_t peer__once_answer__pack_to_buffer
+                     (const Peer__OnceAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__OnceAnswer *
+       peer__once_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__once_answer__free_unpacked
+                     (Peer__OnceAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__OnceEnd methods */
+void   peer__once_end__init
+                     (Peer__OnceEnd         *message);
+size_t peer__once_end__get_packed_size
+                     (const Peer__OnceEnd   *message);
+size_t peer__once_end__pack
+                     (const Peer__OnceEnd   *message,
+                      uint8_t             *out);
+size_t peer__once_end__pack_to_buffer
+                     (const Peer__OnceEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__OnceEnd *
+       peer__once_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__once_end__free_unpacked
+                     (Peer__OnceEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__OnceRecorded methods */
+void   peer__once_recorded__init
+                     (Peer__OnceRecorded         *message);
+size_t peer__once_recorded__get_packed_size
+                     (const Peer__OnceRecorded   *message);
+size_t peer__once_recorded__pack
+                     (const Peer__OnceRecorded   *message,
+                      uint8_t             *out);
+size_t peer__once_recorded__pack_to_buffer
+                     (const Peer__OnceRecorded   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__OnceRecorded *
+       peer__once_recorded__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__once_recorded__free_unpacked
+                     (Peer__OnceRecorded *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Peer__Envelope_Closure)
@@ -712,6 +940,24 @@
 typedef void (*Peer__Done_Closure)
                  (const Peer__Done *message,
                   void *closure_data);
+typedef void (*Peer__OnceRequest_Closure)
+                 (const Peer__OnceRequest *message,
+                  void *closure_data);
+typedef void (*Peer__OnceOutcome_Closure)
+                 (const Peer__OnceOutcome *message,
+                  void *closure_data);
+typedef void (*Peer__OnceBegin_Closure)
+                 (const Peer__OnceBegin *message,
+                  void *closure_data);
+typedef void (*Peer__OnceAnswer_Closure)
+                 (const Peer__OnceAnswer *message,
+                  void *closure_data);
+typedef void (*Peer__OnceEnd_Closure)
+                 (const Peer__OnceEnd *message,
+                  void *closure_data);
+typedef void (*Peer__OnceRecorded_Closure)
+                 (const Peer__OnceRecorded *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -735,6 +981,12 @@
 extern const ProtobufCMessageDescriptor peer__lookup_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__used__descriptor;
 extern const ProtobufCMessageDescriptor peer__done__descriptor;
+extern const ProtobufCMessageDescriptor peer__once_request__descriptor;
+extern const ProtobufCMessageDescriptor peer__once_outcome__descriptor;
+extern const ProtobufCMessageDescriptor peer__once_begin__descriptor;
+extern const ProtobufCMessageDescriptor peer__once_answer__descriptor;
+extern const ProtobufCMessageDescriptor peer__once_end__descriptor;
+extern const ProtobufCMessageDescriptor peer__once_recorded__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/request.c
+++ b/src/request.c
@@ -2,17 +2,19 @@
 #include "answer.h"
 #include "filters.h"
 #include "gateway.h"
+#include "grant.h"
 
 #include <assert.h>
 #include <glib.h>
 #include <string.h>
 
 static const request_filter completion_filters[]
-    = { auth_filter,   classify_filter, admission_filter,
-        lookup_filter, dispatch_filter, NULL };
-static const request_filter service_filters[]
-    = { auth_filter, classify_filter, admission_filter, dispatch_filter,
+    = { auth_filter,  classify_filter, admission_filter,
+        grant_filter, lookup_filter,   dispatch_filter,
         NULL };
+static const request_filter service_filters[]
+    = { auth_filter,  classify_filter, admission_filter,
+        grant_filter, dispatch_filter, NULL };
 
 static void
 request_free (struct request *request)
@@ -70,7 +72,9 @@
   struct request *request = data;
 
   request->http = NULL;
-  request_abandon (request);
+  /* What may run only once goes on, so that its outcome gets known. */
+  if (request->idempotent || request->settle.state < SETTLE_CONNECTING)
+    request_abandon (request);
 }
 
 static void
@@ -163,14 +167,21 @@
   run_filters (request);
 }
 
+void
+request_end_quietly (struct request *request, enum settle_outcome outcome,
+                     const char *code)
+{
+  grant_settle (request, settle_finish (&request->settle, outcome));
+  count_end (request, outcome, code);
+  request_end (request);
+}
+
 void
 request_end_as (struct request *request, enum settle_outcome outcome,
                 const struct refusal *refusal)
 {
-  settle_finish (&request->settle, outcome);
   answer_refuse (request, outcome, refusal);
-  count_end (request, outcome, refusal->code);
-  request_end (request);
+  request_end_quietly (request, outcome, refusal->code);
 }
 
 void
@@ -183,19 +194,13 @@
 void
 request_complete (struct request *request)
 {
-  settle_finish (&request->settle, SETTLE_COMPLETE);
-  count_end (request, SETTLE_COMPLETE, "");
-  request_end (request);
+  request_end_quietly (request, SETTLE_COMPLETE, "");
 }
 
 void
 request_abandon (struct request *request)
 {
-  enum settle_outcome outcome;
-
   dispatch_note_handed_over (request);
-  outcome = settle_give_up (&request->settle);
-  settle_finish (&request->settle, outcome);
-  count_end (request, outcome, "caller_gone");
-  request_end (request);
+  request_end_quietly (request, settle_give_up (&request->settle),
+                       "caller_gone");
 }
--- a/src/request.h
+++ b/src/request.h
@@ -118,6 +118,8 @@
   size_t block_count;
   struct blockindex_match match;
 
+  int64_t grant_until_ns; /**< latest answer of the key's owner */
+
   /* dispatch */
   struct settle settle;
   struct admit_request admit;
@@ -162,6 +164,10 @@
 void request_end_as (struct request *request, enum settle_outcome outcome,
                      const struct refusal *refusal);
 
+/** End with OUTCOME; the caller has been answered. */
+void request_end_quietly (struct request *request, enum settle_outcome outcome,
+                          const char *code);
+
 /** End after the backend server's answer was passed on whole. */
 void request_complete (struct request *request);
 
--- a/src/roster.c
+++ b/src/roster.c
@@ -75,6 +75,41 @@
   roster->change++;
 }
 
+static bool
+is_live_shard (const struct roster_entry *entry)
+{
+  return entry->role == ROLE_SHARD && entry->alive && !entry->leaving;
+}
+
+uint64_t
+roster_node (const struct roster_entry *entry)
+{
+  return XXH3_64bits_withSeed (&entry->id, sizeof entry->id,
+                               entry->incarnation)
+         | 1;
+}
+
+size_t
+roster_shard_nodes (const struct roster *roster, uint64_t *nodes, size_t max)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < roster->count && count < max; i++)
+    if (is_live_shard (&roster->entries[i]))
+      nodes[count++] = roster_node (&roster->entries[i]);
+  return count;
+}
+
+const struct roster_entry *
+roster_by_node (const struct roster *roster, uint64_t node)
+{
+  for (size_t i = 0; i < roster->count; i++)
+    if (is_live_shard (&roster->entries[i])
+        && roster_node (&roster->entries[i]) == node)
+      return &roster->entries[i];
+  return NULL;
+}
+
 const struct roster_entry *
 roster_shard (const struct roster *roster, const void *key, size_t size)
 {
@@ -86,7 +121,7 @@
       const struct roster_entry *entry = &roster->entries[i];
       uint64_t weight;
 
-      if (entry->role != ROLE_SHARD || !entry->alive || entry->leaving)
+      if (!is_live_shard (entry))
         continue;
       weight = rendezvous_weight (entry->id, key, size);
       if (best == NULL || weight > best_weight)
--- a/src/roster.h
+++ b/src/roster.h
@@ -56,6 +56,18 @@
 /** Mark the process ID as alive or not. */
 void roster_set_alive (struct roster *roster, uint64_t id, bool alive);
 
+/** The id of one run of a process: differs between two of its starts. */
+uint64_t roster_node (const struct roster_entry *entry);
+
+/** Write the nodes of the live shards to NODES, at most MAX.
+ * @return their number. */
+size_t roster_shard_nodes (const struct roster *roster, uint64_t *nodes,
+                           size_t max);
+
+/** The live shard of NODE, or NULL. */
+const struct roster_entry *roster_by_node (const struct roster *roster,
+                                           uint64_t node);
+
 /** The live shard process that KEY falls to, or NULL. */
 const struct roster_entry *roster_shard (const struct roster *roster,
                                          const void *key, size_t size);
--- a/src/shard.c
+++ b/src/shard.c
@@ -193,6 +193,12 @@
     case PEER__ENVELOPE__BODY_USED:
       take_used (shard, link, request);
       break;
+    case PEER__ENVELOPE__BODY_ONCE_BEGIN:
+      oncehost_begin (&shard->once, link, request);
+      break;
+    case PEER__ENVELOPE__BODY_ONCE_END:
+      oncehost_end (&shard->once, link, request);
+      break;
     default:
       reply_refused (link, request->request_id, "unknown_message");
     }
@@ -287,10 +293,12 @@
       shard->roster_change = shard->process.roster.change;
       enginewatch_sync (&shard->engines);
       storewatch_relist (&shard->stores);
+      oncehost_sync (&shard->once);
     }
   enginewatch_tick (&shard->engines);
   storewatch_tick (&shard->stores);
   blockindex_tick (&shard->index);
+  oncehost_tick (&shard->once);
 }
 
 static void
@@ -310,7 +318,9 @@
 static size_t
 busy (void *data)
 {
-  return 0;
+  struct shard *shard = data;
+
+  return oncehost_stopped (&shard->once) ? 0 : 1;
 }
 
 static const struct process_role shard_role
@@ -352,6 +362,7 @@
                    &process->roster, &process->hostlist.hostlist,
                    &shard->index.copies, process->id,
                    settings->stores.listing_ns);
+  oncehost_init (&shard->once, process);
   return STATUS_OK;
 }
 
@@ -365,6 +376,7 @@
 shard_finish (struct shard *shard)
 {
   process_finish (&shard->process);
+  oncehost_finish (&shard->once);
   enginewatch_finish (&shard->engines);
   storewatch_finish (&shard->stores);
   blockindex_finish (&shard->index);
