--- a/test/load-call.c
+++ b/test/load-call.c
@@ -141,10 +141,11 @@
   struct json_tokener *tokener = json_tokener_new ();
   struct json_object *object
       = json_tokener_parse_ex (tokener, text, (int)size);
-  struct json_object *error = object;
+  struct json_object *error;
   const char *code;
 
-  json_object_object_get_ex (object, "error", &error);
+  if (!json_object_object_get_ex (object, "error", &error))
+    error = object;
   code = error ? json_field_text (error, "code") : NULL;
   g_strlcpy (call->code, code ? code : "", sizeof call->code);
   json_object_put (object);
--- a/test/load.c
+++ b/test/load.c
@@ -26,6 +26,7 @@
 {
   struct load_kind *kind;
   uv_timer_t timer;
+  double at_ms; /* of the next arrival, since the start */
   struct rng rng;
 };
 
@@ -34,6 +35,7 @@
 {
   struct load_kind *kind;
   uv_timer_t timer;
+  double at_ms; /* of the next request, since the start */
   struct rng rng;
   GString *prompt;
   int64_t returns;
@@ -49,7 +51,8 @@
   uv_timer_t end_timer;
   uv_timer_t drain_timer;
   int64_t started; /* ns */
-  bool over;       /* no more arrivals */
+  int64_t planned; /* requests whose time is to come, at least */
+  bool over;       /* the time of arrivals has passed */
 } self;
 
 static char **gateways;
@@ -99,6 +102,27 @@
   g_string_truncate (context->prompt, target);
 }
 
+static double
+elapsed_ms (void)
+{
+  return (double)((int64_t)uv_hrtime () - self.started) / NS_PER_MS;
+}
+
+/* Have CALLBACK called at AT_MS, which is of the time of arrivals: what the
+ * seed plans is sent, however late this process gets to it.
+ * @return false if that time is after the last arrival. */
+static bool
+plan (uv_timer_t *timer, uv_timer_cb callback, double at_ms)
+{
+  double wait_ms = MAX (at_ms - elapsed_ms (), 0);
+
+  if (at_ms >= seconds * 1000)
+    return false;
+  self.planned++;
+  uv_timer_start (timer, callback, (uint64_t)wait_ms, 0);
+  return true;
+}
+
 static void
 on_context_closed (uv_handle_t *handle)
 {
@@ -108,22 +132,32 @@
   g_free (context);
 }
 
+static void
+context_send (struct context *context)
+{
+  load_call_start (&self.run, context->kind, context->prompt);
+  prompt_grow (context, context->kind->grow_tokens);
+}
+
+static void on_return (uv_timer_t *timer);
+
+static void
+context_plan (struct context *context)
+{
+  context->at_ms += (double)context->kind->return_ms;
+  if (context->returns-- <= 0
+      || !plan (&context->timer, on_return, context->at_ms))
+    uv_close ((uv_handle_t *)&context->timer, on_context_closed);
+}
+
 static void
 on_return (uv_timer_t *timer)
 {
   struct context *context = timer->data;
 
-  if (self.over)
-    {
-      uv_close ((uv_handle_t *)timer, on_context_closed);
-      return;
-    }
-  load_call_start (&self.run, context->kind, context->prompt);
-  prompt_grow (context, context->kind->grow_tokens);
-  if (context->returns-- > 0)
-    uv_timer_start (timer, on_return, (uint64_t)context->kind->return_ms, 0);
-  else
-    uv_close ((uv_handle_t *)timer, on_context_closed);
+  self.planned--;
+  context_send (context);
+  context_plan (context);
 }
 
 static void
@@ -132,47 +166,40 @@
   struct context *context = g_new0 (struct context, 1);
 
   context->kind = arrivals->kind;
+  context->at_ms = arrivals->at_ms;
   context->returns = arrivals->kind->returns;
   context->prompt = g_string_new (NULL);
   rng_init (&context->rng, rng_next (&arrivals->rng));
   prompt_grow (context, context->kind->prompt_tokens);
   uv_timer_init (self.run.loop, &context->timer);
   context->timer.data = context;
-  on_return (&context->timer);
+  context_send (context);
+  context_plan (context);
 }
 
 /* Arrivals */
 
-static void arrival_plan (struct arrivals *arrivals, double after_ms);
+static void on_arrival (uv_timer_t *timer);
 
-/* Timers count whole milliseconds, so one may stand for several arrivals:
- * DUE_MS is what the next one is short of or over. */
 static void
-on_arrival (uv_timer_t *timer)
+arrival_plan (struct arrivals *arrivals)
 {
-  struct arrivals *arrivals = timer->data;
+  double per_ms = arrivals->kind->rate * rate_scale / 1000;
 
-  if (self.over)
+  if (per_ms <= 0)
     return;
-  context_start (arrivals);
-  arrival_plan (arrivals, 0);
+  arrivals->at_ms -= log (1 - rng_unit (&arrivals->rng)) / per_ms;
+  plan (&arrivals->timer, on_arrival, arrivals->at_ms);
 }
 
 static void
-arrival_plan (struct arrivals *arrivals, double after_ms)
+on_arrival (uv_timer_t *timer)
 {
-  double per_ms = arrivals->kind->rate * rate_scale / 1000;
-  double wait_ms;
+  struct arrivals *arrivals = timer->data;
 
-  if (per_ms <= 0)
-    return;
-  wait_ms = after_ms - log (1 - rng_unit (&arrivals->rng)) / per_ms;
-  while (wait_ms < 1)
-    {
-      context_start (arrivals);
-      wait_ms -= log (1 - rng_unit (&arrivals->rng)) / per_ms;
-    }
-  uv_timer_start (&arrivals->timer, on_arrival, (uint64_t)wait_ms, 0);
+  self.planned--;
+  context_start (arrivals);
+  arrival_plan (arrivals);
 }
 
 static void
@@ -187,7 +214,7 @@
       rng_init (&arrivals->rng, (uint64_t)seed * 1000 + i);
       uv_timer_init (self.run.loop, &arrivals->timer);
       arrivals->timer.data = arrivals;
-      arrival_plan (arrivals, 0);
+      arrival_plan (arrivals);
     }
 }
 
@@ -247,7 +274,8 @@
   int64_t waited
       = (int64_t)uv_hrtime () - self.started - (int64_t)(seconds * NS_PER_S);
 
-  if (self.run.open > 0 && waited < (int64_t)(drain_s * NS_PER_S))
+  if (self.run.open + self.planned > 0
+      && waited < (int64_t)(drain_s * NS_PER_S))
     return;
   uv_stop (self.run.loop);
 }
@@ -323,6 +351,7 @@
       fprintf (stderr, "load: %s\n", mix_error.message);
       return 2;
     }
+  g_option_context_free (context);
   run_init ();
   if (use_entries)
     entries_ask (NULL);
