--- a/src/link.c
+++ b/src/link.c
@@ -10,6 +10,8 @@
 #define SPEED_MIN 0.01
 #define SPEED_WHOLE 0.995
 #define TRANSFER_MIN_NS NS_PER_MS
+/** Time over which transfers are remembered. */
+#define RESIDUAL_NS (5 * NS_PER_S)
 
 enum
 {
@@ -78,6 +80,14 @@
   return whole + part / PERCENT;
 }
 
+static void
+link_remember (struct link *link, int64_t bytes)
+{
+  double span_ns = (double)bytes / (double)link->rate * (double)NS_PER_S;
+
+  link->residual_ns += span_ns * span_ns / (2 * (double)RESIDUAL_NS);
+}
+
 static void
 link_refresh (struct link *link)
 {
@@ -90,6 +100,7 @@
     return;
   inflow = link_pour (link, LINK_URGENT, link_inflow (link, elapsed_ns));
   link->refreshed_ns = now;
+  link->residual_ns *= exp (-(double)elapsed_ns / (double)RESIDUAL_NS);
   exports = link_export_part (link, inflow);
   inflow = link_pour (link, LINK_IMPORT, inflow - exports);
   exports = link_pour (link, LINK_EXPORT, exports + inflow);
@@ -164,6 +175,7 @@
   link->export_fraction = 0;
   link->refreshed_ns = clock_now (clock);
   link->speed = 1.0;
+  link->residual_ns = 0;
 }
 
 void
@@ -186,6 +198,13 @@
   return quote;
 }
 
+double
+link_residual_ns (struct link *link)
+{
+  link_refresh (link);
+  return link->residual_ns;
+}
+
 int64_t
 link_wait (struct link *link, enum link_priority priority, int64_t bytes)
 {
@@ -200,6 +219,7 @@
   int64_t wait_ns = link_wait (link, priority, bytes);
 
   link->level[priority] -= bytes;
+  link_remember (link, bytes);
   return wait_ns;
 }
 
@@ -210,6 +230,7 @@
   if (!link_covers (link, priority, bytes))
     return false;
   link->level[priority] -= bytes;
+  link_remember (link, bytes);
   return true;
 }
 
--- a/src/link.h
+++ b/src/link.h
@@ -35,7 +35,8 @@
   int64_t export_percent;         /**< of what urgent imports leave */
   int64_t export_fraction;        /**< of a byte, in hundredths */
   int64_t refreshed_ns;
-  double speed; /**< seen over configured rate, in (0, 1] */
+  double speed;       /**< seen over configured rate, in (0, 1] */
+  double residual_ns; /**< as of refreshed_ns */
 };
 
 /** What a transfer would cost now: BACKLOG_NS + bytes * NS_PER_BYTE. */
@@ -58,6 +59,11 @@
 
 struct link_quote link_quote (struct link *link, enum link_priority priority);
 
+/** How long a transfer that comes now waits on average for those that have
+ * begun, since none of them can be interrupted: half the sum of the squares of
+ * recent transfers over the time that they came in. */
+double link_residual_ns (struct link *link);
+
 /** Time until a transfer of BYTES that is taken now would be over, in ns. */
 int64_t link_wait (struct link *link, enum link_priority priority,
                    int64_t bytes);
--- a/src/place.c
+++ b/src/place.c
@@ -37,6 +37,7 @@
 input_link (struct plan_input *input, struct place *place, uint64_t store,
             enum link_priority priority)
 {
+  struct link_quote *quote;
   struct link *link;
 
   for (unsigned i = 0; i < input->link_count; i++)
@@ -46,7 +47,11 @@
   if (link == NULL || input->link_count == PLAN_LINKS_MAX)
     return PLAN_NO_LINK;
   input->links[input->link_count].store = store;
-  input->links[input->link_count].quote = link_quote (link, priority);
+  quote = &input->links[input->link_count].quote;
+  *quote = link_quote (link, priority);
+  /* Urgent imports pass what waits, but not what has begun. */
+  if (priority == LINK_URGENT)
+    quote->backlog_ns += link_residual_ns (link);
   return input->link_count++;
 }
 
@@ -392,6 +397,26 @@
   return (int64_t)((double)import->copy.length * (1 - place->accuracy));
 }
 
+/* All that RESULT takes from the store of its import FIRST; 0 if an earlier
+ * import names that store. */
+static int64_t
+store_bytes (const struct place *place, const struct place_result *result,
+             unsigned first)
+{
+  uint64_t store = result->imports[first].copy.store;
+  int64_t bytes = 0;
+
+  for (unsigned i = 0; i < result->import_count; i++)
+    {
+      if (result->imports[i].copy.store != store)
+        continue;
+      if (i < first)
+        return 0;
+      bytes += expected_bytes (place, &result->imports[i]);
+    }
+  return bytes;
+}
+
 void
 place_init (struct place *place, const struct load *load,
             const struct clock *clock, struct rng *rng,
@@ -468,12 +493,11 @@
 {
   for (unsigned i = 0; i < result->import_count; i++)
     {
-      const struct blockindex_copy *copy = &result->imports[i].copy;
-      struct link *link = place_link (place, copy->store);
+      struct link *link = place_link (place, result->imports[i].copy.store);
+      int64_t bytes = store_bytes (place, result, i);
 
-      if (link != NULL)
-        link_take (link, result->priority,
-                   expected_bytes (place, &result->imports[i]));
+      if (link != NULL && bytes > 0)
+        link_take (link, result->priority, bytes);
     }
   load_sent (load, sent, result->index, result->plan.recompute_tokens);
 }
--- a/test/test-link.c
+++ b/test/test-link.c
@@ -146,6 +146,27 @@
   CU_ASSERT_EQUAL (link_wait (&link, LINK_IMPORT, 500), NS_PER_S / 2);
 }
 
+/* Transfers of 0.2 s, one a second: a fifth of the time busy, and then half a
+ * transfer on average is left. */
+static void
+test_residual (void)
+{
+  struct clock_fake fake;
+  struct link link;
+
+  clock_fake_init (&fake, 0);
+  link_init (&link, &fake.clock, RATE, BURST, EXPORTS);
+  for (int i = 0; i < 1000; i++)
+    {
+      clock_fake_advance (&fake, NS_PER_S);
+      link_take (&link, LINK_IMPORT, RATE / 5);
+    }
+  /* Between two transfers, where it is at its mean. */
+  clock_fake_advance (&fake, NS_PER_S / 2);
+  CU_ASSERT_DOUBLE_EQUAL (link_residual_ns (&link), 0.2 * 0.1 * 1e9,
+                          0.002 * 1e9);
+}
+
 static void
 test_slow_link_is_seen_and_recovers (void)
 {
@@ -214,6 +235,7 @@
   { "lower-never-delays-urgent", test_lower_never_delays_urgent },
   { "exports-keep-their-share", test_exports_keep_their_share },
   { "wait", test_wait_is_backlog_and_transfer },
+  { "residual", test_residual },
   { "slow-link", test_slow_link_is_seen_and_recovers },
   { "block-chain", test_block_chain },
 };
--- a/test/test-place.c
+++ b/test/test-place.c
@@ -46,6 +46,9 @@
                                    request->urgent ? LINK_URGENT : LINK_IMPORT,
                                    (int64_t)bytes[s] + FLEET_PIECE_BYTES);
 
+          if (request->urgent)
+            done += link_residual_ns (place_link (&f->place, s));
+
           if (done < soonest)
             {
               soonest = done;
