Suspect records in the KV service, by partition

Cause: what is used up must outlive its owner, and an old owner or a write that comes late must not undo it. Ruled out: comparing only the partition's owner record; a write whose reply was lost can then take effect after a newer one of the same owner. Conclusion: holds for one fault at a time.

--- a/src/suspect-owner.c
+++ b/src/suspect-owner.c
@@ -246,6 +246,29 @@
       ((struct suspect_entry *)value)->confirmed = false;
 }
 
+/* Gateways may have named what they run before the record was there: a run
+ * whose slot the record counts as used up is one alone. */
+static void
+load_state (struct suspect_owner *owner, struct suspect_entry *entry,
+            bool used, bool orphan)
+{
+  bool running = entry->state == SUSPECT_ENTRY_RUNNING;
+
+  if (entry->state == SUSPECT_ENTRY_USED_UP)
+    return;
+  if (used && !running)
+    {
+      entry->state = SUSPECT_ENTRY_USED_UP;
+      entry->orphan = orphan;
+      return;
+    }
+  entry->tainted = true;
+  if (!used || entry->alone)
+    return;
+  entry->alone = true;
+  owner->alone++;
+}
+
 static enum status
 load_entry (struct suspect_owner *owner, struct json_object *object)
 {
@@ -274,12 +297,10 @@
   if (left_s <= 0)
     return STATUS_OK;
   entry = suspect_entry_make (owner, &fingerprint);
-  entry->state = json_object_get_boolean (used) ? SUSPECT_ENTRY_USED_UP
-                                                : SUSPECT_ENTRY_FREE;
-  entry->tainted = entry->state == SUSPECT_ENTRY_FREE;
-  entry->orphan = json_object_get_boolean (orphan);
   entry->until_ns = clock_now (owner->clock)
                     + MIN (left_s * NS_PER_S, owner->settings.hold_ns);
+  load_state (owner, entry, json_object_get_boolean (used),
+              json_object_get_boolean (orphan));
   return STATUS_OK;
 }
 
