The gateway's side of the at-most-once records

Cause: asking again, giving late grants back and telling the end until it is recorded stood only in the test's model of a gateway; the matrix proved something that the daemon would have had to write once more. Change: ask holds it; the in-process fleet uses it. settle_must_release went, as ask knows whether a grant was ever held.

--- a/src/settle.c
+++ b/src/settle.c
@@ -88,14 +88,6 @@
   return STATUS_OK;
 }
 
-bool
-settle_must_release (const struct settle *settle)
-{
-  return settle->state == SETTLE_FINISHED
-         && (settle->attempt == 0
-             || settle->outcome == SETTLE_REFUSED_NOT_RUN);
-}
-
 bool
 settle_may_connect (const struct settle *settle)
 {
--- a/src/settle.h
+++ b/src/settle.h
@@ -64,14 +64,9 @@
 /** Ask the owner; only for a request that is not idempotent. */
 void settle_ask (struct settle *settle);
 
-/** The owner granted. STATUS_STALE: the grant came late; see
- * settle_must_release. */
+/** The owner granted. STATUS_STALE: too late, the grant must not be used. */
 enum status settle_grant (struct settle *settle);
 
-/** Whether a grant that came late is to be released: it was not used and
- * never will be. */
-bool settle_must_release (const struct settle *settle);
-
 /** Whether one more attempt may begin now. */
 bool settle_may_connect (const struct settle *settle);
 
--- a/test/fake-fleet-gateway.c
+++ b/test/fake-fleet-gateway.c
@@ -1,25 +1,21 @@
 #include "fake-fleet-parts.h"
 
 #include <stdio.h>
+#include <string.h>
 
-#define ASK_NS (400 * NS_PER_MS)
 #define RUN_NS (30 * NS_PER_MS)
 #define RUN_TIMEOUT_NS (3 * NS_PER_S)
 
-void
-fleet_gateway_start (struct fleet *fleet, unsigned index)
-{
-  fleet->gateways[index]
-      = (struct fleet_gateway){ .incarnation = ++fleet->incarnation,
-                                .alive = true,
-                                .changed_ns = fleet_now (fleet) };
-}
-
 void
 fleet_gateway_kill (struct fleet *fleet, unsigned index)
 {
-  fleet->gateways[index].alive = false;
-  fleet->gateways[index].changed_ns = fleet_now (fleet);
+  struct fleet_gateway *gateway = &fleet->gateways[index];
+
+  if (!gateway->alive)
+    return;
+  gateway->alive = false;
+  gateway->changed_ns = fleet_now (fleet);
+  asks_finish (&gateway->asks);
   for (guint i = 0; i < fleet->active->len; i++)
     {
       struct fleet_request *request = fleet->active->pdata[i];
@@ -35,23 +31,23 @@
 }
 
 static void
-shard_tell (struct fleet *fleet, const struct fleet_request *request,
-            enum fleet_message_kind kind)
+on_send (struct asks *asks, const struct ask *ask)
 {
+  struct fleet *fleet = LIST_ENTRY (asks, struct fleet_gateway, asks)->fleet;
+  const struct fleet_request *request
+      = fleet_request (fleet, ask->request.request);
+  bool all = ask->state == ASK_WAITING && fleet->faults.all_owners;
   struct fleet_message message
-      = { .kind = kind, .request = request->id, .key = request->key };
-  int64_t left
-      = request->begun_ns + fleet->request_timeout_ns - fleet_now (fleet);
+      = { .kind = MESSAGE_BEGIN, .request = request->id, .key = request->key };
+  int64_t left = ask->deadline_ns - fleet_now (fleet);
 
+  if (ask->state != ASK_WAITING)
+    message.kind = ask->ends ? MESSAGE_END : MESSAGE_RELEASE;
   message.span_ms = (unsigned)(MAX (left, 0) / NS_PER_MS);
-  message.shard = fleet_owner (fleet, request->key);
-  if (kind != MESSAGE_BEGIN || !fleet->faults.all_owners)
-    {
-      fleet_message (fleet, message);
-      return;
-    }
-  for (message.shard = 0; message.shard < FLEET_SHARDS; message.shard++)
+  message.shard = all ? 0 : fleet_owner (fleet, request->key);
+  do
     fleet_message (fleet, message);
+  while (all && ++message.shard < FLEET_SHARDS);
 }
 
 static void
@@ -59,11 +55,14 @@
                 enum settle_outcome outcome)
 {
   const struct fleet_key *key = &fleet->keys[request->key];
+  struct once_outcome none = { 0 }; /* the shard's message makes it up */
 
   if (!settle_allows (&request->settle, outcome))
     outcome = settle_give_up (&request->settle);
   request->record = settle_finish (&request->settle, outcome);
-  request->next_ns = fleet_now (fleet);
+  if (request->ask != NULL)
+    asks_end (&fleet->gateways[request->gateway].asks, request->ask,
+              request->record, &none);
   fleet->outcomes[outcome]++;
   if (outcome == SETTLE_REFUSED_NOT_RUN && request->ran)
     fleet_break (fleet, FLEET_TRUE_REFUSAL, request, "request ran");
@@ -83,67 +82,73 @@
 }
 
 static void
-answer_refused (struct fleet *fleet, struct fleet_request *request,
-                bool key_unknown)
+replayed_check (struct fleet *fleet, const struct fleet_request *request,
+                const struct once_answer *answer)
 {
-  if (!key_unknown)
-    request_finish (fleet, request, SETTLE_REFUSED_NOT_RUN);
-}
+  const struct fleet_key *key = &fleet->keys[request->key];
+  uint64_t runner;
 
-static void
-release_start (struct fleet *fleet, struct fleet_request *request)
-{
-  request->record = SETTLE_RECORD_RELEASE;
-  request->next_ns = fleet_now (fleet);
-  if (!g_ptr_array_find (fleet->active, request, NULL))
-    g_ptr_array_add (fleet->active, request);
+  memcpy (&runner, answer->outcome.body, sizeof runner);
+  if (key->runs != 1 || key->runner != runner)
+    fleet_break (fleet, FLEET_FIRST_OUTCOME, request, "replayed");
+  else if (fleet_request (fleet, key->runner)->body != request->body)
+    fleet_break (fleet, FLEET_CONFLICT, request, "replayed to another");
 }
 
 static void
-gateway_answer (struct fleet *fleet, struct fleet_request *request,
-                const struct fleet_message *message)
+on_answer (struct asks *asks, struct ask *ask,
+           const struct once_answer *answer)
 {
-  const struct fleet_key *key = &fleet->keys[request->key];
-  bool waiting = request->settle.state == SETTLE_GRANT_WAIT;
+  struct fleet *fleet = LIST_ENTRY (asks, struct fleet_gateway, asks)->fleet;
+  struct fleet_request *request = ask->data;
 
-  if (message->result == ONCE_GRANTED)
+  switch (answer->result)
     {
+    case ONCE_GRANTED:
       if (settle_grant (&request->settle) == STATUS_OK)
         request->next_ns = fleet_now (fleet) + FLEET_STEP_NS;
-      else if (request->record == SETTLE_RECORD_RELEASE
-               && fleet->mutant == FLEET_LATE_GRANT_USED)
-        dispatch_send (fleet, request);
-      else if (settle_must_release (&request->settle))
-        release_start (fleet, request);
-      return;
-    }
-  if (!waiting)
-    return;
-  switch (message->result)
-    {
+      break;
     case ONCE_REPLAYED:
-      if (key->runs != 1 || key->runner != message->runner)
-        fleet_break (fleet, FLEET_FIRST_OUTCOME, request, "replayed");
-      else if (fleet_request (fleet, key->runner)->body != request->body)
-        fleet_break (fleet, FLEET_CONFLICT, request, "replayed to another");
+      replayed_check (fleet, request, answer);
       request_finish (fleet, request, SETTLE_REPLAYED);
       break;
-    case ONCE_CONFLICT:
-      if (key->bodies == 1u << request->body)
-        fleet_break (fleet, FLEET_CONFLICT, request, "only one body");
-      request_finish (fleet, request, SETTLE_REFUSED_NOT_RUN);
-      break;
     case ONCE_IN_PROGRESS:
       request_finish (fleet, request, SETTLE_IN_PROGRESS);
       break;
     case ONCE_MAY_HAVE_RUN:
       request_finish (fleet, request, SETTLE_FAILED_MAY_HAVE_RUN);
       break;
+    case ONCE_CONFLICT:
+      if (fleet->keys[request->key].bodies == 1u << request->body)
+        fleet_break (fleet, FLEET_CONFLICT, request, "only one body");
+      request_finish (fleet, request, SETTLE_REFUSED_NOT_RUN);
+      break;
     default:
-      answer_refused (fleet, request, message->key_unknown);
+      request_finish (fleet, request, SETTLE_REFUSED_NOT_RUN);
     }
 }
 
+static const struct ask_ops ask_ops = { on_send, on_answer };
+
+void
+fleet_gateway_start (struct fleet *fleet, unsigned index)
+{
+  static const struct ask_settings settings = {
+    .again_ns = 400 * NS_PER_MS,
+    .tell_ns = 600 * NS_PER_S,
+    .keep_ns = 60 * NS_PER_S,
+  };
+  struct fleet_gateway *gateway = &fleet->gateways[index];
+
+  fleet_gateway_kill (fleet, index);
+  *gateway = (struct fleet_gateway){ .fleet = fleet,
+                                     .incarnation = ++fleet->incarnation,
+                                     .alive = true,
+                                     .changed_ns = fleet_now (fleet) };
+  asks_init (&gateway->asks, &settings, &ask_ops, &fleet->clock.clock,
+             fleet->owner_settings.partitions);
+}
+
 static void
 gateway_connect (struct fleet *fleet, struct fleet_request *request)
 {
@@ -157,18 +162,19 @@
 }
 
 static void
-gateway_wait (struct fleet *fleet, struct fleet_request *request)
+gateway_ask (struct fleet *fleet, struct fleet_request *request)
 {
-  int64_t deadline = request->begun_ns + fleet->request_timeout_ns;
+  struct once_request key = fleet_key_of (fleet, request, request->key);
+  struct once_digest fingerprint
+      = once_digest_of (&request->body, sizeof request->body);
 
-  if (fleet_now (fleet) >= deadline)
-    {
-      request_finish (fleet, request, SETTLE_REFUSED_NOT_RUN);
-      return;
-    }
+  if (fleet->mutant == FLEET_NO_FINGERPRINT)
+    memset (&fingerprint, 0, sizeof fingerprint);
   settle_ask (&request->settle);
-  shard_tell (fleet, request, MESSAGE_BEGIN);
-  request->next_ns = MIN (fleet_now (fleet) + ASK_NS, deadline);
+  request->next_ns = CLOCK_NEVER;
+  request->ask = asks_begin (
+      &fleet->gateways[request->gateway].asks, &key, &fingerprint,
+      request->begun_ns + fleet->request_timeout_ns, request);
 }
 
 /* The next step of a request at its gateway. */
@@ -183,8 +189,7 @@
       settle_admit (settle);
       break;
     case SETTLE_ADMITTED:
-    case SETTLE_GRANT_WAIT:
-      gateway_wait (fleet, request);
+      gateway_ask (fleet, request);
       break;
     case SETTLE_GRANTED:
       gateway_connect (fleet, request);
@@ -195,12 +200,6 @@
       request->next_ns = fleet_now (fleet) + RUN_TIMEOUT_NS;
       break;
     case SETTLE_FINISHED:
-      if (request->record == SETTLE_RECORD_NONE)
-        break;
-      shard_tell (fleet, request,
-                  request->record == SETTLE_RECORD_END ? MESSAGE_END
-                                                       : MESSAGE_RELEASE);
-      request->next_ns = fleet_now (fleet) + ASK_NS;
       break;
     default:
       settle_cut (settle, settle->attempt);
@@ -211,17 +210,18 @@
 void
 fleet_gateways_tick (struct fleet *fleet)
 {
+  for (unsigned i = 0; i < FLEET_GATEWAYS; i++)
+    if (fleet->gateways[i].alive && !fleet->gateways[i].paused)
+      asks_tick (&fleet->gateways[i].asks);
   for (guint i = 0; i < fleet->active->len;)
     {
       struct fleet_request *request = fleet->active->pdata[i];
       const struct fleet_gateway *gateway = &fleet->gateways[request->gateway];
-      bool rest = request->settle.state == SETTLE_FINISHED
-                  && request->record == SETTLE_RECORD_NONE;
 
       if (!request->dropped && !gateway->paused
           && fleet_now (fleet) >= request->next_ns)
         gateway_step (fleet, request);
-      if (request->dropped || rest)
+      if (request->dropped || request->settle.state == SETTLE_FINISHED)
         g_ptr_array_remove_index_fast (fleet->active, i);
       else
         i++;
@@ -289,6 +289,27 @@
       += RUN_NS;
 }
 
+static void
+gateway_answer (struct fleet *fleet, struct fleet_request *request,
+                const struct fleet_message *message)
+{
+  struct once_answer answer = {
+    .request = message->request,
+    .gateway = request->incarnation,
+    .result = message->result,
+    .key_unknown = message->key_unknown,
+    .outcome = { .status = 200, .whole = true },
+  };
+
+  answer.outcome.body = (const uint8_t *)&message->runner;
+  answer.outcome.body_size = sizeof message->runner;
+  if (fleet->mutant == FLEET_LATE_GRANT_USED && message->result == ONCE_GRANTED
+      && request->settle.state == SETTLE_FINISHED
+      && request->settle.outcome == SETTLE_REFUSED_NOT_RUN)
+    dispatch_send (fleet, request);
+  asks_answer (&fleet->gateways[request->gateway].asks, &answer);
+}
+
 void
 fleet_gateway_deliver (struct fleet *fleet, struct fleet_request *request,
                        const struct fleet_message *message)
@@ -299,9 +320,8 @@
       gateway_answer (fleet, request, message);
       break;
     case MESSAGE_RECORDED:
-      if (message->status != STATUS_UNAVAILABLE
-          && request->settle.state == SETTLE_FINISHED)
-        request->record = SETTLE_RECORD_NONE;
+      asks_recorded (&fleet->gateways[request->gateway].asks, request->id,
+                     message->status);
       break;
     case MESSAGE_STARTED:
       gateway_started (fleet, request, message->attempt);
--- a/test/fake-fleet.c
+++ b/test/fake-fleet.c
@@ -220,6 +220,8 @@
 {
   for (unsigned i = 0; i < FLEET_SHARDS; i++)
     fleet_shard_kill (fleet, i);
+  for (unsigned i = 0; i < FLEET_GATEWAYS; i++)
+    fleet_gateway_kill (fleet, i);
   fake_kv_finish (&fleet->kv);
   g_ptr_array_unref (fleet->requests);
   g_ptr_array_unref (fleet->active);
--- a/test/fake-fleet.h
+++ b/test/fake-fleet.h
@@ -1,6 +1,7 @@
 #ifndef FAKE_FLEET_H
 #define FAKE_FLEET_H
 
+#include "ask.h"
 #include "fake-kv.h"
 #include "kvbudget.h"
 #include "once.h"
@@ -68,6 +69,8 @@
 
 struct fleet_gateway
 {
+  struct asks asks;
+  struct fleet *fleet;
   uint64_t incarnation;
   bool alive;
   bool paused;
@@ -96,6 +99,7 @@
   int64_t begun_ns;
   int64_t next_ns; /* when the gateway does the next step */
   enum settle_record record;
+  struct ask *ask;
   bool dropped; /* its gateway died */
   bool ran;
 };
