--- a/test/test-configstore.c
+++ b/test/test-configstore.c
@@ -419,18 +419,21 @@
 static void
 test_kv_lost_writes (void)
 {
+  static const char organisation_key[] = CONFTEXT_DOCUMENT_PREFIX "org/milo";
   struct fleet fleet;
   struct outcome outcome;
-  char *root, *shared;
+  char *root;
 
   fleet_begin (&fleet, 8);
   root = g_strdup (fake_kv_value (&fleet.kv, CONFTEXT_ROOT_KEY));
-  shared = g_strdup (
-      fake_kv_value (&fleet.kv, CONFTEXT_DOCUMENT_PREFIX "shared"));
-  apply_drain (&fleet.nodes[0], fleet.nodes[0].store.config, "x", &outcome);
+  apply_text (&fleet.nodes[0],
+              sheet_with (fleet.nodes[0].store.config,
+                          "organisation,,milo,,,,,1,10,10"),
+              &outcome);
   fleet_run (&fleet, NS_PER_S);
+  CU_ASSERT_PTR_NOT_NULL (fake_kv_value (&fleet.kv, organisation_key));
   fake_kv_put (&fleet.kv, CONFTEXT_ROOT_KEY, root);
-  fake_kv_put (&fleet.kv, CONFTEXT_DOCUMENT_PREFIX "shared", shared);
+  fake_kv_put (&fleet.kv, organisation_key, NULL);
   fleet_run (&fleet, 10 * NS_PER_S);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 2);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[1].store), 2);
@@ -438,9 +441,41 @@
   fleet_run (&fleet, 10 * NS_PER_S);
   CU_ASSERT_EQUAL (outcome.revision, 3);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[1].store), 3);
-  CU_ASSERT_TRUE (config_drained (fleet.nodes[1].store.config, "x"));
+  CU_ASSERT_PTR_NOT_NULL (fake_kv_value (&fleet.kv, organisation_key));
+  g_free (root);
+  fleet_finish (&fleet);
+}
+
+/* A watcher that sees a document and its root apart reads everything, and
+   does not ask without end. */
+static void
+test_watch_torn (void)
+{
+  static const char *const change[] = { "drain name=z", NULL };
+  struct fleet fleet;
+  const struct confdoc *document;
+  uint64_t ranges, watches;
+  struct config *next;
+  struct error error;
+  char *root;
+
+  fleet_begin (&fleet, 11);
+  ranges = fleet.kv.calls[FAKE_KV_RANGE];
+  watches = fleet.kv.calls[FAKE_KV_WATCH];
+  next = fake_config_change (fleet.nodes[0].store.config, change, &error);
+  root = conftext_root (next);
+  document = g_hash_table_lookup (next->documents, "shared");
+  fake_kv_put (&fleet.kv, CONFTEXT_DOCUMENT_PREFIX "shared", document->text);
+  fleet_run (&fleet, NS_PER_S);
+  CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 1);
+  fake_kv_put (&fleet.kv, CONFTEXT_ROOT_KEY, root);
+  fleet_run (&fleet, NS_PER_S);
+  CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 2);
+  CU_ASSERT_EQUAL (fleet.nodes[0].store.resyncs, 2);
+  CU_ASSERT_EQUAL (fleet.kv.calls[FAKE_KV_RANGE] - ranges, 4);
+  CU_ASSERT_EQUAL (fleet.kv.calls[FAKE_KV_WATCH] - watches, 4);
+  config_unref (next);
   g_free (root);
-  g_free (shared);
   fleet_finish (&fleet);
 }
 
@@ -582,6 +617,7 @@
   { "offers-crossed", test_offers_crossed },
   { "watch-gap", test_watch_gap },
   { "kv-lost-writes", test_kv_lost_writes },
+  { "watch-torn", test_watch_torn },
   { "kv-damaged", test_kv_damaged },
   { "history", test_history },
   { "soak", test_soak },
--- a/test/test-merge.c
+++ b/test/test-merge.c
@@ -322,7 +322,7 @@
   return false;
 }
 
-/* @return true to accept the row, false for nothing; may refuse it. */
+/* @return true to accept the row; else it is refused or does nothing. */
 static bool
 naive_accept (struct item *item, const struct item *base,
               const struct item *current, bool touched)
@@ -431,12 +431,14 @@
   return kept < before;
 }
 
-static void
+/* @return the number of rows that do nothing */
+static size_t
 naive_merge (struct scenario *scenario, struct items *result,
              struct items *accepted)
 {
   const GArray *rows = scenario->sheet.rows;
   struct items base, current;
+  size_t unchanged = 0;
 
   items_of (&base, scenario->base);
   items_of (&current, scenario->current);
@@ -451,6 +453,8 @@
                         items_find (&current, &row->row),
                         items_find (&scenario->touched, &row->row) != NULL))
         accepted->items[accepted->count++] = item;
+      else if (!item.refused)
+        unchanged++;
     }
   do
     {
@@ -462,6 +466,7 @@
           items_put (result, &accepted->items[i].row);
     }
   while (naive_round (accepted, result));
+  return unchanged;
 }
 
 /* @return false on any difference. */
@@ -472,7 +477,8 @@
   const struct config *config
       = merge->result == NULL ? scenario->current : merge->result;
 
-  naive_merge (scenario, &result, &accepted);
+  if (naive_merge (scenario, &result, &accepted) != merge->unchanged)
+    return false;
   if (accepted.count != (int)merge->entries->len
       || result.count != (int)g_hash_table_size (config->rows))
     return false;
--- a/test/test-sheet.c
+++ b/test/test-sheet.c
@@ -76,6 +76,8 @@
   { "d349dec77f46f7d5", "", 10, "was", "declared already", 0 },
   { "d349dec77f46f7d5", "0b507cd37592ef5c", 10, "was", "another row", 0 },
   { "drain,,", "drain,remove,", 0, "", NULL, 2 },
+  { "drain,,,oracolo-9,,,,,,,,,,,,,,,a56dc0b990d55722",
+    "drain,remove,,oracolo-9", 9, "was", "without its digest", 1 },
   { ",a56dc0b990d55722", ",0b507cd37592ef5c", 0, "", NULL, 1 },
   { "drain,,,oracolo-9", "drain,remove,,oracolo-8", 0, "", NULL, 1 },
   { "drain,,,oracolo-9", "drain,,,oracolo-8", 9, "was", "any more", 1 },
