--- a/src/conftext.c
+++ b/src/conftext.c
@@ -3,15 +3,20 @@
 #include <json-c/json.h>
 #include <string.h>
 
+/* Sheets that made revisions over SINCE. */
 static struct json_object *
-sheets_write (const struct config *config)
+sheets_write (const struct config *config, uint64_t since)
 {
   struct json_object *array = json_object_new_array ();
 
   for (size_t i = 0; i < config->sheet_count; i++)
     {
       const struct config_sheet *sheet = &config->sheets[i];
-      struct json_object *object = json_object_new_object ();
+      struct json_object *object;
+
+      if (sheet->revision <= since)
+        continue;
+      object = json_object_new_object ();
 
       json_object_object_add (object, "digest",
                               json_object_new_string (sheet->digest));
@@ -39,6 +44,17 @@
       json_object_object_get (object, name));
 }
 
+/* Those that a delta since SINCE leaves out. */
+static void
+sheets_share (struct config *config, const struct config *previous,
+              uint64_t since)
+{
+  for (size_t i = 0; i < previous->sheet_count; i++)
+    if (previous->sheets[i].revision <= since)
+      config_remember_sheet (config, previous->sheets[i].digest,
+                             previous->sheets[i].revision);
+}
+
 /* What root and delta have in common. */
 static void
 head_parse (struct config *config, struct json_object *root)
@@ -61,7 +77,7 @@
 }
 
 static struct json_object *
-head_write (const struct config *config)
+head_write (const struct config *config, uint64_t since)
 {
   struct json_object *root = json_object_new_object ();
 
@@ -70,7 +86,7 @@
                           json_object_new_int64 ((int64_t)config->revision));
   json_object_object_add (root, "digest",
                           json_object_new_string (config->digest));
-  json_object_object_add (root, "sheets", sheets_write (config));
+  json_object_object_add (root, "sheets", sheets_write (config, since));
   return root;
 }
 
@@ -192,7 +208,7 @@
 char *
 conftext_root (const struct config *config)
 {
-  struct json_object *root = head_write (config);
+  struct json_object *root = head_write (config, 0);
   struct json_object *entries = json_object_new_array ();
   GPtrArray *documents = config_documents (config);
   char *text;
@@ -222,7 +238,7 @@
 char *
 conftext_delta (const struct config *config, uint64_t since)
 {
-  struct json_object *root = head_write (config);
+  struct json_object *root = head_write (config, since);
   struct json_object *entries = json_object_new_array ();
   GPtrArray *documents = config_documents (config);
   char *text;
@@ -272,9 +288,12 @@
                         (unsigned long)previous->revision);
     }
   loaded = config_new ();
+  if (member_number (root, "since") > 0 && previous != NULL)
+    {
+      config_share (loaded, previous);
+      sheets_share (loaded, previous, member_number (root, "since"));
+    }
   head_parse (loaded, root);
-  if (member_number (root, "since") > 0)
-    config_share (loaded, previous);
   status = delta_documents (loaded, root, error);
   json_object_put (root);
   return config_seal (config, loaded, status, error);
--- a/src/consistency.c
+++ b/src/consistency.c
@@ -23,14 +23,18 @@
 reference_check (struct check *check, const struct declaration *row,
                  enum declaration_type target)
 {
-  struct violation violation = { .row = row };
-  struct declaration key = *row;
+  struct violation violation;
+  struct declaration key;
 
-  if (!declaration_reference (row, target, violation.target))
+  if (!declaration_reference (row, target, NULL))
     return;
+  key = *row;
   key.type = target;
   if (rowset_find (check->rows, &key) != NULL)
     return;
+  memset (&violation, 0, sizeof violation);
+  violation.row = row;
+  declaration_reference (row, target, violation.target);
   violation.column = declaration_reference_column (target);
   error_set (&violation.error, STATUS_NOT_FOUND,
              "refers to %s, which is not declared; declare it or correct "
@@ -43,7 +47,7 @@
 static void
 key_check (struct check *check, const struct declaration *row)
 {
-  struct violation violation = { .row = row, .column = COLUMN_KEY_HASH };
+  struct violation violation;
   gpointer other = g_hash_table_lookup (check->keys, row->key_hash);
 
   if (other == NULL)
@@ -52,6 +56,9 @@
                            (gpointer)row);
       return;
     }
+  memset (&violation, 0, sizeof violation);
+  violation.row = row;
+  violation.column = COLUMN_KEY_HASH;
   violation.other = other;
   declaration_id (other, violation.target);
   error_set (&violation.error, STATUS_CONFLICT,
--- a/src/declaration.c
+++ b/src/declaration.c
@@ -452,13 +452,13 @@
 
 bool
 declaration_reference (const struct declaration *row,
-                       enum declaration_type target,
-                       char out[DECLARATION_ID_MAX])
+                       enum declaration_type target, char *out)
 {
   if (!types[row->type].refers[target]
       || column_empty (row, declaration_reference_column (target)))
     return false;
-  id_write (row, target, out);
+  if (out != NULL)
+    id_write (row, target, out);
   return true;
 }
 
--- a/src/declaration.h
+++ b/src/declaration.h
@@ -133,11 +133,10 @@
 int declaration_id_compare (const struct declaration *a,
                             const struct declaration *b);
 
-/** The identity of the TARGET type that ROW refers to, in OUT.
+/** The identity of the TARGET type that ROW refers to, in OUT (may be NULL).
  * @return false if rows of this type or this row refer to none. */
 bool declaration_reference (const struct declaration *row,
-                            enum declaration_type target,
-                            char out[DECLARATION_ID_MAX]);
+                            enum declaration_type target, char *out);
 
 /** The column by which a row refers to TARGET. */
 enum column declaration_reference_column (enum declaration_type target);
