--- a/src/confdoc.c
+++ b/src/confdoc.c
@@ -218,26 +218,20 @@
   g_free (row);
 }
 
-/* The rows of BASE after the CHANGES to the document NAME, in order. */
+/* The rows of BASE after the CHANGES, in order. */
 static GArray *
-rows_change (const struct confdoc *base, const char *name,
-             const struct row_change *changes, size_t change_count,
-             uint64_t revision, GArray *tombstones)
+rows_change (const struct confdoc *base, const struct row_change *changes,
+             size_t change_count, uint64_t revision, GArray *tombstones)
 {
   GArray *rows = g_array_new (FALSE, TRUE, sizeof (struct declaration));
   GHashTable *set = rowset_new_owning ();
-  char changed_name[CONFDOC_NAME_MAX];
   GHashTableIter iter;
   gpointer row;
 
   for (size_t i = 0; base != NULL && i < base->row_count; i++)
     g_hash_table_add (set, g_memdup2 (&base->rows[i], sizeof *base->rows));
   for (size_t i = 0; i < change_count; i++)
-    {
-      confdoc_name_of (&changes[i].row, changed_name);
-      if (strcmp (changed_name, name) == 0)
-        change_apply (set, tombstones, &changes[i], revision);
-    }
+    change_apply (set, tombstones, &changes[i], revision);
   g_hash_table_iter_init (&iter, set);
   while (g_hash_table_iter_next (&iter, &row, NULL))
     g_array_append_vals (rows, row, 1);
@@ -312,7 +306,7 @@
                            (guint)base->tombstone_count);
       document->floor = base->floor;
     }
-  rows = rows_change (base, name, changes, change_count, revision, tombstones);
+  rows = rows_change (base, changes, change_count, revision, tombstones);
   tombstones_trim (tombstones, &document->floor);
   document->references = 1;
   document->revision = revision;
--- a/src/confdoc.h
+++ b/src/confdoc.h
@@ -60,8 +60,8 @@
 enum status confdoc_parse (struct confdoc **document, const char *name,
                            const char *text, struct error *error);
 
-/** BASE (NULL: nothing) with those CHANGES that belong to NAME, as of
- * REVISION. */
+/** The document NAME: BASE (NULL: nothing) with CHANGES, which all belong to
+ * it, as of REVISION. */
 struct confdoc *confdoc_change (const struct confdoc *base, const char *name,
                                 const struct row_change *changes,
                                 size_t change_count, uint64_t revision);
--- a/src/config.c
+++ b/src/config.c
@@ -93,6 +93,51 @@
   return STATUS_OK;
 }
 
+static void
+group_free (void *group)
+{
+  g_array_unref (group);
+}
+
+/* The changes to each document: its name to a struct row_change array. */
+static GHashTable *
+changes_group (const struct row_change *changes, size_t count)
+{
+  GHashTable *groups
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, group_free);
+  char name[CONFDOC_NAME_MAX];
+
+  for (size_t i = 0; i < count; i++)
+    {
+      GArray *group;
+
+      confdoc_name_of (&changes[i].row, name);
+      group = g_hash_table_lookup (groups, name);
+      if (group == NULL)
+        {
+          group = g_array_new (FALSE, TRUE, sizeof *changes);
+          g_hash_table_insert (groups, g_strdup (name), group);
+        }
+      g_array_append_vals (group, &changes[i], 1);
+    }
+  return groups;
+}
+
+static enum status
+group_apply (struct config *config, const char *name, const GArray *group,
+             struct error *error)
+{
+  struct confdoc *document
+      = confdoc_change (g_hash_table_lookup (config->documents, name), name,
+                        (const struct row_change *)(void *)group->data,
+                        group->len, config->revision);
+
+  config_put (config, document);
+  if (strlen (document->text) > KV_VALUE_MAX)
+    return error_set (error, STATUS_TOO_LARGE, "%s", name);
+  return STATUS_OK;
+}
+
 static const struct declaration *
 row_get (const struct config *config, enum declaration_type type,
          const char *organisation, const char *name, const char *model,
@@ -203,33 +248,22 @@
                const char *sheet_digest, struct error *error)
 {
   struct config *changed = config_new ();
-  char name[CONFDOC_NAME_MAX];
+  GHashTable *groups = changes_group (changes, count);
+  enum status status = STATUS_OK;
+  GHashTableIter iter;
+  gpointer name, group;
 
   config_share (changed, base);
   changed->revision = base->revision + 1;
   memcpy (changed->sheets, base->sheets, sizeof base->sheets);
   changed->sheet_count = base->sheet_count;
   config_remember_sheet (changed, sheet_digest, changed->revision);
-  for (size_t i = 0; i < count; i++)
-    {
-      struct confdoc *document;
-
-      confdoc_name_of (&changes[i].row, name);
-      document = g_hash_table_lookup (changed->documents, name);
-      if (document != NULL && document->revision == changed->revision)
-        continue;
-      document
-          = confdoc_change (document, name, changes, count, changed->revision);
-      config_put (changed, document);
-      if (strlen (document->text) > KV_VALUE_MAX)
-        {
-          error_set (error, STATUS_TOO_LARGE, "%s", name);
-          config_unref (changed);
-          return STATUS_TOO_LARGE;
-        }
-    }
+  g_hash_table_iter_init (&iter, groups);
+  while (status == STATUS_OK && g_hash_table_iter_next (&iter, &name, &group))
+    status = group_apply (changed, name, group, error);
+  g_hash_table_destroy (groups);
   digest_compute (changed, changed->digest);
-  return config_seal (config, changed, STATUS_OK, error);
+  return config_seal (config, changed, status, error);
 }
 
 struct config *
