Command-line tool: timeouts count from the call

Cause: after a pause the loop's time was old, so the timeout of the next try ended early: four tries of 1 s with three pauses of 1 s against a stopped server took 4.02 s; 7.02 s with the loop's time brought up to date.

--- a/src/clihttp.c
+++ b/src/clihttp.c
@@ -104,6 +104,8 @@
   struct httpclient_call *call;
 
   request.body_size = body == NULL ? 0 : strlen (body);
+  /* The loop did not run since the last call; its time is of then. */
+  uv_update_time (&http->loop);
   call = httpclient_call (&http->client, &request, &exchange_ops, &exchange);
   exchange_run (http, &exchange, call, (uint64_t)cli->timeout_s * MS_PER_S);
   answer->status = exchange.status;
