--- a/test/standin-http.c
+++ b/test/standin-http.c
@@ -1,6 +1,5 @@
 #include "standin-http.h"
 
-#include <stdarg.h>
 #include <string.h>
 #include <sys/resource.h>
 
@@ -115,8 +114,8 @@
   return req->path.len >= size && memcmp (req->path.base, prefix, size) == 0;
 }
 
-static bool
-is_silent (const h2o_req_t *req)
+bool
+http_is_silent (const h2o_req_t *req)
 {
   return req->conn->id <= server.silent_upto && !is_control (req);
 }
@@ -261,7 +260,7 @@
 {
   int64_t slow_ms = fault_value ("slow_ms");
 
-  if (is_silent (req))
+  if (http_is_silent (req))
     return true; /* h2o reads no further until an answer. */
   if (fault_value ("refuse"))
     http_drop (req);
@@ -403,76 +402,6 @@
   return true;
 }
 
-/* JSON */
-
-const char *
-json_string (struct json_object *object, const char *key,
-             const char *otherwise)
-{
-  struct json_object *value;
-
-  if (!json_object_object_get_ex (object, key, &value)
-      || !json_object_is_type (value, json_type_string))
-    return otherwise;
-  return json_object_get_string (value);
-}
-
-int64_t
-json_int (struct json_object *object, const char *key, int64_t otherwise)
-{
-  struct json_object *value;
-
-  if (!json_object_object_get_ex (object, key, &value) || !value)
-    return otherwise;
-  return json_object_get_int64 (value);
-}
-
-struct json_object *
-json_array (struct json_object *object, const char *key)
-{
-  struct json_object *value;
-
-  if (!json_object_object_get_ex (object, key, &value)
-      || !json_object_is_type (value, json_type_array))
-    return NULL;
-  return value;
-}
-
-/* The next argument as a JSON value of TYPE. */
-static struct json_object *
-json_argument (char type, va_list *arguments)
-{
-  switch (type)
-    {
-    case 's':
-      return json_object_new_string (va_arg (*arguments, const char *));
-    case 'i':
-      return json_object_new_int64 (va_arg (*arguments, int64_t));
-    case 'b':
-      return json_object_new_boolean (va_arg (*arguments, int));
-    default:
-      return va_arg (*arguments, struct json_object *);
-    }
-}
-
-struct json_object *
-json_put (struct json_object *object, ...)
-{
-  va_list arguments;
-  const char *key;
-
-  object = object ? object : json_object_new_object ();
-  va_start (arguments, object);
-  while ((key = va_arg (arguments, const char *)) != NULL)
-    {
-      char type = (char)va_arg (arguments, int);
-
-      json_object_object_add (object, key, json_argument (type, &arguments));
-    }
-  va_end (arguments);
-  return object;
-}
-
 /* Calls and answers */
 
 int64_t
@@ -516,10 +445,12 @@
                          strlen (name), 1, NULL, copy, strlen (value));
 }
 
-static const char *
-status_reason (int status)
+void
+http_status (h2o_req_t *req, int status, const char *type)
 {
-  return status < 300 ? "OK" : "Refused";
+  req->res.status = status;
+  req->res.reason = status < 300 ? "OK" : "Refused";
+  http_header (req, "content-type", type);
 }
 
 void
@@ -529,12 +460,10 @@
   static h2o_generator_t generator = { NULL, NULL };
   h2o_iovec_t part;
 
-  if (is_silent (req))
+  if (http_is_silent (req))
     return;
-  req->res.status = status;
-  req->res.reason = status_reason (status);
+  http_status (req, status, type);
   req->res.content_length = size;
-  http_header (req, "content-type", type);
   part.base = h2o_mem_alloc_pool (&req->pool, size + 1);
   part.len = size;
   if (size)
@@ -575,104 +504,3 @@
   shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
   http_reply (req, 500, "text/plain", "", 0);
 }
-
-/* Streams */
-
-static void
-stream_lost (struct stream *stream)
-{
-  void (*gone) (struct stream *) = stream->gone;
-
-  stream->gone = NULL;
-  stream->req = NULL;
-  if (gone)
-    gone (stream);
-}
-
-static void
-stream_dispose (void *data)
-{
-  struct stream *stream = data;
-
-  stream_lost (stream);
-  g_string_free (stream->pending, TRUE);
-  g_string_free (stream->flying, TRUE);
-}
-
-static void
-stream_stop (h2o_generator_t *generator, h2o_req_t *req)
-{
-  stream_lost ((struct stream *)generator);
-}
-
-static void
-stream_proceed (h2o_generator_t *generator, h2o_req_t *req)
-{
-  struct stream *stream = (struct stream *)generator;
-
-  stream->busy = false;
-  if (stream->pending->len == 0 && !stream->ended && stream->ready)
-    stream->ready (stream);
-  if (stream->req && (stream->pending->len > 0 || stream->ended))
-    stream_flush (stream);
-}
-
-struct stream *
-stream_start (h2o_req_t *req, const char *type,
-              void (*ready) (struct stream *), void (*gone) (struct stream *),
-              void *data)
-{
-  struct stream *stream
-      = h2o_mem_alloc_shared (&req->pool, sizeof *stream, stream_dispose);
-
-  memset (stream, 0, sizeof *stream);
-  stream->generator.proceed = stream_proceed;
-  stream->generator.stop = stream_stop;
-  stream->req = req;
-  stream->pending = g_string_new (NULL);
-  stream->flying = g_string_new (NULL);
-  stream->ready = ready;
-  stream->gone = gone;
-  stream->data = data;
-  req->res.status = 200;
-  req->res.reason = status_reason (200);
-  http_header (req, "content-type", type);
-  h2o_start_response (req, &stream->generator);
-  return stream;
-}
-
-void
-stream_flush (struct stream *stream)
-{
-  GString *free_buffer = stream->flying;
-  h2o_iovec_t part;
-
-  if (stream->busy || !stream->req || is_silent (stream->req))
-    return;
-  stream->flying = stream->pending;
-  stream->pending = free_buffer;
-  g_string_truncate (free_buffer, 0);
-  part = h2o_iovec_init (stream->flying->str, stream->flying->len);
-  stream->busy = true;
-  h2o_send (stream->req, &part, part.len ? 1 : 0,
-            stream->ended ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
-}
-
-void
-stream_end (struct stream *stream)
-{
-  stream->ended = true;
-  stream_flush (stream);
-}
-
-void
-stream_cut (struct stream *stream)
-{
-  h2o_req_t *req = stream->req;
-  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
-
-  stream->ready = NULL;
-  shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
-  g_string_assign (stream->pending, "\n");
-  stream_end (stream);
-}
--- a/test/standin-http.h
+++ b/test/standin-http.h
@@ -103,6 +103,10 @@
 const char *call_header (const struct call *call, const char *name);
 
 void http_header (h2o_req_t *req, const char *name, const char *value);
+/** Set what the answer begins with. */
+void http_status (h2o_req_t *req, int status, const char *type);
+/** Whether the connection is one of those that fell silent. */
+bool http_is_silent (const h2o_req_t *req);
 /** Answer with a copy of BODY. */
 void http_reply (h2o_req_t *req, int status, const char *type,
                  const void *body, size_t size);
--- a/test/standin-run.c
+++ b/test/standin-run.c
@@ -1,4 +1,4 @@
-#include "standin-engine.h"
+#include "standin-run.h"
 #include "clock.h"
 
 #include <string.h>
@@ -6,41 +6,12 @@
 
 enum
 {
-  WRITE_MAX = 16 * 1024,   /* bytes of events put into one write */
   FINISHED_MAX = 4096,     /* runs kept for a resume */
   BYTES_PER_TOKEN = 4,     /* of prompt text */
   MAX_TOKENS_DEFAULT = 16, /* tokens */
   PRIORITY_DEFAULT = 1000
 };
 
-struct run
-{
-  struct list node; /* on one of the lists below */
-  char *id;
-  int priority;
-  const char *version;
-  struct json_object *ask; /* "blocks" and "imports" of the request */
-  int64_t prompt_tokens;
-  double prefill_left; /* tokens */
-  int cached;          /* blocks */
-  int imported;        /* blocks */
-  GArray *imports_ok;  /* bool for each import */
-  int waits;           /* for imports and faults before the prefill */
-  int64_t total;       /* tokens */
-  int64_t produced;
-  bool cancelled;
-  h2o_req_t *waiting; /* whose answer has not begun */
-  bool stream_wanted;
-  struct stream *stream;
-  int64_t sent;
-  int64_t cut_at; /* pieces; 0: never */
-  bool end_sent;
-  /* The parts of an event around the two numbers. */
-  char *event_head;
-  char *event_middle;
-  char text_head[10]; /* "HHHHHHHH-" */
-};
-
 static struct
 {
   GHashTable *by_id;
@@ -63,37 +34,9 @@
   return (int64_t)(engine_settings.decode_ms * NS_PER_MS);
 }
 
-/* Events */
-
-static void
-append_number (GString *out, int64_t number)
-{
-  char digits[24];
-  int i = sizeof digits;
-
-  do
-    {
-      digits[--i] = (char)('0' + number % 10);
-      number /= 10;
-    }
-  while (number > 0);
-  g_string_append_len (out, digits + i, (gssize)sizeof digits - i);
-}
-
-static void
-append_event (GString *out, const struct run *run, int64_t sequence)
-{
-  static const char tail[] = " \"}]}\n\n";
-
-  g_string_append (out, run->event_head);
-  append_number (out, sequence);
-  g_string_append (out, run->event_middle);
-  append_number (out, sequence);
-  g_string_append_len (out, tail, sizeof tail - 1);
-}
+/* Parts of a run */
 
-/* A run other than RUN, for the fault "crossed". */
-static const struct run *
+const struct run *
 run_other (const struct run *run)
 {
   GHashTableIter iter;
@@ -106,144 +49,29 @@
   return NULL;
 }
 
-static void
-append_faulty (GString *out, const struct run *run)
-{
-  const struct run *other = run_other (run);
-
-  if (other && fault_take ("crossed"))
-    append_event (out, other, run->sent);
-  if (fault_take ("doubled"))
-    append_event (out, run, run->sent);
-}
-
-static void
-run_end_stream (struct run *run)
-{
-  GString *out = run->stream->pending;
-
-  run->end_sent = true;
-  if (!run->cancelled)
-    {
-      g_string_append (out, run->event_head);
-      append_number (out, run->total);
-      g_string_append (out, "\ndata: [DONE]\n\n");
-    }
-  stream_end (run->stream);
-}
-
-/* Close the connection once the pieces before have been written. */
-static void
-run_cut (struct stream *stream)
-{
-  if (stream->pending->len > 0)
-    stream_flush (stream);
-  else
-    stream_cut (stream);
-}
-
-/* Write what has been produced, as far as the connection takes it. */
-static void
-run_pump (struct run *run)
-{
-  struct stream *stream = run->stream;
-
-  if (!stream || stream->busy || run->end_sent)
-    return;
-  while (run->sent < run->produced && stream->pending->len < WRITE_MAX)
-    {
-      if (run->cut_at && run->sent >= run->cut_at)
-        {
-          run_cut (stream);
-          return;
-        }
-      append_faulty (stream->pending, run);
-      append_event (stream->pending, run, run->sent++);
-    }
-  if (run->cancelled || run->sent == run->total)
-    run_end_stream (run);
-  else if (stream->pending->len > 0)
-    stream_flush (stream);
-}
-
-static void
-on_stream_ready (struct stream *stream)
-{
-  run_pump (stream->data);
-}
-
-static void
-on_stream_gone (struct stream *stream)
-{
-  struct run *run = stream->data;
-
-  if (run->stream == stream)
-    run->stream = NULL;
-}
-
-static void
-run_stream (struct run *run, h2o_req_t *req, int64_t from)
-{
-  if (run->stream)
-    {
-      run->stream->gone = NULL;
-      stream_cut (run->stream);
-    }
-  run->sent = MIN (MAX (from, 0), run->produced);
-  run->end_sent = false;
-  run->stream = stream_start (req, "text/event-stream", on_stream_ready,
-                              on_stream_gone, run);
-  run_pump (run);
-}
-
-static void
-header_tokens (h2o_req_t *req, const char *name, int64_t tokens)
-{
-  char text[24];
-
-  snprintf (text, sizeof text, "%lld", (long long)tokens);
-  http_header (req, name, text);
-}
-
-static int64_t
-computed_tokens (const struct run *run)
+int64_t
+run_computed_tokens (const struct run *run)
 {
   return run->prompt_tokens
          - (int64_t)(run->cached + run->imported)
                * engine_settings.piece_tokens;
 }
 
-static void
-run_headers (const struct run *run, h2o_req_t *req)
+struct json_object *
+run_part (const struct run *run, const char *key)
 {
-  int64_t piece = engine_settings.piece_tokens;
-
-  http_header (req, "x-weight-version", run->version);
-  header_tokens (req, "x-cached-tokens", run->cached * piece);
-  header_tokens (req, "x-imported-tokens", run->imported * piece);
-  header_tokens (req, "x-computed-tokens", computed_tokens (run));
+  return json_array (run->ask, key);
 }
 
-static void
-run_answer_whole (struct run *run)
+const char *
+run_block (const struct run *run, size_t i)
 {
-  struct json_object *choices = json_object_new_array ();
-  GString *text = g_string_new (NULL);
+  struct json_object *blocks = run_part (run, "blocks");
+  size_t whole = (size_t)(run->prompt_tokens / engine_settings.piece_tokens);
 
-  for (int64_t i = 0; i < run->total; i++)
-    {
-      g_string_append (text, run->text_head);
-      append_number (text, i);
-      g_string_append_c (text, ' ');
-    }
-  json_object_array_add (choices, json_put (NULL, "index", 'i', (int64_t)0,
-                                            "text", 's', text->str, NULL));
-  run_headers (run, run->waiting);
-  http_json (
-      run->waiting, 200,
-      json_put (NULL, "id", 's', run->id, "choices", 'o', choices, NULL));
-  run->waiting = NULL;
-  g_string_free (text, TRUE);
+  if (!blocks || i >= MIN (whole, json_object_array_length (blocks)))
+    return NULL;
+  return json_object_get_string (json_object_array_get_idx (blocks, i));
 }
 
 /* Life of a run */
@@ -293,8 +121,8 @@
       run->waiting = NULL;
     }
   else if (run->waiting)
-    run_answer_whole (run);
-  run_pump (run);
+    answer_whole (run);
+  answer_pump (run);
   g_queue_push_tail (&self.finished, run);
   finished_trim ();
 }
@@ -318,24 +146,6 @@
   list_insert (position, &run->node);
 }
 
-static struct json_object *
-run_part (const struct run *run, const char *key)
-{
-  return json_array (run->ask, key);
-}
-
-/* The id of the prompt's piece I; NULL past the last whole piece. */
-static const char *
-run_block (const struct run *run, size_t i)
-{
-  struct json_object *blocks = run_part (run, "blocks");
-  size_t whole = (size_t)(run->prompt_tokens / engine_settings.piece_tokens);
-
-  if (!blocks || i >= MIN (whole, json_object_array_length (blocks)))
-    return NULL;
-  return json_object_get_string (json_object_array_get_idx (blocks, i));
-}
-
 static void
 run_decode_begin (struct run *run, int64_t now)
 {
@@ -353,8 +163,8 @@
       h2o_req_t *req = run->waiting;
 
       run->waiting = NULL;
-      run_headers (run, req);
-      run_stream (run, req, 0);
+      answer_headers (run, req);
+      answer_stream (run, req, 0);
     }
   if (run->produced == run->total)
     run_finish_running (run);
@@ -368,52 +178,15 @@
 
   engine_stats.cached_tokens += run->cached * piece;
   engine_stats.imported_tokens += run->imported * piece;
-  engine_stats.computed_tokens += computed_tokens (run);
-  run->prefill_left = (double)computed_tokens (run);
+  engine_stats.computed_tokens += run_computed_tokens (run);
+  run->prefill_left = (double)run_computed_tokens (run);
   list_remove (&run->node);
   if (list_empty (&self.prefill))
     self.prefill_at = now;
   list_by_priority (&self.prefill, run);
 }
 
-/* Imports */
-
-struct import
-{
-  struct run *run;
-  size_t index;
-  struct json_object *info; /* of the run's request */
-};
-
-static bool
-import_matches (const struct import *import, const struct fetch_reply *reply)
-{
-  struct json_object *info = import->info;
-  char generation[32], checksum[17];
-
-  snprintf (generation, sizeof generation, "/%lld",
-            (long long)json_int (info, "generation", -1));
-  snprintf (checksum, sizeof checksum, "%016llx",
-            (unsigned long long)XXH3_64bits (reply->body, reply->size));
-  return reply->status == 200
-         && g_str_has_suffix (json_string (info, "url", ""), generation)
-         && (int64_t)reply->size == json_int (info, "length", -1)
-         && strcmp (checksum, json_string (info, "checksum", "")) == 0;
-}
-
-static void
-import_check_bytes (const char *block, const struct fetch_reply *reply)
-{
-  size_t size;
-  uint8_t *bytes = block_bytes (block, &size);
-
-  if (size != reply->size || memcmp (bytes, reply->body, size) != 0)
-    engine_stats.wrong_bytes++;
-  g_free (bytes);
-}
-
-/* One thing that the run waited for before its prefill is there. */
-static void
+void
 run_wait_over (void *data)
 {
   struct run *run = data;
@@ -430,48 +203,6 @@
   runs_advance (server_now ());
 }
 
-static void
-on_import (void *data, const struct fetch_reply *reply)
-{
-  struct import *import = data;
-  struct run *run = import->run;
-  bool matches = import_matches (import, reply);
-
-  if (matches)
-    import_check_bytes (json_string (import->info, "block", ""), reply);
-  g_array_index (run->imports_ok, bool, import->index) = matches;
-  g_free (import);
-  run_wait_over (run);
-}
-
-/* Fetch the imports that continue the cached prefix. */
-static void
-run_import (struct run *run)
-{
-  struct json_object *imports = run_part (run, "imports");
-  size_t count = imports ? json_object_array_length (imports) : 0;
-  const char *block;
-
-  run->imports_ok = g_array_new (FALSE, TRUE, sizeof (bool));
-  for (size_t i = 0; i < count; i++)
-    {
-      struct json_object *info = json_object_array_get_idx (imports, i);
-      size_t index = run->imports_ok->len;
-      struct import *import;
-
-      block = run_block (run, (size_t)run->cached + index);
-      if (!block || strcmp (block, json_string (info, "block", "")) != 0)
-        continue;
-      g_array_set_size (run->imports_ok, (guint)index + 1);
-      import = g_new0 (struct import, 1);
-      import->run = run;
-      import->index = index;
-      import->info = info;
-      run->waits++;
-      fetch ("GET", json_string (info, "url", ""), NULL, 0, on_import, import);
-    }
-}
-
 static void
 run_begin (struct run *run)
 {
@@ -563,7 +294,7 @@
       if (run->produced == run->total)
         run_finish_running (run);
       else
-        run_pump (run);
+        answer_pump (run);
     }
 }
 
@@ -738,8 +469,8 @@
     }
   engine_stats.resumed++;
   run->cut_at = 0;
-  run_headers (run, call->req);
-  run_stream (run, call->req, json_int (call->body, "from", 0));
+  answer_headers (run, call->req);
+  answer_stream (run, call->req, json_int (call->body, "from", 0));
 }
 
 static bool
