Suspect messages in the peer envelope

Cause: gateways and owners are separate processes. Change: message Suspect (field 40) and suspect-wire between it and the typed message.

--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -772,7 +772,52 @@
   assert(message->base.descriptor == &peer__done__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[14] =
+void   peer__suspect__init
+                     (Peer__Suspect         *message)
+{
+  static const Peer__Suspect init_value = PEER__SUSPECT__INIT;
+  *message = init_value;
+}
+size_t peer__suspect__get_packed_size
+                     (const Peer__Suspect *message)
+{
+  assert(message->base.descriptor == &peer__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__suspect__pack
+                     (const Peer__Suspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__suspect__pack_to_buffer
+                     (const Peer__Suspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Suspect *
+       peer__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Suspect *)
+     protobuf_c_message_unpack (&peer__suspect__descriptor,
+                                allocator, len, data);
+}
+void   peer__suspect__free_unpacked
+                     (Peer__Suspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[15] =
 {
   {
     "protocol",
@@ -942,6 +987,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, suspect),
+    &peer__suspect__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = config_revision */
@@ -957,13 +1014,15 @@
   0,   /* field[0] = protocol */
   7,   /* field[7] = refused */
   2,   /* field[2] = request_id */
+  14,   /* field[14] = suspect */
   12,   /* field[12] = used */
 };
-static const ProtobufCIntRange peer__envelope__number_ranges[2 + 1] =
+static const ProtobufCIntRange peer__envelope__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 14 }
+  { 40, 14 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor peer__envelope__descriptor =
 {
@@ -973,10 +1032,10 @@
   "Peer__Envelope",
   "peer",
   sizeof(Peer__Envelope),
-  14,
+  15,
   peer__envelope__field_descriptors,
   peer__envelope__field_indices_by_name,
-  2,  peer__envelope__number_ranges,
+  3,  peer__envelope__number_ranges,
   (ProtobufCMessageInit) peer__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2062,3 +2121,145 @@
   (ProtobufCMessageInit) peer__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__suspect__field_descriptors[9] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Suspect, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gateway",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Suspect, gateway),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Suspect, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fingerprint",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Suspect, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Suspect, slot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "partition",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Suspect, partition),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tainted",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Suspect, tainted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdict",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Suspect, verdict),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Suspect, hold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__suspect__field_indices_by_name[] = {
+  3,   /* field[3] = fingerprint */
+  1,   /* field[1] = gateway */
+  8,   /* field[8] = hold_ms */
+  0,   /* field[0] = kind */
+  5,   /* field[5] = partition */
+  2,   /* field[2] = run */
+  4,   /* field[4] = slot */
+  6,   /* field[6] = tainted */
+  7,   /* field[7] = verdict */
+};
+static const ProtobufCIntRange peer__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor peer__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Suspect",
+  "Suspect",
+  "Peer__Suspect",
+  "peer",
+  sizeof(Peer__Suspect),
+  9,
+  peer__suspect__field_descriptors,
+  peer__suspect__field_indices_by_name,
+  1,  peer__suspect__number_ranges,
+  (ProtobufCMessageInit) peer__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -32,6 +32,7 @@
 typedef struct Peer__LookupReply Peer__LookupReply;
 typedef struct Peer__Used Peer__Used;
 typedef struct Peer__Done Peer__Done;
+typedef struct Peer__Suspect Peer__Suspect;
 
 
 /* --- enums --- */
@@ -50,7 +51,8 @@
   PEER__ENVELOPE__BODY_LOOKUP = 16,
   PEER__ENVELOPE__BODY_LOOKUP_REPLY = 17,
   PEER__ENVELOPE__BODY_USED = 18,
-  PEER__ENVELOPE__BODY_DONE = 19
+  PEER__ENVELOPE__BODY_DONE = 19,
+  PEER__ENVELOPE__BODY_SUSPECT = 40
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__ENVELOPE__BODY__CASE)
 } Peer__Envelope__BodyCase;
 
@@ -82,6 +84,7 @@
     Peer__LookupReply *lookup_reply;
     Peer__Used *used;
     Peer__Done *done;
+    Peer__Suspect *suspect;
   };
 };
 #define PEER__ENVELOPE__INIT \
@@ -336,6 +339,27 @@
      }
 
 
+/*
+ * Between a gateway and the owner of a partition, see suspect.h.
+ */
+struct  Peer__Suspect
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  uint64_t gateway;
+  uint64_t run;
+  ProtobufCBinaryData fingerprint;
+  uint32_t slot;
+  uint32_t partition;
+  protobuf_c_boolean tainted;
+  uint32_t verdict;
+  uint32_t hold_ms;
+};
+#define PEER__SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__suspect__descriptor) \
+    , 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0 }
+
+
 /* Peer__Envelope methods */
 void   peer__envelope__init
                      (Peer__Envelope         *message);
@@ -659,6 +683,25 @@
 void   peer__done__free_unpacked
                      (Peer__Done *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Suspect methods */
+void   peer__suspect__init
+                     (Peer__Suspect         *message);
+size_t peer__suspect__get_packed_size
+                     (const Peer__Suspect   *message);
+size_t peer__suspect__pack
+                     (const Peer__Suspect   *message,
+                      uint8_t             *out);
+size_t peer__suspect__pack_to_buffer
+                     (const Peer__Suspect   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Suspect *
+       peer__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__suspect__free_unpacked
+                     (Peer__Suspect *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Peer__Envelope_Closure)
@@ -712,6 +755,9 @@
 typedef void (*Peer__Done_Closure)
                  (const Peer__Done *message,
                   void *closure_data);
+typedef void (*Peer__Suspect_Closure)
+                 (const Peer__Suspect *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -735,6 +781,7 @@
 extern const ProtobufCMessageDescriptor peer__lookup_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__used__descriptor;
 extern const ProtobufCMessageDescriptor peer__done__descriptor;
+extern const ProtobufCMessageDescriptor peer__suspect__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/src/suspect-wire.c
@@ -0,0 +1,46 @@
+#include "suspect-wire.h"
+#include "clock.h"
+
+#include <string.h>
+
+void
+suspect_wire_write (struct suspect_message *message, unsigned partition,
+                    Peer__Suspect *body)
+{
+  int64_t hold_ms = message->hold_ns / NS_PER_MS;
+
+  peer__suspect__init (body);
+  body->kind = message->kind;
+  body->gateway = message->gateway;
+  body->run = message->run;
+  body->fingerprint.data = message->fingerprint.bytes;
+  body->fingerprint.len = SUSPECT_FINGERPRINT_BYTES;
+  body->slot = message->slot;
+  body->partition = partition;
+  body->tainted = message->tainted;
+  body->verdict = message->verdict;
+  body->hold_ms = hold_ms < UINT32_MAX ? (uint32_t)hold_ms : UINT32_MAX;
+}
+
+enum status
+suspect_wire_read (const Peer__Suspect *body, struct suspect_message *message,
+                   unsigned *partition)
+{
+  if (body->kind > SUSPECT_ACK || body->verdict >= SUSPECT_VERDICT_COUNT
+      || body->slot >= SUSPECT_SLOTS
+      || body->fingerprint.len != SUSPECT_FINGERPRINT_BYTES)
+    return STATUS_CORRUPT;
+  *message = (struct suspect_message){
+    .kind = (enum suspect_kind)body->kind,
+    .gateway = body->gateway,
+    .run = body->run,
+    .slot = body->slot,
+    .tainted = body->tainted,
+    .verdict = (enum suspect_verdict)body->verdict,
+    .hold_ns = body->hold_ms * NS_PER_MS,
+  };
+  memcpy (message->fingerprint.bytes, body->fingerprint.data,
+          SUSPECT_FINGERPRINT_BYTES);
+  *partition = body->partition;
+  return STATUS_OK;
+}
--- a/test/test-suspect.c
+++ b/test/test-suspect.c
@@ -2,6 +2,7 @@
 #include "rng.h"
 #include "suspect-gate.h"
 #include "suspect-shard.h"
+#include "suspect-wire.h"
 #include "unit.h"
 
 #include <glib.h>
@@ -505,10 +506,45 @@
   CU_ASSERT_EQUAL (memcmp (&made[0], &made[5], sizeof made[0]), 0);
 }
 
+static void
+test_wire (void)
+{
+  struct suspect_message message = { .kind = SUSPECT_ANSWER,
+                                     .gateway = UINT64_MAX,
+                                     .run = 1000000,
+                                     .slot = 1,
+                                     .tainted = true,
+                                     .verdict = SUSPECT_USED_UP,
+                                     .hold_ns = 3600 * NS_PER_S };
+  struct suspect_message read = { 0 };
+  Peer__Suspect body;
+  unsigned partition = 0;
+  uint8_t packed[2][128];
+  size_t size;
+
+  memset (&message.fingerprint, 7, sizeof message.fingerprint);
+  suspect_wire_write (&message, 4095, &body);
+  CU_ASSERT_EQUAL (suspect_wire_read (&body, &read, &partition), STATUS_OK);
+  CU_ASSERT_EQUAL (partition, 4095);
+  size = peer__suspect__pack (&body, packed[0]);
+  suspect_wire_write (&read, partition, &body);
+  CU_ASSERT_EQUAL (peer__suspect__pack (&body, packed[1]), size);
+  CU_ASSERT_EQUAL (memcmp (packed[0], packed[1], size), 0);
+  printf ("  a message has %zu bytes\n", size);
+  body.slot = SUSPECT_SLOTS;
+  CU_ASSERT_EQUAL (suspect_wire_read (&body, &read, &partition),
+                   STATUS_CORRUPT);
+  body.slot = 0;
+  body.fingerprint.len--;
+  CU_ASSERT_EQUAL (suspect_wire_read (&body, &read, &partition),
+                   STATUS_CORRUPT);
+}
+
 static const struct unit_case cases[] = {
   { "at-most-two", test_at_most_two },
   { "mutants", test_mutants },
   { "fingerprint", test_fingerprint },
+  { "wire", test_wire },
 };
 
 int
