--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -38,6 +38,7 @@
 typedef struct Peer__OnceAnswer Peer__OnceAnswer;
 typedef struct Peer__OnceEnd Peer__OnceEnd;
 typedef struct Peer__OnceRecorded Peer__OnceRecorded;
+typedef struct Peer__Suspect Peer__Suspect;
 
 
 /* --- enums --- */
@@ -60,7 +61,8 @@
   PEER__ENVELOPE__BODY_ONCE_BEGIN = 20,
   PEER__ENVELOPE__BODY_ONCE_ANSWER = 21,
   PEER__ENVELOPE__BODY_ONCE_END = 22,
-  PEER__ENVELOPE__BODY_ONCE_RECORDED = 23
+  PEER__ENVELOPE__BODY_ONCE_RECORDED = 23,
+  PEER__ENVELOPE__BODY_SUSPECT = 40
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__ENVELOPE__BODY__CASE)
 } Peer__Envelope__BodyCase;
 
@@ -96,6 +98,7 @@
     Peer__OnceAnswer *once_answer;
     Peer__OnceEnd *once_end;
     Peer__OnceRecorded *once_recorded;
+    Peer__Suspect *suspect;
   };
 };
 #define PEER__ENVELOPE__INIT \
@@ -450,6 +453,27 @@
     , 0 }
 
 
+/*
+ * Between a gateway and the owner of a partition, see suspect.h.
+ */
+struct  Peer__Suspect
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  uint64_t gateway;
+  uint64_t run;
+  ProtobufCBinaryData fingerprint;
+  uint32_t slot;
+  uint32_t partition;
+  protobuf_c_boolean tainted;
+  uint32_t verdict;
+  uint32_t hold_ms;
+};
+#define PEER__SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__suspect__descriptor) \
+    , 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0 }
+
+
 /* Peer__Envelope methods */
 void   peer__envelope__init
                      (Peer__Envelope         *message);
@@ -887,6 +911,25 @@
 void   peer__once_recorded__free_unpacked
                      (Peer__OnceRecorded *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Suspect methods */
+void   peer__suspect__init
+                     (Peer__Suspect         *message);
+size_t peer__suspect__get_packed_size
+                     (const Peer__Suspect   *message);
+size_t peer__suspect__pack
+                     (const Peer__Suspect   *message,
+                      uint8_t             *out);
+size_t peer__suspect__pack_to_buffer
+                     (const Peer__Suspect   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Suspect *
+       peer__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__suspect__free_unpacked
+                     (Peer__Suspect *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Peer__Envelope_Closure)
@@ -958,6 +1001,9 @@
 typedef void (*Peer__OnceRecorded_Closure)
                  (const Peer__OnceRecorded *message,
                   void *closure_data);
+typedef void (*Peer__Suspect_Closure)
+                 (const Peer__Suspect *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -987,6 +1033,7 @@
 extern const ProtobufCMessageDescriptor peer__once_answer__descriptor;
 extern const ProtobufCMessageDescriptor peer__once_end__descriptor;
 extern const ProtobufCMessageDescriptor peer__once_recorded__descriptor;
+extern const ProtobufCMessageDescriptor peer__suspect__descriptor;
 
 PROTOBUF_C__END_DECLS
 
