Grants through ask.h, one piece of code for asking and telling

Cause: grant.c had written the asking, telling and giving back again that ask.c does and the fault matrix proves. Change: grant.c only joins ask.h with the messages to the shards; a refusal now tells whether an earlier request with the key may have run. Conclusion: less code, the proved one is in the path.

--- a/src/filters.h
+++ b/src/filters.h
@@ -25,9 +25,6 @@
 /** For what may run only once: the grant of the owner of its key. */
 enum verdict grant_filter (struct request *request);
 
-/** Look at the timers of a request that waits for its grant. */
-void grant_ask_again (struct request *request, int64_t now);
-
 /** Who has earlier context: asks the shard that owns the prompt's chain. */
 enum verdict lookup_filter (struct request *request);
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_H
 #define GATEWAY_H
 
+#include "ask.h"
 #include "backends.h"
 #include "block.h"
 #include "config.h"
@@ -24,8 +25,8 @@
   struct list starting; /**< requests that admission has just let start */
   bool is_starting;
   struct retry retry;
-  struct list records; /**< grant records that are not durable yet */
-  GArray *serials;     /**< of uint64_t: scratch of the tick */
+  struct asks asks; /**< for grants */
+  GArray *serials;  /**< of uint64_t: scratch of the tick */
   struct block_key block_key;
   size_t piece_bytes; /**< of prompt text in one piece */
   struct list requests;
--- a/src/grant.c
+++ b/src/grant.c
@@ -6,26 +6,12 @@
 #include <glib.h>
 #include <string.h>
 
-#define ASK_TIMEOUT_NS (2 * NS_PER_S)
-#define ASK_AGAIN_NS (100 * NS_PER_MS)
-#define TELL_TIMEOUT_NS (2 * NS_PER_S)
-#define TELL_AGAIN_NS (500 * NS_PER_MS)
-/* After so long a record is left to the owner's own limit. */
-#define TELL_FOR_NS (600 * NS_PER_S)
-
-struct grant_record
-{
-  struct list node;
-  struct gateway *gateway; /* NULL once given up */
-  char *organisation;
-  char *key;
-  uint64_t request;
-  bool has_outcome;
-  struct once_outcome outcome;
-  uint8_t body[ONCE_BODY_MAX];
-  bool telling;
-  int64_t next_ns;
-  int64_t until_ns;
+#define SEND_TIMEOUT_NS (2 * NS_PER_S)
+
+static const struct ask_settings ask_settings = {
+  .again_ns = 250 * NS_PER_MS,
+  .tell_ns = 600 * NS_PER_S,
+  .keep_ns = 30 * NS_PER_S,
 };
 
 static const struct refusal in_progress
@@ -40,17 +26,20 @@
 static const struct refusal no_grant
     = { 503, "no_grant",
         "the record that makes this request run only once could not be "
-        "written now",
+        "written now; no earlier request with this key ran",
+        2 * NS_PER_S };
+static const struct refusal no_owner
+    = { 503, "no_grant_key_unknown",
+        "the record that makes this request run only once could not be "
+        "reached; whether an earlier request with this key ran is not known "
+        "here",
         2 * NS_PER_S };
 
-/* The live shard that ought to own the key, or NULL. */
+/* The live shard that ought to own PARTITION, or NULL. */
 static const struct roster_entry *
-owner_of (const struct gateway *gateway, const char *organisation,
-          const char *key)
+owner_of (const struct gateway *gateway, unsigned partition)
 {
   const struct roster *roster = &gateway->process.roster;
-  unsigned partition
-      = owner_partition (organisation, key, ONCEHOST_PARTITIONS);
   uint64_t *nodes = g_new (uint64_t, roster->count + 1);
   size_t count = roster_shard_nodes (roster, nodes, roster->count);
   int index = owner_pick (nodes, count, partition);
@@ -75,11 +64,9 @@
   return digest;
 }
 
-static void ask (struct request *request);
-
 /* The recorded outcome; only its status if the body was too long to keep. */
 static void
-replay (struct request *request, const Peer__OnceOutcome *outcome)
+replay (struct request *request, const struct once_outcome *outcome)
 {
   struct httpserver_header headers[] = {
     { "x-request-id", request->id },
@@ -88,41 +75,45 @@
   const char *body = "{\"replayed\":true}";
   size_t size = strlen (body);
 
-  if (outcome != NULL && outcome->whole)
+  if (outcome->whole)
     {
-      body = (const char *)outcome->body.data;
-      size = outcome->body.len;
+      body = outcome->body_size > 0 ? (const char *)outcome->body : "";
+      size = outcome->body_size;
     }
   if (request->http != NULL)
-    httpserver_respond (
-        request->http, outcome != NULL ? (int)outcome->status : 200,
-        "application/json", headers, 2, body != NULL ? body : "", size);
+    httpserver_respond (request->http, (int)outcome->status,
+                        "application/json", headers, 2, body, size);
   request->http = NULL;
   request_end_quietly (request, SETTLE_REPLAYED, "");
 }
 
 static void
-granted (struct request *request)
+refuse (struct request *request, const struct once_answer *answer)
 {
-  settle_grant (&request->settle);
-  request_resume (request);
+  struct refusal refusal = answer->key_unknown ? no_owner : no_grant;
+
+  if (answer->retry_after_ns > 0)
+    refusal.retry_after_ns = answer->retry_after_ns;
+  request_end_as (request, SETTLE_REFUSED_NOT_RUN, &refusal);
 }
 
 static void
-take_answer (struct request *request, const Peer__OnceAnswer *answer)
+on_answer (struct asks *asks, struct ask *ask,
+           const struct once_answer *answer)
 {
-  struct refusal refusal = no_grant;
+  struct request *request = ask->data;
 
   switch (answer->result)
     {
     case ONCE_GRANTED:
-      granted (request);
+      settle_grant (&request->settle);
+      request_resume (request);
       break;
     case ONCE_IN_PROGRESS:
       request_end_as (request, SETTLE_IN_PROGRESS, &in_progress);
       break;
     case ONCE_REPLAYED:
-      replay (request, answer->outcome);
+      replay (request, &answer->outcome);
       break;
     case ONCE_CONFLICT:
       request_end_as (request, SETTLE_REFUSED_NOT_RUN, &key_conflict);
@@ -131,237 +122,193 @@
       request_end_as (request, SETTLE_FAILED_MAY_HAVE_RUN, &ran_before);
       break;
     default:
-      if (clock_now (&request->gateway->process.clock) + ASK_AGAIN_NS
-          < request->grant_until_ns)
-        {
-          request->next_ns
-              = clock_now (&request->gateway->process.clock) + ASK_AGAIN_NS;
-          return;
-        }
-      if (answer->retry_after_ms > 0)
-        refusal.retry_after_ns = answer->retry_after_ms * NS_PER_MS;
-      request_end_as (request, SETTLE_REFUSED_NOT_RUN, &refusal);
+      refuse (request, answer);
     }
 }
 
-static void
-asked (void *data, enum status status, const Peer__Envelope *reply)
+/* A message under way to an owner. */
+struct message
 {
-  struct request *request = request_find (data);
-
-  g_free (data);
-  if (request == NULL || request->settle.state != SETTLE_GRANT_WAIT)
-    return;
-  if (status == STATUS_OK
-      && reply->body_case == PEER__ENVELOPE__BODY_ONCE_ANSWER)
-    take_answer (request, reply->once_answer);
-  else
-    request->next_ns
-        = clock_now (&request->gateway->process.clock) + ASK_AGAIN_NS;
-}
+  struct gateway *gateway;
+  uint64_t request;
+};
 
 static void
-ask (struct request *request)
+take_answer (struct gateway *gateway, uint64_t request,
+             const Peer__OnceAnswer *message)
 {
-  struct gateway *gateway = request->gateway;
-  const char *organisation = request->organisation->organisation;
-  const struct roster_entry *owner
-      = owner_of (gateway, organisation, request->key);
-  int64_t now = clock_now (&gateway->process.clock);
-  struct once_digest fingerprint = fingerprint_of (request);
-  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
-  Peer__OnceBegin begin = PEER__ONCE_BEGIN__INIT;
-  Peer__OnceRequest who = PEER__ONCE_REQUEST__INIT;
-  int64_t wait_ns = request->grant_until_ns - now;
+  struct once_answer answer = {
+    .request = request,
+    .gateway = gateway->process.incarnation,
+    .key_unknown = message->key_unknown,
+    .retry_after_ns = message->retry_after_ms * NS_PER_MS,
+  };
 
-  request->next_ns = CLOCK_NEVER;
-  if (owner == NULL)
+  if (message->result >= ONCE_RESULT_COUNT)
+    return;
+  answer.result = (enum once_result)message->result;
+  if (message->outcome != NULL)
     {
-      request->next_ns = now + ASK_AGAIN_NS;
-      return;
+      answer.outcome.status = message->outcome->status;
+      answer.outcome.whole = message->outcome->whole;
+      answer.outcome.body = message->outcome->body.data;
+      answer.outcome.body_size = message->outcome->body.len;
     }
-  if (wait_ns > ASK_TIMEOUT_NS)
-    wait_ns = ASK_TIMEOUT_NS;
-  who.organisation = (char *)organisation;
-  who.key = request->key;
-  who.request = request->serial;
-  who.gateway = gateway->process.incarnation;
-  begin.request = &who;
-  begin.fingerprint.data = fingerprint.bytes;
-  begin.fingerprint.len = sizeof fingerprint.bytes;
-  begin.wait_ms = (uint32_t)(wait_ns / NS_PER_MS);
-  envelope.body_case = PEER__ENVELOPE__BODY_ONCE_BEGIN;
-  envelope.once_begin = &begin;
-  peerhub_request (&gateway->process.peers, owner->peer_address, &envelope,
-                   wait_ns + ASK_AGAIN_NS, asked, request_handle (request));
+  asks_answer (&gateway->asks, &answer);
 }
 
-enum verdict
-grant_filter (struct request *request)
+/* Without an answer the ask is sent again. */
+static void
+answered (void *data, enum status status, const Peer__Envelope *reply)
 {
-  if (request->idempotent)
-    return VERDICT_PASS;
-  settle_ask (&request->settle);
-  request->grant_until_ns = request->deadline_ns;
-  ask (request);
-  return VERDICT_WAIT;
-}
+  struct message *message = data;
+  struct gateway *gateway = message->gateway;
+  uint64_t request = message->request;
 
-void
-grant_ask_again (struct request *request, int64_t now)
-{
-  if (now >= request->grant_until_ns)
-    request_end_as (request, SETTLE_REFUSED_NOT_RUN, &no_grant);
-  else if (now >= request->next_ns)
-    ask (request);
+  g_free (message);
+  if (status != STATUS_OK)
+    return;
+  if (reply->body_case == PEER__ENVELOPE__BODY_ONCE_ANSWER)
+    take_answer (gateway, request, reply->once_answer);
+  else if (reply->body_case == PEER__ENVELOPE__BODY_ONCE_RECORDED)
+    asks_recorded (&gateway->asks, request,
+                   (enum status)reply->once_recorded->status);
 }
 
 static void
-record_free (struct grant_record *record)
+fill_begin (Peer__OnceBegin *begin, const struct ask *ask, int64_t now)
 {
-  list_remove (&record->node);
-  g_free (record->organisation);
-  g_free (record->key);
-  g_free (record);
+  int64_t left_ns = ask->deadline_ns - now;
+
+  begin->fingerprint.data = (uint8_t *)ask->fingerprint.bytes;
+  begin->fingerprint.len = sizeof ask->fingerprint.bytes;
+  begin->wait_ms = left_ns > 0 ? (uint32_t)(left_ns / NS_PER_MS) : 0;
 }
 
 static void
-told (void *data, enum status status, const Peer__Envelope *reply)
+fill_outcome (Peer__OnceOutcome *message, const struct once_outcome *outcome)
 {
-  struct grant_record *record = data;
-
-  record->telling = false;
-  if (record->gateway == NULL
-      || (status == STATUS_OK
-          && reply->body_case == PEER__ENVELOPE__BODY_ONCE_RECORDED
-          && reply->once_recorded->settled))
-    record_free (record);
+  message->status = outcome->status;
+  message->digest.data = (uint8_t *)outcome->digest.bytes;
+  message->digest.len = sizeof outcome->digest.bytes;
+  message->whole = outcome->whole;
+  message->body.data = (uint8_t *)outcome->body;
+  message->body.len = outcome->whole ? outcome->body_size : 0;
 }
 
 static void
-tell (struct gateway *gateway, struct grant_record *record, int64_t now)
+on_send (struct asks *asks, const struct ask *ask)
 {
-  const struct roster_entry *owner
-      = owner_of (gateway, record->organisation, record->key);
+  struct gateway *gateway = LIST_ENTRY (asks, struct gateway, asks);
+  const struct roster_entry *owner = owner_of (gateway, ask->partition);
+  struct message *message;
   Peer__Envelope envelope = PEER__ENVELOPE__INIT;
-  Peer__OnceEnd end = PEER__ONCE_END__INIT;
   Peer__OnceRequest who = PEER__ONCE_REQUEST__INIT;
+  Peer__OnceBegin begin = PEER__ONCE_BEGIN__INIT;
+  Peer__OnceEnd end = PEER__ONCE_END__INIT;
   Peer__OnceOutcome outcome = PEER__ONCE_OUTCOME__INIT;
 
-  record->next_ns = now + TELL_AGAIN_NS;
   if (owner == NULL)
     return;
-  who.organisation = record->organisation;
-  who.key = record->key;
-  who.request = record->request;
-  who.gateway = gateway->process.incarnation;
+  who.organisation = (char *)ask->request.organisation;
+  who.key = (char *)ask->request.key;
+  who.request = ask->request.request;
+  who.gateway = ask->request.gateway;
+  begin.request = &who;
   end.request = &who;
-  if (record->has_outcome)
+  if (ask->state == ASK_WAITING)
     {
-      outcome.status = record->outcome.status;
-      outcome.digest.data = record->outcome.digest.bytes;
-      outcome.digest.len = sizeof record->outcome.digest.bytes;
-      outcome.whole = record->outcome.whole;
-      outcome.body.data = record->body;
-      outcome.body.len = record->outcome.body_size;
-      end.outcome = &outcome;
+      fill_begin (&begin, ask, clock_now (&gateway->process.clock));
+      envelope.body_case = PEER__ENVELOPE__BODY_ONCE_BEGIN;
+      envelope.once_begin = &begin;
     }
-  envelope.body_case = PEER__ENVELOPE__BODY_ONCE_END;
-  envelope.once_end = &end;
-  record->telling = true;
+  else
+    {
+      fill_outcome (&outcome, &ask->outcome);
+      end.outcome = ask->ends ? &outcome : NULL;
+      envelope.body_case = PEER__ENVELOPE__BODY_ONCE_END;
+      envelope.once_end = &end;
+    }
+  message = g_new0 (struct message, 1);
+  message->gateway = gateway;
+  message->request = ask->request.request;
   peerhub_request (&gateway->process.peers, owner->peer_address, &envelope,
-                   TELL_TIMEOUT_NS, told, record);
+                   SEND_TIMEOUT_NS, answered, message);
+}
+
+static const struct ask_ops ask_ops = { on_send, on_answer };
+
+enum verdict
+grant_filter (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  struct once_request who = {
+    .organisation = request->organisation->organisation,
+    .key = request->key,
+    .request = request->serial,
+    .gateway = gateway->process.incarnation,
+  };
+  struct once_digest fingerprint;
+
+  if (request->idempotent)
+    return VERDICT_PASS;
+  fingerprint = fingerprint_of (request);
+  settle_ask (&request->settle);
+  request->ask = asks_begin (&gateway->asks, &who, &fingerprint,
+                             request->deadline_ns, request);
+  return VERDICT_WAIT;
 }
 
 static void
-fill_outcome (struct grant_record *record, const struct request *request)
+outcome_of (const struct request *request, struct once_outcome *outcome)
 {
   const GString *answer = request->answer;
-  struct once_outcome *outcome = &record->outcome;
 
-  record->has_outcome = true;
+  outcome->status = ONCE_STATUS_UNKNOWN;
   if (request->settle.outcome != SETTLE_COMPLETE)
     return;
   outcome->status = (unsigned)request->attempt.http_status;
   if (answer == NULL)
     return;
   outcome->digest = once_digest_of (answer->str, answer->len);
-  if (answer->len > ONCE_BODY_MAX)
-    return;
-  outcome->whole = true;
-  outcome->body_size = answer->len;
-  memcpy (record->body, answer->str, answer->len);
+  outcome->whole = answer->len <= ONCE_BODY_MAX;
+  outcome->body = (const uint8_t *)answer->str;
+  outcome->body_size = outcome->whole ? answer->len : 0;
 }
 
 void
-grant_settle (struct request *request, enum settle_record what)
+grant_settle (struct request *request, enum settle_record record)
 {
-  struct gateway *gateway = request->gateway;
-  struct grant_record *record;
-  int64_t now = clock_now (&gateway->process.clock);
+  struct once_outcome outcome = { 0 };
 
-  if (what == SETTLE_RECORD_NONE)
+  if (request->ask == NULL)
     return;
-  record = g_new0 (struct grant_record, 1);
-  record->gateway = gateway;
-  record->organisation = g_strdup (request->organisation->organisation);
-  record->key = g_strdup (request->key);
-  record->request = request->serial;
-  record->until_ns = now + TELL_FOR_NS;
-  if (what == SETTLE_RECORD_END)
-    fill_outcome (record, request);
-  list_init (&record->node);
-  list_append (&gateway->records, &record->node);
-  tell (gateway, record, now);
+  outcome_of (request, &outcome);
+  asks_end (&request->gateway->asks, request->ask, record, &outcome);
+  request->ask = NULL;
 }
 
 void
 grant_tick (struct gateway *gateway)
 {
-  int64_t now = clock_now (&gateway->process.clock);
-  struct list *at = gateway->records.next;
-
-  while (at != &gateway->records)
-    {
-      struct grant_record *record = LIST_ENTRY (at, struct grant_record, node);
-
-      at = at->next;
-      if (record->telling || now < record->next_ns)
-        continue;
-      if (now > record->until_ns)
-        record_free (record);
-      else
-        tell (gateway, record, now);
-    }
+  asks_tick (&gateway->asks);
 }
 
 size_t
 grant_open (const struct gateway *gateway)
 {
-  return list_empty (&gateway->records) ? 0 : 1;
+  return asks_idle (&gateway->asks) ? 0 : 1;
 }
 
 void
 grant_init (struct gateway *gateway)
 {
-  list_init (&gateway->records);
+  asks_init (&gateway->asks, &ask_settings, &ask_ops, &gateway->process.clock,
+             ONCEHOST_PARTITIONS);
 }
 
-/* Records that are being told are freed by their callback. */
 void
 grant_finish (struct gateway *gateway)
 {
-  while (!list_empty (&gateway->records))
-    {
-      struct grant_record *record
-          = LIST_ENTRY (gateway->records.next, struct grant_record, node);
-
-      if (record->telling)
-        {
-          list_remove (&record->node);
-          record->gateway = NULL;
-        }
-      else
-        record_free (record);
-    }
+  asks_finish (&gateway->asks);
 }
--- a/src/oncehost.c
+++ b/src/oncehost.c
@@ -130,7 +130,7 @@
   Peer__Envelope reply = PEER__ENVELOPE__INIT;
   Peer__OnceRecorded message = PEER__ONCE_RECORDED__INIT;
 
-  message.settled = status != STATUS_UNAVAILABLE;
+  message.status = status;
   reply.body_case = PEER__ENVELOPE__BODY_ONCE_RECORDED;
   reply.once_recorded = &message;
   ask_answer (host_of (once), gateway, request, true, &reply);
--- a/src/outcome.c
+++ b/src/outcome.c
@@ -369,9 +369,7 @@
                       ? settings->timeouts.progress_ns
                       : settings->timeouts.first_byte_ns;
 
-  if (request->settle.state == SETTLE_GRANT_WAIT)
-    grant_ask_again (request, now);
-  else if (now >= request->next_ns)
+  if (now >= request->next_ns)
     run_next (request);
   else if (request->attempt.stream == NULL)
     return;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2792,12 +2792,12 @@
 static const ProtobufCFieldDescriptor peer__once_recorded__field_descriptors[1] =
 {
   {
-    "settled",
+    "status",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__OnceRecorded, settled),
+    offsetof(Peer__OnceRecorded, status),
     NULL,
     NULL,
     0,             /* flags */
@@ -2805,7 +2805,7 @@
   },
 };
 static const unsigned peer__once_recorded__field_indices_by_name[] = {
-  0,   /* field[0] = settled */
+  0,   /* field[0] = status */
 };
 static const ProtobufCIntRange peer__once_recorded__number_ranges[1 + 1] =
 {
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -444,9 +444,9 @@
 {
   ProtobufCMessage base;
   /*
-   * Durable, or not the grant's; else send it again later.
+   * As enum status; STATUS_UNAVAILABLE: send it again later.
    */
-  protobuf_c_boolean settled;
+  uint32_t status;
 };
 #define PEER__ONCE_RECORDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__once_recorded__descriptor) \
--- a/src/request.h
+++ b/src/request.h
@@ -2,6 +2,7 @@
 #define REQUEST_H
 
 #include "admit.h"
+#include "ask.h"
 #include "block.h"
 #include "blockindex.h"
 #include "clock.h"
@@ -118,7 +119,7 @@
   size_t block_count;
   struct blockindex_match match;
 
-  int64_t grant_until_ns; /**< latest answer of the key's owner */
+  struct ask *ask; /**< for a grant; NULL: none is open */
 
   /* dispatch */
   struct settle settle;
