Suspect gate: a sync is repeated until its owner confirms it

Cause: a sync that was lost, or reached a process that does not own the partition yet, left the new owner without what a gateway runs. Change: the gate sends it again every 200 ms until SUSPECT_SYNCED. Also under the sanitizers.

--- a/src/suspect-gate.c
+++ b/src/suspect-gate.c
@@ -8,6 +8,7 @@
 static const int64_t ask_timeout_ns = 250 * NS_PER_MS;
 static const int64_t ask_again_ns = 100 * NS_PER_MS;
 static const int64_t report_again_ns = 200 * NS_PER_MS;
+static const int64_t sync_again_ns = 200 * NS_PER_MS;
 static const int64_t unavailable_retry_ns = 2 * NS_PER_S;
 
 /* A report that its owner has not yet acknowledged as durable. */
@@ -18,6 +19,15 @@
   int64_t due_ns;
 };
 
+/* A partition whose owner has not yet confirmed what is held. */
+struct sync
+{
+  struct list node;
+  uint64_t partition;
+  uint64_t number; /**< of the last try */
+  int64_t due_ns;
+};
+
 static void
 gate_send (const struct suspect_gate *gate, enum suspect_kind kind,
            uint64_t partition, const struct suspect_run *run)
@@ -316,6 +326,64 @@
     }
 }
 
+static void
+sync_send_mark (const struct suspect_gate *gate, const struct sync *sync,
+                enum suspect_kind kind)
+{
+  const struct suspect_message message
+      = { .kind = kind, .gateway = gate->gateway, .run = sync->number };
+
+  gate->ops->send (gate->data, sync->partition, &message);
+}
+
+static void
+sync_send (struct suspect_gate *gate, struct sync *sync)
+{
+  sync->number = ++gate->last_id;
+  sync->due_ns = clock_now (gate->clock) + sync_again_ns;
+  sync_send_mark (gate, sync, SUSPECT_SYNC_BEGIN);
+  for (struct list *at = gate->reports.next; at != &gate->reports;
+       at = at->next)
+    {
+      struct report *report = LIST_ENTRY (at, struct report, node);
+
+      if (report_partition (gate, report) == sync->partition)
+        report_send (gate, report);
+    }
+  sync_runs (gate, sync->partition, false);
+  sync_send_mark (gate, sync, SUSPECT_SYNC_END);
+  sync_runs (gate, sync->partition, true);
+}
+
+static struct sync *
+sync_find (const struct suspect_gate *gate, uint64_t partition)
+{
+  for (struct list *at = gate->syncs.next; at != &gate->syncs; at = at->next)
+    {
+      struct sync *sync = LIST_ENTRY (at, struct sync, node);
+
+      if (sync->partition == partition)
+        return sync;
+    }
+  return NULL;
+}
+
+static void
+receive_synced (const struct suspect_gate *gate,
+                const struct suspect_message *message)
+{
+  for (struct list *at = gate->syncs.next; at != &gate->syncs; at = at->next)
+    {
+      struct sync *sync = LIST_ENTRY (at, struct sync, node);
+
+      if (sync->number != message->run)
+        continue;
+      list_remove (&sync->node);
+      g_free (sync);
+      return;
+    }
+}
+
 void
 suspect_gate_init (struct suspect_gate *gate, uint64_t gateway, unsigned slots,
                    bool unchecked, const struct clock *clock,
@@ -330,6 +398,7 @@
                                  .unchecked = unchecked };
   list_init (&gate->runs);
   list_init (&gate->reports);
+  list_init (&gate->syncs);
 }
 
 void
@@ -344,6 +413,14 @@
       at = at->next;
       report_drop (gate, report);
     }
+  at = gate->syncs.next;
+  while (at != &gate->syncs)
+    {
+      struct sync *sync = LIST_ENTRY (at, struct sync, node);
+
+      at = at->next;
+      g_free (sync);
+    }
 }
 
 void
@@ -385,23 +462,22 @@
     receive_answer (gate, message);
   if (message->kind == SUSPECT_ACK)
     receive_ack (gate, message);
+  if (message->kind == SUSPECT_SYNCED)
+    receive_synced (gate, message);
 }
 
 void
 suspect_gate_sync (struct suspect_gate *gate, uint64_t partition)
 {
-  gate_send (gate, SUSPECT_SYNC_BEGIN, partition, NULL);
-  for (struct list *at = gate->reports.next; at != &gate->reports;
-       at = at->next)
-    {
-      struct report *report = LIST_ENTRY (at, struct report, node);
+  struct sync *sync = sync_find (gate, partition);
 
-      if (report_partition (gate, report) == partition)
-        report_send (gate, report);
+  if (sync == NULL)
+    {
+      sync = g_new0 (struct sync, 1);
+      sync->partition = partition;
+      list_append (&gate->syncs, &sync->node);
     }
-  sync_runs (gate, partition, false);
-  gate_send (gate, SUSPECT_SYNC_END, partition, NULL);
-  sync_runs (gate, partition, true);
+  sync_send (gate, sync);
 }
 
 void
@@ -417,6 +493,13 @@
       if (report->due_ns <= now)
         report_send (gate, report);
     }
+  for (struct list *y = gate->syncs.next; y != &gate->syncs; y = y->next)
+    {
+      struct sync *sync = LIST_ENTRY (y, struct sync, node);
+
+      if (sync->due_ns <= now)
+        sync_send (gate, sync);
+    }
   while (at != &gate->runs)
     {
       struct suspect_run *run = LIST_ENTRY (at, struct suspect_run, node);
@@ -435,6 +518,8 @@
   for (const struct list *r = gate->reports.next; r != &gate->reports;
        r = r->next)
     next = MIN (next, LIST_ENTRY (r, struct report, node)->due_ns);
+  for (const struct list *y = gate->syncs.next; y != &gate->syncs; y = y->next)
+    next = MIN (next, LIST_ENTRY (y, struct sync, node)->due_ns);
   for (const struct list *at = gate->runs.next; at != &gate->runs;
        at = at->next)
     next = MIN (next, LIST_ENTRY (at, struct suspect_run, node)->due_ns);
--- a/src/suspect-gate.h
+++ b/src/suspect-gate.h
@@ -86,6 +86,7 @@
   bool unchecked;      /**< go if no owner answers */
   struct list runs;    /**< all that are not idle */
   struct list reports; /**< the oldest first */
+  struct list syncs;   /**< that no owner has confirmed yet */
   unsigned report_count;
   uint64_t last_id;
 };
@@ -108,7 +109,8 @@
                            const struct suspect_message *message);
 
 /** PARTITION has a new owner or a new connection: name to it what is held and
- * not yet durable. Also harmless at any time, and heals a lost message. */
+ * not yet durable, again and again until it confirms. Harmless at any time;
+ * gives back what lost messages left taken. */
 void suspect_gate_sync (struct suspect_gate *gate, uint64_t partition);
 
 void suspect_gate_tick (struct suspect_gate *gate);
--- a/src/suspect-owner.c
+++ b/src/suspect-owner.c
@@ -64,13 +64,13 @@
 }
 
 static void
-send_ack (const struct suspect_owner *owner,
-          const struct suspect_message *report)
+send_back (const struct suspect_owner *owner,
+           const struct suspect_message *message, enum suspect_kind kind)
 {
-  struct suspect_message ack = *report;
+  struct suspect_message answer = *message;
 
-  ack.kind = SUSPECT_ACK;
-  owner->ops->send (owner->data, report->gateway, &ack);
+  answer.kind = kind;
+  owner->ops->send (owner->data, message->gateway, &answer);
 }
 
 /* The first time an alone run is asked for, its slot is reserved; when that
@@ -191,7 +191,7 @@
 
   if (known && entry->change <= owner->durable)
     {
-      send_ack (owner, message);
+      send_back (owner, message, SUSPECT_ACK);
       return;
     }
   if (crashed && !known)
@@ -397,9 +397,11 @@
       break;
     case SUSPECT_SYNC_END:
       receive_sync_end (owner, message->gateway);
+      send_back (owner, message, SUSPECT_SYNCED);
       break;
     case SUSPECT_ANSWER:
     case SUSPECT_ACK:
+    case SUSPECT_SYNCED:
       break;
     }
 }
--- a/src/suspect-wire.c
+++ b/src/suspect-wire.c
@@ -26,7 +26,7 @@
 suspect_wire_read (const Peer__Suspect *body, struct suspect_message *message,
                    unsigned *partition)
 {
-  if (body->kind > SUSPECT_ACK || body->verdict >= SUSPECT_VERDICT_COUNT
+  if (body->kind > SUSPECT_SYNCED || body->verdict >= SUSPECT_VERDICT_COUNT
       || body->slot >= SUSPECT_SLOTS
       || body->fingerprint.len != SUSPECT_FINGERPRINT_BYTES)
     return STATUS_CORRUPT;
--- a/src/suspect.h
+++ b/src/suspect.h
@@ -53,7 +53,8 @@
 
   /* From owners to gateways. */
   SUSPECT_ANSWER, /**< to SUSPECT_ASK */
-  SUSPECT_ACK     /**< to a repeat of the reports, once they are durable */
+  SUSPECT_ACK,    /**< to a repeat of the reports, once they are durable */
+  SUSPECT_SYNCED  /**< to SUSPECT_SYNC_END, with its run number */
 };
 
 enum suspect_verdict
--- a/test/test-suspect.c
+++ b/test/test-suspect.c
@@ -27,6 +27,8 @@
   RUN_MS = 200,
   FAULT_EVERY_MS = 4000,
   FAILOVER_MS = 800,
+  CUT_EVERY = 400, /**< messages between two cuts of a connection */
+  CUT_MS = 300,
   SYNC_MS = 300, /**< gateways see a new owner within it */
   LOST_MS = 300, /**< owners see a lost gateway within it */
   GRACE_MS = 1000,
@@ -91,6 +93,7 @@
   struct letter wire[WIRE];
   uint64_t order;
   int64_t last_due[PARTITIONS + GATEWAYS];
+  int64_t cut_ns[GATEWAYS][PARTITIONS]; /**< end of a cut */
   uint64_t last_gateway;
   int died[EPOCHS];
   int refused;
@@ -155,7 +158,18 @@
 gate_send_to (void *data, uint64_t partition,
               const struct suspect_message *message)
 {
-  if (world.partitions[partition - 1].alive)
+  struct partition *to = &world.partitions[partition - 1];
+  int from = (int)((struct gateway *)data - world.gateways);
+  int64_t *cut_ns = &world.cut_ns[from][partition - 1];
+
+  /* What is sent on a cut connection is lost; a new one is synced. */
+  if (*cut_ns <= world.clock.now && rng_below (&world.rng, CUT_EVERY) == 0)
+    {
+      *cut_ns = in_ms (CUT_MS);
+      if (world.mutant != MUTANT_NO_SYNC)
+        to->sync_ns[from] = *cut_ns;
+    }
+  if (to->alive && *cut_ns <= world.clock.now)
     post ((int)partition - 1, message);
 }
 
