Command-line tool: the gateway's answers as they are, wait by the clock

Cause: the gateway answers an apply with the plan itself plus its revision and an uncertain one with 503 and the code kv_uncertain, which the tool took for 'nothing changed'. Waiting counted polls, so that silent gateways could make it last far over its timeout; and a gateway that had an older revision in force would have ended it early.

Change: the code decides; waiting ends by the clock, and only when the gateway itself knows the revision.

--- a/src/cli-sheet.c
+++ b/src/cli-sheet.c
@@ -146,35 +146,38 @@
 static enum cli_exit
 wait_in_force (struct cli *cli, uint64_t revision)
 {
-  char *path
-      = g_strdup_printf ("/v1/operator/config?revision=%" PRIu64, revision);
+  uint64_t end_ms
+      = cli->ops->now_ms (cli) + (uint64_t)cli->timeout_s * MS_PER_S;
   enum cli_exit status = CLI_NOT_YET;
   uint64_t shown = UINT64_MAX;
 
-  for (int ms = 0; ms <= cli->timeout_s * MS_PER_S; ms += POLL_MS)
+  while (cli->ops->now_ms (cli) < end_ms)
     {
       struct json_object *object = NULL;
-      uint64_t in_force, processes;
+      uint64_t in_force, processes, known;
 
-      if (cli_call_json (cli, "GET", path, NULL, &object) != CLI_OK)
+      if (cli_call_json (cli, "GET", "/v1/operator/config", NULL, &object)
+          != CLI_OK)
         object = NULL;
       in_force = json_field_uint (object, "in_force");
       processes = json_field_uint (object, "processes");
+      known = json_field_uint (object, "revision");
       json_object_put (object);
+      if (known < revision)
+        in_force = 0;
       if (in_force != shown)
         fprintf (cli->err,
                  "revision %" PRIu64 ": in force in %" PRIu64 " of %" PRIu64
                  " processes\n",
                  revision, in_force, processes);
       shown = in_force;
-      if (processes > 0 && in_force >= processes)
+      if (known >= revision && processes > 0 && in_force >= processes)
         {
           status = CLI_OK;
           break;
         }
       cli->ops->sleep (cli, POLL_MS);
     }
-  g_free (path);
   return status;
 }
 
@@ -186,7 +189,7 @@
       json_print (cli, result);
       return;
     }
-  cliprint_plan (cli->out, json_object_object_get (result, "plan"));
+  cliprint_plan (cli->out, result);
   fprintf (cli->out, "stored in revision %" PRIu64 "\n",
            json_field_uint (result, "revision"));
 }
@@ -207,7 +210,7 @@
   if (status != CLI_OK)
     return status;
   apply_print (cli, result);
-  status = plan_exit (json_object_object_get (result, "plan"));
+  status = plan_exit (result);
   if (cli->wait && status != CLI_REFUSED)
     waited = wait_in_force (cli, json_field_uint (result, "revision"));
   json_object_put (result);
--- a/src/cli.c
+++ b/src/cli.c
@@ -1,6 +1,7 @@
 #include "cli.h"
 
-#include <json-c/json.h>
+#include "httpjson.h"
+
 #include <stdbool.h>
 #include <string.h>
 
@@ -10,6 +11,7 @@
   HTTP_OK = 200,
   HTTP_UNAUTHORIZED = 401,
   HTTP_FORBIDDEN = 403,
+  HTTP_BAD_GATEWAY = 502,
   HTTP_UNAVAILABLE = 503,
   HTTP_GATEWAY_TIMEOUT = 504
 };
@@ -250,15 +252,23 @@
 static enum cli_exit
 answer_refused (struct cli *cli, const struct cli_answer *answer)
 {
+  struct json_object *object = json_tokener_parse (answer->body);
+  struct json_object *error = json_object_object_get (object, "error");
+  const char *message = json_field_text (error, "message");
+  bool uncertain
+      = strcmp (json_field_text (error, "code"), "kv_uncertain") == 0;
+
   fprintf (cli->err, "trefoilspar: the gateway answered %d: %s\n",
-           answer->http_status, answer->body);
+           answer->http_status, message[0] != '\0' ? message : answer->body);
+  json_object_put (object);
   switch (answer->http_status)
     {
     case HTTP_UNAUTHORIZED:
     case HTTP_FORBIDDEN:
       return CLI_DENIED;
     case HTTP_UNAVAILABLE:
-      return CLI_UNAVAILABLE;
+      return uncertain ? CLI_UNKNOWN : CLI_UNAVAILABLE;
+    case HTTP_BAD_GATEWAY:
     case HTTP_GATEWAY_TIMEOUT:
       return CLI_UNKNOWN;
     default:
--- a/src/cli.h
+++ b/src/cli.h
@@ -41,6 +41,8 @@
   /** Send BODY (may be NULL) to ADDRESS and wait for the answer. */
   void (*call) (struct cli *cli, const char *address, const char *method,
                 const char *path, const char *body, struct cli_answer *answer);
+  /** Monotonic time in milliseconds. */
+  uint64_t (*now_ms) (struct cli *cli);
   /** Wait for MS milliseconds. */
   void (*sleep) (struct cli *cli, unsigned ms);
 };
--- a/src/clihttp.c
+++ b/src/clihttp.c
@@ -1,5 +1,7 @@
 #include "clihttp.h"
 
+#include "clock.h"
+
 #include <string.h>
 
 enum
@@ -114,13 +116,20 @@
   g_free (lines);
 }
 
+static uint64_t
+clihttp_now_ms (struct cli *cli)
+{
+  return uv_hrtime () / NS_PER_MS;
+}
+
 static void
 clihttp_sleep (struct cli *cli, unsigned ms)
 {
   uv_sleep (ms);
 }
 
-const struct cli_ops clihttp_ops = { clihttp_call, clihttp_sleep };
+const struct cli_ops clihttp_ops
+    = { clihttp_call, clihttp_now_ms, clihttp_sleep };
 
 void
 clihttp_init (struct clihttp *http)
--- a/src/confapply.c
+++ b/src/confapply.c
@@ -3,7 +3,6 @@
 #include "confhistory.h"
 
 #include <inttypes.h>
-#include <json-c/json.h>
 #include <string.h>
 
 enum sheet_state
@@ -391,23 +390,6 @@
   list_append (&apply->sheets, &sheet->node);
 }
 
-struct json_object *
-confapply_result_json (const struct confapply_result *result)
-{
-  struct json_object *object = json_object_new_object ();
-
-  json_object_object_add (
-      object, "status", json_object_new_string (status_name (result->status)));
-  json_object_object_add (object, "revision",
-                          json_object_new_int64 ((int64_t)result->revision));
-  json_object_object_add (object, "tries",
-                          json_object_new_int64 (result->tries));
-  json_object_object_add (object, "plan",
-                          result->merge == NULL ? NULL
-                                                : merge_json (result->merge));
-  return object;
-}
-
 void
 confapply_tick (struct confapply *apply)
 {
--- a/src/confapply.h
+++ b/src/confapply.h
@@ -54,11 +54,6 @@
                       const char *operator_name, confapply_done done,
                       void *data);
 
-/** {"status","revision","tries","plan"} for an operator; the caller frees
- * it. */
-struct json_object *
-confapply_result_json (const struct confapply_result *result);
-
 void confapply_tick (struct confapply *apply);
 int64_t confapply_next (const struct confapply *apply);
 
