Exports: worth, link budget, reserve, write, seal by the store's own word

Cause: context left engine memory and was computed again; nothing went to the stores. Change: exporter joins policy, queue, links and the life of a copy with engine and store calls; store status is asked for; gateways share a link's rate by their number.

--- a/src/enginewatch.c
+++ b/src/enginewatch.c
@@ -280,11 +280,12 @@
 }
 
 const char *
-enginewatch_address (const struct enginewatch *watch, uint64_t engine)
+enginewatch_any_address (const struct enginewatch *watch, uint64_t engine)
 {
-  const struct watched *watched = find_by_id (watch, engine);
-
-  return watched != NULL ? watched->address : NULL;
+  for (size_t i = 0; i < watch->hostlist->count; i++)
+    if (roster_id (watch->hostlist->entries[i].name) == engine)
+      return watch->hostlist->entries[i].address;
+  return NULL;
 }
 
 void
--- a/src/enginewatch.h
+++ b/src/enginewatch.h
@@ -58,9 +58,10 @@
 /** Ask ENGINE for a fresh listing of its cache. */
 void enginewatch_list (struct enginewatch *watch, uint64_t engine);
 
-/** The address of ENGINE, or NULL. */
-const char *enginewatch_address (const struct enginewatch *watch,
-                                 uint64_t engine);
+/** The address of ENGINE, whether this shard watches it or another one, or
+ * NULL. */
+const char *enginewatch_any_address (const struct enginewatch *watch,
+                                     uint64_t engine);
 
 /** Fill REPLY with the reports that QUERY asks for; free its parts with
  * enginewatch_reply_clear. */
--- a/src/event.c
+++ b/src/event.c
@@ -22,6 +22,8 @@
   /* Placement, block index, stores: 300 */
   { EVENT_PLACE, EVENT_INFO, "place",
     "One placement decision: candidates, costs, choice, reason." },
+  { EVENT_EXPORT, EVENT_INFO, "export",
+    "One export decision: block, worth, store, tier, what it displaces." },
 
   /* Admission, retry, suspect: 400 */
   { EVENT_ADMIT_REFUSED, EVENT_INFO, "admit_refused",
--- a/src/event.h
+++ b/src/event.h
@@ -29,6 +29,7 @@
 
   /* Placement, block index, stores: 300 */
   EVENT_PLACE = 300,
+  EVENT_EXPORT = 301,
 
   /* Admission, retry, suspect: 400 */
   EVENT_ADMIT_REFUSED = 400,
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -9,7 +9,9 @@
 
 enum
 {
-  TOKEN_BYTES = 4 /* of prompt text counted as one token */
+  TOKEN_BYTES = 4,    /* of prompt text counted as one token */
+  LINK_BURST_PART = 4 /* a link's bucket holds the rate of so many parts of a
+                         second */
 };
 
 static const struct refusal not_found
@@ -146,24 +148,40 @@
   grant_tick (gateway);
 }
 
+static int64_t
+live_gateways (const struct roster *roster)
+{
+  int64_t count = 0;
+
+  for (size_t i = 0; i < roster->count; i++)
+    count
+        += roster->entries[i].role == ROLE_GATEWAY && roster->entries[i].alive;
+  return count > 0 ? count : 1;
+}
+
+/* Each gateway may use its part of a store's link for imports. */
 static void
 sync_links (struct gateway *gateway)
 {
   const struct settings *settings = gateway->settings;
   const struct hostlist *hostlist = &gateway->process.hostlist.hostlist;
+  int64_t rate = settings->stores.link_bytes_per_s
+                 / live_gateways (&gateway->process.roster);
 
   for (size_t i = 0; i < hostlist->count; i++)
     {
       const struct hostlist_entry *entry = &hostlist->entries[i];
       uint64_t id = roster_id (entry->name);
+      struct link *link = place_link (&gateway->place, id);
 
       if (entry->kind != HOSTLIST_STORE)
         continue;
       if (entry->leaving)
         place_drop_link (&gateway->place, id);
-      else if (place_link (&gateway->place, id) == NULL)
-        place_set_link (&gateway->place, id, settings->stores.link_bytes_per_s,
-                        settings->stores.link_bytes_per_s / 4);
+      else if (link == NULL)
+        place_set_link (&gateway->place, id, rate, rate / LINK_BURST_PART);
+      else if (link->configured != rate)
+        link_set_rate (link, rate);
     }
 }
 
--- a/src/shard.c
+++ b/src/shard.c
@@ -152,6 +152,8 @@
   query.count = read_blocks (lookup->blocks, lookup->n_blocks, ids);
   memset (&match, 0, sizeof match);
   blockindex_lookup (&shard->index, &query, &match);
+  exporter_observe (&shard->exporter, scope.organisation, lookup->kind,
+                    match.idle_ns);
   fill_holders (&parts, &message, &match);
   fill_pieces (&parts, &message, &match);
   message.idle_ms = match.idle_ns < 0 ? -1 : match.idle_ns / NS_PER_MS;
@@ -175,6 +177,9 @@
     return;
   count = read_blocks (used->blocks, used->n_blocks, ids);
   hint_confirm (&shard->index.hints, &scope, ids, count, used->engine);
+  if (used->retained)
+    exporter_offer (&shard->exporter, &scope, ids, count, used->engine,
+                    used->kind);
 }
 
 static void
@@ -298,6 +303,7 @@
   enginewatch_tick (&shard->engines);
   storewatch_tick (&shard->stores);
   blockindex_tick (&shard->index);
+  exporter_tick (&shard->exporter);
   oncehost_tick (&shard->once);
 }
 
@@ -362,6 +368,8 @@
                    &process->roster, &process->hostlist.hostlist,
                    &shard->index.copies, process->id,
                    settings->stores.listing_ns);
+  exporter_init (&shard->exporter, process, &shard->index, &shard->engines,
+                 &shard->stores);
   oncehost_init (&shard->once, process);
   return STATUS_OK;
 }
@@ -377,6 +385,7 @@
 {
   process_finish (&shard->process);
   oncehost_finish (&shard->once);
+  exporter_finish (&shard->exporter);
   enginewatch_finish (&shard->engines);
   storewatch_finish (&shard->stores);
   blockindex_finish (&shard->index);
--- a/src/shard.h
+++ b/src/shard.h
@@ -3,6 +3,7 @@
 
 #include "blockindex.h"
 #include "enginewatch.h"
+#include "exporter.h"
 #include "oncehost.h"
 #include "process.h"
 #include "storewatch.h"
@@ -19,6 +20,7 @@
   struct blockindex index;
   struct enginewatch engines;
   struct storewatch stores;
+  struct exporter exporter;
   struct oncehost once;
   uint64_t roster_change; /**< of the roster when it was last looked at */
 };
--- a/src/store.h
+++ b/src/store.h
@@ -55,6 +55,14 @@
   bool more;
 };
 
+struct store_status
+{
+  int64_t memory_free; /**< bytes */
+  int64_t disk_free;   /**< bytes */
+};
+
+typedef void (*store_status_done) (void *data, enum status status,
+                                   const struct store_status *store);
 /** STATUS_LIMITED: the tier is full. */
 typedef void (*store_reserved_done) (void *data, enum status status,
                                      const struct store_slot *slot);
@@ -72,6 +80,8 @@
   /** Blocks in slots after AFTER, in order; UINT64_MAX: from the first. */
   void (*listing) (struct storeclient *client, const char *address,
                    uint64_t after, store_listing_done done, void *data);
+  void (*status) (struct storeclient *client, const char *address,
+                  store_status_done done, void *data);
   void (*release) (struct storeclient *client, const char *address,
                    const struct store_slot *slot, store_freed_done done,
                    void *data);
--- a/src/storehttp.c
+++ b/src/storehttp.c
@@ -23,6 +23,7 @@
     store_reserved_done reserved;
     store_listing_done listing;
     store_freed_done freed;
+    store_status_done status;
   } done;
   void *data;
 };
@@ -162,6 +163,36 @@
   ask (client, address, "GET", path, NULL, listing_answered, question);
 }
 
+static void
+status_answered (void *data, const struct httpjson_reply *reply)
+{
+  struct question *question = data;
+  enum status status = reply_status (reply);
+  struct store_status store = { 0 };
+
+  if (status == STATUS_OK && reply->body == NULL)
+    status = STATUS_CORRUPT;
+  if (status == STATUS_OK)
+    {
+      store.memory_free
+          = (int64_t)json_field_uint (reply->body, "memory_free");
+      store.disk_free = (int64_t)json_field_uint (reply->body, "disk_free");
+    }
+  question->done.status (question->data, status, &store);
+  g_free (question);
+}
+
+static void
+http_status (struct storeclient *client, const char *address,
+             store_status_done done, void *data)
+{
+  struct question *question = g_malloc0 (sizeof *question);
+
+  question->done.status = done;
+  question->data = data;
+  ask (client, address, "GET", "/v1/status", NULL, status_answered, question);
+}
+
 static void
 release_answered (void *data, const struct httpjson_reply *reply)
 {
@@ -189,6 +220,7 @@
 static const struct store_ops storehttp_ops = {
   .reserve = http_reserve,
   .listing = http_listing,
+  .status = http_status,
   .release = http_release,
 };
 
--- a/src/storewatch.c
+++ b/src/storewatch.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define LIST_RETRY_NS (NS_PER_S)
+#define STATUS_EVERY_NS (NS_PER_S)
 
 enum
 {
@@ -19,6 +20,9 @@
   bool listing;
   bool again; /* list once more after this listing */
   int64_t next_ns;
+  bool asking_status;
+  int64_t next_status_ns;
+  int64_t free_bytes[COPY_TIERS];
   unsigned failures;
   unsigned refs;
 };
@@ -129,6 +133,32 @@
                         store);
 }
 
+static void
+status_answered (void *data, enum status status,
+                 const struct store_status *report)
+{
+  struct watched_store *store = data;
+
+  store->asking_status = false;
+  if (status == STATUS_OK)
+    {
+      store->free_bytes[COPY_MEMORY] = report->memory_free;
+      store->free_bytes[COPY_DISK] = report->disk_free;
+    }
+  store_unref (store);
+}
+
+static void
+ask_status (struct watched_store *store, int64_t now)
+{
+  struct storeclient *client = store->watch->client;
+
+  store->asking_status = true;
+  store->next_status_ns = now + STATUS_EVERY_NS;
+  store->refs++;
+  client->ops->status (client, store->address, status_answered, store);
+}
+
 static void
 take_up (struct storewatch *watch, const struct hostlist_entry *entry)
 {
@@ -225,6 +255,8 @@
     {
       struct watched_store *store = value;
 
+      if (!store->asking_status && now >= store->next_status_ns)
+        ask_status (store, now);
       if (store->listing || now < store->next_ns)
         continue;
       store->listing = true;
@@ -233,19 +265,55 @@
     }
 }
 
-const char *
-storewatch_address (const struct storewatch *watch, uint64_t id)
+static struct watched_store *
+find_by_id (const struct storewatch *watch, uint64_t id)
 {
   GHashTableIter iter;
   void *value;
 
   g_hash_table_iter_init (&iter, watch->stores);
   while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct watched_store *)value)->id == id)
+      return value;
+  return NULL;
+}
+
+size_t
+storewatch_stores (const struct storewatch *watch,
+                   struct storewatch_store *stores, size_t max)
+{
+  GHashTableIter iter;
+  void *value;
+  size_t count = 0;
+
+  g_hash_table_iter_init (&iter, watch->stores);
+  while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct watched_store *store = value;
 
-      if (store->id == id)
-        return store->address;
+      stores[count].id = store->id;
+      stores[count].address = store->address;
+      memcpy (stores[count].free_bytes, store->free_bytes,
+              sizeof store->free_bytes);
+      count++;
     }
-  return NULL;
+  return count;
+}
+
+void
+storewatch_take (struct storewatch *watch, uint64_t id, enum copy_tier tier,
+                 int64_t bytes)
+{
+  struct watched_store *store = find_by_id (watch, id);
+
+  if (store != NULL)
+    store->free_bytes[tier] -= bytes;
+}
+
+const char *
+storewatch_address (const struct storewatch *watch, uint64_t id)
+{
+  const struct watched_store *store = find_by_id (watch, id);
+
+  return store != NULL ? store->address : NULL;
 }
--- a/src/storewatch.h
+++ b/src/storewatch.h
@@ -39,6 +39,24 @@
 
 void storewatch_tick (struct storewatch *watch);
 
+/** What is known of one store that is listed. */
+struct storewatch_store
+{
+  uint64_t id;
+  const char *address;
+  int64_t free_bytes[COPY_TIERS]; /**< as last reported; less is known by
+                                       nobody */
+};
+
+/** Write the listed stores to STORES, at most MAX.
+ * @return their number. */
+size_t storewatch_stores (const struct storewatch *watch,
+                          struct storewatch_store *stores, size_t max);
+
+/** Count BYTES as taken from a tier until the next report. */
+void storewatch_take (struct storewatch *watch, uint64_t store,
+                      enum copy_tier tier, int64_t bytes);
+
 /** The address of STORE, or NULL. */
 const char *storewatch_address (const struct storewatch *watch,
                                 uint64_t store);
