--- a/src/gateway.c
+++ b/src/gateway.c
@@ -2,13 +2,16 @@
 #include "admission.h"
 #include "answer.h"
 #include "filters.h"
+#include "grant.h"
 #include "operator.h"
 
 #include <string.h>
 
 enum
 {
-  TOKEN_BYTES = 4 /* of prompt text counted as one token */
+  TOKEN_BYTES = 4,    /* of prompt text counted as one token */
+  LINK_BURST_PART = 4 /* a link's bucket holds the rate of so many parts of a
+                         second */
 };
 
 static const struct refusal not_found
@@ -142,26 +145,43 @@
   for (int type = 0; type < REQUEST_TYPE_COUNT; type++)
     admit_tick (&gateway->admit[type]);
   tick_requests (gateway);
+  grant_tick (gateway);
 }
 
+static int64_t
+live_gateways (const struct roster *roster)
+{
+  int64_t count = 0;
+
+  for (size_t i = 0; i < roster->count; i++)
+    count
+        += roster->entries[i].role == ROLE_GATEWAY && roster->entries[i].alive;
+  return count > 0 ? count : 1;
+}
+
+/* Each gateway may use its part of a store's link for imports. */
 static void
 sync_links (struct gateway *gateway)
 {
   const struct settings *settings = gateway->settings;
   const struct hostlist *hostlist = &gateway->process.hostlist.hostlist;
+  int64_t rate = settings->stores.link_bytes_per_s
+                 / live_gateways (&gateway->process.roster);
 
   for (size_t i = 0; i < hostlist->count; i++)
     {
       const struct hostlist_entry *entry = &hostlist->entries[i];
       uint64_t id = roster_id (entry->name);
+      struct link *link = place_link (&gateway->place, id);
 
       if (entry->kind != HOSTLIST_STORE)
         continue;
       if (entry->leaving)
         place_drop_link (&gateway->place, id);
-      else if (place_link (&gateway->place, id) == NULL)
-        place_set_link (&gateway->place, id, settings->stores.link_bytes_per_s,
-                        settings->stores.link_bytes_per_s / 4);
+      else if (link == NULL)
+        place_set_link (&gateway->place, id, rate, rate / LINK_BURST_PART);
+      else if (link->configured != rate)
+        link_set_rate (link, rate);
     }
 }
 
@@ -187,7 +207,9 @@
 static size_t
 busy (void *data)
 {
-  return ((struct gateway *)data)->request_count;
+  struct gateway *gateway = data;
+
+  return gateway->request_count + grant_open (gateway);
 }
 
 static const struct process_role gateway_role
@@ -250,6 +272,7 @@
   init_place (gateway);
   init_retry (gateway);
   admission_init (gateway);
+  grant_init (gateway);
   return STATUS_OK;
 }
 
@@ -265,6 +288,7 @@
   while (!list_empty (&gateway->requests))
     request_abandon (
         LIST_ENTRY (gateway->requests.next, struct request, node));
+  grant_finish (gateway);
   process_finish (&gateway->process);
   admission_finish (gateway);
   retry_finish (&gateway->retry);
--- a/src/request.h
+++ b/src/request.h
@@ -2,6 +2,7 @@
 #define REQUEST_H
 
 #include "admit.h"
+#include "ask.h"
 #include "block.h"
 #include "blockindex.h"
 #include "clock.h"
@@ -118,6 +119,8 @@
   size_t block_count;
   struct blockindex_match match;
 
+  struct ask *ask; /**< for a grant; NULL: none is open */
+
   /* dispatch */
   struct settle settle;
   struct admit_request admit;
@@ -162,6 +165,10 @@
 void request_end_as (struct request *request, enum settle_outcome outcome,
                      const struct refusal *refusal);
 
+/** End with OUTCOME; the caller has been answered. */
+void request_end_quietly (struct request *request, enum settle_outcome outcome,
+                          const char *code);
+
 /** End after the backend server's answer was passed on whole. */
 void request_complete (struct request *request);
 
--- a/src/shard.c
+++ b/src/shard.c
@@ -152,6 +152,8 @@
   query.count = read_blocks (lookup->blocks, lookup->n_blocks, ids);
   memset (&match, 0, sizeof match);
   blockindex_lookup (&shard->index, &query, &match);
+  exporter_observe (&shard->exporter, scope.organisation, lookup->kind,
+                    match.idle_ns);
   fill_holders (&parts, &message, &match);
   fill_pieces (&parts, &message, &match);
   message.idle_ms = match.idle_ns < 0 ? -1 : match.idle_ns / NS_PER_MS;
@@ -175,6 +177,9 @@
     return;
   count = read_blocks (used->blocks, used->n_blocks, ids);
   hint_confirm (&shard->index.hints, &scope, ids, count, used->engine);
+  if (used->retained)
+    exporter_offer (&shard->exporter, &scope, ids, count, used->engine,
+                    used->kind);
 }
 
 static void
@@ -193,6 +198,12 @@
     case PEER__ENVELOPE__BODY_USED:
       take_used (shard, link, request);
       break;
+    case PEER__ENVELOPE__BODY_ONCE_BEGIN:
+      oncehost_begin (&shard->once, link, request);
+      break;
+    case PEER__ENVELOPE__BODY_ONCE_END:
+      oncehost_end (&shard->once, link, request);
+      break;
     default:
       reply_refused (link, request->request_id, "unknown_message");
     }
@@ -287,10 +298,13 @@
       shard->roster_change = shard->process.roster.change;
       enginewatch_sync (&shard->engines);
       storewatch_relist (&shard->stores);
+      oncehost_sync (&shard->once);
     }
   enginewatch_tick (&shard->engines);
   storewatch_tick (&shard->stores);
   blockindex_tick (&shard->index);
+  exporter_tick (&shard->exporter);
+  oncehost_tick (&shard->once);
 }
 
 static void
@@ -310,7 +324,9 @@
 static size_t
 busy (void *data)
 {
-  return 0;
+  struct shard *shard = data;
+
+  return oncehost_stopped (&shard->once) ? 0 : 1;
 }
 
 static const struct process_role shard_role
@@ -352,6 +368,9 @@
                    &process->roster, &process->hostlist.hostlist,
                    &shard->index.copies, process->id,
                    settings->stores.listing_ns);
+  exporter_init (&shard->exporter, process, &shard->index, &shard->engines,
+                 &shard->stores);
+  oncehost_init (&shard->once, process);
   return STATUS_OK;
 }
 
@@ -365,6 +384,8 @@
 shard_finish (struct shard *shard)
 {
   process_finish (&shard->process);
+  oncehost_finish (&shard->once);
+  exporter_finish (&shard->exporter);
   enginewatch_finish (&shard->engines);
   storewatch_finish (&shard->stores);
   blockindex_finish (&shard->index);
