Admission: the cost until the first piece may differ from the whole

Cause: the whole cost of a completion has the tokens that it generates in it; its first piece depends on the prompt alone, so the estimate of the answer's time was off for requests of mixed lengths. Change: answer_cost, optional; the time to an answer is learnt per that cost.

--- a/src/admit.c
+++ b/src/admit.c
@@ -108,6 +108,12 @@
   pace->answer_s += gain * (per_cost - pace->answer_s);
 }
 
+static double
+answer_cost (const struct admit_request *request)
+{
+  return request->answer_cost > 0 ? request->answer_cost : request->cost;
+}
+
 /* The latest start at which the answer is in time as far as is known. */
 static int64_t
 latest_start (const struct admit *admit, const struct admit_request *request)
@@ -116,7 +122,7 @@
   double seconds = pace->answer_s + DEVIATIONS * pace->answer_dev;
 
   return request->deadline_ns
-         - (int64_t)(seconds * request->cost * (double)NS_PER_S);
+         - (int64_t)(seconds * answer_cost (request) * (double)NS_PER_S);
 }
 
 /* Expected wait of REQUEST, were it queued now: by what is queued and the
@@ -401,7 +407,8 @@
   if (request->state != ADMIT_RUNNING || request->answered)
     return;
   request->answered = true;
-  pace_add_answer (pace, (double)elapsed / (double)NS_PER_S / request->cost);
+  pace_add_answer (pace,
+                   (double)elapsed / (double)NS_PER_S / answer_cost (request));
 }
 
 void
--- a/src/admit.h
+++ b/src/admit.h
@@ -64,7 +64,8 @@
 {
   const char *organisation; /**< only used during admit_ask */
   enum priority priority;
-  double cost;         /**< over 0 */
+  double cost;         /**< of the whole run, over 0 */
+  double answer_cost;  /**< until its answer or first piece; 0: as COST */
   int64_t deadline_ns; /**< of its answer, or the first piece of a stream */
   bool status_lookup;  /**< always passes and takes no place */
 
--- a/test/test-admit.c
+++ b/test/test-admit.c
@@ -391,6 +391,13 @@
   CU_ASSERT_EQUAL (step_ask (6, "b", 1, world.clock.now + 6 * NS_PER_S),
                    ADMIT_REFUSED);
   CU_ASSERT_EQUAL (last_refusal.code, ADMIT_DEADLINE_UNREACHABLE);
+  /* Five seconds a piece and a deviation of half that, four times. */
+  steps[6].answer_cost = 0.01;
+  steps[6].deadline_ns = world.clock.now + 30 * NS_PER_S;
+  CU_ASSERT_EQUAL (admit_ask (&world.admit, &steps[6], &last_refusal),
+                   ADMIT_WAIT);
+  CU_ASSERT_EQUAL (steps[6].item.deadline_ns,
+                   steps[6].deadline_ns - 150 * NS_PER_MS);
   steps_finish ();
 }
 
