Suspect requests and backend server health in the path; a missing key is not found

Cause: orders were refused for 10 s after a shard's death: the KV edge answered OK without items for a missing key where the table promises not found, so the suspect records were read again and again and ate the budget of KV calls (573 gets in 20 s). Ruled out: the owner's take-over, which took lease + 1 s once the budget was free. Change: the KV edge keeps the table's promise, with a test; guard joins suspect.h, backends join health.h, drains from the configuration.

--- a/src/backends.c
+++ b/src/backends.c
@@ -7,7 +7,13 @@
 
 #define QUERY_EVERY_NS (200 * NS_PER_MS)
 #define QUERY_TIMEOUT_NS (NS_PER_S)
-#define OUT_NS (2 * NS_PER_S)
+#define PROBE_PATH "/healthz"
+
+static const struct health_settings health_settings = {
+  .probe_base_ns = 500 * NS_PER_MS,
+  .probe_max_ns = 10 * NS_PER_S,
+  .probe_end_ns = 2 * NS_PER_S,
+};
 
 /* An engine and how much this gateway prefers it for its subset. */
 struct preference
@@ -154,17 +160,100 @@
   g_array_unref (chosen);
 }
 
+static void
+apply_usable (struct backends *backends, struct backend *backend)
+{
+  const char *name = backend->host.name;
+
+  backend->usable
+      = health_usable (&backends->health, name) && !backend->host.leaving;
+  if (backends->config != NULL && config_drained (backends->config, name))
+    backend->usable = false;
+  if (backend->host.kind == HOSTLIST_ENGINE)
+    load_set_leaving (&backends->load, backend->id, !backend->usable);
+}
+
+/* What a probe asks of; the backend server may be gone before its answer. */
+struct probe
+{
+  struct backends *backends;
+  char name[HOSTLIST_NAME_MAX];
+};
+
+static void
+probe_answered (struct probe *probe, bool ready)
+{
+  health_probed (&probe->backends->health, probe->name, ready);
+  g_free (probe);
+}
+
+static void
+engine_probed (void *data, enum status status, const struct engine_load *load)
+{
+  probe_answered (data, status == STATUS_OK && !load->leaving);
+}
+
+static void
+service_probed (void *data, const struct httpjson_reply *reply)
+{
+  probe_answered (data, reply->status == STATUS_OK);
+}
+
+static void
+send_probe (void *data, const char *name)
+{
+  struct backends *backends = data;
+  struct process *process = backends->process;
+  struct engineclient *client = &process->enginehttp.client;
+  const struct backend *backend = backends_find (backends, roster_id (name));
+  struct httpjson_request request = { .method = "GET", .path = PROBE_PATH };
+  struct probe *probe;
+
+  if (backend == NULL)
+    return;
+  probe = g_new0 (struct probe, 1);
+  probe->backends = backends;
+  g_strlcpy (probe->name, name, sizeof probe->name);
+  if (backend->host.kind == HOSTLIST_ENGINE)
+    {
+      client->ops->load (client, backend->host.address, engine_probed, probe);
+      return;
+    }
+  request.address = backend->host.address;
+  request.timeout_ns = health_settings.probe_end_ns;
+  httpjson_call (&process->httpjson, &request, service_probed, probe);
+}
+
+static void
+health_changed (void *data, const char *name, bool usable,
+                enum health_sign sign)
+{
+  struct backends *backends = data;
+  struct backend *backend = backends_find (backends, roster_id (name));
+
+  log_event (&backends->process->log, EVENT_BACKEND_SERVER,
+             "backend_server=%s usable=%s sign=%s", name,
+             usable ? "yes" : "no", health_sign_name (sign));
+  if (backend != NULL)
+    apply_usable (backends, backend);
+}
+
+static const struct health_ops health_ops = { send_probe, health_changed };
+
 void
 backends_init (struct backends *backends, struct process *process)
 {
   memset (backends, 0, sizeof *backends);
   backends->process = process;
   load_init (&backends->load, &process->clock, &load_settings_default);
+  health_init (&backends->health, &health_settings, &process->clock,
+               &process->rng, &health_ops, backends);
 }
 
 void
 backends_finish (struct backends *backends)
 {
+  health_finish (&backends->health);
   load_finish (&backends->load);
   g_free (backends->items);
 }
@@ -175,38 +264,61 @@
   int64_t now = clock_now (&backends->process->clock);
 
   load_tick (&backends->load);
+  health_tick (&backends->health);
   if (now < backends->next_query_ns)
     return;
   backends->next_query_ns = now + QUERY_EVERY_NS;
   query_shards (backends);
 }
 
-void
-backends_sync (struct backends *backends)
+/* Replace the list by the host list's, keeping what is known of each. */
+static void
+take_hosts (struct backends *backends)
 {
   const struct hostlist *hostlist = &backends->process->hostlist.hostlist;
   struct backend *items = g_new0 (struct backend, hostlist->count + 1);
-  size_t count = 0;
 
   for (size_t i = 0; i < hostlist->count; i++)
     {
       uint64_t id = roster_id (hostlist->entries[i].name);
-      struct backend *known = backends_find (backends, id);
+      const struct backend *known = backends_find (backends, id);
 
       if (known != NULL)
-        items[count] = *known;
-      items[count].id = id;
-      items[count].host = hostlist->entries[i];
-      if (items[count].host.kind == HOSTLIST_ENGINE)
-        load_set_leaving (&backends->load, id, items[count].host.leaving);
-      count++;
+        items[i] = *known;
+      items[i].id = id;
+      items[i].host = hostlist->entries[i];
     }
   for (size_t i = 0; i < backends->count; i++)
     if (hostlist_find (hostlist, backends->items[i].host.name) == NULL)
-      load_remove (&backends->load, backends->items[i].id);
+      {
+        load_remove (&backends->load, backends->items[i].id);
+        health_forget (&backends->health, backends->items[i].host.name);
+      }
   g_free (backends->items);
   backends->items = items;
-  backends->count = count;
+  backends->count = hostlist->count;
+}
+
+void
+backends_sync (struct backends *backends)
+{
+  take_hosts (backends);
+  for (size_t i = 0; i < backends->count; i++)
+    {
+      struct backend *backend = &backends->items[i];
+
+      health_listed (&backends->health, backend->host.name,
+                     !backend->host.leaving);
+      apply_usable (backends, backend);
+    }
+}
+
+void
+backends_configure (struct backends *backends, const struct config *config)
+{
+  backends->config = config;
+  for (size_t i = 0; i < backends->count; i++)
+    apply_usable (backends, &backends->items[i]);
 }
 
 struct backend *
@@ -222,15 +334,13 @@
 backends_pick_service (struct backends *backends, const char *service,
                        const struct backend *avoid)
 {
-  int64_t now = clock_now (&backends->process->clock);
   struct backend *best = NULL;
 
   for (size_t i = 0; i < backends->count; i++)
     {
       struct backend *item = &backends->items[i];
 
-      if (item->host.kind != HOSTLIST_SERVICE || item->host.leaving
-          || item == avoid || item->out_until_ns > now
+      if (item->host.kind != HOSTLIST_SERVICE || !item->usable || item == avoid
           || strcmp (item->host.service, service) != 0)
         continue;
       if (best == NULL || item->in_flight < best->in_flight
@@ -241,7 +351,8 @@
 }
 
 void
-backends_mark_out (struct backends *backends, struct backend *backend)
+backends_sign (struct backends *backends, const struct backend *backend,
+               enum health_sign sign)
 {
-  backend->out_until_ns = clock_now (&backends->process->clock) + OUT_NS;
+  health_sign (&backends->health, backend->host.name, sign);
 }
--- a/src/backends.h
+++ b/src/backends.h
@@ -1,6 +1,7 @@
 #ifndef BACKENDS_H
 #define BACKENDS_H
 
+#include "health.h"
 #include "hostlist.h"
 #include "load.h"
 #include "peer.h"
@@ -15,15 +16,17 @@
 {
   uint64_t id; /**< roster_id of the name */
   struct hostlist_entry host;
-  uint32_t in_flight;   /**< requests of this gateway */
-  uint64_t sent;        /**< requests of this gateway, ever */
-  int64_t out_until_ns; /**< no new work before */
+  uint32_t in_flight; /**< requests of this gateway */
+  uint64_t sent;      /**< requests of this gateway, ever */
+  bool usable;        /**< gets new work */
 };
 
 struct backends
 {
   struct process *process;
   struct load load;
+  struct health health;
+  const struct config *config; /**< in force; NULL before the first */
   struct backend *items;
   size_t count;
   int64_t next_query_ns;
@@ -47,7 +50,13 @@
                                        const char *service,
                                        const struct backend *avoid);
 
-/** A connection to it was refused or fell silent: no new work for a while. */
-void backends_mark_out (struct backends *backends, struct backend *backend);
+/** Something was seen of BACKEND: it gets no new work until it answers a
+ * probe. */
+void backends_sign (struct backends *backends, const struct backend *backend,
+                    enum health_sign sign);
+
+/** The configuration in force is CONFIG: what it drains gets no new work. */
+void backends_configure (struct backends *backends,
+                         const struct config *config);
 
 #endif
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -62,25 +62,54 @@
   relay_init (&request->relay, &outcome_relay_ops, id);
 }
 
+/* A request under suspicion runs where nothing else does: leave out the
+ * engines that have work. */
+static GArray *
+engines_to_avoid (const struct request *request,
+                  const struct load_group_key *need)
+{
+  const struct load *load = &request->gateway->backends.load;
+  const struct load_group *group = load_group (load, need);
+  GArray *avoid = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+
+  g_array_append_vals (avoid, request->tried, request->tried_count);
+  for (guint i = 0; request->alone && group != NULL && i < group->members->len;
+       i++)
+    {
+      const struct load_engine *engine
+          = load_engine_at (load, g_array_index (group->members, uint32_t, i));
+
+      if (engine->running > 0 || engine->queued_tokens > 0
+          || engine->pending_tokens > 0)
+        g_array_append_val (avoid, engine->id);
+    }
+  return avoid;
+}
+
 static enum status
 place_completion (struct request *request, struct place_result *result)
 {
   struct gateway *gateway = request->gateway;
   struct load_group_key need;
+  GArray *avoid;
+  enum status status;
   struct place_request question = {
     .need = &need,
     .match = &request->match,
     .tokens = request->prompt_tokens,
     .piece_tokens = gateway->settings->placement.piece_tokens,
     .urgent = request->admit.priority == PRIORITY_URGENT,
-    .excluded = request->tried,
-    .excluded_count = request->tried_count,
   };
   char text[1024];
 
   load_group_key_init (&need, request->model->service, request->scope.model,
                        request->scope.version, request->scope.adapter);
-  if (place_choose (&gateway->place, &question, result) != STATUS_OK)
+  avoid = engines_to_avoid (request, &need);
+  question.excluded = (const uint64_t *)(const void *)avoid->data;
+  question.excluded_count = avoid->len;
+  status = place_choose (&gateway->place, &question, result);
+  g_array_unref (avoid);
+  if (status != STATUS_OK)
     return STATUS_UNAVAILABLE;
   place_describe (&gateway->place, result, text, sizeof text);
   log_event (&gateway->process.log, EVENT_PLACE,
@@ -105,6 +134,8 @@
   if (backend == NULL)
     return STATUS_UNAVAILABLE;
   begin_attempt (request, backend);
+  request->attempt.incarnation
+      = load_engine_at (&gateway->backends.load, result.index)->incarnation;
   place_commit (&gateway->place, &gateway->backends.load, &result,
                 &request->load);
   request->planned_cached
--- a/src/event.c
+++ b/src/event.c
@@ -18,6 +18,9 @@
     "A request got its final answer: outcome and code." },
   { EVENT_ATTEMPT_FAILED, EVENT_INFO, "attempt_failed",
     "An attempt at a backend server ended without a whole answer." },
+  { EVENT_BACKEND_SERVER, EVENT_WARN, "backend_server",
+    "A backend server gets no new work, or gets it again; the sign is "
+    "named." },
 
   /* Placement, block index, stores: 300 */
   { EVENT_PLACE, EVENT_INFO, "place",
--- a/src/event.h
+++ b/src/event.h
@@ -26,6 +26,7 @@
   EVENT_ROUTE = 200,
   EVENT_REQUEST_END = 201,
   EVENT_ATTEMPT_FAILED = 202,
+  EVENT_BACKEND_SERVER = 203,
 
   /* Placement, block index, stores: 300 */
   EVENT_PLACE = 300,
--- a/src/filters.h
+++ b/src/filters.h
@@ -22,6 +22,9 @@
 /** Give back the place of a request that ends. */
 void admission_end (struct request *request);
 
+/** Whether this request crashes backend servers. */
+enum verdict guard_filter (struct request *request);
+
 /** For what may run only once: the grant of the owner of its key. */
 enum verdict grant_filter (struct request *request);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -3,6 +3,7 @@
 #include "answer.h"
 #include "filters.h"
 #include "grant.h"
+#include "guard.h"
 #include "operator.h"
 
 #include <string.h>
@@ -146,6 +147,7 @@
     admit_tick (&gateway->admit[type]);
   tick_requests (gateway);
   grant_tick (gateway);
+  guard_tick (gateway);
 }
 
 static int64_t
@@ -202,6 +204,7 @@
   config_unref (gateway->config);
   gateway->config = config_ref (gateway->process.configstore.config);
   admission_configure (gateway);
+  backends_configure (&gateway->backends, gateway->config);
 }
 
 static size_t
@@ -273,6 +276,7 @@
   init_retry (gateway);
   admission_init (gateway);
   grant_init (gateway);
+  guard_init (gateway);
   return STATUS_OK;
 }
 
@@ -289,6 +293,7 @@
     request_abandon (
         LIST_ENTRY (gateway->requests.next, struct request, node));
   grant_finish (gateway);
+  guard_finish (gateway);
   process_finish (&gateway->process);
   admission_finish (gateway);
   retry_finish (&gateway->retry);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -5,6 +5,7 @@
 #include "backends.h"
 #include "block.h"
 #include "config.h"
+#include "oncehost.h"
 #include "place.h"
 #include "process.h"
 #include "request.h"
@@ -25,8 +26,11 @@
   struct list starting; /**< requests that admission has just let start */
   bool is_starting;
   struct retry retry;
-  struct asks asks; /**< for grants */
-  GArray *serials;  /**< of uint64_t: scratch of the tick */
+  struct suspect_gate suspects;
+  uint64_t suspect_owners[ONCEHOST_PARTITIONS]; /**< nodes last told */
+  uint64_t suspect_change; /**< of the roster when they were looked at */
+  struct asks asks;        /**< for grants */
+  GArray *serials;         /**< of uint64_t: scratch of the tick */
   struct block_key block_key;
   size_t piece_bytes; /**< of prompt text in one piece */
   struct list requests;
--- a/src/grant.c
+++ b/src/grant.c
@@ -35,22 +35,6 @@
         "here",
         2 * NS_PER_S };
 
-/* The live shard that ought to own PARTITION, or NULL. */
-static const struct roster_entry *
-owner_of (const struct gateway *gateway, unsigned partition)
-{
-  const struct roster *roster = &gateway->process.roster;
-  uint64_t *nodes = g_new (uint64_t, roster->count + 1);
-  size_t count = roster_shard_nodes (roster, nodes, roster->count);
-  int index = owner_pick (nodes, count, partition);
-  const struct roster_entry *entry = NULL;
-
-  if (index >= 0)
-    entry = roster_by_node (roster, nodes[index]);
-  g_free (nodes);
-  return entry;
-}
-
 static struct once_digest
 fingerprint_of (const struct request *request)
 {
@@ -200,7 +184,8 @@
 on_send (struct asks *asks, const struct ask *ask)
 {
   struct gateway *gateway = LIST_ENTRY (asks, struct gateway, asks);
-  const struct roster_entry *owner = owner_of (gateway, ask->partition);
+  const struct roster_entry *owner
+      = roster_owner (&gateway->process.roster, ask->partition);
   struct message *message;
   Peer__Envelope envelope = PEER__ENVELOPE__INIT;
   Peer__OnceRequest who = PEER__ONCE_REQUEST__INIT;
--- /dev/null
+++ b/src/guard.c
@@ -0,0 +1,212 @@
+#include "guard.h"
+#include "dispatch.h"
+#include "filters.h"
+#include "oncehost.h"
+#include "rendezvous.h"
+#include "suspect-wire.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define SEND_TIMEOUT_NS (NS_PER_S)
+
+static const struct refusal crashes
+    = { 503, "crashes_backend_servers",
+        "backend servers died while running this request", 0 };
+static const struct refusal unchecked
+    = { 503, "suspect_unknown",
+        "no process could say whether this request crashes backend servers",
+        NS_PER_S };
+static const struct refusal no_backend
+    = { 503, "no_backend_server",
+        "no backend server that may run this is there now", NS_PER_S };
+
+static uint64_t
+partition_of (void *data, unsigned slot,
+              const struct suspect_fingerprint *fingerprint)
+{
+  uint64_t first = rendezvous_weight (0, fingerprint, sizeof *fingerprint)
+                   % ONCEHOST_PARTITIONS;
+
+  /* The other slot stays apart by half of the key space. */
+  return (first + slot * (ONCEHOST_PARTITIONS / SUSPECT_SLOTS))
+             % ONCEHOST_PARTITIONS
+         + 1;
+}
+
+static bool
+same_host (void *data, uint64_t partition)
+{
+  return false;
+}
+
+static void
+sent (void *data, enum status status, const Peer__Envelope *reply)
+{
+}
+
+static void
+send_message (void *data, uint64_t partition,
+              const struct suspect_message *message)
+{
+  struct gateway *gateway = data;
+  struct process *process = &gateway->process;
+  const struct roster_entry *owner
+      = roster_owner (&process->roster, (unsigned)partition - 1);
+  struct suspect_message copy = *message;
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__Suspect body = PEER__SUSPECT__INIT;
+
+  if (owner == NULL)
+    return;
+  suspect_wire_write (&copy, (unsigned)partition - 1, &body);
+  envelope.body_case = PEER__ENVELOPE__BODY_SUSPECT;
+  envelope.suspect = &body;
+  peerhub_request (&process->peers, owner->peer_address, &envelope,
+                   SEND_TIMEOUT_NS, sent, NULL);
+}
+
+static void
+refuse (struct request *request, enum suspect_decision decision,
+        int64_t retry_after_ns)
+{
+  struct refusal refusal = decision == SUSPECT_REFUSE ? crashes : unchecked;
+
+  if (retry_after_ns > 0)
+    refusal.retry_after_ns = retry_after_ns;
+  metrics_add (&request->gateway->process.metrics, "suspects_refused", "", 1);
+  log_event (&request->gateway->process.log, EVENT_SUSPECT_REFUSED,
+             "request=%s organisation=%s code=%s", request->id,
+             request->organisation->organisation, refusal.code);
+  request_refuse (request, &refusal);
+}
+
+static void
+decided (void *data, struct suspect_run *run, enum suspect_decision decision,
+         int64_t retry_after_ns)
+{
+  struct request *request = LIST_ENTRY (run, struct request, suspect);
+
+  if (decision == SUSPECT_REFUSE || decision == SUSPECT_UNAVAILABLE)
+    {
+      refuse (request, decision, retry_after_ns);
+      return;
+    }
+  request->alone = decision == SUSPECT_GO_ALONE;
+  request->cleared = true;
+  if (request->in_filters)
+    return; /* the filter passes */
+  if (*request->filter == guard_filter)
+    request_resume (request);
+  else if (dispatch_send (request) != STATUS_OK)
+    request_refuse (request, &no_backend);
+}
+
+static const struct suspect_gate_ops gate_ops
+    = { partition_of, same_host, send_message, decided };
+
+static void
+fingerprint_make (struct request *request)
+{
+  const uint8_t *key = request->gateway->block_key.bytes;
+  const char *organisation = request->organisation->organisation;
+  GString *text;
+
+  if (request->type == REQUEST_COMPLETION)
+    {
+      suspect_fingerprint_make (&request->suspect.fingerprint, key,
+                                organisation, request->model->model,
+                                request->prompt, request->prompt_size);
+      return;
+    }
+  text = g_string_new (NULL);
+  g_string_append_printf (text, "%s\n%s\n", request->method, request->path);
+  g_string_append_len (text, request->body, (gssize)request->body_size);
+  suspect_fingerprint_make (&request->suspect.fingerprint, key, organisation,
+                            request->service->service, text->str, text->len);
+  g_string_free (text, TRUE);
+}
+
+enum verdict
+guard_filter (struct request *request)
+{
+  if (request->status_lookup)
+    return VERDICT_PASS;
+  fingerprint_make (request);
+  guard_retry (request);
+  if (request->finished)
+    return VERDICT_FINISH;
+  return request->cleared ? VERDICT_PASS : VERDICT_WAIT;
+}
+
+void
+guard_retry (struct request *request)
+{
+  request->cleared = false;
+  request->suspect.deadline_ns = request->deadline_ns;
+  suspect_gate_begin (&request->gateway->suspects, &request->suspect);
+}
+
+void
+guard_end (struct request *request, enum suspect_end end)
+{
+  suspect_gate_end (&request->gateway->suspects, &request->suspect, end);
+}
+
+void
+guard_init (struct gateway *gateway)
+{
+  const struct settings *settings = gateway->settings;
+
+  /* While no owner can answer, requests run unchecked: an outage of the KV
+   * service must not stop all work. */
+  suspect_gate_init (&gateway->suspects, gateway->process.incarnation,
+                     (unsigned)settings->suspect.crashes, true,
+                     &gateway->process.clock, &gate_ops, gateway);
+}
+
+void
+guard_finish (struct gateway *gateway)
+{
+  suspect_gate_finish (&gateway->suspects);
+}
+
+/* An owner that changed is told what is held. */
+static void
+sync_owners (struct gateway *gateway)
+{
+  const struct roster *roster = &gateway->process.roster;
+
+  for (unsigned i = 0; i < ONCEHOST_PARTITIONS; i++)
+    {
+      const struct roster_entry *owner = roster_owner (roster, i);
+      uint64_t node = owner != NULL ? roster_node (owner) : 0;
+
+      if (node == gateway->suspect_owners[i])
+        continue;
+      gateway->suspect_owners[i] = node;
+      if (node != 0)
+        suspect_gate_sync (&gateway->suspects, i + 1);
+    }
+}
+
+void
+guard_tick (struct gateway *gateway)
+{
+  if (gateway->suspect_change != gateway->process.roster.change)
+    {
+      gateway->suspect_change = gateway->process.roster.change;
+      sync_owners (gateway);
+    }
+  suspect_gate_tick (&gateway->suspects);
+}
+
+void
+guard_receive (struct gateway *gateway, const Peer__Suspect *message)
+{
+  struct suspect_message received;
+  unsigned partition;
+
+  if (suspect_wire_read (message, &received, &partition) == STATUS_OK)
+    suspect_gate_receive (&gateway->suspects, &received);
+}
--- a/src/kvhttp.c
+++ b/src/kvhttp.c
@@ -15,9 +15,12 @@
   HTTP_UNAVAILABLE = 503
 };
 
+#define KV_GET_PATH "/v1/kv/get"
+
 struct kvcall
 {
   struct kvhttp *kvhttp;
+  bool one_key; /* a get: no item means that there is no such key */
   kv_done done;
   void *data;
 };
@@ -82,6 +85,8 @@
       items = read_items (answer->body, &reply.item_count);
       reply.items = items;
     }
+  if (kvcall->one_key && reply.status == STATUS_OK && reply.item_count == 0)
+    reply.status = STATUS_NOT_FOUND;
   kvcall->done (kvcall->data, &reply);
   g_free (items);
   g_free (kvcall);
@@ -103,6 +108,7 @@
   };
 
   kvcall->kvhttp = kvhttp;
+  kvcall->one_key = strcmp (path, KV_GET_PATH) == 0;
   kvcall->done = done;
   kvcall->data = data;
   kvhttp->call_count++;
@@ -130,7 +136,7 @@
 static void
 kvhttp_get (struct kv *kv, const char *key, kv_done done, void *data)
 {
-  kvhttp_call (kv, "/v1/kv/get", object_with_text ("key", key), 0, done, data);
+  kvhttp_call (kv, KV_GET_PATH, object_with_text ("key", key), 0, done, data);
 }
 
 static void
--- a/src/oncehost.c
+++ b/src/oncehost.c
@@ -140,11 +140,11 @@
 gateway_live (struct once *once, uint64_t gateway)
 {
   struct oncehost *host = host_of (once);
-  const struct roster *roster = &host->process->roster;
+  const struct roster_entry *entry
+      = roster_by_incarnation (&host->process->roster, gateway);
 
-  for (size_t i = 0; i < roster->count; i++)
-    if (roster->entries[i].incarnation == gateway)
-      return roster->entries[i].alive;
+  if (entry != NULL)
+    return entry->alive;
   return clock_now (&host->process->clock) - host->started_ns < UNHEARD_NS;
 }
 
@@ -154,13 +154,19 @@
 static void
 on_gained (struct owner *owner, unsigned partition)
 {
-  once_gained (&((struct oncehost *)owner)->once, partition);
+  struct oncehost *host = (struct oncehost *)owner;
+
+  once_gained (&host->once, partition);
+  suspect_shard_gained (host->suspects, partition);
 }
 
 static void
 on_lost (struct owner *owner, unsigned partition)
 {
-  once_lost (&((struct oncehost *)owner)->once, partition);
+  struct oncehost *host = (struct oncehost *)owner;
+
+  once_lost (&host->once, partition);
+  suspect_shard_lost (host->suspects, partition);
 }
 
 static const struct owner_ops owner_ops = { on_gained, on_lost };
@@ -178,7 +184,8 @@
 };
 
 void
-oncehost_init (struct oncehost *host, struct process *process)
+oncehost_init (struct oncehost *host, struct process *process,
+               struct suspect_shard *suspects)
 {
   int64_t lease_ns = process->settings->kv.lease_ttl_ns;
   struct owner_settings settings = {
@@ -195,6 +202,7 @@
 
   memset (host, 0, sizeof *host);
   host->process = process;
+  host->suspects = suspects;
   host->started_ns = clock_now (&process->clock);
   host->asks = g_hash_table_new_full (ask_hash, ask_equal, NULL, ask_free);
   owner_init (&host->owner, &settings, &owner_ops, roster_node (&self),
--- a/src/oncehost.h
+++ b/src/oncehost.h
@@ -4,6 +4,7 @@
 #include "once.h"
 #include "owner.h"
 #include "process.h"
+#include "suspect-shard.h"
 
 /** @file
  * A shard's at-most-once records and the ownership under them, joined with
@@ -20,12 +21,15 @@
   struct owner owner; /**< first: its callbacks get it */
   struct once once;
   struct process *process;
+  struct suspect_shard *suspects;
   void *asks; /**< hash table: who waits for what answer */
   bool stopping;
   int64_t started_ns;
 };
 
-void oncehost_init (struct oncehost *host, struct process *process);
+/** SUSPECTS is told which partitions come and go. */
+void oncehost_init (struct oncehost *host, struct process *process,
+                    struct suspect_shard *suspects);
 
 /** The KV interface must have been finished before. */
 void oncehost_finish (struct oncehost *host);
--- a/src/operator.c
+++ b/src/operator.c
@@ -256,7 +256,6 @@
   static const char *const kinds[] = { "engine", "service", "store", "other" };
   struct backends *backends = &gateway->backends;
   struct json_object *list = json_object_new_array ();
-  int64_t now = clock_now (&gateway->process.clock);
   uint32_t index;
 
   for (size_t i = 0; i < backends->count; i++)
@@ -269,9 +268,9 @@
       json_add_text (object, "service", backend->host.service);
       json_add_text (object, "data_centre", backend->host.data_centre);
       json_add_text (object, "state",
-                     backend->host.leaving         ? "leaving"
-                     : backend->out_until_ns > now ? "out"
-                                                   : "live");
+                     backend->host.leaving ? "leaving"
+                     : backend->usable     ? "live"
+                                           : "out");
       json_add_uint (object, "in_flight", backend->in_flight);
       if (load_find (&backends->load, backend->id, &index))
         json_object_object_add (
--- a/src/outcome.c
+++ b/src/outcome.c
@@ -1,6 +1,7 @@
 #include "outcome.h"
 #include "dispatch.h"
 #include "filters.h"
+#include "guard.h"
 #include "httpjson.h"
 
 #include <glib.h>
@@ -49,6 +50,7 @@
 count_tokens (struct request *request)
 {
   struct metrics *metrics = &request->gateway->process.metrics;
+  const struct settings *settings = request->gateway->settings;
   char labels[160];
 
   label (request, labels, sizeof labels);
@@ -58,6 +60,9 @@
                (double)request->imported_tokens);
   metrics_add (metrics, "tokens_recomputed", labels,
                (double)request->computed_tokens);
+  metrics_add (metrics, "import_bytes", labels,
+               (double)(request->imported_tokens
+                        * settings->placement.piece_bytes_per_token));
 }
 
 static void
@@ -192,6 +197,9 @@
     settle_cut (&request->settle, number);
   dispatch_close_attempt (request);
   relay_cut (&request->relay);
+  if (decision.action != RETRY_RESUME)
+    guard_end (request, outcome == RETRY_CRASHED ? SUSPECT_END_DIED
+                                                 : SUSPECT_END_NOTHING);
   if (decision.action == RETRY_STOP)
     {
       log_event (&gateway->process.log, EVENT_ATTEMPT_FAILED,
@@ -282,13 +290,67 @@
 }
 
 static void
-mark_out (struct request *request)
+note_sign (struct request *request, enum health_sign sign)
 {
   struct backends *backends = &request->gateway->backends;
   struct backend *backend = backends_find (backends, request->attempt.backend);
 
   if (backend != NULL)
-    backends_mark_out (backends, backend);
+    backends_sign (backends, backend, sign);
+}
+
+static void
+attempt_lost (struct request *request, bool died)
+{
+  if (died)
+    {
+      note_sign (request, HEALTH_DIED);
+      log_event (&request->gateway->process.log, EVENT_SUSPECT_CRASH,
+                 "request=%s organisation=%s attempt=%u", request->id,
+                 request->organisation->organisation, request->attempt.number);
+      attempt_failed (request, RETRY_CRASHED, &lost);
+      return;
+    }
+  attempt_failed (request,
+                  request->answer_started ? RETRY_LOST_MIDWAY
+                                          : RETRY_LOST_UNANSWERED,
+                  &lost);
+}
+
+/* Whether the backend server died under the request, or only its connection:
+ * one that died refuses connections, or is another incarnation by now. */
+static void
+load_probed (void *data, enum status status, const struct engine_load *load)
+{
+  struct request *request = request_find (data);
+  struct load *view;
+  uint32_t index;
+  bool died = status == STATUS_UNAVAILABLE || status == STATUS_UNKNOWN;
+
+  g_free (data);
+  if (request == NULL || request->next_ns != CLOCK_NEVER)
+    return;
+  view = &request->gateway->backends.load;
+  if (status == STATUS_OK
+      && load_find (view, request->attempt.backend, &index))
+    died = load->incarnation != request->attempt.incarnation;
+  attempt_lost (request, died);
+}
+
+static void
+probe_backend (struct request *request)
+{
+  struct engineclient *client = &request->gateway->process.enginehttp.client;
+  const struct backend *backend
+      = backends_find (&request->gateway->backends, request->attempt.backend);
+
+  if (backend == NULL || backend->host.kind != HOSTLIST_ENGINE)
+    {
+      attempt_lost (request, backend == NULL);
+      return;
+    }
+  client->ops->load (client, backend->host.address, load_probed,
+                     request_handle (request));
 }
 
 static void
@@ -296,7 +358,7 @@
 {
   if (status == STATUS_UNAVAILABLE)
     {
-      mark_out (request);
+      note_sign (request, HEALTH_REFUSED);
       attempt_failed (request,
                       request->attempt.resumed ? RETRY_LOST_MIDWAY
                                                : RETRY_NOT_SENT,
@@ -305,10 +367,7 @@
     }
   if (request->settle.state == SETTLE_CONNECTING)
     settle_hand_over (&request->settle, request->attempt.number);
-  attempt_failed (request,
-                  request->answer_started ? RETRY_LOST_MIDWAY
-                                          : RETRY_LOST_UNANSWERED,
-                  &lost);
+  probe_backend (request);
 }
 
 static void
@@ -352,6 +411,11 @@
   enum status status;
 
   request->next_ns = CLOCK_NEVER;
+  if (request->next != RETRY_RESUME && !request->status_lookup)
+    {
+      guard_retry (request);
+      return;
+    }
   if (request->next == RETRY_RESUME)
     status = dispatch_resume (request);
   else
--- a/src/request.c
+++ b/src/request.c
@@ -3,6 +3,7 @@
 #include "filters.h"
 #include "gateway.h"
 #include "grant.h"
+#include "guard.h"
 
 #include <assert.h>
 #include <glib.h>
@@ -14,7 +15,8 @@
         NULL };
 static const request_filter service_filters[]
     = { auth_filter,  classify_filter, admission_filter,
-        grant_filter, dispatch_filter, NULL };
+        guard_filter, grant_filter,    dispatch_filter,
+        NULL };
 
 static void
 request_free (struct request *request)
@@ -44,6 +46,9 @@
 {
   request->finished = true;
   dispatch_close (request);
+  guard_end (request, request->settle.outcome == SETTLE_COMPLETE
+                          ? SUSPECT_END_WELL
+                          : SUSPECT_END_NOTHING);
   admission_end (request);
   if (!request->in_filters)
     request_free (request);
@@ -122,6 +127,7 @@
   list_init (&request->load.node);
   list_init (&request->node);
   list_init (&request->starting);
+  list_init (&request->suspect.node);
   list_append (&gateway->requests, &request->node);
   gateway->request_count++;
   request->serial = ++gateway->next_request;
--- a/src/request.h
+++ b/src/request.h
@@ -14,6 +14,7 @@
 #include "relay.h"
 #include "retry.h"
 #include "settle.h"
+#include "suspect-gate.h"
 
 #include <glib.h>
 #include <json-c/json.h>
@@ -65,8 +66,9 @@
 {
   struct engine_stream *stream; /**< NULL: none is open */
   uint64_t backend;
-  unsigned number;  /**< as settle counts */
-  int64_t heard_ns; /**< last byte from the backend server */
+  unsigned number;      /**< as settle counts */
+  uint64_t incarnation; /**< of the engine when it was chosen */
+  int64_t heard_ns;     /**< last byte from the backend server */
   bool head_seen;
   bool streamed;
   bool resumed; /**< the stream goes on after a cut */
@@ -119,6 +121,9 @@
   size_t block_count;
   struct blockindex_match match;
 
+  struct suspect_run suspect;
+  bool cleared;    /**< the next attempt may run */
+  bool alone;      /**< on a backend server that runs nothing else */
   struct ask *ask; /**< for a grant; NULL: none is open */
 
   /* dispatch */
--- a/src/roster.c
+++ b/src/roster.c
@@ -1,4 +1,5 @@
 #include "roster.h"
+#include "owner.h"
 #include "rendezvous.h"
 
 #include <glib.h>
@@ -110,6 +111,29 @@
   return NULL;
 }
 
+const struct roster_entry *
+roster_owner (const struct roster *roster, unsigned partition)
+{
+  uint64_t *nodes = g_new (uint64_t, roster->count + 1);
+  size_t count = roster_shard_nodes (roster, nodes, roster->count);
+  int index = owner_pick (nodes, count, partition);
+  const struct roster_entry *entry = NULL;
+
+  if (index >= 0)
+    entry = roster_by_node (roster, nodes[index]);
+  g_free (nodes);
+  return entry;
+}
+
+const struct roster_entry *
+roster_by_incarnation (const struct roster *roster, uint64_t incarnation)
+{
+  for (size_t i = 0; i < roster->count; i++)
+    if (roster->entries[i].incarnation == incarnation)
+      return &roster->entries[i];
+  return NULL;
+}
+
 const struct roster_entry *
 roster_shard (const struct roster *roster, const void *key, size_t size)
 {
--- a/src/roster.h
+++ b/src/roster.h
@@ -68,6 +68,14 @@
 const struct roster_entry *roster_by_node (const struct roster *roster,
                                            uint64_t node);
 
+/** The live shard that ought to own PARTITION (owner.h), or NULL. */
+const struct roster_entry *roster_owner (const struct roster *roster,
+                                         unsigned partition);
+
+/** The process of INCARNATION, or NULL. */
+const struct roster_entry *roster_by_incarnation (const struct roster *roster,
+                                                  uint64_t incarnation);
+
 /** The live shard process that KEY falls to, or NULL. */
 const struct roster_entry *roster_shard (const struct roster *roster,
                                          const void *key, size_t size);
--- a/src/shard.c
+++ b/src/shard.c
@@ -1,4 +1,5 @@
 #include "shard.h"
+#include "suspect-wire.h"
 
 #include <glib.h>
 #include <string.h>
@@ -8,6 +9,10 @@
   INDEX_ENTRIES_MAX = 100000
 };
 
+#define SUSPECT_TIMEOUT_NS (NS_PER_S)
+/* Over the time in which gateways see a new owner. */
+#define SUSPECT_GRACE_NS (2 * NS_PER_S)
+
 static bool
 read_scope (const Peer__Scope *message, struct block_scope *scope)
 {
@@ -182,6 +187,18 @@
                     used->kind);
 }
 
+static void
+take_suspect (struct shard *shard, struct peerlink *link,
+              const Peer__Envelope *request)
+{
+  struct suspect_message message;
+  unsigned partition;
+
+  reply_done (link, request->request_id);
+  if (suspect_wire_read (request->suspect, &message, &partition) == STATUS_OK)
+    suspect_shard_receive (&shard->suspects, partition, &message);
+}
+
 static void
 answer (void *data, struct peerlink *link, const Peer__Envelope *request)
 {
@@ -204,6 +221,9 @@
     case PEER__ENVELOPE__BODY_ONCE_END:
       oncehost_end (&shard->once, link, request);
       break;
+    case PEER__ENVELOPE__BODY_SUSPECT:
+      take_suspect (shard, link, request);
+      break;
     default:
       reply_refused (link, request->request_id, "unknown_message");
     }
@@ -288,6 +308,18 @@
 static const struct blockindex_ops index_ops
     = { { list_engine }, { free_slot } };
 
+/* Runs of a gateway that died have nobody who reports their end. */
+static void
+note_lost_gateways (struct shard *shard)
+{
+  const struct roster *roster = &shard->process.roster;
+
+  for (size_t i = 0; i < roster->count; i++)
+    if (roster->entries[i].role == ROLE_GATEWAY && !roster->entries[i].alive)
+      suspect_shard_gateway_lost (&shard->suspects,
+                                  roster->entries[i].incarnation);
+}
+
 static void
 tick (void *data)
 {
@@ -299,12 +331,14 @@
       enginewatch_sync (&shard->engines);
       storewatch_relist (&shard->stores);
       oncehost_sync (&shard->once);
+      note_lost_gateways (shard);
     }
   enginewatch_tick (&shard->engines);
   storewatch_tick (&shard->stores);
   blockindex_tick (&shard->index);
   exporter_tick (&shard->exporter);
   oncehost_tick (&shard->once);
+  suspect_shard_tick (&shard->suspects);
 }
 
 static void
@@ -332,6 +366,59 @@
 static const struct process_role shard_role
     = { serve, answer, tick, hosts_changed, configured, busy };
 
+static void
+suspect_sent (void *data, enum status status, const Peer__Envelope *reply)
+{
+}
+
+static void
+suspect_send (void *data, uint64_t gateway,
+              const struct suspect_message *message)
+{
+  struct shard *shard = data;
+  struct process *process = &shard->process;
+  const struct roster_entry *to
+      = roster_by_incarnation (&process->roster, gateway);
+  struct suspect_message copy = *message;
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__Suspect body = PEER__SUSPECT__INIT;
+
+  if (to == NULL)
+    return;
+  suspect_wire_write (&copy, 0, &body);
+  envelope.body_case = PEER__ENVELOPE__BODY_SUSPECT;
+  envelope.suspect = &body;
+  peerhub_request (&process->peers, to->peer_address, &envelope,
+                   SUSPECT_TIMEOUT_NS, suspect_sent, NULL);
+}
+
+static bool
+suspect_holds (void *data, unsigned partition, char key[KV_KEY_MAX],
+               uint64_t *revision)
+{
+  struct shard *shard = data;
+
+  owner_key (partition, key);
+  return owner_holds (&shard->once.owner, partition, revision);
+}
+
+static const struct suspect_shard_ops suspect_ops
+    = { suspect_send, suspect_holds };
+
+static void
+init_suspects (struct shard *shard)
+{
+  const struct settings *settings = shard->settings;
+  struct suspect_owner_settings suspects = {
+    .hold_ns = settings->suspect.hold_ns,
+    .grace_ns = SUSPECT_GRACE_NS,
+    .run_alone = settings->suspect.run_alone,
+  };
+
+  suspect_shard_init (&shard->suspects, &suspects, &shard->process.kvbudget.kv,
+                      &shard->process.clock, &suspect_ops, shard);
+}
+
 static void
 init_index (struct shard *shard)
 {
@@ -370,7 +457,8 @@
                    settings->stores.listing_ns);
   exporter_init (&shard->exporter, process, &shard->index, &shard->engines,
                  &shard->stores);
-  oncehost_init (&shard->once, process);
+  init_suspects (shard);
+  oncehost_init (&shard->once, process, &shard->suspects);
   return STATUS_OK;
 }
 
@@ -385,6 +473,7 @@
 {
   process_finish (&shard->process);
   oncehost_finish (&shard->once);
+  suspect_shard_finish (&shard->suspects);
   exporter_finish (&shard->exporter);
   enginewatch_finish (&shard->engines);
   storewatch_finish (&shard->stores);
--- a/src/shard.h
+++ b/src/shard.h
@@ -22,6 +22,7 @@
   struct storewatch stores;
   struct exporter exporter;
   struct oncehost once;
+  struct suspect_shard suspects;
   uint64_t roster_change; /**< of the roster when it was last looked at */
 };
 
--- a/test/demo.sh
+++ b/test/demo.sh
@@ -106,6 +106,23 @@
 completion gateway-1 key-2 briefing "$long" 20
 expect "cached tokens across organisations" 0 "$cached"
 
+echo "The engines lose their memory; what the stores keep is imported"
+for e in e1 e2 e3; do
+  dies $e
+  standin $e engine --name $e --model oracolo --version v1 \
+    --piece-tokens $piece_tokens --prefill-rate 4000 --decode-ms 5
+done
+hosts_json=
+for e in e1 e2 e3; do listed $e dc-1 oracolo engine; done
+for s in svc1 svc2; do listed $s dc-1 centrale service; done
+for s in store-a store-b; do listed $s dc-1 $s store; done
+hosts_publish
+sleep 2
+completion gateway-1 key-1 briefing "$long" 20
+imported=$(header x-imported-tokens)
+echo "  imported $imported tokens"
+expect "import of the briefing" yes "$([ "$imported" -gt 0 ] && echo yes)"
+
 echo "An order, twice, at two gateways"
 order gateway-1 key-1 order-1 van-7 complete
 order gateway-2 key-1 order-1 van-7 replayed
@@ -131,10 +148,12 @@
   echo "  NOT AS IT SHOULD BE: an order ran twice"
   wrong=1
 }
-links=$(for s in store-a store-b; do
-  curl -s "http://${address_of[$s]}/control/stats"
-done | grep -o '"bytes_[a-z]*":[0-9]*' | tr '\n' ' ')
+links=$(for d in gateway-2 shard-2; do
+  curl -s "http://${address_of[$d]}/metrics"
+done | awk '/^(import|export)_bytes/ { split ($1, name, "{")
+  sum[name[1]] += $2 }
+  END { for (n in sum) printf "%s %d  ", n, sum[n] }')
 echo "Share recomputed: $computed_sum of $prompt_sum tokens"
-echo "Link use: ${links:-none}"
+echo "Link use of the survivors: ${links:-none}"
 [ $wrong -eq 0 ] && echo "All as it should be" || echo "Something is wrong"
 exit $wrong
--- a/test/test-edges.c
+++ b/test/test-edges.c
@@ -1,6 +1,7 @@
 #include "frame.h"
 #include "httpclient.h"
 #include "httpserver.h"
+#include "kvhttp.h"
 #include "peer.h"
 #include "unit.h"
 
@@ -88,6 +89,9 @@
 
   if (strcmp (path, "/echo") == 0)
     httpserver_respond (request, 200, "text/plain", NULL, 0, body, size);
+  else if (strncmp (path, "/v1/kv/", 7) == 0)
+    httpserver_respond (request, 200, "application/json", NULL, 0,
+                        "{\"revision\":5,\"items\":[]}", 27);
   else if (strcmp (path, "/wait") == 0)
     httpserver_request_on_gone (request, serve_gone, data);
   else
@@ -249,6 +253,39 @@
   world_finish (&world);
 }
 
+static void
+kv_answered (void *data, const struct kv_reply *reply)
+{
+  struct http_world *world = data;
+
+  world->status = reply->status;
+  world->ends++;
+}
+
+/* A key that is not there: the service answers 200 without items. */
+static void
+test_kv_no_such_key (void)
+{
+  struct http_world world;
+  struct httpjson json;
+  struct kvhttp kvhttp;
+  const char *addresses[1];
+
+  world_init (&world);
+  addresses[0] = world.address;
+  httpjson_init (&json, &world.client);
+  kvhttp_init (&kvhttp, &json, addresses, 1, NS_PER_S);
+  kvhttp.kv.ops->get (&kvhttp.kv, "missing", kv_answered, &world);
+  world_wait (&world);
+  CU_ASSERT_EQUAL (world.status, STATUS_NOT_FOUND);
+  world.ends = 0;
+  kvhttp.kv.ops->range (&kvhttp.kv, "missing", kv_answered, &world);
+  world_wait (&world);
+  CU_ASSERT_EQUAL (world.status, STATUS_OK);
+  httpjson_finish (&json);
+  world_finish (&world);
+}
+
 struct peer_world
 {
   uv_loop_t loop;
@@ -386,6 +423,7 @@
   { "http-broken-stream", test_http_broken_stream },
   { "http-refused-connection", test_http_refused_connection },
   { "http-caller-gone", test_http_caller_gone },
+  { "kv-no-such-key", test_kv_no_such_key },
   { "peer-request", test_peer_request },
   { "peer-timeout", test_peer_timeout },
 };
