--- a/src/merge.c
+++ b/src/merge.c
@@ -4,6 +4,7 @@
 
 #include <inttypes.h>
 #include <json-c/json.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* A merge under way. */
@@ -319,13 +320,29 @@
   return rows;
 }
 
+static int
+row_number_compare (const void *number, const void *row)
+{
+  uint32_t left = *(const uint32_t *)number;
+  uint32_t right = ((const struct sheet_row *)row)->number;
+
+  return left < right ? -1 : left > right;
+}
+
+/* The readable row at line NUMBER; rows stand in the order of their lines. */
+static const struct sheet_row *
+sheet_row_at (const struct sheet *sheet, uint32_t number)
+{
+  return bsearch (&number, sheet->rows->data, sheet->rows->len,
+                  sizeof (struct sheet_row), row_number_compare);
+}
+
 /* Take the blamed entries out. */
 static void
 blamed_drop (struct merger *merger)
 {
   GArray *entries = merger->merge->entries;
   GArray *kept = g_array_new (FALSE, TRUE, sizeof (struct merge_entry));
-  const GArray *rows = merger->sheet->rows;
 
   for (guint i = 0; i < entries->len; i++)
     {
@@ -337,14 +354,7 @@
           g_array_append_vals (kept, entry, 1);
           continue;
         }
-      for (guint j = 0; j < rows->len; j++)
-        {
-          const struct sheet_row *row
-              = &g_array_index (rows, struct sheet_row, j);
-
-          if (row->number == entry->number)
-            row_refused (merger, row);
-        }
+      row_refused (merger, sheet_row_at (merger->sheet, entry->number));
     }
   g_hash_table_remove_all (merger->blamed);
   g_hash_table_remove_all (merger->entries);
--- a/test/test-configstore.c
+++ b/test/test-configstore.c
@@ -1,7 +1,6 @@
-#include "confapply.h"
 #include "confhistory.h"
 #include "fake-config.h"
-#include "fake-kv.h"
+#include "fake-configfleet.h"
 #include "unit.h"
 
 #include <json-c/json.h>
@@ -10,164 +9,14 @@
 
 enum
 {
-  NODES = 4,
-  HISTORY_KEEP = 5,
   SOAK_SEEDS = 200,
   SOAK_SHEETS = 30
 };
 
-static const struct configstore_settings store_settings = {
-  .watch_wait_ns = 5 * NS_PER_S,
-  .start_delay_ns = NS_PER_S,
-  .backoff_min_ns = 20 * NS_PER_MS,
-  .backoff_max_ns = 500 * NS_PER_MS,
-};
-
-static const struct confapply_settings apply_settings = {
-  .timeout_ns = 10 * NS_PER_S,
-  .history_keep = HISTORY_KEEP,
-};
-
-struct fleet;
-
-/* One process. */
-struct node
-{
-  struct fleet *fleet;
-  struct fake_kv_client client;
-  struct configstore store;
-  struct confapply apply;
-  struct rng rng;
-  uint64_t seen; /* the highest revision that was in force */
-};
-
-struct fleet
-{
-  struct clock_fake clock;
-  struct fake_kv kv;
-  struct node nodes[NODES];
-  GHashTable *digests; /* revision to the digest of its configuration */
-};
-
-/* What an apply ended with. */
-struct outcome
-{
-  bool ended;
-  enum status status;
-  uint64_t revision;
-  guint changes;
-  guint refusals;
-  unsigned tries;
-  char name[DECLARATION_NAME_MAX];
-};
-
-/* A process never goes back, and a revision is the same everywhere. */
-static void
-on_in_force (void *owner, const struct config *config)
-{
-  struct node *node = owner;
-  gpointer revision = GUINT_TO_POINTER ((guint)config->revision);
-  const char *digest = g_hash_table_lookup (node->fleet->digests, revision);
-
-  CU_ASSERT_TRUE (config->revision > node->seen);
-  node->seen = config->revision;
-  if (digest == NULL)
-    g_hash_table_insert (node->fleet->digests, revision,
-                         g_strdup (config->digest));
-  else
-    CU_ASSERT_STRING_EQUAL (digest, config->digest);
-}
-
-static const struct configstore_ops ops = { on_in_force };
-
-static void
-on_applied (void *data, const struct confapply_result *result)
-{
-  struct outcome *outcome = data;
-
-  CU_ASSERT_FALSE (outcome->ended);
-  outcome->ended = true;
-  outcome->status = result->status;
-  outcome->revision = result->revision;
-  outcome->tries = result->tries;
-  if (result->merge == NULL)
-    return;
-  outcome->changes = result->merge->entries->len;
-  outcome->refusals = result->merge->refusals->len;
-}
-
-static void
-fleet_init (struct fleet *fleet, uint64_t seed)
-{
-  clock_fake_init (&fleet->clock, 0);
-  fake_kv_init (&fleet->kv, &fleet->clock.clock, seed);
-  fleet->digests = g_hash_table_new_full (NULL, NULL, NULL, g_free);
-  for (int i = 0; i < NODES; i++)
-    {
-      struct node *node = &fleet->nodes[i];
-
-      node->fleet = fleet;
-      node->seen = 0;
-      rng_init (&node->rng, seed * NODES + (uint64_t)i);
-      fake_kv_client_init (&node->client, &fleet->kv);
-      configstore_init (&node->store, &store_settings, &node->client.kv,
-                        &fleet->clock.clock, &node->rng, NULL, &ops, node);
-      confapply_init (&node->apply, &apply_settings, &node->store);
-    }
-  configstore_watch (&fleet->nodes[0].store, true);
-  configstore_watch (&fleet->nodes[1].store, true);
-}
-
-static void
-fleet_finish (struct fleet *fleet)
-{
-  for (int i = 0; i < NODES; i++)
-    {
-      confapply_finish (&fleet->nodes[i].apply);
-      fake_kv_client_finish (&fleet->nodes[i].client);
-      configstore_finish (&fleet->nodes[i].store);
-    }
-  fake_kv_finish (&fleet->kv);
-  g_hash_table_destroy (fleet->digests);
-}
-
-static int64_t
-earlier (int64_t a, int64_t b)
-{
-  return a < b ? a : b;
-}
-
-/* Run for SPAN_NS, from event to event. */
-static void
-fleet_run (struct fleet *fleet, int64_t span_ns)
-{
-  int64_t end_ns = clock_now (&fleet->clock.clock) + span_ns;
-  int64_t now_ns;
-
-  while ((now_ns = clock_now (&fleet->clock.clock)) < end_ns)
-    {
-      int64_t next_ns = earlier (end_ns, fake_kv_next (&fleet->kv));
-
-      for (int i = 0; i < NODES; i++)
-        {
-          next_ns
-              = earlier (next_ns, configstore_next (&fleet->nodes[i].store));
-          next_ns = earlier (next_ns, confapply_next (&fleet->nodes[i].apply));
-        }
-      if (next_ns > now_ns)
-        clock_fake_advance (&fleet->clock, next_ns - now_ns);
-      fake_kv_step (&fleet->kv);
-      for (int i = 0; i < NODES; i++)
-        {
-          configstore_tick (&fleet->nodes[i].store);
-          confapply_tick (&fleet->nodes[i].apply);
-        }
-    }
-}
-
 /* What the gossip and a fetch from a peer come to. */
 static enum status
-offer (struct node *to, const struct node *from, uint64_t since)
+offer (struct configfleet_node *to, const struct configfleet_node *from,
+       uint64_t since)
 {
   char *text = conftext_delta (from->store.config, since);
   enum status status = configstore_offer (&to->store, text, NULL);
@@ -177,18 +26,19 @@
 }
 
 static void
-apply_text (struct node *node, char *text, struct outcome *outcome)
+apply_text (struct configfleet_node *node, char *text,
+            struct configfleet_outcome *outcome)
 {
   memset (outcome, 0, sizeof *outcome);
-  confapply_sheet (&node->apply, text, strlen (text), "test", on_applied,
-                   outcome);
+  confapply_sheet (&node->apply, text, strlen (text), "test",
+                   configfleet_applied, outcome);
   g_free (text);
 }
 
 /* Drain NAME by a sheet against CONFIG (NULL: the empty one). */
 static void
-apply_drain (struct node *node, const struct config *config, const char *name,
-             struct outcome *outcome)
+apply_drain (struct configfleet_node *node, const struct config *config,
+             const char *name, struct configfleet_outcome *outcome)
 {
   struct config *empty = config_empty ();
 
@@ -200,36 +50,36 @@
 
 /* A fleet with one drain in force in revision 1. */
 static void
-fleet_begin (struct fleet *fleet, uint64_t seed)
+fleet_begin (struct configfleet *fleet, uint64_t seed)
 {
-  struct outcome outcome;
+  struct configfleet_outcome outcome;
 
-  fleet_init (fleet, seed);
-  fleet_run (fleet, 3 * NS_PER_S);
+  configfleet_init (fleet, seed);
+  configfleet_run (fleet, 3 * NS_PER_S);
   apply_drain (&fleet->nodes[2], NULL, "first", &outcome);
-  fleet_run (fleet, 3 * NS_PER_S);
+  configfleet_run (fleet, 3 * NS_PER_S);
   CU_ASSERT_EQUAL_FATAL (outcome.status, STATUS_OK);
   CU_ASSERT_EQUAL_FATAL (outcome.revision, 1);
-  for (int i = 0; i < NODES; i++)
+  for (int i = 0; i < CONFIGFLEET_NODES; i++)
     CU_ASSERT_EQUAL_FATAL (configstore_revision (&fleet->nodes[i].store), 1);
 }
 
 static void
 test_reaches_all (void)
 {
-  struct fleet fleet;
-  struct outcome outcome;
+  struct configfleet fleet;
+  struct configfleet_outcome outcome;
 
   fleet_begin (&fleet, 1);
   apply_drain (&fleet.nodes[3], fleet.nodes[3].store.config, "x", &outcome);
-  fleet_run (&fleet, NS_PER_S);
+  configfleet_run (&fleet, NS_PER_S);
   CU_ASSERT_EQUAL (outcome.revision, 2);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 2);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[1].store), 2);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[2].store), 1);
   CU_ASSERT_EQUAL (offer (&fleet.nodes[2], &fleet.nodes[0], 1), STATUS_OK);
   CU_ASSERT_TRUE (config_drained (fleet.nodes[2].store.config, "x"));
-  fleet_finish (&fleet);
+  configfleet_finish (&fleet);
 }
 
 static void
@@ -237,22 +87,22 @@
 {
   for (int after = 0; after < 2; after++)
     {
-      struct fleet fleet;
-      struct outcome outcome;
+      struct configfleet fleet;
+      struct configfleet_outcome outcome;
 
       fleet_begin (&fleet, 2);
       fleet.kv.faults.lose_before = after ? 0 : 2;
       fleet.kv.faults.lose_after = after ? 2 : 0;
       apply_drain (&fleet.nodes[2], fleet.nodes[2].store.config, "x",
                    &outcome);
-      fleet_run (&fleet, 5 * NS_PER_S);
+      configfleet_run (&fleet, 5 * NS_PER_S);
       CU_ASSERT_TRUE (outcome.ended);
       CU_ASSERT_EQUAL (outcome.status, STATUS_OK);
       CU_ASSERT_EQUAL (outcome.revision, 2);
       CU_ASSERT_EQUAL (outcome.changes, 1);
       CU_ASSERT_EQUAL (outcome.tries, after ? 1 : 3);
       CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 2);
-      fleet_finish (&fleet);
+      configfleet_finish (&fleet);
     }
 }
 
@@ -264,22 +114,22 @@
 
   for (int same = 0; same < 2; same++)
     {
-      struct fleet fleet;
-      struct outcome outcomes[2];
+      struct configfleet fleet;
+      struct configfleet_outcome outcomes[2];
       const struct config *config;
 
       fleet_begin (&fleet, 3);
       for (int i = 0; i < 2; i++)
         apply_drain (&fleet.nodes[i], fleet.nodes[i].store.config,
                      names[same][i], &outcomes[i]);
-      fleet_run (&fleet, 5 * NS_PER_S);
+      configfleet_run (&fleet, 5 * NS_PER_S);
       config = fleet.nodes[0].store.config;
       CU_ASSERT_EQUAL (outcomes[0].status, STATUS_OK);
       CU_ASSERT_EQUAL (outcomes[1].status, STATUS_OK);
       CU_ASSERT_EQUAL (config->revision, same ? 2 : 3);
       CU_ASSERT_TRUE (config_drained (config, names[same][0]));
       CU_ASSERT_TRUE (config_drained (config, names[same][1]));
-      fleet_finish (&fleet);
+      configfleet_finish (&fleet);
     }
 }
 
@@ -302,15 +152,15 @@
 {
   static const char *const rows[]
       = { "organisation,,milo,,,,,1,10,10", "organisation,,milo,,,,,2,20,20" };
-  struct fleet fleet;
-  struct outcome outcomes[2];
+  struct configfleet fleet;
+  struct configfleet_outcome outcomes[2];
 
   fleet_begin (&fleet, 4);
   for (int i = 0; i < 2; i++)
     apply_text (&fleet.nodes[i],
                 sheet_with (fleet.nodes[i].store.config, rows[i]),
                 &outcomes[i]);
-  fleet_run (&fleet, 5 * NS_PER_S);
+  configfleet_run (&fleet, 5 * NS_PER_S);
   CU_ASSERT_EQUAL (outcomes[0].status, STATUS_OK);
   CU_ASSERT_EQUAL (outcomes[1].status, STATUS_OK);
   CU_ASSERT_EQUAL (outcomes[0].refusals + outcomes[1].refusals, 1);
@@ -318,7 +168,7 @@
   CU_ASSERT_EQUAL (
       config_organisation (fleet.nodes[0].store.config, "milo")->weight,
       outcomes[0].refusals == 0 ? 1 : 2);
-  fleet_finish (&fleet);
+  configfleet_finish (&fleet);
 }
 
 /* Out from the first: nothing reverts, and a fresh process starts from a
@@ -326,38 +176,33 @@
 static void
 test_kv_down (void)
 {
-  struct fleet fleet;
-  struct node *fresh = &fleet.nodes[3];
-  struct outcome outcome;
+  struct configfleet fleet;
+  struct configfleet_node *fresh = &fleet.nodes[3];
+  struct configfleet_outcome outcome;
 
   fleet_begin (&fleet, 5);
   fleet.kv.faults.down = true;
-  fake_kv_client_finish (&fresh->client);
-  configstore_finish (&fresh->store);
-  fake_kv_client_init (&fresh->client, &fleet.kv);
-  configstore_init (&fresh->store, &store_settings, &fresh->client.kv,
-                    &fleet.clock.clock, &fresh->rng, NULL, &ops, fresh);
-  fresh->seen = 0;
+  configfleet_restart (fresh);
   apply_drain (&fleet.nodes[2], fleet.nodes[2].store.config, "x", &outcome);
-  fleet_run (&fleet, 60 * NS_PER_S);
+  configfleet_run (&fleet, 60 * NS_PER_S);
   CU_ASSERT_EQUAL (outcome.status, STATUS_UNAVAILABLE);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 1);
   CU_ASSERT_EQUAL (configstore_revision (&fresh->store), 0);
   CU_ASSERT_EQUAL (offer (fresh, &fleet.nodes[2], 0), STATUS_OK);
   CU_ASSERT_EQUAL (configstore_revision (&fresh->store), 1);
   fleet.kv.faults.down = false;
-  fleet_run (&fleet, 5 * NS_PER_S);
+  configfleet_run (&fleet, 5 * NS_PER_S);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 1);
   CU_ASSERT_FALSE (config_drained (fleet.nodes[0].store.config, "x"));
-  fleet_finish (&fleet);
+  configfleet_finish (&fleet);
 }
 
 /* Offers that come late, crossed, twice or damaged. */
 static void
 test_offers_crossed (void)
 {
-  struct fleet fleet;
-  struct outcome outcome;
+  struct configfleet fleet;
+  struct configfleet_outcome outcome;
   char *texts[4];
 
   fleet_begin (&fleet, 6);
@@ -367,7 +212,7 @@
 
       apply_drain (&fleet.nodes[0], fleet.nodes[0].store.config, name,
                    &outcome);
-      fleet_run (&fleet, NS_PER_S);
+      configfleet_run (&fleet, NS_PER_S);
       texts[i] = conftext_delta (fleet.nodes[0].store.config, 1);
     }
   CU_ASSERT_EQUAL (offer (&fleet.nodes[2], &fleet.nodes[0], 3),
@@ -386,15 +231,15 @@
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[3].store), 1);
   for (int i = 1; i < 4; i++)
     g_free (texts[i]);
-  fleet_finish (&fleet);
+  configfleet_finish (&fleet);
 }
 
 /* A watcher that was cut off reads what it missed. */
 static void
 test_watch_gap (void)
 {
-  struct fleet fleet;
-  struct outcome outcomes[20];
+  struct configfleet fleet;
+  struct configfleet_outcome outcomes[20];
 
   fleet_begin (&fleet, 7);
   fleet.nodes[1].client.down = true;
@@ -405,15 +250,15 @@
       g_snprintf (name, sizeof name, "n%d", i);
       apply_drain (&fleet.nodes[0], fleet.nodes[0].store.config, name,
                    &outcomes[i]);
-      fleet_run (&fleet, NS_PER_S);
+      configfleet_run (&fleet, NS_PER_S);
     }
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 21);
   /* The watch that was open when the cut began still answers. */
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[1].store), 2);
   fleet.nodes[1].client.down = false;
-  fleet_run (&fleet, NS_PER_S);
+  configfleet_run (&fleet, NS_PER_S);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[1].store), 21);
-  fleet_finish (&fleet);
+  configfleet_finish (&fleet);
 }
 
 /* A KV service that came back with old data: nothing reverts, and the next
@@ -422,8 +267,8 @@
 test_kv_lost_writes (void)
 {
   static const char organisation_key[] = CONFTEXT_DOCUMENT_PREFIX "org/milo";
-  struct fleet fleet;
-  struct outcome outcome;
+  struct configfleet fleet;
+  struct configfleet_outcome outcome;
   char *root;
 
   fleet_begin (&fleet, 8);
@@ -432,20 +277,20 @@
               sheet_with (fleet.nodes[0].store.config,
                           "organisation,,milo,,,,,1,10,10"),
               &outcome);
-  fleet_run (&fleet, NS_PER_S);
+  configfleet_run (&fleet, NS_PER_S);
   CU_ASSERT_PTR_NOT_NULL (fake_kv_value (&fleet.kv, organisation_key));
   fake_kv_put (&fleet.kv, CONFTEXT_ROOT_KEY, root);
   fake_kv_put (&fleet.kv, organisation_key, NULL);
-  fleet_run (&fleet, 10 * NS_PER_S);
+  configfleet_run (&fleet, 10 * NS_PER_S);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 2);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[1].store), 2);
   apply_drain (&fleet.nodes[0], fleet.nodes[0].store.config, "y", &outcome);
-  fleet_run (&fleet, 10 * NS_PER_S);
+  configfleet_run (&fleet, 10 * NS_PER_S);
   CU_ASSERT_EQUAL (outcome.revision, 3);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[1].store), 3);
   CU_ASSERT_PTR_NOT_NULL (fake_kv_value (&fleet.kv, organisation_key));
   g_free (root);
-  fleet_finish (&fleet);
+  configfleet_finish (&fleet);
 }
 
 /* A watcher that sees a document and its root apart reads everything, and
@@ -454,7 +299,7 @@
 test_watch_torn (void)
 {
   static const char *const change[] = { "drain name=z", NULL };
-  struct fleet fleet;
+  struct configfleet fleet;
   const struct confdoc *document;
   uint64_t ranges, watches;
   struct config *next;
@@ -468,31 +313,31 @@
   root = conftext_root (next);
   document = g_hash_table_lookup (next->documents, "shared");
   fake_kv_put (&fleet.kv, CONFTEXT_DOCUMENT_PREFIX "shared", document->text);
-  fleet_run (&fleet, NS_PER_S);
+  configfleet_run (&fleet, NS_PER_S);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 1);
   fake_kv_put (&fleet.kv, CONFTEXT_ROOT_KEY, root);
-  fleet_run (&fleet, NS_PER_S);
+  configfleet_run (&fleet, NS_PER_S);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 2);
   CU_ASSERT_EQUAL (fleet.nodes[0].store.resyncs, 2);
   CU_ASSERT_EQUAL (fleet.kv.calls[FAKE_KV_RANGE] - ranges, 4);
   CU_ASSERT_EQUAL (fleet.kv.calls[FAKE_KV_WATCH] - watches, 4);
   config_unref (next);
   g_free (root);
-  fleet_finish (&fleet);
+  configfleet_finish (&fleet);
 }
 
 /* A stored document that is damaged is not put in force. */
 static void
 test_kv_damaged (void)
 {
-  struct fleet fleet;
+  struct configfleet fleet;
 
   fleet_begin (&fleet, 9);
   fake_kv_put (&fleet.kv, CONFTEXT_DOCUMENT_PREFIX "shared", "{}");
   fake_kv_put (&fleet.kv, CONFTEXT_ROOT_KEY, "{\"revision\":9}");
-  fleet_run (&fleet, 10 * NS_PER_S);
+  configfleet_run (&fleet, 10 * NS_PER_S);
   CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 1);
-  fleet_finish (&fleet);
+  configfleet_finish (&fleet);
 }
 
 static void
@@ -506,8 +351,8 @@
 static void
 test_history (void)
 {
-  struct fleet fleet;
-  struct outcome outcome;
+  struct configfleet fleet;
+  struct configfleet_outcome outcome;
   struct json_object *json = NULL, *revisions, *first;
 
   fleet_begin (&fleet, 10);
@@ -517,24 +362,24 @@
 
       apply_drain (&fleet.nodes[0], fleet.nodes[0].store.config, name,
                    &outcome);
-      fleet_run (&fleet, NS_PER_S);
+      configfleet_run (&fleet, NS_PER_S);
     }
   fleet.nodes[3].client.kv.ops->range (&fleet.nodes[3].client.kv,
                                        CONFHISTORY_PREFIX, on_history, &json);
-  fleet_run (&fleet, NS_PER_S);
+  configfleet_run (&fleet, NS_PER_S);
   revisions = json_object_object_get (json, "revisions");
-  CU_ASSERT_EQUAL (json_object_array_length (revisions), HISTORY_KEEP);
+  CU_ASSERT_EQUAL (json_object_array_length (revisions), CONFIGFLEET_HISTORY);
   first = json_object_array_get_idx (revisions, 0);
   CU_ASSERT_EQUAL (
       json_object_get_int64 (json_object_object_get (first, "revision")), 6);
   CU_ASSERT_EQUAL (
       json_object_array_length (json_object_object_get (first, "changes")), 1);
   json_object_put (json);
-  fleet_finish (&fleet);
+  configfleet_finish (&fleet);
 }
 
 static void
-soak_faults (struct fleet *fleet, struct rng *rng)
+soak_faults (struct configfleet *fleet, struct rng *rng)
 {
   struct fake_kv_faults *faults = &fleet->kv.faults;
 
@@ -544,21 +389,21 @@
   faults->limited = rng_unit (rng) * 0.2;
   faults->latency_ns = (int64_t)rng_below (rng, 200) * NS_PER_MS;
   faults->jitter_ns = (int64_t)rng_below (rng, 300) * NS_PER_MS;
-  for (int i = 0; i < NODES; i++)
+  for (int i = 0; i < CONFIGFLEET_NODES; i++)
     fleet->nodes[i].client.down = rng_below (rng, 8) == 0;
 }
 
 static void
-soak_end (struct fleet *fleet, const struct outcome *outcomes,
-          unsigned *counts)
+soak_end (struct configfleet *fleet,
+          const struct configfleet_outcome *outcomes, unsigned *counts)
 {
   const struct config *config;
 
   memset (&fleet->kv.faults, 0, sizeof fleet->kv.faults);
   fleet->kv.faults.value_max = KV_VALUE_MAX;
-  for (int i = 0; i < NODES; i++)
+  for (int i = 0; i < CONFIGFLEET_NODES; i++)
     fleet->nodes[i].client.down = false;
-  fleet_run (fleet, 60 * NS_PER_S);
+  configfleet_run (fleet, 60 * NS_PER_S);
   config = fleet->nodes[0].store.config;
   CU_ASSERT_STRING_EQUAL (config->digest,
                           fleet->nodes[1].store.config->digest);
@@ -584,26 +429,29 @@
 
   for (uint64_t seed = 1; seed <= SOAK_SEEDS; seed++)
     {
-      struct fleet fleet;
-      struct outcome outcomes[SOAK_SHEETS];
+      struct configfleet fleet;
+      struct configfleet_outcome outcomes[SOAK_SHEETS];
       struct rng rng;
 
       rng_init (&rng, seed);
       fleet_begin (&fleet, seed);
       for (int i = 0; i < SOAK_SHEETS; i++)
         {
-          struct node *node = &fleet.nodes[rng_below (&rng, NODES)];
-          struct node *peer = &fleet.nodes[rng_below (&rng, NODES)];
+          struct configfleet_node *node
+              = &fleet.nodes[rng_below (&rng, CONFIGFLEET_NODES)];
+          struct configfleet_node *peer
+              = &fleet.nodes[rng_below (&rng, CONFIGFLEET_NODES)];
           char name[16];
 
           soak_faults (&fleet, &rng);
           g_snprintf (name, sizeof name, "n%d", i);
           apply_drain (node, node->store.config, name, &outcomes[i]);
-          fleet_run (&fleet, (int64_t)rng_below (&rng, 2000) * NS_PER_MS);
+          configfleet_run (&fleet,
+                           (int64_t)rng_below (&rng, 2000) * NS_PER_MS);
           offer (peer, node, configstore_revision (&peer->store));
         }
       soak_end (&fleet, outcomes, counts);
-      fleet_finish (&fleet);
+      configfleet_finish (&fleet);
     }
   printf ("%d sheets: %u ok, %u unavailable, %u unknown\n",
           SOAK_SEEDS * SOAK_SHEETS, counts[STATUS_OK],
