--- a/test/test-configstore.c
+++ b/test/test-configstore.c
@@ -340,6 +340,47 @@
   configfleet_finish (&fleet);
 }
 
+/* A value over the KV service's limit: nothing is stored. */
+static void
+test_value_too_large (void)
+{
+  struct configfleet fleet;
+  struct configfleet_outcome outcome;
+
+  fleet_begin (&fleet, 12);
+  fleet.kv.faults.value_max = 100;
+  apply_drain (&fleet.nodes[0], fleet.nodes[0].store.config, "x", &outcome);
+  configfleet_run (&fleet, 5 * NS_PER_S);
+  CU_ASSERT_EQUAL (outcome.status, STATUS_TOO_LARGE);
+  CU_ASSERT_EQUAL (configstore_revision (&fleet.nodes[0].store), 1);
+  configfleet_finish (&fleet);
+}
+
+/* A process that stops while sheets are under way tells each operator. */
+static void
+test_stop_while_applying (void)
+{
+  for (int64_t ms = 0; ms < 8; ms++)
+    {
+      struct configfleet fleet;
+      struct configfleet_outcome outcomes[2];
+
+      fleet_begin (&fleet, 13);
+      for (int i = 0; i < 2; i++)
+        apply_drain (&fleet.nodes[2], fleet.nodes[2].store.config,
+                     i == 0 ? "x" : "y", &outcomes[i]);
+      configfleet_run (&fleet, ms * NS_PER_MS);
+      configfleet_finish (&fleet);
+      for (int i = 0; i < 2; i++)
+        {
+          CU_ASSERT_TRUE (outcomes[i].ended);
+          CU_ASSERT_TRUE (outcomes[i].status == STATUS_OK
+                          || outcomes[i].status == STATUS_CANCELLED);
+        }
+      CU_ASSERT_EQUAL (outcomes[1].status, STATUS_CANCELLED);
+    }
+}
+
 static void
 on_history (void *data, const struct kv_reply *reply)
 {
@@ -469,6 +510,8 @@
   { "kv-lost-writes", test_kv_lost_writes },
   { "watch-torn", test_watch_torn },
   { "kv-damaged", test_kv_damaged },
+  { "value-too-large", test_value_too_large },
+  { "stop-while-applying", test_stop_while_applying },
   { "history", test_history },
   { "soak", test_soak },
 };
