Read leases bound imports; urgent imports reckon with the tail

Cause: nothing kept a planned import within the read lease of the lookup, so under a backlog a reader could outlive it (the store's generation check still answers 404). Change: an import that would end after the lease is not planned; a setting for how many mean residuals an urgent import is reckoned to wait (4).

--- a/src/blockindex.h
+++ b/src/blockindex.h
@@ -74,7 +74,8 @@
   struct blockindex_piece pieces[BLOCKINDEX_PIECES_MAX];
   int64_t idle_ns; /**< since this prompt was last seen; -1 if not known or
                         if less than half of it is */
-  int64_t read_lease_ns; /**< from the lookup on; imports end before */
+  int64_t read_lease_ns; /**< from when the lookup was sent; who passes the
+                              match on takes off what has gone by */
 };
 
 /** A lookup for one prompt. */
--- a/src/event.c
+++ b/src/event.c
@@ -20,6 +20,13 @@
   /* Placement, block index, stores: 300 */
   { EVENT_PLACE, EVENT_INFO, "place",
     "One placement decision: candidates, costs, choice, reason." },
+  { EVENT_EXPORT, EVENT_DEBUG, "export",
+    "One export decision: block, store, tier, value, reason." },
+  { EVENT_BLOCK_MISMATCH, EVENT_WARN, "block_mismatch",
+    "A stored block had another length, checksum or generation; it counts as"
+    " a miss and is freed. Many of one store: look at that store." },
+  { EVENT_CACHE_GAP, EVENT_INFO, "cache_gap",
+    "Cache events of an engine were missed; a fresh listing is asked for." },
 
   /* Admission, retry, suspect: 400 */
   { EVENT_ADMIT_REFUSED, EVENT_INFO, "admit_refused",
--- a/src/event.h
+++ b/src/event.h
@@ -28,6 +28,9 @@
 
   /* Placement, block index, stores: 300 */
   EVENT_PLACE = 300,
+  EVENT_EXPORT = 301,
+  EVENT_BLOCK_MISMATCH = 302,
+  EVENT_CACHE_GAP = 303,
 
   /* Admission, retry, suspect: 400 */
   EVENT_ADMIT_REFUSED = 400,
--- a/src/place.c
+++ b/src/place.c
@@ -18,6 +18,7 @@
   .holders = 4,
   .random = 2,
   .urgent_wait_share = 0.25,
+  .urgent_residuals = 4,
   .export_percent = 25,
   .affinity_wait_s = 2,
 };
@@ -51,7 +52,8 @@
   *quote = link_quote (link, priority);
   /* Urgent imports pass what waits, but not what has begun. */
   if (priority == LINK_URGENT)
-    quote->backlog_ns += link_residual_ns (link);
+    quote->backlog_ns
+        += place->settings.urgent_residuals * link_residual_ns (link);
   return input->link_count++;
 }
 
--- a/src/place.h
+++ b/src/place.h
@@ -39,6 +39,8 @@
   unsigned random;          /**< Random engines considered besides. */
   double urgent_wait_share; /**< Of an engine's queue that an urgent request
                                  waits for, in [0, 1]. */
+  double urgent_residuals;  /**< Mean residuals of a link that an urgent import
+                                is reckoned to wait; over 1 for the tail. */
   int64_t export_percent;   /**< of what urgent imports leave of a link */
   double affinity_wait_s;   /**< prefix_affinity leaves a holder whose wait is
                                  longer. */
--- a/src/plan.c
+++ b/src/plan.c
@@ -17,7 +17,8 @@
   double done_ns;
 };
 
-/* The copy whose link would be through with PIECE first. */
+/* The copy whose link would be through with PIECE first, and before the read
+ * lease ends. */
 static bool
 pick_copy (const struct plan_input *input, const struct transfer *transfer,
            uint32_t piece, struct pick *pick)
@@ -36,7 +37,8 @@
       done_ns = quote->backlog_ns
                 + (double)(transfer->bytes[link] + copies->copies[i].length)
                       * quote->ns_per_byte;
-      if (found && done_ns >= pick->done_ns)
+      if (done_ns > (double)input->match->read_lease_ns
+          || (found && done_ns >= pick->done_ns))
         continue;
       *pick = (struct pick){ i, link, done_ns };
       found = true;
--- a/test/fake-fleet.c
+++ b/test/fake-fleet.c
@@ -62,6 +62,7 @@
   match->holder_count = (unsigned)rng_below (rng, 4);
   match->piece_count = (unsigned)rng_below (rng, pieces + 1);
   match->idle_ns = -1;
+  match->read_lease_ns = (int64_t)rng_below (rng, NS_PER_S);
   for (unsigned i = 0; i < match->holder_count; i++)
     match->holders[i] = (struct blockindex_holder){
       /* Distinct: each has its own range of engines. */
--- a/test/test-place.c
+++ b/test/test-place.c
@@ -47,14 +47,17 @@
                                    (int64_t)bytes[s] + FLEET_PIECE_BYTES);
 
           if (request->urgent)
-            done += link_residual_ns (place_link (&f->place, s));
+            done += settings->urgent_residuals
+                    * link_residual_ns (place_link (&f->place, s));
 
-          if (done < soonest)
+          if (done <= (double)match->read_lease_ns && done < soonest)
             {
               soonest = done;
               store = s;
             }
         }
+      if (soonest == INFINITY)
+        return INFINITY;
       bytes[store] += FLEET_PIECE_BYTES;
       total += FLEET_PIECE_BYTES;
       last = fmax (last, soonest);
