--- a/test/bench-place.c
+++ b/test/bench-place.c
@@ -3,6 +3,7 @@
 #include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
 
 /* Time for one placement decision as the number of known engines grows, and
@@ -18,6 +19,7 @@
   ROUNDS = 9,
   SIZES = 4,
   ENTRIES = 200000,
+  LOOKUPS = 100000,
   TARGET_NS = 5000 /* for one decision with TARGET_ENGINES */
 };
 
@@ -109,6 +111,33 @@
 {
 }
 
+static void
+entry_id (struct block_id *id, uint64_t number)
+{
+  uint64_t spread = number * UINT64_C (0x9e3779b97f4a7c15);
+
+  memset (id, 0, sizeof *id);
+  memcpy (&id->bytes[BLOCK_ID_SIZE - sizeof spread], &spread, sizeof spread);
+}
+
+/* Lookups of prompts all over the index; each piece has a store copy. */
+static double
+lookup_ns (struct blockindex *index, const struct block_scope *scope)
+{
+  struct block_id ids[PIECES];
+  struct blockindex_query query = { scope, ids, PIECES, 0 };
+  struct blockindex_match match;
+  int64_t start = processor_ns ();
+
+  for (uint64_t i = 0; i < LOOKUPS; i++)
+    {
+      for (uint64_t p = 0; p < PIECES; p++)
+        entry_id (&ids[p], (i * 7919 + p) % ENTRIES);
+      blockindex_lookup (index, &query, &match);
+    }
+  return (double)(processor_ns () - start) / LOOKUPS;
+}
+
 /* Bytes of heap for each entry, with a store copy or with hints alone. */
 static double
 bench_entry (bool stored)
@@ -129,9 +158,7 @@
   copy_listing_begin (&index.copies, 0);
   for (uint64_t i = 0; i < ENTRIES; i++)
     {
-      uint64_t spread = i * UINT64_C (0x9e3779b97f4a7c15);
-
-      __builtin_memcpy (&item.block.bytes[8], &spread, sizeof spread);
+      entry_id (&item.block, i);
       item.slot = i;
       if (stored)
         copy_listing_item (&index.copies, 0, &item);
@@ -139,6 +166,9 @@
         hint_expect (&index.hints, &item.scope, &item.block, 1, 0);
     }
   bytes = (double)(heap_used () - before) / ENTRIES;
+  if (stored)
+    printf ("lookup of %d pieces: %.0f processor ns\n", PIECES,
+            lookup_ns (&index, &item.scope));
   blockindex_finish (&index);
   return bytes;
 }
@@ -162,5 +192,8 @@
           missed ? "missed" : "met");
   printf ("bytes per index entry: %.0f with hints, %.0f with a store copy\n",
           bench_entry (false), bench_entry (true));
+  printf ("bytes: known engine %zu, lookup answer %zu, decision %zu\n",
+          sizeof (struct load_engine), sizeof (struct blockindex_match),
+          sizeof (struct place_result));
   return missed;
 }
