--- /dev/null
+++ b/src/dispatch.c
@@ -0,0 +1,257 @@
+#include "dispatch.h"
+#include "enginebody.h"
+#include "filters.h"
+#include "outcome.h"
+
+#include <glib.h>
+#include <string.h>
+
+static const char json_header[] = "content-type: application/json\r\n";
+
+static struct engineclient *
+client_of (const struct request *request)
+{
+  return &request->gateway->process.enginehttp.client;
+}
+
+static struct backend *
+backend_of (const struct request *request)
+{
+  return backends_find (&request->gateway->backends, request->attempt.backend);
+}
+
+/* The request id of one attempt: an answer to another attempt of the same
+ * request must not be taken for this one's. */
+static void
+attempt_id (const struct request *request, char id[RELAY_ID_MAX])
+{
+  g_snprintf (id, RELAY_ID_MAX, "%s.%u", request->id, request->attempt.number);
+}
+
+static void
+open_call (struct request *request, const struct backend *backend,
+           const struct engine_call *call)
+{
+  struct attempt *attempt = &request->attempt;
+
+  attempt->backend = backend->id;
+  attempt->heard_ns = clock_now (&request->gateway->process.clock);
+  attempt->head_seen = false;
+  attempt->not_run = false;
+  attempt->stream = client_of (request)->ops->call (
+      client_of (request), call, &outcome_stream_ops, request);
+}
+
+static void
+begin_attempt (struct request *request, struct backend *backend)
+{
+  struct attempt *attempt = &request->attempt;
+  char id[RELAY_ID_MAX];
+
+  memset (attempt, 0, sizeof *attempt);
+  attempt->number = settle_connect (&request->settle);
+  attempt->backend = backend->id;
+  retry_begin (&request->gateway->retry, &request->retry);
+  if (request->tried_count > 0)
+    retry_server_charge (&request->gateway->retry, backend->host.name);
+  request->tried[request->tried_count++] = backend->id;
+  backend->in_flight++;
+  backend->sent++;
+  attempt_id (request, id);
+  relay_finish (&request->relay);
+  relay_init (&request->relay, &outcome_relay_ops, id);
+}
+
+static enum status
+place_completion (struct request *request, struct place_result *result)
+{
+  struct gateway *gateway = request->gateway;
+  struct load_group_key need;
+  struct place_request question = {
+    .need = &need,
+    .match = &request->match,
+    .tokens = request->prompt_tokens,
+    .piece_tokens = gateway->settings->placement.piece_tokens,
+    .urgent = request->admit.priority == PRIORITY_URGENT,
+    .excluded = request->tried,
+    .excluded_count = request->tried_count,
+  };
+  char text[1024];
+
+  load_group_key_init (&need, request->model->service, request->scope.model,
+                       request->scope.version, request->scope.adapter);
+  if (place_choose (&gateway->place, &question, result) != STATUS_OK)
+    return STATUS_UNAVAILABLE;
+  place_describe (&gateway->place, result, text, sizeof text);
+  log_event (&gateway->process.log, EVENT_PLACE,
+             "request=%s organisation=%s kind=%s %s", request->id,
+             request->organisation->organisation, request->kind->name, text);
+  return STATUS_OK;
+}
+
+static enum status
+send_completion (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  struct place_result result;
+  struct backend *backend;
+  struct engine_call call = { 0 };
+  char id[RELAY_ID_MAX];
+  char *body;
+
+  if (place_completion (request, &result) != STATUS_OK)
+    return STATUS_UNAVAILABLE;
+  backend = backends_find (&gateway->backends, result.engine);
+  if (backend == NULL)
+    return STATUS_UNAVAILABLE;
+  begin_attempt (request, backend);
+  place_commit (&gateway->place, &gateway->backends.load, &result,
+                &request->load);
+  request->planned_cached
+      = result.plan.reuse * gateway->settings->placement.piece_tokens;
+  attempt_id (request, id);
+  body = enginebody_write (request, id, &gateway->backends, &result);
+  call.address = backend->host.address;
+  call.method = "POST";
+  call.path = request->path;
+  call.header_lines = json_header;
+  call.body = body;
+  call.body_size = strlen (body);
+  call.fresh = !request->idempotent;
+  open_call (request, backend, &call);
+  g_free (body);
+  return STATUS_OK;
+}
+
+static char *
+service_headers (const struct request *request)
+{
+  GString *lines = g_string_new (NULL);
+
+  g_string_append_printf (lines, "x-request-id: %s\r\n", request->id);
+  if (request->key != NULL)
+    g_string_append_printf (lines, "idempotency-key: %s\r\n", request->key);
+  if (request->content_type != NULL)
+    g_string_append_printf (lines, "content-type: %s\r\n",
+                            request->content_type);
+  return g_string_free (lines, FALSE);
+}
+
+static enum status
+send_service (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  struct backend *avoid = NULL;
+  struct backend *backend;
+  struct engine_call call = { 0 };
+  char *lines;
+
+  if (request->tried_count > 0)
+    avoid = backends_find (&gateway->backends, request->tried[0]);
+  backend = backends_pick_service (&gateway->backends,
+                                   request->service->service, avoid);
+  if (backend == NULL)
+    return STATUS_UNAVAILABLE;
+  log_event (&gateway->process.log, EVENT_ROUTE,
+             "request=%s organisation=%s service=%s backend_server=%s "
+             "in_flight=%u reason=fewest_in_flight",
+             request->id, request->organisation->organisation,
+             request->service->service, backend->host.name,
+             backend->in_flight);
+  begin_attempt (request, backend);
+  lines = service_headers (request);
+  call.address = backend->host.address;
+  call.method = request->method;
+  call.path = request->path;
+  call.header_lines = lines;
+  call.body = request->body;
+  call.body_size = request->body_size;
+  call.fresh = !request->idempotent;
+  open_call (request, backend, &call);
+  g_free (lines);
+  return STATUS_OK;
+}
+
+enum status
+dispatch_send (struct request *request)
+{
+  if (!settle_may_connect (&request->settle)
+      || request->tried_count == REQUEST_TRIED_MAX)
+    return STATUS_UNAVAILABLE;
+  return request->type == REQUEST_COMPLETION ? send_completion (request)
+                                             : send_service (request);
+}
+
+enum status
+dispatch_resume (struct request *request)
+{
+  const struct backend *backend = backend_of (request);
+  struct engine_call call = { 0 };
+  char id[RELAY_ID_MAX];
+  char body[128];
+
+  if (backend == NULL)
+    return STATUS_UNAVAILABLE;
+  attempt_id (request, id);
+  g_snprintf (body, sizeof body,
+              "{\"request\":\"%s\",\"from\":%" G_GUINT64_FORMAT "}", id,
+              relay_position (&request->relay));
+  call.address = backend->host.address;
+  call.method = "POST";
+  call.path = "/v1/resume";
+  call.header_lines = json_header;
+  call.body = body;
+  call.body_size = strlen (body);
+  call.fresh = true;
+  request->attempt.resumed = true;
+  open_call (request, backend, &call);
+  return STATUS_OK;
+}
+
+void
+dispatch_close_attempt (struct request *request)
+{
+  struct attempt *attempt = &request->attempt;
+  struct backend *backend = backend_of (request);
+
+  if (attempt->backend != 0 && backend != NULL && backend->in_flight > 0)
+    backend->in_flight--;
+  attempt->backend = 0;
+  load_started (&request->load);
+  if (attempt->stream == NULL)
+    return;
+  client_of (request)->ops->stream_close (attempt->stream);
+  attempt->stream = NULL;
+}
+
+void
+dispatch_note_handed_over (struct request *request)
+{
+  struct attempt *attempt = &request->attempt;
+
+  if (attempt->stream != NULL && request->settle.state == SETTLE_CONNECTING
+      && client_of (request)->ops->stream_handed_over (attempt->stream))
+    settle_hand_over (&request->settle, attempt->number);
+}
+
+/* Tell the engine to stop, so that it does not compute for nobody. */
+static void
+cancel_at_engine (struct request *request)
+{
+  const struct backend *backend = backend_of (request);
+  char id[RELAY_ID_MAX];
+
+  if (backend == NULL || backend->host.kind != HOSTLIST_ENGINE)
+    return;
+  attempt_id (request, id);
+  client_of (request)->ops->cancel (client_of (request), backend->host.address,
+                                    id);
+}
+
+void
+dispatch_close (struct request *request)
+{
+  if (request->attempt.stream != NULL)
+    cancel_at_engine (request);
+  dispatch_close_attempt (request);
+}
--- a/src/event.h
+++ b/src/event.h
@@ -25,6 +25,7 @@
   /* Gateway and request path: 200 */
   EVENT_ROUTE = 200,
   EVENT_REQUEST_END = 201,
+  EVENT_ATTEMPT_FAILED = 202,
 
   /* Placement, block index, stores: 300 */
   EVENT_PLACE = 300,
@@ -34,15 +35,26 @@
 
   /* Admission, retry, suspect: 400 */
   EVENT_ADMIT_REFUSED = 400,
+  EVENT_RETRY = 401,
+  EVENT_SUSPECT_REFUSED = 402,
+  EVENT_SUSPECT_CRASH = 403,
+  EVENT_CONNECTION_CONDEMNED = 404,
+  EVENT_BACKEND_OUT = 405,
+  EVENT_BACKEND_BACK = 406,
 
   /* At most once, ownership, KV service: 500 */
   EVENT_KV_DOWN = 500,
 
   /* Configuration and sheet: 600 */
   EVENT_CONFIG_APPLIED = 600,
+  EVENT_CONFIG_KV_DOWN = 601,
+  EVENT_CONFIG_CORRUPT = 602,
+  EVENT_SHEET_APPLIED = 603,
 
   /* Membership and peers: 700 */
   EVENT_MEMBER_STATE = 700,
+  EVENT_PEER_SILENT = 701,
+  EVENT_PEER_GARBLED = 702,
 
   /* Orders to engines: 800 */
   EVENT_ORDER_SENT = 800,
--- /dev/null
+++ b/src/grant.c
@@ -0,0 +1,314 @@
+#include "grant.h"
+#include "answer.h"
+#include "filters.h"
+#include "oncehost.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define SEND_TIMEOUT_NS (2 * NS_PER_S)
+
+static const struct ask_settings ask_settings = {
+  .again_ns = 250 * NS_PER_MS,
+  .tell_ns = 600 * NS_PER_S,
+  .keep_ns = 30 * NS_PER_S,
+};
+
+static const struct refusal in_progress
+    = { 409, "in_progress", "a request with this key is running", NS_PER_S };
+static const struct refusal key_conflict
+    = { 422, "key_conflict", "this key was used with another request", 0 };
+static const struct refusal ran_before
+    = { 502, "may_have_run",
+        "an earlier request with this key may have run; its outcome is not "
+        "known",
+        0 };
+static const struct refusal no_grant
+    = { 503, "no_grant",
+        "the record that makes this request run only once could not be "
+        "written now; no earlier request with this key ran",
+        2 * NS_PER_S };
+static const struct refusal no_owner
+    = { 503, "no_grant_key_unknown",
+        "the record that makes this request run only once could not be "
+        "reached; whether an earlier request with this key ran is not known "
+        "here",
+        2 * NS_PER_S };
+
+/* The live shard that ought to own PARTITION, or NULL. */
+static const struct roster_entry *
+owner_of (const struct gateway *gateway, unsigned partition)
+{
+  const struct roster *roster = &gateway->process.roster;
+  uint64_t *nodes = g_new (uint64_t, roster->count + 1);
+  size_t count = roster_shard_nodes (roster, nodes, roster->count);
+  int index = owner_pick (nodes, count, partition);
+  const struct roster_entry *entry = NULL;
+
+  if (index >= 0)
+    entry = roster_by_node (roster, nodes[index]);
+  g_free (nodes);
+  return entry;
+}
+
+static struct once_digest
+fingerprint_of (const struct request *request)
+{
+  GString *text = g_string_new (NULL);
+  struct once_digest digest;
+
+  g_string_append_printf (text, "%s\n%s\n", request->method, request->path);
+  g_string_append_len (text, request->body, (gssize)request->body_size);
+  digest = once_digest_of (text->str, text->len);
+  g_string_free (text, TRUE);
+  return digest;
+}
+
+/* The recorded outcome; only its status if the body was too long to keep. */
+static void
+replay (struct request *request, const struct once_outcome *outcome)
+{
+  struct httpserver_header headers[] = {
+    { "x-request-id", request->id },
+    { "x-outcome", settle_outcome_name (SETTLE_REPLAYED) },
+  };
+  const char *body = "{\"replayed\":true}";
+  size_t size = strlen (body);
+
+  if (outcome->whole)
+    {
+      body = outcome->body_size > 0 ? (const char *)outcome->body : "";
+      size = outcome->body_size;
+    }
+  if (request->http != NULL)
+    httpserver_respond (request->http, (int)outcome->status,
+                        "application/json", headers, 2, body, size);
+  request->http = NULL;
+  request_end_quietly (request, SETTLE_REPLAYED, "");
+}
+
+static void
+refuse (struct request *request, const struct once_answer *answer)
+{
+  struct refusal refusal = answer->key_unknown ? no_owner : no_grant;
+
+  if (answer->retry_after_ns > 0)
+    refusal.retry_after_ns = answer->retry_after_ns;
+  request_end_as (request, SETTLE_REFUSED_NOT_RUN, &refusal);
+}
+
+static void
+on_answer (struct asks *asks, struct ask *ask,
+           const struct once_answer *answer)
+{
+  struct request *request = ask->data;
+
+  switch (answer->result)
+    {
+    case ONCE_GRANTED:
+      settle_grant (&request->settle);
+      request_resume (request);
+      break;
+    case ONCE_IN_PROGRESS:
+      request_end_as (request, SETTLE_IN_PROGRESS, &in_progress);
+      break;
+    case ONCE_REPLAYED:
+      replay (request, &answer->outcome);
+      break;
+    case ONCE_CONFLICT:
+      request_end_as (request, SETTLE_REFUSED_NOT_RUN, &key_conflict);
+      break;
+    case ONCE_MAY_HAVE_RUN:
+      request_end_as (request, SETTLE_FAILED_MAY_HAVE_RUN, &ran_before);
+      break;
+    default:
+      refuse (request, answer);
+    }
+}
+
+/* A message under way to an owner. */
+struct message
+{
+  struct gateway *gateway;
+  uint64_t request;
+};
+
+static void
+take_answer (struct gateway *gateway, uint64_t request,
+             const Peer__OnceAnswer *message)
+{
+  struct once_answer answer = {
+    .request = request,
+    .gateway = gateway->process.incarnation,
+    .key_unknown = message->key_unknown,
+    .retry_after_ns = message->retry_after_ms * NS_PER_MS,
+  };
+
+  if (message->result >= ONCE_RESULT_COUNT)
+    return;
+  answer.result = (enum once_result)message->result;
+  if (message->outcome != NULL)
+    {
+      answer.outcome.status = message->outcome->status;
+      answer.outcome.whole = message->outcome->whole;
+      answer.outcome.body = message->outcome->body.data;
+      answer.outcome.body_size = message->outcome->body.len;
+    }
+  asks_answer (&gateway->asks, &answer);
+}
+
+/* Without an answer the ask is sent again. */
+static void
+answered (void *data, enum status status, const Peer__Envelope *reply)
+{
+  struct message *message = data;
+  struct gateway *gateway = message->gateway;
+  uint64_t request = message->request;
+
+  g_free (message);
+  if (status != STATUS_OK)
+    return;
+  if (reply->body_case == PEER__ENVELOPE__BODY_ONCE_ANSWER)
+    take_answer (gateway, request, reply->once_answer);
+  else if (reply->body_case == PEER__ENVELOPE__BODY_ONCE_RECORDED)
+    asks_recorded (&gateway->asks, request,
+                   (enum status)reply->once_recorded->status);
+}
+
+static void
+fill_begin (Peer__OnceBegin *begin, const struct ask *ask, int64_t now)
+{
+  int64_t left_ns = ask->deadline_ns - now;
+
+  begin->fingerprint.data = (uint8_t *)ask->fingerprint.bytes;
+  begin->fingerprint.len = sizeof ask->fingerprint.bytes;
+  begin->wait_ms = left_ns > 0 ? (uint32_t)(left_ns / NS_PER_MS) : 0;
+}
+
+static void
+fill_outcome (Peer__OnceOutcome *message, const struct once_outcome *outcome)
+{
+  message->status = outcome->status;
+  message->digest.data = (uint8_t *)outcome->digest.bytes;
+  message->digest.len = sizeof outcome->digest.bytes;
+  message->whole = outcome->whole;
+  message->body.data = (uint8_t *)outcome->body;
+  message->body.len = outcome->whole ? outcome->body_size : 0;
+}
+
+static void
+on_send (struct asks *asks, const struct ask *ask)
+{
+  struct gateway *gateway = LIST_ENTRY (asks, struct gateway, asks);
+  const struct roster_entry *owner = owner_of (gateway, ask->partition);
+  struct message *message;
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__OnceRequest who = PEER__ONCE_REQUEST__INIT;
+  Peer__OnceBegin begin = PEER__ONCE_BEGIN__INIT;
+  Peer__OnceEnd end = PEER__ONCE_END__INIT;
+  Peer__OnceOutcome outcome = PEER__ONCE_OUTCOME__INIT;
+
+  if (owner == NULL)
+    return;
+  who.organisation = (char *)ask->request.organisation;
+  who.key = (char *)ask->request.key;
+  who.request = ask->request.request;
+  who.gateway = ask->request.gateway;
+  begin.request = &who;
+  end.request = &who;
+  if (ask->state == ASK_WAITING)
+    {
+      fill_begin (&begin, ask, clock_now (&gateway->process.clock));
+      envelope.body_case = PEER__ENVELOPE__BODY_ONCE_BEGIN;
+      envelope.once_begin = &begin;
+    }
+  else
+    {
+      fill_outcome (&outcome, &ask->outcome);
+      end.outcome = ask->ends ? &outcome : NULL;
+      envelope.body_case = PEER__ENVELOPE__BODY_ONCE_END;
+      envelope.once_end = &end;
+    }
+  message = g_new0 (struct message, 1);
+  message->gateway = gateway;
+  message->request = ask->request.request;
+  peerhub_request (&gateway->process.peers, owner->peer_address, &envelope,
+                   SEND_TIMEOUT_NS, answered, message);
+}
+
+static const struct ask_ops ask_ops = { on_send, on_answer };
+
+enum verdict
+grant_filter (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  struct once_request who = {
+    .organisation = request->organisation->organisation,
+    .key = request->key,
+    .request = request->serial,
+    .gateway = gateway->process.incarnation,
+  };
+  struct once_digest fingerprint;
+
+  if (request->idempotent)
+    return VERDICT_PASS;
+  fingerprint = fingerprint_of (request);
+  settle_ask (&request->settle);
+  request->ask = asks_begin (&gateway->asks, &who, &fingerprint,
+                             request->deadline_ns, request);
+  return VERDICT_WAIT;
+}
+
+static void
+outcome_of (const struct request *request, struct once_outcome *outcome)
+{
+  const GString *answer = request->answer;
+
+  outcome->status = ONCE_STATUS_UNKNOWN;
+  if (request->settle.outcome != SETTLE_COMPLETE)
+    return;
+  outcome->status = (unsigned)request->attempt.http_status;
+  if (answer == NULL)
+    return;
+  outcome->digest = once_digest_of (answer->str, answer->len);
+  outcome->whole = answer->len <= ONCE_BODY_MAX;
+  outcome->body = (const uint8_t *)answer->str;
+  outcome->body_size = outcome->whole ? answer->len : 0;
+}
+
+void
+grant_settle (struct request *request, enum settle_record record)
+{
+  struct once_outcome outcome = { 0 };
+
+  if (request->ask == NULL)
+    return;
+  outcome_of (request, &outcome);
+  asks_end (&request->gateway->asks, request->ask, record, &outcome);
+  request->ask = NULL;
+}
+
+void
+grant_tick (struct gateway *gateway)
+{
+  asks_tick (&gateway->asks);
+}
+
+size_t
+grant_open (const struct gateway *gateway)
+{
+  return asks_idle (&gateway->asks) ? 0 : 1;
+}
+
+void
+grant_init (struct gateway *gateway)
+{
+  asks_init (&gateway->asks, &ask_settings, &ask_ops, &gateway->process.clock,
+             ONCEHOST_PARTITIONS);
+}
+
+void
+grant_finish (struct gateway *gateway)
+{
+  asks_finish (&gateway->asks);
+}
--- a/test/bench-place.c
+++ b/test/bench-place.c
@@ -1,4 +1,4 @@
-#include "fake-fleet.h"
+#include "fake-engines.h"
 
 #include <malloc.h>
 #include <stdio.h>
@@ -39,12 +39,12 @@
 }
 
 static double
-decisions_ns (struct fleet *fleet, const struct blockindex_match *matches)
+decisions_ns (struct engines *engines, const struct blockindex_match *matches)
 {
   struct place_request request
-      = { .need = &fleet->need,
-          .tokens = (int64_t)PIECES * FLEET_PIECE_TOKENS,
-          .piece_tokens = FLEET_PIECE_TOKENS };
+      = { .need = &engines->need,
+          .tokens = (int64_t)PIECES * ENGINES_PIECE_TOKENS,
+          .piece_tokens = ENGINES_PIECE_TOKENS };
   struct place_result result;
   int64_t start = processor_ns ();
 
@@ -52,7 +52,7 @@
     {
       request.match = &matches[i % MATCHES];
       request.urgent = i % 2 == 0;
-      if (place_choose (&fleet->place, &request, &result) != STATUS_OK)
+      if (place_choose (&engines->place, &request, &result) != STATUS_OK)
         abort ();
     }
   return (double)(processor_ns () - start) / DECISIONS;
@@ -73,22 +73,23 @@
 bench_sizes (double medians[SIZES])
 {
   static struct blockindex_match matches[SIZES][MATCHES];
-  static struct fleet fleets[SIZES];
+  static struct engines worlds[SIZES];
   double rounds[SIZES][ROUNDS];
 
   for (int s = 0; s < SIZES; s++)
     {
-      fleet_init (&fleets[s], sizes[s], SEED, &place_settings_default, "cost");
+      engines_init (&worlds[s], sizes[s], SEED, &place_settings_default,
+                    "cost");
       for (int i = 0; i < MATCHES; i++)
-        fleet_match (&fleets[s], PIECES, &matches[s][i]);
+        engines_match (&worlds[s], PIECES, &matches[s][i]);
     }
   for (int i = 0; i < ROUNDS; i++)
     for (int s = 0; s < SIZES; s++)
-      insert_round (rounds[s], i, decisions_ns (&fleets[s], matches[s]));
+      insert_round (rounds[s], i, decisions_ns (&worlds[s], matches[s]));
   for (int s = 0; s < SIZES; s++)
     {
       medians[s] = rounds[s][ROUNDS / 2];
-      fleet_finish (&fleets[s]);
+      engines_finish (&worlds[s]);
     }
 }
 
