--- a/src/admission.c
+++ b/src/admission.c
@@ -164,8 +164,11 @@
   request->admit.priority = class_of (request->priority);
   request->admit.cost = 1;
   if (request->type == REQUEST_COMPLETION)
-    request->admit.cost
-        = (double)(request->prompt_tokens + request->max_tokens);
+    {
+      request->admit.cost
+          = (double)(request->prompt_tokens + request->max_tokens);
+      request->admit.answer_cost = (double)request->prompt_tokens;
+    }
   request->admit.deadline_ns = request->deadline_ns;
   request->admit.status_lookup = request->status_lookup;
   switch (admit_ask (admit_of (request), &request->admit, &why))
--- a/src/classify.c
+++ b/src/classify.c
@@ -250,5 +250,11 @@
   if (refusal != NULL)
     return refuse (request, refusal);
   settle_init (&request->settle, request->idempotent, REQUEST_TRIED_MAX);
+  if (request->type == REQUEST_COMPLETION && request->idempotent)
+    {
+      /* The parsed form is enough; long prompts wait in many requests. */
+      g_free (request->body);
+      request->body = NULL;
+    }
   return VERDICT_PASS;
 }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -29,12 +29,12 @@
 }
 
 static void
-open_call (struct request *request, const struct backend *backend,
+open_call (struct request *request, uint64_t backend,
            const struct engine_call *call)
 {
   struct attempt *attempt = &request->attempt;
 
-  attempt->backend = backend->id;
+  attempt->backend = backend;
   attempt->heard_ns = clock_now (&request->gateway->process.clock);
   attempt->head_seen = false;
   attempt->not_run = false;
@@ -124,9 +124,7 @@
   struct gateway *gateway = request->gateway;
   struct place_result result;
   struct backend *backend;
-  struct engine_call call = { 0 };
   char id[RELAY_ID_MAX];
-  char *body;
 
   if (place_completion (request, &result) != STATUS_OK)
     return STATUS_UNAVAILABLE;
@@ -138,20 +136,35 @@
       = load_engine_at (&gateway->backends.load, result.index)->incarnation;
   place_commit (&gateway->place, &gateway->backends.load, &result,
                 &request->load);
-  request->planned_cached
-      = result.plan.reuse * gateway->settings->placement.piece_tokens;
+  request->planned_pieces = result.plan.reuse;
   attempt_id (request, id);
-  body = enginebody_write (request, id, &gateway->backends, &result);
-  call.address = backend->host.address;
+  request->held_body
+      = enginebody_write (request, id, &gateway->backends, &result);
+  request->held_until_ns
+      = clock_now (&gateway->process.clock) + result.hold_ns;
+  lookup_report_sent (request);
+  if (result.hold_ns == 0)
+    dispatch_send_held (request);
+  return STATUS_OK;
+}
+
+void
+dispatch_send_held (struct request *request)
+{
+  const struct backend *backend = backend_of (request);
+  struct engine_call call = { 0 };
+  char *body = request->held_body;
+
+  request->held_body = NULL;
+  call.address = backend != NULL ? backend->host.address : "";
   call.method = "POST";
   call.path = request->path;
   call.header_lines = json_header;
   call.body = body;
   call.body_size = strlen (body);
   call.fresh = !request->idempotent;
-  open_call (request, backend, &call);
+  open_call (request, request->attempt.backend, &call);
   g_free (body);
-  return STATUS_OK;
 }
 
 static char *
@@ -198,7 +211,7 @@
   call.body = request->body;
   call.body_size = request->body_size;
   call.fresh = !request->idempotent;
-  open_call (request, backend, &call);
+  open_call (request, backend->id, &call);
   g_free (lines);
   return STATUS_OK;
 }
@@ -235,7 +248,7 @@
   call.body_size = strlen (body);
   call.fresh = true;
   request->attempt.resumed = true;
-  open_call (request, backend, &call);
+  open_call (request, backend->id, &call);
   return STATUS_OK;
 }
 
@@ -248,6 +261,8 @@
   if (attempt->backend != 0 && backend != NULL && backend->in_flight > 0)
     backend->in_flight--;
   attempt->backend = 0;
+  g_free (request->held_body);
+  request->held_body = NULL;
   load_started (&request->load);
   if (attempt->stream == NULL)
     return;
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -11,6 +11,9 @@
  * @return STATUS_UNAVAILABLE if there is none that may be used now. */
 enum status dispatch_send (struct request *request);
 
+/** Send the placed request whose wait is over. */
+void dispatch_send_held (struct request *request);
+
 /** Open the stream of the running attempt again where it was cut. */
 enum status dispatch_resume (struct request *request);
 
--- a/src/engine.h
+++ b/src/engine.h
@@ -44,7 +44,8 @@
 
 struct engine_events
 {
-  uint64_t first; /**< over AFTER + 1: events were lost */
+  uint64_t first;         /**< over NEXT_EXPECTED: events were lost */
+  uint64_t next_expected; /**< AFTER + 1 of the question */
   uint64_t next;
   const struct engine_event *events;
   size_t count;
--- a/src/enginehttp.c
+++ b/src/enginehttp.c
@@ -31,6 +31,7 @@
     engine_order_done order;
   } done;
   void *data;
+  uint64_t after; /* of a question for events */
 };
 
 struct engine_stream
@@ -157,6 +158,7 @@
       items[i].stored = strcmp (json_field_text (item, "kind"), "stored") == 0;
       items[i].block = json_field_text (item, "block");
     }
+  events.next_expected = question->after + 1;
   events.first = json_field_uint (reply->body, "first");
   events.next = json_field_uint (reply->body, "next");
   events.events = items;
@@ -173,6 +175,7 @@
   char path[64];
 
   question->done.events = done;
+  question->after = after;
   g_snprintf (path, sizeof path, "/v1/cache/events?after=%" G_GUINT64_FORMAT,
               after);
   ask (client, address, "GET", path, NULL, EVENTS_TIMEOUT_NS, events_answered,
--- a/src/exporter.c
+++ b/src/exporter.c
@@ -200,8 +200,12 @@
     }
   transfer->slot = *slot;
   if (copy_reserved (copies, &transfer->ref, slot->slot, slot->generation)
-          != STATUS_OK
-      || engine == NULL || store == NULL)
+      != STATUS_OK)
+    {
+      transfer_end (transfer, "given_up");
+      return;
+    }
+  if (engine == NULL || store == NULL)
     {
       copy_condemn (copies, &transfer->ref, slot->generation);
       transfer_end (transfer, "given_up");
--- a/src/filters.h
+++ b/src/filters.h
@@ -44,7 +44,11 @@
 /** Look at the timers of a request that is dispatched. */
 void dispatch_tick (struct request *request, int64_t now);
 
-/** The request ended on ENGINE: tell the shard that owns its chain. */
+/** The request goes to its engine, which will have its blocks: tell the shard
+ * that owns its chain. */
+void lookup_report_sent (struct request *request);
+
+/** The request ended well on its engine: tell the shard what was cached. */
 void lookup_report_used (struct request *request);
 
 #endif
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -10,9 +10,7 @@
 
 enum
 {
-  TOKEN_BYTES = 4,    /* of prompt text counted as one token */
-  LINK_BURST_PART = 4 /* a link's bucket holds the rate of so many parts of a
-                         second */
+  TOKEN_BYTES = 4 /* of prompt text counted as one token */
 };
 
 static const struct refusal not_found
@@ -161,14 +159,19 @@
   return count > 0 ? count : 1;
 }
 
-/* Each gateway may use its part of a store's link for imports. */
+/* Each gateway may use its part of what exports leave of a store's link. A
+ * bucket holds one block: an urgent import cannot pass what has begun. */
 static void
 sync_links (struct gateway *gateway)
 {
   const struct settings *settings = gateway->settings;
   const struct hostlist *hostlist = &gateway->process.hostlist.hostlist;
-  int64_t rate = settings->stores.link_bytes_per_s
-                 / live_gateways (&gateway->process.roster);
+  int64_t block = settings->placement.piece_tokens
+                  * settings->placement.piece_bytes_per_token;
+  int64_t rate = (int64_t)((double)settings->stores.link_bytes_per_s
+                           * (1 - settings->export.link_share)
+                           / (double)live_gateways (&gateway->process.roster))
+                 + 1;
 
   for (size_t i = 0; i < hostlist->count; i++)
     {
@@ -181,7 +184,7 @@
       if (entry->leaving)
         place_drop_link (&gateway->place, id);
       else if (link == NULL)
-        place_set_link (&gateway->place, id, rate, rate / LINK_BURST_PART);
+        place_set_link (&gateway->place, id, rate, block);
       else if (link->configured != rate)
         link_set_rate (link, rate);
     }
--- a/src/guard.c
+++ b/src/guard.c
@@ -11,7 +11,7 @@
 #define SEND_TIMEOUT_NS (NS_PER_S)
 
 static const struct refusal crashes
-    = { 503, "crashes_backend_servers",
+    = { 422, "crashes_backend_servers",
         "backend servers died while running this request", 0 };
 static const struct refusal unchecked
     = { 503, "suspect_unknown",
@@ -28,10 +28,8 @@
   uint64_t first = rendezvous_weight (0, fingerprint, sizeof *fingerprint)
                    % ONCEHOST_PARTITIONS;
 
-  /* The other slot stays apart by half of the key space. */
-  return (first + slot * (ONCEHOST_PARTITIONS / SUSPECT_SLOTS))
-             % ONCEHOST_PARTITIONS
-         + 1;
+  /* Twins never fall to one process, see owner_pick. */
+  return (first ^ slot) + 1;
 }
 
 static bool
@@ -40,9 +38,47 @@
   return false;
 }
 
+static void
+take_answer (struct gateway *gateway, const Peer__Suspect *message)
+{
+  struct suspect_message received;
+  unsigned partition;
+
+  if (suspect_wire_read (message, &received, &partition) == STATUS_OK)
+    suspect_gate_receive (&gateway->suspects, &received);
+}
+
+/* What a message under way asked. */
+struct message
+{
+  struct gateway *gateway;
+  struct suspect_message asked;
+};
+
+/* The process that was asked does not own the partition, or no longer. */
+static void
+answer_stale (struct gateway *gateway, const struct suspect_message *asked)
+{
+  struct suspect_message answer = *asked;
+
+  if (asked->kind != SUSPECT_ASK)
+    return;
+  answer.kind = SUSPECT_ANSWER;
+  answer.verdict = SUSPECT_RECOVERING;
+  suspect_gate_receive (&gateway->suspects, &answer);
+}
+
 static void
 sent (void *data, enum status status, const Peer__Envelope *reply)
 {
+  struct message *message = data;
+
+  if (status == STATUS_OK && reply->body_case == PEER__ENVELOPE__BODY_SUSPECT)
+    take_answer (message->gateway, reply->suspect);
+  else if (status == STATUS_OK
+           && reply->body_case == PEER__ENVELOPE__BODY_REFUSED)
+    answer_stale (message->gateway, &message->asked);
+  g_free (message);
 }
 
 static void
@@ -54,16 +90,20 @@
   const struct roster_entry *owner
       = roster_owner (&process->roster, (unsigned)partition - 1);
   struct suspect_message copy = *message;
+  struct message *message_under_way;
   Peer__Envelope envelope = PEER__ENVELOPE__INIT;
   Peer__Suspect body = PEER__SUSPECT__INIT;
 
   if (owner == NULL)
     return;
+  message_under_way = g_new0 (struct message, 1);
+  message_under_way->gateway = gateway;
+  message_under_way->asked = *message;
   suspect_wire_write (&copy, (unsigned)partition - 1, &body);
   envelope.body_case = PEER__ENVELOPE__BODY_SUSPECT;
   envelope.suspect = &body;
   peerhub_request (&process->peers, owner->peer_address, &envelope,
-                   SEND_TIMEOUT_NS, sent, NULL);
+                   SEND_TIMEOUT_NS, sent, message_under_way);
 }
 
 static void
@@ -158,11 +198,10 @@
 {
   const struct settings *settings = gateway->settings;
 
-  /* While no owner can answer, requests run unchecked: an outage of the KV
-   * service must not stop all work. */
   suspect_gate_init (&gateway->suspects, gateway->process.incarnation,
-                     (unsigned)settings->suspect.crashes, true,
-                     &gateway->process.clock, &gate_ops, gateway);
+                     (unsigned)settings->suspect.crashes,
+                     settings->suspect.unchecked, &gateway->process.clock,
+                     &gate_ops, gateway);
 }
 
 void
@@ -200,13 +239,3 @@
     }
   suspect_gate_tick (&gateway->suspects);
 }
-
-void
-guard_receive (struct gateway *gateway, const Peer__Suspect *message)
-{
-  struct suspect_message received;
-  unsigned partition;
-
-  if (suspect_wire_read (message, &received, &partition) == STATUS_OK)
-    suspect_gate_receive (&gateway->suspects, &received);
-}
--- a/src/guard.h
+++ b/src/guard.h
@@ -12,9 +12,6 @@
 void guard_finish (struct gateway *gateway);
 void guard_tick (struct gateway *gateway);
 
-/** A message of an owner. */
-void guard_receive (struct gateway *gateway, const Peer__Suspect *message);
-
 /** Ask for a slot for the next attempt of REQUEST; it is sent once that is
  * given, or the request is refused. */
 void guard_retry (struct request *request);
--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -108,6 +108,9 @@
       call_end (call, STATUS_UNKNOWN, errstr);
       return NULL;
     }
+  /* An answer has begun, so that all was sent. */
+  g_free (call->bytes);
+  call->bytes = NULL;
   call->connection = NULL;
   report_head (call, status, headers, header_count);
   if (call->ops == NULL)
--- a/src/lookup.c
+++ b/src/lookup.c
@@ -60,7 +60,8 @@
 }
 
 static void
-take_reply (struct blockindex_match *match, const Peer__LookupReply *reply)
+take_reply (struct blockindex_match *match, const Peer__LookupReply *reply,
+            int64_t elapsed_ns)
 {
   for (size_t i = 0; i < reply->n_holders && i < BLOCKINDEX_HOLDERS_MAX; i++)
     {
@@ -76,7 +77,9 @@
       match->piece_count++;
     }
   match->idle_ns = reply->idle_ms * NS_PER_MS;
-  match->read_lease_ns = reply->read_lease_ms * NS_PER_MS;
+  /* The lease began when the shard looked, at the earliest when it was
+   * asked. */
+  match->read_lease_ns = reply->read_lease_ms * NS_PER_MS - elapsed_ns;
 }
 
 static void
@@ -89,7 +92,9 @@
     return;
   if (status == STATUS_OK
       && reply->body_case == PEER__ENVELOPE__BODY_LOOKUP_REPLY)
-    take_reply (&request->match, reply->lookup_reply);
+    take_reply (&request->match, reply->lookup_reply,
+                clock_now (&request->gateway->process.clock)
+                    - request->asked_ns);
   else
     metrics_add (&request->gateway->process.metrics, "lookups_failed", "", 1);
   request_resume (request);
@@ -115,6 +120,7 @@
   owner = owner_of (request);
   if (owner == NULL)
     return VERDICT_PASS;
+  request->asked_ns = clock_now (&gateway->process.clock);
   fill_scope (&scope, &request->scope);
   fill_blocks (blocks, request);
   lookup.scope = &scope;
@@ -134,12 +140,11 @@
 {
 }
 
-void
-lookup_report_used (struct request *request)
+static void
+report (struct request *request, Peer__Used *used)
 {
   struct gateway *gateway = request->gateway;
   Peer__Envelope envelope = PEER__ENVELOPE__INIT;
-  Peer__Used used = PEER__USED__INIT;
   Peer__Scope scope = PEER__SCOPE__INIT;
   ProtobufCBinaryData blocks[BLOCKINDEX_PIECES_MAX];
   const struct roster_entry *owner;
@@ -151,17 +156,35 @@
     return;
   fill_scope (&scope, &request->scope);
   fill_blocks (blocks, request);
-  used.scope = &scope;
-  used.blocks = blocks;
-  used.n_blocks = request->block_count;
-  used.engine = request->attempt.backend;
-  used.cached = (uint32_t)(request->cached_tokens
-                           / gateway->settings->placement.piece_tokens);
-  used.missed = request->cached_tokens < request->planned_cached;
-  used.kind = kind_number (request);
-  used.retained = request->kind->retained == 1;
+  used->scope = &scope;
+  used->blocks = blocks;
+  used->n_blocks = request->block_count;
+  used->engine = request->attempt.backend;
+  used->kind = kind_number (request);
   envelope.body_case = PEER__ENVELOPE__BODY_USED;
-  envelope.used = &used;
+  envelope.used = used;
   peerhub_request (&gateway->process.peers, owner->peer_address, &envelope,
                    USED_TIMEOUT_NS, used_answered, NULL);
 }
+
+void
+lookup_report_sent (struct request *request)
+{
+  Peer__Used used = PEER__USED__INIT;
+
+  used.expected = true;
+  report (request, &used);
+}
+
+void
+lookup_report_used (struct request *request)
+{
+  const struct settings *settings = request->gateway->settings;
+  Peer__Used used = PEER__USED__INIT;
+
+  used.cached
+      = (uint32_t)(request->cached_tokens / settings->placement.piece_tokens);
+  used.planned = request->planned_pieces;
+  used.retained = request->kind->retained == 1;
+  report (request, &used);
+}
--- a/src/operator.c
+++ b/src/operator.c
@@ -31,6 +31,10 @@
 static const struct refusal too_large
     = { 413, "document_too_large",
         "a document would be over the KV service's limit of 1 MiB", 0 };
+static const struct refusal bad_drain
+    = { 400, "bad_drain",
+        "the body is {\"backend_server\": NAME, \"drain\": true or false}",
+        0 };
 static const struct refusal no_config
     = { 503, "not_ready", "no configuration is in force here yet", NS_PER_S };
 
@@ -127,6 +131,30 @@
                    name != NULL ? name : "", apply_done, waiting_new (http));
 }
 
+static void
+serve_drain (struct gateway *gateway, struct httpserver_request *http)
+{
+  size_t size;
+  const char *text = httpserver_request_body (http, &size);
+  const char *name = httpserver_request_header (http, "x-operator");
+  struct json_object *body = json_tokener_parse (size > 0 ? text : "");
+  char *sheet = NULL;
+
+  if (body != NULL && gateway->config != NULL)
+    sheet = sheet_drain (gateway->config,
+                         json_field_text (body, "backend_server"),
+                         json_field_bool (body, "drain"));
+  json_object_put (body);
+  if (sheet == NULL)
+    {
+      answer_error (http, gateway->config != NULL ? &bad_drain : &no_config);
+      return;
+    }
+  confapply_sheet (&gateway->process.confapply, sheet, strlen (sheet),
+                   name != NULL ? name : "", apply_done, waiting_new (http));
+  g_free (sheet);
+}
+
 static void
 serve_export (struct gateway *gateway, struct httpserver_request *http)
 {
@@ -304,6 +332,7 @@
   { "GET", "/v1/operator/config/history", serve_history },
   { "GET", "/v1/operator/config/diff", serve_history },
   { "GET", "/v1/operator/status", serve_status },
+  { "POST", "/v1/operator/drain", serve_drain },
 };
 
 bool
--- a/src/outcome.c
+++ b/src/outcome.c
@@ -132,6 +132,10 @@
   request->imported_tokens = head->imported_tokens;
   request->computed_tokens = head->computed_tokens;
   count_tokens (request);
+  place_observe (
+      &request->gateway->place, request->planned_pieces,
+      (uint32_t)(head->cached_tokens
+                 / request->gateway->settings->placement.piece_tokens));
   if (head->streamed && request->http != NULL)
     begin_answer (request, head);
 }
@@ -302,6 +306,9 @@
 static void
 attempt_lost (struct request *request, bool died)
 {
+  enum retry_outcome cut
+      = request->answer_started ? RETRY_LOST_MIDWAY : RETRY_LOST_UNANSWERED;
+
   if (died)
     {
       note_sign (request, HEALTH_DIED);
@@ -311,10 +318,10 @@
       attempt_failed (request, RETRY_CRASHED, &lost);
       return;
     }
-  attempt_failed (request,
-                  request->answer_started ? RETRY_LOST_MIDWAY
-                                          : RETRY_LOST_UNANSWERED,
-                  &lost);
+  if (request->attempt.silent)
+    attempt_failed (request, RETRY_SILENT, &silent);
+  else
+    attempt_failed (request, cut, &lost);
 }
 
 /* Whether the backend server died under the request, or only its connection:
@@ -370,6 +377,14 @@
   probe_backend (request);
 }
 
+/* The engine no longer knows the run that was to be resumed. */
+static void
+run_forgotten (struct request *request)
+{
+  request->retry.resumable = false;
+  attempt_failed (request, RETRY_LOST_UNANSWERED, &incomplete);
+}
+
 static void
 on_end (void *data, enum status status, const char *message)
 {
@@ -382,7 +397,7 @@
   else if (attempt->not_run)
     attempt_failed (request, RETRY_NOT_RUN, &busy);
   else if (attempt->resumed && attempt->http_status != HTTP_OK)
-    attempt_failed (request, RETRY_FAILED, &incomplete);
+    run_forgotten (request);
   else if (answer_is_relayed (request))
     finish_streamed (request);
   else
@@ -424,6 +439,31 @@
     request_refuse (request, &no_backend);
 }
 
+/* The connection is never used again; a fresh one tells whether the backend
+ * server lives. */
+static void
+condemn_silent (struct request *request)
+{
+  struct engineclient *client = &request->gateway->process.enginehttp.client;
+
+  dispatch_note_handed_over (request);
+  client->ops->stream_close (request->attempt.stream);
+  request->attempt.stream = NULL;
+  request->attempt.silent = true;
+  metrics_add (&request->gateway->process.metrics, "connections_silent", "",
+               1);
+  probe_backend (request);
+}
+
+static bool
+connecting_too_long (const struct request *request, int64_t now)
+{
+  const struct settings *settings = request->gateway->settings;
+
+  return request->settle.state == SETTLE_CONNECTING
+         && now - request->attempt.heard_ns > settings->timeouts.connect_ns;
+}
+
 void
 dispatch_tick (struct request *request, int64_t now)
 {
@@ -433,15 +473,23 @@
                       ? settings->timeouts.progress_ns
                       : settings->timeouts.first_byte_ns;
 
+  dispatch_note_handed_over (request);
   if (now >= request->next_ns)
     run_next (request);
+  else if (request->held_body != NULL && now >= request->held_until_ns)
+    dispatch_send_held (request);
   else if (request->attempt.stream == NULL)
     return;
   else if (now > request->deadline_ns && !request->answer_started)
     request_refuse (request, &too_late);
+  else if (connecting_too_long (request, now))
+    {
+      note_sign (request, HEALTH_UNREACHABLE);
+      attempt_failed (request, RETRY_NOT_SENT, &no_backend);
+    }
   else if (request->relay.state == RELAY_GAP
            || request->relay.state == RELAY_BROKEN)
     attempt_failed (request, RETRY_LOST_MIDWAY, &incomplete);
   else if (quiet > limit)
-    attempt_failed (request, RETRY_SILENT, &silent);
+    condemn_silent (request);
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -459,8 +459,36 @@
   return (unsigned)(weight % partitions);
 }
 
+/* The best node for PARTITION other than the one at SKIP; -1 skips none. */
+static int
+pick_other (const uint64_t *nodes, size_t count, unsigned partition, int skip)
+{
+  int best = -1;
+  uint64_t best_weight = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t weight
+          = rendezvous_weight (nodes[i], &partition, sizeof partition);
+
+      if ((int)i == skip
+          || (best >= 0
+              && (weight < best_weight
+                  || (weight == best_weight && nodes[i] < nodes[best]))))
+        continue;
+      best = (int)i;
+      best_weight = weight;
+    }
+  return best;
+}
+
 int
 owner_pick (const uint64_t *nodes, size_t count, unsigned partition)
 {
-  return rendezvous_pick (nodes, count, &partition, sizeof partition);
+  unsigned even = partition & ~1U;
+  int first = pick_other (nodes, count, even, -1);
+
+  if (partition == even || count < 2)
+    return first;
+  return pick_other (nodes, count, partition, first);
 }
--- a/src/owner.h
+++ b/src/owner.h
@@ -117,7 +117,8 @@
 unsigned owner_partition (const char *organisation, const char *key,
                           unsigned partitions);
 
-/** The index in NODES of the process that ought to own PARTITION, or -1. */
+/** The index in NODES of the process that ought to own PARTITION, or -1. Of
+ * two processes or more, partitions 2k and 2k + 1 never fall to the same. */
 int owner_pick (const uint64_t *nodes, size_t count, unsigned partition);
 
 #endif
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2309,7 +2309,7 @@
   (ProtobufCMessageInit) peer__lookup_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__used__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer__used__field_descriptors[8] =
 {
   {
     "scope",
@@ -2384,12 +2384,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "missed",
+    "planned",
     7,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Used, planned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expected",
+    8,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__Used, missed),
+    offsetof(Peer__Used, expected),
     NULL,
     NULL,
     0,             /* flags */
@@ -2400,15 +2412,16 @@
   1,   /* field[1] = blocks */
   3,   /* field[3] = cached */
   2,   /* field[2] = engine */
+  7,   /* field[7] = expected */
   4,   /* field[4] = kind */
-  6,   /* field[6] = missed */
+  6,   /* field[6] = planned */
   5,   /* field[5] = retained */
   0,   /* field[0] = scope */
 };
 static const ProtobufCIntRange peer__used__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer__used__descriptor =
 {
@@ -2418,7 +2431,7 @@
   "Peer__Used",
   "peer",
   sizeof(Peer__Used),
-  7,
+  8,
   peer__used__field_descriptors,
   peer__used__field_indices_by_name,
   1,  peer__used__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -332,13 +332,17 @@
    */
   protobuf_c_boolean retained;
   /*
-   * The engine cached fewer blocks than the index had said.
+   * Blocks from the front that the index had said it holds.
    */
-  protobuf_c_boolean missed;
+  uint32_t planned;
+  /*
+   * It was only sent; the engine is about to have the blocks.
+   */
+  protobuf_c_boolean expected;
 };
 #define PEER__USED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__used__descriptor) \
-    , NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/request.c
+++ b/src/request.c
@@ -37,6 +37,7 @@
   g_free (request->body);
   g_free (request->content_type);
   g_free (request->prompt);
+  g_free (request->held_body);
   g_free (request);
 }
 
--- a/src/request.h
+++ b/src/request.h
@@ -72,6 +72,7 @@
   bool head_seen;
   bool streamed;
   bool resumed; /**< the stream goes on after a cut */
+  bool silent;  /**< its connection was condemned */
   bool not_run; /**< the backend server says that it did not start */
   int http_status;
   char content_type[64];
@@ -120,6 +121,7 @@
   struct block_id blocks[BLOCKINDEX_PIECES_MAX];
   size_t block_count;
   struct blockindex_match match;
+  int64_t asked_ns; /**< when the shard was asked */
 
   struct suspect_run suspect;
   bool cleared;    /**< the next attempt may run */
@@ -142,8 +144,10 @@
   int64_t cached_tokens;
   int64_t imported_tokens;
   int64_t computed_tokens;
-  int64_t planned_cached; /**< pieces that placement counted on */
-  GString *answer;        /**< one that is not streamed */
+  uint32_t planned_pieces; /**< that placement counted on in the engine */
+  char *held_body;         /**< not sent yet; NULL: nothing is held */
+  int64_t held_until_ns;
+  GString *answer; /**< one that is not streamed */
   bool in_filters;
   bool finished;
 };
--- a/src/settings-keys.h
+++ b/src/settings-keys.h
@@ -19,7 +19,6 @@
   SETTINGS_S,  /**< kept as int64_t nanoseconds */
   SETTINGS_ADDRESS,
   SETTINGS_ADDRESSES,
-  SETTINGS_TEXTS,
   SETTINGS_HASH_KEY
 };
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -154,26 +154,9 @@
   return true;
 }
 
-static bool
-store_element (const struct settings_key *key, struct json_object *value,
-               unsigned index, void *field)
-{
-  struct settings_addresses *addresses = field;
-  struct settings_texts *texts = field;
-  struct settings_key text = { .min = 1, .max = SETTINGS_TEXT_MAX - 1 };
-
-  if (key->type == SETTINGS_ADDRESSES)
-    {
-      addresses->count = index + 1;
-      return store_address (value, &addresses->items[index]);
-    }
-  texts->count = index + 1;
-  return store_text (&text, value, texts->items[index]);
-}
-
 static enum status
 store_list (const struct reading *reading, const struct settings_key *key,
-            struct json_object *value, void *field)
+            struct json_object *value, struct settings_addresses *addresses)
 {
   size_t count;
 
@@ -188,7 +171,8 @@
       char path[PATH_MAX_BYTES];
 
       g_snprintf (path, sizeof path, "%s[%u]", key->path, i);
-      if (!store_element (key, element, i, field))
+      addresses->count = i + 1;
+      if (!store_address (element, &addresses->items[i]))
         return refuse_value (reading, key, path, element);
     }
   return STATUS_OK;
@@ -232,7 +216,6 @@
       fits = store_hash_key (key, value, field);
       break;
     case SETTINGS_ADDRESSES:
-    case SETTINGS_TEXTS:
       return store_list (reading, key, value, field);
     }
   return fits ? STATUS_OK : refuse_value (reading, key, key->path, value);
--- a/src/settings.h
+++ b/src/settings.h
@@ -42,18 +42,11 @@
   unsigned count;
 };
 
-struct settings_texts
-{
-  char items[SETTINGS_LIST_MAX][SETTINGS_TEXT_MAX];
-  unsigned count;
-};
-
 /** The limits of one priority class. */
 struct settings_class
 {
   double weight;       /**< share of the capacity against other classes */
   int64_t queue_limit; /**< requests */
-  int64_t deadline_ns; /**< of a request that names none */
 };
 
 struct settings
@@ -130,7 +123,6 @@
     int64_t first_byte_ns;
     int64_t progress_ns;
     int64_t header_ns;
-    int64_t heartbeat_ns;
     int64_t stop_ns;
   } timeouts;
   struct
@@ -149,7 +141,6 @@
   struct
   {
     bool enabled;
-    double min_return; /**< least chance of a return that is exported */
     int64_t horizon_ns;
     double link_share;
   } export;
@@ -159,7 +150,6 @@
   } blocks;
   struct
   {
-    struct settings_texts names;
     int64_t link_bytes_per_s;
     int64_t read_lease_ns;
     int64_t free_delay_ns;
--- a/src/shard.c
+++ b/src/shard.c
@@ -9,10 +9,6 @@
   INDEX_ENTRIES_MAX = 100000
 };
 
-#define SUSPECT_TIMEOUT_NS (NS_PER_S)
-/* Over the time in which gateways see a new owner. */
-#define SUSPECT_GRACE_NS (2 * NS_PER_S)
-
 static bool
 read_scope (const Peer__Scope *message, struct block_scope *scope)
 {
@@ -181,22 +177,64 @@
   if (!read_scope (used->scope, &scope))
     return;
   count = read_blocks (used->blocks, used->n_blocks, ids);
+  if (used->expected)
+    {
+      hint_expect (&shard->index.hints, &scope, ids, count, used->engine);
+      return;
+    }
+  if (used->cached < used->planned && used->planned <= count)
+    hint_deny (&shard->index.hints, &scope, ids + used->cached,
+               used->planned - used->cached, used->engine);
   hint_confirm (&shard->index.hints, &scope, ids, count, used->engine);
   if (used->retained)
     exporter_offer (&shard->exporter, &scope, ids, count, used->engine,
                     used->kind);
 }
 
+/* The owner's answer to the message that is being received. */
+struct suspect_reply
+{
+  struct peerlink *link;
+  uint64_t request_id;
+  bool sent;
+};
+
+static void
+suspect_send (void *data, uint64_t gateway,
+              const struct suspect_message *message)
+{
+  struct shard *shard = data;
+  struct suspect_reply *reply = shard->suspect_reply;
+  struct suspect_message copy = *message;
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__Suspect body = PEER__SUSPECT__INIT;
+
+  if (reply == NULL || reply->sent)
+    return;
+  suspect_wire_write (&copy, 0, &body);
+  envelope.body_case = PEER__ENVELOPE__BODY_SUSPECT;
+  envelope.suspect = &body;
+  peerlink_reply (reply->link, reply->request_id, &envelope);
+  reply->sent = true;
+}
+
 static void
 take_suspect (struct shard *shard, struct peerlink *link,
               const Peer__Envelope *request)
 {
+  struct suspect_reply reply = { link, request->request_id, false };
   struct suspect_message message;
   unsigned partition;
+  enum status status = STATUS_CORRUPT;
 
-  reply_done (link, request->request_id);
+  shard->suspect_reply = &reply;
   if (suspect_wire_read (request->suspect, &message, &partition) == STATUS_OK)
-    suspect_shard_receive (&shard->suspects, partition, &message);
+    status = suspect_shard_receive (&shard->suspects, partition, &message);
+  shard->suspect_reply = NULL;
+  if (status == STATUS_STALE)
+    reply_refused (link, request->request_id, "stale");
+  else if (!reply.sent)
+    reply_done (link, request->request_id);
 }
 
 static void
@@ -244,6 +282,8 @@
   struct shard *shard = data;
   struct block_id id;
 
+  if (events->first > events->next_expected)
+    hint_gap (&shard->index.hints, engine, events->first);
   for (size_t i = 0; i < events->count; i++)
     if (block_from_hex (&id, events->events[i].block) == STATUS_OK)
       hint_event (&shard->index.hints, engine, events->events[i].sequence,
@@ -366,32 +406,6 @@
 static const struct process_role shard_role
     = { serve, answer, tick, hosts_changed, configured, busy };
 
-static void
-suspect_sent (void *data, enum status status, const Peer__Envelope *reply)
-{
-}
-
-static void
-suspect_send (void *data, uint64_t gateway,
-              const struct suspect_message *message)
-{
-  struct shard *shard = data;
-  struct process *process = &shard->process;
-  const struct roster_entry *to
-      = roster_by_incarnation (&process->roster, gateway);
-  struct suspect_message copy = *message;
-  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
-  Peer__Suspect body = PEER__SUSPECT__INIT;
-
-  if (to == NULL)
-    return;
-  suspect_wire_write (&copy, 0, &body);
-  envelope.body_case = PEER__ENVELOPE__BODY_SUSPECT;
-  envelope.suspect = &body;
-  peerhub_request (&process->peers, to->peer_address, &envelope,
-                   SUSPECT_TIMEOUT_NS, suspect_sent, NULL);
-}
-
 static bool
 suspect_holds (void *data, unsigned partition, char key[KV_KEY_MAX],
                uint64_t *revision)
@@ -411,7 +425,7 @@
   const struct settings *settings = shard->settings;
   struct suspect_owner_settings suspects = {
     .hold_ns = settings->suspect.hold_ns,
-    .grace_ns = SUSPECT_GRACE_NS,
+    .grace_ns = settings->suspect.grace_ns,
     .run_alone = settings->suspect.run_alone,
   };
 
--- a/src/shard.h
+++ b/src/shard.h
@@ -23,6 +23,7 @@
   struct exporter exporter;
   struct oncehost once;
   struct suspect_shard suspects;
+  struct suspect_reply *suspect_reply; /**< to what is being received */
   uint64_t roster_change; /**< of the roster when it was last looked at */
 };
 
--- a/test/test-owner.c
+++ b/test/test-owner.c
@@ -354,7 +354,22 @@
   CU_ASSERT_TRUE (caught >= 5);
 }
 
+/* The two slots of a suspect request must not die together. */
+static void
+test_twins_apart (void)
+{
+  uint64_t nodes[5] = { 11, 22, 33, 44, 55 };
+
+  for (size_t count = 2; count <= 5; count++)
+    for (unsigned even = 0; even < 64; even += 2)
+      CU_ASSERT_NOT_EQUAL (owner_pick (nodes, count, even),
+                           owner_pick (nodes, count, even + 1));
+  CU_ASSERT_EQUAL (owner_pick (nodes, 1, 3), 0);
+  CU_ASSERT_EQUAL (owner_pick (nodes, 0, 3), -1);
+}
+
 static const struct unit_case cases[] = {
+  { "twins-apart", test_twins_apart },
   { "all-claimed-with-one-lease-each", test_all_claimed_with_one_lease_each },
   { "takeover-within-lease-and-a-second",
     test_takeover_within_lease_and_a_second },
