Membership by gossip as a state machine

Cause: every process said hello to all its seeds twice a second, which grows with the fleet and hears of a dead process only by its own failed call. Conclusion: not wired into the process yet.

--- /dev/null
+++ b/src/member.c
@@ -0,0 +1,750 @@
+#include "member.h"
+#include "membersign.h"
+#include "rendezvous.h"
+
+#include <assert.h>
+#include <string.h>
+
+enum
+{
+  SENDS_FACTOR = 3,   /* of a row, for each factor 2 of the fleet */
+  SPREAD_BYTES = 400, /* of an urgent datagram */
+  SUSPECTS_TRIED = 8  /* how many of the oldest suspects are probed in turn */
+};
+
+/* A gap between two ticks that shows that this process was stopped. */
+#define STOPPED_NS (2 * NS_PER_S)
+
+const struct member_settings member_settings_default = {
+  .probe_ns = NS_PER_S,
+  .direct_ns = 300 * NS_PER_MS,
+  .answer_ns = 900 * NS_PER_MS,
+  .suspect_ns = 3 * NS_PER_S,
+  .dead_probe_ns = 5 * NS_PER_S,
+  .dead_keep_ns = 3600 * NS_PER_S,
+  .pull_ns = NS_PER_S,
+  .pull_news_ns = 100 * NS_PER_MS,
+  .spread_ns = 300 * NS_PER_MS,
+  .sign_life_ns = 10 * NS_PER_S,
+  .far_share = 4,
+};
+
+static unsigned
+log_of (size_t count, size_t base)
+{
+  unsigned power = 1;
+
+  while (count >= base)
+    {
+      count /= base;
+      power++;
+    }
+  return power;
+}
+
+static uint8_t
+sends_of (const struct member *member)
+{
+  return (uint8_t)(SENDS_FACTOR * log_of (member->table.live_count + 1, 2));
+}
+
+static int64_t
+suspect_span (const struct member *member)
+{
+  return member->settings->suspect_ns
+         * log_of (member->table.live_count + 1, 10);
+}
+
+static void
+send_wire (struct member *member, struct memberwire *wire, const char *address)
+{
+  uint8_t bytes[MEMBER_DATAGRAM_MAX];
+  size_t size = memberwire_pack (wire, bytes);
+
+  assert (size > 0);
+  member->ops->send (member->data, address, bytes, size);
+}
+
+/* Fill WIRE with what is to be spread, the newest first. */
+static void
+add_news (struct member *member, struct memberwire *wire, size_t limit)
+{
+  struct list sent;
+
+  membersign_fill (member, wire, limit);
+  list_init (&sent);
+  while (!list_empty (&member->queue))
+    {
+      struct member_entry *entry
+          = LIST_ENTRY (member->queue.next, struct member_entry, queued);
+
+      if (!memberwire_add_row (wire, &entry->row,
+                               entry->row.state == MEMBER_ALIVE, limit))
+        break;
+      list_remove (&entry->queued);
+      if (--entry->sends_left > 0)
+        list_append (&sent, &entry->queued);
+    }
+  while (!list_empty (&sent))
+    list_append (&member->queue, list_pop (&sent));
+}
+
+static void
+send_probe (struct member *member, const char *address,
+            const struct member_entry *target, uint64_t sequence)
+{
+  struct memberwire wire;
+
+  memberwire_init (&wire, MEMBER__KIND__PROBE, &member->self);
+  wire.datagram.sequence = sequence;
+  /* One that is held for dead must hear that, to refute it. */
+  if (target != NULL)
+    {
+      wire.datagram.target = target->row.id;
+      if (target->row.state != MEMBER_ALIVE)
+        memberwire_add_row (&wire, &target->row, false, MEMBER_DATAGRAM_MAX);
+    }
+  add_news (member, &wire, MEMBER_DATAGRAM_MAX);
+  send_wire (member, &wire, address);
+}
+
+static struct member_entry *
+pick_peer (struct member *member)
+{
+  const char *centre = member->self.data_centre;
+  bool near = rng_below (member->rng, member->settings->far_share) != 0;
+  struct member_entry *entry
+      = membertable_pick (&member->table, member->rng, centre, near);
+
+  if (entry == NULL)
+    entry = membertable_pick (&member->table, member->rng, centre, !near);
+  return entry;
+}
+
+static void
+set_urgent (struct member *member)
+{
+  int64_t soon_ns
+      = clock_now (member->clock)
+        + (int64_t)rng_below (member->rng,
+                              (uint64_t)member->settings->spread_ns / 10 + 1);
+
+  if (member->urgent)
+    return;
+  member->urgent = true;
+  if (member->next_spread_ns < soon_ns)
+    member->next_spread_ns = soon_ns;
+}
+
+static void
+enqueue (struct member *member, struct member_entry *entry)
+{
+  list_remove (&entry->queued);
+  entry->sends_left = sends_of (member);
+  list_prepend (&member->queue, &entry->queued);
+}
+
+/* Someone holds this process for what it is not: the next version says. */
+static void
+refute (struct member *member, const struct member_row *row)
+{
+  if (row->incarnation != member->self.incarnation
+      || row->version < member->self.version
+      || (row->state == MEMBER_ALIVE && row->version == member->self.version)
+      || member->self.state == MEMBER_LEFT)
+    return;
+  member->self.version = row->version + 1;
+  set_urgent (member);
+}
+
+/* What a mutant makes of a row: any run counts as the one that is known. */
+static void
+forget_run (const struct member *member, struct member_row *row)
+{
+  const struct member_entry *known
+      = membertable_find (&member->table, row->id);
+
+  if (known != NULL)
+    row->incarnation = known->row.incarnation;
+}
+
+/* A revision alone is no news: it rides on its owner's own row.
+ * @return STATUS_NOT_FOUND if the fixed fields are needed. */
+static enum status
+take_row (struct member *member, const struct member_row *heard)
+{
+  struct member_row row = *heard;
+  struct member_entry *entry;
+  struct member_row before = { 0 };
+  enum status status;
+
+  if (row.id == member->self.id)
+    {
+      refute (member, &row);
+      return STATUS_STALE;
+    }
+  if (member->settings->without_incarnation)
+    forget_run (member, &row);
+  entry = membertable_find (&member->table, row.id);
+  if (entry != NULL)
+    before = entry->row;
+  status = membertable_merge (&member->table, &row, clock_now (member->clock),
+                              &entry);
+  if (status != STATUS_OK)
+    return status;
+  member->ops->changed (member->data, &entry->row);
+  if (before.incarnation == entry->row.incarnation
+      && before.version == entry->row.version
+      && before.state == entry->row.state)
+    return STATUS_STALE;
+  enqueue (member, entry);
+  if (entry->row.leaving && !before.leaving)
+    set_urgent (member);
+  return STATUS_OK;
+}
+
+/* @return whether any row held something new. */
+static bool
+take_rows (struct member *member, const Member__Datagram *datagram)
+{
+  bool news = false;
+
+  for (size_t i = 0; i < datagram->n_rows; i++)
+    {
+      struct member_row row;
+      enum status status;
+
+      if (!memberwire_row (datagram->rows[i], &row))
+        continue;
+      status = take_row (member, &row);
+      if (status == STATUS_NOT_FOUND)
+        member->pull_whole = true;
+      news = news || status == STATUS_OK || status == STATUS_NOT_FOUND;
+    }
+  return news;
+}
+
+static void
+answer_probe (struct member *member, const struct member_row *from,
+              const Member__Datagram *datagram)
+{
+  const struct member_entry *entry
+      = membertable_find (&member->table, from->id);
+  struct memberwire wire;
+
+  if (datagram->target != 0 && datagram->target != member->self.id)
+    return;
+  memberwire_init (&wire, MEMBER__KIND__ANSWER, &member->self);
+  wire.datagram.sequence = datagram->sequence;
+  if (entry != NULL && entry->row.state != MEMBER_ALIVE)
+    memberwire_add_row (&wire, &entry->row, false, MEMBER_DATAGRAM_MAX);
+  add_news (member, &wire, MEMBER_DATAGRAM_MAX);
+  send_wire (member, &wire, from->peer_address);
+}
+
+static void
+take_answer (struct member *member, const Member__Datagram *datagram)
+{
+  struct memberwire wire;
+
+  if (datagram->sequence == member->probe_sequence)
+    {
+      member->probe_target = 0;
+      return;
+    }
+  for (unsigned i = 0; i < MEMBER_RELAYS; i++)
+    {
+      struct member_relay *relay = &member->relays[i];
+
+      if (relay->sequence == 0 || relay->sequence != datagram->sequence)
+        continue;
+      relay->sequence = 0;
+      memberwire_init (&wire, MEMBER__KIND__ANSWER, &member->self);
+      wire.datagram.sequence = relay->asked;
+      send_wire (member, &wire, relay->address);
+    }
+}
+
+static void
+probe_for (struct member *member, const struct member_row *from,
+           const Member__Datagram *datagram)
+{
+  const struct member_entry *target
+      = membertable_find (&member->table, datagram->target);
+  struct member_relay *relay
+      = &member->relays[member->next_relay++ % MEMBER_RELAYS];
+
+  if (target == NULL)
+    return;
+  relay->sequence = ++member->sequence;
+  relay->asked = datagram->sequence;
+  g_strlcpy (relay->address, from->peer_address, sizeof relay->address);
+  send_probe (member, target->row.peer_address, target, relay->sequence);
+}
+
+static void
+send_page (struct member *member, const struct member_row *from,
+           const Member__Datagram *datagram)
+{
+  const GPtrArray *entries = member->table.entries;
+  struct memberwire wire;
+  guint at = entries->len == 0 ? 0 : datagram->cursor % entries->len;
+
+  memberwire_init (&wire, MEMBER__KIND__PAGE, &member->self);
+  while (at < entries->len)
+    {
+      const struct member_entry *entry = entries->pdata[at];
+
+      if (!memberwire_add_row (&wire, &entry->row, datagram->whole,
+                               MEMBER_DATAGRAM_MAX))
+        break;
+      at++;
+    }
+  wire.datagram.cursor = at < entries->len ? at : 0;
+  wire.datagram.whole = datagram->whole;
+  send_wire (member, &wire, from->peer_address);
+}
+
+/* A page that brought news is followed by the next one of the same peer. */
+static void
+take_page (struct member *member, const struct member_row *from,
+           const Member__Datagram *datagram, bool news)
+{
+  int64_t now = clock_now (member->clock);
+
+  if (!news)
+    {
+      member->pull_address[0] = '\0';
+      member->pull_whole = false;
+      return;
+    }
+  if (datagram->whole || !member->pull_whole)
+    member->pull_cursor = datagram->cursor;
+  g_strlcpy (member->pull_address, from->peer_address,
+             sizeof member->pull_address);
+  member->next_pull_ns = now + member->settings->pull_news_ns;
+}
+
+static void
+dispatch (struct member *member, const struct member_row *from,
+          const Member__Datagram *datagram)
+{
+  bool news = take_rows (member, datagram);
+
+  switch (datagram->kind)
+    {
+    case MEMBER__KIND__PROBE:
+      answer_probe (member, from, datagram);
+      break;
+    case MEMBER__KIND__ANSWER:
+      take_answer (member, datagram);
+      break;
+    case MEMBER__KIND__PROBE_FOR:
+      probe_for (member, from, datagram);
+      break;
+    case MEMBER__KIND__PULL:
+      send_page (member, from, datagram);
+      break;
+    case MEMBER__KIND__PAGE:
+      take_page (member, from, datagram, news);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+member_receive (struct member *member, const uint8_t *bytes, size_t size)
+{
+  Member__Datagram *datagram = memberwire_read (bytes, size);
+  struct member_row from;
+
+  if (datagram == NULL)
+    return;
+  if (memberwire_row (datagram->from, &from) && from.id != member->self.id)
+    {
+      take_row (member, &from);
+      membersign_take (member, datagram);
+      dispatch (member, &from, datagram);
+    }
+  member__datagram__free_unpacked (datagram, NULL);
+}
+
+static void
+set_state (struct member *member, struct member_entry *entry,
+           enum member_state state)
+{
+  struct member_row row = entry->row;
+
+  row.state = state;
+  take_row (member, &row);
+}
+
+static void
+ask_helpers (struct member *member)
+{
+  const struct member_entry *target
+      = membertable_find (&member->table, member->probe_target);
+
+  member->probe_helped = true;
+  for (int i = 0; target != NULL && i < MEMBER_HELPERS; i++)
+    {
+      struct member_entry *helper = pick_peer (member);
+      struct memberwire wire;
+
+      if (helper == NULL || helper == target)
+        continue;
+      memberwire_init (&wire, MEMBER__KIND__PROBE_FOR, &member->self);
+      wire.datagram.sequence = member->probe_sequence;
+      wire.datagram.target = target->row.id;
+      send_wire (member, &wire, helper->row.peer_address);
+    }
+}
+
+static void
+end_probe (struct member *member)
+{
+  struct member_entry *target
+      = membertable_find (&member->table, member->probe_target);
+
+  member->probe_target = 0;
+  if (target == NULL || target->row.state != MEMBER_ALIVE)
+    return;
+  if (member->settings->without_suspicion)
+    {
+      set_state (member, target, MEMBER_DEAD);
+      return;
+    }
+  set_state (member, target, MEMBER_SUSPECT);
+  send_probe (member, target->row.peer_address, target, ++member->sequence);
+}
+
+/* Every second probe goes to a suspect, which must hear of it to refute. */
+static struct member_entry *
+pick_target (struct member *member)
+{
+  struct list *suspects = &member->table.suspects;
+  size_t skip = rng_below (member->rng, SUSPECTS_TRIED);
+  struct list *at = suspects->next;
+
+  if (list_empty (suspects) || rng_below (member->rng, 2) == 0)
+    return pick_peer (member);
+  while (skip-- > 0 && at->next != suspects)
+    at = at->next;
+  return LIST_ENTRY (at, struct member_entry, timed);
+}
+
+static void
+step_probe (struct member *member, int64_t now)
+{
+  int64_t waited = now - member->probe_began_ns;
+  struct member_entry *target;
+
+  if (member->probe_target != 0 && !member->probe_helped
+      && waited >= member->settings->direct_ns)
+    ask_helpers (member);
+  if (member->probe_target != 0 && waited >= member->settings->answer_ns)
+    end_probe (member);
+  if (now < member->next_probe_ns)
+    return;
+  member->next_probe_ns
+      = now + member->settings->probe_ns
+        + (int64_t)rng_below (member->rng,
+                              (uint64_t)member->settings->probe_ns / 10 + 1);
+  target = pick_target (member);
+  if (target == NULL)
+    return;
+  member->probe_target = target->row.id;
+  member->probe_sequence = ++member->sequence;
+  member->probe_began_ns = now;
+  member->probe_helped = false;
+  send_probe (member, target->row.peer_address, target,
+              member->probe_sequence);
+}
+
+static void
+step_suspects (struct member *member, int64_t now)
+{
+  struct list *suspects = &member->table.suspects;
+  int64_t span = suspect_span (member);
+
+  while (!list_empty (suspects))
+    {
+      struct member_entry *entry
+          = LIST_ENTRY (suspects->next, struct member_entry, timed);
+
+      if (now - entry->since_ns < span)
+        return;
+      set_state (member, entry, MEMBER_DEAD);
+    }
+}
+
+static void
+probe_seed (struct member *member)
+{
+  const char *address;
+  const struct member_entry *entry;
+
+  if (member->seed_count == 0)
+    return;
+  address = member->seeds[member->next_seed++ % member->seed_count];
+  entry = membertable_at (&member->table, address);
+  if (strcmp (address, member->self.peer_address) != 0
+      && (entry == NULL || !entry->live))
+    send_probe (member, address, NULL, ++member->sequence);
+}
+
+/* The dead may live behind a cut; long dead ones are forgotten. */
+static void
+probe_dead (struct member *member, int64_t now)
+{
+  struct list *dead = &member->table.dead;
+  struct member_entry *entry;
+
+  if (list_empty (dead))
+    return;
+  entry = LIST_ENTRY (dead->next, struct member_entry, timed);
+  if (now - entry->since_ns >= member->settings->dead_keep_ns)
+    {
+      membertable_drop (&member->table, entry);
+      return;
+    }
+  list_remove (&entry->timed);
+  list_append (dead, &entry->timed);
+  if (entry->row.state == MEMBER_DEAD)
+    send_probe (member, entry->row.peer_address, entry, ++member->sequence);
+}
+
+static void
+step_dead (struct member *member, int64_t now)
+{
+  bool alone = member->table.live_count == 0;
+
+  if (now < member->next_dead_ns)
+    return;
+  member->next_dead_ns
+      = now
+        + (alone ? member->settings->probe_ns
+                 : member->settings->dead_probe_ns)
+        + (int64_t)rng_below (member->rng, (uint64_t)NS_PER_S / 10);
+  probe_seed (member);
+  probe_dead (member, now);
+}
+
+static void
+step_pull (struct member *member, int64_t now)
+{
+  const struct member_entry *peer;
+  struct memberwire wire;
+  const char *address = member->pull_address;
+
+  if (now < member->next_pull_ns)
+    return;
+  member->next_pull_ns = now + member->settings->pull_ns;
+  if (address[0] == '\0')
+    {
+      peer = pick_peer (member);
+      if (peer == NULL)
+        return;
+      address = peer->row.peer_address;
+      member->pull_cursor
+          = (uint32_t)rng_below (member->rng, member->table.entries->len + 1);
+    }
+  memberwire_init (&wire, MEMBER__KIND__PULL, &member->self);
+  wire.datagram.cursor = member->pull_cursor;
+  wire.datagram.whole = member->pull_whole;
+  send_wire (member, &wire, address);
+  /* If the page is lost, another peer is asked. */
+  member->pull_address[0] = '\0';
+}
+
+static void
+step_spread (struct member *member, int64_t now)
+{
+  if (!member->urgent || now < member->next_spread_ns)
+    return;
+  member->urgent = false;
+  member->next_spread_ns = now + member->settings->spread_ns;
+  for (int i = 0; i < MEMBER_FANOUT; i++)
+    {
+      struct member_entry *peer = pick_peer (member);
+      struct memberwire wire;
+
+      if (peer == NULL)
+        return;
+      memberwire_init (&wire, MEMBER__KIND__SPREAD, &member->self);
+      add_news (member, &wire, SPREAD_BYTES);
+      send_wire (member, &wire, peer->row.peer_address);
+    }
+}
+
+/* After a stop of this process its own waiting proves nothing. */
+static void
+forgive_gap (struct member *member, int64_t now)
+{
+  int64_t gap = now - member->last_tick_ns;
+  struct list *suspects = &member->table.suspects;
+
+  member->last_tick_ns = now;
+  if (gap < STOPPED_NS)
+    return;
+  member->probe_target = 0;
+  for (struct list *at = suspects->next; at != suspects; at = at->next)
+    LIST_ENTRY (at, struct member_entry, timed)->since_ns = now;
+}
+
+void
+member_tick (struct member *member)
+{
+  int64_t now = clock_now (member->clock);
+
+  if (member->self.state == MEMBER_LEFT)
+    return;
+  forgive_gap (member, now);
+  step_probe (member, now);
+  step_suspects (member, now);
+  step_dead (member, now);
+  step_pull (member, now);
+  step_spread (member, now);
+  membersign_expire (member, now);
+}
+
+int64_t
+member_next (const struct member *member)
+{
+  int64_t next = MIN (member->next_probe_ns, member->next_dead_ns);
+
+  next = MIN (next, member->next_pull_ns);
+  if (member->urgent)
+    next = MIN (next, member->next_spread_ns);
+  if (member->probe_target != 0)
+    next = MIN (next,
+                member->probe_began_ns
+                    + (member->probe_helped ? member->settings->answer_ns
+                                            : member->settings->direct_ns));
+  return next;
+}
+
+void
+member_init (struct member *member, const struct member_settings *settings,
+             const struct member_row *self, const struct clock *clock,
+             struct rng *rng, const struct member_ops *ops, void *data)
+{
+  int64_t now = clock_now (clock);
+
+  memset (member, 0, sizeof *member);
+  member->settings = settings;
+  member->self = *self;
+  member->clock = clock;
+  member->rng = rng;
+  member->ops = ops;
+  member->data = data;
+  membertable_init (&member->table, self->id);
+  list_init (&member->queue);
+  membersign_init (member);
+  member->sequence = rng_next (rng) >> 1;
+  member->pull_whole = true;
+  member->last_tick_ns = now;
+  member->next_probe_ns
+      = now + (int64_t)rng_below (rng, (uint64_t)settings->probe_ns);
+  member->next_dead_ns = now;
+  member->next_pull_ns
+      = now + (int64_t)rng_below (rng, (uint64_t)settings->pull_ns);
+}
+
+void
+member_finish (struct member *member)
+{
+  membersign_finish (member);
+  membertable_finish (&member->table);
+  g_free (member->seeds);
+}
+
+void
+member_seed (struct member *member, const char *const *addresses, size_t count)
+{
+  member->seeds = g_realloc_n (member->seeds, count, sizeof *member->seeds);
+  for (size_t i = 0; i < count; i++)
+    g_strlcpy (member->seeds[i], addresses[i], sizeof member->seeds[i]);
+  member->seed_count = count;
+}
+
+void
+member_learn (struct member *member, const struct member_row *row)
+{
+  take_row (member, row);
+}
+
+void
+member_set_revision (struct member *member, uint64_t revision)
+{
+  if (revision <= member->self.revision)
+    return;
+  member->self.revision = revision;
+  set_urgent (member);
+}
+
+void
+member_leave (struct member *member)
+{
+  if (member->self.leaving)
+    return;
+  member->self.leaving = true;
+  member->self.version++;
+  set_urgent (member);
+}
+
+void
+member_end (struct member *member)
+{
+  member->self.state = MEMBER_LEFT;
+  member->self.version++;
+  member->urgent = true;
+  member->next_spread_ns = clock_now (member->clock);
+  step_spread (member, member->next_spread_ns);
+}
+
+void
+member_sign (struct member *member, const char *server)
+{
+  if (membersign_note (member, server, member->self.name,
+                       clock_now (member->clock)))
+    set_urgent (member);
+}
+
+bool
+member_first (const struct member *member, const char *key, unsigned count)
+{
+  const struct membertable *table = &member->table;
+  size_t size = strlen (key);
+  uint64_t own = rendezvous_weight (member->self.id, key, size);
+  unsigned above = 0;
+
+  for (guint i = 0; i < table->entries->len; i++)
+    {
+      const struct member_entry *entry = table->entries->pdata[i];
+
+      if (entry->live && !entry->row.leaving
+          && strcmp (entry->row.data_centre, member->self.data_centre) == 0
+          && rendezvous_weight (entry->row.id, key, size) > own)
+        above++;
+    }
+  return !member->self.leaving && above < count;
+}
+
+const struct member_row *
+member_with_revision (const struct member *member, uint64_t revision)
+{
+  const GPtrArray *entries = member->table.entries;
+  guint start = entries->len == 0 ? 0 : rng_below (member->rng, entries->len);
+
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const struct member_entry *entry
+          = entries->pdata[(start + i) % entries->len];
+
+      if (entry->live && entry->row.revision > revision)
+        return &entry->row;
+    }
+  return NULL;
+}
