Processes find each other by gossip, configurations come from peers

Cause: hellos to all seeds, a watch by every process, a roster with linear look-ups. Change: gossip (UDP on the peer address's port) feeds the roster; the first two processes by rendezvous rank in each data centre watch the KV service, the others fetch what changed from a peer (ConfigFetch, ConfigReply); the roster finds by hash tables. Hello has no user left and is gone; test-edges, which used it only as some request body, uses ConfigFetch with the same checks. Conclusion: shards are still chosen by a pass over all live shards, by the nature of rendezvous hashing.

--- /dev/null
+++ b/src/confpeer.c
@@ -0,0 +1,104 @@
+#include "confpeer.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define FETCH_TIMEOUT_NS (2 * NS_PER_S)
+
+static const struct confspread_settings spread_settings
+    = { .jitter_ns = 50 * NS_PER_MS, .retry_ns = NS_PER_S };
+
+static uint64_t
+revision_of (void *data)
+{
+  const struct confpeer *peer = data;
+
+  return configstore_revision (peer->store);
+}
+
+static const char *
+peer_of (void *data, uint64_t revision)
+{
+  const struct confpeer *peer = data;
+  const struct member_row *row = member_with_revision (peer->member, revision);
+
+  return row == NULL ? NULL : row->peer_address;
+}
+
+static void
+on_reply (void *data, enum status status, const Peer__Envelope *reply)
+{
+  struct confpeer *peer = data;
+
+  if (status == STATUS_CANCELLED)
+    return;
+  if (status == STATUS_OK
+      && reply->body_case != PEER__ENVELOPE__BODY_CONFIG_REPLY)
+    status = STATUS_UNAVAILABLE;
+  if (status == STATUS_OK && reply->config_reply->text[0] == '\0')
+    status = STATUS_UNAVAILABLE;
+  if (status == STATUS_OK)
+    status = configstore_offer (peer->store, reply->config_reply->text, NULL);
+  confspread_fetched (&peer->spread, status);
+}
+
+static void
+on_fetch (void *data, const char *address, uint64_t since)
+{
+  struct confpeer *peer = data;
+  Peer__Envelope request = PEER__ENVELOPE__INIT;
+  Peer__ConfigFetch fetch = PEER__CONFIG_FETCH__INIT;
+
+  fetch.since = since;
+  request.body_case = PEER__ENVELOPE__BODY_CONFIG_FETCH;
+  request.config_fetch = &fetch;
+  peerhub_request (peer->peers, address, &request, FETCH_TIMEOUT_NS, on_reply,
+                   peer);
+}
+
+static const struct confspread_ops spread_ops
+    = { revision_of, on_fetch, peer_of };
+
+void
+confpeer_init (struct confpeer *peer, struct configstore *store,
+               struct peerhub *peers, const struct member *member,
+               const struct clock *clock, struct rng *rng)
+{
+  memset (peer, 0, sizeof *peer);
+  peer->store = store;
+  peer->peers = peers;
+  peer->member = member;
+  confspread_init (&peer->spread, &spread_settings, clock, rng, &spread_ops,
+                   peer);
+}
+
+void
+confpeer_heard (struct confpeer *peer, const char *address, uint64_t revision)
+{
+  confspread_heard (&peer->spread, address, revision);
+}
+
+void
+confpeer_answer (struct confpeer *peer, struct peerlink *link,
+                 const Peer__Envelope *request)
+{
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__ConfigReply body = PEER__CONFIG_REPLY__INIT;
+  uint64_t since = request->config_fetch->since;
+  char *text = NULL;
+
+  if (configstore_revision (peer->store) > since)
+    text = conftext_delta (peer->store->config, since);
+  if (text != NULL && strlen (text) < FRAME_BODY_MAX / 2)
+    body.text = text;
+  reply.body_case = PEER__ENVELOPE__BODY_CONFIG_REPLY;
+  reply.config_reply = &body;
+  peerlink_reply (link, request->request_id, &reply);
+  g_free (text);
+}
+
+void
+confpeer_tick (struct confpeer *peer)
+{
+  confspread_tick (&peer->spread);
+}
--- a/src/member.c
+++ b/src/member.c
@@ -527,7 +527,8 @@
         + (alone ? member->settings->probe_ns
                  : member->settings->dead_probe_ns)
         + (int64_t)rng_below (member->rng, (uint64_t)NS_PER_S / 10);
-  probe_seed (member);
+  for (int i = 0; i < (alone ? MEMBER_FANOUT : 1); i++)
+    probe_seed (member);
   probe_dead (member, now);
 }
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -52,49 +52,94 @@
   assert(message->base.descriptor == &peer__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   peer__hello__init
-                     (Peer__Hello         *message)
+void   peer__config_fetch__init
+                     (Peer__ConfigFetch         *message)
 {
-  static const Peer__Hello init_value = PEER__HELLO__INIT;
+  static const Peer__ConfigFetch init_value = PEER__CONFIG_FETCH__INIT;
   *message = init_value;
 }
-size_t peer__hello__get_packed_size
-                     (const Peer__Hello *message)
+size_t peer__config_fetch__get_packed_size
+                     (const Peer__ConfigFetch *message)
 {
-  assert(message->base.descriptor == &peer__hello__descriptor);
+  assert(message->base.descriptor == &peer__config_fetch__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__hello__pack
-                     (const Peer__Hello *message,
+size_t peer__config_fetch__pack
+                     (const Peer__ConfigFetch *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &peer__hello__descriptor);
+  assert(message->base.descriptor == &peer__config_fetch__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__hello__pack_to_buffer
-                     (const Peer__Hello *message,
+size_t peer__config_fetch__pack_to_buffer
+                     (const Peer__ConfigFetch *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__hello__descriptor);
+  assert(message->base.descriptor == &peer__config_fetch__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Hello *
-       peer__hello__unpack
+Peer__ConfigFetch *
+       peer__config_fetch__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Peer__Hello *)
-     protobuf_c_message_unpack (&peer__hello__descriptor,
+  return (Peer__ConfigFetch *)
+     protobuf_c_message_unpack (&peer__config_fetch__descriptor,
                                 allocator, len, data);
 }
-void   peer__hello__free_unpacked
-                     (Peer__Hello *message,
+void   peer__config_fetch__free_unpacked
+                     (Peer__ConfigFetch *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &peer__hello__descriptor);
+  assert(message->base.descriptor == &peer__config_fetch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__config_reply__init
+                     (Peer__ConfigReply         *message)
+{
+  static const Peer__ConfigReply init_value = PEER__CONFIG_REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__config_reply__get_packed_size
+                     (const Peer__ConfigReply *message)
+{
+  assert(message->base.descriptor == &peer__config_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__config_reply__pack
+                     (const Peer__ConfigReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__config_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__config_reply__pack_to_buffer
+                     (const Peer__ConfigReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__config_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ConfigReply *
+       peer__config_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ConfigReply *)
+     protobuf_c_message_unpack (&peer__config_reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__config_reply__free_unpacked
+                     (Peer__ConfigReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__config_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   peer__ping__init
@@ -1087,7 +1132,7 @@
   assert(message->base.descriptor == &peer__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[19] =
+static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[20] =
 {
   {
     "protocol",
@@ -1137,18 +1182,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "hello",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, hello),
-    &peer__hello__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "ping",
     11,
@@ -1305,6 +1338,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_fetch",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, config_fetch),
+    &peer__config_fetch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_reply",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, config_reply),
+    &peer__config_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "suspect",
     40,
@@ -1319,32 +1376,34 @@
   },
 };
 static const unsigned peer__envelope__field_indices_by_name[] = {
+  17,   /* field[17] = config_fetch */
+  18,   /* field[18] = config_reply */
   3,   /* field[3] = config_revision */
-  13,   /* field[13] = done */
-  4,   /* field[4] = hello */
+  12,   /* field[12] = done */
   1,   /* field[1] = incarnation */
-  8,   /* field[8] = load_query */
-  9,   /* field[9] = load_reply */
-  10,   /* field[10] = lookup */
-  11,   /* field[11] = lookup_reply */
-  15,   /* field[15] = once_answer */
-  14,   /* field[14] = once_begin */
-  16,   /* field[16] = once_end */
-  17,   /* field[17] = once_recorded */
-  5,   /* field[5] = ping */
-  6,   /* field[6] = pong */
+  7,   /* field[7] = load_query */
+  8,   /* field[8] = load_reply */
+  9,   /* field[9] = lookup */
+  10,   /* field[10] = lookup_reply */
+  14,   /* field[14] = once_answer */
+  13,   /* field[13] = once_begin */
+  15,   /* field[15] = once_end */
+  16,   /* field[16] = once_recorded */
+  4,   /* field[4] = ping */
+  5,   /* field[5] = pong */
   0,   /* field[0] = protocol */
-  7,   /* field[7] = refused */
+  6,   /* field[6] = refused */
   2,   /* field[2] = request_id */
-  18,   /* field[18] = suspect */
-  12,   /* field[12] = used */
+  19,   /* field[19] = suspect */
+  11,   /* field[11] = used */
 };
-static const ProtobufCIntRange peer__envelope__number_ranges[3 + 1] =
+static const ProtobufCIntRange peer__envelope__number_ranges[4 + 1] =
 {
   { 1, 0 },
-  { 10, 4 },
-  { 40, 18 },
-  { 0, 19 }
+  { 11, 4 },
+  { 30, 17 },
+  { 40, 19 },
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor peer__envelope__descriptor =
 {
@@ -1354,114 +1413,87 @@
   "Peer__Envelope",
   "peer",
   sizeof(Peer__Envelope),
-  19,
+  20,
   peer__envelope__field_descriptors,
   peer__envelope__field_indices_by_name,
-  3,  peer__envelope__number_ranges,
+  4,  peer__envelope__number_ranges,
   (ProtobufCMessageInit) peer__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__hello__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__config_fetch__field_descriptors[1] =
 {
   {
-    "process",
+    "since",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Hello, process),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "role",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Hello, role),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data_centre",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__Hello, data_centre),
+    offsetof(Peer__ConfigFetch, since),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "peer_address",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Hello, peer_address),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__config_fetch__field_indices_by_name[] = {
+  0,   /* field[0] = since */
+};
+static const ProtobufCIntRange peer__config_fetch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__config_fetch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ConfigFetch",
+  "ConfigFetch",
+  "Peer__ConfigFetch",
+  "peer",
+  sizeof(Peer__ConfigFetch),
+  1,
+  peer__config_fetch__field_descriptors,
+  peer__config_fetch__field_indices_by_name,
+  1,  peer__config_fetch__number_ranges,
+  (ProtobufCMessageInit) peer__config_fetch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__config_reply__field_descriptors[1] =
+{
   {
-    "http_address",
-    5,
+    "text",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__Hello, http_address),
+    offsetof(Peer__ConfigReply, text),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "leaving",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Hello, leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
-static const unsigned peer__hello__field_indices_by_name[] = {
-  2,   /* field[2] = data_centre */
-  4,   /* field[4] = http_address */
-  5,   /* field[5] = leaving */
-  3,   /* field[3] = peer_address */
-  0,   /* field[0] = process */
-  1,   /* field[1] = role */
+static const unsigned peer__config_reply__field_indices_by_name[] = {
+  0,   /* field[0] = text */
 };
-static const ProtobufCIntRange peer__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__config_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor peer__hello__descriptor =
+const ProtobufCMessageDescriptor peer__config_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.Hello",
-  "Hello",
-  "Peer__Hello",
+  "peer.ConfigReply",
+  "ConfigReply",
+  "Peer__ConfigReply",
   "peer",
-  sizeof(Peer__Hello),
-  6,
-  peer__hello__field_descriptors,
-  peer__hello__field_indices_by_name,
-  1,  peer__hello__number_ranges,
-  (ProtobufCMessageInit) peer__hello__init,
+  sizeof(Peer__ConfigReply),
+  1,
+  peer__config_reply__field_descriptors,
+  peer__config_reply__field_indices_by_name,
+  1,  peer__config_reply__number_ranges,
+  (ProtobufCMessageInit) peer__config_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor peer__ping__field_descriptors[1] =
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -16,7 +16,8 @@
 
 
 typedef struct Peer__Envelope Peer__Envelope;
-typedef struct Peer__Hello Peer__Hello;
+typedef struct Peer__ConfigFetch Peer__ConfigFetch;
+typedef struct Peer__ConfigReply Peer__ConfigReply;
 typedef struct Peer__Ping Peer__Ping;
 typedef struct Peer__Pong Peer__Pong;
 typedef struct Peer__Refused Peer__Refused;
@@ -48,7 +49,6 @@
 
 typedef enum {
   PEER__ENVELOPE__BODY__NOT_SET = 0,
-  PEER__ENVELOPE__BODY_HELLO = 10,
   PEER__ENVELOPE__BODY_PING = 11,
   PEER__ENVELOPE__BODY_PONG = 12,
   PEER__ENVELOPE__BODY_REFUSED = 13,
@@ -62,6 +62,8 @@
   PEER__ENVELOPE__BODY_ONCE_ANSWER = 21,
   PEER__ENVELOPE__BODY_ONCE_END = 22,
   PEER__ENVELOPE__BODY_ONCE_RECORDED = 23,
+  PEER__ENVELOPE__BODY_CONFIG_FETCH = 30,
+  PEER__ENVELOPE__BODY_CONFIG_REPLY = 31,
   PEER__ENVELOPE__BODY_SUSPECT = 40
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__ENVELOPE__BODY__CASE)
 } Peer__Envelope__BodyCase;
@@ -84,7 +86,6 @@
   uint64_t config_revision;
   Peer__Envelope__BodyCase body_case;
   union {
-    Peer__Hello *hello;
     Peer__Ping *ping;
     Peer__Pong *pong;
     Peer__Refused *refused;
@@ -98,6 +99,8 @@
     Peer__OnceAnswer *once_answer;
     Peer__OnceEnd *once_end;
     Peer__OnceRecorded *once_recorded;
+    Peer__ConfigFetch *config_fetch;
+    Peer__ConfigReply *config_reply;
     Peer__Suspect *suspect;
   };
 };
@@ -106,19 +109,33 @@
     , 0, 0, 0, 0, PEER__ENVELOPE__BODY__NOT_SET, {0} }
 
 
-struct  Peer__Hello
+/*
+ * Asks for what changed in the configuration after a revision.
+ */
+struct  Peer__ConfigFetch
 {
   ProtobufCMessage base;
-  char *process;
-  char *role;
-  char *data_centre;
-  char *peer_address;
-  char *http_address;
-  protobuf_c_boolean leaving;
+  /*
+   * 0: everything.
+   */
+  uint64_t since;
+};
+#define PEER__CONFIG_FETCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__config_fetch__descriptor) \
+    , 0 }
+
+
+struct  Peer__ConfigReply
+{
+  ProtobufCMessage base;
+  /*
+   * Empty: nothing newer.
+   */
+  char *text;
 };
-#define PEER__HELLO__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+#define PEER__CONFIG_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__config_reply__descriptor) \
+    , (char *)protobuf_c_empty_string }
 
 
 struct  Peer__Ping
@@ -493,24 +510,43 @@
 void   peer__envelope__free_unpacked
                      (Peer__Envelope *message,
                       ProtobufCAllocator *allocator);
-/* Peer__Hello methods */
-void   peer__hello__init
-                     (Peer__Hello         *message);
-size_t peer__hello__get_packed_size
-                     (const Peer__Hello   *message);
-size_t peer__hello__pack
-                     (const Peer__Hello   *message,
+/* Peer__ConfigFetch methods */
+void   peer__config_fetch__init
+                     (Peer__ConfigFetch         *message);
+size_t peer__config_fetch__get_packed_size
+                     (const Peer__ConfigFetch   *message);
+size_t peer__config_fetch__pack
+                     (const Peer__ConfigFetch   *message,
+                      uint8_t             *out);
+size_t peer__config_fetch__pack_to_buffer
+                     (const Peer__ConfigFetch   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ConfigFetch *
+       peer__config_fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__config_fetch__free_unpacked
+                     (Peer__ConfigFetch *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ConfigReply methods */
+void   peer__config_reply__init
+                     (Peer__ConfigReply         *message);
+size_t peer__config_reply__get_packed_size
+                     (const Peer__ConfigReply   *message);
+size_t peer__config_reply__pack
+                     (const Peer__ConfigReply   *message,
                       uint8_t             *out);
-size_t peer__hello__pack_to_buffer
-                     (const Peer__Hello   *message,
+size_t peer__config_reply__pack_to_buffer
+                     (const Peer__ConfigReply   *message,
                       ProtobufCBuffer     *buffer);
-Peer__Hello *
-       peer__hello__unpack
+Peer__ConfigReply *
+       peer__config_reply__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   peer__hello__free_unpacked
-                     (Peer__Hello *message,
+void   peer__config_reply__free_unpacked
+                     (Peer__ConfigReply *message,
                       ProtobufCAllocator *allocator);
 /* Peer__Ping methods */
 void   peer__ping__init
@@ -935,8 +971,11 @@
 typedef void (*Peer__Envelope_Closure)
                  (const Peer__Envelope *message,
                   void *closure_data);
-typedef void (*Peer__Hello_Closure)
-                 (const Peer__Hello *message,
+typedef void (*Peer__ConfigFetch_Closure)
+                 (const Peer__ConfigFetch *message,
+                  void *closure_data);
+typedef void (*Peer__ConfigReply_Closure)
+                 (const Peer__ConfigReply *message,
                   void *closure_data);
 typedef void (*Peer__Ping_Closure)
                  (const Peer__Ping *message,
@@ -1011,7 +1050,8 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor peer__envelope__descriptor;
-extern const ProtobufCMessageDescriptor peer__hello__descriptor;
+extern const ProtobufCMessageDescriptor peer__config_fetch__descriptor;
+extern const ProtobufCMessageDescriptor peer__config_reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__ping__descriptor;
 extern const ProtobufCMessageDescriptor peer__pong__descriptor;
 extern const ProtobufCMessageDescriptor peer__refused__descriptor;
--- a/src/process.c
+++ b/src/process.c
@@ -5,15 +5,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define HELLO_EVERY_NS (500 * NS_PER_MS)
-#define HELLO_TIMEOUT_NS (1500 * NS_PER_MS)
+#define RANK_EVERY_NS NS_PER_S
 #define CLIENT_IO_TIMEOUT_MS UINT64_C (600000)
 #define SERVER_IDLE_MS UINT64_C (60000)
 
 enum
 {
   KV_QUEUE_MAX = 256,
-  KV_WATCH_MAX = 2
+  KV_WATCH_MAX = 2,
+  CONFIG_WATCHERS = 2 /* in each data centre */
 };
 
 #define KV_WATCH_WAIT_NS (10 * NS_PER_S)
@@ -40,91 +40,67 @@
 }
 
 static void
-fill_hello (struct process *process, Peer__Hello *hello)
+fill_row (const struct process *process, struct member_row *row)
 {
   const struct settings *settings = process->settings;
 
-  hello->process = (char *)settings->process.name;
-  hello->role
-      = (char *)(settings->process.role == ROLE_GATEWAY ? "gateway" : "shard");
-  hello->data_centre = (char *)settings->process.data_centre;
-  hello->peer_address
-      = (char *)advertised (&settings->advertise.peer, &settings->listen.peer);
-  hello->http_address
-      = (char *)advertised (&settings->advertise.http, &settings->listen.http);
-  hello->leaving = process->stage != PROCESS_SERVING;
+  memset (row, 0, sizeof *row);
+  row->id = process->id;
+  row->incarnation = process->incarnation;
+  row->role = (uint8_t)settings->process.role;
+  g_strlcpy (row->name, settings->process.name, sizeof row->name);
+  g_strlcpy (row->data_centre, settings->process.data_centre,
+             sizeof row->data_centre);
+  g_strlcpy (row->peer_address,
+             advertised (&settings->advertise.peer, &settings->listen.peer),
+             sizeof row->peer_address);
+  g_strlcpy (row->http_address,
+             advertised (&settings->advertise.http, &settings->listen.http),
+             sizeof row->http_address);
 }
 
 static void
-take_hello (struct process *process, const Peer__Hello *hello,
-            uint64_t incarnation, uint64_t revision)
+on_revision (void *data, const char *address, uint64_t revision)
 {
-  struct roster_entry entry = { 0 };
-
-  entry.id = roster_id (hello->process);
-  entry.incarnation = incarnation;
-  entry.config_revision = revision;
-  entry.role
-      = strcmp (hello->role, "gateway") == 0 ? ROLE_GATEWAY : ROLE_SHARD;
-  entry.alive = true;
-  entry.leaving = hello->leaving;
-  g_strlcpy (entry.name, hello->process, sizeof entry.name);
-  g_strlcpy (entry.data_centre, hello->data_centre, sizeof entry.data_centre);
-  g_strlcpy (entry.peer_address, hello->peer_address,
-             sizeof entry.peer_address);
-  g_strlcpy (entry.http_address, hello->http_address,
-             sizeof entry.http_address);
-  roster_update (&process->roster, &entry);
-}
+  struct process *process = data;
 
-struct hello_call
-{
-  struct process *process;
-  char address[SETTINGS_TEXT_MAX];
-};
+  confpeer_heard (&process->confpeer, address, revision);
+}
 
 static void
-hello_answered (void *data, enum status status, const Peer__Envelope *reply)
+on_signed_out (void *data, const char *server, const char *seen_by)
 {
-  struct hello_call *call = data;
-  struct roster *roster = &call->process->roster;
+  struct process *process = data;
 
-  if (status == STATUS_OK && reply->body_case == PEER__ENVELOPE__BODY_HELLO)
-    take_hello (call->process, reply->hello, reply->incarnation,
-                reply->config_revision);
-  else
-    for (size_t i = 0; i < roster->count; i++)
-      if (strcmp (roster->entries[i].peer_address, call->address) == 0)
-        roster_set_alive (roster, roster->entries[i].id, false);
-  g_free (call);
+  if (process->sign_heard != NULL)
+    process->sign_heard (process->role_data, server, seen_by);
 }
 
-static void
-say_hello (struct process *process, const char *address)
-{
-  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
-  Peer__Hello hello = PEER__HELLO__INIT;
-  struct hello_call *call = g_malloc0 (sizeof *call);
-
-  call->process = process;
-  g_strlcpy (call->address, address, sizeof call->address);
-  fill_hello (process, &hello);
-  envelope.body_case = PEER__ENVELOPE__BODY_HELLO;
-  envelope.hello = &hello;
-  peerhub_request (&process->peers, address, &envelope, HELLO_TIMEOUT_NS,
-                   hello_answered, call);
-}
+static const struct gossip_ops gossip_ops = { on_revision, on_signed_out };
 
-static void
-say_hellos (struct process *process)
+static enum status
+start_gossip (struct process *process, struct error *error)
 {
   const struct settings_addresses *seeds = &process->settings->seeds;
-  Peer__Hello self = PEER__HELLO__INIT;
+  const char *addresses[SETTINGS_LIST_MAX];
+  struct member_row self;
+  enum status status;
 
-  fill_hello (process, &self);
-  take_hello (process, &self, process->incarnation, process->config_revision);
+  fill_row (process, &self);
+  if (strlen (process->settings->process.name) >= sizeof self.name
+      || strlen (process->settings->process.data_centre)
+             >= sizeof self.data_centre)
+    return error_set (error, STATUS_INVALID,
+                      "process.name or process.data_centre is too long");
   for (unsigned i = 0; i < seeds->count; i++)
-    say_hello (process, seeds->items[i].text);
+    addresses[i] = seeds->items[i].text;
+  status = gossip_init (&process->gossip, &process->loop, &process->clock,
+                        &process->rng, &process->log, &process->roster,
+                        process->settings->listen.peer.text, &self,
+                        &gossip_ops, process, error);
+  if (status == STATUS_OK)
+    member_seed (&process->gossip.member, addresses, seeds->count);
+  return status;
 }
 
 static void
@@ -132,20 +108,11 @@
                  const Peer__Envelope *request)
 {
   struct process *process = data;
-  Peer__Envelope reply = PEER__ENVELOPE__INIT;
-  Peer__Hello hello = PEER__HELLO__INIT;
 
-  if (request->body_case != PEER__ENVELOPE__BODY_HELLO)
-    {
-      process->role->answer (process->role_data, link, request);
-      return;
-    }
-  take_hello (process, request->hello, request->incarnation,
-              request->config_revision);
-  fill_hello (process, &hello);
-  reply.body_case = PEER__ENVELOPE__BODY_HELLO;
-  reply.hello = &hello;
-  peerlink_reply (link, request->request_id, &reply);
+  if (request->body_case == PEER__ENVELOPE__BODY_CONFIG_FETCH)
+    confpeer_answer (&process->confpeer, link, request);
+  else
+    process->role->answer (process->role_data, link, request);
 }
 
 static void
@@ -176,6 +143,14 @@
              process->settings->process.name, names[stage]);
 }
 
+static void
+end_run (struct process *process)
+{
+  set_stage (process, PROCESS_ENDED);
+  gossip_end (&process->gossip);
+  uv_stop (&process->loop);
+}
+
 /* The address answers that name this process must have expired before it
  * takes no more connections. */
 static void
@@ -194,8 +169,7 @@
            && (process->role->busy (process->role_data) == 0
                || in_stage >= settings->timeouts.stop_ns))
     {
-      set_stage (process, PROCESS_ENDED);
-      uv_stop (&process->loop);
+      end_run (process);
     }
 }
 
@@ -205,10 +179,14 @@
   struct process *process = timer->data;
   int64_t now = clock_now (&process->clock);
 
-  if (now >= process->next_hello_ns)
+  gossip_tick (&process->gossip);
+  confpeer_tick (&process->confpeer);
+  if (now >= process->next_rank_ns)
     {
-      process->next_hello_ns = now + HELLO_EVERY_NS;
-      say_hellos (process);
+      process->next_rank_ns = now + RANK_EVERY_NS;
+      configstore_watch (&process->configstore,
+                         member_first (&process->gossip.member,
+                                       CONFTEXT_ROOT_KEY, CONFIG_WATCHERS));
     }
   if (now >= process->next_hosts_ns)
     {
@@ -230,11 +208,10 @@
   if (process->stage == PROCESS_SERVING)
     {
       set_stage (process, PROCESS_LEAVING);
-      process->next_hello_ns = 0;
+      gossip_leave (&process->gossip);
       return;
     }
-  set_stage (process, PROCESS_ENDED);
-  uv_stop (&process->loop);
+  end_run (process);
 }
 
 static void
@@ -257,6 +234,7 @@
   struct process *process = owner;
 
   process->config_revision = config->revision;
+  gossip_set_revision (&process->gossip, config->revision);
   process->role->configured (process->role_data);
 }
 
@@ -284,7 +262,8 @@
                     &process->log, &configstore_ops, process);
   confapply_init (&process->confapply, &confapply_settings,
                   &process->configstore);
-  configstore_watch (&process->configstore, true);
+  confpeer_init (&process->confpeer, &process->configstore, &process->peers,
+                 &process->gossip.member, &process->clock, &process->rng);
 }
 
 static void
@@ -346,9 +325,14 @@
                          &process->log, settings->listen.peer.text,
                          process->incarnation, &process->config_revision,
                          on_peer_request, process, error);
+  if (status != STATUS_OK)
+    return status;
+  status = start_gossip (process, error);
   if (status != STATUS_OK)
     return status;
   init_clients (process);
+  /* Who else is there shows soon after the start. */
+  process->next_rank_ns = clock_now (&process->clock) + RANK_EVERY_NS;
   start_signals (process);
   uv_timer_init (&process->loop, &process->timer);
   process->timer.data = process;
@@ -378,6 +362,7 @@
   configstore_finish (&process->configstore);
   httpclient_finish (&process->httpclient);
   peerhub_finish (&process->peers);
+  gossip_finish (&process->gossip);
   httpserver_finish (&process->server);
   hostlist_finish (&process->hostlist.hostlist);
   roster_finish (&process->roster);
@@ -392,9 +377,9 @@
   char *text;
 
   metrics_set (&process->metrics, "control_bytes_in", "",
-               (double)process->peers.bytes_in);
+               (double)(process->peers.bytes_in + process->gossip.bytes_in));
   metrics_set (&process->metrics, "control_bytes_out", "",
-               (double)process->peers.bytes_out);
+               (double)(process->peers.bytes_out + process->gossip.bytes_out));
   metrics_set (&process->metrics, "kv_calls", "",
                (double)process->kvhttp.call_count);
   metrics_set (&process->metrics, "config_revision", "",
--- a/src/process.h
+++ b/src/process.h
@@ -3,8 +3,10 @@
 
 #include "clock.h"
 #include "confapply.h"
+#include "confpeer.h"
 #include "configstore.h"
 #include "enginehttp.h"
+#include "gossip.h"
 #include "hostlist.h"
 #include "httpjson.h"
 #include "httpserver.h"
@@ -81,12 +83,18 @@
   struct httpserver server;
   struct peerhub peers;
   struct roster roster;
+  struct gossip gossip;
+  struct confpeer confpeer;
+  /** SEEN_BY saw that the backend server SERVER leaves or is out; NULL: the
+   * role does not care. Own signs go out by member_sign. */
+  void (*sign_heard) (void *role_data, const char *server,
+                      const char *seen_by);
   uint64_t id;
   uint64_t incarnation;
   uint64_t config_revision;
   enum process_stage stage;
   int64_t stage_since_ns;
-  int64_t next_hello_ns;
+  int64_t next_rank_ns;
   int64_t next_hosts_ns;
 };
 
--- a/src/roster.c
+++ b/src/roster.c
@@ -5,15 +5,28 @@
 #include <string.h>
 #include <xxhash.h>
 
+static bool
+is_live_shard (const struct roster_entry *entry)
+{
+  return entry->role == ROLE_SHARD && entry->alive && !entry->leaving;
+}
+
 void
 roster_init (struct roster *roster)
 {
   memset (roster, 0, sizeof *roster);
+  roster->by_id
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  roster->by_node
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
 }
 
 void
 roster_finish (struct roster *roster)
 {
+  g_hash_table_unref (roster->by_id);
+  g_hash_table_unref (roster->by_node);
+  g_free (roster->shards);
   g_free (roster->entries);
   memset (roster, 0, sizeof *roster);
 }
@@ -24,22 +37,79 @@
   return XXH3_64bits (name, strlen (name));
 }
 
+/* The entry at the index that TABLE holds for KEY, or NULL. */
+static struct roster_entry *
+look_up (const struct roster *roster, GHashTable *table, uint64_t key)
+{
+  gpointer index;
+
+  if (!g_hash_table_lookup_extended (table, &key, NULL, &index))
+    return NULL;
+  return &roster->entries[GPOINTER_TO_SIZE (index)];
+}
+
+static void
+map_index (GHashTable *table, uint64_t key, size_t index)
+{
+  g_hash_table_replace (table, g_memdup2 (&key, sizeof key),
+                        GSIZE_TO_POINTER (index));
+}
+
+/* Who lives has changed: list the shards anew. */
+static void
+note_change (struct roster *roster)
+{
+  roster->change++;
+  roster->shard_count = 0;
+  g_hash_table_remove_all (roster->by_node);
+  for (size_t i = 0; i < roster->count; i++)
+    {
+      const struct roster_entry *entry = &roster->entries[i];
+
+      if (!is_live_shard (entry))
+        continue;
+      roster->shards[roster->shard_count++] = i;
+      map_index (roster->by_node, roster_node (entry), i);
+    }
+}
+
 struct roster_entry *
 roster_find (const struct roster *roster, uint64_t id)
 {
+  return look_up (roster, roster->by_id, id);
+}
+
+/* A free place, or that of a process that is not alive; NULL if none. */
+static struct roster_entry *
+take_place (struct roster *roster)
+{
+  if (roster->count < ROSTER_ENTRIES_MAX)
+    {
+      roster->count++;
+      roster->entries
+          = g_renew (struct roster_entry, roster->entries, roster->count);
+      roster->shards = g_renew (size_t, roster->shards, roster->count);
+      return &roster->entries[roster->count - 1];
+    }
   for (size_t i = 0; i < roster->count; i++)
-    if (roster->entries[i].id == id)
-      return &roster->entries[i];
+    if (!roster->entries[i].alive)
+      {
+        g_hash_table_remove (roster->by_id, &roster->entries[i].id);
+        return &roster->entries[i];
+      }
   return NULL;
 }
 
 static struct roster_entry *
-roster_append (struct roster *roster)
+add_entry (struct roster *roster, uint64_t id)
 {
-  roster->entries
-      = g_renew (struct roster_entry, roster->entries, roster->count + 1);
-  memset (&roster->entries[roster->count], 0, sizeof *roster->entries);
-  return &roster->entries[roster->count++];
+  struct roster_entry *entry = take_place (roster);
+
+  if (entry == NULL)
+    return NULL;
+  memset (entry, 0, sizeof *entry);
+  map_index (roster->by_id, id, (size_t)(entry - roster->entries));
+  return entry;
 }
 
 enum status
@@ -47,20 +117,23 @@
 {
   struct roster_entry *known = roster_find (roster, entry->id);
   uint64_t revision = entry->config_revision;
+  bool changed;
 
-  if (known == NULL && roster->count == ROSTER_ENTRIES_MAX)
-    return STATUS_LIMITED;
   if (known == NULL)
-    known = roster_append (roster);
+    known = add_entry (roster, entry->id);
   else if (entry->incarnation < known->incarnation)
     return STATUS_STALE;
   else if (entry->incarnation == known->incarnation
            && known->config_revision > revision)
     revision = known->config_revision;
-  if (known->alive != entry->alive || known->leaving != entry->leaving)
-    roster->change++;
+  if (known == NULL)
+    return STATUS_LIMITED;
+  changed = known->alive != entry->alive || known->leaving != entry->leaving
+            || known->incarnation != entry->incarnation;
   *known = *entry;
   known->config_revision = revision;
+  if (changed)
+    note_change (roster);
   return STATUS_OK;
 }
 
@@ -72,13 +145,7 @@
   if (entry == NULL || entry->alive == alive)
     return;
   entry->alive = alive;
-  roster->change++;
-}
-
-static bool
-is_live_shard (const struct roster_entry *entry)
-{
-  return entry->role == ROLE_SHARD && entry->alive && !entry->leaving;
+  note_change (roster);
 }
 
 uint64_t
@@ -94,20 +161,15 @@
 {
   size_t count = 0;
 
-  for (size_t i = 0; i < roster->count && count < max; i++)
-    if (is_live_shard (&roster->entries[i]))
-      nodes[count++] = roster_node (&roster->entries[i]);
+  for (size_t i = 0; i < roster->shard_count && count < max; i++)
+    nodes[count++] = roster_node (&roster->entries[roster->shards[i]]);
   return count;
 }
 
 const struct roster_entry *
 roster_by_node (const struct roster *roster, uint64_t node)
 {
-  for (size_t i = 0; i < roster->count; i++)
-    if (is_live_shard (&roster->entries[i])
-        && roster_node (&roster->entries[i]) == node)
-      return &roster->entries[i];
-  return NULL;
+  return look_up (roster, roster->by_node, node);
 }
 
 const struct roster_entry *
@@ -116,14 +178,11 @@
   const struct roster_entry *best = NULL;
   uint64_t best_weight = 0;
 
-  for (size_t i = 0; i < roster->count; i++)
+  for (size_t i = 0; i < roster->shard_count; i++)
     {
-      const struct roster_entry *entry = &roster->entries[i];
-      uint64_t weight;
+      const struct roster_entry *entry = &roster->entries[roster->shards[i]];
+      uint64_t weight = rendezvous_weight (entry->id, key, size);
 
-      if (!is_live_shard (entry))
-        continue;
-      weight = rendezvous_weight (entry->id, key, size);
       if (best == NULL || weight > best_weight)
         {
           best = entry;
--- a/src/roster.h
+++ b/src/roster.h
@@ -37,6 +37,10 @@
   struct roster_entry *entries;
   size_t count;
   uint64_t change; /**< rises with each change of who is alive */
+  void *by_id;     /**< hash table: id to index in entries */
+  void *by_node;   /**< hash table: node of a live shard to index */
+  size_t *shards;  /**< indices of the live shards */
+  size_t shard_count;
 };
 
 void roster_init (struct roster *roster);
@@ -46,7 +50,8 @@
 uint64_t roster_id (const char *name);
 
 /** Take in what is known of a process; an older incarnation changes nothing.
- * @return STATUS_STALE for that, STATUS_LIMITED if the roster is full. */
+ * A full roster forgets one that is not alive for a new one.
+ * @return STATUS_STALE for that, STATUS_LIMITED if all are alive. */
 enum status roster_update (struct roster *roster,
                            const struct roster_entry *entry);
 
--- a/test/test-edges.c
+++ b/test/test-edges.c
@@ -321,10 +321,10 @@
 peer_world_ask (struct peer_world *world)
 {
   Peer__Envelope request = PEER__ENVELOPE__INIT;
-  Peer__Hello hello = PEER__HELLO__INIT;
+  Peer__ConfigFetch fetch = PEER__CONFIG_FETCH__INIT;
 
-  request.body_case = PEER__ENVELOPE__BODY_HELLO;
-  request.hello = &hello;
+  request.body_case = PEER__ENVELOPE__BODY_CONFIG_FETCH;
+  request.config_fetch = &fetch;
   world->done = 0;
   peerhub_request (&world->a, world->address, &request, NS_PER_S,
                    peer_answered, world);
