Membership measured; deltas compressed, idle connections closed

Connections opened for a fetch were never closed, so heartbeats would have grown with the fleet. Ruled out: a limit on the fetches that one process answers: supply would equal demand, and the last process wait long. Change: ConfigReply is compressed with zlib (textzip), an asker closes a connection after 2 s without a request, what is urgent is sent in two rounds. bench-config counts compressed deltas, with random key hashes.

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -4,7 +4,8 @@
 set -e
 PACKAGES="gcc make cmake pkg-config libuv1-dev libh2o-dev libh2o-dev-common
 libprotobuf-c-dev protobuf-c-compiler libglib2.0-dev liblog4c-dev libcsv-dev
-libjson-c-dev libsodium-dev libxxhash-dev libssl-dev libcunit1-dev
+libjson-c-dev libsodium-dev libxxhash-dev libssl-dev zlib1g-dev
+libcunit1-dev
 clang-format clang-tidy curl"
 missing=
 for p in $PACKAGES; do
--- a/src/confpeer.c
+++ b/src/confpeer.c
@@ -1,10 +1,16 @@
 #include "confpeer.h"
+#include "textzip.h"
 
 #include <glib.h>
 #include <string.h>
 
 #define FETCH_TIMEOUT_NS (2 * NS_PER_S)
 
+enum
+{
+  TEXT_MAX = 32 * 1024 * 1024 /* bytes of a configuration as a text */
+};
+
 static const struct confspread_settings spread_settings
     = { .jitter_ns = 50 * NS_PER_MS, .retry_ns = NS_PER_S };
 
@@ -25,6 +31,25 @@
   return row == NULL ? NULL : row->peer_address;
 }
 
+static enum status
+take_reply (struct confpeer *peer, const Peer__Envelope *reply)
+{
+  const Peer__ConfigReply *body = reply->config_reply;
+  enum status status;
+  char *text;
+
+  if (reply->body_case != PEER__ENVELOPE__BODY_CONFIG_REPLY
+      || body->packed.len == 0)
+    return STATUS_UNAVAILABLE;
+  text = textzip_open (body->packed.data, body->packed.len, body->size,
+                       TEXT_MAX);
+  if (text == NULL)
+    return STATUS_CORRUPT;
+  status = configstore_offer (peer->store, text, NULL);
+  g_free (text);
+  return status;
+}
+
 static void
 on_reply (void *data, enum status status, const Peer__Envelope *reply)
 {
@@ -32,13 +57,8 @@
 
   if (status == STATUS_CANCELLED)
     return;
-  if (status == STATUS_OK
-      && reply->body_case != PEER__ENVELOPE__BODY_CONFIG_REPLY)
-    status = STATUS_UNAVAILABLE;
-  if (status == STATUS_OK && reply->config_reply->text[0] == '\0')
-    status = STATUS_UNAVAILABLE;
   if (status == STATUS_OK)
-    status = configstore_offer (peer->store, reply->config_reply->text, NULL);
+    status = take_reply (peer, reply);
   confspread_fetched (&peer->spread, status);
 }
 
@@ -85,15 +105,21 @@
   Peer__Envelope reply = PEER__ENVELOPE__INIT;
   Peer__ConfigReply body = PEER__CONFIG_REPLY__INIT;
   uint64_t since = request->config_fetch->since;
+  uint8_t *packed = NULL;
   char *text = NULL;
 
   if (configstore_revision (peer->store) > since)
     text = conftext_delta (peer->store->config, since);
-  if (text != NULL && strlen (text) < FRAME_BODY_MAX / 2)
-    body.text = text;
+  if (text != NULL && strlen (text) <= TEXT_MAX)
+    {
+      packed = textzip_pack (text, &body.packed.len);
+      body.packed.data = packed;
+      body.size = (uint32_t)strlen (text);
+    }
   reply.body_case = PEER__ENVELOPE__BODY_CONFIG_REPLY;
   reply.config_reply = &body;
   peerlink_reply (link, request->request_id, &reply);
+  g_free (packed);
   g_free (text);
 }
 
--- a/src/member.c
+++ b/src/member.c
@@ -129,11 +129,9 @@
         + (int64_t)rng_below (member->rng,
                               (uint64_t)member->settings->spread_ns / 10 + 1);
 
-  if (member->urgent)
-    return;
-  member->urgent = true;
-  if (member->next_spread_ns < soon_ns)
+  if (member->urgent == 0 && member->next_spread_ns < soon_ns)
     member->next_spread_ns = soon_ns;
+  member->urgent = MEMBER_ROUNDS;
 }
 
 static void
@@ -562,9 +560,9 @@
 static void
 step_spread (struct member *member, int64_t now)
 {
-  if (!member->urgent || now < member->next_spread_ns)
+  if (member->urgent == 0 || now < member->next_spread_ns)
     return;
-  member->urgent = false;
+  member->urgent--;
   member->next_spread_ns = now + member->settings->spread_ns;
   for (int i = 0; i < MEMBER_FANOUT; i++)
     {
@@ -616,7 +614,7 @@
   int64_t next = MIN (member->next_probe_ns, member->next_dead_ns);
 
   next = MIN (next, member->next_pull_ns);
-  if (member->urgent)
+  if (member->urgent > 0)
     next = MIN (next, member->next_spread_ns);
   if (member->probe_target != 0)
     next = MIN (next,
@@ -700,7 +698,7 @@
 {
   member->self.state = MEMBER_LEFT;
   member->self.version++;
-  member->urgent = true;
+  member->urgent = 1;
   member->next_spread_ns = clock_now (member->clock);
   step_spread (member, member->next_spread_ns);
 }
--- a/src/member.h
+++ b/src/member.h
@@ -47,7 +47,8 @@
 {
   MEMBER_RELAYS = 16,     /**< probes for others that are under way */
   MEMBER_HELPERS = 3,     /**< others that are asked to probe */
-  MEMBER_FANOUT = 3,      /**< receivers of what is urgent */
+  MEMBER_FANOUT = 3,      /**< receivers of what is urgent, in a round */
+  MEMBER_ROUNDS = 2,      /**< of what is urgent */
   MEMBER_SIGN_LIMIT = 256 /**< signs that are held */
 };
 
@@ -84,7 +85,7 @@
   char pull_address[MEMBER_ADDRESS_MAX]; /**< "": choose one */
   uint32_t pull_cursor;
   bool pull_whole;
-  bool urgent;
+  unsigned urgent; /**< rounds of urgent datagrams still to send */
   int64_t last_tick_ns;
   int64_t next_probe_ns;
   int64_t next_dead_ns;
--- a/src/membersign.c
+++ b/src/membersign.c
@@ -89,11 +89,9 @@
         continue;
       member->ops->signed_out (member->data, message->server,
                                message->seen_by);
-      if (!member->urgent)
-        {
-          member->urgent = true;
-          member->next_spread_ns = MAX (member->next_spread_ns, now);
-        }
+      if (member->urgent == 0)
+        member->next_spread_ns = MAX (member->next_spread_ns, now);
+      member->urgent = MEMBER_ROUNDS;
     }
 }
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -24,6 +24,7 @@
   struct list unsent;          /* requests written before the connection */
   int64_t last_heard_ns;
   int64_t last_sent_ns;
+  int64_t last_asked_ns; /* of the last request, or its answer */
   unsigned refs;
   bool connected;
 };
@@ -205,6 +206,7 @@
     }
   /* A late answer to a request that was given up finds nobody. */
   pending = link_find_pending (link, envelope->request_id);
+  link->last_asked_ns = clock_now (hub->clock);
   if (pending != NULL)
     pending_end (pending, STATUS_OK, envelope);
 }
@@ -281,6 +283,7 @@
   list_append (&hub->links, &link->node);
   link->last_heard_ns = clock_now (hub->clock);
   link->last_sent_ns = link->last_heard_ns;
+  link->last_asked_ns = link->last_heard_ns;
   uv_tcp_init (hub->loop, &link->tcp);
   link->tcp.data = link;
   return link;
@@ -389,6 +392,10 @@
       return;
     }
   link_expire (link, now);
+  if (link->hub != NULL && link->address[0] != '\0'
+      && list_empty (&link->pending)
+      && now - link->last_asked_ns >= PEER_IDLE_NS)
+    link_close (link, STATUS_UNAVAILABLE);
   if (link->hub == NULL || link->address[0] == '\0' || !link->connected
       || now - link->last_sent_ns < PEER_HEARTBEAT_NS)
     return;
@@ -532,6 +539,7 @@
   pending->done = done;
   pending->data = data;
   list_append (&link->pending, &pending->node);
+  link->last_asked_ns = clock_now (hub->clock);
   request->request_id = pending->request_id;
   link_send (link, request);
 }
--- a/src/peer.h
+++ b/src/peer.h
@@ -15,12 +15,15 @@
  * Requests between our own processes: one TCP connection to each peer that
  * is asked, frames with a Peer__Envelope, heartbeats on each connection. A
  * connection that stays silent for PEER_SILENT_NS is closed and never used
- * again; a request that was sent on it answers STATUS_UNKNOWN.
+ * again; a request that was sent on it answers STATUS_UNKNOWN. The asker
+ * closes a connection that it has not asked on for PEER_IDLE_NS, so that
+ * connections and heartbeats do not grow with the fleet.
  */
 
 #define PEER_PROTOCOL 1
 #define PEER_HEARTBEAT_NS (500 * NS_PER_MS)
 #define PEER_SILENT_NS (2 * NS_PER_S)
+#define PEER_IDLE_NS (2 * NS_PER_S)
 
 enum
 {
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1458,28 +1458,41 @@
   (ProtobufCMessageInit) peer__config_fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__config_reply__field_descriptors[1] =
+static const ProtobufCFieldDescriptor peer__config_reply__field_descriptors[2] =
 {
   {
-    "text",
+    "packed",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__ConfigReply, text),
+    offsetof(Peer__ConfigReply, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ConfigReply, size),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__config_reply__field_indices_by_name[] = {
-  0,   /* field[0] = text */
+  0,   /* field[0] = packed */
+  1,   /* field[1] = size */
 };
 static const ProtobufCIntRange peer__config_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor peer__config_reply__descriptor =
 {
@@ -1489,7 +1502,7 @@
   "Peer__ConfigReply",
   "peer",
   sizeof(Peer__ConfigReply),
-  1,
+  2,
   peer__config_reply__field_descriptors,
   peer__config_reply__field_indices_by_name,
   1,  peer__config_reply__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -129,13 +129,17 @@
 {
   ProtobufCMessage base;
   /*
-   * Empty: nothing newer.
+   * What conftext_delta wrote, compressed; empty: nothing newer.
    */
-  char *text;
+  ProtobufCBinaryData packed;
+  /*
+   * Bytes of the text.
+   */
+  uint32_t size;
 };
 #define PEER__CONFIG_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__config_reply__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , {0,NULL}, 0 }
 
 
 struct  Peer__Ping
--- a/src/roster.c
+++ b/src/roster.c
@@ -1,6 +1,7 @@
 #include "roster.h"
 #include "rendezvous.h"
 
+#include <assert.h>
 #include <glib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -91,6 +92,7 @@
       roster->shards = g_renew (size_t, roster->shards, roster->count);
       return &roster->entries[roster->count - 1];
     }
+  assert (roster->entries != NULL);
   for (size_t i = 0; i < roster->count; i++)
     if (!roster->entries[i].alive)
       {
--- a/test/bench-config.c
+++ b/test/bench-config.c
@@ -1,5 +1,7 @@
 #include "conftext.h"
 #include "merge.h"
+#include "rng.h"
+#include "textzip.h"
 
 #include <malloc.h>
 #include <stdio.h>
@@ -33,7 +35,9 @@
   char *header = sheet_export (empty);
   GString *text = g_string_new (header);
   unsigned rows = 2 * MODELS;
+  struct rng rng;
 
+  rng_init (&rng, 1);
   g_string_truncate (text, text->len - strlen ("end,0\n"));
   for (unsigned i = 0; i < MODELS; i++)
     g_string_append_printf (
@@ -41,7 +45,11 @@
   for (unsigned i = 0; i < organisations; i++)
     {
       g_string_append_printf (text, "organisation,,o%u,,,,,1,10,10\n", i);
-      g_string_append_printf (text, "key,,o%u,k,,,,,,,,,,,,%064x\n", i, i);
+      g_string_append_printf (text, "key,,o%u,k,,,,,,,,,,,,", i);
+      for (unsigned j = 0; j < 4; j++)
+        g_string_append_printf (text, "%016lx",
+                                (unsigned long)rng_next (&rng));
+      g_string_append_c (text, '\n');
       for (unsigned j = 0; j < KINDS; j++)
         g_string_append_printf (
             text, "kind,,o%u,k%u,m%u,,,,,,1,5000,,yes,yes\n", i, j, j);
@@ -90,6 +98,7 @@
     {
       char name[32];
       char *text, *delta;
+      size_t packed;
       struct sheet sheet;
       struct merge merge;
       struct config *next;
@@ -101,7 +110,8 @@
       merge_init (&merge, &sheet, config);
       apply_s += cpu_s () - begin_s;
       delta = conftext_delta (merge.result, config->revision);
-      bytes += strlen (delta);
+      g_free (textzip_pack (delta, &packed));
+      bytes += packed;
       begin_s = cpu_s ();
       if (conftext_load_delta (&next, reader, delta, NULL) != STATUS_OK)
         return;
--- a/test/bench-member.c
+++ b/test/bench-member.c
@@ -20,6 +20,12 @@
 #define STEP_NS (20 * NS_PER_MS)
 #define WATCH_WAIT_S 10.0
 #define LOSS 0.01
+/* bench-config gives 466 bytes, compressed, and 16 ms for a change at 2,400
+ * organisations; a document with more hashes in it is longer. With it go the
+ * frames of the fetch and the heartbeats of its connection until that has been
+ * idle for PEER_IDLE_NS. */
+#define FETCH_BYTES (1024 + 200 + 8 * 40)
+#define ADOPT_NS (20 * NS_PER_MS)
 #define SEED 1
 
 /* The targets for each process. */
@@ -146,6 +152,8 @@
 
   fake_members_init (&net, count, CENTRES, SEED, &member_settings_default);
   net.loss = LOSS;
+  net.fetch_bytes = FETCH_BYTES;
+  net.adopt_ns = ADOPT_NS;
   fake_members_introduce (&net);
   fake_members_run (&net, 2 * NS_PER_S);
   for (size_t i = 0; i < count; i++)
--- a/test/fake-members.c
+++ b/test/fake-members.c
@@ -179,7 +179,9 @@
   item.at_ns = net->now_ns + NS_PER_S;
   if (to != NULL && passes (net, fake, to))
     {
-      item.at_ns = net->now_ns + 4 * delay_ns (net, fake, to);
+      item.at_ns = net->now_ns + 4 * delay_ns (net, fake, to) + net->adopt_ns;
+      fake->bytes += net->fetch_bytes;
+      to->bytes += net->fetch_bytes;
       item.revision = to->revision;
     }
   heap_push (net, item);
--- a/test/fake-members.h
+++ b/test/fake-members.h
@@ -44,6 +44,8 @@
   GArray *heap;    /**< events by time */
   GHashTable *by_address;
   const struct member_settings *settings;
+  uint64_t fetch_bytes; /**< that a fetch costs either side */
+  int64_t adopt_ns;     /**< to put a configuration in force */
   uint64_t order;
 };
 
--- a/test/test-edges.c
+++ b/test/test-edges.c
@@ -379,6 +379,29 @@
   peer_world_finish (&world);
 }
 
+/* A connection that nobody asks on is closed; the next request opens one. */
+static void
+test_peer_idle (void)
+{
+  struct peer_world world;
+
+  peer_world_init (&world);
+  peer_world_ask (&world);
+  peer_world_wait (&world, 100);
+  for (int i = 0; i < 30; i++)
+    {
+      clock_fake_advance (&world.clock, PEER_IDLE_NS / 20);
+      for (int j = 0; j < 15; j++)
+        uv_run (&world.loop, UV_RUN_ONCE);
+    }
+  CU_ASSERT (list_empty (&world.a.links));
+  CU_ASSERT (list_empty (&world.b.links));
+  peer_world_ask (&world);
+  peer_world_wait (&world, 100);
+  CU_ASSERT_EQUAL (world.status, STATUS_OK);
+  peer_world_finish (&world);
+}
+
 static const struct unit_case cases[] = {
   { "frames-in-pieces", test_frames_in_pieces },
   { "frame-too-large", test_frame_too_large },
@@ -388,6 +411,7 @@
   { "http-caller-gone", test_http_caller_gone },
   { "peer-request", test_peer_request },
   { "peer-timeout", test_peer_timeout },
+  { "peer-idle", test_peer_idle },
 };
 
 int
