Probes twice a second; a suspect is not tried first

Cause: with hellos a dead process was out of the address answer after at most 2 s; with a probe a second and 3 s of suspicion it would stay longer. Change: probe every 500 ms, suspect after 450 ms, and the roster counts a suspect as not alive until it refutes. Conclusion: a false suspicion moves shard choice for as long as the refutation takes.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -13,7 +13,8 @@
   entry.incarnation = row->incarnation;
   entry.config_revision = row->revision;
   entry.role = row->role;
-  entry.alive = row->state <= MEMBER_SUSPECT;
+  /* A suspect is not to be tried first. */
+  entry.alive = row->state == MEMBER_ALIVE;
   entry.leaving = row->leaving;
   g_strlcpy (entry.name, row->name, sizeof entry.name);
   g_strlcpy (entry.data_centre, row->data_centre, sizeof entry.data_centre);
@@ -43,8 +44,8 @@
   const struct roster_entry *known = roster_find (gossip->roster, row->id);
 
   if (known != NULL && known->incarnation == row->incarnation
-      && known->alive == (row->state <= MEMBER_SUSPECT)
-      && known->leaving == row->leaving && row->state != MEMBER_SUSPECT)
+      && known->alive == (row->state == MEMBER_ALIVE)
+      && known->leaving == row->leaving && row->state < MEMBER_DEAD)
     return;
   log_event (gossip->log, EVENT_MEMBER_STATE,
              "process=%s state=%s leaving=%d incarnation=%" PRIu64
--- a/src/member.c
+++ b/src/member.c
@@ -16,9 +16,9 @@
 #define STOPPED_NS (2 * NS_PER_S)
 
 const struct member_settings member_settings_default = {
-  .probe_ns = NS_PER_S,
-  .direct_ns = 300 * NS_PER_MS,
-  .answer_ns = 900 * NS_PER_MS,
+  .probe_ns = 500 * NS_PER_MS,
+  .direct_ns = 200 * NS_PER_MS,
+  .answer_ns = 450 * NS_PER_MS,
   .suspect_ns = 3 * NS_PER_S,
   .dead_probe_ns = 5 * NS_PER_S,
   .dead_keep_ns = 3600 * NS_PER_S,
--- a/src/member.h
+++ b/src/member.h
@@ -4,7 +4,7 @@
 #include "memberwire.h"
 
 /** @file
- * Membership by gossip: each process probes one other a second, asks others
+ * Membership by gossip: each process probes one other at a time, asks others
  * to probe it if it does not answer, suspects it, and holds it for dead when
  * it does not refute that in time. Changes ride on the probes. Pages of the
  * whole state are pulled from a peer now and then; the dead are probed rarely
