A process replaced at its address is reported as left

Cause: test/check-member.sh old-name-dead failed: when another name came up at the address of a dead process, the table knew the old one as left but nobody was told, so the roster kept it alive. Change: the merge names the replaced entry, which is reported and spread; the fake fleet now compares every reported state with the table. Conclusion: reports and table agree after each fault of test-member.

--- a/src/member.c
+++ b/src/member.c
@@ -191,6 +191,11 @@
   if (status != STATUS_OK)
     return status;
   member->ops->changed (member->data, &entry->row);
+  if (member->table.replaced != NULL)
+    {
+      enqueue (member, member->table.replaced);
+      member->ops->changed (member->data, &member->table.replaced->row);
+    }
   if (before.incarnation == entry->row.incarnation
       && before.version == entry->row.version
       && before.state == entry->row.state)
--- a/src/membertable.c
+++ b/src/membertable.c
@@ -126,6 +126,7 @@
       g_hash_table_remove (table->by_address, other->row.peer_address);
       other->row.state = MEMBER_LEFT;
       file_entry (table, other, now_ns);
+      table->replaced = other;
     }
   g_hash_table_insert (table->by_address, entry->row.peer_address, entry);
 }
@@ -184,6 +185,7 @@
   int order;
 
   *changed = entry;
+  table->replaced = NULL;
   if (entry == NULL && row->state > MEMBER_SUSPECT)
     return STATUS_STALE;
   if (entry == NULL || row->incarnation > entry->row.incarnation)
--- a/src/membertable.h
+++ b/src/membertable.h
@@ -81,6 +81,7 @@
   struct list suspects; /**< longest first */
   struct list dead;     /**< next to probe first */
   size_t live_count;
+  struct member_entry *replaced; /**< by the last merge, at its address */
 };
 
 void membertable_init (struct membertable *table, uint64_t self);
--- a/test/fake-members.c
+++ b/test/fake-members.c
@@ -136,6 +136,9 @@
   struct fake_member *fake = data;
 
   fake->deaths += row->state == MEMBER_DEAD;
+  if (fake->net->keep_told)
+    g_hash_table_replace (fake->told, g_memdup2 (&row->id, sizeof row->id),
+                          GSIZE_TO_POINTER (row->state));
   if (row->state <= MEMBER_SUSPECT)
     confspread_heard (&fake->spread, row->peer_address, row->revision);
 }
@@ -226,6 +229,8 @@
   member_init (&fake->member, net->settings, &row, &fake->clock.clock,
                &fake->rng, &member_ops, fake);
   member_seed (&fake->member, seeds, 3);
+  fake->told
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   confspread_init (&fake->spread, &spread_settings, &fake->clock.clock,
                    &fake->rng, &spread_ops, fake);
   fake->wake_ns = 0;
@@ -237,6 +242,7 @@
 fake_members_kill (struct fake_members *net, size_t index)
 {
   net->members[index].running = false;
+  g_hash_table_unref (net->members[index].told);
   member_finish (&net->members[index].member);
 }
 
@@ -361,6 +367,23 @@
   plan_wake (fake);
 }
 
+static size_t
+untold (const struct fake_member *fake)
+{
+  const GPtrArray *entries = fake->member.table.entries;
+  size_t count = 0;
+
+  for (guint i = 0; fake->net->keep_told && i < entries->len; i++)
+    {
+      const struct member_row *row
+          = &((struct member_entry *)entries->pdata[i])->row;
+
+      count += GPOINTER_TO_SIZE (g_hash_table_lookup (fake->told, &row->id))
+               != row->state;
+    }
+  return count;
+}
+
 size_t
 fake_members_wrong (const struct fake_members *net)
 {
@@ -387,6 +410,7 @@
           else
             right++;
         }
+      wrong += untold (&net->members[i]);
       wrong += table->live_count > right ? table->live_count - right : 0;
     }
   return wrong;
--- a/test/fake-members.h
+++ b/test/fake-members.h
@@ -28,7 +28,8 @@
   uint64_t bytes; /**< in and out */
   uint64_t messages;
   unsigned signs;
-  unsigned deaths; /**< of others, that it saw */
+  unsigned deaths;  /**< of others, that it saw */
+  GHashTable *told; /**< id to state, as reported */
 };
 
 struct fake_members
@@ -44,6 +45,7 @@
   GArray *heap;    /**< events by time */
   GHashTable *by_address;
   const struct member_settings *settings;
+  bool keep_told;       /**< and compare with the tables */
   uint64_t fetch_bytes; /**< that a fetch costs either side */
   int64_t adopt_ns;     /**< to put a configuration in force */
   uint64_t order;
@@ -69,7 +71,7 @@
                              uint64_t revision);
 
 /** How many pairs of running processes do not see each other alive, or see
- * one alive that does not run. */
+ * one alive that does not run; and states that were not reported. */
 size_t fake_members_wrong (const struct fake_members *net);
 
 size_t fake_members_with_revision (const struct fake_members *net,
--- a/test/test-member.c
+++ b/test/test-member.c
@@ -16,6 +16,7 @@
 {
   fake_members_init (net, FLEET, CENTRES, seed, settings);
   net->loss = 0.01;
+  net->keep_told = true;
   fake_members_run (net, SETTLE_NS);
 }
 
