--- a/test/test-owner.c
+++ b/test/test-owner.c
@@ -358,14 +358,14 @@
 static void
 test_twins_apart (void)
 {
-  uint64_t nodes[5] = { 11, 22, 33, 44, 55 };
+  uint64_t many[5] = { 11, 22, 33, 44, 55 };
 
   for (size_t count = 2; count <= 5; count++)
     for (unsigned even = 0; even < 64; even += 2)
-      CU_ASSERT_NOT_EQUAL (owner_pick (nodes, count, even),
-                           owner_pick (nodes, count, even + 1));
-  CU_ASSERT_EQUAL (owner_pick (nodes, 1, 3), 0);
-  CU_ASSERT_EQUAL (owner_pick (nodes, 0, 3), -1);
+      CU_ASSERT_NOT_EQUAL (owner_pick (many, count, even),
+                           owner_pick (many, count, even + 1));
+  CU_ASSERT_EQUAL (owner_pick (many, 1, 3), 0);
+  CU_ASSERT_EQUAL (owner_pick (many, 0, 3), -1);
 }
 
 static const struct unit_case cases[] = {
