--- a/src/oncehost.c
+++ b/src/oncehost.c
@@ -5,7 +5,7 @@
 
 #define FLUSH_NS (50 * NS_PER_MS)
 #define FINISH_DELAY_NS (500 * NS_PER_MS)
-#define RETENTION_NS (24 * 3600 * NS_PER_S)
+#define RETENTION_NS (INT64_C (24) * 3600 * NS_PER_S)
 #define RUN_MAX_NS (3600 * NS_PER_S)
 #define WINDOW_NS (30 * NS_PER_S)
 #define OWNER_POLL_NS (5 * NS_PER_S)
