--- a/src/order.c
+++ b/src/order.c
@@ -133,8 +133,8 @@
   int64_t now = clock_now (order->clock);
 
   if (pending->kind == KIND_LOAD
-      && !permit_held (&engine->permit, order->settings.flight_ns
-                                            + order->settings.load_ns))
+      && !permit_held (&engine->permit,
+                       order->settings.flight_ns + order->settings.load_ns))
     {
       wait_for (order, engine, "lease");
       return;
@@ -163,11 +163,10 @@
   struct pending *pending = &engine->pending;
   size_t length;
 
-  g_snprintf (pending->id, sizeof pending->id,
-              "%s/%s/%s/%s/%s%s/%" G_GUINT64_FORMAT, engine->name,
-              kind_names[pending->kind], pending->item.model,
-              pending->item.version, pending->item.adapter, pending->role,
-              revision);
+  g_snprintf (
+      pending->id, sizeof pending->id, "%s/%s/%s/%s/%s%s/%" G_GUINT64_FORMAT,
+      engine->name, kind_names[pending->kind], pending->item.model,
+      pending->item.version, pending->item.adapter, pending->role, revision);
   length = strlen (pending->id);
   if (engine->attempts > 0)
     g_snprintf (pending->id + length, sizeof pending->id - length,
@@ -247,8 +246,7 @@
 want_load (struct order *order, struct engine *engine,
            const struct orderplan *plan)
 {
-  const struct orderplan_item *item
-      = orderplan_missing (plan, engine->loaded);
+  const struct orderplan_item *item = orderplan_missing (plan, engine->loaded);
 
   if (item == NULL)
     {
--- a/test/fake-orders.c
+++ b/test/fake-orders.c
@@ -191,6 +191,13 @@
       owner_live (&fake->issuers[i].owner, live, count);
 }
 
+static void
+issuer_configure (struct fake_orders *fake, struct fake_issuer *issuer)
+{
+  issuer->revision = fake->config->revision;
+  order_configure (&issuer->order, fake->config);
+}
+
 /* Orders go first: a process that was paused must find out by itself. */
 static void
 issuer_step (struct fake_orders *fake, struct fake_issuer *issuer)
@@ -207,6 +214,8 @@
   order_tick (&issuer->order);
   issuer->owner.lease_until = until;
   owner_tick (&issuer->owner);
+  if (issuer->revision != fake->config->revision)
+    issuer_configure (fake, issuer);
 }
 
 void
@@ -224,7 +233,7 @@
   order_init (&issuer->order, &order_settings, &issuer->owner,
               &issuer->client.kv, &fake->clock.clock, &fake->rng, &order_ops,
               issuer);
-  order_configure (&issuer->order, fake->config);
+  issuer_configure (fake, issuer);
   for (int i = 0; i < FAKE_ENGINES; i++)
     {
       struct order_engine engine
@@ -264,9 +273,6 @@
     return;
   config_unref (fake->config);
   fake->config = config;
-  for (int i = 0; i < FAKE_ISSUERS; i++)
-    if (fake->issuers[i].alive)
-      order_configure (&fake->issuers[i].order, config);
 }
 
 void
--- a/test/fake-orders.h
+++ b/test/fake-orders.h
@@ -34,6 +34,7 @@
   struct order order;
   unsigned index;
   uint64_t node;
+  uint64_t revision; /**< of the configuration that it has */
   bool alive;
   bool paused;
 };
@@ -80,14 +81,14 @@
   struct fake_kv kv;
   struct rng rng;
   enum fake_mutant mutant;
-  double lost;        /**< share of answers */
-  int64_t flight_ns;  /**< of an order; 0: random */
+  double lost;       /**< share of answers */
+  int64_t flight_ns; /**< of an order; 0: random */
   struct fake_issuer issuers[FAKE_ISSUERS];
   struct fake_engine engines[FAKE_ENGINES];
   struct fake_message messages[FAKE_MESSAGES];
   struct config *config;
-  unsigned current;  /**< version */
-  unsigned newest;   /**< version declared */
+  unsigned current; /**< version */
+  unsigned newest;  /**< version declared */
   uint64_t last_node;
   unsigned max_loads;    /**< most at a time */
   unsigned old_orders;   /**< taken after one with a higher number */
@@ -102,7 +103,7 @@
 void fake_orders_start (struct fake_orders *fake, unsigned issuer);
 void fake_orders_kill (struct fake_orders *fake, unsigned issuer);
 
-/** Put a change in force in all processes. */
+/** Put a change in force in all processes that are not paused. */
 void fake_orders_change (struct fake_orders *fake, const char *text);
 /** Make the declared version VERSION the one that new requests use. */
 void fake_orders_use (struct fake_orders *fake, unsigned version);
--- a/test/test-order.c
+++ b/test/test-order.c
@@ -41,6 +41,17 @@
   fake_orders_finish (&fake);
 }
 
+static void
+mutate (enum fake_mutant mutant)
+{
+  fake.mutant = mutant;
+  for (unsigned i = 0; mutant != FAKE_MUTANT_NONE && i < FAKE_ISSUERS; i++)
+    {
+      fake_orders_kill (&fake, i);
+      fake_orders_start (&fake, i);
+    }
+}
+
 static unsigned
 loads (void)
 {
@@ -169,6 +180,50 @@
   finish ();
 }
 
+static const struct fake_message *
+message_to_ignoring (void)
+{
+  for (int i = 0; i < FAKE_MESSAGES; i++)
+    if (fake.messages[i].due_ns != 0 && fake.messages[i].engine % 2 == 1)
+      return &fake.messages[i];
+  return NULL;
+}
+
+/* An issuer ends while its order to an engine that takes any is on its way;
+ * the next one's orders are fast. */
+static void
+handover_run (enum fake_mutant mutant)
+{
+  const struct fake_message *message = NULL;
+  unsigned issuer;
+
+  fake_orders_init (&fake, 8);
+  mutate (mutant);
+  fake_orders_run (&fake, 10 * NS_PER_S);
+  declare (2);
+  fake_orders_use (&fake, 2);
+  fake.flight_ns = 490 * NS_PER_MS;
+  while (message == NULL)
+    {
+      fake_orders_step (&fake);
+      message = message_to_ignoring ();
+    }
+  issuer = message->issuer;
+  fake.flight_ns = 10 * NS_PER_MS;
+  owner_stop (&fake.issuers[issuer].owner);
+  fake_orders_run (&fake, 30 * NS_PER_MS);
+  fake_orders_kill (&fake, issuer);
+  fake_orders_run (&fake, 30 * NS_PER_S);
+  CU_ASSERT_EQUAL (fake_orders_having (&fake, 2), FAKE_ENGINES);
+}
+
+static void
+test_handover (void)
+{
+  handover_run (FAKE_MUTANT_NONE);
+  finish ();
+}
+
 /* Nothing moves while the KV service is out, and nothing breaks. */
 static void
 test_kv_outage (void)
@@ -229,12 +284,7 @@
 random_run (uint64_t seed, enum fake_mutant mutant, unsigned steps)
 {
   fake_orders_init (&fake, seed);
-  fake.mutant = mutant;
-  for (unsigned i = 0; mutant != FAKE_MUTANT_NONE && i < FAKE_ISSUERS; i++)
-    {
-      fake_orders_kill (&fake, i);
-      fake_orders_start (&fake, i);
-    }
+  mutate (mutant);
   fake.lost = 0.2;
   fake.kv.faults.lost_after = 0.02;
   fake.kv.faults.lost_before = 0.02;
@@ -286,7 +336,9 @@
 static void
 test_mutants (void)
 {
-  CU_ASSERT (caught (FAKE_MUTANT_NO_WAIT) > 0);
+  handover_run (FAKE_MUTANT_NO_WAIT);
+  CU_ASSERT (fake.old_orders > 0);
+  fake_orders_finish (&fake);
   CU_ASSERT (caught (FAKE_MUTANT_NO_HOLD) > 0);
   CU_ASSERT (caught (FAKE_MUTANT_NO_PERMIT) > 0);
 }
@@ -298,6 +350,7 @@
   { "load_without_effect", test_bad_load },
   { "operator_race", test_operator_race },
   { "paused_issuer", test_paused },
+  { "handover", test_handover },
   { "kv_outage", test_kv_outage },
   { "random", test_random },
   { "mutants", test_mutants },
