--- a/src/event.c
+++ b/src/event.c
@@ -70,6 +70,17 @@
   /* Orders to engines: 800 */
   { EVENT_ORDER_SENT, EVENT_INFO, "order_sent",
     "An order went to an engine with this fencing number." },
+  { EVENT_ORDER_DONE, EVENT_INFO, "order_done",
+    "A report of the engine shows the effect of the order." },
+  { EVENT_ORDER_REFUSED, EVENT_WARN, "order_refused",
+    "The engine has seen a higher fencing number; another process issues its "
+    "orders now. If it goes on, look for a second fleet." },
+  { EVENT_ORDER_WAITING, EVENT_INFO, "order_waiting",
+    "Something is to be done at the engine but not yet; the reason is "
+    "given." },
+  { EVENT_ORDER_GIVEN_UP, EVENT_WARN, "order_given_up",
+    "An order showed no effect in time and is tried anew later; look at the "
+    "engine and the weight store." },
 };
 
 enum
--- a/src/event.h
+++ b/src/event.h
@@ -57,6 +57,10 @@
 
   /* Orders to engines: 800 */
   EVENT_ORDER_SENT = 800,
+  EVENT_ORDER_DONE = 801,
+  EVENT_ORDER_REFUSED = 802,
+  EVENT_ORDER_WAITING = 803,
+  EVENT_ORDER_GIVEN_UP = 804,
 };
 
 struct event_info
--- a/src/oncehost.c
+++ b/src/oncehost.c
@@ -232,7 +232,7 @@
 void
 oncehost_tick (struct oncehost *host)
 {
-  if (host->process->stage != PROCESS_SERVING && !host->stopping
+  if (host->process->stage != PROCESS_SERVING && !host->stopping && !host->keep
       && once_idle (&host->once))
     {
       host->stopping = true;
--- a/src/oncehost.h
+++ b/src/oncehost.h
@@ -23,6 +23,7 @@
   struct process *process;
   struct suspect_shard *suspects;
   void *asks; /**< hash table: who waits for what answer */
+  bool keep;  /**< The lease is still needed: do not stop. */
   bool stopping;
   int64_t started_ns;
 };
--- a/src/order.c
+++ b/src/order.c
@@ -238,7 +238,7 @@
     pending_give_up (order, engine);
   else if (!pending->open && !pending->accepted && !pending->refused
            && now >= pending->due_ns && engine->fencing != 0
-           && now >= engine->from_ns)
+           && !order->stopping && now >= engine->from_ns)
     pending_send (order, engine);
 }
 
@@ -293,7 +293,7 @@
   const struct orderplan *plan
       = g_hash_table_lookup (order->plans, engine->service);
 
-  if (plan == NULL || engine->leaving)
+  if (plan == NULL || engine->leaving || order->stopping)
     return;
   if (want_load (order, engine, plan) || want_unload (order, engine, plan))
     return;
@@ -504,6 +504,31 @@
     pending_give_up (order, engine);
 }
 
+void
+order_stop (struct order *order)
+{
+  order->stopping = true;
+}
+
+bool
+order_idle (const struct order *order)
+{
+  int64_t span = order->settings.flight_ns + order->settings.load_ns;
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, order->engines);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct pending *pending = &((struct engine *)value)->pending;
+
+      if (pending->kind == KIND_LOAD
+          && clock_now (order->clock) - pending->sent_ns < span)
+        return false;
+    }
+  return true;
+}
+
 void
 order_tick (struct order *order)
 {
--- a/src/order.h
+++ b/src/order.h
@@ -75,6 +75,7 @@
   struct rng *rng;
   GHashTable *engines; /* name to struct engine */
   GHashTable *plans;   /* service to struct orderplan */
+  bool stopping;
   uint64_t last_number;
   uint64_t notes[ORDER_NOTE_COUNT]; /**< how often each was made */
   uint64_t kv_calls;                /**< of permits */
@@ -106,6 +107,12 @@
 void order_replied (struct order *order, const char *name, uint64_t number,
                     enum status status);
 
+/** Send nothing more. */
+void order_stop (struct order *order);
+/** Whether no load that we sent can still run: only then may the lease be
+ * given back, and the permits with it. */
+bool order_idle (const struct order *order);
+
 void order_tick (struct order *order);
 int64_t order_next (const struct order *order);
 
--- a/src/shard.c
+++ b/src/shard.c
@@ -275,6 +275,9 @@
 static void
 on_loaded (void *data, const char *name, const struct engine_load *load)
 {
+  struct shard *shard = data;
+
+  orderer_loaded (&shard->orderer, name, load);
 }
 
 static const struct enginewatch_ops engine_ops
@@ -337,6 +340,8 @@
   storewatch_tick (&shard->stores);
   blockindex_tick (&shard->index);
   exporter_tick (&shard->exporter);
+  orderer_tick (&shard->orderer);
+  shard->once.keep = !orderer_idle (&shard->orderer);
   oncehost_tick (&shard->once);
   suspect_shard_tick (&shard->suspects);
 }
@@ -353,6 +358,9 @@
 static void
 configured (void *data)
 {
+  struct shard *shard = data;
+
+  orderer_configure (&shard->orderer);
 }
 
 static size_t
@@ -459,6 +467,7 @@
                  &shard->stores);
   init_suspects (shard);
   oncehost_init (&shard->once, process, &shard->suspects);
+  orderer_init (&shard->orderer, process, &shard->once.owner);
   return STATUS_OK;
 }
 
@@ -472,6 +481,7 @@
 shard_finish (struct shard *shard)
 {
   process_finish (&shard->process);
+  orderer_finish (&shard->orderer);
   oncehost_finish (&shard->once);
   suspect_shard_finish (&shard->suspects);
   exporter_finish (&shard->exporter);
--- a/src/shard.h
+++ b/src/shard.h
@@ -5,6 +5,7 @@
 #include "enginewatch.h"
 #include "exporter.h"
 #include "oncehost.h"
+#include "orderer.h"
 #include "process.h"
 #include "storewatch.h"
 
@@ -22,6 +23,7 @@
   struct storewatch stores;
   struct exporter exporter;
   struct oncehost once;
+  struct orderer orderer;
   struct suspect_shard suspects;
   uint64_t roster_change; /**< of the roster when it was last looked at */
 };
