Orders: a version declared after the model's last change is loaded beforehand

Cause: gateways use a model's version as soon as it is declared current; until an engine has it, new requests have no engine. With this, operators can declare the version, wait, and then change the model without a gap.

--- a/src/orderplan.c
+++ b/src/orderplan.c
@@ -51,6 +51,7 @@
   struct orderplan_item item = item_make (row->model, row->version, "");
 
   item.current = strcmp (row->version, model->version) == 0;
+  item.upcoming = !item.current && row->revision > model->revision;
   item.revision = MAX (row->revision, model->revision);
   item_add (items, &item);
 }
@@ -76,8 +77,10 @@
 {
   const struct orderplan_item *x = a;
   const struct orderplan_item *y = b;
-  int order = (x->adapter[0] != '\0') - (y->adapter[0] != '\0');
+  int order = y->current - x->current;
 
+  if (order == 0)
+    order = (x->adapter[0] != '\0') - (y->adapter[0] != '\0');
   if (order == 0)
     order = strcmp (x->model, y->model);
   if (order == 0)
@@ -177,9 +180,12 @@
 orderplan_missing (const struct orderplan *plan, const GArray *reported)
 {
   for (size_t i = 0; i < plan->items->len; i++)
-    if (item_at (plan->items, i)->current
-        && !orderplan_has (reported, item_at (plan->items, i)))
-      return item_at (plan->items, i);
+    {
+      const struct orderplan_item *item = item_at (plan->items, i);
+
+      if ((item->current || item->upcoming) && !orderplan_has (reported, item))
+        return item;
+    }
   return NULL;
 }
 
--- a/src/orderplan.h
+++ b/src/orderplan.h
@@ -8,8 +8,10 @@
  * What the engines of a service ought to have loaded, compared with what one
  * of them reports.
  *
- * The current version of each model, with its adapters, is to be loaded.
- * Other declared versions may stay; what is no longer declared is to go.
+ * The current version of each model, with its adapters, is to be loaded, and
+ * then each version that was declared after the model was last changed: it is
+ * about to be used, and new requests can change to it without a wait. Other
+ * declared versions may stay; what is no longer declared is to go.
  */
 
 /** Weights of one version, or an adapter of it. */
@@ -20,12 +22,13 @@
   char adapter[DECLARATION_NAME_MAX]; /**< "" for none */
   uint64_t revision; /**< of the declarations that it follows from */
   bool current;      /**< New requests use it. */
+  bool upcoming;     /**< They are about to. */
 };
 
 struct orderplan
 {
   uint64_t revision; /**< of the configuration */
-  GArray *items;     /**< versions first, then adapters */
+  GArray *items;     /**< current ones first; versions before adapters */
 };
 
 void orderplan_init (struct orderplan *plan);
@@ -42,7 +45,7 @@
 /** Whether ITEMS holds the weights of ITEM. */
 bool orderplan_has (const GArray *items, const struct orderplan_item *item);
 
-/** The first current item that REPORTED lacks, or NULL. */
+/** The first item to be loaded that REPORTED lacks, or NULL. */
 const struct orderplan_item *orderplan_missing (const struct orderplan *plan,
                                                 const GArray *reported);
 
--- a/test/test-order.c
+++ b/test/test-order.c
@@ -78,6 +78,23 @@
   finish ();
 }
 
+/* A version that is declared but not yet used is loaded beforehand, one of
+ * earlier times is not loaded again. */
+static void
+test_upcoming (void)
+{
+  fake_orders_init (&fake, 9);
+  declare (2);
+  fake_orders_run (&fake, 20 * NS_PER_S);
+  CU_ASSERT_EQUAL (fake_orders_having (&fake, 2), FAKE_ENGINES);
+  fake_orders_use (&fake, 2);
+  fake.engines[4].loaded[1] = false;
+  fake_orders_run (&fake, 20 * NS_PER_S);
+  CU_ASSERT_EQUAL (fake_orders_having (&fake, 1), FAKE_ENGINES - 1);
+  CU_ASSERT_EQUAL (loads (), FAKE_ENGINES);
+  finish ();
+}
+
 /* An old version stays while a stream needs it. */
 static void
 test_streams (void)
@@ -345,6 +362,7 @@
 
 static const struct unit_case cases[] = {
   { "weight_swap", test_swap },
+  { "upcoming_version", test_upcoming },
   { "streams_keep_their_version", test_streams },
   { "reply_lost", test_reply_lost },
   { "load_without_effect", test_bad_load },
