--- a/src/event.c
+++ b/src/event.c
@@ -110,3 +110,15 @@
 {
   return level_names[level];
 }
+
+void
+event_print_help (FILE *out)
+{
+  fputs ("| number | level | name | meaning |\n"
+         "| --- | --- | --- | --- |\n",
+         out);
+  for (unsigned i = 0; i < EVENT_TABLE_SIZE; i++)
+    fprintf (out, "| %d | %s | `%s` | %s |\n", (int)event_table[i].number,
+             event_level_name (event_table[i].level), event_table[i].name,
+             event_table[i].meaning);
+}
--- a/src/event.h
+++ b/src/event.h
@@ -1,6 +1,8 @@
 #ifndef EVENT_H
 #define EVENT_H
 
+#include <stdio.h>
+
 /** @file
  * The numbered log events. The table in event.c holds the text of each;
  * docs/EVENTS.md is checked against it. Each module has a block of a hundred
@@ -77,4 +79,7 @@
 
 const char *event_level_name (enum event_level level);
 
+/** Write the table of events in Markdown. */
+void event_print_help (FILE *out);
+
 #endif
--- a/src/main-trefoilspard.c
+++ b/src/main-trefoilspard.c
@@ -1,3 +1,4 @@
+#include "event.h"
 #include "gateway.h"
 #include "settings.h"
 #include "shard.h"
@@ -14,6 +15,7 @@
 static char *config_path;
 static gboolean check_config;
 static gboolean help_settings;
+static gboolean help_events;
 
 static const GOptionEntry options[] = {
   { "config", 'c', 0, G_OPTION_ARG_FILENAME, &config_path,
@@ -22,6 +24,8 @@
     "Check the settings and exit", NULL },
   { "help-settings", 0, 0, G_OPTION_ARG_NONE, &help_settings,
     "Print the table of settings and exit", NULL },
+  { "help-events", 0, 0, G_OPTION_ARG_NONE, &help_events,
+    "Print the table of log events and exit", NULL },
   { 0 },
 };
 
@@ -42,7 +46,7 @@
       g_error_free (error);
       return EXIT_USAGE;
     }
-  if (config_path == NULL && !help_settings)
+  if (config_path == NULL && !help_settings && !help_events)
     {
       fputs ("trefoilspard: --config FILE is needed\n", stderr);
       return EXIT_USAGE;
@@ -97,6 +101,11 @@
       settings_print_help (stdout);
       return EXIT_SUCCESS;
     }
+  if (help_events)
+    {
+      event_print_help (stdout);
+      return EXIT_SUCCESS;
+    }
   if (settings_check_file (config_path, &settings, &error) != STATUS_OK)
     return fail (&error);
   if (check_config)
