--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build check demo bench format format-check lint generate \
+SECONDS ?= 60
+
+.PHONY: all deps build check check-sanitized demo fuzz bench format format-check lint generate \
 	generate-check clean
 
 all: build
@@ -16,6 +18,18 @@
 check: build
 	sh test/run.sh $(BUILD)
 
+# Also the test programs under sanitizers, in one count.
+check-sanitized: build
+	$(MAKE) --no-print-directory build BUILD=build-san \
+	  CMAKE_FLAGS=-DTREFOILSPAR_SANITIZE=ON
+	sh test/run.sh $(BUILD) build-san
+
+fuzz: deps
+	cmake -S . -B build-fuzz -DCMAKE_C_COMPILER=clang \
+	  -DTREFOILSPAR_FUZZ=ON >/dev/null
+	cmake --build build-fuzz -j $(JOBS) --target fuzz-targets
+	bash test/fuzz.sh build-fuzz --seconds $(SECONDS)
+
 demo: build
 	bash test/demo.sh $(BUILD)
 
--- /dev/null
+++ b/test/replay.c
@@ -0,0 +1,38 @@
+#include "fuzz.h"
+
+#include <glib.h>
+#include <stdio.h>
+
+/* Run a fuzz target on every file of a folder: fuzz-NAME FOLDER. */
+int
+main (int argc, char **argv)
+{
+  GDir *folder = argc == 2 ? g_dir_open (argv[1], 0, NULL) : NULL;
+  const char *name;
+  unsigned count = 0;
+
+  if (folder == NULL)
+    {
+      fprintf (stderr, "usage: %s FOLDER\n", argv[0]);
+      return 2;
+    }
+  while ((name = g_dir_read_name (folder)) != NULL)
+    {
+      char *path = g_build_filename (argv[1], name, NULL);
+      char *text;
+      gsize size;
+
+      if (g_file_get_contents (path, &text, &size, NULL))
+        {
+          printf ("# %s\n", name);
+          fflush (stdout);
+          LLVMFuzzerTestOneInput ((const uint8_t *)text, size);
+          g_free (text);
+          count++;
+        }
+      g_free (path);
+    }
+  g_dir_close (folder);
+  printf ("# %u files\n", count);
+  return count > 0 ? 0 : 1;
+}
--- a/test/test-edges.c
+++ b/test/test-edges.c
@@ -59,6 +59,8 @@
   frame_reader_finish (&reader);
 }
 
+/* Static in each test: what the libraries keep at the loop and the server
+ * until the process ends stays reachable for the leak check. */
 struct http_world
 {
   uv_loop_t loop;
@@ -86,12 +88,13 @@
   const char *path = httpserver_request_path (request);
   size_t size;
   const char *body = httpserver_request_body (request, &size);
+  static const char no_items[] = "{\"revision\":5,\"items\":[]}";
 
   if (strcmp (path, "/echo") == 0)
     httpserver_respond (request, 200, "text/plain", NULL, 0, body, size);
   else if (strncmp (path, "/v1/kv/", 7) == 0)
-    httpserver_respond (request, 200, "application/json", NULL, 0,
-                        "{\"revision\":5,\"items\":[]}", 27);
+    httpserver_respond (request, 200, "application/json", NULL, 0, no_items,
+                        strlen (no_items));
   else if (strcmp (path, "/wait") == 0)
     httpserver_request_on_gone (request, serve_gone, data);
   else
@@ -187,7 +190,7 @@
 static void
 test_http_round_trip (void)
 {
-  struct http_world world;
+  static struct http_world world;
 
   world_init (&world);
   for (int i = 0; i < 10; i++)
@@ -208,7 +211,7 @@
 static void
 test_http_broken_stream (void)
 {
-  struct http_world world;
+  static struct http_world world;
 
   world_init (&world);
   world_call (&world, "/broken", false);
@@ -221,7 +224,7 @@
 static void
 test_http_refused_connection (void)
 {
-  struct http_world world;
+  static struct http_world world;
 
   world_init (&world);
   strcpy (world.address, "127.0.0.1:1");
@@ -239,7 +242,7 @@
 static void
 test_http_caller_gone (void)
 {
-  struct http_world world;
+  static struct http_world world;
 
   world_init (&world);
   world_call (&world, "/wait", true);
@@ -266,7 +269,7 @@
 static void
 test_kv_no_such_key (void)
 {
-  struct http_world world;
+  static struct http_world world;
   struct httpjson json;
   struct kvhttp kvhttp;
   const char *addresses[1];
