--- a/src/backends.c
+++ b/src/backends.c
@@ -236,6 +236,8 @@
              usable ? "yes" : "no", health_sign_name (sign));
   if (backend != NULL)
     apply_usable (backends, backend);
+  if (!usable && sign != HEALTH_HEARSAY)
+    member_sign (&backends->process->gossip.member, name);
 }
 
 static const struct health_ops health_ops = { send_probe, health_changed };
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -148,6 +148,17 @@
   guard_tick (gateway);
 }
 
+static void
+sign_heard (void *data, const char *server, const char *seen_by)
+{
+  struct gateway *gateway = data;
+  const struct backend *backend
+      = backends_find (&gateway->backends, roster_id (server));
+
+  if (backend != NULL)
+    backends_sign (&gateway->backends, backend, HEALTH_HEARSAY);
+}
+
 static int64_t
 live_gateways (const struct roster *roster)
 {
@@ -274,6 +285,7 @@
                          error);
   if (status != STATUS_OK)
     return status;
+  gateway->process.sign_heard = sign_heard;
   backends_init (&gateway->backends, &gateway->process);
   init_place (gateway);
   init_retry (gateway);
