Membership split: news and answers in files of their own

Change: what is heard and passed on stands in membernews, the answers to datagrams in memberanswer; nothing else.

--- a/src/member.c
+++ b/src/member.c
@@ -1,4 +1,6 @@
 #include "member.h"
+#include "memberanswer.h"
+#include "membernews.h"
 #include "membersign.h"
 #include "rendezvous.h"
 
@@ -7,7 +9,6 @@
 
 enum
 {
-  SENDS_FACTOR = 3,   /* of a row, for each factor 2 of the fleet */
   SPREAD_BYTES = 400, /* of an urgent datagram */
   SUSPECTS_TRIED = 8  /* how many of the oldest suspects are probed in turn */
 };
@@ -29,333 +30,6 @@
   .far_share = 4,
 };
 
-static unsigned
-log_of (size_t count, size_t base)
-{
-  unsigned power = 1;
-
-  while (count >= base)
-    {
-      count /= base;
-      power++;
-    }
-  return power;
-}
-
-static uint8_t
-sends_of (const struct member *member)
-{
-  return (uint8_t)(SENDS_FACTOR * log_of (member->table.live_count + 1, 2));
-}
-
-static int64_t
-suspect_span (const struct member *member)
-{
-  return member->settings->suspect_ns
-         * log_of (member->table.live_count + 1, 10);
-}
-
-static void
-send_wire (struct member *member, struct memberwire *wire, const char *address)
-{
-  uint8_t bytes[MEMBER_DATAGRAM_MAX];
-  size_t size = memberwire_pack (wire, bytes);
-
-  assert (size > 0);
-  member->ops->send (member->data, address, bytes, size);
-}
-
-/* Fill WIRE with what is to be spread, the newest first. */
-static void
-add_news (struct member *member, struct memberwire *wire, size_t limit)
-{
-  struct list sent;
-
-  membersign_fill (member, wire, limit);
-  list_init (&sent);
-  while (!list_empty (&member->queue))
-    {
-      struct member_entry *entry
-          = LIST_ENTRY (member->queue.next, struct member_entry, queued);
-
-      if (!memberwire_add_row (wire, &entry->row,
-                               entry->row.state == MEMBER_ALIVE, limit))
-        break;
-      list_remove (&entry->queued);
-      if (--entry->sends_left > 0)
-        list_append (&sent, &entry->queued);
-    }
-  while (!list_empty (&sent))
-    list_append (&member->queue, list_pop (&sent));
-}
-
-static void
-send_probe (struct member *member, const char *address,
-            const struct member_entry *target, uint64_t sequence)
-{
-  struct memberwire wire;
-
-  memberwire_init (&wire, MEMBER__KIND__PROBE, &member->self);
-  wire.datagram.sequence = sequence;
-  /* One that is held for dead must hear that, to refute it. */
-  if (target != NULL)
-    {
-      wire.datagram.target = target->row.id;
-      if (target->row.state != MEMBER_ALIVE)
-        memberwire_add_row (&wire, &target->row, false, MEMBER_DATAGRAM_MAX);
-    }
-  add_news (member, &wire, MEMBER_DATAGRAM_MAX);
-  send_wire (member, &wire, address);
-}
-
-static struct member_entry *
-pick_peer (struct member *member)
-{
-  const char *centre = member->self.data_centre;
-  bool near = rng_below (member->rng, member->settings->far_share) != 0;
-  struct member_entry *entry
-      = membertable_pick (&member->table, member->rng, centre, near);
-
-  if (entry == NULL)
-    entry = membertable_pick (&member->table, member->rng, centre, !near);
-  return entry;
-}
-
-static void
-set_urgent (struct member *member)
-{
-  int64_t soon_ns
-      = clock_now (member->clock)
-        + (int64_t)rng_below (member->rng,
-                              (uint64_t)member->settings->spread_ns / 10 + 1);
-
-  if (member->urgent == 0 && member->next_spread_ns < soon_ns)
-    member->next_spread_ns = soon_ns;
-  member->urgent = MEMBER_ROUNDS;
-}
-
-static void
-enqueue (struct member *member, struct member_entry *entry)
-{
-  list_remove (&entry->queued);
-  entry->sends_left = sends_of (member);
-  list_prepend (&member->queue, &entry->queued);
-}
-
-/* Someone holds this process for what it is not: the next version says. */
-static void
-refute (struct member *member, const struct member_row *row)
-{
-  if (row->incarnation != member->self.incarnation
-      || row->version < member->self.version
-      || (row->state == MEMBER_ALIVE && row->version == member->self.version)
-      || member->self.state == MEMBER_LEFT)
-    return;
-  member->self.version = row->version + 1;
-  set_urgent (member);
-}
-
-/* What a mutant makes of a row: any run counts as the one that is known. */
-static void
-forget_run (const struct member *member, struct member_row *row)
-{
-  const struct member_entry *known
-      = membertable_find (&member->table, row->id);
-
-  if (known != NULL)
-    row->incarnation = known->row.incarnation;
-}
-
-/* A revision alone is no news: it rides on its owner's own row.
- * @return STATUS_NOT_FOUND if the fixed fields are needed. */
-static enum status
-take_row (struct member *member, const struct member_row *heard)
-{
-  struct member_row row = *heard;
-  struct member_entry *entry;
-  struct member_row before = { 0 };
-  enum status status;
-
-  if (row.id == member->self.id)
-    {
-      refute (member, &row);
-      return STATUS_STALE;
-    }
-  if (member->settings->without_incarnation)
-    forget_run (member, &row);
-  entry = membertable_find (&member->table, row.id);
-  if (entry != NULL)
-    before = entry->row;
-  status = membertable_merge (&member->table, &row, clock_now (member->clock),
-                              &entry);
-  if (status != STATUS_OK)
-    return status;
-  member->ops->changed (member->data, &entry->row);
-  if (member->table.replaced != NULL)
-    {
-      enqueue (member, member->table.replaced);
-      member->ops->changed (member->data, &member->table.replaced->row);
-    }
-  if (before.incarnation == entry->row.incarnation
-      && before.version == entry->row.version
-      && before.state == entry->row.state)
-    return STATUS_STALE;
-  enqueue (member, entry);
-  if (entry->row.leaving && !before.leaving)
-    set_urgent (member);
-  return STATUS_OK;
-}
-
-/* @return whether any row held something new. */
-static bool
-take_rows (struct member *member, const Member__Datagram *datagram)
-{
-  bool news = false;
-
-  for (size_t i = 0; i < datagram->n_rows; i++)
-    {
-      struct member_row row;
-      enum status status;
-
-      if (!memberwire_row (datagram->rows[i], &row))
-        continue;
-      status = take_row (member, &row);
-      if (status == STATUS_NOT_FOUND)
-        member->pull_whole = true;
-      news = news || status == STATUS_OK || status == STATUS_NOT_FOUND;
-    }
-  return news;
-}
-
-static void
-answer_probe (struct member *member, const struct member_row *from,
-              const Member__Datagram *datagram)
-{
-  const struct member_entry *entry
-      = membertable_find (&member->table, from->id);
-  struct memberwire wire;
-
-  if (datagram->target != 0 && datagram->target != member->self.id)
-    return;
-  memberwire_init (&wire, MEMBER__KIND__ANSWER, &member->self);
-  wire.datagram.sequence = datagram->sequence;
-  if (entry != NULL && entry->row.state != MEMBER_ALIVE)
-    memberwire_add_row (&wire, &entry->row, false, MEMBER_DATAGRAM_MAX);
-  add_news (member, &wire, MEMBER_DATAGRAM_MAX);
-  send_wire (member, &wire, from->peer_address);
-}
-
-static void
-take_answer (struct member *member, const Member__Datagram *datagram)
-{
-  struct memberwire wire;
-
-  if (datagram->sequence == member->probe_sequence)
-    {
-      member->probe_target = 0;
-      return;
-    }
-  for (unsigned i = 0; i < MEMBER_RELAYS; i++)
-    {
-      struct member_relay *relay = &member->relays[i];
-
-      if (relay->sequence == 0 || relay->sequence != datagram->sequence)
-        continue;
-      relay->sequence = 0;
-      memberwire_init (&wire, MEMBER__KIND__ANSWER, &member->self);
-      wire.datagram.sequence = relay->asked;
-      send_wire (member, &wire, relay->address);
-    }
-}
-
-static void
-probe_for (struct member *member, const struct member_row *from,
-           const Member__Datagram *datagram)
-{
-  const struct member_entry *target
-      = membertable_find (&member->table, datagram->target);
-  struct member_relay *relay
-      = &member->relays[member->next_relay++ % MEMBER_RELAYS];
-
-  if (target == NULL)
-    return;
-  relay->sequence = ++member->sequence;
-  relay->asked = datagram->sequence;
-  g_strlcpy (relay->address, from->peer_address, sizeof relay->address);
-  send_probe (member, target->row.peer_address, target, relay->sequence);
-}
-
-static void
-send_page (struct member *member, const struct member_row *from,
-           const Member__Datagram *datagram)
-{
-  const GPtrArray *entries = member->table.entries;
-  struct memberwire wire;
-  guint at = entries->len == 0 ? 0 : datagram->cursor % entries->len;
-
-  memberwire_init (&wire, MEMBER__KIND__PAGE, &member->self);
-  while (at < entries->len)
-    {
-      const struct member_entry *entry = entries->pdata[at];
-
-      if (!memberwire_add_row (&wire, &entry->row, datagram->whole,
-                               MEMBER_DATAGRAM_MAX))
-        break;
-      at++;
-    }
-  wire.datagram.cursor = at < entries->len ? at : 0;
-  wire.datagram.whole = datagram->whole;
-  send_wire (member, &wire, from->peer_address);
-}
-
-/* A page that brought news is followed by the next one of the same peer. */
-static void
-take_page (struct member *member, const struct member_row *from,
-           const Member__Datagram *datagram, bool news)
-{
-  int64_t now = clock_now (member->clock);
-
-  if (!news)
-    {
-      member->pull_address[0] = '\0';
-      member->pull_whole = false;
-      return;
-    }
-  if (datagram->whole || !member->pull_whole)
-    member->pull_cursor = datagram->cursor;
-  g_strlcpy (member->pull_address, from->peer_address,
-             sizeof member->pull_address);
-  member->next_pull_ns = now + member->settings->pull_news_ns;
-}
-
-static void
-dispatch (struct member *member, const struct member_row *from,
-          const Member__Datagram *datagram)
-{
-  bool news = take_rows (member, datagram);
-
-  switch (datagram->kind)
-    {
-    case MEMBER__KIND__PROBE:
-      answer_probe (member, from, datagram);
-      break;
-    case MEMBER__KIND__ANSWER:
-      take_answer (member, datagram);
-      break;
-    case MEMBER__KIND__PROBE_FOR:
-      probe_for (member, from, datagram);
-      break;
-    case MEMBER__KIND__PULL:
-      send_page (member, from, datagram);
-      break;
-    case MEMBER__KIND__PAGE:
-      take_page (member, from, datagram, news);
-      break;
-    default:
-      break;
-    }
-}
-
 void
 member_receive (struct member *member, const uint8_t *bytes, size_t size)
 {
@@ -366,23 +40,13 @@
     return;
   if (memberwire_row (datagram->from, &from) && from.id != member->self.id)
     {
-      take_row (member, &from);
+      membernews_take (member, &from);
       membersign_take (member, datagram);
-      dispatch (member, &from, datagram);
+      memberanswer_take (member, &from, datagram);
     }
   member__datagram__free_unpacked (datagram, NULL);
 }
 
-static void
-set_state (struct member *member, struct member_entry *entry,
-           enum member_state state)
-{
-  struct member_row row = entry->row;
-
-  row.state = state;
-  take_row (member, &row);
-}
-
 static void
 ask_helpers (struct member *member)
 {
@@ -392,7 +56,7 @@
   member->probe_helped = true;
   for (int i = 0; target != NULL && i < MEMBER_HELPERS; i++)
     {
-      struct member_entry *helper = pick_peer (member);
+      struct member_entry *helper = membernews_pick (member);
       struct memberwire wire;
 
       if (helper == NULL || helper == target)
@@ -400,7 +64,7 @@
       memberwire_init (&wire, MEMBER__KIND__PROBE_FOR, &member->self);
       wire.datagram.sequence = member->probe_sequence;
       wire.datagram.target = target->row.id;
-      send_wire (member, &wire, helper->row.peer_address);
+      membernews_send (member, &wire, helper->row.peer_address);
     }
 }
 
@@ -415,11 +79,12 @@
     return;
   if (member->settings->without_suspicion)
     {
-      set_state (member, target, MEMBER_DEAD);
+      membernews_set_state (member, target, MEMBER_DEAD);
       return;
     }
-  set_state (member, target, MEMBER_SUSPECT);
-  send_probe (member, target->row.peer_address, target, ++member->sequence);
+  membernews_set_state (member, target, MEMBER_SUSPECT);
+  membernews_probe (member, target->row.peer_address, target,
+                    ++member->sequence);
 }
 
 /* Every second probe goes to a suspect, which must hear of it to refute. */
@@ -431,7 +96,7 @@
   struct list *at = suspects->next;
 
   if (list_empty (suspects) || rng_below (member->rng, 2) == 0)
-    return pick_peer (member);
+    return membernews_pick (member);
   while (skip-- > 0 && at->next != suspects)
     at = at->next;
   return LIST_ENTRY (at, struct member_entry, timed);
@@ -461,15 +126,15 @@
   member->probe_sequence = ++member->sequence;
   member->probe_began_ns = now;
   member->probe_helped = false;
-  send_probe (member, target->row.peer_address, target,
-              member->probe_sequence);
+  membernews_probe (member, target->row.peer_address, target,
+                    member->probe_sequence);
 }
 
 static void
 step_suspects (struct member *member, int64_t now)
 {
   struct list *suspects = &member->table.suspects;
-  int64_t span = suspect_span (member);
+  int64_t span = membernews_suspect_span (member);
 
   while (!list_empty (suspects))
     {
@@ -478,7 +143,7 @@
 
       if (now - entry->since_ns < span)
         return;
-      set_state (member, entry, MEMBER_DEAD);
+      membernews_set_state (member, entry, MEMBER_DEAD);
     }
 }
 
@@ -494,7 +159,7 @@
   entry = membertable_at (&member->table, address);
   if (strcmp (address, member->self.peer_address) != 0
       && (entry == NULL || !entry->live))
-    send_probe (member, address, NULL, ++member->sequence);
+    membernews_probe (member, address, NULL, ++member->sequence);
 }
 
 /* The dead may live behind a cut; long dead ones are forgotten. */
@@ -515,7 +180,8 @@
   list_remove (&entry->timed);
   list_append (dead, &entry->timed);
   if (entry->row.state == MEMBER_DEAD)
-    send_probe (member, entry->row.peer_address, entry, ++member->sequence);
+    membernews_probe (member, entry->row.peer_address, entry,
+                      ++member->sequence);
 }
 
 static void
@@ -547,7 +213,7 @@
   member->next_pull_ns = now + member->settings->pull_ns;
   if (address[0] == '\0')
     {
-      peer = pick_peer (member);
+      peer = membernews_pick (member);
       if (peer == NULL)
         return;
       address = peer->row.peer_address;
@@ -557,7 +223,7 @@
   memberwire_init (&wire, MEMBER__KIND__PULL, &member->self);
   wire.datagram.cursor = member->pull_cursor;
   wire.datagram.whole = member->pull_whole;
-  send_wire (member, &wire, address);
+  membernews_send (member, &wire, address);
   /* If the page is lost, another peer is asked. */
   member->pull_address[0] = '\0';
 }
@@ -571,14 +237,14 @@
   member->next_spread_ns = now + member->settings->spread_ns;
   for (int i = 0; i < MEMBER_FANOUT; i++)
     {
-      struct member_entry *peer = pick_peer (member);
+      struct member_entry *peer = membernews_pick (member);
       struct memberwire wire;
 
       if (peer == NULL)
         return;
       memberwire_init (&wire, MEMBER__KIND__SPREAD, &member->self);
-      add_news (member, &wire, SPREAD_BYTES);
-      send_wire (member, &wire, peer->row.peer_address);
+      membernews_fill (member, &wire, SPREAD_BYTES);
+      membernews_send (member, &wire, peer->row.peer_address);
     }
 }
 
@@ -676,7 +342,7 @@
 void
 member_learn (struct member *member, const struct member_row *row)
 {
-  take_row (member, row);
+  membernews_take (member, row);
 }
 
 void
@@ -685,7 +351,7 @@
   if (revision <= member->self.revision)
     return;
   member->self.revision = revision;
-  set_urgent (member);
+  membernews_urgent (member);
 }
 
 void
@@ -695,7 +361,7 @@
     return;
   member->self.leaving = true;
   member->self.version++;
-  set_urgent (member);
+  membernews_urgent (member);
 }
 
 void
@@ -713,7 +379,7 @@
 {
   if (membersign_note (member, server, member->self.name,
                        clock_now (member->clock)))
-    set_urgent (member);
+    membernews_urgent (member);
 }
 
 bool
