--- a/test/bench-member.c
+++ b/test/bench-member.c
@@ -28,6 +28,9 @@
 #define ADOPT_NS (20 * NS_PER_MS)
 #define SEED 1
 
+#define AWAY_NS (60 * NS_PER_S)
+#define SETTLE_MAX_NS (180 * NS_PER_S)
+
 /* The targets for each process. */
 #define BYTES_MAX 8000.0
 #define CPU_MAX 0.028
@@ -180,6 +183,55 @@
          && figures->wrong == 0;
 }
 
+/* How long until all is seen right, in steps of a second. */
+static double
+settle_s (struct fake_members *net)
+{
+  int64_t begin_ns = net->now_ns;
+
+  while (fake_members_wrong (net) > 0
+         && net->now_ns - begin_ns < SETTLE_MAX_NS)
+    fake_members_run (net, NS_PER_S);
+  return (double)(net->now_ns - begin_ns) / NS_PER_S;
+}
+
+static double
+busiest (struct fake_members *net, double span_s)
+{
+  double most = 0;
+
+  for (size_t i = 0; i < net->count; i++)
+    {
+      most = MAX (most, (double)net->members[i].bytes / span_s);
+      net->members[i].bytes = 0;
+    }
+  return most;
+}
+
+/* One data centre of four loses the others for a while. */
+static void
+measure_loss (size_t count)
+{
+  struct fake_members net;
+  double settled_s, away, back;
+
+  fake_members_init (&net, count, CENTRES, SEED, &member_settings_default);
+  net.loss = LOSS;
+  fake_members_introduce (&net);
+  fake_members_run (&net, 2 * NS_PER_S);
+  busiest (&net, 1);
+  net.lost_centre = 1;
+  fake_members_run (&net, AWAY_NS);
+  away = busiest (&net, (double)AWAY_NS / NS_PER_S);
+  net.lost_centre = -1;
+  settled_s = settle_s (&net);
+  back = busiest (&net, MAX (settled_s, 1));
+  printf ("%9zu %12.0f %12.0f %14.0f %6zu\n", count, away, back, settled_s,
+          fake_members_wrong (&net));
+  fflush (stdout);
+  fake_members_finish (&net);
+}
+
 int
 main (void)
 {
@@ -205,5 +257,11 @@
               figures.wrong, good ? "met" : "missed");
       fflush (stdout);
     }
+  printf ("\nA data centre is cut off for %d s and comes back\n"
+          "%9s %12s %12s %14s %6s\n",
+          (int)(AWAY_NS / NS_PER_S), "processes", "max B/s away",
+          "max B/s back", "all right, s", "wrong");
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    measure_loss (sizes[i]);
   return all ? 0 : 1;
 }
