Membership keeps to a budget of bytes when many change at once

Cause: the cut of a data centre took the busiest of 2,200 processes to 43,958 B/s. Ruled out: fewer probes, which would slow the seeing of single deaths.

--- a/src/member.c
+++ b/src/member.c
@@ -8,6 +8,7 @@
 enum
 {
   SENDS_FACTOR = 3,   /* of a row, for each factor 2 of the fleet */
+  BURST_S = 2,        /* seconds of unused budget that are kept */
   SPREAD_BYTES = 400, /* of an urgent datagram */
   SUSPECTS_TRIED = 8  /* how many of the oldest suspects are probed in turn */
 };
@@ -26,6 +27,7 @@
   .pull_news_ns = 100 * NS_PER_MS,
   .spread_ns = 300 * NS_PER_MS,
   .sign_life_ns = 10 * NS_PER_S,
+  .bytes_per_s = 2500,
   .far_share = 4,
 };
 
@@ -45,7 +47,7 @@
 static uint8_t
 sends_of (const struct member *member)
 {
-  return (uint8_t)(SENDS_FACTOR * log_of (member->table.live_count + 1, 2));
+  return (uint8_t)(SENDS_FACTOR * log_of (member->table.live_count + 1, 10));
 }
 
 static int64_t
@@ -62,9 +64,26 @@
   size_t size = memberwire_pack (wire, bytes);
 
   assert (size > 0);
+  member->budget -= (int64_t)size;
   member->ops->send (member->data, address, bytes, size);
 }
 
+/* Whether there are bytes for what can wait. */
+static bool
+may_send (struct member *member)
+{
+  int64_t now = clock_now (member->clock);
+  int64_t rate = member->settings->bytes_per_s;
+  int64_t gain = (now - member->last_fill_ns) / NS_PER_MS * rate / 1000;
+
+  if (gain > 0)
+    {
+      member->budget = MIN (member->budget + gain, BURST_S * rate);
+      member->last_fill_ns = now;
+    }
+  return member->budget > 0;
+}
+
 /* Fill WIRE with what is to be spread, the newest first. */
 static void
 add_news (struct member *member, struct memberwire *wire, size_t limit)
@@ -73,13 +92,12 @@
 
   membersign_fill (member, wire, limit);
   list_init (&sent);
-  while (!list_empty (&member->queue))
+  while (may_send (member) && !list_empty (&member->queue))
     {
       struct member_entry *entry
           = LIST_ENTRY (member->queue.next, struct member_entry, queued);
 
-      if (!memberwire_add_row (wire, &entry->row,
-                               entry->row.state == MEMBER_ALIVE, limit))
+      if (!memberwire_add_row (wire, &entry->row, entry->fresh, limit))
         break;
       list_remove (&entry->queued);
       if (--entry->sends_left > 0)
@@ -200,6 +218,8 @@
       && before.version == entry->row.version
       && before.state == entry->row.state)
     return STATUS_STALE;
+  entry->fresh = before.incarnation != entry->row.incarnation
+                 || (entry->fresh && entry->row.state == MEMBER_ALIVE);
   enqueue (member, entry);
   if (entry->row.leaving && !before.leaving)
     set_urgent (member);
@@ -293,6 +313,8 @@
   struct memberwire wire;
   guint at = entries->len == 0 ? 0 : datagram->cursor % entries->len;
 
+  if (!may_send (member))
+    return;
   memberwire_init (&wire, MEMBER__KIND__PAGE, &member->self);
   while (at < entries->len)
     {
@@ -544,6 +566,11 @@
 
   if (now < member->next_pull_ns)
     return;
+  if (!may_send (member))
+    {
+      member->next_pull_ns = now + member->settings->pull_news_ns;
+      return;
+    }
   member->next_pull_ns = now + member->settings->pull_ns;
   if (address[0] == '\0')
     {
@@ -567,6 +594,11 @@
 {
   if (member->urgent == 0 || now < member->next_spread_ns)
     return;
+  if (!may_send (member) && member->self.state != MEMBER_LEFT)
+    {
+      member->next_spread_ns = now + member->settings->pull_news_ns;
+      return;
+    }
   member->urgent--;
   member->next_spread_ns = now + member->settings->spread_ns;
   for (int i = 0; i < MEMBER_FANOUT; i++)
@@ -649,6 +681,8 @@
   member->sequence = rng_next (rng) >> 1;
   member->pull_whole = true;
   member->last_tick_ns = now;
+  member->last_fill_ns = now;
+  member->budget = BURST_S * settings->bytes_per_s;
   member->next_probe_ns
       = now + (int64_t)rng_below (rng, (uint64_t)settings->probe_ns);
   member->next_dead_ns = now;
--- a/src/member.h
+++ b/src/member.h
@@ -35,6 +35,7 @@
   int64_t pull_news_ns;   /**< the same while pages bring news */
   int64_t spread_ns;      /**< shortest time between urgent datagrams */
   int64_t sign_life_ns;   /**< of a sign of a backend server */
+  int64_t bytes_per_s;    /**< that it sends, but for probes and answers */
   unsigned far_share;     /**< one of so many peers is of another centre */
   bool without_suspicion; /**< for tests: dead at the first miss */
   bool without_incarnation; /**< for tests: an old run counts as the new */
@@ -85,7 +86,9 @@
   char pull_address[MEMBER_ADDRESS_MAX]; /**< "": choose one */
   uint32_t pull_cursor;
   bool pull_whole;
-  unsigned urgent; /**< rounds of urgent datagrams still to send */
+  unsigned urgent;      /**< rounds of urgent datagrams still to send */
+  int64_t budget;       /**< bytes; below 0 only what must be is sent */
+  int64_t last_fill_ns; /**< of the budget */
   int64_t last_tick_ns;
   int64_t next_probe_ns;
   int64_t next_dead_ns;
--- a/src/membertable.h
+++ b/src/membertable.h
@@ -61,6 +61,7 @@
   uint32_t slot;      /**< in the group's live ones */
   uint32_t place;     /**< in the table's entries */
   uint8_t sends_left;
+  bool fresh; /**< Others may not know its fixed fields. */
   bool live;
 };
 
--- a/test/bench-member.c
+++ b/test/bench-member.c
@@ -209,11 +209,12 @@
 }
 
 /* One data centre of four loses the others for a while. */
-static void
+static bool
 measure_loss (size_t count)
 {
   struct fake_members net;
   double settled_s, away, back;
+  bool good;
 
   fake_members_init (&net, count, CENTRES, SEED, &member_settings_default);
   net.loss = LOSS;
@@ -226,10 +227,12 @@
   net.lost_centre = -1;
   settled_s = settle_s (&net);
   back = busiest (&net, MAX (settled_s, 1));
-  printf ("%9zu %12.0f %12.0f %14.0f %6zu\n", count, away, back, settled_s,
-          fake_members_wrong (&net));
+  good = MAX (away, back) <= BYTES_MAX && fake_members_wrong (&net) == 0;
+  printf ("%9zu %12.0f %12.0f %14.0f %6zu %s\n", count, away, back, settled_s,
+          fake_members_wrong (&net), good ? "met" : "missed");
   fflush (stdout);
   fake_members_finish (&net);
+  return good;
 }
 
 int
@@ -258,10 +261,10 @@
       fflush (stdout);
     }
   printf ("\nA data centre is cut off for %d s and comes back\n"
-          "%9s %12s %12s %14s %6s\n",
+          "%9s %12s %12s %14s %6s %s\n",
           (int)(AWAY_NS / NS_PER_S), "processes", "max B/s away",
-          "max B/s back", "all right, s", "wrong");
+          "max B/s back", "all right, s", "wrong", "target");
   for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
-    measure_loss (sizes[i]);
+    all = measure_loss (sizes[i]) && all;
   return all ? 0 : 1;
 }
