--- a/src/event.c
+++ b/src/event.c
@@ -18,10 +18,20 @@
     "A request got its final answer: outcome and code." },
   { EVENT_ATTEMPT_FAILED, EVENT_INFO, "attempt_failed",
     "An attempt at a backend server ended without a whole answer." },
+  { EVENT_BACKEND_SERVER, EVENT_WARN, "backend_server",
+    "A backend server gets no new work, or gets it again; the sign is "
+    "named." },
 
   /* Placement, block index, stores: 300 */
   { EVENT_PLACE, EVENT_INFO, "place",
     "One placement decision: candidates, costs, choice, reason." },
+  { EVENT_EXPORT, EVENT_INFO, "export",
+    "One export decision: block, worth, store, tier, what it displaces." },
+  { EVENT_BLOCK_MISMATCH, EVENT_WARN, "block_mismatch",
+    "A stored block had another length, checksum or generation; it counts as"
+    " a miss and is freed. Many of one store: look at that store." },
+  { EVENT_CACHE_GAP, EVENT_INFO, "cache_gap",
+    "Cache events of an engine were missed; a fresh listing is asked for." },
 
   /* Admission, retry, suspect: 400 */
   { EVENT_ADMIT_REFUSED, EVENT_INFO, "admit_refused",
@@ -65,6 +75,17 @@
   /* Orders to engines: 800 */
   { EVENT_ORDER_SENT, EVENT_INFO, "order_sent",
     "An order went to an engine with this fencing number." },
+  { EVENT_ORDER_DONE, EVENT_INFO, "order_done",
+    "A report of the engine shows the effect of the order." },
+  { EVENT_ORDER_REFUSED, EVENT_WARN, "order_refused",
+    "The engine has seen a higher fencing number; another process issues its "
+    "orders now. If it goes on, look for a second fleet." },
+  { EVENT_ORDER_WAITING, EVENT_INFO, "order_waiting",
+    "Something is to be done at the engine but not yet; the reason is "
+    "given." },
+  { EVENT_ORDER_GIVEN_UP, EVENT_WARN, "order_given_up",
+    "An order showed no effect in time and is tried anew later; look at the "
+    "engine and the weight store." },
 };
 
 enum
@@ -100,3 +121,15 @@
 {
   return level_names[level];
 }
+
+void
+event_print_help (FILE *out)
+{
+  fputs ("| number | level | name | meaning |\n"
+         "| --- | --- | --- | --- |\n",
+         out);
+  for (unsigned i = 0; i < EVENT_TABLE_SIZE; i++)
+    fprintf (out, "| %d | %s | `%s` | %s |\n", (int)event_table[i].number,
+             event_level_name (event_table[i].level), event_table[i].name,
+             event_table[i].meaning);
+}
--- a/src/event.h
+++ b/src/event.h
@@ -1,6 +1,8 @@
 #ifndef EVENT_H
 #define EVENT_H
 
+#include <stdio.h>
+
 /** @file
  * The numbered log events. The table in event.c holds the text of each;
  * docs/EVENTS.md is checked against it. Each module has a block of a hundred
@@ -26,9 +28,13 @@
   EVENT_ROUTE = 200,
   EVENT_REQUEST_END = 201,
   EVENT_ATTEMPT_FAILED = 202,
+  EVENT_BACKEND_SERVER = 203,
 
   /* Placement, block index, stores: 300 */
   EVENT_PLACE = 300,
+  EVENT_EXPORT = 301,
+  EVENT_BLOCK_MISMATCH = 302,
+  EVENT_CACHE_GAP = 303,
 
   /* Admission, retry, suspect: 400 */
   EVENT_ADMIT_REFUSED = 400,
@@ -55,6 +61,10 @@
 
   /* Orders to engines: 800 */
   EVENT_ORDER_SENT = 800,
+  EVENT_ORDER_DONE = 801,
+  EVENT_ORDER_REFUSED = 802,
+  EVENT_ORDER_WAITING = 803,
+  EVENT_ORDER_GIVEN_UP = 804,
 };
 
 struct event_info
@@ -73,4 +83,7 @@
 
 const char *event_level_name (enum event_level level);
 
+/** Write the table of events in Markdown. */
+void event_print_help (FILE *out);
+
 #endif
--- a/src/filters.h
+++ b/src/filters.h
@@ -22,12 +22,12 @@
 /** Give back the place of a request that ends. */
 void admission_end (struct request *request);
 
+/** Whether this request crashes backend servers. */
+enum verdict guard_filter (struct request *request);
+
 /** For what may run only once: the grant of the owner of its key. */
 enum verdict grant_filter (struct request *request);
 
-/** Look at the timers of a request that waits for its grant. */
-void grant_ask_again (struct request *request, int64_t now);
-
 /** Who has earlier context: asks the shard that owns the prompt's chain. */
 enum verdict lookup_filter (struct request *request);
 
@@ -44,7 +44,11 @@
 /** Look at the timers of a request that is dispatched. */
 void dispatch_tick (struct request *request, int64_t now);
 
-/** The request ended on ENGINE: tell the shard that owns its chain. */
+/** The request goes to its engine, which will have its blocks: tell the shard
+ * that owns its chain. */
+void lookup_report_sent (struct request *request);
+
+/** The request ended well on its engine: tell the shard what was cached. */
 void lookup_report_used (struct request *request);
 
 #endif
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -3,6 +3,7 @@
 #include "answer.h"
 #include "filters.h"
 #include "grant.h"
+#include "guard.h"
 #include "operator.h"
 
 #include <string.h>
@@ -144,26 +145,59 @@
     admit_tick (&gateway->admit[type]);
   tick_requests (gateway);
   grant_tick (gateway);
+  guard_tick (gateway);
 }
 
+static void
+sign_heard (void *data, const char *server, const char *seen_by)
+{
+  struct gateway *gateway = data;
+  const struct backend *backend
+      = backends_find (&gateway->backends, roster_id (server));
+
+  if (backend != NULL)
+    backends_sign (&gateway->backends, backend, HEALTH_HEARSAY);
+}
+
+static int64_t
+live_gateways (const struct roster *roster)
+{
+  int64_t count = 0;
+
+  for (size_t i = 0; i < roster->count; i++)
+    count
+        += roster->entries[i].role == ROLE_GATEWAY && roster->entries[i].alive;
+  return count > 0 ? count : 1;
+}
+
+/* Each gateway may use its part of what exports leave of a store's link. A
+ * bucket holds one block: an urgent import cannot pass what has begun. */
 static void
 sync_links (struct gateway *gateway)
 {
   const struct settings *settings = gateway->settings;
   const struct hostlist *hostlist = &gateway->process.hostlist.hostlist;
+  int64_t block = settings->placement.piece_tokens
+                  * settings->placement.piece_bytes_per_token;
+  int64_t rate = (int64_t)((double)settings->stores.link_bytes_per_s
+                           * (1 - settings->export.link_share)
+                           / (double)live_gateways (&gateway->process.roster))
+                 + 1;
 
   for (size_t i = 0; i < hostlist->count; i++)
     {
       const struct hostlist_entry *entry = &hostlist->entries[i];
       uint64_t id = roster_id (entry->name);
+      struct link *link = place_link (&gateway->place, id);
 
       if (entry->kind != HOSTLIST_STORE)
         continue;
       if (entry->leaving)
         place_drop_link (&gateway->place, id);
-      else if (place_link (&gateway->place, id) == NULL)
-        place_set_link (&gateway->place, id, settings->stores.link_bytes_per_s,
-                        settings->stores.link_bytes_per_s / 4);
+      else if (link == NULL)
+        place_set_link (&gateway->place, id, rate, block);
+      else if (link->configured != rate)
+        link_set_rate (link, rate);
     }
 }
 
@@ -184,6 +218,7 @@
   config_unref (gateway->config);
   gateway->config = config_ref (gateway->process.configstore.config);
   admission_configure (gateway);
+  backends_configure (&gateway->backends, gateway->config);
 }
 
 static size_t
@@ -250,11 +285,13 @@
                          error);
   if (status != STATUS_OK)
     return status;
+  gateway->process.sign_heard = sign_heard;
   backends_init (&gateway->backends, &gateway->process);
   init_place (gateway);
   init_retry (gateway);
   admission_init (gateway);
   grant_init (gateway);
+  guard_init (gateway);
   return STATUS_OK;
 }
 
@@ -271,6 +308,7 @@
     request_abandon (
         LIST_ENTRY (gateway->requests.next, struct request, node));
   grant_finish (gateway);
+  guard_finish (gateway);
   process_finish (&gateway->process);
   admission_finish (gateway);
   retry_finish (&gateway->retry);
--- a/src/outcome.c
+++ b/src/outcome.c
@@ -1,6 +1,7 @@
 #include "outcome.h"
 #include "dispatch.h"
 #include "filters.h"
+#include "guard.h"
 #include "httpjson.h"
 
 #include <glib.h>
@@ -49,6 +50,7 @@
 count_tokens (struct request *request)
 {
   struct metrics *metrics = &request->gateway->process.metrics;
+  const struct settings *settings = request->gateway->settings;
   char labels[160];
 
   label (request, labels, sizeof labels);
@@ -58,6 +60,9 @@
                (double)request->imported_tokens);
   metrics_add (metrics, "tokens_recomputed", labels,
                (double)request->computed_tokens);
+  metrics_add (metrics, "import_bytes", labels,
+               (double)(request->imported_tokens
+                        * settings->placement.piece_bytes_per_token));
 }
 
 static void
@@ -127,6 +132,10 @@
   request->imported_tokens = head->imported_tokens;
   request->computed_tokens = head->computed_tokens;
   count_tokens (request);
+  place_observe (
+      &request->gateway->place, request->planned_pieces,
+      (uint32_t)(head->cached_tokens
+                 / request->gateway->settings->placement.piece_tokens));
   if (head->streamed && request->http != NULL)
     begin_answer (request, head);
 }
@@ -192,6 +201,9 @@
     settle_cut (&request->settle, number);
   dispatch_close_attempt (request);
   relay_cut (&request->relay);
+  if (decision.action != RETRY_RESUME)
+    guard_end (request, outcome == RETRY_CRASHED ? SUSPECT_END_DIED
+                                                 : SUSPECT_END_NOTHING);
   if (decision.action == RETRY_STOP)
     {
       log_event (&gateway->process.log, EVENT_ATTEMPT_FAILED,
@@ -282,13 +294,70 @@
 }
 
 static void
-mark_out (struct request *request)
+note_sign (struct request *request, enum health_sign sign)
 {
   struct backends *backends = &request->gateway->backends;
   struct backend *backend = backends_find (backends, request->attempt.backend);
 
   if (backend != NULL)
-    backends_mark_out (backends, backend);
+    backends_sign (backends, backend, sign);
+}
+
+static void
+attempt_lost (struct request *request, bool died)
+{
+  enum retry_outcome cut
+      = request->answer_started ? RETRY_LOST_MIDWAY : RETRY_LOST_UNANSWERED;
+
+  if (died)
+    {
+      note_sign (request, HEALTH_DIED);
+      log_event (&request->gateway->process.log, EVENT_SUSPECT_CRASH,
+                 "request=%s organisation=%s attempt=%u", request->id,
+                 request->organisation->organisation, request->attempt.number);
+      attempt_failed (request, RETRY_CRASHED, &lost);
+      return;
+    }
+  if (request->attempt.silent)
+    attempt_failed (request, RETRY_SILENT, &silent);
+  else
+    attempt_failed (request, cut, &lost);
+}
+
+/* Whether the backend server died under the request, or only its connection:
+ * one that died refuses connections, or is another incarnation by now. */
+static void
+load_probed (void *data, enum status status, const struct engine_load *load)
+{
+  struct request *request = request_find (data);
+  struct load *view;
+  uint32_t index;
+  bool died = status == STATUS_UNAVAILABLE || status == STATUS_UNKNOWN;
+
+  g_free (data);
+  if (request == NULL || request->next_ns != CLOCK_NEVER)
+    return;
+  view = &request->gateway->backends.load;
+  if (status == STATUS_OK
+      && load_find (view, request->attempt.backend, &index))
+    died = load->incarnation != request->attempt.incarnation;
+  attempt_lost (request, died);
+}
+
+static void
+probe_backend (struct request *request)
+{
+  struct engineclient *client = &request->gateway->process.enginehttp.client;
+  const struct backend *backend
+      = backends_find (&request->gateway->backends, request->attempt.backend);
+
+  if (backend == NULL || backend->host.kind != HOSTLIST_ENGINE)
+    {
+      attempt_lost (request, backend == NULL);
+      return;
+    }
+  client->ops->load (client, backend->host.address, load_probed,
+                     request_handle (request));
 }
 
 static void
@@ -296,7 +365,7 @@
 {
   if (status == STATUS_UNAVAILABLE)
     {
-      mark_out (request);
+      note_sign (request, HEALTH_REFUSED);
       attempt_failed (request,
                       request->attempt.resumed ? RETRY_LOST_MIDWAY
                                                : RETRY_NOT_SENT,
@@ -305,10 +374,15 @@
     }
   if (request->settle.state == SETTLE_CONNECTING)
     settle_hand_over (&request->settle, request->attempt.number);
-  attempt_failed (request,
-                  request->answer_started ? RETRY_LOST_MIDWAY
-                                          : RETRY_LOST_UNANSWERED,
-                  &lost);
+  probe_backend (request);
+}
+
+/* The engine no longer knows the run that was to be resumed. */
+static void
+run_forgotten (struct request *request)
+{
+  request->retry.resumable = false;
+  attempt_failed (request, RETRY_LOST_UNANSWERED, &incomplete);
 }
 
 static void
@@ -323,7 +397,7 @@
   else if (attempt->not_run)
     attempt_failed (request, RETRY_NOT_RUN, &busy);
   else if (attempt->resumed && attempt->http_status != HTTP_OK)
-    attempt_failed (request, RETRY_FAILED, &incomplete);
+    run_forgotten (request);
   else if (answer_is_relayed (request))
     finish_streamed (request);
   else
@@ -352,6 +426,11 @@
   enum status status;
 
   request->next_ns = CLOCK_NEVER;
+  if (request->next != RETRY_RESUME && !request->status_lookup)
+    {
+      guard_retry (request);
+      return;
+    }
   if (request->next == RETRY_RESUME)
     status = dispatch_resume (request);
   else
@@ -360,6 +439,31 @@
     request_refuse (request, &no_backend);
 }
 
+/* The connection is never used again; a fresh one tells whether the backend
+ * server lives. */
+static void
+condemn_silent (struct request *request)
+{
+  struct engineclient *client = &request->gateway->process.enginehttp.client;
+
+  dispatch_note_handed_over (request);
+  client->ops->stream_close (request->attempt.stream);
+  request->attempt.stream = NULL;
+  request->attempt.silent = true;
+  metrics_add (&request->gateway->process.metrics, "connections_silent", "",
+               1);
+  probe_backend (request);
+}
+
+static bool
+connecting_too_long (const struct request *request, int64_t now)
+{
+  const struct settings *settings = request->gateway->settings;
+
+  return request->settle.state == SETTLE_CONNECTING
+         && now - request->attempt.heard_ns > settings->timeouts.connect_ns;
+}
+
 void
 dispatch_tick (struct request *request, int64_t now)
 {
@@ -369,17 +473,23 @@
                       ? settings->timeouts.progress_ns
                       : settings->timeouts.first_byte_ns;
 
-  if (request->settle.state == SETTLE_GRANT_WAIT)
-    grant_ask_again (request, now);
-  else if (now >= request->next_ns)
+  dispatch_note_handed_over (request);
+  if (now >= request->next_ns)
     run_next (request);
+  else if (request->held_body != NULL && now >= request->held_until_ns)
+    dispatch_send_held (request);
   else if (request->attempt.stream == NULL)
     return;
   else if (now > request->deadline_ns && !request->answer_started)
     request_refuse (request, &too_late);
+  else if (connecting_too_long (request, now))
+    {
+      note_sign (request, HEALTH_UNREACHABLE);
+      attempt_failed (request, RETRY_NOT_SENT, &no_backend);
+    }
   else if (request->relay.state == RELAY_GAP
            || request->relay.state == RELAY_BROKEN)
     attempt_failed (request, RETRY_LOST_MIDWAY, &incomplete);
   else if (quiet > limit)
-    attempt_failed (request, RETRY_SILENT, &silent);
+    condemn_silent (request);
 }
--- a/src/request.h
+++ b/src/request.h
@@ -2,6 +2,7 @@
 #define REQUEST_H
 
 #include "admit.h"
+#include "ask.h"
 #include "block.h"
 #include "blockindex.h"
 #include "clock.h"
@@ -13,6 +14,7 @@
 #include "relay.h"
 #include "retry.h"
 #include "settle.h"
+#include "suspect-gate.h"
 
 #include <glib.h>
 #include <json-c/json.h>
@@ -64,11 +66,13 @@
 {
   struct engine_stream *stream; /**< NULL: none is open */
   uint64_t backend;
-  unsigned number;  /**< as settle counts */
-  int64_t heard_ns; /**< last byte from the backend server */
+  unsigned number;      /**< as settle counts */
+  uint64_t incarnation; /**< of the engine when it was chosen */
+  int64_t heard_ns;     /**< last byte from the backend server */
   bool head_seen;
   bool streamed;
   bool resumed; /**< the stream goes on after a cut */
+  bool silent;  /**< its connection was condemned */
   bool not_run; /**< the backend server says that it did not start */
   int http_status;
   char content_type[64];
@@ -117,8 +121,12 @@
   struct block_id blocks[BLOCKINDEX_PIECES_MAX];
   size_t block_count;
   struct blockindex_match match;
+  int64_t asked_ns; /**< when the shard was asked */
 
-  int64_t grant_until_ns; /**< latest answer of the key's owner */
+  struct suspect_run suspect;
+  bool cleared;    /**< the next attempt may run */
+  bool alone;      /**< on a backend server that runs nothing else */
+  struct ask *ask; /**< for a grant; NULL: none is open */
 
   /* dispatch */
   struct settle settle;
@@ -136,8 +144,10 @@
   int64_t cached_tokens;
   int64_t imported_tokens;
   int64_t computed_tokens;
-  int64_t planned_cached; /**< pieces that placement counted on */
-  GString *answer;        /**< one that is not streamed */
+  uint32_t planned_pieces; /**< that placement counted on in the engine */
+  char *held_body;         /**< not sent yet; NULL: nothing is held */
+  int64_t held_until_ns;
+  GString *answer; /**< one that is not streamed */
   bool in_filters;
   bool finished;
 };
--- a/src/shard.c
+++ b/src/shard.c
@@ -1,4 +1,5 @@
 #include "shard.h"
+#include "suspect-wire.h"
 
 #include <glib.h>
 #include <string.h>
@@ -152,6 +153,8 @@
   query.count = read_blocks (lookup->blocks, lookup->n_blocks, ids);
   memset (&match, 0, sizeof match);
   blockindex_lookup (&shard->index, &query, &match);
+  exporter_observe (&shard->exporter, scope.organisation, lookup->kind,
+                    match.idle_ns);
   fill_holders (&parts, &message, &match);
   fill_pieces (&parts, &message, &match);
   message.idle_ms = match.idle_ns < 0 ? -1 : match.idle_ns / NS_PER_MS;
@@ -174,7 +177,64 @@
   if (!read_scope (used->scope, &scope))
     return;
   count = read_blocks (used->blocks, used->n_blocks, ids);
+  if (used->expected)
+    {
+      hint_expect (&shard->index.hints, &scope, ids, count, used->engine);
+      return;
+    }
+  if (used->cached < used->planned && used->planned <= count)
+    hint_deny (&shard->index.hints, &scope, ids + used->cached,
+               used->planned - used->cached, used->engine);
   hint_confirm (&shard->index.hints, &scope, ids, count, used->engine);
+  if (used->retained)
+    exporter_offer (&shard->exporter, &scope, ids, count, used->engine,
+                    used->kind);
+}
+
+/* The owner's answer to the message that is being received. */
+struct suspect_reply
+{
+  struct peerlink *link;
+  uint64_t request_id;
+  bool sent;
+};
+
+static void
+suspect_send (void *data, uint64_t gateway,
+              const struct suspect_message *message)
+{
+  struct shard *shard = data;
+  struct suspect_reply *reply = shard->suspect_reply;
+  struct suspect_message copy = *message;
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__Suspect body = PEER__SUSPECT__INIT;
+
+  if (reply == NULL || reply->sent)
+    return;
+  suspect_wire_write (&copy, 0, &body);
+  envelope.body_case = PEER__ENVELOPE__BODY_SUSPECT;
+  envelope.suspect = &body;
+  peerlink_reply (reply->link, reply->request_id, &envelope);
+  reply->sent = true;
+}
+
+static void
+take_suspect (struct shard *shard, struct peerlink *link,
+              const Peer__Envelope *request)
+{
+  struct suspect_reply reply = { link, request->request_id, false };
+  struct suspect_message message;
+  unsigned partition;
+  enum status status = STATUS_CORRUPT;
+
+  shard->suspect_reply = &reply;
+  if (suspect_wire_read (request->suspect, &message, &partition) == STATUS_OK)
+    status = suspect_shard_receive (&shard->suspects, partition, &message);
+  shard->suspect_reply = NULL;
+  if (status == STATUS_STALE)
+    reply_refused (link, request->request_id, "stale");
+  else if (!reply.sent)
+    reply_done (link, request->request_id);
 }
 
 static void
@@ -199,6 +259,9 @@
     case PEER__ENVELOPE__BODY_ONCE_END:
       oncehost_end (&shard->once, link, request);
       break;
+    case PEER__ENVELOPE__BODY_SUSPECT:
+      take_suspect (shard, link, request);
+      break;
     default:
       reply_refused (link, request->request_id, "unknown_message");
     }
@@ -219,6 +282,8 @@
   struct shard *shard = data;
   struct block_id id;
 
+  if (events->first > events->next_expected)
+    hint_gap (&shard->index.hints, engine, events->first);
   for (size_t i = 0; i < events->count; i++)
     if (block_from_hex (&id, events->events[i].block) == STATUS_OK)
       hint_event (&shard->index.hints, engine, events->events[i].sequence,
@@ -250,6 +315,9 @@
 static void
 on_loaded (void *data, const char *name, const struct engine_load *load)
 {
+  struct shard *shard = data;
+
+  orderer_loaded (&shard->orderer, name, load);
 }
 
 static const struct enginewatch_ops engine_ops
@@ -283,6 +351,18 @@
 static const struct blockindex_ops index_ops
     = { { list_engine }, { free_slot } };
 
+/* Runs of a gateway that died have nobody who reports their end. */
+static void
+note_lost_gateways (struct shard *shard)
+{
+  const struct roster *roster = &shard->process.roster;
+
+  for (size_t i = 0; i < roster->count; i++)
+    if (roster->entries[i].role == ROLE_GATEWAY && !roster->entries[i].alive)
+      suspect_shard_gateway_lost (&shard->suspects,
+                                  roster->entries[i].incarnation);
+}
+
 static void
 tick (void *data)
 {
@@ -294,11 +374,16 @@
       enginewatch_sync (&shard->engines);
       storewatch_relist (&shard->stores);
       oncehost_sync (&shard->once);
+      note_lost_gateways (shard);
     }
   enginewatch_tick (&shard->engines);
   storewatch_tick (&shard->stores);
   blockindex_tick (&shard->index);
+  exporter_tick (&shard->exporter);
+  orderer_tick (&shard->orderer);
+  shard->once.keep = !orderer_idle (&shard->orderer);
   oncehost_tick (&shard->once);
+  suspect_shard_tick (&shard->suspects);
 }
 
 static void
@@ -313,6 +398,9 @@
 static void
 configured (void *data)
 {
+  struct shard *shard = data;
+
+  orderer_configure (&shard->orderer);
 }
 
 static size_t
@@ -326,6 +414,33 @@
 static const struct process_role shard_role
     = { serve, answer, tick, hosts_changed, configured, busy };
 
+static bool
+suspect_holds (void *data, unsigned partition, char key[KV_KEY_MAX],
+               uint64_t *revision)
+{
+  struct shard *shard = data;
+
+  owner_key (partition, key);
+  return owner_holds (&shard->once.owner, partition, revision);
+}
+
+static const struct suspect_shard_ops suspect_ops
+    = { suspect_send, suspect_holds };
+
+static void
+init_suspects (struct shard *shard)
+{
+  const struct settings *settings = shard->settings;
+  struct suspect_owner_settings suspects = {
+    .hold_ns = settings->suspect.hold_ns,
+    .grace_ns = settings->suspect.grace_ns,
+    .run_alone = settings->suspect.run_alone,
+  };
+
+  suspect_shard_init (&shard->suspects, &suspects, &shard->process.kvbudget.kv,
+                      &shard->process.clock, &suspect_ops, shard);
+}
+
 static void
 init_index (struct shard *shard)
 {
@@ -362,7 +477,11 @@
                    &process->roster, &process->hostlist.hostlist,
                    &shard->index.copies, process->id,
                    settings->stores.listing_ns);
-  oncehost_init (&shard->once, process);
+  exporter_init (&shard->exporter, process, &shard->index, &shard->engines,
+                 &shard->stores);
+  init_suspects (shard);
+  oncehost_init (&shard->once, process, &shard->suspects);
+  orderer_init (&shard->orderer, process, &shard->once.owner);
   return STATUS_OK;
 }
 
@@ -376,7 +495,10 @@
 shard_finish (struct shard *shard)
 {
   process_finish (&shard->process);
+  orderer_finish (&shard->orderer);
   oncehost_finish (&shard->once);
+  suspect_shard_finish (&shard->suspects);
+  exporter_finish (&shard->exporter);
   enginewatch_finish (&shard->engines);
   storewatch_finish (&shard->stores);
   blockindex_finish (&shard->index);
--- a/test/test-edges.c
+++ b/test/test-edges.c
@@ -1,6 +1,7 @@
 #include "frame.h"
 #include "httpclient.h"
 #include "httpserver.h"
+#include "kvhttp.h"
 #include "peer.h"
 #include "unit.h"
 
@@ -58,6 +59,8 @@
   frame_reader_finish (&reader);
 }
 
+/* Static in each test: what the libraries keep at the loop and the server
+ * until the process ends stays reachable for the leak check. */
 struct http_world
 {
   uv_loop_t loop;
@@ -85,9 +88,13 @@
   const char *path = httpserver_request_path (request);
   size_t size;
   const char *body = httpserver_request_body (request, &size);
+  static const char no_items[] = "{\"revision\":5,\"items\":[]}";
 
   if (strcmp (path, "/echo") == 0)
     httpserver_respond (request, 200, "text/plain", NULL, 0, body, size);
+  else if (strncmp (path, "/v1/kv/", 7) == 0)
+    httpserver_respond (request, 200, "application/json", NULL, 0, no_items,
+                        strlen (no_items));
   else if (strcmp (path, "/wait") == 0)
     httpserver_request_on_gone (request, serve_gone, data);
   else
@@ -183,7 +190,7 @@
 static void
 test_http_round_trip (void)
 {
-  struct http_world world;
+  static struct http_world world;
 
   world_init (&world);
   for (int i = 0; i < 10; i++)
@@ -204,7 +211,7 @@
 static void
 test_http_broken_stream (void)
 {
-  struct http_world world;
+  static struct http_world world;
 
   world_init (&world);
   world_call (&world, "/broken", false);
@@ -217,7 +224,7 @@
 static void
 test_http_refused_connection (void)
 {
-  struct http_world world;
+  static struct http_world world;
 
   world_init (&world);
   strcpy (world.address, "127.0.0.1:1");
@@ -235,7 +242,7 @@
 static void
 test_http_caller_gone (void)
 {
-  struct http_world world;
+  static struct http_world world;
 
   world_init (&world);
   world_call (&world, "/wait", true);
@@ -249,6 +256,39 @@
   world_finish (&world);
 }
 
+static void
+kv_answered (void *data, const struct kv_reply *reply)
+{
+  struct http_world *world = data;
+
+  world->status = reply->status;
+  world->ends++;
+}
+
+/* A key that is not there: the service answers 200 without items. */
+static void
+test_kv_no_such_key (void)
+{
+  static struct http_world world;
+  struct httpjson json;
+  struct kvhttp kvhttp;
+  const char *addresses[1];
+
+  world_init (&world);
+  addresses[0] = world.address;
+  httpjson_init (&json, &world.client);
+  kvhttp_init (&kvhttp, &json, addresses, 1, NS_PER_S);
+  kvhttp.kv.ops->get (&kvhttp.kv, "missing", kv_answered, &world);
+  world_wait (&world);
+  CU_ASSERT_EQUAL (world.status, STATUS_NOT_FOUND);
+  world.ends = 0;
+  kvhttp.kv.ops->range (&kvhttp.kv, "missing", kv_answered, &world);
+  world_wait (&world);
+  CU_ASSERT_EQUAL (world.status, STATUS_OK);
+  httpjson_finish (&json);
+  world_finish (&world);
+}
+
 struct peer_world
 {
   uv_loop_t loop;
@@ -409,6 +449,7 @@
   { "http-broken-stream", test_http_broken_stream },
   { "http-refused-connection", test_http_refused_connection },
   { "http-caller-gone", test_http_caller_gone },
+  { "kv-no-such-key", test_kv_no_such_key },
   { "peer-request", test_peer_request },
   { "peer-timeout", test_peer_timeout },
   { "peer-idle", test_peer_idle },
