--- a/src/member.c
+++ b/src/member.c
@@ -9,6 +9,11 @@
 
 enum
 {
+<<<<<<< HEAD
+=======
+  SENDS_FACTOR = 3,   /* of a row, for each factor 2 of the fleet */
+  BURST_S = 2,        /* seconds of unused budget that are kept */
+>>>>>>> member
   SPREAD_BYTES = 400, /* of an urgent datagram */
   SUSPECTS_TRIED = 8  /* how many of the oldest suspects are probed in turn */
 };
@@ -27,9 +32,360 @@
   .pull_news_ns = 100 * NS_PER_MS,
   .spread_ns = 300 * NS_PER_MS,
   .sign_life_ns = 10 * NS_PER_S,
+  .bytes_per_s = 2500,
   .far_share = 4,
 };
 
+<<<<<<< HEAD
+=======
+static unsigned
+log_of (size_t count, size_t base)
+{
+  unsigned power = 1;
+
+  while (count >= base)
+    {
+      count /= base;
+      power++;
+    }
+  return power;
+}
+
+static uint8_t
+sends_of (const struct member *member)
+{
+  return (uint8_t)(SENDS_FACTOR * log_of (member->table.live_count + 1, 10));
+}
+
+static int64_t
+suspect_span (const struct member *member)
+{
+  return member->settings->suspect_ns
+         * log_of (member->table.live_count + 1, 10);
+}
+
+static void
+send_wire (struct member *member, struct memberwire *wire, const char *address)
+{
+  uint8_t bytes[MEMBER_DATAGRAM_MAX];
+  size_t size = memberwire_pack (wire, bytes);
+
+  assert (size > 0);
+  member->budget -= (int64_t)size;
+  member->ops->send (member->data, address, bytes, size);
+}
+
+/* Whether there are bytes for what can wait. */
+static bool
+may_send (struct member *member)
+{
+  int64_t now = clock_now (member->clock);
+  int64_t rate = member->settings->bytes_per_s;
+  int64_t gain = (now - member->last_fill_ns) / NS_PER_MS * rate / 1000;
+
+  if (gain > 0)
+    {
+      member->budget = MIN (member->budget + gain, BURST_S * rate);
+      member->last_fill_ns = now;
+    }
+  return member->budget > 0;
+}
+
+/* Fill WIRE with what is to be spread, the newest first. */
+static void
+add_news (struct member *member, struct memberwire *wire, size_t limit)
+{
+  struct list sent;
+
+  membersign_fill (member, wire, limit);
+  list_init (&sent);
+  while (may_send (member) && !list_empty (&member->queue))
+    {
+      struct member_entry *entry
+          = LIST_ENTRY (member->queue.next, struct member_entry, queued);
+
+      if (!memberwire_add_row (wire, &entry->row, entry->fresh, limit))
+        break;
+      list_remove (&entry->queued);
+      if (--entry->sends_left > 0)
+        list_append (&sent, &entry->queued);
+    }
+  while (!list_empty (&sent))
+    list_append (&member->queue, list_pop (&sent));
+}
+
+static void
+send_probe (struct member *member, const char *address,
+            const struct member_entry *target, uint64_t sequence)
+{
+  struct memberwire wire;
+
+  memberwire_init (&wire, MEMBER__KIND__PROBE, &member->self);
+  wire.datagram.sequence = sequence;
+  /* One that is held for dead must hear that, to refute it. */
+  if (target != NULL)
+    {
+      wire.datagram.target = target->row.id;
+      if (target->row.state != MEMBER_ALIVE)
+        memberwire_add_row (&wire, &target->row, false, MEMBER_DATAGRAM_MAX);
+    }
+  add_news (member, &wire, MEMBER_DATAGRAM_MAX);
+  send_wire (member, &wire, address);
+}
+
+static struct member_entry *
+pick_peer (struct member *member)
+{
+  const char *centre = member->self.data_centre;
+  bool near = rng_below (member->rng, member->settings->far_share) != 0;
+  struct member_entry *entry
+      = membertable_pick (&member->table, member->rng, centre, near);
+
+  if (entry == NULL)
+    entry = membertable_pick (&member->table, member->rng, centre, !near);
+  return entry;
+}
+
+static void
+set_urgent (struct member *member)
+{
+  int64_t soon_ns
+      = clock_now (member->clock)
+        + (int64_t)rng_below (member->rng,
+                              (uint64_t)member->settings->spread_ns / 10 + 1);
+
+  if (member->urgent == 0 && member->next_spread_ns < soon_ns)
+    member->next_spread_ns = soon_ns;
+  member->urgent = MEMBER_ROUNDS;
+}
+
+static void
+enqueue (struct member *member, struct member_entry *entry)
+{
+  list_remove (&entry->queued);
+  entry->sends_left = sends_of (member);
+  list_prepend (&member->queue, &entry->queued);
+}
+
+/* Someone holds this process for what it is not: the next version says. */
+static void
+refute (struct member *member, const struct member_row *row)
+{
+  if (row->incarnation != member->self.incarnation
+      || row->version < member->self.version
+      || (row->state == MEMBER_ALIVE && row->version == member->self.version)
+      || member->self.state == MEMBER_LEFT)
+    return;
+  member->self.version = row->version + 1;
+  set_urgent (member);
+}
+
+/* What a mutant makes of a row: any run counts as the one that is known. */
+static void
+forget_run (const struct member *member, struct member_row *row)
+{
+  const struct member_entry *known
+      = membertable_find (&member->table, row->id);
+
+  if (known != NULL)
+    row->incarnation = known->row.incarnation;
+}
+
+/* A revision alone is no news: it rides on its owner's own row.
+ * @return STATUS_NOT_FOUND if the fixed fields are needed. */
+static enum status
+take_row (struct member *member, const struct member_row *heard)
+{
+  struct member_row row = *heard;
+  struct member_entry *entry;
+  struct member_row before = { 0 };
+  enum status status;
+
+  if (row.id == member->self.id)
+    {
+      refute (member, &row);
+      return STATUS_STALE;
+    }
+  if (member->settings->without_incarnation)
+    forget_run (member, &row);
+  entry = membertable_find (&member->table, row.id);
+  if (entry != NULL)
+    before = entry->row;
+  status = membertable_merge (&member->table, &row, clock_now (member->clock),
+                              &entry);
+  if (status != STATUS_OK)
+    return status;
+  member->ops->changed (member->data, &entry->row);
+  if (member->table.replaced != NULL)
+    {
+      enqueue (member, member->table.replaced);
+      member->ops->changed (member->data, &member->table.replaced->row);
+    }
+  if (before.incarnation == entry->row.incarnation
+      && before.version == entry->row.version
+      && before.state == entry->row.state)
+    return STATUS_STALE;
+  entry->fresh = before.incarnation != entry->row.incarnation
+                 || (entry->fresh && entry->row.state == MEMBER_ALIVE);
+  enqueue (member, entry);
+  if (entry->row.leaving && !before.leaving)
+    set_urgent (member);
+  return STATUS_OK;
+}
+
+/* @return whether any row held something new. */
+static bool
+take_rows (struct member *member, const Member__Datagram *datagram)
+{
+  bool news = false;
+
+  for (size_t i = 0; i < datagram->n_rows; i++)
+    {
+      struct member_row row;
+      enum status status;
+
+      if (!memberwire_row (datagram->rows[i], &row))
+        continue;
+      status = take_row (member, &row);
+      if (status == STATUS_NOT_FOUND)
+        member->pull_whole = true;
+      news = news || status == STATUS_OK || status == STATUS_NOT_FOUND;
+    }
+  return news;
+}
+
+static void
+answer_probe (struct member *member, const struct member_row *from,
+              const Member__Datagram *datagram)
+{
+  const struct member_entry *entry
+      = membertable_find (&member->table, from->id);
+  struct memberwire wire;
+
+  if (datagram->target != 0 && datagram->target != member->self.id)
+    return;
+  memberwire_init (&wire, MEMBER__KIND__ANSWER, &member->self);
+  wire.datagram.sequence = datagram->sequence;
+  if (entry != NULL && entry->row.state != MEMBER_ALIVE)
+    memberwire_add_row (&wire, &entry->row, false, MEMBER_DATAGRAM_MAX);
+  add_news (member, &wire, MEMBER_DATAGRAM_MAX);
+  send_wire (member, &wire, from->peer_address);
+}
+
+static void
+take_answer (struct member *member, const Member__Datagram *datagram)
+{
+  struct memberwire wire;
+
+  if (datagram->sequence == member->probe_sequence)
+    {
+      member->probe_target = 0;
+      return;
+    }
+  for (unsigned i = 0; i < MEMBER_RELAYS; i++)
+    {
+      struct member_relay *relay = &member->relays[i];
+
+      if (relay->sequence == 0 || relay->sequence != datagram->sequence)
+        continue;
+      relay->sequence = 0;
+      memberwire_init (&wire, MEMBER__KIND__ANSWER, &member->self);
+      wire.datagram.sequence = relay->asked;
+      send_wire (member, &wire, relay->address);
+    }
+}
+
+static void
+probe_for (struct member *member, const struct member_row *from,
+           const Member__Datagram *datagram)
+{
+  const struct member_entry *target
+      = membertable_find (&member->table, datagram->target);
+  struct member_relay *relay
+      = &member->relays[member->next_relay++ % MEMBER_RELAYS];
+
+  if (target == NULL)
+    return;
+  relay->sequence = ++member->sequence;
+  relay->asked = datagram->sequence;
+  g_strlcpy (relay->address, from->peer_address, sizeof relay->address);
+  send_probe (member, target->row.peer_address, target, relay->sequence);
+}
+
+static void
+send_page (struct member *member, const struct member_row *from,
+           const Member__Datagram *datagram)
+{
+  const GPtrArray *entries = member->table.entries;
+  struct memberwire wire;
+  guint at = entries->len == 0 ? 0 : datagram->cursor % entries->len;
+
+  if (!may_send (member))
+    return;
+  memberwire_init (&wire, MEMBER__KIND__PAGE, &member->self);
+  while (at < entries->len)
+    {
+      const struct member_entry *entry = entries->pdata[at];
+
+      if (!memberwire_add_row (&wire, &entry->row, datagram->whole,
+                               MEMBER_DATAGRAM_MAX))
+        break;
+      at++;
+    }
+  wire.datagram.cursor = at < entries->len ? at : 0;
+  wire.datagram.whole = datagram->whole;
+  send_wire (member, &wire, from->peer_address);
+}
+
+/* A page that brought news is followed by the next one of the same peer. */
+static void
+take_page (struct member *member, const struct member_row *from,
+           const Member__Datagram *datagram, bool news)
+{
+  int64_t now = clock_now (member->clock);
+
+  if (!news)
+    {
+      member->pull_address[0] = '\0';
+      member->pull_whole = false;
+      return;
+    }
+  if (datagram->whole || !member->pull_whole)
+    member->pull_cursor = datagram->cursor;
+  g_strlcpy (member->pull_address, from->peer_address,
+             sizeof member->pull_address);
+  member->next_pull_ns = now + member->settings->pull_news_ns;
+}
+
+static void
+dispatch (struct member *member, const struct member_row *from,
+          const Member__Datagram *datagram)
+{
+  bool news = take_rows (member, datagram);
+
+  switch (datagram->kind)
+    {
+    case MEMBER__KIND__PROBE:
+      answer_probe (member, from, datagram);
+      break;
+    case MEMBER__KIND__ANSWER:
+      take_answer (member, datagram);
+      break;
+    case MEMBER__KIND__PROBE_FOR:
+      probe_for (member, from, datagram);
+      break;
+    case MEMBER__KIND__PULL:
+      send_page (member, from, datagram);
+      break;
+    case MEMBER__KIND__PAGE:
+      take_page (member, from, datagram, news);
+      break;
+    default:
+      break;
+    }
+}
+
+>>>>>>> member
 void
 member_receive (struct member *member, const uint8_t *bytes, size_t size)
 {
@@ -210,6 +566,11 @@
 
   if (now < member->next_pull_ns)
     return;
+  if (!may_send (member))
+    {
+      member->next_pull_ns = now + member->settings->pull_news_ns;
+      return;
+    }
   member->next_pull_ns = now + member->settings->pull_ns;
   if (address[0] == '\0')
     {
@@ -233,6 +594,11 @@
 {
   if (member->urgent == 0 || now < member->next_spread_ns)
     return;
+  if (!may_send (member) && member->self.state != MEMBER_LEFT)
+    {
+      member->next_spread_ns = now + member->settings->pull_news_ns;
+      return;
+    }
   member->urgent--;
   member->next_spread_ns = now + member->settings->spread_ns;
   for (int i = 0; i < MEMBER_FANOUT; i++)
@@ -315,6 +681,8 @@
   member->sequence = rng_next (rng) >> 1;
   member->pull_whole = true;
   member->last_tick_ns = now;
+  member->last_fill_ns = now;
+  member->budget = BURST_S * settings->bytes_per_s;
   member->next_probe_ns
       = now + (int64_t)rng_below (rng, (uint64_t)settings->probe_ns);
   member->next_dead_ns = now;
--- a/src/outcome.c
+++ b/src/outcome.c
@@ -100,6 +100,7 @@
   g_snprintf (computed, sizeof computed, "%" G_GINT64_FORMAT,
               head->computed_tokens);
   request->answer_started = true;
+  request_drop_prompt (request);
   httpserver_stream_begin (request->http, HTTP_OK, "text/event-stream",
                            headers, sizeof headers / sizeof *headers);
 }
--- a/src/request.c
+++ b/src/request.c
@@ -166,6 +166,16 @@
   return g_hash_table_lookup (handle->gateway->by_serial, &handle->serial);
 }
 
+void
+request_drop_prompt (struct request *request)
+{
+  json_object_put (request->json);
+  request->json = NULL;
+  request->adapter = NULL;
+  g_free (request->prompt);
+  request->prompt = NULL;
+}
+
 void
 request_resume (struct request *request)
 {
