--- a/src/member.h
+++ b/src/member.h
@@ -46,6 +46,7 @@
 
 enum
 {
+  MEMBER_BURST_S = 2,     /**< Seconds of unused budget that are kept. */
   MEMBER_RELAYS = 16,     /**< probes for others that are under way */
   MEMBER_HELPERS = 3,     /**< others that are asked to probe */
   MEMBER_FANOUT = 3,      /**< receivers of what is urgent, in a round */
--- a/src/memberanswer.c
+++ b/src/memberanswer.c
@@ -88,6 +88,8 @@
   struct memberwire wire;
   guint at = entries->len == 0 ? 0 : datagram->cursor % entries->len;
 
+  if (!membernews_may_send (member))
+    return;
   memberwire_init (&wire, MEMBER__KIND__PAGE, &member->self);
   while (at < entries->len)
     {
--- a/src/membernews.c
+++ b/src/membernews.c
@@ -5,7 +5,7 @@
 
 enum
 {
-  SENDS_FACTOR = 3 /* of a row, for each factor 2 of the fleet */
+  SENDS_FACTOR = 3 /* of a row, for each factor 10 of the fleet */
 };
 
 static unsigned
@@ -24,7 +24,7 @@
 static uint8_t
 sends_of (const struct member *member)
 {
-  return (uint8_t)(SENDS_FACTOR * log_of (member->table.live_count + 1, 2));
+  return (uint8_t)(SENDS_FACTOR * log_of (member->table.live_count + 1, 10));
 }
 
 int64_t
@@ -42,9 +42,25 @@
   size_t size = memberwire_pack (wire, bytes);
 
   assert (size > 0);
+  member->budget -= (int64_t)size;
   member->ops->send (member->data, address, bytes, size);
 }
 
+bool
+membernews_may_send (struct member *member)
+{
+  int64_t now = clock_now (member->clock);
+  int64_t rate = member->settings->bytes_per_s;
+  int64_t gain = (now - member->last_fill_ns) / NS_PER_MS * rate / 1000;
+
+  if (gain > 0)
+    {
+      member->budget = MIN (member->budget + gain, MEMBER_BURST_S * rate);
+      member->last_fill_ns = now;
+    }
+  return member->budget > 0;
+}
+
 void
 membernews_fill (struct member *member, struct memberwire *wire, size_t limit)
 {
@@ -52,13 +68,12 @@
 
   membersign_fill (member, wire, limit);
   list_init (&sent);
-  while (!list_empty (&member->queue))
+  while (membernews_may_send (member) && !list_empty (&member->queue))
     {
       struct member_entry *entry
           = LIST_ENTRY (member->queue.next, struct member_entry, queued);
 
-      if (!memberwire_add_row (wire, &entry->row,
-                               entry->row.state == MEMBER_ALIVE, limit))
+      if (!memberwire_add_row (wire, &entry->row, entry->fresh, limit))
         break;
       list_remove (&entry->queued);
       if (--entry->sends_left > 0)
@@ -177,6 +192,8 @@
       && before.version == entry->row.version
       && before.state == entry->row.state)
     return STATUS_STALE;
+  entry->fresh = before.incarnation != entry->row.incarnation
+                 || (entry->fresh && entry->row.state == MEMBER_ALIVE);
   enqueue (member, entry);
   if (entry->row.leaving && !before.leaving)
     membernews_urgent (member);
--- a/src/membernews.h
+++ b/src/membernews.h
@@ -14,6 +14,9 @@
 /** Another live process, mostly of the own data centre, or NULL. */
 struct member_entry *membernews_pick (struct member *member);
 
+/** Whether there are bytes for what can wait. */
+bool membernews_may_send (struct member *member);
+
 void membernews_send (struct member *member, struct memberwire *wire,
                       const char *address);
 
