--- a/test/test-edges.c
+++ b/test/test-edges.c
@@ -358,10 +358,10 @@
 peer_world_ask (struct peer_world *world)
 {
   Peer__Envelope request = PEER__ENVELOPE__INIT;
-  Peer__Hello hello = PEER__HELLO__INIT;
+  Peer__ConfigFetch fetch = PEER__CONFIG_FETCH__INIT;
 
-  request.body_case = PEER__ENVELOPE__BODY_HELLO;
-  request.hello = &hello;
+  request.body_case = PEER__ENVELOPE__BODY_CONFIG_FETCH;
+  request.config_fetch = &fetch;
   world->done = 0;
   peerhub_request (&world->a, world->address, &request, NS_PER_S,
                    peer_answered, world);
@@ -416,6 +416,29 @@
   peer_world_finish (&world);
 }
 
+/* A connection that nobody asks on is closed; the next request opens one. */
+static void
+test_peer_idle (void)
+{
+  struct peer_world world;
+
+  peer_world_init (&world);
+  peer_world_ask (&world);
+  peer_world_wait (&world, 100);
+  for (int i = 0; i < 30; i++)
+    {
+      clock_fake_advance (&world.clock, PEER_IDLE_NS / 20);
+      for (int j = 0; j < 15; j++)
+        uv_run (&world.loop, UV_RUN_ONCE);
+    }
+  CU_ASSERT (list_empty (&world.a.links));
+  CU_ASSERT (list_empty (&world.b.links));
+  peer_world_ask (&world);
+  peer_world_wait (&world, 100);
+  CU_ASSERT_EQUAL (world.status, STATUS_OK);
+  peer_world_finish (&world);
+}
+
 static const struct unit_case cases[] = {
   { "frames-in-pieces", test_frames_in_pieces },
   { "frame-too-large", test_frame_too_large },
@@ -426,6 +449,7 @@
   { "kv-no-such-key", test_kv_no_such_key },
   { "peer-request", test_peer_request },
   { "peer-timeout", test_peer_timeout },
+  { "peer-idle", test_peer_idle },
 };
 
 int
