Completions pass the check of suspect requests

Cause: path/crash-contained: one prompt with CRASH_ENGINE, sent eight times to two gateways, cost 6 of 6 engines. guard_filter stood in the list of filters of service calls only, so a completion took no slot before its first attempt; its fingerprint was never made, and retries asked for the one of all zeros, which all completions share. Ruled out: the owners' records (they were kept, for the fingerprint of zeros). Change: guard_filter stands between admission and grant for completions too.

--- a/src/request.c
+++ b/src/request.c
@@ -10,9 +10,8 @@
 #include <string.h>
 
 static const request_filter completion_filters[]
-    = { auth_filter,  classify_filter, admission_filter,
-        grant_filter, lookup_filter,   dispatch_filter,
-        NULL };
+    = { auth_filter,  classify_filter, admission_filter, guard_filter,
+        grant_filter, lookup_filter,   dispatch_filter,  NULL };
 static const request_filter service_filters[]
     = { auth_filter,  classify_filter, admission_filter,
         guard_filter, grant_filter,    dispatch_filter,
