--- a/test/check-path.sh
+++ b/test/check-path.sh
@@ -276,7 +276,12 @@
 after=$(alive_count $engines)
 check crash-contained yes "$([ $after -lt "$before" ] \
   && [ $after -ge $((before - 2)) ] && echo yes || echo "$before $after")"
+# What ran on the engine that died is told so, and is whole when sent again.
 check crash-others "4 whole" "$(for n in 1 2 3 4; do
+  if [ "$(whole beside-$n 5)" != whole ] \
+    && grep -q '"code":"backend_lost"' "$fleet_dir/beside-$n.body"; then
+    ask gateway-1 key-1 check "beside a crash $n" 5 "beside-$n"
+  fi
   whole beside-$n 5
 done | sort | uniq -c | sed 's/^ *//')" "$fleet_dir/beside-1.body"
 
