--- a/src/order.c
+++ b/src/order.c
@@ -274,7 +274,7 @@
       leftover->item.model[0] = '\0';
       return false;
     }
-  if (memcmp (&leftover->item, item, sizeof *item) != 0)
+  if (!orderplan_equal (&leftover->item, item))
     {
       leftover->item = *item;
       leftover->since_ns = clock_now (order->clock);
--- a/src/orderplan.c
+++ b/src/orderplan.c
@@ -14,14 +14,6 @@
   g_array_append_vals (items, item, 1);
 }
 
-static bool
-item_equal (const struct orderplan_item *a, const struct orderplan_item *b)
-{
-  return strcmp (a->model, b->model) == 0
-         && strcmp (a->version, b->version) == 0
-         && strcmp (a->adapter, b->adapter) == 0;
-}
-
 static struct orderplan_item
 item_make (const char *model, const char *version, const char *adapter)
 {
@@ -167,11 +159,20 @@
   return items;
 }
 
+bool
+orderplan_equal (const struct orderplan_item *a,
+                 const struct orderplan_item *b)
+{
+  return strcmp (a->model, b->model) == 0
+         && strcmp (a->version, b->version) == 0
+         && strcmp (a->adapter, b->adapter) == 0;
+}
+
 bool
 orderplan_has (const GArray *items, const struct orderplan_item *item)
 {
   for (size_t i = 0; i < items->len; i++)
-    if (item_equal (item_at (items, i), item))
+    if (orderplan_equal (item_at (items, i), item))
       return true;
   return false;
 }
--- a/src/orderplan.h
+++ b/src/orderplan.h
@@ -42,6 +42,10 @@
  * with g_array_unref. */
 GArray *orderplan_reported (const struct engine_load *load);
 
+/** Whether A and B are the same weights. */
+bool orderplan_equal (const struct orderplan_item *a,
+                      const struct orderplan_item *b);
+
 /** Whether ITEMS holds the weights of ITEM. */
 bool orderplan_has (const GArray *items, const struct orderplan_item *item);
 
--- a/test/check-order.sh
+++ b/test/check-order.sh
@@ -164,11 +164,19 @@
   "$(awk '$1 != 200' "$fleet_dir/next" | wc -l)"
 check last_request_uses_it v3 "$(awk 'END { print $2 }' "$fleet_dir/next")"
 
+echo "# a shard dies in the middle of a swap"
+declare_version v4
+wait_until 20 sh -c "curl -s http://${address_of[weights]}/control/stats \
+  | grep -q '\"active\": *[12]'"
+kill -9 "${pid_of[shard-1]}"
+wait_until 40 all_have v4
+check survivor_goes_on 6 "$(having v4)"
+
 stats=$(curl -s "http://${address_of[weights]}/control/stats")
 echo "# weight store: $stats"
 check loads_at_a_time 2 "$(grep -o '"max_active": *[0-9]*' <<<"$stats" \
   | grep -o '[0-9]*$')"
-check loads 12 "$(grep -o '"total": *[0-9]*' <<<"$stats" | grep -o '[0-9]*$')"
+check loads 18 "$(grep -o '"total": *[0-9]*' <<<"$stats" | grep -o '[0-9]*$')"
 for d in $shards; do
   curl -s "http://${address_of[$d]}/metrics" | grep '^order' \
     | sed "s/^/# $d /"
--- a/test/fake-orders.c
+++ b/test/fake-orders.c
@@ -213,6 +213,9 @@
       engine_report (&fake->engines[i], &issuer->order);
   order_tick (&issuer->order);
   issuer->owner.lease_until = until;
+  if (issuer->stopping && !issuer->owner.stopping
+      && (order_idle (&issuer->order) || fake->mutant == FAKE_MUTANT_NO_IDLE))
+    owner_stop (&issuer->owner);
   owner_tick (&issuer->owner);
   if (issuer->revision != fake->config->revision)
     issuer_configure (fake, issuer);
@@ -245,6 +248,17 @@
     }
 }
 
+void
+fake_orders_stop (struct fake_orders *fake, unsigned index)
+{
+  struct fake_issuer *issuer = &fake->issuers[index];
+
+  if (!issuer->alive)
+    return;
+  issuer->stopping = true;
+  order_stop (&issuer->order);
+}
+
 void
 fake_orders_kill (struct fake_orders *fake, unsigned index)
 {
@@ -363,6 +377,8 @@
 
       issuer->client.paused = issuer->paused;
       issuer_step (fake, issuer);
+      if (issuer->alive && issuer->stopping && owner_stopped (&issuer->owner))
+        fake_orders_kill (fake, (unsigned)i);
     }
   fake->max_loads = MAX (fake->max_loads, loads_now (fake));
 }
--- a/test/fake-orders.h
+++ b/test/fake-orders.h
@@ -22,9 +22,10 @@
 enum fake_mutant
 {
   FAKE_MUTANT_NONE,
-  FAKE_MUTANT_NO_WAIT,  /**< until an earlier issuer's orders have arrived */
-  FAKE_MUTANT_NO_HOLD,  /**< check of the lease before each send */
-  FAKE_MUTANT_NO_PERMIT /**< of the loads of all issuers */
+  FAKE_MUTANT_NO_WAIT,   /**< until an earlier issuer's orders have arrived */
+  FAKE_MUTANT_NO_HOLD,   /**< check of the lease before each send */
+  FAKE_MUTANT_NO_PERMIT, /**< of the loads of all issuers */
+  FAKE_MUTANT_NO_IDLE    /**< before a planned stop gives the lease back */
 };
 
 struct fake_issuer
@@ -37,6 +38,7 @@
   uint64_t revision; /**< of the configuration that it has */
   bool alive;
   bool paused;
+  bool stopping;
 };
 
 struct fake_engine
@@ -101,6 +103,8 @@
 void fake_orders_finish (struct fake_orders *fake);
 
 void fake_orders_start (struct fake_orders *fake, unsigned issuer);
+/** Begin a planned stop. */
+void fake_orders_stop (struct fake_orders *fake, unsigned issuer);
 void fake_orders_kill (struct fake_orders *fake, unsigned issuer);
 
 /** Put a change in force in all processes that are not paused. */
--- a/test/test-order.c
+++ b/test/test-order.c
@@ -197,6 +197,35 @@
   finish ();
 }
 
+/* Two issuers pause before they unload; when they go on, the third has sent
+ * those orders, which have no effect. */
+static void
+resumed_run (enum fake_mutant mutant)
+{
+  fake_orders_init (&fake, 11);
+  mutate (mutant);
+  declare (2);
+  fake_orders_use (&fake, 2);
+  fake_orders_run (&fake, 25 * NS_PER_S);
+  for (int i = 1; i < FAKE_ENGINES; i += 2)
+    fake.engines[i].bad = true;
+  declare_no_more (1);
+  fake_orders_run (&fake, NS_PER_S);
+  fake.issuers[0].paused = true;
+  fake.issuers[1].paused = true;
+  fake_orders_run (&fake, 25 * NS_PER_S);
+  fake.issuers[0].paused = false;
+  fake.issuers[1].paused = false;
+  fake_orders_run (&fake, 10 * NS_PER_S);
+}
+
+static void
+test_resumed (void)
+{
+  resumed_run (FAKE_MUTANT_NONE);
+  finish ();
+}
+
 static const struct fake_message *
 message_to_ignoring (void)
 {
@@ -241,6 +270,34 @@
   finish ();
 }
 
+/* A planned stop of one issuer after the other, in the middle of a swap. */
+static void
+stop_run (enum fake_mutant mutant)
+{
+  fake_orders_init (&fake, 10);
+  mutate (mutant);
+  fake_orders_run (&fake, 10 * NS_PER_S);
+  for (unsigned round = 0; round < 6; round++)
+    {
+      declare (2 + round);
+      fake_orders_use (&fake, 2 + round);
+      fake_orders_run (&fake, (5 + round % 3) * NS_PER_S);
+      fake_orders_stop (&fake, round % FAKE_ISSUERS);
+      fake_orders_run (&fake, 20 * NS_PER_S);
+      CU_ASSERT_FALSE (fake.issuers[round % FAKE_ISSUERS].alive);
+      fake_orders_start (&fake, round % FAKE_ISSUERS);
+      fake_orders_run (&fake, 10 * NS_PER_S);
+    }
+  CU_ASSERT_EQUAL (fake_orders_having (&fake, 7), FAKE_ENGINES);
+}
+
+static void
+test_planned_stop (void)
+{
+  stop_run (FAKE_MUTANT_NONE);
+  finish ();
+}
+
 /* Nothing moves while the KV service is out, and nothing breaks. */
 static void
 test_kv_outage (void)
@@ -293,6 +350,8 @@
     fake_orders_start (&fake, index);
   else if (rng_below (&fake.rng, 4) == 0)
     fake_orders_kill (&fake, index);
+  else if (rng_below (&fake.rng, 4) == 0)
+    fake_orders_stop (&fake, index);
   else
     issuer->paused = !issuer->paused;
 }
@@ -356,8 +415,11 @@
   handover_run (FAKE_MUTANT_NO_WAIT);
   CU_ASSERT (fake.old_orders > 0);
   fake_orders_finish (&fake);
-  CU_ASSERT (caught (FAKE_MUTANT_NO_HOLD) > 0);
+  resumed_run (FAKE_MUTANT_NO_HOLD);
+  CU_ASSERT (fake.old_orders > 0);
+  fake_orders_finish (&fake);
   CU_ASSERT (caught (FAKE_MUTANT_NO_PERMIT) > 0);
+  CU_ASSERT (caught (FAKE_MUTANT_NO_IDLE) > 0);
 }
 
 static const struct unit_case cases[] = {
@@ -368,7 +430,9 @@
   { "load_without_effect", test_bad_load },
   { "operator_race", test_operator_race },
   { "paused_issuer", test_paused },
+  { "resumed_issuer", test_resumed },
   { "handover", test_handover },
+  { "planned_stop", test_planned_stop },
   { "kv_outage", test_kv_outage },
   { "random", test_random },
   { "mutants", test_mutants },
