Membership split: sending and ranking in files of their own

Change: membersend (what goes out, to whom, within the budget) and memberrank (choices among the known); no change of behaviour.

--- a/src/confpeer.c
+++ b/src/confpeer.c
@@ -1,4 +1,5 @@
 #include "confpeer.h"
+#include "memberrank.h"
 #include "textzip.h"
 
 #include <glib.h>
--- a/src/member.c
+++ b/src/member.c
@@ -1,14 +1,11 @@
 #include "member.h"
+#include "membersend.h"
 #include "membersign.h"
-#include "rendezvous.h"
 
-#include <assert.h>
 #include <string.h>
 
 enum
 {
-  SENDS_FACTOR = 3,   /* of a row, for each factor 2 of the fleet */
-  BURST_S = 2,        /* seconds of unused budget that are kept */
   SPREAD_BYTES = 400, /* of an urgent datagram */
   SUSPECTS_TRIED = 8  /* how many of the oldest suspects are probed in turn */
 };
@@ -31,133 +28,11 @@
   .far_share = 4,
 };
 
-static unsigned
-log_of (size_t count, size_t base)
-{
-  unsigned power = 1;
-
-  while (count >= base)
-    {
-      count /= base;
-      power++;
-    }
-  return power;
-}
-
-static uint8_t
-sends_of (const struct member *member)
-{
-  return (uint8_t)(SENDS_FACTOR * log_of (member->table.live_count + 1, 10));
-}
-
 static int64_t
 suspect_span (const struct member *member)
 {
   return member->settings->suspect_ns
-         * log_of (member->table.live_count + 1, 10);
-}
-
-static void
-send_wire (struct member *member, struct memberwire *wire, const char *address)
-{
-  uint8_t bytes[MEMBER_DATAGRAM_MAX];
-  size_t size = memberwire_pack (wire, bytes);
-
-  assert (size > 0);
-  member->budget -= (int64_t)size;
-  member->ops->send (member->data, address, bytes, size);
-}
-
-/* Whether there are bytes for what can wait. */
-static bool
-may_send (struct member *member)
-{
-  int64_t now = clock_now (member->clock);
-  int64_t rate = member->settings->bytes_per_s;
-  int64_t gain = (now - member->last_fill_ns) / NS_PER_MS * rate / 1000;
-
-  if (gain > 0)
-    {
-      member->budget = MIN (member->budget + gain, BURST_S * rate);
-      member->last_fill_ns = now;
-    }
-  return member->budget > 0;
-}
-
-/* Fill WIRE with what is to be spread, the newest first. */
-static void
-add_news (struct member *member, struct memberwire *wire, size_t limit)
-{
-  struct list sent;
-
-  membersign_fill (member, wire, limit);
-  list_init (&sent);
-  while (may_send (member) && !list_empty (&member->queue))
-    {
-      struct member_entry *entry
-          = LIST_ENTRY (member->queue.next, struct member_entry, queued);
-
-      if (!memberwire_add_row (wire, &entry->row, entry->fresh, limit))
-        break;
-      list_remove (&entry->queued);
-      if (--entry->sends_left > 0)
-        list_append (&sent, &entry->queued);
-    }
-  while (!list_empty (&sent))
-    list_append (&member->queue, list_pop (&sent));
-}
-
-static void
-send_probe (struct member *member, const char *address,
-            const struct member_entry *target, uint64_t sequence)
-{
-  struct memberwire wire;
-
-  memberwire_init (&wire, MEMBER__KIND__PROBE, &member->self);
-  wire.datagram.sequence = sequence;
-  /* One that is held for dead must hear that, to refute it. */
-  if (target != NULL)
-    {
-      wire.datagram.target = target->row.id;
-      if (target->row.state != MEMBER_ALIVE)
-        memberwire_add_row (&wire, &target->row, false, MEMBER_DATAGRAM_MAX);
-    }
-  add_news (member, &wire, MEMBER_DATAGRAM_MAX);
-  send_wire (member, &wire, address);
-}
-
-static struct member_entry *
-pick_peer (struct member *member)
-{
-  const char *centre = member->self.data_centre;
-  bool near = rng_below (member->rng, member->settings->far_share) != 0;
-  struct member_entry *entry
-      = membertable_pick (&member->table, member->rng, centre, near);
-
-  if (entry == NULL)
-    entry = membertable_pick (&member->table, member->rng, centre, !near);
-  return entry;
-}
-
-static void
-set_urgent (struct member *member)
-{
-  int64_t soon_ns
-      = clock_now (member->clock)
-        + (int64_t)rng_below (member->rng,
-                              (uint64_t)member->settings->spread_ns / 10 + 1);
-
-  if (member->urgent == 0 && member->next_spread_ns < soon_ns)
-    member->next_spread_ns = soon_ns;
-  member->urgent = MEMBER_ROUNDS;
-}
-
-static void
-enqueue (struct member *member, struct member_entry *entry)
-{
-  list_remove (&entry->queued);
-  entry->sends_left = sends_of (member);
-  list_prepend (&member->queue, &entry->queued);
+         * membersend_log (member->table.live_count + 1, 10);
 }
 
 /* Someone holds this process for what it is not: the next version says. */
@@ -170,7 +45,7 @@
       || member->self.state == MEMBER_LEFT)
     return;
   member->self.version = row->version + 1;
-  set_urgent (member);
+  membersend_urgent (member);
 }
 
 /* What a mutant makes of a row: any run counts as the one that is known. */
@@ -211,7 +86,7 @@
   member->ops->changed (member->data, &entry->row);
   if (member->table.replaced != NULL)
     {
-      enqueue (member, member->table.replaced);
+      membersend_queue (member, member->table.replaced);
       member->ops->changed (member->data, &member->table.replaced->row);
     }
   if (before.incarnation == entry->row.incarnation
@@ -220,9 +95,9 @@
     return STATUS_STALE;
   entry->fresh = before.incarnation != entry->row.incarnation
                  || (entry->fresh && entry->row.state == MEMBER_ALIVE);
-  enqueue (member, entry);
+  membersend_queue (member, entry);
   if (entry->row.leaving && !before.leaving)
-    set_urgent (member);
+    membersend_urgent (member);
   return STATUS_OK;
 }
 
@@ -261,8 +136,8 @@
   wire.datagram.sequence = datagram->sequence;
   if (entry != NULL && entry->row.state != MEMBER_ALIVE)
     memberwire_add_row (&wire, &entry->row, false, MEMBER_DATAGRAM_MAX);
-  add_news (member, &wire, MEMBER_DATAGRAM_MAX);
-  send_wire (member, &wire, from->peer_address);
+  membersend_news (member, &wire, MEMBER_DATAGRAM_MAX);
+  membersend_wire (member, &wire, from->peer_address);
 }
 
 static void
@@ -284,7 +159,7 @@
       relay->sequence = 0;
       memberwire_init (&wire, MEMBER__KIND__ANSWER, &member->self);
       wire.datagram.sequence = relay->asked;
-      send_wire (member, &wire, relay->address);
+      membersend_wire (member, &wire, relay->address);
     }
 }
 
@@ -302,32 +177,7 @@
   relay->sequence = ++member->sequence;
   relay->asked = datagram->sequence;
   g_strlcpy (relay->address, from->peer_address, sizeof relay->address);
-  send_probe (member, target->row.peer_address, target, relay->sequence);
-}
-
-static void
-send_page (struct member *member, const struct member_row *from,
-           const Member__Datagram *datagram)
-{
-  const GPtrArray *entries = member->table.entries;
-  struct memberwire wire;
-  guint at = entries->len == 0 ? 0 : datagram->cursor % entries->len;
-
-  if (!may_send (member))
-    return;
-  memberwire_init (&wire, MEMBER__KIND__PAGE, &member->self);
-  while (at < entries->len)
-    {
-      const struct member_entry *entry = entries->pdata[at];
-
-      if (!memberwire_add_row (&wire, &entry->row, datagram->whole,
-                               MEMBER_DATAGRAM_MAX))
-        break;
-      at++;
-    }
-  wire.datagram.cursor = at < entries->len ? at : 0;
-  wire.datagram.whole = datagram->whole;
-  send_wire (member, &wire, from->peer_address);
+  membersend_probe (member, target->row.peer_address, target, relay->sequence);
 }
 
 /* A page that brought news is followed by the next one of the same peer. */
@@ -368,7 +218,7 @@
       probe_for (member, from, datagram);
       break;
     case MEMBER__KIND__PULL:
-      send_page (member, from, datagram);
+      membersend_page (member, from, datagram);
       break;
     case MEMBER__KIND__PAGE:
       take_page (member, from, datagram, news);
@@ -414,7 +264,7 @@
   member->probe_helped = true;
   for (int i = 0; target != NULL && i < MEMBER_HELPERS; i++)
     {
-      struct member_entry *helper = pick_peer (member);
+      struct member_entry *helper = membersend_pick (member);
       struct memberwire wire;
 
       if (helper == NULL || helper == target)
@@ -422,7 +272,7 @@
       memberwire_init (&wire, MEMBER__KIND__PROBE_FOR, &member->self);
       wire.datagram.sequence = member->probe_sequence;
       wire.datagram.target = target->row.id;
-      send_wire (member, &wire, helper->row.peer_address);
+      membersend_wire (member, &wire, helper->row.peer_address);
     }
 }
 
@@ -441,7 +291,8 @@
       return;
     }
   set_state (member, target, MEMBER_SUSPECT);
-  send_probe (member, target->row.peer_address, target, ++member->sequence);
+  membersend_probe (member, target->row.peer_address, target,
+                    ++member->sequence);
 }
 
 /* Every second probe goes to a suspect, which must hear of it to refute. */
@@ -453,7 +304,7 @@
   struct list *at = suspects->next;
 
   if (list_empty (suspects) || rng_below (member->rng, 2) == 0)
-    return pick_peer (member);
+    return membersend_pick (member);
   while (skip-- > 0 && at->next != suspects)
     at = at->next;
   return LIST_ENTRY (at, struct member_entry, timed);
@@ -483,8 +334,8 @@
   member->probe_sequence = ++member->sequence;
   member->probe_began_ns = now;
   member->probe_helped = false;
-  send_probe (member, target->row.peer_address, target,
-              member->probe_sequence);
+  membersend_probe (member, target->row.peer_address, target,
+                    member->probe_sequence);
 }
 
 static void
@@ -516,7 +367,7 @@
   entry = membertable_at (&member->table, address);
   if (strcmp (address, member->self.peer_address) != 0
       && (entry == NULL || !entry->live))
-    send_probe (member, address, NULL, ++member->sequence);
+    membersend_probe (member, address, NULL, ++member->sequence);
 }
 
 /* The dead may live behind a cut; long dead ones are forgotten. */
@@ -537,7 +388,8 @@
   list_remove (&entry->timed);
   list_append (dead, &entry->timed);
   if (entry->row.state == MEMBER_DEAD)
-    send_probe (member, entry->row.peer_address, entry, ++member->sequence);
+    membersend_probe (member, entry->row.peer_address, entry,
+                      ++member->sequence);
 }
 
 static void
@@ -566,7 +418,7 @@
 
   if (now < member->next_pull_ns)
     return;
-  if (!may_send (member))
+  if (!membersend_allowed (member))
     {
       member->next_pull_ns = now + member->settings->pull_news_ns;
       return;
@@ -574,7 +426,7 @@
   member->next_pull_ns = now + member->settings->pull_ns;
   if (address[0] == '\0')
     {
-      peer = pick_peer (member);
+      peer = membersend_pick (member);
       if (peer == NULL)
         return;
       address = peer->row.peer_address;
@@ -584,7 +436,7 @@
   memberwire_init (&wire, MEMBER__KIND__PULL, &member->self);
   wire.datagram.cursor = member->pull_cursor;
   wire.datagram.whole = member->pull_whole;
-  send_wire (member, &wire, address);
+  membersend_wire (member, &wire, address);
   /* If the page is lost, another peer is asked. */
   member->pull_address[0] = '\0';
 }
@@ -594,7 +446,7 @@
 {
   if (member->urgent == 0 || now < member->next_spread_ns)
     return;
-  if (!may_send (member) && member->self.state != MEMBER_LEFT)
+  if (!membersend_allowed (member) && member->self.state != MEMBER_LEFT)
     {
       member->next_spread_ns = now + member->settings->pull_news_ns;
       return;
@@ -603,14 +455,14 @@
   member->next_spread_ns = now + member->settings->spread_ns;
   for (int i = 0; i < MEMBER_FANOUT; i++)
     {
-      struct member_entry *peer = pick_peer (member);
+      struct member_entry *peer = membersend_pick (member);
       struct memberwire wire;
 
       if (peer == NULL)
         return;
       memberwire_init (&wire, MEMBER__KIND__SPREAD, &member->self);
-      add_news (member, &wire, SPREAD_BYTES);
-      send_wire (member, &wire, peer->row.peer_address);
+      membersend_news (member, &wire, SPREAD_BYTES);
+      membersend_wire (member, &wire, peer->row.peer_address);
     }
 }
 
@@ -682,7 +534,7 @@
   member->pull_whole = true;
   member->last_tick_ns = now;
   member->last_fill_ns = now;
-  member->budget = BURST_S * settings->bytes_per_s;
+  member->budget = MEMBER_BURST_S * settings->bytes_per_s;
   member->next_probe_ns
       = now + (int64_t)rng_below (rng, (uint64_t)settings->probe_ns);
   member->next_dead_ns = now;
@@ -719,7 +571,7 @@
   if (revision <= member->self.revision)
     return;
   member->self.revision = revision;
-  set_urgent (member);
+  membersend_urgent (member);
 }
 
 void
@@ -729,7 +581,7 @@
     return;
   member->self.leaving = true;
   member->self.version++;
-  set_urgent (member);
+  membersend_urgent (member);
 }
 
 void
@@ -741,48 +593,3 @@
   member->next_spread_ns = clock_now (member->clock);
   step_spread (member, member->next_spread_ns);
 }
-
-void
-member_sign (struct member *member, const char *server)
-{
-  if (membersign_note (member, server, member->self.name,
-                       clock_now (member->clock)))
-    set_urgent (member);
-}
-
-bool
-member_first (const struct member *member, const char *key, unsigned count)
-{
-  const struct membertable *table = &member->table;
-  size_t size = strlen (key);
-  uint64_t own = rendezvous_weight (member->self.id, key, size);
-  unsigned above = 0;
-
-  for (guint i = 0; i < table->entries->len; i++)
-    {
-      const struct member_entry *entry = table->entries->pdata[i];
-
-      if (entry->live && !entry->row.leaving
-          && strcmp (entry->row.data_centre, member->self.data_centre) == 0
-          && rendezvous_weight (entry->row.id, key, size) > own)
-        above++;
-    }
-  return !member->self.leaving && above < count;
-}
-
-const struct member_row *
-member_with_revision (const struct member *member, uint64_t revision)
-{
-  const GPtrArray *entries = member->table.entries;
-  guint start = entries->len == 0 ? 0 : rng_below (member->rng, entries->len);
-
-  for (guint i = 0; i < entries->len; i++)
-    {
-      const struct member_entry *entry
-          = entries->pdata[(start + i) % entries->len];
-
-      if (entry->live && entry->row.revision > revision)
-        return &entry->row;
-    }
-  return NULL;
-}
--- a/src/member.h
+++ b/src/member.h
@@ -46,6 +46,7 @@
 
 enum
 {
+  MEMBER_BURST_S = 2,     /**< seconds of unused budget that are kept */
   MEMBER_RELAYS = 16,     /**< probes for others that are under way */
   MEMBER_HELPERS = 3,     /**< others that are asked to probe */
   MEMBER_FANOUT = 3,      /**< receivers of what is urgent, in a round */
@@ -125,15 +126,6 @@
 /** The process itself saw the backend server SERVER leaving or out. */
 void member_sign (struct member *member, const char *server);
 
-/** Whether the process is among the first COUNT by rendezvous rank for KEY
- * of those in its data centre that live and stay. */
-bool member_first (const struct member *member, const char *key,
-                   unsigned count);
-
-/** Some live process that has a revision above REVISION in force, or NULL. */
-const struct member_row *member_with_revision (const struct member *member,
-                                               uint64_t revision);
-
 void member_tick (struct member *member);
 
 /** The monotonic time of the next thing due. */
--- a/src/membersign.c
+++ b/src/membersign.c
@@ -1,4 +1,5 @@
 #include "membersign.h"
+#include "membersend.h"
 
 #include <string.h>
 
@@ -109,3 +110,11 @@
         drop (member, sign);
     }
 }
+
+void
+member_sign (struct member *member, const char *server)
+{
+  if (membersign_note (member, server, member->self.name,
+                       clock_now (member->clock)))
+    membersend_urgent (member);
+}
--- a/src/process.c
+++ b/src/process.c
@@ -1,4 +1,5 @@
 #include "process.h"
+#include "memberrank.h"
 
 #include <glib.h>
 #include <signal.h>
--- a/test/fake-members.c
+++ b/test/fake-members.c
@@ -1,4 +1,5 @@
 #include "fake-members.h"
+#include "memberrank.h"
 #include "roster.h"
 
 #include <string.h>
