--- a/test/fake-orders.c
+++ b/test/fake-orders.c
@@ -134,13 +134,14 @@
 }
 
 static void
-engine_report (const struct fake_engine *engine, struct order *order)
+engine_report (const struct fake_engine *engine, struct order *order,
+               bool running)
 {
   struct engine_version versions[FAKE_VERSIONS];
   char names[FAKE_VERSIONS][8];
   struct engine_load load = { .incarnation = engine->incarnation,
                               .sequence = engine->sequence,
-                              .running = engine->seen_running,
+                              .running = running ? engine->seen_running : 0,
                               .role = "",
                               .versions = versions };
 
@@ -210,7 +211,8 @@
     issuer->owner.lease_until = CLOCK_NEVER;
   for (int i = 0; i < FAKE_ENGINES; i++)
     if (order_engine_ours (&issuer->order, fake->engines[i].name))
-      engine_report (&fake->engines[i], &issuer->order);
+      engine_report (&fake->engines[i], &issuer->order,
+                     fake->mutant != FAKE_MUTANT_NO_RUNNING);
   order_tick (&issuer->order);
   issuer->owner.lease_until = until;
   if (issuer->stopping && !issuer->owner.stopping
--- a/test/fake-orders.h
+++ b/test/fake-orders.h
@@ -25,7 +25,8 @@
   FAKE_MUTANT_NO_WAIT,   /**< until an earlier issuer's orders have arrived */
   FAKE_MUTANT_NO_HOLD,   /**< check of the lease before each send */
   FAKE_MUTANT_NO_PERMIT, /**< of the loads of all issuers */
-  FAKE_MUTANT_NO_IDLE    /**< before a planned stop gives the lease back */
+  FAKE_MUTANT_NO_IDLE,   /**< before a planned stop gives the lease back */
+  FAKE_MUTANT_NO_RUNNING /**< look at what an engine runs */
 };
 
 struct fake_issuer
--- a/test/test-order.c
+++ b/test/test-order.c
@@ -97,9 +97,10 @@
 
 /* An old version stays while a stream needs it. */
 static void
-test_streams (void)
+streams_run (enum fake_mutant mutant)
 {
   fake_orders_init (&fake, 2);
+  mutate (mutant);
   fake_orders_run (&fake, 10 * NS_PER_S);
   fake_orders_stream (&fake, 3, 60 * NS_PER_S);
   declare (2);
@@ -107,6 +108,12 @@
   declare_no_more (1);
   fake_orders_run (&fake, 40 * NS_PER_S);
   CU_ASSERT_EQUAL (fake_orders_having (&fake, 2), FAKE_ENGINES);
+}
+
+static void
+test_streams (void)
+{
+  streams_run (FAKE_MUTANT_NONE);
   CU_ASSERT_EQUAL (fake_orders_having (&fake, 1), 1);
   CU_ASSERT (fake.engines[3].loaded[1]);
   fake_orders_run (&fake, 40 * NS_PER_S);
@@ -418,6 +425,9 @@
   resumed_run (FAKE_MUTANT_NO_HOLD);
   CU_ASSERT (fake.old_orders > 0);
   fake_orders_finish (&fake);
+  streams_run (FAKE_MUTANT_NO_RUNNING);
+  CU_ASSERT_EQUAL (fake.cut_streams, 1);
+  fake_orders_finish (&fake);
   CU_ASSERT (caught (FAKE_MUTANT_NO_PERMIT) > 0);
   CU_ASSERT (caught (FAKE_MUTANT_NO_IDLE) > 0);
 }
