--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 SECONDS ?= 60
 
-.PHONY: all deps build check check-sanitized demo fuzz bench format format-check lint generate \
+.PHONY: all deps build check check-sanitized capacity demo fuzz bench format format-check lint generate \
 	generate-check clean
 
 all: build
@@ -30,6 +30,10 @@
 	cmake --build build-fuzz -j $(JOBS) --target fuzz-targets
 	bash test/fuzz.sh build-fuzz --seconds $(SECONDS)
 
+# The tables of docs/CAPACITY.md; about two minutes.
+capacity: build
+	bash test/capacity.sh $(BUILD)
+
 demo: build
 	bash test/demo.sh $(BUILD)
 
