--- a/src/member.c
+++ b/src/member.c
@@ -27,6 +27,7 @@
   .pull_news_ns = 100 * NS_PER_MS,
   .spread_ns = 300 * NS_PER_MS,
   .sign_life_ns = 10 * NS_PER_S,
+  .bytes_per_s = 2500,
   .far_share = 4,
 };
 
@@ -210,6 +211,11 @@
 
   if (now < member->next_pull_ns)
     return;
+  if (!membernews_may_send (member))
+    {
+      member->next_pull_ns = now + member->settings->pull_news_ns;
+      return;
+    }
   member->next_pull_ns = now + member->settings->pull_ns;
   if (address[0] == '\0')
     {
@@ -233,6 +239,11 @@
 {
   if (member->urgent == 0 || now < member->next_spread_ns)
     return;
+  if (!membernews_may_send (member) && member->self.state != MEMBER_LEFT)
+    {
+      member->next_spread_ns = now + member->settings->pull_news_ns;
+      return;
+    }
   member->urgent--;
   member->next_spread_ns = now + member->settings->spread_ns;
   for (int i = 0; i < MEMBER_FANOUT; i++)
@@ -315,6 +326,8 @@
   member->sequence = rng_next (rng) >> 1;
   member->pull_whole = true;
   member->last_tick_ns = now;
+  member->last_fill_ns = now;
+  member->budget = MEMBER_BURST_S * settings->bytes_per_s;
   member->next_probe_ns
       = now + (int64_t)rng_below (rng, (uint64_t)settings->probe_ns);
   member->next_dead_ns = now;
--- a/src/request.c
+++ b/src/request.c
@@ -10,9 +10,8 @@
 #include <string.h>
 
 static const request_filter completion_filters[]
-    = { auth_filter,  classify_filter, admission_filter,
-        grant_filter, lookup_filter,   dispatch_filter,
-        NULL };
+    = { auth_filter,  classify_filter, admission_filter, guard_filter,
+        grant_filter, lookup_filter,   dispatch_filter,  NULL };
 static const request_filter service_filters[]
     = { auth_filter,  classify_filter, admission_filter,
         guard_filter, grant_filter,    dispatch_filter,
@@ -166,6 +165,16 @@
   return g_hash_table_lookup (handle->gateway->by_serial, &handle->serial);
 }
 
+void
+request_drop_prompt (struct request *request)
+{
+  json_object_put (request->json);
+  request->json = NULL;
+  request->adapter = NULL;
+  g_free (request->prompt);
+  request->prompt = NULL;
+}
+
 void
 request_resume (struct request *request)
 {
--- a/src/request.h
+++ b/src/request.h
@@ -163,6 +163,9 @@
 /** The request of HANDLE, or NULL if it has ended. */
 struct request *request_find (const void *handle);
 
+/** Nothing will be sent of REQUEST any more: let go of its long texts. */
+void request_drop_prompt (struct request *request);
+
 /** The filter that waited passes: run the next ones. */
 void request_resume (struct request *request);
 
