--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build check demo bench format format-check lint generate \
+.PHONY: all deps build check demo proof bench format format-check lint generate \
 	generate-check clean
 
 all: build
@@ -19,6 +19,12 @@
 demo: build
 	bash test/demo.sh $(BUILD)
 
+proof: build
+	bash test/proof.sh $(BUILD) $(PROOF_FLAGS)
+
+bench: build
+	bash test/bench-fleet.sh $(BUILD) $(BENCH_FLAGS)
+
 format:
 	sh scripts/format.sh -i
 
--- a/src/backends.c
+++ b/src/backends.c
@@ -216,11 +216,13 @@
   g_strlcpy (probe->name, name, sizeof probe->name);
   if (backend->host.kind == HOSTLIST_ENGINE)
     {
-      client->ops->load (client, backend->host.address, engine_probed, probe);
+      client->ops->load (client, backend->host.address, true, engine_probed,
+                         probe);
       return;
     }
   request.address = backend->host.address;
   request.timeout_ns = health_settings.probe_end_ns;
+  request.fresh = true;
   httpjson_call (&process->httpjson, &request, service_probed, probe);
 }
 
--- a/src/engine.h
+++ b/src/engine.h
@@ -135,7 +135,9 @@
 
 struct engine_ops
 {
-  void (*load) (struct engineclient *client, const char *address,
+  /** @param fresh ask on a connection that was just established, which tells
+   * whether the engine lives */
+  void (*load) (struct engineclient *client, const char *address, bool fresh,
                 engine_load_done done, void *data);
   void (*events) (struct engineclient *client, const char *address,
                   uint64_t after, engine_events_done done, void *data);
--- a/src/enginehttp.c
+++ b/src/enginehttp.c
@@ -123,14 +123,21 @@
 }
 
 static void
-http_load (struct engineclient *client, const char *address,
+http_load (struct engineclient *client, const char *address, bool fresh,
            engine_load_done done, void *data)
 {
+  struct enginehttp *enginehttp = (struct enginehttp *)client;
   struct question *question = question_new (data);
+  struct httpjson_request request = {
+    .address = address,
+    .method = "GET",
+    .path = "/v1/load",
+    .timeout_ns = LOAD_TIMEOUT_NS,
+    .fresh = fresh,
+  };
 
   question->done.load = done;
-  ask (client, address, "GET", "/v1/load", NULL, LOAD_TIMEOUT_NS,
-       load_answered, question);
+  httpjson_call (enginehttp->httpjson, &request, load_answered, question);
 }
 
 static void
--- a/src/enginewatch.c
+++ b/src/enginewatch.c
@@ -149,7 +149,8 @@
       watched->asking_load = true;
       watched->asked_ns = now;
       watched->refs++;
-      client->ops->load (client, watched->address, load_answered, watched);
+      client->ops->load (client, watched->address, false, load_answered,
+                         watched);
     }
   if (!watched->asking_events)
     {
--- a/src/httpjson.c
+++ b/src/httpjson.c
@@ -117,6 +117,7 @@
     .address = request->address,
     .method = request->method,
     .path = request->path,
+    .fresh = request->fresh,
   };
   char *lines = g_strdup_printf (
       "content-type: application/json\r\n%s",
--- a/src/httpjson.h
+++ b/src/httpjson.h
@@ -37,6 +37,7 @@
   const char *header_lines; /**< whole lines; may be NULL */
   struct json_object *body; /**< taken over; may be NULL */
   int64_t timeout_ns;
+  bool fresh; /**< see struct httpclient_request */
 };
 
 void httpjson_init (struct httpjson *httpjson, struct httpclient *client);
--- a/src/outcome.c
+++ b/src/outcome.c
@@ -356,7 +356,7 @@
       attempt_lost (request, backend == NULL);
       return;
     }
-  client->ops->load (client, backend->host.address, load_probed,
+  client->ops->load (client, backend->host.address, true, load_probed,
                      request_handle (request));
 }
 
