--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -20,6 +20,7 @@
 standin () {
   local name=$1 out=$fleet_dir/$1.out
   shift
+  rm -f "$out"
   "$BUILD/standin" "$@" >"$out" 2>"$fleet_dir/$name.log" &
   pid_of[$name]=$!
   fleet_pids+=($!)
--- a/test/load-call.c
+++ b/test/load-call.c
@@ -16,6 +16,7 @@
 {
   struct load_run *run;
   struct load_kind *kind;
+  const char *key;
   uv_timer_t deadline;
   uv_timer_t backoff;
   int open_timers;
@@ -314,7 +315,7 @@
   g_string_append_printf (lines,
                           "authorization: Bearer %s\r\nx-kind: %s\r\n"
                           "x-deadline-ms: %lld\r\n",
-                          kind->key, kind->name, (long long)kind->deadline_ms);
+                          call->key, kind->name, (long long)kind->deadline_ms);
   if (call->idempotency_key)
     g_string_append_printf (lines, "idempotency-key: %s\r\n",
                             call->idempotency_key);
@@ -372,7 +373,7 @@
 }
 
 void
-load_call_start (struct load_run *run, struct load_kind *kind,
+load_call_start (struct load_run *run, struct load_kind *kind, const char *key,
                  const GString *prompt)
 {
   struct load_call *call = g_new0 (struct load_call, 1);
@@ -382,6 +383,7 @@
   kind->result.count++;
   call->run = run;
   call->kind = kind;
+  call->key = key;
   call->start = (int64_t)uv_hrtime ();
   call->line = g_string_new (NULL);
   call->body = body_text (kind, prompt);
--- a/test/load-call.h
+++ b/test/load-call.h
@@ -28,8 +28,8 @@
   int64_t seed;
 };
 
-/** Send PROMPT as a request of KIND; its result goes into KIND. */
+/** Send PROMPT with KEY as a request of KIND; its result goes into KIND. */
 void load_call_start (struct load_run *run, struct load_kind *kind,
-                      const GString *prompt);
+                      const char *key, const GString *prompt);
 
 #endif
--- a/test/load-mix.c
+++ b/test/load-mix.c
@@ -40,6 +40,26 @@
   result->total_ms = g_array_new (FALSE, FALSE, sizeof (double));
 }
 
+static void
+keys_read (struct load_kind *kind, struct json_object *object)
+{
+  struct json_object *keys;
+
+  if (!json_object_object_get_ex (object, "keys", &keys)
+      || json_object_array_length (keys) == 0)
+    {
+      kind->key_count = 1;
+      kind->keys = g_new (const char *, 1);
+      kind->keys[0] = text_of (object, "key", "");
+      return;
+    }
+  kind->key_count = json_object_array_length (keys);
+  kind->keys = g_new (const char *, kind->key_count);
+  for (size_t i = 0; i < kind->key_count; i++)
+    kind->keys[i]
+        = json_object_get_string (json_object_array_get_idx (keys, i));
+}
+
 static void
 kind_read (struct load_kind *kind, struct json_object *object)
 {
@@ -47,7 +67,7 @@
 
   json_object_object_get_ex (object, "rate", &rate);
   kind->name = text_of (object, "name", "default");
-  kind->key = text_of (object, "key", "");
+  keys_read (kind, object);
   kind->model = text_of (object, "model", "model");
   kind->path = text_of (object, "path", "/v1/completions");
   kind->rate = rate ? json_object_get_double (rate) : 1;
@@ -89,6 +109,7 @@
     {
       struct load_result *result = &mix->kinds[i].result;
 
+      g_free (mix->kinds[i].keys);
       g_hash_table_destroy (result->outcomes);
       g_hash_table_destroy (result->codes);
       g_array_free (result->first_ms, TRUE);
--- a/test/load-mix.h
+++ b/test/load-mix.h
@@ -19,6 +19,7 @@
  * RETURN_MS after the last time and GROW_TOKENS longer. PATH is of the
  * completions by default; a request to another one is a plain call. A kind
  * that is not idempotent sends an Idempotency-Key, the same for each retry.
+ * KEYS, a list in place of KEY, gives each context one of them at random.
  */
 
 struct load_result
@@ -35,7 +36,8 @@
 struct load_kind
 {
   const char *name;
-  const char *key;
+  const char **keys;
+  size_t key_count; /**< at least 1 */
   const char *model;
   const char *path;
   double rate; /**< new contexts per second */
--- a/test/load.c
+++ b/test/load.c
@@ -34,6 +34,7 @@
 struct context
 {
   struct load_kind *kind;
+  const char *key;
   uv_timer_t timer;
   double at_ms; /* of the next request, since the start */
   struct rng rng;
@@ -135,7 +136,7 @@
 static void
 context_send (struct context *context)
 {
-  load_call_start (&self.run, context->kind, context->prompt);
+  load_call_start (&self.run, context->kind, context->key, context->prompt);
   prompt_grow (context, context->kind->grow_tokens);
 }
 
@@ -170,6 +171,9 @@
   context->returns = arrivals->kind->returns;
   context->prompt = g_string_new (NULL);
   rng_init (&context->rng, rng_next (&arrivals->rng));
+  context->key
+      = context->kind
+            ->keys[rng_below (&context->rng, context->kind->key_count)];
   prompt_grow (context, context->kind->prompt_tokens);
   uv_timer_init (self.run.loop, &context->timer);
   context->timer.data = context;
