--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 
 SECONDS ?= 60
 
-.PHONY: all deps build check check-sanitized capacity demo fuzz bench format format-check lint generate \
-	generate-check clean
+.PHONY: all deps build check check-sanitized demo proof bench capacity fuzz \
+	format format-check lint generate generate-check clean
 
 all: build
 
@@ -37,6 +37,12 @@
 demo: build
 	bash test/demo.sh $(BUILD)
 
+proof: build
+	bash test/proof.sh $(BUILD) $(PROOF_FLAGS)
+
+bench: build
+	bash test/bench-fleet.sh $(BUILD) $(BENCH_FLAGS)
+
 format:
 	sh scripts/format.sh -i
 
