--- a/src/orderer.c
+++ b/src/orderer.c
@@ -134,7 +134,7 @@
       if (engine->asking || now - engine->reported_ns < POLL_EVERY_NS)
         continue;
       engine->asking = true;
-      client->ops->load (client, engine->address, on_load_answered,
+      client->ops->load (client, engine->address, false, on_load_answered,
                          asked_new (orderer, engine->name, 0));
     }
 }
