--- a/test/capacity.sh
+++ b/test/capacity.sh
@@ -20,7 +20,7 @@
     | grep -oE '[0-9.]+$')"
 }
 {
-  awk '$1 == 2200 { print "member_bytes", $2; print "member_bytes_max", $3
+  awk '$1 == 2200 && !seen++ { print "member_bytes", $2; print "member_bytes_max", $3
     print "member_messages", $4; print "member_core", $6
     print "member_kb", $7; print "config_last_s", $10 }' "$work/member"
   grep '^2400 ' "$work/config" >"$work/config2400"
