Oversize bodies get a JSON error; processor time and attempts by backend server counted

Change: an output filter gives that answer the stable code body_too_large; process_cpu_seconds; attempts by backend server and outcome. Conclusion: a request line that is no HTTP still gets h2o's plain 400.

--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -10,7 +10,7 @@
 {
   LISTEN_BACKLOG = 1024,
   GONE_POLL_MS = 100, /* how often waiting callers are looked at */
-  RESPONSE_HEADERS_MAX = 16
+  HTTP_TOO_LARGE = 413
 };
 
 struct httpserver_request
@@ -239,6 +239,41 @@
   h2o_accept (&server->accept_context, socket);
 }
 
+/* h2o itself refuses a body over the limit, before the handler sees it. */
+static const char body_too_large[]
+    = "{\"error\":{\"code\":\"body_too_large\",\"message\":"
+      "\"the body is over the limit\",\"outcome\":\"refused_not_run\"}}";
+
+static void
+send_body_too_large (h2o_ostream_t *stream, h2o_req_t *req, h2o_iovec_t *bufs,
+                     size_t count, h2o_send_state_t state)
+{
+  h2o_iovec_t body
+      = h2o_iovec_init (body_too_large, sizeof body_too_large - 1);
+
+  h2o_ostream_send_next (stream, req, &body, 1, state);
+}
+
+/* Answers of the handler name their outcome; h2o's own do not. */
+static void
+replace_own_error (h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
+{
+  h2o_headers_t *headers = &req->res.headers;
+  h2o_ostream_t *stream;
+
+  if (req->res.status == HTTP_TOO_LARGE
+      && h2o_find_header_by_str (headers, H2O_STRLIT ("x-outcome"), -1) == -1)
+    {
+      stream = h2o_add_ostream (req, sizeof *stream, slot);
+      stream->do_send = send_body_too_large;
+      slot = &stream->next;
+      req->res.content_length = sizeof body_too_large - 1;
+      h2o_set_header (&req->pool, headers, H2O_TOKEN_CONTENT_TYPE,
+                      H2O_STRLIT ("application/json"), 1);
+    }
+  h2o_setup_next_ostream (req, slot);
+}
+
 static void
 setup_h2o (struct httpserver *server, const struct httpserver_limits *limits)
 {
@@ -257,6 +292,9 @@
       = (struct server_handler *)h2o_create_handler (path, sizeof *handler);
   handler->super.on_req = on_request;
   handler->server = server;
+  h2o_create_filter (&host->fallback_path, sizeof (h2o_filter_t))
+      ->on_setup_ostream
+      = replace_own_error;
   h2o_context_init (&server->context, server->loop, &server->config);
   server->accept_context.ctx = &server->context;
   server->accept_context.hosts = server->config.hosts;
--- a/src/outcome.c
+++ b/src/outcome.c
@@ -181,6 +181,18 @@
     g_string_append_len (request->answer, bytes, size);
 }
 
+static void
+count_attempt (struct request *request, const char *outcome)
+{
+  const struct backend *backend
+      = backends_find (&request->gateway->backends, request->attempt.backend);
+  char labels[160];
+
+  g_snprintf (labels, sizeof labels, "backend_server=\"%s\",outcome=\"%s\"",
+              backend != NULL ? backend->host.name : "", outcome);
+  metrics_add (&request->gateway->process.metrics, "attempts", labels, 1);
+}
+
 /* An attempt is over without a whole answer. */
 static void
 attempt_failed (struct request *request, enum retry_outcome outcome,
@@ -192,6 +204,7 @@
   uint64_t backend = request->attempt.backend;
 
   dispatch_note_handed_over (request);
+  count_attempt (request, retry_outcome_name (outcome));
   if (outcome == RETRY_NOT_SENT)
     settle_not_connected (&request->settle, number);
   else if (outcome == RETRY_NOT_RUN)
@@ -232,6 +245,7 @@
   struct backend *backend
       = backends_find (&request->gateway->backends, request->attempt.backend);
 
+  count_attempt (request, "complete");
   if (backend != NULL)
     retry_success (&request->gateway->retry, backend->host.name);
   if (request->type == REQUEST_COMPLETION)
--- a/src/process.c
+++ b/src/process.c
@@ -370,9 +370,17 @@
   log_log4c_finish (&process->log);
 }
 
+static double
+cpu_seconds (const uv_rusage_t *usage)
+{
+  return (double)(usage->ru_utime.tv_sec + usage->ru_stime.tv_sec)
+         + (double)(usage->ru_utime.tv_usec + usage->ru_stime.tv_usec) / 1e6;
+}
+
 static void
 serve_metrics (struct process *process, struct httpserver_request *request)
 {
+  uv_rusage_t usage;
   size_t size;
   char *text;
 
@@ -382,6 +390,9 @@
                (double)(process->peers.bytes_out + process->gossip.bytes_out));
   metrics_set (&process->metrics, "kv_calls", "",
                (double)process->kvhttp.call_count);
+  uv_getrusage (&usage);
+  metrics_set (&process->metrics, "process_cpu_seconds", "",
+               cpu_seconds (&usage));
   metrics_set (&process->metrics, "config_revision", "",
                (double)process->config_revision);
   text = metrics_text (&process->metrics, &size);
--- a/test/test-edges.c
+++ b/test/test-edges.c
@@ -221,6 +221,25 @@
   world_finish (&world);
 }
 
+/* A body over the limit gets an answer that a program can read. */
+static void
+test_http_body_too_large (void)
+{
+  static char large[(1 << 20) + 1];
+  struct http_world world;
+  struct httpclient_request request = {
+    .method = "POST", .path = "/echo", .body = large, .body_size = sizeof large
+  };
+
+  world_init (&world);
+  request.address = world.address;
+  httpclient_call (&world.client, &request, &client_ops, &world);
+  world_wait (&world);
+  CU_ASSERT_EQUAL (world.http_status, 413);
+  CU_ASSERT_PTR_NOT_NULL (strstr (world.body->str, "body_too_large"));
+  world_finish (&world);
+}
+
 static void
 test_http_refused_connection (void)
 {
@@ -448,6 +467,7 @@
   { "http-round-trip", test_http_round_trip },
   { "http-broken-stream", test_http_broken_stream },
   { "http-refused-connection", test_http_refused_connection },
+  { "http-body-too-large", test_http_body_too_large },
   { "http-caller-gone", test_http_caller_gone },
   { "kv-no-such-key", test_kv_no_such_key },
   { "peer-request", test_peer_request },
