--- a/test/test-edges.c
+++ b/test/test-edges.c
@@ -226,7 +226,7 @@
 test_http_body_too_large (void)
 {
   static char large[(1 << 20) + 1];
-  struct http_world world;
+  static struct http_world world;
   struct httpclient_request request = {
     .method = "POST", .path = "/echo", .body = large, .body_size = sizeof large
   };
