An answer that is too large to keep is an error, never a short success

Cause: reading outcome.c: a buffered answer over 64 MiB was cut silently and passed on as complete; a resumed attempt was not counted as in flight. Change: the code answer_too_large; the count; the long function that ends an attempt is three. Conclusion: stands; a test of the bound is left.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -229,7 +229,7 @@
 enum status
 dispatch_resume (struct request *request)
 {
-  const struct backend *backend = backend_of (request);
+  struct backend *backend = backend_of (request);
   struct engine_call call = { 0 };
   char id[RELAY_ID_MAX];
   char body[128];
@@ -248,6 +248,7 @@
   call.body_size = strlen (body);
   call.fresh = true;
   request->attempt.resumed = true;
+  backend->in_flight++;
   open_call (request, backend->id, &call);
   return STATUS_OK;
 }
--- a/src/outcome.c
+++ b/src/outcome.c
@@ -34,6 +34,9 @@
     = { 504, "deadline", "the deadline passed", NO_BACKEND_RETRY_NS };
 static const struct refusal silent
     = { 504, "backend_silent", "the backend server fell silent", 0 };
+static const struct refusal too_long
+    = { 502, "answer_too_large",
+        "the backend server's answer is over 64 MiB; ask for a stream", 0 };
 static const struct refusal crossed
     = { 502, "answer_crossed",
         "the backend server answered with another request's answer", 0 };
@@ -179,6 +182,8 @@
     request->answer = g_string_new (NULL);
   if (request->answer->len + size <= ANSWER_MAX)
     g_string_append_len (request->answer, bytes, size);
+  else
+    request->answer_cut = true;
 }
 
 static void
@@ -193,6 +198,41 @@
   metrics_add (&request->gateway->process.metrics, "attempts", labels, 1);
 }
 
+/* Tell the request's state how the attempt ended. */
+static void
+settle_attempt (struct request *request, enum retry_outcome outcome,
+                bool resumes)
+{
+  unsigned number = request->attempt.number;
+
+  if (outcome == RETRY_NOT_SENT)
+    settle_not_connected (&request->settle, number);
+  else if (outcome == RETRY_NOT_RUN)
+    settle_not_started (&request->settle, number);
+  else if (!resumes)
+    settle_cut (&request->settle, number);
+}
+
+static void
+log_attempt (const struct request *request, enum retry_outcome outcome,
+             const struct retry_decision *decision)
+{
+  static const char *const actions[RETRY_ACTION_COUNT] = {
+    [RETRY_STOP] = "stop",
+    [RETRY_RESUME] = "resume",
+    [RETRY_ANOTHER] = "another",
+    [RETRY_IF_CLEARED] = "another_if_cleared",
+  };
+
+  log_event (&request->gateway->process.log, EVENT_ATTEMPT_FAILED,
+             "request=%s attempt=%u outcome=%s action=%s reason=%s "
+             "delay_ms=%.1f",
+             request->id, request->attempt.number,
+             retry_outcome_name (outcome), actions[decision->action],
+             retry_reason_name (decision->reason),
+             (double)decision->delay_ns / NS_PER_MS);
+}
+
 /* An attempt is over without a whole answer. */
 static void
 attempt_failed (struct request *request, enum retry_outcome outcome,
@@ -200,42 +240,29 @@
 {
   struct gateway *gateway = request->gateway;
   struct retry_decision decision;
-  unsigned number = request->attempt.number;
   uint64_t backend = request->attempt.backend;
+  bool resumes;
 
   dispatch_note_handed_over (request);
   count_attempt (request, retry_outcome_name (outcome));
-  if (outcome == RETRY_NOT_SENT)
-    settle_not_connected (&request->settle, number);
-  else if (outcome == RETRY_NOT_RUN)
-    settle_not_started (&request->settle, number);
   decision = retry_decide (&gateway->retry, &request->retry, outcome);
-  if (decision.action != RETRY_RESUME && outcome != RETRY_NOT_SENT
-      && outcome != RETRY_NOT_RUN)
-    settle_cut (&request->settle, number);
+  resumes = decision.action == RETRY_RESUME;
+  settle_attempt (request, outcome, resumes);
+  log_attempt (request, outcome, &decision);
   dispatch_close_attempt (request);
   relay_cut (&request->relay);
-  if (decision.action != RETRY_RESUME)
+  if (!resumes)
     guard_end (request, outcome == RETRY_CRASHED ? SUSPECT_END_DIED
                                                  : SUSPECT_END_NOTHING);
   if (decision.action == RETRY_STOP)
     {
-      log_event (&gateway->process.log, EVENT_ATTEMPT_FAILED,
-                 "request=%s attempt=%u outcome=%s action=stop reason=%s",
-                 request->id, number, retry_outcome_name (outcome),
-                 retry_reason_name (decision.reason));
       request_refuse (request, refusal);
       return;
     }
-  log_event (&gateway->process.log, EVENT_ATTEMPT_FAILED,
-             "request=%s attempt=%u outcome=%s action=%s delay_ms=%.1f",
-             request->id, number, retry_outcome_name (outcome),
-             decision.action == RETRY_RESUME ? "resume" : "another",
-             (double)decision.delay_ns / NS_PER_MS);
   metrics_add (&gateway->process.metrics, "retries", "", 1);
   request->next = decision.action;
   request->next_ns = clock_now (&gateway->process.clock) + decision.delay_ns;
-  if (decision.action == RETRY_RESUME)
+  if (resumes)
     request->attempt.backend = backend;
 }
 
@@ -282,6 +309,11 @@
   const char *bytes = request->answer != NULL ? request->answer->str : "";
   size_t size = request->answer != NULL ? request->answer->len : 0;
 
+  if (request->answer_cut)
+    {
+      request_refuse (request, &too_long);
+      return;
+    }
   if (!answer_is_ours (request))
     {
       attempt_failed (request, RETRY_FAILED, &crossed);
--- a/src/request.h
+++ b/src/request.h
@@ -148,6 +148,7 @@
   char *held_body;         /**< not sent yet; NULL: nothing is held */
   int64_t held_until_ns;
   GString *answer; /**< one that is not streamed */
+  bool answer_cut; /**< the answer was too large to keep */
   bool in_filters;
   bool finished;
 };
