Dead code out: found by reading the whole change

Cause: five things that the change made and nothing uses: address_format, enginewatch_count, httpserver_stream_backlog, the limit idle_ms (set, never read), attempt.head_seen (written, never read). Ruled out: removing what tests still use or what belongs to a module's face (the x_next functions, names of enums); liveness.h is tested but not wired. Change: they are gone; test-edges gives the limits one value fewer, its checks are as they were.

--- a/src/address.c
+++ b/src/address.c
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <stdint.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -28,12 +27,3 @@
     return STATUS_INVALID;
   return STATUS_OK;
 }
-
-void
-address_format (const struct sockaddr_in *address, char *text, size_t size)
-{
-  char host[INET_ADDRSTRLEN];
-
-  inet_ntop (AF_INET, &address->sin_addr, host, sizeof host);
-  snprintf (text, size, "%s:%u", host, ntohs (address->sin_port));
-}
--- a/src/address.h
+++ b/src/address.h
@@ -19,8 +19,4 @@
 /** @return STATUS_OK or STATUS_INVALID. */
 enum status address_parse (const char *text, struct sockaddr_in *address);
 
-/** Write "IP:PORT" into TEXT of SIZE bytes. */
-void address_format (const struct sockaddr_in *address, char *text,
-                     size_t size);
-
 #endif
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -36,7 +36,6 @@
 
   attempt->backend = backend;
   attempt->heard_ns = clock_now (&request->gateway->process.clock);
-  attempt->head_seen = false;
   attempt->not_run = false;
   attempt->stream = client_of (request)->ops->call (
       client_of (request), call, &outcome_stream_ops, request);
--- a/src/enginewatch.c
+++ b/src/enginewatch.c
@@ -317,9 +317,3 @@
   g_free (reply->engines);
   peer__load_reply__init (reply);
 }
-
-size_t
-enginewatch_count (const struct enginewatch *watch)
-{
-  return g_hash_table_size (watch->engines);
-}
--- a/src/enginewatch.h
+++ b/src/enginewatch.h
@@ -69,7 +69,4 @@
                          const Peer__LoadQuery *query, Peer__LoadReply *reply);
 void enginewatch_reply_clear (Peer__LoadReply *reply);
 
-/** The number of engines that are watched. */
-size_t enginewatch_count (const struct enginewatch *watch);
-
 #endif
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -500,12 +500,6 @@
   stream_send (request);
 }
 
-size_t
-httpserver_stream_backlog (const struct httpserver_request *request)
-{
-  return request->waiting->size;
-}
-
 void
 httpserver_stream_end (struct httpserver_request *request, bool complete)
 {
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -21,7 +21,6 @@
 {
   size_t body_bytes;   /**< Larger requests get 413. */
   uint64_t request_ms; /**< Time for a caller to send its request. */
-  uint64_t idle_ms;    /**< Time a connection may stay without use. */
 };
 
 typedef void (*httpserver_handler) (void *data,
@@ -101,9 +100,6 @@
 void httpserver_stream_write (struct httpserver_request *request,
                               const char *bytes, size_t size);
 
-/** Bytes written and not yet taken by the connection. */
-size_t httpserver_stream_backlog (const struct httpserver_request *request);
-
 /** The final answer is whole (COMPLETE) or is cut off so that the caller
  * sees a broken transfer; REQUEST must not be used afterwards. */
 void httpserver_stream_end (struct httpserver_request *request, bool complete);
--- a/src/outcome.c
+++ b/src/outcome.c
@@ -115,7 +115,6 @@
   struct attempt *attempt = &request->attempt;
 
   attempt->heard_ns = clock_now (&request->gateway->process.clock);
-  attempt->head_seen = true;
   attempt->http_status = head->http_status;
   attempt->streamed = head->streamed;
   attempt->not_run
--- a/src/process.c
+++ b/src/process.c
@@ -7,7 +7,6 @@
 
 #define RANK_EVERY_NS NS_PER_S
 #define CLIENT_IO_TIMEOUT_MS UINT64_C (600000)
-#define SERVER_IDLE_MS UINT64_C (60000)
 
 enum
 {
@@ -315,7 +314,6 @@
   rng_init (&process->rng, process->id ^ process->incarnation);
   limits.body_bytes = settings->limits.body_bytes;
   limits.request_ms = settings->timeouts.header_ns / NS_PER_MS;
-  limits.idle_ms = SERVER_IDLE_MS;
   status = httpserver_init (&process->server, &process->loop,
                             settings->listen.http.text, &limits,
                             on_http_request, process, error);
--- a/src/request.h
+++ b/src/request.h
@@ -69,7 +69,6 @@
   unsigned number;      /**< as settle counts */
   uint64_t incarnation; /**< of the engine when it was chosen */
   int64_t heard_ns;     /**< last byte from the backend server */
-  bool head_seen;
   bool streamed;
   bool resumed; /**< the stream goes on after a cut */
   bool silent;  /**< its connection was condemned */
--- a/test/test-edges.c
+++ b/test/test-edges.c
@@ -138,7 +138,7 @@
 static void
 world_init (struct http_world *world)
 {
-  struct httpserver_limits limits = { 1 << 20, 1000, 1000 };
+  struct httpserver_limits limits = { 1 << 20, 1000 };
   struct error error;
 
   memset (world, 0, sizeof *world);
