A configuration holds no sheet or document without a revision

Cause: a forged delta named a sheet without a revision. It was taken as revision 0, and a delta from the beginning leaves out what is not over 0, so what was accepted could not be handed on. Change: sheets and documents of a text must have a revision from 1 to that of the configuration, else the text is refused and says which.

--- a/src/conftext.c
+++ b/src/conftext.c
@@ -55,9 +55,17 @@
                              previous->sheets[i].revision);
 }
 
+/* A revision that a delta from the beginning would hand on. */
+static bool
+revision_valid (const struct config *config, uint64_t revision)
+{
+  return revision > 0 && revision <= config->revision;
+}
+
 /* What root and delta have in common. */
-static void
-head_parse (struct config *config, struct json_object *root)
+static enum status
+head_parse (struct config *config, struct json_object *root,
+            struct error *error)
 {
   struct json_object *sheets = json_object_object_get (root, "sheets");
   size_t count = json_object_is_type (sheets, json_type_array)
@@ -70,10 +78,15 @@
   for (size_t i = 0; i < count; i++)
     {
       struct json_object *object = json_object_array_get_idx (sheets, i);
+      uint64_t revision = member_number (object, "revision");
 
-      config_remember_sheet (config, member_text (object, "digest"),
-                             member_number (object, "revision"));
+      if (!revision_valid (config, revision))
+        return error_set (
+            error, STATUS_CORRUPT, "a sheet of revision %lu in revision %lu",
+            (unsigned long)revision, (unsigned long)config->revision);
+      config_remember_sheet (config, member_text (object, "digest"), revision);
     }
+  return STATUS_OK;
 }
 
 static struct json_object *
@@ -173,6 +186,11 @@
           != STATUS_OK)
         return STATUS_CORRUPT;
       config_put (config, document);
+      if (!revision_valid (config, document->revision))
+        return error_set (error, STATUS_CORRUPT,
+                          "document %.60s of revision %lu in revision %lu",
+                          document->name, (unsigned long)document->revision,
+                          (unsigned long)config->revision);
     }
   return STATUS_OK;
 }
@@ -199,8 +217,9 @@
   if (root == NULL)
     return error_set (error, STATUS_NOT_FOUND, "there is no root document");
   loaded = config_new ();
-  head_parse (loaded, root);
-  status = documents_take (loaded, previous, root, texts, count, error);
+  status = head_parse (loaded, root, error);
+  if (status == STATUS_OK)
+    status = documents_take (loaded, previous, root, texts, count, error);
   json_object_put (root);
   return config_seal (config, loaded, status, error);
 }
@@ -293,8 +312,9 @@
       config_share (loaded, previous);
       sheets_share (loaded, previous, member_number (root, "since"));
     }
-  head_parse (loaded, root);
-  status = delta_documents (loaded, root, error);
+  status = head_parse (loaded, root, error);
+  if (status == STATUS_OK)
+    status = delta_documents (loaded, root, error);
   json_object_put (root);
   return config_seal (config, loaded, status, error);
 }
