Parts of old weights are freed once no host fetches them any more

Load: new weights while the engines are busy. Stores are full of parts of the old weights, so what is read anew finds no room and is read again for as long as one engine is left on the old ones, and two seconds more. Ruled out: lost or late events (few such cases), events of a part's own save. Change: once two thirds of a model's engines have newer weights a host fetches no parts of the older ones and says so in its leased entry; when all have, the holder of the weights' duty frees them after the longest fetch (now 1 s). A host whose lease may have ended fetches only parts of the newest weights it has seen at any engine.

--- a/src/cachetrim.c
+++ b/src/cachetrim.c
@@ -8,15 +8,16 @@
   PAUSE_MS = 200, /* between two rounds over the stores */
   PARTS_MAX = 64, /* freed by one call */
   CALL_MS = 1000,
-  /* Over the time that a fetch may take. */
-  SETTLE_MS = 3000
+  /* Over the time that a fetch may take, and what clocks may differ by. */
+  SETTLE_MS = KVSTORES_FETCH_MAX_MS + 500
 };
 
 void
 cachetrim_init (struct cachetrim *cachetrim, const struct clock *clock,
                 struct log *log, const struct dialect *dialect,
                 struct httpjson *httpjson, struct weightswap *weightswap,
-                struct kvstores *kvstores, struct servers *servers)
+                struct kvstores *kvstores, struct servers *servers,
+                const struct retire *retire)
 {
   memset (cachetrim, 0, sizeof *cachetrim);
   cachetrim->clock = clock;
@@ -26,6 +27,7 @@
   cachetrim->weightswap = weightswap;
   cachetrim->kvstores = kvstores;
   cachetrim->servers = servers;
+  cachetrim->retire = retire;
   cachetrim->models
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -55,7 +57,7 @@
   return oldest;
 }
 
-/* Note since when each version is on no engine. */
+/* Note since when no part of each version is fetched. */
 static void
 versions_clear (struct cachetrim_model *known, uint64_t oldest, int64_t now)
 {
@@ -80,7 +82,8 @@
 {
   struct cachetrim_model *known
       = g_hash_table_lookup (cachetrim->models, model);
-  uint64_t oldest = oldest_version (cachetrim, model);
+  uint64_t oldest = MAX (oldest_version (cachetrim, model),
+                         retire_fleet (cachetrim->retire, model));
 
   if (known == NULL)
     {
--- a/src/cachetrim.h
+++ b/src/cachetrim.h
@@ -2,13 +2,14 @@
 #define CACHETRIM_H
 
 #include "kvstores.h"
+#include "retire.h"
 #include "weightswap.h"
 
 /** @file
  * Frees parts at the stores that were made by weights which no engine has any
- * more. Done by the holder of the weights' duty, and only once no engine has
- * had them for longer than a fetch may take: none accepts a request that
- * names them from then on.
+ * more, or which no host fetches any more. Done by the holder of the weights'
+ * duty, and only after the longest time that a fetch which was sent before may
+ * take.
  */
 
 enum
@@ -18,10 +19,10 @@
 
 struct cachetrim_model
 {
-  uint64_t oldest; /**< version of its weights that an engine has */
+  uint64_t oldest; /**< version of its weights of which parts may be fetched */
   struct
   {
-    uint64_t version; /**< that no engine has any more; 0: unused */
+    uint64_t version; /**< of which no part is fetched any more; 0: unused */
     int64_t since_ns;
   } cleared[CACHETRIM_VERSIONS]; /**< by version modulo their number */
 };
@@ -35,6 +36,7 @@
   struct weightswap *weightswap;
   struct kvstores *kvstores;
   struct servers *servers;
+  const struct retire *retire;
   GHashTable *models; /**< name to struct cachetrim_model */
   int64_t next_ns;
 };
@@ -42,7 +44,8 @@
 void cachetrim_init (struct cachetrim *cachetrim, const struct clock *clock,
                      struct log *log, const struct dialect *dialect,
                      struct httpjson *httpjson, struct weightswap *weightswap,
-                     struct kvstores *kvstores, struct servers *servers);
+                     struct kvstores *kvstores, struct servers *servers,
+                     const struct retire *retire);
 
 void cachetrim_finish (struct cachetrim *cachetrim);
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -228,6 +228,7 @@
   weightswap_tick (&entry->weightswap);
   if (entry->settings->engines.use_stores)
     kvstores_tick (&entry->kvstores);
+  retire_tick (&entry->retire);
   cachetrim_tick (&entry->cachetrim);
   servers_tick (&entry->servers);
   loadlink_tick (&entry->loadlink);
@@ -439,14 +440,17 @@
                  &entry->log, entry->dialect, &entry->httpjson);
   forwarder_init (&entry->forwarder, &entry->loop, &entry->clock, &entry->rng,
                   &entry->log, &entry->metrics, entry->dialect, &forward,
-                  &entry->servers, &entry->poison, &entry->kvstores);
+                  &entry->servers, &entry->poison, &entry->kvstores,
+                  &entry->retire);
+  retire_init (&entry->retire, &entry->clock, &entry->log, &entry->servers,
+               &entry->presence, entry->forwarder.weights);
   weightswap_init (&entry->weightswap, &weightswap, &entry->kvbudget.kv,
                    &entry->clock, &entry->log, entry->dialect,
                    &entry->httpjson, &entry->presence, &entry->servers,
                    entry->forwarder.weights, ENTRY_WEIGHTS_DUTY, name);
   cachetrim_init (&entry->cachetrim, &entry->clock, &entry->log,
                   entry->dialect, &entry->httpjson, &entry->weightswap,
-                  &entry->kvstores, &entry->servers);
+                  &entry->kvstores, &entry->servers, &entry->retire);
   g_free (name);
 }
 
@@ -520,6 +524,7 @@
   httpjson_finish (&entry->httpjson);
   httpclient_finish (&entry->httpclient);
   cachetrim_finish (&entry->cachetrim);
+  retire_finish (&entry->retire);
   kvstores_finish (&entry->kvstores);
   weightswap_finish (&entry->weightswap);
   loadshare_finish (&entry->loadshare);
--- a/src/entry.h
+++ b/src/entry.h
@@ -8,6 +8,7 @@
 #include "httpjson.h"
 #include "kvbudget.h"
 #include "kvstores.h"
+#include "retire.h"
 #include "kvview.h"
 #include "loadlink.h"
 #include "log.h"
@@ -60,6 +61,7 @@
   struct loadlink loadlink;
   struct weightswap weightswap;
   struct kvstores kvstores;
+  struct retire retire;
   struct cachetrim cachetrim;
   struct forwarder forwarder;
   struct callerserver front;
--- a/src/event.c
+++ b/src/event.c
@@ -139,6 +139,9 @@
     "held." },
   { EVENT_CACHE_FREED, EVENT_WARN, "cache_freed",
     "Parts made by weights that are no longer wanted were freed at a store." },
+  { EVENT_CACHE_RETIRED, EVENT_WARN, "cache_retired",
+    "This host fetches no cached parts of older weights any more: most "
+    "engines have newer ones." },
   { EVENT_DRAINING, EVENT_WARN, "draining",
     "A planned stop has begun: this host is no longer listed." },
   { EVENT_SETTINGS_RELOADED, EVENT_WARN, "settings_reloaded",
--- a/src/forward.h
+++ b/src/forward.h
@@ -6,6 +6,7 @@
 #include "choose.h"
 #include "dialect.h"
 #include "kvstores.h"
+#include "retire.h"
 #include "log.h"
 #include "metrics.h"
 #include "poison.h"
@@ -43,6 +44,7 @@
   struct servers *servers;
   struct poison *poison;
   struct kvstores *kvstores;
+  const struct retire *retire;
   struct routes *routes; /**< NULL: none known yet */
   GHashTable *weights;   /**< model to struct wanted_weights */
   GHashTable *windows;   /**< service to struct retrywindow */
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -514,7 +514,7 @@
                 struct metrics *metrics, const struct dialect *dialect,
                 const struct forward_settings *settings,
                 struct servers *servers, struct poison *poison,
-                struct kvstores *kvstores)
+                struct kvstores *kvstores, const struct retire *retire)
 {
   memset (forwarder, 0, sizeof *forwarder);
   forwarder->loop = loop;
@@ -527,6 +527,7 @@
   forwarder->servers = servers;
   forwarder->poison = poison;
   forwarder->kvstores = kvstores;
+  forwarder->retire = retire;
   forwarder->hosts = 1;
   list_init (&forwarder->requests);
   list_init (&forwarder->waiting);
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -15,7 +15,7 @@
                      const struct dialect *dialect,
                      const struct forward_settings *settings,
                      struct servers *servers, struct poison *poison,
-                     struct kvstores *kvstores);
+                     struct kvstores *kvstores, const struct retire *retire);
 void forwarder_finish (struct forwarder *forwarder);
 
 /** A newer configuration; the forwarder takes a reference. */
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -144,6 +144,9 @@
              FETCH_LEAST_MS * NS_PER_MS);
   const struct kvstores *kvstores = forward->forwarder->kvstores;
   const struct call *call = &forward->call;
+  uint64_t version = server_version (server, call->model);
+  bool fetches
+      = retire_allows (forward->forwarder->retire, call->model, version);
   unsigned largest = 0;
 
   send->part_count = call->part_count;
@@ -162,7 +165,7 @@
           send->save[i] = store != NULL ? store->address : NULL;
           continue;
         }
-      if (!fetch_pays (forward, store, choice, part->tokens))
+      if (!fetches || !fetch_pays (forward, store, choice, part->tokens))
         continue;
       send->fetch[i] = store->address;
       if (part->tokens <= largest)
@@ -174,7 +177,7 @@
   if (largest > 0)
     send->fetch_until_ms = kvstores_fetch_until_ms (kvstores, fetch_ns);
   /* Other weights must neither use nor fill this scope. */
-  send->weight_version = server_version (server, call->model);
+  send->weight_version = version;
 }
 
 /* What stores hold of the first parts, made by VERSION of the weights. */
@@ -187,7 +190,8 @@
   char scope[CACHE_SCOPE_MAX];
   unsigned largest = 0;
 
-  if (version == 0)
+  if (version == 0
+      || !retire_allows (forward->forwarder->retire, call->model, version))
     return;
   query->stored_count++;
   stored->version = version;
--- a/src/kvstores.h
+++ b/src/kvstores.h
@@ -22,7 +22,7 @@
 
 enum
 {
-  KVSTORES_FETCH_MAX_MS = 2500 /**< No fetch takes longer. */
+  KVSTORES_FETCH_MAX_MS = 1000 /**< No fetch takes longer. */
 };
 
 struct kvstores_settings
--- a/src/presence.c
+++ b/src/presence.c
@@ -42,6 +42,62 @@
   presence->written = false;
 }
 
+static void
+host_set_weights (struct presence_host *host, const char *model,
+                  uint64_t version)
+{
+  unsigned i = 0;
+
+  while (i < host->weights_count
+         && strcmp (host->weights[i].model, model) != 0)
+    i++;
+  if (i == PRESENCE_MODELS_MAX)
+    return;
+  g_strlcpy (host->weights[i].model, model, PRESENCE_TEXT_MAX);
+  host->weights[i].version = version;
+  host->weights_count = MAX (host->weights_count, i + 1);
+}
+
+void
+presence_tell_weights (struct presence *presence, const char *model,
+                       uint64_t version)
+{
+  host_set_weights (&presence->self, model, version);
+  presence->written = false;
+}
+
+uint64_t
+presence_host_weights (const struct presence_host *host, const char *model)
+{
+  for (unsigned i = 0; i < host->weights_count; i++)
+    if (strcmp (host->weights[i].model, model) == 0)
+      return host->weights[i].version;
+  return 0;
+}
+
+static void
+weights_decode (struct presence_host *host, struct json_object *told)
+{
+  if (!json_object_is_type (told, json_type_object))
+    return;
+  json_object_object_foreach (told, model, version)
+  {
+    host_set_weights (host, model, (uint64_t)json_object_get_int64 (version));
+  }
+}
+
+static struct json_object *
+weights_encode (const struct presence_host *host)
+{
+  struct json_object *told = json_object_new_object ();
+
+  for (unsigned i = 0; i < host->weights_count; i++)
+    json_object_object_add (
+        told, host->weights[i].model,
+        json_object_new_int64 ((int64_t)host->weights[i].version));
+  return told;
+}
+
 enum status
 presence_put (struct presence *presence, const char *key, const char *value,
               struct error *error)
@@ -66,6 +122,7 @@
   g_strlcpy (host->data_centre, json_field_text (object, "data_centre"),
              sizeof host->data_centre);
   host->leaving = json_field_bool (object, "leaving");
+  weights_decode (host, json_object_object_get (object, "weights"));
   json_object_put (object);
   g_hash_table_replace (presence->hosts, g_strdup (key), host);
   return STATUS_OK;
@@ -188,6 +245,7 @@
   json_add_text (object, "data_centre", presence->self.data_centre);
   json_object_object_add (object, "leaving",
                           json_object_new_boolean (presence->self.leaving));
+  json_object_object_add (object, "weights", weights_encode (&presence->self));
   write.value
       = json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN);
   presence->in_call = true;
--- a/src/presence.h
+++ b/src/presence.h
@@ -15,8 +15,16 @@
 
 enum
 {
-  PRESENCE_TEXT_MAX = 64,     /**< bytes, with the final NUL */
-  PRESENCE_ADDRESSES_MAX = 64 /**< in an answer to callers */
+  PRESENCE_TEXT_MAX = 64,      /**< bytes, with the final NUL */
+  PRESENCE_ADDRESSES_MAX = 64, /**< in an answer to callers */
+  PRESENCE_MODELS_MAX = 8      /**< Weights of more models are not told. */
+};
+
+/** A host fetches no cached parts of a model's weights before this version. */
+struct presence_weights
+{
+  char model[PRESENCE_TEXT_MAX];
+  uint64_t version;
 };
 
 struct presence_host
@@ -25,6 +33,8 @@
   char peer[PRESENCE_TEXT_MAX];    /**< for other hosts */
   char data_centre[PRESENCE_TEXT_MAX];
   bool leaving;
+  struct presence_weights weights[PRESENCE_MODELS_MAX];
+  unsigned weights_count;
 };
 
 struct presence
@@ -58,6 +68,15 @@
 
 void presence_tick (struct presence *presence);
 
+/** Tell the other hosts that this one fetches no cached parts of MODEL's
+ * weights before VERSION. */
+void presence_tell_weights (struct presence *presence, const char *model,
+                            uint64_t version);
+
+/** What HOST has told of MODEL; 0: nothing. */
+uint64_t presence_host_weights (const struct presence_host *host,
+                                const char *model);
+
 /** Whether the lease surely holds for SPAN_NS more. */
 bool presence_lease_holds (const struct presence *presence, int64_t span_ns);
 
--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -138,7 +138,11 @@
                  &path.log, &dialect_platform, NULL);
   forwarder_init (&path.forwarder, &path.loop, &path.clock, &path.rng,
                   &path.log, &path.metrics, &dialect_platform, &settings,
-                  &path.servers, &path.poison, &path.kvstores);
+                  &path.servers, &path.poison, &path.kvstores, &path.retire);
+  presence_init (&path.presence, &path.client.kv, &path.clock, "host/a",
+                 &(struct presence_host){ .address = "a" }, NS_PER_S);
+  retire_init (&path.retire, &path.clock, &path.log, &path.servers,
+               &path.presence, path.forwarder.weights);
   CU_ASSERT_EQUAL_FATAL (callerserver_init (&path.front, &path.loop,
                                             &path.clock, "127.0.0.1", 0,
                                             &front_ops, NULL, &error),
@@ -182,6 +186,8 @@
   for (int i = 0; i < 20; i++)
     uv_run (&path.loop, UV_RUN_NOWAIT);
   kvstores_finish (&path.kvstores);
+  retire_finish (&path.retire);
+  presence_finish (&path.presence);
   poison_finish (&path.poison);
   servers_finish (&path.servers);
   uv_walk (&path.loop, close_handle, NULL);
--- a/test/fake-path.h
+++ b/test/fake-path.h
@@ -26,6 +26,8 @@
   struct servers servers;
   struct poison poison;
   struct kvstores kvstores;
+  struct presence presence;
+  struct retire retire;
   struct forwarder forwarder;
   struct callerserver front;
   struct fake_upstream upstreams[2];
