Hosts of a large fleet form cells with engines of their own

Load: 62 to 77 hosts, of which each hears only what the ten of its group have under way, send to all engines. Change: hosts, in order of data centre, are divided into equal cells of at most ten; the engines of a service with four or more for each cell are dealt among the cells, each with some in every data centre. Engines of other cells are used when the own ones are full. What the hosts of a cell tell counts as all there is at their engines. presence_index goes by data centre, then key.

--- a/src/choose.c
+++ b/src/choose.c
@@ -27,6 +27,7 @@
   .distance_ms = 12,
   .memory_share = 0.95,
   .home_share = 0.8,
+  .other_cell_share = 0.5,
   .report_ns = 300 * NS_PER_MS,
 };
 
@@ -155,7 +156,8 @@
 /* The server that all hosts prefer for the context of CALL, whatever they
  * know: the one of highest weight by its id. */
 static const struct server *
-home_server (const GPtrArray *servers, const struct call *call, int64_t now)
+home_server (const GPtrArray *servers, const struct call *call,
+             bool other_cells, int64_t now)
 {
   const struct server *best = NULL;
   uint64_t best_weight = 0;
@@ -169,7 +171,7 @@
       const struct server *server = servers->pdata[i];
       uint64_t weight = rendezvous_weight (server->hash, &key, sizeof key);
 
-      if (!server_is_usable (server, now)
+      if (server->other_cell != other_cells || !server_is_usable (server, now)
           || (best != NULL && weight <= best_weight))
         continue;
       best = server;
@@ -185,69 +187,99 @@
          || server_version (server, query->model) >= query->weight_version;
 }
 
+/* Another cell's hosts send to a server of theirs what this host does not
+ * hear of. */
+static double
+other_cell_tokens (const struct choose_settings *settings,
+                   const struct server *server)
+{
+  return server->other_cell
+             ? settings->other_cell_share * (double)server->parts_tokens_max
+             : 0;
+}
+
 /* Whether the memory of the engine has room for the request beside those that
  * it was sent; one request alone always has. */
 static bool
 has_memory (const struct choose_settings *settings,
             const struct choose_query *query, const struct server *server)
 {
-  double taken = (double)(server->in_flight_tokens + server->others_memory);
+  double taken = (double)(server->in_flight_tokens + server->others_memory)
+                 + other_cell_tokens (settings, server);
   double wanted = query->call->prompt_tokens + query->call->output_tokens;
 
-  return query->model == NULL || taken == 0
+  return query->model == NULL || taken <= 0
          || taken + wanted
                 <= settings->memory_share * (double)server->parts_tokens_max;
 }
 
-void
-choose_server (const struct servers *servers,
-               const struct choose_settings *settings,
-               const struct choose_query *query, struct rng *rng,
-               struct choose_result *result)
+static void
+candidate_weigh (const struct choose_settings *settings,
+                 const struct choose_query *query, struct server *server,
+                 bool home, int64_t now, struct rng *rng,
+                 struct choose_result *result)
+{
+  uint64_t cached = 0;
+  double backlog = query->model == NULL
+                       ? plain_cost (settings, query, server, now)
+                       : engine_backlog (settings, query, server, now);
+  double cost = backlog + server->fault_share * failure_ms
+                + (server->in_data_centre ? 0 : settings->distance_ms)
+                + rng_unit (rng);
+
+  result->candidates++;
+  if (query->model != NULL)
+    cost += reading_cost (settings, query, server, home, &cached);
+  if (query->model != NULL && !has_wanted_weights (query, server))
+    cost += old_weights_ms;
+  if (result->server != NULL && cost >= result->cost_ms)
+    return;
+  result->server = server;
+  result->cost_ms = cost;
+  result->backlog_ms = backlog;
+  result->cached_tokens = cached;
+}
+
+/* Among the servers of this host's cell, or of the others. */
+static void
+choose_among (const struct servers *servers,
+              const struct choose_settings *settings,
+              const struct choose_query *query, bool other_cells,
+              struct rng *rng, struct choose_result *result)
 {
   const GPtrArray *list = servers_of (servers, query->service);
   int64_t now = clock_now (servers->clock);
-  const struct server *home;
-  double best = INFINITY;
+  const struct server *home
+      = query->model != NULL
+            ? home_server (list, query->call, other_cells, now)
+            : NULL;
 
-  memset (result, 0, sizeof *result);
-  if (list == NULL)
-    return;
-  home = query->model != NULL ? home_server (list, query->call, now) : NULL;
   for (guint i = 0; i < list->len; i++)
     {
       struct server *server = list->pdata[i];
-      uint64_t cached = 0;
-      double backlog;
-      double cost;
 
-      if (!server_is_there (server) || is_excluded (query, server)
-          || !has_weights (server, query))
+      if (server->other_cell != other_cells || !server_is_there (server)
+          || is_excluded (query, server) || !has_weights (server, query))
         continue;
       if (!server_is_usable (server, now)
           || !has_memory (settings, query, server))
-        {
-          result->full = true;
-          continue;
-        }
-      result->candidates++;
-      backlog = query->model == NULL
-                    ? plain_cost (settings, query, server, now)
-                    : engine_backlog (settings, query, server, now);
-      cost = backlog + server->fault_share * failure_ms
-             + (server->in_data_centre ? 0 : settings->distance_ms)
-             + rng_unit (rng);
-      if (query->model != NULL)
-        cost
-            += reading_cost (settings, query, server, server == home, &cached);
-      if (query->model != NULL && !has_wanted_weights (query, server))
-        cost += old_weights_ms;
-      if (cost >= best)
-        continue;
-      best = cost;
-      result->server = server;
-      result->cost_ms = cost;
-      result->backlog_ms = backlog;
-      result->cached_tokens = cached;
+        result->full = true;
+      else
+        candidate_weigh (settings, query, server, server == home, now, rng,
+                         result);
     }
 }
+
+void
+choose_server (const struct servers *servers,
+               const struct choose_settings *settings,
+               const struct choose_query *query, struct rng *rng,
+               struct choose_result *result)
+{
+  memset (result, 0, sizeof *result);
+  if (servers_of (servers, query->service) == NULL)
+    return;
+  choose_among (servers, settings, query, false, rng, result);
+  if (result->server == NULL)
+    choose_among (servers, settings, query, true, rng, result);
+}
--- a/src/entry.c
+++ b/src/entry.c
@@ -231,6 +231,7 @@
   retire_tick (&entry->retire);
   cachetrim_tick (&entry->cachetrim);
   servers_tick (&entry->servers);
+  cells_tick (&entry->cells);
   loadlink_tick (&entry->loadlink);
   forwarder_tick (&entry->forwarder);
   settings_look (entry, now);
@@ -301,8 +302,8 @@
   if (status == STATUS_OK)
     status = loadlink_init (
         &entry->loadlink, &entry->loop, &entry->loadshare, &entry->presence,
-        &entry->clock, settings->listen.peer.ip, settings->listen.peer.port,
-        LOAD_PERIOD_MS * NS_PER_MS, error);
+        &entry->cells, &entry->clock, settings->listen.peer.ip,
+        settings->listen.peer.port, LOAD_PERIOD_MS * NS_PER_MS, error);
   return status;
 }
 
@@ -433,6 +434,7 @@
   poison_init (&entry->poison, &entry->kvbudget.kv, &entry->clock,
                ENTRY_LOSS_PREFIX);
   presence_open (entry);
+  cells_init (&entry->cells, &entry->clock, &entry->presence, &entry->servers);
   loadshare_init (&entry->loadshare, &entry->servers, &entry->clock,
                   settings->process.name, process_start (entry),
                   &loadshare_ops, entry);
--- a/src/entry.h
+++ b/src/entry.h
@@ -5,6 +5,7 @@
 #include "dialect.h"
 #include "forwarder.h"
 #include "cachetrim.h"
+#include "cells.h"
 #include "httpjson.h"
 #include "kvbudget.h"
 #include "kvstores.h"
@@ -58,6 +59,7 @@
   struct poison poison;
   struct presence presence;
   struct loadshare loadshare;
+  struct cells cells;
   struct loadlink loadlink;
   struct weightswap weightswap;
   struct kvstores kvstores;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -223,7 +223,6 @@
     .model = forward->call.model,
     .call = &forward->call,
     .excluded_count = forward->tried_count,
-    .hosts = forwarder->hosts,
   };
   struct choose_result choice;
 
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -74,5 +74,5 @@
   if (end == EXCHANGE_ANSWERED && answer->success
       && forward->call.model != NULL)
     server_cache_note (server, forward->call.parts, forward->call.part_count,
-                       forwarder->hosts, now);
+                       now);
 }
--- a/src/loadlink.c
+++ b/src/loadlink.c
@@ -25,8 +25,9 @@
 enum status
 loadlink_init (struct loadlink *loadlink, uv_loop_t *loop,
                struct loadshare *loadshare, const struct presence *presence,
-               const struct clock *clock, const char *ip, uint16_t port,
-               int64_t period_ns, struct error *error)
+               const struct cells *cells, const struct clock *clock,
+               const char *ip, uint16_t port, int64_t period_ns,
+               struct error *error)
 {
   struct sockaddr_in address;
   int failed;
@@ -34,6 +35,7 @@
   memset (loadlink, 0, sizeof *loadlink);
   loadlink->loadshare = loadshare;
   loadlink->presence = presence;
+  loadlink->cells = cells;
   loadlink->clock = clock;
   loadlink->period_ns = period_ns;
   loadlink->udp.data = loadlink;
@@ -50,14 +52,12 @@
   return STATUS_OK;
 }
 
-/* Hosts tell those of their own cell, in the order of their keys; the holder
- * of the duty of weights tells all. */
+/* Hosts tell those of their own cell; the holder of the duty of weights tells
+ * all. */
 static bool
 is_told (const struct loadlink *loadlink, unsigned index, bool all)
 {
-  return all
-         || index / LOADLINK_CELL
-                == presence_index (loadlink->presence) / LOADLINK_CELL;
+  return all || cells_has (loadlink->cells, index);
 }
 
 void
@@ -70,7 +70,6 @@
   GPtrArray *hosts;
   uv_buf_t buffer;
 
-  loadshare->hosts = presence_count (loadlink->presence);
   loadshare_tick (loadshare);
   if (now < loadlink->next_ns)
     return;
--- a/src/loadlink.h
+++ b/src/loadlink.h
@@ -1,6 +1,7 @@
 #ifndef LOADLINK_H
 #define LOADLINK_H
 
+#include "cells.h"
 #include "loadshare.h"
 #include "presence.h"
 #include "status.h"
@@ -12,15 +13,11 @@
  * knows.
  */
 
-enum
-{
-  LOADLINK_CELL = 10 /**< Hosts that tell each other their load. */
-};
-
 struct loadlink
 {
   struct loadshare *loadshare;
   const struct presence *presence;
+  const struct cells *cells;
   const struct clock *clock;
   uv_udp_t udp;
   int64_t period_ns;
@@ -31,6 +28,7 @@
 enum status loadlink_init (struct loadlink *loadlink, uv_loop_t *loop,
                            struct loadshare *loadshare,
                            const struct presence *presence,
+                           const struct cells *cells,
                            const struct clock *clock, const char *ip,
                            uint16_t port, int64_t period_ns,
                            struct error *error);
--- a/src/loadshare.c
+++ b/src/loadshare.c
@@ -164,17 +164,23 @@
   sum->running += share->running;
 }
 
-/* Count anew what all peers told. In a large fleet only some hosts tell this
- * one, and the others are taken to be like them. */
+/* What peers told of a server of this host's cell is all there is. To others
+ * all hosts send, of which only some tell; the rest is taken to be like them.
+ */
+static double
+sum_scale (const struct loadshare *loadshare, const struct server *server)
+{
+  unsigned peers = MAX (g_hash_table_size (loadshare->peers), 1U);
+
+  return MAX ((double)server->hosts - 1, 1) / peers;
+}
+
+/* Count anew what all peers told. */
 static void
 sums_refresh (struct loadshare *loadshare)
 {
   GHashTable *sums
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
-  double scale = loadshare->hosts > 1
-                     ? (double)(loadshare->hosts - 1)
-                           / MAX (g_hash_table_size (loadshare->peers), 1U)
-                     : 1;
   GHashTableIter iter;
   gpointer value;
 
@@ -199,6 +205,7 @@
       struct server *server = value;
       const struct share *sum
           = g_hash_table_lookup (sums, GUINT_TO_POINTER (server->hash));
+      double scale = sum_scale (loadshare, server);
 
       server->others_prefill
           = sum != NULL ? (uint64_t)(scale * (double)sum->prefill) : 0;
--- a/src/loadshare.h
+++ b/src/loadshare.h
@@ -45,7 +45,6 @@
   char *host;
   uint64_t start;
   uint32_t number;
-  unsigned hosts;    /**< that send work to the servers, this one included */
   bool changed;      /**< The sums at the servers are to be made anew. */
   GHashTable *peers; /**< host to struct loadshare_peer */
 };
--- a/src/presence.c
+++ b/src/presence.c
@@ -285,30 +285,69 @@
   return count > 0 ? count : 1;
 }
 
+struct place
+{
+  const char *key;
+  const struct presence_host *host;
+};
+
+static int
+place_compare (const struct place *left, const struct place *right)
+{
+  int order = strcmp (left->host->data_centre, right->host->data_centre);
+
+  return order != 0 ? order : strcmp (left->key, right->key);
+}
+
+static gint
+place_compare_pointers (gconstpointer a, gconstpointer b)
+{
+  return place_compare (a, b);
+}
+
 unsigned
 presence_index (const struct presence *presence)
 {
+  struct place self = { presence->key, &presence->self };
   GHashTableIter iter;
-  gpointer key;
+  gpointer key, host;
   unsigned index = 0;
 
   g_hash_table_iter_init (&iter, presence->hosts);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    index += strcmp (key, presence->key) < 0;
+  while (g_hash_table_iter_next (&iter, &key, &host))
+    {
+      struct place other = { key, host };
+
+      index += place_compare (&other, &self) < 0;
+    }
   return index;
 }
 
 GPtrArray *
 presence_ordered (const struct presence *presence)
 {
-  GList *keys = g_hash_table_get_keys (presence->hosts);
+  GArray *places = g_array_new (FALSE, FALSE, sizeof (struct place));
+  struct place place = { presence->key, &presence->self };
   GPtrArray *hosts = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key, host;
+
+  g_array_append_val (places, place);
+  g_hash_table_iter_init (&iter, presence->hosts);
+  while (g_hash_table_iter_next (&iter, &key, &host))
+    {
+      place = (struct place){ key, host };
+      g_array_append_val (places, place);
+    }
+  g_array_sort (places, place_compare_pointers);
+  for (guint i = 0; i < places->len; i++)
+    {
+      const struct presence_host *at
+          = g_array_index (places, struct place, i).host;
 
-  keys = g_list_prepend (keys, presence->key);
-  keys = g_list_sort (keys, (GCompareFunc)strcmp);
-  for (GList *at = keys; at != NULL; at = at->next)
-    g_ptr_array_add (hosts, g_hash_table_lookup (presence->hosts, at->data));
-  g_list_free (keys);
+      g_ptr_array_add (hosts, at == &presence->self ? NULL : (gpointer)at);
+    }
+  g_array_free (places, TRUE);
   return hosts;
 }
 
--- a/src/presence.h
+++ b/src/presence.h
@@ -83,11 +83,12 @@
 /** Hosts that serve, this one included. */
 unsigned presence_count (const struct presence *presence);
 
-/** The place of this host among all in the order of their keys. */
+/** The place of this host among all in the order of their data centres and
+ * keys. */
 unsigned presence_index (const struct presence *presence);
 
-/** All hosts in the order of their keys, NULL for this one; the caller frees
- * the array. */
+/** All hosts in the order of their data centres and keys, NULL for this one;
+ * the caller frees the array. */
 GPtrArray *presence_ordered (const struct presence *presence);
 
 /** Append the callers' addresses of hosts that serve, at most
--- a/src/servers.c
+++ b/src/servers.c
@@ -140,6 +140,7 @@
   server->parts
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   server->parts_tokens_max = PARTS_TOKENS_DEFAULT;
+  server->hosts = 1;
   list_init (&server->parts_by_use);
   g_hash_table_insert (servers->by_id, server->entry.id, server);
   service_list_add (servers, server);
@@ -379,10 +380,11 @@
 
 void
 server_cache_note (struct server *server, const struct call_part *parts,
-                   unsigned count, unsigned hosts, int64_t now_ns)
+                   unsigned count, int64_t now_ns)
 {
-  uint64_t share = (uint64_t)(cache_part_of_memory
-                              * (double)server->parts_tokens_max / hosts);
+  uint64_t share
+      = (uint64_t)(cache_part_of_memory * (double)server->parts_tokens_max
+                   / server->hosts);
 
   for (unsigned i = 0; i < count; i++)
     {
--- a/src/servers.h
+++ b/src/servers.h
@@ -60,6 +60,8 @@
   uint64_t revision;   /**< of the entry in the KV service */
   bool removed;        /**< no longer known */
   bool in_data_centre; /**< stands in the data centre of this process */
+  bool other_cell;     /**< dealt to another cell of hosts */
+  unsigned hosts;      /**< that send work to it, this one included */
 
   unsigned in_flight;        /**< requests of this process */
   uint64_t in_flight_tokens; /**< memory that they will take */
@@ -161,7 +163,7 @@
  * @param hosts that send it work: what others send displaces as much as what
  * this one does, so that only a part of its memory is counted on */
 void server_cache_note (struct server *server, const struct call_part *parts,
-                        unsigned count, unsigned hosts, int64_t now_ns);
+                        unsigned count, int64_t now_ns);
 /** Its cache was emptied. */
 void server_cache_clear (struct server *server);
 
--- a/test/test-servers.c
+++ b/test/test-servers.c
@@ -90,7 +90,7 @@
 
   setup ();
   server = add ("a");
-  server_cache_note (server, &part, 1, 1, NS_PER_S);
+  server_cache_note (server, &part, 1, NS_PER_S);
   server_missed (&servers, server);
   server_missed (&servers, server);
   CU_ASSERT_FALSE (server_is_there (server));
@@ -138,7 +138,7 @@
 choose (const struct call *call, const char *model)
 {
   struct choose_query query
-      = { .service = "svc", .model = model, .call = call, .hosts = 8 };
+      = { .service = "svc", .model = model, .call = call };
   struct choose_result result;
 
   choose_server (&servers, &choose_settings_default, &query, &rng, &result);
@@ -170,7 +170,7 @@
   warm = add ("a");
   add ("b");
   add ("c");
-  server_cache_note (warm, call.parts, 2, 1, NS_PER_S);
+  server_cache_note (warm, call.parts, 2, NS_PER_S);
   CU_ASSERT_PTR_EQUAL (choose (&call, "m").server, warm);
   warm->prefill_tokens = 30000;
   CU_ASSERT_PTR_NOT_EQUAL (choose (&call, "m").server, warm);
@@ -290,7 +290,7 @@
   loadshare_init (&there, &servers, &fake_clock.clock, "h2", 1, &share_ops,
                   NULL);
   size = loadshare_write (&here, bytes);
-  there.hosts = 2;
+  server->hosts = 2;
   CU_ASSERT_TRUE (loadshare_read (&there, bytes, size));
   loadshare_tick (&there);
   CU_ASSERT_EQUAL (server->others_prefill, 700);
@@ -302,7 +302,7 @@
   CU_ASSERT_FALSE (loadshare_read (&there, bytes, size));
   CU_ASSERT_FALSE (loadshare_read (&there, bytes, size - 1));
   /* Of five hosts one told its load: the others are taken to be like it. */
-  there.hosts = 5;
+  server->hosts = 5;
   there.changed = true;
   loadshare_tick (&there);
   CU_ASSERT_EQUAL (server->others_prefill, 2800);
