--- a/src/choose.h
+++ b/src/choose.h
@@ -21,7 +21,9 @@
 {
   double tokens_per_ms;   /**< prompt tokens that an engine reads */
   double fetched_per_ms;  /**< tokens of KV cache that it fetches */
-  double distance_factor; /**< of a fetch from another data centre */
+  double distance_factor; /**< of a fetch from another data centre: it takes
+                               twice as long, and keeps the store's link from
+                               others meanwhile */
   double run_ms;          /**< delay of a first event by each running stream */
   double distance_ms;     /**< what another data centre costs */
   double memory_share;    /**< of an engine's memory that requests may take */
