The delay of a store's link is learned in full

Cause: what was learned of a late fetch was its difference to an expectation that already held the delay learned before, so that a lasting delay was forgotten as soon as it was known. Ruled out: gain and half-life (the same before and after). Change: a choice tells which part of its expected time is delay of the store's link, and the delay is learned against the time on a free link. Test: servers/delay-of-a-fetch-is-told.

--- a/src/choose.c
+++ b/src/choose.c
@@ -131,7 +131,7 @@
 static double
 reading_cost (const struct choose_settings *settings,
               const struct choose_query *query, const struct server *server,
-              bool home, uint64_t *cached)
+              bool home, uint64_t *cached, double *delay)
 {
   const struct call *call = query->call;
   double known
@@ -147,6 +147,7 @@
     {
       fetched = (double)stored->tokens - at_hand;
       cost = choose_fetch_ms (settings, stored, server, fetched);
+      *delay = stored->delay_ms;
     }
   *cached = (uint64_t)(at_hand + fetched);
   return (call->prompt_tokens - at_hand - fetched) / settings->tokens_per_ms
@@ -220,6 +221,7 @@
                  struct choose_result *result)
 {
   uint64_t cached = 0;
+  double delay = 0;
   double backlog = query->model == NULL
                        ? plain_cost (settings, query, server, now)
                        : engine_backlog (settings, query, server, now);
@@ -229,7 +231,7 @@
 
   result->candidates++;
   if (query->model != NULL)
-    cost += reading_cost (settings, query, server, home, &cached);
+    cost += reading_cost (settings, query, server, home, &cached, &delay);
   if (query->model != NULL && !has_wanted_weights (query, server))
     cost += old_weights_ms;
   if (result->server != NULL && cost >= result->cost_ms)
@@ -237,6 +239,7 @@
   result->server = server;
   result->cost_ms = cost;
   result->backlog_ms = backlog;
+  result->delay_ms = delay;
   result->cached_tokens = cached;
 }
 
--- a/src/choose.h
+++ b/src/choose.h
@@ -64,6 +64,7 @@
   struct server *server; /**< NULL: none is usable */
   double cost_ms;        /**< expected time to the first event */
   double backlog_ms;     /**< the part of it that is work of others */
+  double delay_ms;       /**< the part of it that is delay of a store's link */
   uint64_t cached_tokens;
   unsigned candidates;
   bool full; /**< Some server would do but takes nothing more for now. */
--- a/src/forward.h
+++ b/src/forward.h
@@ -81,6 +81,7 @@
   uint64_t fingerprint;
   char *fetch_store;  /**< name of the store of the largest part fetched */
   double expected_ms; /**< time to the first event of the present send */
+  double delay_ms;    /**< the part of it that is delay of the store's link */
   double backlog_ms;  /**< the part of it that is work of others */
   char scope[CACHE_SCOPE_MAX]; /**< of cached parts, in the present send */
 };
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -6,8 +6,8 @@
   IDLE_BACKLOG_MS = 60 /* Less work does not hide a store's delay. */
 };
 
-/* A first event that comes later than was expected tells of the link of the
- * store that its cache was fetched from. */
+/* A first event that comes later than was expected of free links tells of the
+ * link of the store that its cache was fetched from. */
 static void
 learn_delay (struct forward *forward)
 {
@@ -20,7 +20,7 @@
   if (store != NULL)
     kvstore_note_delay (store, (double)(exchange->first_ns - exchange->sent_ns)
                                        / NS_PER_MS
-                                   - forward->expected_ms);
+                                   - forward->expected_ms + forward->delay_ms);
 }
 
 static void
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -274,6 +274,7 @@
   server_count (forward, choice);
   forward->expected_ms = choice->cost_ms;
   forward->backlog_ms = choice->backlog_ms;
+  forward->delay_ms = choice->delay_ms;
   exchange_send (
       &forward->exchange, forwarder->loop, choice->server,
       forward->call.request_id, request, strcmp (method, "HEAD") == 0,
--- a/src/kvstores.h
+++ b/src/kvstores.h
@@ -103,7 +103,7 @@
 struct kvstore *kvstores_named (const struct kvstores *kvstores,
                                 const char *name);
 
-/** A fetch from STORE came LATE_MS later than was expected. */
+/** A fetch from STORE came LATE_MS later than it takes on a free link. */
 void kvstore_note_delay (struct kvstore *store, double late_ms);
 
 /** By how much fetches from STORE are expected to come late, ms. */
--- a/test/test-servers.c
+++ b/test/test-servers.c
@@ -314,6 +314,32 @@
   finish ();
 }
 
+/* What a choice expects of a store's link is told apart, so that it is not
+ * learned a second time from how late the fetch then comes. */
+static void
+test_delay_of_a_fetch_is_told (void)
+{
+  struct call call = call_of (1);
+  struct choose_query query
+      = { .service = "svc", .model = "m", .call = &call };
+  struct choose_result free_link, slow_link;
+
+  setup ();
+  add ("a");
+  query.stored[0] = (struct choose_stored){ .version = 1,
+                                            .tokens = call.prompt_tokens,
+                                            .data_centre = "dc" };
+  query.stored_count = 1;
+  choose_server (&servers, &choose_settings_default, &query, &rng, &free_link);
+  query.stored[0].delay_ms = 300;
+  choose_server (&servers, &choose_settings_default, &query, &rng, &slow_link);
+  CU_ASSERT_EQUAL (free_link.delay_ms, 0);
+  CU_ASSERT_EQUAL (slow_link.delay_ms, 300);
+  CU_ASSERT_DOUBLE_EQUAL (slow_link.cost_ms - slow_link.delay_ms,
+                          free_link.cost_ms, 2);
+  finish ();
+}
+
 static const struct unit_case cases[] = {
   { "older-entries-are-ignored", test_older_entries_are_ignored },
   { "another-start-is-another-server", test_another_start_is_another_server },
@@ -324,6 +350,7 @@
   { "none-is-left", test_none_is_left },
   { "load-is-even", test_load_is_even },
   { "load-is-told", test_load_is_told },
+  { "delay-of-a-fetch-is-told", test_delay_of_a_fetch_is_told },
 };
 
 int
