Hosts pass on within their cell what stores of KV cache tell

Load: in a large fleet hosts ask stores in turns of two seconds, since a store holds only a few calls at a time. Change: one host of each cell listens to a store all the time (the one of highest weight for its name) and passes on what it hears in a datagram; news count only if they follow on what is known of the same run. The others still ask themselves, in turns or each second. A store that answers 429 is asked again and not taken to be lost. loadlink is peerlink now: its datagrams begin with their kind.

--- a/src/cells.c
+++ b/src/cells.c
@@ -1,4 +1,5 @@
 #include "cells.h"
+#include "rendezvous.h"
 
 #include <string.h>
 
@@ -78,6 +79,38 @@
   g_ptr_array_free (there, TRUE);
 }
 
+static uint64_t
+host_hash (const struct presence_host *host)
+{
+  return g_str_hash (host->address);
+}
+
+static void
+peers_note (struct cells *cells)
+{
+  GPtrArray *hosts = presence_ordered (cells->presence);
+
+  cells->self = host_hash (&cells->presence->self);
+  cells->hosts = 1;
+  for (guint i = 0; i < hosts->len; i++)
+    if (hosts->pdata[i] != NULL && cells_has (cells, i)
+        && cells->hosts <= CELLS_HOSTS_MAX)
+      cells->peers[cells->hosts++ - 1] = host_hash (hosts->pdata[i]);
+  g_ptr_array_free (hosts, TRUE);
+}
+
+bool
+cells_does (const struct cells *cells, const char *name)
+{
+  size_t size = strlen (name);
+  uint64_t own = rendezvous_weight (cells->self, name, size);
+
+  for (unsigned i = 0; i + 1 < cells->hosts; i++)
+    if (rendezvous_weight (cells->peers[i], name, size) > own)
+      return false;
+  return true;
+}
+
 void
 cells_tick (struct cells *cells)
 {
@@ -91,9 +124,7 @@
   cells->next_ns = now + PERIOD_MS * NS_PER_MS;
   cells->count = (hosts + CELLS_HOSTS_MAX - 1) / CELLS_HOSTS_MAX;
   cells->own = cell_of (cells, presence_index (cells->presence), hosts);
-  cells->hosts = 0;
-  for (unsigned i = 0; i < hosts; i++)
-    cells->hosts += cells_has (cells, i);
+  peers_note (cells);
   g_hash_table_iter_init (&iter, cells->servers->by_service);
   while (g_hash_table_iter_next (&iter, NULL, &servers))
     service_deal (cells, servers);
--- a/src/cells.h
+++ b/src/cells.h
@@ -28,9 +28,11 @@
   const struct clock *clock;
   const struct presence *presence;
   struct servers *servers;
-  unsigned count; /**< of cells */
-  unsigned own;   /**< the cell of this host */
-  unsigned hosts; /**< of the own cell, this one included */
+  unsigned count;                  /**< of cells */
+  unsigned own;                    /**< the cell of this host */
+  unsigned hosts;                  /**< of the own cell, this one included */
+  uint64_t peers[CELLS_HOSTS_MAX]; /**< hashes of its other hosts' addresses */
+  uint64_t self;                   /**< the same of this host */
   int64_t next_ns;
 };
 
@@ -40,6 +42,9 @@
 /** Follow changes of hosts and servers. */
 void cells_tick (struct cells *cells);
 
+/** Whether this host does what one host of each cell does for NAME. */
+bool cells_does (const struct cells *cells, const char *name);
+
 /** Whether the host at INDEX of presence_ordered is of this host's cell. */
 bool cells_has (const struct cells *cells, unsigned index);
 
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -64,12 +64,14 @@
   uint64_t id;
   unsigned tokens; /**< held whole */
   bool gone;       /**< held no longer, or not whole */
+  uint64_t number; /**< of the change; 0 in a list */
 };
 
 /** What a store of KV cache says of its parts. */
 struct cache_report
 {
   bool answered;
+  bool busy;      /**< It did not answer since it is asked by too many. */
   bool is_list;   /**< all parts, not what changed */
   bool gap;       /**< Some changes are no longer known. */
   uint64_t epoch; /**< of the present run of the store */
--- a/src/entry.c
+++ b/src/entry.c
@@ -96,6 +96,24 @@
 
 static const struct servers_ops servers_ops = { server_changed };
 
+static bool
+store_listens (void *data, const struct kvstore *store)
+{
+  const struct entry *entry = data;
+
+  return cells_does (&entry->cells, store->name);
+}
+
+static void
+store_heard (void *data, const struct kvstore_news *news)
+{
+  struct entry *entry = data;
+
+  peerlink_send_news (&entry->peerlink, news);
+}
+
+static const struct kvstores_ops kvstores_ops = { store_listens, store_heard };
+
 static void
 settings_apply (struct entry *entry)
 {
@@ -232,7 +250,7 @@
   cachetrim_tick (&entry->cachetrim);
   servers_tick (&entry->servers);
   cells_tick (&entry->cells);
-  loadlink_tick (&entry->loadlink);
+  peerlink_tick (&entry->peerlink);
   forwarder_tick (&entry->forwarder);
   settings_look (entry, now);
   stage_advance (entry, now);
@@ -300,10 +318,11 @@
         = listen_at (entry, &entry->metrics_server, &settings->listen.metrics,
                      &entryhttp_metrics_ops, error);
   if (status == STATUS_OK)
-    status = loadlink_init (
-        &entry->loadlink, &entry->loop, &entry->loadshare, &entry->presence,
-        &entry->cells, &entry->clock, settings->listen.peer.ip,
-        settings->listen.peer.port, LOAD_PERIOD_MS * NS_PER_MS, error);
+    status = peerlink_init (&entry->peerlink, &entry->loop, &entry->loadshare,
+                            &entry->kvstores, &entry->presence, &entry->cells,
+                            &entry->clock, settings->listen.peer.ip,
+                            settings->listen.peer.port,
+                            LOAD_PERIOD_MS * NS_PER_MS, error);
   return status;
 }
 
@@ -440,6 +459,7 @@
                   &loadshare_ops, entry);
   kvstores_init (&entry->kvstores, &kvstores_settings_default, &entry->clock,
                  &entry->log, entry->dialect, &entry->httpjson);
+  kvstores_share (&entry->kvstores, &kvstores_ops, entry);
   forwarder_init (&entry->forwarder, &entry->loop, &entry->clock, &entry->rng,
                   &entry->log, &entry->metrics, entry->dialect, &forward,
                   &entry->servers, &entry->poison, &entry->kvstores,
--- a/src/entry.h
+++ b/src/entry.h
@@ -1,21 +1,21 @@
 #ifndef ENTRY_H
 #define ENTRY_H
 
+#include "cachetrim.h"
 #include "callerconn.h"
+#include "cells.h"
 #include "dialect.h"
 #include "forwarder.h"
-#include "cachetrim.h"
-#include "cells.h"
 #include "httpjson.h"
 #include "kvbudget.h"
 #include "kvstores.h"
-#include "retire.h"
 #include "kvview.h"
-#include "loadlink.h"
 #include "log.h"
 #include "metrics.h"
+#include "peerlink.h"
 #include "poison.h"
 #include "presence.h"
+#include "retire.h"
 #include "rng.h"
 #include "servers.h"
 #include "settings.h"
@@ -60,7 +60,7 @@
   struct presence presence;
   struct loadshare loadshare;
   struct cells cells;
-  struct loadlink loadlink;
+  struct peerlink peerlink;
   struct weightswap weightswap;
   struct kvstores kvstores;
   struct retire retire;
--- a/src/kvstores.c
+++ b/src/kvstores.c
@@ -12,10 +12,12 @@
 };
 
 const struct kvstores_settings kvstores_settings_default = {
-  .listeners = 10,
+  .listeners = 5,
   .turn_ns = 250 * NS_PER_MS,
   .turn_wait_ns = 200 * NS_PER_MS,
   .wait_ns = 1000 * NS_PER_MS,
+  .listen_ns = 50 * NS_PER_MS,
+  .ask_ns = 1000 * NS_PER_MS,
   .settle_ns = 3500 * NS_PER_MS,
   .full_share = 0.97,
 };
@@ -71,6 +73,14 @@
   kvstores->stores = g_ptr_array_new_with_free_func (store_drop);
 }
 
+void
+kvstores_share (struct kvstores *kvstores, const struct kvstores_ops *ops,
+                void *data)
+{
+  kvstores->ops = ops;
+  kvstores->data = data;
+}
+
 void
 kvstores_finish (struct kvstores *kvstores)
 {
@@ -175,6 +185,16 @@
   g_hash_table_remove (store->parts, key);
 }
 
+/* Time in which every host hears of a store itself. */
+static int64_t
+round_ns (const struct kvstores *kvstores)
+{
+  const struct kvstores_settings *settings = &kvstores->settings;
+
+  return kvstores->turns == 1 ? settings->ask_ns
+                              : kvstores->turns * settings->turn_ns;
+}
+
 /* A store that begins anew holds nothing; hosts that have not noticed yet
  * could still fetch what is being saved to it. */
 static void
@@ -185,12 +205,62 @@
   store_forget (store);
   store->in_step = false;
   store->epoch = epoch;
-  store->settled_ns = clock_now (owner->clock) + owner->settings.settle_ns;
+  store->settled_ns = clock_now (owner->clock)
+                      + MAX (owner->settings.settle_ns, 2 * round_ns (owner));
   log_event (owner->log, EVENT_CACHE_STORE_CHANGED,
              "store=%s what=begun epoch=%lu", store->name,
              (unsigned long)epoch);
 }
 
+/* Changes that are known from another host are passed over. */
+static void
+changes_take (struct kvstore *store, const struct cache_part *parts,
+              unsigned count, uint64_t next)
+{
+  for (unsigned i = 0; i < count; i++)
+    if (parts[i].number != 0 && parts[i].number <= store->next)
+      continue;
+    else if (parts[i].gone)
+      part_remove (store, &parts[i]);
+    else
+      part_add (store, &parts[i]);
+  store->next = MAX (store->next, next);
+}
+
+static bool
+is_listening (const struct kvstore *store)
+{
+  const struct kvstores *owner = store->owner;
+
+  return owner->ops == NULL || owner->ops->listens (owner->data, store);
+}
+
+static void
+news_tell (struct kvstore *store, const struct cache_report *report)
+{
+  struct kvstores *owner = store->owner;
+  struct kvstore_news news = {
+    .store = store->name,
+    .epoch = store->epoch,
+    .since = store->asked_since,
+    .next = report->next,
+    .parts = report->parts,
+    .part_count = report->part_count,
+  };
+
+  if (owner->ops != NULL && report->part_count > 0 && is_listening (store))
+    owner->ops->heard (owner->data, &news);
+}
+
+/* Whether the store has told nothing itself for longer than it may. */
+static bool
+is_overdue (const struct kvstore *store)
+{
+  const struct kvstores *owner = store->owner;
+
+  return clock_now (owner->clock) - store->told_ns > 2 * round_ns (owner);
+}
+
 static void
 on_events (void *data, const struct cache_report *report)
 {
@@ -203,6 +273,11 @@
       store_free (store);
       return;
     }
+  if (report->busy && !is_overdue (store))
+    {
+      store->retry_ns = clock_now (owner->clock) + RETRY_MS * NS_PER_MS;
+      return;
+    }
   if (!report->answered)
     {
       store_lost (store, "no_answer");
@@ -229,26 +304,43 @@
       return;
     }
   if (report->is_list)
-    store_forget (store);
+    {
+      store_forget (store);
+      store->next = 0;
+    }
   store->wants_list = false;
   store->in_step = true;
-  for (unsigned i = 0; i < report->part_count; i++)
-    if (report->parts[i].gone)
-      part_remove (store, &report->parts[i]);
-    else
-      part_add (store, &report->parts[i]);
-  store->next = report->next;
+  store->told_ns = clock_now (owner->clock);
+  if (!report->is_list)
+    news_tell (store, report);
+  changes_take (store, report->parts, report->part_count, report->next);
+}
+
+void
+kvstores_take_news (struct kvstores *kvstores, const struct kvstore_news *news)
+{
+  struct kvstore *store = kvstores_named (kvstores, news->store);
+
+  if (store == NULL || !store->in_step || store->wants_list)
+    return;
+  if (news->epoch != store->epoch)
+    /* It is asked itself which of the two runs is the present one. */
+    store->asked_ns = 0;
+  else if (news->since <= store->next && news->next > store->next)
+    changes_take (store, news->parts, news->part_count, news->next);
 }
 
 static void
 store_ask (struct kvstore *store)
 {
   struct kvstores *owner = store->owner;
-  int64_t wait = owner->turns == 1 ? owner->settings.wait_ns
-                                   : owner->settings.turn_wait_ns;
+  int64_t wait = is_listening (store) ? owner->settings.wait_ns
+                                      : owner->settings.turn_wait_ns;
   int64_t timeout = wait + CALL_MARGIN_MS * NS_PER_MS;
 
   store->in_call = true;
+  store->asked_ns = clock_now (owner->clock);
+  store->asked_since = store->next;
   if (store->wants_list)
     owner->dialect->cache_list (owner->httpjson, store->address, timeout,
                                 on_events, store);
@@ -276,8 +368,6 @@
   int64_t number
       = (wall.tv_sec * NS_PER_S + wall.tv_nsec) / kvstores->settings.turn_ns;
 
-  if (kvstores->turns == 1)
-    return true;
   if (number % kvstores->turns != kvstores->turn
       || number == store->turn_number)
     return false;
@@ -285,6 +375,18 @@
   return true;
 }
 
+static bool
+store_is_due (struct kvstore *store, int64_t now)
+{
+  struct kvstores *owner = store->owner;
+
+  if (is_listening (store))
+    return now - store->asked_ns >= owner->settings.listen_ns;
+  if (owner->turns == 1)
+    return now - store->asked_ns >= owner->settings.ask_ns;
+  return turn_is_ours (owner, store);
+}
+
 void
 kvstores_tick (struct kvstores *kvstores)
 {
@@ -295,7 +397,7 @@
       struct kvstore *store = kvstores->stores->pdata[i];
 
       if (!store->in_call && now >= store->retry_ns
-          && turn_is_ours (kvstores, store))
+          && store_is_due (store, now))
         store_ask (store);
     }
 }
--- a/src/kvstores.h
+++ b/src/kvstores.h
@@ -25,12 +25,37 @@
   KVSTORES_FETCH_MAX_MS = 1000 /**< No fetch takes longer. */
 };
 
+/** What a store told: the changes after SINCE up to NEXT. */
+struct kvstore_news
+{
+  const char *store;
+  uint64_t epoch;
+  uint64_t since;
+  uint64_t next;
+  const struct cache_part *parts;
+  unsigned part_count;
+};
+
+struct kvstore;
+
+/** Hosts that share what stores tell. */
+struct kvstores_ops
+{
+  /** Whether this host listens to STORE for others; else it hears from them
+   * and asks only now and then. */
+  bool (*listens) (void *data, const struct kvstore *store);
+  /** Something changed at a store that this host listens to. */
+  void (*heard) (void *data, const struct kvstore_news *news);
+};
+
 struct kvstores_settings
 {
-  unsigned listeners;   /**< hosts that may listen to a store at a time */
+  unsigned listeners;   /**< hosts that may ask a store at a time */
   int64_t turn_ns;      /**< of one turn; longer than its call waits */
   int64_t turn_wait_ns; /**< of a call within a turn */
   int64_t wait_ns;      /**< of one call for events */
+  int64_t listen_ns;    /**< between two calls of a host that listens */
+  int64_t ask_ns;       /**< between two calls of one that does not */
   int64_t settle_ns; /**< A store that started anew is left alone so long, so
                           that every host has noticed. */
   double full_share; /**< Nothing is saved to a fuller store. */
@@ -53,7 +78,10 @@
   bool removed;       /**< no longer configured; freed after its call */
   int64_t settled_ns; /**< It may be used from then on. */
   int64_t retry_ns;
-  int64_t turn_number; /**< of the last turn that was taken */
+  int64_t asked_ns;     /**< when the last call was sent */
+  uint64_t asked_since; /**< event that this call goes on from */
+  int64_t told_ns;      /**< when it last told something itself */
+  int64_t turn_number;  /**< of the last turn that was taken */
   uint64_t held_tokens;
   double delay_ms;   /**< moving average: fetches come so late */
   int64_t delay_ns;  /**< when it was last measured */
@@ -67,6 +95,8 @@
   const struct dialect *dialect;
   struct httpjson *httpjson;
   struct kvstores_settings settings;
+  const struct kvstores_ops *ops; /**< NULL: this host is alone */
+  void *data;
   GPtrArray *stores; /**< of struct kvstore */
   unsigned turns;    /**< 1: every host listens all the time */
   unsigned turn;     /**< of this host */
@@ -85,6 +115,14 @@
 void kvstores_configure (struct kvstores *kvstores,
                          const struct routes *routes);
 
+/** Share what stores tell with other hosts. */
+void kvstores_share (struct kvstores *kvstores, const struct kvstores_ops *ops,
+                     void *data);
+
+/** Another host heard NEWS of a store. */
+void kvstores_take_news (struct kvstores *kvstores,
+                         const struct kvstore_news *news);
+
 /** Go on listening. */
 void kvstores_tick (struct kvstores *kvstores);
 
--- a/test/test-kvstores.c
+++ b/test/test-kvstores.c
@@ -1,4 +1,5 @@
 #include "kvstores.h"
+#include "partsnews.h"
 #include "unit.h"
 
 #include <string.h>
@@ -200,6 +201,111 @@
   finish ();
 }
 
+/* What this host told others, and whether it listens for them. */
+static struct
+{
+  bool listens;
+  unsigned count;
+  uint8_t bytes[PARTSNEWS_BYTES_MAX];
+  size_t size;
+} shared;
+
+static bool
+shared_listens (void *data, const struct kvstore *store)
+{
+  return shared.listens;
+}
+
+static void
+shared_heard (void *data, const struct kvstore_news *news)
+{
+  shared.count++;
+  shared.size = partsnews_write (news, shared.bytes);
+}
+
+static const struct kvstores_ops shared_ops = { shared_listens, shared_heard };
+
+/* Change NUMBER after SINCE: the part is held, or gone. */
+static void
+news_take (uint64_t epoch, uint64_t since, uint64_t number, bool gone)
+{
+  struct cache_part changed = {
+    .id = part.id, .tokens = part.tokens, .gone = gone, .number = number
+  };
+  struct kvstore_news news = { .store = "s",
+                               .epoch = epoch,
+                               .since = since,
+                               .next = number,
+                               .parts = &changed,
+                               .part_count = 1 };
+
+  strcpy (changed.scope, "m:1:");
+  kvstores_take_news (&kvstores, &news);
+}
+
+static void
+test_listener_tells_others (void)
+{
+  setup ();
+  memset (&shared, 0, sizeof shared);
+  shared.listens = true;
+  kvstores_share (&kvstores, &shared_ops, NULL);
+  answer (9, 2, false, 100, false);
+  CU_ASSERT_EQUAL (shared.count, 1);
+  CU_ASSERT_TRUE (shared.size > 0);
+  shared.listens = false;
+  answer (9, 3, false, 0, true);
+  CU_ASSERT_EQUAL (shared.count, 1);
+  finish ();
+  /* Another host that knows the store takes it from the datagram. */
+  setup ();
+  answer (9, 0, false, 0, false);
+  CU_ASSERT_FALSE (holds ("m:1:"));
+  CU_ASSERT_TRUE (partsnews_read (&kvstores, shared.bytes, shared.size));
+  CU_ASSERT_TRUE (holds ("m:1:"));
+  CU_ASSERT_FALSE (partsnews_read (&kvstores, shared.bytes, shared.size - 1));
+  finish ();
+}
+
+/* News count only if they follow on what is known of the same run. */
+static void
+test_news_follow_on (void)
+{
+  setup ();
+  news_take (9, 0, 1, false);
+  CU_ASSERT_FALSE (holds ("m:1:"));
+  answer (9, 5, false, 0, false);
+  news_take (9, 6, 7, false);
+  CU_ASSERT_FALSE (holds ("m:1:"));
+  news_take (8, 5, 7, false);
+  CU_ASSERT_FALSE (holds ("m:1:"));
+  news_take (9, 3, 7, false);
+  CU_ASSERT_TRUE (holds ("m:1:"));
+  /* What came before what is known changes nothing. */
+  news_take (9, 3, 6, true);
+  CU_ASSERT_TRUE (holds ("m:1:"));
+  news_take (9, 7, 8, true);
+  CU_ASSERT_FALSE (holds ("m:1:"));
+  finish ();
+}
+
+/* A store that is asked by too many is not a lost one, for a while. */
+static void
+test_busy_store (void)
+{
+  struct cache_report busy = { .busy = true };
+
+  setup ();
+  answer (9, 2, false, 100, false);
+  last.answered (last.data, &busy);
+  CU_ASSERT_TRUE (holds ("m:1:"));
+  clock_fake_advance (&fake_clock, 5 * NS_PER_S);
+  kvstores_tick (&kvstores);
+  last.answered (last.data, &busy);
+  CU_ASSERT_FALSE (holds ("m:1:"));
+  finish ();
+}
+
 static const struct unit_case cases[] = {
   { "only-whole-parts-of-the-scope", test_only_whole_parts_of_the_scope },
   { "restart-of-a-store", test_restart_of_a_store },
@@ -208,6 +314,9 @@
   { "full-store-takes-nothing", test_full_store_takes_nothing },
   { "parts-are-taken-out-by-version", test_parts_are_taken_out_by_version },
   { "delay-fades", test_delay_fades },
+  { "listener-tells-others", test_listener_tells_others },
+  { "news-follow-on", test_news_follow_on },
+  { "busy-store", test_busy_store },
 };
 
 int
