A request waits for the engines of its cell when they are full

Load: a quarter of the engines gone. Ruled out: waiting at the host (14 ms at the 99th percentile). Change: servers of other cells are used only if none of the own cell can be.

--- a/src/cells.h
+++ b/src/cells.h
@@ -10,7 +10,8 @@
  * dealt out among them. Answers the load of many hosts that can't all tell
  * each other what they have under way: the hosts of a cell do, so that each
  * knows what waits at the servers of its cell. Servers of other cells are
- * used when these are full.
+ * used only if none of these can be; a request waits for those that are full,
+ * since the others are as full and what waits there is not known.
  *
  * The hosts of a cell mostly share a data centre, so that what they tell each
  * other costs little. Its servers stand in all of them, so that contexts can
--- a/src/choose.c
+++ b/src/choose.c
@@ -27,7 +27,6 @@
   .distance_ms = 12,
   .memory_share = 0.95,
   .home_share = 0.8,
-  .other_cell_share = 0.5,
   .report_ns = 300 * NS_PER_MS,
 };
 
@@ -188,25 +187,13 @@
          || server_version (server, query->model) >= query->weight_version;
 }
 
-/* Another cell's hosts send to a server of theirs what this host does not
- * hear of. */
-static double
-other_cell_tokens (const struct choose_settings *settings,
-                   const struct server *server)
-{
-  return server->other_cell
-             ? settings->other_cell_share * (double)server->parts_tokens_max
-             : 0;
-}
-
 /* Whether the memory of the engine has room for the request beside those that
  * it was sent; one request alone always has. */
 static bool
 has_memory (const struct choose_settings *settings,
             const struct choose_query *query, const struct server *server)
 {
-  double taken = (double)(server->in_flight_tokens + server->others_memory)
-                 + other_cell_tokens (settings, server);
+  double taken = (double)(server->in_flight_tokens + server->others_memory);
   double wanted = query->call->prompt_tokens + query->call->output_tokens;
 
   return query->model == NULL || taken <= 0
@@ -283,6 +270,6 @@
   if (servers_of (servers, query->service) == NULL)
     return;
   choose_among (servers, settings, query, false, rng, result);
-  if (result->server == NULL)
+  if (result->server == NULL && !result->full)
     choose_among (servers, settings, query, true, rng, result);
 }
--- a/src/choose.h
+++ b/src/choose.h
@@ -29,9 +29,7 @@
   double memory_share;    /**< of an engine's memory that requests may take */
   double home_share;      /**< Part of a shared context taken to be at hand at
                                the server that all hosts prefer for it. */
-  double other_cell_share; /**< Part of the memory of a server of another cell
-                                that is taken to be in use by its hosts. */
-  int64_t report_ns;       /**< A reported load halves in weight after this. */
+  int64_t report_ns;      /**< A reported load halves in weight after this. */
 };
 
 extern const struct choose_settings choose_settings_default;
