Each named version of the weights has a time of its own

Cause: a third version, named 9 s after the second, restarted the clock after which engines with older weights get no requests; the engine that was still on the first became usable again. Ruled out: hosts that started anew (they had learned of version 2 before 9.2 s), freed parts and cells (the rule of time was the same before). Change: the times of named versions are kept; the newest one whose time has come is asked for. Engines with the oldest weights change first, and as many at once as it takes to have each done in its own time.

--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -230,9 +230,8 @@
   if (wanted != NULL)
     {
       query.wanted_version = wanted->version;
-      if (clock_now (forwarder->clock) - wanted->since_ns
-          > forwarder->settings.version_ns)
-        query.weight_version = wanted->version;
+      query.weight_version = weights_due (wanted, clock_now (forwarder->clock),
+                                          forwarder->settings.version_ns);
     }
   forward_stored_fill (forward, wanted != NULL ? wanted->version : 1, &query);
   choose_server (forwarder->servers, &forwarder->settings.choose, &query,
@@ -503,8 +502,7 @@
       g_strlcpy (wanted->model, model, sizeof wanted->model);
       g_hash_table_insert (forwarder->weights, wanted->model, wanted);
     }
-  wanted->version = version;
-  wanted->since_ns = clock_now (forwarder->clock);
+  weights_name (wanted, version, clock_now (forwarder->clock));
 }
 
 void
--- a/src/weightswap.c
+++ b/src/weightswap.c
@@ -386,35 +386,47 @@
   g_hash_table_insert (weightswap->swaps, server->entry.id, swap);
 }
 
-/* Begin with those that have the least to do. */
+/* Begin with the oldest weights, which may not be used for much longer; among
+ * these, with the engines that have the least to do. */
 static gint
-less_busy_first (gconstpointer a, gconstpointer b)
+swap_order_compare (gconstpointer a, gconstpointer b, gpointer model)
 {
   const struct server *left = *(struct server *const *)a;
   const struct server *right = *(struct server *const *)b;
+  uint64_t left_version = server_version (left, model);
+  uint64_t right_version = server_version (right, model);
   unsigned left_load = left->in_flight + left->others_running;
   unsigned right_load = right->in_flight + right->others_running;
 
+  if (left_version != right_version)
+    return left_version < right_version ? -1 : 1;
   return (left_load > right_load) - (left_load < right_load);
 }
 
-/* How many engines change together: a share of the ALL there are, and as many
- * as it takes to have COUNT of them done in time, but at most half of them, so
- * that the rest serves. */
+/* How many of the engines BEHIND change together, in their order: a share of
+ * ALL there are, and as many as it takes to have each done in its time, but at
+ * most half of those behind, so that the rest serves. */
 static unsigned
 swap_limit (const struct weightswap *weightswap,
-            const struct wanted_weights *wanted, unsigned count, unsigned all)
+            const struct wanted_weights *wanted, const GPtrArray *behind,
+            unsigned all)
 {
   const struct weightswap_settings *settings = &weightswap->settings;
-  int64_t passed = clock_now (weightswap->clock) - wanted->since_ns;
-  double left = part_of_time * (double)settings->within_ns - (double)passed;
-  double needed = (double)count * SWAP_MS * NS_PER_MS;
+  int64_t now = clock_now (weightswap->clock);
+  double span = part_of_time * (double)settings->within_ns;
   unsigned usual = MAX ((unsigned)(settings->share * all), settings->at_once);
-  unsigned half = MAX (count / 2, 1U);
+  unsigned half = MAX (behind->len / 2, 1U);
+  double needed = 0;
 
-  if (left <= 0 || needed / left > half)
-    return MAX (half, usual);
-  return MAX ((unsigned)(needed / left), usual);
+  for (guint i = 0; i < behind->len; i++)
+    {
+      uint64_t version = server_version (behind->pdata[i], wanted->model);
+      double left = span - (double)(now - weights_behind_ns (wanted, version));
+
+      needed = MAX (needed,
+                    (i + 1) * (double)SWAP_MS * NS_PER_MS / MAX (left, 1.0));
+    }
+  return MAX ((unsigned)MIN (needed, (double)half), usual);
 }
 
 static void
@@ -437,8 +449,9 @@
           && server->down_since_ns == 0)
         g_ptr_array_add (behind, server);
     }
-  weightswap->limit = swap_limit (weightswap, wanted, behind->len, all);
-  g_ptr_array_sort (behind, less_busy_first);
+  g_ptr_array_sort_with_data (behind, swap_order_compare,
+                              (gpointer)wanted->model);
+  weightswap->limit = swap_limit (weightswap, wanted, behind, all);
   for (guint i = 0; i < behind->len; i++)
     swap_begin (weightswap, behind->pdata[i], wanted);
   g_ptr_array_free (behind, TRUE);
--- /dev/null
+++ b/test/test-weights.c
@@ -0,0 +1,57 @@
+#include "clock.h"
+#include "unit.h"
+#include "weights.h"
+
+#include <glib.h>
+
+/* A second version that is named within the time of the first does not put off
+ * the time from which the first is due. */
+static void
+test_quick_succession (void)
+{
+  struct wanted_weights wanted = { 0 };
+
+  weights_name (&wanted, 2, 10 * NS_PER_S);
+  weights_name (&wanted, 5, 14 * NS_PER_S);
+  CU_ASSERT_EQUAL (wanted.version, 5);
+  CU_ASSERT_EQUAL (weights_due (&wanted, 15 * NS_PER_S, 6 * NS_PER_S), 0);
+  CU_ASSERT_EQUAL (weights_due (&wanted, 17 * NS_PER_S, 6 * NS_PER_S), 2);
+  CU_ASSERT_EQUAL (weights_due (&wanted, 21 * NS_PER_S, 6 * NS_PER_S), 5);
+}
+
+static void
+test_behind_since (void)
+{
+  struct wanted_weights wanted = { 0 };
+
+  weights_name (&wanted, 2, 10 * NS_PER_S);
+  weights_name (&wanted, 5, 14 * NS_PER_S);
+  CU_ASSERT_EQUAL (weights_behind_ns (&wanted, 1), 10 * NS_PER_S);
+  CU_ASSERT_EQUAL (weights_behind_ns (&wanted, 2), 14 * NS_PER_S);
+  CU_ASSERT_EQUAL (weights_behind_ns (&wanted, 4), 14 * NS_PER_S);
+}
+
+/* More versions than are told apart: none is due later than it should be. */
+static void
+test_many_versions (void)
+{
+  struct wanted_weights wanted = { 0 };
+
+  for (uint64_t version = 1; version <= 30; version++)
+    weights_name (&wanted, version, (int64_t)version * NS_PER_S);
+  for (uint64_t version = 1; version <= 30; version++)
+    CU_ASSERT_TRUE (weights_due (&wanted, (int64_t)version * NS_PER_S + 2, 1)
+                    >= version);
+}
+
+static const struct unit_case cases[] = {
+  { "quick-succession", test_quick_succession },
+  { "behind-since", test_behind_since },
+  { "many-versions", test_many_versions },
+};
+
+int
+main (void)
+{
+  return unit_run ("weights", cases, G_N_ELEMENTS (cases));
+}
