--- a/src/weightswap.c
+++ b/src/weightswap.c
@@ -386,20 +386,15 @@
   g_hash_table_insert (weightswap->swaps, server->entry.id, swap);
 }
 
-/* Begin with the oldest weights, which may not be used for much longer; among
- * these, with the engines that have the least to do. */
+/* Begin with those that have the least to do. */
 static gint
-swap_order_compare (gconstpointer a, gconstpointer b, gpointer model)
+less_busy_first (gconstpointer a, gconstpointer b)
 {
   const struct server *left = *(struct server *const *)a;
   const struct server *right = *(struct server *const *)b;
-  uint64_t left_version = server_version (left, model);
-  uint64_t right_version = server_version (right, model);
   unsigned left_load = left->in_flight + left->others_running;
   unsigned right_load = right->in_flight + right->others_running;
 
-  if (left_version != right_version)
-    return left_version < right_version ? -1 : 1;
   return (left_load > right_load) - (left_load < right_load);
 }
 
@@ -449,8 +444,7 @@
           && server->down_since_ns == 0)
         g_ptr_array_add (behind, server);
     }
-  g_ptr_array_sort_with_data (behind, swap_order_compare,
-                              (gpointer)wanted->model);
+  g_ptr_array_sort (behind, less_busy_first);
   weightswap->limit = swap_limit (weightswap, wanted, behind, all);
   for (guint i = 0; i < behind->len; i++)
     swap_begin (weightswap, behind->pdata[i], wanted);
