A soak of entry processes under faults

What: test/soak*.c runs three real entry processes beside stand-ins of the store, four engines and twelve callers that keep their connections open, with proxies on the links to the store and the engines. Faults by seed, in series and overlapping: processes killed (one or all), paused, stopped as planned, reloaded with and without a signal; links delayed, silent, cut one way, reset; store down, losing answers, forgetting its history; engines that crash, leave, lose answers; new configurations. Clocks that jump and disks are not covered: nothing outside a process can set its clock without privileges, and no process has a disk.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 SECONDS ?= 60
 
-.PHONY: all deps build check check-sanitized demo proof bench capacity fuzz \
+.PHONY: all deps build check check-sanitized demo proof soak bench capacity fuzz \
 	format format-check lint generate generate-check clean
 
 all: build
@@ -37,6 +37,10 @@
 demo: build
 	bash test/demo.sh $(BUILD)
 
+# Fifty soaks with fresh seeds; about six minutes.
+soak: build
+	bash test/soak.sh $(BUILD)
+
 proof: build
 	bash test/proof.sh $(BUILD) $(PROOF_FLAGS)
 
--- /dev/null
+++ b/test/check-soak.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# A short soak of entry processes under faults, with fixed seeds:
+# check-soak.sh BUILD. test/soak.sh runs longer ones.
+build=${1:-build}
+folder=$build/soak-logs/check
+mkdir -p "$folder"
+run () {
+  "$build/soak" --program "$build/trefoilspard" --seconds 8 \
+    --folder "$folder/$1" "${@:2}" >"$folder/$1.txt" 2>&1
+}
+run faults --seed 1 &
+first=$!
+run planned --seed 2 --planned &
+second=$!
+failed=0
+wait $first || failed=1
+wait $second || failed=1
+for name in faults planned; do
+  grep -E '^(not )?ok ' "$folder/$name.txt" || echo "not ok soak/$name"
+  grep 'BROKEN' "$folder/$name.txt"
+done
+exit $failed
--- /dev/null
+++ b/test/soak-caller.c
@@ -0,0 +1,365 @@
+#include "soak-caller.h"
+#include "soak-engine.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  PAUSE_MS = 20,     /* between two requests, at most */
+  CONNECT_MS = 1000, /* until a host is given up */
+  ANSWER_MS = 6000,  /* until a request is given up */
+  DEADLINE_MS = 5000 /* that the request says */
+};
+
+static void caller_connect (struct soak_caller *caller);
+static void request_send (struct soak_caller *caller);
+
+static void
+on_tcp_closed (uv_handle_t *handle)
+{
+  g_free (handle);
+}
+
+static void
+on_pause_over (uv_timer_t *timer)
+{
+  struct soak_caller *caller = timer->data;
+
+  if (caller->finished)
+    return;
+  if (caller->tcp == NULL)
+    caller_connect (caller);
+  else
+    request_send (caller);
+}
+
+static void
+caller_go_on (struct soak_caller *caller)
+{
+  uv_timer_start (&caller->timer, on_pause_over,
+                  soak_draw (caller->soak, 1, PAUSE_MS), 0);
+}
+
+static void
+caller_disconnect (struct soak_caller *caller)
+{
+  if (caller->tcp == NULL)
+    return;
+  caller->tcp->data = NULL;
+  uv_close ((uv_handle_t *)caller->tcp, on_tcp_closed);
+  caller->tcp = NULL;
+  caller->connected = false;
+}
+
+/* The events of BODY are those from the first on, each once and whole.
+ * @return how many there are; -1: they are not */
+static int
+events_count (const struct soak_caller *caller, bool ended)
+{
+  const char *at = caller->body->str;
+  int count = 0;
+
+  while (*at != '\0')
+    {
+      char *event = g_strdup_printf ("id: %d\ndata: %s %d\n\n", count + 1,
+                                     caller->request->id, count + 1);
+      size_t size = strlen (event);
+      bool is_next = strncmp (at, event, size) == 0;
+      bool is_begun = !ended && strncmp (event, at, strlen (at)) == 0;
+
+      g_free (event);
+      if (is_begun && !is_next)
+        return count;
+      if (!is_next)
+        return -1;
+      at += size;
+      count++;
+    }
+  return count;
+}
+
+static bool
+success_is_right (const struct soak_caller *caller)
+{
+  const struct soak_request *request = caller->request;
+  char *seal = g_strdup_printf ("seal-%s-", request->id);
+  char *body = g_strdup_printf ("ID:%s:%0200d", request->id, 0);
+  bool sealed = false;
+  bool whole = request->kind == SOAK_STREAM
+                   ? events_count (caller, true) == SOAK_STREAM_EVENTS
+                   : strcmp (caller->body->str, body) == 0;
+
+  for (size_t i = 0; i < httphead_count (&caller->head); i++)
+    if (g_ascii_strcasecmp (httphead_name (&caller->head, i),
+                            "X-Response-Seal")
+        == 0)
+      sealed = g_str_has_prefix (httphead_value (&caller->head, i), seal);
+  g_free (seal);
+  g_free (body);
+  return sealed && whole;
+}
+
+static void
+answer_check (struct soak_caller *caller)
+{
+  struct soak_request *request = caller->request;
+  unsigned status = caller->parser.status_code;
+
+  if (status == 200 && !success_is_right (caller))
+    soak_violation (caller->soak, "%s has a wrong success", request->id);
+  if (status == 401 || status == 403 || status == 404)
+    soak_violation (caller->soak, "%s was denied with %u", request->id,
+                    status);
+  if (status == 408 || status == 421 || status == 429 || status == 503)
+    {
+      request->not_run = true;
+      if (request->kind == SOAK_ONCE && request->runs > 0)
+        soak_violation (caller->soak, "%s was said not to have run, but has",
+                        request->id);
+    }
+  request->served = status == 200;
+}
+
+static void
+request_over (struct soak_caller *caller)
+{
+  caller->ended++;
+  caller->served += caller->request->served;
+  caller->request = NULL;
+  caller_go_on (caller);
+}
+
+/* The connection ended, or the answer came too late. */
+static void
+caller_broken (struct soak_caller *caller, const char *how)
+{
+  struct soak_request *request = caller->request;
+  struct soak *soak = caller->soak;
+
+  caller_disconnect (caller);
+  if (request == NULL)
+    {
+      caller_go_on (caller);
+      return;
+    }
+  if (request->kind == SOAK_STREAM && events_count (caller, false) < 0)
+    soak_violation (soak, "%s has wrong events", request->id);
+  if (soak->planned_only && request->runs > 0)
+    soak_violation (soak, "%s was %s by host %u though it ran", request->id,
+                    how, caller->hosts[caller->host].number);
+  request_over (caller);
+}
+
+static void
+on_timeout (uv_timer_t *timer)
+{
+  caller_broken (timer->data, "not answered in time");
+}
+
+static int
+on_header_field (http_parser *parser, const char *bytes, size_t size)
+{
+  httphead_name_append (&((struct soak_caller *)parser->data)->head, bytes,
+                        size);
+  return 0;
+}
+
+static int
+on_header_value (http_parser *parser, const char *bytes, size_t size)
+{
+  httphead_value_append (&((struct soak_caller *)parser->data)->head, bytes,
+                         size);
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *bytes, size_t size)
+{
+  g_string_append_len (((struct soak_caller *)parser->data)->body, bytes,
+                       (gssize)size);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  struct soak_caller *caller = parser->data;
+
+  if (caller->request == NULL)
+    {
+      soak_violation (caller->soak, "an answer came that nobody waits for");
+      return 0;
+    }
+  answer_check (caller);
+  if (!http_should_keep_alive (parser))
+    caller_disconnect (caller);
+  request_over (caller);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+static void
+on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  static char bytes[16384];
+
+  *buffer = uv_buf_init (bytes, sizeof bytes);
+}
+
+static void
+on_bytes (uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
+{
+  struct soak_caller *caller = stream->data;
+
+  if (caller == NULL || size == 0)
+    return;
+  if (size < 0)
+    {
+      caller_broken (caller, "cut off");
+      return;
+    }
+  if (caller->request == NULL)
+    {
+      soak_violation (caller->soak, "bytes came that nobody waits for");
+      caller_broken (caller, "spoilt");
+      return;
+    }
+  http_parser_execute (&caller->parser, &parser_settings, buffer->base,
+                       (size_t)size);
+  if (HTTP_PARSER_ERRNO (&caller->parser) == HPE_OK)
+    return;
+  soak_violation (caller->soak, "an answer can't be read: %s",
+                  http_errno_name (HTTP_PARSER_ERRNO (&caller->parser)));
+  caller_broken (caller, "spoilt");
+}
+
+struct request_write
+{
+  uv_write_t write;
+  char *text;
+};
+
+static void
+on_written (uv_write_t *write, int status)
+{
+  struct request_write *sent = write->data;
+
+  g_free (sent->text);
+  g_free (sent);
+}
+
+static struct soak_request *
+request_new (struct soak_caller *caller)
+{
+  struct soak_request *request = g_new0 (struct soak_request, 1);
+
+  g_snprintf (request->id, sizeof request->id, "%04x%012x", caller->number,
+              ++caller->asked);
+  request->kind = (enum soak_kind)soak_draw (caller->soak, 0, SOAK_KINDS - 1);
+  request->sent_ns = clock_now (&caller->soak->clock);
+  g_hash_table_insert (caller->soak->requests, request->id, request);
+  return request;
+}
+
+static void
+request_send (struct soak_caller *caller)
+{
+  struct soak_request *request = request_new (caller);
+  struct request_write *sent = g_new0 (struct request_write, 1);
+  const char *method = request->kind == SOAK_SAFE ? "GET" : "POST";
+  uv_buf_t buffer;
+
+  caller->request = request;
+  sent->write.data = sent;
+  sent->text = g_strdup_printf (
+      "%s %s%u HTTP/1.1\r\nHost: " SOAK_ROUTES_HOST
+      "\r\nX-Request-Id: %s\r\nX-Api-Key: " SOAK_KEY
+      "\r\nX-Request-Deadline: %d\r\nContent-Length: %d\r\n\r\n%s",
+      method, soak_kind_prefix (request->kind), caller->asked, request->id,
+      DEADLINE_MS, request->kind == SOAK_SAFE ? 0 : 4,
+      request->kind == SOAK_SAFE ? "" : "body");
+  buffer = uv_buf_init (sent->text, (unsigned)strlen (sent->text));
+  http_parser_init (&caller->parser, HTTP_RESPONSE);
+  caller->parser.data = caller;
+  httphead_clear (&caller->head);
+  g_string_truncate (caller->body, 0);
+  uv_timer_start (&caller->timer, on_timeout, ANSWER_MS, 0);
+  if (uv_write (&sent->write, (uv_stream_t *)caller->tcp, &buffer, 1,
+                on_written)
+      == 0)
+    return;
+  on_written (&sent->write, UV_EPIPE);
+  caller_broken (caller, "not read");
+}
+
+static void
+on_connected (uv_connect_t *connect, int status)
+{
+  struct soak_caller *caller = connect->handle->data;
+
+  g_free (connect);
+  if (caller == NULL)
+    return;
+  if (status != 0)
+    {
+      caller_broken (caller, "not connected");
+      return;
+    }
+  caller->connected = true;
+  uv_read_start ((uv_stream_t *)caller->tcp, on_alloc, on_bytes);
+  request_send (caller);
+}
+
+static void
+caller_connect (struct soak_caller *caller)
+{
+  struct sockaddr_in address;
+  uv_connect_t *connect = g_new0 (uv_connect_t, 1);
+
+  caller->host = soak_draw (caller->soak, 0, caller->host_count - 1);
+  caller->tcp = g_new0 (uv_tcp_t, 1);
+  caller->tcp->data = caller;
+  uv_tcp_init (&caller->soak->loop, caller->tcp);
+  uv_ip4_addr (SOAK_IP, caller->hosts[caller->host].front_port, &address);
+  uv_timer_start (&caller->timer, on_timeout, CONNECT_MS, 0);
+  if (uv_tcp_connect (connect, caller->tcp, (const struct sockaddr *)&address,
+                      on_connected)
+      == 0)
+    return;
+  g_free (connect);
+  caller_broken (caller, "not connected");
+}
+
+void
+soak_caller_init (struct soak_caller *caller, struct soak *soak,
+                  unsigned number, struct soak_host *hosts,
+                  unsigned host_count)
+{
+  memset (caller, 0, sizeof *caller);
+  caller->soak = soak;
+  caller->number = number;
+  caller->hosts = hosts;
+  caller->host_count = host_count;
+  caller->body = g_string_new (NULL);
+  httphead_init (&caller->head);
+  uv_timer_init (&soak->loop, &caller->timer);
+  caller->timer.data = caller;
+  caller_go_on (caller);
+}
+
+void
+soak_caller_finish (struct soak_caller *caller)
+{
+  caller->finished = true;
+  caller_disconnect (caller);
+  uv_close ((uv_handle_t *)&caller->timer, NULL);
+  httphead_finish (&caller->head);
+  g_string_free (caller->body, TRUE);
+}
--- /dev/null
+++ b/test/soak-caller.h
@@ -0,0 +1,41 @@
+#ifndef SOAK_CALLER_H
+#define SOAK_CALLER_H
+
+#include "httphead.h"
+#include "soak-host.h"
+
+#include <http_parser.h>
+
+/** @file
+ * A caller that keeps its connection open for as long as the host does, and
+ * checks every answer.
+ */
+
+struct soak_caller
+{
+  struct soak *soak;
+  struct soak_host *hosts;
+  unsigned host_count;
+  unsigned number;
+  unsigned asked; /**< requests so far */
+  bool finished;
+
+  uv_tcp_t *tcp; /**< NULL: not connected */
+  uv_timer_t timer;
+  bool connected;
+  unsigned host;
+  http_parser parser;
+  struct httphead head;
+  GString *body;
+  struct soak_request *request; /**< under way; NULL: none */
+
+  unsigned ended;  /**< requests with a final answer or none */
+  unsigned served; /**< of them with success */
+};
+
+void soak_caller_init (struct soak_caller *caller, struct soak *soak,
+                       unsigned number, struct soak_host *hosts,
+                       unsigned host_count);
+void soak_caller_finish (struct soak_caller *caller);
+
+#endif
--- /dev/null
+++ b/test/soak-engine.c
@@ -0,0 +1,307 @@
+#include "soak-engine.h"
+#include "callerconn.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  WORK_MS = 40,   /* of a request, at most */
+  EVENT_MS = 15,  /* between two events */
+  DOWN_MS = 1500, /* until it starts anew, at most */
+  DRAIN_MS = 4000 /* for which it serves after it has said that it leaves */
+};
+
+/* A request that an engine works on. */
+struct run
+{
+  struct list node;
+  struct soak_engine *engine;
+  struct callerconn *conn;
+  struct soak_request *request;
+  uv_timer_t timer;
+  unsigned next_event;
+  bool is_begun; /* Its answer has begun. */
+};
+
+static const char *
+field (const struct callerconn *conn, const char *name)
+{
+  for (size_t i = 0; i < httphead_count (&conn->head); i++)
+    if (g_ascii_strcasecmp (httphead_name (&conn->head, i), name) == 0)
+      return httphead_value (&conn->head, i);
+  return "";
+}
+
+static void
+on_run_closed (uv_handle_t *handle)
+{
+  g_free (handle->data);
+}
+
+static void
+run_end (struct run *run)
+{
+  list_remove (&run->node);
+  uv_close ((uv_handle_t *)&run->timer, on_run_closed);
+}
+
+static char *
+answer_lines (const struct run *run, const char *type)
+{
+  return g_strdup_printf ("Content-Type: %s\r\nX-Request-Id: "
+                          "%s\r\nX-Response-Seal: seal-%s-%s\r\n",
+                          type, run->request->id, run->request->id,
+                          run->engine->id);
+}
+
+static void
+event_write (struct run *run)
+{
+  char *event = g_strdup_printf ("id: %u\ndata: %s %u\n\n", run->next_event,
+                                 run->request->id, run->next_event);
+
+  callerconn_write (run->conn, event, strlen (event));
+  g_free (event);
+  run->next_event++;
+}
+
+static void
+stream_advance (struct run *run)
+{
+  if (!run->is_begun)
+    {
+      char *lines = answer_lines (run, "text/event-stream");
+
+      callerconn_begin (run->conn, 200, lines);
+      run->is_begun = true;
+      g_free (lines);
+    }
+  event_write (run);
+  if (run->next_event <= SOAK_STREAM_EVENTS)
+    return;
+  callerconn_end (run->conn);
+  run_end (run);
+}
+
+static void
+on_run_due (uv_timer_t *timer)
+{
+  struct run *run = timer->data;
+  char *lines;
+  char *body;
+
+  if (rng_unit (&run->engine->soak->rng) < run->engine->lost)
+    {
+      callerconn_abort (run->conn);
+      run_end (run);
+      return;
+    }
+  if (run->request->kind == SOAK_STREAM)
+    {
+      stream_advance (run);
+      return;
+    }
+  lines = answer_lines (run, "text/plain");
+  body = g_strdup_printf ("ID:%s:%0200d", run->request->id, 0);
+  callerconn_respond (run->conn, 200, lines, body, strlen (body));
+  g_free (lines);
+  g_free (body);
+  run_end (run);
+}
+
+/* What no engine may be asked to run. */
+static void
+request_check (struct soak_engine *engine, struct callerconn *conn,
+               struct soak_request *request)
+{
+  struct soak *soak = engine->soak;
+
+  if (strcmp (field (conn, "X-Tenant"), SOAK_ORGANISATION) != 0)
+    soak_violation (soak, "%s runs for another organisation", request->id);
+  if (field (conn, "X-Api-Key")[0] != '\0')
+    soak_violation (soak, "the key of %s was passed on", request->id);
+  if (!g_str_has_prefix (conn->target->str, soak_kind_prefix (request->kind)))
+    soak_violation (soak, "the path of %s was changed", request->id);
+  if (request->not_run)
+    soak_violation (soak, "%s runs after it was said not to", request->id);
+  if (request->kind == SOAK_ONCE && request->runs > 0)
+    soak_violation (soak, "%s runs twice", request->id);
+}
+
+static void
+run_begin (struct soak_engine *engine, struct callerconn *conn,
+           struct soak_request *request)
+{
+  struct run *run = g_new0 (struct run, 1);
+  bool is_stream = request->kind == SOAK_STREAM;
+
+  request_check (engine, conn, request);
+  request->runs++;
+  request->ran_ns = clock_now (&engine->soak->clock);
+  run->engine = engine;
+  run->conn = conn;
+  conn->request = run;
+  run->request = request;
+  run->next_event = (unsigned)atoi (field (conn, "Last-Event-Id")) + 1;
+  list_append (&engine->runs, &run->node);
+  uv_timer_init (&engine->soak->loop, &run->timer);
+  run->timer.data = run;
+  uv_timer_start (&run->timer, on_run_due,
+                  is_stream ? EVENT_MS : soak_draw (engine->soak, 2, WORK_MS),
+                  is_stream ? EVENT_MS : 0);
+}
+
+static void
+engine_request (void *data, struct callerconn *conn)
+{
+  struct soak_engine *engine = data;
+  struct soak_request *request
+      = soak_request_find (engine->soak, field (conn, "X-Request-Id"));
+  char *lines = g_strdup_printf ("X-Instance-Id: %s\r\nX-Request-Id: %s\r\n",
+                                 engine->id, field (conn, "X-Request-Id"));
+
+  if (strcmp (conn->target->str, "/health") == 0)
+    callerconn_respond (conn, engine->draining ? 503 : 200, lines, "", 0);
+  else if (strcmp (field (conn, "X-Expect-Instance"), engine->id) != 0)
+    callerconn_respond (conn, 421, lines, "", 0);
+  else if (request == NULL)
+    {
+      soak_violation (engine->soak, "an engine runs what nobody sent: '%s'",
+                      field (conn, "X-Request-Id"));
+      callerconn_respond (conn, 500, lines, "", 0);
+    }
+  else
+    run_begin (engine, conn, request);
+  g_free (lines);
+}
+
+static void
+engine_gone (void *data, struct callerconn *conn)
+{
+  run_end (conn->request);
+}
+
+static void
+engine_refused (void *data, struct callerconn *conn, int status,
+                const char *reason)
+{
+  struct soak_engine *engine = data;
+
+  soak_violation (engine->soak, "an engine was sent bad HTTP: %s", reason);
+}
+
+static const struct callerserver_ops engine_ops
+    = { engine_request, engine_gone, engine_refused };
+
+static void
+entry_write (struct soak_engine *engine)
+{
+  char *key = g_strdup_printf ("servers/%s", engine->id);
+  char *value = g_strdup_printf (
+      "{\"backend\":\"app\",\"address\":\"" SOAK_IP
+      ":%u\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":6,\"state\":\"%s\","
+      "\"coldLeftMs\":0,\"sequence\":%u,\"born\":%u}",
+      engine->address_port, engine->draining ? "draining" : "ready",
+      engine->draining ? 2U : 1U, 1000 + engine->starts);
+
+  soak_store_put (engine->store, key, engine->server != NULL ? value : NULL);
+  g_free (value);
+  g_free (key);
+}
+
+static void
+engine_start (struct soak_engine *engine)
+{
+  struct error error;
+
+  engine->draining = false;
+  engine->change_ns = 0;
+  engine->server = g_new0 (struct callerserver, 1);
+  g_ptr_array_add (engine->servers, engine->server);
+  if (callerserver_init (engine->server, &engine->soak->loop,
+                         &engine->soak->clock, SOAK_IP, engine->port,
+                         &engine_ops, engine, &error)
+      != STATUS_OK)
+    g_error ("%s", error.message);
+  engine->server->limits
+      = (struct callerconn_limits){ 1 << 16, 1 << 20, 10 * NS_PER_S,
+                                    10 * NS_PER_S };
+  g_snprintf (engine->id, sizeof engine->id, "e-%u-%u", engine->port,
+              ++engine->starts);
+  entry_write (engine);
+}
+
+/* Its entry is gone at once when it has drained; else it lapses later. */
+static void
+engine_stop (struct soak_engine *engine)
+{
+  struct callerserver *server = engine->server;
+
+  while (!list_empty (&engine->runs))
+    run_end (LIST_ENTRY (engine->runs.next, struct run, node));
+  callerserver_finish (server);
+  engine->server = NULL;
+  engine->change_ns = clock_now (&engine->soak->clock)
+                      + soak_draw (engine->soak, 100, DOWN_MS) * NS_PER_MS;
+  if (engine->draining)
+    entry_write (engine);
+}
+
+void
+soak_engine_init (struct soak_engine *engine, struct soak *soak,
+                  struct soak_store *store, uint16_t port,
+                  uint16_t address_port)
+{
+  memset (engine, 0, sizeof *engine);
+  engine->soak = soak;
+  engine->store = store;
+  engine->port = port;
+  engine->address_port = address_port;
+  engine->servers = g_ptr_array_new_with_free_func (g_free);
+  list_init (&engine->runs);
+  engine_start (engine);
+}
+
+void
+soak_engine_finish (struct soak_engine *engine)
+{
+  if (engine->server != NULL)
+    engine_stop (engine);
+}
+
+void
+soak_engine_tick (struct soak_engine *engine)
+{
+  if (engine->change_ns == 0
+      || clock_now (&engine->soak->clock) < engine->change_ns)
+    return;
+  if (engine->server != NULL)
+    engine_stop (engine);
+  else
+    {
+      entry_write (engine); /* What is left of the start before. */
+      engine_start (engine);
+    }
+}
+
+void
+soak_engine_crash (struct soak_engine *engine)
+{
+  if (engine->server == NULL)
+    return;
+  soak_say (engine->soak, "engine %s crashes", engine->id);
+  engine->draining = false;
+  engine_stop (engine);
+}
+
+void
+soak_engine_drain (struct soak_engine *engine)
+{
+  if (engine->server == NULL || engine->draining)
+    return;
+  soak_say (engine->soak, "engine %s leaves", engine->id);
+  engine->draining = true;
+  engine->change_ns = clock_now (&engine->soak->clock) + DRAIN_MS * NS_PER_MS;
+  entry_write (engine);
+}
--- /dev/null
+++ b/test/soak-engine.h
@@ -0,0 +1,45 @@
+#ifndef SOAK_ENGINE_H
+#define SOAK_ENGINE_H
+
+#include "callerserver.h"
+#include "soak-store.h"
+
+/** @file
+ * A stand-in of an engine, which checks what it is asked to run.
+ */
+
+enum
+{
+  SOAK_STREAM_EVENTS = 6 /**< of each stream */
+};
+
+struct soak_engine
+{
+  struct soak *soak;
+  struct soak_store *store;
+  struct callerserver *server; /**< NULL while it is down */
+  GPtrArray *servers;          /**< all that it had */
+  uint16_t port;
+  uint16_t address_port; /**< under which it is reached */
+  char id[24];
+  unsigned starts;
+  bool draining;
+  int64_t change_ns; /**< next step of a crash or a drain; 0: none */
+  double lost;       /**< Share of runs whose answer is cut off. */
+  struct list runs;
+};
+
+void soak_engine_init (struct soak_engine *engine, struct soak *soak,
+                       struct soak_store *store, uint16_t port,
+                       uint16_t address_port);
+void soak_engine_finish (struct soak_engine *engine);
+
+void soak_engine_tick (struct soak_engine *engine);
+
+/** It is gone at once and comes back anew. */
+void soak_engine_crash (struct soak_engine *engine);
+
+/** It says that it leaves, serves on for a while, and comes back anew. */
+void soak_engine_drain (struct soak_engine *engine);
+
+#endif
--- /dev/null
+++ b/test/soak.c
@@ -0,0 +1,502 @@
+/* A soak of entry processes with faults from outside: soak --seed N. */
+#include "soak-caller.h"
+#include "soak-engine.h"
+#include "soak-proxy.h"
+
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HOSTS = 3,
+  ENGINES = 4,
+  CALLERS = 12,
+  TICK_MS = 10,
+  START_MS = 3000,     /* before the first fault */
+  FAULT_GAP_MS = 900,  /* between two faults, at most */
+  FAULT_MS = 3000,     /* of one that ends by itself, at most */
+  CALM_MS = 12000,     /* after the last fault */
+  RECOVERED_MS = 4000, /* the part of it in which requests must be served */
+  SERVED_PERCENT = 95  /* of the requests of that time */
+};
+
+struct world
+{
+  struct soak soak;
+  struct soak_store store;
+  struct soak_host hosts[HOSTS];
+  struct soak_engine engines[ENGINES];
+  struct soak_caller callers[CALLERS];
+  struct soak_proxy store_proxies[HOSTS];
+  struct soak_proxy engine_proxies[ENGINES];
+  uv_timer_t timer;
+  int64_t start_ns;
+  int64_t faults_end_ns;
+  int64_t end_ns;
+  int64_t next_fault_ns;
+  int64_t heal_ns[HOSTS + ENGINES + 1]; /* proxies, then the store */
+  unsigned config_version;
+  unsigned faults;
+  unsigned ended; /* requests when the last part began */
+  unsigned served;
+  bool is_last_part;
+  bool finished;
+};
+
+static int option_seed = 1;
+static int option_seconds = 20;
+static gboolean option_planned;
+static char *option_program = "build/trefoilspard";
+static char *option_folder = "build/soak-logs";
+
+static const GOptionEntry options[] = {
+  { "seed", 0, 0, G_OPTION_ARG_INT, &option_seed, "Luck of the faults", "N" },
+  { "seconds", 0, 0, G_OPTION_ARG_INT, &option_seconds, "Time of faults",
+    "S" },
+  { "planned", 0, 0, G_OPTION_ARG_NONE, &option_planned,
+    "Only planned stops, reloads and changes", NULL },
+  { "program", 0, 0, G_OPTION_ARG_FILENAME, &option_program, "The daemon",
+    "FILE" },
+  { "folder", 0, 0, G_OPTION_ARG_FILENAME, &option_folder,
+    "Where settings and logs go", "FOLDER" },
+  { NULL, 0, 0, 0, NULL, NULL, NULL },
+};
+
+static struct world world;
+
+static void
+line_write (const char *format, va_list arguments)
+{
+  printf ("%7.3f ",
+          (double)(clock_now (&world.soak.clock) - world.start_ns) / NS_PER_S);
+  vprintf (format, arguments);
+  printf ("\n");
+  fflush (stdout);
+}
+
+void
+soak_say (struct soak *soak, const char *format, ...)
+{
+  va_list arguments;
+
+  va_start (arguments, format);
+  line_write (format, arguments);
+  va_end (arguments);
+}
+
+void
+soak_violation (struct soak *soak, const char *format, ...)
+{
+  char *marked = g_strconcat ("BROKEN ", format, NULL);
+  va_list arguments;
+
+  soak->violations++;
+  va_start (arguments, format);
+  line_write (marked, arguments);
+  va_end (arguments);
+  g_free (marked);
+}
+
+struct soak_request *
+soak_request_find (struct soak *soak, const char *id)
+{
+  return g_hash_table_lookup (soak->requests, id);
+}
+
+unsigned
+soak_draw (struct soak *soak, unsigned low, unsigned high)
+{
+  return low + (unsigned)(rng_unit (&soak->rng) * (high - low + 1));
+}
+
+const char *
+soak_kind_prefix (enum soak_kind kind)
+{
+  static const char *const prefixes[SOAK_KINDS]
+      = { "/safe/", "/once/", "/stream/" };
+
+  return prefixes[kind];
+}
+
+static char *
+route_text (enum soak_kind kind)
+{
+  static const char *const types[SOAK_KINDS]
+      = { "idempotent", "non_idempotent", "streaming" };
+
+  return g_strdup_printf (
+      "{\"name\":\"r%d\",\"hostname\":\"" SOAK_ROUTES_HOST
+      "\",\"prefix\":\"%s\",\"routeType\":\"%s\",\"timeoutMs\":4000,"
+      "\"targetLatencyMs\":500,\"priority\":1,\"backend\":\"app\","
+      "\"attempts\":%d,\"public\":false,\"resumable\":%s,\"gapTargetMs\":300}",
+      kind, soak_kind_prefix (kind), types[kind], kind == SOAK_ONCE ? 1 : 3,
+      kind == SOAK_STREAM ? "true" : "false");
+}
+
+static void
+config_write (void)
+{
+  char *routes[SOAK_KINDS];
+  char *text;
+
+  for (int i = 0; i < SOAK_KINDS; i++)
+    routes[i] = route_text ((enum soak_kind)i);
+  world.config_version += soak_draw (&world.soak, 1, 3);
+  text = g_strdup_printf (
+      "{\"version\":%u,\"routes\":[%s,%s,%s],\"backends\":[{\"name\":\"app\","
+      "\"healthPath\":\"/health\",\"maxConns\":100}],\"limits\":{"
+      "\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutMs\":"
+      "3000,\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":"
+      "\"" SOAK_ORGANISATION "\",\"apiKeys\":[\"" SOAK_KEY
+      "\"],\"priority\":1}]}",
+      world.config_version, routes[0], routes[1], routes[2]);
+  soak_store_put (&world.store, "op/config", text);
+  for (int i = 0; i < SOAK_KINDS; i++)
+    g_free (routes[i]);
+  g_free (text);
+}
+
+static struct soak_host *
+any_host (void)
+{
+  return &world.hosts[soak_draw (&world.soak, 0, HOSTS - 1)];
+}
+
+static struct soak_engine *
+any_engine (void)
+{
+  return &world.engines[soak_draw (&world.soak, 0, ENGINES - 1)];
+}
+
+static void
+fault_stop (void)
+{
+  soak_host_stop (any_host ());
+}
+
+static void
+fault_reload (void)
+{
+  soak_host_reload (any_host (), soak_draw (&world.soak, 0, 1) == 1);
+}
+
+static void
+fault_config (void)
+{
+  soak_say (&world.soak, "the configuration changes");
+  config_write ();
+}
+
+static void
+fault_drain (void)
+{
+  soak_engine_drain (any_engine ());
+}
+
+static void
+fault_kill (void)
+{
+  soak_host_kill (any_host ());
+}
+
+static void
+fault_kill_all (void)
+{
+  for (int i = 0; i < HOSTS; i++)
+    soak_host_kill (&world.hosts[i]);
+}
+
+static void
+fault_pause (void)
+{
+  soak_host_pause (any_host (), soak_draw (&world.soak, 200, 5000));
+}
+
+static void
+fault_crash (void)
+{
+  soak_engine_crash (any_engine ());
+}
+
+static void
+heal_later (unsigned index)
+{
+  world.heal_ns[index] = clock_now (&world.soak.clock)
+                         + soak_draw (&world.soak, 300, FAULT_MS) * NS_PER_MS;
+}
+
+static void
+fault_link (void)
+{
+  unsigned index = soak_draw (&world.soak, 0, HOSTS + ENGINES - 1);
+  struct soak_proxy *proxy = index < HOSTS
+                                 ? &world.store_proxies[index]
+                                 : &world.engine_proxies[index - HOSTS];
+  enum soak_proxy_mode mode = (enum soak_proxy_mode)soak_draw (
+      &world.soak, SOAK_PROXY_PASS + 1, SOAK_PROXY_MODES - 1);
+
+  soak_say (&world.soak, "the link of %s %u turns %s",
+            index < HOSTS ? "host and store" : "engine",
+            index < HOSTS ? index : index - HOSTS,
+            soak_proxy_mode_name (mode));
+  proxy->delay_ms = soak_draw (&world.soak, 20, 300);
+  soak_proxy_set_mode (proxy, mode);
+  heal_later (index);
+}
+
+static void
+fault_store_down (void)
+{
+  soak_say (&world.soak, "the store is down");
+  world.store.down = true;
+  heal_later (HOSTS + ENGINES);
+}
+
+static void
+fault_store_lost (void)
+{
+  soak_say (&world.soak, "the store loses answers");
+  world.store.lost = 0.3;
+  heal_later (HOSTS + ENGINES);
+}
+
+static void
+fault_store_compact (void)
+{
+  soak_say (&world.soak, "the store forgets its history");
+  soak_store_compact (&world.store);
+}
+
+static void
+fault_answers_lost (void)
+{
+  struct soak_engine *engine = any_engine ();
+
+  engine->lost = engine->lost > 0 ? 0 : 0.1;
+  soak_say (&world.soak, "engine %s loses %.0f %% of its answers", engine->id,
+            100 * engine->lost);
+}
+
+/* The planned ones first. */
+static void (*const faults[]) (void)
+    = { fault_stop,       fault_reload,        fault_config,
+        fault_drain,      fault_kill,          fault_kill_all,
+        fault_pause,      fault_crash,         fault_link,
+        fault_link,       fault_link,          fault_store_down,
+        fault_store_lost, fault_store_compact, fault_answers_lost };
+
+enum
+{
+  PLANNED = 4
+};
+
+static void
+fault_next (int64_t now)
+{
+  unsigned count = option_planned ? PLANNED : G_N_ELEMENTS (faults);
+
+  if (now < world.next_fault_ns || now >= world.faults_end_ns)
+    return;
+  world.next_fault_ns
+      = now + soak_draw (&world.soak, 50, FAULT_GAP_MS) * NS_PER_MS;
+  world.faults++;
+  faults[soak_draw (&world.soak, 0, count - 1)]();
+}
+
+static void
+heal (unsigned index)
+{
+  world.heal_ns[index] = 0;
+  if (index < HOSTS)
+    soak_proxy_set_mode (&world.store_proxies[index], SOAK_PROXY_PASS);
+  else if (index < HOSTS + ENGINES)
+    soak_proxy_set_mode (&world.engine_proxies[index - HOSTS],
+                         SOAK_PROXY_PASS);
+  else
+    {
+      world.store.down = false;
+      world.store.lost = 0;
+    }
+}
+
+static void
+heal_due (int64_t now)
+{
+  for (unsigned i = 0; i < HOSTS + ENGINES + 1; i++)
+    if (world.heal_ns[i] != 0
+        && (now >= world.heal_ns[i] || now >= world.faults_end_ns))
+      heal (i);
+  for (int i = 0; i < ENGINES && now >= world.faults_end_ns; i++)
+    world.engines[i].lost = 0;
+}
+
+static void
+totals (unsigned *ended, unsigned *served)
+{
+  *ended = *served = 0;
+  for (int i = 0; i < CALLERS; i++)
+    {
+      *ended += world.callers[i].ended;
+      *served += world.callers[i].served;
+    }
+}
+
+static void
+recovery_check (void)
+{
+  unsigned ended, served;
+
+  totals (&ended, &served);
+  soak_say (&world.soak, "%u faults, %u requests, %u served; %u of %u at last",
+            world.faults, ended, served, served - world.served,
+            ended - world.ended);
+  if (ended == world.ended
+      || (served - world.served) * 100
+             < (ended - world.ended) * SERVED_PERCENT)
+    soak_violation (&world.soak, "requests are not served again");
+}
+
+static void
+world_finish (void)
+{
+  world.finished = true;
+  recovery_check ();
+  uv_close ((uv_handle_t *)&world.timer, NULL);
+  for (int i = 0; i < CALLERS; i++)
+    soak_caller_finish (&world.callers[i]);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      soak_host_finish (&world.hosts[i]);
+      soak_proxy_finish (&world.store_proxies[i]);
+    }
+  for (int i = 0; i < ENGINES; i++)
+    {
+      soak_engine_finish (&world.engines[i]);
+      soak_proxy_finish (&world.engine_proxies[i]);
+    }
+  soak_store_finish (&world.store);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  int64_t now = clock_now (&world.soak.clock);
+
+  soak_store_tick (&world.store);
+  for (int i = 0; i < HOSTS; i++)
+    soak_host_tick (&world.hosts[i]);
+  for (int i = 0; i < ENGINES; i++)
+    soak_engine_tick (&world.engines[i]);
+  fault_next (now);
+  heal_due (now);
+  if (!world.is_last_part && now >= world.end_ns - RECOVERED_MS * NS_PER_MS)
+    {
+      world.is_last_part = true;
+      totals (&world.ended, &world.served);
+    }
+  if (now >= world.end_ns)
+    world_finish ();
+}
+
+static void
+parts_start (void)
+{
+  uint16_t store_port = soak_port_find ();
+
+  soak_store_init (&world.store, &world.soak, store_port);
+  config_write ();
+  for (int i = 0; i < ENGINES; i++)
+    {
+      uint16_t port = soak_port_find ();
+      uint16_t proxy_port;
+
+      /* The engine listens before the next free port is sought. */
+      proxy_port = soak_port_find ();
+      soak_proxy_init (&world.engine_proxies[i], &world.soak, proxy_port,
+                       port);
+      soak_engine_init (&world.engines[i], &world.soak, &world.store, port,
+                        proxy_port);
+    }
+  for (int i = 0; i < HOSTS; i++)
+    {
+      uint16_t proxy_port = soak_port_find ();
+
+      soak_proxy_init (&world.store_proxies[i], &world.soak, proxy_port,
+                       store_port);
+      soak_host_init (&world.hosts[i], &world.soak, (unsigned)i,
+                      option_program, option_folder, proxy_port);
+    }
+  for (int i = 0; i < CALLERS; i++)
+    soak_caller_init (&world.callers[i], &world.soak, (unsigned)i, world.hosts,
+                      HOSTS);
+}
+
+static void
+world_init (void)
+{
+  struct soak *soak = &world.soak;
+
+  uv_loop_init (&soak->loop);
+  clock_system_init (&soak->clock);
+  rng_init (&soak->rng, (uint64_t)option_seed);
+  soak->requests
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  soak->planned_only = option_planned;
+  world.start_ns = clock_now (&soak->clock);
+  world.next_fault_ns = world.start_ns + START_MS * NS_PER_MS;
+  world.faults_end_ns = world.next_fault_ns + option_seconds * NS_PER_S;
+  world.end_ns = world.faults_end_ns + CALM_MS * NS_PER_MS;
+  parts_start ();
+  uv_timer_init (&soak->loop, &world.timer);
+  uv_timer_start (&world.timer, on_tick, TICK_MS, TICK_MS);
+}
+
+/* The hosts must not outlive the soak. */
+static void
+on_signal (uv_signal_t *signal, int number)
+{
+  for (int i = 0; i < HOSTS; i++)
+    soak_host_finish (&world.hosts[i]);
+  printf ("not ok soak/seed-%d: ended by signal %d\n", option_seed, number);
+  exit (1);
+}
+
+static void
+signals_start (void)
+{
+  static const int numbers[] = { SIGTERM, SIGINT };
+  static uv_signal_t signals[G_N_ELEMENTS (numbers)];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      uv_signal_init (&world.soak.loop, &signals[i]);
+      uv_signal_start (&signals[i], on_signal, numbers[i]);
+      uv_unref ((uv_handle_t *)&signals[i]);
+    }
+  signal (SIGPIPE, SIG_IGN);
+}
+
+int
+main (int argc, char **argv)
+{
+  GOptionContext *context = g_option_context_new (NULL);
+  GError *error = NULL;
+
+  g_option_context_add_main_entries (context, options, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error))
+    {
+      fprintf (stderr, "soak: %s\n", error->message);
+      return 2;
+    }
+  g_option_context_free (context);
+  g_mkdir_with_parents (option_folder, 0755);
+  world_init ();
+  signals_start ();
+  uv_run (&world.soak.loop, UV_RUN_DEFAULT);
+  printf ("%s soak/%sseed-%d\n", world.soak.violations == 0 ? "ok" : "not ok",
+          option_planned ? "planned-" : "", option_seed);
+  return world.soak.violations == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/test/soak.h
@@ -0,0 +1,67 @@
+#ifndef SOAK_H
+#define SOAK_H
+
+#include "clock.h"
+#include "rng.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <uv.h>
+
+/** @file
+ * What the parts of the soak share: the loop, the luck of its seed, what was
+ * sent, and what has been broken.
+ */
+
+#define SOAK_IP "127.0.0.1"
+#define SOAK_ROUTES_HOST "soak.example"
+#define SOAK_KEY "soak-key"
+#define SOAK_ORGANISATION "crew"
+
+enum soak_kind
+{
+  SOAK_SAFE,   /**< may run more than once */
+  SOAK_ONCE,   /**< may run once */
+  SOAK_STREAM, /**< events; may go on at another engine */
+  SOAK_KINDS
+};
+
+/** One request of a caller and what became of it. */
+struct soak_request
+{
+  char id[24];
+  enum soak_kind kind;
+  unsigned runs; /**< begun by engines */
+  bool not_run;  /**< An answer said that it has not run and never will. */
+  bool served;
+  int64_t sent_ns; /**< when the caller had sent it */
+  int64_t ran_ns;  /**< when an engine began with it; 0: not yet */
+};
+
+struct soak
+{
+  uv_loop_t loop;
+  struct clock clock;
+  struct rng rng;
+  GHashTable *requests; /**< id to struct soak_request */
+  unsigned violations;
+  bool planned_only; /**< Faults are planned stops and reloads alone. */
+};
+
+/** A promise was broken; the text says how. */
+void soak_violation (struct soak *soak, const char *format, ...)
+    G_GNUC_PRINTF (2, 3);
+
+/** A line on what the soak does, with the time since its start. */
+void soak_say (struct soak *soak, const char *format, ...)
+    G_GNUC_PRINTF (2, 3);
+
+struct soak_request *soak_request_find (struct soak *soak, const char *id);
+
+/** A whole number in [LOW, HIGH]. */
+unsigned soak_draw (struct soak *soak, unsigned low, unsigned high);
+
+/** Prefix of the paths of KIND. */
+const char *soak_kind_prefix (enum soak_kind kind);
+
+#endif
