--- a/test/soak.c
+++ b/test/soak.c
@@ -131,8 +131,8 @@
       "{\"name\":\"r%d\",\"hostname\":\"" SOAK_ROUTES_HOST
       "\",\"prefix\":\"%s\",\"routeType\":\"%s\",\"timeoutMs\":4000,"
       "\"targetLatencyMs\":500,\"priority\":1,\"backend\":\"app\","
-      "\"attempts\":%d,\"public\":false,\"resumable\":%s,\"gapTargetMs\":300}",
-      kind, soak_kind_prefix (kind), types[kind], kind == SOAK_ONCE ? 1 : 3,
+      "\"attempts\":3,\"public\":false,\"resumable\":%s,\"gapTargetMs\":300}",
+      kind, soak_kind_prefix (kind), types[kind],
       kind == SOAK_STREAM ? "true" : "false");
 }
 
