--- a/src/retire.c
+++ b/src/retire.c
@@ -10,7 +10,7 @@
 
 /* Share of a model's engines that must have newer weights before parts of the
  * older ones are no longer fetched: earlier, the engines that still have them
- * read more again than is gained (quarter, half and three quarters played). */
+ * read more again than is gained. */
 static const double newer_share = 0.67;
 
 struct retire_model
