A request that waits is under way nowhere

Cause: a request that a server had disowned waits for another one; the time since it was sent made it look silent, and the connection of the ended exchange was closed, which is none. It took a wait of over 1.5 s and the target, which became common when requests wait for the engines of their cell. Ruled out: datagrams between hosts, memory (4.6 MB at most). Change: exchange_is_sent says whether an exchange is under way; only then can it be silent. In the end such a request is refused as not run, where it got a 504 before. Test: forwarder/waiting-after-a-refusal (ended by the same fault before).

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -52,6 +52,12 @@
   exchange->link = NULL;
 }
 
+bool
+exchange_is_sent (const struct exchange *exchange)
+{
+  return exchange->link != NULL && exchange->sent_ns != 0;
+}
+
 void
 exchange_cancel (struct exchange *exchange)
 {
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -72,6 +72,10 @@
                     GString *request, bool bodiless, bool is_stream,
                     int64_t connect_ns);
 
+/** Whether the request is at a server now: it was handed over and the exchange
+ * has not ended. */
+bool exchange_is_sent (const struct exchange *exchange);
+
 /** Close the connection; `end` is not called. */
 void exchange_cancel (struct exchange *exchange);
 
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -391,8 +391,7 @@
   const struct exchange *exchange = &forward->exchange;
   int64_t since = MAX (exchange->sent_ns, exchange->progress_ns);
 
-  return exchange->sent_ns != 0 && exchange->server != NULL
-         && route_is_repeatable (forward->route)
+  return exchange_is_sent (exchange) && route_is_repeatable (forward->route)
          && now - since > forward->forwarder->settings.silence_ns
                               + forward->route->target_ns;
 }
@@ -402,10 +401,12 @@
 {
   if (now >= forward->end_ns)
     {
+      bool is_sent = exchange_is_sent (&forward->exchange);
+
       exchange_cancel (&forward->exchange);
       if (forward->relaying)
         forward_break (forward, "timeout");
-      else if (forward->exchange.sent_ns != 0 || forward->runs > 0)
+      else if (is_sent || forward->runs > 0)
         forward_fail (forward, "timeout");
       else
         forward_refuse (forward, "timeout", RETRY_AFTER_MS);
--- a/test/test-forwarder.c
+++ b/test/test-forwarder.c
@@ -362,6 +362,25 @@
 }
 
 /* Without a configuration nothing is known to be wrong: 503, not 404. */
+/* A request that waits for a busy server after another one disowned it is not
+ * under way anywhere: it is refused in the end, as not run. */
+static void
+test_waiting_after_a_refusal (void)
+{
+  static const struct fake_upstream_step shed[]
+      = { { SHED, FAKE_UPSTREAM_KEEP } };
+  static const struct fake_upstream_step silent[]
+      = { { "", FAKE_UPSTREAM_KEEP } };
+
+  fake_path_setup (shed, 1, silent, 1);
+  server_set_busy (servers_find (&path.servers, "i-1"),
+                   clock_now (&path.clock) + 60 * NS_PER_S);
+  fake_path_request_send ("/safe/", "");
+  CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 503"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, "Retry-After: "));
+  fake_path_finish ();
+}
+
 static void
 test_before_the_first_configuration (void)
 {
@@ -410,6 +429,7 @@
   { "stream-resumes", test_stream_resumes },
   { "caller-leaves", test_caller_leaves },
   { "answer-by-the-timeout", test_answer_by_the_timeout },
+  { "waiting-after-a-refusal", test_waiting_after_a_refusal },
   { "before-the-first-configuration", test_before_the_first_configuration },
   { "poison", test_poison },
 };
