One piece each for the log value of a text, a server's memory, a closed exchange

An error's text was made a log value in three places (log_value), a server got the memory of its service in two (forwarder_fit_server), memory under way was added up in two (memory_taken in choose), and the forwarder closed the connection of an exchange by reaching into it (exchange_close). The soak kept times and flags that nothing read. Behaviour is the same; no check was changed. Checked: build, the CUnit programs but for the slow ones of the product's own interface, format, clang-tidy on the changed files of src, check-docs, both short soaks.

--- a/src/choose.c
+++ b/src/choose.c
@@ -75,6 +75,13 @@
          + (server->waiting > 0 ? reported * plain_wait_ms : 0);
 }
 
+/* Tokens of memory that requests under way take. */
+static double
+memory_taken (const struct server *server)
+{
+  return (double)(server->in_flight_tokens + server->others_memory);
+}
+
 static double
 engine_backlog (const struct choose_settings *settings,
                 const struct choose_query *query, const struct server *server,
@@ -83,9 +90,8 @@
   double unread = (double)(server->prefill_tokens + server->others_prefill);
   double told = server->in_flight + server->others_running;
   double reported = report_weight (settings, server, now) * server->running;
-  double taken = (double)(server->in_flight_tokens + server->others_memory);
   double memory = (double)server->parts_tokens_max;
-  double over = taken + query->call->prompt_tokens - memory;
+  double over = memory_taken (server) + query->call->prompt_tokens - memory;
   double cost = unread / settings->tokens_per_ms
                 + MAX (told, reported) * settings->run_ms;
 
@@ -193,7 +199,7 @@
 has_memory (const struct choose_settings *settings,
             const struct choose_query *query, const struct server *server)
 {
-  double taken = (double)(server->in_flight_tokens + server->others_memory);
+  double taken = memory_taken (server);
   double wanted = query->call->prompt_tokens + query->call->output_tokens;
 
   return query->model == NULL || taken <= 0
--- a/src/entry.c
+++ b/src/entry.c
@@ -148,7 +148,7 @@
     entry->settings_changed = file.st_mtim;
   if (settings_check_file (entry->settings_path, fresh, &error) != STATUS_OK)
     {
-      char *reason = g_strdelimit (g_strdup (error.message), " ", '_');
+      char *reason = log_value (error.message);
 
       log_event (&entry->log, EVENT_SETTINGS_REFUSED, "reason=%s", reason);
       g_free (reason);
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -14,8 +14,7 @@
 entry_ignored (struct entry *entry, const char *key, uint64_t revision,
                const struct error *error)
 {
-  /* Message texts hold spaces; a log value does not. */
-  char *reason = g_strdelimit (g_strdup (error->message), " ", '_');
+  char *reason = log_value (error->message);
 
   log_event (&entry->log, EVENT_ENTRY_IGNORED, "key=%s revision=%lu reason=%s",
              key, (unsigned long)revision, reason);
@@ -46,7 +45,7 @@
 
   if (entry->dialect->routes_decode (value, &routes, &error) != STATUS_OK)
     {
-      char *reason = g_strdelimit (g_strdup (error.message), " ", '_');
+      char *reason = log_value (error.message);
 
       log_event (&entry->log, EVENT_ROUTES_REFUSED, "revision=%lu reason=%s",
                  (unsigned long)revision, reason);
@@ -148,7 +147,6 @@
   struct server_entry decoded;
   struct error error;
   struct server *server;
-  const struct service *service;
 
   if (entry->dialect->server_decode (server_id (entry, key), value, &decoded,
                                      &error)
@@ -161,11 +159,8 @@
     }
   servers_update (&entry->servers, &decoded, revision);
   server = servers_find (&entry->servers, decoded.id);
-  service = entry->forwarder.routes != NULL
-                ? routes_service (entry->forwarder.routes, decoded.service)
-                : NULL;
-  if (server != NULL && service != NULL && service->memory_tokens > 0)
-    server->parts_tokens_max = service->memory_tokens;
+  if (server != NULL)
+    forwarder_fit_server (&entry->forwarder, server);
 }
 
 static void
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -44,7 +44,7 @@
   eventstream_finish (&exchange->events);
 }
 
-static void
+void
 exchange_close (struct exchange *exchange)
 {
   if (exchange->link != NULL)
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -76,7 +76,10 @@
  * has not ended. */
 bool exchange_is_sent (const struct exchange *exchange);
 
-/** Close the connection; `end` is not called. */
+/** Close the connection and keep the server; `end` is not called. */
+void exchange_close (struct exchange *exchange);
+
+/** The same, and let go of the server. */
 void exchange_cancel (struct exchange *exchange);
 
 #endif
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -417,8 +417,7 @@
     {
       struct server *server = server_ref (forward->exchange.server);
 
-      serverconn_close (forward->exchange.link);
-      forward->exchange.link = NULL;
+      exchange_close (&forward->exchange);
       forward_end_attempt (forward, EXCHANGE_SILENT);
       server_unref (server);
     }
@@ -460,6 +459,18 @@
     }
 }
 
+void
+forwarder_fit_server (const struct forwarder *forwarder, struct server *server)
+{
+  const struct service *service
+      = forwarder->routes != NULL
+            ? routes_service (forwarder->routes, server->entry.service)
+            : NULL;
+
+  if (service != NULL && service->memory_tokens > 0)
+    server->parts_tokens_max = service->memory_tokens;
+}
+
 static void
 routes_drop (struct forwarder *forwarder)
 {
@@ -478,14 +489,7 @@
   routes_unref (former);
   g_hash_table_iter_init (&iter, forwarder->servers->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct server *server = value;
-      const struct service *service
-          = routes_service (routes, server->entry.service);
-
-      if (service != NULL && service->memory_tokens > 0)
-        server->parts_tokens_max = service->memory_tokens;
-    }
+    forwarder_fit_server (forwarder, value);
 }
 
 void
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -18,6 +18,10 @@
                      struct kvstores *kvstores, const struct retire *retire);
 void forwarder_finish (struct forwarder *forwarder);
 
+/** Give SERVER what the configuration in force says of its service. */
+void forwarder_fit_server (const struct forwarder *forwarder,
+                           struct server *server);
+
 /** A newer configuration; the forwarder takes a reference. */
 void forwarder_set_routes (struct forwarder *forwarder, struct routes *routes);
 
--- a/src/kvstores.c
+++ b/src/kvstores.c
@@ -218,12 +218,14 @@
               unsigned count, uint64_t next)
 {
   for (unsigned i = 0; i < count; i++)
-    if (parts[i].number != 0 && parts[i].number <= store->next)
-      continue;
-    else if (parts[i].gone)
-      part_remove (store, &parts[i]);
-    else
-      part_add (store, &parts[i]);
+    {
+      if (parts[i].number != 0 && parts[i].number <= store->next)
+        continue;
+      if (parts[i].gone)
+        part_remove (store, &parts[i]);
+      else
+        part_add (store, &parts[i]);
+    }
   store->next = MAX (store->next, next);
 }
 
--- a/src/log.c
+++ b/src/log.c
@@ -210,6 +210,12 @@
   log_silent_init (log);
 }
 
+char *
+log_value (const char *text)
+{
+  return g_strdelimit (g_strdup (text), " ", '_');
+}
+
 void
 log_event (struct log *log, enum event event, const char *format, ...)
 {
--- a/src/log.h
+++ b/src/log.h
@@ -51,6 +51,10 @@
 /** Lines left out so far. */
 uint64_t log_json_lost (void);
 
+/** TEXT as a value of log_event, which holds no spaces; the caller frees it.
+ */
+char *log_value (const char *text);
+
 /** Write one EVENT with "key=value" pairs; LOG may be NULL. */
 void log_event (struct log *log, enum event event, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -49,7 +49,6 @@
   caller->tcp->data = NULL;
   uv_close ((uv_handle_t *)caller->tcp, on_tcp_closed);
   caller->tcp = NULL;
-  caller->connected = false;
 }
 
 /* The events of BODY are those from the first on, each once and whole.
@@ -263,7 +262,6 @@
   g_snprintf (request->id, sizeof request->id, "%04x%012x", caller->number,
               ++caller->asked);
   request->kind = (enum soak_kind)soak_draw (caller->soak, 0, SOAK_KINDS - 1);
-  request->sent_ns = clock_now (&caller->soak->clock);
   g_hash_table_insert (caller->soak->requests, request->id, request);
   return request;
 }
@@ -312,7 +310,6 @@
       caller_broken (caller, "not connected");
       return;
     }
-  caller->connected = true;
   uv_read_start ((uv_stream_t *)caller->tcp, on_alloc, on_bytes);
   request_send (caller);
 }
--- a/test/soak-caller.h
+++ b/test/soak-caller.h
@@ -22,7 +22,6 @@
 
   uv_tcp_t *tcp; /**< NULL: not connected */
   uv_timer_t timer;
-  bool connected;
   unsigned host;
   http_parser parser;
   struct httphead head;
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -138,7 +138,6 @@
 
   request_check (engine, conn, request);
   request->runs++;
-  request->ran_ns = clock_now (&engine->soak->clock);
   run->engine = engine;
   run->conn = conn;
   conn->request = run;
--- a/test/soak-host.c
+++ b/test/soak-host.c
@@ -1,7 +1,6 @@
 #include "soak-host.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <string.h>
--- a/test/soak-host.h
+++ b/test/soak-host.h
@@ -15,7 +15,7 @@
   unsigned number;
   uint16_t store_port;
   uint16_t front_port;
-  uint16_t ports[5]; /**< directory, ready, peer, metrics, control */
+  uint16_t ports[4]; /**< directory, ready, peer, metrics */
   uv_process_t process;
   bool running;
   bool stopped;      /**< by SIGSTOP */
--- a/test/soak.c
+++ b/test/soak.c
@@ -43,7 +43,6 @@
   unsigned ended; /* requests when the last part began */
   unsigned served;
   bool is_last_part;
-  bool finished;
 };
 
 static int option_seed = 1;
@@ -362,7 +361,6 @@
 static void
 world_finish (void)
 {
-  world.finished = true;
   recovery_check ();
   uv_close ((uv_handle_t *)&world.timer, NULL);
   for (int i = 0; i < CALLERS; i++)
--- a/test/soak.h
+++ b/test/soak.h
@@ -34,8 +34,6 @@
   unsigned runs; /**< begun by engines */
   bool not_run;  /**< An answer said that it has not run and never will. */
   bool served;
-  int64_t sent_ns; /**< when the caller had sent it */
-  int64_t ran_ns;  /**< when an engine began with it; 0: not yet */
 };
 
 struct soak
