Logs tell how a response was framed and how its stream ended

The logs of the incident could not tell its hypotheses apart: no line said how a response was framed or whether its stream stopped inside an event, and a stream that was broken off was logged as forward_end at level info, like one that was served. Change: forward_attempt, forward_end and forward_failed give framing, events and partial_bytes of the present attempt; a response that ended incomplete is forward_failed; trefoilspar_attempts_total counts attempts by framing and end. No decision on a request is changed. Evidence: streamend/log-tells-how-a-stream-ended failed before (no framing, and forward_end for the cut stream), passes now.

--- a/src/event.c
+++ b/src/event.c
@@ -110,13 +110,15 @@
     "assumed to be cached, revision of its entry, age of its load report." },
   { EVENT_FORWARD_ATTEMPT, EVENT_LEVEL_WARN, "forward_attempt",
     "An attempt on a backend server gave no response to forward; its outcome "
-    "and the next action are given." },
+    "and the next action are given, how the response was framed, its whole "
+    "events and the bytes of an incomplete one." },
   { EVENT_FORWARD_END, EVENT_LEVEL_INFO, "forward_end",
-    "A request got its response: status, server, time to the first event, "
-    "total time, version of the configuration that routed it." },
+    "A request got its whole response: status, server, framing, time to the "
+    "first event, total time, version of the configuration that routed "
+    "it." },
   { EVENT_FORWARD_FAILED, EVENT_LEVEL_WARN, "forward_failed",
-    "A request ended without a successful response of a server; fields as in "
-    "forward_end." },
+    "A request ended without a successful and whole response of a server; "
+    "fields as in forward_end." },
   { EVENT_FORWARD_REFUSED, EVENT_LEVEL_WARN, "forward_refused",
     "A request was refused before it was routed: it is malformed, or no "
     "configuration is known yet." },
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -103,6 +103,7 @@
   struct exchange *exchange = data;
 
   exchange->has_head = true;
+  exchange->framing = serverconn_framing (conn);
   exchange->last_received_ns = clock_now (exchange->clock);
   exchange->dialect->response_decode (
       serverconn_status (conn), &conn->head, exchange->request_id,
@@ -207,6 +208,7 @@
   exchange->request_id = request_id;
   exchange->is_stream = is_stream;
   exchange->has_head = false;
+  exchange->framing = SERVERCONN_NO_BODY;
   exchange->relayed = false;
   exchange->sent_ns = 0;
   exchange->first_output_ns = 0;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -64,7 +64,9 @@
   struct eventstream events;
   /** Whether a successful response is relayed event by event. */
   bool is_stream;
-  bool has_head;   /**< Whether the head of the response was received. */
+  bool has_head; /**< Whether the head of the response was received. */
+  /** How the end of the response is marked; valid if `has_head`. */
+  enum serverconn_framing framing;
   bool relayed;    /**< Whether some bytes of the response were passed to
                       `bytes_received`. */
   int64_t sent_ns; /**< Time at which the request was written to the opened
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -1,24 +1,42 @@
 #include "forwardlog.h"
 
+#include <string.h>
+
+/* Write how the response of the present attempt was framed and what of it has
+ * been received. */
+static void
+response_end_describe (const struct exchange *exchange, char *out, size_t size)
+{
+  g_snprintf (out, size, "framing=%s events=%lu partial_bytes=%zu",
+              exchange->has_head ? serverconn_framing_name (exchange->framing)
+                                 : "-",
+              (unsigned long)exchange->events.event_count,
+              exchange->events.pending->len);
+}
+
 void
 forward_log_end (struct forward *forward, int status, const char *reason)
 {
   struct forwarder *forwarder = forward->forwarder;
   const struct route *route = forward->route;
   const struct server *server = forward->exchange.server;
+  bool served
+      = status >= 200 && status < 300 && strcmp (reason, "answered") == 0;
   int64_t now = clock_now (forwarder->clock);
+  char response_end[96];
   char labels[160];
 
+  response_end_describe (&forward->exchange, response_end,
+                         sizeof response_end);
   log_event (
-      forwarder->log,
-      status >= 200 && status < 300 ? EVENT_FORWARD_END : EVENT_FORWARD_FAILED,
+      forwarder->log, served ? EVENT_FORWARD_END : EVENT_FORWARD_FAILED,
       "id=%s status=%d reason=%s route=%s service=%s server=%s "
-      "runs=%u not_run=%u first_ms=%.1f total_ms=%.1f config=%lu",
+      "runs=%u not_run=%u %s first_ms=%.1f total_ms=%.1f config=%lu",
       forward->call.request_id, status, reason,
       route != NULL ? route->name : "-",
       forward->service != NULL ? forward->service : "-",
       server != NULL ? server->entry.id : "-", forward->run_count,
-      forward->not_run_count,
+      forward->not_run_count, response_end,
       forward->exchange.first_output_ns != 0
           ? (double)(forward->exchange.first_output_ns - forward->arrived_ns)
                 / NS_PER_MS
@@ -90,16 +108,24 @@
   struct forwarder *forwarder = forward->forwarder;
   const struct exchange *exchange = &forward->exchange;
   int64_t now = clock_now (forwarder->clock);
+  char response_end[96];
+  char labels[96];
 
+  g_snprintf (labels, sizeof labels, "framing=\"%s\",end=\"%s\"",
+              exchange->has_head ? serverconn_framing_name (exchange->framing)
+                                 : "-",
+              exchange_outcome_name (outcome));
+  metrics_add (forwarder->metrics, "trefoilspar_attempts_total", labels, 1);
   if (outcome == EXCHANGE_ANSWERED && action == FORWARDRETRY_PASS_ON)
     return;
+  response_end_describe (exchange, response_end, sizeof response_end);
   log_event (forwarder->log, EVENT_FORWARD_ATTEMPT,
              "id=%s server=%s end=%s status=%d action=%s runs=%u not_run=%u "
-             "relayed=%d sent_ms=%.1f",
+             "relayed=%d %s sent_ms=%.1f",
              forward->call.request_id, exchange->server->entry.id,
              exchange_outcome_name (outcome), exchange->response.status,
              forwardretry_action_name (action), forward->run_count,
-             forward->not_run_count, forward->relaying,
+             forward->not_run_count, forward->relaying, response_end,
              exchange->sent_ns != 0
                  ? (double)(now - exchange->sent_ns) / NS_PER_MS
                  : -1.0);
--- a/src/serverconn.c
+++ b/src/serverconn.c
@@ -18,12 +18,25 @@
   [SERVERCONN_GARBLED] = "garbled",
 };
 
+static const char *const framing_names[] = {
+  [SERVERCONN_NO_BODY] = "none",
+  [SERVERCONN_LENGTH] = "length",
+  [SERVERCONN_CHUNKED] = "chunked",
+  [SERVERCONN_UNTIL_CLOSE] = "close",
+};
+
 const char *
 serverconn_result_name (enum serverconn_result result)
 {
   return result_names[result];
 }
 
+const char *
+serverconn_framing_name (enum serverconn_framing framing)
+{
+  return framing_names[framing];
+}
+
 static void
 on_closed (uv_handle_t *handle)
 {
@@ -258,3 +271,18 @@
 {
   return (int)conn->parser.status_code;
 }
+
+enum serverconn_framing
+serverconn_framing (const struct serverconn *conn)
+{
+  const http_parser *parser = &conn->parser;
+
+  if (conn->no_response_body || parser->status_code == HTTP_STATUS_NO_CONTENT
+      || parser->status_code == HTTP_STATUS_NOT_MODIFIED)
+    return SERVERCONN_NO_BODY;
+  if ((parser->flags & F_CHUNKED) != 0)
+    return SERVERCONN_CHUNKED;
+  if ((parser->flags & F_CONTENTLENGTH) != 0)
+    return SERVERCONN_LENGTH;
+  return SERVERCONN_UNTIL_CLOSE;
+}
--- a/src/serverconn.h
+++ b/src/serverconn.h
@@ -27,6 +27,15 @@
   SERVERCONN_GARBLED
 };
 
+/** What marks the end of a response body. */
+enum serverconn_framing
+{
+  SERVERCONN_NO_BODY,
+  SERVERCONN_LENGTH,
+  SERVERCONN_CHUNKED,
+  SERVERCONN_UNTIL_CLOSE /**< The end of the connection. */
+};
+
 struct serverconn;
 
 struct serverconn_ops
@@ -61,6 +70,7 @@
 };
 
 const char *serverconn_result_name (enum serverconn_result result);
+const char *serverconn_framing_name (enum serverconn_framing framing);
 
 /** Connect to ADDRESS ("IP:PORT") and send REQUEST, which the connection owns
  * from then on. Callbacks come from the event loop, never from inside this
@@ -77,4 +87,7 @@
 /** The HTTP status of the response; valid once its head was received. */
 int serverconn_status (const struct serverconn *conn);
 
+/** How the end of the response is marked; valid once its head was received. */
+enum serverconn_framing serverconn_framing (const struct serverconn *conn);
+
 #endif
