--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -55,7 +55,7 @@
 
 static void
 route_add (struct routes *routes, const char *prefix, enum route_kind kind,
-           unsigned servers_max)
+           bool resumable, unsigned servers_max)
 {
   struct route *route = routes_add_route (routes);
 
@@ -63,7 +63,7 @@
   route->host = g_strdup (FAKE_PATH_HOST);
   route->prefix = g_strdup (prefix);
   route->kind = kind;
-  route->resumable = kind == ROUTE_STREAM;
+  route->resumable = resumable;
   route->servers_max = servers_max;
   route->timeout_ns = 1500 * NS_PER_MS;
   route->latency_target_ns = 200 * NS_PER_MS;
@@ -75,9 +75,10 @@
 {
   struct routes *routes = routes_new ();
 
-  route_add (routes, "/safe/", ROUTE_IDEMPOTENT, 2);
-  route_add (routes, "/once/", ROUTE_NON_IDEMPOTENT, 1);
-  route_add (routes, "/stream/", ROUTE_STREAM, 2);
+  route_add (routes, "/safe/", ROUTE_IDEMPOTENT, false, 2);
+  route_add (routes, "/once/", ROUTE_NON_IDEMPOTENT, false, 1);
+  route_add (routes, "/stream/", ROUTE_STREAM, true, 2);
+  route_add (routes, "/long/", ROUTE_STREAM, false, 2);
   routes_add_key (routes, "key", routes_add_organisation (routes, "org"));
   routes_build_index (routes);
   forwarder_set_routes (&path.forwarder, routes);
--- a/test/test-streamend.c
+++ b/test/test-streamend.c
@@ -58,7 +58,135 @@
   finish ();
 }
 
+#define UNFRAMED RESPONSE_HEAD "\r\n"
+#define CHUNKED RESPONSE_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define END_OF_CHUNKS "\r\n0\r\n\r\n"
+
+/* Streams that end inside their second event, for each framing. */
+static const struct fake_upstream_step cut_inside_event[] = {
+  { UNFRAMED EVENT (1) "id: 2\nda", FAKE_UPSTREAM_CLOSE },
+  { UNFRAMED EVENT (1) "id: 2\ndata: x\n", FAKE_UPSTREAM_CLOSE },
+  { RESPONSE_HEAD "Content-Length: 23\r\n\r\n" EVENT (1) "id: 2\nda",
+    FAKE_UPSTREAM_KEEP },
+  { CHUNKED "f\r\n" EVENT (1) "\r\n8\r\nid: 2\nda" END_OF_CHUNKS,
+    FAKE_UPSTREAM_KEEP },
+};
+
+/* The whole stream, and what is left of it after its first event. */
+static const struct fake_upstream_step whole_stream[]
+    = { { UNFRAMED EVENT (1) EVENT (2), FAKE_UPSTREAM_CLOSE } };
+static const struct fake_upstream_step rest_of_stream[]
+    = { { UNFRAMED EVENT (2), FAKE_UPSTREAM_CLOSE } };
+
+static bool
+answer_is_complete (void)
+{
+  return g_str_has_suffix (path.answer->str, END_OF_CHUNKS);
+}
+
+/* A stream that ended inside an event reached its caller as complete. */
+static void
+test_cut_stream_is_not_complete (void)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (cut_inside_event); i++)
+    {
+      setup (&cut_inside_event[i], NULL);
+      fake_path_request_send ("/long/", "");
+      CU_ASSERT_TRUE (fake_path_run_until (NULL));
+      CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, EVENT (1)));
+      CU_ASSERT_PTR_NULL (strstr (path.answer->str, "id: 2"));
+      CU_ASSERT_FALSE (answer_is_complete ());
+      finish ();
+    }
+}
+
+/* A resumable stream that ended inside an event was not continued. */
+static void
+test_cut_stream_is_continued (void)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (cut_inside_event); i++)
+    {
+      setup (&cut_inside_event[i], rest_of_stream);
+      servers_find (&path.servers, "i-1")->failure_ratio = 0.9;
+      fake_path_request_send ("/stream/", "");
+      CU_ASSERT_TRUE (fake_path_run_until (EVENT (2)));
+      CU_ASSERT_TRUE (fake_path_run_until (END_OF_CHUNKS));
+      CU_ASSERT_PTR_NOT_NULL (
+          strstr (path.upstreams[1].last->str, "Last-Event-Id: 1\r\n"));
+      finish ();
+    }
+}
+
+/* The stream of a caller that came back ended inside an event, and the
+ * response looked complete. */
+static void
+test_cut_stream_of_a_returned_caller (void)
+{
+  static const struct fake_upstream_step cut[]
+      = { { UNFRAMED EVENT (2) "id: 3\n", FAKE_UPSTREAM_CLOSE } };
+
+  setup (cut, NULL);
+  fake_path_request_send ("/stream/", "Last-Event-Id: 1\r\n");
+  CU_ASSERT_TRUE (fake_path_run_until (NULL));
+  CU_ASSERT_FALSE (answer_is_complete ());
+  finish ();
+}
+
+/* The second server of a continued stream ended inside an event too. */
+static void
+test_cut_continuation_is_not_complete (void)
+{
+  static const struct fake_upstream_step cut_again[]
+      = { { UNFRAMED EVENT (2) "id: 3\n", FAKE_UPSTREAM_CLOSE } };
+
+  setup (&cut_inside_event[0], cut_again);
+  servers_find (&path.servers, "i-1")->failure_ratio = 0.9;
+  fake_path_request_send ("/stream/", "");
+  CU_ASSERT_TRUE (fake_path_run_until (NULL));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, EVENT (2)));
+  CU_ASSERT_FALSE (answer_is_complete ());
+  finish ();
+}
+
+/* An unframed response that ended before its first event looked complete. */
+static void
+test_stream_without_events_is_not_complete (void)
+{
+  static const struct fake_upstream_step cut[]
+      = { { UNFRAMED, FAKE_UPSTREAM_CLOSE },
+          { UNFRAMED "id: 1\nda", FAKE_UPSTREAM_CLOSE } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cut); i++)
+    {
+      setup (&cut[i], NULL);
+      fake_path_request_send ("/long/", "");
+      CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 502"));
+      CU_ASSERT_PTR_NULL (strstr (path.answer->str, "Response-Seal"));
+      finish ();
+    }
+}
+
+/* An unframed stream whose last event is whole is complete. */
+static void
+test_whole_unframed_stream (void)
+{
+  setup (whole_stream, NULL);
+  fake_path_request_send ("/long/", "");
+  CU_ASSERT_TRUE (fake_path_run_until (END_OF_CHUNKS));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, EVENT (1)));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, EVENT (2)));
+  finish ();
+}
+
 static const struct unit_case cases[] = {
+  { "cut-stream-is-not-complete", test_cut_stream_is_not_complete },
+  { "cut-stream-is-continued", test_cut_stream_is_continued },
+  { "cut-stream-of-a-returned-caller", test_cut_stream_of_a_returned_caller },
+  { "cut-continuation-is-not-complete",
+    test_cut_continuation_is_not_complete },
+  { "stream-without-events-is-not-complete",
+    test_stream_without_events_is_not_complete },
+  { "whole-unframed-stream", test_whole_unframed_stream },
   { "log-tells-how-a-stream-ended", test_log_of_a_cut_stream },
 };
 
