A stream that ends inside an event has been cut, whatever its framing

Cause: the end of the HTTP body was taken for the end of the stream. exchange.c relayed the bytes of an incomplete last event and reported the attempt as answered. A response with neither a length nor chunks ends with its connection, which closes in order when a run crashes, so each crash in an unframed stream looked like its end. The same held for a length or chunks that end inside an event. Why it works: whether a stream ended is decided from its events: with bytes of an incomplete event, or unframed without any event, the attempt is cut. The decision after a cut (continue, fail, break off) is the one that framed streams had. A body of another type on a route for streams has no events and is passed on as before. Ruled out: a reset taken for an orderly end (the fault shows with orderly ends alone); a continuation that failed (runs=1).

--- a/src/call.h
+++ b/src/call.h
@@ -91,6 +91,8 @@
   bool other_weights; /**< Whether the server states that it has another weight
                          version than the request requires. */
   bool matches_request; /**< Whether the response has the id of the request. */
+  bool is_event_stream; /**< Whether the body may be a text/event-stream: its
+                           type is that, or is not stated. */
   bool encoded; /**< Whether the body has a content encoding, which servers
                    never use. */
   bool has_load;
--- a/src/eventstream.c
+++ b/src/eventstream.c
@@ -101,6 +101,12 @@
   return complete_bytes;
 }
 
+bool
+eventstream_is_inside_event (const struct eventstream *stream)
+{
+  return stream->pending->len > 0;
+}
+
 void
 eventstream_consume (struct eventstream *stream, size_t size)
 {
--- a/src/eventstream.h
+++ b/src/eventstream.h
@@ -35,6 +35,10 @@
 size_t eventstream_append (struct eventstream *stream, const char *bytes,
                            size_t size);
 
+/** Whether the bytes so far end inside an event, once the complete events were
+ * consumed. */
+bool eventstream_is_inside_event (const struct eventstream *stream);
+
 /** Remove the first SIZE bytes of `pending`, which were forwarded. */
 void eventstream_consume (struct eventstream *stream, size_t size);
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -143,6 +143,13 @@
   g_byte_array_set_size (exchange->buffered_body, 0);
 }
 
+static bool
+relays_events (const struct exchange *exchange)
+{
+  return exchange->is_stream && exchange->response.success
+         && exchange->response.is_event_stream;
+}
+
 static void
 body_received (void *data, const char *bytes, size_t size)
 {
@@ -150,7 +157,7 @@
   size_t whole_size;
 
   exchange->last_received_ns = clock_now (exchange->clock);
-  if (!exchange->is_stream || !exchange->response.success)
+  if (!relays_events (exchange))
     {
       buffered_body_add (exchange, bytes, size);
       return;
@@ -162,15 +169,26 @@
   eventstream_consume (&exchange->events, whole_size);
 }
 
-/* Complete the attempt. Bytes after the last whole event of a stream are
- * relayed too, since they belong to the body. */
+/* Whether the end of the body is not the end of the stream. The connection of
+ * an unframed response also closes in order if the server's run crashed. */
+static bool
+stream_was_cut (const struct exchange *exchange)
+{
+  return relays_events (exchange)
+         && (eventstream_is_inside_event (&exchange->events)
+             || (exchange->framing == SERVERCONN_UNTIL_CLOSE
+                 && exchange->events.event_count == 0));
+}
+
 static void
 response_complete (struct exchange *exchange)
 {
-  if (exchange->is_stream && exchange->response.success)
-    exchange_relay (exchange, exchange->events.pending->str,
-                    exchange->events.pending->len);
-  else if (exchange->relayed)
+  if (stream_was_cut (exchange))
+    {
+      exchange_close_with (exchange, EXCHANGE_CUT);
+      return;
+    }
+  if (exchange->relayed && !relays_events (exchange))
     exchange_relay (exchange, (const char *)exchange->buffered_body->data,
                     exchange->buffered_body->len);
   if (exchange->first_output_ns == 0)
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -62,7 +62,8 @@
    * response is a successful stream. */
   GByteArray *buffered_body;
   struct eventstream events;
-  /** Whether a successful response is relayed event by event. */
+  /** Whether the request is for a stream. A successful event stream is relayed
+   * event by event. */
   bool is_stream;
   bool has_head; /**< Whether the head of the response was received. */
   /** How the end of the response is marked; valid if `has_head`. */
--- a/test/test-streamend.c
+++ b/test/test-streamend.c
@@ -178,6 +178,29 @@
   finish ();
 }
 
+/* A body of another type on a route for streams has no events. */
+static void
+test_other_type_on_a_stream_route (void)
+{
+  static const struct fake_upstream_step json[]
+      = { { RESPONSE_HEAD "Content-Type: application/json\r\n\r\n{\"a\":1}",
+            FAKE_UPSTREAM_CLOSE } };
+  static const struct fake_upstream_step cut[]
+      = { { RESPONSE_HEAD "Content-Type: Text/Event-Stream; charset=utf-8\r\n"
+                          "\r\n" EVENT (1) "id",
+            FAKE_UPSTREAM_CLOSE } };
+
+  setup (json, NULL);
+  fake_path_request_send ("/long/", "");
+  CU_ASSERT_TRUE (fake_path_run_until ("{\"a\":1}"));
+  finish ();
+  setup (cut, NULL);
+  fake_path_request_send ("/long/", "");
+  CU_ASSERT_TRUE (fake_path_run_until (NULL));
+  CU_ASSERT_FALSE (answer_is_complete ());
+  finish ();
+}
+
 static const struct unit_case cases[] = {
   { "cut-stream-is-not-complete", test_cut_stream_is_not_complete },
   { "cut-stream-is-continued", test_cut_stream_is_continued },
@@ -187,6 +210,7 @@
   { "stream-without-events-is-not-complete",
     test_stream_without_events_is_not_complete },
   { "whole-unframed-stream", test_whole_unframed_stream },
+  { "other-type-on-a-stream-route", test_other_type_on_a_stream_route },
   { "log-tells-how-a-stream-ended", test_log_of_a_cut_stream },
 };
 
