A server that does not continue a stream leaves it broken off

Cause: a stream was cut, was sent on to a second server, and that server answered with an error (500, 504, 404) or with another type of body. The attempt counted as answered, so the caller's stream was ended as complete after the events of the first server; an error body over 256 KiB was even written into the stream. Evidence: streamend/refused-continuation-is-not-complete failed in all 8 cases (4 heads, 2 sizes of the body) before this commit, passes now. Why it works: an attempt that continues a stream accepts only a successful event stream. Anything else ends it at its head as not_continued, which may have run: the stream goes on at another server within the route's limit and the retry budget, and is broken off otherwise. No byte of such a response is relayed.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -10,9 +10,13 @@
 };
 
 static const char *const outcome_names[] = {
-  [EXCHANGE_ANSWERED] = "answered", [EXCHANGE_NOT_CONNECTED] = "not_connected",
-  [EXCHANGE_NOT_RUN] = "not_run",   [EXCHANGE_CUT] = "cut",
-  [EXCHANGE_FOREIGN] = "foreign",   [EXCHANGE_SILENT] = "silent",
+  [EXCHANGE_ANSWERED] = "answered",
+  [EXCHANGE_NOT_CONNECTED] = "not_connected",
+  [EXCHANGE_NOT_RUN] = "not_run",
+  [EXCHANGE_CUT] = "cut",
+  [EXCHANGE_FOREIGN] = "foreign",
+  [EXCHANGE_SILENT] = "silent",
+  [EXCHANGE_NOT_CONTINUED] = "not_continued",
 };
 
 const char *
@@ -97,6 +101,13 @@
          && (!response->from_backend_server || response->encoded);
 }
 
+static bool
+relays_events (const struct exchange *exchange)
+{
+  return exchange->is_stream && exchange->response.success
+         && exchange->response.is_event_stream;
+}
+
 static void
 head_received (void *data, const struct serverconn *conn)
 {
@@ -112,6 +123,8 @@
     exchange_close_with (exchange, EXCHANGE_NOT_RUN);
   else if (response_is_foreign (&exchange->response))
     exchange_close_with (exchange, EXCHANGE_FOREIGN);
+  else if (exchange->continues && !relays_events (exchange))
+    exchange_close_with (exchange, EXCHANGE_NOT_CONTINUED);
   else
     {
       g_string_truncate (exchange->header_lines, 0);
@@ -143,13 +156,6 @@
   g_byte_array_set_size (exchange->buffered_body, 0);
 }
 
-static bool
-relays_events (const struct exchange *exchange)
-{
-  return exchange->is_stream && exchange->response.success
-         && exchange->response.is_event_stream;
-}
-
 static void
 body_received (void *data, const char *bytes, size_t size)
 {
@@ -218,13 +224,14 @@
 
 void
 exchange_send (struct exchange *exchange, uv_loop_t *loop,
-               struct server *server, const char *request_id, GString *request,
-               bool bodiless, bool is_stream, int64_t connect_timeout_ns)
+               struct server *server, const struct exchange_request *request,
+               int64_t connect_timeout_ns)
 {
   exchange_cancel (exchange);
   exchange->server = server_ref (server);
-  exchange->request_id = request_id;
-  exchange->is_stream = is_stream;
+  exchange->request_id = request->id;
+  exchange->is_stream = request->is_stream;
+  exchange->continues = request->continues;
   exchange->has_head = false;
   exchange->framing = SERVERCONN_NO_BODY;
   exchange->relayed = false;
@@ -234,7 +241,7 @@
   memset (&exchange->response, 0, sizeof exchange->response);
   g_byte_array_set_size (exchange->buffered_body, 0);
   eventstream_restart (&exchange->events);
-  exchange->conn
-      = serverconn_open (loop, server->entry.address, request, bodiless,
-                         connect_timeout_ns, &conn_ops, exchange);
+  exchange->conn = serverconn_open (loop, server->entry.address,
+                                    request->bytes, request->is_head,
+                                    connect_timeout_ns, &conn_ops, exchange);
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -14,8 +14,8 @@
  * whether the request is retried.
  */
 
-/** The outcome of an attempt. After EXCHANGE_CUT, EXCHANGE_FOREIGN and
- * EXCHANGE_SILENT the request may have run. */
+/** The outcome of an attempt. After EXCHANGE_CUT, EXCHANGE_FOREIGN,
+ * EXCHANGE_NOT_CONTINUED and EXCHANGE_SILENT the request may have run. */
 enum exchange_outcome
 {
   EXCHANGE_ANSWERED,      /**< The complete response was received. */
@@ -27,8 +27,21 @@
   EXCHANGE_CUT,
   EXCHANGE_FOREIGN, /**< The received bytes are not a valid response of the
                        server to this request. */
-  EXCHANGE_SILENT   /**< The owner ended the attempt because the server sent
-                       nothing for too long. */
+  EXCHANGE_NOT_CONTINUED, /**< The server did not continue the stream: its
+                             response is not a successful event stream. */
+  EXCHANGE_SILENT /**< The owner ended the attempt because the server sent
+                     nothing for too long. */
+};
+
+/** The request of one attempt. */
+struct exchange_request
+{
+  const char *id;
+  GString *bytes; /**< Head and body; exchange_send takes ownership. */
+  bool is_head;   /**< Whether the method is HEAD. */
+  bool is_stream; /**< Whether the request is for a stream. */
+  bool continues; /**< Whether the stream is continued after events that the
+                     caller already has. */
 };
 
 struct exchange;
@@ -65,7 +78,8 @@
   /** Whether the request is for a stream. A successful event stream is relayed
    * event by event. */
   bool is_stream;
-  bool has_head; /**< Whether the head of the response was received. */
+  bool continues; /**< Whether the attempt continues a stream. */
+  bool has_head;  /**< Whether the head of the response was received. */
   /** How the end of the response is marked; valid if `has_head`. */
   enum serverconn_framing framing;
   bool relayed;    /**< Whether some bytes of the response were passed to
@@ -87,11 +101,10 @@
 /** Close the connection if one is open and free all that EXCHANGE owns. */
 void exchange_finish (struct exchange *exchange);
 
-/** Send REQUEST to SERVER and take ownership of REQUEST. An earlier attempt of
- * EXCHANGE must have ended. */
+/** Send REQUEST to SERVER. An earlier attempt of EXCHANGE must have ended. */
 void exchange_send (struct exchange *exchange, uv_loop_t *loop,
-                    struct server *server, const char *request_id,
-                    GString *request, bool bodiless, bool is_stream,
+                    struct server *server,
+                    const struct exchange_request *request,
                     int64_t connect_timeout_ns);
 
 /** Whether the request was sent and the attempt has not ended. */
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -68,7 +68,7 @@
     learn_load (forward);
   if (outcome == EXCHANGE_NOT_CONNECTED || outcome == EXCHANGE_CUT)
     server_record_connection_failure (forwarder->servers, server);
-  else if (outcome == EXCHANGE_ANSWERED)
+  else if (outcome == EXCHANGE_ANSWERED || outcome == EXCHANGE_NOT_CONTINUED)
     server_record_reached (forwarder->servers, server,
                            response->status >= 500);
   else if (outcome == EXCHANGE_FOREIGN || outcome == EXCHANGE_SILENT)
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -302,8 +302,12 @@
   forward->backlog_ms = choice->backlog_ms;
   forward->store_delay_ms = choice->store_delay_ms;
   exchange_send (&forward->exchange, forwarder->loop, choice->server,
-                 forward->call.request_id, request,
-                 strcmp (method, "HEAD") == 0,
-                 forward->route->kind == ROUTE_STREAM,
+                 &(struct exchange_request){
+                     .id = forward->call.request_id,
+                     .bytes = request,
+                     .is_head = strcmp (method, "HEAD") == 0,
+                     .is_stream = forward->route->kind == ROUTE_STREAM,
+                     .continues = forward->relaying,
+                 },
                  forwarder->settings.connect_timeout_ns);
 }
--- a/test/test-streamend.c
+++ b/test/test-streamend.c
@@ -117,6 +117,39 @@
     }
 }
 
+/* A server that refused to continue a stream ended it as complete. */
+static void
+test_refused_continuation_is_not_complete (void)
+{
+  static const char *const heads[] = {
+    "HTTP/1.1 500 x\r\nX-Request-Id: %s\r\nX-Response-Seal: s\r\n",
+    "HTTP/1.1 504 x\r\nX-Request-Id: %s\r\nX-Response-Seal: s\r\n",
+    "HTTP/1.1 404 x\r\nX-Request-Id: %s\r\nX-Response-Seal: s\r\n",
+    RESPONSE_HEAD "Content-Type: text/plain\r\n",
+  };
+  static const size_t body_sizes[] = { 5, 300 * 1024 };
+
+  for (unsigned i = 0; i < 2 * G_N_ELEMENTS (heads); i++)
+    {
+      char *body = g_strnfill (body_sizes[i % 2], 'e');
+      char *answer = g_strdup_printf ("%sContent-Length: %zu\r\n\r\n%s",
+                                      heads[i / 2], strlen (body), body);
+      struct fake_upstream_step refusal = { answer, FAKE_UPSTREAM_KEEP };
+
+      setup (&cut_inside_event[0], &refusal);
+      servers_find (&path.servers, "i-1")->failure_ratio = 0.9;
+      fake_path_request_send ("/stream/", "");
+      CU_ASSERT_TRUE (fake_path_run_until (NULL));
+      CU_ASSERT_EQUAL (path.upstreams[1].requests, 1);
+      CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, EVENT (1)));
+      CU_ASSERT_PTR_NULL (strstr (path.answer->str, "eeeee"));
+      CU_ASSERT_FALSE (answer_is_complete ());
+      finish ();
+      g_free (answer);
+      g_free (body);
+    }
+}
+
 /* The stream of a caller that came back ended inside an event, and the
  * response looked complete. */
 static void
@@ -204,6 +237,8 @@
 static const struct unit_case cases[] = {
   { "cut-stream-is-not-complete", test_cut_stream_is_not_complete },
   { "cut-stream-is-continued", test_cut_stream_is_continued },
+  { "refused-continuation-is-not-complete",
+    test_refused_continuation_is_not_complete },
   { "cut-stream-of-a-returned-caller", test_cut_stream_of_a_returned_caller },
   { "cut-continuation-is-not-complete",
     test_cut_continuation_is_not_complete },
