A body that its connection cut is not a complete response to a gateway

Cause: gateways, shards and the tool call over h2o's client, which reports the end of any connection as the end of the body where there is no length: after a reset of an unframed body, and where the last chunk is missing. A plain service's response that was cut so reached a gateway's caller with 200 and a length of its own. Streams of completions were safe by their end mark. Evidence: httpclient/cut-body-is-not-complete failed in 4 of 6 cut bodies before this commit (reset of an unframed body, with and without bytes; chunks without the last one, with and without bytes), passes now; whole bodies of all framings still pass. Why it works: h2o has read no bytes when it reports an end that the connection made. Such an end completes a body only if the body is not chunked and the connection was closed in order. The check for a reset is one function now, used by both clients, and also sees a reset whose error was already read.

--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -1,6 +1,7 @@
 #include "httpclient.h"
 #include "tcpkeepalive.h"
 #include "address.h"
+#include "tcpreset.h"
 
 #include <assert.h>
 #include <glib.h>
@@ -28,6 +29,7 @@
                                 address is invalid. */
   bool is_head_request;
   bool may_have_sent;
+  bool chunked; /* Whether the response body is sent in chunks. */
 };
 
 static void
@@ -50,6 +52,16 @@
   ops->ended (data, &result);
 }
 
+/* Whether the body is incomplete although h2o reports its end. h2o takes the
+ * end of the connection, whatever its cause, for the end of a body that has no
+ * length or whose last chunk is missing. It has read no bytes then. */
+static bool
+body_was_cut (const struct httpclient_call *call, h2o_socket_t *socket)
+{
+  return socket->bytes_read == 0
+         && (call->chunked || tcpreset_was_reset (h2o_socket_get_fd (socket)));
+}
+
 static int
 on_body (h2o_http1client_t *connection, const char *errstr)
 {
@@ -77,7 +89,12 @@
       call->connection = connection;
     }
   if (errstr == h2o_http1client_error_is_eos)
-    call_end (call, STATUS_OK, NULL);
+    {
+      if (body_was_cut (call, connection->sock))
+        call_end (call, STATUS_UNKNOWN, "the response is incomplete");
+      else
+        call_end (call, STATUS_OK, NULL);
+    }
   return 0;
 }
 
@@ -99,6 +116,15 @@
   call->ops->head_received (call->data, &head);
 }
 
+static bool
+is_chunked (const h2o_header_t *headers, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf)
+      return true;
+  return false;
+}
+
 static h2o_http1client_body_cb
 on_head (h2o_http1client_t *connection, const char *errstr, int minor_version,
          int status, h2o_iovec_t msg, h2o_header_t *headers,
@@ -114,6 +140,7 @@
   /* A response has started, so the whole request was sent. */
   g_free (call->request_bytes);
   call->request_bytes = NULL;
+  call->chunked = is_chunked (headers, header_count);
   call->connection = NULL;
   report_head (call, status, headers, header_count);
   if (call->ops == NULL)
--- a/src/serverconn.c
+++ b/src/serverconn.c
@@ -2,9 +2,9 @@
 #include "address.h"
 #include "clock.h"
 #include "tcpkeepalive.h"
+#include "tcpreset.h"
 
 #include <string.h>
-#include <sys/socket.h>
 
 enum
 {
@@ -150,19 +150,13 @@
   *buffer = uv_buf_init (bytes, sizeof bytes);
 }
 
-/* Whether the connection was reset. If the server closes its side and then
- * resets the connection before this process reads, reading reports only an end
- * of file, so the pending error of the socket is checked too. */
 static bool
 connection_was_reset (struct serverconn *conn)
 {
-  int socket_error = 0;
-  socklen_t size = sizeof socket_error;
   uv_os_fd_t fd;
 
   return uv_fileno ((uv_handle_t *)&conn->tcp, &fd) != 0
-         || getsockopt (fd, SOL_SOCKET, SO_ERROR, &socket_error, &size) != 0
-         || socket_error != 0;
+         || tcpreset_was_reset (fd);
 }
 
 static void
--- /dev/null
+++ b/src/tcpreset.c
@@ -0,0 +1,27 @@
+#include "tcpreset.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+/* Whether the kernel has given up the connection. After an orderly end it
+ * waits for this side to close. */
+static bool
+is_closed_state (int fd)
+{
+  struct tcp_info info = { 0 };
+  socklen_t size = sizeof info;
+
+  return getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+         && info.tcpi_state == TCP_CLOSE;
+}
+
+bool
+tcpreset_was_reset (int fd)
+{
+  int socket_error = 0;
+  socklen_t size = sizeof socket_error;
+
+  return getsockopt (fd, SOL_SOCKET, SO_ERROR, &socket_error, &size) != 0
+         || socket_error != 0 || is_closed_state (fd);
+}
--- /dev/null
+++ b/src/tcpreset.h
@@ -0,0 +1,17 @@
+#ifndef TCPRESET_H
+#define TCPRESET_H
+
+#include <stdbool.h>
+
+/** @file
+ * Tells a connection that its peer reset from one that the peer closed in
+ * order. A response that ends with its connection is complete only after an
+ * orderly end.
+ */
+
+/** Whether the connection FD, whose end was read, was reset. If the peer
+ * closes its side and then resets the connection before this process reads,
+ * reading reports only an end of file. */
+bool tcpreset_was_reset (int fd);
+
+#endif
--- /dev/null
+++ b/test/test-httpclient.c
@@ -0,0 +1,110 @@
+#include "fake-upstream.h"
+#include "httpclient.h"
+#include "unit.h"
+
+#include <string.h>
+
+enum
+{
+  IO_TIMEOUT_MS = 2000
+};
+
+/* The client's library keeps memory at the loop until the process ends, and
+ * the leak check must find that memory reachable. */
+static struct client_fixture
+{
+  uv_loop_t loop;
+  struct httpclient client;
+  struct fake_upstream upstream;
+  GString *body;
+  enum status status;
+  bool ended;
+} fixture;
+
+static void
+head_received (void *data, const struct httpclient_response_head *head)
+{
+}
+
+static void
+body_received (void *data, const char *bytes, size_t size)
+{
+  g_string_append_len (fixture.body, bytes, (gssize)size);
+}
+
+static void
+call_ended (void *data, const struct httpclient_result *result)
+{
+  fixture.status = result->status;
+  fixture.ended = true;
+}
+
+static const struct httpclient_ops call_ops
+    = { head_received, body_received, call_ended };
+
+static enum status
+call_status (const struct fake_upstream_step *step)
+{
+  struct httpclient_request request
+      = { .method = "GET", .path = "/", .new_connection = true };
+
+  fake_upstream_init (&fixture.upstream, &fixture.loop, step, 1);
+  fixture.body = g_string_new (NULL);
+  fixture.ended = false;
+  request.address = fixture.upstream.address;
+  httpclient_call (&fixture.client, &request, &call_ops, NULL);
+  while (!fixture.ended)
+    uv_run (&fixture.loop, UV_RUN_ONCE);
+  fake_upstream_finish (&fixture.upstream);
+  for (int i = 0; i < 5; i++)
+    uv_run (&fixture.loop, UV_RUN_NOWAIT);
+  g_string_free (fixture.body, TRUE);
+  return fixture.status;
+}
+
+/* A body without its last chunk, or one without a length or chunks that was
+ * reset, looked complete. */
+static void
+test_cut_body_is_not_complete (void)
+{
+  static const struct fake_upstream_step whole[] = {
+    { "HTTP/1.1 200 OK\r\n\r\nhello", FAKE_UPSTREAM_CLOSE },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+      FAKE_UPSTREAM_RESET },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\n\r\n",
+      FAKE_UPSTREAM_KEEP },
+    { "HTTP/1.1 204 x\r\n\r\n", FAKE_UPSTREAM_KEEP },
+  };
+  static const struct fake_upstream_step cut[] = {
+    { "HTTP/1.1 200 OK\r\n\r\nhello", FAKE_UPSTREAM_RESET },
+    { "HTTP/1.1 200 OK\r\n\r\n", FAKE_UPSTREAM_RESET },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+      FAKE_UPSTREAM_CLOSE },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+      FAKE_UPSTREAM_CLOSE },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+      FAKE_UPSTREAM_CLOSE },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      FAKE_UPSTREAM_CLOSE },
+  };
+
+  uv_loop_init (&fixture.loop);
+  httpclient_init (&fixture.client, &fixture.loop, IO_TIMEOUT_MS);
+  for (unsigned i = 0; i < G_N_ELEMENTS (whole); i++)
+    CU_ASSERT_EQUAL (call_status (&whole[i]), STATUS_OK);
+  for (unsigned i = 0; i < G_N_ELEMENTS (cut); i++)
+    CU_ASSERT_EQUAL (call_status (&cut[i]), STATUS_UNKNOWN);
+  httpclient_finish (&fixture.client);
+  uv_run (&fixture.loop, UV_RUN_NOWAIT);
+}
+
+static const struct unit_case cases[] = {
+  { "cut-body-is-not-complete", test_cut_body_is_not_complete },
+};
+
+int
+main (void)
+{
+  return unit_run ("httpclient", cases, G_N_ELEMENTS (cases));
+}
