An unframed stream of a gateway is reset unless it ended whole

Its end mark was missing, but the framing looked complete. Evidence: edges/http-unframed-stream failed for the broken stream before this commit (0 instead of a reset), passes now; the whole stream ends in order. Why it works: as for entry processes, the socket is set to reset from the head on and set back only at a whole end.

--- a/src/callerconn.c
+++ b/src/callerconn.c
@@ -1,7 +1,7 @@
 #include "callerconn.h"
+#include "tcpreset.h"
 
 #include <string.h>
-#include <sys/socket.h>
 
 enum
 {
@@ -478,15 +478,13 @@
   conn_response_ended (conn);
 }
 
-/* Set whether the kernel resets the connection when it is closed. */
 static void
 set_reset_on_close (struct callerconn *conn, bool reset)
 {
-  const struct linger linger = { .l_onoff = reset, .l_linger = 0 };
   uv_os_fd_t fd;
 
   if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0)
-    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+    tcpreset_on_close (fd, reset);
 }
 
 void
--- a/src/callerconn.h
+++ b/src/callerconn.h
@@ -33,7 +33,7 @@
   int64_t arrived_ns;
   /** Whether a received request has no complete response yet. */
   bool serving;
-  /** Whether the head of a streamed response has been sent. */
+  /** Whether the streamed response has chunked encoding. */
   bool chunked;
   bool keep_alive;
   /** Whether the connection closes once all output is sent. */
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -1,5 +1,6 @@
 #include "httpserver.h"
 #include "address.h"
+#include "tcpreset.h"
 
 #include <assert.h>
 #include <errno.h>
@@ -10,7 +11,8 @@
 {
   LISTEN_BACKLOG = 1024,
   DISCONNECT_POLL_MS = 100, /* Interval of checks for disconnected callers. */
-  HTTP_CONTENT_TOO_LARGE = 413
+  HTTP_CONTENT_TOO_LARGE = 413,
+  HTTP_1_0 = 0x100 /* As h2o encodes the version of a request. */
 };
 
 struct httpserver_request
@@ -483,6 +485,19 @@
   h2o_send (req, &text, size > 0 ? 1 : 0, H2O_SEND_STATE_FINAL);
 }
 
+/* HTTP/1.0 has no chunks, so that only a reset shows that a stream is
+ * incomplete. */
+static void
+set_reset_on_close (struct httpserver_request *request, bool reset)
+{
+  h2o_req_t *req = request->req;
+
+  if (req == NULL || req->version > HTTP_1_0)
+    return;
+  tcpreset_on_close (
+      h2o_socket_get_fd (req->conn->callbacks->get_socket (req->conn)), reset);
+}
+
 void
 httpserver_stream_begin (struct httpserver_request *request, int status,
                          const char *content_type,
@@ -492,6 +507,7 @@
   assert (!request->response_started);
   request->response_started = true;
   response_set_head (request, status, content_type, headers, header_count);
+  set_reset_on_close (request, true);
   h2o_start_response (request->req, &request->generator);
 }
 
@@ -516,5 +532,7 @@
   request_unlink (request);
   request->response_ended = true;
   request->response_complete = complete;
+  if (complete)
+    set_reset_on_close (request, false);
   stream_send (request);
 }
--- a/src/tcpreset.c
+++ b/src/tcpreset.c
@@ -16,6 +16,14 @@
          && info.tcpi_state == TCP_CLOSE;
 }
 
+void
+tcpreset_on_close (int fd, bool reset)
+{
+  const struct linger linger = { .l_onoff = reset, .l_linger = 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 bool
 tcpreset_was_reset (int fd)
 {
--- a/src/tcpreset.h
+++ b/src/tcpreset.h
@@ -9,6 +9,10 @@
  * orderly end.
  */
 
+/** Set whether closing the connection FD resets it, also when the process is
+ * killed. Bytes that are not sent yet are lost then. */
+void tcpreset_on_close (int fd, bool reset);
+
 /** Whether the connection FD, whose end was read, was reset. If the peer
  * closes its side and then resets the connection before this process reads,
  * reading reports only an end of file. */
--- a/test/test-edges.c
+++ b/test/test-edges.c
@@ -5,9 +5,13 @@
 #include "peer.h"
 #include "unit.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Frames are read complete wherever the byte stream is split. */
 static void
@@ -191,6 +195,34 @@
     uv_run (&fixture->loop, UV_RUN_ONCE);
 }
 
+/* Read the response to an HTTP/1.0 request.
+ * @return 0 if it ended with an orderly close, else the error of reading */
+static int
+http_1_0_read (struct http_fixture *fixture, const char *path)
+{
+  struct sockaddr_in address;
+  char bytes[4096];
+  ssize_t size;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int error = EAGAIN;
+
+  uv_ip4_addr ("127.0.0.1", (int)httpserver_port (&fixture->server), &address);
+  CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *)&address, sizeof address),
+                   0);
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  size = snprintf (bytes, sizeof bytes, "GET %s HTTP/1.0\r\n\r\n", path);
+  CU_ASSERT_EQUAL (write (fd, bytes, (size_t)size), size);
+  for (int i = 0; i < 200 && error == EAGAIN; i++)
+    {
+      uv_run (&fixture->loop, UV_RUN_ONCE);
+      size = read (fd, bytes, sizeof bytes);
+      if (size <= 0)
+        error = size == 0 ? 0 : errno;
+    }
+  close (fd);
+  return error;
+}
+
 static void
 test_http_round_trip (void)
 {
@@ -226,6 +258,18 @@
 }
 
 /* A body over the limit gets a response that a program can parse. */
+/* A caller without chunks took a broken stream for a complete one. */
+static void
+test_http_unframed_stream (void)
+{
+  static struct http_fixture fixture;
+
+  http_fixture_init (&fixture);
+  CU_ASSERT_EQUAL (http_1_0_read (&fixture, "/stream"), 0);
+  CU_ASSERT_EQUAL (http_1_0_read (&fixture, "/broken"), ECONNRESET);
+  http_fixture_finish (&fixture);
+}
+
 static void
 test_http_body_too_large (void)
 {
@@ -475,6 +519,7 @@
   { "frame-too-large", test_frame_too_large },
   { "http-round-trip", test_http_round_trip },
   { "http-broken-stream", test_http_aborted_stream },
+  { "http-unframed-stream", test_http_unframed_stream },
   { "http-refused-connection", test_http_refused_connection },
   { "http-body-too-large", test_http_body_too_large },
   { "http-caller-gone", test_http_caller_disconnects },
