A list of cached blocks that was cut is no reply

Cause: a reply of a KV cache store that was cut inside its JSON, with no length, was decoded as a reply without blocks, with change number 0. The other decoders already refuse a reply without a JSON body.

--- a/test/test-httpclient.c
+++ b/test/test-httpclient.c
@@ -1,3 +1,5 @@
+#include "clock.h"
+#include "dialect-platform.h"
 #include "fake-upstream.h"
 #include "httpclient.h"
 #include "unit.h"
@@ -99,8 +101,43 @@
   uv_run (&fixture.loop, UV_RUN_NOWAIT);
 }
 
+static void
+cache_list_received (void *data, const struct cache_report *report)
+{
+  fixture.status = report->replied ? STATUS_OK : STATUS_UNKNOWN;
+  fixture.ended = true;
+}
+
+/* A list of blocks that was cut looked like an empty list. */
+static void
+test_cut_block_list_is_no_reply (void)
+{
+  static const struct fake_upstream_step cut = {
+    "HTTP/1.1 200 OK\r\n\r\n{\"bootEpoch\":7,\"next\":9,\"heldCount\":[[",
+    FAKE_UPSTREAM_CLOSE
+  };
+  struct httpjson httpjson;
+
+  uv_loop_init (&fixture.loop);
+  httpclient_init (&fixture.client, &fixture.loop, IO_TIMEOUT_MS);
+  httpjson_init (&httpjson, &fixture.client);
+  fake_upstream_init (&fixture.upstream, &fixture.loop, &cut, 1);
+  fixture.ended = false;
+  dialect_platform.cache_list (&httpjson, fixture.upstream.address, NS_PER_S,
+                               cache_list_received, NULL);
+  while (!fixture.ended)
+    uv_run (&fixture.loop, UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (fixture.status, STATUS_UNKNOWN);
+  fake_upstream_finish (&fixture.upstream);
+  httpjson_finish (&httpjson);
+  httpclient_finish (&fixture.client);
+  for (int i = 0; i < 5; i++)
+    uv_run (&fixture.loop, UV_RUN_NOWAIT);
+}
+
 static const struct unit_case cases[] = {
   { "cut-body-is-not-complete", test_cut_body_is_not_complete },
+  { "cut-block-list-is-no-reply", test_cut_block_list_is_no_reply },
 };
 
 int
