--- a/test/test-httpclient.c
+++ b/test/test-httpclient.c
@@ -11,9 +11,9 @@
   IO_TIMEOUT_MS = 2000
 };
 
-/* The client's library keeps memory at the loop until the process ends, and
- * the leak check must find that memory reachable. */
-static struct client_fixture
+/* Static in each test: the client's library keeps memory at the loop until the
+ * process ends, and the leak check must find that memory reachable. */
+struct client_fixture
 {
   uv_loop_t loop;
   struct httpclient client;
@@ -21,7 +21,17 @@
   GString *body;
   enum status status;
   bool ended;
-} fixture;
+};
+
+static struct client_fixture *fixture;
+
+static void
+fixture_init (struct client_fixture *own)
+{
+  fixture = own;
+  uv_loop_init (&fixture->loop);
+  httpclient_init (&fixture->client, &fixture->loop, IO_TIMEOUT_MS);
+}
 
 static void
 head_received (void *data, const struct httpclient_response_head *head)
@@ -31,14 +41,14 @@
 static void
 body_received (void *data, const char *bytes, size_t size)
 {
-  g_string_append_len (fixture.body, bytes, (gssize)size);
+  g_string_append_len (fixture->body, bytes, (gssize)size);
 }
 
 static void
 call_ended (void *data, const struct httpclient_result *result)
 {
-  fixture.status = result->status;
-  fixture.ended = true;
+  fixture->status = result->status;
+  fixture->ended = true;
 }
 
 static const struct httpclient_ops call_ops
@@ -50,18 +60,18 @@
   struct httpclient_request request
       = { .method = "GET", .path = "/", .new_connection = true };
 
-  fake_upstream_init (&fixture.upstream, &fixture.loop, step, 1);
-  fixture.body = g_string_new (NULL);
-  fixture.ended = false;
-  request.address = fixture.upstream.address;
-  httpclient_call (&fixture.client, &request, &call_ops, NULL);
-  while (!fixture.ended)
-    uv_run (&fixture.loop, UV_RUN_ONCE);
-  fake_upstream_finish (&fixture.upstream);
+  fake_upstream_init (&fixture->upstream, &fixture->loop, step, 1);
+  fixture->body = g_string_new (NULL);
+  fixture->ended = false;
+  request.address = fixture->upstream.address;
+  httpclient_call (&fixture->client, &request, &call_ops, NULL);
+  while (!fixture->ended)
+    uv_run (&fixture->loop, UV_RUN_ONCE);
+  fake_upstream_finish (&fixture->upstream);
   for (int i = 0; i < 5; i++)
-    uv_run (&fixture.loop, UV_RUN_NOWAIT);
-  g_string_free (fixture.body, TRUE);
-  return fixture.status;
+    uv_run (&fixture->loop, UV_RUN_NOWAIT);
+  g_string_free (fixture->body, TRUE);
+  return fixture->status;
 }
 
 /* A body without its last chunk, or one without a length or chunks that was
@@ -90,22 +100,22 @@
     { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
       FAKE_UPSTREAM_CLOSE },
   };
+  static struct client_fixture own;
 
-  uv_loop_init (&fixture.loop);
-  httpclient_init (&fixture.client, &fixture.loop, IO_TIMEOUT_MS);
+  fixture_init (&own);
   for (unsigned i = 0; i < G_N_ELEMENTS (whole); i++)
     CU_ASSERT_EQUAL (call_status (&whole[i]), STATUS_OK);
   for (unsigned i = 0; i < G_N_ELEMENTS (cut); i++)
     CU_ASSERT_EQUAL (call_status (&cut[i]), STATUS_UNKNOWN);
-  httpclient_finish (&fixture.client);
-  uv_run (&fixture.loop, UV_RUN_NOWAIT);
+  httpclient_finish (&fixture->client);
+  uv_run (&fixture->loop, UV_RUN_NOWAIT);
 }
 
 static void
 cache_list_received (void *data, const struct cache_report *report)
 {
-  fixture.status = report->replied ? STATUS_OK : STATUS_UNKNOWN;
-  fixture.ended = true;
+  fixture->status = report->replied ? STATUS_OK : STATUS_UNKNOWN;
+  fixture->ended = true;
 }
 
 /* A list of blocks that was cut looked like an empty list. */
@@ -116,23 +126,23 @@
     "HTTP/1.1 200 OK\r\n\r\n{\"bootEpoch\":7,\"next\":9,\"heldCount\":[[",
     FAKE_UPSTREAM_CLOSE
   };
+  static struct client_fixture own;
   struct httpjson httpjson;
 
-  uv_loop_init (&fixture.loop);
-  httpclient_init (&fixture.client, &fixture.loop, IO_TIMEOUT_MS);
-  httpjson_init (&httpjson, &fixture.client);
-  fake_upstream_init (&fixture.upstream, &fixture.loop, &cut, 1);
-  fixture.ended = false;
-  dialect_platform.cache_list (&httpjson, fixture.upstream.address, NS_PER_S,
+  fixture_init (&own);
+  httpjson_init (&httpjson, &fixture->client);
+  fake_upstream_init (&fixture->upstream, &fixture->loop, &cut, 1);
+  fixture->ended = false;
+  dialect_platform.cache_list (&httpjson, fixture->upstream.address, NS_PER_S,
                                cache_list_received, NULL);
-  while (!fixture.ended)
-    uv_run (&fixture.loop, UV_RUN_ONCE);
-  CU_ASSERT_EQUAL (fixture.status, STATUS_UNKNOWN);
-  fake_upstream_finish (&fixture.upstream);
+  while (!fixture->ended)
+    uv_run (&fixture->loop, UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (fixture->status, STATUS_UNKNOWN);
+  fake_upstream_finish (&fixture->upstream);
   httpjson_finish (&httpjson);
-  httpclient_finish (&fixture.client);
+  httpclient_finish (&fixture->client);
   for (int i = 0; i < 5; i++)
-    uv_run (&fixture.loop, UV_RUN_NOWAIT);
+    uv_run (&fixture->loop, UV_RUN_NOWAIT);
 }
 
 static const struct unit_case cases[] = {
