Logs name the software of a server and what a resumed stream began with

The logs named no software version and did not say that a request takes a stream up. No choice is changed.

--- a/src/call.h
+++ b/src/call.h
@@ -44,6 +44,9 @@
   unsigned block_count;
   /** Whether the caller resumes a stream that was interrupted. */
   bool resumes;
+  /** Id of the request that brought the caller the first event of the stream
+   * that it resumes; NULL if the caller does not tell. */
+  const char *resumed_id;
   uint64_t last_event_id; /**< Id of the last event that the caller has
                               received. */
 };
--- a/src/event.c
+++ b/src/event.c
@@ -107,7 +107,8 @@
   /* Entry processes: 900 */
   { EVENT_FORWARD_PLACE, EVENT_LEVEL_INFO, "forward_place",
     "A backend server was chosen: candidates, expected times in ms, tokens "
-    "assumed to be cached, revision of its entry, age of its load report." },
+    "assumed to be cached, revision of its entry, age of its load report; for "
+    "a stream that is resumed, the request and the software that began it." },
   { EVENT_FORWARD_ATTEMPT, EVENT_LEVEL_WARN, "forward_attempt",
     "An attempt on a backend server gave no response to forward; its outcome "
     "and the next action are given, how the response was framed, its whole "
--- a/src/forward.h
+++ b/src/forward.h
@@ -94,6 +94,9 @@
                              the request. */
   bool relaying; /**< Whether the response head has been sent to the caller. */
   bool first_event_recorded;
+  /** Software version of the server that sent the first event; empty if there
+   * is none or it is unknown. */
+  char began_software[SERVER_NAME_MAX];
   uint64_t fingerprint;
   char *fetch_store_name; /**< Name of the store that the largest fetched block
                              comes from; NULL if no block is fetched. */
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -142,6 +142,9 @@
     {
       forward->relaying = true;
       forward_learn_response_head (forward);
+      if (!forward->call.resumes)
+        g_strlcpy (forward->began_software, exchange->server->entry.software,
+                   sizeof forward->began_software);
       callerconn_stream_begin (forward->conn, exchange->response.status,
                                exchange->header_lines->str);
     }
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -72,6 +72,38 @@
   return stored != NULL ? stored->tokens : 0;
 }
 
+/* Count that a stream goes on at SERVER, and describe it: how the stream is
+ * resumed, which request began it, and after which event. */
+static void
+resumption_record (struct forward *forward, const struct server *server,
+                   char *out, size_t size)
+{
+  const struct call *call = &forward->call;
+  const char *way = forward->relaying ? "response" : "return";
+  const char *software = "unknown";
+  char labels[96];
+
+  out[0] = '\0';
+  if (!forward->relaying && !call->resumes)
+    return;
+  if (forward->began_software[0] != '\0')
+    software = strcmp (forward->began_software, server->entry.software) == 0
+                   ? "same"
+                   : "other";
+  g_snprintf (labels, sizeof labels, "way=\"%s\",software=\"%s\"", way,
+              software);
+  metrics_add (forward->forwarder->metrics,
+               "trefoilspar_streams_resumed_total", labels, 1);
+  g_snprintf (
+      out, size, " resumed=%s began_id=%s began_software=%s after=%lu", way,
+      call->resumed_id != NULL ? call->resumed_id
+      : call->resumes          ? "-"
+                               : call->request_id,
+      forward->began_software[0] != '\0' ? forward->began_software : "-",
+      (unsigned long)(forward->relaying ? forward->exchange.events.last_id
+                                        : call->last_event_id));
+}
+
 void
 forward_log_placement (struct forward *forward,
                        const struct choose_query *query,
@@ -83,12 +115,16 @@
   uint64_t weights = query->model != NULL
                          ? server_weight_version (server, query->model)
                          : 0;
+  char resumption[256];
 
+  resumption_record (forward, server, resumption, sizeof resumption);
   log_event (forwarder->log, EVENT_FORWARD_PLACE,
-             "id=%s server=%s service=%s candidates=%u cost_ms=%.1f "
+             "id=%s server=%s service=%s software=%s candidates=%u "
+             "cost_ms=%.1f "
              "backlog_ms=%.1f cached=%lu stored=%lu prompt=%u context=%lx "
-             "weights=%lu entry=%lu load_age_ms=%ld waited_ms=%.1f",
+             "weights=%lu entry=%lu load_age_ms=%ld waited_ms=%.1f%s",
              forward->call.request_id, server->entry.id, forward->service,
+             server->entry.software[0] != '\0' ? server->entry.software : "-",
              choice->candidates, choice->cost_ms, choice->backlog_ms,
              (unsigned long)choice->cached_tokens,
              (unsigned long)stored_tokens (query, server),
@@ -98,7 +134,7 @@
              server->has_load_report
                  ? (long)((now - server->load_reported_ns) / NS_PER_MS)
                  : -1L,
-             (double)(now - forward->arrived_ns) / NS_PER_MS);
+             (double)(now - forward->arrived_ns) / NS_PER_MS, resumption);
 }
 
 void
--- a/src/servers.h
+++ b/src/servers.h
@@ -39,6 +39,9 @@
   char service[SERVER_NAME_MAX];
   char address[SERVER_ADDRESS_MAX];
   char data_centre[SERVER_NAME_MAX];
+  /** Version of the server's software. It is unrelated to the versions of
+   * weights. */
+  char software[SERVER_NAME_MAX];
   /** Number of requests that the server runs at the same time. */
   unsigned slots;
   bool leaving;        /**< Whether the server accepts no new requests. */
--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -97,6 +97,35 @@
   servers_update (&path.servers, &entry, 1);
 }
 
+void
+fake_path_upstream_add (const struct fake_upstream_step *step,
+                        const char *service, const char *software)
+{
+  unsigned index = path.upstream_count++;
+  struct server_entry entry = { .slots = 4 };
+
+  fake_upstream_init (&path.upstreams[index], &path.loop, step, 1);
+  g_snprintf (entry.id, sizeof entry.id, "i-%u", index);
+  g_strlcpy (entry.service, service, sizeof entry.service);
+  g_strlcpy (entry.address, path.upstreams[index].address,
+             sizeof entry.address);
+  g_strlcpy (entry.data_centre, "dc", sizeof entry.data_centre);
+  g_strlcpy (entry.software, software, sizeof entry.software);
+  servers_update (&path.servers, &entry, 1);
+}
+
+void
+fake_path_set_software (unsigned index, const char *software)
+{
+  struct server_entry entry = { 0 };
+  char id[16];
+
+  g_snprintf (id, sizeof id, "i-%u", index);
+  entry = servers_find (&path.servers, id)->entry;
+  g_strlcpy (entry.software, software, sizeof entry.software);
+  servers_update (&path.servers, &entry, 2);
+}
+
 static void
 caller_connect (void)
 {
--- a/test/fake-path.h
+++ b/test/fake-path.h
@@ -13,6 +13,11 @@
 
 #define FAKE_PATH_HOST "one.example"
 
+enum
+{
+  FAKE_PATH_SERVERS_MAX = 4
+};
+
 struct fake_path
 {
   uv_loop_t loop;
@@ -30,7 +35,7 @@
   struct cacheretire retire;
   struct forwarder forwarder;
   struct callerserver front;
-  struct fake_upstream upstreams[2];
+  struct fake_upstream upstreams[FAKE_PATH_SERVERS_MAX];
   unsigned upstream_count;
   int caller;
   GString *answer;
@@ -52,6 +57,14 @@
 /** The server "i-INDEX" is at ADDRESS. */
 void fake_path_server_add (unsigned index, const char *address);
 
+/** Add a server "i-INDEX" of SERVICE with the script STEP and a version of its
+ * software, where INDEX counts the servers. */
+void fake_path_upstream_add (const struct fake_upstream_step *step,
+                             const char *service, const char *software);
+
+/** Set the version of the software of the server "i-INDEX". */
+void fake_path_set_software (unsigned index, const char *software);
+
 /** Take what the caller was sent. */
 void fake_path_caller_read (void);
 
--- a/test/test-platform.c
+++ b/test/test-platform.c
@@ -121,6 +121,8 @@
     { "\"slots\":64", "\"slots\":\"64\"" },
     { "\"slots\":64", "\"slots\":-1" },
     { "\"version\":3", "\"version\":\"3\"" },
+    { "\"version\":\"v1\"", "\"version\":1" },
+    { "\"version\":\"v1\"", "\"version\":\"\"" },
     { "\"born\":1700000000000", "\"born\":1.5" },
     { "\"zone\":\"z\"", "\"zone\":[]" },
     { "{\"backend\"", "[{\"backend\"" },
