--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -140,6 +140,16 @@
   fcntl (path.caller, F_SETFL, O_NONBLOCK);
 }
 
+void
+fake_path_caller_reconnect (void)
+{
+  close (path.caller);
+  path.ended = false;
+  path.reset = false;
+  g_string_truncate (path.answer, 0);
+  caller_connect ();
+}
+
 void
 fake_path_setup (const struct fake_upstream_step *first, unsigned first_count,
                  const struct fake_upstream_step *second,
--- a/test/fake-path.h
+++ b/test/fake-path.h
@@ -65,6 +65,9 @@
 /** Set the version of the software of the server "i-INDEX". */
 void fake_path_set_software (unsigned index, const char *software);
 
+/** Connect the caller anew and forget what it was sent. */
+void fake_path_caller_reconnect (void);
+
 /** Take what the caller was sent. */
 void fake_path_caller_read (void);
 
--- a/test/test-streamversion.c
+++ b/test/test-streamversion.c
@@ -63,7 +63,95 @@
   finish ();
 }
 
+static bool
+answer_is_complete (void)
+{
+  return g_str_has_suffix (path.answer->str, END_OF_CHUNKS);
+}
+
+/* Send the request of a caller that comes back, on a new connection. */
+static void
+send_return (const char *id, const char *resumes)
+{
+  char *text = g_strdup_printf (
+      "GET /stream/ HTTP/1.1\r\nHost: " FAKE_PATH_HOST "\r\n"
+      "X-Request-Id: %s\r\nX-Api-Key: key\r\nX-Request-Deadline: 1200\r\n"
+      "Last-Event-Id: 1\r\n%s\r\n",
+      id, resumes);
+
+  fake_path_caller_reconnect ();
+  fake_path_caller_send (text);
+  g_free (text);
+}
+
+/* A cut stream went on at a server with another software version. */
+static void
+test_cut_stream_stays_at_its_software (void)
+{
+  setup ("v1", "v2");
+  fake_path_request_send ("/stream/", "");
+  CU_ASSERT_TRUE (fake_path_run_until (NULL));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, EVENT (1)));
+  CU_ASSERT_FALSE (answer_is_complete ());
+  CU_ASSERT_EQUAL (path.upstreams[1].requests, 0);
+  finish ();
+
+  setup ("v1", "v2");
+  fake_path_upstream_add (&rest, "svc", "v1");
+  servers_find (&path.servers, "i-2")->failure_ratio = 0.9;
+  fake_path_request_send ("/stream/", "");
+  CU_ASSERT_TRUE (fake_path_run_until (END_OF_CHUNKS));
+  CU_ASSERT_EQUAL (path.upstreams[1].requests, 0);
+  CU_ASSERT_EQUAL (path.upstreams[2].requests, 1);
+  finish ();
+}
+
+/* The stream of a caller that came back went on at a server with another
+ * software version. */
+static void
+test_returned_caller_stays_at_its_software (void)
+{
+  setup ("v1", "v2");
+  fake_path_request_send ("/stream/", "");
+  CU_ASSERT_TRUE (fake_path_run_until (NULL));
+  servers_remove (&path.servers, "i-0", "test");
+  send_return ("r2", "Resumes: r1\r\n");
+  CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 503"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, "Retry-After: "));
+  CU_ASSERT_EQUAL (path.upstreams[1].requests, 0);
+  fake_path_upstream_add (&rest, "svc", "v1");
+  servers_find (&path.servers, "i-2")->failure_ratio = 0.9;
+  send_return ("r3", "Resumes: r1\r\n");
+  CU_ASSERT_TRUE (fake_path_run_until (END_OF_CHUNKS));
+  CU_ASSERT_EQUAL (path.upstreams[1].requests, 0);
+  CU_ASSERT_EQUAL (path.upstreams[2].requests, 1);
+  finish ();
+}
+
+/* A stream of which nobody knows the software went on at any server. */
+static void
+test_unknown_stream_is_refused (void)
+{
+  static const char *const resumes[] = { "Resumes: other\r\n", "" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (resumes); i++)
+    {
+      setup ("v1", "v2");
+      send_return ("r2", resumes[i]);
+      CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 503"));
+      CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, "Retry-After: "));
+      CU_ASSERT_EQUAL (path.upstreams[0].requests, 0);
+      CU_ASSERT_EQUAL (path.upstreams[1].requests, 0);
+      finish ();
+    }
+}
+
 static const struct unit_case cases[] = {
+  { "cut-stream-stays-at-its-software",
+    test_cut_stream_stays_at_its_software },
+  { "returned-caller-stays-at-its-software",
+    test_returned_caller_stays_at_its_software },
+  { "unknown-stream-is-refused", test_unknown_stream_is_refused },
   { "log-names-the-software", test_log_of_a_resumed_stream },
 };
 
