A caller that comes back goes on at the software that began its stream

Cause: a caller that came back with Last-Event-Id was placed like a new request. No host knew which software had begun its stream, least of all another host than the one that had relayed it. Why it works: the host that relays the first event of a stream that can be resumed first sends a record (hash of the request's id, hash of service and software) to the three hosts with the highest rendezvous weight. A host to which a caller comes back looks the named request up at itself and at six such hosts, for at most 150 ms, and sends the request only to that service and software. Records never change, so that a copy is never wrong. If nobody knows the stream, it goes on only if its service has had no other software for longer than a stream lives, as seen by a host whose lease is valid, and some host has replied; else the caller is refused with Retry-After, before anything has run. Ruled out: a deterministic choice of the version from the request's id (new versions change it while streams run); one write to the KV service for each stream (160 a second of 400 for all hosts); a record only when a stream breaks (a killed host writes none).

--- a/src/entry.c
+++ b/src/entry.c
@@ -1,5 +1,6 @@
 #include "entry.h"
 #include "entryhttp.h"
+#include "entryorigin.h"
 #include "entryviews.h"
 
 #include <signal.h>
@@ -265,6 +266,7 @@
   servers_tick (&entry->servers);
   subsets_tick (&entry->subsets);
   peerudp_tick (&entry->peerudp);
+  streamorigin_tick (&entry->origin);
   forwarder_tick (&entry->forwarder);
   settings_poll (entry, now);
   stage_advance (entry, now);
@@ -333,11 +335,11 @@
         = listen_at (entry, &entry->metrics_server, &settings->listen.metrics,
                      &entryhttp_metrics_ops, error);
   if (status == STATUS_OK)
-    status = peerudp_init (&entry->peerudp, &entry->loop, &entry->loadshare,
-                           &entry->kvstores, &entry->presence, &entry->subsets,
-                           &entry->clock, settings->listen.peer.ip,
-                           settings->listen.peer.port,
-                           LOAD_PERIOD_MS * NS_PER_MS, error);
+    status = peerudp_init (
+        &entry->peerudp, &entry->loop, &entry->loadshare, &entry->kvstores,
+        &entry->presence, &entry->subsets, &entry->origin, &entry->clock,
+        settings->listen.peer.ip, settings->listen.peer.port,
+        LOAD_PERIOD_MS * NS_PER_MS, error);
   return status;
 }
 
@@ -471,6 +473,8 @@
   poisoncount_init (&entry->poisoncount, &entry->kvbudget.kv, &entry->clock,
                     ENTRY_CRASH_PREFIX);
   entry_init_presence (entry);
+  streamorigin_init (&entry->origin, &entry->clock, &entry->presence,
+                     &entryorigin_ops, entry);
   subsets_init (&entry->subsets, &entry->clock, &entry->presence,
                 &entry->servers);
   loadshare_init (&entry->loadshare, &entry->servers, &entry->clock,
@@ -482,7 +486,7 @@
   forwarder_init (&entry->forwarder, &entry->loop, &entry->clock, &entry->rng,
                   &entry->log, &entry->metrics, entry->dialect, &no_settings,
                   &entry->servers, &entry->poisoncount, &entry->kvstores,
-                  &entry->retire);
+                  &entry->retire, &entry->origin);
   cacheretire_init (&entry->retire, &entry->clock, &entry->log,
                     &entry->servers, &entry->presence,
                     entry->forwarder.wanted_weights);
@@ -563,6 +567,7 @@
   callerserver_finish (&entry->ready_server);
   callerserver_finish (&entry->metrics_server);
   forwarder_finish (&entry->forwarder);
+  streamorigin_finish (&entry->origin);
   kvbudget_finish (&entry->kvbudget);
   httpjson_finish (&entry->httpjson);
   httpclient_finish (&entry->httpclient);
--- a/src/entry.h
+++ b/src/entry.h
@@ -68,6 +68,7 @@
   struct loadshare loadshare;
   struct subsets subsets;
   struct peerudp peerudp;
+  struct streamorigin origin;
   struct rollout rollout;
   struct kvstores kvstores;
   struct cacheretire retire;
--- a/src/forward.h
+++ b/src/forward.h
@@ -12,6 +12,7 @@
 #include "poisoncount.h"
 #include "forwardretry.h"
 #include "retrybudget.h"
+#include "streamorigin.h"
 #include "routes.h"
 #include "weights.h"
 
@@ -49,6 +50,7 @@
   struct poisoncount *poisoncount;
   struct kvstores *kvstores;
   const struct cacheretire *retire;
+  struct streamorigin *origin;
   /** Routing configuration; NULL until one is loaded. */
   struct routes *routes;
   /** Maps model names to struct wanted_weights. */
@@ -94,6 +96,9 @@
                              the request. */
   bool relaying; /**< Whether the response head has been sent to the caller. */
   bool first_event_recorded;
+  struct streamorigin_query origin_query;
+  /** Called when origin_query ends. */
+  void (*origin_found) (struct forward *forward, bool known);
   /** Hash of the software that the stream goes on with; 0 before its first
    * event. What two versions write doesn't fit together. */
   uint64_t software_hash;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -1,6 +1,8 @@
 #include "forwarder.h"
 #include "forwardlearn.h"
 #include "forwardlog.h"
+#include "forwardrespond.h"
+#include "forwardresume.h"
 #include "forwardsend.h"
 #include "forwardwait.h"
 
@@ -19,103 +21,8 @@
   RETRY_AFTER_POISON_MS = 10000
 };
 
-/* Maximum Retry-After time, as a share of the request's time left. */
-static const double retry_after_share = 0.3;
-
 static void forward_place (struct forward *forward);
 
-static void
-forward_free (struct forward *forward)
-{
-  forwardwait_remove (forward);
-  forward_uncount_load (forward);
-  exchange_finish (&forward->exchange);
-  list_remove (&forward->node);
-  forward->forwarder->request_count--;
-  routes_unref (forward->routes);
-  g_free (forward->fetch_store_name);
-  g_free (forward);
-}
-
-/* Send a response that this process makes itself and end the request. */
-static void
-forward_respond (struct forward *forward, int status, const char *reason,
-                 int64_t retry_after_ns)
-{
-  struct callerconn *conn = forward->conn;
-  GString *lines = g_string_new (NULL);
-
-  forward_log_end (forward, status, reason);
-  forward->forwarder->dialect->own_headers_encode (
-      lines, forward->call.request_id, retry_after_ns);
-  forward_free (forward);
-  callerconn_respond (conn, status, lines->str, "", 0);
-  g_string_free (lines, TRUE);
-}
-
-/* Return a random time between one and two times BASE_MS, so that callers do
- * not retry all at once. */
-static int64_t
-retry_after_random_ns (struct forwarder *forwarder, int64_t base_ms)
-{
-  return (int64_t)((double)base_ms * NS_PER_MS
-                   * (1 + rng_uniform (forwarder->rng)));
-}
-
-/* Tell the caller that the request did not run. A caller retries only before
- * its request's deadline, so the Retry-After time is limited to a share of the
- * time left. */
-static void
-forward_refuse (struct forward *forward, const char *reason,
-                int64_t retry_after_ms)
-{
-  struct forwarder *forwarder = forward->forwarder;
-  int64_t retry_after_ns = retry_after_random_ns (forwarder, retry_after_ms);
-  int64_t left_ns = forward->deadline_ns - clock_now (forwarder->clock);
-
-  if (forward->deadline_ns != 0 && left_ns > 0)
-    retry_after_ns
-        = MIN (retry_after_ns, (int64_t)(retry_after_share * (double)left_ns));
-  forward_respond (forward, 503, reason, retry_after_ns);
-}
-
-static void
-forward_fail (struct forward *forward, const char *reason)
-{
-  bool expired = clock_now (forward->forwarder->clock) >= forward->deadline_ns;
-
-  forward_respond (forward, expired ? 504 : 502, reason, 0);
-}
-
-/* Close the caller's connection in the middle of the response, so that the
- * caller sees an incomplete stream. */
-static void
-forward_break (struct forward *forward, const char *reason)
-{
-  struct callerconn *conn = forward->conn;
-
-  forward_log_end (forward, forward->exchange.response.status, reason);
-  forward_free (forward);
-  callerconn_abort (conn);
-}
-
-static void
-forward_pass_on (struct forward *forward)
-{
-  struct callerconn *conn = forward->conn;
-  struct exchange *exchange = &forward->exchange;
-
-  forward_log_end (forward, exchange->response.status, "answered");
-  if (forward->relaying)
-    callerconn_stream_end (conn);
-  else
-    callerconn_respond (conn, exchange->response.status,
-                        exchange->header_lines->str,
-                        (const char *)exchange->buffered_body->data,
-                        exchange->buffered_body->len);
-  forward_free (forward);
-}
-
 static struct retrybudget *
 service_retry_budget (struct forwarder *forwarder, const char *service)
 {
@@ -142,10 +49,7 @@
     {
       forward->relaying = true;
       forward_learn_response_head (forward);
-      forward->software_hash = forward->attempt_software_hash;
-      if (!forward->call.resumes)
-        g_strlcpy (forward->began_software, exchange->server->entry.software,
-                   sizeof forward->began_software);
+      forwardresume_record (forward);
       callerconn_stream_begin (forward->conn, exchange->response.status,
                                exchange->header_lines->str);
     }
@@ -333,6 +237,15 @@
   forward->deadline_ns = forward->arrived_ns + timeout_ns;
 }
 
+static void
+forward_origin_found (struct forward *forward, bool known)
+{
+  if (known)
+    forward_place (forward);
+  else
+    forward_refuse (forward, "unknown_software", RETRY_AFTER_NO_SERVER_MS);
+}
+
 static void
 forward_start (struct forward *forward)
 {
@@ -350,7 +263,8 @@
       conn->target->str, conn->body->data, conn->body->len);
   if (poisoncount_is_blocked (forwarder->poisoncount, forward->fingerprint))
     forward_refuse (forward, "ends_servers", RETRY_AFTER_POISON_MS);
-  else
+  else if (!forwardresume_is_return (forward)
+           || forwardresume_start (forward, forward_origin_found))
     forward_place (forward);
 }
 
@@ -380,6 +294,7 @@
       conn->owner_data = forward;
       list_init (&forward->node);
       list_init (&forward->waiting_node);
+      list_init (&forward->origin_query.node);
       list_append (&forwarder->requests, &forward->node);
       forwarder->request_count++;
       exchange_init (&forward->exchange, forwarder->dialect, forwarder->clock,
@@ -396,7 +311,7 @@
   forwarder->dialect->own_headers_encode (
       lines, call.request_id,
       status == 503
-          ? retry_after_random_ns (forwarder, RETRY_AFTER_NO_CONFIG_MS)
+          ? forward_random_retry_after_ns (forwarder, RETRY_AFTER_NO_CONFIG_MS)
           : 0);
   callerconn_respond (conn, status, lines->str, "", 0);
   g_string_free (lines, TRUE);
@@ -569,7 +484,8 @@
                 struct metrics *metrics, const struct dialect *dialect,
                 const struct forward_settings *settings,
                 struct servers *servers, struct poisoncount *poisoncount,
-                struct kvstores *kvstores, const struct cacheretire *retire)
+                struct kvstores *kvstores, const struct cacheretire *retire,
+                struct streamorigin *origin)
 {
   memset (forwarder, 0, sizeof *forwarder);
   forwarder->loop = loop;
@@ -583,6 +499,7 @@
   forwarder->poisoncount = poisoncount;
   forwarder->kvstores = kvstores;
   forwarder->retire = retire;
+  forwarder->origin = origin;
   forwarder->host_count = 1;
   list_init (&forwarder->requests);
   list_init (&forwarder->waiting);
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -17,7 +17,8 @@
                      const struct forward_settings *settings,
                      struct servers *servers, struct poisoncount *poisoncount,
                      struct kvstores *kvstores,
-                     const struct cacheretire *retire);
+                     const struct cacheretire *retire,
+                     struct streamorigin *origin);
 void forwarder_finish (struct forwarder *forwarder);
 
 /** Apply the KV cache capacity that the present configuration sets for
--- /dev/null
+++ b/src/forwardrespond.c
@@ -0,0 +1,93 @@
+#include "forwardrespond.h"
+#include "forwardlog.h"
+#include "forwardsend.h"
+#include "forwardwait.h"
+
+/* Maximum Retry-After time, as a share of the request's time left. */
+static const double retry_after_share = 0.3;
+
+void
+forward_free (struct forward *forward)
+{
+  forwardwait_remove (forward);
+  streamorigin_cancel (&forward->origin_query);
+  forward_uncount_load (forward);
+  exchange_finish (&forward->exchange);
+  list_remove (&forward->node);
+  forward->forwarder->request_count--;
+  routes_unref (forward->routes);
+  g_free (forward->fetch_store_name);
+  g_free (forward);
+}
+
+void
+forward_respond (struct forward *forward, int status, const char *reason,
+                 int64_t retry_after_ns)
+{
+  struct callerconn *conn = forward->conn;
+  GString *lines = g_string_new (NULL);
+
+  forward_log_end (forward, status, reason);
+  forward->forwarder->dialect->own_headers_encode (
+      lines, forward->call.request_id, retry_after_ns);
+  forward_free (forward);
+  callerconn_respond (conn, status, lines->str, "", 0);
+  g_string_free (lines, TRUE);
+}
+
+int64_t
+forward_random_retry_after_ns (struct forwarder *forwarder, int64_t base_ms)
+{
+  return (int64_t)((double)base_ms * NS_PER_MS
+                   * (1 + rng_uniform (forwarder->rng)));
+}
+
+void
+forward_refuse (struct forward *forward, const char *reason,
+                int64_t retry_after_ms)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  int64_t retry_after_ns
+      = forward_random_retry_after_ns (forwarder, retry_after_ms);
+  int64_t left_ns = forward->deadline_ns - clock_now (forwarder->clock);
+
+  if (forward->deadline_ns != 0 && left_ns > 0)
+    retry_after_ns
+        = MIN (retry_after_ns, (int64_t)(retry_after_share * (double)left_ns));
+  forward_respond (forward, 503, reason, retry_after_ns);
+}
+
+void
+forward_fail (struct forward *forward, const char *reason)
+{
+  bool expired = clock_now (forward->forwarder->clock) >= forward->deadline_ns;
+
+  forward_respond (forward, expired ? 504 : 502, reason, 0);
+}
+
+void
+forward_break (struct forward *forward, const char *reason)
+{
+  struct callerconn *conn = forward->conn;
+
+  forward_log_end (forward, forward->exchange.response.status, reason);
+  forward_free (forward);
+  callerconn_abort (conn);
+}
+
+void
+forward_pass_on (struct forward *forward)
+{
+  struct callerconn *conn = forward->conn;
+  struct exchange *exchange = &forward->exchange;
+
+  forward_log_end (forward, exchange->response.status, "answered");
+  if (forward->relaying)
+    callerconn_stream_end (conn);
+  else
+    callerconn_respond (conn, exchange->response.status,
+                        exchange->header_lines->str,
+                        (const char *)exchange->buffered_body->data,
+                        exchange->buffered_body->len);
+  forward_free (forward);
+}
--- a/src/peerudp.c
+++ b/src/peerudp.c
@@ -7,7 +7,8 @@
 enum datagram_type
 {
   DATAGRAM_LOADS = 1,
-  DATAGRAM_BLOCKS = 2
+  DATAGRAM_BLOCKS = 2,
+  DATAGRAM_ORIGIN = 3
 };
 
 enum
@@ -36,14 +37,18 @@
     loadshare_receive (peerudp->loadshare, bytes + 1, (size_t)size - 1);
   else if (bytes[0] == DATAGRAM_BLOCKS)
     storeupdate_apply (peerudp->kvstores, bytes + 1, (size_t)size - 1);
+  else if (bytes[0] == DATAGRAM_ORIGIN && from->sa_family == AF_INET)
+    streamorigin_receive (peerudp->origin, (const struct sockaddr_in *)from,
+                          bytes + 1, (size_t)size - 1);
 }
 
 enum status
 peerudp_init (struct peerudp *peerudp, uv_loop_t *loop,
               struct loadshare *loadshare, struct kvstores *kvstores,
               const struct presence *presence, const struct subsets *subsets,
-              const struct clock *clock, const char *ip, uint16_t port,
-              int64_t load_period_ns, struct error *error)
+              struct streamorigin *origin, const struct clock *clock,
+              const char *ip, uint16_t port, int64_t load_period_ns,
+              struct error *error)
 {
   struct sockaddr_in address;
   int failed;
@@ -53,6 +58,7 @@
   peerudp->kvstores = kvstores;
   peerudp->presence = presence;
   peerudp->subsets = subsets;
+  peerudp->origin = origin;
   peerudp->clock = clock;
   peerudp->load_period_ns = load_period_ns;
   peerudp->udp.data = peerudp;
@@ -123,3 +129,18 @@
   if (size > 0)
     datagram_send (peerudp, bytes, size, false);
 }
+
+void
+peerudp_send_origin (struct peerudp *peerudp, const struct sockaddr_in *to,
+                     const uint8_t *bytes, size_t size)
+{
+  uint8_t datagram[1 + STREAMORIGIN_BYTES_MAX];
+  uv_buf_t buffer = uv_buf_init ((char *)datagram, (unsigned)size + 1);
+
+  if (size > STREAMORIGIN_BYTES_MAX)
+    return;
+  datagram[0] = DATAGRAM_ORIGIN;
+  memcpy (datagram + 1, bytes, size);
+  /* A datagram that can't be sent at once counts as lost. */
+  uv_udp_try_send (&peerudp->udp, &buffer, 1, (const struct sockaddr *)to);
+}
--- a/src/peerudp.h
+++ b/src/peerudp.h
@@ -5,6 +5,7 @@
 #include "loadshare.h"
 #include "storeupdate.h"
 #include "presence.h"
+#include "streamorigin.h"
 #include "status.h"
 
 #include <uv.h>
@@ -12,7 +13,8 @@
 /** @file
  * UDP datagrams between the hosts that presence.h lists. Each host reports its
  * load several times a second, and sends the changes at the KV cache stores
- * that it polls for other hosts. All datagrams are hints that may be lost.
+ * that it polls for other hosts. Datagrams of streamorigin.h go to single
+ * hosts. All datagrams may be lost.
  */
 
 struct peerudp
@@ -21,6 +23,7 @@
   struct kvstores *kvstores;
   const struct presence *presence;
   const struct subsets *subsets;
+  struct streamorigin *origin;
   const struct clock *clock;
   uv_udp_t udp;
   int64_t load_period_ns;
@@ -33,8 +36,9 @@
 peerudp_init (struct peerudp *peerudp, uv_loop_t *loop,
               struct loadshare *loadshare, struct kvstores *kvstores,
               const struct presence *presence, const struct subsets *subsets,
-              const struct clock *clock, const char *ip, uint16_t port,
-              int64_t load_period_ns, struct error *error);
+              struct streamorigin *origin, const struct clock *clock,
+              const char *ip, uint16_t port, int64_t load_period_ns,
+              struct error *error);
 
 /** Sends the load report when it is due. */
 void peerudp_tick (struct peerudp *peerudp);
@@ -43,4 +47,9 @@
 void peerudp_send_update (struct peerudp *peerudp,
                           const struct kvstore_update *update);
 
+/** Sends a datagram of streamorigin.h to the host at TO. */
+void peerudp_send_origin (struct peerudp *peerudp,
+                          const struct sockaddr_in *to, const uint8_t *bytes,
+                          size_t size);
+
 #endif
--- a/src/servers.c
+++ b/src/servers.c
@@ -74,6 +74,7 @@
   servers->connect_timeout_ns = connect_timeout_ns;
   servers->ops = ops;
   servers->data = data;
+  softwarespan_init (&servers->software, clock);
   servers->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, server_release);
   servers->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -84,6 +85,7 @@
 servers_finish (struct servers *servers)
 {
   g_hash_table_destroy (servers->by_service);
+  softwarespan_finish (&servers->software);
   g_hash_table_destroy (servers->by_id);
 }
 
@@ -131,19 +133,44 @@
     g_ptr_array_remove (list, server);
 }
 
+uint64_t
+servers_service_hash (const char *service)
+{
+  return XXH3_64bits (service, strlen (service));
+}
+
 static void
 server_set_entry (struct server *server, const struct server_entry *entry)
 {
-  uint64_t service_hash
-      = XXH3_64bits (entry->service, strlen (entry->service));
-
   server->entry = *entry;
   server->software_hash
       = MAX (XXH3_64bits_withSeed (entry->software, strlen (entry->software),
-                                   service_hash),
+                                   servers_service_hash (entry->service)),
              1U);
 }
 
+/* Check whether the servers of SERVICE have one software only. */
+static void
+service_software_check (struct servers *servers, const char *service)
+{
+  const GPtrArray *list = servers_of_service (servers, service);
+  uint64_t software = 0;
+
+  for (guint i = 0; list != NULL && i < list->len; i++)
+    {
+      const struct server *server = list->pdata[i];
+
+      if (i > 0 && server->software_hash != software)
+        {
+          software = 0;
+          break;
+        }
+      software = server->software_hash;
+    }
+  softwarespan_set (&servers->software, servers_service_hash (service),
+                    software);
+}
+
 static struct server *
 server_add (struct servers *servers, const struct server_entry *entry)
 {
@@ -204,12 +231,14 @@
     {
       server = server_add (servers, entry);
       server->revision = revision;
+      service_software_check (servers, entry->service);
       notify_change (servers, server, entry->leaving ? "leaving" : "added");
       return;
     }
   starts_leaving = entry->leaving && !server->entry.leaving;
   previous = server->entry;
   server_set_entry (server, entry);
+  service_software_check (servers, entry->service);
   server->revision = revision;
   /* Responses of the server may have reported newer weight versions than the
    * entry has; keep those. */
@@ -230,6 +259,7 @@
   server->removed = true;
   notify_change (servers, server, reason);
   service_list_remove (servers, server);
+  service_software_check (servers, server->entry.service);
   g_hash_table_remove (servers->by_id, id);
 }
 
--- a/src/servers.h
+++ b/src/servers.h
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "list.h"
 #include "serverconn.h"
+#include "softwarespan.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -133,9 +134,11 @@
   const struct clock *clock;
   char data_centre[SERVER_NAME_MAX]; /**< Data centre of this process. */
   int64_t connect_timeout_ns;
-  GHashTable *by_id;      /**< Maps ids to struct server. */
-  GHashTable *by_service; /**< Maps service names to GPtrArray of struct
-                               server. */
+  GHashTable *by_id;            /**< Maps ids to struct server. */
+  GHashTable *by_service;       /**< Maps service names to GPtrArray of struct
+                                     server. */
+  struct softwarespan software; /**< Since when each service has had one
+                                   software only. */
   const struct servers_ops *ops;
   void *data;
 };
@@ -165,6 +168,9 @@
 const GPtrArray *servers_of_service (const struct servers *servers,
                                      const char *service);
 
+/** Returns the hash of a service's name, which is the same on all hosts. */
+uint64_t servers_service_hash (const char *service);
+
 struct server *server_ref (struct server *server);
 void server_unref (struct server *server);
 
--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -46,9 +46,25 @@
 
 static const struct servers_ops servers_ops = { server_changed };
 
+static void
+origin_send (void *data, const struct sockaddr_in *to, const uint8_t *bytes,
+             size_t size)
+{
+}
+
+static uint64_t
+only_software (void *data, uint64_t service)
+{
+  return softwarespan_only (&path.servers.software, service, 0);
+}
+
+static const struct streamorigin_ops origin_ops
+    = { origin_send, only_software };
+
 static void
 on_tick (uv_timer_t *timer)
 {
+  streamorigin_tick (&path.origin);
   forwarder_tick (&path.forwarder);
   servers_tick (&path.servers);
 }
@@ -178,9 +194,12 @@
                  &path.log, &dialect_platform, NULL);
   forwarder_init (&path.forwarder, &path.loop, &path.clock, &path.rng,
                   &path.log, &path.metrics, &dialect_platform, &settings,
-                  &path.servers, &path.poison, &path.kvstores, &path.retire);
+                  &path.servers, &path.poison, &path.kvstores, &path.retire,
+                  &path.origin);
   presence_init (&path.presence, &path.client.kv, &path.clock, "host/a",
                  &(struct presence_host){ .address = "a" }, NS_PER_S);
+  streamorigin_init (&path.origin, &path.clock, &path.presence, &origin_ops,
+                     NULL);
   cacheretire_init (&path.retire, &path.clock, &path.log, &path.servers,
                     &path.presence, path.forwarder.wanted_weights);
   CU_ASSERT_EQUAL_FATAL (callerserver_init (&path.front, &path.loop,
@@ -221,6 +240,7 @@
     close (path.caller);
   callerserver_finish (&path.front);
   forwarder_finish (&path.forwarder);
+  streamorigin_finish (&path.origin);
   for (unsigned i = 0; i < path.upstream_count; i++)
     fake_upstream_finish (&path.upstreams[i]);
   for (int i = 0; i < 20; i++)
--- a/test/fake-path.h
+++ b/test/fake-path.h
@@ -33,6 +33,7 @@
   struct kvstores kvstores;
   struct presence presence;
   struct cacheretire retire;
+  struct streamorigin origin;
   struct forwarder forwarder;
   struct callerserver front;
   struct fake_upstream upstreams[FAKE_PATH_SERVERS_MAX];
--- a/test/test-streamversion.c
+++ b/test/test-streamversion.c
@@ -166,6 +166,38 @@
   finish ();
 }
 
+/* The stream of a caller that came back went to another service of its
+ * route. */
+static void
+test_returned_caller_stays_at_its_service (void)
+{
+  setup ("v1", "v1");
+  fake_path_upstream_add (&rest, "other", "v1");
+  for (guint i = 0; i < path.forwarder.routes->all_routes->len; i++)
+    route_add_share (path.forwarder.routes->all_routes->pdata[i], "other", 1);
+  streamorigin_record (&path.origin, streamorigin_stream_hash ("r1"),
+                       servers_find (&path.servers, "i-2")->software_hash);
+  for (unsigned i = 0; i < 6; i++)
+    {
+      send_return ("r2", "Resumes: r1\r\n");
+      CU_ASSERT_TRUE (fake_path_run_until (END_OF_CHUNKS));
+    }
+  CU_ASSERT_EQUAL (path.upstreams[2].requests, 6);
+  finish ();
+}
+
+/* A stream of a service that never had another software was refused. */
+static void
+test_unknown_stream_of_single_software (void)
+{
+  setup ("v1", "v1");
+  send_return ("r2", "Resumes: other\r\n");
+  CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 200"));
+  send_return ("r3", "");
+  CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 200"));
+  finish ();
+}
+
 /* A stream of which nobody knows the software went on at any server. */
 static void
 test_unknown_stream_is_refused (void)
@@ -191,6 +223,10 @@
     test_resumed_stream_holds_up_no_other },
   { "returned-caller-stays-at-its-software",
     test_returned_caller_stays_at_its_software },
+  { "returned-caller-stays-at-its-service",
+    test_returned_caller_stays_at_its_service },
+  { "unknown-stream-of-single-software",
+    test_unknown_stream_of_single_software },
   { "unknown-stream-is-refused", test_unknown_stream_is_refused },
   { "log-names-the-software", test_log_of_a_resumed_stream },
 };
