A gateway survives a resume that is answered by no stream

Cause: a stream was cut, and the engine answered the resume with 200 and a body that is no event stream, with the id of the attempt. The gateway took it for the buffered response to a new request and sent a second response head, which ended the process by an assertion, with all its streams. Why it works: a resume that does not bring an event stream is refused like one that has another status; the stream is broken off with an error and without its end mark.

--- a/src/outcome.c
+++ b/src/outcome.c
@@ -437,8 +437,8 @@
   probe_backend (request);
 }
 
-/* Handles that the engine did not resume the stream because it no longer has
- * the stream's run. The stream is not resumed again. */
+/* Handles that the engine did not resume the stream, for example because it no
+ * longer has the stream's run. The stream is not resumed again. */
 static void
 resume_refused (struct request *request)
 {
@@ -457,10 +457,10 @@
     stream_failed (request, status);
   else if (attempt->not_run)
     attempt_failed (request, RETRY_NOT_RUN, &backend_busy);
-  else if (attempt->resumed && attempt->http_status != HTTP_OK)
-    resume_refused (request);
   else if (response_is_relayed (request))
     finish_streamed (request);
+  else if (attempt->resumed)
+    resume_refused (request);
   else
     finish_buffered (request);
 }
--- a/test/check-path.sh
+++ b/test/check-path.sh
@@ -143,6 +143,16 @@
 for e in $engines; do fault "$e" '{"cut_after":5}'; done
 ask gateway-1 key-1 check "cut midway" 40 cut
 for e in $engines; do fault "$e" '{"cut_after":0,"crossed":8}'; done
+# A resume that is answered by something else than a stream.
+for e in $engines; do fault "$e" '{"crossed":0,"cut_after":5,"no_resume":9}'; done
+ask gateway-1 key-1 check "not resumed" 40 not-resumed
+for e in $engines; do fault "$e" '{"cut_after":0,"no_resume":0}'; done
+check refused-resume "no end mark, gateway alive" "$(
+  grep -q '^data: \[DONE\]' "$fleet_dir/not-resumed.body" \
+    && echo -n "end mark, " || echo -n "no end mark, "
+  is_alive gateway-1 && echo gateway alive || echo gateway ended)" \
+  "$fleet_dir/not-resumed.body"
+for e in $engines; do fault "$e" '{"crossed":8}'; done
 background=()
 for n in 1 2 3 4 5 6 7 8 9 10 11 12; do
   ask gateway-$((n % 2 + 1)) key-$((n % 2 + 1)) check "crossed $n" 60 \
--- a/test/standin-engine.c
+++ b/test/standin-engine.c
@@ -17,6 +17,7 @@
  *   event_gap  the next N cache events are lost
  *   full       1: completions answer 503 with X-Not-Run
  *   leaving    1: the same, and the load report says so
+ *   no_resume  the next N resumes get a response that is no stream
  *   bad_load   1: orders to load are accepted, but nothing is loaded
  */
 
@@ -33,8 +34,8 @@
 };
 
 static const char *const faults[]
-    = { "cut_after", "crossed", "doubled",  "late", "event_gap",
-        "full",      "leaving", "bad_load", NULL };
+    = { "cut_after", "crossed", "doubled",  "late",      "event_gap",
+        "full",      "leaving", "bad_load", "no_resume", NULL };
 
 struct engine_settings engine_settings = { .prefill_rate = 20000,
                                            .decode_ms = 20,
--- a/test/standin-run.c
+++ b/test/standin-run.c
@@ -1,5 +1,6 @@
 #include "standin-run.h"
 #include "clock.h"
+#include "httpjson.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -469,6 +470,14 @@
     }
   engine_stats.resumed++;
   run->cut_at = 0;
+  if (fault_take ("no_resume"))
+    {
+      struct json_object *body = json_object_new_object ();
+
+      json_add_text (body, "id", json_string (call->body, "request", ""));
+      http_json (call->req, 200, body);
+      return;
+    }
   answer_headers (run, call->req);
   answer_stream (run, call->req, json_int (call->body, "from", 0));
 }
