Soak: unframed streams, two software versions, callers that come back

Engines now draw a software version at each start, leave a third of their streams without chunks and crash runs of these inside an event with an orderly close; callers come back with Resumes and Last-Event-Id, and check that all events of a stream name one version. A lookup of a stream's software is logged (forward_origin).

--- a/src/event.c
+++ b/src/event.c
@@ -126,6 +126,9 @@
   { EVENT_CALLER_REFUSED, EVENT_LEVEL_WARN, "caller_refused",
     "A connection was refused before its request was complete: over a size or "
     "time limit, or not HTTP." },
+  { EVENT_FORWARD_ORIGIN, EVENT_LEVEL_INFO, "forward_origin",
+    "Other hosts were asked for the software that began a caller's stream: "
+    "hosts asked, their replies, what is known, time in ms." },
   { EVENT_SERVER_CHANGED, EVENT_LEVEL_WARN, "server_changed",
     "The known state of a backend server changed: added, leaving, gone, "
     "unreachable, reachable." },
--- a/src/forwardresume.c
+++ b/src/forwardresume.c
@@ -59,6 +59,16 @@
 
   if (software != 0)
     require_software (forward, software);
+  log_event (forward->forwarder->log, EVENT_FORWARD_ORIGIN,
+             "id=%s began_id=%s asked=%u replied=%u known=%d software=%s "
+             "waited_ms=%.1f",
+             forward->call.request_id,
+             forward->call.resumed_id != NULL ? forward->call.resumed_id : "-",
+             query->asked_count, query->replied_count, software != 0,
+             forward->began_software[0] != '\0' ? forward->began_software
+                                                : "-",
+             (double)(clock_now (forward->forwarder->clock) - query->start_ns)
+                 / NS_PER_MS);
   forward->origin_found (forward, software != 0);
 }
 
--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -51,27 +51,56 @@
   caller->tcp = NULL;
 }
 
-/* The events of BODY are those from the first on, each once and whole.
+/* Whether TEXT is an event of the request with NUMBER, or, with PART, the
+ * beginning of one. Its software is written to SOFTWARE. */
+static bool
+event_is_right (const struct soak_request *request, const char *text,
+                unsigned number, bool part, unsigned *software, size_t *size)
+{
+  for (unsigned version = 1; version <= 2; version++)
+    {
+      char *event = g_strdup_printf ("id: %u\ndata: %s %u v%u\n\n", number,
+                                     request->id, number, version);
+      bool right;
+
+      *size = strlen (event);
+      right = part ? strncmp (event, text, strlen (text)) == 0
+                   : strncmp (text, event, *size) == 0;
+      g_free (event);
+      *software = version;
+      if (right)
+        return true;
+    }
+  return false;
+}
+
+/* The events of the response are the next ones of its stream, each once and
+ * whole, and of one software.
  * @return how many there are; -1: they are not */
 static int
 events_count (const struct soak_caller *caller, bool ended)
 {
+  struct soak_request *request = caller->request;
   const char *at = caller->body->str;
   int count = 0;
 
   while (*at != '\0')
     {
-      char *event = g_strdup_printf ("id: %d\ndata: %s %d\n\n", count + 1,
-                                     caller->request->id, count + 1);
-      size_t size = strlen (event);
-      bool is_next = strncmp (at, event, size) == 0;
-      bool is_begun = !ended && strncmp (event, at, strlen (at)) == 0;
-
-      g_free (event);
-      if (is_begun && !is_next)
-        return count;
-      if (!is_next)
-        return -1;
+      unsigned number = request->earlier_events + (unsigned)count + 1;
+      unsigned software;
+      size_t size;
+
+      if (!event_is_right (request, at, number, false, &software, &size))
+        return !ended
+                       && event_is_right (request, at, number, true, &software,
+                                          &size)
+                   ? count
+                   : -1;
+      if (request->software != 0 && request->software != software)
+        soak_violation (
+            caller->soak, "%s holds events of v%u and v%u, begun by %s",
+            request->id, request->software, software, request->began_id);
+      request->software = software;
       at += size;
       count++;
     }
@@ -81,12 +110,13 @@
 static bool
 success_is_right (const struct soak_caller *caller)
 {
-  const struct soak_request *request = caller->request;
+  struct soak_request *request = caller->request;
   char *seal = g_strdup_printf ("seal-%s-", request->id);
   char *body = g_strdup_printf ("ID:%s:%0200d", request->id, 0);
   bool sealed = false;
   bool whole = request->kind == SOAK_STREAM
-                   ? events_count (caller, true) == SOAK_STREAM_EVENTS
+                   ? (int)request->earlier_events + events_count (caller, true)
+                         == SOAK_STREAM_EVENTS
                    : strcmp (caller->body->str, body) == 0;
 
   for (size_t i = 0; i < httpfields_count (&caller->head); i++)
@@ -120,6 +150,19 @@
   request->served = status == 200;
 }
 
+static void
+stream_count (struct soak_caller *caller, int events)
+{
+  if (caller->request->earlier_events > 0)
+    {
+      caller->returned++;
+      caller->went_on += events > 0;
+      return;
+    }
+  caller->streams++;
+  caller->streams_begun += events > 0;
+}
+
 static void
 request_over (struct soak_caller *caller)
 {
@@ -129,6 +172,25 @@
   caller_go_on (caller);
 }
 
+/* A stream broke off. The caller comes back for the rest, most of the time. */
+static void
+stream_broken (struct soak_caller *caller)
+{
+  struct soak_request *request = caller->request;
+  int count = events_count (caller, false);
+
+  if (count < 0)
+    {
+      soak_violation (caller->soak, "%s has wrong events", request->id);
+      return;
+    }
+  stream_count (caller, count);
+  request->events = request->earlier_events + (unsigned)count;
+  if (request->events > 0 && request->events < SOAK_STREAM_EVENTS
+      && soak_draw (caller->soak, 0, 4) > 0)
+    caller->broken = request;
+}
+
 /* The connection ended, or the answer came too late. */
 static void
 caller_broken (struct soak_caller *caller, const char *how)
@@ -142,8 +204,8 @@
       caller_go_on (caller);
       return;
     }
-  if (request->kind == SOAK_STREAM && events_count (caller, false) < 0)
-    soak_violation (soak, "%s has wrong events", request->id);
+  if (request->kind == SOAK_STREAM)
+    stream_broken (caller);
   if (soak->planned_only && request->runs > 0)
     soak_violation (soak, "%s was %s by host %u though it ran", request->id,
                     how, caller->hosts[caller->host].number);
@@ -191,6 +253,8 @@
       return 0;
     }
   answer_check (caller);
+  if (caller->request->kind == SOAK_STREAM)
+    stream_count (caller, caller->request->served ? 1 : 0);
   if (!http_should_keep_alive (parser))
     caller_disconnect (caller);
   request_over (caller);
@@ -262,6 +326,18 @@
   g_snprintf (request->id, sizeof request->id, "%04x%012x", caller->number,
               ++caller->asked);
   request->kind = (enum soak_kind)soak_draw (caller->soak, 0, SOAK_KINDS - 1);
+  g_strlcpy (request->began_id, request->id, sizeof request->began_id);
+  if (caller->broken != NULL)
+    {
+      const struct soak_request *broken = caller->broken;
+
+      request->kind = SOAK_STREAM;
+      request->earlier_events = broken->events;
+      request->software = broken->software;
+      g_strlcpy (request->began_id, broken->began_id,
+                 sizeof request->began_id);
+      caller->broken = NULL;
+    }
   g_hash_table_insert (caller->soak->requests, request->id, request);
   return request;
 }
@@ -272,6 +348,11 @@
   struct soak_request *request = request_new (caller);
   struct request_write *sent = g_new0 (struct request_write, 1);
   const char *method = request->kind == SOAK_SAFE ? "GET" : "POST";
+  char *resumes
+      = request->earlier_events == 0
+            ? g_strdup ("")
+            : g_strdup_printf ("Resumes: %s\r\nLast-Event-Id: %u\r\n",
+                               request->began_id, request->earlier_events);
   uv_buf_t buffer;
 
   caller->request = request;
@@ -279,10 +360,11 @@
   sent->text = g_strdup_printf (
       "%s %s%u HTTP/1.1\r\nHost: " SOAK_ROUTES_HOST
       "\r\nX-Request-Id: %s\r\nX-Api-Key: " SOAK_KEY
-      "\r\nX-Request-Deadline: %d\r\nContent-Length: %d\r\n\r\n%s",
+      "\r\nX-Request-Deadline: %d\r\n%sContent-Length: %d\r\n\r\n%s",
       method, soak_kind_prefix (request->kind), caller->asked, request->id,
-      DEADLINE_MS, request->kind == SOAK_SAFE ? 0 : 4,
+      DEADLINE_MS, resumes, request->kind == SOAK_SAFE ? 0 : 4,
       request->kind == SOAK_SAFE ? "" : "body");
+  g_free (resumes);
   buffer = uv_buf_init (sent->text, (unsigned)strlen (sent->text));
   http_parser_init (&caller->parser, HTTP_RESPONSE);
   caller->parser.data = caller;
--- a/test/soak-caller.h
+++ b/test/soak-caller.h
@@ -30,6 +30,12 @@
 
   unsigned ended;  /**< requests with a final answer or none */
   unsigned served; /**< of them with success */
+  /** The stream that broke off, which the next request takes up; NULL: none */
+  const struct soak_request *broken;
+  unsigned returned;      /**< requests that took a stream up */
+  unsigned went_on;       /**< of them with an event more */
+  unsigned streams;       /**< requests for a new stream */
+  unsigned streams_begun; /**< of them with an event */
 };
 
 void soak_caller_init (struct soak_caller *caller, struct soak *soak,
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -22,6 +22,7 @@
   uv_timer_t timer;
   unsigned next_event;
   bool is_begun; /* Its answer has begun. */
+  bool is_unframed;
 };
 
 static const char *
@@ -58,8 +59,9 @@
 static void
 event_write (struct run *run)
 {
-  char *event = g_strdup_printf ("id: %u\ndata: %s %u\n\n", run->next_event,
-                                 run->request->id, run->next_event);
+  char *event = g_strdup_printf ("id: %u\ndata: %s %u v%u\n\n",
+                                 run->next_event, run->request->id,
+                                 run->next_event, run->engine->software);
 
   callerconn_stream_write (run->conn, event, strlen (event));
   g_free (event);
@@ -73,6 +75,9 @@
     {
       char *lines = answer_lines (run, "text/event-stream");
 
+      /* Without chunks the stream ends with its connection. */
+      if (run->is_unframed)
+        run->conn->parser.http_minor = 0;
       callerconn_stream_begin (run->conn, 200, lines);
       run->is_begun = true;
       g_free (lines);
@@ -84,6 +89,23 @@
   run_end (run);
 }
 
+/* The run ends with a reset, or, where only the end of the connection ends the
+ * stream, inside an event with an orderly close. */
+static void
+run_crash (struct run *run)
+{
+  static const char part[] = "id: 9\ndat";
+
+  if (run->is_begun && run->is_unframed)
+    {
+      callerconn_stream_write (run->conn, part, sizeof part - 1);
+      callerconn_stream_end (run->conn);
+    }
+  else
+    callerconn_abort (run->conn);
+  run_end (run);
+}
+
 static void
 on_run_due (uv_timer_t *timer)
 {
@@ -93,8 +115,7 @@
 
   if (rng_uniform (&run->engine->soak->rng) < run->engine->lost)
     {
-      callerconn_abort (run->conn);
-      run_end (run);
+      run_crash (run);
       return;
     }
   if (run->request->kind == SOAK_STREAM)
@@ -142,6 +163,7 @@
   run->conn = conn;
   conn->owner_data = run;
   run->request = request;
+  run->is_unframed = soak_draw (engine->soak, 0, 2) == 0;
   run->next_event = (unsigned)atoi (field (conn, "Last-Event-Id")) + 1;
   list_append (&engine->runs, &run->node);
   uv_timer_init (&engine->soak->loop, &run->timer);
@@ -199,10 +221,11 @@
   char *key = g_strdup_printf ("servers/%s", engine->id);
   char *value = g_strdup_printf (
       "{\"backend\":\"app\",\"address\":\"" SOAK_IP
-      ":%u\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":6,\"state\":\"%s\","
+      ":%u\",\"zone\":\"z\",\"version\":\"v%u\",\"slots\":6,\"state\":\"%s\","
       "\"coldLeftMs\":0,\"sequence\":%u,\"born\":%u}",
-      engine->address_port, engine->draining ? "draining" : "ready",
-      engine->draining ? 2U : 1U, 1000 + engine->starts);
+      engine->address_port, engine->software,
+      engine->draining ? "draining" : "ready", engine->draining ? 2U : 1U,
+      1000 + engine->starts);
 
   soak_store_put (engine->store, key, engine->server != NULL ? value : NULL);
   g_free (value);
@@ -226,6 +249,7 @@
   engine->server->limits
       = (struct callerconn_limits){ 1 << 16, 1 << 20, 10 * NS_PER_S,
                                     10 * NS_PER_S };
+  engine->software = soak_draw (engine->soak, 1, 2);
   g_snprintf (engine->id, sizeof engine->id, "e-%u-%u", engine->port,
               ++engine->starts);
   entry_write (engine);
--- a/test/soak-engine.h
+++ b/test/soak-engine.h
@@ -15,6 +15,7 @@
 
 struct soak_engine
 {
+  unsigned software; /**< Version of its software, drawn at each start. */
   struct soak *soak;
   struct soak_store *store;
   struct callerserver *server; /**< NULL while it is down */
--- a/test/soak.c
+++ b/test/soak.c
@@ -332,6 +332,25 @@
     world.engines[i].lost = 0;
 }
 
+static void
+say_streams (void)
+{
+  struct soak_caller sum = { 0 };
+
+  for (int i = 0; i < CALLERS; i++)
+    {
+      const struct soak_caller *caller = &world.callers[i];
+
+      sum.streams += caller->streams;
+      sum.streams_begun += caller->streams_begun;
+      sum.returned += caller->returned;
+      sum.went_on += caller->went_on;
+    }
+  soak_say (&world.soak,
+            "%u of %u new streams began, %u of %u that were taken up went on",
+            sum.streams_begun, sum.streams, sum.went_on, sum.returned);
+}
+
 static void
 totals (unsigned *ended, unsigned *served)
 {
@@ -349,6 +368,7 @@
   unsigned ended, served;
 
   totals (&ended, &served);
+  say_streams ();
   soak_say (&world.soak, "%u faults, %u requests, %u served; %u of %u at last",
             world.faults, ended, served, served - world.served,
             ended - world.ended);
--- a/test/soak.h
+++ b/test/soak.h
@@ -34,6 +34,12 @@
   unsigned runs; /**< begun by engines */
   bool not_run;  /**< An answer said that it has not run and never will. */
   bool served;
+  /** Of a stream: id of the request that brought its first event. */
+  char began_id[24];
+  /** Of a stream: number of events that earlier requests brought. */
+  unsigned earlier_events;
+  unsigned events;   /**< Of a broken stream: number of its events so far. */
+  unsigned software; /**< Version that the events name; 0 before the first. */
 };
 
 struct soak
