Weights that a process finds at its start are required soon

Cause: a process counted the time until a version of the weights is required from when it learned of it. All hosts were killed at 8.8 s, 4.3 s after version 2 was acknowledged, started again, and gave version 2 its whole time once more: until 13.3 s they placed requests at engines that still had version 1. The version may be old when a process finds it at its start, and nothing tells how old. Why it works: a version of the first read of the operator's keys is required after a fifth of the usual time. Ruled out: a request that waits at an engine while its weights change (0.3 to 0.7 s here), a late view of the engine (it had version 1).

--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -94,7 +94,8 @@
   log_event (&entry->log, EVENT_WEIGHTS_WANTED,
              "model=%s version=%lu revision=%lu", model,
              (unsigned long)version, (unsigned long)revision);
-  forwarder_set_wanted_version (&entry->forwarder, model, version);
+  forwarder_set_wanted_version (&entry->forwarder, model, version,
+                                !entry->operator_view.initial_read_done);
 }
 
 static void
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -462,8 +462,12 @@
 
 void
 forwarder_set_wanted_version (struct forwarder *forwarder, const char *model,
-                              uint64_t version)
+                              uint64_t version, bool found_at_start)
 {
+  int64_t now = clock_now (forwarder->clock);
+  int64_t since_ns = found_at_start ? weights_found_since_ns (
+                         now, forwarder->settings.version_grace_ns)
+                                    : now;
   struct wanted_weights *wanted
       = g_hash_table_lookup (forwarder->wanted_weights, model);
 
@@ -475,7 +479,7 @@
       g_strlcpy (wanted->model, model, sizeof wanted->model);
       g_hash_table_insert (forwarder->wanted_weights, wanted->model, wanted);
     }
-  weights_add_version (wanted, version, clock_now (forwarder->clock));
+  weights_add_version (wanted, version, since_ns);
 }
 
 void
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -29,9 +29,12 @@
 /** Replace the configuration. The forwarder takes a reference to ROUTES. */
 void forwarder_set_routes (struct forwarder *forwarder, struct routes *routes);
 
-/** Set the wanted weight version of MODEL; an older VERSION is ignored. */
+/** Set the wanted weight version of MODEL; an older VERSION is ignored.
+ * @param found_at_start whether VERSION may have been set before this process
+ * started */
 void forwarder_set_wanted_version (struct forwarder *forwarder,
-                                   const char *model, uint64_t version);
+                                   const char *model, uint64_t version,
+                                   bool found_at_start);
 
 /** Handle the complete request that CONN has received. */
 void forwarder_request_received (struct forwarder *forwarder,
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -202,9 +202,9 @@
   view_set_reachable (view, true);
   if (is_full_read)
     {
-      view->initial_read_done = true;
       view->needs_full_read = false;
       full_read_apply (view, reply);
+      view->initial_read_done = true;
     }
   else
     changes_apply (view, reply);
--- a/src/weights.c
+++ b/src/weights.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+/* Share of the time until a version is required that is left if the process
+ * finds the version at its start: enough for a rollout in progress to go on,
+ * and shorter than callers take to come back to the process in numbers. */
+static const double found_share = 0.2;
+
 /* Merges the two oldest versions into one that has the newer version number
  * and the earlier time. */
 static void
@@ -25,6 +30,12 @@
   wanted->version = version;
 }
 
+int64_t
+weights_found_since_ns (int64_t now_ns, int64_t span_ns)
+{
+  return now_ns - (int64_t)((1 - found_share) * (double)span_ns);
+}
+
 uint64_t
 weights_required_version (const struct wanted_weights *wanted, int64_t now_ns,
                           int64_t span_ns)
--- a/src/weights.h
+++ b/src/weights.h
@@ -37,6 +37,11 @@
 void weights_add_version (struct wanted_weights *wanted, uint64_t version,
                           int64_t now_ns);
 
+/** Returns the time that a version counts as set at if the process finds it at
+ * its start, at NOW_NS. It may have been set long before, so that only a small
+ * part of SPAN_NS, the time within which versions are required, is left. */
+int64_t weights_found_since_ns (int64_t now_ns, int64_t span_ns);
+
 /** Returns the newest version that was set more than SPAN_NS ago; 0 if there
  * is none. */
 uint64_t weights_required_version (const struct wanted_weights *wanted,
--- a/test/test-forwarder.c
+++ b/test/test-forwarder.c
@@ -419,6 +419,29 @@
   fake_path_finish ();
 }
 
+/* A process that found a version of the weights at its start counted the time
+ * until it is required from then on, however old the version was. */
+static void
+test_found_weights_are_required_soon (void)
+{
+  const struct wanted_weights *wanted;
+  int64_t grace_ns = 4500 * NS_PER_MS;
+  int64_t now;
+
+  fake_path_setup (full_response, 1, NULL, 0);
+  path.forwarder.settings.version_grace_ns = grace_ns;
+  forwarder_set_wanted_version (&path.forwarder, "m", 2, true);
+  forwarder_set_wanted_version (&path.forwarder, "n", 2, false);
+  now = clock_now (&path.clock);
+  wanted = g_hash_table_lookup (path.forwarder.wanted_weights, "m");
+  CU_ASSERT_EQUAL (weights_required_version (wanted, now + NS_PER_S, grace_ns),
+                   2);
+  wanted = g_hash_table_lookup (path.forwarder.wanted_weights, "n");
+  CU_ASSERT_EQUAL (weights_required_version (wanted, now + NS_PER_S, grace_ns),
+                   0);
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
   { "forwards-byte-for-byte", test_forwards_byte_for_byte },
   { "chunked-body-and-next-request", test_chunked_body_and_next_request },
@@ -439,6 +462,7 @@
   { "waiting-after-a-refusal", test_waiting_after_not_run },
   { "before-the-first-configuration", test_before_the_first_configuration },
   { "poison", test_poison_request },
+  { "found-weights-are-required-soon", test_found_weights_are_required_soon },
 };
 
 int
--- a/test/test-kvview.c
+++ b/test/test-kvview.c
@@ -18,6 +18,7 @@
 static struct clock_fake fake_clock;
 static struct kvview view;
 static GString *callback_log;
+static unsigned puts_after_initial_read;
 
 static void
 record_call (bool is_read, uint64_t after, kv_done done, void *data)
@@ -49,6 +50,7 @@
 log_put (void *data, const char *key, const char *value, uint64_t revision)
 {
   g_string_append_printf (callback_log, "+%s=%s ", key, value);
+  puts_after_initial_read += view.initial_read_done;
 }
 
 static void
@@ -132,6 +134,20 @@
   finish ();
 }
 
+/* Values of the first read counted as changes that came after it. */
+static void
+test_initial_read_is_told_apart (void)
+{
+  setup ();
+  puts_after_initial_read = 0;
+  reply_to_call (STATUS_OK, 6, &a1, 1);
+  CU_ASSERT_EQUAL (puts_after_initial_read, 0);
+  CU_ASSERT_TRUE (view.initial_read_done);
+  reply_to_call (STATUS_OK, 7, &a2, 1);
+  CU_ASSERT_EQUAL (puts_after_initial_read, 1);
+  finish ();
+}
+
 /* Stale replies and repeated events never restore an older value. */
 static void
 test_never_older (void)
@@ -248,6 +264,7 @@
 
 static const struct unit_case cases[] = {
   { "read-then-watch", test_read_then_watch },
+  { "initial-read-is-told-apart", test_initial_read_is_told_apart },
   { "never-older", test_never_older },
   { "lost-history-is-read-anew", test_lost_history_causes_full_read },
   { "lost-watch-is-followed-by-a-read",
