A stream's software is taken from asked hosts, and not against the own view

Cause: two ways in which an unknown stream could go on at a wrong software. A reply with the number of an open query ended it whichever host sent it. And a host that saw several versions itself took another host's word that the service had one: that host's view may be older. Evidence: streamorigin/reply-of-a-host-not-asked and several-softwares-in-own-view failed before this commit, pass now. The former check of a reply to no query could not fail; the first of these replaces it. Why it works: only a host that the query asked counts, once; and the only software of a service is used only if this host sees no other.

--- a/src/entryorigin.c
+++ b/src/entryorigin.c
@@ -43,6 +43,14 @@
                             stream_life_ns (routes));
 }
 
+static bool
+sees_only (void *data, uint64_t service, uint64_t software)
+{
+  const struct entry *entry = data;
+
+  return softwarespan_only (&entry->servers.software, service, 0) == software;
+}
+
 static void
 origin_send (void *data, const struct sockaddr_in *to, const uint8_t *bytes,
              size_t size)
@@ -52,4 +60,5 @@
   peerudp_send_origin (&entry->peerudp, to, bytes, size);
 }
 
-const struct streamorigin_ops entryorigin_ops = { origin_send, only_software };
+const struct streamorigin_ops entryorigin_ops
+    = { origin_send, only_software, sees_only };
--- a/src/streamorigin.c
+++ b/src/streamorigin.c
@@ -222,8 +222,8 @@
 
 /* End QUERY after its last reply or its timeout. That the service has had only
  * one software counts only if no other host has a record of the stream, as far
- * as hosts reply, and if one of them does: the view of a host that is cut off
- * may be old. */
+ * as hosts reply, if one of them does, since the view of a host that is cut
+ * off may be old, and if this host sees no other software either. */
 static void
 query_end_unrecorded (struct streamorigin *origin,
                       struct streamorigin_query *query)
@@ -232,6 +232,8 @@
 
   if (software == 0 && (query->replied_count > 0 || query->asked_count == 0))
     software = origin->ops->only_software (origin->data, query->service);
+  if (!origin->ops->sees_only (origin->data, query->service, software))
+    software = 0;
   query_end (query, software);
 }
 
@@ -265,24 +267,38 @@
   return NULL;
 }
 
+/* Return the index of the host at FROM among those that QUERY asks, or
+ * asked_count. */
+static unsigned
+asked_index (const struct streamorigin_query *query,
+             const struct sockaddr_in *from)
+{
+  unsigned i = 0;
+
+  while (i < query->asked_count
+         && (query->asked[i].sin_addr.s_addr != from->sin_addr.s_addr
+             || query->asked[i].sin_port != from->sin_port))
+    i++;
+  return i;
+}
+
 static void
 reply_received (struct streamorigin *origin, const struct sockaddr_in *from,
                 const Trefoilspar__StreamOrigin *reply)
 {
   struct streamorigin_query *query
       = open_query (origin, reply->number, reply->stream);
+  unsigned i;
 
   if (query == NULL)
     return;
-  for (unsigned i = 0; i < query->asked_count; i++)
-    if (query->asked[i].sin_addr.s_addr == from->sin_addr.s_addr
-        && query->asked[i].sin_port == from->sin_port && !query->replied[i])
-      {
-        query->replied[i] = true;
-        query->replied_count++;
-        if (query->only_software == 0)
-          query->only_software = reply->service;
-      }
+  i = asked_index (query, from);
+  if (i == query->asked_count || query->replied[i])
+    return;
+  query->replied[i] = true;
+  query->replied_count++;
+  if (query->only_software == 0)
+    query->only_software = reply->service;
   if (reply->software != 0)
     {
       record_add (origin, reply->stream, reply->software);
--- a/src/streamorigin.h
+++ b/src/streamorigin.h
@@ -63,6 +63,9 @@
    * SERVICE had for longer than a stream lives, or 0 if it had several, or
    * this host's view of the servers may be old. */
   uint64_t (*only_software) (void *data, uint64_t service);
+  /** Whether this host sees no other software than SOFTWARE at the service
+   * now. */
+  bool (*sees_only) (void *data, uint64_t service, uint64_t software);
 };
 
 struct streamorigin
--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -66,8 +66,14 @@
   return softwarespan_only (&path.servers.software, service, 0);
 }
 
+static bool
+sees_only (void *data, uint64_t service, uint64_t software)
+{
+  return only_software (data, service) == software;
+}
+
 static const struct streamorigin_ops origin_ops
-    = { origin_send, only_software };
+    = { origin_send, only_software, sees_only };
 
 static void
 on_tick (uv_timer_t *timer)
--- a/test/test-streamorigin.c
+++ b/test/test-streamorigin.c
@@ -2,6 +2,7 @@
 #include "rng.h"
 #include "softwarespan.h"
 #include "streamorigin.h"
+#include "streamorigin.pb-c.h"
 #include "unit.h"
 
 #include <string.h>
@@ -21,6 +22,7 @@
   bool alive;
   bool cut_off; /* No datagram from or to the host arrives. */
   uint64_t only_software;
+  bool sees_several; /* It sees several softwares of the service now. */
   struct presence presence;
   struct streamorigin origin;
 };
@@ -66,8 +68,14 @@
   return service == SERVICE ? ((const struct host *)data)->only_software : 0;
 }
 
+static bool
+fleet_sees_only (void *data, uint64_t service, uint64_t software)
+{
+  return !((const struct host *)data)->sees_several;
+}
+
 static const struct streamorigin_ops fleet_ops
-    = { fleet_send, fleet_only_software };
+    = { fleet_send, fleet_only_software, fleet_sees_only };
 
 static void
 host_address (unsigned index, char *text, size_t size)
@@ -258,6 +266,46 @@
   fleet_finish ();
 }
 
+/* Another host's view of one software outweighed this host's view of several.
+ */
+static void
+test_several_softwares_in_own_view (void)
+{
+  fleet_start ();
+  for (unsigned i = 1; i < HOSTS; i++)
+    hosts[i].only_software = 7;
+  hosts[0].sees_several = true;
+  CU_ASSERT_EQUAL (software_found (0, 1), 0);
+  hosts[0].sees_several = false;
+  CU_ASSERT_EQUAL (software_found (0, 1), 7);
+  fleet_finish ();
+}
+
+/* A host that was not asked gave the reply to a query. */
+static void
+test_reply_of_a_host_not_asked (void)
+{
+  Trefoilspar__StreamOrigin reply = TREFOILSPAR__STREAM_ORIGIN__INIT;
+  uint8_t bytes[STREAMORIGIN_BYTES_MAX];
+  struct sockaddr_in from;
+
+  fleet_start ();
+  ended = false;
+  streamorigin_query (&hosts[0].origin, &query, 1, SERVICE, query_done);
+  reply.kind = TREFOILSPAR__STREAM_ORIGIN_KIND__REPLY;
+  reply.stream = 1;
+  reply.software = 66;
+  reply.number = query.number;
+  CU_ASSERT_EQUAL (address_parse ("127.0.0.1:999", &from), STATUS_OK);
+  streamorigin_receive (&hosts[0].origin, &from, bytes,
+                        trefoilspar__stream_origin__pack (&reply, bytes));
+  CU_ASSERT_FALSE (ended);
+  CU_ASSERT_EQUAL (streamorigin_find (&hosts[0].origin, 1), 0);
+  streamorigin_cancel (&query);
+  message_count = 0;
+  fleet_finish ();
+}
+
 /* Bad datagrams changed what a host knows. */
 static void
 test_bad_datagrams (void)
@@ -282,8 +330,6 @@
   streamorigin_record (&hosts[0].origin, 4, 5);
   streamorigin_record (&hosts[0].origin, 4, 6);
   CU_ASSERT_EQUAL (streamorigin_find (&hosts[0].origin, 4), 5);
-  /* A reply to no query is ignored. */
-  CU_ASSERT_EQUAL (streamorigin_find (&hosts[0].origin, 0), 0);
   fleet_finish ();
 }
 
@@ -332,6 +378,8 @@
   { "streams-of-killed-hosts", test_streams_of_killed_hosts },
   { "cut-off-host-knows-nothing", test_cut_off_host_knows_nothing },
   { "only-software", test_only_software },
+  { "several-softwares-in-own-view", test_several_softwares_in_own_view },
+  { "reply-of-a-host-not-asked", test_reply_of_a_host_not_asked },
   { "bad-datagrams", test_bad_datagrams },
   { "records-are-bounded", test_records_are_bounded },
   { "span-of-software", test_span_of_software },
