A cut body that is no event stream is not continued

Cause: a body of another type on a route for streams, of which over 256 KiB had been relayed, was cut and then sent on to a second server as a resumption after event 0, and that server's events were written behind it as a complete response. Evidence: streamend/cut-plain-body-is-not-continued failed before this commit (sent on, and complete), passes now. Why it works: the request notes whether what it relays is an event stream; only that may be continued. streamend/reset-between-events-is-not-complete adds the one framing that had no case (unframed, reset, after a whole event); it passed before.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -101,8 +101,8 @@
          && (!response->from_backend_server || response->encoded);
 }
 
-static bool
-relays_events (const struct exchange *exchange)
+bool
+exchange_relays_events (const struct exchange *exchange)
 {
   return exchange->is_stream && exchange->response.success
          && exchange->response.is_event_stream;
@@ -123,7 +123,7 @@
     exchange_close_with (exchange, EXCHANGE_NOT_RUN);
   else if (response_is_foreign (&exchange->response))
     exchange_close_with (exchange, EXCHANGE_FOREIGN);
-  else if (exchange->continues && !relays_events (exchange))
+  else if (exchange->continues && !exchange_relays_events (exchange))
     exchange_close_with (exchange, EXCHANGE_NOT_CONTINUED);
   else
     {
@@ -163,7 +163,7 @@
   size_t whole_size;
 
   exchange->last_received_ns = clock_now (exchange->clock);
-  if (!relays_events (exchange))
+  if (!exchange_relays_events (exchange))
     {
       buffered_body_add (exchange, bytes, size);
       return;
@@ -180,7 +180,7 @@
 static bool
 stream_was_cut (const struct exchange *exchange)
 {
-  return relays_events (exchange)
+  return exchange_relays_events (exchange)
          && (eventstream_is_inside_event (&exchange->events)
              || (exchange->framing == SERVERCONN_UNTIL_CLOSE
                  && exchange->events.event_count == 0));
@@ -194,7 +194,7 @@
       exchange_close_with (exchange, EXCHANGE_CUT);
       return;
     }
-  if (exchange->relayed && !relays_events (exchange))
+  if (exchange->relayed && !exchange_relays_events (exchange))
     exchange_relay (exchange, (const char *)exchange->buffered_body->data,
                     exchange->buffered_body->len);
   if (exchange->first_output_ns == 0)
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -107,6 +107,10 @@
                     const struct exchange_request *request,
                     int64_t connect_timeout_ns);
 
+/** Whether the response whose head was received is a successful event stream,
+ * which is relayed event by event. */
+bool exchange_relays_events (const struct exchange *exchange);
+
 /** Whether the request was sent and the attempt has not ended. */
 bool exchange_is_sent (const struct exchange *exchange);
 
--- a/src/forward.h
+++ b/src/forward.h
@@ -95,6 +95,8 @@
   unsigned not_run_count; /**< Number of attempts that certainly did not run
                              the request. */
   bool relaying; /**< Whether the response head has been sent to the caller. */
+  bool relays_events; /**< Whether the caller is sent an event stream, of which
+                         it has whole events only. */
   bool first_event_recorded;
   /** Query for the software that began the stream; open while the caller's
    * request to resume waits for it. */
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -48,6 +48,7 @@
   if (!forward->relaying)
     {
       forward->relaying = true;
+      forward->relays_events = exchange_relays_events (exchange);
       forward_learn_response_head (forward);
       forwardresume_record (forward);
       callerconn_stream_begin (forward->conn, exchange->response.status,
@@ -85,7 +86,7 @@
     .outcome = outcome,
     .response = &exchange->response,
     .relayed = forward->relaying,
-    .ends_with_event = exchange->events.event_count > 0 || forward->relaying,
+    .ends_with_event = forward->relays_events,
     .has_time_left
     = now + ATTEMPT_MARGIN_MS * NS_PER_MS < forward->deadline_ns,
   };
--- a/test/test-streamend.c
+++ b/test/test-streamend.c
@@ -132,6 +132,30 @@
     }
 }
 
+/* A cut body that is no event stream went on with the events of another
+ * server. */
+static void
+test_cut_plain_body_is_not_continued (void)
+{
+  char *body = g_strnfill (300000, 'b');
+  char *answer = g_strconcat (
+      RESPONSE_HEAD "Content-Type: text/plain\r\nContent-Length: 400000\r\n"
+                    "\r\n",
+      body, NULL);
+  struct fake_upstream_step plain = { answer, FAKE_UPSTREAM_CLOSE };
+
+  setup (&plain, rest_of_stream);
+  servers_find (&path.servers, "i-1")->failure_ratio = 0.9;
+  fake_path_request_send ("/stream/", "");
+  CU_ASSERT_TRUE (fake_path_run_until (NULL));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, "bbbbb"));
+  CU_ASSERT_EQUAL (path.upstreams[1].requests, 0);
+  CU_ASSERT_FALSE (answer_is_complete ());
+  fake_path_finish ();
+  g_free (answer);
+  g_free (body);
+}
+
 /* The stream of a caller that came back ended inside an event, and the
  * response looked complete. */
 static void
@@ -181,6 +205,20 @@
     }
 }
 
+/* An unframed stream that was reset between two events looked complete. */
+static void
+test_reset_between_events_is_not_complete (void)
+{
+  static const struct fake_upstream_step reset[]
+      = { { UNFRAMED EVENT (1), FAKE_UPSTREAM_RESET } };
+
+  setup (reset, NULL);
+  fake_path_request_send ("/long/", "");
+  CU_ASSERT_TRUE (fake_path_run_until (NULL));
+  CU_ASSERT_FALSE (answer_is_complete ());
+  fake_path_finish ();
+}
+
 /* An unframed stream whose last event is whole is complete. */
 static void
 test_whole_unframed_stream (void)
@@ -278,11 +316,14 @@
   { "cut-stream-is-continued", test_cut_stream_is_continued },
   { "refused-continuation-is-not-complete",
     test_refused_continuation_is_not_complete },
+  { "cut-plain-body-is-not-continued", test_cut_plain_body_is_not_continued },
   { "cut-stream-of-a-returned-caller", test_cut_stream_of_a_returned_caller },
   { "cut-continuation-is-not-complete",
     test_cut_continuation_is_not_complete },
   { "stream-without-events-is-not-complete",
     test_stream_without_events_is_not_complete },
+  { "reset-between-events-is-not-complete",
+    test_reset_between_events_is_not_complete },
   { "whole-unframed-stream", test_whole_unframed_stream },
   { "unframed-caller-sees-a-reset", test_unframed_caller_sees_a_reset },
   { "other-type-on-a-stream-route", test_other_type_on_a_stream_route },
