The log tells how the software of a returned caller's stream was found

Cause: forward_origin did not tell a record from the word of a host that its service has one software, and was not written at all where this host knew it, so that an engineer could not tell which of them sent a stream to a wrong software. The id that the caller names went into the log as it came; a space in it made fields of its own. Change: one forward_origin for each caller that comes back, with known_by (own_record, other_record, only_software, none); the id is escaped. Evidence: streamversion/returned-caller-stays-at-its-software and unknown-stream-is-refused check the lines; both failed without them.

--- a/src/event.c
+++ b/src/event.c
@@ -127,8 +127,9 @@
     "A connection was refused before its request was complete: over a size or "
     "time limit, or not HTTP." },
   { EVENT_FORWARD_ORIGIN, EVENT_LEVEL_INFO, "forward_origin",
-    "Other hosts were asked for the software that began a caller's stream: "
-    "hosts asked, their replies, what is known, time in ms." },
+    "A caller came back for a stream; known_by is how the software that began "
+    "it was found (own_record, other_record, only_software, none), then the "
+    "hosts that were asked, their replies and the time in ms." },
   { EVENT_SERVER_CHANGED, EVENT_LEVEL_WARN, "server_changed",
     "The known state of a backend server changed: added, leaving, gone, "
     "unreachable, reachable." },
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -81,6 +81,7 @@
   const struct call *call = &forward->call;
   const char *way = forward->relaying ? "response" : "return";
   const char *software = "unknown";
+  char *began_id;
   char labels[96];
 
   out[0] = '\0';
@@ -94,14 +95,16 @@
               software);
   metrics_add (forward->forwarder->metrics,
                "trefoilspar_streams_resumed_total", labels, 1);
+  began_id = log_escape_spaces (call->resumed_id != NULL ? call->resumed_id
+                                : call->resumes          ? "-"
+                                                         : call->request_id);
   g_snprintf (
       out, size, " resumed=%s began_id=%s began_software=%s after=%lu", way,
-      call->resumed_id != NULL ? call->resumed_id
-      : call->resumes          ? "-"
-                               : call->request_id,
+      began_id,
       forward->began_software[0] != '\0' ? forward->began_software : "-",
       (unsigned long)(forward->relaying ? forward->exchange.events.last_id
                                         : call->last_event_id));
+  g_free (began_id);
 }
 
 void
--- a/src/forwardresume.c
+++ b/src/forwardresume.c
@@ -52,6 +52,28 @@
     }
 }
 
+/* Log how the software that began the stream was found.
+ * @param query NULL if no other host was asked */
+static void
+log_origin (struct forward *forward, const char *known_by,
+            const struct streamorigin_query *query)
+{
+  const char *id = forward->call.resumed_id;
+  char *began_id = log_escape_spaces (id != NULL ? id : "-");
+  int64_t now = clock_now (forward->forwarder->clock);
+
+  log_event (
+      forward->forwarder->log, EVENT_FORWARD_ORIGIN,
+      "id=%s began_id=%s known_by=%s software=%s asked=%u replied=%u "
+      "waited_ms=%.1f",
+      forward->call.request_id, began_id, known_by,
+      forward->began_software[0] != '\0' ? forward->began_software : "-",
+      query != NULL ? query->asked_count : 0,
+      query != NULL ? query->replied_count : 0,
+      query != NULL ? (double)(now - query->start_ns) / NS_PER_MS : 0.0);
+  g_free (began_id);
+}
+
 static void
 query_done (struct streamorigin_query *query, uint64_t software)
 {
@@ -59,16 +81,11 @@
 
   if (software != 0)
     require_software (forward, software);
-  log_event (forward->forwarder->log, EVENT_FORWARD_ORIGIN,
-             "id=%s began_id=%s asked=%u replied=%u known=%d software=%s "
-             "waited_ms=%.1f",
-             forward->call.request_id,
-             forward->call.resumed_id != NULL ? forward->call.resumed_id : "-",
-             query->asked_count, query->replied_count, software != 0,
-             forward->began_software[0] != '\0' ? forward->began_software
-                                                : "-",
-             (double)(clock_now (forward->forwarder->clock) - query->start_ns)
-                 / NS_PER_MS);
+  log_origin (forward,
+              query->recorded ? "other_record"
+              : software != 0 ? "only_software"
+                              : "none",
+              query);
   forward->origin_found (forward, software != 0);
 }
 
@@ -86,6 +103,7 @@
   if (software != 0)
     {
       require_software (forward, software);
+      log_origin (forward, stream != 0 ? "own_record" : "only_software", NULL);
       return true;
     }
   forward->origin_found = found;
--- a/src/streamorigin.c
+++ b/src/streamorigin.c
@@ -302,6 +302,7 @@
   if (reply->software != 0)
     {
       record_add (origin, reply->stream, reply->software);
+      query->recorded = true;
       query_end (query, reply->software);
     }
   else if (query->replied_count == query->asked_count)
--- a/src/streamorigin.h
+++ b/src/streamorigin.h
@@ -47,6 +47,7 @@
   bool replied[STREAMORIGIN_ASKED_MAX];
   unsigned asked_count;
   unsigned replied_count;
+  bool recorded;          /**< Whether a reply had a record of the stream. */
   uint64_t only_software; /**< Only software of the service by a reply; 0 if no
                              reply knows it. */
   /** Called once, from streamorigin_receive or streamorigin_tick.
--- a/test/test-streamversion.c
+++ b/test/test-streamversion.c
@@ -137,6 +137,9 @@
   send_return ("r2", "Resumes: r1\r\n");
   CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 503"));
   CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, "Retry-After: "));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (path.logged->str,
+              "forward_origin id=r2 began_id=r1 known_by=own_record"));
   CU_ASSERT_EQUAL (path.upstreams[1].requests, 0);
   fake_path_upstream_add (&rest, "svc", "v1");
   servers_find (&path.servers, "i-2")->failure_ratio = 0.9;
@@ -183,7 +186,7 @@
 static void
 test_unknown_stream_is_refused (void)
 {
-  static const char *const resumes[] = { "Resumes: other\r\n", "" };
+  static const char *const resumes[] = { "Resumes: ot her\r\n", "" };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (resumes); i++)
     {
@@ -191,6 +194,9 @@
       send_return ("r2", resumes[i]);
       CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 503"));
       CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, "Retry-After: "));
+      CU_ASSERT_PTR_NOT_NULL (
+          strstr (path.logged->str, i == 0 ? "began_id=ot_her known_by=none"
+                                           : "began_id=- known_by=none"));
       CU_ASSERT_EQUAL (path.upstreams[0].requests, 0);
       CU_ASSERT_EQUAL (path.upstreams[1].requests, 0);
       fake_path_finish ();
