Logs name the prompt blocks of a run that its server cut

The logs could not tell a block that crashes engines from bystanders: a cut attempt named no blocks, no fingerprint, no count of crashes and not how long its response had lasted.

forward_crash has them, one line for each run whose connection was lost; trefoilspar_lost_runs_total counts them by how far the response was. No decision changes.

--- a/src/event.c
+++ b/src/event.c
@@ -130,6 +130,11 @@
     "A caller came back for a stream; known_by is how the software that began "
     "it was found (own_record, other_record, only_software, none), then the "
     "hosts that were asked, their replies and the time in ms." },
+  { EVENT_FORWARD_CRASH, EVENT_LEVEL_WARN, "forward_crash",
+    "The connection of a request was lost before its response was complete, "
+    "which may mean that the server crashed: the fingerprint of the request "
+    "and how many servers crashed on it, the age of the response in ms (-1 if "
+    "it had not begun), its events and the ids of the prompt's blocks." },
   { EVENT_SERVER_CHANGED, EVENT_LEVEL_WARN, "server_changed",
     "The known state of a backend server changed: added, leaving, gone, "
     "unreachable, reachable." },
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -1,4 +1,5 @@
 #include "forwardlearn.h"
+#include "forwardlog.h"
 
 enum
 {
@@ -74,8 +75,11 @@
   else if (outcome == EXCHANGE_FOREIGN || outcome == EXCHANGE_SILENT)
     server_record_reached (forwarder->servers, server, true);
   if (outcome == EXCHANGE_CUT)
-    poisoncount_report_crash (forwarder->poisoncount, forward->fingerprint,
-                              server->entry.id);
+    {
+      poisoncount_report_crash (forwarder->poisoncount, forward->fingerprint,
+                                server->entry.id);
+      forward_log_crash (forward);
+    }
   else if (outcome == EXCHANGE_ANSWERED)
     poisoncount_clear (forwarder->poisoncount, forward->fingerprint);
   if (outcome == EXCHANGE_NOT_RUN && response->other_server)
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -169,3 +169,54 @@
                  ? (double)(now - exchange->sent_ns) / NS_PER_MS
                  : -1.0);
 }
+
+/* Write the ids of the blocks of the prompt, separated by commas, to OUT. Ids
+ * that do not fit are left out. */
+static void
+blocks_describe (const struct call *call, char *out, size_t size)
+{
+  size_t length = 0;
+
+  g_strlcpy (out, "-", size);
+  for (unsigned i = 0; i < call->block_count; i++)
+    {
+      char id[32];
+      size_t id_length
+          = (size_t)g_snprintf (id, sizeof id, "%s%lx", i > 0 ? "," : "",
+                                (unsigned long)call->blocks[i].id);
+
+      if (length + id_length >= size)
+        return;
+      memcpy (out + length, id, id_length + 1);
+      length += id_length;
+    }
+}
+
+void
+forward_log_crash (struct forward *forward)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  const struct exchange *exchange = &forward->exchange;
+  int64_t now = clock_now (forwarder->clock);
+  char blocks[256];
+  char labels[64];
+
+  g_snprintf (labels, sizeof labels, "response=\"%s\"",
+              !exchange->has_head              ? "none"
+              : exchange->first_output_ns == 0 ? "head"
+                                               : "begun");
+  metrics_add (forwarder->metrics, "trefoilspar_lost_runs_total", labels, 1);
+  blocks_describe (&forward->call, blocks, sizeof blocks);
+  log_event (
+      forwarder->log, EVENT_FORWARD_CRASH,
+      "id=%s server=%s fingerprint=%016lx crashes=%u response=%d "
+      "response_age_ms=%.1f events=%lu blocks=%s",
+      forward->call.request_id, exchange->server->entry.id,
+      (unsigned long)forward->fingerprint,
+      poisoncount_crashes (forwarder->poisoncount, forward->fingerprint),
+      exchange->has_head,
+      exchange->first_output_ns != 0
+          ? (double)(now - exchange->first_output_ns) / NS_PER_MS
+          : -1.0,
+      (unsigned long)exchange->events.event_count, blocks);
+}
--- a/src/forwardlog.h
+++ b/src/forwardlog.h
@@ -22,4 +22,8 @@
                           enum exchange_outcome outcome,
                           enum forwardretry_action action);
 
+/** Log that the connection of the present attempt was lost before its response
+ * was complete. */
+void forward_log_crash (struct forward *forward);
+
 #endif
--- a/src/poisoncount.c
+++ b/src/poisoncount.c
@@ -123,15 +123,21 @@
   g_hash_table_add (poisoncount->cleared, key);
 }
 
+unsigned
+poisoncount_crashes (const struct poisoncount *poisoncount,
+                     uint64_t fingerprint)
+{
+  return GPOINTER_TO_UINT (
+      g_hash_table_lookup (poisoncount->crash_counts, &fingerprint));
+}
+
 bool
 poisoncount_is_blocked (const struct poisoncount *poisoncount,
                         uint64_t fingerprint)
 {
   if (g_hash_table_contains (poisoncount->cleared, &fingerprint))
     return false;
-  return GPOINTER_TO_INT (
-             g_hash_table_lookup (poisoncount->crash_counts, &fingerprint))
-         >= CRASHES_MAX;
+  return poisoncount_crashes (poisoncount, fingerprint) >= CRASHES_MAX;
 }
 
 static void
--- a/src/poisoncount.h
+++ b/src/poisoncount.h
@@ -55,6 +55,11 @@
  * longer counts its crashes. */
 void poisoncount_clear (struct poisoncount *poisoncount, uint64_t fingerprint);
 
+/** Return the number of servers that have crashed while they ran the request,
+ * as far as this host knows. */
+unsigned poisoncount_crashes (const struct poisoncount *poisoncount,
+                              uint64_t fingerprint);
+
 /** Whether the request has crashed too many servers to be run again. */
 bool poisoncount_is_blocked (const struct poisoncount *poisoncount,
                              uint64_t fingerprint);
--- a/test/test-forwarder.c
+++ b/test/test-forwarder.c
@@ -411,6 +411,11 @@
   fake_path_request_send ("/safe/", "");
   CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 502"));
   CU_ASSERT_EQUAL (path.upstreams[0].requests + path.upstreams[1].requests, 2);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (path.logged->str, "crashes=2 response=0 response_age_ms=-1.0 "));
+  CU_ASSERT_EQUAL (metrics_value (&path.metrics, "trefoilspar_lost_runs_total",
+                                  "response=\"none\""),
+                   2);
   fake_path_server_add (2, path.upstreams[0].address);
   g_string_truncate (path.answer, 0);
   fake_path_request_send ("/safe/", "");
