--- a/test/soak-proxy.c
+++ b/test/soak-proxy.c
@@ -1,4 +1,5 @@
 #include "soak-proxy.h"
+#include "tcpreset.h"
 
 #include <string.h>
 
@@ -165,6 +166,17 @@
          || (mode == SOAK_PROXY_ONE_WAY && from == &from->pair->target);
 }
 
+/* libuv reports a reset as the end of the connection if it comes together with
+ * the last bytes. */
+static bool
+was_reset (const uv_stream_t *stream)
+{
+  uv_os_fd_t fd;
+
+  return uv_fileno ((const uv_handle_t *)stream, &fd) != 0
+         || tcpreset_was_reset (fd);
+}
+
 static void
 on_bytes (uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
 {
@@ -178,7 +190,7 @@
       if (size < 0)
         uv_read_stop (stream);
     }
-  else if (size < 0 && size != UV_EOF)
+  else if (size < 0 && (size != UV_EOF || was_reset (stream)))
     pair_close (side->pair, true);
   else if (size < 0 && side->other->ended)
     pair_close (side->pair, false);
