--- a/src/poisoncount.c
+++ b/src/poisoncount.c
@@ -7,10 +7,6 @@
 {
   /* Number of crashed servers at which a request is blocked. */
   CRASHES_MAX = 2,
-  /* Keys expire 60 to 120 s after they are written, since callers repeat a
-   * request within their session. */
-  LEASE_S = 120,
-  WRITES_MAX = 32, /* Maximum number of keys written in one transaction. */
   /* Maximum number of cleared fingerprints that are kept. All are removed
    * when this number is reached. */
   CLEARED_MAX = 8192
@@ -21,10 +17,8 @@
                   const struct clock *clock, const char *prefix)
 {
   memset (poisoncount, 0, sizeof *poisoncount);
-  poisoncount->kv = kv;
-  poisoncount->clock = clock;
+  leasedkeys_init (&poisoncount->keys, kv, clock);
   poisoncount->prefix = prefix;
-  poisoncount->pending_keys = g_ptr_array_new_with_free_func (g_free);
   poisoncount->crash_counts
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   poisoncount->counted_keys
@@ -36,7 +30,7 @@
 void
 poisoncount_finish (struct poisoncount *poisoncount)
 {
-  g_ptr_array_free (poisoncount->pending_keys, TRUE);
+  leasedkeys_finish (&poisoncount->keys);
   g_hash_table_destroy (poisoncount->crash_counts);
   g_hash_table_destroy (poisoncount->counted_keys);
   g_hash_table_destroy (poisoncount->cleared);
@@ -106,7 +100,8 @@
                          poisoncount->prefix, fingerprint, server);
 
   poisoncount_key_put (poisoncount, key);
-  g_ptr_array_add (poisoncount->pending_keys, key);
+  leasedkeys_add (&poisoncount->keys, key, "1");
+  g_free (key);
 }
 
 void
@@ -140,58 +135,8 @@
   return poisoncount_crashes (poisoncount, fingerprint) >= CRASHES_MAX;
 }
 
-static void
-lease_granted (void *data, const struct kv_reply *reply)
-{
-  struct poisoncount *poisoncount = data;
-
-  poisoncount->lease_requested = false;
-  if (reply->status != STATUS_OK)
-    return;
-  poisoncount->lease_id = reply->lease;
-  poisoncount->lease_granted_ns = clock_now (poisoncount->clock);
-}
-
-static void
-keys_written (void *data, const struct kv_reply *reply)
-{
-  struct poisoncount *poisoncount = data;
-
-  /* The lease has expired and the keys were not written. This host still
-   * counts these crashes, but other hosts learn only of later ones. */
-  if (reply->status == STATUS_NOT_FOUND)
-    poisoncount->lease_id = 0;
-}
-
-static void
-pending_keys_write (struct poisoncount *poisoncount)
-{
-  struct kv_write writes[WRITES_MAX];
-  size_t count = MIN (poisoncount->pending_keys->len, (guint)WRITES_MAX);
-  struct kv_txn txn = { .writes = writes, .write_count = count };
-
-  for (size_t i = 0; i < count; i++)
-    writes[i] = (struct kv_write){ poisoncount->pending_keys->pdata[i], "1",
-                                   poisoncount->lease_id };
-  poisoncount->kv->ops->txn (poisoncount->kv, &txn, keys_written, poisoncount);
-  g_ptr_array_remove_range (poisoncount->pending_keys, 0, (guint)count);
-}
-
 void
 poisoncount_tick (struct poisoncount *poisoncount)
 {
-  int64_t age = clock_now (poisoncount->clock) - poisoncount->lease_granted_ns;
-
-  if (poisoncount->pending_keys->len == 0 || poisoncount->lease_requested)
-    return;
-  /* A lease gets no new keys in its second half, so that each key exists for
-   * at least half the duration of the lease. */
-  if (poisoncount->lease_id != 0 && age < LEASE_S * NS_PER_S / 2)
-    {
-      pending_keys_write (poisoncount);
-      return;
-    }
-  poisoncount->lease_requested = true;
-  poisoncount->kv->ops->lease_grant (poisoncount->kv, LEASE_S * NS_PER_S,
-                                     lease_granted, poisoncount);
+  leasedkeys_tick (&poisoncount->keys);
 }
--- a/src/poisoncount.h
+++ b/src/poisoncount.h
@@ -1,8 +1,7 @@
 #ifndef POISONCOUNT_H
 #define POISONCOUNT_H
 
-#include "clock.h"
-#include "kv.h"
+#include "leasedkeys.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -20,14 +19,9 @@
 
 struct poisoncount
 {
-  struct kv *kv;
-  const struct clock *clock;
-  uint64_t lease_id; /**< Lease that keys are written with; 0 if no lease is
-                        granted. */
-  int64_t lease_granted_ns;
-  bool lease_requested;
-  GPtrArray *pending_keys; /**< Keys that still have to be written to the KV
-                              service. */
+  /** Writes the keys, which outlast the session within which callers repeat a
+   * request. */
+  struct leasedkeys keys;
   /** Maps fingerprints to the number of crashed servers. */
   GHashTable *crash_counts;
   GHashTable *counted_keys; /**< Set of the keys that crash_counts includes. */
@@ -70,8 +64,7 @@
 void poisoncount_key_removed (struct poisoncount *poisoncount,
                               const char *key);
 
-/** Write the pending keys to the KV service, or request a lease if they need a
- * new one. */
+/** Write the keys of new crashes to the KV service. */
 void poisoncount_tick (struct poisoncount *poisoncount);
 
 #endif
