Crashes that were found while the KV service was away are told afterwards

Callers of other hosts could run a request that had crashed servers, if the crashes were seen while the KV service was away, or the lease of their keys had ended: poisoncount forgot a key as soon as its write was sent, whatever became of it.

A write stays pending until it has succeeded, and is repeated every 250 ms, at most 1,024 of them. An expired lease, also reported as a conflict, is replaced.

leasedkeys/written-after-an-outage and written-with-a-new-lease fail without the change (keys "b" and "c" missing) and pass with it.

--- a/src/leasedkeys.c
+++ b/src/leasedkeys.c
@@ -5,7 +5,10 @@
 enum
 {
   LEASE_S = 120,
-  WRITES_MAX = 32 /* Maximum number of keys written in one transaction. */
+  WRITES_MAX = 32, /* Maximum number of keys written in one transaction. */
+  /* Maximum number of pending writes; the oldest ones are dropped. */
+  PENDING_MAX = 1024,
+  RETRY_MS = 250 /* Time from a failed call to the next one. */
 };
 
 struct pending_write
@@ -43,13 +46,22 @@
 void
 leasedkeys_add (struct leasedkeys *keys, const char *key, const char *value)
 {
-  struct pending_write *write = g_new0 (struct pending_write, 1);
+  struct pending_write *write;
 
+  if (keys->pending->len >= PENDING_MAX)
+    g_ptr_array_remove_index (keys->pending, keys->sent_count);
+  write = g_new0 (struct pending_write, 1);
   write->key = g_strdup (key);
   write->value = g_strdup (value);
   g_ptr_array_add (keys->pending, write);
 }
 
+static void
+call_failed (struct leasedkeys *keys)
+{
+  keys->next_call_ns = clock_now (keys->clock) + RETRY_MS * NS_PER_MS;
+}
+
 static void
 lease_granted (void *data, const struct kv_reply *reply)
 {
@@ -57,7 +69,10 @@
 
   keys->lease_requested = false;
   if (reply->status != STATUS_OK)
-    return;
+    {
+      call_failed (keys);
+      return;
+    }
   keys->lease_id = reply->lease;
   keys->lease_granted_ns = clock_now (keys->clock);
 }
@@ -66,10 +81,25 @@
 keys_written (void *data, const struct kv_reply *reply)
 {
   struct leasedkeys *keys = data;
+  unsigned count = keys->sent_count;
 
-  /* The lease has expired and the keys were not written. */
-  if (reply->status == STATUS_NOT_FOUND)
-    keys->lease_id = 0;
+  keys->sent_count = 0;
+  switch (reply->status)
+    {
+    case STATUS_NOT_FOUND:
+    case STATUS_CONFLICT:
+      /* Without comparisons, only an expired lease is a conflict. */
+      keys->lease_id = 0;
+      call_failed (keys);
+      break;
+    case STATUS_UNAVAILABLE:
+    case STATUS_UNKNOWN:
+    case STATUS_LIMITED:
+      call_failed (keys);
+      break;
+    default:
+      g_ptr_array_remove_range (keys->pending, 0, count);
+    }
 }
 
 static void
@@ -86,16 +116,18 @@
       writes[i]
           = (struct kv_write){ write->key, write->value, keys->lease_id };
     }
+  keys->sent_count = (unsigned)count;
   keys->kv->ops->txn (keys->kv, &txn, keys_written, keys);
-  g_ptr_array_remove_range (keys->pending, 0, (guint)count);
 }
 
 void
 leasedkeys_tick (struct leasedkeys *keys)
 {
-  int64_t age = clock_now (keys->clock) - keys->lease_granted_ns;
+  int64_t now = clock_now (keys->clock);
+  int64_t age = now - keys->lease_granted_ns;
 
-  if (keys->pending->len == 0 || keys->lease_requested)
+  if (keys->pending->len == 0 || keys->lease_requested || keys->sent_count > 0
+      || now < keys->next_call_ns)
     return;
   /* A lease gets no new keys in its second half, so that each key exists for
    * at least half the duration of the lease. */
--- a/src/leasedkeys.h
+++ b/src/leasedkeys.h
@@ -10,7 +10,8 @@
 
 /** @file
  * Writes keys to the KV service that expire 60 to 120 s later. Many keys share
- * a lease, and keys that are added together are written in one call.
+ * a lease, and keys that are added together are written in one call. A write
+ * that fails is repeated.
  */
 
 struct leasedkeys
@@ -21,7 +22,11 @@
                         granted. */
   int64_t lease_granted_ns;
   bool lease_requested;
-  GPtrArray *pending; /**< Writes that still have to be sent. */
+  GPtrArray *pending;  /**< Writes that have not succeeded yet, the oldest
+                          first. */
+  unsigned sent_count; /**< Number of the first writes of `pending` whose reply
+                          is outstanding. */
+  int64_t next_call_ns; /**< Earliest time of the next call. */
 };
 
 void leasedkeys_init (struct leasedkeys *keys, struct kv *kv,
