A prompt block that crashes servers is found and blocked on all hosts

Cause: crashes were counted for whole requests only. No two of these requests were equal, so each was new, and was even sent again after its first crash. Evidence: of 55 attempts with block 150dafba1c0, 35 were cut, each at another engine, each with the head of a response and no event. The class: what a crash says was tied to one way of recognising a request.

The parts of a request, its shared prompt blocks and its fingerprint, are now judged together (blame). A crash takes all runs of the server along, so it counts only against the part that explains the most crashes, beyond the completed runs with it; once that one is blocked, its crashes no longer count against the others, also not in poisoncount. Hosts tell each other lost runs, completed runs and blocks in datagrams, and keep blocks in the KV service for processes that start later (blameshare, blamestore). A block ends with the first completed run, or when nobody asks any more; one host at a time tries a request after it, for twice the time if its server crashes.

--- a/src/entry.c
+++ b/src/entry.c
@@ -1,4 +1,5 @@
 #include "entry.h"
+#include "entryblame.h"
 #include "entryhttp.h"
 #include "entryorigin.h"
 #include "entryviews.h"
@@ -258,6 +259,7 @@
   kvview_tick (&entry->hosts_view);
   presence_tick (&entry->presence);
   poisoncount_tick (&entry->poisoncount);
+  blameshare_tick (&entry->blameshare);
   rollout_tick (&entry->rollout);
   if (entry->settings->engines.use_stores)
     kvstores_tick (&entry->kvstores);
@@ -337,8 +339,8 @@
   if (status == STATUS_OK)
     status = peerudp_init (
         &entry->peerudp, &entry->loop, &entry->loadshare, &entry->kvstores,
-        &entry->presence, &entry->subsets, &entry->origin, &entry->clock,
-        settings->listen.peer.ip, settings->listen.peer.port,
+        &entry->presence, &entry->subsets, &entry->origin, &entry->blameshare,
+        &entry->clock, settings->listen.peer.ip, settings->listen.peer.port,
         LOAD_PERIOD_MS * NS_PER_MS, error);
   return status;
 }
@@ -473,6 +475,9 @@
   poisoncount_init (&entry->poisoncount, &entry->kvbudget.kv, &entry->clock,
                     ENTRY_CRASH_PREFIX);
   entry_init_presence (entry);
+  blameshare_init (&entry->blameshare, &entry->kvbudget.kv, &entry->clock,
+                   &entry->presence, &entry->log, &entry->metrics,
+                   ENTRY_BLAME_PREFIX, &entryblame_ops, entry);
   streamorigin_init (&entry->origin, &entry->clock, &entry->presence,
                      &entryorigin_ops, entry);
   subsets_init (&entry->subsets, &entry->clock, &entry->presence,
@@ -485,8 +490,8 @@
   kvstores_set_ops (&entry->kvstores, &kvstores_ops, entry);
   forwarder_init (&entry->forwarder, &entry->loop, &entry->clock, &entry->rng,
                   &entry->log, &entry->metrics, entry->dialect, &no_settings,
-                  &entry->servers, &entry->poisoncount, &entry->kvstores,
-                  &entry->retire, &entry->origin);
+                  &entry->servers, &entry->poisoncount, &entry->blameshare,
+                  &entry->kvstores, &entry->retire, &entry->origin);
   cacheretire_init (&entry->retire, &entry->clock, &entry->log,
                     &entry->servers, &entry->presence,
                     entry->forwarder.wanted_weights);
@@ -578,6 +583,7 @@
   loadshare_finish (&entry->loadshare);
   presence_finish (&entry->presence);
   poisoncount_finish (&entry->poisoncount);
+  blameshare_finish (&entry->blameshare);
   servers_finish (&entry->servers);
   kvview_finish (&entry->operator_view);
   kvview_finish (&entry->servers_view);
--- a/src/entry.h
+++ b/src/entry.h
@@ -2,6 +2,7 @@
 #define ENTRY_H
 
 #include "cachegc.h"
+#include "blameshare.h"
 #include "callerconn.h"
 #include "subsets.h"
 #include "dialect.h"
@@ -64,6 +65,7 @@
   struct kvview hosts_view;
   struct servers servers;
   struct poisoncount poisoncount;
+  struct blameshare blameshare;
   struct presence presence;
   struct loadshare loadshare;
   struct subsets subsets;
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -224,6 +224,8 @@
     }
   else if (g_str_has_prefix (key, ENTRY_CRASH_PREFIX))
     poisoncount_key_put (&entry->poisoncount, key);
+  else if (g_str_has_prefix (key, ENTRY_BLAME_PREFIX))
+    blamestore_key_put (&entry->blameshare.store, key, value);
   else if (strcmp (key, ENTRY_LEADER_KEY) == 0)
     rollout_leader_key_put (&entry->rollout, value, revision);
 }
@@ -240,6 +242,8 @@
     }
   else if (g_str_has_prefix (key, ENTRY_CRASH_PREFIX))
     poisoncount_key_removed (&entry->poisoncount, key);
+  else if (g_str_has_prefix (key, ENTRY_BLAME_PREFIX))
+    blamestore_key_removed (&entry->blameshare.store, key);
   else if (strcmp (key, ENTRY_LEADER_KEY) == 0)
     rollout_leader_key_removed (&entry->rollout);
 }
--- a/src/entryviews.h
+++ b/src/entryviews.h
@@ -15,6 +15,7 @@
 #define ENTRY_KEY_PREFIX "trefoilspar/"
 #define ENTRY_HOST_PREFIX ENTRY_KEY_PREFIX "host/"
 #define ENTRY_CRASH_PREFIX ENTRY_KEY_PREFIX "loss/"
+#define ENTRY_BLAME_PREFIX ENTRY_KEY_PREFIX "blame/"
 #define ENTRY_LEADER_KEY ENTRY_KEY_PREFIX "duty/weights"
 
 extern const struct kvview_ops entryviews_operator_ops;
--- a/src/event.c
+++ b/src/event.c
@@ -135,12 +135,27 @@
     "which may mean that the server crashed: the fingerprint of the request "
     "and how many servers crashed on it, the age of the response in ms (-1 if "
     "it had not begun), its events and the ids of the prompt's blocks." },
+  { EVENT_PART_BLAMED, EVENT_LEVEL_WARN, "part_blamed",
+    "A prompt block or whole request that crashes servers is blocked, or "
+    "blocked for longer after a try: how this host knows (found, told by "
+    "another host, stored in the KV service), the crashes that it explains, "
+    "the completed runs with it, the length of the block. Check what sends "
+    "it." },
+  { EVENT_PART_RELEASED, EVENT_LEVEL_INFO, "part_released",
+    "A blocked part is no longer blocked: a run with it was completed, more "
+    "were completed than crashed (outweighed), nobody asked for it after its "
+    "time (unused), or the table is full (too_many)." },
   { EVENT_SERVER_CHANGED, EVENT_LEVEL_WARN, "server_changed",
     "The known state of a backend server changed: added, leaving, gone, "
     "unreachable, reachable." },
   { EVENT_ENTRY_IGNORED, EVENT_LEVEL_WARN, "entry_ignored",
     "An entry of the KV service can't be decoded as a server or host and is "
     "ignored; look for another writer." },
+  { EVENT_FORWARD_BLOCKED, EVENT_LEVEL_INFO, "forward_blocked",
+    "A request has a blocked part: it is refused, or it is the one that is "
+    "tried after the time of the block; the crashes that the part explains "
+    "and "
+    "the age of the block." },
   { EVENT_ROUTES_IN_FORCE, EVENT_LEVEL_WARN, "routes_in_force",
     "A newer configuration routes requests from now on." },
   { EVENT_ROUTES_REFUSED, EVENT_LEVEL_ERROR, "routes_refused",
--- a/src/forward.h
+++ b/src/forward.h
@@ -2,6 +2,7 @@
 #define FORWARD_H
 
 #include "exchange.h"
+#include "blameshare.h"
 #include "callerconn.h"
 #include "choose.h"
 #include "dialect.h"
@@ -48,6 +49,7 @@
   struct forward_settings settings;
   struct servers *servers;
   struct poisoncount *poisoncount;
+  struct blameshare *blameshare;
   struct kvstores *kvstores;
   const struct cacheretire *retire;
   struct streamorigin *origin;
@@ -112,6 +114,9 @@
    * is none or it is unknown. */
   char began_software[SERVER_NAME_MAX];
   uint64_t fingerprint;
+  struct blame_part parts[BLAME_PARTS_MAX];
+  unsigned part_count;
+  bool tries_blocked;     /**< Whether the request is tried after a block. */
   char *fetch_store_name; /**< Name of the store that the largest fetched block
                              comes from; NULL if no block is fetched. */
   double expected_ms; /**< Expected time from the start of the current attempt
--- /dev/null
+++ b/src/forwardblame.c
@@ -0,0 +1,96 @@
+#include "forwardblame.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  /* A run that has had output for longer did not crash its server. */
+  OUTPUT_SAFE_MS = 500
+};
+
+void
+forwardblame_set_parts (struct forward *forward)
+{
+  const struct call *call = &forward->call;
+  const char *model = call->model != NULL ? call->model : "";
+  uint64_t scope = MAX (XXH3_64bits (model, strlen (model)), 1U);
+
+  for (unsigned i = 0; i + 1 < call->block_count; i++)
+    forward->parts[forward->part_count++]
+        = (struct blame_part){ scope, call->blocks[i].id };
+  forward->parts[forward->part_count++]
+      = (struct blame_part){ 0, forward->fingerprint };
+}
+
+bool
+forwardblame_is_blocked (struct forward *forward)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  struct blame *blame = &forwarder->blameshare->blame;
+  const struct blame_block *block;
+  bool had_attempt = forward->run_count + forward->not_run_count > 0;
+
+  if (forward->tries_blocked && !had_attempt)
+    return false;
+  if (had_attempt)
+    block = blame_find_block (blame, forward->parts, forward->part_count);
+  else
+    block = blame_check (blame, forward->parts, forward->part_count,
+                         &forward->tries_blocked);
+  if (block == NULL && !forward->tries_blocked)
+    return false;
+  log_event (forwarder->log, EVENT_FORWARD_BLOCKED,
+             "id=%s action=%s part=%lx kind=%s crashes=%u age_ms=%ld "
+             "attempts=%u",
+             forward->call.request_id, block != NULL ? "refuse" : "try",
+             block != NULL ? (unsigned long)block->part.id : 0UL,
+             block != NULL && block->part.scope == 0 ? "request" : "block",
+             block != NULL ? block->crashes : 0,
+             block != NULL
+                 ? (long)((clock_now (forwarder->clock) - block->since_ns)
+                          / NS_PER_MS)
+                 : 0L,
+             forward->run_count + forward->not_run_count);
+  return block != NULL;
+}
+
+static enum blame_suspicion
+lost_run_suspicion (const struct forward *forward)
+{
+  const struct exchange *exchange = &forward->exchange;
+
+  if (!exchange->has_head)
+    return BLAME_POSSIBLE;
+  if (exchange->first_output_ns == 0)
+    return BLAME_LIKELY;
+  return clock_now (forward->forwarder->clock) - exchange->first_output_ns
+                 < OUTPUT_SAFE_MS * NS_PER_MS
+             ? BLAME_POSSIBLE
+             : BLAME_NONE;
+}
+
+static void
+learn_lost (struct forward *forward)
+{
+  const struct exchange *exchange = &forward->exchange;
+  struct forwarder *forwarder = forward->forwarder;
+  const struct server_entry *entry = &exchange->server->entry;
+  struct blame_run run = { .server_started_ms = entry->started_ms,
+                           .part_count = forward->part_count,
+                           .suspicion = lost_run_suspicion (forward) };
+
+  g_strlcpy (run.server, entry->id, sizeof run.server);
+  memcpy (run.parts, forward->parts, sizeof run.parts);
+  blameshare_run_lost (forwarder->blameshare, &run);
+}
+
+void
+forwardblame_learn (struct forward *forward, enum exchange_outcome outcome)
+{
+  if (outcome == EXCHANGE_CUT)
+    learn_lost (forward);
+  else if (outcome == EXCHANGE_ANSWERED && forward->exchange.response.success)
+    blame_add_completed (&forward->forwarder->blameshare->blame,
+                         forward->parts, forward->part_count);
+}
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -1,4 +1,5 @@
 #include "forwarder.h"
+#include "forwardblame.h"
 #include "forwardlearn.h"
 #include "forwardlog.h"
 #include "forwardrespond.h"
@@ -140,6 +141,19 @@
 static const struct exchange_ops exchange_ops
     = { response_bytes_received, exchange_ended };
 
+/* End the request because no server may run it any more. */
+static void
+forward_give_up (struct forward *forward, const char *reason,
+                 int64_t retry_after_ms)
+{
+  if (forward->relaying)
+    forward_break (forward, reason);
+  else if (forward->run_count > 0)
+    forward_fail (forward, reason);
+  else
+    forward_refuse (forward, reason, retry_after_ms);
+}
+
 static void
 forward_place (struct forward *forward)
 {
@@ -154,6 +168,11 @@
   };
   struct choose_result choice;
 
+  if (forwardblame_is_blocked (forward))
+    {
+      forward_give_up (forward, "crashes_servers", RETRY_AFTER_POISON_MS);
+      return;
+    }
   memcpy (query.excluded, forward->tried, sizeof query.excluded);
   if (wanted != NULL)
     {
@@ -173,12 +192,7 @@
   forwardwait_remove (forward);
   if (choice.server == NULL)
     {
-      if (forward->relaying)
-        forward_break (forward, "no_server");
-      else if (forward->run_count > 0)
-        forward_fail (forward, "no_server");
-      else
-        forward_refuse (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
+      forward_give_up (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
       return;
     }
   forward_log_placement (forward, &query, &choice);
@@ -262,6 +276,7 @@
   forward->fingerprint = poisoncount_fingerprint (
       forward->organisation != NULL ? forward->organisation->name : "",
       conn->target->str, conn->body->data, conn->body->len);
+  forwardblame_set_parts (forward);
   if (poisoncount_is_blocked (forwarder->poisoncount, forward->fingerprint))
     forward_refuse (forward, "ends_servers", RETRY_AFTER_POISON_MS);
   else if (!forwardresume_is_return (forward)
@@ -489,8 +504,8 @@
                 struct metrics *metrics, const struct dialect *dialect,
                 const struct forward_settings *settings,
                 struct servers *servers, struct poisoncount *poisoncount,
-                struct kvstores *kvstores, const struct cacheretire *retire,
-                struct streamorigin *origin)
+                struct blameshare *blameshare, struct kvstores *kvstores,
+                const struct cacheretire *retire, struct streamorigin *origin)
 {
   memset (forwarder, 0, sizeof *forwarder);
   forwarder->loop = loop;
@@ -502,6 +517,7 @@
   forwarder->settings = *settings;
   forwarder->servers = servers;
   forwarder->poisoncount = poisoncount;
+  forwarder->blameshare = blameshare;
   forwarder->kvstores = kvstores;
   forwarder->retire = retire;
   forwarder->origin = origin;
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -16,7 +16,7 @@
                      const struct dialect *dialect,
                      const struct forward_settings *settings,
                      struct servers *servers, struct poisoncount *poisoncount,
-                     struct kvstores *kvstores,
+                     struct blameshare *blameshare, struct kvstores *kvstores,
                      const struct cacheretire *retire,
                      struct streamorigin *origin);
 void forwarder_finish (struct forwarder *forwarder);
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -1,4 +1,5 @@
 #include "forwardlearn.h"
+#include "forwardblame.h"
 #include "forwardlog.h"
 
 enum
@@ -74,6 +75,7 @@
                            response->status >= 500);
   else if (outcome == EXCHANGE_FOREIGN || outcome == EXCHANGE_SILENT)
     server_record_reached (forwarder->servers, server, true);
+  forwardblame_learn (forward, outcome);
   if (outcome == EXCHANGE_CUT)
     {
       poisoncount_report_crash (forwarder->poisoncount, forward->fingerprint,
--- a/src/leasedkeys.c
+++ b/src/leasedkeys.c
@@ -114,7 +114,8 @@
       const struct pending_write *write = keys->pending->pdata[i];
 
       writes[i]
-          = (struct kv_write){ write->key, write->value, keys->lease_id };
+          = (struct kv_write){ write->key, write->value,
+                               write->value != NULL ? keys->lease_id : 0 };
     }
   keys->sent_count = (unsigned)count;
   keys->kv->ops->txn (keys->kv, &txn, keys_written, keys);
--- a/src/leasedkeys.h
+++ b/src/leasedkeys.h
@@ -33,7 +33,8 @@
                       const struct clock *clock);
 void leasedkeys_finish (struct leasedkeys *keys);
 
-/** Write VALUE to KEY with one of the next calls of leasedkeys_tick. */
+/** Write VALUE to KEY with one of the next calls of leasedkeys_tick, or delete
+ * KEY if VALUE is NULL. */
 void leasedkeys_add (struct leasedkeys *keys, const char *key,
                      const char *value);
 
--- a/src/peerudp.c
+++ b/src/peerudp.c
@@ -8,12 +8,16 @@
 {
   DATAGRAM_LOADS = 1,
   DATAGRAM_BLOCKS = 2,
-  DATAGRAM_ORIGIN = 3
+  DATAGRAM_ORIGIN = 3,
+  DATAGRAM_BLAME = 4
 };
 
 enum
 {
-  DATAGRAM_BYTES_MAX = 1 + MAX (LOADSHARE_BYTES_MAX, STOREUPDATE_BYTES_MAX)
+  DATAGRAM_BYTES_MAX = 1 + MAX (LOADSHARE_BYTES_MAX, STOREUPDATE_BYTES_MAX),
+  /* Maximum number of hosts that send each other evidence of crashes. With
+   * more, the hosts of each subset do, since its engines serve only these. */
+  BLAME_HOSTS_MAX = 128
 };
 
 static void
@@ -40,15 +44,18 @@
   else if (bytes[0] == DATAGRAM_ORIGIN && from->sa_family == AF_INET)
     streamorigin_receive (peerudp->origin, (const struct sockaddr_in *)from,
                           bytes + 1, (size_t)size - 1);
+  else if (bytes[0] == DATAGRAM_BLAME && from->sa_family == AF_INET)
+    blameshare_receive (peerudp->blameshare, (const struct sockaddr_in *)from,
+                        bytes + 1, (size_t)size - 1);
 }
 
 enum status
 peerudp_init (struct peerudp *peerudp, uv_loop_t *loop,
               struct loadshare *loadshare, struct kvstores *kvstores,
               const struct presence *presence, const struct subsets *subsets,
-              struct streamorigin *origin, const struct clock *clock,
-              const char *ip, uint16_t port, int64_t load_period_ns,
-              struct error *error)
+              struct streamorigin *origin, struct blameshare *blameshare,
+              const struct clock *clock, const char *ip, uint16_t port,
+              int64_t load_period_ns, struct error *error)
 {
   struct sockaddr_in address;
   int failed;
@@ -59,6 +66,7 @@
   peerudp->presence = presence;
   peerudp->subsets = subsets;
   peerudp->origin = origin;
+  peerudp->blameshare = blameshare;
   peerudp->clock = clock;
   peerudp->load_period_ns = load_period_ns;
   peerudp->udp.data = peerudp;
@@ -144,3 +152,17 @@
   /* A datagram that can't be sent at once counts as lost. */
   uv_udp_try_send (&peerudp->udp, &buffer, 1, (const struct sockaddr *)to);
 }
+
+void
+peerudp_send_blame (struct peerudp *peerudp, const uint8_t *bytes, size_t size)
+{
+  uint8_t datagram[DATAGRAM_BYTES_MAX];
+
+  if (size >= sizeof datagram)
+    return;
+  datagram[0] = DATAGRAM_BLAME;
+  memcpy (datagram + 1, bytes, size);
+  datagram_send (peerudp, datagram, size,
+                 presence_serving_count (peerudp->presence)
+                     <= BLAME_HOSTS_MAX);
+}
--- a/src/peerudp.h
+++ b/src/peerudp.h
@@ -1,6 +1,7 @@
 #ifndef PEERUDP_H
 #define PEERUDP_H
 
+#include "blameshare.h"
 #include "subsets.h"
 #include "loadshare.h"
 #include "storeupdate.h"
@@ -24,6 +25,7 @@
   const struct presence *presence;
   const struct subsets *subsets;
   struct streamorigin *origin;
+  struct blameshare *blameshare;
   const struct clock *clock;
   uv_udp_t udp;
   int64_t load_period_ns;
@@ -36,9 +38,9 @@
 peerudp_init (struct peerudp *peerudp, uv_loop_t *loop,
               struct loadshare *loadshare, struct kvstores *kvstores,
               const struct presence *presence, const struct subsets *subsets,
-              struct streamorigin *origin, const struct clock *clock,
-              const char *ip, uint16_t port, int64_t load_period_ns,
-              struct error *error);
+              struct streamorigin *origin, struct blameshare *blameshare,
+              const struct clock *clock, const char *ip, uint16_t port,
+              int64_t load_period_ns, struct error *error);
 
 /** Sends the load report when it is due. */
 void peerudp_tick (struct peerudp *peerudp);
@@ -52,4 +54,9 @@
                           const struct sockaddr_in *to, const uint8_t *bytes,
                           size_t size);
 
+/** Sends a datagram of blameshare.h to the other hosts; if there are very
+ * many, to those of this host's subset. */
+void peerudp_send_blame (struct peerudp *peerudp, const uint8_t *bytes,
+                         size_t size);
+
 #endif
--- a/src/poisoncount.c
+++ b/src/poisoncount.c
@@ -7,6 +7,9 @@
 {
   /* Number of crashed servers at which a request is blocked. */
   CRASHES_MAX = 2,
+  /* Maximum number of servers whose crashes are forgiven. All are removed when
+   * this number is reached. */
+  FORGIVEN_MAX = 4096,
   /* Maximum number of cleared fingerprints that are kept. All are removed
    * when this number is reached. */
   CLEARED_MAX = 8192
@@ -23,6 +26,8 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   poisoncount->counted_keys
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  poisoncount->forgiven
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   poisoncount->cleared
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
 }
@@ -33,6 +38,7 @@
   leasedkeys_finish (&poisoncount->keys);
   g_hash_table_destroy (poisoncount->crash_counts);
   g_hash_table_destroy (poisoncount->counted_keys);
+  g_hash_table_destroy (poisoncount->forgiven);
   g_hash_table_destroy (poisoncount->cleared);
 }
 
@@ -74,9 +80,21 @@
                         GINT_TO_POINTER (count));
 }
 
+/* Return the server of KEY. */
+static const char *
+key_server (const struct poisoncount *poisoncount, const char *key)
+{
+  const char *slash = strchr (key + strlen (poisoncount->prefix), '/');
+
+  return slash != NULL ? slash + 1 : "";
+}
+
 void
 poisoncount_key_put (struct poisoncount *poisoncount, const char *key)
 {
+  if (g_hash_table_contains (poisoncount->forgiven,
+                             key_server (poisoncount, key)))
+    return;
   if (g_hash_table_add (poisoncount->counted_keys, g_strdup (key)))
     crash_count_add (poisoncount, key_fingerprint (poisoncount, key), 1);
 }
@@ -104,6 +122,26 @@
   g_free (key);
 }
 
+void
+poisoncount_forgive_server (struct poisoncount *poisoncount,
+                            const char *server)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  if (g_hash_table_size (poisoncount->forgiven) >= FORGIVEN_MAX)
+    g_hash_table_remove_all (poisoncount->forgiven);
+  g_hash_table_add (poisoncount->forgiven, g_strdup (server));
+  g_hash_table_iter_init (&iter, poisoncount->counted_keys);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      if (strcmp (key_server (poisoncount, key), server) != 0)
+        continue;
+      crash_count_add (poisoncount, key_fingerprint (poisoncount, key), -1);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
 void
 poisoncount_clear (struct poisoncount *poisoncount, uint64_t fingerprint)
 {
--- a/src/poisoncount.h
+++ b/src/poisoncount.h
@@ -25,6 +25,8 @@
   /** Maps fingerprints to the number of crashed servers. */
   GHashTable *crash_counts;
   GHashTable *counted_keys; /**< Set of the keys that crash_counts includes. */
+  /** Set of the servers whose crashes have another cause than the requests. */
+  GHashTable *forgiven;
   GHashTable *cleared; /**< Set of the fingerprints of requests that a server
                           has run without a crash. */
   const char *prefix;
@@ -45,6 +47,11 @@
 void poisoncount_report_crash (struct poisoncount *poisoncount,
                                uint64_t fingerprint, const char *server);
 
+/** Record that the crash of SERVER had another cause than most of the requests
+ * that it ran, so that it no longer counts against them. */
+void poisoncount_forgive_server (struct poisoncount *poisoncount,
+                                 const char *server);
+
 /** Record that a server ran the request without a crash, so that this host no
  * longer counts its crashes. */
 void poisoncount_clear (struct poisoncount *poisoncount, uint64_t fingerprint);
--- a/src/presence.c
+++ b/src/presence.c
@@ -1,7 +1,9 @@
 #include "presence.h"
 #include "httpjson.h"
+#include "rendezvous.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
@@ -294,6 +296,31 @@
   return count > 0 ? count : 1;
 }
 
+static uint64_t
+host_weight (const struct presence_host *host, const void *key, size_t size)
+{
+  return rendezvous_weight (XXH3_64bits (host->peer, strlen (host->peer)), key,
+                            size);
+}
+
+unsigned
+presence_rank (const struct presence *presence, const void *key, size_t size)
+{
+  uint64_t own = host_weight (&presence->self, key, size);
+  GHashTableIter iter;
+  gpointer value;
+  unsigned rank = 0;
+
+  g_hash_table_iter_init (&iter, presence->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct presence_host *host = value;
+
+      rank += !host->leaving && host_weight (host, key, size) > own;
+    }
+  return rank;
+}
+
 struct host_record
 {
   const char *key;
--- a/src/presence.h
+++ b/src/presence.h
@@ -100,6 +100,12 @@
  * key. */
 unsigned presence_own_index (const struct presence *presence);
 
+/** Returns the number of other hosts that are not leaving and come before this
+ * one in the rendezvous order for the KEY of SIZE bytes, which is the same on
+ * all hosts. */
+unsigned presence_rank (const struct presence *presence, const void *key,
+                        size_t size);
+
 /** Returns all hosts as pointers to struct presence_host, sorted by data
  * centre and key, with NULL for this host. The caller frees the array. */
 GPtrArray *presence_sorted_hosts (const struct presence *presence);
--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -75,9 +75,23 @@
 static const struct streamorigin_ops origin_ops
     = { origin_send, only_software, sees_only };
 
+static void
+blame_send (void *data, const uint8_t *bytes, size_t size)
+{
+}
+
+static void
+crash_explained (void *data, const char *server)
+{
+  poisoncount_forgive_server (&path.poison, server);
+}
+
+static const struct blameshare_ops blame_ops = { blame_send, crash_explained };
+
 static void
 on_tick (uv_timer_t *timer)
 {
+  blameshare_tick (&path.blameshare);
   streamorigin_tick (&path.origin);
   forwarder_tick (&path.forwarder);
   servers_tick (&path.servers);
@@ -205,14 +219,17 @@
   servers_init (&path.servers, &path.loop, &path.clock, "dc", 200 * NS_PER_MS,
                 &servers_ops, NULL);
   poisoncount_init (&path.poison, &path.client.kv, &path.clock, "loss/");
+  presence_init (&path.presence, &path.client.kv, &path.clock, "host/a",
+                 &(struct presence_host){ .address = "a" }, NS_PER_S);
+  blameshare_init (&path.blameshare, &path.client.kv, &path.clock,
+                   &path.presence, &path.log, &path.metrics, "blame/",
+                   &blame_ops, NULL);
   kvstores_init (&path.kvstores, &kvstores_settings_default, &path.clock,
                  &path.log, &dialect_platform, NULL);
   forwarder_init (&path.forwarder, &path.loop, &path.clock, &path.rng,
                   &path.log, &path.metrics, &dialect_platform, &settings,
-                  &path.servers, &path.poison, &path.kvstores, &path.retire,
-                  &path.origin);
-  presence_init (&path.presence, &path.client.kv, &path.clock, "host/a",
-                 &(struct presence_host){ .address = "a" }, NS_PER_S);
+                  &path.servers, &path.poison, &path.blameshare,
+                  &path.kvstores, &path.retire, &path.origin);
   streamorigin_init (&path.origin, &path.clock, &path.presence, &origin_ops,
                      NULL);
   cacheretire_init (&path.retire, &path.clock, &path.log, &path.servers,
@@ -264,6 +281,7 @@
   cacheretire_finish (&path.retire);
   presence_finish (&path.presence);
   poisoncount_finish (&path.poison);
+  blameshare_finish (&path.blameshare);
   servers_finish (&path.servers);
   uv_walk (&path.loop, close_handle, NULL);
   uv_run (&path.loop, UV_RUN_DEFAULT);
--- a/test/fake-path.h
+++ b/test/fake-path.h
@@ -30,6 +30,7 @@
   struct fake_kv_client client;
   struct servers servers;
   struct poisoncount poison;
+  struct blameshare blameshare;
   struct kvstores kvstores;
   struct presence presence;
   struct cacheretire retire;
