--- a/test/fake-crashes.c
+++ b/test/fake-crashes.c
@@ -459,6 +459,14 @@
     }
 }
 
+void
+fake_crashes_receive (unsigned index, const uint8_t *bytes, size_t size)
+{
+  struct sockaddr_in from = { .sin_family = AF_INET };
+
+  blameshare_receive (&hosts[index].share, &from, bytes, size);
+}
+
 unsigned
 fake_crashes_blocking (uint64_t id)
 {
--- a/test/fake-crashes.h
+++ b/test/fake-crashes.h
@@ -65,6 +65,9 @@
 /** All engines end at once. */
 void fake_crashes_end_all (void);
 
+/** The host at INDEX gets a datagram from nowhere. */
+void fake_crashes_receive (unsigned index, const uint8_t *bytes, size_t size);
+
 /** The number of hosts that block ID. */
 unsigned fake_crashes_blocking (uint64_t id);
 
--- a/test/test-blame.c
+++ b/test/test-blame.c
@@ -255,7 +255,134 @@
   fake_crashes_finish ();
 }
 
+static bool informed;
+
+static void
+on_blocked (void *data, const struct blame_block *block)
+{
+}
+
+static void
+on_released (void *data, const struct blame_part *part, const char *reason)
+{
+}
+
+static void
+on_explained (void *data, const char *server)
+{
+}
+
+static bool
+is_informed (void *data)
+{
+  return informed;
+}
+
+static bool
+may_try (void *data, const struct blame_part *part, int64_t late_ns)
+{
+  return true;
+}
+
+static const struct blame_ops ops
+    = { on_blocked, on_released, on_explained, is_informed, may_try };
+
+/* Three servers crash on requests that share three blocks, of which nothing
+ * was completed. */
+static void
+three_crashes (struct blame *blame, struct clock_fake *clock)
+{
+  for (unsigned i = 0; i < 3; i++)
+    {
+      struct blame_run run
+          = { .parts = { { 1, 10 }, { 1, 11 }, { 1, BAD }, { 0, 100 + i } },
+              .part_count = 4,
+              .suspicion = BLAME_LIKELY };
+
+      g_snprintf (run.server, sizeof run.server, "s%u", i);
+      CU_ASSERT_TRUE (blame_add_lost (blame, &run, 0));
+      CU_ASSERT_FALSE (blame_add_lost (blame, &run, 0));
+      clock_fake_advance (clock, 200 * NS_PER_MS);
+      blame_tick (blame);
+    }
+}
+
+/* Of blocks that explain the same crashes, the one that more prompts share was
+ * blocked too. */
+static void
+test_most_specific_part (void)
+{
+  struct blame_part sound[] = { { 1, 10 }, { 1, 11 }, { 1, 12 }, { 0, 200 } };
+  struct blame_part guilty = { 1, BAD };
+  struct clock_fake clock;
+  struct blame blame;
+
+  clock_fake_init (&clock, NS_PER_S);
+  informed = true;
+  blame_init (&blame, &clock.clock, &ops, NULL);
+  three_crashes (&blame, &clock);
+  CU_ASSERT_PTR_NOT_NULL (blame_find_block (&blame, &guilty, 1));
+  CU_ASSERT_PTR_NULL (blame_find_block (&blame, sound, 4));
+  blame_finish (&blame);
+}
+
+/* A process judged before it had been told what other hosts completed. */
+static void
+test_judged_before_informed (void)
+{
+  struct blame_part guilty = { 1, BAD };
+  struct clock_fake clock;
+  struct blame blame;
+
+  clock_fake_init (&clock, NS_PER_S);
+  informed = false;
+  blame_init (&blame, &clock.clock, &ops, NULL);
+  three_crashes (&blame, &clock);
+  CU_ASSERT_EQUAL (g_hash_table_size (blame.blocks), 0);
+  blame_add_report (&blame, 1, &guilty, 5, 0);
+  informed = true;
+  blame_tick (&blame);
+  CU_ASSERT_PTR_NULL (blame_find_block (&blame, &guilty, 1));
+  blame_finish (&blame);
+}
+
+/* Random bytes, some of which begin like a message. */
+static size_t
+random_datagram (struct rng *rng, uint8_t bytes[BLAMESHARE_BYTES_MAX])
+{
+  static const uint8_t tags[] = { 0x0a, 0x12, 0x1a };
+  size_t size = rng_below (rng, 200);
+
+  for (size_t i = 0; i < size; i++)
+    bytes[i] = (uint8_t)rng_next (rng);
+  if (size > 2)
+    {
+      bytes[0] = tags[rng_below (rng, G_N_ELEMENTS (tags))];
+      bytes[1] = (uint8_t)(size - 2);
+    }
+  return size;
+}
+
+/* Bytes from anybody ended the process. */
+static void
+test_bad_datagrams (void)
+{
+  uint8_t bytes[BLAMESHARE_BYTES_MAX];
+  struct rng rng;
+
+  fake_crashes_setup (1);
+  rng_init (&rng, 7);
+  for (unsigned i = 0; i < 20000; i++)
+    fake_crashes_receive (i % FAKE_CRASHES_HOSTS, bytes,
+                          random_datagram (&rng, bytes));
+  fake_crashes_run (CALM_MS);
+  fake_crashes_finish ();
+}
+
 static const struct unit_case cases[] = {
+  { "most-specific-part", test_most_specific_part },
+  { "judged-before-informed", test_judged_before_informed },
+  { "bad-datagrams", test_bad_datagrams },
   { "crashes-over-all-hosts", test_crashes_over_all_hosts },
   { "crashes-at-one-host", test_crashes_at_one_host },
   { "away-store-and-lost-datagrams", test_away_store_and_lost_datagrams },
