Logs name the limit that a server states

Nothing in the logs showed that a response named one, which, or what a host believed of it.

The limit is decoded at the edge; server_changed tells limited and unlimited with the value, trefoilspar_limits_malformed_total counts values that are no decimal number or come twice, which are ignored. No decision changes. platform/stated-limit has a table of good and bad values.

--- a/src/call.h
+++ b/src/call.h
@@ -102,6 +102,10 @@
   unsigned running_requests;
   unsigned waiting_requests;
   unsigned slots;
+  /** Requests per second that the server takes from all hosts together;
+   * negative if it states no limit. */
+  double limit_per_s;
+  bool limit_malformed;    /**< Whether the stated limit can't be parsed. */
   uint64_t weight_version; /**< The server's weight version; 0 if the response
                               does not state it. */
 };
--- a/src/entry.c
+++ b/src/entry.c
@@ -100,10 +100,11 @@
 
   log_event (&entry->log, EVENT_SERVER_CHANGED,
              "server=%s service=%s address=%s what=%s revision=%lu "
-             "in_flight=%u misses=%u",
+             "in_flight=%u misses=%u limit_per_s=%.2f",
              server->entry.id, server->entry.service, server->entry.address,
              what, (unsigned long)server->revision, server->in_flight_requests,
-             server->connection_failures);
+             server->connection_failures,
+             server->limit.limited ? server->limit.per_s : -1.0);
 }
 
 static const struct servers_ops servers_ops = { server_changed };
--- a/src/event.c
+++ b/src/event.c
@@ -147,7 +147,8 @@
     "time (unused), or the table is full (too_many)." },
   { EVENT_SERVER_CHANGED, EVENT_LEVEL_WARN, "server_changed",
     "The known state of a backend server changed: added, leaving, gone, "
-    "unreachable, reachable." },
+    "unreachable, reachable, limited (it states the requests per second that "
+    "it takes from all hosts together), unlimited." },
   { EVENT_ENTRY_IGNORED, EVENT_LEVEL_WARN, "entry_ignored",
     "An entry of the KV service can't be decoded as a server or host and is "
     "ignored; look for another writer." },
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -119,6 +119,7 @@
   exchange->dialect->response_decode (
       serverconn_status (conn), &conn->head, exchange->request_id,
       exchange->server->entry.id, &exchange->response);
+  exchange->ops->head_received (exchange->data, exchange);
   if (exchange->response.not_run)
     exchange_close_with (exchange, EXCHANGE_NOT_RUN);
   else if (response_is_foreign (&exchange->response))
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -48,6 +48,8 @@
 
 struct exchange_ops
 {
+  /** Handles the head of a response, which is in EXCHANGE. */
+  void (*head_received) (void *data, struct exchange *exchange);
   /** Relays SIZE bytes of a successful response. For a stream, these are whole
    * events only. The header lines of the response are in EXCHANGE. */
   void (*bytes_received) (void *data, struct exchange *exchange,
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -138,8 +138,14 @@
   forward_attempt_ended (data, outcome);
 }
 
+static void
+response_head_received (void *data, struct exchange *exchange)
+{
+  forward_learn_limit (data);
+}
+
 static const struct exchange_ops exchange_ops
-    = { response_bytes_received, exchange_ended };
+    = { response_head_received, response_bytes_received, exchange_ended };
 
 /* End the request because no server may run it any more. */
 static void
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -51,6 +51,24 @@
                                response->weight_version);
 }
 
+void
+forward_learn_limit (struct forward *forward)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  const struct response *response = &forward->exchange.response;
+  struct server *server = forward->exchange.server;
+
+  if (!response->matches_request || response->other_server)
+    return;
+  if (response->limit_malformed)
+    {
+      metrics_add (forwarder->metrics, "trefoilspar_limits_malformed_total",
+                   "", 1);
+      return;
+    }
+  servers_record_limit (forwarder->servers, server, response->limit_per_s);
+}
+
 void
 forward_learn_response_head (struct forward *forward)
 {
--- a/src/servers.c
+++ b/src/servers.c
@@ -336,6 +336,15 @@
   notify_change (servers, server, "reachable");
 }
 
+void
+servers_record_limit (struct servers *servers, struct server *server,
+                      double per_s)
+{
+  if (serverlimit_record (&server->limit, per_s, clock_now (servers->clock)))
+    notify_change (servers, server,
+                   server->limit.limited ? "limited" : "unlimited");
+}
+
 struct probe
 {
   struct servers *servers;
--- a/src/servers.h
+++ b/src/servers.h
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "list.h"
 #include "serverconn.h"
+#include "serverlimit.h"
 #include "softwarespan.h"
 
 #include <glib.h>
@@ -109,6 +110,7 @@
   struct serverconn *probe;
   /** Moving average of the share of failed responses. */
   double failure_ratio;
+  struct serverlimit limit;
   int64_t busy_until_ns; /**< No requests are sent to the server before this
                             time. */
 
@@ -205,6 +207,11 @@
 void server_record_reached (struct servers *servers, struct server *server,
                             bool failed);
 
+/** Records that a response of SERVER stated the limit PER_S, or none if that
+ * is negative. */
+void servers_record_limit (struct servers *servers, struct server *server,
+                           double per_s);
+
 /** Starts the probes of unreachable servers that are due. */
 void servers_tick (struct servers *servers);
 
--- a/test/test-platform.c
+++ b/test/test-platform.c
@@ -220,6 +220,44 @@
   httpfields_finish (&head);
 }
 
+/* Bad values of a limit were taken for limits. */
+static void
+test_stated_limit (void)
+{
+  static const struct
+  {
+    const char *value;
+    double limit;
+    bool malformed;
+  } rows[] = { { "1.3", 1.3, false }, { "0", 0, false },
+               { ".5", 0.5, false },  { "100000", 100000, false },
+               { "", -1, true },      { "-1", -1, true },
+               { "nan", -1, true },   { "inf", -1, true },
+               { "1e3", -1, true },   { "1.3.1", -1, true },
+               { "1,3", -1, true },   { "0x10", -1, true },
+               { " 1", -1, true },    { "1 requests", -1, true } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct httpfields head;
+      struct response response;
+
+      httpfields_init (&head);
+      head_add_field (&head, "Server-Limit", rows[i].value);
+      message_response_decode (200, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.limit_malformed, rows[i].malformed);
+      if (!rows[i].malformed)
+        CU_ASSERT_DOUBLE_EQUAL (response.limit_per_s, rows[i].limit, 1e-9);
+      head_add_field (&head, "Server-Limit", "2");
+      message_response_decode (200, &head, "r", "i-1", &response);
+      CU_ASSERT_TRUE (response.limit_malformed);
+      httpfields_clear (&head);
+      message_response_decode (200, &head, "r", "i-1", &response);
+      CU_ASSERT_TRUE (response.limit_per_s < 0 && !response.limit_malformed);
+      httpfields_finish (&head);
+    }
+}
+
 static void
 test_attempt_header (void)
 {
@@ -262,6 +300,7 @@
 }
 
 static const struct unit_case cases[] = {
+  { "stated-limit", test_stated_limit },
   { "configuration", test_configuration },
   { "torn-documents", test_truncated_documents },
   { "entry", test_entry },
