--- a/test/check-soak.sh
+++ b/test/check-soak.sh
@@ -14,11 +14,14 @@
 second=$!
 run poison --seed 3 --poison-block &
 third=$!
+run limits --seed 4 --limits &
+fourth=$!
 failed=0
 wait $first || failed=1
 wait $second || failed=1
 wait $third || failed=1
-for name in faults planned poison; do
+wait $fourth || failed=1
+for name in faults planned poison limits; do
   grep -E '^(not )?ok ' "$folder/$name.txt" || echo "not ok soak/$name"
   grep 'BROKEN' "$folder/$name.txt"
 done
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -6,9 +6,13 @@
 
 enum
 {
-  WORK_MS = 40,   /* of a request, at most */
-  EVENT_MS = 15,  /* between two events */
-  DOWN_MS = 1500, /* until it starts anew, at most */
+  WORK_MS = 40,           /* of a request, at most */
+  EVENT_MS = 15,          /* between two events */
+  DOWN_MS = 1500,         /* until it starts anew, at most */
+  LIMIT_WINDOW_MS = 4000, /* in which requests under a limit are counted */
+  LIMIT_SLACK = 5,        /* that may come beyond one and a half times it */
+  LIMIT_TOLD_MS = 500,    /* until all hosts have been told */
+  LIMIT_KEPT_MS = 3000,   /* until the limit must be kept */
   DRAIN_MS = 4000 /* for which it serves after it has said that it leaves */
 };
 
@@ -50,10 +54,17 @@
 static char *
 answer_lines (const struct run *run, const char *type)
 {
-  return g_strdup_printf ("Content-Type: %s\r\nX-Request-Id: "
-                          "%s\r\nX-Response-Seal: seal-%s-%s\r\n",
-                          type, run->request->id, run->request->id,
-                          run->engine->id);
+  double limit = run->engine->limit;
+  char *limit_line = limit > 0
+                         ? g_strdup_printf ("Server-Limit: %.1f\r\n", limit)
+                         : g_strdup ("");
+  char *lines = g_strdup_printf ("Content-Type: %s\r\nX-Request-Id: "
+                                 "%s\r\nX-Response-Seal: seal-%s-%s\r\n%s",
+                                 type, run->request->id, run->request->id,
+                                 run->engine->id, limit_line);
+
+  g_free (limit_line);
+  return lines;
 }
 
 static void
@@ -161,6 +172,31 @@
     soak_violation (soak, "%s runs twice", request->id);
 }
 
+/* No more requests come than its limit allows, from some time after it was
+ * first stated. */
+static void
+limit_check (struct soak_engine *engine)
+{
+  int64_t now = clock_now (&engine->soak->clock);
+  double allowed = 1.5 * engine->limit * LIMIT_WINDOW_MS / 1000 + LIMIT_SLACK;
+  unsigned count = 0;
+
+  if (engine->limit <= 0
+      || now - engine->limit_since_ns < LIMIT_TOLD_MS * NS_PER_MS)
+    return;
+  g_array_append_val (engine->limit_arrivals, now);
+  for (guint i = 0; i < engine->limit_arrivals->len; i++)
+    count += now - g_array_index (engine->limit_arrivals, int64_t, i)
+             <= LIMIT_WINDOW_MS * NS_PER_MS;
+  if (engine->limit_broken || count <= allowed
+      || now - engine->limit_since_ns < LIMIT_KEPT_MS * NS_PER_MS)
+    return;
+  engine->limit_broken = true;
+  soak_violation (engine->soak,
+                  "engine %s with a limit of %.1f got %u requests in %u ms",
+                  engine->id, engine->limit, count, LIMIT_WINDOW_MS);
+}
+
 static void
 run_begin (struct soak_engine *engine, struct callerconn *conn,
            struct soak_request *request)
@@ -171,6 +207,7 @@
   request_check (engine, conn, request);
   if (request->is_poison)
     soak_poison_arrived (engine->soak);
+  limit_check (engine);
   request->runs++;
   run->engine = engine;
   run->conn = conn;
@@ -294,6 +331,7 @@
   engine->store = store;
   engine->port = port;
   engine->address_port = address_port;
+  engine->limit_arrivals = g_array_new (FALSE, FALSE, sizeof (int64_t));
   engine->servers = g_ptr_array_new_with_free_func (g_free);
   list_init (&engine->runs);
   engine_start (engine);
@@ -304,6 +342,7 @@
 {
   if (engine->server != NULL)
     engine_stop (engine);
+  g_array_free (engine->limit_arrivals, TRUE);
 }
 
 void
@@ -331,6 +370,17 @@
   engine_stop (engine);
 }
 
+void
+soak_engine_limit (struct soak_engine *engine, double limit)
+{
+  soak_say (engine->soak, "engine %s states a limit of %.1f", engine->id,
+            limit);
+  engine->limit = limit;
+  engine->limit_since_ns = clock_now (&engine->soak->clock);
+  engine->limit_broken = false;
+  g_array_set_size (engine->limit_arrivals, 0);
+}
+
 void
 soak_engine_drain (struct soak_engine *engine)
 {
--- a/test/soak-engine.h
+++ b/test/soak-engine.h
@@ -26,7 +26,12 @@
   unsigned starts;
   bool draining;
   int64_t change_ns; /**< next step of a crash or a drain; 0: none */
-  double lost;       /**< Share of runs whose answer is cut off. */
+  double limit;      /**< Requests per second that it says it takes; 0: it says
+                        none. */
+  int64_t limit_since_ns;
+  GArray *limit_arrivals; /**< Times of requests since it says so. */
+  bool limit_broken;
+  double lost; /**< Share of runs whose answer is cut off. */
   struct list runs;
 };
 
@@ -37,6 +42,10 @@
 
 void soak_engine_tick (struct soak_engine *engine);
 
+/** It states LIMIT requests per second in its responses, or none if that is
+ * 0. */
+void soak_engine_limit (struct soak_engine *engine, double limit);
+
 /** It is gone at once and comes back anew. */
 void soak_engine_crash (struct soak_engine *engine);
 
--- a/test/soak.c
+++ b/test/soak.c
@@ -51,6 +51,7 @@
 static int option_seed = 1;
 static int option_seconds = 20;
 static gboolean option_poison_block;
+static gboolean option_limits;
 static gboolean option_planned;
 static char *option_program = "build/trefoilspard";
 static char *option_folder = "build/soak-logs";
@@ -63,6 +64,8 @@
     "Only planned stops, reloads and changes", NULL },
   { "poison-block", 0, 0, G_OPTION_ARG_NONE, &option_poison_block,
     "Streams with a block that crashes engines, and few other faults", NULL },
+  { "limits", 0, 0, G_OPTION_ARG_NONE, &option_limits,
+    "Engines that state limits, and few other faults", NULL },
   { "program", 0, 0, G_OPTION_ARG_FILENAME, &option_program, "The daemon",
     "FILE" },
   { "folder", 0, 0, G_OPTION_ARG_FILENAME, &option_folder,
@@ -315,6 +318,20 @@
         fault_link,       fault_link,          fault_store_down,
         fault_store_lost, fault_store_compact, fault_answers_lost };
 
+static void
+fault_limit (void)
+{
+  struct soak_engine *engine = any_engine ();
+
+  soak_engine_limit (
+      engine, engine->limit > 0 ? 0 : soak_draw (&world.soak, 5, 80) / 10.0);
+}
+
+/* Those that come beside engines that state limits. */
+static void (*const limit_faults[]) (void)
+    = { fault_limit, fault_limit, fault_config, fault_store_down,
+        fault_store_lost };
+
 /* Those that come beside a block that crashes engines. */
 static void (*const poison_faults[]) (void)
     = { fault_config, fault_store_down, fault_store_lost, fault_crash };
@@ -334,7 +351,10 @@
   world.next_fault_ns
       = now + soak_draw (&world.soak, 50, FAULT_GAP_MS) * NS_PER_MS;
   world.faults++;
-  if (option_poison_block)
+  if (option_limits)
+    limit_faults[soak_draw (&world.soak, 0,
+                            G_N_ELEMENTS (limit_faults) - 1)]();
+  else if (option_poison_block)
     poison_faults[soak_draw (&world.soak, 0,
                              G_N_ELEMENTS (poison_faults) - 1)]();
   else
@@ -365,7 +385,11 @@
         && (now >= world.heal_ns[i] || now >= world.faults_end_ns))
       heal (i);
   for (int i = 0; i < ENGINES && now >= world.faults_end_ns; i++)
-    world.engines[i].lost = 0;
+    {
+      world.engines[i].lost = 0;
+      if (world.engines[i].limit > 0)
+        soak_engine_limit (&world.engines[i], 0);
+    }
 }
 
 static void
@@ -557,6 +581,7 @@
   printf ("%s soak/%sseed-%d\n", world.soak.violations == 0 ? "ok" : "not ok",
           option_planned        ? "planned-"
           : option_poison_block ? "poison-"
+          : option_limits       ? "limits-"
                                 : "",
           option_seed);
   return world.soak.violations == 0 ? 0 : 1;
