--- a/src/cli-sheet.c
+++ b/src/cli-sheet.c
@@ -250,6 +250,30 @@
   return CLI_OK;
 }
 
+/* Returns the newest revision that one of the gateways has in force, which may
+   be ahead of the others. Gateways that give no answer are left out. */
+static uint64_t
+newest_revision (struct cli *cli)
+{
+  char **all = cli->gateways;
+  uint64_t newest = 0;
+
+  for (char **gateway = all; *gateway != NULL; gateway++)
+    {
+      char *only[] = { *gateway, NULL };
+      struct json_object *object;
+
+      cli->gateways = only;
+      if (cli_call_json (cli, "GET", "/v1/operator/config", NULL, &object)
+          != CLI_OK)
+        continue;
+      newest = MAX (newest, json_field_uint (object, "revision"));
+      json_object_put (object);
+    }
+  cli->gateways = all;
+  return newest;
+}
+
 enum cli_exit_status
 cli_sheet_status (struct cli *cli)
 {
@@ -266,7 +290,8 @@
     cliprint_object (cli->out, object);
   revision = json_field_uint (object, "revision");
   json_object_put (object);
-  return cli->wait ? wait_in_force (cli, revision) : CLI_OK;
+  return cli->wait ? wait_in_force (cli, MAX (revision, newest_revision (cli)))
+                   : CLI_OK;
 }
 
 static enum cli_exit_status
--- a/test/test-cli.c
+++ b/test/test-cli.c
@@ -338,7 +338,32 @@
   config_unref (gateway.config);
 }
 
+/* A gateway that was behind said that its old revision was in force
+   everywhere, and the tool believed it. */
+static void
+test_status_of_a_gateway_behind (void)
+{
+  struct fake_gateway gateway = { .config = fake_config () };
+  char *output;
+
+  gateway.config->revision = 4;
+  gateway.unaware_polls = 1;
+  gateway.processes_behind = 3;
+  CU_ASSERT_EQUAL (run (&gateway,
+                        "trefoilspar sheet status --wait" GATEWAY_OPTION
+                        " -g 127.0.0.1:2",
+                        &output),
+                   CLI_OK);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (output, "revision 4: in force in 7 of 8 processes"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (output, "revision 4: in force in 8 of 8 processes"));
+  free (output);
+  config_unref (gateway.config);
+}
+
 static const struct unit_case cases[] = {
+  { "status-of-a-gateway-behind", test_status_of_a_gateway_behind },
   { "commands", test_commands },
   { "round-trip", test_round_trip },
 };
