--- a/src/cli-sheet.c
+++ b/src/cli-sheet.c
@@ -278,7 +278,7 @@
 cli_sheet_status (struct cli *cli)
 {
   struct json_object *object;
-  uint64_t revision;
+  uint64_t revision, newest;
   enum cli_exit_status status
       = cli_call_json (cli, "GET", "/v1/operator/config", NULL, &object);
 
@@ -290,8 +290,10 @@
     cliprint_object (cli->out, object);
   revision = json_field_uint (object, "revision");
   json_object_put (object);
-  return cli->wait ? wait_in_force (cli, MAX (revision, newest_revision (cli)))
-                   : CLI_OK;
+  if (!cli->wait)
+    return CLI_OK;
+  newest = newest_revision (cli);
+  return wait_in_force (cli, MAX (revision, newest));
 }
 
 static enum cli_exit_status
