A cut stream waits for the servers of its software

Callers lost streams though servers of their software were registered: the other ones waited for a probe, and a stream that is bound to a software was broken off 0.02 ms after its cut (no_server).

Such a request now waits while a registered server of its software can't be reached, at most until its deadline and for as long as its caller bears a pause; forward_wait says so, once. After half a second, or if all are reachable, it goes on at a server that has cut it before, within the attempts of its route.

--- a/src/choose.c
+++ b/src/choose.c
@@ -302,10 +302,15 @@
       struct server *server = list->pdata[i];
 
       if (server->in_other_subset != other_subsets
-          || !server_is_available (server) || is_excluded (query, server)
+          || is_excluded (query, server) || server->entry.leaving
           || !has_required_version (server, query)
           || !has_required_software (server, query))
         continue;
+      if (!server_is_available (server))
+        {
+          result->unreachable += !server->removed;
+          continue;
+        }
       if (!serverlimit_allows (&server->limit, now))
         result_add_limited (result, &server->limit, now);
       else if (!server_accepts_requests (server, now)
--- a/src/choose.h
+++ b/src/choose.h
@@ -95,6 +95,8 @@
   double limited_per_s;
   int64_t limited_wait_ns; /**< Time until the first of them may be sent a
                               request; valid if `limited` is not 0. */
+  unsigned unreachable; /**< Number of suitable servers that are registered and
+                           can't be reached now. */
   bool others_at_capacity; /**< Whether there are other suitable servers
                               without capacity. */
 };
--- a/src/event.c
+++ b/src/event.c
@@ -157,6 +157,9 @@
     "tried after the time of the block; the crashes that the part explains "
     "and "
     "the age of the block." },
+  { EVENT_FORWARD_WAIT, EVENT_LEVEL_INFO, "forward_wait",
+    "A stream that goes on with one software only waits for its servers: how "
+    "many of them can't be reached, and the time that is left in ms." },
   { EVENT_ROUTES_IN_FORCE, EVENT_LEVEL_WARN, "routes_in_force",
     "A newer configuration routes requests from now on." },
   { EVENT_ROUTES_REFUSED, EVENT_LEVEL_ERROR, "routes_refused",
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -22,10 +22,6 @@
   RETRY_AFTER_POISON_MS = 10000
 };
 
-/* Maximum time that a request waits for servers with limits, as a share of the
- * time left. The rest is for the response. */
-static const double limited_wait_share = 0.5;
-
 static void forward_place (struct forward *forward);
 
 static struct retrybudget *
@@ -151,34 +147,23 @@
 static const struct exchange_ops exchange_ops
     = { response_head_received, response_bytes_received, exchange_ended };
 
-/* End the request because no server may run it any more. */
+/* Choose a server for the request. A stream that goes on with one software may
+ * go on at a server that has broken it off before, but first at one that only
+ * has to be reached again. */
 static void
-forward_give_up (struct forward *forward, const char *reason,
-                 int64_t retry_after_ms)
+forward_choose (struct forward *forward, struct choose_query *query,
+                struct choose_result *choice)
 {
-  if (forward->relaying)
-    forward_break (forward, reason);
-  else if (forward->run_count > 0)
-    forward_fail (forward, reason);
-  else
-    forward_refuse (forward, reason, retry_after_ms);
-}
+  struct forwarder *forwarder = forward->forwarder;
+  const struct choose_settings *settings = &forwarder->settings.choose;
 
-/* Whether the request can be sent in time, as far as the limits of servers
- * say. */
-static bool
-forward_limits_allow (const struct forward *forward,
-                      const struct choose_result *choice)
-{
-  int64_t wait_ns;
-  int64_t left_ns
-      = forward->deadline_ns - clock_now (forward->forwarder->clock);
-
-  if (choice->limited == 0 || choice->others_at_capacity)
-    return true;
-  wait_ns = forwardwait_limited_ns (forward, choice);
-  return wait_ns != CLOCK_NEVER
-         && (double)wait_ns <= limited_wait_share * (double)left_ns;
+  choose_server (forwarder->servers, settings, query, forwarder->rng, choice);
+  if (choice->server != NULL || choice->at_capacity
+      || forward->software_hash == 0
+      || (choice->unreachable > 0 && forwardwait_is_early (forward)))
+    return;
+  query->excluded_count = 0;
+  choose_server (forwarder->servers, settings, query, forwarder->rng, choice);
 }
 
 static void
@@ -209,16 +194,22 @@
                                       forwarder->settings.version_grace_ns);
     }
   forward_add_stored (forward, wanted != NULL ? wanted->version : 1, &query);
-  choose_server (forwarder->servers, &forwarder->settings.choose, &query,
-                 forwarder->rng, &choice);
+  forward_choose (forward, &query, &choice);
   if (choice.server == NULL && choice.at_capacity)
     {
-      if (forward_limits_allow (forward, &choice))
+      if (forwardwait_limits_allow (forward, &choice))
         forwardwait_add (forward);
       else
         forward_give_up (forward, "limited", RETRY_AFTER_NO_SERVER_MS);
       return;
     }
+  if (choice.server == NULL && forward->software_hash != 0
+      && choice.unreachable > 0 && forwardwait_pause_allows (forward))
+    {
+      forward_log_wait (forward, &choice);
+      forwardwait_add (forward);
+      return;
+    }
   forwardwait_remove (forward);
   if (choice.server == NULL)
     {
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -141,6 +141,23 @@
              (double)(now - forward->arrived_ns) / NS_PER_MS, resumption);
 }
 
+void
+forward_log_wait (struct forward *forward, const struct choose_result *choice)
+{
+  struct forwarder *forwarder = forward->forwarder;
+
+  if (!list_empty (&forward->waiting_node))
+    return;
+  log_event (forwarder->log, EVENT_FORWARD_WAIT,
+             "id=%s service=%s software=%s unreachable=%u left_ms=%.1f",
+             forward->call.request_id, forward->service,
+             forward->began_software[0] != '\0' ? forward->began_software
+                                                : "-",
+             choice->unreachable,
+             (double)(forward->deadline_ns - clock_now (forwarder->clock))
+                 / NS_PER_MS);
+}
+
 void
 forward_log_attempt (struct forward *forward, enum exchange_outcome outcome,
                      enum forwardretry_action action)
--- a/src/forwardlog.h
+++ b/src/forwardlog.h
@@ -16,6 +16,11 @@
                             const struct choose_query *query,
                             const struct choose_result *choice);
 
+/** Log that the request waits for the servers of its software, unless it waits
+ * already. */
+void forward_log_wait (struct forward *forward,
+                       const struct choose_result *choice);
+
 /** Log that an attempt ended and that ACTION follows. The attempt is not
  * logged if its complete response is passed on. */
 void forward_log_attempt (struct forward *forward,
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -75,6 +75,18 @@
   callerconn_abort (conn);
 }
 
+void
+forward_give_up (struct forward *forward, const char *reason,
+                 int64_t retry_after_ms)
+{
+  if (forward->relaying)
+    forward_break (forward, reason);
+  else if (forward->run_count > 0)
+    forward_fail (forward, reason);
+  else
+    forward_refuse (forward, reason, retry_after_ms);
+}
+
 void
 forward_pass_on (struct forward *forward)
 {
--- a/src/forwardrespond.h
+++ b/src/forwardrespond.h
@@ -39,4 +39,9 @@
 /** End the request with the response of the server. */
 void forward_pass_on (struct forward *forward);
 
+/** End the request because no server may run it any more: break its response
+ * off, fail it or refuse it, whatever holds. */
+void forward_give_up (struct forward *forward, const char *reason,
+                      int64_t retry_after_ms);
+
 #endif
--- a/src/forwardwait.c
+++ b/src/forwardwait.c
@@ -8,9 +8,19 @@
 {
   /* Offset added to the class of a request that has missed its target. It
    * is larger than any priority. */
-  LATE_CLASS_OFFSET = 100
+  LATE_CLASS_OFFSET = 100,
+  /* Time in which the result of a probe is expected. */
+  PROBE_WAIT_MS = 500,
+  /* Callers give a stream up after a pause of so many times the target of its
+   * route, but not before PAUSE_MIN_MS. */
+  PAUSE_TARGETS_MAX = 8,
+  PAUSE_MIN_MS = 2000
 };
 
+/* Maximum time that a request waits for servers with limits, as a share of the
+ * time left. The rest is for the response. */
+static const double limited_wait_share = 0.5;
+
 static bool
 is_waiting (const struct forward *forward)
 {
@@ -68,9 +78,13 @@
   return best;
 }
 
-int64_t
-forwardwait_limited_ns (const struct forward *forward,
-                        const struct choose_result *choice)
+/* Return the time until CHOICE has capacity for the request, if it waits
+ * behind the waiting requests of its service that are as urgent, and only the
+ * limits of servers keep it from being sent; CLOCK_NEVER if this host may send
+ * nothing. */
+static int64_t
+limited_wait_ns (const struct forward *forward,
+                 const struct choose_result *choice)
 {
   const struct forwarder *forwarder = forward->forwarder;
   int64_t now = clock_now (forwarder->clock);
@@ -93,3 +107,45 @@
   return choice->limited_wait_ns
          + (int64_t)(ahead / choice->limited_per_s * NS_PER_S);
 }
+
+bool
+forwardwait_limits_allow (const struct forward *forward,
+                          const struct choose_result *choice)
+{
+  int64_t left_ns
+      = forward->deadline_ns - clock_now (forward->forwarder->clock);
+  int64_t wait_ns;
+
+  if (choice->limited == 0 || choice->others_at_capacity)
+    return true;
+  wait_ns = limited_wait_ns (forward, choice);
+  return wait_ns != CLOCK_NEVER
+         && (double)wait_ns <= limited_wait_share * (double)left_ns;
+}
+
+/* Return the time since the caller of a stream received something, or since
+ * the request arrived. */
+static int64_t
+pause_ns (const struct forward *forward)
+{
+  int64_t last_ns = forward->relaying ? forward->exchange.last_received_ns
+                                      : forward->arrived_ns;
+
+  return clock_now (forward->forwarder->clock) - last_ns;
+}
+
+bool
+forwardwait_is_early (const struct forward *forward)
+{
+  return pause_ns (forward) < PROBE_WAIT_MS * NS_PER_MS;
+}
+
+bool
+forwardwait_pause_allows (const struct forward *forward)
+{
+  int64_t target_ns = forward->route->gap_target_ns;
+
+  return !forward->relaying || target_ns == 0
+         || pause_ns (forward) < MAX (PAUSE_TARGETS_MAX * target_ns,
+                                      PAUSE_MIN_MS * NS_PER_MS);
+}
--- a/src/forwardwait.h
+++ b/src/forwardwait.h
@@ -26,11 +26,16 @@
 struct forward *forwardwait_next (const struct forwarder *forwarder,
                                   int64_t now, int above);
 
-/** Return the time until CHOICE has capacity for the request, if it waits
- * behind the waiting requests of its service that are as urgent, and only the
- * limits of servers keep it from being sent; CLOCK_NEVER if this host may send
- * nothing. */
-int64_t forwardwait_limited_ns (const struct forward *forward,
-                                const struct choose_result *choice);
+/** Whether the request can be sent in time, as far as the limits of the
+ * servers say that CHOICE passed over. */
+bool forwardwait_limits_allow (const struct forward *forward,
+                               const struct choose_result *choice);
+
+/** Whether the request has waited for less time than a probe of a server may
+ * take. */
+bool forwardwait_is_early (const struct forward *forward);
+
+/** Whether the caller of a stream still waits for its next event. */
+bool forwardwait_pause_allows (const struct forward *forward);
 
 #endif
--- a/test/test-streamend.c
+++ b/test/test-streamend.c
@@ -27,6 +27,13 @@
             FAKE_UPSTREAM_CLOSE } };
 
   setup (cut, NULL);
+  /* One attempt only, since the stream may go on at the same server. */
+  for (guint i = 0; i < path.forwarder.routes->all_routes->len; i++)
+    {
+      struct route *route = path.forwarder.routes->all_routes->pdata[i];
+
+      route->servers_max = 1;
+    }
   fake_path_request_send ("/stream/", "");
   CU_ASSERT_TRUE (fake_path_run_until (NULL));
   CU_ASSERT_PTR_NOT_NULL (strstr (path.logged->str, "forward_attempt "));
