A cut run has its server probed, not taken out after two

Callers lost streams, and were refused, though servers went on serving: two responses in a row that a server cut made it unreachable until a probe 0.4 s later, like connections that can't be opened. An ended server on the other hand was sent another request first.

A cut now raises a doubt: the server is probed at once and gets no request until the result, some milliseconds later. A probe that connects ends the doubt, and the cut counts as a failed response in the choice; one that fails takes the server out.

--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -87,8 +87,10 @@
 
   if (!forward->relaying)
     learn_load (forward);
-  if (outcome == EXCHANGE_NOT_CONNECTED || outcome == EXCHANGE_CUT)
+  if (outcome == EXCHANGE_NOT_CONNECTED)
     server_record_connection_failure (forwarder->servers, server);
+  else if (outcome == EXCHANGE_CUT)
+    server_record_cut (forwarder->servers, server);
   else if (outcome == EXCHANGE_ANSWERED || outcome == EXCHANGE_NOT_CONTINUED)
     server_record_reached (forwarder->servers, server,
                            response->status >= 500);
--- a/src/servers.c
+++ b/src/servers.c
@@ -274,7 +274,8 @@
 bool
 server_accepts_requests (const struct server *server, int64_t now_ns)
 {
-  return server_is_available (server) && server->busy_until_ns <= now_ns
+  return server_is_available (server) && server->doubted_ns == 0
+         && server->busy_until_ns <= now_ns
          && serverlimit_allows (&server->limit, now_ns);
 }
 
@@ -309,15 +310,13 @@
     }
 }
 
-void
-server_record_connection_failure (struct servers *servers,
-                                  struct server *server)
+static void
+server_set_unreachable (struct servers *servers, struct server *server)
 {
   int64_t now = clock_now (servers->clock);
 
-  server->connection_failures++;
-  if (server->connection_failures < CONNECTION_FAILURES_MAX
-      || server->down_since_ns != 0)
+  server->doubted_ns = 0;
+  if (server->down_since_ns != 0)
     return;
   server->down_since_ns = now;
   server->next_probe_ns = now + PROBE_INTERVAL_MS * NS_PER_MS;
@@ -325,6 +324,15 @@
   notify_change (servers, server, "unreachable");
 }
 
+void
+server_record_connection_failure (struct servers *servers,
+                                  struct server *server)
+{
+  server->connection_failures++;
+  if (server->connection_failures >= CONNECTION_FAILURES_MAX)
+    server_set_unreachable (servers, server);
+}
+
 void
 server_record_reached (struct servers *servers, struct server *server,
                        bool failed)
@@ -353,14 +361,33 @@
   struct server *server;
 };
 
+/* Update the state of the probed server. A probe that began before the last
+ * cut says nothing about it. */
+static void
+probe_judge (struct servers *servers, struct server *server, bool reached)
+{
+  bool is_doubted = server->doubted_ns != 0;
+
+  if (is_doubted && server->probe_began_ns < server->doubted_ns)
+    return;
+  if (!reached)
+    server_set_unreachable (servers, server);
+  else if (is_doubted)
+    {
+      server->doubted_ns = 0;
+      server_record_reached (servers, server, true);
+    }
+  else
+    server_record_reached (servers, server, false);
+}
+
 static void
 probe_finish (struct probe *probe, bool reached)
 {
   struct server *server = probe->server;
 
   server->probe = NULL;
-  if (reached)
-    server_record_reached (probe->servers, server, false);
+  probe_judge (probe->servers, server, reached);
   server_unref (server);
   g_free (probe);
 }
@@ -402,6 +429,7 @@
   struct probe *probe = g_new0 (struct probe, 1);
 
   server->next_probe_ns = now + PROBE_INTERVAL_MS * NS_PER_MS;
+  server->probe_began_ns = now;
   probe->servers = servers;
   probe->server = server_ref (server);
   server->probe = serverconn_open (
@@ -409,6 +437,18 @@
       servers->connect_timeout_ns, &probe_ops, probe);
 }
 
+void
+server_record_cut (struct servers *servers, struct server *server)
+{
+  int64_t now = clock_now (servers->clock);
+
+  if (server->removed || server->down_since_ns != 0)
+    return;
+  server->doubted_ns = now;
+  if (server->probe == NULL)
+    probe_start (servers, server, now);
+}
+
 void
 servers_tick (struct servers *servers)
 {
@@ -421,8 +461,11 @@
     {
       struct server *server = value;
 
-      if (server->down_since_ns != 0 && server->probe == NULL
-          && !server->entry.leaving && now >= server->next_probe_ns)
+      if (server->probe != NULL)
+        continue;
+      if (server->doubted_ns != 0
+          || (server->down_since_ns != 0 && !server->entry.leaving
+              && now >= server->next_probe_ns))
         probe_start (servers, server, now);
     }
 }
--- a/src/servers.h
+++ b/src/servers.h
@@ -108,6 +108,10 @@
   int64_t next_probe_ns; /**< Time of the next probe while the server is
                             unreachable. */
   struct serverconn *probe;
+  int64_t probe_began_ns; /**< Start of the last probe. */
+  int64_t doubted_ns; /**< Time at which a response was cut off last and since
+                         which no probe has shown whether the server goes on; 0
+                         if there is no doubt. */
   /** Moving average of the share of failed responses. */
   double failure_ratio;
   struct serverlimit limit;
@@ -179,8 +183,8 @@
 /** Whether SERVER is registered, not leaving, and reachable. */
 bool server_is_available (const struct server *server);
 
-/** Whether SERVER is available, not marked busy at NOW_NS, and its limit
- * allows a request of this host. */
+/** Whether SERVER is available, in no doubt, not marked busy at NOW_NS, and
+ * its limit allows a request of this host. */
 bool server_accepts_requests (const struct server *server, int64_t now_ns);
 
 /** Marks SERVER busy until UNTIL_NS, so that it gets no requests before then.
@@ -198,11 +202,15 @@
 void server_set_weight_version (struct server *server, const char *model,
                                 uint64_t version);
 
-/** Records that a connection to SERVER failed to open or was lost before the
- * response was complete. */
+/** Records that a connection to SERVER failed to open. */
 void server_record_connection_failure (struct servers *servers,
                                        struct server *server);
 
+/** Records that a connection to SERVER was lost before the response was
+ * complete. The server may have ended, or have cut only this response, so it
+ * is probed at once and gets no requests until the result is known. */
+void server_record_cut (struct servers *servers, struct server *server);
+
 /** Records that an attempt or a probe reached SERVER.
  * @param failed whether the attempt failed at the server */
 void server_record_reached (struct servers *servers, struct server *server,
--- a/test/fake-upstream.c
+++ b/test/fake-upstream.c
@@ -90,7 +90,9 @@
   g_string_assign (upstream->last, link->input->str);
   uv_try_write ((uv_stream_t *)&link->tcp, &buffer, 1);
   g_free (answer);
-  if (step->end == FAKE_UPSTREAM_RESET)
+  if (step->end == FAKE_UPSTREAM_GONE)
+    uv_close ((uv_handle_t *)&upstream->listener, NULL);
+  if (step->end == FAKE_UPSTREAM_RESET || step->end == FAKE_UPSTREAM_GONE)
     uv_tcp_close_reset (&link->tcp, on_closed);
   else if (step->end == FAKE_UPSTREAM_CLOSE)
     link_close (link);
--- a/test/fake-upstream.h
+++ b/test/fake-upstream.h
@@ -14,7 +14,8 @@
 {
   FAKE_UPSTREAM_KEEP,  /**< The connection stays open. */
   FAKE_UPSTREAM_CLOSE, /**< It is closed after the answer. */
-  FAKE_UPSTREAM_RESET  /**< It is reset after the answer. */
+  FAKE_UPSTREAM_RESET, /**< It is reset after the answer. */
+  FAKE_UPSTREAM_GONE   /**< The same, and the server has ended. */
 };
 
 struct fake_upstream_step
--- a/test/test-cutstream.c
+++ b/test/test-cutstream.c
@@ -42,6 +42,9 @@
 
       route->servers_max = 3;
     }
+  /* Every stream needs a retry, which the budget of a longer window would not
+   * allow. */
+  path.forwarder.settings.retry.window_ns = 3 * NS_PER_S;
 }
 
 static bool
@@ -68,13 +71,17 @@
 {
   int callers[CALLERS];
   unsigned whole = 0;
+  static unsigned count;
 
   for (unsigned i = 0; i < CALLERS; i++)
     {
+      char *target = g_strdup_printf ("/stream/%u", ++count);
+
       path.caller = -1;
       fake_path_caller_reconnect ();
-      fake_path_request_send ("/stream/", "");
+      fake_path_request_send (target, "");
       callers[i] = path.caller;
+      g_free (target);
     }
   fake_path_run_for (ANSWER_MS);
   for (unsigned i = 0; i < CALLERS; i++)
@@ -125,7 +132,70 @@
   fake_path_finish ();
 }
 
+#define OK RESPONSE_HEAD "ok"
+
+/* Send a request that may run once to a path of its own. */
+static void
+send_once (void)
+{
+  static unsigned count;
+  char *target = g_strdup_printf ("/once/%u", ++count);
+
+  fake_path_caller_reconnect ();
+  fake_path_request_send (target, "");
+  g_free (target);
+}
+
+/* Two responses in a row that a server cut took it out, though it served all
+ * others. */
+static void
+test_cuts_take_no_server_out (void)
+{
+  static const struct fake_upstream_step steps[]
+      = { { "HTTP/1.1 200 OK\r\n", FAKE_UPSTREAM_CLOSE },
+          { "HTTP/1.1 200 OK\r\n", FAKE_UPSTREAM_CLOSE },
+          { "HTTP/1.1 200 OK\r\n", FAKE_UPSTREAM_CLOSE },
+          { OK, FAKE_UPSTREAM_CLOSE } };
+
+  fake_path_setup (steps, G_N_ELEMENTS (steps), NULL, 0);
+  for (unsigned i = 0; i + 1 < G_N_ELEMENTS (steps); i++)
+    {
+      send_once ();
+      CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 502"));
+    }
+  send_once ();
+  CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 200"));
+  CU_ASSERT_PTR_NULL (strstr (path.answer->str, "HTTP/1.1 503"));
+  fake_path_finish ();
+}
+
+/* A server that had ended was sent further requests until a second one
+ * failed. */
+static void
+test_ended_server_is_left_alone (void)
+{
+  static const struct fake_upstream_step gone[]
+      = { { "HTTP/1.1 200 OK\r\n", FAKE_UPSTREAM_GONE } };
+  static const struct fake_upstream_step served[]
+      = { { OK, FAKE_UPSTREAM_CLOSE } };
+
+  fake_path_setup (gone, 1, served, 1);
+  servers_find (&path.servers, "i-1")->failure_ratio = 0.5;
+  send_once ();
+  CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 502"));
+  for (unsigned i = 0; i < 5; i++)
+    {
+      send_once ();
+      CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 200"));
+    }
+  CU_ASSERT_PTR_NULL (strstr (path.logged->str, "end=not_connected"));
+  CU_ASSERT_EQUAL (path.upstreams[0].requests, 1);
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
+  { "cuts-take-no-server-out", test_cuts_take_no_server_out },
+  { "ended-server-is-left-alone", test_ended_server_is_left_alone },
   { "cut-streams-go-on", test_cut_streams_go_on },
   { "stream-waits-for-a-probe", test_stream_waits_for_a_probe },
 };
