The last servers of a software are probed every 0.1 s

Streams that wait for a server of their software waited 0.4 s for its probe. While no server of a software can be reached, its servers are now probed every 0.1 s, for five seconds at most; others as before.

cutstream/last-server-is-probed-soon: 0.4 s before, below 0.18 s after; a server whose software has another one still waits.

--- a/src/servers.c
+++ b/src/servers.c
@@ -11,6 +11,10 @@
   CONNECTION_FAILURES_MAX = 2,
   /* Interval between probes of an unreachable server. */
   PROBE_INTERVAL_MS = 400,
+  /* The same while no server with the software of the server can be reached,
+   * for LAST_PROBES_S since it became unreachable. */
+  LAST_PROBE_INTERVAL_MS = 100,
+  LAST_PROBES_S = 5,
   /* Capacity of a server whose memory size is unknown. */
   KV_CAPACITY_TOKENS_DEFAULT = 64 * 1024
 };
@@ -449,6 +453,38 @@
     probe_start (servers, server, now);
 }
 
+/* Whether no server of the service and software of SERVER is available. */
+static bool
+software_is_out (const struct servers *servers, const struct server *server)
+{
+  const GPtrArray *list = servers_of_service (servers, server->entry.service);
+
+  for (guint i = 0; list != NULL && i < list->len; i++)
+    {
+      const struct server *other = list->pdata[i];
+
+      if (other->software_hash == server->software_hash
+          && server_is_available (other))
+        return false;
+    }
+  return true;
+}
+
+/* Whether a probe of SERVER, which is unreachable, is due. */
+static bool
+probe_is_due (const struct servers *servers, const struct server *server,
+              int64_t now)
+{
+  int64_t last_ns = server->next_probe_ns - PROBE_INTERVAL_MS * NS_PER_MS;
+
+  if (server->entry.leaving)
+    return false;
+  return now >= server->next_probe_ns
+         || (now - last_ns >= LAST_PROBE_INTERVAL_MS * NS_PER_MS
+             && now - server->down_since_ns < LAST_PROBES_S * NS_PER_S
+             && software_is_out (servers, server));
+}
+
 void
 servers_tick (struct servers *servers)
 {
@@ -464,8 +500,8 @@
       if (server->probe != NULL)
         continue;
       if (server->doubted_ns != 0
-          || (server->down_since_ns != 0 && !server->entry.leaving
-              && now >= server->next_probe_ns))
+          || (server->down_since_ns != 0
+              && probe_is_due (servers, server, now)))
         probe_start (servers, server, now);
     }
 }
--- a/test/test-cutstream.c
+++ b/test/test-cutstream.c
@@ -14,7 +14,8 @@
   ROUNDS = 10,
   CALLERS = 6, /* at once */
   WHOLE_MIN = ROUNDS * CALLERS * 9 / 10,
-  ANSWER_MS = 1000
+  ANSWER_MS = 1000,
+  LAST_PROBE_MS = 180 /* to the probe of the last server of a software */
 };
 
 static const struct fake_upstream_step cut
@@ -193,7 +194,40 @@
   fake_path_finish ();
 }
 
+/* The last server of a software was probed no sooner than any other. */
+static void
+test_last_server_is_probed_soon (void)
+{
+  struct server *other;
+  int64_t start;
+
+  fake_path_setup (&cut, 1, &cut, 1);
+  path.upstreams[1].resumed = &rest;
+  fake_path_set_software (0, "v1");
+  fake_path_set_software (1, "v2");
+  other = servers_find (&path.servers, "i-1");
+  server_record_connection_failure (&path.servers, other);
+  server_record_connection_failure (&path.servers, other);
+  start = clock_now (&path.clock);
+  while (!server_is_available (other)
+         && clock_now (&path.clock) - start < NS_PER_S)
+    fake_path_run_for (5);
+  CU_ASSERT_TRUE (clock_now (&path.clock) - start < LAST_PROBE_MS * NS_PER_MS);
+  /* Another server of its software can be reached. */
+  fake_path_set_software (1, "v1");
+  server_record_connection_failure (&path.servers, other);
+  server_record_connection_failure (&path.servers, other);
+  start = clock_now (&path.clock);
+  while (!server_is_available (other)
+         && clock_now (&path.clock) - start < NS_PER_S)
+    fake_path_run_for (5);
+  CU_ASSERT_TRUE (clock_now (&path.clock) - start
+                  >= 2 * LAST_PROBE_MS * NS_PER_MS);
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
+  { "last-server-is-probed-soon", test_last_server_is_probed_soon },
   { "cuts-take-no-server-out", test_cuts_take_no_server_out },
   { "ended-server-is-left-alone", test_ended_server_is_left_alone },
   { "cut-streams-go-on", test_cut_streams_go_on },
