A completed run counts at once, and for as long as its weight says

Found in the read-through. The weight of completed runs was rounded down, so a single one counted for nothing as soon as it was some milliseconds old; and a run that told two equally likely parts apart was heeded only at the next crash.

blame/unclear-until-a-run-is-completed fails without either change.

--- a/src/blame.c
+++ b/src/blame.c
@@ -74,10 +74,10 @@
   g_hash_table_destroy (blame->blocks);
 }
 
-static unsigned
+static double
 completed_runs (const struct blame *blame, const struct blame_part *part)
 {
-  return (unsigned)blameevidence_completed (&blame->evidence, part);
+  return blameevidence_completed (&blame->evidence, part);
 }
 
 static void
@@ -362,9 +362,10 @@
   const struct tally *best = tallies_find_best (blame, tallies);
   const struct blame_block *block = NULL;
 
-  if (best != NULL
-      && (best->crashes >= CRASHES_UNCLEAR
-          || !best_is_unclear (blame, tallies, best)))
+  if (best != NULL && best->crashes < CRASHES_UNCLEAR
+      && best_is_unclear (blame, tallies, best))
+    blame->unclear = true;
+  else if (best != NULL)
     {
       int64_t hold_ns = (best->is_likely ? HOLD_S : HOLD_UNSURE_S) * NS_PER_S;
 
@@ -383,6 +384,7 @@
       || now - blame->judged_ns < JUDGE_INTERVAL_MS * NS_PER_MS)
     return;
   blame->changed = false;
+  blame->unclear = false;
   blame->judged_ns = now;
   while (judge_once (blame))
     ;
@@ -446,6 +448,7 @@
       if (parts[i].scope == 0 && blame->evidence.run_count == 0)
         continue;
       blameevidence_add_completed (&blame->evidence, &parts[i]);
+      blame->changed = blame->changed || blame->unclear;
       block_review (blame, &parts[i]);
     }
 }
@@ -456,6 +459,7 @@
                   int64_t age_ns)
 {
   blameevidence_add_report (&blame->evidence, host, part, completed, age_ns);
+  blame->changed = blame->changed || blame->unclear;
   block_review (blame, part);
 }
 
--- a/src/blame.h
+++ b/src/blame.h
@@ -72,6 +72,8 @@
   struct blameevidence evidence;
   GHashTable *blocks; /**< Maps parts to struct blame_block. */
   bool changed;       /**< Whether crashes were not judged yet. */
+  bool unclear; /**< Whether several parts explained the crashes as well when
+                   they were judged last. */
   int64_t judged_ns;
 };
 
--- a/test/test-blame.c
+++ b/test/test-blame.c
@@ -326,6 +326,42 @@
   blame_finish (&blame);
 }
 
+/* Two parts explained the same crashes, and a run that spoke for one of them
+ * did not speak against the other. */
+static void
+test_unclear_until_a_run_is_completed (void)
+{
+  struct blame_part guilty = { 1, BAD };
+  struct blame_part sound = { 1, 20 };
+  struct clock_fake clock;
+  struct blame blame;
+
+  clock_fake_init (&clock, NS_PER_S);
+  informed = true;
+  blame_init (&blame, &clock.clock, &ops, NULL);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      struct blame_run run = { .parts = { { 1, 10 }, guilty, { 0, 100 + i } },
+                               .part_count = 3,
+                               .suspicion = BLAME_LIKELY };
+
+      g_snprintf (run.server, sizeof run.server, "s%u", i);
+      blame_add_lost (&blame, &run, 0);
+      run.parts[1] = sound;
+      run.parts[2].id += 50;
+      blame_add_lost (&blame, &run, 0);
+      clock_fake_advance (&clock, 200 * NS_PER_MS);
+      blame_tick (&blame);
+    }
+  CU_ASSERT_EQUAL (g_hash_table_size (blame.blocks), 0);
+  blame_add_completed (&blame, &sound, 1);
+  clock_fake_advance (&clock, 60 * NS_PER_MS);
+  blame_tick (&blame);
+  CU_ASSERT_PTR_NOT_NULL (blame_find_block (&blame, &guilty, 1));
+  CU_ASSERT_PTR_NULL (blame_find_block (&blame, &sound, 1));
+  blame_finish (&blame);
+}
+
 /* A process judged before it had been told what other hosts completed. */
 static void
 test_judged_before_informed (void)
@@ -381,6 +417,8 @@
 
 static const struct unit_case cases[] = {
   { "most-specific-part", test_most_specific_part },
+  { "unclear-until-a-run-is-completed",
+    test_unclear_until_a_run_is_completed },
   { "judged-before-informed", test_judged_before_informed },
   { "bad-datagrams", test_bad_datagrams },
   { "crashes-over-all-hosts", test_crashes_over_all_hosts },
