Completed runs are told in few datagrams

Each part with completed runs went into a datagram of its own: up to 60 for one crash to each host. They are now told together, 256 parts at most each 200 ms.

--- a/src/blameshare.c
+++ b/src/blameshare.c
@@ -15,6 +15,7 @@
   /* From this number on, completed runs are told only once in the interval
    * above, since they exonerate a part as they are. */
   COMPLETED_MANY = 20,
+  COMPLETED_TOLD_MAX = 256, /* Maximum number of parts told at a time. */
   BLOCKS_INTERVAL_MS = 2000,
   /* Time after the start of the process in which other hosts tell which runs
    * were completed. */
@@ -167,25 +168,48 @@
   share->unsent_count++;
 }
 
-/* Tell how many runs with PART this host has completed. */
 static void
-completed_send (struct blameshare *share, struct blameevidence_part *part)
+completed_list_send (struct blameshare *share,
+                     Trefoilspar__BlameCompleted **list, size_t count)
 {
   Trefoilspar__BlameNews message = TREFOILSPAR__BLAME_NEWS__INIT;
-  Trefoilspar__BlameCompleted completed = TREFOILSPAR__BLAME_COMPLETED__INIT;
-  Trefoilspar__BlameCompleted *list[] = { &completed };
+
+  message.completed = list;
+  message.n_completed = count;
+  if (count > 1 && !message_fits (&message))
+    {
+      completed_list_send (share, list, count / 2);
+      completed_list_send (share, list + count / 2, count - count / 2);
+    }
+  else if (count > 0)
+    message_send (share, &message);
+}
+
+/* Write to COMPLETED how many runs with PART this host has completed. */
+static void
+completed_write (struct blameshare *share, struct blameevidence_part *part,
+                 Trefoilspar__BlameCompleted *completed)
+{
   int64_t now = clock_now (share->clock);
 
   part->told
       = blameevidence_own_completed (&share->blame.evidence, &part->part);
   part->told_ns = now;
-  completed.scope = part->part.scope;
-  completed.id = part->part.id;
-  completed.count = (float)part->told;
-  completed.age_ms = ns_to_ms (now - part->completed_ns);
-  message.completed = list;
-  message.n_completed = 1;
-  message_send (share, &message);
+  trefoilspar__blame_completed__init (completed);
+  completed->scope = part->part.scope;
+  completed->id = part->part.id;
+  completed->count = (float)part->told;
+  completed->age_ms = ns_to_ms (now - part->completed_ns);
+}
+
+static void
+completed_send (struct blameshare *share, struct blameevidence_part *part)
+{
+  Trefoilspar__BlameCompleted completed;
+  Trefoilspar__BlameCompleted *list[] = { &completed };
+
+  completed_write (share, part, &completed);
+  completed_list_send (share, list, 1);
 }
 
 static bool
@@ -202,17 +226,29 @@
          || (own >= part->told + 1 && own < COMPLETED_MANY);
 }
 
+/* Completed runs that are to be told. */
+struct completed_batch
+{
+  Trefoilspar__BlameCompleted items[COMPLETED_TOLD_MAX];
+  Trefoilspar__BlameCompleted *list[COMPLETED_TOLD_MAX];
+  size_t count;
+};
+
 static void
-run_tell_completed (struct blameshare *share,
-                    const struct blameevidence_run *run, int64_t now)
+batch_add_run (struct completed_batch *batch, struct blameshare *share,
+               const struct blameevidence_run *run, int64_t now)
 {
-  for (unsigned i = 0; i < run->part_count; i++)
+  for (unsigned i = 0;
+       i < run->part_count && batch->count < COMPLETED_TOLD_MAX; i++)
     {
       struct blameevidence_part *part
           = blameevidence_find (&share->blame.evidence, &run->parts[i]);
 
-      if (part != NULL && completed_is_news (share, part, now))
-        completed_send (share, part);
+      if (part == NULL || !completed_is_news (share, part, now))
+        continue;
+      completed_write (share, part, &batch->items[batch->count]);
+      batch->list[batch->count] = &batch->items[batch->count];
+      batch->count++;
     }
 }
 
@@ -222,6 +258,7 @@
 completed_tick (struct blameshare *share, int64_t now)
 {
   const struct list *head = &share->blame.evidence.crashes_by_age;
+  struct completed_batch batch = { .count = 0 };
 
   if (now < share->next_completed_ns)
     return;
@@ -238,9 +275,10 @@
               = LIST_ENTRY (entry, struct blameevidence_run, node);
 
           if (now - run->lost_ns < CRASH_TOLD_S * NS_PER_S)
-            run_tell_completed (share, run, now);
+            batch_add_run (&batch, share, run, now);
         }
     }
+  completed_list_send (share, batch.list, batch.count);
 }
 
 static void
--- a/test/fake-crashes.c
+++ b/test/fake-crashes.c
@@ -303,6 +303,19 @@
   return age_ms < BEGIN_MS + SAFE_MS ? BLAME_POSSIBLE : BLAME_NONE;
 }
 
+/* Count the guilty parts of which ENGINE has a run. */
+static void
+guilty_count_lost (unsigned engine)
+{
+  bool has_run[FAKE_CRASHES_GUILTY_MAX] = { false };
+
+  for (unsigned i = 0; i < RUNS_MAX; i++)
+    if (runs[i].used && runs[i].engine == engine && runs[i].guilty >= 0)
+      has_run[runs[i].guilty] = true;
+  for (unsigned i = 0; i < FAKE_CRASHES_GUILTY_MAX; i++)
+    crashes.guilty[i].lost += has_run[i];
+}
+
 /* All runs of ENGINE are lost; those without an event are sent again. */
 static void
 engine_end (unsigned engine)
@@ -310,6 +323,7 @@
   int64_t now = now_ns ();
 
   engines[engine].back_ns = now + RESTART_MS * NS_PER_MS;
+  guilty_count_lost (engine);
   for (unsigned i = 0; i < RUNS_MAX; i++)
     {
       struct run again = runs[i];
--- a/test/fake-crashes.h
+++ b/test/fake-crashes.h
@@ -26,6 +26,7 @@
   double per_s;     /**< requests with it */
   int host;         /**< the only host that gets them; -1: any */
   unsigned crashes; /**< engines that ended on it */
+  unsigned lost;    /**< engines that ended with a run of it */
   int64_t fifth_ns; /**< time of the fifth of them; 0: not yet */
   unsigned late;    /**< requests that reached an engine more than 3 s later */
   bool harmless;    /**< It crashes engines no longer. */
