--- a/src/limitshare.c
+++ b/src/limitshare.c
@@ -108,24 +108,11 @@
   return trefoilspar__limit_share__pack (&datagram.message, bytes);
 }
 
-static struct server *
-server_by_hash (const struct limitshare *share, uint32_t hash)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, share->servers->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct server *)value)->id_hash == hash)
-      return value;
-  return NULL;
-}
-
 static void
 limit_received (struct limitshare *share,
                 const Trefoilspar__StatedLimit *limit)
 {
-  struct server *server = server_by_hash (share, limit->server);
+  struct server *server = servers_find_hash (share->servers, limit->server);
   int64_t stated_ns
       = clock_now (share->clock) - (int64_t)limit->age_ms * NS_PER_MS;
 
--- a/src/loadshare.c
+++ b/src/loadshare.c
@@ -150,19 +150,6 @@
   return trefoilspar__load_share__pack (message, bytes);
 }
 
-static struct server *
-server_by_hash (const struct loadshare *loadshare, uint32_t hash)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, loadshare->servers->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct server *)value)->id_hash == hash)
-      return value;
-  return NULL;
-}
-
 static void
 load_add (struct server_load *sum, const struct server_load *load)
 {
@@ -265,15 +252,16 @@
 
   for (size_t i = 0; i < message->n_swapping; i++)
     {
-      struct server *server = server_by_hash (loadshare, message->swapping[i]);
+      struct server *server
+          = servers_find_hash (loadshare->servers, message->swapping[i]);
 
       if (server != NULL)
         server_set_busy (server, hold_until_ns);
     }
   for (size_t i = 0; i < message->n_weights; i++)
     {
-      struct server *server
-          = server_by_hash (loadshare, message->weights[i]->server);
+      struct server *server = servers_find_hash (loadshare->servers,
+                                                 message->weights[i]->server);
 
       if (server != NULL)
         loadshare->ops->weights_reported (loadshare->data, server,
--- a/src/servers.c
+++ b/src/servers.c
@@ -99,6 +99,19 @@
   return g_hash_table_lookup (servers->by_id, id);
 }
 
+struct server *
+servers_find_hash (const struct servers *servers, uint32_t id_hash)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, servers->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct server *)value)->id_hash == id_hash)
+      return value;
+  return NULL;
+}
+
 const GPtrArray *
 servers_of_service (const struct servers *servers, const char *service)
 {
--- a/src/servers.h
+++ b/src/servers.h
@@ -170,6 +170,10 @@
 /** Returns the server ID, or NULL. */
 struct server *servers_find (const struct servers *servers, const char *id);
 
+/** Returns the server whose id has the hash ID_HASH, or NULL. */
+struct server *servers_find_hash (const struct servers *servers,
+                                  uint32_t id_hash);
+
 /** Returns the servers of SERVICE; NULL if none has ever registered. */
 const GPtrArray *servers_of_service (const struct servers *servers,
                                      const char *service);
