An event without end ends its attempt

A server in trouble may send bytes without end. An event that never ended was collected until the request's deadline, as fast as it came: with a link of 1 Gbit/s more than the memory of a process. An event of over 256 KiB that is not complete now ends the attempt like other bytes that are no response; a head is bounded by its parser.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -6,7 +6,9 @@
 {
   /* Maximum size of a body that is buffered. A larger body is relayed while
    * it is received. */
-  BUFFERED_BODY_MAX = 256 * 1024
+  BUFFERED_BODY_MAX = 256 * 1024,
+  /* Maximum size of an event that is not complete yet. */
+  EVENT_BYTES_MAX = 256 * 1024
 };
 
 static const char *const outcome_names[] = {
@@ -170,6 +172,11 @@
       return;
     }
   whole_size = eventstream_append (&exchange->events, bytes, size);
+  if (whole_size == 0 && exchange->events.pending->len > EVENT_BYTES_MAX)
+    {
+      exchange_close_with (exchange, EXCHANGE_FOREIGN);
+      return;
+    }
   if (whole_size == 0)
     return;
   exchange_relay (exchange, exchange->events.pending->str, whole_size);
--- a/test/test-streamend.c
+++ b/test/test-streamend.c
@@ -318,7 +318,38 @@
   fake_path_finish ();
 }
 
+/* Bytes without end, in a head or an event, were collected until the deadline,
+ * however many there were. */
+static void
+test_bytes_without_end (void)
+{
+  static const char *const beginnings[]
+      = { "HTTP/1.1 200 OK\r\nX-Long: ", UNFRAMED "id: 1\ndata: " };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (beginnings); i++)
+    {
+      GString *endless = g_string_new (beginnings[i]);
+      struct fake_upstream_step step = { .end = FAKE_UPSTREAM_KEEP };
+      int64_t start;
+
+      for (unsigned j = 0; j < 64 * 1024; j++)
+        g_string_append (endless, "sixteen bytes---");
+      step.answer = endless->str;
+      setup (&step, NULL);
+      start = clock_now (&path.clock);
+      fake_path_request_send ("/long/", "");
+      CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 502"));
+      CU_ASSERT_TRUE (clock_now (&path.clock) - start < 400 * NS_PER_MS);
+      CU_ASSERT_PTR_NOT_NULL (strstr (path.logged->str, "end=foreign"));
+      fake_path_run_for (50);
+      CU_ASSERT_EQUAL (path.upstreams[0].closed, 1);
+      fake_path_finish ();
+      g_string_free (endless, TRUE);
+    }
+}
+
 static const struct unit_case cases[] = {
+  { "bytes-without-end", test_bytes_without_end },
   { "cut-stream-is-not-complete", test_cut_stream_is_not_complete },
   { "cut-stream-is-continued", test_cut_stream_is_continued },
   { "refused-continuation-is-not-complete",
