--- a/test/test-cutstream.c
+++ b/test/test-cutstream.c
@@ -222,7 +222,7 @@
          && clock_now (&path.clock) - start < NS_PER_S)
     fake_path_run_for (5);
   CU_ASSERT_TRUE (clock_now (&path.clock) - start
-                  >= 2 * LAST_PROBE_MS * NS_PER_MS);
+                  >= 2 * NS_PER_MS * LAST_PROBE_MS);
   fake_path_finish ();
 }
 
