--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -104,7 +104,8 @@
           return;
         }
     }
-  event_write (run);
+  if (run->next_event <= SOAK_STREAM_EVENTS)
+    event_write (run);
   if (run->next_event <= SOAK_STREAM_EVENTS)
     return;
   callerconn_stream_end (run->conn);
--- a/test/soak-proxy.c
+++ b/test/soak-proxy.c
@@ -16,7 +16,8 @@
   uv_tcp_t tcp;
   struct pair *pair;
   struct side *other;
-  bool ended; /* Its peer has sent all. */
+  bool ended;      /* Its peer has sent all. */
+  uint64_t due_ms; /* Time at which the last bytes to it are due. */
 };
 
 struct pair
@@ -136,7 +137,12 @@
   struct pair *pair = to->pair;
   struct soak_proxy *proxy = pair->proxy;
   struct parcel *parcel = g_malloc0 (sizeof *parcel + size);
+  uint64_t now = uv_now (&proxy->soak->loop);
 
+  /* Bytes do not overtake those that were delayed before the link healed. */
+  to->due_ms
+      = MAX (to->due_ms,
+             now + (proxy->mode == SOAK_PROXY_DELAY ? proxy->delay_ms : 0));
   parcel->to = to;
   parcel->last = last;
   parcel->size = size;
@@ -145,8 +151,7 @@
   parcel->timer.data = parcel;
   pair->handles++;
   /* Timers of one delay fire in the order in which they were started. */
-  uv_timer_start (&parcel->timer, on_due,
-                  proxy->mode == SOAK_PROXY_DELAY ? proxy->delay_ms : 0, 0);
+  uv_timer_start (&parcel->timer, on_due, to->due_ms - now, 0);
 }
 
 static void
