A server is forgiven for two minutes; the log names the part that is tried

A server whose crash a blocked part explained no longer counted against equal requests for as long as the process lived, also after it had started again under its name; and that bystanders are forgiven at all had no test. The line of a request that is tried after a block did not name the part.

blame/bystander-is-forgiven fails with a longer time, and without the forgiving; blame/most-specific-part now counts the crashes that are explained.

--- a/src/forwardblame.c
+++ b/src/forwardblame.c
@@ -23,6 +23,28 @@
       = (struct blame_part){ 0, forward->fingerprint };
 }
 
+/* Log that the request is refused for a blocked part, or is tried although it
+ * has one. */
+static void
+log_blocked (struct forward *forward, bool refused)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  const struct blame_block *block = blame_find_block (
+      &forwarder->blameshare->blame, forward->parts, forward->part_count);
+
+  if (block == NULL)
+    return;
+  log_event (
+      forwarder->log, EVENT_FORWARD_BLOCKED,
+      "id=%s action=%s part=%lx kind=%s crashes=%u age_ms=%ld "
+      "attempts=%u",
+      forward->call.request_id, refused ? "refuse" : "try",
+      (unsigned long)block->part.id,
+      block->part.scope == 0 ? "request" : "block", block->crashes,
+      (long)((clock_now (forwarder->clock) - block->since_ns) / NS_PER_MS),
+      forward->run_count + forward->not_run_count);
+}
+
 bool
 forwardblame_is_blocked (struct forward *forward)
 {
@@ -40,18 +62,7 @@
                          &forward->tries_blocked);
   if (block == NULL && !forward->tries_blocked)
     return false;
-  log_event (forwarder->log, EVENT_FORWARD_BLOCKED,
-             "id=%s action=%s part=%lx kind=%s crashes=%u age_ms=%ld "
-             "attempts=%u",
-             forward->call.request_id, block != NULL ? "refuse" : "try",
-             block != NULL ? (unsigned long)block->part.id : 0UL,
-             block != NULL && block->part.scope == 0 ? "request" : "block",
-             block != NULL ? block->crashes : 0,
-             block != NULL
-                 ? (long)((clock_now (forwarder->clock) - block->since_ns)
-                          / NS_PER_MS)
-                 : 0L,
-             forward->run_count + forward->not_run_count);
+  log_blocked (forward, block != NULL);
   return block != NULL;
 }
 
--- a/src/poisoncount.c
+++ b/src/poisoncount.c
@@ -10,6 +10,9 @@
   /* Maximum number of servers whose crashes are forgiven. All are removed when
    * this number is reached. */
   FORGIVEN_MAX = 4096,
+  /* Time for which crashes of a server are forgiven, after which the keys of
+   * the crash have expired. */
+  FORGIVEN_S = 120,
   /* Maximum number of cleared fingerprints that are kept. All are removed
    * when this number is reached. */
   CLEARED_MAX = 8192
@@ -27,7 +30,7 @@
   poisoncount->counted_keys
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   poisoncount->forgiven
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   poisoncount->cleared
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
 }
@@ -89,11 +92,19 @@
   return slash != NULL ? slash + 1 : "";
 }
 
+static bool
+server_is_forgiven (const struct poisoncount *poisoncount, const char *server)
+{
+  const int64_t *until_ns
+      = g_hash_table_lookup (poisoncount->forgiven, server);
+
+  return until_ns != NULL && clock_now (poisoncount->keys.clock) < *until_ns;
+}
+
 void
 poisoncount_key_put (struct poisoncount *poisoncount, const char *key)
 {
-  if (g_hash_table_contains (poisoncount->forgiven,
-                             key_server (poisoncount, key)))
+  if (server_is_forgiven (poisoncount, key_server (poisoncount, key)))
     return;
   if (g_hash_table_add (poisoncount->counted_keys, g_strdup (key)))
     crash_count_add (poisoncount, key_fingerprint (poisoncount, key), 1);
@@ -126,12 +137,14 @@
 poisoncount_forgive_server (struct poisoncount *poisoncount,
                             const char *server)
 {
+  int64_t *until_ns = g_new (int64_t, 1);
   GHashTableIter iter;
   gpointer key;
 
+  *until_ns = clock_now (poisoncount->keys.clock) + FORGIVEN_S * NS_PER_S;
   if (g_hash_table_size (poisoncount->forgiven) >= FORGIVEN_MAX)
     g_hash_table_remove_all (poisoncount->forgiven);
-  g_hash_table_add (poisoncount->forgiven, g_strdup (server));
+  g_hash_table_replace (poisoncount->forgiven, g_strdup (server), until_ns);
   g_hash_table_iter_init (&iter, poisoncount->counted_keys);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
--- a/src/poisoncount.h
+++ b/src/poisoncount.h
@@ -25,7 +25,8 @@
   /** Maps fingerprints to the number of crashed servers. */
   GHashTable *crash_counts;
   GHashTable *counted_keys; /**< Set of the keys that crash_counts includes. */
-  /** Set of the servers whose crashes have another cause than the requests. */
+  /** Maps the servers whose crashes have another cause than the requests to
+   * the times until which that holds. */
   GHashTable *forgiven;
   GHashTable *cleared; /**< Set of the fingerprints of requests that a server
                           has run without a crash. */
@@ -48,7 +49,8 @@
                                uint64_t fingerprint, const char *server);
 
 /** Record that the crash of SERVER had another cause than most of the requests
- * that it ran, so that it no longer counts against them. */
+ * that it ran, so that it does not count against them. Crashes of a later
+ * start of SERVER count again after two minutes. */
 void poisoncount_forgive_server (struct poisoncount *poisoncount,
                                  const char *server);
 
--- a/test/test-blame.c
+++ b/test/test-blame.c
@@ -1,4 +1,5 @@
 #include "fake-crashes.h"
+#include "poisoncount.h"
 #include "unit.h"
 
 enum
@@ -267,9 +268,12 @@
 {
 }
 
+static unsigned explained;
+
 static void
 on_explained (void *data, const char *server)
 {
+  explained++;
 }
 
 static bool
@@ -320,7 +324,9 @@
   clock_fake_init (&clock, NS_PER_S);
   informed = true;
   blame_init (&blame, &clock.clock, &ops, NULL);
+  explained = 0;
   three_crashes (&blame, &clock);
+  CU_ASSERT_EQUAL (explained, 3);
   CU_ASSERT_PTR_NOT_NULL (blame_find_block (&blame, &guilty, 1));
   CU_ASSERT_PTR_NULL (blame_find_block (&blame, sound, 4));
   blame_finish (&blame);
@@ -382,6 +388,36 @@
   blame_finish (&blame);
 }
 
+/* A sound request that was cut twice by the crashes of others was refused for
+ * a minute or two; a server was forgiven for ever. */
+static void
+test_bystander_is_forgiven (void)
+{
+  struct clock_fake clock;
+  struct fake_kv kv;
+  struct fake_kv_client client;
+  struct poisoncount count;
+
+  clock_fake_init (&clock, NS_PER_S);
+  fake_kv_init (&kv, &clock.clock, 1);
+  fake_kv_client_init (&client, &kv);
+  poisoncount_init (&count, &client.kv, &clock.clock, "loss/");
+  poisoncount_report_crash (&count, 7, "s1");
+  poisoncount_report_crash (&count, 7, "s2");
+  CU_ASSERT_TRUE (poisoncount_is_blocked (&count, 7));
+  poisoncount_forgive_server (&count, "s1");
+  CU_ASSERT_FALSE (poisoncount_is_blocked (&count, 7));
+  /* Another host tells of the same crash. */
+  poisoncount_key_put (&count, "loss/0000000000000007/s1");
+  CU_ASSERT_FALSE (poisoncount_is_blocked (&count, 7));
+  clock_fake_advance (&clock, 121 * NS_PER_S);
+  poisoncount_report_crash (&count, 7, "s1");
+  CU_ASSERT_TRUE (poisoncount_is_blocked (&count, 7));
+  poisoncount_finish (&count);
+  fake_kv_client_finish (&client);
+  fake_kv_finish (&kv);
+}
+
 /* Random bytes, some of which begin like a message. */
 static size_t
 random_datagram (struct rng *rng, uint8_t bytes[BLAMESHARE_BYTES_MAX])
@@ -420,6 +456,7 @@
   { "unclear-until-a-run-is-completed",
     test_unclear_until_a_run_is_completed },
   { "judged-before-informed", test_judged_before_informed },
+  { "bystander-is-forgiven", test_bystander_is_forgiven },
   { "bad-datagrams", test_bad_datagrams },
   { "crashes-over-all-hosts", test_crashes_over_all_hosts },
   { "crashes-at-one-host", test_crashes_at_one_host },
