--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -270,6 +270,7 @@
 {
   if (path.caller >= 0)
     close (path.caller);
+  uv_timer_stop (&path.timer);
   callerserver_finish (&path.front);
   forwarder_finish (&path.forwarder);
   streamorigin_finish (&path.origin);
