Logs tell what is believed of weights, and that a process stood still

Before any change of the logic. forward_place names the wanted and the required version and the age of the wanted one; weights_wanted how the process learned of it; forward_old_weights each response that begins on older weights; paused each time in which the process did not run, and how much of it the monotonic clock left out.

--- a/src/entry.c
+++ b/src/entry.c
@@ -3,6 +3,7 @@
 #include "entryhttp.h"
 #include "entryorigin.h"
 #include "entryviews.h"
+#include "entryweights.h"
 
 #include <signal.h>
 #include <string.h>
@@ -39,8 +40,6 @@
   HEADER_BYTES_MAX = 16 * 1024,
   BODY_BYTES_MAX = 4 * 1024 * 1024,
   HEADER_TIMEOUT_MS = 5000,
-  /* The leader of a rollout reports weights for this long after an order. */
-  REPORT_WEIGHTS_MS = 4000,
   LOAD_PERIOD_MS = 150, /* Interval between load reports to other hosts. */
   IDLE_TIMEOUT_MS = 30000,
   /* Longer than the timeout of any call, so that the timeout of the call
@@ -247,12 +246,30 @@
   entry->kv_down = down;
 }
 
+/* Logs that this process stood still. What it believes is older by the pause
+ * than its monotonic clock says. */
+static void
+pause_check (struct entry *entry)
+{
+  struct pausewatch_pause pause;
+
+  if (!pausewatch_tick (&entry->pausewatch, &pause))
+    return;
+  log_event (&entry->log, EVENT_PAUSED,
+             "pause_ms=%.1f suspended_ms=%.1f in_flight=%zu waiting=%zu",
+             (double)pause.span_ns / NS_PER_MS,
+             (double)pause.suspended_ns / NS_PER_MS,
+             entry->forwarder.request_count, entry->forwarder.waiting_count);
+  metrics_add (&entry->metrics, "trefoilspar_pauses_total", "", 1);
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
   struct entry *entry = timer->data;
   int64_t now = clock_now (&entry->clock);
 
+  pause_check (entry);
   kvbudget_tick (&entry->kvbudget);
   kv_views_check (entry);
   kvview_tick (&entry->operator_view);
@@ -408,45 +425,6 @@
   g_free (key);
 }
 
-static bool
-reports_weights (void *data)
-{
-  struct entry *entry = data;
-
-  return rollout_was_active (&entry->rollout, REPORT_WEIGHTS_MS * NS_PER_MS);
-}
-
-static bool
-is_loading_weights (void *data, const struct server *server)
-{
-  struct entry *entry = data;
-
-  return rollout_server_is_loading (&entry->rollout, server);
-}
-
-/* Returns the weight version of the first model of SERVER, or 0. Load reports
- * have only one version per engine. */
-static uint64_t
-first_model_version (void *data, const struct server *server)
-{
-  return server->entry.model_count > 0 ? server->entry.models[0].weight_version
-                                       : 0;
-}
-
-static void
-weights_reported (void *data, struct server *server, uint64_t version)
-{
-  if (server->entry.model_count == 0
-      || server->entry.models[0].weight_version >= version)
-    return;
-  server_set_weight_version (server, server->entry.models[0].name, version);
-  server->busy_until_ns = 0;
-}
-
-static const struct loadshare_ops loadshare_ops
-    = { reports_weights, is_loading_weights, weights_reported,
-        first_model_version };
-
 /* Returns the wall-clock time of the start, which rises with each start of the
  * process unless the wall clock is set back. */
 static uint64_t
@@ -485,7 +463,7 @@
                 &entry->servers);
   loadshare_init (&entry->loadshare, &entry->servers, &entry->clock,
                   settings->process.name, process_start_ms (entry),
-                  &loadshare_ops, entry);
+                  &entryweights_loadshare_ops, entry);
   kvstores_init (&entry->kvstores, &kvstores_settings_default, &entry->clock,
                  &entry->log, entry->dialect, &entry->httpjson);
   kvstores_set_ops (&entry->kvstores, &kvstores_ops, entry);
@@ -531,6 +509,7 @@
   if (stat (settings_path, &file) == 0)
     entry->settings_mtime = file.st_mtim;
   clock_system_init (&entry->clock);
+  pausewatch_init (&entry->pausewatch, &entry->clock);
   rng_init (&entry->rng, random_seed (entry));
   uv_loop_init (&entry->loop);
   log_json_init (&entry->log, (enum event_level)settings->log.level,
--- a/src/entry.h
+++ b/src/entry.h
@@ -13,6 +13,7 @@
 #include "kvview.h"
 #include "log.h"
 #include "metrics.h"
+#include "pausewatch.h"
 #include "peerudp.h"
 #include "poisoncount.h"
 #include "presence.h"
@@ -48,6 +49,7 @@
   uv_timer_t timer;
   uv_signal_t signals[3];
   struct clock clock;
+  struct pausewatch pausewatch;
   struct rng rng;
   struct log log;
   struct metrics metrics;
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -91,11 +91,16 @@
       log_ignored_key (entry, key, revision, &error);
       return;
     }
-  log_event (&entry->log, EVENT_WEIGHTS_WANTED,
-             "model=%s version=%lu revision=%lu", model,
-             (unsigned long)version, (unsigned long)revision);
   forwarder_set_wanted_version (&entry->forwarder, model, version,
                                 !entry->operator_view.initial_read_done);
+  log_event (
+      &entry->log, EVENT_WEIGHTS_WANTED,
+      "model=%s version=%lu revision=%lu learned=%s age_ms=%ld", model,
+      (unsigned long)version, (unsigned long)revision,
+      !entry->operator_view.initial_read_done ? "start"
+      : entry->operator_view.is_reading       ? "read"
+                                              : "change",
+      (long)(forwarder_wanted_age_ns (&entry->forwarder, model) / NS_PER_MS));
 }
 
 static void
--- /dev/null
+++ b/src/entryweights.c
@@ -0,0 +1,47 @@
+#include "entryweights.h"
+#include "entry.h"
+
+enum
+{
+  /* The leader of a rollout reports weights for this long after an order. */
+  REPORT_WEIGHTS_MS = 4000
+};
+
+static bool
+reports_weights (void *data)
+{
+  struct entry *entry = data;
+
+  return rollout_was_active (&entry->rollout, REPORT_WEIGHTS_MS * NS_PER_MS);
+}
+
+static bool
+is_loading_weights (void *data, const struct server *server)
+{
+  struct entry *entry = data;
+
+  return rollout_server_is_loading (&entry->rollout, server);
+}
+
+/* Returns the weight version of the first model of SERVER, or 0. Load reports
+ * have only one version per engine. */
+static uint64_t
+first_model_version (void *data, const struct server *server)
+{
+  return server->entry.model_count > 0 ? server->entry.models[0].weight_version
+                                       : 0;
+}
+
+static void
+weights_reported (void *data, struct server *server, uint64_t version)
+{
+  if (server->entry.model_count == 0
+      || server->entry.models[0].weight_version >= version)
+    return;
+  server_set_weight_version (server, server->entry.models[0].name, version);
+  server->busy_until_ns = 0;
+}
+
+const struct loadshare_ops entryweights_loadshare_ops
+    = { reports_weights, is_loading_weights, weights_reported,
+        first_model_version };
--- a/src/event.c
+++ b/src/event.c
@@ -107,8 +107,11 @@
   /* Entry processes: 900 */
   { EVENT_FORWARD_PLACE, EVENT_LEVEL_INFO, "forward_place",
     "A backend server was chosen: candidates, expected times in ms, tokens "
-    "assumed to be cached, revision of its entry, age of its load report; for "
-    "a stream that is resumed, the request and the software that began it." },
+    "assumed to be cached, weights that it is believed to have, that are "
+    "wanted (and for how long) and required, revision of its entry, age of "
+    "its "
+    "load report; for a stream that is resumed, the request and the software "
+    "that began it." },
   { EVENT_FORWARD_ATTEMPT, EVENT_LEVEL_WARN, "forward_attempt",
     "An attempt on a backend server gave no response to forward; its outcome "
     "and the next action are given, how the response was framed, its whole "
@@ -160,13 +163,18 @@
   { EVENT_FORWARD_WAIT, EVENT_LEVEL_INFO, "forward_wait",
     "A stream that goes on with one software only waits for its servers: how "
     "many of them can't be reached, and the time that is left in ms." },
+  { EVENT_FORWARD_OLD_WEIGHTS, EVENT_LEVEL_INFO, "forward_old_weights",
+    "A response began on older weights than the operator wants: their "
+    "version, the wanted one, the time since the older weights were replaced "
+    "and since the request was sent to the engine." },
   { EVENT_ROUTES_IN_FORCE, EVENT_LEVEL_WARN, "routes_in_force",
     "A newer configuration routes requests from now on." },
   { EVENT_ROUTES_REFUSED, EVENT_LEVEL_ERROR, "routes_refused",
     "A configuration can't be read or is older; the present one stays in "
     "force." },
   { EVENT_WEIGHTS_WANTED, EVENT_LEVEL_WARN, "weights_wanted",
-    "The operator wants a newer version of a model's weights." },
+    "The operator wants a newer version of a model's weights; how this "
+    "process learned of it (start, read, change), and how old it counts as." },
   { EVENT_STORE_LOST, EVENT_LEVEL_WARN, "store_lost",
     "The KV service does not reply to reads of the keys with the given "
     "prefix; the values read before stay in use." },
@@ -200,6 +208,10 @@
   { EVENT_SETTINGS_RELOADED, EVENT_LEVEL_WARN, "settings_reloaded",
     "The settings file has changed and was read again; the listen and kv "
     "settings keep their old values until a restart." },
+  { EVENT_PAUSED, EVENT_LEVEL_WARN, "paused",
+    "The process did not run for the given time: its machine was suspended, "
+    "or it got no processor time. The monotonic clock did not count the part "
+    "suspended_ms." },
   { EVENT_LOG_DROPPED, EVENT_LEVEL_WARN, "log_dropped",
     "Log lines were dropped since the previous such line: the buffer was "
     "full, or routine lines were sampled." },
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -519,6 +519,16 @@
   weights_add_version (wanted, version, since_ns);
 }
 
+int64_t
+forwarder_wanted_age_ns (const struct forwarder *forwarder, const char *model)
+{
+  const struct wanted_weights *wanted
+      = g_hash_table_lookup (forwarder->wanted_weights, model);
+
+  return clock_now (forwarder->clock)
+         - wanted->versions[wanted->version_count - 1].since_ns;
+}
+
 void
 forwarder_init (struct forwarder *forwarder, uv_loop_t *loop,
                 const struct clock *clock, struct rng *rng, struct log *log,
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -36,6 +36,11 @@
                                    const char *model, uint64_t version,
                                    bool found_at_start);
 
+/** Return how long ago the newest wanted weight version of MODEL counts as
+ * set; MODEL must have one. */
+int64_t forwarder_wanted_age_ns (const struct forwarder *forwarder,
+                                 const char *model);
+
 /** Handle the complete request that CONN has received. */
 void forwarder_request_received (struct forwarder *forwarder,
                                  struct callerconn *conn);
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -75,6 +75,7 @@
 {
   learn_load (forward);
   learn_store_delay (forward);
+  forward_log_weights (forward);
 }
 
 void
@@ -86,7 +87,10 @@
   int64_t now = clock_now (forwarder->clock);
 
   if (!forward->relaying)
-    learn_load (forward);
+    {
+      learn_load (forward);
+      forward_log_weights (forward);
+    }
   if (outcome == EXCHANGE_NOT_CONNECTED)
     server_record_connection_failure (forwarder->servers, server);
   else if (outcome == EXCHANGE_CUT)
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -1,4 +1,6 @@
 #include "forwardlog.h"
+#include "forwarder.h"
+#include "forwardsend.h"
 
 #include <string.h>
 
@@ -126,7 +128,8 @@
              "limited=%u "
              "cost_ms=%.1f "
              "backlog_ms=%.1f cached=%lu stored=%lu prompt=%u context=%lx "
-             "weights=%lu entry=%lu load_age_ms=%ld waited_ms=%.1f%s",
+             "weights=%lu wanted=%lu required=%lu wanted_age_ms=%ld entry=%lu "
+             "load_age_ms=%ld waited_ms=%.1f%s",
              forward->call.request_id, server->entry.id, forward->service,
              server->entry.software[0] != '\0' ? server->entry.software : "-",
              choice->candidates, choice->limited, choice->cost_ms,
@@ -134,13 +137,41 @@
              (unsigned long)stored_tokens (query, server),
              forward->call.prompt_tokens,
              (unsigned long)context_block_id (&forward->call),
-             (unsigned long)weights, (unsigned long)server->revision,
+             (unsigned long)weights, (unsigned long)query->preferred_version,
+             (unsigned long)query->required_version,
+             query->preferred_version != 0
+                 ? (long)(forwarder_wanted_age_ns (forwarder, query->model)
+                          / NS_PER_MS)
+                 : -1L,
+             (unsigned long)server->revision,
              server->has_load_report
                  ? (long)((now - server->load_reported_ns) / NS_PER_MS)
                  : -1L,
              (double)(now - forward->arrived_ns) / NS_PER_MS, resumption);
 }
 
+void
+forward_log_weights (struct forward *forward)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  const struct exchange *exchange = &forward->exchange;
+  const struct wanted_weights *wanted = forward_wanted_weights (forward);
+  uint64_t version = exchange->response.weight_version;
+  int64_t now = clock_now (forwarder->clock);
+
+  if (wanted == NULL || version == 0 || version >= wanted->version)
+    return;
+  metrics_add (forwarder->metrics, "trefoilspar_old_weights_total", "", 1);
+  log_event (
+      forwarder->log, EVENT_FORWARD_OLD_WEIGHTS,
+      "id=%s server=%s weights=%lu wanted=%lu outdated_ms=%ld "
+      "sent_ms=%.1f",
+      forward->call.request_id, exchange->server->entry.id,
+      (unsigned long)version, (unsigned long)wanted->version,
+      (long)((now - weights_outdated_since_ns (wanted, version)) / NS_PER_MS),
+      (double)(now - exchange->sent_ns) / NS_PER_MS);
+}
+
 void
 forward_log_wait (struct forward *forward, const struct choose_result *choice)
 {
--- a/src/forwardlog.h
+++ b/src/forwardlog.h
@@ -16,6 +16,9 @@
                             const struct choose_query *query,
                             const struct choose_result *choice);
 
+/** Log that the response began on older weights than wanted, if it did. */
+void forward_log_weights (struct forward *forward);
+
 /** Log that the request waits for the servers of its software, unless it waits
  * already. */
 void forward_log_wait (struct forward *forward,
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -203,7 +203,9 @@
   if (is_full_read)
     {
       view->needs_full_read = false;
+      view->is_reading = true;
       full_read_apply (view, reply);
+      view->is_reading = false;
       view->initial_read_done = true;
     }
   else
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -50,8 +50,10 @@
   uint64_t generation;
   bool started;
   bool initial_read_done; /**< Whether all keys have been read once. */
-  bool reachable;         /**< Whether the last call succeeded. */
-  bool was_unreachable;   /**< Whether a call has failed since kvview_init. */
+  bool is_reading;      /**< Whether the key being put comes from a read of all
+                           keys; it may have been written long before. */
+  bool reachable;       /**< Whether the last call succeeded. */
+  bool was_unreachable; /**< Whether a call has failed since kvview_init. */
   bool call_in_flight;
   bool needs_full_read; /**< Whether the next call is a range, not a watch. */
   int64_t pause_ns;     /**< Delay of the next call after a reply that contains
