A version of weights grows older while its host is suspended

Cause: the age of a version was measured on the monotonic clock, which stands still while a machine is suspended, so that hosts required the newer version later, and the leader of the rollout believed that it had more time, by the length of the suspension. Now by clock_boottime, as leases are.

oldweights/suspended-host and duty/suspended-leader-catches-up failed before and pass.

--- a/src/entryweights.c
+++ b/src/entryweights.c
@@ -52,7 +52,7 @@
                          const char *value, uint64_t revision)
 {
   const struct kvview *view = &entry->operator_view;
-  int64_t now = clock_now (&entry->clock);
+  int64_t now = clock_boottime (&entry->clock);
   int64_t since_ns = view->written_since_ns;
   char model[SERVER_NAME_MAX];
   struct error error;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -189,9 +189,9 @@
   if (wanted != NULL)
     {
       query.preferred_version = wanted->version;
-      query.required_version
-          = weights_required_version (wanted, clock_now (forwarder->clock),
-                                      forwarder->settings.version_grace_ns);
+      query.required_version = weights_required_version (
+          wanted, clock_boottime (forwarder->clock),
+          forwarder->settings.version_grace_ns);
     }
   forward_add_stored (forward, wanted != NULL ? wanted->version : 1, &query);
   forward_choose (forward, &query, &choice);
@@ -521,7 +521,7 @@
   const struct wanted_weights *wanted
       = g_hash_table_lookup (forwarder->wanted_weights, model);
 
-  return clock_now (forwarder->clock)
+  return clock_boottime (forwarder->clock)
          - wanted->versions[wanted->version_count - 1].since_ns;
 }
 
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -162,14 +162,15 @@
   if (wanted == NULL || version == 0 || version >= wanted->version)
     return;
   metrics_add (forwarder->metrics, "trefoilspar_old_weights_total", "", 1);
-  log_event (
-      forwarder->log, EVENT_FORWARD_OLD_WEIGHTS,
-      "id=%s server=%s weights=%lu wanted=%lu outdated_ms=%ld "
-      "sent_ms=%.1f",
-      forward->call.request_id, exchange->server->entry.id,
-      (unsigned long)version, (unsigned long)wanted->version,
-      (long)((now - weights_outdated_since_ns (wanted, version)) / NS_PER_MS),
-      (double)(now - exchange->sent_ns) / NS_PER_MS);
+  log_event (forwarder->log, EVENT_FORWARD_OLD_WEIGHTS,
+             "id=%s server=%s weights=%lu wanted=%lu outdated_ms=%ld "
+             "sent_ms=%.1f",
+             forward->call.request_id, exchange->server->entry.id,
+             (unsigned long)version, (unsigned long)wanted->version,
+             (long)((clock_boottime (forwarder->clock)
+                     - weights_outdated_since_ns (wanted, version))
+                    / NS_PER_MS),
+             (double)(now - exchange->sent_ns) / NS_PER_MS);
 }
 
 void
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -199,7 +199,7 @@
       return;
     }
   view->last_reply_ns = clock_now (view->clock);
-  view->written_since_ns = clock_now (view->clock);
+  view->written_since_ns = clock_boottime (view->clock);
   view_set_reachable (view, true);
   if (is_full_read)
     {
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -431,7 +431,7 @@
                unsigned engine_count)
 {
   const struct rollout_settings *settings = &rollout->settings;
-  int64_t now = clock_now (rollout->clock);
+  int64_t now = clock_boottime (rollout->clock);
   double target_ns = rollout_time_share * (double)settings->within_ns;
   unsigned usual
       = MAX ((unsigned)(settings->share * engine_count), settings->at_once);
--- a/src/weights.h
+++ b/src/weights.h
@@ -9,7 +9,8 @@
  * The weight versions of a model that the operator has set. Each version keeps
  * the time at which it was set, since versions may follow each other quickly:
  * the deadline by which engines must have a version does not change when a
- * newer version is set.
+ * newer version is set. All times are of clock_boottime: a version grows older
+ * while this host is suspended.
  */
 
 enum
@@ -25,7 +26,8 @@
   struct
   {
     uint64_t version;
-    /** Time at which this process learned of the version. */
+    /** Earliest time at which the version can have been set, as far as this
+     * process can tell. */
     int64_t since_ns;
   } versions[WEIGHTS_VERSIONS_MAX]; /**< Newest versions that the operator has
                                        set, the oldest of them first. */
--- a/test/test-duty.c
+++ b/test/test-duty.c
@@ -266,7 +266,8 @@
           g_strlcpy (wanted->model, "m", sizeof wanted->model);
           g_hash_table_insert (hosts[i].wanted, wanted->model, wanted);
         }
-      weights_add_version (wanted, version, clock_now (&fake_clock.clock));
+      weights_add_version (wanted, version,
+                           clock_boottime (&fake_clock.clock));
     }
 }
 
