A version of weights is as old as the last time it could have been missed

Cause: a host counted the age of a version from the moment at which it learned of it. A host that stood still, or whose watch of the KV service was silent or not sent yet, learned of it later than the others, by seconds, and served on old weights for as much longer.

The view on the KV service now says since when a change can have been made: a pause of the process (pausewatch), a watch that failed without a reply, a read that found the service away, the time between two watches. Configuration and entries of servers have no such deadlines of their own: they act at once.

--- a/src/kvview.c
+++ b/src/kvview.c
@@ -15,6 +15,18 @@
   struct kvview *view;
   uint64_t generation;
   bool is_full_read;
+  int64_t sent_ns; /* By clock_boottime. */
+};
+
+enum
+{
+  /* A watch on a silent connection ends only after this time. */
+  SILENT_WATCH_MS = 4000,
+  /* Time in which an outage of the service is found out. */
+  OUTAGE_FOUND_MS = 1000,
+  /* A reply that comes sooner may report a change that was made before the
+   * call. */
+  ROUND_TRIP_MS = 250
 };
 
 static void
@@ -159,6 +171,32 @@
     }
 }
 
+/* Notes that changes of the last AGO_NS may not have been reported. Those that
+ * were made earlier, during an outage, count as made then: before that, no
+ * host could act on them. */
+static void
+view_missed_changes (struct kvview *view, int64_t ago_ns)
+{
+  view->unseen_since_ns
+      = MAX (view->unseen_since_ns, clock_boottime (view->clock) - ago_ns);
+}
+
+/* Returns the earliest time at which a change in the reply to CALL can have
+ * been made. */
+static int64_t
+reply_written_since_ns (const struct kvview *view,
+                        const struct kvview_call *call)
+{
+  const struct pausewatch *pausewatch = view->settings.pausewatch;
+  int64_t news_ns = pausewatch != NULL ? pausewatch_news_since_ns (pausewatch)
+                                       : clock_boottime (view->clock);
+
+  if (call->is_full_read
+      || news_ns - call->sent_ns < ROUND_TRIP_MS * NS_PER_MS)
+    return view->unseen_since_ns;
+  return MAX (news_ns, view->unseen_since_ns);
+}
+
 static void
 view_set_reachable (struct kvview *view, bool reachable)
 {
@@ -179,11 +217,17 @@
   struct kvview *view = call->view;
   bool is_current = call->generation == view->generation;
   bool is_full_read = call->is_full_read;
+  int64_t written_since_ns = reply_written_since_ns (view, call);
+  int64_t silent_ns = is_full_read
+                          ? clock_boottime (view->clock) - call->sent_ns
+                          : SILENT_WATCH_MS * NS_PER_MS;
 
   g_free (call);
   if (!is_current || reply->status == STATUS_CANCELLED)
     return;
   view->call_in_flight = false;
+  if (reply->status != STATUS_OK)
+    view_missed_changes (view, silent_ns);
   if (reply->status == STATUS_STALE)
     {
       view->needs_full_read = true;
@@ -199,7 +243,7 @@
       return;
     }
   view->last_reply_ns = clock_now (view->clock);
-  view->written_since_ns = clock_boottime (view->clock);
+  view->written_since_ns = written_since_ns;
   view_set_reachable (view, true);
   if (is_full_read)
     {
@@ -211,6 +255,7 @@
     }
   else
     changes_apply (view, reply);
+  view->unseen_since_ns = clock_boottime (view->clock);
   if (reply->item_count > 0)
     view->next_call_ns = clock_now (view->clock) + view->pause_ns;
   if (reply->revision > view->revision)
@@ -225,6 +270,7 @@
   call->view = view;
   call->generation = view->generation;
   call->is_full_read = view->needs_full_read;
+  call->sent_ns = clock_boottime (view->clock);
   view->call_in_flight = true;
   if (call->is_full_read)
     view->kv->ops->range (view->kv, view->prefix, view_replied, call);
@@ -254,6 +300,7 @@
   view->generation++;
   view->call_in_flight = false;
   view->needs_full_read = true;
+  view_missed_changes (view, OUTAGE_FOUND_MS * NS_PER_MS);
 }
 
 void
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -58,6 +58,9 @@
   /** Earliest time, by clock_boottime, at which the key being put can have
    * been written, as far as this host can tell. */
   int64_t written_since_ns;
+  /** Time, by clock_boottime, from which on changes may not have been reported
+   * yet. */
+  int64_t unseen_since_ns;
   bool reachable;       /**< Whether the last call succeeded. */
   bool was_unreachable; /**< Whether a call has failed since kvview_init. */
   bool call_in_flight;
--- a/src/weights.c
+++ b/src/weights.c
@@ -1,5 +1,6 @@
 #include "weights.h"
 
+#include <glib.h>
 #include <string.h>
 
 /* Share of the time until a version is required that is left if the process
@@ -20,12 +21,15 @@
 
 void
 weights_add_version (struct wanted_weights *wanted, uint64_t version,
-                     int64_t now_ns)
+                     int64_t since_ns)
 {
   if (wanted->version_count == WEIGHTS_VERSIONS_MAX)
     oldest_merge (wanted);
+  for (unsigned i = 0; i < wanted->version_count; i++)
+    wanted->versions[i].since_ns
+        = MIN (wanted->versions[i].since_ns, since_ns);
   wanted->versions[wanted->version_count].version = version;
-  wanted->versions[wanted->version_count++].since_ns = now_ns;
+  wanted->versions[wanted->version_count++].since_ns = since_ns;
   wanted->version = version;
 }
 
--- a/src/weights.h
+++ b/src/weights.h
@@ -34,10 +34,10 @@
   unsigned version_count;
 };
 
-/** Records that VERSION, which must be newer than all recorded ones, was set
- * at NOW_NS. */
+/** Records that VERSION, which must be newer than all recorded ones, can have
+ * been set at SINCE_NS; those before it were set by then. */
 void weights_add_version (struct wanted_weights *wanted, uint64_t version,
-                          int64_t now_ns);
+                          int64_t since_ns);
 
 /** Returns the time that a version counts as set at if the process finds it at
  * its start, at NOW_NS. It may have been set long before, so that only a small
--- a/test/test-weights.c
+++ b/test/test-weights.c
@@ -49,7 +49,22 @@
         >= version);
 }
 
+/* A version that is learned late, but was set early, showed that the one
+ * before it was set earlier still. */
+static void
+test_newer_version_set_earlier (void)
+{
+  struct wanted_weights wanted = { 0 };
+
+  weights_add_version (&wanted, 2, 14 * NS_PER_S);
+  weights_add_version (&wanted, 3, 10 * NS_PER_S);
+  CU_ASSERT_EQUAL (weights_outdated_since_ns (&wanted, 1), 10 * NS_PER_S);
+  CU_ASSERT_EQUAL (
+      weights_required_version (&wanted, 17 * NS_PER_S, 6 * NS_PER_S), 3);
+}
+
 static const struct unit_case cases[] = {
+  { "newer-version-set-earlier", test_newer_version_set_earlier },
   { "quick-succession", test_quick_succession },
   { "behind-since", test_outdated_since },
   { "many-versions", test_many_versions },
