Requests that wait at an engine with old weights are taken back in time

Cause: hosts stop choosing old weights after three quarters of the time, but a request that is in an engine's queue by then begins whenever its turn comes.

--- a/src/choose.c
+++ b/src/choose.c
@@ -238,26 +238,50 @@
                 <= settings->memory_share * (double)server->kv_capacity_tokens;
 }
 
+/* Whether SERVER, which needs BEGIN_MS before it begins a request by all that
+ * is known, begins it in time for its weights. Twice the time is allowed for,
+ * since work that other hosts send meanwhile is not known. */
+static bool
+begins_in_time (const struct choose_query *query, const struct server *server,
+                double begin_ms, int64_t boottime_ns)
+{
+  uint64_t version;
+
+  if (query->model == NULL || query->wanted == NULL)
+    return true;
+  version = server_weight_version (server, query->model);
+  return version >= query->wanted->version
+         || 2 * begin_ms * NS_PER_MS
+                <= (double)(weights_outdated_since_ns (query->wanted, version)
+                            + query->begin_span_ns - boottime_ns);
+}
+
 static void
 candidate_consider (const struct choose_settings *settings,
                     const struct choose_query *query, struct server *server,
-                    bool is_preferred, int64_t now, struct rng *rng,
-                    struct choose_result *result)
+                    bool is_preferred, int64_t now, int64_t boottime_ns,
+                    struct rng *rng, struct choose_result *result)
 {
   uint64_t cached = 0;
   double delay = 0;
   double backlog = query->model == NULL
                        ? plain_backlog_ms (settings, query, server, now)
                        : engine_backlog_ms (settings, query, server, now);
+  double prompt_ms = query->model == NULL
+                         ? 0
+                         : prompt_cost_ms (settings, query, server,
+                                           is_preferred, &cached, &delay);
   double cost
-      = backlog + server->failure_ratio * failure_cost_ms
+      = backlog + prompt_ms + server->failure_ratio * failure_cost_ms
         + (server->in_local_data_centre ? 0 : settings->remote_server_ms)
         + rng_uniform (rng);
 
+  if (!begins_in_time (query, server, backlog + prompt_ms, boottime_ns))
+    {
+      result->at_capacity = result->others_at_capacity = true;
+      return;
+    }
   result->candidates++;
-  if (query->model != NULL)
-    cost += prompt_cost_ms (settings, query, server, is_preferred, &cached,
-                            &delay);
   if (query->model != NULL && !has_preferred_version (query, server))
     cost += old_weights_cost_ms;
   if (result->server != NULL && cost >= result->cost_ms)
@@ -318,7 +342,7 @@
         result->at_capacity = result->others_at_capacity = true;
       else
         candidate_consider (settings, query, server, server == preferred, now,
-                            rng, result);
+                            clock_boottime (servers->clock), rng, result);
     }
 }
 
--- a/src/choose.h
+++ b/src/choose.h
@@ -4,6 +4,7 @@
 #include "call.h"
 #include "rng.h"
 #include "servers.h"
+#include "weights.h"
 
 /** @file
  * Chooses the backend server of a request by the expected time to its first
@@ -68,6 +69,12 @@
   uint64_t required_software;
   uint64_t preferred_version; /**< Servers with an older weight version get a
                                  higher cost; 0 if no version is preferred. */
+  /** Wanted weights of the model, and the time after the operator has set a
+   * version within which a request must begin at a server with an older one. A
+   * server that is expected to be too late for that is not chosen. NULL if the
+   * operator has set none. */
+  const struct wanted_weights *wanted;
+  int64_t begin_span_ns;
   const struct call *call;
   struct choose_stored_prefix stored[CHOOSE_STORED_MAX];
   unsigned stored_count;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -12,13 +12,10 @@
 };
 
 static const char *const outcome_names[] = {
-  [EXCHANGE_ANSWERED] = "answered",
-  [EXCHANGE_NOT_CONNECTED] = "not_connected",
-  [EXCHANGE_NOT_RUN] = "not_run",
-  [EXCHANGE_CUT] = "cut",
-  [EXCHANGE_FOREIGN] = "foreign",
-  [EXCHANGE_SILENT] = "silent",
-  [EXCHANGE_NOT_CONTINUED] = "not_continued",
+  [EXCHANGE_ANSWERED] = "answered", [EXCHANGE_NOT_CONNECTED] = "not_connected",
+  [EXCHANGE_NOT_RUN] = "not_run",   [EXCHANGE_CUT] = "cut",
+  [EXCHANGE_FOREIGN] = "foreign",   [EXCHANGE_SILENT] = "silent",
+  [EXCHANGE_OUTDATED] = "outdated", [EXCHANGE_NOT_CONTINUED] = "not_continued",
 };
 
 const char *
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -15,7 +15,8 @@
  */
 
 /** The outcome of an attempt. After EXCHANGE_CUT, EXCHANGE_FOREIGN,
- * EXCHANGE_NOT_CONTINUED and EXCHANGE_SILENT the request may have run. */
+ * EXCHANGE_NOT_CONTINUED, EXCHANGE_SILENT and EXCHANGE_OUTDATED the request
+ * may have run. */
 enum exchange_outcome
 {
   EXCHANGE_ANSWERED,      /**< The complete response was received. */
@@ -29,8 +30,10 @@
                        server to this request. */
   EXCHANGE_NOT_CONTINUED, /**< The server did not continue the stream: its
                              response is not a successful event stream. */
-  EXCHANGE_SILENT /**< The owner ended the attempt because the server sent
-                     nothing for too long. */
+  EXCHANGE_SILENT,  /**< The owner ended the attempt because the server sent
+                      nothing for too long. */
+  EXCHANGE_OUTDATED /**< The owner ended the attempt because the server, which
+                       has old weights, had not begun in time. */
 };
 
 /** The request of one attempt. */
--- a/src/forward.h
+++ b/src/forward.h
@@ -113,6 +113,9 @@
   uint64_t software_hash;
   /** Software hash of the server of the current attempt. */
   uint64_t attempt_software_hash;
+  /** Version of the weights that the server of the current attempt was
+   * believed to have; 0 if unknown. */
+  uint64_t attempt_weight_version;
   /** Software version of the server that sent the first event; empty if there
    * is none or it is unknown. */
   char began_software[SERVER_NAME_MAX];
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -5,6 +5,7 @@
 #include "forwardrespond.h"
 #include "forwardresume.h"
 #include "forwardsend.h"
+#include "forwardweights.h"
 #include "forwardwait.h"
 
 #include <string.h>
@@ -169,7 +170,6 @@
 static void
 forward_place (struct forward *forward)
 {
-  struct forwarder *forwarder = forward->forwarder;
   const struct wanted_weights *wanted = forward_wanted_weights (forward);
   struct choose_query query = {
     .service = forward->service,
@@ -186,13 +186,7 @@
       return;
     }
   memcpy (query.excluded, forward->tried, sizeof query.excluded);
-  if (wanted != NULL)
-    {
-      query.preferred_version = wanted->version;
-      query.required_version = weights_required_version (
-          wanted, clock_boottime (forwarder->clock),
-          forwarder->settings.version_grace_ns);
-    }
+  forwardweights_query (forward, &query);
   forward_add_stored (forward, wanted != NULL ? wanted->version : 1, &query);
   forward_choose (forward, &query, &choice);
   if (choice.server == NULL && choice.at_capacity)
@@ -380,6 +374,17 @@
                                   + forward->route->latency_target_ns;
 }
 
+/* End the current attempt, whose server has not responded. */
+static void
+attempt_abandon (struct forward *forward, enum exchange_outcome outcome)
+{
+  struct server *server = server_ref (forward->exchange.server);
+
+  exchange_close (&forward->exchange);
+  forward_attempt_ended (forward, outcome);
+  server_unref (server);
+}
+
 static void
 forward_tick (struct forward *forward, int64_t now)
 {
@@ -396,15 +401,11 @@
         forward_refuse (forward, "timeout", RETRY_AFTER_NO_SERVER_MS);
       return;
     }
-  if (server_is_silent (forward, now)
-      && forward->run_count + 1 < forward->route->servers_max)
-    {
-      struct server *server = server_ref (forward->exchange.server);
-
-      exchange_close (&forward->exchange);
-      forward_attempt_ended (forward, EXCHANGE_SILENT);
-      server_unref (server);
-    }
+  if (forwardweights_is_overdue (forward))
+    attempt_abandon (forward, EXCHANGE_OUTDATED);
+  else if (server_is_silent (forward, now)
+           && forward->run_count + 1 < forward->route->servers_max)
+    attempt_abandon (forward, EXCHANGE_SILENT);
 }
 
 /* Send the waiting requests that need a certain software to servers. That they
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -1,6 +1,7 @@
 #include "forwardlog.h"
 #include "forwarder.h"
 #include "forwardsend.h"
+#include "forwardweights.h"
 
 #include <string.h>
 
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -1,4 +1,5 @@
 #include "forwardsend.h"
+#include "forwardweights.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -26,15 +27,6 @@
 /* Maximum timeout of a fetch, as a share of the time left until the target. */
 static const double fetch_share = 0.6;
 
-const struct wanted_weights *
-forward_wanted_weights (const struct forward *forward)
-{
-  if (forward->call.model == NULL)
-    return NULL;
-  return g_hash_table_lookup (forward->forwarder->wanted_weights,
-                              forward->call.model);
-}
-
 void
 forward_uncount_load (struct forward *forward)
 {
@@ -302,6 +294,10 @@
     metrics_add (forwarder->metrics, "trefoilspar_limited_sends_total", "", 1);
   serverlimit_take (&choice->server->limit, clock_now (forwarder->clock));
   forward->attempt_software_hash = choice->server->software_hash;
+  forward->attempt_weight_version
+      = forward->call.model != NULL
+            ? server_weight_version (choice->server, forward->call.model)
+            : 0;
   forward->expected_ms = choice->cost_ms;
   forward->backlog_ms = choice->backlog_ms;
   forward->store_delay_ms = choice->store_delay_ms;
--- a/src/forwardsend.h
+++ b/src/forwardsend.h
@@ -9,10 +9,6 @@
  * request in the server's load.
  */
 
-/** Return the wanted weights of the request's model, or NULL. */
-const struct wanted_weights *
-forward_wanted_weights (const struct forward *forward);
-
 /** Return the request's priority that is sent to the backend server. The
  * organisation's priority counts first, then that of the route.
  * @return a priority from 0, the most urgent, to 9 */
--- /dev/null
+++ b/src/forwardweights.c
@@ -0,0 +1,42 @@
+#include "forwardweights.h"
+
+const struct wanted_weights *
+forward_wanted_weights (const struct forward *forward)
+{
+  if (forward->call.model == NULL)
+    return NULL;
+  return g_hash_table_lookup (forward->forwarder->wanted_weights,
+                              forward->call.model);
+}
+
+void
+forwardweights_query (const struct forward *forward,
+                      struct choose_query *query)
+{
+  const struct forwarder *forwarder = forward->forwarder;
+  const struct wanted_weights *wanted = forward_wanted_weights (forward);
+
+  if (wanted == NULL)
+    return;
+  query->wanted = wanted;
+  query->begin_span_ns = forwarder->settings.version_begin_ns;
+  query->preferred_version = wanted->version;
+  query->required_version
+      = weights_required_version (wanted, clock_boottime (forwarder->clock),
+                                  forwarder->settings.version_grace_ns);
+}
+
+bool
+forwardweights_is_overdue (const struct forward *forward)
+{
+  const struct forwarder *forwarder = forward->forwarder;
+  const struct wanted_weights *wanted = forward_wanted_weights (forward);
+  uint64_t version = forward->attempt_weight_version;
+
+  return exchange_is_sent (&forward->exchange)
+         && forward->exchange.first_output_ns == 0 && wanted != NULL
+         && version != 0 && version < wanted->version
+         && clock_boottime (forwarder->clock)
+                    - weights_outdated_since_ns (wanted, version)
+                > forwarder->settings.version_begin_ns;
+}
--- /dev/null
+++ b/src/forwardweights.h
@@ -0,0 +1,23 @@
+#ifndef FORWARDWEIGHTS_H
+#define FORWARDWEIGHTS_H
+
+#include "forward.h"
+
+/** @file
+ * Which weights the operator wants for a request: old ones are avoided, later
+ * not chosen any more, and at last taken back requests that have not begun.
+ */
+
+/** Return the wanted weights of the request's model, or NULL. */
+const struct wanted_weights *
+forward_wanted_weights (const struct forward *forward);
+
+/** Set what QUERY asks of the weights of a server. */
+void forwardweights_query (const struct forward *forward,
+                           struct choose_query *query);
+
+/** Whether the request was sent to a server with older weights, has not begun
+ * there, and may not begin any more. */
+bool forwardweights_is_overdue (const struct forward *forward);
+
+#endif
--- a/test/test-resend.c
+++ b/test/test-resend.c
@@ -32,7 +32,7 @@
 test_every_outcome (void)
 {
   for (int kind = ROUTE_IDEMPOTENT; kind <= ROUTE_STREAM; kind++)
-    for (int outcome = EXCHANGE_NOT_CONNECTED; outcome <= EXCHANGE_SILENT;
+    for (int outcome = EXCHANGE_NOT_CONNECTED; outcome <= EXCHANGE_OUTDATED;
          outcome++)
       for (unsigned earlier_runs = 0; earlier_runs < 4; earlier_runs++)
         for (int relayed = 0; relayed < 2; relayed++)
