A server that states that it leaves gets no further requests

Cause: nothing read the field.

Now platform/ decodes it into struct statement, once for requests and reports. serverlearn believes it if the server itself made the response, and keeps it as a fact about this start of the server (serverstart: id and time), beside its entry: an entry that says ready, vanishes and comes back, or is of an earlier start does not change it; a later start, or another id at the address, is free. Each choice of a server, for requests that wait, are repeated or resumed, takes it as an input, and so do the probes and the rollout of weights. Subsets divide by the registry only, since hosts of other subsets do not know what was stated. A bad value, a repeated one or one of another server is ignored and logged once (statement_ignored).

Evidence: serverleave/leaving-server, refusals-and-streams, registry-says-otherwise, waiting-request and resumed-stream failed before and pass; new-start and ignored-statements pass as before. duty/leaving-engine and platform/stated-leaving are new.

Changes to tests: struct servers_ops has one more function, which the tests name as NULL or log.

--- a/src/call.h
+++ b/src/call.h
@@ -1,6 +1,8 @@
 #ifndef CALL_H
 #define CALL_H
 
+#include "statement.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -108,6 +110,7 @@
   bool limit_malformed;    /**< Whether the stated limit can't be parsed. */
   uint64_t weight_version; /**< The server's weight version; 0 if the response
                               does not state it. */
+  struct statement statement;
 };
 
 #endif
--- a/src/choose.c
+++ b/src/choose.c
@@ -326,7 +326,7 @@
       struct server *server = list->pdata[i];
 
       if (server->in_other_subset != other_subsets
-          || is_excluded (query, server) || server->entry.leaving
+          || is_excluded (query, server) || server_is_leaving (server)
           || !has_required_version (server, query)
           || !has_required_software (server, query))
         continue;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -7,6 +7,7 @@
 #include "kv.h"
 #include "routes.h"
 #include "servers.h"
+#include "statement.h"
 #include "status.h"
 
 /** @file
@@ -38,6 +39,7 @@
                            since its start. */
   struct server_model models[SERVER_MODELS_MAX];
   unsigned model_count;
+  struct statement statement;
 };
 
 /** An engine's reply to an order. */
--- a/src/entry.c
+++ b/src/entry.c
@@ -4,6 +4,7 @@
 #include "entryorigin.h"
 #include "entryviews.h"
 #include "entryweights.h"
+#include "serverlog.h"
 
 #include <signal.h>
 #include <string.h>
@@ -101,16 +102,20 @@
 {
   struct entry *entry = data;
 
-  log_event (&entry->log, EVENT_SERVER_CHANGED,
-             "server=%s service=%s address=%s what=%s revision=%lu "
-             "in_flight=%u misses=%u limit_per_s=%.2f",
-             server->entry.id, server->entry.service, server->entry.address,
-             what, (unsigned long)server->revision, server->in_flight_requests,
-             server->connection_failures,
-             server->limit.limited ? server->limit.per_s : -1.0);
+  serverlog_changed (&entry->log, &entry->metrics, server, what);
 }
 
-static const struct servers_ops servers_ops = { server_changed };
+static void
+statement_ignored (void *data, const struct server *server, const char *field,
+                   const char *reason)
+{
+  struct entry *entry = data;
+
+  serverlog_ignored (&entry->log, &entry->metrics, server, field, reason);
+}
+
+static const struct servers_ops servers_ops
+    = { server_changed, statement_ignored };
 
 static bool
 store_is_polled_here (void *data, const struct kvstore *store)
--- a/src/event.c
+++ b/src/event.c
@@ -151,7 +151,8 @@
   { EVENT_SERVER_CHANGED, EVENT_LEVEL_WARN, "server_changed",
     "The known state of a backend server changed: added, leaving, gone, "
     "unreachable, reachable, limited (it states the requests per second that "
-    "it takes from all hosts together), unlimited." },
+    "it takes from all hosts together), unlimited, states_leaving (a response "
+    "of it says that it leaves)." },
   { EVENT_ENTRY_IGNORED, EVENT_LEVEL_WARN, "entry_ignored",
     "An entry of the KV service can't be decoded as a server or host and is "
     "ignored; look for another writer." },
@@ -167,6 +168,10 @@
     "A response began on older weights than the operator wants: their "
     "version, the wanted one, the time since the older weights were replaced "
     "and since the request was sent to the engine." },
+  { EVENT_STATEMENT_IGNORED, EVENT_LEVEL_WARN, "statement_ignored",
+    "A backend server stated something of itself in a response that can't be "
+    "used: it is malformed, repeated, or of another server. Logged once for "
+    "each start of the server and field." },
   { EVENT_ROUTES_IN_FORCE, EVENT_LEVEL_WARN, "routes_in_force",
     "A newer configuration routes requests from now on." },
   { EVENT_ROUTES_REFUSED, EVENT_LEVEL_ERROR, "routes_refused",
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -142,7 +142,7 @@
 static void
 response_head_received (void *data, struct exchange *exchange)
 {
-  forward_learn_limit (data);
+  forward_learn_statements (data);
 }
 
 static const struct exchange_ops exchange_ops
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -1,6 +1,7 @@
 #include "forwardlearn.h"
 #include "forwardblame.h"
 #include "forwardlog.h"
+#include "serverlearn.h"
 
 enum
 {
@@ -51,8 +52,8 @@
                                response->weight_version);
 }
 
-void
-forward_learn_limit (struct forward *forward)
+static void
+learn_limit (struct forward *forward)
 {
   struct forwarder *forwarder = forward->forwarder;
   const struct response *response = &forward->exchange.response;
@@ -70,6 +71,14 @@
                         forward->exchange.last_received_ns, true);
 }
 
+void
+forward_learn_statements (struct forward *forward)
+{
+  learn_limit (forward);
+  serverlearn_statement (forward->forwarder->servers, forward->exchange.server,
+                         &forward->exchange.response.statement);
+}
+
 void
 forward_learn_response_head (struct forward *forward)
 {
--- a/src/forwardlearn.h
+++ b/src/forwardlearn.h
@@ -8,8 +8,8 @@
  * server fetched KV cache from, from the responses to requests.
  */
 
-/** Record the limit that the head of a response states. */
-void forward_learn_limit (struct forward *forward);
+/** Record what the head of a response states of its server. */
+void forward_learn_statements (struct forward *forward);
 
 /** Update the recorded state after the head of the response was received.
  * Called before the first bytes of the response are relayed. */
--- a/src/httpjson.c
+++ b/src/httpjson.c
@@ -20,6 +20,7 @@
   httpjson_call_ended done;
   void *data;
   int http_status;
+  struct httpfields head;
 };
 
 static void
@@ -28,6 +29,7 @@
   struct json_call *json_call = handle->data;
 
   g_string_free (json_call->body, TRUE);
+  httpfields_finish (&json_call->head);
   g_free (json_call);
 }
 
@@ -45,6 +47,14 @@
   struct json_call *json_call = data;
 
   json_call->http_status = head->status;
+  for (size_t i = 0; i < head->header_count; i++)
+    {
+      const struct httpclient_header *field = &head->headers[i];
+
+      httpfields_append_name (&json_call->head, field->name, field->name_size);
+      httpfields_append_value (&json_call->head, field->value,
+                               field->value_size);
+    }
 }
 
 static void
@@ -60,8 +70,9 @@
 on_end (void *data, const struct httpclient_result *result)
 {
   struct json_call *json_call = data;
-  struct httpjson_reply reply
-      = { .status = result->status, .http_status = json_call->http_status };
+  struct httpjson_reply reply = { .status = result->status,
+                                  .http_status = json_call->http_status,
+                                  .head = &json_call->head };
 
   json_call->http_call = NULL;
   if (result->status == STATUS_OK && json_call->body->len > 0)
@@ -74,7 +85,8 @@
 on_timeout (uv_timer_t *timer)
 {
   struct json_call *json_call = timer->data;
-  struct httpjson_reply reply = { .status = STATUS_UNAVAILABLE };
+  struct httpjson_reply reply
+      = { .status = STATUS_UNAVAILABLE, .head = &json_call->head };
 
   if (httpclient_may_have_sent (json_call->http_call))
     reply.status = STATUS_UNKNOWN;
@@ -105,6 +117,7 @@
       if (json_call->http_call != NULL)
         httpclient_cancel (json_call->http_call);
       json_call->http_call = NULL;
+      reply.head = &json_call->head;
       json_call_end (json_call, &reply);
     }
 }
@@ -133,6 +146,7 @@
       http_request.body_size = strlen (http_request.body);
     }
   json_call->body = g_string_new (NULL);
+  httpfields_init (&json_call->head);
   json_call->done = done;
   json_call->data = data;
   list_init (&json_call->node);
--- a/src/httpjson.h
+++ b/src/httpjson.h
@@ -2,6 +2,7 @@
 #define HTTPJSON_H
 
 #include "httpclient.h"
+#include "httpfields.h"
 
 #include <json-c/json.h>
 
@@ -18,6 +19,8 @@
    * STATUS_CANCELLED: httpjson_finish ended the call. */
   enum status status;
   int http_status;
+  /** Header fields of the response; empty if none arrived. */
+  const struct httpfields *head;
   struct json_object *body; /**< Parsed body; NULL if the reply has no
                                valid JSON body. */
 };
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -1,5 +1,6 @@
 #include "rollout.h"
 #include "rendezvous.h"
+#include "serverlearn.h"
 #include "weights.h"
 
 #include <string.h>
@@ -355,9 +356,11 @@
 {
   struct rollout_engine *engine = data;
 
+  serverlearn_statement (engine->rollout->servers, engine->server,
+                         &report->statement);
   if (!engine_end_call (engine))
     return;
-  if (!report->replied)
+  if (!report->replied || server_is_leaving (engine->server))
     engine_query_after (engine, QUERY_RETRY_MS);
   else if (report_version (report, engine->model) >= engine->version)
     engine_loaded (engine);
@@ -467,8 +470,8 @@
       uint64_t version = server_weight_version (server, wanted->model);
 
       engine_count += version != 0;
-      if (version != 0 && version < wanted->version && !server->entry.leaving
-          && server->down_since_ns == 0)
+      if (version != 0 && version < wanted->version
+          && !server_is_leaving (server) && server->down_since_ns == 0)
         g_ptr_array_add (outdated, server);
     }
   g_ptr_array_sort (outdated, less_busy_first);
@@ -485,7 +488,8 @@
   const struct rollout_engine *engine = value;
   const struct server *server = engine->server;
 
-  return server->removed || server->entry.leaving || server->down_since_ns != 0
+  return server->removed || server_is_leaving (server)
+         || server->down_since_ns != 0
          || server_weight_version (server, engine->model) >= engine->version;
 }
 
--- /dev/null
+++ b/src/serverlearn.c
@@ -0,0 +1,57 @@
+#include "serverlearn.h"
+
+enum
+{
+  FIELD_LEAVING = 1 << 0 /* Bits of server.ignored_fields. */
+};
+
+static const char *const reasons[] = {
+  [STATEMENT_MALFORMED] = "malformed",
+  [STATEMENT_REPEATED] = "repeated",
+  [STATEMENT_FOREIGN] = "other_server",
+};
+
+/* Whether a statement of KIND counts. One that is ignored is reported. */
+static bool
+is_believed (struct servers *servers, struct server *server, unsigned field,
+             const char *field_name, enum statement_kind kind)
+{
+  if (kind == STATEMENT_NONE || kind == STATEMENT_VALID)
+    return kind == STATEMENT_VALID;
+  if ((server->ignored_fields & field) == 0)
+    servers->ops->ignored (servers->data, server, field_name, reasons[kind]);
+  server->ignored_fields |= field;
+  return false;
+}
+
+static struct serverstart *
+server_start (struct servers *servers, const struct server *server)
+{
+  struct serverstart_key key = server_start_key (&server->entry);
+
+  return serverstart_obtain (&servers->starts, &key,
+                             clock_now (servers->clock));
+}
+
+static void
+learn_leaving (struct servers *servers, struct server *server)
+{
+  struct serverstart *start;
+
+  if (server->states_leaving)
+    return;
+  server->states_leaving = true;
+  start = server_start (servers, server);
+  if (start != NULL)
+    start->leaving = true;
+  servers->ops->changed (servers->data, server, "states_leaving");
+}
+
+void
+serverlearn_statement (struct servers *servers, struct server *server,
+                       const struct statement *statement)
+{
+  if (is_believed (servers, server, FIELD_LEAVING, "leaving",
+                   statement->leaving))
+    learn_leaving (servers, server);
+}
--- /dev/null
+++ b/src/serverlog.c
@@ -0,0 +1,35 @@
+#include "serverlog.h"
+
+void
+serverlog_changed (struct log *log, struct metrics *metrics,
+                   const struct server *server, const char *change)
+{
+  char labels[64];
+
+  log_event (log, EVENT_SERVER_CHANGED,
+             "server=%s service=%s address=%s what=%s revision=%lu "
+             "started_ms=%lu in_flight=%u misses=%u limit_per_s=%.2f",
+             server->entry.id, server->entry.service, server->entry.address,
+             change, (unsigned long)server->revision,
+             (unsigned long)server->entry.started_ms,
+             server->in_flight_requests, server->connection_failures,
+             server->limit.limited ? server->limit.per_s : -1.0);
+  g_snprintf (labels, sizeof labels, "what=\"%s\"", change);
+  metrics_add (metrics, "trefoilspar_server_changes_total", labels, 1);
+}
+
+void
+serverlog_ignored (struct log *log, struct metrics *metrics,
+                   const struct server *server, const char *field,
+                   const char *reason)
+{
+  char labels[96];
+
+  log_event (log, EVENT_STATEMENT_IGNORED,
+             "server=%s service=%s address=%s field=%s reason=%s",
+             server->entry.id, server->entry.service, server->entry.address,
+             field, reason);
+  g_snprintf (labels, sizeof labels, "field=\"%s\",reason=\"%s\"", field,
+              reason);
+  metrics_add (metrics, "trefoilspar_statements_ignored_total", labels, 1);
+}
--- a/src/servers.c
+++ b/src/servers.c
@@ -65,6 +65,7 @@
   servers->connect_timeout_ns = connect_timeout_ns;
   servers->ops = ops;
   servers->data = data;
+  serverstart_table_init (&servers->starts);
   softwarespan_init (&servers->software, clock);
   servers->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, server_release);
@@ -77,6 +78,7 @@
 {
   g_hash_table_destroy (servers->by_service);
   softwarespan_finish (&servers->software);
+  serverstart_table_finish (&servers->starts);
   g_hash_table_destroy (servers->by_id);
 }
 
@@ -175,12 +177,22 @@
                     software);
 }
 
+struct serverstart_key
+server_start_key (const struct server_entry *entry)
+{
+  return (struct serverstart_key){ entry->id, entry->service, entry->address,
+                                   entry->started_ms };
+}
+
 static struct server *
 server_add (struct servers *servers, const struct server_entry *entry)
 {
   struct server *server = g_new0 (struct server, 1);
+  struct serverstart_key key = server_start_key (entry);
+  const struct serverstart *start = serverstart_find (&servers->starts, &key);
 
   server->reference_count = 1;
+  server->states_leaving = start != NULL && start->leaving;
   server_set_entry (server, entry);
   server->id_hash = g_str_hash (entry->id);
   server->in_local_data_centre
@@ -237,7 +249,8 @@
       server = server_add (servers, entry);
       server->revision = revision;
       service_software_check (servers, entry->service);
-      notify_change (servers, server, entry->leaving ? "leaving" : "added");
+      notify_change (servers, server,
+                     server_is_leaving (server) ? "leaving" : "added");
       return;
     }
   starts_leaving = entry->leaving && !server->entry.leaving;
@@ -269,12 +282,24 @@
 }
 
 bool
-server_is_available (const struct server *server)
+server_is_leaving (const struct server *server)
+{
+  return server->entry.leaving || server->states_leaving;
+}
+
+bool
+server_is_reachable (const struct server *server)
 {
   return !server->removed && !server->entry.leaving
          && server->down_since_ns == 0;
 }
 
+bool
+server_is_available (const struct server *server)
+{
+  return server_is_reachable (server) && !server->states_leaving;
+}
+
 bool
 server_accepts_requests (const struct server *server, int64_t now_ns)
 {
@@ -477,7 +502,7 @@
 {
   int64_t last_ns = server->next_probe_ns - PROBE_INTERVAL_MS * NS_PER_MS;
 
-  if (server->entry.leaving)
+  if (server_is_leaving (server))
     return false;
   return now >= server->next_probe_ns
          || (now - last_ns >= LAST_PROBE_INTERVAL_MS * NS_PER_MS
--- a/src/servers.h
+++ b/src/servers.h
@@ -6,6 +6,7 @@
 #include "servercache.h"
 #include "serverconn.h"
 #include "serverlimit.h"
+#include "serverstart.h"
 #include "softwarespan.h"
 
 #include <glib.h>
@@ -63,8 +64,12 @@
   /** Hash of the service and of the version of the server's software, which is
    * the same on all hosts; never 0. */
   uint64_t software_hash;
-  uint64_t revision; /**< KV service revision of the registry entry. */
-  bool removed;      /**< Whether the server is no longer registered. */
+  uint64_t revision;   /**< KV service revision of the registry entry. */
+  bool removed;        /**< Whether the server is no longer registered. */
+  bool states_leaving; /**< Whether this start of the server has stated in a
+                          response that it leaves. */
+  unsigned ignored_fields;   /**< Bits of the fields of which a value was
+                                ignored. */
   bool in_local_data_centre; /**< Whether the server is in the data centre of
                                 this process. */
   bool in_other_subset; /**< Whether the server is assigned to another subset
@@ -124,6 +129,9 @@
    * log. */
   void (*changed) (void *data, const struct server *server,
                    const char *change);
+  /** Reports that a value that SERVER stated in FIELD was ignored. */
+  void (*ignored) (void *data, const struct server *server, const char *field,
+                   const char *reason);
 };
 
 struct servers
@@ -132,11 +140,12 @@
   const struct clock *clock;
   char data_centre[SERVER_NAME_MAX]; /**< Data centre of this process. */
   int64_t connect_timeout_ns;
-  GHashTable *by_id;            /**< Maps ids to struct server. */
-  GHashTable *by_service;       /**< Maps service names to GPtrArray of struct
-                                     server. */
-  struct softwarespan software; /**< Since when each service has had one
-                                   software only. */
+  GHashTable *by_id;      /**< Maps ids to struct server. */
+  GHashTable *by_service; /**< Maps service names to GPtrArray of struct
+                               server. */
+  struct serverstart_table starts; /**< What starts of servers stated. */
+  struct softwarespan software;    /**< Since when each service has had one
+                                      software only. */
   const struct servers_ops *ops;
   void *data;
 };
@@ -176,6 +185,17 @@
 struct server *server_ref (struct server *server);
 void server_unref (struct server *server);
 
+/** Returns the start that ENTRY describes; its strings point into ENTRY. */
+struct serverstart_key server_start_key (const struct server_entry *entry);
+
+/** Whether SERVER is leaving, by its registry entry or by its own responses.
+ */
+bool server_is_leaving (const struct server *server);
+
+/** Whether SERVER is registered, not leaving by its registry entry, and
+ * reachable. */
+bool server_is_reachable (const struct server *server);
+
 /** Whether SERVER is registered, not leaving, and reachable. */
 bool server_is_available (const struct server *server);
 
--- /dev/null
+++ b/src/statement.h
@@ -0,0 +1,23 @@
+#ifndef STATEMENT_H
+#define STATEMENT_H
+
+/** @file
+ * What a response states of the backend server that made it, in a form that
+ * does not depend on the platform's header fields.
+ */
+
+enum statement_kind
+{
+  STATEMENT_NONE,      /**< The response does not state it. */
+  STATEMENT_VALID,     /**< The response states it. */
+  STATEMENT_MALFORMED, /**< The stated value is not allowed. */
+  STATEMENT_REPEATED,  /**< It is stated more than once. */
+  STATEMENT_FOREIGN    /**< Another server made the response. */
+};
+
+struct statement
+{
+  enum statement_kind leaving; /**< The server accepts no new requests. */
+};
+
+#endif
--- a/src/subsets.c
+++ b/src/subsets.c
@@ -81,8 +81,10 @@
   serverlimit_set_hosts (&server->limit, count, rank);
 }
 
-/* Divides the SERVERS of one service into subsets. Only available servers are
- * counted, so that each subset has the same number of them. */
+/* Divides the SERVERS of one service into subsets. Only reachable servers are
+ * counted, so that each subset has the same number of them. What a server
+ * stated in responses does not count, since hosts of other subsets do not know
+ * it and would divide the servers in another way. */
 static void
 service_assign (const struct subsets *subsets, const GPtrArray *servers)
 {
@@ -95,7 +97,7 @@
 
       server->in_other_subset = false;
       server->sending_host_count = fleet_size (subsets);
-      if (server_is_available (server))
+      if (server_is_reachable (server))
         g_ptr_array_add (available, server);
     }
   is_divided = subsets->count > 1
--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -1,5 +1,6 @@
 #include "fake-path.h"
 #include "dialect-platform.h"
+#include "serverlog.h"
 #include "unit.h"
 
 #include <arpa/inet.h>
@@ -77,9 +78,18 @@
 static void
 server_changed (void *data, const struct server *server, const char *what)
 {
+  serverlog_changed (&path.log, &path.metrics, server, what);
 }
 
-static const struct servers_ops servers_ops = { server_changed };
+static void
+statement_ignored (void *data, const struct server *server, const char *field,
+                   const char *reason)
+{
+  serverlog_ignored (&path.log, &path.metrics, server, field, reason);
+}
+
+static const struct servers_ops servers_ops
+    = { server_changed, statement_ignored };
 
 static void
 origin_send (void *data, const struct sockaddr_in *to, const uint8_t *bytes,
--- a/test/fuzz-loadshare.c
+++ b/test/fuzz-loadshare.c
@@ -31,7 +31,7 @@
   return 0;
 }
 
-static const struct servers_ops servers_ops = { changed };
+static const struct servers_ops servers_ops = { changed, NULL };
 static const struct loadshare_ops share_ops
     = { never, never_of, told, no_version };
 
--- a/test/test-duty.c
+++ b/test/test-duty.c
@@ -25,6 +25,7 @@
   int64_t loaded_ns;
   uint64_t fencing_token;
   uint64_t order_count;
+  struct statement statement; /* In its reports. */
 };
 
 struct host
@@ -154,6 +155,7 @@
   report->model_count = 1;
   report->busy = engine->target_version > engine->version;
   report->order_count = engine->order_count;
+  report->statement = engine->statement;
   g_strlcpy (report->models[0].name, "m", sizeof report->models[0].name);
   report->models[0].weight_version = engine->version;
   g_array_append_val (pending_replies, item);
@@ -168,7 +170,7 @@
 {
 }
 
-static const struct servers_ops servers_ops = { server_changed };
+static const struct servers_ops servers_ops = { server_changed, NULL };
 
 static void
 view_key_put (void *data, const char *key, const char *value,
@@ -384,6 +386,24 @@
   finish ();
 }
 
+/* An engine whose report says that it leaves was ordered to load weights, and
+ * its rollout slot was kept from the others. */
+static void
+test_leaving_engine (void)
+{
+  setup ();
+  engines[0].statement.leaving = STATEMENT_VALID;
+  set_wanted_version (2);
+  run_for_ms (8000);
+  CU_ASSERT_EQUAL (engines[0].order_count, 0);
+  CU_ASSERT_EQUAL (engines[0].version, 1);
+  CU_ASSERT_FALSE (server_is_available (
+      servers_find (&hosts[leader_index ()].servers, "e0")));
+  for (unsigned i = 1; i < ENGINES; i++)
+    CU_ASSERT_EQUAL (engines[i].version, 2);
+  finish ();
+}
+
 /* When the leader stops, another host becomes the leader with a higher fencing
  * token. */
 static void
@@ -474,6 +494,7 @@
   { "hosts-know-each-other", test_hosts_see_each_other },
   { "suspended-leader-catches-up", test_suspended_leader_catches_up },
   { "one-holder-swaps-a-few-at-once", test_one_leader_loads_a_few_at_once },
+  { "leaving-engine", test_leaving_engine },
   { "duty-moves-on", test_leadership_passes_on },
   { "suspended-holder-orders-nothing", test_suspended_leader_sends_no_orders },
   { "outage-of-the-service", test_kv_service_outage },
--- a/test/test-limitshare.c
+++ b/test/test-limitshare.c
@@ -70,7 +70,7 @@
 {
 }
 
-static const struct servers_ops servers_ops = { on_changed };
+static const struct servers_ops servers_ops = { on_changed, NULL };
 
 static struct server *
 server_at (unsigned host, unsigned index)
--- a/test/test-platform.c
+++ b/test/test-platform.c
@@ -258,6 +258,49 @@
     }
 }
 
+/* Bad values of the field by which a server leaves took it out. */
+static void
+test_stated_leaving (void)
+{
+  static const struct
+  {
+    const char *value;
+    enum statement_kind kind;
+  } rows[]
+      = { { "1", STATEMENT_VALID },      { "", STATEMENT_MALFORMED },
+          { "0", STATEMENT_MALFORMED },  { "2", STATEMENT_MALFORMED },
+          { "01", STATEMENT_MALFORMED }, { "1 ", STATEMENT_MALFORMED },
+          { "+1", STATEMENT_MALFORMED }, { "1,1", STATEMENT_MALFORMED },
+          { "-1", STATEMENT_MALFORMED }, { "true", STATEMENT_MALFORMED } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct httpfields head;
+      struct response response;
+
+      httpfields_init (&head);
+      head_add_field (&head, "X-Request-Id", "r");
+      message_response_decode (200, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.leaving, STATEMENT_NONE);
+      head_add_field (&head, "server-leaving", rows[i].value);
+      message_response_decode (503, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.leaving, rows[i].kind);
+      message_response_decode (200, &head, "other", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.leaving, STATEMENT_FOREIGN);
+      message_response_decode (421, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.leaving, STATEMENT_FOREIGN);
+      head_add_field (&head, "X-Instance-Id", "i-1");
+      message_response_decode (421, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.leaving, rows[i].kind);
+      message_response_decode (200, &head, "r", "i-2", &response);
+      CU_ASSERT_EQUAL (response.statement.leaving, STATEMENT_FOREIGN);
+      head_add_field (&head, "Server-Leaving", "1");
+      message_response_decode (200, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.leaving, STATEMENT_REPEATED);
+      httpfields_finish (&head);
+    }
+}
+
 static void
 test_attempt_header (void)
 {
@@ -301,6 +344,7 @@
 
 static const struct unit_case cases[] = {
   { "stated-limit", test_stated_limit },
+  { "stated-leaving", test_stated_leaving },
   { "configuration", test_configuration },
   { "torn-documents", test_truncated_documents },
   { "entry", test_entry },
--- a/test/test-retire.c
+++ b/test/test-retire.c
@@ -54,7 +54,7 @@
 {
 }
 
-static const struct servers_ops servers_ops = { server_changed };
+static const struct servers_ops servers_ops = { server_changed, NULL };
 
 static struct server *
 engine (int index)
--- a/test/test-serverleave.c
+++ b/test/test-serverleave.c
@@ -48,6 +48,17 @@
   return status;
 }
 
+static unsigned
+log_count (const char *text)
+{
+  unsigned count = 0;
+
+  for (const char *at = path.logged->str; (at = strstr (at, text)) != NULL;
+       at++)
+    count++;
+  return count;
+}
+
 static unsigned
 served_of (unsigned count)
 {
@@ -79,6 +90,8 @@
   setup (&leaving, "/safe/");
   CU_ASSERT_EQUAL (served_of (REQUESTS), REQUESTS);
   CU_ASSERT_EQUAL (path.upstreams[0].requests, 1);
+  CU_ASSERT_EQUAL (log_count (" what=states_leaving "), 1);
+  CU_ASSERT_EQUAL (log_count ("statement_ignored "), 0);
   fake_path_finish ();
 }
 
@@ -205,6 +218,8 @@
       setup (&step, "/safe/");
       CU_ASSERT_TRUE (
           server_is_available (servers_find (&path.servers, "i-0")));
+      served_of (REQUESTS);
+      CU_ASSERT_EQUAL (log_count ("statement_ignored server=i-0 "), 1);
       fake_path_finish ();
     }
 }
--- a/test/test-servers.c
+++ b/test/test-servers.c
@@ -18,7 +18,7 @@
   g_strlcpy (last_change, what, sizeof last_change);
 }
 
-static const struct servers_ops servers_ops = { server_changed };
+static const struct servers_ops servers_ops = { server_changed, NULL };
 
 static void
 setup (void)
