Servers that ask for a pause get nothing until its end

Callers waited while all servers asked for it. Cause: nothing read the field.

Now platform/ decodes it into struct statement, beside the statement that a server leaves, and serverpause keeps the pause, with the start of the server. It is one more input of each choice, beside the limit: a paused server is passed over, and is sent no probe, no report and no order, which is stricter than the two requests that are allowed. The pause counts from the arrival of the response by the monotonic clock, so that it never ends too soon. Values over 60 s count as 60 s, then one request is sent as a trial; negative values and those that are no number count as a 503 without the field, which is handled as before.

A server of a plain service gets at most twice its slots while another one is paused; engines are limited by their memory as before. If all servers that could run a request are paused, its caller is refused at once with the time until the first pause ends, spread over 0.3 of it and at least 100 ms; if it may not wait for so long, it is told 0.7 to 1.0 of the longest time that it may.

Evidence: serverpause/paused-server, entry-comes-back, no-probe, all-servers-paused and next-server-is-spared failed before and pass; refusal-without-pause and bad-values pass as before. serverpause/absurd-length, late-answer, duty/paused-engine and platform/stated-pause are new.

--- a/src/choose.c
+++ b/src/choose.c
@@ -20,6 +20,9 @@
  * for each of its requests if some of them wait. */
 static const double plain_run_ms = 60;
 static const double plain_wait_ms = 10;
+/* Requests for each slot that a plain service's server takes: one that runs,
+ * and one that waits. */
+static const unsigned plain_places_per_slot = 2;
 
 const struct choose_settings choose_settings_default = {
   .prefill_tokens_per_ms = 60,
@@ -306,6 +309,46 @@
   result->limited_per_s += serverlimit_own_rate (limit, now);
 }
 
+static void
+result_add_paused (struct choose_result *result,
+                   const struct serverpause *pause, int64_t now)
+{
+  int64_t wait_ns = pause->until_ns - now;
+
+  result->paused_wait_ns
+      = result->paused > 0 ? MIN (result->paused_wait_ns, wait_ns) : wait_ns;
+  result->paused++;
+}
+
+/* Whether a server of LIST asked for a pause, so that others get its load.
+ * The memory of engines limits what they get in any case; a plain service has
+ * no such limit. */
+static bool
+any_is_paused (const GPtrArray *list, int64_t now)
+{
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct server *server = list->pdata[i];
+
+      if (server_is_available (server)
+          && !serverpause_allows (&server->pause, now))
+        return true;
+    }
+  return false;
+}
+
+/* Whether a plain service's SERVER has a place for another request, in a slot
+ * or in its queue. */
+static bool
+has_place (const struct server *server)
+{
+  unsigned occupied
+      = server->in_flight_requests + server->other_hosts_requests;
+
+  return server->entry.slots == 0
+         || occupied < plain_places_per_slot * server->entry.slots;
+}
+
 /* Choose among the servers of this host's subset, or among all others if
  * OTHER_SUBSETS is set. */
 static void
@@ -320,6 +363,7 @@
       = query->model != NULL
             ? preferred_server (list, query->call, other_subsets, now)
             : NULL;
+  bool spares_others = query->model == NULL && any_is_paused (list, now);
 
   for (guint i = 0; i < list->len; i++)
     {
@@ -335,10 +379,13 @@
           result->unreachable += !server->removed;
           continue;
         }
-      if (!serverlimit_allows (&server->limit, now))
+      if (!serverpause_allows (&server->pause, now))
+        result_add_paused (result, &server->pause, now);
+      else if (!serverlimit_allows (&server->limit, now))
         result_add_limited (result, &server->limit, now);
       else if (!server_accepts_requests (server, now)
-               || !has_memory (settings, query, server))
+               || !has_memory (settings, query, server)
+               || (spares_others && !has_place (server)))
         result->at_capacity = result->others_at_capacity = true;
       else
         candidate_consider (settings, query, server, server == preferred, now,
--- a/src/choose.h
+++ b/src/choose.h
@@ -102,6 +102,10 @@
   double limited_per_s;
   int64_t limited_wait_ns; /**< Time until the first of them may be sent a
                               request; valid if `limited` is not 0. */
+  /** Number of suitable servers that asked for a pause, and the time until the
+   * first of these pauses ends; valid if `paused` is not 0. */
+  unsigned paused;
+  int64_t paused_wait_ns;
   unsigned unreachable; /**< Number of suitable servers that are registered and
                            can't be reached now. */
   bool others_at_capacity; /**< Whether there are other suitable servers
--- a/src/entry.c
+++ b/src/entry.c
@@ -102,7 +102,8 @@
 {
   struct entry *entry = data;
 
-  serverlog_changed (&entry->log, &entry->metrics, server, what);
+  serverlog_changed (&entry->log, &entry->metrics, &entry->clock, server,
+                     what);
 }
 
 static void
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -198,7 +198,8 @@
       return;
     }
   if (choice.server == NULL && forward->software_hash != 0
-      && choice.unreachable > 0 && forwardwait_pause_allows (forward))
+      && choice.unreachable + (forward->relaying ? choice.paused : 0) > 0
+      && forwardwait_pause_allows (forward))
     {
       forward_log_wait (forward, &choice);
       forwardwait_add (forward);
@@ -207,7 +208,10 @@
   forwardwait_remove (forward);
   if (choice.server == NULL)
     {
-      forward_give_up (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
+      if (choice.paused > 0)
+        forward_give_up_paused (forward, choice.paused_wait_ns);
+      else
+        forward_give_up (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
       return;
     }
   forward_log_placement (forward, &query, &choice);
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -74,9 +74,15 @@
 void
 forward_learn_statements (struct forward *forward)
 {
+  const struct response *response = &forward->exchange.response;
+  struct server *server = forward->exchange.server;
+
   learn_limit (forward);
-  serverlearn_statement (forward->forwarder->servers, forward->exchange.server,
-                         &forward->exchange.response.statement);
+  serverlearn_statement (forward->forwarder->servers, server,
+                         &response->statement);
+  if (response->matches_request && !response->other_server
+      && response->statement.pause == STATEMENT_NONE)
+    serverpause_answered (&server->pause);
 }
 
 void
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -5,6 +5,14 @@
 
 /* Maximum Retry-After time, as a share of the request's time left. */
 static const double retry_after_share = 0.3;
+/* Time over which the callers return that are refused since all servers asked
+ * for a pause, as a share of the time until they may return. */
+static const double pause_spread_share = 0.3;
+
+enum
+{
+  PAUSE_SPREAD_MIN_MS = 100 /* Minimum of that time. */
+};
 
 void
 forward_free (struct forward *forward)
@@ -57,6 +65,26 @@
   forward_respond (forward, 503, reason, retry_after_ns);
 }
 
+/* Return the time after which the caller returns best: when the pause of a
+ * server has ended, in WAIT_NS, or else as late as it may return. Callers that
+ * are refused at one moment return spread over some time. */
+static int64_t
+pause_retry_after_ns (const struct forward *forward, int64_t wait_ns)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  int64_t left_ns = forward->deadline_ns - clock_now (forwarder->clock);
+  double latest = retry_after_share * (double)MAX (left_ns, 0);
+  double first = (double)wait_ns;
+  double last = first
+                + MAX (pause_spread_share * first,
+                       (double)(PAUSE_SPREAD_MIN_MS * NS_PER_MS));
+
+  if (first >= latest)
+    first = (1 - pause_spread_share) * latest;
+  last = MIN (last, latest);
+  return (int64_t)(first + (last - first) * rng_uniform (forwarder->rng));
+}
+
 void
 forward_fail (struct forward *forward, const char *reason)
 {
@@ -87,6 +115,16 @@
     forward_refuse (forward, reason, retry_after_ms);
 }
 
+void
+forward_give_up_paused (struct forward *forward, int64_t wait_ns)
+{
+  if (forward->relaying || forward->run_count > 0)
+    forward_give_up (forward, "paused", 0);
+  else
+    forward_respond (forward, 503, "paused",
+                     pause_retry_after_ns (forward, wait_ns));
+}
+
 void
 forward_pass_on (struct forward *forward)
 {
--- a/src/forwardrespond.h
+++ b/src/forwardrespond.h
@@ -44,4 +44,8 @@
 void forward_give_up (struct forward *forward, const char *reason,
                       int64_t retry_after_ms);
 
+/** Give the request up, since all servers that could run it asked for a pause.
+ * @param wait_ns time until the first of these pauses ends */
+void forward_give_up_paused (struct forward *forward, int64_t wait_ns);
+
 #endif
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -293,6 +293,7 @@
   if (choice->server->limit.limited)
     metrics_add (forwarder->metrics, "trefoilspar_limited_sends_total", "", 1);
   serverlimit_take (&choice->server->limit, clock_now (forwarder->clock));
+  serverpause_take (&choice->server->pause, clock_now (forwarder->clock));
   forward->attempt_software_hash = choice->server->software_hash;
   forward->attempt_weight_version
       = forward->call.model != NULL
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -231,6 +231,14 @@
                                          LEASE_MARGIN_MS * NS_PER_MS);
 }
 
+/* Whether the engine wants nothing from this host now. */
+static bool
+is_paused (const struct rollout_engine *engine)
+{
+  return !serverpause_allows (&engine->server->pause,
+                              clock_now (engine->rollout->clock));
+}
+
 static void
 engine_query_after (struct rollout_engine *engine, int64_t delay_ms)
 {
@@ -315,7 +323,7 @@
     .order_count = orders,
   };
 
-  if (!rollout_may_order (rollout))
+  if (!rollout_may_order (rollout) || is_paused (engine))
     {
       engine_query_after (engine, QUERY_RETRY_MS);
       return;
@@ -471,7 +479,8 @@
 
       engine_count += version != 0;
       if (version != 0 && version < wanted->version
-          && !server_is_leaving (server) && server->down_since_ns == 0)
+          && !server_is_leaving (server) && server->down_since_ns == 0
+          && serverpause_allows (&server->pause, clock_now (rollout->clock)))
         g_ptr_array_add (outdated, server);
     }
   g_ptr_array_sort (outdated, less_busy_first);
@@ -490,7 +499,8 @@
 
   return server->removed || server_is_leaving (server)
          || server->down_since_ns != 0
-         || server_weight_version (server, engine->model) >= engine->version;
+         || server_weight_version (server, engine->model) >= engine->version
+         || (is_paused (engine) && !engine->is_loading);
 }
 
 void
@@ -566,7 +576,8 @@
     {
       struct rollout_engine *engine = value;
 
-      if (engine->step == ENGINE_STEP_QUERY && now >= engine->next_query_ns)
+      if (engine->step == ENGINE_STEP_QUERY && now >= engine->next_query_ns
+          && !is_paused (engine))
         engine_query (engine);
     }
 }
--- a/src/serverlearn.c
+++ b/src/serverlearn.c
@@ -2,7 +2,9 @@
 
 enum
 {
-  FIELD_LEAVING = 1 << 0 /* Bits of server.ignored_fields. */
+  /* Bits of server.ignored_fields. */
+  FIELD_LEAVING = 1 << 0,
+  FIELD_PAUSE = 1 << 1
 };
 
 static const char *const reasons[] = {
@@ -47,6 +49,19 @@
   servers->ops->changed (servers->data, server, "states_leaving");
 }
 
+static void
+learn_pause (struct servers *servers, struct server *server, int64_t span_ns)
+{
+  bool began = serverpause_record (&server->pause, span_ns,
+                                   clock_now (servers->clock));
+  struct serverstart *start = server_start (servers, server);
+
+  if (start != NULL)
+    start->pause = server->pause;
+  if (began)
+    servers->ops->changed (servers->data, server, "paused");
+}
+
 void
 serverlearn_statement (struct servers *servers, struct server *server,
                        const struct statement *statement)
@@ -54,4 +69,6 @@
   if (is_believed (servers, server, FIELD_LEAVING, "leaving",
                    statement->leaving))
     learn_leaving (servers, server);
+  if (is_believed (servers, server, FIELD_PAUSE, "pause", statement->pause))
+    learn_pause (servers, server, statement->pause_ns);
 }
--- a/src/serverlog.h
+++ b/src/serverlog.h
@@ -11,7 +11,8 @@
 
 /** The state of SERVER changed; CHANGE names the change. */
 void serverlog_changed (struct log *log, struct metrics *metrics,
-                        const struct server *server, const char *change);
+                        const struct clock *clock, const struct server *server,
+                        const char *change);
 
 /** A value that SERVER stated in FIELD was ignored for REASON. */
 void serverlog_ignored (struct log *log, struct metrics *metrics,
--- a/src/servers.c
+++ b/src/servers.c
@@ -192,7 +192,11 @@
   const struct serverstart *start = serverstart_find (&servers->starts, &key);
 
   server->reference_count = 1;
-  server->states_leaving = start != NULL && start->leaving;
+  if (start != NULL)
+    {
+      server->states_leaving = start->leaving;
+      server->pause = start->pause;
+    }
   server_set_entry (server, entry);
   server->id_hash = g_str_hash (entry->id);
   server->in_local_data_centre
@@ -305,7 +309,8 @@
 {
   return server_is_available (server) && server->doubted_ns == 0
          && server->busy_until_ns <= now_ns
-         && serverlimit_allows (&server->limit, now_ns);
+         && serverlimit_allows (&server->limit, now_ns)
+         && serverpause_allows (&server->pause, now_ns);
 }
 
 void
@@ -474,7 +479,7 @@
   if (server->removed || server->down_since_ns != 0)
     return;
   server->doubted_ns = now;
-  if (server->probe == NULL)
+  if (server->probe == NULL && serverpause_allows (&server->pause, now))
     probe_start (servers, server, now);
 }
 
@@ -522,7 +527,7 @@
     {
       struct server *server = value;
 
-      if (server->probe != NULL)
+      if (server->probe != NULL || !serverpause_allows (&server->pause, now))
         continue;
       if (server->doubted_ns != 0
           || (server->down_since_ns != 0
--- a/src/servers.h
+++ b/src/servers.h
@@ -6,6 +6,7 @@
 #include "servercache.h"
 #include "serverconn.h"
 #include "serverlimit.h"
+#include "serverpause.h"
 #include "serverstart.h"
 #include "softwarespan.h"
 
@@ -112,6 +113,7 @@
   /** Moving average of the share of failed responses. */
   double failure_ratio;
   struct serverlimit limit;
+  struct serverpause pause;
   int64_t busy_until_ns; /**< No requests are sent to the server before this
                             time. */
 
@@ -200,7 +202,7 @@
 bool server_is_available (const struct server *server);
 
 /** Whether SERVER is available, in no doubt, not marked busy at NOW_NS, and
- * its limit allows a request of this host. */
+ * its limit and the pause that it asked for allow a request of this host. */
 bool server_accepts_requests (const struct server *server, int64_t now_ns);
 
 /** Marks SERVER busy until UNTIL_NS, so that it gets no requests before then.
--- a/src/serverstart.h
+++ b/src/serverstart.h
@@ -1,6 +1,8 @@
 #ifndef SERVERSTART_H
 #define SERVERSTART_H
 
+#include "serverpause.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -27,6 +29,7 @@
   uint64_t started_ms;
   int64_t recorded_ns; /**< Time of the first statement. */
   bool leaving;        /**< Whether the server stated that it leaves. */
+  struct serverpause pause;
 };
 
 struct serverstart_table
--- a/src/statement.h
+++ b/src/statement.h
@@ -1,6 +1,8 @@
 #ifndef STATEMENT_H
 #define STATEMENT_H
 
+#include <stdint.h>
+
 /** @file
  * What a response states of the backend server that made it, in a form that
  * does not depend on the platform's header fields.
@@ -18,6 +20,9 @@
 struct statement
 {
   enum statement_kind leaving; /**< The server accepts no new requests. */
+  enum statement_kind pause;   /**< The server turned the request away, and
+                                  wants nothing from this host for pause_ns. */
+  int64_t pause_ns;            /**< Valid if `pause` is. */
 };
 
 #endif
--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -78,7 +78,7 @@
 static void
 server_changed (void *data, const struct server *server, const char *what)
 {
-  serverlog_changed (&path.log, &path.metrics, server, what);
+  serverlog_changed (&path.log, &path.metrics, &path.clock, server, what);
 }
 
 static void
--- a/test/test-duty.c
+++ b/test/test-duty.c
@@ -26,6 +26,7 @@
   uint64_t fencing_token;
   uint64_t order_count;
   struct statement statement; /* In its reports. */
+  unsigned queries;
 };
 
 struct host
@@ -151,6 +152,7 @@
   struct weights_report *report = &item.report;
 
   engine_advance (engine);
+  engine->queries++;
   report->replied = true;
   report->model_count = 1;
   report->busy = engine->target_version > engine->version;
@@ -404,6 +406,26 @@
   finish ();
 }
 
+/* An engine that wants nothing for a while got queries and orders, and its
+ * rollout slot was kept from the others. */
+static void
+test_paused_engine (void)
+{
+  setup ();
+  engines[0].statement.pause = STATEMENT_VALID;
+  engines[0].statement.pause_ns = 9 * NS_PER_S;
+  set_wanted_version (2);
+  run_for_ms (8000);
+  CU_ASSERT_EQUAL (engines[0].queries, 1);
+  CU_ASSERT_EQUAL (engines[0].order_count, 0);
+  for (unsigned i = 1; i < ENGINES; i++)
+    CU_ASSERT_EQUAL (engines[i].version, 2);
+  engines[0].statement.pause = STATEMENT_NONE;
+  run_for_ms (4000);
+  CU_ASSERT_TRUE (all_engines_have (2));
+  finish ();
+}
+
 /* When the leader stops, another host becomes the leader with a higher fencing
  * token. */
 static void
@@ -495,6 +517,7 @@
   { "suspended-leader-catches-up", test_suspended_leader_catches_up },
   { "one-holder-swaps-a-few-at-once", test_one_leader_loads_a_few_at_once },
   { "leaving-engine", test_leaving_engine },
+  { "paused-engine", test_paused_engine },
   { "duty-moves-on", test_leadership_passes_on },
   { "suspended-holder-orders-nothing", test_suspended_leader_sends_no_orders },
   { "outage-of-the-service", test_kv_service_outage },
--- a/test/test-platform.c
+++ b/test/test-platform.c
@@ -301,6 +301,60 @@
     }
 }
 
+/* Bad values of the time for which a server wants nothing were believed, or
+ * fractions of a second dropped. */
+static void
+test_stated_pause (void)
+{
+  static const struct
+  {
+    const char *value;
+    enum statement_kind kind;
+    int64_t ns;
+  } rows[] = { { "2", STATEMENT_VALID, 2 * NS_PER_S },
+               { "0.75", STATEMENT_VALID, 750 * NS_PER_MS },
+               { ".5", STATEMENT_VALID, 500 * NS_PER_MS },
+               { "0", STATEMENT_VALID, 0 },
+               { "3600", STATEMENT_VALID, 3600 * NS_PER_S },
+               { "99999999999999999999", STATEMENT_VALID, 1000000 * NS_PER_S },
+               { "", STATEMENT_MALFORMED, 0 },
+               { ".", STATEMENT_MALFORMED, 0 },
+               { "-1", STATEMENT_MALFORMED, 0 },
+               { "+1", STATEMENT_MALFORMED, 0 },
+               { "nan", STATEMENT_MALFORMED, 0 },
+               { "inf", STATEMENT_MALFORMED, 0 },
+               { "1e3", STATEMENT_MALFORMED, 0 },
+               { "0x1", STATEMENT_MALFORMED, 0 },
+               { "1.2.3", STATEMENT_MALFORMED, 0 },
+               { "1,5", STATEMENT_MALFORMED, 0 },
+               { "1 s", STATEMENT_MALFORMED, 0 },
+               { "Fri, 04 Dec 2026 14:00:00 GMT", STATEMENT_MALFORMED, 0 } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct httpfields head;
+      struct response response;
+
+      httpfields_init (&head);
+      head_add_field (&head, "X-Request-Id", "r");
+      message_response_decode (503, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.pause, STATEMENT_NONE);
+      head_add_field (&head, "retry-after", rows[i].value);
+      message_response_decode (503, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.pause, rows[i].kind);
+      if (rows[i].kind == STATEMENT_VALID)
+        CU_ASSERT_EQUAL (response.statement.pause_ns, rows[i].ns);
+      message_response_decode (429, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.pause, STATEMENT_NONE);
+      message_response_decode (503, &head, "other", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.pause, STATEMENT_FOREIGN);
+      head_add_field (&head, "Retry-After", "1");
+      message_response_decode (503, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.pause, STATEMENT_REPEATED);
+      httpfields_finish (&head);
+    }
+}
+
 static void
 test_attempt_header (void)
 {
@@ -345,6 +399,7 @@
 static const struct unit_case cases[] = {
   { "stated-limit", test_stated_limit },
   { "stated-leaving", test_stated_leaving },
+  { "stated-pause", test_stated_pause },
   { "configuration", test_configuration },
   { "torn-documents", test_truncated_documents },
   { "entry", test_entry },
--- a/test/test-serverpause.c
+++ b/test/test-serverpause.c
@@ -97,6 +97,7 @@
 
   setup (&paused, &served);
   CU_ASSERT_EQUAL (unserved_in (GRACE_MS), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.logged->str, " what=paused "));
   before = path.upstreams[0].requests;
   CU_ASSERT_EQUAL (unserved_in (PAUSE_MS - GRACE_MS - 100), 0);
   CU_ASSERT_TRUE (path.upstreams[0].requests - before <= PAUSE_REQUESTS_MAX);
@@ -148,6 +149,44 @@
     }
 }
 
+/* A server that asked for an hour was left alone for an hour, or got all its
+ * load at once afterwards. */
+static void
+test_absurd_length (void)
+{
+  int64_t max_ns = SERVERPAUSE_MAX_MS * NS_PER_MS;
+  struct serverpause pause = { 0 };
+
+  CU_ASSERT_TRUE (serverpause_record (&pause, 3600 * NS_PER_S, 0));
+  CU_ASSERT_FALSE (serverpause_record (&pause, NS_PER_S, NS_PER_S));
+  CU_ASSERT_FALSE (serverpause_allows (&pause, max_ns - 1));
+  CU_ASSERT_TRUE (serverpause_allows (&pause, max_ns));
+  serverpause_take (&pause, max_ns);
+  CU_ASSERT_FALSE (serverpause_allows (&pause, 2 * max_ns - 1));
+  serverpause_record (&pause, 3600 * NS_PER_S, max_ns);
+  CU_ASSERT_FALSE (serverpause_allows (&pause, 2 * max_ns - 1));
+  serverpause_take (&pause, 2 * max_ns);
+  serverpause_record (&pause, NS_PER_S, 2 * max_ns);
+  CU_ASSERT_FALSE (serverpause_allows (&pause, 2 * max_ns));
+  CU_ASSERT_TRUE (serverpause_allows (&pause, 2 * max_ns + NS_PER_S));
+  serverpause_take (&pause, 2 * max_ns + NS_PER_S);
+  CU_ASSERT_TRUE (serverpause_allows (&pause, 2 * max_ns + NS_PER_S));
+}
+
+/* A late answer to an earlier request ended the pause. */
+static void
+test_late_answer (void)
+{
+  struct serverpause pause = { 0 };
+
+  serverpause_record (&pause, 2 * NS_PER_S, 0);
+  serverpause_answered (&pause);
+  CU_ASSERT_FALSE (serverpause_allows (&pause, NS_PER_S));
+  serverpause_record (&pause, NS_PER_S / 2, NS_PER_S);
+  CU_ASSERT_FALSE (serverpause_allows (&pause, 2 * NS_PER_S - 1));
+  CU_ASSERT_TRUE (serverpause_allows (&pause, 2 * NS_PER_S));
+}
+
 /* An entry that vanished and came back ended the pause of its server. */
 static void
 test_entry_comes_back (void)
@@ -270,6 +309,8 @@
   { "paused-server", test_paused_server },
   { "refusal-without-pause", test_refusal_without_pause },
   { "bad-values", test_bad_values },
+  { "absurd-length", test_absurd_length },
+  { "late-answer", test_late_answer },
   { "entry-comes-back", test_entry_comes_back },
   { "no-probe", test_no_probe },
   { "all-servers-paused", test_all_servers_paused },
