Soak: engines state that they leave, and ask for pauses

A request that its caller sent to a host over 1 s after that host had been told that the engine leaves is a violation, and so is the third one that comes in a pause, from 0.5 s after the host was told.

--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -330,6 +330,8 @@
 
   g_snprintf (request->id, sizeof request->id, "%04x%012x", caller->number,
               ++caller->asked);
+  request->host = caller->host;
+  request->sent_ns = clock_now (&caller->soak->clock);
   request->kind = (enum soak_kind)soak_draw (caller->soak, 0, SOAK_KINDS - 1);
   g_strlcpy (request->began_id, request->id, sizeof request->began_id);
   if (caller->broken != NULL)
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -58,11 +58,14 @@
   char *limit_line = limit > 0
                          ? g_strdup_printf ("Server-Limit: %.1f\r\n", limit)
                          : g_strdup ("");
+  char *statement
+      = soak_statement_lines (&run->engine->statement, run->request, false);
   char *lines = g_strdup_printf ("Content-Type: %s\r\nX-Request-Id: "
-                                 "%s\r\nX-Response-Seal: seal-%s-%s\r\n%s",
+                                 "%s\r\nX-Response-Seal: seal-%s-%s\r\n%s%s",
                                  type, run->request->id, run->request->id,
-                                 run->engine->id, limit_line);
+                                 run->engine->id, limit_line, statement);
 
+  g_free (statement);
   g_free (limit_line);
   return lines;
 }
@@ -224,6 +227,18 @@
                   is_stream ? EVENT_MS : 0);
 }
 
+static void
+request_refuse (struct soak_engine *engine, struct callerconn *conn,
+                const struct soak_request *request, const char *lines)
+{
+  char *statement = soak_statement_lines (&engine->statement, request, true);
+  char *all = g_strconcat (lines, statement, NULL);
+
+  callerconn_respond (conn, 503, all, "", 0);
+  g_free (statement);
+  g_free (all);
+}
+
 static void
 engine_request (void *data, struct callerconn *conn)
 {
@@ -243,6 +258,8 @@
                       field (conn, "X-Request-Id"));
       callerconn_respond (conn, 500, lines, "", 0);
     }
+  else if (soak_statement_arrived (&engine->statement, engine->id, request))
+    request_refuse (engine, conn, request, lines);
   else
     run_begin (engine, conn, request);
   g_free (lines);
@@ -289,6 +306,7 @@
   struct error error;
 
   engine->draining = false;
+  soak_statement_init (&engine->statement, engine->soak);
   engine->change_ns = 0;
   engine->server = g_new0 (struct callerserver, 1);
   g_ptr_array_add (engine->servers, engine->server);
@@ -318,7 +336,7 @@
   engine->server = NULL;
   engine->change_ns = clock_now (&engine->soak->clock)
                       + soak_draw (engine->soak, 100, DOWN_MS) * NS_PER_MS;
-  if (engine->draining)
+  if (engine->draining || engine->statement.leaving)
     entry_write (engine);
 }
 
@@ -392,3 +410,23 @@
   engine->change_ns = clock_now (&engine->soak->clock) + DRAIN_MS * NS_PER_MS;
   entry_write (engine);
 }
+
+void
+soak_engine_leave (struct soak_engine *engine)
+{
+  if (engine->server == NULL || engine->change_ns != 0)
+    return;
+  soak_say (engine->soak, "engine %s leaves by its answers", engine->id);
+  engine->statement.leaving = true;
+  engine->change_ns = clock_now (&engine->soak->clock) + DRAIN_MS * NS_PER_MS;
+}
+
+void
+soak_engine_pause (struct soak_engine *engine)
+{
+  if (engine->server == NULL)
+    return;
+  soak_statement_pause (&engine->statement);
+  soak_say (engine->soak, "engine %s asks for pauses of %u ms", engine->id,
+            engine->statement.pause_ms);
+}
--- a/test/soak-engine.h
+++ b/test/soak-engine.h
@@ -2,6 +2,7 @@
 #define SOAK_ENGINE_H
 
 #include "callerserver.h"
+#include "soak-statement.h"
 #include "soak-store.h"
 
 /** @file
@@ -25,6 +26,7 @@
   char id[24];
   unsigned starts;
   bool draining;
+  struct soak_statement statement;
   int64_t change_ns; /**< next step of a crash or a drain; 0: none */
   double limit;      /**< Requests per second that it says it takes; 0: it says
                         none. */
@@ -49,7 +51,14 @@
 /** It is gone at once and comes back anew. */
 void soak_engine_crash (struct soak_engine *engine);
 
-/** It says that it leaves, serves on for a while, and comes back anew. */
+/** It says in its entry that it leaves, serves on for a while, and comes back
+ * anew. */
 void soak_engine_drain (struct soak_engine *engine);
 
+/** The same, but it says so in its responses only. */
+void soak_engine_leave (struct soak_engine *engine);
+
+/** It turns requests away for a while and asks for a pause. */
+void soak_engine_pause (struct soak_engine *engine);
+
 #endif
--- a/test/soak.c
+++ b/test/soak.c
@@ -65,7 +65,7 @@
   { "poison-block", 0, 0, G_OPTION_ARG_NONE, &option_poison_block,
     "Streams with a block that crashes engines, and few other faults", NULL },
   { "limits", 0, 0, G_OPTION_ARG_NONE, &option_limits,
-    "Engines that state limits, and few other faults", NULL },
+    "Engines that state limits, pauses and an end; few other faults", NULL },
   { "program", 0, 0, G_OPTION_ARG_FILENAME, &option_program, "The daemon",
     "FILE" },
   { "folder", 0, 0, G_OPTION_ARG_FILENAME, &option_folder,
@@ -327,10 +327,22 @@
       engine, engine->limit > 0 ? 0 : soak_draw (&world.soak, 5, 80) / 10.0);
 }
 
+static void
+fault_leave (void)
+{
+  soak_engine_leave (any_engine ());
+}
+
+static void
+fault_engine_pause (void)
+{
+  soak_engine_pause (any_engine ());
+}
+
 /* Those that come beside engines that state limits. */
 static void (*const limit_faults[]) (void)
-    = { fault_limit, fault_limit, fault_config, fault_store_down,
-        fault_store_lost };
+    = { fault_limit,  fault_limit,      fault_leave,     fault_engine_pause,
+        fault_config, fault_store_down, fault_store_lost };
 
 /* Those that come beside a block that crashes engines. */
 static void (*const poison_faults[]) (void)
--- a/test/soak.h
+++ b/test/soak.h
@@ -31,6 +31,8 @@
 {
   char id[24];
   enum soak_kind kind;
+  unsigned host; /**< Index of the host that it was sent to. */
+  int64_t sent_ns;
   unsigned runs; /**< begun by engines */
   bool not_run;  /**< An answer said that it has not run and never will. */
   bool served;
