Orders heed what engines state in their replies to orders

The leader of a rollout did not read what an engine stated of itself in its reply to an order: after a 503 with a time for which the engine wanted nothing, it queried the engine again every 250 ms, and the engine kept its place among those that load weights.

The dialect now passes the statement on with the reply. An order that is turned away with a pause does not count as loading, so the place is free for another engine, and the engine is queried again after the pause.

Evidence: duty/paused-after-an-order fails without the line that learns the statement (more than one query in 8 s) and passes with it. The other cases of test-duty pass.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -152,11 +152,13 @@
                               int64_t retry_after_ns);
 
   /** Send ORDER to an engine. REPLIED is called once, never before this
-   * function returns. */
+   * function returns, with what the engine stated of itself. */
   void (*weights_order_send) (
       struct httpjson *httpjson, const char *address,
       const struct weights_order *order, int64_t timeout_ns,
-      void (*replied) (void *data, enum weights_reply reply), void *data);
+      void (*replied) (void *data, enum weights_reply reply,
+                       const struct statement *statement),
+      void *data);
 
   /** Query an engine for its weights. REPLIED is called once, never before
    * this function returns. */
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -275,7 +275,8 @@
 }
 
 static void
-order_replied (void *data, enum weights_reply answer)
+order_replied (void *data, enum weights_reply answer,
+               const struct statement *statement)
 {
   static const char *const answer_names[]
       = { "accepted",     "done",    "busy",   "fenced",
@@ -283,6 +284,7 @@
   struct rollout_engine *engine = data;
   struct rollout *rollout = engine->rollout;
 
+  serverlearn_statement (rollout->servers, engine->server, statement);
   if (!engine_end_call (engine))
     return;
   log_event (rollout->log, EVENT_SWAP_ANSWER,
@@ -305,6 +307,8 @@
       engine_query_after (engine, REFUSED_RETRY_MS);
       break;
     default:
+      if (statement->pause == STATEMENT_VALID)
+        engine_set_loading (engine, false);
       engine_query_after (engine, QUERY_RETRY_MS);
       break;
     }
--- a/test/test-duty.c
+++ b/test/test-duty.c
@@ -25,7 +25,9 @@
   int64_t loaded_ns;
   uint64_t fencing_token;
   uint64_t order_count;
-  struct statement statement; /* In its reports. */
+  struct statement statement;       /* In its reports. */
+  struct statement order_statement; /* The same, to orders, which it refuses
+                                       while it states a pause. */
   unsigned queries;
 };
 
@@ -52,11 +54,13 @@
 /* A reply of an engine that the host has not received yet. */
 struct pending_reply
 {
-  void (*order_reply_received) (void *data, enum weights_reply order_reply);
+  void (*order_reply_received) (void *data, enum weights_reply order_reply,
+                                const struct statement *statement);
   void (*query_reply_received) (void *data,
                                 const struct weights_report *report);
   void *data;
   enum weights_reply order_reply;
+  struct statement order_statement;
   struct weights_report report;
 };
 
@@ -74,7 +78,8 @@
           = &g_array_index (replies, struct pending_reply, i);
 
       if (item->order_reply_received != NULL)
-        item->order_reply_received (item->data, item->order_reply);
+        item->order_reply_received (item->data, item->order_reply,
+                                    &item->order_statement);
       else
         item->query_reply_received (item->data, &item->report);
     }
@@ -101,6 +106,8 @@
   unsigned loading = 0;
 
   engine_advance (engine);
+  if (engine->order_statement.pause == STATEMENT_VALID)
+    return WEIGHTS_REPLY_UNKNOWN;
   if (order->fencing_token < engine->fencing_token)
     {
       refused_orders++;
@@ -128,12 +135,15 @@
 fake_weights_order_send (
     struct httpjson *httpjson, const char *address,
     const struct weights_order *order, int64_t timeout_ns,
-    void (*reply_received) (void *data, enum weights_reply order_reply),
+    void (*reply_received) (void *data, enum weights_reply order_reply,
+                            const struct statement *statement),
     void *data)
 {
   struct pending_reply item
       = { .order_reply_received = reply_received, .data = data };
 
+  item.order_statement
+      = engines[engine_index (order->server_id)].order_statement;
   item.order_reply
       = engine_order (&engines[engine_index (order->server_id)], order);
   g_array_append_val (pending_replies, item);
@@ -426,6 +436,26 @@
   finish ();
 }
 
+/* An engine that asked for a pause in its reply to an order was queried about
+ * the order four times a second. */
+static void
+test_paused_after_an_order (void)
+{
+  setup ();
+  engines[0].order_statement.pause = STATEMENT_VALID;
+  engines[0].order_statement.pause_ns = 9 * NS_PER_S;
+  set_wanted_version (2);
+  run_for_ms (8000);
+  CU_ASSERT_EQUAL (engines[0].queries, 1);
+  CU_ASSERT_EQUAL (engines[0].order_count, 0);
+  for (unsigned i = 1; i < ENGINES; i++)
+    CU_ASSERT_EQUAL (engines[i].version, 2);
+  engines[0].order_statement.pause = STATEMENT_NONE;
+  run_for_ms (4000);
+  CU_ASSERT_TRUE (all_engines_have (2));
+  finish ();
+}
+
 /* When the leader stops, another host becomes the leader with a higher fencing
  * token. */
 static void
@@ -518,6 +548,7 @@
   { "one-holder-swaps-a-few-at-once", test_one_leader_loads_a_few_at_once },
   { "leaving-engine", test_leaving_engine },
   { "paused-engine", test_paused_engine },
+  { "paused-after-an-order", test_paused_after_an_order },
   { "duty-moves-on", test_leadership_passes_on },
   { "suspended-holder-orders-nothing", test_suspended_leader_sends_no_orders },
   { "outage-of-the-service", test_kv_service_outage },
