--- a/test/test-oldweights.c
+++ b/test/test-oldweights.c
@@ -113,7 +113,8 @@
   fake_path_request_send ("/long/", "X-Model: m\r\n");
   fake_path_run_for (BEGIN_MS - AT_ONCE_MS);
   CU_ASSERT_EQUAL (path.upstreams[0].closed, 0);
-  fake_path_run_for (2 * AT_ONCE_MS);
+  fake_path_run_for (AT_ONCE_MS);
+  fake_path_run_for (AT_ONCE_MS);
   CU_ASSERT_EQUAL (path.upstreams[0].closed, 1);
   CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 502"));
   CU_ASSERT_EQUAL (path.upstreams[1].requests, 0);
