A caller's time runs on while its host is suspended

A request that was at a host while it was suspended was sent on with the whole suspension as extra time, and its caller was answered as late.

forwarder/suspended-host-keeps-deadlines failed before (800 ms too many; a request 2 s past its time was sent) and passes. Looked at and left: limits, retry windows and holds become longer, the safe way, if their clock stands still; leases and leadership count suspension already.

--- a/src/forward.h
+++ b/src/forward.h
@@ -87,6 +87,8 @@
   const struct organisation *organisation;
   const char *service;
   int64_t arrived_ns;
+  /** By clock_boottime, since the caller's time runs while this host is
+   * suspended; 0 before the route is known. */
   int64_t deadline_ns;
   struct exchange exchange;
   const struct server *tried[CHOOSE_EXCLUDED_MAX];
@@ -134,4 +136,11 @@
   char cache_scope[CACHE_SCOPE_MAX];
 };
 
+/** Return the time until the deadline of the request, which may be over. */
+static inline int64_t
+forward_time_left_ns (const struct forward *forward)
+{
+  return forward->deadline_ns - clock_boottime (forward->forwarder->clock);
+}
+
 #endif
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -90,7 +90,7 @@
     .relayed = forward->relaying,
     .ends_with_event = forward->relays_events,
     .has_time_left
-    = now + ATTEMPT_MARGIN_MS * NS_PER_MS < forward->deadline_ns,
+    = forward_time_left_ns (forward) > ATTEMPT_MARGIN_MS * NS_PER_MS,
   };
   enum forwardretry_action action;
 
@@ -264,7 +264,10 @@
 
   if (forward->call.timeout_ns >= 0 && forward->call.timeout_ns < timeout_ns)
     timeout_ns = forward->call.timeout_ns;
-  forward->deadline_ns = forward->arrived_ns + timeout_ns;
+  forward->deadline_ns
+      = clock_boottime (forward->forwarder->clock)
+        - (clock_now (forward->forwarder->clock) - forward->arrived_ns)
+        + timeout_ns;
 }
 
 static void
@@ -388,7 +391,7 @@
 static void
 forward_tick (struct forward *forward, int64_t now)
 {
-  if (now >= forward->deadline_ns)
+  if (forward_time_left_ns (forward) <= 0)
     {
       bool is_sent = exchange_is_sent (&forward->exchange);
 
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -181,14 +181,12 @@
 
   if (!list_empty (&forward->waiting_node))
     return;
-  log_event (forwarder->log, EVENT_FORWARD_WAIT,
-             "id=%s service=%s software=%s unreachable=%u left_ms=%.1f",
-             forward->call.request_id, forward->service,
-             forward->began_software[0] != '\0' ? forward->began_software
-                                                : "-",
-             choice->unreachable,
-             (double)(forward->deadline_ns - clock_now (forwarder->clock))
-                 / NS_PER_MS);
+  log_event (
+      forwarder->log, EVENT_FORWARD_WAIT,
+      "id=%s service=%s software=%s unreachable=%u left_ms=%.1f",
+      forward->call.request_id, forward->service,
+      forward->began_software[0] != '\0' ? forward->began_software : "-",
+      choice->unreachable, (double)forward_time_left_ns (forward) / NS_PER_MS);
 }
 
 void
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -49,7 +49,7 @@
   struct forwarder *forwarder = forward->forwarder;
   int64_t retry_after_ns
       = forward_random_retry_after_ns (forwarder, retry_after_ms);
-  int64_t left_ns = forward->deadline_ns - clock_now (forwarder->clock);
+  int64_t left_ns = forward_time_left_ns (forward);
 
   if (forward->deadline_ns != 0 && left_ns > 0)
     retry_after_ns
@@ -60,7 +60,7 @@
 void
 forward_fail (struct forward *forward, const char *reason)
 {
-  bool expired = clock_now (forward->forwarder->clock) >= forward->deadline_ns;
+  bool expired = forward_time_left_ns (forward) <= 0;
 
   forward_respond (forward, expired ? 504 : 502, reason, 0);
 }
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -266,7 +266,7 @@
     .server_id = choice->server->entry.id,
     .organisation
     = forward->organisation != NULL ? forward->organisation->name : NULL,
-    .time_left_ns = forward->deadline_ns - clock_now (forwarder->clock),
+    .time_left_ns = forward_time_left_ns (forward),
     .has_priority = forward->call.model != NULL,
     .priority = priority,
     .weight_version = weight_version,
--- a/src/forwardwait.c
+++ b/src/forwardwait.c
@@ -112,8 +112,7 @@
 forwardwait_limits_allow (const struct forward *forward,
                           const struct choose_result *choice)
 {
-  int64_t left_ns
-      = forward->deadline_ns - clock_now (forward->forwarder->clock);
+  int64_t left_ns = forward_time_left_ns (forward);
   int64_t wait_ns;
 
   if (choice->limited == 0 || choice->others_at_capacity)
--- a/test/test-forwarder.c
+++ b/test/test-forwarder.c
@@ -448,6 +448,37 @@
   fake_path_finish ();
 }
 
+/* After a suspension of its host, a request that waited was sent with more
+ * time than its caller had left. */
+static void
+test_suspended_host_keeps_deadlines (void)
+{
+  const char *sent;
+
+  fake_path_setup (full_response, 1, NULL, 0);
+  server_set_busy (servers_find (&path.servers, "i-0"),
+                   clock_now (&path.clock) + 100 * NS_PER_MS);
+  fake_path_request_send ("/once/", "");
+  fake_path_run_for (20);
+  path.suspended_ns += 800 * NS_PER_MS;
+  CU_ASSERT_TRUE (fake_path_run_until ("hello"));
+  sent = strstr (path.upstreams[0].last->str, "X-Request-Deadline: ");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (sent);
+  CU_ASSERT_TRUE (g_ascii_strtod (sent + strlen ("X-Request-Deadline: "), NULL)
+                  <= 400);
+  fake_path_finish ();
+
+  fake_path_setup (full_response, 1, NULL, 0);
+  server_set_busy (servers_find (&path.servers, "i-0"),
+                   clock_now (&path.clock) + 100 * NS_PER_MS);
+  fake_path_request_send ("/once/", "");
+  fake_path_run_for (20);
+  path.suspended_ns += 2 * NS_PER_S;
+  CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 503"));
+  CU_ASSERT_EQUAL (path.upstreams[0].requests, 0);
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
   { "forwards-byte-for-byte", test_forwards_byte_for_byte },
   { "chunked-body-and-next-request", test_chunked_body_and_next_request },
@@ -468,6 +499,7 @@
   { "waiting-after-a-refusal", test_waiting_after_not_run },
   { "before-the-first-configuration", test_before_the_first_configuration },
   { "poison", test_poison_request },
+  { "suspended-host-keeps-deadlines", test_suspended_host_keeps_deadlines },
   { "found-weights-are-required-soon", test_found_weights_are_required_soon },
 };
 
