--- a/src/entry.c
+++ b/src/entry.c
@@ -291,6 +291,7 @@
   cachegc_tick (&entry->cachegc);
   servers_tick (&entry->servers);
   subsets_tick (&entry->subsets);
+  entrypeers_tick (entry);
   peerudp_tick (&entry->peerudp);
   streamorigin_tick (&entry->origin);
   forwarder_tick (&entry->forwarder);
@@ -466,6 +467,7 @@
                    ENTRY_BLAME_PREFIX, &entryblame_ops, entry);
   streamorigin_init (&entry->origin, &entry->clock, &entry->presence,
                      &entryorigin_ops, entry);
+  entrypeers_init (&entry->peers);
   subsets_init (&entry->subsets, &entry->clock, &entry->presence,
                 &entry->servers);
   loadshare_init (&entry->loadshare, &entry->servers, &entry->clock,
@@ -567,6 +569,7 @@
   cacheretire_finish (&entry->retire);
   kvstores_finish (&entry->kvstores);
   rollout_finish (&entry->rollout);
+  entrypeers_finish (&entry->peers);
   loadshare_finish (&entry->loadshare);
   presence_finish (&entry->presence);
   poisoncount_finish (&entry->poisoncount);
--- a/src/entry.h
+++ b/src/entry.h
@@ -4,6 +4,7 @@
 #include "cachegc.h"
 #include "blameshare.h"
 #include "callerconn.h"
+#include "entrypeers.h"
 #include "subsets.h"
 #include "dialect.h"
 #include "forwarder.h"
@@ -71,6 +72,7 @@
   struct presence presence;
   struct loadshare loadshare;
   struct subsets subsets;
+  struct entrypeers peers;
   struct peerudp peerudp;
   struct streamorigin origin;
   struct rollout rollout;
--- /dev/null
+++ b/src/entrypeers.c
@@ -0,0 +1,75 @@
+#include "entrypeers.h"
+#include "entry.h"
+#include "serverreach.h"
+
+#include <string.h>
+
+void
+entrypeers_init (struct entrypeers *peers)
+{
+  peers->links_lost = false;
+  peers->out = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void
+entrypeers_finish (struct entrypeers *peers)
+{
+  g_hash_table_destroy (peers->out);
+}
+
+/* Count the other hosts by what they report of SERVICE. */
+static void
+reports_count (const struct entry *entry, const char *service,
+               unsigned counts[LOADSHARE_REACH_IN + 1])
+{
+  uint64_t hash = servers_service_hash (service);
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, entry->presence.hosts);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    counts[loadshare_host_reach (&entry->loadshare, presence_host_name (key),
+                                 hash)]++;
+}
+
+static void
+service_check (struct entry *entry, const char *service)
+{
+  const GPtrArray *list = servers_of_service (&entry->servers, service);
+  bool is_out = servers_service_is_out (&entry->servers, service);
+  unsigned counts[LOADSHARE_REACH_IN + 1] = { 0 };
+
+  if (is_out == g_hash_table_contains (entry->peers.out, service))
+    return;
+  if (is_out)
+    g_hash_table_add (entry->peers.out, g_strdup (service));
+  else
+    g_hash_table_remove (entry->peers.out, service);
+  reports_count (entry, service, counts);
+  log_event (&entry->log, EVENT_SERVICE_REACH,
+             "service=%s what=%s registered=%u hosts_in=%u hosts_out=%u "
+             "hosts_unknown=%u",
+             service, is_out ? "out" : "in", list != NULL ? list->len : 0,
+             counts[LOADSHARE_REACH_IN], counts[LOADSHARE_REACH_OUT],
+             counts[LOADSHARE_REACH_UNKNOWN]);
+}
+
+void
+entrypeers_tick (struct entry *entry)
+{
+  bool lost = reach_is_lost (&entry->servers.reach);
+  GHashTableIter iter;
+  gpointer service;
+
+  if (lost != entry->peers.links_lost)
+    {
+      entry->peers.links_lost = lost;
+      log_event (&entry->log, EVENT_LINKS, "what=%s in_flight=%zu waiting=%zu",
+                 lost ? "lost" : "back", entry->forwarder.request_count,
+                 entry->forwarder.waiting_count);
+      metrics_add (&entry->metrics, "trefoilspar_links_lost_total", "", lost);
+    }
+  g_hash_table_iter_init (&iter, entry->servers.by_service);
+  while (g_hash_table_iter_next (&iter, &service, NULL))
+    service_check (entry, service);
+}
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -139,6 +139,14 @@
   forward_attempt_ended (data, outcome);
 }
 
+static void
+exchange_connected (void *data, struct exchange *exchange)
+{
+  struct forward *forward = data;
+
+  servers_record_opened (forward->forwarder->servers);
+}
+
 static void
 response_head_received (void *data, struct exchange *exchange)
 {
@@ -146,7 +154,8 @@
 }
 
 static const struct exchange_ops exchange_ops
-    = { response_head_received, response_bytes_received, exchange_ended };
+    = { exchange_connected, response_head_received, response_bytes_received,
+        exchange_ended };
 
 /* Choose a server for the request. A stream that goes on with one software may
  * go on at a server that has broken it off before, but first at one that only
--- a/src/loadshare.c
+++ b/src/loadshare.c
@@ -1,5 +1,6 @@
 #include "loadshare.h"
 #include "loadshare.pb-c.h"
+#include "serverreach.h"
 
 #include <string.h>
 
@@ -7,6 +8,8 @@
 {
   /* Maximum number of servers in one datagram; a host uses fewer. */
   SERVERS_MAX = 64,
+  /* Maximum number of services in one datagram. */
+  OUT_MAX = 16,
   /* Age at which the last report of a host is dropped. */
   REPORT_EXPIRY_MS = 1500,
   /* An engine that is reported to load weights gets no requests for this
@@ -30,6 +33,9 @@
   uint32_t sequence;
   int64_t received_ns;
   GArray *loads; /* Array of struct server_load. */
+  /* Hashes of the services that the host can't reach. */
+  uint64_t out[OUT_MAX];
+  unsigned out_count;
 };
 
 static void
@@ -75,6 +81,7 @@
   Trefoilspar__ServerWeights weights[SERVERS_MAX];
   Trefoilspar__ServerWeights *weights_pointers[SERVERS_MAX];
   uint32_t swapping[SERVERS_MAX];
+  uint64_t out[OUT_MAX];
 };
 
 static void
@@ -134,6 +141,9 @@
   message->servers = datagram.share_pointers;
   message->weights = datagram.weights_pointers;
   message->swapping = datagram.swapping;
+  message->out = datagram.out;
+  message->n_out
+      = servers_list_out (loadshare->servers, datagram.out, OUT_MAX);
   g_hash_table_iter_init (&iter, loadshare->servers->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -231,6 +241,9 @@
 {
   peer->process_start = message->start;
   peer->sequence = message->number;
+  peer->out_count = (unsigned)MIN (message->n_out, OUT_MAX);
+  for (unsigned i = 0; i < peer->out_count; i++)
+    peer->out[i] = message->out[i];
   g_array_set_size (peer->loads, 0);
   for (size_t i = 0; i < message->n_servers; i++)
     {
@@ -319,3 +332,18 @@
   if (loadshare->sums_stale)
     sums_update (loadshare);
 }
+
+enum loadshare_reach
+loadshare_host_reach (const struct loadshare *loadshare, const char *host,
+                      uint64_t service)
+{
+  const struct loadshare_peer *peer
+      = g_hash_table_lookup (loadshare->peers, host);
+
+  if (peer == NULL)
+    return LOADSHARE_REACH_UNKNOWN;
+  for (unsigned i = 0; i < peer->out_count; i++)
+    if (peer->out[i] == service)
+      return LOADSHARE_REACH_OUT;
+  return LOADSHARE_REACH_IN;
+}
--- a/src/loadshare.h
+++ b/src/loadshare.h
@@ -44,6 +44,14 @@
   uint64_t (*weight_version) (void *data, const struct server *server);
 };
 
+/** What a host has reported of its links to a service. */
+enum loadshare_reach
+{
+  LOADSHARE_REACH_UNKNOWN, /**< There is no report of late. */
+  LOADSHARE_REACH_OUT,     /**< The host can't reach the service. */
+  LOADSHARE_REACH_IN
+};
+
 struct loadshare
 {
   struct servers *servers;
@@ -81,6 +89,11 @@
 bool loadshare_receive (struct loadshare *loadshare, const uint8_t *bytes,
                         size_t size);
 
+/** Returns what HOST has reported of its links to the service with the hash
+ * SERVICE. */
+enum loadshare_reach loadshare_host_reach (const struct loadshare *loadshare,
+                                           const char *host, uint64_t service);
+
 /** Drops expired reports and updates the estimates of the other hosts' load at
  * the servers. */
 void loadshare_tick (struct loadshare *loadshare);
--- a/src/loadshare.pb-c.c
+++ b/src/loadshare.pb-c.c
@@ -270,7 +270,7 @@
   (ProtobufCMessageInit) trefoilspar__server_weights__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor trefoilspar__load_share__field_descriptors[6] =
+static const ProtobufCFieldDescriptor trefoilspar__load_share__field_descriptors[7] =
 {
   {
     "host",
@@ -344,10 +344,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "out",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Trefoilspar__LoadShare, n_out),
+    offsetof(Trefoilspar__LoadShare, out),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned trefoilspar__load_share__field_indices_by_name[] = {
   0,   /* field[0] = host */
   2,   /* field[2] = number */
+  6,   /* field[6] = out */
   3,   /* field[3] = servers */
   1,   /* field[1] = start */
   4,   /* field[4] = swapping */
@@ -356,7 +369,7 @@
 static const ProtobufCIntRange trefoilspar__load_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor trefoilspar__load_share__descriptor =
 {
@@ -366,7 +379,7 @@
   "Trefoilspar__LoadShare",
   "trefoilspar",
   sizeof(Trefoilspar__LoadShare),
-  6,
+  7,
   trefoilspar__load_share__field_descriptors,
   trefoilspar__load_share__field_indices_by_name,
   1,  trefoilspar__load_share__number_ranges,
--- a/src/loadshare.pb-c.h
+++ b/src/loadshare.pb-c.h
@@ -101,10 +101,15 @@
    */
   size_t n_weights;
   Trefoilspar__ServerWeights **weights;
+  /*
+   * Hashes of the services whose servers the host can't reach.
+   */
+  size_t n_out;
+  uint64_t *out;
 };
 #define TREFOILSPAR__LOAD_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&trefoilspar__load_share__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Trefoilspar__ServerShare methods */
--- a/src/presence.c
+++ b/src/presence.c
@@ -46,6 +46,14 @@
   presence->key_is_current = false;
 }
 
+const char *
+presence_host_name (const char *key)
+{
+  const char *slash = strrchr (key, '/');
+
+  return slash != NULL ? slash + 1 : key;
+}
+
 static void
 host_set_weights (struct presence_host *host, const char *model,
                   uint64_t version)
--- a/src/presence.h
+++ b/src/presence.h
@@ -92,6 +92,9 @@
 bool presence_lease_is_valid_for (const struct presence *presence,
                                   int64_t span_ns);
 
+/** Returns the name of the host with the key KEY, its last part. */
+const char *presence_host_name (const char *key);
+
 /** Returns the number of hosts that are not leaving, but at least 1. This host
  * is counted unless it is leaving. */
 unsigned presence_serving_count (const struct presence *presence);
--- a/src/servers.c
+++ b/src/servers.c
@@ -341,11 +341,18 @@
   notify_change (servers, server, "unreachable");
 }
 
+void
+servers_record_opened (struct servers *servers)
+{
+  reach_record_opened (&servers->reach);
+}
+
 void
 server_record_connection_failure (struct servers *servers,
                                   struct server *server)
 {
   server->connection_failures++;
+  reach_record_failure (&servers->reach, server->id_hash);
   if (server->connection_failures >= CONNECTION_FAILURES_MAX)
     server_set_unreachable (servers, server);
 }
@@ -415,6 +422,7 @@
   struct probe *probe = data;
 
   serverconn_close (probe->server->probe);
+  servers_record_opened (probe->servers);
   probe_finish (probe, true);
 }
 
@@ -431,7 +439,10 @@
 static void
 probe_failed (void *data, enum serverconn_result end)
 {
-  probe_finish (data, false);
+  struct probe *probe = data;
+
+  reach_record_failure (&probe->servers->reach, probe->server->id_hash);
+  probe_finish (probe, false);
 }
 
 static const struct serverconn_ops probe_ops
--- a/src/servers.h
+++ b/src/servers.h
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "list.h"
+#include "reach.h"
 #include "serverconn.h"
 #include "serverlimit.h"
 #include "softwarespan.h"
@@ -145,6 +146,7 @@
                                      server. */
   struct softwarespan software; /**< Since when each service has had one
                                    software only. */
+  struct reach reach; /**< Whether the links to the servers are lost. */
   const struct servers_ops *ops;
   void *data;
 };
@@ -206,6 +208,9 @@
 void server_set_weight_version (struct server *server, const char *model,
                                 uint64_t version);
 
+/** Records that a connection to a server opened. */
+void servers_record_opened (struct servers *servers);
+
 /** Records that a connection to SERVER failed to open. */
 void server_record_connection_failure (struct servers *servers,
                                        struct server *server);
