--- a/src/entrypeers.c
+++ b/src/entrypeers.c
@@ -7,7 +7,6 @@
 void
 entrypeers_init (struct entrypeers *peers)
 {
-  peers->links_lost = false;
   peers->out = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
@@ -45,6 +44,7 @@
     g_hash_table_add (entry->peers.out, g_strdup (service));
   else
     g_hash_table_remove (entry->peers.out, service);
+  metrics_add (&entry->metrics, "trefoilspar_services_out_total", "", is_out);
   reports_count (entry, service, counts);
   log_event (&entry->log, EVENT_SERVICE_REACH,
              "service=%s what=%s registered=%u hosts_in=%u hosts_out=%u "
@@ -57,18 +57,9 @@
 void
 entrypeers_tick (struct entry *entry)
 {
-  bool lost = reach_is_lost (&entry->servers.reach);
   GHashTableIter iter;
   gpointer service;
 
-  if (lost != entry->peers.links_lost)
-    {
-      entry->peers.links_lost = lost;
-      log_event (&entry->log, EVENT_LINKS, "what=%s in_flight=%zu waiting=%zu",
-                 lost ? "lost" : "back", entry->forwarder.request_count,
-                 entry->forwarder.waiting_count);
-      metrics_add (&entry->metrics, "trefoilspar_links_lost_total", "", lost);
-    }
   g_hash_table_iter_init (&iter, entry->servers.by_service);
   while (g_hash_table_iter_next (&iter, &service, NULL))
     service_check (entry, service);
--- a/src/entrypeers.h
+++ b/src/entrypeers.h
@@ -13,7 +13,6 @@
 
 struct entrypeers
 {
-  bool links_lost; /**< Whether reach_is_lost held at the last tick. */
   /** Set of the names of the services that were out at the last tick. */
   GHashTable *out;
 };
--- a/src/event.c
+++ b/src/event.c
@@ -169,15 +169,13 @@
     "and since the request was sent to the engine." },
   { EVENT_FORWARD_HOST, EVENT_LEVEL_INFO, "forward_host",
     "A request is passed on to another host, since this one can't reach the "
-    "servers of its service: whether all links count as lost, how many hosts "
-    "were candidates and what the chosen one reported (in, unknown)." },
-  { EVENT_LINKS, EVENT_LEVEL_WARN, "links",
-    "The links of this host to all servers count as lost, since connections "
-    "to several servers failed and none opened; or a connection opened "
-    "again." },
+    "servers of its service: how many hosts were candidates and what the "
+    "chosen one reported (in, unknown)." },
   { EVENT_SERVICE_REACH, EVENT_LEVEL_WARN, "service_reach",
-    "This host can use no server of a service any more (out), or some again "
-    "(in); how many are registered, and how many other hosts report that they "
+    "This host can use no server of a service any more (out), since they are "
+    "unreachable or connections to several failed and none opened, or some "
+    "again (in); how many are registered, and how many other hosts report "
+    "that they "
     "reach the service, that they do not, or nothing." },
   { EVENT_ROUTES_IN_FORCE, EVENT_LEVEL_WARN, "routes_in_force",
     "A newer configuration routes requests from now on." },
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -144,7 +144,8 @@
 {
   struct forward *forward = data;
 
-  servers_record_opened (forward->forwarder->servers);
+  reach_record_opened (servers_reach (forward->forwarder->servers,
+                                      exchange->server->entry.service));
 }
 
 static void
--- a/src/reach.c
+++ b/src/reach.c
@@ -17,7 +17,9 @@
 }
 
 bool
-reach_is_lost (const struct reach *reach)
+reach_is_lost (const struct reach *reach, unsigned server_count)
 {
-  return reach->failed_count == REACH_FAILURES_MIN;
+  return server_count > 0
+         && (reach->failed_count == REACH_FAILURES_MIN
+             || reach->failed_count >= server_count);
 }
--- a/src/serverreach.c
+++ b/src/serverreach.c
@@ -4,17 +4,19 @@
 servers_service_is_out (const struct servers *servers, const char *service)
 {
   const GPtrArray *list = servers_of_service (servers, service);
-  bool registered = false;
+  unsigned registered = 0;
+  unsigned available = 0;
 
   for (guint i = 0; list != NULL && i < list->len; i++)
     {
       const struct server *server = list->pdata[i];
 
-      if (server_is_available (server) && !reach_is_lost (&servers->reach))
-        return false;
-      registered = registered || !server->entry.leaving;
+      registered += !server->entry.leaving;
+      available += server_is_available (server);
     }
-  return registered;
+  return registered > 0
+         && (available == 0
+             || reach_is_lost (servers_reach (servers, service), registered));
 }
 
 unsigned
--- a/src/servers.c
+++ b/src/servers.c
@@ -1,5 +1,4 @@
 #include "servers.h"
-#include "call.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -23,18 +22,6 @@
  * covers about the last ten responses. */
 static const double failure_ratio_gain = 0.1;
 
-/* Share of an engine's memory that running requests leave for cached
- * blocks. */
-static const double cache_share_of_memory = 0.6;
-
-static void
-block_remove (struct server *server, struct server_block *block)
-{
-  list_remove (&block->node);
-  server->cached_tokens -= block->tokens;
-  g_hash_table_remove (server->cached_blocks, &block->id);
-}
-
 struct server *
 server_ref (struct server *server)
 {
@@ -81,6 +68,8 @@
   softwarespan_init (&servers->software, clock);
   servers->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, server_release);
+  servers->reach_by_service
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   servers->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                                server_array_free);
 }
@@ -88,6 +77,7 @@
 void
 servers_finish (struct servers *servers)
 {
+  g_hash_table_destroy (servers->reach_by_service);
   g_hash_table_destroy (servers->by_service);
   softwarespan_finish (&servers->software);
   g_hash_table_destroy (servers->by_id);
@@ -112,6 +102,21 @@
   return NULL;
 }
 
+struct reach *
+servers_reach (const struct servers *servers, const char *service)
+{
+  struct reach *reach
+      = g_hash_table_lookup (servers->reach_by_service, service);
+
+  if (reach == NULL)
+    {
+      reach = g_new0 (struct reach, 1);
+      g_hash_table_insert (servers->reach_by_service, g_strdup (service),
+                           reach);
+    }
+  return reach;
+}
+
 const GPtrArray *
 servers_of_service (const struct servers *servers, const char *service)
 {
@@ -341,18 +346,13 @@
   notify_change (servers, server, "unreachable");
 }
 
-void
-servers_record_opened (struct servers *servers)
-{
-  reach_record_opened (&servers->reach);
-}
-
 void
 server_record_connection_failure (struct servers *servers,
                                   struct server *server)
 {
   server->connection_failures++;
-  reach_record_failure (&servers->reach, server->id_hash);
+  reach_record_failure (servers_reach (servers, server->entry.service),
+                        server->id_hash);
   if (server->connection_failures >= CONNECTION_FAILURES_MAX)
     server_set_unreachable (servers, server);
 }
@@ -422,7 +422,8 @@
   struct probe *probe = data;
 
   serverconn_close (probe->server->probe);
-  servers_record_opened (probe->servers);
+  reach_record_opened (
+      servers_reach (probe->servers, probe->server->entry.service));
   probe_finish (probe, true);
 }
 
@@ -441,7 +442,9 @@
 {
   struct probe *probe = data;
 
-  reach_record_failure (&probe->servers->reach, probe->server->id_hash);
+  reach_record_failure (
+      servers_reach (probe->servers, probe->server->entry.service),
+      probe->server->id_hash);
   probe_finish (probe, false);
 }
 
@@ -529,61 +532,3 @@
         probe_start (servers, server, now);
     }
 }
-
-uint64_t
-server_cached_tokens (const struct server *server,
-                      const struct call_block *blocks, unsigned count)
-{
-  uint64_t tokens = 0;
-
-  for (unsigned i = 0; i < count; i++)
-    {
-      const struct server_block *block
-          = g_hash_table_lookup (server->cached_blocks, &blocks[i].id);
-
-      if (block == NULL)
-        break;
-      tokens += block->tokens;
-    }
-  return tokens;
-}
-
-void
-server_cache_add (struct server *server, const struct call_block *blocks,
-                  unsigned count, int64_t now_ns)
-{
-  uint64_t tokens_max
-      = (uint64_t)(cache_share_of_memory * (double)server->kv_capacity_tokens
-                   / server->sending_host_count);
-
-  for (unsigned i = 0; i < count; i++)
-    {
-      struct server_block *block
-          = g_hash_table_lookup (server->cached_blocks, &blocks[i].id);
-
-      if (block == NULL)
-        {
-          block = g_new0 (struct server_block, 1);
-          block->id = blocks[i].id;
-          block->tokens = blocks[i].tokens;
-          list_init (&block->node);
-          server->cached_tokens += block->tokens;
-          g_hash_table_insert (server->cached_blocks, &block->id, block);
-        }
-      block->used_ns = now_ns;
-      list_remove (&block->node);
-      list_append (&server->blocks_by_use, &block->node);
-    }
-  while (server->cached_tokens > tokens_max
-         && !list_empty (&server->blocks_by_use))
-    block_remove (server, LIST_ENTRY (server->blocks_by_use.next,
-                                      struct server_block, node));
-}
-
-void
-server_cache_clear (struct server *server)
-{
-  while (!list_empty (&server->blocks_by_use))
-    block_remove (server, LIST_ENTRY (server->blocks_by_use.next,
-                                      struct server_block, node));
-}
--- a/src/servers.h
+++ b/src/servers.h
@@ -146,7 +146,7 @@
                                      server. */
   struct softwarespan software; /**< Since when each service has had one
                                    software only. */
-  struct reach reach; /**< Whether the links to the servers are lost. */
+  GHashTable *reach_by_service; /**< Maps service names to struct reach. */
   const struct servers_ops *ops;
   void *data;
 };
@@ -208,8 +208,9 @@
 void server_set_weight_version (struct server *server, const char *model,
                                 uint64_t version);
 
-/** Records that a connection to a server opened. */
-void servers_record_opened (struct servers *servers);
+/** Returns whether the links to SERVICE work; never NULL. */
+struct reach *servers_reach (const struct servers *servers,
+                             const char *service);
 
 /** Records that a connection to SERVER failed to open. */
 void server_record_connection_failure (struct servers *servers,
