A stop while a server is probed does not abort the process

A probe in flight held its server and its connection beyond servers_finish; the loop then closed the connection a second time, and libuv's assertion ended the process (with its last log lines unwritten). A host that reaches no server has probes in flight nearly always. The probe of a removed server is ended as well.

--- a/src/servers.c
+++ b/src/servers.c
@@ -52,6 +52,26 @@
   g_ptr_array_free (data, TRUE);
 }
 
+struct probe
+{
+  struct servers *servers;
+  struct server *server;
+};
+
+/* End the probe of SERVER without a result. */
+static void
+probe_cancel (struct server *server)
+{
+  struct serverconn *conn = server->probe;
+
+  if (conn == NULL)
+    return;
+  g_free (conn->data);
+  server->probe = NULL;
+  serverconn_close (conn);
+  server_unref (server);
+}
+
 void
 servers_init (struct servers *servers, uv_loop_t *loop,
               const struct clock *clock, const char *data_centre,
@@ -77,6 +97,12 @@
 void
 servers_finish (struct servers *servers)
 {
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, servers->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    probe_cancel (value);
   g_hash_table_destroy (servers->reach_by_service);
   g_hash_table_destroy (servers->by_service);
   softwarespan_finish (&servers->software);
@@ -280,6 +306,7 @@
   if (server == NULL)
     return;
   server->removed = true;
+  probe_cancel (server);
   notify_change (servers, server, reason);
   service_list_remove (servers, server);
   service_software_check (servers, server->entry.service);
@@ -379,12 +406,6 @@
                    server->limit.limited ? "limited" : "unlimited");
 }
 
-struct probe
-{
-  struct servers *servers;
-  struct server *server;
-};
-
 /* Update the state of the probed server. A probe that began before the last
  * cut says nothing about it. */
 static void
