--- a/src/call.h
+++ b/src/call.h
@@ -49,6 +49,9 @@
   const char *resumed_id;
   uint64_t last_event_id; /**< Id of the last event that the caller has
                               received. */
+  /** Attempts that may have run the request before another host passed it on;
+   * means nothing in a caller's own request. */
+  unsigned earlier_runs;
 };
 
 /** The header fields that are added to a caller's request when it is sent to
@@ -81,6 +84,17 @@
                              received so far. */
 };
 
+/** The header fields that are set when a caller's request is passed on to
+ * another host. */
+struct pass_on_header
+{
+  int64_t time_left_ns;  /**< Time left until the request's deadline. */
+  unsigned earlier_runs; /**< Attempts that may have run the request. */
+  bool resumes; /**< Whether the host is asked to resume the stream, which this
+                   request began, after `last_event_id`. */
+  uint64_t last_event_id;
+};
+
 /** The decoded head of a backend server's response. */
 struct response
 {
--- a/src/entry.c
+++ b/src/entry.c
@@ -1,6 +1,7 @@
 #include "entry.h"
 #include "entryblame.h"
 #include "entryhttp.h"
+#include "entrykv.h"
 #include "entryorigin.h"
 #include "entryviews.h"
 #include "entryweights.h"
@@ -21,30 +22,13 @@
   /* The process stops this long before timeouts.stop_s, after which it would
    * be killed. */
   STOP_MARGIN_MS = 400,
-  KV_QUEUE_MAX = 256,
-  /* Maximum number of pending watches. The three views need one watch each;
-   * the others are for earlier watches that got no reply because of an outage.
-   */
-  KV_WATCH_MAX = 12,
-  KV_BURST = 60,
-  /* The backoff is short, since a change must be in force within seconds of
-   * the end of an outage. */
-  KV_BACKOFF_MIN_MS = 50,
-  KV_BACKOFF_MAX_MS = 400,
-  WATCH_WAIT_S = 25, /* Maximum time that one watch waits for a change. */
-  /* Time for which the views hold keys that disappear around an outage of
-   * the KV service. */
-  KEY_HOLD_MS = 2000,
   ENGINE_CALL_TIMEOUT_MS = 1000,
   /* Limits on callers' requests until the operator's limits are known. */
   HEADER_BYTES_MAX = 16 * 1024,
   BODY_BYTES_MAX = 4 * 1024 * 1024,
   HEADER_TIMEOUT_MS = 5000,
   LOAD_PERIOD_MS = 150, /* Interval between load reports to other hosts. */
-  IDLE_TIMEOUT_MS = 30000,
-  /* Longer than the timeout of any call, so that the timeout of the call
-   * ends it first. */
-  CLIENT_IO_TIMEOUT_MS = 60000
+  IDLE_TIMEOUT_MS = 30000
 };
 
 /* After this share of weights.within_ms, requests only go to engines that have
@@ -96,6 +80,17 @@
 static const struct callerserver_ops caller_ops
     = { request_received, caller_disconnected, caller_refused };
 
+static void
+host_request_received (void *data, struct callerconn *conn)
+{
+  struct entry *entry = data;
+
+  forwarder_request_from_host (&entry->forwarder, conn);
+}
+
+static const struct callerserver_ops host_ops
+    = { host_request_received, caller_disconnected, caller_refused };
+
 static void
 server_changed (void *data, const struct server *server, const char *what)
 {
@@ -211,6 +206,7 @@
   presence_leave (&entry->presence);
   rollout_stop (&entry->rollout);
   callerserver_drain (&entry->caller_server);
+  callerserver_drain (&entry->host_server);
 }
 
 static void
@@ -227,31 +223,18 @@
       entry->stage = ENTRY_FINISHING;
       callerserver_stop_listening (&entry->caller_server);
       callerserver_drain (&entry->caller_server);
+      callerserver_stop_listening (&entry->host_server);
+      callerserver_drain (&entry->host_server);
     }
   if (entry->stage == ENTRY_FINISHING
-      && (entry->caller_server.conn_count == 0 || span >= stop_ns))
+      && (entry->caller_server.conn_count + entry->host_server.conn_count == 0
+          || span >= stop_ns))
     {
       entry->stage = ENTRY_STOPPED;
       uv_stop (&entry->loop);
     }
 }
 
-/* Restarts the watches when an outage of the KV service ends, since the
- * service may never reply to watches that were sent before. */
-static void
-kv_views_check (struct entry *entry)
-{
-  bool down = kvbudget_service_is_down (&entry->kvbudget);
-
-  if (entry->kv_down && !down)
-    {
-      kvview_restart (&entry->operator_view);
-      kvview_restart (&entry->servers_view);
-      kvview_restart (&entry->hosts_view);
-    }
-  entry->kv_down = down;
-}
-
 /* Logs that this process stood still. What it believes is older by the pause
  * than its monotonic clock says. */
 static void
@@ -277,7 +260,7 @@
 
   pause_check (entry);
   kvbudget_tick (&entry->kvbudget);
-  kv_views_check (entry);
+  entrykv_check (entry);
   kvview_tick (&entry->operator_view);
   kvview_tick (&entry->servers_view);
   kvview_tick (&entry->hosts_view);
@@ -350,6 +333,9 @@
   enum status status = listen_at (entry, &entry->caller_server,
                                   &settings->listen.http, &caller_ops, error);
 
+  if (status == STATUS_OK)
+    status = listen_at (entry, &entry->host_server, &settings->listen.peer,
+                        &host_ops, error);
   if (status == STATUS_OK)
     status = listen_at (entry, &entry->directory_server,
                         &settings->listen.directory, &entryhttp_directory_ops,
@@ -370,49 +356,6 @@
   return status;
 }
 
-static void
-entry_init_kv (struct entry *entry)
-{
-  const struct settings *settings = entry->settings;
-  struct kvbudget_settings budget = {
-    .rate = settings->kv.calls_per_s,
-    .burst = KV_BURST,
-    .queue_max = KV_QUEUE_MAX,
-    .watch_max = KV_WATCH_MAX,
-    .queue_timeout_ns = settings->kv.timeout_ns,
-    .call_timeout_ns = settings->kv.timeout_ns,
-    .backoff_min_ns = KV_BACKOFF_MIN_MS * NS_PER_MS,
-    .backoff_max_ns = KV_BACKOFF_MAX_MS * NS_PER_MS,
-  };
-
-  httpclient_init (&entry->httpclient, &entry->loop, CLIENT_IO_TIMEOUT_MS);
-  httpjson_init (&entry->httpjson, &entry->httpclient);
-  entry->kv_service = entry->dialect->kv_open (
-      &entry->httpjson, settings->kv.address.items[0].text,
-      settings->kv.timeout_ns);
-  kvbudget_init (&entry->kvbudget, entry->kv_service, &entry->clock,
-                 &entry->rng, &budget);
-}
-
-static void
-entry_init_views (struct entry *entry)
-{
-  const struct kvview_settings settings = {
-    .watch_duration_ns = WATCH_WAIT_S * NS_PER_S,
-    .hold_ns = KEY_HOLD_MS * NS_PER_MS,
-    .pausewatch = &entry->pausewatch,
-  };
-  struct kv *kv = &entry->kvbudget.kv;
-
-  kvview_init (&entry->operator_view, kv, &entry->clock, &settings,
-               entry->dialect->operator_prefix, &entryviews_operator_ops,
-               entry);
-  kvview_init (&entry->servers_view, kv, &entry->clock, &settings,
-               entry->dialect->servers_prefix, &entryviews_servers_ops, entry);
-  kvview_init (&entry->hosts_view, kv, &entry->clock, &settings,
-               ENTRY_KEY_PREFIX, &entryviews_hosts_ops, entry);
-}
-
 static void
 entry_init_presence (struct entry *entry)
 {
@@ -480,6 +423,8 @@
                   &entry->log, &entry->metrics, entry->dialect, &no_settings,
                   &entry->servers, &entry->poisoncount, &entry->blameshare,
                   &entry->kvstores, &entry->retire, &entry->origin);
+  otherhosts_init (&entry->otherhosts, &entry->presence, &entry->loadshare);
+  entry->forwarder.hosts = &entry->otherhosts;
   cacheretire_init (&entry->retire, &entry->clock, &entry->log,
                     &entry->servers, &entry->presence,
                     entry->forwarder.wanted_weights);
@@ -524,8 +469,7 @@
   log_json_init (&entry->log, (enum event_level)settings->log.level,
                  settings->process.name, &entry->clock);
   metrics_init (&entry->metrics);
-  entry_init_kv (entry);
-  entry_init_views (entry);
+  entrykv_init (entry);
   entry_init_modules (entry);
   settings_apply (entry);
   signals_start (entry);
@@ -557,10 +501,12 @@
 entry_finish (struct entry *entry)
 {
   callerserver_finish (&entry->caller_server);
+  callerserver_finish (&entry->host_server);
   callerserver_finish (&entry->directory_server);
   callerserver_finish (&entry->ready_server);
   callerserver_finish (&entry->metrics_server);
   forwarder_finish (&entry->forwarder);
+  otherhosts_finish (&entry->otherhosts);
   streamorigin_finish (&entry->origin);
   kvbudget_finish (&entry->kvbudget);
   httpjson_finish (&entry->httpjson);
--- a/src/entry.h
+++ b/src/entry.h
@@ -80,7 +80,9 @@
   struct cacheretire retire;
   struct cachegc cachegc;
   struct forwarder forwarder;
+  struct otherhosts otherhosts;
   struct callerserver caller_server;
+  struct callerserver host_server; /**< Requests that other hosts pass on. */
   struct callerserver directory_server;
   struct callerserver ready_server;
   struct callerserver metrics_server;
--- /dev/null
+++ b/src/entrykv.c
@@ -0,0 +1,90 @@
+#include "entrykv.h"
+#include "entry.h"
+#include "entryviews.h"
+
+enum
+{
+  KV_QUEUE_MAX = 256,
+  /* Maximum number of pending watches. The three views need one watch each;
+   * the others are for earlier watches that got no reply because of an outage.
+   */
+  KV_WATCH_MAX = 12,
+  KV_BURST = 60,
+  /* The backoff is short, since a change must be in force within seconds of
+   * the end of an outage. */
+  KV_BACKOFF_MIN_MS = 50,
+  KV_BACKOFF_MAX_MS = 400,
+  WATCH_WAIT_S = 25, /* Maximum time that one watch waits for a change. */
+  /* Time for which the views hold keys that disappear around an outage of
+   * the KV service. */
+  KEY_HOLD_MS = 2000,
+  /* Longer than the timeout of any call, so that the timeout of the call
+   * ends it first. */
+  CLIENT_IO_TIMEOUT_MS = 60000
+};
+
+static void
+calls_init (struct entry *entry)
+{
+  const struct settings *settings = entry->settings;
+  struct kvbudget_settings budget = {
+    .rate = settings->kv.calls_per_s,
+    .burst = KV_BURST,
+    .queue_max = KV_QUEUE_MAX,
+    .watch_max = KV_WATCH_MAX,
+    .queue_timeout_ns = settings->kv.timeout_ns,
+    .call_timeout_ns = settings->kv.timeout_ns,
+    .backoff_min_ns = KV_BACKOFF_MIN_MS * NS_PER_MS,
+    .backoff_max_ns = KV_BACKOFF_MAX_MS * NS_PER_MS,
+  };
+
+  httpclient_init (&entry->httpclient, &entry->loop, CLIENT_IO_TIMEOUT_MS);
+  httpjson_init (&entry->httpjson, &entry->httpclient);
+  entry->kv_service = entry->dialect->kv_open (
+      &entry->httpjson, settings->kv.address.items[0].text,
+      settings->kv.timeout_ns);
+  kvbudget_init (&entry->kvbudget, entry->kv_service, &entry->clock,
+                 &entry->rng, &budget);
+}
+
+static void
+views_init (struct entry *entry)
+{
+  const struct kvview_settings settings = {
+    .watch_duration_ns = WATCH_WAIT_S * NS_PER_S,
+    .hold_ns = KEY_HOLD_MS * NS_PER_MS,
+    .pausewatch = &entry->pausewatch,
+  };
+  struct kv *kv = &entry->kvbudget.kv;
+
+  kvview_init (&entry->operator_view, kv, &entry->clock, &settings,
+               entry->dialect->operator_prefix, &entryviews_operator_ops,
+               entry);
+  kvview_init (&entry->servers_view, kv, &entry->clock, &settings,
+               entry->dialect->servers_prefix, &entryviews_servers_ops, entry);
+  kvview_init (&entry->hosts_view, kv, &entry->clock, &settings,
+               ENTRY_KEY_PREFIX, &entryviews_hosts_ops, entry);
+}
+
+void
+entrykv_init (struct entry *entry)
+{
+  calls_init (entry);
+  views_init (entry);
+}
+
+/* Restarts the watches when an outage of the KV service ends, since the
+ * service may never reply to watches that were sent before. */
+void
+entrykv_check (struct entry *entry)
+{
+  bool down = kvbudget_service_is_down (&entry->kvbudget);
+
+  if (entry->kv_down && !down)
+    {
+      kvview_restart (&entry->operator_view);
+      kvview_restart (&entry->servers_view);
+      kvview_restart (&entry->hosts_view);
+    }
+  entry->kv_down = down;
+}
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -11,7 +11,10 @@
   PAUSE_PER_HOST_MS = 13,
   /* Maximum pause, far below the time within which hosts must stop using a
    * leaving server. */
-  PAUSE_MAX_MS = 1000
+  PAUSE_MAX_MS = 1000,
+  /* Space for the header fields that a host adds when it passes a request on.
+   */
+  HOST_HEADER_BYTES = 1024
 };
 
 void
@@ -26,10 +29,8 @@
 }
 
 static void
-limits_apply (struct entry *entry, const struct routes *routes)
+limits_apply (struct callerconn_limits *limits, const struct routes *routes)
 {
-  struct callerconn_limits *limits = &entry->caller_server.limits;
-
   if (routes->header_bytes_max > 0)
     limits->header_bytes = routes->header_bytes_max;
   if (routes->body_bytes_max > 0)
@@ -73,7 +74,9 @@
                  g_hash_table_size (routes->organisations_by_key));
       forwarder_set_routes (&entry->forwarder, routes);
       kvstores_configure (&entry->kvstores, routes);
-      limits_apply (entry, routes);
+      limits_apply (&entry->caller_server.limits, routes);
+      limits_apply (&entry->host_server.limits, routes);
+      entry->host_server.limits.header_bytes += HOST_HEADER_BYTES;
     }
   routes_unref (routes);
 }
--- a/src/forward.h
+++ b/src/forward.h
@@ -7,6 +7,7 @@
 #include "choose.h"
 #include "dialect.h"
 #include "kvstores.h"
+#include "otherhosts.h"
 #include "cacheretire.h"
 #include "log.h"
 #include "metrics.h"
@@ -22,6 +23,12 @@
  * process share. The forward* modules work on both.
  */
 
+enum
+{
+  /** Maximum number of other hosts that a request is passed on to. */
+  FORWARD_HOST_TRIES_MAX = 2
+};
+
 struct forward_settings
 {
   /** Timeout for opening a connection to a server. */
@@ -56,6 +63,11 @@
   struct kvstores *kvstores;
   const struct cacheretire *retire;
   struct streamorigin *origin;
+  /** Hosts that requests are passed on to while their servers can't be
+   * reached; NULL if none are. */
+  struct otherhosts *hosts;
+  /** Requests in flight that other hosts have passed on. */
+  unsigned from_host_count;
   /** Routing configuration; NULL until one is loaded. */
   struct routes *routes;
   /** Maps model names to struct wanted_weights. */
@@ -98,6 +110,12 @@
   /** Number of the request's tokens that the prefill load of counted_server
    * includes. */
   unsigned counted_prefill_tokens;
+  bool from_host; /**< Whether another host has passed the request on. */
+  struct otherhost *host; /**< Host of the current attempt; NULL if it is at a
+                             server. */
+  const struct otherhost *tried_hosts[FORWARD_HOST_TRIES_MAX];
+  unsigned host_tries;
+  void *host_choice;  /**< Used while a host is chosen. */
   unsigned run_count; /**< Number of attempts that may have run the request. */
   unsigned not_run_count; /**< Number of attempts that certainly did not run
                              the request. */
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -1,5 +1,6 @@
 #include "forwarder.h"
 #include "forwardblame.h"
+#include "forwardhost.h"
 #include "forwardlearn.h"
 #include "forwardlog.h"
 #include "forwardrespond.h"
@@ -20,7 +21,9 @@
   RETRY_AFTER_NO_CONFIG_MS = 500,
   /* Base of the Retry-After time if no server can run the request now. */
   RETRY_AFTER_NO_SERVER_MS = 250,
-  RETRY_AFTER_POISON_MS = 10000
+  RETRY_AFTER_POISON_MS = 10000,
+  /* Maximum number of requests in flight that other hosts have passed on. */
+  FROM_HOSTS_MAX = 512
 };
 
 static void forward_place (struct forward *forward);
@@ -51,8 +54,11 @@
     {
       forward->relaying = true;
       forward->relays_events = exchange_relays_events (exchange);
-      forward_learn_response_head (forward);
-      forwardresume_record (forward);
+      if (forward->host == NULL)
+        {
+          forward_learn_response_head (forward);
+          forwardresume_record (forward);
+        }
       callerconn_stream_begin (forward->conn, exchange->response.status,
                                exchange->header_lines->str);
     }
@@ -94,7 +100,14 @@
   };
   enum forwardretry_action action;
 
-  forward_learn_outcome (forward, outcome);
+  if (forward->host == NULL)
+    forward_learn_outcome (forward, outcome);
+  else if (forwardhost_ended (forward, outcome))
+    {
+      forward_log_attempt (forward, outcome, FORWARDRETRY_RETRY);
+      forward_place (forward);
+      return;
+    }
   forward_uncount_load (forward);
   if (outcome == EXCHANGE_NOT_CONNECTED || outcome == EXCHANGE_NOT_RUN)
     forward->not_run_count++;
@@ -144,6 +157,8 @@
 {
   struct forward *forward = data;
 
+  if (forward->host != NULL)
+    return;
   reach_record_opened (servers_reach (forward->forwarder->servers,
                                       exchange->server->entry.service));
 }
@@ -151,7 +166,12 @@
 static void
 response_head_received (void *data, struct exchange *exchange)
 {
-  forward_learn_limit (data);
+  struct forward *forward = data;
+
+  if (forward->host != NULL)
+    forwardhost_head_received (forward);
+  else
+    forward_learn_limit (forward);
 }
 
 static const struct exchange_ops exchange_ops
@@ -195,6 +215,11 @@
       forward_give_up (forward, "crashes_servers", RETRY_AFTER_POISON_MS);
       return;
     }
+  if (forwardhost_is_due (forward) && forwardhost_send (forward))
+    {
+      forwardwait_remove (forward);
+      return;
+    }
   memcpy (query.excluded, forward->tried, sizeof query.excluded);
   forwardweights_query (forward, &query);
   forward_add_stored (forward, wanted != NULL ? wanted->version : 1, &query);
@@ -298,23 +323,33 @@
   if (!forward_route (forward))
     return;
   forward_set_deadline (forward);
-  retrybudget_count_request (
-      service_retry_budget (forwarder, forward->service),
-      clock_now (forwarder->clock));
+  /* The host that passed the request on has counted it. */
+  if (!forward->from_host)
+    retrybudget_count_request (
+        service_retry_budget (forwarder, forward->service),
+        clock_now (forwarder->clock));
   forward->fingerprint = poisoncount_fingerprint (
       forward->organisation != NULL ? forward->organisation->name : "",
       conn->target->str, conn->body->data, conn->body->len);
   forwardblame_set_parts (forward);
   if (poisoncount_is_blocked (forwarder->poisoncount, forward->fingerprint))
     forward_refuse (forward, "ends_servers", RETRY_AFTER_POISON_MS);
-  else if (!forwardresume_is_return (forward)
+  else if (!forwardresume_is_return (forward) || forwardhost_is_due (forward)
            || forwardresume_start (forward, forward_origin_found))
     forward_place (forward);
 }
 
-void
-forwarder_request_received (struct forwarder *forwarder,
-                            struct callerconn *conn)
+/* Whether a request that another host has passed on must be refused, so that
+ * those of this host's own callers are served. */
+static bool
+hosts_send_too_many (const struct forwarder *forwarder, bool from_host)
+{
+  return from_host && forwarder->from_host_count >= FROM_HOSTS_MAX;
+}
+
+static void
+request_receive (struct forwarder *forwarder, struct callerconn *conn,
+                 bool from_host)
 {
   struct forward *forward;
   struct error error;
@@ -327,9 +362,13 @@
           != STATUS_OK
       || call.request_id == NULL)
     status = 400;
-  else if (forwarder->routes != NULL)
+  else if (forwarder->routes != NULL
+           && !hosts_send_too_many (forwarder, from_host))
     {
       forward = g_new0 (struct forward, 1);
+      forward->from_host = from_host;
+      forward->run_count = from_host ? call.earlier_runs : 0;
+      forwarder->from_host_count += from_host;
       forward->forwarder = forwarder;
       forward->conn = conn;
       forward->call = call;
@@ -349,7 +388,9 @@
   log_event (forwarder->log, EVENT_FORWARD_REFUSED,
              "id=%s status=%d reason=%s peer=%s",
              call.request_id != NULL ? call.request_id : "-", status,
-             status == 400 ? "malformed" : "no_configuration",
+             status == 400               ? "malformed"
+             : forwarder->routes == NULL ? "no_configuration"
+                                         : "too_many_from_hosts",
              conn->caller_ip);
   lines = g_string_new (NULL);
   forwarder->dialect->own_headers_encode (
@@ -361,6 +402,20 @@
   g_string_free (lines, TRUE);
 }
 
+void
+forwarder_request_received (struct forwarder *forwarder,
+                            struct callerconn *conn)
+{
+  request_receive (forwarder, conn, false);
+}
+
+void
+forwarder_request_from_host (struct forwarder *forwarder,
+                             struct callerconn *conn)
+{
+  request_receive (forwarder, conn, true);
+}
+
 void
 forwarder_caller_disconnected (struct forwarder *forwarder,
                                struct callerconn *conn)
@@ -416,7 +471,7 @@
     }
   if (forwardweights_is_overdue (forward))
     attempt_abandon (forward, EXCHANGE_OUTDATED);
-  else if (server_is_silent (forward, now)
+  else if (forward->host == NULL && server_is_silent (forward, now)
            && forward->run_count + 1 < forward->route->servers_max)
     attempt_abandon (forward, EXCHANGE_SILENT);
 }
@@ -476,107 +531,3 @@
       forward_tick (forward, now);
     }
 }
-
-void
-forwarder_configure_server (const struct forwarder *forwarder,
-                            struct server *server)
-{
-  const struct service *service
-      = forwarder->routes != NULL
-            ? routes_find_service (forwarder->routes, server->entry.service)
-            : NULL;
-
-  if (service != NULL && service->kv_capacity_tokens > 0)
-    server->kv_capacity_tokens = service->kv_capacity_tokens;
-}
-
-static void
-forwarder_clear_routes (struct forwarder *forwarder)
-{
-  routes_unref (forwarder->routes);
-  forwarder->routes = NULL;
-}
-
-void
-forwarder_set_routes (struct forwarder *forwarder, struct routes *routes)
-{
-  struct routes *old_routes = forwarder->routes;
-  GHashTableIter iter;
-  gpointer value;
-
-  forwarder->routes = routes_ref (routes);
-  routes_unref (old_routes);
-  g_hash_table_iter_init (&iter, forwarder->servers->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    forwarder_configure_server (forwarder, value);
-}
-
-void
-forwarder_set_wanted_version (struct forwarder *forwarder, const char *model,
-                              uint64_t version, int64_t since_ns)
-{
-  struct wanted_weights *wanted
-      = g_hash_table_lookup (forwarder->wanted_weights, model);
-
-  if (wanted != NULL && wanted->version >= version)
-    return;
-  if (wanted == NULL)
-    {
-      wanted = g_new0 (struct wanted_weights, 1);
-      g_strlcpy (wanted->model, model, sizeof wanted->model);
-      g_hash_table_insert (forwarder->wanted_weights, wanted->model, wanted);
-    }
-  weights_add_version (wanted, version, since_ns);
-}
-
-int64_t
-forwarder_wanted_age_ns (const struct forwarder *forwarder, const char *model)
-{
-  const struct wanted_weights *wanted
-      = g_hash_table_lookup (forwarder->wanted_weights, model);
-
-  return clock_boottime (forwarder->clock)
-         - wanted->versions[wanted->version_count - 1].since_ns;
-}
-
-void
-forwarder_init (struct forwarder *forwarder, uv_loop_t *loop,
-                const struct clock *clock, struct rng *rng, struct log *log,
-                struct metrics *metrics, const struct dialect *dialect,
-                const struct forward_settings *settings,
-                struct servers *servers, struct poisoncount *poisoncount,
-                struct blameshare *blameshare, struct kvstores *kvstores,
-                const struct cacheretire *retire, struct streamorigin *origin)
-{
-  memset (forwarder, 0, sizeof *forwarder);
-  forwarder->loop = loop;
-  forwarder->clock = clock;
-  forwarder->rng = rng;
-  forwarder->log = log;
-  forwarder->metrics = metrics;
-  forwarder->dialect = dialect;
-  forwarder->settings = *settings;
-  forwarder->servers = servers;
-  forwarder->poisoncount = poisoncount;
-  forwarder->blameshare = blameshare;
-  forwarder->kvstores = kvstores;
-  forwarder->retire = retire;
-  forwarder->origin = origin;
-  forwarder->host_count = 1;
-  list_init (&forwarder->requests);
-  list_init (&forwarder->waiting);
-  forwarder->wanted_weights
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  forwarder->retry_budgets
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-}
-
-void
-forwarder_finish (struct forwarder *forwarder)
-{
-  while (!list_empty (&forwarder->requests))
-    forward_free (LIST_ENTRY (forwarder->requests.next, struct forward, node));
-  forwarder_clear_routes (forwarder);
-  g_hash_table_destroy (forwarder->wanted_weights);
-  g_hash_table_destroy (forwarder->retry_budgets);
-}
--- /dev/null
+++ b/src/forwardhost.c
@@ -0,0 +1,154 @@
+#include "forwardhost.h"
+#include "forwardlog.h"
+#include "serverreach.h"
+
+#include <string.h>
+
+enum
+{
+  /* Maximum number of requests that this host has in flight at another. */
+  IN_FLIGHT_MAX = 256,
+  /* A host that refused a request, or can't be reached, gets none for this
+   * time. */
+  REFUSED_PAUSE_MS = 200,
+  UNREACHED_PAUSE_MS = 1000
+};
+
+/* The best host so far that a request can be passed on to. */
+struct choice
+{
+  struct otherhost *host;
+  enum loadshare_reach reach;
+  unsigned candidates;
+};
+
+static bool
+was_tried (const struct forward *forward, const struct otherhost *host)
+{
+  for (unsigned i = 0; i < forward->host_tries; i++)
+    if (forward->tried_hosts[i] == host)
+      return true;
+  return false;
+}
+
+bool
+forwardhost_is_due (const struct forward *forward)
+{
+  const struct forwarder *forwarder = forward->forwarder;
+
+  return false && !forward->from_host && forwarder->hosts != NULL
+         && forward->host_tries < FORWARD_HOST_TRIES_MAX
+         && forward->run_count < forward->route->servers_max
+         && (forward->run_count == 0 || route_allows_retry (forward->route))
+         && servers_service_is_out (forwarder->servers, forward->service);
+}
+
+/* Hosts that report to reach the service come first, then those with the
+ * fewest requests of this host. */
+static void
+host_consider (void *data, struct otherhost *host, enum loadshare_reach reach)
+{
+  struct forward *forward = data;
+  struct choice *choice = forward->host_choice;
+  const struct otherhost *best = choice->host;
+  int64_t now = clock_now (forward->forwarder->clock);
+
+  if (reach == LOADSHARE_REACH_OUT || host->avoid_until_ns > now
+      || host->in_flight >= IN_FLIGHT_MAX || was_tried (forward, host))
+    return;
+  choice->candidates++;
+  if (best != NULL
+      && (reach < choice->reach
+          || (reach == choice->reach && host->in_flight >= best->in_flight)))
+    return;
+  choice->host = host;
+  choice->reach = reach;
+}
+
+static void
+host_attempt_start (struct forward *forward, struct otherhost *host)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  struct callerconn *conn = forward->conn;
+  const char *method = callerconn_method (conn);
+  GString *request = g_string_sized_new (1024 + conn->body->len);
+  struct pass_on_header header = {
+    .time_left_ns = forward_time_left_ns (forward),
+    .earlier_runs = forward->run_count,
+    .resumes = forward->relaying,
+    .last_event_id = forward->exchange.events.last_id,
+  };
+
+  forwarder->dialect->pass_on_encode (request, method, conn->target->str,
+                                      &conn->head, conn->body, &header);
+  forward->host = host;
+  forward->tried_hosts[forward->host_tries++] = host;
+  host->in_flight++;
+  forward->attempt_weight_version = 0;
+  forward->attempt_software_hash = forward->software_hash;
+  exchange_send (&forward->exchange, forwarder->loop, host->server,
+                 &(struct exchange_request){
+                     .id = forward->call.request_id,
+                     .bytes = request,
+                     .is_head = strcmp (method, "HEAD") == 0,
+                     .is_stream = forward->route->kind == ROUTE_STREAM,
+                     .continues = forward->relaying,
+                 },
+                 forwarder->settings.connect_timeout_ns);
+}
+
+bool
+forwardhost_send (struct forward *forward)
+{
+  struct otherhosts *hosts = forward->forwarder->hosts;
+  struct choice choice = { .host = NULL };
+
+  forward->host_choice = &choice;
+  otherhosts_visit (hosts, servers_service_hash (forward->service),
+                    host_consider, forward);
+  forward->host_choice = NULL;
+  if (choice.host == NULL)
+    return false;
+  forward_log_host (forward, choice.host->server->entry.id, choice.candidates,
+                    choice.reach == LOADSHARE_REACH_IN ? "in" : "unknown");
+  host_attempt_start (forward, choice.host);
+  return true;
+}
+
+void
+forwardhost_head_received (struct forward *forward)
+{
+  struct response *response = &forward->exchange.response;
+
+  if (!response->from_backend_server && response->matches_request
+      && (response->status == 503
+          || (response->status >= 400 && response->status < 500)))
+    response->not_run = true;
+}
+
+bool
+forwardhost_ended (struct forward *forward, enum exchange_outcome outcome)
+{
+  struct otherhost *host = forward->host;
+  int64_t now = clock_now (forward->forwarder->clock);
+  bool not_run
+      = outcome == EXCHANGE_NOT_CONNECTED || outcome == EXCHANGE_NOT_RUN;
+
+  if (outcome == EXCHANGE_NOT_RUN)
+    host->avoid_until_ns = now + REFUSED_PAUSE_MS * NS_PER_MS;
+  else if (outcome != EXCHANGE_ANSWERED)
+    host->avoid_until_ns = now + UNREACHED_PAUSE_MS * NS_PER_MS;
+  forwardhost_release (forward);
+  /* How often the other host ran it isn't known, so it runs no more. */
+  if (!not_run)
+    forward->run_count = MAX (forward->route->servers_max, 1U) - 1;
+  return not_run;
+}
+
+void
+forwardhost_release (struct forward *forward)
+{
+  if (forward->host != NULL)
+    forward->host->in_flight--;
+  forward->host = NULL;
+}
--- /dev/null
+++ b/src/forwardhost.h
@@ -0,0 +1,33 @@
+#ifndef FORWARDHOST_H
+#define FORWARDHOST_H
+
+#include "forward.h"
+
+/** @file
+ * Passes requests on to another host while this one can't reach the servers of
+ * their service. The other host treats such a request like that of a caller,
+ * except that it never passes it on again. If no other host reaches the
+ * service either, the request is refused here at once.
+ */
+
+/** Whether the request shall be passed on to another host, if there is one. */
+bool forwardhost_is_due (const struct forward *forward);
+
+/** Pass the request on to the host that suits best.
+ * @return false if there is none */
+bool forwardhost_send (struct forward *forward);
+
+/** Handle the head of a response that comes from another host: a refusal of
+ * the host itself is a promise that the request has not run. */
+void forwardhost_head_received (struct forward *forward);
+
+/** Handle the end of an attempt at another host.
+ * @return whether the request certainly has not run there */
+bool forwardhost_ended (struct forward *forward,
+                        enum exchange_outcome outcome);
+
+/** End the count of the request at the host that it was passed on to, if it
+ * was. */
+void forwardhost_release (struct forward *forward);
+
+#endif
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -34,7 +34,8 @@
   log_event (
       forwarder->log, served ? EVENT_FORWARD_END : EVENT_FORWARD_FAILED,
       "id=%s status=%d reason=%s route=%s service=%s server=%s "
-      "runs=%u not_run=%u %s first_ms=%.1f total_ms=%.1f config=%lu",
+      "runs=%u not_run=%u %s first_ms=%.1f total_ms=%.1f config=%lu "
+      "from_host=%d",
       forward->call.request_id, status, reason,
       route != NULL ? route->name : "-",
       forward->service != NULL ? forward->service : "-",
@@ -45,7 +46,7 @@
                 / NS_PER_MS
           : -1.0,
       (double)(now - forward->arrived_ns) / NS_PER_MS,
-      (unsigned long)forward->routes->version);
+      (unsigned long)forward->routes->version, forward->from_host);
   g_snprintf (labels, sizeof labels, "service=\"%s\",code=\"%d\"",
               forward->service != NULL ? forward->service : "", status);
   metrics_add (forwarder->metrics, "trefoilspar_requests_total", labels, 1);
@@ -174,6 +175,22 @@
              (double)(now - exchange->sent_ns) / NS_PER_MS);
 }
 
+void
+forward_log_host (struct forward *forward, const char *host,
+                  unsigned candidates, const char *reach)
+{
+  struct forwarder *forwarder = forward->forwarder;
+
+  metrics_add (forwarder->metrics, "trefoilspar_passed_on_total", "", 1);
+  log_event (forwarder->log, EVENT_FORWARD_HOST,
+             "id=%s host=%s service=%s reach=%s candidates=%u tries=%u "
+             "runs=%u waited_ms=%.1f",
+             forward->call.request_id, host, forward->service, reach,
+             candidates, forward->host_tries, forward->run_count,
+             (double)(clock_now (forwarder->clock) - forward->arrived_ns)
+                 / NS_PER_MS);
+}
+
 void
 forward_log_wait (struct forward *forward, const struct choose_result *choice)
 {
--- a/src/forwardlog.h
+++ b/src/forwardlog.h
@@ -19,6 +19,11 @@
 /** Log that the response began on older weights than wanted, if it did. */
 void forward_log_weights (struct forward *forward);
 
+/** Log that the request is passed on to HOST, which has reported REACH and is
+ * one of CANDIDATES. */
+void forward_log_host (struct forward *forward, const char *host,
+                       unsigned candidates, const char *reach);
+
 /** Log that the request waits for the servers of its software, unless it waits
  * already. */
 void forward_log_wait (struct forward *forward,
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -1,4 +1,5 @@
 #include "forwardrespond.h"
+#include "forwardhost.h"
 #include "forwardlog.h"
 #include "forwardsend.h"
 #include "forwardwait.h"
@@ -12,6 +13,8 @@
   forwardwait_remove (forward);
   streamorigin_cancel (&forward->origin_query);
   forward_uncount_load (forward);
+  forwardhost_release (forward);
+  forward->forwarder->from_host_count -= forward->from_host;
   exchange_finish (&forward->exchange);
   list_remove (&forward->node);
   forward->forwarder->request_count--;
--- /dev/null
+++ b/src/otherhosts.c
@@ -0,0 +1,72 @@
+#include "otherhosts.h"
+
+#include <string.h>
+
+static void
+otherhost_free (void *data)
+{
+  struct otherhost *host = data;
+
+  server_unref (host->server);
+  g_free (host);
+}
+
+void
+otherhosts_init (struct otherhosts *others, const struct presence *presence,
+                 const struct loadshare *loadshare)
+{
+  others->presence = presence;
+  others->loadshare = loadshare;
+  others->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         otherhost_free);
+}
+
+void
+otherhosts_finish (struct otherhosts *others)
+{
+  g_hash_table_destroy (others->hosts);
+}
+
+/* Return the host with the key KEY at ADDRESS. A host that has moved gets a
+ * new server, so that attempts in flight keep the old one. */
+static struct otherhost *
+otherhost_find (struct otherhosts *others, const char *key,
+                const char *address)
+{
+  struct otherhost *host = g_hash_table_lookup (others->hosts, key);
+
+  if (host == NULL)
+    {
+      host = g_new0 (struct otherhost, 1);
+      g_hash_table_insert (others->hosts, g_strdup (key), host);
+    }
+  if (host->server != NULL
+      && strcmp (host->server->entry.address, address) == 0)
+    return host;
+  server_unref (host->server);
+  host->server = server_new_unregistered (presence_host_name (key), address);
+  host->avoid_until_ns = 0;
+  return host;
+}
+
+void
+otherhosts_visit (struct otherhosts *others, uint64_t service,
+                  void (*visit) (void *data, struct otherhost *host,
+                                 enum loadshare_reach reach),
+                  void *data)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, others->presence->hosts);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct presence_host *record = value;
+
+      if (!record->leaving && record->peer[0] != '\0')
+        visit (data, otherhost_find (others, key, record->peer),
+               loadshare_host_reach (others->loadshare,
+                                     presence_host_name (key), service));
+    }
+}
--- /dev/null
+++ b/src/otherhosts.h
@@ -0,0 +1,40 @@
+#ifndef OTHERHOSTS_H
+#define OTHERHOSTS_H
+
+#include "loadshare.h"
+#include "presence.h"
+
+/** @file
+ * The other hosts as places that requests can be passed on to.
+ */
+
+struct otherhost
+{
+  /** Stands for the host where an attempt names its server. */
+  struct server *server;
+  unsigned in_flight;     /**< Requests that this host has passed on to it. */
+  int64_t avoid_until_ns; /**< No request is passed on to it before then. */
+};
+
+struct otherhosts
+{
+  const struct presence *presence;
+  const struct loadshare *loadshare;
+  /** Maps keys of hosts to struct otherhost. A host keeps its place when it is
+   * no longer registered. */
+  GHashTable *hosts;
+};
+
+void otherhosts_init (struct otherhosts *others,
+                      const struct presence *presence,
+                      const struct loadshare *loadshare);
+void otherhosts_finish (struct otherhosts *others);
+
+/** Call VISIT for each registered host that is not leaving, with what it has
+ * reported of its links to the service with the hash SERVICE. */
+void otherhosts_visit (struct otherhosts *others, uint64_t service,
+                       void (*visit) (void *data, struct otherhost *host,
+                                      enum loadshare_reach reach),
+                       void *data);
+
+#endif
--- a/src/servers.c
+++ b/src/servers.c
@@ -1,4 +1,5 @@
 #include "servers.h"
+#include "serverreach.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -220,21 +221,39 @@
 }
 
 static struct server *
-server_add (struct servers *servers, const struct server_entry *entry)
+server_new (const struct server_entry *entry)
 {
   struct server *server = g_new0 (struct server, 1);
 
   server->reference_count = 1;
   server_set_entry (server, entry);
   server->id_hash = g_str_hash (entry->id);
-  server->in_local_data_centre
-      = strcmp (entry->data_centre, servers->data_centre) == 0;
   server->cached_blocks
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   server->kv_capacity_tokens = KV_CAPACITY_TOKENS_DEFAULT;
   server->sending_host_count = 1;
   serverlimit_init (&server->limit);
   list_init (&server->blocks_by_use);
+  return server;
+}
+
+struct server *
+server_new_unregistered (const char *id, const char *address)
+{
+  struct server_entry entry = { .slots = 1 };
+
+  g_strlcpy (entry.id, id, sizeof entry.id);
+  g_strlcpy (entry.address, address, sizeof entry.address);
+  return server_new (&entry);
+}
+
+static struct server *
+server_add (struct servers *servers, const struct server_entry *entry)
+{
+  struct server *server = server_new (entry);
+
+  server->in_local_data_centre
+      = strcmp (entry->data_centre, servers->data_centre) == 0;
   g_hash_table_insert (servers->by_id, server->entry.id, server);
   service_list_add (servers, server);
   return server;
@@ -518,6 +537,17 @@
   return true;
 }
 
+/* Whether SERVER counts as reachable, but the links to its service do not:
+ * only a probe can show which is true, since no request is sent there. */
+static bool
+links_are_doubted (const struct servers *servers, const struct server *server,
+                   int64_t now)
+{
+  return false && server_is_available (server) && now >= server->next_probe_ns
+         && servers_reach (servers, server->entry.service)->failed_count > 0
+         && servers_service_is_out (servers, server->entry.service);
+}
+
 /* Whether a probe of SERVER, which is unreachable, is due. */
 static bool
 probe_is_due (const struct servers *servers, const struct server *server,
@@ -547,7 +577,7 @@
 
       if (server->probe != NULL)
         continue;
-      if (server->doubted_ns != 0
+      if (server->doubted_ns != 0 || links_are_doubted (servers, server, now)
           || (server->down_since_ns != 0
               && probe_is_due (servers, server, now)))
         probe_start (servers, server, now);
--- a/src/servers.h
+++ b/src/servers.h
@@ -183,6 +183,9 @@
 /** Returns the hash of a service's name, which is the same on all hosts. */
 uint64_t servers_service_hash (const char *service);
 
+/** Returns a server that is in no table, for an attempt at ADDRESS. */
+struct server *server_new_unregistered (const char *id, const char *address);
+
 struct server *server_ref (struct server *server);
 void server_unref (struct server *server);
 
--- /dev/null
+++ b/test/fake-hosts.c
@@ -0,0 +1,513 @@
+#include "fake-hosts.h"
+#include "dialect-platform.h"
+#include "unit.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  WAIT_MS = 3000,
+  REPORT_MS = 100,
+  HOLE_FILLERS = 4
+};
+
+#define HOST_NAME "one.example"
+
+struct fake_hosts fleet;
+static int hole_fillers[HOLE_FILLERS];
+static unsigned request_number;
+
+static void
+note_event (struct log *log, const struct event_info *info, const char *text)
+{
+  fleet.passed_on += info->number == EVENT_FORWARD_HOST;
+}
+
+static const struct log_ops log_ops = { note_event };
+
+static void
+front_request (void *data, struct callerconn *conn)
+{
+  struct fake_host *host = data;
+
+  forwarder_request_received (&host->forwarder, conn);
+}
+
+static void
+host_request (void *data, struct callerconn *conn)
+{
+  struct fake_host *host = data;
+
+  forwarder_request_from_host (&host->forwarder, conn);
+}
+
+static void
+front_gone (void *data, struct callerconn *conn)
+{
+  struct fake_host *host = data;
+
+  forwarder_caller_disconnected (&host->forwarder, conn);
+}
+
+static void
+front_refused (void *data, struct callerconn *conn, int status,
+               const char *reason)
+{
+}
+
+static const struct callerserver_ops front_ops
+    = { front_request, front_gone, front_refused };
+static const struct callerserver_ops host_ops
+    = { host_request, front_gone, front_refused };
+
+static void
+server_changed (void *data, const struct server *server, const char *what)
+{
+}
+
+static const struct servers_ops servers_ops = { server_changed };
+
+static void
+origin_send (void *data, const struct sockaddr_in *to, const uint8_t *bytes,
+             size_t size)
+{
+}
+
+static uint64_t
+only_software (void *data, uint64_t service)
+{
+  struct fake_host *host = data;
+
+  return softwarespan_only (&host->servers.software, service, 0);
+}
+
+static bool
+sees_only (void *data, uint64_t service, uint64_t software)
+{
+  return only_software (data, service) == software;
+}
+
+static const struct streamorigin_ops origin_ops
+    = { origin_send, only_software, sees_only };
+
+static void
+blame_send (void *data, const uint8_t *bytes, size_t size)
+{
+}
+
+static void
+crash_explained (void *data, const char *server)
+{
+}
+
+static const struct blameshare_ops blame_ops = { blame_send, crash_explained };
+
+static bool
+no_weights (void *data)
+{
+  return false;
+}
+
+static bool
+not_loading (void *data, const struct server *server)
+{
+  return false;
+}
+
+static void
+ignore_weights (void *data, struct server *server, uint64_t version)
+{
+}
+
+static uint64_t
+no_version (void *data, const struct server *server)
+{
+  return 0;
+}
+
+static const struct loadshare_ops loadshare_ops
+    = { no_weights, not_loading, ignore_weights, no_version };
+
+static void
+reports_exchange (void)
+{
+  for (unsigned from = 0; from < FAKE_HOSTS && !fleet.datagrams_lost; from++)
+    {
+      uint8_t bytes[LOADSHARE_BYTES_MAX];
+      size_t size = loadshare_encode (&fleet.hosts[from].loadshare, bytes);
+
+      for (unsigned to = 0; to < FAKE_HOSTS; to++)
+        if (to != from)
+          loadshare_receive (&fleet.hosts[to].loadshare, bytes, size);
+    }
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  int64_t now = clock_now (&fleet.clock);
+
+  for (unsigned i = 0; i < FAKE_HOSTS; i++)
+    {
+      loadshare_tick (&fleet.hosts[i].loadshare);
+      servers_tick (&fleet.hosts[i].servers);
+      forwarder_tick (&fleet.hosts[i].forwarder);
+    }
+  if (now < fleet.next_reports_ns)
+    return;
+  fleet.next_reports_ns = now + REPORT_MS * NS_PER_MS;
+  reports_exchange ();
+}
+
+static void
+route_add (struct routes *routes, const char *prefix, enum route_kind kind,
+           bool resumable)
+{
+  struct route *route = routes_add_route (routes);
+
+  route->name = g_strdup (prefix);
+  route->host = g_strdup (HOST_NAME);
+  route->prefix = g_strdup (prefix);
+  route->kind = kind;
+  route->resumable = resumable;
+  route->servers_max = 2;
+  route->timeout_ns = 1500 * NS_PER_MS;
+  route->latency_target_ns = 200 * NS_PER_MS;
+  route_add_share (route, "svc", 1);
+}
+
+static void
+routes_setup (struct fake_host *host)
+{
+  struct routes *routes = routes_new ();
+
+  route_add (routes, "/safe/", ROUTE_IDEMPOTENT, false);
+  route_add (routes, "/once/", ROUTE_NON_IDEMPOTENT, false);
+  route_add (routes, "/stream/", ROUTE_STREAM, true);
+  routes_add_key (routes, "key", routes_add_organisation (routes, "org"));
+  routes_build_index (routes);
+  forwarder_set_routes (&host->forwarder, routes);
+  routes_unref (routes);
+}
+
+/* Enter engine ENGINE at the address that the links of HOST lead to, as a new
+ * start if RESTART is set. */
+static void
+engine_enter (struct fake_host *host, unsigned engine, const char *address,
+              uint64_t start)
+{
+  struct server_entry entry = { .slots = 64, .started_ms = start };
+
+  g_snprintf (entry.id, sizeof entry.id, "i-%u", engine);
+  g_strlcpy (entry.service, "svc", sizeof entry.service);
+  g_strlcpy (entry.address, address, sizeof entry.address);
+  g_strlcpy (entry.data_centre, "dc", sizeof entry.data_centre);
+  servers_update (&host->servers, &entry, start);
+}
+
+/* Send connections to engine ENGINE elsewhere. The server stays what it is:
+ * its address is not what the host judges it by. */
+static void
+link_lead (struct fake_host *host, unsigned engine, const char *address)
+{
+  char id[16];
+
+  g_snprintf (id, sizeof id, "i-%u", engine);
+  g_strlcpy (servers_find (&host->servers, id)->entry.address, address,
+             SERVER_ADDRESS_MAX);
+}
+
+static void
+server_address (const struct callerserver *server, char *out, size_t size)
+{
+  struct sockaddr_in address;
+  int length = sizeof address;
+
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&address, &length);
+  g_snprintf (out, size, "127.0.0.1:%u", ntohs (address.sin_port));
+}
+
+static void
+listen_for_host (struct callerserver *server,
+                 const struct callerserver_ops *ops, struct fake_host *host)
+{
+  struct error error;
+
+  CU_ASSERT_EQUAL_FATAL (callerserver_init (server, &fleet.loop, &fleet.clock,
+                                            "127.0.0.1", 0, ops, host, &error),
+                         STATUS_OK);
+  server->limits = (struct callerconn_limits){
+    .header_bytes = 4000,
+    .body_bytes = 1000,
+    .header_timeout_ns = NS_PER_S,
+    .idle_timeout_ns = 2 * NS_PER_S,
+  };
+}
+
+static void
+host_start (unsigned index, const struct fake_upstream_step *step)
+{
+  struct forward_settings settings = {
+    .connect_timeout_ns = 100 * NS_PER_MS,
+    .silence_timeout_ns = 300 * NS_PER_MS,
+    .retry = { 10 * NS_PER_S, 0.2, 50 },
+    .choose = choose_settings_default,
+  };
+  struct fake_host *host = &fleet.hosts[index];
+  char name[16];
+  char key[32];
+
+  g_snprintf (name, sizeof name, "h%u", index);
+  g_snprintf (key, sizeof key, "t/host/h%u", index);
+  servers_init (&host->servers, &fleet.loop, &fleet.clock, "dc",
+                100 * NS_PER_MS, &servers_ops, NULL);
+  poisoncount_init (&host->poison, &fleet.client.kv, &fleet.clock, "loss/");
+  presence_init (&host->presence, &fleet.client.kv, &fleet.clock, key,
+                 &(struct presence_host){ .address = "a" }, NS_PER_S);
+  blameshare_init (&host->blameshare, &fleet.client.kv, &fleet.clock,
+                   &host->presence, &fleet.log, &fleet.metrics, "blame/",
+                   &blame_ops, NULL);
+  kvstores_init (&host->kvstores, &kvstores_settings_default, &fleet.clock,
+                 &fleet.log, &dialect_platform, NULL);
+  loadshare_init (&host->loadshare, &host->servers, &fleet.clock, name, 1,
+                  &loadshare_ops, NULL);
+  otherhosts_init (&host->otherhosts, &host->presence, &host->loadshare);
+  forwarder_init (&host->forwarder, &fleet.loop, &fleet.clock, &fleet.rng,
+                  &fleet.log, &fleet.metrics, &dialect_platform, &settings,
+                  &host->servers, &host->poison, &host->blameshare,
+                  &host->kvstores, &host->retire, &host->origin);
+  host->forwarder.hosts = &host->otherhosts;
+  streamorigin_init (&host->origin, &fleet.clock, &host->presence, &origin_ops,
+                     host);
+  cacheretire_init (&host->retire, &fleet.clock, &fleet.log, &host->servers,
+                    &host->presence, host->forwarder.wanted_weights);
+  listen_for_host (&host->front, &front_ops, host);
+  listen_for_host (&host->host_server, &host_ops, host);
+  routes_setup (host);
+  for (unsigned i = 0; i < FAKE_HOSTS_ENGINES; i++)
+    {
+      fake_upstream_init (&host->engines[i], &fleet.loop, step, 1);
+      g_strlcpy (host->addresses[i], host->engines[i].address,
+                 sizeof host->addresses[i]);
+      engine_enter (host, i, host->addresses[i], 1);
+    }
+}
+
+static void
+hosts_introduce (void)
+{
+  for (unsigned i = 0; i < FAKE_HOSTS; i++)
+    for (unsigned other = 0; other < FAKE_HOSTS; other++)
+      {
+        struct error error;
+        char address[32];
+        char key[32];
+        char *value;
+
+        if (other == i)
+          continue;
+        server_address (&fleet.hosts[other].host_server, address,
+                        sizeof address);
+        g_snprintf (key, sizeof key, "t/host/h%u", other);
+        value
+            = g_strdup_printf ("{\"address\":\"a\",\"peer\":\"%s\"}", address);
+        presence_key_put (&fleet.hosts[i].presence, key, value, &error);
+        g_free (value);
+      }
+}
+
+/* A listener whose queue of connections is full, so that others hang. */
+static void
+hole_open (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  fleet.hole = socket (AF_INET, SOCK_STREAM, 0);
+  bind (fleet.hole, (struct sockaddr *)&address, sizeof address);
+  listen (fleet.hole, 0);
+  getsockname (fleet.hole, (struct sockaddr *)&address, &size);
+  g_snprintf (fleet.hole_address, sizeof fleet.hole_address, "127.0.0.1:%u",
+              ntohs (address.sin_port));
+  for (unsigned i = 0; i < HOLE_FILLERS; i++)
+    {
+      hole_fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect (hole_fillers[i], (struct sockaddr *)&address, sizeof address);
+    }
+}
+
+void
+fake_hosts_setup (const struct fake_upstream_step *step)
+{
+  memset (&fleet, 0, sizeof fleet);
+  uv_loop_init (&fleet.loop);
+  clock_system_init (&fleet.clock);
+  fleet.log = (struct log){ &log_ops, EVENT_LEVEL_DEBUG };
+  metrics_init (&fleet.metrics);
+  rng_init (&fleet.rng, 1);
+  fake_kv_init (&fleet.kv, &fleet.clock, 1);
+  fake_kv_client_init (&fleet.client, &fleet.kv);
+  hole_open ();
+  for (unsigned i = 0; i < FAKE_HOSTS; i++)
+    host_start (i, step);
+  hosts_introduce ();
+  fleet.answer = g_string_new (NULL);
+  uv_timer_init (&fleet.loop, &fleet.timer);
+  uv_timer_start (&fleet.timer, on_tick, 0, 10);
+  fake_hosts_run_for (2 * REPORT_MS);
+}
+
+static void
+host_finish (struct fake_host *host)
+{
+  callerserver_finish (&host->front);
+  callerserver_finish (&host->host_server);
+  forwarder_finish (&host->forwarder);
+  streamorigin_finish (&host->origin);
+  for (unsigned i = 0; i < FAKE_HOSTS_ENGINES; i++)
+    fake_upstream_finish (&host->engines[i]);
+}
+
+static void
+host_free (struct fake_host *host)
+{
+  otherhosts_finish (&host->otherhosts);
+  loadshare_finish (&host->loadshare);
+  kvstores_finish (&host->kvstores);
+  cacheretire_finish (&host->retire);
+  presence_finish (&host->presence);
+  poisoncount_finish (&host->poison);
+  blameshare_finish (&host->blameshare);
+  servers_finish (&host->servers);
+}
+
+static void
+close_handle (uv_handle_t *handle, void *data)
+{
+  if (!uv_is_closing (handle))
+    uv_close (handle, NULL);
+}
+
+void
+fake_hosts_finish (void)
+{
+  uv_timer_stop (&fleet.timer);
+  for (unsigned i = 0; i < FAKE_HOSTS; i++)
+    host_finish (&fleet.hosts[i]);
+  for (int i = 0; i < 20; i++)
+    uv_run (&fleet.loop, UV_RUN_NOWAIT);
+  for (unsigned i = 0; i < FAKE_HOSTS; i++)
+    host_free (&fleet.hosts[i]);
+  uv_walk (&fleet.loop, close_handle, NULL);
+  uv_run (&fleet.loop, UV_RUN_DEFAULT);
+  CU_ASSERT_EQUAL (uv_loop_close (&fleet.loop), 0);
+  for (unsigned i = 0; i < HOLE_FILLERS; i++)
+    close (hole_fillers[i]);
+  close (fleet.hole);
+  fake_kv_client_finish (&fleet.client);
+  fake_kv_finish (&fleet.kv);
+  metrics_finish (&fleet.metrics);
+  g_string_free (fleet.answer, TRUE);
+}
+
+void
+fake_hosts_cut (unsigned index, enum fake_hosts_cut how)
+{
+  for (unsigned i = 0; i < FAKE_HOSTS_ENGINES; i++)
+    link_lead (&fleet.hosts[index], i,
+               how == FAKE_HOSTS_HANG ? fleet.hole_address : "127.0.0.1:1");
+}
+
+void
+fake_hosts_heal (unsigned index)
+{
+  for (unsigned i = 0; i < FAKE_HOSTS_ENGINES; i++)
+    link_lead (&fleet.hosts[index], i, fleet.hosts[index].addresses[i]);
+}
+
+void
+fake_hosts_run_for (int64_t ms)
+{
+  int64_t end = clock_now (&fleet.clock) + ms * NS_PER_MS;
+
+  while (clock_now (&fleet.clock) < end)
+    {
+      uv_run (&fleet.loop, UV_RUN_NOWAIT);
+      g_usleep (500);
+    }
+}
+
+static int
+caller_connect (unsigned index)
+{
+  struct sockaddr_in address;
+  int size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  uv_tcp_getsockname (&fleet.hosts[index].front.listener,
+                      (struct sockaddr *)&address, &size);
+  CU_ASSERT_EQUAL_FATAL (
+      connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  return fd;
+}
+
+/* Whether the caller has its whole response: the servers of these tests send
+ * lengths of five or nothing, or chunks. */
+static bool
+answer_is_whole (void)
+{
+  const char *end = strstr (fleet.answer->str, "\r\n\r\n");
+
+  return end != NULL
+         && (strstr (fleet.answer->str, "chunked") == NULL
+             || g_str_has_suffix (fleet.answer->str, "\r\n0\r\n\r\n"));
+}
+
+int
+fake_hosts_request (unsigned index, const char *target)
+{
+  int fd = caller_connect (index);
+  int64_t end = clock_now (&fleet.clock) + WAIT_MS * NS_PER_MS;
+  char *text = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: " HOST_NAME "\r\nX-Request-Id: r%u\r\n"
+      "X-Api-Key: key\r\nX-Request-Deadline: 1200\r\nContent-Length: 3\r\n\r\n"
+      "abc",
+      target, ++request_number);
+  ssize_t size = write (fd, text, strlen (text));
+  char bytes[4096];
+
+  CU_ASSERT_EQUAL (size, (ssize_t)strlen (text));
+  g_free (text);
+  g_string_truncate (fleet.answer, 0);
+  while (clock_now (&fleet.clock) < end && !answer_is_whole () && size != 0)
+    {
+      uv_run (&fleet.loop, UV_RUN_NOWAIT);
+      size = read (fd, bytes, sizeof bytes);
+      if (size > 0)
+        g_string_append_len (fleet.answer, bytes, size);
+      g_usleep (200);
+    }
+  close (fd);
+  fake_hosts_run_for (5);
+  return answer_is_whole () ? atoi (fleet.answer->str + strlen ("HTTP/1.1 "))
+                            : 0;
+}
+
+unsigned
+fake_hosts_engine_requests (void)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < FAKE_HOSTS; i++)
+    for (unsigned engine = 0; engine < FAKE_HOSTS_ENGINES; engine++)
+      count += fleet.hosts[i].engines[engine].requests;
+  return count;
+}
--- /dev/null
+++ b/test/fake-hosts.h
@@ -0,0 +1,85 @@
+#ifndef FAKE_HOSTS_H
+#define FAKE_HOSTS_H
+
+#include "fake-kv.h"
+#include "fake-upstream.h"
+#include "forwarder.h"
+
+/** @file
+ * Some entry hosts in one process, with the real modules of the request's way
+ * and two engines. Each host has addresses of its own for the engines, so that
+ * its links can be cut.
+ */
+
+enum
+{
+  FAKE_HOSTS = 3,
+  FAKE_HOSTS_ENGINES = 4
+};
+
+/** How connections to the engines fail while the links are cut. */
+enum fake_hosts_cut
+{
+  FAKE_HOSTS_HANG,
+  FAKE_HOSTS_REFUSE
+};
+
+struct fake_host
+{
+  struct servers servers;
+  struct poisoncount poison;
+  struct blameshare blameshare;
+  struct kvstores kvstores;
+  struct presence presence;
+  struct cacheretire retire;
+  struct streamorigin origin;
+  struct loadshare loadshare;
+  struct otherhosts otherhosts;
+  struct forwarder forwarder;
+  struct callerserver front;
+  struct callerserver host_server;
+  /** The engines as this host's links lead to them. */
+  struct fake_upstream engines[FAKE_HOSTS_ENGINES];
+  char addresses[FAKE_HOSTS_ENGINES][32];
+};
+
+struct fake_hosts
+{
+  uv_loop_t loop;
+  uv_timer_t timer;
+  struct clock clock;
+  struct log log;
+  struct metrics metrics;
+  struct rng rng;
+  struct fake_kv kv;
+  struct fake_kv_client client;
+  struct fake_host hosts[FAKE_HOSTS];
+  bool datagrams_lost;
+  int64_t next_reports_ns;
+  int hole; /**< Listens, but accepts no connections any more. */
+  char hole_address[32];
+  GString *answer;
+  unsigned passed_on; /**< Times that a request was passed on. */
+};
+
+extern struct fake_hosts fleet;
+
+/** Engines answer with STEP. */
+void fake_hosts_setup (const struct fake_upstream_step *step);
+void fake_hosts_finish (void);
+
+/** Cut the links of host INDEX to all engines. */
+void fake_hosts_cut (unsigned index, enum fake_hosts_cut how);
+/** The links of host INDEX work again. */
+void fake_hosts_heal (unsigned index);
+
+void fake_hosts_run_for (int64_t ms);
+
+/** Send a request with TARGET to host INDEX, and wait for its response.
+ * @return its status, or 0 if there is none */
+int fake_hosts_request (unsigned index, const char *target);
+
+/** Returns the number of requests that engines got over all links. */
+unsigned fake_hosts_engine_requests (void);
+
+#endif
