A host that reaches no server of a service passes requests on to another

Cause: a host that could reach no server had no other way, although hosts that it reached could run the request; and it took 1.9 s to find that out, since each server was judged for itself.

Now, while the servers of a service are out of reach here (all unreachable, or connections to three in a row failed and none opened), a request is passed on to a host that does not report the same: those that report to reach the service first, then those with the fewest requests of this host, two hosts at most, 256 requests at each, 512 from all hosts. The other host treats it as a caller's, with its key, what is left of its time and the attempts it has had, and never passes it on again. A refusal of the other host is a promise that nothing ran; an attempt that may have run there is not repeated. If no host reaches the service, requests are refused at once. Once links are doubted, all servers of the service are probed, which finds a cut in 0.4 s, and its end.

--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -36,7 +36,7 @@
 {
   const struct forwarder *forwarder = forward->forwarder;
 
-  return false && !forward->from_host && forwarder->hosts != NULL
+  return !forward->from_host && forwarder->hosts != NULL
          && forward->host_tries < FORWARD_HOST_TRIES_MAX
          && forward->run_count < forward->route->servers_max
          && (forward->run_count == 0 || route_allows_retry (forward->route))
--- a/src/servers.c
+++ b/src/servers.c
@@ -543,7 +543,7 @@
 links_are_doubted (const struct servers *servers, const struct server *server,
                    int64_t now)
 {
-  return false && server_is_available (server) && now >= server->next_probe_ns
+  return server_is_available (server) && now >= server->next_probe_ns
          && servers_reach (servers, server->entry.service)->failed_count > 0
          && servers_service_is_out (servers, server->entry.service);
 }
