A leader of the rollout that reaches no engines gives way

Callers would be refused, all of them, a few seconds after new weights are set while the host that leads the rollout has no links to the engines: it can order nothing, no engine gets the new weights, and old ones are given up.

Now a host that does not reach engines that others report to reach releases the leadership, again if the reply is lost, and claims it no more meanwhile.

duty/leader-without-links-gives-way fails without rollout_set_unfit's release (no other leader).

--- a/src/entrypeers.c
+++ b/src/entrypeers.c
@@ -54,6 +54,36 @@
              counts[LOADSHARE_REACH_UNKNOWN]);
 }
 
+static bool
+runs_models (const struct entry *entry, const char *service)
+{
+  const GPtrArray *list = servers_of_service (&entry->servers, service);
+
+  for (guint i = 0; list != NULL && i < list->len; i++)
+    if (((const struct server *)list->pdata[i])->entry.model_count > 0)
+      return true;
+  return false;
+}
+
+/* Whether other hosts reach engines that this host does not. */
+static bool
+others_reach_more (const struct entry *entry)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  g_hash_table_iter_init (&iter, entry->peers.out);
+  while (g_hash_table_iter_next (&iter, &service, NULL))
+    {
+      unsigned counts[LOADSHARE_REACH_IN + 1] = { 0 };
+
+      reports_count (entry, service, counts);
+      if (counts[LOADSHARE_REACH_IN] > 0 && runs_models (entry, service))
+        return true;
+    }
+  return false;
+}
+
 void
 entrypeers_tick (struct entry *entry)
 {
@@ -63,4 +93,5 @@
   g_hash_table_iter_init (&iter, entry->servers.by_service);
   while (g_hash_table_iter_next (&iter, &service, NULL))
     service_check (entry, service);
+  rollout_set_unfit (&entry->rollout, others_reach_more (entry));
 }
--- a/src/entrypeers.h
+++ b/src/entrypeers.h
@@ -20,7 +20,8 @@
 void entrypeers_init (struct entrypeers *peers);
 void entrypeers_finish (struct entrypeers *peers);
 
-/** Log what has changed since the last tick. */
+/** Log what has changed since the last tick. A host that does not reach
+ * engines that others reach does not lead the rollout. */
 void entrypeers_tick (struct entry *entry);
 
 #endif
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -174,6 +174,9 @@
 static void
 release_replied (void *data, const struct kv_reply *reply)
 {
+  struct rollout *rollout = data;
+
+  rollout->release_pending = false;
 }
 
 /* Returns the rank of this host among all hosts in the order of preference for
@@ -489,20 +492,41 @@
          || server_weight_version (server, engine->model) >= engine->version;
 }
 
-void
-rollout_stop (struct rollout *rollout)
+/* Removes the leader's key, which has this host's value at REVISION. */
+static void
+leader_key_remove (struct rollout *rollout, uint64_t revision)
 {
-  struct kv_compare compare = { rollout->leader_key, rollout->fencing_token };
+  struct kv_compare compare = { rollout->leader_key, revision };
   struct kv_write write = { rollout->leader_key, NULL, 0 };
   struct kv_txn txn = { &compare, 1, &write, 1 };
 
+  rollout->release_pending = true;
+  rollout->kv->ops->txn (rollout->kv, &txn, release_replied, rollout);
+}
+
+void
+rollout_stop (struct rollout *rollout)
+{
   rollout->stopping = true;
   if (rollout->fencing_token == 0)
     return;
-  rollout->kv->ops->txn (rollout->kv, &txn, release_replied, rollout);
+  leader_key_remove (rollout, rollout->fencing_token);
   leadership_lost (rollout, "stopping");
 }
 
+void
+rollout_set_unfit (struct rollout *rollout, bool unfit)
+{
+  uint64_t revision = rollout->fencing_token != 0 ? rollout->fencing_token
+                                                  : rollout->own_key_revision;
+
+  rollout->unfit = unfit;
+  if (!unfit || revision == 0 || rollout->release_pending)
+    return;
+  leader_key_remove (rollout, revision);
+  leadership_lost (rollout, "engines_out_of_reach");
+}
+
 bool
 rollout_server_is_loading (const struct rollout *rollout,
                            const struct server *server)
@@ -525,8 +549,8 @@
 static bool
 claim_reply_was_lost (const struct rollout *rollout)
 {
-  return rollout->fencing_token == 0 && rollout->own_key_revision != 0
-         && !rollout->claim_pending
+  return !rollout->unfit && rollout->fencing_token == 0
+         && rollout->own_key_revision != 0 && !rollout->claim_pending
          && rollout->own_key_revision != rollout->refused_token
          && rollout->presence->lease == rollout->claim_lease;
 }
@@ -547,7 +571,7 @@
     leadership_acquired (rollout, rollout->own_key_revision);
   if (rollout->fencing_token == 0)
     {
-      if (!rollout->has_leader && !rollout->claim_pending)
+      if (!rollout->has_leader && !rollout->claim_pending && !rollout->unfit)
         leadership_claim (rollout);
       return;
     }
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -62,7 +62,11 @@
   /** Time since which there is no leader, as far as this host can tell. */
   int64_t vacant_since_ns;
   bool claim_pending;
+  bool release_pending;
   bool stopping;
+  /** Whether other hosts reach engines that this host does not, so that one of
+   * them has to be the leader. */
+  bool unfit;
   GHashTable *engines;  /**< Maps server ids to struct rollout_engine. */
   unsigned loading_max; /**< Maximum number of engines that may load weights at
                            the same time. */
@@ -92,6 +96,10 @@
 /** Releases the leadership and sends no more orders. */
 void rollout_stop (struct rollout *rollout);
 
+/** Sets whether other hosts reach engines that this host does not. A leader
+ * releases the leadership then, and claims it no more until UNFIT is false. */
+void rollout_set_unfit (struct rollout *rollout, bool unfit);
+
 /** Whether this host is the leader and may send orders now. */
 bool rollout_may_order (const struct rollout *rollout);
 
--- a/test/test-duty.c
+++ b/test/test-duty.c
@@ -435,6 +435,32 @@
   finish ();
 }
 
+/* A leader without links to the engines kept the leadership, and no engine got
+ * the new weights. */
+static void
+test_leader_without_links_gives_way (void)
+{
+  unsigned first_leader;
+
+  setup ();
+  first_leader = leader_index ();
+  fake.faults.down = true;
+  rollout_set_unfit (&hosts[first_leader].rollout, true);
+  run_for_ms (400);
+  fake.faults.down = false;
+  set_wanted_version (2);
+  for (unsigned i = 0; i < 450; i++)
+    {
+      rollout_set_unfit (&hosts[first_leader].rollout, true);
+      run_for_ms (20);
+    }
+  CU_ASSERT_EQUAL (leader_count (), 1);
+  CU_ASSERT_TRUE (leader_index () != first_leader);
+  CU_ASSERT_TRUE (all_engines_have (2));
+  CU_ASSERT_EQUAL (refused_orders, 0);
+  finish ();
+}
+
 /* While the KV service is down, no host may send orders after its lease has
  * expired. Once the service is up again, the rollout continues. */
 static void
@@ -473,6 +499,7 @@
 static const struct unit_case cases[] = {
   { "hosts-know-each-other", test_hosts_see_each_other },
   { "suspended-leader-catches-up", test_suspended_leader_catches_up },
+  { "leader-without-links-gives-way", test_leader_without_links_gives_way },
   { "one-holder-swaps-a-few-at-once", test_one_leader_loads_a_few_at_once },
   { "duty-moves-on", test_leadership_passes_on },
   { "suspended-holder-orders-nothing", test_suspended_leader_sends_no_orders },
