The leader believes of an engine only what it ordered or the engine said

Callers would see requests begin on old weights for good: an engine counts as new everywhere, is sent requests that require the new version, and is never ordered to load it.

Cause: an order for version 2 whose answer is lost is sent again. If version 3 is set before the answer "loaded" comes, the record of the order named version 3 already, so the leader believed version 3 and told the other hosts. A belief was never lowered, not even by the engine's own refusal (421 with its version).

Why it works: the version that was ordered is kept with the order and is what the answer confirms; an engine that is still behind stays in the rollout. A refusal that states an older version than was believed when the request was sent, and still is, lowers the belief: an engine never goes back to older weights. If the belief changed in between, the statement may be older than the change and is ignored. Reports to the leader are some hundred ms old and can't be ordered against a belief, so they lower nothing.

Evidence, before: duty/newer-version-during-an-order CU_ASSERT_FALSE(leader_believes_too_much ()), CU_ASSERT_TRUE(all_engines_have (3)); oldweights/belief-is-corrected CU_ASSERT_EQUAL(server_weight_version (servers_find (&path.servers, "i-0"), "m"),1).

--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -46,9 +46,14 @@
       server->waiting_requests = response->waiting_requests;
       server->load_reported_ns = forward->exchange.last_received_ns;
     }
-  if (response->weight_version != 0 && forward->call.model != NULL)
-    server_set_weight_version (server, forward->call.model,
-                               response->weight_version);
+  if (response->weight_version == 0 || forward->call.model == NULL)
+    return;
+  server_set_weight_version (server, forward->call.model,
+                             response->weight_version);
+  if (response->other_weights && response->matches_request)
+    server_correct_weight_version (server, forward->call.model,
+                                   forward->attempt_weight_version,
+                                   response->weight_version);
 }
 
 void
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -40,7 +40,9 @@
   struct rollout *rollout;
   struct server *server;
   char model[SERVER_NAME_MAX];
-  uint64_t version;
+  uint64_t version;         /* Version that the engine shall have. */
+  uint64_t ordered_version; /* Version that the last order named; an older one
+                               if a newer version was set since. */
   uint64_t fencing_token; /* Fencing token of the last order to the engine. */
   enum engine_step step;
   bool is_loading; /* Whether rollout.loading_count includes the engine. */
@@ -250,19 +252,26 @@
   return false;
 }
 
+/* Records that ENGINE has VERSION. The engine stays in the rollout if a newer
+ * version was set meanwhile. */
 static void
-engine_loaded (struct rollout_engine *engine)
+engine_loaded (struct rollout_engine *engine, uint64_t version)
 {
   struct rollout *rollout = engine->rollout;
 
-  server_set_weight_version (engine->server, engine->model, engine->version);
+  server_set_weight_version (engine->server, engine->model, version);
   engine->server->busy_until_ns = 0;
   log_event (rollout->log, EVENT_SWAP_DONE,
              "server=%s model=%s version=%lu fence=%lu",
-             engine->server->entry.id, engine->model,
-             (unsigned long)engine->version,
+             engine->server->entry.id, engine->model, (unsigned long)version,
              (unsigned long)engine->fencing_token);
-  g_hash_table_remove (rollout->engines, engine->server->entry.id);
+  if (version >= engine->version)
+    {
+      g_hash_table_remove (rollout->engines, engine->server->entry.id);
+      return;
+    }
+  engine_set_loading (engine, false);
+  engine_query_after (engine, 0);
 }
 
 static void
@@ -279,12 +288,12 @@
   log_event (rollout->log, EVENT_SWAP_ANSWER,
              "server=%s model=%s version=%lu fence=%lu answer=%s",
              engine->server->entry.id, engine->model,
-             (unsigned long)engine->version,
+             (unsigned long)engine->ordered_version,
              (unsigned long)engine->fencing_token, answer_names[answer]);
   switch (answer)
     {
     case WEIGHTS_REPLY_DONE:
-      engine_loaded (engine);
+      engine_loaded (engine, engine->ordered_version);
       break;
     case WEIGHTS_REPLY_FENCED:
       rollout->refused_token = engine->fencing_token;
@@ -326,6 +335,7 @@
     }
   engine_set_loading (engine, true);
   engine->fencing_token = rollout->fencing_token;
+  engine->ordered_version = engine->version;
   engine->step = ENGINE_STEP_WAIT;
   rollout->order_count++;
   rollout->last_order_ns = clock_now (rollout->clock);
@@ -360,7 +370,7 @@
   if (!report->replied)
     engine_query_after (engine, QUERY_RETRY_MS);
   else if (report_version (report, engine->model) >= engine->version)
-    engine_loaded (engine);
+    engine_loaded (engine, engine->version);
   else if (report->busy)
     {
       engine_set_loading (engine, true);
--- a/src/servers.c
+++ b/src/servers.c
@@ -327,6 +327,18 @@
     }
 }
 
+void
+server_correct_weight_version (struct server *server, const char *model,
+                               uint64_t believed, uint64_t version)
+{
+  if (version >= believed || server_weight_version (server, model) != believed)
+    return;
+  for (unsigned i = 0; i < server->entry.model_count; i++)
+    if (strcmp (server->entry.models[i].name, model) == 0)
+      server->entry.models[i].weight_version = version;
+  server_cache_clear (server);
+}
+
 static void
 server_set_unreachable (struct servers *servers, struct server *server)
 {
--- a/src/servers.h
+++ b/src/servers.h
@@ -206,6 +206,13 @@
 void server_set_weight_version (struct server *server, const char *model,
                                 uint64_t version);
 
+/** Records that SERVER has said that it has VERSION of MODEL's weights, in
+ * answer to what was sent while it was believed to have BELIEVED. An engine
+ * never returns to older weights, so an older VERSION shows that the belief
+ * was wrong, unless the engine may have loaded weights since. */
+void server_correct_weight_version (struct server *server, const char *model,
+                                    uint64_t believed, uint64_t version);
+
 /** Records that a connection to SERVER failed to open. */
 void server_record_connection_failure (struct servers *servers,
                                        struct server *server);
--- a/test/test-duty.c
+++ b/test/test-duty.c
@@ -46,6 +46,12 @@
 static struct engine engines[ENGINES];
 static unsigned most_loading;
 static unsigned refused_orders;
+/* Whether the engines' answers to orders are lost, or those that say that
+ * weights are loaded are held back. */
+static bool order_answers_are_lost;
+static bool done_answers_are_late;
+/* Whether the engines report what was true before their first order. */
+static bool reports_are_old;
 
 /* A reply of an engine that the host has not received yet. */
 struct pending_reply
@@ -71,7 +77,10 @@
       struct pending_reply *item
           = &g_array_index (replies, struct pending_reply, i);
 
-      if (item->order_reply_received != NULL)
+      if (item->order_reply_received != NULL && done_answers_are_late
+          && item->order_reply == WEIGHTS_REPLY_DONE)
+        g_array_append_val (pending_replies, *item);
+      else if (item->order_reply_received != NULL)
         item->order_reply_received (item->data, item->order_reply);
       else
         item->query_reply_received (item->data, &item->report);
@@ -134,6 +143,8 @@
 
   item.order_reply
       = engine_order (&engines[engine_index (order->server_id)], order);
+  if (order_answers_are_lost)
+    item.order_reply = WEIGHTS_REPLY_UNKNOWN;
   g_array_append_val (pending_replies, item);
 }
 
@@ -152,10 +163,10 @@
   engine_advance (engine);
   report->replied = true;
   report->model_count = 1;
-  report->busy = engine->target_version > engine->version;
+  report->busy = !reports_are_old && engine->target_version > engine->version;
   report->order_count = engine->order_count;
   g_strlcpy (report->models[0].name, "m", sizeof report->models[0].name);
-  report->models[0].weight_version = engine->version;
+  report->models[0].weight_version = reports_are_old ? 1 : engine->version;
   g_array_append_val (pending_replies, item);
 }
 
@@ -302,6 +313,9 @@
   fake_kv_init (&fake, &fake_clock.clock, 1);
   most_loading = 0;
   refused_orders = 0;
+  order_answers_are_lost = false;
+  done_answers_are_late = false;
+  reports_are_old = false;
   pending_replies = g_array_new (FALSE, TRUE, sizeof (struct pending_reply));
   for (unsigned i = 0; i < ENGINES; i++)
     engines[i] = (struct engine){ .version = 1, .target_version = 1 };
@@ -470,6 +484,50 @@
   finish ();
 }
 
+/* Whether the leader believes that an engine has newer weights than it has. */
+static bool
+leader_believes_too_much (void)
+{
+  const struct host *leader = &hosts[leader_index ()];
+
+  for (unsigned i = 0; i < ENGINES; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "e%u", i);
+      engine_advance (&engines[i]);
+      if (server_weight_version (servers_find (&leader->servers, id), "m")
+          > engines[i].version)
+        return true;
+    }
+  return false;
+}
+
+/* An order whose answer was lost was sent again, and a newer version was set
+ * before the answer to the repeated order came: the leader believed that the
+ * engine had the newer version, and never ordered it. */
+static void
+test_newer_version_during_an_order (void)
+{
+  setup ();
+  set_wanted_version (2);
+  order_answers_are_lost = true;
+  run_for_ms (200);
+  order_answers_are_lost = false;
+  reports_are_old = true;
+  done_answers_are_late = true;
+  run_for_ms (1600);
+  set_wanted_version (3);
+  run_for_ms (100);
+  done_answers_are_late = false;
+  reports_are_old = false;
+  run_for_ms (40);
+  CU_ASSERT_FALSE (leader_believes_too_much ());
+  run_for_ms (12000);
+  CU_ASSERT_TRUE (all_engines_have (3));
+  finish ();
+}
+
 static const struct unit_case cases[] = {
   { "hosts-know-each-other", test_hosts_see_each_other },
   { "suspended-leader-catches-up", test_suspended_leader_catches_up },
@@ -478,6 +536,7 @@
   { "suspended-holder-orders-nothing", test_suspended_leader_sends_no_orders },
   { "outage-of-the-service", test_kv_service_outage },
   { "lost-reply-of-the-claim", test_lost_reply_to_the_claim },
+  { "newer-version-during-an-order", test_newer_version_during_an_order },
 };
 
 int
--- a/test/test-oldweights.c
+++ b/test/test-oldweights.c
@@ -144,6 +144,47 @@
   fake_path_finish ();
 }
 
+/* An engine that was believed to have newer weights than it has, and said so,
+ * was believed to have them for ever. */
+static void
+test_belief_is_corrected (void)
+{
+  static const struct fake_upstream_step other_weights
+      = { "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\n"
+          "X-Instance-Id: i-0\r\nX-Weight-Versions: 1\r\n"
+          "Content-Length: 0\r\n\r\n",
+          FAKE_UPSTREAM_KEEP };
+
+  setup (&other_weights, &stream);
+  set_engine (0, 2);
+  servers_find (&path.servers, "i-1")->other_hosts_prefill_tokens = 100000;
+  want_version_2 ();
+  fake_path_request_send ("/stream/", "X-Model: m\r\n");
+  CU_ASSERT_TRUE (fake_path_run_until (END_OF_CHUNKS));
+  CU_ASSERT_EQUAL (path.upstreams[0].requests, 1);
+  CU_ASSERT_EQUAL (
+      server_weight_version (servers_find (&path.servers, "i-0"), "m"), 1);
+  fake_path_finish ();
+}
+
+/* What an engine said before it loaded newer weights corrects nothing. */
+static void
+test_late_statement_corrects_nothing (void)
+{
+  struct server *server;
+
+  setup (&stream, NULL);
+  server = servers_find (&path.servers, "i-0");
+  server_set_weight_version (server, "m", 3);
+  server_correct_weight_version (server, "m", 2, 1);
+  CU_ASSERT_EQUAL (server_weight_version (server, "m"), 3);
+  server_correct_weight_version (server, "m", 3, 4);
+  CU_ASSERT_EQUAL (server_weight_version (server, "m"), 3);
+  server_correct_weight_version (server, "m", 3, 2);
+  CU_ASSERT_EQUAL (server_weight_version (server, "m"), 2);
+  fake_path_finish ();
+}
+
 /* A KV service that records the last call. */
 static struct
 {
@@ -346,6 +387,8 @@
   { "late-in-the-queue", test_late_in_the_queue },
   { "late-in-the-queue-once", test_late_in_the_queue_once },
   { "backlog-over-the-time-left", test_backlog_over_the_time_left },
+  { "belief-is-corrected", test_belief_is_corrected },
+  { "late-statement-corrects-nothing", test_late_statement_corrects_nothing },
   { "learned-after-a-pause", test_learned_after_a_pause },
   { "learned-after-a-silent-watch", test_learned_after_a_silent_watch },
   { "learned-after-an-outage", test_learned_after_an_outage },
