A lost reply of the operator's watch is found out from the engines

Callers would see one host send requests to old weights for up to 26 s after new ones were set: VERSION broken many times by that host, while all others had changed over.

Cause: a watch waits 25 s. If its reply is lost and its connection stays alive (other replies use it too), nothing tells the host, although engines and the leader of the rollout tell it of newer weights than it knows to be wanted. When the watch ends at last, the read after it finds the version, which counted as four seconds old.

Why it works: no engine has a version that the operator has not set. A newer one at any engine (response, registry, report of the leader; all end in the same record) has the operator's keys read anew: one read for each version, at most one in 5 s, since the service keeps the ignored watches (12 at most) for their time. The version counts as 2.5 s old then, an estimate: an order, a load of 1.3 s and a report. The time of the last reply would be the safe bound, but it is up to 25 s old: when a slow store delays many watches, all hosts would require the version before any engine had it. A watch that fails after its whole wait keeps the time of the last reply.

Evidence, with the two remedies taken out: oldweights/learned-after-a-lost-reply CU_ASSERT_TRUE(age_ms () >= 26000), oldweights/newer-weights-heard-of CU_ASSERT_TRUE(service.is_read), CU_ASSERT_TRUE(age_ms () >= 2000), CU_ASSERT_EQUAL(service.calls,calls + 2). All of oldweights and kvview pass.

--- a/src/entry.c
+++ b/src/entry.c
@@ -278,6 +278,7 @@
   pause_check (entry);
   kvbudget_tick (&entry->kvbudget);
   kv_views_check (entry);
+  weightsnews_tick (&entry->weightsnews);
   kvview_tick (&entry->operator_view);
   kvview_tick (&entry->servers_view);
   kvview_tick (&entry->hosts_view);
@@ -478,6 +479,8 @@
                   &entry->log, &entry->metrics, entry->dialect, &no_settings,
                   &entry->servers, &entry->poisoncount, &entry->blameshare,
                   &entry->kvstores, &entry->retire, &entry->origin);
+  weightsnews_init (&entry->weightsnews, &entry->servers, &entry->log,
+                    &entry->operator_view, entry->forwarder.wanted_weights);
   cacheretire_init (&entry->retire, &entry->clock, &entry->log,
                     &entry->servers, &entry->presence,
                     entry->forwarder.wanted_weights);
@@ -558,6 +561,7 @@
   callerserver_finish (&entry->directory_server);
   callerserver_finish (&entry->ready_server);
   callerserver_finish (&entry->metrics_server);
+  weightsnews_finish (&entry->weightsnews);
   forwarder_finish (&entry->forwarder);
   streamorigin_finish (&entry->origin);
   kvbudget_finish (&entry->kvbudget);
--- a/src/entry.h
+++ b/src/entry.h
@@ -22,6 +22,7 @@
 #include "servers.h"
 #include "settings.h"
 #include "rollout.h"
+#include "weightsnews.h"
 
 /** @file
  * The process of an entry host. It serves the callers, lists the addresses
@@ -78,6 +79,7 @@
   struct cacheretire retire;
   struct cachegc cachegc;
   struct forwarder forwarder;
+  struct weightsnews weightsnews;
   struct callerserver caller_server;
   struct callerserver directory_server;
   struct callerserver ready_server;
--- a/src/event.c
+++ b/src/event.c
@@ -175,6 +175,9 @@
   { EVENT_WEIGHTS_WANTED, EVENT_LEVEL_WARN, "weights_wanted",
     "The operator wants a newer version of a model's weights; how this "
     "process learned of it (start, read, change), and how old it counts as." },
+  { EVENT_WEIGHTS_HEARD, EVENT_LEVEL_WARN, "weights_heard",
+    "A server has newer weights of a model than the operator is known to "
+    "want; the operator's keys are read again." },
   { EVENT_STORE_LOST, EVENT_LEVEL_WARN, "store_lost",
     "The KV service does not reply to reads of the keys with the given "
     "prefix; the values read before stay in use." },
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -26,7 +26,10 @@
   OUTAGE_FOUND_MS = 1000,
   /* A reply that comes sooner may report a change that was made before the
    * call. */
-  ROUND_TRIP_MS = 250
+  ROUND_TRIP_MS = 250,
+  /* Minimum time between two calls in flight that are ignored, so that the
+   * limit on pending watches is kept. */
+  READ_ANEW_INTERVAL_MS = 5000
 };
 
 static void
@@ -177,8 +180,23 @@
 static void
 view_missed_changes (struct kvview *view, int64_t ago_ns)
 {
-  view->unseen_since_ns
-      = MAX (view->unseen_since_ns, clock_boottime (view->clock) - ago_ns);
+  if (!view->keeps_unseen)
+    view->unseen_since_ns
+        = MAX (view->unseen_since_ns, clock_boottime (view->clock) - ago_ns);
+}
+
+/* Notes that CALL failed. */
+static void
+call_missed_changes (struct kvview *view, const struct kvview_call *call)
+{
+  int64_t sent_ago_ns = clock_boottime (view->clock) - call->sent_ns;
+
+  if (call->is_full_read)
+    view_missed_changes (view, sent_ago_ns);
+  /* The connection of a watch that waited for its whole time was alive, so
+   * that its reply may have been lost at any time. */
+  else if (sent_ago_ns < view->settings.watch_duration_ns)
+    view_missed_changes (view, SILENT_WATCH_MS * NS_PER_MS);
 }
 
 /* Returns the earliest time at which a change in the reply to CALL can have
@@ -191,7 +209,7 @@
   int64_t news_ns = pausewatch != NULL ? pausewatch_news_since_ns (pausewatch)
                                        : clock_boottime (view->clock);
 
-  if (call->is_full_read
+  if (call->is_full_read || view->keeps_unseen
       || news_ns - call->sent_ns < ROUND_TRIP_MS * NS_PER_MS)
     return view->unseen_since_ns;
   return MAX (news_ns, view->unseen_since_ns);
@@ -210,6 +228,16 @@
   view->ops->reachability_changed (view->data, reachable);
 }
 
+/* Notes that all changes up to now were reported. */
+static void
+view_saw_changes (struct kvview *view)
+{
+  if (view->anew_due)
+    return;
+  view->unseen_since_ns = clock_boottime (view->clock);
+  view->keeps_unseen = false;
+}
+
 static void
 view_replied (void *data, const struct kv_reply *reply)
 {
@@ -218,16 +246,14 @@
   bool is_current = call->generation == view->generation;
   bool is_full_read = call->is_full_read;
   int64_t written_since_ns = reply_written_since_ns (view, call);
-  int64_t silent_ns = is_full_read
-                          ? clock_boottime (view->clock) - call->sent_ns
-                          : SILENT_WATCH_MS * NS_PER_MS;
 
+  is_current = is_current && reply->status != STATUS_CANCELLED;
+  if (is_current && reply->status != STATUS_OK)
+    call_missed_changes (view, call);
   g_free (call);
-  if (!is_current || reply->status == STATUS_CANCELLED)
+  if (!is_current)
     return;
   view->call_in_flight = false;
-  if (reply->status != STATUS_OK)
-    view_missed_changes (view, silent_ns);
   if (reply->status == STATUS_STALE)
     {
       view->needs_full_read = true;
@@ -255,7 +281,7 @@
     }
   else
     changes_apply (view, reply);
-  view->unseen_since_ns = clock_boottime (view->clock);
+  view_saw_changes (view);
   if (reply->item_count > 0)
     view->next_call_ns = clock_now (view->clock) + view->pause_ns;
   if (reply->revision > view->revision)
@@ -280,11 +306,27 @@
                           call);
 }
 
+static void
+view_drop_call (struct kvview *view)
+{
+  view->generation++;
+  view->call_in_flight = false;
+  view->needs_full_read = true;
+}
+
 void
 kvview_tick (struct kvview *view)
 {
+  int64_t now = clock_now (view->clock);
+
   held_keys_expire (view);
-  if (!view->call_in_flight && clock_now (view->clock) >= view->next_call_ns)
+  if (view->anew_due && now >= view->next_anew_ns)
+    {
+      view->anew_due = false;
+      view->next_anew_ns = now + READ_ANEW_INTERVAL_MS * NS_PER_MS;
+      view_drop_call (view);
+    }
+  if (!view->call_in_flight && now >= view->next_call_ns)
     view_send_call (view);
 }
 
@@ -297,12 +339,19 @@
 void
 kvview_restart (struct kvview *view)
 {
-  view->generation++;
-  view->call_in_flight = false;
-  view->needs_full_read = true;
+  view_drop_call (view);
   view_missed_changes (view, OUTAGE_FOUND_MS * NS_PER_MS);
 }
 
+void
+kvview_read_anew (struct kvview *view, int64_t since_ns)
+{
+  if (!view->keeps_unseen)
+    view->unseen_since_ns = MAX (view->unseen_since_ns, since_ns);
+  view->keeps_unseen = true;
+  view->anew_due = true;
+}
+
 void
 kvview_visit_newer (const struct kvview *view, uint64_t revision,
                     void (*visit) (void *data, const char *key,
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -68,6 +68,10 @@
   int64_t pause_ns;     /**< Delay of the next call after a reply that contains
                            keys. */
   int64_t next_call_ns; /**< Earliest time of the next call. */
+  bool anew_due; /**< Whether kvview_read_anew is still to take effect. */
+  int64_t next_anew_ns;  /**< Earliest time at which it does. */
+  bool keeps_unseen;     /**< Whether unseen_since_ns stays as it is until a
+                            call succeeds. */
   int64_t outage_end_ns; /**< Time at which the last outage ended. */
   int64_t last_reply_ns; /**< Time of the last successful reply, or 0. */
 };
@@ -92,6 +96,13 @@
  * to a watch from before the outage. */
 void kvview_restart (struct kvview *view);
 
+/** Ignore the call in flight and read all keys, since changes that were made
+ * from SINCE_NS on (by clock_boottime) may not have been reported although the
+ * service replies. Takes effect with the next tick, or a few seconds after the
+ * last time: the service keeps the ignored watches for as long as they would
+ * have waited. */
+void kvview_read_anew (struct kvview *view, int64_t since_ns);
+
 /** Store VALUE, which was written to KEY at REVISION, unless the view has the
  * same or a newer revision of KEY. Another process may have sent VALUE. */
 void kvview_update (struct kvview *view, const char *key, const char *value,
--- /dev/null
+++ b/src/weightsnews.c
@@ -0,0 +1,76 @@
+#include "weightsnews.h"
+#include "weights.h"
+
+enum
+{
+  /* Estimated age of a version that an engine is first heard to have. The
+   * order, the loading (ENGINE_LOAD_MS of the rollout) and the report take
+   * about as long. */
+  HEARD_AGE_MS = 2500,
+  /* Versions of weights begin at this one, which no operator has to set. */
+  FIRST_VERSION = 1
+};
+
+void
+weightsnews_init (struct weightsnews *news, const struct servers *servers,
+                  struct log *log, struct kvview *view, GHashTable *wanted)
+{
+  news->servers = servers;
+  news->log = log;
+  news->view = view;
+  news->wanted = wanted;
+  news->heard
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+weightsnews_finish (struct weightsnews *news)
+{
+  g_hash_table_destroy (news->heard);
+}
+
+static bool
+is_new (const struct weightsnews *news, const struct server_model *model)
+{
+  const struct wanted_weights *wanted
+      = g_hash_table_lookup (news->wanted, model->name);
+  const uint64_t *heard = g_hash_table_lookup (news->heard, model->name);
+
+  return model->weight_version
+             > (wanted != NULL ? wanted->version : FIRST_VERSION)
+         && (heard == NULL || model->weight_version > *heard);
+}
+
+static void
+weights_heard (struct weightsnews *news, const struct server *server,
+               const struct server_model *model)
+{
+  int64_t now = clock_boottime (news->view->clock);
+
+  log_event (news->log, EVENT_WEIGHTS_HEARD, "server=%s model=%s version=%lu",
+             server->entry.id, model->name,
+             (unsigned long)model->weight_version);
+  g_hash_table_replace (
+      news->heard, g_strdup (model->name),
+      g_memdup2 (&model->weight_version, sizeof model->weight_version));
+  kvview_read_anew (news->view, now - HEARD_AGE_MS * NS_PER_MS);
+}
+
+void
+weightsnews_tick (struct weightsnews *news)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!news->view->initial_read_done)
+    return;
+  g_hash_table_iter_init (&iter, news->servers->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct server *server = value;
+
+      for (unsigned i = 0; i < server->entry.model_count; i++)
+        if (is_new (news, &server->entry.models[i]))
+          weights_heard (news, server, &server->entry.models[i]);
+    }
+}
--- a/test/test-oldweights.c
+++ b/test/test-oldweights.c
@@ -1,6 +1,7 @@
 #include "fake-path.h"
 #include "kvview.h"
 #include "unit.h"
+#include "weightsnews.h"
 
 #include <string.h>
 
@@ -191,6 +192,8 @@
   struct kv kv;
   kv_done done;
   void *data;
+  bool is_read;
+  unsigned calls;
 } service;
 
 static struct clock_fake fake_clock;
@@ -203,6 +206,8 @@
 {
   service.done = done;
   service.data = data;
+  service.is_read = true;
+  service.calls++;
 }
 
 static void
@@ -210,6 +215,7 @@
             kv_done done, void *data)
 {
   fake_range (kv, prefix, done, data);
+  service.is_read = false;
 }
 
 static const struct kv_ops service_ops
@@ -382,6 +388,62 @@
   view_finish ();
 }
 
+/* A watch whose connection is alive but whose reply was lost ends at the end
+ * of its wait; what the read after it finds counted as four seconds old. */
+static void
+test_learned_after_a_lost_reply (void)
+{
+  static const enum status ends[] = { STATUS_UNKNOWN, STATUS_TIMEOUT };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      view_setup ();
+      run_for_ms (26000);
+      reply_to_call (ends[i], 0);
+      run_for_ms (60);
+      reply_to_call (STATUS_OK, 2);
+      CU_ASSERT_TRUE (age_ms () >= 26000);
+      view_finish ();
+    }
+}
+
+/* A host whose watch was silent believed in old weights although engines told
+ * it of newer ones. One read for each version finds out. */
+static void
+test_newer_weights_heard_of (void)
+{
+  struct weightsnews news;
+  unsigned calls;
+
+  setup (&stream, NULL);
+  view_setup ();
+  weightsnews_init (&news, &path.servers, &path.log, &view,
+                    path.forwarder.wanted_weights);
+  want_version_2 ();
+  set_engine (0, 2);
+  run_for_ms (10000);
+  calls = service.calls;
+  weightsnews_tick (&news);
+  run_for_ms (100);
+  CU_ASSERT_EQUAL (service.calls, calls);
+  set_engine (0, 3);
+  weightsnews_tick (&news);
+  run_for_ms (20);
+  CU_ASSERT_TRUE (service.is_read);
+  reply_to_call (STATUS_OK, 3);
+  CU_ASSERT_TRUE (age_ms () >= 2000);
+  CU_ASSERT_TRUE (age_ms () < 4000);
+  for (unsigned i = 0; i < 100; i++)
+    {
+      weightsnews_tick (&news);
+      run_for_ms (100);
+    }
+  CU_ASSERT_EQUAL (service.calls, calls + 2);
+  weightsnews_finish (&news);
+  view_finish ();
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
   { "suspended-host", test_suspended_host },
   { "late-in-the-queue", test_late_in_the_queue },
@@ -393,6 +455,8 @@
   { "learned-after-a-silent-watch", test_learned_after_a_silent_watch },
   { "learned-after-an-outage", test_learned_after_an_outage },
   { "learned-between-two-watches", test_learned_between_two_watches },
+  { "learned-after-a-lost-reply", test_learned_after_a_lost_reply },
+  { "newer-weights-heard-of", test_newer_weights_heard_of },
 };
 
 int
