After a start, old weights have at most 1.5 s whatever the site allows

Callers would see a host that started again send requests to replaced weights for longer the more time the site allows: with versionMs 12000 or 20000 the version that it finds was required after 1.8 or 3.0 s, and requests were taken back from old weights after 4.2 or 7.0 s. The version may have been set any time before, so that all of it can be too late.

Cause: the time left was a fifth of the time within which versions are required, and a request might still begin a further fifth of versionMs after that.

Why it works: the time until such a version is required is at most 0.9 s, and no request begins on older ones more than 1.5 s after the start. For versionMs 6000 it is required after 0.9 s as before; requests are taken back after 1.5 s instead of 2.1 s. The rule for taking back is in one place now (weights_begin_left_ns), used by the choice of an engine and by the check of those that wait.

--- a/src/choose.c
+++ b/src/choose.c
@@ -251,9 +251,8 @@
     return true;
   version = server_weight_version (server, query->model);
   return version >= query->wanted->version
-         || 2 * begin_ms * NS_PER_MS
-                <= (double)(weights_outdated_since_ns (query->wanted, version)
-                            + query->begin_span_ns - boottime_ns);
+         || 2 * begin_ms * NS_PER_MS <= (double)weights_begin_left_ns (
+                query->wanted, version, boottime_ns, query->begin_span_ns);
 }
 
 static void
--- a/src/entryweights.c
+++ b/src/entryweights.c
@@ -68,6 +68,9 @@
     since_ns = weights_found_since_ns (
         now, entry->forwarder.settings.version_grace_ns);
   forwarder_set_wanted_version (&entry->forwarder, model, version, since_ns);
+  if (!view->initial_read_done)
+    weights_set_found (
+        g_hash_table_lookup (entry->forwarder.wanted_weights, model), now);
   log_event (&entry->log, EVENT_WEIGHTS_WANTED,
              "model=%s version=%lu revision=%lu learned=%s age_ms=%ld", model,
              (unsigned long)version, (unsigned long)revision,
--- a/src/forwardweights.c
+++ b/src/forwardweights.c
@@ -36,7 +36,8 @@
   return exchange_is_sent (&forward->exchange)
          && forward->exchange.first_output_ns == 0 && wanted != NULL
          && version != 0 && version < wanted->version
-         && clock_boottime (forwarder->clock)
-                    - weights_outdated_since_ns (wanted, version)
-                > forwarder->settings.version_begin_ns;
+         && weights_begin_left_ns (wanted, version,
+                                   clock_boottime (forwarder->clock),
+                                   forwarder->settings.version_begin_ns)
+                < 0;
 }
