A read that was refused for its number is no outage for other hosts

Callers would see a host whose reads are refused for some seconds, by its own budget or by the service's 429, send requests to old weights for longer by those seconds than the hosts that read in time.

Cause: each failed read moved the time from which changes may be unseen, as in an outage in which no host can learn of them. The budget also took a 429 for an outage: queued calls ended as "unavailable", and the views were restarted after it, which moves that time too.

Why it works: STATUS_LIMITED moves nothing, and a service that only refuses calls by its limit does not count as down. The backoff after a 429 stays.

Evidence, before: oldweights/learned-after-refused-reads CU_ASSERT_TRUE(age_ms () >= 5000); kvbudget/limited-is-not-down CU_ASSERT_FALSE(kvbudget_service_is_down (&budget)), CU_ASSERT_EQUAL(reply_counts[STATUS_LIMITED],20), CU_ASSERT_EQUAL(reply_counts[STATUS_UNAVAILABLE],0). Both pass, and all of kvbudget, kvview, oldweights and duty.

--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -112,6 +112,7 @@
   if (budget->consecutive_failures == 0)
     return;
   budget->consecutive_failures = 0;
+  budget->is_lost = false;
   budget_refill (budget);
   budget->tokens = MIN (budget->tokens, 1.0);
 }
@@ -133,7 +134,10 @@
     budget_end_backoff (budget);
   else if (call->is_probe
            || (failed && call->sent_ns >= budget->backoff_start_ns))
-    budget_back_off (budget);
+    {
+      budget->is_lost = budget->is_lost || status != STATUS_LIMITED;
+      budget_back_off (budget);
+    }
 }
 
 /* Remove CALL from the lists and counts of its budget. */
@@ -265,7 +269,7 @@
 {
   struct kv_reply reply = { .status = STATUS_LIMITED };
 
-  if (budget->consecutive_failures > 0)
+  if (kvbudget_service_is_down (budget))
     reply.status = STATUS_UNAVAILABLE;
   budget->refused_count++;
   call_detach (call);
@@ -566,5 +570,5 @@
 bool
 kvbudget_service_is_down (const struct kvbudget *budget)
 {
-  return budget->consecutive_failures > 0;
+  return budget->is_lost;
 }
--- a/src/kvbudget.h
+++ b/src/kvbudget.h
@@ -58,6 +58,7 @@
   size_t watch_count;    /* Number of watches in the four lists. */
   unsigned consecutive_failures; /* Number of failures that started or extended
                                     the backoff; 0 if there is none. */
+  bool is_lost; /* Whether one of these failures was not a limit. */
   bool probe_in_flight;
   int64_t backoff_start_ns; /* Time of the failure that started the backoff. */
   int64_t backoff_end_ns;
@@ -80,8 +81,8 @@
  * CLOCK_NEVER. */
 int64_t kvbudget_next_tick_ns (const struct kvbudget *budget);
 
-/** Whether the service counts as down: a call has failed, and the service has
- * processed no call since. */
+/** Whether the service counts as down: a call has failed, other than by a
+ * limit of the service, and the service has processed no call since. */
 bool kvbudget_service_is_down (const struct kvbudget *budget);
 
 #endif
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -185,12 +185,16 @@
         = MAX (view->unseen_since_ns, clock_boottime (view->clock) - ago_ns);
 }
 
-/* Notes that CALL failed. */
+/* Notes that CALL ended with STATUS, not with STATUS_OK. */
 static void
-call_missed_changes (struct kvview *view, const struct kvview_call *call)
+call_missed_changes (struct kvview *view, const struct kvview_call *call,
+                     enum status status)
 {
   int64_t sent_ago_ns = clock_boottime (view->clock) - call->sent_ns;
 
+  /* A call over a limit says nothing about what other hosts can read. */
+  if (status == STATUS_LIMITED)
+    return;
   if (call->is_full_read)
     view_missed_changes (view, sent_ago_ns);
   /* The connection of a watch that waited for its whole time was alive, so
@@ -249,7 +253,7 @@
 
   is_current = is_current && reply->status != STATUS_CANCELLED;
   if (is_current && reply->status != STATUS_OK)
-    call_missed_changes (view, call);
+    call_missed_changes (view, call, reply->status);
   g_free (call);
   if (!is_current)
     return;
--- a/test/test-kvbudget.c
+++ b/test/test-kvbudget.c
@@ -182,7 +182,28 @@
   finish ();
 }
 
+/* A service that refuses calls for their number counted as down. */
+static void
+test_limited_is_not_down (void)
+{
+  setup (8);
+  fake.faults.limited_share = 1;
+  for (int i = 0; i < 20; i++)
+    budget.kv.ops->get (&budget.kv, "k", count_reply, NULL);
+  run (NS_PER_S);
+  CU_ASSERT_FALSE (kvbudget_service_is_down (&budget));
+  CU_ASSERT_EQUAL (reply_counts[STATUS_LIMITED], 20);
+  CU_ASSERT_EQUAL (reply_counts[STATUS_UNAVAILABLE], 0);
+  fake.faults.limited_share = 0;
+  fake.faults.down = true;
+  budget.kv.ops->get (&budget.kv, "k", count_reply, NULL);
+  run (NS_PER_S);
+  CU_ASSERT_TRUE (kvbudget_service_is_down (&budget));
+  finish ();
+}
+
 static const struct unit_case cases[] = {
+  { "limited-is-not-down", test_limited_is_not_down },
   { "rate-holds-in-a-storm", test_rate_limit_under_overload },
   { "one-probe-after-an-outage", test_one_probe_after_an_outage },
   { "waiting-watches-use-the-rate", test_waiting_watches_use_the_rate },
--- a/test/test-oldweights.c
+++ b/test/test-oldweights.c
@@ -377,6 +377,26 @@
   view_finish ();
 }
 
+/* A read that was refused for the number of calls is no outage: the other
+ * hosts read the same change in time. */
+static void
+test_learned_after_refused_reads (void)
+{
+  view_setup ();
+  run_for_ms (1000);
+  reply_to_call (STATUS_UNAVAILABLE, 0);
+  run_for_ms (100);
+  for (unsigned i = 0; i < 10; i++)
+    {
+      reply_to_call (STATUS_LIMITED, 0);
+      run_for_ms (500);
+    }
+  reply_to_call (STATUS_OK, 2);
+  CU_ASSERT_TRUE (age_ms () >= 5000);
+  CU_ASSERT_TRUE (age_ms () < 6500);
+  view_finish ();
+}
+
 /* A change between two watches is in the reply to the second, which comes at
  * once. */
 static void
@@ -558,6 +578,7 @@
   { "learned-after-a-pause", test_learned_after_a_pause },
   { "learned-after-a-silent-watch", test_learned_after_a_silent_watch },
   { "learned-after-an-outage", test_learned_after_an_outage },
+  { "learned-after-refused-reads", test_learned_after_refused_reads },
   { "learned-between-two-watches", test_learned_between_two_watches },
   { "learned-after-two-pauses", test_learned_after_two_pauses },
   { "learned-after-a-second-pause", test_learned_after_a_second_pause },
