--- a/src/entry.c
+++ b/src/entry.c
@@ -4,6 +4,7 @@
 #include "entryorigin.h"
 #include "entryviews.h"
 #include "entryweights.h"
+#include "forwardweights.h"
 
 #include <signal.h>
 #include <string.h>
@@ -31,10 +32,6 @@
    * the end of an outage. */
   KV_BACKOFF_MIN_MS = 50,
   KV_BACKOFF_MAX_MS = 400,
-  WATCH_WAIT_S = 25, /* Maximum time that one watch waits for a change. */
-  /* Time for which the views hold keys that disappear around an outage of
-   * the KV service. */
-  KEY_HOLD_MS = 2000,
   ENGINE_CALL_TIMEOUT_MS = 1000,
   /* Limits on callers' requests until the operator's limits are known. */
   HEADER_BYTES_MAX = 16 * 1024,
@@ -47,14 +44,6 @@
   CLIENT_IO_TIMEOUT_MS = 60000
 };
 
-/* After this share of weights.within_ms, requests only go to engines that have
- * the wanted weight version. */
-static const double wanted_only_share = 0.75;
-/* After this share of weights.within_ms, requests that an engine with older
- * weights has not begun are taken back from it. The rest is for the time until
- * the engine learns of that. */
-static const double begin_share = 0.95;
-
 bool
 entry_is_ready (const struct entry *entry)
 {
@@ -141,10 +130,7 @@
   forward->connect_timeout_ns = settings->timeouts.connect_ns;
   forward->silence_timeout_ns = settings->timeouts.progress_ns;
   forward->use_stores = settings->engines.use_stores;
-  forward->version_grace_ns
-      = (int64_t)(wanted_only_share * (double)settings->weights.within_ns);
-  forward->version_begin_ns
-      = (int64_t)(begin_share * (double)settings->weights.within_ns);
+  forwardweights_set_times (forward, settings->weights.within_ns);
   forward->retry.window_ns = settings->retry.window_ns;
   forward->retry.request_share = settings->retry.window_share;
   forward->retry.allowance = (double)settings->retry.allowance;
@@ -399,11 +385,8 @@
 static void
 entry_init_views (struct entry *entry)
 {
-  const struct kvview_settings settings = {
-    .watch_duration_ns = WATCH_WAIT_S * NS_PER_S,
-    .hold_ns = KEY_HOLD_MS * NS_PER_MS,
-    .pausewatch = &entry->pausewatch,
-  };
+  const struct kvview_settings settings
+      = entryviews_settings (&entry->pausewatch);
   struct kv *kv = &entry->kvbudget.kv;
 
   kvview_init (&entry->operator_view, kv, &entry->clock, &settings,
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -11,9 +11,22 @@
   PAUSE_PER_HOST_MS = 13,
   /* Maximum pause, far below the time within which hosts must stop using a
    * leaving server. */
-  PAUSE_MAX_MS = 1000
+  PAUSE_MAX_MS = 1000,
+  WATCH_WAIT_S = 25, /* Maximum time that one watch waits for a change. */
+  /* Time for which the views hold keys that disappear around an outage of
+   * the KV service. */
+  KEY_HOLD_MS = 2000
 };
 
+struct kvview_settings
+entryviews_settings (const struct pausewatch *pausewatch)
+{
+  return (struct kvview_settings){ .watch_duration_ns
+                                   = WATCH_WAIT_S * NS_PER_S,
+                                   .hold_ns = KEY_HOLD_MS * NS_PER_MS,
+                                   .pausewatch = pausewatch };
+}
+
 void
 entryviews_log_ignored_key (struct entry *entry, const char *key,
                             uint64_t revision, const struct error *error)
--- a/src/entryviews.h
+++ b/src/entryviews.h
@@ -21,6 +21,11 @@
 struct entry;
 struct error;
 
+/** Return the settings of the views of a process whose pauses are
+ * PAUSEWATCH. */
+struct kvview_settings
+entryviews_settings (const struct pausewatch *pausewatch);
+
 /** Log that the value of KEY can't be used, for the reason ERROR. */
 void entryviews_log_ignored_key (struct entry *entry, const char *key,
                                  uint64_t revision, const struct error *error);
--- a/src/entryweights.c
+++ b/src/entryweights.c
@@ -47,16 +47,35 @@
     = { reports_weights, is_loading_weights, weights_reported,
         first_model_version };
 
+int64_t
+entryweights_learn (struct forwarder *forwarder, const struct kvview *view,
+                    const char *model, uint64_t version)
+{
+  int64_t now = clock_boottime (forwarder->clock);
+
+  if (view->initial_read_done)
+    {
+      forwarder_set_wanted_version (forwarder, model, version,
+                                    view->written_since_ns);
+      return now - view->written_since_ns;
+    }
+  forwarder_set_wanted_version (
+      forwarder, model, version,
+      weights_found_since_ns (now, forwarder->settings.version_grace_ns));
+  weights_set_found (g_hash_table_lookup (forwarder->wanted_weights, model),
+                     now);
+  return forwarder_wanted_age_ns (forwarder, model);
+}
+
 void
 entryweights_wanted_put (struct entry *entry, const char *key,
                          const char *value, uint64_t revision)
 {
   const struct kvview *view = &entry->operator_view;
-  int64_t now = clock_boottime (&entry->clock);
-  int64_t since_ns = view->written_since_ns;
   char model[SERVER_NAME_MAX];
   struct error error;
   uint64_t version;
+  int64_t age_ns;
 
   if (entry->dialect->wanted_version_decode (value, model, &version, &error)
       != STATUS_OK)
@@ -64,18 +83,12 @@
       entryviews_log_ignored_key (entry, key, revision, &error);
       return;
     }
-  if (!view->initial_read_done)
-    since_ns = weights_found_since_ns (
-        now, entry->forwarder.settings.version_grace_ns);
-  forwarder_set_wanted_version (&entry->forwarder, model, version, since_ns);
-  if (!view->initial_read_done)
-    weights_set_found (
-        g_hash_table_lookup (entry->forwarder.wanted_weights, model), now);
+  age_ns = entryweights_learn (&entry->forwarder, view, model, version);
   log_event (&entry->log, EVENT_WEIGHTS_WANTED,
              "model=%s version=%lu revision=%lu learned=%s age_ms=%ld", model,
              (unsigned long)version, (unsigned long)revision,
              !view->initial_read_done ? "start"
              : view->is_reading       ? "read"
                                       : "change",
-             (long)((now - since_ns) / NS_PER_MS));
+             (long)(age_ns / NS_PER_MS));
 }
--- a/src/entryweights.h
+++ b/src/entryweights.h
@@ -1,6 +1,8 @@
 #ifndef ENTRYWEIGHTS_H
 #define ENTRYWEIGHTS_H
 
+#include "forwarder.h"
+#include "kvview.h"
 #include "loadshare.h"
 
 /** @file
@@ -10,6 +12,13 @@
 
 struct entry;
 
+/** Tell FORWARDER that the operator wants VERSION of MODEL, which VIEW reports
+ * now.
+ * @return how old the version counts as */
+int64_t entryweights_learn (struct forwarder *forwarder,
+                            const struct kvview *view, const char *model,
+                            uint64_t version);
+
 /** Handle the write of VALUE, which names the weight version of a model that
  * the operator wants, to KEY at REVISION. */
 void entryweights_wanted_put (struct entry *entry, const char *key,
--- a/src/forwardweights.c
+++ b/src/forwardweights.c
@@ -1,5 +1,21 @@
 #include "forwardweights.h"
 
+/* After this share of the time within which all engines have new weights,
+ * requests only go to engines that have them. */
+static const double wanted_only_share = 0.75;
+/* After this share, requests that an engine with older weights has not begun
+ * are taken back from it. The rest is for the time until the engine learns of
+ * that. */
+static const double begin_share = 0.95;
+
+void
+forwardweights_set_times (struct forward_settings *settings, int64_t within_ns)
+{
+  settings->version_grace_ns
+      = (int64_t)(wanted_only_share * (double)within_ns);
+  settings->version_begin_ns = (int64_t)(begin_share * (double)within_ns);
+}
+
 const struct wanted_weights *
 forward_wanted_weights (const struct forward *forward)
 {
--- a/src/forwardweights.h
+++ b/src/forwardweights.h
@@ -8,6 +8,11 @@
  * not chosen any more, and at last taken back requests that have not begun.
  */
 
+/** Set the times after which old weights are not used any more, where all
+ * engines have new ones WITHIN_NS after they were set. */
+void forwardweights_set_times (struct forward_settings *settings,
+                               int64_t within_ns);
+
 /** Return the wanted weights of the request's model, or NULL. */
 const struct wanted_weights *
 forward_wanted_weights (const struct forward *forward);
--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -197,6 +197,20 @@
   servers_update (&path.servers, &entry, 2);
 }
 
+void
+fake_path_set_weights (unsigned index, uint64_t version)
+{
+  struct server_entry entry;
+  char id[16];
+
+  g_snprintf (id, sizeof id, "i-%u", index);
+  entry = servers_find (&path.servers, id)->entry;
+  entry.model_count = 1;
+  g_strlcpy (entry.models[0].name, "m", sizeof entry.models[0].name);
+  entry.models[0].weight_version = version;
+  servers_update (&path.servers, &entry, 2 + version);
+}
+
 static void
 caller_connect (void)
 {
--- a/test/fake-path.h
+++ b/test/fake-path.h
@@ -69,6 +69,10 @@
 /** Set the version of the software of the server "i-INDEX". */
 void fake_path_set_software (unsigned index, const char *software);
 
+/** The server "i-INDEX" states that it has VERSION of the weights of model
+ * "m". */
+void fake_path_set_weights (unsigned index, uint64_t version);
+
 /** Connect the caller anew and forget what it was sent. */
 void fake_path_caller_reconnect (void);
 
