An answer that is on its way is not taken back for old weights

Callers would see an answer that is no stream cut and asked for again (502 if it may run once only), although the engine had begun it in time.

Cause: whether a request has begun was read from the first output to the caller. An answer that is no stream is passed on only once it is complete.

Why it works: for such an answer the first byte of its body shows that the request has begun. Its head does not, with or without a weight version: a request starts with its first token, and an engine may send the head while the request waits; the version in it may be gone by then. For a stream the first whole event decides, as before.

Evidence, before: oldweights/answer-on-its-way CU_ASSERT_EQUAL(path.upstreams[0].closed,i == 1 ? 0 : 1) for i = 1, the answer that has begun; a head alone and a part of an event are taken back before and after. It passes, all of oldweights and forwarder too.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -62,6 +62,12 @@
   return exchange->conn != NULL && exchange->sent_ns != 0;
 }
 
+bool
+exchange_has_begun (const struct exchange *exchange)
+{
+  return exchange->first_output_ns != 0 || exchange->buffered_body->len > 0;
+}
+
 void
 exchange_cancel (struct exchange *exchange)
 {
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -119,6 +119,10 @@
 /** Whether the request was sent and the attempt has not ended. */
 bool exchange_is_sent (const struct exchange *exchange);
 
+/** Whether the response shows that the server has begun to run the request.
+ * Its head does not: a server may send it before the first token. */
+bool exchange_has_begun (const struct exchange *exchange);
+
 /** Close the connection without calling `ended`. The reference to the server
  * is kept. */
 void exchange_close (struct exchange *exchange);
--- a/src/forwardweights.c
+++ b/src/forwardweights.c
@@ -50,7 +50,7 @@
   uint64_t version = forward->attempt_weight_version;
 
   return exchange_is_sent (&forward->exchange)
-         && forward->exchange.first_output_ns == 0 && wanted != NULL
+         && !exchange_has_begun (&forward->exchange) && wanted != NULL
          && version != 0 && version < wanted->version
          && weights_begin_left_ns (wanted, version,
                                    clock_boottime (forwarder->clock),
--- a/test/test-oldweights.c
+++ b/test/test-oldweights.c
@@ -156,6 +156,34 @@
   fake_path_finish ();
 }
 
+/* An answer that is no stream is passed on once it is complete. One that was
+ * still on its way was cut, although the request had begun in time. A head
+ * alone does not show that it has begun. */
+static void
+test_answer_on_its_way (void)
+{
+  static const struct fake_upstream_step answers[]
+      = { { RESPONSE_HEAD "X-Weight-Versions: 1\r\nContent-Length: 9\r\n\r\n",
+            FAKE_UPSTREAM_KEEP },
+          { RESPONSE_HEAD
+            "X-Weight-Versions: 1\r\nContent-Length: 9\r\n\r\nab",
+            FAKE_UPSTREAM_KEEP },
+          { RESPONSE_HEAD "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\n",
+            FAKE_UPSTREAM_KEEP } };
+  static const char *const targets[] = { "/safe/", "/safe/", "/stream/" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      setup (&answers[i], NULL);
+      want_version_2 ();
+      fake_path_request_send (targets[i], "X-Model: m\r\n");
+      fake_path_run_for (BEGIN_MS + 2 * AT_ONCE_MS);
+      CU_ASSERT_EQUAL (path.upstreams[0].requests, 1);
+      CU_ASSERT_EQUAL (path.upstreams[0].closed, i == 1 ? 0 : 1);
+      fake_path_finish ();
+    }
+}
+
 /* A request went to an engine with older weights although the work there would
  * take until after the time at which it might still begin. */
 static void
@@ -255,6 +283,7 @@
     test_backlog_of_other_hosts_is_allowed_for },
   { "late-in-the-queue", test_late_in_the_queue },
   { "late-in-the-queue-once", test_late_in_the_queue_once },
+  { "answer-on-its-way", test_answer_on_its_way },
   { "backlog-over-the-time-left", test_backlog_over_the_time_left },
   { "belief-is-corrected", test_belief_is_corrected },
   { "late-statement-corrects-nothing", test_late_statement_corrects_nothing },
