Engines of other subsets are tried if the own ones would begin too late

Callers would see a request wait, up to the time at which old weights are given up altogether (0.75 of versionMs), although engines of another subset of hosts have new weights and room.

Cause: an engine with old weights that would begin too late counted as one without capacity, and a request waits for capacity in its own subset.

Why it works: such engines are counted apart. The other subsets are tried if the own one has nothing else; if they have nothing either, the request waits as before.

Evidence, before: oldweights/other-subset-has-new-weights CU_ASSERT_EQUAL(path.upstreams[1].requests,1). It passes; suspended-before-the-choice now also checks that the request waits.

--- a/src/choose.c
+++ b/src/choose.c
@@ -277,7 +277,7 @@
 
   if (!begins_in_time (query, server, backlog + prompt_ms, boottime_ns))
     {
-      result->at_capacity = result->others_at_capacity = true;
+      result->too_late++;
       return;
     }
   result->candidates++;
@@ -357,4 +357,6 @@
   choose_among (servers, settings, query, false, rng, result);
   if (result->server == NULL && !result->at_capacity)
     choose_among (servers, settings, query, true, rng, result);
+  if (result->too_late > 0)
+    result->at_capacity = result->others_at_capacity = true;
 }
--- a/src/choose.h
+++ b/src/choose.h
@@ -94,8 +94,11 @@
   double store_delay_ms;
   uint64_t cached_tokens;
   unsigned candidates;
-  bool at_capacity; /**< Whether a suitable server exists that has no capacity
-                       now. */
+  unsigned too_late; /**< Number of suitable servers with old weights that
+                        would begin the request too late; they count as
+                        without capacity. */
+  bool at_capacity;  /**< Whether a suitable server exists that has no capacity
+                        now. */
   /** Number of suitable servers that their limits keep from being chosen now,
    * and the requests per second that this host may send to them together. */
   unsigned limited;
--- a/test/test-oldweights.c
+++ b/test/test-oldweights.c
@@ -112,6 +112,7 @@
   fake_path_request_send ("/stream/", "X-Model: m\r\n");
   fake_path_run_for (AT_ONCE_MS);
   CU_ASSERT_EQUAL (path.upstreams[0].requests, 0);
+  CU_ASSERT_EQUAL (path.forwarder.waiting_count, 1);
   fake_path_finish ();
 }
 
@@ -274,6 +275,25 @@
     }
 }
 
+/* A request waited for engines with older weights although one of another
+ * subset of hosts had newer weights and room. */
+static void
+test_other_subset_has_new_weights (void)
+{
+  setup (&stream, &stream);
+  path.forwarder.settings.version_grace_ns = 20 * NS_PER_S;
+  want_version_2 ();
+  servers_find (&path.servers, "i-0")->other_hosts_prefill_tokens
+      = (uint64_t)(2 * BEGIN_MS
+                   * choose_settings_default.prefill_tokens_per_ms);
+  servers_find (&path.servers, "i-1")->in_other_subset = true;
+  fake_path_request_send ("/stream/", "X-Model: m\r\n");
+  fake_path_run_for (AT_ONCE_MS);
+  CU_ASSERT_EQUAL (path.upstreams[0].requests, 0);
+  CU_ASSERT_EQUAL (path.upstreams[1].requests, 1);
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
   { "suspended-host", test_suspended_host },
   { "suspended-host-after-the-grace", test_suspended_host_after_the_grace },
@@ -285,6 +305,7 @@
   { "late-in-the-queue-once", test_late_in_the_queue_once },
   { "answer-on-its-way", test_answer_on_its_way },
   { "backlog-over-the-time-left", test_backlog_over_the_time_left },
+  { "other-subset-has-new-weights", test_other_subset_has_new_weights },
   { "belief-is-corrected", test_belief_is_corrected },
   { "late-statement-corrects-nothing", test_late_statement_corrects_nothing },
 };
