A request names the weights that it relies on

Callers would see a request refused by the engine that it was sent to and tried again elsewhere (each try counts against the retry budget), or begin late on old weights.

Cause: without stores, a request named the required version, while the engine may have a newer one, and engines refuse any other version than the one named. Before a version is required it named none, so that an engine that was wrongly believed to have it could begin the request at any time: a request to new weights is not taken back.

Why it works: the request names the newer one of the required version and the one that the engine is believed to have. It names none if it knowingly goes to old weights that are still allowed; then it is taken back in time, and newer ones are welcome.

Evidence, before: oldweights/expected-version, for a required 2 at an engine with 3 and for a wanted 2 at an engine with 2 CU_ASSERT_PTR_NOT_NULL(strstr (sent, requests[i].expected)). It passes, and all of oldweights, forwarder and entryweights.

--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -255,7 +255,7 @@
 
 void
 forward_send (struct forward *forward, const struct choose_result *choice,
-              uint64_t weight_version)
+              uint64_t required_version)
 {
   struct forwarder *forwarder = forward->forwarder;
   struct callerconn *conn = forward->conn;
@@ -269,7 +269,8 @@
     .time_left_ns = forward_time_left_ns (forward),
     .has_priority = forward->call.model != NULL,
     .priority = priority,
-    .weight_version = weight_version,
+    .weight_version = forwardweights_expected_version (forward, choice->server,
+                                                       required_version),
     .resumes = forward->relaying,
     .last_event_id = forward->exchange.events.last_id,
   };
--- a/src/forwardsend.h
+++ b/src/forwardsend.h
@@ -21,10 +21,10 @@
                          struct choose_query *query);
 
 /** Send the request to the chosen server.
- * @param weight_version the weight version that the server must have; 0 if any
- * version will do */
+ * @param required_version the weight version that the server must have at
+ * least; 0 if any version will do */
 void forward_send (struct forward *forward, const struct choose_result *choice,
-                   uint64_t weight_version);
+                   uint64_t required_version);
 
 /** Remove the request from the load of its counted_server, if there is one. */
 void forward_uncount_load (struct forward *forward);
--- a/src/forwardweights.c
+++ b/src/forwardweights.c
@@ -42,6 +42,24 @@
                                   forwarder->settings.version_grace_ns);
 }
 
+uint64_t
+forwardweights_expected_version (const struct forward *forward,
+                                 const struct server *server,
+                                 uint64_t required_version)
+{
+  const struct wanted_weights *wanted = forward_wanted_weights (forward);
+  uint64_t believed;
+
+  if (wanted == NULL)
+    return 0;
+  believed = server_weight_version (server, forward->call.model);
+  /* A request that is sent to old weights is taken back in time, and newer
+   * ones are welcome. */
+  if (required_version == 0 && believed < wanted->version)
+    return 0;
+  return MAX (required_version, believed);
+}
+
 bool
 forwardweights_is_overdue (const struct forward *forward)
 {
--- a/src/forwardweights.h
+++ b/src/forwardweights.h
@@ -21,6 +21,12 @@
 void forwardweights_query (const struct forward *forward,
                            struct choose_query *query);
 
+/** Return the version that SERVER, which is chosen, must have to run the
+ * request, where REQUIRED_VERSION is required; 0 if any will do. */
+uint64_t forwardweights_expected_version (const struct forward *forward,
+                                          const struct server *server,
+                                          uint64_t required_version);
+
 /** Whether the request was sent to a server with older weights, has not begun
  * there, and may not begin any more. */
 bool forwardweights_is_overdue (const struct forward *forward);
--- a/test/test-oldweights.c
+++ b/test/test-oldweights.c
@@ -294,6 +294,43 @@
   fake_path_finish ();
 }
 
+/* A request to an engine that has even newer weights than required named the
+ * required ones, so that the engine refused it; one that relied on new weights
+ * before they were required named none, so that an engine that was wrongly
+ * believed to have them could begin it late. */
+static void
+test_expected_version (void)
+{
+  static const struct
+  {
+    int64_t age_ms;
+    uint64_t engine_version;
+    const char *expected;
+  } requests[] = { { GRACE_MS + 10, 3, "X-Expect-Version: 3\r\n" },
+                   { GRACE_MS + 10, 2, "X-Expect-Version: 2\r\n" },
+                   { 0, 2, "X-Expect-Version: 2\r\n" },
+                   { 0, 1, NULL } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      const char *sent;
+
+      setup (&stream, NULL);
+      fake_path_set_weights (0, requests[i].engine_version);
+      forwarder_set_wanted_version (&path.forwarder, "m", 2,
+                                    clock_boottime (&path.clock)
+                                        - requests[i].age_ms * NS_PER_MS);
+      fake_path_request_send ("/stream/", "X-Model: m\r\n");
+      CU_ASSERT_TRUE (fake_path_run_until (END_OF_CHUNKS));
+      sent = path.upstreams[0].last->str;
+      if (requests[i].expected != NULL)
+        CU_ASSERT_PTR_NOT_NULL (strstr (sent, requests[i].expected));
+      if (requests[i].expected == NULL)
+        CU_ASSERT_PTR_NULL (strstr (sent, "X-Expect-Version"));
+      fake_path_finish ();
+    }
+}
+
 static const struct unit_case cases[] = {
   { "suspended-host", test_suspended_host },
   { "suspended-host-after-the-grace", test_suspended_host_after_the_grace },
@@ -306,6 +343,7 @@
   { "answer-on-its-way", test_answer_on_its_way },
   { "backlog-over-the-time-left", test_backlog_over_the_time_left },
   { "other-subset-has-new-weights", test_other_subset_has_new_weights },
+  { "expected-version", test_expected_version },
   { "belief-is-corrected", test_belief_is_corrected },
   { "late-statement-corrects-nothing", test_late_statement_corrects_nothing },
 };
