--- a/src/entry.c
+++ b/src/entry.c
@@ -5,6 +5,7 @@
 #include "entryorigin.h"
 #include "entryviews.h"
 #include "entryweights.h"
+#include "forwardweights.h"
 
 #include <signal.h>
 #include <string.h>
@@ -31,14 +32,6 @@
   IDLE_TIMEOUT_MS = 30000
 };
 
-/* After this share of weights.within_ms, requests only go to engines that have
- * the wanted weight version. */
-static const double wanted_only_share = 0.75;
-/* After this share of weights.within_ms, requests that an engine with older
- * weights has not begun are taken back from it. The rest is for the time until
- * the engine learns of that. */
-static const double begin_share = 0.95;
-
 bool
 entry_is_ready (const struct entry *entry)
 {
@@ -136,10 +129,7 @@
   forward->connect_timeout_ns = settings->timeouts.connect_ns;
   forward->silence_timeout_ns = settings->timeouts.progress_ns;
   forward->use_stores = settings->engines.use_stores;
-  forward->version_grace_ns
-      = (int64_t)(wanted_only_share * (double)settings->weights.within_ns);
-  forward->version_begin_ns
-      = (int64_t)(begin_share * (double)settings->weights.within_ns);
+  forwardweights_set_times (forward, settings->weights.within_ns);
   forward->retry.window_ns = settings->retry.window_ns;
   forward->retry.request_share = settings->retry.window_share;
   forward->retry.allowance = (double)settings->retry.allowance;
@@ -236,7 +226,8 @@
 }
 
 /* Logs that this process stood still. What it believes is older by the pause
- * than its monotonic clock says. */
+ * than its monotonic clock says, and the replies that it waited for may have
+ * been lost. */
 static void
 pause_check (struct entry *entry)
 {
@@ -244,6 +235,7 @@
 
   if (!pausewatch_tick (&entry->pausewatch, &pause))
     return;
+  kvview_read_anew (&entry->operator_view, pause.from_ns);
   log_event (&entry->log, EVENT_PAUSED,
              "pause_ms=%.1f suspended_ms=%.1f in_flight=%zu waiting=%zu",
              (double)pause.span_ns / NS_PER_MS,
@@ -261,6 +253,7 @@
   pause_check (entry);
   kvbudget_tick (&entry->kvbudget);
   entrykv_check (entry);
+  weightsnews_tick (&entry->weightsnews);
   kvview_tick (&entry->operator_view);
   kvview_tick (&entry->servers_view);
   kvview_tick (&entry->hosts_view);
@@ -425,6 +418,8 @@
                   &entry->kvstores, &entry->retire, &entry->origin);
   otherhosts_init (&entry->otherhosts, &entry->presence, &entry->loadshare);
   entry->forwarder.hosts = &entry->otherhosts;
+  weightsnews_init (&entry->weightsnews, &entry->servers, &entry->log,
+                    &entry->operator_view, entry->forwarder.wanted_weights);
   cacheretire_init (&entry->retire, &entry->clock, &entry->log,
                     &entry->servers, &entry->presence,
                     entry->forwarder.wanted_weights);
@@ -505,6 +500,7 @@
   callerserver_finish (&entry->directory_server);
   callerserver_finish (&entry->ready_server);
   callerserver_finish (&entry->metrics_server);
+  weightsnews_finish (&entry->weightsnews);
   forwarder_finish (&entry->forwarder);
   otherhosts_finish (&entry->otherhosts);
   streamorigin_finish (&entry->origin);
--- a/src/entry.h
+++ b/src/entry.h
@@ -23,6 +23,7 @@
 #include "servers.h"
 #include "settings.h"
 #include "rollout.h"
+#include "weightsnews.h"
 
 /** @file
  * The process of an entry host. It serves the callers, lists the addresses
@@ -81,6 +82,7 @@
   struct cachegc cachegc;
   struct forwarder forwarder;
   struct otherhosts otherhosts;
+  struct weightsnews weightsnews;
   struct callerserver caller_server;
   struct callerserver host_server; /**< Requests that other hosts pass on. */
   struct callerserver directory_server;
--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -14,10 +14,6 @@
    * the end of an outage. */
   KV_BACKOFF_MIN_MS = 50,
   KV_BACKOFF_MAX_MS = 400,
-  WATCH_WAIT_S = 25, /* Maximum time that one watch waits for a change. */
-  /* Time for which the views hold keys that disappear around an outage of
-   * the KV service. */
-  KEY_HOLD_MS = 2000,
   /* Longer than the timeout of any call, so that the timeout of the call
    * ends it first. */
   CLIENT_IO_TIMEOUT_MS = 60000
@@ -50,11 +46,8 @@
 static void
 views_init (struct entry *entry)
 {
-  const struct kvview_settings settings = {
-    .watch_duration_ns = WATCH_WAIT_S * NS_PER_S,
-    .hold_ns = KEY_HOLD_MS * NS_PER_MS,
-    .pausewatch = &entry->pausewatch,
-  };
+  const struct kvview_settings settings
+      = entryviews_settings (&entry->pausewatch);
   struct kv *kv = &entry->kvbudget.kv;
 
   kvview_init (&entry->operator_view, kv, &entry->clock, &settings,
