Failing tests: a KV service that comes back from a backup

The interfaces that the tests use are declared and do nothing yet: kvera, which passes calls on, and one function of each module that is told of a new era.

The hosts of test-duty use the KV service through kvera, as an entry process will; their other cases pass unchanged.

--- a/src/blamestore.c
+++ b/src/blamestore.c
@@ -145,6 +145,12 @@
   g_free (key);
 }
 
+void
+blamestore_era_changed (struct blamestore *store)
+{
+  leasedkeys_era_changed (&store->keys);
+}
+
 void
 blamestore_tick (struct blamestore *store)
 {
--- a/src/blamestore.h
+++ b/src/blamestore.h
@@ -35,6 +35,10 @@
 void blamestore_remove (struct blamestore *blamestore,
                         const struct blame_part *part);
 
+/** The KV service has come back from a backup: write the keys of all blocks
+ * again. */
+void blamestore_era_changed (struct blamestore *blamestore);
+
 /** Write the keys of new blocks. */
 void blamestore_tick (struct blamestore *blamestore);
 
--- /dev/null
+++ b/src/kvera.c
@@ -0,0 +1,121 @@
+#include "kvera.h"
+
+#include <glib.h>
+
+struct era_call
+{
+  struct list node;
+  struct kvera *kvera;
+  kv_done done;
+  void *data;
+};
+
+static struct era_call *
+call_new (struct kv *kv, kv_done done, void *data)
+{
+  struct kvera *kvera = LIST_ENTRY (kv, struct kvera, kv);
+  struct era_call *call = g_new0 (struct era_call, 1);
+
+  call->kvera = kvera;
+  call->done = done;
+  call->data = data;
+  list_append (&kvera->calls, &call->node);
+  return call;
+}
+
+static void
+call_replied (void *data, const struct kv_reply *reply)
+{
+  struct era_call *call = data;
+
+  list_remove (&call->node);
+  call->done (call->data, reply);
+  g_free (call);
+}
+
+static void
+kvera_get (struct kv *kv, const char *key, kv_done done, void *data)
+{
+  struct era_call *call = call_new (kv, done, data);
+  struct kv *service = call->kvera->service;
+
+  service->ops->get (service, key, call_replied, call);
+}
+
+static void
+kvera_range (struct kv *kv, const char *prefix, kv_done done, void *data)
+{
+  struct era_call *call = call_new (kv, done, data);
+  struct kv *service = call->kvera->service;
+
+  service->ops->range (service, prefix, call_replied, call);
+}
+
+static void
+kvera_txn (struct kv *kv, const struct kv_txn *txn, kv_done done, void *data)
+{
+  struct era_call *call = call_new (kv, done, data);
+  struct kv *service = call->kvera->service;
+
+  service->ops->txn (service, txn, call_replied, call);
+}
+
+static void
+kvera_lease_grant (struct kv *kv, int64_t ttl_ns, kv_done done, void *data)
+{
+  struct era_call *call = call_new (kv, done, data);
+  struct kv *service = call->kvera->service;
+
+  service->ops->lease_grant (service, ttl_ns, call_replied, call);
+}
+
+static void
+kvera_lease_keepalive (struct kv *kv, uint64_t lease, kv_done done, void *data)
+{
+  struct era_call *call = call_new (kv, done, data);
+  struct kv *service = call->kvera->service;
+
+  service->ops->lease_keepalive (service, lease, call_replied, call);
+}
+
+static void
+kvera_lease_revoke (struct kv *kv, uint64_t lease, kv_done done, void *data)
+{
+  struct era_call *call = call_new (kv, done, data);
+  struct kv *service = call->kvera->service;
+
+  service->ops->lease_revoke (service, lease, call_replied, call);
+}
+
+static void
+kvera_watch (struct kv *kv, const char *prefix, uint64_t after,
+             int64_t wait_ns, kv_done done, void *data)
+{
+  struct era_call *call = call_new (kv, done, data);
+  struct kv *service = call->kvera->service;
+
+  service->ops->watch (service, prefix, after, wait_ns, call_replied, call);
+}
+
+static const struct kv_ops kvera_ops = {
+  .get = kvera_get,
+  .range = kvera_range,
+  .txn = kvera_txn,
+  .lease_grant = kvera_lease_grant,
+  .lease_keepalive = kvera_lease_keepalive,
+  .lease_revoke = kvera_lease_revoke,
+  .watch = kvera_watch,
+};
+
+void
+kvera_init (struct kvera *kvera, struct kv *service,
+            const struct kvera_ops *ops, void *data)
+{
+  *kvera = (struct kvera){
+    .kv.ops = &kvera_ops,
+    .service = service,
+    .ops = ops,
+    .data = data,
+  };
+  list_init (&kvera->calls);
+}
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -303,6 +303,11 @@
   view_missed_changes (view, OUTAGE_FOUND_MS * NS_PER_MS);
 }
 
+void
+kvview_era_changed (struct kvview *view)
+{
+}
+
 void
 kvview_visit_newer (const struct kvview *view, uint64_t revision,
                     void (*visit) (void *data, const char *key,
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -92,6 +92,11 @@
  * to a watch from before the outage. */
 void kvview_restart (struct kvview *view);
 
+/** The KV service has come back from a backup. Read all keys anew: revisions
+ * that the view has count for nothing, and keys that have vanished are held as
+ * after an outage. */
+void kvview_era_changed (struct kvview *view);
+
 /** Store VALUE, which was written to KEY at REVISION, unless the view has the
  * same or a newer revision of KEY. Another process may have sent VALUE. */
 void kvview_update (struct kvview *view, const char *key, const char *value,
--- a/src/leasedkeys.c
+++ b/src/leasedkeys.c
@@ -121,6 +121,11 @@
   keys->kv->ops->txn (keys->kv, &txn, keys_written, keys);
 }
 
+void
+leasedkeys_era_changed (struct leasedkeys *keys)
+{
+}
+
 void
 leasedkeys_tick (struct leasedkeys *keys)
 {
--- a/src/leasedkeys.h
+++ b/src/leasedkeys.h
@@ -38,6 +38,9 @@
 void leasedkeys_add (struct leasedkeys *keys, const char *key,
                      const char *value);
 
+/** The KV service has come back from a backup: use no lease of before. */
+void leasedkeys_era_changed (struct leasedkeys *keys);
+
 /** Write the pending keys to the KV service, or request a lease if they need a
  * new one. */
 void leasedkeys_tick (struct leasedkeys *keys);
--- a/src/poisoncount.c
+++ b/src/poisoncount.c
@@ -186,6 +186,12 @@
   return poisoncount_crashes (poisoncount, fingerprint) >= CRASHES_MAX;
 }
 
+void
+poisoncount_era_changed (struct poisoncount *poisoncount)
+{
+  leasedkeys_era_changed (&poisoncount->keys);
+}
+
 void
 poisoncount_tick (struct poisoncount *poisoncount)
 {
--- a/src/poisoncount.h
+++ b/src/poisoncount.h
@@ -73,6 +73,10 @@
 void poisoncount_key_removed (struct poisoncount *poisoncount,
                               const char *key);
 
+/** The KV service has come back from a backup: write the keys of all crashes
+ * again that count. */
+void poisoncount_era_changed (struct poisoncount *poisoncount);
+
 /** Write the keys of new crashes to the KV service. */
 void poisoncount_tick (struct poisoncount *poisoncount);
 
--- a/src/presence.c
+++ b/src/presence.c
@@ -264,6 +264,11 @@
   json_object_put (object);
 }
 
+void
+presence_era_changed (struct presence *presence)
+{
+}
+
 void
 presence_tick (struct presence *presence)
 {
--- a/src/presence.h
+++ b/src/presence.h
@@ -75,6 +75,10 @@
 /** Handles the removal of the KEY of a host. */
 void presence_key_removed (struct presence *presence, const char *key);
 
+/** The KV service has come back from a backup: take a new lease and write the
+ * record of this host again. */
+void presence_era_changed (struct presence *presence);
+
 void presence_tick (struct presence *presence);
 
 /** Announces that this host fetches no KV cache that was computed with weights
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -503,6 +503,11 @@
   leadership_lost (rollout, "stopping");
 }
 
+void
+rollout_era_changed (struct rollout *rollout, uint64_t era, bool is_rise)
+{
+}
+
 bool
 rollout_server_is_loading (const struct rollout *rollout,
                            const struct server *server)
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -89,6 +89,10 @@
 /** Handles the removal of the leader's key. */
 void rollout_leader_key_removed (struct rollout *rollout);
 
+/** The KV service is in ERA. If IS_RISE, it has come back from a backup, and
+ * the leadership has to be won anew. */
+void rollout_era_changed (struct rollout *rollout, uint64_t era, bool is_rise);
+
 /** Releases the leadership and sends no more orders. */
 void rollout_stop (struct rollout *rollout);
 
--- a/test/test-duty.c
+++ b/test/test-duty.c
@@ -1,4 +1,5 @@
 #include "fake-kv.h"
+#include "kvera.h"
 #include "kvview.h"
 #include "presence.h"
 #include "unit.h"
@@ -30,6 +31,7 @@
 struct host
 {
   struct fake_kv_client client;
+  struct kvera era;
   struct kvview view;
   struct presence presence;
   struct servers servers;
@@ -202,6 +204,20 @@
 static const struct kvview_ops view_ops
     = { view_key_put, view_key_removed, view_reachability_changed };
 
+static void
+host_era_changed (void *data, uint64_t old_era, uint64_t era)
+{
+  struct host *host = data;
+
+  rollout_era_changed (&host->rollout, era, old_era != 0);
+  if (old_era == 0)
+    return;
+  kvview_era_changed (&host->view);
+  presence_era_changed (&host->presence);
+}
+
+static const struct kvera_ops era_ops = { host_era_changed };
+
 static void
 host_add_engines (struct host *host)
 {
@@ -238,17 +254,18 @@
   g_snprintf (key, sizeof key, "t/host/%u", index);
   g_snprintf (self.address, sizeof self.address, "10.0.0.%u:80", index);
   fake_kv_client_init (&host->client, &fake);
+  kvera_init (&host->era, &host->client.kv, &era_ops, host);
   servers_init (&host->servers, &loop, &fake_clock.clock, "dc", NS_PER_S,
                 &servers_ops, NULL);
   host_add_engines (host);
   host->wanted = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  presence_init (&host->presence, &host->client.kv, &fake_clock.clock, key,
-                 &self, LEASE_TTL_NS);
-  rollout_init (&host->rollout, &settings, &host->client.kv, &fake_clock.clock,
+  presence_init (&host->presence, &host->era.kv, &fake_clock.clock, key, &self,
+                 LEASE_TTL_NS);
+  rollout_init (&host->rollout, &settings, &host->era.kv, &fake_clock.clock,
                 &null_log, &fake_dialect, NULL, &host->presence,
                 &host->servers, host->wanted, LEADER_KEY, key);
-  kvview_init (&host->view, &host->client.kv, &fake_clock.clock,
-               &view_settings, "t/", &view_ops, host);
+  kvview_init (&host->view, &host->era.kv, &fake_clock.clock, &view_settings,
+               "t/", &view_ops, host);
   host->running = true;
 }
 
@@ -294,12 +311,13 @@
 }
 
 static void
-setup (void)
+setup_in_era (uint64_t era)
 {
   uv_loop_init (&loop);
   clock_fake_init (&fake_clock, 100 * NS_PER_S);
   log_null_init (&null_log);
   fake_kv_init (&fake, &fake_clock.clock, 1);
+  fake.era = era;
   most_loading = 0;
   refused_orders = 0;
   pending_replies = g_array_new (FALSE, TRUE, sizeof (struct pending_reply));
@@ -310,6 +328,12 @@
   run_for_ms (2000);
 }
 
+static void
+setup (void)
+{
+  setup_in_era (0);
+}
+
 static void
 finish (void)
 {
@@ -470,6 +494,81 @@
   finish ();
 }
 
+/* Brings the service back from a backup that is older than WRITES writes. */
+static void
+back_from_backup (unsigned writes)
+{
+  fake_kv_back_up (&fake);
+  for (unsigned i = 0; i < writes; i++)
+    fake_kv_put (&fake, "other", "1");
+  run_for_ms (500);
+  fake_kv_restore (&fake);
+}
+
+/* A leader of the older era ordered on, with a token that was given out again,
+ * before any host had won the leadership in the new one. */
+static void
+test_leadership_is_won_anew (void)
+{
+  unsigned leader;
+  uint64_t token;
+
+  setup_in_era (3);
+  leader = leader_index ();
+  token = hosts[leader].rollout.fencing_token;
+  CU_ASSERT_TRUE (rollout_may_order (&hosts[leader].rollout));
+  back_from_backup (0);
+  run_for_ms (200);
+  CU_ASSERT_EQUAL (hosts[leader].era.era, 4);
+  CU_ASSERT_EQUAL (leader_count (), 0);
+  run_for_ms (8000);
+  CU_ASSERT_EQUAL (leader_count (), 1);
+  CU_ASSERT_TRUE (hosts[leader_index ()].rollout.fencing_token > token);
+  finish ();
+}
+
+/* Engines that had seen tokens of the older era refused all orders of the new
+ * one, and engines kept old weights. */
+static void
+test_tokens_rise_across_eras (void)
+{
+  setup_in_era (3);
+  fake_kv_back_up (&fake);
+  for (unsigned i = 0; i < 200; i++)
+    fake_kv_put (&fake, "other", "1");
+  for (unsigned i = 0; i < HOSTS; i++)
+    rollout_stop (&hosts[i].rollout);
+  for (unsigned i = 0; i < HOSTS; i++)
+    hosts[i].rollout.stopping = false;
+  run_for_ms (2000);
+  set_wanted_version (2);
+  run_for_ms (8000);
+  CU_ASSERT_TRUE (all_engines_have (2));
+  fake_kv_restore (&fake);
+  set_wanted_version (3);
+  run_for_ms (12000);
+  CU_ASSERT_TRUE (all_engines_have (3));
+  CU_ASSERT_EQUAL (leader_count (), 1);
+  CU_ASSERT_EQUAL (refused_orders, 0);
+  finish ();
+}
+
+/* An engine had seen a higher token than that of the only leader. The leader
+ * kept its key and ordered nothing more for as long as it ran. */
+static void
+test_too_low_token_is_replaced (void)
+{
+  setup ();
+  for (unsigned i = 0; i < ENGINES; i++)
+    engines[i].fencing_token
+        = hosts[leader_index ()].rollout.fencing_token + 5;
+  set_wanted_version (2);
+  run_for_ms (14000);
+  CU_ASSERT_TRUE (all_engines_have (2));
+  CU_ASSERT_EQUAL (leader_count (), 1);
+  finish ();
+}
+
 static const struct unit_case cases[] = {
   { "hosts-know-each-other", test_hosts_see_each_other },
   { "suspended-leader-catches-up", test_suspended_leader_catches_up },
@@ -478,6 +577,9 @@
   { "suspended-holder-orders-nothing", test_suspended_leader_sends_no_orders },
   { "outage-of-the-service", test_kv_service_outage },
   { "lost-reply-of-the-claim", test_lost_reply_to_the_claim },
+  { "leadership-is-won-anew-in-a-new-era", test_leadership_is_won_anew },
+  { "tokens-rise-across-eras", test_tokens_rise_across_eras },
+  { "too-low-token-is-replaced", test_too_low_token_is_replaced },
 };
 
 int
--- a/test/test-platformkv.c
+++ b/test/test-platformkv.c
@@ -12,6 +12,21 @@
         FAKE_UPSTREAM_CLOSE                                                   \
   }
 
+#define ERA_RESPONSE(status, field)                                           \
+  {                                                                           \
+    "HTTP/1.1 " status "\r\n" field "Connection: close\r\n\r\n{}",            \
+        FAKE_UPSTREAM_CLOSE                                                   \
+  }
+
+#define ERA_RESPONSE_OF_PAGE(era, key, more)                                  \
+  {                                                                           \
+    "HTTP/1.1 200 OK\r\nStore-Era: " era                                      \
+    "\r\nConnection: close\r\n\r\n{\"items\":[{\"key\":\"p/" key              \
+    "\",\"value\":\"MQ==\",\"modRevision\":3}],\"hasMore\":" more             \
+    ",\"at\":9}",                                                             \
+        FAKE_UPSTREAM_CLOSE                                                   \
+  }
+
 enum
 {
   REPLY_WAIT_MAX_MS = 3000
@@ -31,6 +46,7 @@
   enum status status;
   uint64_t revision;
   uint64_t lease;
+  uint64_t era;
   GString *items;
 } last_reply;
 
@@ -74,6 +90,7 @@
   last_reply.status = reply->status;
   last_reply.revision = reply->revision;
   last_reply.lease = reply->lease;
+  last_reply.era = reply->era;
   g_string_truncate (last_reply.items, 0);
   for (size_t i = 0; i < reply->item_count; i++)
     g_string_append_printf (last_reply.items, "%s=%s@%d%s ",
@@ -249,6 +266,69 @@
     }
 }
 
+/* A store that came back from a copy was taken for the one before it. A field
+ * that is no number must not count as an era either. */
+static void
+test_era_of_each_reply (void)
+{
+  static const struct
+  {
+    struct fake_upstream_step step;
+    uint64_t era;
+  } cases[] = {
+    { ERA_RESPONSE ("200 OK", "Store-Era: 7\r\n"), 7 },
+    { ERA_RESPONSE ("200 OK", "store-era: 12\r\n"), 12 },
+    { ERA_RESPONSE ("404 Not Found", "Store-Era: 7\r\n"), 7 },
+    { ERA_RESPONSE ("410 Gone", "Store-Era: 8\r\n"), 8 },
+    { ERA_RESPONSE ("412 Precondition Failed", "Store-Era: 8\r\n"), 8 },
+    { ERA_RESPONSE ("503 Service Unavailable", "Store-Era: 8\r\n"), 8 },
+    { ERA_RESPONSE ("200 OK", "Store-Era: 9007199254740993\r\n"),
+      9007199254740993 },
+    { ERA_RESPONSE ("200 OK", ""), 0 },
+    { ERA_RESPONSE ("200 OK", "Store-Era:\r\n"), 0 },
+    { ERA_RESPONSE ("200 OK", "Store-Era: 0\r\n"), 0 },
+    { ERA_RESPONSE ("200 OK", "Store-Era: -1\r\n"), 0 },
+    { ERA_RESPONSE ("200 OK", "Store-Era: +7\r\n"), 0 },
+    { ERA_RESPONSE ("200 OK", "Store-Era: 7.5\r\n"), 0 },
+    { ERA_RESPONSE ("200 OK", "Store-Era: 0x7\r\n"), 0 },
+    { ERA_RESPONSE ("200 OK", "Store-Era: 7 8\r\n"), 0 },
+    { ERA_RESPONSE ("200 OK", "Store-Era: seven\r\n"), 0 },
+    { ERA_RESPONSE ("200 OK", "Store-Era: 18446744073709551616\r\n"), 0 },
+    { ERA_RESPONSE ("200 OK", "Store-Era: 99999999999999999999999999999999999"
+                              "9999999999999999999999999999999999\r\n"),
+      0 },
+    { ERA_RESPONSE ("200 OK", "Old-Store-Era: 7\r\n"), 0 },
+    { { "", FAKE_UPSTREAM_RESET }, 0 },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      setup (&cases[i].step, 1);
+      service.kv.ops->get (&service.kv, "k", reply_received, NULL);
+      wait_for_reply ();
+      CU_ASSERT_EQUAL (last_reply.era, cases[i].era);
+      finish ();
+    }
+}
+
+/* Pages that were read before and after the store came back from a copy looked
+ * like one range, with keys that the copy does not have. */
+static void
+test_pages_of_two_eras (void)
+{
+  static const struct fake_upstream_step steps[]
+      = { ERA_RESPONSE_OF_PAGE ("3", "a", "true"),
+          ERA_RESPONSE_OF_PAGE ("4", "b", "false") };
+
+  setup (steps, 2);
+  service.kv.ops->range (&service.kv, "p/", reply_received, NULL);
+  wait_for_reply ();
+  CU_ASSERT_EQUAL (last_reply.status, STATUS_UNKNOWN);
+  CU_ASSERT_EQUAL (last_reply.era, 4);
+  CU_ASSERT_STRING_EQUAL (last_reply.items->str, "");
+  finish ();
+}
+
 static const struct unit_case cases[] = {
   { "one-key", test_one_key },
   { "pages", test_pages },
@@ -256,6 +336,8 @@
   { "conditions", test_transaction_conditions },
   { "leases", test_leases },
   { "refusals-and-lost-replies", test_refusals_and_lost_replies },
+  { "era-of-each-reply", test_era_of_each_reply },
+  { "pages-of-two-eras", test_pages_of_two_eras },
 };
 
 int
