Replies of the KV service state its era

A store that came back from a copy looked like the one before it, since its header Store-Era was not read.

--- a/src/httpjson.c
+++ b/src/httpjson.c
@@ -20,6 +20,8 @@
   httpjson_call_ended done;
   void *data;
   int http_status;
+  const char *header_name;
+  char header[HTTPJSON_HEADER_SIZE];
 };
 
 static void
@@ -45,6 +47,9 @@
   struct json_call *json_call = data;
 
   json_call->http_status = head->status;
+  if (json_call->header_name != NULL)
+    httpclient_header_value (head, json_call->header_name, json_call->header,
+                             sizeof json_call->header);
 }
 
 static void
@@ -64,6 +69,7 @@
       = { .status = result->status, .http_status = json_call->http_status };
 
   json_call->http_call = NULL;
+  g_strlcpy (reply.header, json_call->header, sizeof reply.header);
   if (result->status == STATUS_OK && json_call->body->len > 0)
     reply.body = json_tokener_parse (json_call->body->str);
   json_call_end (json_call, &reply);
@@ -133,6 +139,7 @@
       http_request.body_size = strlen (http_request.body);
     }
   json_call->body = g_string_new (NULL);
+  json_call->header_name = request->reply_header;
   json_call->done = done;
   json_call->data = data;
   list_init (&json_call->node);
--- a/src/httpjson.h
+++ b/src/httpjson.h
@@ -10,6 +10,12 @@
  * JSON fields that return a default if the field is missing.
  */
 
+enum
+{
+  /** Size of a header value in a reply, with the final NUL. */
+  HTTPJSON_HEADER_SIZE = 64
+};
+
 struct httpjson_reply
 {
   /** STATUS_OK: a response arrived, whatever its HTTP status.
@@ -20,6 +26,9 @@
   int http_status;
   struct json_object *body; /**< Parsed body; NULL if the reply has no
                                valid JSON body. */
+  /** Value of the response header that the request names, cut to its size;
+   * "" if there is none. */
+  char header[HTTPJSON_HEADER_SIZE];
 };
 
 typedef void (*httpjson_call_ended) (void *data,
@@ -38,6 +47,9 @@
   const char *path;
   /** Additional header lines, each "name: value\r\n"; may be NULL. */
   const char *header_lines;
+  /** Name of the response header to report, which must outlive the call; may
+   * be NULL. */
+  const char *reply_header;
   /** Body of the request, which httpjson_call releases; may be NULL. */
   struct json_object *body;
   int64_t timeout_ns;
