An entry process notices a new era of the KV service

When the service came back from a copy, processes took late replies of the older era for what holds now, and waited for replies that never came. All modules now call the service through kvera: at the first reply of a higher era the entry process is told, calls sent before end as unknown (whether their effect lasts is unknown) and calls that wait in the budget are refused, since they name leases and revisions that may now mean something else. Replies of an older era end their calls as unknown, replies without an era are passed on as before. The line store_era has both eras and what the process held; trefoilspar_kv_era, _kv_era_rises and _kv_old_era_replies count.

era/only-a-rise-is-told and late-reply-changes-nothing failed before and pass; kvbudget/queued-calls-are-refused is new with the function that it tests.

--- a/src/entry.c
+++ b/src/entry.c
@@ -1,5 +1,6 @@
 #include "entry.h"
 #include "entryblame.h"
+#include "entryera.h"
 #include "entryhttp.h"
 #include "entryorigin.h"
 #include "entryviews.h"
@@ -391,6 +392,7 @@
       settings->kv.timeout_ns);
   kvbudget_init (&entry->kvbudget, entry->kv_service, &entry->clock,
                  &entry->rng, &budget);
+  kvera_init (&entry->kvera, &entry->kvbudget.kv, &entryera_ops, entry);
 }
 
 static void
@@ -401,7 +403,7 @@
     .hold_ns = KEY_HOLD_MS * NS_PER_MS,
     .pausewatch = &entry->pausewatch,
   };
-  struct kv *kv = &entry->kvbudget.kv;
+  struct kv *kv = &entry->kvera.kv;
 
   kvview_init (&entry->operator_view, kv, &entry->clock, &settings,
                entry->dialect->operator_prefix, &entryviews_operator_ops,
@@ -427,8 +429,8 @@
   g_strlcpy (self.peer, settings->listen.peer.text, sizeof self.peer);
   g_strlcpy (self.data_centre, settings->process.data_centre,
              sizeof self.data_centre);
-  presence_init (&entry->presence, &entry->kvbudget.kv, &entry->clock, key,
-                 &self, settings->kv.lease_ttl_ns);
+  presence_init (&entry->presence, &entry->kvera.kv, &entry->clock, key, &self,
+                 settings->kv.lease_ttl_ns);
   g_free (key);
 }
 
@@ -458,10 +460,10 @@
   servers_init (&entry->servers, &entry->loop, &entry->clock,
                 settings->process.data_centre, settings->timeouts.connect_ns,
                 &servers_ops, entry);
-  poisoncount_init (&entry->poisoncount, &entry->kvbudget.kv, &entry->clock,
+  poisoncount_init (&entry->poisoncount, &entry->kvera.kv, &entry->clock,
                     ENTRY_CRASH_PREFIX);
   entry_init_presence (entry);
-  blameshare_init (&entry->blameshare, &entry->kvbudget.kv, &entry->clock,
+  blameshare_init (&entry->blameshare, &entry->kvera.kv, &entry->clock,
                    &entry->presence, &entry->log, &entry->metrics,
                    ENTRY_BLAME_PREFIX, &entryblame_ops, entry);
   streamorigin_init (&entry->origin, &entry->clock, &entry->presence,
@@ -481,11 +483,10 @@
   cacheretire_init (&entry->retire, &entry->clock, &entry->log,
                     &entry->servers, &entry->presence,
                     entry->forwarder.wanted_weights);
-  rollout_init (&entry->rollout, &rollout, &entry->kvbudget.kv, &entry->clock,
-                &entry->log, entry->dialect, &entry->httpjson,
-                &entry->presence, &entry->servers,
-                entry->forwarder.wanted_weights, ENTRY_LEADER_KEY,
-                instance_name);
+  rollout_init (
+      &entry->rollout, &rollout, &entry->kvera.kv, &entry->clock, &entry->log,
+      entry->dialect, &entry->httpjson, &entry->presence, &entry->servers,
+      entry->forwarder.wanted_weights, ENTRY_LEADER_KEY, instance_name);
   cachegc_init (&entry->cachegc, &entry->clock, &entry->log, entry->dialect,
                 &entry->httpjson, &entry->rollout, &entry->kvstores,
                 &entry->servers, &entry->retire);
--- a/src/entry.h
+++ b/src/entry.h
@@ -9,6 +9,7 @@
 #include "forwarder.h"
 #include "httpjson.h"
 #include "kvbudget.h"
+#include "kvera.h"
 #include "kvstores.h"
 #include "kvview.h"
 #include "log.h"
@@ -55,10 +56,12 @@
   struct metrics metrics;
   struct httpclient httpclient;
   struct httpjson httpjson;
-  struct kv *kv_service; /**< Sends the calls that kvbudget allows to the KV
-                            service. */
-  /** All modules use the KV service through this budget. */
-  struct kvbudget kvbudget;
+  struct kv *kv_service;    /**< Sends the calls that kvbudget allows to the KV
+                               service. */
+  struct kvbudget kvbudget; /**< Passes calls on to kv_service. */
+  /** All modules use the KV service through this interface, which passes calls
+   * on to kvbudget. */
+  struct kvera kvera;
   bool kv_down; /**< Whether the KV service was down at the last tick. */
   /** View of the keys that the operator writes: the configuration and the
    * wanted weight versions. */
--- a/src/entryhttp.c
+++ b/src/entryhttp.c
@@ -97,6 +97,11 @@
                routes != NULL ? (double)routes->version : 0);
   metrics_set (metrics, "trefoilspar_kv_calls", "",
                (double)entry->dialect->kv_call_count (entry->kv_service));
+  metrics_set (metrics, "trefoilspar_kv_era", "", (double)entry->kvera.era);
+  metrics_set (metrics, "trefoilspar_kv_era_rises", "",
+               (double)entry->kvera.rise_count);
+  metrics_set (metrics, "trefoilspar_kv_old_era_replies", "",
+               (double)entry->kvera.old_reply_count);
   metrics_set (metrics, "trefoilspar_view_age_seconds", "view=\"operator\"",
                age_s (entry, entry->operator_view.last_reply_ns));
   metrics_set (metrics, "trefoilspar_view_age_seconds", "view=\"servers\"",
--- a/src/event.c
+++ b/src/event.c
@@ -184,6 +184,11 @@
   { EVENT_HOST_CHANGED, EVENT_LEVEL_INFO, "host_changed",
     "The registration of a host changed: it serves, is leaving, or is no "
     "longer registered." },
+  { EVENT_STORE_ERA, EVENT_LEVEL_WARN, "store_era",
+    "The KV service states its first or a higher era: it came back from a "
+    "backup, without its last writes. The eras, what this process held in the "
+    "older one (revisions of its views, lease, fencing token), and what was "
+    "restarted." },
   { EVENT_DUTY_TAKEN, EVENT_LEVEL_WARN, "duty_taken",
     "This host became the leader of a duty, with the given fencing token." },
   { EVENT_DUTY_LOST, EVENT_LEVEL_WARN, "duty_lost",
--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -273,17 +273,15 @@
   call_free (call);
 }
 
-/* Move the expired calls of QUEUE to the pending refusals. Calls in a queue
- * are ordered by deadline. */
+/* Move the calls of QUEUE that are due by DEADLINE_NS to the pending refusals.
+ * Calls in a queue are ordered by deadline. */
 static void
-queue_expire (struct kvbudget *budget, struct list *queue)
+queue_refuse (struct kvbudget *budget, struct list *queue, int64_t deadline_ns)
 {
-  int64_t now = clock_now (budget->clock);
-
   for (struct list *at = queue->next, *next; at != queue; at = next)
     {
       next = at->next;
-      if (LIST_ENTRY (at, struct budget_call, node)->deadline_ns > now)
+      if (LIST_ENTRY (at, struct budget_call, node)->deadline_ns > deadline_ns)
         return;
       budget->queued_count--;
       list_remove (at);
@@ -541,13 +539,22 @@
 void
 kvbudget_tick (struct kvbudget *budget)
 {
+  int64_t now = clock_now (budget->clock);
+
   in_flight_expire (budget);
-  queue_expire (budget, &budget->lease_queue);
-  queue_expire (budget, &budget->queue);
+  queue_refuse (budget, &budget->lease_queue, now);
+  queue_refuse (budget, &budget->queue, now);
   refusals_reply (budget);
   budget_send_queued (budget);
 }
 
+void
+kvbudget_refuse_queued (struct kvbudget *budget)
+{
+  queue_refuse (budget, &budget->lease_queue, CLOCK_NEVER);
+  queue_refuse (budget, &budget->queue, CLOCK_NEVER);
+}
+
 int64_t
 kvbudget_next_tick_ns (const struct kvbudget *budget)
 {
--- a/src/kvbudget.h
+++ b/src/kvbudget.h
@@ -76,6 +76,9 @@
  * long to be sent or for their reply. */
 void kvbudget_tick (struct kvbudget *budget);
 
+/** Refuse the calls that wait to be sent, with the next tick. */
+void kvbudget_refuse_queued (struct kvbudget *budget);
+
 /** Return the monotonic time at which kvbudget_tick has to run next, or
  * CLOCK_NEVER. */
 int64_t kvbudget_next_tick_ns (const struct kvbudget *budget);
--- a/src/kvera.c
+++ b/src/kvera.c
@@ -6,6 +6,7 @@
 {
   struct list node;
   struct kvera *kvera;
+  bool ended; /* Whether the caller has its reply. */
   kv_done done;
   void *data;
 };
@@ -23,13 +24,67 @@
   return call;
 }
 
+/* End CALL, whose effect is unknown or does not last. It is freed when its
+ * reply arrives. */
 static void
-call_replied (void *data, const struct kv_reply *reply)
+call_end_unknown (struct era_call *call)
 {
-  struct era_call *call = data;
+  const struct kv_reply reply = { .status = STATUS_UNKNOWN };
 
   list_remove (&call->node);
-  call->done (call->data, reply);
+  call->ended = true;
+  call->done (call->data, &reply);
+}
+
+/* End the calls that were sent before the era rose. Their callers may send new
+ * calls, which stay. */
+static void
+older_calls_end (struct kvera *kvera)
+{
+  struct list older;
+
+  list_init (&older);
+  while (!list_empty (&kvera->calls))
+    {
+      struct list *node = kvera->calls.next;
+
+      list_remove (node);
+      list_append (&older, node);
+    }
+  while (!list_empty (&older))
+    call_end_unknown (LIST_ENTRY (older.next, struct era_call, node));
+}
+
+static void
+era_rise (struct kvera *kvera, uint64_t era)
+{
+  uint64_t old_era = kvera->era;
+
+  kvera->era = era;
+  if (old_era != 0)
+    kvera->rise_count++;
+  kvera->ops->era_changed (kvera->data, old_era, era);
+  if (old_era != 0)
+    older_calls_end (kvera);
+}
+
+static void
+call_replied (void *data, const struct kv_reply *reply)
+{
+  struct era_call *call = data;
+  struct kvera *kvera = call->kvera;
+  bool is_old = reply->era != 0 && reply->era < kvera->era;
+
+  if (reply->era > kvera->era)
+    era_rise (kvera, reply->era);
+  kvera->old_reply_count += is_old;
+  if (!call->ended && is_old)
+    call_end_unknown (call);
+  else if (!call->ended)
+    {
+      list_remove (&call->node);
+      call->done (call->data, reply);
+    }
   g_free (call);
 }
 
--- a/test/test-kvbudget.c
+++ b/test/test-kvbudget.c
@@ -182,12 +182,37 @@
   finish ();
 }
 
+/* Calls that were queued in an older era took effect in a new one, with leases
+ * and revisions that now mean something else. */
+static void
+test_queued_calls_are_refused (void)
+{
+  const struct kv_write write = { "k", "v", 0 };
+  const struct kv_txn txn = { .writes = &write, .write_count = 1 };
+
+  setup (1);
+  fake.faults.down = true;
+  budget.kv.ops->get (&budget.kv, "k", count_reply, NULL);
+  run (20 * NS_PER_MS);
+  fake.faults.down = false;
+  budget.kv.ops->txn (&budget.kv, &txn, count_reply, NULL);
+  budget.kv.ops->lease_keepalive (&budget.kv, 1, count_reply, NULL);
+  kvbudget_refuse_queued (&budget);
+  CU_ASSERT_EQUAL (reply_counts[STATUS_UNAVAILABLE], 1);
+  run (NS_PER_S);
+  CU_ASSERT_EQUAL (reply_counts[STATUS_UNAVAILABLE], 3);
+  CU_ASSERT_PTR_NULL (fake_kv_key_value (&fake, "k"));
+  CU_ASSERT_EQUAL (fake_kv_call_count (&fake), 1);
+  finish ();
+}
+
 static const struct unit_case cases[] = {
   { "rate-holds-in-a-storm", test_rate_limit_under_overload },
   { "one-probe-after-an-outage", test_one_probe_after_an_outage },
   { "waiting-watches-use-the-rate", test_waiting_watches_use_the_rate },
   { "leases-first", test_leases_first },
   { "late-reply-is-dropped", test_late_reply_is_dropped },
+  { "queued-calls-are-refused", test_queued_calls_are_refused },
 };
 
 int
