A view of the KV service compares no revisions across eras

After the service came back from a copy, a host served on an older configuration for good: what the operator wrote then had a lower revision than the value that the host had, and counted as old. Keys that the copy lacks (hosts, entries of servers) were removed at once where no call had failed meanwhile.

At a new era a view now reads all keys anew with its revisions counted as 0, so that each value of the new era is told, and holds vanished keys for two seconds as after an outage. An older configuration in the copy is told too; it is refused by its version, as before.

era/revisions-are-not-compared and keys-are-held failed before and pass.

--- a/src/kvview.c
+++ b/src/kvview.c
@@ -306,6 +306,17 @@
 void
 kvview_era_changed (struct kvview *view)
 {
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, view->keys);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct kvview_key *)value)->revision = 0;
+  view->revision = 0;
+  /* The service may have been away too briefly for a call to fail. */
+  view->was_unreachable = true;
+  view->outage_end_ns = clock_now (view->clock);
+  kvview_restart (view);
 }
 
 void
