A leader whose fencing token engines refuse wins a higher one

After an engine had answered that a leader's token was too low, no engine was brought to new weights any more for as long as that host ran. Cause: the host gave the leadership up but left its key, with its living lease, in the KV service, so that no host could claim; it did not itself, since the token of that key was refused. That happens when the service came back from a copy and gave lower revisions out than engines had seen.

--- a/src/rollout.c
+++ b/src/rollout.c
@@ -197,15 +197,18 @@
   return rank;
 }
 
+/* Claims a vacant leadership, or replaces this host's own key, since engines
+ * refuse its token. */
 static void
 leadership_claim (struct rollout *rollout)
 {
-  struct kv_compare compare = { rollout->leader_key, 0 };
+  struct kv_compare compare
+      = { rollout->leader_key, rollout->own_key_revision };
   struct kv_write write = { rollout->leader_key, rollout->instance_name,
                             rollout->presence->lease };
   struct kv_txn txn = { &compare, 1, &write, 1 };
-  int64_t wait
-      = (int64_t)(1 + leader_rank (rollout)) * RANK_DELAY_MS * NS_PER_MS;
+  unsigned rank = rollout->own_key_revision != 0 ? 0 : leader_rank (rollout);
+  int64_t wait = (int64_t)(1 + rank) * RANK_DELAY_MS * NS_PER_MS;
 
   if (!presence_lease_is_valid_for (rollout->presence,
                                     LEASE_MARGIN_MS * NS_PER_MS)
@@ -288,6 +291,7 @@
       break;
     case WEIGHTS_REPLY_FENCED:
       rollout->refused_token = engine->fencing_token;
+      rollout->vacant_since_ns = clock_now (rollout->clock);
       leadership_lost (rollout, "fenced");
       break;
     case WEIGHTS_REPLY_REFUSED:
@@ -552,7 +556,8 @@
     leadership_acquired (rollout, rollout->own_key_revision);
   if (rollout->fencing_token == 0)
     {
-      if (!rollout->has_leader && !rollout->claim_pending)
+      if ((!rollout->has_leader || rollout->own_key_revision != 0)
+          && !rollout->claim_pending)
         leadership_claim (rollout);
       return;
     }
