The leadership of the rollout is won anew in each era of the KV service

After the service came back from a copy, the leader ordered on although its key and lease were gone and another host could win the same revision as its fencing token; engines that had seen tokens of the older era refused the orders of the new leader.

At a new era a host gives the leadership up and forgets its claim, its lease and its key of before; a claim requires that there is no key, so that a leader's key in the copy stands until its lease ends or its host replaces it. A token now consists of the era and the revision, so that tokens rise across eras; without an era it is the revision, as before.

--- a/src/rollout.c
+++ b/src/rollout.c
@@ -1,4 +1,5 @@
 #include "rollout.h"
+#include "fencingtoken.h"
 #include "rendezvous.h"
 #include "weights.h"
 
@@ -125,14 +126,17 @@
 }
 
 static void
-leadership_acquired (struct rollout *rollout, uint64_t fence)
+leadership_acquired (struct rollout *rollout, uint64_t revision)
 {
   rollout->has_leader = true;
-  rollout->fencing_token = fence;
+  rollout->leader_revision = revision;
+  rollout->fencing_token = fencingtoken_make (rollout->era, revision);
   rollout->leader_lease = rollout->claim_lease;
   rollout->leader_since_ns = clock_now (rollout->clock);
-  log_event (rollout->log, EVENT_DUTY_TAKEN, "duty=%s fence=%lu",
-             rollout->leader_key, (unsigned long)fence);
+  log_event (rollout->log, EVENT_DUTY_TAKEN,
+             "duty=%s fence=%lu era=%lu revision=%lu", rollout->leader_key,
+             (unsigned long)rollout->fencing_token,
+             (unsigned long)rollout->era, (unsigned long)revision);
 }
 
 void
@@ -142,7 +146,7 @@
   bool own = strcmp (value, rollout->instance_name) == 0;
 
   rollout->has_leader = true;
-  if (!own && revision > rollout->fencing_token)
+  if (!own && revision > rollout->leader_revision)
     leadership_lost (rollout, "taken_over");
   rollout->own_key_revision = own ? revision : 0;
 }
@@ -197,8 +201,8 @@
   return rank;
 }
 
-/* Claims a vacant leadership, or replaces this host's own key, since engines
- * refuse its token. */
+/* Claims a vacant leadership, or replaces this host's own key: its lease is of
+ * an older era, or engines refuse its token. */
 static void
 leadership_claim (struct rollout *rollout)
 {
@@ -496,7 +500,8 @@
 void
 rollout_stop (struct rollout *rollout)
 {
-  struct kv_compare compare = { rollout->leader_key, rollout->fencing_token };
+  struct kv_compare compare
+      = { rollout->leader_key, rollout->leader_revision };
   struct kv_write write = { rollout->leader_key, NULL, 0 };
   struct kv_txn txn = { &compare, 1, &write, 1 };
 
@@ -510,6 +515,16 @@
 void
 rollout_era_changed (struct rollout *rollout, uint64_t era, bool is_rise)
 {
+  rollout->era = era;
+  if (!is_rise)
+    return;
+  leadership_lost (rollout, "era_rose");
+  /* A claim requires that the service has no leader's key, so that nothing is
+   * lost if there is one. */
+  rollout->has_leader = false;
+  rollout->own_key_revision = 0;
+  rollout->claim_lease = 0;
+  rollout->vacant_since_ns = clock_now (rollout->clock);
 }
 
 bool
@@ -535,8 +550,9 @@
 claim_reply_was_lost (const struct rollout *rollout)
 {
   return rollout->fencing_token == 0 && rollout->own_key_revision != 0
-         && !rollout->claim_pending
-         && rollout->own_key_revision != rollout->refused_token
+         && !rollout->claim_pending && rollout->claim_lease != 0
+         && fencingtoken_make (rollout->era, rollout->own_key_revision)
+                != rollout->refused_token
          && rollout->presence->lease == rollout->claim_lease;
 }
 
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -9,9 +9,10 @@
 /** @file
  * The rollout brings every engine to the weight version that the operator
  * wants. One host at a time is the leader of the rollout: the leader's key in
- * the KV service is tied to that host's lease, and the revision of the key is
- * the fencing token of its orders. Only a few engines load weights at the
- * same time, so that the others carry the load meanwhile.
+ * the KV service is tied to that host's lease, and the era of the service with
+ * the revision of the key is the fencing token of its orders. Only a few
+ * engines load weights at the same time, so that the others carry the load
+ * meanwhile.
  */
 
 struct rollout_settings
@@ -47,9 +48,12 @@
   /** Value that this process writes to the leader's key. It is unique to this
    * run of the process. */
   char *instance_name;
-  bool has_leader;        /**< Whether some host is the leader. */
-  uint64_t fencing_token; /**< Fencing token of this host's orders; 0 if this
-                             host is not the leader. */
+  bool has_leader;          /**< Whether some host is the leader. */
+  uint64_t era;             /**< Era of the KV service; 0 if it states none. */
+  uint64_t fencing_token;   /**< Fencing token of this host's orders; 0 if this
+                               host is not the leader. */
+  uint64_t leader_revision; /**< Revision of the leader's key with which this
+                               host last became the leader. */
   /** Lease with which this host last became the leader. */
   uint64_t leader_lease;
   uint64_t claim_lease; /**< Lease of this host's last claim to leadership. */
