A host takes a new lease in each era of the KV service

After the service came back from a copy, a host whose lease was newer than the copy renewed a lease id that had been given to another host since, or learned only with its next renewal that the lease was gone; its record was missing for as long, so that callers were not told its address. Now it takes a new lease and writes its record again at once.

era/host-takes-a-new-lease failed before and passes.

--- a/src/presence.c
+++ b/src/presence.c
@@ -267,6 +267,9 @@
 void
 presence_era_changed (struct presence *presence)
 {
+  presence->lease = 0;
+  presence->key_is_current = false;
+  presence->next_renewal_ns = clock_now (presence->clock);
 }
 
 void
