Crashes and blocks are written again in a new era of the KV service

After the service came back from a copy, the keys of requests that had crashed servers within the last seconds were gone: two seconds later hosts forgot the crashes, and the requests crashed more servers. Keys that waited to be written named leases that other processes may have been given since.

At a new era each host writes the keys of all crashes that count for it and of all blocks again, also those of hosts that are gone, with a new lease. A write that is pending is not added twice, since a transaction should not write a key twice.

--- a/src/blamestore.c
+++ b/src/blamestore.c
@@ -148,7 +148,13 @@
 void
 blamestore_era_changed (struct blamestore *store)
 {
+  GHashTableIter iter;
+  gpointer block;
+
   leasedkeys_era_changed (&store->keys);
+  g_hash_table_iter_init (&iter, store->blame->blocks);
+  while (g_hash_table_iter_next (&iter, NULL, &block))
+    ((struct blame_block *)block)->stored = false;
 }
 
 void
--- a/src/leasedkeys.c
+++ b/src/leasedkeys.c
@@ -43,11 +43,28 @@
   g_ptr_array_free (keys->pending, TRUE);
 }
 
+/* Whether the last pending write of KEY writes VALUE. */
+static bool
+is_pending (const struct leasedkeys *keys, const char *key, const char *value)
+{
+  for (guint i = keys->pending->len; i > 0; i--)
+    {
+      const struct pending_write *write = keys->pending->pdata[i - 1];
+
+      if (strcmp (write->key, key) == 0)
+        return g_strcmp0 (write->value, value) == 0;
+    }
+  return false;
+}
+
 void
 leasedkeys_add (struct leasedkeys *keys, const char *key, const char *value)
 {
   struct pending_write *write;
 
+  /* A transaction should not write a key twice. */
+  if (is_pending (keys, key, value))
+    return;
   if (keys->pending->len >= PENDING_MAX)
     g_ptr_array_remove_index (keys->pending, keys->sent_count);
   write = g_new0 (struct pending_write, 1);
@@ -124,6 +141,7 @@
 void
 leasedkeys_era_changed (struct leasedkeys *keys)
 {
+  keys->lease_id = 0;
 }
 
 void
--- a/src/poisoncount.c
+++ b/src/poisoncount.c
@@ -189,7 +189,13 @@
 void
 poisoncount_era_changed (struct poisoncount *poisoncount)
 {
+  GHashTableIter iter;
+  gpointer key;
+
   leasedkeys_era_changed (&poisoncount->keys);
+  g_hash_table_iter_init (&iter, poisoncount->counted_keys);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    leasedkeys_add (&poisoncount->keys, key, "1");
 }
 
 void
--- a/test/test-leasedkeys.c
+++ b/test/test-leasedkeys.c
@@ -70,9 +70,45 @@
   teardown ();
 }
 
+/* A key that was to be written again in a new era stood twice in one
+ * transaction. */
+static void
+test_pending_key_is_not_added_twice (void)
+{
+  setup ();
+  leasedkeys_add (&keys, "a", "1");
+  leasedkeys_add (&keys, "a", "1");
+  CU_ASSERT_EQUAL (keys.pending->len, 1);
+  leasedkeys_add (&keys, "a", NULL);
+  leasedkeys_add (&keys, "a", "1");
+  CU_ASSERT_EQUAL (keys.pending->len, 3);
+  teardown ();
+}
+
+/* A lease of the older era was used, although another process may have its id
+ * now. */
+static void
+test_new_lease_in_a_new_era (void)
+{
+  uint64_t lease;
+
+  setup ();
+  leasedkeys_add (&keys, "a", "1");
+  run_for (200);
+  lease = keys.lease_id;
+  leasedkeys_era_changed (&keys);
+  leasedkeys_add (&keys, "b", "1");
+  run_for (200);
+  CU_ASSERT_NOT_EQUAL (keys.lease_id, lease);
+  CU_ASSERT_PTR_NOT_NULL (fake_kv_key_value (&kv, "b"));
+  teardown ();
+}
+
 static const struct unit_case cases[] = {
   { "written-after-an-outage", test_written_after_an_outage },
   { "written-with-a-new-lease", test_written_with_a_new_lease },
+  { "pending-key-is-not-added-twice", test_pending_key_is_not_added_twice },
+  { "new-lease-in-a-new-era", test_new_lease_in_a_new_era },
 };
 
 int
