--- a/test/check-soak.sh
+++ b/test/check-soak.sh
@@ -16,12 +16,15 @@
 third=$!
 run limits --seed 4 --limits &
 fourth=$!
+run drills --seed 5 --drills &
+fifth=$!
 failed=0
 wait $first || failed=1
 wait $second || failed=1
 wait $third || failed=1
 wait $fourth || failed=1
-for name in faults planned poison limits; do
+wait $fifth || failed=1
+for name in faults planned poison limits drills; do
   grep -E '^(not )?ok ' "$folder/$name.txt" || echo "not ok soak/$name"
   grep 'BROKEN' "$folder/$name.txt"
 done
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -13,6 +13,7 @@
   LIMIT_SLACK = 5,        /* that may come beyond one and a half times it */
   LIMIT_TOLD_MS = 500,    /* until all hosts have been told */
   LIMIT_KEPT_MS = 3000,   /* until the limit must be kept */
+  REWRITE_MAX_MS = 1500,  /* until its entry is written again in a new era */
   DRAIN_MS = 4000 /* for which it serves after it has said that it leaves */
 };
 
@@ -330,6 +331,7 @@
   memset (engine, 0, sizeof *engine);
   engine->soak = soak;
   engine->store = store;
+  engine->store_era = store->era;
   engine->port = port;
   engine->address_port = address_port;
   engine->limit_arrivals = g_array_new (FALSE, FALSE, sizeof (int64_t));
@@ -349,6 +351,17 @@
 void
 soak_engine_tick (struct soak_engine *engine)
 {
+  if (engine->rewrite_ns == 0 && engine->store_era != engine->store->era)
+    engine->rewrite_ns
+        = clock_now (&engine->soak->clock)
+          + soak_draw (engine->soak, 0, REWRITE_MAX_MS) * NS_PER_MS;
+  if (engine->rewrite_ns != 0
+      && clock_now (&engine->soak->clock) >= engine->rewrite_ns)
+    {
+      engine->rewrite_ns = 0;
+      engine->store_era = engine->store->era;
+      entry_write (engine);
+    }
   if (engine->change_ns == 0
       || clock_now (&engine->soak->clock) < engine->change_ns)
     return;
--- a/test/soak-engine.h
+++ b/test/soak-engine.h
@@ -25,9 +25,12 @@
   char id[24];
   unsigned starts;
   bool draining;
-  int64_t change_ns; /**< next step of a crash or a drain; 0: none */
-  double limit;      /**< Requests per second that it says it takes; 0: it says
-                        none. */
+  int64_t change_ns;  /**< next step of a crash or a drain; 0: none */
+  unsigned store_era; /**< Era of the store in which it wrote its entry. */
+  int64_t rewrite_ns; /**< Time at which it writes its entry again in a new
+                         era; 0: it has. */
+  double limit; /**< Requests per second that it says it takes; 0: it says
+                   none. */
   int64_t limit_since_ns;
   GArray *limit_arrivals; /**< Times of requests since it says so. */
   bool limit_broken;
--- a/test/soak-store.c
+++ b/test/soak-store.c
@@ -62,13 +62,17 @@
 }
 
 static void
-answer (struct callerconn *conn, int status, struct json_object *body)
+answer (const struct soak_store *store, struct callerconn *conn, int status,
+        struct json_object *body)
 {
   const char *text
       = body != NULL ? json_object_to_json_string_ext (body, 0) : "{}";
+  char lines[80];
 
-  callerconn_respond (conn, status, "Content-Type: application/json\r\n", text,
-                      strlen (text));
+  g_snprintf (lines, sizeof lines,
+              "Content-Type: application/json\r\nStore-Era: %u\r\n",
+              store->era);
+  callerconn_respond (conn, status, lines, text, strlen (text));
   json_object_put (body);
 }
 
@@ -141,9 +145,9 @@
   struct json_object *body;
   struct json_object *events;
 
-  if (watch->after < store->forgotten)
+  if (watch->after < store->forgotten || watch->after > store->revision)
     {
-      answer (watch->conn, 410, NULL);
+      answer (store, watch->conn, 410, NULL);
       watch_free (watch);
       return true;
     }
@@ -157,7 +161,7 @@
   body = json_object_new_object ();
   json_object_object_add (body, "events", events);
   json_add_uint (body, "at", store->revision);
-  answer (watch->conn, 200, body);
+  answer (store, watch->conn, 200, body);
   watch_free (watch);
   return true;
 }
@@ -206,7 +210,7 @@
       json_object_array_add (items, item_object (key, item));
   json_object_object_add (body, "items", items);
   json_add_uint (body, "at", store->revision);
-  answer (conn, 200, body);
+  answer (store, conn, 200, body);
 }
 
 static void
@@ -363,7 +367,7 @@
       callerconn_abort (conn);
     }
   else
-    answer (conn, status, body);
+    answer (store, conn, status, body);
   json_object_put (request);
   g_string_free (text, TRUE);
   watches_advance (store);
@@ -376,9 +380,9 @@
   const char *target = conn->target->str;
   char *name;
 
-  if (store->down)
+  if (store->down || store->is_away)
     {
-      answer (conn, 503, NULL);
+      answer (store, conn, 503, NULL);
       return;
     }
   if (strcmp (callerconn_method (conn), "GET") != 0)
@@ -396,10 +400,10 @@
   if (g_str_has_prefix (target, "/kv-range?"))
     range_answer (store, conn, name);
   else if (g_hash_table_contains (store->items, name))
-    answer (conn, 200,
+    answer (store, conn, 200,
             item_object (name, g_hash_table_lookup (store->items, name)));
   else
-    answer (conn, 404, NULL);
+    answer (store, conn, 404, NULL);
   g_free (name);
 }
 
@@ -428,6 +432,7 @@
 
   memset (store, 0, sizeof *store);
   store->soak = soak;
+  store->era = 1;
   store->items
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, item_free);
   store->leases
@@ -443,9 +448,20 @@
                                     120 * NS_PER_S };
 }
 
+static void
+backup_free (struct soak_store *store)
+{
+  if (store->backup_items == NULL)
+    return;
+  g_hash_table_destroy (store->backup_items);
+  g_hash_table_destroy (store->backup_leases);
+  store->backup_items = store->backup_leases = NULL;
+}
+
 void
 soak_store_finish (struct soak_store *store)
 {
+  backup_free (store);
   callerserver_finish (&store->server);
   while (!list_empty (&store->watches))
     watch_free (LIST_ENTRY (store->watches.next, struct watch, node));
@@ -467,7 +483,8 @@
       ended = false;
       g_hash_table_iter_init (&iter, store->leases);
       while (!ended && g_hash_table_iter_next (&iter, &number, &lease))
-        if (((struct lease *)lease)->end_ns <= now && !store->down)
+        if (((struct lease *)lease)->end_ns <= now && !store->down
+            && !store->is_away)
           {
             lease_end (store, GPOINTER_TO_SIZE (number));
             ended = true;
@@ -496,3 +513,71 @@
   g_ptr_array_set_size (store->history, 0);
   watches_advance (store);
 }
+
+void
+soak_store_back_up (struct soak_store *store)
+{
+  GHashTableIter iter;
+  gpointer key, value;
+
+  backup_free (store);
+  store->backup_revision = store->revision;
+  store->backup_last_lease = store->last_lease;
+  store->backup_items
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, item_free);
+  store->backup_leases
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  g_hash_table_iter_init (&iter, store->items);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct item *item = g_memdup2 (value, sizeof *item);
+
+      item->value = g_strdup (item->value);
+      g_hash_table_insert (store->backup_items, g_strdup (key), item);
+    }
+  g_hash_table_iter_init (&iter, store->leases);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    g_hash_table_insert (store->backup_leases, key,
+                         g_memdup2 (value, sizeof (struct lease)));
+}
+
+/* The leases of the backup run anew. */
+static void
+leases_renew (struct soak_store *store)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, store->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct lease *)value)->end_ns
+        = clock_now (&store->soak->clock) + ((struct lease *)value)->ttl_ns;
+}
+
+void
+soak_store_restore (struct soak_store *store)
+{
+  while (!list_empty (&store->watches))
+    {
+      struct watch *watch
+          = LIST_ENTRY (store->watches.next, struct watch, node);
+
+      callerconn_abort (watch->conn);
+      watch_free (watch);
+    }
+  g_hash_table_destroy (store->items);
+  g_hash_table_destroy (store->leases);
+  store->items = store->backup_items;
+  store->leases = store->backup_leases;
+  store->backup_items = store->backup_leases = NULL;
+  leases_renew (store);
+  store->revision = store->backup_revision;
+  store->last_lease = store->backup_last_lease;
+  store->forgotten = MIN (store->forgotten, store->revision);
+  while (store->history->len > 0
+         && ((struct change *)store->history->pdata[store->history->len - 1])
+                    ->revision
+                > store->revision)
+    g_ptr_array_set_size (store->history, (gint)store->history->len - 1);
+  store->era++;
+}
--- a/test/soak-store.h
+++ b/test/soak-store.h
@@ -22,6 +22,14 @@
   uint64_t forgotten; /**< Changes up to this revision are not told. */
   double lost;        /**< Share of writes done and not answered. */
   bool down;          /**< Everything is answered 503. */
+  bool is_away;       /**< The same, before it comes back from a backup. */
+  unsigned era;       /**< Stated in all answers. */
+  /** Of a backup: key to struct item, number to struct lease, and more; the
+   * tables are NULL if there is none. */
+  GHashTable *backup_items;
+  GHashTable *backup_leases;
+  uint64_t backup_revision;
+  uint64_t backup_last_lease;
 };
 
 /** Listen at PORT of SOAK_IP. */
@@ -36,6 +44,13 @@
 void soak_store_put (struct soak_store *store, const char *key,
                      const char *value);
 
+/** Keep what the store has now as a backup. */
+void soak_store_back_up (struct soak_store *store);
+
+/** Come back from the backup, in a new era: what was written since is gone,
+ * and watches are cut. */
+void soak_store_restore (struct soak_store *store);
+
 /** Forget all changes, so that watches begin anew. */
 void soak_store_compact (struct soak_store *store);
 
--- a/test/soak.c
+++ b/test/soak.c
@@ -1,5 +1,7 @@
 /* A soak of entry processes with faults from outside: soak --seed N. */
 #include "soak-caller.h"
+#include "soak-config.h"
+#include "soak-drill.h"
 #include "soak-engine.h"
 #include "soak-proxy.h"
 
@@ -30,6 +32,7 @@
 {
   struct soak soak;
   struct soak_store store;
+  struct soak_drill drill;
   struct soak_host hosts[HOSTS];
   struct soak_engine engines[ENGINES];
   struct soak_caller callers[CALLERS];
@@ -53,6 +56,7 @@
 static gboolean option_poison_block;
 static gboolean option_limits;
 static gboolean option_planned;
+static gboolean option_drills;
 static char *option_program = "build/trefoilspard";
 static char *option_folder = "build/soak-logs";
 
@@ -66,6 +70,8 @@
     "Streams with a block that crashes engines, and few other faults", NULL },
   { "limits", 0, 0, G_OPTION_ARG_NONE, &option_limits,
     "Engines that state limits, and few other faults", NULL },
+  { "drills", 0, 0, G_OPTION_ARG_NONE, &option_drills,
+    "A store that comes back from backups, beside kills and cuts", NULL },
   { "program", 0, 0, G_OPTION_ARG_FILENAME, &option_program, "The daemon",
     "FILE" },
   { "folder", 0, 0, G_OPTION_ARG_FILENAME, &option_folder,
@@ -151,42 +157,21 @@
   return prefixes[kind];
 }
 
-static char *
-route_text (enum soak_kind kind)
+/* Writes the newest configuration, also once more. */
+static void
+config_put (void *data)
 {
-  static const char *const types[SOAK_KINDS]
-      = { "idempotent", "non_idempotent", "streaming" };
+  char *text = soak_config_text (world.config_version);
 
-  return g_strdup_printf (
-      "{\"name\":\"r%d\",\"hostname\":\"" SOAK_ROUTES_HOST
-      "\",\"prefix\":\"%s\",\"routeType\":\"%s\",\"timeoutMs\":4000,"
-      "\"targetLatencyMs\":500,\"priority\":1,\"backend\":\"app\","
-      "\"attempts\":3,\"public\":false,\"resumable\":%s,\"gapTargetMs\":300}",
-      kind, soak_kind_prefix (kind), types[kind],
-      kind == SOAK_STREAM ? "true" : "false");
+  soak_store_put (&world.store, "op/config", text);
+  g_free (text);
 }
 
 static void
 config_write (void)
 {
-  char *routes[SOAK_KINDS];
-  char *text;
-
-  for (int i = 0; i < SOAK_KINDS; i++)
-    routes[i] = route_text ((enum soak_kind)i);
   world.config_version += soak_draw (&world.soak, 1, 3);
-  text = g_strdup_printf (
-      "{\"version\":%u,\"routes\":[%s,%s,%s],\"backends\":[{\"name\":\"app\","
-      "\"healthPath\":\"/health\",\"maxConns\":100}],\"limits\":{"
-      "\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutMs\":"
-      "3000,\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":"
-      "\"" SOAK_ORGANISATION "\",\"apiKeys\":[\"" SOAK_KEY
-      "\"],\"priority\":1}]}",
-      world.config_version, routes[0], routes[1], routes[2]);
-  soak_store_put (&world.store, "op/config", text);
-  for (int i = 0; i < SOAK_KINDS; i++)
-    g_free (routes[i]);
-  g_free (text);
+  config_put (NULL);
 }
 
 static struct soak_host *
@@ -332,6 +317,19 @@
     = { fault_limit, fault_limit, fault_config, fault_store_down,
         fault_store_lost };
 
+static void
+fault_drill (void)
+{
+  soak_drill_start (&world.drill);
+}
+
+/* Those that come beside a store that comes back from backups. */
+static void (*const drill_faults[]) (void)
+    = { fault_drill, fault_drill,      fault_kill,  fault_kill_all,
+        fault_pause, fault_link,       fault_link,  fault_config,
+        fault_drain, fault_store_lost, fault_crash, fault_store_compact,
+        fault_stop };
+
 /* Those that come beside a block that crashes engines. */
 static void (*const poison_faults[]) (void)
     = { fault_config, fault_store_down, fault_store_lost, fault_crash };
@@ -357,6 +355,9 @@
   else if (option_poison_block)
     poison_faults[soak_draw (&world.soak, 0,
                              G_N_ELEMENTS (poison_faults) - 1)]();
+  else if (option_drills)
+    drill_faults[soak_draw (&world.soak, 0,
+                            G_N_ELEMENTS (drill_faults) - 1)]();
   else
     faults[soak_draw (&world.soak, 0, count - 1)]();
 }
@@ -467,6 +468,7 @@
   int64_t now = clock_now (&world.soak.clock);
 
   soak_store_tick (&world.store);
+  soak_drill_tick (&world.drill);
   for (int i = 0; i < HOSTS; i++)
     soak_host_tick (&world.hosts[i]);
   for (int i = 0; i < ENGINES; i++)
@@ -488,6 +490,7 @@
   uint16_t store_port = soak_port_find ();
 
   soak_store_init (&world.store, &world.soak, store_port);
+  soak_drill_init (&world.drill, &world.soak, &world.store, config_put, NULL);
   config_write ();
   for (int i = 0; i < ENGINES; i++)
     {
@@ -582,6 +585,7 @@
           option_planned        ? "planned-"
           : option_poison_block ? "poison-"
           : option_limits       ? "limits-"
+          : option_drills       ? "drills-"
                                 : "",
           option_seed);
   return world.soak.violations == 0 ? 0 : 1;
--- a/test/soak.sh
+++ b/test/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Soaks with many seeds, also those that ever failed:
 # soak.sh BUILD [FIRST [COUNT [SECONDS [JOBS]]]]. Every fourth one has planned
-# work only. Output and logs of the processes stay in BUILD/soak-logs.
+# work only, every fourth one has drills of the store. Output and logs of the processes stay in BUILD/soak-logs.
 build=${1:-build}
 first=${2:-$RANDOM}
 count=${3:-50}
@@ -14,6 +14,7 @@
   mkdir -p "$folder"
   options=()
   [ $(($1 % 4)) -ne 0 ] || options=(--planned)
+  [ $(($1 % 4)) -ne 1 ] || options=(--drills)
   "$build/soak" --program "$build/trefoilspard" --seconds "$seconds" \
     --folder "$folder" --seed "$1" "${options[@]}" >"$folder/output.txt" 2>&1
   grep -E '^(not )?ok ' "$folder/output.txt" || echo "not ok soak/seed-$1"
