Soak: drills lose what the operator wrote, and the newest configuration counts

Now 200 writes and one of the operator's follow each backup, and at the end of a soak with drills each host must have the newest configuration in force, by its log.

--- a/test/soak-drill.c
+++ b/test/soak-drill.c
@@ -5,6 +5,8 @@
   AGE_MIN_MS = 300, /* of a backup */
   AGE_MAX_MS = 6000,
   AWAY_MAX_MS = 1500,
+  /* Writes after a backup: so many revisions are given out again, at least. */
+  LOST_WRITES = 200,
   REWRITE_MAX_MS = 1500 /* until the operator has written again */
 };
 
@@ -27,6 +29,9 @@
   if (drill->away_ns != 0 || drill->rewrite_ns != 0)
     return;
   soak_store_back_up (drill->store);
+  for (int i = 0; i < LOST_WRITES; i++)
+    soak_store_put (drill->store, "other", "1");
+  drill->operator_rewrite (drill->data);
   drill->away_ns
       = now + soak_draw (drill->soak, AGE_MIN_MS, AGE_MAX_MS) * NS_PER_MS;
   drill->back_ns
--- a/test/soak-host.c
+++ b/test/soak-host.c
@@ -202,6 +202,26 @@
     uv_process_kill (&host->process, SIGHUP);
 }
 
+void
+soak_host_check_config (const struct soak_host *host, unsigned version)
+{
+  char *path = g_strdup_printf ("%s/host-%u.log", host->folder, host->number);
+  char *text = NULL;
+  const char *line = NULL;
+  unsigned in_force = 0;
+
+  g_file_get_contents (path, &text, NULL, NULL);
+  if (text != NULL)
+    line = g_strrstr (text, "\"routes_in_force\"");
+  if (line != NULL)
+    sscanf (strstr (line, "\"version\":"), "\"version\":%u", &in_force);
+  if (in_force != version)
+    soak_violation (host->soak, "host %u has configuration %u instead of %u",
+                    host->number, in_force, version);
+  g_free (text);
+  g_free (path);
+}
+
 void
 soak_host_finish (struct soak_host *host)
 {
--- a/test/soak-host.h
+++ b/test/soak-host.h
@@ -41,6 +41,9 @@
 /** Change its settings file. */
 void soak_host_reload (struct soak_host *host, bool with_signal);
 
+/** Check by its log that the configuration VERSION is in force. */
+void soak_host_check_config (const struct soak_host *host, unsigned version);
+
 /** End it for good. */
 void soak_host_finish (struct soak_host *host);
 
--- a/test/soak.c
+++ b/test/soak.c
@@ -436,6 +436,8 @@
   if (option_poison_block)
     soak_say (&world.soak, "a block crashed %u engines; %u requests late",
               world.soak.poison.crashes, world.soak.poison.late);
+  for (int i = 0; option_drills && i < HOSTS; i++)
+    soak_host_check_config (&world.hosts[i], world.config_version);
   if (ended == world.ended
       || (served - world.served) * 100
              < (ended - world.ended) * SERVED_PERCENT)
