A server that has left stays away when the KV service brings its entry back

By reading: an entry that an engine removed within the last seconds is in the copy that the service comes back from, as ready, until the service misses its heartbeats, and the engine got requests again that had been known to leave. (An entry of a server that is still known was safe: an older heartbeat is ignored.)

--- a/src/entry.c
+++ b/src/entry.c
@@ -460,6 +460,7 @@
   servers_init (&entry->servers, &entry->loop, &entry->clock,
                 settings->process.data_centre, settings->timeouts.connect_ns,
                 &servers_ops, entry);
+  goneservers_init (&entry->goneservers, &entry->clock);
   poisoncount_init (&entry->poisoncount, &entry->kvera.kv, &entry->clock,
                     ENTRY_CRASH_PREFIX);
   entry_init_presence (entry);
@@ -573,6 +574,7 @@
   poisoncount_finish (&entry->poisoncount);
   blameshare_finish (&entry->blameshare);
   servers_finish (&entry->servers);
+  goneservers_finish (&entry->goneservers);
   kvview_finish (&entry->operator_view);
   kvview_finish (&entry->servers_view);
   kvview_finish (&entry->hosts_view);
--- a/src/entry.h
+++ b/src/entry.h
@@ -8,6 +8,7 @@
 #include "dialect.h"
 #include "forwarder.h"
 #include "httpjson.h"
+#include "goneservers.h"
 #include "kvbudget.h"
 #include "kvera.h"
 #include "kvstores.h"
@@ -69,6 +70,7 @@
   struct kvview servers_view;
   struct kvview hosts_view;
   struct servers servers;
+  struct goneservers goneservers;
   struct poisoncount poisoncount;
   struct blameshare blameshare;
   struct presence presence;
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -143,6 +143,15 @@
                       "entry_unreadable");
       return;
     }
+  /* A read may have found what a backup has; a change was written now. */
+  if (entry->servers_view.is_reading
+      && goneservers_has (&entry->goneservers, &decoded, entry->kvera.era))
+    {
+      log_event (&entry->log, EVENT_ENTRY_IGNORED,
+                 "key=%s revision=%lu reason=removed_in_older_era", key,
+                 (unsigned long)revision);
+      return;
+    }
   servers_update (&entry->servers, &decoded, revision);
   server = servers_find (&entry->servers, decoded.id);
   if (server != NULL)
@@ -153,7 +162,11 @@
 servers_removed (void *data, const char *key)
 {
   struct entry *entry = data;
+  const struct server *server
+      = servers_find (&entry->servers, server_id (entry, key));
 
+  if (server != NULL)
+    goneservers_add (&entry->goneservers, &server->entry, entry->kvera.era);
   servers_remove (&entry->servers, server_id (entry, key), "entry_gone");
 }
 
