A claim that replaces a changed key is not repeated

By reading: since a host replaces its own leader's key, a leader whose lease had ended claimed every 250 ms for as long as its view held the key, about eight writes in an outage, though the key was gone. A claim that the service refuses now ends these; the view tells of the key that is there. All cases of duty pass before and after; no test counts the writes.

--- a/src/rollout.c
+++ b/src/rollout.c
@@ -166,6 +166,10 @@
   struct rollout *rollout = data;
 
   rollout->claim_pending = false;
+  /* A key that has changed can't be replaced; the view will tell of it. */
+  if (reply->status == STATUS_CONFLICT
+      && rollout->own_key_revision == rollout->claim_revision)
+    rollout->own_key_revision = 0;
   if (reply->status != STATUS_OK)
     {
       rollout->vacant_since_ns = clock_now (rollout->clock);
@@ -220,6 +224,7 @@
     return;
   rollout->claim_pending = true;
   rollout->claim_lease = rollout->presence->lease;
+  rollout->claim_revision = compare.revision;
   rollout->kv->ops->txn (rollout->kv, &txn, claim_replied, rollout);
 }
 
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -57,6 +57,8 @@
   /** Lease with which this host last became the leader. */
   uint64_t leader_lease;
   uint64_t claim_lease; /**< Lease of this host's last claim to leadership. */
+  /** Revision of the leader's key that the last claim requires. */
+  uint64_t claim_revision;
   /** Revision of the leader's key if its value names this process, else 0. */
   uint64_t own_key_revision;
   /** Fencing token of this host that an engine refused because it had received
