Tests of the era run through the budget, as in a process

era/* use kvera above kvbudget, as an entry process does, instead of the fake service directly; all cases pass unchanged. New: away-and-back (2 s away, then back: the call that ends the outage is of the older era) and two-drills. Both pass with the code as it is; none was seen to fail.

--- a/test/test-era.c
+++ b/test/test-era.c
@@ -1,5 +1,6 @@
 #include "blamestore.h"
 #include "fake-kv.h"
+#include "kvbudget.h"
 #include "kvera.h"
 #include "kvview.h"
 #include "poisoncount.h"
@@ -15,6 +16,8 @@
 static struct clock_fake fake_clock;
 static struct fake_kv fake;
 static struct fake_kv_client client;
+static struct rng rng;
+static struct kvbudget budget;
 static struct kvera kvera;
 static struct kvview view;
 static struct presence presence;
@@ -57,6 +60,7 @@
                           (unsigned long)era);
   if (old_era == 0)
     return;
+  kvbudget_refuse_queued (&budget);
   kvview_era_changed (&view);
   presence_era_changed (&presence);
   poisoncount_era_changed (&poisoncount);
@@ -72,6 +76,17 @@
 
 static const struct blame_ops blame_ops = { .blocked = ignore_block };
 
+static const struct kvbudget_settings budget_settings = {
+  .rate = 50,
+  .burst = 10,
+  .queue_max = 30,
+  .watch_max = 20,
+  .queue_timeout_ns = NS_PER_S,
+  .call_timeout_ns = NS_PER_S,
+  .backoff_min_ns = 50 * NS_PER_MS,
+  .backoff_max_ns = 400 * NS_PER_MS,
+};
+
 static void
 setup (uint64_t era)
 {
@@ -85,7 +100,10 @@
   fake_kv_client_init (&client, &fake);
   callback_log = g_string_new (NULL);
   era_log = g_string_new (NULL);
-  kvera_init (&kvera, &client.kv, &era_ops, NULL);
+  rng_init (&rng, 1);
+  kvbudget_init (&budget, &client.kv, &fake_clock.clock, &rng,
+                 &budget_settings);
+  kvera_init (&kvera, &budget.kv, &era_ops, NULL);
   kvview_init (&view, &kvera.kv, &fake_clock.clock, &settings, "t/", &view_ops,
                NULL);
   presence_init (&presence, &kvera.kv, &fake_clock.clock, HOST_KEY, &self,
@@ -99,6 +117,7 @@
 static void
 finish (void)
 {
+  kvbudget_finish (&budget);
   fake_kv_client_finish (&client);
   kvview_finish (&view);
   presence_finish (&presence);
@@ -115,6 +134,7 @@
 {
   for (unsigned elapsed_ms = 0; elapsed_ms < duration_ms; elapsed_ms += 20)
     {
+      kvbudget_tick (&budget);
       kvview_tick (&view);
       presence_tick (&presence);
       poisoncount_tick (&poisoncount);
@@ -366,6 +386,59 @@
   finish ();
 }
 
+/* Leases, keys and changes were late after the service had been away too,
+ * since the reply that ended the outage was dropped with the older era. */
+static void
+test_away_and_back (void)
+{
+  setup (3);
+  fake_kv_put (&fake, "t/op/a", "1");
+  run_for_ms (200);
+  fake_kv_back_up (&fake);
+  fake_kv_put (&fake, "t/op/a", "2");
+  poisoncount_report_crash (&poisoncount, 0xa, "s1");
+  run_for_ms (300);
+  fake.faults.down = true;
+  poisoncount_report_crash (&poisoncount, 0xa, "s2");
+  run_for_ms (2000);
+  fake_kv_restore (&fake);
+  fake.faults.down = false;
+  fake_kv_put (&fake, "t/op/a", "3");
+  run_for_ms (1500);
+  expect_callbacks ("+t/op/a=1 +t/op/a=2 +t/op/a=3 ");
+  expect_eras ("0>3 3>4 ");
+  CU_ASSERT_FALSE (kvbudget_service_is_down (&budget));
+  CU_ASSERT_PTR_NOT_NULL (fake_kv_key_value (&fake, HOST_KEY));
+  CU_ASSERT_PTR_NOT_NULL (
+      fake_kv_key_value (&fake, "t/loss/000000000000000a/s1"));
+  CU_ASSERT_PTR_NOT_NULL (
+      fake_kv_key_value (&fake, "t/loss/000000000000000a/s2"));
+  finish ();
+}
+
+/* A second return, while the calls after the first one were not answered yet,
+ * left the process with what it had read in between. */
+static void
+test_two_drills (void)
+{
+  setup (3);
+  fake_kv_put (&fake, "t/op/a", "1");
+  run_for_ms (200);
+  fake_kv_back_up (&fake);
+  for (unsigned i = 0; i < 20; i++)
+    fake_kv_put (&fake, "t/op/a", "2");
+  run_for_ms (200);
+  fake_kv_restore (&fake);
+  run_for_ms (60);
+  fake_kv_restore (&fake);
+  fake_kv_put (&fake, "t/op/a", "3");
+  run_for_ms (1500);
+  CU_ASSERT_TRUE (g_str_has_suffix (callback_log->str, "+t/op/a=3 "));
+  CU_ASSERT_EQUAL (kvera.era, 5);
+  CU_ASSERT_PTR_NOT_NULL (fake_kv_key_value (&fake, HOST_KEY));
+  finish ();
+}
+
 /* A service that states no era behaves as before. */
 static void
 test_no_era_is_stated (void)
@@ -388,6 +461,8 @@
   { "host-takes-a-new-lease", test_host_takes_a_new_lease },
   { "crashes-are-written-again", test_crashes_are_written_again },
   { "blocks-are-written-again", test_blocks_are_written_again },
+  { "away-and-back", test_away_and_back },
+  { "two-drills", test_two_drills },
   { "no-era-is-stated", test_no_era_is_stated },
 };
 
