--- a/src/blamestore.c
+++ b/src/blamestore.c
@@ -145,6 +145,18 @@
   g_free (key);
 }
 
+void
+blamestore_era_changed (struct blamestore *store)
+{
+  GHashTableIter iter;
+  gpointer block;
+
+  leasedkeys_era_changed (&store->keys);
+  g_hash_table_iter_init (&iter, store->blame->blocks);
+  while (g_hash_table_iter_next (&iter, NULL, &block))
+    ((struct blame_block *)block)->stored = false;
+}
+
 void
 blamestore_tick (struct blamestore *store)
 {
--- a/src/entry.c
+++ b/src/entry.c
@@ -1,5 +1,6 @@
 #include "entry.h"
 #include "entryblame.h"
+#include "entryera.h"
 #include "entryhttp.h"
 #include "entrykv.h"
 #include "entryorigin.h"
@@ -364,8 +365,8 @@
   g_strlcpy (self.peer, settings->listen.peer.text, sizeof self.peer);
   g_strlcpy (self.data_centre, settings->process.data_centre,
              sizeof self.data_centre);
-  presence_init (&entry->presence, &entry->kvbudget.kv, &entry->clock, key,
-                 &self, settings->kv.lease_ttl_ns);
+  presence_init (&entry->presence, &entry->kvera.kv, &entry->clock, key, &self,
+                 settings->kv.lease_ttl_ns);
   g_free (key);
 }
 
@@ -395,10 +396,11 @@
   servers_init (&entry->servers, &entry->loop, &entry->clock,
                 settings->process.data_centre, settings->timeouts.connect_ns,
                 &servers_ops, entry);
-  poisoncount_init (&entry->poisoncount, &entry->kvbudget.kv, &entry->clock,
+  goneservers_init (&entry->goneservers, &entry->clock);
+  poisoncount_init (&entry->poisoncount, &entry->kvera.kv, &entry->clock,
                     ENTRY_CRASH_PREFIX);
   entry_init_presence (entry);
-  blameshare_init (&entry->blameshare, &entry->kvbudget.kv, &entry->clock,
+  blameshare_init (&entry->blameshare, &entry->kvera.kv, &entry->clock,
                    &entry->presence, &entry->log, &entry->metrics,
                    ENTRY_BLAME_PREFIX, &entryblame_ops, entry);
   streamorigin_init (&entry->origin, &entry->clock, &entry->presence,
@@ -423,11 +425,10 @@
   cacheretire_init (&entry->retire, &entry->clock, &entry->log,
                     &entry->servers, &entry->presence,
                     entry->forwarder.wanted_weights);
-  rollout_init (&entry->rollout, &rollout, &entry->kvbudget.kv, &entry->clock,
-                &entry->log, entry->dialect, &entry->httpjson,
-                &entry->presence, &entry->servers,
-                entry->forwarder.wanted_weights, ENTRY_LEADER_KEY,
-                instance_name);
+  rollout_init (
+      &entry->rollout, &rollout, &entry->kvera.kv, &entry->clock, &entry->log,
+      entry->dialect, &entry->httpjson, &entry->presence, &entry->servers,
+      entry->forwarder.wanted_weights, ENTRY_LEADER_KEY, instance_name);
   cachegc_init (&entry->cachegc, &entry->clock, &entry->log, entry->dialect,
                 &entry->httpjson, &entry->rollout, &entry->kvstores,
                 &entry->servers, &entry->retire);
@@ -517,6 +518,7 @@
   poisoncount_finish (&entry->poisoncount);
   blameshare_finish (&entry->blameshare);
   servers_finish (&entry->servers);
+  goneservers_finish (&entry->goneservers);
   kvview_finish (&entry->operator_view);
   kvview_finish (&entry->servers_view);
   kvview_finish (&entry->hosts_view);
--- a/src/entry.h
+++ b/src/entry.h
@@ -9,7 +9,9 @@
 #include "dialect.h"
 #include "forwarder.h"
 #include "httpjson.h"
+#include "goneservers.h"
 #include "kvbudget.h"
+#include "kvera.h"
 #include "kvstores.h"
 #include "kvview.h"
 #include "log.h"
@@ -57,10 +59,12 @@
   struct metrics metrics;
   struct httpclient httpclient;
   struct httpjson httpjson;
-  struct kv *kv_service; /**< Sends the calls that kvbudget allows to the KV
-                            service. */
-  /** All modules use the KV service through this budget. */
-  struct kvbudget kvbudget;
+  struct kv *kv_service;    /**< Sends the calls that kvbudget allows to the KV
+                               service. */
+  struct kvbudget kvbudget; /**< Passes calls on to kv_service. */
+  /** All modules use the KV service through this interface, which passes calls
+   * on to kvbudget. */
+  struct kvera kvera;
   bool kv_down; /**< Whether the KV service was down at the last tick. */
   /** View of the keys that the operator writes: the configuration and the
    * wanted weight versions. */
@@ -68,6 +72,7 @@
   struct kvview servers_view;
   struct kvview hosts_view;
   struct servers servers;
+  struct goneservers goneservers;
   struct poisoncount poisoncount;
   struct blameshare blameshare;
   struct presence presence;
--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -1,5 +1,6 @@
 #include "entrykv.h"
 #include "entry.h"
+#include "entryera.h"
 #include "entryviews.h"
 
 enum
@@ -41,6 +42,7 @@
       settings->kv.timeout_ns);
   kvbudget_init (&entry->kvbudget, entry->kv_service, &entry->clock,
                  &entry->rng, &budget);
+  kvera_init (&entry->kvera, &entry->kvbudget.kv, &entryera_ops, entry);
 }
 
 static void
@@ -48,7 +50,7 @@
 {
   const struct kvview_settings settings
       = entryviews_settings (&entry->pausewatch);
-  struct kv *kv = &entry->kvbudget.kv;
+  struct kv *kv = &entry->kvera.kv;
 
   kvview_init (&entry->operator_view, kv, &entry->clock, &settings,
                entry->dialect->operator_prefix, &entryviews_operator_ops,
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -356,6 +356,22 @@
   view->anew_due = true;
 }
 
+void
+kvview_era_changed (struct kvview *view)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, view->keys);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct kvview_key *)value)->revision = 0;
+  view->revision = 0;
+  /* The service may have been away too briefly for a call to fail. */
+  view->was_unreachable = true;
+  view->outage_end_ns = clock_now (view->clock);
+  kvview_restart (view);
+}
+
 void
 kvview_visit_newer (const struct kvview *view, uint64_t revision,
                     void (*visit) (void *data, const char *key,
--- a/src/poisoncount.c
+++ b/src/poisoncount.c
@@ -186,6 +186,18 @@
   return poisoncount_crashes (poisoncount, fingerprint) >= CRASHES_MAX;
 }
 
+void
+poisoncount_era_changed (struct poisoncount *poisoncount)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  leasedkeys_era_changed (&poisoncount->keys);
+  g_hash_table_iter_init (&iter, poisoncount->counted_keys);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    leasedkeys_add (&poisoncount->keys, key, "1");
+}
+
 void
 poisoncount_tick (struct poisoncount *poisoncount)
 {
--- a/src/presence.c
+++ b/src/presence.c
@@ -272,6 +272,14 @@
   json_object_put (object);
 }
 
+void
+presence_era_changed (struct presence *presence)
+{
+  presence->lease = 0;
+  presence->key_is_current = false;
+  presence->next_renewal_ns = clock_now (presence->clock);
+}
+
 void
 presence_tick (struct presence *presence)
 {
