What a host promises of a request that was passed on to it is marked

The promise now has a mark of its own between hosts, which is never taken from, or passed on to, anybody else.

Found in the same hop and mended with it (one commit, since they meet in the same lines): a second host after a refusal is paid from the retry budget; a refusal keeps only its own service off a host; a caller that comes back gets the software that began its stream also if no host takes its request; probes of servers that stay down are no new evidence against the links; a request with no time left is not passed on, and no server gets one without a deadline; the other host ends 40 ms earlier, so that what it says arrives; a host that is silent for half a second is avoided; ties between hosts are drawn; the limit on headers from hosts no longer grows with each configuration.

forwardhost/unsealed-failure-is-no-promise and the six cases after it, and platform/pass-on.

--- a/src/call.h
+++ b/src/call.h
@@ -102,6 +102,8 @@
   bool success;             /**< Whether the status is 2xx. */
   bool from_backend_server; /**< Whether a backend server made the response,
                   not an intermediary. */
+  /** Whether another host states that it did not run the request. */
+  bool refused_by_host;
   /** Whether the server states that it did not run the request. */
   bool not_run;
   bool other_server;  /**< Whether another server has the address now. */
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -140,6 +140,9 @@
                           const struct httpfields *head,
                           const GByteArray *body,
                           const struct pass_on_header *header);
+  /** Write the header line by which a host promises another that it has not
+   * run a request. */
+  void (*host_refusal_encode) (GString *out);
   /** Decode the head of a backend server's response. */
   void (*response_decode) (int status, const struct httpfields *head,
                            const char *request_id, const char *server_id,
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -88,7 +88,7 @@
       forwarder_set_routes (&entry->forwarder, routes);
       kvstores_configure (&entry->kvstores, routes);
       limits_apply (&entry->caller_server.limits, routes);
-      limits_apply (&entry->host_server.limits, routes);
+      entry->host_server.limits = entry->caller_server.limits;
       entry->host_server.limits.header_bytes += HOST_HEADER_BYTES;
     }
   routes_unref (routes);
--- a/src/forward.h
+++ b/src/forward.h
@@ -110,7 +110,9 @@
   /** Number of the request's tokens that the prefill load of counted_server
    * includes. */
   unsigned counted_prefill_tokens;
-  bool from_host; /**< Whether another host has passed the request on. */
+  bool origin_known; /**< Whether the software that the stream needs has been
+                        looked for, or the request does not resume one. */
+  bool from_host;    /**< Whether another host has passed the request on. */
   struct otherhost *host; /**< Host of the current attempt; NULL if it is at a
                              server. */
   const struct otherhost *tried_hosts[FORWARD_HOST_TRIES_MAX];
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -104,6 +104,12 @@
     forward_learn_outcome (forward, outcome);
   else if (forwardhost_ended (forward, outcome))
     {
+      /* The other host may have sent it to a server that refused it. */
+      if (outcome == EXCHANGE_NOT_RUN
+          && !retrybudget_acquire (
+              service_retry_budget (forwarder, forward->service),
+              forwarder->host_count, now))
+        forward->host_tries = FORWARD_HOST_TRIES_MAX;
       forward_log_attempt (forward, outcome, FORWARDRETRY_RETRY);
       forward_place (forward);
       return;
@@ -197,6 +203,25 @@
   choose_server (forwarder->servers, settings, query, forwarder->rng, choice);
 }
 
+static void
+forward_origin_found (struct forward *forward, bool known)
+{
+  if (known)
+    forward_place (forward);
+  else
+    forward_refuse (forward, "unknown_software", RETRY_AFTER_NO_SERVER_MS);
+}
+
+/* Find the software that began the stream of a caller that has come back, and
+ * then a server. */
+static void
+forward_find_origin (struct forward *forward)
+{
+  forward->origin_known = true;
+  if (forwardresume_start (forward, forward_origin_found))
+    forward_place (forward);
+}
+
 static void
 forward_place (struct forward *forward)
 {
@@ -220,6 +245,11 @@
       forwardwait_remove (forward);
       return;
     }
+  if (!forward->origin_known)
+    {
+      forward_find_origin (forward);
+      return;
+    }
   memcpy (query.excluded, forward->tried, sizeof query.excluded);
   forwardweights_query (forward, &query);
   forward_add_stored (forward, wanted != NULL ? wanted->version : 1, &query);
@@ -305,15 +335,6 @@
         + timeout_ns;
 }
 
-static void
-forward_origin_found (struct forward *forward, bool known)
-{
-  if (known)
-    forward_place (forward);
-  else
-    forward_refuse (forward, "unknown_software", RETRY_AFTER_NO_SERVER_MS);
-}
-
 static void
 forward_start (struct forward *forward)
 {
@@ -334,9 +355,11 @@
   forwardblame_set_parts (forward);
   if (poisoncount_is_blocked (forwarder->poisoncount, forward->fingerprint))
     forward_refuse (forward, "ends_servers", RETRY_AFTER_POISON_MS);
-  else if (!forwardresume_is_return (forward) || forwardhost_is_due (forward)
-           || forwardresume_start (forward, forward_origin_found))
-    forward_place (forward);
+  else
+    {
+      forward->origin_known = !forwardresume_is_return (forward);
+      forward_place (forward);
+    }
 }
 
 /* Whether a request that another host has passed on must be refused, so that
@@ -398,6 +421,8 @@
       status == 503
           ? forward_random_retry_after_ns (forwarder, RETRY_AFTER_NO_CONFIG_MS)
           : 0);
+  if (from_host)
+    forwarder->dialect->host_refusal_encode (lines);
   callerconn_respond (conn, status, lines->str, "", 0);
   g_string_free (lines, TRUE);
 }
--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -11,7 +11,14 @@
   /* A host that refused a request, or can't be reached, gets none for this
    * time. */
   REFUSED_PAUSE_MS = 200,
-  UNREACHED_PAUSE_MS = 1000
+  UNREACHED_PAUSE_MS = 1000,
+  /* A host that has sent nothing for this time may stand still. */
+  SILENT_MS = 500,
+  /* Minimum time left of a request that is passed on. */
+  TIME_LEFT_MIN_MS = 10,
+  /* Time by which the other host ends a request earlier, so that what it says
+   * of it arrives in time. */
+  REPLY_MARGIN_MS = 40
 };
 
 /* The best host so far that a request can be passed on to. */
@@ -39,6 +46,7 @@
   return !forward->from_host && forwarder->hosts != NULL
          && forward->host_tries < FORWARD_HOST_TRIES_MAX
          && forward->run_count < forward->route->servers_max
+         && forward_time_left_ns (forward) > TIME_LEFT_MIN_MS * NS_PER_MS
          && (forward->run_count == 0 || route_allows_retry (forward->route))
          && servers_service_is_out (forwarder->servers, forward->service);
 }
@@ -54,12 +62,19 @@
   int64_t now = clock_now (forward->forwarder->clock);
 
   if (reach == LOADSHARE_REACH_OUT || host->avoid_until_ns > now
+      || (host->refused_until_ns > now
+          && host->refused_service == servers_service_hash (forward->service))
       || host->in_flight >= IN_FLIGHT_MAX || was_tried (forward, host))
     return;
   choice->candidates++;
   if (best != NULL
       && (reach < choice->reach
-          || (reach == choice->reach && host->in_flight >= best->in_flight)))
+          || (reach == choice->reach
+              && (host->in_flight > best->in_flight
+                  || (host->in_flight == best->in_flight
+                      && rng_uniform (forward->forwarder->rng)
+                                 * choice->candidates
+                             >= 1)))))
     return;
   choice->host = host;
   choice->reach = reach;
@@ -71,9 +86,10 @@
   struct forwarder *forwarder = forward->forwarder;
   struct callerconn *conn = forward->conn;
   const char *method = callerconn_method (conn);
+  int64_t left_ns = forward_time_left_ns (forward);
   GString *request = g_string_sized_new (1024 + conn->body->len);
   struct pass_on_header header = {
-    .time_left_ns = forward_time_left_ns (forward),
+    .time_left_ns = MAX (left_ns - REPLY_MARGIN_MS * NS_PER_MS, left_ns / 2),
     .earlier_runs = forward->run_count,
     .resumes = forward->relaying,
     .last_event_id = forward->exchange.events.last_id,
@@ -120,10 +136,8 @@
 {
   struct response *response = &forward->exchange.response;
 
-  if (!response->from_backend_server && response->matches_request
-      && (response->status == 503
-          || (response->status >= 400 && response->status < 500)))
-    response->not_run = true;
+  response->not_run = response->refused_by_host && response->matches_request
+                      && !response->from_backend_server;
 }
 
 bool
@@ -135,8 +149,12 @@
       = outcome == EXCHANGE_NOT_CONNECTED || outcome == EXCHANGE_NOT_RUN;
 
   if (outcome == EXCHANGE_NOT_RUN)
-    host->avoid_until_ns = now + REFUSED_PAUSE_MS * NS_PER_MS;
-  else if (outcome != EXCHANGE_ANSWERED)
+    {
+      host->refused_service = servers_service_hash (forward->service);
+      host->refused_until_ns = now + REFUSED_PAUSE_MS * NS_PER_MS;
+    }
+  else if (outcome == EXCHANGE_NOT_CONNECTED
+           || (outcome == EXCHANGE_CUT && !forward->exchange.has_head))
     host->avoid_until_ns = now + UNREACHED_PAUSE_MS * NS_PER_MS;
   forwardhost_release (forward);
   /* How often the other host ran it isn't known, so it runs no more. */
@@ -145,10 +163,26 @@
   return not_run;
 }
 
+/* Whether the host of the current attempt has sent nothing for so long that it
+ * may stand still. */
+static bool
+host_is_silent (const struct forward *forward)
+{
+  const struct exchange *exchange = &forward->exchange;
+
+  return exchange->sent_ns != 0 && !exchange->has_head
+         && clock_now (forward->forwarder->clock) - exchange->sent_ns
+                > SILENT_MS * NS_PER_MS;
+}
+
 void
 forwardhost_release (struct forward *forward)
 {
-  if (forward->host != NULL)
-    forward->host->in_flight--;
+  if (forward->host == NULL)
+    return;
+  forward->host->in_flight--;
+  if (host_is_silent (forward))
+    forward->host->avoid_until_ns = clock_now (forward->forwarder->clock)
+                                    + UNREACHED_PAUSE_MS * NS_PER_MS;
   forward->host = NULL;
 }
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -266,7 +266,7 @@
     .server_id = choice->server->entry.id,
     .organisation
     = forward->organisation != NULL ? forward->organisation->name : NULL,
-    .time_left_ns = forward_time_left_ns (forward),
+    .time_left_ns = MAX (forward_time_left_ns (forward), 0),
     .has_priority = forward->call.model != NULL,
     .priority = priority,
     .weight_version = forwardweights_expected_version (forward, choice->server,
--- a/src/otherhosts.h
+++ b/src/otherhosts.h
@@ -12,7 +12,11 @@
 {
   /** Stands for the host where an attempt names its server. */
   struct server *server;
-  unsigned in_flight;     /**< Requests that this host has passed on to it. */
+  unsigned in_flight; /**< Requests that this host has passed on to it. */
+  /** It has refused a request of the service with this hash; it gets no others
+   * of the service until then. */
+  uint64_t refused_service;
+  int64_t refused_until_ns;
   int64_t avoid_until_ns; /**< No request is passed on to it before then. */
 };
 
--- a/src/servers.c
+++ b/src/servers.c
@@ -494,9 +494,11 @@
 {
   struct probe *probe = data;
 
-  reach_record_failure (
-      servers_reach (probe->servers, probe->server->entry.service),
-      probe->server->id_hash);
+  /* That a server is still unreachable says nothing new of the links. */
+  if (probe->server->down_since_ns == 0)
+    reach_record_failure (
+        servers_reach (probe->servers, probe->server->entry.service),
+        probe->server->id_hash);
   probe_finish (probe, false);
 }
 
--- a/test/fake-hosts.c
+++ b/test/fake-hosts.c
@@ -417,12 +417,18 @@
   g_string_free (fleet.answer, TRUE);
 }
 
+void
+fake_hosts_cut_link (unsigned index, unsigned engine, enum fake_hosts_cut how)
+{
+  link_lead (&fleet.hosts[index], engine,
+             how == FAKE_HOSTS_HANG ? fleet.hole_address : "127.0.0.1:1");
+}
+
 void
 fake_hosts_cut (unsigned index, enum fake_hosts_cut how)
 {
   for (unsigned i = 0; i < FAKE_HOSTS_ENGINES; i++)
-    link_lead (&fleet.hosts[index], i,
-               how == FAKE_HOSTS_HANG ? fleet.hole_address : "127.0.0.1:1");
+    fake_hosts_cut_link (index, i, how);
 }
 
 void
@@ -471,16 +477,17 @@
              || g_str_has_suffix (fleet.answer->str, "\r\n0\r\n\r\n"));
 }
 
-int
-fake_hosts_request (unsigned index, const char *target)
+/* Send a request with the header lines EXTRA to host INDEX, and wait for its
+ * response. */
+static int
+request_send (unsigned index, const char *target, const char *extra)
 {
   int fd = caller_connect (index);
   int64_t end = clock_now (&fleet.clock) + WAIT_MS * NS_PER_MS;
   char *text = g_strdup_printf (
       "POST %s HTTP/1.1\r\nHost: " HOST_NAME "\r\nX-Request-Id: r%u\r\n"
-      "X-Api-Key: key\r\nX-Request-Deadline: 1200\r\nContent-Length: 3\r\n\r\n"
-      "abc",
-      target, ++request_number);
+      "X-Api-Key: key\r\n%sContent-Length: 3\r\n\r\nabc",
+      target, ++request_number, extra);
   ssize_t size = write (fd, text, strlen (text));
   char bytes[4096];
 
@@ -501,6 +508,35 @@
                             : 0;
 }
 
+int
+fake_hosts_request (unsigned index, const char *target)
+{
+  return fake_hosts_request_within (index, target, "1200");
+}
+
+int
+fake_hosts_request_within (unsigned index, const char *target,
+                           const char *deadline_ms)
+{
+  char *extra = g_strdup_printf ("X-Request-Deadline: %s\r\n", deadline_ms);
+  int status = request_send (index, target, extra);
+
+  g_free (extra);
+  return status;
+}
+
+int
+fake_hosts_return (unsigned index, const char *target, const char *resumed_id)
+{
+  char *extra = g_strdup_printf (
+      "X-Request-Deadline: 1200\r\nLast-Event-Id: 1\r\nResumes: %s\r\n",
+      resumed_id);
+  int status = request_send (index, target, extra);
+
+  g_free (extra);
+  return status;
+}
+
 unsigned
 fake_hosts_engine_requests (void)
 {
--- a/test/fake-hosts.h
+++ b/test/fake-hosts.h
@@ -70,6 +70,9 @@
 
 /** Cut the links of host INDEX to all engines. */
 void fake_hosts_cut (unsigned index, enum fake_hosts_cut how);
+/** Cut the link of host INDEX to ENGINE only. */
+void fake_hosts_cut_link (unsigned index, unsigned engine,
+                          enum fake_hosts_cut how);
 /** The links of host INDEX work again. */
 void fake_hosts_heal (unsigned index);
 
@@ -79,6 +82,14 @@
  * @return its status, or 0 if there is none */
 int fake_hosts_request (unsigned index, const char *target);
 
+/** The same with another deadline than 1200 ms. */
+int fake_hosts_request_within (unsigned index, const char *target,
+                               const char *deadline_ms);
+/** The same for a caller that comes back for the stream that the request
+ * RESUMED_ID began. */
+int fake_hosts_return (unsigned index, const char *target,
+                       const char *resumed_id);
+
 /** Returns the number of requests that engines got over all links. */
 unsigned fake_hosts_engine_requests (void);
 
--- a/test/test-forwardhost.c
+++ b/test/test-forwardhost.c
@@ -1,5 +1,5 @@
 #include "fake-hosts.h"
-#include "reach.h"
+#include "serverreach.h"
 #include "unit.h"
 
 #include <string.h>
@@ -243,6 +243,166 @@
   fake_hosts_finish ();
 }
 
+/* A failure of a server that came through another host, without the server's
+ * seal, was taken for that host's promise that nothing ran, and the request
+ * ran again. */
+static void
+test_unsealed_failure_is_no_promise (void)
+{
+  static const struct fake_upstream_step unsealed[]
+      = { { "HTTP/1.1 503 x\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n",
+            FAKE_UPSTREAM_KEEP },
+          { "HTTP/1.1 409 x\r\nX-Request-Id: %s\r\nTrefoilspar-Refused: 1\r\n"
+            "Content-Length: 0\r\n\r\n",
+            FAKE_UPSTREAM_KEEP } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (unsealed); i++)
+    {
+      unsigned before;
+
+      fake_hosts_setup (&unsealed[i]);
+      fake_hosts_cut (0, FAKE_HOSTS_REFUSE);
+      find_out (0);
+      before = fake_hosts_engine_requests ();
+      fake_hosts_request (0, "/once/");
+      CU_ASSERT_EQUAL (fake_hosts_engine_requests () - before, 1);
+      CU_ASSERT_PTR_NULL (strstr (fleet.answer->str, "Trefoilspar"));
+      fake_hosts_finish ();
+    }
+}
+
+/* Each request that a full service refused through another host was offered to
+ * it once more through a third, without the budget of retries. */
+static void
+test_second_host_is_paid_from_the_budget (void)
+{
+  static const struct fake_upstream_step full
+      = { "HTTP/1.1 503 x\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n"
+          "Content-Length: 0\r\n\r\n",
+          FAKE_UPSTREAM_KEEP };
+  unsigned before;
+
+  fake_hosts_setup (&full);
+  for (unsigned i = 0; i < FAKE_HOSTS; i++)
+    fleet.hosts[i].forwarder.settings.retry
+        = (struct retrybudget_settings){ 10 * NS_PER_S, 0, 0 };
+  fake_hosts_cut (0, FAKE_HOSTS_REFUSE);
+  find_out (0);
+  before = fake_hosts_engine_requests ();
+  for (unsigned i = 0; i < 5; i++)
+    {
+      CU_ASSERT_EQUAL (fake_hosts_request (0, "/once/"), 503);
+      fake_hosts_run_for (300);
+    }
+  CU_ASSERT_TRUE (fake_hosts_engine_requests () - before <= 5);
+  fake_hosts_finish ();
+}
+
+/* Probes of servers that are down made a sound service count as out, and its
+ * sound server was probed all the time. */
+static void
+test_servers_that_stay_down_are_no_cut (void)
+{
+  unsigned passed_on;
+
+  fake_hosts_setup (&full_response);
+  for (unsigned i = 1; i < FAKE_HOSTS_ENGINES; i++)
+    fake_hosts_cut_link (0, i, FAKE_HOSTS_REFUSE);
+  CU_ASSERT_EQUAL (count_served (0, 12), 12);
+  fake_hosts_run_for (FOUND_MS);
+  CU_ASSERT_EQUAL (count_served (0, 2), 2);
+  passed_on = fleet.passed_on;
+  for (unsigned i = 0; i < 100; i++)
+    {
+      fake_hosts_run_for (15);
+      CU_ASSERT_FALSE (
+          servers_service_is_out (&fleet.hosts[0].servers, "svc"));
+    }
+  CU_ASSERT_EQUAL (fleet.passed_on, passed_on);
+  fake_hosts_finish ();
+}
+
+/* At low load all requests went to the same host. */
+static void
+test_requests_spread_over_hosts (void)
+{
+  unsigned counts[FAKE_HOSTS] = { 0 };
+
+  fake_hosts_setup (&full_response);
+  fake_hosts_cut (0, FAKE_HOSTS_REFUSE);
+  find_out (0);
+  CU_ASSERT_EQUAL (count_served (0, 40), 40);
+  for (unsigned i = 1; i < FAKE_HOSTS; i++)
+    for (unsigned engine = 0; engine < FAKE_HOSTS_ENGINES; engine++)
+      counts[i] += fleet.hosts[i].engines[engine].requests;
+  CU_ASSERT_TRUE (counts[1] >= 8);
+  CU_ASSERT_TRUE (counts[2] >= 8);
+  fake_hosts_finish ();
+}
+
+/* A full service kept requests of other services off the hosts that refused
+ * its own. */
+static void
+test_refusal_counts_for_its_service (void)
+{
+  static const struct fake_upstream_step full
+      = { "HTTP/1.1 503 x\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n"
+          "Content-Length: 0\r\n\r\n",
+          FAKE_UPSTREAM_KEEP };
+  GHashTableIter iter;
+  gpointer value;
+
+  fake_hosts_setup (&full);
+  fake_hosts_cut (0, FAKE_HOSTS_REFUSE);
+  find_out (0);
+  CU_ASSERT_EQUAL (fake_hosts_request (0, "/once/"), 503);
+  g_hash_table_iter_init (&iter, fleet.hosts[0].otherhosts.hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct otherhost *host = value;
+
+      CU_ASSERT_EQUAL (host->avoid_until_ns, 0);
+      CU_ASSERT_EQUAL (host->refused_service, servers_service_hash ("svc"));
+    }
+  fake_hosts_finish ();
+}
+
+/* A caller that came back for a stream to a cut host was served by any
+ * software if no other host took the request. */
+static void
+test_return_without_other_hosts_needs_its_software (void)
+{
+  struct fake_host *host = &fleet.hosts[0];
+
+  fake_hosts_setup (&stream);
+  g_strlcpy (servers_find (&host->servers, "i-0")->entry.software, "v2", 8);
+  servers_find (&host->servers, "i-0")->software_hash = 7;
+  softwarespan_set (&host->servers.software, servers_service_hash ("svc"), 0);
+  g_hash_table_remove_all (host->presence.hosts);
+  for (uint32_t i = 1; i <= REACH_FAILURES_MIN; i++)
+    reach_record_failure (servers_reach (&host->servers, "svc"), i);
+  fake_hosts_return (0, "/stream/", "unknown");
+  CU_ASSERT_EQUAL (fake_hosts_engine_requests (), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fleet.answer->str, "HTTP/1.1 503"));
+  fake_hosts_finish ();
+}
+
+/* A request with hardly any time left reached a server without a deadline. */
+static void
+test_no_time_left_to_pass_on (void)
+{
+  unsigned before;
+
+  fake_hosts_setup (&full_response);
+  fake_hosts_cut (0, FAKE_HOSTS_REFUSE);
+  find_out (0);
+  before = fake_hosts_engine_requests ();
+  fake_hosts_request_within (0, "/once/", "0.4");
+  CU_ASSERT_EQUAL (fake_hosts_engine_requests (), before);
+  CU_ASSERT_EQUAL (fake_hosts_request_within (0, "/once/", "400"), 200);
+  fake_hosts_finish ();
+}
+
 /* One server that can't be reached, however often, does not mean that the
  * links are gone. */
 static void
@@ -274,6 +434,16 @@
     test_lost_at_the_other_host_runs_once },
   { "attempts-at-all-hosts-together", test_attempts_at_all_hosts_together },
   { "host-in-touch-is-not-overrun", test_host_in_touch_is_not_overrun },
+  { "unsealed-failure-is-no-promise", test_unsealed_failure_is_no_promise },
+  { "second-host-is-paid-from-the-budget",
+    test_second_host_is_paid_from_the_budget },
+  { "servers-that-stay-down-are-no-cut",
+    test_servers_that_stay_down_are_no_cut },
+  { "requests-spread-over-hosts", test_requests_spread_over_hosts },
+  { "refusal-counts-for-its-service", test_refusal_counts_for_its_service },
+  { "return-without-other-hosts-needs-its-software",
+    test_return_without_other_hosts_needs_its_software },
+  { "no-time-left-to-pass-on", test_no_time_left_to_pass_on },
   { "one-server-is-no-cut", test_one_server_is_no_cut },
 };
 
--- a/test/test-platform.c
+++ b/test/test-platform.c
@@ -299,7 +299,57 @@
   g_string_free (out, TRUE);
 }
 
+static char *
+passed_on (const struct pass_on_header *header, const char *extra_name)
+{
+  struct httpfields head;
+  GByteArray *body = g_byte_array_new ();
+  GString *out = g_string_new (NULL);
+
+  httpfields_init (&head);
+  head_add_field (&head, "Host", "h");
+  head_add_field (&head, "X-Request-Id", "r1");
+  head_add_field (&head, "X-Api-Key", "k");
+  head_add_field (&head, "X-Request-Deadline", "9000");
+  head_add_field (&head, "Trefoilspar-Runs", "0");
+  head_add_field (&head, extra_name, "7");
+  message_pass_on_encode (out, "POST", "/p?q", &head, body, header);
+  httpfields_finish (&head);
+  g_byte_array_free (body, TRUE);
+  return g_string_free (out, FALSE);
+}
+
+/* A host passed a request on with more time, fewer earlier runs or another
+ * caller's key than it has. */
+static void
+test_pass_on (void)
+{
+  struct pass_on_header header
+      = { .time_left_ns = 700 * NS_PER_MS, .earlier_runs = 1 };
+  char *text = passed_on (&header, "Last-Event-Id");
+
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "POST /p?q HTTP/1.1\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "X-Api-Key: k\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "X-Request-Deadline: 700\r\n"));
+  CU_ASSERT_PTR_NULL (strstr (text, "9000"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "Trefoilspar-Runs: 1\r\n"));
+  CU_ASSERT_PTR_NULL (strstr (text, "Trefoilspar-Runs: 0\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "Last-Event-Id: 7\r\n"));
+  g_free (text);
+
+  header.resumes = true;
+  header.last_event_id = 9;
+  header.time_left_ns = -1;
+  text = passed_on (&header, "Last-Event-Id");
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "X-Request-Deadline: 0\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "Last-Event-Id: 9\r\n"));
+  CU_ASSERT_PTR_NULL (strstr (text, "Last-Event-Id: 7\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "Resumes: r1\r\n"));
+  g_free (text);
+}
+
 static const struct unit_case cases[] = {
+  { "pass-on", test_pass_on },
   { "stated-limit", test_stated_limit },
   { "configuration", test_configuration },
   { "torn-documents", test_truncated_documents },
