--- a/test/test-oldweights.c
+++ b/test/test-oldweights.c
@@ -108,7 +108,7 @@
   setup (&stream, NULL);
   path.forwarder.settings.version_grace_ns = 20 * NS_PER_S;
   want_version_2 ();
-  path.suspended_ns += 2 * BEGIN_MS * NS_PER_MS;
+  path.suspended_ns += 2 * (BEGIN_MS * NS_PER_MS);
   fake_path_request_send ("/stream/", "X-Model: m\r\n");
   fake_path_run_for (AT_ONCE_MS);
   CU_ASSERT_EQUAL (path.upstreams[0].requests, 0);
