Gateways log why no engine could be chosen for a request

Cause: place was logged only when an engine was chosen. Change: event 304 place_none with the attempts so far, whether the request must run alone, and how many engines of the service are listed, usable, have reported the wanted weights, and were excluded.

--- a/src/backends.c
+++ b/src/backends.c
@@ -374,6 +374,24 @@
   return g_hash_table_lookup (backends->by_id, &id);
 }
 
+struct backends_engine_counts
+backends_count_engines (const struct backends *backends, const char *service)
+{
+  struct backends_engine_counts counts = { 0 };
+
+  for (size_t i = 0; i < backends->count; i++)
+    {
+      const struct backend *item = &backends->items[i];
+
+      if (item->host.kind != HOSTLIST_ENGINE
+          || strcmp (item->host.service, service) != 0)
+        continue;
+      counts.listed++;
+      counts.usable += item->usable;
+    }
+  return counts;
+}
+
 struct backend *
 backends_pick_service_server (struct backends *backends, const char *service,
                               const struct backend *avoid)
--- a/src/backends.h
+++ b/src/backends.h
@@ -52,6 +52,16 @@
  * @return NULL if there is none. */
 struct backend *backends_find (struct backends *backends, uint64_t id);
 
+/** Numbers of engines of one service. */
+struct backends_engine_counts
+{
+  unsigned listed; /**< Engines that the host list names. */
+  unsigned usable; /**< Listed engines that may get new requests. */
+};
+
+struct backends_engine_counts
+backends_count_engines (const struct backends *backends, const char *service);
+
 /** The usable plain backend server of SERVICE that has the fewest requests of
  * this gateway in flight, or NULL if there is none. AVOID, if not NULL, is not
  * considered. */
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -89,6 +89,25 @@
   return excluded;
 }
 
+static void
+log_no_engine (const struct request *request,
+               const struct load_group_key *group_key, unsigned excluded)
+{
+  struct gateway *gateway = request->gateway;
+  const struct load_group *group
+      = load_find_group (&gateway->backends.load, group_key);
+  struct backends_engine_counts counts
+      = backends_count_engines (&gateway->backends, group_key->service);
+
+  log_event (&gateway->process.log, EVENT_PLACE_NONE,
+             "request=%s organisation=%s kind=%s attempts=%u alone=%s "
+             "listed=%u usable=%u reporting=%u excluded=%u",
+             request->id, request->organisation->organisation,
+             request->kind->name, request->tried_backend_count,
+             request->run_alone ? "yes" : "no", counts.listed, counts.usable,
+             group != NULL ? group->members->len : 0, excluded);
+}
+
 static enum status
 choose_engine (struct request *request, struct place_result *result)
 {
@@ -112,6 +131,8 @@
   place_request.excluded = (const uint64_t *)(const void *)excluded->data;
   place_request.excluded_count = excluded->len;
   status = place_choose (&gateway->place, &place_request, result);
+  if (status != STATUS_OK)
+    log_no_engine (request, &group_key, excluded->len);
   g_array_unref (excluded);
   if (status != STATUS_OK)
     return STATUS_UNAVAILABLE;
--- a/src/event.h
+++ b/src/event.h
@@ -36,6 +36,7 @@
   EVENT_EXPORT = 301,
   EVENT_BLOCK_MISMATCH = 302,
   EVENT_CACHE_GAP = 303,
+  EVENT_PLACE_NONE = 304,
 
   /* Admission, retry, poison requests: 400 */
   EVENT_ADMIT_REFUSED = 400,
