Failing tests: a gateway is ready before it knows its engines

Cause: /readyz asks for a configuration in force only, and other gateways name a process to callers once gossip knows it. The host list, the shards and their load reports arrive later, so a gateway that has just started has no candidate.

--- a/test/check-path.sh
+++ b/test/check-path.sh
@@ -253,6 +253,29 @@
 check planned-stop "$(number count "$fleet_dir/stop.out")" \
   "$(number complete "$fleet_dir/stop.out")" "$fleet_dir/stop.out"
 
+# (j) A gateway that starts is not ready, and is not named to callers, before
+# it knows its engines. The host list holds it up, so that no step needs luck.
+is_ready () {
+  curl -sf -m 1 "http://${address_of[$1]}/readyz" >/dev/null
+}
+names () { # GATEWAY OTHER: GATEWAY names OTHER to callers
+  curl -s -m 2 "http://${address_of[$1]}/v1/entries" \
+    | grep -q "${address_of[$2]}"
+}
+kill -TERM "${pid_of[gateway-1]}"
+wait "${pid_of[gateway-1]}"
+kill -STOP "${pid_of[hosts]}"
+daemon gateway-1 gateway dc-1
+check start-not-ready "not ready" \
+  "$(wait_until 2 is_ready gateway-1 && echo ready || echo not ready)"
+check start-not-named "not named" \
+  "$(names gateway-2 gateway-1 && echo named || echo not named)"
+kill -CONT "${pid_of[hosts]}"
+wait_ready gateway-1
+ask gateway-1 key-1 check "first of a start" 5 start
+check start-first-request whole "$(whole start 5)" "$fleet_dir/start.body"
+check start-named yes "$(wait_until 5 names gateway-2 gateway-1 && echo yes)"
+
 # (d) A killed gateway cuts only its own streams.
 background=()
 for n in 1 2 3 4 5; do
