--- a/test/check-path.sh
+++ b/test/check-path.sh
@@ -276,6 +276,21 @@
 check start-first-request whole "$(whole start 5)" "$fleet_dir/start.body"
 check start-named yes "$(wait_until 5 names gateway-2 gateway-1 && echo yes)"
 
+# A gateway that knows no shard has no load reports and waits 3 s for them; a
+# busy machine only makes that longer.
+fleet_seeds=$seeds_json
+plan_daemons gateway-3
+seeds_json=
+began_ms=$(date +%s%3N)
+daemon gateway-3 gateway dc-1
+seeds_json=$fleet_seeds
+wait_ready gateway-3
+took_ms=$(($(date +%s%3N) - began_ms))
+check start-waits-for-reports yes \
+  "$([ $took_ms -ge 3000 ] && echo yes || echo $took_ms)"
+kill -9 "${pid_of[gateway-3]}"
+wait "${pid_of[gateway-3]}" 2>/dev/null
+
 # (d) A killed gateway cuts only its own streams.
 background=()
 for n in 1 2 3 4 5; do
