A gateway is ready, and named to callers, once it knows its engines

Cause: ready was a configuration in force, and gossip alone named a process to callers. The host list and the load reports of the shards came up to 0.5 s later; until then no engine was a candidate. Change: a gateway is ready once it has a host list and a load report of each usable engine of its subset, or 3 s after the first list, when an engine without reports would get no requests anyway. It announces its revision by gossip only then, and gateways name to callers only those that announced one, or all if none has. Why it works: what placement reads is there before the first caller is sent.

--- a/src/backends.c
+++ b/src/backends.c
@@ -156,6 +156,31 @@
   return chosen;
 }
 
+/* Update backends->engines_known, given the engines in CHOSEN. An engine that
+ * has not reported after report_timeout_ns would get no requests anyway, so
+ * it is not waited for longer. */
+static void
+update_engines_known (struct backends *backends, const GArray *chosen)
+{
+  int64_t age_ns = clock_now (&backends->process->clock) - backends->listed_ns;
+  uint32_t index;
+
+  if (backends->engines_known || backends->listed_ns == 0)
+    return;
+  for (guint i = 0;
+       i < chosen->len && age_ns < backends->load.settings.report_timeout_ns;
+       i++)
+    {
+      size_t item = g_array_index (chosen, struct subset_candidate, i).item;
+      const struct backend *backend = &backends->items[item];
+
+      if (backend->usable
+          && !load_find_engine (&backends->load, backend->id, &index))
+        return;
+    }
+  backends->engines_known = true;
+}
+
 static void
 query_shards (struct backends *backends)
 {
@@ -167,6 +192,7 @@
   void *shard;
   void *names;
 
+  update_engines_known (backends, chosen);
   for (guint i = 0; i < chosen->len; i++)
     {
       const struct subset_candidate *candidate
@@ -350,6 +376,8 @@
 backends_update_hosts (struct backends *backends)
 {
   replace_servers (backends);
+  if (backends->listed_ns == 0)
+    backends->listed_ns = clock_now (&backends->process->clock);
   for (size_t i = 0; i < backends->count; i++)
     {
       struct backend *backend = &backends->items[i];
--- a/src/backends.h
+++ b/src/backends.h
@@ -35,6 +35,11 @@
   struct backend *items;
   size_t count;
   int64_t next_query_ns;
+  int64_t listed_ns; /**< Time at which the first host list was received; 0
+                        before that. */
+  /** Whether load reports of all usable engines of this gateway arrived, or
+   * their time since the first host list is over. Once true, it stays true. */
+  bool engines_known;
 };
 
 void backends_init (struct backends *backends, struct process *process);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -27,18 +27,38 @@
   return strcmp (httpserver_request_method (http), "POST") == 0;
 }
 
+static bool
+may_be_named (const struct roster_entry *entry)
+{
+  return entry->role == ROLE_GATEWAY && entry->alive && !entry->leaving;
+}
+
+/* Whether a gateway has announced a revision, and so that it is ready. */
+static bool
+any_gateway_is_ready (const struct roster *roster)
+{
+  for (size_t i = 0; i < roster->count; i++)
+    if (may_be_named (&roster->entries[i])
+        && roster->entries[i].config_revision > 0)
+      return true;
+  return false;
+}
+
+/* List the gateways that are ready. If none is, list all, since an empty list
+ * would keep callers away until it has expired. */
 static void
 add_entries (struct gateway *gateway, struct json_object *list,
              const char *data_centre, bool same_data_centre)
 {
   const struct roster *roster = &gateway->process.roster;
+  bool only_ready = any_gateway_is_ready (roster);
 
   for (size_t i = 0; i < roster->count; i++)
     {
       const struct roster_entry *entry = &roster->entries[i];
       struct json_object *object;
 
-      if (entry->role != ROLE_GATEWAY || !entry->alive || entry->leaving
+      if (!may_be_named (entry) || (only_ready && entry->config_revision == 0)
           || (strcmp (entry->data_centre, data_centre) == 0)
                  != same_data_centre)
         continue;
@@ -90,8 +110,7 @@
 
   if (httpserver_request_header_size (http) > header_limit)
     jsonresponse_send_error (http, &header_too_long);
-  else if (process_serve_common (&gateway->process, http,
-                                 gateway->config != NULL))
+  else if (process_serve_common (&gateway->process, http))
     return;
   else if (strcmp (path, "/v1/entries") == 0)
     serve_entries (gateway, http);
@@ -237,9 +256,17 @@
   return gateway->request_count + grant_has_pending (gateway);
 }
 
+static bool
+is_ready (void *data)
+{
+  struct gateway *gateway = data;
+
+  return gateway->config != NULL && gateway->backends.engines_known;
+}
+
 static const struct process_role gateway_role
-    = { serve_request, serve_peer_request, tick,
-        hosts_changed, configured,         count_unfinished };
+    = { serve_request, serve_peer_request, tick, hosts_changed, configured,
+        is_ready,      count_unfinished };
 
 static void
 init_place (struct gateway *gateway)
--- a/src/process.c
+++ b/src/process.c
@@ -177,6 +177,17 @@
     }
 }
 
+/* Other processes take a process without an announced revision as one that
+ * cannot serve yet, so the revision is announced once this process is ready.
+ */
+static void
+announce_revision (struct process *process)
+{
+  if (process->config_revision > process->gossip.member.self.revision
+      && process->role->is_ready (process->role_data))
+    gossip_set_revision (&process->gossip, process->config_revision);
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -202,6 +213,7 @@
   configstore_tick (&process->configstore);
   confapply_tick (&process->confapply);
   process->role->tick (process->role_data);
+  announce_revision (process);
   advance_stop (process, now);
 }
 
@@ -239,8 +251,8 @@
   struct process *process = data;
 
   process->config_revision = config->revision;
-  gossip_set_revision (&process->gossip, config->revision);
   process->role->config_changed (process->role_data);
+  announce_revision (process);
 }
 
 static const struct configstore_ops configstore_ops = { on_config_in_force };
@@ -412,9 +424,10 @@
 
 bool
 process_serve_common (struct process *process,
-                      struct httpserver_request *request, bool ready)
+                      struct httpserver_request *request)
 {
   const char *path = httpserver_request_path (request);
+  bool ready = process->role->is_ready (process->role_data);
 
   if (strcmp (path, "/healthz") == 0)
     httpserver_respond (request, 200, "text/plain", NULL, 0, "ok\n", 3);
--- a/src/process.h
+++ b/src/process.h
@@ -42,6 +42,8 @@
   /** Called when a newer configuration, process.configstore.config, is in
    * force. */
   void (*config_changed) (void *data);
+  /** Whether the process can serve callers. Once true, it stays true. */
+  bool (*is_ready) (void *data);
   /** Return the number of tasks that must end before the process may exit. */
   size_t (*unfinished_task_count) (void *data);
 };
@@ -122,6 +124,6 @@
  * metrics).
  * @return whether the request's path is one of these and was handled. */
 bool process_serve_common (struct process *process,
-                           struct httpserver_request *request, bool ready);
+                           struct httpserver_request *request);
 
 #endif
--- a/src/shard.c
+++ b/src/shard.c
@@ -274,7 +274,7 @@
 {
   struct shard *shard = data;
 
-  if (!process_serve_common (&shard->process, http, true))
+  if (!process_serve_common (&shard->process, http))
     httpserver_respond (http, 404, "text/plain", NULL, 0, "not found\n", 10);
 }
 
@@ -417,9 +417,15 @@
   return onceshard_is_stopped (&shard->once) ? 0 : 1;
 }
 
+static bool
+is_ready (void *data)
+{
+  return true;
+}
+
 static const struct process_role shard_role
-    = { http_request_received, serve_peer_request, tick,
-        hosts_changed,         config_changed,     pending_work };
+    = { http_request_received, serve_peer_request, tick,        hosts_changed,
+        config_changed,        is_ready,           pending_work };
 
 static bool
 owns_partition (void *data, unsigned partition, char key[KV_KEY_MAX],
