Failing test: drained engines get work from a gateway that starts

Callers saw: nothing in the common case; requests were cut if the engine was drained because it is about to stop, or refused by an engine that is down. Cause: a gateway notes on an engine's load that it gets no work, but before the engine's first report there is nothing to note it on, and a report with a higher incarnation clears the note. Until the next host list the engine is a candidate.

--- a/test/check-path.sh
+++ b/test/check-path.sh
@@ -291,6 +291,32 @@
 kill -9 "${pid_of[gateway-3]}"
 wait "${pid_of[gateway-3]}" 2>/dev/null
 
+# A drained engine gets no work from a gateway that starts. It reads the host
+# list once, so that a later list cannot correct what its load reports did.
+set_drain () { # ENGINE true|false
+  echo "{\"backend_server\":\"$1\",\"drain\":$2}" >"$fleet_dir/drain.json"
+  operator POST /v1/operator/drain gateway-2 "$fleet_dir/drain.json" \
+    2>/dev/null | grep -q '"revision"'
+}
+for e in e1 e2 e3 e4 e5; do wait_until 5 set_drain $e true; done
+kill -9 "${pid_of[gateway-1]}"
+wait "${pid_of[gateway-1]}" 2>/dev/null
+host_poll_ms=60000
+daemon gateway-1 gateway dc-1
+host_poll_ms=
+wait_ready gateway-1
+started_before=$(stat_of e6 started)
+for n in 1 2 3 4; do ask gateway-1 key-1 check "drained $n" 5 "drained-$n"; done
+check start-drained "4 whole 4" "$(for n in 1 2 3 4; do
+  whole "drained-$n" 5
+done | sort | uniq -c | sed 's/^ *//') $(($(stat_of e6 started) \
+  - started_before))"
+for e in e1 e2 e3 e4 e5; do wait_until 5 set_drain $e false; done
+kill -9 "${pid_of[gateway-1]}"
+wait "${pid_of[gateway-1]}" 2>/dev/null
+daemon gateway-1 gateway dc-1
+wait_ready gateway-1
+
 # (d) A killed gateway cuts only its own streams.
 background=()
 for n in 1 2 3 4 5; do
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -59,7 +59,7 @@
 
 # Settings that a script may change before it starts daemons:
 # piece_tokens, policy, kv_settings, placement_settings, gateway_settings,
-# shard_settings, store_settings.
+# shard_settings, store_settings, host_poll_ms.
 piece_tokens=100
 operator_key=fleet-operator-key
 operator_hash=$(printf %s "$operator_key" | b2sum -l 256 | cut -d' ' -f1)
@@ -82,7 +82,7 @@
   "seeds": [$seeds_json],
   "kv": { "address": ["${address_of[kv]}"], "timeout_ms": 1000,
           "lease_ttl_ms": 3000 ${kv_settings-} },
-  "host_list": { "address": "${address_of[hosts]}", "poll_ms": 500 },
+  "host_list": { "address": "${address_of[hosts]}", "poll_ms": ${host_poll_ms:-500} },
   "placement": { $role_settings "piece_tokens": $piece_tokens },
   $gateway_extra
   ${4-}
