An engine that gets no new work gets none after a load report either

Cause: a load report added an engine that was not known yet, or one with a higher incarnation, to its groups although the gateway held it unusable (drained, leaving, down); only the next host list took it out again. Change: a report of an unusable engine is followed by load_set_leaving, as in update_usable. Why it works: whether an engine is usable is decided in one place; the load view follows it after each change of either.

--- a/src/backends.c
+++ b/src/backends.c
@@ -68,6 +68,10 @@
   report.versions = versions;
   load_apply_report (&backends->load, &report,
                      sent_ns - message->age_ms * NS_PER_MS);
+  /* A report adds an engine that was not known, and a higher incarnation
+   * clears that it is leaving; neither makes an unusable engine usable. */
+  if (!backend->usable)
+    load_set_leaving (&backends->load, id, true);
 }
 
 static void
