The check of drained engines waits for the drains; wording

path/start-drained asked a gateway that might have read its configuration from a process behind the last drain; it waits now until its revision is that of the gateway that stored the drains.

--- a/src/event.c
+++ b/src/event.c
@@ -42,9 +42,8 @@
     "blocks is requested again." },
   { EVENT_PLACE_NONE, EVENT_LEVEL_INFO, "place_none",
     "No engine could be chosen for a request: attempts so far, whether it "
-    "must "
-    "run alone, and how many engines of its service the host list names, may "
-    "get requests, report the wanted weights, and were excluded." },
+    "must run alone, and how many engines of its service are listed, may get "
+    "requests, report the wanted weights, and were excluded." },
 
   /* Admission, retry, poison requests: 400 */
   { EVENT_ADMIT_REFUSED, EVENT_LEVEL_INFO, "admit_refused",
--- a/src/process.c
+++ b/src/process.c
@@ -177,9 +177,8 @@
     }
 }
 
-/* Other processes take a process without an announced revision as one that
- * cannot serve yet, so the revision is announced once this process is ready.
- */
+/* Announce the revision in force once this process is ready: without one,
+ * others take it for a process that can't serve yet. */
 static void
 announce_revision (struct process *process)
 {
--- a/test/check-path.sh
+++ b/test/check-path.sh
@@ -305,6 +305,11 @@
 daemon gateway-1 gateway dc-1
 host_poll_ms=
 wait_ready gateway-1
+revision () {
+  curl -s -m 2 "http://${address_of[$1]}/metrics" | grep '^config_revision '
+}
+same_revision () { [ "$(revision gateway-1)" = "$(revision gateway-2)" ]; }
+wait_until 5 same_revision
 started_before=$(stat_of e6 started)
 for n in 1 2 3 4; do ask gateway-1 key-1 check "drained $n" 5 "drained-$n"; done
 check start-drained "4 whole 4" "$(for n in 1 2 3 4; do
