Failing test: a gateway aborts on a resumed stream whose head never came

Cause: the head of a resumed attempt is passed over, since the first one began the caller's response. If the first attempt was given up before its head came, nothing has begun, and the first event breaks the assertion in httpserver_stream_write.

--- a/test/check-path.sh
+++ b/test/check-path.sh
@@ -152,6 +152,12 @@
     && echo -n "end mark, " || echo -n "no end mark, "
   is_alive gateway-1 && echo gateway alive || echo gateway ended)" \
   "$fleet_dir/not-resumed.body"
+# A resume before the engine sent the head: its prefill takes 3 s, and a
+# connection without a byte is given up after 2 s.
+ask gateway-1 key-1 check "$(prompt "long way" 11000)" 5 before-head
+check resume-before-head "whole, gateway alive" "$(whole before-head 5), $(
+  is_alive gateway-1 && echo gateway alive || echo gateway ended)" \
+  "$fleet_dir/before-head.body"
 for e in $engines; do fault "$e" '{"crossed":8}'; done
 background=()
 for n in 1 2 3 4 5 6 7 8 9 10 11 12; do
