A resumed stream begins the caller's response if none has begun

Cause: the head of a resumed attempt was always passed over. Change: it begins the response, and the request counts as running, if the attempt before it ended without a head (phase handed over) and the engine answers with a stream. Why it works: the phase says whether a response has begun, whichever attempt began it; a refused resume still ends as before (path/refused-resume).

--- a/src/outcome.c
+++ b/src/outcome.c
@@ -108,6 +108,20 @@
                            headers, sizeof headers / sizeof *headers);
 }
 
+/* Whether a response with HEAD begins for the caller. That of a resumed
+ * attempt does if the connection was lost before a head came. */
+static bool
+head_begins_response (const struct request *request,
+                      const struct engine_response_head *head)
+{
+  if (request->attempt.not_run)
+    return false;
+  if (!request->attempt.resumed)
+    return true;
+  return request->state.phase == REQUESTSTATE_HANDED_OVER
+         && head->http_status == HTTP_OK && head->is_event_stream;
+}
+
 static void
 response_head_received (void *data, const struct engine_response_head *head)
 {
@@ -126,7 +140,7 @@
   dispatch_note_handed_over (request);
   if (request->state.phase == REQUESTSTATE_CONNECTING)
     requeststate_handed_over (&request->state, attempt->number);
-  if (attempt->not_run || attempt->resumed)
+  if (!head_begins_response (request, head))
     return;
   requeststate_response_started (&request->state, attempt->number);
   if (request->type != REQUEST_COMPLETION || head->http_status != HTTP_OK)
