--- a/src/backends.h
+++ b/src/backends.h
@@ -35,6 +35,11 @@
   struct backend *items;
   size_t count;
   int64_t next_query_ns;
+  int64_t listed_ns; /**< Time at which the first host list was received; 0
+                        before that. */
+  /** Whether load reports of all usable engines of this gateway arrived, or
+   * their time since the first host list is over. Once true, it stays true. */
+  bool engines_known;
 };
 
 void backends_init (struct backends *backends, struct process *process);
@@ -52,6 +57,16 @@
  * @return NULL if there is none. */
 struct backend *backends_find (struct backends *backends, uint64_t id);
 
+/** Numbers of engines of one service. */
+struct backends_engine_counts
+{
+  unsigned listed; /**< Engines that the host list names. */
+  unsigned usable; /**< Listed engines that may get new requests. */
+};
+
+struct backends_engine_counts
+backends_count_engines (const struct backends *backends, const char *service);
+
 /** The usable plain backend server of SERVICE that has the fewest requests of
  * this gateway in flight, or NULL if there is none. AVOID, if not NULL, is not
  * considered. */
