Soak: cut streams at engines of three versions, from outside

Not shown until now for issue "A cut stream goes on": the scenario with real processes, and the same for callers that come back at another host.

The functions of soak.h and the configuration move out of soak.c to files of their own; the ordinary modes are the same.

--- a/test/check-soak.sh
+++ b/test/check-soak.sh
@@ -16,12 +16,19 @@
 third=$!
 run limits --seed 4 --limits &
 fourth=$!
+{
+  run cut-streams --seed 5 --cut-streams
+  rc=$?
+  run cut-callers --seed 6 --cut-callers && [ $rc -eq 0 ]
+} &
+fifth=$!
 failed=0
 wait $first || failed=1
 wait $second || failed=1
 wait $third || failed=1
 wait $fourth || failed=1
-for name in faults planned poison limits; do
+wait $fifth || failed=1
+for name in faults planned poison limits cut-streams cut-callers; do
   grep -E '^(not )?ok ' "$folder/$name.txt" || echo "not ok soak/$name"
   grep 'BROKEN' "$folder/$name.txt"
 done
--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -11,6 +11,7 @@
   ANSWER_MS = 6000,   /* until a request is given up */
   DEADLINE_MS = 5000, /* that the request says */
   SESSIONS = 20,      /* whose streams share a block */
+  FIRST_ASKED = 1000, /* number of a caller's requests that no other uses */
   POISON_ONE_IN = 30  /* One of so many streams has a block that crashes. */
 };
 
@@ -36,9 +37,21 @@
     request_send (caller);
 }
 
+bool
+soak_caller_is_done (const struct soak_caller *caller)
+{
+  return caller->soak->streams.each > 0 && caller->streams_left == 0
+         && caller->request == NULL && caller->broken == NULL;
+}
+
 static void
 caller_go_on (struct soak_caller *caller)
 {
+  if (soak_caller_is_done (caller))
+    {
+      uv_timer_stop (&caller->timer);
+      return;
+    }
   uv_timer_start (&caller->timer, on_pause_over,
                   soak_draw (caller->soak, 1, PAUSE_MS), 0);
 }
@@ -59,7 +72,7 @@
 event_is_right (const struct soak_request *request, const char *text,
                 unsigned number, bool part, unsigned *software, size_t *size)
 {
-  for (unsigned version = 1; version <= 2; version++)
+  for (unsigned version = 1; version <= SOAK_SOFTWARE_VERSIONS; version++)
     {
       char *event = g_strdup_printf ("id: %u\ndata: %s %u v%u\n\n", number,
                                      request->id, number, version);
@@ -98,10 +111,15 @@
                                           &size)
                    ? count
                    : -1;
-      if (request->software != 0 && request->software != software)
-        soak_violation (
-            caller->soak, "%s holds events of v%u and v%u, begun by %s",
-            request->id, request->software, software, request->began_id);
+      if (request->software != 0 && request->software != software
+          && !request->is_mixed)
+        {
+          request->is_mixed = true;
+          caller->soak->streams.mixed++;
+          soak_violation (
+              caller->soak, "%s holds events of v%u and v%u, begun by %s",
+              request->id, request->software, software, request->began_id);
+        }
       request->software = software;
       at += size;
       count++;
@@ -118,7 +136,7 @@
   bool sealed = false;
   bool whole = request->kind == SOAK_STREAM
                    ? (int)request->earlier_events + events_count (caller, true)
-                         == SOAK_STREAM_EVENTS
+                         == (int)caller->soak->streams.events
                    : strcmp (caller->body->str, body) == 0;
 
   for (size_t i = 0; i < httpfields_count (&caller->head); i++)
@@ -138,7 +156,10 @@
   unsigned status = caller->parser.status_code;
 
   if (status == 200 && !success_is_right (caller))
-    soak_violation (caller->soak, "%s has a wrong success", request->id);
+    {
+      caller->soak->streams.wrong += request->kind == SOAK_STREAM;
+      soak_violation (caller->soak, "%s has a wrong success", request->id);
+    }
   if (status == 401 || status == 403 || status == 404)
     soak_violation (caller->soak, "%s was denied with %u", request->id,
                     status);
@@ -177,6 +198,17 @@
   caller_go_on (caller);
 }
 
+/* Whether the caller comes back for the rest of its stream. */
+static bool
+caller_returns (const struct soak_caller *caller)
+{
+  const struct soak_streams *streams = &caller->soak->streams;
+
+  if (streams->each == 0)
+    return soak_draw (caller->soak, 0, 4) > 0;
+  return streams->leave_after > 0 && caller->request->earlier_events == 0;
+}
+
 /* A stream broke off. The caller comes back for the rest, most of the time. */
 static void
 stream_broken (struct soak_caller *caller)
@@ -186,13 +218,14 @@
 
   if (count < 0)
     {
+      caller->soak->streams.wrong++;
       soak_violation (caller->soak, "%s has wrong events", request->id);
       return;
     }
   stream_count (caller, count);
   request->events = request->earlier_events + (unsigned)count;
-  if (request->events > 0 && request->events < SOAK_STREAM_EVENTS
-      && soak_draw (caller->soak, 0, 4) > 0)
+  if (request->events > 0 && request->events < caller->soak->streams.events
+      && caller_returns (caller))
     caller->broken = request;
 }
 
@@ -259,7 +292,10 @@
     }
   answer_check (caller);
   if (caller->request->kind == SOAK_STREAM)
-    stream_count (caller, caller->request->served ? 1 : 0);
+    {
+      stream_count (caller, caller->request->served ? 1 : 0);
+      caller->streams_whole += caller->request->served;
+    }
   if (!http_should_keep_alive (parser))
     caller_disconnect (caller);
   request_over (caller);
@@ -281,6 +317,18 @@
   *buffer = uv_buf_init (bytes, sizeof bytes);
 }
 
+/* Whether the caller breaks the connection of its stream now. */
+static bool
+caller_leaves (const struct soak_caller *caller)
+{
+  unsigned leave_after = caller->soak->streams.leave_after;
+
+  return leave_after > 0 && caller->request != NULL
+         && caller->request->kind == SOAK_STREAM
+         && caller->request->earlier_events == 0
+         && events_count (caller, false) >= (int)leave_after;
+}
+
 static void
 on_bytes (uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
 {
@@ -302,7 +350,11 @@
   http_parser_execute (&caller->parser, &parser_settings, buffer->base,
                        (size_t)size);
   if (HTTP_PARSER_ERRNO (&caller->parser) == HPE_OK)
-    return;
+    {
+      if (caller_leaves (caller))
+        caller_broken (caller, "left");
+      return;
+    }
   soak_violation (caller->soak, "an answer can't be read: %s",
                   http_errno_name (HTTP_PARSER_ERRNO (&caller->parser)));
   caller_broken (caller, "spoilt");
@@ -330,7 +382,11 @@
 
   g_snprintf (request->id, sizeof request->id, "%04x%012x", caller->number,
               ++caller->asked);
-  request->kind = (enum soak_kind)soak_draw (caller->soak, 0, SOAK_KINDS - 1);
+  request->kind
+      = caller->plain_left > 0 ? SOAK_SAFE
+        : caller->soak->streams.each > 0
+            ? SOAK_STREAM
+            : (enum soak_kind)soak_draw (caller->soak, 0, SOAK_KINDS - 1);
   g_strlcpy (request->began_id, request->id, sizeof request->began_id);
   if (caller->broken != NULL)
     {
@@ -343,6 +399,10 @@
                  sizeof request->began_id);
       caller->broken = NULL;
     }
+  else if (caller->plain_left > 0)
+    caller->plain_left--;
+  else if (caller->streams_left > 0)
+    caller->streams_left--;
   else if (caller->soak->poison.is_sent && request->kind == SOAK_STREAM)
     request->is_poison
         = soak_draw (caller->soak, 1, POISON_ONE_IN) == POISON_ONE_IN;
@@ -424,13 +484,24 @@
   request_send (caller);
 }
 
+/* A caller that sends only some streams stays at its host until it breaks the
+ * connection of one. */
+static void
+caller_choose_host (struct soak_caller *caller)
+{
+  if (caller->soak->streams.each == 0)
+    caller->host = soak_draw (caller->soak, 0, caller->host_count - 1);
+  else if (caller->broken != NULL)
+    caller->host = (caller->host + 1) % caller->host_count;
+}
+
 static void
 caller_connect (struct soak_caller *caller)
 {
   struct sockaddr_in address;
   uv_connect_t *connect = g_new0 (uv_connect_t, 1);
 
-  caller->host = soak_draw (caller->soak, 0, caller->host_count - 1);
+  caller_choose_host (caller);
   caller->tcp = g_new0 (uv_tcp_t, 1);
   caller->tcp->data = caller;
   uv_tcp_init (&caller->soak->loop, caller->tcp);
@@ -454,6 +525,15 @@
   caller->number = number;
   caller->hosts = hosts;
   caller->host_count = host_count;
+  caller->plain_left = soak->streams.plain_each;
+  caller->streams_left = soak->streams.each;
+  if (soak->streams.each > 0)
+    {
+      caller->host = number % host_count;
+      /* Requests of several callers that are equal would count as one that
+       * crashes engines. */
+      caller->asked = number * FIRST_ASKED;
+    }
   caller->body = g_string_new (NULL);
   httpfields_init (&caller->head);
   uv_timer_init (&soak->loop, &caller->timer);
--- a/test/soak-caller.h
+++ b/test/soak-caller.h
@@ -17,7 +17,9 @@
   struct soak_host *hosts;
   unsigned host_count;
   unsigned number;
-  unsigned asked; /**< requests so far */
+  unsigned asked;        /**< requests so far */
+  unsigned plain_left;   /**< Requests that it sends before its streams. */
+  unsigned streams_left; /**< If it sends only some streams. */
   bool finished;
 
   uv_tcp_t *tcp; /**< NULL: not connected */
@@ -36,6 +38,7 @@
   unsigned went_on;       /**< of them with an event more */
   unsigned streams;       /**< requests for a new stream */
   unsigned streams_begun; /**< of them with an event */
+  unsigned streams_whole; /**< streams that came to their end */
 };
 
 void soak_caller_init (struct soak_caller *caller, struct soak *soak,
@@ -43,4 +46,8 @@
                        unsigned host_count);
 void soak_caller_finish (struct soak_caller *caller);
 
+/** Whether it has sent all streams that it was to send, and nothing is under
+ * way. */
+bool soak_caller_is_done (const struct soak_caller *caller);
+
 #endif
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -7,7 +7,6 @@
 enum
 {
   WORK_MS = 40,           /* of a request, at most */
-  EVENT_MS = 15,          /* between two events */
   DOWN_MS = 1500,         /* until it starts anew, at most */
   LIMIT_WINDOW_MS = 4000, /* in which requests under a limit are counted */
   LIMIT_SLACK = 5,        /* that may come beyond one and a half times it */
@@ -25,7 +24,8 @@
   struct soak_request *request;
   uv_timer_t timer;
   unsigned next_event;
-  bool is_begun; /* Its answer has begun. */
+  unsigned cut_event; /* Event instead of which the run is cut; 0: none. */
+  bool is_begun;      /* Its answer has begun. */
   bool is_unframed;
 };
 
@@ -104,9 +104,9 @@
           return;
         }
     }
-  if (run->next_event <= SOAK_STREAM_EVENTS)
+  if (run->next_event <= engine->soak->streams.events)
     event_write (run);
-  if (run->next_event <= SOAK_STREAM_EVENTS)
+  if (run->next_event <= engine->soak->streams.events)
     return;
   callerconn_stream_end (run->conn);
   run_end (run);
@@ -136,6 +136,12 @@
   char *lines;
   char *body;
 
+  if (run->cut_event != 0 && run->next_event == run->cut_event)
+    {
+      run->engine->soak->streams.cut++;
+      run_crash (run);
+      return;
+    }
   if (rng_uniform (&run->engine->soak->rng) < run->engine->lost)
     {
       run_crash (run);
@@ -203,6 +209,7 @@
            struct soak_request *request)
 {
   struct run *run = g_new0 (struct run, 1);
+  const struct soak_streams *streams = &engine->soak->streams;
   bool is_stream = request->kind == SOAK_STREAM;
 
   request_check (engine, conn, request);
@@ -216,12 +223,15 @@
   run->request = request;
   run->is_unframed = soak_draw (engine->soak, 0, 2) == 0;
   run->next_event = (unsigned)atoi (field (conn, "Last-Event-Id")) + 1;
+  if (is_stream && streams->cut_after > 0 && request->runs == 1)
+    run->cut_event = run->next_event + streams->cut_after;
   list_append (&engine->runs, &run->node);
   uv_timer_init (&engine->soak->loop, &run->timer);
   run->timer.data = run;
   uv_timer_start (&run->timer, on_run_due,
-                  is_stream ? EVENT_MS : soak_draw (engine->soak, 2, WORK_MS),
-                  is_stream ? EVENT_MS : 0);
+                  is_stream ? streams->event_ms
+                            : soak_draw (engine->soak, 2, WORK_MS),
+                  is_stream ? streams->event_ms : 0);
 }
 
 static void
@@ -338,6 +348,13 @@
   engine_start (engine);
 }
 
+void
+soak_engine_set_software (struct soak_engine *engine, unsigned version)
+{
+  engine->software = version;
+  entry_write (engine);
+}
+
 void
 soak_engine_finish (struct soak_engine *engine)
 {
--- a/test/soak-engine.h
+++ b/test/soak-engine.h
@@ -8,11 +8,6 @@
  * A stand-in of an engine, which checks what it is asked to run.
  */
 
-enum
-{
-  SOAK_STREAM_EVENTS = 6 /**< of each stream */
-};
-
 struct soak_engine
 {
   unsigned software; /**< Version of its software, drawn at each start. */
@@ -40,6 +35,9 @@
                        uint16_t address_port);
 void soak_engine_finish (struct soak_engine *engine);
 
+/** Change its software from the one that was drawn. */
+void soak_engine_set_software (struct soak_engine *engine, unsigned version);
+
 void soak_engine_tick (struct soak_engine *engine);
 
 /** It states LIMIT requests per second in its responses, or none if that is
--- a/test/soak-host.c
+++ b/test/soak-host.c
@@ -127,6 +127,7 @@
 {
   memset (host, 0, sizeof *host);
   host->soak = soak;
+  g_ptr_array_add (soak->hosts, host);
   host->number = number;
   host->program = program;
   host->folder = g_strdup (folder);
--- a/test/soak.c
+++ b/test/soak.c
@@ -1,13 +1,11 @@
 /* A soak of entry processes with faults from outside: soak --seed N. */
 #include "soak-caller.h"
+#include "soak-config.h"
+#include "soak-cuts.h"
 #include "soak-engine.h"
 #include "soak-proxy.h"
 
-#include <signal.h>
-#include <stdarg.h>
 #include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 
 enum
 {
@@ -36,7 +34,6 @@
   struct soak_proxy store_proxies[HOSTS];
   struct soak_proxy engine_proxies[ENGINES];
   uv_timer_t timer;
-  int64_t start_ns;
   int64_t faults_end_ns;
   int64_t end_ns;
   int64_t next_fault_ns;
@@ -53,6 +50,8 @@
 static gboolean option_poison_block;
 static gboolean option_limits;
 static gboolean option_planned;
+static gboolean option_cut_streams;
+static gboolean option_cut_callers;
 static char *option_program = "build/trefoilspard";
 static char *option_folder = "build/soak-logs";
 
@@ -66,6 +65,13 @@
     "Streams with a block that crashes engines, and few other faults", NULL },
   { "limits", 0, 0, G_OPTION_ARG_NONE, &option_limits,
     "Engines that state limits, and few other faults", NULL },
+  { "cut-streams", 0, 0, G_OPTION_ARG_NONE, &option_cut_streams,
+    "Only streams whose first run is cut, at engines of three versions",
+    NULL },
+  { "cut-callers", 0, 0, G_OPTION_ARG_NONE, &option_cut_callers,
+    "The same, and their callers break their connections and come back at "
+    "another host",
+    NULL },
   { "program", 0, 0, G_OPTION_ARG_FILENAME, &option_program, "The daemon",
     "FILE" },
   { "folder", 0, 0, G_OPTION_ARG_FILENAME, &option_folder,
@@ -75,45 +81,6 @@
 
 static struct world world;
 
-static void
-line_write (const char *format, va_list arguments)
-{
-  printf ("%7.3f ",
-          (double)(clock_now (&world.soak.clock) - world.start_ns) / NS_PER_S);
-  vprintf (format, arguments);
-  printf ("\n");
-  fflush (stdout);
-}
-
-void
-soak_say (struct soak *soak, const char *format, ...)
-{
-  va_list arguments;
-
-  va_start (arguments, format);
-  line_write (format, arguments);
-  va_end (arguments);
-}
-
-void
-soak_violation (struct soak *soak, const char *format, ...)
-{
-  char *marked = g_strconcat ("BROKEN ", format, NULL);
-  va_list arguments;
-
-  soak->violations++;
-  va_start (arguments, format);
-  line_write (marked, arguments);
-  va_end (arguments);
-  g_free (marked);
-}
-
-struct soak_request *
-soak_request_find (struct soak *soak, const char *id)
-{
-  return g_hash_table_lookup (soak->requests, id);
-}
-
 void
 soak_poison_arrived (struct soak *soak)
 {
@@ -136,57 +103,11 @@
     poison->blamed_ns = clock_now (&soak->clock) + POISON_MS * NS_PER_MS;
 }
 
-unsigned
-soak_draw (struct soak *soak, unsigned low, unsigned high)
-{
-  return low + (unsigned)(rng_uniform (&soak->rng) * (high - low + 1));
-}
-
-const char *
-soak_kind_prefix (enum soak_kind kind)
-{
-  static const char *const prefixes[SOAK_KINDS]
-      = { "/safe/", "/once/", "/stream/" };
-
-  return prefixes[kind];
-}
-
-static char *
-route_text (enum soak_kind kind)
-{
-  static const char *const types[SOAK_KINDS]
-      = { "idempotent", "non_idempotent", "streaming" };
-
-  return g_strdup_printf (
-      "{\"name\":\"r%d\",\"hostname\":\"" SOAK_ROUTES_HOST
-      "\",\"prefix\":\"%s\",\"routeType\":\"%s\",\"timeoutMs\":4000,"
-      "\"targetLatencyMs\":500,\"priority\":1,\"backend\":\"app\","
-      "\"attempts\":3,\"public\":false,\"resumable\":%s,\"gapTargetMs\":300}",
-      kind, soak_kind_prefix (kind), types[kind],
-      kind == SOAK_STREAM ? "true" : "false");
-}
-
 static void
 config_write (void)
 {
-  char *routes[SOAK_KINDS];
-  char *text;
-
-  for (int i = 0; i < SOAK_KINDS; i++)
-    routes[i] = route_text ((enum soak_kind)i);
   world.config_version += soak_draw (&world.soak, 1, 3);
-  text = g_strdup_printf (
-      "{\"version\":%u,\"routes\":[%s,%s,%s],\"backends\":[{\"name\":\"app\","
-      "\"healthPath\":\"/health\",\"maxConns\":100}],\"limits\":{"
-      "\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutMs\":"
-      "3000,\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":"
-      "\"" SOAK_ORGANISATION "\",\"apiKeys\":[\"" SOAK_KEY
-      "\"],\"priority\":1}]}",
-      world.config_version, routes[0], routes[1], routes[2]);
-  soak_store_put (&world.store, "op/config", text);
-  for (int i = 0; i < SOAK_KINDS; i++)
-    g_free (routes[i]);
-  g_free (text);
+  soak_config_write (&world.store, world.config_version);
 }
 
 static struct soak_host *
@@ -405,10 +326,13 @@
       sum.streams_begun += caller->streams_begun;
       sum.returned += caller->returned;
       sum.went_on += caller->went_on;
+      sum.streams_whole += caller->streams_whole;
     }
   soak_say (&world.soak,
-            "%u of %u new streams began, %u of %u that were taken up went on",
-            sum.streams_begun, sum.streams, sum.went_on, sum.returned);
+            "%u of %u new streams began, %u of %u that were taken up went on, "
+            "%u came whole",
+            sum.streams_begun, sum.streams, sum.went_on, sum.returned,
+            sum.streams_whole);
 }
 
 static void
@@ -520,15 +444,14 @@
 {
   struct soak *soak = &world.soak;
 
-  uv_loop_init (&soak->loop);
-  clock_system_init (&soak->clock);
-  rng_init (&soak->rng, (uint64_t)option_seed);
-  soak->requests
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  soak_init (soak, option_seed,
+             option_planned        ? "planned-"
+             : option_poison_block ? "poison-"
+             : option_limits       ? "limits-"
+                                   : "");
   soak->planned_only = option_planned;
   soak->poison.is_sent = option_poison_block;
-  world.start_ns = clock_now (&soak->clock);
-  world.next_fault_ns = world.start_ns + START_MS * NS_PER_MS;
+  world.next_fault_ns = soak->start_ns + START_MS * NS_PER_MS;
   world.faults_end_ns = world.next_fault_ns + option_seconds * NS_PER_S;
   world.end_ns = world.faults_end_ns + CALM_MS * NS_PER_MS;
   parts_start ();
@@ -536,31 +459,6 @@
   uv_timer_start (&world.timer, on_tick, TICK_MS, TICK_MS);
 }
 
-/* The hosts must not outlive the soak. */
-static void
-on_signal (uv_signal_t *signal, int number)
-{
-  for (int i = 0; i < HOSTS; i++)
-    soak_host_finish (&world.hosts[i]);
-  printf ("not ok soak/seed-%d: ended by signal %d\n", option_seed, number);
-  exit (1);
-}
-
-static void
-signals_start (void)
-{
-  static const int numbers[] = { SIGTERM, SIGINT };
-  static uv_signal_t signals[G_N_ELEMENTS (numbers)];
-
-  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
-    {
-      uv_signal_init (&world.soak.loop, &signals[i]);
-      uv_signal_start (&signals[i], on_signal, numbers[i]);
-      uv_unref ((uv_handle_t *)&signals[i]);
-    }
-  signal (SIGPIPE, SIG_IGN);
-}
-
 int
 main (int argc, char **argv)
 {
@@ -575,14 +473,9 @@
     }
   g_option_context_free (context);
   g_mkdir_with_parents (option_folder, 0755);
+  if (option_cut_streams || option_cut_callers)
+    return soak_cuts_run (option_program, option_folder, option_seed,
+                          option_cut_callers);
   world_init ();
-  signals_start ();
-  uv_run (&world.soak.loop, UV_RUN_DEFAULT);
-  printf ("%s soak/%sseed-%d\n", world.soak.violations == 0 ? "ok" : "not ok",
-          option_planned        ? "planned-"
-          : option_poison_block ? "poison-"
-          : option_limits       ? "limits-"
-                                : "",
-          option_seed);
-  return world.soak.violations == 0 ? 0 : 1;
+  return soak_run (&world.soak);
 }
--- a/test/soak.h
+++ b/test/soak.h
@@ -18,6 +18,11 @@
 #define SOAK_KEY "soak-key"
 #define SOAK_ORGANISATION "crew"
 
+enum
+{
+  SOAK_SOFTWARE_VERSIONS = 3 /**< that engines may have */
+};
+
 enum soak_kind
 {
   SOAK_SAFE,   /**< may run more than once */
@@ -40,6 +45,7 @@
   unsigned earlier_events;
   unsigned events;   /**< Of a broken stream: number of its events so far. */
   unsigned software; /**< Version that the events name; 0 before the first. */
+  bool is_mixed;     /**< It holds events of two software versions. */
   bool is_poison; /**< Whether its prompt has the block that crashes engines.
                    */
 };
@@ -54,17 +60,45 @@
   unsigned late;     /**< requests that reached an engine after that */
 };
 
+/** How streams are served and broken off, and what callers received. */
+struct soak_streams
+{
+  unsigned events;      /**< of each stream */
+  unsigned event_ms;    /**< between two events */
+  unsigned each;        /**< Streams of each caller, which sends nothing else;
+                           0: requests of all kinds, without end. */
+  unsigned plain_each;  /**< Other requests that each sends before. */
+  unsigned cut_after;   /**< Events after which an engine cuts the first run of
+                           a request; 0: none. */
+  unsigned leave_after; /**< Events after which a caller breaks its connection
+                           and comes back at the next host; 0: none. */
+  unsigned cut;         /**< runs that engines cut for this */
+  unsigned mixed;       /**< responses with events of two software versions */
+  unsigned wrong; /**< responses with events that are not the next ones */
+};
+
 struct soak
 {
   uv_loop_t loop;
   struct clock clock;
   struct rng rng;
+  char *name; /**< in the result */
+  int64_t start_ns;
+  struct soak_streams streams;
+  GPtrArray *hosts;     /**< of struct soak_host; all of them */
   GHashTable *requests; /**< id to struct soak_request */
   unsigned violations;
   struct soak_poison poison;
   bool planned_only; /**< Faults are planned stops and reloads alone. */
 };
 
+/** SOAK lives as long as the process. */
+void soak_init (struct soak *soak, int seed, const char *mode);
+
+/** Run the loop until all handles are closed. Signals end the hosts too.
+ * @return exit status */
+int soak_run (struct soak *soak);
+
 /** A promise was broken; the text says how. */
 void soak_violation (struct soak *soak, const char *format, ...)
     G_GNUC_PRINTF (2, 3);
