Failing test: a returned caller is refused while its server starts again

A caller that came back for the rest of a stream got 503 no_server 2.5 ms later, though a server of the software that began it had started again 1.3 s before and was registered.

--- a/test/test-cutstream.c
+++ b/test/test-cutstream.c
@@ -226,12 +226,57 @@
   fake_path_finish ();
 }
 
+/* A path to one server, "i-0" of software v1, at whose address another one
+ * answers; a caller has come back for a stream that v1 began. */
+static void
+setup_return_to_a_new_start (void)
+{
+  static const struct fake_upstream_step moved
+      = { "HTTP/1.1 421 x\r\nX-Request-Id: %s\r\nX-Instance-Id: i-9\r\n"
+          "Content-Length: 0\r\n\r\n",
+          FAKE_UPSTREAM_CLOSE };
+
+  fake_path_setup (&moved, 1, NULL, 0);
+  fake_path_set_software (0, "v1");
+  fake_path_request_send ("/stream/", "Resumes: r0\r\nLast-Event-Id: 3\r\n");
+}
+
+/* A caller was refused when the server of its software had started again under
+ * another id, of which the registry told a moment later. */
+static void
+test_stream_waits_for_a_new_start (void)
+{
+  setup_return_to_a_new_start ();
+  fake_path_run_for (100);
+  fake_path_caller_read ();
+  CU_ASSERT_STRING_EQUAL (path.answer->str, "");
+  fake_path_upstream_add (&rest, "svc", "v1");
+  CU_ASSERT_TRUE (fake_path_run_until (END_OF_CHUNKS));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, "id: 8\n"));
+  fake_path_finish ();
+}
+
+/* A caller must not wait to its deadline for a start that is not told. */
+static void
+test_new_start_is_not_told (void)
+{
+  int64_t start;
+
+  setup_return_to_a_new_start ();
+  start = clock_now (&path.clock);
+  CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 503"));
+  CU_ASSERT_TRUE (clock_now (&path.clock) - start < ANSWER_MS * NS_PER_MS);
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
   { "last-server-is-probed-soon", test_last_server_is_probed_soon },
   { "cuts-take-no-server-out", test_cuts_take_no_server_out },
   { "ended-server-is-left-alone", test_ended_server_is_left_alone },
   { "cut-streams-go-on", test_cut_streams_go_on },
   { "stream-waits-for-a-probe", test_stream_waits_for_a_probe },
+  { "stream-waits-for-a-new-start", test_stream_waits_for_a_new_start },
+  { "new-start-is-not-told", test_new_start_is_not_told },
 };
 
 int
