A bound stream waits for a new start of its software to be registered

Callers that came back for a stream, and streams that were cut, ended with no_server when the only server of their software had just started again: at the address of its earlier start another server answered (421), the host removed the entry, and the entry of the new start reached it some milliseconds later.

A server that is replaced at its address is now recorded with its software. For half a second a request that is bound to that software waits, as it does for a server that can't be reached; it is placed once the new start is registered, and ends after that time if none is. Requests that are not bound wait for nothing new.

All test programs pass.

--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -167,6 +167,19 @@
   choose_server (forwarder->servers, settings, query, forwarder->rng, choice);
 }
 
+/* Whether a request that found no server waits, since one of the software that
+ * it needs may be reached again or is about to be registered. */
+static bool
+software_may_return (const struct forward *forward,
+                     const struct choose_result *choice)
+{
+  return forward->software_hash != 0
+         && (choice->unreachable > 0
+             || softwarestart_is_expected (
+                 &forward->forwarder->servers->starts, forward->software_hash))
+         && forwardwait_pause_allows (forward);
+}
+
 static void
 forward_place (struct forward *forward)
 {
@@ -197,8 +210,7 @@
         forward_give_up (forward, "limited", RETRY_AFTER_NO_SERVER_MS);
       return;
     }
-  if (choice.server == NULL && forward->software_hash != 0
-      && choice.unreachable > 0 && forwardwait_pause_allows (forward))
+  if (choice.server == NULL && software_may_return (forward, &choice))
     {
       forward_log_wait (forward, &choice);
       forwardwait_add (forward);
--- a/src/servers.c
+++ b/src/servers.c
@@ -79,6 +79,7 @@
   servers->ops = ops;
   servers->data = data;
   softwarespan_init (&servers->software, clock);
+  softwarestart_init (&servers->starts, clock);
   servers->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, server_release);
   servers->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -90,6 +91,7 @@
 {
   g_hash_table_destroy (servers->by_service);
   softwarespan_finish (&servers->software);
+  softwarestart_finish (&servers->starts);
   g_hash_table_destroy (servers->by_id);
 }
 
@@ -281,6 +283,13 @@
   g_hash_table_remove (servers->by_id, id);
 }
 
+void
+servers_remove_replaced (struct servers *servers, struct server *server)
+{
+  softwarestart_record (&servers->starts, server->software_hash);
+  servers_remove (servers, server->entry.id, "other_at_address");
+}
+
 bool
 server_is_available (const struct server *server)
 {
