Failing test: a returned caller is refused between two starts of its server

Same end, other way: a caller that came back waited for the only server of its software, which had ended.

--- a/test/test-cutstream.c
+++ b/test/test-cutstream.c
@@ -269,6 +269,56 @@
   fake_path_finish ();
 }
 
+/* A path whose only server, of software v1, can't be reached; a caller waits
+ * for it with a stream that v1 began. */
+static void
+setup_waiting_return (void)
+{
+  struct server *server;
+
+  fake_path_setup (&cut, 1, NULL, 0);
+  fake_path_set_software (0, "v1");
+  server = servers_find (&path.servers, "i-0");
+  server_record_connection_failure (&path.servers, server);
+  server_record_connection_failure (&path.servers, server);
+  fake_path_request_send ("/stream/", "Resumes: r0\r\nLast-Event-Id: 3\r\n");
+  fake_path_run_for (20);
+}
+
+/* A caller was refused when the entry of an ended server vanished a moment
+ * before that of its new start arrived. */
+static void
+test_stream_waits_for_a_vanished_server (void)
+{
+  setup_waiting_return ();
+  servers_remove (&path.servers, "i-0", "entry_gone");
+  fake_path_run_for (50);
+  fake_path_caller_read ();
+  CU_ASSERT_STRING_EQUAL (path.answer->str, "");
+  fake_path_upstream_add (&rest, "svc", "v1");
+  CU_ASSERT_TRUE (fake_path_run_until (END_OF_CHUNKS));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, "id: 8\n"));
+  fake_path_finish ();
+}
+
+/* A caller must not wait for a server that has left. */
+static void
+test_left_server_is_not_waited_for (void)
+{
+  struct server_entry entry;
+  int64_t start;
+
+  setup_waiting_return ();
+  start = clock_now (&path.clock);
+  entry = servers_find (&path.servers, "i-0")->entry;
+  entry.leaving = true;
+  servers_update (&path.servers, &entry, 3);
+  servers_remove (&path.servers, "i-0", "entry_gone");
+  CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 503"));
+  CU_ASSERT_TRUE (clock_now (&path.clock) - start < NS_PER_MS * LAST_PROBE_MS);
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
   { "last-server-is-probed-soon", test_last_server_is_probed_soon },
   { "cuts-take-no-server-out", test_cuts_take_no_server_out },
@@ -277,6 +327,9 @@
   { "stream-waits-for-a-probe", test_stream_waits_for_a_probe },
   { "stream-waits-for-a-new-start", test_stream_waits_for_a_new_start },
   { "new-start-is-not-told", test_new_start_is_not_told },
+  { "stream-waits-for-a-vanished-server",
+    test_stream_waits_for_a_vanished_server },
+  { "left-server-is-not-waited-for", test_left_server_is_not_waited_for },
 };
 
 int
