A bound stream waits for a server that vanished without having left

A caller that came back for a stream was refused with no_server in the few milliseconds between the removal of the entry of an ended server and the arrival of its new start's: the host knew no server of the software then.

Every server that is removed though it did not say that it leaves is now taken as one that may start again, not only one that is replaced at its address; a request that is bound to its software waits for up to half a second. One that left in order is not waited for.

All test programs pass.

--- a/src/event.c
+++ b/src/event.c
@@ -162,9 +162,8 @@
     "the age of the block." },
   { EVENT_FORWARD_WAIT, EVENT_LEVEL_INFO, "forward_wait",
     "A stream that goes on with one software only waits for its servers: how "
-    "many of them can't be reached (0: one started again and is not "
-    "registered "
-    "yet), and the time that is left in ms." },
+    "many of them can't be reached (0: one was removed without having left, "
+    "and may start again), and the time that is left in ms." },
   { EVENT_FORWARD_OLD_WEIGHTS, EVENT_LEVEL_INFO, "forward_old_weights",
     "A response began on older weights than the operator wants: their "
     "version, the wanted one, the time since the older weights were replaced "
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -110,7 +110,7 @@
   else if (outcome == EXCHANGE_ANSWERED)
     poisoncount_clear (forwarder->poisoncount, forward->fingerprint);
   if (outcome == EXCHANGE_NOT_RUN && response->other_server)
-    servers_remove_replaced (forwarder->servers, server);
+    servers_remove (forwarder->servers, server->entry.id, "other_at_address");
   else if (outcome == EXCHANGE_NOT_RUN && !response->other_weights)
     server_set_busy (server, now + REFUSAL_BUSY_MS * NS_PER_MS);
   if (outcome == EXCHANGE_ANSWERED && response->success
--- a/src/servers.c
+++ b/src/servers.c
@@ -277,19 +277,14 @@
   if (server == NULL)
     return;
   server->removed = true;
+  if (!server->entry.leaving)
+    softwarestart_record (&servers->starts, server->software_hash);
   notify_change (servers, server, reason);
   service_list_remove (servers, server);
   service_software_check (servers, server->entry.service);
   g_hash_table_remove (servers->by_id, id);
 }
 
-void
-servers_remove_replaced (struct servers *servers, struct server *server)
-{
-  softwarestart_record (&servers->starts, server->software_hash);
-  servers_remove (servers, server->entry.id, "other_at_address");
-}
-
 bool
 server_is_available (const struct server *server)
 {
--- a/src/servers.h
+++ b/src/servers.h
@@ -147,7 +147,7 @@
   struct softwarespan software; /**< Since when each service has had one
                                    software only. */
   struct softwarestart starts;  /**< Software whose new starts the registry may
-                                   not have told of. */
+                                   tell of soon. */
   const struct servers_ops *ops;
   void *data;
 };
@@ -170,9 +170,6 @@
 void servers_remove (struct servers *servers, const char *id,
                      const char *reason);
 
-/** Removes SERVER, since another one answered at its address. */
-void servers_remove_replaced (struct servers *servers, struct server *server);
-
 /** Returns the server ID, or NULL. */
 struct server *servers_find (const struct servers *servers, const char *id);
 
--- a/src/softwarestart.c
+++ b/src/softwarestart.c
@@ -2,11 +2,11 @@
 
 enum
 {
-  /* Time within which the registry tells of a server that answers. */
+  /* Time within which the registry tells of the new start. */
   NEWS_MS = 500
 };
 
-struct replaced
+struct lost
 {
   uint64_t software;
   int64_t last_ns;
@@ -16,37 +16,36 @@
 softwarestart_init (struct softwarestart *start, const struct clock *clock)
 {
   start->clock = clock;
-  start->replaced
+  start->lost
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
 }
 
 void
 softwarestart_finish (struct softwarestart *start)
 {
-  g_hash_table_destroy (start->replaced);
+  g_hash_table_destroy (start->lost);
 }
 
 void
 softwarestart_record (struct softwarestart *start, uint64_t software)
 {
-  struct replaced *replaced = g_hash_table_lookup (start->replaced, &software);
+  struct lost *lost = g_hash_table_lookup (start->lost, &software);
 
-  if (replaced == NULL)
+  if (lost == NULL)
     {
-      replaced = g_new0 (struct replaced, 1);
-      replaced->software = software;
-      g_hash_table_insert (start->replaced, &replaced->software, replaced);
+      lost = g_new0 (struct lost, 1);
+      lost->software = software;
+      g_hash_table_insert (start->lost, &lost->software, lost);
     }
-  replaced->last_ns = clock_now (start->clock);
+  lost->last_ns = clock_now (start->clock);
 }
 
 bool
 softwarestart_is_expected (const struct softwarestart *start,
                            uint64_t software)
 {
-  const struct replaced *replaced
-      = g_hash_table_lookup (start->replaced, &software);
+  const struct lost *lost = g_hash_table_lookup (start->lost, &software);
 
-  return replaced != NULL
-         && clock_now (start->clock) - replaced->last_ns < NEWS_MS * NS_PER_MS;
+  return lost != NULL
+         && clock_now (start->clock) - lost->last_ns < NEWS_MS * NS_PER_MS;
 }
