Failing test: lost connections end a bound stream while time is left

A caller that came back for a stream waited for the only server of its software, whose link reset connections: bare probes connected, the requests' connections were lost.

--- a/test/test-cutstream.c
+++ b/test/test-cutstream.c
@@ -319,6 +319,31 @@
   fake_path_finish ();
 }
 
+/* A caller was refused after four connections that the only server of its
+ * software reset, though probes of it went on and time was left. */
+static void
+test_lost_connections_end_no_stream (void)
+{
+  struct server *server;
+
+  fake_path_setup (&rest, 1, NULL, 0);
+  fake_path_set_software (0, "v1");
+  uv_close ((uv_handle_t *)&path.upstreams[0].listener, NULL);
+  server = servers_find (&path.servers, "i-0");
+  fake_path_request_send ("/stream/", "Resumes: r0\r\nLast-Event-Id: 3\r\n");
+  for (unsigned i = 0; i < 4; i++)
+    {
+      fake_path_run_for (20);
+      server_record_reached (&path.servers, server, false);
+    }
+  fake_path_caller_read ();
+  CU_ASSERT_STRING_EQUAL (path.answer->str, "");
+  fake_path_upstream_add (&rest, "svc", "v1");
+  CU_ASSERT_TRUE (fake_path_run_until (END_OF_CHUNKS));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, "id: 8\n"));
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
   { "last-server-is-probed-soon", test_last_server_is_probed_soon },
   { "cuts-take-no-server-out", test_cuts_take_no_server_out },
@@ -330,6 +355,7 @@
   { "stream-waits-for-a-vanished-server",
     test_stream_waits_for_a_vanished_server },
   { "left-server-is-not-waited-for", test_left_server_is_not_waited_for },
+  { "lost-connections-end-no-stream", test_lost_connections_end_no_stream },
 };
 
 int
