Lost connections end no stream that waits for its software

A caller that came back for a stream got 503 not_connected after the fourth connection that its server's link reset, though probes of the server connected, so that it was not given up, and half of the time was left. Attempts that did not run a request are limited to three retries, and those without a connection were counted with the refused ones.

For a request that is bound to a software they no longer count. Nothing reaches a server then, and two in a row make the server unreachable, so that the request waits for a probe in between; it ends by its deadline, or by the pause that its caller bears. Other requests are limited as before (resend/*).

--- a/src/forward.h
+++ b/src/forward.h
@@ -99,6 +99,7 @@
   unsigned run_count; /**< Number of attempts that may have run the request. */
   unsigned not_run_count; /**< Number of attempts that certainly did not run
                              the request. */
+  unsigned unconnected_count; /**< Those of them without a connection. */
   bool relaying; /**< Whether the response head has been sent to the caller. */
   bool relays_events; /**< Whether the caller is sent an event stream, of which
                          it has whole events only. */
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -100,8 +100,13 @@
     forward->not_run_count++;
   else
     forward->run_count++;
+  forward->unconnected_count += outcome == EXCHANGE_NOT_CONNECTED;
   state.run_count = forward->run_count;
   state.not_run_count = forward->not_run_count;
+  /* A request that needs a certain software waits for its servers, which are
+   * probed, and so ends by its deadline at the latest. */
+  if (forward->software_hash != 0)
+    state.not_run_count -= forward->unconnected_count;
   action = forwardretry_decide (&state);
   if ((action == FORWARDRETRY_RETRY || action == FORWARDRETRY_RESUME)
       && outcome != EXCHANGE_NOT_CONNECTED
