--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -119,8 +119,13 @@
     forward->not_run_count++;
   else
     forward->run_count++;
+  forward->unconnected_count += outcome == EXCHANGE_NOT_CONNECTED;
   state.run_count = forward->run_count;
   state.not_run_count = forward->not_run_count;
+  /* A request that needs a certain software waits for its servers, which are
+   * probed, and so ends by its deadline at the latest. */
+  if (forward->software_hash != 0)
+    state.not_run_count -= forward->unconnected_count;
   action = forwardretry_decide (&state);
   if ((action == FORWARDRETRY_RETRY || action == FORWARDRETRY_RESUME)
       && outcome != EXCHANGE_NOT_CONNECTED
@@ -203,6 +208,19 @@
   choose_server (forwarder->servers, settings, query, forwarder->rng, choice);
 }
 
+/* Whether a request that found no server waits, since one of the software that
+ * it needs may be reached again or is about to be registered. */
+static bool
+software_may_return (const struct forward *forward,
+                     const struct choose_result *choice)
+{
+  return forward->software_hash != 0
+         && (choice->unreachable > 0
+             || softwarestart_is_expected (
+                 &forward->forwarder->servers->starts, forward->software_hash))
+         && forwardwait_pause_allows (forward);
+}
+
 static void
 forward_origin_found (struct forward *forward, bool known)
 {
@@ -262,8 +280,7 @@
         forward_give_up (forward, "limited", RETRY_AFTER_NO_SERVER_MS);
       return;
     }
-  if (choice.server == NULL && forward->software_hash != 0
-      && choice.unreachable > 0 && forwardwait_pause_allows (forward))
+  if (choice.server == NULL && software_may_return (forward, &choice))
     {
       forward_log_wait (forward, &choice);
       forwardwait_add (forward);
--- a/src/servers.c
+++ b/src/servers.c
@@ -87,6 +87,7 @@
   servers->ops = ops;
   servers->data = data;
   softwarespan_init (&servers->software, clock);
+  softwarestart_init (&servers->starts, clock);
   servers->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, server_release);
   servers->reach_by_service
@@ -107,6 +108,7 @@
   g_hash_table_destroy (servers->reach_by_service);
   g_hash_table_destroy (servers->by_service);
   softwarespan_finish (&servers->software);
+  softwarestart_finish (&servers->starts);
   g_hash_table_destroy (servers->by_id);
 }
 
@@ -326,6 +328,8 @@
     return;
   server->removed = true;
   probe_cancel (server);
+  if (!server->entry.leaving)
+    softwarestart_record (&servers->starts, server->software_hash);
   notify_change (servers, server, reason);
   service_list_remove (servers, server);
   service_software_check (servers, server->entry.service);
@@ -353,43 +357,6 @@
   server->busy_until_ns = MAX (server->busy_until_ns, until_ns);
 }
 
-uint64_t
-server_weight_version (const struct server *server, const char *model)
-{
-  for (unsigned i = 0; i < server->entry.model_count; i++)
-    if (strcmp (server->entry.models[i].name, model) == 0)
-      return server->entry.models[i].weight_version;
-  return 0;
-}
-
-void
-server_set_weight_version (struct server *server, const char *model,
-                           uint64_t version)
-{
-  for (unsigned i = 0; i < server->entry.model_count; i++)
-    {
-      struct server_model *current = &server->entry.models[i];
-
-      if (strcmp (current->name, model) != 0
-          || current->weight_version >= version)
-        continue;
-      current->weight_version = version;
-      server_cache_clear (server);
-    }
-}
-
-void
-server_correct_weight_version (struct server *server, const char *model,
-                               uint64_t believed, uint64_t version)
-{
-  if (version >= believed || server_weight_version (server, model) != believed)
-    return;
-  for (unsigned i = 0; i < server->entry.model_count; i++)
-    if (strcmp (server->entry.models[i].name, model) == 0)
-      server->entry.models[i].weight_version = version;
-  server_cache_clear (server);
-}
-
 static void
 server_set_unreachable (struct servers *servers, struct server *server)
 {
--- a/src/servers.h
+++ b/src/servers.h
@@ -7,6 +7,7 @@
 #include "serverconn.h"
 #include "serverlimit.h"
 #include "softwarespan.h"
+#include "softwarestart.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -147,6 +148,8 @@
   struct softwarespan software; /**< Since when each service has had one
                                    software only. */
   GHashTable *reach_by_service; /**< Maps service names to struct reach. */
+  struct softwarestart starts;  /**< Software whose new starts the registry may
+                                   tell of soon. */
   const struct servers_ops *ops;
   void *data;
 };
--- a/test/check-soak.sh
+++ b/test/check-soak.sh
@@ -18,13 +18,20 @@
 fourth=$!
 run drills --seed 5 --drills &
 fifth=$!
+{
+  run cut-streams --seed 5 --cut-streams
+  rc=$?
+  run cut-callers --seed 6 --cut-callers && [ $rc -eq 0 ]
+} &
+sixth=$!
 failed=0
 wait $first || failed=1
 wait $second || failed=1
 wait $third || failed=1
 wait $fourth || failed=1
 wait $fifth || failed=1
-for name in faults planned poison limits drills; do
+wait $sixth || failed=1
+for name in faults planned poison limits drills cut-streams cut-callers; do
   grep -E '^(not )?ok ' "$folder/$name.txt" || echo "not ok soak/$name"
   grep 'BROKEN' "$folder/$name.txt"
 done
--- a/test/soak-config.c
+++ b/test/soak-config.c
@@ -1,7 +1,5 @@
 #include "soak-config.h"
 
-#include <glib.h>
-
 static char *
 route_text (enum soak_kind kind)
 {
@@ -17,8 +15,8 @@
       kind == SOAK_STREAM ? "true" : "false");
 }
 
-char *
-soak_config_text (unsigned version)
+void
+soak_config_write (struct soak_store *store, unsigned version)
 {
   char *routes[SOAK_KINDS];
   char *text;
@@ -33,7 +31,8 @@
       "\"" SOAK_ORGANISATION "\",\"apiKeys\":[\"" SOAK_KEY
       "\"],\"priority\":1}]}",
       version, routes[0], routes[1], routes[2]);
+  soak_store_put (store, "op/config", text);
   for (int i = 0; i < SOAK_KINDS; i++)
     g_free (routes[i]);
-  return text;
+  g_free (text);
 }
--- a/test/soak-config.h
+++ b/test/soak-config.h
@@ -1,13 +1,13 @@
 #ifndef SOAK_CONFIG_H
 #define SOAK_CONFIG_H
 
-#include "soak.h"
+#include "soak-store.h"
 
 /** @file
- * The operator's configuration in the soak.
+ * The configuration of the operator: a route for each kind of request.
  */
 
-/** @return the configuration as the version VERSION; the caller frees it */
-char *soak_config_text (unsigned version);
+/** Write VERSION of it to STORE. */
+void soak_config_write (struct soak_store *store, unsigned version);
 
 #endif
