--- a/src/forward.h
+++ b/src/forward.h
@@ -117,7 +117,6 @@
                              server. */
   const struct otherhost *tried_hosts[FORWARD_HOST_TRIES_MAX];
   unsigned host_tries;
-  void *host_choice;  /**< Used while a host is chosen. */
   unsigned run_count; /**< Number of attempts that may have run the request. */
   unsigned not_run_count; /**< Number of attempts that certainly did not run
                              the request. */
--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -24,6 +24,7 @@
 /* The best host so far that a request can be passed on to. */
 struct choice
 {
+  const struct forward *forward;
   struct otherhost *host;
   enum loadshare_reach reach;
   unsigned candidates;
@@ -56,8 +57,8 @@
 static void
 host_consider (void *data, struct otherhost *host, enum loadshare_reach reach)
 {
-  struct forward *forward = data;
-  struct choice *choice = forward->host_choice;
+  struct choice *choice = data;
+  const struct forward *forward = choice->forward;
   const struct otherhost *best = choice->host;
   int64_t now = clock_now (forward->forwarder->clock);
 
@@ -117,12 +118,10 @@
 forwardhost_send (struct forward *forward)
 {
   struct otherhosts *hosts = forward->forwarder->hosts;
-  struct choice choice = { .host = NULL };
+  struct choice choice = { .forward = forward };
 
-  forward->host_choice = &choice;
   otherhosts_visit (hosts, servers_service_hash (forward->service),
-                    host_consider, forward);
-  forward->host_choice = NULL;
+                    host_consider, &choice);
   if (choice.host == NULL)
     return false;
   forward_log_host (forward, choice.host->server->entry.id, choice.candidates,
