--- a/test/test-learned.c
+++ b/test/test-learned.c
@@ -8,12 +8,13 @@
 static const struct fake_upstream_step no_response
     = { "", FAKE_UPSTREAM_KEEP };
 
-/* A KV service that records the last call. */
+/* A KV service that records the last call, and cancels the one before. */
 static struct
 {
   struct kv kv;
   kv_done done;
   void *data;
+  bool is_pending;
   bool is_read;
   unsigned calls;
 } service;
@@ -26,6 +27,11 @@
 static void
 fake_range (struct kv *kv, const char *prefix, kv_done done, void *data)
 {
+  const struct kv_reply cancelled = { .status = STATUS_CANCELLED };
+
+  if (service.is_pending)
+    service.done (service.data, &cancelled);
+  service.is_pending = true;
   service.done = done;
   service.data = data;
   service.is_read = true;
@@ -94,6 +100,7 @@
                             .items = &item,
                             .item_count = status == STATUS_OK };
 
+  service.is_pending = false;
   service.done (service.data, &reply);
   tick ();
 }
@@ -122,7 +129,7 @@
 {
   const struct kv_reply cancelled = { .status = STATUS_CANCELLED };
 
-  if (view.call_in_flight)
+  if (service.is_pending)
     service.done (service.data, &cancelled);
   kvview_finish (&view);
 }
