A connection whose stream began before a planned stop ends with it

Its connection had a stream whose head was sent before the stop, so it said that the connection is kept; at the end of the stream it waited for the next request, while idle connections had been closed at the start of the stop and 3 s later only.

Ruled out: the listener (closed 3 s after SIGTERM), pipelined requests.

--- a/src/callerconn.c
+++ b/src/callerconn.c
@@ -450,7 +450,9 @@
   conn_serving_set (conn, false);
   if (conn->closing)
     return;
-  if (!conn->keep_alive)
+  /* The head of a stream that began before the stop told the caller that the
+   * connection is kept. */
+  if (!conn->keep_alive || conn->server->draining)
     {
       conn_shutdown (conn);
       return;
--- /dev/null
+++ b/test/test-callerdrain.c
@@ -0,0 +1,170 @@
+#include "callerconn.h"
+#include "callerserver.h"
+#include "unit.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static struct
+{
+  uv_loop_t loop;
+  struct clock clock;
+  struct callerserver server;
+  struct callerconn *conn; /* Connection of the last request. */
+  unsigned requests;
+  int caller;
+  GString *answer;
+  bool ended;
+} drain;
+
+static void
+request_received (void *data, struct callerconn *conn)
+{
+  drain.requests++;
+  drain.conn = conn;
+  callerconn_stream_begin (conn, 200, "");
+}
+
+static void
+caller_gone (void *data, struct callerconn *conn)
+{
+}
+
+static void
+request_refused (void *data, struct callerconn *conn, int status,
+                 const char *reason)
+{
+}
+
+static const struct callerserver_ops server_ops
+    = { request_received, caller_gone, request_refused };
+
+static void
+run (void)
+{
+  char bytes[1024];
+
+  for (unsigned i = 0; i < 50; i++)
+    {
+      ssize_t size;
+
+      uv_run (&drain.loop, UV_RUN_NOWAIT);
+      size = read (drain.caller, bytes, sizeof bytes);
+      if (size > 0)
+        g_string_append_len (drain.answer, bytes, size);
+      drain.ended = drain.ended || size == 0;
+      g_usleep (200);
+    }
+}
+
+static void
+request_send (void)
+{
+  static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+  CU_ASSERT_EQUAL (
+      send (drain.caller, request, strlen (request), MSG_NOSIGNAL),
+      (ssize_t)strlen (request));
+  run ();
+}
+
+static void
+setup (void)
+{
+  struct sockaddr_in address;
+  int size = sizeof address;
+  struct error error;
+
+  memset (&drain, 0, sizeof drain);
+  uv_loop_init (&drain.loop);
+  clock_system_init (&drain.clock);
+  drain.answer = g_string_new (NULL);
+  CU_ASSERT_EQUAL_FATAL (callerserver_init (&drain.server, &drain.loop,
+                                            &drain.clock, "127.0.0.1", 0,
+                                            &server_ops, NULL, &error),
+                         STATUS_OK);
+  drain.server.limits
+      = (struct callerconn_limits){ 4000, 1000, NS_PER_S, 10 * NS_PER_S };
+  uv_tcp_getsockname (&drain.server.listener, (struct sockaddr *)&address,
+                      &size);
+  drain.caller = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL_FATAL (
+      connect (drain.caller, (struct sockaddr *)&address, sizeof address), 0);
+  fcntl (drain.caller, F_SETFL, O_NONBLOCK);
+}
+
+static void
+finish (void)
+{
+  close (drain.caller);
+  callerserver_finish (&drain.server);
+  uv_run (&drain.loop, UV_RUN_DEFAULT);
+  uv_loop_close (&drain.loop);
+  g_string_free (drain.answer, TRUE);
+}
+
+/* A connection whose stream began before a planned stop stayed open after the
+ * stream's end; the next request there was taken, and cut off by the stop. */
+static void
+test_stream_that_began_before_the_stop (void)
+{
+  setup ();
+  request_send ();
+  callerserver_drain (&drain.server);
+  callerconn_stream_write (drain.conn, "data", 4);
+  callerconn_stream_end (drain.conn);
+  run ();
+  CU_ASSERT_TRUE (g_str_has_suffix (drain.answer->str, "0\r\n\r\n"));
+  CU_ASSERT_TRUE (drain.ended);
+  CU_ASSERT_EQUAL (drain.requests, 1);
+  finish ();
+}
+
+/* Without a stop the connection is kept. */
+static void
+test_connection_is_kept (void)
+{
+  setup ();
+  request_send ();
+  callerconn_stream_end (drain.conn);
+  run ();
+  CU_ASSERT_FALSE (drain.ended);
+  request_send ();
+  CU_ASSERT_EQUAL (drain.requests, 2);
+  callerconn_stream_end (drain.conn);
+  finish ();
+}
+
+/* A request that was sent ahead of the end of a stream is not read once the
+ * stop has begun, so that its caller may send it elsewhere. */
+static void
+test_request_sent_ahead (void)
+{
+  setup ();
+  request_send ();
+  request_send ();
+  callerserver_drain (&drain.server);
+  callerconn_stream_end (drain.conn);
+  run ();
+  CU_ASSERT_EQUAL (drain.requests, 1);
+  CU_ASSERT_TRUE (drain.ended);
+  finish ();
+}
+
+static const struct unit_case cases[] = {
+  { "stream-that-began-before-the-stop",
+    test_stream_that_began_before_the_stop },
+  { "connection-is-kept", test_connection_is_kept },
+  { "request-sent-ahead", test_request_sent_ahead },
+};
+
+int
+main (void)
+{
+  return unit_run ("callerdrain", cases, G_N_ELEMENTS (cases));
+}
