Figures of the platform and the operator may be fractions, very small or large

Gone through: all numbers of the settings template and of the operator's configuration. A weight of a traffic split below 1 was read as 0 and its service got nothing; a tenant's priority of 1.0 was ignored; amounts over 2^32 lost their upper bits; a timeout over 1e9 ms refused the whole configuration.

--- a/src/routes.c
+++ b/src/routes.c
@@ -30,6 +30,7 @@
   g_free (service->name);
   g_free (service->address);
   g_free (service->data_centre);
+  g_free (service->health_path);
   g_free (service);
 }
 
@@ -98,7 +99,7 @@
 }
 
 void
-route_add_share (struct route *route, const char *service, unsigned weight)
+route_add_share (struct route *route, const char *service, double weight)
 {
   struct route_share share = { g_strdup (service), weight };
 
--- a/src/routes.h
+++ b/src/routes.h
@@ -22,7 +22,7 @@
 struct route_share
 {
   char *service;
-  unsigned weight; /**< Weight relative to the other shares of the route. */
+  double weight; /**< Weight relative to the other shares of the route. */
 };
 
 struct route
@@ -43,7 +43,7 @@
   int64_t gap_target_ns; /**< Target for the longest gap between two events of
                             a stream; 0 if there is none. */
   GArray *shares;        /**< Array of struct route_share. */
-  unsigned weight_total;
+  double weight_total;
 };
 
 struct service
@@ -55,6 +55,7 @@
                     no requests of callers. */
   char *address; /**< Address of a KV cache store; otherwise "". */
   char *data_centre; /**< Data centre of a KV cache store; otherwise "". */
+  char *health_path; /**< Target of a health check; "" if there is none. */
   bool is_engine;
   /** Number of requests that one engine runs at the same time. */
   unsigned slots;
@@ -99,8 +100,7 @@
 /** Adds an empty route that ROUTES owns. The caller fills it in, then calls
  * routes_build_index. */
 struct route *routes_add_route (struct routes *routes);
-void route_add_share (struct route *route, const char *service,
-                      unsigned weight);
+void route_add_share (struct route *route, const char *service, double weight);
 struct service *routes_add_service (struct routes *routes, const char *name);
 struct organisation *routes_add_organisation (struct routes *routes,
                                               const char *name);
--- a/src/settings.c
+++ b/src/settings.c
@@ -101,7 +101,7 @@
 
 static bool
 parse_integer (const struct settings_key *key, struct json_object *value,
-               int64_t unit, int64_t *field)
+               int64_t *field)
 {
   int64_t number = json_object_get_int64 (value);
 
@@ -109,7 +109,7 @@
     return false;
   if ((double)number < key->min || (double)number > key->max)
     return false;
-  *field = number * unit;
+  *field = number;
   return true;
 }
 
@@ -128,6 +128,20 @@
   return true;
 }
 
+/* Parse a duration in units of UNIT_NS. It is rounded down to whole
+ * nanoseconds. */
+static bool
+parse_duration (const struct settings_key *key, struct json_object *value,
+                int64_t unit_ns, int64_t *field)
+{
+  double number;
+
+  if (!parse_number (key, value, &number))
+    return false;
+  *field = (int64_t)(number * (double)unit_ns);
+  return true;
+}
+
 static bool
 parse_address (struct json_object *value, struct settings_address *field)
 {
@@ -201,13 +215,13 @@
       *(bool *)field = json_object_get_boolean (value);
       break;
     case SETTINGS_TYPE_INTEGER:
-      valid = parse_integer (key, value, 1, field);
+      valid = parse_integer (key, value, field);
       break;
     case SETTINGS_TYPE_MILLISECONDS:
-      valid = parse_integer (key, value, NS_PER_MS, field);
+      valid = parse_duration (key, value, NS_PER_MS, field);
       break;
     case SETTINGS_TYPE_SECONDS:
-      valid = parse_integer (key, value, NS_PER_S, field);
+      valid = parse_duration (key, value, NS_PER_S, field);
       break;
     case SETTINGS_TYPE_NUMBER:
       valid = parse_number (key, value, field);
--- a/src/settings.h
+++ b/src/settings.h
@@ -130,7 +130,7 @@
      * window. */
     int64_t window_ns; /**< Length of the sliding window. */
     /** Maximum number of retries per window, shared by all hosts. */
-    int64_t allowance;
+    double allowance;
     /** Maximum number of retries per request received in the window, in
      * addition to ALLOWANCE. */
     double window_share;
--- a/test/test-platform.c
+++ b/test/test-platform.c
@@ -60,6 +60,66 @@
   routes_unref (routes);
 }
 
+/* Numbers of the operator that are fractions, very small or very large were
+ * read as 0 or as something else, or the configuration was refused. */
+static void
+test_odd_numbers (void)
+{
+  static const struct
+  {
+    const char *number;
+    unsigned servers_max;
+    int64_t timeout_ns;
+    double weight;
+    uint64_t capacity;
+    unsigned priority;
+  } rows[] = {
+    { "2.5", 2, 2500000, 2.5, 2, 2 },
+    { "0.25", 1, 250000, 0.25, 0, 0 },
+    { "0", 1, 0, 0, 0, 0 },
+    { "1e-9", 1, 0, 1e-9, 0, 0 },
+    { "64.0", 64, 64 * NS_PER_MS, 64, 64, 64 },
+    { "4294967296", UINT_MAX, 1000000 * NS_PER_S, 4294967296.0, 4294967296,
+      UINT_MAX },
+    { "1e30", UINT_MAX, 1000000 * NS_PER_S, 1e15, 1000000000000000, UINT_MAX },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      const char *number = rows[i].number;
+      char *text = g_strdup_printf (
+          "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+          "\"prefix\":\"/a/\",\"routeType\":\"streaming\",\"timeoutMs\":%s,"
+          "\"priority\":%s,\"attempts\":%s,\"trafficSplit\":[{\"backend\":"
+          "\"x\",\"weight\":%s}]}],\"backends\":[{\"name\":\"x\","
+          "\"maxConns\":%s,\"engine\":{\"slots\":%s,\"kvCapacity\":%s}}],"
+          "\"limits\":{\"maxHeaderBytes\":%s,\"maxBodyBytes\":%s,"
+          "\"headerTimeoutMs\":%s,\"idleTimeoutMs\":%s},\"tenants\":"
+          "[{\"name\":\"t\",\"apiKeys\":[\"k\"],\"priority\":%s}]}",
+          number, number, number, number, number, number, number, number,
+          number, number, number, number);
+      struct routes *routes = NULL;
+      const struct route *route;
+      struct error error;
+
+      CU_ASSERT_EQUAL (decode_routes (text, &routes, &error), STATUS_OK);
+      g_free (text);
+      if (routes == NULL)
+        continue;
+      route = routes_find_route (routes, "h", "/a/x");
+      CU_ASSERT_EQUAL (route->servers_max, rows[i].servers_max);
+      CU_ASSERT_EQUAL (route->timeout_ns, rows[i].timeout_ns);
+      CU_ASSERT_EQUAL (route->weight_total, rows[i].weight);
+      CU_ASSERT_EQUAL (route->priority, rows[i].priority);
+      CU_ASSERT_EQUAL (routes_find_service (routes, "x")->kv_capacity_tokens,
+                       rows[i].capacity);
+      CU_ASSERT_TRUE (routes_find_organisation (routes, "k")->has_priority);
+      CU_ASSERT_EQUAL (routes_find_organisation (routes, "k")->priority,
+                       rows[i].priority);
+      routes_unref (routes);
+    }
+}
+
 /* A document that is truncated at any place is refused as a whole. */
 static void
 test_truncated_documents (void)
@@ -450,6 +510,7 @@
   { "stated-limit", test_stated_limit },
   { "stated-leaving", test_stated_leaving },
   { "stated-pause", test_stated_pause },
+  { "odd-numbers", test_odd_numbers },
   { "configuration", test_configuration },
   { "torn-documents", test_truncated_documents },
   { "entry", test_entry },
