Links count as working by a response in time, not by an open connection

Now links are in doubt once requests to three servers have no response (500 ms without any response, a connection that is cut before its head, or not opened) and nothing that was sent later had one; so connections that live on prove nothing. In doubt, requests that have not been handed over are passed on at once, and a host refuses those that others pass on. A few servers are then sent a query that a sound one answers at once; three unanswered queries mean that the links are lost, and what no other host takes is refused at once. Probes moved out of servers.c into serverprobe.c, which also ends the circle of serverreach and servers.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -145,6 +145,10 @@
   /** Write the header line by which a host promises another that it has not
    * run a request. */
   void (*host_refusal_encode) (GString *out);
+  /** Write a request that a server of SERVICE answers at once and that runs
+   * nothing.
+   * @param service NULL if unknown */
+  void (*query_encode) (GString *out, const struct service *service);
   /** Decode the head of a backend server's response. */
   void (*response_decode) (int status, const struct httpfields *head,
                            const char *request_id, const char *server_id,
--- a/src/entry.c
+++ b/src/entry.c
@@ -107,6 +107,19 @@
 static const struct servers_ops servers_ops
     = { server_changed, statement_ignored };
 
+static void
+query_encode (void *data, const struct server *server, GString *out)
+{
+  const struct entry *entry = data;
+  const struct routes *routes = entry->forwarder.routes;
+
+  entry->dialect->query_encode (
+      out, routes != NULL ? routes_find_service (routes, server->entry.service)
+                          : NULL);
+}
+
+static const struct serverprobes_ops probes_ops = { query_encode };
+
 static bool
 store_is_polled_here (void *data, const struct kvstore *store)
 {
@@ -139,7 +152,7 @@
   forwardweights_set_times (forward, settings->weights.within_ns);
   forward->retry.window_ns = settings->retry.window_ns;
   forward->retry.request_share = settings->retry.window_share;
-  forward->retry.allowance = (double)settings->retry.allowance;
+  forward->retry.allowance = settings->retry.allowance;
   forward->choose = choose_settings_default;
   forward->choose.prefill_tokens_per_ms = settings->engines.tokens_per_ms;
   entry->rollout.settings.share = settings->weights.share;
@@ -272,7 +285,7 @@
     kvstores_tick (&entry->kvstores);
   cacheretire_tick (&entry->retire);
   cachegc_tick (&entry->cachegc);
-  servers_tick (&entry->servers);
+  serverprobes_tick (&entry->probes);
   subsets_tick (&entry->subsets);
   entrypeers_tick (entry);
   peerudp_tick (&entry->peerudp);
@@ -402,6 +415,7 @@
   servers_init (&entry->servers, &entry->loop, &entry->clock,
                 settings->process.data_centre, settings->timeouts.connect_ns,
                 &servers_ops, entry);
+  serverprobes_init (&entry->probes, &entry->servers, &probes_ops, entry);
   goneservers_init (&entry->goneservers, &entry->clock);
   poisoncount_init (&entry->poisoncount, &entry->kvera.kv, &entry->clock,
                     ENTRY_CRASH_PREFIX);
@@ -523,6 +537,7 @@
   presence_finish (&entry->presence);
   poisoncount_finish (&entry->poisoncount);
   blameshare_finish (&entry->blameshare);
+  serverprobes_finish (&entry->probes);
   servers_finish (&entry->servers);
   goneservers_finish (&entry->goneservers);
   kvview_finish (&entry->operator_view);
--- a/src/entry.h
+++ b/src/entry.h
@@ -22,6 +22,7 @@
 #include "presence.h"
 #include "cacheretire.h"
 #include "rng.h"
+#include "serverprobe.h"
 #include "servers.h"
 #include "settings.h"
 #include "rollout.h"
@@ -72,6 +73,7 @@
   struct kvview servers_view;
   struct kvview hosts_view;
   struct servers servers;
+  struct serverprobes probes;
   struct goneservers goneservers;
   struct poisoncount poisoncount;
   struct blameshare blameshare;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -92,7 +92,6 @@
   struct exchange *exchange = data;
 
   exchange->sent_ns = clock_now (exchange->clock);
-  exchange->ops->connected (exchange->data, exchange);
 }
 
 /* Whether RESPONSE must not be relayed. A successful response is accepted only
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -51,8 +51,6 @@
 
 struct exchange_ops
 {
-  /** The connection to the server has opened; the request is sent next. */
-  void (*connected) (void *data, struct exchange *exchange);
   /** Handles the head of a response, which is in EXCHANGE. */
   void (*head_received) (void *data, struct exchange *exchange);
   /** Relays SIZE bytes of a successful response. For a stream, these are whole
--- a/src/forward.h
+++ b/src/forward.h
@@ -115,12 +115,14 @@
   bool from_host;    /**< Whether another host has passed the request on. */
   struct otherhost *host; /**< Host of the current attempt; NULL if it is at a
                              server. */
-  const struct otherhost *tried_hosts[FORWARD_HOST_TRIES_MAX];
+  uint32_t tried_hosts[FORWARD_HOST_TRIES_MAX]; /**< Hashes of their ids. */
   unsigned host_tries;
   unsigned run_count; /**< Number of attempts that may have run the request. */
   unsigned not_run_count; /**< Number of attempts that certainly did not run
                              the request. */
   unsigned unconnected_count; /**< Those of them without a connection. */
+  bool silence_recorded; /**< Whether it was recorded that the server of the
+                            current attempt has not responded. */
   bool relaying; /**< Whether the response head has been sent to the caller. */
   bool relays_events; /**< Whether the caller is sent an event stream, of which
                          it has whole events only. */
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -8,6 +8,7 @@
 #include "forwardsend.h"
 #include "forwardweights.h"
 #include "forwardwait.h"
+#include "serverreach.h"
 
 #include <string.h>
 
@@ -163,17 +164,6 @@
   forward_attempt_ended (data, outcome);
 }
 
-static void
-exchange_connected (void *data, struct exchange *exchange)
-{
-  struct forward *forward = data;
-
-  if (forward->host != NULL)
-    return;
-  reach_record_opened (servers_reach (forward->forwarder->servers,
-                                      exchange->server->entry.service));
-}
-
 static void
 response_head_received (void *data, struct exchange *exchange)
 {
@@ -182,12 +172,14 @@
   if (forward->host != NULL)
     forwardhost_head_received (forward);
   else
-    forward_learn_statements (forward);
+    {
+      forward_learn_answered (forward);
+      forward_learn_statements (forward);
+    }
 }
 
 static const struct exchange_ops exchange_ops
-    = { exchange_connected, response_head_received, response_bytes_received,
-        exchange_ended };
+    = { response_head_received, response_bytes_received, exchange_ended };
 
 /* Choose a server for the request. A stream that goes on with one software may
  * go on at a server that has broken it off before, but first at one that only
@@ -240,6 +232,20 @@
     forward_place (forward);
 }
 
+/* Whether the links to the servers are too bad for an attempt from here: they
+ * are lost or, if another host can still try a third one, in doubt. A stream
+ * that goes on with one software waits for its servers. */
+static bool
+links_forbid_attempt (const struct forward *forward)
+{
+  enum serverreach reach
+      = servers_service_reach (forward->forwarder->servers, forward->service);
+
+  return forward->software_hash == 0
+         && reach >= (forward->from_host ? SERVERREACH_DOUBTED
+                                         : SERVERREACH_LOST);
+}
+
 static void
 forward_place (struct forward *forward)
 {
@@ -268,6 +274,11 @@
       forward_find_origin (forward);
       return;
     }
+  if (links_forbid_attempt (forward))
+    {
+      forward_give_up (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
+      return;
+    }
   memcpy (query.excluded, forward->tried, sizeof query.excluded);
   forwardweights_query (forward, &query);
   forward_add_stored (forward, wanted != NULL ? wanted->version : 1, &query);
@@ -514,6 +525,7 @@
         forward_refuse (forward, "timeout", RETRY_AFTER_NO_SERVER_MS);
       return;
     }
+  forward_learn_silence (forward, now);
   if (forwardweights_is_overdue (forward))
     attempt_abandon (forward, EXCHANGE_OUTDATED);
   else if (forward->host == NULL && server_is_silent (forward, now)
--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -34,7 +34,7 @@
 was_tried (const struct forward *forward, const struct otherhost *host)
 {
   for (unsigned i = 0; i < forward->host_tries; i++)
-    if (forward->tried_hosts[i] == host)
+    if (forward->tried_hosts[i] == host->server->id_hash)
       return true;
   return false;
 }
@@ -99,7 +99,7 @@
   forwarder->dialect->pass_on_encode (request, method, conn->target->str,
                                       &conn->head, conn->body, &header);
   forward->host = host;
-  forward->tried_hosts[forward->host_tries++] = host;
+  forward->tried_hosts[forward->host_tries++] = host->server->id_hash;
   host->in_flight++;
   forward->attempt_weight_version = 0;
   forward->attempt_software_hash = forward->software_hash;
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -90,6 +90,50 @@
     serverpause_answered (&server->pause);
 }
 
+static struct reach *
+attempt_reach (const struct forward *forward)
+{
+  return servers_reach (forward->forwarder->servers,
+                        forward->exchange.server->entry.service);
+}
+
+void
+forward_learn_answered (struct forward *forward)
+{
+  const struct exchange *exchange = &forward->exchange;
+
+  reach_record_answer (attempt_reach (forward), exchange->sent_ns,
+                       exchange->last_received_ns);
+}
+
+void
+forward_learn_silence (struct forward *forward, int64_t now)
+{
+  const struct exchange *exchange = &forward->exchange;
+
+  if (forward->host != NULL || forward->silence_recorded
+      || !exchange_is_sent (exchange) || exchange->has_head
+      || !reach_is_silent (attempt_reach (forward), exchange->sent_ns, now))
+    return;
+  forward->silence_recorded = true;
+  reach_record_unanswered (attempt_reach (forward), exchange->server->id_hash,
+                           exchange->sent_ns);
+}
+
+/* Record that an attempt has ended without a response. */
+static void
+learn_unanswered (struct forward *forward, enum exchange_outcome outcome)
+{
+  const struct exchange *exchange = &forward->exchange;
+  int64_t now = clock_now (forward->forwarder->clock);
+
+  if (outcome == EXCHANGE_NOT_CONNECTED
+      || (outcome == EXCHANGE_CUT && !exchange->has_head))
+    reach_record_unanswered (
+        attempt_reach (forward), exchange->server->id_hash,
+        outcome == EXCHANGE_NOT_CONNECTED ? now : exchange->sent_ns);
+}
+
 void
 forward_learn_response_head (struct forward *forward)
 {
@@ -111,6 +155,7 @@
       learn_load (forward);
       forward_log_weights (forward);
     }
+  learn_unanswered (forward, outcome);
   if (outcome == EXCHANGE_NOT_CONNECTED)
     server_record_connection_failure (forwarder->servers, server);
   else if (outcome == EXCHANGE_CUT)
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -300,6 +300,7 @@
       = forward->call.model != NULL
             ? server_weight_version (choice->server, forward->call.model)
             : 0;
+  forward->silence_recorded = false;
   forward->expected_ms = choice->cost_ms;
   forward->backlog_ms = choice->backlog_ms;
   forward->store_delay_ms = choice->store_delay_ms;
--- a/src/reach.c
+++ b/src/reach.c
@@ -1,25 +1,92 @@
 #include "reach.h"
+#include "clock.h"
+
+#include <glib.h>
+
+static void
+failures_add (struct reach_failures *failures, uint32_t server,
+              int64_t sent_ns)
+{
+  unsigned i = 0;
+
+  while (i < failures->count && failures->servers[i] != server)
+    i++;
+  if (i == REACH_SERVERS_MIN)
+    return;
+  if (i == failures->count)
+    failures->sent_ns[failures->count++] = sent_ns;
+  failures->servers[i] = server;
+  failures->sent_ns[i] = MAX (failures->sent_ns[i], sent_ns);
+}
+
+/* Drop the failures of what was sent at SENT_NS or before. */
+static void
+failures_drop (struct reach_failures *failures, int64_t sent_ns)
+{
+  unsigned kept = 0;
+
+  for (unsigned i = 0; i < failures->count; i++)
+    {
+      if (failures->sent_ns[i] <= sent_ns)
+        continue;
+      failures->servers[kept] = failures->servers[i];
+      failures->sent_ns[kept++] = failures->sent_ns[i];
+    }
+  failures->count = kept;
+}
+
+static bool
+failures_suffice (const struct reach_failures *failures, unsigned server_count)
+{
+  return server_count > 0
+         && failures->count >= MIN (server_count, REACH_SERVERS_MIN);
+}
+
+void
+reach_record_unanswered (struct reach *reach, uint32_t server, int64_t sent_ns)
+{
+  failures_add (&reach->requests, server, sent_ns);
+}
 
 void
-reach_record_failure (struct reach *reach, uint32_t server)
+reach_record_query_unanswered (struct reach *reach, uint32_t server,
+                               int64_t sent_ns)
 {
-  for (unsigned i = 0; i < reach->failed_count; i++)
-    if (reach->failed[i] == server)
-      return;
-  if (reach->failed_count < REACH_FAILURES_MIN)
-    reach->failed[reach->failed_count++] = server;
+  failures_add (&reach->queries, server, sent_ns);
 }
 
 void
-reach_record_opened (struct reach *reach)
+reach_record_answer (struct reach *reach, int64_t sent_ns, int64_t now_ns)
+{
+  reach->answered_ns = now_ns;
+  failures_drop (&reach->requests, sent_ns);
+  failures_drop (&reach->queries, sent_ns);
+  if (!reach_is_questioned (reach))
+    reach->query_rounds = 0;
+}
+
+bool
+reach_is_silent (const struct reach *reach, int64_t sent_ns, int64_t now_ns)
 {
-  reach->failed_count = 0;
+  return now_ns - MAX (sent_ns, reach->answered_ns)
+         > REACH_SILENCE_MS * NS_PER_MS;
+}
+
+bool
+reach_is_questioned (const struct reach *reach)
+{
+  return reach->requests.count > 0 || reach->queries.count > 0;
+}
+
+bool
+reach_is_doubted (const struct reach *reach, unsigned server_count)
+{
+  return failures_suffice (&reach->requests, server_count)
+         || reach_is_lost (reach, server_count);
 }
 
 bool
 reach_is_lost (const struct reach *reach, unsigned server_count)
 {
-  return server_count > 0
-         && (reach->failed_count == REACH_FAILURES_MIN
-             || reach->failed_count >= server_count);
+  return failures_suffice (&reach->queries, server_count);
 }
--- a/src/serverreach.c
+++ b/src/serverreach.c
@@ -1,9 +1,10 @@
 #include "serverreach.h"
 
-bool
-servers_service_is_out (const struct servers *servers, const char *service)
+enum serverreach
+servers_service_reach (const struct servers *servers, const char *service)
 {
   const GPtrArray *list = servers_of_service (servers, service);
+  const struct reach *reach = servers_reach (servers, service);
   unsigned registered = 0;
   unsigned available = 0;
 
@@ -14,9 +15,18 @@
       registered += !server_is_leaving (server);
       available += server_is_reachable (server);
     }
-  return registered > 0
-         && (available == 0
-             || reach_is_lost (servers_reach (servers, service), registered));
+  if (registered == 0)
+    return SERVERREACH_IN;
+  if (available == 0 || reach_is_lost (reach, available))
+    return SERVERREACH_LOST;
+  return reach_is_doubted (reach, available) ? SERVERREACH_DOUBTED
+                                             : SERVERREACH_IN;
+}
+
+bool
+servers_service_is_out (const struct servers *servers, const char *service)
+{
+  return servers_service_reach (servers, service) != SERVERREACH_IN;
 }
 
 unsigned
--- a/src/servers.c
+++ b/src/servers.c
@@ -1,5 +1,4 @@
 #include "servers.h"
-#include "serverreach.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -9,12 +8,6 @@
   /* Number of consecutive connection failures after which a server counts
    * as unreachable. */
   CONNECTION_FAILURES_MAX = 2,
-  /* Interval between probes of an unreachable server. */
-  PROBE_INTERVAL_MS = 400,
-  /* The same while no server with the software of the server can be reached,
-   * for LAST_PROBES_S since it became unreachable. */
-  LAST_PROBE_INTERVAL_MS = 100,
-  LAST_PROBES_S = 5,
   /* Capacity of a server whose memory size is unknown. */
   KV_CAPACITY_TOKENS_DEFAULT = 64 * 1024
 };
@@ -35,8 +28,6 @@
 {
   if (server == NULL || --server->reference_count > 0)
     return;
-  if (server->probe != NULL)
-    serverconn_close (server->probe);
   g_hash_table_destroy (server->cached_blocks);
   g_free (server);
 }
@@ -53,26 +44,6 @@
   g_ptr_array_free (data, TRUE);
 }
 
-struct probe
-{
-  struct servers *servers;
-  struct server *server;
-};
-
-/* End the probe of SERVER without a result. */
-static void
-probe_cancel (struct server *server)
-{
-  struct serverconn *conn = server->probe;
-
-  if (conn == NULL)
-    return;
-  g_free (conn->data);
-  server->probe = NULL;
-  serverconn_close (conn);
-  server_unref (server);
-}
-
 void
 servers_init (struct servers *servers, uv_loop_t *loop,
               const struct clock *clock, const char *data_centre,
@@ -100,12 +71,6 @@
 void
 servers_finish (struct servers *servers)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, servers->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    probe_cancel (value);
   g_hash_table_destroy (servers->reach_by_service);
   g_hash_table_destroy (servers->by_service);
   softwarespan_finish (&servers->software);
@@ -344,7 +309,6 @@
   if (server == NULL)
     return;
   server->removed = true;
-  probe_cancel (server);
   if (!server->entry.leaving)
     softwarestart_record (&servers->starts, server->software_hash);
   notify_change (servers, server, reason);
@@ -387,7 +351,7 @@
   server->busy_until_ns = MAX (server->busy_until_ns, until_ns);
 }
 
-static void
+void
 server_set_unreachable (struct servers *servers, struct server *server)
 {
   int64_t now = clock_now (servers->clock);
@@ -396,7 +360,7 @@
   if (server->down_since_ns != 0)
     return;
   server->down_since_ns = now;
-  server->next_probe_ns = now + PROBE_INTERVAL_MS * NS_PER_MS;
+  server->next_probe_ns = now + SERVER_PROBE_INTERVAL_MS * NS_PER_MS;
   server_cache_clear (server);
   notify_change (servers, server, "unreachable");
 }
@@ -406,8 +370,6 @@
                                   struct server *server)
 {
   server->connection_failures++;
-  reach_record_failure (servers_reach (servers, server->entry.service),
-                        server->id_hash);
   if (server->connection_failures >= CONNECTION_FAILURES_MAX)
     server_set_unreachable (servers, server);
 }
@@ -434,163 +396,9 @@
                    server->limit.limited ? "limited" : "unlimited");
 }
 
-/* Update the state of the probed server. A probe that began before the last
- * cut says nothing about it. */
-static void
-probe_judge (struct servers *servers, struct server *server, bool reached)
-{
-  bool is_doubted = server->doubted_ns != 0;
-
-  if (is_doubted && server->probe_began_ns < server->doubted_ns)
-    return;
-  if (!reached)
-    server_set_unreachable (servers, server);
-  else if (is_doubted)
-    {
-      server->doubted_ns = 0;
-      server_record_reached (servers, server, true);
-    }
-  else
-    server_record_reached (servers, server, false);
-}
-
-static void
-probe_finish (struct probe *probe, bool reached)
-{
-  struct server *server = probe->server;
-
-  server->probe = NULL;
-  probe_judge (probe->servers, server, reached);
-  server_unref (server);
-  g_free (probe);
-}
-
-static void
-probe_connected (void *data)
-{
-  struct probe *probe = data;
-
-  serverconn_close (probe->server->probe);
-  reach_record_opened (
-      servers_reach (probe->servers, probe->server->entry.service));
-  probe_finish (probe, true);
-}
-
-static void
-probe_head_received (void *data, const struct serverconn *conn)
-{
-}
-
-static void
-probe_body_received (void *data, const char *bytes, size_t size)
-{
-}
-
-static void
-probe_failed (void *data, enum serverconn_result end)
-{
-  struct probe *probe = data;
-
-  /* That a server is still unreachable says nothing new of the links. */
-  if (probe->server->down_since_ns == 0)
-    reach_record_failure (
-        servers_reach (probe->servers, probe->server->entry.service),
-        probe->server->id_hash);
-  probe_finish (probe, false);
-}
-
-static const struct serverconn_ops probe_ops
-    = { probe_connected, probe_head_received, probe_body_received,
-        probe_failed };
-
-/* A probe opens a connection and sends nothing, so that it neither risks a
- * caller's request nor causes work for the server. */
-static void
-probe_start (struct servers *servers, struct server *server, int64_t now)
-{
-  struct probe *probe = g_new0 (struct probe, 1);
-
-  server->next_probe_ns = now + PROBE_INTERVAL_MS * NS_PER_MS;
-  server->probe_began_ns = now;
-  probe->servers = servers;
-  probe->server = server_ref (server);
-  server->probe = serverconn_open (
-      servers->loop, server->entry.address, g_string_new (NULL), false,
-      servers->connect_timeout_ns, &probe_ops, probe);
-}
-
 void
 server_record_cut (struct servers *servers, struct server *server)
 {
-  int64_t now = clock_now (servers->clock);
-
-  if (server->removed || server->down_since_ns != 0)
-    return;
-  server->doubted_ns = now;
-  if (server->probe == NULL && serverpause_allows (&server->pause, now))
-    probe_start (servers, server, now);
-}
-
-/* Whether no server of the service and software of SERVER is available. */
-static bool
-software_is_out (const struct servers *servers, const struct server *server)
-{
-  const GPtrArray *list = servers_of_service (servers, server->entry.service);
-
-  for (guint i = 0; list != NULL && i < list->len; i++)
-    {
-      const struct server *other = list->pdata[i];
-
-      if (other->software_hash == server->software_hash
-          && server_is_available (other))
-        return false;
-    }
-  return true;
-}
-
-/* Whether SERVER counts as reachable, but the links to its service do not:
- * only a probe can show which is true, since no request is sent there. */
-static bool
-links_are_doubted (const struct servers *servers, const struct server *server,
-                   int64_t now)
-{
-  return server_is_available (server) && now >= server->next_probe_ns
-         && servers_reach (servers, server->entry.service)->failed_count > 0
-         && servers_service_is_out (servers, server->entry.service);
-}
-
-/* Whether a probe of SERVER, which is unreachable, is due. */
-static bool
-probe_is_due (const struct servers *servers, const struct server *server,
-              int64_t now)
-{
-  int64_t last_ns = server->next_probe_ns - PROBE_INTERVAL_MS * NS_PER_MS;
-
-  if (server_is_leaving (server))
-    return false;
-  return now >= server->next_probe_ns
-         || (now - last_ns >= LAST_PROBE_INTERVAL_MS * NS_PER_MS
-             && now - server->down_since_ns < LAST_PROBES_S * NS_PER_S
-             && software_is_out (servers, server));
-}
-
-void
-servers_tick (struct servers *servers)
-{
-  int64_t now = clock_now (servers->clock);
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, servers->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct server *server = value;
-
-      if (server->probe != NULL || !serverpause_allows (&server->pause, now))
-        continue;
-      if (server->doubted_ns != 0 || links_are_doubted (servers, server, now)
-          || (server->down_since_ns != 0
-              && probe_is_due (servers, server, now)))
-        probe_start (servers, server, now);
-    }
+  if (!server->removed && server->down_since_ns == 0)
+    server->doubted_ns = clock_now (servers->clock);
 }
--- a/src/servers.h
+++ b/src/servers.h
@@ -5,7 +5,6 @@
 #include "list.h"
 #include "servercache.h"
 #include "reach.h"
-#include "serverconn.h"
 #include "serverlimit.h"
 #include "serverpause.h"
 #include "serverstart.h"
@@ -15,6 +14,7 @@
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <uv.h>
 
 /** @file
  * The backend servers that are registered with the KV service. Each has its
@@ -30,7 +30,9 @@
   /** Maximum size of an address in bytes, including the final NUL. */
   SERVER_ADDRESS_MAX = 64,
   /** Maximum number of models per server; further models are ignored. */
-  SERVER_MODELS_MAX = 8
+  SERVER_MODELS_MAX = 8,
+  /** Interval between probes of an unreachable server. */
+  SERVER_PROBE_INTERVAL_MS = 400
 };
 
 struct server_model
@@ -103,11 +105,11 @@
 
   /** Number of consecutive connection failures. */
   unsigned connection_failures;
-  int64_t down_since_ns; /**< Time since which the server is unreachable; 0 if
-                            the server is reachable. */
-  int64_t next_probe_ns; /**< Time of the next probe while the server is
-                            unreachable. */
-  struct serverconn *probe;
+  int64_t down_since_ns;  /**< Time since which the server is unreachable; 0 if
+                             the server is reachable. */
+  int64_t next_probe_ns;  /**< Time of the next probe while the server is
+                             unreachable. */
+  bool probed;            /**< Whether a probe runs. */
   int64_t probe_began_ns; /**< Start of the last probe. */
   int64_t doubted_ns; /**< Time at which a response was cut off last and since
                          which no probe has shown whether the server goes on; 0
@@ -245,7 +247,7 @@
 
 /** Records that a connection to SERVER was lost before the response was
  * complete. The server may have ended, or have cut only this response, so it
- * is probed at once and gets no requests until the result is known. */
+ * gets no requests until a probe has shown which. */
 void server_record_cut (struct servers *servers, struct server *server);
 
 /** Records that an attempt or a probe reached SERVER.
@@ -258,7 +260,8 @@
 void servers_record_limit (struct servers *servers, struct server *server,
                            double per_s, int64_t stated_ns, bool here);
 
-/** Starts the probes of unreachable servers that are due. */
-void servers_tick (struct servers *servers);
+/** Records that SERVER can't be reached. It gets no requests until a probe
+ * reaches it. */
+void server_set_unreachable (struct servers *servers, struct server *server);
 
 #endif
--- a/test/fake-hosts.c
+++ b/test/fake-hosts.c
@@ -137,17 +137,39 @@
 static void
 reports_exchange (void)
 {
-  for (unsigned from = 0; from < FAKE_HOSTS && !fleet.datagrams_lost; from++)
+  for (unsigned from = 0; from < FAKE_HOSTS; from++)
     {
       uint8_t bytes[LOADSHARE_BYTES_MAX];
       size_t size = loadshare_encode (&fleet.hosts[from].loadshare, bytes);
 
       for (unsigned to = 0; to < FAKE_HOSTS; to++)
-        if (to != from)
+        if (to != from && !fleet.down[from]
+            && rng_uniform (&fleet.rng) >= fleet.datagram_loss)
           loadshare_receive (&fleet.hosts[to].loadshare, bytes, size);
     }
 }
 
+/* Count the runs of a request that may run once only. */
+static void
+run_count (void *data, const char *request)
+{
+  const char *at = strstr (request, "X-Request-Id: ");
+  char *id;
+
+  if (at == NULL || !g_str_has_prefix (request, "POST /once/"))
+    return;
+  id = g_strndup (at + strlen ("X-Request-Id: "), strcspn (at + 14, "\r"));
+  fleet.repeated += !g_hash_table_add (fleet.runs, id);
+}
+
+static void
+query_encode (void *data, const struct server *server, GString *out)
+{
+  dialect_platform.query_encode (out, NULL);
+}
+
+static const struct serverprobes_ops probes_ops = { query_encode };
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -155,8 +177,10 @@
 
   for (unsigned i = 0; i < FAKE_HOSTS; i++)
     {
+      if (fleet.down[i])
+        continue;
       loadshare_tick (&fleet.hosts[i].loadshare);
-      servers_tick (&fleet.hosts[i].servers);
+      serverprobes_tick (&fleet.hosts[i].probes);
       forwarder_tick (&fleet.hosts[i].forwarder);
     }
   if (now < fleet.next_reports_ns)
@@ -267,6 +291,7 @@
   g_snprintf (key, sizeof key, "t/host/h%u", index);
   servers_init (&host->servers, &fleet.loop, &fleet.clock, "dc",
                 100 * NS_PER_MS, &servers_ops, NULL);
+  serverprobes_init (&host->probes, &host->servers, &probes_ops, NULL);
   poisoncount_init (&host->poison, &fleet.client.kv, &fleet.clock, "loss/");
   presence_init (&host->presence, &fleet.client.kv, &fleet.clock, key,
                  &(struct presence_host){ .address = "a" }, NS_PER_S);
@@ -293,6 +318,7 @@
   for (unsigned i = 0; i < FAKE_HOSTS_ENGINES; i++)
     {
       fake_upstream_init (&host->engines[i], &fleet.loop, step, 1);
+      host->engines[i].received = run_count;
       g_strlcpy (host->addresses[i], host->engines[i].address,
                  sizeof host->addresses[i]);
       engine_enter (host, i, host->addresses[i], 1);
@@ -347,11 +373,25 @@
     }
 }
 
+static void
+cut_links_open (void)
+{
+  static const struct fake_upstream_step silence = { "", FAKE_UPSTREAM_KEEP };
+  static const struct fake_upstream_step reset = { "", FAKE_UPSTREAM_RESET };
+
+  fake_upstream_init (&fleet.silent, &fleet.loop, &silence, 1);
+  fake_upstream_init (&fleet.resetting, &fleet.loop, &reset, 1);
+  fleet.silent.received = run_count;
+  fleet.resetting.received = run_count;
+}
+
 void
 fake_hosts_setup (const struct fake_upstream_step *step)
 {
   memset (&fleet, 0, sizeof fleet);
   uv_loop_init (&fleet.loop);
+  fleet.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cut_links_open ();
   clock_system_init (&fleet.clock);
   fleet.log = (struct log){ &log_ops, EVENT_LEVEL_DEBUG };
   metrics_init (&fleet.metrics);
@@ -369,12 +409,21 @@
   fake_hosts_run_for (REPORT_MS);
 }
 
+/* End the host's requests and connections. */
 static void
-host_finish (struct fake_host *host)
+host_close (struct fake_host *host)
 {
   callerserver_finish (&host->front);
   callerserver_finish (&host->host_server);
   forwarder_finish (&host->forwarder);
+}
+
+static void
+host_finish (struct fake_host *host)
+{
+  if (!fleet.down[host - fleet.hosts])
+    host_close (host);
+  serverprobes_finish (&host->probes);
   streamorigin_finish (&host->origin);
   for (unsigned i = 0; i < FAKE_HOSTS_ENGINES; i++)
     fake_upstream_finish (&host->engines[i]);
@@ -406,6 +455,8 @@
   uv_timer_stop (&fleet.timer);
   for (unsigned i = 0; i < FAKE_HOSTS; i++)
     host_finish (&fleet.hosts[i]);
+  fake_upstream_finish (&fleet.silent);
+  fake_upstream_finish (&fleet.resetting);
   for (int i = 0; i < 20; i++)
     uv_run (&fleet.loop, UV_RUN_NOWAIT);
   for (unsigned i = 0; i < FAKE_HOSTS; i++)
@@ -420,13 +471,27 @@
   fake_kv_finish (&fleet.kv);
   metrics_finish (&fleet.metrics);
   g_string_free (fleet.answer, TRUE);
+  g_hash_table_destroy (fleet.runs);
 }
 
 void
 fake_hosts_cut_link (unsigned index, unsigned engine, enum fake_hosts_cut how)
 {
-  link_lead (&fleet.hosts[index], engine,
-             how == FAKE_HOSTS_HANG ? fleet.hole_address : "127.0.0.1:1");
+  const char *const addresses[] = {
+    [FAKE_HOSTS_HANG] = fleet.hole_address,
+    [FAKE_HOSTS_REFUSE] = "127.0.0.1:1",
+    [FAKE_HOSTS_SILENT] = fleet.silent.address,
+    [FAKE_HOSTS_RESET] = fleet.resetting.address,
+  };
+
+  link_lead (&fleet.hosts[index], engine, addresses[how]);
+}
+
+void
+fake_hosts_kill (unsigned index)
+{
+  fleet.down[index] = true;
+  host_close (&fleet.hosts[index]);
 }
 
 void
@@ -552,3 +617,14 @@
       count += fleet.hosts[i].engines[engine].requests;
   return count;
 }
+
+unsigned
+fake_hosts_engine_queries (void)
+{
+  unsigned count = fleet.silent.queries + fleet.resetting.queries;
+
+  for (unsigned i = 0; i < FAKE_HOSTS; i++)
+    for (unsigned engine = 0; engine < FAKE_HOSTS_ENGINES; engine++)
+      count += fleet.hosts[i].engines[engine].queries;
+  return count;
+}
--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -125,13 +125,21 @@
 
 static const struct blameshare_ops blame_ops = { blame_send, crash_explained };
 
+static void
+query_encode (void *data, const struct server *server, GString *out)
+{
+  dialect_platform.query_encode (out, NULL);
+}
+
+static const struct serverprobes_ops probes_ops = { query_encode };
+
 static void
 on_tick (uv_timer_t *timer)
 {
   blameshare_tick (&path.blameshare);
   streamorigin_tick (&path.origin);
   forwarder_tick (&path.forwarder);
-  servers_tick (&path.servers);
+  serverprobes_tick (&path.probes);
 }
 
 static void
@@ -269,6 +277,7 @@
   fake_kv_client_init (&path.client, &path.kv);
   servers_init (&path.servers, &path.loop, &path.clock, "dc", 200 * NS_PER_MS,
                 &servers_ops, NULL);
+  serverprobes_init (&path.probes, &path.servers, &probes_ops, NULL);
   poisoncount_init (&path.poison, &path.client.kv, &path.clock, "loss/");
   presence_init (&path.presence, &path.client.kv, &path.clock, "host/a",
                  &(struct presence_host){ .address = "a" }, NS_PER_S);
@@ -334,6 +343,7 @@
   presence_finish (&path.presence);
   poisoncount_finish (&path.poison);
   blameshare_finish (&path.blameshare);
+  serverprobes_finish (&path.probes);
   servers_finish (&path.servers);
   uv_walk (&path.loop, close_handle, NULL);
   uv_run (&path.loop, UV_RUN_DEFAULT);
--- a/test/fake-path.h
+++ b/test/fake-path.h
@@ -5,6 +5,7 @@
 #include "fake-kv.h"
 #include "fake-upstream.h"
 #include "forwarder.h"
+#include "serverprobe.h"
 
 /** @file
  * The path of an entry process between loopback sockets: a caller's socket,
@@ -30,6 +31,7 @@
   struct fake_kv kv;
   struct fake_kv_client client;
   struct servers servers;
+  struct serverprobes probes;
   struct poisoncount poison;
   struct blameshare blameshare;
   struct kvstores kvstores;
--- a/test/fake-upstream.c
+++ b/test/fake-upstream.c
@@ -77,17 +77,38 @@
   return &crash;
 }
 
+static const char query[] = "GET /report ";
+
+/* What a query for the server's state is answered with, by a server that
+ * answers at all. */
+static const char state[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+static void
+request_count (struct fake_upstream *upstream, const char *request)
+{
+  if (g_str_has_prefix (request, query))
+    {
+      upstream->queries++;
+      return;
+    }
+  upstream->requests++;
+  g_string_assign (upstream->last, request);
+  if (upstream->received != NULL)
+    upstream->received (upstream->received_data, request);
+}
+
 static void
 link_answer (struct upstream_link *link)
 {
   struct fake_upstream *upstream = link->upstream;
   const struct fake_upstream_step *step = link_step (link);
-  char *answer = answer_with_id (step->answer, link->input);
+  bool is_query = g_str_has_prefix (link->input->str, query);
+  char *answer = answer_with_id (
+      is_query && step->answer[0] != '\0' ? state : step->answer, link->input);
   uv_buf_t buffer = uv_buf_init (answer, (unsigned)strlen (answer));
 
-  upstream->requests++;
   link->answered = true;
-  g_string_assign (upstream->last, link->input->str);
+  request_count (upstream, link->input->str);
   uv_try_write ((uv_stream_t *)&link->tcp, &buffer, 1);
   g_free (answer);
   if (step->end == FAKE_UPSTREAM_GONE)
--- a/test/fake-upstream.h
+++ b/test/fake-upstream.h
@@ -37,9 +37,13 @@
    * reset; NULL: none is. */
   const char *crash_text;
   unsigned crashes;  /**< requests that held it */
-  unsigned requests; /**< whole ones that came */
-  unsigned closed;   /**< connections that the other side closed first */
-  GString *last;     /**< the last request as it came */
+  unsigned requests; /**< whole ones that came, without queries */
+  unsigned queries;  /**< queries for the server's state */
+  /** Called with each request as it came, unless NULL. */
+  void (*received) (void *data, const char *request);
+  void *received_data;
+  unsigned closed; /**< connections that the other side closed first */
+  GString *last;   /**< the last request as it came */
 };
 
 void fake_upstream_init (struct fake_upstream *upstream, uv_loop_t *loop,
--- a/test/test-forwardhost.c
+++ b/test/test-forwardhost.c
@@ -144,7 +144,7 @@
   unsigned passed_on;
 
   fake_hosts_setup (&full_response);
-  fleet.datagrams_lost = true;
+  fleet.datagram_loss = 1;
   fake_hosts_run_for (1700);
   for (unsigned i = 0; i < FAKE_HOSTS; i++)
     fake_hosts_cut (i, FAKE_HOSTS_REFUSE);
@@ -163,7 +163,7 @@
 test_most_hosts_cut_without_reports (void)
 {
   fake_hosts_setup (&full_response);
-  fleet.datagrams_lost = true;
+  fleet.datagram_loss = 1;
   fake_hosts_run_for (1700);
   fake_hosts_cut (0, FAKE_HOSTS_REFUSE);
   fake_hosts_cut (1, FAKE_HOSTS_REFUSE);
@@ -309,8 +309,11 @@
   for (unsigned i = 1; i < FAKE_HOSTS_ENGINES; i++)
     fake_hosts_cut_link (0, i, FAKE_HOSTS_REFUSE);
   CU_ASSERT_EQUAL (count_served (0, 12), 12);
-  fake_hosts_run_for (FOUND_MS);
-  CU_ASSERT_EQUAL (count_served (0, 2), 2);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      fake_hosts_run_for (FOUND_MS);
+      CU_ASSERT_EQUAL (count_served (0, 6), 6);
+    }
   passed_on = fleet.passed_on;
   for (unsigned i = 0; i < 100; i++)
     {
@@ -379,8 +382,8 @@
   servers_find (&host->servers, "i-0")->software_hash = 7;
   softwarespan_set (&host->servers.software, servers_service_hash ("svc"), 0);
   g_hash_table_remove_all (host->presence.hosts);
-  for (uint32_t i = 1; i <= REACH_FAILURES_MIN; i++)
-    reach_record_failure (servers_reach (&host->servers, "svc"), i);
+  for (uint32_t i = 1; i <= REACH_SERVERS_MIN; i++)
+    reach_record_unanswered (servers_reach (&host->servers, "svc"), i, 0);
   fake_hosts_return (0, "/stream/", "unknown");
   CU_ASSERT_EQUAL (fake_hosts_engine_requests (), 0);
   CU_ASSERT_PTR_NOT_NULL (strstr (fleet.answer->str, "HTTP/1.1 503"));
@@ -408,17 +411,39 @@
 static void
 test_one_server_is_no_cut (void)
 {
-  struct reach reach = { .failed_count = 0 };
+  struct reach reach = { .answered_ns = 0 };
 
   for (unsigned i = 0; i < 100; i++)
-    reach_record_failure (&reach, 7);
+    reach_record_unanswered (&reach, 7, i);
+  CU_ASSERT_FALSE (reach_is_doubted (&reach, 18));
+  reach_record_unanswered (&reach, 8, 100);
+  reach_record_unanswered (&reach, 9, 100);
+  CU_ASSERT_TRUE (reach_is_doubted (&reach, 18));
   CU_ASSERT_FALSE (reach_is_lost (&reach, 18));
-  reach_record_failure (&reach, 8);
-  reach_record_failure (&reach, 9);
+  reach_record_answer (&reach, 99, 200);
+  CU_ASSERT_FALSE (reach_is_doubted (&reach, 18));
+  CU_ASSERT_TRUE (reach_is_questioned (&reach));
+  CU_ASSERT_FALSE (reach_is_doubted (&reach, 0));
+}
+
+/* A response to what was sent before new connections failed, on a connection
+ * that lives on, counted as proof that new ones work. */
+static void
+test_old_connections_prove_nothing_new (void)
+{
+  struct reach reach = { .answered_ns = 0 };
+
+  for (uint32_t server = 1; server <= REACH_SERVERS_MIN; server++)
+    {
+      reach_record_unanswered (&reach, server, 50);
+      reach_record_query_unanswered (&reach, server, 60);
+    }
+  reach_record_answer (&reach, 40, 100);
   CU_ASSERT_TRUE (reach_is_lost (&reach, 18));
-  reach_record_opened (&reach);
-  CU_ASSERT_FALSE (reach_is_lost (&reach, 18));
-  CU_ASSERT_FALSE (reach_is_lost (&reach, 0));
+  reach_record_answer (&reach, 55, 110);
+  CU_ASSERT_TRUE (reach_is_lost (&reach, 18));
+  reach_record_answer (&reach, 60, 120);
+  CU_ASSERT_FALSE (reach_is_questioned (&reach));
 }
 
 static const struct unit_case cases[] = {
@@ -444,7 +469,10 @@
   { "return-without-other-hosts-needs-its-software",
     test_return_without_other_hosts_needs_its_software },
   { "no-time-left-to-pass-on", test_no_time_left_to_pass_on },
+  { "hosts-that-are-gone-are-dropped", test_hosts_that_are_gone_are_dropped },
   { "one-server-is-no-cut", test_one_server_is_no_cut },
+  { "old-connections-prove-nothing-new",
+    test_old_connections_prove_nothing_new },
 };
 
 int
