--- a/src/otherhosts.c
+++ b/src/otherhosts.c
@@ -49,6 +49,22 @@
   return host;
 }
 
+/* Drop the hosts that are no longer registered, so that hosts that come under
+ * ever new names take no memory. */
+static void
+unregistered_drop (struct otherhosts *others)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, others->hosts);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (((const struct otherhost *)value)->in_flight == 0
+        && !g_hash_table_contains (others->presence->hosts, key))
+      g_hash_table_iter_remove (&iter);
+}
+
 void
 otherhosts_visit (struct otherhosts *others, uint64_t service,
                   void (*visit) (void *data, struct otherhost *host,
@@ -69,4 +85,7 @@
                loadshare_host_reach (others->loadshare,
                                      presence_host_name (key), service));
     }
+  if (g_hash_table_size (others->hosts)
+      > g_hash_table_size (others->presence->hosts))
+    unregistered_drop (others);
 }
--- a/src/otherhosts.h
+++ b/src/otherhosts.h
@@ -24,8 +24,8 @@
 {
   const struct presence *presence;
   const struct loadshare *loadshare;
-  /** Maps keys of hosts to struct otherhost. A host keeps its place when it is
-   * no longer registered. */
+  /** Maps keys of hosts to struct otherhost. A host that is no longer
+   * registered keeps its place while requests are in flight there. */
   GHashTable *hosts;
 };
 
--- a/test/test-forwardhost.c
+++ b/test/test-forwardhost.c
@@ -406,6 +406,32 @@
   fake_hosts_finish ();
 }
 
+/* Hosts that came under ever new names stayed in the table of other hosts. */
+static void
+test_hosts_that_are_gone_are_dropped (void)
+{
+  struct fake_host *host = &fleet.hosts[0];
+
+  fake_hosts_setup (&full_response);
+  fake_hosts_cut (0, FAKE_HOSTS_REFUSE);
+  find_out (0);
+  for (unsigned i = 0; i < 50; i++)
+    {
+      struct error error;
+      char key[32];
+
+      g_snprintf (key, sizeof key, "t/host/new%u", i);
+      presence_key_put (&host->presence, key,
+                        "{\"address\":\"a\",\"peer\":\"127.0.0.1:1\"}",
+                        &error);
+      fake_hosts_request (0, "/safe/");
+      presence_key_removed (&host->presence, key);
+      CU_ASSERT_TRUE (g_hash_table_size (host->otherhosts.hosts)
+                      <= g_hash_table_size (host->presence.hosts) + 1);
+    }
+  fake_hosts_finish ();
+}
+
 /* One server that can't be reached, however often, does not mean that the
  * links are gone. */
 static void
