Soak: ports of hosts are reserved while they are down

The fault is the soak's own: a second soak whose process id is 300 apart begins at the same ports and takes those of a host that is down. That it was this at that time is not proved; that it can happen is shown by reserveport/port-of-a-host-that-is-down (fails without the held socket).

--- a/test/soak-host.c
+++ b/test/soak-host.c
@@ -1,37 +1,23 @@
 #include "soak-host.h"
+#include "reserveport.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 enum
 {
   RESTART_MS = 300,
-  /* Below those that connections get, which could take the port of a host
-   * that is down. Soaks that run at a time begin at ports of their own. */
+  /* Soaks that run at a time begin at ports of their own. */
   PORT_FIRST = 12000,
   PORTS_EACH = 60,
   PORTS_ALL = 18000,
   GRACE_S = 8 /* from SIGTERM to SIGKILL */
 };
 
-static bool
-port_is_free (uint16_t port)
-{
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_port = htons (port) };
-  int file = socket (AF_INET, SOCK_STREAM, 0);
-  bool is_free;
-
-  inet_pton (AF_INET, SOAK_IP, &address.sin_addr);
-  is_free = bind (file, (struct sockaddr *)&address, sizeof address) == 0;
-  close (file);
-  return is_free;
-}
-
+/* Find a port that is free and reserve it until the soak ends, which closes
+ * the descriptor: a host or server may be down when another soak begins. */
 uint16_t
 soak_port_find (void)
 {
@@ -39,7 +25,7 @@
 
   if (next == 0)
     next = PORT_FIRST + (unsigned)getpid () * PORTS_EACH % PORTS_ALL;
-  while (!port_is_free ((uint16_t)next))
+  while (reserveport_hold (SOAK_IP, (uint16_t)next) < 0)
     next++;
   return (uint16_t)next++;
 }
--- a/test/soak-host.h
+++ b/test/soak-host.h
@@ -47,7 +47,7 @@
 /** End it for good. */
 void soak_host_finish (struct soak_host *host);
 
-/** A port of SOAK_IP that nothing listens at. */
+/** A port of SOAK_IP that no other program gets until this one ends. */
 uint16_t soak_port_find (void);
 
 #endif
