Calls that lose their replies one after the other back off

Its six hosts whose calls the service resets for 9 s each made 370 full reads, one of each of the three views every 20 ms: a reset after the call was sent is a lost reply, which counted as a failure for a probe only, so there was neither backoff nor probe. Three in a row count as a failure now.

--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -3,6 +3,13 @@
 #include <assert.h>
 #include <glib.h>
 
+enum
+{
+  /* Number of calls in a row that lose their replies from which on the service
+   * counts as down. */
+  LOST_REPLIES_MAX = 3
+};
+
 enum call_kind
 {
   CALL_GET,
@@ -119,8 +126,8 @@
 
 /* Update the backoff after CALL ended with STATUS. The failure of a call that
  * was sent before the last failure says nothing new about the service and does
- * not extend the backoff. A lost reply
- * (STATUS_UNKNOWN) counts as a failure only for the probe. */
+ * not extend the backoff. A lost reply (STATUS_UNKNOWN) counts as a failure for
+ * the probe, and if several calls in a row have lost theirs. */
 static void
 budget_record_result (struct kvbudget *budget, const struct budget_call *call,
                       enum status status)
@@ -130,6 +137,9 @@
 
   if (call->is_probe)
     budget->probe_in_flight = false;
+  budget->lost_replies
+      = status == STATUS_UNKNOWN ? budget->lost_replies + 1 : 0;
+  failed = failed || budget->lost_replies >= LOST_REPLIES_MAX;
   if (!failed && status != STATUS_UNKNOWN)
     budget_end_backoff (budget);
   else if (call->is_probe
--- a/src/kvbudget.h
+++ b/src/kvbudget.h
@@ -58,7 +58,8 @@
   size_t watch_count;    /* Number of watches in the four lists. */
   unsigned consecutive_failures; /* Number of failures that started or extended
                                     the backoff; 0 if there is none. */
-  bool is_lost; /* Whether one of these failures was not a limit. */
+  unsigned lost_replies; /* Number of calls in a row without a reply. */
+  bool is_lost;          /* Whether one of these failures was not a limit. */
   bool probe_in_flight;
   int64_t backoff_start_ns; /* Time of the failure that started the backoff. */
   int64_t backoff_end_ns;
--- a/test/test-kvbudget.c
+++ b/test/test-kvbudget.c
@@ -105,6 +105,45 @@
   finish ();
 }
 
+/* While each call lost its reply, as when the service resets the connections
+ * of some hosts, calls were repeated at the full rate. */
+static void
+test_lost_replies_in_a_row (void)
+{
+  unsigned calls_left = UINT_MAX;
+  uint64_t before;
+
+  setup (5);
+  fake.faults.lost_before_effect_share = 1;
+  for (int i = 0; i < 3; i++)
+    budget.kv.ops->get (&budget.kv, "k", count_reply_and_repeat, &calls_left);
+  run (NS_PER_S);
+  before = fake_kv_call_count (&fake);
+  run (20 * NS_PER_S);
+  CU_ASSERT_TRUE (fake_kv_call_count (&fake) - before <= 10);
+  CU_ASSERT_TRUE (kvbudget_service_is_down (&budget));
+  fake.faults.lost_before_effect_share = 0;
+  run (3 * settings.backoff_max_ns / 2 + NS_PER_S);
+  CU_ASSERT_FALSE (kvbudget_service_is_down (&budget));
+  calls_left = 0;
+  finish ();
+}
+
+/* A service that loses some replies is not down. */
+static void
+test_some_lost_replies (void)
+{
+  unsigned calls_left = UINT_MAX;
+
+  setup (6);
+  fake.faults.lost_after_effect_share = 0.1;
+  budget.kv.ops->get (&budget.kv, "k", count_reply_and_repeat, &calls_left);
+  run (20 * NS_PER_S);
+  CU_ASSERT_TRUE (reply_counts[STATUS_NOT_FOUND] > 700);
+  calls_left = 0;
+  finish ();
+}
+
 /* During an outage of one minute one probe at a time is sent, at growing
  * intervals. After the outage the service counts as reachable again within the
  * longest backoff, which is 1.5 times backoff_max_ns, and one second. */
@@ -229,6 +268,8 @@
 static const struct unit_case cases[] = {
   { "limited-is-not-down", test_limited_is_not_down },
   { "rate-holds-in-a-storm", test_rate_limit_under_overload },
+  { "lost-replies-in-a-row", test_lost_replies_in_a_row },
+  { "some-lost-replies", test_some_lost_replies },
   { "one-probe-after-an-outage", test_one_probe_after_an_outage },
   { "waiting-watches-use-the-rate", test_waiting_watches_use_the_rate },
   { "leases-first", test_leases_first },
