--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -1,17 +1,14 @@
 #include "entryviews.h"
 #include "entry.h"
 #include "entryweights.h"
+#include "watchpause.h"
 
 #include <string.h>
 
 enum
 {
-  UNPAUSED_HOSTS_MAX = 16, /* Maximum number of hosts that read changes without
-                              a pause between watches. */
-  PAUSE_PER_HOST_MS = 13,
-  /* Maximum pause, far below the time within which hosts must stop using a
-   * leaving server. */
-  PAUSE_MAX_MS = 1000,
+  /* Time within which hosts know of one that leaves or is gone. */
+  HOSTS_WITHIN_MS = 2000,
   /* Space for the header fields that a host adds when it passes a request on.
    */
   HOST_HEADER_BYTES = 1024,
@@ -194,18 +191,13 @@
   log_kv_reached (entry, &entry->servers_view, reached);
 }
 
-/* Sets the pause between two watches. Each change makes every host send a new
- * watch, so with many hosts each of them pauses between watches and receives
- * several changes in one reply. */
 static void
 views_set_pause (struct entry *entry, unsigned hosts)
 {
-  int64_t pause
-      = hosts > UNPAUSED_HOSTS_MAX ? (int64_t)hosts * PAUSE_PER_HOST_MS : 0;
-
-  pause = MIN (pause, PAUSE_MAX_MS) * NS_PER_MS;
-  kvview_set_pause (&entry->servers_view, pause);
-  kvview_set_pause (&entry->hosts_view, pause);
+  kvview_set_pause (&entry->servers_view,
+                    watchpause_ns (hosts, entry->settings->servers.leave_ns));
+  kvview_set_pause (&entry->hosts_view,
+                    watchpause_ns (hosts, HOSTS_WITHIN_MS * NS_PER_MS));
 }
 
 static void
--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -126,8 +126,8 @@
 
 /* Update the backoff after CALL ended with STATUS. The failure of a call that
  * was sent before the last failure says nothing new about the service and does
- * not extend the backoff. A lost reply (STATUS_UNKNOWN) counts as a failure for
- * the probe, and if several calls in a row have lost theirs. */
+ * not extend the backoff. A lost reply (STATUS_UNKNOWN) counts as a failure
+ * for the probe, and if several calls in a row have lost theirs. */
 static void
 budget_record_result (struct kvbudget *budget, const struct budget_call *call,
                       enum status status)
--- a/src/settings-keys.c
+++ b/src/settings-keys.c
@@ -191,6 +191,10 @@
   { "engines.use_stores", SETTINGS_TYPE_BOOLEAN, FIELD (engines.use_stores),
     SETTINGS_ROLE_ENTRY, 0, 0, 0, NULL, "true", NULL,
     "Whether KV cache is saved to stores and fetched from them" },
+  { "servers.leave_ms", SETTINGS_TYPE_MILLISECONDS, FIELD (servers.leave_ns),
+    SETTINGS_ROLE_ENTRY, 0, 0, 1e9, NULL, "2000", "ms",
+    "Time within which a backend server that leaves gets no more requests; "
+    "large fleets read changes of servers at up to half of it" },
   { "operator.key_hash", SETTINGS_TYPE_HASH_KEY, FIELD (operator_key.hash),
     SETTINGS_ROLE_GATEWAY, 0, 64, 64, NULL, NULL, "hex",
     "BLAKE2b-256 hash of the operators' bearer key; without it operators are "
--- a/src/settings.h
+++ b/src/settings.h
@@ -153,6 +153,11 @@
                         them. */
   } engines;
   struct
+  {
+    /** Time within which a server that leaves gets no more requests. */
+    int64_t leave_ns;
+  } servers;
+  struct
   {
     /** BLAKE2b-256 hash of the operators' bearer key. If it is not set, it is
      * all zero, and operators are refused. */
