Two hosts poll a KV cache store for all subsets; relays spread what it reports

Each of 30 subsets had a poller at each of 44 stores, which hold 12 polls each, so most polls were refused and repeated every 200 ms; a host that was no poller met a store within 15 s at best, and saved nothing for 30 s more.

Now, with more than two subsets, two hosts by rendezvous rank poll a store for all; each sends its updates to its subset and to one host of each other subset, which relays them. An update is sent for each reply, split where it is large, and confirms the store's epoch: without a confirmation of the last 2 s nothing is fetched, so that saving to a restarted store may begin after 3.5 s in a fleet of any size. Hosts out of sync query the store out of turn, spread over 3 s. A host of an earlier version, which confirms nothing, states no form in its record; beside one the old, longer grace stays.

--- a/src/entry.c
+++ b/src/entry.c
@@ -125,7 +125,7 @@
 {
   const struct entry *entry = data;
 
-  return subsets_is_responsible (&entry->subsets, store->name);
+  return storepoll_is_poller (&entry->subsets, &entry->presence, store->name);
 }
 
 static void
@@ -281,6 +281,7 @@
   poisoncount_tick (&entry->poisoncount);
   blameshare_tick (&entry->blameshare);
   rollout_tick (&entry->rollout);
+  entry->kvstores.serves_subsets = storepoll_serves_subsets (&entry->subsets);
   if (entry->settings->engines.use_stores)
     kvstores_tick (&entry->kvstores);
   cacheretire_tick (&entry->retire);
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -207,6 +207,8 @@
   kvstores_set_rotation (&entry->kvstores, entry->forwarder.host_count,
                          presence_own_index (&entry->presence));
   views_set_pause (entry, entry->forwarder.host_count);
+  entry->kvstores.restarts_noticed_late = !presence_all_have_form (
+      &entry->presence, PRESENCE_FORM_STORES_CONFIRMED);
   log_event (&entry->log, EVENT_HOST_CHANGED, "host=%s what=%s hosts=%u", key,
              what, entry->forwarder.host_count);
 }
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -1,4 +1,5 @@
 #include "forwardlearn.h"
+#include "kvstoreuse.h"
 #include "forwardblame.h"
 #include "forwardlog.h"
 #include "serverlearn.h"
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -1,4 +1,5 @@
 #include "forwardsend.h"
+#include "kvstoreuse.h"
 #include "forwardweights.h"
 
 #include <string.h>
--- a/src/kvstores.c
+++ b/src/kvstores.c
@@ -1,13 +1,14 @@
 #include "kvstores.h"
-#include "rendezvous.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
 enum
 {
   RETRY_DELAY_MS = 200,
+  POLLER_CHECK_MS = 500,
+  /* Minimum interval between polls by a poller that serves several subsets. */
+  FLEET_POLLER_INTERVAL_MS = 500,
   /* Time by which the timeout of a poll exceeds the time that the store may
    * delay its reply. */
   CALL_TIMEOUT_MARGIN_MS = 1500
@@ -21,6 +22,9 @@
   .poller_interval_ns = 50 * NS_PER_MS,
   .check_interval_ns = 1000 * NS_PER_MS,
   .restart_grace_ns = 3500 * NS_PER_MS,
+  .poll_age_max_ns = 1500 * NS_PER_MS,
+  .confirmed_ns = 2000 * NS_PER_MS,
+  .sync_spread_ns = 50 * NS_PER_MS,
   .fill_share_max = 0.97,
 };
 
@@ -105,6 +109,20 @@
   return NULL;
 }
 
+/* Query STORE out of turn, but not at the same time as the other hosts. */
+static void
+store_request_sync (struct kvstore *store)
+{
+  const struct kvstores *kvstores = store->kvstores;
+
+  if (store->needs_sync)
+    return;
+  store->needs_sync = true;
+  store->sync_ns
+      = clock_now (kvstores->clock)
+        + kvstores->own_rotation_slot * kvstores->settings.sync_spread_ns;
+}
+
 static void
 store_add (struct kvstores *kvstores, const struct service *service)
 {
@@ -118,6 +136,7 @@
   store->blocks
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_ptr_array_add (kvstores->stores, store);
+  store_request_sync (store);
 }
 
 void
@@ -158,6 +177,8 @@
   store_clear_blocks (store);
   store->epoch = 0;
   store->last_event_number = 0;
+  store->confirmed_until_ns = 0;
+  store_request_sync (store);
   store->no_poll_before_ns
       = clock_now (store->kvstores->clock) + RETRY_DELAY_MS * NS_PER_MS;
 }
@@ -203,7 +224,7 @@
 
 /* A restarted store holds no blocks. A host that has not noticed the restart
  * could still fetch a block that is only being saved, so nothing is saved to
- * the store for a grace period. */
+ * the store until no earlier confirmation counts. */
 static void
 store_restarted (struct kvstore *store, uint64_t epoch)
 {
@@ -214,7 +235,9 @@
   store->epoch = epoch;
   store->save_allowed_ns = clock_now (kvstores->clock)
                            + MAX (kvstores->settings.restart_grace_ns,
-                                  2 * rotation_period_ns (kvstores));
+                                  kvstores->restarts_noticed_late
+                                      ? 2 * rotation_period_ns (kvstores)
+                                      : 0);
   log_event (kvstores->log, EVENT_CACHE_STORE_CHANGED,
              "store=%s what=begun epoch=%lu", store->name,
              (unsigned long)epoch);
@@ -240,12 +263,39 @@
 }
 
 static bool
-store_is_polled_here (const struct kvstore *store)
+store_is_polled_here (struct kvstore *store)
 {
   const struct kvstores *kvstores = store->kvstores;
+  int64_t now = clock_now (kvstores->clock);
 
-  return kvstores->ops == NULL
-         || kvstores->ops->is_poller (kvstores->data, store);
+  if (kvstores->ops == NULL)
+    return true;
+  if (now >= store->poller_check_ns)
+    {
+      store->is_poller = kvstores->ops->is_poller (kvstores->data, store);
+      store->poller_check_ns = now + POLLER_CHECK_MS * NS_PER_MS;
+    }
+  return store->is_poller;
+}
+
+static void
+store_confirm (struct kvstore *store)
+{
+  const struct kvstores *kvstores = store->kvstores;
+
+  store->confirmed_until_ns
+      = clock_boottime (kvstores->clock) + kvstores->settings.confirmed_ns;
+}
+
+/* Whether the reply to the last poll is so young that it tells the present
+ * epoch: this process may have stood still since. */
+static bool
+report_is_young (const struct kvstore *store)
+{
+  const struct kvstores *kvstores = store->kvstores;
+
+  return clock_boottime (kvstores->clock) - store->poll_sent_boottime_ns
+         <= kvstores->settings.poll_age_max_ns;
 }
 
 static void
@@ -261,8 +311,7 @@
     .block_count = report->block_count,
   };
 
-  if (kvstores->ops != NULL && report->block_count > 0
-      && store_is_polled_here (store))
+  if (kvstores->ops != NULL && store_is_polled_here (store))
     kvstores->ops->update_received (kvstores->data, &update);
 }
 
@@ -290,6 +339,7 @@
     }
   if (report->busy && !store_is_silent (store))
     {
+      store->needs_sync = true;
       store->no_poll_before_ns
           = clock_now (kvstores->clock) + RETRY_DELAY_MS * NS_PER_MS;
       return;
@@ -305,6 +355,8 @@
       kvstores->engine_clock_offset_ns
           = report->engine_clock_ns - clock_now (kvstores->clock);
     }
+  if (!report_is_young (store))
+    return;
   if (report->epoch != store->epoch)
     {
       store_restarted (store, report->epoch);
@@ -313,6 +365,7 @@
       if (store->last_event_number != 0)
         {
           store->last_event_number = 0;
+          store_request_sync (store);
           return;
         }
     }
@@ -328,6 +381,7 @@
     }
   store->needs_listing = false;
   store->in_sync = true;
+  store_confirm (store);
   store->last_report_ns = clock_now (kvstores->clock);
   if (!report->is_list)
     update_share (store, report);
@@ -343,11 +397,17 @@
 
   if (store == NULL || !store->in_sync || store->needs_listing)
     return;
+  /* Only the store itself can tell which of two epochs is the later one. */
   if (update->epoch != store->epoch)
-    /* Poll the store at the next opportunity to learn its current epoch. */
-    store->poll_sent_ns = 0;
-  else if (update->since_event_number <= store->last_event_number
-           && update->last_event_number > store->last_event_number)
+    {
+      store->confirmed_until_ns = 0;
+      store_request_sync (store);
+      return;
+    }
+  store_confirm (store);
+  if (update->since_event_number > store->last_event_number)
+    store_request_sync (store);
+  else if (update->last_event_number > store->last_event_number)
     changes_apply (store, update->blocks, update->block_count,
                    update->last_event_number);
 }
@@ -362,7 +422,9 @@
   int64_t timeout_ns = wait_ns + CALL_TIMEOUT_MARGIN_MS * NS_PER_MS;
 
   store->call_is_pending = true;
+  store->needs_sync = false;
   store->poll_sent_ns = clock_now (kvstores->clock);
+  store->poll_sent_boottime_ns = clock_boottime (kvstores->clock);
   store->poll_since_event = store->last_event_number;
   if (store->needs_listing)
     kvstores->dialect->cache_list (kvstores->httpjson, store->address,
@@ -407,8 +469,13 @@
 {
   struct kvstores *kvstores = store->kvstores;
 
+  if (store->needs_sync && now >= store->sync_ns)
+    return true;
   if (store_is_polled_here (store))
-    return now - store->poll_sent_ns >= kvstores->settings.poller_interval_ns;
+    return now - store->poll_sent_ns
+           >= (kvstores->serves_subsets
+                   ? FLEET_POLLER_INTERVAL_MS * NS_PER_MS
+                   : kvstores->settings.poller_interval_ns);
   if (kvstores->rotation_slots == 1)
     return now - store->poll_sent_ns >= kvstores->settings.check_interval_ns;
   return rotation_slot_acquire (kvstores, store);
@@ -433,127 +500,45 @@
  * restart: until then a host could fetch a block that is only being saved.
  * Blocks that the store has reported since the restart can be fetched at
  * once. */
-static bool
-store_accepts_blocks (const struct kvstore *store)
+bool
+kvstore_accepts_blocks (const struct kvstore *store)
 {
   return store->in_sync
          && clock_now (store->kvstores->clock) >= store->save_allowed_ns;
 }
 
-struct kvstore *
-kvstores_find_store (const struct kvstores *kvstores, const char *name)
-{
-  for (guint i = 0; i < kvstores->stores->len; i++)
-    {
-      struct kvstore *store = kvstores->stores->pdata[i];
-
-      if (strcmp (store->name, name) == 0)
-        return store;
-    }
-  return NULL;
-}
-
-/* The expected delay halves in this time without a new measurement. */
-static const double fetch_delay_half_life_ns = 1.0 * NS_PER_S;
-/* Weight of the newest measurement in the moving average of the delay. */
-static const double fetch_delay_gain = 0.25;
-
-double
-kvstore_expected_delay_ms (const struct kvstore *store)
+/* Whether what is known of STORE is of its present epoch. */
+static bool
+store_is_confirmed (const struct kvstore *store)
 {
-  double age = (double)(clock_now (store->kvstores->clock)
-                        - store->fetch_delay_updated_ns);
-
-  return store->fetch_delay_ms * exp2 (-age / fetch_delay_half_life_ns);
+  return store->in_sync
+         && clock_boottime (store->kvstores->clock)
+                < store->confirmed_until_ns;
 }
 
-void
-kvstore_record_delay (struct kvstore *store, double delay_ms)
+unsigned
+kvstore_block_tokens (const struct kvstore *store, const char *scope,
+                      uint64_t block)
 {
-  double expected_ms = kvstore_expected_delay_ms (store);
+  char key[CACHE_SCOPE_MAX + 20];
 
-  store->fetch_delay_ms
-      = expected_ms + fetch_delay_gain * (MAX (delay_ms, 0) - expected_ms);
-  store->fetch_delay_updated_ns = clock_now (store->kvstores->clock);
+  if (!store_is_confirmed (store))
+    return 0;
+  block_key (key, scope, block);
+  return GPOINTER_TO_UINT (g_hash_table_lookup (store->blocks, key));
 }
 
 struct kvstore *
-kvstores_find_block (const struct kvstores *kvstores, const char *scope,
-                     const struct call_block *block, const char *data_centre)
+kvstores_find_store (const struct kvstores *kvstores, const char *name)
 {
-  struct kvstore *found = NULL;
-  char key[CACHE_SCOPE_MAX + 20];
-
-  block_key (key, scope, block->id);
   for (guint i = 0; i < kvstores->stores->len; i++)
     {
       struct kvstore *store = kvstores->stores->pdata[i];
 
-      if (!store->in_sync
-          || GPOINTER_TO_UINT (g_hash_table_lookup (store->blocks, key))
-                 < MAX (block->tokens, 1U))
-        continue;
-      if (strcmp (store->data_centre, data_centre) == 0)
+      if (strcmp (store->name, name) == 0)
         return store;
-      found = store;
     }
-  return found;
-}
-
-/* Weighted rendezvous hashing: each store is preferred for a share of all
- * blocks that is proportional to its capacity. */
-static double
-store_weight (const struct kvstore *store, uint64_t block)
-{
-  uint64_t hash
-      = rendezvous_weight (g_str_hash (store->name), &block, sizeof block);
-  double unit = ((double)(hash >> 11) + 0.5) / (double)(UINT64_C (1) << 53);
-
-  return -(double)store->capacity_tokens / log (unit);
-}
-
-const struct kvstore *
-kvstores_choose_save_target (const struct kvstores *kvstores, uint64_t block,
-                             unsigned tokens, const char *data_centre)
-{
-  const struct kvstore *best = NULL;
-  bool best_is_local = false;
-  double best_weight = 0;
-
-  for (guint i = 0; i < kvstores->stores->len; i++)
-    {
-      const struct kvstore *store = kvstores->stores->pdata[i];
-      bool is_local = strcmp (store->data_centre, data_centre) == 0;
-      double weight = store_weight (store, block);
-
-      if (!store_accepts_blocks (store)
-          || (double)(store->stored_tokens + tokens)
-                 > kvstores->settings.fill_share_max
-                       * (double)store->capacity_tokens)
-        continue;
-      if (best != NULL
-          && (is_local < best_is_local
-              || (is_local == best_is_local && weight <= best_weight)))
-        continue;
-      best = store;
-      best_is_local = is_local;
-      best_weight = weight;
-    }
-  return best;
-}
-
-uint64_t
-kvstores_fetch_deadline_ms (const struct kvstores *kvstores,
-                            int64_t timeout_ns)
-{
-  int64_t limited_ns
-      = MIN (timeout_ns, KVSTORES_FETCH_TIMEOUT_MAX_MS * NS_PER_MS);
-  int64_t deadline_ns = clock_now (kvstores->clock)
-                        + kvstores->engine_clock_offset_ns + limited_ns;
-
-  return kvstores->engine_clock_is_known && deadline_ns > 0
-             ? (uint64_t)(deadline_ns / NS_PER_MS)
-             : 0;
+  return NULL;
 }
 
 unsigned
--- a/src/kvstores.h
+++ b/src/kvstores.h
@@ -44,12 +44,13 @@
 /** Shares the polling of stores among hosts. */
 struct kvstores_ops
 {
-  /** Whether this host is the poller of STORE: it polls the store continuously
-   * and sends the changes to other hosts. The other hosts receive these
-   * updates and poll the store themselves only at longer intervals. */
+  /** Whether this host is a poller of STORE: it polls the store continuously
+   * and sends the changes to other hosts, also that there are none. The other
+   * hosts receive these updates and poll the store themselves only at longer
+   * intervals. */
   bool (*is_poller) (void *data, const struct kvstore *store);
   /** Sends UPDATE to the other hosts. Called when a store that this host polls
-   * for them reported changes. */
+   * for them has replied. */
   void (*update_received) (void *data, const struct kvstore_update *update);
 };
 
@@ -70,11 +71,20 @@
   int64_t check_interval_ns; /**< Minimum interval between polls by a host that
                                 is not the store's poller, if there are so few
                                 hosts that they poll without rotation slots. */
-  int64_t restart_grace_ns;  /**< Minimum time for which nothing is saved to a
+  int64_t restart_grace_ns;  /**< Time for which nothing is saved to a
                                 restarted store, so that every host notices the
-                                restart first. */
-  double fill_share_max; /**< Nothing is saved to a store that would be filled
-                              beyond this share of its capacity. */
+                                restart first; at least `poll_age_max_ns` and
+                                `confirmed_ns` together. */
+  /** Maximum age of a reply that counts as a statement of the store. */
+  int64_t poll_age_max_ns;
+  /** Time for which a store counts as not restarted after it was confirmed. No
+   * block is fetched from it otherwise. */
+  int64_t confirmed_ns;
+  int64_t sync_spread_ns; /**< Interval between the hosts of two rotation slots
+                             that query a store which they are out of sync
+                             with. */
+  double fill_share_max;  /**< Nothing is saved to a store that would be filled
+                               beyond this share of its capacity. */
 };
 
 extern const struct kvstores_settings kvstores_settings_default;
@@ -99,7 +109,14 @@
   int64_t save_allowed_ns; /**< No blocks are saved to the store before this
                               time. */
   int64_t no_poll_before_ns;
-  int64_t poll_sent_ns;       /**< Time at which the last poll was sent. */
+  int64_t confirmed_until_ns; /**< Time, by clock_boottime, until which the
+                                 store counts as not restarted. */
+  bool needs_sync; /**< Whether this host queries the store out of turn. */
+  int64_t sync_ns; /**< Time from which it does. */
+  bool is_poller;  /**< Whether this host is a poller of the store. */
+  int64_t poller_check_ns;       /**< Time at which that is checked again. */
+  int64_t poll_sent_ns;          /**< Time at which the last poll was sent. */
+  int64_t poll_sent_boottime_ns; /**< The same by clock_boottime. */
   uint64_t poll_since_event;  /**< Value of `next_event` when the last poll was
                                  sent. */
   int64_t last_report_ns;     /**< Time of the last report from the store
@@ -128,6 +145,10 @@
   unsigned rotation_slots; /**< Number of slots in one rotation; 1 if there is
                               no rotation. */
   unsigned own_rotation_slot; /**< Slot in which this host polls. */
+  /** Whether some hosts notice the restart of a store only with their own
+   * polls, since they are of an earlier version. */
+  bool restarts_noticed_late;
+  bool serves_subsets; /**< Whether pollers serve hosts of other subsets. */
   bool engine_clock_is_known;
   int64_t engine_clock_offset_ns; /**< The engines' clock minus the clock of
                                        this process. */
@@ -166,39 +187,19 @@
 void kvstores_set_rotation (struct kvstores *kvstores, unsigned hosts,
                             unsigned index);
 
-/** Returns a store that holds all tokens of BLOCK, preferably one in
- * DATA_CENTRE; NULL if there is none. */
-struct kvstore *kvstores_find_block (const struct kvstores *kvstores,
-                                     const char *scope,
-                                     const struct call_block *block,
-                                     const char *data_centre);
+/** Whether blocks may be saved to STORE. Until all hosts have noticed a
+ * restart of the store, they could fetch a block that is only being saved. */
+bool kvstore_accepts_blocks (const struct kvstore *store);
+
+/** Return the number of tokens of BLOCK that STORE holds, as far as that is
+ * known for its present epoch. */
+unsigned kvstore_block_tokens (const struct kvstore *store, const char *scope,
+                               uint64_t block);
 
 /** Returns the store called NAME, or NULL. */
 struct kvstore *kvstores_find_store (const struct kvstores *kvstores,
                                      const char *name);
 
-/** Records that a fetch from STORE took DELAY_MS longer than over an idle
- * network link. */
-void kvstore_record_delay (struct kvstore *store, double delay_ms);
-
-/** Returns the expected delay of a fetch from STORE, in ms. */
-double kvstore_expected_delay_ms (const struct kvstore *store);
-
-/** Returns the store that the block with the id BLOCK should be saved to,
- * preferably one in DATA_CENTRE; NULL if no store has capacity. All hosts
- * choose the same store for the same data centre. */
-const struct kvstore *
-kvstores_choose_save_target (const struct kvstores *kvstores, uint64_t block,
-                             unsigned tokens, const char *data_centre);
-
-/** Returns the time by the engines' clock, in ms, after which an engine must
- * not use a fetched block: TIMEOUT_NS from now. Returns 0 if the engines'
- * clock is unknown.
- * @param timeout_ns the timeout of the fetch; KVSTORES_FETCH_TIMEOUT_MAX_MS if
- * it is longer */
-uint64_t kvstores_fetch_deadline_ms (const struct kvstores *kvstores,
-                                     int64_t timeout_ns);
-
 /** Moves up to MAX blocks whose scopes begin with PREFIX from the recorded
  * blocks of STORE to BLOCKS, so that the store can be asked to free them.
  * @return the number of blocks moved */
--- a/src/peerudp.c
+++ b/src/peerudp.c
@@ -10,7 +10,10 @@
   DATAGRAM_BLOCKS = 2,
   DATAGRAM_ORIGIN = 3,
   DATAGRAM_BLAME = 4,
-  DATAGRAM_LIMITS = 5
+  DATAGRAM_LIMITS = 5,
+  /* DATAGRAM_BLOCKS that the receiver relays to the hosts of its subset. Hosts
+   * of earlier versions ignore it and poll the stores themselves. */
+  DATAGRAM_BLOCKS_RELAYED = 6
 };
 
 enum
@@ -30,6 +33,23 @@
   *buffer = uv_buf_init (bytes, sizeof bytes);
 }
 
+static void subset_send (struct peerudp *peerudp,
+                         uint8_t bytes[DATAGRAM_BYTES_MAX], size_t size);
+
+/* Apply the SIZE bytes after the type, and relay them. */
+static void
+blocks_relay (struct peerudp *peerudp, const uint8_t *bytes, size_t size)
+{
+  uint8_t datagram[DATAGRAM_BYTES_MAX];
+
+  if (size >= sizeof datagram
+      || !storeupdate_apply (peerudp->kvstores, bytes, size))
+    return;
+  datagram[0] = DATAGRAM_BLOCKS;
+  memcpy (datagram + 1, bytes, size);
+  subset_send (peerudp, datagram, size);
+}
+
 static void
 datagram_received (uv_udp_t *udp, ssize_t size, const uv_buf_t *buffer,
                    const struct sockaddr *from, unsigned flags)
@@ -43,6 +63,8 @@
     loadshare_receive (peerudp->loadshare, bytes + 1, (size_t)size - 1);
   else if (bytes[0] == DATAGRAM_BLOCKS)
     storeupdate_apply (peerudp->kvstores, bytes + 1, (size_t)size - 1);
+  else if (bytes[0] == DATAGRAM_BLOCKS_RELAYED)
+    blocks_relay (peerudp, bytes + 1, (size_t)size - 1);
   else if (bytes[0] == DATAGRAM_ORIGIN && from->sa_family == AF_INET)
     streamorigin_receive (peerudp->origin, (const struct sockaddr_in *)from,
                           bytes + 1, (size_t)size - 1);
@@ -114,6 +136,13 @@
   g_ptr_array_free (hosts, TRUE);
 }
 
+static void
+subset_send (struct peerudp *peerudp, uint8_t bytes[DATAGRAM_BYTES_MAX],
+             size_t size)
+{
+  datagram_send (peerudp, bytes, size, false);
+}
+
 static bool
 reaches_all_hosts (const struct peerudp *peerudp)
 {
@@ -149,16 +178,50 @@
                  loadshare->ops->reports_weights (loadshare->data));
 }
 
+/* Send BYTES, an encoded update of STORE of SIZE bytes after the type, to the
+ * hosts that this one polls the store for. */
+static void
+update_send (struct peerudp *peerudp, const char *store,
+             uint8_t bytes[DATAGRAM_BYTES_MAX], size_t size)
+{
+  GPtrArray *hosts = presence_sorted_hosts (peerudp->presence);
+  uv_buf_t buffer = uv_buf_init ((char *)bytes, (unsigned)size + 1);
+
+  for (guint i = 0; i < hosts->len; i++)
+    {
+      const struct presence_host *host = hosts->pdata[i];
+      struct sockaddr_in address;
+      bool relays;
+
+      if (host == NULL
+          || !storepoll_sends_to (peerudp->subsets, store, i, &relays)
+          || address_parse (host->peer, &address) != STATUS_OK)
+        continue;
+      bytes[0] = relays ? DATAGRAM_BLOCKS_RELAYED : DATAGRAM_BLOCKS;
+      /* A datagram that can't be sent at once counts as lost. */
+      uv_udp_try_send (&peerudp->udp, &buffer, 1,
+                       (const struct sockaddr *)&address);
+    }
+  g_ptr_array_free (hosts, TRUE);
+}
+
 void
 peerudp_send_update (struct peerudp *peerudp,
                      const struct kvstore_update *update)
 {
+  struct kvstore_update part = *update;
   uint8_t bytes[DATAGRAM_BYTES_MAX];
-  size_t size = storeupdate_encode (update, bytes + 1);
 
-  bytes[0] = DATAGRAM_BLOCKS;
-  if (size > 0)
-    datagram_send (peerudp, bytes, size, false);
+  do
+    {
+      size_t size;
+
+      storeupdate_split (update, &part);
+      size = storeupdate_encode (&part, bytes + 1);
+      if (size > 0)
+        update_send (peerudp, update->store, bytes, size);
+    }
+  while (part.last_event_number < update->last_event_number);
 }
 
 void
--- a/src/peerudp.h
+++ b/src/peerudp.h
@@ -5,6 +5,7 @@
 #include "subsets.h"
 #include "limitshare.h"
 #include "loadshare.h"
+#include "storepoll.h"
 #include "storeupdate.h"
 #include "presence.h"
 #include "streamorigin.h"
@@ -47,7 +48,8 @@
 /** Sends the load report when it is due. */
 void peerudp_tick (struct peerudp *peerudp);
 
-/** Sends UPDATE to the other hosts of this host's subset. */
+/** Sends UPDATE, in several datagrams if it is large, to the hosts that this
+ * one polls the store for. */
 void peerudp_send_update (struct peerudp *peerudp,
                           const struct kvstore_update *update);
 
--- a/src/presence.c
+++ b/src/presence.c
@@ -136,6 +136,7 @@
   g_strlcpy (host->data_centre, json_field_text (object, "data_centre"),
              sizeof host->data_centre);
   host->leaving = json_field_bool (object, "leaving");
+  host->form = (unsigned)json_field_uint (object, "form");
   weights_decode (host, json_object_object_get (object, "weights"));
   json_object_put (object);
   g_hash_table_replace (presence->hosts, g_strdup (key), host);
@@ -263,6 +264,7 @@
   json_add_text (object, "data_centre", presence->self.data_centre);
   json_object_object_add (object, "leaving",
                           json_object_new_boolean (presence->self.leaving));
+  json_add_uint (object, "form", PRESENCE_FORM_OWN);
   json_object_object_add (object, "weights", weights_encode (&presence->self));
   write.value
       = json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN);
@@ -312,6 +314,19 @@
   return count > 0 ? count : 1;
 }
 
+bool
+presence_all_have_form (const struct presence *presence, unsigned form)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, presence->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const struct presence_host *)value)->form < form)
+      return false;
+  return true;
+}
+
 static uint64_t
 host_weight (const struct presence_host *host, const void *key, size_t size)
 {
--- a/src/presence.h
+++ b/src/presence.h
@@ -24,6 +24,14 @@
   PRESENCE_MODELS_MAX = 8
 };
 
+/** What hosts tell each other, in the order in which it was added. */
+enum presence_form
+{
+  /** Hosts fetch only from stores that were confirmed a short time ago. */
+  PRESENCE_FORM_STORES_CONFIRMED = 1,
+  PRESENCE_FORM_OWN = PRESENCE_FORM_STORES_CONFIRMED
+};
+
 /** A model, and the oldest version of its weights whose KV cache the host
  * still fetches. */
 struct presence_weights
@@ -38,6 +46,9 @@
   char peer[PRESENCE_TEXT_MAX];    /**< Address for other hosts. */
   char data_centre[PRESENCE_TEXT_MAX];
   bool leaving;
+  /** Version of what the host tells other hosts and relies on, a value of enum
+   * presence_form; 0 for a host of an earlier version. */
+  unsigned form;
   struct presence_weights weights[PRESENCE_MODELS_MAX];
   unsigned weights_count;
 };
@@ -103,6 +114,9 @@
  * is counted unless it is leaving. */
 unsigned presence_serving_count (const struct presence *presence);
 
+/** Whether all hosts have FORM or a later one. */
+bool presence_all_have_form (const struct presence *presence, unsigned form);
+
 /** Returns the index of this host among all hosts, sorted by data centre and
  * key. */
 unsigned presence_own_index (const struct presence *presence);
--- a/src/storeupdate.c
+++ b/src/storeupdate.c
@@ -58,6 +58,32 @@
   return true;
 }
 
+void
+storeupdate_split (const struct kvstore_update *update,
+                   struct kvstore_update *part)
+{
+  const struct cache_block *end = update->blocks + update->block_count;
+  bool is_first = part->blocks == update->blocks
+                  && part->block_count == update->block_count;
+  uint64_t last;
+
+  if (!is_first)
+    {
+      part->blocks += part->block_count;
+      part->since_event_number = part->last_event_number;
+    }
+  part->block_count
+      = MIN ((unsigned)(end - part->blocks), STOREUPDATE_PART_BLOCKS);
+  part->last_event_number = update->last_event_number;
+  if (part->blocks + part->block_count == end)
+    return;
+  last = part->blocks[part->block_count - 1].change_number;
+  if (last > part->since_event_number && last < update->last_event_number)
+    part->last_event_number = last;
+  else
+    part->block_count = (unsigned)(end - part->blocks);
+}
+
 size_t
 storeupdate_encode (const struct kvstore_update *update,
                     uint8_t bytes[STOREUPDATE_BYTES_MAX])
--- a/src/subsets.c
+++ b/src/subsets.c
@@ -42,6 +42,19 @@
          == subsets->own_index;
 }
 
+void
+subsets_of_host (const struct subsets *subsets, unsigned index,
+                 unsigned *first, unsigned *size)
+{
+  unsigned hosts = fleet_size (subsets);
+  unsigned own = subset_of_host (subsets, index, hosts);
+  unsigned after;
+
+  *first = (own * hosts + subsets->count - 1) / subsets->count;
+  after = ((own + 1) * hosts + subsets->count - 1) / subsets->count;
+  *size = after - *first;
+}
+
 static gint
 server_compare (gconstpointer a, gconstpointer b)
 {
--- a/src/subsets.h
+++ b/src/subsets.h
@@ -54,6 +54,11 @@
  * is. */
 bool subsets_is_responsible (const struct subsets *subsets, const char *name);
 
+/** Sets FIRST to the index of the first host, and SIZE to the number of hosts,
+ * of the subset that the host at INDEX among all hosts belongs to. */
+void subsets_of_host (const struct subsets *subsets, unsigned index,
+                      unsigned *first, unsigned *size);
+
 /** Whether the host at INDEX of presence_sorted_hosts is in this host's
  * subset. */
 bool subsets_host_is_local (const struct subsets *subsets, unsigned index);
--- a/test/test-kvstores.c
+++ b/test/test-kvstores.c
@@ -1,4 +1,5 @@
 #include "kvstores.h"
+#include "kvstoreuse.h"
 #include "storeupdate.h"
 #include "unit.h"
 
@@ -114,6 +115,69 @@
   finish ();
 }
 
+/* Reply to polls for NS that nothing has changed. */
+static void
+reply_for (int64_t ns, uint64_t epoch, uint64_t next)
+{
+  int64_t end = fake_clock.now_ns + ns;
+
+  while (fake_clock.now_ns < end)
+    reply_to_poll (epoch, next, false, 0, false);
+}
+
+/* Hosts of a large fleet, which poll a store themselves once in 15 s only,
+ * saved nothing for twice that time after they had met it. */
+static void
+test_large_fleet_saves_soon (void)
+{
+  setup ();
+  kvstores_set_rotation (&kvstores, 295, 290);
+  reply_to_poll (9, 2, false, 100, false);
+  CU_ASSERT_PTR_NULL (kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+  reply_for (4 * NS_PER_S, 9, 2);
+  CU_ASSERT_PTR_NOT_NULL (
+      kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+  finish ();
+}
+
+/* Beside hosts of an earlier version, which fetch until their next own poll,
+ * blocks were saved to a restarted store before these noticed the restart. */
+static void
+test_hosts_of_an_earlier_version (void)
+{
+  setup ();
+  kvstores.restarts_noticed_late = true;
+  kvstores_set_rotation (&kvstores, 295, 290);
+  reply_to_poll (9, 2, false, 100, false);
+  reply_for (28 * NS_PER_S, 9, 2);
+  CU_ASSERT_PTR_NULL (kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+  reply_for (2 * NS_PER_S, 9, 2);
+  CU_ASSERT_PTR_NOT_NULL (
+      kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+  finish ();
+}
+
+/* A host that has heard nothing of a store for a while fetched from it, though
+ * the store may have restarted and be receiving the block again. */
+static void
+test_unconfirmed_store_holds_nothing (void)
+{
+  const struct kvstores_settings *settings = &kvstores_settings_default;
+
+  setup ();
+  reply_to_poll (9, 2, false, 100, false);
+  CU_ASSERT_TRUE (block_is_stored ("m:1:"));
+  clock_fake_advance (&fake_clock, settings->confirmed_ns);
+  CU_ASSERT_FALSE (block_is_stored ("m:1:"));
+  reply_to_poll (9, 2, false, 0, false);
+  CU_ASSERT_FALSE (block_is_stored ("m:1:"));
+  reply_to_poll (9, 2, false, 0, false);
+  CU_ASSERT_TRUE (block_is_stored ("m:1:"));
+  CU_ASSERT_TRUE (settings->confirmed_ns + settings->poll_age_max_ns
+                  <= settings->restart_grace_ns);
+  finish ();
+}
+
 /* A restarted store holds no blocks, and blocks are saved to it only after the
  * grace period in which every host notices the restart. */
 static void
@@ -121,7 +185,7 @@
 {
   setup ();
   reply_to_poll (9, 2, false, 100, false);
-  clock_fake_advance (&fake_clock, 4 * NS_PER_S);
+  reply_for (4 * NS_PER_S, 9, 2);
   CU_ASSERT_PTR_NOT_NULL (
       kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
   reply_to_poll (10, 0, false, 0, false);
@@ -266,6 +330,7 @@
   CU_ASSERT_EQUAL (shared_update.count, 1);
   CU_ASSERT_TRUE (shared_update.size > 0);
   shared_update.is_poller = false;
+  clock_fake_advance (&fake_clock, NS_PER_S / 2);
   reply_to_poll (9, 3, false, 0, true);
   CU_ASSERT_EQUAL (shared_update.count, 1);
   finish ();
@@ -281,6 +346,46 @@
   finish ();
 }
 
+/* An update with more changes than fit a datagram was not sent at all. */
+static void
+test_large_update_is_split (void)
+{
+  enum
+  {
+    BLOCKS = 100
+  };
+  struct cache_block blocks[BLOCKS];
+  struct kvstore_update update = { "s", 9, 7, 7 + BLOCKS, blocks, BLOCKS };
+  struct kvstore_update part = update;
+  unsigned count = 0;
+  uint64_t next = 7;
+
+  memset (blocks, 0, sizeof blocks);
+  for (unsigned i = 0; i < BLOCKS; i++)
+    {
+      strcpy (blocks[i].scope, "m:1:");
+      blocks[i].id = i;
+      blocks[i].tokens = 100;
+      blocks[i].change_number = 8 + i;
+    }
+  do
+    {
+      uint8_t bytes[STOREUPDATE_BYTES_MAX];
+
+      storeupdate_split (&update, &part);
+      CU_ASSERT_TRUE (storeupdate_encode (&part, bytes) > 0);
+      CU_ASSERT_EQUAL (part.since_event_number, next);
+      next = part.last_event_number;
+      count += part.block_count;
+    }
+  while (next < update.last_event_number);
+  CU_ASSERT_EQUAL (count, BLOCKS);
+  update.block_count = 0;
+  part = update;
+  storeupdate_split (&update, &part);
+  CU_ASSERT_EQUAL (part.last_event_number, update.last_event_number);
+}
+
 /* An update is applied only if it continues what is known of the store's
  * current epoch. */
 static void
@@ -323,6 +428,10 @@
 }
 
 static const struct unit_case cases[] = {
+  { "large-fleet-saves-soon", test_large_fleet_saves_soon },
+  { "hosts-of-an-earlier-version", test_hosts_of_an_earlier_version },
+  { "unconfirmed-store-holds-nothing", test_unconfirmed_store_holds_nothing },
+  { "large-update-is-split", test_large_update_is_split },
   { "only-whole-parts-of-the-scope", test_only_whole_blocks_of_the_scope },
   { "restart-of-a-store", test_store_restart },
   { "silent-store-holds-nothing", test_silent_store_holds_nothing },
