Work of a host that grows with the number of servers only happens on a change

Found by reading: each host sorted and ranked all servers ten times a second, walked all keys of its views 50 times a second, and counted the servers of a service for each request and tick. The first and the last now happen when the generation of servers or hosts has changed, the second while a key is held. cells/unchanged-fleet-is-not-divided- again fails without it.

--- a/src/kvview.c
+++ b/src/kvview.c
@@ -108,25 +108,32 @@
   if (now - view->outage_end_ns > view->settings.hold_ns)
     key_remove (view, name);
   else if (key->missing_since_ns == 0)
-    key->missing_since_ns = now;
+    {
+      key->missing_since_ns = now;
+      view->holds_keys = true;
+    }
 }
 
 static void
 held_keys_expire (struct kvview *view)
 {
   int64_t now = clock_now (view->clock);
-  GPtrArray *expired = g_ptr_array_new_with_free_func (g_free);
+  GPtrArray *expired;
   GHashTableIter iter;
   gpointer name;
   gpointer value;
 
+  if (!view->holds_keys || !view->reachable
+      || now - view->outage_end_ns <= view->settings.hold_ns)
+    return;
+  view->holds_keys = false;
+  expired = g_ptr_array_new_with_free_func (g_free);
   g_hash_table_iter_init (&iter, view->keys);
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
       const struct kvview_key *key = value;
 
-      if (key->missing_since_ns != 0 && view->reachable
-          && now - view->outage_end_ns > view->settings.hold_ns)
+      if (key->missing_since_ns != 0)
         g_ptr_array_add (expired, g_strdup (name));
     }
   for (guint i = 0; i < expired->len; i++)
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -47,6 +47,7 @@
   const struct kvview_ops *ops;
   void *data;
   GHashTable *keys;  /**< Maps a key to its struct kvview_key. */
+  bool holds_keys;   /**< Whether a key may be held. */
   uint64_t revision; /**< Service revision that the view reflects. */
   /** Generation of new calls; replies to calls of an older generation are
    * dropped. */
--- a/src/presence.c
+++ b/src/presence.c
@@ -140,6 +140,7 @@
   weights_decode (host, json_object_object_get (object, "weights"));
   json_object_put (object);
   g_hash_table_replace (presence->hosts, g_strdup (key), host);
+  presence->generation++;
   return STATUS_OK;
 }
 
@@ -147,6 +148,7 @@
 presence_key_removed (struct presence *presence, const char *key)
 {
   g_hash_table_remove (presence->hosts, key);
+  presence->generation++;
   /* This host's key was deleted or its lease has expired, so the key must be
    * written again. */
   if (strcmp (key, presence->key) == 0)
--- a/src/presence.h
+++ b/src/presence.h
@@ -68,6 +68,7 @@
                           `self`. */
   /** Maps the keys of the other hosts to struct presence_host. */
   GHashTable *hosts;
+  uint64_t generation; /**< Rises with each change of the other hosts. */
 };
 
 /** @param key the key of this host's record in the KV service; no other host
--- a/src/reach.h
+++ b/src/reach.h
@@ -40,6 +40,11 @@
   int64_t next_queries_ns; /**< No query is sent before then. */
   unsigned query_rounds;   /**< Rounds of queries since the last proof. */
   unsigned next_server;    /**< Position of the server that is queried next. */
+  /** Numbers of servers of the service that are not leaving, and of those that
+   * are reachable, at this generation of the servers. */
+  uint64_t counted_generation;
+  unsigned registered;
+  unsigned reachable;
 };
 
 /** Record that SERVER has not answered a request that was sent to it at
--- a/src/serverlearn.c
+++ b/src/serverlearn.c
@@ -43,6 +43,7 @@
   if (server->states_leaving)
     return;
   server->states_leaving = true;
+  servers->generation++;
   start = server_start (servers, server);
   if (start != NULL)
     start->leaving = true;
--- a/src/serverreach.c
+++ b/src/serverreach.c
@@ -1,26 +1,39 @@
 #include "serverreach.h"
 
-enum serverreach
-servers_service_reach (const struct servers *servers, const char *service)
+/* Count the servers of SERVICE, unless nothing has changed since the last
+ * time: each request asks for this, and a service may have thousands. */
+static void
+servers_count (const struct servers *servers, const char *service,
+               struct reach *reach)
 {
   const GPtrArray *list = servers_of_service (servers, service);
-  const struct reach *reach = servers_reach (servers, service);
-  unsigned registered = 0;
-  unsigned available = 0;
 
+  if (reach->counted_generation == servers->generation + 1)
+    return;
+  reach->counted_generation = servers->generation + 1;
+  reach->registered = 0;
+  reach->reachable = 0;
   for (guint i = 0; list != NULL && i < list->len; i++)
     {
       const struct server *server = list->pdata[i];
 
-      registered += !server_is_leaving (server);
-      available += server_is_reachable (server);
+      reach->registered += !server_is_leaving (server);
+      reach->reachable += server_is_reachable (server);
     }
-  if (registered == 0)
+}
+
+enum serverreach
+servers_service_reach (const struct servers *servers, const char *service)
+{
+  struct reach *reach = servers_reach (servers, service);
+
+  servers_count (servers, service, reach);
+  if (reach->registered == 0)
     return SERVERREACH_IN;
-  if (available == 0 || reach_is_lost (reach, available))
+  if (reach->reachable == 0 || reach_is_lost (reach, reach->reachable))
     return SERVERREACH_LOST;
-  return reach_is_doubted (reach, available) ? SERVERREACH_DOUBTED
-                                             : SERVERREACH_IN;
+  return reach_is_doubted (reach, reach->reachable) ? SERVERREACH_DOUBTED
+                                                    : SERVERREACH_IN;
 }
 
 bool
--- a/src/servers.c
+++ b/src/servers.c
@@ -123,6 +123,7 @@
 notify_change (struct servers *servers, const struct server *server,
                const char *change)
 {
+  servers->generation++;
   servers->ops->changed (servers->data, server, change);
 }
 
@@ -314,6 +315,7 @@
   notify_change (servers, server, reason);
   service_list_remove (servers, server);
   service_software_check (servers, server->entry.service);
+  servers->generation++;
   g_hash_table_remove (servers->by_id, id);
 }
 
--- a/src/servers.h
+++ b/src/servers.h
@@ -142,6 +142,9 @@
 
 struct servers
 {
+  /** Rises with each change of which servers there are and which of them this
+   * host can use. */
+  uint64_t generation;
   uv_loop_t *loop;
   const struct clock *clock;
   char data_centre[SERVER_NAME_MAX]; /**< Data centre of this process. */
--- a/src/subsets.c
+++ b/src/subsets.c
@@ -156,6 +156,22 @@
   return local_rank (subsets, name) == 0;
 }
 
+/* Whether the subsets must be made again; notes what they are made of. */
+static bool
+fleet_has_changed (struct subsets *subsets)
+{
+  uint64_t hosts = subsets->presence->generation;
+  uint64_t servers = subsets->servers->generation;
+
+  if (subsets->assigned && subsets->hosts_generation == hosts
+      && subsets->servers_generation == servers)
+    return false;
+  subsets->assigned = true;
+  subsets->hosts_generation = hosts;
+  subsets->servers_generation = servers;
+  return true;
+}
+
 void
 subsets_tick (struct subsets *subsets)
 {
@@ -164,7 +180,7 @@
   GHashTableIter iter;
   gpointer servers;
 
-  if (now < subsets->next_assign_ns)
+  if (now < subsets->next_assign_ns || !fleet_has_changed (subsets))
     return;
   subsets->next_assign_ns = now + ASSIGN_PERIOD_MS * NS_PER_MS;
   subsets->count = (hosts + SUBSETS_HOSTS_MAX - 1) / SUBSETS_HOSTS_MAX;
--- a/src/subsets.h
+++ b/src/subsets.h
@@ -41,6 +41,10 @@
   uint64_t peer_hashes[SUBSETS_HOSTS_MAX];
   uint64_t own_hash; /**< Hash of this host's address. */
   int64_t next_assign_ns;
+  /** Generations of `presence` and `servers` that the subsets are made of. */
+  uint64_t hosts_generation;
+  uint64_t servers_generation;
+  bool assigned;
 };
 
 void subsets_init (struct subsets *subsets, const struct clock *clock,
--- a/test/test-cells.c
+++ b/test/test-cells.c
@@ -207,7 +207,7 @@
   CU_ASSERT_PTR_NULL (view_choose_engine (&view, 2, LONG_TOKENS, &rng));
   for (unsigned i = 0; i < ENGINES; i++)
     if (!view_engine (&view, i)->in_other_subset)
-      view_engine (&view, i)->down_since_ns = 1;
+      server_set_unreachable (&view.servers, view_engine (&view, i));
   CU_ASSERT_TRUE (
       view_choose_engine (&view, 3, LONG_TOKENS, &rng)->in_other_subset);
   view_finish (&view);
@@ -292,7 +292,31 @@
           with_subsets, without_subsets);
 }
 
+/* Each host sorted and ranked all servers ten times a second, though nothing
+ * had changed. */
+static void
+test_unchanged_fleet_is_not_divided_again (void)
+{
+  enum
+  {
+    MARK = 4711
+  };
+  struct view view;
+
+  view_init (&view, 0, SUBSET_COUNT * SUBSET_HOSTS, ENGINES);
+  view_engine (&view, 0)->sending_host_count = MARK;
+  clock_fake_advance (&view.clock, NS_PER_S);
+  subsets_tick (&view.subsets);
+  CU_ASSERT_EQUAL (view_engine (&view, 0)->sending_host_count, MARK);
+  server_set_unreachable (&view.servers, view_engine (&view, 1));
+  subsets_tick (&view.subsets);
+  CU_ASSERT_NOT_EQUAL (view_engine (&view, 0)->sending_host_count, MARK);
+  view_finish (&view);
+}
+
 static const struct unit_case cases[] = {
+  { "unchanged-fleet-is-not-divided-again",
+    test_unchanged_fleet_is_not_divided_again },
   { "engines-are-dealt-evenly", test_engines_are_assigned_evenly },
   { "small-fleet-and-small-service", test_small_fleet_and_small_service },
   { "other-cells", test_other_subsets },
