--- a/src/watchpause.c
+++ b/src/watchpause.c
@@ -14,5 +14,5 @@
 {
   if (hosts <= UNPAUSED_HOSTS_MAX)
     return 0;
-  return MIN (hosts * PAUSE_PER_HOST_MS * NS_PER_MS, within_ns / 2);
+  return MIN ((int64_t)hosts * PAUSE_PER_HOST_MS * NS_PER_MS, within_ns / 2);
 }
