--- a/test/fake-hosts.h
+++ b/test/fake-hosts.h
@@ -90,18 +90,6 @@
 
 void fake_hosts_run_for (int64_t ms);
 
-/** Send a request with TARGET to host INDEX, and wait for its response.
- * @return its status, or 0 if there is none */
-int fake_hosts_request (unsigned index, const char *target);
-
-/** The same with another deadline than 1200 ms. */
-int fake_hosts_request_within (unsigned index, const char *target,
-                               const char *deadline_ms);
-/** The same for a caller that comes back for the stream that the request
- * RESUMED_ID began. */
-int fake_hosts_return (unsigned index, const char *target,
-                       const char *resumed_id);
-
 /** Returns the number of requests that engines got over all links. */
 unsigned fake_hosts_engine_requests (void);
 /** Returns the number of queries for their state that they got, those over cut
--- a/test/test-forwardhost.c
+++ b/test/test-forwardhost.c
@@ -1,4 +1,4 @@
-#include "fake-hosts.h"
+#include "fake-hostrequest.h"
 #include "serverreach.h"
 #include "unit.h"
 
