--- a/test/soak-host.c
+++ b/test/soak-host.c
@@ -80,18 +80,30 @@
   uv_close ((uv_handle_t *)process, NULL);
 }
 
+/* Returns the build that HOST runs from its next start on. */
+static const char *
+program_next (struct soak_host *host)
+{
+  bool is_other = host->soak->other_program != NULL
+                  && (host->number + host->starts) % 2 == 1;
+
+  host->starts++;
+  return is_other ? host->soak->other_program : host->program;
+}
+
 static void
 host_start (struct soak_host *host)
 {
+  const char *program = program_next (host);
   char *settings = settings_path (host);
   char *log = g_strdup_printf ("%s/host-%u.log", host->folder, host->number);
   int file = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
-  char *arguments[] = { (char *)host->program, "-c", settings, NULL };
+  char *arguments[] = { (char *)program, "-c", settings, NULL };
   uv_stdio_container_t stdio[3]
       = { { .flags = UV_IGNORE },
           { .flags = UV_INHERIT_FD, .data.fd = file },
           { .flags = UV_INHERIT_FD, .data.fd = file } };
-  uv_process_options_t options = { .file = host->program,
+  uv_process_options_t options = { .file = program,
                                    .args = arguments,
                                    .exit_cb = on_ended,
                                    .stdio = stdio,
@@ -99,7 +111,7 @@
   int failed = uv_spawn (&host->soak->loop, &host->process, &options);
 
   if (failed != 0)
-    g_error ("cannot start %s: %s", host->program, uv_strerror (failed));
+    g_error ("cannot start %s: %s", program, uv_strerror (failed));
   host->process.data = host;
   host->running = true;
   close (file);
--- a/test/soak-host.h
+++ b/test/soak-host.h
@@ -25,6 +25,7 @@
   int64_t kill_ns;   /**< a planned stop that takes too long; 0: none */
   int64_t resume_ns; /**< end of a pause; 0: none */
   unsigned settings_number;
+  unsigned starts;
 };
 
 /** @param program path of the daemon */
--- a/test/soak.c
+++ b/test/soak.c
@@ -57,6 +57,7 @@
 static gboolean option_cut_callers;
 static char *option_program = "build/trefoilspard";
 static char *option_folder = "build/soak-logs";
+static char *option_other_program;
 
 static const GOptionEntry options[] = {
   { "seed", 0, 0, G_OPTION_ARG_INT, &option_seed, "Luck of the faults", "N" },
@@ -79,6 +80,8 @@
     NULL },
   { "program", 0, 0, G_OPTION_ARG_FILENAME, &option_program, "The daemon",
     "FILE" },
+  { "other-program", 0, 0, G_OPTION_ARG_FILENAME, &option_other_program,
+    "Another build of it, which every other start of a host runs", "FILE" },
   { "folder", 0, 0, G_OPTION_ARG_FILENAME, &option_folder,
     "Where settings and logs go", "FOLDER" },
   { NULL, 0, 0, 0, NULL, NULL, NULL },
@@ -454,6 +457,7 @@
 {
   uint16_t store_port = soak_port_find ();
 
+  world.soak.other_program = option_other_program;
   soak_store_init (&world.store, &world.soak, store_port);
   soak_drill_init (&world.drill, &world.soak, &world.store, config_put, NULL);
   config_write ();
--- a/test/soak.h
+++ b/test/soak.h
@@ -81,6 +81,9 @@
 
 struct soak
 {
+  /** Another build of the daemon, which every other start of a host runs;
+   * NULL if there is none. */
+  const char *other_program;
   uv_loop_t loop;
   struct clock clock;
   struct rng rng;
