--- a/src/weightsnews.c
+++ b/src/weightsnews.c
@@ -1,6 +1,8 @@
 #include "weightsnews.h"
 #include "weights.h"
 
+#include <string.h>
+
 enum
 {
   /* Estimated age of a version that an engine is first heard to have. The
@@ -29,16 +31,29 @@
   g_hash_table_destroy (news->heard);
 }
 
-static bool
-is_new (const struct weightsnews *news, const struct server_model *model)
+/* The latest version of a model's weights that is known here. */
+struct known_version
 {
-  const struct wanted_weights *wanted
-      = g_hash_table_lookup (news->wanted, model->name);
-  const uint64_t *heard = g_hash_table_lookup (news->heard, model->name);
+  const char *model; /* NULL if it was not looked up yet. */
+  uint64_t version;
+};
 
-  return model->weight_version
-             > (wanted != NULL ? wanted->version : FIRST_VERSION)
-         && (heard == NULL || model->weight_version > *heard);
+/* Set KNOWN for MODEL. Servers run few models, so KNOWN mostly holds it. */
+static void
+version_look_up (const struct weightsnews *news, const char *model,
+                 struct known_version *known)
+{
+  const struct wanted_weights *wanted;
+  const uint64_t *heard;
+
+  if (known->model != NULL && strcmp (known->model, model) == 0)
+    return;
+  wanted = g_hash_table_lookup (news->wanted, model);
+  heard = g_hash_table_lookup (news->heard, model);
+  known->model = model;
+  known->version = wanted != NULL ? wanted->version : FIRST_VERSION;
+  if (heard != NULL)
+    known->version = MAX (known->version, *heard);
 }
 
 static void
@@ -59,6 +74,7 @@
 void
 weightsnews_tick (struct weightsnews *news)
 {
+  struct known_version known = { .model = NULL };
   GHashTableIter iter;
   gpointer value;
 
@@ -70,7 +86,14 @@
       const struct server *server = value;
 
       for (unsigned i = 0; i < server->entry.model_count; i++)
-        if (is_new (news, &server->entry.models[i]))
-          weights_heard (news, server, &server->entry.models[i]);
+        {
+          const struct server_model *model = &server->entry.models[i];
+
+          version_look_up (news, model->name, &known);
+          if (model->weight_version <= known.version)
+            continue;
+          weights_heard (news, server, model);
+          known.version = model->weight_version;
+        }
     }
 }
