--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -233,8 +233,9 @@
 }
 
 /* Whether the links to the servers are too bad for an attempt from here: they
- * are lost or, if another host can still try a third one, in doubt. A stream
- * that goes on with one software waits for its servers. */
+ * are lost, or in doubt and the request came from another host, which can
+ * still pass it on to a third one. A stream that goes on with one software
+ * waits for its servers. */
 static bool
 links_forbid_attempt (const struct forward *forward)
 {
