--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -333,6 +333,7 @@
   uv_timer_stop (&path.timer);
   callerserver_finish (&path.front);
   forwarder_finish (&path.forwarder);
+  serverprobes_finish (&path.probes);
   streamorigin_finish (&path.origin);
   for (unsigned i = 0; i < path.upstream_count; i++)
     fake_upstream_finish (&path.upstreams[i]);
@@ -343,7 +344,6 @@
   presence_finish (&path.presence);
   poisoncount_finish (&path.poison);
   blameshare_finish (&path.blameshare);
-  serverprobes_finish (&path.probes);
   servers_finish (&path.servers);
   uv_walk (&path.loop, close_handle, NULL);
   uv_run (&path.loop, UV_RUN_DEFAULT);
