A reply of a store that is too old to count is asked for again at once

In a large fleet a host that had stood still waited for its next rotation slot, up to 15 s, to be in sync with a store. unconfirmed-store-holds-nothing of kvstores fails without it.

--- a/src/kvstores.c
+++ b/src/kvstores.c
@@ -356,7 +356,10 @@
           = report->engine_clock_ns - clock_now (kvstores->clock);
     }
   if (!report_is_young (store))
-    return;
+    {
+      store_request_sync (store);
+      return;
+    }
   if (report->epoch != store->epoch)
     {
       store_restarted (store, report->epoch);
--- a/test/test-kvstores.c
+++ b/test/test-kvstores.c
@@ -157,27 +157,6 @@
   finish ();
 }
 
-/* A host that has heard nothing of a store for a while fetched from it, though
- * the store may have restarted and be receiving the block again. */
-static void
-test_unconfirmed_store_holds_nothing (void)
-{
-  const struct kvstores_settings *settings = &kvstores_settings_default;
-
-  setup ();
-  reply_to_poll (9, 2, false, 100, false);
-  CU_ASSERT_TRUE (block_is_stored ("m:1:"));
-  clock_fake_advance (&fake_clock, settings->confirmed_ns);
-  CU_ASSERT_FALSE (block_is_stored ("m:1:"));
-  reply_to_poll (9, 2, false, 0, false);
-  CU_ASSERT_FALSE (block_is_stored ("m:1:"));
-  reply_to_poll (9, 2, false, 0, false);
-  CU_ASSERT_TRUE (block_is_stored ("m:1:"));
-  CU_ASSERT_TRUE (settings->confirmed_ns + settings->poll_age_max_ns
-                  <= settings->restart_grace_ns);
-  finish ();
-}
-
 /* A restarted store holds no blocks, and blocks are saved to it only after the
  * grace period in which every host notices the restart. */
 static void
@@ -346,6 +325,33 @@
   finish ();
 }
 
+/* A host that has heard nothing of a store for a while fetched from it, though
+ * the store may have restarted and be receiving the block again. */
+static void
+test_unconfirmed_store_holds_nothing (void)
+{
+  const struct kvstores_settings *settings = &kvstores_settings_default;
+  unsigned polls;
+
+  setup ();
+  reply_to_poll (9, 2, false, 100, false);
+  CU_ASSERT_TRUE (block_is_stored ("m:1:"));
+  clock_fake_advance (&fake_clock, settings->confirmed_ns);
+  CU_ASSERT_FALSE (block_is_stored ("m:1:"));
+  polls = last_poll.count;
+  kvstores_set_rotation (&kvstores, 295, 0);
+  shared_update.is_poller = false;
+  kvstores_set_ops (&kvstores, &sharing_ops, NULL);
+  reply_to_poll (9, 2, false, 0, false);
+  CU_ASSERT_FALSE (block_is_stored ("m:1:"));
+  CU_ASSERT_EQUAL (last_poll.count, polls + 1);
+  reply_to_poll (9, 2, false, 0, false);
+  CU_ASSERT_TRUE (block_is_stored ("m:1:"));
+  CU_ASSERT_TRUE (settings->confirmed_ns + settings->poll_age_max_ns
+                  <= settings->restart_grace_ns);
+  finish ();
+}
+
 /* An update with more changes than fit a datagram was not sent at all. */
 static void
 test_large_update_is_split (void)
