--- a/src/peerudp.c
+++ b/src/peerudp.c
@@ -33,8 +33,30 @@
   *buffer = uv_buf_init (bytes, sizeof bytes);
 }
 
-static void subset_send (struct peerudp *peerudp,
-                         uint8_t bytes[DATAGRAM_BYTES_MAX], size_t size);
+/* Sends a datagram to all other hosts, or, unless ALL_HOSTS is set, only to
+ * those of this host's subset. BYTES holds the type of the datagram and SIZE
+ * bytes after it. */
+static void
+datagram_send (struct peerudp *peerudp, uint8_t bytes[DATAGRAM_BYTES_MAX],
+               size_t size, bool all_hosts)
+{
+  GPtrArray *hosts = presence_sorted_hosts (peerudp->presence);
+  uv_buf_t buffer = uv_buf_init ((char *)bytes, (unsigned)size + 1);
+
+  for (guint i = 0; i < hosts->len; i++)
+    {
+      const struct presence_host *host = hosts->pdata[i];
+      struct sockaddr_in address;
+
+      /* A datagram that can't be sent at once counts as lost. */
+      if (host != NULL
+          && (all_hosts || subsets_host_is_local (peerudp->subsets, i))
+          && address_parse (host->peer, &address) == STATUS_OK)
+        uv_udp_try_send (&peerudp->udp, &buffer, 1,
+                         (const struct sockaddr *)&address);
+    }
+  g_ptr_array_free (hosts, TRUE);
+}
 
 /* Apply the SIZE bytes after the type, and relay them. */
 static void
@@ -47,7 +69,7 @@
     return;
   datagram[0] = DATAGRAM_BLOCKS;
   memcpy (datagram + 1, bytes, size);
-  subset_send (peerudp, datagram, size);
+  datagram_send (peerudp, datagram, size, false);
 }
 
 static void
@@ -111,38 +133,6 @@
   return STATUS_OK;
 }
 
-/* Sends a datagram to all other hosts, or, unless ALL_HOSTS is set, only to
- * those of this host's subset. BYTES holds the type of the datagram and SIZE
- * bytes after it. */
-static void
-datagram_send (struct peerudp *peerudp, uint8_t bytes[DATAGRAM_BYTES_MAX],
-               size_t size, bool all_hosts)
-{
-  GPtrArray *hosts = presence_sorted_hosts (peerudp->presence);
-  uv_buf_t buffer = uv_buf_init ((char *)bytes, (unsigned)size + 1);
-
-  for (guint i = 0; i < hosts->len; i++)
-    {
-      const struct presence_host *host = hosts->pdata[i];
-      struct sockaddr_in address;
-
-      /* A datagram that can't be sent at once counts as lost. */
-      if (host != NULL
-          && (all_hosts || subsets_host_is_local (peerudp->subsets, i))
-          && address_parse (host->peer, &address) == STATUS_OK)
-        uv_udp_try_send (&peerudp->udp, &buffer, 1,
-                         (const struct sockaddr *)&address);
-    }
-  g_ptr_array_free (hosts, TRUE);
-}
-
-static void
-subset_send (struct peerudp *peerudp, uint8_t bytes[DATAGRAM_BYTES_MAX],
-             size_t size)
-{
-  datagram_send (peerudp, bytes, size, false);
-}
-
 static bool
 reaches_all_hosts (const struct peerudp *peerudp)
 {
