A hangup signal while the settings are first read does not end the process

The handler was installed at the end of the start only. The signal is now ignored from the beginning of main until then; the roles that read settings again look at the file each second anyway. What remains is the time before main. signal/hangup-while-settings-are-read fails without it.

--- a/src/main-trefoilspard.c
+++ b/src/main-trefoilspard.c
@@ -6,6 +6,7 @@
 #include "shard.h"
 
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -111,8 +112,12 @@
 {
   static struct settings settings;
   struct error error;
-  int status = parse_options (argc, argv);
+  int status;
 
+  /* The settings may change while they are first read. The roles that read
+   * them again handle the signal later, and look at the file themselves. */
+  signal (SIGHUP, SIG_IGN);
+  status = parse_options (argc, argv);
   if (status != EXIT_SUCCESS)
     return status;
   if (help_settings)
