--- a/src/servers.c
+++ b/src/servers.c
@@ -298,6 +298,9 @@
   for (unsigned i = 0; i < previous.model_count; i++)
     server_set_weight_version (server, previous.models[i].name,
                                previous.models[i].weight_version);
+  servers->generation
+      += previous.leaving != entry->leaving
+         || strcmp (previous.data_centre, entry->data_centre) != 0;
   if (starts_leaving)
     notify_change (servers, server, "leaving");
 }
--- a/test/test-cells.c
+++ b/test/test-cells.c
@@ -314,7 +314,31 @@
   view_finish (&view);
 }
 
+/* An engine that was leaving and is ready again, in the same start, stayed in
+ * no subset, since nothing was noted as changed. */
+static void
+test_engine_that_is_ready_again (void)
+{
+  struct server_entry entry;
+  struct view view;
+  uint64_t generation;
+
+  view_init (&view, 0, SUBSET_COUNT * SUBSET_HOSTS, ENGINES);
+  entry = view_engine (&view, 0)->entry;
+  entry.leaving = true;
+  servers_update (&view.servers, &entry, 2);
+  generation = view.servers.generation;
+  entry.leaving = false;
+  servers_update (&view.servers, &entry, 3);
+  CU_ASSERT_TRUE (view.servers.generation > generation);
+  generation = view.servers.generation;
+  servers_update (&view.servers, &entry, 4);
+  CU_ASSERT_EQUAL (view.servers.generation, generation);
+  view_finish (&view);
+}
+
 static const struct unit_case cases[] = {
+  { "engine-that-is-ready-again", test_engine_that_is_ready_again },
   { "unchanged-fleet-is-not-divided-again",
     test_unchanged_fleet_is_not_divided_again },
   { "engines-are-dealt-evenly", test_engines_are_assigned_evenly },
