Links are lost only if a query to each server that is left was not answered

So the failures of a server that is unreachable by now stand for none of those that are left. Ruled out: the test's own timing (the 503 came within 0.1 ms).

forwardhost/ended-server-is-no-cut-from-the-rest fails without it. forwardhost, deadlinks, cutstream green under sanitizers.

--- a/src/reach.c
+++ b/src/reach.c
@@ -36,12 +36,38 @@
 }
 
 static bool
-failures_suffice (const struct reach_failures *failures, unsigned server_count)
+failures_hold (const struct reach_failures *failures, uint32_t server)
+{
+  for (unsigned i = 0; i < failures->count; i++)
+    if (failures->servers[i] == server)
+      return true;
+  return false;
+}
+
+/* Whether failures raise a doubt about the links to SERVER_COUNT servers. */
+static bool
+failures_raise_doubt (const struct reach_failures *failures,
+                      unsigned server_count)
 {
   return server_count > 0
          && failures->count >= MIN (server_count, REACH_SERVERS_MIN);
 }
 
+/* Whether failures show that none of SERVER_COUNT servers is reached. One that
+ * has become unreachable since is none of them, so few have to be named. */
+static bool
+failures_prove_loss (const struct reach *reach,
+                     const struct reach_failures *failures,
+                     unsigned server_count)
+{
+  if (server_count >= REACH_SERVERS_MIN)
+    return failures->count >= REACH_SERVERS_MIN;
+  for (unsigned i = 0; i < server_count; i++)
+    if (!failures_hold (failures, reach->few[i]))
+      return false;
+  return server_count > 0;
+}
+
 void
 reach_record_unanswered (struct reach *reach, uint32_t server, int64_t sent_ns)
 {
@@ -81,12 +107,12 @@
 bool
 reach_is_doubted (const struct reach *reach, unsigned server_count)
 {
-  return failures_suffice (&reach->requests, server_count)
-         || reach_is_lost (reach, server_count);
+  return failures_raise_doubt (&reach->requests, server_count)
+         || failures_raise_doubt (&reach->queries, server_count);
 }
 
 bool
 reach_is_lost (const struct reach *reach, unsigned server_count)
 {
-  return failures_suffice (&reach->queries, server_count);
+  return failures_prove_loss (reach, &reach->queries, server_count);
 }
--- a/src/reach.h
+++ b/src/reach.h
@@ -45,6 +45,7 @@
   uint64_t counted_generation;
   unsigned registered;
   unsigned reachable;
+  uint32_t few[REACH_SERVERS_MIN]; /**< The first of the reachable ones. */
 };
 
 /** Record that SERVER has not answered a request that was sent to it at
@@ -70,10 +71,13 @@
 /** Whether something was not answered since the last proof. */
 bool reach_is_questioned (const struct reach *reach);
 
-/** Whether the links to a service with SERVER_COUNT servers are in doubt; so
- * they are if they are lost. */
+/** Whether the links to a service with SERVER_COUNT reachable servers are in
+ * doubt; so they are if they are lost. */
 bool reach_is_doubted (const struct reach *reach, unsigned server_count);
 
+/** Whether the links are lost. If there are fewer reachable servers than
+ * REACH_SERVERS_MIN, a query to each of those listed in REACH was not
+ * answered. */
 bool reach_is_lost (const struct reach *reach, unsigned server_count);
 
 #endif
--- a/src/serverreach.c
+++ b/src/serverreach.c
@@ -18,7 +18,11 @@
       const struct server *server = list->pdata[i];
 
       reach->registered += !server_is_leaving (server);
-      reach->reachable += server_is_reachable (server);
+      if (!server_is_reachable (server))
+        continue;
+      if (reach->reachable < REACH_SERVERS_MIN)
+        reach->few[reach->reachable] = server->id_hash;
+      reach->reachable++;
     }
 }
 
--- a/test/test-forwardhost.c
+++ b/test/test-forwardhost.c
@@ -452,6 +452,20 @@
   CU_ASSERT_FALSE (reach_is_doubted (&reach, 0));
 }
 
+/* A service of two servers was refused at hosts whose query one of them did
+ * not answer before it became unreachable, though the other one served. */
+static void
+test_ended_server_is_no_cut_from_the_rest (void)
+{
+  struct reach reach = { .few = { 5 } };
+
+  reach_record_query_unanswered (&reach, 7, 20);
+  CU_ASSERT_TRUE (reach_is_doubted (&reach, 1));
+  CU_ASSERT_FALSE (reach_is_lost (&reach, 1));
+  reach_record_query_unanswered (&reach, 5, 30);
+  CU_ASSERT_TRUE (reach_is_lost (&reach, 1));
+}
+
 /* A response to what was sent before new connections failed, on a connection
  * that lives on, counted as proof that new ones work. */
 static void
@@ -497,6 +511,8 @@
   { "no-time-left-to-pass-on", test_no_time_left_to_pass_on },
   { "hosts-that-are-gone-are-dropped", test_hosts_that_are_gone_are_dropped },
   { "one-server-is-no-cut", test_one_server_is_no_cut },
+  { "ended-server-is-no-cut-from-the-rest",
+    test_ended_server_is_no_cut_from_the_rest },
   { "old-connections-prove-nothing-new",
     test_old_connections_prove_nothing_new },
 };
