What a server states in the answer to a query is learned

Only what is stated counts: a query is answered beside the limits, so a missing field ends no limit and no pause, and the answer of another server at the address is ignored.

serverleave/answer-to-a-query fails without it (leaving, limit, pause); deadlinks, forwardhost, cutstream, serverlimit, serverpause, platform green.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -149,6 +149,10 @@
    * nothing.
    * @param service NULL if unknown */
   void (*query_encode) (GString *out, const struct service *service);
+  /** Decode the head of a backend server's response to a query. */
+  void (*query_response_decode) (int status, const struct httpfields *head,
+                                 const char *server_id,
+                                 struct response *response);
   /** Decode the head of a backend server's response. */
   void (*response_decode) (int status, const struct httpfields *head,
                            const char *request_id, const char *server_id,
--- a/src/entry.c
+++ b/src/entry.c
@@ -118,7 +118,19 @@
                           : NULL);
 }
 
-static const struct serverprobes_ops probes_ops = { query_encode };
+static void
+query_response_decode (void *data, const struct server *server, int status,
+                       const struct httpfields *head,
+                       struct response *response)
+{
+  const struct entry *entry = data;
+
+  entry->dialect->query_response_decode (status, head, server->entry.id,
+                                         response);
+}
+
+static const struct serverprobes_ops probes_ops
+    = { query_encode, query_response_decode };
 
 static bool
 store_is_polled_here (void *data, const struct kvstore *store)
--- a/src/serverlearn.c
+++ b/src/serverlearn.c
@@ -4,7 +4,8 @@
 {
   /* Bits of server.ignored_fields. */
   FIELD_LEAVING = 1 << 0,
-  FIELD_PAUSE = 1 << 1
+  FIELD_PAUSE = 1 << 1,
+  FIELD_LIMIT = 1 << 2
 };
 
 static const char *const reasons[] = {
@@ -73,3 +74,19 @@
   if (is_believed (servers, server, FIELD_PAUSE, "pause", statement->pause))
     learn_pause (servers, server, statement->pause_ns);
 }
+
+void
+serverlearn_query_response (struct servers *servers, struct server *server,
+                            const struct response *response, int64_t now_ns)
+{
+  enum statement_kind limit = response->limit_malformed ? STATEMENT_MALFORMED
+                              : response->limit_per_s >= 0 ? STATEMENT_VALID
+                                                           : STATEMENT_NONE;
+
+  if (response->other_server || server->removed)
+    return;
+  if (is_believed (servers, server, FIELD_LIMIT, "limit", limit))
+    servers_record_limit (servers, server, response->limit_per_s, now_ns,
+                          true);
+  serverlearn_statement (servers, server, &response->statement);
+}
--- a/src/serverlearn.h
+++ b/src/serverlearn.h
@@ -1,6 +1,7 @@
 #ifndef SERVERLEARN_H
 #define SERVERLEARN_H
 
+#include "call.h"
 #include "servers.h"
 #include "statement.h"
 
@@ -13,4 +14,12 @@
 void serverlearn_statement (struct servers *servers, struct server *server,
                             const struct statement *statement);
 
+/** Record what the RESPONSE of SERVER to a query, received at NOW_NS, stated.
+ * That of another server at its address is ignored. What it does not state
+ * means nothing: a query is answered beside the limits for requests. */
+void serverlearn_query_response (struct servers *servers,
+                                 struct server *server,
+                                 const struct response *response,
+                                 int64_t now_ns);
+
 #endif
--- a/src/serverprobe.c
+++ b/src/serverprobe.c
@@ -1,5 +1,6 @@
 #include "serverprobe.h"
 #include "serverconn.h"
+#include "serverlearn.h"
 #include "serverreach.h"
 
 #include <string.h>
@@ -83,9 +84,16 @@
 probe_head_received (void *data, const struct serverconn *conn)
 {
   struct serverprobe *probe = data;
+  struct serverprobes *probes = probe->probes;
+  int64_t now = clock_now (probes->servers->clock);
+  struct response response;
 
   reach_record_answer (probe_reach (probe), probe->server->probe_began_ns,
-                       clock_now (probe->probes->servers->clock));
+                       now);
+  probes->ops->response_decode (probes->data, probe->server,
+                                serverconn_status (conn), &conn->head,
+                                &response);
+  serverlearn_query_response (probes->servers, probe->server, &response, now);
   probe_finish (probe, true);
 }
 
--- a/src/serverprobe.h
+++ b/src/serverprobe.h
@@ -1,6 +1,8 @@
 #ifndef SERVERPROBE_H
 #define SERVERPROBE_H
 
+#include "call.h"
+#include "httpfields.h"
 #include "list.h"
 #include "servers.h"
 
@@ -9,6 +11,7 @@
  * a connection, so that it neither risks a caller's request nor causes work
  * for the server. While the links to the service are in question themselves, a
  * few servers are sent a query instead, which a sound server answers at once.
+ * What its response states of the server is learned.
  */
 
 struct serverprobes_ops
@@ -16,6 +19,10 @@
   /** Write a request to OUT that SERVER answers at once and that runs
    * nothing. */
   void (*query_encode) (void *data, const struct server *server, GString *out);
+  /** Decode the head of the response to a query of SERVER. */
+  void (*response_decode) (void *data, const struct server *server, int status,
+                           const struct httpfields *head,
+                           struct response *response);
 };
 
 struct serverprobes
--- a/test/fake-hosts.c
+++ b/test/fake-hosts.c
@@ -166,7 +166,17 @@
   dialect_platform.query_encode (out, NULL);
 }
 
-static const struct serverprobes_ops probes_ops = { query_encode };
+static void
+query_response_decode (void *data, const struct server *server, int status,
+                       const struct httpfields *head,
+                       struct response *response)
+{
+  dialect_platform.query_response_decode (status, head, server->entry.id,
+                                          response);
+}
+
+static const struct serverprobes_ops probes_ops
+    = { query_encode, query_response_decode };
 
 static void
 on_tick (uv_timer_t *timer)
--- a/test/fake-upstream.c
+++ b/test/fake-upstream.c
@@ -81,7 +81,8 @@
 
 /* What a query for the server's state is answered with, by a server that
  * answers at all. */
-static const char state[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+static const char default_state[]
+    = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
 
 static void
 request_count (struct fake_upstream *upstream, const char *request)
@@ -103,6 +104,8 @@
   struct fake_upstream *upstream = link->upstream;
   const struct fake_upstream_step *step = link_step (link);
   bool is_query = g_str_has_prefix (link->input->str, query);
+  const char *state
+      = upstream->state != NULL ? upstream->state : default_state;
   char *answer = answer_with_id (
       is_query && step->answer[0] != '\0' ? state : step->answer, link->input);
   uv_buf_t buffer = uv_buf_init (answer, (unsigned)strlen (answer));
--- a/test/fake-upstream.h
+++ b/test/fake-upstream.h
@@ -33,6 +33,8 @@
   unsigned step_count;
   /** Answer to a request that goes on with a stream; NULL: as any other. */
   const struct fake_upstream_step *resumed;
+  /** Answer to a query for the server's state; NULL: without statements. */
+  const char *state;
   /** A request that holds this text is sent the head of a stream and then a
    * reset; NULL: none is. */
   const char *crash_text;
--- a/test/test-serverleave.c
+++ b/test/test-serverleave.c
@@ -224,7 +224,47 @@
     }
 }
 
+/* Let server 0, whose links are in question, answer a query with STATE. */
+static const struct server *
+query_server (const char *state)
+{
+  struct server *server;
+
+  fake_path_setup (&served, 1, NULL, 0);
+  path.upstreams[0].state = state;
+  server = servers_find (&path.servers, "i-0");
+  reach_record_unanswered (servers_reach (&path.servers, "svc"),
+                           server->id_hash, clock_now (&path.clock));
+  fake_path_run_for (WAIT_MS);
+  CU_ASSERT_EQUAL (path.upstreams[0].queries, 1);
+  return server;
+}
+
+/* What a server stated in its answer to a query was learned with the next
+ * request only. */
+static void
+test_answer_to_a_query (void)
+{
+  const struct server *server
+      = query_server ("HTTP/1.1 200 OK\r\n" LEAVING "X-Instance-Id: i-0\r\n"
+                      "Server-Limit: 7.5\r\n" BODY);
+
+  CU_ASSERT_FALSE (server_is_available (server));
+  CU_ASSERT_EQUAL (server->limit.per_s, 7.5);
+  fake_path_finish ();
+  server = query_server ("HTTP/1.1 503 Busy\r\nRetry-After: 2\r\n" BODY);
+  CU_ASSERT_FALSE (
+      serverpause_allows (&server->pause, clock_now (&path.clock)));
+  fake_path_finish ();
+  server = query_server ("HTTP/1.1 200 OK\r\n" LEAVING "Server-Limit: 7\r\n"
+                         "X-Instance-Id: i-7\r\n" BODY);
+  CU_ASSERT_TRUE (server_is_available (server));
+  CU_ASSERT_FALSE (server->limit.limited);
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
+  { "answer-to-a-query", test_answer_to_a_query },
   { "leaving-server", test_leaving_server },
   { "refusals-and-streams", test_refusals_and_streams },
   { "registry-says-otherwise", test_registry_says_otherwise },
