Ticks visit the servers that something happened to, not all servers

News of weights are now looked for when a server may have newer ones, probes when a server fails, limits when a response stated one in the last 2 s, sums of load are kept for the servers of the reports, and a server is found by its hash in a table.

--- a/src/entryweights.c
+++ b/src/entryweights.c
@@ -36,10 +36,13 @@
 static void
 weights_reported (void *data, struct server *server, uint64_t version)
 {
+  struct entry *entry = data;
+
   if (server->entry.model_count == 0
       || server->entry.models[0].weight_version >= version)
     return;
-  server_set_weight_version (server, server->entry.models[0].name, version);
+  server_set_weight_version (&entry->servers, server,
+                             server->entry.models[0].name, version);
   server->busy_until_ns = 0;
 }
 
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -50,8 +50,8 @@
     }
   if (response->weight_version == 0 || forward->call.model == NULL)
     return;
-  server_set_weight_version (server, forward->call.model,
-                             response->weight_version);
+  server_set_weight_version (forward->forwarder->servers, server,
+                             forward->call.model, response->weight_version);
   if (response->other_weights && response->matches_request)
     server_correct_weight_version (server, forward->call.model,
                                    forward->attempt_weight_version,
--- a/src/limitshare.c
+++ b/src/limitshare.c
@@ -66,9 +66,12 @@
 is_due (struct limitshare *share, int64_t now)
 {
   int64_t last_change_ns = share->last_change_ns;
+  int64_t stated_ns = share->servers->limit_stated_ns;
   GHashTableIter iter;
   gpointer value;
 
+  if (stated_ns == 0 || now - stated_ns >= STATEMENT_AGE_MS * NS_PER_MS)
+    return false;
   g_hash_table_iter_init (&iter, share->servers->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/loadshare.c
+++ b/src/loadshare.c
@@ -60,6 +60,8 @@
   loadshare->process_start = process_start;
   loadshare->ops = ops;
   loadshare->data = data;
+  loadshare->loaded
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)server_unref);
   loadshare->peers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, peer_free);
 }
@@ -68,6 +70,7 @@
 loadshare_finish (struct loadshare *loadshare)
 {
   g_hash_table_destroy (loadshare->peers);
+  g_ptr_array_free (loadshare->loaded, TRUE);
   g_free (loadshare->host);
 }
 
@@ -181,10 +184,10 @@
   return MAX ((double)server->sending_host_count - 1, 1) / peers;
 }
 
-/* Estimates, from the reports of the other hosts, which load all other hosts
- * have in flight at each server. */
-static void
-sums_update (struct loadshare *loadshare)
+/* Adds up the reports of the other hosts: a table of struct server_load by the
+ * hash of the server. The caller frees it. */
+static GHashTable *
+reports_sum (const struct loadshare *loadshare)
 {
   GHashTable *sums
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
@@ -207,20 +210,52 @@
           load_add (g_hash_table_lookup (sums, hash), load);
         }
     }
-  g_hash_table_iter_init (&iter, loadshare->servers->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  return sums;
+}
+
+static void
+loaded_clear (struct loadshare *loadshare)
+{
+  for (guint i = 0; i < loadshare->loaded->len; i++)
+    {
+      struct server *server = loadshare->loaded->pdata[i];
+
+      server->other_hosts_prefill_tokens = 0;
+      server->other_hosts_memory_tokens = 0;
+      server->other_hosts_requests = 0;
+    }
+  g_ptr_array_set_size (loadshare->loaded, 0);
+}
+
+/* Estimates, from the reports of the other hosts, which load all other hosts
+ * have in flight at each server. Servers without reported load, which
+ * may be thousands, are not visited. */
+static void
+sums_update (struct loadshare *loadshare)
+{
+  GHashTable *sums = reports_sum (loadshare);
+  GHashTableIter iter;
+  gpointer hash;
+  gpointer value;
+
+  loaded_clear (loadshare);
+  g_hash_table_iter_init (&iter, sums);
+  while (g_hash_table_iter_next (&iter, &hash, &value))
     {
-      struct server *server = value;
-      const struct server_load *sum
-          = g_hash_table_lookup (sums, GUINT_TO_POINTER (server->id_hash));
-      double scale = sum_scale (loadshare, server);
+      const struct server_load *sum = value;
+      struct server *server
+          = servers_find_hash (loadshare->servers, GPOINTER_TO_UINT (hash));
+      double scale;
 
+      if (server == NULL)
+        continue;
+      scale = sum_scale (loadshare, server);
       server->other_hosts_prefill_tokens
-          = sum != NULL ? (uint64_t)(scale * (double)sum->prefill_tokens) : 0;
+          = (uint64_t)(scale * (double)sum->prefill_tokens);
       server->other_hosts_memory_tokens
-          = sum != NULL ? (uint64_t)(scale * (double)sum->memory_tokens) : 0;
-      server->other_hosts_requests
-          = sum != NULL ? (unsigned)(scale * sum->running) : 0;
+          = (uint64_t)(scale * (double)sum->memory_tokens);
+      server->other_hosts_requests = (unsigned)(scale * sum->running);
+      g_ptr_array_add (loadshare->loaded, server_ref (server));
     }
   g_hash_table_destroy (sums);
   loadshare->sums_stale = false;
--- a/src/loadshare.h
+++ b/src/loadshare.h
@@ -65,6 +65,7 @@
   /** Whether the estimates of the other hosts' load at the servers must be
    * computed again. */
   bool sums_stale;
+  GPtrArray *loaded; /**< Servers at which other hosts have load. */
   GHashTable *peers; /**< Maps host names to struct loadshare_peer. */
 };
 
--- a/src/rolloutengine.c
+++ b/src/rolloutengine.c
@@ -116,7 +116,8 @@
 {
   struct rollout *rollout = engine->rollout;
 
-  server_set_weight_version (engine->server, engine->model, version);
+  server_set_weight_version (rollout->servers, engine->server, engine->model,
+                             version);
   engine->server->busy_until_ns = 0;
   log_event (rollout->log, EVENT_SWAP_DONE,
              "server=%s model=%s version=%lu fence=%lu",
--- a/src/serverprobe.c
+++ b/src/serverprobe.c
@@ -209,20 +209,39 @@
              && software_is_out (servers, server));
 }
 
-/* Probe the servers of LIST that are in doubt or unreachable. */
+/* Probe SERVER, which is in doubt or unreachable, unless its links are in
+ * question as a whole. */
 static void
-service_probe (struct serverprobes *probes, const GPtrArray *list, int64_t now)
+server_probe (struct serverprobes *probes, struct server *server, int64_t now)
 {
-  for (guint i = 0; i < list->len; i++)
-    {
-      struct server *server = list->pdata[i];
+  if (server->probed || !serverpause_allows (&server->pause, now)
+      || reach_is_questioned (
+          servers_reach (probes->servers, server->entry.service)))
+    return;
+  if (server->doubted_ns != 0
+      || (server->down_since_ns != 0
+          && probe_is_due (probes->servers, server, now)))
+    probe_start (probes, server, false, now);
+}
 
-      if (server->probed || !serverpause_allows (&server->pause, now))
-        continue;
-      if (server->doubted_ns != 0
-          || (server->down_since_ns != 0
-              && probe_is_due (probes->servers, server, now)))
-        probe_start (probes, server, false, now);
+/* Probe the servers that fail, and drop those that do no more. */
+static void
+failing_probe (struct serverprobes *probes, int64_t now)
+{
+  GPtrArray *failing = probes->servers->failing;
+
+  for (guint i = failing->len; i-- > 0;)
+    {
+      struct server *server = failing->pdata[i];
+
+      if (!server->removed
+          && (server->doubted_ns != 0 || server->down_since_ns != 0))
+        {
+          server_probe (probes, server, now);
+          continue;
+        }
+      server->is_failing = false;
+      g_ptr_array_remove_index_fast (failing, i);
     }
 }
 
@@ -320,7 +339,6 @@
 
       if (reach_is_questioned (reach))
         links_query (probes, service, list, reach, now);
-      else
-        service_probe (probes, list, now);
     }
+  failing_probe (probes, now);
 }
--- a/src/servers.c
+++ b/src/servers.c
@@ -62,6 +62,8 @@
   softwarestart_init (&servers->starts, clock);
   servers->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, server_release);
+  servers->by_hash = g_hash_table_new (g_direct_hash, g_direct_equal);
+  servers->failing = g_ptr_array_new_with_free_func (server_release);
   servers->reach_by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   servers->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -71,6 +73,8 @@
 void
 servers_finish (struct servers *servers)
 {
+  g_ptr_array_free (servers->failing, TRUE);
+  g_hash_table_destroy (servers->by_hash);
   g_hash_table_destroy (servers->reach_by_service);
   g_hash_table_destroy (servers->by_service);
   softwarespan_finish (&servers->software);
@@ -88,14 +92,7 @@
 struct server *
 servers_find_hash (const struct servers *servers, uint32_t id_hash)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, servers->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct server *)value)->id_hash == id_hash)
-      return value;
-  return NULL;
+  return g_hash_table_lookup (servers->by_hash, GUINT_TO_POINTER (id_hash));
 }
 
 struct reach *
@@ -239,6 +236,9 @@
   server->in_local_data_centre
       = strcmp (entry->data_centre, servers->data_centre) == 0;
   g_hash_table_insert (servers->by_id, server->entry.id, server);
+  g_hash_table_insert (servers->by_hash, GUINT_TO_POINTER (server->id_hash),
+                       server);
+  servers->weights_generation++;
   service_list_add (servers, server);
   return server;
 }
@@ -261,6 +261,20 @@
          || strcmp (entry->service, current->service) != 0;
 }
 
+/* Whether ENTRY has the models and weight versions that PREVIOUS had. */
+static bool
+entry_has_models_of (const struct server_entry *entry,
+                     const struct server_entry *previous)
+{
+  if (entry->model_count != previous->model_count)
+    return false;
+  for (unsigned i = 0; i < entry->model_count; i++)
+    if (entry->models[i].weight_version != previous->models[i].weight_version
+        || strcmp (entry->models[i].name, previous->models[i].name) != 0)
+      return false;
+  return true;
+}
+
 void
 servers_update (struct servers *servers, const struct server_entry *entry,
                 uint64_t revision)
@@ -296,8 +310,9 @@
   /* Responses of the server may have reported newer weight versions than the
    * entry has; keep those. */
   for (unsigned i = 0; i < previous.model_count; i++)
-    server_set_weight_version (server, previous.models[i].name,
+    server_set_weight_version (servers, server, previous.models[i].name,
                                previous.models[i].weight_version);
+  servers->weights_generation += !entry_has_models_of (entry, &previous);
   servers->generation
       += previous.leaving != entry->leaving
          || strcmp (previous.data_centre, entry->data_centre) != 0;
@@ -319,6 +334,8 @@
   service_list_remove (servers, server);
   service_software_check (servers, server->entry.service);
   servers->generation++;
+  if (servers_find_hash (servers, server->id_hash) == server)
+    g_hash_table_remove (servers->by_hash, GUINT_TO_POINTER (server->id_hash));
   g_hash_table_remove (servers->by_id, id);
 }
 
@@ -356,6 +373,15 @@
   server->busy_until_ns = MAX (server->busy_until_ns, until_ns);
 }
 
+static void
+failing_add (struct servers *servers, struct server *server)
+{
+  if (server->is_failing)
+    return;
+  server->is_failing = true;
+  g_ptr_array_add (servers->failing, server_ref (server));
+}
+
 void
 server_set_unreachable (struct servers *servers, struct server *server)
 {
@@ -365,6 +391,7 @@
   if (server->down_since_ns != 0)
     return;
   server->down_since_ns = now;
+  failing_add (servers, server);
   server->next_probe_ns = now + SERVER_PROBE_INTERVAL_MS * NS_PER_MS;
   server_cache_clear (server);
   notify_change (servers, server, "unreachable");
@@ -399,11 +426,15 @@
   if (serverlimit_record (&server->limit, per_s, stated_ns, here))
     notify_change (servers, server,
                    server->limit.limited ? "limited" : "unlimited");
+  if (here && (server->limit.limited || server->limit.since_ns != 0))
+    servers->limit_stated_ns = MAX (servers->limit_stated_ns, stated_ns);
 }
 
 void
 server_record_cut (struct servers *servers, struct server *server)
 {
-  if (!server->removed && server->down_since_ns == 0)
-    server->doubted_ns = clock_now (servers->clock);
+  if (server->removed || server->down_since_ns != 0)
+    return;
+  server->doubted_ns = clock_now (servers->clock);
+  failing_add (servers, server);
 }
--- a/src/servers.h
+++ b/src/servers.h
@@ -109,6 +109,7 @@
                              the server is reachable. */
   int64_t next_probe_ns;  /**< Time of the next probe while the server is
                              unreachable. */
+  bool is_failing;        /**< Whether it is in servers.failing. */
   bool probed;            /**< Whether a probe runs. */
   int64_t probe_began_ns; /**< Start of the last probe. */
   int64_t doubted_ns; /**< Time at which a response was cut off last and since
@@ -145,11 +146,19 @@
   /** Rises with each change of which servers there are and which of them this
    * host can use. */
   uint64_t generation;
+  /** Rises whenever a server may have newer weights than before. */
+  uint64_t weights_generation;
+  /** Time at which a response to this host last stated a limit, or the end of
+   * one; 0 if none has. */
+  int64_t limit_stated_ns;
   uv_loop_t *loop;
   const struct clock *clock;
   char data_centre[SERVER_NAME_MAX]; /**< Data centre of this process. */
   int64_t connect_timeout_ns;
-  GHashTable *by_id;      /**< Maps ids to struct server. */
+  GHashTable *by_id;   /**< Maps ids to struct server. */
+  GHashTable *by_hash; /**< Maps the hashes of ids to struct server. */
+  GPtrArray *failing;  /**< Servers that were unreachable or in doubt when they
+                          were added; serverprobe drops those that recover. */
   GHashTable *by_service; /**< Maps service names to GPtrArray of struct
                                server. */
   struct serverstart_table stated; /**< What starts of servers stated. */
@@ -230,8 +239,8 @@
 /** Records that SERVER has loaded VERSION of MODEL's weights. VERSION is
  * ignored if it is older than the recorded version; if it is newer, the record
  * of cached blocks is cleared. */
-void server_set_weight_version (struct server *server, const char *model,
-                                uint64_t version);
+void server_set_weight_version (struct servers *servers, struct server *server,
+                                const char *model, uint64_t version);
 
 /** Returns whether the links to SERVICE work; never NULL. */
 struct reach *servers_reach (const struct servers *servers,
--- a/src/serverweights.c
+++ b/src/serverweights.c
@@ -13,8 +13,8 @@
 }
 
 void
-server_set_weight_version (struct server *server, const char *model,
-                           uint64_t version)
+server_set_weight_version (struct servers *servers, struct server *server,
+                           const char *model, uint64_t version)
 {
   for (unsigned i = 0; i < server->entry.model_count; i++)
     {
@@ -24,6 +24,7 @@
           || current->weight_version >= version)
         continue;
       current->weight_version = version;
+      servers->weights_generation++;
       server_cache_clear (server);
     }
 }
--- a/src/weightsnews.c
+++ b/src/weightsnews.c
@@ -21,6 +21,7 @@
   news->log = log;
   news->view = view;
   news->wanted = wanted;
+  news->seen_generation = 0;
   news->heard
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -78,8 +79,10 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (!news->view->initial_read_done)
+  if (!news->view->initial_read_done
+      || news->seen_generation == news->servers->weights_generation)
     return;
+  news->seen_generation = news->servers->weights_generation;
   g_hash_table_iter_init (&iter, news->servers->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/weightsnews.h
+++ b/src/weightsnews.h
@@ -18,8 +18,10 @@
   struct kvview *view; /**< View of the operator's keys. */
   GHashTable *wanted;  /**< Maps model names to struct wanted_weights; not
                           owned. */
-  GHashTable *heard;   /**< Maps model names to the newest version that the
-                          view was read anew for. */
+  /** Value of servers.weights_generation at the last pass. */
+  uint64_t seen_generation;
+  GHashTable *heard; /**< Maps model names to the newest version that the
+                        view was read anew for. */
 };
 
 /** The pointers must outlive NEWS. */
--- /dev/null
+++ b/test/test-fleetticks.c
@@ -0,0 +1,221 @@
+#include "limitshare.h"
+#include "loadshare.h"
+#include "serverprobe.h"
+#include "unit.h"
+#include "weightsnews.h"
+
+#include <time.h>
+
+enum
+{
+  FEW_SERVERS = 30,
+  MANY_SERVERS = 10000,
+  TICKS = 500,
+  ROUNDS = 7,
+  /* A tick that visits all servers takes hundreds of times longer. */
+  GROWTH_MAX = 3
+};
+
+/* A host that knows some servers and ticks without news. */
+struct host
+{
+  uv_loop_t loop;
+  struct clock_fake clock;
+  struct log log;
+  struct servers servers;
+  struct serverprobes probes;
+  struct limitshare limitshare;
+  struct loadshare loadshare;
+  struct loadshare peer;
+  struct weightsnews news;
+  struct kvview view;
+  GHashTable *wanted;
+};
+
+static void
+server_changed (void *data, const struct server *server, const char *what)
+{
+}
+
+static const struct servers_ops servers_ops = { server_changed, NULL };
+static const struct serverprobes_ops probes_ops = { NULL, NULL };
+
+static bool
+reports_weights (void *data)
+{
+  return false;
+}
+
+static const struct loadshare_ops share_ops
+    = { reports_weights, NULL, NULL, NULL };
+
+static void
+server_add (struct host *host, unsigned index)
+{
+  struct server_entry entry = { .slots = 4, .model_count = 1 };
+
+  g_snprintf (entry.id, sizeof entry.id, "i-%u", index);
+  g_strlcpy (entry.service, "svc", sizeof entry.service);
+  g_strlcpy (entry.address, "127.0.0.1:1", sizeof entry.address);
+  g_strlcpy (entry.models[0].name, "m", sizeof entry.models[0].name);
+  entry.models[0].weight_version = 1;
+  servers_update (&host->servers, &entry, 1);
+}
+
+static void
+host_init (struct host *host, unsigned server_count)
+{
+  uv_loop_init (&host->loop);
+  clock_fake_init (&host->clock, 10 * NS_PER_S);
+  servers_init (&host->servers, &host->loop, &host->clock.clock, "dc",
+                NS_PER_S, &servers_ops, NULL);
+  for (unsigned i = 0; i < server_count; i++)
+    server_add (host, i);
+  serverprobes_init (&host->probes, &host->servers, &probes_ops, NULL);
+  limitshare_init (&host->limitshare, &host->servers, &host->clock.clock);
+  loadshare_init (&host->loadshare, &host->servers, &host->clock.clock, "a", 1,
+                  &share_ops, NULL);
+  loadshare_init (&host->peer, &host->servers, &host->clock.clock, "b", 1,
+                  &share_ops, NULL);
+  host->view = (struct kvview){ .initial_read_done = true };
+  host->wanted = g_hash_table_new (g_str_hash, g_str_equal);
+  weightsnews_init (&host->news, &host->servers, &host->log, &host->view,
+                    host->wanted);
+}
+
+static void
+host_finish (struct host *host)
+{
+  weightsnews_finish (&host->news);
+  g_hash_table_destroy (host->wanted);
+  loadshare_finish (&host->peer);
+  loadshare_finish (&host->loadshare);
+  serverprobes_finish (&host->probes);
+  servers_finish (&host->servers);
+  uv_loop_close (&host->loop);
+}
+
+/* A report of the other host has arrived before each tick. */
+static void
+host_tick (struct host *host)
+{
+  uint8_t bytes[LIMITSHARE_BYTES_MAX];
+
+  clock_fake_advance (&host->clock, 20 * NS_PER_MS);
+  host->loadshare.sums_stale = true;
+  weightsnews_tick (&host->news);
+  serverprobes_tick (&host->probes);
+  loadshare_tick (&host->loadshare);
+  limitshare_encode (&host->limitshare, bytes);
+}
+
+static int64_t
+processor_ns (void)
+{
+  struct timespec used;
+
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &used);
+  return (int64_t)used.tv_sec * NS_PER_S + used.tv_nsec;
+}
+
+/* Returns the processor time of TICKS ticks, in the quickest of some rounds.
+ */
+static int64_t
+ticks_cost (struct host *host)
+{
+  int64_t least = INT64_MAX;
+
+  for (unsigned round = 0; round < ROUNDS; round++)
+    {
+      int64_t start = processor_ns ();
+
+      for (unsigned i = 0; i < TICKS; i++)
+        host_tick (host);
+      least = MIN (least, processor_ns () - start);
+    }
+  return least;
+}
+
+/* Most of the processor time of a host before 3,002 servers went into visits
+ * of all servers, of which nothing had changed, in each tick. */
+static void
+test_ticks_do_not_grow (void)
+{
+  struct host few, many;
+  int64_t few_ns, many_ns;
+
+  host_init (&few, FEW_SERVERS);
+  host_init (&many, MANY_SERVERS);
+  few_ns = ticks_cost (&few);
+  many_ns = ticks_cost (&many);
+  printf ("# a tick takes %ld ns with %d servers, %ld ns with %d\n",
+          (long)(few_ns / TICKS), FEW_SERVERS, (long)(many_ns / TICKS),
+          MANY_SERVERS);
+  CU_ASSERT_TRUE (many_ns < GROWTH_MAX * few_ns);
+  host_finish (&few);
+  host_finish (&many);
+}
+
+/* Load that another host no longer reports stayed at its server. */
+static void
+test_load_that_is_gone (void)
+{
+  struct host host;
+  struct server *server;
+  uint8_t bytes[LOADSHARE_BYTES_MAX];
+  size_t size;
+
+  host_init (&host, FEW_SERVERS);
+  server = servers_find (&host.servers, "i-7");
+  for (unsigned requests = 3; requests < 4; requests--)
+    {
+      server->in_flight_requests = requests;
+      size = loadshare_encode (&host.peer, bytes);
+      CU_ASSERT_TRUE (loadshare_receive (&host.loadshare, bytes, size));
+      loadshare_tick (&host.loadshare);
+      CU_ASSERT_EQUAL (server->other_hosts_requests, requests);
+    }
+  host_finish (&host);
+}
+
+/* A server that fails is probed until it recovers, also if it failed before,
+ * and one that is gone is not. */
+static void
+test_failing_servers_are_kept (void)
+{
+  struct host host;
+  struct server *server;
+
+  host_init (&host, FEW_SERVERS);
+  server = servers_find (&host.servers, "i-7");
+  for (unsigned i = 0; i < 2; i++)
+    {
+      server_set_unreachable (&host.servers, server);
+      serverprobes_tick (&host.probes);
+      CU_ASSERT_EQUAL (host.servers.failing->len, 1);
+      server_record_reached (&host.servers, server, false);
+      server_record_cut (&host.servers, server);
+      CU_ASSERT_EQUAL (host.servers.failing->len, 1);
+      server->doubted_ns = 0;
+      serverprobes_tick (&host.probes);
+      CU_ASSERT_EQUAL (host.servers.failing->len, 0);
+    }
+  server_set_unreachable (&host.servers, server);
+  servers_remove (&host.servers, "i-7", "entry_gone");
+  serverprobes_tick (&host.probes);
+  CU_ASSERT_EQUAL (host.servers.failing->len, 0);
+  CU_ASSERT_PTR_NULL (servers_find_hash (&host.servers, g_str_hash ("i-7")));
+  host_finish (&host);
+}
+
+static const struct unit_case cases[] = {
+  { "ticks-do-not-grow", test_ticks_do_not_grow },
+  { "load-that-is-gone", test_load_that_is_gone },
+  { "failing-servers-are-kept", test_failing_servers_are_kept },
+};
+
+int
+main (void)
+{
+  return unit_run ("fleetticks", cases, G_N_ELEMENTS (cases));
+}
--- a/test/test-oldweights.c
+++ b/test/test-oldweights.c
@@ -239,7 +239,7 @@
 
   setup (&stream, NULL);
   server = servers_find (&path.servers, "i-0");
-  server_set_weight_version (server, "m", 3);
+  server_set_weight_version (&path.servers, server, "m", 3);
   server_correct_weight_version (server, "m", 2, 1);
   CU_ASSERT_EQUAL (server_weight_version (server, "m"), 3);
   server_correct_weight_version (server, "m", 3, 4);
--- a/test/test-retire.c
+++ b/test/test-retire.c
@@ -183,7 +183,7 @@
 load_new_weights (int count)
 {
   for (int i = 0; i < count; i++)
-    server_set_weight_version (engine (i), "m", 2);
+    server_set_weight_version (&fixture.servers, engine (i), "m", 2);
   run_for_ms (100);
 }
 
--- a/test/test-servers.c
+++ b/test/test-servers.c
@@ -129,7 +129,7 @@
 
   setup ();
   server = add_server ("a");
-  server_set_weight_version (server, "m", 3);
+  server_set_weight_version (&servers, server, "m", 3);
   servers_update (&servers, &entry, 2);
   CU_ASSERT_EQUAL (server_weight_version (server, "m"), 3);
   finish ();
@@ -265,7 +265,7 @@
 static void
 weights_reported (void *data, struct server *server, uint64_t reported_version)
 {
-  server_set_weight_version (server, "m", reported_version);
+  server_set_weight_version (&servers, server, "m", reported_version);
 }
 
 static const struct loadshare_ops share_ops
@@ -287,7 +287,7 @@
   server->in_flight_requests = 3;
   server->pending_prefill_tokens = 700;
   server->in_flight_tokens = 9000;
-  server_set_weight_version (server, "m", 2);
+  server_set_weight_version (&servers, server, "m", 2);
   loadshare_init (&sender, &servers, &fake_clock.clock, "h1", 1, &share_ops,
                   NULL);
   loadshare_init (&receiver, &servers, &fake_clock.clock, "h2", 1, &share_ops,
