A late or doubled update of a KV cache store confirms it no longer than it was told

An update now states its sender and the time by its clock; what it took longer than the quickest of that sender shortens the time for which it confirms. The first update of a sender, and one of an older build, confirm nothing. A delay that all datagrams of a sender have in common can't be told.

kvstores/late-updates-confirm-no-longer fails without it (2 checks); lateness-follows-drift is new with the module.

--- a/src/kvstores.c
+++ b/src/kvstores.c
@@ -76,6 +76,7 @@
   kvstores->dialect = dialect;
   kvstores->httpjson = httpjson;
   kvstores->rotation_slots = 1;
+  lateness_init (&kvstores->lateness);
   kvstores->stores = g_ptr_array_new_with_free_func (store_release);
 }
 
@@ -93,6 +94,7 @@
   for (guint i = 0; i < kvstores->stores->len; i++)
     ((struct kvstore *)kvstores->stores->pdata[i])->call_is_pending = false;
   g_ptr_array_free (kvstores->stores, TRUE);
+  lateness_finish (&kvstores->lateness);
 }
 
 static struct kvstore *
@@ -278,13 +280,15 @@
   return store->is_poller;
 }
 
+/* The store told its present epoch AGE_NS ago. */
 static void
-store_confirm (struct kvstore *store)
+store_confirm (struct kvstore *store, int64_t age_ns)
 {
   const struct kvstores *kvstores = store->kvstores;
+  int64_t until_ns = clock_boottime (kvstores->clock) - age_ns
+                     + kvstores->settings.confirmed_ns;
 
-  store->confirmed_until_ns
-      = clock_boottime (kvstores->clock) + kvstores->settings.confirmed_ns;
+  store->confirmed_until_ns = MAX (store->confirmed_until_ns, until_ns);
 }
 
 /* Whether the reply to the last poll is so young that it tells the present
@@ -384,7 +388,7 @@
     }
   store->needs_listing = false;
   store->in_sync = true;
-  store_confirm (store);
+  store_confirm (store, 0);
   store->last_report_ns = clock_now (kvstores->clock);
   if (!report->is_list)
     update_share (store, report);
@@ -397,6 +401,9 @@
                        const struct kvstore_update *update)
 {
   struct kvstore *store = kvstores_find_store (kvstores, update->store);
+  int64_t late_ns
+      = lateness_record (&kvstores->lateness, update->sender, update->sent_ns,
+                         clock_boottime (kvstores->clock));
 
   if (store == NULL || !store->in_sync || store->needs_listing)
     return;
@@ -407,7 +414,9 @@
       store_request_sync (store);
       return;
     }
-  store_confirm (store);
+  /* The network may have held the update back, or have doubled it. */
+  if (late_ns >= 0)
+    store_confirm (store, late_ns);
   if (update->since_event_number > store->last_event_number)
     store_request_sync (store);
   else if (update->last_event_number > store->last_event_number)
--- a/src/kvstores.h
+++ b/src/kvstores.h
@@ -4,6 +4,7 @@
 #include "call.h"
 #include "clock.h"
 #include "dialect.h"
+#include "lateness.h"
 #include "log.h"
 #include "routes.h"
 
@@ -37,6 +38,9 @@
   uint64_t last_event_number;
   const struct cache_block *blocks;
   unsigned block_count;
+  uint64_t sender; /**< Id of the process that sent the update; 0 if it states
+                      none. */
+  int64_t sent_ns; /**< When it did, by its clock_boottime. */
 };
 
 struct kvstore;
@@ -141,9 +145,10 @@
    * stores and shares no updates. */
   const struct kvstores_ops *ops;
   void *data;
-  GPtrArray *stores;       /**< Array of struct kvstore. */
-  unsigned rotation_slots; /**< Number of slots in one rotation; 1 if there is
-                              no rotation. */
+  struct lateness lateness; /**< Of updates from other hosts. */
+  GPtrArray *stores;        /**< Array of struct kvstore. */
+  unsigned rotation_slots;  /**< Number of slots in one rotation; 1 if there is
+                               no rotation. */
   unsigned own_rotation_slot; /**< Slot in which this host polls. */
   /** Whether some hosts notice the restart of a store only with their own
    * polls, since they are of an earlier version. */
--- a/src/partsnews.pb-c.c
+++ b/src/partsnews.pb-c.c
@@ -187,7 +187,7 @@
   (ProtobufCMessageInit) trefoilspar__part_change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor trefoilspar__parts_news__field_descriptors[6] =
+static const ProtobufCFieldDescriptor trefoilspar__parts_news__field_descriptors[8] =
 {
   {
     "store",
@@ -261,19 +261,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sender",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__PartsNews, sender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ns",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__PartsNews, sent_ns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned trefoilspar__parts_news__field_indices_by_name[] = {
   5,   /* field[5] = changes */
   1,   /* field[1] = epoch */
   3,   /* field[3] = next */
   4,   /* field[4] = scopes */
+  6,   /* field[6] = sender */
+  7,   /* field[7] = sent_ns */
   2,   /* field[2] = since */
   0,   /* field[0] = store */
 };
 static const ProtobufCIntRange trefoilspar__parts_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor trefoilspar__parts_news__descriptor =
 {
@@ -283,7 +309,7 @@
   "Trefoilspar__PartsNews",
   "trefoilspar",
   sizeof(Trefoilspar__PartsNews),
-  6,
+  8,
   trefoilspar__parts_news__field_descriptors,
   trefoilspar__parts_news__field_indices_by_name,
   1,  trefoilspar__parts_news__number_ranges,
--- a/src/partsnews.pb-c.h
+++ b/src/partsnews.pb-c.h
@@ -80,10 +80,18 @@
   char **scopes;
   size_t n_changes;
   Trefoilspar__PartChange **changes;
+  /*
+   * Process that sent the datagram; 0: of an older build.
+   */
+  uint64_t sender;
+  /*
+   * When, by the sender's clock.
+   */
+  int64_t sent_ns;
 };
 #define TREFOILSPAR__PARTS_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&trefoilspar__parts_news__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* Trefoilspar__PartChange methods */
--- a/src/peerudp.c
+++ b/src/peerudp.c
@@ -2,6 +2,7 @@
 #include "address.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Type of a datagram, which is its first byte. */
 enum datagram_type
@@ -118,6 +119,10 @@
   limitshare_init (&peerudp->limitshare, loadshare->servers, clock);
   peerudp->clock = clock;
   peerudp->load_period_ns = load_period_ns;
+  peerudp->process_id
+      = MAX (XXH3_64bits_withSeed (loadshare->host, strlen (loadshare->host),
+                                   loadshare->process_start),
+             1U);
   peerudp->udp.data = peerudp;
   uv_udp_init (loop, &peerudp->udp);
   failed = uv_ip4_addr (ip, port, &address);
@@ -202,6 +207,8 @@
   struct kvstore_update part = *update;
   uint8_t bytes[DATAGRAM_BYTES_MAX];
 
+  part.sender = peerudp->process_id;
+  part.sent_ns = clock_boottime (peerudp->clock);
   do
     {
       size_t size;
--- a/src/peerudp.h
+++ b/src/peerudp.h
@@ -31,6 +31,7 @@
   struct limitshare limitshare;
   const struct clock *clock;
   uv_udp_t udp;
+  uint64_t process_id; /**< Of this start of the host; not 0. */
   int64_t load_period_ns;
   int64_t next_load_ns;
 };
--- a/src/storeupdate.c
+++ b/src/storeupdate.c
@@ -95,6 +95,8 @@
   message->epoch = update->epoch;
   message->since = update->since_event_number;
   message->next = update->last_event_number;
+  message->sender = update->sender;
+  message->sent_ns = update->sent_ns;
   message->scopes = draft.scopes;
   message->changes = draft.change_pointers;
   for (unsigned i = 0; i < update->block_count; i++)
@@ -142,6 +144,8 @@
   update.epoch = message->epoch;
   update.since_event_number = message->since;
   update.last_event_number = message->next;
+  update.sender = message->sender;
+  update.sent_ns = message->sent_ns;
   for (size_t i = 0; valid && i < message->n_changes; i++)
     valid = change_decode (message, message->changes[i],
                            &blocks[update.block_count++]);
--- a/test/test-kvstores.c
+++ b/test/test-kvstores.c
@@ -287,12 +287,15 @@
                                  .tokens = test_block.tokens,
                                  .removed = removed,
                                  .change_number = change_number };
-  struct kvstore_update update = { .store = "s",
-                                   .epoch = epoch,
-                                   .since_event_number = since,
-                                   .last_event_number = change_number,
-                                   .blocks = &changed,
-                                   .block_count = 1 };
+  struct kvstore_update update
+      = { .store = "s",
+          .epoch = epoch,
+          .since_event_number = since,
+          .last_event_number = change_number,
+          .blocks = &changed,
+          .block_count = 1,
+          .sender = 3,
+          .sent_ns = clock_boottime (&fake_clock.clock) };
 
   strcpy (changed.scope, "m:1:");
   kvstores_apply_update (&kvstores, &update);
@@ -361,7 +364,12 @@
     BLOCKS = 100
   };
   struct cache_block blocks[BLOCKS];
-  struct kvstore_update update = { "s", 9, 7, 7 + BLOCKS, blocks, BLOCKS };
+  struct kvstore_update update = { .store = "s",
+                                   .epoch = 9,
+                                   .since_event_number = 7,
+                                   .last_event_number = 7 + BLOCKS,
+                                   .blocks = blocks,
+                                   .block_count = BLOCKS };
   struct kvstore_update part = update;
   unsigned count = 0;
   uint64_t next = 7;
@@ -415,6 +423,82 @@
   finish ();
 }
 
+/* An update without changes of process 7, sent at SENT_MS by its clock. */
+static void
+apply_quiet_update (int64_t sent_ms)
+{
+  struct kvstore_update update = { .store = "s",
+                                   .epoch = 9,
+                                   .since_event_number = 2,
+                                   .last_event_number = 2,
+                                   .sender = 7,
+                                   .sent_ns = sent_ms * NS_PER_MS };
+
+  kvstores_apply_update (&kvstores, &update);
+}
+
+/* An update that the network held back or doubled confirmed the store from its
+ * arrival on, so that blocks were fetched after a restart that it preceded. */
+static void
+test_late_updates_confirm_no_longer (void)
+{
+  int64_t confirmed_ms;
+
+  setup ();
+  confirmed_ms = kvstores_settings_default.confirmed_ns / NS_PER_MS;
+  reply_to_poll (9, 2, false, 100, false);
+  apply_quiet_update (1000);
+  clock_fake_advance (&fake_clock, (confirmed_ms - 250) * NS_PER_MS);
+  /* The first update of a process may be late already. */
+  CU_ASSERT_FALSE (block_is_stored ("m:1:"));
+  apply_quiet_update (1000 + confirmed_ms - 250);
+  CU_ASSERT_TRUE (block_is_stored ("m:1:"));
+  clock_fake_advance (&fake_clock, 600 * NS_PER_MS);
+  apply_quiet_update (1000 + confirmed_ms - 250);
+  apply_quiet_update (1000 + confirmed_ms - 150);
+  clock_fake_advance (&fake_clock, (confirmed_ms - 550) * NS_PER_MS);
+  CU_ASSERT_TRUE (block_is_stored ("m:1:"));
+  clock_fake_advance (&fake_clock, 60 * NS_PER_MS);
+  CU_ASSERT_FALSE (block_is_stored ("m:1:"));
+  finish ();
+}
+
+/* A process with a clock that runs slower or faster by 100 parts in a million
+ * for a day is not late, and a late message is noticed after it. */
+static void
+test_lateness_follows_drift (void)
+{
+  struct lateness lateness;
+  int64_t received_ns = 0;
+  int64_t drift_ns = 0;
+
+  lateness_init (&lateness);
+  for (int ppm = -100; ppm <= 100; ppm += 200)
+    {
+      uint64_t sender = (uint64_t)(ppm + 1000);
+
+      CU_ASSERT_EQUAL (lateness_record (&lateness, sender, 0, 0), -1);
+      for (int64_t i = 1; i <= 24 * 3600; i++)
+        {
+          received_ns = i * NS_PER_S;
+          drift_ns = i * ppm * 1000;
+          CU_ASSERT_TRUE_FATAL (lateness_record (&lateness, sender,
+                                                 received_ns + drift_ns,
+                                                 received_ns)
+                                < NS_PER_MS);
+        }
+      CU_ASSERT_TRUE (lateness_record (&lateness, sender,
+                                       received_ns + drift_ns,
+                                       received_ns + NS_PER_S)
+                      > 900 * NS_PER_MS);
+    }
+  CU_ASSERT_EQUAL (lateness_record (&lateness, 0, 5, 9), -1);
+  for (uint64_t sender = 1; sender < 1000; sender++)
+    lateness_record (&lateness, sender, 0, 0);
+  CU_ASSERT_TRUE (g_hash_table_size (lateness.senders) <= 64);
+  lateness_finish (&lateness);
+}
+
 /* A store that is too busy to reply to a poll counts as in sync for a limited
  * time. */
 static void
@@ -436,6 +520,8 @@
 static const struct unit_case cases[] = {
   { "large-fleet-saves-soon", test_large_fleet_saves_soon },
   { "hosts-of-an-earlier-version", test_hosts_of_an_earlier_version },
+  { "late-updates-confirm-no-longer", test_late_updates_confirm_no_longer },
+  { "lateness-follows-drift", test_lateness_follows_drift },
   { "unconfirmed-store-holds-nothing", test_unconfirmed_store_holds_nothing },
   { "large-update-is-split", test_large_update_is_split },
   { "only-whole-parts-of-the-scope", test_only_whole_blocks_of_the_scope },
