--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -35,7 +35,7 @@
 
   if (server == NULL)
     return;
-  server->in_flight_requests--;
+  server_request_ended (server);
   server->in_flight_tokens
       -= forward->call.prompt_tokens + forward->call.output_tokens;
   server->pending_prefill_tokens -= forward->counted_prefill_tokens;
@@ -51,7 +51,7 @@
   struct server *server = server_ref (choice->server);
 
   forward->counted_server = server;
-  server->in_flight_requests++;
+  server_request_begun (forward->forwarder->servers, server);
   server->in_flight_tokens
       += forward->call.prompt_tokens + forward->call.output_tokens;
   forward->counted_prefill_tokens
--- a/src/loadshare.c
+++ b/src/loadshare.c
@@ -93,7 +93,7 @@
   size_t count = datagram->message.n_servers;
   Trefoilspar__ServerShare *share = &datagram->shares[count];
 
-  if (server->in_flight_requests == 0 || count == SERVERS_MAX)
+  if (server->removed || count == SERVERS_MAX)
     return;
   trefoilspar__server_share__init (share);
   share->server = server->id_hash;
@@ -128,15 +128,25 @@
   datagram->message.n_weights++;
 }
 
+static void
+datagram_add_all_weights (const struct loadshare *loadshare,
+                          struct load_datagram *datagram)
+{
+  GHashTableIter iter;
+  gpointer server;
+
+  g_hash_table_iter_init (&iter, loadshare->servers->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &server))
+    datagram_add_weights (loadshare, datagram, server);
+}
+
 size_t
 loadshare_encode (struct loadshare *loadshare,
                   uint8_t bytes[LOADSHARE_BYTES_MAX])
 {
   struct load_datagram datagram = { .message = TREFOILSPAR__LOAD_SHARE__INIT };
   Trefoilspar__LoadShare *message = &datagram.message;
-  bool with_weights = loadshare->ops->reports_weights (loadshare->data);
-  GHashTableIter iter;
-  gpointer value;
+  struct servers *servers = loadshare->servers;
 
   message->host = loadshare->host;
   message->start = loadshare->process_start;
@@ -147,13 +157,11 @@
   message->out = datagram.out;
   message->n_out
       = servers_list_out (loadshare->servers, datagram.out, OUT_MAX);
-  g_hash_table_iter_init (&iter, loadshare->servers->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      datagram_add_load (&datagram, value);
-      if (with_weights)
-        datagram_add_weights (loadshare, &datagram, value);
-    }
+  servers_drop_unused (servers);
+  for (guint i = 0; i < servers->used->len; i++)
+    datagram_add_load (&datagram, servers->used->pdata[i]);
+  if (loadshare->ops->reports_weights (loadshare->data))
+    datagram_add_all_weights (loadshare, &datagram);
   while (trefoilspar__load_share__get_packed_size (message)
          > LOADSHARE_BYTES_MAX)
     if (message->n_weights > 0)
--- a/src/servers.c
+++ b/src/servers.c
@@ -63,6 +63,7 @@
   servers->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, server_release);
   servers->by_hash = g_hash_table_new (g_direct_hash, g_direct_equal);
+  servers->used = g_ptr_array_new_with_free_func (server_release);
   servers->failing = g_ptr_array_new_with_free_func (server_release);
   servers->reach_by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -73,6 +74,7 @@
 void
 servers_finish (struct servers *servers)
 {
+  g_ptr_array_free (servers->used, TRUE);
   g_ptr_array_free (servers->failing, TRUE);
   g_hash_table_destroy (servers->by_hash);
   g_hash_table_destroy (servers->reach_by_service);
@@ -373,6 +375,36 @@
   server->busy_until_ns = MAX (server->busy_until_ns, until_ns);
 }
 
+void
+server_request_begun (struct servers *servers, struct server *server)
+{
+  server->in_flight_requests++;
+  if (server->is_used)
+    return;
+  server->is_used = true;
+  g_ptr_array_add (servers->used, server_ref (server));
+}
+
+void
+server_request_ended (struct server *server)
+{
+  server->in_flight_requests--;
+}
+
+void
+servers_drop_unused (struct servers *servers)
+{
+  for (guint i = servers->used->len; i-- > 0;)
+    {
+      struct server *server = servers->used->pdata[i];
+
+      if (server->in_flight_requests > 0)
+        continue;
+      server->is_used = false;
+      g_ptr_array_remove_index_fast (servers->used, i);
+    }
+}
+
 static void
 failing_add (struct servers *servers, struct server *server)
 {
--- a/src/servers.h
+++ b/src/servers.h
@@ -82,6 +82,7 @@
   unsigned sending_host_count; /**< Number of hosts that send requests to the
                              server, including this host. */
 
+  bool is_used;                /**< Whether it is in servers.used. */
   unsigned in_flight_requests; /**< Number of requests that this process has in
                                   flight at the server. */
   uint64_t in_flight_tokens;   /**< Memory that the in-flight requests of this
@@ -157,6 +158,8 @@
   int64_t connect_timeout_ns;
   GHashTable *by_id;   /**< Maps ids to struct server. */
   GHashTable *by_hash; /**< Maps the hashes of ids to struct server. */
+  GPtrArray *used;     /**< Servers that had requests of this process in flight
+                          when they were added; see servers_drop_unused. */
   GPtrArray *failing;  /**< Servers that were unreachable or in doubt when they
                           were added; serverprobe drops those that recover. */
   GHashTable *by_service; /**< Maps service names to GPtrArray of struct
@@ -267,6 +270,14 @@
 void server_record_reached (struct servers *servers, struct server *server,
                             bool failed);
 
+/** Counts a request of this process that is in flight at SERVER. */
+void server_request_begun (struct servers *servers, struct server *server);
+void server_request_ended (struct server *server);
+
+/** Removes the servers from servers.used that have no request of this process
+ * in flight any more. */
+void servers_drop_unused (struct servers *servers);
+
 /** Records that a response of SERVER stated the limit PER_S, or none if that
  * is negative. See serverlimit_record. */
 void servers_record_limit (struct servers *servers, struct server *server,
--- a/test/test-fleetticks.c
+++ b/test/test-fleetticks.c
@@ -100,7 +100,7 @@
 static void
 host_tick (struct host *host)
 {
-  uint8_t bytes[LIMITSHARE_BYTES_MAX];
+  uint8_t bytes[MAX (LIMITSHARE_BYTES_MAX, LOADSHARE_BYTES_MAX)];
 
   clock_fake_advance (&host->clock, 20 * NS_PER_MS);
   host->loadshare.sums_stale = true;
@@ -108,6 +108,7 @@
   serverprobes_tick (&host->probes);
   loadshare_tick (&host->loadshare);
   limitshare_encode (&host->limitshare, bytes);
+  loadshare_encode (&host->loadshare, bytes);
 }
 
 static int64_t
@@ -168,13 +169,15 @@
 
   host_init (&host, FEW_SERVERS);
   server = servers_find (&host.servers, "i-7");
+  for (unsigned i = 0; i < 3; i++)
+    server_request_begun (&host.servers, server);
   for (unsigned requests = 3; requests < 4; requests--)
     {
-      server->in_flight_requests = requests;
       size = loadshare_encode (&host.peer, bytes);
       CU_ASSERT_TRUE (loadshare_receive (&host.loadshare, bytes, size));
       loadshare_tick (&host.loadshare);
       CU_ASSERT_EQUAL (server->other_hosts_requests, requests);
+      server_request_ended (server);
     }
   host_finish (&host);
 }
--- a/test/test-servers.c
+++ b/test/test-servers.c
@@ -284,7 +284,8 @@
   setup ();
   server = add_server ("a");
   add_server ("b");
-  server->in_flight_requests = 3;
+  for (unsigned i = 0; i < 3; i++)
+    server_request_begun (&servers, server);
   server->pending_prefill_tokens = 700;
   server->in_flight_tokens = 9000;
   server_set_weight_version (&servers, server, "m", 2);
