--- a/src/presence.c
+++ b/src/presence.c
@@ -424,10 +424,27 @@
   return order;
 }
 
+/* While the hosts change one after the other, as in the first read of all,
+ * counting is cheaper than sorting. */
 unsigned
 presence_own_index (const struct presence *presence)
 {
-  return order_current (presence)->own_index;
+  struct host_record self = { presence->key, &presence->self };
+  const struct presence_order *order = presence->order;
+  GHashTableIter iter;
+  gpointer key, host;
+  unsigned index = 0;
+
+  if (order->hosts != NULL && order->generation == presence->generation)
+    return order->own_index;
+  g_hash_table_iter_init (&iter, presence->hosts);
+  while (g_hash_table_iter_next (&iter, &key, &host))
+    {
+      struct host_record other = { key, host };
+
+      index += record_compare (&other, &self) < 0;
+    }
+  return index;
 }
 
 const GPtrArray *
--- a/test/test-kvview.c
+++ b/test/test-kvview.c
@@ -65,7 +65,9 @@
 }
 
 static const struct kvview_ops view_ops
-    = { log_put, log_removal, ignore_reachability };
+    = { .key_put = log_put,
+        .key_removed = log_removal,
+        .reachability_changed = ignore_reachability };
 
 static void
 setup (void)
