Failed try taken back: hosts of a subset read the registry of servers in turns

It rested on the belief that servers renew their entries all the time. A mechanism without a gain is not kept.

--- a/src/entry.c
+++ b/src/entry.c
@@ -377,8 +377,8 @@
     status = peerudp_init (
         &entry->peerudp, &entry->loop, &entry->loadshare, &entry->kvstores,
         &entry->presence, &entry->subsets, &entry->origin, &entry->blameshare,
-        &entry->registryshare, &entry->clock, settings->listen.peer.ip,
-        settings->listen.peer.port, LOAD_PERIOD_MS * NS_PER_MS, error);
+        &entry->clock, settings->listen.peer.ip, settings->listen.peer.port,
+        LOAD_PERIOD_MS * NS_PER_MS, error);
   return status;
 }
 
@@ -444,8 +444,6 @@
   loadshare_init (&entry->loadshare, &entry->servers, &entry->clock,
                   settings->process.name, process_start_ms (entry),
                   &entryweights_loadshare_ops, entry);
-  registryshare_init (&entry->registryshare, &entry->clock,
-                      MAX (rng_next (&entry->rng), 1U));
   kvstores_init (&entry->kvstores, &kvstores_settings_default, &entry->clock,
                  &entry->log, entry->dialect, &entry->httpjson);
   kvstores_set_ops (&entry->kvstores, &kvstores_ops, entry);
@@ -549,7 +547,6 @@
   rollout_finish (&entry->rollout);
   entrypeers_finish (&entry->peers);
   loadshare_finish (&entry->loadshare);
-  registryshare_finish (&entry->registryshare);
   presence_finish (&entry->presence);
   poisoncount_finish (&entry->poisoncount);
   blameshare_finish (&entry->blameshare);
--- a/src/entry.h
+++ b/src/entry.h
@@ -79,7 +79,6 @@
   struct blameshare blameshare;
   struct presence presence;
   struct loadshare loadshare;
-  struct registryshare registryshare;
   struct subsets subsets;
   struct entrypeers peers;
   struct peerudp peerudp;
--- a/src/entryera.c
+++ b/src/entryera.c
@@ -23,7 +23,6 @@
   kvbudget_refuse_queued (&entry->kvbudget);
   kvview_era_changed (&entry->operator_view);
   kvview_era_changed (&entry->servers_view);
-  registryshare_era_changed (&entry->registryshare);
   kvview_era_changed (&entry->hosts_view);
   presence_era_changed (&entry->presence);
   poisoncount_era_changed (&entry->poisoncount);
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -165,9 +165,6 @@
                  (unsigned long)revision);
       return;
     }
-  server = servers_find (&entry->servers, decoded.id);
-  if (server == NULL || !server_entry_is_renewal (&decoded, &server->entry))
-    registryshare_changed (&entry->registryshare, revision);
   servers_update (&entry->servers, &decoded, revision);
   server = servers_find (&entry->servers, decoded.id);
   if (server != NULL)
@@ -181,8 +178,6 @@
   const struct server *server
       = servers_find (&entry->servers, server_id (entry, key));
 
-  registryshare_changed (&entry->registryshare,
-                         entry->servers_view.removed_at);
   if (server != NULL)
     goneservers_add (&entry->goneservers, &server->entry, entry->kvera.era);
   servers_remove (&entry->servers, server_id (entry, key), "entry_gone");
@@ -196,40 +191,11 @@
   log_kv_reached (entry, &entry->servers_view, reached);
 }
 
-static int64_t
-servers_pause_ns (const struct entry *entry, unsigned hosts)
-{
-  return watchpause_ns (hosts, entry->settings->servers.leave_ns);
-}
-
-static void
-servers_applied (void *data, int64_t sent_ns)
-{
-  struct entry *entry = data;
-  unsigned own = presence_own_index (&entry->presence);
-  unsigned first, size;
-
-  subsets_of_host (&entry->subsets, own, &first, &size);
-  registryshare_set_rank (&entry->registryshare, own - first, size);
-  registryshare_read (&entry->registryshare, sent_ns);
-}
-
-static bool
-servers_may_wait (void *data)
-{
-  const struct entry *entry = data;
-
-  return registryshare_may_wait (
-      &entry->registryshare, entry->servers_view.revision,
-      servers_pause_ns (entry, entry->forwarder.host_count));
-}
-
 static void
 views_set_pause (struct entry *entry, unsigned hosts)
 {
-  kvview_set_pause (
-      &entry->servers_view,
-      registryshare_least_pause_ns (servers_pause_ns (entry, hosts)));
+  kvview_set_pause (&entry->servers_view,
+                    watchpause_ns (hosts, entry->settings->servers.leave_ns));
   kvview_set_pause (&entry->hosts_view,
                     watchpause_ns (hosts, HOSTS_WITHIN_MS * NS_PER_MS));
 }
@@ -294,13 +260,8 @@
 }
 
 const struct kvview_ops entryviews_operator_ops
-    = { .key_put = operator_put,
-        .key_removed = operator_removed,
-        .reachability_changed = operator_reached };
+    = { operator_put, operator_removed, operator_reached };
 const struct kvview_ops entryviews_servers_ops
-    = { servers_put, servers_removed, servers_reached, servers_applied,
-        servers_may_wait };
+    = { servers_put, servers_removed, servers_reached };
 const struct kvview_ops entryviews_hosts_ops
-    = { .key_put = hosts_put,
-        .key_removed = hosts_removed,
-        .reachability_changed = hosts_reached };
+    = { hosts_put, hosts_removed, hosts_reached };
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -177,12 +177,8 @@
       if (!item->deleted)
         kvview_update (view, item->key, item->value, item->revision);
       else if (key != NULL && key->revision < item->revision)
-        {
-          view->removed_at = item->revision;
-          key_vanished (view, item->key, key);
-        }
+        key_vanished (view, item->key, key);
     }
-  view->removed_at = 0;
 }
 
 /* Notes that changes of the last AGO_NS may not have been reported. Those that
@@ -260,7 +256,6 @@
   struct kvview *view = call->view;
   bool is_current = call->generation == view->generation;
   bool is_full_read = call->is_full_read;
-  int64_t sent_ns = call->sent_ns;
   int64_t written_since_ns = reply_written_since_ns (view, call);
 
   is_current = is_current && reply->status != STATUS_CANCELLED;
@@ -302,8 +297,6 @@
     view->next_call_ns = clock_now (view->clock) + view->pause_ns;
   if (reply->revision > view->revision)
     view->revision = reply->revision;
-  if (view->ops->reply_applied != NULL)
-    view->ops->reply_applied (view->data, sent_ns);
 }
 
 static void
@@ -332,13 +325,6 @@
   view->needs_full_read = true;
 }
 
-static bool
-view_may_wait (const struct kvview *view)
-{
-  return !view->needs_full_read && view->pause_ns > 0
-         && view->ops->may_wait != NULL && view->ops->may_wait (view->data);
-}
-
 void
 kvview_tick (struct kvview *view)
 {
@@ -351,8 +337,7 @@
       view->next_anew_ns = now + READ_ANEW_INTERVAL_MS * NS_PER_MS;
       view_drop_call (view);
     }
-  if (!view->call_in_flight && now >= view->next_call_ns
-      && !view_may_wait (view))
+  if (!view->call_in_flight && now >= view->next_call_ns)
     view_send_call (view);
 }
 
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -26,12 +26,6 @@
   /** REACHABLE is false once a call has failed, and true once a call has
    * succeeded again; the reply to that call is applied after this callback. */
   void (*reachability_changed) (void *data, bool reachable);
-  /** The reply to a call that was sent at SENT_NS, by clock_boottime, has been
-   * applied; may be NULL. */
-  void (*reply_applied) (void *data, int64_t sent_ns);
-  /** Whether a watch that is due may wait, since this host knows otherwise
-   * that the view is current; may be NULL. */
-  bool (*may_wait) (void *data);
 };
 
 struct kvview_settings
@@ -52,11 +46,9 @@
   const char *prefix;
   const struct kvview_ops *ops;
   void *data;
-  GHashTable *keys;    /**< Maps a key to its struct kvview_key. */
-  bool holds_keys;     /**< Whether a key may be held. */
-  uint64_t revision;   /**< Service revision that the view reflects. */
-  uint64_t removed_at; /**< Revision at which the key being removed was; 0 if
-                          unknown. */
+  GHashTable *keys;  /**< Maps a key to its struct kvview_key. */
+  bool holds_keys;   /**< Whether a key may be held. */
+  uint64_t revision; /**< Service revision that the view reflects. */
   /** Generation of new calls; replies to calls of an older generation are
    * dropped. */
   uint64_t generation;
--- a/src/peerudp.c
+++ b/src/peerudp.c
@@ -2,6 +2,7 @@
 #include "address.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Type of a datagram, which is its first byte. */
 enum datagram_type
@@ -13,8 +14,7 @@
   DATAGRAM_LIMITS = 5,
   /* DATAGRAM_BLOCKS that the receiver relays to the hosts of its subset. Hosts
    * of earlier versions ignore it and poll the stores themselves. */
-  DATAGRAM_BLOCKS_RELAYED = 6,
-  DATAGRAM_REGISTRY_READ = 7
+  DATAGRAM_BLOCKS_RELAYED = 6
 };
 
 enum
@@ -92,9 +92,6 @@
                           bytes + 1, (size_t)size - 1);
   else if (bytes[0] == DATAGRAM_LIMITS)
     limitshare_receive (&peerudp->limitshare, bytes + 1, (size_t)size - 1);
-  else if (bytes[0] == DATAGRAM_REGISTRY_READ)
-    registryshare_receive (peerudp->registryshare, bytes + 1,
-                           (size_t)size - 1);
   else if (bytes[0] == DATAGRAM_BLAME && from->sa_family == AF_INET)
     blameshare_receive (peerudp->blameshare, (const struct sockaddr_in *)from,
                         bytes + 1, (size_t)size - 1);
@@ -105,9 +102,8 @@
               struct loadshare *loadshare, struct kvstores *kvstores,
               const struct presence *presence, const struct subsets *subsets,
               struct streamorigin *origin, struct blameshare *blameshare,
-              struct registryshare *registryshare, const struct clock *clock,
-              const char *ip, uint16_t port, int64_t load_period_ns,
-              struct error *error)
+              const struct clock *clock, const char *ip, uint16_t port,
+              int64_t load_period_ns, struct error *error)
 {
   struct sockaddr_in address;
   int failed;
@@ -122,7 +118,10 @@
   limitshare_init (&peerudp->limitshare, loadshare->servers, clock);
   peerudp->clock = clock;
   peerudp->load_period_ns = load_period_ns;
-  peerudp->registryshare = registryshare;
+  peerudp->process_id
+      = MAX (XXH3_64bits_withSeed (loadshare->host, strlen (loadshare->host),
+                                   loadshare->process_start),
+             1U);
   peerudp->udp.data = peerudp;
   uv_udp_init (loop, &peerudp->udp);
   failed = uv_ip4_addr (ip, port, &address);
@@ -155,17 +154,6 @@
     datagram_send (peerudp, bytes, size, reaches_all_hosts (peerudp));
 }
 
-static void
-registry_read_send (struct peerudp *peerudp)
-{
-  uint8_t bytes[DATAGRAM_BYTES_MAX];
-  size_t size = registryshare_encode (peerudp->registryshare, bytes + 1);
-
-  bytes[0] = DATAGRAM_REGISTRY_READ;
-  if (size > 0)
-    datagram_send (peerudp, bytes, size, false);
-}
-
 void
 peerudp_tick (struct peerudp *peerudp)
 {
@@ -175,7 +163,6 @@
 
   loadshare_tick (loadshare);
   limits_send (peerudp);
-  registry_read_send (peerudp);
   if (now < peerudp->next_load_ns)
     return;
   peerudp->next_load_ns = now + peerudp->load_period_ns;
@@ -218,7 +205,7 @@
   struct kvstore_update part = *update;
   uint8_t bytes[DATAGRAM_BYTES_MAX];
 
-  part.sender = peerudp->registryshare->process_id;
+  part.sender = peerudp->process_id;
   part.sent_ns = clock_boottime (peerudp->clock);
   do
     {
--- a/src/peerudp.h
+++ b/src/peerudp.h
@@ -8,7 +8,6 @@
 #include "storepoll.h"
 #include "storeupdate.h"
 #include "presence.h"
-#include "registryshare.h"
 #include "streamorigin.h"
 #include "status.h"
 
@@ -30,9 +29,9 @@
   struct streamorigin *origin;
   struct blameshare *blameshare;
   struct limitshare limitshare;
-  struct registryshare *registryshare;
   const struct clock *clock;
   uv_udp_t udp;
+  uint64_t process_id; /**< Of this start of the host; not 0. */
   int64_t load_period_ns;
   int64_t next_load_ns;
 };
@@ -44,9 +43,8 @@
               struct loadshare *loadshare, struct kvstores *kvstores,
               const struct presence *presence, const struct subsets *subsets,
               struct streamorigin *origin, struct blameshare *blameshare,
-              struct registryshare *registryshare, const struct clock *clock,
-              const char *ip, uint16_t port, int64_t load_period_ns,
-              struct error *error);
+              const struct clock *clock, const char *ip, uint16_t port,
+              int64_t load_period_ns, struct error *error);
 
 /** Sends the load report when it is due. */
 void peerudp_tick (struct peerudp *peerudp);
--- a/src/servers.c
+++ b/src/servers.c
@@ -254,19 +254,6 @@
   return entry->heartbeat < current->heartbeat;
 }
 
-static bool
-entry_has_newer_models (const struct server_entry *entry,
-                        const struct server_entry *known)
-{
-  if (entry->model_count != known->model_count)
-    return true;
-  for (unsigned i = 0; i < entry->model_count; i++)
-    if (strcmp (entry->models[i].name, known->models[i].name) != 0
-        || entry->models[i].weight_version > known->models[i].weight_version)
-      return true;
-  return false;
-}
-
 static bool
 entry_is_of_other_start (const struct server_entry *entry,
                          const struct server_entry *current)
@@ -276,15 +263,18 @@
          || strcmp (entry->service, current->service) != 0;
 }
 
-bool
-server_entry_is_renewal (const struct server_entry *entry,
-                         const struct server_entry *known)
+/* Whether ENTRY has the models and weight versions that PREVIOUS had. */
+static bool
+entry_has_models_of (const struct server_entry *entry,
+                     const struct server_entry *previous)
 {
-  return !entry_is_of_other_start (entry, known)
-         && !entry_has_newer_models (entry, known)
-         && entry->leaving == known->leaving && entry->slots == known->slots
-         && strcmp (entry->software, known->software) == 0
-         && strcmp (entry->data_centre, known->data_centre) == 0;
+  if (entry->model_count != previous->model_count)
+    return false;
+  for (unsigned i = 0; i < entry->model_count; i++)
+    if (entry->models[i].weight_version != previous->models[i].weight_version
+        || strcmp (entry->models[i].name, previous->models[i].name) != 0)
+      return false;
+  return true;
 }
 
 void
@@ -324,7 +314,7 @@
   for (unsigned i = 0; i < previous.model_count; i++)
     server_set_weight_version (servers, server, previous.models[i].name,
                                previous.models[i].weight_version);
-  servers->weights_generation += entry_has_newer_models (entry, &previous);
+  servers->weights_generation += !entry_has_models_of (entry, &previous);
   servers->generation
       += previous.leaving != entry->leaving
          || strcmp (previous.data_centre, entry->data_centre) != 0;
--- a/src/servers.h
+++ b/src/servers.h
@@ -180,12 +180,6 @@
                    void *data);
 void servers_finish (struct servers *servers);
 
-/** Whether ENTRY says nothing new of a server with the entry KNOWN, but that
- * the server is alive. Weight versions that are older than the known ones are
- * not new. */
-bool server_entry_is_renewal (const struct server_entry *entry,
-                              const struct server_entry *known);
-
 /** Applies ENTRY, which was written to the registry at REVISION. ENTRY is
  * ignored if it is older than the entry that was applied last. */
 void servers_update (struct servers *servers, const struct server_entry *entry,
--- a/test/fake-duty.c
+++ b/test/fake-duty.c
@@ -176,9 +176,7 @@
 }
 
 static const struct kvview_ops view_ops
-    = { .key_put = view_key_put,
-        .key_removed = view_key_removed,
-        .reachability_changed = view_reachability_changed };
+    = { view_key_put, view_key_removed, view_reachability_changed };
 
 static void
 host_era_changed (void *data, uint64_t old_era, uint64_t era)
--- a/test/test-era.c
+++ b/test/test-era.c
@@ -51,9 +51,7 @@
 }
 
 static const struct kvview_ops view_ops
-    = { .key_put = log_put,
-        .key_removed = log_removal,
-        .reachability_changed = ignore_reachability };
+    = { log_put, log_removal, ignore_reachability };
 
 static void
 era_changed (void *data, uint64_t old_era, uint64_t era)
--- a/test/test-learned.c
+++ b/test/test-learned.c
@@ -66,9 +66,7 @@
 }
 
 static const struct kvview_ops view_ops
-    = { .key_put = note_put,
-        .key_removed = ignore_removal,
-        .reachability_changed = ignore_reachability };
+    = { note_put, ignore_removal, ignore_reachability };
 
 /* Whether the view is told of pauses, as in a process. */
 static bool pauses_are_told;
