A list of addresses has hosts of all data centres if it can't hold all hosts

Callers ask a host of their own data centre, whose list began with its neighbours, 64 of 295: hosts of data centres with many callers had up to half as many requests again as others, and each subset has the same number of engines. The list now has hosts at even distances.

cells/callers-reach-all-hosts-alike replays the requests of each data centre there: the busiest ten neighbours have 1.17 of the mean before, 1.00 after.

--- a/src/presence.c
+++ b/src/presence.c
@@ -453,25 +453,39 @@
   return order_current (presence)->hosts;
 }
 
-void
-presence_list_addresses (const struct presence *presence, GPtrArray *addresses)
+/* Return the addresses of the hosts that serve, in their order, beginning with
+ * this host. The caller frees the array. */
+static GPtrArray *
+serving_addresses (const struct presence *presence)
 {
   const GPtrArray *hosts = presence_sorted_hosts (presence);
-  unsigned first = presence_own_index (presence);
+  unsigned own = presence_own_index (presence);
+  GPtrArray *addresses = g_ptr_array_new ();
 
-  /* Each host starts the list at its own position, so that lists that reach
-   * the limit do not all leave out the same hosts. */
-  for (guint i = 0; i < hosts->len && addresses->len < PRESENCE_ADDRESSES_MAX;
-       i++)
+  for (guint i = 0; i < hosts->len; i++)
     {
-      const struct presence_host *host
-          = hosts->pdata[(first + i) % hosts->len];
+      const struct presence_host *host = hosts->pdata[(own + i) % hosts->len];
 
       if (host == NULL)
         host = &presence->self;
       if (!host->leaving)
         g_ptr_array_add (addresses, (gpointer)host->address);
     }
-  if (addresses->len == 0)
+  return addresses;
+}
+
+void
+presence_list_addresses (const struct presence *presence, GPtrArray *addresses)
+{
+  GPtrArray *serving = serving_addresses (presence);
+  guint count = MIN (serving->len, PRESENCE_ADDRESSES_MAX);
+
+  /* A list that can't hold all hosts has some of each data centre. Those that
+   * follow each other are in the same one, whose callers, if they are more
+   * than elsewhere, would find its hosts busier than the others. */
+  for (guint i = 0; i < count; i++)
+    g_ptr_array_add (addresses, serving->pdata[i * serving->len / count]);
+  if (count == 0)
     g_ptr_array_add (addresses, (gpointer)presence->self.address);
+  g_ptr_array_free (serving, TRUE);
 }
--- a/src/presence.h
+++ b/src/presence.h
@@ -143,7 +143,8 @@
 const GPtrArray *presence_sorted_hosts (const struct presence *presence);
 
 /** Appends the addresses for callers of hosts that are not leaving to
- * ADDRESSES, at most PRESENCE_ADDRESSES_MAX. If all hosts are leaving, only
+ * ADDRESSES, at most PRESENCE_ADDRESSES_MAX, which are spread evenly over all
+ * hosts. If all hosts are leaving, only
  * the address of this host is appended. The strings live as long as the
  * records of the hosts. */
 void presence_list_addresses (const struct presence *presence,
--- a/test/test-cells.c
+++ b/test/test-cells.c
@@ -4,6 +4,7 @@
 #include "unit.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -337,7 +338,88 @@
   view_finish (&view);
 }
 
+/* The callers of each data centre ask its hosts for addresses. Callers of the
+ * large site by data centre, a second, and hosts there. */
+static const struct
+{
+  unsigned requests;
+  unsigned hosts;
+} callers[] = { { 318, 44 }, { 369, 49 }, { 280, 42 },
+                { 283, 53 }, { 264, 55 }, { 369, 52 } };
+
+/* Add to LOADS, by the number of each host, the requests that the callers of
+ * data centre CENTRE send who asked host OWN. */
+static void
+callers_send (unsigned centre, unsigned own, double *loads)
+{
+  struct clock_fake clock;
+  struct presence presence;
+  struct presence_host self = { .leaving = false };
+  char own_key[32];
+  GPtrArray *addresses = g_ptr_array_new ();
+  unsigned number = 0;
+
+  clock_fake_init (&clock, 0);
+  for (unsigned c = 0; c < G_N_ELEMENTS (callers); c++)
+    for (unsigned i = 0; i < callers[c].hosts; i++, number++)
+      if (number == own)
+        {
+          g_snprintf (self.address, sizeof self.address, "%u", number);
+          g_snprintf (self.data_centre, sizeof self.data_centre, "c%u", c);
+          g_snprintf (own_key, sizeof own_key, "host/%03u", number);
+        }
+  presence_init (&presence, NULL, &clock.clock, own_key, &self, NS_PER_S);
+  number = 0;
+  for (unsigned c = 0; c < G_N_ELEMENTS (callers); c++)
+    for (unsigned i = 0; i < callers[c].hosts; i++, number++)
+      {
+        char key[32], value[64];
+        struct error error;
+
+        g_snprintf (key, sizeof key, "host/%03u", number);
+        g_snprintf (value, sizeof value,
+                    "{\"address\":\"%u\",\"data_centre\":\"c%u\"}", number, c);
+        presence_key_put (&presence, key, value, &error);
+      }
+  presence_list_addresses (&presence, addresses);
+  CU_ASSERT_EQUAL (addresses->len, PRESENCE_ADDRESSES_MAX);
+  for (guint i = 0; i < addresses->len; i++)
+    loads[atoi (addresses->pdata[i])]
+        += (double)callers[centre].requests
+           / (callers[centre].hosts * addresses->len);
+  g_ptr_array_free (addresses, TRUE);
+  presence_finish (&presence);
+}
+
+/* Hosts of data centres with many callers had half as many requests again as
+ * others, and each subset of hosts has the same number of servers. */
+static void
+test_callers_reach_all_hosts_alike (void)
+{
+  double loads[295] = { 0 };
+  double most = 0, sum = 0;
+  unsigned own = 0;
+
+  for (unsigned c = 0; c < G_N_ELEMENTS (callers); c++)
+    for (unsigned i = 0; i < callers[c].hosts; i++, own++)
+      callers_send (c, own, loads);
+  CU_ASSERT_EQUAL_FATAL (own, G_N_ELEMENTS (loads));
+  for (unsigned first = 0; first + SUBSETS_HOSTS_MAX <= own; first++)
+    {
+      double load = 0;
+
+      for (unsigned i = 0; i < SUBSETS_HOSTS_MAX; i++)
+        load += loads[first + i];
+      most = MAX (most, load / SUBSETS_HOSTS_MAX);
+    }
+  for (unsigned i = 0; i < own; i++)
+    sum += loads[i];
+  printf ("# busiest neighbours: %.2f of the mean\n", most / (sum / own));
+  CU_ASSERT_TRUE (most < 1.1 * sum / own);
+}
+
 static const struct unit_case cases[] = {
+  { "callers-reach-all-hosts-alike", test_callers_reach_all_hosts_alike },
   { "engine-that-is-ready-again", test_engine_that_is_ready_again },
   { "unchanged-fleet-is-not-divided-again",
     test_unchanged_fleet_is_not_divided_again },
