--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -12,7 +12,9 @@
   /* Space for the header fields that a host adds when it passes a request on.
    */
   HOST_HEADER_BYTES = 1024,
-  WATCH_WAIT_S = 25, /* Maximum time that one watch waits for a change. */
+  /* Maximum time that one watch waits for a change. It is shorter than the KV
+   * service keeps its history, 20 s by the pages of the platform. */
+  WATCH_WAIT_S = 15,
   /* Time for which the views hold keys that disappear around an outage of
    * the KV service. */
   KEY_HOLD_MS = 2000
--- a/test/test-kvview.c
+++ b/test/test-kvview.c
@@ -1,3 +1,4 @@
+#include "entryviews.h"
 #include "kvview.h"
 #include "unit.h"
 
@@ -12,6 +13,7 @@
   void *data;
   bool is_read;
   uint64_t after;
+  int64_t wait_ns; /* Of the last watch. */
   unsigned calls;
 } service;
 
@@ -40,6 +42,7 @@
 fake_watch (struct kv *kv, const char *prefix, uint64_t after, int64_t wait_ns,
             kv_done done, void *data)
 {
+  service.wait_ns = wait_ns;
   record_call (false, after, done, data);
 }
 
@@ -262,7 +265,40 @@
   finish ();
 }
 
+/* The watch of a prefix without changes waited for longer than the service
+ * keeps its history, so that all hosts read all keys every 25 s. */
+static void
+test_quiet_watch_is_no_read_of_all_keys (void)
+{
+  enum
+  {
+    HISTORY_S = 20
+  };
+  const struct kvview_settings settings = entryviews_settings (NULL);
+  unsigned reads = 0;
+
+  setup ();
+  view.settings = settings;
+  reply_to_call (STATUS_OK, 5, NULL, 0);
+  for (uint64_t revision = 6; revision < 20; revision++)
+    {
+      bool is_forgotten = service.wait_ns >= HISTORY_S * NS_PER_S;
+
+      clock_fake_advance (&fake_clock, service.wait_ns);
+      reads += service.is_read;
+      if (service.is_read)
+        reply_to_call (STATUS_OK, revision, NULL, 0);
+      else
+        reply_to_call (is_forgotten ? STATUS_STALE : STATUS_OK, revision, NULL,
+                       0);
+    }
+  CU_ASSERT_EQUAL (reads, 0);
+  finish ();
+}
+
 static const struct unit_case cases[] = {
+  { "quiet-watch-is-no-read-of-all-keys",
+    test_quiet_watch_is_no_read_of_all_keys },
   { "read-then-watch", test_read_then_watch },
   { "initial-read-is-told-apart", test_initial_read_is_told_apart },
   { "never-older", test_never_older },
