--- a/test/test-kvstores.c
+++ b/test/test-kvstores.c
@@ -473,12 +473,12 @@
   int64_t drift_ns = 0;
 
   lateness_init (&lateness);
-  for (int ppm = -100; ppm <= 100; ppm += 200)
+  for (int64_t ppm = -100; ppm <= 100; ppm += 200)
     {
-      uint64_t sender = (uint64_t)(ppm + 1000);
+      uint64_t sender = (uint64_t)ppm + 1000;
 
       CU_ASSERT_EQUAL (lateness_record (&lateness, sender, 0, 0), -1);
-      for (int64_t i = 1; i <= 24 * 3600; i++)
+      for (int64_t i = 1; i <= 86400; i++)
         {
           received_ns = i * NS_PER_S;
           drift_ns = i * ppm * 1000;
