Subsets have up to twenty hosts if ten would have too few engines

So the size follows from the hosts and the servers of the largest service, which all hosts know alike.

--- a/src/subsets.c
+++ b/src/subsets.c
@@ -171,6 +171,31 @@
   return true;
 }
 
+static unsigned
+largest_service (const struct servers *servers)
+{
+  GHashTableIter iter;
+  gpointer list;
+  unsigned largest = 0;
+
+  g_hash_table_iter_init (&iter, servers->by_service);
+  while (g_hash_table_iter_next (&iter, NULL, &list))
+    largest = MAX (largest, ((const GPtrArray *)list)->len);
+  return largest;
+}
+
+/* Returns the number of subsets of HOSTS hosts. It depends on nothing but
+ * what is registered, so that all hosts find the same. */
+static unsigned
+subset_count (const struct subsets *subsets, unsigned hosts)
+{
+  unsigned usual = (hosts + SUBSETS_HOSTS_USUAL - 1) / SUBSETS_HOSTS_USUAL;
+
+  if (largest_service (subsets->servers) >= usual * SUBSETS_SERVERS_ENOUGH)
+    return usual;
+  return (hosts + SUBSETS_HOSTS_MAX - 1) / SUBSETS_HOSTS_MAX;
+}
+
 void
 subsets_tick (struct subsets *subsets)
 {
@@ -182,7 +207,7 @@
   if (now < subsets->next_assign_ns || !fleet_has_changed (subsets))
     return;
   subsets->next_assign_ns = now + ASSIGN_PERIOD_MS * NS_PER_MS;
-  subsets->count = (hosts + SUBSETS_HOSTS_MAX - 1) / SUBSETS_HOSTS_MAX;
+  subsets->count = subset_count (subsets, hosts);
   subsets->own_index = subset_of_host (
       subsets, presence_own_index (subsets->presence), hosts);
   peers_update (subsets);
--- a/src/subsets.h
+++ b/src/subsets.h
@@ -22,7 +22,12 @@
 
 enum
 {
-  SUBSETS_HOSTS_MAX = 10, /**< Maximum number of hosts in one subset. */
+  SUBSETS_HOSTS_MAX = 20, /**< Maximum number of hosts in one subset. */
+  /** The same if the subsets have enough servers with it. */
+  SUBSETS_HOSTS_USUAL = 10,
+  /** Number of servers of the largest service for each subset that are enough.
+   * With fewer, some subsets wait for servers while others have free ones. */
+  SUBSETS_SERVERS_ENOUGH = 8,
   /** Minimum number of servers per subset; a service with fewer is not
    * divided. */
   SUBSETS_SERVERS_MIN = 4,
--- a/test/test-cells.c
+++ b/test/test-cells.c
@@ -43,13 +43,13 @@
 static void
 host_key_format (unsigned index, char name[32])
 {
-  g_snprintf (name, 32, "host/%02u", index);
+  g_snprintf (name, 32, "host/%03u", index);
 }
 
 static void
 engine_id_format (unsigned index, char name[32])
 {
-  g_snprintf (name, 32, "e%02u", index);
+  g_snprintf (name, 32, "e%04u", index);
 }
 
 /* The view of the host with the index OWN_INDEX. The hosts and the engines are
@@ -147,7 +147,7 @@
       view_init (&view, own, 77, 112);
       CU_ASSERT_EQUAL (view.subsets.count, 8);
       CU_ASSERT_TRUE (view.subsets.host_count >= 9
-                      && view.subsets.host_count <= SUBSETS_HOSTS_MAX);
+                      && view.subsets.host_count <= SUBSETS_HOSTS_USUAL);
       CU_ASSERT_EQUAL (view_count_local_engines (&view, 112, NULL), 14);
       for (int i = 0; i < 4; i++)
         CU_ASSERT_TRUE (view_count_local_engines (&view, 112, data_centres[i])
@@ -158,7 +158,7 @@
     }
   for (unsigned i = 0; i < 112; i++)
     CU_ASSERT_TRUE (local_hosts[i] >= 9
-                    && local_hosts[i] <= SUBSETS_HOSTS_MAX);
+                    && local_hosts[i] <= SUBSETS_HOSTS_USUAL);
 }
 
 static void
@@ -404,13 +404,13 @@
     for (unsigned i = 0; i < callers[c].hosts; i++, own++)
       callers_send (c, own, loads);
   CU_ASSERT_EQUAL_FATAL (own, G_N_ELEMENTS (loads));
-  for (unsigned first = 0; first + SUBSETS_HOSTS_MAX <= own; first++)
+  for (unsigned first = 0; first + SUBSETS_HOSTS_USUAL <= own; first++)
     {
       double load = 0;
 
-      for (unsigned i = 0; i < SUBSETS_HOSTS_MAX; i++)
+      for (unsigned i = 0; i < SUBSETS_HOSTS_USUAL; i++)
         load += loads[first + i];
-      most = MAX (most, load / SUBSETS_HOSTS_MAX);
+      most = MAX (most, load / SUBSETS_HOSTS_USUAL);
     }
   for (unsigned i = 0; i < own; i++)
     sum += loads[i];
@@ -418,7 +418,33 @@
   CU_ASSERT_TRUE (most < 1.1 * sum / own);
 }
 
+/* 295 hosts before 160 engines had five engines a subset: those of some were
+ * full, and requests waited to their deadline, while others had free ones. */
+static void
+test_few_engines_make_larger_subsets (void)
+{
+  static const struct
+  {
+    unsigned hosts;
+    unsigned engines;
+    unsigned subsets;
+  } fleets[] = { { 295, 160, 15 },  { 295, 133, 15 }, { 295, 240, 30 },
+                 { 301, 3002, 31 }, { 79, 90, 8 },    { 79, 75, 8 },
+                 { 77, 112, 8 },    { 9, 9, 1 },      { 9, 0, 1 } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (fleets); i++)
+    {
+      struct view view;
+
+      view_init (&view, 0, fleets[i].hosts, fleets[i].engines);
+      CU_ASSERT_EQUAL (view.subsets.count, fleets[i].subsets);
+      CU_ASSERT_TRUE (view.subsets.host_count <= SUBSETS_HOSTS_MAX);
+      view_finish (&view);
+    }
+}
+
 static const struct unit_case cases[] = {
+  { "few-engines-make-larger-subsets", test_few_engines_make_larger_subsets },
   { "callers-reach-all-hosts-alike", test_callers_reach_all_hosts_alike },
   { "engine-that-is-ready-again", test_engine_that_is_ready_again },
   { "unchanged-fleet-is-not-divided-again",
