--- a/src/lateness.c
+++ b/src/lateness.c
@@ -1,9 +1,12 @@
 #include "lateness.h"
+#include "clock.h"
 
 enum
 {
-  /* Number of senders that are kept; with more, all are forgotten. */
-  SENDERS_MAX = 64,
+  /* Number of senders from which on silent ones are forgotten, and, if there
+   * are no silent ones, all. */
+  SENDERS_MAX = 1024,
+  SILENT_S = 30,
   /* Two clocks drift apart by less than one part in so many. */
   DRIFT_PARTS = 1000
 };
@@ -27,6 +30,23 @@
   g_hash_table_destroy (lateness->senders);
 }
 
+static gboolean
+sender_is_silent (gpointer id, gpointer sender, gpointer now_ns)
+{
+  return *(const int64_t *)now_ns
+             - ((const struct sender *)sender)->received_ns
+         > SILENT_S * NS_PER_S;
+}
+
+static void
+senders_forget (struct lateness *lateness, int64_t now_ns)
+{
+  if (g_hash_table_foreach_remove (lateness->senders, sender_is_silent,
+                                   &now_ns)
+      == 0)
+    g_hash_table_remove_all (lateness->senders);
+}
+
 static void
 sender_add (struct lateness *lateness, uint64_t id, int64_t offset_ns,
             int64_t received_ns)
@@ -34,7 +54,7 @@
   struct sender sender = { offset_ns, received_ns };
 
   if (g_hash_table_size (lateness->senders) >= SENDERS_MAX)
-    g_hash_table_remove_all (lateness->senders);
+    senders_forget (lateness, received_ns);
   g_hash_table_insert (lateness->senders, g_memdup2 (&id, sizeof id),
                        g_memdup2 (&sender, sizeof sender));
 }
