Decode Server-Brittle and log what a rejection met

Logged now: server_changed with brittle and not_brittle, forward_attempt with in_flight, others_in_flight, load and brittle. No decision uses it yet.

--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -86,9 +86,13 @@
   learn_limit (forward);
   serverlearn_statement (forward->forwarder->servers, server,
                          &response->statement);
-  if (response->matches_request && !response->other_server
-      && response->statement.pause == STATEMENT_NONE)
+  if (!response->matches_request || response->other_server)
+    return;
+  if (response->statement.pause == STATEMENT_NONE)
     serverpause_answered (&server->pause);
+  if (response->statement.brittle == STATEMENT_NONE)
+    servers_record_brittle (forward->forwarder->servers, server, -1,
+                            clock_now (forward->forwarder->clock), true);
 }
 
 static struct reach *
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -224,16 +224,21 @@
   if (outcome == EXCHANGE_ANSWERED && action == FORWARDRETRY_PASS_ON)
     return;
   response_end_describe (exchange, response_end, sizeof response_end);
-  log_event (forwarder->log, EVENT_FORWARD_ATTEMPT,
-             "id=%s server=%s end=%s status=%d action=%s runs=%u not_run=%u "
-             "relayed=%d %s sent_ms=%.1f",
-             forward->call.request_id, exchange->server->entry.id,
-             exchange_outcome_name (outcome), exchange->response.status,
-             forwardretry_action_name (action), forward->run_count,
-             forward->not_run_count, forward->relaying, response_end,
-             exchange->sent_ns != 0
-                 ? (double)(now - exchange->sent_ns) / NS_PER_MS
-                 : -1.0);
+  log_event (
+      forwarder->log, EVENT_FORWARD_ATTEMPT,
+      "id=%s server=%s end=%s status=%d action=%s runs=%u not_run=%u "
+      "relayed=%d %s sent_ms=%.1f in_flight=%u others_in_flight=%u "
+      "load=%u,%u brittle=%d",
+      forward->call.request_id, exchange->server->entry.id,
+      exchange_outcome_name (outcome), exchange->response.status,
+      forwardretry_action_name (action), forward->run_count,
+      forward->not_run_count, forward->relaying, response_end,
+      exchange->sent_ns != 0 ? (double)(now - exchange->sent_ns) / NS_PER_MS
+                             : -1.0,
+      exchange->server->in_flight_requests,
+      exchange->server->other_hosts_requests,
+      exchange->response.running_requests, exchange->response.waiting_requests,
+      exchange->server->brittle.brittle);
 }
 
 /* Write the ids of the blocks of the prompt, separated by commas, to OUT. Ids
--- a/src/serverlearn.c
+++ b/src/serverlearn.c
@@ -5,7 +5,8 @@
   /* Bits of server.ignored_fields. */
   FIELD_LEAVING = 1 << 0,
   FIELD_PAUSE = 1 << 1,
-  FIELD_LIMIT = 1 << 2
+  FIELD_LIMIT = 1 << 2,
+  FIELD_BRITTLE = 1 << 3
 };
 
 static const char *const reasons[] = {
@@ -73,6 +74,10 @@
     learn_leaving (servers, server);
   if (is_believed (servers, server, FIELD_PAUSE, "pause", statement->pause))
     learn_pause (servers, server, statement->pause_ns);
+  if (is_believed (servers, server, FIELD_BRITTLE, "brittle",
+                   statement->brittle))
+    servers_record_brittle (servers, server, statement->rejections,
+                            clock_now (servers->clock), true);
 }
 
 void
--- a/src/servers.c
+++ b/src/servers.c
@@ -67,6 +67,8 @@
   servers->failing = g_ptr_array_new_with_free_func (server_release);
   servers->reach_by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  servers->brittle_by_service
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   servers->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                                server_array_free);
 }
@@ -78,6 +80,7 @@
   g_ptr_array_free (servers->failing, TRUE);
   g_hash_table_destroy (servers->by_hash);
   g_hash_table_destroy (servers->reach_by_service);
+  g_hash_table_destroy (servers->brittle_by_service);
   g_hash_table_destroy (servers->by_service);
   softwarespan_finish (&servers->software);
   serverstart_table_finish (&servers->stated);
@@ -196,6 +199,21 @@
                                    entry->started_ms };
 }
 
+static struct serverbrittle_service *
+service_brittle (struct servers *servers, const char *service)
+{
+  struct serverbrittle_service *found
+      = g_hash_table_lookup (servers->brittle_by_service, service);
+
+  if (found == NULL)
+    {
+      found = g_new0 (struct serverbrittle_service, 1);
+      g_hash_table_insert (servers->brittle_by_service, g_strdup (service),
+                           found);
+    }
+  return found;
+}
+
 static struct server *
 server_new (const struct server_entry *entry)
 {
@@ -235,6 +253,8 @@
       server->states_leaving = start->leaving;
       server->pause = start->pause;
     }
+  serverbrittle_init (&server->brittle,
+                      service_brittle (servers, entry->service));
   server->in_local_data_centre
       = strcmp (entry->data_centre, servers->data_centre) == 0;
   g_hash_table_insert (servers->by_id, server->entry.id, server);
@@ -462,6 +482,20 @@
     servers->limit_stated_ns = MAX (servers->limit_stated_ns, stated_ns);
 }
 
+void
+servers_record_brittle (struct servers *servers, struct server *server,
+                        int64_t rejections, int64_t stated_ns, bool here)
+{
+  struct serverbrittle_service *service
+      = service_brittle (servers, server->entry.service);
+
+  if (serverbrittle_record (&server->brittle, rejections, stated_ns, here))
+    notify_change (servers, server,
+                   server->brittle.brittle ? "brittle" : "not_brittle");
+  service->brittle = server->brittle.brittle;
+  service->rejections = server->brittle.rejections;
+}
+
 void
 server_record_cut (struct servers *servers, struct server *server)
 {
--- a/src/servers.h
+++ b/src/servers.h
@@ -5,6 +5,7 @@
 #include "list.h"
 #include "servercache.h"
 #include "reach.h"
+#include "serverbrittle.h"
 #include "serverlimit.h"
 #include "serverpause.h"
 #include "serverstart.h"
@@ -120,6 +121,7 @@
   double failure_ratio;
   struct serverlimit limit;
   struct serverpause pause;
+  struct serverbrittle brittle;
   int64_t busy_until_ns; /**< No requests are sent to the server before this
                             time. */
 
@@ -168,6 +170,8 @@
   struct softwarespan software;    /**< Since when each service has had one
                                       software only. */
   GHashTable *reach_by_service;    /**< Maps service names to struct reach. */
+  GHashTable *brittle_by_service;  /**< Maps service names to struct
+                                      serverbrittle_service. */
   struct softwarestart starts; /**< Software whose new starts the registry may
                                   tell of soon. */
   const struct servers_ops *ops;
@@ -283,6 +287,12 @@
 void servers_record_limit (struct servers *servers, struct server *server,
                            double per_s, int64_t stated_ns, bool here);
 
+/** Records that a response of SERVER stated that it is brittle and may reject
+ * REJECTIONS requests within a second, or that it is not brittle if that is
+ * negative. See serverbrittle_record. */
+void servers_record_brittle (struct servers *servers, struct server *server,
+                             int64_t rejections, int64_t stated_ns, bool here);
+
 /** Records that SERVER can't be reached. It gets no requests until a probe
  * reaches it. */
 void server_set_unreachable (struct servers *servers, struct server *server);
--- a/src/statement.h
+++ b/src/statement.h
@@ -23,6 +23,10 @@
   enum statement_kind pause;   /**< The server turned the request away, and
                                   wants nothing from this host for pause_ns. */
   int64_t pause_ns;            /**< Valid if `pause` is. */
+  enum statement_kind brittle; /**< The server falls over once it has to reject
+                                  more than `rejections` requests within a
+                                  second for want of room. */
+  unsigned rejections;         /**< Valid if `brittle` is. */
 };
 
 #endif
--- a/test/test-platform.c
+++ b/test/test-platform.c
@@ -361,6 +361,52 @@
     }
 }
 
+/* The field by which a server says that it is brittle was read nowhere. */
+static void
+test_stated_brittle (void)
+{
+  static const struct
+  {
+    const char *value;
+    enum statement_kind kind;
+    unsigned rejections;
+  } rows[] = { { "0", STATEMENT_VALID, 0 },
+               { "1", STATEMENT_VALID, 1 },
+               { "10", STATEMENT_VALID, 10 },
+               { "2.9", STATEMENT_VALID, 2 },
+               { ".5", STATEMENT_VALID, 0 },
+               { "99999999999999999999", STATEMENT_VALID, UINT32_MAX },
+               { "", STATEMENT_MALFORMED, 0 },
+               { "-1", STATEMENT_MALFORMED, 0 },
+               { "nan", STATEMENT_MALFORMED, 0 },
+               { "1e3", STATEMENT_MALFORMED, 0 },
+               { "1 2", STATEMENT_MALFORMED, 0 } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct httpfields head;
+      struct response response;
+
+      httpfields_init (&head);
+      head_add_field (&head, "X-Request-Id", "r");
+      message_response_decode (200, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.brittle, STATEMENT_NONE);
+      head_add_field (&head, "Server-Brittle", rows[i].value);
+      message_response_decode (503, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.brittle, rows[i].kind);
+      if (rows[i].kind == STATEMENT_VALID)
+        CU_ASSERT_EQUAL (response.statement.rejections, rows[i].rejections);
+      message_response_decode (200, &head, "other", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.brittle, STATEMENT_FOREIGN);
+      message_query_response_decode (200, &head, "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.brittle, rows[i].kind);
+      head_add_field (&head, "Server-Brittle", "1");
+      message_response_decode (200, &head, "r", "i-1", &response);
+      CU_ASSERT_EQUAL (response.statement.brittle, STATEMENT_REPEATED);
+      httpfields_finish (&head);
+    }
+}
+
 /* Bad values of the time for which a server wants nothing were believed, or
  * fractions of a second dropped. */
 static void
@@ -509,6 +555,7 @@
   { "pass-on", test_pass_on },
   { "stated-limit", test_stated_limit },
   { "stated-leaving", test_stated_leaving },
+  { "stated-brittle", test_stated_brittle },
   { "stated-pause", test_stated_pause },
   { "odd-numbers", test_odd_numbers },
   { "configuration", test_configuration },
