--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -6,8 +6,6 @@
 
 enum
 {
-  /* A server that has refused a request gets no requests for this time. */
-  REFUSAL_BUSY_MS = 150,
   /* Maximum backlog at which the delay of a store is measured. With a
    * larger backlog, the time to the first event says nothing about the delay.
    */
@@ -182,7 +180,7 @@
   if (outcome == EXCHANGE_NOT_RUN && response->other_server)
     servers_remove (forwarder->servers, server->entry.id, "other_at_address");
   else if (outcome == EXCHANGE_NOT_RUN && !response->other_weights)
-    server_set_busy (server, now + REFUSAL_BUSY_MS * NS_PER_MS);
+    serverlearn_rejection (forwarder->servers, server, now);
   if (outcome == EXCHANGE_ANSWERED && response->success
       && forward->call.model != NULL)
     server_cache_add (server, forward->call.blocks, forward->call.block_count,
--- a/src/serverlearn.c
+++ b/src/serverlearn.c
@@ -2,6 +2,8 @@
 
 enum
 {
+  /* A server that has rejected a request gets no requests for this time. */
+  REJECTION_BUSY_MS = 150,
   /* Bits of server.ignored_fields. */
   FIELD_LEAVING = 1 << 0,
   FIELD_PAUSE = 1 << 1,
@@ -80,6 +82,13 @@
                             clock_now (servers->clock), true);
 }
 
+void
+serverlearn_rejection (struct servers *servers, struct server *server,
+                       int64_t now_ns)
+{
+  server_set_busy (server, now_ns + REJECTION_BUSY_MS * NS_PER_MS);
+}
+
 void
 serverlearn_query_response (struct servers *servers, struct server *server,
                             const struct response *response, int64_t now_ns)
--- a/src/serverlearn.h
+++ b/src/serverlearn.h
@@ -14,6 +14,11 @@
 void serverlearn_statement (struct servers *servers, struct server *server,
                             const struct statement *statement);
 
+/** Record that SERVER rejected a request at NOW_NS without running it. It gets
+ * no requests for a moment. */
+void serverlearn_rejection (struct servers *servers, struct server *server,
+                            int64_t now_ns);
+
 /** Record what the RESPONSE of SERVER to a query, received at NOW_NS, stated.
  * That of another server at its address is ignored. What it does not state
  * means nothing: a query is answered beside the limits for requests. */
