Divide the room of brittle servers among the hosts

What callers saw: while the servers of a service stated Server-Brittle, they fell over again and again; what ran there was lost, and nothing was served in between (LIMIT).

Cause: nothing read the statement. Hosts learned of a server's room only by what it rejected, each for itself, and sent the rejected request to the next server at once.

Now the slots of a brittle server, or the requests that fit into its memory, are divided among the hosts that send to it, by their positions in a rendezvous order; what is over waits at the host, goes to a host that holds room, or is refused at once. Rejections are told between the hosts and keep all of them away for the second in which they count. A place that becomes free at a brittle server is used at once, not at the next tick.

test-cells replays the load of whole subsets at one host without any response; its hosts now know that their engines are not brittle. What it asserts is unchanged.

--- a/src/choose.c
+++ b/src/choose.c
@@ -20,10 +20,19 @@
  * for each of its requests if some of them wait. */
 static const double plain_run_ms = 60;
 static const double plain_wait_ms = 10;
+/* Assumed time that an engine takes for one request. */
+static const double model_run_ms = 500;
 /* Requests for each slot that a plain service's server takes: one that runs,
  * and one that waits. */
 static const unsigned plain_places_per_slot = 2;
 
+enum
+{
+  /* Age up to which a server's statement of its load holds while the server is
+   * brittle. */
+  LOAD_REPORT_MS = 200
+};
+
 const struct choose_settings choose_settings_default = {
   .prefill_tokens_per_ms = 60,
   .fetch_tokens_per_ms = 150,
@@ -308,6 +317,96 @@
   result->limited_per_s += serverlimit_own_rate (limit, now);
 }
 
+/* Time that a request takes at a server that has answered none yet. */
+static double
+run_ms (const struct choose_query *query, const struct server *server)
+{
+  if (server->run_ms > 0)
+    return server->run_ms;
+  return query->model == NULL ? plain_run_ms : model_run_ms;
+}
+
+/* Return how many requests like that of QUERY this host may have in flight at
+ * SERVER, which is brittle. */
+static unsigned
+brittle_places (const struct choose_settings *settings,
+                const struct choose_query *query, const struct server *server,
+                int64_t now)
+{
+  unsigned units = serverbrittle_room (&server->brittle, server->entry.slots);
+  uint64_t needed = query->call->prompt_tokens + query->call->output_tokens;
+
+  if (query->model != NULL && needed > 0)
+    units = (unsigned)MIN (
+        units, MAX (settings->memory_share * (double)server->kv_capacity_tokens
+                        / (double)needed,
+                    needed <= server->kv_capacity_tokens));
+  return serverbrittle_share (&server->brittle, units, now);
+}
+
+/* Whether a response told a moment ago that requests wait at SERVER. */
+static bool
+has_waiting (const struct server *server, int64_t now)
+{
+  return server->has_load_report && server->waiting_requests > 0
+         && now - server->load_reported_ns < LOAD_REPORT_MS * NS_PER_MS;
+}
+
+/* Whether SERVER may be brittle, for all this host knows, and already has the
+ * requests that it would then get. */
+static bool
+may_be_brittle (const struct server *server, int64_t now)
+{
+  unsigned room = serverbrittle_room (&server->brittle, server->entry.slots);
+
+  return serverbrittle_is_unknown (&server->brittle)
+         && server->in_flight_requests
+                >= MAX (serverbrittle_share (&server->brittle, room, now), 1U);
+}
+
+/* Whether SERVER has a place for the request that is this host's, if it is
+ * brittle. */
+static bool
+has_own_place (const struct choose_settings *settings,
+               const struct choose_query *query, const struct server *server,
+               int64_t now)
+{
+  uint64_t needed = query->call->prompt_tokens + query->call->output_tokens;
+  unsigned places;
+
+  if (!server->brittle.brittle)
+    return true;
+  places = brittle_places (settings, query, server, now);
+  return server->in_flight_requests < serverbrittle_share (
+             &server->brittle,
+             serverbrittle_room (&server->brittle, server->entry.slots), now)
+         && (query->model == NULL
+             || server->in_flight_tokens + needed <= places * needed)
+         && places > 0 && !has_waiting (server, now)
+         && !serverbrittle_is_held (&server->brittle, now);
+}
+
+static void
+result_add_brittle (const struct choose_settings *settings,
+                    const struct choose_query *query,
+                    const struct server *server, int64_t now, struct rng *rng,
+                    struct choose_result *result)
+{
+  unsigned places = brittle_places (settings, query, server, now);
+  double ms = run_ms (query, server);
+  int64_t wait_ns
+      = places > 0 ? (int64_t)(ms / places * NS_PER_MS) : CLOCK_NEVER;
+
+  result->at_capacity = true;
+  result->limited_wait_ns
+      = result->limited > 0 ? MIN (result->limited_wait_ns, wait_ns) : wait_ns;
+  result->limited++;
+  result->limited_per_s += places * 1000 / ms;
+  result->brittle++;
+  if (rng_uniform (rng) * result->brittle < 1)
+    result->brittle_server = server;
+}
+
 static void
 result_add_paused (struct choose_result *result,
                    const struct serverpause *pause, int64_t now)
@@ -384,8 +483,11 @@
         result_add_limited (result, &server->limit, now);
       else if (!server_accepts_requests (server, now)
                || !has_memory (settings, query, server)
+               || may_be_brittle (server, now)
                || (spares_others && !has_place (server)))
         result->at_capacity = result->others_at_capacity = true;
+      else if (!has_own_place (settings, query, server, now))
+        result_add_brittle (settings, query, server, now, rng, result);
       else
         candidate_consider (settings, query, server, server == preferred, now,
                             clock_boottime (servers->clock), rng, result);
--- a/src/choose.h
+++ b/src/choose.h
@@ -99,12 +99,16 @@
                         without capacity. */
   bool at_capacity;  /**< Whether a suitable server exists that has no capacity
                         now. */
-  /** Number of suitable servers that their limits keep from being chosen now,
-   * and the requests per second that this host may send to them together. */
+  /** Number of suitable servers that their limits, or their room while they
+   * are brittle, keep from being chosen now, and the requests per second that
+   * this host may send to them together. */
   unsigned limited;
   double limited_per_s;
   int64_t limited_wait_ns; /**< Time until the first of them may be sent a
                               request; valid if `limited` is not 0. */
+  unsigned brittle;        /**< Those of them that are brittle. */
+  /** One of these, at random; NULL if there is none. */
+  const struct server *brittle_server;
   /** Number of suitable servers that asked for a pause, and the time until the
    * first of these pauses ends; valid if `paused` is not 0. */
   unsigned paused;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -161,7 +161,13 @@
 exchange_ended (void *data, struct exchange *exchange,
                 enum exchange_outcome outcome)
 {
-  forward_attempt_ended (data, outcome);
+  struct forward *forward = data;
+  struct forwarder *forwarder = forward->forwarder;
+  bool frees_room = exchange->server->brittle.brittle;
+
+  forward_attempt_ended (forward, outcome);
+  if (frees_room)
+    forwardwait_place (forwarder, clock_now (forwarder->clock), forward_place);
 }
 
 static void
@@ -288,8 +294,13 @@
     {
       if (forwardwait_limits_allow (forward, &choice))
         forwardwait_add (forward);
+      else if (choice.brittle_server != NULL
+               && forwardhost_send_to_holder (forward, choice.brittle_server))
+        forwardwait_remove (forward);
       else
-        forward_give_up (forward, "limited", RETRY_AFTER_NO_SERVER_MS);
+        forward_give_up (
+            forward, choice.brittle == choice.limited ? "no_room" : "limited",
+            RETRY_AFTER_NO_SERVER_MS);
       return;
     }
   if (choice.server == NULL && software_may_return (forward, &choice))
@@ -534,52 +545,13 @@
     attempt_abandon (forward, EXCHANGE_SILENT);
 }
 
-/* Send the waiting requests that need a certain software to servers. That they
- * find no capacity says nothing about other requests. */
-static void
-forwarder_place_resumed (struct forwarder *forwarder)
-{
-  struct list *node = forwarder->waiting.next;
-
-  while (node != &forwarder->waiting)
-    {
-      struct forward *forward
-          = LIST_ENTRY (node, struct forward, waiting_node);
-
-      node = node->next;
-      if (forward->software_hash != 0)
-        forward_place (forward);
-    }
-}
-
-/* Send waiting requests to servers, the lowest class first. If no server has
- * capacity for the first request of a class, the class is skipped, since its
- * other requests would find no capacity either. */
-static void
-forwarder_place_waiting (struct forwarder *forwarder, int64_t now)
-{
-  struct forward *forward;
-  int skipped_class = -1;
-
-  forwarder_place_resumed (forwarder);
-  while ((forward = forwardwait_next (forwarder, now, skipped_class)) != NULL)
-    {
-      int class = forwardwait_class (forward, now);
-      size_t count = forwarder->waiting_count;
-
-      forward_place (forward);
-      if (forwarder->waiting_count == count)
-        skipped_class = class;
-    }
-}
-
 void
 forwarder_tick (struct forwarder *forwarder)
 {
   int64_t now = clock_now (forwarder->clock);
   struct list *node;
 
-  forwarder_place_waiting (forwarder, now);
+  forwardwait_place (forwarder, now, forward_place);
   node = forwarder->requests.next;
   while (node != &forwarder->requests)
     {
--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -14,6 +14,8 @@
   UNREACHED_PAUSE_MS = 1000,
   /* A host that has sent nothing for this time may stand still. */
   SILENT_MS = 500,
+  /* Maximum number of hosts that hold room that are looked at. */
+  HOLDERS_MAX = 4,
   /* Minimum time left of a request that is passed on. */
   TIME_LEFT_MIN_MS = 10,
   /* Time by which the other host ends a request earlier, so that what it says
@@ -39,17 +41,36 @@
   return false;
 }
 
-bool
-forwardhost_is_due (const struct forward *forward)
+/* Whether the request may be passed on at all. */
+static bool
+may_pass_on (const struct forward *forward)
 {
-  const struct forwarder *forwarder = forward->forwarder;
-
-  return !forward->from_host && forwarder->hosts != NULL
+  return !forward->from_host && forward->forwarder->hosts != NULL
          && forward->host_tries < FORWARD_HOST_TRIES_MAX
          && forward->run_count < forward->route->servers_max
          && forward_time_left_ns (forward) > TIME_LEFT_MIN_MS * NS_PER_MS
-         && (forward->run_count == 0 || route_allows_retry (forward->route))
-         && servers_service_is_out (forwarder->servers, forward->service);
+         && (forward->run_count == 0 || route_allows_retry (forward->route));
+}
+
+bool
+forwardhost_is_due (const struct forward *forward)
+{
+  return may_pass_on (forward)
+         && servers_service_is_out (forward->forwarder->servers,
+                                    forward->service);
+}
+
+/* Whether HOST takes no request like this one now. */
+static bool
+is_avoided (const struct forward *forward, const struct otherhost *host)
+{
+  int64_t now = clock_now (forward->forwarder->clock);
+
+  return host->avoid_until_ns > now
+         || (host->refused_until_ns > now
+             && host->refused_service
+                    == servers_service_hash (forward->service))
+         || host->in_flight >= IN_FLIGHT_MAX || was_tried (forward, host);
 }
 
 /* Hosts that report to reach the service come first, then those with the
@@ -60,12 +81,8 @@
   struct choice *choice = data;
   const struct forward *forward = choice->forward;
   const struct otherhost *best = choice->host;
-  int64_t now = clock_now (forward->forwarder->clock);
 
-  if (reach == LOADSHARE_REACH_OUT || host->avoid_until_ns > now
-      || (host->refused_until_ns > now
-          && host->refused_service == servers_service_hash (forward->service))
-      || host->in_flight >= IN_FLIGHT_MAX || was_tried (forward, host))
+  if (reach == LOADSHARE_REACH_OUT || is_avoided (forward, host))
     return;
   choice->candidates++;
   if (best != NULL
@@ -130,6 +147,36 @@
   return true;
 }
 
+bool
+forwardhost_send_to_holder (struct forward *forward,
+                            const struct server *server)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  unsigned holders;
+  unsigned first;
+
+  if (!may_pass_on (forward) || server->in_other_subset
+      || server->sending_host_count
+             <= g_hash_table_size (forwarder->hosts->presence->hosts))
+    return false;
+  holders = serverbrittle_holders (
+      &server->brittle,
+      serverbrittle_room (&server->brittle, server->entry.slots));
+  first = (unsigned)rng_below (forwarder->rng, MAX (holders, 1U));
+  for (unsigned i = 0; i < MIN (holders, HOLDERS_MAX); i++)
+    {
+      struct otherhost *host = otherhosts_of_rank (
+          forwarder->hosts, server->entry.id, (first + i) % holders);
+
+      if (host == NULL || is_avoided (forward, host))
+        continue;
+      forward_log_host (forward, host->server->entry.id, holders, "room");
+      host_attempt_start (forward, host);
+      return true;
+    }
+  return false;
+}
+
 void
 forwardhost_head_received (struct forward *forward)
 {
--- a/src/forwardhost.h
+++ b/src/forwardhost.h
@@ -5,9 +5,10 @@
 
 /** @file
  * Passes requests on to another host while this one can't reach the servers of
- * their service. The other host treats such a request like that of a caller,
- * except that it never passes it on again. If no other host reaches the
- * service either, the request is refused here at once.
+ * their service, or has no room at brittle ones. The other host treats such a
+ * request like that of a caller, except that it never passes it on again. If
+ * no other host reaches the service either, the request is refused here at
+ * once.
  */
 
 /** Whether the request shall be passed on to another host, if there is one. */
@@ -17,6 +18,12 @@
  * @return false if there is none */
 bool forwardhost_send (struct forward *forward);
 
+/** Pass the request on to a host that holds room at SERVER, which is brittle
+ * and at which this host has none.
+ * @return false if that can't be done */
+bool forwardhost_send_to_holder (struct forward *forward,
+                                 const struct server *server);
+
 /** Handle the head of a response that comes from another host: a refusal of
  * the host itself is a promise that the request has not run. */
 void forwardhost_head_received (struct forward *forward);
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -168,6 +168,8 @@
                            response->status >= 500);
   else if (outcome == EXCHANGE_FOREIGN || outcome == EXCHANGE_SILENT)
     server_record_reached (forwarder->servers, server, true);
+  if (outcome == EXCHANGE_ANSWERED)
+    server_record_run (server, now - forward->exchange.sent_ns);
   forwardblame_learn (forward, outcome);
   if (outcome == EXCHANGE_CUT)
     {
@@ -180,7 +182,12 @@
   if (outcome == EXCHANGE_NOT_RUN && response->other_server)
     servers_remove (forwarder->servers, server->entry.id, "other_at_address");
   else if (outcome == EXCHANGE_NOT_RUN && !response->other_weights)
-    serverlearn_rejection (forwarder->servers, server, now);
+    {
+      serverlearn_rejection (forwarder->servers, server, now);
+      if (server->brittle.brittle)
+        metrics_add (forwarder->metrics,
+                     "trefoilspar_brittle_rejections_total", "", 1);
+    }
   if (outcome == EXCHANGE_ANSWERED && response->success
       && forward->call.model != NULL)
     server_cache_add (server, forward->call.blocks, forward->call.block_count,
--- a/src/forwardwait.c
+++ b/src/forwardwait.c
@@ -55,8 +55,11 @@
          + (int)forward_priority (forward);
 }
 
-struct forward *
-forwardwait_next (const struct forwarder *forwarder, int64_t now, int above)
+/* Return the oldest waiting request of the lowest class that is greater than
+ * ABOVE, or NULL if there is none. Requests that need a certain software are
+ * left out. */
+static struct forward *
+waiting_next (const struct forwarder *forwarder, int64_t now, int above)
 {
   struct forward *best = NULL;
   int best_class = INT_MAX;
@@ -148,3 +151,45 @@
          || pause_ns (forward) < MAX (PAUSE_TARGETS_MAX * target_ns,
                                       PAUSE_MIN_MS * NS_PER_MS);
 }
+
+/* Place the waiting requests that need a certain software. That they find no
+ * capacity says nothing about other requests. */
+static void
+resumed_place (struct forwarder *forwarder,
+               void (*place) (struct forward *forward))
+{
+  struct list *node = forwarder->waiting.next;
+
+  while (node != &forwarder->waiting)
+    {
+      struct forward *forward
+          = LIST_ENTRY (node, struct forward, waiting_node);
+
+      node = node->next;
+      if (forward->software_hash != 0)
+        place (forward);
+    }
+}
+
+void
+forwardwait_place (struct forwarder *forwarder, int64_t now,
+                   void (*place) (struct forward *forward))
+{
+  struct forward *forward;
+  int skipped_class = -1;
+
+  if (forwarder->is_placing)
+    return;
+  forwarder->is_placing = true;
+  resumed_place (forwarder, place);
+  while ((forward = waiting_next (forwarder, now, skipped_class)) != NULL)
+    {
+      int class = forwardwait_class (forward, now);
+      size_t count = forwarder->waiting_count;
+
+      place (forward);
+      if (forwarder->waiting_count == count)
+        skipped_class = class;
+    }
+  forwarder->is_placing = false;
+}
--- a/src/forwardwait.h
+++ b/src/forwardwait.h
@@ -5,7 +5,8 @@
 
 /** @file
  * Requests that wait at this host until a server has capacity, which happens
- * when the prompts in flight exceed the memory of the engines.
+ * when the prompts in flight exceed the memory of the engines, or the requests
+ * of all hosts the room of brittle servers.
  */
 
 /** Add the request to the waiting requests. Has no effect if the request waits
@@ -20,11 +21,12 @@
  * Requests that have missed their target get the remaining capacity. */
 int forwardwait_class (const struct forward *forward, int64_t now);
 
-/** Return the oldest waiting request of the lowest class that is greater than
- * ABOVE, or NULL if there is none. Requests that need a certain software are
- * left out. */
-struct forward *forwardwait_next (const struct forwarder *forwarder,
-                                  int64_t now, int above);
+/** Call PLACE, which sends a request to a server if it can, for the waiting
+ * requests, the lowest class first. If no server has capacity for the first
+ * request of a class, the class is skipped, since its other requests would
+ * find no capacity either. */
+void forwardwait_place (struct forwarder *forwarder, int64_t now,
+                        void (*place) (struct forward *forward));
 
 /** Whether the request can be sent in time, as far as the limits of the
  * servers say that CHOICE passed over. */
--- a/src/limitshare.c
+++ b/src/limitshare.c
@@ -19,6 +19,8 @@
   Trefoilspar__LimitShare message;
   Trefoilspar__StatedLimit limits[SERVERS_MAX];
   Trefoilspar__StatedLimit *pointers[SERVERS_MAX];
+  Trefoilspar__StatedBrittle brittle[SERVERS_MAX];
+  Trefoilspar__StatedBrittle *brittle_pointers[SERVERS_MAX];
 };
 
 void
@@ -30,55 +32,110 @@
   share->clock = clock;
 }
 
+static bool
+is_recent (int64_t time_ns, int64_t now, int64_t span_ms)
+{
+  return time_ns != 0 && now - time_ns < span_ms * NS_PER_MS;
+}
+
+/* Whether a statement that was made or ended at SINCE_NS is to be told: this
+ * host was the last one to hear it, and its end is told for a while only. */
+static bool
+is_statement_news (bool holds, int64_t since_ns, int64_t heard_ns,
+                   int64_t stated_ns, int64_t now)
+{
+  return heard_ns == stated_ns && is_recent (heard_ns, now, STATEMENT_AGE_MS)
+         && (holds || is_recent (since_ns, now, END_TOLD_MS));
+}
+
 /* Whether this host has news of the limit of SERVER. */
 static bool
-is_news (const struct server *server, int64_t now)
+is_limit_news (const struct server *server, int64_t now)
 {
   const struct serverlimit *limit = &server->limit;
 
-  return limit->heard_ns != 0 && limit->heard_ns == limit->stated_ns
-         && now - limit->heard_ns < STATEMENT_AGE_MS * NS_PER_MS
-         && (limit->limited
-             || (limit->since_ns != 0
-                 && now - limit->since_ns < END_TOLD_MS * NS_PER_MS));
+  return is_statement_news (limit->limited, limit->since_ns, limit->heard_ns,
+                            limit->stated_ns, now);
+}
+
+/* Whether this host has news of SERVER being brittle. */
+static bool
+is_brittle_news (const struct server *server, int64_t now)
+{
+  const struct serverbrittle *brittle = &server->brittle;
+
+  return is_recent (brittle->rejected_here_ns, now, STATEMENT_AGE_MS)
+         || is_statement_news (brittle->brittle, brittle->since_ns,
+                               brittle->heard_ns, brittle->stated_ns, now);
+}
+
+static uint32_t
+age_ms (int64_t time_ns, int64_t now)
+{
+  return (uint32_t)(MAX (now - time_ns, 0) / NS_PER_MS);
 }
 
 static void
-datagram_add (struct limit_datagram *datagram, const struct server *server,
-              int64_t now)
+datagram_add_limit (struct limit_datagram *datagram,
+                    const struct server *server, int64_t now)
 {
   size_t count = datagram->message.n_limits;
   Trefoilspar__StatedLimit *limit = &datagram->limits[count];
 
-  if (count == SERVERS_MAX)
+  if (count + datagram->message.n_brittle == SERVERS_MAX)
     return;
   trefoilspar__stated_limit__init (limit);
   limit->server = server->id_hash;
   limit->limited = server->limit.limited;
   limit->per_s = server->limit.limited ? server->limit.per_s : 0;
-  limit->age_ms = (uint32_t)((now - server->limit.heard_ns) / NS_PER_MS);
+  limit->age_ms = age_ms (server->limit.heard_ns, now);
   datagram->pointers[count] = limit;
   datagram->message.n_limits++;
 }
 
+static void
+datagram_add_brittle (struct limit_datagram *datagram,
+                      const struct server *server, int64_t now)
+{
+  const struct serverbrittle *own = &server->brittle;
+  size_t count = datagram->message.n_brittle;
+  Trefoilspar__StatedBrittle *brittle = &datagram->brittle[count];
+
+  if (count + datagram->message.n_limits == SERVERS_MAX)
+    return;
+  trefoilspar__stated_brittle__init (brittle);
+  brittle->server = server->id_hash;
+  brittle->brittle = own->brittle;
+  brittle->rejections = own->brittle ? own->rejections : 0;
+  brittle->age_ms = age_ms (own->heard_ns, now);
+  brittle->rejected = own->rejected_here_ns != 0;
+  if (brittle->rejected)
+    brittle->rejected_age_ms = age_ms (own->rejected_here_ns, now);
+  datagram->brittle_pointers[count] = brittle;
+  datagram->message.n_brittle++;
+}
+
 /* A change is sent at once. */
 static bool
 is_due (struct limitshare *share, int64_t now)
 {
   int64_t last_change_ns = share->last_change_ns;
-  int64_t stated_ns = share->servers->limit_stated_ns;
   GHashTableIter iter;
   gpointer value;
 
-  if (stated_ns == 0 || now - stated_ns >= STATEMENT_AGE_MS * NS_PER_MS)
+  if (!is_recent (share->servers->limit_stated_ns, now, STATEMENT_AGE_MS))
     return false;
   g_hash_table_iter_init (&iter, share->servers->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct server *server = value;
 
-      if (is_news (server, now))
+      if (is_limit_news (server, now))
         last_change_ns = MAX (last_change_ns, server->limit.since_ns);
+      if (is_brittle_news (server, now))
+        last_change_ns
+            = MAX (last_change_ns, MAX (server->brittle.since_ns,
+                                        server->brittle.rejected_here_ns));
     }
   if (now < share->next_send_ns && last_change_ns == share->last_change_ns)
     return false;
@@ -93,22 +150,32 @@
 {
   struct limit_datagram datagram
       = { .message = TREFOILSPAR__LIMIT_SHARE__INIT };
+  Trefoilspar__LimitShare *message = &datagram.message;
   int64_t now = clock_now (share->clock);
   GHashTableIter iter;
   gpointer value;
 
   if (!is_due (share, now))
     return 0;
-  datagram.message.limits = datagram.pointers;
+  message->limits = datagram.pointers;
+  message->brittle = datagram.brittle_pointers;
   g_hash_table_iter_init (&iter, share->servers->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (is_news (value, now))
-      datagram_add (&datagram, value, now);
-  if (datagram.message.n_limits == 0
-      || trefoilspar__limit_share__get_packed_size (&datagram.message)
-             > LIMITSHARE_BYTES_MAX)
+    {
+      if (is_limit_news (value, now))
+        datagram_add_limit (&datagram, value, now);
+      if (is_brittle_news (value, now))
+        datagram_add_brittle (&datagram, value, now);
+    }
+  while (trefoilspar__limit_share__get_packed_size (message)
+         > LIMITSHARE_BYTES_MAX)
+    if (message->n_brittle > 0)
+      message->n_brittle--;
+    else
+      message->n_limits--;
+  if (message->n_limits + message->n_brittle == 0)
     return 0;
-  return trefoilspar__limit_share__pack (&datagram.message, bytes);
+  return trefoilspar__limit_share__pack (message, bytes);
 }
 
 static void
@@ -125,6 +192,24 @@
                         limit->limited ? limit->per_s : -1, stated_ns, false);
 }
 
+static void
+brittle_received (struct limitshare *share,
+                  const Trefoilspar__StatedBrittle *brittle)
+{
+  struct server *server = servers_find_hash (share->servers, brittle->server);
+  int64_t now = clock_now (share->clock);
+
+  if (server == NULL)
+    return;
+  servers_record_brittle (share->servers, server,
+                          brittle->brittle ? (int64_t)brittle->rejections : -1,
+                          now - (int64_t)brittle->age_ms * NS_PER_MS, false);
+  if (brittle->rejected)
+    serverbrittle_record_rejection (
+        &server->brittle, now - (int64_t)brittle->rejected_age_ms * NS_PER_MS,
+        false);
+}
+
 bool
 limitshare_receive (struct limitshare *share, const uint8_t *bytes,
                     size_t size)
@@ -136,6 +221,8 @@
     return false;
   for (size_t i = 0; i < message->n_limits; i++)
     limit_received (share, message->limits[i]);
+  for (size_t i = 0; i < message->n_brittle; i++)
+    brittle_received (share, message->brittle[i]);
   trefoilspar__limit_share__free_unpacked (message, NULL);
   return true;
 }
--- a/src/limitshare.h
+++ b/src/limitshare.h
@@ -7,7 +7,8 @@
 
 /** @file
  * Tells the other hosts which limits backend servers stated in responses to
- * this host, and that they no longer state them. Otherwise each host would
+ * this host, which servers stated that they are brittle and rejected requests
+ * of this host, and that they no longer state it. Otherwise each host would
  * learn it only from a request of its own. The datagrams may get lost.
  */
 
--- a/src/limitshare.pb-c.c
+++ b/src/limitshare.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &trefoilspar__stated_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   trefoilspar__stated_brittle__init
+                     (Trefoilspar__StatedBrittle         *message)
+{
+  static const Trefoilspar__StatedBrittle init_value = TREFOILSPAR__STATED_BRITTLE__INIT;
+  *message = init_value;
+}
+size_t trefoilspar__stated_brittle__get_packed_size
+                     (const Trefoilspar__StatedBrittle *message)
+{
+  assert(message->base.descriptor == &trefoilspar__stated_brittle__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t trefoilspar__stated_brittle__pack
+                     (const Trefoilspar__StatedBrittle *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &trefoilspar__stated_brittle__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t trefoilspar__stated_brittle__pack_to_buffer
+                     (const Trefoilspar__StatedBrittle *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &trefoilspar__stated_brittle__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Trefoilspar__StatedBrittle *
+       trefoilspar__stated_brittle__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Trefoilspar__StatedBrittle *)
+     protobuf_c_message_unpack (&trefoilspar__stated_brittle__descriptor,
+                                allocator, len, data);
+}
+void   trefoilspar__stated_brittle__free_unpacked
+                     (Trefoilspar__StatedBrittle *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &trefoilspar__stated_brittle__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   trefoilspar__limit_share__init
                      (Trefoilspar__LimitShare         *message)
 {
@@ -174,7 +219,110 @@
   (ProtobufCMessageInit) trefoilspar__stated_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor trefoilspar__limit_share__field_descriptors[1] =
+static const ProtobufCFieldDescriptor trefoilspar__stated_brittle__field_descriptors[6] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__StatedBrittle, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "brittle",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__StatedBrittle, brittle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rejections",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__StatedBrittle, rejections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__StatedBrittle, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rejected",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__StatedBrittle, rejected),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rejected_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__StatedBrittle, rejected_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned trefoilspar__stated_brittle__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  1,   /* field[1] = brittle */
+  4,   /* field[4] = rejected */
+  5,   /* field[5] = rejected_age_ms */
+  2,   /* field[2] = rejections */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange trefoilspar__stated_brittle__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor trefoilspar__stated_brittle__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "trefoilspar.StatedBrittle",
+  "StatedBrittle",
+  "Trefoilspar__StatedBrittle",
+  "trefoilspar",
+  sizeof(Trefoilspar__StatedBrittle),
+  6,
+  trefoilspar__stated_brittle__field_descriptors,
+  trefoilspar__stated_brittle__field_indices_by_name,
+  1,  trefoilspar__stated_brittle__number_ranges,
+  (ProtobufCMessageInit) trefoilspar__stated_brittle__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor trefoilspar__limit_share__field_descriptors[2] =
 {
   {
     "limits",
@@ -188,14 +336,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "brittle",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Trefoilspar__LimitShare, n_brittle),
+    offsetof(Trefoilspar__LimitShare, brittle),
+    &trefoilspar__stated_brittle__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned trefoilspar__limit_share__field_indices_by_name[] = {
+  1,   /* field[1] = brittle */
   0,   /* field[0] = limits */
 };
 static const ProtobufCIntRange trefoilspar__limit_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor trefoilspar__limit_share__descriptor =
 {
@@ -205,7 +366,7 @@
   "Trefoilspar__LimitShare",
   "trefoilspar",
   sizeof(Trefoilspar__LimitShare),
-  1,
+  2,
   trefoilspar__limit_share__field_descriptors,
   trefoilspar__limit_share__field_indices_by_name,
   1,  trefoilspar__limit_share__number_ranges,
--- a/src/limitshare.pb-c.h
+++ b/src/limitshare.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Trefoilspar__StatedLimit Trefoilspar__StatedLimit;
+typedef struct Trefoilspar__StatedBrittle Trefoilspar__StatedBrittle;
 typedef struct Trefoilspar__LimitShare Trefoilspar__LimitShare;
 
 
@@ -50,17 +51,56 @@
 
 
 /*
- * A datagram with the limits that a host has heard of.
+ * Whether the last response of a backend server to the sender stated that it
+ * is brittle.
+ */
+struct  Trefoilspar__StatedBrittle
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the id of the server.
+   */
+  uint32_t server;
+  protobuf_c_boolean brittle;
+  /*
+   * Requests that it may reject within a second.
+   */
+  uint32_t rejections;
+  /*
+   * Time since the response.
+   */
+  uint32_t age_ms;
+  /*
+   * Whether it has rejected a request of the sender.
+   */
+  protobuf_c_boolean rejected;
+  /*
+   * Time since it last did.
+   */
+  uint32_t rejected_age_ms;
+};
+#define TREFOILSPAR__STATED_BRITTLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&trefoilspar__stated_brittle__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A datagram with what a host has heard of limits and of brittle servers.
  */
 struct  Trefoilspar__LimitShare
 {
   ProtobufCMessage base;
   size_t n_limits;
   Trefoilspar__StatedLimit **limits;
+  /*
+   * Hosts of earlier versions ignore it.
+   */
+  size_t n_brittle;
+  Trefoilspar__StatedBrittle **brittle;
 };
 #define TREFOILSPAR__LIMIT_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&trefoilspar__limit_share__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 /* Trefoilspar__StatedLimit methods */
@@ -82,6 +122,25 @@
 void   trefoilspar__stated_limit__free_unpacked
                      (Trefoilspar__StatedLimit *message,
                       ProtobufCAllocator *allocator);
+/* Trefoilspar__StatedBrittle methods */
+void   trefoilspar__stated_brittle__init
+                     (Trefoilspar__StatedBrittle         *message);
+size_t trefoilspar__stated_brittle__get_packed_size
+                     (const Trefoilspar__StatedBrittle   *message);
+size_t trefoilspar__stated_brittle__pack
+                     (const Trefoilspar__StatedBrittle   *message,
+                      uint8_t             *out);
+size_t trefoilspar__stated_brittle__pack_to_buffer
+                     (const Trefoilspar__StatedBrittle   *message,
+                      ProtobufCBuffer     *buffer);
+Trefoilspar__StatedBrittle *
+       trefoilspar__stated_brittle__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   trefoilspar__stated_brittle__free_unpacked
+                     (Trefoilspar__StatedBrittle *message,
+                      ProtobufCAllocator *allocator);
 /* Trefoilspar__LimitShare methods */
 void   trefoilspar__limit_share__init
                      (Trefoilspar__LimitShare         *message);
@@ -106,6 +165,9 @@
 typedef void (*Trefoilspar__StatedLimit_Closure)
                  (const Trefoilspar__StatedLimit *message,
                   void *closure_data);
+typedef void (*Trefoilspar__StatedBrittle_Closure)
+                 (const Trefoilspar__StatedBrittle *message,
+                  void *closure_data);
 typedef void (*Trefoilspar__LimitShare_Closure)
                  (const Trefoilspar__LimitShare *message,
                   void *closure_data);
@@ -116,6 +178,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor trefoilspar__stated_limit__descriptor;
+extern const ProtobufCMessageDescriptor trefoilspar__stated_brittle__descriptor;
 extern const ProtobufCMessageDescriptor trefoilspar__limit_share__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/otherhosts.c
+++ b/src/otherhosts.c
@@ -65,6 +65,19 @@
       g_hash_table_iter_remove (&iter);
 }
 
+struct otherhost *
+otherhosts_of_rank (struct otherhosts *others, const char *id, unsigned rank)
+{
+  const struct presence *presence = others->presence;
+  const char *key = presence_host_of_rank (presence, id, strlen (id), rank);
+  const struct presence_host *record
+      = key != NULL ? g_hash_table_lookup (presence->hosts, key) : NULL;
+
+  return record != NULL && !record->leaving && record->peer[0] != '\0'
+             ? otherhost_find (others, key, record->peer)
+             : NULL;
+}
+
 void
 otherhosts_visit (struct otherhosts *others, uint64_t service,
                   void (*visit) (void *data, struct otherhost *host,
--- a/src/otherhosts.h
+++ b/src/otherhosts.h
@@ -34,6 +34,12 @@
                       const struct loadshare *loadshare);
 void otherhosts_finish (struct otherhosts *others);
 
+/** Return the host that RANK others come before in the order of hosts for the
+ * server ID, see presence_host_of_rank; NULL if it is this one, is leaving or
+ * is not registered. */
+struct otherhost *otherhosts_of_rank (struct otherhosts *others,
+                                      const char *id, unsigned rank);
+
 /** Call VISIT for each registered host that is not leaving, with what it has
  * reported of its links to the service with the hash SERVICE. */
 void otherhosts_visit (struct otherhosts *others, uint64_t service,
--- a/src/presence.c
+++ b/src/presence.c
@@ -340,8 +340,9 @@
                             size);
 }
 
-unsigned
-presence_rank (const struct presence *presence, const void *key, size_t size)
+static unsigned
+rank_count (const struct presence *presence, const void *key, size_t size,
+            bool leaving)
 {
   uint64_t own = host_weight (&presence->self, key, size);
   GHashTableIter iter;
@@ -353,11 +354,56 @@
     {
       const struct presence_host *host = value;
 
-      rank += !host->leaving && host_weight (host, key, size) > own;
+      rank += (leaving || !host->leaving)
+              && host_weight (host, key, size) > own;
     }
   return rank;
 }
 
+unsigned
+presence_rank (const struct presence *presence, const void *key, size_t size)
+{
+  return rank_count (presence, key, size, false);
+}
+
+unsigned
+presence_rank_of_all (const struct presence *presence, const void *key,
+                      size_t size)
+{
+  return rank_count (presence, key, size, true);
+}
+
+const char *
+presence_host_of_rank (const struct presence *presence, const void *key,
+                       size_t size, unsigned rank)
+{
+  uint64_t own = host_weight (&presence->self, key, size);
+  uint64_t below = UINT64_MAX;
+  const char *found = NULL;
+
+  for (unsigned i = 0; i <= rank; i++)
+    {
+      uint64_t best = own < below ? own : 0;
+      GHashTableIter iter;
+      gpointer name;
+      gpointer value;
+
+      found = NULL;
+      g_hash_table_iter_init (&iter, presence->hosts);
+      while (g_hash_table_iter_next (&iter, &name, &value))
+        {
+          uint64_t weight = host_weight (value, key, size);
+
+          if (weight >= below || weight <= best)
+            continue;
+          best = weight;
+          found = name;
+        }
+      below = best;
+    }
+  return found;
+}
+
 struct host_record
 {
   const char *key;
--- a/src/presence.h
+++ b/src/presence.h
@@ -137,6 +137,16 @@
 unsigned presence_rank (const struct presence *presence, const void *key,
                         size_t size);
 
+/** The same, counting the hosts that are leaving. */
+unsigned presence_rank_of_all (const struct presence *presence,
+                               const void *key, size_t size);
+
+/** Returns the key of the host that RANK hosts come before in the order of
+ * presence_rank_of_all; NULL if it is this one, or there are fewer hosts. */
+const char *presence_host_of_rank (const struct presence *presence,
+                                   const void *key, size_t size,
+                                   unsigned rank);
+
 /** Returns all hosts as pointers to struct presence_host, sorted by data
  * centre and key, with NULL for this host. The array is valid until a host
  * changes. */
--- a/src/serverlearn.c
+++ b/src/serverlearn.c
@@ -87,6 +87,7 @@
                        int64_t now_ns)
 {
   server_set_busy (server, now_ns + REJECTION_BUSY_MS * NS_PER_MS);
+  serverbrittle_record_rejection (&server->brittle, now_ns, true);
 }
 
 void
--- a/src/serverlearn.h
+++ b/src/serverlearn.h
@@ -15,7 +15,8 @@
                             const struct statement *statement);
 
 /** Record that SERVER rejected a request at NOW_NS without running it. It gets
- * no requests for a moment. */
+ * no requests for a moment; a brittle one gets none until its rejections no
+ * longer count. */
 void serverlearn_rejection (struct servers *servers, struct server *server,
                             int64_t now_ns);
 
--- a/src/serverprobe.c
+++ b/src/serverprobe.c
@@ -261,7 +261,8 @@
       if (server->probed || server_is_leaving (server)
           || server_is_available (server) != available
           || !serverpause_allows (&server->pause, now)
-          || !serverlimit_allows (&server->limit, now))
+          || !serverlimit_allows (&server->limit, now)
+          || (server->brittle.brittle && server->in_flight_requests > 0))
         continue;
       serverlimit_take (&server->limit, now);
       probe_start (probes, server, true, now);
--- a/src/servers.c
+++ b/src/servers.c
@@ -15,6 +15,8 @@
 /* Weight of the newest response in the moving average of failures, which
  * covers about the last ten responses. */
 static const double failure_ratio_gain = 0.1;
+/* The same for the time of a request. */
+static const double run_gain = 0.1;
 
 struct server *
 server_ref (struct server *server)
@@ -395,6 +397,16 @@
   server->busy_until_ns = MAX (server->busy_until_ns, until_ns);
 }
 
+void
+server_record_run (struct server *server, int64_t span_ns)
+{
+  double ms = (double)span_ns / NS_PER_MS;
+
+  server->run_ms = server->run_ms > 0
+                       ? server->run_ms + run_gain * (ms - server->run_ms)
+                       : ms;
+}
+
 void
 server_request_begun (struct servers *servers, struct server *server)
 {
@@ -492,8 +504,11 @@
   if (serverbrittle_record (&server->brittle, rejections, stated_ns, here))
     notify_change (servers, server,
                    server->brittle.brittle ? "brittle" : "not_brittle");
+  service->known = true;
   service->brittle = server->brittle.brittle;
   service->rejections = server->brittle.rejections;
+  if (here && (server->brittle.brittle || server->brittle.since_ns != 0))
+    servers->limit_stated_ns = MAX (servers->limit_stated_ns, stated_ns);
 }
 
 void
--- a/src/servers.h
+++ b/src/servers.h
@@ -119,6 +119,9 @@
                          if there is no doubt. */
   /** Moving average of the share of failed responses. */
   double failure_ratio;
+  /** Moving average of the time in which a request was answered, in ms; 0 if
+   * none was. */
+  double run_ms;
   struct serverlimit limit;
   struct serverpause pause;
   struct serverbrittle brittle;
@@ -151,8 +154,8 @@
   uint64_t generation;
   /** Rises whenever a server may have newer weights than before. */
   uint64_t weights_generation;
-  /** Time at which a response to this host last stated a limit, or the end of
-   * one; 0 if none has. */
+  /** Time at which a response to this host last stated a limit or that its
+   * server is brittle, or the end of either; 0 if none has. */
   int64_t limit_stated_ns;
   uv_loop_t *loop;
   const struct clock *clock;
@@ -274,6 +277,9 @@
 void server_record_reached (struct servers *servers, struct server *server,
                             bool failed);
 
+/** Records that a request was answered after SPAN_NS. */
+void server_record_run (struct server *server, int64_t span_ns);
+
 /** Counts a request of this process that is in flight at SERVER. */
 void server_request_begun (struct servers *servers, struct server *server);
 void server_request_ended (struct server *server);
--- a/src/subsets.c
+++ b/src/subsets.c
@@ -79,13 +79,26 @@
   return rank;
 }
 
-/* Sets which of the hosts that send to SERVER this one is. */
+/* Sets which of the hosts that send to SERVER, one of SERVERS, this one is. */
 static void
-server_set_hosts (const struct subsets *subsets, struct server *server)
+server_set_hosts (const struct subsets *subsets, struct server *server,
+                  unsigned servers)
 {
   const char *id = server->entry.id;
   unsigned count = server->sending_host_count;
   unsigned rank = count;
+  bool is_divided = count != fleet_size (subsets);
+  struct serverbrittle_position position
+      = { .host_count = count,
+          .rank = count,
+          .servers = is_divided ? servers / subsets->count : servers };
+
+  if (!server->in_other_subset)
+    position.rank = is_divided ? local_rank (subsets, id)
+                               : presence_rank_of_all (subsets->presence, id,
+                                                       strlen (id));
+  serverbrittle_set_position (&server->brittle, &position,
+                              clock_now (subsets->clock));
 
   if (!server->in_other_subset)
     rank = count == subsets->host_count
@@ -125,7 +138,7 @@
       server->sending_host_count = subsets->host_count;
     }
   for (guint i = 0; i < servers->len; i++)
-    server_set_hosts (subsets, servers->pdata[i]);
+    server_set_hosts (subsets, servers->pdata[i], servers->len);
   g_ptr_array_free (available, TRUE);
 }
 
--- a/test/fake-hosts.c
+++ b/test/fake-hosts.c
@@ -344,10 +344,14 @@
         char key[32];
         char *value;
 
-        if (other == i)
-          continue;
         server_address (&fleet.hosts[other].host_server, address,
                         sizeof address);
+        if (other == i)
+          {
+            g_strlcpy (fleet.hosts[i].presence.self.peer, address,
+                       sizeof fleet.hosts[i].presence.self.peer);
+            continue;
+          }
         g_snprintf (key, sizeof key, "t/host/h%u", other);
         value
             = g_strdup_printf ("{\"address\":\"a\",\"peer\":\"%s\"}", address);
--- a/test/test-cells.c
+++ b/test/test-cells.c
@@ -245,6 +245,10 @@
     {
       view_init (&views[subset], subset * SUBSET_HOSTS,
                  SUBSET_COUNT * SUBSET_HOSTS, ENGINES);
+      /* One host stands for its subset, in which responses have come. */
+      servers_record_brittle (&views[subset].servers,
+                              view_engine (&views[subset], 0), -1,
+                              clock_now (&views[subset].clock.clock), true);
       for (unsigned i = 0; i < ENGINES && !use_subsets; i++)
         view_engine (&views[subset], i)->in_other_subset = false;
     }
