A host out of step finds no software for a stream by its old view

The query now names the version that this host would take, and a reply tells whether its sender sees another one.

streamorigin/out-of-step-host fails without the check (7 found, 0 expected).

--- a/src/entryorigin.c
+++ b/src/entryorigin.c
@@ -51,6 +51,15 @@
   return softwarespan_only (&entry->servers.software, service, 0) == software;
 }
 
+static bool
+sees_other (void *data, uint64_t service, uint64_t software)
+{
+  const struct entry *entry = data;
+
+  return entry->servers_view.initial_read_done
+         && !sees_only (data, service, software);
+}
+
 static void
 origin_send (void *data, const struct sockaddr_in *to, const uint8_t *bytes,
              size_t size)
@@ -61,4 +70,4 @@
 }
 
 const struct streamorigin_ops entryorigin_ops
-    = { origin_send, only_software, sees_only };
+    = { origin_send, only_software, sees_only, sees_other };
--- a/src/streamorigin.c
+++ b/src/streamorigin.c
@@ -181,6 +181,7 @@
   message.kind = TREFOILSPAR__STREAM_ORIGIN_KIND__QUERY;
   message.stream = query->stream;
   message.service = query->service;
+  message.software = query->own_only_software;
   message.number = query->number;
   for (unsigned i = 0; i < query->asked_count; i++)
     if (!query->replied[i])
@@ -200,6 +201,8 @@
   query->number = ++origin->query_count;
   query->start_ns = clock_now (origin->clock);
   query->done = done;
+  query->own_only_software
+      = origin->ops->only_software (origin->data, service);
   query->asked_count = hosts_for_stream (origin, stream, query->asked,
                                          STREAMORIGIN_ASKED_MAX);
   list_init (&query->node);
@@ -223,7 +226,8 @@
 /* End QUERY after its last reply or its timeout. That the service has had only
  * one software counts only if no other host has a record of the stream, as far
  * as hosts reply, if one of them does, since the view of a host that is cut
- * off may be old, and if this host sees no other software either. */
+ * off or has stood still may be old, and if neither they nor this host see
+ * other software. */
 static void
 query_end_unrecorded (struct streamorigin *origin,
                       struct streamorigin_query *query)
@@ -231,7 +235,9 @@
   uint64_t software = query->only_software;
 
   if (software == 0 && (query->replied_count > 0 || query->asked_count == 0))
-    software = origin->ops->only_software (origin->data, query->service);
+    software = query->own_only_software;
+  if (query->other_software && software == query->own_only_software)
+    software = 0;
   if (!origin->ops->sees_only (origin->data, query->service, software))
     software = 0;
   query_end (query, software);
@@ -248,6 +254,9 @@
   message.number = query->number;
   message.software = streamorigin_find (origin, query->stream);
   message.service = origin->ops->only_software (origin->data, query->service);
+  message.other_software = query->software != 0
+                           && origin->ops->sees_other (
+                               origin->data, query->service, query->software);
   message_send (origin, &message, from);
 }
 
@@ -297,6 +306,7 @@
     return;
   query->replied[i] = true;
   query->replied_count++;
+  query->other_software = query->other_software || reply->other_software;
   if (query->only_software == 0)
     query->only_software = reply->service;
   if (reply->software != 0)
--- a/src/streamorigin.h
+++ b/src/streamorigin.h
@@ -50,6 +50,9 @@
   bool recorded;          /**< Whether a reply had a record of the stream. */
   uint64_t only_software; /**< Only software of the service by a reply; 0 if no
                              reply knows it. */
+  /** The same by this host, whose view may be old, when the query began. */
+  uint64_t own_only_software;
+  bool other_software; /**< Whether a reply tells of other software. */
   /** Called once, from streamorigin_receive or streamorigin_tick.
    * @param software hash of the software; 0 if it is not known */
   void (*done) (struct streamorigin_query *query, uint64_t software);
@@ -67,6 +70,9 @@
   /** Whether this host sees no other software than SOFTWARE at the service
    * now. */
   bool (*sees_only) (void *data, uint64_t service, uint64_t software);
+  /** Whether this host has read which servers there are and sees other
+   * software than SOFTWARE at the service now. */
+  bool (*sees_other) (void *data, uint64_t service, uint64_t software);
 };
 
 struct streamorigin
--- a/src/streamorigin.pb-c.c
+++ b/src/streamorigin.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &trefoilspar__stream_origin__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor trefoilspar__stream_origin__field_descriptors[5] =
+static const ProtobufCFieldDescriptor trefoilspar__stream_origin__field_descriptors[6] =
 {
   {
     "kind",
@@ -114,10 +114,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "other_software",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__StreamOrigin, other_software),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned trefoilspar__stream_origin__field_indices_by_name[] = {
   0,   /* field[0] = kind */
   4,   /* field[4] = number */
+  5,   /* field[5] = other_software */
   3,   /* field[3] = service */
   2,   /* field[2] = software */
   1,   /* field[1] = stream */
@@ -125,7 +138,7 @@
 static const ProtobufCIntRange trefoilspar__stream_origin__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor trefoilspar__stream_origin__descriptor =
 {
@@ -135,7 +148,7 @@
   "Trefoilspar__StreamOrigin",
   "trefoilspar",
   sizeof(Trefoilspar__StreamOrigin),
-  5,
+  6,
   trefoilspar__stream_origin__field_descriptors,
   trefoilspar__stream_origin__field_indices_by_name,
   1,  trefoilspar__stream_origin__number_ranges,
--- a/src/streamorigin.pb-c.h
+++ b/src/streamorigin.pb-c.h
@@ -50,7 +50,8 @@
    */
   uint64_t stream;
   /*
-   * Hash of service and software; 0 if it is not known.
+   * Hash of service and software; 0 if it is not known. Of a query: the only
+   * software that the service has had, as far as the sender knows.
    */
   uint64_t software;
   /*
@@ -62,10 +63,15 @@
    * Of a query and its replies.
    */
   uint32_t number;
+  /*
+   * Of a reply: whether the service has other software than the query names.
+   * Hosts of earlier versions do not set it.
+   */
+  protobuf_c_boolean other_software;
 };
 #define TREFOILSPAR__STREAM_ORIGIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&trefoilspar__stream_origin__descriptor) \
-    , TREFOILSPAR__STREAM_ORIGIN_KIND__RECORD, 0, 0, 0, 0 }
+    , TREFOILSPAR__STREAM_ORIGIN_KIND__RECORD, 0, 0, 0, 0, 0 }
 
 
 /* Trefoilspar__StreamOrigin methods */
--- a/test/fake-hosts.c
+++ b/test/fake-hosts.c
@@ -91,8 +91,14 @@
   return only_software (data, service) == software;
 }
 
+static bool
+sees_other (void *data, uint64_t service, uint64_t software)
+{
+  return !sees_only (data, service, software);
+}
+
 static const struct streamorigin_ops origin_ops
-    = { origin_send, only_software, sees_only };
+    = { origin_send, only_software, sees_only, sees_other };
 
 static void
 blame_send (void *data, const uint8_t *bytes, size_t size)
--- a/test/test-streamorigin.c
+++ b/test/test-streamorigin.c
@@ -74,8 +74,14 @@
   return !((const struct host *)data)->sees_several;
 }
 
+static bool
+fleet_sees_other (void *data, uint64_t service, uint64_t software)
+{
+  return ((const struct host *)data)->sees_several;
+}
+
 static const struct streamorigin_ops fleet_ops
-    = { fleet_send, fleet_only_software, fleet_sees_only };
+    = { fleet_send, fleet_only_software, fleet_sees_only, fleet_sees_other };
 
 static void
 host_address (unsigned index, char *text, size_t size)
@@ -281,6 +287,41 @@
   fleet_finish ();
 }
 
+/* After all hosts were killed, streams went on with any software. */
+static void
+test_all_hosts_killed (void)
+{
+  fleet_start ();
+  streamorigin_record (&hosts[0].origin, 1, 8);
+  fleet_deliver ();
+  for (unsigned i = 0; i < HOSTS; i++)
+    host_kill (i);
+  for (unsigned i = 0; i < HOSTS; i++)
+    host_start (i);
+  for (unsigned i = 0; i < HOSTS; i++)
+    CU_ASSERT_EQUAL (software_found (i, 1), 0);
+  fleet_finish ();
+}
+
+/* A host that was cut off or stood still while engines of other software
+ * joined took its old view for the software of a stream whose record was lost.
+ */
+static void
+test_out_of_step_host (void)
+{
+  fleet_start ();
+  hosts[3].only_software = 7;
+  for (unsigned i = 0; i < HOSTS; i++)
+    hosts[i].sees_several = i != 3;
+  CU_ASSERT_EQUAL (software_found (3, 1), 0);
+  loss = 0.3;
+  CU_ASSERT_EQUAL (software_found (3, 2), 0);
+  for (unsigned i = 0; i < HOSTS; i++)
+    hosts[i].sees_several = false;
+  CU_ASSERT_EQUAL (software_found (3, 3), 7);
+  fleet_finish ();
+}
+
 /* A host that was not asked gave the reply to a query. */
 static void
 test_reply_of_a_host_not_asked (void)
@@ -379,6 +420,8 @@
   { "cut-off-host-knows-nothing", test_cut_off_host_knows_nothing },
   { "only-software", test_only_software },
   { "several-softwares-in-own-view", test_several_softwares_in_own_view },
+  { "all-hosts-killed", test_all_hosts_killed },
+  { "out-of-step-host", test_out_of_step_host },
   { "reply-of-a-host-not-asked", test_reply_of_a_host_not_asked },
   { "bad-datagrams", test_bad_datagrams },
   { "records-are-bounded", test_records_are_bounded },
