--- a/src/dialect.h
+++ b/src/dialect.h
@@ -96,6 +96,7 @@
   int64_t engine_clock_ns; /**< Time by the engines' clock. */
   const struct cache_block *blocks;
   unsigned block_count;
+  unsigned ignored_count; /**< Malformed rows of the reply, left out. */
 };
 
 typedef void (*cache_reply_received) (void *data,
--- a/src/kvstores.c
+++ b/src/kvstores.c
@@ -243,6 +243,7 @@
   log_event (kvstores->log, EVENT_CACHE_STORE_CHANGED,
              "store=%s what=begun epoch=%lu", store->name,
              (unsigned long)epoch);
+  store->reported_ignored = false;
 }
 
 /* Applies changes up to NEXT. Changes that were already applied, from an
@@ -329,6 +330,21 @@
          > 2 * rotation_period_ns (kvstores);
 }
 
+/* Rows that can't be decoded are reported once for each run of the store. */
+static void
+ignored_rows_report (struct kvstore *store, unsigned count)
+{
+  struct kvstores *kvstores = store->kvstores;
+
+  if (count == 0 || store->reported_ignored)
+    return;
+  store->reported_ignored = true;
+  log_event (kvstores->log, EVENT_STATEMENT_IGNORED,
+             "server=%s service=- address=%s field=rows reason=malformed "
+             "rows=%u",
+             store->name, store->address, count);
+}
+
 static void
 report_received (void *data, const struct cache_report *report)
 {
@@ -353,6 +369,7 @@
       store_mark_lost (store, "no_answer");
       return;
     }
+  ignored_rows_report (store, report->ignored_count);
   if (report->has_clock)
     {
       kvstores->engine_clock_is_known = true;
--- a/src/kvstores.h
+++ b/src/kvstores.h
@@ -132,6 +132,8 @@
   int64_t fetch_delay_updated_ns;
   GHashTable *blocks; /**< Maps "SCOPE ID", with the id in hexadecimal, to the
                          number of stored tokens of the block. */
+  bool reported_ignored; /**< Whether rows of this run were reported as
+                            malformed. */
 };
 
 struct kvstores
