--- a/src/kvstores.c
+++ b/src/kvstores.c
@@ -334,12 +334,10 @@
 static void
 ignored_rows_report (struct kvstore *store, unsigned count)
 {
-  struct kvstores *kvstores = store->kvstores;
-
   if (count == 0 || store->reported_ignored)
     return;
   store->reported_ignored = true;
-  log_event (kvstores->log, EVENT_STATEMENT_IGNORED,
+  log_event (store->kvstores->log, EVENT_STATEMENT_IGNORED,
              "server=%s service=- address=%s field=rows reason=malformed "
              "rows=%u",
              store->name, store->address, count);
