End what calls the parts of an entry process before the parts

Cause: entry_finish ran the loop once more after loadshare, streamorigin and blameshare were destroyed, with the socket for datagrams, the timer and the signals still active. They end first now.

--- a/src/entry.c
+++ b/src/entry.c
@@ -535,9 +535,20 @@
     uv_close (handle, NULL);
 }
 
+/* The loop calls nothing but what the parts of ENTRY still wait for. */
+static void
+inputs_stop (struct entry *entry)
+{
+  uv_timer_stop (&entry->timer);
+  for (size_t i = 0; i < G_N_ELEMENTS (entry->signals); i++)
+    uv_signal_stop (&entry->signals[i]);
+  peerudp_finish (&entry->peerudp);
+}
+
 void
 entry_finish (struct entry *entry)
 {
+  inputs_stop (entry);
   callerserver_finish (&entry->caller_server);
   callerserver_finish (&entry->host_server);
   callerserver_finish (&entry->directory_server);
--- a/src/peerudp.c
+++ b/src/peerudp.c
@@ -137,6 +137,13 @@
   return STATUS_OK;
 }
 
+void
+peerudp_finish (struct peerudp *peerudp)
+{
+  if (peerudp->udp.loop != NULL)
+    uv_close ((uv_handle_t *)&peerudp->udp, NULL);
+}
+
 static bool
 reaches_all_hosts (const struct peerudp *peerudp)
 {
--- a/src/peerudp.h
+++ b/src/peerudp.h
@@ -46,6 +46,9 @@
               const struct clock *clock, const char *ip, uint16_t port,
               int64_t load_period_ns, struct error *error);
 
+/** Stops listening. Has no effect unless peerudp_init was called. */
+void peerudp_finish (struct peerudp *peerudp);
+
 /** Sends the load report when it is due. */
 void peerudp_tick (struct peerudp *peerudp);
 
--- a/test/run.sh
+++ b/test/run.sh
@@ -40,6 +40,7 @@
     [ -f "$t" ] && [ -x "$t" ] && run sanitized/ "$t"
   done
   run sanitized/ bash test/check-fuzz.sh "$sanitized"
+  run sanitized/ bash test/check-stop.sh "$sanitized"
 fi
 grep -v '^ok ' "$out"
 passed=$(grep -c '^ok ' "$out")
