--- a/test/test-input.c
+++ b/test/test-input.c
@@ -45,6 +45,10 @@
       g_free (blocks);
       CU_ASSERT_FALSE (decode_engine_clock (reply, &clock_ns));
       json_object_put (reply);
+      reply = json_tokener_parse ("{\"clock_ms\":1796498208415.5}");
+      CU_ASSERT_TRUE (decode_engine_clock (reply, &clock_ns));
+      CU_ASSERT_EQUAL (clock_ns / 1000000, 1796498208415);
+      json_object_put (reply);
       g_free (text);
     }
 }
