Name the set of isolated organisations in the shared cache scope

What callers saw: after an organisation was isolated, requests of others ran on the parts that it had made before (WALL, review case 2).

Cause: the scope that organisations share did not depend on which of them are isolated. It names their set now, taken from the newest configuration, also for requests that have waited.

--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -61,20 +61,49 @@
   server->pending_prefill_tokens += forward->counted_prefill_tokens;
 }
 
+/* Write what keeps the cached blocks of organisations apart to WALL: the name
+ * of an isolated organisation, which has its own blocks, or the set of
+ * isolated organisations, so that the others use no block that one of these
+ * made before. A name never reads like a set, which begins with a single '#'.
+ */
+static void
+wall_write (const struct forward *forward, GString *wall)
+{
+  /* The request may have waited since before the last configuration. */
+  const struct routes *routes = forward->forwarder->routes;
+  const struct organisation *organisation = forward->organisation;
+  const struct organisation *newest
+      = organisation != NULL
+            ? g_hash_table_lookup (routes->organisations, organisation->name)
+            : NULL;
+
+  if (newest != NULL)
+    organisation = newest;
+  if (organisation != NULL && organisation->isolated)
+    g_string_printf (wall, "%s%s", organisation->name[0] == '#' ? "##" : "",
+                     organisation->name);
+  else if (routes->isolation != 0)
+    g_string_printf (wall, "#%016" G_GINT64_MODIFIER "x",
+                     (guint64)routes->isolation);
+}
+
 /* Write the cache scope of the request to SCOPE. Requests share cached blocks
- * if they have the same model and weight version and, for an isolated
- * organisation, the same organisation. A scope that is too long is replaced by
- * its digest, since truncated scopes of two organisations could be equal. */
+ * if they have the same model and weight version and no wall between their
+ * organisations. A scope that is too long is replaced by its digest, since
+ * truncated scopes of two organisations could be equal. */
 static void
 cache_scope_write (const struct forward *forward, uint64_t version,
                    char scope[CACHE_SCOPE_MAX])
 {
-  bool isolated
-      = forward->organisation != NULL && forward->organisation->isolated;
-  char *full
-      = g_strdup_printf (CACHE_SCOPE_FORMAT "%s", forward->call.model, version,
-                         isolated ? forward->organisation->name : "");
-  size_t size = strlen (full);
+  GString *wall = g_string_new (NULL);
+  char *full;
+  size_t size;
+
+  wall_write (forward, wall);
+  full = g_strdup_printf (CACHE_SCOPE_FORMAT "%s", forward->call.model,
+                          version, wall->str);
+  size = strlen (full);
+  g_string_free (wall, TRUE);
 
   if (size < CACHE_SCOPE_MAX)
     memcpy (scope, full, size + 1);
--- a/src/routes.c
+++ b/src/routes.c
@@ -1,6 +1,7 @@
 #include "routes.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 static void
 share_clear (void *data)
@@ -128,6 +129,16 @@
   return organisation;
 }
 
+void
+routes_set_isolated (struct routes *routes, struct organisation *organisation)
+{
+  if (organisation->isolated)
+    return;
+  organisation->isolated = true;
+  routes->isolation
+      += XXH3_64bits (organisation->name, strlen (organisation->name)) | 1;
+}
+
 void
 routes_add_key (struct routes *routes, const char *key,
                 struct organisation *organisation)
--- a/src/routes.h
+++ b/src/routes.h
@@ -90,6 +90,10 @@
   GHashTable *organisations;  /**< Maps names to struct organisation. */
   /** Maps API keys to struct organisation. */
   GHashTable *organisations_by_key;
+  /** Stands for the set of isolated organisations, the same on all hosts; 0 if
+   * there are none. Blocks that organisations share under one set were made by
+   * none of its members. */
+  uint64_t isolation;
 };
 
 /** Creates an empty snapshot with one reference. */
@@ -104,6 +108,9 @@
 struct service *routes_add_service (struct routes *routes, const char *name);
 struct organisation *routes_add_organisation (struct routes *routes,
                                               const char *name);
+/** Marks ORGANISATION, one of ROUTES, as isolated. */
+void routes_set_isolated (struct routes *routes,
+                          struct organisation *organisation);
 void routes_add_key (struct routes *routes, const char *key,
                      struct organisation *organisation);
 
--- a/test/test-forwarder.c
+++ b/test/test-forwarder.c
@@ -213,17 +213,13 @@
   fake_path_finish ();
 }
 
+/* Returns the cache scope that a request is sent with. */
 static char *
-sent_cache_scope (const char *organisation_name)
+next_cache_scope (void)
 {
-  struct organisation *organisation = g_hash_table_lookup (
-      path.forwarder.routes->organisations_by_key, "key");
   const char *scope;
   char *sent = NULL;
 
-  g_free (organisation->name);
-  organisation->name = g_strdup (organisation_name);
-  organisation->isolated = true;
   g_string_truncate (path.answer, 0);
   fake_path_request_send ("/safe/", "X-Model: m\r\n");
   CU_ASSERT_TRUE (fake_path_run_until ("hello"));
@@ -233,6 +229,44 @@
   return sent;
 }
 
+static char *
+sent_cache_scope (const char *organisation_name)
+{
+  struct organisation *organisation = g_hash_table_lookup (
+      path.forwarder.routes->organisations_by_key, "key");
+
+  g_free (organisation->name);
+  organisation->name = g_strdup (organisation_name);
+  organisation->isolated = true;
+  return next_cache_scope ();
+}
+
+/* What an organisation had cached before it was isolated was used by others
+ * after that, and what is like the name of a set was used by an organisation.
+ */
+static void
+test_isolation_that_changes (void)
+{
+  struct organisation *other;
+  char *shared, *walled, *again, *named;
+
+  fake_path_setup (full_response, 1, NULL, 0);
+  shared = next_cache_scope ();
+  other = routes_add_organisation (path.forwarder.routes, "other");
+  routes_set_isolated (path.forwarder.routes, other);
+  walled = next_cache_scope ();
+  again = next_cache_scope ();
+  named = sent_cache_scope (strrchr (walled, '#'));
+  CU_ASSERT_STRING_NOT_EQUAL (shared, walled);
+  CU_ASSERT_STRING_EQUAL (walled, again);
+  CU_ASSERT_STRING_NOT_EQUAL (named, walled);
+  fake_path_finish ();
+  g_free (named);
+  g_free (again);
+  g_free (walled);
+  g_free (shared);
+}
+
 /* Isolated organisations with long names do not share a cache scope. */
 static void
 test_isolation_with_long_names (void)
@@ -488,6 +522,7 @@
   { "unframed-answer", test_unframed_response },
   { "extra-answer-is-dropped", test_extra_response_is_dropped },
   { "true-refusal", test_not_run_is_refused },
+  { "isolation-that-changes", test_isolation_that_changes },
   { "walls-of-long-names", test_isolation_with_long_names },
   { "refusal-fits-the-callers-time", test_retry_after_fits_time_left },
   { "disowned-goes-elsewhere", test_not_run_is_retried_elsewhere },
