--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -6,6 +6,8 @@
 enum
 {
   KV_QUEUE_MAX = 256,
+  /* Maximum size of all replies to calls of control that are being read. */
+  REPLIES_BYTES_MAX = 16 * 1024 * 1024,
   /* Maximum number of pending watches. The three views need one watch each;
    * the others are for earlier watches that got no reply because of an outage.
    */
@@ -37,6 +39,7 @@
 
   httpclient_init (&entry->httpclient, &entry->loop, CLIENT_IO_TIMEOUT_MS);
   httpjson_init (&entry->httpjson, &entry->httpclient);
+  entry->httpjson.bytes_max = REPLIES_BYTES_MAX;
   entry->kv_service = entry->dialect->kv_open (
       &entry->httpjson, settings->kv.address.items[0].text,
       settings->kv.timeout_ns);
--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -12,7 +12,9 @@
 enum
 {
   POOL_CAPACITY = 256, /* Maximum number of idle connections per address. */
-  POOL_IDLE_MS = 4000
+  POOL_IDLE_MS = 4000,
+  /* Maximum size of a response's head; of a body, no more is kept here. */
+  HEAD_BYTES_MAX = 64 * 1024
 };
 
 struct httpclient_call
@@ -259,6 +261,35 @@
 {
 }
 
+static bool
+head_is_too_long (const struct httpclient_call *call)
+{
+  return call->connection != NULL && call->connection->sock != NULL
+         && call->connection->sock->input->size > HEAD_BYTES_MAX;
+}
+
+/* h2o has no bound on the head of a response, so it is checked each time the
+ * loop has read. Callbacks may end other calls. */
+static void
+heads_check (uv_check_t *check)
+{
+  struct httpclient *client = check->data;
+  struct list *node = client->calls.next;
+
+  while (node != &client->calls)
+    {
+      struct httpclient_call *call
+          = LIST_ENTRY (node, struct httpclient_call, node);
+
+      node = node->next;
+      if (!head_is_too_long (call))
+        continue;
+      h2o_http1client_cancel (call->connection);
+      call_end (call, STATUS_UNKNOWN, "the response head is too long");
+      node = client->calls.next;
+    }
+}
+
 void
 httpclient_init (struct httpclient *client, uv_loop_t *loop,
                  uint64_t io_timeout_ms)
@@ -275,6 +306,10 @@
   client->pools_by_address
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
   list_init (&client->calls);
+  uv_check_init (loop, &client->check);
+  client->check.data = client;
+  uv_check_start (&client->check, heads_check);
+  uv_unref ((uv_handle_t *)&client->check);
 }
 
 void
@@ -283,6 +318,7 @@
   while (!list_empty (&client->calls))
     httpclient_cancel (
         LIST_ENTRY (client->calls.next, struct httpclient_call, node));
+  uv_close ((uv_handle_t *)&client->check, NULL);
   g_hash_table_destroy (client->pools_by_address);
   h2o_timeout_dispose (client->loop, &client->io_timeout);
   h2o_multithread_unregister_receiver (client->queue, &client->receiver);
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -32,6 +32,7 @@
   /** Hash table from "IP:PORT" to h2o_socketpool_t. */
   void *pools_by_address;
   struct list calls; /**< Calls in flight. */
+  uv_check_t check;  /**< Bounds the heads of responses. */
 };
 
 struct httpclient_header
--- a/src/httpjson.c
+++ b/src/httpjson.c
@@ -4,16 +4,11 @@
 #include <glib.h>
 #include <string.h>
 
-enum
-{
-  /* Maximum size of a reply body. A chunk that would exceed it is dropped, and
-   * the incomplete body then fails to parse as JSON. */
-  REPLY_BYTES_MAX = 64 * 1024 * 1024
-};
-
 struct json_call
 {
   struct list node;
+  struct httpjson *httpjson;
+  size_t reply_bytes_max;
   struct httpclient_call *http_call;
   uv_timer_t timer;
   GString *body;
@@ -39,6 +34,7 @@
 json_call_end (struct json_call *json_call, const struct httpjson_reply *reply)
 {
   list_remove (&json_call->node);
+  json_call->httpjson->bytes -= json_call->body->len;
   json_call->done (json_call->data, reply);
   uv_close ((uv_handle_t *)&json_call->timer, timer_closed);
 }
@@ -62,13 +58,35 @@
                              sizeof json_call->header);
 }
 
+/* Return how many more bytes of the reply may be read. */
+static size_t
+bytes_left (const struct json_call *json_call)
+{
+  const struct httpjson *httpjson = json_call->httpjson;
+  size_t own = json_call->reply_bytes_max - json_call->body->len;
+
+  if (httpjson->bytes_max == 0)
+    return own;
+  return MIN (own, httpjson->bytes_max
+                       - MIN (httpjson->bytes, httpjson->bytes_max));
+}
+
 static void
 on_body (void *data, const char *bytes, size_t size)
 {
   struct json_call *json_call = data;
 
-  if (json_call->body->len + size <= REPLY_BYTES_MAX)
-    g_string_append_len (json_call->body, bytes, size);
+  if (size <= bytes_left (json_call))
+    {
+      g_string_append_len (json_call->body, bytes, size);
+      json_call->httpjson->bytes += size;
+      return;
+    }
+  httpclient_cancel (json_call->http_call);
+  json_call->http_call = NULL;
+  json_call_end (json_call,
+                 &(struct httpjson_reply){ .status = STATUS_UNKNOWN,
+                                           .head = &json_call->head });
 }
 
 static void
@@ -106,6 +124,7 @@
 void
 httpjson_init (struct httpjson *httpjson, struct httpclient *client)
 {
+  memset (httpjson, 0, sizeof *httpjson);
   httpjson->client = client;
   list_init (&httpjson->calls);
 }
@@ -151,6 +170,10 @@
           request->body, JSON_C_TO_STRING_PLAIN);
       http_request.body_size = strlen (http_request.body);
     }
+  json_call->httpjson = httpjson;
+  json_call->reply_bytes_max = request->reply_bytes_max != 0
+                                   ? request->reply_bytes_max
+                                   : HTTPJSON_REPLY_BYTES_MAX;
   json_call->body = g_string_new (NULL);
   httpfields_init (&json_call->head);
   json_call->header_name = request->reply_header;
--- a/src/httpjson.h
+++ b/src/httpjson.h
@@ -14,7 +14,9 @@
 enum
 {
   /** Size of a header value in a reply, with the final NUL. */
-  HTTPJSON_HEADER_SIZE = 64
+  HTTPJSON_HEADER_SIZE = 64,
+  /** Maximum size of a reply body in bytes, unless the request names one. */
+  HTTPJSON_REPLY_BYTES_MAX = 64 * 1024 * 1024
 };
 
 struct httpjson_reply
@@ -41,6 +43,9 @@
 {
   struct httpclient *client;
   struct list calls;
+  size_t bytes; /**< Bytes of reply bodies that are being read. */
+  /** Maximum of `bytes`; a call that would exceed it ends. 0: none. */
+  size_t bytes_max;
 };
 
 struct httpjson_request
@@ -56,6 +61,9 @@
   /** Body of the request, which httpjson_call releases; may be NULL. */
   struct json_object *body;
   int64_t timeout_ns;
+  /** Maximum size of the reply's body; 0: HTTPJSON_REPLY_BYTES_MAX. A longer
+   * one ends the call with STATUS_UNKNOWN. */
+  size_t reply_bytes_max;
   /** Whether to open a new connection instead of reusing an idle one. */
   bool new_connection;
 };
--- a/test/test-httpclient.c
+++ b/test/test-httpclient.c
@@ -8,7 +8,8 @@
 
 enum
 {
-  IO_TIMEOUT_MS = 2000
+  IO_TIMEOUT_MS = 2000,
+  ENDLESS_BYTES = 3 * 1024 * 1024
 };
 
 /* Static in each test: the client's library keeps memory at the loop until the
@@ -145,7 +146,49 @@
     uv_run (&fixture->loop, UV_RUN_NOWAIT);
 }
 
+/* Bytes without end in the head of a response, or in the body of one, were
+ * kept until the timeout of the call. */
+static void
+test_bytes_without_end (void)
+{
+  static struct client_fixture own;
+  char *filler = g_strnfill (ENDLESS_BYTES, '[');
+  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\nX: %s", filler);
+  char *body = g_strdup_printf ("HTTP/1.1 200 OK\r\n\r\n%s", filler);
+  struct fake_upstream_step steps[]
+      = { { head, FAKE_UPSTREAM_KEEP }, { body, FAKE_UPSTREAM_KEEP } };
+  struct clock clock;
+  struct httpjson httpjson;
+  int64_t start_ns;
+
+  clock_system_init (&clock);
+  fixture_init (&own);
+  httpjson_init (&httpjson, &fixture->client);
+  for (unsigned i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      start_ns = clock_now (&clock);
+      fake_upstream_init (&fixture->upstream, &fixture->loop, &steps[i], 1);
+      fixture->ended = false;
+      dialect_platform.cache_list (&httpjson, fixture->upstream.address,
+                                   10 * NS_PER_S, cache_list_received, NULL);
+      while (!fixture->ended)
+        uv_run (&fixture->loop, UV_RUN_ONCE);
+      CU_ASSERT_EQUAL (fixture->status, STATUS_UNKNOWN);
+      CU_ASSERT_TRUE (clock_now (&clock) - start_ns
+                      < IO_TIMEOUT_MS * NS_PER_MS / 2);
+      CU_ASSERT_EQUAL (httpjson.bytes, 0);
+      fake_upstream_finish (&fixture->upstream);
+    }
+  httpjson_finish (&httpjson);
+  httpclient_finish (&fixture->client);
+  uv_run (&fixture->loop, UV_RUN_NOWAIT);
+  g_free (body);
+  g_free (head);
+  g_free (filler);
+}
+
 static const struct unit_case cases[] = {
+  { "bytes-without-end", test_bytes_without_end },
   { "cut-body-is-not-complete", test_cut_body_is_not_complete },
   { "cut-block-list-is-no-reply", test_cut_block_list_is_no_reply },
 };
