--- a/test/test-httpclient.c
+++ b/test/test-httpclient.c
@@ -55,6 +55,14 @@
 static const struct httpclient_ops call_ops
     = { head_received, body_received, call_ended };
 
+/* Handles that are closed are let go. */
+static void
+loop_settle (void)
+{
+  for (int i = 0; i < 5; i++)
+    uv_run (&fixture->loop, UV_RUN_NOWAIT);
+}
+
 static enum status
 call_status (const struct fake_upstream_step *step)
 {
@@ -69,8 +77,7 @@
   while (!fixture->ended)
     uv_run (&fixture->loop, UV_RUN_ONCE);
   fake_upstream_finish (&fixture->upstream);
-  for (int i = 0; i < 5; i++)
-    uv_run (&fixture->loop, UV_RUN_NOWAIT);
+  loop_settle ();
   g_string_free (fixture->body, TRUE);
   return fixture->status;
 }
@@ -142,8 +149,7 @@
   fake_upstream_finish (&fixture->upstream);
   httpjson_finish (&httpjson);
   httpclient_finish (&fixture->client);
-  for (int i = 0; i < 5; i++)
-    uv_run (&fixture->loop, UV_RUN_NOWAIT);
+  loop_settle ();
 }
 
 /* Bytes without end in the head of a response, or in the body of one, were
@@ -178,10 +184,11 @@
                       < IO_TIMEOUT_MS * NS_PER_MS / 2);
       CU_ASSERT_EQUAL (httpjson.bytes, 0);
       fake_upstream_finish (&fixture->upstream);
+      loop_settle ();
     }
   httpjson_finish (&httpjson);
   httpclient_finish (&fixture->client);
-  uv_run (&fixture->loop, UV_RUN_NOWAIT);
+  loop_settle ();
   g_free (body);
   g_free (head);
   g_free (filler);
