Refuse a header name that is followed by a space

HTTP/1.1 asks for 400; the parser takes the space for a part of the name, so that the field was forwarded under another name (review). The row of forwarder/bad-input fails before (no 400).

--- a/src/callerconn.c
+++ b/src/callerconn.c
@@ -245,7 +245,9 @@
   struct callerconn *conn = parser->data;
 
   httpfields_append_name (&conn->head, bytes, size);
-  return head_fits (conn) ? 0 : 1;
+  /* The parser takes a space before the colon for a part of the name, which
+   * other recipients would read differently. */
+  return head_fits (conn) && memchr (bytes, ' ', size) == NULL ? 0 : 1;
 }
 
 static int
--- a/test/test-forwarder.c
+++ b/test/test-forwarder.c
@@ -90,6 +90,9 @@
     { "GET /safe/ HTTP/1.1\r\nHost: " FAKE_PATH_HOST "\r\nX-Request-Id: a\r\n"
       "X-Api-Key: other\r\n\r\n",
       "HTTP/1.1 401" },
+    { "GET /safe/ HTTP/1.1\r\nHost: " FAKE_PATH_HOST "\r\nX-Request-Id: a\r\n"
+      "X-Api-Key : key\r\n\r\n",
+      "HTTP/1.1 400" },
     { "GET /safe/ HTTP/1.1\r\nHost: " FAKE_PATH_HOST "\r\n", "HTTP/1.1 408" },
   };
 
