Take the time left of a refused caller by one clock

The Retry-After of a caller whose servers all asked for a pause was computed from a deadline by clock_boottime and the time by clock_now, so that on a host that had been suspended it went beyond the caller's time (review). The other uses of deadlines were looked through: they go by forward_time_left_ns.

forwarder/retry-after-of-a-suspended-host fails before.

--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -77,7 +77,7 @@
 pause_retry_after_ns (const struct forward *forward, int64_t wait_ns)
 {
   struct forwarder *forwarder = forward->forwarder;
-  int64_t left_ns = forward->deadline_ns - clock_now (forwarder->clock);
+  int64_t left_ns = forward_time_left_ns (forward);
   double latest = retry_after_share * (double)MAX (left_ns, 0);
   double first = (double)wait_ns;
   double last = first
--- a/test/test-forwarder.c
+++ b/test/test-forwarder.c
@@ -200,19 +200,41 @@
 
 /* The Retry-After time is limited to a share of the time left, here 1.2 s. */
 static void
-test_retry_after_fits_time_left (void)
+retry_after_check (void)
 {
-  static const struct fake_upstream_step not_run[]
-      = { { NOT_RUN_RESPONSE, FAKE_UPSTREAM_KEEP } };
   const char *retry_after;
 
-  fake_path_setup (not_run, 1, NULL, 0);
-  fake_path_request_send ("/once/", "");
   CU_ASSERT_TRUE (fake_path_run_until ("\r\n\r\n"));
   retry_after = strstr (path.answer->str, "Retry-After: ");
   CU_ASSERT_PTR_NOT_NULL_FATAL (retry_after);
   CU_ASSERT_TRUE (g_ascii_strtod (retry_after + strlen ("Retry-After: "), NULL)
                   <= 0.4);
+}
+
+/* A refused caller was to return after its time. */
+static void
+test_retry_after_fits_time_left (void)
+{
+  static const struct fake_upstream_step not_run[]
+      = { { NOT_RUN_RESPONSE, FAKE_UPSTREAM_KEEP } };
+
+  fake_path_setup (not_run, 1, NULL, 0);
+  fake_path_request_send ("/once/", "");
+  retry_after_check ();
+  fake_path_finish ();
+}
+
+/* On a host that had been suspended, a caller whose servers asked for a pause
+ * was to return after its time. */
+static void
+test_retry_after_of_a_suspended_host (void)
+{
+  fake_path_setup (full_response, 1, NULL, 0);
+  path.suspended_ns += 20 * NS_PER_S;
+  serverpause_record (&servers_find (&path.servers, "i-0")->pause,
+                      10 * NS_PER_S, clock_now (&path.clock));
+  fake_path_request_send ("/once/", "");
+  retry_after_check ();
   fake_path_finish ();
 }
 
@@ -528,6 +550,7 @@
   { "isolation-that-changes", test_isolation_that_changes },
   { "walls-of-long-names", test_isolation_with_long_names },
   { "refusal-fits-the-callers-time", test_retry_after_fits_time_left },
+  { "retry-after-of-a-suspended-host", test_retry_after_of_a_suspended_host },
   { "disowned-goes-elsewhere", test_not_run_is_retried_elsewhere },
   { "once-is-never-repeated", test_non_idempotent_is_not_retried },
   { "idempotent-is-repeated", test_idempotent_is_retried },
