A failed call is no outage of the KV service

Keys are held now only if the service has replied to no call of this process for 2.4 s, in which the entry of a server can expire. kvview/failed-call-is-no-outage fails before.

--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -51,8 +51,8 @@
 static void
 views_init (struct entry *entry)
 {
-  const struct kvview_settings settings
-      = entryviews_settings (&entry->pausewatch);
+  const struct kvview_settings settings = entryviews_settings (
+      &entry->pausewatch, &entry->kvbudget.last_reply_ns);
   struct kv *kv = &entry->kvera.kv;
 
   kvview_init (&entry->operator_view, kv, &entry->clock, &settings,
--- a/src/entryviews.h
+++ b/src/entryviews.h
@@ -24,7 +24,8 @@
 /** Return the settings of the views of a process whose pauses are
  * PAUSEWATCH. */
 struct kvview_settings
-entryviews_settings (const struct pausewatch *pausewatch);
+entryviews_settings (const struct pausewatch *pausewatch,
+                     const int64_t *service_reply_ns);
 
 /** Log that the value of KEY can't be used, for the reason ERROR. */
 void entryviews_log_ignored_key (struct entry *entry, const char *key,
--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -141,7 +141,10 @@
       = status == STATUS_UNKNOWN ? budget->lost_replies + 1 : 0;
   failed = failed || budget->lost_replies >= LOST_REPLIES_MAX;
   if (!failed && status != STATUS_UNKNOWN)
-    budget_end_backoff (budget);
+    {
+      budget->last_reply_ns = clock_now (budget->clock);
+      budget_end_backoff (budget);
+    }
   else if (call->is_probe
            || (failed && call->sent_ns >= budget->backoff_start_ns))
     {
--- a/src/kvbudget.h
+++ b/src/kvbudget.h
@@ -63,6 +63,9 @@
   bool probe_in_flight;
   int64_t backoff_start_ns; /* Time of the failure that started the backoff. */
   int64_t backoff_end_ns;
+  /** Time at which the service last replied to a call, and not with a refusal;
+   * 0 if it never has. */
+  int64_t last_reply_ns;
 };
 
 /** SERVICE, CLOCK and RNG must outlive BUDGET. */
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -226,6 +226,15 @@
   return MAX (news_ns, view->unseen_since_ns);
 }
 
+/* Whether leases may have expired since the service became unreachable. */
+static bool
+outage_was_long (const struct kvview *view)
+{
+  return view->settings.service_reply_ns == NULL
+         || clock_now (view->clock) - view->outage_began_ns
+                >= view->settings.outage_min_ns;
+}
+
 static void
 view_set_reachable (struct kvview *view, bool reachable)
 {
@@ -234,7 +243,9 @@
   if (view->reachable == reachable)
     return;
   view->reachable = reachable;
-  if (reachable && view->was_unreachable)
+  if (!reachable && view->settings.service_reply_ns != NULL)
+    view->outage_began_ns = *view->settings.service_reply_ns;
+  if (reachable && view->was_unreachable && outage_was_long (view))
     view->outage_end_ns = clock_now (view->clock);
   view->ops->reachability_changed (view->data, reachable);
 }
--- a/test/test-entryweights.c
+++ b/test/test-entryweights.c
@@ -64,7 +64,7 @@
 test_views_know_pauses (void)
 {
   struct pausewatch pausewatch = { 0 };
-  struct kvview_settings settings = entryviews_settings (&pausewatch);
+  struct kvview_settings settings = entryviews_settings (&pausewatch, NULL);
 
   CU_ASSERT_PTR_EQUAL (settings.pausewatch, &pausewatch);
   CU_ASSERT_TRUE (settings.watch_duration_ns > 0);
--- a/test/test-kvview.c
+++ b/test/test-kvview.c
@@ -226,6 +226,36 @@
   finish ();
 }
 
+/* Each call that failed, and each watch that was cut, held the keys of servers
+ * that had left for two seconds more. */
+static void
+test_failed_call_is_no_outage (void)
+{
+  int64_t service_reply_ns;
+
+  for (int long_outage = 0; long_outage <= 1; long_outage++)
+    {
+      setup ();
+      view.settings = entryviews_settings (NULL, &service_reply_ns);
+      reply_to_call (STATUS_OK, 6, &a1, 1);
+      service_reply_ns = clock_now (&fake_clock.clock);
+      for (unsigned i = 0; i < 4; i++)
+        {
+          clock_fake_advance (&fake_clock, NS_PER_S);
+          if (!long_outage)
+            service_reply_ns = clock_now (&fake_clock.clock);
+          reply_to_call (i % 2 == 0 ? STATUS_LIMITED : STATUS_UNAVAILABLE, 0,
+                         NULL, 0);
+          if (!long_outage && i < 3)
+            reply_to_call (STATUS_OK, 7 + i, &a1, 1);
+        }
+      clock_fake_advance (&fake_clock, 500 * NS_PER_MS);
+      reply_to_call (STATUS_OK, 11, NULL, 0);
+      expect_callbacks (long_outage ? "+p/a=1 " : "+p/a=1 -p/a ");
+      finish ();
+    }
+}
+
 static void
 test_a_key_that_comes_back_stays (void)
 {
@@ -274,7 +304,7 @@
   {
     HISTORY_S = 20
   };
-  const struct kvview_settings settings = entryviews_settings (NULL);
+  const struct kvview_settings settings = entryviews_settings (NULL, NULL);
   unsigned reads = 0;
 
   setup ();
@@ -308,6 +338,7 @@
   { "failed-or-refused-reads-remove-nothing",
     test_failed_or_refused_reads_remove_nothing },
   { "keys-are-held-after-an-outage", test_keys_are_held_after_an_outage },
+  { "failed-call-is-no-outage", test_failed_call_is_no_outage },
   { "a-key-that-comes-back-stays", test_a_key_that_comes_back_stays },
   { "restart-drops-the-open-call", test_restart_drops_call_in_flight },
 };
