--- a/review/build.sh
+++ b/review/build.sh
@@ -1,9 +1,10 @@
 #!/bin/sh
-# Build the stand-ins of the cases into target/review, after the build of the
-# deploy file.
+# Build the stand-ins of the cases into BUILD/review: build.sh [BUILD]. Without
+# BUILD, that of the deploy file is used; it must be built before.
 set -e
 cd "$(dirname "$0")/.."
-mkdir -p target/review
+build=${1:-target}
+mkdir -p "$build/review"
 flags="$(pkg-config --cflags --libs libuv libh2o libprotobuf-c glib-2.0 \
   log4c json-c libsodium libxxhash openssl zlib)"
 for case in review/*/case.c; do
@@ -11,7 +12,8 @@
   # shellcheck disable=SC2086
   cc -std=c11 -O1 -g -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Wall -Wextra \
     -Wno-unused-parameter -Isrc -Iplatform \
-    -o "target/review/case-$number" "$case" review/common/fleet.c \
-    test/soak-store.c test/reserveport.c target/libtrefoilspar-core.a \
+    "-DFLEET_PROGRAM=\"$build/trefoilspard\"" \
+    -o "$build/review/case-$number" "$case" review/common/fleet.c \
+    test/soak-store.c test/reserveport.c "$build/libtrefoilspar-core.a" \
     $flags -lcsv -lhttp_parser -lm
 done
--- a/review/common/fleet.c
+++ b/review/common/fleet.c
@@ -8,6 +8,11 @@
 #include <string.h>
 #include <unistd.h>
 
+/* The entry process that the hosts run. */
+#ifndef FLEET_PROGRAM
+#define FLEET_PROGRAM "target/trefoilspard"
+#endif
+
 enum
 {
   RESTART_MS = 300, /* from the end of a process to its next start */
@@ -648,7 +653,7 @@
   char *log
       = g_strdup_printf ("%s/front-%u.log", host->fleet->folder, host->number);
   int file = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
-  char program[] = "target/trefoilspard";
+  char program[] = FLEET_PROGRAM;
   char *arguments[] = { program, NULL };
   char *environment[] = { variable, NULL };
   uv_stdio_container_t stdio[3]
