Brittle servers: hosts without room ask, and what the last reading found

* A host without room believed for ever that a server was brittle if nobody told it of the end: datagrams lost, or more than 128 hosts.
If nothing was heard for 3 s, the hosts that tell each other ask in turn, with one request in 2 s.
* A server that starts was open to one request of each host before the hosts knew their positions.
It gets none until then.
* A host that has just started waited for the first response of a service for as long as it took.
It does so for a second only, in which others tell it.
* Requests waited although all servers were held after a rejection for longer than they could wait.
* A host that was suspended told of responses as if they were new.
* With over 64 servers to tell of, rejections might have been left out.
* Keys were not held after an outage of the KV service that a view found out after another call had.
The gap between the replies of all calls decides now.
* The set of isolated organisations counted an organisation that a configuration names twice.

--- a/src/choose.c
+++ b/src/choose.c
@@ -359,31 +359,33 @@
 {
   unsigned room = serverbrittle_room (&server->brittle, server->entry.slots);
 
-  return serverbrittle_is_unknown (&server->brittle)
+  return serverbrittle_is_unknown (&server->brittle, now)
          && server->in_flight_requests
                 >= MAX (serverbrittle_share (&server->brittle, room, now), 1U);
 }
 
-/* Whether SERVER has a place for the request that is this host's, if it is
- * brittle. */
+/* Whether SERVER, which is brittle, has a place for the request that is this
+ * host's, or may be asked with it. */
 static bool
 has_own_place (const struct choose_settings *settings,
                const struct choose_query *query, const struct server *server,
                int64_t now)
 {
+  const struct serverbrittle *brittle = &server->brittle;
+  unsigned room = serverbrittle_room (brittle, server->entry.slots);
   uint64_t needed = query->call->prompt_tokens + query->call->output_tokens;
   unsigned places;
 
-  if (!server->brittle.brittle)
-    return true;
+  if (has_waiting (server, now) || serverbrittle_hold_ns (brittle, now) > 0)
+    return false;
   places = brittle_places (settings, query, server, now);
-  return server->in_flight_requests < serverbrittle_share (
-             &server->brittle,
-             serverbrittle_room (&server->brittle, server->entry.slots), now)
+  if (places == 0)
+    return server->in_flight_requests == 0
+           && serverbrittle_may_ask (brittle, now)
+           && (query->model == NULL || needed <= server->kv_capacity_tokens);
+  return server->in_flight_requests < serverbrittle_share (brittle, room, now)
          && (query->model == NULL
-             || server->in_flight_tokens + needed <= places * needed)
-         && places > 0 && !has_waiting (server, now)
-         && !serverbrittle_is_held (&server->brittle, now);
+             || server->in_flight_tokens + needed <= places * needed);
 }
 
 static void
@@ -394,8 +396,10 @@
 {
   unsigned places = brittle_places (settings, query, server, now);
   double ms = run_ms (query, server);
-  int64_t wait_ns
-      = places > 0 ? (int64_t)(ms / places * NS_PER_MS) : CLOCK_NEVER;
+  int64_t wait_ns = places > 0
+                        ? MAX ((int64_t)(ms / places * NS_PER_MS),
+                               serverbrittle_hold_ns (&server->brittle, now))
+                        : CLOCK_NEVER;
 
   result->at_capacity = true;
   result->limited_wait_ns
@@ -486,7 +490,8 @@
                || may_be_brittle (server, now)
                || (spares_others && !has_place (server)))
         result->at_capacity = result->others_at_capacity = true;
-      else if (!has_own_place (settings, query, server, now))
+      else if (server->brittle.brittle
+               && !has_own_place (settings, query, server, now))
         result_add_brittle (settings, query, server, now, rng, result);
       else
         candidate_consider (settings, query, server, server == preferred, now,
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -17,21 +17,17 @@
   WATCH_WAIT_S = 15,
   /* Time for which the views hold keys that disappear around an outage of
    * the KV service. */
-  KEY_HOLD_MS = 2000,
-  /* Two heartbeats of a backend server, whose entry expires after three: it
-   * has sent the last one a heartbeat before an outage at the earliest. */
-  OUTAGE_MIN_MS = 2400
+  KEY_HOLD_MS = 2000
 };
 
 struct kvview_settings
 entryviews_settings (const struct pausewatch *pausewatch,
-                     const int64_t *service_reply_ns)
+                     const int64_t *service_outage_end_ns)
 {
   return (struct kvview_settings){
     .watch_duration_ns = WATCH_WAIT_S * NS_PER_S,
     .hold_ns = KEY_HOLD_MS * NS_PER_MS,
-    .service_reply_ns = service_reply_ns,
-    .outage_min_ns = OUTAGE_MIN_MS * NS_PER_MS,
+    .service_outage_end_ns = service_outage_end_ns,
     .pausewatch = pausewatch,
   };
 }
--- a/src/entryviews.h
+++ b/src/entryviews.h
@@ -25,7 +25,7 @@
  * PAUSEWATCH. */
 struct kvview_settings
 entryviews_settings (const struct pausewatch *pausewatch,
-                     const int64_t *service_reply_ns);
+                     const int64_t *service_outage_end_ns);
 
 /** Log that the value of KEY can't be used, for the reason ERROR. */
 void entryviews_log_ignored_key (struct entry *entry, const char *key,
--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -124,6 +124,17 @@
   budget->tokens = MIN (budget->tokens, 1.0);
 }
 
+static void
+reply_note (struct kvbudget *budget)
+{
+  int64_t now = clock_now (budget->clock);
+
+  if (budget->last_reply_ns != 0
+      && now - budget->last_reply_ns >= budget->settings.outage_min_ns)
+    budget->outage_end_ns = now;
+  budget->last_reply_ns = now;
+}
+
 /* Update the backoff after CALL ended with STATUS. The failure of a call that
  * was sent before the last failure says nothing new about the service and does
  * not extend the backoff. A lost reply (STATUS_UNKNOWN) counts as a failure
@@ -142,7 +153,7 @@
   failed = failed || budget->lost_replies >= LOST_REPLIES_MAX;
   if (!failed && status != STATUS_UNKNOWN)
     {
-      budget->last_reply_ns = clock_now (budget->clock);
+      reply_note (budget);
       budget_end_backoff (budget);
     }
   else if (call->is_probe
--- a/src/kvbudget.h
+++ b/src/kvbudget.h
@@ -34,6 +34,7 @@
                                is added to it. */
   int64_t backoff_min_ns;   /**< Mean backoff after the first failure. */
   int64_t backoff_max_ns;   /**< Mean backoff after many failures. */
+  int64_t outage_min_ns;    /**< See kvbudget.outage_end_ns. */
 };
 
 struct kvbudget
@@ -66,6 +67,9 @@
   /** Time at which the service last replied to a call, and not with a refusal;
    * 0 if it never has. */
   int64_t last_reply_ns;
+  /** Time of the last reply that came after a span of outage_min_ns or more
+   * without one; 0 if there was none. */
+  int64_t outage_end_ns;
 };
 
 /** SERVICE, CLOCK and RNG must outlive BUDGET. */
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -226,13 +226,15 @@
   return MAX (news_ns, view->unseen_since_ns);
 }
 
-/* Whether leases may have expired since the service became unreachable. */
+/* Whether leases may have expired around the failure that has just ended. */
 static bool
 outage_was_long (const struct kvview *view)
 {
-  return view->settings.service_reply_ns == NULL
-         || clock_now (view->clock) - view->outage_began_ns
-                >= view->settings.outage_min_ns;
+  const int64_t *end_ns = view->settings.service_outage_end_ns;
+
+  return end_ns == NULL
+         || (*end_ns != 0
+             && clock_now (view->clock) - *end_ns <= view->settings.hold_ns);
 }
 
 static void
@@ -243,8 +245,6 @@
   if (view->reachable == reachable)
     return;
   view->reachable = reachable;
-  if (!reachable && view->settings.service_reply_ns != NULL)
-    view->outage_began_ns = *view->settings.service_reply_ns;
   if (reachable && view->was_unreachable && outage_was_long (view))
     view->outage_end_ns = clock_now (view->clock);
   view->ops->reachability_changed (view->data, reachable);
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -34,12 +34,10 @@
                                 change. */
   int64_t hold_ns; /**< Time after an outage during which vanished keys are
                       held. */
-  /** Time at which the service last replied to any call of this process; 0 if
-   * it never has. NULL if it isn't known. */
-  const int64_t *service_reply_ns;
-  /** Minimum time without such a reply in which the lease of a key can expire.
-   * Around a shorter one, vanished keys are not held. */
-  int64_t outage_min_ns;
+  /** Time at which the last outage ended in which leases can have expired, as
+   * all calls of this process tell; 0 if there was none. NULL: each failure of
+   * a call counts as such an outage. */
+  const int64_t *service_outage_end_ns;
   const struct pausewatch *pausewatch; /**< Pauses of this process; may be
                                           NULL. */
 };
@@ -76,13 +74,11 @@
                            keys. */
   int64_t next_call_ns; /**< Earliest time of the next call. */
   bool anew_due; /**< Whether kvview_read_anew is still to take effect. */
-  int64_t next_anew_ns;    /**< Earliest time at which it does. */
-  bool keeps_unseen;       /**< Whether unseen_since_ns stays as it is until a
-                              call succeeds. */
-  int64_t outage_began_ns; /**< Time since which the service was unreachable at
-                              the last failure. */
-  int64_t outage_end_ns;   /**< Time at which the last outage ended. */
-  int64_t last_reply_ns;   /**< Time of the last successful reply, or 0. */
+  int64_t next_anew_ns;  /**< Earliest time at which it does. */
+  bool keeps_unseen;     /**< Whether unseen_since_ns stays as it is until a
+                            call succeeds. */
+  int64_t outage_end_ns; /**< Time at which the last outage ended. */
+  int64_t last_reply_ns; /**< Time of the last successful reply, or 0. */
 };
 
 void kvview_init (struct kvview *view, struct kv *kv,
--- a/src/limitshare.c
+++ b/src/limitshare.c
@@ -10,6 +10,8 @@
   SERVERS_MAX = 64, /* Maximum number of servers in one datagram. */
   /* Time for which the end of a limit is told. */
   END_TOLD_MS = 3000,
+  /* Shorter suspensions make no difference to the age of a response. */
+  SUSPENSION_MIN_MS = 100,
   /* Age from which a statement is no news. */
   STATEMENT_AGE_MS = 2000
 };
@@ -30,6 +32,7 @@
   memset (share, 0, sizeof *share);
   share->servers = servers;
   share->clock = clock;
+  share->suspended_ns = clock_boottime (clock) - clock_now (clock);
 }
 
 static bool
@@ -41,31 +44,45 @@
 /* Whether a statement that was made or ended at SINCE_NS is to be told: this
  * host was the last one to hear it, and its end is told for a while only. */
 static bool
-is_statement_news (bool holds, int64_t since_ns, int64_t heard_ns,
-                   int64_t stated_ns, int64_t now)
+is_statement_news (const struct limitshare *share, bool holds,
+                   int64_t since_ns, int64_t heard_ns, int64_t stated_ns,
+                   int64_t now)
 {
-  return heard_ns == stated_ns && is_recent (heard_ns, now, STATEMENT_AGE_MS)
+  return heard_ns == stated_ns && heard_ns >= share->resumed_ns
+         && is_recent (heard_ns, now, STATEMENT_AGE_MS)
          && (holds || is_recent (since_ns, now, END_TOLD_MS));
 }
 
 /* Whether this host has news of the limit of SERVER. */
 static bool
-is_limit_news (const struct server *server, int64_t now)
+is_limit_news (const struct limitshare *share, const struct server *server,
+               int64_t now)
 {
   const struct serverlimit *limit = &server->limit;
 
-  return is_statement_news (limit->limited, limit->since_ns, limit->heard_ns,
-                            limit->stated_ns, now);
+  return is_statement_news (share, limit->limited, limit->since_ns,
+                            limit->heard_ns, limit->stated_ns, now);
+}
+
+static bool
+has_recent_rejection (const struct limitshare *share,
+                      const struct server *server, int64_t now)
+{
+  int64_t rejected_ns = server->brittle.rejected_here_ns;
+
+  return rejected_ns >= share->resumed_ns
+         && is_recent (rejected_ns, now, STATEMENT_AGE_MS);
 }
 
 /* Whether this host has news of SERVER being brittle. */
 static bool
-is_brittle_news (const struct server *server, int64_t now)
+is_brittle_news (const struct limitshare *share, const struct server *server,
+                 int64_t now)
 {
   const struct serverbrittle *brittle = &server->brittle;
 
-  return is_recent (brittle->rejected_here_ns, now, STATEMENT_AGE_MS)
-         || is_statement_news (brittle->brittle, brittle->since_ns,
+  return has_recent_rejection (share, server, now)
+         || is_statement_news (share, brittle->brittle, brittle->since_ns,
                                brittle->heard_ns, brittle->stated_ns, now);
 }
 
@@ -130,9 +147,9 @@
     {
       const struct server *server = value;
 
-      if (is_limit_news (server, now))
+      if (is_limit_news (share, server, now))
         last_change_ns = MAX (last_change_ns, server->limit.since_ns);
-      if (is_brittle_news (server, now))
+      if (is_brittle_news (share, server, now))
         last_change_ns
             = MAX (last_change_ns, MAX (server->brittle.since_ns,
                                         server->brittle.rejected_here_ns));
@@ -144,6 +161,18 @@
   return true;
 }
 
+/* The age of a response is told by a clock that stands still while the host is
+ * suspended. */
+static void
+suspension_note (struct limitshare *share, int64_t now)
+{
+  int64_t suspended_ns = clock_boottime (share->clock) - now;
+
+  if (suspended_ns - share->suspended_ns > SUSPENSION_MIN_MS * NS_PER_MS)
+    share->resumed_ns = now;
+  share->suspended_ns = suspended_ns;
+}
+
 size_t
 limitshare_encode (struct limitshare *share,
                    uint8_t bytes[LIMITSHARE_BYTES_MAX])
@@ -155,17 +184,23 @@
   GHashTableIter iter;
   gpointer value;
 
+  suspension_note (share, now);
   if (!is_due (share, now))
     return 0;
   message->limits = datagram.pointers;
   message->brittle = datagram.brittle_pointers;
-  g_hash_table_iter_init (&iter, share->servers->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  /* What does not fit is left out, rejections last. */
+  for (int rejected = 1; rejected >= 0; rejected--)
     {
-      if (is_limit_news (value, now))
-        datagram_add_limit (&datagram, value, now);
-      if (is_brittle_news (value, now))
-        datagram_add_brittle (&datagram, value, now);
+      g_hash_table_iter_init (&iter, share->servers->by_id);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          if (rejected && is_limit_news (share, value, now))
+            datagram_add_limit (&datagram, value, now);
+          if (is_brittle_news (share, value, now)
+              && has_recent_rejection (share, value, now) == rejected)
+            datagram_add_brittle (&datagram, value, now);
+        }
     }
   while (trefoilspar__limit_share__get_packed_size (message)
          > LIMITSHARE_BYTES_MAX)
--- a/src/limitshare.h
+++ b/src/limitshare.h
@@ -14,7 +14,10 @@
 
 enum
 {
-  LIMITSHARE_BYTES_MAX = 1400 /**< Maximum size of a datagram. */
+  LIMITSHARE_BYTES_MAX = 1400, /**< Maximum size of a datagram. */
+  /** Maximum number of hosts that all tell each other. With more, the hosts of
+   * each subset do, since its engines serve only these. */
+  LIMITSHARE_HOSTS_MAX = 128
 };
 
 struct limitshare
@@ -23,6 +26,10 @@
   const struct clock *clock;
   int64_t next_send_ns;
   int64_t last_change_ns; /**< Newest change that was sent. */
+  int64_t suspended_ns;   /**< Time for which the host was suspended so far. */
+  /** Responses from before this time are not told: the host was suspended
+   * since, so that their age is not known. */
+  int64_t resumed_ns;
 };
 
 void limitshare_init (struct limitshare *limitshare, struct servers *servers,
--- a/src/peerudp.c
+++ b/src/peerudp.c
@@ -20,10 +20,9 @@
 enum
 {
   DATAGRAM_BYTES_MAX = 1 + MAX (LOADSHARE_BYTES_MAX, STOREUPDATE_BYTES_MAX),
-  /* Maximum number of hosts that all send each other evidence of crashes and
-   * limits. With more, the hosts of each subset do, since its engines serve
-   * only these. */
-  ALL_HOSTS_MAX = 128
+  /* Maximum number of hosts that all send each other evidence of crashes. With
+   * more, the hosts of each subset do. */
+  ALL_HOSTS_MAX = LIMITSHARE_HOSTS_MAX
 };
 
 static void
--- a/src/routes.c
+++ b/src/routes.c
@@ -129,16 +129,6 @@
   return organisation;
 }
 
-void
-routes_set_isolated (struct routes *routes, struct organisation *organisation)
-{
-  if (organisation->isolated)
-    return;
-  organisation->isolated = true;
-  routes->isolation
-      += XXH3_64bits (organisation->name, strlen (organisation->name)) | 1;
-}
-
 void
 routes_add_key (struct routes *routes, const char *key,
                 struct organisation *organisation)
@@ -158,6 +148,25 @@
   return (left_length < right_length) - (left_length > right_length);
 }
 
+void
+routes_update_isolation (struct routes *routes)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  routes->isolation = 0;
+  g_hash_table_iter_init (&iter, routes->organisations);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct organisation *organisation = value;
+
+      if (organisation->isolated)
+        routes->isolation
+            += XXH3_64bits (organisation->name, strlen (organisation->name))
+               | 1;
+    }
+}
+
 void
 routes_build_index (struct routes *routes)
 {
@@ -181,6 +190,7 @@
   g_hash_table_iter_init (&iter, routes->routes_by_host);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     g_ptr_array_sort (value, compare_longest_prefix_first);
+  routes_update_isolation (routes);
 }
 
 const struct route *
--- a/src/routes.h
+++ b/src/routes.h
@@ -108,13 +108,14 @@
 struct service *routes_add_service (struct routes *routes, const char *name);
 struct organisation *routes_add_organisation (struct routes *routes,
                                               const char *name);
-/** Marks ORGANISATION, one of ROUTES, as isolated. */
-void routes_set_isolated (struct routes *routes,
-                          struct organisation *organisation);
 void routes_add_key (struct routes *routes, const char *key,
                      struct organisation *organisation);
 
-/** Builds the index of hosts and prefixes that routes_find_route uses. */
+/** Sets `isolation` after organisations of ROUTES were changed. */
+void routes_update_isolation (struct routes *routes);
+
+/** Builds the index of hosts and prefixes that routes_find_route uses, and
+ * sets `isolation`. */
 void routes_build_index (struct routes *routes);
 
 /** Returns the route of HOST whose prefix is the longest that matches PATH,
--- a/src/serverbrittle.c
+++ b/src/serverbrittle.c
@@ -21,14 +21,23 @@
    * that opens may take a slot for a moment. */
   FEW_REJECTIONS = 1,
   SPARE_SLOTS = 8,
-  ROOM_SLOTS_MIN = 4
+  ROOM_SLOTS_MIN = 4,
+  /* Time after the start of a host in which others tell it of brittle servers.
+   */
+  TOLD_MS = 1000,
+  /* Age of the last response from which hosts without room ask, and time
+   * between the requests of all that tell each other. */
+  STALE_MS = 3000,
+  ASK_INTERVAL_MS = 2000
 };
 
 void
 serverbrittle_init (struct serverbrittle *brittle,
-                    const struct serverbrittle_service *service)
+                    const struct serverbrittle_service *service,
+                    int64_t now_ns)
 {
   memset (brittle, 0, sizeof *brittle);
+  brittle->known_ns = now_ns;
   brittle->service = service;
   brittle->brittle = service->brittle;
   brittle->rejections = service->rejections;
@@ -70,6 +79,8 @@
 {
   unsigned share = position_share (&brittle->position, units);
 
+  if (brittle->position.host_count == 0)
+    return 0;
   return position_counts (brittle, now_ns)
              ? MIN (share, position_share (&brittle->former, units))
              : share;
@@ -148,15 +159,40 @@
 }
 
 bool
-serverbrittle_is_unknown (const struct serverbrittle *brittle)
+serverbrittle_is_unknown (const struct serverbrittle *brittle, int64_t now_ns)
 {
-  return brittle->stated_ns == 0 && brittle->position.host_count > 0
-         && !brittle->service->known;
+  return brittle->position.host_count > 0 && brittle->stated_ns == 0
+         && !brittle->service->known
+         && now_ns - brittle->service->began_ns < TOLD_MS * NS_PER_MS;
+}
+
+int64_t
+serverbrittle_hold_ns (const struct serverbrittle *brittle, int64_t now_ns)
+{
+  if (!brittle->brittle || brittle->rejected_ns == 0)
+    return 0;
+  return MAX (brittle->rejected_ns + HOLD_MS * NS_PER_MS - now_ns, 0);
 }
 
 bool
-serverbrittle_is_held (const struct serverbrittle *brittle, int64_t now_ns)
+serverbrittle_may_ask (const struct serverbrittle *brittle, int64_t now_ns)
+{
+  const struct serverbrittle_position *position = &brittle->position;
+  int64_t turn_ns;
+
+  if (position->told_count == 0)
+    return false;
+  turn_ns
+      = (position->rank % position->told_count) * ASK_INTERVAL_MS * NS_PER_MS;
+  return now_ns - MAX (brittle->stated_ns, brittle->known_ns)
+             >= STALE_MS * NS_PER_MS + turn_ns
+         && now_ns - brittle->asked_ns
+                >= position->told_count * ASK_INTERVAL_MS * NS_PER_MS;
+}
+
+void
+serverbrittle_take (struct serverbrittle *brittle, int64_t now_ns)
 {
-  return brittle->brittle && brittle->rejected_ns != 0
-         && now_ns - brittle->rejected_ns < HOLD_MS * NS_PER_MS;
+  if (brittle->brittle && serverbrittle_may_ask (brittle, now_ns))
+    brittle->asked_ns = now_ns;
 }
--- a/src/servers.c
+++ b/src/servers.c
@@ -210,6 +210,7 @@
   if (found == NULL)
     {
       found = g_new0 (struct serverbrittle_service, 1);
+      found->began_ns = clock_now (servers->clock);
       g_hash_table_insert (servers->brittle_by_service, g_strdup (service),
                            found);
     }
@@ -256,7 +257,8 @@
       server->pause = start->pause;
     }
   serverbrittle_init (&server->brittle,
-                      service_brittle (servers, entry->service));
+                      service_brittle (servers, entry->service),
+                      clock_now (servers->clock));
   server->in_local_data_centre
       = strcmp (entry->data_centre, servers->data_centre) == 0;
   g_hash_table_insert (servers->by_id, server->entry.id, server);
@@ -411,6 +413,7 @@
 server_request_begun (struct servers *servers, struct server *server)
 {
   server->in_flight_requests++;
+  serverbrittle_take (&server->brittle, clock_now (servers->clock));
   if (server->is_used)
     return;
   server->is_used = true;
--- a/src/subsets.c
+++ b/src/subsets.c
@@ -1,4 +1,5 @@
 #include "subsets.h"
+#include "limitshare.h"
 #include "rendezvous.h"
 
 #include <string.h>
@@ -91,7 +92,9 @@
   struct serverbrittle_position position
       = { .host_count = count,
           .rank = count,
-          .servers = is_divided ? servers / subsets->count : servers };
+          .servers = is_divided ? servers / subsets->count : servers,
+          .told_count
+          = count <= LIMITSHARE_HOSTS_MAX ? count : subsets->host_count };
 
   if (!server->in_other_subset)
     position.rank = is_divided ? local_rank (subsets, id)
