--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -114,18 +114,7 @@
 }
 
 static void
-budget_end_backoff (struct kvbudget *budget)
-{
-  if (budget->consecutive_failures == 0)
-    return;
-  budget->consecutive_failures = 0;
-  budget->is_lost = false;
-  budget_refill (budget);
-  budget->tokens = MIN (budget->tokens, 1.0);
-}
-
-static void
-reply_note (struct kvbudget *budget)
+budget_note_reply (struct kvbudget *budget)
 {
   int64_t now = clock_now (budget->clock);
 
@@ -133,6 +122,12 @@
       && now - budget->last_reply_ns >= budget->settings.outage_min_ns)
     budget->outage_end_ns = now;
   budget->last_reply_ns = now;
+  if (budget->consecutive_failures == 0)
+    return;
+  budget->consecutive_failures = 0;
+  budget->is_lost = false;
+  budget_refill (budget);
+  budget->tokens = MIN (budget->tokens, 1.0);
 }
 
 /* Update the backoff after CALL ended with STATUS. The failure of a call that
@@ -152,10 +147,7 @@
       = status == STATUS_UNKNOWN ? budget->lost_replies + 1 : 0;
   failed = failed || budget->lost_replies >= LOST_REPLIES_MAX;
   if (!failed && status != STATUS_UNKNOWN)
-    {
-      reply_note (budget);
-      budget_end_backoff (budget);
-    }
+    budget_note_reply (budget);
   else if (call->is_probe
            || (failed && call->sent_ns >= budget->backoff_start_ns))
     {
--- a/src/serverbrittle.c
+++ b/src/serverbrittle.c
@@ -186,8 +186,9 @@
       = (position->rank % position->told_count) * ASK_INTERVAL_MS * NS_PER_MS;
   return now_ns - MAX (brittle->stated_ns, brittle->known_ns)
              >= STALE_MS * NS_PER_MS + turn_ns
-         && now_ns - brittle->asked_ns
-                >= position->told_count * ASK_INTERVAL_MS * NS_PER_MS;
+         && (brittle->asked_ns == 0
+             || now_ns - brittle->asked_ns
+                    >= position->told_count * ASK_INTERVAL_MS * NS_PER_MS);
 }
 
 void
--- a/test/fake-brittle.c
+++ b/test/fake-brittle.c
@@ -18,6 +18,7 @@
   STABLE_MS = 4000,
   BRITTLE_MS = 6000,
   DOWN_MS = 3000,
+  ENDED_MS = 600,   /* Time for which an engine that ends stays away. */
   ABSENT_MS = 3000, /* Time for which a killed host stays away. */
   WAIT_MS = 1500,   /* Time that a request waits at its host. */
   NOT_RUN_MAX = 3
@@ -209,13 +210,12 @@
 }
 
 static void
-engine_fall (unsigned index)
+engine_end (unsigned index, int64_t down_ms)
 {
   struct engine *engine = &engines[index];
 
-  engine->falls++;
   engine->down = true;
-  engine->back_ns = now_ns () + DOWN_MS * NS_PER_MS;
+  engine->back_ns = now_ns () + down_ms * NS_PER_MS;
   engine->running = engine->waiting = 0;
   for (struct list *node = flights.next; node != &flights; node = node->next)
     {
@@ -230,6 +230,13 @@
     }
 }
 
+static void
+engine_fall (unsigned index)
+{
+  engines[index].falls++;
+  engine_end (index, DOWN_MS);
+}
+
 static void
 engine_reject (struct flight *flight)
 {
@@ -461,6 +468,9 @@
       requests_arrive (bursts ? per_s * play.burst : per_s);
       flights_step ();
       hosts_step (i);
+      if (play.ends && i % 1500 == 700
+          && !engines[i / 1500 % play.engines].down)
+        engine_end ((unsigned)(i / 1500) % play.engines, ENDED_MS);
       if (play.kills && i % 5000 == 2500)
         host_kill ((unsigned)(i / 5000) % play.hosts);
     }
--- a/test/fake-brittle.h
+++ b/test/fake-brittle.h
@@ -21,6 +21,7 @@
   double load;  /**< Offered load, as a share of the engines' room. */
   double burst; /**< Factor on the load at times; 0: none. */
   double loss;  /**< Share of the datagrams that are lost. */
+  bool ends;    /**< Whether engines end and start again. */
   bool kills;   /**< Whether hosts are killed and start again. */
 };
 
--- a/test/test-limitshare.c
+++ b/test/test-limitshare.c
@@ -341,7 +341,81 @@
   fleet_finish ();
 }
 
+/* A host that had been suspended told of old responses as if they were new. */
+static void
+test_suspended_host_tells_nothing_old (void)
+{
+  uint8_t bytes[LIMITSHARE_BYTES_MAX];
+
+  fleet_start (2, 0);
+  servers_record_limit (&hosts[0].servers, server_at (0, 0), 2, now_ns (),
+                        true);
+  servers_record_brittle (&hosts[0].servers, server_at (0, 1), 3, now_ns (),
+                          true);
+  CU_ASSERT_TRUE (limitshare_encode (&hosts[0].share, bytes) > 0);
+  fake_clock.suspended_ns += 10 * NS_PER_S;
+  clock_fake_advance (&fake_clock, NS_PER_S);
+  CU_ASSERT_EQUAL (limitshare_encode (&hosts[0].share, bytes), 0);
+  clock_fake_advance (&fake_clock, 300 * NS_PER_MS);
+  servers_record_brittle (&hosts[0].servers, server_at (0, 1), 3, now_ns (),
+                          true);
+  CU_ASSERT_TRUE (limitshare_encode (&hosts[0].share, bytes) > 0);
+  fleet_finish ();
+}
+
+/* Rejections were not told by a host with many brittle servers. */
+static void
+test_rejections_are_told_first (void)
+{
+  uint8_t bytes[LIMITSHARE_BYTES_MAX];
+  struct server *rejects = NULL;
+  size_t size;
+
+  fleet_start (2, 0);
+  for (unsigned i = 0; i < 400; i++)
+    for (unsigned host = 0; host < 2; host++)
+      {
+        struct server_entry entry = { .slots = 4 };
+
+        g_snprintf (entry.id, sizeof entry.id, "b%u", i);
+        g_strlcpy (entry.service, "svc", sizeof entry.service);
+        servers_update (&hosts[host].servers, &entry, 1);
+      }
+  for (unsigned i = 0; i < 400; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "b%u", i);
+      rejects = servers_find (&hosts[0].servers, id);
+      servers_record_brittle (&hosts[0].servers, rejects, 3, now_ns (), true);
+    }
+  for (unsigned i = 0; i < 400; i += 40)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "b%u", i);
+      serverbrittle_record_rejection (
+          &servers_find (&hosts[0].servers, id)->brittle, now_ns (), true);
+    }
+  size = limitshare_encode (&hosts[0].share, bytes);
+  CU_ASSERT_TRUE (limitshare_receive (&hosts[1].share, bytes, size));
+  for (unsigned i = 0; i < 400; i += 40)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "b%u", i);
+      CU_ASSERT_TRUE (
+          serverbrittle_hold_ns (
+              &servers_find (&hosts[1].servers, id)->brittle, now_ns ())
+          > 0);
+    }
+  fleet_finish ();
+}
+
 static const struct unit_case cases[] = {
+  { "suspended-host-tells-nothing-old",
+    test_suspended_host_tells_nothing_old },
+  { "rejections-are-told-first", test_rejections_are_told_first },
   { "limit-over-all-hosts", test_limit_over_all_hosts },
   { "all-servers-limited", test_all_servers_limited },
   { "datagrams-lost", test_datagrams_lost },
