Pass on to holders of room also from a cut host; take nothing at the end

A host that can't reach a service whose servers are brittle passed requests on to any host, most of which have no room there and may pass nothing on: refused though others had room.

In the last 0.2 s of a planned stop new requests were still sent to engines, and failed one tick later. They are refused now (forwardstop/ requests-in-flight-get-an-answer fails before).

--- a/src/forward.h
+++ b/src/forward.h
@@ -77,6 +77,7 @@
   struct list waiting;  /**< Requests that wait for capacity at a server,
                              in order of arrival. */
   size_t waiting_count;
+  bool is_ending;   /**< Whether no request is taken any more. */
   bool is_stopping; /**< Whether no request waits any more, see forwardstop. */
   bool is_placing;  /**< Whether waiting requests are being placed. */
   size_t request_count;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -407,7 +407,10 @@
       forward->organisation != NULL ? forward->organisation->name : "",
       conn->target->str, conn->body->data, conn->body->len);
   forwardblame_set_parts (forward);
-  if (poisoncount_is_blocked (forwarder->poisoncount, forward->fingerprint))
+  if (forwarder->is_ending)
+    forward_refuse (forward, "stopping", RETRY_AFTER_NO_SERVER_MS);
+  else if (poisoncount_is_blocked (forwarder->poisoncount,
+                                   forward->fingerprint))
     forward_refuse (forward, "ends_servers", RETRY_AFTER_POISON_MS);
   else
     {
--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -131,22 +131,6 @@
                  forwarder->settings.connect_timeout_ns);
 }
 
-bool
-forwardhost_send (struct forward *forward)
-{
-  struct otherhosts *hosts = forward->forwarder->hosts;
-  struct choice choice = { .forward = forward };
-
-  otherhosts_visit (hosts, servers_service_hash (forward->service),
-                    host_consider, &choice);
-  if (choice.host == NULL)
-    return false;
-  forward_log_host (forward, choice.host->server->entry.id, choice.candidates,
-                    choice.reach == LOADSHARE_REACH_IN ? "in" : "unknown");
-  host_attempt_start (forward, choice.host);
-  return true;
-}
-
 bool
 forwardhost_send_to_holder (struct forward *forward,
                             const struct server *server)
@@ -168,7 +152,11 @@
       struct otherhost *host = otherhosts_of_rank (
           forwarder->hosts, server->entry.id, (first + i) % holders);
 
-      if (host == NULL || is_avoided (forward, host))
+      if (host == NULL || is_avoided (forward, host)
+          || loadshare_host_reach (forwarder->hosts->loadshare,
+                                   host->server->entry.id,
+                                   servers_service_hash (forward->service))
+                 == LOADSHARE_REACH_OUT)
         continue;
       forward_log_host (forward, host->server->entry.id, holders, "room");
       host_attempt_start (forward, host);
@@ -177,6 +165,46 @@
   return false;
 }
 
+/* Return a brittle server of the request's service, at random; NULL if there
+ * is none. */
+static const struct server *
+brittle_server (const struct forward *forward)
+{
+  const GPtrArray *list
+      = servers_of_service (forward->forwarder->servers, forward->service);
+  const struct server *found = NULL;
+  unsigned count = 0;
+
+  for (guint i = 0; list != NULL && i < list->len; i++)
+    {
+      const struct server *server = list->pdata[i];
+
+      if (server->brittle.brittle
+          && rng_uniform (forward->forwarder->rng) * ++count < 1)
+        found = server;
+    }
+  return found;
+}
+
+bool
+forwardhost_send (struct forward *forward)
+{
+  struct otherhosts *hosts = forward->forwarder->hosts;
+  struct choice choice = { .forward = forward };
+  const struct server *brittle = brittle_server (forward);
+
+  if (brittle != NULL && forwardhost_send_to_holder (forward, brittle))
+    return true;
+  otherhosts_visit (hosts, servers_service_hash (forward->service),
+                    host_consider, &choice);
+  if (choice.host == NULL)
+    return false;
+  forward_log_host (forward, choice.host->server->entry.id, choice.candidates,
+                    choice.reach == LOADSHARE_REACH_IN ? "in" : "unknown");
+  host_attempt_start (forward, choice.host);
+  return true;
+}
+
 void
 forwardhost_head_received (struct forward *forward)
 {
--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -28,6 +28,7 @@
 {
   struct list *node = forwarder->requests.next;
 
+  forwarder->is_ending = true;
   while (node != &forwarder->requests)
     {
       struct forward *forward = LIST_ENTRY (node, struct forward, node);
--- a/src/forwardstop.h
+++ b/src/forwardstop.h
@@ -13,7 +13,7 @@
 void forwardstop_refuse_waiting (struct forwarder *forwarder);
 
 /** Answer all requests: those that have not run are refused, the others fail.
- */
+ * From now on requests are refused. */
 void forwardstop_end_all (struct forwarder *forwarder);
 
 #endif
--- a/test/test-forwarder.c
+++ b/test/test-forwarder.c
@@ -282,6 +282,7 @@
   routes_update_isolation (path.forwarder.routes);
   walled = next_cache_scope ();
   again = next_cache_scope ();
+  CU_ASSERT_PTR_NOT_NULL_FATAL (strrchr (walled, '#'));
   named = sent_cache_scope (strrchr (walled, '#'));
   CU_ASSERT_STRING_NOT_EQUAL (shared, walled);
   CU_ASSERT_STRING_EQUAL (walled, again);
--- a/test/test-forwardstop.c
+++ b/test/test-forwardstop.c
@@ -82,6 +82,7 @@
 {
   fake_hosts_setup (&no_response);
   CU_ASSERT_EQUAL (request_during (end_all, "/once/"), 502);
+  CU_ASSERT_EQUAL (fake_hosts_request (0, "/once/"), 503);
   CU_ASSERT_EQUAL (fake_hosts_engine_requests (), 1);
   fake_hosts_finish ();
   fake_hosts_setup (&full_response);
