--- a/review/build.sh
+++ b/review/build.sh
@@ -13,7 +13,7 @@
   cc -std=c11 -O1 -g -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Wall -Wextra \
     -Wno-unused-parameter -Isrc -Iplatform \
     "-DFLEET_PROGRAM=\"$build/trefoilspard\"" \
-    -o "$build/review/case-$number" "$case" review/common/fleet.c \
+    -o "$build/review/case-$number" "$case" review/common/*.c \
     test/soak-store.c test/reserveport.c "$build/libtrefoilspar-core.a" \
     $flags -lcsv -lhttp_parser -lm
 done
