Visit only servers that have stated something of late

While a response had lately stated a limit or that its server is brittle, each tick visited all servers for news: 452 microseconds with 10,000 servers, 2.3% of a core of 2.8% for all control, 1.2 with 30. Servers that state something are kept in a list, as those that fail are: 0.77 microseconds with both.

fleetticks/ticks-do-not-grow has one brittle server now and fails before.

--- a/src/limitshare.c
+++ b/src/limitshare.c
@@ -132,20 +132,36 @@
   datagram->message.n_brittle++;
 }
 
+/* Drop the servers of which there has been no news for a while, so that only
+ * those that have stated something of late are visited. */
+static void
+stating_update (struct limitshare *share, int64_t now)
+{
+  GPtrArray *stating = share->servers->stating;
+
+  for (guint i = stating->len; i-- > 0;)
+    {
+      const struct server *server = stating->pdata[i];
+
+      if (server->removed
+          || (!is_recent (server->limit.heard_ns, now, END_TOLD_MS)
+              && !is_recent (server->brittle.heard_ns, now, END_TOLD_MS)))
+        servers_drop_stating (share->servers, i);
+    }
+}
+
 /* A change is sent at once. */
 static bool
 is_due (struct limitshare *share, int64_t now)
 {
+  const GPtrArray *stating = share->servers->stating;
   int64_t last_change_ns = share->last_change_ns;
-  GHashTableIter iter;
-  gpointer value;
 
   if (!is_recent (share->servers->limit_stated_ns, now, STATEMENT_AGE_MS))
     return false;
-  g_hash_table_iter_init (&iter, share->servers->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < stating->len; i++)
     {
-      const struct server *server = value;
+      const struct server *server = stating->pdata[i];
 
       if (is_limit_news (share, server, now))
         last_change_ns = MAX (last_change_ns, server->limit.since_ns);
@@ -180,28 +196,27 @@
   struct limit_datagram datagram
       = { .message = TREFOILSPAR__LIMIT_SHARE__INIT };
   Trefoilspar__LimitShare *message = &datagram.message;
+  const GPtrArray *stating = share->servers->stating;
   int64_t now = clock_now (share->clock);
-  GHashTableIter iter;
-  gpointer value;
 
   suspension_note (share, now);
+  stating_update (share, now);
   if (!is_due (share, now))
     return 0;
   message->limits = datagram.pointers;
   message->brittle = datagram.brittle_pointers;
   /* What does not fit is left out, rejections last. */
   for (int rejected = 1; rejected >= 0; rejected--)
-    {
-      g_hash_table_iter_init (&iter, share->servers->by_id);
-      while (g_hash_table_iter_next (&iter, NULL, &value))
-        {
-          if (rejected && is_limit_news (share, value, now))
-            datagram_add_limit (&datagram, value, now);
-          if (is_brittle_news (share, value, now)
-              && has_recent_rejection (share, value, now) == rejected)
-            datagram_add_brittle (&datagram, value, now);
-        }
-    }
+    for (guint i = 0; i < stating->len; i++)
+      {
+        const struct server *server = stating->pdata[i];
+
+        if (rejected && is_limit_news (share, server, now))
+          datagram_add_limit (&datagram, server, now);
+        if (is_brittle_news (share, server, now)
+            && has_recent_rejection (share, server, now) == rejected)
+          datagram_add_brittle (&datagram, server, now);
+      }
   while (trefoilspar__limit_share__get_packed_size (message)
          > LIMITSHARE_BYTES_MAX)
     if (message->n_brittle > 0)
--- a/src/servers.c
+++ b/src/servers.c
@@ -67,6 +67,7 @@
   servers->by_hash = g_hash_table_new (g_direct_hash, g_direct_equal);
   servers->used = g_ptr_array_new_with_free_func (server_release);
   servers->failing = g_ptr_array_new_with_free_func (server_release);
+  servers->stating = g_ptr_array_new_with_free_func (server_release);
   servers->reach_by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   servers->brittle_by_service
@@ -80,6 +81,7 @@
 {
   g_ptr_array_free (servers->used, TRUE);
   g_ptr_array_free (servers->failing, TRUE);
+  g_ptr_array_free (servers->stating, TRUE);
   g_hash_table_destroy (servers->by_hash);
   g_hash_table_destroy (servers->reach_by_service);
   g_hash_table_destroy (servers->brittle_by_service);
@@ -486,6 +488,27 @@
   notify_change (servers, server, "reachable");
 }
 
+/* A response of SERVER to this host stated something at STATED_NS that other
+ * hosts are told. */
+static void
+stating_add (struct servers *servers, struct server *server, int64_t stated_ns)
+{
+  servers->limit_stated_ns = MAX (servers->limit_stated_ns, stated_ns);
+  if (server->is_stating)
+    return;
+  server->is_stating = true;
+  g_ptr_array_add (servers->stating, server_ref (server));
+}
+
+void
+servers_drop_stating (struct servers *servers, unsigned index)
+{
+  struct server *server = servers->stating->pdata[index];
+
+  server->is_stating = false;
+  g_ptr_array_remove_index_fast (servers->stating, index);
+}
+
 void
 servers_record_limit (struct servers *servers, struct server *server,
                       double per_s, int64_t stated_ns, bool here)
@@ -494,7 +517,7 @@
     notify_change (servers, server,
                    server->limit.limited ? "limited" : "unlimited");
   if (here && (server->limit.limited || server->limit.since_ns != 0))
-    servers->limit_stated_ns = MAX (servers->limit_stated_ns, stated_ns);
+    stating_add (servers, server, stated_ns);
 }
 
 void
@@ -511,7 +534,7 @@
   service->brittle = server->brittle.brittle;
   service->rejections = server->brittle.rejections;
   if (here && (server->brittle.brittle || server->brittle.since_ns != 0))
-    servers->limit_stated_ns = MAX (servers->limit_stated_ns, stated_ns);
+    stating_add (servers, server, stated_ns);
 }
 
 void
--- a/src/servers.h
+++ b/src/servers.h
@@ -122,6 +122,7 @@
   /** Moving average of the time in which a request was answered, in ms; 0 if
    * none was. */
   double run_ms;
+  bool is_stating; /**< Whether it is in servers.stating. */
   struct serverlimit limit;
   struct serverpause pause;
   struct serverbrittle brittle;
@@ -167,6 +168,9 @@
                           when they were added; see servers_drop_unused. */
   GPtrArray *failing;  /**< Servers that were unreachable or in doubt when they
                           were added; serverprobe drops those that recover. */
+  GPtrArray *stating;  /**< Servers whose responses to this host stated a limit
+                          or that they are brittle, or the end of either, when
+                          they were added; see servers_drop_stating. */
   GHashTable *by_service; /**< Maps service names to GPtrArray of struct
                                server. */
   struct serverstart_table stated; /**< What starts of servers stated. */
@@ -299,6 +303,10 @@
 void servers_record_brittle (struct servers *servers, struct server *server,
                              int64_t rejections, int64_t stated_ns, bool here);
 
+/** Removes the server at INDEX from servers.stating; the last one takes its
+ * index. */
+void servers_drop_stating (struct servers *servers, unsigned index);
+
 /** Records that SERVER can't be reached. It gets no requests until a probe
  * reaches it. */
 void server_set_unreachable (struct servers *servers, struct server *server);
--- a/test/test-fleetticks.c
+++ b/test/test-fleetticks.c
@@ -17,7 +17,8 @@
   GROWTH_MAX = 3
 };
 
-/* A host that knows some servers and ticks without news. */
+/* A host that knows some servers and ticks without news but that one of them
+ * is brittle. */
 struct host
 {
   uv_loop_t loop;
@@ -103,6 +104,8 @@
   uint8_t bytes[MAX (LIMITSHARE_BYTES_MAX, LOADSHARE_BYTES_MAX)];
 
   clock_fake_advance (&host->clock, 20 * NS_PER_MS);
+  servers_record_brittle (&host->servers, servers_find (&host->servers, "i-3"),
+                          1, clock_now (&host->clock.clock), true);
   host->loadshare.sums_stale = true;
   weightsnews_tick (&host->news);
   serverprobes_tick (&host->probes);
