Brittle servers: the turn of a host in one signed type

The values stay far within range, so what is decided is the same. Evidence: clang-tidy reported two lines; it reports none now. test-brittle, limitshare and fleetticks pass.

--- a/src/serverbrittle.c
+++ b/src/serverbrittle.c
@@ -178,17 +178,17 @@
 serverbrittle_may_ask (const struct serverbrittle *brittle, int64_t now_ns)
 {
   const struct serverbrittle_position *position = &brittle->position;
+  int64_t interval_ns = ASK_INTERVAL_MS * NS_PER_MS;
   int64_t turn_ns;
 
   if (position->told_count == 0)
     return false;
-  turn_ns
-      = (position->rank % position->told_count) * ASK_INTERVAL_MS * NS_PER_MS;
+  turn_ns = interval_ns * (position->rank % position->told_count);
   return now_ns - MAX (brittle->stated_ns, brittle->known_ns)
              >= STALE_MS * NS_PER_MS + turn_ns
          && (brittle->asked_ns == 0
              || now_ns - brittle->asked_ns
-                    >= position->told_count * ASK_INTERVAL_MS * NS_PER_MS);
+                    >= interval_ns * position->told_count);
 }
 
 void
