KV cache stores: few are queried at a time for all that they hold

Cause: a host that starts queries all KV cache stores at once for all that they hold. With 44 stores and a link of 20 Mbit/s the replies fill the link for 4 s; calls to the KV service and connections to servers wait behind them, late replies are thrown away and requested again. Ruled out: refusals by the KV service (other hosts knew in 1.1 to 2.5 s). Now at most four stores at a time are queried so, in turns; queries for changes are not limited. When a store is queried moved to kvstoreturn.

--- a/src/kvstores.c
+++ b/src/kvstores.c
@@ -1,4 +1,5 @@
 #include "kvstores.h"
+#include "kvstoreturn.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -6,9 +7,6 @@
 enum
 {
   RETRY_DELAY_MS = 200,
-  POLLER_CHECK_MS = 500,
-  /* Minimum interval between polls by a poller that serves several subsets. */
-  FLEET_POLLER_INTERVAL_MS = 500,
   /* Time by which the timeout of a poll exceeds the time that the store may
    * delay its reply. */
   CALL_TIMEOUT_MARGIN_MS = 1500
@@ -16,6 +14,7 @@
 
 const struct kvstores_settings kvstores_settings_default = {
   .concurrent_pollers_max = 5,
+  .catch_up_max = 4,
   .rotation_slot_ns = 250 * NS_PER_MS,
   .check_wait_ns = 200 * NS_PER_MS,
   .poll_wait_ns = 1000 * NS_PER_MS,
@@ -213,17 +212,6 @@
   g_hash_table_remove (store->blocks, key);
 }
 
-/* Returns the time within which every host polls each store at least once. */
-static int64_t
-rotation_period_ns (const struct kvstores *kvstores)
-{
-  const struct kvstores_settings *settings = &kvstores->settings;
-
-  return kvstores->rotation_slots == 1
-             ? settings->check_interval_ns
-             : kvstores->rotation_slots * settings->rotation_slot_ns;
-}
-
 /* A restarted store holds no blocks. A host that has not noticed the restart
  * could still fetch a block that is only being saved, so nothing is saved to
  * the store until no earlier confirmation counts. */
@@ -238,7 +226,7 @@
   store->save_allowed_ns = clock_now (kvstores->clock)
                            + MAX (kvstores->settings.restart_grace_ns,
                                   kvstores->restarts_noticed_late
-                                      ? 2 * rotation_period_ns (kvstores)
+                                      ? 2 * kvstoreturn_period_ns (kvstores)
                                       : 0);
   log_event (kvstores->log, EVENT_CACHE_STORE_CHANGED,
              "store=%s what=begun epoch=%lu", store->name,
@@ -265,22 +253,6 @@
   store->last_event_number = MAX (store->last_event_number, next);
 }
 
-static bool
-store_is_polled_here (struct kvstore *store)
-{
-  const struct kvstores *kvstores = store->kvstores;
-  int64_t now = clock_now (kvstores->clock);
-
-  if (kvstores->ops == NULL)
-    return true;
-  if (now >= store->poller_check_ns)
-    {
-      store->is_poller = kvstores->ops->is_poller (kvstores->data, store);
-      store->poller_check_ns = now + POLLER_CHECK_MS * NS_PER_MS;
-    }
-  return store->is_poller;
-}
-
 /* The store told its present epoch AGE_NS ago. */
 static void
 store_confirm (struct kvstore *store, int64_t age_ns)
@@ -316,7 +288,7 @@
     .block_count = report->block_count,
   };
 
-  if (kvstores->ops != NULL && store_is_polled_here (store))
+  if (kvstores->ops != NULL && kvstoreturn_is_polled_here (store))
     kvstores->ops->update_received (kvstores->data, &update);
 }
 
@@ -327,7 +299,7 @@
   const struct kvstores *kvstores = store->kvstores;
 
   return clock_now (kvstores->clock) - store->last_report_ns
-         > 2 * rotation_period_ns (kvstores);
+         > 2 * kvstoreturn_period_ns (kvstores);
 }
 
 /* Rows that can't be decoded are reported once for each run of the store. */
@@ -443,9 +415,10 @@
 store_poll (struct kvstore *store)
 {
   struct kvstores *kvstores = store->kvstores;
-  int64_t wait_ns = store_is_polled_here (store)
-                        ? kvstores->settings.poll_wait_ns
-                        : kvstores->settings.check_wait_ns;
+  int64_t wait_ns
+      = kvstoreturn_is_polled_here (store) && !kvstoreturn_catches_up (store)
+            ? kvstores->settings.poll_wait_ns
+            : kvstores->settings.check_wait_ns;
   int64_t timeout_ns = wait_ns + CALL_TIMEOUT_MARGIN_MS * NS_PER_MS;
 
   store->call_is_pending = true;
@@ -473,53 +446,36 @@
   kvstores->own_rotation_slot = index % kvstores->rotation_slots;
 }
 
-/* Acquires this host's rotation slot for a poll of STORE. Returns false if the
- * current slot is not this host's or was used already. Slots follow the wall
- * clock, which is about the same on all hosts; a host whose clock is wrong
- * sometimes finds the store at capacity. */
-static bool
-rotation_slot_acquire (const struct kvstores *kvstores, struct kvstore *store)
-{
-  struct timespec wall = clock_wall (kvstores->clock);
-  int64_t slot = (wall.tv_sec * NS_PER_S + wall.tv_nsec)
-                 / kvstores->settings.rotation_slot_ns;
-
-  if (slot % kvstores->rotation_slots != kvstores->own_rotation_slot
-      || slot == store->last_rotation_slot)
-    return false;
-  store->last_rotation_slot = slot;
-  return true;
-}
-
-static bool
-store_poll_is_due (struct kvstore *store, int64_t now)
-{
-  struct kvstores *kvstores = store->kvstores;
-
-  if (store->needs_sync && now >= store->sync_ns)
-    return true;
-  if (store_is_polled_here (store))
-    return now - store->poll_sent_ns
-           >= (kvstores->serves_subsets
-                   ? FLEET_POLLER_INTERVAL_MS * NS_PER_MS
-                   : kvstores->settings.poller_interval_ns);
-  if (kvstores->rotation_slots == 1)
-    return now - store->poll_sent_ns >= kvstores->settings.check_interval_ns;
-  return rotation_slot_acquire (kvstores, store);
-}
-
 void
 kvstores_tick (struct kvstores *kvstores)
 {
   int64_t now = clock_now (kvstores->clock);
+  guint first = kvstores->first_turn;
+  unsigned catching_up = 0;
 
   for (guint i = 0; i < kvstores->stores->len; i++)
     {
-      struct kvstore *store = kvstores->stores->pdata[i];
+      const struct kvstore *store = kvstores->stores->pdata[i];
+
+      if (store->call_is_pending && kvstoreturn_catches_up (store))
+        catching_up++;
+    }
+  for (guint i = 0; i < kvstores->stores->len; i++)
+    {
+      guint at = (first + i) % kvstores->stores->len;
+      struct kvstore *store = kvstores->stores->pdata[at];
+      bool catches_up = kvstoreturn_catches_up (store);
 
-      if (!store->call_is_pending && now >= store->no_poll_before_ns
-          && store_poll_is_due (store, now))
-        store_poll (store);
+      if (store->call_is_pending || now < store->no_poll_before_ns
+          || (catches_up && catching_up >= kvstores->settings.catch_up_max)
+          || !kvstoreturn_is_due (store, now))
+        continue;
+      if (catches_up)
+        {
+          catching_up++;
+          kvstores->first_turn = at + 1;
+        }
+      store_poll (store);
     }
 }
 
--- a/src/kvstores.h
+++ b/src/kvstores.h
@@ -62,6 +62,10 @@
 {
   unsigned concurrent_pollers_max; /**< Maximum number of hosts that may poll
                                       one store at the same time. */
+  /** Maximum number of stores at a time that are queried for all that they
+   * hold. The replies of many stores would fill the link of a host that has
+   * just started, and delay what it is told of backend servers. */
+  unsigned catch_up_max;
   /** Length of a rotation slot, longer than `check_wait_ns`. In each slot
    * only some of the hosts poll the stores. */
   int64_t rotation_slot_ns;
@@ -152,6 +156,7 @@
   unsigned rotation_slots;  /**< Number of slots in one rotation; 1 if there is
                                no rotation. */
   unsigned own_rotation_slot; /**< Slot in which this host polls. */
+  guint first_turn; /**< Index of the store that may be queried first. */
   /** Whether some hosts notice the restart of a store only with their own
    * polls, since they are of an earlier version. */
   bool restarts_noticed_late;
