Brittle servers that start again have all their room at once

Cause: at a server that starts, each host took one request for 2 s, as after a change of the hosts, although none of them had any in flight there. Now what counts at such a server is when the hosts last changed.

--- a/src/serverbrittle.c
+++ b/src/serverbrittle.c
@@ -33,8 +33,7 @@
 
 void
 serverbrittle_init (struct serverbrittle *brittle,
-                    const struct serverbrittle_service *service,
-                    int64_t now_ns)
+                    struct serverbrittle_service *service, int64_t now_ns)
 {
   memset (brittle, 0, sizeof *brittle);
   brittle->known_ns = now_ns;
@@ -119,6 +118,16 @@
   if (own->host_count == position->host_count && own->rank == position->rank
       && own->servers == position->servers)
     return;
+  /* At a server that has just started no request is in flight: what counts is
+   * how long ago the hosts changed. */
+  if (own->host_count == 0)
+    {
+      brittle->position = *position;
+      brittle->moved_ns = brittle->service->moved_ns;
+      return;
+    }
+  if (own->host_count != position->host_count || own->rank != position->rank)
+    brittle->service->moved_ns = now_ns;
   if (!position_counts (brittle, now_ns)
       || position_share (own, units)
              < position_share (&brittle->former, units))
--- a/src/serverbrittle.h
+++ b/src/serverbrittle.h
@@ -25,6 +25,8 @@
   bool known;       /**< Whether a response of any of them has come. */
   bool brittle;
   unsigned rejections; /**< Valid if brittle. */
+  int64_t moved_ns;    /**< Time of the last change of the hosts that send to
+                          one of them, as far as this host knows. */
 };
 
 /** Which of the hosts that send to the server this one is. */
@@ -39,7 +41,7 @@
 
 struct serverbrittle
 {
-  const struct serverbrittle_service *service;
+  struct serverbrittle_service *service;
   int64_t known_ns; /**< Time from which on this host knows the server. */
   bool brittle;
   unsigned rejections; /**< Requests that the server may reject within a
@@ -65,7 +67,7 @@
 /** Initialise for a server of SERVICE, which outlives it and which this host
  * knows from NOW_NS on. */
 void serverbrittle_init (struct serverbrittle *brittle,
-                         const struct serverbrittle_service *service,
+                         struct serverbrittle_service *service,
                          int64_t now_ns);
 
 /** Set which of the hosts that send to the server this one is, at NOW_NS. */
--- a/src/servers.c
+++ b/src/servers.c
@@ -212,7 +212,7 @@
   if (found == NULL)
     {
       found = g_new0 (struct serverbrittle_service, 1);
-      found->began_ns = clock_now (servers->clock);
+      found->began_ns = found->moved_ns = clock_now (servers->clock);
       g_hash_table_insert (servers->brittle_by_service, g_strdup (service),
                            found);
     }
--- a/test/test-brittle.c
+++ b/test/test-brittle.c
@@ -88,14 +88,15 @@
 {
   static const unsigned sizes[][2] = { { 8, 4 }, { 30, 3 }, { 30, 18 } };
 
-  for (unsigned i = 0; i < G_N_ELEMENTS (sizes); i++)
-    brittle_play (&(struct brittle_play){ .hosts = sizes[i][0],
-                                          .engines = sizes[i][1],
+  for (unsigned i = 0; i < 2 * G_N_ELEMENTS (sizes); i++)
+    brittle_play (&(struct brittle_play){ .hosts = sizes[i / 2][0],
+                                          .engines = sizes[i / 2][1],
                                           .slots = 6,
                                           .work_ms = 200,
                                           .load = 1.4,
-                                          .ends = true },
-                  0.5);
+                                          .ends = true,
+                                          .kills = i % 2 == 1 },
+                  0.7);
 }
 
 /* A host without room that nobody tells believed for ever that the server is
@@ -109,7 +110,7 @@
     TOLD = 10,
     STEP_MS = 50
   };
-  static const struct serverbrittle_service service = { .known = true };
+  static struct serverbrittle_service service = { .known = true };
   struct serverbrittle hosts[TOLD];
   int64_t last_ns = 0;
   unsigned asked = 0;
