Late datagrams about limits hide nothing newer

Cause: a host took what another told of limits and brittle servers for as old as the sender said, whatever the datagram took on its way or waited at a host that stood still. That a server is not limited or not brittle any more then hid that it is so again, until its next statement. Datagrams now name their sender and its time, as those of stores do, and how late they are counts to the age of what they tell; lateness refuses times that would overflow. Hosts of earlier versions ignore the fields, and theirs are taken as before. Evidence: limitshare/late-datagrams-hide-nothing fails without it, for limits and brittle servers, delayed and at a suspended host; found by reading.

--- a/src/lateness.c
+++ b/src/lateness.c
@@ -64,10 +64,11 @@
                  int64_t sent_ns, int64_t received_ns)
 {
   struct sender *sender = g_hash_table_lookup (lateness->senders, &sender_id);
-  int64_t offset_ns = received_ns - sent_ns;
+  int64_t offset_ns;
 
-  if (sender_id == 0)
+  if (sender_id == 0 || sent_ns < 0 || sent_ns > INT64_MAX / 2)
     return -1;
+  offset_ns = received_ns - sent_ns;
   if (sender == NULL)
     {
       sender_add (lateness, sender_id, offset_ns, received_ns);
--- a/src/limitshare.c
+++ b/src/limitshare.c
@@ -27,12 +27,20 @@
 
 void
 limitshare_init (struct limitshare *share, struct servers *servers,
-                 const struct clock *clock)
+                 const struct clock *clock, uint64_t sender)
 {
   memset (share, 0, sizeof *share);
   share->servers = servers;
   share->clock = clock;
   share->suspended_ns = clock_boottime (clock) - clock_now (clock);
+  share->sender = sender;
+  lateness_init (&share->lateness);
+}
+
+void
+limitshare_finish (struct limitshare *share)
+{
+  lateness_finish (&share->lateness);
 }
 
 static bool
@@ -203,6 +211,8 @@
   stating_update (share, now);
   if (!is_due (share, now))
     return 0;
+  message->sender = share->sender;
+  message->sent_ns = clock_boottime (share->clock);
   message->limits = datagram.pointers;
   message->brittle = datagram.brittle_pointers;
   /* What does not fit is left out, rejections last. */
@@ -228,36 +238,36 @@
   return trefoilspar__limit_share__pack (message, bytes);
 }
 
+/* SENT_NS: time, by this host's clock, at which the datagram was sent. */
 static void
 limit_received (struct limitshare *share,
-                const Trefoilspar__StatedLimit *limit)
+                const Trefoilspar__StatedLimit *limit, int64_t sent_ns)
 {
   struct server *server = servers_find_hash (share->servers, limit->server);
-  int64_t stated_ns
-      = clock_now (share->clock) - (int64_t)limit->age_ms * NS_PER_MS;
 
   if (server == NULL || !isfinite (limit->per_s) || limit->per_s < 0)
     return;
   servers_record_limit (share->servers, server,
-                        limit->limited ? limit->per_s : -1, stated_ns, false);
+                        limit->limited ? limit->per_s : -1,
+                        sent_ns - (int64_t)limit->age_ms * NS_PER_MS, false);
 }
 
 static void
 brittle_received (struct limitshare *share,
-                  const Trefoilspar__StatedBrittle *brittle)
+                  const Trefoilspar__StatedBrittle *brittle, int64_t sent_ns)
 {
   struct server *server = servers_find_hash (share->servers, brittle->server);
-  int64_t now = clock_now (share->clock);
 
   if (server == NULL)
     return;
   servers_record_brittle (share->servers, server,
                           brittle->brittle ? (int64_t)brittle->rejections : -1,
-                          now - (int64_t)brittle->age_ms * NS_PER_MS, false);
+                          sent_ns - (int64_t)brittle->age_ms * NS_PER_MS,
+                          false);
   if (brittle->rejected)
     serverbrittle_record_rejection (
-        &server->brittle, now - (int64_t)brittle->rejected_age_ms * NS_PER_MS,
-        false);
+        &server->brittle,
+        sent_ns - (int64_t)brittle->rejected_age_ms * NS_PER_MS, false);
 }
 
 bool
@@ -266,13 +276,17 @@
 {
   Trefoilspar__LimitShare *message
       = trefoilspar__limit_share__unpack (NULL, size, bytes);
+  int64_t late_ns, sent_ns;
 
   if (message == NULL)
     return false;
+  late_ns = lateness_record (&share->lateness, message->sender,
+                             message->sent_ns, clock_boottime (share->clock));
+  sent_ns = clock_now (share->clock) - MAX (late_ns, 0);
   for (size_t i = 0; i < message->n_limits; i++)
-    limit_received (share, message->limits[i]);
+    limit_received (share, message->limits[i], sent_ns);
   for (size_t i = 0; i < message->n_brittle; i++)
-    brittle_received (share, message->brittle[i]);
+    brittle_received (share, message->brittle[i], sent_ns);
   trefoilspar__limit_share__free_unpacked (message, NULL);
   return true;
 }
--- a/src/limitshare.h
+++ b/src/limitshare.h
@@ -1,6 +1,7 @@
 #ifndef LIMITSHARE_H
 #define LIMITSHARE_H
 
+#include "lateness.h"
 #include "servers.h"
 
 #include <stddef.h>
@@ -9,7 +10,8 @@
  * Tells the other hosts which limits backend servers stated in responses to
  * this host, which servers stated that they are brittle and rejected requests
  * of this host, and that they no longer state it. Otherwise each host would
- * learn it only from a request of its own. The datagrams may get lost.
+ * learn it only from a request of its own. The datagrams may get lost or come
+ * late.
  */
 
 enum
@@ -30,10 +32,14 @@
   /** Responses from before this time are not told: the host was suspended
    * since, so that their age is not known. */
   int64_t resumed_ns;
+  uint64_t sender;          /**< Id of this process, not 0. */
+  struct lateness lateness; /**< Of datagrams of other hosts. */
 };
 
+/** SENDER is the id of this process, not 0. */
 void limitshare_init (struct limitshare *limitshare, struct servers *servers,
-                      const struct clock *clock);
+                      const struct clock *clock, uint64_t sender);
+void limitshare_finish (struct limitshare *limitshare);
 
 /** Write the datagram that is due now.
  * @return its size; 0 if none is due */
--- a/src/limitshare.pb-c.c
+++ b/src/limitshare.pb-c.c
@@ -322,7 +322,7 @@
   (ProtobufCMessageInit) trefoilspar__stated_brittle__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor trefoilspar__limit_share__field_descriptors[2] =
+static const ProtobufCFieldDescriptor trefoilspar__limit_share__field_descriptors[4] =
 {
   {
     "limits",
@@ -348,15 +348,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sender",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__LimitShare, sender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ns",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__LimitShare, sent_ns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned trefoilspar__limit_share__field_indices_by_name[] = {
   1,   /* field[1] = brittle */
   0,   /* field[0] = limits */
+  2,   /* field[2] = sender */
+  3,   /* field[3] = sent_ns */
 };
 static const ProtobufCIntRange trefoilspar__limit_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor trefoilspar__limit_share__descriptor =
 {
@@ -366,7 +392,7 @@
   "Trefoilspar__LimitShare",
   "trefoilspar",
   sizeof(Trefoilspar__LimitShare),
-  2,
+  4,
   trefoilspar__limit_share__field_descriptors,
   trefoilspar__limit_share__field_indices_by_name,
   1,  trefoilspar__limit_share__number_ranges,
--- a/src/limitshare.pb-c.h
+++ b/src/limitshare.pb-c.h
@@ -97,10 +97,18 @@
    */
   size_t n_brittle;
   Trefoilspar__StatedBrittle **brittle;
+  /*
+   * Process that sent it; 0: of an earlier version.
+   */
+  uint64_t sender;
+  /*
+   * When, by the sender's clock.
+   */
+  int64_t sent_ns;
 };
 #define TREFOILSPAR__LIMIT_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&trefoilspar__limit_share__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0, 0 }
 
 
 /* Trefoilspar__StatedLimit methods */
--- a/src/peerudp.c
+++ b/src/peerudp.c
@@ -114,13 +114,14 @@
   peerudp->subsets = subsets;
   peerudp->origin = origin;
   peerudp->blameshare = blameshare;
-  limitshare_init (&peerudp->limitshare, loadshare->servers, clock);
   peerudp->clock = clock;
   peerudp->load_period_ns = load_period_ns;
   peerudp->process_id
       = MAX (XXH3_64bits_withSeed (loadshare->host, strlen (loadshare->host),
                                    loadshare->process_start),
              1U);
+  limitshare_init (&peerudp->limitshare, loadshare->servers, clock,
+                   peerudp->process_id);
   peerudp->udp.data = peerudp;
   uv_udp_init (loop, &peerudp->udp);
   failed = uv_ip4_addr (ip, port, &address);
@@ -139,8 +140,10 @@
 void
 peerudp_finish (struct peerudp *peerudp)
 {
-  if (peerudp->udp.loop != NULL)
-    uv_close ((uv_handle_t *)&peerudp->udp, NULL);
+  if (peerudp->udp.loop == NULL)
+    return;
+  uv_close ((uv_handle_t *)&peerudp->udp, NULL);
+  limitshare_finish (&peerudp->limitshare);
 }
 
 static bool
--- a/test/fake-brittlehost.c
+++ b/test/fake-brittlehost.c
@@ -103,7 +103,8 @@
   loadshare_init (&host->loadshare, &host->servers, clock,
                   presence_host_name (key), (uint64_t)clock_now (clock),
                   &share_ops, NULL);
-  limitshare_init (&host->limitshare, &host->servers, clock);
+  limitshare_init (&host->limitshare, &host->servers, clock,
+                   (uint64_t)clock_now (clock) + index + 1);
   g_free (key);
   for (unsigned i = 0; i < play->hosts; i++)
     if (i != index && !brittle_hosts[i].down)
@@ -115,6 +116,7 @@
 {
   struct brittle_host *host = &brittle_hosts[index];
 
+  limitshare_finish (&host->limitshare);
   loadshare_finish (&host->loadshare);
   presence_finish (&host->presence);
   servers_finish (&host->servers);
--- a/test/test-fleetticks.c
+++ b/test/test-fleetticks.c
@@ -74,7 +74,7 @@
   for (unsigned i = 0; i < server_count; i++)
     server_add (host, i);
   serverprobes_init (&host->probes, &host->servers, &probes_ops, NULL);
-  limitshare_init (&host->limitshare, &host->servers, &host->clock.clock);
+  limitshare_init (&host->limitshare, &host->servers, &host->clock.clock, 1);
   loadshare_init (&host->loadshare, &host->servers, &host->clock.clock, "a", 1,
                   &share_ops, NULL);
   loadshare_init (&host->peer, &host->servers, &host->clock.clock, "b", 1,
@@ -92,6 +92,7 @@
   g_hash_table_destroy (host->wanted);
   loadshare_finish (&host->peer);
   loadshare_finish (&host->loadshare);
+  limitshare_finish (&host->limitshare);
   serverprobes_finish (&host->probes);
   servers_finish (&host->servers);
   uv_loop_close (&host->loop);
--- a/test/test-limitshare.c
+++ b/test/test-limitshare.c
@@ -89,7 +89,7 @@
   memset (host, 0, sizeof *host);
   servers_init (&host->servers, NULL, &fake_clock.clock, "dc", NS_PER_S,
                 &servers_ops, NULL);
-  limitshare_init (&host->share, &host->servers, &fake_clock.clock);
+  limitshare_init (&host->share, &host->servers, &fake_clock.clock, index + 1);
   for (unsigned i = 0; i < SERVERS; i++)
     {
       struct server_entry entry = { .slots = 4 };
@@ -121,7 +121,10 @@
 fleet_finish (void)
 {
   for (unsigned i = 0; i < host_count; i++)
-    servers_finish (&hosts[i].servers);
+    {
+      limitshare_finish (&hosts[i].share);
+      servers_finish (&hosts[i].servers);
+    }
 }
 
 /* The server that takes a request of HOST and has the fewest of all; -1: none
@@ -363,6 +366,49 @@
   fleet_finish ();
 }
 
+/* What was on its way, or waited at a host that stood still, while servers
+ * stated something newer hid that. */
+static void
+test_late_datagrams_hide_nothing (void)
+{
+  uint8_t bytes[LIMITSHARE_BYTES_MAX];
+  const struct server *limited, *brittle;
+  size_t size;
+
+  for (int suspended = 0; suspended <= 1; suspended++)
+    {
+      fleet_start (2, 0);
+      limited = server_at (1, 0);
+      brittle = server_at (1, 1);
+      for (int ends = 0; ends <= 1; ends++)
+        {
+          clock_fake_advance (&fake_clock, NS_PER_S);
+          servers_record_limit (&hosts[0].servers, server_at (0, 0),
+                                ends ? -1 : 2, now_ns (), true);
+          servers_record_brittle (&hosts[0].servers, server_at (0, 1),
+                                  ends ? -1 : 3, now_ns (), true);
+          size = limitshare_encode (&hosts[0].share, bytes);
+          CU_ASSERT_TRUE (size > 0);
+          if (!ends)
+            limitshare_receive (&hosts[1].share, bytes, size);
+        }
+      clock_fake_advance (&fake_clock, 50 * NS_PER_MS);
+      servers_record_limit (&hosts[1].servers, server_at (1, 0), 2, now_ns (),
+                            true);
+      servers_record_brittle (&hosts[1].servers, server_at (1, 1), 3,
+                              now_ns (), true);
+      clock_fake_advance (&fake_clock, 100 * NS_PER_MS);
+      if (suspended)
+        fake_clock.suspended_ns += 5 * NS_PER_S;
+      else
+        clock_fake_advance (&fake_clock, 500 * NS_PER_MS);
+      limitshare_receive (&hosts[1].share, bytes, size);
+      CU_ASSERT_TRUE (limited->limit.limited);
+      CU_ASSERT_TRUE (brittle->brittle.brittle);
+      fleet_finish ();
+    }
+}
+
 /* Rejections were not told by a host with many brittle servers. */
 static void
 test_rejections_are_told_first (void)
@@ -415,6 +461,7 @@
 static const struct unit_case cases[] = {
   { "suspended-host-tells-nothing-old",
     test_suspended_host_tells_nothing_old },
+  { "late-datagrams-hide-nothing", test_late_datagrams_hide_nothing },
   { "rejections-are-told-first", test_rejections_are_told_first },
   { "limit-over-all-hosts", test_limit_over_all_hosts },
   { "all-servers-limited", test_all_servers_limited },
