Hosts that hold room are looked up without a visit of all hosts

Cause: for each request that is passed on to a host that holds room at a brittle server, all hosts were visited once for each rank up to the holder's, up to four times: work of one request that grows with the number of hosts. The first 64 hosts of a server's order are now kept until a host changes, for 1,024 servers at most. Evidence: fleetticks/holders-are-sorted-once, 2,234 hosts against 30, fails when the order is made for each look-up; test-brittle plays the same falls and room used as before.

--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -146,7 +146,8 @@
   holders = serverbrittle_holders (
       &server->brittle,
       serverbrittle_room (&server->brittle, server->entry.slots));
-  first = (unsigned)rng_below (forwarder->rng, MAX (holders, 1U));
+  holders = CLAMP (holders, 1U, OTHERHOSTS_RANKS_MAX);
+  first = (unsigned)rng_below (forwarder->rng, holders);
   for (unsigned i = 0; i < MIN (holders, HOLDERS_MAX); i++)
     {
       struct otherhost *host = otherhosts_of_rank (
--- a/src/otherhosts.c
+++ b/src/otherhosts.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+enum
+{
+  ORDERS_MAX = 1024 /* Maximum number of servers whose order is kept. */
+};
+
 static void
 otherhost_free (void *data)
 {
@@ -19,11 +24,15 @@
   others->loadshare = loadshare;
   others->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          otherhost_free);
+  others->orders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)g_ptr_array_unref);
+  others->orders_generation = presence->generation;
 }
 
 void
 otherhosts_finish (struct otherhosts *others)
 {
+  g_hash_table_destroy (others->orders);
   g_hash_table_destroy (others->hosts);
 }
 
@@ -65,13 +74,36 @@
       g_hash_table_iter_remove (&iter);
 }
 
+/* The hosts are sorted for a server when they have changed, not for each
+ * request. */
+static const GPtrArray *
+order_of_server (struct otherhosts *others, const char *id)
+{
+  const struct presence *presence = others->presence;
+  GPtrArray *order;
+
+  if (others->orders_generation != presence->generation
+      || g_hash_table_size (others->orders) >= ORDERS_MAX)
+    g_hash_table_remove_all (others->orders);
+  others->orders_generation = presence->generation;
+  order = g_hash_table_lookup (others->orders, id);
+  if (order == NULL)
+    {
+      order = presence_first_hosts (presence, id, strlen (id),
+                                    OTHERHOSTS_RANKS_MAX);
+      g_hash_table_insert (others->orders, g_strdup (id), order);
+    }
+  return order;
+}
+
 struct otherhost *
 otherhosts_of_rank (struct otherhosts *others, const char *id, unsigned rank)
 {
-  const struct presence *presence = others->presence;
-  const char *key = presence_host_of_rank (presence, id, strlen (id), rank);
+  const GPtrArray *order = order_of_server (others, id);
+  const char *key = rank < order->len ? order->pdata[rank] : NULL;
   const struct presence_host *record
-      = key != NULL ? g_hash_table_lookup (presence->hosts, key) : NULL;
+      = key != NULL ? g_hash_table_lookup (others->presence->hosts, key)
+                    : NULL;
 
   return record != NULL && !record->leaving && record->peer[0] != '\0'
              ? otherhost_find (others, key, record->peer)
--- a/src/otherhosts.h
+++ b/src/otherhosts.h
@@ -8,6 +8,13 @@
  * The other hosts as places that requests can be passed on to.
  */
 
+enum
+{
+  /** Maximum number of the first hosts in the order of a server that
+   * otherhosts_of_rank knows. */
+  OTHERHOSTS_RANKS_MAX = 64
+};
+
 struct otherhost
 {
   /** Stands for the host where an attempt names its server. */
@@ -27,6 +34,10 @@
   /** Maps keys of hosts to struct otherhost. A host that is no longer
    * registered keeps its place while requests are in flight there. */
   GHashTable *hosts;
+  /** Maps ids of servers to the keys of their first hosts, as of a generation
+   * of the hosts. */
+  GHashTable *orders;
+  uint64_t orders_generation;
 };
 
 void otherhosts_init (struct otherhosts *others,
@@ -35,8 +46,8 @@
 void otherhosts_finish (struct otherhosts *others);
 
 /** Return the host that RANK others come before in the order of hosts for the
- * server ID, see presence_host_of_rank; NULL if it is this one, is leaving or
- * is not registered. */
+ * server ID, see presence_first_hosts; NULL if it is this one, is leaving or
+ * not registered, or comes too late in the order. */
 struct otherhost *otherhosts_of_rank (struct otherhosts *others,
                                       const char *id, unsigned rank);
 
--- a/src/presence.c
+++ b/src/presence.c
@@ -373,35 +373,46 @@
   return rank_count (presence, key, size, true);
 }
 
-const char *
-presence_host_of_rank (const struct presence *presence, const void *key,
-                       size_t size, unsigned rank)
+struct weighted_host
 {
-  uint64_t own = host_weight (&presence->self, key, size);
-  uint64_t below = UINT64_MAX;
-  const char *found = NULL;
+  uint64_t weight;
+  const char *key; /* NULL for this host. */
+};
 
-  for (unsigned i = 0; i <= rank; i++)
+static int
+weighted_host_compare (gconstpointer a, gconstpointer b)
+{
+  const struct weighted_host *first = a;
+  const struct weighted_host *second = b;
+
+  return (first->weight < second->weight) - (first->weight > second->weight);
+}
+
+GPtrArray *
+presence_first_hosts (const struct presence *presence, const void *key,
+                      size_t size, unsigned max)
+{
+  GPtrArray *keys = g_ptr_array_new_with_free_func (g_free);
+  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (struct weighted_host));
+  struct weighted_host host
+      = { host_weight (&presence->self, key, size), NULL };
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_array_append_val (hosts, host);
+  g_hash_table_iter_init (&iter, presence->hosts);
+  while (g_hash_table_iter_next (&iter, &name, &value))
     {
-      uint64_t best = own < below ? own : 0;
-      GHashTableIter iter;
-      gpointer name;
-      gpointer value;
-
-      found = NULL;
-      g_hash_table_iter_init (&iter, presence->hosts);
-      while (g_hash_table_iter_next (&iter, &name, &value))
-        {
-          uint64_t weight = host_weight (value, key, size);
-
-          if (weight >= below || weight <= best)
-            continue;
-          best = weight;
-          found = name;
-        }
-      below = best;
+      host = (struct weighted_host){ host_weight (value, key, size), name };
+      g_array_append_val (hosts, host);
     }
-  return found;
+  g_array_sort (hosts, weighted_host_compare);
+  for (guint i = 0; i < MIN (hosts->len, max); i++)
+    g_ptr_array_add (
+        keys, g_strdup (g_array_index (hosts, struct weighted_host, i).key));
+  g_array_free (hosts, TRUE);
+  return keys;
 }
 
 struct host_record
--- a/src/presence.h
+++ b/src/presence.h
@@ -141,11 +141,11 @@
 unsigned presence_rank_of_all (const struct presence *presence,
                                const void *key, size_t size);
 
-/** Returns the key of the host that RANK hosts come before in the order of
- * presence_rank_of_all; NULL if it is this one, or there are fewer hosts. */
-const char *presence_host_of_rank (const struct presence *presence,
-                                   const void *key, size_t size,
-                                   unsigned rank);
+/** Returns the keys of the first MAX hosts in the order of
+ * presence_rank_of_all, with NULL for this host; to be freed with
+ * g_ptr_array_free. */
+GPtrArray *presence_first_hosts (const struct presence *presence,
+                                 const void *key, size_t size, unsigned max);
 
 /** Returns all hosts as pointers to struct presence_host, sorted by data
  * centre and key, with NULL for this host. The array is valid until a host
--- a/test/fake-brittle.c
+++ b/test/fake-brittle.c
@@ -131,12 +131,13 @@
 {
   unsigned holders = serverbrittle_holders (
       &server->brittle, serverbrittle_room (&server->brittle, play.slots));
-  const char *id = server->entry.id;
-  const char *key
-      = presence_host_of_rank (&brittle_hosts[host].presence, id, strlen (id),
-                               (unsigned)rng_below (&rng, MAX (holders, 1U)));
+  const struct otherhost *holder
+      = otherhosts_of_rank (&brittle_hosts[host].others, server->entry.id,
+                            (unsigned)rng_below (&rng, MAX (holders, 1U)));
   struct brittle_host *other
-      = key != NULL ? &brittle_hosts[atoi (key + strlen ("host/h"))] : NULL;
+      = holder != NULL
+            ? &brittle_hosts[atoi (holder->server->entry.id + strlen ("h"))]
+            : NULL;
 
   if (other == NULL || other->down
       || other->waiting_count == BRITTLE_WAITING_MAX)
--- a/test/fake-brittlehost.c
+++ b/test/fake-brittlehost.c
@@ -105,6 +105,7 @@
                   &share_ops, NULL);
   limitshare_init (&host->limitshare, &host->servers, clock,
                    (uint64_t)clock_now (clock) + index + 1);
+  otherhosts_init (&host->others, &host->presence, &host->loadshare);
   g_free (key);
   for (unsigned i = 0; i < play->hosts; i++)
     if (i != index && !brittle_hosts[i].down)
@@ -116,6 +117,7 @@
 {
   struct brittle_host *host = &brittle_hosts[index];
 
+  otherhosts_finish (&host->others);
   limitshare_finish (&host->limitshare);
   loadshare_finish (&host->loadshare);
   presence_finish (&host->presence);
--- a/test/fake-brittlehost.h
+++ b/test/fake-brittlehost.h
@@ -4,6 +4,7 @@
 #include "fake-brittle.h"
 #include "limitshare.h"
 #include "loadshare.h"
+#include "otherhosts.h"
 #include "presence.h"
 #include "rng.h"
 #include "subsets.h"
@@ -28,6 +29,7 @@
   struct presence presence;
   struct subsets subsets;
   struct loadshare loadshare;
+  struct otherhosts others;
   struct limitshare limitshare;
   int64_t
       waiting[BRITTLE_WAITING_MAX]; /**< Times until which requests wait. */
--- a/test/test-fleetticks.c
+++ b/test/test-fleetticks.c
@@ -1,10 +1,12 @@
 #include "limitshare.h"
 #include "loadshare.h"
+#include "otherhosts.h"
 #include "presence.h"
 #include "serverprobe.h"
 #include "unit.h"
 #include "weightsnews.h"
 
+#include <string.h>
 #include <time.h>
 
 enum
@@ -221,7 +223,8 @@
 {
   char *key = g_strdup_printf ("host/%05u", index);
   char *value = g_strdup_printf (
-      "{\"address\":\"a%u\",\"data_centre\":\"%s\"}", index, data_centre);
+      "{\"address\":\"a%u\",\"peer\":\"127.0.0.1:1\",\"data_centre\":\"%s\"}",
+      index, data_centre);
   struct error error;
 
   CU_ASSERT_EQUAL (presence_key_put (presence, key, value, &error), STATUS_OK);
@@ -276,7 +279,69 @@
   presence_finish (&many);
 }
 
+/* Returns the processor time of TICKS look-ups of a host that holds room. */
+static int64_t
+holder_cost (struct otherhosts *others)
+{
+  int64_t least = INT64_MAX;
+
+  for (unsigned round = 0; round < ROUNDS; round++)
+    {
+      int64_t start = processor_ns ();
+
+      for (unsigned i = 0; i < TICKS; i++)
+        otherhosts_of_rank (others, "i-3", i % 8);
+      least = MIN (least, processor_ns () - start);
+    }
+  return least;
+}
+
+/* For each request that was passed on, all hosts were visited once for each
+ * rank. */
+static void
+test_holders_are_sorted_once (void)
+{
+  static const unsigned counts[] = { FEW_SERVERS, 2234 };
+  const struct presence_host self = { .address = "self", .data_centre = "b" };
+  struct presence presences[2];
+  struct otherhosts others[2];
+  struct clock_fake clock;
+  const char *id = "i-3";
+
+  clock_fake_init (&clock, 0);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      presence_init (&presences[i], NULL, &clock.clock, "host/self", &self,
+                     NS_PER_S);
+      otherhosts_init (&others[i], &presences[i], NULL);
+      for (unsigned j = 0; j < counts[i]; j++)
+        host_put (&presences[i], j, "b");
+    }
+  CU_ASSERT_TRUE (holder_cost (&others[1])
+                  < GROWTH_MAX * holder_cost (&others[0]));
+  for (unsigned rank = 0; rank < 3; rank++)
+    {
+      const struct otherhost *first = otherhosts_of_rank (&others[0], id, 0);
+      unsigned own = presence_rank_of_all (&presences[0], id, strlen (id));
+      char *key;
+
+      CU_ASSERT_PTR_NULL (otherhosts_of_rank (&others[0], id, own));
+      if (first == NULL)
+        break;
+      key = g_strdup_printf ("host/%s", first->server->entry.id);
+      presence_key_removed (&presences[0], key);
+      g_free (key);
+      CU_ASSERT_PTR_NOT_EQUAL (otherhosts_of_rank (&others[0], id, 0), first);
+    }
+  for (unsigned i = 0; i < 2; i++)
+    {
+      otherhosts_finish (&others[i]);
+      presence_finish (&presences[i]);
+    }
+}
+
 static const struct unit_case cases[] = {
+  { "holders-are-sorted-once", test_holders_are_sorted_once },
   { "hosts-are-sorted-once", test_hosts_are_sorted_once },
   { "ticks-do-not-grow", test_ticks_do_not_grow },
   { "load-that-is-gone", test_load_that_is_gone },
