Nothing is passed on to hosts that keep to no room

Cause: a host without room at a brittle server passed requests on to the hosts that hold it by their order, also to those of a version that does not know of brittle servers and sends on what it gets. The record of a host now has the form from which hosts keep to their room; others are passed over. Evidence: brittlehost/earlier-version-holds-no-room fails without it; found by reading.

--- a/src/otherhosts.c
+++ b/src/otherhosts.c
@@ -106,6 +106,7 @@
                     : NULL;
 
   return record != NULL && !record->leaving && record->peer[0] != '\0'
+                 && record->form >= PRESENCE_FORM_BRITTLE_ROOM
              ? otherhost_find (others, key, record->peer)
              : NULL;
 }
--- a/src/otherhosts.h
+++ b/src/otherhosts.h
@@ -47,7 +47,8 @@
 
 /** Return the host that RANK others come before in the order of hosts for the
  * server ID, see presence_first_hosts; NULL if it is this one, is leaving or
- * not registered, or comes too late in the order. */
+ * not registered, comes too late in the order, or is of an earlier version
+ * that keeps to no room. */
 struct otherhost *otherhosts_of_rank (struct otherhosts *others,
                                       const char *id, unsigned rank);
 
--- a/src/presence.h
+++ b/src/presence.h
@@ -29,7 +29,9 @@
 {
   /** Hosts fetch only from stores that were confirmed a short time ago. */
   PRESENCE_FORM_STORES_CONFIRMED = 1,
-  PRESENCE_FORM_OWN = PRESENCE_FORM_STORES_CONFIRMED
+  /** Hosts keep to their room at brittle servers. */
+  PRESENCE_FORM_BRITTLE_ROOM = 2,
+  PRESENCE_FORM_OWN = PRESENCE_FORM_BRITTLE_ROOM
 };
 
 /** A model, and the oldest version of its weights whose KV cache the host
--- a/test/fake-brittlehost.c
+++ b/test/fake-brittlehost.c
@@ -52,8 +52,8 @@
 host_value (unsigned index)
 {
   return g_strdup_printf ("{\"address\":\"a%u:1\",\"peer\":\"a%u:2\","
-                          "\"data_centre\":\"dc\"}",
-                          index, index);
+                          "\"data_centre\":\"dc\",\"form\":%d}",
+                          index, index, PRESENCE_FORM_OWN);
 }
 
 static void
--- a/test/fake-hosts.c
+++ b/test/fake-hosts.c
@@ -361,8 +361,9 @@
             continue;
           }
         g_snprintf (key, sizeof key, "t/host/h%u", other);
-        value
-            = g_strdup_printf ("{\"address\":\"a\",\"peer\":\"%s\"}", address);
+        value = g_strdup_printf (
+            "{\"address\":\"a\",\"peer\":\"%s\",\"form\":%d}", address,
+            PRESENCE_FORM_OWN);
         presence_key_put (&fleet.hosts[i].presence, key, value, &error);
         g_free (value);
       }
--- a/test/test-brittlehost.c
+++ b/test/test-brittlehost.c
@@ -135,6 +135,35 @@
   fake_hosts_finish ();
 }
 
+/* Let the first host know the second one as of a version with FORM. */
+static void
+host_set_form (unsigned form)
+{
+  struct presence_host *host
+      = g_hash_table_lookup (fleet.hosts[0].presence.hosts, "t/host/h1");
+
+  CU_ASSERT_PTR_NOT_NULL (host);
+  if (host != NULL)
+    host->form = form;
+}
+
+/* A host of an earlier version, which does not know of room, was sent what
+ * servers then had to reject. */
+static void
+test_earlier_version_holds_no_room (void)
+{
+  unsigned before;
+
+  fleet_start (1, 1);
+  host_set_form (PRESENCE_FORM_STORES_CONFIRMED);
+  before = fleet.passed_on;
+  CU_ASSERT_EQUAL (fake_hosts_request (0, "/once/"), 503);
+  CU_ASSERT_EQUAL (fleet.passed_on, before);
+  host_set_form (PRESENCE_FORM_BRITTLE_ROOM);
+  CU_ASSERT_EQUAL (fake_hosts_request (0, "/once/"), 200);
+  fake_hosts_finish ();
+}
+
 /* A host that was cut from brittle servers passed requests on to hosts without
  * room there, which refused them. */
 static void
@@ -158,6 +187,7 @@
 
 static const struct unit_case cases[] = {
   { "no-room-at-brittle-servers", test_no_room_at_brittle_servers },
+  { "earlier-version-holds-no-room", test_earlier_version_holds_no_room },
   { "cut-from-brittle-servers", test_cut_from_brittle_servers },
 };
 
--- a/test/test-fleetticks.c
+++ b/test/test-fleetticks.c
@@ -223,8 +223,9 @@
 {
   char *key = g_strdup_printf ("host/%05u", index);
   char *value = g_strdup_printf (
-      "{\"address\":\"a%u\",\"peer\":\"127.0.0.1:1\",\"data_centre\":\"%s\"}",
-      index, data_centre);
+      "{\"address\":\"a%u\",\"peer\":\"127.0.0.1:1\",\"data_centre\":\"%s\","
+      "\"form\":%d}",
+      index, data_centre, PRESENCE_FORM_OWN);
   struct error error;
 
   CU_ASSERT_EQUAL (presence_key_put (presence, key, value, &error), STATUS_OK);
