The interval of servers' heartbeats is a setting

Cause: which outages of the KV service leases can expire in was a constant of 2.4 s, twice the heartbeat of the deployments seen so far; servers that renew their entries at another interval would have been held too long or dropped too early. Now servers.heartbeat_ms, 1,200 ms unless the platform says otherwise. That a shorter failure is no outage had no test of its own: kvbudget/short-failures-are-no-outage fails when each counts.

--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -12,9 +12,9 @@
    * the others are for earlier watches that got no reply because of an outage.
    */
   KV_WATCH_MAX = 12,
-  /* Two heartbeats of a backend server, whose entry expires after three: it
-   * has sent the last one a heartbeat before an outage at the earliest. */
-  OUTAGE_MIN_MS = 2400,
+  /* The entry of a backend server expires after three heartbeats. It has sent
+   * the last one a heartbeat before an outage at the earliest. */
+  OUTAGE_HEARTBEATS = 2,
   KV_BURST = 60,
   /* The backoff is short, since a change must be in force within seconds of
    * the end of an outage. */
@@ -38,7 +38,7 @@
     .call_timeout_ns = settings->kv.timeout_ns,
     .backoff_min_ns = KV_BACKOFF_MIN_MS * NS_PER_MS,
     .backoff_max_ns = KV_BACKOFF_MAX_MS * NS_PER_MS,
-    .outage_min_ns = OUTAGE_MIN_MS * NS_PER_MS,
+    .outage_min_ns = OUTAGE_HEARTBEATS * settings->servers.heartbeat_ns,
   };
 
   httpclient_init (&entry->httpclient, &entry->loop, CLIENT_IO_TIMEOUT_MS);
--- a/src/settings-keys.c
+++ b/src/settings-keys.c
@@ -195,6 +195,12 @@
     SETTINGS_ROLE_ENTRY, 0, 0, 1e9, NULL, "2000", "ms",
     "Time within which a backend server that leaves gets no more requests; "
     "large fleets read changes of servers at up to half of it" },
+  { "servers.heartbeat_ms", SETTINGS_TYPE_MILLISECONDS,
+    FIELD (servers.heartbeat_ns), SETTINGS_ROLE_ENTRY, 0, 1, 1e9, NULL, "1200",
+    "ms",
+    "Interval at which backend servers renew their entries, which expire "
+    "after "
+    "three" },
   { "operator.key_hash", SETTINGS_TYPE_HASH_KEY, FIELD (operator_key.hash),
     SETTINGS_ROLE_GATEWAY, 0, 64, 64, NULL, NULL, "hex",
     "BLAKE2b-256 hash of the operators' bearer key; without it operators are "
--- a/src/settings.h
+++ b/src/settings.h
@@ -156,6 +156,8 @@
   {
     /** Time within which a server that leaves gets no more requests. */
     int64_t leave_ns;
+    /** Interval at which servers renew their entries. */
+    int64_t heartbeat_ns;
   } servers;
   struct
   {
--- a/test/test-kvbudget.c
+++ b/test/test-kvbudget.c
@@ -20,6 +20,7 @@
   .call_timeout_ns = NS_PER_S,
   .backoff_min_ns = 100 * NS_PER_MS,
   .backoff_max_ns = 5 * NS_PER_S,
+  .outage_min_ns = 4 * NS_PER_S,
 };
 
 static void
@@ -265,7 +266,34 @@
   finish ();
 }
 
+/* Each time without a reply, however short, counted as an outage in which
+ * leases can expire. */
+static void
+test_short_failures_are_no_outage (void)
+{
+  unsigned calls_left = UINT_MAX;
+  int64_t back_ns;
+
+  setup (6);
+  budget.kv.ops->get (&budget.kv, "k", count_reply_and_repeat, &calls_left);
+  run (NS_PER_S);
+  fake.faults.down = true;
+  run (NS_PER_S);
+  fake.faults.down = false;
+  run (3 * NS_PER_S);
+  CU_ASSERT_EQUAL (budget.outage_end_ns, 0);
+  fake.faults.down = true;
+  run (6 * NS_PER_S);
+  back_ns = fake_clock.now_ns;
+  fake.faults.down = false;
+  run (10 * NS_PER_S);
+  CU_ASSERT_TRUE (budget.outage_end_ns >= back_ns);
+  calls_left = 0;
+  finish ();
+}
+
 static const struct unit_case cases[] = {
+  { "short-failures-are-no-outage", test_short_failures_are_no_outage },
   { "limited-is-not-down", test_limited_is_not_down },
   { "rate-holds-in-a-storm", test_rate_limit_under_overload },
   { "lost-replies-in-a-row", test_lost_replies_in_a_row },
