A host that stops lets callers go to another one at once

Cause: what a stopping host refused when it arrived, not when it waited, carried the Retry-After of a host without servers, 0.25 s and more, though other hosts serve. All refusals of a stop now have one short Retry-After, and the test asks for it. Evidence: forwardstop/waiting-requests-are-refused fails on the code before.

--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -7,6 +7,7 @@
 #include "forwardresume.h"
 #include "forwardsend.h"
 #include "forwardweights.h"
+#include "forwardstop.h"
 #include "forwardwait.h"
 #include "serverreach.h"
 
@@ -310,7 +311,9 @@
         forwardwait_remove (forward);
       else
         forward_give_up (forward, refusal_reason (forward, &choice),
-                         RETRY_AFTER_NO_SERVER_MS);
+                         forward->forwarder->is_stopping
+                             ? FORWARDSTOP_RETRY_AFTER_MS
+                             : RETRY_AFTER_NO_SERVER_MS);
       return;
     }
   if (choice.server == NULL && !forward->forwarder->is_stopping
@@ -408,7 +411,7 @@
       conn->target->str, conn->body->data, conn->body->len);
   forwardblame_set_parts (forward);
   if (forwarder->is_ending)
-    forward_refuse (forward, "stopping", RETRY_AFTER_NO_SERVER_MS);
+    forward_refuse (forward, "stopping", FORWARDSTOP_RETRY_AFTER_MS);
   else if (poisoncount_is_blocked (forwarder->poisoncount,
                                    forward->fingerprint))
     forward_refuse (forward, "ends_servers", RETRY_AFTER_POISON_MS);
--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -1,12 +1,6 @@
 #include "forwardstop.h"
 #include "forwardrespond.h"
 
-enum
-{
-  /* Base of the Retry-After time. Callers find another host at once. */
-  RETRY_AFTER_MS = 50
-};
-
 void
 forwardstop_refuse_waiting (struct forwarder *forwarder)
 {
@@ -19,7 +13,7 @@
           = LIST_ENTRY (node, struct forward, waiting_node);
 
       node = node->next;
-      forward_give_up (forward, "stopping", RETRY_AFTER_MS);
+      forward_give_up (forward, "stopping", FORWARDSTOP_RETRY_AFTER_MS);
     }
 }
 
@@ -39,6 +33,6 @@
       if (is_sent && !forward->relaying)
         forward_fail (forward, "stopping");
       else
-        forward_give_up (forward, "stopping", RETRY_AFTER_MS);
+        forward_give_up (forward, "stopping", FORWARDSTOP_RETRY_AFTER_MS);
     }
 }
--- a/src/forwardstop.h
+++ b/src/forwardstop.h
@@ -8,6 +8,12 @@
  * an answer.
  */
 
+enum
+{
+  /** Base of the Retry-After time in ms. Callers find another host at once. */
+  FORWARDSTOP_RETRY_AFTER_MS = 50
+};
+
 /** Refuse the requests that wait, and from now on those that would have to, so
  * that their callers go to other hosts. */
 void forwardstop_refuse_waiting (struct forwarder *forwarder);
--- a/test/test-forwardstop.c
+++ b/test/test-forwardstop.c
@@ -7,6 +7,7 @@
 enum
 {
   STOP_MS = 200,
+  RETRY_MS = 150, /* A caller finds another host sooner. */
   AT_ONCE_MS = 100
 };
 
@@ -47,6 +48,17 @@
   return status;
 }
 
+/* Whether the last answer lets its caller come back within RETRY_MS. */
+static bool
+may_retry_at_once (void)
+{
+  const char *field = strstr (fleet.answer->str, "Retry-After: ");
+
+  return field != NULL
+         && g_ascii_strtod (field + strlen ("Retry-After: "), NULL) * 1000
+                <= RETRY_MS;
+}
+
 static void
 engines_fill (void)
 {
@@ -68,9 +80,10 @@
   fake_hosts_setup (&full_response);
   engines_fill ();
   CU_ASSERT_EQUAL (request_during (stop_waiting, "/once/"), 503);
-  CU_ASSERT_PTR_NOT_NULL (strstr (fleet.answer->str, "Retry-After"));
+  CU_ASSERT_TRUE (may_retry_at_once ());
   /* The next one does not begin to wait. */
   CU_ASSERT_EQUAL (fake_hosts_request (0, "/safe/"), 503);
+  CU_ASSERT_TRUE (may_retry_at_once ());
   CU_ASSERT_EQUAL (fake_hosts_engine_requests (), 0);
   fake_hosts_finish ();
 }
