The bound on the head of a response is checked after each read

What was seen: httpclient/bytes-without-end failed on x86-64 in 8 of 8 runs (and in 3 of 3 here, uname -m x86_64) at its time bound: the call ended after 0.99 s, its io timeout, instead of at once. Cause: heads were checked when the loop had read, but at most every 10 ms. On this machine all 3 MiB arrive within 10 ms of the check before; after that nothing is read, so nothing wakes the loop up, and no check follows until a timer fires. strace shows the last read at 12 ms and the next epoll_wait returning after 0.99 s. On the arm64 machine the bytes took longer than 10 ms, so that one of the checks fell between two reads. Until then the process also kept all that came in 10 ms: the bound was on time, not on bytes. Now each iteration of the loop checks the calls in flight, of which a host has a few dozen at most. Ruled out: parsing the head anew with each read (12 ms in all), the timer of the call.

--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -14,8 +14,7 @@
   POOL_CAPACITY = 256, /* Maximum number of idle connections per address. */
   POOL_IDLE_MS = 4000,
   /* Maximum size of a response's head; of a body, no more is kept here. */
-  HEAD_BYTES_MAX = 64 * 1024,
-  HEAD_CHECK_INTERVAL_MS = 10
+  HEAD_BYTES_MAX = 64 * 1024
 };
 
 struct httpclient_call
@@ -269,18 +268,15 @@
          && call->connection->sock->input->size > HEAD_BYTES_MAX;
 }
 
-/* h2o has no bound on the head of a response, so it is checked from time to
- * time after the loop has read. Callbacks may end other calls. */
+/* h2o has no bound on the head of a response, so it is checked each time the
+ * loop has read: nothing else wakes the loop up once the bytes stop. Callbacks
+ * may end other calls. */
 static void
 heads_check (uv_check_t *check)
 {
   struct httpclient *client = check->data;
   struct list *node = client->calls.next;
-  uint64_t now_ms = uv_now (client->loop);
 
-  if (now_ms < client->next_check_ms)
-    return;
-  client->next_check_ms = now_ms + HEAD_CHECK_INTERVAL_MS;
   while (node != &client->calls)
     {
       struct httpclient_call *call
