A host that stops refuses at once what it can't complete

Cause: while callers still hold its address a stopping host took each request as before; nothing compared how long it runs with the time left. Now the completed requests of each route tell how long such a request takes, for each token it may generate (runtimes), and what is not expected to be completed in time is refused before it is sent anywhere, with the short Retry-After of a stop. Without any completed request of the route the caller's own time counts.

--- a/src/forward.h
+++ b/src/forward.h
@@ -16,6 +16,7 @@
 #include "retrybudget.h"
 #include "streamorigin.h"
 #include "routes.h"
+#include "runtimes.h"
 #include "weights.h"
 
 /** @file
@@ -77,6 +78,10 @@
   struct list waiting;  /**< Requests that wait for capacity at a server,
                              in order of arrival. */
   size_t waiting_count;
+  struct runtimes runtimes;
+  /** Time at which a host that stops ends what is still in flight; 0 while it
+   * does not stop. */
+  int64_t end_ns;
   bool is_ending;   /**< Whether no request is taken any more. */
   bool is_stopping; /**< Whether no request waits any more, see forwardstop. */
   bool is_placing;  /**< Whether waiting requests are being placed. */
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -170,6 +170,11 @@
     server_record_reached (forwarder->servers, server, true);
   if (outcome == EXCHANGE_ANSWERED)
     server_record_run (server, now - forward->exchange.sent_ns);
+  if (outcome == EXCHANGE_ANSWERED && response->success
+      && !forward->call.resumes && !forward->exchange.continues)
+    runtimes_record (&forwarder->runtimes, forward->route->name,
+                     forward->call.output_tokens,
+                     now - forward->exchange.sent_ns);
   forwardblame_learn (forward, outcome);
   if (outcome == EXCHANGE_CUT)
     {
--- a/src/forwardstate.c
+++ b/src/forwardstate.c
@@ -89,6 +89,7 @@
   forwarder->retire = retire;
   forwarder->origin = origin;
   forwarder->host_count = 1;
+  runtimes_init (&forwarder->runtimes);
   list_init (&forwarder->requests);
   list_init (&forwarder->waiting);
   forwarder->wanted_weights
@@ -104,5 +105,6 @@
     forward_free (LIST_ENTRY (forwarder->requests.next, struct forward, node));
   forwarder_clear_routes (forwarder);
   g_hash_table_destroy (forwarder->wanted_weights);
+  runtimes_finish (&forwarder->runtimes);
   g_hash_table_destroy (forwarder->retry_budgets);
 }
--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -1,6 +1,27 @@
 #include "forwardstop.h"
 #include "forwardrespond.h"
 
+void
+forwardstop_begin (struct forwarder *forwarder, int64_t end_ns)
+{
+  forwarder->end_ns = end_ns;
+}
+
+bool
+forwardstop_comes_too_soon (const struct forward *forward)
+{
+  const struct forwarder *forwarder = forward->forwarder;
+  const struct route *route = forward->route;
+
+  if (forwarder->end_ns == 0 || forward->run_count > 0 || forward->relaying)
+    return false;
+  return clock_now (forwarder->clock)
+             + runtimes_expect (&forwarder->runtimes, route->name,
+                                forward->call.output_tokens,
+                                forward_time_left_ns (forward))
+         > forwarder->end_ns;
+}
+
 void
 forwardstop_refuse_waiting (struct forwarder *forwarder)
 {
--- a/src/forwardstop.h
+++ b/src/forwardstop.h
@@ -14,6 +14,14 @@
   FORWARDSTOP_RETRY_AFTER_MS = 50
 };
 
+/** From now on take only requests that are expected to be completed before
+ * END_NS, at which forwardstop_end_all follows. */
+void forwardstop_begin (struct forwarder *forwarder, int64_t end_ns);
+
+/** Whether the request, which has not run, is refused since its host ends
+ * before it is expected to be completed. */
+bool forwardstop_comes_too_soon (const struct forward *forward);
+
 /** Refuse the requests that wait, and from now on those that would have to, so
  * that their callers go to other hosts. */
 void forwardstop_refuse_waiting (struct forwarder *forwarder);
--- a/test/check-soak.sh
+++ b/test/check-soak.sh
@@ -20,6 +20,8 @@
 fifth=$!
 run foreign --seed 7 --foreign-answers &
 seventh=$!
+run long-runs --seed 1 --long-runs &
+eighth=$!
 {
   run cut-streams --seed 5 --cut-streams
   rc=$?
@@ -34,8 +36,9 @@
 wait $fifth || failed=1
 wait $sixth || failed=1
 wait $seventh || failed=1
+wait $eighth || failed=1
 for name in faults planned poison limits drills cut-streams cut-callers \
-  foreign; do
+  foreign long-runs; do
   grep -E '^(not )?ok ' "$folder/$name.txt" || echo "not ok soak/$name"
   grep 'BROKEN' "$folder/$name.txt"
 done
--- a/test/soak-base.c
+++ b/test/soak-base.c
@@ -8,6 +8,8 @@
 
 enum
 {
+  DEADLINE_MS = 5000,
+  ROUTE_TIMEOUT_MS = 4000,
   STREAM_EVENTS = 6,
   EVENT_MS = 15
 };
@@ -25,6 +27,8 @@
   soak->hosts = g_ptr_array_new ();
   soak->streams.events = STREAM_EVENTS;
   soak->streams.event_ms = EVENT_MS;
+  soak->deadline_ms = DEADLINE_MS;
+  soak->route_timeout_ms = ROUTE_TIMEOUT_MS;
 }
 
 /* The hosts must not outlive the soak. */
--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -9,8 +9,7 @@
 {
   PAUSE_MS = 20,      /* between two requests, at most */
   CONNECT_MS = 1000,  /* until a host is given up */
-  ANSWER_MS = 6000,   /* until a request is given up */
-  DEADLINE_MS = 5000, /* that the request says */
+  LATE_MS = 1000,     /* after its deadline, until a request is given up */
   SESSIONS = 20,      /* whose streams share a block */
   FIRST_ASKED = 1000, /* number of a caller's requests that no other uses */
   POISON_ONE_IN = 30  /* One of so many streams has a block that crashes. */
@@ -150,6 +149,26 @@
   return sealed && whole;
 }
 
+/* A host that stops serves a request or refuses it at once. */
+static void
+stop_check (struct soak *soak, const struct soak_request *request,
+            unsigned status)
+{
+  if (!soak->stops.is_played)
+    return;
+  if (status == 502 || status == 504)
+    soak_violation (soak, "%s got %u after %.0f ms, sent to a host that %s",
+                    request->id, status,
+                    (double)(clock_now (&soak->clock) - request->sent_ns)
+                        / NS_PER_MS,
+                    request->sent_to_stopping ? "stopped" : "served");
+  if (!request->sent_to_stopping)
+    return;
+  soak->stops.served += status == 200;
+  soak->stops.refused += status == 503;
+  soak->stops.failed += status == 502 || status == 504;
+}
+
 static void
 answer_check (struct soak_caller *caller)
 {
@@ -157,6 +176,7 @@
   unsigned status = caller->parser.status_code;
 
   soak_foreign_answered (caller->soak, request, status);
+  stop_check (caller->soak, request, status);
   if (status == 200 && !success_is_right (caller))
     {
       caller->soak->streams.wrong += request->kind == SOAK_STREAM;
@@ -385,6 +405,7 @@
   g_snprintf (request->id, sizeof request->id, "%04x%012x", caller->number,
               ++caller->asked);
   request->host = caller->host;
+  request->sent_to_stopping = caller->hosts[caller->host].ending;
   request->sent_ns = clock_now (&caller->soak->clock);
   request->kind
       = caller->plain_left > 0 ? SOAK_SAFE
@@ -451,9 +472,10 @@
   sent->text = g_strdup_printf (
       "%s %s%u HTTP/1.1\r\nHost: " SOAK_ROUTES_HOST
       "\r\nX-Request-Id: %s\r\nX-Api-Key: " SOAK_KEY
-      "\r\nX-Request-Deadline: %d\r\n%s%sContent-Length: %d\r\n\r\n%s",
+      "\r\nX-Request-Deadline: %u\r\n%s%sContent-Length: %d\r\n\r\n%s",
       method, soak_kind_prefix (request->kind), caller->asked, request->id,
-      DEADLINE_MS, resumes, prompt, request->kind == SOAK_SAFE ? 0 : 4,
+      caller->soak->deadline_ms, resumes, prompt,
+      request->kind == SOAK_SAFE ? 0 : 4,
       request->kind == SOAK_SAFE ? "" : "body");
   g_free (resumes);
   g_free (prompt);
@@ -462,7 +484,8 @@
   caller->parser.data = caller;
   httpfields_clear (&caller->head);
   g_string_truncate (caller->body, 0);
-  uv_timer_start (&caller->timer, on_timeout, ANSWER_MS, 0);
+  uv_timer_start (&caller->timer, on_timeout,
+                  caller->soak->deadline_ms + LATE_MS, 0);
   if (uv_write (&sent->write, (uv_stream_t *)caller->tcp, &buffer, 1,
                 on_written)
       == 0)
--- a/test/soak-config.c
+++ b/test/soak-config.c
@@ -1,17 +1,17 @@
 #include "soak-config.h"
 
 static char *
-route_text (enum soak_kind kind)
+route_text (const struct soak *soak, enum soak_kind kind)
 {
   static const char *const types[SOAK_KINDS]
       = { "idempotent", "non_idempotent", "streaming" };
 
   return g_strdup_printf (
       "{\"name\":\"r%d\",\"hostname\":\"" SOAK_ROUTES_HOST
-      "\",\"prefix\":\"%s\",\"routeType\":\"%s\",\"timeoutMs\":4000,"
+      "\",\"prefix\":\"%s\",\"routeType\":\"%s\",\"timeoutMs\":%u,"
       "\"targetLatencyMs\":500,\"priority\":1,\"backend\":\"app\","
       "\"attempts\":3,\"public\":false,\"resumable\":%s,\"gapTargetMs\":300}",
-      kind, soak_kind_prefix (kind), types[kind],
+      kind, soak_kind_prefix (kind), types[kind], soak->route_timeout_ms,
       kind == SOAK_STREAM ? "true" : "false");
 }
 
@@ -22,7 +22,7 @@
   char *text;
 
   for (int i = 0; i < SOAK_KINDS; i++)
-    routes[i] = route_text ((enum soak_kind)i);
+    routes[i] = route_text (store->soak, (enum soak_kind)i);
   text = g_strdup_printf (
       "{\"version\":%u,\"routes\":[%s,%s,%s],\"backends\":[{\"name\":\"app\","
       "\"healthPath\":\"/health\",\"maxConns\":100}],\"limits\":{"
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -233,6 +233,18 @@
                   engine->id, engine->limit, count, LIMIT_WINDOW_MS);
 }
 
+/* Runs of one kind of request last about as long as each other. */
+static unsigned
+run_ms (struct soak *soak, enum soak_kind kind)
+{
+  if (kind == SOAK_STREAM)
+    return soak->streams.event_ms;
+  if (!soak->stops.is_played)
+    return soak_draw (soak, 2, WORK_MS);
+  return kind == SOAK_SAFE ? soak_draw (soak, 50, 100)
+                           : soak_draw (soak, 2500, 3500);
+}
+
 static void
 run_begin (struct soak_engine *engine, struct callerconn *conn,
            struct soak_request *request)
@@ -261,8 +273,7 @@
   uv_timer_init (&engine->soak->loop, &run->timer);
   run->timer.data = run;
   uv_timer_start (&run->timer, on_run_due,
-                  is_stream ? streams->event_ms
-                            : soak_draw (engine->soak, 2, WORK_MS),
+                  run_ms (engine->soak, request->kind),
                   is_stream ? streams->event_ms : 0);
 }
 
--- a/test/soak.c
+++ b/test/soak.c
@@ -22,6 +22,9 @@
   POISON_CRASHES = 5, /* after which a block must not crash engines for long */
   POISON_MS = 3000,   /* within which that must be so */
   POISON_LATE_MAX = 3, /* requests that may reach an engine later */
+  LONG_EVENTS = 55,    /* of a stream, where runs are long */
+  LONG_EVENT_MS = 100,
+  LONG_DEADLINE_MS = 15000,
   RECOVERED_MS = 4000, /* the part of it in which requests must be served */
   SERVED_PERCENT = 95  /* of the requests of that time */
 };
@@ -56,6 +59,7 @@
 static gboolean option_drills;
 static gboolean option_cut_streams;
 static gboolean option_foreign_answers;
+static gboolean option_long_runs;
 static gboolean option_cut_callers;
 static char *option_program = "build/trefoilspard";
 static char *option_folder = "build/soak-logs";
@@ -80,6 +84,9 @@
     "Engines that write earlier refusals once more; no other faults but "
     "changes of the configuration",
     NULL },
+  { "long-runs", 0, 0, G_OPTION_ARG_NONE, &option_long_runs,
+    "Runs of up to six seconds, and no other faults than planned stops",
+    NULL },
   { "cut-callers", 0, 0, G_OPTION_ARG_NONE, &option_cut_callers,
     "The same, and their callers break their connections and come back at "
     "another host",
@@ -320,6 +327,8 @@
   world.faults++;
   if (option_foreign_answers)
     fault_config ();
+  else if (option_long_runs)
+    fault_stop ();
   else if (option_limits)
     limit_faults[soak_draw (&world.soak, 0,
                             G_N_ELEMENTS (limit_faults) - 1)]();
@@ -424,6 +433,12 @@
 {
   recovery_check ();
   soak_foreign_check (&world.soak);
+  if (option_long_runs)
+    soak_say (&world.soak,
+              "of the requests sent to stopping hosts %u were served, %u "
+              "refused, %u failed",
+              world.soak.stops.served, world.soak.stops.refused,
+              world.soak.stops.failed);
   uv_close ((uv_handle_t *)&world.timer, NULL);
   for (int i = 0; i < CALLERS; i++)
     soak_caller_finish (&world.callers[i]);
@@ -508,8 +523,16 @@
              : option_limits          ? "limits-"
              : option_drills          ? "drills-"
              : option_foreign_answers ? "foreign-"
+             : option_long_runs       ? "long-runs-"
                                       : "");
-  soak->planned_only = option_planned;
+  soak->planned_only = option_planned || option_long_runs;
+  soak->stops.is_played = option_long_runs;
+  if (option_long_runs)
+    {
+      soak->streams.events = LONG_EVENTS;
+      soak->streams.event_ms = LONG_EVENT_MS;
+      soak->deadline_ms = soak->route_timeout_ms = LONG_DEADLINE_MS;
+    }
   soak->poison.is_sent = option_poison_block;
   soak->foreign.is_played = option_foreign_answers;
   world.next_fault_ns = soak->start_ns + START_MS * NS_PER_MS;
--- a/test/soak.h
+++ b/test/soak.h
@@ -39,8 +39,9 @@
   enum soak_kind kind;
   unsigned host; /**< Index of the host that it was sent to. */
   int64_t sent_ns;
-  unsigned runs; /**< begun by engines */
-  bool not_run;  /**< An answer said that it has not run and never will. */
+  bool sent_to_stopping; /**< Its host had been told to stop. */
+  unsigned runs;         /**< begun by engines */
+  bool not_run; /**< An answer said that it has not run and never will. */
   bool served;
   /** Of a stream: id of the request that brought its first event. */
   char began_id[24];
@@ -95,6 +96,16 @@
   unsigned wrong; /**< responses with events that are not the next ones */
 };
 
+/** Long runs beside planned stops: what became of the requests that a host got
+ * after it was told to stop. */
+struct soak_stops
+{
+  bool is_played;
+  unsigned served;
+  unsigned refused; /**< "Not run", and it had not. */
+  unsigned failed;  /**< 502 or 504 */
+};
+
 struct soak
 {
   /** Another build of the daemon, which every other start of a host runs;
@@ -111,6 +122,9 @@
   unsigned violations;
   struct soak_poison poison;
   struct soak_foreign foreign;
+  struct soak_stops stops;
+  unsigned deadline_ms;      /**< of requests */
+  unsigned route_timeout_ms; /**< of routes */
   bool planned_only; /**< Faults are planned stops and reloads alone. */
 };
 
--- a/test/test-forwardstop.c
+++ b/test/test-forwardstop.c
@@ -104,7 +104,81 @@
   fake_hosts_finish ();
 }
 
+/* Requests that came late in the grace time were sent to servers and cut off
+ * at its end; they are refused at once unless they are expected to be
+ * completed. */
+static void
+test_late_requests_are_refused_at_once (void)
+{
+  static const struct
+  {
+    int64_t run_ms; /* of earlier requests of the route; 0: none is known */
+    int64_t end_ms; /* from the request to the end; 0: the host serves */
+    int status;
+  } rows[] = {
+    { 100, 0, 200 },     { 100, 400, 200 }, { 100, 300, 200 },
+    { 100, 90, 503 },    { 3000, 0, 200 },  { 3000, 1000, 503 },
+    { 3000, 4000, 200 }, { 0, 0, 200 },     { 0, 1000, 503 },
+    { 0, 2000, 200 }, /* later than the route's timeout */
+  };
+  static const char *const targets[] = { "/safe/", "/once/" };
+
+  fake_hosts_setup (&full_response);
+  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
+    for (unsigned j = 0; j < 2; j++)
+      {
+        struct forwarder *forwarder = &fleet.hosts[0].forwarder;
+        unsigned before = fake_hosts_engine_requests ();
+
+        runtimes_finish (&forwarder->runtimes);
+        runtimes_init (&forwarder->runtimes);
+        for (unsigned k = 0; rows[i].run_ms > 0 && k < 100; k++)
+          runtimes_record (&forwarder->runtimes, targets[j], 0,
+                           rows[i].run_ms * NS_PER_MS);
+        forwardstop_begin (forwarder, rows[i].end_ms > 0
+                                          ? clock_now (&fleet.clock)
+                                                + rows[i].end_ms * NS_PER_MS
+                                          : 0);
+        CU_ASSERT_EQUAL (fake_hosts_request (0, targets[j]), rows[i].status);
+        CU_ASSERT_EQUAL (fake_hosts_engine_requests () - before,
+                         rows[i].status == 200);
+        if (rows[i].status == 503)
+          CU_ASSERT_TRUE (may_retry_at_once ());
+      }
+  fake_hosts_finish ();
+}
+
+/* A stream that may generate ten times as many tokens takes longer. */
+static void
+test_expected_time_follows_the_tokens (void)
+{
+  struct runtimes runtimes;
+
+  runtimes_init (&runtimes);
+  CU_ASSERT_EQUAL (runtimes_expect (&runtimes, "r", 9, 7), 7);
+  for (unsigned i = 0; i < 100; i++)
+    runtimes_record (&runtimes, "r", 9, 100 * NS_PER_MS);
+  CU_ASSERT_DOUBLE_EQUAL ((double)runtimes_expect (&runtimes, "r", 9, 7),
+                          100.0 * NS_PER_MS, 1.0 * NS_PER_MS);
+  CU_ASSERT_DOUBLE_EQUAL ((double)runtimes_expect (&runtimes, "r", 99, 7),
+                          1000.0 * NS_PER_MS, 10.0 * NS_PER_MS);
+  for (unsigned i = 0; i < 2 * RUNTIMES_ROUTES_MAX; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "r%u", i);
+      runtimes_record (&runtimes, name, 0, NS_PER_MS);
+    }
+  CU_ASSERT_TRUE (g_hash_table_size (runtimes.by_route)
+                  <= RUNTIMES_ROUTES_MAX);
+  runtimes_finish (&runtimes);
+}
+
 static const struct unit_case cases[] = {
+  { "late-requests-are-refused-at-once",
+    test_late_requests_are_refused_at_once },
+  { "expected-time-follows-the-tokens",
+    test_expected_time_follows_the_tokens },
   { "waiting-requests-are-refused", test_waiting_requests_are_refused },
   { "requests-in-flight-get-an-answer",
     test_requests_in_flight_get_an_answer },
