--- a/test/check-soak.sh
+++ b/test/check-soak.sh
@@ -20,6 +20,8 @@
 fifth=$!
 run foreign --seed 7 --foreign-answers &
 seventh=$!
+run endless --seed 8 --endless &
+ninth=$!
 run long-runs --seed 1 --long-runs &
 eighth=$!
 {
@@ -37,8 +39,9 @@
 wait $sixth || failed=1
 wait $seventh || failed=1
 wait $eighth || failed=1
+wait $ninth || failed=1
 for name in faults planned poison limits drills cut-streams cut-callers \
-  foreign long-runs; do
+  foreign long-runs endless; do
   grep -E '^(not )?ok ' "$folder/$name.txt" || echo "not ok soak/$name"
   grep 'BROKEN' "$folder/$name.txt"
 done
--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -236,7 +236,9 @@
 stream_broken (struct soak_caller *caller)
 {
   struct soak_request *request = caller->request;
-  int count = events_count (caller, false);
+  /* The body of an engine's failure holds no events. */
+  bool is_failure = caller->body->len > 0 && caller->parser.status_code != 200;
+  int count = is_failure ? 0 : events_count (caller, false);
 
   if (count < 0)
     {
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -1,5 +1,6 @@
 #include "soak-engine.h"
 #include "callerconn.h"
+#include "soak-endless.h"
 #include "soak-foreign.h"
 
 #include <stdlib.h>
@@ -258,6 +259,11 @@
     soak_poison_arrived (engine->soak);
   limit_check (engine);
   request->runs++;
+  if (soak_endless_begin (engine->soak, conn, request))
+    {
+      g_free (run);
+      return;
+    }
   run->engine = engine;
   run->conn = conn;
   conn->owner_data = run;
@@ -320,7 +326,8 @@
 static void
 engine_gone (void *data, struct callerconn *conn)
 {
-  run_end (conn->owner_data);
+  if (conn->owner_data != NULL)
+    run_end (conn->owner_data);
 }
 
 static void
--- a/test/soak.c
+++ b/test/soak.c
@@ -4,6 +4,7 @@
 #include "soak-drill.h"
 #include "soak-cuts.h"
 #include "soak-engine.h"
+#include "soak-endless.h"
 #include "soak-foreign.h"
 #include "soak-proxy.h"
 
@@ -60,6 +61,7 @@
 static gboolean option_cut_streams;
 static gboolean option_foreign_answers;
 static gboolean option_long_runs;
+static gboolean option_endless;
 static gboolean option_cut_callers;
 static char *option_program = "build/trefoilspard";
 static char *option_folder = "build/soak-logs";
@@ -84,6 +86,10 @@
     "Engines that write earlier refusals once more; no other faults but "
     "changes of the configuration",
     NULL },
+  { "endless", 0, 0, G_OPTION_ARG_NONE, &option_endless,
+    "Engines that send bytes without end; no other faults but changes of the "
+    "configuration",
+    NULL },
   { "long-runs", 0, 0, G_OPTION_ARG_NONE, &option_long_runs,
     "Runs of up to six seconds, and no other faults than planned stops",
     NULL },
@@ -325,7 +331,7 @@
   world.next_fault_ns
       = now + soak_draw (&world.soak, 50, FAULT_GAP_MS) * NS_PER_MS;
   world.faults++;
-  if (option_foreign_answers)
+  if (option_foreign_answers || option_endless)
     fault_config ();
   else if (option_long_runs)
     fault_stop ();
@@ -366,6 +372,7 @@
         && (now >= world.heal_ns[i] || now >= world.faults_end_ns))
       heal (i);
   world.soak.foreign.has_ended = now >= world.faults_end_ns;
+  world.soak.endless.has_ended = now >= world.faults_end_ns;
   for (int i = 0; i < ENGINES && now >= world.faults_end_ns; i++)
     {
       world.engines[i].lost = 0;
@@ -433,6 +440,7 @@
 {
   recovery_check ();
   soak_foreign_check (&world.soak);
+  soak_endless_say (&world.soak);
   if (option_long_runs)
     soak_say (&world.soak,
               "of the requests sent to stopping hosts %u were served, %u "
@@ -463,7 +471,10 @@
   soak_store_tick (&world.store);
   soak_drill_tick (&world.drill);
   for (int i = 0; i < HOSTS; i++)
-    soak_host_tick (&world.hosts[i]);
+    {
+      soak_host_tick (&world.hosts[i]);
+      soak_endless_check (&world.soak, &world.hosts[i]);
+    }
   for (int i = 0; i < ENGINES; i++)
     soak_engine_tick (&world.engines[i]);
   fault_next (now);
@@ -523,10 +534,12 @@
              : option_limits          ? "limits-"
              : option_drills          ? "drills-"
              : option_foreign_answers ? "foreign-"
+             : option_endless         ? "endless-"
              : option_long_runs       ? "long-runs-"
                                       : "");
   soak->planned_only = option_planned || option_long_runs;
   soak->stops.is_played = option_long_runs;
+  soak->endless.is_played = option_endless;
   if (option_long_runs)
     {
       soak->streams.events = LONG_EVENTS;
--- a/test/soak.h
+++ b/test/soak.h
@@ -106,6 +106,17 @@
   unsigned failed;  /**< 502 or 504 */
 };
 
+/** Engines that send bytes without end, see soak-endless.h. */
+struct soak_endless
+{
+  bool is_played;
+  bool has_ended;
+  bool is_broken;
+  unsigned begun;
+  double sent_bytes;
+  unsigned most_mb; /**< that a host held */
+};
+
 struct soak
 {
   /** Another build of the daemon, which every other start of a host runs;
@@ -123,6 +134,7 @@
   struct soak_poison poison;
   struct soak_foreign foreign;
   struct soak_stops stops;
+  struct soak_endless endless;
   unsigned deadline_ms;      /**< of requests */
   unsigned route_timeout_ms; /**< of routes */
   bool planned_only; /**< Faults are planned stops and reloads alone. */
--- a/test/test-httpclient.c
+++ b/test/test-httpclient.c
@@ -2,6 +2,7 @@
 #include "dialect-platform.h"
 #include "fake-upstream.h"
 #include "httpclient.h"
+#include "platformkv.h"
 #include "unit.h"
 
 #include <string.h>
@@ -194,8 +195,141 @@
   g_free (filler);
 }
 
+static struct httpjson control;
+
+static void
+weights_reported (void *data, const struct weights_report *report)
+{
+  fixture->status = report->replied ? STATUS_OK : STATUS_UNKNOWN;
+  fixture->ended = true;
+}
+
+static void
+order_replied (void *data, enum weights_reply reply,
+               const struct statement *statement)
+{
+  fixture->status
+      = reply == WEIGHTS_REPLY_UNKNOWN ? STATUS_UNKNOWN : STATUS_OK;
+  fixture->ended = true;
+}
+
+static void
+kv_replied (void *data, const struct kv_reply *reply)
+{
+  fixture->status = reply->status;
+  fixture->ended = true;
+}
+
+static void
+report_start (void)
+{
+  dialect_platform.weights_query (&control, fixture->upstream.address, "i-0",
+                                  10 * NS_PER_S, weights_reported, NULL);
+}
+
+static void
+order_start (void)
+{
+  const struct weights_order order
+      = { .server_id = "i-0", .model = "m", .leader = "l" };
+
+  dialect_platform.weights_order_send (&control, fixture->upstream.address,
+                                       &order, 10 * NS_PER_S, order_replied,
+                                       NULL);
+}
+
+static void
+list_start (void)
+{
+  dialect_platform.cache_list (&control, fixture->upstream.address,
+                               10 * NS_PER_S, cache_list_received, NULL);
+}
+
+static void
+events_start (void)
+{
+  dialect_platform.cache_events (&control, fixture->upstream.address, 7, 0,
+                                 10 * NS_PER_S, cache_list_received, NULL);
+}
+
+static struct kv *
+kv_service (void)
+{
+  static struct platformkv platformkv;
+
+  platformkv_init (&platformkv, &control, fixture->upstream.address,
+                   10 * NS_PER_S);
+  return &platformkv.kv;
+}
+
+static void
+kv_range_start (void)
+{
+  struct kv *kv = kv_service ();
+
+  kv->ops->range (kv, "op/", kv_replied, NULL);
+}
+
+static void
+kv_watch_start (void)
+{
+  struct kv *kv = kv_service ();
+
+  kv->ops->watch (kv, "op/", 7, NS_PER_S, kv_replied, NULL);
+}
+
+/* Each call of control kept the bytes of a reply without end. */
+static void
+test_bytes_without_end_on_each_call (void)
+{
+  static const struct
+  {
+    void (*start) (void);
+    bool bounds_body; /* below ENDLESS_BYTES */
+  } calls[] = { { report_start, true },    { order_start, true },
+                { list_start, true },      { events_start, true },
+                { kv_range_start, false }, { kv_watch_start, false } };
+  static struct client_fixture own;
+  char *filler = g_strnfill (ENDLESS_BYTES, '[');
+  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\nX: %s", filler);
+  char *body = g_strdup_printf ("HTTP/1.1 200 OK\r\n\r\n%s", filler);
+  struct clock clock;
+
+  clock_system_init (&clock);
+  fixture_init (&own);
+  httpjson_init (&control, &fixture->client);
+  for (unsigned i = 0; i < 2 * G_N_ELEMENTS (calls); i++)
+    {
+      struct fake_upstream_step step
+          = { i % 2 == 0 ? head : body, FAKE_UPSTREAM_KEEP };
+      int64_t start_ns = clock_now (&clock);
+
+      if (i % 2 != 0 && !calls[i / 2].bounds_body)
+        continue;
+      fake_upstream_init (&fixture->upstream, &fixture->loop, &step, 1);
+      fixture->upstream.state = step.answer;
+      fixture->ended = false;
+      calls[i / 2].start ();
+      while (!fixture->ended)
+        uv_run (&fixture->loop, UV_RUN_ONCE);
+      CU_ASSERT_NOT_EQUAL (fixture->status, STATUS_OK);
+      CU_ASSERT_TRUE (clock_now (&clock) - start_ns
+                      < IO_TIMEOUT_MS * NS_PER_MS / 2);
+      CU_ASSERT_EQUAL (control.bytes, 0);
+      fake_upstream_finish (&fixture->upstream);
+      loop_settle ();
+    }
+  httpjson_finish (&control);
+  httpclient_finish (&fixture->client);
+  loop_settle ();
+  g_free (body);
+  g_free (head);
+  g_free (filler);
+}
+
 static const struct unit_case cases[] = {
   { "bytes-without-end", test_bytes_without_end },
+  { "bytes-without-end-on-each-call", test_bytes_without_end_on_each_call },
   { "cut-body-is-not-complete", test_cut_body_is_not_complete },
   { "cut-block-list-is-no-reply", test_cut_block_list_is_no_reply },
 };
