--- a/test/test-foreignanswer.c
+++ b/test/test-foreignanswer.c
@@ -230,7 +230,9 @@
   fake_path_request_send ("/once/", "X-Model: m\r\n");
   CU_ASSERT_EQUAL (answer_status (), SERVED);
   server = servers_find (&path.servers, "i-0");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  CU_ASSERT_PTR_NOT_NULL (server);
+  if (server == NULL)
+    return;
   CU_ASSERT_TRUE (server_is_available (server));
   CU_ASSERT_FALSE (server->has_load_report);
   CU_ASSERT_EQUAL (server->entry.model_count, 0);
