--- a/src/call.h
+++ b/src/call.h
@@ -107,7 +107,7 @@
 };
 
 /** The decoded head of a backend server's response. Unless `owner` is
- * RESPONSE_OWN, the other fields but the status are 0. */
+ * RESPONSE_OWN, only the status is decoded. */
 struct response
 {
   int status;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -289,9 +289,9 @@
       forward_give_up (forward, "crashes_servers", RETRY_AFTER_POISON_MS);
       return;
     }
-  if (forwardstop_comes_too_soon (forward))
+  if (forwardstop_lacks_time (forward))
     {
-      forward_give_up (forward, "stopping", FORWARDSTOP_RETRY_AFTER_MS);
+      forward_give_up (forward, "stops_too_soon", FORWARDSTOP_RETRY_AFTER_MS);
       return;
     }
   if (forwardhost_is_due (forward) && forwardhost_send (forward))
--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -8,7 +8,7 @@
 }
 
 bool
-forwardstop_comes_too_soon (const struct forward *forward)
+forwardstop_lacks_time (const struct forward *forward)
 {
   const struct forwarder *forwarder = forward->forwarder;
   const struct route *route = forward->route;
--- a/src/forwardstop.h
+++ b/src/forwardstop.h
@@ -18,9 +18,9 @@
  * END_NS, at which forwardstop_end_all follows. */
 void forwardstop_begin (struct forwarder *forwarder, int64_t end_ns);
 
-/** Whether the request, which has not run, is refused since its host ends
- * before it is expected to be completed. */
-bool forwardstop_comes_too_soon (const struct forward *forward);
+/** Whether the request has not run and its host stops before it is expected to
+ * be completed. */
+bool forwardstop_lacks_time (const struct forward *forward);
 
 /** Refuse the requests that wait, and from now on those that would have to, so
  * that their callers go to other hosts. */
--- a/test/test-foreigncontrol.c
+++ b/test/test-foreigncontrol.c
@@ -106,6 +106,7 @@
 #define REPLY(status, field, body)                                            \
   "HTTP/1.1 " status "\r\n" field "Content-Length: " body
 #define OTHER "X-Request-Id: other\r\n"
+#define REFUSED_BY(id) "X-Not-Executed: 1\r\nX-Instance-Id: " id "\r\n"
 #define LEAVING "Server-Leaving: 1\r\n"
 #define EVENTS                                                                \
   "59\r\n\r\n{\"bootEpoch\":7,\"next\":9,\"hasGap\":false,"                   \
@@ -121,6 +122,10 @@
   order_call (REPLY ("409 x", OTHER LEAVING, "0\r\n\r\n"));
   CU_ASSERT_EQUAL (control.order, WEIGHTS_REPLY_UNKNOWN);
   CU_ASSERT_EQUAL (control.statement.leaving, STATEMENT_NONE);
+  order_call (REPLY ("503 x", LEAVING REFUSED_BY ("i-0"), "0\r\n\r\n"));
+  CU_ASSERT_EQUAL (control.statement.leaving, STATEMENT_VALID);
+  order_call (REPLY ("503 x", LEAVING REFUSED_BY ("i-7"), "0\r\n\r\n"));
+  CU_ASSERT_EQUAL (control.statement.leaving, STATEMENT_NONE);
   order_call (REPLY ("421 x", OTHER, "0\r\n\r\n"));
   CU_ASSERT_EQUAL (control.order, WEIGHTS_REPLY_UNKNOWN);
   report_call (REPLY ("200 OK", LEAVING, REPORT));
