--- a/src/call.h
+++ b/src/call.h
@@ -1,6 +1,7 @@
 #ifndef CALL_H
 #define CALL_H
 
+#include "responseowner.h"
 #include "statement.h"
 
 #include <stdbool.h>
@@ -97,15 +98,6 @@
   uint64_t last_event_id;
 };
 
-/** The request that a response belongs to. Nothing that a response says counts
- * unless it is RESPONSE_OWN. */
-enum response_owner
-{
-  RESPONSE_UNIDENTIFIED, /**< Unknown: the response does not name it. */
-  RESPONSE_OWN,          /**< The request that was sent. */
-  RESPONSE_OF_ANOTHER    /**< Another request. */
-};
-
 /** The decoded head of a backend server's response. Unless `owner` is
  * RESPONSE_OWN, only the status is decoded. */
 struct response
--- a/src/entry.c
+++ b/src/entry.c
@@ -219,13 +219,6 @@
     settings_reload (entry, "file_changed");
 }
 
-/* Return the time from the begin of a stop until what is in flight ends. */
-static int64_t
-end_span_ns (const struct entry *entry)
-{
-  return entry->settings->timeouts.stop_ns - END_MARGIN_MS * NS_PER_MS;
-}
-
 static void
 entry_begin_stop (struct entry *entry, const char *cause)
 {
@@ -235,8 +228,9 @@
   entry->stop_began_ns = clock_now (&entry->clock);
   log_event (&entry->log, EVENT_DRAINING, "cause=%s in_flight=%zu", cause,
              entry->forwarder.request_count);
-  forwardstop_begin (&entry->forwarder,
-                     entry->stop_began_ns + end_span_ns (entry));
+  forwardstop_begin (&entry->forwarder, entry->stop_began_ns
+                                            + entry->settings->timeouts.stop_ns
+                                            - END_MARGIN_MS * NS_PER_MS);
   presence_leave (&entry->presence);
   rollout_stop (&entry->rollout);
   callerserver_drain (&entry->caller_server);
@@ -261,7 +255,7 @@
       callerserver_stop_listening (&entry->host_server);
       callerserver_drain (&entry->host_server);
     }
-  if (entry->stage == ENTRY_FINISHING && span >= end_span_ns (entry))
+  if (entry->stage == ENTRY_FINISHING && now >= entry->forwarder.end_ns)
     forwardstop_end_all (&entry->forwarder);
   if (entry->stage == ENTRY_FINISHING
       && (entry->caller_server.conn_count + entry->host_server.conn_count == 0
--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -15,6 +15,8 @@
 
   if (forwarder->end_ns == 0 || forward->run_count > 0 || forward->relaying)
     return false;
+  /* Without a completed request of the route, the caller's time is the only
+   * bound that is known. */
   return clock_now (forwarder->clock)
              + runtimes_expect (&forwarder->runtimes, route->name,
                                 forward->call.output_tokens,
--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -14,7 +14,11 @@
   POOL_CAPACITY = 256, /* Maximum number of idle connections per address. */
   POOL_IDLE_MS = 4000,
   /* Maximum size of a response's head; of a body, no more is kept here. */
-  HEAD_BYTES_MAX = 64 * 1024
+  HEAD_BYTES_MAX = 64 * 1024,
+  /* Calls whose heads are checked each time the loop has read, and the time in
+   * which those of all calls are. */
+  HEADS_PER_CHECK = 32,
+  HEADS_CHECK_INTERVAL_MS = 10
 };
 
 struct httpclient_call
@@ -38,6 +42,7 @@
 call_free (struct httpclient_call *call)
 {
   list_remove (&call->node);
+  call->client->call_count--;
   g_free (call->request_bytes);
   g_free (call);
 }
@@ -268,27 +273,39 @@
          && call->connection->sock->input->size > HEAD_BYTES_MAX;
 }
 
-/* h2o has no bound on the head of a response, so it is checked each time the
- * loop has read: nothing else wakes the loop up once the bytes stop. Callbacks
- * may end other calls. */
+/* Move the first call in flight behind the others and end it if its head is
+ * too long. The callback of its end may end other calls. */
+static void
+first_head_check (struct httpclient *client)
+{
+  struct list *node = client->calls.next;
+  struct httpclient_call *call
+      = LIST_ENTRY (node, struct httpclient_call, node);
+
+  list_remove (node);
+  list_append (&client->calls, node);
+  if (!head_is_too_long (call))
+    return;
+  h2o_http1client_cancel (call->connection);
+  call_end (call, STATUS_UNKNOWN, "the response head is too long");
+}
+
+/* h2o has no bound on the head of a response, so heads are checked when the
+ * loop has read: nothing else wakes it up once the bytes stop. */
 static void
 heads_check (uv_check_t *check)
 {
   struct httpclient *client = check->data;
-  struct list *node = client->calls.next;
+  uint64_t now_ms = uv_now (client->loop);
+  unsigned count = MIN (client->call_count, HEADS_PER_CHECK);
 
-  while (node != &client->calls)
+  if (now_ms >= client->next_check_ms)
     {
-      struct httpclient_call *call
-          = LIST_ENTRY (node, struct httpclient_call, node);
-
-      node = node->next;
-      if (!head_is_too_long (call))
-        continue;
-      h2o_http1client_cancel (call->connection);
-      call_end (call, STATUS_UNKNOWN, "the response head is too long");
-      node = client->calls.next;
+      client->next_check_ms = now_ms + HEADS_CHECK_INTERVAL_MS;
+      count = client->call_count;
     }
+  for (unsigned i = 0; i < count && !list_empty (&client->calls); i++)
+    first_head_check (client);
 }
 
 void
@@ -341,6 +358,7 @@
   call->is_head_request = strcmp (request->method, "HEAD") == 0;
   list_init (&call->node);
   list_append (&client->calls, &call->node);
+  client->call_count++;
   call_format_request (call, request);
   if (address_parse (request->address, &address) != STATUS_OK)
     refuse_later (call);
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -31,8 +31,10 @@
   h2o_multithread_receiver_t receiver;
   /** Hash table from "IP:PORT" to h2o_socketpool_t. */
   void *pools_by_address;
-  struct list calls; /**< Calls in flight. */
-  uv_check_t check;  /**< Bounds the heads of responses. */
+  struct list calls; /**< Calls in flight, in turn to be checked. */
+  unsigned call_count;
+  uv_check_t check;       /**< Bounds the heads of responses. */
+  uint64_t next_check_ms; /**< Time of the loop of the next check of all. */
 };
 
 struct httpclient_header
--- a/test/test-httpclient.c
+++ b/test/test-httpclient.c
@@ -10,6 +10,7 @@
 enum
 {
   IO_TIMEOUT_MS = 2000,
+  MANY_CALLS = 200,
   ENDLESS_BYTES = 3 * 1024 * 1024
 };
 
@@ -195,6 +196,61 @@
   g_free (filler);
 }
 
+static void
+tick (uv_timer_t *timer)
+{
+}
+
+/* With more calls in flight than are checked at a time, the one whose reply
+ * has no end was found late. The loop has the tick of a process. */
+static void
+test_bytes_without_end_among_many_calls (void)
+{
+  static const struct fake_upstream_step silent = { "", FAKE_UPSTREAM_KEEP };
+  static struct client_fixture own;
+  static struct fake_upstream other;
+  static uv_timer_t timer;
+  char *filler = g_strnfill (ENDLESS_BYTES, '[');
+  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\nX: %s", filler);
+  struct fake_upstream_step step = { head, FAKE_UPSTREAM_KEEP };
+  struct httpclient_request request
+      = { .method = "GET", .path = "/", .new_connection = true };
+  struct clock clock;
+  int64_t start_ns;
+
+  clock_system_init (&clock);
+  fixture_init (&own);
+  uv_timer_init (&fixture->loop, &timer);
+  uv_timer_start (&timer, tick, 20, 20);
+  fixture->body = g_string_new (NULL);
+  fake_upstream_init (&other, &fixture->loop, &silent, 1);
+  fake_upstream_init (&fixture->upstream, &fixture->loop, &step, 1);
+  request.address = other.address;
+  for (unsigned i = 0; i < MANY_CALLS; i++)
+    httpclient_call (&fixture->client, &request, &call_ops, NULL);
+  while (other.requests < MANY_CALLS)
+    uv_run (&fixture->loop, UV_RUN_ONCE);
+  fixture->ended = false;
+  start_ns = clock_now (&clock);
+  request.address = fixture->upstream.address;
+  httpclient_call (&fixture->client, &request, &call_ops, NULL);
+  while (!fixture->ended)
+    uv_run (&fixture->loop, UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (fixture->status, STATUS_UNKNOWN);
+  CU_ASSERT_TRUE (clock_now (&clock) - start_ns
+                  < IO_TIMEOUT_MS * NS_PER_MS / 2);
+  CU_ASSERT_EQUAL (fixture->client.call_count, MANY_CALLS);
+  uv_close ((uv_handle_t *)&timer, NULL);
+  httpclient_finish (&fixture->client);
+  CU_ASSERT_EQUAL (fixture->client.call_count, 0);
+  fake_upstream_finish (&fixture->upstream);
+  fake_upstream_finish (&other);
+  loop_settle ();
+  g_string_free (fixture->body, TRUE);
+  g_free (head);
+  g_free (filler);
+}
+
 static struct httpjson control;
 
 static void
@@ -329,6 +385,8 @@
 
 static const struct unit_case cases[] = {
   { "bytes-without-end", test_bytes_without_end },
+  { "bytes-without-end-among-many-calls",
+    test_bytes_without_end_among_many_calls },
   { "bytes-without-end-on-each-call", test_bytes_without_end_on_each_call },
   { "cut-body-is-not-complete", test_cut_body_is_not_complete },
   { "cut-block-list-is-no-reply", test_cut_block_list_is_no_reply },
