Runs are expected by their size, not in proportion to their tokens

Found by reading the whole change again: a host that stops expected a run to take as long as the runs of its route for each token that it may generate. Where the prompt is most of the work, one run of few tokens made those of many look impossible: they were refused though they would have been completed. The times are kept by powers of two of the tokens now, and only a size that nothing was completed of, nor a larger one, is taken in proportion. At most 1,024 routes, 400 KB.

--- a/src/runtimes.c
+++ b/src/runtimes.c
@@ -2,6 +2,12 @@
 
 #include <math.h>
 
+enum
+{
+  /* Sizes of requests, by powers of two of their tokens. */
+  SIZES = 24
+};
+
 /* Weights of a new run in the mean and in the mean deviation, and the number
  * of deviations beyond the mean that most runs stay under: those of the
  * retransmission timer of TCP (RFC 6298). */
@@ -9,13 +15,19 @@
 static const double deviation_gain = 1.0 / 4;
 static const double deviations = 4;
 
-/* Times in ns for each token that a run may generate, and one more. */
+/* Times in ns of the runs of one size; 0 if there was none. */
 struct runtime
 {
   double mean;
   double deviation;
 };
 
+/* Times of the runs of one route, by their size. */
+struct route_runtimes
+{
+  struct runtime sizes[SIZES];
+};
+
 void
 runtimes_init (struct runtimes *runtimes)
 {
@@ -29,38 +41,69 @@
   g_hash_table_destroy (runtimes->by_route);
 }
 
+static unsigned
+size_of_tokens (unsigned tokens)
+{
+  return MIN (g_bit_storage (tokens), SIZES - 1);
+}
+
+static struct route_runtimes *
+route_obtain (struct runtimes *runtimes, const char *route)
+{
+  struct route_runtimes *found
+      = g_hash_table_lookup (runtimes->by_route, route);
+
+  if (found != NULL)
+    return found;
+  if (g_hash_table_size (runtimes->by_route) >= RUNTIMES_ROUTES_MAX)
+    g_hash_table_remove_all (runtimes->by_route);
+  found = g_new0 (struct route_runtimes, 1);
+  g_hash_table_insert (runtimes->by_route, g_strdup (route), found);
+  return found;
+}
+
 void
 runtimes_record (struct runtimes *runtimes, const char *route, unsigned tokens,
                  int64_t span_ns)
 {
-  struct runtime *runtime = g_hash_table_lookup (runtimes->by_route, route);
-  double each_ns = (double)span_ns / (1.0 + tokens);
+  struct runtime *runtime
+      = &route_obtain (runtimes, route)->sizes[size_of_tokens (tokens)];
+  double span = (double)MAX (span_ns, 1);
 
-  if (runtime != NULL)
+  if (runtime->mean > 0)
     {
       runtime->deviation
           += deviation_gain
-             * (fabs (each_ns - runtime->mean) - runtime->deviation);
-      runtime->mean += mean_gain * (each_ns - runtime->mean);
+             * (fabs (span - runtime->mean) - runtime->deviation);
+      runtime->mean += mean_gain * (span - runtime->mean);
       return;
     }
-  if (g_hash_table_size (runtimes->by_route) >= RUNTIMES_ROUTES_MAX)
-    g_hash_table_remove_all (runtimes->by_route);
-  runtime = g_new (struct runtime, 1);
-  runtime->mean = each_ns;
-  runtime->deviation = each_ns / 2;
-  g_hash_table_insert (runtimes->by_route, g_strdup (route), runtime);
+  runtime->mean = span;
+  runtime->deviation = span / 2;
+}
+
+static double
+most_runs_ns (const struct runtime *runtime)
+{
+  return runtime->mean + deviations * runtime->deviation;
 }
 
 int64_t
 runtimes_expect (const struct runtimes *runtimes, const char *route,
                  unsigned tokens, int64_t unknown_ns)
 {
-  const struct runtime *runtime
+  const struct route_runtimes *found
       = g_hash_table_lookup (runtimes->by_route, route);
+  unsigned size = size_of_tokens (tokens);
 
-  if (runtime == NULL)
+  if (found == NULL)
     return unknown_ns;
-  return (int64_t)((runtime->mean + deviations * runtime->deviation)
-                   * (1.0 + tokens));
+  for (unsigned larger = size; larger < SIZES; larger++)
+    if (found->sizes[larger].mean > 0)
+      return (int64_t)most_runs_ns (&found->sizes[larger]);
+  for (unsigned smaller = size; smaller-- > 0;)
+    if (found->sizes[smaller].mean > 0)
+      return (int64_t)ldexp (most_runs_ns (&found->sizes[smaller]),
+                             (int)(size - smaller));
+  return unknown_ns;
 }
--- a/src/runtimes.h
+++ b/src/runtimes.h
@@ -5,14 +5,14 @@
 #include <stdint.h>
 
 /** @file
- * How long the requests of each route run, from those that were completed, so
- * that a host that stops knows which ones it can still complete.
+ * How long the requests of each route run, by their size, from those that were
+ * completed, so that a host that stops knows which ones it can still complete.
  */
 
 enum
 {
   /** Maximum number of routes that are known; more start the table anew. */
-  RUNTIMES_ROUTES_MAX = 4096
+  RUNTIMES_ROUTES_MAX = 1024
 };
 
 struct runtimes
@@ -29,8 +29,9 @@
 void runtimes_record (struct runtimes *runtimes, const char *route,
                       unsigned tokens, int64_t span_ns);
 
-/** Return the time within which most requests of ROUTE like this one are
- * completed, in ns.
+/** Return the time within which most requests of ROUTE of this size are
+ * completed, in ns. Where none of this size was completed, that of larger ones
+ * counts, else that of smaller ones, in proportion.
  * @param unknown_ns the result if none was completed yet */
 int64_t runtimes_expect (const struct runtimes *runtimes, const char *route,
                          unsigned tokens, int64_t unknown_ns);
