What responses and slow callers keep is bounded for all together

Found by reading the whole change again: a response kept 256 KiB at most, a caller that does not read 4 MiB, but nothing bounded them together. 28 callers that read nothing of responses without end are 112 MB, more than the smallest host has, and the heads of engines had only the parser's 80 KiB. bytebudget counts the bytes of all holders: beyond 16 MiB those that keep more than an equal share let go. A body is relayed at once instead of held, an event that does not end is given up, a caller that does not read is closed. Heads have 16 KiB.

--- a/src/callerconn.c
+++ b/src/callerconn.c
@@ -59,6 +59,17 @@
   conn->counted_bytes = buffered_bytes;
 }
 
+static void
+conn_update_unsent (struct callerconn *conn)
+{
+  size_t unsent
+      = conn->closing
+            ? 0
+            : uv_stream_get_write_queue_size ((uv_stream_t *)&conn->tcp);
+
+  bytebudget_update (&conn->server->unsent, &conn->counted_unsent, unsent);
+}
+
 static void
 conn_serving_set (struct callerconn *conn, bool serving)
 {
@@ -77,6 +88,7 @@
   conn->closing = true;
   conn_serving_set (conn, false);
   conn_update_buffered (conn);
+  conn_update_unsent (conn);
   list_remove (&conn->node);
   conn->server->conn_count--;
   if (disconnected && conn->owner_data != NULL)
@@ -138,6 +150,8 @@
   g_free (write);
   if (status != 0)
     conn_close (conn);
+  else
+    conn_update_unsent (conn);
 }
 
 static void
@@ -162,6 +176,9 @@
       g_free (write);
       conn_close_soon (conn);
     }
+  conn_update_unsent (conn);
+  if (bytebudget_is_overrun (&conn->server->unsent, conn->counted_unsent))
+    conn_close_soon (conn);
 }
 
 static void
--- a/src/callerconn.h
+++ b/src/callerconn.h
@@ -29,6 +29,7 @@
   /** Number of bytes that this connection adds to
    * callerserver.buffered_bytes. */
   size_t counted_bytes;
+  size_t counted_unsent; /**< The same for callerserver.unsent. */
   /** Time at which the first byte of the request arrived, or 0. */
   int64_t arrived_ns;
   /** Whether a received request has no complete response yet. */
--- a/src/callerserver.c
+++ b/src/callerserver.c
@@ -6,7 +6,8 @@
 enum
 {
   LISTEN_BACKLOG = 1024,
-  BUFFERED_BYTES_MAX = 24 * 1024 * 1024
+  BUFFERED_BYTES_MAX = 24 * 1024 * 1024,
+  UNSENT_BYTES_MAX = 16 * 1024 * 1024
 };
 
 static void
@@ -31,6 +32,7 @@
   server->ops = ops;
   server->data = data;
   server->buffered_bytes_max = BUFFERED_BYTES_MAX;
+  server->unsent.bytes_max = UNSENT_BYTES_MAX;
   server->listener.data = server;
   list_init (&server->conns);
   uv_tcp_init (loop, &server->listener);
--- a/src/callerserver.h
+++ b/src/callerserver.h
@@ -1,6 +1,7 @@
 #ifndef CALLERSERVER_H
 #define CALLERSERVER_H
 
+#include "bytebudget.h"
 #include "clock.h"
 #include "list.h"
 #include "status.h"
@@ -54,6 +55,8 @@
   size_t buffered_bytes;
   /** Limit of buffered_bytes; requests that exceed it are refused with 503. */
   size_t buffered_bytes_max;
+  /** Responses that wait to be sent. */
+  struct bytebudget unsent;
   /** Whether each response closes its connection. */
   bool draining;
   bool listening;
--- a/src/entryhttp.c
+++ b/src/entryhttp.c
@@ -93,6 +93,10 @@
                (double)entry->caller_server.conn_count);
   metrics_set (metrics, "trefoilspar_buffered_bytes", "",
                (double)entry->caller_server.buffered_bytes);
+  metrics_set (metrics, "trefoilspar_unsent_bytes", "",
+               (double)entry->caller_server.unsent.bytes);
+  metrics_set (metrics, "trefoilspar_response_bytes", "",
+               (double)entry->forwarder.responses.bytes);
   metrics_set (metrics, "trefoilspar_configuration_version", "",
                routes != NULL ? (double)routes->version : 0);
   metrics_set (metrics, "trefoilspar_kv_calls", "",
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -25,11 +25,12 @@
 }
 
 void
-exchange_init (struct exchange *exchange, const struct dialect *dialect,
-               const struct clock *clock, const struct exchange_ops *ops,
-               void *data)
+exchange_init (struct exchange *exchange, struct bytebudget *budget,
+               const struct dialect *dialect, const struct clock *clock,
+               const struct exchange_ops *ops, void *data)
 {
   memset (exchange, 0, sizeof *exchange);
+  exchange->budget = budget;
   exchange->dialect = dialect;
   exchange->clock = clock;
   exchange->ops = ops;
@@ -39,10 +40,19 @@
   eventstream_init (&exchange->events);
 }
 
+static void
+exchange_count_bytes (struct exchange *exchange)
+{
+  bytebudget_update (exchange->budget, &exchange->counted_bytes,
+                     exchange->buffered_body->len
+                         + exchange->events.pending->len);
+}
+
 void
 exchange_finish (struct exchange *exchange)
 {
   exchange_cancel (exchange);
+  bytebudget_update (exchange->budget, &exchange->counted_bytes, 0);
   g_string_free (exchange->header_lines, TRUE);
   g_byte_array_free (exchange->buffered_body, TRUE);
   eventstream_finish (&exchange->events);
@@ -163,11 +173,14 @@
 {
   g_byte_array_append (exchange->buffered_body, (const guint8 *)bytes,
                        (guint)size);
-  if (exchange->buffered_body->len <= BUFFERED_BODY_MAX)
+  exchange_count_bytes (exchange);
+  if (exchange->buffered_body->len <= BUFFERED_BODY_MAX
+      && !bytebudget_is_overrun (exchange->budget, exchange->counted_bytes))
     return;
   exchange_relay (exchange, (const char *)exchange->buffered_body->data,
                   exchange->buffered_body->len);
   g_byte_array_set_size (exchange->buffered_body, 0);
+  exchange_count_bytes (exchange);
 }
 
 static void
@@ -183,7 +196,11 @@
       return;
     }
   whole_size = eventstream_append (&exchange->events, bytes, size);
-  if (whole_size == 0 && exchange->events.pending->len > EVENT_BYTES_MAX)
+  exchange_count_bytes (exchange);
+  if (whole_size == 0
+      && (exchange->events.pending->len > EVENT_BYTES_MAX
+          || bytebudget_is_overrun (exchange->budget,
+                                    exchange->counted_bytes)))
     {
       exchange_close_with (exchange, EXCHANGE_FOREIGN);
       return;
@@ -192,6 +209,7 @@
     return;
   exchange_relay (exchange, exchange->events.pending->str, whole_size);
   eventstream_consume (&exchange->events, whole_size);
+  exchange_count_bytes (exchange);
 }
 
 /* Whether the end of the body is not the end of the stream. The connection of
@@ -264,6 +282,7 @@
   memset (&exchange->response, 0, sizeof exchange->response);
   g_byte_array_set_size (exchange->buffered_body, 0);
   eventstream_restart (&exchange->events);
+  exchange_count_bytes (exchange);
   exchange->conn = serverconn_open (loop, server->entry.address,
                                     request->bytes, request->is_head,
                                     connect_timeout_ns, &conn_ops, exchange);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -1,6 +1,7 @@
 #ifndef EXCHANGE_H
 #define EXCHANGE_H
 
+#include "bytebudget.h"
 #include "call.h"
 #include "dialect.h"
 #include "eventstream.h"
@@ -68,6 +69,9 @@
 
 struct exchange
 {
+  /** What all exchanges keep of responses. */
+  struct bytebudget *budget;
+  size_t counted_bytes; /**< What this one keeps of it. */
   const struct dialect *dialect;
   const struct clock *clock;
   const struct exchange_ops *ops;
@@ -105,9 +109,10 @@
 
 const char *exchange_outcome_name (enum exchange_outcome outcome);
 
-void exchange_init (struct exchange *exchange, const struct dialect *dialect,
-                    const struct clock *clock, const struct exchange_ops *ops,
-                    void *data);
+/** @param budget of what all exchanges keep of responses */
+void exchange_init (struct exchange *exchange, struct bytebudget *budget,
+                    const struct dialect *dialect, const struct clock *clock,
+                    const struct exchange_ops *ops, void *data);
 /** Close the connection if one is open and free all that EXCHANGE owns. */
 void exchange_finish (struct exchange *exchange);
 
--- a/src/forward.h
+++ b/src/forward.h
@@ -79,6 +79,7 @@
                              in order of arrival. */
   size_t waiting_count;
   struct runtimes runtimes;
+  struct bytebudget responses; /**< What is kept of responses. */
   /** Time at which a host that stops ends what is still in flight; 0 while it
    * does not stop. */
   int64_t end_ns;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -475,8 +475,9 @@
       list_init (&forward->origin_query.node);
       list_append (&forwarder->requests, &forward->node);
       forwarder->request_count++;
-      exchange_init (&forward->exchange, forwarder->dialect, forwarder->clock,
-                     &exchange_ops, forward);
+      exchange_init (&forward->exchange, &forwarder->responses,
+                     forwarder->dialect, forwarder->clock, &exchange_ops,
+                     forward);
       forward_start (forward);
       return;
     }
--- a/src/forwardstate.c
+++ b/src/forwardstate.c
@@ -3,6 +3,12 @@
 
 #include <string.h>
 
+enum
+{
+  /* Maximum of what is kept of the responses to all requests in flight. */
+  RESPONSE_BYTES_MAX = 16 * 1024 * 1024
+};
+
 void
 forwarder_configure_server (const struct forwarder *forwarder,
                             struct server *server)
@@ -90,6 +96,7 @@
   forwarder->origin = origin;
   forwarder->host_count = 1;
   runtimes_init (&forwarder->runtimes);
+  forwarder->responses.bytes_max = RESPONSE_BYTES_MAX;
   list_init (&forwarder->requests);
   list_init (&forwarder->waiting);
   forwarder->wanted_weights
--- a/src/serverconn.c
+++ b/src/serverconn.c
@@ -9,6 +9,8 @@
 enum
 {
   READ_BYTES = 64 * 1024,
+  /* Maximum size of the fields of a head, and of those behind a body. */
+  HEAD_BYTES_MAX = 16 * 1024
 };
 
 static const char *const result_names[] = {
@@ -74,7 +76,7 @@
   struct serverconn *conn = parser->data;
 
   httpfields_append_name (&conn->head, bytes, size);
-  return 0;
+  return conn->head.text->len > HEAD_BYTES_MAX;
 }
 
 static int
@@ -83,7 +85,7 @@
   struct serverconn *conn = parser->data;
 
   httpfields_append_value (&conn->head, bytes, size);
-  return 0;
+  return conn->head.text->len > HEAD_BYTES_MAX;
 }
 
 static bool
