A server that refused a request does not get it again from another host

Hosts tell each other which engines refused a request, in the field of its earlier attempts and in their own refusals, eight at most; these are out of the choice. A request that may run once and was refused by that many is refused.

--- a/src/call.h
+++ b/src/call.h
@@ -18,8 +18,19 @@
   /** Maximum size of a host name in bytes, including the final NUL. */
   CALL_HOST_MAX = 256,
   CALL_PATH_MAX = 2048,
-  CALL_BLOCKS_MAX = 32 /**< Maximum number of blocks of one prompt; further
-                          blocks are ignored. */
+  CALL_BLOCKS_MAX = 32, /**< Maximum number of blocks of one prompt; further
+                           blocks are ignored. */
+  /** Maximum number of servers that are known to have refused a request. */
+  CALL_REFUSALS_MAX = 8
+};
+
+/** The servers that have refused a request, by the hashes of their ids. A
+ * server that gets a request again under its id may repeat its refusal and run
+ * the request. */
+struct call_refusals
+{
+  uint32_t servers[CALL_REFUSALS_MAX];
+  unsigned count;
 };
 
 /** A block of a prompt that other requests may share. */
@@ -55,6 +66,9 @@
   /** Attempts that may have run the request before another host passed it on;
    * means nothing in a caller's own request. */
   unsigned earlier_runs;
+  /** Servers that refused the request before another host passed it on; the
+   * same holds. */
+  struct call_refusals refusals;
 };
 
 /** The header fields that are added to a caller's request when it is sent to
@@ -93,6 +107,7 @@
 {
   int64_t time_left_ns;  /**< Time left until the request's deadline. */
   unsigned earlier_runs; /**< Attempts that may have run the request. */
+  struct call_refusals refusals; /**< Servers that refused it. */
   bool resumes; /**< Whether the host is asked to resume the stream, which this
                    request began, after `last_event_id`. */
   uint64_t last_event_id;
@@ -109,6 +124,8 @@
                   not an intermediary. */
   /** Whether another host states that it did not run the request. */
   bool refused_by_host;
+  /** Servers that refused the request of that host. */
+  struct call_refusals refusals;
   /** Whether the server states that it did not run the request. */
   bool not_run;
   bool other_server;  /**< Whether another server has the address now. */
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -144,8 +144,9 @@
                           const GByteArray *body,
                           const struct pass_on_header *header);
   /** Write the header line by which a host promises another that it has not
-   * run a request. */
-  void (*host_refusal_encode) (GString *out);
+   * run a request, which REFUSALS refused before. */
+  void (*host_refusal_encode) (GString *out,
+                               const struct call_refusals *refusals);
   /** Write a request that a server of SERVICE answers at once and that runs
    * nothing.
    * @param service NULL if unknown */
--- a/src/forward.h
+++ b/src/forward.h
@@ -114,6 +114,7 @@
   struct exchange exchange;
   const struct server *tried[CHOOSE_EXCLUDED_MAX];
   unsigned tried_count;
+  struct call_refusals refusals; /**< Servers that have refused the request. */
   struct server *counted_server; /**< Server whose load includes the request;
                                     NULL if there is none. */
   /** Number of the request's tokens that the prefill load of counted_server
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -3,6 +3,7 @@
 #include "forwardhost.h"
 #include "forwardlearn.h"
 #include "forwardlog.h"
+#include "forwardrefusals.h"
 #include "forwardrespond.h"
 #include "forwardresume.h"
 #include "forwardsend.h"
@@ -304,7 +305,7 @@
       forward_find_origin (forward);
       return;
     }
-  if (links_forbid_attempt (forward))
+  if (links_forbid_attempt (forward) || forwardrefusals_are_full (forward))
     {
       forward_give_up (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
       return;
@@ -475,6 +476,8 @@
       list_init (&forward->origin_query.node);
       list_append (&forwarder->requests, &forward->node);
       forwarder->request_count++;
+      if (from_host)
+        forwardrefusals_add (forward, &call.refusals);
       exchange_init (&forward->exchange, &forwarder->responses,
                      forwarder->dialect, forwarder->clock, &exchange_ops,
                      forward);
@@ -495,7 +498,7 @@
           ? forward_random_retry_after_ns (forwarder, RETRY_AFTER_NO_CONFIG_MS)
           : 0);
   if (from_host)
-    forwarder->dialect->host_refusal_encode (lines);
+    forwarder->dialect->host_refusal_encode (lines, &call.refusals);
   callerconn_respond (conn, status, lines->str, "", 0);
   g_string_free (lines, TRUE);
 }
--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -1,5 +1,6 @@
 #include "forwardhost.h"
 #include "forwardlog.h"
+#include "forwardrefusals.h"
 #include "serverreach.h"
 
 #include <string.h>
@@ -46,6 +47,7 @@
 may_pass_on (const struct forward *forward)
 {
   return !forward->from_host && forward->forwarder->hosts != NULL
+         && forward->refusals.count < CALL_REFUSALS_MAX
          && forward->host_tries < FORWARD_HOST_TRIES_MAX
          && forward->run_count < forward->route->servers_max
          && forward_time_left_ns (forward) > TIME_LEFT_MIN_MS * NS_PER_MS
@@ -109,6 +111,7 @@
   struct pass_on_header header = {
     .time_left_ns = MAX (left_ns - REPLY_MARGIN_MS * NS_PER_MS, left_ns / 2),
     .earlier_runs = forward->run_count,
+    .refusals = forward->refusals,
     .resumes = forward->relaying,
     .last_event_id = forward->exchange.events.last_id,
   };
@@ -229,6 +232,7 @@
 
   if (outcome == EXCHANGE_NOT_RUN)
     {
+      forwardrefusals_add (forward, &forward->exchange.response.refusals);
       host->refused_service = servers_service_hash (forward->service);
       host->refused_until_ns = now + REFUSED_PAUSE_MS * NS_PER_MS;
     }
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -2,6 +2,7 @@
 #include "kvstoreuse.h"
 #include "forwardblame.h"
 #include "forwardlog.h"
+#include "forwardrefusals.h"
 #include "serverlearn.h"
 
 enum
@@ -184,6 +185,8 @@
     }
   else if (outcome == EXCHANGE_ANSWERED)
     poisoncount_clear (forwarder->poisoncount, forward->fingerprint);
+  if (outcome == EXCHANGE_NOT_RUN)
+    forwardrefusals_record (forward);
   if (outcome == EXCHANGE_NOT_RUN && response->other_server)
     servers_remove (forwarder->servers, server->entry.id, "other_at_address");
   else if (outcome == EXCHANGE_NOT_RUN && !response->other_weights)
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -42,7 +42,8 @@
   forward->forwarder->dialect->own_headers_encode (
       lines, forward->call.request_id, retry_after_ns);
   if (forward->from_host && (status == 503 || status < 500))
-    forward->forwarder->dialect->host_refusal_encode (lines);
+    forward->forwarder->dialect->host_refusal_encode (lines,
+                                                      &forward->refusals);
   forward_free (forward);
   callerconn_respond (conn, status, lines->str, "", 0);
   g_string_free (lines, TRUE);
--- a/test/fake-hostrequest.c
+++ b/test/fake-hostrequest.c
@@ -17,14 +17,13 @@
 static unsigned request_number;
 
 static int
-caller_connect (unsigned index)
+caller_connect (const struct callerserver *server)
 {
   struct sockaddr_in address;
   int size = sizeof address;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
-  uv_tcp_getsockname (&fleet.hosts[index].front.listener,
-                      (struct sockaddr *)&address, &size);
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&address, &size);
   CU_ASSERT_EQUAL_FATAL (
       connect (fd, (struct sockaddr *)&address, sizeof address), 0);
   fcntl (fd, F_SETFL, O_NONBLOCK);
@@ -43,12 +42,13 @@
              || g_str_has_suffix (fleet.answer->str, "\r\n0\r\n\r\n"));
 }
 
-/* Send a request with the header lines EXTRA to host INDEX, and wait for its
+/* Send a request with the header lines EXTRA to SERVER, and wait for its
  * response. */
 static int
-request_send (unsigned index, const char *target, const char *extra)
+request_send (const struct callerserver *server, const char *target,
+              const char *extra)
 {
-  int fd = caller_connect (index);
+  int fd = caller_connect (server);
   int64_t end = clock_now (&fleet.clock) + WAIT_MS * NS_PER_MS;
   char *text = g_strdup_printf (
       "POST %s HTTP/1.1\r\nHost: " HOST_NAME "\r\nX-Request-Id: r%u\r\n"
@@ -85,7 +85,7 @@
                            const char *deadline_ms)
 {
   char *extra = g_strdup_printf ("X-Request-Deadline: %s\r\n", deadline_ms);
-  int status = request_send (index, target, extra);
+  int status = request_send (&fleet.hosts[index].front, target, extra);
 
   g_free (extra);
   return status;
@@ -97,7 +97,18 @@
   char *extra = g_strdup_printf (
       "X-Request-Deadline: 1200\r\nLast-Event-Id: 1\r\nResumes: %s\r\n",
       resumed_id);
-  int status = request_send (index, target, extra);
+  int status = request_send (&fleet.hosts[index].front, target, extra);
+
+  g_free (extra);
+  return status;
+}
+
+int
+fake_hosts_pass_on (unsigned index, const char *target, const char *runs)
+{
+  char *extra = g_strdup_printf (
+      "X-Request-Deadline: 1200\r\nTrefoilspar-Runs: %s\r\n", runs);
+  int status = request_send (&fleet.hosts[index].host_server, target, extra);
 
   g_free (extra);
   return status;
--- a/test/fake-hostrequest.h
+++ b/test/fake-hostrequest.h
@@ -19,4 +19,8 @@
 int fake_hosts_return (unsigned index, const char *target,
                        const char *resumed_id);
 
+/** The same for a request that another host passes on to host INDEX, with RUNS
+ * as its field of earlier attempts. */
+int fake_hosts_pass_on (unsigned index, const char *target, const char *runs);
+
 #endif
--- a/test/test-foreignanswer.c
+++ b/test/test-foreignanswer.c
@@ -320,6 +320,58 @@
   fake_hosts_finish ();
 }
 
+/* Return the field of earlier attempts of a request that engines FIRST to LAST
+ * have refused. */
+static char *
+refused_by (unsigned first, unsigned last)
+{
+  GString *runs = g_string_new ("0");
+
+  for (unsigned i = first; i <= last; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "i-%u", i);
+      g_string_append_printf (runs, " %x", g_str_hash (id));
+    }
+  return g_string_free (runs, FALSE);
+}
+
+/* A server that had refused a request got it again under its id from the host
+ * that it was passed on to: if it repeated its refusal, it was believed. */
+static void
+test_refusals_pass_on (void)
+{
+  static const struct fake_upstream_step sound = { OWN, FAKE_UPSTREAM_KEEP };
+  static const struct fake_upstream_step full
+      = { "HTTP/1.1 503 x\r\nX-Request-Id: %s\r\n" REFUSAL,
+          FAKE_UPSTREAM_KEEP };
+  char *all_but_last = refused_by (0, FAKE_HOSTS_ENGINES - 2);
+  char *all = refused_by (0, FAKE_HOSTS_ENGINES - 1);
+  const struct fake_upstream *last
+      = &fleet.hosts[1].engines[FAKE_HOSTS_ENGINES - 1];
+
+  fake_hosts_setup (&sound);
+  for (unsigned i = 0; i < 10; i++)
+    CU_ASSERT_EQUAL (fake_hosts_pass_on (1, "/once/", all_but_last), SERVED);
+  CU_ASSERT_EQUAL (last->requests, 10);
+  CU_ASSERT_EQUAL (fake_hosts_engine_requests (), 10);
+  CU_ASSERT_EQUAL (fake_hosts_pass_on (1, "/once/", all), 503);
+  CU_ASSERT_EQUAL (fake_hosts_engine_requests (), 10);
+  CU_ASSERT_EQUAL (fake_hosts_pass_on (1, "/once/", "0"), SERVED);
+  CU_ASSERT_EQUAL (fake_hosts_pass_on (1, "/once/", "0 zz 99999999999"),
+                   SERVED);
+  fake_hosts_finish ();
+  fake_hosts_setup (&full);
+  CU_ASSERT_EQUAL (fake_hosts_pass_on (1, "/once/", all_but_last), 503);
+  CU_ASSERT_EQUAL (fake_hosts_engine_requests (), 1);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (fleet.answer->str, "Trefoilspar-Refused: 1 "));
+  fake_hosts_finish ();
+  g_free (all);
+  g_free (all_but_last);
+}
+
 /* A host's promise not to have run another request was believed. */
 static void
 test_promise_of_another_host (void)
@@ -327,7 +379,8 @@
   struct httpfields head;
   struct response response;
   static const char *const fields[][2]
-      = { { "X-Request-Id", "other" }, { "Trefoilspar-Refused", "1" } };
+      = { { "X-Request-Id", "other" },
+          { "Trefoilspar-Refused", "1 2a ffffffff 100000000" } };
 
   httpfields_init (&head);
   for (unsigned i = 0; i < G_N_ELEMENTS (fields); i++)
@@ -340,6 +393,8 @@
   CU_ASSERT_FALSE (response.refused_by_host);
   message_response_decode (503, &head, "other", "h-1", &response);
   CU_ASSERT_TRUE (response.refused_by_host);
+  CU_ASSERT_EQUAL (response.refusals.count, 2);
+  CU_ASSERT_EQUAL (response.refusals.servers[1], 0xffffffff);
   httpfields_finish (&head);
 }
 
@@ -461,6 +516,7 @@
   { "stream-goes-on-behind-anothers-answer",
     test_stream_goes_on_behind_anothers_answer },
   { "anothers-answer-at-another-host", test_anothers_answer_at_another_host },
+  { "refusals-pass-on", test_refusals_pass_on },
   { "promise-of-another-host", test_promise_of_another_host },
   { "answers-split-anywhere", test_answers_split_anywhere },
 };
--- a/test/test-platform.c
+++ b/test/test-platform.c
@@ -548,6 +548,7 @@
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "Last-Event-Id: 7\r\n"));
   g_free (text);
 
+  header.refusals = (struct call_refusals){ { 0x2a, UINT32_MAX }, 2 };
   header.resumes = true;
   header.last_event_id = 9;
   header.time_left_ns = -1;
@@ -556,6 +557,8 @@
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "Last-Event-Id: 9\r\n"));
   CU_ASSERT_PTR_NULL (strstr (text, "Last-Event-Id: 7\r\n"));
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "Resumes: r1\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (text, "Trefoilspar-Runs: 1 2a ffffffff\r\n"));
   g_free (text);
 }
 
