--- a/test/test-bytebudget.c
+++ b/test/test-bytebudget.c
@@ -25,13 +25,14 @@
 static void
 test_equal_shares (void)
 {
-  struct bytebudget budget = { .bytes_max = 100 * BYTEBUDGET_SHARE_MIN };
+  struct bytebudget budget
+      = { .bytes_max = (size_t)100 * BYTEBUDGET_SHARE_MIN };
   size_t large = 0;
   size_t small[50] = { 0 };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (small); i++)
     bytebudget_update (&budget, &small[i], 1000);
-  bytebudget_update (&budget, &large, 99 * BYTEBUDGET_SHARE_MIN);
+  bytebudget_update (&budget, &large, (size_t)99 * BYTEBUDGET_SHARE_MIN);
   CU_ASSERT_TRUE (bytebudget_is_overrun (&budget, large));
   CU_ASSERT_FALSE (bytebudget_is_overrun (&budget, small[0]));
   bytebudget_update (&budget, &large, 0);
