Statuses and versions that HTTP does not have are no answer

What callers saw: an engine in trouble sent a response with status 000, and the caller got it with that status as an answer.

Cause: a response was believed as soon as http_parser let its head pass, and that accepts statuses from 0 to 999, versions from 0.0 to 9.9 and a change of protocol that nobody asked for (after which it also drops the bytes behind).

Fix: the connection to a server fails to parse a head whose version is neither 1.0 nor 1.1, or whose status is not from 100 to 599, or is 101. Such a response ends as garbled, like bytes that are no HTTP: tried elsewhere where the route repeats, else 502. This covers other hosts, queries and interim responses too.

--- a/src/serverconn.c
+++ b/src/serverconn.c
@@ -8,6 +8,9 @@
 
 enum
 {
+  /* Return value of parsed_head that ends the parsing with an error. */
+  PARSER_FAILS = -1,
+  HTTP_SWITCHING_PROTOCOLS = 101,
   READ_BYTES = 64 * 1024,
   /* Maximum size of the fields of a head, and of those behind a body. */
   HEAD_BYTES_MAX = 16 * 1024
@@ -103,11 +106,23 @@
   return 0;
 }
 
+/* Whether HTTP has the version and the status of the response, and the status
+ * can answer a request. No request asks for another protocol. */
+static bool
+status_is_valid (const http_parser *parser)
+{
+  return parser->http_major == 1 && parser->http_minor <= 1
+         && parser->status_code >= 100 && parser->status_code < 600
+         && parser->status_code != HTTP_SWITCHING_PROTOCOLS;
+}
+
 static int
 parsed_head (http_parser *parser)
 {
   struct serverconn *conn = parser->data;
 
+  if (!status_is_valid (parser))
+    return PARSER_FAILS;
   if (!is_interim_response (parser))
     conn->ops->head_received (conn->data, conn);
   return conn->no_response_body ? 1 : 0;
