Lines that HTTP does not allow make a response garbled

What callers saw: an engine in trouble sent a response in whose head the name of a field held a blank, and the caller got it as an answer, with that line. With a blank before the colon of the length the body was another one.

Cause: http_parser as Debian builds it isn't the strict form. It takes a blank for a part of a name, joins folded lines without a blank between them (so that an id, a length or "not executed" can change), skips any byte where the line feed of a line is due, and any blank or zero before the status.

Fix: httpcheck checks the lines of a head before the parser sees them: the form of the status line, the characters of names, values and reasons, the ends of lines, no folded lines (RFC 9112, 5.2 lets a proxy reject these). A single line feed still ends a line. A strict parser isn't among Debian's libraries, and the check needs no more than the bytes.

Evidence: brokenanswer/status-line-that-is-none and field-that-is-none on: 28 of 46 forms were believed, and status 0200; among them all blanks in names (before, in and behind one), folded lines, "HTTP/1.1 200", bytes skipped behind a carriage return, and a "not executed" with a blank in its name, which was passed on as an answer; control and other bytes in names were rejected before. All 46 are 502 or run elsewhere now, requests that may run once reach one engine. foreignanswer/answers-split-anywhere still holds.

--- a/src/serverconn.c
+++ b/src/serverconn.c
@@ -106,13 +106,12 @@
   return 0;
 }
 
-/* Whether HTTP has the version and the status of the response, and the status
- * can answer a request. No request asks for another protocol. */
+/* Whether HTTP has the status of the response, and it can answer a request. No
+ * request asks for another protocol. */
 static bool
 status_is_valid (const http_parser *parser)
 {
-  return parser->http_major == 1 && parser->http_minor <= 1
-         && parser->status_code >= 100 && parser->status_code < 600
+  return parser->status_code >= 100 && parser->status_code < 600
          && parser->status_code != HTTP_SWITCHING_PROTOCOLS;
 }
 
@@ -158,7 +157,10 @@
   struct serverconn *conn = parser->data;
 
   if (is_interim_response (parser))
-    return 0;
+    {
+      httpcheck_begin_response (&conn->check);
+      return 0;
+    }
   conn->response_complete = true;
   http_parser_pause (parser, 1);
   return 0;
@@ -196,23 +198,43 @@
 parser_restart (struct serverconn *conn)
 {
   http_parser_init (&conn->parser, HTTP_RESPONSE);
+  httpcheck_begin_response (&conn->check);
   httpfields_clear (&conn->head);
   conn->response_complete = false;
   conn->passing_over = false;
 }
 
+/* Check and parse bytes of one response. A SIZE of 0 tells that the server
+ * closed the connection.
+ * @return number of bytes parsed */
+static size_t
+response_parse (struct serverconn *conn, const char *bytes, size_t size)
+{
+  size_t parsed = 0;
+  size_t part;
+
+  do
+    {
+      part = httpcheck_feed (&conn->check, bytes + parsed, size - parsed);
+      parsed += http_parser_execute (&conn->parser, &parser_settings,
+                                     bytes + parsed, part);
+    }
+  while (parsed < size && conn->check.section != HTTPCHECK_MALFORMED
+         && HTTP_PARSER_ERRNO (&conn->parser) == HPE_OK);
+  return parsed;
+}
+
 /* Parse SIZE bytes of responses, of which none is left once the own one is
  * complete. A SIZE of 0 tells that the server closed the connection.
- * @return the parser's error */
-static enum http_errno
+ * @return false if they are malformed */
+static bool
 responses_parse (struct serverconn *conn, const char *bytes, size_t size)
 {
   size_t parsed;
 
   while (true)
     {
-      parsed
-          = http_parser_execute (&conn->parser, &parser_settings, bytes, size);
+      parsed = response_parse (conn, bytes, size);
       if (conn->closing || !conn->response_complete || !conn->passing_over)
         break;
       conn->passed_over_bytes += parsed;
@@ -224,14 +246,15 @@
     }
   if (conn->passing_over)
     conn->passed_over_bytes += parsed;
-  return HTTP_PARSER_ERRNO (&conn->parser);
+  return conn->check.section != HTTPCHECK_MALFORMED
+         && HTTP_PARSER_ERRNO (&conn->parser) == HPE_OK;
 }
 
 static void
 on_read (uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
 {
   struct serverconn *conn = stream->data;
-  enum http_errno parse_error;
+  bool is_valid;
 
   if (size == 0 || conn->closing)
     return;
@@ -240,13 +263,12 @@
       conn_end (conn, SERVERCONN_CUT);
       return;
     }
-  parse_error
-      = responses_parse (conn, buffer->base, size < 0 ? 0 : (size_t)size);
+  is_valid = responses_parse (conn, buffer->base, size < 0 ? 0 : (size_t)size);
   if (conn->response_complete)
     conn_end (conn, SERVERCONN_COMPLETE);
   else if (size < 0)
     conn_end (conn, SERVERCONN_CUT);
-  else if (parse_error != HPE_OK
+  else if (!is_valid
            || conn->passed_over_bytes > SERVERCONN_PASSED_OVER_BYTES_MAX)
     conn_end (conn, SERVERCONN_GARBLED);
 }
@@ -310,6 +332,7 @@
   conn->no_response_body = no_response_body;
   httpfields_init (&conn->head);
   http_parser_init (&conn->parser, HTTP_RESPONSE);
+  httpcheck_begin_response (&conn->check);
   conn->parser.data = conn;
   conn->open_handles = 2;
   conn->tcp.data = conn;
--- a/src/serverconn.h
+++ b/src/serverconn.h
@@ -1,6 +1,7 @@
 #ifndef SERVERCONN_H
 #define SERVERCONN_H
 
+#include "httpcheck.h"
 #include "httpfields.h"
 
 #include <http_parser.h>
@@ -66,6 +67,7 @@
   uv_timer_t timer;
   uv_connect_t connect_request;
   uv_write_t write_request;
+  struct httpcheck check;
   http_parser parser;
   struct httpfields head;
   GString *request;
--- a/test/test-brokenanswer.c
+++ b/test/test-brokenanswer.c
@@ -80,14 +80,11 @@
     "HTTP/1.1 099 x\r\n" FIELDS SIZED,
     "HTTP/1.1 600 x\r\n" FIELDS SIZED,
     "HTTP/1.1 999 x\r\n" FIELDS SIZED,
+    "HTTP/1.1 0200 OK\r\n" FIELDS SIZED,
     "HTTP/1.1 2000 OK\r\n" FIELDS SIZED,
     "HTTP/1.1 -200 OK\r\n" FIELDS SIZED,
     "HTTP/1.1 2x0 OK\r\n" FIELDS SIZED,
     "HTTP/1.1 \r\n" FIELDS SIZED,
-    "HTTP/0.9 200 OK\r\n" FIELDS SIZED,
-    "HTTP/1.7 200 OK\r\n" FIELDS SIZED,
-    "HTTP/2.0 200 OK\r\n" FIELDS SIZED,
-    "HTTP/9.9 200 OK\r\n" FIELDS SIZED,
     "HTTP/1.1 101 x\r\nUpgrade: x\r\nConnection: upgrade\r\n"
     "\r\n" OK SIZED,
     "HTTP/1.1 101 x\r\n\r\n" OK SIZED,
@@ -97,8 +94,81 @@
   check_not_believed (answers, G_N_ELEMENTS (answers));
 }
 
+/* A status line of another form, or of another version, was passed over. */
+static void
+test_status_line_that_is_none (void)
+{
+  static const char *const answers[] = {
+    "\r\nHTTP/1.1 200 OK\r\n" FIELDS SIZED,
+    "\nHTTP/1.1 200 OK\r\n" FIELDS SIZED,
+    " HTTP/1.1 200 OK\r\n" FIELDS SIZED,
+    "HTTP/0.9 200 OK\r\n" FIELDS SIZED,
+    "HTTP/1.7 200 OK\r\n" FIELDS SIZED,
+    "HTTP/2.0 200 OK\r\n" FIELDS SIZED,
+    "HTTP/9.9 200 OK\r\n" FIELDS SIZED,
+    "HTTP/11.1 200 OK\r\n" FIELDS SIZED,
+    "http/1.1 200 OK\r\n" FIELDS SIZED,
+    "HTTP/1.1  200 OK\r\n" FIELDS SIZED,
+    "HTTP/1.1\t200 OK\r\n" FIELDS SIZED,
+    "HTTP/1.1 200OK\r\n" FIELDS SIZED,
+    "HTTP/1.1 200 O\x01K\r\n" FIELDS SIZED,
+    "HTTP/1.1 200 O\x7fK\r\n" FIELDS SIZED,
+    "HTTP/1.1 200 OK\r" FIELDS SIZED,
+    "HTTP/1.1 200 OK\rX" FIELDS SIZED,
+    "HTTP/1.1 200\rX" FIELDS SIZED,
+  };
+
+  check_not_believed (answers, G_N_ELEMENTS (answers));
+}
+
+/* A field whose name holds what no name may, or whose line is broken, was
+ * relayed, or changed what the others meant. */
+static void
+test_field_that_is_none (void)
+{
+  static const char *const answers[] = {
+    OK "X A: 1\r\n" SIZED,
+    OK " XA: 1\r\n" SIZED,
+    OK "XA : 1\r\n" SIZED,
+    OK "XA\t: 1\r\n" SIZED,
+    OK "\tXA: 1\r\n" SIZED,
+    OK "X\x01"
+       "A: 1\r\n" SIZED,
+    OK "X\x7f"
+       "A: 1\r\n" SIZED,
+    OK "X\xe4"
+       "A: 1\r\n" SIZED,
+    OK "X(A: 1\r\n" SIZED,
+    OK "X\"A: 1\r\n" SIZED,
+    OK ": 1\r\n" SIZED,
+    OK " : 1\r\n" SIZED,
+    OK "XA\r\n" SIZED,
+    OK "XA: 1\r\n 2\r\n" SIZED,
+    OK "XA: 1\r\n\t2\r\n" SIZED,
+    OK "XA:\r\n 2\r\n" SIZED,
+    OK "XA: 1\x01\r\n" SIZED,
+    OK "XA: 1\x7f\r\n" SIZED,
+    OK "XA: 1\rXB: 2\r\n" SIZED,
+    OK "XA:\rXB: 2\r\n" SIZED,
+    OK "XA: 1\r\r\n" SIZED,
+    OK "Content-Length : 6\r\n\r\nbroken",
+    OK "Content-Length : 3\r\n\r\nbroken",
+    OK "Content-Length: 6\r\n\rXbroken",
+    "HTTP/1.1 200 OK\r\n X: 1\r\n" FIELDS SIZED,
+    "HTTP/1.1 100 x\r\nX A: 1\r\n\r\n" OK SIZED,
+    "HTTP/1.1 503 x\r\nX-Request-Id: %s\r\nX-Not-Executed : 1\r\n" SIZED,
+    "HTTP/1.1 503 x\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n"
+    "X A: 1\r\n" SIZED,
+    "HTTP/1.1 421 x\r\nX A: 1\r\nX-Request-Id: %s\r\n" SIZED,
+  };
+
+  check_not_believed (answers, G_N_ELEMENTS (answers));
+}
+
 static const struct unit_case cases[] = {
   { "status-that-is-none", test_status_that_is_none },
+  { "status-line-that-is-none", test_status_line_that_is_none },
+  { "field-that-is-none", test_field_that_is_none },
 };
 
 int
