Codings that are not removed and bodies that no status allows are no answer

What callers saw (by test): bodies in a coding other than chunked reached callers as they were, without the field that names the coding. A 204 that announced a body was relayed with that body, which callers read as the beginning of the next response on their connection.

Cause: http_parser lets all codings pass and reads a body wherever fields announce one, whatever the status. A response with status 304 and a length waited for a body that never comes.

Fix: a coding other than exactly one "chunked", or any in HTTP/1.0, and a body announced by 204 or an interim response make the response garbled; 304 ends with its head. Lengths that are malformed, repeated or beside a coding were rejected before; the test keeps that.

--- a/src/httpcheck.c
+++ b/src/httpcheck.c
@@ -3,11 +3,6 @@
 #include <glib.h>
 #include <string.h>
 
-enum
-{
-  CHUNK_DIGITS_MAX = 16 /* Digits of a size that fits into 64 bits. */
-};
-
 enum state
 {
   STATUS_LINE, /* Before the reason. */
@@ -138,9 +133,12 @@
 {
   if (g_ascii_isxdigit (c))
     {
+      if (check->chunk_left > UINT64_MAX / 16)
+        return INVALID;
       check->chunk_left
           = check->chunk_left * 16 + (uint64_t)g_ascii_xdigit_value (c);
-      return check->matched++ < CHUNK_DIGITS_MAX ? SIZE : INVALID;
+      check->matched++;
+      return SIZE;
     }
   if (check->matched == 0)
     return INVALID;
--- a/src/serverconn.c
+++ b/src/serverconn.c
@@ -8,8 +8,10 @@
 
 enum
 {
-  /* Return value of parsed_head that ends the parsing with an error. */
+  /* Return values of parsed_head: the parsing ends with an error, or expects
+   * no body. */
   PARSER_FAILS = -1,
+  PARSER_SKIPS_BODY = 1,
   HTTP_SWITCHING_PROTOCOLS = 101,
   READ_BYTES = 64 * 1024,
   /* Maximum size of the fields of a head, and of those behind a body. */
@@ -115,16 +117,60 @@
          && parser->status_code != HTTP_SWITCHING_PROTOCOLS;
 }
 
+/* Whether the body, if it is coded at all, is chunked and nothing else, since
+ * no other coding is removed. HTTP/1.0 has no codings. */
+static bool
+coding_is_valid (const struct serverconn *conn)
+{
+  static const char name[] = "Transfer-Encoding";
+  const char *value = httpfields_find (&conn->head, name);
+  char *coding;
+  bool chunked;
+
+  if (value == NULL)
+    return true;
+  coding = g_strstrip (g_strdup (value));
+  chunked = g_ascii_strcasecmp (coding, "chunked") == 0;
+  g_free (coding);
+  return chunked && httpfields_count_of_name (&conn->head, name) == 1
+         && conn->parser.http_minor > 0;
+}
+
+/* Whether the response has no body, whatever its fields say. */
+static bool
+has_no_body (const struct serverconn *conn)
+{
+  return conn->no_response_body || is_interim_response (&conn->parser)
+         || conn->parser.status_code == HTTP_STATUS_NO_CONTENT
+         || conn->parser.status_code == HTTP_STATUS_NOT_MODIFIED;
+}
+
+/* Whether the fields announce a body although the status allows none, so that
+ * the end of the response is unclear. Those of responses to HEAD and with
+ * status 304 describe the body of another response. */
+static bool
+announces_wrong_body (const struct serverconn *conn)
+{
+  const http_parser *parser = &conn->parser;
+
+  return (is_interim_response (parser)
+          || parser->status_code == HTTP_STATUS_NO_CONTENT)
+         && ((parser->flags & F_CHUNKED) != 0
+             || ((parser->flags & F_CONTENTLENGTH) != 0
+                 && parser->content_length > 0));
+}
+
 static int
 parsed_head (http_parser *parser)
 {
   struct serverconn *conn = parser->data;
 
-  if (!status_is_valid (parser))
+  if (!status_is_valid (parser) || !coding_is_valid (conn)
+      || announces_wrong_body (conn))
     return PARSER_FAILS;
   if (!is_interim_response (parser))
     conn->ops->head_received (conn->data, conn);
-  return conn->no_response_body ? 1 : 0;
+  return has_no_body (conn) ? PARSER_SKIPS_BODY : 0;
 }
 
 bool
@@ -361,8 +407,7 @@
 {
   const http_parser *parser = &conn->parser;
 
-  if (conn->no_response_body || parser->status_code == HTTP_STATUS_NO_CONTENT
-      || parser->status_code == HTTP_STATUS_NOT_MODIFIED)
+  if (has_no_body (conn))
     return SERVERCONN_NO_BODY;
   if ((parser->flags & F_CHUNKED) != 0)
     return SERVERCONN_CHUNKED;
--- a/test/test-brokenanswer.c
+++ b/test/test-brokenanswer.c
@@ -165,10 +165,50 @@
   check_not_believed (answers, G_N_ELEMENTS (answers));
 }
 
+/* A coding that is not removed, or two statements of the length, let a body
+ * through that was another one. */
+static void
+test_framing_that_is_none (void)
+{
+  static const char *const answers[] = {
+    OK "Transfer-Encoding: gzip\r\n\r\nbroken",
+    OK "Transfer-Encoding: identity\r\n\r\nbroken",
+    OK "Transfer-Encoding:\r\n\r\nbroken",
+    OK "Transfer-Encoding: gzip, chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
+    OK "Transfer-Encoding: chunked, chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
+    OK "Transfer-Encoding: chunked, gzip\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
+    OK "Transfer-Encoding: xchunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
+    OK "Transfer-Encoding: chunked;q=1\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
+    OK "Transfer-Encoding: gzip\r\n" CHUNKED "6\r\nbroken\r\n0\r\n\r\n",
+    OK "Transfer-Encoding: chunked\r\n" CHUNKED "6\r\nbroken\r\n0\r\n\r\n",
+    OK "Content-Length: 6\r\n" CHUNKED "6\r\nbroken\r\n0\r\n\r\n",
+    OK "Transfer-Encoding: chunked\r\n" SIZED,
+    OK "Transfer-Encoding: gzip\r\n" SIZED,
+    "HTTP/1.0 200 OK\r\n" FIELDS CHUNKED "6\r\nbroken\r\n0\r\n\r\n",
+    OK "Content-Length: 6\r\n" SIZED,
+    OK "Content-Length: 3\r\n" SIZED,
+    OK "Content-Length: 6, 6\r\n\r\nbroken",
+    OK "Content-Length: 6 6\r\n\r\nbroken",
+    OK "Content-Length: +6\r\n\r\nbroken",
+    OK "Content-Length: -6\r\n\r\nbroken",
+    OK "Content-Length: 0x6\r\n\r\nbroken",
+    OK "Content-Length: 6.0\r\n\r\nbroken",
+    OK "Content-Length:\r\n\r\nbroken",
+    OK "Content-Length: 18446744073709551622\r\n\r\nbroken",
+    "HTTP/1.1 204 x\r\n" FIELDS SIZED,
+    "HTTP/1.1 204 x\r\n" FIELDS CHUNKED "6\r\nbroken\r\n0\r\n\r\n",
+    "HTTP/1.1 100 x\r\n" SIZED OK SIZED,
+    "HTTP/1.1 103 x\r\n" CHUNKED OK SIZED,
+  };
+
+  check_not_believed (answers, G_N_ELEMENTS (answers));
+}
+
 static const struct unit_case cases[] = {
   { "status-that-is-none", test_status_that_is_none },
   { "status-line-that-is-none", test_status_line_that_is_none },
   { "field-that-is-none", test_field_that_is_none },
+  { "framing-that-is-none", test_framing_that_is_none },
 };
 
 int
