Broken chunks do not make a complete body

What callers saw (by test): where the size of a chunk, its line or the end of its data was broken, bytes were skipped, and the rest reached the caller as a complete body.

Cause: http_parser, in the form of Debian, skips any two bytes behind the data of a chunk, any byte behind a carriage return, and whatever follows a blank in the line of a size. The names of trailer fields were not checked either.

Fix: httpcheck also checks the lines of chunks and of trailers.

--- a/src/serverconn.c
+++ b/src/serverconn.c
@@ -168,6 +168,8 @@
   if (!status_is_valid (parser) || !coding_is_valid (conn)
       || announces_wrong_body (conn))
     return PARSER_FAILS;
+  if ((parser->flags & F_CHUNKED) != 0 && !has_no_body (conn))
+    httpcheck_begin_chunks (&conn->check);
   if (!is_interim_response (parser))
     conn->ops->head_received (conn->data, conn);
   return has_no_body (conn) ? PARSER_SKIPS_BODY : 0;
--- a/test/test-brokenanswer.c
+++ b/test/test-brokenanswer.c
@@ -204,11 +204,106 @@
   check_not_believed (answers, G_N_ELEMENTS (answers));
 }
 
+/* Where the line of a chunk, or its end, was broken, bytes were skipped, and
+ * the body that was left looked complete. */
+static void
+test_chunk_that_is_none (void)
+{
+  static const char *const answers[] = {
+    OK CHUNKED "6\r\nbrokenXX0\r\n\r\n",
+    OK CHUNKED "6\r\nbroken\rX0\r\n\r\n",
+    OK CHUNKED "6\r\nbrokenX\n0\r\n\r\n",
+    OK CHUNKED "5\r\nbroken\r\n0\r\n\r\n",
+    OK CHUNKED "7\r\nbroken\r\n0\r\n\r\n",
+    OK CHUNKED "6\rXbroken\r\n0\r\n\r\n",
+    OK CHUNKED "6\nbroken\n0\n\n",
+    OK CHUNKED "\r\n6\r\nbroken\r\n0\r\n\r\n",
+    OK CHUNKED ";x\r\nbroken\r\n0\r\n\r\n",
+    OK CHUNKED "+6\r\nbroken\r\n0\r\n\r\n",
+    OK CHUNKED "0x6\r\nbroken\r\n0\r\n\r\n",
+    OK CHUNKED "6 6\r\nbroken\r\n0\r\n\r\n",
+    OK CHUNKED "6;\x01\r\nbroken\r\n0\r\n\r\n",
+    OK CHUNKED "6;x\rXbroken\r\n0\r\n\r\n",
+    OK CHUNKED "10000000000000006\r\nbroken\r\n0\r\n\r\n",
+    OK CHUNKED "6\r\nbroken\r\n0\rX\r\n",
+    OK CHUNKED "6\r\nbroken\r\n0\r\n\rX",
+    OK CHUNKED "6\r\nbroken\r\n0\r\nX A: 1\r\n\r\n",
+    OK CHUNKED "6\r\nbroken\r\n0\r\nX\x01: 1\r\n\r\n",
+    OK CHUNKED "6\r\nbroken\r\n0\r\nX: 1\r\n 2\r\n\r\n",
+  };
+
+  check_not_believed (answers, G_N_ELEMENTS (answers));
+}
+
+/* Unusual but sound responses stay answers: the checks must not refuse them.
+ */
+static void
+test_unusual_answers (void)
+{
+  static const struct
+  {
+    const char *answer;
+    int status;
+    const char *body;
+  } unusual[] = {
+    { "HTTP/1.1 200\r\n" FIELDS "Content-Length: 5\r\n\r\nhello", 200,
+      "hello" },
+    { "HTTP/1.1 200 \r\n" FIELDS "Content-Length: 5\r\n\r\nhello", 200,
+      "hello" },
+    { "HTTP/1.0 200 OK\r\n" FIELDS "Content-Length: 5\r\n\r\nhello", 200,
+      "hello" },
+    { "HTTP/1.1 299 \xe4\tb\r\n" FIELDS "Content-Length: 5\r\n\r\nhello", 299,
+      "hello" },
+    { "HTTP/1.1 200 OK\nX-Request-Id: %s\nX-Response-Seal: s\n"
+      "Content-Length: 5\n\nhello",
+      200, "hello" },
+    { OK "x!#$%&'*+-.^_`|~9:a\tb\xe4\r\nXA:\r\nXB:  \r\n"
+         "Content-Length: 5\r\n\r\nhello",
+      200, "hello" },
+    { OK "transfer-encoding:\tChunked \r\n\r\n5\r\nhello\r\n0\r\n\r\n", 200,
+      "hello" },
+    { OK CHUNKED "05 \r\nhello\r\n000;a=\"b\"\r\nXA: 1\r\nXB:\r\n\r\n", 200,
+      "hello" },
+    { OK CHUNKED "1;a\r\nh\r\n4 ; b=1\r\nello\r\n0\r\n\r\n", 200, "hello" },
+    { "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 103 x\r\nLink: x\r\n\r\n" OK
+      "Content-Length: 5\r\n\r\nhello",
+      200, "hello" },
+    { "HTTP/1.1 204 x\r\n" FIELDS "Content-Length: 0\r\n\r\n", 204, NULL },
+    { "HTTP/1.1 304 x\r\n" FIELDS "Content-Length: 5\r\n\r\n", 304, NULL },
+    { "HTTP/1.1 304 x\r\n" FIELDS "Transfer-Encoding: chunked\r\n\r\n", 304,
+      NULL },
+    { "HTTP/1.1 418 x\r\n" FIELDS "Content-Length: 5\r\n\r\nhello", 418,
+      "hello" },
+    { "HTTP/1.1 599 x\r\n" FIELDS "Content-Length: 5\r\n\r\nhello", 599,
+      "hello" },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (unusual); i++)
+    {
+      struct fake_upstream_step step
+          = { unusual[i].answer, FAKE_UPSTREAM_KEEP };
+
+      fake_path_setup (&step, 1, &step, 1);
+      fake_path_request_send ("/once/", "");
+      expect (answer_status () == unusual[i].status, "status",
+              unusual[i].answer);
+      if (unusual[i].body != NULL)
+        expect (fake_path_run_until (unusual[i].body)
+                    && g_str_has_suffix (path.answer->str, unusual[i].body),
+                "body", unusual[i].answer);
+      expect (path.upstreams[0].requests + path.upstreams[1].requests == 1,
+              "requests", unusual[i].answer);
+      fake_path_finish ();
+    }
+}
+
 static const struct unit_case cases[] = {
   { "status-that-is-none", test_status_that_is_none },
   { "status-line-that-is-none", test_status_line_that_is_none },
   { "field-that-is-none", test_field_that_is_none },
   { "framing-that-is-none", test_framing_that_is_none },
+  { "chunk-that-is-none", test_chunk_that_is_none },
+  { "unusual-answers", test_unusual_answers },
 };
 
 int
