A success that ends before its request was received is cut

An immediate reset did no harm before.

Cause: the end of the connection, unless it was a reset, ended such a body, although most of the request had not been received by the server.

Fix: if the server has not acknowledged the whole request at that moment, a success or a redirection whose end only the connection marks is cut. Servers that have read their request have acknowledged it. An error may come so early (413), and a body with a length or chunks tells its own end; both stay answers. Where the system doesn't tell what is unacknowledged, nothing changes.

--- a/src/serverconn.c
+++ b/src/serverconn.c
@@ -240,6 +240,19 @@
          || tcpreset_was_reset (fd);
 }
 
+/* Whether the server closed the connection, which would end a success without
+ * a length, before it had received the request. An error may come so early. */
+static bool
+ended_before_request (struct serverconn *conn)
+{
+  uv_os_fd_t fd;
+
+  return serverconn_framing (conn) == SERVERCONN_UNTIL_CLOSE
+         && conn->parser.status_code < HTTP_STATUS_BAD_REQUEST
+         && uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0
+         && tcpreset_is_sending (fd);
+}
+
 /* Expect another response, whatever the one that was passed over says of the
  * connection. */
 static void
@@ -306,7 +319,9 @@
 
   if (size == 0 || conn->closing)
     return;
-  if (size < 0 && (size != UV_EOF || connection_was_reset (conn)))
+  if (size < 0
+      && (size != UV_EOF || connection_was_reset (conn)
+          || ended_before_request (conn)))
     {
       conn_end (conn, SERVERCONN_CUT);
       return;
--- a/src/tcpreset.c
+++ b/src/tcpreset.c
@@ -2,6 +2,8 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* Whether the kernel has given up the connection. After an orderly end it
@@ -33,3 +35,11 @@
   return getsockopt (fd, SOL_SOCKET, SO_ERROR, &socket_error, &size) != 0
          || socket_error != 0 || is_closed_state (fd);
 }
+
+bool
+tcpreset_is_sending (int fd)
+{
+  int unacknowledged = 0;
+
+  return ioctl (fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
+}
--- a/src/tcpreset.h
+++ b/src/tcpreset.h
@@ -6,7 +6,7 @@
 /** @file
  * Tells a connection that its peer reset from one that the peer closed in
  * order. A response that ends with its connection is complete only after an
- * orderly end.
+ * orderly end, to a request that the peer has received.
  */
 
 /** Set whether closing the connection FD resets it, also when the process is
@@ -18,4 +18,8 @@
  * reading reports only an end of file. */
 bool tcpreset_was_reset (int fd);
 
+/** Whether the peer of the connection FD has not acknowledged all bytes that
+ * were sent. */
+bool tcpreset_is_sending (int fd);
+
 #endif
