--- a/src/exchange.c
+++ b/src/exchange.c
@@ -137,7 +137,7 @@
   struct exchange *exchange = data;
 
   exchange->dialect->response_decode (
-      serverconn_status (conn), &conn->head, exchange->request_id,
+      serverconn_status (conn), &conn->response.head, exchange->request_id,
       exchange->server->entry.id, &exchange->response);
   if (exchange->response.owner != RESPONSE_OWN)
     {
@@ -149,7 +149,7 @@
       return;
     }
   exchange->has_head = true;
-  exchange->framing = serverconn_framing (conn);
+  exchange->framing = httpresponse_framing (&conn->response);
   exchange->last_received_ns = clock_now (exchange->clock);
   exchange->ops->head_received (exchange->data, exchange);
   if (exchange->response.not_run)
@@ -162,7 +162,7 @@
     {
       g_string_truncate (exchange->header_lines, 0);
       exchange->dialect->response_headers_encode (exchange->header_lines,
-                                                  &conn->head);
+                                                  &conn->response.head);
     }
 }
 
@@ -235,7 +235,7 @@
 {
   return exchange_relays_events (exchange)
          && (eventstream_is_inside_event (&exchange->events)
-             || (exchange->framing == SERVERCONN_UNTIL_CLOSE
+             || (exchange->framing == HTTPRESPONSE_UNTIL_CLOSE
                  && exchange->events.event_count == 0));
 }
 
@@ -296,7 +296,7 @@
   exchange->continues = request->continues;
   exchange->has_head = false;
   exchange->passed_over = 0;
-  exchange->framing = SERVERCONN_NO_BODY;
+  exchange->framing = HTTPRESPONSE_NO_BODY;
   exchange->relayed = false;
   exchange->sent_ns = 0;
   exchange->first_output_ns = 0;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -96,7 +96,7 @@
   unsigned passed_over; /**< Responses that belong to other requests or name
                            none, and came before. */
   /** How the end of the response is marked; valid if `has_head`. */
-  enum serverconn_framing framing;
+  enum httpresponse_framing framing;
   int relayed_status; /**< Status of the response that began the stream. */
   bool relayed;       /**< Whether some bytes of the response were passed to
                          `bytes_received`. */
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -10,11 +10,11 @@
 static void
 response_end_describe (const struct exchange *exchange, char *out, size_t size)
 {
-  g_snprintf (out, size, "framing=%s events=%lu partial_bytes=%zu",
-              exchange->has_head ? serverconn_framing_name (exchange->framing)
-                                 : "-",
-              (unsigned long)exchange->events.event_count,
-              exchange->events.pending->len);
+  g_snprintf (
+      out, size, "framing=%s events=%lu partial_bytes=%zu",
+      exchange->has_head ? httpresponse_framing_name (exchange->framing) : "-",
+      (unsigned long)exchange->events.event_count,
+      exchange->events.pending->len);
 }
 
 void
@@ -217,10 +217,10 @@
   char response_end[96];
   char labels[96];
 
-  g_snprintf (labels, sizeof labels, "framing=\"%s\",end=\"%s\"",
-              exchange->has_head ? serverconn_framing_name (exchange->framing)
-                                 : "-",
-              exchange_outcome_name (outcome));
+  g_snprintf (
+      labels, sizeof labels, "framing=\"%s\",end=\"%s\"",
+      exchange->has_head ? httpresponse_framing_name (exchange->framing) : "-",
+      exchange_outcome_name (outcome));
   metrics_add (forwarder->metrics, "trefoilspar_attempts_total", labels, 1);
   if (outcome == EXCHANGE_ANSWERED && action == FORWARDRETRY_PASS_ON)
     return;
--- a/src/serverconn.h
+++ b/src/serverconn.h
@@ -1,10 +1,8 @@
 #ifndef SERVERCONN_H
 #define SERVERCONN_H
 
-#include "httpcheck.h"
-#include "httpfields.h"
+#include "httpresponse.h"
 
-#include <http_parser.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <uv.h>
@@ -38,15 +36,6 @@
   SERVERCONN_GARBLED
 };
 
-/** What marks the end of a response body. */
-enum serverconn_framing
-{
-  SERVERCONN_NO_BODY,
-  SERVERCONN_LENGTH,
-  SERVERCONN_CHUNKED,
-  SERVERCONN_UNTIL_CLOSE /**< The end of the connection. */
-};
-
 struct serverconn;
 
 struct serverconn_ops
@@ -67,16 +56,11 @@
   uv_timer_t timer;
   uv_connect_t connect_request;
   uv_write_t write_request;
-  struct httpcheck check;
-  http_parser parser;
-  struct httpfields head;
+  struct httpresponse response;
   GString *request;
   const struct serverconn_ops *ops;
   void *data;
-  /** Whether the response has no body, e.g. the response to a HEAD request. */
-  bool no_response_body;
   bool connected;
-  bool response_complete;
   bool passing_over;        /**< Whether the bytes that arrive belong to the
                                response to another request. */
   unsigned passed_over;     /**< Number of such responses. */
@@ -87,7 +71,6 @@
 };
 
 const char *serverconn_result_name (enum serverconn_result result);
-const char *serverconn_framing_name (enum serverconn_framing framing);
 
 /** Connect to ADDRESS ("IP:PORT") and send REQUEST, which the connection owns
  * from then on. Callbacks come from the event loop, never from inside this
@@ -110,7 +93,4 @@
 /** The HTTP status of the response; valid once its head was received. */
 int serverconn_status (const struct serverconn *conn);
 
-/** How the end of the response is marked; valid once its head was received. */
-enum serverconn_framing serverconn_framing (const struct serverconn *conn);
-
 #endif
--- a/src/serverprobe.c
+++ b/src/serverprobe.c
@@ -117,7 +117,7 @@
   struct response response;
 
   probes->ops->response_decode (probes->data, probe->server,
-                                serverconn_status (conn), &conn->head,
+                                serverconn_status (conn), &conn->response.head,
                                 &response);
   if (response.owner != RESPONSE_OWN)
     {
--- a/test/test-foreignanswer.c
+++ b/test/test-foreignanswer.c
@@ -416,7 +416,7 @@
 static void
 split_head (void *data, struct serverconn *conn)
 {
-  const char *id = httpfields_find (&conn->head, "X-Request-Id");
+  const char *id = httpfields_find (&conn->response.head, "X-Request-Id");
 
   split.heads++;
   if (strcmp (id, "r1") != 0)
