Replies to control calls that HTTP does not allow are none, and end no process

What was seen (by test): of 57 malformed replies, 9 ended the process with an assertion in h2o's client: a length that is no number, or a coding that it doesn't know, on a connection that would be kept. 21 others were believed, at least in part: statuses 000, 099, 600 and 999, version 1.7, folded lines, two lengths, a length beside chunks, chunks in HTTP/1.0, 204 with a body, and sizes of chunks such as "0x2", which ended the body as complete and empty. Such replies could come from engines (reports, orders, cache events, plain services behind gateways), KV cache stores and the KV service.

Cause: h2o's client has no check between what it reads and what it reports, and asserts where it should fail the call. There is no place to check before it.

Fix: the client of these calls reads with httpresponse, like the connections to servers, on libuv; connections are kept as before (256 an address, 4 s, in turn, only after one whole response and nothing else, and only if quiet). A success without a length that ends before the request was received is cut here too. Its interface is the same, apart from the bound of 64 header fields.

--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -1,41 +1,63 @@
 #include "httpclient.h"
-#include "tcpkeepalive.h"
 #include "address.h"
+#include "httpresponse.h"
+#include "tcpkeepalive.h"
 #include "tcpreset.h"
 
-#include <assert.h>
+#include <errno.h>
 #include <glib.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 enum
 {
-  POOL_CAPACITY = 256, /* Maximum number of idle connections per address. */
-  POOL_IDLE_MS = 4000,
-  /* Maximum size of a response's head; of a body, no more is kept here. */
-  HEAD_BYTES_MAX = 64 * 1024,
-  /* Calls whose heads are checked each time the loop has read, and the time in
-   * which those of all calls are. */
-  HEADS_PER_CHECK = 32,
-  HEADS_CHECK_INTERVAL_MS = 10
+  IDLE_MAX = 256, /* Maximum number of idle connections per address. */
+  IDLE_MS = 4000,
+  READ_BYTES = 64 * 1024,
+  /* Maximum size of the fields of a head; of a body, nothing is kept here. */
+  HEAD_BYTES_MAX = 64 * 1024
+};
+
+/* Idle connections to one address, the longest idle first. */
+struct pool
+{
+  struct list idle;
+  unsigned count;
+};
+
+struct conn
+{
+  struct list node;      /* Of all connections of the client. */
+  struct list idle_node; /* Of the idle ones, while `pool` is set. */
+  struct httpclient *client;
+  struct pool *pool; /* Pool that the connection waits in. */
+  struct httpclient_call
+      *call; /* NULL if the connection is idle or closing. */
+  char *address;
+  char *request_bytes; /* Bytes of the last request. */
+  uv_tcp_t tcp;
+  uv_timer_t timer;
+  uv_connect_t connect_request;
+  uv_write_t write_request;
+  struct httpresponse response;
+  bool may_be_kept;
+  bool connected;
+  bool written; /* Whether the last request was written. */
+  bool closing;
+  unsigned open_handles;
 };
 
 struct httpclient_call
 {
   struct list node;
   struct httpclient *client;
-  h2o_http1client_t *connection;
+  struct conn *conn;
   const struct httpclient_ops *ops;
   void *data;
-  char *request_bytes; /* Head and body of the request. */
+  char *request_bytes; /* Head and body, until they are written. */
   size_t request_size;
-  h2o_iovec_t request_vector;
-  uv_timer_t *refusal_timer; /* Timer whose callback reports that the
-                                address is invalid. */
-  bool is_head_request;
   bool may_have_sent;
-  bool chunked; /* Whether the response body is sent in chunks. */
 };
 
 static void
@@ -48,264 +70,347 @@
 }
 
 static void
-call_end (struct httpclient_call *call, enum status status,
-          const char *message)
+conn_closed (uv_handle_t *handle)
 {
-  struct httpclient_result result = { status, message };
-  const struct httpclient_ops *ops = call->ops;
-  void *data = call->data;
+  struct conn *conn = handle->data;
 
-  call_free (call);
-  ops->ended (data, &result);
+  if (--conn->open_handles > 0)
+    return;
+  httpresponse_finish (&conn->response);
+  g_free (conn->request_bytes);
+  g_free (conn->address);
+  g_free (conn);
 }
 
-/* Whether the body is incomplete although h2o reports its end. h2o takes the
- * end of the connection, whatever its cause, for the end of a body that has no
- * length or whose last chunk is missing. It has read no bytes then. */
-static bool
-body_was_cut (const struct httpclient_call *call, h2o_socket_t *socket)
+static void
+conn_leave_pool (struct conn *conn)
+{
+  if (conn->pool == NULL)
+    return;
+  list_remove (&conn->idle_node);
+  conn->pool->count--;
+  conn->pool = NULL;
+}
+
+static void
+conn_close (struct conn *conn)
 {
-  return socket->bytes_read == 0
-         && (call->chunked || tcpreset_was_reset (h2o_socket_get_fd (socket)));
+  if (conn->closing)
+    return;
+  conn->closing = true;
+  conn_leave_pool (conn);
+  list_remove (&conn->node);
+  uv_close ((uv_handle_t *)&conn->tcp, conn_closed);
+  uv_close ((uv_handle_t *)&conn->timer, conn_closed);
 }
 
-static int
-on_body (h2o_http1client_t *connection, const char *errstr)
+static struct pool *
+pool_get (struct httpclient *client, const char *address)
 {
-  struct httpclient_call *call = connection->data;
-  h2o_buffer_t **input = &connection->sock->input;
+  struct pool *pool = g_hash_table_lookup (client->pools, address);
 
-  if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
-    {
-      call_end (call, STATUS_UNKNOWN, errstr);
-      return -1;
-    }
-  if ((*input)->size > 0)
-    {
-      /* The callback may cancel the call, but the connection must not be
-       * closed before this function returns. While call->connection is NULL,
-       * httpclient_cancel only clears call->ops. */
-      call->connection = NULL;
-      call->ops->body_received (call->data, (*input)->bytes, (*input)->size);
-      h2o_buffer_consume (input, (*input)->size);
-      if (call->ops == NULL)
-        {
-          call_free (call);
-          return -1;
-        }
-      call->connection = connection;
-    }
-  if (errstr == h2o_http1client_error_is_eos)
-    {
-      if (body_was_cut (call, connection->sock))
-        call_end (call, STATUS_UNKNOWN, "the response is incomplete");
-      else
-        call_end (call, STATUS_OK, NULL);
-    }
-  return 0;
+  if (pool != NULL)
+    return pool;
+  pool = g_new0 (struct pool, 1);
+  list_init (&pool->idle);
+  g_hash_table_insert (client->pools, g_strdup (address), pool);
+  return pool;
 }
 
+static void conn_timer_fired (uv_timer_t *timer);
+
 static void
-report_head (struct httpclient_call *call, int status, h2o_header_t *headers,
-             size_t count)
+conn_keep (struct conn *conn)
 {
-  struct httpclient_header header_copies[HTTPCLIENT_HEADERS_MAX];
-  struct httpclient_response_head head = { status, header_copies, 0 };
+  struct pool *pool = pool_get (conn->client, conn->address);
 
-  for (size_t i = 0; i < count && i < HTTPCLIENT_HEADERS_MAX; i++)
+  if (pool->count >= IDLE_MAX)
     {
-      header_copies[i].name = headers[i].name->base;
-      header_copies[i].name_size = headers[i].name->len;
-      header_copies[i].value = headers[i].value.base;
-      header_copies[i].value_size = headers[i].value.len;
-      head.header_count++;
+      conn_close (conn);
+      return;
     }
-  call->ops->head_received (call->data, &head);
+  conn->pool = pool;
+  pool->count++;
+  list_append (&pool->idle, &conn->idle_node);
+  uv_timer_start (&conn->timer, conn_timer_fired, IDLE_MS, 0);
 }
 
-static bool
-is_chunked (const h2o_header_t *headers, size_t count)
+/* End the call of CONN, which is closed unless KEEP is set. */
+static void
+conn_end_call (struct conn *conn, enum status status, const char *message,
+               bool keep)
 {
-  for (size_t i = 0; i < count; i++)
-    if (headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf)
-      return true;
-  return false;
+  struct httpclient_call *call = conn->call;
+  struct httpclient_result result = { status, message };
+  const struct httpclient_ops *ops = call->ops;
+  void *data = call->data;
+
+  conn->call = NULL;
+  if (keep)
+    conn_keep (conn);
+  else
+    conn_close (conn);
+  call_free (call);
+  ops->ended (data, &result);
 }
 
-static h2o_http1client_body_cb
-on_head (h2o_http1client_t *connection, const char *errstr, int minor_version,
-         int status, h2o_iovec_t msg, h2o_header_t *headers,
-         size_t header_count, int rlen)
+static void
+conn_timer_fired (uv_timer_t *timer)
 {
-  struct httpclient_call *call = connection->data;
+  struct conn *conn = timer->data;
 
-  if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
-    {
-      call_end (call, STATUS_UNKNOWN, errstr);
-      return NULL;
-    }
-  /* A response has started, so the whole request was sent. */
-  g_free (call->request_bytes);
-  call->request_bytes = NULL;
-  call->chunked = is_chunked (headers, header_count);
-  call->connection = NULL;
-  report_head (call, status, headers, header_count);
-  if (call->ops == NULL)
-    {
-      call_free (call);
-      return NULL;
-    }
-  call->connection = connection;
-  if (errstr == h2o_http1client_error_is_eos)
-    {
-      call_end (call, STATUS_OK, NULL);
-      return NULL;
-    }
-  return on_body;
+  if (conn->call == NULL)
+    conn_close (conn);
+  else if (conn->connected)
+    conn_end_call (conn, STATUS_UNKNOWN, "I/O timeout", false);
+  else
+    conn_end_call (conn, STATUS_UNAVAILABLE,
+                   "the connection could not be opened", false);
 }
 
-static h2o_http1client_head_cb
-on_connect (h2o_http1client_t *connection, const char *errstr,
-            h2o_iovec_t **vectors, size_t *vector_count, int *method_is_head)
+static void
+conn_expect_progress (struct conn *conn)
 {
-  struct httpclient_call *call = connection->data;
-  int enabled = 1;
+  uv_timer_start (&conn->timer, conn_timer_fired, conn->client->io_timeout_ms,
+                  0);
+}
 
-  if (errstr != NULL)
+static void
+head_received (void *data)
+{
+  struct conn *conn = data;
+  const struct httpfields *fields = &conn->response.head;
+  size_t count = httpfields_count (fields);
+  struct httpclient_header *headers;
+  struct httpclient_response_head head
+      = { (int)conn->response.parser.status_code, NULL, count };
+
+  if (conn->call == NULL)
+    return;
+  headers = g_new (struct httpclient_header, count + 1);
+  for (size_t i = 0; i < count; i++)
     {
-      call_end (call, STATUS_UNAVAILABLE, errstr);
-      return NULL;
+      headers[i].name = httpfields_name (fields, i);
+      headers[i].name_size = strlen (headers[i].name);
+      headers[i].value = httpfields_value (fields, i);
+      headers[i].value_size = strlen (headers[i].value);
     }
-  setsockopt (h2o_socket_get_fd (connection->sock), IPPROTO_TCP, TCP_NODELAY,
-              &enabled, sizeof enabled);
-  tcpkeepalive_enable (h2o_socket_get_fd (connection->sock));
-  call->may_have_sent = true;
-  call->request_vector
-      = h2o_iovec_init (call->request_bytes, call->request_size);
-  *vectors = &call->request_vector;
-  *vector_count = 1;
-  *method_is_head = call->is_head_request;
-  return on_head;
+  head.headers = headers;
+  conn->call->ops->head_received (conn->call->data, &head);
+  g_free (headers);
 }
 
 static void
-pool_free (void *data)
+body_received (void *data, const char *bytes, size_t size)
 {
-  h2o_socketpool_t *pool = data;
+  struct conn *conn = data;
 
-  h2o_socketpool_dispose (pool);
-  g_free (pool);
+  /* An earlier callback may have cancelled the call. */
+  if (conn->call != NULL)
+    conn->call->ops->body_received (conn->call->data, bytes, size);
 }
 
-static h2o_socketpool_t *
-pool_get (struct httpclient *client, const char *address_text,
-          const struct sockaddr_in *address)
+static const struct httpresponse_ops response_ops
+    = { head_received, body_received };
+
+/* Handle the end of the connection, of which SIZE is the error. */
+static void
+conn_lost (struct conn *conn, ssize_t size)
 {
-  h2o_socketpool_t *pool
-      = g_hash_table_lookup (client->pools_by_address, address_text);
-  struct sockaddr_in address_copy = *address;
+  uv_os_fd_t fd;
 
-  if (pool != NULL)
-    return pool;
-  pool = g_malloc0 (sizeof *pool);
-  h2o_socketpool_init_by_address (pool, (struct sockaddr *)&address_copy,
-                                  sizeof address_copy, 0, POOL_CAPACITY);
-  h2o_socketpool_set_timeout (pool, client->loop, POOL_IDLE_MS);
-  g_hash_table_insert (client->pools_by_address, g_strdup (address_text),
-                       pool);
-  return pool;
+  if (size == UV_EOF && uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0
+      && !tcpreset_was_reset (fd)
+      && !httpresponse_precedes_request (&conn->response, fd))
+    httpresponse_feed (&conn->response, NULL, 0);
+  if (conn->call == NULL)
+    return;
+  if (conn->response.complete)
+    conn_end_call (conn, STATUS_OK, NULL, false);
+  else
+    conn_end_call (conn, STATUS_UNKNOWN, "the response is incomplete", false);
 }
 
 static void
-call_format_request (struct httpclient_call *call,
-                     const struct httpclient_request *request)
+on_read (uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
 {
-  const char *lines
-      = request->header_lines != NULL ? request->header_lines : "";
-  char *head = g_strdup_printf ("%s %s HTTP/1.1\r\nhost: %s\r\n"
-                                "connection: keep-alive\r\n%s"
-                                "content-length: %zu\r\n\r\n",
-                                request->method, request->path,
-                                request->address, lines, request->body_size);
-  size_t head_size = strlen (head);
+  struct conn *conn = stream->data;
+  size_t used;
 
-  call->request_size = head_size + request->body_size;
-  call->request_bytes = g_realloc (head, call->request_size + 1);
-  if (request->body_size > 0)
-    memcpy (call->request_bytes + head_size, request->body,
-            request->body_size);
+  if (size == 0 || conn->closing)
+    return;
+  if (conn->call == NULL)
+    {
+      conn_close (conn);
+      return;
+    }
+  if (size < 0)
+    {
+      conn_lost (conn, size);
+      return;
+    }
+  conn_expect_progress (conn);
+  used = httpresponse_feed (&conn->response, buffer->base, (size_t)size);
+  if (conn->call == NULL)
+    return;
+  if (conn->response.complete)
+    conn_end_call (conn, STATUS_OK, NULL,
+                   conn->may_be_kept && conn->written && used == (size_t)size
+                       && http_should_keep_alive (&conn->response.parser));
+  else if (!httpresponse_is_valid (&conn->response))
+    conn_end_call (conn, STATUS_UNKNOWN, "the response is malformed", false);
 }
 
 static void
-refusal_timer_closed (uv_handle_t *handle)
+on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
-  g_free (handle);
+  static char bytes[READ_BYTES];
+
+  *buffer = uv_buf_init (bytes, sizeof bytes);
 }
 
 static void
-refusal_timer_fired (uv_timer_t *timer)
+on_written (uv_write_t *request, int status)
 {
-  struct httpclient_call *call = timer->data;
+  struct conn *conn = request->data;
 
-  uv_close ((uv_handle_t *)timer, refusal_timer_closed);
-  call_end (call, STATUS_UNAVAILABLE, "invalid address (expected IP:PORT)");
+  conn->written = status == 0;
+  if (status != 0 && conn->call != NULL)
+    conn_end_call (conn, STATUS_UNKNOWN, uv_strerror (status), false);
 }
 
+/* Write the request of the call. If that fails, the timer ends the call. */
 static void
-refuse_later (struct httpclient_call *call)
+conn_write (struct conn *conn)
 {
-  call->refusal_timer = g_malloc0 (sizeof *call->refusal_timer);
-  uv_timer_init (call->client->loop, call->refusal_timer);
-  call->refusal_timer->data = call;
-  uv_timer_start (call->refusal_timer, refusal_timer_fired, 0, 0);
+  struct httpclient_call *call = conn->call;
+  uv_buf_t buffer;
+
+  g_free (conn->request_bytes);
+  conn->request_bytes = g_steal_pointer (&call->request_bytes);
+  buffer = uv_buf_init (conn->request_bytes, (unsigned)call->request_size);
+  conn->written = false;
+  conn->write_request.data = conn;
+  call->may_have_sent = true;
+  conn_expect_progress (conn);
+  if (uv_write (&conn->write_request, (uv_stream_t *)&conn->tcp, &buffer, 1,
+                on_written)
+      != 0)
+    uv_timer_start (&conn->timer, conn_timer_fired, 0, 0);
 }
 
 static void
-ignore_messages (h2o_multithread_receiver_t *receiver,
-                 h2o_linklist_t *messages)
+on_connected (uv_connect_t *connect, int status)
 {
+  struct conn *conn = connect->data;
+  uv_os_fd_t fd;
+
+  if (conn->call == NULL)
+    return;
+  if (status != 0)
+    {
+      conn_end_call (conn, STATUS_UNAVAILABLE, uv_strerror (status), false);
+      return;
+    }
+  conn->connected = true;
+  uv_tcp_nodelay (&conn->tcp, 1);
+  if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0)
+    tcpkeepalive_enable (fd);
+  uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+  conn_write (conn);
 }
 
-static bool
-head_is_too_long (const struct httpclient_call *call)
+/* Open a connection for CALL. If that fails at once, the timer ends it. */
+static void
+conn_open (struct httpclient_call *call,
+           const struct httpclient_request *request)
 {
-  return call->connection != NULL && call->connection->sock != NULL
-         && call->connection->sock->input->size > HEAD_BYTES_MAX;
+  struct httpclient *client = call->client;
+  struct conn *conn = g_new0 (struct conn, 1);
+  struct sockaddr_in address;
+
+  conn->client = client;
+  conn->call = call;
+  call->conn = conn;
+  conn->address = g_strdup (request->address);
+  conn->may_be_kept = !request->new_connection;
+  httpresponse_init (&conn->response, HEAD_BYTES_MAX,
+                     strcmp (request->method, "HEAD") == 0, &response_ops,
+                     conn);
+  list_init (&conn->idle_node);
+  list_init (&conn->node);
+  list_append (&client->conns, &conn->node);
+  conn->open_handles = 2;
+  conn->tcp.data = conn;
+  conn->timer.data = conn;
+  conn->connect_request.data = conn;
+  uv_tcp_init (client->loop, &conn->tcp);
+  uv_timer_init (client->loop, &conn->timer);
+  conn_expect_progress (conn);
+  if (address_parse (request->address, &address) != STATUS_OK
+      || uv_tcp_connect (&conn->connect_request, &conn->tcp,
+                         (const struct sockaddr *)&address, on_connected)
+             != 0)
+    uv_timer_start (&conn->timer, conn_timer_fired, 0, 0);
 }
 
-/* Move the first call in flight behind the others and end it if its head is
- * too long. The callback of its end may end other calls. */
-static void
-first_head_check (struct httpclient *client)
+/* Whether nothing has come on an idle connection, not even its end. */
+static bool
+conn_is_quiet (struct conn *conn)
 {
-  struct list *node = client->calls.next;
-  struct httpclient_call *call
-      = LIST_ENTRY (node, struct httpclient_call, node);
+  uv_os_fd_t fd;
+  char byte;
 
-  list_remove (node);
-  list_append (&client->calls, node);
-  if (!head_is_too_long (call))
-    return;
-  h2o_http1client_cancel (call->connection);
-  call_end (call, STATUS_UNKNOWN, "the response head is too long");
+  return uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-/* h2o has no bound on the head of a response, so heads are checked when the
- * loop has read: nothing else wakes it up once the bytes stop. */
-static void
-heads_check (uv_check_t *check)
+/* Use an idle connection for CALL, if there is one. */
+static bool
+conn_reuse (struct httpclient_call *call,
+            const struct httpclient_request *request)
 {
-  struct httpclient *client = check->data;
-  uint64_t now_ms = uv_now (client->loop);
-  unsigned count = MIN (client->call_count, HEADS_PER_CHECK);
+  struct pool *pool = pool_get (call->client, request->address);
 
-  if (now_ms >= client->next_check_ms)
+  while (!list_empty (&pool->idle))
     {
-      client->next_check_ms = now_ms + HEADS_CHECK_INTERVAL_MS;
-      count = client->call_count;
+      struct conn *conn = LIST_ENTRY (pool->idle.next, struct conn, idle_node);
+
+      if (!conn_is_quiet (conn))
+        {
+          conn_close (conn);
+          continue;
+        }
+      conn_leave_pool (conn);
+      httpresponse_restart (&conn->response);
+      conn->response.answers_head = strcmp (request->method, "HEAD") == 0;
+      conn->call = call;
+      call->conn = conn;
+      conn_write (conn);
+      return true;
     }
-  for (unsigned i = 0; i < count && !list_empty (&client->calls); i++)
-    first_head_check (client);
+  return false;
+}
+
+static void
+call_format_request (struct httpclient_call *call,
+                     const struct httpclient_request *request)
+{
+  const char *lines
+      = request->header_lines != NULL ? request->header_lines : "";
+  char *head = g_strdup_printf ("%s %s HTTP/1.1\r\nhost: %s\r\n"
+                                "connection: keep-alive\r\n%s"
+                                "content-length: %zu\r\n\r\n",
+                                request->method, request->path,
+                                request->address, lines, request->body_size);
+  size_t head_size = strlen (head);
+
+  call->request_size = head_size + request->body_size;
+  call->request_bytes = g_realloc (head, call->request_size + 1);
+  if (request->body_size > 0)
+    memcpy (call->request_bytes + head_size, request->body,
+            request->body_size);
 }
 
 void
@@ -314,20 +419,11 @@
 {
   memset (client, 0, sizeof *client);
   client->loop = loop;
-  client->queue = h2o_multithread_create_queue (loop);
-  h2o_multithread_register_receiver (client->queue, &client->receiver,
-                                     ignore_messages);
-  h2o_timeout_init (loop, &client->io_timeout, io_timeout_ms);
-  client->context.loop = loop;
-  client->context.getaddr_receiver = &client->receiver;
-  client->context.io_timeout = &client->io_timeout;
-  client->pools_by_address
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pool_free);
+  client->io_timeout_ms = io_timeout_ms;
+  client->pools
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  list_init (&client->conns);
   list_init (&client->calls);
-  uv_check_init (loop, &client->check);
-  client->check.data = client;
-  uv_check_start (&client->check, heads_check);
-  uv_unref ((uv_handle_t *)&client->check);
 }
 
 void
@@ -336,11 +432,9 @@
   while (!list_empty (&client->calls))
     httpclient_cancel (
         LIST_ENTRY (client->calls.next, struct httpclient_call, node));
-  uv_close ((uv_handle_t *)&client->check, NULL);
-  g_hash_table_destroy (client->pools_by_address);
-  h2o_timeout_dispose (client->loop, &client->io_timeout);
-  h2o_multithread_unregister_receiver (client->queue, &client->receiver);
-  h2o_multithread_destroy_queue (client->queue);
+  while (!list_empty (&client->conns))
+    conn_close (LIST_ENTRY (client->conns.next, struct conn, node));
+  g_hash_table_destroy (client->pools);
 }
 
 struct httpclient_call *
@@ -348,48 +442,27 @@
                  const struct httpclient_request *request,
                  const struct httpclient_ops *ops, void *data)
 {
-  struct httpclient_call *call = g_malloc0 (sizeof *call);
-  struct sockaddr_in address;
-  const char *colon = strrchr (request->address, ':');
+  struct httpclient_call *call = g_new0 (struct httpclient_call, 1);
 
   call->client = client;
   call->ops = ops;
   call->data = data;
-  call->is_head_request = strcmp (request->method, "HEAD") == 0;
   list_init (&call->node);
   list_append (&client->calls, &call->node);
   client->call_count++;
   call_format_request (call, request);
-  if (address_parse (request->address, &address) != STATUS_OK)
-    refuse_later (call);
-  else if (request->new_connection)
-    h2o_http1client_connect (
-        &call->connection, call, &client->context,
-        h2o_iovec_init (request->address, colon - request->address),
-        ntohs (address.sin_port), 0, on_connect);
-  else
-    h2o_http1client_connect_with_pool (
-        &call->connection, call, &client->context,
-        pool_get (client, request->address, &address), on_connect);
+  if (request->new_connection || !conn_reuse (call, request))
+    conn_open (call, request);
   return call;
 }
 
 void
 httpclient_cancel (struct httpclient_call *call)
 {
-  if (call->refusal_timer != NULL)
-    {
-      uv_close ((uv_handle_t *)call->refusal_timer, refusal_timer_closed);
-      call_free (call);
-      return;
-    }
-  if (call->connection == NULL)
-    {
-      /* A callback is running; on_head or on_body frees CALL after it. */
-      call->ops = NULL;
-      return;
-    }
-  h2o_http1client_cancel (call->connection);
+  struct conn *conn = call->conn;
+
+  conn->call = NULL;
+  conn_close (conn);
   call_free (call);
 }
 
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -4,37 +4,31 @@
 #include "list.h"
 #include "status.h"
 
-#include <h2o.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <uv.h>
 
 /** @file
- * HTTP/1.1 calls to numeric addresses through h2o's client on libuv.
+ * HTTP/1.1 calls to numeric addresses on libuv. Connections are kept for a
+ * while and used again, unless anything but one whole response came.
+ *
+ * A response that httpresponse does not allow ends its call with
+ * STATUS_UNKNOWN. h2o's client lets some of them pass, and ends the process
+ * for others.
  *
  * A call that is not cancelled ends with exactly one final callback, which
  * never comes from inside httpclient_call.
  */
 
-enum
-{
-  /** Maximum number of response headers; further ones are dropped. */
-  HTTPCLIENT_HEADERS_MAX = 64
-};
-
 struct httpclient
 {
   uv_loop_t *loop;
-  h2o_http1client_ctx_t context;
-  h2o_timeout_t io_timeout;
-  h2o_multithread_queue_t *queue;
-  h2o_multithread_receiver_t receiver;
-  /** Hash table from "IP:PORT" to h2o_socketpool_t. */
-  void *pools_by_address;
-  struct list calls; /**< Calls in flight, in turn to be checked. */
+  uint64_t io_timeout_ms;
+  void *pools; /**< Hash table from "IP:PORT" to lists of idle connections. */
+  struct list conns; /**< All connections. */
+  struct list calls; /**< Calls in flight. */
   unsigned call_count;
-  uv_check_t check;       /**< Bounds the heads of responses. */
-  uint64_t next_check_ms; /**< Time of the loop of the next check of all. */
 };
 
 struct httpclient_header
