Requests are checked line by line, and trailer fields are not part of a head

The trailer fields of a request counted as fields of its head: one could bring the key, the model or the deadline of the request.

Cause: the same parser as for responses, and fields were collected wherever they came.

Fix: httpcheck runs before the parser here too (400, reason malformed_line), and fields behind the head are checked but not used. The rule about a blank in a name is the check's now.

--- a/src/callerconn.c
+++ b/src/callerconn.c
@@ -70,14 +70,6 @@
   bytebudget_update (&conn->server->unsent, &conn->counted_unsent, unsent);
 }
 
-static void
-conn_serving_set (struct callerconn *conn, bool serving)
-{
-  if (conn->serving == serving)
-    return;
-  conn->serving = serving;
-}
-
 static void
 conn_close (struct callerconn *conn)
 {
@@ -86,7 +78,7 @@
   if (conn->closing)
     return;
   conn->closing = true;
-  conn_serving_set (conn, false);
+  conn->serving = false;
   conn_update_buffered (conn);
   conn_update_unsent (conn);
   list_remove (&conn->node);
@@ -220,8 +212,10 @@
 static void
 conn_wait_request (struct callerconn *conn)
 {
+  httpcheck_begin_request (&conn->check);
   g_string_truncate (conn->target, 0);
   httpfields_clear (&conn->head);
+  conn->has_head = false;
   g_byte_array_set_size (conn->body, 0);
   conn->arrived_ns = 0;
   conn->owner_data = NULL;
@@ -261,10 +255,9 @@
 {
   struct callerconn *conn = parser->data;
 
-  httpfields_append_name (&conn->head, bytes, size);
-  /* The parser takes a space before the colon for a part of the name, which
-   * other recipients would read differently. */
-  return head_fits (conn) && memchr (bytes, ' ', size) == NULL ? 0 : 1;
+  if (!conn->has_head)
+    httpfields_append_name (&conn->head, bytes, size);
+  return head_fits (conn) ? 0 : 1;
 }
 
 static int
@@ -272,7 +265,8 @@
 {
   struct callerconn *conn = parser->data;
 
-  httpfields_append_value (&conn->head, bytes, size);
+  if (!conn->has_head)
+    httpfields_append_value (&conn->head, bytes, size);
   return head_fits (conn) ? 0 : 1;
 }
 
@@ -282,6 +276,9 @@
   static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
   struct callerconn *conn = parser->data;
 
+  conn->has_head = true;
+  if ((parser->flags & F_CHUNKED) != 0)
+    httpcheck_begin_chunks (&conn->check);
   uv_timer_start (&conn->timer, request_timer_fired, BODY_TIMEOUT_MS, 0);
   /* An Upgrade header is ignored, as RFC 9110 allows. */
   if (parser->method != HTTP_CONNECT)
@@ -327,7 +324,7 @@
 {
   conn->keep_alive = http_should_keep_alive (&conn->parser) != 0;
   uv_timer_stop (&conn->timer);
-  conn_serving_set (conn, true);
+  conn->serving = true;
   conn->server->ops->request_received (conn->server->data, conn);
 }
 
@@ -341,14 +338,35 @@
   else if (parse_error == HPE_CB_body)
     conn_refuse (conn, 413, "body_too_large");
   else
-    conn_refuse (conn, 400, http_errno_name (parse_error));
+    conn_refuse (conn, 400,
+                 parse_error != HPE_OK ? http_errno_name (parse_error)
+                                       : "malformed_line");
+}
+
+/* Check and parse bytes of one request. @return number of bytes parsed */
+static size_t
+request_parse (struct callerconn *conn, const char *bytes, size_t size)
+{
+  size_t parsed = 0;
+
+  while (parsed < size && HTTP_PARSER_ERRNO (&conn->parser) == HPE_OK
+         && conn->check.section != HTTPCHECK_MALFORMED)
+    {
+      size_t part
+          = httpcheck_feed (&conn->check, bytes + parsed, size - parsed);
+
+      parsed += http_parser_execute (&conn->parser, &parser_settings,
+                                     bytes + parsed, part);
+      if (conn->parser.upgrade)
+        break;
+    }
+  return parsed;
 }
 
 static void
 conn_parse (struct callerconn *conn, const char *bytes, size_t size)
 {
-  size_t parsed
-      = http_parser_execute (&conn->parser, &parser_settings, bytes, size);
+  size_t parsed = request_parse (conn, bytes, size);
   enum http_errno parse_error = HTTP_PARSER_ERRNO (&conn->parser);
 
   if (parse_error == HPE_PAUSED)
@@ -361,7 +379,8 @@
       return;
     }
   conn_update_buffered (conn);
-  if (parse_error != HPE_OK || conn->parser.upgrade)
+  if (parse_error != HPE_OK || conn->parser.upgrade
+      || conn->check.section == HTTPCHECK_MALFORMED)
     conn_parse_failed (conn);
   else if (conn->parser.content_length != UINT64_MAX
            && conn->parser.content_length > conn->server->limits.body_bytes)
@@ -466,7 +485,7 @@
 conn_response_ended (struct callerconn *conn)
 {
   conn->owner_data = NULL;
-  conn_serving_set (conn, false);
+  conn->serving = false;
   if (conn->closing)
     return;
   /* The head of a stream that began before the stop told the caller that the
--- a/src/callerconn.h
+++ b/src/callerconn.h
@@ -2,6 +2,7 @@
 #define CALLERCONN_H
 
 #include "callerserver.h"
+#include "httpcheck.h"
 #include "httpfields.h"
 
 #include <http_parser.h>
@@ -21,9 +22,12 @@
   struct callerserver *server;
   uv_tcp_t tcp;
   uv_timer_t timer;
+  struct httpcheck check;
   http_parser parser;
   GString *target; /**< Path and query of the request. */
   struct httpfields head;
+  bool has_head; /**< Whether the head has arrived; fields that follow are
+                    trailer fields, which are not used. */
   GByteArray *body;
   GByteArray *pipelined; /**< Bytes received after the current request. */
   /** Number of bytes that this connection adds to
