The events that a returned caller has count for the next one

Cause: whether a continuation begins with the next event was decided from the events that this response had relayed. Those of a returned caller don't begin with 1, so they counted as ids with gaps, behind which any later one follows. Where only comments had come, the next engine was asked from the beginning.

Fix: the id that the caller names is the last one before the first event.

--- a/src/eventstream.c
+++ b/src/eventstream.c
@@ -17,6 +17,14 @@
   g_string_free (stream->pending, TRUE);
 }
 
+void
+eventstream_begin_after (struct eventstream *stream, uint64_t last_id)
+{
+  stream->last_id = last_id;
+  stream->last_has_id = true;
+  stream->has_begun = true;
+}
+
 void
 eventstream_restart (struct eventstream *stream, bool continues)
 {
--- a/src/eventstream.h
+++ b/src/eventstream.h
@@ -21,9 +21,11 @@
   /** Number of complete events since the start or the last restart, without
    * those of only comments and retry times. */
   uint64_t event_count;
-  bool has_begun;      /**< Whether any event was complete. */
+  /** Whether any event was complete, or the caller had one before. */
+  bool has_begun;
   bool last_has_id;    /**< Whether the last complete event has an id. */
-  bool is_consecutive; /**< Whether the ids were 1, 2, 3 and so on. */
+  bool is_consecutive; /**< Whether each id was one more than the
+                          one before, and the first one 1. */
   bool continues;      /**< Whether the events since the restart continue those
                           before. */
   /** Whether the first event since the restart is not the next one. It and
@@ -34,6 +36,10 @@
 void eventstream_init (struct eventstream *stream);
 void eventstream_finish (struct eventstream *stream);
 
+/** Expect the events behind the one with the id LAST_ID, which the caller had
+ * before. Call it before any byte is appended. */
+void eventstream_begin_after (struct eventstream *stream, uint64_t last_id);
+
 /** Drop the pending bytes and reset the event count; the ids stay.
  * @param continues whether the events to come continue those before; if so,
  * comments and retry times before the first of them are dropped */
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -482,6 +482,9 @@
       exchange_init (&forward->exchange, &forwarder->responses,
                      forwarder->dialect, forwarder->clock, &exchange_ops,
                      forward);
+      if (call.resumes)
+        eventstream_begin_after (&forward->exchange.events,
+                                 call.last_event_id);
       forward_start (forward);
       return;
     }
--- a/test/test-continuation.c
+++ b/test/test-continuation.c
@@ -185,12 +185,42 @@
     }
 }
 
+/* The stream of a caller that came back went on with any later event, since
+ * its ids did not begin with 1, or from the beginning where only comments had
+ * come. */
+static void
+test_stream_of_a_returned_caller (void)
+{
+  static const struct fake_upstream_step firsts[] = {
+    { STREAM "\r\n" EVENT (5) "id: 6", FAKE_UPSTREAM_CLOSE },
+    { STREAM "\r\n: c\n\nid: 5", FAKE_UPSTREAM_CLOSE },
+  };
+  static const char *const afters[]
+      = { "Last-Event-Id: 5\r\n", "Last-Event-Id: 4\r\n" };
+  static const struct fake_upstream_step later
+      = { STREAM "\r\n" EVENT (999), FAKE_UPSTREAM_CLOSE };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (firsts); i++)
+    {
+      fake_path_setup (&firsts[i], 1, &later, 1);
+      servers_find (&path.servers, "i-1")->failure_ratio = 0.8;
+      fake_path_request_send ("/stream/", "Last-Event-Id: 4\r\n");
+      CU_ASSERT_TRUE (fake_path_run_until (NULL));
+      CU_ASSERT_EQUAL (path.upstreams[1].requests, 1);
+      CU_ASSERT_PTR_NOT_NULL (strstr (path.upstreams[1].last->str, afters[i]));
+      CU_ASSERT_PTR_NULL (strstr (path.answer->str, EVENT (999)));
+      CU_ASSERT_FALSE (g_str_has_suffix (path.answer->str, END_OF_STREAM));
+      fake_path_finish ();
+    }
+}
+
 static const struct unit_case cases[] = {
   { "other-answers-end-no-stream", test_other_answers_end_no_stream },
   { "third-server-continues", test_third_server_continues },
   { "stream-without-ids-is-not-continued",
     test_stream_without_ids_is_not_continued },
   { "sound-continuations", test_sound_continuations },
+  { "stream-of-a-returned-caller", test_stream_of_a_returned_caller },
 };
 
 int
