A soak of broken answers, with real processes

Engines write one of 25 forms of broken answers, or one of 10 that do not continue a stream, in place of a quarter of their answers, while the streams of callers are cut; callers check that nothing of them reaches them, and all other checks of the soak hold too.

The first runs of this soak were red on its own account: streams went on being cut when the faults had ended, which used the retry budget up.

--- a/test/check-soak.sh
+++ b/test/check-soak.sh
@@ -24,6 +24,8 @@
 ninth=$!
 run long-runs --seed 1 --long-runs &
 eighth=$!
+run broken --seed 31 --broken-answers &
+tenth=$!
 {
   run cut-streams --seed 5 --cut-streams
   rc=$?
@@ -40,8 +42,9 @@
 wait $seventh || failed=1
 wait $eighth || failed=1
 wait $ninth || failed=1
+wait $tenth || failed=1
 for name in faults planned poison limits drills cut-streams cut-callers \
-  foreign long-runs endless; do
+  foreign long-runs endless broken; do
   grep -E '^(not )?ok ' "$folder/$name.txt" || echo "not ok soak/$name"
   grep 'BROKEN' "$folder/$name.txt"
 done
--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -1,5 +1,6 @@
 #include "soak-caller.h"
 #include "soak-engine.h"
+#include "soak-broken.h"
 #include "soak-foreign.h"
 
 #include <stdlib.h>
@@ -176,6 +177,7 @@
   unsigned status = caller->parser.status_code;
 
   soak_foreign_answered (caller->soak, request, status);
+  soak_broken_check (caller->soak, request, &caller->head, caller->body->str);
   stop_check (caller->soak, request, status);
   if (status == 200 && !success_is_right (caller))
     {
@@ -240,6 +242,7 @@
   bool is_failure = caller->body->len > 0 && caller->parser.status_code != 200;
   int count = is_failure ? 0 : events_count (caller, false);
 
+  soak_broken_check (caller->soak, request, &caller->head, caller->body->str);
   if (count < 0)
     {
       caller->soak->streams.wrong++;
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -1,5 +1,6 @@
 #include "soak-engine.h"
 #include "callerconn.h"
+#include "soak-broken.h"
 #include "soak-endless.h"
 #include "soak-foreign.h"
 
@@ -253,13 +254,15 @@
   struct run *run = g_new0 (struct run, 1);
   const struct soak_streams *streams = &engine->soak->streams;
   bool is_stream = request->kind == SOAK_STREAM;
+  unsigned next_event = (unsigned)atoi (field (conn, "Last-Event-Id")) + 1;
 
   request_check (engine, conn, request);
   if (request->is_poison)
     soak_poison_arrived (engine->soak);
   limit_check (engine);
   request->runs++;
-  if (soak_endless_begin (engine->soak, conn, request))
+  if (soak_endless_begin (engine->soak, conn, request)
+      || soak_broken_answer (engine->soak, conn, request, next_event))
     {
       g_free (run);
       return;
@@ -269,7 +272,7 @@
   conn->owner_data = run;
   run->request = request;
   run->is_unframed = soak_draw (engine->soak, 0, 2) == 0;
-  run->next_event = (unsigned)atoi (field (conn, "Last-Event-Id")) + 1;
+  run->next_event = next_event;
   if (is_stream && streams->cut_after > 0 && request->runs == 1)
     run->cut_event = run->next_event + streams->cut_after;
   run->foreign = soak_foreign_draw (engine->soak, request);
--- a/test/soak.c
+++ b/test/soak.c
@@ -4,6 +4,7 @@
 #include "soak-drill.h"
 #include "soak-cuts.h"
 #include "soak-engine.h"
+#include "soak-broken.h"
 #include "soak-endless.h"
 #include "soak-foreign.h"
 #include "soak-proxy.h"
@@ -62,6 +63,7 @@
 static gboolean option_foreign_answers;
 static gboolean option_long_runs;
 static gboolean option_endless;
+static gboolean option_broken_answers;
 static gboolean option_cut_callers;
 static char *option_program = "build/trefoilspard";
 static char *option_folder = "build/soak-logs";
@@ -90,6 +92,8 @@
     "Engines that send bytes without end; no other faults but changes of the "
     "configuration",
     NULL },
+  { "broken-answers", 0, 0, G_OPTION_ARG_NONE, &option_broken_answers,
+    "Engines whose answers HTTP does not allow, and cut streams", NULL },
   { "long-runs", 0, 0, G_OPTION_ARG_NONE, &option_long_runs,
     "Runs of up to six seconds, and no other faults than planned stops",
     NULL },
@@ -331,7 +335,7 @@
   world.next_fault_ns
       = now + soak_draw (&world.soak, 50, FAULT_GAP_MS) * NS_PER_MS;
   world.faults++;
-  if (option_foreign_answers || option_endless)
+  if (option_foreign_answers || option_endless || option_broken_answers)
     fault_config ();
   else if (option_long_runs)
     fault_stop ();
@@ -373,6 +377,9 @@
       heal (i);
   world.soak.foreign.has_ended = now >= world.faults_end_ns;
   world.soak.endless.has_ended = now >= world.faults_end_ns;
+  world.soak.broken.has_ended = now >= world.faults_end_ns;
+  if (world.soak.broken.has_ended)
+    world.soak.streams.cut_after = 0;
   for (int i = 0; i < ENGINES && now >= world.faults_end_ns; i++)
     {
       world.engines[i].lost = 0;
@@ -441,6 +448,7 @@
   recovery_check ();
   soak_foreign_check (&world.soak);
   soak_endless_say (&world.soak);
+  soak_broken_say (&world.soak);
   if (option_long_runs)
     soak_say (&world.soak,
               "of the requests sent to stopping hosts %u were served, %u "
@@ -535,11 +543,14 @@
              : option_drills          ? "drills-"
              : option_foreign_answers ? "foreign-"
              : option_endless         ? "endless-"
+             : option_broken_answers  ? "broken-"
              : option_long_runs       ? "long-runs-"
                                       : "");
   soak->planned_only = option_planned || option_long_runs;
   soak->stops.is_played = option_long_runs;
   soak->endless.is_played = option_endless;
+  soak->broken.is_played = option_broken_answers;
+  soak->streams.cut_after = option_broken_answers ? 1 : 0;
   if (option_long_runs)
     {
       soak->streams.events = LONG_EVENTS;
--- a/test/soak.h
+++ b/test/soak.h
@@ -117,6 +117,16 @@
   unsigned most_mb; /**< that a host held */
 };
 
+/** Engines with answers that are none, see soak-broken.h. */
+struct soak_broken
+{
+  bool is_played;
+  bool has_ended;
+  unsigned written;
+  unsigned continuations; /**< to requests to continue a stream */
+  unsigned relayed;       /**< that reached callers */
+};
+
 struct soak
 {
   /** Another build of the daemon, which every other start of a host runs;
@@ -135,6 +145,7 @@
   struct soak_foreign foreign;
   struct soak_stops stops;
   struct soak_endless endless;
+  struct soak_broken broken;
   unsigned deadline_ms;      /**< of requests */
   unsigned route_timeout_ms; /**< of routes */
   bool planned_only; /**< Faults are planned stops and reloads alone. */
