--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -403,6 +403,16 @@
   return false;
 }
 
+int
+fake_path_answer_status (void)
+{
+  int status = 0;
+
+  if (fake_path_run_until ("\r\n\r\n"))
+    sscanf (path.answer->str, "HTTP/1.1 %d", &status);
+  return status;
+}
+
 void
 fake_path_run_for (int64_t ms)
 {
--- a/test/fake-path.h
+++ b/test/fake-path.h
@@ -86,6 +86,9 @@
 bool fake_path_run_until (const char *text);
 void fake_path_run_for (int64_t ms);
 
+/** Run until the head of the answer is there. @return its status, or 0 */
+int fake_path_answer_status (void);
+
 void fake_path_caller_send (const char *text);
 /** A POST with a body, with whole header lines EXTRA. */
 void fake_path_request_send (const char *target, const char *extra);
--- a/test/test-brokenanswer.c
+++ b/test/test-brokenanswer.c
@@ -17,27 +17,6 @@
 static const struct fake_upstream_step sound
     = { OK "Content-Length: 5\r\n\r\nhello", FAKE_UPSTREAM_KEEP };
 
-static int
-answer_status (void)
-{
-  int status = 0;
-
-  if (fake_path_run_until ("\r\n\r\n"))
-    sscanf (path.answer->str, "HTTP/1.1 %d", &status);
-  return status;
-}
-
-static void
-expect (bool holds, const char *what, const char *answer)
-{
-  char *text = g_strescape (answer, NULL);
-
-  if (!holds)
-    printf ("# %s: %s\n", what, text);
-  CU_ASSERT_TRUE (holds);
-  g_free (text);
-}
-
 /* No caller gets any of ANSWERS: where a request may run once, it has failed
  * and is not said not to have run; where it may run again, it does. */
 static void
@@ -50,19 +29,21 @@
 
         fake_path_setup (&step, 1, &step, 1);
         fake_path_request_send ("/once/", "");
-        expect (answer_status () == FAILED, "once", answers[i]);
-        expect (strstr (path.answer->str, "broken") == NULL, "body",
-                answers[i]);
-        expect (path.upstreams[0].requests + path.upstreams[1].requests == 1,
-                "requests", answers[i]);
+        unit_expect (fake_path_answer_status () == FAILED, "once", answers[i]);
+        unit_expect (strstr (path.answer->str, "broken") == NULL, "body",
+                     answers[i]);
+        unit_expect (path.upstreams[0].requests + path.upstreams[1].requests
+                         == 1,
+                     "requests", answers[i]);
         fake_path_finish ();
         fake_path_setup (&step, 1, &sound, 1);
         servers_find (&path.servers, "i-1")->failure_ratio = 0.9;
         fake_path_request_send ("/safe/", "");
-        expect (answer_status () == SERVED
-                    && fake_path_run_until ("\r\n\r\nhello"),
-                "again", answers[i]);
-        expect (path.upstreams[0].requests == 1, "first server", answers[i]);
+        unit_expect (fake_path_answer_status () == SERVED
+                         && fake_path_run_until ("\r\n\r\nhello"),
+                     "again", answers[i]);
+        unit_expect (path.upstreams[0].requests == 1, "first server",
+                     answers[i]);
         fake_path_finish ();
       }
 }
@@ -285,14 +266,16 @@
 
       fake_path_setup (&step, 1, &step, 1);
       fake_path_request_send ("/once/", "");
-      expect (answer_status () == unusual[i].status, "status",
-              unusual[i].answer);
+      unit_expect (fake_path_answer_status () == unusual[i].status, "status",
+                   unusual[i].answer);
       if (unusual[i].body != NULL)
-        expect (fake_path_run_until (unusual[i].body)
-                    && g_str_has_suffix (path.answer->str, unusual[i].body),
-                "body", unusual[i].answer);
-      expect (path.upstreams[0].requests + path.upstreams[1].requests == 1,
-              "requests", unusual[i].answer);
+        unit_expect (
+            fake_path_run_until (unusual[i].body)
+                && g_str_has_suffix (path.answer->str, unusual[i].body),
+            "body", unusual[i].answer);
+      unit_expect (path.upstreams[0].requests + path.upstreams[1].requests
+                       == 1,
+                   "requests", unusual[i].answer);
       fake_path_finish ();
     }
 }
@@ -324,10 +307,11 @@
       reach_record_unanswered (servers_reach (&path.servers, "svc"),
                                server->id_hash, clock_now (&path.clock));
       fake_path_run_for (200);
-      expect (path.upstreams[0].queries >= 1, "queries", states[i]);
-      expect (!server->states_leaving, "leaving", states[i]);
-      expect (serverpause_allows (&server->pause, clock_now (&path.clock)),
-              "pause", states[i]);
+      unit_expect (path.upstreams[0].queries >= 1, "queries", states[i]);
+      unit_expect (!server->states_leaving, "leaving", states[i]);
+      unit_expect (
+          serverpause_allows (&server->pause, clock_now (&path.clock)),
+          "pause", states[i]);
       fake_path_finish ();
     }
 }
@@ -348,19 +332,19 @@
 
         fake_path_setup (&step, 1, &sound, 1);
         fake_path_request_send ("/once/", "");
-        if (answer_status () != SERVED)
-          expect (answer_status () == FAILED
-                      && path.upstreams[1].requests == 0,
-                  "once", half);
+        if (fake_path_answer_status () != SERVED)
+          unit_expect (fake_path_answer_status () == FAILED
+                           && path.upstreams[1].requests == 0,
+                       "once", half);
         else
-          expect (path.upstreams[0].requests == 0, "other server", half);
+          unit_expect (path.upstreams[0].requests == 0, "other server", half);
         fake_path_finish ();
         fake_path_setup (&step, 1, &sound, 1);
         servers_find (&path.servers, "i-1")->failure_ratio = 0.9;
         fake_path_request_send ("/safe/", "");
-        expect (answer_status () == SERVED
-                    && fake_path_run_until ("\r\n\r\nhello"),
-                "again", half);
+        unit_expect (fake_path_answer_status () == SERVED
+                         && fake_path_run_until ("\r\n\r\nhello"),
+                     "again", half);
         fake_path_finish ();
         g_free (half);
       }
--- a/test/test-brokenreply.c
+++ b/test/test-brokenreply.c
@@ -85,17 +85,6 @@
   return reply.status;
 }
 
-static void
-expect (bool holds, const char *what, const char *answer)
-{
-  char *text = g_strescape (answer, NULL);
-
-  if (!holds)
-    printf ("# %s: %s\n", what, text);
-  CU_ASSERT_TRUE (holds);
-  g_free (text);
-}
-
 /* Replies that HTTP does not allow were believed by the client of the KV
  * service, of orders, reports and cached blocks, and of gateways. */
 static void
@@ -155,9 +144,10 @@
 
   for (unsigned i = 0; i < G_N_ELEMENTS (broken); i++)
     {
-      expect (status_of (broken[i]) == STATUS_UNKNOWN, "status", broken[i]);
-      expect (!reply.has_head, "head", broken[i]);
-      expect (reply.body->len == 0, "body", broken[i]);
+      unit_expect (status_of (broken[i]) == STATUS_UNKNOWN, "status",
+                   broken[i]);
+      unit_expect (!reply.has_head, "head", broken[i]);
+      unit_expect (reply.body->len == 0, "body", broken[i]);
     }
 }
 
@@ -174,7 +164,7 @@
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (broken); i++)
-    expect (status_of (broken[i]) == STATUS_UNKNOWN, "status", broken[i]);
+    unit_expect (status_of (broken[i]) == STATUS_UNKNOWN, "status", broken[i]);
 }
 
 /* Unusual but sound replies must not be refused. */
@@ -194,12 +184,12 @@
 
   for (unsigned i = 0; i < G_N_ELEMENTS (unusual); i++)
     {
-      expect (status_of (unusual[i]) == STATUS_OK, "status", unusual[i]);
-      expect (strcmp (reply.body->str, "{}") == 0, "body", unusual[i]);
+      unit_expect (status_of (unusual[i]) == STATUS_OK, "status", unusual[i]);
+      unit_expect (strcmp (reply.body->str, "{}") == 0, "body", unusual[i]);
     }
-  expect (status_of ("HTTP/1.1 204 x\r\nContent-Length: 0\r\n\r\n")
-              == STATUS_OK,
-          "status", "204");
+  unit_expect (status_of ("HTTP/1.1 204 x\r\nContent-Length: 0\r\n\r\n")
+                   == STATUS_OK,
+               "status", "204");
   httpclient_finish (&reply.client);
   uv_run (&reply.loop, UV_RUN_NOWAIT);
   g_string_free (reply.body, TRUE);
--- a/test/test-callerhead.c
+++ b/test/test-callerhead.c
@@ -14,17 +14,6 @@
         "Content-Length: 5\r\n\r\nhello",
         FAKE_UPSTREAM_KEEP };
 
-static void
-expect (bool holds, const char *what, const char *request)
-{
-  char *text = g_strescape (request, NULL);
-
-  if (!holds)
-    printf ("# %s: %s\n", what, text);
-  CU_ASSERT_TRUE (holds);
-  g_free (text);
-}
-
 /* Requests that recipients read differently were passed on, some with other
  * fields or another body than their callers meant. */
 static void
@@ -54,8 +43,8 @@
     {
       fake_path_setup (&sound, 1, NULL, 0);
       fake_path_caller_send (broken[i]);
-      expect (fake_path_run_until ("HTTP/1.1 400"), "status", broken[i]);
-      expect (path.upstreams[0].requests == 0, "requests", broken[i]);
+      unit_expect (fake_path_run_until ("HTTP/1.1 400"), "status", broken[i]);
+      unit_expect (path.upstreams[0].requests == 0, "requests", broken[i]);
       fake_path_finish ();
     }
 }
@@ -104,7 +93,7 @@
           fake_path_caller_send (part);
           uv_run (&path.loop, UV_RUN_NOWAIT);
         }
-      expect (fake_path_run_until ("hello"), "parts", unusual[i]);
+      unit_expect (fake_path_run_until ("hello"), "parts", unusual[i]);
       fake_path_finish ();
     }
   fake_path_setup (&sound, 1, NULL, 0);
--- a/test/test-continuation.c
+++ b/test/test-continuation.c
@@ -35,17 +35,6 @@
     }
 }
 
-static void
-expect (bool holds, const char *what, const char *answer)
-{
-  char *text = g_strescape (answer, NULL);
-
-  if (!holds)
-    printf ("# %s: %s\n", what, text);
-  CU_ASSERT_TRUE (holds);
-  g_free (text);
-}
-
 /* Answers that do not continue a stream behind its event 2. */
 static const char *const others[] = {
   STREAM "Content-Length: 0\r\n\r\n",
@@ -90,19 +79,20 @@
 
       setup (&step, NULL);
       fake_path_request_send ("/stream/", "");
-      expect (fake_path_run_until (NULL), "end", others[i]);
-      expect (strstr (path.answer->str, EVENT (2)) != NULL, "begin",
-              others[i]);
-      expect (!g_str_has_suffix (path.answer->str, END_OF_STREAM), "complete",
-              others[i]);
-      expect (strstr (path.answer->str, "evil") == NULL, "text", others[i]);
-      expect (strstr (path.answer->str, EVENT (3)) == NULL
-                  && strstr (path.answer->str, EVENT (4)) == NULL,
-              "events", others[i]);
-      expect (g_strrstr (path.answer->str, EVENT (1))
-                  == strstr (path.answer->str, EVENT (1)),
-              "event 1 twice", others[i]);
-      expect (path.upstreams[1].requests == 1, "requests", others[i]);
+      unit_expect (fake_path_run_until (NULL), "end", others[i]);
+      unit_expect (strstr (path.answer->str, EVENT (2)) != NULL, "begin",
+                   others[i]);
+      unit_expect (!g_str_has_suffix (path.answer->str, END_OF_STREAM),
+                   "complete", others[i]);
+      unit_expect (strstr (path.answer->str, "evil") == NULL, "text",
+                   others[i]);
+      unit_expect (strstr (path.answer->str, EVENT (3)) == NULL
+                       && strstr (path.answer->str, EVENT (4)) == NULL,
+                   "events", others[i]);
+      unit_expect (g_strrstr (path.answer->str, EVENT (1))
+                       == strstr (path.answer->str, EVENT (1)),
+                   "event 1 twice", others[i]);
+      unit_expect (path.upstreams[1].requests == 1, "requests", others[i]);
       fake_path_finish ();
     }
 }
@@ -118,11 +108,12 @@
 
       setup (&step, &rest);
       fake_path_request_send ("/stream/", "");
-      expect (fake_path_run_until (END_OF_STREAM)
-                  && strstr (path.answer->str, EVENT (4)) != NULL,
-              "continued", others[i]);
-      expect (strstr (path.answer->str, "evil") == NULL, "text", others[i]);
-      expect (
+      unit_expect (fake_path_run_until (END_OF_STREAM)
+                       && strstr (path.answer->str, EVENT (4)) != NULL,
+                   "continued", others[i]);
+      unit_expect (strstr (path.answer->str, "evil") == NULL, "text",
+                   others[i]);
+      unit_expect (
           path.upstreams[2].requests == 1
               && strstr (path.upstreams[2].last->str, "Last-Event-Id: 2\r\n")
                      != NULL,
--- a/test/test-foreignanswer.c
+++ b/test/test-foreignanswer.c
@@ -46,16 +46,6 @@
   return g_strconcat (first, second, NULL);
 }
 
-static int
-answer_status (void)
-{
-  int status = 0;
-
-  if (fake_path_run_until ("\r\n\r\n"))
-    sscanf (path.answer->str, "HTTP/1.1 %d", &status);
-  return status;
-}
-
 /* The refusal of an earlier request, written once more just before the answer,
  * let requests that may run once be refused or run at a second server. */
 static void
@@ -71,7 +61,7 @@
 
         fake_path_setup (&step, 1, &step, 1);
         fake_path_request_send (targets[j], "X-Model: m\r\n");
-        CU_ASSERT_EQUAL (answer_status (), SERVED);
+        CU_ASSERT_EQUAL (fake_path_answer_status (), SERVED);
         CU_ASSERT_TRUE (fake_path_run_until ("hello"));
         CU_ASSERT_PTR_NULL (strstr (path.answer->str, "evil"));
         CU_ASSERT_PTR_NULL (strstr (path.answer->str, "full"));
@@ -102,7 +92,7 @@
       {
         fake_path_setup (&firsts[i], 1, &second, 1);
         fake_path_request_send ("/safe/", "");
-        CU_ASSERT_EQUAL (answer_status (), SERVED);
+        CU_ASSERT_EQUAL (fake_path_answer_status (), SERVED);
         CU_ASSERT_TRUE (path.upstreams[0].requests <= 1);
         CU_ASSERT_EQUAL (path.upstreams[1].requests, 1);
         fake_path_finish ();
@@ -121,7 +111,7 @@
     {
       fake_path_caller_reconnect ();
       fake_path_request_send ("/once/", "");
-      CU_ASSERT_EQUAL (answer_status (), SERVED);
+      CU_ASSERT_EQUAL (fake_path_answer_status (), SERVED);
     }
   CU_ASSERT_EQUAL (path.upstreams[0].requests, 3);
   fake_path_finish ();
@@ -145,7 +135,7 @@
     {
       fake_path_setup (&instead[i], 1, &instead[i], 1);
       fake_path_request_send ("/once/", "");
-      CU_ASSERT_TRUE (answer_status () >= FAILED);
+      CU_ASSERT_TRUE (fake_path_answer_status () >= FAILED);
       CU_ASSERT_PTR_NULL (strstr (path.answer->str, " 503 "));
       CU_ASSERT_EQUAL (path.upstreams[0].requests + path.upstreams[1].requests,
                        1);
@@ -154,7 +144,7 @@
         {
           fake_path_setup (&instead[i], 1, &sound, 1);
           fake_path_request_send ("/safe/", "");
-          CU_ASSERT_EQUAL (answer_status (), SERVED);
+          CU_ASSERT_EQUAL (fake_path_answer_status (), SERVED);
           fake_path_finish ();
         }
     }
@@ -176,7 +166,7 @@
     {
       fake_path_setup (steps[i], 1, steps[i], 1);
       fake_path_request_send ("/once/", "");
-      CU_ASSERT_EQUAL (answer_status (), FAILED);
+      CU_ASSERT_EQUAL (fake_path_answer_status (), FAILED);
       CU_ASSERT_EQUAL (path.upstreams[0].requests + path.upstreams[1].requests,
                        1);
       fake_path_finish ();
@@ -203,7 +193,7 @@
     {
       fake_path_setup (&steps[i], 1, NULL, 0);
       fake_path_request_send ("/once/", "");
-      CU_ASSERT_EQUAL (answer_status (), FAILED);
+      CU_ASSERT_EQUAL (fake_path_answer_status (), FAILED);
       fake_path_run_for (20);
       CU_ASSERT_EQUAL (path.upstreams[0].closed, 1);
       fake_path_finish ();
@@ -228,7 +218,7 @@
 
   fake_path_setup (&step, 1, NULL, 0);
   fake_path_request_send ("/once/", "X-Model: m\r\n");
-  CU_ASSERT_EQUAL (answer_status (), SERVED);
+  CU_ASSERT_EQUAL (fake_path_answer_status (), SERVED);
   server = servers_find (&path.servers, "i-0");
   CU_ASSERT_PTR_NOT_NULL (server);
   if (server == NULL)
--- a/test/unit.c
+++ b/test/unit.c
@@ -2,8 +2,20 @@
 
 #include <CUnit/Automated.h>
 #include <CUnit/TestRun.h>
+#include <glib.h>
 #include <stdio.h>
 
+void
+unit_expect (bool holds, const char *what, const char *input)
+{
+  char *text = g_strescape (input, NULL);
+
+  if (!holds)
+    printf ("# %s: %s\n", what, text);
+  CU_ASSERT_TRUE (holds);
+  g_free (text);
+}
+
 static void
 case_completed (const CU_pTest test, const CU_pSuite suite,
                 const CU_pFailureRecord failure)
--- a/test/unit.h
+++ b/test/unit.h
@@ -2,12 +2,17 @@
 #define UNIT_H
 
 #include <CUnit/CUnit.h>
+#include <stdbool.h>
 
 /** @file
  * Runs one CUnit suite and prints a line "ok SUITE/CASE" or
  * "not ok SUITE/CASE" for each case.
  */
 
+/** Assert that HOLDS; if not, print WHAT and the escaped INPUT. For checks
+ * that a table of inputs is run through. */
+void unit_expect (bool holds, const char *what, const char *input);
+
 struct unit_case
 {
   const char *name;
