--- a/src/event.c
+++ b/src/event.c
@@ -119,7 +119,8 @@
   { EVENT_FORWARD_ATTEMPT, EVENT_LEVEL_WARN, "forward_attempt",
     "An attempt on a backend server gave no response to forward; its outcome "
     "and the next action are given, how the response was framed, its whole "
-    "events and the bytes of an incomplete one." },
+    "events, the bytes of an incomplete one, and what made its bytes "
+    "unusable (fault)." },
   { EVENT_FORWARD_END, EVENT_LEVEL_INFO, "forward_end",
     "A request got its whole response: status, server, framing, time to the "
     "first event, total time, version of the configuration that routed "
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -31,6 +31,7 @@
 {
   memset (exchange, 0, sizeof *exchange);
   exchange->budget = budget;
+  exchange->fault = "-";
   exchange->dialect = dialect;
   exchange->clock = clock;
   exchange->ops = ops;
@@ -210,6 +211,7 @@
   exchange_count_bytes (exchange);
   if (exchange->events.is_misplaced)
     {
+      exchange->fault = "event";
       exchange_close_with (exchange, EXCHANGE_FOREIGN);
       return;
     }
@@ -271,6 +273,8 @@
   };
   struct exchange *exchange = data;
 
+  if (conn_end == SERVERCONN_GARBLED)
+    exchange->fault = httpresponse_fault (&exchange->conn->response);
   exchange->conn = NULL;
   if (conn_end == SERVERCONN_COMPLETE)
     response_complete (exchange);
@@ -297,6 +301,7 @@
   exchange->has_head = false;
   exchange->passed_over = 0;
   exchange->framing = HTTPRESPONSE_NO_BODY;
+  exchange->fault = "-";
   exchange->relayed = false;
   exchange->sent_ns = 0;
   exchange->first_output_ns = 0;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -97,6 +97,10 @@
                            none, and came before. */
   /** How the end of the response is marked; valid if `has_head`. */
   enum httpresponse_framing framing;
+  /** Why the bytes that were received can't be used: see httpresponse_fault,
+   * or "event" if a continuation does not begin with the next one; "-" if none
+   * of these. */
+  const char *fault;
   int relayed_status; /**< Status of the response that began the stream. */
   bool relayed;       /**< Whether some bytes of the response were passed to
                          `bytes_received`. */
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -11,10 +11,10 @@
 response_end_describe (const struct exchange *exchange, char *out, size_t size)
 {
   g_snprintf (
-      out, size, "framing=%s events=%lu partial_bytes=%zu",
+      out, size, "framing=%s events=%lu partial_bytes=%zu fault=%s",
       exchange->has_head ? httpresponse_framing_name (exchange->framing) : "-",
       (unsigned long)exchange->events.event_count,
-      exchange->events.pending->len);
+      exchange->events.pending->len, exchange->fault);
 }
 
 void
@@ -26,7 +26,7 @@
   bool served
       = status >= 200 && status < 300 && strcmp (reason, "answered") == 0;
   int64_t now = clock_now (forwarder->clock);
-  char response_end[96];
+  char response_end[144];
   char labels[160];
 
   response_end_describe (&forward->exchange, response_end,
@@ -214,7 +214,7 @@
   struct forwarder *forwarder = forward->forwarder;
   const struct exchange *exchange = &forward->exchange;
   int64_t now = clock_now (forwarder->clock);
-  char response_end[96];
+  char response_end[144];
   char labels[96];
 
   g_snprintf (
--- a/src/httpresponse.c
+++ b/src/httpresponse.c
@@ -120,8 +120,11 @@
 {
   struct httpresponse *response = parser->data;
 
-  if (!status_is_valid (parser) || !coding_is_valid (response)
-      || announces_wrong_body (response))
+  response->fault = !status_is_valid (parser)         ? "status"
+                    : !coding_is_valid (response)     ? "coding"
+                    : announces_wrong_body (response) ? "body"
+                                                      : NULL;
+  if (response->fault != NULL)
     return PARSER_FAILS;
   if ((parser->flags & F_CHUNKED) != 0 && !has_no_body (response))
     httpcheck_begin_chunks (&response->check);
@@ -193,6 +196,7 @@
   httpfields_clear (&response->head);
   response->has_head = false;
   response->complete = false;
+  response->fault = NULL;
 }
 
 size_t
@@ -223,6 +227,18 @@
          && (error == HPE_OK || error == HPE_PAUSED);
 }
 
+const char *
+httpresponse_fault (const struct httpresponse *response)
+{
+  if (httpresponse_is_valid (response))
+    return "-";
+  if (response->check.section == HTTPCHECK_MALFORMED)
+    return "line";
+  return response->fault != NULL
+             ? response->fault
+             : http_errno_name (HTTP_PARSER_ERRNO (&response->parser));
+}
+
 bool
 httpresponse_precedes_request (const struct httpresponse *response, int fd)
 {
--- a/src/httpresponse.h
+++ b/src/httpresponse.h
@@ -41,6 +41,7 @@
   /** Whether the response has no body since its request was HEAD. */
   bool answers_head;
   bool complete;
+  const char *fault; /**< What is wrong with the head; NULL: nothing. */
   const struct httpresponse_ops *ops;
   void *data;
 };
@@ -67,6 +68,11 @@
 /** Whether the bytes so far are, or begin, a response. */
 bool httpresponse_is_valid (const struct httpresponse *response);
 
+/** What makes the bytes so far no response: "line" (of a head, a chunk or a
+ * trailer), "status", "coding", "body" (announced, but excluded by the status)
+ * or the parser's name of its error; "-" if they are valid. */
+const char *httpresponse_fault (const struct httpresponse *response);
+
 /** How the end of the response is marked; valid once its head has arrived. */
 enum httpresponse_framing
 httpresponse_framing (const struct httpresponse *response);
--- a/test/test-brokenanswer.c
+++ b/test/test-brokenanswer.c
@@ -350,6 +350,41 @@
       }
 }
 
+/* The log told neither that a response was malformed nor how. */
+static void
+test_log_of_a_fault (void)
+{
+  static const struct
+  {
+    const char *answer;
+    const char *logged;
+  } faults[] = {
+    { "HTTP/1.1 000 x\r\n" FIELDS SIZED, "fault=status" },
+    { "HTTP/9.9 200 x\r\n" FIELDS SIZED, "fault=line" },
+    { OK "X A: 1\r\n" SIZED, "fault=line" },
+    { OK CHUNKED "6\r\nbrokenXX0\r\n\r\n", "fault=line" },
+    { OK "Transfer-Encoding: gzip\r\n\r\n", "fault=coding" },
+    { "HTTP/1.1 204 x\r\n" FIELDS SIZED, "fault=body" },
+    { OK "Content-Length: x\r\n\r\n", "fault=HPE_INVALID_CONTENT_LENGTH" },
+    { "HTTP/1.1 500 x\r\n" FIELDS SIZED, "fault=-" },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      struct fake_upstream_step step
+          = { faults[i].answer, FAKE_UPSTREAM_KEEP };
+
+      fake_path_setup (&step, 1, &sound, 1);
+      servers_find (&path.servers, "i-1")->failure_ratio = 0.9;
+      fake_path_request_send ("/safe/", "");
+      unit_expect (fake_path_answer_status () == SERVED, "again",
+                   faults[i].answer);
+      unit_expect (strstr (path.logged->str, faults[i].logged) != NULL,
+                   faults[i].logged, faults[i].answer);
+      fake_path_finish ();
+    }
+}
+
 static const struct unit_case cases[] = {
   { "status-that-is-none", test_status_that_is_none },
   { "status-line-that-is-none", test_status_line_that_is_none },
@@ -359,6 +394,7 @@
   { "unusual-answers", test_unusual_answers },
   { "answer-to-a-query", test_answer_to_a_query },
   { "half-heads", test_half_heads },
+  { "log-of-a-fault", test_log_of_a_fault },
 };
 
 int
