Request lines, codings of requests and trailers are bounded by the same rules

What was seen: of 8 broken request lines 7 were passed on (versions 1.2, 2.0 and 9.9, none at all, two blanks, a tab in the target). Bodies in codings such as "gzip, chunked", and chunks in HTTP/1.0, were passed on without the field that names the coding (4 of 4).

Fix: httpcheck checks the whole request line (400), a coding other than one "chunked" is refused with 501 as RFC 9112 asks, and trailer fields count for the bound on heads. Responses and requests share the loop of check and parser.

--- a/src/callerconn.c
+++ b/src/callerconn.c
@@ -237,7 +237,7 @@
 static bool
 head_fits (struct callerconn *conn)
 {
-  return conn->head.text->len + conn->target->len
+  return conn->head.text->len + conn->target->len + conn->check.trailer_bytes
          <= conn->server->limits.header_bytes;
 }
 
@@ -277,6 +277,9 @@
   struct callerconn *conn = parser->data;
 
   conn->has_head = true;
+  if (!httpfields_coding_is_known (&conn->head)
+      || ((parser->flags & F_CHUNKED) != 0 && parser->http_minor == 0))
+    return -1; /* Ends with HPE_CB_headers_complete. */
   if ((parser->flags & F_CHUNKED) != 0)
     httpcheck_begin_chunks (&conn->check);
   uv_timer_start (&conn->timer, request_timer_fired, BODY_TIMEOUT_MS, 0);
@@ -337,36 +340,20 @@
     conn_refuse (conn, 431, "header_too_large");
   else if (parse_error == HPE_CB_body)
     conn_refuse (conn, 413, "body_too_large");
+  else if (parse_error == HPE_CB_headers_complete)
+    conn_refuse (conn, 501, "unknown_coding");
   else
     conn_refuse (conn, 400,
-                 parse_error != HPE_OK ? http_errno_name (parse_error)
-                                       : "malformed_line");
-}
-
-/* Check and parse bytes of one request. @return number of bytes parsed */
-static size_t
-request_parse (struct callerconn *conn, const char *bytes, size_t size)
-{
-  size_t parsed = 0;
-
-  while (parsed < size && HTTP_PARSER_ERRNO (&conn->parser) == HPE_OK
-         && conn->check.section != HTTPCHECK_MALFORMED)
-    {
-      size_t part
-          = httpcheck_feed (&conn->check, bytes + parsed, size - parsed);
-
-      parsed += http_parser_execute (&conn->parser, &parser_settings,
-                                     bytes + parsed, part);
-      if (conn->parser.upgrade)
-        break;
-    }
-  return parsed;
+                 conn->check.section == HTTPCHECK_MALFORMED
+                     ? "malformed_line"
+                     : http_errno_name (parse_error));
 }
 
 static void
 conn_parse (struct callerconn *conn, const char *bytes, size_t size)
 {
-  size_t parsed = request_parse (conn, bytes, size);
+  size_t parsed = httpcheck_parse (&conn->check, &conn->parser,
+                                   &parser_settings, bytes, size);
   enum http_errno parse_error = HTTP_PARSER_ERRNO (&conn->parser);
 
   if (parse_error == HPE_PAUSED)
--- a/src/httpcheck.c
+++ b/src/httpcheck.c
@@ -9,7 +9,11 @@
   STATUS_END,
   REASON,
   REQUEST_BEGIN,
-  REQUEST_LINE,
+  METHOD,
+  TARGET_BEGIN,
+  TARGET,
+  VERSION,
+  VERSION_END,
   LINE_FEED, /* After a carriage return that ends a line of a head. */
   FIELD,     /* At the start of a line. */
   NAME,
@@ -26,10 +30,16 @@
   END
 };
 
-/* Form of a status line up to the status: '#' stands for the minor version,
- * '0' for any digit. */
+/* Form of a status line up to the status, which begins with a version: '#'
+ * stands for the minor version, '0' for any digit. */
 static const char status_line_form[] = "HTTP/1.# 000";
 
+enum
+{
+  STATUS_LINE_SIZE = sizeof status_line_form - 1,
+  VERSION_SIZE = STATUS_LINE_SIZE - 4
+};
+
 static void
 check_begin (struct httpcheck *check, enum httpcheck_section section,
              enum state state)
@@ -72,6 +82,12 @@
   return c == '\t' || !g_ascii_iscntrl (c);
 }
 
+static bool
+is_target_char (char c)
+{
+  return c != ' ' && !g_ascii_iscntrl (c);
+}
+
 /* Return the state after C, a character of a line of a head; OTHERWISE unless
  * it ends the line. */
 static enum state
@@ -80,8 +96,10 @@
   return c == '\r' ? LINE_FEED : c == '\n' ? FIELD : otherwise;
 }
 
+/* Match C with the next character of status_line_form, of which SIZE are due.
+ * @return AFTER behind the last one */
 static enum state
-status_line_next (struct httpcheck *check, char c)
+form_next (struct httpcheck *check, char c, unsigned size, enum state after)
 {
   char form = status_line_form[check->matched++];
   bool matches = form == '#'   ? c == '0' || c == '1'
@@ -90,8 +108,7 @@
 
   if (!matches)
     return INVALID;
-  return check->matched == sizeof status_line_form - 1 ? STATUS_END
-                                                       : STATUS_LINE;
+  return check->matched == size ? after : (enum state)check->state;
 }
 
 static enum state
@@ -100,15 +117,25 @@
   switch ((enum state)check->state)
     {
     case STATUS_LINE:
-      return status_line_next (check, c);
+      return form_next (check, c, STATUS_LINE_SIZE, STATUS_END);
     case STATUS_END:
       return c == ' ' ? REASON : line_end (c, INVALID);
     case REASON:
       return line_end (c, is_text_char (c) ? REASON : INVALID);
     case REQUEST_BEGIN:
-      return c == '\r' || c == '\n' ? REQUEST_BEGIN : REQUEST_LINE;
-    case REQUEST_LINE:
-      return line_end (c, REQUEST_LINE);
+      if (c == '\r' || c == '\n')
+        return REQUEST_BEGIN;
+      return is_name_char (c) ? METHOD : INVALID;
+    case METHOD:
+      return c == ' ' ? TARGET_BEGIN : is_name_char (c) ? METHOD : INVALID;
+    case TARGET_BEGIN:
+      return is_target_char (c) ? TARGET : INVALID;
+    case TARGET:
+      return c == ' ' ? VERSION : is_target_char (c) ? TARGET : INVALID;
+    case VERSION:
+      return form_next (check, c, VERSION_SIZE, VERSION_END);
+    case VERSION_END:
+      return line_end (c, INVALID);
     case LINE_FEED:
       return c == '\n' ? FIELD : INVALID;
     case FIELD:
@@ -174,7 +201,8 @@
     case DATA_LINE_FEED:
       return c == '\n' ? SIZE : INVALID;
     default:
-      return head_next (check, c); /* The lines of trailer fields. */
+      check->trailer_bytes++;
+      return head_next (check, c);
     }
 }
 
@@ -222,3 +250,23 @@
     }
   return used;
 }
+
+size_t
+httpcheck_parse (struct httpcheck *check, http_parser *parser,
+                 const http_parser_settings *settings, const char *bytes,
+                 size_t size)
+{
+  size_t parsed = 0;
+  size_t part;
+
+  do
+    {
+      part = httpcheck_feed (check, bytes + parsed, size - parsed);
+      if (part == 0 && size > 0)
+        break;
+      parsed += http_parser_execute (parser, settings, bytes + parsed, part);
+    }
+  while (parsed < size && check->section != HTTPCHECK_MALFORMED
+         && HTTP_PARSER_ERRNO (parser) == HPE_OK && !parser->upgrade);
+  return parsed;
+}
--- a/src/httpcheck.h
+++ b/src/httpcheck.h
@@ -1,6 +1,7 @@
 #ifndef HTTPCHECK_H
 #define HTTPCHECK_H
 
+#include <http_parser.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -27,16 +28,16 @@
 {
   enum httpcheck_section section;
   unsigned state;
-  unsigned matched;    /**< Matched characters of a status line, or digits of
-                          the size of a chunk. */
+  unsigned matched;    /**< Matched characters of the form of a line, or digits
+                          of the size of a chunk. */
   uint64_t chunk_left; /**< Bytes of the chunk that have not arrived. */
+  size_t trailer_bytes; /**< Size of the trailer fields so far. */
 };
 
 /** Expect the head of a response. */
 void httpcheck_begin_response (struct httpcheck *check);
 
-/** Expect the head of a request. Its request line is not checked, apart from
- * its end. */
+/** Expect the head of a request. */
 void httpcheck_begin_request (struct httpcheck *check);
 
 /** Expect a chunked body. Call it when the head has been parsed. */
@@ -50,4 +51,11 @@
 size_t httpcheck_feed (struct httpcheck *check, const char *bytes,
                        size_t size);
 
+/** Check SIZE bytes of a message and let PARSER parse those that are
+ * well-formed, until it stops. A SIZE of 0 tells it the end of the connection.
+ * @return number of bytes parsed */
+size_t httpcheck_parse (struct httpcheck *check, http_parser *parser,
+                        const http_parser_settings *settings,
+                        const char *bytes, size_t size);
+
 #endif
--- a/src/httpfields.c
+++ b/src/httpfields.c
@@ -108,6 +108,22 @@
   return count;
 }
 
+bool
+httpfields_coding_is_known (const struct httpfields *head)
+{
+  static const char name[] = "Transfer-Encoding";
+  const char *value = httpfields_find (head, name);
+  char *coding;
+  bool is_chunked;
+
+  if (value == NULL)
+    return true;
+  coding = g_strstrip (g_strdup (value));
+  is_chunked = g_ascii_strcasecmp (coding, "chunked") == 0;
+  g_free (coding);
+  return is_chunked && httpfields_count_of_name (head, name) == 1;
+}
+
 bool
 httpfields_is_hop_by_hop (const char *name)
 {
--- a/src/httpfields.h
+++ b/src/httpfields.h
@@ -50,6 +50,11 @@
 size_t httpfields_count_of_name (const struct httpfields *head,
                                  const char *name);
 
+/** Whether the message has no transfer coding but chunks, which are the only
+ * one that is removed: the field Transfer-Encoding is missing, or there is one
+ * and its value is "chunked". */
+bool httpfields_coding_is_known (const struct httpfields *head);
+
 /** Whether the field NAME applies to a single connection and must not be
  * forwarded. */
 bool httpfields_is_hop_by_hop (const char *name);
--- a/src/httpresponse.c
+++ b/src/httpresponse.c
@@ -31,7 +31,7 @@
   struct httpresponse *response = parser->data;
 
   if (response->has_head)
-    return 0; /* A trailer field. */
+    return response->check.trailer_bytes > response->head_bytes_max;
   httpfields_append_name (&response->head, bytes, size);
   return response->head.text->len > response->head_bytes_max;
 }
@@ -42,7 +42,7 @@
   struct httpresponse *response = parser->data;
 
   if (response->has_head)
-    return 0;
+    return response->check.trailer_bytes > response->head_bytes_max;
   httpfields_append_value (&response->head, bytes, size);
   return response->head.text->len > response->head_bytes_max;
 }
@@ -72,23 +72,13 @@
          && parser->status_code != HTTP_SWITCHING_PROTOCOLS;
 }
 
-/* Whether the body, if it is coded at all, is chunked and nothing else, since
- * no other coding is removed. HTTP/1.0 has no codings. */
+/* Whether the body can be read as its coding says. HTTP/1.0 has no codings. */
 static bool
 coding_is_valid (const struct httpresponse *response)
 {
-  static const char name[] = "Transfer-Encoding";
-  const char *value = httpfields_find (&response->head, name);
-  char *coding;
-  bool chunked;
-
-  if (value == NULL)
-    return true;
-  coding = g_strstrip (g_strdup (value));
-  chunked = g_ascii_strcasecmp (coding, "chunked") == 0;
-  g_free (coding);
-  return chunked && httpfields_count_of_name (&response->head, name) == 1
-         && response->parser.http_minor > 0;
+  return httpfields_coding_is_known (&response->head)
+         && ((response->parser.flags & F_CHUNKED) == 0
+             || response->parser.http_minor > 0);
 }
 
 /* Whether the response has no body, whatever its fields say. */
@@ -203,18 +193,8 @@
 httpresponse_feed (struct httpresponse *response, const char *bytes,
                    size_t size)
 {
-  size_t parsed = 0;
-  size_t part;
-
-  do
-    {
-      part = httpcheck_feed (&response->check, bytes + parsed, size - parsed);
-      parsed += http_parser_execute (&response->parser, &parser_settings,
-                                     bytes + parsed, part);
-    }
-  while (parsed < size && httpresponse_is_valid (response)
-         && !response->complete);
-  return parsed;
+  return httpcheck_parse (&response->check, &response->parser,
+                          &parser_settings, bytes, size);
 }
 
 bool
--- a/src/httpresponse.h
+++ b/src/httpresponse.h
@@ -48,8 +48,8 @@
 
 const char *httpresponse_framing_name (enum httpresponse_framing framing);
 
-/** @param head_bytes_max maximum size of the fields of a head, and of those
- * behind a body */
+/** @param head_bytes_max maximum size of the fields of a head, and of the
+ * trailer fields */
 void httpresponse_init (struct httpresponse *response, size_t head_bytes_max,
                         bool answers_head, const struct httpresponse_ops *ops,
                         void *data);
--- a/test/test-brokenanswer.c
+++ b/test/test-brokenanswer.c
@@ -216,6 +216,20 @@
   check_not_believed (answers, G_N_ELEMENTS (answers));
 }
 
+/* Trailer fields had a bound five times that of a head. */
+static void
+test_long_trailers (void)
+{
+  char *filler = g_strnfill (20000, 'x');
+  char *answer = g_strdup_printf (
+      OK CHUNKED "6\r\nbroken\r\n0\r\nXA: %s\r\n\r\n", "%s", filler);
+  const char *const answers[] = { answer };
+
+  check_not_believed (answers, 1);
+  g_free (answer);
+  g_free (filler);
+}
+
 /* Unusual but sound responses stay answers: the checks must not refuse them.
  */
 static void
@@ -391,6 +405,7 @@
   { "field-that-is-none", test_field_that_is_none },
   { "framing-that-is-none", test_framing_that_is_none },
   { "chunk-that-is-none", test_chunk_that_is_none },
+  { "long-trailers", test_long_trailers },
   { "unusual-answers", test_unusual_answers },
   { "answer-to-a-query", test_answer_to_a_query },
   { "half-heads", test_half_heads },
--- a/test/test-callerhead.c
+++ b/test/test-callerhead.c
@@ -37,6 +37,14 @@
     POST FIELDS CHUNKED "3 3\r\nabc\r\n0\r\n\r\n",
     POST FIELDS CHUNKED "3\r\nabc\r\n0\r\nX A: 1\r\n\r\n",
     POST FIELDS CHUNKED "3\r\nabc\r\n0\r\n\rX",
+    "POST /safe/ HTTP/9.9\r\n" FIELDS SIZED,
+    "POST /safe/ HTTP/2.0\r\n" FIELDS SIZED,
+    "POST /safe/ HTTP/1.2\r\n" FIELDS SIZED,
+    "POST /safe/\r\n" FIELDS SIZED,
+    "POST  /safe/ HTTP/1.1\r\n" FIELDS SIZED,
+    "POST /safe/  HTTP/1.1\r\n" FIELDS SIZED,
+    "POST /safe/a\tb HTTP/1.1\r\n" FIELDS SIZED,
+    "POST /safe/a\x01 HTTP/1.1\r\n" FIELDS SIZED,
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (broken); i++)
@@ -49,6 +57,47 @@
     }
 }
 
+/* A body in a coding that is not removed was passed on without the field that
+ * names the coding. */
+static void
+test_unknown_codings (void)
+{
+  static const char *const unknown[] = {
+    POST FIELDS "Transfer-Encoding: gzip, chunked\r\n\r\n"
+                "3\r\nabc\r\n0\r\n\r\n",
+    POST FIELDS "Transfer-Encoding: gzip\r\n" CHUNKED "3\r\nabc\r\n0\r\n\r\n",
+    POST FIELDS "Transfer-Encoding: chunked\r\n" CHUNKED
+                "3\r\nabc\r\n0\r\n\r\n",
+    "POST /safe/ HTTP/1.0\r\n" FIELDS CHUNKED "3\r\nabc\r\n0\r\n\r\n",
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (unknown); i++)
+    {
+      fake_path_setup (&sound, 1, NULL, 0);
+      fake_path_caller_send (unknown[i]);
+      unit_expect (fake_path_run_until ("HTTP/1.1 501"), "status", unknown[i]);
+      unit_expect (path.upstreams[0].requests == 0, "requests", unknown[i]);
+      fake_path_finish ();
+    }
+}
+
+/* Trailer fields did not count for the limit on the size of a head. */
+static void
+test_long_trailers (void)
+{
+  char *filler = g_strnfill (2500, 'x');
+  char *request = g_strdup_printf (
+      POST FIELDS CHUNKED "3\r\nabc\r\n0\r\nXA: %s\r\n\r\n", filler);
+
+  fake_path_setup (&sound, 1, NULL, 0);
+  fake_path_caller_send (request);
+  CU_ASSERT_TRUE (fake_path_run_until ("HTTP/1.1 431"));
+  CU_ASSERT_EQUAL (path.upstreams[0].requests, 0);
+  fake_path_finish ();
+  g_free (request);
+  g_free (filler);
+}
+
 /* The trailer fields of a request were taken for those of its head, and could
  * name another key, model or deadline. */
 static void
@@ -107,6 +156,8 @@
 
 static const struct unit_case cases[] = {
   { "broken-requests", test_broken_requests },
+  { "unknown-codings", test_unknown_codings },
+  { "long-trailers", test_long_trailers },
   { "trailers-are-no-head", test_trailers_are_no_head },
   { "unusual-requests", test_unusual_requests },
 };
