The answer to a caller that comes back begins behind its last event

Found by reading the change again: the first answer to a caller that takes a stream up was relayed whatever its events were; only continuations within one response were checked.

Fix: on routes whose streams may be taken up, its first event needs an id that is greater than the one that the caller names; else the attempt ends as garbled before a byte is relayed, and another engine is asked. Whether the ids of that stream have gaps isn't known here, so a later event than the next one is accepted. An answer without events is too: the stream may have ended.

--- a/src/eventstream.c
+++ b/src/eventstream.c
@@ -104,15 +104,17 @@
     }
 }
 
-/* Whether EVENT is the next one after those before. */
+/* Whether EVENT can follow those before. Whether the ids have gaps is not
+ * known of a stream that another response began. */
 static bool
 event_is_next (const struct eventstream *stream, const struct event *event)
 {
   if (!stream->has_begun)
     return true;
   return event->has_id
-         && (stream->is_consecutive ? event->id == stream->last_id + 1
-                                    : event->id > stream->last_id);
+         && (stream->continues && stream->is_consecutive
+                 ? event->id == stream->last_id + 1
+                 : event->id > stream->last_id);
 }
 
 enum event_use
@@ -127,13 +129,13 @@
 static enum event_use
 event_record (struct eventstream *stream, const char *text, size_t size)
 {
-  bool is_seam = stream->continues && stream->event_count == 0;
+  bool is_first = stream->event_count == 0;
   struct event event;
 
   event_parse (text, size, &event);
   if (event.is_empty)
-    return is_seam ? EVENT_DROPPED : EVENT_RELAYED;
-  if (is_seam && !event_is_next (stream, &event))
+    return is_first && stream->continues ? EVENT_DROPPED : EVENT_RELAYED;
+  if (is_first && !event_is_next (stream, &event))
     return EVENT_MISPLACED;
   stream->is_consecutive = stream->is_consecutive && event.has_id
                            && event.id == stream->last_id + 1;
@@ -141,7 +143,7 @@
   stream->last_has_id = event.has_id;
   if (event.has_id)
     stream->last_id = event.id;
-  if (event.has_id && stream->event_count == 0)
+  if (event.has_id && is_first)
     stream->first_id = event.id;
   stream->event_count++;
   return EVENT_RELAYED;
--- a/src/eventstream.h
+++ b/src/eventstream.h
@@ -28,8 +28,8 @@
                           one before, and the first one 1. */
   bool continues;      /**< Whether the events since the restart continue those
                           before. */
-  /** Whether the first event since the restart is not the next one. It and
-   * what follows it must not be used. */
+  /** Whether the first event since the restart can't follow those before. It
+   * and what comes after it must not be used. */
   bool is_misplaced;
 };
 
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -415,6 +415,7 @@
   if (!forward_route (forward))
     return;
   forward_set_deadline (forward);
+  forwardresume_expect (forward);
   /* The host that passed the request on has counted it. */
   if (!forward->from_host)
     retrybudget_count_request (
@@ -482,9 +483,6 @@
       exchange_init (&forward->exchange, &forwarder->responses,
                      forwarder->dialect, forwarder->clock, &exchange_ops,
                      forward);
-      if (call.resumes)
-        eventstream_begin_after (&forward->exchange.events,
-                                 call.last_event_id);
       forward_start (forward);
       return;
     }
--- a/src/forwardresume.c
+++ b/src/forwardresume.c
@@ -11,6 +11,16 @@
          && (call->resumed_id != NULL || call->last_event_id > 0);
 }
 
+void
+forwardresume_expect (struct forward *forward)
+{
+  const struct call *call = &forward->call;
+
+  if (forwardresume_is_return (forward) && forward->route->resumable
+      && call->last_event_id > 0)
+    eventstream_begin_after (&forward->exchange.events, call->last_event_id);
+}
+
 static const struct server *
 find_software (const struct forward *forward, const char *service,
                uint64_t software)
--- a/src/forwardresume.h
+++ b/src/forwardresume.h
@@ -11,6 +11,10 @@
 /** Whether the caller comes back for the rest of a stream. */
 bool forwardresume_is_return (const struct forward *forward);
 
+/** Expect only events behind the one that the caller has, if it comes back for
+ * the rest of a stream that may be taken up. */
+void forwardresume_expect (struct forward *forward);
+
 /** Find the software and the service that began the stream of FORWARD.
  * @param found called later unless this function returns true; KNOWN tells
  * whether the software was found
--- a/test/test-continuation.c
+++ b/test/test-continuation.c
@@ -205,6 +205,74 @@
     }
 }
 
+/* Where a caller came back for the rest of a stream, the answer of the first
+ * server could hold events that the caller had, or any without an id. */
+static void
+test_taken_up_stream (void)
+{
+  static const char *const wrong[] = {
+    STREAM "\r\n" EVENT (1) EVENT (2) EVENT (5),
+    STREAM "\r\n" EVENT (4) EVENT (5),
+    STREAM "\r\ndata: evil\n\n" EVENT (5),
+    STREAM "\r\nevent: error\ndata: evil\n\n",
+    STREAM "\r\nevil\n\n",
+    OK "\r\n<p>evil</p>\n\n",
+  };
+  static const char *const sound[] = {
+    STREAM "\r\n" EVENT (5) EVENT (6),
+    STREAM "\r\n: c\n\n" EVENT (5) EVENT (6),
+    STREAM "\r\n" EVENT (10) EVENT (20),
+    CHUNKED LAST_CHUNK,
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (wrong); i++)
+    {
+      struct fake_upstream_step step = { wrong[i], FAKE_UPSTREAM_CLOSE };
+      struct fake_upstream_step other = { sound[0], FAKE_UPSTREAM_CLOSE };
+
+      fake_path_setup (&step, 1, &other, 1);
+      servers_find (&path.servers, "i-1")->failure_ratio = 0.8;
+      fake_path_request_send ("/stream/", "Last-Event-Id: 4\r\n");
+      unit_expect (fake_path_run_until (END_OF_STREAM)
+                       && strstr (path.answer->str, EVENT (6)) != NULL,
+                   "other server", wrong[i]);
+      unit_expect (strstr (path.answer->str, "evil") == NULL
+                       && strstr (path.answer->str, EVENT (1)) == NULL
+                       && strstr (path.answer->str, EVENT (4)) == NULL,
+                   "relayed", wrong[i]);
+      unit_expect (path.upstreams[0].requests == 1, "requests", wrong[i]);
+      fake_path_finish ();
+    }
+  for (unsigned i = 0; i < G_N_ELEMENTS (sound); i++)
+    {
+      struct fake_upstream_step step = { sound[i], FAKE_UPSTREAM_CLOSE };
+
+      fake_path_setup (&step, 1, NULL, 0);
+      fake_path_request_send ("/stream/", "Last-Event-Id: 4\r\n");
+      unit_expect (fake_path_answer_status () == 200
+                       && fake_path_run_until (i + 1 < G_N_ELEMENTS (sound)
+                                                   ? END_OF_STREAM
+                                                   : "\r\n\r\n"),
+                   "sound", sound[i]);
+      fake_path_finish ();
+    }
+}
+
+/* A route that does not let streams be taken up may begin anew, whatever event
+ * the caller names. */
+static void
+test_stream_that_begins_anew (void)
+{
+  static const struct fake_upstream_step anew
+      = { STREAM "\r\n" EVENT (1) EVENT (2), FAKE_UPSTREAM_CLOSE };
+
+  fake_path_setup (&anew, 1, NULL, 0);
+  fake_path_request_send ("/long/", "Last-Event-Id: 4\r\n");
+  CU_ASSERT_TRUE (fake_path_run_until (END_OF_STREAM));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, EVENT (2)));
+  fake_path_finish ();
+}
+
 static const struct unit_case cases[] = {
   { "other-answers-end-no-stream", test_other_answers_end_no_stream },
   { "third-server-continues", test_third_server_continues },
@@ -212,6 +280,8 @@
     test_stream_without_ids_is_not_continued },
   { "sound-continuations", test_sound_continuations },
   { "stream-of-a-returned-caller", test_stream_of_a_returned_caller },
+  { "taken-up-stream", test_taken_up_stream },
+  { "stream-that-begins-anew", test_stream_that_begins_anew },
 };
 
 int
