The client of control calls keeps nothing of addresses and calls that ended

Found by reading the change again. A pool is freed with its last idle connection now, and a request once it is written. The header that a reply reports (the era of the KV service) is given only of whole replies.

--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -35,7 +35,7 @@
   struct httpclient_call
       *call; /* NULL if the connection is idle or closing. */
   char *address;
-  char *request_bytes; /* Bytes of the last request. */
+  char *request_bytes; /* Until they are written. */
   uv_tcp_t tcp;
   uv_timer_t timer;
   uv_connect_t connect_request;
@@ -82,14 +82,19 @@
   g_free (conn);
 }
 
+/* Take CONN out of its pool, which is freed if no other connection waits in
+ * it. */
 static void
 conn_leave_pool (struct conn *conn)
 {
-  if (conn->pool == NULL)
+  struct pool *pool = conn->pool;
+
+  if (pool == NULL)
     return;
-  list_remove (&conn->idle_node);
-  conn->pool->count--;
   conn->pool = NULL;
+  list_remove (&conn->idle_node);
+  if (--pool->count == 0)
+    g_hash_table_remove (conn->client->pools, conn->address);
 }
 
 static void
@@ -105,13 +110,10 @@
 }
 
 static struct pool *
-pool_get (struct httpclient *client, const char *address)
+pool_add (struct httpclient *client, const char *address)
 {
-  struct pool *pool = g_hash_table_lookup (client->pools, address);
+  struct pool *pool = g_new0 (struct pool, 1);
 
-  if (pool != NULL)
-    return pool;
-  pool = g_new0 (struct pool, 1);
   list_init (&pool->idle);
   g_hash_table_insert (client->pools, g_strdup (address), pool);
   return pool;
@@ -122,8 +124,10 @@
 static void
 conn_keep (struct conn *conn)
 {
-  struct pool *pool = pool_get (conn->client, conn->address);
+  struct pool *pool = g_hash_table_lookup (conn->client->pools, conn->address);
 
+  if (pool == NULL)
+    pool = pool_add (conn->client, conn->address);
   if (pool->count >= IDLE_MAX)
     {
       conn_close (conn);
@@ -275,6 +279,7 @@
   struct conn *conn = request->data;
 
   conn->written = status == 0;
+  g_clear_pointer (&conn->request_bytes, g_free);
   if (conn->call == NULL)
     return;
   if (status == 0)
@@ -290,7 +295,6 @@
   struct httpclient_call *call = conn->call;
   uv_buf_t buffer;
 
-  g_free (conn->request_bytes);
   conn->request_bytes = g_steal_pointer (&call->request_bytes);
   buffer = uv_buf_init (conn->request_bytes, (unsigned)call->request_size);
   conn->written = false;
@@ -375,9 +379,11 @@
 conn_reuse (struct httpclient_call *call,
             const struct httpclient_request *request)
 {
-  struct pool *pool = pool_get (call->client, request->address);
+  struct pool *pool;
 
-  while (!list_empty (&pool->idle))
+  /* Closing the last connection frees the pool. */
+  while ((pool = g_hash_table_lookup (call->client->pools, request->address))
+         != NULL)
     {
       struct conn *conn = LIST_ENTRY (pool->idle.next, struct conn, idle_node);
 
--- a/src/httpjson.c
+++ b/src/httpjson.c
@@ -98,7 +98,8 @@
                                   .head = &json_call->head };
 
   json_call->http_call = NULL;
-  g_strlcpy (reply.header, json_call->header, sizeof reply.header);
+  if (result->status == STATUS_OK)
+    g_strlcpy (reply.header, json_call->header, sizeof reply.header);
   if (result->status == STATUS_OK && json_call->body->len > 0)
     reply.body = json_tokener_parse (json_call->body->str);
   json_call_end (json_call, &reply);
--- a/src/httpjson.h
+++ b/src/httpjson.h
@@ -32,7 +32,7 @@
   struct json_object *body; /**< Parsed body; NULL if the reply has no
                                valid JSON body. */
   /** Value of the response header that the request names, cut to its size;
-   * "" if there is none. */
+   * "" if there is none, or the response is not whole. */
   char header[HTTPJSON_HEADER_SIZE];
 };
 
