--- a/src/httpresponse.h
+++ b/src/httpresponse.h
@@ -10,8 +10,8 @@
 
 /** @file
  * Reads one response from bytes as they arrive. What HTTP does not allow ends
- * the reading: lines that httpcheck rejects, statuses that are none, codings
- * that are not removed, and bodies that the status excludes.
+ * the reading: lines that httpcheck rejects, invalid statuses, codings that
+ * are not removed, and bodies that the status excludes.
  */
 
 /** What marks the end of a response body. */
--- a/test/fuzz-answers.c
+++ b/test/fuzz-answers.c
@@ -93,6 +93,9 @@
         httpresponse_feed (response, bytes + cut, size - 1 - cut);
     }
   assert (!response->complete || httpresponse_is_valid (response));
+  /* Once the check has seen the end of a head, so has the parser. */
+  assert (response->check.section != HTTPCHECK_OTHER || response->has_head
+          || !httpresponse_is_valid (response));
   heads_read (&response->head);
   eventstream_finish (&reading.events);
   httpresponse_finish (response);
--- a/test/soak-broken.c
+++ b/test/soak-broken.c
@@ -98,7 +98,7 @@
           && strstr (body, "broken") == NULL))
     return;
   soak->broken.relayed++;
-  soak_violation (soak, "%s got an answer that is none", request->id);
+  soak_violation (soak, "%s got a broken answer", request->id);
 }
 
 void
--- a/test/soak.h
+++ b/test/soak.h
@@ -117,7 +117,7 @@
   unsigned most_mb; /**< that a host held */
 };
 
-/** Engines with answers that are none, see soak-broken.h. */
+/** Engines with broken answers, see soak-broken.h. */
 struct soak_broken
 {
   bool is_played;
--- a/test/test-brokenanswer.c
+++ b/test/test-brokenanswer.c
@@ -51,7 +51,7 @@
 /* Statuses that HTTP does not have, and a change of protocol that nobody asked
  * for, were relayed. */
 static void
-test_status_that_is_none (void)
+test_invalid_status (void)
 {
   static const char *const answers[] = {
     "HTTP/1.1 000 x\r\n" FIELDS SIZED,
@@ -77,7 +77,7 @@
 
 /* A status line of another form, or of another version, was passed over. */
 static void
-test_status_line_that_is_none (void)
+test_malformed_status_line (void)
 {
   static const char *const answers[] = {
     "\r\nHTTP/1.1 200 OK\r\n" FIELDS SIZED,
@@ -105,7 +105,7 @@
 /* A field whose name holds what no name may, or whose line is broken, was
  * relayed, or changed what the others meant. */
 static void
-test_field_that_is_none (void)
+test_malformed_field (void)
 {
   static const char *const answers[] = {
     OK "X A: 1\r\n" SIZED,
@@ -149,7 +149,7 @@
 /* A coding that is not removed, or two statements of the length, let a body
  * through that was another one. */
 static void
-test_framing_that_is_none (void)
+test_invalid_framing (void)
 {
   static const char *const answers[] = {
     OK "Transfer-Encoding: gzip\r\n\r\nbroken",
@@ -188,7 +188,7 @@
 /* Where the line of a chunk, or its end, was broken, bytes were skipped, and
  * the body that was left looked complete. */
 static void
-test_chunk_that_is_none (void)
+test_malformed_chunk (void)
 {
   static const char *const answers[] = {
     OK CHUNKED "6\r\nbrokenXX0\r\n\r\n",
@@ -400,11 +400,11 @@
 }
 
 static const struct unit_case cases[] = {
-  { "status-that-is-none", test_status_that_is_none },
-  { "status-line-that-is-none", test_status_line_that_is_none },
-  { "field-that-is-none", test_field_that_is_none },
-  { "framing-that-is-none", test_framing_that_is_none },
-  { "chunk-that-is-none", test_chunk_that_is_none },
+  { "invalid-status", test_invalid_status },
+  { "malformed-status-line", test_malformed_status_line },
+  { "malformed-field", test_malformed_field },
+  { "invalid-framing", test_invalid_framing },
+  { "malformed-chunk", test_malformed_chunk },
   { "long-trailers", test_long_trailers },
   { "unusual-answers", test_unusual_answers },
   { "answer-to-a-query", test_answer_to_a_query },
--- a/test/test-continuation.c
+++ b/test/test-continuation.c
@@ -122,6 +122,23 @@
     }
 }
 
+/* An answer with other events than the next ones was read on as long as its
+ * connection stayed open. */
+static void
+test_other_events_end_the_attempt (void)
+{
+  static const struct fake_upstream_step other
+      = { STREAM "\r\n" EVENT (1) EVENT (2) EVENT (3), FAKE_UPSTREAM_KEEP };
+
+  setup (&other, &rest);
+  fake_path_request_send ("/stream/", "");
+  CU_ASSERT_TRUE (fake_path_run_until (END_OF_STREAM));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.answer->str, EVENT (4)));
+  CU_ASSERT_PTR_NOT_NULL (strstr (path.logged->str, "fault=event"));
+  CU_ASSERT_PTR_NULL (strstr (path.logged->str, "end=silent"));
+  fake_path_finish ();
+}
+
 /* A stream whose last event has no id was begun once more by the next server,
  * and its caller had events twice. */
 static void
@@ -276,6 +293,7 @@
 static const struct unit_case cases[] = {
   { "other-answers-end-no-stream", test_other_answers_end_no_stream },
   { "third-server-continues", test_third_server_continues },
+  { "other-events-end-the-attempt", test_other_events_end_the_attempt },
   { "stream-without-ids-is-not-continued",
     test_stream_without_ids_is_not_continued },
   { "sound-continuations", test_sound_continuations },
