--- a/src/eventstream.c
+++ b/src/eventstream.c
@@ -172,26 +172,27 @@
 size_t
 eventstream_append (struct eventstream *stream, const char *bytes, size_t size)
 {
-  size_t complete_bytes = 0;
+  size_t used = 0;
+  size_t dropped = 0; /* Bytes before the first event that is relayed. */
   size_t event_bytes;
 
   g_string_append_len (stream->pending, bytes, (gssize)size);
   while (!stream->is_misplaced
-         && (event_bytes = event_size (stream->pending->str + complete_bytes,
-                                       stream->pending->len - complete_bytes))
+         && (event_bytes = event_size (stream->pending->str + used,
+                                       stream->pending->len - used))
                 > 0)
     {
-      enum event_use use = event_record (
-          stream, stream->pending->str + complete_bytes, event_bytes);
+      enum event_use use
+          = event_record (stream, stream->pending->str + used, event_bytes);
 
       stream->is_misplaced = use == EVENT_MISPLACED;
+      if (use != EVENT_MISPLACED)
+        used += event_bytes;
       if (use == EVENT_DROPPED)
-        g_string_erase (stream->pending, (gssize)complete_bytes,
-                        (gssize)event_bytes);
-      else if (use == EVENT_RELAYED)
-        complete_bytes += event_bytes;
+        dropped = used;
     }
-  return complete_bytes;
+  g_string_erase (stream->pending, 0, (gssize)dropped);
+  return used - dropped;
 }
 
 bool
--- a/test/test-eventstream.c
+++ b/test/test-eventstream.c
@@ -3,6 +3,11 @@
 
 #include <string.h>
 
+enum
+{
+  DROPPED_BYTES = 1024 * 1024
+};
+
 static struct eventstream stream;
 
 static size_t
@@ -112,11 +117,32 @@
     }
 }
 
+/* Many short blocks before the first event of a continuation each moved all
+ * bytes behind them, which held the loop for seconds. */
+static void
+test_many_dropped_blocks (void)
+{
+  char *blocks = g_strnfill (DROPPED_BYTES, '\n');
+  int64_t start_us = g_get_monotonic_time ();
+
+  eventstream_init (&stream);
+  eventstream_begin_after (&stream, 2);
+  eventstream_restart (&stream, true);
+  CU_ASSERT_EQUAL (append (blocks), 0);
+  CU_ASSERT_EQUAL (append (": c\n\nid: 3\ndata: a\n\n: d\n\n"),
+                   strlen ("id: 3\ndata: a\n\n: d\n\n"));
+  CU_ASSERT_TRUE (g_str_has_prefix (stream.pending->str, "id: 3"));
+  CU_ASSERT_TRUE (g_get_monotonic_time () - start_us < G_USEC_PER_SEC);
+  eventstream_finish (&stream);
+  g_free (blocks);
+}
+
 static const struct unit_case cases[] = {
   { "whole-events-only", test_whole_events_only },
   { "several-at-once", test_several_events_at_once },
   { "blocks-that-are-no-events", test_blocks_that_are_no_events },
   { "next-event", test_next_event },
+  { "many-dropped-blocks", test_many_dropped_blocks },
   { "restart-drops-the-half-event", test_restart_drops_incomplete_event },
 };
 
