The expected time at a server and the verdict on it are functions of their own

choose.c mixed the estimate of the time to the first event with the choice. The estimate is choosecost.c now, and one function says of each server whether it can get a request and if not why, so that new reasons have one place.

--- a/src/choose.c
+++ b/src/choose.c
@@ -1,4 +1,5 @@
 #include "choose.h"
+#include "choosecost.h"
 #include "rendezvous.h"
 
 #include <math.h>
@@ -11,17 +12,6 @@
 /* Cost of an engine with older weights than wanted. A response computed with
  * older weights is worth a fifth less, which equals this waiting time. */
 static const double old_weights_cost_ms = 150;
-/* Waiting time if the requests of an engine need twice its memory: about half
- * the duration of a long stream. A smaller excess costs proportionally less.
- */
-static const double full_memory_wait_ms = 800;
-
-/* Assumed time that a plain service takes for one request, and additional time
- * for each of its requests if some of them wait. */
-static const double plain_run_ms = 60;
-static const double plain_wait_ms = 10;
-/* Assumed time that an engine takes for one request. */
-static const double model_run_ms = 500;
 /* Requests for each slot that a plain service's server takes: one that runs,
  * and one that waits. */
 static const unsigned plain_places_per_slot = 2;
@@ -53,75 +43,6 @@
   return false;
 }
 
-/* Return the number of tokens in the blocks that other requests may share,
- * which are all blocks but the last. */
-static uint64_t
-shared_tokens (const struct call *call)
-{
-  uint64_t tokens = 0;
-
-  for (unsigned i = 0; i + 1 < call->block_count; i++)
-    tokens += call->blocks[i].tokens;
-  return tokens;
-}
-
-/* Return the weight of the last load report of SERVER, which falls with the
- * age of the report. */
-static double
-load_report_weight (const struct choose_settings *settings,
-                    const struct server *server, int64_t now)
-{
-  double age = (double)(now - server->load_reported_ns);
-
-  return server->has_load_report
-             ? exp2 (-age / (double)settings->load_half_life_ns)
-             : 0;
-}
-
-static double
-plain_backlog_ms (const struct choose_settings *settings,
-                  const struct choose_query *query,
-                  const struct server *server, int64_t now)
-{
-  double slots = MAX (server->entry.slots, 1U);
-  double reported = load_report_weight (settings, server, now)
-                    * (server->running_requests + server->waiting_requests);
-  double in_flight = server->in_flight_requests + server->other_hosts_requests;
-  double occupied = MAX (reported, in_flight);
-
-  return occupied / slots * plain_run_ms
-         + (server->waiting_requests > 0 ? reported * plain_wait_ms : 0);
-}
-
-/* Return the memory of SERVER that requests in flight take, in tokens. */
-static double
-memory_used_tokens (const struct server *server)
-{
-  return (double)(server->in_flight_tokens
-                  + server->other_hosts_memory_tokens);
-}
-
-static double
-engine_backlog_ms (const struct choose_settings *settings,
-                   const struct choose_query *query,
-                   const struct server *server, int64_t now)
-{
-  double prefill = (double)(server->pending_prefill_tokens
-                            + server->other_hosts_prefill_tokens);
-  double in_flight = server->in_flight_requests + server->other_hosts_requests;
-  double reported
-      = load_report_weight (settings, server, now) * server->running_requests;
-  double memory = (double)server->kv_capacity_tokens;
-  double excess
-      = memory_used_tokens (server) + query->call->prompt_tokens - memory;
-  double cost = prefill / settings->prefill_tokens_per_ms
-                + MAX (in_flight, reported) * settings->stream_delay_ms;
-
-  if (excess > 0)
-    cost += full_memory_wait_ms * excess / memory;
-  return cost;
-}
-
 static bool
 has_preferred_version (const struct choose_query *query,
                        const struct server *server)
@@ -131,64 +52,6 @@
                 >= query->preferred_version;
 }
 
-double
-choose_fetch_ms (const struct choose_settings *settings,
-                 const struct choose_stored_prefix *stored,
-                 const struct server *server, double tokens)
-{
-  bool same_data_centre
-      = strcmp (stored->data_centre, server->entry.data_centre) == 0;
-
-  return tokens / settings->fetch_tokens_per_ms
-             * (same_data_centre ? 1 : settings->remote_fetch_factor)
-         + stored->delay_ms;
-}
-
-const struct choose_stored_prefix *
-choose_stored_for (const struct choose_query *query,
-                   const struct server *server)
-{
-  uint64_t version = query->model != NULL
-                         ? server_weight_version (server, query->model)
-                         : 0;
-
-  for (unsigned i = 0; i < query->stored_count; i++)
-    if (query->stored[i].version == version)
-      return &query->stored[i];
-  return NULL;
-}
-
-static double
-prompt_cost_ms (const struct choose_settings *settings,
-                const struct choose_query *query, const struct server *server,
-                bool is_preferred, uint64_t *cached_tokens,
-                double *store_delay_ms)
-{
-  const struct call *call = query->call;
-  double cached_known
-      = (double)server_cached_tokens (server, call->blocks, call->block_count);
-  double cached_assumed = is_preferred ? settings->preferred_cached_share
-                                             * (double)shared_tokens (call)
-                                       : 0;
-  double cached
-      = MIN (MAX (cached_known, cached_assumed), (double)call->prompt_tokens);
-  const struct choose_stored_prefix *stored
-      = choose_stored_for (query, server);
-  double fetched = 0;
-  double cost = 0;
-
-  if (stored != NULL && (double)stored->tokens > cached)
-    {
-      fetched = (double)stored->tokens - cached;
-      cost = choose_fetch_ms (settings, stored, server, fetched);
-      *store_delay_ms = stored->delay_ms;
-    }
-  *cached_tokens = (uint64_t)(cached + fetched);
-  return (call->prompt_tokens - cached - fetched)
-             / settings->prefill_tokens_per_ms
-         + cost;
-}
-
 /* Return the server with the highest rendezvous weight for the shared prefix
  * of CALL. All hosts prefer the same server, even if their records of cached
  * blocks differ. */
@@ -242,7 +105,7 @@
 has_memory (const struct choose_settings *settings,
             const struct choose_query *query, const struct server *server)
 {
-  double used = memory_used_tokens (server);
+  double used = choosecost_memory_used_tokens (server);
   double needed = query->call->prompt_tokens + query->call->output_tokens;
 
   return query->model == NULL || used <= 0
@@ -273,21 +136,16 @@
                     bool is_preferred, int64_t now, int64_t boottime_ns,
                     struct rng *rng, struct choose_result *result)
 {
-  uint64_t cached = 0;
-  double delay = 0;
-  double backlog = query->model == NULL
-                       ? plain_backlog_ms (settings, query, server, now)
-                       : engine_backlog_ms (settings, query, server, now);
-  double prompt_ms = query->model == NULL
-                         ? 0
-                         : prompt_cost_ms (settings, query, server,
-                                           is_preferred, &cached, &delay);
-  double cost
-      = backlog + prompt_ms + server->failure_ratio * failure_cost_ms
-        + (server->in_local_data_centre ? 0 : settings->remote_server_ms)
-        + rng_uniform (rng);
-
-  if (!begins_in_time (query, server, backlog + prompt_ms, boottime_ns))
+  struct choosecost estimate;
+  double cost;
+
+  choosecost_estimate (settings, query, server, is_preferred, now, &estimate);
+  cost = estimate.backlog_ms + estimate.prompt_ms
+         + server->failure_ratio * failure_cost_ms
+         + (server->in_local_data_centre ? 0 : settings->remote_server_ms)
+         + rng_uniform (rng);
+  if (!begins_in_time (query, server, estimate.backlog_ms + estimate.prompt_ms,
+                       boottime_ns))
     {
       result->too_late++;
       return;
@@ -299,9 +157,9 @@
     return;
   result->server = server;
   result->cost_ms = cost;
-  result->backlog_ms = backlog;
-  result->store_delay_ms = delay;
-  result->cached_tokens = cached;
+  result->backlog_ms = estimate.backlog_ms;
+  result->store_delay_ms = estimate.store_delay_ms;
+  result->cached_tokens = estimate.cached_tokens;
 }
 
 static void
@@ -317,15 +175,6 @@
   result->limited_per_s += serverlimit_own_rate (limit, now);
 }
 
-/* Time that a request takes at a server that has answered none yet. */
-static double
-run_ms (const struct choose_query *query, const struct server *server)
-{
-  if (server->run_ms > 0)
-    return server->run_ms;
-  return query->model == NULL ? plain_run_ms : model_run_ms;
-}
-
 /* Return how many requests like that of QUERY this host may have in flight at
  * SERVER, which is brittle. */
 static unsigned
@@ -395,7 +244,7 @@
                     struct choose_result *result)
 {
   unsigned places = brittle_places (settings, query, server, now);
-  double ms = run_ms (query, server);
+  double ms = choosecost_run_ms (query, server);
   int64_t wait_ns = places > 0
                         ? MAX ((int64_t)(ms / places * NS_PER_MS),
                                serverbrittle_hold_ns (&server->brittle, now))
@@ -451,6 +300,63 @@
          || occupied < plain_places_per_slot * server->entry.slots;
 }
 
+const char *
+choose_verdict_name (enum choose_verdict verdict)
+{
+  static const char *const names[] = {
+    [CHOOSE_USABLE] = "usable",
+    [CHOOSE_EXCLUDED] = "tried",
+    [CHOOSE_LEAVING] = "leaving",
+    [CHOOSE_OTHER_WEIGHTS] = "other_weights",
+    [CHOOSE_OTHER_SOFTWARE] = "other_software",
+    [CHOOSE_UNREACHABLE] = "unreachable",
+    [CHOOSE_PAUSED] = "paused",
+    [CHOOSE_LIMITED] = "limited",
+    [CHOOSE_BUSY] = "busy",
+    [CHOOSE_NO_MEMORY] = "no_memory",
+    [CHOOSE_MAY_BE_BRITTLE] = "may_be_brittle",
+    [CHOOSE_NO_PLACE] = "no_place",
+    [CHOOSE_BRITTLE] = "brittle",
+  };
+
+  return names[verdict];
+}
+
+/* Decide whether SERVER can get the request of QUERY now.
+ * SPARES_OTHERS: whether a plain service's servers get no more than they have
+ * places for */
+static enum choose_verdict
+server_judge (const struct choose_settings *settings,
+              const struct choose_query *query, const struct server *server,
+              bool spares_others, int64_t now)
+{
+  if (is_excluded (query, server))
+    return CHOOSE_EXCLUDED;
+  if (server_is_leaving (server))
+    return CHOOSE_LEAVING;
+  if (!has_required_version (server, query))
+    return CHOOSE_OTHER_WEIGHTS;
+  if (!has_required_software (server, query))
+    return CHOOSE_OTHER_SOFTWARE;
+  if (!server_is_available (server))
+    return CHOOSE_UNREACHABLE;
+  if (!serverpause_allows (&server->pause, now))
+    return CHOOSE_PAUSED;
+  if (!serverlimit_allows (&server->limit, now))
+    return CHOOSE_LIMITED;
+  if (!server_accepts_requests (server, now))
+    return CHOOSE_BUSY;
+  if (!has_memory (settings, query, server))
+    return CHOOSE_NO_MEMORY;
+  if (may_be_brittle (server, now))
+    return CHOOSE_MAY_BE_BRITTLE;
+  if (spares_others && !has_place (server))
+    return CHOOSE_NO_PLACE;
+  if (server->brittle.brittle && !has_own_place (settings, query, server, now))
+    return CHOOSE_BRITTLE;
+  return CHOOSE_USABLE;
+}
+
 /* Choose among the servers of this host's subset, or among all others if
  * OTHER_SUBSETS is set. */
 static void
@@ -471,31 +377,39 @@
     {
       struct server *server = list->pdata[i];
 
-      if (server->in_other_subset != other_subsets
-          || is_excluded (query, server) || server_is_leaving (server)
-          || !has_required_version (server, query)
-          || !has_required_software (server, query))
+      if (server->in_other_subset != other_subsets)
         continue;
-      if (!server_is_available (server))
+      switch (server_judge (settings, query, server, spares_others, now))
         {
+        case CHOOSE_USABLE:
+          candidate_consider (settings, query, server, server == preferred,
+                              now, clock_boottime (servers->clock), rng,
+                              result);
+          break;
+        case CHOOSE_UNREACHABLE:
           result->unreachable += !server->removed;
-          continue;
+          break;
+        case CHOOSE_PAUSED:
+          result_add_paused (result, &server->pause, now);
+          break;
+        case CHOOSE_LIMITED:
+          result_add_limited (result, &server->limit, now);
+          break;
+        case CHOOSE_BRITTLE:
+          result_add_brittle (settings, query, server, now, rng, result);
+          break;
+        case CHOOSE_BUSY:
+        case CHOOSE_NO_MEMORY:
+        case CHOOSE_MAY_BE_BRITTLE:
+        case CHOOSE_NO_PLACE:
+          result->at_capacity = result->others_at_capacity = true;
+          break;
+        case CHOOSE_EXCLUDED:
+        case CHOOSE_LEAVING:
+        case CHOOSE_OTHER_WEIGHTS:
+        case CHOOSE_OTHER_SOFTWARE:
+          break;
         }
-      if (!serverpause_allows (&server->pause, now))
-        result_add_paused (result, &server->pause, now);
-      else if (!serverlimit_allows (&server->limit, now))
-        result_add_limited (result, &server->limit, now);
-      else if (!server_accepts_requests (server, now)
-               || !has_memory (settings, query, server)
-               || may_be_brittle (server, now)
-               || (spares_others && !has_place (server)))
-        result->at_capacity = result->others_at_capacity = true;
-      else if (server->brittle.brittle
-               && !has_own_place (settings, query, server, now))
-        result_add_brittle (settings, query, server, now, rng, result);
-      else
-        candidate_consider (settings, query, server, server == preferred, now,
-                            clock_boottime (servers->clock), rng, result);
     }
 }
 
--- a/src/choose.h
+++ b/src/choose.h
@@ -82,6 +82,30 @@
   unsigned excluded_count;
 };
 
+/** Whether a server can get a request now, and if not, why. */
+enum choose_verdict
+{
+  CHOOSE_USABLE,
+  CHOOSE_EXCLUDED,       /**< The request was tried there. */
+  CHOOSE_LEAVING,        /**< It accepts no new requests. */
+  CHOOSE_OTHER_WEIGHTS,  /**< Its weights are older than required. */
+  CHOOSE_OTHER_SOFTWARE, /**< Its software is not the required one. */
+  CHOOSE_UNREACHABLE,
+  CHOOSE_PAUSED,         /**< It asked for a pause. */
+  CHOOSE_LIMITED,        /**< Its stated limit is used up. */
+  CHOOSE_BUSY,           /**< It has just rejected a request, loads weights or
+                            is in doubt. */
+  CHOOSE_NO_MEMORY,      /**< The requests in flight fill its memory. */
+  CHOOSE_MAY_BE_BRITTLE, /**< It has the requests that it would get if it were
+                            brittle, which is not known yet. */
+  CHOOSE_NO_PLACE,       /**< Its slots and its queue are full. */
+  CHOOSE_BRITTLE         /**< It is brittle, and this host's room there is
+                            used up. */
+};
+
+/** Return the name of VERDICT in logs. */
+const char *choose_verdict_name (enum choose_verdict verdict);
+
 struct choose_result
 {
   /** Chosen server; NULL if no server can be used now. */
