Cold rates of services and the slowness that servers state are decoded

A service's coldS and coldPerS and the fourth figure of a server's load were dropped. Both say that the capacity of the servers varies; nothing uses them yet.

--- a/src/call.h
+++ b/src/call.h
@@ -139,6 +139,10 @@
   unsigned running_requests;
   unsigned waiting_requests;
   unsigned slots;
+  /** Whether the server states how long work takes there now. */
+  enum statement_kind slowness_kind;
+  double slowness; /**< Time that work takes, as a multiple of the usual time;
+                      valid if slowness_kind is STATEMENT_VALID. */
   /** Requests per second that the server takes from all hosts together;
    * negative if it states no limit. */
   double limit_per_s;
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -46,6 +46,8 @@
       server->running_requests = response->running_requests;
       server->waiting_requests = response->waiting_requests;
       server->load_reported_ns = forward->exchange.last_received_ns;
+      server->states_slowness = server->states_slowness
+                                || response->slowness_kind == STATEMENT_VALID;
     }
   if (response->weight_version == 0 || forward->call.model == NULL)
     return;
--- a/src/routes.h
+++ b/src/routes.h
@@ -61,6 +61,10 @@
   unsigned slots;
   uint64_t kv_capacity_tokens; /**< Number of tokens that fit into the KV cache
                                   of one engine, or into the store. */
+  double cold_per_s; /**< Requests per second that a server tolerates while it
+                        is cold; 0 if its servers are never cold. */
+  int64_t
+      cold_span_ns; /**< Time for which a server is cold after its start. */
 };
 
 struct organisation
--- a/src/servers.h
+++ b/src/servers.h
@@ -104,6 +104,8 @@
   unsigned waiting_requests; /**< Number of requests queued at the server, as
                                 it last reported. */
   int64_t load_reported_ns;  /**< Time of the last load report. */
+  bool states_slowness; /**< Whether a response has stated how long work takes
+                           at the server. */
 
   /** Number of consecutive connection failures. */
   unsigned connection_failures;
