--- /dev/null
+++ b/src/forwardplace.h
@@ -0,0 +1,22 @@
+#ifndef FORWARDPLACE_H
+#define FORWARDPLACE_H
+
+#include "forward.h"
+
+/** @file
+ * Finds a server for a request: sends it there, lets it wait, passes it on to
+ * another host, or gives it up.
+ */
+
+enum
+{
+  /** Base of the Retry-After time if no server can run the request now. */
+  FORWARDPLACE_RETRY_AFTER_MS = 250,
+  /** The same for a request that crashes servers. */
+  FORWARDPLACE_RETRY_AFTER_POISON_MS = 10000
+};
+
+/** Finds a server for the request, which may end meanwhile. */
+void forward_place (struct forward *forward);
+
+#endif
