Servers keep their subsets while others fail

Change: registered servers are divided, by rendezvous hashing with places (subsetdivide), and subsets keep their usual size down to five servers each; a host that has just started does as the others. Hosts of earlier forms beside it: the former division until all have the new form.

--- a/src/presence.c
+++ b/src/presence.c
@@ -82,6 +82,28 @@
   presence->key_is_current = false;
 }
 
+void
+presence_announce_usual_subsets (struct presence *presence)
+{
+  if (presence->self.keeps_usual_subsets)
+    return;
+  presence->self.keeps_usual_subsets = true;
+  presence->key_is_current = false;
+}
+
+bool
+presence_most_keep_usual_subsets (const struct presence *presence)
+{
+  GHashTableIter iter;
+  gpointer host;
+  unsigned count = 0;
+
+  g_hash_table_iter_init (&iter, presence->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &host))
+    count += ((const struct presence_host *)host)->keeps_usual_subsets;
+  return 2 * count > g_hash_table_size (presence->hosts);
+}
+
 uint64_t
 presence_host_oldest_version (const struct presence_host *host,
                               const char *model)
@@ -141,6 +163,7 @@
              sizeof host->data_centre);
   host->leaving = json_field_bool (object, "leaving");
   host->form = (unsigned)json_field_uint (object, "form");
+  host->keeps_usual_subsets = json_field_bool (object, "usual_subsets");
   weights_decode (host, json_object_object_get (object, "weights"));
   json_object_put (object);
   g_hash_table_replace (presence->hosts, g_strdup (key), host);
@@ -271,6 +294,9 @@
   json_object_object_add (object, "leaving",
                           json_object_new_boolean (presence->self.leaving));
   json_add_uint (object, "form", PRESENCE_FORM_OWN);
+  if (presence->self.keeps_usual_subsets)
+    json_object_object_add (object, "usual_subsets",
+                            json_object_new_boolean (true));
   json_object_object_add (object, "weights", weights_encode (&presence->self));
   write.value
       = json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN);
--- a/src/presence.h
+++ b/src/presence.h
@@ -31,7 +31,9 @@
   PRESENCE_FORM_STORES_CONFIRMED = 1,
   /** Hosts keep to their room at brittle servers. */
   PRESENCE_FORM_BRITTLE_ROOM = 2,
-  PRESENCE_FORM_OWN = PRESENCE_FORM_BRITTLE_ROOM
+  /** Hosts divide servers among subsets by subsetdivide. */
+  PRESENCE_FORM_STABLE_SUBSETS = 3,
+  PRESENCE_FORM_OWN = PRESENCE_FORM_STABLE_SUBSETS
 };
 
 /** A model, and the oldest version of its weights whose KV cache the host
@@ -51,6 +53,9 @@
   /** Version of what the host tells other hosts and relies on, a value of enum
    * presence_form; 0 for a host of an earlier version. */
   unsigned form;
+  /** Whether the host keeps subsets of the usual size though it has too few
+   * servers for them, see subsets.h. */
+  bool keeps_usual_subsets;
   struct presence_weights weights[PRESENCE_MODELS_MAX];
   unsigned weights_count;
 };
@@ -114,6 +119,13 @@
 uint64_t presence_host_oldest_version (const struct presence_host *host,
                                        const char *model);
 
+/** Announces that this host keeps subsets of the usual size. */
+void presence_announce_usual_subsets (struct presence *presence);
+
+/** Whether most of the other hosts have announced that they keep subsets of
+ * the usual size. */
+bool presence_most_keep_usual_subsets (const struct presence *presence);
+
 /** Whether the lease of this host is sure to stay valid for another SPAN_NS.
  */
 bool presence_lease_is_valid_for (const struct presence *presence,
--- a/src/subsets.c
+++ b/src/subsets.c
@@ -1,6 +1,7 @@
 #include "subsets.h"
 #include "limitshare.h"
 #include "rendezvous.h"
+#include "subsetdivide.h"
 
 #include <string.h>
 
@@ -11,7 +12,7 @@
 
 void
 subsets_init (struct subsets *subsets, const struct clock *clock,
-              const struct presence *presence, struct servers *servers)
+              struct presence *presence, struct servers *servers)
 {
   memset (subsets, 0, sizeof *subsets);
   subsets->clock = clock;
@@ -110,15 +111,67 @@
   serverlimit_set_hosts (&server->limit, count, rank);
 }
 
-/* Divides the SERVERS of one service into subsets. Only reachable servers are
- * counted, so that each subset has the same number of them. What a server
- * stated in responses does not count, since hosts of other subsets do not know
- * it and would divide the servers in another way. */
+static gint
+server_compare_ids (gconstpointer a, gconstpointer b)
+{
+  const struct server *left = *(struct server *const *)a;
+  const struct server *right = *(struct server *const *)b;
+
+  return strcmp (left->entry.id, right->entry.id);
+}
+
+/* Sets the subsets of SERVERS, which are reachable, as all hosts of a fleet do
+ * of which some have an earlier form. */
+static void
+servers_number (const struct subsets *subsets, GPtrArray *servers,
+                unsigned *indexes)
+{
+  g_ptr_array_sort (servers, server_compare);
+  for (guint i = 0; i < servers->len; i++)
+    indexes[i] = i % subsets->count;
+}
+
+/* Divides SERVERS, which are reachable, among the subsets. */
+static void
+servers_divide (const struct subsets *subsets, GPtrArray *servers)
+{
+  unsigned *indexes = g_new (unsigned, servers->len);
+
+  if (presence_all_have_form (subsets->presence, PRESENCE_FORM_STABLE_SUBSETS))
+    {
+      g_ptr_array_sort (servers, server_compare_ids);
+      subsetdivide (servers, subsets->count, indexes);
+    }
+  else
+    servers_number (subsets, servers, indexes);
+  for (guint i = 0; i < servers->len; i++)
+    {
+      struct server *server = servers->pdata[i];
+
+      server->in_other_subset = indexes[i] != subsets->own_index;
+      server->sending_host_count = subsets->host_count;
+    }
+  g_free (indexes);
+}
+
+/* Whether SERVER is divided among the subsets. What a host has found out alone
+ * does not count, since others divide the servers without it: whether a server
+ * is reachable, which hosts notice one after the other, and what it stated in
+ * responses. */
+static bool
+is_divided (const struct subsets *subsets, const struct server *server)
+{
+  if (presence_all_have_form (subsets->presence, PRESENCE_FORM_STABLE_SUBSETS))
+    return !server->removed && !server->entry.leaving;
+  return server_is_reachable (server);
+}
+
+/* Divides the SERVERS of one service into subsets. */
 static void
 service_assign (const struct subsets *subsets, const GPtrArray *servers)
 {
   GPtrArray *available = g_ptr_array_new ();
-  bool is_divided;
+  bool divides;
 
   for (guint i = 0; i < servers->len; i++)
     {
@@ -126,20 +179,13 @@
 
       server->in_other_subset = false;
       server->sending_host_count = fleet_size (subsets);
-      if (server_is_reachable (server))
+      if (is_divided (subsets, server))
         g_ptr_array_add (available, server);
     }
-  is_divided = subsets->count > 1
-               && available->len >= subsets->count * SUBSETS_SERVERS_MIN;
-  if (is_divided)
-    g_ptr_array_sort (available, server_compare);
-  for (guint i = 0; is_divided && i < available->len; i++)
-    {
-      struct server *server = available->pdata[i];
-
-      server->in_other_subset = i % subsets->count != subsets->own_index;
-      server->sending_host_count = subsets->host_count;
-    }
+  divides = subsets->count > 1
+            && available->len >= subsets->count * SUBSETS_SERVERS_MIN;
+  if (divides)
+    servers_divide (subsets, available);
   for (guint i = 0; i < servers->len; i++)
     server_set_hosts (subsets, servers->pdata[i], servers->len);
   g_ptr_array_free (available, TRUE);
@@ -200,14 +246,36 @@
   return largest;
 }
 
-/* Returns the number of subsets of HOSTS hosts. It depends on nothing but
- * what is registered, so that all hosts find the same. */
+/* Whether subsets of the usual size, of which there would be COUNT, have
+ * enough servers. Once they had, they are kept while servers fail; a host that
+ * has just started does as most of the others. */
+static bool
+usual_size_suits (struct subsets *subsets, unsigned count)
+{
+  unsigned servers = largest_service (subsets->servers);
+  bool kept;
+
+  if (!presence_all_have_form (subsets->presence,
+                               PRESENCE_FORM_STABLE_SUBSETS))
+    return servers >= count * SUBSETS_SERVERS_ENOUGH_EARLIER;
+  if (servers >= count * SUBSETS_SERVERS_ENOUGH)
+    return true;
+  kept = servers >= count * SUBSETS_SERVERS_KEPT
+         && (subsets->has_usual_size
+             || presence_most_keep_usual_subsets (subsets->presence));
+  if (kept && count > 1)
+    presence_announce_usual_subsets (subsets->presence);
+  return kept;
+}
+
+/* Returns the number of subsets of HOSTS hosts. */
 static unsigned
-subset_count (const struct subsets *subsets, unsigned hosts)
+subset_count (struct subsets *subsets, unsigned hosts)
 {
   unsigned usual = (hosts + SUBSETS_HOSTS_USUAL - 1) / SUBSETS_HOSTS_USUAL;
 
-  if (largest_service (subsets->servers) >= usual * SUBSETS_SERVERS_ENOUGH)
+  subsets->has_usual_size = usual_size_suits (subsets, usual);
+  if (subsets->has_usual_size)
     return usual;
   return (hosts + SUBSETS_HOSTS_MAX - 1) / SUBSETS_HOSTS_MAX;
 }
--- a/src/subsets.h
+++ b/src/subsets.h
@@ -27,7 +27,13 @@
   SUBSETS_HOSTS_USUAL = 10,
   /** Number of servers of the largest service for each subset that are enough.
    * With fewer, some subsets wait for servers while others have free ones. */
-  SUBSETS_SERVERS_ENOUGH = 8,
+  SUBSETS_SERVERS_ENOUGH = 10,
+  /** The same, as hosts of an earlier form have it. */
+  SUBSETS_SERVERS_ENOUGH_EARLIER = 8,
+  /** Number of servers down to which subsets keep their usual size. If servers
+   * fail, larger subsets would move most servers and hosts to other subsets,
+   * where the requests in flight are not known. */
+  SUBSETS_SERVERS_KEPT = 5,
   /** Minimum number of servers per subset; a service with fewer is not
    * divided. */
   SUBSETS_SERVERS_MIN = 4,
@@ -36,7 +42,7 @@
 struct subsets
 {
   const struct clock *clock;
-  const struct presence *presence;
+  struct presence *presence;
   struct servers *servers;
   unsigned count;      /**< Number of subsets. */
   unsigned own_index;  /**< Index of the subset of this host. */
@@ -50,10 +56,11 @@
   uint64_t hosts_generation;
   uint64_t servers_generation;
   bool assigned;
+  bool has_usual_size; /**< Whether the subsets have their usual size. */
 };
 
 void subsets_init (struct subsets *subsets, const struct clock *clock,
-                   const struct presence *presence, struct servers *servers);
+                   struct presence *presence, struct servers *servers);
 
 /** Assigns hosts and servers to subsets again when this is due, so that
  * changes of the fleet take effect. */
