Load reports follow requests to servers of varying capacity at once

Reports every 150 ms were too late under load: 17 hosts of a subset sent up to 31 requests a second to each server, all to the one that looked idle, or all to the one whose memory had just become free. A request for a service whose capacity varies is reported with the next tick (20 ms).

--- a/src/peerudp.c
+++ b/src/peerudp.c
@@ -172,8 +172,9 @@
 
   loadshare_tick (loadshare);
   limits_send (peerudp);
-  if (now < peerudp->next_load_ns)
+  if (now < peerudp->next_load_ns && !loadshare->servers->load_is_news)
     return;
+  loadshare->servers->load_is_news = false;
   peerudp->next_load_ns = now + peerudp->load_period_ns;
   bytes[0] = DATAGRAM_LOADS;
   /* The leader of a rollout reports weights to the hosts of all subsets. */
--- a/src/servers.h
+++ b/src/servers.h
@@ -160,6 +160,9 @@
   /** Time at which a response to this host last stated a limit or that its
    * server is brittle, or the end of either; 0 if none has. */
   int64_t limit_stated_ns;
+  /** Whether a request was sent since the last load report, to a server whose
+   * load the other hosts must know soon. */
+  bool load_is_news;
   uv_loop_t *loop;
   const struct clock *clock;
   char data_centre[SERVER_NAME_MAX]; /**< Data centre of this process. */
