--- a/src/blamenews.pb-c.c
+++ b/src/blamenews.pb-c.c
@@ -7,543 +7,457 @@
 #endif
 
 #include "blamenews.pb-c.h"
-void   trefoilspar__blame_lost_run__init
-                     (Trefoilspar__BlameLostRun         *message)
+void
+trefoilspar__blame_lost_run__init (Trefoilspar__BlameLostRun *message)
 {
-  static const Trefoilspar__BlameLostRun init_value = TREFOILSPAR__BLAME_LOST_RUN__INIT;
+  static const Trefoilspar__BlameLostRun init_value
+      = TREFOILSPAR__BLAME_LOST_RUN__INIT;
   *message = init_value;
 }
-size_t trefoilspar__blame_lost_run__get_packed_size
-                     (const Trefoilspar__BlameLostRun *message)
-{
-  assert(message->base.descriptor == &trefoilspar__blame_lost_run__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+size_t
+trefoilspar__blame_lost_run__get_packed_size (
+    const Trefoilspar__BlameLostRun *message)
+{
+  assert (message->base.descriptor
+          == &trefoilspar__blame_lost_run__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__blame_lost_run__pack
-                     (const Trefoilspar__BlameLostRun *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__blame_lost_run__pack (const Trefoilspar__BlameLostRun *message,
+                                   uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__blame_lost_run__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor
+          == &trefoilspar__blame_lost_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__blame_lost_run__pack_to_buffer
-                     (const Trefoilspar__BlameLostRun *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &trefoilspar__blame_lost_run__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+size_t
+trefoilspar__blame_lost_run__pack_to_buffer (
+    const Trefoilspar__BlameLostRun *message, ProtobufCBuffer *buffer)
+{
+  assert (message->base.descriptor
+          == &trefoilspar__blame_lost_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__BlameLostRun *
-       trefoilspar__blame_lost_run__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__blame_lost_run__unpack (ProtobufCAllocator *allocator, size_t len,
+                                     const uint8_t *data)
 {
-  return (Trefoilspar__BlameLostRun *)
-     protobuf_c_message_unpack (&trefoilspar__blame_lost_run__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__BlameLostRun *)protobuf_c_message_unpack (
+      &trefoilspar__blame_lost_run__descriptor, allocator, len, data);
 }
-void   trefoilspar__blame_lost_run__free_unpacked
-                     (Trefoilspar__BlameLostRun *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__blame_lost_run__free_unpacked (Trefoilspar__BlameLostRun *message,
+                                            ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__blame_lost_run__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor
+          == &trefoilspar__blame_lost_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   trefoilspar__blame_completed__init
-                     (Trefoilspar__BlameCompleted         *message)
+void
+trefoilspar__blame_completed__init (Trefoilspar__BlameCompleted *message)
 {
-  static const Trefoilspar__BlameCompleted init_value = TREFOILSPAR__BLAME_COMPLETED__INIT;
+  static const Trefoilspar__BlameCompleted init_value
+      = TREFOILSPAR__BLAME_COMPLETED__INIT;
   *message = init_value;
 }
-size_t trefoilspar__blame_completed__get_packed_size
-                     (const Trefoilspar__BlameCompleted *message)
-{
-  assert(message->base.descriptor == &trefoilspar__blame_completed__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+size_t
+trefoilspar__blame_completed__get_packed_size (
+    const Trefoilspar__BlameCompleted *message)
+{
+  assert (message->base.descriptor
+          == &trefoilspar__blame_completed__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__blame_completed__pack
-                     (const Trefoilspar__BlameCompleted *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__blame_completed__pack (const Trefoilspar__BlameCompleted *message,
+                                    uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__blame_completed__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor
+          == &trefoilspar__blame_completed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__blame_completed__pack_to_buffer
-                     (const Trefoilspar__BlameCompleted *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &trefoilspar__blame_completed__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+size_t
+trefoilspar__blame_completed__pack_to_buffer (
+    const Trefoilspar__BlameCompleted *message, ProtobufCBuffer *buffer)
+{
+  assert (message->base.descriptor
+          == &trefoilspar__blame_completed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__BlameCompleted *
-       trefoilspar__blame_completed__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__blame_completed__unpack (ProtobufCAllocator *allocator,
+                                      size_t len, const uint8_t *data)
 {
-  return (Trefoilspar__BlameCompleted *)
-     protobuf_c_message_unpack (&trefoilspar__blame_completed__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__BlameCompleted *)protobuf_c_message_unpack (
+      &trefoilspar__blame_completed__descriptor, allocator, len, data);
 }
-void   trefoilspar__blame_completed__free_unpacked
-                     (Trefoilspar__BlameCompleted *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__blame_completed__free_unpacked (
+    Trefoilspar__BlameCompleted *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__blame_completed__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor
+          == &trefoilspar__blame_completed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   trefoilspar__blame_blocked__init
-                     (Trefoilspar__BlameBlocked         *message)
+void
+trefoilspar__blame_blocked__init (Trefoilspar__BlameBlocked *message)
 {
-  static const Trefoilspar__BlameBlocked init_value = TREFOILSPAR__BLAME_BLOCKED__INIT;
+  static const Trefoilspar__BlameBlocked init_value
+      = TREFOILSPAR__BLAME_BLOCKED__INIT;
   *message = init_value;
 }
-size_t trefoilspar__blame_blocked__get_packed_size
-                     (const Trefoilspar__BlameBlocked *message)
+size_t
+trefoilspar__blame_blocked__get_packed_size (
+    const Trefoilspar__BlameBlocked *message)
 {
-  assert(message->base.descriptor == &trefoilspar__blame_blocked__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &trefoilspar__blame_blocked__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__blame_blocked__pack
-                     (const Trefoilspar__BlameBlocked *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__blame_blocked__pack (const Trefoilspar__BlameBlocked *message,
+                                  uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__blame_blocked__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &trefoilspar__blame_blocked__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__blame_blocked__pack_to_buffer
-                     (const Trefoilspar__BlameBlocked *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__blame_blocked__pack_to_buffer (
+    const Trefoilspar__BlameBlocked *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__blame_blocked__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &trefoilspar__blame_blocked__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__BlameBlocked *
-       trefoilspar__blame_blocked__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__blame_blocked__unpack (ProtobufCAllocator *allocator, size_t len,
+                                    const uint8_t *data)
 {
-  return (Trefoilspar__BlameBlocked *)
-     protobuf_c_message_unpack (&trefoilspar__blame_blocked__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__BlameBlocked *)protobuf_c_message_unpack (
+      &trefoilspar__blame_blocked__descriptor, allocator, len, data);
 }
-void   trefoilspar__blame_blocked__free_unpacked
-                     (Trefoilspar__BlameBlocked *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__blame_blocked__free_unpacked (Trefoilspar__BlameBlocked *message,
+                                           ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__blame_blocked__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &trefoilspar__blame_blocked__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   trefoilspar__blame_news__init
-                     (Trefoilspar__BlameNews         *message)
+void
+trefoilspar__blame_news__init (Trefoilspar__BlameNews *message)
 {
-  static const Trefoilspar__BlameNews init_value = TREFOILSPAR__BLAME_NEWS__INIT;
+  static const Trefoilspar__BlameNews init_value
+      = TREFOILSPAR__BLAME_NEWS__INIT;
   *message = init_value;
 }
-size_t trefoilspar__blame_news__get_packed_size
-                     (const Trefoilspar__BlameNews *message)
+size_t
+trefoilspar__blame_news__get_packed_size (
+    const Trefoilspar__BlameNews *message)
 {
-  assert(message->base.descriptor == &trefoilspar__blame_news__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &trefoilspar__blame_news__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__blame_news__pack
-                     (const Trefoilspar__BlameNews *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__blame_news__pack (const Trefoilspar__BlameNews *message,
+                               uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__blame_news__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &trefoilspar__blame_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__blame_news__pack_to_buffer
-                     (const Trefoilspar__BlameNews *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__blame_news__pack_to_buffer (const Trefoilspar__BlameNews *message,
+                                         ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__blame_news__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &trefoilspar__blame_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__BlameNews *
-       trefoilspar__blame_news__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__blame_news__unpack (ProtobufCAllocator *allocator, size_t len,
+                                 const uint8_t *data)
 {
-  return (Trefoilspar__BlameNews *)
-     protobuf_c_message_unpack (&trefoilspar__blame_news__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__BlameNews *)protobuf_c_message_unpack (
+      &trefoilspar__blame_news__descriptor, allocator, len, data);
 }
-void   trefoilspar__blame_news__free_unpacked
-                     (Trefoilspar__BlameNews *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__blame_news__free_unpacked (Trefoilspar__BlameNews *message,
+                                        ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__blame_news__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &trefoilspar__blame_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor trefoilspar__blame_lost_run__field_descriptors[7] =
-{
-  {
-    "server",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameLostRun, server),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "server_started_ms",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameLostRun, server_started_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "scope",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameLostRun, scope),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "blocks",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Trefoilspar__BlameLostRun, n_blocks),
-    offsetof(Trefoilspar__BlameLostRun, blocks),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "request",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameLostRun, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "suspicion",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameLostRun, suspicion),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "age_ms",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameLostRun, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+static const ProtobufCFieldDescriptor
+    trefoilspar__blame_lost_run__field_descriptors[7]
+    = {
+        {
+            "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameLostRun, server), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "server_started_ms", 2, PROTOBUF_C_LABEL_NONE,
+            PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameLostRun, server_started_ms), NULL,
+            NULL, 0,      /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "scope", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameLostRun, scope), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "blocks", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
+            offsetof (Trefoilspar__BlameLostRun, n_blocks),
+            offsetof (Trefoilspar__BlameLostRun, blocks), NULL, NULL,
+            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+            0, NULL, NULL                     /* reserved1,reserved2, etc */
+        },
+        {
+            "request", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameLostRun, request), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "suspicion", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameLostRun, suspicion), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameLostRun, age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__blame_lost_run__field_indices_by_name[] = {
-  6,   /* field[6] = age_ms */
-  3,   /* field[3] = blocks */
-  4,   /* field[4] = request */
-  2,   /* field[2] = scope */
-  0,   /* field[0] = server */
-  1,   /* field[1] = server_started_ms */
-  5,   /* field[5] = suspicion */
+  6, /* field[6] = age_ms */
+  3, /* field[3] = blocks */
+  4, /* field[4] = request */
+  2, /* field[2] = scope */
+  0, /* field[0] = server */
+  1, /* field[1] = server_started_ms */
+  5, /* field[5] = suspicion */
 };
-static const ProtobufCIntRange trefoilspar__blame_lost_run__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor trefoilspar__blame_lost_run__descriptor =
-{
+static const ProtobufCIntRange
+    trefoilspar__blame_lost_run__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 7 } };
+const ProtobufCMessageDescriptor trefoilspar__blame_lost_run__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.BlameLostRun",
   "BlameLostRun",
   "Trefoilspar__BlameLostRun",
   "trefoilspar",
-  sizeof(Trefoilspar__BlameLostRun),
+  sizeof (Trefoilspar__BlameLostRun),
   7,
   trefoilspar__blame_lost_run__field_descriptors,
   trefoilspar__blame_lost_run__field_indices_by_name,
-  1,  trefoilspar__blame_lost_run__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__blame_lost_run__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor trefoilspar__blame_completed__field_descriptors[4] =
-{
-  {
-    "scope",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameCompleted, scope),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameCompleted, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "count",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FLOAT,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameCompleted, count),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "age_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameCompleted, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+  1,
+  trefoilspar__blame_lost_run__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__blame_lost_run__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    trefoilspar__blame_completed__field_descriptors[4]
+    = {
+        {
+            "scope", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameCompleted, scope), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameCompleted, id), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "count", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FLOAT,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameCompleted, count), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameCompleted, age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__blame_completed__field_indices_by_name[] = {
-  3,   /* field[3] = age_ms */
-  2,   /* field[2] = count */
-  1,   /* field[1] = id */
-  0,   /* field[0] = scope */
-};
-static const ProtobufCIntRange trefoilspar__blame_completed__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
+  3, /* field[3] = age_ms */
+  2, /* field[2] = count */
+  1, /* field[1] = id */
+  0, /* field[0] = scope */
 };
-const ProtobufCMessageDescriptor trefoilspar__blame_completed__descriptor =
-{
+static const ProtobufCIntRange
+    trefoilspar__blame_completed__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 4 } };
+const ProtobufCMessageDescriptor trefoilspar__blame_completed__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.BlameCompleted",
   "BlameCompleted",
   "Trefoilspar__BlameCompleted",
   "trefoilspar",
-  sizeof(Trefoilspar__BlameCompleted),
+  sizeof (Trefoilspar__BlameCompleted),
   4,
   trefoilspar__blame_completed__field_descriptors,
   trefoilspar__blame_completed__field_indices_by_name,
-  1,  trefoilspar__blame_completed__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__blame_completed__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor trefoilspar__blame_blocked__field_descriptors[6] =
-{
-  {
-    "scope",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameBlocked, scope),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameBlocked, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "crashes",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameBlocked, crashes),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "left_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameBlocked, left_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "hold_ms",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameBlocked, hold_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "age_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__BlameBlocked, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+  1,
+  trefoilspar__blame_completed__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__blame_completed__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    trefoilspar__blame_blocked__field_descriptors[6]
+    = {
+        {
+            "scope", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameBlocked, scope), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameBlocked, id), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "crashes", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameBlocked, crashes), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "left_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_SINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameBlocked, left_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "hold_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameBlocked, hold_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__BlameBlocked, age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__blame_blocked__field_indices_by_name[] = {
-  5,   /* field[5] = age_ms */
-  2,   /* field[2] = crashes */
-  4,   /* field[4] = hold_ms */
-  1,   /* field[1] = id */
-  3,   /* field[3] = left_ms */
-  0,   /* field[0] = scope */
-};
-static const ProtobufCIntRange trefoilspar__blame_blocked__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
+  5, /* field[5] = age_ms */
+  2, /* field[2] = crashes */
+  4, /* field[4] = hold_ms */
+  1, /* field[1] = id */
+  3, /* field[3] = left_ms */
+  0, /* field[0] = scope */
 };
-const ProtobufCMessageDescriptor trefoilspar__blame_blocked__descriptor =
-{
+static const ProtobufCIntRange trefoilspar__blame_blocked__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 6 } };
+const ProtobufCMessageDescriptor trefoilspar__blame_blocked__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.BlameBlocked",
   "BlameBlocked",
   "Trefoilspar__BlameBlocked",
   "trefoilspar",
-  sizeof(Trefoilspar__BlameBlocked),
+  sizeof (Trefoilspar__BlameBlocked),
   6,
   trefoilspar__blame_blocked__field_descriptors,
   trefoilspar__blame_blocked__field_indices_by_name,
-  1,  trefoilspar__blame_blocked__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__blame_blocked__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor trefoilspar__blame_news__field_descriptors[3] =
-{
-  {
-    "lost",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Trefoilspar__BlameNews, n_lost),
-    offsetof(Trefoilspar__BlameNews, lost),
-    &trefoilspar__blame_lost_run__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "completed",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Trefoilspar__BlameNews, n_completed),
-    offsetof(Trefoilspar__BlameNews, completed),
-    &trefoilspar__blame_completed__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "blocked",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Trefoilspar__BlameNews, n_blocked),
-    offsetof(Trefoilspar__BlameNews, blocked),
-    &trefoilspar__blame_blocked__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+  1,
+  trefoilspar__blame_blocked__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__blame_blocked__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    trefoilspar__blame_news__field_descriptors[3]
+    = {
+        {
+            "lost", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Trefoilspar__BlameNews, n_lost),
+            offsetof (Trefoilspar__BlameNews, lost),
+            &trefoilspar__blame_lost_run__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "completed", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Trefoilspar__BlameNews, n_completed),
+            offsetof (Trefoilspar__BlameNews, completed),
+            &trefoilspar__blame_completed__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "blocked", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Trefoilspar__BlameNews, n_blocked),
+            offsetof (Trefoilspar__BlameNews, blocked),
+            &trefoilspar__blame_blocked__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__blame_news__field_indices_by_name[] = {
-  2,   /* field[2] = blocked */
-  1,   /* field[1] = completed */
-  0,   /* field[0] = lost */
+  2, /* field[2] = blocked */
+  1, /* field[1] = completed */
+  0, /* field[0] = lost */
 };
-static const ProtobufCIntRange trefoilspar__blame_news__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor trefoilspar__blame_news__descriptor =
-{
+static const ProtobufCIntRange trefoilspar__blame_news__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 3 } };
+const ProtobufCMessageDescriptor trefoilspar__blame_news__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.BlameNews",
   "BlameNews",
   "Trefoilspar__BlameNews",
   "trefoilspar",
-  sizeof(Trefoilspar__BlameNews),
+  sizeof (Trefoilspar__BlameNews),
   3,
   trefoilspar__blame_news__field_descriptors,
   trefoilspar__blame_news__field_indices_by_name,
-  1,  trefoilspar__blame_news__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__blame_news__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  trefoilspar__blame_news__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__blame_news__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
--- a/src/choose.c
+++ b/src/choose.c
@@ -158,6 +158,7 @@
   result->server = server;
   result->cost_ms = cost;
   result->backlog_ms = estimate.backlog_ms;
+  result->prompt_ms = estimate.prompt_ms;
   result->store_delay_ms = estimate.store_delay_ms;
   result->cached_tokens = estimate.cached_tokens;
 }
--- a/src/choose.h
+++ b/src/choose.h
@@ -114,6 +114,8 @@
                      that for older weights. */
   double backlog_ms; /**< Part of cost_ms that the work on other requests
                         causes. */
+  double prompt_ms;  /**< Part of cost_ms that the prompt of the request
+                        causes. */
   /** Part of cost_ms that the delay of a store causes. */
   double store_delay_ms;
   uint64_t cached_tokens;
--- a/src/entry.c
+++ b/src/entry.c
@@ -168,6 +168,9 @@
   forward->retry.window_ns = settings->retry.window_ns;
   forward->retry.request_share = settings->retry.window_share;
   forward->retry.allowance = settings->retry.allowance;
+  forward->queue_mode = settings->queue.mode;
+  forward->queue = waitqueue_settings_default;
+  forward->queue.limit = (unsigned)settings->queue.limit;
   forward->choose = choose_settings_default;
   forward->choose.prefill_tokens_per_ms = settings->engines.tokens_per_ms;
   entry->rollout.settings.share = settings->weights.share;
--- a/src/event.c
+++ b/src/event.c
@@ -180,6 +180,11 @@
     "A request is passed on to another host, since this one can't reach the "
     "servers of its service: how many hosts were candidates and what the "
     "chosen one reported (in, unknown)." },
+  { EVENT_FORWARD_QUEUE, EVENT_LEVEL_INFO, "forward_queue",
+    "A request waits at this host for a service whose capacity varies: its "
+    "class, whether it is late, its work, how many wait, the expected wait, "
+    "and the time left until its latency target and until its caller gives "
+    "up." },
   { EVENT_SERVICE_REACH, EVENT_LEVEL_WARN, "service_reach",
     "This host can use no server of a service any more (out), since they are "
     "unreachable or connections to several failed and none opened, or some "
--- a/src/fairqueue.c
+++ b/src/fairqueue.c
@@ -134,33 +134,59 @@
 }
 
 struct fairqueue_item *
-fairqueue_pop (struct fairqueue *queue, unsigned class_mask)
+fairqueue_peek (const struct fairqueue *queue, unsigned class_mask)
 {
   struct fairqueue_flow *flow = NULL;
-  struct fairqueue_item *item;
   double lowest_start = INFINITY;
 
   for (int i = 0; i < PRIORITY_COUNT; i++)
     {
-      struct fairqueue_class *class = &queue->classes[i];
+      const struct fairqueue_class *class = &queue->classes[i];
       struct fairqueue_flow *next = class_next_flow (class);
 
-      /* A class without runnable items, or outside CLASS_MASK, gains no credit
-       * for the time in which it is not served. */
-      if (next == NULL || (class_mask & 1U << i) == 0)
+      if (next == NULL || (class_mask & 1U << i) == 0
+          || class->virtual_start >= lowest_start)
+        continue;
+      lowest_start = class->virtual_start;
+      flow = next;
+    }
+  return flow != NULL ? flow_first (flow) : NULL;
+}
+
+void
+fairqueue_take (struct fairqueue *queue, struct fairqueue_item *item)
+{
+  queue_charge (queue, item->flow, item->cost);
+  queue_remove (queue, item);
+}
+
+double
+fairqueue_lag (const struct fairqueue *queue, enum priority priority)
+{
+  const struct fairqueue_class *class = &queue->classes[priority];
+
+  if (class->count == 0)
+    return 0;
+  return fmax (queue->virtual_time - class->virtual_start, 0) * class->weight;
+}
+
+struct fairqueue_item *
+fairqueue_pop (struct fairqueue *queue, unsigned class_mask)
+{
+  struct fairqueue_item *item = fairqueue_peek (queue, class_mask);
+
+  /* A class without runnable items, or outside CLASS_MASK, gains no credit
+   * for the time in which it is not served. */
+  for (int i = 0; i < PRIORITY_COUNT; i++)
+    {
+      struct fairqueue_class *class = &queue->classes[i];
+
+      if (class_next_flow (class) == NULL || (class_mask & 1U << i) == 0)
         class->virtual_start
             = fmax (class->virtual_start, queue->virtual_time);
-      else if (class->virtual_start < lowest_start)
-        {
-          lowest_start = class->virtual_start;
-          flow = next;
-        }
     }
-  if (flow == NULL)
-    return NULL;
-  item = flow_first (flow);
-  queue_charge (queue, flow, item->cost);
-  queue_remove (queue, item);
+  if (item != NULL)
+    fairqueue_take (queue, item);
   return item;
 }
 
--- a/src/fairqueue.h
+++ b/src/fairqueue.h
@@ -83,6 +83,20 @@
 struct fairqueue_item *fairqueue_pop (struct fairqueue *queue,
                                       unsigned class_mask);
 
+/** Return the item that fairqueue_pop would remove, and leave QUEUE as it is:
+ * classes that are left out keep their credit.
+ * @return the item, or NULL if there is none. */
+struct fairqueue_item *fairqueue_peek (const struct fairqueue *queue,
+                                       unsigned class_mask);
+
+/** Remove the queued ITEM, which is served now, and charge its cost to its
+ * flow and its class. */
+void fairqueue_take (struct fairqueue *queue, struct fairqueue_item *item);
+
+/** Return by how much the class PRIORITY is behind its share of what was
+ * served, in units of cost; 0 if it is not or has no items. */
+double fairqueue_lag (const struct fairqueue *queue, enum priority priority);
+
 /** Remove ITEM from QUEUE. Does nothing if ITEM is not queued. */
 void fairqueue_remove (struct fairqueue *queue, struct fairqueue_item *item);
 
--- a/src/forward.h
+++ b/src/forward.h
@@ -17,6 +17,7 @@
 #include "streamorigin.h"
 #include "routes.h"
 #include "runtimes.h"
+#include "waitqueue.h"
 #include "weights.h"
 
 /** @file
@@ -47,6 +48,8 @@
                                one; longer than version_grace_ns. */
   struct retrybudget_settings retry;
   struct choose_settings choose;
+  int queue_mode; /**< Value of enum forwardqueue_mode. */
+  struct waitqueue_settings queue;
 };
 
 struct forwarder
@@ -78,6 +81,9 @@
   struct list waiting;  /**< Requests that wait for capacity at a server,
                              in order of arrival. */
   size_t waiting_count;
+  /** Maps names of services whose capacity varies to struct waitqueue; NULL
+   * before the first request for one. */
+  GHashTable *queues;
   struct runtimes runtimes;
   struct bytebudget responses; /**< What is kept of responses. */
   /** Time at which a host that stops ends what is still in flight; 0 while it
@@ -98,6 +104,7 @@
   /** Entry in the forwarder's list of waiting requests; on no list unless
    * the request waits. */
   struct list waiting_node;
+  struct waitqueue_request queued; /**< State in the queue of its service. */
   struct forwarder *forwarder;
   struct callerconn *conn;
   struct call call;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -4,6 +4,7 @@
 #include "forwardlearn.h"
 #include "forwardlog.h"
 #include "forwardplace.h"
+#include "forwardqueue.h"
 #include "forwardrefusals.h"
 #include "forwardrespond.h"
 #include "forwardresume.h"
@@ -66,6 +67,10 @@
       forward->counted_server->pending_prefill_tokens
           -= forward->counted_prefill_tokens;
       forward->counted_prefill_tokens = 0;
+      if (forwardqueue_count (forward) > 0)
+        forwardwait_place (forward->forwarder,
+                           clock_now (forward->forwarder->clock),
+                           forward_place);
     }
   if (!forward->first_event_recorded)
     {
@@ -162,7 +167,8 @@
 {
   struct forward *forward = data;
   struct forwarder *forwarder = forward->forwarder;
-  bool frees_room = exchange->server->brittle.brittle;
+  bool frees_room
+      = exchange->server->brittle.brittle || forwardqueue_count (forward) > 0;
 
   forward_attempt_ended (forward, outcome);
   if (frees_room)
@@ -416,6 +422,8 @@
         forward_refuse (forward, "timeout", FORWARDPLACE_RETRY_AFTER_MS);
       return;
     }
+  if (forwardqueue_refuse_lost (forward, now))
+    return;
   forward_learn_silence (forward, now);
   if (forwardweights_is_overdue (forward))
     attempt_abandon (forward, EXCHANGE_OUTDATED);
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -1,4 +1,5 @@
 #include "forwardlog.h"
+#include "choosecost.h"
 #include "forwarder.h"
 #include "forwardsend.h"
 #include "forwardweights.h"
@@ -131,7 +132,8 @@
              "cost_ms=%.1f "
              "backlog_ms=%.1f cached=%lu stored=%lu prompt=%u context=%lx "
              "weights=%lu wanted=%lu required=%lu wanted_age_ms=%ld entry=%lu "
-             "load_age_ms=%ld waited_ms=%.1f%s",
+             "load_age_ms=%ld load=%u,%u in_flight=%u others_in_flight=%u "
+             "memory=%.0f waited_ms=%.1f%s",
              forward->call.request_id, server->entry.id, forward->service,
              server->entry.software[0] != '\0' ? server->entry.software : "-",
              choice->candidates, choice->limited, choice->brittle,
@@ -150,6 +152,9 @@
              server->has_load_report
                  ? (long)((now - server->load_reported_ns) / NS_PER_MS)
                  : -1L,
+             server->running_requests, server->waiting_requests,
+             server->in_flight_requests, server->other_hosts_requests,
+             choosecost_memory_used_tokens (server),
              (double)(now - forward->arrived_ns) / NS_PER_MS, resumption);
 }
 
@@ -207,6 +212,24 @@
       choice->unreachable, (double)forward_time_left_ns (forward) / NS_PER_MS);
 }
 
+void
+forward_log_queue (const struct forward *forward,
+                   const struct waitqueue *queue, int64_t wait_ns)
+{
+  const struct waitqueue_request *request = &forward->queued;
+  int64_t now = clock_now (forward->forwarder->clock);
+
+  log_event (forward->forwarder->log, EVENT_FORWARD_QUEUE,
+             "id=%s service=%s class=%d late=%d work_ms=%.1f waiting=%u "
+             "late_waiting=%u wait_ms=%.1f target_ms=%.1f left_ms=%.1f",
+             forward->call.request_id, forward->service,
+             (int)request->priority, request->is_late, request->work_ms,
+             queue->in_time.count, queue->late.count,
+             (double)wait_ns / NS_PER_MS,
+             (double)(request->target_ns - now) / NS_PER_MS,
+             (double)(request->give_up_ns - now) / NS_PER_MS);
+}
+
 void
 forward_log_attempt (struct forward *forward, enum exchange_outcome outcome,
                      enum forwardretry_action action)
--- a/src/forwardlog.h
+++ b/src/forwardlog.h
@@ -29,6 +29,10 @@
 void forward_log_wait (struct forward *forward,
                        const struct choose_result *choice);
 
+/** Log that the request waits in QUEUE for WAIT_NS by the present estimate. */
+void forward_log_queue (const struct forward *forward,
+                        const struct waitqueue *queue, int64_t wait_ns);
+
 /** Log that an attempt ended and that ACTION follows. The attempt is not
  * logged if its complete response is passed on. */
 void forward_log_attempt (struct forward *forward,
--- a/src/forwardplace.c
+++ b/src/forwardplace.c
@@ -2,6 +2,7 @@
 #include "forwardblame.h"
 #include "forwardhost.h"
 #include "forwardlog.h"
+#include "forwardqueue.h"
 #include "forwardrefusals.h"
 #include "forwardrespond.h"
 #include "forwardresume.h"
@@ -128,6 +129,8 @@
       forward_give_up (forward, "no_server", FORWARDPLACE_RETRY_AFTER_MS);
       return;
     }
+  if (!forward->forwarder->is_stopping && forwardqueue_hold_back (forward))
+    return;
   memcpy (query.excluded, forward->tried, sizeof query.excluded);
   forwardweights_query (forward, &query);
   forward_add_stored (forward, wanted != NULL ? wanted->version : 1, &query);
@@ -154,6 +157,11 @@
       forwardwait_add (forward);
       return;
     }
+  if (choice.server != NULL && forwardqueue_is_used (forward)
+      && !forwardqueue_allows (forward, &choice))
+    return;
+  if (choice.server != NULL)
+    forwardqueue_sent (forward);
   forwardwait_remove (forward);
   if (choice.server == NULL)
     {
--- a/src/forwardstate.c
+++ b/src/forwardstate.c
@@ -1,4 +1,5 @@
 #include "forwardstate.h"
+#include "forwardqueue.h"
 #include "forwardrespond.h"
 
 #include <string.h>
@@ -112,6 +113,7 @@
     forward_free (LIST_ENTRY (forwarder->requests.next, struct forward, node));
   forwarder_clear_routes (forwarder);
   g_hash_table_destroy (forwarder->wanted_weights);
+  forwardqueue_finish (forwarder);
   runtimes_finish (&forwarder->runtimes);
   g_hash_table_destroy (forwarder->retry_budgets);
 }
--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -1,5 +1,6 @@
 #include "forwardstop.h"
 #include "forwardrespond.h"
+#include "forwardwait.h"
 
 void
 forwardstop_begin (struct forwarder *forwarder, int64_t end_ns)
@@ -27,16 +28,16 @@
 void
 forwardstop_refuse_waiting (struct forwarder *forwarder)
 {
-  struct list *node = forwarder->waiting.next;
+  struct list *node = forwarder->requests.next;
 
   forwarder->is_stopping = true;
-  while (node != &forwarder->waiting)
+  while (node != &forwarder->requests)
     {
-      struct forward *forward
-          = LIST_ENTRY (node, struct forward, waiting_node);
+      struct forward *forward = LIST_ENTRY (node, struct forward, node);
 
       node = node->next;
-      forward_give_up (forward, "stopping", FORWARDSTOP_RETRY_AFTER_MS);
+      if (forwardwait_is_waiting (forward))
+        forward_give_up (forward, "stopping", FORWARDSTOP_RETRY_AFTER_MS);
     }
 }
 
--- a/src/forwardwait.c
+++ b/src/forwardwait.c
@@ -1,4 +1,5 @@
 #include "forwardwait.h"
+#include "forwardqueue.h"
 #include "forwardsend.h"
 
 #include <limits.h>
@@ -10,11 +11,7 @@
    * is larger than any priority. */
   LATE_CLASS_OFFSET = 100,
   /* Time in which the result of a probe is expected. */
-  PROBE_WAIT_MS = 500,
-  /* Callers give a stream up after a pause of so many times the target of its
-   * route, but not before PAUSE_MIN_MS. */
-  PAUSE_TARGETS_MAX = 8,
-  PAUSE_MIN_MS = 2000
+  PROBE_WAIT_MS = 500
 };
 
 /* Maximum time that a request waits for servers with limits, as a share of the
@@ -22,16 +19,27 @@
 static const double limited_wait_share = 0.5;
 
 static bool
-is_waiting (const struct forward *forward)
+is_listed (const struct forward *forward)
 {
   return !list_empty (&forward->waiting_node);
 }
 
+bool
+forwardwait_is_waiting (const struct forward *forward)
+{
+  return is_listed (forward) || forwardqueue_is_waiting (forward);
+}
+
 void
 forwardwait_add (struct forward *forward)
 {
-  if (is_waiting (forward))
+  if (is_listed (forward))
     return;
+  if (forwardqueue_is_used (forward))
+    {
+      forwardqueue_add (forward);
+      return;
+    }
   list_append (&forward->forwarder->waiting, &forward->waiting_node);
   forward->forwarder->waiting_count++;
 }
@@ -39,7 +47,8 @@
 void
 forwardwait_remove (struct forward *forward)
 {
-  if (!is_waiting (forward))
+  forwardqueue_remove (forward);
+  if (!is_listed (forward))
     return;
   list_remove (&forward->waiting_node);
   forward->forwarder->waiting_count--;
@@ -92,7 +101,7 @@
   const struct forwarder *forwarder = forward->forwarder;
   int64_t now = clock_now (forwarder->clock);
   int class = forwardwait_class (forward, now);
-  unsigned ahead = 0;
+  unsigned ahead = forwardqueue_count (forward);
 
   if (choice->limited_per_s <= 0)
     return CLOCK_NEVER;
@@ -145,11 +154,8 @@
 bool
 forwardwait_pause_allows (const struct forward *forward)
 {
-  int64_t target_ns = forward->route->gap_target_ns;
-
-  return !forward->relaying || target_ns == 0
-         || pause_ns (forward) < MAX (PAUSE_TARGETS_MAX * target_ns,
-                                      PAUSE_MIN_MS * NS_PER_MS);
+  return !forward->relaying || forward->route->gap_target_ns == 0
+         || pause_ns (forward) < route_caller_patience_ns (forward->route);
 }
 
 /* Place the waiting requests that need a certain software. That they find no
@@ -182,6 +188,7 @@
     return;
   forwarder->is_placing = true;
   resumed_place (forwarder, place);
+  forwardqueue_serve (forwarder, now, place);
   while ((forward = waiting_next (forwarder, now, skipped_class)) != NULL)
     {
       int class = forwardwait_class (forward, now);
--- a/src/forwardwait.h
+++ b/src/forwardwait.h
@@ -16,6 +16,9 @@
  * does not wait. */
 void forwardwait_remove (struct forward *forward);
 
+/** Whether the request waits at this host. */
+bool forwardwait_is_waiting (const struct forward *forward);
+
 /** Return the class of a waiting request. Requests of the lowest class are
  * sent first: those that can still meet their latency target, by priority.
  * Requests that have missed their target get the remaining capacity. */
--- a/src/limitshare.pb-c.c
+++ b/src/limitshare.pb-c.c
@@ -7,395 +7,333 @@
 #endif
 
 #include "limitshare.pb-c.h"
-void   trefoilspar__stated_limit__init
-                     (Trefoilspar__StatedLimit         *message)
+void
+trefoilspar__stated_limit__init (Trefoilspar__StatedLimit *message)
 {
-  static const Trefoilspar__StatedLimit init_value = TREFOILSPAR__STATED_LIMIT__INIT;
+  static const Trefoilspar__StatedLimit init_value
+      = TREFOILSPAR__STATED_LIMIT__INIT;
   *message = init_value;
 }
-size_t trefoilspar__stated_limit__get_packed_size
-                     (const Trefoilspar__StatedLimit *message)
+size_t
+trefoilspar__stated_limit__get_packed_size (
+    const Trefoilspar__StatedLimit *message)
 {
-  assert(message->base.descriptor == &trefoilspar__stated_limit__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &trefoilspar__stated_limit__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__stated_limit__pack
-                     (const Trefoilspar__StatedLimit *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__stated_limit__pack (const Trefoilspar__StatedLimit *message,
+                                 uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__stated_limit__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &trefoilspar__stated_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__stated_limit__pack_to_buffer
-                     (const Trefoilspar__StatedLimit *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__stated_limit__pack_to_buffer (
+    const Trefoilspar__StatedLimit *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__stated_limit__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &trefoilspar__stated_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__StatedLimit *
-       trefoilspar__stated_limit__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__stated_limit__unpack (ProtobufCAllocator *allocator, size_t len,
+                                   const uint8_t *data)
 {
-  return (Trefoilspar__StatedLimit *)
-     protobuf_c_message_unpack (&trefoilspar__stated_limit__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__StatedLimit *)protobuf_c_message_unpack (
+      &trefoilspar__stated_limit__descriptor, allocator, len, data);
 }
-void   trefoilspar__stated_limit__free_unpacked
-                     (Trefoilspar__StatedLimit *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__stated_limit__free_unpacked (Trefoilspar__StatedLimit *message,
+                                          ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__stated_limit__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &trefoilspar__stated_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   trefoilspar__stated_brittle__init
-                     (Trefoilspar__StatedBrittle         *message)
+void
+trefoilspar__stated_brittle__init (Trefoilspar__StatedBrittle *message)
 {
-  static const Trefoilspar__StatedBrittle init_value = TREFOILSPAR__STATED_BRITTLE__INIT;
+  static const Trefoilspar__StatedBrittle init_value
+      = TREFOILSPAR__STATED_BRITTLE__INIT;
   *message = init_value;
 }
-size_t trefoilspar__stated_brittle__get_packed_size
-                     (const Trefoilspar__StatedBrittle *message)
+size_t
+trefoilspar__stated_brittle__get_packed_size (
+    const Trefoilspar__StatedBrittle *message)
 {
-  assert(message->base.descriptor == &trefoilspar__stated_brittle__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor
+          == &trefoilspar__stated_brittle__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__stated_brittle__pack
-                     (const Trefoilspar__StatedBrittle *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__stated_brittle__pack (const Trefoilspar__StatedBrittle *message,
+                                   uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__stated_brittle__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor
+          == &trefoilspar__stated_brittle__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__stated_brittle__pack_to_buffer
-                     (const Trefoilspar__StatedBrittle *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__stated_brittle__pack_to_buffer (
+    const Trefoilspar__StatedBrittle *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__stated_brittle__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor
+          == &trefoilspar__stated_brittle__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__StatedBrittle *
-       trefoilspar__stated_brittle__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__stated_brittle__unpack (ProtobufCAllocator *allocator, size_t len,
+                                     const uint8_t *data)
 {
-  return (Trefoilspar__StatedBrittle *)
-     protobuf_c_message_unpack (&trefoilspar__stated_brittle__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__StatedBrittle *)protobuf_c_message_unpack (
+      &trefoilspar__stated_brittle__descriptor, allocator, len, data);
 }
-void   trefoilspar__stated_brittle__free_unpacked
-                     (Trefoilspar__StatedBrittle *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__stated_brittle__free_unpacked (
+    Trefoilspar__StatedBrittle *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__stated_brittle__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor
+          == &trefoilspar__stated_brittle__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   trefoilspar__limit_share__init
-                     (Trefoilspar__LimitShare         *message)
+void
+trefoilspar__limit_share__init (Trefoilspar__LimitShare *message)
 {
-  static const Trefoilspar__LimitShare init_value = TREFOILSPAR__LIMIT_SHARE__INIT;
+  static const Trefoilspar__LimitShare init_value
+      = TREFOILSPAR__LIMIT_SHARE__INIT;
   *message = init_value;
 }
-size_t trefoilspar__limit_share__get_packed_size
-                     (const Trefoilspar__LimitShare *message)
+size_t
+trefoilspar__limit_share__get_packed_size (
+    const Trefoilspar__LimitShare *message)
 {
-  assert(message->base.descriptor == &trefoilspar__limit_share__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &trefoilspar__limit_share__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__limit_share__pack
-                     (const Trefoilspar__LimitShare *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__limit_share__pack (const Trefoilspar__LimitShare *message,
+                                uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__limit_share__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &trefoilspar__limit_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__limit_share__pack_to_buffer
-                     (const Trefoilspar__LimitShare *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__limit_share__pack_to_buffer (
+    const Trefoilspar__LimitShare *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__limit_share__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &trefoilspar__limit_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__LimitShare *
-       trefoilspar__limit_share__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__limit_share__unpack (ProtobufCAllocator *allocator, size_t len,
+                                  const uint8_t *data)
 {
-  return (Trefoilspar__LimitShare *)
-     protobuf_c_message_unpack (&trefoilspar__limit_share__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__LimitShare *)protobuf_c_message_unpack (
+      &trefoilspar__limit_share__descriptor, allocator, len, data);
 }
-void   trefoilspar__limit_share__free_unpacked
-                     (Trefoilspar__LimitShare *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__limit_share__free_unpacked (Trefoilspar__LimitShare *message,
+                                         ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__limit_share__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &trefoilspar__limit_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor trefoilspar__stated_limit__field_descriptors[4] =
-{
-  {
-    "server",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StatedLimit, server),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "limited",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StatedLimit, limited),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "per_s",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StatedLimit, per_s),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "age_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StatedLimit, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+static const ProtobufCFieldDescriptor
+    trefoilspar__stated_limit__field_descriptors[4]
+    = {
+        {
+            "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StatedLimit, server), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "limited", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StatedLimit, limited), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "per_s", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StatedLimit, per_s), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StatedLimit, age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__stated_limit__field_indices_by_name[] = {
-  3,   /* field[3] = age_ms */
-  1,   /* field[1] = limited */
-  2,   /* field[2] = per_s */
-  0,   /* field[0] = server */
-};
-static const ProtobufCIntRange trefoilspar__stated_limit__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
+  3, /* field[3] = age_ms */
+  1, /* field[1] = limited */
+  2, /* field[2] = per_s */
+  0, /* field[0] = server */
 };
-const ProtobufCMessageDescriptor trefoilspar__stated_limit__descriptor =
-{
+static const ProtobufCIntRange trefoilspar__stated_limit__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 4 } };
+const ProtobufCMessageDescriptor trefoilspar__stated_limit__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.StatedLimit",
   "StatedLimit",
   "Trefoilspar__StatedLimit",
   "trefoilspar",
-  sizeof(Trefoilspar__StatedLimit),
+  sizeof (Trefoilspar__StatedLimit),
   4,
   trefoilspar__stated_limit__field_descriptors,
   trefoilspar__stated_limit__field_indices_by_name,
-  1,  trefoilspar__stated_limit__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__stated_limit__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor trefoilspar__stated_brittle__field_descriptors[6] =
-{
-  {
-    "server",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StatedBrittle, server),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "brittle",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StatedBrittle, brittle),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rejections",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StatedBrittle, rejections),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "age_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StatedBrittle, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rejected",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StatedBrittle, rejected),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rejected_age_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StatedBrittle, rejected_age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+  1,
+  trefoilspar__stated_limit__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__stated_limit__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    trefoilspar__stated_brittle__field_descriptors[6]
+    = {
+        {
+            "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StatedBrittle, server), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "brittle", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StatedBrittle, brittle), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "rejections", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StatedBrittle, rejections), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StatedBrittle, age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "rejected", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StatedBrittle, rejected), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "rejected_age_ms", 6, PROTOBUF_C_LABEL_NONE,
+            PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+            offsetof (Trefoilspar__StatedBrittle, rejected_age_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__stated_brittle__field_indices_by_name[] = {
-  3,   /* field[3] = age_ms */
-  1,   /* field[1] = brittle */
-  4,   /* field[4] = rejected */
-  5,   /* field[5] = rejected_age_ms */
-  2,   /* field[2] = rejections */
-  0,   /* field[0] = server */
+  3, /* field[3] = age_ms */
+  1, /* field[1] = brittle */
+  4, /* field[4] = rejected */
+  5, /* field[5] = rejected_age_ms */
+  2, /* field[2] = rejections */
+  0, /* field[0] = server */
 };
-static const ProtobufCIntRange trefoilspar__stated_brittle__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor trefoilspar__stated_brittle__descriptor =
-{
+static const ProtobufCIntRange
+    trefoilspar__stated_brittle__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 6 } };
+const ProtobufCMessageDescriptor trefoilspar__stated_brittle__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.StatedBrittle",
   "StatedBrittle",
   "Trefoilspar__StatedBrittle",
   "trefoilspar",
-  sizeof(Trefoilspar__StatedBrittle),
+  sizeof (Trefoilspar__StatedBrittle),
   6,
   trefoilspar__stated_brittle__field_descriptors,
   trefoilspar__stated_brittle__field_indices_by_name,
-  1,  trefoilspar__stated_brittle__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__stated_brittle__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor trefoilspar__limit_share__field_descriptors[4] =
-{
-  {
-    "limits",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Trefoilspar__LimitShare, n_limits),
-    offsetof(Trefoilspar__LimitShare, limits),
-    &trefoilspar__stated_limit__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "brittle",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Trefoilspar__LimitShare, n_brittle),
-    offsetof(Trefoilspar__LimitShare, brittle),
-    &trefoilspar__stated_brittle__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sender",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__LimitShare, sender),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sent_ns",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__LimitShare, sent_ns),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+  1,
+  trefoilspar__stated_brittle__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__stated_brittle__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    trefoilspar__limit_share__field_descriptors[4]
+    = {
+        {
+            "limits", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Trefoilspar__LimitShare, n_limits),
+            offsetof (Trefoilspar__LimitShare, limits),
+            &trefoilspar__stated_limit__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "brittle", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Trefoilspar__LimitShare, n_brittle),
+            offsetof (Trefoilspar__LimitShare, brittle),
+            &trefoilspar__stated_brittle__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "sender", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__LimitShare, sender), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "sent_ns", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_SINT64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__LimitShare, sent_ns), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__limit_share__field_indices_by_name[] = {
-  1,   /* field[1] = brittle */
-  0,   /* field[0] = limits */
-  2,   /* field[2] = sender */
-  3,   /* field[3] = sent_ns */
+  1, /* field[1] = brittle */
+  0, /* field[0] = limits */
+  2, /* field[2] = sender */
+  3, /* field[3] = sent_ns */
 };
-static const ProtobufCIntRange trefoilspar__limit_share__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor trefoilspar__limit_share__descriptor =
-{
+static const ProtobufCIntRange trefoilspar__limit_share__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 4 } };
+const ProtobufCMessageDescriptor trefoilspar__limit_share__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.LimitShare",
   "LimitShare",
   "Trefoilspar__LimitShare",
   "trefoilspar",
-  sizeof(Trefoilspar__LimitShare),
+  sizeof (Trefoilspar__LimitShare),
   4,
   trefoilspar__limit_share__field_descriptors,
   trefoilspar__limit_share__field_indices_by_name,
-  1,  trefoilspar__limit_share__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__limit_share__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  trefoilspar__limit_share__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__limit_share__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
--- a/src/loadshare.pb-c.c
+++ b/src/loadshare.pb-c.c
@@ -7,382 +7,325 @@
 #endif
 
 #include "loadshare.pb-c.h"
-void   trefoilspar__server_share__init
-                     (Trefoilspar__ServerShare         *message)
+void
+trefoilspar__server_share__init (Trefoilspar__ServerShare *message)
 {
-  static const Trefoilspar__ServerShare init_value = TREFOILSPAR__SERVER_SHARE__INIT;
+  static const Trefoilspar__ServerShare init_value
+      = TREFOILSPAR__SERVER_SHARE__INIT;
   *message = init_value;
 }
-size_t trefoilspar__server_share__get_packed_size
-                     (const Trefoilspar__ServerShare *message)
+size_t
+trefoilspar__server_share__get_packed_size (
+    const Trefoilspar__ServerShare *message)
 {
-  assert(message->base.descriptor == &trefoilspar__server_share__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &trefoilspar__server_share__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__server_share__pack
-                     (const Trefoilspar__ServerShare *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__server_share__pack (const Trefoilspar__ServerShare *message,
+                                 uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__server_share__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &trefoilspar__server_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__server_share__pack_to_buffer
-                     (const Trefoilspar__ServerShare *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__server_share__pack_to_buffer (
+    const Trefoilspar__ServerShare *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__server_share__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &trefoilspar__server_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__ServerShare *
-       trefoilspar__server_share__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__server_share__unpack (ProtobufCAllocator *allocator, size_t len,
+                                   const uint8_t *data)
 {
-  return (Trefoilspar__ServerShare *)
-     protobuf_c_message_unpack (&trefoilspar__server_share__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__ServerShare *)protobuf_c_message_unpack (
+      &trefoilspar__server_share__descriptor, allocator, len, data);
 }
-void   trefoilspar__server_share__free_unpacked
-                     (Trefoilspar__ServerShare *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__server_share__free_unpacked (Trefoilspar__ServerShare *message,
+                                          ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__server_share__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &trefoilspar__server_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   trefoilspar__server_weights__init
-                     (Trefoilspar__ServerWeights         *message)
+void
+trefoilspar__server_weights__init (Trefoilspar__ServerWeights *message)
 {
-  static const Trefoilspar__ServerWeights init_value = TREFOILSPAR__SERVER_WEIGHTS__INIT;
+  static const Trefoilspar__ServerWeights init_value
+      = TREFOILSPAR__SERVER_WEIGHTS__INIT;
   *message = init_value;
 }
-size_t trefoilspar__server_weights__get_packed_size
-                     (const Trefoilspar__ServerWeights *message)
+size_t
+trefoilspar__server_weights__get_packed_size (
+    const Trefoilspar__ServerWeights *message)
 {
-  assert(message->base.descriptor == &trefoilspar__server_weights__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor
+          == &trefoilspar__server_weights__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__server_weights__pack
-                     (const Trefoilspar__ServerWeights *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__server_weights__pack (const Trefoilspar__ServerWeights *message,
+                                   uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__server_weights__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor
+          == &trefoilspar__server_weights__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__server_weights__pack_to_buffer
-                     (const Trefoilspar__ServerWeights *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__server_weights__pack_to_buffer (
+    const Trefoilspar__ServerWeights *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__server_weights__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor
+          == &trefoilspar__server_weights__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__ServerWeights *
-       trefoilspar__server_weights__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__server_weights__unpack (ProtobufCAllocator *allocator, size_t len,
+                                     const uint8_t *data)
 {
-  return (Trefoilspar__ServerWeights *)
-     protobuf_c_message_unpack (&trefoilspar__server_weights__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__ServerWeights *)protobuf_c_message_unpack (
+      &trefoilspar__server_weights__descriptor, allocator, len, data);
 }
-void   trefoilspar__server_weights__free_unpacked
-                     (Trefoilspar__ServerWeights *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__server_weights__free_unpacked (
+    Trefoilspar__ServerWeights *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__server_weights__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor
+          == &trefoilspar__server_weights__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   trefoilspar__load_share__init
-                     (Trefoilspar__LoadShare         *message)
+void
+trefoilspar__load_share__init (Trefoilspar__LoadShare *message)
 {
-  static const Trefoilspar__LoadShare init_value = TREFOILSPAR__LOAD_SHARE__INIT;
+  static const Trefoilspar__LoadShare init_value
+      = TREFOILSPAR__LOAD_SHARE__INIT;
   *message = init_value;
 }
-size_t trefoilspar__load_share__get_packed_size
-                     (const Trefoilspar__LoadShare *message)
+size_t
+trefoilspar__load_share__get_packed_size (
+    const Trefoilspar__LoadShare *message)
 {
-  assert(message->base.descriptor == &trefoilspar__load_share__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &trefoilspar__load_share__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__load_share__pack
-                     (const Trefoilspar__LoadShare *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__load_share__pack (const Trefoilspar__LoadShare *message,
+                               uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__load_share__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &trefoilspar__load_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__load_share__pack_to_buffer
-                     (const Trefoilspar__LoadShare *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__load_share__pack_to_buffer (const Trefoilspar__LoadShare *message,
+                                         ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__load_share__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &trefoilspar__load_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__LoadShare *
-       trefoilspar__load_share__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__load_share__unpack (ProtobufCAllocator *allocator, size_t len,
+                                 const uint8_t *data)
 {
-  return (Trefoilspar__LoadShare *)
-     protobuf_c_message_unpack (&trefoilspar__load_share__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__LoadShare *)protobuf_c_message_unpack (
+      &trefoilspar__load_share__descriptor, allocator, len, data);
 }
-void   trefoilspar__load_share__free_unpacked
-                     (Trefoilspar__LoadShare *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__load_share__free_unpacked (Trefoilspar__LoadShare *message,
+                                        ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__load_share__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &trefoilspar__load_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor trefoilspar__server_share__field_descriptors[4] =
-{
-  {
-    "server",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__ServerShare, server),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "prefill",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__ServerShare, prefill),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "memory",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__ServerShare, memory),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "running",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__ServerShare, running),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+static const ProtobufCFieldDescriptor
+    trefoilspar__server_share__field_descriptors[4]
+    = {
+        {
+            "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__ServerShare, server), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "prefill", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__ServerShare, prefill), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "memory", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__ServerShare, memory), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "running", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__ServerShare, running), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__server_share__field_indices_by_name[] = {
-  2,   /* field[2] = memory */
-  1,   /* field[1] = prefill */
-  3,   /* field[3] = running */
-  0,   /* field[0] = server */
-};
-static const ProtobufCIntRange trefoilspar__server_share__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
+  2, /* field[2] = memory */
+  1, /* field[1] = prefill */
+  3, /* field[3] = running */
+  0, /* field[0] = server */
 };
-const ProtobufCMessageDescriptor trefoilspar__server_share__descriptor =
-{
+static const ProtobufCIntRange trefoilspar__server_share__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 4 } };
+const ProtobufCMessageDescriptor trefoilspar__server_share__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.ServerShare",
   "ServerShare",
   "Trefoilspar__ServerShare",
   "trefoilspar",
-  sizeof(Trefoilspar__ServerShare),
+  sizeof (Trefoilspar__ServerShare),
   4,
   trefoilspar__server_share__field_descriptors,
   trefoilspar__server_share__field_indices_by_name,
-  1,  trefoilspar__server_share__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__server_share__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor trefoilspar__server_weights__field_descriptors[2] =
-{
-  {
-    "server",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__ServerWeights, server),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "version",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__ServerWeights, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+  1,
+  trefoilspar__server_share__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__server_share__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    trefoilspar__server_weights__field_descriptors[2]
+    = {
+        {
+            "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__ServerWeights, server), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__ServerWeights, version), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__server_weights__field_indices_by_name[] = {
-  0,   /* field[0] = server */
-  1,   /* field[1] = version */
+  0, /* field[0] = server */
+  1, /* field[1] = version */
 };
-static const ProtobufCIntRange trefoilspar__server_weights__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor trefoilspar__server_weights__descriptor =
-{
+static const ProtobufCIntRange
+    trefoilspar__server_weights__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 2 } };
+const ProtobufCMessageDescriptor trefoilspar__server_weights__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.ServerWeights",
   "ServerWeights",
   "Trefoilspar__ServerWeights",
   "trefoilspar",
-  sizeof(Trefoilspar__ServerWeights),
+  sizeof (Trefoilspar__ServerWeights),
   2,
   trefoilspar__server_weights__field_descriptors,
   trefoilspar__server_weights__field_indices_by_name,
-  1,  trefoilspar__server_weights__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__server_weights__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor trefoilspar__load_share__field_descriptors[7] =
-{
-  {
-    "host",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__LoadShare, host),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "start",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__LoadShare, start),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "number",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__LoadShare, number),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "servers",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Trefoilspar__LoadShare, n_servers),
-    offsetof(Trefoilspar__LoadShare, servers),
-    &trefoilspar__server_share__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "swapping",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Trefoilspar__LoadShare, n_swapping),
-    offsetof(Trefoilspar__LoadShare, swapping),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "weights",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Trefoilspar__LoadShare, n_weights),
-    offsetof(Trefoilspar__LoadShare, weights),
-    &trefoilspar__server_weights__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "out",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Trefoilspar__LoadShare, n_out),
-    offsetof(Trefoilspar__LoadShare, out),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+  1,
+  trefoilspar__server_weights__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__server_weights__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    trefoilspar__load_share__field_descriptors[7]
+    = {
+        {
+            "host", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__LoadShare, host), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "start", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__LoadShare, start), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "number", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__LoadShare, number), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "servers", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Trefoilspar__LoadShare, n_servers),
+            offsetof (Trefoilspar__LoadShare, servers),
+            &trefoilspar__server_share__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "swapping", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED32,
+            offsetof (Trefoilspar__LoadShare, n_swapping),
+            offsetof (Trefoilspar__LoadShare, swapping), NULL, NULL,
+            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+            0, NULL, NULL                     /* reserved1,reserved2, etc */
+        },
+        {
+            "weights", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Trefoilspar__LoadShare, n_weights),
+            offsetof (Trefoilspar__LoadShare, weights),
+            &trefoilspar__server_weights__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "out", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
+            offsetof (Trefoilspar__LoadShare, n_out),
+            offsetof (Trefoilspar__LoadShare, out), NULL, NULL,
+            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+            0, NULL, NULL                     /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__load_share__field_indices_by_name[] = {
-  0,   /* field[0] = host */
-  2,   /* field[2] = number */
-  6,   /* field[6] = out */
-  3,   /* field[3] = servers */
-  1,   /* field[1] = start */
-  4,   /* field[4] = swapping */
-  5,   /* field[5] = weights */
+  0, /* field[0] = host */
+  2, /* field[2] = number */
+  6, /* field[6] = out */
+  3, /* field[3] = servers */
+  1, /* field[1] = start */
+  4, /* field[4] = swapping */
+  5, /* field[5] = weights */
 };
-static const ProtobufCIntRange trefoilspar__load_share__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor trefoilspar__load_share__descriptor =
-{
+static const ProtobufCIntRange trefoilspar__load_share__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 7 } };
+const ProtobufCMessageDescriptor trefoilspar__load_share__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.LoadShare",
   "LoadShare",
   "Trefoilspar__LoadShare",
   "trefoilspar",
-  sizeof(Trefoilspar__LoadShare),
+  sizeof (Trefoilspar__LoadShare),
   7,
   trefoilspar__load_share__field_descriptors,
   trefoilspar__load_share__field_indices_by_name,
-  1,  trefoilspar__load_share__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__load_share__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  trefoilspar__load_share__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__load_share__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
--- a/src/member.pb-c.c
+++ b/src/member.pb-c.c
@@ -7,530 +7,385 @@
 #endif
 
 #include "member.pb-c.h"
-void   member__datagram__init
-                     (Member__Datagram         *message)
+void
+member__datagram__init (Member__Datagram *message)
 {
   static const Member__Datagram init_value = MEMBER__DATAGRAM__INIT;
   *message = init_value;
 }
-size_t member__datagram__get_packed_size
-                     (const Member__Datagram *message)
+size_t
+member__datagram__get_packed_size (const Member__Datagram *message)
 {
-  assert(message->base.descriptor == &member__datagram__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &member__datagram__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t member__datagram__pack
-                     (const Member__Datagram *message,
-                      uint8_t       *out)
+size_t
+member__datagram__pack (const Member__Datagram *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &member__datagram__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &member__datagram__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t member__datagram__pack_to_buffer
-                     (const Member__Datagram *message,
-                      ProtobufCBuffer *buffer)
+size_t
+member__datagram__pack_to_buffer (const Member__Datagram *message,
+                                  ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &member__datagram__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &member__datagram__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Member__Datagram *
-       member__datagram__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+member__datagram__unpack (ProtobufCAllocator *allocator, size_t len,
+                          const uint8_t *data)
 {
-  return (Member__Datagram *)
-     protobuf_c_message_unpack (&member__datagram__descriptor,
-                                allocator, len, data);
+  return (Member__Datagram *)protobuf_c_message_unpack (
+      &member__datagram__descriptor, allocator, len, data);
 }
-void   member__datagram__free_unpacked
-                     (Member__Datagram *message,
-                      ProtobufCAllocator *allocator)
+void
+member__datagram__free_unpacked (Member__Datagram *message,
+                                 ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &member__datagram__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &member__datagram__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   member__row__init
-                     (Member__Row         *message)
+void
+member__row__init (Member__Row *message)
 {
   static const Member__Row init_value = MEMBER__ROW__INIT;
   *message = init_value;
 }
-size_t member__row__get_packed_size
-                     (const Member__Row *message)
+size_t
+member__row__get_packed_size (const Member__Row *message)
 {
-  assert(message->base.descriptor == &member__row__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &member__row__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t member__row__pack
-                     (const Member__Row *message,
-                      uint8_t       *out)
+size_t
+member__row__pack (const Member__Row *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &member__row__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &member__row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t member__row__pack_to_buffer
-                     (const Member__Row *message,
-                      ProtobufCBuffer *buffer)
+size_t
+member__row__pack_to_buffer (const Member__Row *message,
+                             ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &member__row__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &member__row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Member__Row *
-       member__row__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+member__row__unpack (ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
 {
-  return (Member__Row *)
-     protobuf_c_message_unpack (&member__row__descriptor,
-                                allocator, len, data);
+  return (Member__Row *)protobuf_c_message_unpack (&member__row__descriptor,
+                                                   allocator, len, data);
 }
-void   member__row__free_unpacked
-                     (Member__Row *message,
-                      ProtobufCAllocator *allocator)
+void
+member__row__free_unpacked (Member__Row *message,
+                            ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &member__row__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &member__row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   member__sign__init
-                     (Member__Sign         *message)
+void
+member__sign__init (Member__Sign *message)
 {
   static const Member__Sign init_value = MEMBER__SIGN__INIT;
   *message = init_value;
 }
-size_t member__sign__get_packed_size
-                     (const Member__Sign *message)
+size_t
+member__sign__get_packed_size (const Member__Sign *message)
 {
-  assert(message->base.descriptor == &member__sign__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &member__sign__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t member__sign__pack
-                     (const Member__Sign *message,
-                      uint8_t       *out)
+size_t
+member__sign__pack (const Member__Sign *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &member__sign__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &member__sign__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t member__sign__pack_to_buffer
-                     (const Member__Sign *message,
-                      ProtobufCBuffer *buffer)
+size_t
+member__sign__pack_to_buffer (const Member__Sign *message,
+                              ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &member__sign__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &member__sign__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Member__Sign *
-       member__sign__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+member__sign__unpack (ProtobufCAllocator *allocator, size_t len,
+                      const uint8_t *data)
 {
-  return (Member__Sign *)
-     protobuf_c_message_unpack (&member__sign__descriptor,
-                                allocator, len, data);
+  return (Member__Sign *)protobuf_c_message_unpack (&member__sign__descriptor,
+                                                    allocator, len, data);
 }
-void   member__sign__free_unpacked
-                     (Member__Sign *message,
-                      ProtobufCAllocator *allocator)
+void
+member__sign__free_unpacked (Member__Sign *message,
+                             ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &member__sign__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &member__sign__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor member__datagram__field_descriptors[10] =
-{
-  {
-    "protocol",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Member__Datagram, protocol),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "kind",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Member__Datagram, kind),
-    &member__kind__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "from",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Member__Datagram, from),
-    &member__row__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sequence",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Member__Datagram, sequence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Member__Datagram, target),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Member__Datagram, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rows",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Member__Datagram, n_rows),
-    offsetof(Member__Datagram, rows),
-    &member__row__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "signs",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Member__Datagram, n_signs),
-    offsetof(Member__Datagram, signs),
-    &member__sign__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cursor",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Member__Datagram, cursor),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "whole",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Member__Datagram, whole),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+static const ProtobufCFieldDescriptor member__datagram__field_descriptors[10]
+    = {
+        {
+            "protocol", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Member__Datagram, protocol), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "kind", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
+            0, /* quantifier_offset */
+            offsetof (Member__Datagram, kind), &member__kind__descriptor, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "from", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+            0, /* quantifier_offset */
+            offsetof (Member__Datagram, from), &member__row__descriptor, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "sequence", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Member__Datagram, sequence), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "target", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Member__Datagram, target), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "address", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof (Member__Datagram, address), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "rows", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Member__Datagram, n_rows),
+            offsetof (Member__Datagram, rows), &member__row__descriptor, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "signs", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Member__Datagram, n_signs),
+            offsetof (Member__Datagram, signs), &member__sign__descriptor,
+            NULL, 0,      /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "cursor", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Member__Datagram, cursor), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "whole", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof (Member__Datagram, whole), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned member__datagram__field_indices_by_name[] = {
-  5,   /* field[5] = address */
-  8,   /* field[8] = cursor */
-  2,   /* field[2] = from */
-  1,   /* field[1] = kind */
-  0,   /* field[0] = protocol */
-  6,   /* field[6] = rows */
-  3,   /* field[3] = sequence */
-  7,   /* field[7] = signs */
-  4,   /* field[4] = target */
-  9,   /* field[9] = whole */
+  5, /* field[5] = address */
+  8, /* field[8] = cursor */
+  2, /* field[2] = from */
+  1, /* field[1] = kind */
+  0, /* field[0] = protocol */
+  6, /* field[6] = rows */
+  3, /* field[3] = sequence */
+  7, /* field[7] = signs */
+  4, /* field[4] = target */
+  9, /* field[9] = whole */
 };
-static const ProtobufCIntRange member__datagram__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
-};
-const ProtobufCMessageDescriptor member__datagram__descriptor =
-{
+static const ProtobufCIntRange member__datagram__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 10 } };
+const ProtobufCMessageDescriptor member__datagram__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "member.Datagram",
   "Datagram",
   "Member__Datagram",
   "member",
-  sizeof(Member__Datagram),
+  sizeof (Member__Datagram),
   10,
   member__datagram__field_descriptors,
   member__datagram__field_indices_by_name,
-  1,  member__datagram__number_ranges,
-  (ProtobufCMessageInit) member__datagram__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  member__datagram__number_ranges,
+  (ProtobufCMessageInit)member__datagram__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor member__row__field_descriptors[11] =
-{
+static const ProtobufCFieldDescriptor member__row__field_descriptors[11] = {
   {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+      0,                                         /* quantifier_offset */
+      offsetof (Member__Row, id), NULL, NULL, 0, /* flags */
+      0, NULL, NULL                              /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0, /* quantifier_offset */
+      offsetof (Member__Row, incarnation), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "version",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "version", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                              /* quantifier_offset */
+      offsetof (Member__Row, version), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "state",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, state),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "state", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                            /* quantifier_offset */
+      offsetof (Member__Row, state), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "leaving", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+      0,                                              /* quantifier_offset */
+      offsetof (Member__Row, leaving), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "revision",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "revision", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0,                                               /* quantifier_offset */
+      offsetof (Member__Row, revision), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "role",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, role),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "role", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                           /* quantifier_offset */
+      offsetof (Member__Row, role), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "name",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "name", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Member__Row, name), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, data_centre),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "data_centre", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Member__Row, data_centre), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "peer_address",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, peer_address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "peer_address", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Member__Row, peer_address), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "http_address",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Member__Row, http_address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "http_address", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Member__Row, http_address), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned member__row__field_indices_by_name[] = {
-  8,   /* field[8] = data_centre */
-  10,   /* field[10] = http_address */
-  0,   /* field[0] = id */
-  1,   /* field[1] = incarnation */
-  4,   /* field[4] = leaving */
-  7,   /* field[7] = name */
-  9,   /* field[9] = peer_address */
-  5,   /* field[5] = revision */
-  6,   /* field[6] = role */
-  3,   /* field[3] = state */
-  2,   /* field[2] = version */
+  8,  /* field[8] = data_centre */
+  10, /* field[10] = http_address */
+  0,  /* field[0] = id */
+  1,  /* field[1] = incarnation */
+  4,  /* field[4] = leaving */
+  7,  /* field[7] = name */
+  9,  /* field[9] = peer_address */
+  5,  /* field[5] = revision */
+  6,  /* field[6] = role */
+  3,  /* field[3] = state */
+  2,  /* field[2] = version */
 };
-static const ProtobufCIntRange member__row__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 11 }
-};
-const ProtobufCMessageDescriptor member__row__descriptor =
-{
+static const ProtobufCIntRange member__row__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 11 } };
+const ProtobufCMessageDescriptor member__row__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "member.Row",
   "Row",
   "Member__Row",
   "member",
-  sizeof(Member__Row),
+  sizeof (Member__Row),
   11,
   member__row__field_descriptors,
   member__row__field_indices_by_name,
-  1,  member__row__number_ranges,
-  (ProtobufCMessageInit) member__row__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  member__row__number_ranges,
+  (ProtobufCMessageInit)member__row__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor member__sign__field_descriptors[3] =
-{
+static const ProtobufCFieldDescriptor member__sign__field_descriptors[3] = {
   {
-    "server",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Member__Sign, server),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "server", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Member__Sign, server), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "seen_by",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Member__Sign, seen_by),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "seen_by", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Member__Sign, seen_by), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "age_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Member__Sign, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "age_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                              /* quantifier_offset */
+      offsetof (Member__Sign, age_ms), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned member__sign__field_indices_by_name[] = {
-  2,   /* field[2] = age_ms */
-  1,   /* field[1] = seen_by */
-  0,   /* field[0] = server */
+  2, /* field[2] = age_ms */
+  1, /* field[1] = seen_by */
+  0, /* field[0] = server */
 };
-static const ProtobufCIntRange member__sign__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor member__sign__descriptor =
-{
+static const ProtobufCIntRange member__sign__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 3 } };
+const ProtobufCMessageDescriptor member__sign__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "member.Sign",
   "Sign",
   "Member__Sign",
   "member",
-  sizeof(Member__Sign),
+  sizeof (Member__Sign),
   3,
   member__sign__field_descriptors,
   member__sign__field_indices_by_name,
-  1,  member__sign__number_ranges,
-  (ProtobufCMessageInit) member__sign__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  member__sign__number_ranges,
+  (ProtobufCMessageInit)member__sign__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCEnumValue member__kind__enum_values_by_number[7] =
-{
+static const ProtobufCEnumValue member__kind__enum_values_by_number[7] = {
   { "NONE", "MEMBER__KIND__NONE", 0 },
   { "PROBE", "MEMBER__KIND__PROBE", 1 },
   { "ANSWER", "MEMBER__KIND__ANSWER", 2 },
@@ -539,21 +394,13 @@
   { "PULL", "MEMBER__KIND__PULL", 5 },
   { "PAGE", "MEMBER__KIND__PAGE", 6 },
 };
-static const ProtobufCIntRange member__kind__value_ranges[] = {
-{0, 0},{0, 7}
+static const ProtobufCIntRange member__kind__value_ranges[]
+    = { { 0, 0 }, { 0, 7 } };
+static const ProtobufCEnumValueIndex member__kind__enum_values_by_name[7] = {
+  { "ANSWER", 2 },    { "NONE", 0 }, { "PAGE", 6 },   { "PROBE", 1 },
+  { "PROBE_FOR", 3 }, { "PULL", 5 }, { "SPREAD", 4 },
 };
-static const ProtobufCEnumValueIndex member__kind__enum_values_by_name[7] =
-{
-  { "ANSWER", 2 },
-  { "NONE", 0 },
-  { "PAGE", 6 },
-  { "PROBE", 1 },
-  { "PROBE_FOR", 3 },
-  { "PULL", 5 },
-  { "SPREAD", 4 },
-};
-const ProtobufCEnumDescriptor member__kind__descriptor =
-{
+const ProtobufCEnumDescriptor member__kind__descriptor = {
   PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
   "member.Kind",
   "Kind",
@@ -565,5 +412,8 @@
   member__kind__enum_values_by_name,
   1,
   member__kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
+  NULL,
+  NULL,
+  NULL,
+  NULL /* reserved[1234] */
 };
--- a/src/partsnews.pb-c.c
+++ b/src/partsnews.pb-c.c
@@ -7,312 +7,247 @@
 #endif
 
 #include "partsnews.pb-c.h"
-void   trefoilspar__part_change__init
-                     (Trefoilspar__PartChange         *message)
+void
+trefoilspar__part_change__init (Trefoilspar__PartChange *message)
 {
-  static const Trefoilspar__PartChange init_value = TREFOILSPAR__PART_CHANGE__INIT;
+  static const Trefoilspar__PartChange init_value
+      = TREFOILSPAR__PART_CHANGE__INIT;
   *message = init_value;
 }
-size_t trefoilspar__part_change__get_packed_size
-                     (const Trefoilspar__PartChange *message)
+size_t
+trefoilspar__part_change__get_packed_size (
+    const Trefoilspar__PartChange *message)
 {
-  assert(message->base.descriptor == &trefoilspar__part_change__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &trefoilspar__part_change__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__part_change__pack
-                     (const Trefoilspar__PartChange *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__part_change__pack (const Trefoilspar__PartChange *message,
+                                uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__part_change__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &trefoilspar__part_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__part_change__pack_to_buffer
-                     (const Trefoilspar__PartChange *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__part_change__pack_to_buffer (
+    const Trefoilspar__PartChange *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__part_change__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &trefoilspar__part_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__PartChange *
-       trefoilspar__part_change__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__part_change__unpack (ProtobufCAllocator *allocator, size_t len,
+                                  const uint8_t *data)
 {
-  return (Trefoilspar__PartChange *)
-     protobuf_c_message_unpack (&trefoilspar__part_change__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__PartChange *)protobuf_c_message_unpack (
+      &trefoilspar__part_change__descriptor, allocator, len, data);
 }
-void   trefoilspar__part_change__free_unpacked
-                     (Trefoilspar__PartChange *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__part_change__free_unpacked (Trefoilspar__PartChange *message,
+                                         ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__part_change__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &trefoilspar__part_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   trefoilspar__parts_news__init
-                     (Trefoilspar__PartsNews         *message)
+void
+trefoilspar__parts_news__init (Trefoilspar__PartsNews *message)
 {
-  static const Trefoilspar__PartsNews init_value = TREFOILSPAR__PARTS_NEWS__INIT;
+  static const Trefoilspar__PartsNews init_value
+      = TREFOILSPAR__PARTS_NEWS__INIT;
   *message = init_value;
 }
-size_t trefoilspar__parts_news__get_packed_size
-                     (const Trefoilspar__PartsNews *message)
+size_t
+trefoilspar__parts_news__get_packed_size (
+    const Trefoilspar__PartsNews *message)
 {
-  assert(message->base.descriptor == &trefoilspar__parts_news__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &trefoilspar__parts_news__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__parts_news__pack
-                     (const Trefoilspar__PartsNews *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__parts_news__pack (const Trefoilspar__PartsNews *message,
+                               uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__parts_news__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &trefoilspar__parts_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__parts_news__pack_to_buffer
-                     (const Trefoilspar__PartsNews *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__parts_news__pack_to_buffer (const Trefoilspar__PartsNews *message,
+                                         ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__parts_news__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &trefoilspar__parts_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__PartsNews *
-       trefoilspar__parts_news__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__parts_news__unpack (ProtobufCAllocator *allocator, size_t len,
+                                 const uint8_t *data)
 {
-  return (Trefoilspar__PartsNews *)
-     protobuf_c_message_unpack (&trefoilspar__parts_news__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__PartsNews *)protobuf_c_message_unpack (
+      &trefoilspar__parts_news__descriptor, allocator, len, data);
 }
-void   trefoilspar__parts_news__free_unpacked
-                     (Trefoilspar__PartsNews *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__parts_news__free_unpacked (Trefoilspar__PartsNews *message,
+                                        ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__parts_news__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &trefoilspar__parts_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor trefoilspar__part_change__field_descriptors[5] =
-{
-  {
-    "number",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartChange, number),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "scope",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartChange, scope),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "id",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartChange, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "tokens",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartChange, tokens),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "gone",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartChange, gone),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+static const ProtobufCFieldDescriptor
+    trefoilspar__part_change__field_descriptors[5]
+    = {
+        {
+            "number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartChange, number), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "scope", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartChange, scope), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "id", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartChange, id), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "tokens", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartChange, tokens), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "gone", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartChange, gone), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__part_change__field_indices_by_name[] = {
-  4,   /* field[4] = gone */
-  2,   /* field[2] = id */
-  0,   /* field[0] = number */
-  1,   /* field[1] = scope */
-  3,   /* field[3] = tokens */
+  4, /* field[4] = gone */
+  2, /* field[2] = id */
+  0, /* field[0] = number */
+  1, /* field[1] = scope */
+  3, /* field[3] = tokens */
 };
-static const ProtobufCIntRange trefoilspar__part_change__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor trefoilspar__part_change__descriptor =
-{
+static const ProtobufCIntRange trefoilspar__part_change__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 5 } };
+const ProtobufCMessageDescriptor trefoilspar__part_change__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.PartChange",
   "PartChange",
   "Trefoilspar__PartChange",
   "trefoilspar",
-  sizeof(Trefoilspar__PartChange),
+  sizeof (Trefoilspar__PartChange),
   5,
   trefoilspar__part_change__field_descriptors,
   trefoilspar__part_change__field_indices_by_name,
-  1,  trefoilspar__part_change__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__part_change__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor trefoilspar__parts_news__field_descriptors[8] =
-{
-  {
-    "store",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartsNews, store),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "epoch",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartsNews, epoch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "since",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartsNews, since),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "next",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartsNews, next),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "scopes",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Trefoilspar__PartsNews, n_scopes),
-    offsetof(Trefoilspar__PartsNews, scopes),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "changes",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Trefoilspar__PartsNews, n_changes),
-    offsetof(Trefoilspar__PartsNews, changes),
-    &trefoilspar__part_change__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sender",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartsNews, sender),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sent_ns",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__PartsNews, sent_ns),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+  1,
+  trefoilspar__part_change__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__part_change__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor
+    trefoilspar__parts_news__field_descriptors[8]
+    = {
+        {
+            "store", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartsNews, store), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "epoch", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartsNews, epoch), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "since", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartsNews, since), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "next", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartsNews, next), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "scopes", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+            offsetof (Trefoilspar__PartsNews, n_scopes),
+            offsetof (Trefoilspar__PartsNews, scopes), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "changes", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Trefoilspar__PartsNews, n_changes),
+            offsetof (Trefoilspar__PartsNews, changes),
+            &trefoilspar__part_change__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "sender", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartsNews, sender), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "sent_ns", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_SINT64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__PartsNews, sent_ns), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__parts_news__field_indices_by_name[] = {
-  5,   /* field[5] = changes */
-  1,   /* field[1] = epoch */
-  3,   /* field[3] = next */
-  4,   /* field[4] = scopes */
-  6,   /* field[6] = sender */
-  7,   /* field[7] = sent_ns */
-  2,   /* field[2] = since */
-  0,   /* field[0] = store */
+  5, /* field[5] = changes */
+  1, /* field[1] = epoch */
+  3, /* field[3] = next */
+  4, /* field[4] = scopes */
+  6, /* field[6] = sender */
+  7, /* field[7] = sent_ns */
+  2, /* field[2] = since */
+  0, /* field[0] = store */
 };
-static const ProtobufCIntRange trefoilspar__parts_news__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 8 }
-};
-const ProtobufCMessageDescriptor trefoilspar__parts_news__descriptor =
-{
+static const ProtobufCIntRange trefoilspar__parts_news__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 8 } };
+const ProtobufCMessageDescriptor trefoilspar__parts_news__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.PartsNews",
   "PartsNews",
   "Trefoilspar__PartsNews",
   "trefoilspar",
-  sizeof(Trefoilspar__PartsNews),
+  sizeof (Trefoilspar__PartsNews),
   8,
   trefoilspar__parts_news__field_descriptors,
   trefoilspar__parts_news__field_indices_by_name,
-  1,  trefoilspar__parts_news__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__parts_news__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  trefoilspar__parts_news__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__parts_news__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
