--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -7,3023 +7,2385 @@
 #endif
 
 #include "peer.pb-c.h"
-void   peer__envelope__init
-                     (Peer__Envelope         *message)
+void
+peer__envelope__init (Peer__Envelope *message)
 {
   static const Peer__Envelope init_value = PEER__ENVELOPE__INIT;
   *message = init_value;
 }
-size_t peer__envelope__get_packed_size
-                     (const Peer__Envelope *message)
+size_t
+peer__envelope__get_packed_size (const Peer__Envelope *message)
 {
-  assert(message->base.descriptor == &peer__envelope__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__envelope__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__envelope__pack
-                     (const Peer__Envelope *message,
-                      uint8_t       *out)
+size_t
+peer__envelope__pack (const Peer__Envelope *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__envelope__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__envelope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__envelope__pack_to_buffer
-                     (const Peer__Envelope *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__envelope__pack_to_buffer (const Peer__Envelope *message,
+                                ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__envelope__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__envelope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Envelope *
-       peer__envelope__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__envelope__unpack (ProtobufCAllocator *allocator, size_t len,
+                        const uint8_t *data)
 {
-  return (Peer__Envelope *)
-     protobuf_c_message_unpack (&peer__envelope__descriptor,
-                                allocator, len, data);
+  return (Peer__Envelope *)protobuf_c_message_unpack (
+      &peer__envelope__descriptor, allocator, len, data);
 }
-void   peer__envelope__free_unpacked
-                     (Peer__Envelope *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__envelope__free_unpacked (Peer__Envelope *message,
+                               ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__envelope__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__envelope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__config_fetch__init
-                     (Peer__ConfigFetch         *message)
+void
+peer__config_fetch__init (Peer__ConfigFetch *message)
 {
   static const Peer__ConfigFetch init_value = PEER__CONFIG_FETCH__INIT;
   *message = init_value;
 }
-size_t peer__config_fetch__get_packed_size
-                     (const Peer__ConfigFetch *message)
+size_t
+peer__config_fetch__get_packed_size (const Peer__ConfigFetch *message)
 {
-  assert(message->base.descriptor == &peer__config_fetch__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__config_fetch__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__config_fetch__pack
-                     (const Peer__ConfigFetch *message,
-                      uint8_t       *out)
+size_t
+peer__config_fetch__pack (const Peer__ConfigFetch *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__config_fetch__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__config_fetch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__config_fetch__pack_to_buffer
-                     (const Peer__ConfigFetch *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__config_fetch__pack_to_buffer (const Peer__ConfigFetch *message,
+                                    ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__config_fetch__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__config_fetch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__ConfigFetch *
-       peer__config_fetch__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__config_fetch__unpack (ProtobufCAllocator *allocator, size_t len,
+                            const uint8_t *data)
 {
-  return (Peer__ConfigFetch *)
-     protobuf_c_message_unpack (&peer__config_fetch__descriptor,
-                                allocator, len, data);
+  return (Peer__ConfigFetch *)protobuf_c_message_unpack (
+      &peer__config_fetch__descriptor, allocator, len, data);
 }
-void   peer__config_fetch__free_unpacked
-                     (Peer__ConfigFetch *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__config_fetch__free_unpacked (Peer__ConfigFetch *message,
+                                   ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__config_fetch__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__config_fetch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__config_reply__init
-                     (Peer__ConfigReply         *message)
+void
+peer__config_reply__init (Peer__ConfigReply *message)
 {
   static const Peer__ConfigReply init_value = PEER__CONFIG_REPLY__INIT;
   *message = init_value;
 }
-size_t peer__config_reply__get_packed_size
-                     (const Peer__ConfigReply *message)
+size_t
+peer__config_reply__get_packed_size (const Peer__ConfigReply *message)
 {
-  assert(message->base.descriptor == &peer__config_reply__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__config_reply__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__config_reply__pack
-                     (const Peer__ConfigReply *message,
-                      uint8_t       *out)
+size_t
+peer__config_reply__pack (const Peer__ConfigReply *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__config_reply__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__config_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__config_reply__pack_to_buffer
-                     (const Peer__ConfigReply *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__config_reply__pack_to_buffer (const Peer__ConfigReply *message,
+                                    ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__config_reply__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__config_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__ConfigReply *
-       peer__config_reply__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__config_reply__unpack (ProtobufCAllocator *allocator, size_t len,
+                            const uint8_t *data)
 {
-  return (Peer__ConfigReply *)
-     protobuf_c_message_unpack (&peer__config_reply__descriptor,
-                                allocator, len, data);
+  return (Peer__ConfigReply *)protobuf_c_message_unpack (
+      &peer__config_reply__descriptor, allocator, len, data);
 }
-void   peer__config_reply__free_unpacked
-                     (Peer__ConfigReply *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__config_reply__free_unpacked (Peer__ConfigReply *message,
+                                   ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__config_reply__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__config_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__ping__init
-                     (Peer__Ping         *message)
+void
+peer__ping__init (Peer__Ping *message)
 {
   static const Peer__Ping init_value = PEER__PING__INIT;
   *message = init_value;
 }
-size_t peer__ping__get_packed_size
-                     (const Peer__Ping *message)
+size_t
+peer__ping__get_packed_size (const Peer__Ping *message)
 {
-  assert(message->base.descriptor == &peer__ping__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__ping__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__ping__pack
-                     (const Peer__Ping *message,
-                      uint8_t       *out)
+size_t
+peer__ping__pack (const Peer__Ping *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__ping__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__ping__pack_to_buffer
-                     (const Peer__Ping *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__ping__pack_to_buffer (const Peer__Ping *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__ping__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Ping *
-       peer__ping__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__ping__unpack (ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Peer__Ping *)
-     protobuf_c_message_unpack (&peer__ping__descriptor,
-                                allocator, len, data);
+  return (Peer__Ping *)protobuf_c_message_unpack (&peer__ping__descriptor,
+                                                  allocator, len, data);
 }
-void   peer__ping__free_unpacked
-                     (Peer__Ping *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__ping__free_unpacked (Peer__Ping *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__ping__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__pong__init
-                     (Peer__Pong         *message)
+void
+peer__pong__init (Peer__Pong *message)
 {
   static const Peer__Pong init_value = PEER__PONG__INIT;
   *message = init_value;
 }
-size_t peer__pong__get_packed_size
-                     (const Peer__Pong *message)
+size_t
+peer__pong__get_packed_size (const Peer__Pong *message)
 {
-  assert(message->base.descriptor == &peer__pong__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__pong__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__pong__pack
-                     (const Peer__Pong *message,
-                      uint8_t       *out)
+size_t
+peer__pong__pack (const Peer__Pong *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__pong__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__pong__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__pong__pack_to_buffer
-                     (const Peer__Pong *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__pong__pack_to_buffer (const Peer__Pong *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__pong__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__pong__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Pong *
-       peer__pong__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__pong__unpack (ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Peer__Pong *)
-     protobuf_c_message_unpack (&peer__pong__descriptor,
-                                allocator, len, data);
+  return (Peer__Pong *)protobuf_c_message_unpack (&peer__pong__descriptor,
+                                                  allocator, len, data);
 }
-void   peer__pong__free_unpacked
-                     (Peer__Pong *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__pong__free_unpacked (Peer__Pong *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__pong__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__pong__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__refused__init
-                     (Peer__Refused         *message)
+void
+peer__refused__init (Peer__Refused *message)
 {
   static const Peer__Refused init_value = PEER__REFUSED__INIT;
   *message = init_value;
 }
-size_t peer__refused__get_packed_size
-                     (const Peer__Refused *message)
+size_t
+peer__refused__get_packed_size (const Peer__Refused *message)
 {
-  assert(message->base.descriptor == &peer__refused__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__refused__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__refused__pack
-                     (const Peer__Refused *message,
-                      uint8_t       *out)
+size_t
+peer__refused__pack (const Peer__Refused *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__refused__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__refused__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__refused__pack_to_buffer
-                     (const Peer__Refused *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__refused__pack_to_buffer (const Peer__Refused *message,
+                               ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__refused__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__refused__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Refused *
-       peer__refused__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__refused__unpack (ProtobufCAllocator *allocator, size_t len,
+                       const uint8_t *data)
 {
-  return (Peer__Refused *)
-     protobuf_c_message_unpack (&peer__refused__descriptor,
-                                allocator, len, data);
+  return (Peer__Refused *)protobuf_c_message_unpack (
+      &peer__refused__descriptor, allocator, len, data);
 }
-void   peer__refused__free_unpacked
-                     (Peer__Refused *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__refused__free_unpacked (Peer__Refused *message,
+                              ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__refused__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__refused__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__load_query__init
-                     (Peer__LoadQuery         *message)
+void
+peer__load_query__init (Peer__LoadQuery *message)
 {
   static const Peer__LoadQuery init_value = PEER__LOAD_QUERY__INIT;
   *message = init_value;
 }
-size_t peer__load_query__get_packed_size
-                     (const Peer__LoadQuery *message)
+size_t
+peer__load_query__get_packed_size (const Peer__LoadQuery *message)
 {
-  assert(message->base.descriptor == &peer__load_query__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__load_query__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__load_query__pack
-                     (const Peer__LoadQuery *message,
-                      uint8_t       *out)
+size_t
+peer__load_query__pack (const Peer__LoadQuery *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__load_query__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__load_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__load_query__pack_to_buffer
-                     (const Peer__LoadQuery *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__load_query__pack_to_buffer (const Peer__LoadQuery *message,
+                                  ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__load_query__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__load_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__LoadQuery *
-       peer__load_query__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__load_query__unpack (ProtobufCAllocator *allocator, size_t len,
+                          const uint8_t *data)
 {
-  return (Peer__LoadQuery *)
-     protobuf_c_message_unpack (&peer__load_query__descriptor,
-                                allocator, len, data);
+  return (Peer__LoadQuery *)protobuf_c_message_unpack (
+      &peer__load_query__descriptor, allocator, len, data);
 }
-void   peer__load_query__free_unpacked
-                     (Peer__LoadQuery *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__load_query__free_unpacked (Peer__LoadQuery *message,
+                                 ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__load_query__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__load_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__engine_version__init
-                     (Peer__EngineVersion         *message)
+void
+peer__engine_version__init (Peer__EngineVersion *message)
 {
   static const Peer__EngineVersion init_value = PEER__ENGINE_VERSION__INIT;
   *message = init_value;
 }
-size_t peer__engine_version__get_packed_size
-                     (const Peer__EngineVersion *message)
+size_t
+peer__engine_version__get_packed_size (const Peer__EngineVersion *message)
 {
-  assert(message->base.descriptor == &peer__engine_version__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__engine_version__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__engine_version__pack
-                     (const Peer__EngineVersion *message,
-                      uint8_t       *out)
+size_t
+peer__engine_version__pack (const Peer__EngineVersion *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__engine_version__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__engine_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__engine_version__pack_to_buffer
-                     (const Peer__EngineVersion *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__engine_version__pack_to_buffer (const Peer__EngineVersion *message,
+                                      ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__engine_version__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__engine_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__EngineVersion *
-       peer__engine_version__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__engine_version__unpack (ProtobufCAllocator *allocator, size_t len,
+                              const uint8_t *data)
 {
-  return (Peer__EngineVersion *)
-     protobuf_c_message_unpack (&peer__engine_version__descriptor,
-                                allocator, len, data);
+  return (Peer__EngineVersion *)protobuf_c_message_unpack (
+      &peer__engine_version__descriptor, allocator, len, data);
 }
-void   peer__engine_version__free_unpacked
-                     (Peer__EngineVersion *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__engine_version__free_unpacked (Peer__EngineVersion *message,
+                                     ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__engine_version__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__engine_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__engine_load__init
-                     (Peer__EngineLoad         *message)
+void
+peer__engine_load__init (Peer__EngineLoad *message)
 {
   static const Peer__EngineLoad init_value = PEER__ENGINE_LOAD__INIT;
   *message = init_value;
 }
-size_t peer__engine_load__get_packed_size
-                     (const Peer__EngineLoad *message)
+size_t
+peer__engine_load__get_packed_size (const Peer__EngineLoad *message)
 {
-  assert(message->base.descriptor == &peer__engine_load__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__engine_load__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__engine_load__pack
-                     (const Peer__EngineLoad *message,
-                      uint8_t       *out)
+size_t
+peer__engine_load__pack (const Peer__EngineLoad *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__engine_load__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__engine_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__engine_load__pack_to_buffer
-                     (const Peer__EngineLoad *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__engine_load__pack_to_buffer (const Peer__EngineLoad *message,
+                                   ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__engine_load__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__engine_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__EngineLoad *
-       peer__engine_load__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__engine_load__unpack (ProtobufCAllocator *allocator, size_t len,
+                           const uint8_t *data)
 {
-  return (Peer__EngineLoad *)
-     protobuf_c_message_unpack (&peer__engine_load__descriptor,
-                                allocator, len, data);
+  return (Peer__EngineLoad *)protobuf_c_message_unpack (
+      &peer__engine_load__descriptor, allocator, len, data);
 }
-void   peer__engine_load__free_unpacked
-                     (Peer__EngineLoad *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__engine_load__free_unpacked (Peer__EngineLoad *message,
+                                  ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__engine_load__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__engine_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__load_reply__init
-                     (Peer__LoadReply         *message)
+void
+peer__load_reply__init (Peer__LoadReply *message)
 {
   static const Peer__LoadReply init_value = PEER__LOAD_REPLY__INIT;
   *message = init_value;
 }
-size_t peer__load_reply__get_packed_size
-                     (const Peer__LoadReply *message)
+size_t
+peer__load_reply__get_packed_size (const Peer__LoadReply *message)
 {
-  assert(message->base.descriptor == &peer__load_reply__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__load_reply__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__load_reply__pack
-                     (const Peer__LoadReply *message,
-                      uint8_t       *out)
+size_t
+peer__load_reply__pack (const Peer__LoadReply *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__load_reply__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__load_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__load_reply__pack_to_buffer
-                     (const Peer__LoadReply *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__load_reply__pack_to_buffer (const Peer__LoadReply *message,
+                                  ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__load_reply__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__load_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__LoadReply *
-       peer__load_reply__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__load_reply__unpack (ProtobufCAllocator *allocator, size_t len,
+                          const uint8_t *data)
 {
-  return (Peer__LoadReply *)
-     protobuf_c_message_unpack (&peer__load_reply__descriptor,
-                                allocator, len, data);
+  return (Peer__LoadReply *)protobuf_c_message_unpack (
+      &peer__load_reply__descriptor, allocator, len, data);
 }
-void   peer__load_reply__free_unpacked
-                     (Peer__LoadReply *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__load_reply__free_unpacked (Peer__LoadReply *message,
+                                 ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__load_reply__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__load_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__scope__init
-                     (Peer__Scope         *message)
+void
+peer__scope__init (Peer__Scope *message)
 {
   static const Peer__Scope init_value = PEER__SCOPE__INIT;
   *message = init_value;
 }
-size_t peer__scope__get_packed_size
-                     (const Peer__Scope *message)
+size_t
+peer__scope__get_packed_size (const Peer__Scope *message)
 {
-  assert(message->base.descriptor == &peer__scope__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__scope__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__scope__pack
-                     (const Peer__Scope *message,
-                      uint8_t       *out)
+size_t
+peer__scope__pack (const Peer__Scope *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__scope__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__scope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__scope__pack_to_buffer
-                     (const Peer__Scope *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__scope__pack_to_buffer (const Peer__Scope *message,
+                             ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__scope__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__scope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Scope *
-       peer__scope__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__scope__unpack (ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
 {
-  return (Peer__Scope *)
-     protobuf_c_message_unpack (&peer__scope__descriptor,
-                                allocator, len, data);
+  return (Peer__Scope *)protobuf_c_message_unpack (&peer__scope__descriptor,
+                                                   allocator, len, data);
 }
-void   peer__scope__free_unpacked
-                     (Peer__Scope *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__scope__free_unpacked (Peer__Scope *message,
+                            ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__scope__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__scope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__lookup__init
-                     (Peer__Lookup         *message)
+void
+peer__lookup__init (Peer__Lookup *message)
 {
   static const Peer__Lookup init_value = PEER__LOOKUP__INIT;
   *message = init_value;
 }
-size_t peer__lookup__get_packed_size
-                     (const Peer__Lookup *message)
+size_t
+peer__lookup__get_packed_size (const Peer__Lookup *message)
 {
-  assert(message->base.descriptor == &peer__lookup__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__lookup__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__lookup__pack
-                     (const Peer__Lookup *message,
-                      uint8_t       *out)
+size_t
+peer__lookup__pack (const Peer__Lookup *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__lookup__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__lookup__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__lookup__pack_to_buffer
-                     (const Peer__Lookup *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__lookup__pack_to_buffer (const Peer__Lookup *message,
+                              ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__lookup__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__lookup__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Lookup *
-       peer__lookup__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__lookup__unpack (ProtobufCAllocator *allocator, size_t len,
+                      const uint8_t *data)
 {
-  return (Peer__Lookup *)
-     protobuf_c_message_unpack (&peer__lookup__descriptor,
-                                allocator, len, data);
+  return (Peer__Lookup *)protobuf_c_message_unpack (&peer__lookup__descriptor,
+                                                    allocator, len, data);
 }
-void   peer__lookup__free_unpacked
-                     (Peer__Lookup *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__lookup__free_unpacked (Peer__Lookup *message,
+                             ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__lookup__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__lookup__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__holder__init
-                     (Peer__Holder         *message)
+void
+peer__holder__init (Peer__Holder *message)
 {
   static const Peer__Holder init_value = PEER__HOLDER__INIT;
   *message = init_value;
 }
-size_t peer__holder__get_packed_size
-                     (const Peer__Holder *message)
+size_t
+peer__holder__get_packed_size (const Peer__Holder *message)
 {
-  assert(message->base.descriptor == &peer__holder__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__holder__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__holder__pack
-                     (const Peer__Holder *message,
-                      uint8_t       *out)
+size_t
+peer__holder__pack (const Peer__Holder *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__holder__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__holder__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__holder__pack_to_buffer
-                     (const Peer__Holder *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__holder__pack_to_buffer (const Peer__Holder *message,
+                              ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__holder__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__holder__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Holder *
-       peer__holder__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__holder__unpack (ProtobufCAllocator *allocator, size_t len,
+                      const uint8_t *data)
 {
-  return (Peer__Holder *)
-     protobuf_c_message_unpack (&peer__holder__descriptor,
-                                allocator, len, data);
+  return (Peer__Holder *)protobuf_c_message_unpack (&peer__holder__descriptor,
+                                                    allocator, len, data);
 }
-void   peer__holder__free_unpacked
-                     (Peer__Holder *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__holder__free_unpacked (Peer__Holder *message,
+                             ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__holder__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__holder__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__copy__init
-                     (Peer__Copy         *message)
+void
+peer__copy__init (Peer__Copy *message)
 {
   static const Peer__Copy init_value = PEER__COPY__INIT;
   *message = init_value;
 }
-size_t peer__copy__get_packed_size
-                     (const Peer__Copy *message)
+size_t
+peer__copy__get_packed_size (const Peer__Copy *message)
 {
-  assert(message->base.descriptor == &peer__copy__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__copy__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__copy__pack
-                     (const Peer__Copy *message,
-                      uint8_t       *out)
+size_t
+peer__copy__pack (const Peer__Copy *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__copy__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__copy__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__copy__pack_to_buffer
-                     (const Peer__Copy *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__copy__pack_to_buffer (const Peer__Copy *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__copy__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__copy__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Copy *
-       peer__copy__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__copy__unpack (ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Peer__Copy *)
-     protobuf_c_message_unpack (&peer__copy__descriptor,
-                                allocator, len, data);
+  return (Peer__Copy *)protobuf_c_message_unpack (&peer__copy__descriptor,
+                                                  allocator, len, data);
 }
-void   peer__copy__free_unpacked
-                     (Peer__Copy *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__copy__free_unpacked (Peer__Copy *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__copy__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__copy__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__piece__init
-                     (Peer__Piece         *message)
+void
+peer__piece__init (Peer__Piece *message)
 {
   static const Peer__Piece init_value = PEER__PIECE__INIT;
   *message = init_value;
 }
-size_t peer__piece__get_packed_size
-                     (const Peer__Piece *message)
+size_t
+peer__piece__get_packed_size (const Peer__Piece *message)
 {
-  assert(message->base.descriptor == &peer__piece__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__piece__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__piece__pack
-                     (const Peer__Piece *message,
-                      uint8_t       *out)
+size_t
+peer__piece__pack (const Peer__Piece *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__piece__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__piece__pack_to_buffer
-                     (const Peer__Piece *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__piece__pack_to_buffer (const Peer__Piece *message,
+                             ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__piece__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Piece *
-       peer__piece__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__piece__unpack (ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
 {
-  return (Peer__Piece *)
-     protobuf_c_message_unpack (&peer__piece__descriptor,
-                                allocator, len, data);
+  return (Peer__Piece *)protobuf_c_message_unpack (&peer__piece__descriptor,
+                                                   allocator, len, data);
 }
-void   peer__piece__free_unpacked
-                     (Peer__Piece *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__piece__free_unpacked (Peer__Piece *message,
+                            ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__piece__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__lookup_reply__init
-                     (Peer__LookupReply         *message)
+void
+peer__lookup_reply__init (Peer__LookupReply *message)
 {
   static const Peer__LookupReply init_value = PEER__LOOKUP_REPLY__INIT;
   *message = init_value;
 }
-size_t peer__lookup_reply__get_packed_size
-                     (const Peer__LookupReply *message)
+size_t
+peer__lookup_reply__get_packed_size (const Peer__LookupReply *message)
 {
-  assert(message->base.descriptor == &peer__lookup_reply__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__lookup_reply__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__lookup_reply__pack
-                     (const Peer__LookupReply *message,
-                      uint8_t       *out)
+size_t
+peer__lookup_reply__pack (const Peer__LookupReply *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__lookup_reply__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__lookup_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__lookup_reply__pack_to_buffer
-                     (const Peer__LookupReply *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__lookup_reply__pack_to_buffer (const Peer__LookupReply *message,
+                                    ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__lookup_reply__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__lookup_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__LookupReply *
-       peer__lookup_reply__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__lookup_reply__unpack (ProtobufCAllocator *allocator, size_t len,
+                            const uint8_t *data)
 {
-  return (Peer__LookupReply *)
-     protobuf_c_message_unpack (&peer__lookup_reply__descriptor,
-                                allocator, len, data);
+  return (Peer__LookupReply *)protobuf_c_message_unpack (
+      &peer__lookup_reply__descriptor, allocator, len, data);
 }
-void   peer__lookup_reply__free_unpacked
-                     (Peer__LookupReply *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__lookup_reply__free_unpacked (Peer__LookupReply *message,
+                                   ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__lookup_reply__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__lookup_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__used__init
-                     (Peer__Used         *message)
+void
+peer__used__init (Peer__Used *message)
 {
   static const Peer__Used init_value = PEER__USED__INIT;
   *message = init_value;
 }
-size_t peer__used__get_packed_size
-                     (const Peer__Used *message)
+size_t
+peer__used__get_packed_size (const Peer__Used *message)
 {
-  assert(message->base.descriptor == &peer__used__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__used__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__used__pack
-                     (const Peer__Used *message,
-                      uint8_t       *out)
+size_t
+peer__used__pack (const Peer__Used *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__used__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__used__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__used__pack_to_buffer
-                     (const Peer__Used *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__used__pack_to_buffer (const Peer__Used *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__used__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__used__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Used *
-       peer__used__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__used__unpack (ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Peer__Used *)
-     protobuf_c_message_unpack (&peer__used__descriptor,
-                                allocator, len, data);
+  return (Peer__Used *)protobuf_c_message_unpack (&peer__used__descriptor,
+                                                  allocator, len, data);
 }
-void   peer__used__free_unpacked
-                     (Peer__Used *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__used__free_unpacked (Peer__Used *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__used__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__used__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__done__init
-                     (Peer__Done         *message)
+void
+peer__done__init (Peer__Done *message)
 {
   static const Peer__Done init_value = PEER__DONE__INIT;
   *message = init_value;
 }
-size_t peer__done__get_packed_size
-                     (const Peer__Done *message)
+size_t
+peer__done__get_packed_size (const Peer__Done *message)
 {
-  assert(message->base.descriptor == &peer__done__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__done__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__done__pack
-                     (const Peer__Done *message,
-                      uint8_t       *out)
+size_t
+peer__done__pack (const Peer__Done *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__done__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__done__pack_to_buffer
-                     (const Peer__Done *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__done__pack_to_buffer (const Peer__Done *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__done__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Done *
-       peer__done__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__done__unpack (ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Peer__Done *)
-     protobuf_c_message_unpack (&peer__done__descriptor,
-                                allocator, len, data);
+  return (Peer__Done *)protobuf_c_message_unpack (&peer__done__descriptor,
+                                                  allocator, len, data);
 }
-void   peer__done__free_unpacked
-                     (Peer__Done *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__done__free_unpacked (Peer__Done *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__done__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__once_request__init
-                     (Peer__OnceRequest         *message)
+void
+peer__once_request__init (Peer__OnceRequest *message)
 {
   static const Peer__OnceRequest init_value = PEER__ONCE_REQUEST__INIT;
   *message = init_value;
 }
-size_t peer__once_request__get_packed_size
-                     (const Peer__OnceRequest *message)
+size_t
+peer__once_request__get_packed_size (const Peer__OnceRequest *message)
 {
-  assert(message->base.descriptor == &peer__once_request__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__once_request__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__once_request__pack
-                     (const Peer__OnceRequest *message,
-                      uint8_t       *out)
+size_t
+peer__once_request__pack (const Peer__OnceRequest *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__once_request__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__once_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__once_request__pack_to_buffer
-                     (const Peer__OnceRequest *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__once_request__pack_to_buffer (const Peer__OnceRequest *message,
+                                    ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__once_request__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__once_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__OnceRequest *
-       peer__once_request__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__once_request__unpack (ProtobufCAllocator *allocator, size_t len,
+                            const uint8_t *data)
 {
-  return (Peer__OnceRequest *)
-     protobuf_c_message_unpack (&peer__once_request__descriptor,
-                                allocator, len, data);
+  return (Peer__OnceRequest *)protobuf_c_message_unpack (
+      &peer__once_request__descriptor, allocator, len, data);
 }
-void   peer__once_request__free_unpacked
-                     (Peer__OnceRequest *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__once_request__free_unpacked (Peer__OnceRequest *message,
+                                   ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__once_request__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__once_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__once_outcome__init
-                     (Peer__OnceOutcome         *message)
+void
+peer__once_outcome__init (Peer__OnceOutcome *message)
 {
   static const Peer__OnceOutcome init_value = PEER__ONCE_OUTCOME__INIT;
   *message = init_value;
 }
-size_t peer__once_outcome__get_packed_size
-                     (const Peer__OnceOutcome *message)
+size_t
+peer__once_outcome__get_packed_size (const Peer__OnceOutcome *message)
 {
-  assert(message->base.descriptor == &peer__once_outcome__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__once_outcome__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__once_outcome__pack
-                     (const Peer__OnceOutcome *message,
-                      uint8_t       *out)
+size_t
+peer__once_outcome__pack (const Peer__OnceOutcome *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__once_outcome__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__once_outcome__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__once_outcome__pack_to_buffer
-                     (const Peer__OnceOutcome *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__once_outcome__pack_to_buffer (const Peer__OnceOutcome *message,
+                                    ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__once_outcome__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__once_outcome__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__OnceOutcome *
-       peer__once_outcome__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__once_outcome__unpack (ProtobufCAllocator *allocator, size_t len,
+                            const uint8_t *data)
 {
-  return (Peer__OnceOutcome *)
-     protobuf_c_message_unpack (&peer__once_outcome__descriptor,
-                                allocator, len, data);
+  return (Peer__OnceOutcome *)protobuf_c_message_unpack (
+      &peer__once_outcome__descriptor, allocator, len, data);
 }
-void   peer__once_outcome__free_unpacked
-                     (Peer__OnceOutcome *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__once_outcome__free_unpacked (Peer__OnceOutcome *message,
+                                   ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__once_outcome__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__once_outcome__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__once_begin__init
-                     (Peer__OnceBegin         *message)
+void
+peer__once_begin__init (Peer__OnceBegin *message)
 {
   static const Peer__OnceBegin init_value = PEER__ONCE_BEGIN__INIT;
   *message = init_value;
 }
-size_t peer__once_begin__get_packed_size
-                     (const Peer__OnceBegin *message)
+size_t
+peer__once_begin__get_packed_size (const Peer__OnceBegin *message)
 {
-  assert(message->base.descriptor == &peer__once_begin__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__once_begin__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__once_begin__pack
-                     (const Peer__OnceBegin *message,
-                      uint8_t       *out)
+size_t
+peer__once_begin__pack (const Peer__OnceBegin *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__once_begin__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__once_begin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__once_begin__pack_to_buffer
-                     (const Peer__OnceBegin *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__once_begin__pack_to_buffer (const Peer__OnceBegin *message,
+                                  ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__once_begin__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__once_begin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__OnceBegin *
-       peer__once_begin__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__once_begin__unpack (ProtobufCAllocator *allocator, size_t len,
+                          const uint8_t *data)
 {
-  return (Peer__OnceBegin *)
-     protobuf_c_message_unpack (&peer__once_begin__descriptor,
-                                allocator, len, data);
+  return (Peer__OnceBegin *)protobuf_c_message_unpack (
+      &peer__once_begin__descriptor, allocator, len, data);
 }
-void   peer__once_begin__free_unpacked
-                     (Peer__OnceBegin *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__once_begin__free_unpacked (Peer__OnceBegin *message,
+                                 ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__once_begin__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__once_begin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__once_answer__init
-                     (Peer__OnceAnswer         *message)
+void
+peer__once_answer__init (Peer__OnceAnswer *message)
 {
   static const Peer__OnceAnswer init_value = PEER__ONCE_ANSWER__INIT;
   *message = init_value;
 }
-size_t peer__once_answer__get_packed_size
-                     (const Peer__OnceAnswer *message)
+size_t
+peer__once_answer__get_packed_size (const Peer__OnceAnswer *message)
 {
-  assert(message->base.descriptor == &peer__once_answer__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__once_answer__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__once_answer__pack
-                     (const Peer__OnceAnswer *message,
-                      uint8_t       *out)
+size_t
+peer__once_answer__pack (const Peer__OnceAnswer *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__once_answer__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__once_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__once_answer__pack_to_buffer
-                     (const Peer__OnceAnswer *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__once_answer__pack_to_buffer (const Peer__OnceAnswer *message,
+                                   ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__once_answer__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__once_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__OnceAnswer *
-       peer__once_answer__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__once_answer__unpack (ProtobufCAllocator *allocator, size_t len,
+                           const uint8_t *data)
 {
-  return (Peer__OnceAnswer *)
-     protobuf_c_message_unpack (&peer__once_answer__descriptor,
-                                allocator, len, data);
+  return (Peer__OnceAnswer *)protobuf_c_message_unpack (
+      &peer__once_answer__descriptor, allocator, len, data);
 }
-void   peer__once_answer__free_unpacked
-                     (Peer__OnceAnswer *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__once_answer__free_unpacked (Peer__OnceAnswer *message,
+                                  ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__once_answer__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__once_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__once_end__init
-                     (Peer__OnceEnd         *message)
+void
+peer__once_end__init (Peer__OnceEnd *message)
 {
   static const Peer__OnceEnd init_value = PEER__ONCE_END__INIT;
   *message = init_value;
 }
-size_t peer__once_end__get_packed_size
-                     (const Peer__OnceEnd *message)
+size_t
+peer__once_end__get_packed_size (const Peer__OnceEnd *message)
 {
-  assert(message->base.descriptor == &peer__once_end__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__once_end__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__once_end__pack
-                     (const Peer__OnceEnd *message,
-                      uint8_t       *out)
+size_t
+peer__once_end__pack (const Peer__OnceEnd *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__once_end__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__once_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__once_end__pack_to_buffer
-                     (const Peer__OnceEnd *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__once_end__pack_to_buffer (const Peer__OnceEnd *message,
+                                ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__once_end__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__once_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__OnceEnd *
-       peer__once_end__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__once_end__unpack (ProtobufCAllocator *allocator, size_t len,
+                        const uint8_t *data)
 {
-  return (Peer__OnceEnd *)
-     protobuf_c_message_unpack (&peer__once_end__descriptor,
-                                allocator, len, data);
+  return (Peer__OnceEnd *)protobuf_c_message_unpack (
+      &peer__once_end__descriptor, allocator, len, data);
 }
-void   peer__once_end__free_unpacked
-                     (Peer__OnceEnd *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__once_end__free_unpacked (Peer__OnceEnd *message,
+                               ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__once_end__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__once_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__once_recorded__init
-                     (Peer__OnceRecorded         *message)
+void
+peer__once_recorded__init (Peer__OnceRecorded *message)
 {
   static const Peer__OnceRecorded init_value = PEER__ONCE_RECORDED__INIT;
   *message = init_value;
 }
-size_t peer__once_recorded__get_packed_size
-                     (const Peer__OnceRecorded *message)
+size_t
+peer__once_recorded__get_packed_size (const Peer__OnceRecorded *message)
 {
-  assert(message->base.descriptor == &peer__once_recorded__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__once_recorded__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__once_recorded__pack
-                     (const Peer__OnceRecorded *message,
-                      uint8_t       *out)
+size_t
+peer__once_recorded__pack (const Peer__OnceRecorded *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__once_recorded__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__once_recorded__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__once_recorded__pack_to_buffer
-                     (const Peer__OnceRecorded *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__once_recorded__pack_to_buffer (const Peer__OnceRecorded *message,
+                                     ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__once_recorded__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__once_recorded__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__OnceRecorded *
-       peer__once_recorded__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__once_recorded__unpack (ProtobufCAllocator *allocator, size_t len,
+                             const uint8_t *data)
 {
-  return (Peer__OnceRecorded *)
-     protobuf_c_message_unpack (&peer__once_recorded__descriptor,
-                                allocator, len, data);
+  return (Peer__OnceRecorded *)protobuf_c_message_unpack (
+      &peer__once_recorded__descriptor, allocator, len, data);
 }
-void   peer__once_recorded__free_unpacked
-                     (Peer__OnceRecorded *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__once_recorded__free_unpacked (Peer__OnceRecorded *message,
+                                    ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__once_recorded__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__once_recorded__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-void   peer__suspect__init
-                     (Peer__Suspect         *message)
+void
+peer__suspect__init (Peer__Suspect *message)
 {
   static const Peer__Suspect init_value = PEER__SUSPECT__INIT;
   *message = init_value;
 }
-size_t peer__suspect__get_packed_size
-                     (const Peer__Suspect *message)
+size_t
+peer__suspect__get_packed_size (const Peer__Suspect *message)
 {
-  assert(message->base.descriptor == &peer__suspect__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &peer__suspect__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t peer__suspect__pack
-                     (const Peer__Suspect *message,
-                      uint8_t       *out)
+size_t
+peer__suspect__pack (const Peer__Suspect *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &peer__suspect__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &peer__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t peer__suspect__pack_to_buffer
-                     (const Peer__Suspect *message,
-                      ProtobufCBuffer *buffer)
+size_t
+peer__suspect__pack_to_buffer (const Peer__Suspect *message,
+                               ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__suspect__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &peer__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Peer__Suspect *
-       peer__suspect__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+peer__suspect__unpack (ProtobufCAllocator *allocator, size_t len,
+                       const uint8_t *data)
 {
-  return (Peer__Suspect *)
-     protobuf_c_message_unpack (&peer__suspect__descriptor,
-                                allocator, len, data);
+  return (Peer__Suspect *)protobuf_c_message_unpack (
+      &peer__suspect__descriptor, allocator, len, data);
 }
-void   peer__suspect__free_unpacked
-                     (Peer__Suspect *message,
-                      ProtobufCAllocator *allocator)
+void
+peer__suspect__free_unpacked (Peer__Suspect *message,
+                              ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &peer__suspect__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &peer__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[20] =
-{
+static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[20] = {
   {
-    "protocol",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Envelope, protocol),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "protocol", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0, /* quantifier_offset */
+      offsetof (Peer__Envelope, protocol), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Envelope, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0, /* quantifier_offset */
+      offsetof (Peer__Envelope, incarnation), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "request_id",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Envelope, request_id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "request_id", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0, /* quantifier_offset */
+      offsetof (Peer__Envelope, request_id), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "config_revision",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Envelope, config_revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "config_revision", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0, /* quantifier_offset */
+      offsetof (Peer__Envelope, config_revision), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "ping",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, ping),
-    &peer__ping__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "ping", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case), offsetof (Peer__Envelope, ping),
+      &peer__ping__descriptor, NULL,
+      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                    /* reserved1,reserved2, etc */
   },
   {
-    "pong",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, pong),
-    &peer__pong__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "pong", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case), offsetof (Peer__Envelope, pong),
+      &peer__pong__descriptor, NULL,
+      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                    /* reserved1,reserved2, etc */
   },
   {
-    "refused",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, refused),
-    &peer__refused__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "refused", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case), offsetof (Peer__Envelope, refused),
+      &peer__refused__descriptor, NULL,
+      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                    /* reserved1,reserved2, etc */
   },
   {
-    "load_query",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, load_query),
-    &peer__load_query__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "load_query", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case),
+      offsetof (Peer__Envelope, load_query), &peer__load_query__descriptor,
+      NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                          /* reserved1,reserved2, etc */
   },
   {
-    "load_reply",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, load_reply),
-    &peer__load_reply__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "load_reply", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case),
+      offsetof (Peer__Envelope, load_reply), &peer__load_reply__descriptor,
+      NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                          /* reserved1,reserved2, etc */
   },
   {
-    "lookup",
-    16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, lookup),
-    &peer__lookup__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "lookup", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case), offsetof (Peer__Envelope, lookup),
+      &peer__lookup__descriptor, NULL,
+      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                    /* reserved1,reserved2, etc */
   },
   {
-    "lookup_reply",
-    17,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, lookup_reply),
-    &peer__lookup_reply__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "lookup_reply", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case),
+      offsetof (Peer__Envelope, lookup_reply), &peer__lookup_reply__descriptor,
+      NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                          /* reserved1,reserved2, etc */
   },
   {
-    "used",
-    18,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, used),
-    &peer__used__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "used", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case), offsetof (Peer__Envelope, used),
+      &peer__used__descriptor, NULL,
+      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                    /* reserved1,reserved2, etc */
   },
   {
-    "done",
-    19,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, done),
-    &peer__done__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "done", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case), offsetof (Peer__Envelope, done),
+      &peer__done__descriptor, NULL,
+      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                    /* reserved1,reserved2, etc */
   },
   {
-    "once_begin",
-    20,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, once_begin),
-    &peer__once_begin__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "once_begin", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case),
+      offsetof (Peer__Envelope, once_begin), &peer__once_begin__descriptor,
+      NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                          /* reserved1,reserved2, etc */
   },
   {
-    "once_answer",
-    21,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, once_answer),
-    &peer__once_answer__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "once_answer", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case),
+      offsetof (Peer__Envelope, once_answer), &peer__once_answer__descriptor,
+      NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                          /* reserved1,reserved2, etc */
   },
   {
-    "once_end",
-    22,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, once_end),
-    &peer__once_end__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "once_end", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case),
+      offsetof (Peer__Envelope, once_end), &peer__once_end__descriptor, NULL,
+      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                    /* reserved1,reserved2, etc */
   },
   {
-    "once_recorded",
-    23,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, once_recorded),
-    &peer__once_recorded__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "once_recorded", 23, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case),
+      offsetof (Peer__Envelope, once_recorded),
+      &peer__once_recorded__descriptor, NULL,
+      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                    /* reserved1,reserved2, etc */
   },
   {
-    "config_fetch",
-    30,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, config_fetch),
-    &peer__config_fetch__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "config_fetch", 30, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case),
+      offsetof (Peer__Envelope, config_fetch), &peer__config_fetch__descriptor,
+      NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                          /* reserved1,reserved2, etc */
   },
   {
-    "config_reply",
-    31,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, config_reply),
-    &peer__config_reply__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "config_reply", 31, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case),
+      offsetof (Peer__Envelope, config_reply), &peer__config_reply__descriptor,
+      NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                          /* reserved1,reserved2, etc */
   },
   {
-    "suspect",
-    40,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Envelope, body_case),
-    offsetof(Peer__Envelope, suspect),
-    &peer__suspect__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "suspect", 40, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Envelope, body_case), offsetof (Peer__Envelope, suspect),
+      &peer__suspect__descriptor, NULL,
+      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+      0, NULL, NULL                    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__envelope__field_indices_by_name[] = {
-  17,   /* field[17] = config_fetch */
-  18,   /* field[18] = config_reply */
-  3,   /* field[3] = config_revision */
-  12,   /* field[12] = done */
-  1,   /* field[1] = incarnation */
-  7,   /* field[7] = load_query */
-  8,   /* field[8] = load_reply */
-  9,   /* field[9] = lookup */
-  10,   /* field[10] = lookup_reply */
-  14,   /* field[14] = once_answer */
-  13,   /* field[13] = once_begin */
-  15,   /* field[15] = once_end */
-  16,   /* field[16] = once_recorded */
-  4,   /* field[4] = ping */
-  5,   /* field[5] = pong */
-  0,   /* field[0] = protocol */
-  6,   /* field[6] = refused */
-  2,   /* field[2] = request_id */
-  19,   /* field[19] = suspect */
-  11,   /* field[11] = used */
-};
-static const ProtobufCIntRange peer__envelope__number_ranges[4 + 1] =
-{
-  { 1, 0 },
-  { 11, 4 },
-  { 30, 17 },
-  { 40, 19 },
-  { 0, 20 }
-};
-const ProtobufCMessageDescriptor peer__envelope__descriptor =
-{
+  17, /* field[17] = config_fetch */
+  18, /* field[18] = config_reply */
+  3,  /* field[3] = config_revision */
+  12, /* field[12] = done */
+  1,  /* field[1] = incarnation */
+  7,  /* field[7] = load_query */
+  8,  /* field[8] = load_reply */
+  9,  /* field[9] = lookup */
+  10, /* field[10] = lookup_reply */
+  14, /* field[14] = once_answer */
+  13, /* field[13] = once_begin */
+  15, /* field[15] = once_end */
+  16, /* field[16] = once_recorded */
+  4,  /* field[4] = ping */
+  5,  /* field[5] = pong */
+  0,  /* field[0] = protocol */
+  6,  /* field[6] = refused */
+  2,  /* field[2] = request_id */
+  19, /* field[19] = suspect */
+  11, /* field[11] = used */
+};
+static const ProtobufCIntRange peer__envelope__number_ranges[4 + 1]
+    = { { 1, 0 }, { 11, 4 }, { 30, 17 }, { 40, 19 }, { 0, 20 } };
+const ProtobufCMessageDescriptor peer__envelope__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Envelope",
   "Envelope",
   "Peer__Envelope",
   "peer",
-  sizeof(Peer__Envelope),
+  sizeof (Peer__Envelope),
   20,
   peer__envelope__field_descriptors,
   peer__envelope__field_indices_by_name,
-  4,  peer__envelope__number_ranges,
-  (ProtobufCMessageInit) peer__envelope__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__config_fetch__field_descriptors[1] =
-{
-  {
-    "since",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__ConfigFetch, since),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  4,
+  peer__envelope__number_ranges,
+  (ProtobufCMessageInit)peer__envelope__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__config_fetch__field_descriptors[1]
+    = {
+        {
+            "since", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Peer__ConfigFetch, since), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__config_fetch__field_indices_by_name[] = {
-  0,   /* field[0] = since */
+  0, /* field[0] = since */
 };
-static const ProtobufCIntRange peer__config_fetch__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor peer__config_fetch__descriptor =
-{
+static const ProtobufCIntRange peer__config_fetch__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 1 } };
+const ProtobufCMessageDescriptor peer__config_fetch__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.ConfigFetch",
   "ConfigFetch",
   "Peer__ConfigFetch",
   "peer",
-  sizeof(Peer__ConfigFetch),
+  sizeof (Peer__ConfigFetch),
   1,
   peer__config_fetch__field_descriptors,
   peer__config_fetch__field_indices_by_name,
-  1,  peer__config_fetch__number_ranges,
-  (ProtobufCMessageInit) peer__config_fetch__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__config_reply__field_descriptors[2] =
-{
-  {
-    "packed",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Peer__ConfigReply, packed),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "size",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__ConfigReply, size),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  1,
+  peer__config_fetch__number_ranges,
+  (ProtobufCMessageInit)peer__config_fetch__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__config_reply__field_descriptors[2]
+    = {
+        {
+            "packed", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+            0, /* quantifier_offset */
+            offsetof (Peer__ConfigReply, packed), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "size", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Peer__ConfigReply, size), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__config_reply__field_indices_by_name[] = {
-  0,   /* field[0] = packed */
-  1,   /* field[1] = size */
+  0, /* field[0] = packed */
+  1, /* field[1] = size */
 };
-static const ProtobufCIntRange peer__config_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor peer__config_reply__descriptor =
-{
+static const ProtobufCIntRange peer__config_reply__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 2 } };
+const ProtobufCMessageDescriptor peer__config_reply__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.ConfigReply",
   "ConfigReply",
   "Peer__ConfigReply",
   "peer",
-  sizeof(Peer__ConfigReply),
+  sizeof (Peer__ConfigReply),
   2,
   peer__config_reply__field_descriptors,
   peer__config_reply__field_indices_by_name,
-  1,  peer__config_reply__number_ranges,
-  (ProtobufCMessageInit) peer__config_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__config_reply__number_ranges,
+  (ProtobufCMessageInit)peer__config_reply__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ping__field_descriptors[1] =
-{
+static const ProtobufCFieldDescriptor peer__ping__field_descriptors[1] = {
   {
-    "number",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Ping, number),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0,                                            /* quantifier_offset */
+      offsetof (Peer__Ping, number), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__ping__field_indices_by_name[] = {
-  0,   /* field[0] = number */
-};
-static const ProtobufCIntRange peer__ping__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
+  0, /* field[0] = number */
 };
-const ProtobufCMessageDescriptor peer__ping__descriptor =
-{
+static const ProtobufCIntRange peer__ping__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 1 } };
+const ProtobufCMessageDescriptor peer__ping__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Ping",
   "Ping",
   "Peer__Ping",
   "peer",
-  sizeof(Peer__Ping),
+  sizeof (Peer__Ping),
   1,
   peer__ping__field_descriptors,
   peer__ping__field_indices_by_name,
-  1,  peer__ping__number_ranges,
-  (ProtobufCMessageInit) peer__ping__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__ping__number_ranges,
+  (ProtobufCMessageInit)peer__ping__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__pong__field_descriptors[1] =
-{
+static const ProtobufCFieldDescriptor peer__pong__field_descriptors[1] = {
   {
-    "number",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Pong, number),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0,                                            /* quantifier_offset */
+      offsetof (Peer__Pong, number), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__pong__field_indices_by_name[] = {
-  0,   /* field[0] = number */
-};
-static const ProtobufCIntRange peer__pong__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
+  0, /* field[0] = number */
 };
-const ProtobufCMessageDescriptor peer__pong__descriptor =
-{
+static const ProtobufCIntRange peer__pong__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 1 } };
+const ProtobufCMessageDescriptor peer__pong__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Pong",
   "Pong",
   "Peer__Pong",
   "peer",
-  sizeof(Peer__Pong),
+  sizeof (Peer__Pong),
   1,
   peer__pong__field_descriptors,
   peer__pong__field_indices_by_name,
-  1,  peer__pong__number_ranges,
-  (ProtobufCMessageInit) peer__pong__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__pong__number_ranges,
+  (ProtobufCMessageInit)peer__pong__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__refused__field_descriptors[3] =
-{
+static const ProtobufCFieldDescriptor peer__refused__field_descriptors[3] = {
   {
-    "code",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Refused, code),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "code", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Peer__Refused, code), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "message",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Refused, message),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "message", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Peer__Refused, message), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "retry_after_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Refused, retry_after_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "retry_after_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0, /* quantifier_offset */
+      offsetof (Peer__Refused, retry_after_ms), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__refused__field_indices_by_name[] = {
-  0,   /* field[0] = code */
-  1,   /* field[1] = message */
-  2,   /* field[2] = retry_after_ms */
+  0, /* field[0] = code */
+  1, /* field[1] = message */
+  2, /* field[2] = retry_after_ms */
 };
-static const ProtobufCIntRange peer__refused__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor peer__refused__descriptor =
-{
+static const ProtobufCIntRange peer__refused__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 3 } };
+const ProtobufCMessageDescriptor peer__refused__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Refused",
   "Refused",
   "Peer__Refused",
   "peer",
-  sizeof(Peer__Refused),
+  sizeof (Peer__Refused),
   3,
   peer__refused__field_descriptors,
   peer__refused__field_indices_by_name,
-  1,  peer__refused__number_ranges,
-  (ProtobufCMessageInit) peer__refused__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__load_query__field_descriptors[1] =
-{
-  {
-    "engines",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Peer__LoadQuery, n_engines),
-    offsetof(Peer__LoadQuery, engines),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  1,
+  peer__refused__number_ranges,
+  (ProtobufCMessageInit)peer__refused__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__load_query__field_descriptors[1]
+    = {
+        {
+            "engines", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+            offsetof (Peer__LoadQuery, n_engines),
+            offsetof (Peer__LoadQuery, engines), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__load_query__field_indices_by_name[] = {
-  0,   /* field[0] = engines */
-};
-static const ProtobufCIntRange peer__load_query__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
+  0, /* field[0] = engines */
 };
-const ProtobufCMessageDescriptor peer__load_query__descriptor =
-{
+static const ProtobufCIntRange peer__load_query__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 1 } };
+const ProtobufCMessageDescriptor peer__load_query__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.LoadQuery",
   "LoadQuery",
   "Peer__LoadQuery",
   "peer",
-  sizeof(Peer__LoadQuery),
+  sizeof (Peer__LoadQuery),
   1,
   peer__load_query__field_descriptors,
   peer__load_query__field_indices_by_name,
-  1,  peer__load_query__number_ranges,
-  (ProtobufCMessageInit) peer__load_query__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__engine_version__field_descriptors[3] =
-{
-  {
-    "model",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineVersion, model),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "version",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineVersion, version),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "adapter",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineVersion, adapter),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  1,
+  peer__load_query__number_ranges,
+  (ProtobufCMessageInit)peer__load_query__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    peer__engine_version__field_descriptors[3]
+    = {
+        {
+            "model", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof (Peer__EngineVersion, model), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof (Peer__EngineVersion, version), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "adapter", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof (Peer__EngineVersion, adapter), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__engine_version__field_indices_by_name[] = {
-  2,   /* field[2] = adapter */
-  0,   /* field[0] = model */
-  1,   /* field[1] = version */
-};
-static const ProtobufCIntRange peer__engine_version__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
+  2, /* field[2] = adapter */
+  0, /* field[0] = model */
+  1, /* field[1] = version */
 };
-const ProtobufCMessageDescriptor peer__engine_version__descriptor =
-{
+static const ProtobufCIntRange peer__engine_version__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 3 } };
+const ProtobufCMessageDescriptor peer__engine_version__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.EngineVersion",
   "EngineVersion",
   "Peer__EngineVersion",
   "peer",
-  sizeof(Peer__EngineVersion),
+  sizeof (Peer__EngineVersion),
   3,
   peer__engine_version__field_descriptors,
   peer__engine_version__field_indices_by_name,
-  1,  peer__engine_version__number_ranges,
-  (ProtobufCMessageInit) peer__engine_version__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__engine_load__field_descriptors[9] =
-{
-  {
-    "engine",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineLoad, engine),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineLoad, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sequence",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineLoad, sequence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "age_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineLoad, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leaving",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineLoad, leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "running",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineLoad, running),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "queued_tokens",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineLoad, queued_tokens),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "prefill_tokens_per_s",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_DOUBLE,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EngineLoad, prefill_tokens_per_s),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "versions",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__EngineLoad, n_versions),
-    offsetof(Peer__EngineLoad, versions),
-    &peer__engine_version__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  1,
+  peer__engine_version__number_ranges,
+  (ProtobufCMessageInit)peer__engine_version__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__engine_load__field_descriptors[9]
+    = {
+        {
+            "engine", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof (Peer__EngineLoad, engine), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Peer__EngineLoad, incarnation), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "sequence", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Peer__EngineLoad, sequence), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "age_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Peer__EngineLoad, age_ms), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "leaving", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof (Peer__EngineLoad, leaving), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "running", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Peer__EngineLoad, running), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "queued_tokens", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof (Peer__EngineLoad, queued_tokens), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "prefill_tokens_per_s", 8, PROTOBUF_C_LABEL_NONE,
+            PROTOBUF_C_TYPE_DOUBLE, 0, /* quantifier_offset */
+            offsetof (Peer__EngineLoad, prefill_tokens_per_s), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "versions", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Peer__EngineLoad, n_versions),
+            offsetof (Peer__EngineLoad, versions),
+            &peer__engine_version__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__engine_load__field_indices_by_name[] = {
-  3,   /* field[3] = age_ms */
-  0,   /* field[0] = engine */
-  1,   /* field[1] = incarnation */
-  4,   /* field[4] = leaving */
-  7,   /* field[7] = prefill_tokens_per_s */
-  6,   /* field[6] = queued_tokens */
-  5,   /* field[5] = running */
-  2,   /* field[2] = sequence */
-  8,   /* field[8] = versions */
-};
-static const ProtobufCIntRange peer__engine_load__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 9 }
-};
-const ProtobufCMessageDescriptor peer__engine_load__descriptor =
-{
+  3, /* field[3] = age_ms */
+  0, /* field[0] = engine */
+  1, /* field[1] = incarnation */
+  4, /* field[4] = leaving */
+  7, /* field[7] = prefill_tokens_per_s */
+  6, /* field[6] = queued_tokens */
+  5, /* field[5] = running */
+  2, /* field[2] = sequence */
+  8, /* field[8] = versions */
+};
+static const ProtobufCIntRange peer__engine_load__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 9 } };
+const ProtobufCMessageDescriptor peer__engine_load__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.EngineLoad",
   "EngineLoad",
   "Peer__EngineLoad",
   "peer",
-  sizeof(Peer__EngineLoad),
+  sizeof (Peer__EngineLoad),
   9,
   peer__engine_load__field_descriptors,
   peer__engine_load__field_indices_by_name,
-  1,  peer__engine_load__number_ranges,
-  (ProtobufCMessageInit) peer__engine_load__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__load_reply__field_descriptors[1] =
-{
-  {
-    "engines",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__LoadReply, n_engines),
-    offsetof(Peer__LoadReply, engines),
-    &peer__engine_load__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  1,
+  peer__engine_load__number_ranges,
+  (ProtobufCMessageInit)peer__engine_load__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__load_reply__field_descriptors[1]
+    = {
+        {
+            "engines", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Peer__LoadReply, n_engines),
+            offsetof (Peer__LoadReply, engines),
+            &peer__engine_load__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__load_reply__field_indices_by_name[] = {
-  0,   /* field[0] = engines */
+  0, /* field[0] = engines */
 };
-static const ProtobufCIntRange peer__load_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor peer__load_reply__descriptor =
-{
+static const ProtobufCIntRange peer__load_reply__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 1 } };
+const ProtobufCMessageDescriptor peer__load_reply__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.LoadReply",
   "LoadReply",
   "Peer__LoadReply",
   "peer",
-  sizeof(Peer__LoadReply),
+  sizeof (Peer__LoadReply),
   1,
   peer__load_reply__field_descriptors,
   peer__load_reply__field_indices_by_name,
-  1,  peer__load_reply__number_ranges,
-  (ProtobufCMessageInit) peer__load_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__load_reply__number_ranges,
+  (ProtobufCMessageInit)peer__load_reply__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__scope__field_descriptors[4] =
-{
+static const ProtobufCFieldDescriptor peer__scope__field_descriptors[4] = {
   {
-    "organisation",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Scope, organisation),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "organisation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Peer__Scope, organisation), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "model",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Scope, model),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "model", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Peer__Scope, model), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "version",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Scope, version),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "version", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Peer__Scope, version), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "adapter",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Scope, adapter),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "adapter", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+      0, /* quantifier_offset */
+      offsetof (Peer__Scope, adapter), NULL, &protobuf_c_empty_string,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__scope__field_indices_by_name[] = {
-  3,   /* field[3] = adapter */
-  1,   /* field[1] = model */
-  0,   /* field[0] = organisation */
-  2,   /* field[2] = version */
-};
-static const ProtobufCIntRange peer__scope__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor peer__scope__descriptor =
-{
+  3, /* field[3] = adapter */
+  1, /* field[1] = model */
+  0, /* field[0] = organisation */
+  2, /* field[2] = version */
+};
+static const ProtobufCIntRange peer__scope__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 4 } };
+const ProtobufCMessageDescriptor peer__scope__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Scope",
   "Scope",
   "Peer__Scope",
   "peer",
-  sizeof(Peer__Scope),
+  sizeof (Peer__Scope),
   4,
   peer__scope__field_descriptors,
   peer__scope__field_indices_by_name,
-  1,  peer__scope__number_ranges,
-  (ProtobufCMessageInit) peer__scope__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__scope__number_ranges,
+  (ProtobufCMessageInit)peer__scope__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__lookup__field_descriptors[3] =
-{
+static const ProtobufCFieldDescriptor peer__lookup__field_descriptors[3] = {
   {
-    "scope",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Lookup, scope),
-    &peer__scope__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "scope", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      0, /* quantifier_offset */
+      offsetof (Peer__Lookup, scope), &peer__scope__descriptor, NULL,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "blocks",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Peer__Lookup, n_blocks),
-    offsetof(Peer__Lookup, blocks),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "blocks", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_BYTES,
+      offsetof (Peer__Lookup, n_blocks), offsetof (Peer__Lookup, blocks), NULL,
+      NULL, 0,      /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "kind",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Lookup, kind),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "kind", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                            /* quantifier_offset */
+      offsetof (Peer__Lookup, kind), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__lookup__field_indices_by_name[] = {
-  1,   /* field[1] = blocks */
-  2,   /* field[2] = kind */
-  0,   /* field[0] = scope */
+  1, /* field[1] = blocks */
+  2, /* field[2] = kind */
+  0, /* field[0] = scope */
 };
-static const ProtobufCIntRange peer__lookup__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor peer__lookup__descriptor =
-{
+static const ProtobufCIntRange peer__lookup__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 3 } };
+const ProtobufCMessageDescriptor peer__lookup__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Lookup",
   "Lookup",
   "Peer__Lookup",
   "peer",
-  sizeof(Peer__Lookup),
+  sizeof (Peer__Lookup),
   3,
   peer__lookup__field_descriptors,
   peer__lookup__field_indices_by_name,
-  1,  peer__lookup__number_ranges,
-  (ProtobufCMessageInit) peer__lookup__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__lookup__number_ranges,
+  (ProtobufCMessageInit)peer__lookup__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__holder__field_descriptors[3] =
-{
+static const ProtobufCFieldDescriptor peer__holder__field_descriptors[3] = {
   {
-    "engine",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Holder, engine),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "engine", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+      0,                                              /* quantifier_offset */
+      offsetof (Peer__Holder, engine), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "pieces",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Holder, pieces),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "pieces", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                              /* quantifier_offset */
+      offsetof (Peer__Holder, pieces), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "confidence",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FLOAT,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Holder, confidence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "confidence", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FLOAT,
+      0, /* quantifier_offset */
+      offsetof (Peer__Holder, confidence), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__holder__field_indices_by_name[] = {
-  2,   /* field[2] = confidence */
-  0,   /* field[0] = engine */
-  1,   /* field[1] = pieces */
-};
-static const ProtobufCIntRange peer__holder__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
+  2, /* field[2] = confidence */
+  0, /* field[0] = engine */
+  1, /* field[1] = pieces */
 };
-const ProtobufCMessageDescriptor peer__holder__descriptor =
-{
+static const ProtobufCIntRange peer__holder__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 3 } };
+const ProtobufCMessageDescriptor peer__holder__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Holder",
   "Holder",
   "Peer__Holder",
   "peer",
-  sizeof(Peer__Holder),
+  sizeof (Peer__Holder),
   3,
   peer__holder__field_descriptors,
   peer__holder__field_indices_by_name,
-  1,  peer__holder__number_ranges,
-  (ProtobufCMessageInit) peer__holder__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__holder__number_ranges,
+  (ProtobufCMessageInit)peer__holder__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__copy__field_descriptors[6] =
-{
+static const ProtobufCFieldDescriptor peer__copy__field_descriptors[6] = {
   {
-    "store",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Copy, store),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "store", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+      0,                                           /* quantifier_offset */
+      offsetof (Peer__Copy, store), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "slot",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Copy, slot),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "slot", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0,                                          /* quantifier_offset */
+      offsetof (Peer__Copy, slot), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "generation",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Copy, generation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "generation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0,                                                /* quantifier_offset */
+      offsetof (Peer__Copy, generation), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "checksum",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Copy, checksum),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "checksum", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+      0,                                              /* quantifier_offset */
+      offsetof (Peer__Copy, checksum), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "length",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Copy, length),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "length", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0,                                            /* quantifier_offset */
+      offsetof (Peer__Copy, length), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "tier",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Copy, tier),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "tier", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                          /* quantifier_offset */
+      offsetof (Peer__Copy, tier), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__copy__field_indices_by_name[] = {
-  3,   /* field[3] = checksum */
-  2,   /* field[2] = generation */
-  4,   /* field[4] = length */
-  1,   /* field[1] = slot */
-  0,   /* field[0] = store */
-  5,   /* field[5] = tier */
-};
-static const ProtobufCIntRange peer__copy__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor peer__copy__descriptor =
-{
+  3, /* field[3] = checksum */
+  2, /* field[2] = generation */
+  4, /* field[4] = length */
+  1, /* field[1] = slot */
+  0, /* field[0] = store */
+  5, /* field[5] = tier */
+};
+static const ProtobufCIntRange peer__copy__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 6 } };
+const ProtobufCMessageDescriptor peer__copy__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Copy",
   "Copy",
   "Peer__Copy",
   "peer",
-  sizeof(Peer__Copy),
+  sizeof (Peer__Copy),
   6,
   peer__copy__field_descriptors,
   peer__copy__field_indices_by_name,
-  1,  peer__copy__number_ranges,
-  (ProtobufCMessageInit) peer__copy__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__copy__number_ranges,
+  (ProtobufCMessageInit)peer__copy__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__piece__field_descriptors[1] =
-{
+static const ProtobufCFieldDescriptor peer__piece__field_descriptors[1] = {
   {
-    "copies",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Piece, n_copies),
-    offsetof(Peer__Piece, copies),
-    &peer__copy__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "copies", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+      offsetof (Peer__Piece, n_copies), offsetof (Peer__Piece, copies),
+      &peer__copy__descriptor, NULL, 0, /* flags */
+      0, NULL, NULL                     /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__piece__field_indices_by_name[] = {
-  0,   /* field[0] = copies */
-};
-static const ProtobufCIntRange peer__piece__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
+  0, /* field[0] = copies */
 };
-const ProtobufCMessageDescriptor peer__piece__descriptor =
-{
+static const ProtobufCIntRange peer__piece__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 1 } };
+const ProtobufCMessageDescriptor peer__piece__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Piece",
   "Piece",
   "Peer__Piece",
   "peer",
-  sizeof(Peer__Piece),
+  sizeof (Peer__Piece),
   1,
   peer__piece__field_descriptors,
   peer__piece__field_indices_by_name,
-  1,  peer__piece__number_ranges,
-  (ProtobufCMessageInit) peer__piece__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__lookup_reply__field_descriptors[4] =
-{
-  {
-    "holders",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__LookupReply, n_holders),
-    offsetof(Peer__LookupReply, holders),
-    &peer__holder__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "pieces",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__LookupReply, n_pieces),
-    offsetof(Peer__LookupReply, pieces),
-    &peer__piece__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "idle_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__LookupReply, idle_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "read_lease_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__LookupReply, read_lease_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  1,
+  peer__piece__number_ranges,
+  (ProtobufCMessageInit)peer__piece__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__lookup_reply__field_descriptors[4]
+    = {
+        {
+            "holders", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Peer__LookupReply, n_holders),
+            offsetof (Peer__LookupReply, holders), &peer__holder__descriptor,
+            NULL, 0,      /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "pieces", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof (Peer__LookupReply, n_pieces),
+            offsetof (Peer__LookupReply, pieces), &peer__piece__descriptor,
+            NULL, 0,      /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "idle_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_SINT64,
+            0, /* quantifier_offset */
+            offsetof (Peer__LookupReply, idle_ms), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "read_lease_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Peer__LookupReply, read_lease_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__lookup_reply__field_indices_by_name[] = {
-  0,   /* field[0] = holders */
-  2,   /* field[2] = idle_ms */
-  1,   /* field[1] = pieces */
-  3,   /* field[3] = read_lease_ms */
-};
-static const ProtobufCIntRange peer__lookup_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor peer__lookup_reply__descriptor =
-{
+  0, /* field[0] = holders */
+  2, /* field[2] = idle_ms */
+  1, /* field[1] = pieces */
+  3, /* field[3] = read_lease_ms */
+};
+static const ProtobufCIntRange peer__lookup_reply__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 4 } };
+const ProtobufCMessageDescriptor peer__lookup_reply__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.LookupReply",
   "LookupReply",
   "Peer__LookupReply",
   "peer",
-  sizeof(Peer__LookupReply),
+  sizeof (Peer__LookupReply),
   4,
   peer__lookup_reply__field_descriptors,
   peer__lookup_reply__field_indices_by_name,
-  1,  peer__lookup_reply__number_ranges,
-  (ProtobufCMessageInit) peer__lookup_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__lookup_reply__number_ranges,
+  (ProtobufCMessageInit)peer__lookup_reply__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__used__field_descriptors[8] =
-{
+static const ProtobufCFieldDescriptor peer__used__field_descriptors[8] = {
   {
-    "scope",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Used, scope),
-    &peer__scope__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "scope", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      0, /* quantifier_offset */
+      offsetof (Peer__Used, scope), &peer__scope__descriptor, NULL,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "blocks",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Peer__Used, n_blocks),
-    offsetof(Peer__Used, blocks),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "blocks", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_BYTES,
+      offsetof (Peer__Used, n_blocks), offsetof (Peer__Used, blocks), NULL,
+      NULL, 0,      /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "engine",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Used, engine),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "engine", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+      0,                                            /* quantifier_offset */
+      offsetof (Peer__Used, engine), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "cached",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Used, cached),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "cached", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                            /* quantifier_offset */
+      offsetof (Peer__Used, cached), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "kind",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Used, kind),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "kind", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                          /* quantifier_offset */
+      offsetof (Peer__Used, kind), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "retained",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Used, retained),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "retained", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+      0,                                              /* quantifier_offset */
+      offsetof (Peer__Used, retained), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "planned",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Used, planned),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "planned", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                             /* quantifier_offset */
+      offsetof (Peer__Used, planned), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "expected",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Used, expected),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "expected", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+      0,                                              /* quantifier_offset */
+      offsetof (Peer__Used, expected), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__used__field_indices_by_name[] = {
-  1,   /* field[1] = blocks */
-  3,   /* field[3] = cached */
-  2,   /* field[2] = engine */
-  7,   /* field[7] = expected */
-  4,   /* field[4] = kind */
-  6,   /* field[6] = planned */
-  5,   /* field[5] = retained */
-  0,   /* field[0] = scope */
-};
-static const ProtobufCIntRange peer__used__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 8 }
-};
-const ProtobufCMessageDescriptor peer__used__descriptor =
-{
+  1, /* field[1] = blocks */
+  3, /* field[3] = cached */
+  2, /* field[2] = engine */
+  7, /* field[7] = expected */
+  4, /* field[4] = kind */
+  6, /* field[6] = planned */
+  5, /* field[5] = retained */
+  0, /* field[0] = scope */
+};
+static const ProtobufCIntRange peer__used__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 8 } };
+const ProtobufCMessageDescriptor peer__used__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Used",
   "Used",
   "Peer__Used",
   "peer",
-  sizeof(Peer__Used),
+  sizeof (Peer__Used),
   8,
   peer__used__field_descriptors,
   peer__used__field_indices_by_name,
-  1,  peer__used__number_ranges,
-  (ProtobufCMessageInit) peer__used__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__used__number_ranges,
+  (ProtobufCMessageInit)peer__used__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
 #define peer__done__field_descriptors NULL
 #define peer__done__field_indices_by_name NULL
 #define peer__done__number_ranges NULL
-const ProtobufCMessageDescriptor peer__done__descriptor =
-{
+const ProtobufCMessageDescriptor peer__done__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Done",
   "Done",
   "Peer__Done",
   "peer",
-  sizeof(Peer__Done),
+  sizeof (Peer__Done),
   0,
   peer__done__field_descriptors,
   peer__done__field_indices_by_name,
-  0,  peer__done__number_ranges,
-  (ProtobufCMessageInit) peer__done__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__once_request__field_descriptors[4] =
-{
-  {
-    "organisation",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceRequest, organisation),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "key",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceRequest, key),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "request",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceRequest, request),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "gateway",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceRequest, gateway),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  0,
+  peer__done__number_ranges,
+  (ProtobufCMessageInit)peer__done__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__once_request__field_descriptors[4]
+    = {
+        {
+            "organisation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceRequest, organisation), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "key", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceRequest, key), NULL, &protobuf_c_empty_string,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "request", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceRequest, request), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "gateway", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceRequest, gateway), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__once_request__field_indices_by_name[] = {
-  3,   /* field[3] = gateway */
-  1,   /* field[1] = key */
-  0,   /* field[0] = organisation */
-  2,   /* field[2] = request */
-};
-static const ProtobufCIntRange peer__once_request__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor peer__once_request__descriptor =
-{
+  3, /* field[3] = gateway */
+  1, /* field[1] = key */
+  0, /* field[0] = organisation */
+  2, /* field[2] = request */
+};
+static const ProtobufCIntRange peer__once_request__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 4 } };
+const ProtobufCMessageDescriptor peer__once_request__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.OnceRequest",
   "OnceRequest",
   "Peer__OnceRequest",
   "peer",
-  sizeof(Peer__OnceRequest),
+  sizeof (Peer__OnceRequest),
   4,
   peer__once_request__field_descriptors,
   peer__once_request__field_indices_by_name,
-  1,  peer__once_request__number_ranges,
-  (ProtobufCMessageInit) peer__once_request__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__once_outcome__field_descriptors[4] =
-{
-  {
-    "status",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceOutcome, status),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "digest",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceOutcome, digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "whole",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceOutcome, whole),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceOutcome, body),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  1,
+  peer__once_request__number_ranges,
+  (ProtobufCMessageInit)peer__once_request__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__once_outcome__field_descriptors[4]
+    = {
+        {
+            "status", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceOutcome, status), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "digest", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceOutcome, digest), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "whole", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceOutcome, whole), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "body", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceOutcome, body), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__once_outcome__field_indices_by_name[] = {
-  3,   /* field[3] = body */
-  1,   /* field[1] = digest */
-  0,   /* field[0] = status */
-  2,   /* field[2] = whole */
-};
-static const ProtobufCIntRange peer__once_outcome__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor peer__once_outcome__descriptor =
-{
+  3, /* field[3] = body */
+  1, /* field[1] = digest */
+  0, /* field[0] = status */
+  2, /* field[2] = whole */
+};
+static const ProtobufCIntRange peer__once_outcome__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 4 } };
+const ProtobufCMessageDescriptor peer__once_outcome__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.OnceOutcome",
   "OnceOutcome",
   "Peer__OnceOutcome",
   "peer",
-  sizeof(Peer__OnceOutcome),
+  sizeof (Peer__OnceOutcome),
   4,
   peer__once_outcome__field_descriptors,
   peer__once_outcome__field_indices_by_name,
-  1,  peer__once_outcome__number_ranges,
-  (ProtobufCMessageInit) peer__once_outcome__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__once_begin__field_descriptors[3] =
-{
-  {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceBegin, request),
-    &peer__once_request__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fingerprint",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceBegin, fingerprint),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wait_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceBegin, wait_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  1,
+  peer__once_outcome__number_ranges,
+  (ProtobufCMessageInit)peer__once_outcome__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__once_begin__field_descriptors[3]
+    = {
+        {
+            "request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceBegin, request),
+            &peer__once_request__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "fingerprint", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceBegin, fingerprint), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "wait_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceBegin, wait_ms), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__once_begin__field_indices_by_name[] = {
-  1,   /* field[1] = fingerprint */
-  0,   /* field[0] = request */
-  2,   /* field[2] = wait_ms */
-};
-static const ProtobufCIntRange peer__once_begin__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
+  1, /* field[1] = fingerprint */
+  0, /* field[0] = request */
+  2, /* field[2] = wait_ms */
 };
-const ProtobufCMessageDescriptor peer__once_begin__descriptor =
-{
+static const ProtobufCIntRange peer__once_begin__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 3 } };
+const ProtobufCMessageDescriptor peer__once_begin__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.OnceBegin",
   "OnceBegin",
   "Peer__OnceBegin",
   "peer",
-  sizeof(Peer__OnceBegin),
+  sizeof (Peer__OnceBegin),
   3,
   peer__once_begin__field_descriptors,
   peer__once_begin__field_indices_by_name,
-  1,  peer__once_begin__number_ranges,
-  (ProtobufCMessageInit) peer__once_begin__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__once_answer__field_descriptors[4] =
-{
-  {
-    "result",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceAnswer, result),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "key_unknown",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceAnswer, key_unknown),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "retry_after_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceAnswer, retry_after_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "outcome",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceAnswer, outcome),
-    &peer__once_outcome__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  1,
+  peer__once_begin__number_ranges,
+  (ProtobufCMessageInit)peer__once_begin__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__once_answer__field_descriptors[4]
+    = {
+        {
+            "result", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceAnswer, result), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "key_unknown", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceAnswer, key_unknown), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "retry_after_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceAnswer, retry_after_ms), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "outcome", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceAnswer, outcome),
+            &peer__once_outcome__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__once_answer__field_indices_by_name[] = {
-  1,   /* field[1] = key_unknown */
-  3,   /* field[3] = outcome */
-  0,   /* field[0] = result */
-  2,   /* field[2] = retry_after_ms */
-};
-static const ProtobufCIntRange peer__once_answer__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor peer__once_answer__descriptor =
-{
+  1, /* field[1] = key_unknown */
+  3, /* field[3] = outcome */
+  0, /* field[0] = result */
+  2, /* field[2] = retry_after_ms */
+};
+static const ProtobufCIntRange peer__once_answer__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 4 } };
+const ProtobufCMessageDescriptor peer__once_answer__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.OnceAnswer",
   "OnceAnswer",
   "Peer__OnceAnswer",
   "peer",
-  sizeof(Peer__OnceAnswer),
+  sizeof (Peer__OnceAnswer),
   4,
   peer__once_answer__field_descriptors,
   peer__once_answer__field_indices_by_name,
-  1,  peer__once_answer__number_ranges,
-  (ProtobufCMessageInit) peer__once_answer__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__once_answer__number_ranges,
+  (ProtobufCMessageInit)peer__once_answer__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__once_end__field_descriptors[2] =
-{
+static const ProtobufCFieldDescriptor peer__once_end__field_descriptors[2] = {
   {
-    "request",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceEnd, request),
-    &peer__once_request__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "request", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      0, /* quantifier_offset */
+      offsetof (Peer__OnceEnd, request), &peer__once_request__descriptor, NULL,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "outcome",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceEnd, outcome),
-    &peer__once_outcome__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "outcome", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+      0, /* quantifier_offset */
+      offsetof (Peer__OnceEnd, outcome), &peer__once_outcome__descriptor, NULL,
+      0,            /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__once_end__field_indices_by_name[] = {
-  1,   /* field[1] = outcome */
-  0,   /* field[0] = request */
-};
-static const ProtobufCIntRange peer__once_end__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
+  1, /* field[1] = outcome */
+  0, /* field[0] = request */
 };
-const ProtobufCMessageDescriptor peer__once_end__descriptor =
-{
+static const ProtobufCIntRange peer__once_end__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 2 } };
+const ProtobufCMessageDescriptor peer__once_end__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.OnceEnd",
   "OnceEnd",
   "Peer__OnceEnd",
   "peer",
-  sizeof(Peer__OnceEnd),
+  sizeof (Peer__OnceEnd),
   2,
   peer__once_end__field_descriptors,
   peer__once_end__field_indices_by_name,
-  1,  peer__once_end__number_ranges,
-  (ProtobufCMessageInit) peer__once_end__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__once_recorded__field_descriptors[1] =
-{
-  {
-    "status",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__OnceRecorded, status),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+  1,
+  peer__once_end__number_ranges,
+  (ProtobufCMessageInit)peer__once_end__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__once_recorded__field_descriptors[1]
+    = {
+        {
+            "status", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof (Peer__OnceRecorded, status), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned peer__once_recorded__field_indices_by_name[] = {
-  0,   /* field[0] = status */
+  0, /* field[0] = status */
 };
-static const ProtobufCIntRange peer__once_recorded__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor peer__once_recorded__descriptor =
-{
+static const ProtobufCIntRange peer__once_recorded__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 1 } };
+const ProtobufCMessageDescriptor peer__once_recorded__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.OnceRecorded",
   "OnceRecorded",
   "Peer__OnceRecorded",
   "peer",
-  sizeof(Peer__OnceRecorded),
+  sizeof (Peer__OnceRecorded),
   1,
   peer__once_recorded__field_descriptors,
   peer__once_recorded__field_indices_by_name,
-  1,  peer__once_recorded__number_ranges,
-  (ProtobufCMessageInit) peer__once_recorded__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__once_recorded__number_ranges,
+  (ProtobufCMessageInit)peer__once_recorded__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__suspect__field_descriptors[9] =
-{
+static const ProtobufCFieldDescriptor peer__suspect__field_descriptors[9] = {
   {
-    "kind",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Suspect, kind),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "kind", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                             /* quantifier_offset */
+      offsetof (Peer__Suspect, kind), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "gateway",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Suspect, gateway),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "gateway", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+      0,                                                /* quantifier_offset */
+      offsetof (Peer__Suspect, gateway), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "run",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Suspect, run),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "run", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+      0,                                            /* quantifier_offset */
+      offsetof (Peer__Suspect, run), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "fingerprint",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Suspect, fingerprint),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "fingerprint", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+      0, /* quantifier_offset */
+      offsetof (Peer__Suspect, fingerprint), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "slot",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Suspect, slot),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "slot", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                             /* quantifier_offset */
+      offsetof (Peer__Suspect, slot), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "partition",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Suspect, partition),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "partition", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0, /* quantifier_offset */
+      offsetof (Peer__Suspect, partition), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "tainted",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Suspect, tainted),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "tainted", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+      0,                                                /* quantifier_offset */
+      offsetof (Peer__Suspect, tainted), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "verdict",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Suspect, verdict),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "verdict", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                                /* quantifier_offset */
+      offsetof (Peer__Suspect, verdict), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-    "hold_ms",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Suspect, hold_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+      "hold_ms", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                                /* quantifier_offset */
+      offsetof (Peer__Suspect, hold_ms), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned peer__suspect__field_indices_by_name[] = {
-  3,   /* field[3] = fingerprint */
-  1,   /* field[1] = gateway */
-  8,   /* field[8] = hold_ms */
-  0,   /* field[0] = kind */
-  5,   /* field[5] = partition */
-  2,   /* field[2] = run */
-  4,   /* field[4] = slot */
-  6,   /* field[6] = tainted */
-  7,   /* field[7] = verdict */
-};
-static const ProtobufCIntRange peer__suspect__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 9 }
-};
-const ProtobufCMessageDescriptor peer__suspect__descriptor =
-{
+  3, /* field[3] = fingerprint */
+  1, /* field[1] = gateway */
+  8, /* field[8] = hold_ms */
+  0, /* field[0] = kind */
+  5, /* field[5] = partition */
+  2, /* field[2] = run */
+  4, /* field[4] = slot */
+  6, /* field[6] = tainted */
+  7, /* field[7] = verdict */
+};
+static const ProtobufCIntRange peer__suspect__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 9 } };
+const ProtobufCMessageDescriptor peer__suspect__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "peer.Suspect",
   "Suspect",
   "Peer__Suspect",
   "peer",
-  sizeof(Peer__Suspect),
+  sizeof (Peer__Suspect),
   9,
   peer__suspect__field_descriptors,
   peer__suspect__field_indices_by_name,
-  1,  peer__suspect__number_ranges,
-  (ProtobufCMessageInit) peer__suspect__init,
-  NULL,NULL,NULL    /* reserved[123] */
+  1,
+  peer__suspect__number_ranges,
+  (ProtobufCMessageInit)peer__suspect__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
--- a/src/routes.c
+++ b/src/routes.c
@@ -1,8 +1,19 @@
 #include "routes.h"
+#include "clock.h"
 
 #include <string.h>
 #include <xxhash.h>
 
+enum
+{
+  /* Callers give a stream up after a pause of so many times its longest pause
+   * or its latency target, whichever is longer, but not before
+   * PATIENCE_MIN_MS. */
+  PATIENCE_GAPS = 8,
+  PATIENCE_TARGETS = 4,
+  PATIENCE_MIN_MS = 2000
+};
+
 static void
 share_clear (void *data)
 {
@@ -247,3 +258,11 @@
   return route->kind == ROUTE_IDEMPOTENT
          || (route->kind == ROUTE_STREAM && route->resumable);
 }
+
+int64_t
+route_caller_patience_ns (const struct route *route)
+{
+  return MAX (MAX (PATIENCE_GAPS * route->gap_target_ns,
+                   PATIENCE_TARGETS * route->latency_target_ns),
+              PATIENCE_MIN_MS * NS_PER_MS);
+}
--- a/src/routes.h
+++ b/src/routes.h
@@ -140,6 +140,10 @@
  * @return NULL if no share has a weight */
 const char *route_pick_service (const struct route *route, double random_unit);
 
+/** Returns the time for which callers of ROUTE, which is a stream, wait for
+ * its next event, the first one included. */
+int64_t route_caller_patience_ns (const struct route *route);
+
 /** Whether a request of ROUTE that may have run may be retried. */
 bool route_allows_retry (const struct route *route);
 
--- a/src/settings-keys.c
+++ b/src/settings-keys.c
@@ -15,6 +15,8 @@
 static const char *const role_names[] = { "gateway", "shard", "entry", NULL };
 static const char *const policy_names[]
     = { "cost", "round_robin", "least_loaded", "prefix_affinity", NULL };
+static const char *const queue_mode_names[]
+    = { "auto", "always", "never", NULL };
 static const char *const level_names[]
     = { "debug", "info", "warn", "error", NULL };
 
@@ -171,6 +173,14 @@
     SETTINGS_ROLE_ENTRY, 0, 0, 1e9, NULL, "50", "sends",
     "Number of retries per window that all hosts together may make in "
     "addition to those of retry.window_share" },
+  { "queue.mode", SETTINGS_TYPE_CHOICE, FIELD (queue.mode),
+    SETTINGS_ROLE_ENTRY, 0, 0, 0, queue_mode_names, "\"auto\"", NULL,
+    "Engine services whose requests are queued by priority, deadline and "
+    "work: "
+    "those whose capacity varies (auto), all, or none" },
+  { "queue.limit", SETTINGS_TYPE_INTEGER, FIELD (queue.limit),
+    SETTINGS_ROLE_ENTRY, 0, 1, 1000000, NULL, "10000", "requests",
+    "Maximum number of requests that wait in the queue of one service" },
   { "weights.within_ms", SETTINGS_TYPE_MILLISECONDS, FIELD (weights.within_ns),
     SETTINGS_ROLE_ENTRY, 0, 0, 1e9, NULL, "8000", "ms",
     "Time within which all engines of a model should have loaded a new "
--- a/src/settings.h
+++ b/src/settings.h
@@ -136,6 +136,12 @@
     double window_share;
   } retry;
   struct
+  {
+    int mode; /**< Value of enum forwardqueue_mode. */
+    /** Maximum number of requests that wait for one service. */
+    int64_t limit;
+  } queue;
+  struct
   {
     /** Time within which all engines load a new weight version. */
     int64_t within_ns;
--- a/src/streamorigin.pb-c.c
+++ b/src/streamorigin.pb-c.c
@@ -7,171 +7,142 @@
 #endif
 
 #include "streamorigin.pb-c.h"
-void   trefoilspar__stream_origin__init
-                     (Trefoilspar__StreamOrigin         *message)
+void
+trefoilspar__stream_origin__init (Trefoilspar__StreamOrigin *message)
 {
-  static const Trefoilspar__StreamOrigin init_value = TREFOILSPAR__STREAM_ORIGIN__INIT;
+  static const Trefoilspar__StreamOrigin init_value
+      = TREFOILSPAR__STREAM_ORIGIN__INIT;
   *message = init_value;
 }
-size_t trefoilspar__stream_origin__get_packed_size
-                     (const Trefoilspar__StreamOrigin *message)
+size_t
+trefoilspar__stream_origin__get_packed_size (
+    const Trefoilspar__StreamOrigin *message)
 {
-  assert(message->base.descriptor == &trefoilspar__stream_origin__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+  assert (message->base.descriptor == &trefoilspar__stream_origin__descriptor);
+  return protobuf_c_message_get_packed_size (
+      (const ProtobufCMessage *)(message));
 }
-size_t trefoilspar__stream_origin__pack
-                     (const Trefoilspar__StreamOrigin *message,
-                      uint8_t       *out)
+size_t
+trefoilspar__stream_origin__pack (const Trefoilspar__StreamOrigin *message,
+                                  uint8_t *out)
 {
-  assert(message->base.descriptor == &trefoilspar__stream_origin__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+  assert (message->base.descriptor == &trefoilspar__stream_origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
 }
-size_t trefoilspar__stream_origin__pack_to_buffer
-                     (const Trefoilspar__StreamOrigin *message,
-                      ProtobufCBuffer *buffer)
+size_t
+trefoilspar__stream_origin__pack_to_buffer (
+    const Trefoilspar__StreamOrigin *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &trefoilspar__stream_origin__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+  assert (message->base.descriptor == &trefoilspar__stream_origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
+                                            buffer);
 }
 Trefoilspar__StreamOrigin *
-       trefoilspar__stream_origin__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+trefoilspar__stream_origin__unpack (ProtobufCAllocator *allocator, size_t len,
+                                    const uint8_t *data)
 {
-  return (Trefoilspar__StreamOrigin *)
-     protobuf_c_message_unpack (&trefoilspar__stream_origin__descriptor,
-                                allocator, len, data);
+  return (Trefoilspar__StreamOrigin *)protobuf_c_message_unpack (
+      &trefoilspar__stream_origin__descriptor, allocator, len, data);
 }
-void   trefoilspar__stream_origin__free_unpacked
-                     (Trefoilspar__StreamOrigin *message,
-                      ProtobufCAllocator *allocator)
+void
+trefoilspar__stream_origin__free_unpacked (Trefoilspar__StreamOrigin *message,
+                                           ProtobufCAllocator *allocator)
 {
-  if(!message)
+  if (!message)
     return;
-  assert(message->base.descriptor == &trefoilspar__stream_origin__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+  assert (message->base.descriptor == &trefoilspar__stream_origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor trefoilspar__stream_origin__field_descriptors[6] =
-{
-  {
-    "kind",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StreamOrigin, kind),
-    &trefoilspar__stream_origin_kind__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "stream",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StreamOrigin, stream),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "software",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StreamOrigin, software),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StreamOrigin, service),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "number",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED32,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StreamOrigin, number),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "other_software",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Trefoilspar__StreamOrigin, other_software),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
+static const ProtobufCFieldDescriptor
+    trefoilspar__stream_origin__field_descriptors[6]
+    = {
+        {
+            "kind", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StreamOrigin, kind),
+            &trefoilspar__stream_origin_kind__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "stream", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StreamOrigin, stream), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "software", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StreamOrigin, software), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "service", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StreamOrigin, service), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "number", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StreamOrigin, number), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "other_software", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof (Trefoilspar__StreamOrigin, other_software), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+      };
 static const unsigned trefoilspar__stream_origin__field_indices_by_name[] = {
-  0,   /* field[0] = kind */
-  4,   /* field[4] = number */
-  5,   /* field[5] = other_software */
-  3,   /* field[3] = service */
-  2,   /* field[2] = software */
-  1,   /* field[1] = stream */
-};
-static const ProtobufCIntRange trefoilspar__stream_origin__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
+  0, /* field[0] = kind */
+  4, /* field[4] = number */
+  5, /* field[5] = other_software */
+  3, /* field[3] = service */
+  2, /* field[2] = software */
+  1, /* field[1] = stream */
 };
-const ProtobufCMessageDescriptor trefoilspar__stream_origin__descriptor =
-{
+static const ProtobufCIntRange trefoilspar__stream_origin__number_ranges[1 + 1]
+    = { { 1, 0 }, { 0, 6 } };
+const ProtobufCMessageDescriptor trefoilspar__stream_origin__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "trefoilspar.StreamOrigin",
   "StreamOrigin",
   "Trefoilspar__StreamOrigin",
   "trefoilspar",
-  sizeof(Trefoilspar__StreamOrigin),
+  sizeof (Trefoilspar__StreamOrigin),
   6,
   trefoilspar__stream_origin__field_descriptors,
   trefoilspar__stream_origin__field_indices_by_name,
-  1,  trefoilspar__stream_origin__number_ranges,
-  (ProtobufCMessageInit) trefoilspar__stream_origin__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCEnumValue trefoilspar__stream_origin_kind__enum_values_by_number[3] =
-{
-  { "RECORD", "TREFOILSPAR__STREAM_ORIGIN_KIND__RECORD", 0 },
-  { "QUERY", "TREFOILSPAR__STREAM_ORIGIN_KIND__QUERY", 1 },
-  { "REPLY", "TREFOILSPAR__STREAM_ORIGIN_KIND__REPLY", 2 },
-};
-static const ProtobufCIntRange trefoilspar__stream_origin_kind__value_ranges[] = {
-{0, 0},{0, 3}
-};
-static const ProtobufCEnumValueIndex trefoilspar__stream_origin_kind__enum_values_by_name[3] =
-{
-  { "QUERY", 1 },
-  { "RECORD", 0 },
-  { "REPLY", 2 },
+  1,
+  trefoilspar__stream_origin__number_ranges,
+  (ProtobufCMessageInit)trefoilspar__stream_origin__init,
+  NULL,
+  NULL,
+  NULL /* reserved[123] */
 };
-const ProtobufCEnumDescriptor trefoilspar__stream_origin_kind__descriptor =
-{
+static const ProtobufCEnumValue
+    trefoilspar__stream_origin_kind__enum_values_by_number[3]
+    = {
+        { "RECORD", "TREFOILSPAR__STREAM_ORIGIN_KIND__RECORD", 0 },
+        { "QUERY", "TREFOILSPAR__STREAM_ORIGIN_KIND__QUERY", 1 },
+        { "REPLY", "TREFOILSPAR__STREAM_ORIGIN_KIND__REPLY", 2 },
+      };
+static const ProtobufCIntRange trefoilspar__stream_origin_kind__value_ranges[]
+    = { { 0, 0 }, { 0, 3 } };
+static const ProtobufCEnumValueIndex
+    trefoilspar__stream_origin_kind__enum_values_by_name[3]
+    = {
+        { "QUERY", 1 },
+        { "RECORD", 0 },
+        { "REPLY", 2 },
+      };
+const ProtobufCEnumDescriptor trefoilspar__stream_origin_kind__descriptor = {
   PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
   "trefoilspar.StreamOriginKind",
   "StreamOriginKind",
@@ -183,5 +154,8 @@
   trefoilspar__stream_origin_kind__enum_values_by_name,
   1,
   trefoilspar__stream_origin_kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
+  NULL,
+  NULL,
+  NULL,
+  NULL /* reserved[1234] */
 };
