Servers of varying speed: stated and measured slowness

Cause: engines that run 2.5 times slower for some 600 ms got as much work as the others, since the estimated time to the first event knew one speed only.

Where servers state none but the service has a cold rate, the measured over the estimated time to the first event is used, and a faster prefill than the settings say is recognised. Figures from before a suspension are not used. Other services are estimated as before.

--- a/src/choose.c
+++ b/src/choose.c
@@ -1,6 +1,7 @@
 #include "choose.h"
 #include "choosecost.h"
 #include "rendezvous.h"
+#include "serverslowness.h"
 
 #include <math.h>
 #include <string.h>
@@ -158,6 +159,7 @@
   result->server = server;
   result->cost_ms = cost;
   result->backlog_ms = estimate.backlog_ms;
+  result->comparable_ms = estimate.comparable_ms;
   result->store_delay_ms = estimate.store_delay_ms;
   result->cached_tokens = estimate.cached_tokens;
 }
@@ -373,6 +375,7 @@
             : NULL;
   bool spares_others = query->model == NULL && any_is_paused (list, now);
 
+  servers_note_time (list, now, clock_boottime (servers->clock));
   for (guint i = 0; i < list->len; i++)
     {
       struct server *server = list->pdata[i];
--- a/src/choose.h
+++ b/src/choose.h
@@ -114,6 +114,7 @@
                      that for older weights. */
   double backlog_ms; /**< Part of cost_ms that the work on other requests
                         causes. */
+  double comparable_ms; /**< As in struct choosecost. */
   /** Part of cost_ms that the delay of a store causes. */
   double store_delay_ms;
   uint64_t cached_tokens;
--- a/src/choosecost.c
+++ b/src/choosecost.c
@@ -12,6 +12,9 @@
  * for each of its requests if some of them wait. */
 static const double plain_run_ms = 60;
 static const double plain_wait_ms = 10;
+/* Shortest prefill that a time to the first event is compared with. In shorter
+ * ones the network prevails. */
+static const double comparable_min_ms = 5;
 /* Assumed time that an engine takes for one request. */
 static const double model_run_ms = 500;
 
@@ -63,10 +66,19 @@
                   + server->other_hosts_memory_tokens);
 }
 
-static double
-engine_backlog_ms (const struct choose_settings *settings,
-                   const struct choose_query *query,
-                   const struct server *server, int64_t now)
+/* The times that the work on other requests takes at an engine of the usual
+ * speed. */
+struct engine_backlog
+{
+  double prefill_ms;
+  double streams_ms;
+  double memory_ms; /* Wait for memory. */
+};
+
+static struct engine_backlog
+engine_backlog_estimate (const struct choose_settings *settings,
+                         const struct choose_query *query,
+                         const struct server *server, int64_t now)
 {
   double prefill = (double)(server->pending_prefill_tokens
                             + server->other_hosts_prefill_tokens);
@@ -76,12 +88,12 @@
   double memory = (double)server->kv_capacity_tokens;
   double excess = choosecost_memory_used_tokens (server)
                   + query->call->prompt_tokens - memory;
-  double cost = prefill / settings->prefill_tokens_per_ms
-                + MAX (in_flight, reported) * settings->stream_delay_ms;
 
-  if (excess > 0)
-    cost += full_memory_wait_ms * excess / memory;
-  return cost;
+  return (struct engine_backlog){
+    .prefill_ms = prefill / settings->prefill_tokens_per_ms,
+    .streams_ms = MAX (in_flight, reported) * settings->stream_delay_ms,
+    .memory_ms = excess > 0 ? full_memory_wait_ms * excess / memory : 0,
+  };
 }
 
 /* Time that a request takes at a server that has answered none yet. */
@@ -121,11 +133,13 @@
   return NULL;
 }
 
+/* Return the time to fetch blocks of the prompt.
+ * PREFILL_MS: receives the time to prefill the rest at the usual speed */
 static double
 prompt_cost_ms (const struct choose_settings *settings,
                 const struct choose_query *query, const struct server *server,
                 bool is_preferred, uint64_t *cached_tokens,
-                double *store_delay_ms)
+                double *store_delay_ms, double *prefill_ms)
 {
   const struct call *call = query->call;
   double cached_known
@@ -147,9 +161,30 @@
       *store_delay_ms = stored->delay_ms;
     }
   *cached_tokens = (uint64_t)(cached + fetched);
-  return (call->prompt_tokens - cached - fetched)
-             / settings->prefill_tokens_per_ms
-         + cost;
+  *prefill_ms = (call->prompt_tokens - cached - fetched)
+                / settings->prefill_tokens_per_ms;
+  return cost;
+}
+
+/* Whether the time to the first event tells how fast an engine is: prefill of
+ * the prompt takes a while, and most of the estimate does not depend on what
+ * other hosts report of their load, which is late. */
+static bool
+is_comparable (const struct engine_backlog *backlog, double prefill_ms)
+{
+  return prefill_ms >= comparable_min_ms
+         && backlog->prefill_ms <= prefill_ms / 2 && backlog->memory_ms <= 0;
+}
+
+static void
+plain_estimate (const struct choose_settings *settings,
+                const struct choose_query *query, const struct server *server,
+                int64_t now, struct choosecost *cost)
+{
+  double factor = serverspeed_factor (&server->speed, now);
+
+  cost->backlog_ms = factor * plain_backlog_ms (settings, query, server, now);
+  cost->prompt_ms = MAX (factor - 1, 0) * plain_run_ms;
 }
 
 void
@@ -158,14 +193,28 @@
                      const struct server *server, bool is_preferred,
                      int64_t now_ns, struct choosecost *cost)
 {
+  double factor, prefill_factor, prefill_ms, fetch_ms;
+  struct engine_backlog backlog;
+
   memset (cost, 0, sizeof *cost);
   if (query->model == NULL)
     {
-      cost->backlog_ms = plain_backlog_ms (settings, query, server, now_ns);
+      plain_estimate (settings, query, server, now_ns, cost);
       return;
     }
-  cost->backlog_ms = engine_backlog_ms (settings, query, server, now_ns);
-  cost->prompt_ms
-      = prompt_cost_ms (settings, query, server, is_preferred,
-                        &cost->cached_tokens, &cost->store_delay_ms);
+  factor = serverspeed_factor (&server->speed, now_ns);
+  prefill_factor = serverspeed_prefill_factor (&server->speed);
+  backlog = engine_backlog_estimate (settings, query, server, now_ns);
+  fetch_ms = prompt_cost_ms (settings, query, server, is_preferred,
+                             &cost->cached_tokens, &cost->store_delay_ms,
+                             &prefill_ms);
+  cost->backlog_ms
+      = factor
+        * (prefill_factor * (backlog.prefill_ms + backlog.streams_ms)
+           + backlog.memory_ms);
+  cost->prompt_ms = factor * prefill_factor * prefill_ms + fetch_ms;
+  if (is_comparable (&backlog, prefill_ms))
+    cost->comparable_ms
+        = serverspeed_stated_factor (&server->speed, now_ns)
+          * (backlog.prefill_ms + backlog.streams_ms + prefill_ms);
 }
--- a/src/choosecost.h
+++ b/src/choosecost.h
@@ -10,11 +10,16 @@
 /** An estimate, in ms unless the name says otherwise. */
 struct choosecost
 {
-  double backlog_ms; /**< Part that the work on other requests causes. */
-  double prompt_ms;  /**< Time to fetch and prefill the prompt; 0 for a plain
-                        service. */
-  double store_delay_ms;  /**< Part of prompt_ms that the delay of a store
-                             causes. */
+  double backlog_ms;     /**< Part that the work on other requests causes. */
+  double prompt_ms;      /**< Time to fetch and prefill the prompt; for a plain
+                            service the time by which its slowness prolongs the
+                            request. */
+  double store_delay_ms; /**< Part of prompt_ms that the delay of a store
+                            causes. */
+  /** Expected time without the factors that are learned from the times to
+   * first events, to compare such a time with; 0 if it is too short or too
+   * uncertain to learn from. */
+  double comparable_ms;
   uint64_t cached_tokens; /**< Tokens of the prompt that the server has or
                              fetches. */
 };
--- a/src/forward.h
+++ b/src/forward.h
@@ -165,6 +165,7 @@
                             causes. */
   double backlog_ms; /**< Part of expected_ms that the work on other requests
                         causes. */
+  double comparable_ms; /**< As in struct choosecost. */
   char cache_scope[CACHE_SCOPE_MAX];
 };
 
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -4,6 +4,7 @@
 #include "forwardlog.h"
 #include "forwardrefusals.h"
 #include "serverlearn.h"
+#include "serverslowness.h"
 
 enum
 {
@@ -46,8 +47,6 @@
       server->running_requests = response->running_requests;
       server->waiting_requests = response->waiting_requests;
       server->load_reported_ns = forward->exchange.last_received_ns;
-      server->states_slowness = server->states_slowness
-                                || response->slowness_kind == STATEMENT_VALID;
     }
   if (response->weight_version == 0 || forward->call.model == NULL)
     return;
@@ -78,6 +77,41 @@
                         forward->exchange.last_received_ns, true);
 }
 
+static void
+learn_slowness (struct forward *forward)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  const struct exchange *exchange = &forward->exchange;
+  enum statement_kind kind = exchange->response.slowness_kind;
+
+  if (kind == STATEMENT_NONE || exchange->response.other_server)
+    return;
+  metrics_add (forwarder->metrics, "trefoilspar_slowness_statements_total",
+               kind == STATEMENT_VALID ? "valid=\"yes\"" : "valid=\"no\"", 1);
+  serverlearn_slowness (forwarder->servers, exchange->server,
+                        &exchange->response, exchange->sent_ns,
+                        exchange->last_received_ns);
+}
+
+/* Record the time to the first event of a stream, where the speed of the
+ * server is likely to explain it: nothing was fetched from a store or skipped
+ * by a resume. */
+static void
+learn_first_event (struct forward *forward)
+{
+  const struct exchange *exchange = &forward->exchange;
+
+  if (forward->call.model == NULL || forward->route->kind != ROUTE_STREAM
+      || !exchange->response.success || !exchange->response.is_event_stream
+      || forward->call.resumes || exchange->continues
+      || forward->fetch_store_name != NULL)
+    return;
+  servers_record_first_event (
+      forward->forwarder->servers, exchange->server,
+      (double)(exchange->first_output_ns - exchange->sent_ns) / NS_PER_MS,
+      forward->comparable_ms);
+}
+
 void
 forward_learn_statements (struct forward *forward)
 {
@@ -85,6 +119,7 @@
   struct server *server = forward->exchange.server;
 
   learn_limit (forward);
+  learn_slowness (forward);
   serverlearn_statement (forward->forwarder->servers, server,
                          &response->statement);
   if (response->other_server)
@@ -145,6 +180,7 @@
 {
   learn_load (forward);
   learn_store_delay (forward);
+  learn_first_event (forward);
   forward_log_weights (forward);
 }
 
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -333,6 +333,7 @@
   forward->silence_recorded = false;
   forward->expected_ms = choice->cost_ms;
   forward->backlog_ms = choice->backlog_ms;
+  forward->comparable_ms = choice->comparable_ms;
   forward->store_delay_ms = choice->store_delay_ms;
   exchange_send (&forward->exchange, forwarder->loop, choice->server,
                  &(struct exchange_request){
--- a/src/forwardstate.c
+++ b/src/forwardstate.c
@@ -20,6 +20,8 @@
 
   if (service != NULL && service->kv_capacity_tokens > 0)
     server->kv_capacity_tokens = service->kv_capacity_tokens;
+  if (service != NULL && server->speed.service != NULL)
+    server->speed.service->has_cold_rate = service->cold_per_s > 0;
 }
 
 static void
--- a/src/loadshare.c
+++ b/src/loadshare.c
@@ -1,8 +1,11 @@
 #include "loadshare.h"
 #include "loadshare.pb-c.h"
 #include "serverreach.h"
+#include "serverslowness.h"
 
+#include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
@@ -64,11 +67,13 @@
       = g_ptr_array_new_with_free_func ((GDestroyNotify)server_unref);
   loadshare->peers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, peer_free);
+  lateness_init (&loadshare->lateness);
 }
 
 void
 loadshare_finish (struct loadshare *loadshare)
 {
+  lateness_finish (&loadshare->lateness);
   g_hash_table_destroy (loadshare->peers);
   g_ptr_array_free (loadshare->loaded, TRUE);
   g_free (loadshare->host);
@@ -85,6 +90,8 @@
   Trefoilspar__ServerWeights *weights_pointers[SERVERS_MAX];
   uint32_t swapping[SERVERS_MAX];
   uint64_t out[OUT_MAX];
+  Trefoilspar__StatedSlowness slowness[SERVERS_MAX];
+  Trefoilspar__StatedSlowness *slowness_pointers[SERVERS_MAX];
 };
 
 static void
@@ -140,6 +147,34 @@
     datagram_add_weights (loadshare, datagram, server);
 }
 
+/* Add what servers stated to this host of their slowness. */
+static void
+datagram_add_slowness (const struct loadshare *loadshare,
+                       struct load_datagram *datagram)
+{
+  Trefoilspar__LoadShare *message = &datagram->message;
+  const GPtrArray *stating = loadshare->servers->stating_slowness;
+  int64_t now = clock_now (loadshare->clock);
+
+  servers_drop_stating_slowness (loadshare->servers);
+  message->slowness = datagram->slowness_pointers;
+  for (guint i = 0; i < stating->len && i < SERVERS_MAX; i++)
+    {
+      const struct server *server = stating->pdata[i];
+      Trefoilspar__StatedSlowness *slowness = &datagram->slowness[i];
+
+      trefoilspar__stated_slowness__init (slowness);
+      slowness->server = server->id_hash;
+      slowness->percent = (uint32_t)lround (100 * server->speed.slowness);
+      slowness->age_ms
+          = (uint32_t)((now - server->speed.heard_ns) / NS_PER_MS);
+      datagram->slowness_pointers[i] = slowness;
+      message->n_slowness++;
+    }
+  if (message->n_slowness > 0)
+    message->sent_ns = clock_boottime (loadshare->clock);
+}
+
 size_t
 loadshare_encode (struct loadshare *loadshare,
                   uint8_t bytes[LOADSHARE_BYTES_MAX])
@@ -162,9 +197,12 @@
     datagram_add_load (&datagram, servers->used->pdata[i]);
   if (loadshare->ops->reports_weights (loadshare->data))
     datagram_add_all_weights (loadshare, &datagram);
+  datagram_add_slowness (loadshare, &datagram);
   while (trefoilspar__load_share__get_packed_size (message)
          > LOADSHARE_BYTES_MAX)
-    if (message->n_weights > 0)
+    if (message->n_slowness > 0)
+      message->n_slowness--;
+    else if (message->n_weights > 0)
       message->n_weights--;
     else
       message->n_servers--;
@@ -325,6 +363,40 @@
     }
 }
 
+/* Handles the slowness of servers that another host reports. It is ignored if
+ * its age can't be told. */
+static void
+slowness_received (struct loadshare *loadshare,
+                   const Trefoilspar__LoadShare *message)
+{
+  uint64_t sender
+      = MAX (XXH3_64bits_withSeed (message->host, strlen (message->host),
+                                   message->start),
+             1U);
+  int64_t late_ns;
+
+  if (message->sent_ns == 0)
+    return;
+  late_ns = lateness_record (&loadshare->lateness, sender, message->sent_ns,
+                             clock_boottime (loadshare->clock));
+  if (late_ns < 0)
+    return;
+  for (size_t i = 0; i < message->n_slowness; i++)
+    {
+      const Trefoilspar__StatedSlowness *slowness = message->slowness[i];
+      struct server *server
+          = servers_find_hash (loadshare->servers, slowness->server);
+      int64_t stated_ns = clock_now (loadshare->clock) - late_ns
+                          - (int64_t)slowness->age_ms * NS_PER_MS;
+
+      if (server != NULL && slowness->percent >= SERVERSPEED_PERCENT_MIN
+          && slowness->percent <= SERVERSPEED_PERCENT_MAX)
+        servers_record_slowness (loadshare->servers, server,
+                                 slowness->percent / 100.0, stated_ns,
+                                 stated_ns, false);
+    }
+}
+
 bool
 loadshare_receive (struct loadshare *loadshare, const uint8_t *bytes,
                    size_t size)
@@ -350,6 +422,7 @@
       peer->received_ns = clock_now (loadshare->clock);
       loadshare->sums_stale = true;
       weights_received (loadshare, message);
+      slowness_received (loadshare, message);
     }
   trefoilspar__load_share__free_unpacked (message, NULL);
   return newer;
--- a/src/loadshare.h
+++ b/src/loadshare.h
@@ -2,6 +2,7 @@
 #define LOADSHARE_H
 
 #include "clock.h"
+#include "lateness.h"
 #include "servers.h"
 
 #include <glib.h>
@@ -11,7 +12,8 @@
 
 /** @file
  * Reports between hosts of the requests that each host has in flight at each
- * backend server, sent in small datagrams several times a second. Without
+ * backend server, and of the slowness that servers stated to it, sent in small
+ * datagrams several times a second. Without
  * these reports, hosts under load would all choose the same engine, and the
  * waiting times at the engines would differ by seconds.
  *
@@ -65,8 +67,9 @@
   /** Whether the estimates of the other hosts' load at the servers must be
    * computed again. */
   bool sums_stale;
-  GPtrArray *loaded; /**< Servers at which other hosts have load. */
-  GHashTable *peers; /**< Maps host names to struct loadshare_peer. */
+  GPtrArray *loaded;        /**< Servers at which other hosts have load. */
+  GHashTable *peers;        /**< Maps host names to struct loadshare_peer. */
+  struct lateness lateness; /**< Of datagrams with stated slowness. */
 };
 
 /** @param host the name of this host
@@ -79,7 +82,7 @@
 
 /** Writes the datagram that reports this host's requests in flight and, if
  * `reports_weights` is true, the weight versions of engines. What does not fit
- * is left out: first weight versions, then servers.
+ * is left out: first stated slowness, then weight versions, then servers.
  * @return the size of the datagram */
 size_t loadshare_encode (struct loadshare *loadshare,
                          uint8_t bytes[LOADSHARE_BYTES_MAX]);
--- a/src/loadshare.pb-c.c
+++ b/src/loadshare.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &trefoilspar__server_weights__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   trefoilspar__stated_slowness__init
+                     (Trefoilspar__StatedSlowness         *message)
+{
+  static const Trefoilspar__StatedSlowness init_value = TREFOILSPAR__STATED_SLOWNESS__INIT;
+  *message = init_value;
+}
+size_t trefoilspar__stated_slowness__get_packed_size
+                     (const Trefoilspar__StatedSlowness *message)
+{
+  assert(message->base.descriptor == &trefoilspar__stated_slowness__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t trefoilspar__stated_slowness__pack
+                     (const Trefoilspar__StatedSlowness *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &trefoilspar__stated_slowness__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t trefoilspar__stated_slowness__pack_to_buffer
+                     (const Trefoilspar__StatedSlowness *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &trefoilspar__stated_slowness__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Trefoilspar__StatedSlowness *
+       trefoilspar__stated_slowness__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Trefoilspar__StatedSlowness *)
+     protobuf_c_message_unpack (&trefoilspar__stated_slowness__descriptor,
+                                allocator, len, data);
+}
+void   trefoilspar__stated_slowness__free_unpacked
+                     (Trefoilspar__StatedSlowness *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &trefoilspar__stated_slowness__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   trefoilspar__load_share__init
                      (Trefoilspar__LoadShare         *message)
 {
@@ -270,7 +315,71 @@
   (ProtobufCMessageInit) trefoilspar__server_weights__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor trefoilspar__load_share__field_descriptors[7] =
+static const ProtobufCFieldDescriptor trefoilspar__stated_slowness__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__StatedSlowness, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__StatedSlowness, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__StatedSlowness, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned trefoilspar__stated_slowness__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = percent */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange trefoilspar__stated_slowness__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor trefoilspar__stated_slowness__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "trefoilspar.StatedSlowness",
+  "StatedSlowness",
+  "Trefoilspar__StatedSlowness",
+  "trefoilspar",
+  sizeof(Trefoilspar__StatedSlowness),
+  3,
+  trefoilspar__stated_slowness__field_descriptors,
+  trefoilspar__stated_slowness__field_indices_by_name,
+  1,  trefoilspar__stated_slowness__number_ranges,
+  (ProtobufCMessageInit) trefoilspar__stated_slowness__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor trefoilspar__load_share__field_descriptors[9] =
 {
   {
     "host",
@@ -356,12 +465,38 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slowness",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Trefoilspar__LoadShare, n_slowness),
+    offsetof(Trefoilspar__LoadShare, slowness),
+    &trefoilspar__stated_slowness__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ns",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__LoadShare, sent_ns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned trefoilspar__load_share__field_indices_by_name[] = {
   0,   /* field[0] = host */
   2,   /* field[2] = number */
   6,   /* field[6] = out */
+  8,   /* field[8] = sent_ns */
   3,   /* field[3] = servers */
+  7,   /* field[7] = slowness */
   1,   /* field[1] = start */
   4,   /* field[4] = swapping */
   5,   /* field[5] = weights */
@@ -369,7 +504,7 @@
 static const ProtobufCIntRange trefoilspar__load_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor trefoilspar__load_share__descriptor =
 {
@@ -379,7 +514,7 @@
   "Trefoilspar__LoadShare",
   "trefoilspar",
   sizeof(Trefoilspar__LoadShare),
-  7,
+  9,
   trefoilspar__load_share__field_descriptors,
   trefoilspar__load_share__field_indices_by_name,
   1,  trefoilspar__load_share__number_ranges,
--- a/src/loadshare.pb-c.h
+++ b/src/loadshare.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Trefoilspar__ServerShare Trefoilspar__ServerShare;
 typedef struct Trefoilspar__ServerWeights Trefoilspar__ServerWeights;
+typedef struct Trefoilspar__StatedSlowness Trefoilspar__StatedSlowness;
 typedef struct Trefoilspar__LoadShare Trefoilspar__LoadShare;
 
 
@@ -70,6 +71,30 @@
     , 0, 0 }
 
 
+/*
+ * How long work takes at a backend server, as it last stated to the sender.
+ */
+struct  Trefoilspar__StatedSlowness
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the id of the backend server.
+   */
+  uint32_t server;
+  /*
+   * 100 if work takes as long as usual.
+   */
+  uint32_t percent;
+  /*
+   * Time since the response.
+   */
+  uint32_t age_ms;
+};
+#define TREFOILSPAR__STATED_SLOWNESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&trefoilspar__stated_slowness__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * A datagram with all requests that a host has in flight. A backend server
  * that is left out counts as having none of them.
@@ -106,10 +131,19 @@
    */
   size_t n_out;
   uint64_t *out;
+  /*
+   * Hosts of earlier versions ignore the fields below.
+   */
+  size_t n_slowness;
+  Trefoilspar__StatedSlowness **slowness;
+  /*
+   * When, by the sender's clock; set beside slowness.
+   */
+  int64_t sent_ns;
 };
 #define TREFOILSPAR__LOAD_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&trefoilspar__load_share__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* Trefoilspar__ServerShare methods */
@@ -150,6 +184,25 @@
 void   trefoilspar__server_weights__free_unpacked
                      (Trefoilspar__ServerWeights *message,
                       ProtobufCAllocator *allocator);
+/* Trefoilspar__StatedSlowness methods */
+void   trefoilspar__stated_slowness__init
+                     (Trefoilspar__StatedSlowness         *message);
+size_t trefoilspar__stated_slowness__get_packed_size
+                     (const Trefoilspar__StatedSlowness   *message);
+size_t trefoilspar__stated_slowness__pack
+                     (const Trefoilspar__StatedSlowness   *message,
+                      uint8_t             *out);
+size_t trefoilspar__stated_slowness__pack_to_buffer
+                     (const Trefoilspar__StatedSlowness   *message,
+                      ProtobufCBuffer     *buffer);
+Trefoilspar__StatedSlowness *
+       trefoilspar__stated_slowness__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   trefoilspar__stated_slowness__free_unpacked
+                     (Trefoilspar__StatedSlowness *message,
+                      ProtobufCAllocator *allocator);
 /* Trefoilspar__LoadShare methods */
 void   trefoilspar__load_share__init
                      (Trefoilspar__LoadShare         *message);
@@ -177,6 +230,9 @@
 typedef void (*Trefoilspar__ServerWeights_Closure)
                  (const Trefoilspar__ServerWeights *message,
                   void *closure_data);
+typedef void (*Trefoilspar__StatedSlowness_Closure)
+                 (const Trefoilspar__StatedSlowness *message,
+                  void *closure_data);
 typedef void (*Trefoilspar__LoadShare_Closure)
                  (const Trefoilspar__LoadShare *message,
                   void *closure_data);
@@ -188,6 +244,7 @@
 
 extern const ProtobufCMessageDescriptor trefoilspar__server_share__descriptor;
 extern const ProtobufCMessageDescriptor trefoilspar__server_weights__descriptor;
+extern const ProtobufCMessageDescriptor trefoilspar__stated_slowness__descriptor;
 extern const ProtobufCMessageDescriptor trefoilspar__load_share__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/serverlearn.c
+++ b/src/serverlearn.c
@@ -1,4 +1,5 @@
 #include "serverlearn.h"
+#include "serverslowness.h"
 
 enum
 {
@@ -8,7 +9,8 @@
   FIELD_LEAVING = 1 << 0,
   FIELD_PAUSE = 1 << 1,
   FIELD_LIMIT = 1 << 2,
-  FIELD_BRITTLE = 1 << 3
+  FIELD_BRITTLE = 1 << 3,
+  FIELD_SLOWNESS = 1 << 4
 };
 
 static const char *const reasons[] = {
@@ -82,6 +84,17 @@
                             clock_now (servers->clock), true);
 }
 
+void
+serverlearn_slowness (struct servers *servers, struct server *server,
+                      const struct response *response, int64_t asked_ns,
+                      int64_t now_ns)
+{
+  if (is_believed (servers, server, FIELD_SLOWNESS, "slowness",
+                   response->slowness_kind))
+    servers_record_slowness (servers, server, response->slowness, asked_ns,
+                             now_ns, true);
+}
+
 void
 serverlearn_rejection (struct servers *servers, struct server *server,
                        int64_t now_ns)
@@ -103,5 +116,7 @@
   if (is_believed (servers, server, FIELD_LIMIT, "limit", limit))
     servers_record_limit (servers, server, response->limit_per_s, now_ns,
                           true);
+  serverlearn_slowness (servers, server, response, server->probe_began_ns,
+                        now_ns);
   serverlearn_statement (servers, server, &response->statement);
 }
--- a/src/serverlearn.h
+++ b/src/serverlearn.h
@@ -14,6 +14,12 @@
 void serverlearn_statement (struct servers *servers, struct server *server,
                             const struct statement *statement);
 
+/** Record how long work takes at SERVER by its RESPONSE, received at NOW_NS,
+ * to what was sent at ASKED_NS. */
+void serverlearn_slowness (struct servers *servers, struct server *server,
+                           const struct response *response, int64_t asked_ns,
+                           int64_t now_ns);
+
 /** Record that SERVER rejected a request at NOW_NS without running it. It gets
  * no requests for a moment; a brittle one gets none until its rejections no
  * longer count. */
--- a/src/servers.c
+++ b/src/servers.c
@@ -68,10 +68,13 @@
   servers->used = g_ptr_array_new_with_free_func (server_release);
   servers->failing = g_ptr_array_new_with_free_func (server_release);
   servers->stating = g_ptr_array_new_with_free_func (server_release);
+  servers->stating_slowness = g_ptr_array_new_with_free_func (server_release);
   servers->reach_by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   servers->brittle_by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  servers->speed_by_service
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   servers->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                                server_array_free);
 }
@@ -82,9 +85,11 @@
   g_ptr_array_free (servers->used, TRUE);
   g_ptr_array_free (servers->failing, TRUE);
   g_ptr_array_free (servers->stating, TRUE);
+  g_ptr_array_free (servers->stating_slowness, TRUE);
   g_hash_table_destroy (servers->by_hash);
   g_hash_table_destroy (servers->reach_by_service);
   g_hash_table_destroy (servers->brittle_by_service);
+  g_hash_table_destroy (servers->speed_by_service);
   g_hash_table_destroy (servers->by_service);
   softwarespan_finish (&servers->software);
   serverstart_table_finish (&servers->stated);
@@ -219,6 +224,23 @@
   return found;
 }
 
+static struct serverspeed_service *
+service_speed (struct servers *servers, const char *service)
+{
+  struct serverspeed_service *found
+      = g_hash_table_lookup (servers->speed_by_service, service);
+
+  if (found == NULL)
+    {
+      found = g_new (struct serverspeed_service, 1);
+      serverspeed_service_init (found, clock_now (servers->clock),
+                                clock_boottime (servers->clock));
+      g_hash_table_insert (servers->speed_by_service, g_strdup (service),
+                           found);
+    }
+  return found;
+}
+
 static struct server *
 server_new (const struct server_entry *entry)
 {
@@ -261,6 +283,7 @@
   serverbrittle_init (&server->brittle,
                       service_brittle (servers, entry->service),
                       clock_now (servers->clock));
+  serverspeed_init (&server->speed, service_speed (servers, entry->service));
   server->in_local_data_centre
       = strcmp (entry->data_centre, servers->data_centre) == 0;
   g_hash_table_insert (servers->by_id, server->entry.id, server);
--- a/src/servers.h
+++ b/src/servers.h
@@ -8,6 +8,7 @@
 #include "serverbrittle.h"
 #include "serverlimit.h"
 #include "serverpause.h"
+#include "serverspeed.h"
 #include "serverstart.h"
 #include "softwarespan.h"
 #include "softwarestart.h"
@@ -128,8 +129,10 @@
   struct serverlimit limit;
   struct serverpause pause;
   struct serverbrittle brittle;
-  int64_t busy_until_ns; /**< No requests are sent to the server before this
-                            time. */
+  struct serverspeed speed;
+  bool is_stating_slowness; /**< Whether it is in servers.stating_slowness. */
+  int64_t busy_until_ns;    /**< No requests are sent to the server before this
+                               time. */
 
   GHashTable *cached_blocks; /**< Maps block ids to struct server_block. */
   /** Cached blocks, the least recently used first. */
@@ -173,14 +176,18 @@
   GPtrArray *stating;  /**< Servers whose responses to this host stated a limit
                           or that they are brittle, or the end of either, when
                           they were added; see servers_drop_stating. */
-  GHashTable *by_service; /**< Maps service names to GPtrArray of struct
-                               server. */
+  GPtrArray *stating_slowness; /**< Servers whose responses to this host stated
+                                  their slowness of late. */
+  GHashTable *by_service;      /**< Maps service names to GPtrArray of struct
+                                    server. */
   struct serverstart_table stated; /**< What starts of servers stated. */
   struct softwarespan software;    /**< Since when each service has had one
                                       software only. */
   GHashTable *reach_by_service;    /**< Maps service names to struct reach. */
   GHashTable *brittle_by_service;  /**< Maps service names to struct
                                       serverbrittle_service. */
+  GHashTable *speed_by_service;    /**< Maps service names to struct
+                                      serverspeed_service. */
   struct softwarestart starts; /**< Software whose new starts the registry may
                                   tell of soon. */
   const struct servers_ops *ops;
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -16,6 +16,7 @@
   LIMIT_TOLD_MS = 500,    /* until all hosts have been told */
   LIMIT_KEPT_MS = 3000,   /* until the limit must be kept */
   REWRITE_MAX_MS = 1500,  /* until its entry is written again in a new era */
+  SLOTS = 6,
   DRAIN_MS = 4000 /* for which it serves after it has said that it leaves */
 };
 
@@ -56,21 +57,40 @@
   uv_close ((uv_handle_t *)&run->timer, on_run_closed);
 }
 
+/* How long work takes at ENGINE now, in percent; 0: it does not state that.
+ * Engines that have stated a limit state it, and are slow now and then. */
+static unsigned
+slowness_percent (const struct soak_engine *engine)
+{
+  int64_t change = clock_now (&engine->soak->clock) / (600 * NS_PER_MS);
+
+  if (engine->limit_since_ns == 0)
+    return 0;
+  return (change + g_str_hash (engine->id)) % 7 == 0 ? 250 : 100;
+}
+
 static char *
 answer_lines (const struct run *run, const char *type)
 {
+  unsigned percent = slowness_percent (run->engine);
   double limit = run->engine->limit;
+  char *load_line
+      = percent > 0
+            ? g_strdup_printf ("X-Server-Load: 0,0,%d,%u\r\n", SLOTS, percent)
+            : g_strdup ("");
   char *limit_line = limit > 0
                          ? g_strdup_printf ("Server-Limit: %.1f\r\n", limit)
                          : g_strdup ("");
   char *statement
       = soak_statement_lines (&run->engine->statement, run->request, false);
-  char *lines = g_strdup_printf ("Content-Type: %s\r\nX-Request-Id: "
-                                 "%s\r\nX-Response-Seal: seal-%s-%s\r\n%s%s",
-                                 type, run->request->id, run->request->id,
-                                 run->engine->id, limit_line, statement);
+  char *lines
+      = g_strdup_printf ("Content-Type: %s\r\nX-Request-Id: "
+                         "%s\r\nX-Response-Seal: seal-%s-%s\r\n%s%s%s",
+                         type, run->request->id, run->request->id,
+                         run->engine->id, limit_line, load_line, statement);
 
   g_free (statement);
+  g_free (load_line);
   g_free (limit_line);
   return lines;
 }
@@ -282,7 +302,8 @@
   uv_timer_init (&engine->soak->loop, &run->timer);
   run->timer.data = run;
   uv_timer_start (&run->timer, on_run_due,
-                  run_ms (engine->soak, request->kind),
+                  run_ms (engine->soak, request->kind)
+                      * MAX (slowness_percent (engine), 100) / 100,
                   is_stream ? streams->event_ms : 0);
 }
 
@@ -351,9 +372,9 @@
   char *key = g_strdup_printf ("servers/%s", engine->id);
   char *value = g_strdup_printf (
       "{\"backend\":\"app\",\"address\":\"" SOAK_IP
-      ":%u\",\"zone\":\"z\",\"version\":\"v%u\",\"slots\":6,\"state\":\"%s\","
+      ":%u\",\"zone\":\"z\",\"version\":\"v%u\",\"slots\":%d,\"state\":\"%s\","
       "\"coldLeftMs\":0,\"sequence\":%u,\"born\":%u}",
-      engine->address_port, engine->software,
+      engine->address_port, engine->software, SLOTS,
       engine->draining ? "draining" : "ready", engine->draining ? 2U : 1U,
       1000 + engine->starts);
 
