Hosts don't all choose the same server of varying speed

Cause: ten hosts whose reports are 150 ms late all choose the server that looks idle or fast until their next reports: at 0.8 of the capacity up to five of ten hosts sent to the same one of nine within 10 ms.

Change: for services whose capacity varies, a host takes the better of two random candidates whose cost exceeds the least by 400 ms at most, that are not farther away and recompute at most a tenth of the prompt more.

Trials of jitter in proportion to the cost, of shares by the inverse of the cost and of three and four choices were not as good.

--- a/src/choose.c
+++ b/src/choose.c
@@ -1,5 +1,6 @@
 #include "choose.h"
 #include "choosecost.h"
+#include "choosespread.h"
 #include "rendezvous.h"
 #include "serverslowness.h"
 
@@ -32,6 +33,7 @@
   .remote_server_ms = 12,
   .memory_share = 0.95,
   .preferred_cached_share = 0.8,
+  .near_ms = 400,
   .load_half_life_ns = 300 * NS_PER_MS,
 };
 
@@ -131,12 +133,26 @@
                 query->wanted, version, boottime_ns, query->begin_span_ns);
 }
 
+static void
+result_set (struct choose_result *result,
+            const struct choosespread_candidate *candidate)
+{
+  result->server = candidate->server;
+  result->cost_ms = candidate->cost_ms;
+  result->backlog_ms = candidate->backlog_ms;
+  result->comparable_ms = candidate->comparable_ms;
+  result->store_delay_ms = candidate->store_delay_ms;
+  result->cached_tokens = candidate->cached_tokens;
+}
+
 static void
 candidate_consider (const struct choose_settings *settings,
                     const struct choose_query *query, struct server *server,
                     bool is_preferred, int64_t now, int64_t boottime_ns,
-                    struct rng *rng, struct choose_result *result)
+                    struct choosespread *spread, struct rng *rng,
+                    struct choose_result *result)
 {
+  struct choosespread_candidate candidate;
   struct choosecost estimate;
   double cost;
 
@@ -154,14 +170,43 @@
   result->candidates++;
   if (query->model != NULL && !has_preferred_version (query, server))
     cost += old_weights_cost_ms;
+  candidate = (struct choosespread_candidate){
+    .server = server,
+    .cost_ms = cost,
+    .backlog_ms = estimate.backlog_ms,
+    .comparable_ms = estimate.comparable_ms,
+    .store_delay_ms = estimate.store_delay_ms,
+    .cached_tokens = estimate.cached_tokens,
+    .in_local_data_centre = server->in_local_data_centre,
+  };
+  if (serverspeed_varies (&server->speed))
+    choosespread_add (spread, &candidate, rng);
   if (result->server != NULL && cost >= result->cost_ms)
     return;
-  result->server = server;
-  result->cost_ms = cost;
-  result->backlog_ms = estimate.backlog_ms;
-  result->comparable_ms = estimate.comparable_ms;
-  result->store_delay_ms = estimate.store_delay_ms;
-  result->cached_tokens = estimate.cached_tokens;
+  result->least_cost_ms = cost;
+  result_set (result, &candidate);
+}
+
+/* Take a candidate that is nearly equal to the best one, so that hosts that
+ * all see the same server idle do not all choose it. */
+static void
+result_spread (const struct choose_settings *settings,
+               const struct choose_query *query, struct choosespread *spread,
+               struct rng *rng, struct choose_result *result)
+{
+  struct choosespread_candidate best = {
+    .server = result->server,
+    .cost_ms = result->cost_ms,
+    .backlog_ms = result->backlog_ms,
+    .comparable_ms = result->comparable_ms,
+    .store_delay_ms = result->store_delay_ms,
+    .cached_tokens = result->cached_tokens,
+    .in_local_data_centre = result->server->in_local_data_centre,
+  };
+
+  result_set (result,
+              choosespread_pick (spread, &best, query->call->prompt_tokens,
+                                 settings->near_ms, rng));
 }
 
 static void
@@ -374,7 +419,9 @@
             ? preferred_server (list, query->call, other_subsets, now)
             : NULL;
   bool spares_others = query->model == NULL && any_is_paused (list, now);
+  struct choosespread spread;
 
+  spread.count = 0;
   servers_note_time (list, now, clock_boottime (servers->clock));
   for (guint i = 0; i < list->len; i++)
     {
@@ -386,8 +433,8 @@
         {
         case CHOOSE_USABLE:
           candidate_consider (settings, query, server, server == preferred,
-                              now, clock_boottime (servers->clock), rng,
-                              result);
+                              now, clock_boottime (servers->clock), &spread,
+                              rng, result);
           break;
         case CHOOSE_UNREACHABLE:
           result->unreachable += !server->removed;
@@ -414,6 +461,8 @@
           break;
         }
     }
+  if (spread.count > 1)
+    result_spread (settings, query, &spread, rng, result);
 }
 
 void
--- a/src/choose.h
+++ b/src/choose.h
@@ -40,8 +40,10 @@
   double preferred_cached_share; /**< Share of a shared prefix that the server
                                       preferred by all hosts is assumed to have
                                       cached. */
-  int64_t load_half_life_ns;     /**< The weight of a reported load halves in
-                                      this time. */
+  double near_ms; /**< Excess over the least cost up to which a server whose
+                     speed varies may be chosen. */
+  int64_t load_half_life_ns; /**< The weight of a reported load halves in
+                                  this time. */
 };
 
 extern const struct choose_settings choose_settings_default;
@@ -112,8 +114,10 @@
   struct server *server;
   double cost_ms; /**< Expected time to the first event, plus penalties such as
                      that for older weights. */
-  double backlog_ms; /**< Part of cost_ms that the work on other requests
-                        causes. */
+  double least_cost_ms; /**< The least such cost of all servers; see
+                           choosespread.h. */
+  double backlog_ms;    /**< Part of cost_ms that the work on other requests
+                           causes. */
   double comparable_ms; /**< As in struct choosecost. */
   /** Part of cost_ms that the delay of a store causes. */
   double store_delay_ms;
