--- a/test/test-platform.c
+++ b/test/test-platform.c
@@ -280,57 +280,6 @@
   httpfields_finish (&head);
 }
 
-/* Guards against bad figures being used, and the load beside them being lost.
- */
-static void
-test_stated_slowness (void)
-{
-  static const struct
-  {
-    const char *value;
-    enum statement_kind kind;
-    double slowness;
-  } rows[] = {
-    { "3,1,8", STATEMENT_NONE, 0 },
-    { "3,1,8,100", STATEMENT_VALID, 1 },
-    { "3,1,8,250", STATEMENT_VALID, 2.5 },
-    { "3,1,8,12.5", STATEMENT_VALID, 0.125 },
-    { "3,1,8,", STATEMENT_MALFORMED, 0 },
-    { "3,1,8,0", STATEMENT_MALFORMED, 0 },
-    { "3,1,8,-100", STATEMENT_MALFORMED, 0 },
-    { "3,1,8,nan", STATEMENT_MALFORMED, 0 },
-    { "3,1,8,inf", STATEMENT_MALFORMED, 0 },
-    { "3,1,8,1e2", STATEMENT_MALFORMED, 0 },
-    { "3,1,8,999999999999", STATEMENT_MALFORMED, 0 },
-    { "3,1,8,100,100", STATEMENT_MALFORMED, 0 },
-  };
-
-  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
-    {
-      struct httpfields head;
-      struct response response;
-
-      httpfields_init (&head);
-      head_add_field (&head, "X-Request-Id", "r");
-      head_add_field (&head, "X-Server-Load", rows[i].value);
-      message_response_decode (200, &head, "r", "i-1", &response);
-      unit_expect (response.slowness_kind == rows[i].kind, "kind",
-                   rows[i].value);
-      unit_expect (response.has_load && response.running_requests == 3
-                       && response.waiting_requests == 1
-                       && response.slots == 8,
-                   "load", rows[i].value);
-      if (rows[i].kind == STATEMENT_VALID)
-        unit_expect (response.slowness == rows[i].slowness, "slowness",
-                     rows[i].value);
-      head_add_field (&head, "X-Server-Load", "3,1,8,100");
-      message_response_decode (200, &head, "r", "i-1", &response);
-      unit_expect (response.slowness_kind != STATEMENT_VALID, "twice",
-                   rows[i].value);
-      httpfields_finish (&head);
-    }
-}
-
 /* Bad values of a limit were taken for limits. */
 static void
 test_stated_limit (void)
@@ -616,7 +565,6 @@
 static const struct unit_case cases[] = {
   { "pass-on", test_pass_on },
   { "stated-limit", test_stated_limit },
-  { "stated-slowness", test_stated_slowness },
   { "stated-leaving", test_stated_leaving },
   { "stated-brittle", test_stated_brittle },
   { "stated-pause", test_stated_pause },
--- a/test/test-serverspeed.c
+++ b/test/test-serverspeed.c
@@ -2,6 +2,7 @@
 #include "choosespread.h"
 #include "fake-speedfleet.h"
 #include "loadshare.pb-c.h"
+#include "message.h"
 #include "serverlearn.h"
 #include "serverslowness.h"
 #include "unit.h"
@@ -313,6 +314,64 @@
   hosts_finish ();
 }
 
+static void
+head_add (struct httpfields *head, const char *name, const char *value)
+{
+  httpfields_append_name (head, name, strlen (name));
+  httpfields_append_value (head, value, strlen (value));
+}
+
+/* Guards against bad figures being used, and the load beside them being lost.
+ */
+static void
+test_stated_slowness (void)
+{
+  static const struct
+  {
+    const char *value;
+    enum statement_kind kind;
+    double slowness;
+  } rows[] = {
+    { "3,1,8", STATEMENT_NONE, 0 },
+    { "3,1,8,100", STATEMENT_VALID, 1 },
+    { "3,1,8,250", STATEMENT_VALID, 2.5 },
+    { "3,1,8,12.5", STATEMENT_VALID, 0.125 },
+    { "3,1,8,", STATEMENT_MALFORMED, 0 },
+    { "3,1,8,0", STATEMENT_MALFORMED, 0 },
+    { "3,1,8,-100", STATEMENT_MALFORMED, 0 },
+    { "3,1,8,nan", STATEMENT_MALFORMED, 0 },
+    { "3,1,8,inf", STATEMENT_MALFORMED, 0 },
+    { "3,1,8,1e2", STATEMENT_MALFORMED, 0 },
+    { "3,1,8,999999999999", STATEMENT_MALFORMED, 0 },
+    { "3,1,8,100,100", STATEMENT_MALFORMED, 0 },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct httpfields head;
+      struct response response;
+
+      httpfields_init (&head);
+      head_add (&head, "X-Request-Id", "r");
+      head_add (&head, "X-Server-Load", rows[i].value);
+      message_response_decode (200, &head, "r", "i-1", &response);
+      unit_expect (response.slowness_kind == rows[i].kind, "kind",
+                   rows[i].value);
+      unit_expect (response.has_load && response.running_requests == 3
+                       && response.waiting_requests == 1
+                       && response.slots == 8,
+                   "load", rows[i].value);
+      if (rows[i].kind == STATEMENT_VALID)
+        unit_expect (response.slowness == rows[i].slowness, "slowness",
+                     rows[i].value);
+      head_add (&head, "X-Server-Load", "3,1,8,100");
+      message_response_decode (200, &head, "r", "i-1", &response);
+      unit_expect (response.slowness_kind != STATEMENT_VALID, "twice",
+                   rows[i].value);
+      httpfields_finish (&head);
+    }
+}
+
 /* Guards against malformed and repeated figures being used, or logged for each
  * response. */
 static void
@@ -506,6 +565,7 @@
     { "told-with-age", test_told_with_age },
     { "wrong-datagrams", test_wrong_datagrams },
     { "datagrams-stay-small", test_datagrams_stay_small },
+    { "stated-slowness", test_stated_slowness },
     { "malformed-figures", test_malformed_figures },
     { "measured-factors", test_measured_factors },
     { "log-has-hysteresis", test_log_has_hysteresis },
