--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -100,6 +100,7 @@
 learn_first_event (struct forward *forward)
 {
   const struct exchange *exchange = &forward->exchange;
+  char labels[96];
 
   if (forward->call.model == NULL || forward->route->kind != ROUTE_STREAM
       || !exchange->response.success || !exchange->response.is_event_stream
@@ -110,6 +111,11 @@
       forward->forwarder->servers, exchange->server,
       (double)(exchange->first_output_ns - exchange->sent_ns) / NS_PER_MS,
       forward->comparable_ms);
+  if (!serverspeed_varies (&exchange->server->speed))
+    return;
+  g_snprintf (labels, sizeof labels, "service=\"%s\"", forward->service);
+  metrics_set (forward->forwarder->metrics, "trefoilspar_prefill_factor",
+               labels, serverspeed_prefill_factor (&exchange->server->speed));
 }
 
 void
--- a/test/bench-speed.c
+++ b/test/bench-speed.c
@@ -46,7 +46,7 @@
 main (int argc, char **argv)
 {
   static const double loads[] = { 0.5, 0.8, 0.9, 0.95 };
-  static const double spreads[] = { 0, 100, 200, 1e9 };
+  static const double spreads[] = { 0, 100, 200, 300, 400, 1e9 };
   unsigned seeds = argc > 1 ? (unsigned)atoi (argv[1]) : 3;
 
   printf (
