kvview tells how a key was found to be missing

A key that a watch reports as deleted, one that a read of all keys lacks, and one that is missing since the read was empty looked alike to the users of a view. The view now states which it was while it reports the removal, and the revision of the last read. What is removed when does not change.

--- a/src/kvview.c
+++ b/src/kvview.c
@@ -7,6 +7,8 @@
   uint64_t revision;
   int64_t missing_since_ns; /* Time at which a held key vanished; 0 if the key
                                is not held. */
+  bool deleted;             /* Whether the deletion of a held key was reported
+                               by a watch. */
   char *value;
 };
 
@@ -79,10 +81,12 @@
   else if (key->revision >= revision)
     {
       key->missing_since_ns = 0;
+      key->deleted = false;
       return;
     }
   key->revision = revision;
   key->missing_since_ns = 0;
+  key->deleted = false;
   g_free (key->value);
   key->value = g_strdup (value);
   view->ops->key_put (view->data, name, value, revision);
@@ -91,8 +95,10 @@
 static void
 key_remove (struct kvview *view, const char *name)
 {
+  const struct kvview_key *key = g_hash_table_lookup (view->keys, name);
   char *copy = g_strdup (name);
 
+  view->removal_reported = key->deleted;
   g_hash_table_remove (view->keys, name);
   view->ops->key_removed (view->data, copy);
   g_free (copy);
@@ -149,6 +155,8 @@
   GHashTableIter iter;
   gpointer name;
 
+  view->read_was_empty = reply->item_count == 0;
+  view->read_revision = reply->revision;
   for (size_t i = 0; i < reply->item_count; i++)
     {
       g_hash_table_add (present, (gpointer)reply->items[i].key);
@@ -177,7 +185,10 @@
       if (!item->deleted)
         kvview_update (view, item->key, item->value, item->revision);
       else if (key != NULL && key->revision < item->revision)
-        key_vanished (view, item->key, key);
+        {
+          key->deleted = true;
+          key_vanished (view, item->key, key);
+        }
     }
 }
 
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -60,6 +60,11 @@
   bool initial_read_done; /**< Whether all keys have been read once. */
   bool is_reading; /**< Whether the key being put comes from a read of all
                       keys; it may have been written long before. */
+  bool removal_reported;  /**< Whether the service reported the deletion of the
+                             key being removed, which a read of all keys may
+                             only have lacked otherwise. */
+  bool read_was_empty;    /**< Whether the last read of all keys had none. */
+  uint64_t read_revision; /**< Service revision that it stated. */
   /** Earliest time, by clock_boottime, at which the key being put can have
    * been written, as far as this host can tell. */
   int64_t written_since_ns;
