Evacuated data centres: which they are and what ends an evacuation

Operators can take a data centre out of use by a key in the KV service. Servers have a flag, the choice of a server a verdict, and stores in evacuated data centres are neither fetched from nor saved to.

--- a/src/choose.c
+++ b/src/choose.c
@@ -1,6 +1,7 @@
 #include "choose.h"
 #include "choosecost.h"
 #include "rendezvous.h"
+#include "serverevacuate.h"
 
 #include <math.h>
 #include <string.h>
@@ -281,7 +282,7 @@
     {
       const struct server *server = list->pdata[i];
 
-      if (server_is_available (server)
+      if (server_is_available (server) && !server->evacuated
           && !serverpause_allows (&server->pause, now))
         return true;
     }
@@ -309,6 +310,7 @@
     [CHOOSE_LEAVING] = "leaving",
     [CHOOSE_OTHER_WEIGHTS] = "other_weights",
     [CHOOSE_OTHER_SOFTWARE] = "other_software",
+    [CHOOSE_EVACUATED] = "evacuated",
     [CHOOSE_UNREACHABLE] = "unreachable",
     [CHOOSE_PAUSED] = "paused",
     [CHOOSE_LIMITED] = "limited",
@@ -338,6 +340,8 @@
     return CHOOSE_OTHER_WEIGHTS;
   if (!has_required_software (server, query))
     return CHOOSE_OTHER_SOFTWARE;
+  if (server->evacuated)
+    return CHOOSE_EVACUATED;
   if (!server_is_available (server))
     return CHOOSE_UNREACHABLE;
   if (!serverpause_allows (&server->pause, now))
@@ -386,6 +390,9 @@
                               now, clock_boottime (servers->clock), rng,
                               result);
           break;
+        case CHOOSE_EVACUATED:
+          result->evacuated++;
+          break;
         case CHOOSE_UNREACHABLE:
           result->unreachable += !server->removed;
           break;
@@ -422,6 +429,11 @@
   memset (result, 0, sizeof *result);
   if (servers_of_service (servers, query->service) == NULL)
     return;
+  if (servers_hold_sends (servers))
+    {
+      result->at_capacity = result->others_at_capacity = true;
+      return;
+    }
   choose_among (servers, settings, query, false, rng, result);
   if (result->server == NULL && !result->at_capacity)
     choose_among (servers, settings, query, true, rng, result);
--- a/src/choose.h
+++ b/src/choose.h
@@ -90,6 +90,7 @@
   CHOOSE_LEAVING,        /**< It accepts no new requests. */
   CHOOSE_OTHER_WEIGHTS,  /**< Its weights are older than required. */
   CHOOSE_OTHER_SOFTWARE, /**< Its software is not the required one. */
+  CHOOSE_EVACUATED,      /**< Its data centre is evacuated. */
   CHOOSE_UNREACHABLE,
   CHOOSE_PAUSED,         /**< It asked for a pause. */
   CHOOSE_LIMITED,        /**< Its stated limit is used up. */
@@ -137,6 +138,8 @@
    * first of these pauses ends; valid if `paused` is not 0. */
   unsigned paused;
   int64_t paused_wait_ns;
+  unsigned evacuated;   /**< Number of suitable servers in evacuated data
+                           centres. */
   unsigned unreachable; /**< Number of suitable servers that are registered and
                            can't be reached now. */
   bool others_at_capacity; /**< Whether there are other suitable servers
--- a/src/kvstores.h
+++ b/src/kvstores.h
@@ -97,6 +97,8 @@
 
 extern const struct kvstores_settings kvstores_settings_default;
 
+struct evacuation;
+
 struct kvstore
 {
   struct kvstores *kvstores;
@@ -151,6 +153,9 @@
    * stores and shares no updates. */
   const struct kvstores_ops *ops;
   void *data;
+  /** Which data centres are evacuated: nothing is fetched from or saved to
+   * their stores. NULL if none ever is. */
+  const struct evacuation *evacuation;
   struct lateness lateness; /**< Of updates from other hosts. */
   GPtrArray *stores;        /**< Array of struct kvstore. */
   unsigned rotation_slots;  /**< Number of slots in one rotation; 1 if there is
--- a/src/kvstoreuse.c
+++ b/src/kvstoreuse.c
@@ -1,4 +1,5 @@
 #include "kvstoreuse.h"
+#include "evacuation.h"
 #include "rendezvous.h"
 
 #include <math.h>
@@ -39,7 +40,9 @@
       struct kvstore *store = kvstores->stores->pdata[i];
 
       if (kvstore_block_tokens (store, scope, block->id)
-          < MAX (block->tokens, 1U))
+              < MAX (block->tokens, 1U)
+          || evacuation_is_evacuated (kvstores->evacuation,
+                                      store->data_centre))
         continue;
       if (strcmp (store->data_centre, data_centre) == 0)
         return store;
@@ -75,6 +78,7 @@
       double weight = store_weight (store, block);
 
       if (!kvstore_accepts_blocks (store)
+          || evacuation_is_evacuated (kvstores->evacuation, store->data_centre)
           || (double)(store->stored_tokens + tokens)
                  > kvstores->settings.fill_share_max
                        * (double)store->capacity_tokens)
--- a/src/serverreach.c
+++ b/src/serverreach.c
@@ -17,6 +17,8 @@
     {
       const struct server *server = list->pdata[i];
 
+      if (server->evacuated)
+        continue;
       reach->registered += !server_is_leaving (server);
       if (!server_is_reachable (server))
         continue;
--- a/src/servers.c
+++ b/src/servers.c
@@ -1,4 +1,5 @@
 #include "servers.h"
+#include "evacuation.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -261,6 +262,8 @@
   serverbrittle_init (&server->brittle,
                       service_brittle (servers, entry->service),
                       clock_now (servers->clock));
+  server->evacuated
+      = evacuation_is_evacuated (servers->evacuation, entry->data_centre);
   server->in_local_data_centre
       = strcmp (entry->data_centre, servers->data_centre) == 0;
   g_hash_table_insert (servers->by_id, server->entry.id, server);
@@ -333,6 +336,8 @@
   starts_leaving = entry->leaving && !server->entry.leaving;
   previous = server->entry;
   server_set_entry (server, entry);
+  server->evacuated
+      = evacuation_is_evacuated (servers->evacuation, entry->data_centre);
   service_software_check (servers, entry->service);
   server->revision = revision;
   /* Responses of the server may have reported newer weight versions than the
@@ -389,8 +394,8 @@
 bool
 server_accepts_requests (const struct server *server, int64_t now_ns)
 {
-  return server_is_available (server) && server->doubted_ns == 0
-         && server->busy_until_ns <= now_ns
+  return server_is_available (server) && !server->evacuated
+         && server->doubted_ns == 0 && server->busy_until_ns <= now_ns
          && serverlimit_allows (&server->limit, now_ns)
          && serverpause_allows (&server->pause, now_ns);
 }
--- a/src/servers.h
+++ b/src/servers.h
@@ -74,8 +74,10 @@
   bool removed;        /**< Whether the server is no longer registered. */
   bool states_leaving; /**< Whether this start of the server has stated in a
                           response that it leaves. */
-  unsigned ignored_fields;   /**< Bits of the fields of which a value was
-                                ignored. */
+  unsigned ignored_fields; /**< Bits of the fields of which a value was
+                              ignored. */
+  bool evacuated; /**< Whether its data centre is evacuated, so that nothing is
+                     sent to the server. */
   bool in_local_data_centre; /**< Whether the server is in the data centre of
                                 this process. */
   bool in_other_subset; /**< Whether the server is assigned to another subset
@@ -139,6 +141,8 @@
                                   memory. */
 };
 
+struct evacuation;
+
 struct servers_ops
 {
   /** Reports a state change of SERVER. CHANGE is the name of the change in the
@@ -181,6 +185,8 @@
   GHashTable *reach_by_service;    /**< Maps service names to struct reach. */
   GHashTable *brittle_by_service;  /**< Maps service names to struct
                                       serverbrittle_service. */
+  /** Which data centres are evacuated; NULL if none ever is. */
+  const struct evacuation *evacuation;
   struct softwarestart starts; /**< Software whose new starts the registry may
                                   tell of soon. */
   const struct servers_ops *ops;
@@ -239,8 +245,9 @@
 /** Whether SERVER is registered, not leaving, and reachable. */
 bool server_is_available (const struct server *server);
 
-/** Whether SERVER is available, in no doubt, not marked busy at NOW_NS, and
- * its limit and the pause that it asked for allow a request of this host. */
+/** Whether SERVER is available, not evacuated, in no doubt, not marked busy at
+ * NOW_NS, and its limit and the pause that it asked for allow a request of
+ * this host. */
 bool server_accepts_requests (const struct server *server, int64_t now_ns);
 
 /** Marks SERVER busy until UNTIL_NS, so that it gets no requests before then.
