Nothing is sent to the servers of evacuated data centres

Requests are refused at once with the reason evacuated where all servers that could run them are evacuated. An attempt whose connection opens after the evacuation is known, or after this host was suspended, is withheld and placed anew. No probe, query, weights order or request to free blocks goes there. Pollers of stores keep reading: stores are services of their own, and a poll sends them nothing to run.

--- a/src/cachegc.c
+++ b/src/cachegc.c
@@ -1,4 +1,5 @@
 #include "cachegc.h"
+#include "evacuation.h"
 #include "weights.h"
 
 #include <string.h>
@@ -106,6 +107,10 @@
   char prefix[CACHE_SCOPE_MAX];
   unsigned count;
 
+  /* The blocks are freed after the evacuation. */
+  if (evacuation_is_evacuated (store->kvstores->evacuation,
+                               store->data_centre))
+    return;
   g_snprintf (prefix, sizeof prefix, CACHE_SCOPE_FORMAT, model, version);
   count = kvstore_take_blocks (store, prefix, blocks, BLOCKS_PER_CALL_MAX);
   if (count == 0)
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -102,6 +102,13 @@
 {
   struct exchange *exchange = data;
 
+  if (exchange->ops->may_send != NULL
+      && !exchange->ops->may_send (exchange->data, exchange))
+    {
+      exchange->withheld = true;
+      exchange_close_with (exchange, EXCHANGE_NOT_CONNECTED);
+      return;
+    }
   exchange->sent_ns = clock_now (exchange->clock);
 }
 
@@ -299,6 +306,7 @@
   exchange->is_stream = request->is_stream;
   exchange->continues = request->continues;
   exchange->has_head = false;
+  exchange->withheld = false;
   exchange->passed_over = 0;
   exchange->framing = HTTPRESPONSE_NO_BODY;
   exchange->fault = "-";
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -66,6 +66,10 @@
    * connection is closed, but EXCHANGE stays valid until exchange_finish. */
   void (*ended) (void *data, struct exchange *exchange,
                  enum exchange_outcome outcome);
+  /** Whether the request may be sent on the connection that was just opened.
+   * If not, the attempt ends with EXCHANGE_NOT_CONNECTED and `withheld` is
+   * set. NULL: always. */
+  bool (*may_send) (void *data, struct exchange *exchange);
 };
 
 struct exchange
@@ -91,6 +95,7 @@
   /** Whether the request is for a stream. A successful event stream is relayed
    * event by event. */
   bool is_stream;
+  bool withheld;        /**< Whether may_send let the attempt end. */
   bool continues;       /**< Whether the attempt continues a stream. */
   bool has_head;        /**< Whether the head of the response was received. */
   unsigned passed_over; /**< Responses that belong to other requests or name
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -22,8 +22,6 @@
   /* Base of the Retry-After time if no configuration is loaded or the route
    * has no service. */
   RETRY_AFTER_NO_CONFIG_MS = 500,
-  /* Base of the Retry-After time if no server can run the request now. */
-  RETRY_AFTER_NO_SERVER_MS = 250,
   RETRY_AFTER_POISON_MS = 10000,
   /* Maximum number of requests in flight that other hosts have passed on. */
   FROM_HOSTS_MAX = 512
@@ -195,7 +193,7 @@
 
 static const struct exchange_ops exchange_ops
     = { response_passed_over, response_head_received, response_bytes_received,
-        exchange_ended };
+        exchange_ended, forward_may_send };
 
 /* Choose a server for the request. A stream that goes on with one software may
  * go on at a server that has broken it off before, but first at one that only
@@ -340,10 +338,7 @@
   forwardwait_remove (forward);
   if (choice.server == NULL)
     {
-      if (choice.paused > 0)
-        forward_give_up_paused (forward, choice.paused_wait_ns);
-      else
-        forward_give_up (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
+      forward_give_up_unplaced (forward, &choice);
       return;
     }
   forward_log_placement (forward, &query, &choice);
--- a/src/forwardlearn.c
+++ b/src/forwardlearn.c
@@ -156,6 +156,8 @@
   const struct response *response = &forward->exchange.response;
   int64_t now = clock_now (forwarder->clock);
 
+  if (forward->exchange.withheld)
+    return;
   if (!forward->relaying)
     {
       learn_load (forward);
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -12,7 +12,10 @@
 
 enum
 {
-  PAUSE_SPREAD_MIN_MS = 100 /* Minimum of that time. */
+  PAUSE_SPREAD_MIN_MS = 100, /* Minimum of that time. */
+  /* Base of the Retry-After time if all servers that could run the request are
+   * in evacuated data centres; evacuations last for seconds at least. */
+  RETRY_AFTER_EVACUATED_MS = 1000
 };
 
 void
@@ -121,8 +124,8 @@
     forward_refuse (forward, reason, retry_after_ms);
 }
 
-void
-forward_give_up_paused (struct forward *forward, int64_t wait_ns)
+static void
+give_up_paused (struct forward *forward, int64_t wait_ns)
 {
   if (forward->relaying || forward->run_count > 0)
     forward_give_up (forward, "paused", 0);
@@ -131,6 +134,18 @@
                      pause_retry_after_ns (forward, wait_ns));
 }
 
+void
+forward_give_up_unplaced (struct forward *forward,
+                          const struct choose_result *choice)
+{
+  if (choice->paused > 0)
+    give_up_paused (forward, choice->paused_wait_ns);
+  else if (choice->evacuated > 0 && choice->unreachable == 0)
+    forward_give_up (forward, "evacuated", RETRY_AFTER_EVACUATED_MS);
+  else
+    forward_give_up (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
+}
+
 void
 forward_pass_on (struct forward *forward)
 {
--- a/src/forwardrespond.h
+++ b/src/forwardrespond.h
@@ -44,8 +44,16 @@
 void forward_give_up (struct forward *forward, const char *reason,
                       int64_t retry_after_ms);
 
-/** Give the request up, since all servers that could run it asked for a pause.
- * @param wait_ns time until the first of these pauses ends */
-void forward_give_up_paused (struct forward *forward, int64_t wait_ns);
+enum
+{
+  /** Base of the Retry-After time if no server can run the request now. */
+  RETRY_AFTER_NO_SERVER_MS = 250
+};
+
+/** Give the request up, since CHOICE has no server for it: those that could
+ * run it asked for a pause, are in evacuated data centres, or there are none.
+ */
+void forward_give_up_unplaced (struct forward *forward,
+                               const struct choose_result *choice);
 
 #endif
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -1,6 +1,7 @@
 #include "forwardsend.h"
 #include "kvstoreuse.h"
 #include "forwardweights.h"
+#include "serverevacuate.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -283,6 +284,16 @@
               (unsigned)PRIORITY_MAX);
 }
 
+bool
+forward_may_send (void *data, struct exchange *exchange)
+{
+  const struct forward *forward = data;
+
+  /* Another host judges by itself where it sends the request. */
+  return forward->host != NULL
+         || !servers_withhold (forward->forwarder->servers, exchange->server);
+}
+
 void
 forward_send (struct forward *forward, const struct choose_result *choice,
               uint64_t required_version)
--- a/src/forwardsend.h
+++ b/src/forwardsend.h
@@ -20,6 +20,11 @@
 void forward_add_stored (const struct forward *forward, uint64_t version,
                          struct choose_query *query);
 
+/** Whether the request may still be sent on the connection that was just
+ * opened: the data centre of its server may have been evacuated, or this host
+ * suspended, since the server was chosen. */
+bool forward_may_send (void *forward, struct exchange *exchange);
+
 /** Send the request to the chosen server.
  * @param required_version the weight version that the server must have at
  * least; 0 if any version will do */
--- a/src/rolloutengine.c
+++ b/src/rolloutengine.c
@@ -1,4 +1,5 @@
 #include "rolloutengine.h"
+#include "serverevacuate.h"
 #include "serverlearn.h"
 #include "weights.h"
 
@@ -81,12 +82,15 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_removed);
 }
 
-/* Whether the engine wants nothing from this host now. */
+/* Whether the engine is sent nothing by this host now: it asked for a pause,
+ * or its data centre is or may be evacuated. */
 static bool
 is_paused (const struct rollout_engine *engine)
 {
-  return !serverpause_allows (&engine->server->pause,
-                              clock_now (engine->rollout->clock));
+  return engine->server->evacuated
+         || servers_hold_sends (engine->rollout->servers)
+         || !serverpause_allows (&engine->server->pause,
+                                 clock_now (engine->rollout->clock));
 }
 
 static void
@@ -341,6 +345,8 @@
       struct server *server = value;
       uint64_t version = server_weight_version (server, wanted->model);
 
+      if (server->evacuated)
+        continue;
       engine_count += version != 0;
       if (version != 0 && version < wanted->version
           && !server_is_leaving (server) && server->down_since_ns == 0
@@ -361,7 +367,7 @@
   const struct rollout_engine *engine = value;
   const struct server *server = engine->server;
 
-  return server->removed || server_is_leaving (server)
+  return server->removed || server->evacuated || server_is_leaving (server)
          || server->down_since_ns != 0
          || server_weight_version (server, engine->model) >= engine->version
          || (is_paused (engine) && !engine->is_loading);
--- a/src/serverprobe.c
+++ b/src/serverprobe.c
@@ -1,5 +1,6 @@
 #include "serverprobe.h"
 #include "serverconn.h"
+#include "serverevacuate.h"
 #include "serverlearn.h"
 #include "serverreach.h"
 
@@ -106,6 +107,8 @@
 
   if (!probe->is_query)
     probe_finish (probe, true);
+  else if (servers_withhold (probe->probes->servers, probe->server))
+    probe_free (probe);
 }
 
 static void
@@ -197,7 +200,7 @@
       const struct server *other = list->pdata[i];
 
       if (other->software_hash == server->software_hash
-          && server_is_available (other))
+          && server_is_available (other) && !other->evacuated)
         return false;
     }
   return true;
@@ -224,7 +227,8 @@
 static void
 server_probe (struct serverprobes *probes, struct server *server, int64_t now)
 {
-  if (server->probed || !serverpause_allows (&server->pause, now)
+  if (server->probed || server->evacuated
+      || !serverpause_allows (&server->pause, now)
       || reach_is_questioned (
           servers_reach (probes->servers, server->entry.service)))
     return;
@@ -268,7 +272,7 @@
     {
       struct server *server = list->pdata[reach->next_server++ % list->len];
 
-      if (server->probed || server_is_leaving (server)
+      if (server->probed || server->evacuated || server_is_leaving (server)
           || server_is_available (server) != available
           || !serverpause_allows (&server->pause, now)
           || !serverlimit_allows (&server->limit, now)
@@ -284,8 +288,12 @@
 any_is_available (const GPtrArray *list)
 {
   for (guint i = 0; i < list->len; i++)
-    if (server_is_available (list->pdata[i]))
-      return true;
+    {
+      const struct server *server = list->pdata[i];
+
+      if (server_is_available (server) && !server->evacuated)
+        return true;
+    }
   return false;
 }
 
@@ -343,6 +351,8 @@
   gpointer list;
 
   silent_queries_end (probes, now);
+  if (servers_hold_sends (probes->servers))
+    return;
   g_hash_table_iter_init (&iter, probes->servers->by_service);
   while (g_hash_table_iter_next (&iter, &service, &list))
     {
