Entry processes read the operator's evacuations

The prefix of the keys belongs to the dialect, the time within which an evacuation takes effect to the settings (servers.evacuate_ms). A host that has not read the operator's keys yet, or was suspended for longer than the time allows, holds its requests until it has. Changes are logged and counted.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -109,6 +109,8 @@
   const char *routes_key;
   const char *operator_prefix;
   const char *wanted_version_prefix;
+  const char *evacuation_prefix; /**< Followed by the name of the data centre
+                                    that the key evacuates. */
   const char *servers_prefix;
 
   /** Return an interface to the KV service at ADDRESS. The interface lives as
--- a/src/entry.c
+++ b/src/entry.c
@@ -1,6 +1,7 @@
 #include "entry.h"
 #include "entryblame.h"
 #include "entryera.h"
+#include "entryevacuation.h"
 #include "entryhttp.h"
 #include "entrykv.h"
 #include "entryorigin.h"
@@ -292,6 +293,7 @@
   int64_t now = clock_now (&entry->clock);
 
   pause_check (entry);
+  entryevacuation_tick (entry);
   kvbudget_tick (&entry->kvbudget);
   entrykv_check (entry);
   weightsnews_tick (&entry->weightsnews);
@@ -474,6 +476,7 @@
   cachegc_init (&entry->cachegc, &entry->clock, &entry->log, entry->dialect,
                 &entry->httpjson, &entry->rollout, &entry->kvstores,
                 &entry->servers, &entry->retire);
+  entryevacuation_init (entry);
   g_free (instance_name);
 }
 
@@ -572,6 +575,7 @@
   blameshare_finish (&entry->blameshare);
   serverprobes_finish (&entry->probes);
   servers_finish (&entry->servers);
+  entryevacuation_finish (entry);
   goneservers_finish (&entry->goneservers);
   kvview_finish (&entry->operator_view);
   kvview_finish (&entry->servers_view);
--- a/src/entry.h
+++ b/src/entry.h
@@ -7,6 +7,7 @@
 #include "entrypeers.h"
 #include "subsets.h"
 #include "dialect.h"
+#include "evacuation.h"
 #include "forwarder.h"
 #include "httpjson.h"
 #include "goneservers.h"
@@ -75,6 +76,7 @@
   struct servers servers;
   struct serverprobes probes;
   struct goneservers goneservers;
+  struct evacuation evacuation;
   struct poisoncount poisoncount;
   struct blameshare blameshare;
   struct presence presence;
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -1,5 +1,6 @@
 #include "entryviews.h"
 #include "entry.h"
+#include "entryevacuation.h"
 #include "entryweights.h"
 #include "watchpause.h"
 
@@ -106,16 +107,21 @@
     routes_put (entry, value, revision);
   else if (g_str_has_prefix (key, entry->dialect->wanted_version_prefix))
     entryweights_wanted_put (entry, key, value, revision);
+  else if (g_str_has_prefix (key, entry->dialect->evacuation_prefix))
+    entryevacuation_put (entry, key, revision);
 }
 
-/* Ignores the removal of an operator's key. The value stays in force until a
- * newer value is set. */
+/* Ignores the removal of an operator's key, except of one that evacuates a
+ * data centre. The value stays in force until a newer value is set. */
 static void
 operator_removed (void *data, const char *key)
 {
   struct entry *entry = data;
 
-  log_event (&entry->log, EVENT_ENTRY_IGNORED, "key=%s reason=removed", key);
+  if (g_str_has_prefix (key, entry->dialect->evacuation_prefix))
+    entryevacuation_removed (entry, key);
+  else
+    log_event (&entry->log, EVENT_ENTRY_IGNORED, "key=%s reason=removed", key);
 }
 
 static void
--- a/src/event.c
+++ b/src/event.c
@@ -220,6 +220,16 @@
     "backup, without its last writes. The eras, what this process held in the "
     "older one (revisions of its views, lease, fencing token), and what was "
     "restarted." },
+  { EVENT_EVACUATION_CHANGED, EVENT_LEVEL_WARN, "evacuation_changed",
+    "The evacuation of a data centre began, ended, or its key in the KV "
+    "service is missing without having been removed (lost: the evacuation "
+    "goes on; write the key again, or wait until it has expired), was found "
+    "again, or was lost for too long (expired, which ends it); the revision "
+    "and era of the key, how long this host has known it, and the "
+    "registered servers there." },
+  { EVENT_EVACUATION_HOLD, EVENT_LEVEL_WARN, "evacuation_hold",
+    "This host begins or ends to hold all requests, since it may have missed "
+    "an evacuation while it was suspended and reads the operator's keys." },
   { EVENT_DUTY_TAKEN, EVENT_LEVEL_WARN, "duty_taken",
     "This host became the leader of a duty, with the given fencing token." },
   { EVENT_DUTY_LOST, EVENT_LEVEL_WARN, "duty_lost",
--- a/src/settings-keys.c
+++ b/src/settings-keys.c
@@ -201,6 +201,11 @@
     "Interval at which backend servers renew their entries, which expire "
     "after "
     "three" },
+  { "servers.evacuate_ms", SETTINGS_TYPE_MILLISECONDS,
+    FIELD (servers.evacuate_ns), SETTINGS_ROLE_ENTRY, 0, 1, 1e9, NULL, "5000",
+    "ms",
+    "Time within which the servers of an evacuated data centre get no more "
+    "requests" },
   { "operator.key_hash", SETTINGS_TYPE_HASH_KEY, FIELD (operator_key.hash),
     SETTINGS_ROLE_GATEWAY, 0, 64, 64, NULL, NULL, "hex",
     "BLAKE2b-256 hash of the operators' bearer key; without it operators are "
--- a/src/settings.h
+++ b/src/settings.h
@@ -158,6 +158,8 @@
     int64_t leave_ns;
     /** Interval at which servers renew their entries. */
     int64_t heartbeat_ns;
+    /** Time within which an evacuated data centre gets no more requests. */
+    int64_t evacuate_ns;
   } servers;
   struct
   {
