--- a/test/fake-kv-store.c
+++ b/test/fake-kv-store.c
@@ -33,9 +33,12 @@
 
   if (value == NULL)
     {
-      g_tree_remove (fake->items, key);
+      if (g_tree_remove (fake->items, key))
+        g_hash_table_replace (fake->deletions, g_strdup (key),
+                              GSIZE_TO_POINTER (fake->revision));
       return;
     }
+  g_hash_table_remove (fake->deletions, key);
   item = g_new0 (struct fake_kv_item, 1);
   item->value = g_strdup (value);
   item->revision = fake->revision;
@@ -109,6 +112,8 @@
 fake_kv_store_init (struct fake_kv *fake)
 {
   fake->items = g_tree_new_full (key_compare, NULL, g_free, item_free);
+  fake->deletions
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   list_init (&fake->leases);
 }
 
@@ -119,6 +124,7 @@
     fake_kv_lease_remove (
         fake, LIST_ENTRY (fake->leases.next, struct fake_kv_lease, node));
   g_tree_destroy (fake->items);
+  g_hash_table_destroy (fake->deletions);
 }
 
 const char *
--- a/test/fake-kv.c
+++ b/test/fake-kv.c
@@ -89,6 +89,27 @@
     }
 }
 
+static void
+watch_collect_deletions (struct fake_kv *fake, struct call *call)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer revision;
+
+  g_hash_table_iter_init (&iter, fake->deletions);
+  while (g_hash_table_iter_next (&iter, &key, &revision))
+    if (g_str_has_prefix (key, call->key)
+        && GPOINTER_TO_SIZE (revision) > call->argument)
+      {
+        struct kv_item found = { .key = g_strdup (key),
+                                 .value = g_strdup (""),
+                                 .revision = GPOINTER_TO_SIZE (revision),
+                                 .deleted = true };
+
+        g_array_append_val (call->items, found);
+      }
+}
+
 static enum status
 txn_check (struct fake_kv *fake, const struct call *call)
 {
@@ -171,6 +192,8 @@
       if (call->argument > fake->revision)
         return STATUS_STALE;
       call_collect_items (fake, call);
+      if (fake->reports_deletions)
+        watch_collect_deletions (fake, call);
       return STATUS_OK;
     case FAKE_KV_RANGE:
       call_collect_items (fake, call);
--- a/test/fake-kv.h
+++ b/test/fake-kv.h
@@ -70,11 +70,15 @@
   uint64_t revision;
   /** Era that the replies state; 0 means that they state none. */
   uint64_t era;
+  /** Whether watches report the deletion of keys; otherwise only a range shows
+   * that they are gone. */
+  bool reports_deletions;
   size_t pending_watch_count; /**< Number of pending watches. */
 
   const struct clock *clock;
   struct rng rng;
-  void *items; /* GTree from key to struct fake_kv_item, sorted by key. */
+  void *items;     /* GTree from key to struct fake_kv_item, sorted by key. */
+  void *deletions; /* GHashTable from deleted key to revision, as a pointer. */
   struct list pending_calls;
   struct list leases;
   void *backup; /* struct fake_kv_backup, or NULL. */
