--- a/test/test-duty.c
+++ b/test/test-duty.c
@@ -67,6 +67,27 @@
   duty_finish ();
 }
 
+/* An engine in an evacuated data centre got queries and orders, or none any
+ * more after the evacuation. */
+static void
+test_evacuated_engine (void)
+{
+  duty_setup ();
+  for (unsigned i = 0; i < DUTY_HOSTS; i++)
+    servers_find (&duty.hosts[i].servers, "e0")->evacuated = true;
+  duty_set_wanted_version (2);
+  duty_run_for_ms (8000);
+  CU_ASSERT_EQUAL (duty.engines[0].queries, 0);
+  CU_ASSERT_EQUAL (duty.engines[0].order_count, 0);
+  for (unsigned i = 1; i < DUTY_ENGINES; i++)
+    CU_ASSERT_EQUAL (duty.engines[i].version, 2);
+  for (unsigned i = 0; i < DUTY_HOSTS; i++)
+    servers_find (&duty.hosts[i].servers, "e0")->evacuated = false;
+  duty_run_for_ms (4000);
+  CU_ASSERT_TRUE (duty_all_engines_have (2));
+  duty_finish ();
+}
+
 /* An engine that asked for a pause in its reply to an order was queried about
  * the order four times a second. */
 static void
@@ -327,6 +348,7 @@
   { "one-holder-swaps-a-few-at-once", test_one_leader_loads_a_few_at_once },
   { "leaving-engine", test_leaving_engine },
   { "paused-engine", test_paused_engine },
+  { "evacuated-engine", test_evacuated_engine },
   { "paused-after-an-order", test_paused_after_an_order },
   { "duty-moves-on", test_leadership_passes_on },
   { "suspended-holder-orders-nothing", test_suspended_leader_sends_no_orders },
