Homes: routes and organisations restrict where requests are served

The settings have the host's region and the regions of data centres. Servers, hosts that requests are passed on to, and stores outside the homes are passed over; the directory names hosts in homes or in the caller's region if all routes of a name have homes. Without homes or without regions nothing changes.

--- a/src/choose.c
+++ b/src/choose.c
@@ -54,12 +54,13 @@
 }
 
 /* Return the server with the highest rendezvous weight for the shared prefix
- * of CALL. All hosts prefer the same server, even if their records of cached
- * blocks differ. */
+ * of QUERY, in its homes. All hosts prefer the same server, even if their
+ * records of cached blocks differ. */
 static const struct server *
-preferred_server (const GPtrArray *servers, const struct call *call,
+preferred_server (const GPtrArray *servers, const struct choose_query *query,
                   bool other_subsets, int64_t now)
 {
+  const struct call *call = query->call;
   const struct server *best = NULL;
   uint64_t best_weight = 0;
   uint64_t key;
@@ -74,6 +75,8 @@
 
       if (server->in_other_subset != other_subsets
           || !server_accepts_requests (server, now)
+          || !homes_allow_data_centre (&query->homes,
+                                       server->entry.data_centre)
           || (best != NULL && weight <= best_weight))
         continue;
       best = server;
@@ -310,6 +313,7 @@
     [CHOOSE_LEAVING] = "leaving",
     [CHOOSE_OTHER_WEIGHTS] = "other_weights",
     [CHOOSE_OTHER_SOFTWARE] = "other_software",
+    [CHOOSE_OTHER_REGION] = "other_region",
     [CHOOSE_EVACUATED] = "evacuated",
     [CHOOSE_UNREACHABLE] = "unreachable",
     [CHOOSE_PAUSED] = "paused",
@@ -340,6 +344,8 @@
     return CHOOSE_OTHER_WEIGHTS;
   if (!has_required_software (server, query))
     return CHOOSE_OTHER_SOFTWARE;
+  if (!homes_allow_data_centre (&query->homes, server->entry.data_centre))
+    return CHOOSE_OTHER_REGION;
   if (server->evacuated)
     return CHOOSE_EVACUATED;
   if (!server_is_available (server))
@@ -373,7 +379,7 @@
   int64_t now = clock_now (servers->clock);
   const struct server *preferred
       = query->model != NULL
-            ? preferred_server (list, query->call, other_subsets, now)
+            ? preferred_server (list, query, other_subsets, now)
             : NULL;
   bool spares_others = query->model == NULL && any_is_paused (list, now);
 
@@ -390,6 +396,9 @@
                               now, clock_boottime (servers->clock), rng,
                               result);
           break;
+        case CHOOSE_OTHER_REGION:
+          result->other_region++;
+          break;
         case CHOOSE_EVACUATED:
           result->evacuated++;
           break;
--- a/src/choose.h
+++ b/src/choose.h
@@ -2,6 +2,7 @@
 #define CHOOSE_H
 
 #include "call.h"
+#include "homes.h"
 #include "rng.h"
 #include "servers.h"
 #include "weights.h"
@@ -76,6 +77,7 @@
   const struct wanted_weights *wanted;
   int64_t begin_span_ns;
   const struct call *call;
+  struct homes homes; /**< Where the request may be served. */
   struct choose_stored_prefix stored[CHOOSE_STORED_MAX];
   unsigned stored_count;
   const struct server *excluded[CHOOSE_EXCLUDED_MAX];
@@ -90,6 +92,7 @@
   CHOOSE_LEAVING,        /**< It accepts no new requests. */
   CHOOSE_OTHER_WEIGHTS,  /**< Its weights are older than required. */
   CHOOSE_OTHER_SOFTWARE, /**< Its software is not the required one. */
+  CHOOSE_OTHER_REGION,   /**< Its region is no home of the request. */
   CHOOSE_EVACUATED,      /**< Its data centre is evacuated. */
   CHOOSE_UNREACHABLE,
   CHOOSE_PAUSED,         /**< It asked for a pause. */
@@ -138,8 +141,10 @@
    * first of these pauses ends; valid if `paused` is not 0. */
   unsigned paused;
   int64_t paused_wait_ns;
-  unsigned evacuated;   /**< Number of suitable servers in evacuated data
-                           centres. */
+  unsigned other_region; /**< Number of servers in regions that are no homes of
+                            the request, which would be suitable otherwise. */
+  unsigned evacuated;    /**< Number of suitable servers in evacuated data
+                            centres. */
   unsigned unreachable; /**< Number of suitable servers that are registered and
                            can't be reached now. */
   bool others_at_capacity; /**< Whether there are other suitable servers
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -56,6 +56,21 @@
                            executed now or later. */
 };
 
+enum
+{
+  /** Maximum size of a text in a query to the directory, with the NUL. */
+  DIRECTORY_TEXT_MAX = 256
+};
+
+/** A caller's query for the hosts to use; texts that it lacks, states twice or
+ * that are too long are empty. */
+struct directory_query
+{
+  char name[DIRECTORY_TEXT_MAX]; /**< Host name of the routes. */
+  char region[DIRECTORY_TEXT_MAX];
+  char data_centre[DIRECTORY_TEXT_MAX];
+};
+
 enum
 {
   /** Maximum size of a cache scope in bytes, including the final NUL. */
@@ -205,6 +220,8 @@
   /** Whether the request is a query for the host addresses that callers shall
    * use. */
   bool (*is_directory_request) (const char *method, const char *target);
+  void (*directory_query_decode) (const char *target,
+                                  struct directory_query *query);
   void (*directory_body) (GString *out, const GPtrArray *addresses,
                           int64_t lifetime_ns);
   bool (*is_ready_request) (const char *method, const char *target);
--- a/src/entry.c
+++ b/src/entry.c
@@ -5,6 +5,7 @@
 #include "entryhttp.h"
 #include "entrykv.h"
 #include "entryorigin.h"
+#include "entryplaces.h"
 #include "entryviews.h"
 #include "entryweights.h"
 #include "serverlog.h"
@@ -175,6 +176,7 @@
   entry->rollout.settings.at_once = (unsigned)settings->weights.at_once;
   entry->rollout.settings.within_ns = settings->weights.within_ns;
   entry->rollout.settings.fenced = settings->weights.fenced;
+  entryplaces_apply (entry);
 }
 
 static void
--- a/src/entryhttp.c
+++ b/src/entryhttp.c
@@ -1,5 +1,6 @@
 #include "entryhttp.h"
 #include "entry.h"
+#include "entryplaces.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -42,7 +43,7 @@
     }
   addresses = g_ptr_array_new ();
   body = g_string_new (NULL);
-  presence_list_addresses (&entry->presence, addresses);
+  entryplaces_list_addresses (entry, conn->target->str, addresses);
   entry->dialect->directory_body (body, addresses,
                                   entry->settings->entries.lifetime_ns);
   respond_json (conn, body);
--- a/src/forward.h
+++ b/src/forward.h
@@ -62,6 +62,8 @@
   struct poisoncount *poisoncount;
   struct blameshare *blameshare;
   struct kvstores *kvstores;
+  const struct places *places; /**< NULL if no regions are known. */
+  const char *region; /**< Region of this host; NULL or "" if unknown. */
   const struct cacheretire *retire;
   struct streamorigin *origin;
   /** Hosts that requests are passed on to while their servers can't be
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -1,5 +1,6 @@
 #include "forwarder.h"
 #include "forwardblame.h"
+#include "forwardhomes.h"
 #include "forwardhost.h"
 #include "forwardlearn.h"
 #include "forwardlog.h"
@@ -311,6 +312,7 @@
     }
   memcpy (query.excluded, forward->tried, sizeof query.excluded);
   forwardweights_query (forward, &query);
+  forwardhomes_get (forward, &query.homes);
   forward_add_stored (forward, wanted != NULL ? wanted->version : 1, &query);
   forward_choose (forward, &query, &choice);
   if (choice.server == NULL && choice.at_capacity)
--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -1,4 +1,5 @@
 #include "forwardhost.h"
+#include "forwardhomes.h"
 #include "forwardlog.h"
 #include "forwardrefusals.h"
 #include "serverreach.h"
@@ -62,7 +63,7 @@
                                     forward->service);
 }
 
-/* Whether HOST takes no request like this one now. */
+/* Whether HOST takes no request like this one now, or must not get it. */
 static bool
 is_avoided (const struct forward *forward, const struct otherhost *host)
 {
@@ -72,7 +73,9 @@
          || (host->refused_until_ns > now
              && host->refused_service
                     == servers_service_hash (forward->service))
-         || host->in_flight >= IN_FLIGHT_MAX || was_tried (forward, host);
+         || host->in_flight >= IN_FLIGHT_MAX || was_tried (forward, host)
+         || !forwardhomes_allow_host (forward,
+                                      host->server->entry.data_centre);
 }
 
 /* Hosts that report to reach the service come first, then those with the
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -142,6 +142,8 @@
     give_up_paused (forward, choice->paused_wait_ns);
   else if (choice->evacuated > 0 && choice->unreachable == 0)
     forward_give_up (forward, "evacuated", RETRY_AFTER_EVACUATED_MS);
+  else if (choice->other_region > 0 && choice->unreachable == 0)
+    forward_give_up (forward, "other_region", RETRY_AFTER_NO_SERVER_MS);
   else
     forward_give_up (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
 }
--- a/src/forwardrespond.h
+++ b/src/forwardrespond.h
@@ -51,7 +51,8 @@
 };
 
 /** Give the request up, since CHOICE has no server for it: those that could
- * run it asked for a pause, are in evacuated data centres, or there are none.
+ * run it asked for a pause, are in evacuated data centres or in regions that
+ * are no homes of it, or there are none.
  */
 void forward_give_up_unplaced (struct forward *forward,
                                const struct choose_result *choice);
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -1,4 +1,5 @@
 #include "forwardsend.h"
+#include "forwardhomes.h"
 #include "kvstoreuse.h"
 #include "forwardweights.h"
 #include "serverevacuate.h"
@@ -189,20 +190,22 @@
   bool may_fetch = cacheretire_allows_fetch (forward->forwarder->retire,
                                              call->model, version);
   unsigned largest = 0;
+  struct homes homes;
 
+  forwardhomes_get (forward, &homes);
   attempt->block_count = call->block_count;
   for (unsigned i = 0; i + 1 < call->block_count; i++)
     {
       const struct call_block *block = &call->blocks[i];
       const char *data_centre = server->entry.data_centre;
       const struct kvstore *store = kvstores_find_block (
-          kvstores, forward->cache_scope, block, data_centre);
+          kvstores, forward->cache_scope, block, data_centre, &homes);
 
       if (store == NULL)
         {
           if (may_save_blocks (forward, server))
-            store = kvstores_choose_save_target (kvstores, block->id,
-                                                 block->tokens, data_centre);
+            store = kvstores_choose_save_target (
+                kvstores, block->id, block->tokens, data_centre, &homes);
           attempt->save_addresses[i] = store != NULL ? store->address : NULL;
           continue;
         }
@@ -245,8 +248,9 @@
   cache_scope_write (forward, version, scope);
   for (unsigned i = 0; i + 1 < call->block_count; i++)
     {
-      const struct kvstore *store = kvstores_find_block (
-          forward->forwarder->kvstores, scope, &call->blocks[i], "");
+      const struct kvstore *store
+          = kvstores_find_block (forward->forwarder->kvstores, scope,
+                                 &call->blocks[i], "", &query->homes);
 
       if (store == NULL)
         break;
--- a/src/kvstoreuse.c
+++ b/src/kvstoreuse.c
@@ -31,7 +31,8 @@
 
 struct kvstore *
 kvstores_find_block (const struct kvstores *kvstores, const char *scope,
-                     const struct call_block *block, const char *data_centre)
+                     const struct call_block *block, const char *data_centre,
+                     const struct homes *homes)
 {
   struct kvstore *found = NULL;
 
@@ -41,8 +42,8 @@
 
       if (kvstore_block_tokens (store, scope, block->id)
               < MAX (block->tokens, 1U)
-          || evacuation_is_evacuated (kvstores->evacuation,
-                                      store->data_centre))
+          || evacuation_is_evacuated (kvstores->evacuation, store->data_centre)
+          || !homes_allow_data_centre (homes, store->data_centre))
         continue;
       if (strcmp (store->data_centre, data_centre) == 0)
         return store;
@@ -65,7 +66,8 @@
 
 const struct kvstore *
 kvstores_choose_save_target (const struct kvstores *kvstores, uint64_t block,
-                             unsigned tokens, const char *data_centre)
+                             unsigned tokens, const char *data_centre,
+                             const struct homes *homes)
 {
   const struct kvstore *best = NULL;
   bool best_is_local = false;
@@ -79,6 +81,7 @@
 
       if (!kvstore_accepts_blocks (store)
           || evacuation_is_evacuated (kvstores->evacuation, store->data_centre)
+          || !homes_allow_data_centre (homes, store->data_centre)
           || (double)(store->stored_tokens + tokens)
                  > kvstores->settings.fill_share_max
                        * (double)store->capacity_tokens)
--- a/src/otherhosts.c
+++ b/src/otherhosts.c
@@ -36,12 +36,13 @@
   g_hash_table_destroy (others->hosts);
 }
 
-/* Return the host with the key KEY at ADDRESS. A host that has moved gets a
+/* Return the host with the key KEY and RECORD. A host that has moved gets a
  * new server, so that attempts in flight keep the old one. */
 static struct otherhost *
 otherhost_find (struct otherhosts *others, const char *key,
-                const char *address)
+                const struct presence_host *record)
 {
+  const char *address = record->peer;
   struct otherhost *host = g_hash_table_lookup (others->hosts, key);
 
   if (host == NULL)
@@ -50,10 +51,13 @@
       g_hash_table_insert (others->hosts, g_strdup (key), host);
     }
   if (host->server != NULL
-      && strcmp (host->server->entry.address, address) == 0)
+      && strcmp (host->server->entry.address, address) == 0
+      && strcmp (host->server->entry.data_centre, record->data_centre) == 0)
     return host;
   server_unref (host->server);
   host->server = server_new_unregistered (presence_host_name (key), address);
+  g_strlcpy (host->server->entry.data_centre, record->data_centre,
+             sizeof host->server->entry.data_centre);
   host->avoid_until_ns = 0;
   return host;
 }
@@ -107,7 +111,7 @@
 
   return record != NULL && !record->leaving && record->peer[0] != '\0'
                  && record->form >= PRESENCE_FORM_BRITTLE_ROOM
-             ? otherhost_find (others, key, record->peer)
+             ? otherhost_find (others, key, record)
              : NULL;
 }
 
@@ -127,7 +131,7 @@
       const struct presence_host *record = value;
 
       if (!record->leaving && record->peer[0] != '\0')
-        visit (data, otherhost_find (others, key, record->peer),
+        visit (data, otherhost_find (others, key, record),
                loadshare_host_reach (others->loadshare,
                                      presence_host_name (key), service));
     }
--- a/src/presence.c
+++ b/src/presence.c
@@ -510,10 +510,12 @@
   return order_current (presence)->hosts;
 }
 
-/* Return the addresses of the hosts that serve, in their order, beginning with
- * this host. The caller frees the array. */
+/* Return the addresses of the hosts that serve and that ALLOWS, unless it is
+ * NULL, in their order, beginning with this host. The caller frees the array.
+ */
 static GPtrArray *
-serving_addresses (const struct presence *presence)
+serving_addresses (const struct presence *presence,
+                   presence_allows_host allows, const void *data)
 {
   const GPtrArray *hosts = presence_sorted_hosts (presence);
   unsigned own = presence_own_index (presence);
@@ -525,7 +527,7 @@
 
       if (host == NULL)
         host = &presence->self;
-      if (!host->leaving)
+      if (!host->leaving && (allows == NULL || allows (data, host)))
         g_ptr_array_add (addresses, (gpointer)host->address);
     }
   return addresses;
@@ -534,8 +536,23 @@
 void
 presence_list_addresses (const struct presence *presence, GPtrArray *addresses)
 {
-  GPtrArray *serving = serving_addresses (presence);
-  guint count = MIN (serving->len, PRESENCE_ADDRESSES_MAX);
+  presence_list_allowed (presence, NULL, NULL, addresses);
+}
+
+void
+presence_list_allowed (const struct presence *presence,
+                       presence_allows_host allows, const void *data,
+                       GPtrArray *addresses)
+{
+  GPtrArray *serving = serving_addresses (presence, allows, data);
+  guint count;
+
+  if (serving->len == 0 && allows != NULL)
+    {
+      g_ptr_array_free (serving, TRUE);
+      serving = serving_addresses (presence, NULL, NULL);
+    }
+  count = MIN (serving->len, PRESENCE_ADDRESSES_MAX);
 
   /* A list that can't hold all hosts has some of each data centre. Those that
    * follow each other are in the same one, whose callers, if they are more
--- a/src/presence.h
+++ b/src/presence.h
@@ -162,4 +162,13 @@
 void presence_list_addresses (const struct presence *presence,
                               GPtrArray *addresses);
 
+/** Whether HOST may be listed. */
+typedef bool (*presence_allows_host) (const void *data,
+                                      const struct presence_host *host);
+
+/** The same for the hosts that ALLOWS, or for all if it allows none. */
+void presence_list_allowed (const struct presence *presence,
+                            presence_allows_host allows, const void *data,
+                            GPtrArray *addresses);
+
 #endif
--- a/src/routes.c
+++ b/src/routes.c
@@ -19,6 +19,7 @@
   g_free (route->name);
   g_free (route->host);
   g_free (route->prefix);
+  g_strfreev (route->homes);
   g_array_free (route->shares, TRUE);
   g_free (route);
 }
@@ -41,6 +42,7 @@
   struct organisation *organisation = data;
 
   g_free (organisation->name);
+  g_strfreev (organisation->homes);
   g_free (organisation);
 }
 
--- a/src/routes.h
+++ b/src/routes.h
@@ -44,6 +44,8 @@
                             a stream; 0 if there is none. */
   GArray *shares;        /**< Array of struct route_share. */
   double weight_total;
+  char **homes; /**< Regions in which requests may be served, up to a NULL;
+                     NULL if they may be anywhere. */
 };
 
 struct service
@@ -75,6 +77,7 @@
   bool has_priority;
   unsigned priority; /**< Priority that counts before the priority of the
                         route, if has_priority is set. */
+  char **homes;      /**< As in struct route. */
 };
 
 struct routes
--- a/src/settings-keys.c
+++ b/src/settings-keys.c
@@ -28,6 +28,13 @@
   { "process.data_centre", SETTINGS_TYPE_TEXT, FIELD (process.data_centre),
     SETTINGS_ROLES_ALL, SETTINGS_ROLES_ALL, 1, 63, NULL, NULL, NULL,
     "Data centre of the host" },
+  { "process.region", SETTINGS_TYPE_TEXT, FIELD (process.region),
+    SETTINGS_ROLE_ENTRY, 0, 1, 63, NULL, NULL, NULL,
+    "Region of the host; default: that of its data centre in places.regions" },
+  { "places.regions", SETTINGS_TYPE_PLACES, FIELD (places.regions),
+    SETTINGS_ROLE_ENTRY, 0, 0, PLACES_MAX, NULL, "{}", NULL,
+    "Region of each data centre; without it homes of routes and organisations "
+    "have no effect" },
   { "listen.http", SETTINGS_TYPE_ADDRESS, FIELD (listen.http),
     SETTINGS_ROLES_ALL, SETTINGS_ROLES_ALL, 0, 0, NULL, NULL, NULL,
     "Listening address: a gateway serves callers and operators there, a shard "
@@ -315,6 +322,7 @@
   [SETTINGS_TYPE_SECONDS] = "number",
   [SETTINGS_TYPE_ADDRESS] = "\"IP:PORT\"",
   [SETTINGS_TYPE_ADDRESSES] = "array of \"IP:PORT\"",
+  [SETTINGS_TYPE_PLACES] = "object of texts, 1 to 63 bytes",
   [SETTINGS_TYPE_HASH_KEY] = "hexadecimal digits",
 };
 
@@ -358,7 +366,8 @@
                             key->max);
   else if (key->type == SETTINGS_TYPE_HASH_KEY)
     g_string_append_printf (description, ", %g of them", key->max);
-  else if (key->type == SETTINGS_TYPE_ADDRESSES)
+  else if (key->type == SETTINGS_TYPE_ADDRESSES
+           || key->type == SETTINGS_TYPE_PLACES)
     g_string_append_printf (description, ", %g to %g of them", key->min,
                             key->max);
   else if (key->max > 0)
--- a/src/settings-keys.h
+++ b/src/settings-keys.h
@@ -19,6 +19,7 @@
   SETTINGS_TYPE_SECONDS,      /**< Stored as int64_t nanoseconds. */
   SETTINGS_TYPE_ADDRESS,
   SETTINGS_TYPE_ADDRESSES,
+  SETTINGS_TYPE_PLACES, /**< Regions by data centre. */
   SETTINGS_TYPE_HASH_KEY
 };
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -195,6 +195,33 @@
   return STATUS_OK;
 }
 
+static enum status
+parse_places (const struct settings_parser *parser,
+              const struct settings_key *key, struct json_object *value,
+              struct places *places)
+{
+  places->count = 0;
+  if (!json_object_is_type (value, json_type_object)
+      || json_object_object_length (value) > key->max)
+    return error_bad_value (parser, key, key->path, value);
+  json_object_object_foreach (value, data_centre, region)
+  {
+    struct places_entry *place = &places->items[places->count++];
+    char path[KEY_PATH_SIZE];
+
+    g_snprintf (path, sizeof path, "%s.%.60s", key->path, data_centre);
+    if (!json_object_is_type (region, json_type_string)
+        || json_object_get_string_len (region) == 0
+        || json_object_get_string_len (region) >= PLACES_NAME_MAX
+        || data_centre[0] == '\0' || strlen (data_centre) >= PLACES_NAME_MAX)
+      return error_bad_value (parser, key, path, region);
+    g_strlcpy (place->data_centre, data_centre, PLACES_NAME_MAX);
+    g_strlcpy (place->region, json_object_get_string (region),
+               PLACES_NAME_MAX);
+  }
+  return STATUS_OK;
+}
+
 static enum status
 parse_value (const struct settings_parser *parser,
              const struct settings_key *key, struct json_object *value)
@@ -234,6 +261,8 @@
       break;
     case SETTINGS_TYPE_ADDRESSES:
       return parse_address_list (parser, key, value, field);
+    case SETTINGS_TYPE_PLACES:
+      return parse_places (parser, key, value, field);
     }
   return valid ? STATUS_OK : error_bad_value (parser, key, key->path, value);
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -1,6 +1,7 @@
 #ifndef SETTINGS_H
 #define SETTINGS_H
 
+#include "homes.h"
 #include "priority.h"
 #include "status.h"
 
@@ -62,8 +63,14 @@
     char name[SETTINGS_TEXT_MAX];
     int role; /**< Value of enum settings_role. */
     char data_centre[SETTINGS_TEXT_MAX];
+    /** Region of the host; empty: that of its data centre in `places`. */
+    char region[SETTINGS_TEXT_MAX];
   } process;
   struct
+  {
+    struct places regions; /**< Regions of the data centres. */
+  } places;
+  struct
   {
     /** Address where a gateway serves callers and operators, and a shard only
      * health and metrics. */
--- a/test/test-evacuation.c
+++ b/test/test-evacuation.c
@@ -277,13 +277,15 @@
   store->confirmed_until_ns = INT64_MAX;
   g_hash_table_insert (store->blocks, g_strdup ("s 1"), GUINT_TO_POINTER (10));
   store->save_allowed_ns = 0;
-  CU_ASSERT_PTR_EQUAL (kvstores_find_block (&kvstores, "s", &block, "z0"),
-                       store);
-  CU_ASSERT_PTR_EQUAL (kvstores_choose_save_target (&kvstores, 2, 10, "z0"),
-                       store);
+  CU_ASSERT_PTR_EQUAL (
+      kvstores_find_block (&kvstores, "s", &block, "z0", NULL), store);
+  CU_ASSERT_PTR_EQUAL (
+      kvstores_choose_save_target (&kvstores, 2, 10, "z0", NULL), store);
   evacuation_put (&evacuation, "z0", 1, 1, 1);
-  CU_ASSERT_PTR_NULL (kvstores_find_block (&kvstores, "s", &block, "z0"));
-  CU_ASSERT_PTR_NULL (kvstores_choose_save_target (&kvstores, 2, 10, "z0"));
+  CU_ASSERT_PTR_NULL (
+      kvstores_find_block (&kvstores, "s", &block, "z0", NULL));
+  CU_ASSERT_PTR_NULL (
+      kvstores_choose_save_target (&kvstores, 2, 10, "z0", NULL));
   kvstores_finish (&kvstores);
   routes_unref (routes);
   finish ();
--- a/test/test-kvstores.c
+++ b/test/test-kvstores.c
@@ -96,7 +96,8 @@
 static bool
 block_is_stored (const char *scope)
 {
-  return kvstores_find_block (&kvstores, scope, &test_block, "dc") != NULL;
+  return kvstores_find_block (&kvstores, scope, &test_block, "dc", NULL)
+         != NULL;
 }
 
 static void
@@ -133,10 +134,11 @@
   setup ();
   kvstores_set_rotation (&kvstores, 295, 290);
   reply_to_poll (9, 2, false, 100, false);
-  CU_ASSERT_PTR_NULL (kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+  CU_ASSERT_PTR_NULL (
+      kvstores_choose_save_target (&kvstores, 5, 10, "dc", NULL));
   reply_for (4 * NS_PER_S, 9, 2);
   CU_ASSERT_PTR_NOT_NULL (
-      kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+      kvstores_choose_save_target (&kvstores, 5, 10, "dc", NULL));
   finish ();
 }
 
@@ -150,10 +152,11 @@
   kvstores_set_rotation (&kvstores, 295, 290);
   reply_to_poll (9, 2, false, 100, false);
   reply_for (28 * NS_PER_S, 9, 2);
-  CU_ASSERT_PTR_NULL (kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+  CU_ASSERT_PTR_NULL (
+      kvstores_choose_save_target (&kvstores, 5, 10, "dc", NULL));
   reply_for (2 * NS_PER_S, 9, 2);
   CU_ASSERT_PTR_NOT_NULL (
-      kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+      kvstores_choose_save_target (&kvstores, 5, 10, "dc", NULL));
   finish ();
 }
 
@@ -166,16 +169,17 @@
   reply_to_poll (9, 2, false, 100, false);
   reply_for (4 * NS_PER_S, 9, 2);
   CU_ASSERT_PTR_NOT_NULL (
-      kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+      kvstores_choose_save_target (&kvstores, 5, 10, "dc", NULL));
   reply_to_poll (10, 0, false, 0, false);
   CU_ASSERT_FALSE (block_is_stored ("m:1:"));
   CU_ASSERT_EQUAL (last_poll.since, 0);
   reply_to_poll (10, 1, false, 100, false);
   CU_ASSERT_TRUE (block_is_stored ("m:1:"));
-  CU_ASSERT_PTR_NULL (kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+  CU_ASSERT_PTR_NULL (
+      kvstores_choose_save_target (&kvstores, 5, 10, "dc", NULL));
   clock_fake_advance (&fake_clock, 4 * NS_PER_S);
   CU_ASSERT_PTR_NOT_NULL (
-      kvstores_choose_save_target (&kvstores, 5, 10, "dc"));
+      kvstores_choose_save_target (&kvstores, 5, 10, "dc", NULL));
   finish ();
 }
 
@@ -215,8 +219,9 @@
   reply_to_poll (9, 2, false, 100, false);
   clock_fake_advance (&fake_clock, 4 * NS_PER_S);
   CU_ASSERT_PTR_NOT_NULL (
-      kvstores_choose_save_target (&kvstores, 5, 800, "dc"));
-  CU_ASSERT_PTR_NULL (kvstores_choose_save_target (&kvstores, 5, 900, "dc"));
+      kvstores_choose_save_target (&kvstores, 5, 800, "dc", NULL));
+  CU_ASSERT_PTR_NULL (
+      kvstores_choose_save_target (&kvstores, 5, 900, "dc", NULL));
   finish ();
 }
 
