--- a/test/test-settings.c
+++ b/test/test-settings.c
@@ -159,6 +159,48 @@
     }
 }
 
+/* Regions that can't be read were left out, so that homes had no effect. */
+static void
+test_regions (void)
+{
+  static const char text[]
+      = "{\"process\":{\"name\":\"n\",\"role\":\"entry\","
+        "\"data_centre\":\"a\"},\"listen\":{\"http\":\"127.0.0.1:1\","
+        "\"directory\":\"127.0.0.1:2\",\"ready\":\"127.0.0.1:3\","
+        "\"peer\":\"127.0.0.1:4\",\"metrics\":\"127.0.0.1:5\"},"
+        "\"kv\":{\"address\":[\"127.0.0.1:6\"]}%s}";
+  static const struct
+  {
+    const char *places;
+    bool valid;
+    const char *region; /* of the data centre a */
+  } rows[] = {
+    { "", true, "" },
+    { ",\"places\":{\"regions\":{}}", true, "" },
+    { ",\"places\":{\"regions\":{\"b\":\"x\",\"a\":\"y\"}}", true, "y" },
+    { ",\"places\":{\"regions\":[\"a\"]}", false, NULL },
+    { ",\"places\":{\"regions\":{\"a\":7}}", false, NULL },
+    { ",\"places\":{\"regions\":{\"a\":\"\"}}", false, NULL },
+    { ",\"places\":{\"regions\":{\"\":\"y\"}}", false, NULL },
+    { ",\"places\":{\"regions\":null}", false, NULL },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      char *file = g_strdup_printf (text, rows[i].places);
+      struct settings settings;
+      struct error error = { 0 };
+      bool valid
+          = settings_parse (&settings, file, "file", &error) == STATUS_OK;
+
+      unit_expect (valid == rows[i].valid, "valid", rows[i].places);
+      if (valid)
+        CU_ASSERT_STRING_EQUAL (places_region (&settings.places.regions, "a"),
+                                rows[i].region);
+      g_free (file);
+    }
+}
+
 static int
 mistake_line (const char *text, const struct mistake *mistake, size_t changed)
 {
@@ -230,6 +272,7 @@
   { "samples-pass", test_samples_pass },
   { "values", test_values },
   { "fractions", test_fractions },
+  { "regions", test_regions },
   { "mistakes", test_mistakes },
   { "help-is-current", test_help_is_current },
 };
