--- a/test/test-forwardhost.c
+++ b/test/test-forwardhost.c
@@ -486,6 +486,50 @@
   CU_ASSERT_FALSE (reach_is_questioned (&reach));
 }
 
+static void
+set_data_centre (unsigned other, const char *data_centre)
+{
+  char key[16];
+  struct presence_host *host;
+
+  g_snprintf (key, sizeof key, "t/host/h%u", other);
+  host = g_hash_table_lookup (fleet.hosts[0].presence.hosts, key);
+  g_strlcpy (host->data_centre, data_centre, sizeof host->data_centre);
+}
+
+/* A request was passed on to a host outside its homes and its caller's region,
+ * or to none although one is there. */
+static void
+test_homes (void)
+{
+  static const struct places places
+      = { { { "dc", "east" }, { "c", "west" }, { "d", "north" } }, 3 };
+  struct forwarder *forwarder;
+
+  fake_hosts_setup (&full_response);
+  forwarder = &fleet.hosts[0].forwarder;
+  forwarder->places = &places;
+  for (guint i = 0; i < forwarder->routes->all_routes->len; i++)
+    {
+      struct route *route = forwarder->routes->all_routes->pdata[i];
+
+      route->homes = g_new0 (char *, 2);
+      route->homes[0] = g_strdup ("east");
+    }
+  set_data_centre (1, "c");
+  set_data_centre (2, "dc");
+  fake_hosts_cut (0, FAKE_HOSTS_REFUSE);
+  find_out (0);
+  CU_ASSERT_EQUAL (count_served (0, REQUESTS), REQUESTS);
+  set_data_centre (2, "d");
+  CU_ASSERT_EQUAL (count_served (0, REQUESTS), 0);
+  forwarder->region = "north";
+  CU_ASSERT_EQUAL (count_served (0, REQUESTS), REQUESTS);
+  for (unsigned i = 0; i < FAKE_HOSTS_ENGINES; i++)
+    CU_ASSERT_EQUAL (fleet.hosts[1].engines[i].requests, 0);
+  fake_hosts_finish ();
+}
+
 static const struct unit_case cases[] = {
   { "one-host-cut", test_one_host_cut },
   { "first-requests-of-a-cut", test_first_requests_of_a_cut },
@@ -515,6 +559,7 @@
     test_ended_server_is_no_cut_from_the_rest },
   { "old-connections-prove-nothing-new",
     test_old_connections_prove_nothing_new },
+  { "homes", test_homes },
 };
 
 int
--- a/test/test-homes.c
+++ b/test/test-homes.c
@@ -22,6 +22,7 @@
 /* The data centres a and b are in the region east, c is in west. */
 static const struct places places
     = { { { "a", "east" }, { "b", "east" }, { "c", "west" } }, 3 };
+static const struct places no_places;
 static char *east[] = { "east", NULL };
 static char *west[] = { "west", NULL };
 static char *both[] = { "east", "west", NULL };
@@ -60,6 +61,7 @@
       true,
       true },
     { "no regions are known", { NULL, east, NULL }, "c", true, true },
+    { "map of nothing", { &no_places, east, NULL }, "c", true, true },
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
