Sends are held only after long suspensions

The hold followed the view's reading anew, which also happens after pauses of 250 ms, at most every 5 s, and when an engine has newer weights than known. On a host that pauses often, requests would have waited for up to 1.5 s or until the read each time. Only a suspension that is long enough to miss an evacuation beyond its time counts now.

--- a/src/entryevacuation.c
+++ b/src/entryevacuation.c
@@ -88,7 +88,6 @@
   const struct evacuation_reading reading = {
     .initial_read_done = view->initial_read_done,
     .is_reading_anew = view->keeps_unseen,
-    .unseen_since_ns = view->unseen_since_ns,
     .reachable = view->reachable,
   };
   struct evacuation *evacuation = &entry->evacuation;
@@ -101,7 +100,7 @@
     return;
   log_event (&entry->log, EVENT_EVACUATION_HOLD,
              "holds=%s unseen_ms=%.1f waiting=%zu", held ? "false" : "true",
-             (double)(now - reading.unseen_since_ns) / NS_PER_MS,
+             (double)(now - view->unseen_since_ns) / NS_PER_MS,
              entry->forwarder.waiting_count);
   if (!held)
     metrics_add (&entry->metrics, "trefoilspar_evacuation_holds_total", "", 1);
--- a/src/evacuation.c
+++ b/src/evacuation.c
@@ -123,7 +123,9 @@
     }
 }
 
-/* Return the age from which on the keys are too old to send by. */
+/* Return the length of a suspension after which the keys are too old to send
+ * by. Shorter ones are frequent on a busy machine, and what the KV service
+ * reported meanwhile is read right after them. */
 static int64_t
 age_max_ns (const struct evacuation *evacuation)
 {
@@ -131,22 +133,20 @@
               EVACUATION_MARGIN_MS * NS_PER_MS);
 }
 
-/* Whether the keys are too old to send by and may be read soon. */
+/* Whether the keys have not been read since a suspension, and may be soon. */
 static bool
 must_wait (struct evacuation *evacuation,
            const struct evacuation_reading *reading, int64_t now_ns)
 {
-  if (!reading->is_reading_anew
-      || now_ns - reading->unseen_since_ns < age_max_ns (evacuation))
-    {
-      evacuation->held_since_ns = 0;
-      return false;
-    }
-  if (evacuation->held_since_ns == 0)
-    evacuation->held_since_ns = now_ns;
-  return reading->reachable
-         || now_ns - evacuation->held_since_ns
-                < EVACUATION_READ_WAIT_MS * NS_PER_MS;
+  if (evacuation->last_tick_ns != 0
+      && now_ns - evacuation->last_tick_ns >= age_max_ns (evacuation))
+    evacuation->resumed_ns = now_ns;
+  if (!reading->is_reading_anew)
+    evacuation->resumed_ns = 0;
+  return evacuation->resumed_ns != 0
+         && (reading->reachable
+             || now_ns - evacuation->resumed_ns
+                    < EVACUATION_READ_WAIT_MS * NS_PER_MS);
 }
 
 void
@@ -158,9 +158,9 @@
 
   if (may_expire && evacuation->last_tick_ns != 0)
     lost_expire (evacuation, now_ns - evacuation->last_tick_ns);
-  evacuation->last_tick_ns = now_ns;
   evacuation->is_initial = !reading->initial_read_done;
   evacuation->holds_sends = must_wait (evacuation, reading, now_ns);
+  evacuation->last_tick_ns = now_ns;
 }
 
 bool
--- a/src/evacuation.h
+++ b/src/evacuation.h
@@ -82,10 +82,9 @@
 struct evacuation_reading
 {
   bool initial_read_done; /**< Whether all keys have been read once. */
-  bool is_reading_anew;   /**< Whether changes since UNSEEN_SINCE_NS may not
-                             have been reported, and a read is due. */
-  int64_t unseen_since_ns;
-  bool reachable; /**< Whether the last call succeeded. */
+  bool is_reading_anew;   /**< Whether changes may not have been reported, so
+                             that a read is due. */
+  bool reachable;         /**< Whether the last call succeeded. */
 };
 
 struct evacuation
@@ -95,12 +94,12 @@
   /** Time within which no host sends requests to an evacuated data centre any
    * more. */
   int64_t evacuate_ns;
-  GHashTable *by_name; /**< Maps names of data centres to struct evacuated. */
-  bool is_initial;     /**< Whether the keys have not been read yet. */
-  bool holds_sends;    /**< Whether the keys are too old to send by. */
-  int64_t held_since_ns; /**< Time at which the read anew became necessary; 0
-                            if it is not. */
-  int64_t last_tick_ns;  /**< Time of the last tick; 0 before the first. */
+  GHashTable *by_name;  /**< Maps names of data centres to struct evacuated. */
+  bool is_initial;      /**< Whether the keys have not been read yet. */
+  bool holds_sends;     /**< Whether the keys are too old to send by. */
+  int64_t resumed_ns;   /**< End of the last long suspension; 0 once the keys
+                           have been read since. */
+  int64_t last_tick_ns; /**< Time of the last tick; 0 before the first. */
 };
 
 /** No request is sent until the keys have been read. */
