--- a/src/entry.c
+++ b/src/entry.c
@@ -1,9 +1,11 @@
 #include "entry.h"
 #include "entryblame.h"
 #include "entryera.h"
+#include "entryevacuation.h"
 #include "entryhttp.h"
 #include "entrykv.h"
 #include "entryorigin.h"
+#include "entryplaces.h"
 #include "entryviews.h"
 #include "entryweights.h"
 #include "serverlog.h"
@@ -177,6 +179,7 @@
   entry->rollout.settings.at_once = (unsigned)settings->weights.at_once;
   entry->rollout.settings.within_ns = settings->weights.within_ns;
   entry->rollout.settings.fenced = settings->weights.fenced;
+  entryplaces_apply (entry);
 }
 
 static void
@@ -295,6 +298,7 @@
   int64_t now = clock_now (&entry->clock);
 
   pause_check (entry);
+  entryevacuation_tick (entry);
   kvbudget_tick (&entry->kvbudget);
   entrykv_check (entry);
   weightsnews_tick (&entry->weightsnews);
@@ -477,6 +481,7 @@
   cachegc_init (&entry->cachegc, &entry->clock, &entry->log, entry->dialect,
                 &entry->httpjson, &entry->rollout, &entry->kvstores,
                 &entry->servers, &entry->retire);
+  entryevacuation_init (entry);
   g_free (instance_name);
 }
 
@@ -575,6 +580,7 @@
   blameshare_finish (&entry->blameshare);
   serverprobes_finish (&entry->probes);
   servers_finish (&entry->servers);
+  entryevacuation_finish (entry);
   goneservers_finish (&entry->goneservers);
   kvview_finish (&entry->operator_view);
   kvview_finish (&entry->servers_view);
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -150,7 +150,7 @@
       break;
     case FORWARDRETRY_REFUSE:
       forward_refuse (forward, exchange_outcome_name (outcome),
-                      FORWARDPLACE_RETRY_AFTER_MS);
+                      RETRY_AFTER_NO_SERVER_MS);
       break;
     case FORWARDRETRY_FAIL:
       forward_fail (forward, exchange_outcome_name (outcome));
@@ -197,7 +197,7 @@
 
 static const struct exchange_ops exchange_ops
     = { response_passed_over, response_head_received, response_bytes_received,
-        exchange_ended };
+        exchange_ended, forward_may_send };
 
 static void
 forward_respond_unrouted (struct forward *forward, int status,
@@ -419,7 +419,7 @@
       else if (is_sent || forward->run_count > 0)
         forward_fail (forward, "timeout");
       else
-        forward_refuse (forward, "timeout", FORWARDPLACE_RETRY_AFTER_MS);
+        forward_refuse (forward, "timeout", RETRY_AFTER_NO_SERVER_MS);
       return;
     }
   if (forwardqueue_refuse_lost (forward, now))
--- a/src/forwardplace.c
+++ b/src/forwardplace.c
@@ -1,5 +1,6 @@
 #include "forwardplace.h"
 #include "forwardblame.h"
+#include "forwardhomes.h"
 #include "forwardhost.h"
 #include "forwardlog.h"
 #include "forwardqueue.h"
@@ -52,7 +53,7 @@
   if (known)
     forward_place (forward);
   else
-    forward_refuse (forward, "unknown_software", FORWARDPLACE_RETRY_AFTER_MS);
+    forward_refuse (forward, "unknown_software", RETRY_AFTER_NO_SERVER_MS);
 }
 
 /* Find the software that began the stream of a caller that has come back, and
@@ -126,13 +127,14 @@
     }
   if (links_forbid_attempt (forward) || forwardrefusals_are_full (forward))
     {
-      forward_give_up (forward, "no_server", FORWARDPLACE_RETRY_AFTER_MS);
+      forward_give_up (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
       return;
     }
   if (!forward->forwarder->is_stopping && forwardqueue_hold_back (forward))
     return;
   memcpy (query.excluded, forward->tried, sizeof query.excluded);
   forwardweights_query (forward, &query);
+  forwardhomes_get (forward, &query.homes);
   forward_add_stored (forward, wanted != NULL ? wanted->version : 1, &query);
   forward_choose (forward, &query, &choice);
   if (choice.server == NULL && choice.at_capacity)
@@ -147,7 +149,7 @@
         forward_give_up (forward, refusal_reason (forward, &choice),
                          forward->forwarder->is_stopping
                              ? FORWARDSTOP_RETRY_AFTER_MS
-                             : FORWARDPLACE_RETRY_AFTER_MS);
+                             : RETRY_AFTER_NO_SERVER_MS);
       return;
     }
   if (choice.server == NULL && !forward->forwarder->is_stopping
@@ -165,10 +167,7 @@
   forwardwait_remove (forward);
   if (choice.server == NULL)
     {
-      if (choice.paused > 0)
-        forward_give_up_paused (forward, choice.paused_wait_ns);
-      else
-        forward_give_up (forward, "no_server", FORWARDPLACE_RETRY_AFTER_MS);
+      forward_give_up_unplaced (forward, &choice);
       return;
     }
   forward_log_placement (forward, &query, &choice);
--- a/src/forwardplace.h
+++ b/src/forwardplace.h
@@ -10,9 +10,7 @@
 
 enum
 {
-  /** Base of the Retry-After time if no server can run the request now. */
-  FORWARDPLACE_RETRY_AFTER_MS = 250,
-  /** The same for a request that crashes servers. */
+  /** Base of the Retry-After time of a request that crashes servers. */
   FORWARDPLACE_RETRY_AFTER_POISON_MS = 10000
 };
 
