A success that ends while its request waits to be written is cut

A server answers a long upload early with a 200 without a length, sends a part of its body, reads what the system has taken over from this side and ends its side in order. If this process gets no time to write meanwhile, as with a small share of a core, everything written is acknowledged when the end is read, and the part was taken for a complete response although most of the request was still queued in this process.

httpresponse_precedes_request asks for the bytes that wait to be written too, for responses of servers and of control calls.

--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -225,7 +225,8 @@
 
   if (size == UV_EOF && uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0
       && !tcpreset_was_reset (fd)
-      && !httpresponse_precedes_request (&conn->response, fd))
+      && !httpresponse_precedes_request (&conn->response,
+                                         (uv_stream_t *)&conn->tcp))
     httpresponse_feed (&conn->response, NULL, 0);
   if (conn->call == NULL)
     return;
--- a/src/httpresponse.c
+++ b/src/httpresponse.c
@@ -220,11 +220,16 @@
 }
 
 bool
-httpresponse_precedes_request (const struct httpresponse *response, int fd)
+httpresponse_precedes_request (const struct httpresponse *response,
+                               const uv_stream_t *stream)
 {
+  uv_os_fd_t fd;
+
   return httpresponse_framing (response) == HTTPRESPONSE_UNTIL_CLOSE
          && response->parser.status_code < HTTP_STATUS_BAD_REQUEST
-         && tcpreset_is_sending (fd);
+         && (uv_stream_get_write_queue_size (stream) > 0
+             || (uv_fileno ((const uv_handle_t *)stream, &fd) == 0
+                 && tcpreset_is_sending (fd)));
 }
 
 enum httpresponse_framing
--- a/src/httpresponse.h
+++ b/src/httpresponse.h
@@ -7,6 +7,7 @@
 #include <http_parser.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <uv.h>
 
 /** @file
  * Reads one response from bytes as they arrive. What HTTP does not allow ends
@@ -77,9 +78,10 @@
 enum httpresponse_framing
 httpresponse_framing (const struct httpresponse *response);
 
-/** Whether a response that ends now with its connection FD ended before the
- * server had received the request. An error may come so early. */
+/** Whether a response that ends now with its connection STREAM ended before
+ * the server had received the request: a part of the request is not written
+ * yet, or not acknowledged. An error may come so early. */
 bool httpresponse_precedes_request (const struct httpresponse *response,
-                                    int fd);
+                                    const uv_stream_t *stream);
 
 #endif
--- a/src/serverconn.c
+++ b/src/serverconn.c
@@ -108,7 +108,8 @@
 
   return uv_fileno ((uv_handle_t *)&conn->tcp, &fd) != 0
          || tcpreset_was_reset (fd)
-         || httpresponse_precedes_request (&conn->response, fd);
+         || httpresponse_precedes_request (&conn->response,
+                                           (uv_stream_t *)&conn->tcp);
 }
 
 /* Parse SIZE bytes of responses, of which none is left once the own one is
--- a/test/test-earlyanswer.c
+++ b/test/test-earlyanswer.c
@@ -18,10 +18,13 @@
 /* How a server ends a connection whose request it has not read whole. */
 enum ending
 {
-  RESETS,          /* at once */
-  RESETS_LATER,    /* after the answer was read */
-  CLOSES,          /* its side in order, and resets later */
-  CLOSES_AND_READS /* its side in order, and reads the rest */
+  RESETS,           /* at once */
+  RESETS_LATER,     /* after the answer was read */
+  CLOSES,           /* its side in order, and resets later */
+  CLOSES_AND_READS, /* its side in order, and reads the rest */
+  /* its side in order, after it has read whatever this side has written,
+   * which gets no time to write more */
+  CLOSES_WHEN_READ
 };
 
 static struct
@@ -124,6 +127,19 @@
   return size;
 }
 
+/* Read what the system has taken over, until nothing more arrives. */
+static void
+request_drain (int peer)
+{
+  unsigned quiet = 0;
+
+  while (quiet < 3)
+    {
+      quiet = request_read (peer, SIZE_MAX) > 0 ? 0 : quiet + 1;
+      g_usleep (PAUSE_US);
+    }
+}
+
 /* Send a request of SIZE bytes whose server writes ANSWER once the first bytes
  * have come, and then ends the connection.
  * @return how the request ended */
@@ -146,9 +162,11 @@
   CU_ASSERT_TRUE (request_read (peer, RECEIVE_BYTES) > 0);
   CU_ASSERT_EQUAL (write (peer, answer, strlen (answer)),
                    (ssize_t)strlen (answer));
-  if (ending == RESETS_LATER)
+  if (ending == RESETS_LATER || ending == CLOSES_WHEN_READ)
     run_for_a_while ();
-  if (ending == CLOSES || ending == CLOSES_AND_READS)
+  if (ending == CLOSES_WHEN_READ)
+    request_drain (peer);
+  if (ending >= CLOSES)
     {
       shutdown (peer, SHUT_WR);
       run_for_a_while ();
@@ -164,7 +182,7 @@
         request_read (peer, SIZE_MAX);
       run_for_a_while ();
     }
-  if (ending == CLOSES || ending == CLOSES_AND_READS)
+  if (ending >= CLOSES)
     close (peer);
   CU_ASSERT_TRUE (early.ended);
   return early.result;
@@ -181,7 +199,7 @@
 
   setup ();
   for (unsigned i = 0; i < G_N_ELEMENTS (answers); i++)
-    for (unsigned ending = RESETS; ending <= CLOSES_AND_READS; ending++)
+    for (unsigned ending = RESETS; ending <= CLOSES_WHEN_READ; ending++)
       {
         CU_ASSERT_EQUAL (
             answer_early (UPLOAD_BYTES, answers[i], (enum ending)ending),
