choose_visit shows each server of a choice with its verdict and its estimate

An explanation of where a request would go needs what the choice found about each server, without a choice being made. choose_visit runs the code of choose_server without its random part and calls a function for each server. A server with old weights that would begin too late is a verdict of its own now, so that the visitor learns of it.

--- a/src/choose.c
+++ b/src/choose.c
@@ -130,36 +130,51 @@
                 query->wanted, version, boottime_ns, query->begin_span_ns);
 }
 
+/* Set the estimate and the cost of CANDIDATE, and whether it begins the
+ * request too late. */
 static void
-candidate_consider (const struct choose_settings *settings,
-                    const struct choose_query *query, struct server *server,
-                    bool is_preferred, int64_t now, int64_t boottime_ns,
-                    struct rng *rng, struct choose_result *result)
+candidate_estimate (const struct choose_settings *settings,
+                    const struct choose_query *query, bool is_preferred,
+                    int64_t now, int64_t boottime_ns,
+                    struct choose_candidate *candidate)
 {
-  struct choosecost estimate;
-  double cost;
-
-  choosecost_estimate (settings, query, server, is_preferred, now, &estimate);
-  cost = estimate.backlog_ms + estimate.prompt_ms
-         + server->failure_ratio * failure_cost_ms
-         + (server->in_local_data_centre ? 0 : settings->remote_server_ms)
-         + rng_uniform (rng);
-  if (!begins_in_time (query, server, estimate.backlog_ms + estimate.prompt_ms,
-                       boottime_ns))
-    {
-      result->too_late++;
-      return;
-    }
-  result->candidates++;
+  const struct server *server = candidate->server;
+  struct choosecost *estimate = &candidate->estimate;
+
+  choosecost_estimate (settings, query, server, is_preferred, now, estimate);
+  candidate->expected_ms = estimate->backlog_ms + estimate->prompt_ms;
+  candidate->cost_ms
+      = candidate->expected_ms + server->failure_ratio * failure_cost_ms
+        + (server->in_local_data_centre ? 0 : settings->remote_server_ms);
   if (query->model != NULL && !has_preferred_version (query, server))
-    cost += old_weights_cost_ms;
+    candidate->cost_ms += old_weights_cost_ms;
+  if (candidate->verdict == CHOOSE_USABLE
+      && !begins_in_time (query, server, candidate->expected_ms, boottime_ns))
+    candidate->verdict = CHOOSE_TOO_LATE;
+}
+
+/* Return the random part of a cost, by which hosts choose different ones of
+ * equal servers. */
+static double
+random_cost_ms (struct rng *rng)
+{
+  return rng != NULL ? CHOOSE_RANDOM_COST_MS * rng_uniform (rng) : 0;
+}
+
+static void
+candidate_consider (const struct choose_candidate *candidate, struct rng *rng,
+                    struct choose_result *result)
+{
+  double cost = candidate->cost_ms + random_cost_ms (rng);
+
+  result->candidates++;
   if (result->server != NULL && cost >= result->cost_ms)
     return;
-  result->server = server;
+  result->server = candidate->server;
   result->cost_ms = cost;
-  result->backlog_ms = estimate.backlog_ms;
-  result->store_delay_ms = estimate.store_delay_ms;
-  result->cached_tokens = estimate.cached_tokens;
+  result->backlog_ms = candidate->estimate.backlog_ms;
+  result->store_delay_ms = candidate->estimate.store_delay_ms;
+  result->cached_tokens = candidate->estimate.cached_tokens;
 }
 
 static void
@@ -256,7 +271,7 @@
   result->limited++;
   result->limited_per_s += places * 1000 / ms;
   result->brittle++;
-  if (rng_uniform (rng) * result->brittle < 1)
+  if (rng == NULL || rng_uniform (rng) * result->brittle < 1)
     result->brittle_server = server;
 }
 
@@ -317,6 +332,7 @@
     [CHOOSE_MAY_BE_BRITTLE] = "may_be_brittle",
     [CHOOSE_NO_PLACE] = "no_place",
     [CHOOSE_BRITTLE] = "brittle",
+    [CHOOSE_TOO_LATE] = "too_late",
   };
 
   return names[verdict];
@@ -358,12 +374,13 @@
 }
 
 /* Choose among the servers of this host's subset, or among all others if
- * OTHER_SUBSETS is set. */
+ * OTHER_SUBSETS is set. VISIT, unless it is NULL, is called for each. */
 static void
 choose_among (const struct servers *servers,
               const struct choose_settings *settings,
               const struct choose_query *query, bool other_subsets,
-              struct rng *rng, struct choose_result *result)
+              choose_visitor visit, void *data, struct rng *rng,
+              struct choose_result *result)
 {
   const GPtrArray *list = servers_of_service (servers, query->service);
   int64_t now = clock_now (servers->clock);
@@ -376,15 +393,24 @@
   for (guint i = 0; i < list->len; i++)
     {
       struct server *server = list->pdata[i];
+      struct choose_candidate candidate = { .server = server };
 
       if (server->in_other_subset != other_subsets)
         continue;
-      switch (server_judge (settings, query, server, spares_others, now))
+      candidate.verdict
+          = server_judge (settings, query, server, spares_others, now);
+      if (candidate.verdict == CHOOSE_USABLE || visit != NULL)
+        candidate_estimate (settings, query, server == preferred, now,
+                            clock_boottime (servers->clock), &candidate);
+      if (visit != NULL)
+        visit (data, &candidate);
+      switch (candidate.verdict)
         {
         case CHOOSE_USABLE:
-          candidate_consider (settings, query, server, server == preferred,
-                              now, clock_boottime (servers->clock), rng,
-                              result);
+          candidate_consider (&candidate, rng, result);
+          break;
+        case CHOOSE_TOO_LATE:
+          result->too_late++;
           break;
         case CHOOSE_UNREACHABLE:
           result->unreachable += !server->removed;
@@ -413,18 +439,35 @@
     }
 }
 
-void
-choose_server (const struct servers *servers,
-               const struct choose_settings *settings,
-               const struct choose_query *query, struct rng *rng,
-               struct choose_result *result)
+static void
+choose (const struct servers *servers, const struct choose_settings *settings,
+        const struct choose_query *query, choose_visitor visit, void *data,
+        struct rng *rng, struct choose_result *result)
 {
   memset (result, 0, sizeof *result);
   if (servers_of_service (servers, query->service) == NULL)
     return;
-  choose_among (servers, settings, query, false, rng, result);
+  choose_among (servers, settings, query, false, visit, data, rng, result);
   if (result->server == NULL && !result->at_capacity)
-    choose_among (servers, settings, query, true, rng, result);
+    choose_among (servers, settings, query, true, visit, data, rng, result);
   if (result->too_late > 0)
     result->at_capacity = result->others_at_capacity = true;
 }
+
+void
+choose_server (const struct servers *servers,
+               const struct choose_settings *settings,
+               const struct choose_query *query, struct rng *rng,
+               struct choose_result *result)
+{
+  choose (servers, settings, query, NULL, NULL, rng, result);
+}
+
+void
+choose_visit (const struct servers *servers,
+              const struct choose_settings *settings,
+              const struct choose_query *query, choose_visitor visit,
+              void *data, struct choose_result *result)
+{
+  choose (servers, settings, query, visit, data, NULL, result);
+}
--- a/src/choose.h
+++ b/src/choose.h
@@ -17,8 +17,10 @@
 {
   /** Maximum number of servers that one query can exclude. */
   CHOOSE_EXCLUDED_MAX = 8,
-  CHOOSE_STORED_MAX = 3 /**< Maximum number of weight versions whose stored
-                           blocks one query can list. */
+  CHOOSE_STORED_MAX = 3, /**< Maximum number of weight versions whose stored
+                            blocks one query can list. */
+  /** Servers whose costs differ by less than this may each be chosen. */
+  CHOOSE_RANDOM_COST_MS = 1
 };
 
 struct choose_settings
@@ -99,8 +101,9 @@
   CHOOSE_MAY_BE_BRITTLE, /**< It has the requests that it would get if it were
                             brittle, which is not known yet. */
   CHOOSE_NO_PLACE,       /**< Its slots and its queue are full. */
-  CHOOSE_BRITTLE         /**< It is brittle, and this host's room there is
+  CHOOSE_BRITTLE,        /**< It is brittle, and this host's room there is
                             used up. */
+  CHOOSE_TOO_LATE        /**< It has old weights and would begin too late. */
 };
 
 /** Return the name of VERDICT in logs. */
@@ -143,6 +146,12 @@
                               without capacity. */
 };
 
+struct choose_candidate;
+
+/** Called with each server that a choice considers; see choosecost.h. */
+typedef void (*choose_visitor) (void *data,
+                                const struct choose_candidate *candidate);
+
 /** Return the stored prefix of QUERY that was computed with the weight version
  * of SERVER, or NULL if there is none. */
 const struct choose_stored_prefix *
@@ -159,4 +168,11 @@
                     const struct choose_query *query, struct rng *rng,
                     struct choose_result *result);
 
+/** Make the same choice without its random part, and call VISIT for each
+ * server that it considers. Of equal servers the first one is chosen. */
+void choose_visit (const struct servers *servers,
+                   const struct choose_settings *settings,
+                   const struct choose_query *query, choose_visitor visit,
+                   void *data, struct choose_result *result);
+
 #endif
--- a/src/choosecost.h
+++ b/src/choosecost.h
@@ -19,6 +19,16 @@
                              fetches. */
 };
 
+/** What the choice finds about one server. */
+struct choose_candidate
+{
+  struct server *server;
+  enum choose_verdict verdict;
+  struct choosecost estimate;
+  double expected_ms; /**< Expected time to the first event. */
+  double cost_ms;     /**< The same plus penalties, without the random part. */
+};
+
 /** Estimate the time of the request of QUERY at SERVER.
  * @param is_preferred whether all hosts prefer SERVER for the shared prefix of
  * the request */
