POST /explain on the metrics listener of an entry host

An operator had to rebuild from logs and metrics why a request was sent to a server, waited or was refused. The host now explains a given request: route, service, candidates with verdict, estimate, load and limit, and what would happen now. explain asks the modules that decide about real requests with a request that is on no list; nothing is sent or counted.

--- a/src/entry.c
+++ b/src/entry.c
@@ -2,6 +2,7 @@
 #include "entryblame.h"
 #include "entryera.h"
 #include "entryhttp.h"
+#include "explainjson.h"
 #include "entrykv.h"
 #include "entryorigin.h"
 #include "entryviews.h"
@@ -382,6 +383,7 @@
     status
         = listen_at (entry, &entry->metrics_server, &settings->listen.metrics,
                      &entryhttp_metrics_ops, error);
+  entry->metrics_server.limits.body_bytes = EXPLAINJSON_REQUEST_BYTES_MAX;
   if (status == STATUS_OK)
     status = peerudp_init (
         &entry->peerudp, &entry->loop, &entry->loadshare, &entry->kvstores,
--- a/src/entryhttp.c
+++ b/src/entryhttp.c
@@ -1,15 +1,17 @@
 #include "entryhttp.h"
 #include "entry.h"
+#include "explainjson.h"
 
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
 
+#define JSON_TYPE "Content-Type: application/json\r\n"
+
 static void
 respond_json (struct callerconn *conn, const GString *body)
 {
-  callerconn_respond (conn, 200, "Content-Type: application/json\r\n",
-                      body->str, body->len);
+  callerconn_respond (conn, 200, JSON_TYPE, body->str, body->len);
 }
 
 static void
@@ -121,6 +123,25 @@
                (double)log_json_lost_count ());
 }
 
+static void
+explain_requested (struct entry *entry, struct callerconn *conn)
+{
+  GString *reply;
+  int status;
+
+  if (strcmp (callerconn_method (conn), "POST") != 0)
+    {
+      respond_status (conn, 405);
+      return;
+    }
+  reply = g_string_new (NULL);
+  status
+      = explainjson_handle (&entry->forwarder, (const char *)conn->body->data,
+                            conn->body->len, reply);
+  callerconn_respond (conn, status, JSON_TYPE, reply->str, reply->len);
+  g_string_free (reply, TRUE);
+}
+
 static void
 metrics_requested (void *data, struct callerconn *conn)
 {
@@ -128,6 +149,11 @@
   size_t size;
   char *text;
 
+  if (strcmp (conn->target->str, "/explain") == 0)
+    {
+      explain_requested (entry, conn);
+      return;
+    }
   if (strcmp (conn->target->str, "/metrics") != 0)
     {
       respond_status (conn, 404);
--- a/src/entryhttp.h
+++ b/src/entryhttp.h
@@ -6,7 +6,8 @@
 /** @file
  * The HTTP interfaces of an entry process beside the one for requests: the
  * directory of addresses that callers may use, the readiness check, and the
- * metrics. The data pointer of each interface is the struct entry.
+ * metrics with POST /explain. The data pointer of each interface is the struct
+ * entry.
  */
 
 extern const struct callerserver_ops entryhttp_directory_ops;
