trefoilspar explain asks an entry host about a request

The command builds the request from its options or reads it from a file, and prints a table or JSON.

--- a/src/cli.c
+++ b/src/cli.c
@@ -22,7 +22,8 @@
   TAKES_GATEWAY = 1,
   TAKES_WAIT = 2,
   TAKES_RANGE = 4,
-  TAKES_MORE_ARGUMENTS = 8 /* command.argument_count is a minimum. */
+  TAKES_MORE_ARGUMENTS = 8, /* command.argument_count is a minimum. */
+  TAKES_REQUEST = 16        /* The request that is explained. */
 };
 
 struct command
@@ -64,6 +65,9 @@
   { NULL, "check-log", "FILE...", 1, TAKES_MORE_ARGUMENTS,
     "check that every line of a log is in the catalogue of events",
     cli_check_log },
+  { NULL, "explain", "", 0, TAKES_REQUEST,
+    "show where an entry host would send a request now, and why",
+    cli_explain },
   { "key", "new", "", 0, 0, "generate a bearer key and its hash",
     cli_key_new },
 };
@@ -166,6 +170,8 @@
     g_option_context_add_main_entries (context, wait, NULL);
   if (command->takes & TAKES_RANGE)
     g_option_context_add_main_entries (context, range, NULL);
+  if (command->takes & TAKES_REQUEST)
+    cli_explain_add_options (cli, context);
   g_option_context_set_summary (context, command->summary);
   g_option_context_set_description (context, exit_codes);
   g_option_context_set_help_enabled (context, FALSE);
@@ -262,6 +268,7 @@
   g_free (cli->operator_key);
   g_free (cli->key_file);
   g_free (cli->operator_name);
+  cli_explain_free_options (cli);
 }
 
 /* Prints the error of a response whose HTTP status is not 200, and returns the
--- a/src/cli.h
+++ b/src/cli.h
@@ -57,6 +57,22 @@
   void (*sleep) (struct cli *cli, unsigned ms);
 };
 
+/** Options of the command "explain". */
+struct cli_explain
+{
+  char *entry; /**< Address "IP:PORT" of an entry host's metrics listener. */
+  char *file;  /**< File with the request, "-" for standard input. */
+  char *host;
+  char *path;
+  char *organisation;
+  char *service;
+  char *model;
+  gint64 prompt_tokens; /**< Negative if not given, like the next two. */
+  gint64 output_tokens;
+  gint64 time_left_ms;
+  char **blocks; /**< Each "ID:TOKENS". */
+};
+
 /** Options and output streams of one run of the program. */
 struct cli
 {
@@ -75,6 +91,7 @@
   gint64 from_revision;
   gint64 to_revision;
   char **arguments;
+  struct cli_explain explain;
 };
 
 typedef enum cli_exit_status (*cli_command) (struct cli *cli);
@@ -113,5 +130,11 @@
 enum cli_exit_status cli_key_new (struct cli *cli);
 enum cli_exit_status cli_trace (struct cli *cli);
 enum cli_exit_status cli_check_log (struct cli *cli);
+enum cli_exit_status cli_explain (struct cli *cli);
+
+/** Add the options of the command "explain" to CONTEXT, and set their
+ * defaults. */
+void cli_explain_add_options (struct cli *cli, GOptionContext *context);
+void cli_explain_free_options (struct cli *cli);
 
 #endif
