--- a/test/test-explain.c
+++ b/test/test-explain.c
@@ -77,10 +77,11 @@
 
   server->kv_capacity_tokens = 100000;
   server->in_flight_requests = (unsigned)rng_below (&rng, 6);
-  server->in_flight_tokens = server->in_flight_requests * 15000;
+  server->in_flight_tokens = server->in_flight_requests * (uint64_t)15000;
   server->pending_prefill_tokens = rng_below (&rng, 4) * 1000;
   server->other_hosts_requests = (unsigned)rng_below (&rng, 4);
-  server->other_hosts_memory_tokens = server->other_hosts_requests * 10000;
+  server->other_hosts_memory_tokens
+      = server->other_hosts_requests * (uint64_t)10000;
   server->failure_ratio = rng_below (&rng, 4) == 0 ? rng_uniform (&rng) : 0;
   server->has_load_report = rng_below (&rng, 2) == 0;
   server->running_requests = (unsigned)rng_below (&rng, 9);
@@ -310,11 +311,19 @@
   finish ();
 }
 
+static char *
+server_checksum (const struct server *server)
+{
+  return g_compute_checksum_for_data (G_CHECKSUM_SHA256,
+                                      (const guchar *)server, sizeof *server);
+}
+
 /* An explanation changed the host or its random numbers. */
 static void
 test_nothing_changes (void)
 {
-  struct server before, *server;
+  char *before, *after;
+  struct server *server;
   struct rng rng_before;
 
   rng_init (&rng, 3);
@@ -322,10 +331,13 @@
   set_routes ();
   server = add_server (1);
   server_draw (server);
-  memcpy (&before, server, sizeof before);
+  before = server_checksum (server);
   rng_before = rng;
   expect_reply (REQUEST ("/x/"), "\"service\":\"svc\"");
-  CU_ASSERT_EQUAL (memcmp (&before, server, sizeof before), 0);
+  after = server_checksum (server);
+  CU_ASSERT_STRING_EQUAL (after, before);
+  g_free (before);
+  g_free (after);
   CU_ASSERT_EQUAL (rng.state, rng_before.state);
   CU_ASSERT_EQUAL (forwarder.request_count, 0);
   CU_ASSERT_EQUAL (forwarder.waiting_count, 0);
