--- a/src/choose.c
+++ b/src/choose.c
@@ -137,83 +137,68 @@
                 query->wanted, version, boottime_ns, query->begin_span_ns);
 }
 
+/* Set the estimate and the cost of CANDIDATE, and whether it begins the
+ * request too late. */
+static void
+candidate_estimate (const struct choose_settings *settings,
+                    const struct choose_query *query, bool is_preferred,
+                    int64_t now, int64_t boottime_ns,
+                    struct choose_candidate *candidate)
+{
+  const struct server *server = candidate->server;
+  struct choosecost *estimate = &candidate->estimate;
+
+  choosecost_estimate (settings, query, server, is_preferred, now, estimate);
+  candidate->expected_ms = estimate->backlog_ms + estimate->prompt_ms;
+  candidate->cost_ms
+      = candidate->expected_ms + server->failure_ratio * failure_cost_ms
+        + (server->in_local_data_centre ? 0 : settings->remote_server_ms);
+  if (query->model != NULL && !has_preferred_version (query, server))
+    candidate->cost_ms += old_weights_cost_ms;
+  if (candidate->verdict == CHOOSE_USABLE
+      && !begins_in_time (query, server, candidate->expected_ms, boottime_ns))
+    candidate->verdict = CHOOSE_TOO_LATE;
+}
+
+/* Return the random part of a cost, by which hosts choose different ones of
+ * equal servers. */
+static double
+random_cost_ms (struct rng *rng)
+{
+  return rng != NULL ? CHOOSE_RANDOM_COST_MS * rng_uniform (rng) : 0;
+}
+
 static void
 result_set (struct choose_result *result,
-            const struct choosespread_candidate *candidate)
+            const struct choose_candidate *candidate)
 {
   result->server = candidate->server;
   result->cost_ms = candidate->cost_ms;
-  result->backlog_ms = candidate->backlog_ms;
-  result->prompt_ms = candidate->prompt_ms;
-  result->comparable_ms = candidate->comparable_ms;
-  result->store_delay_ms = candidate->store_delay_ms;
-  result->cached_tokens = candidate->cached_tokens;
+  result->backlog_ms = candidate->estimate.backlog_ms;
+  result->prompt_ms = candidate->estimate.prompt_ms;
+  result->comparable_ms = candidate->estimate.comparable_ms;
+  result->store_delay_ms = candidate->estimate.store_delay_ms;
+  result->cached_tokens = candidate->estimate.cached_tokens;
 }
 
+/* Consider CANDIDATE, which is usable, as the best one and as one of those
+ * that are nearly equal to it.
+ * BEST: the best one so far */
 static void
-candidate_consider (const struct choose_settings *settings,
-                    const struct choose_query *query, struct server *server,
-                    bool is_preferred, int64_t now, int64_t boottime_ns,
+candidate_consider (struct choose_candidate *candidate,
                     struct choosespread *spread, struct rng *rng,
+                    struct choose_candidate *best,
                     struct choose_result *result)
 {
-  struct choosespread_candidate candidate;
-  struct choosecost estimate;
-  double cost;
-
-  choosecost_estimate (settings, query, server, is_preferred, now, &estimate);
-  cost = estimate.backlog_ms + estimate.prompt_ms
-         + server->failure_ratio * failure_cost_ms
-         + (server->in_local_data_centre ? 0 : settings->remote_server_ms)
-         + rng_uniform (rng);
-  if (!begins_in_time (query, server, estimate.backlog_ms + estimate.prompt_ms,
-                       boottime_ns))
-    {
-      result->too_late++;
-      return;
-    }
+  candidate->cost_ms += random_cost_ms (rng);
   result->candidates++;
-  if (query->model != NULL && !has_preferred_version (query, server))
-    cost += old_weights_cost_ms;
-  candidate = (struct choosespread_candidate){
-    .server = server,
-    .cost_ms = cost,
-    .backlog_ms = estimate.backlog_ms,
-    .prompt_ms = estimate.prompt_ms,
-    .comparable_ms = estimate.comparable_ms,
-    .store_delay_ms = estimate.store_delay_ms,
-    .cached_tokens = estimate.cached_tokens,
-    .in_local_data_centre = server->in_local_data_centre,
-  };
-  if (serverspeed_varies (&server->speed))
-    choosespread_add (spread, &candidate, rng);
-  if (result->server != NULL && cost >= result->cost_ms)
+  if (rng != NULL && serverspeed_varies (&candidate->server->speed))
+    choosespread_add (spread, candidate, rng);
+  if (result->server != NULL && candidate->cost_ms >= result->cost_ms)
     return;
-  result->least_cost_ms = cost;
-  result_set (result, &candidate);
-}
-
-/* Take a candidate that is nearly equal to the best one, so that hosts that
- * all see the same server idle do not all choose it. */
-static void
-result_spread (const struct choose_settings *settings,
-               const struct choose_query *query, struct choosespread *spread,
-               struct rng *rng, struct choose_result *result)
-{
-  struct choosespread_candidate best = {
-    .server = result->server,
-    .cost_ms = result->cost_ms,
-    .backlog_ms = result->backlog_ms,
-    .prompt_ms = result->prompt_ms,
-    .comparable_ms = result->comparable_ms,
-    .store_delay_ms = result->store_delay_ms,
-    .cached_tokens = result->cached_tokens,
-    .in_local_data_centre = result->server->in_local_data_centre,
-  };
-
-  result_set (result,
-              choosespread_pick (spread, &best, query->call->prompt_tokens,
-                                 settings->near_ms, rng));
+  *best = *candidate;
+  result->least_cost_ms = candidate->cost_ms;
+  result_set (result, candidate);
 }
 
 static void
@@ -310,7 +295,7 @@
   result->limited++;
   result->limited_per_s += places * 1000 / ms;
   result->brittle++;
-  if (rng_uniform (rng) * result->brittle < 1)
+  if (rng == NULL || rng_uniform (rng) * result->brittle < 1)
     result->brittle_server = server;
 }
 
@@ -373,6 +358,7 @@
     [CHOOSE_MAY_BE_BRITTLE] = "may_be_brittle",
     [CHOOSE_NO_PLACE] = "no_place",
     [CHOOSE_BRITTLE] = "brittle",
+    [CHOOSE_TOO_LATE] = "too_late",
   };
 
   return names[verdict];
@@ -418,12 +404,13 @@
 }
 
 /* Choose among the servers of this host's subset, or among all others if
- * OTHER_SUBSETS is set. */
+ * OTHER_SUBSETS is set. VISIT, unless it is NULL, is called for each. */
 static void
 choose_among (const struct servers *servers,
               const struct choose_settings *settings,
               const struct choose_query *query, bool other_subsets,
-              struct rng *rng, struct choose_result *result)
+              choose_visitor visit, void *data, struct rng *rng,
+              struct choose_result *result)
 {
   const GPtrArray *list = servers_of_service (servers, query->service);
   int64_t now = clock_now (servers->clock);
@@ -433,21 +420,28 @@
             : NULL;
   bool spares_others = query->model == NULL && any_is_paused (list, now);
   struct choosespread spread;
+  struct choose_candidate best;
 
   spread.count = 0;
   servers_note_time (list, now, clock_boottime (servers->clock));
   for (guint i = 0; i < list->len; i++)
     {
       struct server *server = list->pdata[i];
+      struct choose_candidate candidate = { .server = server };
 
       if (server->in_other_subset != other_subsets)
         continue;
-      switch (server_judge (settings, query, server, spares_others, now))
+      candidate.verdict
+          = server_judge (settings, query, server, spares_others, now);
+      if (candidate.verdict == CHOOSE_USABLE || visit != NULL)
+        candidate_estimate (settings, query, server == preferred, now,
+                            clock_boottime (servers->clock), &candidate);
+      if (visit != NULL)
+        visit (data, &candidate);
+      switch (candidate.verdict)
         {
         case CHOOSE_USABLE:
-          candidate_consider (settings, query, server, server == preferred,
-                              now, clock_boottime (servers->clock), &spread,
-                              rng, result);
+          candidate_consider (&candidate, &spread, rng, &best, result);
           break;
         case CHOOSE_OTHER_REGION:
           result->other_region++;
@@ -455,6 +449,9 @@
         case CHOOSE_EVACUATED:
           result->evacuated++;
           break;
+        case CHOOSE_TOO_LATE:
+          result->too_late++;
+          break;
         case CHOOSE_UNREACHABLE:
           result->unreachable += !server->removed;
           break;
@@ -480,15 +477,17 @@
           break;
         }
     }
+  /* Hosts that all see the same server idle do not all choose it. */
   if (spread.count > 1)
-    result_spread (settings, query, &spread, rng, result);
+    result_set (result,
+                choosespread_pick (&spread, &best, query->call->prompt_tokens,
+                                   settings->near_ms, rng));
 }
 
-void
-choose_server (const struct servers *servers,
-               const struct choose_settings *settings,
-               const struct choose_query *query, struct rng *rng,
-               struct choose_result *result)
+static void
+choose (const struct servers *servers, const struct choose_settings *settings,
+        const struct choose_query *query, choose_visitor visit, void *data,
+        struct rng *rng, struct choose_result *result)
 {
   memset (result, 0, sizeof *result);
   if (servers_of_service (servers, query->service) == NULL)
@@ -498,9 +497,27 @@
       result->at_capacity = result->others_at_capacity = true;
       return;
     }
-  choose_among (servers, settings, query, false, rng, result);
+  choose_among (servers, settings, query, false, visit, data, rng, result);
   if (result->server == NULL && !result->at_capacity)
-    choose_among (servers, settings, query, true, rng, result);
+    choose_among (servers, settings, query, true, visit, data, rng, result);
   if (result->too_late > 0)
     result->at_capacity = result->others_at_capacity = true;
 }
+
+void
+choose_server (const struct servers *servers,
+               const struct choose_settings *settings,
+               const struct choose_query *query, struct rng *rng,
+               struct choose_result *result)
+{
+  choose (servers, settings, query, NULL, NULL, rng, result);
+}
+
+void
+choose_visit (const struct servers *servers,
+              const struct choose_settings *settings,
+              const struct choose_query *query, choose_visitor visit,
+              void *data, struct choose_result *result)
+{
+  choose (servers, settings, query, visit, data, NULL, result);
+}
--- a/src/choosespread.c
+++ b/src/choosespread.c
@@ -8,8 +8,7 @@
 
 void
 choosespread_add (struct choosespread *spread,
-                  const struct choosespread_candidate *candidate,
-                  struct rng *rng)
+                  const struct choose_candidate *candidate, struct rng *rng)
 {
   uint64_t index = spread->count++;
 
@@ -22,24 +21,25 @@
 /* Whether CANDIDATE costs about as much as BEST, would not have to recompute
  * much more of the prompt, and is no farther away. */
 static bool
-is_near (const struct choosespread_candidate *candidate,
-         const struct choosespread_candidate *best, unsigned prompt_tokens,
+is_near (const struct choose_candidate *candidate,
+         const struct choose_candidate *best, unsigned prompt_tokens,
          double near_ms)
 {
   return candidate->cost_ms <= best->cost_ms + near_ms
-         && (candidate->in_local_data_centre || !best->in_local_data_centre)
-         && (double)candidate->cached_tokens
+         && (candidate->server->in_local_data_centre
+             || !best->server->in_local_data_centre)
+         && (double)candidate->estimate.cached_tokens
                     + recomputed_share_max * prompt_tokens
-                >= (double)best->cached_tokens;
+                >= (double)best->estimate.cached_tokens;
 }
 
-const struct choosespread_candidate *
+const struct choose_candidate *
 choosespread_pick (struct choosespread *spread,
-                   const struct choosespread_candidate *best,
-                   unsigned prompt_tokens, double near_ms, struct rng *rng)
+                   const struct choose_candidate *best, unsigned prompt_tokens,
+                   double near_ms, struct rng *rng)
 {
-  const struct choosespread_candidate *near[CHOOSESPREAD_MAX];
-  const struct choosespread_candidate *a, *b;
+  const struct choose_candidate *near[CHOOSESPREAD_MAX];
+  const struct choose_candidate *a, *b;
   unsigned count = 0;
 
   for (unsigned i = 0; i < MIN (spread->count, CHOOSESPREAD_MAX); i++)
--- a/src/choosespread.h
+++ b/src/choosespread.h
@@ -1,6 +1,7 @@
 #ifndef CHOOSESPREAD_H
 #define CHOOSESPREAD_H
 
+#include "choosecost.h"
 #include "rng.h"
 
 #include <stdbool.h>
@@ -22,35 +23,21 @@
   CHOOSESPREAD_MAX = 64
 };
 
-struct server;
-
-struct choosespread_candidate
-{
-  struct server *server;
-  double cost_ms;
-  double backlog_ms;
-  double prompt_ms;
-  double comparable_ms;
-  double store_delay_ms;
-  uint64_t cached_tokens;
-  bool in_local_data_centre;
-};
-
 struct choosespread
 {
-  struct choosespread_candidate candidates[CHOOSESPREAD_MAX];
+  struct choose_candidate candidates[CHOOSESPREAD_MAX];
   unsigned count; /**< Number of candidates that were added. */
 };
 
 void choosespread_add (struct choosespread *spread,
-                       const struct choosespread_candidate *candidate,
+                       const struct choose_candidate *candidate,
                        struct rng *rng);
 
 /** Return the candidate to take, where BEST has the least cost of all.
  * PROMPT_TOKENS: number of tokens of the prompt */
-const struct choosespread_candidate *
+const struct choose_candidate *
 choosespread_pick (struct choosespread *spread,
-                   const struct choosespread_candidate *best,
-                   unsigned prompt_tokens, double near_ms, struct rng *rng);
+                   const struct choose_candidate *best, unsigned prompt_tokens,
+                   double near_ms, struct rng *rng);
 
 #endif
--- a/src/entry.c
+++ b/src/entry.c
@@ -3,6 +3,7 @@
 #include "entryera.h"
 #include "entryevacuation.h"
 #include "entryhttp.h"
+#include "explainjson.h"
 #include "entrykv.h"
 #include "entryorigin.h"
 #include "entryplaces.h"
@@ -389,6 +390,7 @@
     status
         = listen_at (entry, &entry->metrics_server, &settings->listen.metrics,
                      &entryhttp_metrics_ops, error);
+  entry->metrics_server.limits.body_bytes = EXPLAINJSON_REQUEST_BYTES_MAX;
   if (status == STATUS_OK)
     status = peerudp_init (
         &entry->peerudp, &entry->loop, &entry->loadshare, &entry->kvstores,
