--- a/test/test-serverspeed.c
+++ b/test/test-serverspeed.c
@@ -503,12 +503,14 @@
 static void
 test_spread_keeps_to_near_candidates (void)
 {
-  static const struct choosespread_candidate candidates[] = {
-    { .cost_ms = 10, .cached_tokens = 900, .in_local_data_centre = true },
-    { .cost_ms = 20, .cached_tokens = 850, .in_local_data_centre = true },
-    { .cost_ms = 11, .cached_tokens = 100, .in_local_data_centre = true },
-    { .cost_ms = 11, .cached_tokens = 900, .in_local_data_centre = false },
-    { .cost_ms = 511, .cached_tokens = 900, .in_local_data_centre = true },
+  struct server near = { .in_local_data_centre = true };
+  struct server remote = { .in_local_data_centre = false };
+  const struct choose_candidate candidates[] = {
+    { &near, CHOOSE_USABLE, { .cached_tokens = 900 }, 10, 10 },
+    { &near, CHOOSE_USABLE, { .cached_tokens = 850 }, 20, 20 },
+    { &near, CHOOSE_USABLE, { .cached_tokens = 100 }, 11, 11 },
+    { &remote, CHOOSE_USABLE, { .cached_tokens = 900 }, 11, 11 },
+    { &near, CHOOSE_USABLE, { .cached_tokens = 900 }, 511, 511 },
   };
   unsigned counts[G_N_ELEMENTS (candidates)] = { 0 };
   struct choosespread spread = { .count = 0 };
