The division of a server's room among hosts is a module of its own

Cold servers need the division that brittle servers have. roomshare has the position of a host, its former position and its part of a room; serverbrittle keeps what only brittle servers need. What a host without a former position may use for a moment is a field, since a cold server may get nothing from it.

test-brittle and test-brittlehost pass; test-brittlehost sets the time of the last change in the field that has moved.

--- a/src/serverbrittle.c
+++ b/src/serverbrittle.c
@@ -9,13 +9,6 @@
   /* Time after a rejection for which the server gets no requests: it counts
    * the rejections of a second. */
   HOLD_MS = 1100,
-  /* Time after a change of the hosts for which this host uses no more room
-   * than before: others learn of the change later, and their requests have to
-   * end. */
-  RAISE_MS = 2000,
-  /* Room of one host at one server if there is too little for all hosts. With
-   * more, fewer requests wait at one host while another has room. */
-  HOLDER_ROOM = 3,
   /* Servers that bear no more rejections than FEW_REJECTIONS keep one slot of
    * SPARE_SLOTS free, at least one, if they have ROOM_SLOTS_MIN: a connection
    * that opens may take a slot for a moment. */
@@ -38,51 +31,16 @@
   memset (brittle, 0, sizeof *brittle);
   brittle->known_ns = now_ns;
   brittle->service = service;
+  brittle->share.unknown_share = 1;
   brittle->brittle = service->brittle;
   brittle->rejections = service->rejections;
 }
 
-/* Return the room of one host if UNITS are too few for all hosts. Hosts that
- * hold room at several servers need less at each. */
-static unsigned
-holder_room (const struct serverbrittle_position *position, unsigned units)
-{
-  return units * position->servers >= 2 * position->host_count ? 1
-                                                               : HOLDER_ROOM;
-}
-
-static unsigned
-position_share (const struct serverbrittle_position *position, unsigned units)
-{
-  unsigned each, used;
-
-  if (position->host_count == 0)
-    return MIN (units, 1U);
-  if (units >= position->host_count)
-    return units / position->host_count
-           + (position->rank < units % position->host_count);
-  each = holder_room (position, units);
-  used = position->rank * each;
-  return used < units ? MIN (each, units - used) : 0;
-}
-
-static bool
-position_counts (const struct serverbrittle *brittle, int64_t now_ns)
-{
-  return now_ns - brittle->moved_ns < RAISE_MS * NS_PER_MS;
-}
-
 unsigned
 serverbrittle_share (const struct serverbrittle *brittle, unsigned units,
                      int64_t now_ns)
 {
-  unsigned share = position_share (&brittle->position, units);
-
-  if (brittle->position.host_count == 0)
-    return 0;
-  return position_counts (brittle, now_ns)
-             ? MIN (share, position_share (&brittle->former, units))
-             : share;
+  return roomshare_units (&brittle->share, units, now_ns);
 }
 
 unsigned
@@ -98,13 +56,7 @@
 unsigned
 serverbrittle_holders (const struct serverbrittle *brittle, unsigned units)
 {
-  const struct serverbrittle_position *position = &brittle->position;
-  unsigned each;
-
-  if (units >= position->host_count)
-    return position->host_count;
-  each = holder_room (position, units);
-  return (units + each - 1) / each;
+  return roomshare_holders (&brittle->share, units);
 }
 
 void
@@ -112,28 +64,17 @@
                             const struct serverbrittle_position *position,
                             int64_t now_ns)
 {
-  const struct serverbrittle_position *own = &brittle->position;
-  unsigned units = own->host_count + position->host_count;
+  const struct roomshare_position own = brittle->share.position;
+  const struct roomshare_position room
+      = { position->host_count, position->rank, position->servers };
 
-  if (own->host_count == position->host_count && own->rank == position->rank
-      && own->servers == position->servers)
+  if (!roomshare_set_position (&brittle->share, &room,
+                               brittle->service->moved_ns, now_ns))
     return;
-  /* At a server that has just started no request is in flight: what counts is
-   * how long ago the hosts changed. */
-  if (own->host_count == 0)
-    {
-      brittle->position = *position;
-      brittle->moved_ns = brittle->service->moved_ns;
-      return;
-    }
-  if (own->host_count != position->host_count || own->rank != position->rank)
+  brittle->told_count = position->told_count;
+  if (own.host_count != 0
+      && (own.host_count != room.host_count || own.rank != room.rank))
     brittle->service->moved_ns = now_ns;
-  if (!position_counts (brittle, now_ns)
-      || position_share (own, units)
-             < position_share (&brittle->former, units))
-    brittle->former = *own;
-  brittle->position = *position;
-  brittle->moved_ns = now_ns;
 }
 
 bool
@@ -170,7 +111,7 @@
 bool
 serverbrittle_is_unknown (const struct serverbrittle *brittle, int64_t now_ns)
 {
-  return brittle->position.host_count > 0 && brittle->stated_ns == 0
+  return brittle->share.position.host_count > 0 && brittle->stated_ns == 0
          && !brittle->service->known
          && now_ns - brittle->service->began_ns < TOLD_MS * NS_PER_MS;
 }
@@ -186,18 +127,17 @@
 bool
 serverbrittle_may_ask (const struct serverbrittle *brittle, int64_t now_ns)
 {
-  const struct serverbrittle_position *position = &brittle->position;
+  unsigned told_count = brittle->told_count;
   int64_t interval_ns = ASK_INTERVAL_MS * NS_PER_MS;
   int64_t turn_ns;
 
-  if (position->told_count == 0)
+  if (told_count == 0)
     return false;
-  turn_ns = interval_ns * (position->rank % position->told_count);
+  turn_ns = interval_ns * (brittle->share.position.rank % told_count);
   return now_ns - MAX (brittle->stated_ns, brittle->known_ns)
              >= STALE_MS * NS_PER_MS + turn_ns
          && (brittle->asked_ns == 0
-             || now_ns - brittle->asked_ns
-                    >= interval_ns * position->told_count);
+             || now_ns - brittle->asked_ns >= interval_ns * told_count);
 }
 
 void
--- a/src/serverbrittle.h
+++ b/src/serverbrittle.h
@@ -1,6 +1,8 @@
 #ifndef SERVERBRITTLE_H
 #define SERVERBRITTLE_H
 
+#include "roomshare.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -57,11 +59,8 @@
   int64_t rejected_here_ns; /**< The same for rejections here. */
   int64_t asked_ns; /**< Time of the last request of this host while it had no
                        room; 0 if there was none. */
-  struct serverbrittle_position position;
-  /** Position before the last change, which counts for a while if this host
-   * had less room by it. */
-  struct serverbrittle_position former;
-  int64_t moved_ns; /**< Time of that change. */
+  struct roomshare share; /**< Part of this host in the server's room. */
+  unsigned told_count;    /**< As in struct serverbrittle_position. */
 };
 
 /** Initialise for a server of SERVICE, which outlives it and which this host
--- a/test/test-brittlehost.c
+++ b/test/test-brittlehost.c
@@ -63,7 +63,7 @@
       server->entry.slots = 1;
       server->sending_host_count = FAKE_HOSTS;
       serverbrittle_set_position (&server->brittle, &position, 0);
-      server->brittle.moved_ns = -10 * NS_PER_S;
+      server->brittle.share.moved_ns = -10 * NS_PER_S;
       servers_record_brittle (servers, server, 0, clock_now (&fleet.clock),
                               true);
     }
