Hosts keep to the bound of cold servers

Servers that come back cold got up to 28 requests within a second where they tolerate 23. Their registry entries and the responses to queries say that they are cold, and were not read.

servercold divides the bound among all hosts of the fleet and counts this host's sends in a sliding window. A host sends nothing to cold servers unless its record is sure to be in the registry and known to all hosts that send. Servers are also taken to be cold after they could not be reached, after this host was suspended and after a revoked evacuation (servers_assume_cold). Warm servers are chosen first. Without a cold rate of the service nothing changes.

--- a/src/choose.c
+++ b/src/choose.c
@@ -137,6 +137,7 @@
                     struct rng *rng, struct choose_result *result)
 {
   struct choosecost estimate;
+  bool is_cold = servercold_is_cold (&server->cold, now);
   double cost;
 
   choosecost_estimate (settings, query, server, is_preferred, now, &estimate);
@@ -153,26 +154,28 @@
   result->candidates++;
   if (query->model != NULL && !has_preferred_version (query, server))
     cost += old_weights_cost_ms;
-  if (result->server != NULL && cost >= result->cost_ms)
+  if (result->server != NULL
+      && (is_cold != result->server_is_cold ? is_cold
+                                            : cost >= result->cost_ms))
     return;
   result->server = server;
+  result->server_is_cold = is_cold;
   result->cost_ms = cost;
   result->backlog_ms = estimate.backlog_ms;
   result->store_delay_ms = estimate.store_delay_ms;
   result->cached_tokens = estimate.cached_tokens;
 }
 
+/* Count a server that is sent PER_S requests per second by this host and can
+ * be sent the next one after WAIT_NS. */
 static void
-result_add_limited (struct choose_result *result,
-                    const struct serverlimit *limit, int64_t now)
+result_add_limited (struct choose_result *result, int64_t wait_ns,
+                    double per_s)
 {
-  int64_t wait_ns = serverlimit_wait_ns (limit, now);
-
-  result->at_capacity = true;
   result->limited_wait_ns
       = result->limited > 0 ? MIN (result->limited_wait_ns, wait_ns) : wait_ns;
   result->limited++;
-  result->limited_per_s += serverlimit_own_rate (limit, now);
+  result->limited_per_s += per_s;
 }
 
 /* Return how many requests like that of QUERY this host may have in flight at
@@ -251,10 +254,7 @@
                         : CLOCK_NEVER;
 
   result->at_capacity = true;
-  result->limited_wait_ns
-      = result->limited > 0 ? MIN (result->limited_wait_ns, wait_ns) : wait_ns;
-  result->limited++;
-  result->limited_per_s += places * 1000 / ms;
+  result_add_limited (result, wait_ns, places * 1000 / ms);
   result->brittle++;
   if (rng_uniform (rng) * result->brittle < 1)
     result->brittle_server = server;
@@ -312,6 +312,7 @@
     [CHOOSE_UNREACHABLE] = "unreachable",
     [CHOOSE_PAUSED] = "paused",
     [CHOOSE_LIMITED] = "limited",
+    [CHOOSE_COLD] = "cold",
     [CHOOSE_BUSY] = "busy",
     [CHOOSE_NO_MEMORY] = "no_memory",
     [CHOOSE_MAY_BE_BRITTLE] = "may_be_brittle",
@@ -344,6 +345,8 @@
     return CHOOSE_PAUSED;
   if (!serverlimit_allows (&server->limit, now))
     return CHOOSE_LIMITED;
+  if (!servercold_allows (&server->cold, now))
+    return CHOOSE_COLD;
   if (!server_accepts_requests (server, now))
     return CHOOSE_BUSY;
   if (!has_memory (settings, query, server))
@@ -357,6 +360,16 @@
   return CHOOSE_USABLE;
 }
 
+/* Whether SERVER is one of those among which this host chooses first: those of
+ * its subset, and cold ones of other subsets of which it has a share. */
+static bool
+is_own (const struct server *server, int64_t now)
+{
+  return !server->in_other_subset
+         || (servercold_is_cold (&server->cold, now)
+             && servercold_share (&server->cold, now) > 0);
+}
+
 /* Choose among the servers of this host's subset, or among all others if
  * OTHER_SUBSETS is set. */
 static void
@@ -377,7 +390,7 @@
     {
       struct server *server = list->pdata[i];
 
-      if (server->in_other_subset != other_subsets)
+      if (is_own (server, now) == other_subsets)
         continue;
       switch (server_judge (settings, query, server, spares_others, now))
         {
@@ -393,7 +406,15 @@
           result_add_paused (result, &server->pause, now);
           break;
         case CHOOSE_LIMITED:
-          result_add_limited (result, &server->limit, now);
+          result->at_capacity = true;
+          result_add_limited (result,
+                              serverlimit_wait_ns (&server->limit, now),
+                              serverlimit_own_rate (&server->limit, now));
+          break;
+        case CHOOSE_COLD:
+          result->cold++;
+          result_add_limited (result, servercold_wait_ns (&server->cold, now),
+                              servercold_own_rate (&server->cold, now));
           break;
         case CHOOSE_BRITTLE:
           result_add_brittle (settings, query, server, now, rng, result);
@@ -425,6 +446,9 @@
   choose_among (servers, settings, query, false, rng, result);
   if (result->server == NULL && !result->at_capacity)
     choose_among (servers, settings, query, true, rng, result);
+  /* While only cold servers are used up, those of other subsets are tried. */
+  if (result->cold > 0)
+    result->at_capacity = true;
   if (result->too_late > 0)
     result->at_capacity = result->others_at_capacity = true;
 }
--- a/src/choose.h
+++ b/src/choose.h
@@ -91,11 +91,12 @@
   CHOOSE_OTHER_WEIGHTS,  /**< Its weights are older than required. */
   CHOOSE_OTHER_SOFTWARE, /**< Its software is not the required one. */
   CHOOSE_UNREACHABLE,
-  CHOOSE_PAUSED,         /**< It asked for a pause. */
-  CHOOSE_LIMITED,        /**< Its stated limit is used up. */
-  CHOOSE_BUSY,           /**< It has just rejected a request, loads weights or
-                            is in doubt. */
-  CHOOSE_NO_MEMORY,      /**< The requests in flight fill its memory. */
+  CHOOSE_PAUSED,    /**< It asked for a pause. */
+  CHOOSE_LIMITED,   /**< Its stated limit is used up. */
+  CHOOSE_COLD,      /**< It is cold, and this host's share there is used up. */
+  CHOOSE_BUSY,      /**< It has just rejected a request, loads weights or
+                       is in doubt. */
+  CHOOSE_NO_MEMORY, /**< The requests in flight fill its memory. */
   CHOOSE_MAY_BE_BRITTLE, /**< It has the requests that it would get if it were
                             brittle, which is not known yet. */
   CHOOSE_NO_PLACE,       /**< Its slots and its queue are full. */
@@ -118,18 +119,21 @@
   double store_delay_ms;
   uint64_t cached_tokens;
   unsigned candidates;
-  unsigned too_late; /**< Number of suitable servers with old weights that
-                        would begin the request too late; they count as
-                        without capacity. */
-  bool at_capacity;  /**< Whether a suitable server exists that has no capacity
-                        now. */
+  unsigned too_late;   /**< Number of suitable servers with old weights that
+                          would begin the request too late; they count as
+                          without capacity. */
+  bool server_is_cold; /**< Whether the chosen server is cold; it is chosen
+                          only if no warm one can be. */
+  bool at_capacity; /**< Whether a suitable server exists that has no capacity
+                       now. */
   /** Number of suitable servers that their limits, or their room while they
-   * are brittle, keep from being chosen now, and the requests per second that
-   * this host may send to them together. */
+   * are brittle or cold, keep from being chosen now, and the requests per
+   * second that this host may send to them together. */
   unsigned limited;
   double limited_per_s;
   int64_t limited_wait_ns; /**< Time until the first of them may be sent a
                               request; valid if `limited` is not 0. */
+  unsigned cold;           /**< Those of them that are cold. */
   unsigned brittle;        /**< Those of them that are brittle. */
   /** One of these, at random; NULL if there is none. */
   const struct server *brittle_server;
--- a/src/entry.c
+++ b/src/entry.c
@@ -170,6 +170,8 @@
   forward->retry.allowance = settings->retry.allowance;
   forward->choose = choose_settings_default;
   forward->choose.prefill_tokens_per_ms = settings->engines.tokens_per_ms;
+  servers_set_cold_bound (&entry->servers, settings->servers.cold_overage,
+                          settings->servers.cold_tolerance);
   entry->rollout.settings.share = settings->weights.share;
   entry->rollout.settings.at_once = (unsigned)settings->weights.at_once;
   entry->rollout.settings.within_ns = settings->weights.within_ns;
--- a/src/event.c
+++ b/src/event.c
@@ -159,7 +159,9 @@
     "it takes from all hosts together), unlimited, states_leaving (a response "
     "of it says that it leaves), paused (it turned a request away and wants "
     "nothing from this host for pause_ms), brittle (it falls over once it "
-    "rejects more than that many requests within a second), not_brittle." },
+    "rejects more than that many requests within a second), not_brittle, cold "
+    "(it has just started, for all this host knows by what cold names, and "
+    "gets cold_share requests within a second from it), warm." },
   { EVENT_ENTRY_IGNORED, EVENT_LEVEL_WARN, "entry_ignored",
     "An entry of the KV service can't be decoded as a server or host and is "
     "ignored; look for another writer." },
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -325,6 +325,9 @@
     metrics_add (forwarder->metrics, "trefoilspar_limited_sends_total", "", 1);
   serverlimit_take (&choice->server->limit, clock_now (forwarder->clock));
   serverpause_take (&choice->server->pause, clock_now (forwarder->clock));
+  if (choice->server_is_cold)
+    metrics_add (forwarder->metrics, "trefoilspar_cold_sends_total", "", 1);
+  servercold_take (&choice->server->cold, clock_now (forwarder->clock));
   forward->attempt_software_hash = choice->server->software_hash;
   forward->attempt_weight_version
       = forward->call.model != NULL
--- a/src/forwardstate.c
+++ b/src/forwardstate.c
@@ -20,6 +20,9 @@
 
   if (service != NULL && service->kv_capacity_tokens > 0)
     server->kv_capacity_tokens = service->kv_capacity_tokens;
+  if (service != NULL)
+    servers_configure_cold (forwarder->servers, server, service->cold_per_s,
+                            service->cold_span_ns);
 }
 
 static void
--- a/src/presence.c
+++ b/src/presence.c
@@ -12,7 +12,9 @@
   RENEWALS_PER_TTL = 3,
   /* Delay before a failed call is retried. During an outage the KV
    * interface itself delays calls for longer. */
-  RETRY_MS = 100
+  RETRY_MS = 100,
+  /* Departures of hosts that are kept; more than the hosts of a fleet. */
+  DEPARTURES_MAX = 512
 };
 
 static void lease_renew (struct presence *presence);
@@ -31,6 +33,7 @@
   presence->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   presence->order = g_new0 (struct presence_order, 1);
+  presence->departures = g_array_new (FALSE, FALSE, sizeof (int64_t));
 }
 
 void
@@ -40,6 +43,7 @@
     g_ptr_array_free (presence->order->hosts, TRUE);
   g_free (presence->order);
   g_hash_table_destroy (presence->hosts);
+  g_array_free (presence->departures, TRUE);
   g_free (presence->key);
 }
 
@@ -148,20 +152,52 @@
   return STATUS_OK;
 }
 
+static void
+departure_record (struct presence *presence)
+{
+  int64_t now = clock_now (presence->clock);
+
+  if (presence->departures->len == DEPARTURES_MAX)
+    g_array_remove_index (presence->departures, 0);
+  g_array_append_val (presence->departures, now);
+}
+
+unsigned
+presence_departed_count (const struct presence *presence, int64_t span_ns)
+{
+  const GArray *departures = presence->departures;
+  int64_t since_ns = clock_now (presence->clock) - span_ns;
+  unsigned count = 0;
+
+  while (count < departures->len
+         && g_array_index (departures, int64_t, departures->len - 1 - count)
+                > since_ns)
+    count++;
+  return count;
+}
+
 void
 presence_key_removed (struct presence *presence, const char *key)
 {
-  g_hash_table_remove (presence->hosts, key);
+  if (g_hash_table_remove (presence->hosts, key))
+    departure_record (presence);
   presence->generation++;
   /* This host's key was deleted or its lease has expired, so the key must be
    * written again. */
   if (strcmp (key, presence->key) == 0)
-    presence->key_is_current = false;
+    {
+      presence->key_is_current = false;
+      presence->listed_lease = 0;
+    }
 }
 
 static void
 lease_extend (struct presence *presence, int64_t sent_ns)
 {
+  /* Others may have dropped the record, and their changes may not have been
+   * read. */
+  if (clock_boottime (presence->clock) >= presence->lease_expiry_ns)
+    presence->listed_ns = clock_now (presence->clock);
   presence->lease_expiry_ns = sent_ns + presence->ttl_ns;
 }
 
@@ -250,7 +286,12 @@
 
   presence->call_pending = false;
   if (reply->status == STATUS_OK)
-    return;
+    {
+      if (presence->listed_lease != presence->lease)
+        presence->listed_ns = clock_now (presence->clock);
+      presence->listed_lease = presence->lease;
+      return;
+    }
   presence->key_is_current = false;
   if (reply->status != STATUS_NOT_FOUND)
     return;
@@ -284,6 +325,7 @@
 presence_era_changed (struct presence *presence)
 {
   presence->lease = 0;
+  presence->listed_lease = 0;
   presence->key_is_current = false;
   presence->next_renewal_ns = clock_now (presence->clock);
 }
@@ -307,6 +349,16 @@
                 < presence->lease_expiry_ns;
 }
 
+int64_t
+presence_listed_ns (const struct presence *presence)
+{
+  return presence->listed_lease != 0
+                 && presence->listed_lease == presence->lease
+                 && presence_lease_is_valid_for (presence, 0)
+             ? presence->listed_ns
+             : 0;
+}
+
 unsigned
 presence_serving_count (const struct presence *presence)
 {
--- a/src/presence.h
+++ b/src/presence.h
@@ -70,7 +70,11 @@
   char *key; /**< Key of this host's record. */
   struct presence_host self;
   int64_t ttl_ns;
-  uint64_t lease;          /**< Lease of this host; 0 if it has none. */
+  uint64_t lease;        /**< Lease of this host; 0 if it has none. */
+  uint64_t listed_lease; /**< Lease with which this host's key was written; 0
+                            if the key may be missing. */
+  /** Time since which the key has been in the KV service without a break. */
+  int64_t listed_ns;
   int64_t lease_expiry_ns; /**< Boot time at which the lease may expire. */
   int64_t next_renewal_ns;
   bool call_pending;
@@ -79,6 +83,8 @@
   /** Maps the keys of the other hosts to struct presence_host. */
   GHashTable *hosts;
   uint64_t generation; /**< Rises with each change of the other hosts. */
+  GArray *departures; /**< Times, by clock_now, at which records of other hosts
+                         were last removed. */
   struct presence_order *order;
 };
 
@@ -119,6 +125,15 @@
 bool presence_lease_is_valid_for (const struct presence *presence,
                                   int64_t span_ns);
 
+/** Returns the time, by clock_now, since which the record of this host has
+ * been in the KV service without a break; 0 if it may not be there now. */
+int64_t presence_listed_ns (const struct presence *presence);
+
+/** Returns the number of hosts whose records were removed within the last
+ * SPAN_NS. */
+unsigned presence_departed_count (const struct presence *presence,
+                                  int64_t span_ns);
+
 /** Returns the name of the host with the key KEY, its last part. */
 const char *presence_host_name (const char *key);
 
--- a/src/roomshare.c
+++ b/src/roomshare.c
@@ -23,14 +23,13 @@
                                                                : HOLDER_ROOM;
 }
 
-static unsigned
-position_share (const struct roomshare *share,
-                const struct roomshare_position *position, unsigned units)
+unsigned
+roomshare_part (const struct roomshare_position *position, unsigned units)
 {
   unsigned each, used;
 
   if (position->host_count == 0)
-    return MIN (units, share->unknown_share);
+    return MIN (units, 1U);
   if (units >= position->host_count)
     return units / position->host_count
            + (position->rank < units % position->host_count);
@@ -48,12 +47,12 @@
 unsigned
 roomshare_units (const struct roomshare *share, unsigned units, int64_t now_ns)
 {
-  unsigned own = position_share (share, &share->position, units);
+  unsigned own = roomshare_part (&share->position, units);
 
   if (share->position.host_count == 0)
     return 0;
   return former_counts (share, now_ns)
-             ? MIN (own, position_share (share, &share->former, units))
+             ? MIN (own, roomshare_part (&share->former, units))
              : own;
 }
 
@@ -89,8 +88,7 @@
       return true;
     }
   if (!former_counts (share, now_ns)
-      || position_share (share, own, units)
-             < position_share (share, &share->former, units))
+      || roomshare_part (own, units) < roomshare_part (&share->former, units))
     share->former = *own;
   share->position = *position;
   share->moved_ns = now_ns;
--- a/src/roomshare.h
+++ b/src/roomshare.h
@@ -25,11 +25,14 @@
   /** Position before the last change, which counts for a while if this host
    * had less room by it. */
   struct roomshare_position former;
-  int64_t moved_ns;       /**< Time of that change. */
-  unsigned unknown_share; /**< Part of a host whose former position is unknown.
-                           */
+  int64_t moved_ns; /**< Time of that change. */
 };
 
+/** Return how many of UNITS equal parts of the room a host at POSITION may
+ * use; one, if there is one, if its position is unknown. */
+unsigned roomshare_part (const struct roomshare_position *position,
+                         unsigned units);
+
 /** Set the position of this host at NOW_NS.
  * @param hosts_moved_ns time of the last change of the hosts, from which a
  * first position counts as known
--- a/src/serverbrittle.c
+++ b/src/serverbrittle.c
@@ -31,7 +31,6 @@
   memset (brittle, 0, sizeof *brittle);
   brittle->known_ns = now_ns;
   brittle->service = service;
-  brittle->share.unknown_share = 1;
   brittle->brittle = service->brittle;
   brittle->rejections = service->rejections;
 }
--- a/src/serverlearn.c
+++ b/src/serverlearn.c
@@ -8,7 +8,8 @@
   FIELD_LEAVING = 1 << 0,
   FIELD_PAUSE = 1 << 1,
   FIELD_LIMIT = 1 << 2,
-  FIELD_BRITTLE = 1 << 3
+  FIELD_BRITTLE = 1 << 3,
+  FIELD_COLD = 1 << 4
 };
 
 static const char *const reasons[] = {
@@ -80,6 +81,11 @@
                    statement->brittle))
     servers_record_brittle (servers, server, statement->rejections,
                             clock_now (servers->clock), true);
+  /* How old the response is is not known here, so that it ends no assumption.
+   */
+  if (is_believed (servers, server, FIELD_COLD, "cold", statement->cold))
+    servercold_record (&server->cold, statement->cold_ns, 0,
+                       SERVERCOLD_RESPONSE, clock_now (servers->clock));
 }
 
 void
@@ -104,4 +110,11 @@
     servers_record_limit (servers, server, response->limit_per_s, now_ns,
                           true);
   serverlearn_statement (servers, server, &response->statement);
+  /* The response to a query says whether the server is cold, also by saying
+   * nothing of it. */
+  if (response->success
+      && (response->statement.cold == STATEMENT_VALID
+          || response->statement.cold == STATEMENT_NONE))
+    servercold_record (&server->cold, response->statement.cold_ns,
+                       server->probe_began_ns, SERVERCOLD_RESPONSE, now_ns);
 }
--- a/src/serverprobe.c
+++ b/src/serverprobe.c
@@ -158,6 +158,7 @@
     probes->ops->query_encode (probes->data, server, request);
   server->next_probe_ns = now + SERVER_PROBE_INTERVAL_MS * NS_PER_MS;
   server->probe_began_ns = now;
+  servercold_take (&server->cold, now);
   server->probed = true;
   probe->probes = probes;
   probe->is_query = is_query;
@@ -275,7 +276,10 @@
           || (server->brittle.brittle && server->in_flight_requests > 0))
         continue;
       serverlimit_take (&server->limit, now);
-      probe_start (probes, server, true, now);
+      /* To a cold server without room for a query only a connection is
+       * opened, which carries no request. */
+      probe_start (probes, server, servercold_allows (&server->cold, now),
+                   now);
       sent++;
     }
 }
--- a/src/servers.c
+++ b/src/servers.c
@@ -31,6 +31,7 @@
   if (server == NULL || --server->reference_count > 0)
     return;
   g_hash_table_destroy (server->cached_blocks);
+  servercold_finish (&server->cold);
   g_free (server);
 }
 
@@ -74,6 +75,10 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   servers->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                                server_array_free);
+  servers->cold_sends = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                               (GDestroyNotify)g_array_unref);
+  servers->cold.window_ns = NS_PER_S + connect_timeout_ns;
+  servers->cold.overage = 1;
 }
 
 void
@@ -86,6 +91,7 @@
   g_hash_table_destroy (servers->reach_by_service);
   g_hash_table_destroy (servers->brittle_by_service);
   g_hash_table_destroy (servers->by_service);
+  g_hash_table_destroy (servers->cold_sends);
   softwarespan_finish (&servers->software);
   serverstart_table_finish (&servers->stated);
   softwarestart_finish (&servers->starts);
@@ -261,6 +267,9 @@
   serverbrittle_init (&server->brittle,
                       service_brittle (servers, entry->service),
                       clock_now (servers->clock));
+  servercold_init (&server->cold, &servers->cold);
+  servers_restore_cold_sends (servers, server);
+  servers_record_entry_cold (servers, server, true);
   server->in_local_data_centre
       = strcmp (entry->data_centre, servers->data_centre) == 0;
   g_hash_table_insert (servers->by_id, server->entry.id, server);
@@ -335,6 +344,8 @@
   server_set_entry (server, entry);
   service_software_check (servers, entry->service);
   server->revision = revision;
+  if (entry->heartbeat > previous.heartbeat)
+    servers_record_entry_cold (servers, server, false);
   /* Responses of the server may have reported newer weight versions than the
    * entry has; keep those. */
   for (unsigned i = 0; i < previous.model_count; i++)
@@ -356,6 +367,7 @@
   if (server == NULL)
     return;
   server->removed = true;
+  servers_keep_cold_sends (servers, server);
   if (!server->entry.leaving)
     softwarestart_record (&servers->starts, server->software_hash);
   notify_change (servers, server, reason);
@@ -392,6 +404,7 @@
   return server_is_available (server) && server->doubted_ns == 0
          && server->busy_until_ns <= now_ns
          && serverlimit_allows (&server->limit, now_ns)
+         && servercold_allows (&server->cold, now_ns)
          && serverpause_allows (&server->pause, now_ns);
 }
 
@@ -460,6 +473,7 @@
   if (server->down_since_ns != 0)
     return;
   server->down_since_ns = now;
+  servercold_lost (&server->cold, now);
   failing_add (servers, server);
   server->next_probe_ns = now + SERVER_PROBE_INTERVAL_MS * NS_PER_MS;
   server_cache_clear (server);
@@ -473,6 +487,12 @@
   server->connection_failures++;
   if (server->connection_failures >= CONNECTION_FAILURES_MAX)
     server_set_unreachable (servers, server);
+  else if (server->cold.per_s > 0)
+    {
+      /* It may have ended, and the next request would reach a new start. */
+      servercold_lost (&server->cold, clock_now (servers->clock));
+      server_record_cut (servers, server);
+    }
 }
 
 void
@@ -480,6 +500,7 @@
                        bool failed)
 {
   server->connection_failures = 0;
+  servercold_reached (&server->cold, clock_now (servers->clock));
   server->failure_ratio
       += failure_ratio_gain * ((failed ? 1 : 0) - server->failure_ratio);
   if (server->down_since_ns == 0)
--- a/src/servers.h
+++ b/src/servers.h
@@ -6,11 +6,13 @@
 #include "servercache.h"
 #include "reach.h"
 #include "serverbrittle.h"
+#include "servercold.h"
 #include "serverlimit.h"
 #include "serverpause.h"
 #include "serverstart.h"
 #include "softwarespan.h"
 #include "softwarestart.h"
+#include "statement.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -58,6 +60,9 @@
   uint64_t started_ms; /**< Unix time of the server's start; 0 if unknown. */
   uint64_t heartbeat;  /**< Counter that the server increments with each write
                        of its entry. A restart resets it. */
+  enum statement_kind cold; /**< Whether it states how long it is cold. */
+  int64_t cold_left_ns;     /**< Time for which the server was still cold when
+                               it wrote the entry; 0 if warm or not stated. */
   struct server_model models[SERVER_MODELS_MAX];
   unsigned model_count;
 };
@@ -128,6 +133,7 @@
   struct serverlimit limit;
   struct serverpause pause;
   struct serverbrittle brittle;
+  struct servercold cold;
   int64_t busy_until_ns; /**< No requests are sent to the server before this
                             time. */
 
@@ -181,6 +187,12 @@
   GHashTable *reach_by_service;    /**< Maps service names to struct reach. */
   GHashTable *brittle_by_service;  /**< Maps service names to struct
                                       serverbrittle_service. */
+  struct servercold_host cold;     /**< What cold servers share. */
+  int64_t cold_tick_boottime_ns; /**< Time of cold.tick_ns with suspended time.
+                                  */
+  int64_t next_cold_note_ns;
+  GHashTable *cold_sends; /**< Maps ids of servers that were removed to GArray
+                             of the times of recent sends. */
   struct softwarestart starts; /**< Software whose new starts the registry may
                                   tell of soon. */
   const struct servers_ops *ops;
@@ -240,7 +252,8 @@
 bool server_is_available (const struct server *server);
 
 /** Whether SERVER is available, in no doubt, not marked busy at NOW_NS, and
- * its limit and the pause that it asked for allow a request of this host. */
+ * its limit, the pause that it asked for and, if it is cold, the share of this
+ * host allow a request. */
 bool server_accepts_requests (const struct server *server, int64_t now_ns);
 
 /** Marks SERVER busy until UNTIL_NS, so that it gets no requests before then.
@@ -305,6 +318,38 @@
 void servers_record_brittle (struct servers *servers, struct server *server,
                              int64_t rejections, int64_t stated_ns, bool here);
 
+/** Sets the bound of requests to cold servers, see struct servercold_host. */
+void servers_set_cold_bound (struct servers *servers, double overage,
+                             double tolerance);
+
+/** Sets the cold rate of SERVER and how long it is cold, as its service has
+ * them. */
+void servers_configure_cold (struct servers *servers, struct server *server,
+                             double per_s, int64_t span_ns);
+
+/** Records what the entry of SERVER says of its being cold.
+ * @param is_new_start whether it is the first entry of this start */
+void servers_record_entry_cold (struct servers *servers, struct server *server,
+                                bool is_new_start);
+
+/** Assumes that the servers of DATA_CENTRE, whose evacuation was revoked, are
+ * cold from now on, or, if it is NULL since this host was suspended, that all
+ * servers are. */
+void servers_assume_cold (struct servers *servers, const char *data_centre);
+
+/** Notes changes of which servers are cold, and whether this host was
+ * suspended. To be called at least every 100 ms. The other arguments are the
+ * members of struct servercold_host. */
+void servers_cold_tick (struct servers *servers, int64_t listed_ns,
+                        int64_t join_ns, unsigned departed);
+
+/** Keeps the times of recent sends to SERVER, which is removed, for a later
+ * entry of the same id. */
+void servers_keep_cold_sends (struct servers *servers, struct server *server);
+/** Gives SERVER, which was added, the times that were kept for its id. */
+void servers_restore_cold_sends (struct servers *servers,
+                                 struct server *server);
+
 /** Removes the server at INDEX from servers.stating; the last one takes its
  * index. */
 void servers_drop_stating (struct servers *servers, unsigned index);
--- a/src/settings-keys.c
+++ b/src/settings-keys.c
@@ -201,6 +201,15 @@
     "Interval at which backend servers renew their entries, which expire "
     "after "
     "three" },
+  { "servers.cold_overage", SETTINGS_TYPE_NUMBER, FIELD (servers.cold_overage),
+    SETTINGS_ROLE_ENTRY, 0, 1, 1000, NULL, "1", NULL,
+    "Factor on the cold rate of a backend server up to which it is sure not "
+    "to fail while it is cold" },
+  { "servers.cold_tolerance", SETTINGS_TYPE_NUMBER,
+    FIELD (servers.cold_tolerance), SETTINGS_ROLE_ENTRY, 0, 0, 1e6, NULL, "0",
+    "requests",
+    "Requests within a second beyond that which a cold backend server "
+    "tolerates" },
   { "operator.key_hash", SETTINGS_TYPE_HASH_KEY, FIELD (operator_key.hash),
     SETTINGS_ROLE_GATEWAY, 0, 64, 64, NULL, NULL, "hex",
     "BLAKE2b-256 hash of the operators' bearer key; without it operators are "
--- a/src/settings.h
+++ b/src/settings.h
@@ -158,6 +158,10 @@
     int64_t leave_ns;
     /** Interval at which servers renew their entries. */
     int64_t heartbeat_ns;
+    /** Factor on the cold rate of a server, and requests within a second
+     * beyond it, up to which a cold server is sure to stay up. */
+    double cold_overage;
+    double cold_tolerance;
   } servers;
   struct
   {
--- a/src/statement.h
+++ b/src/statement.h
@@ -27,6 +27,8 @@
                                   more than `rejections` requests within a
                                   second for want of room. */
   unsigned rejections;         /**< Valid if `brittle` is. */
+  enum statement_kind cold;    /**< The server is cold for another cold_ns. */
+  int64_t cold_ns;             /**< Valid if `cold` is; 0: it is warm. */
 };
 
 #endif
--- a/src/subsets.c
+++ b/src/subsets.c
@@ -6,7 +6,10 @@
 
 enum
 {
-  ASSIGN_PERIOD_MS = 100
+  ASSIGN_PERIOD_MS = 100,
+  /* Longest time until the other hosts have read a change of the registry,
+   * and until what a host has sent has arrived. */
+  DELAY_MAX_MS = 2000
 };
 
 void
@@ -108,6 +111,13 @@
                ? local_rank (subsets, id)
                : presence_rank (subsets->presence, id, strlen (id));
   serverlimit_set_hosts (&server->limit, count, rank);
+  /* Hosts see servers fail at different times and then assign them to subsets
+   * in different ways, so that the hosts of two subsets could use a cold
+   * server. All hosts divide what it may get. */
+  if (server->cold.per_s > 0)
+    servercold_set_position (
+        &server->cold, fleet_size (subsets),
+        presence_rank_of_all (subsets->presence, id, strlen (id)));
 }
 
 /* Divides the SERVERS of one service into subsets. Only reachable servers are
@@ -220,6 +230,10 @@
   GHashTableIter iter;
   gpointer servers;
 
+  servers_cold_tick (
+      subsets->servers, presence_listed_ns (subsets->presence),
+      subsets->presence->ttl_ns + DELAY_MAX_MS * NS_PER_MS,
+      presence_departed_count (subsets->presence, DELAY_MAX_MS * NS_PER_MS));
   if (now < subsets->next_assign_ns || !fleet_has_changed (subsets))
     return;
   subsets->next_assign_ns = now + ASSIGN_PERIOD_MS * NS_PER_MS;
