--- a/test/fake-brittlehost.c
+++ b/test/fake-brittlehost.c
@@ -69,20 +69,24 @@
 }
 
 void
-brittle_host_tell (unsigned index, const struct brittle_play *play,
-                   bool serves)
+brittle_host_tell_one (struct brittle_host *host, unsigned index, bool serves)
 {
   char *key = host_key (index);
 
+  if (serves)
+    host_put (host, index);
+  else
+    presence_key_removed (&host->presence, key);
+  g_free (key);
+}
+
+void
+brittle_host_tell (unsigned index, const struct brittle_play *play,
+                   bool serves)
+{
   for (unsigned i = 0; i < play->hosts; i++)
     if (i != index && !brittle_hosts[i].down)
-      {
-        if (serves)
-          host_put (&brittle_hosts[i], index);
-        else
-          presence_key_removed (&brittle_hosts[i].presence, key);
-      }
-  g_free (key);
+      brittle_host_tell_one (&brittle_hosts[i], index, serves);
 }
 
 void
--- a/test/fake-brittlehost.h
+++ b/test/fake-brittlehost.h
@@ -16,7 +16,7 @@
 
 enum
 {
-  BRITTLE_HOSTS_MAX = 77,
+  BRITTLE_HOSTS_MAX = 300,
   BRITTLE_WAITING_MAX = 60, /**< Requests that may wait at a host. */
   BRITTLE_CAPACITY_TOKENS = 90000
 };
@@ -43,6 +43,10 @@
                          const struct clock *clock);
 void brittle_host_finish (unsigned index);
 
+/** Tell HOST whether the host at INDEX serves. */
+void brittle_host_tell_one (struct brittle_host *host, unsigned index,
+                            bool serves);
+
 /** Tell the other hosts whether that at INDEX serves. */
 void brittle_host_tell (unsigned index, const struct brittle_play *play,
                         bool serves);
