--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -125,32 +125,33 @@
   char resumption[256];
 
   resumption_record (forward, server, resumption, sizeof resumption);
-  log_event (
-      forwarder->log, EVENT_FORWARD_PLACE,
-      "id=%s server=%s service=%s software=%s candidates=%u "
-      "limited=%u brittle=%u cold=%u to_cold=%d paused=%u "
-      "cost_ms=%.1f "
-      "backlog_ms=%.1f cached=%lu stored=%lu prompt=%u context=%lx "
-      "weights=%lu wanted=%lu required=%lu wanted_age_ms=%ld entry=%lu "
-      "load_age_ms=%ld waited_ms=%.1f%s",
-      forward->call.request_id, server->entry.id, forward->service,
-      server->entry.software[0] != '\0' ? server->entry.software : "-",
-      choice->candidates, choice->limited, choice->brittle, choice->cold,
-      choice->server_is_cold, choice->paused, choice->cost_ms,
-      choice->backlog_ms, (unsigned long)choice->cached_tokens,
-      (unsigned long)stored_tokens (query, server),
-      forward->call.prompt_tokens,
-      (unsigned long)context_block_id (&forward->call), (unsigned long)weights,
-      (unsigned long)query->preferred_version,
-      (unsigned long)query->required_version,
-      query->preferred_version != 0 ? (
-          long)(forwarder_wanted_age_ns (forwarder, query->model) / NS_PER_MS)
-                                    : -1L,
-      (unsigned long)server->revision,
-      server->has_load_report
-          ? (long)((now - server->load_reported_ns) / NS_PER_MS)
-          : -1L,
-      (double)(now - forward->arrived_ns) / NS_PER_MS, resumption);
+  log_event (forwarder->log, EVENT_FORWARD_PLACE,
+             "id=%s server=%s service=%s software=%s candidates=%u "
+             "limited=%u brittle=%u paused=%u "
+             "cost_ms=%.1f "
+             "backlog_ms=%.1f cached=%lu stored=%lu prompt=%u context=%lx "
+             "weights=%lu wanted=%lu required=%lu wanted_age_ms=%ld entry=%lu "
+             "load_age_ms=%ld waited_ms=%.1f cold=%u to_cold=%d%s",
+             forward->call.request_id, server->entry.id, forward->service,
+             server->entry.software[0] != '\0' ? server->entry.software : "-",
+             choice->candidates, choice->limited, choice->brittle,
+             choice->paused, choice->cost_ms, choice->backlog_ms,
+             (unsigned long)choice->cached_tokens,
+             (unsigned long)stored_tokens (query, server),
+             forward->call.prompt_tokens,
+             (unsigned long)context_block_id (&forward->call),
+             (unsigned long)weights, (unsigned long)query->preferred_version,
+             (unsigned long)query->required_version,
+             query->preferred_version != 0
+                 ? (long)(forwarder_wanted_age_ns (forwarder, query->model)
+                          / NS_PER_MS)
+                 : -1L,
+             (unsigned long)server->revision,
+             server->has_load_report
+                 ? (long)((now - server->load_reported_ns) / NS_PER_MS)
+                 : -1L,
+             (double)(now - forward->arrived_ns) / NS_PER_MS, choice->cold,
+             choice->server_is_cold, resumption);
 }
 
 void
