--- a/src/presence.c
+++ b/src/presence.c
@@ -194,10 +194,12 @@
 static void
 lease_extend (struct presence *presence, int64_t sent_ns)
 {
-  /* Others may have dropped the record, and their changes may not have been
-   * read. */
+  /* The record did not vanish, but this host may not have read which hosts
+   * have joined meanwhile. It waits for as long as if its record were as old
+   * as a lease lasts. */
   if (clock_boottime (presence->clock) >= presence->lease_expiry_ns)
-    presence->listed_ns = clock_now (presence->clock);
+    presence->listed_ns = MAX (presence->listed_ns,
+                               clock_now (presence->clock) - presence->ttl_ns);
   presence->lease_expiry_ns = sent_ns + presence->ttl_ns;
 }
 
