Soak with engines that come back cold

An engine states that it is cold for 3 s after each start but the first, in its entry and in responses to queries, and counts more than 8 requests within a second as a violation.

--- a/test/fake-coldfleet.c
+++ b/test/fake-coldfleet.c
@@ -392,7 +392,7 @@
   int64_t since_ms = ms - FIRST_CRASH_MS;
   unsigned first = (unsigned)rng_below (&rng, SERVERS);
   bool is_crash = since_ms >= 0 && since_ms % CRASH_PERIOD_MS == 0
-                  && since_ms < CRASHES * CRASH_PERIOD_MS;
+                  && since_ms < (int64_t)CRASHES * CRASH_PERIOD_MS;
 
   for (unsigned i = 0; is_crash && i < SERVERS / 3; i++)
     {
--- a/test/soak-config.c
+++ b/test/soak-config.c
@@ -25,12 +25,14 @@
     routes[i] = route_text (store->soak, (enum soak_kind)i);
   text = g_strdup_printf (
       "{\"version\":%u,\"routes\":[%s,%s,%s],\"backends\":[{\"name\":\"app\","
-      "\"healthPath\":\"/health\",\"maxConns\":100}],\"limits\":{"
+      "\"healthPath\":\"/health\",\"coldS\":%d,\"coldPerS\":%d,"
+      "\"maxConns\":100}],\"limits\":{"
       "\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutMs\":"
       "3000,\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":"
       "\"" SOAK_ORGANISATION "\",\"apiKeys\":[\"" SOAK_KEY
       "\"],\"priority\":1}]}",
-      version, routes[0], routes[1], routes[2]);
+      version, routes[0], routes[1], routes[2], SOAK_COLD_MS / 1000,
+      store->soak->cold_engines ? SOAK_COLD_PER_S : 0);
   soak_store_put (store, "op/config", text);
   for (int i = 0; i < SOAK_KINDS; i++)
     g_free (routes[i]);
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -1,6 +1,7 @@
 #include "soak-engine.h"
 #include "callerconn.h"
 #include "soak-broken.h"
+#include "soak-config.h"
 #include "soak-endless.h"
 #include "soak-foreign.h"
 
@@ -235,6 +236,36 @@
                   engine->id, engine->limit, count, LIMIT_WINDOW_MS);
 }
 
+static unsigned
+cold_left_ms (const struct soak_engine *engine)
+{
+  int64_t left_ns = engine->cold_until_ns - clock_now (&engine->soak->clock);
+
+  return (unsigned)(MAX (left_ns, 0) / NS_PER_MS);
+}
+
+/* No more comes within a second, queries included, than an engine tolerates
+ * while it is cold. */
+static void
+cold_check (struct soak_engine *engine)
+{
+  int64_t now = clock_now (&engine->soak->clock);
+  GArray *arrivals = engine->cold_arrivals;
+
+  if (cold_left_ms (engine) == 0)
+    return;
+  g_array_append_val (arrivals, now);
+  if (arrivals->len > SOAK_COLD_PER_S
+      && now
+                 - g_array_index (arrivals, int64_t,
+                                  arrivals->len - 1 - SOAK_COLD_PER_S)
+             < NS_PER_S)
+    soak_violation (engine->soak,
+                    "engine %s is cold and got more than %d requests in a "
+                    "second",
+                    engine->id, SOAK_COLD_PER_S);
+}
+
 /* Runs of one kind of request last about as long as each other. */
 static unsigned
 run_ms (struct soak *soak, enum soak_kind kind)
@@ -305,10 +336,14 @@
   struct soak_engine *engine = data;
   struct soak_request *request
       = soak_request_find (engine->soak, field (conn, "X-Request-Id"));
-  char *lines = g_strdup_printf ("X-Instance-Id: %s\r\nX-Request-Id: %s\r\n",
-                                 engine->id, field (conn, "X-Request-Id"));
-
-  if (strcmp (conn->target->str, "/health") == 0)
+  bool is_query = strcmp (conn->target->str, "/health") == 0;
+  char *lines = g_strdup_printf (
+      "X-Instance-Id: %s\r\nX-Request-Id: %s\r\nX-Cold-Remaining: %u\r\n",
+      engine->id, field (conn, "X-Request-Id"), cold_left_ms (engine));
+
+  if (is_query || strcmp (field (conn, "X-Expect-Instance"), engine->id) == 0)
+    cold_check (engine);
+  if (is_query)
     callerconn_respond (conn, engine->draining ? 503 : 200, lines, "", 0);
   else if (strcmp (field (conn, "X-Expect-Instance"), engine->id) != 0)
     callerconn_respond (conn, 421, lines, "", 0);
@@ -352,10 +387,10 @@
   char *value = g_strdup_printf (
       "{\"backend\":\"app\",\"address\":\"" SOAK_IP
       ":%u\",\"zone\":\"z\",\"version\":\"v%u\",\"slots\":6,\"state\":\"%s\","
-      "\"coldLeftMs\":0,\"sequence\":%u,\"born\":%u}",
+      "\"coldLeftMs\":%u,\"sequence\":%u,\"born\":%u}",
       engine->address_port, engine->software,
-      engine->draining ? "draining" : "ready", engine->draining ? 2U : 1U,
-      1000 + engine->starts);
+      engine->draining ? "draining" : "ready", cold_left_ms (engine),
+      engine->draining ? 2U : 1U, 1000 + engine->starts);
 
   soak_store_put (engine->store, key, engine->server != NULL ? value : NULL);
   g_free (value);
@@ -383,6 +418,10 @@
   engine->software = soak_draw (engine->soak, 1, 2);
   g_snprintf (engine->id, sizeof engine->id, "e-%u-%u", engine->port,
               ++engine->starts);
+  if (engine->soak->cold_engines && engine->starts > 1)
+    engine->cold_until_ns
+        = clock_now (&engine->soak->clock) + SOAK_COLD_MS * NS_PER_MS;
+  g_array_set_size (engine->cold_arrivals, 0);
   entry_write (engine);
 }
 
@@ -414,6 +453,7 @@
   engine->port = port;
   engine->address_port = address_port;
   engine->limit_arrivals = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  engine->cold_arrivals = g_array_new (FALSE, FALSE, sizeof (int64_t));
   engine->servers = g_ptr_array_new_with_free_func (g_free);
   list_init (&engine->runs);
   engine_start (engine);
@@ -432,6 +472,7 @@
   if (engine->server != NULL)
     engine_stop (engine);
   g_array_free (engine->limit_arrivals, TRUE);
+  g_array_free (engine->cold_arrivals, TRUE);
 }
 
 void
--- a/test/soak-engine.h
+++ b/test/soak-engine.h
@@ -31,7 +31,9 @@
   int64_t limit_since_ns;
   GArray *limit_arrivals; /**< Times of requests since it says so. */
   bool limit_broken;
-  double lost; /**< Share of runs whose answer is cut off. */
+  int64_t cold_until_ns; /**< It is cold until then. */
+  GArray *cold_arrivals; /**< Times of what came while it was. */
+  double lost;           /**< Share of runs whose answer is cut off. */
   struct list runs;
 };
 
--- a/test/soak.c
+++ b/test/soak.c
@@ -58,6 +58,7 @@
 static gboolean option_poison_block;
 static gboolean option_limits;
 static gboolean option_planned;
+static gboolean option_cold;
 static gboolean option_drills;
 static gboolean option_cut_streams;
 static gboolean option_foreign_answers;
@@ -79,6 +80,8 @@
     "Streams with a block that crashes engines, and few other faults", NULL },
   { "limits", 0, 0, G_OPTION_ARG_NONE, &option_limits,
     "Engines that state limits, pauses and an end; few other faults", NULL },
+  { "cold", 0, 0, G_OPTION_ARG_NONE, &option_cold,
+    "Engines that are cold when they come back, beside all faults", NULL },
   { "drills", 0, 0, G_OPTION_ARG_NONE, &option_drills,
     "A store that comes back from backups, beside kills and cuts", NULL },
   { "cut-streams", 0, 0, G_OPTION_ARG_NONE, &option_cut_streams,
@@ -540,6 +543,7 @@
              option_planned           ? "planned-"
              : option_poison_block    ? "poison-"
              : option_limits          ? "limits-"
+             : option_cold            ? "cold-"
              : option_drills          ? "drills-"
              : option_foreign_answers ? "foreign-"
              : option_endless         ? "endless-"
@@ -559,6 +563,7 @@
     }
   soak->poison.is_sent = option_poison_block;
   soak->foreign.is_played = option_foreign_answers;
+  soak->cold_engines = option_cold;
   world.next_fault_ns = soak->start_ns + START_MS * NS_PER_MS;
   world.faults_end_ns = world.next_fault_ns + option_seconds * NS_PER_S;
   world.end_ns = world.faults_end_ns + CALM_MS * NS_PER_MS;
--- a/test/soak.h
+++ b/test/soak.h
@@ -148,6 +148,7 @@
   struct soak_broken broken;
   unsigned deadline_ms;      /**< of requests */
   unsigned route_timeout_ms; /**< of routes */
+  bool cold_engines; /**< Engines are cold after a start but the first. */
   bool planned_only; /**< Faults are planned stops and reloads alone. */
 };
 
