--- a/src/servercold.c
+++ b/src/servercold.c
@@ -8,10 +8,7 @@
 {
   /* Maximum number of sends whose times are kept, and thus the maximum share
    * of one host. */
-  SENDS_MAX = 512,
-  /* A host whose periodic work is late by this was suspended: it has missed
-   * more than the pauses that it makes between reading the registry. */
-  SUSPENDED_MS = 1000
+  SENDS_MAX = 512
 };
 
 void
@@ -96,7 +93,7 @@
 host_is_late (const struct servercold_host *host, int64_t now_ns)
 {
   return host->tick_ns != 0
-         && now_ns - host->tick_ns >= SUSPENDED_MS * NS_PER_MS;
+         && now_ns - host->tick_ns >= SERVERCOLD_SUSPENDED_MS * NS_PER_MS;
 }
 
 bool
--- a/src/servercold.h
+++ b/src/servercold.h
@@ -27,6 +27,13 @@
  * since requests sent over such a time may arrive within a second.
  */
 
+enum
+{
+  /** A host whose periodic work is late by this was suspended: it has missed
+   * more than the pauses that it makes between reading the registry. */
+  SERVERCOLD_SUSPENDED_MS = 1000
+};
+
 /** Why a server is taken to be cold. */
 enum servercold_cause
 {
--- a/src/serverscold.c
+++ b/src/serverscold.c
@@ -9,9 +9,6 @@
   ENTRY_AGE_MAX_MS = 1000,
   /* Interval at which changes are noted. */
   NOTE_INTERVAL_MS = 100,
-  /* Time for which the periodic work stands still if this host was suspended.
-   */
-  SUSPENDED_MS = 1000,
   /* Bits of server.ignored_fields for the entry; serverlearn.c has those of
    * responses. */
   FIELD_ENTRY_COLD = 1 << 16
@@ -106,7 +103,8 @@
   servers->cold.join_ns = join_ns;
   servers->cold.departed = departed;
   if (servers->cold.tick_ns != 0
-      && boottime - servers->cold_tick_boottime_ns >= SUSPENDED_MS * NS_PER_MS)
+      && boottime - servers->cold_tick_boottime_ns
+             >= SERVERCOLD_SUSPENDED_MS * NS_PER_MS)
     servers_assume_cold (servers, NULL);
   servers->cold.tick_ns = now;
   servers->cold_tick_boottime_ns = boottime;
--- a/test/test-era.c
+++ b/test/test-era.c
@@ -341,6 +341,37 @@
   finish ();
 }
 
+/* A host took its record to be in the registry though its lease might have
+ * expired there, or waited as after a start though the record was not gone. */
+static void
+test_record_is_listed (void)
+{
+  int64_t listed_ns, gap_end_ns;
+
+  setup (3);
+  CU_ASSERT_EQUAL (presence_listed_ns (&presence), 0);
+  run_for_ms (4000);
+  listed_ns = presence_listed_ns (&presence);
+  CU_ASSERT_TRUE (listed_ns > 100 * NS_PER_S && listed_ns < 101 * NS_PER_S);
+  presence_announce_oldest_version (&presence, "m", 2);
+  CU_ASSERT_EQUAL (presence_listed_ns (&presence), listed_ns);
+  fake.faults.down = true;
+  run_for_ms (3200);
+  CU_ASSERT_EQUAL (presence_listed_ns (&presence), 0);
+  CU_ASSERT_PTR_NULL (fake_kv_key_value (&fake, HOST_KEY));
+  fake.faults.down = false;
+  gap_end_ns = clock_now (&fake_clock.clock);
+  run_for_ms (3000);
+  CU_ASSERT_TRUE (presence_listed_ns (&presence) >= gap_end_ns);
+  presence.lease_expiry_ns = clock_boottime (&fake_clock.clock) - 1;
+  CU_ASSERT_EQUAL (presence_listed_ns (&presence), 0);
+  run_for_ms (2000);
+  CU_ASSERT_TRUE (presence_listed_ns (&presence) > 0);
+  presence_key_removed (&presence, HOST_KEY);
+  CU_ASSERT_EQUAL (presence_listed_ns (&presence), 0);
+  finish ();
+}
+
 /* Crashes that were counted, here and by a host that is gone, were forgotten
  * with the last writes, so that the request crashed more servers. */
 static void
@@ -459,6 +490,7 @@
   { "revisions-are-not-compared", test_revisions_are_not_compared },
   { "keys-are-held", test_keys_are_held },
   { "host-takes-a-new-lease", test_host_takes_a_new_lease },
+  { "record-is-listed", test_record_is_listed },
   { "crashes-are-written-again", test_crashes_are_written_again },
   { "blocks-are-written-again", test_blocks_are_written_again },
   { "away-and-back", test_away_and_back },
