--- a/src/presence.c
+++ b/src/presence.c
@@ -12,9 +12,7 @@
   RENEWALS_PER_TTL = 3,
   /* Delay before a failed call is retried. During an outage the KV
    * interface itself delays calls for longer. */
-  RETRY_MS = 100,
-  /* Departures of hosts that are kept; more than the hosts of a fleet. */
-  DEPARTURES_MAX = 512
+  RETRY_MS = 100
 };
 
 static void lease_renew (struct presence *presence);
@@ -33,7 +31,7 @@
   presence->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   presence->order = g_new0 (struct presence_order, 1);
-  presence->departures = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  departures_init (&presence->departures);
 }
 
 void
@@ -43,7 +41,7 @@
     g_ptr_array_free (presence->order->hosts, TRUE);
   g_free (presence->order);
   g_hash_table_destroy (presence->hosts);
-  g_array_free (presence->departures, TRUE);
+  departures_finish (&presence->departures);
   g_free (presence->key);
 }
 
@@ -152,35 +150,11 @@
   return STATUS_OK;
 }
 
-static void
-departure_record (struct presence *presence)
-{
-  int64_t now = clock_now (presence->clock);
-
-  if (presence->departures->len == DEPARTURES_MAX)
-    g_array_remove_index (presence->departures, 0);
-  g_array_append_val (presence->departures, now);
-}
-
-unsigned
-presence_departed_count (const struct presence *presence, int64_t span_ns)
-{
-  const GArray *departures = presence->departures;
-  int64_t since_ns = clock_now (presence->clock) - span_ns;
-  unsigned count = 0;
-
-  while (count < departures->len
-         && g_array_index (departures, int64_t, departures->len - 1 - count)
-                > since_ns)
-    count++;
-  return count;
-}
-
 void
 presence_key_removed (struct presence *presence, const char *key)
 {
   if (g_hash_table_remove (presence->hosts, key))
-    departure_record (presence);
+    departures_record (&presence->departures, clock_now (presence->clock));
   presence->generation++;
   /* This host's key was deleted or its lease has expired, so the key must be
    * written again. */
--- a/src/presence.h
+++ b/src/presence.h
@@ -2,6 +2,7 @@
 #define PRESENCE_H
 
 #include "clock.h"
+#include "departures.h"
 #include "kv.h"
 #include "status.h"
 
@@ -83,8 +84,7 @@
   /** Maps the keys of the other hosts to struct presence_host. */
   GHashTable *hosts;
   uint64_t generation; /**< Rises with each change of the other hosts. */
-  GArray *departures; /**< Times, by clock_now, at which records of other hosts
-                         were last removed. */
+  struct departures departures; /**< Of other hosts. */
   struct presence_order *order;
 };
 
@@ -129,11 +129,6 @@
  * been in the KV service without a break; 0 if it may not be there now. */
 int64_t presence_listed_ns (const struct presence *presence);
 
-/** Returns the number of hosts whose records were removed within the last
- * SPAN_NS. */
-unsigned presence_departed_count (const struct presence *presence,
-                                  int64_t span_ns);
-
 /** Returns the name of the host with the key KEY, its last part. */
 const char *presence_host_name (const char *key);
 
--- a/src/subsets.c
+++ b/src/subsets.c
@@ -230,10 +230,10 @@
   GHashTableIter iter;
   gpointer servers;
 
-  servers_cold_tick (
-      subsets->servers, presence_listed_ns (subsets->presence),
-      subsets->presence->ttl_ns + DELAY_MAX_MS * NS_PER_MS,
-      presence_departed_count (subsets->presence, DELAY_MAX_MS * NS_PER_MS));
+  servers_cold_tick (subsets->servers, presence_listed_ns (subsets->presence),
+                     subsets->presence->ttl_ns + DELAY_MAX_MS * NS_PER_MS,
+                     departures_count (&subsets->presence->departures,
+                                       now - DELAY_MAX_MS * NS_PER_MS));
   if (now < subsets->next_assign_ns || !fleet_has_changed (subsets))
     return;
   subsets->next_assign_ns = now + ASSIGN_PERIOD_MS * NS_PER_MS;
--- a/test/test-servercold.c
+++ b/test/test-servercold.c
@@ -62,7 +62,8 @@
 }
 
 /* Hosts that learned of a change at different times used more than the bound:
- * the part of a host must not grow when others join. */
+ * the part of a host must not grow when others join, and not at once when
+ * others leave. */
 static void
 test_mixed_views_keep_the_room (void)
 {
@@ -81,6 +82,9 @@
         cold_init (&cold, count + 1, rank + 1);
         after = servercold_share (&cold, 20 * NS_PER_S);
         CU_ASSERT_TRUE (after <= before);
+        cold_init (&cold, count, rank);
+        host.departed = 1;
+        CU_ASSERT_EQUAL (servercold_share (&cold, 20 * NS_PER_S), after);
       }
 }
 
