--- a/src/choose.c
+++ b/src/choose.c
@@ -15,6 +15,9 @@
 /* Cost of an engine with older weights than wanted. A response computed with
  * older weights is worth a fifth less, which equals this waiting time. */
 static const double old_weights_cost_ms = 150;
+/* Cost of a cold server: warm ones go first unless their requests would wait
+ * for longer than this. */
+static const double cold_cost_ms = 100;
 /* Requests for each slot that a plain service's server takes: one that runs,
  * and one that waits. */
 static const unsigned plain_places_per_slot = 2;
@@ -155,6 +158,8 @@
         + (server->in_local_data_centre ? 0 : settings->remote_server_ms);
   if (query->model != NULL && !has_preferred_version (query, server))
     candidate->cost_ms += old_weights_cost_ms;
+  if (servercold_is_cold (&server->cold, now))
+    candidate->cost_ms += cold_cost_ms;
   if (candidate->verdict == CHOOSE_USABLE
       && !begins_in_time (query, server, candidate->expected_ms, boottime_ns))
     candidate->verdict = CHOOSE_TOO_LATE;
@@ -201,17 +206,16 @@
   result_set (result, candidate);
 }
 
+/* Count a server that is sent PER_S requests per second by this host and can
+ * be sent the next one after WAIT_NS. */
 static void
-result_add_limited (struct choose_result *result,
-                    const struct serverlimit *limit, int64_t now)
+result_add_limited (struct choose_result *result, int64_t wait_ns,
+                    double per_s)
 {
-  int64_t wait_ns = serverlimit_wait_ns (limit, now);
-
-  result->at_capacity = true;
   result->limited_wait_ns
       = result->limited > 0 ? MIN (result->limited_wait_ns, wait_ns) : wait_ns;
   result->limited++;
-  result->limited_per_s += serverlimit_own_rate (limit, now);
+  result->limited_per_s += per_s;
 }
 
 /* Return how many requests like that of QUERY this host may have in flight at
@@ -290,10 +294,7 @@
                         : CLOCK_NEVER;
 
   result->at_capacity = true;
-  result->limited_wait_ns
-      = result->limited > 0 ? MIN (result->limited_wait_ns, wait_ns) : wait_ns;
-  result->limited++;
-  result->limited_per_s += places * 1000 / ms;
+  result_add_limited (result, wait_ns, places * 1000 / ms);
   result->brittle++;
   if (rng == NULL || rng_uniform (rng) * result->brittle < 1)
     result->brittle_server = server;
@@ -353,6 +354,7 @@
     [CHOOSE_UNREACHABLE] = "unreachable",
     [CHOOSE_PAUSED] = "paused",
     [CHOOSE_LIMITED] = "limited",
+    [CHOOSE_COLD] = "cold",
     [CHOOSE_BUSY] = "busy",
     [CHOOSE_NO_MEMORY] = "no_memory",
     [CHOOSE_MAY_BE_BRITTLE] = "may_be_brittle",
@@ -390,6 +392,8 @@
     return CHOOSE_PAUSED;
   if (!serverlimit_allows (&server->limit, now))
     return CHOOSE_LIMITED;
+  if (!servercold_allows (&server->cold, now))
+    return CHOOSE_COLD;
   if (!server_accepts_requests (server, now))
     return CHOOSE_BUSY;
   if (!has_memory (settings, query, server))
@@ -403,6 +407,16 @@
   return CHOOSE_USABLE;
 }
 
+/* Whether SERVER is one of those among which this host chooses first: those of
+ * its subset, and cold ones of other subsets of which it has a share. */
+static bool
+is_own (const struct server *server, int64_t now)
+{
+  return !server->in_other_subset
+         || (servercold_is_cold (&server->cold, now)
+             && servercold_share (&server->cold, now) > 0);
+}
+
 /* Choose among the servers of this host's subset, or among all others if
  * OTHER_SUBSETS is set. VISIT, unless it is NULL, is called for each. */
 static void
@@ -429,7 +443,7 @@
       struct server *server = list->pdata[i];
       struct choose_candidate candidate = { .server = server };
 
-      if (server->in_other_subset != other_subsets)
+      if (is_own (server, now) == other_subsets)
         continue;
       candidate.verdict
           = server_judge (settings, query, server, spares_others, now);
@@ -459,7 +473,15 @@
           result_add_paused (result, &server->pause, now);
           break;
         case CHOOSE_LIMITED:
-          result_add_limited (result, &server->limit, now);
+          result->at_capacity = true;
+          result_add_limited (result,
+                              serverlimit_wait_ns (&server->limit, now),
+                              serverlimit_own_rate (&server->limit, now));
+          break;
+        case CHOOSE_COLD:
+          result->cold++;
+          result_add_limited (result, servercold_wait_ns (&server->cold, now),
+                              servercold_own_rate (&server->cold, now));
           break;
         case CHOOSE_BRITTLE:
           result_add_brittle (settings, query, server, now, rng, result);
@@ -482,6 +504,8 @@
     result_set (result,
                 choosespread_pick (&spread, &best, query->call->prompt_tokens,
                                    settings->near_ms, rng));
+  result->server_is_cold = result->server != NULL
+                           && servercold_is_cold (&result->server->cold, now);
 }
 
 static void
@@ -500,6 +524,9 @@
   choose_among (servers, settings, query, false, visit, data, rng, result);
   if (result->server == NULL && !result->at_capacity)
     choose_among (servers, settings, query, true, visit, data, rng, result);
+  /* While only cold servers are used up, those of other subsets are tried. */
+  if (result->cold > 0)
+    result->at_capacity = true;
   if (result->too_late > 0)
     result->at_capacity = result->others_at_capacity = true;
 }
--- a/src/entryevacuation.c
+++ b/src/entryevacuation.c
@@ -11,30 +11,6 @@
   return key + strlen (entry->dialect->evacuation_prefix);
 }
 
-/* The servers of a data centre may be cold when its evacuation ends, since
- * they got no requests meanwhile. This is the one place that is told of it:
- * what assumes servers to be cold is called for SERVER here. */
-static void
-server_returned (struct entry *entry, struct server *server)
-{
-}
-
-static void
-servers_returned (struct entry *entry, const char *data_centre)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, entry->servers.by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct server *server = value;
-
-      if (strcmp (server->entry.data_centre, data_centre) == 0)
-        server_returned (entry, server);
-    }
-}
-
 static void
 evacuation_changed (void *data, const struct evacuated *evacuated,
                     enum evacuation_change change)
@@ -47,7 +23,8 @@
   char labels[32];
 
   if (change == EVACUATION_ENDED || change == EVACUATION_EXPIRED)
-    servers_returned (entry, evacuated->data_centre);
+    /* Its servers got no requests meanwhile and may be cold. */
+    servers_assume_cold (&entry->servers, evacuated->data_centre);
   log_event (&entry->log, EVENT_EVACUATION_CHANGED,
              "data_centre=%s what=%s revision=%lu era=%lu known_ms=%.1f "
              "servers=%u evacuated=%u",
--- a/src/event.c
+++ b/src/event.c
@@ -161,7 +161,9 @@
     "nothing from this host for pause_ms), brittle (it falls over once it "
     "rejects more than that many requests within a second), not_brittle, "
     "slow (work takes half as long again as usual there, as it states or as "
-    "its first events show, in slowness), not_slow." },
+    "its first events show, in slowness), not_slow, cold "
+    "(it has just started, for all this host knows by what cold names, and "
+    "gets cold_share requests within a second from it), warm." },
   { EVENT_ENTRY_IGNORED, EVENT_LEVEL_WARN, "entry_ignored",
     "An entry of the KV service can't be decoded as a server or host and is "
     "ignored; look for another writer." },
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -133,7 +133,7 @@
              "backlog_ms=%.1f cached=%lu stored=%lu prompt=%u context=%lx "
              "weights=%lu wanted=%lu required=%lu wanted_age_ms=%ld entry=%lu "
              "load_age_ms=%ld load=%u,%u in_flight=%u others_in_flight=%u "
-             "memory=%.0f waited_ms=%.1f%s",
+             "memory=%.0f waited_ms=%.1f cold=%u to_cold=%d%s",
              forward->call.request_id, server->entry.id, forward->service,
              server->entry.software[0] != '\0' ? server->entry.software : "-",
              choice->candidates, choice->limited, choice->brittle,
@@ -155,7 +155,8 @@
              server->running_requests, server->waiting_requests,
              server->in_flight_requests, server->other_hosts_requests,
              choosecost_memory_used_tokens (server),
-             (double)(now - forward->arrived_ns) / NS_PER_MS, resumption);
+             (double)(now - forward->arrived_ns) / NS_PER_MS, choice->cold,
+             choice->server_is_cold, resumption);
 }
 
 void
--- a/src/forwardstate.c
+++ b/src/forwardstate.c
@@ -23,6 +23,9 @@
     server->kv_capacity_tokens = service->kv_capacity_tokens;
   if (service != NULL && server->speed.service != NULL)
     server->speed.service->has_cold_rate = service->cold_per_s > 0;
+  if (service != NULL)
+    servers_configure_cold (forwarder->servers, server, service->cold_per_s,
+                            service->cold_span_ns);
 }
 
 static void
--- a/src/presence.c
+++ b/src/presence.c
@@ -31,6 +31,7 @@
   presence->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   presence->order = g_new0 (struct presence_order, 1);
+  departures_init (&presence->departures);
 }
 
 void
@@ -40,6 +41,7 @@
     g_ptr_array_free (presence->order->hosts, TRUE);
   g_free (presence->order);
   g_hash_table_destroy (presence->hosts);
+  departures_finish (&presence->departures);
   g_free (presence->key);
 }
 
@@ -174,17 +176,27 @@
 void
 presence_key_removed (struct presence *presence, const char *key)
 {
-  g_hash_table_remove (presence->hosts, key);
+  if (g_hash_table_remove (presence->hosts, key))
+    departures_record (&presence->departures, clock_now (presence->clock));
   presence->generation++;
   /* This host's key was deleted or its lease has expired, so the key must be
    * written again. */
   if (strcmp (key, presence->key) == 0)
-    presence->key_is_current = false;
+    {
+      presence->key_is_current = false;
+      presence->listed_lease = 0;
+    }
 }
 
 static void
 lease_extend (struct presence *presence, int64_t sent_ns)
 {
+  /* The record did not vanish, but this host may not have read which hosts
+   * have joined meanwhile. It waits for as long as if its record were as old
+   * as a lease lasts. */
+  if (clock_boottime (presence->clock) >= presence->lease_expiry_ns)
+    presence->listed_ns = MAX (presence->listed_ns,
+                               clock_now (presence->clock) - presence->ttl_ns);
   presence->lease_expiry_ns = sent_ns + presence->ttl_ns;
 }
 
@@ -273,7 +285,12 @@
 
   presence->call_pending = false;
   if (reply->status == STATUS_OK)
-    return;
+    {
+      if (presence->listed_lease != presence->lease)
+        presence->listed_ns = clock_now (presence->clock);
+      presence->listed_lease = presence->lease;
+      return;
+    }
   presence->key_is_current = false;
   if (reply->status != STATUS_NOT_FOUND)
     return;
@@ -310,6 +327,7 @@
 presence_era_changed (struct presence *presence)
 {
   presence->lease = 0;
+  presence->listed_lease = 0;
   presence->key_is_current = false;
   presence->next_renewal_ns = clock_now (presence->clock);
 }
@@ -333,6 +351,16 @@
                 < presence->lease_expiry_ns;
 }
 
+int64_t
+presence_listed_ns (const struct presence *presence)
+{
+  return presence->listed_lease != 0
+                 && presence->listed_lease == presence->lease
+                 && presence_lease_is_valid_for (presence, 0)
+             ? presence->listed_ns
+             : 0;
+}
+
 unsigned
 presence_serving_count (const struct presence *presence)
 {
--- a/src/settings.h
+++ b/src/settings.h
@@ -173,6 +173,10 @@
     int64_t heartbeat_ns;
     /** Time within which an evacuated data centre gets no more requests. */
     int64_t evacuate_ns;
+    /** Factor on the cold rate of a server, and requests within a second
+     * beyond it, up to which a cold server is sure to stay up. */
+    double cold_overage;
+    double cold_tolerance;
   } servers;
   struct
   {
