--- a/src/waitqueue.c
+++ b/src/waitqueue.c
@@ -10,6 +10,10 @@
   /* Time constant of the rates of work. */
   RATE_SPAN_MS = 1000,
   RETRY_AFTER_MIN_MS = 100,
+  /* Time by which a refusal, or the first event, must precede the end of the
+   * caller's patience: callers count from when they send, and responses take
+   * their time to reach them. */
+  RESPONSE_MARGIN_MS = 100,
   /* Time for which the target of a class counts after a request of it. */
   TARGET_SPAN_MS = 2000
 };
@@ -224,7 +228,8 @@
     request_set_late (queue, request);
   if (!outlook->has_server)
     return WAITQUEUE_WAIT;
-  if ((double)now_ns + expected_ms * NS_PER_MS > (double)request->give_up_ns)
+  if ((double)now_ns + (expected_ms + RESPONSE_MARGIN_MS) * NS_PER_MS
+      > (double)request->give_up_ns)
     return WAITQUEUE_REFUSE;
   if (!request->is_late && counted_ms <= left_ms)
     return outlook->backlog_ms <= 0
@@ -357,7 +362,8 @@
 bool
 waitqueue_is_lost (const struct waitqueue_request *request, int64_t now_ns)
 {
-  return now_ns >= request->give_up_ns;
+  return (double)now_ns + (request->work_ms + RESPONSE_MARGIN_MS) * NS_PER_MS
+         >= (double)request->give_up_ns;
 }
 
 /* Return the classes of QUEUE that may be served: one that is too far behind
