--- a/src/explain.c
+++ b/src/explain.c
@@ -1,4 +1,6 @@
 #include "explain.h"
+#include "forwardqueue.h"
+#include "forwardrespond.h"
 #include "forwardhost.h"
 #include "forwardsend.h"
 #include "forwardstop.h"
@@ -114,7 +116,8 @@
 static void
 count_waiting (struct explain *explain, const struct forwarder *forwarder)
 {
-  explain->waiting_here = forwarder->waiting_count;
+  explain->waiting_here
+      = forwarder->waiting_count + forwardqueue_total (forwarder);
   for (const struct list *node = forwarder->waiting.next;
        node != &forwarder->waiting; node = node->next)
     explain->waiting_service
@@ -182,6 +185,25 @@
                                                                 : "limited");
 }
 
+/* Explain what the queue of the request's service would do with it. */
+static void
+explain_queue (struct explain *explain, struct forward *forward)
+{
+  switch (forwardqueue_foresee (forward, &explain->choice, &explain->wait_ns))
+    {
+    case WAITQUEUE_SEND:
+      explain->action = EXPLAIN_SENT;
+      break;
+    case WAITQUEUE_WAIT:
+      explain->action = EXPLAIN_WAITS;
+      explain->reason = "queued";
+      break;
+    case WAITQUEUE_REFUSE:
+      explain_refuse (explain, "no_time");
+      break;
+    }
+}
+
 /* Whether a block of the prompt is one that crashes servers. That the whole
  * request does can't be told without its body. */
 static bool
@@ -211,12 +233,15 @@
   else if (servers_service_reach (forwarder->servers, forward->service)
            >= SERVERREACH_LOST)
     explain_refuse (explain, "no_server");
+  else if (forwardqueue_is_used (forward)
+           && (choice->server != NULL || choice->at_capacity))
+    explain_queue (explain, forward);
   else if (choice->server != NULL)
     explain->action = EXPLAIN_SENT;
   else if (choice->at_capacity)
     explain_wait (explain, forward);
   else
-    explain_refuse (explain, choice->paused > 0 ? "paused" : "no_server");
+    explain_refuse (explain, forward_unplaced_reason (choice));
 }
 
 enum status
@@ -251,6 +276,7 @@
   if (request->call.timeout_ns >= 0)
     timeout_ns = MIN (timeout_ns, request->call.timeout_ns);
   forward.deadline_ns = clock_boottime (forwarder->clock) + timeout_ns;
+  explain->waiting_service += forwardqueue_count (&forward);
   explain_choose (explain, &forward);
   explain_decide (explain, &forward);
   return STATUS_OK;
--- a/src/forwardqueue.c
+++ b/src/forwardqueue.c
@@ -168,6 +168,16 @@
   request->waited_ns = caller_waited_ns (forward);
 }
 
+static struct waitqueue_outlook
+outlook_of (const struct choose_result *choice)
+{
+  return (struct waitqueue_outlook){
+    .has_server = choice->server != NULL,
+    .backlog_ms = choice->backlog_ms,
+    .prompt_ms = choice->prompt_ms,
+  };
+}
+
 static void
 refuse (struct forward *forward, const char *reason)
 {
@@ -238,11 +248,7 @@
 {
   struct forwarder *forwarder = forward->forwarder;
   struct waitqueue *queue = queue_obtain (forward);
-  struct waitqueue_outlook outlook = {
-    .has_server = choice->server != NULL,
-    .backlog_ms = choice->backlog_ms,
-    .prompt_ms = choice->prompt_ms,
-  };
+  struct waitqueue_outlook outlook = outlook_of (choice);
 
   request_prepare (forward);
   switch (waitqueue_decide (queue, &forward->queued, &outlook,
@@ -292,6 +298,44 @@
   return queue != NULL ? waitqueue_count (queue) : 0;
 }
 
+unsigned
+forwardqueue_total (const struct forwarder *forwarder)
+{
+  GHashTableIter iter;
+  gpointer queue;
+  unsigned count = 0;
+
+  if (forwarder->queues == NULL)
+    return 0;
+  g_hash_table_iter_init (&iter, forwarder->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &queue))
+    count += waitqueue_count (queue);
+  return count;
+}
+
+enum waitqueue_action
+forwardqueue_foresee (struct forward *forward,
+                      const struct choose_result *choice, int64_t *wait_ns)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  int64_t now = clock_now (forwarder->clock);
+  struct waitqueue_outlook outlook = outlook_of (choice);
+  /* A request that does not wait is on no list of the queue, so that a copy of
+   * the queue's figures is enough to decide on it. */
+  struct waitqueue queue = *queue_obtain (forward);
+  enum waitqueue_action action;
+
+  request_prepare (forward);
+  action = waitqueue_must_wait (&queue, forward->queued.priority)
+               ? WAITQUEUE_WAIT
+               : waitqueue_decide (&queue, &forward->queued, &outlook, now);
+  if (action != WAITQUEUE_WAIT)
+    return action;
+  *wait_ns = waitqueue_expected_wait_ns (&queue, &forward->queued, now);
+  return now + *wait_ns >= forward->queued.give_up_ns ? WAITQUEUE_REFUSE
+                                                      : WAITQUEUE_WAIT;
+}
+
 static bool
 request_try (void *data, struct waitqueue_request *request)
 {
--- a/src/forwardqueue.h
+++ b/src/forwardqueue.h
@@ -61,6 +61,16 @@
  * service. */
 unsigned forwardqueue_count (const struct forward *forward);
 
+/** Returns the number of requests that wait in all queues. */
+unsigned forwardqueue_total (const struct forwarder *forwarder);
+
+/** Returns what would be done by CHOICE with the request, which exists for an
+ * explanation only, and changes nothing.
+ * @param wait_ns receives the time that it is expected to wait, if it waits */
+enum waitqueue_action forwardqueue_foresee (struct forward *forward,
+                                            const struct choose_result *choice,
+                                            int64_t *wait_ns);
+
 /** Calls PLACE for the waiting requests of all queues in their order. */
 void forwardqueue_serve (struct forwarder *forwarder, int64_t now_ns,
                          void (*place) (struct forward *forward));
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -4,6 +4,8 @@
 #include "forwardsend.h"
 #include "forwardwait.h"
 
+#include <string.h>
+
 /* Maximum Retry-After time, as a share of the request's time left. */
 static const double retry_after_share = 0.3;
 /* Time over which the callers return that are refused since all servers asked
@@ -134,18 +136,31 @@
                      pause_retry_after_ns (forward, wait_ns));
 }
 
+const char *
+forward_unplaced_reason (const struct choose_result *choice)
+{
+  if (choice->paused > 0)
+    return "paused";
+  if (choice->evacuated > 0 && choice->unreachable == 0)
+    return "evacuated";
+  if (choice->other_region > 0 && choice->unreachable == 0)
+    return "other_region";
+  return "no_server";
+}
+
 void
 forward_give_up_unplaced (struct forward *forward,
                           const struct choose_result *choice)
 {
+  const char *reason = forward_unplaced_reason (choice);
+
   if (choice->paused > 0)
     give_up_paused (forward, choice->paused_wait_ns);
-  else if (choice->evacuated > 0 && choice->unreachable == 0)
-    forward_give_up (forward, "evacuated", RETRY_AFTER_EVACUATED_MS);
-  else if (choice->other_region > 0 && choice->unreachable == 0)
-    forward_give_up (forward, "other_region", RETRY_AFTER_NO_SERVER_MS);
   else
-    forward_give_up (forward, "no_server", RETRY_AFTER_NO_SERVER_MS);
+    forward_give_up (forward, reason,
+                     strcmp (reason, "evacuated") == 0
+                         ? RETRY_AFTER_EVACUATED_MS
+                         : RETRY_AFTER_NO_SERVER_MS);
 }
 
 void
--- a/src/forwardrespond.h
+++ b/src/forwardrespond.h
@@ -50,6 +50,9 @@
   RETRY_AFTER_NO_SERVER_MS = 250
 };
 
+/** Return why CHOICE has no server for a request that does not wait. */
+const char *forward_unplaced_reason (const struct choose_result *choice);
+
 /** Give the request up, since CHOICE has no server for it: those that could
  * run it asked for a pause, are in evacuated data centres or in regions that
  * are no homes of it, or there are none.
--- a/src/presence.c
+++ b/src/presence.c
@@ -1,5 +1,5 @@
 #include "presence.h"
-#include "httpjson.h"
+#include "presencerecord.h"
 #include "rendezvous.h"
 
 #include <string.h>
@@ -60,27 +60,11 @@
   return slash != NULL ? slash + 1 : key;
 }
 
-static void
-host_set_weights (struct presence_host *host, const char *model,
-                  uint64_t version)
-{
-  unsigned i = 0;
-
-  while (i < host->weights_count
-         && strcmp (host->weights[i].model, model) != 0)
-    i++;
-  if (i == PRESENCE_MODELS_MAX)
-    return;
-  g_strlcpy (host->weights[i].model, model, PRESENCE_TEXT_MAX);
-  host->weights[i].oldest_version = version;
-  host->weights_count = MAX (host->weights_count, i + 1);
-}
-
 void
 presence_announce_oldest_version (struct presence *presence, const char *model,
                                   uint64_t version)
 {
-  host_set_weights (&presence->self, model, version);
+  presencerecord_set_weights (&presence->self, model, version);
   presence->key_is_current = false;
 }
 
@@ -116,58 +100,22 @@
   return 0;
 }
 
-static void
-weights_decode (struct presence_host *host, struct json_object *object)
-{
-  if (!json_object_is_type (object, json_type_object))
-    return;
-  json_object_object_foreach (object, model, version)
-  {
-    host_set_weights (host, model, (uint64_t)json_object_get_int64 (version));
-  }
-}
-
-static struct json_object *
-weights_encode (const struct presence_host *host)
-{
-  struct json_object *object = json_object_new_object ();
-
-  for (unsigned i = 0; i < host->weights_count; i++)
-    json_object_object_add (
-        object, host->weights[i].model,
-        json_object_new_int64 ((int64_t)host->weights[i].oldest_version));
-  return object;
-}
-
 enum status
 presence_key_put (struct presence *presence, const char *key,
                   const char *value, struct error *error)
 {
-  struct json_object *object = json_tokener_parse (value);
   struct presence_host *host;
+  enum status status;
 
   if (strcmp (key, presence->key) == 0)
+    return STATUS_OK;
+  host = g_new0 (struct presence_host, 1);
+  status = presencerecord_decode (value, host, error);
+  if (status != STATUS_OK)
     {
-      json_object_put (object);
-      return STATUS_OK;
-    }
-  if (json_field_text (object, "address")[0] == '\0')
-    {
-      json_object_put (object);
-      return error_set (error, STATUS_INVALID,
-                        "the host record has no address");
+      g_free (host);
+      return status;
     }
-  host = g_new0 (struct presence_host, 1);
-  g_strlcpy (host->address, json_field_text (object, "address"),
-             sizeof host->address);
-  g_strlcpy (host->peer, json_field_text (object, "peer"), sizeof host->peer);
-  g_strlcpy (host->data_centre, json_field_text (object, "data_centre"),
-             sizeof host->data_centre);
-  host->leaving = json_field_bool (object, "leaving");
-  host->form = (unsigned)json_field_uint (object, "form");
-  host->keeps_usual_subsets = json_field_bool (object, "usual_subsets");
-  weights_decode (host, json_object_object_get (object, "weights"));
-  json_object_put (object);
   g_hash_table_replace (presence->hosts, g_strdup (key), host);
   presence->generation++;
   return STATUS_OK;
@@ -301,26 +249,15 @@
 static void
 key_write (struct presence *presence)
 {
-  struct json_object *object = json_object_new_object ();
-  struct kv_write write = { .key = presence->key, .lease = presence->lease };
+  char *value = presencerecord_encode (&presence->self);
+  struct kv_write write
+      = { .key = presence->key, .value = value, .lease = presence->lease };
   struct kv_txn txn = { .writes = &write, .write_count = 1 };
 
-  json_add_text (object, "address", presence->self.address);
-  json_add_text (object, "peer", presence->self.peer);
-  json_add_text (object, "data_centre", presence->self.data_centre);
-  json_object_object_add (object, "leaving",
-                          json_object_new_boolean (presence->self.leaving));
-  json_add_uint (object, "form", PRESENCE_FORM_OWN);
-  if (presence->self.keeps_usual_subsets)
-    json_object_object_add (object, "usual_subsets",
-                            json_object_new_boolean (true));
-  json_object_object_add (object, "weights", weights_encode (&presence->self));
-  write.value
-      = json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN);
   presence->call_pending = true;
   presence->key_is_current = true;
   presence->kv->ops->txn (presence->kv, &txn, key_written, presence);
-  json_object_put (object);
+  g_free (value);
 }
 
 void
