--- a/src/entry.c
+++ b/src/entry.c
@@ -285,7 +285,7 @@
 
   if (!pausewatch_tick (&entry->pausewatch, &pause))
     return;
-  kvview_read_anew (&entry->operator_view, pause.from_ns);
+  entryviews_note_pause (entry, &pause);
   log_event (&entry->log, EVENT_PAUSED,
              "pause_ms=%.1f suspended_ms=%.1f in_flight=%zu waiting=%zu",
              (double)pause.span_ns / NS_PER_MS,
--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -57,9 +57,12 @@
 {
   const struct kvview_settings settings = entryviews_settings (
       &entry->pausewatch, &entry->kvbudget.outage_end_ns);
+  struct kvview_settings operator_settings = settings;
   struct kv *kv = &entry->kvera.kv;
 
-  kvview_init (&entry->operator_view, kv, &entry->clock, &settings,
+  /* The configuration is always there once it was written. */
+  operator_settings.distrusts_empty_reads = true;
+  kvview_init (&entry->operator_view, kv, &entry->clock, &operator_settings,
                entry->dialect->operator_prefix, &entryviews_operator_ops,
                entry);
   kvview_init (&entry->servers_view, kv, &entry->clock, &settings,
--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -2,6 +2,7 @@
 #include "entry.h"
 #include "entryevacuation.h"
 #include "entryweights.h"
+#include "serverslowness.h"
 #include "watchpause.h"
 
 #include <string.h>
@@ -18,7 +19,9 @@
   WATCH_WAIT_S = 15,
   /* Time for which the views hold keys that disappear around an outage of
    * the KV service. */
-  KEY_HOLD_MS = 2000
+  KEY_HOLD_MS = 2000,
+  /* Pause after which the operator's keys are read without delay. */
+  READ_AT_ONCE_MS = 1000
 };
 
 struct kvview_settings
@@ -44,6 +47,16 @@
   g_free (reason);
 }
 
+void
+entryviews_note_pause (struct entry *entry,
+                       const struct pausewatch_pause *pause)
+{
+  kvview_read_anew (&entry->operator_view, pause->from_ns);
+  if (pause->span_ns >= READ_AT_ONCE_MS * NS_PER_MS)
+    kvview_hurry (&entry->operator_view);
+  servers_forget_slowness (&entry->servers);
+}
+
 static void
 limits_apply (struct callerconn_limits *limits, const struct routes *routes)
 {
--- a/src/entryviews.h
+++ b/src/entryviews.h
@@ -35,4 +35,9 @@
 extern const struct kvview_ops entryviews_servers_ops;
 extern const struct kvview_ops entryviews_hosts_ops;
 
+/** Has the operator's keys read anew after a pause of this process, and no
+ * longer believes figures that may have lain unread meanwhile. */
+void entryviews_note_pause (struct entry *entry,
+                            const struct pausewatch_pause *pause);
+
 #endif
--- a/src/evacuation.c
+++ b/src/evacuation.c
@@ -144,6 +144,8 @@
   if (!reading->is_reading_anew)
     evacuation->resumed_ns = 0;
   return evacuation->resumed_ns != 0
+         && now_ns - evacuation->resumed_ns
+                < EVACUATION_HOLD_MAX_MS * NS_PER_MS
          && (reading->reachable
              || now_ns - evacuation->resumed_ns
                     < EVACUATION_READ_WAIT_MS * NS_PER_MS);
@@ -175,7 +177,7 @@
 evacuation_holds_sends (const struct evacuation *evacuation, int64_t now_ns)
 {
   /* After a suspension other callbacks may come before the next tick. */
-  return evacuation != NULL
+  return evacuation != NULL && evacuation->evacuate_ns > 0
          && (evacuation->is_initial || evacuation->holds_sends
              || now_ns - evacuation->last_tick_ns >= age_max_ns (evacuation));
 }
--- a/src/evacuation.h
+++ b/src/evacuation.h
@@ -31,6 +31,8 @@
    * so that a host which can't reach the KV service serves with what it
    * knows. It is longer than the timeout of a call. */
   EVACUATION_READ_WAIT_MS = 1500,
+  /** Maximum time for which sends are held, also if the KV service hangs. */
+  EVACUATION_HOLD_MAX_MS = 5000,
   /** Time that is kept of evacuate_ns for reading the keys and for requests
    * whose connections are being opened. */
   EVACUATION_MARGIN_MS = 1500
--- a/src/explain.c
+++ b/src/explain.c
@@ -1,4 +1,5 @@
 #include "explain.h"
+#include "forwardhomes.h"
 #include "forwardqueue.h"
 #include "forwardrespond.h"
 #include "forwardhost.h"
@@ -143,6 +144,7 @@
 
   explain->wanted = forward_wanted_weights (forward);
   forwardweights_query (forward, &query);
+  forwardhomes_get (forward, &query.homes);
   forward_add_stored (
       forward, explain->wanted != NULL ? explain->wanted->version : 1, &query);
   explain->required_version = query.required_version;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -120,6 +120,16 @@
       return;
     }
   forward_uncount_load (forward);
+  /* The server of an attempt that this host withheld is not tried. */
+  if (exchange->withheld && state.has_time_left)
+    {
+      if (forward->tried_count > 0
+          && forward->tried[forward->tried_count - 1] == exchange->server)
+        forward->tried_count--;
+      forward_log_attempt (forward, outcome, FORWARDRETRY_RETRY);
+      forward_place (forward);
+      return;
+    }
   if (outcome == EXCHANGE_NOT_CONNECTED || outcome == EXCHANGE_NOT_RUN)
     forward->not_run_count++;
   else
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -22,6 +22,8 @@
 
 enum
 {
+  /* Time until a read that had no keys is repeated. */
+  EMPTY_READ_INTERVAL_MS = 1000,
   /* A watch on a silent connection ends only after this time. */
   SILENT_WATCH_MS = 4000,
   /* Time in which an outage of the service is found out. */
@@ -304,6 +306,15 @@
   view->last_reply_ns = clock_now (view->clock);
   view->written_since_ns = written_since_ns;
   view_set_reachable (view, true);
+  if (is_full_read && reply->item_count == 0
+      && view->settings.distrusts_empty_reads
+      && g_hash_table_size (view->keys) > 0)
+    {
+      view->needs_full_read = true;
+      view->next_call_ns
+          = clock_now (view->clock) + EMPTY_READ_INTERVAL_MS * NS_PER_MS;
+      return;
+    }
   if (is_full_read)
     {
       view->needs_full_read = false;
@@ -385,6 +396,12 @@
   view->anew_due = true;
 }
 
+void
+kvview_hurry (struct kvview *view)
+{
+  view->next_anew_ns = 0;
+}
+
 void
 kvview_era_changed (struct kvview *view)
 {
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -38,6 +38,9 @@
    * all calls of this process tell; 0 if there was none. NULL: each failure of
    * a call counts as such an outage. */
   const int64_t *service_outage_end_ns;
+  /** Whether a read without any key is not believed while keys are known, but
+   * repeated: the view always has some. */
+  bool distrusts_empty_reads;
   const struct pausewatch *pausewatch; /**< Pauses of this process; may be
                                           NULL. */
 };
@@ -113,6 +116,9 @@
  * have waited. */
 void kvview_read_anew (struct kvview *view, int64_t since_ns);
 
+/** Let the read that is due by kvview_read_anew be the next call. */
+void kvview_hurry (struct kvview *view);
+
 /** The KV service has come back from a backup. Read all keys anew: revisions
  * that the view has count for nothing, and keys that have vanished are held as
  * after an outage. */
--- a/src/serverslowness.c
+++ b/src/serverslowness.c
@@ -61,3 +61,15 @@
       g_ptr_array_remove_index_fast (servers->stating_slowness, i);
     }
 }
+
+void
+servers_forget_slowness (struct servers *servers)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  g_hash_table_iter_init (&iter, servers->speed_by_service);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    ((struct serverspeed_service *)service)->resumed_ns
+        = clock_now (servers->clock);
+}
--- a/src/serverslowness.h
+++ b/src/serverslowness.h
@@ -30,4 +30,8 @@
  * hosts need not be told. */
 void servers_drop_stating_slowness (struct servers *servers);
 
+/** Treats all slowness that was stated so far as unknown, since this process
+ * has stood still and may read old responses now. */
+void servers_forget_slowness (struct servers *servers);
+
 #endif
--- a/src/settings-keys.c
+++ b/src/settings-keys.c
@@ -219,10 +219,10 @@
     "after "
     "three" },
   { "servers.evacuate_ms", SETTINGS_TYPE_MILLISECONDS,
-    FIELD (servers.evacuate_ns), SETTINGS_ROLE_ENTRY, 0, 1, 1e9, NULL, "5000",
+    FIELD (servers.evacuate_ns), SETTINGS_ROLE_ENTRY, 0, 0, 1e9, NULL, "0",
     "ms",
     "Time within which the servers of an evacuated data centre get no more "
-    "requests" },
+    "requests; 0: a host that stood still does not wait for the keys" },
   { "servers.cold_overage", SETTINGS_TYPE_NUMBER, FIELD (servers.cold_overage),
     SETTINGS_ROLE_ENTRY, 0, 1, 1000, NULL, "1", NULL,
     "Factor on the cold rate of a backend server up to which it is sure not "
--- a/test/test-evacuation.c
+++ b/test/test-evacuation.c
@@ -148,6 +148,8 @@
     { "suspended", .pause_ms = 9000, .reading_anew = true, .held = true },
     { "suspended, read is late", .pause_ms = 9000, .reading_anew = true,
       .later_ms = 4000, .held = true },
+    { "suspended, the KV service hangs", .pause_ms = 9000,
+      .reading_anew = true, .later_ms = 6000 },
     { "suspended, read", .pause_ms = 9000 },
     { "suspended, cut off", .pause_ms = 9000, .reading_anew = true,
       .unreachable = true, .later_ms = 1000, .held = true },
