What the review of queues and subsets found

Limited servers made the first request of a queue count all others as ahead of it. Requests with homes have queues of their own, since they compete for other servers. Direct sends are charged to their class, so that a waiting class gets its share. Subsets keep their size only while the fleet has not grown, and say when they no longer do. A request that a full queue drops is ended by its own tick. A host that stands still has no share of cold servers.

--- a/src/choose.c
+++ b/src/choose.c
@@ -158,7 +158,8 @@
         + (server->in_local_data_centre ? 0 : settings->remote_server_ms);
   if (query->model != NULL && !has_preferred_version (query, server))
     candidate->cost_ms += old_weights_cost_ms;
-  if (servercold_is_cold (&server->cold, now))
+  candidate->is_cold = servercold_is_cold (&server->cold, now);
+  if (candidate->is_cold)
     candidate->cost_ms += cold_cost_ms;
   if (candidate->verdict == CHOOSE_USABLE
       && !begins_in_time (query, server, candidate->expected_ms, boottime_ns))
--- a/src/choosecost.h
+++ b/src/choosecost.h
@@ -30,6 +30,7 @@
   struct server *server;
   enum choose_verdict verdict;
   struct choosecost estimate;
+  bool is_cold;
   double expected_ms; /**< Expected time to the first event. */
   double cost_ms;     /**< The same plus penalties, without the random part. */
 };
--- a/src/choosespread.c
+++ b/src/choosespread.c
@@ -18,7 +18,8 @@
     spread->candidates[index] = *candidate;
 }
 
-/* Whether CANDIDATE costs about as much as BEST, would not have to recompute
+/* Whether CANDIDATE costs about as much as BEST, is not cold if BEST is warm,
+ * would not have to recompute
  * much more of the prompt, and is no farther away. */
 static bool
 is_near (const struct choose_candidate *candidate,
@@ -26,6 +27,7 @@
          double near_ms)
 {
   return candidate->cost_ms <= best->cost_ms + near_ms
+         && candidate->is_cold <= best->is_cold
          && (candidate->server->in_local_data_centre
              || !best->server->in_local_data_centre)
          && (double)candidate->estimate.cached_tokens
--- a/src/fairqueue.c
+++ b/src/fairqueue.c
@@ -160,6 +160,18 @@
   queue_remove (queue, item);
 }
 
+void
+fairqueue_charge (struct fairqueue *queue, enum priority priority, double cost)
+{
+  struct fairqueue_class *class = &queue->classes[priority];
+
+  if (queue->count == 0)
+    return;
+  class->virtual_start = fmax (class->virtual_start, queue->virtual_time);
+  queue->virtual_time = class->virtual_start;
+  class->virtual_start += cost / class->weight;
+}
+
 double
 fairqueue_lag (const struct fairqueue *queue, enum priority priority)
 {
--- a/src/fairqueue.h
+++ b/src/fairqueue.h
@@ -93,6 +93,11 @@
  * flow and its class. */
 void fairqueue_take (struct fairqueue *queue, struct fairqueue_item *item);
 
+/** Charge COST to the class PRIORITY for an item that is served without having
+ * been queued, so that the classes with items keep their shares. */
+void fairqueue_charge (struct fairqueue *queue, enum priority priority,
+                       double cost);
+
 /** Return by how much the class PRIORITY is behind its share of what was
  * served, in units of cost; 0 if it is not or has no items. */
 double fairqueue_lag (const struct fairqueue *queue, enum priority priority);
--- a/src/forward.h
+++ b/src/forward.h
@@ -107,6 +107,7 @@
    * the request waits. */
   struct list waiting_node;
   struct waitqueue_request queued; /**< State in the queue of its service. */
+  bool is_evicted; /**< Whether a full queue has no place for it any more. */
   struct forwarder *forwarder;
   struct callerconn *conn;
   struct call call;
--- a/src/forwardplace.c
+++ b/src/forwardplace.c
@@ -159,7 +159,8 @@
       forwardwait_add (forward);
       return;
     }
-  if (choice.server != NULL && forwardqueue_is_used (forward)
+  if (choice.server != NULL && !forward->forwarder->is_stopping
+      && forwardqueue_is_used (forward)
       && !forwardqueue_allows (forward, &choice))
     return;
   if (choice.server != NULL)
--- a/src/forwardqueue.c
+++ b/src/forwardqueue.c
@@ -9,7 +9,9 @@
    * first class and in the second one: organisations that come before others,
    * and the most urgent routes of the others; then their next routes. */
   URGENT_PRIORITY_MAX = 3,
-  STANDARD_PRIORITY_MAX = 4
+  STANDARD_PRIORITY_MAX = 4,
+  /* Maximum size of the key of a queue, with the NUL. */
+  QUEUE_KEY_MAX = 512
 };
 
 /* Share of the blocks that requests share which servers are expected to have
@@ -28,10 +30,31 @@
   void (*place) (struct forward *forward);
 };
 
+/* Return the key of the queue of the request: its service, and its route and
+ * organisation if they restrict the servers that it may get, since only
+ * requests that compete for the same servers can wait for each other.
+ * TEXT: space for the key */
+static const char *
+queue_key (const struct forward *forward, char text[QUEUE_KEY_MAX])
+{
+  const struct organisation *organisation = forward->organisation;
+  bool has_homes = organisation != NULL && organisation->homes != NULL;
+
+  if (forward->route->homes == NULL && !has_homes)
+    return forward->service;
+  g_snprintf (text, QUEUE_KEY_MAX, "%s\n%s\n%s", forward->service,
+              forward->route->homes != NULL ? forward->route->name : "",
+              has_homes ? organisation->name : "");
+  return text;
+}
+
 static struct waitqueue *
 queue_find (const struct forward *forward)
 {
-  return g_hash_table_lookup (forward->forwarder->queues, forward->service);
+  char text[QUEUE_KEY_MAX];
+
+  return g_hash_table_lookup (forward->forwarder->queues,
+                              queue_key (forward, text));
 }
 
 static void
@@ -46,6 +69,7 @@
 {
   struct forwarder *forwarder = forward->forwarder;
   struct waitqueue *queue;
+  char text[QUEUE_KEY_MAX];
 
   if (forwarder->queues == NULL)
     forwarder->queues
@@ -55,7 +79,8 @@
     return queue;
   queue = g_new0 (struct waitqueue, 1);
   waitqueue_init (queue, &forwarder->settings.queue, forwarder->rng);
-  g_hash_table_insert (forwarder->queues, g_strdup (forward->service), queue);
+  g_hash_table_insert (forwarder->queues, g_strdup (queue_key (forward, text)),
+                       queue);
   return queue;
 }
 
@@ -96,7 +121,8 @@
   enum forwardqueue_mode mode = forward->forwarder->settings.queue_mode;
 
   if (forward->call.model == NULL || forward->relaying
-      || forward->software_hash != 0 || mode == FORWARDQUEUE_NEVER)
+      || !list_empty (&forward->waiting_node) || forward->software_hash != 0
+      || mode == FORWARDQUEUE_NEVER)
     return false;
   return mode == FORWARDQUEUE_ALWAYS || forwardqueue_is_waiting (forward)
          || capacity_varies (forward);
@@ -219,8 +245,12 @@
     }
   forward_log_queue (forward, queue, wait_ns);
   waitqueue_add (queue, &forward->queued, &victim);
-  if (victim != NULL)
-    refuse (LIST_ENTRY (victim, struct forward, queued), "queue_full");
+  if (victim == &forward->queued)
+    refuse (forward, "queue_full");
+  else if (victim != NULL)
+    /* Ended by its own tick: callers of this function may walk the list of
+     * all requests. */
+    LIST_ENTRY (victim, struct forward, queued)->is_evicted = true;
 }
 
 void
@@ -282,10 +312,13 @@
 bool
 forwardqueue_refuse_lost (struct forward *forward, int64_t now_ns)
 {
-  if (!forwardqueue_is_waiting (forward)
-      || !waitqueue_is_lost (&forward->queued, now_ns))
+  bool is_evicted = forward->is_evicted;
+
+  if (!is_evicted
+      && (!forwardqueue_is_waiting (forward)
+          || !waitqueue_is_lost (&forward->queued, now_ns)))
     return false;
-  refuse (forward, "no_time");
+  refuse (forward, is_evicted ? "queue_full" : "no_time");
   return true;
 }
 
@@ -298,6 +331,20 @@
   return queue != NULL ? waitqueue_count (queue) : 0;
 }
 
+unsigned
+forwardqueue_count_ahead (const struct forward *forward)
+{
+  const struct waitqueue *queue
+      = forward->forwarder->queues != NULL ? queue_find (forward) : NULL;
+  unsigned count = 0;
+
+  if (queue == NULL)
+    return 0;
+  for (int i = 0; i <= (int)request_class (forward); i++)
+    count += queue->in_time.classes[i].count;
+  return count;
+}
+
 unsigned
 forwardqueue_total (const struct forwarder *forwarder)
 {
--- a/src/forwardqueue.h
+++ b/src/forwardqueue.h
@@ -71,6 +71,10 @@
                                             const struct choose_result *choice,
                                             int64_t *wait_ns);
 
+/** Returns the number of waiting requests that come before the request, which
+ * has just arrived: those in time of its class and of more urgent ones. */
+unsigned forwardqueue_count_ahead (const struct forward *forward);
+
 /** Calls PLACE for the waiting requests of all queues in their order. */
 void forwardqueue_serve (struct forwarder *forwarder, int64_t now_ns,
                          void (*place) (struct forward *forward));
--- a/src/forwardwait.c
+++ b/src/forwardwait.c
@@ -101,7 +101,10 @@
   const struct forwarder *forwarder = forward->forwarder;
   int64_t now = clock_now (forwarder->clock);
   int class = forwardwait_class (forward, now);
-  unsigned ahead = forwardqueue_count (forward);
+  /* The queue tries a request only when it is next. */
+  unsigned ahead = forwardqueue_is_waiting (forward)
+                       ? 0
+                       : forwardqueue_count_ahead (forward);
 
   if (choice->limited_per_s <= 0)
     return CLOCK_NEVER;
--- a/src/presence.c
+++ b/src/presence.c
@@ -69,11 +69,11 @@
 }
 
 void
-presence_announce_usual_subsets (struct presence *presence)
+presence_announce_usual_subsets (struct presence *presence, bool keeps)
 {
-  if (presence->self.keeps_usual_subsets)
+  if (presence->self.keeps_usual_subsets == keeps)
     return;
-  presence->self.keeps_usual_subsets = true;
+  presence->self.keeps_usual_subsets = keeps;
   presence->key_is_current = false;
 }
 
--- a/src/presence.h
+++ b/src/presence.h
@@ -125,8 +125,8 @@
 uint64_t presence_host_oldest_version (const struct presence_host *host,
                                        const char *model);
 
-/** Announces that this host keeps subsets of the usual size. */
-void presence_announce_usual_subsets (struct presence *presence);
+/** Announces whether this host keeps subsets of the usual size. */
+void presence_announce_usual_subsets (struct presence *presence, bool keeps);
 
 /** Whether most of the other hosts have announced that they keep subsets of
  * the usual size. */
--- a/src/servercold.c
+++ b/src/servercold.c
@@ -127,8 +127,8 @@
   const struct roomshare_position position
       = { hosts, cold->rank + host->departed, 2 * hosts };
 
-  if (cold->host_count == 0 || host->listed_ns == 0
-      || now_ns - host->listed_ns < host->join_ns)
+  if (cold->host_count == 0 || host_is_late (host, now_ns)
+      || host->listed_ns == 0 || now_ns - host->listed_ns < host->join_ns)
     return 0;
   return MIN (roomshare_part (&position, room (cold)), (unsigned)SENDS_MAX);
 }
--- a/src/subsets.c
+++ b/src/subsets.c
@@ -269,12 +269,17 @@
                                PRESENCE_FORM_STABLE_SUBSETS))
     return servers >= count * SUBSETS_SERVERS_ENOUGH_EARLIER;
   if (servers >= count * SUBSETS_SERVERS_ENOUGH)
-    return true;
+    {
+      subsets->usual_count = count;
+      return true;
+    }
   kept = servers >= count * SUBSETS_SERVERS_KEPT
-         && (subsets->has_usual_size
+         && (count <= subsets->usual_count
              || presence_most_keep_usual_subsets (subsets->presence));
-  if (kept && count > 1)
-    presence_announce_usual_subsets (subsets->presence);
+  if (!kept)
+    subsets->usual_count = 0;
+  if (count > 1)
+    presence_announce_usual_subsets (subsets->presence, kept);
   return kept;
 }
 
@@ -284,8 +289,7 @@
 {
   unsigned usual = (hosts + SUBSETS_HOSTS_USUAL - 1) / SUBSETS_HOSTS_USUAL;
 
-  subsets->has_usual_size = usual_size_suits (subsets, usual);
-  if (subsets->has_usual_size)
+  if (usual_size_suits (subsets, usual))
     return usual;
   return (hosts + SUBSETS_HOSTS_MAX - 1) / SUBSETS_HOSTS_MAX;
 }
--- a/src/subsets.h
+++ b/src/subsets.h
@@ -56,7 +56,10 @@
   uint64_t hosts_generation;
   uint64_t servers_generation;
   bool assigned;
-  bool has_usual_size; /**< Whether the subsets have their usual size. */
+  /** Number of subsets of the usual size that had enough servers last; 0 if
+   * none had. A fleet that has grown since decides anew, since its other hosts
+   * may have seen it only now. */
+  unsigned usual_count;
 };
 
 void subsets_init (struct subsets *subsets, const struct clock *clock,
--- a/src/waitqueue.c
+++ b/src/waitqueue.c
@@ -354,7 +354,11 @@
                    + queue->settings->late_work_share * request->work_ms,
                late_credit_max_ms);
   if (!waitqueue_is_waiting (request))
-    return;
+    {
+      fairqueue_charge (request_queue (queue, request), request->priority,
+                        request->work_ms);
+      return;
+    }
   fairqueue_take (request_queue (queue, request), &request->item);
   organisations_drop (queue);
 }
--- a/test/test-kvview.c
+++ b/test/test-kvview.c
@@ -167,6 +167,28 @@
   finish ();
 }
 
+/* Guards against keys that are dropped, and never read again, since one read
+ * of the KV service had none. */
+static void
+test_empty_read_is_repeated (void)
+{
+  setup ();
+  view.settings.distrusts_empty_reads = true;
+  reply_to_call (STATUS_OK, 6, &a1, 1);
+  reply_to_call (STATUS_STALE, 0, NULL, 0);
+  CU_ASSERT_TRUE (service.is_read);
+  expect_callbacks ("+p/a=1 ");
+  reply_to_call (STATUS_OK, 9, NULL, 0);
+  clock_fake_advance (&fake_clock, 10 * NS_PER_S);
+  kvview_tick (&view);
+  expect_callbacks ("");
+  CU_ASSERT_TRUE (service.is_read);
+  reply_to_call (STATUS_OK, 9, &a1, 1);
+  expect_callbacks ("");
+  CU_ASSERT_FALSE (service.is_read);
+  finish ();
+}
+
 static void
 test_lost_history_causes_full_read (void)
 {
@@ -327,6 +349,7 @@
   { "read-then-watch", test_read_then_watch },
   { "initial-read-is-told-apart", test_initial_read_is_told_apart },
   { "never-older", test_never_older },
+  { "empty-read-is-repeated", test_empty_read_is_repeated },
   { "lost-history-is-read-anew", test_lost_history_causes_full_read },
   { "lost-watch-is-followed-by-a-read",
     test_lost_watch_is_followed_by_a_read },
