--- a/src/waitqueue.c
+++ b/src/waitqueue.c
@@ -231,7 +231,8 @@
   if ((double)now_ns + (expected_ms + RESPONSE_MARGIN_MS) * NS_PER_MS
       > (double)request->give_up_ns)
     return WAITQUEUE_REFUSE;
-  if (!request->is_late && counted_ms <= left_ms)
+  /* One that was late may find a server with less to do. */
+  if (left_ms > 0 && counted_ms <= left_ms)
     return outlook->backlog_ms <= 0
                    || urgent_classes_allow (queue, request->priority,
                                             counted_ms, now_ns)
