--- a/src/waitqueue.c
+++ b/src/waitqueue.c
@@ -24,7 +24,7 @@
 static const double late_rate_min = 0.05;
 /* Work by which a class may be behind its share while its first request finds
  * no server, in ms. */
-static const double lag_max_ms = 500;
+static const double lag_max_ms = 2000;
 /* Work that late requests may save up, in ms. */
 static const double late_credit_max_ms = 400;
 /* Random part of a Retry-After time. */
