--- a/src/waitqueue.c
+++ b/src/waitqueue.c
@@ -170,7 +170,7 @@
 static double
 target_span_ms (const struct waitqueue_request *request)
 {
-  return (double)(request->target_ns - request->arrived_ns) / NS_PER_MS;
+  return (double)request->target_span_ns / NS_PER_MS;
 }
 
 /* Whether late requests may have this one's work in any case. */
