--- a/src/forwardqueue.c
+++ b/src/forwardqueue.c
@@ -188,11 +188,10 @@
       = forward->organisation != NULL ? forward->organisation->name : "";
   request->priority = request_class (forward);
   request->work_ms = request_work_ms (forward);
-  request->waited_ns = caller_waited_ns (forward);
-  request->target_span_ns = route->latency_target_ns;
-  request->target_ns
-      = forward->arrived_ns + route->latency_target_ns - request->waited_ns;
+  request->arrived_ns = forward->arrived_ns;
+  request->target_ns = forward->arrived_ns + route->latency_target_ns;
   request->give_up_ns = give_up_ns;
+  request->waited_ns = caller_waited_ns (forward);
 }
 
 static struct waitqueue_outlook
--- a/src/waitqueue.c
+++ b/src/waitqueue.c
@@ -24,7 +24,7 @@
 static const double late_rate_min = 0.05;
 /* Work by which a class may be behind its share while its first request finds
  * no server, in ms. */
-static const double lag_max_ms = 2000;
+static const double lag_max_ms = 500;
 /* Work that late requests may save up, in ms. */
 static const double late_credit_max_ms = 400;
 /* Random part of a Retry-After time. */
@@ -170,7 +170,7 @@
 static double
 target_span_ms (const struct waitqueue_request *request)
 {
-  return (double)request->target_span_ns / NS_PER_MS;
+  return (double)(request->target_ns - request->arrived_ns) / NS_PER_MS;
 }
 
 /* Whether late requests may have this one's work in any case. */
@@ -231,8 +231,7 @@
   if ((double)now_ns + (expected_ms + RESPONSE_MARGIN_MS) * NS_PER_MS
       > (double)request->give_up_ns)
     return WAITQUEUE_REFUSE;
-  /* One that was late may find a server with less to do. */
-  if (left_ms > 0 && counted_ms <= left_ms)
+  if (!request->is_late && counted_ms <= left_ms)
     return outlook->backlog_ms <= 0
                    || urgent_classes_allow (queue, request->priority,
                                             counted_ms, now_ns)
--- a/src/waitqueue.h
+++ b/src/waitqueue.h
@@ -39,11 +39,10 @@
   /** Organisation of the request; only used while it is added. */
   const char *organisation;
   enum priority priority;
-  double work_ms;    /**< Time of a server that the request needs; more than
-                        0. */
-  int64_t target_ns; /**< Time until which its first event is in time, counted
-                        from the first try of its caller. */
-  int64_t target_span_ns; /**< Latency target. */
+  double work_ms;     /**< Time of a server that the request needs; more than
+                         0. */
+  int64_t arrived_ns; /**< Time of arrival at this host. */
+  int64_t target_ns;  /**< Time until which its first event is in time. */
   int64_t give_up_ns; /**< Time at which its caller gives up without a first
                          event. */
   int64_t waited_ns;  /**< Time that the caller has spent on earlier tries. */
--- a/test/test-waitqueue.c
+++ b/test/test-waitqueue.c
@@ -129,8 +129,8 @@
         .organisation = organisation,
         .priority = is_long ? PRIORITY_STANDARD : PRIORITY_URGENT,
         .work_ms = is_long ? LONG_WORK_MS : SHORT_WORK_MS,
+        .arrived_ns = replay->now_ns,
         .target_ns = replay->now_ns + target_ms * NS_PER_MS,
-        .target_span_ns = target_ms * NS_PER_MS,
         .give_up_ns = replay->now_ns + PATIENCE_MS * NS_PER_MS,
       };
       return request;
