Whether servers state their slowness is looked up once for each service

The request path asked each server of the service, several times for each request, also where no queue is used. All servers of a service share the answer.

--- a/src/forwardqueue.c
+++ b/src/forwardqueue.c
@@ -92,17 +92,18 @@
   forwarder->queues = NULL;
 }
 
-/* Whether a server of the request's service states how long work takes. */
+/* Whether a server of the request's service has stated how long work takes,
+ * which all servers of a service share. */
 static bool
 any_states_slowness (const struct forward *forward)
 {
   const GPtrArray *list
       = servers_of_service (forward->forwarder->servers, forward->service);
+  const struct server *server
+      = list != NULL && list->len > 0 ? list->pdata[0] : NULL;
 
-  for (guint i = 0; list != NULL && i < list->len; i++)
-    if (((const struct server *)list->pdata[i])->states_slowness)
-      return true;
-  return false;
+  return server != NULL && server->speed.service != NULL
+         && server->speed.service->states_slowness;
 }
 
 static bool
