--- a/review/stage-2/stage-http.c
+++ b/review/stage-2/stage-http.c
@@ -241,16 +241,30 @@
 uint16_t
 stage_port_find (void)
 {
+  enum
+  {
+    FIRST = 20000, /* Below the ports that the system gives to connections. */
+    COUNT = 12000
+  };
+  static unsigned next; /* No port is given twice. */
   struct sockaddr_in address;
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
 
-  address_set (&address, 0);
-  if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
-      || getsockname (fd, (struct sockaddr *)&address, &size) != 0)
-    exit (2);
-  close (fd);
-  return ntohs (address.sin_port);
+  if (next == 0)
+    next = g_random_int_range (0, COUNT);
+  for (int tries = 0; tries < COUNT; tries++)
+    {
+      uint16_t port = (uint16_t)(FIRST + next++ % COUNT);
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      bool is_free;
+
+      address_set (&address, port);
+      is_free = fd >= 0
+                && bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
+      close (fd);
+      if (is_free)
+        return port;
+    }
+  exit (2);
 }
 
 static int
