--- a/review/stage-2/stage-host.c
+++ b/review/stage-2/stage-host.c
@@ -61,14 +61,16 @@
   _exit (127);
 }
 
-void
-stage_host_start (struct stage_host *host, const char *name, const char *zone)
+static void
+host_start (struct stage_host *host, const char *name, const char *zone,
+            bool relayed)
 {
   char *settings;
 
   memset (host, 0, sizeof *host);
   g_strlcpy (host->name, name, sizeof host->name);
   g_strlcpy (host->zone, zone, sizeof host->zone);
+  host->door.relayed = relayed;
   stage_door_start (&host->door);
   host->front = stage_port_find ();
   for (size_t i = 0; i < G_N_ELEMENTS (host->ports); i++)
@@ -83,6 +85,33 @@
   g_free (settings);
 }
 
+void
+stage_host_start (struct stage_host *host, const char *name, const char *zone)
+{
+  host_start (host, name, zone, false);
+}
+
+void
+stage_host_start_relayed (struct stage_host *host, const char *name,
+                          const char *zone)
+{
+  host_start (host, name, zone, true);
+}
+
+size_t
+stage_host_memory (const struct stage_host *host)
+{
+  char *path = g_strdup_printf ("/proc/%d/statm", host->pid);
+  unsigned long pages = 0;
+  char *text = NULL;
+
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    sscanf (text, "%*u %lu", &pages);
+  g_free (text);
+  g_free (path);
+  return pages * (size_t)sysconf (_SC_PAGESIZE);
+}
+
 bool
 stage_host_wait (const struct stage_host *host)
 {
--- a/review/stage-2/stage-store.c
+++ b/review/stage-2/stage-store.c
@@ -71,9 +71,45 @@
   pthread_cond_broadcast (&changed);
 }
 
+/* The door through which the call came that this thread answers. */
+static __thread const struct stage_door *current_door;
+
+/* Return the value of ITEM, in base64, as the current door gives it. */
+static char *
+value_for_door (const struct item *item)
+{
+  static const char address[] = "127.0.0.1:";
+  GString *text;
+  const char *found;
+  char *value;
+  gsize size;
+
+  if (!current_door->relayed || !g_str_has_prefix (item->key, "servers/"))
+    return g_strdup (item->value);
+  value = (char *)g_base64_decode (item->value, &size);
+  text = g_string_new_len (value, (gssize)size);
+  g_free (value);
+  found = strstr (text->str, address);
+  if (found != NULL)
+    {
+      gssize start = found - text->str + (gssize)strlen (address);
+      char *end;
+      uint16_t port = (uint16_t)strtoul (text->str + start, &end, 10);
+      char *relay = g_strdup_printf ("%u", stage_relay_port (port));
+
+      g_string_erase (text, start, end - (text->str + start));
+      g_string_insert (text, start, relay);
+      g_free (relay);
+    }
+  value = g_base64_encode ((const guchar *)text->str, text->len);
+  g_string_free (text, TRUE);
+  return value;
+}
+
 static struct json_object *
 item_object (const struct item *item)
 {
+  char *value;
   struct json_object *object = json_object_new_object ();
 
   json_object_object_add (object, "key", json_object_new_string (item->key));
@@ -85,8 +121,9 @@
                               json_object_new_boolean (TRUE));
       return object;
     }
-  json_object_object_add (object, "value",
-                          json_object_new_string (item->value));
+  value = value_for_door (item);
+  json_object_object_add (object, "value", json_object_new_string (value));
+  g_free (value);
   json_object_object_add (object, "lease",
                           json_object_new_uint64 (item->lease));
   return object;
@@ -334,6 +371,7 @@
   char target[2048] = "";
 
   sscanf (request->head, "%15s %2047s", method, target);
+  current_door = door;
   if (door->refuses)
     body_answer (fd, 503, json_object_new_object ());
   else if (strcmp (method, "GET") == 0)
--- a/review/stage-2/stage.h
+++ b/review/stage-2/stage.h
@@ -87,6 +87,7 @@
 {
   struct stage_server server;
   bool refuses; /**< It answers 503. */
+  bool relayed; /**< It names the relays of engines instead of these. */
 };
 
 void stage_store_start (void);
@@ -129,6 +130,15 @@
                            const struct stage_message *request,
                            const char *fields, const char *body);
 
+/* Relays, through which one host reaches the engines. */
+
+/** Start a relay to the engine at PORT. */
+void stage_relay_start (uint16_t port);
+/** Return the port of the relay to PORT; PORT if there is none. */
+uint16_t stage_relay_port (uint16_t port);
+/** End all connections through the relays, and reset new ones. */
+void stage_relays_cut (void);
+
 /* Entry processes. */
 
 struct stage_host
@@ -143,6 +153,11 @@
 
 void stage_host_start (struct stage_host *host, const char *name,
                        const char *zone);
+/** The same, but the host reaches engines through their relays. */
+void stage_host_start_relayed (struct stage_host *host, const char *name,
+                               const char *zone);
+/** Return the resident memory of HOST in bytes. */
+size_t stage_host_memory (const struct stage_host *host);
 /** Wait until HOST says that it is ready.
  * @return false after 15 s */
 bool stage_host_wait (const struct stage_host *host);
