--- a/review/stage-2/stage-host.c
+++ b/review/stage-2/stage-host.c
@@ -14,7 +14,7 @@
 {
   const char *path = getenv ("STAGE_FOLDER");
 
-  return path != NULL ? path : "/tmp";
+  return path != NULL ? path : g_get_tmp_dir ();
 }
 
 /* Write the settings as platform/settings.json.in gives them for the fields of
