--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -1,4 +1,5 @@
 #include "kvbudget.h"
+#include "kvrequest.h"
 
 #include <assert.h>
 #include <glib.h>
@@ -10,28 +11,11 @@
   LOST_REPLIES_MAX = 3
 };
 
-enum call_kind
-{
-  CALL_GET,
-  CALL_RANGE,
-  CALL_TXN,
-  CALL_LEASE_GRANT,
-  CALL_LEASE_KEEPALIVE,
-  CALL_LEASE_REVOKE,
-  CALL_WATCH
-};
-
 struct budget_call
 {
   struct list node;
   struct kvbudget *budget; /* NULL once the caller has its reply. */
-  enum call_kind kind;
-  char *key; /* The key of a get, or the prefix of a range or a watch. */
-  uint64_t lease_or_revision; /* The id of a lease, or the revision after which
-                                 a watch starts. */
-  /* Time to live of a new lease, or wait time of a watch. */
-  int64_t duration_ns;
-  struct kv_txn txn; /* Owns its arrays and strings. */
+  struct kvrequest request;
   kv_done done;
   void *data;
   bool is_probe;
@@ -43,47 +27,10 @@
 static void
 call_free (struct budget_call *call)
 {
-  for (size_t i = 0; i < call->txn.compare_count; i++)
-    g_free ((char *)call->txn.compares[i].key);
-  for (size_t i = 0; i < call->txn.write_count; i++)
-    {
-      g_free ((char *)call->txn.writes[i].key);
-      g_free ((char *)call->txn.writes[i].value);
-    }
-  g_free ((void *)call->txn.compares);
-  g_free ((void *)call->txn.writes);
-  g_free (call->key);
+  kvrequest_finish (&call->request);
   g_free (call);
 }
 
-static void
-call_copy_txn (struct budget_call *call, const struct kv_txn *txn)
-{
-  struct kv_compare *compares = g_new0 (struct kv_compare, txn->compare_count);
-  struct kv_write *writes = g_new0 (struct kv_write, txn->write_count);
-
-  for (size_t i = 0; i < txn->compare_count; i++)
-    {
-      compares[i] = txn->compares[i];
-      compares[i].key = g_strdup (txn->compares[i].key);
-    }
-  for (size_t i = 0; i < txn->write_count; i++)
-    {
-      writes[i] = txn->writes[i];
-      writes[i].key = g_strdup (txn->writes[i].key);
-      writes[i].value = g_strdup (txn->writes[i].value);
-    }
-  call->txn = (struct kv_txn){ compares, txn->compare_count, writes,
-                               txn->write_count };
-}
-
-static bool
-call_is_for_lease (const struct budget_call *call)
-{
-  return call->kind == CALL_LEASE_GRANT || call->kind == CALL_LEASE_KEEPALIVE
-         || call->kind == CALL_LEASE_REVOKE;
-}
-
 static void
 budget_refill (struct kvbudget *budget)
 {
@@ -160,7 +107,7 @@
 static void
 call_detach (struct budget_call *call)
 {
-  if (call->kind == CALL_WATCH)
+  if (call->request.kind == KVREQUEST_WATCH)
     {
       budget_refill (call->budget);
       call->budget->watch_count--;
@@ -183,39 +130,6 @@
   call_free (call);
 }
 
-static void
-call_dispatch (struct budget_call *call, struct kv *service)
-{
-  const struct kv_ops *ops = service->ops;
-
-  switch (call->kind)
-    {
-    case CALL_GET:
-      ops->get (service, call->key, call_replied, call);
-      break;
-    case CALL_RANGE:
-      ops->range (service, call->key, call_replied, call);
-      break;
-    case CALL_TXN:
-      ops->txn (service, &call->txn, call_replied, call);
-      break;
-    case CALL_LEASE_GRANT:
-      ops->lease_grant (service, call->duration_ns, call_replied, call);
-      break;
-    case CALL_LEASE_KEEPALIVE:
-      ops->lease_keepalive (service, call->lease_or_revision, call_replied,
-                            call);
-      break;
-    case CALL_LEASE_REVOKE:
-      ops->lease_revoke (service, call->lease_or_revision, call_replied, call);
-      break;
-    case CALL_WATCH:
-      ops->watch (service, call->key, call->lease_or_revision,
-                  call->duration_ns, call_replied, call);
-      break;
-    }
-}
-
 static void
 budget_send (struct kvbudget *budget, struct budget_call *call)
 {
@@ -228,15 +142,15 @@
   budget->tokens -= 1;
   call->sent_ns = now;
   call->deadline_ns = now + budget->settings.call_timeout_ns;
-  if (call->kind == CALL_WATCH)
-    call->deadline_ns += call->duration_ns;
+  if (call->request.kind == KVREQUEST_WATCH)
+    call->deadline_ns += call->request.duration_ns;
   if (budget->consecutive_failures > 0)
     {
       call->is_probe = true;
       budget->probe_in_flight = true;
       budget->probe_call_count++;
     }
-  call_dispatch (call, budget->service);
+  kvrequest_send (&call->request, budget->service, call_replied, call);
 }
 
 static bool
@@ -264,7 +178,8 @@
     {
       struct budget_call *call = LIST_ENTRY (at, struct budget_call, node);
 
-      if (budget->consecutive_failures == 0 || call->kind != CALL_WATCH)
+      if (budget->consecutive_failures == 0
+          || call->request.kind != KVREQUEST_WATCH)
         return call;
     }
   return NULL;
@@ -368,15 +283,14 @@
 }
 
 static struct budget_call *
-call_new (struct kv *kv, enum call_kind kind, const char *key, kv_done done,
-          void *data)
+call_new (struct kv *kv, enum kvrequest_kind kind, const char *key,
+          kv_done done, void *data)
 {
   struct kvbudget *budget = LIST_ENTRY (kv, struct kvbudget, kv);
   struct budget_call *call = g_new0 (struct budget_call, 1);
 
   call->budget = budget;
-  call->kind = kind;
-  call->key = g_strdup (key);
+  kvrequest_init (&call->request, kind, key);
   call->done = done;
   call->data = data;
   call->deadline_ns
@@ -391,7 +305,7 @@
   struct kvbudget *budget = call->budget;
   bool full = budget->queued_count >= budget->settings.queue_max;
 
-  if (call->kind == CALL_WATCH)
+  if (call->request.kind == KVREQUEST_WATCH)
     {
       full = full || budget->watch_count >= budget->settings.watch_max;
       budget_refill (budget);
@@ -402,8 +316,8 @@
       list_append (&budget->pending_refusals, &call->node);
       return;
     }
-  list_append (call_is_for_lease (call) ? &budget->lease_queue
-                                        : &budget->queue,
+  list_append (kvrequest_is_for_lease (&call->request) ? &budget->lease_queue
+                                                       : &budget->queue,
                &call->node);
   budget->queued_count++;
   budget_send_queued (budget);
@@ -412,31 +326,32 @@
 static void
 kvbudget_get (struct kv *kv, const char *key, kv_done done, void *data)
 {
-  call_submit (call_new (kv, CALL_GET, key, done, data));
+  call_submit (call_new (kv, KVREQUEST_GET, key, done, data));
 }
 
 static void
 kvbudget_range (struct kv *kv, const char *prefix, kv_done done, void *data)
 {
-  call_submit (call_new (kv, CALL_RANGE, prefix, done, data));
+  call_submit (call_new (kv, KVREQUEST_RANGE, prefix, done, data));
 }
 
 static void
 kvbudget_txn (struct kv *kv, const struct kv_txn *txn, kv_done done,
               void *data)
 {
-  struct budget_call *call = call_new (kv, CALL_TXN, NULL, done, data);
+  struct budget_call *call = call_new (kv, KVREQUEST_TXN, NULL, done, data);
 
-  call_copy_txn (call, txn);
+  kvrequest_copy_txn (&call->request, txn);
   call_submit (call);
 }
 
 static void
 kvbudget_lease_grant (struct kv *kv, int64_t ttl_ns, kv_done done, void *data)
 {
-  struct budget_call *call = call_new (kv, CALL_LEASE_GRANT, NULL, done, data);
+  struct budget_call *call
+      = call_new (kv, KVREQUEST_LEASE_GRANT, NULL, done, data);
 
-  call->duration_ns = ttl_ns;
+  call->request.duration_ns = ttl_ns;
   call_submit (call);
 }
 
@@ -445,9 +360,9 @@
                           void *data)
 {
   struct budget_call *call
-      = call_new (kv, CALL_LEASE_KEEPALIVE, NULL, done, data);
+      = call_new (kv, KVREQUEST_LEASE_KEEPALIVE, NULL, done, data);
 
-  call->lease_or_revision = lease;
+  call->request.lease_or_revision = lease;
   call_submit (call);
 }
 
@@ -455,9 +370,9 @@
 kvbudget_lease_revoke (struct kv *kv, uint64_t lease, kv_done done, void *data)
 {
   struct budget_call *call
-      = call_new (kv, CALL_LEASE_REVOKE, NULL, done, data);
+      = call_new (kv, KVREQUEST_LEASE_REVOKE, NULL, done, data);
 
-  call->lease_or_revision = lease;
+  call->request.lease_or_revision = lease;
   call_submit (call);
 }
 
@@ -465,10 +380,11 @@
 kvbudget_watch (struct kv *kv, const char *prefix, uint64_t after,
                 int64_t wait_ns, kv_done done, void *data)
 {
-  struct budget_call *call = call_new (kv, CALL_WATCH, prefix, done, data);
+  struct budget_call *call
+      = call_new (kv, KVREQUEST_WATCH, prefix, done, data);
 
-  call->lease_or_revision = after;
-  call->duration_ns = wait_ns;
+  call->request.lease_or_revision = after;
+  call->request.duration_ns = wait_ns;
   call_submit (call);
 }
 
