KV service: a line and a counter for each call without a usable reply

The log said that a view got no news, but neither which call had failed nor how far it had come, so a watch that never reached the service looked like one whose reply was lost, and like one that this host had refused itself.

store_call_failed has the kind, key, status and stage of the call, how long it waited to be sent and then for its reply, and the watches that count; trefoilspar_kv_calls_failed_total counts the same, trefoilspar_kv_watches shows the watches. No change of behaviour.

--- a/src/entryhttp.c
+++ b/src/entryhttp.c
@@ -104,6 +104,8 @@
                routes != NULL ? (double)routes->version : 0);
   metrics_set (metrics, "trefoilspar_kv_calls", "",
                (double)entry->dialect->kv_call_count (entry->kv_service));
+  metrics_set (metrics, "trefoilspar_kv_watches", "",
+               (double)entry->kvbudget.watch_count);
   metrics_set (metrics, "trefoilspar_kv_era", "", (double)entry->kvera.era);
   metrics_set (metrics, "trefoilspar_kv_era_rises", "",
                (double)entry->kvera.rise_count);
--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -25,6 +25,33 @@
   CLIENT_IO_TIMEOUT_MS = 60000
 };
 
+static void
+call_failed (void *data, const struct kvbudget_failure *failure)
+{
+  static const char *const stages[] = {
+    [KV_STAGE_UNKNOWN] = "unknown",       [KV_STAGE_QUEUED] = "queued",
+    [KV_STAGE_CONNECTING] = "connecting", [KV_STAGE_SENT] = "sent",
+    [KV_STAGE_REPLYING] = "replying",
+  };
+  struct entry *entry = data;
+  const struct kvbudget *budget = &entry->kvbudget;
+  char labels[64];
+
+  log_event (&entry->log, EVENT_STORE_CALL_FAILED,
+             "kind=%s key=%s status=%s stage=%s queued_ms=%.1f sent_ms=%.1f "
+             "probe=%d queued=%zu watches=%zu",
+             failure->kind, failure->key, status_name (failure->status),
+             stages[failure->stage], (double)failure->queued_ns / NS_PER_MS,
+             (double)failure->sent_ns / NS_PER_MS, failure->was_probe,
+             budget->queued_count, budget->watch_count);
+  g_snprintf (labels, sizeof labels, "kind=\"%s\",stage=\"%s\"", failure->kind,
+              stages[failure->stage]);
+  metrics_add (&entry->metrics, "trefoilspar_kv_calls_failed_total", labels,
+               1);
+}
+
+static const struct kvbudget_ops budget_ops = { call_failed };
+
 static void
 calls_init (struct entry *entry)
 {
@@ -49,6 +76,7 @@
       settings->kv.timeout_ns);
   kvbudget_init (&entry->kvbudget, entry->kv_service, &entry->clock,
                  &entry->rng, &budget);
+  kvbudget_set_ops (&entry->kvbudget, &budget_ops, entry);
   kvera_init (&entry->kvera, &entry->kvbudget.kv, &entryera_ops, entry);
 }
 
--- a/src/event.c
+++ b/src/event.c
@@ -239,6 +239,12 @@
   { EVENT_EVACUATION_HOLD, EVENT_LEVEL_WARN, "evacuation_hold",
     "This host begins or ends to hold all requests, since it may have missed "
     "an evacuation while it was suspended and reads the operator's keys." },
+  { EVENT_STORE_CALL_FAILED, EVENT_LEVEL_WARN, "store_call_failed",
+    "A call to the KV service got no usable reply: its kind, key and status, "
+    "the stage that it had reached (queued, connecting, sent, replying), the "
+    "time that it waited to be sent and then for its reply, whether it was a "
+    "probe in a backoff, how many calls are queued, and how many watches "
+    "count." },
   { EVENT_DUTY_TAKEN, EVENT_LEVEL_WARN, "duty_taken",
     "This host became the leader of a duty, with the given fencing token." },
   { EVENT_DUTY_LOST, EVENT_LEVEL_WARN, "duty_lost",
--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -58,6 +58,7 @@
   char *request_bytes; /* Head and body, until they are written. */
   size_t request_size;
   bool may_have_sent;
+  bool received; /* Whether any byte of the response has arrived. */
 };
 
 static void
@@ -145,7 +146,8 @@
                bool keep)
 {
   struct httpclient_call *call = conn->call;
-  struct httpclient_result result = { status, message };
+  struct httpclient_result result
+      = { status, message, httpclient_call_stage (call) };
   const struct httpclient_ops *ops = call->ops;
   void *data = call->data;
 
@@ -255,6 +257,7 @@
       return;
     }
   conn_expect_progress (conn);
+  conn->call->received = true;
   used = httpresponse_feed (&conn->response, buffer->base, (size_t)size);
   if (conn->call == NULL)
     return;
@@ -483,6 +486,14 @@
   return call->may_have_sent;
 }
 
+enum httpclient_stage
+httpclient_call_stage (const struct httpclient_call *call)
+{
+  if (!call->may_have_sent)
+    return HTTPCLIENT_CONNECTING;
+  return call->received ? HTTPCLIENT_REPLYING : HTTPCLIENT_SENT;
+}
+
 const char *
 httpclient_header_value (const struct httpclient_response_head *head,
                          const char *name, char *buffer, size_t size)
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -46,6 +46,14 @@
   size_t header_count;
 };
 
+/** How far a call has come. */
+enum httpclient_stage
+{
+  HTTPCLIENT_CONNECTING,
+  HTTPCLIENT_SENT,     /**< No byte of the response has arrived. */
+  HTTPCLIENT_REPLYING, /**< Some bytes of the response have arrived. */
+};
+
 /** How a call ended. */
 struct httpclient_result
 {
@@ -55,6 +63,7 @@
   enum status status;
   /** Reason of the failure; NULL if status is STATUS_OK. */
   const char *message;
+  enum httpclient_stage stage;
 };
 
 struct httpclient_ops
@@ -101,6 +110,9 @@
 /** Whether any byte of the request may have been sent. */
 bool httpclient_may_have_sent (const struct httpclient_call *call);
 
+enum httpclient_stage
+httpclient_call_stage (const struct httpclient_call *call);
+
 /** Copy the value of the header NAME, NUL-terminated, into BUFFER. The name
  * is matched case-insensitively. @return BUFFER, or NULL if the response
  * has no such header. */
--- a/src/httpjson.c
+++ b/src/httpjson.c
@@ -86,6 +86,7 @@
   json_call->http_call = NULL;
   json_call_end (json_call,
                  &(struct httpjson_reply){ .status = STATUS_UNKNOWN,
+                                           .stage = HTTPCLIENT_REPLYING,
                                            .head = &json_call->head });
 }
 
@@ -94,6 +95,7 @@
 {
   struct json_call *json_call = data;
   struct httpjson_reply reply = { .status = result->status,
+                                  .stage = result->stage,
                                   .http_status = json_call->http_status,
                                   .head = &json_call->head };
 
@@ -111,7 +113,9 @@
 {
   struct json_call *json_call = timer->data;
   struct httpjson_reply reply
-      = { .status = STATUS_UNAVAILABLE, .head = &json_call->head };
+      = { .status = STATUS_UNAVAILABLE,
+          .stage = httpclient_call_stage (json_call->http_call),
+          .head = &json_call->head };
 
   if (httpclient_may_have_sent (json_call->http_call))
     reply.status = STATUS_UNKNOWN;
--- a/src/httpjson.h
+++ b/src/httpjson.h
@@ -26,6 +26,7 @@
    * STATUS_UNKNOWN: the request may have been executed.
    * STATUS_CANCELLED: httpjson_finish ended the call. */
   enum status status;
+  enum httpclient_stage stage; /**< How far the call had come. */
   int http_status;
   /** Header fields of the response; empty if none arrived. */
   const struct httpfields *head;
--- a/src/kv.h
+++ b/src/kv.h
@@ -35,6 +35,16 @@
   KV_KEY_MAX = 512 /**< Maximum size of a key in bytes, with the NUL. */
 };
 
+/** How far a call had come when it ended. */
+enum kv_stage
+{
+  KV_STAGE_UNKNOWN, /**< The implementation can't tell. */
+  KV_STAGE_QUEUED,  /**< It waited to be sent. */
+  KV_STAGE_CONNECTING,
+  KV_STAGE_SENT,    /**< No byte of a reply had arrived. */
+  KV_STAGE_REPLYING /**< A part of the reply or all of it had arrived. */
+};
+
 /** One key with its value. The implementation of the interface owns the
  * strings; they are valid until the callback returns. */
 struct kv_item
@@ -60,6 +70,7 @@
   /** A get returns one item, a range or a watch all matching items. */
   const struct kv_item *items;
   size_t item_count;
+  enum kv_stage stage;
 };
 
 typedef void (*kv_done) (void *data, const struct kv_reply *reply);
--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -15,11 +15,13 @@
 {
   struct list node;
   struct kvbudget *budget; /* NULL once the caller has its reply. */
+  struct kvbudget *owner;  /* The same, until the call is freed. */
   struct kvrequest request;
   kv_done done;
   void *data;
   bool is_probe;
-  int64_t sent_ns;
+  int64_t submitted_ns;
+  int64_t sent_ns;     /* 0 until the call is sent. */
   int64_t deadline_ns; /* Time limit for sending the call or, once it is sent,
                           for its reply. */
 };
@@ -116,11 +118,47 @@
   call->budget = NULL;
 }
 
+static bool
+is_usable (enum status status)
+{
+  return status == STATUS_OK || status == STATUS_NOT_FOUND
+         || status == STATUS_STALE || status == STATUS_CONFLICT;
+}
+
+/* Tells the owner of the budget if CALL ended in STAGE with a STATUS that
+ * says nothing about the keys. */
+static void
+call_report (const struct budget_call *call, enum status status,
+             enum kv_stage stage)
+{
+  const struct kvbudget *budget = call->owner;
+  const char *key = call->request.key;
+  int64_t now = clock_now (budget->clock);
+
+  if (is_usable (status) || status == STATUS_CANCELLED || budget->ops == NULL)
+    return;
+  budget->ops->call_failed (
+      budget->ops_data,
+      &(struct kvbudget_failure){
+          .kind = kvrequest_kind_name (call->request.kind),
+          .key = key != NULL ? key : "-",
+          .status = status,
+          .stage = stage,
+          .queued_ns
+          = (call->sent_ns != 0 ? call->sent_ns : now) - call->submitted_ns,
+          .sent_ns = call->sent_ns != 0 ? now - call->sent_ns : 0,
+          .was_probe = call->is_probe,
+      });
+}
+
+/* The reply to a call that has timed out here tells the stage that the call
+ * had reached. */
 static void
 call_replied (void *data, const struct kv_reply *reply)
 {
   struct budget_call *call = data;
 
+  call_report (call, reply->status, reply->stage);
   if (call->budget != NULL)
     {
       budget_record_result (call->budget, call, reply->status);
@@ -203,6 +241,7 @@
   if (kvbudget_service_is_down (budget))
     reply.status = STATUS_UNAVAILABLE;
   budget->refused_count++;
+  call_report (call, reply.status, KV_STAGE_QUEUED);
   call_detach (call);
   call->done (call->data, &reply);
   call_free (call);
@@ -290,6 +329,8 @@
   struct budget_call *call = g_new0 (struct budget_call, 1);
 
   call->budget = budget;
+  call->owner = budget;
+  call->submitted_ns = clock_now (budget->clock);
   kvrequest_init (&call->request, kind, key);
   call->done = done;
   call->data = data;
@@ -463,6 +504,14 @@
   list_init (&budget->in_flight);
 }
 
+void
+kvbudget_set_ops (struct kvbudget *budget, const struct kvbudget_ops *ops,
+                  void *data)
+{
+  budget->ops = ops;
+  budget->ops_data = data;
+}
+
 void
 kvbudget_finish (struct kvbudget *budget)
 {
--- a/src/kvbudget.h
+++ b/src/kvbudget.h
@@ -37,6 +37,23 @@
   int64_t outage_min_ns;    /**< See kvbudget.outage_end_ns. */
 };
 
+/** A call that ended without a usable reply. */
+struct kvbudget_failure
+{
+  const char *kind;
+  const char *key; /**< Key or prefix; "-" if the call has none. */
+  enum status status;
+  enum kv_stage stage;
+  int64_t queued_ns; /**< Time until it was sent, or ended unsent. */
+  int64_t sent_ns;   /**< Time since it was sent; 0 if it was not. */
+  bool was_probe;
+};
+
+struct kvbudget_ops
+{
+  void (*call_failed) (void *data, const struct kvbudget_failure *failure);
+};
+
 struct kvbudget
 {
   struct kv kv; /**< The interface that the users call. */
@@ -46,6 +63,8 @@
   uint64_t timeout_count; /**< Number of sent calls that timed out. */
   uint64_t probe_call_count; /**< Number of calls sent to probe the service. */
 
+  const struct kvbudget_ops *ops; /**< NULL if nobody is told. */
+  void *ops_data;
   struct kv *service;
   const struct clock *clock;
   struct rng *rng;
@@ -77,6 +96,10 @@
                     const struct clock *clock, struct rng *rng,
                     const struct kvbudget_settings *settings);
 
+/** Tell OPS of calls without a usable reply. */
+void kvbudget_set_ops (struct kvbudget *budget, const struct kvbudget_ops *ops,
+                       void *data);
+
 /** End all queued and sent calls with STATUS_CANCELLED. Finish SERVICE
  * afterwards: its replies free the memory of the sent calls. */
 void kvbudget_finish (struct kvbudget *budget);
