KV calls that nobody waits for any more are cancelled

What callers saw: around load, hosts judged requests by an older configuration; the last host had a change in force 1.7 s after the first one when the load was over, up to 3.2 s under it.

Cause: a call that its caller had given up went on. A watch that a view had dropped counted for 16 s, took a call a second from the rate, and at twelve of them the next watch was refused at once, so that the view read all keys again and again; a read that had timed out went on page by page beside the next one, and both filled the link on which the configuration comes.

kv_ops.cancel ends a single call down to its connection. A view cancels the call that it drops, the budget a call that has timed out, and kvera the calls of an older era. A cancelled call says nothing about the service.

--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -63,9 +63,10 @@
     .watch_max = KV_WATCH_MAX,
     .queue_timeout_ns = settings->kv.timeout_ns,
     .call_timeout_ns = settings->kv.timeout_ns,
-    .backoff_min_ns = KV_BACKOFF_MIN_MS * NS_PER_MS,
-    .backoff_max_ns = KV_BACKOFF_MAX_MS * NS_PER_MS,
-    .outage_min_ns = OUTAGE_HEARTBEATS * settings->servers.heartbeat_ns,
+    .backoff.min_ns = KV_BACKOFF_MIN_MS * NS_PER_MS,
+    .backoff.max_ns = KV_BACKOFF_MAX_MS * NS_PER_MS,
+    .backoff.outage_min_ns
+    = OUTAGE_HEARTBEATS * settings->servers.heartbeat_ns,
   };
 
   httpclient_init (&entry->httpclient, &entry->loop, CLIENT_IO_TIMEOUT_MS);
@@ -84,7 +85,7 @@
 views_init (struct entry *entry)
 {
   const struct kvview_settings settings = entryviews_settings (
-      &entry->pausewatch, &entry->kvbudget.outage_end_ns);
+      &entry->pausewatch, &entry->kvbudget.backoff.outage_end_ns);
   struct kvview_settings operator_settings = settings;
   struct kv *kv = &entry->kvera.kv;
 
--- a/src/httpjson.c
+++ b/src/httpjson.c
@@ -134,21 +134,41 @@
   list_init (&httpjson->calls);
 }
 
+static void
+json_call_cancel (struct json_call *json_call)
+{
+  struct httpjson_reply reply
+      = { .status = STATUS_CANCELLED, .head = &json_call->head };
+
+  if (json_call->http_call != NULL)
+    {
+      reply.stage = httpclient_call_stage (json_call->http_call);
+      httpclient_cancel (json_call->http_call);
+    }
+  json_call->http_call = NULL;
+  json_call_end (json_call, &reply);
+}
+
 void
 httpjson_finish (struct httpjson *httpjson)
 {
-  struct httpjson_reply reply = { .status = STATUS_CANCELLED };
-
   while (!list_empty (&httpjson->calls))
+    json_call_cancel (
+        LIST_ENTRY (httpjson->calls.next, struct json_call, node));
+}
+
+void
+httpjson_cancel (struct httpjson *httpjson, const void *data)
+{
+  for (struct list *at = httpjson->calls.next; at != &httpjson->calls;
+       at = at->next)
     {
-      struct json_call *json_call
-          = LIST_ENTRY (httpjson->calls.next, struct json_call, node);
-
-      if (json_call->http_call != NULL)
-        httpclient_cancel (json_call->http_call);
-      json_call->http_call = NULL;
-      reply.head = &json_call->head;
-      json_call_end (json_call, &reply);
+      struct json_call *json_call = LIST_ENTRY (at, struct json_call, node);
+
+      if (json_call->data != data)
+        continue;
+      json_call_cancel (json_call);
+      return;
     }
 }
 
--- a/src/httpjson.h
+++ b/src/httpjson.h
@@ -79,6 +79,10 @@
                     const struct httpjson_request *request,
                     httpjson_call_ended done, void *data);
 
+/** End the call with DATA, if there is one, with STATUS_CANCELLED, and close
+ * its connection. */
+void httpjson_cancel (struct httpjson *httpjson, const void *data);
+
 /** The string at KEY of OBJECT, or "" if there is none. */
 const char *json_field_text (struct json_object *object, const char *key);
 
--- a/src/kv.h
+++ b/src/kv.h
@@ -12,7 +12,8 @@
  *
  * Each call invokes its callback exactly once, and never before the call has
  * returned. When the implementation is finished, the callbacks of calls that
- * are still in flight receive STATUS_CANCELLED.
+ * are still in flight receive STATUS_CANCELLED. The data pointers of calls
+ * that are cancelled singly differ from those of all others in flight.
  *
  * Statuses of a reply:
  * - STATUS_OK: the call succeeded.
@@ -25,8 +26,8 @@
  * - STATUS_LIMITED, STATUS_UNAVAILABLE: the call certainly had no effect.
  * - STATUS_UNKNOWN: the reply was lost; a write may have taken effect.
  * - STATUS_TOO_LARGE: a size limit is exceeded, and the service wrote nothing.
- * - STATUS_CANCELLED: the implementation was finished before the reply came; a
- *   write may have taken effect.
+ * - STATUS_CANCELLED: the call was cancelled, or the implementation finished,
+ *   before the reply came; a write may have taken effect.
  */
 
 enum
@@ -122,6 +123,11 @@
    * longer exist. */
   void (*watch) (struct kv *kv, const char *prefix, uint64_t after,
                  int64_t wait_ns, kv_done done, void *data);
+  /** End the call with DATA, if it has not ended: its callback receives
+   * STATUS_CANCELLED before this returns, and what the call holds at the
+   * service and on the network is given up. NULL if the implementation can't
+   * end single calls. */
+  void (*cancel) (struct kv *kv, void *data);
 };
 
 /** Base of all implementations, which have it as their first member. */
--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -4,13 +4,6 @@
 #include <assert.h>
 #include <glib.h>
 
-enum
-{
-  /* Number of calls in a row that lose their replies from which on the service
-   * counts as down. */
-  LOST_REPLIES_MAX = 3
-};
-
 struct budget_call
 {
   struct list node;
@@ -20,6 +13,7 @@
   kv_done done;
   void *data;
   bool is_probe;
+  bool timed_out; /* Whether the caller was told so; the reply is dropped. */
   int64_t submitted_ns;
   int64_t sent_ns;     /* 0 until the call is sent. */
   int64_t deadline_ns; /* Time limit for sending the call or, once it is sent,
@@ -47,64 +41,18 @@
 }
 
 static void
-budget_back_off (struct kvbudget *budget)
-{
-  int64_t now = clock_now (budget->clock);
-  int64_t mean = budget->settings.backoff_min_ns;
-
-  for (unsigned i = 0; i < budget->consecutive_failures; i++)
-    mean = MIN (mean * 2, budget->settings.backoff_max_ns);
-  budget->consecutive_failures++;
-  budget->backoff_start_ns = now;
-  /* The jitter of 0.5 to 1.5 times the mean keeps processes that failed at
-   * the same time from retrying at the same time. */
-  budget->backoff_end_ns
-      = now + mean / 2 + (int64_t)((double)mean * rng_uniform (budget->rng));
-}
-
-static void
-budget_note_reply (struct kvbudget *budget)
+budget_record_result (struct kvbudget *budget, const struct budget_call *call,
+                      enum status status)
 {
-  int64_t now = clock_now (budget->clock);
+  const struct kvbackoff_result result
+      = { status, call->is_probe, call->sent_ns };
 
-  if (budget->last_reply_ns != 0
-      && now - budget->last_reply_ns >= budget->settings.outage_min_ns)
-    budget->outage_end_ns = now;
-  budget->last_reply_ns = now;
-  if (budget->consecutive_failures == 0)
+  if (!kvbackoff_record (&budget->backoff, &result))
     return;
-  budget->consecutive_failures = 0;
-  budget->is_lost = false;
   budget_refill (budget);
   budget->tokens = MIN (budget->tokens, 1.0);
 }
 
-/* Update the backoff after CALL ended with STATUS. The failure of a call that
- * was sent before the last failure says nothing new about the service and does
- * not extend the backoff. A lost reply (STATUS_UNKNOWN) counts as a failure
- * for the probe, and if several calls in a row have lost theirs. */
-static void
-budget_record_result (struct kvbudget *budget, const struct budget_call *call,
-                      enum status status)
-{
-  bool failed = status == STATUS_UNAVAILABLE || status == STATUS_LIMITED
-                || status == STATUS_TIMEOUT;
-
-  if (call->is_probe)
-    budget->probe_in_flight = false;
-  budget->lost_replies
-      = status == STATUS_UNKNOWN ? budget->lost_replies + 1 : 0;
-  failed = failed || budget->lost_replies >= LOST_REPLIES_MAX;
-  if (!failed && status != STATUS_UNKNOWN)
-    budget_note_reply (budget);
-  else if (call->is_probe
-           || (failed && call->sent_ns >= budget->backoff_start_ns))
-    {
-      budget->is_lost = budget->is_lost || status != STATUS_LIMITED;
-      budget_back_off (budget);
-    }
-}
-
 /* Remove CALL from the lists and counts of its budget. */
 static void
 call_detach (struct budget_call *call)
@@ -158,7 +106,8 @@
 {
   struct budget_call *call = data;
 
-  call_report (call, reply->status, reply->stage);
+  call_report (call, call->timed_out ? STATUS_UNKNOWN : reply->status,
+               reply->stage);
   if (call->budget != NULL)
     {
       budget_record_result (call->budget, call, reply->status);
@@ -182,10 +131,10 @@
   call->deadline_ns = now + budget->settings.call_timeout_ns;
   if (call->request.kind == KVREQUEST_WATCH)
     call->deadline_ns += call->request.duration_ns;
-  if (budget->consecutive_failures > 0)
+  if (kvbackoff_is_active (&budget->backoff))
     {
       call->is_probe = true;
-      budget->probe_in_flight = true;
+      budget->backoff.probe_in_flight = true;
       budget->probe_call_count++;
     }
   kvrequest_send (&call->request, budget->service, call_replied, call);
@@ -195,12 +144,7 @@
 budget_may_send (struct kvbudget *budget)
 {
   budget_refill (budget);
-  if (budget->tokens < 1)
-    return false;
-  if (budget->consecutive_failures == 0)
-    return true;
-  return !budget->probe_in_flight
-         && clock_now (budget->clock) >= budget->backoff_end_ns;
+  return budget->tokens >= 1 && kvbackoff_allows_call (&budget->backoff);
 }
 
 /* Return the next queued call to send, or NULL. While the service is down,
@@ -216,7 +160,7 @@
     {
       struct budget_call *call = LIST_ENTRY (at, struct budget_call, node);
 
-      if (budget->consecutive_failures == 0
+      if (!kvbackoff_is_active (&budget->backoff)
           || call->request.kind != KVREQUEST_WATCH)
         return call;
     }
@@ -290,8 +234,16 @@
     }
 }
 
-/* End the calls in flight that have timed out. Such a call is freed when its
- * late reply arrives. */
+/* Ends CALL, which was sent, at the service, or else lets it go on until its
+ * late reply, which frees it. */
+static void
+call_give_up (struct budget_call *call, struct kv *service)
+{
+  if (service->ops->cancel != NULL)
+    service->ops->cancel (service, call);
+}
+
+/* End the calls in flight that have timed out. */
 static void
 in_flight_expire (struct kvbudget *budget)
 {
@@ -317,7 +269,9 @@
       budget->timeout_count++;
       budget_record_result (budget, call, STATUS_TIMEOUT);
       call_detach (call);
+      call->timed_out = true;
       call->done (call->data, &reply);
+      call_give_up (call, budget->service);
     }
 }
 
@@ -429,6 +383,66 @@
   call_submit (call);
 }
 
+static struct budget_call *
+calls_find (const struct list *calls, const void *data)
+{
+  for (struct list *at = calls->next; at != calls; at = at->next)
+    {
+      struct budget_call *call = LIST_ENTRY (at, struct budget_call, node);
+
+      if (call->data == data)
+        return call;
+    }
+  return NULL;
+}
+
+/* Ends CALL, which waits to be sent or refused. */
+static void
+call_cancel_unsent (struct budget_call *call)
+{
+  struct kv_reply reply
+      = { .status = STATUS_CANCELLED, .stage = KV_STAGE_QUEUED };
+
+  call_detach (call);
+  call->done (call->data, &reply);
+  call_free (call);
+}
+
+static void
+call_cancel_sent (struct budget_call *call)
+{
+  struct kvbudget *budget = call->budget;
+  struct kv_reply reply = { .status = STATUS_CANCELLED };
+
+  budget_record_result (budget, call, STATUS_CANCELLED);
+  call_detach (call);
+  call->done (call->data, &reply);
+  call_give_up (call, budget->service);
+}
+
+static void
+kvbudget_cancel (struct kv *kv, void *data)
+{
+  struct kvbudget *budget = LIST_ENTRY (kv, struct kvbudget, kv);
+  struct budget_call *call = calls_find (&budget->in_flight, data);
+
+  if (call != NULL)
+    {
+      call_cancel_sent (call);
+      return;
+    }
+  call = calls_find (&budget->pending_refusals, data);
+  if (call == NULL)
+    {
+      call = calls_find (&budget->queue, data);
+      if (call == NULL)
+        call = calls_find (&budget->lease_queue, data);
+      budget->queued_count -= call != NULL;
+    }
+  if (call != NULL)
+    call_cancel_unsent (call);
+}
+
 static const struct kv_ops kvbudget_ops = {
   .get = kvbudget_get,
   .range = kvbudget_range,
@@ -437,6 +451,7 @@
   .lease_keepalive = kvbudget_lease_keepalive,
   .lease_revoke = kvbudget_lease_revoke,
   .watch = kvbudget_watch,
+  .cancel = kvbudget_cancel,
 };
 
 static void
@@ -467,10 +482,10 @@
   double missing = MAX (1 - budget->tokens, 0);
   int64_t at = budget->tokens_updated_ns + (int64_t)(missing / rate * 1e9) + 1;
 
-  if (budget->consecutive_failures == 0)
+  if (!kvbackoff_is_active (&budget->backoff))
     return at;
-  return budget->probe_in_flight ? CLOCK_NEVER
-                                 : MAX (at, budget->backoff_end_ns);
+  return budget->backoff.probe_in_flight ? CLOCK_NEVER
+                                         : MAX (at, budget->backoff.end_ns);
 }
 
 static int64_t
@@ -494,10 +509,10 @@
     .settings = *settings,
     .service = service,
     .clock = clock,
-    .rng = rng,
     .tokens = settings->burst,
     .tokens_updated_ns = clock_now (clock),
   };
+  kvbackoff_init (&budget->backoff, &settings->backoff, clock, rng);
   list_init (&budget->lease_queue);
   list_init (&budget->queue);
   list_init (&budget->pending_refusals);
@@ -558,5 +573,5 @@
 bool
 kvbudget_service_is_down (const struct kvbudget *budget)
 {
-  return budget->is_lost;
+  return budget->backoff.is_lost;
 }
--- a/src/kvbudget.h
+++ b/src/kvbudget.h
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "kv.h"
+#include "kvbackoff.h"
 #include "list.h"
 #include "rng.h"
 
@@ -32,9 +33,7 @@
   int64_t queue_timeout_ns; /**< Maximum time that a call may be queued. */
   int64_t call_timeout_ns;  /**< Timeout of one call; the wait time of a watch
                                is added to it. */
-  int64_t backoff_min_ns;   /**< Mean backoff after the first failure. */
-  int64_t backoff_max_ns;   /**< Mean backoff after many failures. */
-  int64_t outage_min_ns;    /**< See kvbudget.outage_end_ns. */
+  struct kvbackoff_settings backoff;
 };
 
 /** A call that ended without a usable reply. */
@@ -67,7 +66,6 @@
   void *ops_data;
   struct kv *service;
   const struct clock *clock;
-  struct rng *rng;
   double tokens;
   int64_t tokens_updated_ns;
   struct list lease_queue;      /* Lease calls that wait to be sent. */
@@ -76,19 +74,7 @@
   struct list in_flight; /* Calls that were sent and have no reply yet. */
   size_t queued_count;   /* Number of calls in LEASE_QUEUE and QUEUE. */
   size_t watch_count;    /* Number of watches in the four lists. */
-  unsigned consecutive_failures; /* Number of failures that started or extended
-                                    the backoff; 0 if there is none. */
-  unsigned lost_replies; /* Number of calls in a row without a reply. */
-  bool is_lost;          /* Whether one of these failures was not a limit. */
-  bool probe_in_flight;
-  int64_t backoff_start_ns; /* Time of the failure that started the backoff. */
-  int64_t backoff_end_ns;
-  /** Time at which the service last replied to a call, and not with a refusal;
-   * 0 if it never has. */
-  int64_t last_reply_ns;
-  /** Time of the last reply that came after a span of outage_min_ns or more
-   * without one; 0 if there was none. */
-  int64_t outage_end_ns;
+  struct kvbackoff backoff;
 };
 
 /** SERVICE, CLOCK and RNG must outlive BUDGET. */
--- a/src/kvera.c
+++ b/src/kvera.c
@@ -36,11 +36,12 @@
   call->done (call->data, &reply);
 }
 
-/* End the calls that were sent before the era rose. Their callers may send new
- * calls, which stay. */
+/* End the calls that were sent before the era rose, also at the service, which
+ * frees them. Their callers may send new calls, which stay. */
 static void
 older_calls_end (struct kvera *kvera)
 {
+  struct kv *service = kvera->service;
   struct list older;
 
   list_init (&older);
@@ -52,7 +53,13 @@
       list_append (&older, node);
     }
   while (!list_empty (&older))
-    call_end_unknown (LIST_ENTRY (older.next, struct era_call, node));
+    {
+      struct era_call *call = LIST_ENTRY (older.next, struct era_call, node);
+
+      call_end_unknown (call);
+      if (service->ops->cancel != NULL)
+        service->ops->cancel (service, call);
+    }
 }
 
 static void
@@ -152,6 +159,25 @@
   service->ops->watch (service, prefix, after, wait_ns, call_replied, call);
 }
 
+static void
+kvera_cancel (struct kv *kv, void *data)
+{
+  struct kvera *kvera = LIST_ENTRY (kv, struct kvera, kv);
+  struct kv *service = kvera->service;
+
+  if (service->ops->cancel == NULL)
+    return;
+  for (struct list *at = kvera->calls.next; at != &kvera->calls; at = at->next)
+    {
+      struct era_call *call = LIST_ENTRY (at, struct era_call, node);
+
+      if (call->data != data)
+        continue;
+      service->ops->cancel (service, call);
+      return;
+    }
+}
+
 static const struct kv_ops kvera_ops = {
   .get = kvera_get,
   .range = kvera_range,
@@ -160,6 +186,7 @@
   .lease_keepalive = kvera_lease_keepalive,
   .lease_revoke = kvera_lease_revoke,
   .watch = kvera_watch,
+  .cancel = kvera_cancel,
 };
 
 void
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -31,8 +31,7 @@
   /* A reply that comes sooner may report a change that was made before the
    * call. */
   ROUND_TRIP_MS = 250,
-  /* Minimum time between two calls in flight that are ignored, so that the
-   * limit on pending watches is kept. */
+  /* Minimum time between two reads after pauses. */
   READ_ANEW_INTERVAL_MS = 5000
 };
 
@@ -282,13 +281,14 @@
   bool is_full_read = call->is_full_read;
   int64_t written_since_ns = reply_written_since_ns (view, call);
 
+  if (is_current)
+    view->call = NULL;
   is_current = is_current && reply->status != STATUS_CANCELLED;
   if (is_current && reply->status != STATUS_OK)
     call_missed_changes (view, call, reply->status);
   g_free (call);
   if (!is_current)
     return;
-  view->call_in_flight = false;
   if (reply->status == STATUS_STALE)
     {
       view->needs_full_read = true;
@@ -341,7 +341,7 @@
   call->generation = view->generation;
   call->is_full_read = view->needs_full_read;
   call->sent_ns = clock_boottime (view->clock);
-  view->call_in_flight = true;
+  view->call = call;
   if (call->is_full_read)
     view->kv->ops->range (view->kv, view->prefix, view_replied, call);
   else
@@ -353,9 +353,13 @@
 static void
 view_drop_call (struct kvview *view)
 {
+  struct kvview_call *call = view->call;
+
   view->generation++;
-  view->call_in_flight = false;
+  view->call = NULL;
   view->needs_full_read = true;
+  if (call != NULL && view->kv->ops->cancel != NULL)
+    view->kv->ops->cancel (view->kv, call);
 }
 
 void
@@ -370,7 +374,7 @@
       view->next_anew_ns = now + READ_ANEW_INTERVAL_MS * NS_PER_MS;
       view_drop_call (view);
     }
-  if (!view->call_in_flight && now >= view->next_call_ns)
+  if (view->call == NULL && now >= view->next_call_ns)
     view_send_call (view);
 }
 
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -76,7 +76,7 @@
   int64_t unseen_since_ns;
   bool reachable;       /**< Whether the last call succeeded. */
   bool was_unreachable; /**< Whether a call has failed since kvview_init. */
-  bool call_in_flight;
+  struct kvview_call *call; /**< Call in flight; NULL if there is none. */
   bool needs_full_read; /**< Whether the next call is a range, not a watch. */
   int64_t pause_ns;     /**< Delay of the next call after a reply that contains
                            keys. */
@@ -104,16 +104,15 @@
  * a call for each change. */
 void kvview_set_pause (struct kvview *view, int64_t pause_ns);
 
-/** Ignore the call in flight and read all keys with the next one. For use
+/** Cancel the call in flight and read all keys with the next one. For use
  * after an outage that another call has detected: the service may never reply
  * to a watch from before the outage. */
 void kvview_restart (struct kvview *view);
 
-/** Ignore the call in flight and read all keys, since changes that were made
+/** Cancel the call in flight and read all keys, since changes that were made
  * from SINCE_NS on (by clock_boottime) may not have been reported although the
  * service replies. Takes effect with the next tick, or a few seconds after the
- * last time: the service keeps the ignored watches for as long as they would
- * have waited. */
+ * last time, so that frequent pauses cause few reads. */
 void kvview_read_anew (struct kvview *view, int64_t since_ns);
 
 /** Let the read that is due by kvview_read_anew be the next call. */
--- a/src/process.c
+++ b/src/process.c
@@ -267,8 +267,8 @@
     .watch_max = KV_WATCH_MAX,
     .queue_timeout_ns = settings->kv.timeout_ns,
     .call_timeout_ns = settings->kv.timeout_ns + KV_WATCH_WAIT_NS,
-    .backoff_min_ns = KV_BACKOFF_MIN_NS,
-    .backoff_max_ns = KV_BACKOFF_MAX_NS,
+    .backoff.min_ns = KV_BACKOFF_MIN_NS,
+    .backoff.max_ns = KV_BACKOFF_MAX_NS,
   };
 
   kvbudget_init (&process->kvbudget, &process->kvhttp.kv, &process->clock,
--- a/test/fake-fleet.c
+++ b/test/fake-fleet.c
@@ -203,8 +203,8 @@
     .watch_max = 10,
     .queue_timeout_ns = NS_PER_S,
     .call_timeout_ns = 800 * NS_PER_MS,
-    .backoff_min_ns = 50 * NS_PER_MS,
-    .backoff_max_ns = NS_PER_S,
+    .backoff.min_ns = 50 * NS_PER_MS,
+    .backoff.max_ns = NS_PER_S,
   };
 }
 
--- a/test/test-blindview.c
+++ b/test/test-blindview.c
@@ -65,9 +65,9 @@
   .watch_max = WATCH_MAX,
   .queue_timeout_ns = TIMEOUT_MS * NS_PER_MS,
   .call_timeout_ns = TIMEOUT_MS * NS_PER_MS,
-  .backoff_min_ns = 20 * NS_PER_MS,
-  .backoff_max_ns = 100 * NS_PER_MS,
-  .outage_min_ns = 4 * NS_PER_S,
+  .backoff.min_ns = 20 * NS_PER_MS,
+  .backoff.max_ns = 100 * NS_PER_MS,
+  .backoff.outage_min_ns = 4 * NS_PER_S,
 };
 
 static void
--- a/test/test-era.c
+++ b/test/test-era.c
@@ -83,8 +83,8 @@
   .watch_max = 20,
   .queue_timeout_ns = NS_PER_S,
   .call_timeout_ns = NS_PER_S,
-  .backoff_min_ns = 50 * NS_PER_MS,
-  .backoff_max_ns = 400 * NS_PER_MS,
+  .backoff.min_ns = 50 * NS_PER_MS,
+  .backoff.max_ns = 400 * NS_PER_MS,
 };
 
 static void
--- a/test/test-evacuationfleet.c
+++ b/test/test-evacuationfleet.c
@@ -81,7 +81,7 @@
 host_start (unsigned index)
 {
   const struct kvview_settings view_settings = entryviews_settings (
-      &hosts[index].pausewatch, &hosts[index].kvbudget.outage_end_ns);
+      &hosts[index].pausewatch, &hosts[index].kvbudget.backoff.outage_end_ns);
   struct entry *entry = &hosts[index];
 
   memset (entry, 0, sizeof *entry);
--- a/test/test-kvbudget.c
+++ b/test/test-kvbudget.c
@@ -18,9 +18,9 @@
   .watch_max = 20,
   .queue_timeout_ns = 500 * NS_PER_MS,
   .call_timeout_ns = NS_PER_S,
-  .backoff_min_ns = 100 * NS_PER_MS,
-  .backoff_max_ns = 5 * NS_PER_S,
-  .outage_min_ns = 4 * NS_PER_S,
+  .backoff.min_ns = 100 * NS_PER_MS,
+  .backoff.max_ns = 5 * NS_PER_S,
+  .backoff.outage_min_ns = 4 * NS_PER_S,
 };
 
 static void
@@ -124,7 +124,7 @@
   CU_ASSERT_TRUE (fake_kv_call_count (&fake) - before <= 10);
   CU_ASSERT_TRUE (kvbudget_service_is_down (&budget));
   fake.faults.lost_before_effect_share = 0;
-  run (3 * settings.backoff_max_ns / 2 + NS_PER_S);
+  run (3 * settings.backoff.max_ns / 2 + NS_PER_S);
   CU_ASSERT_FALSE (kvbudget_service_is_down (&budget));
   calls_left = 0;
   finish ();
@@ -163,7 +163,7 @@
   CU_ASSERT_TRUE (budget.probe_call_count <= 40);
   CU_ASSERT_TRUE (fake_kv_call_count (&fake) <= budget.probe_call_count + 10);
   fake.faults.down = false;
-  run (settings.backoff_max_ns * 3 / 2 + NS_PER_S);
+  run (settings.backoff.max_ns * 3 / 2 + NS_PER_S);
   CU_ASSERT_FALSE (kvbudget_service_is_down (&budget));
   calls_left = 0;
   finish ();
@@ -281,13 +281,13 @@
   run (NS_PER_S);
   fake.faults.down = false;
   run (3 * NS_PER_S);
-  CU_ASSERT_EQUAL (budget.outage_end_ns, 0);
+  CU_ASSERT_EQUAL (budget.backoff.outage_end_ns, 0);
   fake.faults.down = true;
   run (6 * NS_PER_S);
   back_ns = fake_clock.now_ns;
   fake.faults.down = false;
   run (10 * NS_PER_S);
-  CU_ASSERT_TRUE (budget.outage_end_ns >= back_ns);
+  CU_ASSERT_TRUE (budget.backoff.outage_end_ns >= back_ns);
   calls_left = 0;
   finish ();
 }
