Reads of the KV service end when they make no progress, not after one second

Cause: a read of many pages, or one page over a slow link, was given up after the timeout of a single call although its bytes kept coming, counted as an outage, and was begun again, as were the reads of the other two views.

A reply that has begun now has the timeout of a call for each further part (httpjson_request.progress_timeout_ns). The budget bounds a whole read by 10 s.

Evidence: blindview/read-of-many-pages-is-begun-again and blindview/page-of-many-pieces-is-begun-again failed before and pass.

--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -16,6 +16,8 @@
    * the last one a heartbeat before an outage at the earliest. */
   OUTAGE_HEARTBEATS = 2,
   KV_BURST = 60,
+  /* Maximum time of a whole read over the link of a small host. */
+  KV_READ_TIMEOUT_MS = 10000,
   /* The backoff is short, since a change must be in force within seconds of
    * the end of an outage. */
   KV_BACKOFF_MIN_MS = 50,
@@ -63,6 +65,7 @@
     .watch_max = KV_WATCH_MAX,
     .queue_timeout_ns = settings->kv.timeout_ns,
     .call_timeout_ns = settings->kv.timeout_ns,
+    .read_timeout_ns = KV_READ_TIMEOUT_MS * NS_PER_MS,
     .backoff.min_ns = KV_BACKOFF_MIN_MS * NS_PER_MS,
     .backoff.max_ns = KV_BACKOFF_MAX_MS * NS_PER_MS,
     .backoff.outage_min_ns
--- a/src/httpjson.c
+++ b/src/httpjson.c
@@ -9,6 +9,8 @@
   struct list node;
   struct httpjson *httpjson;
   size_t reply_bytes_max;
+  uint64_t timeout_ms; /* The rest of the timeout once it is connected. */
+  uint64_t progress_timeout_ms; /* 0 if progress extends no timeout. */
   struct httpclient_call *http_call;
   uv_timer_t timer;
   GString *body;
@@ -39,11 +41,24 @@
   uv_close ((uv_handle_t *)&json_call->timer, timer_closed);
 }
 
+static void on_timeout (uv_timer_t *timer);
+
+/* Gives the rest of the reply of JSON_CALL its time, since a part has come. */
+static void
+progress_made (struct json_call *json_call)
+{
+  json_call->timeout_ms = 0;
+  if (json_call->progress_timeout_ms > 0)
+    uv_timer_start (&json_call->timer, on_timeout,
+                    json_call->progress_timeout_ms, 0);
+}
+
 static void
 on_head (void *data, const struct httpclient_response_head *head)
 {
   struct json_call *json_call = data;
 
+  progress_made (json_call);
   json_call->http_status = head->status;
   for (size_t i = 0; i < head->header_count; i++)
     {
@@ -78,6 +93,7 @@
 
   if (size <= bytes_left (json_call))
     {
+      progress_made (json_call);
       g_string_append_len (json_call->body, bytes, size);
       json_call->httpjson->bytes += size;
       return;
@@ -112,11 +128,18 @@
 on_timeout (uv_timer_t *timer)
 {
   struct json_call *json_call = timer->data;
-  struct httpjson_reply reply
-      = { .status = STATUS_UNAVAILABLE,
-          .stage = httpclient_call_stage (json_call->http_call),
-          .head = &json_call->head };
+  enum httpclient_stage stage = httpclient_call_stage (json_call->http_call);
+  uint64_t left_ms = json_call->timeout_ms;
+  struct httpjson_reply reply = { .status = STATUS_UNAVAILABLE,
+                                  .stage = stage,
+                                  .head = &json_call->head };
 
+  if (stage != HTTPCLIENT_CONNECTING && left_ms > 0)
+    {
+      json_call->timeout_ms = 0;
+      uv_timer_start (timer, on_timeout, left_ms, 0);
+      return;
+    }
   if (httpclient_may_have_sent (json_call->http_call))
     reply.status = STATUS_UNKNOWN;
   httpclient_cancel (json_call->http_call);
@@ -178,6 +201,7 @@
                httpjson_call_ended done, void *data)
 {
   struct json_call *json_call = g_malloc0 (sizeof *json_call);
+  int64_t connect_ns = request->timeout_ns;
   struct httpclient_request http_request = {
     .address = request->address,
     .method = request->method,
@@ -188,6 +212,8 @@
       "content-type: application/json\r\n%s",
       request->header_lines != NULL ? request->header_lines : "");
 
+  if (request->connect_timeout_ns > 0)
+    connect_ns = MIN (request->connect_timeout_ns, connect_ns);
   http_request.header_lines = lines;
   if (request->body != NULL)
     {
@@ -208,8 +234,12 @@
   list_append (&httpjson->calls, &json_call->node);
   uv_timer_init (httpjson->client->loop, &json_call->timer);
   json_call->timer.data = json_call;
+  json_call->timeout_ms
+      = (uint64_t)((request->timeout_ns - connect_ns) / NS_PER_MS);
+  json_call->progress_timeout_ms
+      = (uint64_t)(request->progress_timeout_ns / NS_PER_MS);
   uv_timer_start (&json_call->timer, on_timeout,
-                  request->timeout_ns / NS_PER_MS, 0);
+                  (uint64_t)(connect_ns / NS_PER_MS), 0);
   json_call->http_call = httpclient_call (httpjson->client, &http_request,
                                           &http_ops, json_call);
   json_object_put (request->body);
--- a/src/httpjson.h
+++ b/src/httpjson.h
@@ -61,7 +61,12 @@
   const char *reply_header;
   /** Body of the request, which httpjson_call releases; may be NULL. */
   struct json_object *body;
-  int64_t timeout_ns;
+  int64_t timeout_ns; /**< Timeout of the reply. */
+  /** Timeout of each further part of a reply that has begun; 0: all of it has
+   * to come within timeout_ns. */
+  int64_t progress_timeout_ns;
+  /** Timeout of the connection; 0: timeout_ns. */
+  int64_t connect_timeout_ns;
   /** Maximum size of the reply's body; 0: HTTPJSON_REPLY_BYTES_MAX. A longer
    * one ends the call with STATUS_UNKNOWN. */
   size_t reply_bytes_max;
--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -117,6 +117,23 @@
   call_free (call);
 }
 
+/* Returns the maximum time until the whole reply to REQUEST. */
+static int64_t
+reply_timeout_ns (const struct kvbudget *budget,
+                  const struct kvrequest *request)
+{
+  const struct kvbudget_settings *settings = &budget->settings;
+  bool is_read
+      = request->kind == KVREQUEST_RANGE || request->kind == KVREQUEST_WATCH;
+  int64_t timeout_ns = is_read && settings->read_timeout_ns > 0
+                           ? settings->read_timeout_ns
+                           : settings->call_timeout_ns;
+
+  if (request->kind == KVREQUEST_WATCH)
+    timeout_ns += request->duration_ns;
+  return timeout_ns;
+}
+
 static void
 budget_send (struct kvbudget *budget, struct budget_call *call)
 {
@@ -128,9 +145,7 @@
   budget->sent_count++;
   budget->tokens -= 1;
   call->sent_ns = now;
-  call->deadline_ns = now + budget->settings.call_timeout_ns;
-  if (call->request.kind == KVREQUEST_WATCH)
-    call->deadline_ns += call->request.duration_ns;
+  call->deadline_ns = now + reply_timeout_ns (budget, &call->request);
   if (kvbackoff_is_active (&budget->backoff))
     {
       call->is_probe = true;
--- a/src/kvbudget.h
+++ b/src/kvbudget.h
@@ -33,6 +33,9 @@
   int64_t queue_timeout_ns; /**< Maximum time that a call may be queued. */
   int64_t call_timeout_ns;  /**< Timeout of one call; the wait time of a watch
                                is added to it. */
+  /** The same for ranges and watches, whose replies can be large; the service
+   * ends those whose replies don't make progress. 0: call_timeout_ns. */
+  int64_t read_timeout_ns;
   struct kvbackoff_settings backoff;
 };
 
