A view keeps a watch that works while it reads all keys beside it

Cause: when any call had got no reply in time and another one did again, each view dropped its watch, since the service may have forgotten it, and read all keys. On a host with a full link the watch, whose connection is open, works, and the read, which needs a new one, times out; until it succeeded the view knew of no change. The same after a pause of the process.

The read is now sent beside the watch. The first of the two that succeeds counts and cancels the other; a failed read is repeated after 100 ms. The reply to a watch doesn't end the doubt after a pause, since it may have been sent before: a read follows.

Evidence: kvview/working-watch-is-kept and kvview/watch-from-before-a-pause-is-no-news fail on the code before (it replies to a call twice and ends the program).

--- a/src/kvview.c
+++ b/src/kvview.c
@@ -15,7 +15,6 @@
 struct kvview_call
 {
   struct kvview *view;
-  uint64_t generation;
   bool is_full_read;
   int64_t sent_ns; /* By clock_boottime. */
 };
@@ -31,6 +30,8 @@
   /* A reply that comes sooner may report a change that was made before the
    * call. */
   ROUND_TRIP_MS = 250,
+  /* Time until a read that failed beside a watch is repeated. */
+  CHECK_INTERVAL_MS = 100,
   /* Minimum time between two reads after pauses. */
   READ_ANEW_INTERVAL_MS = 5000
 };
@@ -262,104 +263,176 @@
   view->ops->reachability_changed (view->data, reachable);
 }
 
-/* Notes that all changes up to now were reported. */
+/* Notes that all changes up to now were reported by the reply to CALL. A watch
+ * may have replied before the time from which on changes are unseen. */
 static void
-view_saw_changes (struct kvview *view)
+view_saw_changes (struct kvview *view, const struct kvview_call *call)
 {
-  if (view->anew_due)
+  if (view->anew_due || (view->keeps_unseen && !call->is_full_read))
     return;
   view->unseen_since_ns = clock_boottime (view->clock);
   view->keeps_unseen = false;
 }
 
+/* Cancels the call at AT, whose reply is dropped. */
 static void
-view_replied (void *data, const struct kv_reply *reply)
+view_cancel (struct kvview *view, struct kvview_call **at)
 {
-  struct kvview_call *call = data;
-  struct kvview *view = call->view;
-  bool is_current = call->generation == view->generation;
-  bool is_full_read = call->is_full_read;
-  int64_t written_since_ns = reply_written_since_ns (view, call);
+  struct kvview_call *call = *at;
 
-  if (is_current)
-    view->call = NULL;
-  is_current = is_current && reply->status != STATUS_CANCELLED;
-  if (is_current && reply->status != STATUS_OK)
-    call_missed_changes (view, call, reply->status);
-  g_free (call);
-  if (!is_current)
-    return;
-  if (reply->status == STATUS_STALE)
+  *at = NULL;
+  if (call != NULL && view->kv->ops->cancel != NULL)
+    view->kv->ops->cancel (view->kv, call);
+}
+
+/* Whether REPLY to a read of all keys lacks all of them though there must be
+ * some. */
+static bool
+is_distrusted (const struct kvview *view, const struct kvview_call *call,
+               const struct kv_reply *reply)
+{
+  return call->is_full_read && reply->item_count == 0
+         && view->settings.distrusts_empty_reads
+         && g_hash_table_size (view->keys) > 0;
+}
+
+/* The read beside the watch has ended without a result. */
+static void
+check_failed (struct kvview *view, int64_t retry_ms)
+{
+  view->check_due = true;
+  view->next_check_ns = clock_now (view->clock) + retry_ms * NS_PER_MS;
+}
+
+/* The watch has ended without a result. The read beside it, if there is one,
+ * is the next call. */
+static void
+call_failed (struct kvview *view)
+{
+  view->needs_full_read = true;
+  view->check_due = false;
+  view->call = g_steal_pointer (&view->check);
+}
+
+/* The reply to the watch shows that it works, so that the read beside it isn't
+ * needed, unless changes from before the watch's reply may be missing. */
+static void
+watch_replied (struct kvview *view)
+{
+  view->needs_full_read = view->keeps_unseen;
+  view->check_due = false;
+  view_cancel (view, &view->check);
+}
+
+static void
+view_apply (struct kvview *view, const struct kvview_call *call,
+            const struct kv_reply *reply)
+{
+  if (call->is_full_read)
     {
-      view->needs_full_read = true;
-      return;
+      view->needs_full_read = false;
+      view->is_reading = true;
+      full_read_apply (view, reply);
+      view->is_reading = false;
+      view->initial_read_done = true;
     }
+  else
+    changes_apply (view, reply);
+  view_saw_changes (view, call);
+  if (reply->item_count > 0)
+    view->next_call_ns = clock_now (view->clock) + view->pause_ns;
+  if (reply->revision > view->revision)
+    view->revision = reply->revision;
+}
+
+/* Handles REPLY to CALL, which is no longer in flight. */
+static void
+reply_handle (struct kvview *view, const struct kvview_call *call,
+              bool is_check, const struct kv_reply *reply)
+{
+  int64_t written_since_ns = reply_written_since_ns (view, call);
+
   if (reply->status != STATUS_OK)
     {
-      /* The service replies to a read at once, even if nothing has changed. A
-       * watch would wait for a change, and its reply, which shows that the
-       * service is reachable again, would come late. */
-      view->needs_full_read = true;
-      view_set_reachable (view, false);
+      call_missed_changes (view, call, reply->status);
+      if (is_check)
+        check_failed (view, CHECK_INTERVAL_MS);
+      else
+        /* The service replies to a read at once, even if nothing has changed.
+         * A watch would wait for a change, and its reply, which shows that the
+         * service is reachable again, would come late. */
+        call_failed (view);
+      if (reply->status != STATUS_STALE)
+        view_set_reachable (view, false);
       return;
     }
   view->last_reply_ns = clock_now (view->clock);
   view->written_since_ns = written_since_ns;
   view_set_reachable (view, true);
-  if (is_full_read && reply->item_count == 0
-      && view->settings.distrusts_empty_reads
-      && g_hash_table_size (view->keys) > 0)
+  if (is_distrusted (view, call, reply))
     {
-      view->needs_full_read = true;
+      if (is_check)
+        check_failed (view, EMPTY_READ_INTERVAL_MS);
+      else
+        view->needs_full_read = true;
       view->next_call_ns
           = clock_now (view->clock) + EMPTY_READ_INTERVAL_MS * NS_PER_MS;
       return;
     }
-  if (is_full_read)
-    {
-      view->needs_full_read = false;
-      view->is_reading = true;
-      full_read_apply (view, reply);
-      view->is_reading = false;
-      view->initial_read_done = true;
-    }
-  else
-    changes_apply (view, reply);
-  view_saw_changes (view);
-  if (reply->item_count > 0)
-    view->next_call_ns = clock_now (view->clock) + view->pause_ns;
-  if (reply->revision > view->revision)
-    view->revision = reply->revision;
+  if (is_check)
+    view_cancel (view, &view->call);
+  else if (!call->is_full_read)
+    watch_replied (view);
+  view_apply (view, call, reply);
 }
 
 static void
-view_send_call (struct kvview *view)
+view_replied (void *data, const struct kv_reply *reply)
+{
+  struct kvview_call *call = data;
+  struct kvview *view = call->view;
+  bool is_check = call == view->check;
+  bool is_current = is_check || call == view->call;
+
+  if (is_check)
+    view->check = NULL;
+  else if (is_current)
+    view->call = NULL;
+  if (is_current && reply->status != STATUS_CANCELLED)
+    reply_handle (view, call, is_check, reply);
+  g_free (call);
+}
+
+static struct kvview_call *
+view_send_call (struct kvview *view, bool is_full_read)
 {
   struct kvview_call *call = g_new0 (struct kvview_call, 1);
 
   call->view = view;
-  call->generation = view->generation;
-  call->is_full_read = view->needs_full_read;
+  call->is_full_read = is_full_read;
   call->sent_ns = clock_boottime (view->clock);
-  view->call = call;
-  if (call->is_full_read)
+  if (is_full_read)
     view->kv->ops->range (view->kv, view->prefix, view_replied, call);
   else
     view->kv->ops->watch (view->kv, view->prefix, view->revision,
                           view->settings.watch_duration_ns, view_replied,
                           call);
+  return call;
 }
 
+/* Read all keys with a new call. A watch in flight goes on meanwhile. */
 static void
-view_drop_call (struct kvview *view)
+view_recheck (struct kvview *view)
 {
-  struct kvview_call *call = view->call;
-
-  view->generation++;
-  view->call = NULL;
+  view_cancel (view, &view->check);
+  if (view->call != NULL && !view->call->is_full_read)
+    {
+      view->check_due = true;
+      view->next_check_ns = 0;
+      return;
+    }
+  view_cancel (view, &view->call);
   view->needs_full_read = true;
-  if (call != NULL && view->kv->ops->cancel != NULL)
-    view->kv->ops->cancel (view->kv, call);
 }
 
 void
@@ -372,10 +445,15 @@
     {
       view->anew_due = false;
       view->next_anew_ns = now + READ_ANEW_INTERVAL_MS * NS_PER_MS;
-      view_drop_call (view);
+      view_recheck (view);
     }
   if (view->call == NULL && now >= view->next_call_ns)
-    view_send_call (view);
+    view->call = view_send_call (view, view->needs_full_read);
+  if (view->check_due && now >= view->next_check_ns)
+    {
+      view->check_due = false;
+      view->check = view_send_call (view, true);
+    }
 }
 
 void
@@ -387,7 +465,7 @@
 void
 kvview_restart (struct kvview *view)
 {
-  view_drop_call (view);
+  view_recheck (view);
   view_missed_changes (view, OUTAGE_FOUND_MS * NS_PER_MS);
 }
 
@@ -419,6 +497,7 @@
   /* The service may have been away too briefly for a call to fail. */
   view->was_unreachable = true;
   view->outage_end_ns = clock_now (view->clock);
+  view_cancel (view, &view->call);
   kvview_restart (view);
 }
 
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -56,9 +56,6 @@
   GHashTable *keys;  /**< Maps a key to its struct kvview_key. */
   bool holds_keys;   /**< Whether a key may be held. */
   uint64_t revision; /**< Service revision that the view reflects. */
-  /** Generation of new calls; replies to calls of an older generation are
-   * dropped. */
-  uint64_t generation;
   bool started;
   bool initial_read_done; /**< Whether all keys have been read once. */
   bool is_reading; /**< Whether the key being put comes from a read of all
@@ -77,7 +74,12 @@
   bool reachable;       /**< Whether the last call succeeded. */
   bool was_unreachable; /**< Whether a call has failed since kvview_init. */
   struct kvview_call *call; /**< Call in flight; NULL if there is none. */
-  bool needs_full_read; /**< Whether the next call is a range, not a watch. */
+  /** Read of all keys beside the watch in flight, which may be dead; NULL if
+   * there is none. */
+  struct kvview_call *check;
+  bool check_due;        /**< Whether `check` is still to be sent. */
+  int64_t next_check_ns; /**< Earliest time at which it is. */
+  bool needs_full_read;  /**< Whether the next call is a range, not a watch. */
   int64_t pause_ns;     /**< Delay of the next call after a reply that contains
                            keys. */
   int64_t next_call_ns; /**< Earliest time of the next call. */
@@ -104,12 +106,12 @@
  * a call for each change. */
 void kvview_set_pause (struct kvview *view, int64_t pause_ns);
 
-/** Cancel the call in flight and read all keys with the next one. For use
- * after an outage that another call has detected: the service may never reply
- * to a watch from before the outage. */
+/** Read all keys, since the service may never reply to a watch from before an
+ * outage that another call has detected. The watch in flight goes on until the
+ * read has succeeded: if it works, it is the first to report changes. */
 void kvview_restart (struct kvview *view);
 
-/** Cancel the call in flight and read all keys, since changes that were made
+/** Read all keys, beside the watch in flight, since changes that were made
  * from SINCE_NS on (by clock_boottime) may not have been reported although the
  * service replies. Takes effect with the next tick, or a few seconds after the
  * last time, so that frequent pauses cause few reads. */
--- a/test/test-kvview.c
+++ b/test/test-kvview.c
@@ -312,6 +312,85 @@
   finish ();
 }
 
+/* Saves the call in flight, to reply to it after later ones. */
+struct saved_call
+{
+  kv_done done;
+  void *data;
+};
+
+static struct saved_call
+save_call (void)
+{
+  return (struct saved_call){ service.done, service.data };
+}
+
+static void
+reply_to_saved (struct saved_call call, const struct kv_item *item)
+{
+  const struct kv_reply reply = { .status = STATUS_OK,
+                                  .revision = item->revision,
+                                  .items = item,
+                                  .item_count = 1 };
+
+  call.done (call.data, &reply);
+  kvview_tick (&view);
+}
+
+/* The end of an outage dropped a watch that worked, so that nothing was heard
+ * of changes until a read succeeded. */
+static void
+test_working_watch_is_kept (void)
+{
+  struct saved_call watch;
+  struct saved_call read;
+  const struct kv_reply cancelled = { .status = STATUS_CANCELLED };
+
+  setup ();
+  reply_to_call (STATUS_OK, 6, &a1, 1);
+  watch = save_call ();
+  kvview_restart (&view);
+  kvview_tick (&view);
+  CU_ASSERT_TRUE (service.is_read);
+  reply_to_call (STATUS_UNKNOWN, 0, NULL, 0);
+  clock_fake_advance (&fake_clock, NS_PER_S);
+  kvview_tick (&view);
+  CU_ASSERT_TRUE (service.is_read);
+  read = save_call ();
+  reply_to_saved (watch, &a2);
+  expect_callbacks ("+p/a=1 +p/a=2 ");
+  CU_ASSERT_FALSE (service.is_read);
+  CU_ASSERT_EQUAL (service.after, 7);
+  read.done (read.data, &cancelled);
+  finish ();
+}
+
+/* A reply to a watch that was sent before a pause ended counted as news of all
+ * changes until then. */
+static void
+test_watch_from_before_a_pause (void)
+{
+  struct saved_call watch;
+  struct saved_call read;
+  const struct kv_reply cancelled = { .status = STATUS_CANCELLED };
+
+  setup ();
+  reply_to_call (STATUS_OK, 6, &a1, 1);
+  watch = save_call ();
+  kvview_read_anew (&view, clock_boottime (&fake_clock.clock));
+  kvview_tick (&view);
+  CU_ASSERT_TRUE (service.is_read);
+  read = save_call ();
+  reply_to_saved (watch, &a2);
+  CU_ASSERT_TRUE (view.keeps_unseen);
+  CU_ASSERT_TRUE (service.is_read);
+  reply_to_call (STATUS_OK, 8, &a2, 1);
+  CU_ASSERT_FALSE (view.keeps_unseen);
+  CU_ASSERT_FALSE (service.is_read);
+  read.done (read.data, &cancelled);
+  finish ();
+}
+
 /* The watch of a prefix without changes waited for longer than the service
  * keeps its history, so that all hosts read all keys every 25 s. */
 static void
@@ -359,6 +438,8 @@
   { "failed-call-is-no-outage", test_failed_call_is_no_outage },
   { "a-key-that-comes-back-stays", test_a_key_that_comes_back_stays },
   { "restart-drops-the-open-call", test_restart_drops_call_in_flight },
+  { "working-watch-is-kept", test_working_watch_is_kept },
+  { "watch-from-before-a-pause-is-no-news", test_watch_from_before_a_pause },
 };
 
 int
