A long read is not begun again by each call that fails beside it

What callers saw: as before; hosts that start or come back under load learn late.

Cause: whenever another call had failed and one succeeded, a view cancelled its read of all keys and began it again, so that a read of some seconds never ended beside renewals that time out now and then.

Evidence: kvview/read-in-progress-is-kept failed before. The service of test-learned kept one call and cancelled a watch when a read was sent, which no KV service does; it now keeps one of each and cancels what it is told to. Its checks and bounds are the same.

--- a/src/kvview.c
+++ b/src/kvview.c
@@ -465,7 +465,12 @@
 void
 kvview_restart (struct kvview *view)
 {
-  view_recheck (view);
+  bool is_reading = view->check != NULL
+                    || (view->call != NULL && view->call->is_full_read);
+
+  /* A read in flight ends by itself if it makes no progress. */
+  if (!is_reading)
+    view_recheck (view);
   view_missed_changes (view, OUTAGE_FOUND_MS * NS_PER_MS);
 }
 
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -108,7 +108,8 @@
 
 /** Read all keys, since the service may never reply to a watch from before an
  * outage that another call has detected. The watch in flight goes on until the
- * read has succeeded: if it works, it is the first to report changes. */
+ * read has succeeded: if it works, it is the first to report changes. A read
+ * in flight goes on. */
 void kvview_restart (struct kvview *view);
 
 /** Read all keys, beside the watch in flight, since changes that were made
--- a/test/test-kvview.c
+++ b/test/test-kvview.c
@@ -365,6 +365,26 @@
   finish ();
 }
 
+/* Each call that failed beside a long read began the read again, so that it
+ * never ended. */
+static void
+test_read_in_progress_is_kept (void)
+{
+  unsigned calls;
+
+  setup ();
+  calls = service.calls;
+  for (int i = 0; i < 3; i++)
+    {
+      kvview_restart (&view);
+      kvview_tick (&view);
+    }
+  CU_ASSERT_EQUAL (service.calls, calls);
+  reply_to_call (STATUS_OK, 6, &a1, 1);
+  expect_callbacks ("+p/a=1 ");
+  finish ();
+}
+
 /* A reply to a watch that was sent before a pause ended counted as news of all
  * changes until then. */
 static void
@@ -439,6 +459,7 @@
   { "a-key-that-comes-back-stays", test_a_key_that_comes_back_stays },
   { "restart-drops-the-open-call", test_restart_drops_call_in_flight },
   { "working-watch-is-kept", test_working_watch_is_kept },
+  { "read-in-progress-is-kept", test_read_in_progress_is_kept },
   { "watch-from-before-a-pause-is-no-news", test_watch_from_before_a_pause },
 };
 
--- a/test/test-learned.c
+++ b/test/test-learned.c
@@ -8,14 +8,22 @@
 static const struct fake_upstream_step no_response
     = { "", FAKE_UPSTREAM_KEEP };
 
-/* A KV service that records the last call, and cancels the one before. */
+enum
+{
+  WATCH,
+  READ,
+  CALL_KINDS
+};
+
+/* A KV service that keeps a watch and a read, and cancels those before. */
 static struct
 {
   struct kv kv;
-  kv_done done;
-  void *data;
-  bool is_pending;
-  bool is_read;
+  struct
+  {
+    kv_done done; /* NULL if there is no call. */
+    void *data;
+  } pending[CALL_KINDS];
   unsigned calls;
 } service;
 
@@ -24,30 +32,59 @@
 static struct kvview view;
 static int64_t written_since_ns;
 
+static bool
+is_reading (void)
+{
+  return service.pending[READ].done != NULL;
+}
+
 static void
-fake_range (struct kv *kv, const char *prefix, kv_done done, void *data)
+pending_end (unsigned kind, const struct kv_reply *reply)
+{
+  kv_done done = service.pending[kind].done;
+
+  service.pending[kind].done = NULL;
+  if (done != NULL)
+    done (service.pending[kind].data, reply);
+}
+
+static void
+record_call (unsigned kind, kv_done done, void *data)
 {
   const struct kv_reply cancelled = { .status = STATUS_CANCELLED };
 
-  if (service.is_pending)
-    service.done (service.data, &cancelled);
-  service.is_pending = true;
-  service.done = done;
-  service.data = data;
-  service.is_read = true;
+  pending_end (kind, &cancelled);
+  service.pending[kind].done = done;
+  service.pending[kind].data = data;
   service.calls++;
 }
 
+static void
+fake_range (struct kv *kv, const char *prefix, kv_done done, void *data)
+{
+  record_call (READ, done, data);
+}
+
 static void
 fake_watch (struct kv *kv, const char *prefix, uint64_t after, int64_t wait_ns,
             kv_done done, void *data)
 {
-  fake_range (kv, prefix, done, data);
-  service.is_read = false;
+  record_call (WATCH, done, data);
+}
+
+static void
+fake_cancel (struct kv *kv, void *data)
+{
+  const struct kv_reply cancelled = { .status = STATUS_CANCELLED };
+
+  for (unsigned kind = 0; kind < CALL_KINDS; kind++)
+    if (service.pending[kind].done != NULL
+        && service.pending[kind].data == data)
+      pending_end (kind, &cancelled);
 }
 
 static const struct kv_ops service_ops
-    = { .range = fake_range, .watch = fake_watch };
+    = { .range = fake_range, .watch = fake_watch, .cancel = fake_cancel };
 
 static void
 note_put (void *data, const char *key, const char *value, uint64_t revision)
@@ -100,8 +137,7 @@
                             .items = &item,
                             .item_count = status == STATUS_OK };
 
-  service.is_pending = false;
-  service.done (service.data, &reply);
+  pending_end (is_reading () ? READ : WATCH, &reply);
   tick ();
 }
 
@@ -129,8 +165,8 @@
 {
   const struct kv_reply cancelled = { .status = STATUS_CANCELLED };
 
-  if (service.is_pending)
-    service.done (service.data, &cancelled);
+  pending_end (WATCH, &cancelled);
+  pending_end (READ, &cancelled);
   kvview_finish (&view);
 }
 
@@ -289,7 +325,7 @@
   tick ();
   kvview_restart (&view);
   run_for_ms (1000);
-  CU_ASSERT_TRUE (service.is_read);
+  CU_ASSERT_TRUE (is_reading ());
   reply_to_call (STATUS_OK, 2);
   CU_ASSERT_TRUE (age_ms () >= 4000);
   CU_ASSERT_TRUE (age_ms () < 4100);
@@ -308,7 +344,7 @@
   run_for_ms (10000);
   clock_fake_advance (&fake_clock, 3 * NS_PER_S);
   tick ();
-  CU_ASSERT_TRUE (service.is_read);
+  CU_ASSERT_TRUE (is_reading ());
   run_for_ms (1000);
   reply_to_call (STATUS_OK, 2);
   CU_ASSERT_TRUE (age_ms () >= 4000);
@@ -330,7 +366,7 @@
     {
       clock_fake_advance (&fake_clock, 400 * NS_PER_MS);
       tick ();
-      if (service.is_read)
+      if (is_reading ())
         reply_to_call (STATUS_OK, 1);
       run_for_ms (100);
     }
@@ -383,7 +419,7 @@
   fake_path_set_weights (0, 3);
   weightsnews_tick (&news);
   run_for_ms (20);
-  CU_ASSERT_TRUE (service.is_read);
+  CU_ASSERT_TRUE (is_reading ());
   reply_to_call (STATUS_OK, 3);
   CU_ASSERT_TRUE (age_ms () >= 2000);
   CU_ASSERT_TRUE (age_ms () < 4000);
