Hosts tell each other the revisions of the last changes that they know

What callers saw: a view whose watch gets no reply, although its connection seems alive, goes on for the 16 s of the watch with an older configuration, older evacuations and weights, or servers that have left, and nothing tells it.

Cause: the only bound on the age of a view was the time of a watch. A connection that dies silently is found after 3 s by keepalive; a reply that is lost or held back on a sound connection, or a watch that the service has forgotten, is not.

Load reports, which go to the hosts of the subset every 150 ms, now carry the era and the revisions of the last changes of the operator's and of the servers' keys that the sender knows. A view that lacks one for 500 ms beyond its pause reads all keys beside its watch; view_behind says so. Only the KV service's own reply changes anything, so a late, wrong or missing report costs a read a second or nothing; reports of another era and of earlier builds are ignored.

Evidence: kvview/change-that-others-know with a watch that never gets a reply (the function is new; before, the view waited for 16 s), kvview/change-that-does- not-exist for the bound, servers/changes-are-told for the datagram, with an earlier build as the sender.

--- a/src/entryviews.c
+++ b/src/entryviews.c
@@ -157,6 +157,28 @@
   log_kv_reached (entry, &entry->operator_view, reached);
 }
 
+static void
+log_behind (struct entry *entry, const struct kvview *view, uint64_t revision)
+{
+  char labels[64];
+
+  log_event (
+      &entry->log, EVENT_VIEW_BEHIND,
+      "prefix=%s revision=%lu others_revision=%lu age_ms=%ld", view->prefix,
+      (unsigned long)view->revision, (unsigned long)revision,
+      (long)((clock_now (&entry->clock) - view->last_reply_ns) / NS_PER_MS));
+  g_snprintf (labels, sizeof labels, "prefix=\"%s\"", view->prefix);
+  metrics_add (&entry->metrics, "trefoilspar_views_behind_total", labels, 1);
+}
+
+static void
+operator_behind (void *data, uint64_t revision)
+{
+  struct entry *entry = data;
+
+  log_behind (entry, &entry->operator_view, revision);
+}
+
 static const char *
 server_id (const struct entry *entry, const char *key)
 {
@@ -215,6 +237,14 @@
   log_kv_reached (entry, &entry->servers_view, reached);
 }
 
+static void
+servers_behind (void *data, uint64_t revision)
+{
+  struct entry *entry = data;
+
+  log_behind (entry, &entry->servers_view, revision);
+}
+
 static void
 views_set_pause (struct entry *entry, unsigned hosts)
 {
@@ -284,8 +314,8 @@
 }
 
 const struct kvview_ops entryviews_operator_ops
-    = { operator_put, operator_removed, operator_reached };
+    = { operator_put, operator_removed, operator_reached, operator_behind };
 const struct kvview_ops entryviews_servers_ops
-    = { servers_put, servers_removed, servers_reached };
+    = { servers_put, servers_removed, servers_reached, servers_behind };
 const struct kvview_ops entryviews_hosts_ops
-    = { hosts_put, hosts_removed, hosts_reached };
+    = { hosts_put, hosts_removed, hosts_reached, NULL };
--- a/src/entryweights.c
+++ b/src/entryweights.c
@@ -1,5 +1,6 @@
 #include "entryweights.h"
 #include "entry.h"
+#include "entrychanges.h"
 #include "entryviews.h"
 
 enum
@@ -47,8 +48,8 @@
 }
 
 const struct loadshare_ops entryweights_loadshare_ops
-    = { reports_weights, is_loading_weights, weights_reported,
-        first_model_version };
+    = { reports_weights,     is_loading_weights, weights_reported,
+        first_model_version, entrychanges_known, entrychanges_reported };
 
 int64_t
 entryweights_learn (struct forwarder *forwarder, const struct kvview *view,
--- a/src/event.c
+++ b/src/event.c
@@ -245,6 +245,10 @@
     "time that it waited to be sent and then for its reply, whether it was a "
     "probe in a backoff, how many calls are queued, and how many watches "
     "count." },
+  { EVENT_VIEW_BEHIND, EVENT_LEVEL_WARN, "view_behind",
+    "Another host has known a change of the keys with the given prefix for "
+    "longer than a watch takes to report it: its revision, the revision that "
+    "this host knows, and the age of the last reply. The keys are read." },
   { EVENT_DUTY_TAKEN, EVENT_LEVEL_WARN, "duty_taken",
     "This host became the leader of a duty, with the given fencing token." },
   { EVENT_DUTY_LOST, EVENT_LEVEL_WARN, "duty_lost",
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -30,6 +30,11 @@
   /* A reply that comes sooner may report a change that was made before the
    * call. */
   ROUND_TRIP_MS = 250,
+  /* Time within which a watch reports a change that other hosts know, if it
+   * works and no reply makes the view pause. */
+  WATCH_REPORTS_MS = 500,
+  /* Minimum time between two reads of changes that other hosts know. */
+  REPORTED_INTERVAL_MS = 1000,
   /* Time until a read that failed beside a watch is repeated. */
   CHECK_INTERVAL_MS = 100,
   /* Minimum time between two reads after pauses. */
@@ -69,6 +74,13 @@
   g_hash_table_destroy (view->keys);
 }
 
+/* Notes that the service has reported a change with REVISION. */
+static void
+change_seen (struct kvview *view, uint64_t revision)
+{
+  view->change_revision = MAX (view->change_revision, revision);
+}
+
 void
 kvview_update (struct kvview *view, const char *name, const char *value,
                uint64_t revision)
@@ -162,6 +174,7 @@
   for (size_t i = 0; i < reply->item_count; i++)
     {
       g_hash_table_add (present, (gpointer)reply->items[i].key);
+      change_seen (view, reply->items[i].revision);
       kvview_update (view, reply->items[i].key, reply->items[i].value,
                      reply->items[i].revision);
     }
@@ -184,6 +197,7 @@
       const struct kv_item *item = &reply->items[i];
       struct kvview_key *key = g_hash_table_lookup (view->keys, item->key);
 
+      change_seen (view, item->revision);
       if (!item->deleted)
         kvview_update (view, item->key, item->value, item->revision);
       else if (key != NULL && key->revision < item->revision)
@@ -420,6 +434,13 @@
   return call;
 }
 
+static bool
+view_is_reading (const struct kvview *view)
+{
+  return view->check != NULL
+         || (view->call != NULL && view->call->is_full_read);
+}
+
 /* Read all keys with a new call. A watch in flight goes on meanwhile. */
 static void
 view_recheck (struct kvview *view)
@@ -435,12 +456,34 @@
   view->needs_full_read = true;
 }
 
+/* Reads all keys if the view still lacks a change that other hosts know,
+ * unless a read in flight may report it. */
+static void
+reported_change_check (struct kvview *view, int64_t now)
+{
+  uint64_t revision = view->reported_revision;
+
+  if (revision <= view->revision)
+    view->reported_revision = 0;
+  if (view->reported_revision == 0 || now < view->next_report_ns
+      || now - view->reported_since_ns
+             < WATCH_REPORTS_MS * NS_PER_MS + view->pause_ns
+      || view_is_reading (view))
+    return;
+  view->reported_revision = 0;
+  view->next_report_ns = now + REPORTED_INTERVAL_MS * NS_PER_MS;
+  view_recheck (view);
+  if (view->ops->fell_behind != NULL)
+    view->ops->fell_behind (view->data, revision);
+}
+
 void
 kvview_tick (struct kvview *view)
 {
   int64_t now = clock_now (view->clock);
 
   held_keys_expire (view);
+  reported_change_check (view, now);
   if (view->anew_due && now >= view->next_anew_ns)
     {
       view->anew_due = false;
@@ -465,11 +508,8 @@
 void
 kvview_restart (struct kvview *view)
 {
-  bool is_reading = view->check != NULL
-                    || (view->call != NULL && view->call->is_full_read);
-
   /* A read in flight ends by itself if it makes no progress. */
-  if (!is_reading)
+  if (!view_is_reading (view))
     view_recheck (view);
   view_missed_changes (view, OUTAGE_FOUND_MS * NS_PER_MS);
 }
@@ -499,6 +539,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     ((struct kvview_key *)value)->revision = 0;
   view->revision = 0;
+  view->change_revision = 0;
+  view->reported_revision = 0;
   /* The service may have been away too briefly for a call to fail. */
   view->was_unreachable = true;
   view->outage_end_ns = clock_now (view->clock);
@@ -506,6 +548,16 @@
   kvview_restart (view);
 }
 
+void
+kvview_note_change (struct kvview *view, uint64_t revision)
+{
+  if (revision <= view->revision)
+    return;
+  if (view->reported_revision == 0)
+    view->reported_since_ns = clock_now (view->clock);
+  view->reported_revision = MAX (view->reported_revision, revision);
+}
+
 void
 kvview_visit_newer (const struct kvview *view, uint64_t revision,
                     void (*visit) (void *data, const char *key,
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -26,6 +26,9 @@
   /** REACHABLE is false once a call has failed, and true once a call has
    * succeeded again; the reply to that call is applied after this callback. */
   void (*reachability_changed) (void *data, bool reachable);
+  /** Another host has known a change with REVISION for longer than a watch
+   * takes to report it: all keys are read. May be NULL. */
+  void (*fell_behind) (void *data, uint64_t revision);
 };
 
 struct kvview_settings
@@ -53,9 +56,15 @@
   const char *prefix;
   const struct kvview_ops *ops;
   void *data;
-  GHashTable *keys;  /**< Maps a key to its struct kvview_key. */
-  bool holds_keys;   /**< Whether a key may be held. */
-  uint64_t revision; /**< Service revision that the view reflects. */
+  GHashTable *keys;         /**< Maps a key to its struct kvview_key. */
+  bool holds_keys;          /**< Whether a key may be held. */
+  uint64_t revision;        /**< Service revision that the view reflects. */
+  uint64_t change_revision; /**< Revision of the last change of a key. */
+  /** Revision of a change that another host knows and this view does not; 0 if
+   * there is none. */
+  uint64_t reported_revision;
+  int64_t reported_since_ns; /**< Time since which that is so. */
+  int64_t next_report_ns;    /**< Earliest time at which it causes a read. */
   bool started;
   bool initial_read_done; /**< Whether all keys have been read once. */
   bool is_reading; /**< Whether the key being put comes from a read of all
@@ -131,6 +140,12 @@
 void kvview_update (struct kvview *view, const char *key, const char *value,
                     uint64_t revision);
 
+/** Note that another host knows a change with REVISION in the same era of the
+ * KV service. If the view does not learn of it soon, all keys are read: the
+ * watch may be dead, or its reply lost. A wrong REVISION causes a read a
+ * second and nothing else. */
+void kvview_note_change (struct kvview *view, uint64_t revision);
+
 /** Call VISIT for each key that was written after REVISION. */
 void kvview_visit_newer (const struct kvview *view, uint64_t revision,
                          void (*visit) (void *data, const char *key,
--- a/src/loadshare.c
+++ b/src/loadshare.c
@@ -175,6 +175,20 @@
     message->sent_ns = clock_boottime (loadshare->clock);
 }
 
+static void
+datagram_add_changes (const struct loadshare *loadshare,
+                      Trefoilspar__LoadShare *message)
+{
+  struct loadshare_changes changes = { 0 };
+
+  if (loadshare->ops->changes_known == NULL)
+    return;
+  loadshare->ops->changes_known (loadshare->data, &changes);
+  message->kv_era = changes.era;
+  message->operator_change = changes.operator_revision;
+  message->servers_change = changes.servers_revision;
+}
+
 size_t
 loadshare_encode (struct loadshare *loadshare,
                   uint8_t bytes[LOADSHARE_BYTES_MAX])
@@ -198,6 +212,7 @@
   if (loadshare->ops->reports_weights (loadshare->data))
     datagram_add_all_weights (loadshare, &datagram);
   datagram_add_slowness (loadshare, &datagram);
+  datagram_add_changes (loadshare, message);
   while (trefoilspar__load_share__get_packed_size (message)
          > LOADSHARE_BYTES_MAX)
     if (message->n_slowness > 0)
@@ -397,6 +412,18 @@
     }
 }
 
+static void
+changes_received (struct loadshare *loadshare,
+                  const Trefoilspar__LoadShare *message)
+{
+  const struct loadshare_changes changes
+      = { message->kv_era, message->operator_change, message->servers_change };
+
+  if (loadshare->ops->changes_known != NULL)
+    loadshare->ops->changes_reported (loadshare->data, message->host,
+                                      &changes);
+}
+
 bool
 loadshare_receive (struct loadshare *loadshare, const uint8_t *bytes,
                    size_t size)
@@ -423,6 +450,7 @@
       loadshare->sums_stale = true;
       weights_received (loadshare, message);
       slowness_received (loadshare, message);
+      changes_received (loadshare, message);
     }
   trefoilspar__load_share__free_unpacked (message, NULL);
   return newer;
--- a/src/loadshare.h
+++ b/src/loadshare.h
@@ -28,8 +28,17 @@
   LOADSHARE_BYTES_MAX = 1400
 };
 
-/** Callbacks for the weights of engines, which the leader of a rollout adds to
- * its load reports. */
+/** The last changes in the KV service that a host knows. */
+struct loadshare_changes
+{
+  uint64_t era;               /**< Era of the revisions; 0 if unknown. */
+  uint64_t operator_revision; /**< Of the operator's keys; 0 if unknown. */
+  uint64_t servers_revision;  /**< Of the servers' keys; 0 if unknown. */
+};
+
+/** Callbacks for what hosts tell each other besides load: the weights of
+ * engines, which the leader of a rollout adds to its reports, and the changes
+ * in the KV service. */
 struct loadshare_ops
 {
   /** Whether this host reports the weights of engines: it is the leader of the
@@ -44,6 +53,11 @@
   /** Returns the weight version that SERVER has, as far as this host can tell;
    * 0 if unknown. */
   uint64_t (*weight_version) (void *data, const struct server *server);
+  /** Sets CHANGES to those that this host knows. NULL: none are told. */
+  void (*changes_known) (void *data, struct loadshare_changes *changes);
+  /** Handles the changes that HOST knows; not NULL if changes_known is not. */
+  void (*changes_reported) (void *data, const char *host,
+                            const struct loadshare_changes *changes);
 };
 
 /** What a host has reported of its links to a service. */
--- a/src/loadshare.pb-c.c
+++ b/src/loadshare.pb-c.c
@@ -379,7 +379,7 @@
   (ProtobufCMessageInit) trefoilspar__stated_slowness__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor trefoilspar__load_share__field_descriptors[9] =
+static const ProtobufCFieldDescriptor trefoilspar__load_share__field_descriptors[12] =
 {
   {
     "host",
@@ -489,13 +489,52 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kv_era",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__LoadShare, kv_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "operator_change",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__LoadShare, operator_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers_change",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Trefoilspar__LoadShare, servers_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned trefoilspar__load_share__field_indices_by_name[] = {
   0,   /* field[0] = host */
+  9,   /* field[9] = kv_era */
   2,   /* field[2] = number */
+  10,   /* field[10] = operator_change */
   6,   /* field[6] = out */
   8,   /* field[8] = sent_ns */
   3,   /* field[3] = servers */
+  11,   /* field[11] = servers_change */
   7,   /* field[7] = slowness */
   1,   /* field[1] = start */
   4,   /* field[4] = swapping */
@@ -504,7 +543,7 @@
 static const ProtobufCIntRange trefoilspar__load_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor trefoilspar__load_share__descriptor =
 {
@@ -514,7 +553,7 @@
   "Trefoilspar__LoadShare",
   "trefoilspar",
   sizeof(Trefoilspar__LoadShare),
-  9,
+  12,
   trefoilspar__load_share__field_descriptors,
   trefoilspar__load_share__field_indices_by_name,
   1,  trefoilspar__load_share__number_ranges,
--- a/src/loadshare.pb-c.h
+++ b/src/loadshare.pb-c.h
@@ -140,10 +140,17 @@
    * When, by the sender's clock; set beside slowness.
    */
   int64_t sent_ns;
+  /*
+   * Era of the KV service, and the revisions of the last changes of the
+   * operator's keys and of the backend servers' keys that the sender knows.
+   */
+  uint64_t kv_era;
+  uint64_t operator_change;
+  uint64_t servers_change;
 };
 #define TREFOILSPAR__LOAD_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&trefoilspar__load_share__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /* Trefoilspar__ServerShare methods */
--- a/test/fake-brittlehost.c
+++ b/test/fake-brittlehost.c
@@ -18,7 +18,7 @@
 }
 
 static const struct loadshare_ops share_ops
-    = { reports_weights, NULL, NULL, NULL };
+    = { reports_weights, NULL, NULL, NULL, NULL, NULL };
 
 void
 brittle_host_register (struct brittle_host *host,
--- a/test/fake-duty.c
+++ b/test/fake-duty.c
@@ -176,7 +176,7 @@
 }
 
 static const struct kvview_ops view_ops
-    = { view_key_put, view_key_removed, view_reachability_changed };
+    = { view_key_put, view_key_removed, view_reachability_changed, NULL };
 
 static void
 host_era_changed (void *data, uint64_t old_era, uint64_t era)
--- a/test/fake-hosts.c
+++ b/test/fake-hosts.c
@@ -136,7 +136,7 @@
 }
 
 static const struct loadshare_ops loadshare_ops
-    = { no_weights, not_loading, ignore_weights, no_version };
+    = { no_weights, not_loading, ignore_weights, no_version, NULL, NULL };
 
 static void
 reports_exchange (void)
--- a/test/fuzz-loadshare.c
+++ b/test/fuzz-loadshare.c
@@ -33,7 +33,7 @@
 
 static const struct servers_ops servers_ops = { changed, NULL };
 static const struct loadshare_ops share_ops
-    = { never, never_of, told, no_version };
+    = { never, never_of, told, no_version, NULL, NULL };
 
 /* A datagram from anybody. */
 int
--- a/test/test-blindview.c
+++ b/test/test-blindview.c
@@ -55,7 +55,7 @@
 }
 
 static const struct kvview_ops view_ops
-    = { count_put, ignore_removal, count_loss };
+    = { count_put, ignore_removal, count_loss, NULL };
 static const struct kvera_ops era_ops = { ignore_era };
 
 static const struct kvbudget_settings budget_settings = {
--- a/test/test-directorydrain.c
+++ b/test/test-directorydrain.c
@@ -58,7 +58,7 @@
 }
 
 static const struct kvview_ops view_ops
-    = { key_put, key_removed, ignore_reachability };
+    = { key_put, key_removed, ignore_reachability, NULL };
 
 static void
 run_for_ms (unsigned ms)
--- a/test/test-era.c
+++ b/test/test-era.c
@@ -51,7 +51,7 @@
 }
 
 static const struct kvview_ops view_ops
-    = { log_put, log_removal, ignore_reachability };
+    = { log_put, log_removal, ignore_reachability, NULL };
 
 static void
 era_changed (void *data, uint64_t old_era, uint64_t era)
--- a/test/test-fleetticks.c
+++ b/test/test-fleetticks.c
@@ -51,7 +51,7 @@
 }
 
 static const struct loadshare_ops share_ops
-    = { reports_weights, NULL, NULL, NULL };
+    = { reports_weights, NULL, NULL, NULL, NULL, NULL };
 
 static void
 server_add (struct host *host, unsigned index)
--- a/test/test-kvview.c
+++ b/test/test-kvview.c
@@ -68,7 +68,7 @@
 }
 
 static const struct kvview_ops view_ops
-    = { log_put, log_removal, ignore_reachability };
+    = { log_put, log_removal, ignore_reachability, NULL };
 
 static void
 setup (void)
@@ -385,6 +385,62 @@
   finish ();
 }
 
+/* A watch whose reply never came held a view up for as long as the watch could
+ * wait, though other hosts had learned of the change. */
+static void
+test_change_that_others_know (void)
+{
+  struct saved_call watch;
+  const struct kv_reply cancelled = { .status = STATUS_CANCELLED };
+
+  setup ();
+  reply_to_call (STATUS_OK, 6, &a1, 1);
+  watch = save_call ();
+  for (int64_t ms = 0; ms < 1000 && !service.is_read; ms += 50)
+    {
+      kvview_note_change (&view, 7);
+      clock_fake_advance (&fake_clock, 50 * NS_PER_MS);
+      kvview_tick (&view);
+      CU_ASSERT_TRUE (ms >= 400 || !service.is_read);
+    }
+  CU_ASSERT_TRUE (service.is_read);
+  reply_to_call (STATUS_OK, 7, &a2, 1);
+  expect_callbacks ("+p/a=1 +p/a=2 ");
+  CU_ASSERT_FALSE (service.is_read);
+  watch.done (watch.data, &cancelled);
+  finish ();
+}
+
+/* A host that reports a change which does not exist, or that this view knows
+ * already, causes a read a second at most. */
+static void
+test_change_that_does_not_exist (void)
+{
+  unsigned reads = 0;
+  struct saved_call watch;
+  const struct kv_reply cancelled = { .status = STATUS_CANCELLED };
+
+  setup ();
+  reply_to_call (STATUS_OK, 6, &a1, 1);
+  for (int tick = 0; tick < 100; tick++)
+    {
+      watch = save_call ();
+      kvview_note_change (&view, tick < 50 ? 6 : UINT64_MAX);
+      clock_fake_advance (&fake_clock, 50 * NS_PER_MS);
+      kvview_tick (&view);
+      if (!service.is_read)
+        continue;
+      reads++;
+      CU_ASSERT_TRUE (tick >= 50);
+      reply_to_call (STATUS_OK, 6, &a1, 1);
+      watch.done (watch.data, &cancelled);
+    }
+  CU_ASSERT_TRUE (reads > 0);
+  CU_ASSERT_TRUE (reads <= 3);
+  expect_callbacks ("+p/a=1 ");
+  finish ();
+}
+
 /* A reply to a watch that was sent before a pause ended counted as news of all
  * changes until then. */
 static void
@@ -460,6 +516,8 @@
   { "restart-drops-the-open-call", test_restart_drops_call_in_flight },
   { "working-watch-is-kept", test_working_watch_is_kept },
   { "read-in-progress-is-kept", test_read_in_progress_is_kept },
+  { "change-that-others-know", test_change_that_others_know },
+  { "change-that-does-not-exist", test_change_that_does_not_exist },
   { "watch-from-before-a-pause-is-no-news", test_watch_from_before_a_pause },
 };
 
--- a/test/test-learned.c
+++ b/test/test-learned.c
@@ -103,7 +103,7 @@
 }
 
 static const struct kvview_ops view_ops
-    = { note_put, ignore_removal, ignore_reachability };
+    = { note_put, ignore_removal, ignore_reachability, NULL };
 
 /* Whether the view is told of pauses, as in a process. */
 static bool pauses_are_told;
--- a/test/test-servers.c
+++ b/test/test-servers.c
@@ -268,9 +268,12 @@
   server_set_weight_version (&servers, server, "m", reported_version);
 }
 
-static const struct loadshare_ops share_ops
-    = { reports_weights, is_loading_weights, weights_reported,
-        weight_version };
+static const struct loadshare_ops share_ops = { reports_weights,
+                                                is_loading_weights,
+                                                weights_reported,
+                                                weight_version,
+                                                NULL,
+                                                NULL };
 
 static void
 test_load_is_reported (void)
@@ -319,6 +322,61 @@
   finish ();
 }
 
+static const struct loadshare_changes known_changes = { 3, 70, 90 };
+static struct loadshare_changes told_changes;
+static char telling_host[16];
+
+static void
+changes_known (void *data, struct loadshare_changes *changes)
+{
+  *changes = known_changes;
+}
+
+static void
+changes_reported (void *data, const char *host,
+                  const struct loadshare_changes *changes)
+{
+  told_changes = *changes;
+  g_strlcpy (telling_host, host, sizeof telling_host);
+}
+
+/* A host whose watch had died had nobody to tell it so. */
+static void
+test_changes_are_told (void)
+{
+  static const struct loadshare_ops earlier_ops = { reports_weights,
+                                                    is_loading_weights,
+                                                    weights_reported,
+                                                    weight_version,
+                                                    NULL,
+                                                    NULL };
+  struct loadshare_ops ops = earlier_ops;
+  struct loadshare sender;
+  struct loadshare receiver;
+  uint8_t bytes[LOADSHARE_BYTES_MAX];
+  size_t size;
+
+  ops.changes_known = changes_known;
+  ops.changes_reported = changes_reported;
+  setup ();
+  for (int earlier = 0; earlier <= 1; earlier++)
+    {
+      loadshare_init (&sender, &servers, &fake_clock.clock, "h1", 1,
+                      earlier ? &earlier_ops : &ops, NULL);
+      loadshare_init (&receiver, &servers, &fake_clock.clock, "h2", 1, &ops,
+                      NULL);
+      size = loadshare_encode (&sender, bytes);
+      CU_ASSERT_TRUE (loadshare_receive (&receiver, bytes, size));
+      CU_ASSERT_STRING_EQUAL (telling_host, "h1");
+      CU_ASSERT_EQUAL (told_changes.era, earlier ? 0 : 3);
+      CU_ASSERT_EQUAL (told_changes.operator_revision, earlier ? 0 : 70);
+      CU_ASSERT_EQUAL (told_changes.servers_revision, earlier ? 0 : 90);
+      loadshare_finish (&sender);
+      loadshare_finish (&receiver);
+    }
+  finish ();
+}
+
 /* The expected delay of a store's link is reported apart from the other cost,
  * so that it is not learned a second time from how late the fetch is. */
 static void
@@ -349,6 +407,7 @@
 }
 
 static const struct unit_case cases[] = {
+  { "changes-are-told", test_changes_are_told },
   { "older-entries-are-ignored", test_older_entries_are_ignored },
   { "another-start-is-another-server",
     test_restarted_server_has_no_old_state },
