The operator's keys are read first, also beside a probe without a reply

Cause: reads of the configuration stood in one queue with the writes for crashes and the reads of the other keys. After a failure a single call probed the service: a renewal that got no reply kept the read of the configuration waiting for a second and a backoff of up to 0.6 s, in which it was refused and queued again ("read op/ unavailable queued q1000" in store_call_failed).

kvbudget_settings.urgent_prefix: reads and watches of this prefix go before other calls, with the lease calls, and in a backoff one of them may be a probe of its own. While the service is down they keep to the same backoff.

Evidence: kvbudget/urgent-reads-first and kvbudget/urgent-read-beside-a-probe fail without the prefix, kvbudget/urgent-reads-back-off bounds the calls in an outage.

--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -63,6 +63,7 @@
     .burst = KV_BURST,
     .queue_max = KV_QUEUE_MAX,
     .watch_max = KV_WATCH_MAX,
+    .urgent_prefix = entry->dialect->operator_prefix,
     .queue_timeout_ns = settings->kv.timeout_ns,
     .call_timeout_ns = settings->kv.timeout_ns,
     .read_timeout_ns = KV_READ_TIMEOUT_MS * NS_PER_MS,
--- a/src/kvbackoff.c
+++ b/src/kvbackoff.c
@@ -53,6 +53,18 @@
   return was_active;
 }
 
+static bool *
+probe_flag (struct kvbackoff *backoff, bool urgent)
+{
+  return urgent ? &backoff->urgent_probe_in_flight : &backoff->probe_in_flight;
+}
+
+void
+kvbackoff_note_probe (struct kvbackoff *backoff, bool urgent)
+{
+  *probe_flag (backoff, urgent) = true;
+}
+
 bool
 kvbackoff_record (struct kvbackoff *backoff,
                   const struct kvbackoff_result *result)
@@ -62,7 +74,7 @@
                 || status == STATUS_TIMEOUT;
 
   if (result->was_probe)
-    backoff->probe_in_flight = false;
+    *probe_flag (backoff, result->was_urgent) = false;
   if (status == STATUS_CANCELLED)
     return false;
   backoff->lost_replies
@@ -85,9 +97,10 @@
 }
 
 bool
-kvbackoff_allows_call (const struct kvbackoff *backoff)
+kvbackoff_allows_call (const struct kvbackoff *backoff, bool urgent)
 {
   return !kvbackoff_is_active (backoff)
-         || (!backoff->probe_in_flight
+         || (!(urgent ? backoff->urgent_probe_in_flight
+                      : backoff->probe_in_flight)
              && clock_now (backoff->clock) >= backoff->end_ns);
 }
--- a/src/kvbackoff.h
+++ b/src/kvbackoff.h
@@ -10,7 +10,7 @@
 /** @file
  * Whether a service replies to calls, and when the next call may be sent after
  * a failure: the backoff grows exponentially and has jitter, and a single call
- * probes the service after it.
+ * probes the service after it, or an urgent one beside it.
  */
 
 struct kvbackoff_settings
@@ -25,6 +25,7 @@
 {
   enum status status; /**< STATUS_TIMEOUT: it got no reply in time. */
   bool was_probe;
+  bool was_urgent;
   int64_t sent_ns;
 };
 
@@ -39,6 +40,7 @@
   unsigned lost_replies; /**< Number of calls in a row without a reply. */
   bool is_lost;          /**< Whether a failure was not a limit. */
   bool probe_in_flight;
+  bool urgent_probe_in_flight;
   int64_t start_ns; /**< Time of the failure that started the backoff. */
   int64_t end_ns;
   /** Time at which the service last replied to a call, and not with a refusal;
@@ -66,7 +68,11 @@
 /** Whether the next call has to be the probe of the service. */
 bool kvbackoff_is_active (const struct kvbackoff *backoff);
 
-/** Whether a call may be sent now. */
-bool kvbackoff_allows_call (const struct kvbackoff *backoff);
+/** Whether a call may be sent now. An URGENT one may be a probe beside one
+ * that is not, which may not get a reply. */
+bool kvbackoff_allows_call (const struct kvbackoff *backoff, bool urgent);
+
+/** Note that a call is sent while the backoff is active. */
+void kvbackoff_note_probe (struct kvbackoff *backoff, bool urgent);
 
 #endif
--- a/src/kvbudget.c
+++ b/src/kvbudget.c
@@ -3,6 +3,7 @@
 
 #include <assert.h>
 #include <glib.h>
+#include <string.h>
 
 struct budget_call
 {
@@ -40,12 +41,20 @@
   budget->tokens = MIN (budget->tokens, budget->settings.burst);
 }
 
+static bool
+is_urgent (const struct kvbudget *budget, const struct kvrequest *request)
+{
+  return budget->settings.urgent_prefix != NULL && request->key != NULL
+         && strcmp (request->key, budget->settings.urgent_prefix) == 0;
+}
+
 static void
 budget_record_result (struct kvbudget *budget, const struct budget_call *call,
                       enum status status)
 {
   const struct kvbackoff_result result
-      = { status, call->is_probe, call->sent_ns };
+      = { status, call->is_probe, is_urgent (budget, &call->request),
+          call->sent_ns };
 
   if (!kvbackoff_record (&budget->backoff, &result))
     return;
@@ -149,34 +158,35 @@
   if (kvbackoff_is_active (&budget->backoff))
     {
       call->is_probe = true;
-      budget->backoff.probe_in_flight = true;
+      kvbackoff_note_probe (&budget->backoff,
+                            is_urgent (budget, &call->request));
       budget->probe_call_count++;
     }
   kvrequest_send (&call->request, budget->service, call_replied, call);
 }
 
+/* Whether CALL may be sent now. In a backoff watches may not: a watch is
+ * unsuitable as the probe, since the service may take long to reply to it. */
 static bool
-budget_may_send (struct kvbudget *budget)
+call_is_sendable (const struct kvbudget *budget,
+                  const struct budget_call *call)
 {
-  budget_refill (budget);
-  return budget->tokens >= 1 && kvbackoff_allows_call (&budget->backoff);
+  if (kvbackoff_is_active (&budget->backoff)
+      && call->request.kind == KVREQUEST_WATCH)
+    return false;
+  return kvbackoff_allows_call (&budget->backoff,
+                                is_urgent (budget, &call->request));
 }
 
-/* Return the next queued call to send, or NULL. While the service is down,
- * watches are skipped: a watch is unsuitable as the probe, since the service
- * may take long to reply to it. */
+/* Return the first call of QUEUE that may be sent, or NULL. */
 static struct budget_call *
-queue_first_sendable (struct kvbudget *budget)
+queue_first_sendable (const struct kvbudget *budget, const struct list *queue)
 {
-  if (!list_empty (&budget->lease_queue))
-    return LIST_ENTRY (budget->lease_queue.next, struct budget_call, node);
-  for (struct list *at = budget->queue.next; at != &budget->queue;
-       at = at->next)
+  for (struct list *at = queue->next; at != queue; at = at->next)
     {
       struct budget_call *call = LIST_ENTRY (at, struct budget_call, node);
 
-      if (!kvbackoff_is_active (&budget->backoff)
-          || call->request.kind != KVREQUEST_WATCH)
+      if (call_is_sendable (budget, call))
         return call;
     }
   return NULL;
@@ -187,9 +197,16 @@
 {
   struct budget_call *call;
 
-  while (budget_may_send (budget)
-         && (call = queue_first_sendable (budget)) != NULL)
-    budget_send (budget, call);
+  budget_refill (budget);
+  while (budget->tokens >= 1)
+    {
+      call = queue_first_sendable (budget, &budget->urgent_queue);
+      if (call == NULL)
+        call = queue_first_sendable (budget, &budget->queue);
+      if (call == NULL)
+        return;
+      budget_send (budget, call);
+    }
 }
 
 static void
@@ -326,8 +343,10 @@
       list_append (&budget->pending_refusals, &call->node);
       return;
     }
-  list_append (kvrequest_is_for_lease (&call->request) ? &budget->lease_queue
-                                                       : &budget->queue,
+  list_append (kvrequest_is_for_lease (&call->request)
+                       || is_urgent (budget, &call->request)
+                   ? &budget->urgent_queue
+                   : &budget->queue,
                &call->node);
   budget->queued_count++;
   budget_send_queued (budget);
@@ -356,34 +375,33 @@
 }
 
 static void
-kvbudget_lease_grant (struct kv *kv, int64_t ttl_ns, kv_done done, void *data)
+lease_call_submit (struct kv *kv, enum kvrequest_kind kind, uint64_t lease,
+                   int64_t ttl_ns, kv_done done, void *data)
 {
-  struct budget_call *call
-      = call_new (kv, KVREQUEST_LEASE_GRANT, NULL, done, data);
+  struct budget_call *call = call_new (kv, kind, NULL, done, data);
 
+  call->request.lease_or_revision = lease;
   call->request.duration_ns = ttl_ns;
   call_submit (call);
 }
 
+static void
+kvbudget_lease_grant (struct kv *kv, int64_t ttl_ns, kv_done done, void *data)
+{
+  lease_call_submit (kv, KVREQUEST_LEASE_GRANT, 0, ttl_ns, done, data);
+}
+
 static void
 kvbudget_lease_keepalive (struct kv *kv, uint64_t lease, kv_done done,
                           void *data)
 {
-  struct budget_call *call
-      = call_new (kv, KVREQUEST_LEASE_KEEPALIVE, NULL, done, data);
-
-  call->request.lease_or_revision = lease;
-  call_submit (call);
+  lease_call_submit (kv, KVREQUEST_LEASE_KEEPALIVE, lease, 0, done, data);
 }
 
 static void
 kvbudget_lease_revoke (struct kv *kv, uint64_t lease, kv_done done, void *data)
 {
-  struct budget_call *call
-      = call_new (kv, KVREQUEST_LEASE_REVOKE, NULL, done, data);
-
-  call->request.lease_or_revision = lease;
-  call_submit (call);
+  lease_call_submit (kv, KVREQUEST_LEASE_REVOKE, lease, 0, done, data);
 }
 
 static void
@@ -411,20 +429,8 @@
   return NULL;
 }
 
-/* Ends CALL, which waits to be sent or refused. */
-static void
-call_cancel_unsent (struct budget_call *call)
-{
-  struct kv_reply reply
-      = { .status = STATUS_CANCELLED, .stage = KV_STAGE_QUEUED };
-
-  call_detach (call);
-  call->done (call->data, &reply);
-  call_free (call);
-}
-
 static void
-call_cancel_sent (struct budget_call *call)
+call_cancel (struct budget_call *call)
 {
   struct kvbudget *budget = call->budget;
   struct kv_reply reply = { .status = STATUS_CANCELLED };
@@ -432,30 +438,28 @@
   budget_record_result (budget, call, STATUS_CANCELLED);
   call_detach (call);
   call->done (call->data, &reply);
-  call_give_up (call, budget->service);
+  if (call->sent_ns != 0)
+    call_give_up (call, budget->service);
+  else
+    call_free (call);
 }
 
 static void
 kvbudget_cancel (struct kv *kv, void *data)
 {
   struct kvbudget *budget = LIST_ENTRY (kv, struct kvbudget, kv);
+  struct list *const queues[] = { &budget->queue, &budget->urgent_queue };
   struct budget_call *call = calls_find (&budget->in_flight, data);
 
-  if (call != NULL)
-    {
-      call_cancel_sent (call);
-      return;
-    }
-  call = calls_find (&budget->pending_refusals, data);
   if (call == NULL)
+    call = calls_find (&budget->pending_refusals, data);
+  for (size_t i = 0; i < G_N_ELEMENTS (queues) && call == NULL; i++)
     {
-      call = calls_find (&budget->queue, data);
-      if (call == NULL)
-        call = calls_find (&budget->lease_queue, data);
+      call = calls_find (queues[i], data);
       budget->queued_count -= call != NULL;
     }
   if (call != NULL)
-    call_cancel_unsent (call);
+    call_cancel (call);
 }
 
 static const struct kv_ops kvbudget_ops = {
@@ -499,8 +503,10 @@
 
   if (!kvbackoff_is_active (&budget->backoff))
     return at;
-  return budget->backoff.probe_in_flight ? CLOCK_NEVER
-                                         : MAX (at, budget->backoff.end_ns);
+  if (budget->backoff.probe_in_flight
+      && budget->settings.urgent_prefix == NULL)
+    return CLOCK_NEVER;
+  return MAX (at, budget->backoff.end_ns);
 }
 
 static int64_t
@@ -528,7 +534,7 @@
     .tokens_updated_ns = clock_now (clock),
   };
   kvbackoff_init (&budget->backoff, &settings->backoff, clock, rng);
-  list_init (&budget->lease_queue);
+  list_init (&budget->urgent_queue);
   list_init (&budget->queue);
   list_init (&budget->pending_refusals);
   list_init (&budget->in_flight);
@@ -545,7 +551,7 @@
 void
 kvbudget_finish (struct kvbudget *budget)
 {
-  calls_cancel (&budget->lease_queue, false);
+  calls_cancel (&budget->urgent_queue, false);
   calls_cancel (&budget->queue, false);
   calls_cancel (&budget->pending_refusals, false);
   calls_cancel (&budget->in_flight, true);
@@ -557,7 +563,7 @@
   int64_t now = clock_now (budget->clock);
 
   in_flight_expire (budget);
-  queue_refuse (budget, &budget->lease_queue, now);
+  queue_refuse (budget, &budget->urgent_queue, now);
   queue_refuse (budget, &budget->queue, now);
   refusals_reply (budget);
   budget_send_queued (budget);
@@ -566,7 +572,7 @@
 void
 kvbudget_refuse_queued (struct kvbudget *budget)
 {
-  queue_refuse (budget, &budget->lease_queue, CLOCK_NEVER);
+  queue_refuse (budget, &budget->urgent_queue, CLOCK_NEVER);
   queue_refuse (budget, &budget->queue, CLOCK_NEVER);
 }
 
@@ -578,7 +584,7 @@
   if (!list_empty (&budget->pending_refusals))
     return clock_now (budget->clock);
   next = calls_earliest_deadline (&budget->in_flight, next);
-  next = calls_earliest_deadline (&budget->lease_queue, next);
+  next = calls_earliest_deadline (&budget->urgent_queue, next);
   next = calls_earliest_deadline (&budget->queue, next);
   if (budget->queued_count > 0)
     next = MIN (next, queue_next_send_ns (budget));
--- a/src/kvbudget.h
+++ b/src/kvbudget.h
@@ -13,12 +13,12 @@
  * A KV interface that passes calls on to another one and limits their rate
  * with a token bucket.
  *
- * Calls above the rate wait in a bounded queue, and lease calls are sent
- * first. After a failure no call is sent during a backoff, which grows
- * exponentially and has jitter. Then a single call probes the service. If that
- * call succeeds, calls are sent at the normal rate again, without a burst at
- * the start. A call without a reply within its timeout ends with
- * STATUS_UNKNOWN, and a later reply is dropped.
+ * Calls above the rate wait in a bounded queue, and lease calls and those of
+ * one prefix are sent first. After a failure no call is sent during a backoff,
+ * which grows exponentially and has jitter. Then a single call probes the
+ * service. If that call succeeds, calls are sent at the normal rate again,
+ * without a burst at the start. A call without a reply within its timeout ends
+ * with STATUS_UNKNOWN, and a later reply is dropped.
  */
 
 struct kvbudget_settings
@@ -28,6 +28,9 @@
   double rate;
   double burst;     /**< Capacity of the token bucket in calls, at least 1. */
   size_t queue_max; /**< Maximum number of queued calls. */
+  /** Prefix whose reads and watches are sent first, and read also beside a
+   * probe that has no reply yet; NULL if there is none. */
+  const char *urgent_prefix;
   size_t watch_max; /**< Maximum number of watches, queued or in flight; less
                        than RATE. */
   int64_t queue_timeout_ns; /**< Maximum time that a call may be queued. */
@@ -71,11 +74,12 @@
   const struct clock *clock;
   double tokens;
   int64_t tokens_updated_ns;
-  struct list lease_queue;      /* Lease calls that wait to be sent. */
-  struct list queue;            /* Other calls that wait to be sent. */
+  struct list urgent_queue; /* Lease calls and those of the urgent prefix that
+                               wait to be sent. */
+  struct list queue;        /* Other calls that wait to be sent. */
   struct list pending_refusals; /* Calls that the next tick refuses. */
   struct list in_flight; /* Calls that were sent and have no reply yet. */
-  size_t queued_count;   /* Number of calls in LEASE_QUEUE and QUEUE. */
+  size_t queued_count;   /* Number of calls in URGENT_QUEUE and QUEUE. */
   size_t watch_count;    /* Number of watches in the four lists. */
   struct kvbackoff backoff;
 };
--- a/test/test-kvbudget.c
+++ b/test/test-kvbudget.c
@@ -16,6 +16,7 @@
   .burst = 10,
   .queue_max = 30,
   .watch_max = 20,
+  .urgent_prefix = "urgent/",
   .queue_timeout_ns = 500 * NS_PER_MS,
   .call_timeout_ns = NS_PER_S,
   .backoff.min_ns = 100 * NS_PER_MS,
@@ -208,6 +209,61 @@
   CU_ASSERT_TRUE (reply_counts[STATUS_CANCELLED] > 0);
 }
 
+/* The read of the configuration waited behind all other queued calls. */
+static void
+test_urgent_reads_first (void)
+{
+  setup (6);
+  for (int i = 0; i < 39; i++)
+    budget.kv.ops->get (&budget.kv, "k", count_reply, NULL);
+  budget.kv.ops->range (&budget.kv, "urgent/", count_reply, NULL);
+  run (40 * NS_PER_MS);
+  CU_ASSERT_EQUAL (reply_counts[STATUS_OK], 1);
+  finish ();
+}
+
+/* After a failure the read of the configuration waited until the probe of
+ * another call, which got no reply, had timed out, and was refused. */
+static void
+test_urgent_read_beside_a_probe (void)
+{
+  setup (6);
+  fake.faults.down = true;
+  budget.kv.ops->get (&budget.kv, "k", count_reply, NULL);
+  run (20 * NS_PER_MS);
+  fake.faults.down = false;
+  fake.faults.latency_ns = 10 * NS_PER_S;
+  budget.kv.ops->lease_grant (&budget.kv, NS_PER_S, count_reply, NULL);
+  run (400 * NS_PER_MS);
+  CU_ASSERT_TRUE (budget.backoff.probe_in_flight);
+  fake.faults.latency_ns = 2 * NS_PER_MS;
+  budget.kv.ops->range (&budget.kv, "urgent/", count_reply, NULL);
+  run (20 * NS_PER_MS);
+  CU_ASSERT_EQUAL (reply_counts[STATUS_OK], 1);
+  CU_ASSERT_FALSE (kvbudget_service_is_down (&budget));
+  finish ();
+}
+
+/* While the service is down, the urgent reads keep to the backoff too. */
+static void
+test_urgent_reads_back_off (void)
+{
+  uint64_t before;
+
+  setup (6);
+  fake.faults.down = true;
+  budget.kv.ops->get (&budget.kv, "k", count_reply, NULL);
+  run (10 * NS_PER_S);
+  before = fake_kv_call_count (&fake);
+  for (int i = 0; i < 100; i++)
+    {
+      budget.kv.ops->range (&budget.kv, "urgent/", count_reply, NULL);
+      run (100 * NS_PER_MS);
+    }
+  CU_ASSERT_TRUE (fake_kv_call_count (&fake) - before <= 10);
+  finish ();
+}
+
 static void
 test_late_reply_is_dropped (void)
 {
@@ -293,6 +349,9 @@
 }
 
 static const struct unit_case cases[] = {
+  { "urgent-reads-first", test_urgent_reads_first },
+  { "urgent-read-beside-a-probe", test_urgent_read_beside_a_probe },
+  { "urgent-reads-back-off", test_urgent_reads_back_off },
   { "short-failures-are-no-outage", test_short_failures_are_no_outage },
   { "limited-is-not-down", test_limited_is_not_down },
   { "rate-holds-in-a-storm", test_rate_limit_under_overload },
