A host refuses what another has routed by a newer configuration

A request that a host in touch passes on was routed by the host that got it, also if that one was cut off from the KV service and had an older configuration: it ran at the service that the older one names, or by a key that has been taken away.

Cause: the request said nothing of the configuration by which it was routed.

Evidence: forwardhost/host-with-an-older-configuration failed before and passes; platform/pass-on has the field.

--- a/src/call.h
+++ b/src/call.h
@@ -66,6 +66,9 @@
   /** Attempts that may have run the request before another host passed it on;
    * means nothing in a caller's own request. */
   unsigned earlier_runs;
+  /** Version of the configuration by which the other host has routed it; 0 if
+   * it states none. */
+  uint64_t config_version;
   /** Servers that refused the request before another host passed it on; the
    * same holds. */
   struct call_refusals refusals;
@@ -108,6 +111,8 @@
   int64_t time_left_ns;  /**< Time left until the request's deadline. */
   unsigned earlier_runs; /**< Attempts that may have run the request. */
   struct call_refusals refusals; /**< Servers that refused it. */
+  uint64_t config_version; /**< Version of the configuration by which this host
+                              has routed it; 0 if unknown. */
   bool resumes; /**< Whether the host is asked to resume the stream, which this
                    request began, after `last_event_id`. */
   uint64_t last_event_id;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -297,18 +297,25 @@
     }
 }
 
-/* Whether a request that another host has passed on must be refused, so that
- * those of this host's own callers are served. */
-static bool
-hosts_send_too_many (const struct forwarder *forwarder, bool from_host)
+/* Returns why a request that another host has passed on must be refused; NULL
+ * if it need not. Too many of them would keep this host's own callers waiting,
+ * and the other host may know a newer configuration. */
+static const char *
+host_refusal_reason (const struct forwarder *forwarder,
+                     const struct call *call)
 {
-  return from_host && forwarder->from_host_count >= FROM_HOSTS_MAX;
+  if (forwarder->from_host_count >= FROM_HOSTS_MAX)
+    return "too_many_from_hosts";
+  if (call->config_version > forwarder->routes->version)
+    return "older_configuration";
+  return NULL;
 }
 
 static void
 request_receive (struct forwarder *forwarder, struct callerconn *conn,
                  bool from_host)
 {
+  const char *reason = NULL;
   struct forward *forward;
   struct error error;
   struct call call;
@@ -319,9 +326,15 @@
                                        &error)
           != STATUS_OK
       || call.request_id == NULL)
-    status = 400;
-  else if (forwarder->routes != NULL
-           && !hosts_send_too_many (forwarder, from_host))
+    {
+      status = 400;
+      reason = "malformed";
+    }
+  else if (forwarder->routes == NULL)
+    reason = "no_configuration";
+  else if (from_host)
+    reason = host_refusal_reason (forwarder, &call);
+  if (reason == NULL)
     {
       forward = g_new0 (struct forward, 1);
       forward->from_host = from_host;
@@ -348,10 +361,7 @@
     }
   log_event (forwarder->log, EVENT_FORWARD_REFUSED,
              "id=%s status=%d reason=%s peer=%s",
-             call.request_id != NULL ? call.request_id : "-", status,
-             status == 400               ? "malformed"
-             : forwarder->routes == NULL ? "no_configuration"
-                                         : "too_many_from_hosts",
+             call.request_id != NULL ? call.request_id : "-", status, reason,
              conn->caller_ip);
   lines = g_string_new (NULL);
   forwarder->dialect->own_headers_encode (
--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -115,6 +115,7 @@
     .time_left_ns = MAX (left_ns - REPLY_MARGIN_MS * NS_PER_MS, left_ns / 2),
     .earlier_runs = forward->run_count,
     .refusals = forward->refusals,
+    .config_version = forward->routes->version,
     .resumes = forward->relaying,
     .last_event_id = forward->exchange.events.last_id,
   };
--- a/test/test-forwardhost.c
+++ b/test/test-forwardhost.c
@@ -243,6 +243,35 @@
   fake_hosts_finish ();
 }
 
+/* A host that was cut off from the KV service routed requests that others
+ * passed on by its older configuration. */
+static void
+test_host_with_an_older_configuration (void)
+{
+  unsigned last = FAKE_HOSTS - 1;
+  unsigned before;
+
+  fake_hosts_setup (&full_response);
+  for (unsigned i = 0; i < FAKE_HOSTS; i++)
+    fleet.hosts[i].forwarder.routes->version = i == 0 || i == last ? 9 : 3;
+  fake_hosts_cut (0, FAKE_HOSTS_REFUSE);
+  find_out (0);
+  before = fake_hosts_engine_requests ();
+  fake_hosts_cut (last, FAKE_HOSTS_REFUSE);
+  find_out (last);
+  CU_ASSERT_EQUAL (fake_hosts_request (0, "/safe/"), 503);
+  CU_ASSERT_EQUAL (fake_hosts_request (0, "/once/"), 503);
+  CU_ASSERT_EQUAL (fake_hosts_engine_requests (), before);
+  CU_ASSERT_EQUAL (fake_hosts_pass_on (1, "/once/", "0;config=3"), 200);
+  CU_ASSERT_EQUAL (fake_hosts_pass_on (1, "/once/", "0"), 200);
+  CU_ASSERT_EQUAL (fake_hosts_pass_on (1, "/once/", "0;config=4"), 503);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (fleet.answer->str, "Trefoilspar-Refused: 1"));
+  /* The field of a caller says nothing. */
+  CU_ASSERT_EQUAL (fake_hosts_request (1, "/safe/"), 200);
+  fake_hosts_finish ();
+}
+
 /* A failure of a server that came through another host, without the server's
  * seal, was taken for that host's promise that nothing ran, and the request
  * ran again. */
@@ -531,6 +560,8 @@
 }
 
 static const struct unit_case cases[] = {
+  { "host-with-an-older-configuration",
+    test_host_with_an_older_configuration },
   { "one-host-cut", test_one_host_cut },
   { "first-requests-of-a-cut", test_first_requests_of_a_cut },
   { "streams-of-a-cut-host", test_streams_of_a_cut_host },
--- a/test/test-platform.c
+++ b/test/test-platform.c
@@ -560,6 +560,12 @@
   CU_ASSERT_PTR_NOT_NULL (
       strstr (text, "Trefoilspar-Runs: 1 2a ffffffff\r\n"));
   g_free (text);
+
+  header.config_version = 412;
+  text = passed_on (&header, "Last-Event-Id");
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (text, "Trefoilspar-Runs: 1 2a ffffffff;config=412\r\n"));
+  g_free (text);
 }
 
 static const struct unit_case cases[] = {
