The connections of gateways' and shards' KV calls have the timeout of a call, too

The same cause as in entry processes: a watch whose connection could not be opened had the 25 s of the watch for it, and a large document over a slow link had to come within the timeout of a call.

blindview/gateway-watch-that-is-not-connected failed before and passes.

--- a/src/kvhttp.c
+++ b/src/kvhttp.c
@@ -107,6 +107,8 @@
     .path = path,
     .body = body,
     .timeout_ns = kvhttp->timeout_ns + extra_timeout_ns,
+    .progress_timeout_ns = kvhttp->timeout_ns,
+    .connect_timeout_ns = kvhttp->timeout_ns,
   };
 
   kvcall->kvhttp = kvhttp;
--- a/test/test-blindview.c
+++ b/test/test-blindview.c
@@ -2,6 +2,7 @@
 #include "fake-slowstore.h"
 #include "kvbudget.h"
 #include "kvera.h"
+#include "kvhttp.h"
 #include "kvview.h"
 #include "platformkv.h"
 #include "rng.h"
@@ -231,11 +232,45 @@
   close (listener);
 }
 
+static void
+count_unavailable (void *data, const struct kv_reply *reply)
+{
+  unsigned *count = data;
+
+  *count += reply->status == STATUS_UNAVAILABLE;
+}
+
+/* The same for the watches of gateways and shards. */
+static void
+test_gateway_watch_that_is_not_connected (void)
+{
+  char address[32];
+  const char *const addresses[] = { address };
+  struct kvhttp kvhttp;
+  unsigned unavailable = 0;
+  int connections[4];
+  int listener;
+
+  setup ();
+  listener = full_listener (address, connections, G_N_ELEMENTS (connections));
+  kvhttp_init (&kvhttp, &httpjson, addresses, 1, TIMEOUT_MS * NS_PER_MS);
+  kvhttp.kv.ops->watch (&kvhttp.kv, "config/", 1, 15 * NS_PER_S,
+                        count_unavailable, &unavailable);
+  run_for_ms (2 * TIMEOUT_MS);
+  CU_ASSERT_EQUAL (unavailable, 1);
+  finish ();
+  for (unsigned i = 0; i < G_N_ELEMENTS (connections); i++)
+    close (connections[i]);
+  close (listener);
+}
+
 static const struct unit_case cases[] = {
   { "read-of-many-pages-is-begun-again", test_read_of_many_pages },
   { "page-of-many-pieces-is-begun-again", test_page_of_many_pieces },
   { "dropped-watches-go-on", test_dropped_watches },
   { "watch-that-is-not-connected", test_watch_that_is_not_connected },
+  { "gateway-watch-that-is-not-connected",
+    test_gateway_watch_that_is_not_connected },
 };
 
 int
