--- a/test/test-blindview.c
+++ b/test/test-blindview.c
@@ -15,11 +15,12 @@
 
 enum
 {
-  TIMEOUT_MS = 300,
   /* More watches than the views need, as in an entry process. */
   WATCH_MAX = 4
 };
 
+static const int64_t timeout_ms = 300;
+
 static uv_loop_t loop;
 static struct clock system_clock;
 static struct rng rng;
@@ -64,9 +65,9 @@
   .burst = 60,
   .queue_max = 30,
   .watch_max = WATCH_MAX,
-  .queue_timeout_ns = TIMEOUT_MS * NS_PER_MS,
-  .call_timeout_ns = TIMEOUT_MS * NS_PER_MS,
-  .read_timeout_ns = 10 * TIMEOUT_MS * NS_PER_MS,
+  .queue_timeout_ns = 300 * NS_PER_MS,
+  .call_timeout_ns = 300 * NS_PER_MS,
+  .read_timeout_ns = 3 * NS_PER_S,
   .backoff.min_ns = 20 * NS_PER_MS,
   .backoff.max_ns = 100 * NS_PER_MS,
   .backoff.outage_min_ns = 4 * NS_PER_S,
@@ -80,7 +81,7 @@
 
   httpclient_init (&client, &loop, 60000);
   httpjson_init (&httpjson, &client);
-  platformkv_init (&service, &httpjson, address, TIMEOUT_MS * NS_PER_MS);
+  platformkv_init (&service, &httpjson, address, timeout_ms * NS_PER_MS);
   kvbudget_init (&budget, &service.kv, &system_clock, &rng, &budget_settings);
   kvera_init (&era, &budget.kv, &era_ops, NULL);
   kvview_init (&view, &era.kv, &system_clock, &view_settings, "op/", &view_ops,
@@ -145,8 +146,8 @@
 {
   setup ();
   store.pages = 4;
-  store.piece_ms = TIMEOUT_MS / 2;
-  run_for_ms (4 * TIMEOUT_MS);
+  store.piece_ms = (uint64_t)timeout_ms / 2;
+  run_for_ms (4 * timeout_ms);
   CU_ASSERT_EQUAL (store.reads, 1);
   CU_ASSERT_EQUAL (lost_count, 0);
   CU_ASSERT_EQUAL (puts_count, 4);
@@ -160,8 +161,8 @@
 {
   setup ();
   store.pieces = 6;
-  store.piece_ms = TIMEOUT_MS / 3;
-  run_for_ms (4 * TIMEOUT_MS);
+  store.piece_ms = (uint64_t)timeout_ms / 3;
+  run_for_ms (4 * timeout_ms);
   CU_ASSERT_EQUAL (store.reads, 1);
   CU_ASSERT_EQUAL (puts_count, 1);
   finish ();
@@ -196,13 +197,13 @@
   int listener = socket (AF_INET, SOCK_STREAM, 0);
 
   name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  bind (listener, (struct sockaddr *)&name, sizeof name);
-  listen (listener, 0);
+  (void)bind (listener, (struct sockaddr *)&name, sizeof name);
+  (void)listen (listener, 0);
   getsockname (listener, (struct sockaddr *)&name, &size);
   for (unsigned i = 0; i < count; i++)
     {
       connections[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect (connections[i], (struct sockaddr *)&name, sizeof name);
+      (void)connect (connections[i], (struct sockaddr *)&name, sizeof name);
     }
   g_snprintf (address, 32, "127.0.0.1:%u", ntohs (name.sin_port));
   return listener;
@@ -224,7 +225,7 @@
   service.address = address;
   kvview_restart (&view);
   view.needs_full_read = false;
-  run_for_ms (3 * TIMEOUT_MS);
+  run_for_ms (3 * timeout_ms);
   CU_ASSERT_TRUE (lost_count > 0);
   finish ();
   for (unsigned i = 0; i < G_N_ELEMENTS (connections); i++)
@@ -253,10 +254,10 @@
 
   setup ();
   listener = full_listener (address, connections, G_N_ELEMENTS (connections));
-  kvhttp_init (&kvhttp, &httpjson, addresses, 1, TIMEOUT_MS * NS_PER_MS);
+  kvhttp_init (&kvhttp, &httpjson, addresses, 1, timeout_ms * NS_PER_MS);
   kvhttp.kv.ops->watch (&kvhttp.kv, "config/", 1, 15 * NS_PER_S,
                         count_unavailable, &unavailable);
-  run_for_ms (2 * TIMEOUT_MS);
+  run_for_ms (2 * timeout_ms);
   CU_ASSERT_EQUAL (unavailable, 1);
   finish ();
   for (unsigned i = 0; i < G_N_ELEMENTS (connections); i++)
