JSON calls: without a timeout of parts, a part of the reply extends none

By reading: the timeout of the connection alone would have ended a reply that had begun early. No call has one without the other. Comments of entrykv follow.

--- a/src/entrykv.c
+++ b/src/entrykv.c
@@ -8,9 +8,7 @@
   KV_QUEUE_MAX = 256,
   /* Maximum size of all replies to calls of control that are being read. */
   REPLIES_BYTES_MAX = 16 * 1024 * 1024,
-  /* Maximum number of pending watches. The three views need one watch each;
-   * the others are for earlier watches that got no reply because of an outage.
-   */
+  /* Maximum number of pending watches; the three views need one each. */
   KV_WATCH_MAX = 12,
   /* The entry of a backend server expires after three heartbeats. It has sent
    * the last one a heartbeat before an outage at the earliest. */
@@ -111,8 +109,8 @@
   views_init (entry);
 }
 
-/* Restarts the watches when an outage of the KV service ends, since the
- * service may never reply to watches that were sent before. */
+/* Has all keys read when an outage of the KV service ends, since the service
+ * may never reply to watches that were sent before. */
 void
 entrykv_check (struct entry *entry)
 {
--- a/src/httpjson.c
+++ b/src/httpjson.c
@@ -47,10 +47,11 @@
 static void
 progress_made (struct json_call *json_call)
 {
+  if (json_call->progress_timeout_ms == 0)
+    return;
   json_call->timeout_ms = 0;
-  if (json_call->progress_timeout_ms > 0)
-    uv_timer_start (&json_call->timer, on_timeout,
-                    json_call->progress_timeout_ms, 0);
+  uv_timer_start (&json_call->timer, on_timeout,
+                  json_call->progress_timeout_ms, 0);
 }
 
 static void
