--- a/src/kvbudget.h
+++ b/src/kvbudget.h
@@ -18,7 +18,8 @@
  * which grows exponentially and has jitter. Then a single call probes the
  * service. If that call succeeds, calls are sent at the normal rate again,
  * without a burst at the start. A call without a reply within its timeout ends
- * with STATUS_UNKNOWN, and a later reply is dropped.
+ * with STATUS_UNKNOWN and is cancelled at the service, if that can; a later
+ * reply is dropped.
  */
 
 struct kvbudget_settings
--- a/src/kvera.h
+++ b/src/kvera.h
@@ -11,7 +11,7 @@
  * Revisions and lease ids of different eras can't be compared. When a reply
  * states a higher era than any before, the users are told first. Then all
  * calls that were sent before end with STATUS_UNKNOWN, since whether their
- * effect lasts is unknown, and their replies are dropped. A reply of an older
+ * effect lasts is unknown, and are cancelled. A reply of an older
  * era ends its call in the same way. Replies that state no era are passed on.
  */
 
