Soak: new settings are written without a flush to the disk

The engines, the store and the callers of the soak are one process; in all four it said and did nothing for 7 to 12 s right after "gets new settings", while the hosts ran on, had no reply from any of them and gave streams up by their timeouts.

Cause: g_file_set_contents waits for the disk.

The file is written and renamed as before, so that a host never reads half of it, without the flush.

--- a/test/soak-host.c
+++ b/test/soak-host.c
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -36,6 +37,22 @@
   return g_strdup_printf ("%s/host-%u.json", host->folder, host->number);
 }
 
+/* Replaces the file at PATH by one with TEXT, as a whole. Without a flush to
+ * the disk, for which the engines and the store would stand still. */
+static bool
+file_replace (const char *path, const char *text)
+{
+  char *new_path = g_strconcat (path, ".new", NULL);
+  FILE *file = fopen (new_path, "w");
+  bool done = file != NULL && fputs (text, file) != EOF;
+
+  if (file != NULL)
+    done = fclose (file) == 0 && done;
+  done = done && rename (new_path, path) == 0;
+  g_free (new_path);
+  return done;
+}
+
 static void
 settings_write (struct soak_host *host)
 {
@@ -55,7 +72,7 @@
       host->ports[2], host->ports[3], host->store_port,
       1500 + host->settings_number % 2, GRACE_S);
 
-  if (!g_file_set_contents (path, text, -1, NULL))
+  if (!file_replace (path, text))
     g_error ("cannot write %s", path);
   host->settings_number++;
   g_free (text);
