--- a/test/soak-host.c
+++ b/test/soak-host.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#define MEMORY_FOLDER "/dev/shm"
+
 enum
 {
   RESTART_MS = 300,
@@ -31,14 +33,18 @@
   return (uint16_t)next++;
 }
 
+/* The file is kept in memory: on a busy disk, replacing it takes seconds, for
+ * which the engines and the store, which run in this process, stand still. */
 static char *
 settings_path (const struct soak_host *host)
 {
-  return g_strdup_printf ("%s/host-%u.json", host->folder, host->number);
+  if (!g_file_test (MEMORY_FOLDER, G_FILE_TEST_IS_DIR))
+    return g_strdup_printf ("%s/host-%u.json", host->folder, host->number);
+  return g_strdup_printf (MEMORY_FOLDER "/trefoilspar-soak-%d-host-%u.json",
+                          (int)getpid (), host->number);
 }
 
-/* Replaces the file at PATH by one with TEXT, as a whole. Without a flush to
- * the disk, for which the engines and the store would stand still. */
+/* Replaces the file at PATH by one with TEXT, as a whole. */
 static bool
 file_replace (const char *path, const char *text)
 {
@@ -241,6 +247,10 @@
 void
 soak_host_finish (struct soak_host *host)
 {
+  char *settings = settings_path (host);
+
   host->no_more = true;
   soak_host_kill (host);
+  unlink (settings);
+  g_free (settings);
 }
