Logs of ended requests tell a stop, a silent server, the caller and lost bytes apart

forward_failed of a request that a stop or a timeout ended named no server and counted no run, since the connection was closed before the line was written. Now the line names the server and has running, silent_ms, left_ms and stopping_ms; forward_attempt has retry_denied. caller_left stood for any close; a caller's reset, a caller that reads too slowly and a failed write are told apart. response_unsent names a complete response whose last bytes were not sent or acknowledged when this host closed its connection. The last lines of a process wait up to 100 ms for the reader of the log.

No change of what requests get. log/last-lines-reach-a-slow-reader failed before (55,000 bytes of lines were lost); callerdrain/unsent-responses-are-reported is new with its operation.

--- a/src/callerconn.c
+++ b/src/callerconn.c
@@ -1,4 +1,5 @@
 #include "callerconn.h"
+#include "callerreport.h"
 #include "tcpreset.h"
 
 #include <string.h>
@@ -70,13 +71,17 @@
   bytebudget_update (&conn->server->unsent, &conn->counted_unsent, unsent);
 }
 
+/* @param reason as in callerconn.end_reason */
 static void
-conn_close (struct callerconn *conn)
+conn_close (struct callerconn *conn, const char *reason)
 {
   bool disconnected = conn->serving;
 
   if (conn->closing)
     return;
+  conn->end_reason = reason;
+  if (!disconnected && !conn->aborted)
+    callerreport_unsent (conn);
   conn->closing = true;
   conn->serving = false;
   conn_update_buffered (conn);
@@ -92,7 +97,9 @@
 static void
 close_timer_fired (uv_timer_t *timer)
 {
-  conn_close (timer->data);
+  struct callerconn *conn = timer->data;
+
+  conn_close (conn, conn->end_reason);
 }
 
 static void
@@ -108,10 +115,12 @@
 /* Close the connection from the event loop, never inside a call by the owner
  * of the server. */
 static void
-conn_close_soon (struct callerconn *conn)
+conn_close_soon (struct callerconn *conn, const char *reason)
 {
-  if (!conn->closing)
-    uv_timer_start (&conn->timer, close_timer_fired, 0, 0);
+  if (conn->closing)
+    return;
+  conn->end_reason = reason;
+  uv_timer_start (&conn->timer, close_timer_fired, 0, 0);
 }
 
 /* Shut down the sending side after all queued output, then close the
@@ -124,12 +133,13 @@
   if (conn->closing || conn->shutting_down)
     return;
   conn->shutting_down = true;
+  conn->end_reason = "response_ended";
   request = g_new0 (uv_shutdown_t, 1);
   request->data = conn;
   if (uv_shutdown (request, (uv_stream_t *)&conn->tcp, on_shutdown) != 0)
     {
       g_free (request);
-      conn_close_soon (conn);
+      conn_close_soon (conn, "write_failed");
     }
 }
 
@@ -141,7 +151,7 @@
 
   g_free (write);
   if (status != 0)
-    conn_close (conn);
+    conn_close (conn, "write_failed");
   else
     conn_update_unsent (conn);
 }
@@ -166,11 +176,11 @@
       != 0)
     {
       g_free (write);
-      conn_close_soon (conn);
+      conn_close_soon (conn, "write_failed");
     }
   conn_update_unsent (conn);
   if (bytebudget_is_overrun (&conn->server->unsent, conn->counted_unsent))
-    conn_close_soon (conn);
+    conn_close_soon (conn, "caller_slow");
 }
 
 static void
@@ -219,6 +229,7 @@
   g_byte_array_set_size (conn->body, 0);
   conn->arrived_ns = 0;
   conn->owner_data = NULL;
+  conn->end_reason = "idle";
   uv_timer_start (&conn->timer, close_timer_fired,
                   conn->server->limits.idle_timeout_ns / NS_PER_MS, 0);
 }
@@ -393,7 +404,7 @@
     return;
   if (size < 0)
     {
-      conn_close (conn);
+      conn_close (conn, size == UV_EOF ? "caller_left" : "caller_reset");
       return;
     }
   if (conn->shutting_down)
@@ -450,7 +461,7 @@
   if (uv_accept ((uv_stream_t *)&server->listener, (uv_stream_t *)&conn->tcp)
       != 0)
     {
-      conn_close (conn);
+      conn_close (conn, "not_accepted");
       return;
     }
   uv_tcp_nodelay (&conn->tcp, 1);
@@ -553,7 +564,7 @@
   g_string_free (out, TRUE);
   if (uv_stream_get_write_queue_size ((uv_stream_t *)&conn->tcp)
       > UNSENT_BYTES_MAX)
-    conn_close_soon (conn);
+    conn_close_soon (conn, "caller_slow");
 }
 
 void
@@ -580,5 +591,7 @@
   conn->owner_data = NULL;
   if (conn->closing)
     return;
-  conn_close (conn);
+  /* What a response that goes on still has to send is lost on purpose. */
+  conn->aborted = conn->serving;
+  conn_close (conn, "stop");
 }
--- a/src/callerconn.h
+++ b/src/callerconn.h
@@ -44,6 +44,12 @@
   /** Whether the connection closes once all output is sent. */
   bool shutting_down;
   bool closing;
+  bool aborted; /**< Whether the owner ended a response before its end. */
+  /** Why the connection closes: the caller closed it (caller_left) or reset it
+   * (caller_reset), read too slowly (caller_slow), bytes could not be written
+   * (write_failed), it was idle, its last response has ended, or the server
+   * stops. */
+  const char *end_reason;
   /** Number of open libuv handles. Closing the last one frees the
    * connection. */
   unsigned open_handles;
--- a/src/callerserver.h
+++ b/src/callerserver.h
@@ -38,6 +38,12 @@
    * whole. */
   void (*request_refused) (void *data, struct callerconn *conn, int status,
                            const char *reason);
+  /** The connection closes although bytes of a complete response wait to be
+   * sent, or to be acknowledged by the caller. NULL: not reported.
+   * @param reason as in callerconn.end_reason */
+  void (*response_unsent) (void *data, struct callerconn *conn,
+                           const char *reason, size_t unsent,
+                           size_t unacknowledged);
 };
 
 struct callerserver
--- a/src/entry.c
+++ b/src/entry.c
@@ -1,5 +1,6 @@
 #include "entry.h"
 #include "entryblame.h"
+#include "entrycallers.h"
 #include "entryera.h"
 #include "entryevacuation.h"
 #include "entryhttp.h"
@@ -47,51 +48,6 @@
          && entry->servers_view.initial_read_done;
 }
 
-static void
-request_received (void *data, struct callerconn *conn)
-{
-  struct entry *entry = data;
-
-  forwarder_request_received (&entry->forwarder, conn);
-}
-
-static void
-caller_disconnected (void *data, struct callerconn *conn)
-{
-  struct entry *entry = data;
-
-  forwarder_caller_disconnected (&entry->forwarder, conn);
-}
-
-static void
-caller_refused (void *data, struct callerconn *conn, int status,
-                const char *reason)
-{
-  struct entry *entry = data;
-  char labels[96];
-
-  log_event (&entry->log, EVENT_CALLER_REFUSED,
-             "peer=%s status=%d reason=%s bytes=%zu", conn->caller_ip, status,
-             reason, conn->head.text->len + conn->body->len);
-  g_snprintf (labels, sizeof labels, "reason=\"%s\"", reason);
-  metrics_add (&entry->metrics, "trefoilspar_callers_refused_total", labels,
-               1);
-}
-
-static const struct callerserver_ops caller_ops
-    = { request_received, caller_disconnected, caller_refused };
-
-static void
-host_request_received (void *data, struct callerconn *conn)
-{
-  struct entry *entry = data;
-
-  forwarder_request_from_host (&entry->forwarder, conn);
-}
-
-static const struct callerserver_ops host_ops
-    = { host_request_received, caller_disconnected, caller_refused };
-
 static void
 server_changed (void *data, const struct server *server, const char *what)
 {
@@ -375,12 +331,13 @@
 listen_all (struct entry *entry, struct error *error)
 {
   const struct settings *settings = entry->settings;
-  enum status status = listen_at (entry, &entry->caller_server,
-                                  &settings->listen.http, &caller_ops, error);
+  enum status status
+      = listen_at (entry, &entry->caller_server, &settings->listen.http,
+                   &entrycallers_caller_ops, error);
 
   if (status == STATUS_OK)
     status = listen_at (entry, &entry->host_server, &settings->listen.peer,
-                        &host_ops, error);
+                        &entrycallers_host_ops, error);
   if (status == STATUS_OK)
     status = listen_at (entry, &entry->directory_server,
                         &settings->listen.directory, &entryhttp_directory_ops,
@@ -536,8 +493,11 @@
              entry->settings->process.data_centre,
              entry->settings->listen.http.text);
   uv_run (&entry->loop, UV_RUN_DEFAULT);
-  log_event (&entry->log, EVENT_STOP, "reason=planned open=%zu",
-             entry->caller_server.conn_count);
+  log_event (&entry->log, EVENT_STOP,
+             "reason=planned open=%zu open_hosts=%zu in_flight=%zu unsent=%zu",
+             entry->caller_server.conn_count, entry->host_server.conn_count,
+             entry->forwarder.request_count,
+             entry->caller_server.unsent.bytes);
 }
 
 static void
--- a/src/entryhttp.c
+++ b/src/entryhttp.c
@@ -180,8 +180,8 @@
 }
 
 const struct callerserver_ops entryhttp_directory_ops
-    = { directory_requested, ignore_disconnect, ignore_refusal };
+    = { directory_requested, ignore_disconnect, ignore_refusal, NULL };
 const struct callerserver_ops entryhttp_ready_ops
-    = { ready_requested, ignore_disconnect, ignore_refusal };
+    = { ready_requested, ignore_disconnect, ignore_refusal, NULL };
 const struct callerserver_ops entryhttp_metrics_ops
-    = { metrics_requested, ignore_disconnect, ignore_refusal };
+    = { metrics_requested, ignore_disconnect, ignore_refusal, NULL };
--- a/src/event.c
+++ b/src/event.c
@@ -118,22 +118,30 @@
     "that began it." },
   { EVENT_FORWARD_ATTEMPT, EVENT_LEVEL_WARN, "forward_attempt",
     "An attempt on a backend server gave no response to forward; its outcome "
-    "and the next action are given, how the response was framed, its whole "
-    "events, the bytes of an incomplete one, and what made its bytes "
-    "unusable (fault)." },
+    "and the next action are given, whether the retry budget denied a retry, "
+    "how the response was framed, its whole events, the bytes of an "
+    "incomplete one, and what made its bytes unusable (fault)." },
   { EVENT_FORWARD_END, EVENT_LEVEL_INFO, "forward_end",
     "A request got its whole response: status, server, framing, time to the "
     "first event, total time, version of the configuration that routed "
     "it." },
   { EVENT_FORWARD_FAILED, EVENT_LEVEL_WARN, "forward_failed",
     "A request ended without a successful and whole response of a server; "
-    "fields as in forward_end." },
+    "fields as in forward_end, whether a run was in progress (running), the "
+    "time since its server sent something (silent_ms), the time that the "
+    "caller had left, and the time since this host was told to stop (-1: it "
+    "was not)." },
   { EVENT_FORWARD_REFUSED, EVENT_LEVEL_WARN, "forward_refused",
     "A request was refused before it was routed: it is malformed, or no "
     "configuration is known yet." },
   { EVENT_CALLER_REFUSED, EVENT_LEVEL_WARN, "caller_refused",
     "A connection was refused before its request was complete: over a size or "
     "time limit, or not HTTP." },
+  { EVENT_RESPONSE_UNSENT, EVENT_LEVEL_WARN, "response_unsent",
+    "This host closed the connection of a caller although bytes of a complete "
+    "response were not sent (unsent), or sent and not acknowledged; the "
+    "reason "
+    "of the close." },
   { EVENT_FORWARD_ORIGIN, EVENT_LEVEL_INFO, "forward_origin",
     "A caller came back for a stream; known_by is how the software that began "
     "it was found (own_record, other_record, only_software, none), then the "
--- a/src/forward.h
+++ b/src/forward.h
@@ -88,6 +88,8 @@
   GHashTable *queues;
   struct runtimes runtimes;
   struct bytebudget responses; /**< What is kept of responses. */
+  int64_t stop_ns; /**< Time at which this host was told to stop; valid if
+                        end_ns is not 0. */
   /** Time at which a host that stops ends what is still in flight; 0 while it
    * does not stop. */
   int64_t end_ns;
@@ -141,6 +143,8 @@
   unsigned not_run_count; /**< Number of attempts that certainly did not run
                              the request. */
   unsigned unconnected_count; /**< Those of them without a connection. */
+  bool retry_denied;     /**< Whether the retry budget had nothing left for the
+                            retry after the last attempt. */
   bool silence_recorded; /**< Whether it was recorded that the server of the
                             current attempt has not responded. */
   bool relaying; /**< Whether the response head has been sent to the caller. */
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -142,11 +142,13 @@
   if (forward->software_hash != 0)
     state.not_run_count -= forward->unconnected_count;
   action = forwardretry_decide (&state);
-  if ((action == FORWARDRETRY_RETRY || action == FORWARDRETRY_RESUME)
-      && outcome != EXCHANGE_NOT_CONNECTED
-      && !retrybudget_acquire (
-          service_retry_budget (forwarder, forward->service),
-          forwarder->host_count, now))
+  forward->retry_denied
+      = (action == FORWARDRETRY_RETRY || action == FORWARDRETRY_RESUME)
+        && outcome != EXCHANGE_NOT_CONNECTED
+        && !retrybudget_acquire (
+            service_retry_budget (forwarder, forward->service),
+            forwarder->host_count, now);
+  if (forward->retry_denied)
     action = forwardretry_decide_without_retry (&state);
   forward_log_attempt (forward, outcome, action);
   switch (action)
@@ -397,7 +399,7 @@
 
   if (forward == NULL)
     return;
-  forward_log_end (forward, 0, "caller_left");
+  forward_log_end (forward, 0, conn->end_reason);
   conn->owner_data = NULL;
   forward_free (forward);
 }
@@ -433,7 +435,6 @@
     {
       bool is_sent = exchange_is_sent (&forward->exchange);
 
-      exchange_cancel (&forward->exchange);
       if (forward->relaying)
         forward_break (forward, "timeout");
       else if (is_sent || forward->run_count > 0)
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -18,6 +18,38 @@
       exchange->events.pending->len, exchange->fault);
 }
 
+/* Return the time since the server of the present run sent something, or since
+ * it was sent the request; -1 without a run. */
+static double
+run_silent_ms (const struct forward *forward)
+{
+  const struct exchange *exchange = &forward->exchange;
+  int64_t active_ns = MAX (exchange->sent_ns, exchange->last_received_ns);
+
+  return exchange_is_sent (exchange)
+             ? (double)(clock_now (forward->forwarder->clock) - active_ns)
+                   / NS_PER_MS
+             : -1.0;
+}
+
+/* Count the streams that this host broke off, by reason and by what the host
+ * did then. */
+static void
+count_break (const struct forward *forward, const char *reason)
+{
+  const struct forwarder *forwarder = forward->forwarder;
+  char labels[96];
+
+  if (!forward->relaying)
+    return;
+  g_snprintf (labels, sizeof labels, "reason=\"%s\",host=\"%s\"", reason,
+              forwarder->end_ns == 0   ? "serves"
+              : forwarder->is_stopping ? "finishes"
+                                       : "leaves");
+  metrics_add (forwarder->metrics, "trefoilspar_streams_broken_total", labels,
+               1);
+}
+
 void
 forward_log_end (struct forward *forward, int status, const char *reason)
 {
@@ -36,7 +68,7 @@
       forwarder->log, served ? EVENT_FORWARD_END : EVENT_FORWARD_FAILED,
       "id=%s status=%d reason=%s route=%s service=%s server=%s "
       "runs=%u not_run=%u %s first_ms=%.1f total_ms=%.1f config=%lu "
-      "from_host=%d",
+      "from_host=%d running=%d silent_ms=%.1f left_ms=%.1f stopping_ms=%.1f",
       forward->call.request_id, status, reason,
       route != NULL ? route->name : "-",
       forward->service != NULL ? forward->service : "-",
@@ -47,7 +79,15 @@
                 / NS_PER_MS
           : -1.0,
       (double)(now - forward->arrived_ns) / NS_PER_MS,
-      (unsigned long)forward->routes->version, forward->from_host);
+      (unsigned long)forward->routes->version, forward->from_host,
+      exchange_is_sent (&forward->exchange), run_silent_ms (forward),
+      forward->deadline_ns != 0
+          ? (double)forward_time_left_ns (forward) / NS_PER_MS
+          : -1.0,
+      forwarder->end_ns != 0 ? (double)(now - forwarder->stop_ns) / NS_PER_MS
+                             : -1.0);
+  if (!served)
+    count_break (forward, reason);
   g_snprintf (labels, sizeof labels, "service=\"%s\",code=\"%d\"",
               forward->service != NULL ? forward->service : "", status);
   metrics_add (forwarder->metrics, "trefoilspar_requests_total", labels, 1);
@@ -252,12 +292,13 @@
   log_event (
       forwarder->log, EVENT_FORWARD_ATTEMPT,
       "id=%s server=%s end=%s status=%d action=%s runs=%u not_run=%u "
-      "relayed=%d %s sent_ms=%.1f in_flight=%u others_in_flight=%u "
-      "load=%u,%u brittle=%d",
+      "retry_denied=%d relayed=%d %s sent_ms=%.1f in_flight=%u "
+      "others_in_flight=%u load=%u,%u brittle=%d",
       forward->call.request_id, exchange->server->entry.id,
       exchange_outcome_name (outcome), exchange->response.status,
       forwardretry_action_name (action), forward->run_count,
-      forward->not_run_count, forward->relaying, response_end,
+      forward->not_run_count, forward->retry_denied, forward->relaying,
+      response_end,
       exchange->sent_ns != 0 ? (double)(now - exchange->sent_ns) / NS_PER_MS
                              : -1.0,
       exchange->server->in_flight_requests,
--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -5,6 +5,7 @@
 void
 forwardstop_begin (struct forwarder *forwarder, int64_t end_ns)
 {
+  forwarder->stop_ns = clock_now (forwarder->clock);
   forwarder->end_ns = end_ns;
 }
 
@@ -53,7 +54,6 @@
       bool is_sent = exchange_is_sent (&forward->exchange);
 
       node = node->next;
-      exchange_cancel (&forward->exchange);
       if (is_sent && !forward->relaying)
         forward_fail (forward, "stopping");
       else
--- a/src/logsink.c
+++ b/src/logsink.c
@@ -9,7 +9,9 @@
   /* Once a pipe is writable, it accepts this many bytes without blocking
    * (PIPE_BUF). */
   WRITE_BYTES_MAX = 4096,
-  BUFFER_BYTES = 256 * 1024
+  BUFFER_BYTES = 256 * 1024,
+  /* Maximum time that the end of a process waits for the reader of its log. */
+  FINISH_WAIT_MS = 100
 };
 
 const struct logsink_settings logsink_settings_default = {
@@ -29,10 +31,27 @@
   sink->buffer = g_string_new (NULL);
 }
 
+/* Wait until the descriptor accepts bytes, for the rest of WAIT_MS since
+ * START_NS. @return whether it does */
+static bool
+wait_writable (const struct logsink *sink, int64_t start_ns)
+{
+  struct pollfd target = { .fd = sink->settings.fd, .events = POLLOUT };
+  int64_t waited_ms = (clock_now (sink->clock) - start_ns) / NS_PER_MS;
+
+  return waited_ms < FINISH_WAIT_MS
+         && poll (&target, 1, (int)(FINISH_WAIT_MS - waited_ms)) == 1
+         && (target.revents & POLLOUT) != 0;
+}
+
 void
 logsink_finish (struct logsink *sink)
 {
+  int64_t start_ns = clock_now (sink->clock);
+
   logsink_flush (sink);
+  while (sink->buffer->len > 0 && wait_writable (sink, start_ns))
+    logsink_flush (sink);
   g_string_free (sink->buffer, TRUE);
 }
 
--- a/src/logsink.h
+++ b/src/logsink.h
@@ -49,8 +49,8 @@
                    const struct logsink_settings *settings,
                    const struct clock *clock);
 
-/** Write as much of the buffer as the descriptor accepts without blocking; the
- * rest is lost. */
+/** Write the buffer, and wait up to 100 ms for a descriptor that accepts no
+ * more; the rest is lost. */
 void logsink_finish (struct logsink *sink);
 
 /** Count a line of LEVEL.
--- a/src/tcpreset.c
+++ b/src/tcpreset.c
@@ -36,10 +36,18 @@
          || socket_error != 0 || is_closed_state (fd);
 }
 
-bool
-tcpreset_is_sending (int fd)
+size_t
+tcpreset_unacknowledged_bytes (int fd)
 {
   int unacknowledged = 0;
 
-  return ioctl (fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
+  return ioctl (fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0
+             ? (size_t)unacknowledged
+             : 0;
+}
+
+bool
+tcpreset_is_sending (int fd)
+{
+  return tcpreset_unacknowledged_bytes (fd) > 0;
 }
--- a/src/tcpreset.h
+++ b/src/tcpreset.h
@@ -2,6 +2,7 @@
 #define TCPRESET_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 /** @file
  * Tells a connection that its peer reset from one that the peer closed in
@@ -18,6 +19,10 @@
  * reading reports only an end of file. */
 bool tcpreset_was_reset (int fd);
 
+/** Return the number of bytes that were sent on the connection FD and that its
+ * peer has not acknowledged. */
+size_t tcpreset_unacknowledged_bytes (int fd);
+
 /** Whether the peer of the connection FD has not acknowledged all bytes that
  * were sent. */
 bool tcpreset_is_sending (int fd);
--- a/test/fake-hosts.c
+++ b/test/fake-hosts.c
@@ -60,9 +60,9 @@
 }
 
 static const struct callerserver_ops front_ops
-    = { front_request, front_gone, front_refused };
+    = { front_request, front_gone, front_refused, NULL };
 static const struct callerserver_ops host_ops
-    = { host_request, front_gone, front_refused };
+    = { host_request, front_gone, front_refused, NULL };
 
 static void
 server_changed (void *data, const struct server *server, const char *what)
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -398,7 +398,7 @@
 }
 
 static const struct callerserver_ops engine_ops
-    = { engine_request, engine_gone, engine_refused };
+    = { engine_request, engine_gone, engine_refused, NULL };
 
 static void
 entry_write (struct soak_engine *engine)
--- a/test/soak-store.c
+++ b/test/soak-store.c
@@ -423,7 +423,7 @@
 }
 
 static const struct callerserver_ops store_ops
-    = { store_request, store_gone, store_refused };
+    = { store_request, store_gone, store_refused, NULL };
 
 void
 soak_store_init (struct soak_store *store, struct soak *soak, uint16_t port)
--- a/test/test-callerdrain.c
+++ b/test/test-callerdrain.c
@@ -10,6 +10,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+enum
+{
+  /* More than the socket of a caller that does not read takes. */
+  UNREAD_BYTES = 3 * 1024 * 1024
+};
+
 static struct
 {
   uv_loop_t loop;
@@ -20,6 +26,8 @@
   int caller;
   GString *answer;
   bool ended;
+  char unsent_reason[32]; /* of the last response that was not all sent */
+  size_t unsent;
 } drain;
 
 static void
@@ -41,8 +49,16 @@
 {
 }
 
+static void
+response_unsent (void *data, struct callerconn *conn, const char *reason,
+                 size_t unsent, size_t unacknowledged)
+{
+  g_strlcpy (drain.unsent_reason, reason, sizeof drain.unsent_reason);
+  drain.unsent = unsent + unacknowledged;
+}
+
 static const struct callerserver_ops server_ops
-    = { request_received, caller_gone, request_refused };
+    = { request_received, caller_gone, request_refused, response_unsent };
 
 static void
 run (void)
@@ -156,11 +172,38 @@
   finish ();
 }
 
+/* Nothing told that a stop closed a connection while the end of a response
+ * waited to be sent. */
+static void
+test_unsent_responses_are_reported (void)
+{
+  char *bytes = g_malloc0 (UNREAD_BYTES);
+
+  setup ();
+  request_send ();
+  callerconn_stream_write (drain.conn, bytes, UNREAD_BYTES);
+  callerconn_stream_end (drain.conn);
+  callerserver_finish (&drain.server);
+  CU_ASSERT_STRING_EQUAL (drain.unsent_reason, "stop");
+  CU_ASSERT_TRUE (drain.unsent > 0);
+  g_free (bytes);
+  uv_run (&drain.loop, UV_RUN_NOWAIT);
+  finish ();
+  setup ();
+  request_send ();
+  callerconn_stream_end (drain.conn);
+  run ();
+  callerserver_drain (&drain.server);
+  CU_ASSERT_STRING_EQUAL (drain.unsent_reason, "");
+  finish ();
+}
+
 static const struct unit_case cases[] = {
   { "stream-that-began-before-the-stop",
     test_stream_that_began_before_the_stop },
   { "connection-is-kept", test_connection_is_kept },
   { "request-sent-ahead", test_request_sent_ahead },
+  { "unsent-responses-are-reported", test_unsent_responses_are_reported },
 };
 
 int
--- a/test/test-log.c
+++ b/test/test-log.c
@@ -9,7 +9,10 @@
 
 enum
 {
-  BUFFER_BYTES = 65536
+  BUFFER_BYTES = 65536,
+  UNREAD_BYTES = 60000, /* most of what a pipe holds */
+  LAST_LINES = 5000,
+  READ_LATE_US = 30000
 };
 
 static struct clock_fake fake_clock;
@@ -97,6 +100,43 @@
   finish ();
 }
 
+static void *
+read_late (void *data)
+{
+  char bytes[8192];
+  size_t *total = data;
+  ssize_t size;
+
+  g_usleep (READ_LATE_US);
+  fcntl (pipe_fds[0], F_SETFL, 0);
+  while ((size = read (pipe_fds[0], bytes, sizeof bytes)) > 0)
+    *total += (size_t)size;
+  return NULL;
+}
+
+/* The last lines of a process were lost if the reader of its log was slow at
+ * that moment. */
+static void
+test_last_lines_reach_a_slow_reader (void)
+{
+  static const char line[] = "0123456789\n";
+  char *unread = g_malloc0 (UNREAD_BYTES);
+  size_t total = 0;
+  GThread *reader;
+
+  setup (BUFFER_BYTES);
+  CU_ASSERT_EQUAL (write (pipe_fds[1], unread, UNREAD_BYTES), UNREAD_BYTES);
+  for (unsigned i = 0; i < LAST_LINES; i++)
+    logsink_append (&sink, EVENT_LEVEL_WARN, line, strlen (line));
+  reader = g_thread_new ("reader", read_late, &total);
+  logsink_finish (&sink);
+  close (pipe_fds[1]);
+  g_thread_join (reader);
+  close (pipe_fds[0]);
+  CU_ASSERT_EQUAL (total, UNREAD_BYTES + LAST_LINES * strlen (line));
+  g_free (unread);
+}
+
 /* At four times the rate at which sampling starts, a request keeps all its
  * lines or none, and warnings are never dropped. */
 static void
@@ -132,6 +172,7 @@
   { "line-is-json", test_line_is_json },
   { "shut-outlet", test_blocked_output },
   { "all-lines-arrive", test_all_lines_arrive },
+  { "last-lines-reach-a-slow-reader", test_last_lines_reach_a_slow_reader },
   { "sampling-by-request", test_sampling_by_request },
 };
 
