Failing tests: runs that are ended though their server would complete them

A server that pauses for longer than the silence limit and then goes on keeps neither its stream nor its request if the next server refuses, fails, has no capacity, does not exist, or if the retry budget has nothing left; and a stream that its server broke off does not wait for the next one while its host stops.

It also checks that no two engines work on one request for more than 400 ms.

--- a/test/check-soak.sh
+++ b/test/check-soak.sh
@@ -26,6 +26,8 @@
 eighth=$!
 run broken --seed 31 --broken-answers &
 tenth=$!
+run pauses --seed 1 --pauses &
+twelfth=$!
 # Hosts send to cold engines once they have been listed for some seconds.
 run cold --seed 2 --cold --seconds 20 &
 eleventh=$!
@@ -47,8 +49,9 @@
 wait $ninth || failed=1
 wait $tenth || failed=1
 wait $eleventh || failed=1
+wait $twelfth || failed=1
 for name in faults planned poison limits drills cut-streams cut-callers \
-  foreign long-runs endless broken cold; do
+  foreign long-runs endless broken cold pauses; do
   grep -E '^(not )?ok ' "$folder/$name.txt" || echo "not ok soak/$name"
   grep 'BROKEN' "$folder/$name.txt"
 done
--- a/test/fake-upstream.c
+++ b/test/fake-upstream.c
@@ -7,6 +7,9 @@
 {
   struct fake_upstream *upstream;
   uv_tcp_t tcp;
+  uv_timer_t timer; /* to the rest of the answer */
+  unsigned open_handles;
+  enum fake_upstream_end end;
   GString *input;
   bool answered;
 };
@@ -16,6 +19,8 @@
 {
   struct upstream_link *link = handle->data;
 
+  if (--link->open_handles > 0)
+    return;
   g_string_free (link->input, TRUE);
   g_free (link);
 }
@@ -25,6 +30,31 @@
 {
   if (!uv_is_closing ((uv_handle_t *)&link->tcp))
     uv_close ((uv_handle_t *)&link->tcp, on_closed);
+  if (!uv_is_closing ((uv_handle_t *)&link->timer))
+    uv_close ((uv_handle_t *)&link->timer, on_closed);
+}
+
+/* End the answer. */
+static void
+link_end (struct upstream_link *link)
+{
+  if (link->end == FAKE_UPSTREAM_GONE)
+    uv_close ((uv_handle_t *)&link->upstream->listener, NULL);
+  if (link->end == FAKE_UPSTREAM_RESET || link->end == FAKE_UPSTREAM_GONE)
+    uv_tcp_close_reset (&link->tcp, on_closed);
+  if (link->end != FAKE_UPSTREAM_KEEP)
+    link_close (link);
+}
+
+static void
+on_later (uv_timer_t *timer)
+{
+  struct upstream_link *link = timer->data;
+  const char *later = link->upstream->later;
+  uv_buf_t buffer = uv_buf_init ((char *)later, (unsigned)strlen (later));
+
+  uv_try_write ((uv_stream_t *)&link->tcp, &buffer, 1);
+  link_end (link);
 }
 
 /* Whether the head and, by its length, the body are there. */
@@ -114,12 +144,11 @@
   request_count (upstream, link->input->str);
   uv_try_write ((uv_stream_t *)&link->tcp, &buffer, 1);
   g_free (answer);
-  if (step->end == FAKE_UPSTREAM_GONE)
-    uv_close ((uv_handle_t *)&upstream->listener, NULL);
-  if (step->end == FAKE_UPSTREAM_RESET || step->end == FAKE_UPSTREAM_GONE)
-    uv_tcp_close_reset (&link->tcp, on_closed);
-  else if (step->end == FAKE_UPSTREAM_CLOSE)
-    link_close (link);
+  link->end = step->end;
+  if (upstream->later != NULL && !is_query)
+    uv_timer_start (&link->timer, on_later, upstream->later_ms, 0);
+  else
+    link_end (link);
 }
 
 static void
@@ -155,6 +184,9 @@
   link->upstream = upstream;
   link->input = g_string_new (NULL);
   link->tcp.data = link;
+  link->timer.data = link;
+  link->open_handles = 2;
+  uv_timer_init (upstream->loop, &link->timer);
   uv_tcp_init (upstream->loop, &link->tcp);
   uv_accept (listener, (uv_stream_t *)&link->tcp);
   uv_read_start ((uv_stream_t *)&link->tcp, on_alloc, on_read);
--- a/test/fake-upstream.h
+++ b/test/fake-upstream.h
@@ -33,6 +33,10 @@
   unsigned step_count;
   /** Answer to a request that goes on with a stream; NULL: as any other. */
   const struct fake_upstream_step *resumed;
+  /** Rest of each answer, which follows LATER_MS after its beginning; NULL:
+   * the answers are whole. "" is an end that comes later. */
+  const char *later;
+  unsigned later_ms;
   /** Answer to a query for the server's state; NULL: without statements. */
   const char *state;
   /** A request that holds this text is sent the head of a stream and then a
--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -2,6 +2,7 @@
 #include "soak-engine.h"
 #include "soak-broken.h"
 #include "soak-foreign.h"
+#include "soak-pauses.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -179,6 +180,7 @@
   soak_foreign_answered (caller->soak, request, status);
   soak_broken_check (caller->soak, request, &caller->head, caller->body->str);
   stop_check (caller->soak, request, status);
+  soak_pauses_answered (caller->soak, request, status);
   if (status == 200 && !success_is_right (caller))
     {
       caller->soak->streams.wrong += request->kind == SOAK_STREAM;
--- a/test/soak-engine.c
+++ b/test/soak-engine.c
@@ -4,6 +4,7 @@
 #include "soak-config.h"
 #include "soak-endless.h"
 #include "soak-foreign.h"
+#include "soak-pauses.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -30,6 +31,8 @@
   struct soak_request *request;
   uv_timer_t timer;
   unsigned next_event;
+  unsigned pause_event; /* Event before which it pauses, for PAUSE_MS. */
+  unsigned pause_ms;
   unsigned cut_event; /* Event instead of which the run is cut; 0: none. */
   bool is_begun;      /* Its answer has begun. */
   enum soak_foreign_place foreign;
@@ -55,6 +58,8 @@
 run_end (struct run *run)
 {
   list_remove (&run->node);
+  soak_pauses_end (run->engine->soak, run->request);
+  run->engine->run_count--;
   uv_close ((uv_handle_t *)&run->timer, on_run_closed);
 }
 
@@ -184,6 +189,13 @@
   char *lines;
   char *body;
 
+  if (run->pause_ms > 0 && run->next_event >= run->pause_event)
+    {
+      uv_timer_start (timer, on_run_due, run->pause_ms,
+                      run->engine->soak->streams.event_ms);
+      run->pause_ms = 0;
+      return;
+    }
   if (run->cut_event != 0 && run->next_event == run->cut_event)
     {
       run->engine->soak->streams.cut++;
@@ -329,6 +341,11 @@
   run->foreign = soak_foreign_draw (engine->soak, request);
   if (run->foreign == SOAK_FOREIGN_AT_ONCE)
     soak_foreign_write (engine->soak, conn);
+  run->pause_ms = soak_pauses_draw (engine->soak, request);
+  run->pause_event
+      = is_stream ? soak_draw (engine->soak, 1, streams->events) : 1;
+  soak_pauses_begin (engine->soak, request);
+  engine->run_count++;
   list_append (&engine->runs, &run->node);
   uv_timer_init (&engine->soak->loop, &run->timer);
   run->timer.data = run;
@@ -374,7 +391,8 @@
       callerconn_respond (conn, 500, lines, "", 0);
     }
   else if (soak_statement_arrived (&engine->statement, engine->id, request)
-           || soak_foreign_refuses (engine->soak))
+           || soak_foreign_refuses (engine->soak)
+           || soak_pauses_refuse (engine->soak, engine->run_count))
     request_refuse (engine, conn, request, lines);
   else
     run_begin (engine, conn, request);
--- a/test/soak-engine.h
+++ b/test/soak-engine.h
@@ -35,6 +35,7 @@
   GArray *cold_arrivals; /**< Times of what came while it was. */
   double lost;           /**< Share of runs whose answer is cut off. */
   struct list runs;
+  unsigned run_count;
 };
 
 void soak_engine_init (struct soak_engine *engine, struct soak *soak,
--- a/test/soak.c
+++ b/test/soak.c
@@ -7,6 +7,7 @@
 #include "soak-broken.h"
 #include "soak-endless.h"
 #include "soak-foreign.h"
+#include "soak-pauses.h"
 #include "soak-proxy.h"
 
 #include <stdio.h>
@@ -21,10 +22,7 @@
   FAULT_GAP_MS = 900, /* between two faults, at most */
   FAULT_MS = 3000,    /* of one that ends by itself, at most */
   CALM_MS = 12000,    /* after the last fault */
-  POISON_CRASHES = 5, /* after which a block must not crash engines for long */
-  POISON_MS = 3000,   /* within which that must be so */
-  POISON_LATE_MAX = 3, /* requests that may reach an engine later */
-  LONG_EVENTS = 55,    /* of a stream, where runs are long */
+  LONG_EVENTS = 55,   /* of a stream, where runs are long */
   LONG_EVENT_MS = 100,
   LONG_DEADLINE_MS = 15000,
   RECOVERED_MS = 4000, /* the part of it in which requests must be served */
@@ -66,6 +64,7 @@
 static gboolean option_endless;
 static gboolean option_broken_answers;
 static gboolean option_cut_callers;
+static gboolean option_pauses;
 static char *option_program = "build/trefoilspard";
 static char *option_folder = "build/soak-logs";
 static char *option_other_program;
@@ -100,6 +99,10 @@
   { "long-runs", 0, 0, G_OPTION_ARG_NONE, &option_long_runs,
     "Runs of up to six seconds, and no other faults than planned stops",
     NULL },
+  { "pauses", 0, 0, G_OPTION_ARG_NONE, &option_pauses,
+    "Engines that pause in a run or have no room; only planned stops, reloads "
+    "and changes",
+    NULL },
   { "cut-callers", 0, 0, G_OPTION_ARG_NONE, &option_cut_callers,
     "The same, and their callers break their connections and come back at "
     "another host",
@@ -115,28 +118,6 @@
 
 static struct world world;
 
-void
-soak_poison_arrived (struct soak *soak)
-{
-  struct soak_poison *poison = &soak->poison;
-
-  if (poison->blamed_ns == 0 || clock_now (&soak->clock) < poison->blamed_ns
-      || ++poison->late != POISON_LATE_MAX + 1)
-    return;
-  soak_violation (soak, "a block that crashed %u engines reaches more",
-                  poison->crashes);
-}
-
-void
-soak_poison_crashed (struct soak *soak)
-{
-  struct soak_poison *poison = &soak->poison;
-
-  soak_say (soak, "a block crashes an engine");
-  if (++poison->crashes == POISON_CRASHES)
-    poison->blamed_ns = clock_now (&soak->clock) + POISON_MS * NS_PER_MS;
-}
-
 /* Writes the newest configuration, also once more. */
 static void
 config_put (void *data)
@@ -331,7 +312,7 @@
 static void
 fault_next (int64_t now)
 {
-  unsigned count = option_planned ? PLANNED : G_N_ELEMENTS (faults);
+  unsigned count = world.soak.planned_only ? PLANNED : G_N_ELEMENTS (faults);
 
   if (now < world.next_fault_ns || now >= world.faults_end_ns)
     return;
@@ -452,6 +433,7 @@
   soak_foreign_check (&world.soak);
   soak_endless_say (&world.soak);
   soak_broken_say (&world.soak);
+  soak_pauses_say (&world.soak);
   if (option_long_runs)
     soak_say (&world.soak,
               "of the requests sent to stopping hosts %u were served, %u "
@@ -549,8 +531,10 @@
              : option_endless         ? "endless-"
              : option_broken_answers  ? "broken-"
              : option_long_runs       ? "long-runs-"
+             : option_pauses          ? "pauses-"
                                       : "");
-  soak->planned_only = option_planned || option_long_runs;
+  soak->planned_only = option_planned || option_long_runs || option_pauses;
+  soak->pauses.is_played = option_pauses;
   soak->stops.is_played = option_long_runs;
   soak->endless.is_played = option_endless;
   soak->broken.is_played = option_broken_answers;
--- a/test/soak.h
+++ b/test/soak.h
@@ -52,8 +52,10 @@
   bool is_mixed;     /**< It holds events of two software versions. */
   bool is_poison;   /**< Whether its prompt has the block that crashes engines.
                      */
-  bool met_foreign; /**< An engine wrote an earlier refusal to it. */
-  bool lacks_answer; /**< Some engine did so instead of answering. */
+  unsigned working; /**< runs that engines are at work on */
+  int64_t overlap_ns; /**< Time from which two engines were. */
+  bool met_foreign;   /**< An engine wrote an earlier refusal to it. */
+  bool lacks_answer;  /**< Some engine did so instead of answering. */
 };
 
 /** Engines that write earlier refusals, see soak-foreign.h. */
@@ -127,6 +129,15 @@
   unsigned relayed;       /**< that reached callers */
 };
 
+/** Engines that pause in a run, see soak-pauses.h. */
+struct soak_pauses
+{
+  bool is_played;
+  unsigned paused;
+  unsigned refused;  /**< by engines without room */
+  unsigned overlaps; /**< requests that two engines worked on */
+};
+
 struct soak
 {
   /** Another build of the daemon, which every other start of a host runs;
@@ -146,6 +157,7 @@
   struct soak_stops stops;
   struct soak_endless endless;
   struct soak_broken broken;
+  struct soak_pauses pauses;
   unsigned deadline_ms;      /**< of requests */
   unsigned route_timeout_ms; /**< of routes */
   bool cold_engines; /**< Engines are cold after a start but the first. */
