An attempt of a request has a state of its own

What belongs to one attempt (its exchange, the load that it counts, the host that it was passed on to, what was expected of it) moves from struct forward to struct forward_attempt, and what follows from a response from forwarder.c to forwardresult.c. No change of behaviour; needed for a second attempt beside the first.

--- a/src/forward.h
+++ b/src/forward.h
@@ -101,6 +101,38 @@
                        this one included. */
 };
 
+struct forward;
+
+/** One attempt to have a request run by a server, or by another host. */
+struct forward_attempt
+{
+  struct forward *forward;
+  struct exchange exchange;
+  struct otherhost *host; /**< Host that the request was passed on to; NULL if
+                             it was sent to a server. */
+  struct server *counted_server; /**< Server whose load includes the request;
+                                    NULL if there is none. */
+  /** Number of the request's tokens that the prefill load of counted_server
+   * includes. */
+  unsigned counted_prefill_tokens;
+  bool silence_recorded;  /**< Whether it was recorded that the server has not
+                             responded. */
+  uint64_t software_hash; /**< Hash of the software of the server. */
+  /** Version of the weights that the server was believed to have; 0 if
+   * unknown. */
+  uint64_t weight_version;
+  char *fetch_store_name; /**< Name of the store that the largest fetched block
+                             comes from; NULL if no block is fetched. */
+  double expected_ms; /**< Expected time from the start of the attempt to its
+                         first event. */
+  double store_delay_ms; /**< Part of expected_ms that the delay of the store
+                            causes. */
+  double backlog_ms; /**< Part of expected_ms that the work on other requests
+                        causes. */
+  double comparable_ms; /**< As in struct choosecost. */
+  char cache_scope[CACHE_SCOPE_MAX];
+};
+
 /** One request in flight. */
 struct forward
 {
@@ -123,30 +155,21 @@
   /** By clock_boottime, since the caller's time runs while this host is
    * suspended; 0 before the route is known. */
   int64_t deadline_ns;
-  struct exchange exchange;
+  struct forward_attempt *attempt; /**< The present attempt, or the last. */
   const struct server *tried[CHOOSE_EXCLUDED_MAX];
   unsigned tried_count;
   struct call_refusals refusals; /**< Servers that have refused the request. */
-  struct server *counted_server; /**< Server whose load includes the request;
-                                    NULL if there is none. */
-  /** Number of the request's tokens that the prefill load of counted_server
-   * includes. */
-  unsigned counted_prefill_tokens;
   bool origin_known; /**< Whether the software that the stream needs has been
                         looked for, or the request does not resume one. */
   bool from_host;    /**< Whether another host has passed the request on. */
-  struct otherhost *host; /**< Host of the current attempt; NULL if it is at a
-                             server. */
   uint32_t tried_hosts[FORWARD_HOST_TRIES_MAX]; /**< Hashes of their ids. */
   unsigned host_tries;
   unsigned run_count; /**< Number of attempts that may have run the request. */
   unsigned not_run_count; /**< Number of attempts that certainly did not run
                              the request. */
   unsigned unconnected_count; /**< Those of them without a connection. */
-  bool retry_denied;     /**< Whether the retry budget had nothing left for the
-                            retry after the last attempt. */
-  bool silence_recorded; /**< Whether it was recorded that the server of the
-                            current attempt has not responded. */
+  bool retry_denied; /**< Whether the retry budget had nothing left for the
+                        retry after the last attempt. */
   bool relaying; /**< Whether the response head has been sent to the caller. */
   bool relays_events; /**< Whether the caller is sent an event stream, of which
                          it has whole events only. */
@@ -159,28 +182,13 @@
   /** Hash of the software that the stream goes on with; 0 before its first
    * event. What two versions write doesn't fit together. */
   uint64_t software_hash;
-  /** Software hash of the server of the current attempt. */
-  uint64_t attempt_software_hash;
-  /** Version of the weights that the server of the current attempt was
-   * believed to have; 0 if unknown. */
-  uint64_t attempt_weight_version;
   /** Software version of the server that sent the first event; empty if there
    * is none or it is unknown. */
   char began_software[SERVER_NAME_MAX];
   uint64_t fingerprint;
   struct blame_part parts[BLAME_PARTS_MAX];
   unsigned part_count;
-  bool tries_blocked;     /**< Whether the request is tried after a block. */
-  char *fetch_store_name; /**< Name of the store that the largest fetched block
-                             comes from; NULL if no block is fetched. */
-  double expected_ms; /**< Expected time from the start of the current attempt
-                         to its first event. */
-  double store_delay_ms; /**< Part of expected_ms that the delay of the store
-                            causes. */
-  double backlog_ms; /**< Part of expected_ms that the work on other requests
-                        causes. */
-  double comparable_ms; /**< As in struct choosecost. */
-  char cache_scope[CACHE_SCOPE_MAX];
+  bool tries_blocked; /**< Whether the request is tried after a block. */
 };
 
 /** Return the time until the deadline of the request, which may be over. */
--- a/src/forwardblame.c
+++ b/src/forwardblame.c
@@ -67,29 +67,31 @@
 }
 
 static enum blame_suspicion
-lost_run_suspicion (const struct forward *forward)
+lost_run_suspicion (const struct forward_attempt *attempt)
 {
-  const struct exchange *exchange = &forward->exchange;
+  const struct exchange *exchange = &attempt->exchange;
 
   if (!exchange->has_head)
     return BLAME_POSSIBLE;
   if (exchange->first_output_ns == 0)
     return BLAME_LIKELY;
-  return clock_now (forward->forwarder->clock) - exchange->first_output_ns
+  return clock_now (attempt->forward->forwarder->clock)
+                     - exchange->first_output_ns
                  < OUTPUT_SAFE_MS * NS_PER_MS
              ? BLAME_POSSIBLE
              : BLAME_NONE;
 }
 
 static void
-learn_lost (struct forward *forward)
+learn_lost (const struct forward_attempt *attempt)
 {
-  const struct exchange *exchange = &forward->exchange;
+  const struct forward *forward = attempt->forward;
+  const struct exchange *exchange = &attempt->exchange;
   struct forwarder *forwarder = forward->forwarder;
   const struct server_entry *entry = &exchange->server->entry;
   struct blame_run run = { .server_started_ms = entry->started_ms,
                            .part_count = forward->part_count,
-                           .suspicion = lost_run_suspicion (forward) };
+                           .suspicion = lost_run_suspicion (attempt) };
 
   g_strlcpy (run.server, entry->id, sizeof run.server);
   memcpy (run.parts, forward->parts, sizeof run.parts);
@@ -97,11 +99,14 @@
 }
 
 void
-forwardblame_learn (struct forward *forward, enum exchange_outcome outcome)
+forwardblame_learn (struct forward_attempt *attempt,
+                    enum exchange_outcome outcome)
 {
+  struct forward *forward = attempt->forward;
+
   if (outcome == EXCHANGE_CUT)
-    learn_lost (forward);
-  else if (outcome == EXCHANGE_ANSWERED && forward->exchange.response.success)
+    learn_lost (attempt);
+  else if (outcome == EXCHANGE_ANSWERED && attempt->exchange.response.success)
     blame_add_completed (&forward->forwarder->blameshare->blame,
                          forward->parts, forward->part_count);
 }
--- a/src/forwardblame.h
+++ b/src/forwardblame.h
@@ -16,8 +16,8 @@
  * that is tried after a block, its first attempt is allowed. */
 bool forwardblame_is_blocked (struct forward *forward);
 
-/** Record what OUTCOME of the present attempt says about the parts. */
-void forwardblame_learn (struct forward *forward,
+/** Record what OUTCOME of ATTEMPT says about the parts of its request. */
+void forwardblame_learn (struct forward_attempt *attempt,
                          enum exchange_outcome outcome);
 
 #endif
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -1,26 +1,22 @@
 #include "forwarder.h"
+#include "forwardattempt.h"
 #include "forwardblame.h"
-#include "forwardhost.h"
 #include "forwardlearn.h"
 #include "forwardlog.h"
 #include "forwardplace.h"
 #include "forwardqueue.h"
 #include "forwardrefusals.h"
 #include "forwardrespond.h"
+#include "forwardresult.h"
 #include "forwardresume.h"
-#include "forwardsend.h"
 #include "forwardweights.h"
 #include "forwardstop.h"
 #include "forwardwait.h"
-#include "serverreach.h"
 
 #include <string.h>
 
 enum
 {
-  /* Minimum time left to start an attempt. With less time left, no response
-   * can arrive before the deadline. */
-  ATTEMPT_MARGIN_MS = 5,
   /* Base of the Retry-After time if no configuration is loaded or the route
    * has no service. */
   RETRY_AFTER_NO_CONFIG_MS = 500,
@@ -28,189 +24,6 @@
   FROM_HOSTS_MAX = 512
 };
 
-static struct retrybudget *
-service_retry_budget (struct forwarder *forwarder, const char *service)
-{
-  struct retrybudget *budget
-      = g_hash_table_lookup (forwarder->retry_budgets, service);
-
-  if (budget == NULL)
-    {
-      budget = g_new0 (struct retrybudget, 1);
-      retrybudget_init (budget, &forwarder->settings.retry);
-      g_hash_table_insert (forwarder->retry_budgets, g_strdup (service),
-                           budget);
-    }
-  return budget;
-}
-
-static void
-response_bytes_received (void *data, struct exchange *exchange,
-                         const char *bytes, size_t size)
-{
-  struct forward *forward = data;
-
-  if (!forward->relaying)
-    {
-      forward->relaying = true;
-      forward->relays_events = exchange_relays_events (exchange);
-      if (forward->host == NULL)
-        {
-          forward_learn_response_head (forward);
-          forwardresume_record (forward);
-        }
-      callerconn_stream_begin (forward->conn, exchange->response.status,
-                               exchange->header_lines->str);
-    }
-  if (forward->counted_prefill_tokens > 0 && forward->counted_server != NULL)
-    {
-      forward->counted_server->pending_prefill_tokens
-          -= forward->counted_prefill_tokens;
-      forward->counted_prefill_tokens = 0;
-      if (forwardqueue_count (forward) > 0)
-        forwardwait_place (forward->forwarder,
-                           clock_now (forward->forwarder->clock),
-                           forward_place);
-    }
-  if (!forward->first_event_recorded)
-    {
-      char labels[96];
-
-      forward->first_event_recorded = true;
-      g_snprintf (labels, sizeof labels, "service=\"%s\"", forward->service);
-      metrics_observe (
-          forward->forwarder->metrics, "trefoilspar_first_event_seconds",
-          labels,
-          (double)(exchange->first_output_ns - forward->arrived_ns)
-              / NS_PER_S);
-    }
-  callerconn_stream_write (forward->conn, bytes, size);
-}
-
-static void
-forward_attempt_ended (struct forward *forward, enum exchange_outcome outcome)
-{
-  struct forwarder *forwarder = forward->forwarder;
-  struct exchange *exchange = &forward->exchange;
-  int64_t now = clock_now (forwarder->clock);
-  struct forwardretry_state state = {
-    .route = forward->route,
-    .outcome = outcome,
-    .response = &exchange->response,
-    .relayed = forward->relaying,
-    .is_resumable
-    = forward->relays_events && eventstream_is_resumable (&exchange->events),
-    .has_time_left
-    = forward_time_left_ns (forward) > ATTEMPT_MARGIN_MS * NS_PER_MS,
-  };
-  enum forwardretry_action action;
-
-  if (forward->host == NULL)
-    forward_learn_outcome (forward, outcome);
-  else if (forwardhost_ended (forward, outcome))
-    {
-      /* The other host may have sent it to a server that refused it. */
-      if (outcome == EXCHANGE_NOT_RUN
-          && !retrybudget_acquire (
-              service_retry_budget (forwarder, forward->service),
-              forwarder->host_count, now))
-        forward->host_tries = FORWARD_HOST_TRIES_MAX;
-      forward_log_attempt (forward, outcome, FORWARDRETRY_RETRY);
-      forward_place (forward);
-      return;
-    }
-  forward_uncount_load (forward);
-  /* The server of an attempt that this host withheld is not tried. */
-  if (exchange->withheld && state.has_time_left)
-    {
-      if (forward->tried_count > 0
-          && forward->tried[forward->tried_count - 1] == exchange->server)
-        forward->tried_count--;
-      forward_log_attempt (forward, outcome, FORWARDRETRY_RETRY);
-      forward_place (forward);
-      return;
-    }
-  if (outcome == EXCHANGE_NOT_CONNECTED || outcome == EXCHANGE_NOT_RUN)
-    forward->not_run_count++;
-  else
-    forward->run_count++;
-  forward->unconnected_count += outcome == EXCHANGE_NOT_CONNECTED;
-  state.run_count = forward->run_count;
-  state.not_run_count = forward->not_run_count;
-  /* A request that needs a certain software waits for its servers, which are
-   * probed, and so ends by its deadline at the latest. */
-  if (forward->software_hash != 0)
-    state.not_run_count -= forward->unconnected_count;
-  action = forwardretry_decide (&state);
-  forward->retry_denied
-      = (action == FORWARDRETRY_RETRY || action == FORWARDRETRY_RESUME)
-        && outcome != EXCHANGE_NOT_CONNECTED
-        && !retrybudget_acquire (
-            service_retry_budget (forwarder, forward->service),
-            forwarder->host_count, now);
-  if (forward->retry_denied)
-    action = forwardretry_decide_without_retry (&state);
-  forward_log_attempt (forward, outcome, action);
-  switch (action)
-    {
-    case FORWARDRETRY_PASS_ON:
-      forward_pass_on (forward);
-      break;
-    case FORWARDRETRY_RETRY:
-    case FORWARDRETRY_RESUME:
-      forward_place (forward);
-      break;
-    case FORWARDRETRY_REFUSE:
-      forward_refuse (forward, exchange_outcome_name (outcome),
-                      RETRY_AFTER_NO_SERVER_MS);
-      break;
-    case FORWARDRETRY_FAIL:
-      forward_fail (forward, exchange_outcome_name (outcome));
-      break;
-    case FORWARDRETRY_BREAK:
-      forward_break (forward, exchange_outcome_name (outcome));
-      break;
-    }
-}
-
-static void
-exchange_ended (void *data, struct exchange *exchange,
-                enum exchange_outcome outcome)
-{
-  struct forward *forward = data;
-  struct forwarder *forwarder = forward->forwarder;
-  bool frees_room
-      = exchange->server->brittle.brittle || forwardqueue_count (forward) > 0;
-
-  forward_attempt_ended (forward, outcome);
-  if (frees_room)
-    forwardwait_place (forwarder, clock_now (forwarder->clock), forward_place);
-}
-
-static void
-response_passed_over (void *data, struct exchange *exchange)
-{
-  forward_log_passed_over (data);
-}
-
-static void
-response_head_received (void *data, struct exchange *exchange)
-{
-  struct forward *forward = data;
-
-  if (forward->host != NULL)
-    forwardhost_head_received (forward);
-  else
-    {
-      forward_learn_answered (forward);
-      forward_learn_statements (forward);
-    }
-}
-
-static const struct exchange_ops exchange_ops
-    = { response_passed_over, response_head_received, response_bytes_received,
-        exchange_ended, forward_may_send };
-
 static void
 forward_respond_unrouted (struct forward *forward, int status,
                           const char *reason)
@@ -280,7 +93,7 @@
   /* The host that passed the request on has counted it. */
   if (!forward->from_host)
     retrybudget_count_request (
-        service_retry_budget (forwarder, forward->service),
+        forwarder_retry_budget (forwarder, forward->service),
         clock_now (forwarder->clock));
   forward->fingerprint = poisoncount_fingerprint (
       forward->organisation != NULL ? forward->organisation->name : "",
@@ -355,9 +168,7 @@
       forwarder->request_count++;
       if (from_host)
         forwardrefusals_add (forward, &call.refusals);
-      exchange_init (&forward->exchange, &forwarder->responses,
-                     forwarder->dialect, forwarder->clock, &exchange_ops,
-                     forward);
+      forward->attempt = forwardattempt_new (forward, &forwardresult_ops);
       forward_start (forward);
       return;
     }
@@ -409,7 +220,7 @@
 static bool
 server_is_silent (const struct forward *forward, int64_t now)
 {
-  const struct exchange *exchange = &forward->exchange;
+  const struct exchange *exchange = &forward->attempt->exchange;
   int64_t active_ns = MAX (exchange->sent_ns, exchange->last_received_ns);
 
   return exchange_is_sent (exchange) && route_allows_retry (forward->route)
@@ -417,23 +228,12 @@
                                   + forward->route->latency_target_ns;
 }
 
-/* End the current attempt, whose server has not responded. */
-static void
-attempt_abandon (struct forward *forward, enum exchange_outcome outcome)
-{
-  struct server *server = server_ref (forward->exchange.server);
-
-  exchange_close (&forward->exchange);
-  forward_attempt_ended (forward, outcome);
-  server_unref (server);
-}
-
 static void
 forward_tick (struct forward *forward, int64_t now)
 {
   if (forward_time_left_ns (forward) <= 0)
     {
-      bool is_sent = exchange_is_sent (&forward->exchange);
+      bool is_sent = exchange_is_sent (&forward->attempt->exchange);
 
       if (forward->relaying)
         forward_break (forward, "timeout");
@@ -445,12 +245,12 @@
     }
   if (forwardqueue_refuse_lost (forward, now))
     return;
-  forward_learn_silence (forward, now);
+  forward_learn_silence (forward->attempt, now);
   if (forwardweights_is_overdue (forward))
-    attempt_abandon (forward, EXCHANGE_OUTDATED);
-  else if (forward->host == NULL && server_is_silent (forward, now)
+    forwardresult_abandon (forward, EXCHANGE_OUTDATED);
+  else if (forward->attempt->host == NULL && server_is_silent (forward, now)
            && forward->run_count + 1 < forward->route->servers_max)
-    attempt_abandon (forward, EXCHANGE_SILENT);
+    forwardresult_abandon (forward, EXCHANGE_SILENT);
 }
 
 void
--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -104,8 +104,9 @@
 }
 
 static void
-host_attempt_start (struct forward *forward, struct otherhost *host)
+host_attempt_start (struct forward_attempt *attempt, struct otherhost *host)
 {
+  struct forward *forward = attempt->forward;
   struct forwarder *forwarder = forward->forwarder;
   struct callerconn *conn = forward->conn;
   const char *method = callerconn_method (conn);
@@ -113,21 +114,21 @@
   GString *request = g_string_sized_new (1024 + conn->body->len);
   struct pass_on_header header = {
     .time_left_ns = MAX (left_ns - REPLY_MARGIN_MS * NS_PER_MS, left_ns / 2),
-    .earlier_runs = forward->run_count,
+    .earlier_runs = forward->run_count + (attempt != forward->attempt),
     .refusals = forward->refusals,
     .config_version = forward->routes->version,
     .resumes = forward->relaying,
-    .last_event_id = forward->exchange.events.last_id,
+    .last_event_id = attempt->exchange.events.last_id,
   };
 
   forwarder->dialect->pass_on_encode (request, method, conn->target->str,
                                       &conn->head, conn->body, &header);
-  forward->host = host;
+  attempt->host = host;
   forward->tried_hosts[forward->host_tries++] = host->server->id_hash;
   host->in_flight++;
-  forward->attempt_weight_version = 0;
-  forward->attempt_software_hash = forward->software_hash;
-  exchange_send (&forward->exchange, forwarder->loop, host->server,
+  attempt->weight_version = 0;
+  attempt->software_hash = forward->software_hash;
+  exchange_send (&attempt->exchange, forwarder->loop, host->server,
                  &(struct exchange_request){
                      .id = forward->call.request_id,
                      .bytes = request,
@@ -139,9 +140,10 @@
 }
 
 bool
-forwardhost_send_to_holder (struct forward *forward,
+forwardhost_send_to_holder (struct forward_attempt *attempt,
                             const struct server *server)
 {
+  struct forward *forward = attempt->forward;
   struct forwarder *forwarder = forward->forwarder;
   unsigned holders;
   unsigned first;
@@ -167,7 +169,7 @@
                  == LOADSHARE_REACH_OUT)
         continue;
       forward_log_host (forward, host->server->entry.id, holders, "room");
-      host_attempt_start (forward, host);
+      host_attempt_start (attempt, host);
       return true;
     }
   return false;
@@ -199,13 +201,14 @@
 }
 
 bool
-forwardhost_send (struct forward *forward)
+forwardhost_send (struct forward_attempt *attempt)
 {
+  struct forward *forward = attempt->forward;
   struct otherhosts *hosts = forward->forwarder->hosts;
   struct choice choice = { .forward = forward };
   const struct server *brittle = brittle_server (forward);
 
-  if (brittle != NULL && forwardhost_send_to_holder (forward, brittle))
+  if (brittle != NULL && forwardhost_send_to_holder (attempt, brittle))
     return true;
   otherhosts_visit (hosts, servers_service_hash (forward->service),
                     host_consider, &choice);
@@ -213,37 +216,39 @@
     return false;
   forward_log_host (forward, choice.host->server->entry.id, choice.candidates,
                     choice.reach == LOADSHARE_REACH_IN ? "in" : "unknown");
-  host_attempt_start (forward, choice.host);
+  host_attempt_start (attempt, choice.host);
   return true;
 }
 
 void
-forwardhost_head_received (struct forward *forward)
+forwardhost_head_received (struct forward_attempt *attempt)
 {
-  struct response *response = &forward->exchange.response;
+  struct response *response = &attempt->exchange.response;
 
   response->not_run
       = response->refused_by_host && !response->from_backend_server;
 }
 
 bool
-forwardhost_ended (struct forward *forward, enum exchange_outcome outcome)
+forwardhost_ended (struct forward_attempt *attempt,
+                   enum exchange_outcome outcome)
 {
-  struct otherhost *host = forward->host;
+  struct forward *forward = attempt->forward;
+  struct otherhost *host = attempt->host;
   int64_t now = clock_now (forward->forwarder->clock);
   bool not_run
       = outcome == EXCHANGE_NOT_CONNECTED || outcome == EXCHANGE_NOT_RUN;
 
   if (outcome == EXCHANGE_NOT_RUN)
     {
-      forwardrefusals_add (forward, &forward->exchange.response.refusals);
+      forwardrefusals_add (forward, &attempt->exchange.response.refusals);
       host->refused_service = servers_service_hash (forward->service);
       host->refused_until_ns = now + REFUSED_PAUSE_MS * NS_PER_MS;
     }
   else if (outcome == EXCHANGE_NOT_CONNECTED
-           || (outcome == EXCHANGE_CUT && !forward->exchange.has_head))
+           || (outcome == EXCHANGE_CUT && !attempt->exchange.has_head))
     host->avoid_until_ns = now + UNREACHED_PAUSE_MS * NS_PER_MS;
-  forwardhost_release (forward);
+  forwardhost_release (attempt);
   /* How often the other host ran it isn't known, so it runs no more. */
   if (!not_run)
     forward->run_count = MAX (forward->route->servers_max, 1U) - 1;
@@ -253,23 +258,25 @@
 /* Whether the host of the current attempt has sent nothing for so long that it
  * may stand still. */
 static bool
-host_is_silent (const struct forward *forward)
+host_is_silent (const struct forward_attempt *attempt)
 {
-  const struct exchange *exchange = &forward->exchange;
+  const struct exchange *exchange = &attempt->exchange;
 
   return exchange->sent_ns != 0 && !exchange->has_head
-         && clock_now (forward->forwarder->clock) - exchange->sent_ns
+         && clock_now (attempt->forward->forwarder->clock) - exchange->sent_ns
                 > SILENT_MS * NS_PER_MS;
 }
 
 void
-forwardhost_release (struct forward *forward)
+forwardhost_release (struct forward_attempt *attempt)
 {
-  if (forward->host == NULL)
+  const struct forwarder *forwarder = attempt->forward->forwarder;
+
+  if (attempt->host == NULL)
     return;
-  forward->host->in_flight--;
-  if (host_is_silent (forward))
-    forward->host->avoid_until_ns = clock_now (forward->forwarder->clock)
-                                    + UNREACHED_PAUSE_MS * NS_PER_MS;
-  forward->host = NULL;
+  attempt->host->in_flight--;
+  if (host_is_silent (attempt))
+    attempt->host->avoid_until_ns
+        = clock_now (forwarder->clock) + UNREACHED_PAUSE_MS * NS_PER_MS;
+  attempt->host = NULL;
 }
--- a/src/forwardhost.h
+++ b/src/forwardhost.h
@@ -14,27 +14,27 @@
 /** Whether the request shall be passed on to another host, if there is one. */
 bool forwardhost_is_due (const struct forward *forward);
 
-/** Pass the request on to the host that suits best.
+/** Make ATTEMPT at the host that suits best.
  * @return false if there is none */
-bool forwardhost_send (struct forward *forward);
+bool forwardhost_send (struct forward_attempt *attempt);
 
-/** Pass the request on to a host that holds room at SERVER, which is brittle
+/** Make ATTEMPT at a host that holds room at SERVER, which is brittle
  * and at which this host has none.
  * @return false if that can't be done */
-bool forwardhost_send_to_holder (struct forward *forward,
+bool forwardhost_send_to_holder (struct forward_attempt *attempt,
                                  const struct server *server);
 
 /** Handle the head of a response that comes from another host: a refusal of
  * the host itself is a promise that the request has not run. */
-void forwardhost_head_received (struct forward *forward);
+void forwardhost_head_received (struct forward_attempt *attempt);
 
 /** Handle the end of an attempt at another host.
  * @return whether the request certainly has not run there */
-bool forwardhost_ended (struct forward *forward,
+bool forwardhost_ended (struct forward_attempt *attempt,
                         enum exchange_outcome outcome);
 
-/** End the count of the request at the host that it was passed on to, if it
+/** End the count of ATTEMPT at the host that it was passed on to, if it
  * was. */
-void forwardhost_release (struct forward *forward);
+void forwardhost_release (struct forward_attempt *attempt);
 
 #endif
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -23,7 +23,7 @@
 static double
 run_silent_ms (const struct forward *forward)
 {
-  const struct exchange *exchange = &forward->exchange;
+  const struct exchange *exchange = &forward->attempt->exchange;
   int64_t active_ns = MAX (exchange->sent_ns, exchange->last_received_ns);
 
   return exchange_is_sent (exchange)
@@ -55,14 +55,14 @@
 {
   struct forwarder *forwarder = forward->forwarder;
   const struct route *route = forward->route;
-  const struct server *server = forward->exchange.server;
+  const struct server *server = forward->attempt->exchange.server;
   bool served
       = status >= 200 && status < 300 && strcmp (reason, "answered") == 0;
   int64_t now = clock_now (forwarder->clock);
   char response_end[144];
   char labels[160];
 
-  response_end_describe (&forward->exchange, response_end,
+  response_end_describe (&forward->attempt->exchange, response_end,
                          sizeof response_end);
   log_event (
       forwarder->log, served ? EVENT_FORWARD_END : EVENT_FORWARD_FAILED,
@@ -74,13 +74,14 @@
       forward->service != NULL ? forward->service : "-",
       server != NULL ? server->entry.id : "-", forward->run_count,
       forward->not_run_count, response_end,
-      forward->exchange.first_output_ns != 0
-          ? (double)(forward->exchange.first_output_ns - forward->arrived_ns)
+      forward->attempt->exchange.first_output_ns != 0
+          ? (double)(forward->attempt->exchange.first_output_ns
+                     - forward->arrived_ns)
                 / NS_PER_MS
           : -1.0,
       (double)(now - forward->arrived_ns) / NS_PER_MS,
       (unsigned long)forward->routes->version, forward->from_host,
-      exchange_is_sent (&forward->exchange), run_silent_ms (forward),
+      exchange_is_sent (&forward->attempt->exchange), run_silent_ms (forward),
       forward->deadline_ns != 0
           ? (double)forward_time_left_ns (forward) / NS_PER_MS
           : -1.0,
@@ -143,12 +144,13 @@
   began_id = log_escape_spaces (call->resumed_id != NULL ? call->resumed_id
                                 : call->resumes          ? "-"
                                                          : call->request_id);
-  g_snprintf (
-      out, size, " resumed=%s began_id=%s began_software=%s after=%lu", way,
-      began_id,
-      forward->began_software[0] != '\0' ? forward->began_software : "-",
-      (unsigned long)(forward->relaying ? forward->exchange.events.last_id
-                                        : call->last_event_id));
+  g_snprintf (out, size, " resumed=%s began_id=%s began_software=%s after=%lu",
+              way, began_id,
+              forward->began_software[0] != '\0' ? forward->began_software
+                                                 : "-",
+              (unsigned long)(forward->relaying
+                                  ? forward->attempt->exchange.events.last_id
+                                  : call->last_event_id));
   g_free (began_id);
 }
 
@@ -200,10 +202,11 @@
 }
 
 void
-forward_log_weights (struct forward *forward)
+forward_log_weights (const struct forward_attempt *attempt)
 {
+  const struct forward *forward = attempt->forward;
   struct forwarder *forwarder = forward->forwarder;
-  const struct exchange *exchange = &forward->exchange;
+  const struct exchange *exchange = &attempt->exchange;
   const struct wanted_weights *wanted = forward_wanted_weights (forward);
   uint64_t version = exchange->response.weight_version;
   int64_t now = clock_now (forwarder->clock);
@@ -272,11 +275,13 @@
 }
 
 void
-forward_log_attempt (struct forward *forward, enum exchange_outcome outcome,
+forward_log_attempt (const struct forward_attempt *attempt,
+                     enum exchange_outcome outcome,
                      enum forwardretry_action action)
 {
+  const struct forward *forward = attempt->forward;
   struct forwarder *forwarder = forward->forwarder;
-  const struct exchange *exchange = &forward->exchange;
+  const struct exchange *exchange = &attempt->exchange;
   int64_t now = clock_now (forwarder->clock);
   char response_end[144];
   char labels[96];
@@ -308,10 +313,11 @@
 }
 
 void
-forward_log_passed_over (const struct forward *forward)
+forward_log_passed_over (const struct forward_attempt *attempt)
 {
+  const struct forward *forward = attempt->forward;
   struct forwarder *forwarder = forward->forwarder;
-  const struct exchange *exchange = &forward->exchange;
+  const struct exchange *exchange = &attempt->exchange;
   const char *owner
       = exchange->response.owner == RESPONSE_OF_ANOTHER ? "another" : "none";
   char labels[32];
@@ -350,10 +356,11 @@
 }
 
 void
-forward_log_crash (struct forward *forward)
+forward_log_crash (const struct forward_attempt *attempt)
 {
+  const struct forward *forward = attempt->forward;
   struct forwarder *forwarder = forward->forwarder;
-  const struct exchange *exchange = &forward->exchange;
+  const struct exchange *exchange = &attempt->exchange;
   int64_t now = clock_now (forwarder->clock);
   char blocks[256];
   char labels[64];
--- a/src/forwardlog.h
+++ b/src/forwardlog.h
@@ -17,7 +17,7 @@
                             const struct choose_result *choice);
 
 /** Log that the response began on older weights than wanted, if it did. */
-void forward_log_weights (struct forward *forward);
+void forward_log_weights (const struct forward_attempt *attempt);
 
 /** Log that the request is passed on to HOST, which has reported REACH and is
  * one of CANDIDATES. */
@@ -35,16 +35,16 @@
 
 /** Log that an attempt ended and that ACTION follows. The attempt is not
  * logged if its complete response is passed on. */
-void forward_log_attempt (struct forward *forward,
+void forward_log_attempt (const struct forward_attempt *attempt,
                           enum exchange_outcome outcome,
                           enum forwardretry_action action);
 
 /** Log and count a response of a server that does not belong to the request.
  */
-void forward_log_passed_over (const struct forward *forward);
+void forward_log_passed_over (const struct forward_attempt *attempt);
 
-/** Log that the connection of the present attempt was lost before its response
+/** Log that the connection of ATTEMPT was lost before its response
  * was complete. */
-void forward_log_crash (struct forward *forward);
+void forward_log_crash (const struct forward_attempt *attempt);
 
 #endif
--- a/src/forwardplace.c
+++ b/src/forwardplace.c
@@ -115,7 +115,7 @@
       forward_give_up (forward, "stops_too_soon", FORWARDSTOP_RETRY_AFTER_MS);
       return;
     }
-  if (forwardhost_is_due (forward) && forwardhost_send (forward))
+  if (forwardhost_is_due (forward) && forwardhost_send (forward->attempt))
     {
       forwardwait_remove (forward);
       return;
@@ -143,7 +143,8 @@
           && forwardwait_limits_allow (forward, &choice))
         forwardwait_add (forward);
       else if (choice.brittle_server != NULL
-               && forwardhost_send_to_holder (forward, choice.brittle_server))
+               && forwardhost_send_to_holder (forward->attempt,
+                                              choice.brittle_server))
         forwardwait_remove (forward);
       else
         forward_give_up (forward, refusal_reason (forward, &choice),
@@ -172,5 +173,5 @@
       return;
     }
   forward_log_placement (forward, &query, &choice);
-  forward_send (forward, &choice, query.required_version);
+  forward_send (forward->attempt, &choice, query.required_version);
 }
--- a/src/forwardrefusals.c
+++ b/src/forwardrefusals.c
@@ -19,9 +19,9 @@
 }
 
 void
-forwardrefusals_record (struct forward *forward)
+forwardrefusals_record (struct forward_attempt *attempt)
 {
-  refusal_add (forward, forward->exchange.server->id_hash);
+  refusal_add (attempt->forward, attempt->exchange.server->id_hash);
 }
 
 /* Exclude SERVER from the choices, unless it is already. */
--- a/src/forwardrefusals.h
+++ b/src/forwardrefusals.h
@@ -8,8 +8,8 @@
  * passed on to. None of them gets it again.
  */
 
-/** The server of the current attempt has refused the request. */
-void forwardrefusals_record (struct forward *forward);
+/** The server of ATTEMPT has refused the request. */
+void forwardrefusals_record (struct forward_attempt *attempt);
 
 /** Another host tells that REFUSALS refused the request. */
 void forwardrefusals_add (struct forward *forward,
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -1,4 +1,5 @@
 #include "forwardrespond.h"
+#include "forwardattempt.h"
 #include "forwardhost.h"
 #include "forwardlog.h"
 #include "forwardsend.h"
@@ -25,14 +26,11 @@
 {
   forwardwait_remove (forward);
   streamorigin_cancel (&forward->origin_query);
-  forward_uncount_load (forward);
-  forwardhost_release (forward);
   forward->forwarder->from_host_count -= forward->from_host;
-  exchange_finish (&forward->exchange);
+  forwardattempt_free (forward->attempt);
   list_remove (&forward->node);
   forward->forwarder->request_count--;
   routes_unref (forward->routes);
-  g_free (forward->fetch_store_name);
   g_free (forward);
 }
 
@@ -109,7 +107,8 @@
 {
   struct callerconn *conn = forward->conn;
 
-  forward_log_end (forward, forward->exchange.response.status, reason);
+  forward_log_end (forward, forward->attempt->exchange.response.status,
+                   reason);
   forward_free (forward);
   callerconn_abort (conn);
 }
@@ -167,7 +166,7 @@
 forward_pass_on (struct forward *forward)
 {
   struct callerconn *conn = forward->conn;
-  struct exchange *exchange = &forward->exchange;
+  struct exchange *exchange = &forward->attempt->exchange;
 
   forward_log_end (forward, exchange->response.status, "answered");
   if (forward->relaying)
--- a/src/forwardresume.c
+++ b/src/forwardresume.c
@@ -18,7 +18,8 @@
 
   if (forwardresume_is_return (forward) && forward->route->resumable
       && call->last_event_id > 0)
-    eventstream_begin_after (&forward->exchange.events, call->last_event_id);
+    eventstream_begin_after (&forward->attempt->exchange.events,
+                             call->last_event_id);
 }
 
 static const struct server *
@@ -125,9 +126,9 @@
 void
 forwardresume_record (struct forward *forward)
 {
-  const struct server *server = forward->exchange.server;
+  const struct server *server = forward->attempt->exchange.server;
 
-  forward->software_hash = forward->attempt_software_hash;
+  forward->software_hash = forward->attempt->software_hash;
   if (forwardresume_is_return (forward))
     return;
   g_strlcpy (forward->began_software, server->entry.software,
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -31,36 +31,37 @@
 static const double fetch_share = 0.6;
 
 void
-forward_uncount_load (struct forward *forward)
+forward_uncount_load (struct forward_attempt *attempt)
 {
-  struct server *server = forward->counted_server;
+  const struct call *call = &attempt->forward->call;
+  struct server *server = attempt->counted_server;
 
   if (server == NULL)
     return;
   server_request_ended (server);
-  server->in_flight_tokens
-      -= forward->call.prompt_tokens + forward->call.output_tokens;
-  server->pending_prefill_tokens -= forward->counted_prefill_tokens;
-  forward->counted_prefill_tokens = 0;
-  forward->counted_server = NULL;
+  server->in_flight_tokens -= call->prompt_tokens + call->output_tokens;
+  server->pending_prefill_tokens -= attempt->counted_prefill_tokens;
+  attempt->counted_prefill_tokens = 0;
+  attempt->counted_server = NULL;
   server_unref (server);
 }
 
 static void
-forward_count_load (struct forward *forward,
+forward_count_load (struct forward_attempt *attempt,
                     const struct choose_result *choice)
 {
+  const struct forward *forward = attempt->forward;
   struct server *server = server_ref (choice->server);
 
-  forward->counted_server = server;
+  attempt->counted_server = server;
   server_request_begun (forward->forwarder->servers, server);
   server->in_flight_tokens
       += forward->call.prompt_tokens + forward->call.output_tokens;
-  forward->counted_prefill_tokens
+  attempt->counted_prefill_tokens
       = forward->call.prompt_tokens > choice->cached_tokens
             ? forward->call.prompt_tokens - (unsigned)choice->cached_tokens
             : 0;
-  server->pending_prefill_tokens += forward->counted_prefill_tokens;
+  server->pending_prefill_tokens += attempt->counted_prefill_tokens;
 }
 
 /* Write what keeps the cached blocks of organisations apart to WALL: the name
@@ -176,10 +177,11 @@
 }
 
 static void
-attempt_set_stores (struct forward *forward,
+attempt_set_stores (struct forward_attempt *attempt,
                     const struct choose_result *choice,
-                    struct attempt_header *attempt)
+                    struct attempt_header *header)
 {
+  const struct forward *forward = attempt->forward;
   const struct server *server = choice->server;
   int64_t fetch_timeout_ns
       = MAX ((int64_t)(fetch_share * (double)target_time_left_ns (forward)),
@@ -193,38 +195,38 @@
   struct homes homes;
 
   forwardhomes_get (forward, &homes);
-  attempt->block_count = call->block_count;
+  header->block_count = call->block_count;
   for (unsigned i = 0; i + 1 < call->block_count; i++)
     {
       const struct call_block *block = &call->blocks[i];
       const char *data_centre = server->entry.data_centre;
       const struct kvstore *store = kvstores_find_block (
-          kvstores, forward->cache_scope, block, data_centre, &homes);
+          kvstores, attempt->cache_scope, block, data_centre, &homes);
 
       if (store == NULL)
         {
           if (may_save_blocks (forward, server))
             store = kvstores_choose_save_target (
                 kvstores, block->id, block->tokens, data_centre, &homes);
-          attempt->save_addresses[i] = store != NULL ? store->address : NULL;
+          header->save_addresses[i] = store != NULL ? store->address : NULL;
           continue;
         }
       if (!may_fetch
           || !fetch_is_worthwhile (forward, store, choice, block->tokens))
         continue;
-      attempt->fetch_addresses[i] = store->address;
+      header->fetch_addresses[i] = store->address;
       if (block->tokens <= largest)
         continue;
       largest = block->tokens;
-      g_free (forward->fetch_store_name);
-      forward->fetch_store_name = g_strdup (store->name);
+      g_free (attempt->fetch_store_name);
+      attempt->fetch_store_name = g_strdup (store->name);
     }
   if (largest > 0)
-    attempt->fetch_deadline_ms
+    header->fetch_deadline_ms
         = kvstores_fetch_deadline_ms (kvstores, fetch_timeout_ns);
   /* An engine with other weights must not fetch blocks of this scope or save
    * blocks under it, so it has to refuse the request. */
-  attempt->weight_version = version;
+  header->weight_version = version;
 }
 
 /* Add to QUERY the leading blocks that stores have and that were computed with
@@ -291,23 +293,25 @@
 bool
 forward_may_send (void *data, struct exchange *exchange)
 {
-  const struct forward *forward = data;
+  const struct forward_attempt *attempt = data;
 
   /* Another host judges by itself where it sends the request. */
-  return forward->host != NULL
-         || !servers_withhold (forward->forwarder->servers, exchange->server);
+  return attempt->host != NULL
+         || !servers_withhold (attempt->forward->forwarder->servers,
+                               exchange->server);
 }
 
 void
-forward_send (struct forward *forward, const struct choose_result *choice,
-              uint64_t required_version)
+forward_send (struct forward_attempt *attempt,
+              const struct choose_result *choice, uint64_t required_version)
 {
+  struct forward *forward = attempt->forward;
   struct forwarder *forwarder = forward->forwarder;
   struct callerconn *conn = forward->conn;
   const char *method = callerconn_method (conn);
   GString *request = g_string_sized_new (1024 + conn->body->len);
   unsigned priority = forward_priority (forward);
-  struct attempt_header attempt = {
+  struct attempt_header header = {
     .server_id = choice->server->entry.id,
     .organisation
     = forward->organisation != NULL ? forward->organisation->name : NULL,
@@ -317,25 +321,25 @@
     .weight_version = forwardweights_expected_version (forward, choice->server,
                                                        required_version),
     .resumes = forward->relaying,
-    .last_event_id = forward->exchange.events.last_id,
+    .last_event_id = attempt->exchange.events.last_id,
   };
 
   if (forward->call.model != NULL)
     {
       cache_scope_write (
           forward, server_weight_version (choice->server, forward->call.model),
-          forward->cache_scope);
-      attempt.cache_scope = forward->cache_scope;
+          attempt->cache_scope);
+      header.cache_scope = attempt->cache_scope;
     }
-  g_free (forward->fetch_store_name);
-  forward->fetch_store_name = NULL;
+  g_free (attempt->fetch_store_name);
+  attempt->fetch_store_name = NULL;
   if (may_use_stores (forward, choice->server))
-    attempt_set_stores (forward, choice, &attempt);
+    attempt_set_stores (attempt, choice, &header);
   if (forward->tried_count < CHOOSE_EXCLUDED_MAX)
     forward->tried[forward->tried_count++] = choice->server;
   forwarder->dialect->attempt_encode (request, method, conn->target->str,
-                                      &conn->head, conn->body, &attempt);
-  forward_count_load (forward, choice);
+                                      &conn->head, conn->body, &header);
+  forward_count_load (attempt, choice);
   if (choice->server->limit.limited)
     metrics_add (forwarder->metrics, "trefoilspar_limited_sends_total", "", 1);
   serverlimit_take (&choice->server->limit, clock_now (forwarder->clock));
@@ -343,17 +347,17 @@
   if (choice->server_is_cold)
     metrics_add (forwarder->metrics, "trefoilspar_cold_sends_total", "", 1);
   servercold_take (&choice->server->cold, clock_now (forwarder->clock));
-  forward->attempt_software_hash = choice->server->software_hash;
-  forward->attempt_weight_version
+  attempt->software_hash = choice->server->software_hash;
+  attempt->weight_version
       = forward->call.model != NULL
             ? server_weight_version (choice->server, forward->call.model)
             : 0;
-  forward->silence_recorded = false;
-  forward->expected_ms = choice->cost_ms;
-  forward->backlog_ms = choice->backlog_ms;
-  forward->comparable_ms = choice->comparable_ms;
-  forward->store_delay_ms = choice->store_delay_ms;
-  exchange_send (&forward->exchange, forwarder->loop, choice->server,
+  attempt->silence_recorded = false;
+  attempt->expected_ms = choice->cost_ms;
+  attempt->backlog_ms = choice->backlog_ms;
+  attempt->comparable_ms = choice->comparable_ms;
+  attempt->store_delay_ms = choice->store_delay_ms;
+  exchange_send (&attempt->exchange, forwarder->loop, choice->server,
                  &(struct exchange_request){
                      .id = forward->call.request_id,
                      .bytes = request,
--- a/src/forwardsend.h
+++ b/src/forwardsend.h
@@ -23,15 +23,17 @@
 /** Whether the request may still be sent on the connection that was just
  * opened: the data centre of its server may have been evacuated, or this host
  * suspended, since the server was chosen. */
-bool forward_may_send (void *forward, struct exchange *exchange);
+bool forward_may_send (void *attempt, struct exchange *exchange);
 
-/** Send the request to the chosen server.
+/** Make ATTEMPT at the chosen server.
  * @param required_version the weight version that the server must have at
  * least; 0 if any version will do */
-void forward_send (struct forward *forward, const struct choose_result *choice,
+void forward_send (struct forward_attempt *attempt,
+                   const struct choose_result *choice,
                    uint64_t required_version);
 
-/** Remove the request from the load of its counted_server, if there is one. */
-void forward_uncount_load (struct forward *forward);
+/** Remove the request from the load of the counted_server of ATTEMPT, if there
+ * is one. */
+void forward_uncount_load (struct forward_attempt *attempt);
 
 #endif
--- a/src/forwardstate.c
+++ b/src/forwardstate.c
@@ -77,6 +77,22 @@
          - wanted->versions[wanted->version_count - 1].since_ns;
 }
 
+struct retrybudget *
+forwarder_retry_budget (struct forwarder *forwarder, const char *service)
+{
+  struct retrybudget *budget
+      = g_hash_table_lookup (forwarder->retry_budgets, service);
+
+  if (budget == NULL)
+    {
+      budget = g_new0 (struct retrybudget, 1);
+      retrybudget_init (budget, &forwarder->settings.retry);
+      g_hash_table_insert (forwarder->retry_budgets, g_strdup (service),
+                           budget);
+    }
+  return budget;
+}
+
 void
 forwarder_init (struct forwarder *forwarder, uv_loop_t *loop,
                 const struct clock *clock, struct rng *rng, struct log *log,
--- a/src/forwardstate.h
+++ b/src/forwardstate.h
@@ -39,4 +39,8 @@
 int64_t forwarder_wanted_age_ns (const struct forwarder *forwarder,
                                  const char *model);
 
+/** Return the budget of retries of requests for SERVICE. */
+struct retrybudget *forwarder_retry_budget (struct forwarder *forwarder,
+                                            const char *service);
+
 #endif
--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -51,7 +51,7 @@
   while (node != &forwarder->requests)
     {
       struct forward *forward = LIST_ENTRY (node, struct forward, node);
-      bool is_sent = exchange_is_sent (&forward->exchange);
+      bool is_sent = exchange_is_sent (&forward->attempt->exchange);
 
       node = node->next;
       if (is_sent && !forward->relaying)
--- a/src/forwardwait.c
+++ b/src/forwardwait.c
@@ -142,8 +142,9 @@
 static int64_t
 pause_ns (const struct forward *forward)
 {
-  int64_t last_ns = forward->relaying ? forward->exchange.last_received_ns
-                                      : forward->arrived_ns;
+  int64_t last_ns = forward->relaying
+                        ? forward->attempt->exchange.last_received_ns
+                        : forward->arrived_ns;
 
   return clock_now (forward->forwarder->clock) - last_ns;
 }
