A run is ended for its server's silence only once another one has the request

Callers saw: a stream, or a request that may be repeated, whose server paused for longer than the silence limit (1.5 s and the route's target) and would have completed it in time, was cut off or got 502.

Cause: the host closed the silent server's connection first and looked for another server then. If the retry budget had nothing left, the next servers refused the request or failed, none had room, or the host was stopping, nothing was left to answer with. Class: a run that is still good is given up for a hope.

Now a second attempt, the standby, is started beside the silent one, with its own exchange, which expects the events behind the last one that was relayed. Whoever goes on first keeps the request: bytes of the silent server end the standby; a successful head of the standby, or 250 ms without a refusal, end the silent run. Two servers so work on a request for less than the 400 ms that are allowed. While there is no budget, room, server or host for a standby, the silent run goes on, and the next try follows after 100 ms. forward_standby logs each step.

--- a/src/event.c
+++ b/src/event.c
@@ -137,6 +137,11 @@
   { EVENT_CALLER_REFUSED, EVENT_LEVEL_WARN, "caller_refused",
     "A connection was refused before its request was complete: over a size or "
     "time limit, or not HTTP." },
+  { EVENT_FORWARD_STANDBY, EVENT_LEVEL_INFO, "forward_standby",
+    "The server of a request has sent nothing for too long. A second attempt "
+    "was started beside it, or the request stays there for the given reason "
+    "(kept); the second attempt took the request (promoted) or was ended "
+    "(cancelled)." },
   { EVENT_RESPONSE_UNSENT, EVENT_LEVEL_WARN, "response_unsent",
     "This host closed the connection of a caller although bytes of a complete "
     "response were not sent (unsent), or sent and not acknowledged; the "
--- a/src/eventstream.c
+++ b/src/eventstream.c
@@ -25,6 +25,16 @@
   stream->has_begun = true;
 }
 
+void
+eventstream_continue_from (struct eventstream *stream,
+                           const struct eventstream *present)
+{
+  stream->last_id = present->last_id;
+  stream->has_begun = present->has_begun;
+  stream->last_has_id = present->last_has_id;
+  stream->is_consecutive = present->is_consecutive;
+}
+
 void
 eventstream_restart (struct eventstream *stream, bool continues)
 {
--- a/src/eventstream.h
+++ b/src/eventstream.h
@@ -40,6 +40,11 @@
  * before. Call it before any byte is appended. */
 void eventstream_begin_after (struct eventstream *stream, uint64_t last_id);
 
+/** Expect the events behind the last complete one of PRESENT. Call it before
+ * any byte is appended. */
+void eventstream_continue_from (struct eventstream *stream,
+                                const struct eventstream *present);
+
 /** Drop the pending bytes and reset the event count; the ids stay.
  * @param continues whether the events to come continue those before; if so,
  * comments and retry times before the first of them are dropped */
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -41,6 +41,14 @@
   eventstream_init (&exchange->events);
 }
 
+void
+exchange_continue_from (struct exchange *exchange,
+                        const struct exchange *present)
+{
+  exchange->relayed_status = present->relayed_status;
+  eventstream_continue_from (&exchange->events, &present->events);
+}
+
 static void
 exchange_count_bytes (struct exchange *exchange)
 {
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -127,6 +127,11 @@
 /** Close the connection if one is open and free all that EXCHANGE owns. */
 void exchange_finish (struct exchange *exchange);
 
+/** Expect the events behind those that PRESENT has relayed. Call it before
+ * EXCHANGE is sent. */
+void exchange_continue_from (struct exchange *exchange,
+                             const struct exchange *present);
+
 /** Send REQUEST to SERVER. An earlier attempt of EXCHANGE must have ended. */
 void exchange_send (struct exchange *exchange, uv_loop_t *loop,
                     struct server *server,
--- a/src/forward.h
+++ b/src/forward.h
@@ -156,6 +156,12 @@
    * suspended; 0 before the route is known. */
   int64_t deadline_ns;
   struct forward_attempt *attempt; /**< The present attempt, or the last. */
+  struct forward_attempt *standby; /**< Attempt beside the present one; NULL if
+                                      there is none. */
+  int64_t standby_start_ns;        /**< Time at which it was started. */
+  const char *standby_reason;      /**< Why there was none, at the last try. */
+  int64_t standby_next_ns; /**< Time from which a standby may be tried again.
+                            */
   const struct server *tried[CHOOSE_EXCLUDED_MAX];
   unsigned tried_count;
   struct call_refusals refusals; /**< Servers that have refused the request. */
--- a/src/forwardblame.c
+++ b/src/forwardblame.c
@@ -66,6 +66,14 @@
   return block != NULL;
 }
 
+bool
+forwardblame_has_block (const struct forward *forward)
+{
+  return blame_find_block (&forward->forwarder->blameshare->blame,
+                           forward->parts, forward->part_count)
+         != NULL;
+}
+
 static enum blame_suspicion
 lost_run_suspicion (const struct forward_attempt *attempt)
 {
--- a/src/forwardblame.h
+++ b/src/forwardblame.h
@@ -16,6 +16,9 @@
  * that is tried after a block, its first attempt is allowed. */
 bool forwardblame_is_blocked (struct forward *forward);
 
+/** Whether the request has a blocked part now. */
+bool forwardblame_has_block (const struct forward *forward);
+
 /** Record what OUTCOME of ATTEMPT says about the parts of its request. */
 void forwardblame_learn (struct forward_attempt *attempt,
                          enum exchange_outcome outcome);
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -10,6 +10,7 @@
 #include "forwardresult.h"
 #include "forwardresume.h"
 #include "forwardweights.h"
+#include "forwardstandby.h"
 #include "forwardstop.h"
 #include "forwardwait.h"
 
@@ -215,19 +216,6 @@
   forward_free (forward);
 }
 
-/* Whether the server has sent nothing for so long that the request is retried
- * at another server, and the route allows the retry. */
-static bool
-server_is_silent (const struct forward *forward, int64_t now)
-{
-  const struct exchange *exchange = &forward->attempt->exchange;
-  int64_t active_ns = MAX (exchange->sent_ns, exchange->last_received_ns);
-
-  return exchange_is_sent (exchange) && route_allows_retry (forward->route)
-         && now - active_ns > forward->forwarder->settings.silence_timeout_ns
-                                  + forward->route->latency_target_ns;
-}
-
 static void
 forward_tick (struct forward *forward, int64_t now)
 {
@@ -246,11 +234,12 @@
   if (forwardqueue_refuse_lost (forward, now))
     return;
   forward_learn_silence (forward->attempt, now);
-  if (forwardweights_is_overdue (forward))
+  if (forward->standby != NULL)
+    forward_learn_silence (forward->standby, now);
+  if (forwardweights_is_overdue (forward->attempt))
     forwardresult_abandon (forward, EXCHANGE_OUTDATED);
-  else if (forward->attempt->host == NULL && server_is_silent (forward, now)
-           && forward->run_count + 1 < forward->route->servers_max)
-    forwardresult_abandon (forward, EXCHANGE_SILENT);
+  else
+    forwardstandby_tick (forward, now);
 }
 
 void
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -241,6 +241,30 @@
                  / NS_PER_MS);
 }
 
+void
+forward_log_standby (struct forward *forward, const char *action,
+                     const char *reason)
+{
+  struct forwarder *forwarder = forward->forwarder;
+  const struct exchange *present = &forward->attempt->exchange;
+  const struct server *standby
+      = forward->standby != NULL ? forward->standby->exchange.server : NULL;
+  char labels[64];
+
+  g_snprintf (labels, sizeof labels, "action=\"%s\",reason=\"%s\"", action,
+              reason);
+  metrics_add (forwarder->metrics, "trefoilspar_standbys_total", labels, 1);
+  log_event (forwarder->log, EVENT_FORWARD_STANDBY,
+             "id=%s action=%s reason=%s server=%s standby=%s silent_ms=%.1f "
+             "runs=%u not_run=%u relayed=%d left_ms=%.1f",
+             forward->call.request_id, action, reason,
+             present->server != NULL ? present->server->entry.id : "-",
+             standby != NULL ? standby->entry.id : "-",
+             run_silent_ms (forward), forward->run_count,
+             forward->not_run_count, forward->relaying,
+             (double)forward_time_left_ns (forward) / NS_PER_MS);
+}
+
 void
 forward_log_wait (struct forward *forward, const struct choose_result *choice)
 {
--- a/src/forwardlog.h
+++ b/src/forwardlog.h
@@ -24,6 +24,10 @@
 void forward_log_host (struct forward *forward, const char *host,
                        unsigned candidates, const char *reach);
 
+/** Log what becomes of the standby, or that none could be started. */
+void forward_log_standby (struct forward *forward, const char *action,
+                          const char *reason);
+
 /** Log that the request waits for the servers of its software, unless it waits
  * already. */
 void forward_log_wait (struct forward *forward,
--- a/src/forwardplace.c
+++ b/src/forwardplace.c
@@ -92,16 +92,29 @@
 }
 
 void
-forward_place (struct forward *forward)
+forwardplace_choose (struct forward *forward, struct choose_query *query,
+                     struct choose_result *choice)
 {
   const struct wanted_weights *wanted = forward_wanted_weights (forward);
-  struct choose_query query = {
+
+  *query = (struct choose_query){
     .service = forward->service,
     .model = forward->call.model,
     .call = &forward->call,
     .excluded_count = forward->tried_count,
     .required_software = forward->software_hash,
   };
+  memcpy (query->excluded, forward->tried, sizeof query->excluded);
+  forwardweights_query (forward, query);
+  forwardhomes_get (forward, &query->homes);
+  forward_add_stored (forward, wanted != NULL ? wanted->version : 1, query);
+  forward_choose (forward, query, choice);
+}
+
+void
+forward_place (struct forward *forward)
+{
+  struct choose_query query;
   struct choose_result choice;
 
   if (forwardblame_is_blocked (forward))
@@ -132,11 +145,7 @@
     }
   if (!forward->forwarder->is_stopping && forwardqueue_hold_back (forward))
     return;
-  memcpy (query.excluded, forward->tried, sizeof query.excluded);
-  forwardweights_query (forward, &query);
-  forwardhomes_get (forward, &query.homes);
-  forward_add_stored (forward, wanted != NULL ? wanted->version : 1, &query);
-  forward_choose (forward, &query, &choice);
+  forwardplace_choose (forward, &query, &choice);
   if (choice.server == NULL && choice.at_capacity)
     {
       if (!forward->forwarder->is_stopping
--- a/src/forwardplace.h
+++ b/src/forwardplace.h
@@ -14,6 +14,12 @@
   FORWARDPLACE_RETRY_AFTER_POISON_MS = 10000
 };
 
+/** Choose a server for the request, without effect on the request.
+ * @param query set to what the servers were compared by
+ * @param choice set to the result */
+void forwardplace_choose (struct forward *forward, struct choose_query *query,
+                          struct choose_result *choice);
+
 /** Finds a server for the request, which may end meanwhile. */
 void forward_place (struct forward *forward);
 
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -27,6 +27,8 @@
   forwardwait_remove (forward);
   streamorigin_cancel (&forward->origin_query);
   forward->forwarder->from_host_count -= forward->from_host;
+  if (forward->standby != NULL)
+    forwardattempt_free (forward->standby);
   forwardattempt_free (forward->attempt);
   list_remove (&forward->node);
   forward->forwarder->request_count--;
--- a/src/forwardresult.c
+++ b/src/forwardresult.c
@@ -7,6 +7,7 @@
 #include "forwardrespond.h"
 #include "forwardresume.h"
 #include "forwardsend.h"
+#include "forwardstandby.h"
 #include "forwardstate.h"
 #include "forwardwait.h"
 
@@ -24,6 +25,17 @@
   struct forward_attempt *attempt = data;
   struct forward *forward = attempt->forward;
 
+  if (attempt == forward->standby)
+    {
+      if (forwardstandby_is_late (forward))
+        {
+          /* The next tick frees the attempt, which is in use here. */
+          exchange_close (exchange);
+          return;
+        }
+      forwardstandby_take_over (forward);
+    }
+  forwardstandby_cancel (forward, "responded");
   if (!forward->relaying)
     {
       forward->relaying = true;
@@ -146,7 +158,51 @@
     case FORWARDRETRY_BREAK:
       forward_break (forward, exchange_outcome_name (outcome));
       break;
+    case FORWARDRETRY_KEEP:
+      break;
+    }
+}
+
+/* Whether the caller gets the response. */
+static bool
+is_passed_on (const struct forward_attempt *attempt,
+              enum exchange_outcome outcome)
+{
+  return outcome == EXCHANGE_ANSWERED
+         && (attempt->forward->relaying
+             || attempt->exchange.response.status < 500);
+}
+
+/* Decide what follows the end of the standby: a whole response is passed on,
+ * unless the present attempt has responded meanwhile. */
+static void
+standby_ended (struct forward_attempt *standby, enum exchange_outcome outcome)
+{
+  struct forward *forward = standby->forward;
+
+  if (!is_passed_on (standby, outcome) || forwardstandby_is_late (forward))
+    {
+      forwardstandby_ended (forward, outcome);
+      return;
     }
+  forwardstandby_take_over (forward);
+  attempt_ended (standby, outcome);
+}
+
+/* The present attempt has ended without a response for the caller while a
+ * standby is under way. */
+static void
+present_ended (struct forward_attempt *attempt, enum exchange_outcome outcome)
+{
+  struct forward *forward = attempt->forward;
+
+  forward_learn_outcome (attempt, outcome);
+  if (outcome == EXCHANGE_NOT_CONNECTED || outcome == EXCHANGE_NOT_RUN)
+    forward->not_run_count++;
+  else
+    forward->run_count++;
+  forward_log_attempt (attempt, outcome, FORWARDRETRY_KEEP);
+  forwardstandby_promote (forward);
 }
 
 static void
@@ -159,7 +215,12 @@
   bool frees_room
       = exchange->server->brittle.brittle || forwardqueue_count (forward) > 0;
 
-  attempt_ended (attempt, outcome);
+  if (attempt == forward->standby)
+    standby_ended (attempt, outcome);
+  else if (forward->standby != NULL && !is_passed_on (attempt, outcome))
+    present_ended (attempt, outcome);
+  else
+    attempt_ended (attempt, outcome);
   if (frees_room)
     forwardwait_place (forwarder, clock_now (forwarder->clock), forward_place);
 }
@@ -194,6 +255,9 @@
   struct server *server = server_ref (forward->attempt->exchange.server);
 
   exchange_close (&forward->attempt->exchange);
-  attempt_ended (forward->attempt, outcome);
+  if (forward->standby != NULL)
+    present_ended (forward->attempt, outcome);
+  else
+    attempt_ended (forward->attempt, outcome);
   server_unref (server);
 }
--- a/src/forwardretry.c
+++ b/src/forwardretry.c
@@ -4,6 +4,7 @@
   [FORWARDRETRY_PASS_ON] = "pass_on", [FORWARDRETRY_RETRY] = "again",
   [FORWARDRETRY_RESUME] = "resume",   [FORWARDRETRY_REFUSE] = "refuse",
   [FORWARDRETRY_FAIL] = "fail",       [FORWARDRETRY_BREAK] = "break",
+  [FORWARDRETRY_KEEP] = "keep",
 };
 
 const char *
--- a/src/forwardretry.h
+++ b/src/forwardretry.h
@@ -16,7 +16,9 @@
   FORWARDRETRY_RESUME,  /**< Continue the stream at another server. */
   FORWARDRETRY_REFUSE,  /**< Tell the caller that the request did not run. */
   FORWARDRETRY_FAIL,    /**< Tell the caller that the request may have run. */
-  FORWARDRETRY_BREAK /**< Close the stream so that it is seen as incomplete. */
+  FORWARDRETRY_BREAK,   /**< Close the stream so that it is seen as incomplete.
+                         */
+  FORWARDRETRY_KEEP /**< Leave the request to the attempt beside this one. */
 };
 
 enum
--- a/src/forwardweights.c
+++ b/src/forwardweights.c
@@ -61,14 +61,15 @@
 }
 
 bool
-forwardweights_is_overdue (const struct forward *forward)
+forwardweights_is_overdue (const struct forward_attempt *attempt)
 {
+  const struct forward *forward = attempt->forward;
   const struct forwarder *forwarder = forward->forwarder;
   const struct wanted_weights *wanted = forward_wanted_weights (forward);
-  uint64_t version = forward->attempt->weight_version;
+  uint64_t version = attempt->weight_version;
 
-  return exchange_is_sent (&forward->attempt->exchange)
-         && !exchange_has_begun (&forward->attempt->exchange) && wanted != NULL
+  return exchange_is_sent (&attempt->exchange)
+         && !exchange_has_begun (&attempt->exchange) && wanted != NULL
          && version != 0 && version < wanted->version
          && weights_begin_left_ns (wanted, version,
                                    clock_boottime (forwarder->clock),
--- a/src/forwardweights.h
+++ b/src/forwardweights.h
@@ -29,6 +29,6 @@
 
 /** Whether the request was sent to a server with older weights, has not begun
  * there, and may not begin any more. */
-bool forwardweights_is_overdue (const struct forward *forward);
+bool forwardweights_is_overdue (const struct forward_attempt *attempt);
 
 #endif
--- a/test/soak.c
+++ b/test/soak.c
@@ -362,6 +362,7 @@
   world.soak.foreign.has_ended = now >= world.faults_end_ns;
   world.soak.endless.has_ended = now >= world.faults_end_ns;
   world.soak.broken.has_ended = now >= world.faults_end_ns;
+  world.soak.pauses.has_ended = now >= world.faults_end_ns;
   if (world.soak.broken.has_ended)
     world.soak.streams.cut_after = 0;
   for (int i = 0; i < ENGINES && now >= world.faults_end_ns; i++)
--- a/test/soak.h
+++ b/test/soak.h
@@ -133,6 +133,7 @@
 struct soak_pauses
 {
   bool is_played;
+  bool has_ended; /**< Engines do so no more. */
   unsigned paused;
   unsigned refused;  /**< by engines without room */
   unsigned overlaps; /**< requests that two engines worked on */
