A relayed stream waits for a server to go on with also while its host stops

Callers saw: a stream whose server broke off was closed at once if its host had been told to stop three seconds earlier, or at the end of that first stage if it was waiting, though the grace time had seconds left and a server was about to have room.

Cause: after the first stage of a stop nothing may wait, so that callers go to other hosts. The caller of a relayed stream can't: only this host can complete its response.

silentserver/broken-stream-waits-while-its-host-stops failed before, for a stream that begins to wait and for one that waits already, and passes now. Requests that have not been answered in part are refused as before.

--- a/src/forwardplace.c
+++ b/src/forwardplace.c
@@ -91,6 +91,14 @@
   return choice->brittle == choice->limited ? "no_room" : "limited";
 }
 
+/* Whether the request may wait at this host. A stream that is relayed may do
+ * so also while the host stops: no other host can complete its response. */
+static bool
+may_wait (const struct forward *forward)
+{
+  return !forward->forwarder->is_stopping || forward->relaying;
+}
+
 void
 forwardplace_choose (struct forward *forward, struct choose_query *query,
                      struct choose_result *choice)
@@ -148,8 +156,7 @@
   forwardplace_choose (forward, &query, &choice);
   if (choice.server == NULL && choice.at_capacity)
     {
-      if (!forward->forwarder->is_stopping
-          && forwardwait_limits_allow (forward, &choice))
+      if (may_wait (forward) && forwardwait_limits_allow (forward, &choice))
         forwardwait_add (forward);
       else if (choice.brittle_server != NULL
                && forwardhost_send_to_holder (forward->attempt,
@@ -162,7 +169,7 @@
                              : RETRY_AFTER_NO_SERVER_MS);
       return;
     }
-  if (choice.server == NULL && !forward->forwarder->is_stopping
+  if (choice.server == NULL && may_wait (forward)
       && software_may_return (forward, &choice))
     {
       forward_log_wait (forward, &choice);
--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -37,7 +37,7 @@
       struct forward *forward = LIST_ENTRY (node, struct forward, node);
 
       node = node->next;
-      if (forwardwait_is_waiting (forward))
+      if (forwardwait_is_waiting (forward) && !forward->relaying)
         forward_give_up (forward, "stopping", FORWARDSTOP_RETRY_AFTER_MS);
     }
 }
--- a/src/forwardstop.h
+++ b/src/forwardstop.h
@@ -23,7 +23,8 @@
 bool forwardstop_lacks_time (const struct forward *forward);
 
 /** Refuse the requests that wait, and from now on those that would have to, so
- * that their callers go to other hosts. */
+ * that their callers go to other hosts. Streams that callers have a part of
+ * still wait. */
 void forwardstop_refuse_waiting (struct forwarder *forwarder);
 
 /** Answer all requests: those that have not run are refused, the others fail.
