A stop answers requests that are on their way on connections it has accepted

Callers and other hosts saw: a connection that had just been opened, or on which a request had arrived, was closed without an answer when its host got SIGTERM; and connections that waited to be accepted were reset when the listener was closed. A host that had passed a request on to another one by such a connection can't tell whether it ran there, and answered 502 or broke the stream off.

Cause: a connection counted as idle until the process had read a byte of a request. Class: what the process has not read yet counts as not sent.

Now bytes that wait to be read keep a connection open, one that never had a request may still send its first one for a second, and what is established is accepted before the listener is closed. callerdrain/first-request-on-its-way, request-that-was-not-read-yet and connections-that-wait-are-accepted failed before; connection-without-a-request-ends bounds the wait. The callbacks that keep the parts of a request move to callerparse.c.

--- a/src/callerconn.c
+++ b/src/callerconn.c
@@ -1,8 +1,11 @@
 #include "callerconn.h"
+#include "callerparse.h"
 #include "callerreport.h"
 #include "tcpreset.h"
 
 #include <string.h>
+#include <sys/ioctl.h>
+#include <unistd.h>
 
 enum
 {
@@ -20,6 +23,8 @@
   /* Timeout for receiving a whole body: twice the longest usual deadline
    * of a request. */
   BODY_TIMEOUT_MS = 30000,
+  /* Time for the first request of a connection while the server drains. */
+  FIRST_REQUEST_MS = 1000,
   /* Idle time before the kernel sends TCP keep-alive probes. */
   KEEPALIVE_IDLE_S = 5,
 };
@@ -240,47 +245,12 @@
   struct callerconn *conn = parser->data;
 
   conn->arrived_ns = clock_now (conn->server->clock);
+  conn->is_fresh = false;
   uv_timer_start (&conn->timer, request_timer_fired,
                   conn->server->limits.header_timeout_ns / NS_PER_MS, 0);
   return 0;
 }
 
-static bool
-head_fits (struct callerconn *conn)
-{
-  return conn->head.text->len + conn->target->len + conn->check.trailer_bytes
-         <= conn->server->limits.header_bytes;
-}
-
-static int
-parsed_target (http_parser *parser, const char *bytes, size_t size)
-{
-  struct callerconn *conn = parser->data;
-
-  g_string_append_len (conn->target, bytes, size);
-  return head_fits (conn) ? 0 : 1;
-}
-
-static int
-parsed_name (http_parser *parser, const char *bytes, size_t size)
-{
-  struct callerconn *conn = parser->data;
-
-  if (!conn->has_head)
-    httpfields_append_name (&conn->head, bytes, size);
-  return head_fits (conn) ? 0 : 1;
-}
-
-static int
-parsed_value (http_parser *parser, const char *bytes, size_t size)
-{
-  struct callerconn *conn = parser->data;
-
-  if (!conn->has_head)
-    httpfields_append_value (&conn->head, bytes, size);
-  return head_fits (conn) ? 0 : 1;
-}
-
 static int
 parsed_head (http_parser *parser)
 {
@@ -305,17 +275,6 @@
   return 0;
 }
 
-static int
-parsed_body (http_parser *parser, const char *bytes, size_t size)
-{
-  struct callerconn *conn = parser->data;
-
-  if (conn->body->len + size > conn->server->limits.body_bytes)
-    return 1;
-  g_byte_array_append (conn->body, (const guint8 *)bytes, (guint)size);
-  return 0;
-}
-
 static int
 parsed_end (http_parser *parser)
 {
@@ -325,11 +284,11 @@
 
 static const http_parser_settings parser_settings = {
   .on_message_begin = parsed_begin,
-  .on_url = parsed_target,
-  .on_header_field = parsed_name,
-  .on_header_value = parsed_value,
+  .on_url = callerparse_target,
+  .on_header_field = callerparse_name,
+  .on_header_value = callerparse_value,
   .on_headers_complete = parsed_head,
-  .on_body = parsed_body,
+  .on_body = callerparse_body,
   .on_message_complete = parsed_end,
 };
 
@@ -347,7 +306,7 @@
 {
   enum http_errno parse_error = HTTP_PARSER_ERRNO (&conn->parser);
 
-  if (!head_fits (conn) || parse_error == HPE_HEADER_OVERFLOW)
+  if (!callerparse_head_fits (conn) || parse_error == HPE_HEADER_OVERFLOW)
     conn_refuse (conn, 431, "header_too_large");
   else if (parse_error == HPE_CB_body)
     conn_refuse (conn, 413, "body_too_large");
@@ -435,14 +394,11 @@
   g_byte_array_free (bytes, TRUE);
 }
 
-void
-callerconn_accept (struct callerserver *server)
+static struct callerconn *
+conn_new (struct callerserver *server)
 {
-  struct sockaddr_storage address;
-  int size = sizeof address;
-  struct callerconn *conn;
+  struct callerconn *conn = g_new0 (struct callerconn, 1);
 
-  conn = g_new0 (struct callerconn, 1);
   conn->server = server;
   conn->target = g_string_new (NULL);
   httpfields_init (&conn->head);
@@ -458,9 +414,23 @@
   list_init (&conn->node);
   list_append (&server->conns, &conn->node);
   server->conn_count++;
-  if (uv_accept ((uv_stream_t *)&server->listener, (uv_stream_t *)&conn->tcp)
-      != 0)
+  return conn;
+}
+
+void
+callerconn_accept (struct callerserver *server, int fd)
+{
+  struct sockaddr_storage address;
+  int size = sizeof address;
+  struct callerconn *conn = conn_new (server);
+  int failed = fd >= 0 ? uv_tcp_open (&conn->tcp, fd)
+                       : uv_accept ((uv_stream_t *)&server->listener,
+                                    (uv_stream_t *)&conn->tcp);
+
+  if (failed != 0)
     {
+      if (fd >= 0)
+        close (fd);
       conn_close (conn, "not_accepted");
       return;
     }
@@ -470,6 +440,7 @@
     uv_ip4_name ((struct sockaddr_in *)&address, conn->caller_ip,
                  sizeof conn->caller_ip);
   conn_wait_request (conn);
+  conn->is_fresh = true;
   uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
@@ -579,12 +550,6 @@
   conn_response_ended (conn);
 }
 
-bool
-callerconn_is_idle (const struct callerconn *conn)
-{
-  return !conn->serving && conn->arrived_ns == 0 && conn->pipelined->len == 0;
-}
-
 void
 callerconn_abort (struct callerconn *conn)
 {
@@ -595,3 +560,26 @@
   conn->aborted = conn->serving;
   conn_close (conn, "stop");
 }
+
+/* Whether bytes have arrived that were not read yet. */
+static bool
+has_unread_bytes (const struct callerconn *conn)
+{
+  int unread = 0;
+  uv_os_fd_t fd;
+
+  return uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
+         && ioctl (fd, FIONREAD, &unread) == 0 && unread > 0;
+}
+
+void
+callerconn_drain (struct callerconn *conn)
+{
+  if (conn->serving || conn->arrived_ns != 0 || conn->pipelined->len > 0
+      || has_unread_bytes (conn))
+    return;
+  if (!conn->is_fresh)
+    callerconn_abort (conn);
+  else if (uv_timer_get_due_in (&conn->timer) > FIRST_REQUEST_MS)
+    uv_timer_start (&conn->timer, close_timer_fired, FIRST_REQUEST_MS, 0);
+}
--- a/src/callerconn.h
+++ b/src/callerconn.h
@@ -44,7 +44,8 @@
   /** Whether the connection closes once all output is sent. */
   bool shutting_down;
   bool closing;
-  bool aborted; /**< Whether the owner ended a response before its end. */
+  bool is_fresh; /**< Whether no byte of a request has arrived ever. */
+  bool aborted;  /**< Whether the owner ended a response before its end. */
   /** Why the connection closes: the caller closed it (caller_left) or reset it
    * (caller_reset), read too slowly (caller_slow), bytes could not be written
    * (write_failed), it was idle, its last response has ended, or the server
@@ -59,11 +60,14 @@
   void *owner_data;
 };
 
-/** Accept the next connection from the listener of SERVER. */
-void callerconn_accept (struct callerserver *server);
+/** Accept a connection of SERVER.
+ * @param fd its socket; -1: the next one of the listener */
+void callerconn_accept (struct callerserver *server, int fd);
 
-/** Whether no byte of a request has arrived since the last response. */
-bool callerconn_is_idle (const struct callerconn *conn);
+/** Close the connection if no byte of a request has arrived since the last
+ * response. If it had no request yet, one may still arrive within a second:
+ * its caller has no response that says that the connection is kept. */
+void callerconn_drain (struct callerconn *conn);
 
 const char *callerconn_method (const struct callerconn *conn);
 
--- a/src/callerserver.c
+++ b/src/callerserver.c
@@ -2,6 +2,7 @@
 #include "callerconn.h"
 
 #include <string.h>
+#include <sys/socket.h>
 
 enum
 {
@@ -14,7 +15,7 @@
 on_connection (uv_stream_t *listener, int status)
 {
   if (status == 0)
-    callerconn_accept (listener->data);
+    callerconn_accept (listener->data, -1);
 }
 
 enum status
@@ -53,12 +54,27 @@
   return STATUS_OK;
 }
 
+/* Accept the connections that are established and wait: closing the listener
+ * would reset them. */
+static void
+accept_waiting (struct callerserver *server)
+{
+  uv_os_fd_t listener;
+  int fd;
+
+  if (uv_fileno ((uv_handle_t *)&server->listener, &listener) != 0)
+    return;
+  while ((fd = accept (listener, NULL, NULL)) >= 0)
+    callerconn_accept (server, fd);
+}
+
 void
 callerserver_stop_listening (struct callerserver *server)
 {
   if (!server->listening)
     return;
   server->listening = false;
+  accept_waiting (server);
   uv_close ((uv_handle_t *)&server->listener, NULL);
 }
 
@@ -73,8 +89,7 @@
       struct callerconn *conn = LIST_ENTRY (node, struct callerconn, node);
 
       node = node->next;
-      if (callerconn_is_idle (conn))
-        callerconn_abort (conn);
+      callerconn_drain (conn);
     }
 }
 
--- a/src/callerserver.h
+++ b/src/callerserver.h
@@ -78,8 +78,11 @@
 void callerserver_finish (struct callerserver *server);
 
 /** Close idle connections and, from now on, each other connection after its
- * next response. New connections are still accepted. */
+ * next response. New connections are still accepted; one that had no request
+ * yet may send one within a second. */
 void callerserver_drain (struct callerserver *server);
+
+/** Accept no more connections than those that are established. */
 void callerserver_stop_listening (struct callerserver *server);
 
 #endif
--- a/test/test-callerdrain.c
+++ b/test/test-callerdrain.c
@@ -16,6 +16,8 @@
   UNREAD_BYTES = 3 * 1024 * 1024
 };
 
+#define FIRST_REQUEST_NS NS_PER_S
+
 static struct
 {
   uv_loop_t loop;
@@ -172,6 +174,84 @@
   finish ();
 }
 
+static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+static void
+answer_check (unsigned requests)
+{
+  CU_ASSERT_EQUAL (drain.requests, requests);
+  if (drain.requests != requests)
+    return;
+  callerconn_stream_end (drain.conn);
+  run ();
+  CU_ASSERT_PTR_NOT_NULL (strstr (drain.answer->str, "Connection: close"));
+  CU_ASSERT_TRUE (g_str_has_suffix (drain.answer->str, "0\r\n\r\n"));
+}
+
+/* A stop closed a connection that had just been opened while its first request
+ * was on the way. */
+static void
+test_first_request_on_its_way (void)
+{
+  setup ();
+  run ();
+  callerserver_drain (&drain.server);
+  run ();
+  CU_ASSERT_FALSE (drain.ended);
+  request_send ();
+  answer_check (1);
+  finish ();
+}
+
+/* So it did if the request had arrived but was not read yet. */
+static void
+test_request_that_was_not_read_yet (void)
+{
+  setup ();
+  request_send ();
+  callerconn_stream_end (drain.conn);
+  run ();
+  CU_ASSERT_EQUAL (send (drain.caller, request, strlen (request), 0),
+                   (ssize_t)strlen (request));
+  g_string_truncate (drain.answer, 0);
+  callerserver_drain (&drain.server);
+  run ();
+  answer_check (2);
+  finish ();
+}
+
+/* Connections that waited to be accepted were reset when the listener was
+ * closed. */
+static void
+test_connections_that_wait_are_accepted (void)
+{
+  setup ();
+  CU_ASSERT_EQUAL (send (drain.caller, request, strlen (request), 0),
+                   (ssize_t)strlen (request));
+  callerserver_drain (&drain.server);
+  callerserver_stop_listening (&drain.server);
+  run ();
+  answer_check (1);
+  finish ();
+}
+
+/* A connection without a request keeps no process from its end. */
+static void
+test_connection_without_a_request_ends (void)
+{
+  int64_t start_ns;
+
+  setup ();
+  run ();
+  start_ns = clock_now (&drain.clock);
+  callerserver_drain (&drain.server);
+  while (!drain.ended
+         && clock_now (&drain.clock) - start_ns < 2 * FIRST_REQUEST_NS)
+    run ();
+  CU_ASSERT_TRUE (drain.ended);
+  finish ();
+}
+
 /* Nothing told that a stop closed a connection while the end of a response
  * waited to be sent. */
 static void
@@ -203,6 +283,12 @@
     test_stream_that_began_before_the_stop },
   { "connection-is-kept", test_connection_is_kept },
   { "request-sent-ahead", test_request_sent_ahead },
+  { "first-request-on-its-way", test_first_request_on_its_way },
+  { "request-that-was-not-read-yet", test_request_that_was_not_read_yet },
+  { "connections-that-wait-are-accepted",
+    test_connections_that_wait_are_accepted },
+  { "connection-without-a-request-ends",
+    test_connection_without_a_request_ends },
   { "unsent-responses-are-reported", test_unsent_responses_are_reported },
 };
 
