After the first stage of a stop a request is taken only if all its time fits

Cause: the host took what it expected to be completed, by the mean and four deviations of earlier runs of the route, also when it accepted no connections any more and its callers had long been told of other hosts.

Now from the first stage on the time that the caller gives the request counts instead of the expectation. What can't be completed for certain is refused at once with 503, which is true, and its caller goes to another host. forwardstop/requests-after-the-first-stage-fit failed before.

--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -13,17 +13,19 @@
 forwardstop_lacks_time (const struct forward *forward)
 {
   const struct forwarder *forwarder = forward->forwarder;
-  const struct route *route = forward->route;
+  int64_t left_ns = forward_time_left_ns (forward);
+  int64_t run_ns;
 
   if (forwarder->end_ns == 0 || forward->run_count > 0 || forward->relaying)
     return false;
   /* Without a completed request of the route, the caller's time is the only
-   * bound that is known. */
-  return clock_now (forwarder->clock)
-             + runtimes_expect (&forwarder->runtimes, route->name,
-                                forward->call.output_tokens,
-                                forward_time_left_ns (forward))
-         > forwarder->end_ns;
+   * bound that is known. After the first stage it is the one that counts:
+   * callers know other hosts by then. */
+  run_ns = forwarder->is_stopping
+               ? left_ns
+               : runtimes_expect (&forwarder->runtimes, forward->route->name,
+                                  forward->call.output_tokens, left_ns);
+  return clock_now (forwarder->clock) + run_ns > forwarder->end_ns;
 }
 
 void
--- a/test/test-forwardstop.c
+++ b/test/test-forwardstop.c
@@ -186,10 +186,40 @@
   runtimes_finish (&runtimes);
 }
 
+/* A request that came after the first stage of a stop was taken by its
+ * expected time, ran longer, and got 502 at the end of the grace time. */
+static void
+test_requests_after_the_first_stage_fit (void)
+{
+  static const struct
+  {
+    int64_t end_ms;
+    int status;
+  } rows[] = { { 1000, 503 }, { 2000, 200 } };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct forwarder *forwarder = &fleet.hosts[0].forwarder;
+
+      fake_hosts_setup (&full_response);
+      for (unsigned k = 0; k < 100; k++)
+        runtimes_record (&forwarder->runtimes, "/safe/", 0, 50 * NS_PER_MS);
+      forwardstop_begin (forwarder, clock_now (&fleet.clock)
+                                        + rows[i].end_ms * NS_PER_MS);
+      forwardstop_refuse_waiting (forwarder);
+      CU_ASSERT_EQUAL (fake_hosts_request (0, "/safe/"), rows[i].status);
+      if (rows[i].status == 503)
+        CU_ASSERT_TRUE (may_retry_at_once ());
+      fake_hosts_finish ();
+    }
+}
+
 static const struct unit_case cases[] = {
   { "late-requests-are-refused-at-once",
     test_late_requests_are_refused_at_once },
   { "expected-time-follows-the-size", test_expected_time_follows_the_size },
+  { "requests-after-the-first-stage-fit",
+    test_requests_after_the_first_stage_fit },
   { "waiting-requests-are-refused", test_waiting_requests_are_refused },
   { "requests-in-flight-get-an-answer",
     test_requests_in_flight_get_an_answer },
