Settings that are read during a stop do not change its grace time

Callers saw (by a test, not in a report): a host that had been told to stop and then read settings with a shorter grace time, on SIGHUP or since the file had changed, ended at once and closed all connections without the answers of its last stage.

Cause: the stages of a stop looked at the present settings, the end of the requests in flight at those of the time of SIGTERM. Now all use the latter. reload/settings-read-during-a-stop failed before: the process was gone 0.4 s after a reload from 6 s to 1 s with a request open.

--- a/src/entry.c
+++ b/src/entry.c
@@ -191,10 +191,11 @@
     return;
   entry->stage = ENTRY_LEAVING;
   entry->stop_began_ns = clock_now (&entry->clock);
+  entry->stop_span_ns = entry->settings->timeouts.stop_ns;
   log_event (&entry->log, EVENT_DRAINING, "cause=%s in_flight=%zu", cause,
              entry->forwarder.request_count);
   forwardstop_begin (&entry->forwarder, entry->stop_began_ns
-                                            + entry->settings->timeouts.stop_ns
+                                            + entry->stop_span_ns
                                             - END_MARGIN_MS * NS_PER_MS);
   presence_leave (&entry->presence);
   rollout_stop (&entry->rollout);
@@ -207,11 +208,10 @@
 {
   int64_t span = now - entry->stop_began_ns;
   int64_t leave_ns = LEAVE_LIFETIMES * entry->settings->entries.lifetime_ns;
-  int64_t stop_ns
-      = entry->settings->timeouts.stop_ns - STOP_MARGIN_MS * NS_PER_MS;
+  int64_t stop_ns = entry->stop_span_ns - STOP_MARGIN_MS * NS_PER_MS;
 
   if (entry->stage == ENTRY_LEAVING
-      && span >= MIN (leave_ns, entry->settings->timeouts.stop_ns / 2))
+      && span >= MIN (leave_ns, entry->stop_span_ns / 2))
     {
       entry->stage = ENTRY_FINISHING;
       forwardstop_refuse_waiting (&entry->forwarder);
--- a/src/entry.h
+++ b/src/entry.h
@@ -99,6 +99,8 @@
   struct callerserver metrics_server;
   enum entry_stage stage;
   int64_t stop_began_ns; /**< Time at which the planned stop began. */
+  int64_t stop_span_ns;  /**< Grace time of that stop. Settings that are read
+                            meanwhile do not change it. */
   int64_t next_settings_check_ns;
   struct timespec settings_mtime; /**< Modification time of the settings file
                                      when it was last read. */
