A host that stood still reads what has arrived before it judges silence and deadlines

Callers saw: after their host had stood still (suspended, or without processor time), requests whose servers had gone on or answered meanwhile were given up for silence or by their deadline.

Cause: the loop runs its timers before it reads, so that the first tick after a pause judged by times that were old by the pause.

The first tick after 200 ms or more without one does nothing now; two late ticks in a row are those of a slow process and count. silentserver/ pause-of-the-host-is-no-silence and answer-that-arrived-in-a-pause failed before.

--- a/src/forward.h
+++ b/src/forward.h
@@ -93,7 +93,9 @@
   /** Time at which a host that stops ends what is still in flight; 0 while it
    * does not stop. */
   int64_t end_ns;
-  bool is_ending;   /**< Whether no request is taken any more. */
+  int64_t last_tick_ns; /**< Time of the last forwarder_tick; 0 before it. */
+  bool skipped_tick;    /**< Whether that one did nothing. */
+  bool is_ending;       /**< Whether no request is taken any more. */
   bool is_stopping; /**< Whether no request waits any more, see forwardstop. */
   bool is_placing;  /**< Whether waiting requests are being placed. */
   size_t request_count;
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -21,6 +21,8 @@
   /* Base of the Retry-After time if no configuration is loaded or the route
    * has no service. */
   RETRY_AFTER_NO_CONFIG_MS = 500,
+  /* Time since the last tick from which on the process has stood still. */
+  TICK_LATE_MS = 200,
   /* Maximum number of requests in flight that other hosts have passed on. */
   FROM_HOSTS_MAX = 512
 };
@@ -242,12 +244,28 @@
     forwardstandby_tick (forward, now);
 }
 
+/* Whether the process has just stood still, so that what arrived meanwhile has
+ * to be read before anything is judged by its time. */
+static bool
+has_stood_still (struct forwarder *forwarder, int64_t now)
+{
+  bool is_late = forwarder->last_tick_ns != 0
+                 && now - forwarder->last_tick_ns > TICK_LATE_MS * NS_PER_MS;
+
+  forwarder->last_tick_ns = now;
+  /* Two late ticks in a row are those of a process without processor time. */
+  forwarder->skipped_tick = is_late && !forwarder->skipped_tick;
+  return forwarder->skipped_tick;
+}
+
 void
 forwarder_tick (struct forwarder *forwarder)
 {
   int64_t now = clock_now (forwarder->clock);
   struct list *node;
 
+  if (has_stood_still (forwarder, now))
+    return;
   forwardwait_place (forwarder, now, forward_place);
   node = forwarder->requests.next;
   while (node != &forwarder->requests)
--- a/test/test-silentserver.c
+++ b/test/test-silentserver.c
@@ -61,6 +61,36 @@
                 == g_strrstr (path.answer->str, EVENT (3));
 }
 
+/* A host that had stood still took its servers for silent before it read what
+ * they had sent meanwhile. */
+static void
+test_pause_of_the_host_is_no_silence (void)
+{
+  setup (&begun, EVENT (3) EVENT (4), &rest);
+  path.upstreams[0].later_ms = 300;
+  fake_path_request_send ("/stream/", "");
+  CU_ASSERT_EQUAL (fake_path_answer_status (), 200);
+  g_usleep (SILENT_MS * 1000);
+  CU_ASSERT_TRUE (stream_is_whole ());
+  CU_ASSERT_EQUAL (path.upstreams[1].requests, 0);
+  CU_ASSERT_PTR_NULL (strstr (path.logged->str, "standby"));
+  CU_ASSERT_PTR_NULL (strstr (path.logged->str, "end=silent"));
+  fake_path_finish ();
+}
+
+/* So it did with the deadline of a request whose answer had arrived. */
+static void
+test_answer_that_arrived_in_a_pause (void)
+{
+  setup (&head_alone, "hello", NULL);
+  path.upstreams[0].later_ms = 300;
+  fake_path_request_send ("/safe/", "");
+  fake_path_run_for (100);
+  g_usleep (1300 * 1000);
+  CU_ASSERT_TRUE (fake_path_run_until ("hello"));
+  fake_path_finish ();
+}
+
 /* A stream was broken off since its server had paused and the next one turned
  * it away. */
 static void
@@ -274,6 +304,8 @@
 }
 
 static const struct unit_case cases[] = {
+  { "pause-of-the-host-is-no-silence", test_pause_of_the_host_is_no_silence },
+  { "answer-that-arrived-in-a-pause", test_answer_that_arrived_in_a_pause },
   { "refusals-end-no-stream", test_refusals_end_no_stream },
   { "lack-of-budget-ends-no-stream", test_lack_of_budget_ends_no_stream },
   { "lack-of-capacity-ends-no-stream", test_lack_of_capacity_ends_no_stream },
