A standby that can't be sent takes nothing of the retry budget

While a service was out of reach and no other host took requests, each try to start a standby, ten a second and request, used up one retry of the fleet's budget. Now the budget is looked at before, and used once the standby is under way. A server counts as having taken a request after 200 ms instead of 250, which leaves the silent one more of the 400 ms to learn of its end.

--- a/src/forwardstandby.c
+++ b/src/forwardstandby.c
@@ -17,7 +17,7 @@
   /* A server that has neither refused the request nor responded for this time
    * has taken it. Less than the 400 ms for which two servers may work on one
    * request, by the time that the silent one needs to learn of its end. */
-  TAKEN_MS = 250,
+  TAKEN_MS = 200,
   /* Minimum time left for a standby to be of use. */
   TIME_LEFT_MIN_MS = 20
 };
@@ -53,9 +53,19 @@
 {
   struct forwarder *forwarder = forward->forwarder;
 
-  return retrybudget_acquire (
-      forwarder_retry_budget (forwarder, forward->service),
-      forwarder->host_count, now);
+  return retrybudget_left (
+             forwarder_retry_budget (forwarder, forward->service),
+             forwarder->host_count, now)
+         >= 1;
+}
+
+static void
+budget_use (const struct forward *forward, int64_t now)
+{
+  struct forwarder *forwarder = forward->forwarder;
+
+  retrybudget_acquire (forwarder_retry_budget (forwarder, forward->service),
+                       forwarder->host_count, now);
 }
 
 /* Choose a server for the standby.
@@ -87,15 +97,11 @@
   struct choose_result choice;
   const char *reason;
 
+  if (!budget_allows (forward, now))
+    return "budget";
   if (forwardhost_is_due (forward))
-    {
-      if (!budget_allows (forward, now))
-        return "budget";
-      return forwardhost_send (attempt) ? NULL : "no_host";
-    }
+    return forwardhost_send (attempt) ? NULL : "no_host";
   reason = choose (forward, &query, &choice);
-  if (reason == NULL && !budget_allows (forward, now))
-    reason = "budget";
   if (reason != NULL)
     return reason;
   forwardqueue_sent (forward);
@@ -133,6 +139,7 @@
       log_kept (forward, reason);
       return;
     }
+  budget_use (forward, now);
   forward->standby = attempt;
   forward->standby_start_ns = now;
   forward_log_standby (forward, "started", "silent");
