--- a/src/forwardresult.c
+++ b/src/forwardresult.c
@@ -27,7 +27,7 @@
 
   if (attempt == forward->standby)
     {
-      if (forwardstandby_is_late (forward))
+      if (forwardstandby_present_responded (forward))
         {
           /* The next tick frees the attempt, which is in use here. */
           exchange_close (exchange);
@@ -180,7 +180,8 @@
 {
   struct forward *forward = standby->forward;
 
-  if (!is_passed_on (standby, outcome) || forwardstandby_is_late (forward))
+  if (!is_passed_on (standby, outcome)
+      || forwardstandby_present_responded (forward))
     {
       forwardstandby_ended (forward, outcome);
       return;
@@ -202,7 +203,7 @@
   else
     forward->run_count++;
   forward_log_attempt (attempt, outcome, FORWARDRETRY_KEEP);
-  forwardstandby_promote (forward);
+  forwardstandby_promote (forward, exchange_outcome_name (outcome));
 }
 
 static void
--- a/src/forwardstandby.c
+++ b/src/forwardstandby.c
@@ -165,7 +165,7 @@
 }
 
 bool
-forwardstandby_is_late (const struct forward *forward)
+forwardstandby_present_responded (const struct forward *forward)
 {
   return forward->attempt->exchange.last_received_ns
          > forward->standby_start_ns;
@@ -182,11 +182,11 @@
 }
 
 void
-forwardstandby_promote (struct forward *forward)
+forwardstandby_promote (struct forward *forward, const char *reason)
 {
   struct forward_attempt *ended = forward->attempt;
 
-  forward_log_standby (forward, "promoted", "taken");
+  forward_log_standby (forward, "promoted", reason);
   forward->attempt = forward->standby;
   forward->standby = NULL;
   forwardattempt_free (ended);
@@ -203,7 +203,7 @@
   forward_log_attempt (silent, EXCHANGE_SILENT,
                        forward->relaying ? FORWARDRETRY_RESUME
                                          : FORWARDRETRY_RETRY);
-  forwardstandby_promote (forward);
+  forwardstandby_promote (forward, "taken");
 }
 
 void
@@ -237,7 +237,7 @@
         standby_start (forward, now);
       return;
     }
-  if (forwardstandby_is_late (forward))
+  if (forwardstandby_present_responded (forward))
     forwardstandby_cancel (forward, "responded");
   else if (forwardweights_is_overdue (forward->standby))
     forwardstandby_cancel (forward, "outdated");
--- a/src/forwardstandby.h
+++ b/src/forwardstandby.h
@@ -19,7 +19,7 @@
 
 /** Free the present attempt, whose connection is closed, and make the standby
  * the present attempt. */
-void forwardstandby_promote (struct forward *forward);
+void forwardstandby_promote (struct forward *forward, const char *reason);
 
 /** End the run of the silent server, and make the standby the present
  * attempt. */
@@ -27,7 +27,7 @@
 
 /** Whether the present attempt has sent something since the standby was
  * started. */
-bool forwardstandby_is_late (const struct forward *forward);
+bool forwardstandby_present_responded (const struct forward *forward);
 
 /** Free the standby, which has ended with OUTCOME and is of no use. */
 void forwardstandby_ended (struct forward *forward,
