An explanation of a request whose service has a queue tells of the queue

Operators saw (by a test): POST /explain said "sent" for a request that would have waited in the queue of its service. The request of an explanation seemed to be on a list already, since its node was not initialised, so the queue was not asked.

Had it been asked, the host would have stood still: what would become of the request was found on a copy of the queue, whose lists lead back to the original and not to the copy, so that walking them never ends. Now the copy is for the decision alone, which notes figures, and the expected wait is read from the queue itself.

--- a/src/explain.c
+++ b/src/explain.c
@@ -269,6 +269,7 @@
   if (error->status != STATUS_OK)
     return error->status;
   count_waiting (explain, forwarder);
+  list_init (&forward.waiting_node);
   forward.routes = forwarder->routes;
   forward.route = explain->route;
   forward.organisation = explain->organisation;
--- a/src/forwardqueue.c
+++ b/src/forwardqueue.c
@@ -368,9 +368,10 @@
   struct forwarder *forwarder = forward->forwarder;
   int64_t now = clock_now (forwarder->clock);
   struct waitqueue_outlook outlook = outlook_of (choice);
-  /* A request that does not wait is on no list of the queue, so that a copy of
-   * the queue's figures is enough to decide on it. */
-  struct waitqueue queue = *queue_obtain (forward);
+  const struct waitqueue *present = queue_obtain (forward);
+  /* The decision notes figures of the queue. The lists of a copy can't be
+   * walked. */
+  struct waitqueue queue = *present;
   enum waitqueue_action action;
 
   request_prepare (forward);
@@ -379,7 +380,7 @@
                : waitqueue_decide (&queue, &forward->queued, &outlook, now);
   if (action != WAITQUEUE_WAIT)
     return action;
-  *wait_ns = waitqueue_expected_wait_ns (&queue, &forward->queued, now);
+  *wait_ns = waitqueue_expected_wait_ns (present, &forward->queued, now);
   return now + *wait_ns >= forward->queued.give_up_ns ? WAITQUEUE_REFUSE
                                                       : WAITQUEUE_WAIT;
 }
--- a/test/test-explain.c
+++ b/test/test-explain.c
@@ -1,18 +1,21 @@
 #include "cli.h"
 #include "explainjson.h"
+#include "forwardqueue.h"
 #include "forwardstate.h"
 #include "unit.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 enum
 {
   FLEETS = 3000,
   SERVERS_MAX = 30,
   CHOICES = 4, /* of each fleet */
-  MANY = 100
+  MANY = 100,
+  HANG_S = 10
 };
 
 static uv_loop_t loop;
@@ -311,6 +314,38 @@
   finish ();
 }
 
+/* An explanation of a request whose service has a queue never ended, and with
+ * it the host stood still. */
+static void
+test_queue_is_explained (void)
+{
+  struct forward waiting = { .forwarder = &forwarder, .service = "svc" };
+  struct route *route;
+
+  rng_init (&rng, 1);
+  setup ();
+  set_routes ();
+  add_server (1);
+  forwarder.settings.queue_mode = FORWARDQUEUE_ALWAYS;
+  forwarder.settings.queue = waitqueue_settings_default;
+  route = forwarder.routes->all_routes->pdata[0];
+  route->latency_target_ns = NS_PER_S;
+  waiting.route = route;
+  waiting.routes = forwarder.routes;
+  waiting.call.model = "m";
+  waiting.arrived_ns = fake_clock.now_ns;
+  waiting.deadline_ns = clock_boottime (&fake_clock.clock) + NS_PER_S;
+  list_init (&waiting.waiting_node);
+  forwardqueue_add (&waiting);
+  alarm (HANG_S);
+  expect_reply ("{\"host\":\"h.example\",\"path\":\"/x/\",\"organisation\":"
+                "\"org\",\"model\":\"m\",\"prompt_tokens\":50}",
+                "\"action\":\"waits\"");
+  alarm (0);
+  forwardqueue_remove (&waiting);
+  finish ();
+}
+
 static char *
 server_checksum (const struct server *server)
 {
@@ -553,6 +588,7 @@
 static const struct unit_case cases[] = {
   { "best-is-the-chosen-one", test_best_is_the_chosen_one },
   { "outcomes", test_outcomes },
+  { "queue-is-explained", test_queue_is_explained },
   { "nothing-changes", test_nothing_changes },
   { "reply-is-bounded", test_reply_is_bounded },
   { "malformed-requests", test_malformed_requests },
