An attempt starts without the body of the one before

Callers of a gateway saw two answers in one: when the connection to a service was cut inside its answer and another service ran the request, the caller got the part of the first answer followed by the whole second one; completions got 502 answer_crossed instead.

Cause: the buffered body and the mark of a body that is too large belong to the request, not to the attempt, and nothing reset them.

The entry role resets its buffer when it sends (exchange_send) and isn't concerned.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -50,6 +50,9 @@
   char id[RELAY_ID_MAX];
 
   memset (attempt, 0, sizeof *attempt);
+  if (request->response_body != NULL)
+    g_string_truncate (request->response_body, 0);
+  request->response_too_large = false;
   attempt->number = requeststate_begin_attempt (&request->state);
   attempt->backend_id = backend->id;
   retry_begin_attempt (&request->gateway->retry, &request->retry);
--- a/test/check-path.sh
+++ b/test/check-path.sh
@@ -139,6 +139,20 @@
 check organisations-apart "reuse 0" \
   "$([ $own -gt 0 ] && echo reuse || echo none) $foreign"
 
+# A service's answer that is cut inside its body, then given by another one.
+fault svc1 '{"cut_body":4}'
+for n in $(seq 8); do
+  curl -s -m 5 -H 'Authorization: Bearer key-1' -H 'X-Kind: status' \
+    "http://${address_of[gateway-1]}/v1/services/centrale/s" \
+    | grep -qxE '\{"run":[0-9]+,"path":"[^"]*"\}' && echo whole
+done >"$fleet_dir/cut-body"
+check service-body-cut "8 whole, 4 cut" \
+  "$(wc -l <"$fleet_dir/cut-body") whole, $(curl -s -m 2 \
+    "http://${address_of[gateway-1]}/metrics" \
+    | sed -n 's/^attempts{.*outcome="lost_unanswered"} *//p' \
+    | awk '{ sum += $1 } END { print sum + 0 }') cut"
+fault svc1 '{"cut_body":0}'
+
 # (b) A cut connection, pieces of another request.
 for e in $engines; do fault "$e" '{"cut_after":5}'; done
 ask gateway-1 key-1 check "cut midway" 40 cut
--- a/test/standin-service.c
+++ b/test/standin-service.c
@@ -11,6 +11,7 @@
  *
  * Faults besides the common ones:
  *   drop_after_effect  the next N runs close the connection unanswered
+ *   cut_body           the next N runs close it inside the body of the answer
  */
 
 static int delay_ms;
@@ -22,7 +23,7 @@
   { 0 },
 };
 
-static const char *const faults[] = { "drop_after_effect", NULL };
+static const char *const faults[] = { "drop_after_effect", "cut_body", NULL };
 
 /* A run whose answer is due later. */
 struct run
@@ -49,12 +50,25 @@
                         sizeof mark - 1));
 }
 
+static void
+run_answer_in_part (const struct run *run)
+{
+  struct stream *stream
+      = stream_start (run->req, "application/json", stream_cut, NULL, NULL);
+
+  g_string_printf (stream->pending, "{\"run\":%" G_GINT64_FORMAT ",",
+                   run->number);
+  stream_flush (stream);
+}
+
 static void
 run_answer (void *data)
 {
   struct run *run = data;
   if (fault_take ("drop_after_effect"))
     http_drop (run->req);
+  else if (fault_take ("cut_body"))
+    run_answer_in_part (run);
   else
     http_json (run->req, 200,
                json_put (NULL, "run", 'i', run->number, "path", 's', run->path,
