The first byte of each attempt has the time that is set for it

Callers of a gateway got 504 although a server was about to answer: when an attempt had sent a part of its answer and was cut, the next one was given up after progress_ms without a byte instead of after first_byte_ms, since the time of the first byte belongs to the request and not to the attempt.

--- a/src/outcome.c
+++ b/src/outcome.c
@@ -186,6 +186,7 @@
   attempt->last_byte_ns = clock_now (&request->gateway->process.clock);
   if (attempt->not_run)
     return;
+  attempt->has_body = true;
   record_first_chunk (request);
   if (response_is_relayed (request))
     {
@@ -546,7 +547,7 @@
 {
   const struct settings *settings = request->gateway->settings;
   int64_t silent_ns = now - request->attempt.last_byte_ns;
-  int64_t limit_ns = request->first_byte_ns != 0
+  int64_t limit_ns = request->attempt.has_body
                          ? settings->timeouts.progress_ns
                          : settings->timeouts.first_byte_ns;
 
--- a/src/request.h
+++ b/src/request.h
@@ -76,13 +76,14 @@
   uint64_t engine_incarnation; /**< Incarnation that the engine had when it was
                                   chosen. */
   int64_t last_byte_ns; /**< Time of the last byte from the backend server. */
-  bool is_stream;       /**< Whether the response is an event stream. */
-  bool resumed; /**< Whether the stream was resumed after its connection was
-                   lost. */
-  bool silent;  /**< Whether the connection was closed because no byte was
-                   received for too long. */
-  bool not_run; /**< Whether the backend server reported that it did not run
-                   the request. */
+  bool has_body;  /**< Whether a byte of the response's body was received. */
+  bool is_stream; /**< Whether the response is an event stream. */
+  bool resumed;   /**< Whether the stream was resumed after its connection was
+                     lost. */
+  bool silent;    /**< Whether the connection was closed because no byte was
+                     received for too long. */
+  bool not_run;   /**< Whether the backend server reported that it did not run
+                     the request. */
   int http_status;
   char content_type[64];
 };
--- a/test/check-path.sh
+++ b/test/check-path.sh
@@ -151,7 +151,16 @@
     "http://${address_of[gateway-1]}/metrics" \
     | sed -n 's/^attempts{.*outcome="lost_unanswered"} *//p' \
     | awk '{ sum += $1 } END { print sum + 0 }') cut"
+# The other one takes longer for its first byte than an answer may pause.
+fault svc1 '{"cut_body":1}'
+fault svc2 '{"slow_ms":1500}'
+check slow-after-body-cut "3 answered" "$(for n in 1 2 3; do
+  curl -s -m 5 -o "$fleet_dir/status.body" -w '%{http_code}\n' \
+    -H 'Authorization: Bearer key-1' -H 'X-Kind: status' \
+    "http://${address_of[gateway-1]}/v1/services/centrale/s"
+done | grep -c 200) answered"
 fault svc1 '{"cut_body":0}'
+fault svc2 '{"slow_ms":0}'
 
 # (b) A cut connection, pieces of another request.
 for e in $engines; do fault "$e" '{"cut_after":5}'; done
