A host refuses a request that it has not run, also if it ran elsewhere

Callers got 502, and streams ended without their end, although hosts with free servers were in touch: when a run had been lost or given up and the request or the rest of the stream was passed on to another host, and that host had no room, no server in reach or no time since it stopped, it answered that the request may have run. The first host took that for the end of a run, so that no attempt was left for a third host.

Cause: the number of earlier runs that the first host sends along was mixed with this host's own, and decided what was said of the request. Only the first host, which knows those runs, can tell the caller of them. Now a host says that a request may have run if one of its own attempts may have run it. The limits on servers still count all runs.

--- a/src/forward.h
+++ b/src/forward.h
@@ -206,4 +206,19 @@
   return forward->deadline_ns - clock_boottime (forward->forwarder->clock);
 }
 
+/** Return the number of attempts that may have run the request before another
+ * host passed it on, which that host knows of; 0 if none did. */
+static inline unsigned
+forward_earlier_runs (const struct forward *forward)
+{
+  return forward->from_host ? forward->call.earlier_runs : 0;
+}
+
+/** Whether an attempt of this host may have run the request. */
+static inline bool
+forward_may_have_run_here (const struct forward *forward)
+{
+  return forward->run_count > forward_earlier_runs (forward);
+}
+
 #endif
--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -156,11 +156,11 @@
     {
       forward = g_new0 (struct forward, 1);
       forward->from_host = from_host;
-      forward->run_count = from_host ? call.earlier_runs : 0;
       forwarder->from_host_count += from_host;
       forward->forwarder = forwarder;
       forward->conn = conn;
       forward->call = call;
+      forward->run_count = forward_earlier_runs (forward);
       forward->routes = routes_ref (forwarder->routes);
       forward->arrived_ns = conn->arrived_ns;
       conn->owner_data = forward;
@@ -227,7 +227,7 @@
 
       if (forward->relaying)
         forward_break (forward, "timeout");
-      else if (is_sent || forward->run_count > 0)
+      else if (is_sent || forward_may_have_run_here (forward))
         forward_fail (forward, "timeout");
       else
         forward_refuse (forward, "timeout", RETRY_AFTER_NO_SERVER_MS);
--- a/src/forwardqueue.c
+++ b/src/forwardqueue.c
@@ -220,7 +220,7 @@
   metrics_add (forwarder->metrics, "trefoilspar_queue_refusals_total", labels,
                1);
   forwardqueue_remove (forward);
-  if (forward->run_count > 0)
+  if (forward_may_have_run_here (forward))
     forward_give_up (forward, reason, 0);
   else
     forward_respond (forward, 503, reason, retry_after_ns);
--- a/src/forwardrespond.c
+++ b/src/forwardrespond.c
@@ -121,7 +121,7 @@
 {
   if (forward->relaying)
     forward_break (forward, reason);
-  else if (forward->run_count > 0)
+  else if (forward_may_have_run_here (forward))
     forward_fail (forward, reason);
   else
     forward_refuse (forward, reason, retry_after_ms);
@@ -130,7 +130,7 @@
 static void
 give_up_paused (struct forward *forward, int64_t wait_ns)
 {
-  if (forward->relaying || forward->run_count > 0)
+  if (forward->relaying || forward_may_have_run_here (forward))
     forward_give_up (forward, "paused", 0);
   else
     forward_respond (forward, 503, "paused",
--- a/src/forwardresult.c
+++ b/src/forwardresult.c
@@ -124,6 +124,7 @@
     forward->run_count++;
   forward->unconnected_count += outcome == EXCHANGE_NOT_CONNECTED;
   state.run_count = forward->run_count;
+  state.earlier_runs = forward_earlier_runs (forward);
   state.not_run_count = forward->not_run_count;
   /* A request that needs a certain software waits for its servers, which are
    * probed, and so ends by its deadline at the latest. */
--- a/src/forwardretry.c
+++ b/src/forwardretry.c
@@ -21,7 +21,8 @@
                                                : FORWARDRETRY_BREAK;
   if (state->outcome == EXCHANGE_ANSWERED)
     return FORWARDRETRY_PASS_ON;
-  return state->run_count == 0 ? FORWARDRETRY_REFUSE : FORWARDRETRY_FAIL;
+  return state->run_count == state->earlier_runs ? FORWARDRETRY_REFUSE
+                                                 : FORWARDRETRY_FAIL;
 }
 
 static bool
--- a/src/forwardretry.h
+++ b/src/forwardretry.h
@@ -39,6 +39,8 @@
                          a whole event, which another server can follow. */
   unsigned run_count; /**< Number of attempts that may have run the request,
                          including the last one. */
+  unsigned earlier_runs;  /**< Number of those of them that the host which
+                             passed the request on knows of. */
   unsigned not_run_count; /**< Number of attempts that certainly did not run
                              the request, including the last one. */
   /** Whether another attempt can still meet the deadline. */
