A stopping host takes from other hosts only what it has time for

When several hosts stop one after another, a host could pass a request on to one that had begun to stop and took it by its expected time, or without any check if it had run elsewhere; if it ran longer, it was cut at the end of that host's grace time, seconds before the end of the first host's own, and the rule excuses only the last part of the latter.

Other hosts know at once who else could take the request, so that their requests are taken only if all their time fits before the end, as those of all callers after the first stage; and those that have run elsewhere no longer count as bound to the stopping host, neither here nor in its waiting.

Evidence: forwardstop/requests-of-other-hosts-fit, four rows with 1200 ms left and an end in 1 or 2 s, with no and one earlier run: before, both with the end in 1 s got 200 from a server and a waiting one with an earlier run 502; now 503 with Trefoilspar-Refused and no request at a server.

--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -12,7 +12,7 @@
 bool
 forwardstop_is_bound_here (const struct forward *forward)
 {
-  return forward->relaying || forward->run_count > 0;
+  return forward->relaying || forward_may_have_run_here (forward);
 }
 
 bool
@@ -25,9 +25,9 @@
   if (forwarder->end_ns == 0 || forwardstop_is_bound_here (forward))
     return false;
   /* Without a completed request of the route, the caller's time is the only
-   * bound that is known. After the first stage it is the one that counts:
-   * callers know other hosts by then. */
-  run_ns = forwarder->is_stopping
+   * bound that is known. It is also the one that counts for those who know
+   * other hosts: other hosts, and after the first stage all callers. */
+  run_ns = forwarder->is_stopping || forward->from_host
                ? left_ns
                : runtimes_expect (&forwarder->runtimes, forward->route->name,
                                   forward->call.output_tokens, left_ns);
--- a/src/forwardstop.h
+++ b/src/forwardstop.h
@@ -18,8 +18,9 @@
  * END_NS, at which forwardstop_end_all follows. */
 void forwardstop_begin (struct forwarder *forwarder, int64_t end_ns);
 
-/** Whether the request has not run and its host stops before it is expected to
- * be completed. */
+/** Whether the request is not bound to this host, which stops before the
+ * request is expected to be completed, or may be if another host passed it on.
+ */
 bool forwardstop_lacks_time (const struct forward *forward);
 
 /** Whether another host can't take the request over, since its caller has a
--- a/test/test-forwardstop.c
+++ b/test/test-forwardstop.c
@@ -214,12 +214,59 @@
     }
 }
 
+/* A host that stops took requests of other hosts that it had no time for, and
+ * kept those that had run elsewhere waiting, although the other hosts could
+ * have them served. */
+static void
+test_requests_of_other_hosts_fit (void)
+{
+  static const struct
+  {
+    const char *earlier_runs;
+    int64_t end_ms; /* from the request, which has 1200 ms, to the end */
+    int status;
+  } rows[] = {
+    { "0", 1000, 503 },
+    { "1", 1000, 503 },
+    { "0", 2000, 200 },
+    { "1", 2000, 200 },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct forwarder *forwarder = &fleet.hosts[0].forwarder;
+      unsigned before;
+
+      fake_hosts_setup (&full_response);
+      before = fake_hosts_engine_requests ();
+      for (unsigned k = 0; k < 100; k++)
+        runtimes_record (&forwarder->runtimes, "/safe/", 0, 50 * NS_PER_MS);
+      forwardstop_begin (forwarder, clock_now (&fleet.clock)
+                                        + rows[i].end_ms * NS_PER_MS);
+      CU_ASSERT_EQUAL (fake_hosts_pass_on (0, "/safe/", rows[i].earlier_runs),
+                       rows[i].status);
+      CU_ASSERT_EQUAL (fake_hosts_engine_requests () - before,
+                       rows[i].status == 200);
+      fake_hosts_finish ();
+    }
+  fake_hosts_setup (&full_response);
+  engines_fill ();
+  forwardstop_begin (&fleet.hosts[0].forwarder,
+                     clock_now (&fleet.clock) + 2000 * NS_PER_MS);
+  forwardstop_refuse_waiting (&fleet.hosts[0].forwarder);
+  CU_ASSERT_EQUAL (fake_hosts_pass_on (0, "/safe/", "1"), 503);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (fleet.answer->str, "Trefoilspar-Refused: 1"));
+  fake_hosts_finish ();
+}
+
 static const struct unit_case cases[] = {
   { "late-requests-are-refused-at-once",
     test_late_requests_are_refused_at_once },
   { "expected-time-follows-the-size", test_expected_time_follows_the_size },
   { "requests-after-the-first-stage-fit",
     test_requests_after_the_first_stage_fit },
+  { "requests-of-other-hosts-fit", test_requests_of_other_hosts_fit },
   { "waiting-requests-are-refused", test_waiting_requests_are_refused },
   { "requests-in-flight-get-an-answer",
     test_requests_in_flight_get_an_answer },
