A host without its lease fetches nothing while others know changes it doesn't

Weights v3 were named at 23.1 s; the other hosts stopped fetching blocks of v2 at 25.4 s, and, not waiting for a host without a lease, freed them at 27.109 s. That host sent a request at 27.094 s to an engine that still had v2, with blocks of v2 to fetch: v2 was the newest that it had seen at any engine, and so took for safe. It had logged view_behind for op/ at 20.7 s: others knew changes by the operator that it didn't.

Cause: "newest" was what the host itself had seen, and nothing asked whether it could have missed something newer. Now a host whose lease may have ended fetches blocks of the newest weights only while no other host has told it of a change of the operator's keys that it hasn't read. When the KV service fails for all, no host tells of any, so that fetches go on.

Evidence: retire/host-behind-without-lease fails without the condition.

--- a/src/cacheretire.c
+++ b/src/cacheretire.c
@@ -23,13 +23,15 @@
 void
 cacheretire_init (struct cacheretire *cacheretire, const struct clock *clock,
                   struct log *log, const struct servers *servers,
-                  struct presence *presence, GHashTable *wanted)
+                  struct presence *presence,
+                  const struct kvview *operator_view, GHashTable *wanted)
 {
   memset (cacheretire, 0, sizeof *cacheretire);
   cacheretire->clock = clock;
   cacheretire->log = log;
   cacheretire->servers = servers;
   cacheretire->presence = presence;
+  cacheretire->operator_view = operator_view;
   cacheretire->wanted = wanted;
   cacheretire->models
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -139,9 +141,11 @@
 
   if (state == NULL)
     return true;
-  return version >= state->oldest_fetched_version
-         && (version >= state->newest_seen
-             || presence_lease_is_valid_for (cacheretire->presence, 0));
+  if (version < state->oldest_fetched_version)
+    return false;
+  return presence_lease_is_valid_for (cacheretire->presence, 0)
+         || (version >= state->newest_seen
+             && cacheretire->operator_view->reported_revision == 0);
 }
 
 uint64_t
--- a/src/cacheretire.h
+++ b/src/cacheretire.h
@@ -2,6 +2,7 @@
 #define CACHERETIRE_H
 
 #include "clock.h"
+#include "kvview.h"
 #include "log.h"
 #include "presence.h"
 #include "servers.h"
@@ -17,7 +18,8 @@
  * all hosts have announced it, these blocks can be freed although some engines
  * still have the old weights. The other hosts do not wait for a host whose
  * lease may have expired, so that host only fetches blocks of the newest
- * weights that it has seen at any engine.
+ * weights that it has seen at any engine, and none if others know of changes
+ * by the operator that it doesn't: those may name newer weights.
  */
 
 struct cacheretire
@@ -26,6 +28,7 @@
   struct log *log;
   const struct servers *servers;
   struct presence *presence;
+  const struct kvview *operator_view;
   GHashTable *wanted; /**< Maps model names to struct wanted_weights; not
                            owned. */
   GHashTable *models; /**< Maps model names to struct cacheretire_model. */
@@ -35,7 +38,8 @@
 void cacheretire_init (struct cacheretire *cacheretire,
                        const struct clock *clock, struct log *log,
                        const struct servers *servers,
-                       struct presence *presence, GHashTable *wanted);
+                       struct presence *presence,
+                       const struct kvview *operator_view, GHashTable *wanted);
 void cacheretire_finish (struct cacheretire *cacheretire);
 
 /** Checks the engines' weight versions. Once most engines of a model have
--- a/src/entry.c
+++ b/src/entry.c
@@ -433,7 +433,7 @@
   weightsnews_init (&entry->weightsnews, &entry->servers, &entry->log,
                     &entry->operator_view, entry->forwarder.wanted_weights);
   cacheretire_init (&entry->retire, &entry->clock, &entry->log,
-                    &entry->servers, &entry->presence,
+                    &entry->servers, &entry->presence, &entry->operator_view,
                     entry->forwarder.wanted_weights);
   rollout_init (
       &entry->rollout, &rollout, &entry->kvera.kv, &entry->clock, &entry->log,
--- a/test/fake-hosts.c
+++ b/test/fake-hosts.c
@@ -327,7 +327,8 @@
   streamorigin_init (&host->origin, &fleet.clock, &host->presence, &origin_ops,
                      host);
   cacheretire_init (&host->retire, &fleet.clock, &fleet.log, &host->servers,
-                    &host->presence, host->forwarder.wanted_weights);
+                    &host->presence, &host->operator_view,
+                    host->forwarder.wanted_weights);
   listen_for_host (&host->front, &front_ops, host);
   listen_for_host (&host->host_server, &host_ops, host);
   routes_setup (host);
--- a/test/fake-hosts.h
+++ b/test/fake-hosts.h
@@ -35,6 +35,7 @@
   struct blameshare blameshare;
   struct kvstores kvstores;
   struct presence presence;
+  struct kvview operator_view;
   struct cacheretire retire;
   struct streamorigin origin;
   struct loadshare loadshare;
--- a/test/fake-path.c
+++ b/test/fake-path.c
@@ -309,7 +309,8 @@
   streamorigin_init (&path.origin, &path.clock, &path.presence, &origin_ops,
                      NULL);
   cacheretire_init (&path.retire, &path.clock, &path.log, &path.servers,
-                    &path.presence, path.forwarder.wanted_weights);
+                    &path.presence, &path.operator_view,
+                    path.forwarder.wanted_weights);
   CU_ASSERT_EQUAL_FATAL (callerserver_init (&path.front, &path.loop,
                                             &path.clock, "127.0.0.1", 0,
                                             &front_ops, NULL, &error),
--- a/test/fake-path.h
+++ b/test/fake-path.h
@@ -36,6 +36,7 @@
   struct blameshare blameshare;
   struct kvstores kvstores;
   struct presence presence;
+  struct kvview operator_view;
   struct cacheretire retire;
   struct streamorigin origin;
   struct forwarder forwarder;
--- a/test/test-retire.c
+++ b/test/test-retire.c
@@ -19,6 +19,7 @@
   uv_loop_t loop;
   struct servers servers;
   struct presence presence;
+  struct kvview operator_view;
   struct kvstores kvstores;
   struct rollout rollout;
   struct cacheretire cacheretire;
@@ -155,7 +156,7 @@
   routes_unref (routes);
   cacheretire_init (&fixture.cacheretire, &fixture.clock.clock, &fixture.log,
                     &fixture.servers, &fixture.presence,
-                    fixture.rollout.wanted);
+                    &fixture.operator_view, fixture.rollout.wanted);
   cachegc_init (&fixture.cachegc, &fixture.clock.clock, &fixture.log,
                 &fake_dialect, NULL, &fixture.rollout, &fixture.kvstores,
                 &fixture.servers, &fixture.cacheretire);
@@ -262,6 +263,22 @@
   finish ();
 }
 
+/* A host that was cut off fetched blocks of the weights that it took for the
+ * newest, while the others freed them for weights named since. */
+static void
+test_host_behind_without_lease (void)
+{
+  setup ();
+  load_new_weights (1);
+  fixture.operator_view.reported_revision = 7;
+  CU_ASSERT_TRUE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 2));
+  clock_fake_advance (&fixture.clock, 4 * NS_PER_S);
+  CU_ASSERT_FALSE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 2));
+  fixture.operator_view.reported_revision = 0;
+  CU_ASSERT_TRUE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 2));
+  finish ();
+}
+
 static const struct unit_case cases[] = {
   { "most-engines-decide", test_most_engines_decide },
   { "freed-once-nobody-fetches", test_freed_once_no_host_fetches },
@@ -269,6 +286,7 @@
   { "freed-when-no-engine-has-them",
     test_freed_when_no_engine_has_the_weights },
   { "host-without-lease", test_host_with_expired_lease },
+  { "host-behind-without-lease", test_host_behind_without_lease },
 };
 
 int
