A host without its lease fetches only what another host confirms as newest

And a host that nobody could tell of a change was free to fetch.

Now the view keeps the newest revision that others told, until it has it, and the time at which a host that knows no less was last heard of. Without a lease blocks of the newest weights are fetched only within 1 s of that, by a clock that counts suspensions; a host without any other one is its own witness. When the KV service fails for all, hosts still hear each other and fetch. A host of an earlier build that tells no revision confirms nothing.

Evidence: retire/host-without-lease-is-confirmed; kvview/view-is-confirmed has the case of the read that fails. retire/host-without-lease keeps its checks, and the newest weights are confirmed there first.

--- a/src/cacheretire.c
+++ b/src/cacheretire.c
@@ -5,7 +5,10 @@
 
 enum
 {
-  CHECK_INTERVAL_MS = 50
+  CHECK_INTERVAL_MS = 50,
+  /* Time within which another host must have confirmed that this host knows
+   * the newest weights, if its lease may have expired. */
+  CONFIRMED_MS = 1000
 };
 
 /* Share of a model's engines that must have newer weights before blocks of
@@ -132,6 +135,15 @@
     model_check (cacheretire, name);
 }
 
+/* Whether no other host can know of newer weights than this one does. */
+static bool
+knows_newest_weights (const struct cacheretire *cacheretire)
+{
+  return g_hash_table_size (cacheretire->presence->hosts) == 0
+         || kvview_is_confirmed (cacheretire->operator_view,
+                                 CONFIRMED_MS * NS_PER_MS);
+}
+
 bool
 cacheretire_allows_fetch (const struct cacheretire *cacheretire,
                           const char *model, uint64_t version)
@@ -145,7 +157,7 @@
     return false;
   return presence_lease_is_valid_for (cacheretire->presence, 0)
          || (version >= state->newest_seen
-             && cacheretire->operator_view->reported_revision == 0);
+             && knows_newest_weights (cacheretire));
 }
 
 uint64_t
--- a/src/cacheretire.h
+++ b/src/cacheretire.h
@@ -18,8 +18,9 @@
  * all hosts have announced it, these blocks can be freed although some engines
  * still have the old weights. The other hosts do not wait for a host whose
  * lease may have expired, so that host only fetches blocks of the newest
- * weights that it has seen at any engine, and none if others know of changes
- * by the operator that it doesn't: those may name newer weights.
+ * weights that it has seen at any engine, and none unless another host
+ * confirms that it knows all changes by the operator: others may name newer
+ * weights.
  */
 
 struct cacheretire
--- a/src/kvview.c
+++ b/src/kvview.c
@@ -541,6 +541,8 @@
   view->revision = 0;
   view->change_revision = 0;
   view->reported_revision = 0;
+  view->told_revision = 0;
+  view->told_ns = 0;
   /* The service may have been away too briefly for a call to fail. */
   view->was_unreachable = true;
   view->outage_end_ns = clock_now (view->clock);
@@ -551,6 +553,9 @@
 void
 kvview_note_change (struct kvview *view, uint64_t revision)
 {
+  view->told_revision = MAX (view->told_revision, revision);
+  if (revision != 0 && revision >= view->change_revision)
+    view->told_ns = clock_boottime (view->clock);
   if (revision <= view->revision)
     return;
   if (view->reported_revision == 0)
@@ -558,6 +563,13 @@
   view->reported_revision = MAX (view->reported_revision, revision);
 }
 
+bool
+kvview_is_confirmed (const struct kvview *view, int64_t span_ns)
+{
+  return view->told_ns != 0 && view->told_revision <= view->revision
+         && clock_boottime (view->clock) - view->told_ns <= span_ns;
+}
+
 void
 kvview_visit_newer (const struct kvview *view, uint64_t revision,
                     void (*visit) (void *data, const char *key,
--- a/src/kvview.h
+++ b/src/kvview.h
@@ -65,6 +65,11 @@
   uint64_t reported_revision;
   int64_t reported_since_ns; /**< Time since which that is so. */
   int64_t next_report_ns;    /**< Earliest time at which it causes a read. */
+  uint64_t told_revision;    /**< Newest revision of a change that another host
+                                has told of, which the view may have. */
+  /** Time, by clock_boottime, at which another host last told of a change no
+   * older than those that the view has; 0 before. */
+  int64_t told_ns;
   bool started;
   bool initial_read_done; /**< Whether all keys have been read once. */
   bool is_reading; /**< Whether the key being put comes from a read of all
@@ -143,9 +148,13 @@
 /** Note that another host knows a change with REVISION in the same era of the
  * KV service. If the view does not learn of it soon, all keys are read: the
  * watch may be dead, or its reply lost. A wrong REVISION causes a read a
- * second and nothing else. */
+ * second, and kvview_is_confirmed denies until the service has reached it. */
 void kvview_note_change (struct kvview *view, uint64_t revision);
 
+/** Whether another host that knows the changes which the view has was heard of
+ * within SPAN_NS, and none has told of a change that the view lacks. */
+bool kvview_is_confirmed (const struct kvview *view, int64_t span_ns);
+
 /** Call VISIT for each key that was written after REVISION. */
 void kvview_visit_newer (const struct kvview *view, uint64_t revision,
                          void (*visit) (void *data, const char *key,
--- a/test/test-kvview.c
+++ b/test/test-kvview.c
@@ -411,6 +411,34 @@
   finish ();
 }
 
+/* That a read was begun for a change that others know hid that the view lacked
+ * it, also if the read failed. */
+static void
+test_view_is_confirmed (void)
+{
+  setup ();
+  reply_to_call (STATUS_OK, 6, &a1, 1);
+  CU_ASSERT_FALSE (kvview_is_confirmed (&view, NS_PER_S));
+  kvview_note_change (&view, 0);
+  CU_ASSERT_FALSE (kvview_is_confirmed (&view, NS_PER_S));
+  kvview_note_change (&view, view.change_revision);
+  CU_ASSERT_TRUE (kvview_is_confirmed (&view, NS_PER_S));
+  clock_fake_advance (&fake_clock, 2 * NS_PER_S);
+  CU_ASSERT_FALSE (kvview_is_confirmed (&view, NS_PER_S));
+  kvview_note_change (&view, view.change_revision - 1);
+  CU_ASSERT_FALSE (kvview_is_confirmed (&view, NS_PER_S));
+  kvview_note_change (&view, 7);
+  clock_fake_advance (&fake_clock, NS_PER_S);
+  kvview_tick (&view);
+  CU_ASSERT_EQUAL (view.reported_revision, 0);
+  kvview_note_change (&view, view.change_revision);
+  CU_ASSERT_FALSE (kvview_is_confirmed (&view, NS_PER_S));
+  reply_to_call (STATUS_OK, 7, &a2, 1);
+  kvview_note_change (&view, 7);
+  CU_ASSERT_TRUE (kvview_is_confirmed (&view, NS_PER_S));
+  finish ();
+}
+
 /* A host that reports a change which does not exist, or that this view knows
  * already, causes a read a second at most. */
 static void
@@ -517,6 +545,7 @@
   { "working-watch-is-kept", test_working_watch_is_kept },
   { "read-in-progress-is-kept", test_read_in_progress_is_kept },
   { "change-that-others-know", test_change_that_others_know },
+  { "view-is-confirmed", test_view_is_confirmed },
   { "change-that-does-not-exist", test_change_that_does_not_exist },
   { "watch-from-before-a-pause-is-no-news", test_watch_from_before_a_pause },
 };
--- a/test/test-retire.c
+++ b/test/test-retire.c
@@ -249,6 +249,16 @@
   finish ();
 }
 
+/* Another host knows no other change by the operator than this one. */
+static void
+confirm (void)
+{
+  fixture.operator_view.clock = &fixture.clock.clock;
+  fixture.operator_view.revision = 6;
+  fixture.operator_view.change_revision = 6;
+  kvview_note_change (&fixture.operator_view, 6);
+}
+
 /* The other hosts do not wait for a host whose lease may have expired, so that
  * host must not fetch blocks that they may free. */
 static void
@@ -259,6 +269,8 @@
   CU_ASSERT_TRUE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 1));
   clock_fake_advance (&fixture.clock, 4 * NS_PER_S);
   CU_ASSERT_FALSE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 1));
+  confirm ();
+  CU_ASSERT_FALSE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 1));
   CU_ASSERT_TRUE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 2));
   finish ();
 }
@@ -266,15 +278,21 @@
 /* A host that was cut off fetched blocks of the weights that it took for the
  * newest, while the others freed them for weights named since. */
 static void
-test_host_behind_without_lease (void)
+test_host_without_lease_is_confirmed (void)
 {
   setup ();
   load_new_weights (1);
-  fixture.operator_view.reported_revision = 7;
   CU_ASSERT_TRUE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 2));
   clock_fake_advance (&fixture.clock, 4 * NS_PER_S);
   CU_ASSERT_FALSE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 2));
-  fixture.operator_view.reported_revision = 0;
+  confirm ();
+  CU_ASSERT_TRUE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 2));
+  clock_fake_advance (&fixture.clock, 2 * NS_PER_S);
+  CU_ASSERT_FALSE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 2));
+  confirm ();
+  kvview_note_change (&fixture.operator_view, 7);
+  CU_ASSERT_FALSE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 2));
+  presence_key_removed (&fixture.presence, "host/b");
   CU_ASSERT_TRUE (cacheretire_allows_fetch (&fixture.cacheretire, "m", 2));
   finish ();
 }
@@ -286,7 +304,7 @@
   { "freed-when-no-engine-has-them",
     test_freed_when_no_engine_has_the_weights },
   { "host-without-lease", test_host_with_expired_lease },
-  { "host-behind-without-lease", test_host_behind_without_lease },
+  { "host-without-lease-is-confirmed", test_host_without_lease_is_confirmed },
 };
 
 int
