A second attempt at another host counts as all its runs, also when it is cancelled

By reading: a request whose route allows three servers or more could run on more than these. A second attempt that had been passed on to another host and was cancelled, since the silent server had gone on, counted as one run, although that host may have used all that were left. Its other ends count it so already. And an attempt that this host withheld took the last server off the list of those tried, whichever it was, if the list was full.

Without a test of their own: a silent server beside a lost link, a host that runs the request twice within 200 ms, and then the first server's break were not arranged. The includes of forwarder.c are in order again.

--- a/src/forwarder.c
+++ b/src/forwarder.c
@@ -9,10 +9,10 @@
 #include "forwardrespond.h"
 #include "forwardresult.h"
 #include "forwardresume.h"
-#include "forwardweights.h"
 #include "forwardstandby.h"
 #include "forwardstop.h"
 #include "forwardwait.h"
+#include "forwardweights.h"
 
 #include <string.h>
 
--- a/src/forwardhost.c
+++ b/src/forwardhost.c
@@ -229,6 +229,12 @@
       = response->refused_by_host && !response->from_backend_server;
 }
 
+void
+forwardhost_count_runs (struct forward *forward)
+{
+  forward->run_count = MAX (forward->route->servers_max, 1U) - 1;
+}
+
 bool
 forwardhost_ended (struct forward_attempt *attempt,
                    enum exchange_outcome outcome)
@@ -249,9 +255,8 @@
            || (outcome == EXCHANGE_CUT && !attempt->exchange.has_head))
     host->avoid_until_ns = now + UNREACHED_PAUSE_MS * NS_PER_MS;
   forwardhost_release (attempt);
-  /* How often the other host ran it isn't known, so it runs no more. */
   if (!not_run)
-    forward->run_count = MAX (forward->route->servers_max, 1U) - 1;
+    forwardhost_count_runs (forward);
   return not_run;
 }
 
--- a/src/forwardhost.h
+++ b/src/forwardhost.h
@@ -28,6 +28,11 @@
  * the host itself is a promise that the request has not run. */
 void forwardhost_head_received (struct forward_attempt *attempt);
 
+/** Count the runs of an attempt at another host, which may have run the
+ * request. How often it did isn't known, so that after the attempt that goes
+ * on, if there is one, none may follow. */
+void forwardhost_count_runs (struct forward *forward);
+
 /** Handle the end of an attempt at another host.
  * @return whether the request certainly has not run there */
 bool forwardhost_ended (struct forward_attempt *attempt,
--- a/src/forwardresult.c
+++ b/src/forwardresult.c
@@ -103,9 +103,7 @@
   /* The server of an attempt that this host withheld is not tried. */
   if (exchange->withheld && state.has_time_left)
     {
-      if (forward->tried_count > 0
-          && forward->tried[forward->tried_count - 1] == exchange->server)
-        forward->tried_count--;
+      forward_untry (forward, exchange->server);
       forward_log_attempt (attempt, outcome, FORWARDRETRY_RETRY);
       forward_place (forward);
       return;
@@ -166,7 +164,8 @@
              || attempt->exchange.response.status < 500);
 }
 
-/* Decide what follows the end of the standby: a whole response is passed on. */
+/* Decide what follows the end of the standby: a whole response is passed on.
+ */
 static void
 standby_ended (struct forward_attempt *standby, enum exchange_outcome outcome)
 {
--- a/src/forwardsend.c
+++ b/src/forwardsend.c
@@ -30,6 +30,14 @@
 /* Maximum timeout of a fetch, as a share of the time left until the target. */
 static const double fetch_share = 0.6;
 
+void
+forward_untry (struct forward *forward, const struct server *server)
+{
+  if (forward->tried_count > 0
+      && forward->tried[forward->tried_count - 1] == server)
+    forward->tried_count--;
+}
+
 void
 forward_uncount_load (struct forward_attempt *attempt)
 {
--- a/src/forwardsend.h
+++ b/src/forwardsend.h
@@ -32,6 +32,9 @@
                    const struct choose_result *choice,
                    uint64_t required_version);
 
+/** Let SERVER be chosen again, if it was the last one that was tried. */
+void forward_untry (struct forward *forward, const struct server *server);
+
 /** Remove the request from the load of the counted_server of ATTEMPT, if there
  * is one. */
 void forward_uncount_load (struct forward_attempt *attempt);
--- a/src/forwardstandby.c
+++ b/src/forwardstandby.c
@@ -175,7 +175,13 @@
 {
   if (forward->standby == NULL)
     return;
-  forward->run_count += forward->standby->exchange.sent_ns != 0;
+  if (forward->standby->exchange.sent_ns != 0)
+    {
+      if (forward->standby->host != NULL)
+        forwardhost_count_runs (forward);
+      else
+        forward->run_count++;
+    }
   forward_log_standby (forward, "cancelled", reason);
   standby_free (forward);
 }
@@ -217,7 +223,7 @@
   else
     forward_learn_outcome (standby, outcome);
   if (standby->exchange.withheld)
-    forward->tried_count -= forward->tried_count > 0;
+    forward_untry (forward, standby->exchange.server);
   else if (not_run)
     forward->not_run_count++;
   else
