What a caller sent ahead is read until its connection is closed

A caller lost the end of its response, of 128 KiB and more, if it had sent more than 64 KiB ahead on the connection and read the response later than 500 ms after its end: reading had stopped at 64 KiB, the connection was closed after the response (a stop, or Connection: close), and closing a connection that has unread bytes resets it, with what the system still had to send. The class: a close with unread bytes. Now reading goes on, and the bytes are dropped.

Evidence: callerdrain/bytes-sent-ahead-reset-nothing, 256 KiB ahead, a response of 512 KiB that is read after the close: reset and incomplete before, whole now.

--- a/src/callerconn.c
+++ b/src/callerconn.c
@@ -461,6 +461,8 @@
    * connection is kept. */
   if (!conn->keep_alive || conn->server->draining)
     {
+      /* Bytes that stay unread would reset the connection when it closes. */
+      uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
       conn_shutdown (conn);
       return;
     }
--- a/test/test-callerdrain.c
+++ b/test/test-callerdrain.c
@@ -220,6 +220,51 @@
   finish ();
 }
 
+/* A caller that had sent much ahead lost the end of its response: the stop
+ * closed the connection with bytes that it had not read, which resets it. */
+static void
+test_bytes_sent_ahead_reset_nothing (void)
+{
+  enum
+  {
+    AHEAD_BYTES = 256 * 1024,
+    RESPONSE_BYTES = 512 * 1024
+  };
+  char *bytes = g_malloc0 (AHEAD_BYTES);
+  ssize_t size = 0;
+  ssize_t received = 0;
+  int64_t start_ns;
+
+  setup ();
+  request_send ();
+  for (ssize_t sent = 0; sent < AHEAD_BYTES && size >= 0; sent += size)
+    {
+      size = send (drain.caller, bytes, (size_t)(AHEAD_BYTES - sent),
+                   MSG_NOSIGNAL);
+      uv_run (&drain.loop, UV_RUN_NOWAIT);
+    }
+  callerserver_drain (&drain.server);
+  callerconn_stream_write (drain.conn, bytes, RESPONSE_BYTES);
+  callerconn_stream_end (drain.conn);
+  start_ns = clock_now (&drain.clock);
+  while (clock_now (&drain.clock) - start_ns < FIRST_REQUEST_NS)
+    {
+      uv_run (&drain.loop, UV_RUN_NOWAIT);
+      g_usleep (200);
+    }
+  CU_ASSERT_EQUAL (drain.server.conn_count, 0);
+  do
+    {
+      size = read (drain.caller, bytes, AHEAD_BYTES);
+      received += MAX (size, 0);
+    }
+  while (size > 0 || (size < 0 && errno == EAGAIN));
+  CU_ASSERT_EQUAL (size, 0);
+  CU_ASSERT_TRUE (received > RESPONSE_BYTES);
+  g_free (bytes);
+  finish ();
+}
+
 /* Connections that waited to be accepted were reset when the listener was
  * closed. */
 static void
@@ -285,6 +330,7 @@
   { "request-sent-ahead", test_request_sent_ahead },
   { "first-request-on-its-way", test_first_request_on_its_way },
   { "request-that-was-not-read-yet", test_request_that_was_not_read_yet },
+  { "bytes-sent-ahead-reset-nothing", test_bytes_sent_ahead_reset_nothing },
   { "connections-that-wait-are-accepted",
     test_connections_that_wait_are_accepted },
   { "connection-without-a-request-ends",
