Accepting what waits at a stop is bounded, and goes on after an aborted connection

By reading: when a listener was closed, the connections that waited were accepted until none was left, so that callers that went on connecting could keep the process in that loop; and a connection that its caller had aborted meanwhile, or a signal, ended the loop, after which closing the listener reset the others.

--- a/src/callerserver.c
+++ b/src/callerserver.c
@@ -1,6 +1,7 @@
 #include "callerserver.h"
 #include "callerconn.h"
 
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -60,12 +61,20 @@
 accept_waiting (struct callerserver *server)
 {
   uv_os_fd_t listener;
-  int fd;
 
   if (uv_fileno ((uv_handle_t *)&server->listener, &listener) != 0)
     return;
-  while ((fd = accept (listener, NULL, NULL)) >= 0)
-    callerconn_accept (server, fd);
+  /* As many as can wait, so that callers that go on connecting can't keep the
+   * process here. */
+  for (int i = 0; i <= LISTEN_BACKLOG; i++)
+    {
+      int fd = accept (listener, NULL, NULL);
+
+      if (fd >= 0)
+        callerconn_accept (server, fd);
+      else if (errno != EINTR && errno != ECONNABORTED)
+        return;
+    }
 }
 
 void
