The log tells when in a stop the end of a response was not sent

response_unsent named the request, the reason of the close and what was unsent, but not how long the host had been stopping, as forward_failed does.

--- a/src/entrycallers.c
+++ b/src/entrycallers.c
@@ -1,5 +1,6 @@
 #include "entrycallers.h"
 #include "entry.h"
+#include "forwardstop.h"
 
 static void
 request_received (void *data, struct callerconn *conn)
@@ -55,9 +56,10 @@
                   && call.request_id != NULL;
 
   log_event (&entry->log, EVENT_RESPONSE_UNSENT,
-             "id=%s peer=%s reason=%s unsent=%zu unacknowledged=%zu",
+             "id=%s peer=%s reason=%s unsent=%zu unacknowledged=%zu "
+             "stopping_ms=%.1f",
              is_named ? call.request_id : "-", conn->caller_ip, reason, unsent,
-             unacknowledged);
+             unacknowledged, forwardstop_since_ms (&entry->forwarder));
   g_snprintf (labels, sizeof labels, "reason=\"%s\"", reason);
   metrics_add (&entry->metrics, "trefoilspar_responses_unsent_total", labels,
                1);
--- a/src/event.c
+++ b/src/event.c
@@ -145,8 +145,7 @@
   { EVENT_RESPONSE_UNSENT, EVENT_LEVEL_WARN, "response_unsent",
     "This host closed the connection of a caller although bytes of a complete "
     "response were not sent (unsent), or sent and not acknowledged; the "
-    "reason "
-    "of the close." },
+    "reason of the close, and the time since this host was told to stop." },
   { EVENT_FORWARD_ORIGIN, EVENT_LEVEL_INFO, "forward_origin",
     "A caller came back for a stream; known_by is how the software that began "
     "it was found (own_record, other_record, only_software, none), then the "
--- a/src/forwardlog.c
+++ b/src/forwardlog.c
@@ -2,6 +2,7 @@
 #include "choosecost.h"
 #include "forwarder.h"
 #include "forwardsend.h"
+#include "forwardstop.h"
 #include "forwardweights.h"
 
 #include <string.h>
@@ -85,8 +86,7 @@
       forward->deadline_ns != 0
           ? (double)forward_time_left_ns (forward) / NS_PER_MS
           : -1.0,
-      forwarder->end_ns != 0 ? (double)(now - forwarder->stop_ns) / NS_PER_MS
-                             : -1.0);
+      forwardstop_since_ms (forwarder));
   if (!served)
     count_break (forward, reason);
   g_snprintf (labels, sizeof labels, "service=\"%s\",code=\"%d\"",
--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -9,6 +9,15 @@
   forwarder->end_ns = end_ns;
 }
 
+double
+forwardstop_since_ms (const struct forwarder *forwarder)
+{
+  return forwarder->end_ns != 0
+             ? (double)(clock_now (forwarder->clock) - forwarder->stop_ns)
+                   / NS_PER_MS
+             : -1.0;
+}
+
 bool
 forwardstop_is_bound_here (const struct forward *forward)
 {
--- a/src/forwardstop.h
+++ b/src/forwardstop.h
@@ -18,9 +18,12 @@
  * END_NS, at which forwardstop_end_all follows. */
 void forwardstop_begin (struct forwarder *forwarder, int64_t end_ns);
 
+/** Return the time in ms since forwardstop_begin; -1 before it. */
+double forwardstop_since_ms (const struct forwarder *forwarder);
+
 /** Whether the request is not bound to this host, which stops before the
- * request is expected to be completed, or may be if another host passed it on.
- */
+ * request is expected to be completed, or may be if another host passed it on
+ * and it has not run. */
 bool forwardstop_lacks_time (const struct forward *forward);
 
 /** Whether another host can't take the request over, since its caller has a
