--- a/src/forwardstop.c
+++ b/src/forwardstop.c
@@ -35,8 +35,10 @@
     return false;
   /* Without a completed request of the route, the caller's time is the only
    * bound that is known. It is also the one that counts for those who know
-   * other hosts: other hosts, and after the first stage all callers. */
-  run_ns = forwarder->is_stopping || forward->from_host
+   * other hosts: after the first stage all callers, and another host, unless
+   * its request has run, for which it may find no third one. */
+  run_ns = forwarder->is_stopping
+                   || (forward->from_host && forward->run_count == 0)
                ? left_ns
                : runtimes_expect (&forwarder->runtimes, forward->route->name,
                                   forward->call.output_tokens, left_ns);
