A gateway ends only once its responses are sent

A caller of a gateway that stopped got a part of its response: of 40 MB that it read at 10 MB/s, what the system had taken over when the gateway ended (curl: 18). The stop waited for the requests, which end when their response is given to the HTTP server, and not for the bytes that the latter still had to write. Entry processes wait for their connections.

Now the server counts requests until their response is sent whole, and the stop waits for them, until timeouts.stop_s as before.

Found by reading the change again.

--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -30,6 +30,7 @@
   h2o_buffer_t *queued;  /* Bytes to send after those in `sending`. */
   const char *path;
   const char *query;
+  bool is_open; /* Whether it is in the server's list. */
   bool send_in_flight;
   bool response_started;
   bool response_ended;
@@ -53,7 +54,7 @@
 {
   struct httpserver *server = request->server;
 
-  if (server == NULL)
+  if (!request->is_open)
     return;
   if (request->prev != NULL)
     request->prev->next = request->next;
@@ -61,7 +62,7 @@
     server->open_requests = request->next;
   if (request->next != NULL)
     request->next->prev = request->prev;
-  request->server = NULL;
+  request->is_open = false;
 }
 
 static void
@@ -82,6 +83,7 @@
   struct httpserver_request *request = *(struct httpserver_request **)data;
 
   request_unlink (request);
+  request->server->unsent_count--;
   request->req = NULL;
   request_report_disconnect (request);
   h2o_buffer_dispose (&request->sending);
@@ -157,6 +159,8 @@
   request->generator.proceed = stream_proceed;
   request->generator.stop = stream_stop;
   request->server = server;
+  request->is_open = true;
+  server->unsent_count++;
   request->req = req;
   h2o_buffer_init (&request->sending, &h2o_socket_buffer_prototype);
   h2o_buffer_init (&request->queued, &h2o_socket_buffer_prototype);
@@ -352,6 +356,12 @@
   uv_close ((uv_handle_t *)&server->listener, NULL);
 }
 
+bool
+httpserver_is_sending (const struct httpserver *server)
+{
+  return server->unsent_count > 0;
+}
+
 void
 httpserver_finish (struct httpserver *server)
 {
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -41,6 +41,8 @@
   /** First request in the list of those without a complete response. */
   struct httpserver_request *open_requests;
   size_t connection_count;
+  size_t unsent_count; /**< Number of requests whose response has not been sent
+                          whole, those without one included. */
   bool listening;
 };
 
@@ -60,6 +62,10 @@
 /** Stop accepting connections; open connections continue. */
 void httpserver_stop_listening (struct httpserver *server);
 
+/** Whether a request has not been answered, or its response not been sent
+ * whole. */
+bool httpserver_is_sending (const struct httpserver *server);
+
 /** Close the listener and shut down all connections. Must not be called while
  * a request is in flight. */
 void httpserver_finish (struct httpserver *server);
--- a/src/process.c
+++ b/src/process.c
@@ -170,7 +170,8 @@
       enter_stage (process, PROCESS_FINISHING);
     }
   else if (process->stage == PROCESS_FINISHING
-           && (process->role->unfinished_task_count (process->role_data) == 0
+           && ((process->role->unfinished_task_count (process->role_data) == 0
+                && !httpserver_is_sending (&process->http_server))
                || stage_age_ns >= settings->timeouts.stop_ns))
     {
       end_process (process);
--- a/test/check-path.sh
+++ b/test/check-path.sh
@@ -282,6 +282,22 @@
 check planned-stop "$(number count "$fleet_dir/stop.out")" \
   "$(number complete "$fleet_dir/stop.out")" "$fleet_dir/stop.out"
 
+# Nor a response whose caller reads it slowly.
+for s in $services; do fault "$s" '{"padding":40000000}'; done
+curl -s -m 20 --limit-rate 10M -o "$fleet_dir/slow.body" \
+  -H 'Authorization: Bearer key-1' -H 'X-Kind: status' \
+  "http://${address_of[gateway-1]}/v1/services/centrale/s" &
+reader=$!
+sleep 0.5
+kill -TERM "${pid_of[gateway-1]}"
+wait $reader
+check planned-stop-slow-caller "0 whole" "$? $([ "$(wc -c \
+  <"$fleet_dir/slow.body")" -gt 40000000 ] && echo whole)"
+wait "${pid_of[gateway-1]}"
+for s in $services; do fault "$s" '{"padding":0}'; done
+daemon gateway-1 gateway dc-1
+wait_ready gateway-1
+
 # (j) A gateway that starts is not ready, and is not named to callers, before
 # it knows its engines. The host list holds it up, so that no step needs luck.
 is_ready () {
--- a/test/standin-service.c
+++ b/test/standin-service.c
@@ -12,6 +12,7 @@
  * Faults besides the common ones:
  *   drop_after_effect  the next N runs close the connection unanswered
  *   cut_body           the next N runs close it inside the body of the answer
+ *   padding            N bytes more in each answer
  */
 
 static int delay_ms;
@@ -23,7 +24,8 @@
   { 0 },
 };
 
-static const char *const faults[] = { "drop_after_effect", "cut_body", NULL };
+static const char *const faults[]
+    = { "drop_after_effect", "cut_body", "padding", NULL };
 
 /* A run whose answer is due later. */
 struct run
@@ -61,6 +63,19 @@
   stream_flush (stream);
 }
 
+static void
+run_answer_whole (const struct run *run)
+{
+  struct json_object *answer
+      = json_put (NULL, "run", 'i', run->number, "path", 's', run->path, NULL);
+  char *padding = g_strnfill ((gsize)fault_value ("padding"), 'x');
+
+  if (padding[0] != '\0')
+    json_put (answer, "padding", 's', padding, NULL);
+  http_json (run->req, 200, answer);
+  g_free (padding);
+}
+
 static void
 run_answer (void *data)
 {
@@ -70,9 +85,7 @@
   else if (fault_take ("cut_body"))
     run_answer_in_part (run);
   else
-    http_json (run->req, 200,
-               json_put (NULL, "run", 'i', run->number, "path", 's', run->path,
-                         NULL));
+    run_answer_whole (run);
   g_free (run->path);
   g_free (run);
 }
