A gateway reads the requests that have arrived before it ends

Callers of a gateway that stopped lost a request without an answer: closing the listener reset connections that waited to be accepted, also with a request sent; nothing told a caller on a kept connection to leave it before the process ended; and the process ended at the first tick with nothing in flight, which comes before the loop reads.

Now the connections that wait are accepted, from then on each response says that its connection closes, and the process ends once it was idle at two ticks in a row, between which the loop has read every request that had arrived. A request that crosses the close of an idle connection is the caller's to send again.

The two ticks are by reading.

--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 enum
 {
@@ -223,29 +224,37 @@
   free (connection);
 }
 
+/* Accepts the connection FD, or one from the listener if FD is -1. */
 static void
-on_connection (uv_stream_t *listener, int status)
+connection_accept (struct httpserver *server, int fd)
 {
-  struct httpserver *server = listener->data;
-  struct connection *connection;
-  uv_tcp_t *tcp;
-  h2o_socket_t *socket;
+  struct connection *connection = calloc (1, sizeof *connection);
+  uv_tcp_t *tcp = &connection->tcp;
+  int failed;
 
-  if (status != 0)
-    return;
-  connection = calloc (1, sizeof *connection);
   connection->server = server;
-  tcp = &connection->tcp;
   uv_tcp_init (server->loop, tcp);
   server->connection_count++;
-  if (uv_accept (listener, (uv_stream_t *)tcp) != 0)
+  failed = fd >= 0 ? uv_tcp_open (tcp, fd)
+                   : uv_accept ((uv_stream_t *)&server->listener,
+                                (uv_stream_t *)tcp);
+  if (failed != 0)
     {
+      if (fd >= 0)
+        close (fd);
       uv_close ((uv_handle_t *)tcp, connection_closed);
       return;
     }
   uv_tcp_nodelay (tcp, 1);
-  socket = h2o_uv_socket_create ((uv_stream_t *)tcp, connection_closed);
-  h2o_accept (&server->accept_context, socket);
+  h2o_accept (&server->accept_context,
+              h2o_uv_socket_create ((uv_stream_t *)tcp, connection_closed));
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  if (status == 0)
+    connection_accept (listener->data, -1);
 }
 
 /* Body of the response to a request that h2o itself refuses because its body
@@ -347,13 +356,44 @@
   return STATUS_OK;
 }
 
+/* Accepts the connections that are established and wait: closing the listener
+ * would reset them. */
+static void
+accept_waiting (struct httpserver *server)
+{
+  uv_os_fd_t listener;
+
+  if (uv_fileno ((uv_handle_t *)&server->listener, &listener) != 0)
+    return;
+  /* As many as can wait, so that callers that go on connecting can't keep the
+   * process here. */
+  for (int i = 0; i <= LISTEN_BACKLOG; i++)
+    {
+      int fd = accept (listener, NULL, NULL);
+
+      if (fd >= 0)
+        connection_accept (server, fd);
+      else if (errno != EINTR && errno != ECONNABORTED)
+        return;
+    }
+}
+
+static void
+close_listener (struct httpserver *server)
+{
+  server->listening = false;
+  /* From here on each response tells its caller to use another connection. */
+  h2o_context_request_shutdown (&server->context);
+  uv_close ((uv_handle_t *)&server->listener, NULL);
+}
+
 void
 httpserver_stop_listening (struct httpserver *server)
 {
   if (!server->listening)
     return;
-  server->listening = false;
-  uv_close ((uv_handle_t *)&server->listener, NULL);
+  accept_waiting (server);
+  close_listener (server);
 }
 
 bool
@@ -365,9 +405,9 @@
 void
 httpserver_finish (struct httpserver *server)
 {
-  httpserver_stop_listening (server);
+  if (server->listening)
+    close_listener (server);
   uv_close ((uv_handle_t *)&server->disconnect_timer, NULL);
-  h2o_context_request_shutdown (&server->context);
 }
 
 unsigned
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -59,15 +59,16 @@
                              httpserver_handler handler, void *data,
                              struct error *error);
 
-/** Stop accepting connections; open connections continue. */
+/** Accept the connections that wait and no others. Open connections continue,
+ * and each response tells its caller that the connection closes. */
 void httpserver_stop_listening (struct httpserver *server);
 
 /** Whether a request has not been answered, or its response not been sent
  * whole. */
 bool httpserver_is_sending (const struct httpserver *server);
 
-/** Close the listener and shut down all connections. Must not be called while
- * a request is in flight. */
+/** Stop listening and end the checks for disconnected callers. Must not be
+ * called while a request is in flight. */
 void httpserver_finish (struct httpserver *server);
 
 unsigned httpserver_port (const struct httpserver *server);
--- a/src/process.c
+++ b/src/process.c
@@ -162,16 +162,22 @@
 {
   const struct settings *settings = process->settings;
   int64_t stage_age_ns = now - process->stage_since_ns;
+  bool was_idle = process->was_idle;
 
+  process->was_idle
+      = process->role->unfinished_task_count (process->role_data) == 0
+        && !httpserver_is_sending (&process->http_server);
   if (process->stage == PROCESS_LEAVING
       && stage_age_ns >= settings->entries.lifetime_ns)
     {
       httpserver_stop_listening (&process->http_server);
+      process->was_idle = false;
       enter_stage (process, PROCESS_FINISHING);
     }
+  /* Idle at two ticks: between them the loop has read every request that had
+   * arrived at the first. */
   else if (process->stage == PROCESS_FINISHING
-           && ((process->role->unfinished_task_count (process->role_data) == 0
-                && !httpserver_is_sending (&process->http_server))
+           && ((was_idle && process->was_idle)
                || stage_age_ns >= settings->timeouts.stop_ns))
     {
       end_process (process);
--- a/src/process.h
+++ b/src/process.h
@@ -105,6 +105,7 @@
                                there is none. */
   enum process_stage stage;
   int64_t stage_since_ns;
+  bool was_idle; /**< Whether no request was in flight at the last tick. */
   int64_t next_watcher_check_ns;
   int64_t next_hosts_poll_ns;
 };
